--- /dev/null
+++ b/dev/testkit/mocha/setup.cjs
@@ -0,0 +1,5 @@
+const chai = require('chai');
+const {jestSnapshotPlugin} = require('mocha-chai-jest-snapshot');
+
+// With CI set in the environment a missing snapshot fails instead of being written.
+chai.use(jestSnapshotPlugin());
--- /dev/null
+++ b/packages/common/src/clock.ts
@@ -0,0 +1,62 @@
+import {performance} from 'node:perf_hooks';
+import {setTimeout as delay} from 'node:timers/promises';
+
+/** Source of durations; leases, rates and deadlines never read the wall clock. */
+export abstract class Clock {
+	/** Milliseconds since an arbitrary fixed point; never goes backwards. */
+	abstract now(): number;
+	/** Resolves after the duration, or at once when the signal aborts. */
+	abstract sleep(ms: number, signal?: AbortSignal): Promise<void>;
+}
+
+/** The clock of the running process. */
+export class MonotonicClock extends Clock {
+	now(): number {
+		return performance.now();
+	}
+
+	async sleep(ms: number, signal?: AbortSignal): Promise<void> {
+		try {
+			await delay(ms, undefined, {signal});
+		} catch (err: unknown) {
+			if (!signal?.aborted) {
+				throw err;
+			}
+		}
+	}
+}
+
+type Sleeper = {readonly wakeAtMs: number; readonly wake: () => void};
+
+/** A clock that moves only when a test advances it. */
+export class ManualClock extends Clock {
+	private currentMs = 0;
+	private sleepers: readonly Sleeper[] = [];
+
+	now(): number {
+		return this.currentMs;
+	}
+
+	async sleep(ms: number, signal?: AbortSignal): Promise<void> {
+		if (signal?.aborted) {
+			return;
+		}
+
+		await new Promise<void>(resolve => {
+			this.sleepers = [...this.sleepers, {wakeAtMs: this.currentMs + ms, wake: resolve}];
+			signal?.addEventListener('abort', () => {
+				resolve();
+			}, {once: true});
+		});
+	}
+
+	/** Moves time forward and wakes every sleeper that is due. */
+	advance(ms: number): void {
+		this.currentMs += ms;
+		const due = this.sleepers.filter(sleeper => sleeper.wakeAtMs <= this.currentMs);
+		this.sleepers = this.sleepers.filter(sleeper => sleeper.wakeAtMs > this.currentMs);
+		for (const sleeper of due) {
+			sleeper.wake();
+		}
+	}
+}
--- /dev/null
+++ b/packages/common/src/constants.ts
@@ -0,0 +1,19 @@
+/** Environment-independent limits shared by several packages. */
+export const MAX_BODY_BYTES = 1_048_576;
+export const MAX_MESSAGE_BYTES = 16_777_216;
+
+/** Relative clock drift assumed between two hosts when one counts a lease granted by the other. */
+export const CLOCK_DRIFT_RATIO = 0.01;
+
+export const ANNOUNCE_INTERVAL_MS = 500;
+export const ANNOUNCE_TTL_MS = 2000;
+
+export const DEFAULT_KEY_LEASE_MS = 4000;
+export const MIN_KEY_LEASE_MS = 1000;
+export const MAX_KEY_LEASE_MS = 10_000;
+
+export const VERDICT_HEADER = 'x-egretrill-verdict';
+export const DEADLINE_HEADER = 'x-egretrill-deadline-ms';
+export const REQUEST_ID_HEADER = 'x-request-id';
+export const RESUME_HEADER = 'x-resume-from';
+export const PRIORITY_HEADER = 'x-egretrill-priority';
--- /dev/null
+++ b/packages/common/src/document.ts
@@ -0,0 +1,84 @@
+import {readFile} from 'node:fs/promises';
+import {Result} from 'true-myth';
+import {
+	type Document, isMap, isNode, isSeq, LineCounter, parseDocument,
+} from 'yaml';
+import type {z} from 'zod';
+import {ConfigDocument, type Fault, Settings} from './types.js';
+
+type Path = readonly PropertyKey[];
+
+function getNodeOffset(document: Document, path: Path): number | undefined {
+	// A missing field has no node, so the nearest parent gives the line.
+	for (let depth = path.length; depth >= 0; depth--) {
+		const node = document.getIn(path.slice(0, depth), true);
+		if (isNode(node) && node.range) {
+			return node.range[0];
+		}
+	}
+
+	return undefined;
+}
+
+function describeValue(document: Document, path: Path): string {
+	const node: unknown = path.length === 0 ? document.contents : document.getIn(path, true);
+	if (node === undefined || node === null) {
+		return 'nothing';
+	}
+
+	if (isMap(node)) {
+		return 'a map';
+	}
+
+	if (isSeq(node)) {
+		return 'a list';
+	}
+
+	return JSON.stringify(document.getIn(path));
+}
+
+function getFaults(document: Document, lines: LineCounter, error: z.ZodError): readonly Fault[] {
+	return error.issues.map(issue => {
+		const offset = getNodeOffset(document, issue.path);
+		return {
+			path: issue.path.map(String).join('.'),
+			expected: issue.message,
+			found: describeValue(document, issue.path),
+			...(offset !== undefined && {line: lines.linePos(offset).line}),
+		};
+	});
+}
+
+/** Parses YAML text and validates it, reporting each fault with its line and path. */
+export function restoreYaml<Schema extends z.ZodType>(schema: Schema, text: string): Result<z.infer<Schema>, readonly Fault[]> {
+	const lines = new LineCounter();
+	const document = parseDocument(text, {lineCounter: lines, prettyErrors: false});
+	if (document.errors.length > 0) {
+		return Result.err(document.errors.map(err => ({
+			path: '', expected: 'valid YAML', found: err.message, line: lines.linePos(err.pos[0]).line,
+		})));
+	}
+
+	const parsed = schema.safeParse(document.toJS());
+	return parsed.success ? Result.ok(parsed.data) : Result.err(getFaults(document, lines, parsed.error));
+}
+
+/** Restores a configuration document from YAML or JSON text. */
+export function restoreConfigDocument(text: string): Result<ConfigDocument, readonly Fault[]> {
+	return restoreYaml(ConfigDocument, text);
+}
+
+/** Restores a daemon's settings from YAML text. */
+export function restoreSettings(text: string): Result<Settings, readonly Fault[]> {
+	return restoreYaml(Settings, text);
+}
+
+/** Reads and restores a daemon's settings file. */
+export async function readSettings(file: string): Promise<Result<Settings, readonly Fault[]>> {
+	return restoreSettings(await readFile(file, 'utf8'));
+}
+
+/** Formats faults the way compilers do: file, line, path, what was expected and found. */
+export function formatFaults(file: string, faults: readonly Fault[]): string {
+	return faults.map(fault => `${file}:${fault.line ?? '?'}: ${fault.path === '' ? '(document)' : fault.path}: expected ${fault.expected}, found ${fault.found}`).join('\n');
+}
--- /dev/null
+++ b/packages/common/src/logger.ts
@@ -0,0 +1,14 @@
+import process from 'node:process';
+import bunyan from 'bunyan';
+
+export type Logger = bunyan;
+
+/** Creates the root logger of a process; each part derives its own with `child({component})`. */
+export function createLogger(name: string, level: bunyan.LogLevel, stream: NodeJS.WritableStream = process.stdout): Logger {
+	return bunyan.createLogger({name, level, stream});
+}
+
+/** Derives the logger of one part, whose messages all start with the same prefix field. */
+export function getComponentLogger(logger: Logger, component: string): Logger {
+	return logger.child({component});
+}
