callers, engines, services, hosts: request path, engine streams, peer transport, stand-ins

Cause: the thin path needs its parts before the daemon can wire them. Change: handleRequest with retry decisions apart from HTTP; engine channel that checks request id and sequence of each chunk; service client; gRPC transport with zod and MessagePack codecs; configuration follow poll with ages; stand-in engine and service. Before: schemas only. Conclusion: the shape (peers, straight tasks, schemas, abstract classes) is set down.

--- /dev/null
+++ b/dev/stand-ins/src/constants.ts
@@ -0,0 +1,2 @@
+export const HEARTBEAT_INTERVAL_MS = 1000;
+export const PROMPT_TOKENS = 8;
--- /dev/null
+++ b/dev/stand-ins/src/engine-state.ts
@@ -0,0 +1,88 @@
+import type {Order} from '@egretrill/common';
+import type {EngineOptions} from './types.js';
+
+type Resident = {readonly model: string; readonly version: string; readonly adapters: readonly string[]};
+
+/** The engine's own books of what it holds, which tests compare with what the system believes. */
+export class EngineState {
+	residents: readonly Resident[];
+	role: 'prefill' | 'decode' | 'mixed' = 'mixed';
+	highestFencing = 0;
+	settledOrders: readonly string[] = [];
+	peakMemoryMb = 0;
+
+	constructor(private readonly opts: EngineOptions) {
+		this.residents = opts.resident;
+		this.notePeak();
+	}
+
+	getMemoryMb(): number {
+		return this.residents.reduce((sum, resident) => sum + this.getSizeMb(resident.model) + resident.adapters.reduce((adapters, id) => adapters + this.getSizeMb(id), 0), 0);
+	}
+
+	hasModel(model: string, adapter?: string): boolean {
+		return this.residents.some(resident => resident.model === model && (adapter === undefined || resident.adapters.includes(adapter)));
+	}
+
+	/** False when the order is refused by its fencing number. */
+	isOrderAllowed(order: Order): boolean {
+		if (!this.opts.honoursFencing) {
+			return true;
+		}
+
+		if (order.fencing < this.highestFencing) {
+			return false;
+		}
+
+		this.highestFencing = order.fencing;
+		return true;
+	}
+
+	/** Applies an order once; a repeated order changes nothing. */
+	apply(order: Order): void {
+		if (this.settledOrders.includes(order.orderId)) {
+			return;
+		}
+
+		this.residents = this.getResidentsAfter(order);
+		if (order.kind === 'set-role') {
+			this.role = order.role;
+		}
+
+		this.settledOrders = [...this.settledOrders.slice(-63), order.orderId];
+		this.notePeak();
+	}
+
+	private getResidentsAfter(order: Order): readonly Resident[] {
+		switch (order.kind) {
+			case 'load-model': {
+				const others = this.residents.filter(resident => resident.model !== order.model || resident.version !== order.version);
+				return [...others, {model: order.model, version: order.version, adapters: []}];
+			}
+
+			case 'unload-model': {
+				return this.residents.filter(resident => resident.model !== order.model || resident.version !== order.version);
+			}
+
+			case 'load-adapter': {
+				return this.residents.map(resident => resident.model === order.model ? {...resident, adapters: [...new Set([...resident.adapters, order.adapter])]} : resident);
+			}
+
+			case 'unload-adapter': {
+				return this.residents.map(resident => resident.model === order.model ? {...resident, adapters: resident.adapters.filter(id => id !== order.adapter)} : resident);
+			}
+
+			case 'set-role': {
+				return this.residents;
+			}
+		}
+	}
+
+	private getSizeMb(id: string): number {
+		return this.opts.sizesMb[id] ?? 0;
+	}
+
+	private notePeak(): void {
+		this.peakMemoryMb = Math.max(this.peakMemoryMb, this.getMemoryMb());
+	}
+}
--- /dev/null
+++ b/dev/stand-ins/src/engine.ts
@@ -0,0 +1,191 @@
+import process from 'node:process';
+import {setTimeout as delay} from 'node:timers/promises';
+import {
+	type Announcement, type ChatRequest, ChatRequest as ChatRequestSchema, Order, REQUEST_ID_HEADER, RESUME_HEADER,
+} from '@egretrill/common';
+import express, {type Express, type Request, type Response} from 'express';
+import {HEARTBEAT_INTERVAL_MS, PROMPT_TOKENS} from './constants.js';
+import {EngineState} from './engine-state.js';
+import {StandInTarget} from './target.js';
+import {EngineOptions} from './types.js';
+
+const answerWords = ['The', ' mark', ' shows', ' the', ' water', ' level', ' of', ' the', ' flood', ' at', ' this', ' wall', '.'];
+
+function getWord(seq: number): string {
+	return answerWords[seq % answerWords.length] ?? '';
+}
+
+function getUsage(chat: ChatRequest): Record<string, number> {
+	return {prompt_tokens: PROMPT_TOKENS, completion_tokens: chat.max_tokens, total_tokens: PROMPT_TOKENS + chat.max_tokens};
+}
+
+/** A model engine that generates fixed words at a fixed pace and speaks the engine protocol. */
+export class StandInEngine extends StandInTarget {
+	readonly state: EngineState;
+	/** Ids of all requests that began, in order. */
+	readonly begunRequests: string[] = [];
+	peakRunning = 0;
+	private readonly opts: EngineOptions;
+	private running = 0;
+	private completed = 0;
+
+	constructor(opts: Partial<EngineOptions> & Pick<EngineOptions, 'targetId' | 'zone' | 'hosts'>) {
+		super(opts.hosts, opts.port);
+		this.opts = EngineOptions.parse(opts);
+		this.state = new EngineState(this.opts);
+	}
+
+	isCold(): boolean {
+		return this.faults.cold ?? this.completed < this.opts.warmAfterRequests;
+	}
+
+	override getAnnouncement(): Announcement {
+		return {
+			targetId: this.opts.targetId,
+			startId: this.startId,
+			zone: this.opts.zone,
+			address: this.address,
+			kind: 'engine',
+			role: this.state.role,
+			honoursFencing: this.opts.honoursFencing,
+			memoryMb: this.opts.memoryMb,
+			load: {
+				running: Math.min(this.running, this.opts.slots),
+				waiting: Math.max(0, this.running - this.opts.slots),
+				limit: this.opts.slots,
+				kvUsedRatio: Math.min(1, this.running / this.opts.slots),
+			},
+			resident: this.state.residents.map(resident => ({...resident, adapters: [...resident.adapters]})),
+			settledOrders: [...this.state.settledOrders],
+			leaving: this.faults.leaving ?? false,
+			cold: this.isCold(),
+		};
+	}
+
+	protected override getBooks(): Record<string, unknown> {
+		const {state, begunRequests, peakRunning, lastHeaders} = this;
+		return {
+			memoryMb: state.getMemoryMb(), peakMemoryMb: state.peakMemoryMb, residents: state.residents, begunRequests, peakRunning, lastHeaders,
+		};
+	}
+
+	protected override mount(app: Express): void {
+		app.post('/v1/chat/completions', express.json({limit: '2mb'}), async (req, res) => this.complete(req, res));
+		app.post('/orders', express.json(), async (req, res) => this.takeOrder(req, res));
+	}
+
+	private async takeOrder(req: Request, res: Response): Promise<void> {
+		const order = Order.parse(req.body);
+		if (this.faults.dropOrders) {
+			req.socket.destroy();
+			return;
+		}
+
+		if (!this.state.isOrderAllowed(order)) {
+			res.status(409).json({error: {code: 'stale-fencing'}});
+			return;
+		}
+
+		const loadMs = {'load-model': this.opts.modelLoadMs, 'load-adapter': this.opts.adapterLoadMs}[order.kind as 'load-model'] ?? 0;
+		res.status(202).json({accepted: true});
+		await delay(loadMs);
+		this.state.apply(order);
+	}
+
+	private async complete(req: Request, res: Response): Promise<void> {
+		const chat = ChatRequestSchema.parse(req.body);
+		const requestId = req.get(REQUEST_ID_HEADER) ?? '';
+		this.lastHeaders = req.headers;
+		if (this.opts.checksResidency && !this.state.hasModel(chat.model, chat.adapter)) {
+			res.status(404).json({error: {code: 'not-resident'}});
+			return;
+		}
+
+		if (this.faults.crashOn !== undefined && chat.messages.some(message => message.content.includes(this.faults.crashOn ?? ''))) {
+			// The whole process dies, as an engine does on a request that crashes it.
+			process.kill(process.pid, 'SIGKILL');
+		}
+
+		if (this.isCold() && this.running >= this.opts.coldSlots) {
+			res.status(503).json({error: {code: 'collapsed'}});
+			return;
+		}
+
+		this.begunRequests.push(requestId);
+		this.running += 1;
+		this.peakRunning = Math.max(this.peakRunning, this.running);
+		try {
+			await (chat.stream ? this.sendStream(req, res, chat, requestId) : this.sendWhole(res, chat, requestId));
+			this.completed += 1;
+		} finally {
+			this.running -= 1;
+		}
+	}
+
+	private async sendWhole(res: Response, chat: ChatRequest, requestId: string): Promise<void> {
+		await delay((this.faults.prefillMs ?? this.opts.prefillMs) + (chat.max_tokens * this.opts.tokenIntervalMs));
+		if (this.faults.loseAnswer) {
+			res.destroy();
+			return;
+		}
+
+		const content = Array.from({length: chat.max_tokens}, (_, seq) => getWord(seq)).join('');
+		res.json({
+			id: requestId,
+			object: 'chat.completion',
+			model: chat.model,
+			choices: [{index: 0, message: {role: 'assistant', content}, finish_reason: 'length'}],
+			usage: getUsage(chat),
+		});
+	}
+
+	private async sendStream(req: Request, res: Response, chat: ChatRequest, requestId: string): Promise<void> {
+		res.set({'content-type': 'text/event-stream'}).flushHeaders();
+		const heartbeat = setInterval(() => {
+			if (this.faults.muteAfterChunks === undefined) {
+				res.write(': heartbeat\n\n');
+			}
+		}, HEARTBEAT_INTERVAL_MS);
+		try {
+			await delay(this.faults.prefillMs ?? this.opts.prefillMs);
+			for (let seq = Number(req.get(RESUME_HEADER) ?? 0); seq < chat.max_tokens; seq++) {
+				if (res.closed || !this.writeChunk(res, chat, requestId, seq)) {
+					return;
+				}
+
+				await delay(this.opts.tokenIntervalMs);
+			}
+
+			res.write('data: [DONE]\n\n');
+			res.end();
+		} finally {
+			clearInterval(heartbeat);
+		}
+	}
+
+	/** Returns false when a fault ends the stream here. */
+	private writeChunk(res: Response, chat: ChatRequest, requestId: string, seq: number): boolean {
+		if (this.faults.breakAfterChunks !== undefined && seq >= this.faults.breakAfterChunks) {
+			this.faults = {};
+			res.destroy();
+			return false;
+		}
+
+		if (this.faults.muteAfterChunks !== undefined && seq >= this.faults.muteAfterChunks) {
+			return false;
+		}
+
+		const id = this.faults.crossAtChunk === seq ? 'req-of-another-caller' : requestId;
+		const isLast = seq === chat.max_tokens - 1;
+		const chunk = {
+			id,
+			object: 'chat.completion.chunk',
+			model: chat.model,
+			egretrill: {seq},
+			choices: [{index: 0, delta: {content: getWord(seq)}, finish_reason: isLast ? 'length' : null}],
+			...(isLast && {usage: getUsage(chat)}),
+		};
+		res.write(`data: ${JSON.stringify(chunk)}\n\n`);
+		return true;
+	}
+}
--- /dev/null
+++ b/dev/stand-ins/src/service.ts
@@ -0,0 +1,58 @@
+import type {Announcement} from '@egretrill/common';
+import express, {type Express} from 'express';
+import {StandInTarget} from './target.js';
+
+export type ServiceOptions = {
+	readonly targetId: string;
+	readonly zone: string;
+	readonly service: string;
+	readonly hosts: readonly string[];
+};
+
+/** A plain service that counts each call it runs. */
+export class StandInService extends StandInTarget {
+	/** Bodies of all calls that ran, in order. */
+	readonly runs: string[] = [];
+
+	constructor(private readonly opts: ServiceOptions) {
+		super(opts.hosts);
+	}
+
+	override getAnnouncement(): Announcement {
+		return {
+			targetId: this.opts.targetId,
+			startId: this.startId,
+			zone: this.opts.zone,
+			address: this.address,
+			kind: 'service',
+			service: this.opts.service,
+			role: 'mixed',
+			honoursFencing: false,
+			memoryMb: 0,
+			load: {
+				running: 0, waiting: 0, limit: 64, kvUsedRatio: 0,
+			},
+			resident: [],
+			settledOrders: [],
+			leaving: this.faults.leaving ?? false,
+			cold: false,
+		};
+	}
+
+	protected override getBooks(): Record<string, unknown> {
+		return {runs: this.runs, lastHeaders: this.lastHeaders};
+	}
+
+	protected override mount(app: Express): void {
+		app.use(express.text({type: () => true}), (req, res) => {
+			this.lastHeaders = req.headers;
+			this.runs.push(typeof req.body === 'string' ? req.body : '');
+			if (this.faults.loseAnswer) {
+				req.socket.destroy();
+				return;
+			}
+
+			res.json({service: this.opts.service, path: req.path, run: this.runs.length});
+		});
+	}
+}
--- /dev/null
+++ b/dev/stand-ins/src/types.ts
@@ -0,0 +1,48 @@
+import type {Announcement} from '@egretrill/common';
+import {z} from 'zod';
+
+/** How a stand-in engine behaves. */
+export const EngineOptions = z.object({
+	targetId: z.string(),
+	zone: z.string(),
+	/** Target addresses of the hosts that it announces itself to. */
+	hosts: z.array(z.string()),
+	port: z.int().default(0),
+	memoryMb: z.number().default(48_000),
+	slots: z.int().default(8),
+	prefillMs: z.number().default(20),
+	tokenIntervalMs: z.number().default(10),
+	honoursFencing: z.boolean().default(true),
+	checksResidency: z.boolean().default(true),
+	modelLoadMs: z.number().default(500),
+	adapterLoadMs: z.number().default(8),
+	resident: z.array(z.object({model: z.string(), version: z.string(), adapters: z.array(z.string()).default([])})).default([]),
+	/** Memory in MB of each model and adapter, with the KV reserve included for models. */
+	sizesMb: z.record(z.string(), z.number()).default({}),
+	/** Work after which the engine is warm; a cold engine fails requests above `coldSlots`. */
+	warmAfterRequests: z.int().default(0),
+	coldSlots: z.int().default(2),
+});
+export type EngineOptions = z.infer<typeof EngineOptions>;
+
+/** Faults that tests and the demo switch on in a running stand-in. */
+export const Faults = z.object({
+	/** Breaks the connection after so many chunks of the next answers. */
+	breakAfterChunks: z.int().optional(),
+	/** Goes silent on open connections after so many chunks, without closing them. */
+	muteAfterChunks: z.int().optional(),
+	/** Sends a chunk of another request before this chunk. */
+	crossAtChunk: z.int().optional(),
+	/** Ends the process on requests whose prompt holds this text. */
+	crashOn: z.string().optional(),
+	/** Runs the call and breaks the connection instead of answering. */
+	loseAnswer: z.boolean().optional(),
+	prefillMs: z.number().optional(),
+	cold: z.boolean().optional(),
+	leaving: z.boolean().optional(),
+	dropOrders: z.boolean().optional(),
+});
+export type Faults = z.infer<typeof Faults>;
+
+/** Anything that announces itself to hosts. */
+export type Announcer = {readonly getAnnouncement: () => Announcement; readonly hosts: readonly string[]};
--- /dev/null
+++ b/packages/callers/src/caller-reply.ts
@@ -0,0 +1,29 @@
+import {VERDICT_HEADER, type Verdict} from '@egretrill/common';
+import type {ErrorBody} from './types.js';
+
+/** The answer channel to one caller. */
+export abstract class CallerReply {
+	/** True once the status line has been sent. */
+	abstract get isStarted(): boolean;
+	/** True if the answer is a stream of events. */
+	abstract get isEventStream(): boolean;
+	abstract start(status: number, headers: Readonly<Record<string, string>>): void;
+	/** Resolves when the caller can take more; rejects when the caller is gone or accepts nothing. */
+	abstract write(bytes: Uint8Array | string): Promise<void>;
+	/** Ends a complete answer. */
+	abstract end(): Promise<void>;
+	/** Breaks the connection, so that an incomplete answer cannot pass for a whole one. */
+	abstract abort(): void;
+}
+
+/** Sends a refusal with its verdict in status, header and body. */
+export async function sendRefusal(reply: CallerReply, verdict: Verdict): Promise<void> {
+	const body: ErrorBody = {error: {verdict: verdict.run, code: verdict.code, message: verdict.reason}};
+	reply.start(verdict.status, {
+		'content-type': 'application/json',
+		[VERDICT_HEADER]: verdict.run,
+		...(verdict.retryAfterMs !== undefined && {'retry-after': String(Math.ceil(verdict.retryAfterMs / 1000))}),
+	});
+	await reply.write(JSON.stringify(body));
+	await reply.end();
+}
--- /dev/null
+++ b/packages/callers/src/decide-retry.ts
@@ -0,0 +1,52 @@
+import {
+	mayHaveRun, refuse, type SendFailure, type Verdict,
+} from '@egretrill/common';
+import {MAX_ATTEMPTS} from './constants.js';
+
+/** A failed attempt, with what the caller has already received of the answer. */
+export type FailedAttempt = {
+	readonly failure: SendFailure;
+	readonly attempt: number;
+	readonly isIdempotent: boolean;
+	readonly isDeterministic: boolean;
+	readonly deliveredChunks: number;
+	readonly isSameStartAlive: boolean;
+};
+
+export type RetryDecision =
+	| {readonly next: 'other-target'}
+	| {readonly next: 'resume-same'}
+	| {readonly next: 'resume-other'}
+	| {readonly next: 'give-up'; readonly verdict: Verdict};
+
+function getFinalVerdict({failure, deliveredChunks}: FailedAttempt): Verdict {
+	if (deliveredChunks > 0) {
+		return {
+			run: 'ran', status: 502, code: 'stream-broken', reason: 'The answer broke off and cannot be continued.',
+		};
+	}
+
+	return failure.accepted
+		? mayHaveRun(502, 'target-failed', 'The target failed after it may have received the request.')
+		: refuse(503, 'target-unreachable', 'The target could not be reached.', 1000);
+}
+
+/** Decides what follows a failed attempt; `takeRetry` draws on the retry budget. */
+export function decideRetry(failed: FailedAttempt, takeRetry: () => boolean): RetryDecision {
+	const giveUp: RetryDecision = {next: 'give-up', verdict: getFinalVerdict(failed)};
+	const mayRepeat = failed.isIdempotent || !failed.failure.accepted;
+	if (!mayRepeat || failed.attempt >= MAX_ATTEMPTS) {
+		return giveUp;
+	}
+
+	if (failed.deliveredChunks === 0) {
+		return takeRetry() ? {next: 'other-target'} : giveUp;
+	}
+
+	// The engine that began the answer holds its sampling state; another one gives the same text only if sampling is fixed.
+	if (failed.isSameStartAlive && takeRetry()) {
+		return {next: 'resume-same'};
+	}
+
+	return failed.isDeterministic && takeRetry() ? {next: 'resume-other'} : giveUp;
+}
--- /dev/null
+++ b/packages/callers/src/exchange-types.ts
@@ -0,0 +1,28 @@
+import type {CallOutcome, SendFailure, TargetRequest} from '@egretrill/common';
+import type {Identity} from './authenticate.js';
+import type {CallerReply} from './caller-reply.js';
+import type {RequestParts} from './request-parts.js';
+import type {CallerRequest} from './types.js';
+import type {Work} from './work.js';
+
+/** An admitted request on its way to a target. */
+export type Exchange = {
+	readonly req: CallerRequest;
+	readonly reply: CallerReply;
+	readonly work: Work;
+	readonly identity: Identity;
+	readonly signal: AbortSignal;
+	readonly deadlineMs: number;
+	readonly parts: RequestParts;
+	/** Runs before a whole answer is sent to the caller. */
+	readonly beforeAnswer?: (answer: CallOutcome) => Promise<void>;
+};
+
+/** How one attempt at a target ended. */
+export type AttemptResult =
+	| {readonly kind: 'completed'; readonly tokens?: number}
+	| {readonly kind: 'cancelled'}
+	| {readonly kind: 'failed'; readonly failure: SendFailure; readonly deliveredChunks: number};
+
+/** Builds the request that a target receives, without anything that identifies the caller. */
+export type TargetRequestBuilder = (resumeFrom: number) => TargetRequest;
--- /dev/null
+++ b/packages/callers/src/express-reply.ts
@@ -0,0 +1,49 @@
+import {once} from 'node:events';
+import type {Response} from 'express';
+import {CallerReply} from './caller-reply.js';
+import {CALLER_STALL_MS} from './constants.js';
+
+/** Answers a caller through express. */
+export class ExpressReply extends CallerReply {
+	private isStream = false;
+
+	constructor(private readonly res: Response, private readonly gone: AbortSignal) {
+		super();
+	}
+
+	override get isStarted(): boolean {
+		return this.res.headersSent;
+	}
+
+	override get isEventStream(): boolean {
+		return this.isStream;
+	}
+
+	override start(status: number, headers: Readonly<Record<string, string>>): void {
+		this.isStream = headers['content-type']?.startsWith('text/event-stream') ?? false;
+		this.res.status(status).set(headers);
+		this.res.flushHeaders();
+	}
+
+	override async write(bytes: Uint8Array | string): Promise<void> {
+		if (this.gone.aborted) {
+			throw new Error('The caller closed the connection.');
+		}
+
+		if (!this.res.write(bytes)) {
+			await this.waitForDrain();
+		}
+	}
+
+	override async end(): Promise<void> {
+		this.res.end();
+	}
+
+	override abort(): void {
+		this.res.destroy();
+	}
+
+	private async waitForDrain(): Promise<void> {
+		await once(this.res, 'drain', {signal: AbortSignal.any([this.gone, AbortSignal.timeout(CALLER_STALL_MS)])});
+	}
+}
--- /dev/null
+++ b/packages/callers/src/handle-request.ts
@@ -0,0 +1,88 @@
+import {
+	refuse, type Verdict, VerdictError,
+} from '@egretrill/common';
+import {Result} from 'true-myth';
+import {authenticate, type Identity} from './authenticate.js';
+import {type CallerReply, sendRefusal} from './caller-reply.js';
+import type {ConfigIndex} from './config-index.js';
+import type {Exchange} from './exchange-types.js';
+import {matchRoute} from './match-route.js';
+import type {RequestParts} from './request-parts.js';
+import {runOnTargets, type RunResult} from './run-on-targets.js';
+import {runOnce} from './run-once.js';
+import type {CallerRequest} from './types.js';
+import {restoreWork, type Work} from './work.js';
+
+type Admitted = {readonly identity: Identity; readonly work: Work};
+
+/** Finds out who asks for what. */
+function admit(index: ConfigIndex, req: CallerRequest, ageMs: number): Result<Admitted, Verdict> {
+	return matchRoute(index, req.path)
+		.andThen(route => authenticate(index, route, req.headers, ageMs)
+			.andThen(identity => restoreWork(index, route, req)
+				.map(work => ({identity, work}))));
+}
+
+async function serve(req: CallerRequest, reply: CallerReply, signal: AbortSignal, parts: RequestParts): Promise<Result<RunResult, Verdict>> {
+	const index = parts.config.getIndex();
+	if (!index) {
+		return Result.err(refuse(503, 'not-ready', 'This host has no configuration yet.', 1000));
+	}
+
+	const admitted = admit(index, req, parts.config.getAgeMs());
+	if (admitted.isErr) {
+		return Result.err(admitted.error);
+	}
+
+	const {identity, work} = admitted.value;
+	const exchange: Exchange = {
+		req, reply, work, identity, signal, parts, deadlineMs: parts.clock.now() + work.route.timeoutMs,
+	};
+	return work.route.idempotent ? runOnTargets(exchange) : runOnce(exchange);
+}
+
+/** Ends a request whose answer had already begun, so that the caller can tell it from a whole one. */
+async function endBrokenAnswer(reply: CallerReply, verdict: Verdict): Promise<void> {
+	if (!reply.isEventStream) {
+		reply.abort();
+		return;
+	}
+
+	const body = {error: {verdict: verdict.run, code: verdict.code, message: verdict.reason}};
+	await reply.write(`event: error\ndata: ${JSON.stringify(body)}\n\n`);
+	await reply.end();
+}
+
+function toVerdict(err: unknown): Verdict {
+	return err instanceof VerdictError
+		? err.verdict
+		: {
+			run: 'may-have-run', status: 500, code: 'internal', reason: 'The request failed inside this host.',
+		};
+}
+
+/** Follows one request from the caller to a target and back. */
+export async function handleRequest(req: CallerRequest, reply: CallerReply, signal: AbortSignal, parts: RequestParts): Promise<void> {
+	const startedMs = parts.clock.now();
+	let result: Result<RunResult, Verdict>;
+	try {
+		result = await serve(req, reply, signal, parts);
+	} catch (err: unknown) {
+		parts.logger.error({err, requestId: req.requestId}, 'A request failed unexpectedly.');
+		result = Result.err(toVerdict(err));
+	}
+
+	const elapsedMs = Math.round(parts.clock.now() - startedMs);
+	if (result.isOk) {
+		parts.logger.info({
+			requestId: req.requestId, path: req.path, outcome: result.value.kind, elapsedMs,
+		}, 'Request ended.');
+		return;
+	}
+
+	const verdict = result.error;
+	parts.logger.info({
+		requestId: req.requestId, path: req.path, outcome: verdict.code, verdict: verdict.run, elapsedMs,
+	}, 'Request refused.');
+	await (reply.isStarted ? endBrokenAnswer(reply, verdict) : sendRefusal(reply, verdict));
+}
--- a/packages/callers/src/index.ts
+++ b/packages/callers/src/index.ts
@@ -1,1 +1,14 @@
-export {};
+export * from './app.js';
+export * from './authenticate.js';
+export * from './caller-reply.js';
+export * from './config-index.js';
+export * from './constants.js';
+export * from './decide-retry.js';
+export type * from './exchange-types.js';
+export * from './handle-request.js';
+export * from './match-route.js';
+export type * from './request-parts.js';
+export * from './run-on-targets.js';
+export * from './target-pool.js';
+export * from './types.js';
+export * from './work.js';
--- /dev/null
+++ b/packages/callers/src/relay-answer.ts
@@ -0,0 +1,94 @@
+import {Buffer} from 'node:buffer';
+import {
+	type CallOutcome, MAX_ANSWER_BYTES, type SendFailure, type TargetAddress, type TargetResponse, toSendFailure, VERDICT_HEADER,
+} from '@egretrill/common';
+import type {Result} from 'true-myth';
+import type {AttemptResult, Exchange, TargetRequestBuilder} from './exchange-types.js';
+
+const hopHeaders: ReadonlySet<string> = new Set(['connection', 'keep-alive', 'transfer-encoding', 'content-length', 'date', 'trailer', 'upgrade']);
+
+/** Reads a whole answer; a body that breaks off or grows too large is a failure, never a shorter answer. */
+export async function readAnswer(response: TargetResponse): Promise<CallOutcome | SendFailure> {
+	const parts: Uint8Array[] = [];
+	let size = 0;
+	try {
+		for await (const bytes of response.body) {
+			size += bytes.length;
+			if (size > MAX_ANSWER_BYTES) {
+				return {accepted: true, code: 'answer-too-large', reason: 'The answer of the target is too large.'};
+			}
+
+			parts.push(bytes);
+		}
+	} catch (err: unknown) {
+		return {...toSendFailure(err), accepted: true};
+	}
+
+	const headers = Object.fromEntries(Object.entries(response.headers).filter(([name]) => !hopHeaders.has(name)));
+	return {status: response.status, headers, body: Buffer.concat(parts)};
+}
+
+/** Type guard for failures among the outcomes of an exchange. */
+export function isSendFailure(value: CallOutcome | SendFailure): value is SendFailure {
+	return 'accepted' in value;
+}
+
+/** Sends a whole answer to the caller. */
+export async function sendAnswer(exchange: Exchange, answer: CallOutcome): Promise<void> {
+	exchange.reply.start(answer.status, {
+		...answer.headers, 'content-length': String(answer.body.length), 'x-request-id': exchange.req.requestId, [VERDICT_HEADER]: 'ran',
+	});
+	await exchange.reply.write(answer.body);
+	await exchange.reply.end();
+}
+
+function isOwnAnswer(exchange: Exchange, answer: CallOutcome): boolean {
+	if (exchange.work.route.kind === 'service' || answer.status !== 200) {
+		return true;
+	}
+
+	try {
+		const value = JSON.parse(Buffer.from(answer.body).toString('utf8')) as {id?: unknown};
+		return value.id === exchange.req.requestId;
+	} catch {
+		return false;
+	}
+}
+
+/** Runs one attempt whose answer comes as a whole; the caller receives nothing unless it is complete. */
+export async function relayAnswer(exchange: Exchange, target: TargetAddress, build: TargetRequestBuilder): Promise<AttemptResult> {
+	const {signal, parts, work} = exchange;
+	const req = build(0);
+	const sent: Result<TargetResponse, SendFailure> = work.route.kind === 'service'
+		? await parts.services.send(target, req, signal)
+		: await parts.engines.complete(target, req, signal);
+	if (sent.isErr) {
+		return signal.aborted ? {kind: 'cancelled'} : {kind: 'failed', failure: sent.error, deliveredChunks: 0};
+	}
+
+	const answer = await readAnswer(sent.value);
+	if (isSendFailure(answer)) {
+		return signal.aborted ? {kind: 'cancelled'} : {kind: 'failed', failure: answer, deliveredChunks: 0};
+	}
+
+	if (!isOwnAnswer(exchange, answer)) {
+		return {kind: 'failed', deliveredChunks: 0, failure: {accepted: true, code: 'crossed-answer', reason: 'The target answered another request.'}};
+	}
+
+	if (work.route.kind === 'model' && answer.status >= 500) {
+		return {kind: 'failed', deliveredChunks: 0, failure: {accepted: true, code: 'engine-status', reason: `The engine answered with status ${answer.status}.`}};
+	}
+
+	await exchange.beforeAnswer?.(answer);
+	await sendAnswer(exchange, answer);
+	return {kind: 'completed', ...getTokens(answer)};
+}
+
+function getTokens(answer: CallOutcome): {readonly tokens?: number} {
+	try {
+		const value = JSON.parse(Buffer.from(answer.body).toString('utf8')) as {usage?: {completion_tokens?: number}};
+		return value.usage?.completion_tokens === undefined ? {} : {tokens: value.usage.completion_tokens};
+	} catch {
+		return {};
+	}
+}
--- /dev/null
+++ b/packages/callers/src/relay-stream.ts
@@ -0,0 +1,66 @@
+import {StreamBrokenError, type StreamItem, type TargetAddress} from '@egretrill/common';
+import type {AttemptResult, Exchange, TargetRequestBuilder} from './exchange-types.js';
+
+type Progress = {delivered: number; tokens: number | undefined; isDone: boolean};
+
+function formatItem(item: StreamItem): string {
+	switch (item.kind) {
+		case 'chunk': {
+			return `data: ${item.data}\n\n`;
+		}
+
+		case 'heartbeat': {
+			return ': heartbeat\n\n';
+		}
+
+		case 'done': {
+			return 'data: [DONE]\n\n';
+		}
+	}
+}
+
+function noteItems(progress: Progress, items: readonly StreamItem[]): void {
+	for (const item of items) {
+		if (item.kind === 'chunk') {
+			progress.delivered = item.seq + 1;
+			progress.tokens = item.completionTokens ?? progress.tokens;
+		} else if (item.kind === 'done') {
+			progress.isDone = true;
+		}
+	}
+}
+
+/** Relays one streamed attempt to the caller, from the first chunk that the caller does not have yet. */
+export async function relayStream(exchange: Exchange, target: TargetAddress, resumeFrom: number, build: TargetRequestBuilder): Promise<AttemptResult> {
+	const {reply, signal, parts} = exchange;
+	const progress: Progress = {delivered: resumeFrom, tokens: undefined, isDone: false};
+	try {
+		for await (const items of parts.engines.stream(target, build(resumeFrom), signal)) {
+			if (items.length === 0) {
+				continue;
+			}
+
+			if (!reply.isStarted) {
+				reply.start(200, {'content-type': 'text/event-stream; charset=utf-8', 'cache-control': 'no-store', 'x-request-id': exchange.req.requestId});
+			}
+
+			await reply.write(items.map(item => formatItem(item)).join(''));
+			noteItems(progress, items);
+		}
+
+		await reply.end();
+		return {kind: 'completed', tokens: progress.tokens ?? progress.delivered};
+	} catch (err: unknown) {
+		if (signal.aborted || !(err instanceof StreamBrokenError)) {
+			return {kind: 'cancelled'};
+		}
+
+		if (progress.isDone) {
+			// The end marker has reached the caller, so the answer is whole although the connection broke afterwards.
+			await reply.end();
+			return {kind: 'completed', tokens: progress.tokens ?? progress.delivered};
+		}
+
+		return {kind: 'failed', failure: err.failure, deliveredChunks: progress.delivered};
+	}
+}
--- /dev/null
+++ b/packages/callers/src/run-on-targets.ts
@@ -0,0 +1,174 @@
+import {
+	mayHaveRun, refuse, type TargetRequest, type Verdict,
+} from '@egretrill/common';
+import {Result} from 'true-myth';
+import {checkKey} from './authenticate.js';
+import {MIN_WORK_MS, UNFORWARDED_HEADERS} from './constants.js';
+import {decideRetry} from './decide-retry.js';
+import type {AttemptResult, Exchange, TargetRequestBuilder} from './exchange-types.js';
+import {relayAnswer} from './relay-answer.js';
+import {relayStream} from './relay-stream.js';
+import type {ChosenTarget, TargetOutcome, TargetWant} from './target-pool.js';
+
+type FailedResult = Extract<AttemptResult, {readonly kind: 'failed'}>;
+
+/** How an admitted request ended. */
+export type RunResult = {readonly kind: 'completed'; readonly tokens?: number} | {readonly kind: 'cancelled'};
+
+function getRemainingMs({deadlineMs, parts}: Exchange): number {
+	return deadlineMs - parts.clock.now();
+}
+
+function createBuilder(exchange: Exchange): TargetRequestBuilder {
+	const headers = Object.fromEntries(Object.entries(exchange.req.headers).filter(([name]) => !UNFORWARDED_HEADERS.has(name)));
+	return (resumeFrom): TargetRequest => ({
+		requestId: exchange.req.requestId,
+		method: exchange.req.method,
+		path: exchange.req.path,
+		headers,
+		body: exchange.req.body,
+		deadlineMs: getRemainingMs(exchange),
+		...(resumeFrom > 0 && {resumeFrom}),
+	});
+}
+
+function createWant(exchange: Exchange, {excluded, resumeAt}: RunState): TargetWant {
+	const {work, identity, req} = exchange;
+	return {
+		requestId: req.requestId,
+		kind: work.route.kind === 'model' ? 'engine' : 'service',
+		prompt: work.prompt,
+		excluded,
+		timeoutMs: getRemainingMs(exchange),
+		...(resumeAt !== undefined && {startId: resumeAt}),
+		...(identity.customer && {customer: identity.customer.id}),
+		...(work.chat && {model: work.chat.model}),
+		...(work.chat?.adapter !== undefined && {adapter: work.chat.adapter}),
+		...(work.route.kind === 'service' && {service: work.route.service}),
+	};
+}
+
+/** Checks, right before the request is sent, what may have changed while it waited. */
+export function checkBeforeSend({identity, parts, signal, ...exchange}: Exchange): Result<true, Verdict> {
+	const index = parts.config.getIndex();
+	if (signal.aborted) {
+		return Result.err(refuse(499, 'caller-gone', 'The caller closed the connection.'));
+	}
+
+	if (exchange.deadlineMs - parts.clock.now() < MIN_WORK_MS) {
+		return Result.err(refuse(504, 'deadline-passed', 'The deadline passed before the request could be sent.'));
+	}
+
+	if (!index) {
+		return Result.err(refuse(503, 'not-ready', 'This host has no configuration yet.', 1000));
+	}
+
+	return identity.keyDigest === undefined ? Result.ok(true) : checkKey(index, identity.keyDigest, parts.config.getAgeMs()).map(() => true as const);
+}
+
+/** A refusal is no longer "not run" once an earlier attempt may have reached a target. */
+function withEarlierAttempt(verdict: Verdict, state: RunState): Verdict {
+	return state.hasReachedTarget && verdict.run === 'not-run' ? mayHaveRun(verdict.status, verdict.code, verdict.reason) : verdict;
+}
+
+function getOutcome(result: AttemptResult): TargetOutcome {
+	switch (result.kind) {
+		case 'completed': {
+			return 'completed';
+		}
+
+		case 'cancelled': {
+			return 'cancelled';
+		}
+
+		case 'failed': {
+			return result.failure.accepted ? 'failed' : 'unreachable';
+		}
+	}
+}
+
+/** What the attempts so far have left behind. */
+type RunState = {
+	readonly attempt: number;
+	readonly excluded: ReadonlySet<string>;
+	readonly deliveredChunks: number;
+	readonly hasReachedTarget: boolean;
+	/** The start of the target that holds the begun answer. */
+	readonly resumeAt?: string;
+};
+
+const targetLeft: FailedResult = {kind: 'failed', deliveredChunks: 0, failure: {accepted: false, code: 'target-left', reason: 'The chosen target takes no more work.'}};
+
+/** Makes one attempt at a chosen target. */
+async function attemptAt(exchange: Exchange, chosen: ChosenTarget, state: RunState): Promise<AttemptResult> {
+	if (!chosen.isAvailable() && state.resumeAt === undefined) {
+		return {...targetLeft, deliveredChunks: state.deliveredChunks};
+	}
+
+	const build = createBuilder(exchange);
+	return exchange.work.chat?.stream
+		? relayStream(exchange, chosen.address, state.deliveredChunks, build)
+		: relayAnswer(exchange, chosen.address, build);
+}
+
+/** Says what follows a failed attempt: the state of the next one, or the verdict that ends the request. */
+function getNextState(exchange: Exchange, chosen: ChosenTarget, state: RunState, failed: FailedResult): Result<RunState, Verdict> {
+	const {parts, work, req} = exchange;
+	const {targetId, startId} = chosen.address;
+	const decision = decideRetry({
+		failure: failed.failure,
+		attempt: state.attempt,
+		isIdempotent: work.route.idempotent,
+		isDeterministic: work.isDeterministic,
+		deliveredChunks: failed.deliveredChunks,
+		isSameStartAlive: chosen.isSameStart(),
+	}, parts.takeRetry);
+	parts.logger.info({
+		requestId: req.requestId, targetId, attempt: state.attempt, failure: failed.failure.code, next: decision.next,
+	}, 'An attempt failed.');
+	if (decision.next === 'give-up') {
+		return Result.err(decision.verdict);
+	}
+
+	const isResume = decision.next === 'resume-same';
+	return Result.ok({
+		attempt: state.attempt + 1,
+		excluded: isResume ? state.excluded : new Set([...state.excluded, targetId]),
+		deliveredChunks: failed.deliveredChunks,
+		hasReachedTarget: state.hasReachedTarget || failed.failure.accepted,
+		...(isResume && {resumeAt: startId}),
+	});
+}
+
+/** Runs an admitted request on one target after another until it is answered or must be given up. */
+export async function runOnTargets(exchange: Exchange): Promise<Result<RunResult, Verdict>> {
+	let state: RunState = {
+		attempt: 1, excluded: new Set(), deliveredChunks: 0, hasReachedTarget: false,
+	};
+	for (;;) {
+		const chosen = await exchange.parts.targets.choose(createWant(exchange, state), exchange.signal);
+		if (chosen.isErr) {
+			return Result.err(withEarlierAttempt(chosen.error, state));
+		}
+
+		// The last check before the write: key, deadline and caller may have changed during the waits above.
+		const allowed = checkBeforeSend(exchange);
+		if (allowed.isErr) {
+			chosen.value.release('cancelled');
+			return Result.err(withEarlierAttempt(allowed.error, state));
+		}
+
+		const result = await attemptAt(exchange, chosen.value, state);
+		chosen.value.release(getOutcome(result));
+		if (result.kind !== 'failed') {
+			return Result.ok(result);
+		}
+
+		const next = getNextState(exchange, chosen.value, state, result);
+		if (next.isErr) {
+			return Result.err(withEarlierAttempt(next.error, state));
+		}
+
+		state = next.value;
+	}
+}
--- /dev/null
+++ b/packages/callers/src/run-once.ts
@@ -0,0 +1,70 @@
+import {
+	type CallIdentity, type CallOutcome, mayHaveRun, refuse, type Verdict,
+} from '@egretrill/common';
+import {Result} from 'true-myth';
+import type {Exchange} from './exchange-types.js';
+import {sendAnswer} from './relay-answer.js';
+import {runOnTargets, type RunResult} from './run-on-targets.js';
+import {getFingerprint} from './work.js';
+
+const IDEMPOTENCY_HEADER = 'idempotency-key';
+const OPEN_CUSTOMER = '(open)';
+
+function getCall({req, identity, parts}: Exchange, idempotencyKey: string): CallIdentity {
+	const customer = identity.customer?.id ?? OPEN_CUSTOMER;
+	return {
+		customer, idempotencyKey, fingerprint: getFingerprint(customer, req), host: parts.hostId, attempt: req.requestId,
+	};
+}
+
+/** Sends a call that must not run twice, after recording it. */
+async function sendRecorded(exchange: Exchange, call: CallIdentity): Promise<Result<RunResult, Verdict>> {
+	const {ledger} = exchange.parts;
+	let answer: CallOutcome | undefined;
+	const result = await runOnTargets({
+		...exchange,
+		// The answer is recorded before the caller sees it, so that a resend can never find less than the caller knew.
+		async beforeAnswer(whole) {
+			answer = whole;
+			await ledger.finish(call, whole);
+		},
+	});
+	if (result.isErr && result.error.run === 'not-run' && answer === undefined) {
+		await ledger.release(call);
+	}
+
+	return result;
+}
+
+/** Runs a non-idempotent request at most once, whichever host its resends reach. */
+export async function runOnce(exchange: Exchange): Promise<Result<RunResult, Verdict>> {
+	const idempotencyKey = exchange.req.headers[IDEMPOTENCY_HEADER];
+	if (idempotencyKey === undefined || idempotencyKey === '') {
+		return Result.err(refuse(400, 'idempotency-key-required', 'This route needs an Idempotency-Key header.'));
+	}
+
+	const call = getCall(exchange, idempotencyKey);
+	const opening = await exchange.parts.ledger.open(call);
+	switch (opening.kind) {
+		case 'new': {
+			return sendRecorded(exchange, call);
+		}
+
+		case 'known': {
+			await sendAnswer(exchange, opening.outcome);
+			return Result.ok({kind: 'completed'});
+		}
+
+		case 'pending': {
+			return Result.err(mayHaveRun(409, 'may-have-run', 'This call was sent before and its outcome is not known.'));
+		}
+
+		case 'key-reused': {
+			return Result.err(refuse(422, 'key-reused', 'The Idempotency-Key was used before with another request.'));
+		}
+
+		case 'unavailable': {
+			return Result.err(refuse(503, 'record-unavailable', 'The call could not be recorded, so it was not sent.', 1000));
+		}
+	}
+}
--- /dev/null
+++ b/packages/callers/src/target-pool.ts
@@ -0,0 +1,36 @@
+import type {TargetAddress, Verdict} from '@egretrill/common';
+import type {Result} from 'true-myth';
+
+/** What a request needs from a target. */
+export type TargetWant = {
+	readonly requestId: string;
+	readonly customer?: string;
+	readonly kind: 'engine' | 'service';
+	readonly model?: string;
+	readonly adapter?: string;
+	readonly service?: string;
+	readonly prompt: string;
+	/** The start that must be used, when a begun answer is resumed. */
+	readonly startId?: string;
+	readonly excluded: ReadonlySet<string>;
+	readonly timeoutMs: number;
+};
+
+/** How an exchange with a target ended, as far as the choice of targets cares. */
+export type TargetOutcome = 'completed' | 'failed' | 'unreachable' | 'cancelled';
+
+/** A target that was chosen for one request. */
+export abstract class ChosenTarget {
+	abstract readonly address: TargetAddress;
+	/** False once the target leaves, restarts or its zone is taken out. */
+	abstract isAvailable(): boolean;
+	/** True while the process that was chosen still announces itself, even if it takes no new work. */
+	abstract isSameStart(): boolean;
+	/** Says how the exchange ended; must be called exactly once. */
+	abstract release(outcome: TargetOutcome): void;
+}
+
+/** Chooses targets for requests. */
+export abstract class TargetPool {
+	abstract choose(want: TargetWant, signal: AbortSignal): Promise<Result<ChosenTarget, Verdict>>;
+}
--- a/packages/common/src/constants.ts
+++ b/packages/common/src/constants.ts
@@ -2,6 +2,9 @@
 export const MAX_BODY_BYTES = 1_048_576;
 export const MAX_MESSAGE_BYTES = 16_777_216;
 
+/** Largest whole answer that a host holds for one caller. */
+export const MAX_ANSWER_BYTES = 4_194_304;
+
 /** Relative clock drift assumed between two hosts when one counts a lease granted by the other. */
 export const CLOCK_DRIFT_RATIO = 0.01;
 
@@ -17,3 +20,4 @@
 export const REQUEST_ID_HEADER = 'x-request-id';
 export const RESUME_HEADER = 'x-resume-from';
 export const PRIORITY_HEADER = 'x-egretrill-priority';
+export const TARGET_CONNECT_TIMEOUT_MS = 1000;
--- /dev/null
+++ b/packages/common/src/target-client.ts
@@ -0,0 +1,38 @@
+import type {Result} from 'true-myth';
+
+/** Where a chosen target listens, and which start of it was chosen. */
+export type TargetAddress = {
+	readonly targetId: string;
+	readonly startId: string;
+	readonly address: string;
+};
+
+/** A request as it goes to a target; it never holds the caller's key. */
+export type TargetRequest = {
+	readonly requestId: string;
+	readonly method: string;
+	readonly path: string;
+	readonly headers: Readonly<Record<string, string>>;
+	readonly body: Uint8Array;
+	readonly deadlineMs: number;
+	readonly resumeFrom?: number;
+};
+
+export type TargetResponse = {
+	readonly status: number;
+	readonly headers: Readonly<Record<string, string>>;
+	readonly body: AsyncIterable<Uint8Array>;
+};
+
+/** Why an exchange with a target failed; `accepted` is false only when nothing of the request left this host. */
+export type SendFailure = {
+	readonly accepted: boolean;
+	readonly code: string;
+	readonly reason: string;
+};
+
+/** Talks to one kind of target. */
+export abstract class TargetClient {
+	/** Sends the request and resolves when the head of the answer has arrived. */
+	abstract send(target: TargetAddress, req: TargetRequest, signal: AbortSignal): Promise<Result<TargetResponse, SendFailure>>;
+}
--- a/packages/common/src/types.ts
+++ b/packages/common/src/types.ts
@@ -5,6 +5,9 @@
 const socketAddress = z.string().regex(/^[\w.\-:\[\]]+:\d{1,5}$/v, 'an address as ip:port');
 const count = z.int().nonnegative();
 
+/** Raw bytes, as bodies and stored records hold them. */
+export const Bytes = z.custom<Uint8Array>(value => value instanceof Uint8Array, 'bytes');
+
 /** Whether a request may have had an effect at its target. */
 export const RunState = z.enum(['not-run', 'may-have-run', 'ran']);
 export type RunState = z.infer<typeof RunState>;
--- /dev/null
+++ b/packages/engines/src/client/engine-client.ts
@@ -0,0 +1,69 @@
+import {Agent} from 'node:http';
+import {
+	type Clock, EngineChannel, exchangeHttp, type SendFailure, StreamBrokenError, type StreamItem, type TargetAddress, type TargetRequest, type TargetResponse, toSendFailure,
+} from '@egretrill/common';
+import type {Result} from 'true-myth';
+import {ChunkReader} from './chunk-reader.js';
+import {StreamWatch} from './stream-watch.js';
+
+/** Talks to model engines over HTTP. */
+export class EngineClient extends EngineChannel {
+	private readonly agent = new Agent({keepAlive: true, maxFreeSockets: 64});
+
+	constructor(private readonly clock: Clock) {
+		super();
+	}
+
+	override async complete(target: TargetAddress, req: TargetRequest, signal: AbortSignal): Promise<Result<TargetResponse, SendFailure>> {
+		return exchangeHttp(target, req, signal, this.agent);
+	}
+
+	override async * stream(target: TargetAddress, req: TargetRequest, signal: AbortSignal): AsyncGenerator<readonly StreamItem[], void> {
+		const stop = new AbortController();
+		const watch = new StreamWatch(this.clock, stop);
+		try {
+			const answer = await exchangeHttp(target, req, AbortSignal.any([signal, stop.signal]), this.agent);
+			if (answer.isErr) {
+				throw new StreamBrokenError(answer.error);
+			}
+
+			if (answer.value.status !== 200) {
+				throw new StreamBrokenError({accepted: true, code: 'engine-status', reason: `The engine answered with status ${answer.value.status}.`}, answer.value.status);
+			}
+
+			const reader = new ChunkReader(req.requestId, req.resumeFrom ?? 0);
+			for await (const bytes of answer.value.body) {
+				watch.noteBytes();
+				const items = reader.read(bytes);
+				if (items.some(item => item.kind !== 'heartbeat')) {
+					watch.noteProgress();
+				}
+
+				watch.pause();
+				yield items;
+				watch.resume();
+			}
+
+			reader.finish();
+		} catch (err: unknown) {
+			throw this.toBroken(err, watch);
+		} finally {
+			watch.close();
+			// Closing the connection cancels the work at the engine when the reader leaves early.
+			stop.abort();
+		}
+	}
+
+	close(): void {
+		this.agent.destroy();
+	}
+
+	private toBroken(err: unknown, watch: StreamWatch): StreamBrokenError {
+		const cause = watch.getCause();
+		if (cause !== undefined) {
+			return new StreamBrokenError({accepted: true, code: cause, reason: `The stream was ended: ${cause}.`});
+		}
+
+		return err instanceof StreamBrokenError ? err : new StreamBrokenError(toSendFailure(err));
+	}
+}
--- /dev/null
+++ b/packages/engines/src/client/index.ts
@@ -0,0 +1,4 @@
+export * from './chunk-reader.js';
+export * from './engine-client.js';
+export * from './stream-watch.js';
+export * from './target-app.js';
--- /dev/null
+++ b/packages/engines/src/constants.ts
@@ -0,0 +1,8 @@
+/** An engine sends a heartbeat each second, so three missed ones mean that the connection is lost. */
+export const STREAM_HEARTBEAT_DEADLINE_MS = 3000;
+
+/** Longest prefill of a live engine; heartbeats alone do not extend it. */
+export const STREAM_PROGRESS_DEADLINE_MS = 60_000;
+
+export const STREAM_WATCH_INTERVAL_MS = 250;
+export const DONE_MARKER = '[DONE]';
--- a/packages/engines/src/index.ts
+++ b/packages/engines/src/index.ts
@@ -1,1 +1,2 @@
-export {};
+export * from './client/index.js';
+export * from './constants.js';
--- /dev/null
+++ b/packages/hosts/src/transport/index.ts
@@ -0,0 +1,3 @@
+export * from './method.js';
+export * from './peer-client.js';
+export * from './peer-server.js';
--- /dev/null
+++ b/packages/hosts/src/transport/method.ts
@@ -0,0 +1,30 @@
+import {type Codec, createCodec} from '@egretrill/common';
+import type {z} from 'zod';
+
+/** One unary method between hosts, with the codecs of its messages. */
+export type Method<Req, Res> = {
+	readonly path: string;
+	readonly req: Codec<Req>;
+	readonly res: Codec<Res>;
+};
+
+/** Defines a method from the schemas of its messages. */
+export function defineMethod<Req extends z.ZodType, Res extends z.ZodType>(service: string, name: string, req: Req, res: Res): Method<z.infer<Req>, z.infer<Res>> {
+	return {path: `/egretrill.${service}/${name}`, req: createCodec(req), res: createCodec(res)};
+}
+
+/** The work behind one method; `handle` receives validated data only. */
+export type MethodHandler = {
+	readonly path: string;
+	readonly invoke: (bytes: Uint8Array) => Promise<Uint8Array>;
+};
+
+/** Binds a method to the function that serves it. */
+export function bindMethod<Req, Res>(method: Method<Req, Res>, handle: (req: Req) => Promise<Res>): MethodHandler {
+	return {
+		path: method.path,
+		async invoke(bytes) {
+			return method.res.encode(await handle(method.req.decode(bytes)));
+		},
+	};
+}
--- a/packages/services/src/index.ts
+++ b/packages/services/src/index.ts
@@ -1,1 +1,1 @@
-export {};
+export * from './service-client.js';
--- a/xo.config.js
+++ b/xo.config.js
@@ -38,6 +38,8 @@
 			'no-await-in-loop': 'off',
 			// A schema and the type inferred from it share one name.
 			'@typescript-eslint/no-redeclare': 'off',
+			// A default branch may stand for the remaining cases of a library's enumeration.
+			'@typescript-eslint/switch-exhaustiveness-check': ['error', {considerDefaultExhaustiveForUnions: true}],
 			// Wire and configuration formats fix some property names.
 			'@typescript-eslint/naming-convention': 'off',
 			camelcase: 'off',
