--- /dev/null
+++ b/packages/engines/src/routing/constants.ts
@@ -0,0 +1,76 @@
+/** Longest period for which a zone that returns to service gets less than its full share of new work. */
+export const ZONE_RETURN_RAMP_MS = 10_000;
+
+/** A report may describe the load of one announcement period before it was sent. */
+export const REPORT_LAG_MS = 500;
+
+/** The first exclusion after a failed connect; each further failure doubles it. */
+export const SUSPICION_MIN_MS = 500;
+/** Short enough that a repaired link is used again within seconds. */
+export const SUSPICION_MAX_MS = 4000;
+
+/** Start ids remembered per target, so that a late report of an earlier start is recognised. */
+export const MAX_RETIRED_STARTS = 8;
+/** Removals remembered for delta digests; a reader further behind gets the full directory. */
+export const MAX_TOMBSTONES = 256;
+/** Loads are published in steps of a sixteenth of the limit, so that small changes cost no bytes. */
+export const LOAD_STEPS = 16;
+/** Targets that a zone summary names for spill-over; covers a whole zone at today's sizes. */
+export const MAX_SUMMARY_TARGETS = 16;
+export const MAX_SUMMARY_MODELS = 1024;
+
+/** A target with this many times its limit outstanding takes no further request. */
+export const FULL_LOAD_RATIO = 2;
+export const BUSY_RETRY_MS = 250;
+export const NO_TARGET_RETRY_MS = 1000;
+/** Candidates named in the log line of one choice. */
+export const MAX_LOGGED_SCORES = 8;
+
+/** Time for which a mean request holds its slot; scales the expected queue to milliseconds. */
+export const MEAN_REQUEST_MS = 1000;
+/** Prefill cost of one prompt character on an idle engine (about 4 characters a token, 10,000 tokens/s). */
+export const PREFILL_MS_PER_CHAR = 0.025;
+/** Slowdown of the first token when every slot of the batch is in use. */
+export const BATCH_SLOWDOWN_MS = 100;
+/** Upper end of the adapter load times that both deployments state. */
+export const ADAPTER_LOAD_MS = 10;
+/** Keeps cold targets from being preferred while a warm copy has a short queue. */
+export const COLD_PENALTY_MS = 250;
+/** Engines in a pure prefill or decode role serve whole requests only when mixed ones are loaded. */
+export const ROLE_PENALTY_MS = 200;
+/** Above this use of cache memory engines preempt running requests. */
+export const KV_PRESSURE_RATIO = 0.9;
+export const KV_PRESSURE_MS = 500;
+/** Cost difference at which the second-best candidate is no longer drawn. */
+export const TIE_SPREAD_MS = 20;
+
+export const BLOCK_CHARS = 64;
+/** Bounds the hashing of one long prompt; longer common prefixes add nothing to the ranking. */
+export const MAX_PROMPT_BLOCKS = 512;
+export const BELIEF_HALF_LIFE_MS = 60_000;
+/** Bounds the whole belief to about 10 MB. */
+export const MAX_BELIEF_BLOCKS = 65_536;
+export const MAX_BELIEF_BLOCKS_PER_TARGET = 4096;
+export const MAX_BELIEF_TARGETS = 512;
+export const DROP_BATCH_BLOCKS = 64;
+/** Part of the trust that remains for each cache event missing in a gap. */
+export const GAP_TRUST_RATIO = 0.9;
+/** Trust lost to one gap is bounded, because most blocks survive even a long one. */
+export const MIN_GAP_TRUST = 0.1;
+/** Belief below which a block counts as absent. */
+export const MIN_BELIEF = 0.1;
+
+/** A permit that is not renewed for this long counts as held by a dead host. */
+export const PERMIT_TTL_MS = 2000;
+export const PERMIT_RENEW_MS = 500;
+export const PERMIT_RETRY_MS = 100;
+/** A reported limit below this part of the highest one of the same start means a cold target. */
+export const LIMIT_COLLAPSE_RATIO = 0.5;
+
+/** First-token times that set the usual latency of a target. */
+export const LATENCY_BASELINE_SAMPLES = 8;
+/** Consecutive slow or failed requests after which a target counts as cold. */
+export const COLLAPSE_SAMPLES = 3;
+export const COLLAPSE_LATENCY_RATIO = 4;
+/** Latencies below this are never taken for a cold start. */
+export const COLLAPSE_MIN_MS = 500;
--- /dev/null
+++ b/packages/engines/src/routing/target-directory.ts
@@ -0,0 +1,344 @@
+import {ANNOUNCE_TTL_MS, type Announcement, type Clock} from '@egretrill/common';
+import {
+	LOAD_STEPS, MAX_SUMMARY_MODELS, MAX_SUMMARY_TARGETS, MAX_TOMBSTONES, ZONE_RETURN_RAMP_MS,
+} from './constants.js';
+import {
+	type EntrySource, getLoadChange, getNewerWarmth, type ReportedEntry, TargetRecord,
+} from './target-record.js';
+import type {
+	Candidate, CandidateQuery, CandidateSet, DigestPosition, DirectoryDigest, DirectoryEntry, LoadChange, ModelSummary, SetAside, Warmth, ZoneCondition, ZoneSummary,
+} from './types.js';
+
+/** Identifies one request of this host at one start of a target. */
+export type OwnRequest = {readonly targetId: string; readonly startId: string; readonly id: number};
+
+/** A live target with the age of what is known about it. */
+export type LiveTarget = {readonly entry: DirectoryEntry; readonly ageMs: number; readonly source: EntrySource};
+
+type DigestSource = {position: DigestPosition; targets: Map<number, StartKey>};
+
+type StartKey = {readonly targetId: string; readonly startId: string};
+
+type Tombstone = {readonly handle: number; readonly seq: number};
+
+function getZoneShare(condition: ZoneCondition | undefined): number {
+	return condition?.state === 'returning' ? Math.min(1, condition.sinceMs / ZONE_RETURN_RAMP_MS) : 1;
+}
+
+function getAdapters(record: TargetRecord, query: CandidateQuery): ReadonlySet<string> | undefined {
+	if (query.model !== undefined) {
+		return record.entry.kind === 'engine' ? record.adaptersByModel.get(query.model) : undefined;
+	}
+
+	return record.entry.kind === 'service' && record.entry.service === query.service ? new Set() : undefined;
+}
+
+function getEntry(record: TargetRecord): DirectoryEntry {
+	return {...record.entry, handle: record.handle, warmth: record.warmth};
+}
+
+/** The targets that one host knows, from their announcements, its zone's directory hosts and other zones. */
+export class TargetDirectory {
+	private readonly clock: Clock;
+	private readonly epoch: string;
+	private readonly records = new Map<string, TargetRecord>();
+	private readonly digestSources = new Map<string, DigestSource>();
+	private readonly summaries = new Map<string, {summary: ZoneSummary; heardAtMs: number}>();
+	private tombstones: readonly Tombstone[] = [];
+	private forgottenSeq = 0;
+	private seq = 0;
+	private nextHandle = 0;
+
+	/** The epoch names this run of the directory, so that readers notice when its handles start anew. */
+	constructor(opts: {clock: Clock; epoch: string}) {
+		this.clock = opts.clock;
+		this.epoch = opts.epoch;
+	}
+
+	/** Takes an announcement from the target itself, or relayed with its age. */
+	recordAnnouncement(announcement: Announcement, ageMs = 0): void {
+		const {cacheEvents, ...entry} = announcement;
+		this.accept(entry, 'target', this.clock.now() - ageMs);
+	}
+
+	/** Takes a directory host's digest; false asks for a full one from the start. */
+	recordDigest(sourceHostId: string, digest: DirectoryDigest, ageMs = 0): boolean {
+		const known = this.digestSources.get(sourceHostId);
+		if (!digest.full && known?.position.epoch !== digest.epoch) {
+			this.digestSources.delete(sourceHostId);
+			return false;
+		}
+
+		if (!digest.full && known && digest.seq < known.position.seq) {
+			return true;
+		}
+
+		const sampledAtMs = this.clock.now() - ageMs;
+		const targets = new Map<number, StartKey>(digest.full ? [] : known?.targets);
+		for (const handle of digest.removed) {
+			this.unlist(sourceHostId, targets.get(handle));
+			targets.delete(handle);
+		}
+
+		for (const entry of digest.entries) {
+			targets.set(entry.handle, {targetId: entry.targetId, startId: entry.startId});
+			this.acceptEntry(entry, 'directory', sampledAtMs);
+		}
+
+		for (const change of digest.loads) {
+			this.applyLoad(targets.get(change[0]), change, sampledAtMs);
+		}
+
+		if (!this.refresh(targets, sampledAtMs)) {
+			this.digestSources.delete(sourceHostId);
+			return false;
+		}
+
+		this.digestSources.set(sourceHostId, {position: {epoch: digest.epoch, seq: digest.seq}, targets});
+		return true;
+	}
+
+	/** Returns how far this host has read a directory host's changes. */
+	getDigestPosition(sourceHostId: string): DigestPosition | undefined {
+		return this.digestSources.get(sourceHostId)?.position;
+	}
+
+	/** Takes another zone's summary; its targets expire like announced ones. */
+	recordSummary(summary: ZoneSummary, ageMs = 0): void {
+		const sampledAtMs = this.clock.now() - ageMs;
+		this.summaries.set(summary.zone, {summary, heardAtMs: sampledAtMs});
+		for (const entry of summary.targets) {
+			this.acceptEntry(entry, 'summary', sampledAtMs);
+		}
+	}
+
+	/** Returns the last live summary of another zone. */
+	getSummary(zone: string): ZoneSummary | undefined {
+		const known = this.summaries.get(zone);
+		return known && this.clock.now() - known.heardAtMs <= ANNOUNCE_TTL_MS ? known.summary : undefined;
+	}
+
+	/** Notes a request that is about to be written to a target. */
+	beginRequest(targetId: string, startId: string): OwnRequest | undefined {
+		const record = this.getRecord(targetId, startId);
+		return record && {targetId, startId, id: record.work.begin(this.clock.now())};
+	}
+
+	/** Notes the end of a request; a request of an earlier start has ended with it. */
+	endRequest(request: OwnRequest): void {
+		this.getRecord(request.targetId, request.startId)?.work.end(request.id, this.clock.now());
+	}
+
+	/** Excludes a target for a short time on this host only. */
+	recordConnectFailure(targetId: string, startId: string): void {
+		this.getRecord(targetId, startId)?.suspect(this.clock.now());
+	}
+
+	/** Ends a target's exclusion. */
+	recordConnectSuccess(targetId: string, startId: string): void {
+		this.getRecord(targetId, startId)?.clearSuspicion();
+	}
+
+	/** Notes what the zone owner says about a start's cold-start ramp. */
+	recordWarmth(targetId: string, startId: string, warmth: Warmth): void {
+		const record = this.getRecord(targetId, startId);
+		if (record) {
+			record.warmth = getNewerWarmth(record.warmth, warmth);
+			this.markChanges(record);
+		}
+	}
+
+	/** Returns every live target, for placement and the zone owner. */
+	getTargets(): readonly LiveTarget[] {
+		this.expire();
+		const nowMs = this.clock.now();
+		return [...this.records.values()].map(record => ({entry: getEntry(record), ageMs: nowMs - record.sampledAtMs, source: record.source}));
+	}
+
+	/** Returns the changes since a reader's position, or everything if that position is unknown. */
+	getDigest(position?: DigestPosition): DirectoryDigest {
+		this.expire();
+		const full = position?.epoch !== this.epoch || position.seq < this.forgottenSeq || position.seq > this.seq;
+		const sinceSeq = full ? 0 : position.seq;
+		const entries: DirectoryEntry[] = [];
+		const loads: LoadChange[] = [];
+		// Passing on what another directory said would let two directories keep a dead target alive.
+		for (const record of this.getAnnounced()) {
+			if (full || record.contentSeq > sinceSeq) {
+				entries.push(getEntry(record));
+			} else if (record.loadSeq > sinceSeq) {
+				loads.push(getLoadChange(record.handle, record.entry.load));
+			}
+		}
+
+		const removed = full ? [] : this.tombstones.filter(tombstone => tombstone.seq > sinceSeq).map(tombstone => tombstone.handle);
+		return {
+			epoch: this.epoch, seq: this.seq, full, entries, loads, removed,
+		};
+	}
+
+	/** Returns the bounded view of a zone that other zones get. */
+	getZoneSummary(zone: string): ZoneSummary {
+		this.expire();
+		const models = new Map<string, ModelSummary>();
+		const open = [...this.records.values()].filter(record => record.entry.zone === zone && record.source !== 'summary' && !record.entry.leaving);
+		for (const record of open) {
+			const freeSlots = record.isCold() ? 0 : Math.max(0, record.entry.load.limit - record.getOutstanding());
+			for (const model of record.adaptersByModel.keys()) {
+				const known = models.get(model) ?? {model, copies: 0, freeSlots: 0};
+				models.set(model, {model, copies: known.copies + 1, freeSlots: known.freeSlots + freeSlots});
+			}
+		}
+
+		const warm = open.filter(record => !record.isCold());
+		const targets = warm
+			.toSorted((first, second) => (first.getOutstanding() / first.entry.load.limit) - (second.getOutstanding() / second.entry.load.limit) || first.handle - second.handle)
+			.slice(0, MAX_SUMMARY_TARGETS)
+			.map(record => getEntry(record));
+		return {zone, models: [...models.values()].slice(0, MAX_SUMMARY_MODELS), targets};
+	}
+
+	/** Returns the targets that hold what a request needs and may take new work. */
+	getCandidates(query: CandidateQuery): CandidateSet {
+		this.expire();
+		const nowMs = this.clock.now();
+		const setAside: SetAside = {leaving: 0, takenOut: 0, cutOff: 0};
+		const candidates: Candidate[] = [];
+		for (const record of this.records.values()) {
+			const adapters = getAdapters(record, query);
+			if (!adapters) {
+				continue;
+			}
+
+			const condition = query.zoneStates[record.entry.zone];
+			if (record.entry.leaving) {
+				setAside.leaving += 1;
+			} else if (condition?.state === 'taken-out') {
+				setAside.takenOut += 1;
+			} else if (condition?.state === 'cut-off' || (!condition && record.entry.zone !== query.hostZone)) {
+				setAside.cutOff += 1;
+			} else {
+				candidates.push({
+					targetId: record.entry.targetId,
+					startId: record.entry.startId,
+					zone: record.entry.zone,
+					address: record.entry.address,
+					role: record.entry.role,
+					load: record.entry.load,
+					outstanding: record.getOutstanding(),
+					adapterResident: query.adapter === undefined || adapters.has(query.adapter),
+					cold: record.isCold(),
+					suspected: nowMs < record.suspectedUntilMs,
+					distanceMs: record.entry.zone === query.hostZone ? 0 : (condition?.distanceMs ?? 0),
+					zoneShare: getZoneShare(condition),
+				});
+			}
+		}
+
+		return {candidates, setAside};
+	}
+
+	private getRecord(targetId: string, startId: string): TargetRecord | undefined {
+		const record = this.records.get(targetId);
+		return record?.entry.startId === startId ? record : undefined;
+	}
+
+	private getAnnounced(): readonly TargetRecord[] {
+		return [...this.records.values()].filter(record => record.isPublished);
+	}
+
+	private acceptEntry(received: DirectoryEntry, source: EntrySource, sampledAtMs: number): void {
+		const {handle, warmth, ...entry} = received;
+		this.accept(entry, source, sampledAtMs);
+		this.recordWarmth(entry.targetId, entry.startId, warmth);
+	}
+
+	private accept(entry: ReportedEntry, source: EntrySource, sampledAtMs: number): void {
+		if (this.clock.now() - sampledAtMs > ANNOUNCE_TTL_MS) {
+			return;
+		}
+
+		const known = this.records.get(entry.targetId);
+		if (known?.isOutdated(entry, sampledAtMs)) {
+			return;
+		}
+
+		if (known) {
+			known.update(entry, source, sampledAtMs);
+			this.markChanges(known);
+			return;
+		}
+
+		const record = new TargetRecord(this.nextHandle++, entry, source, sampledAtMs);
+		this.records.set(entry.targetId, record);
+		this.markChanges(record);
+	}
+
+	private markChanges(record: TargetRecord): void {
+		if (record.markChanges(this.seq + 1)) {
+			this.seq += 1;
+		}
+	}
+
+	private applyLoad(key: StartKey | undefined, change: LoadChange, sampledAtMs: number): void {
+		const record = key && this.getRecord(key.targetId, key.startId);
+		if (!record || sampledAtMs < record.sampledAtMs) {
+			return;
+		}
+
+		const [, running, waiting, kvSteps] = change;
+		const load = {
+			running, waiting, limit: record.entry.load.limit, kvUsedRatio: Math.min(1, kvSteps / LOAD_STEPS),
+		};
+		record.update({...record.entry, load}, 'directory', sampledAtMs);
+		this.markChanges(record);
+	}
+
+	/** Ends a target that a directory host lost, unless this host or another directory host still hears it. */
+	private unlist(sourceHostId: string, key: StartKey | undefined): void {
+		const record = key && this.getRecord(key.targetId, key.startId);
+		const isListedElsewhere = [...this.digestSources].some(([hostId, source]) => hostId !== sourceHostId && [...source.targets.values()].some(other => other.targetId === key?.targetId));
+		if (record && !isListedElsewhere) {
+			record.heardAtMs = record.announcedAtMs;
+		}
+	}
+
+	/** Unnamed targets are alive with an unchanged load; false when one has meanwhile expired here. */
+	private refresh(targets: ReadonlyMap<number, StartKey>, sampledAtMs: number): boolean {
+		let isComplete = true;
+		for (const {targetId, startId} of targets.values()) {
+			const record = this.records.get(targetId);
+			if (!record) {
+				isComplete = false;
+			} else if (record.entry.startId === startId) {
+				record.heardAtMs = Math.max(record.heardAtMs, sampledAtMs);
+				if (record.source === 'directory') {
+					record.sampledAtMs = Math.max(record.sampledAtMs, sampledAtMs);
+				}
+			}
+		}
+
+		return isComplete;
+	}
+
+	private expire(): void {
+		const nowMs = this.clock.now();
+		for (const [targetId, record] of this.records) {
+			if (record.isPublished && nowMs - record.announcedAtMs > ANNOUNCE_TTL_MS) {
+				record.isPublished = false;
+				this.seq += 1;
+				this.tombstones = [...this.tombstones, {handle: record.handle, seq: this.seq}];
+			}
+
+			if (nowMs - record.heardAtMs > ANNOUNCE_TTL_MS) {
+				this.records.delete(targetId);
+			}
+		}
+
+		const excess = this.tombstones.length - MAX_TOMBSTONES;
+		if (excess > 0) {
+			this.forgottenSeq = this.tombstones[excess - 1]!.seq;
+			this.tombstones = this.tombstones.slice(excess);
+		}
+	}
+}
--- /dev/null
+++ b/packages/engines/src/routing/types.ts
@@ -0,0 +1,141 @@
+import {Announcement, LoadReport} from '@egretrill/common';
+import {z} from 'zod';
+
+const count = z.int().nonnegative();
+const durationMs = z.number().nonnegative();
+
+/** What a host may do with a zone; a cut-off zone is one that does not answer in both directions. */
+export const ZoneCondition = z.discriminatedUnion('state', [
+	z.object({state: z.literal('in-service'), distanceMs: durationMs.default(0)}),
+	z.object({state: z.literal('returning'), sinceMs: durationMs, distanceMs: durationMs.default(0)}),
+	z.object({state: z.literal('taken-out')}),
+	z.object({state: z.literal('cut-off')}),
+]);
+export type ZoneCondition = z.infer<typeof ZoneCondition>;
+
+export const ZoneConditions = z.record(z.string(), ZoneCondition);
+export type ZoneConditions = z.infer<typeof ZoneConditions>;
+
+/** Whether a start of a target has finished its cold-start ramp; a higher generation overrides a lower one. */
+export const Warmth = z.object({generation: count, warm: z.boolean()});
+export type Warmth = z.infer<typeof Warmth>;
+
+/** One target as directory hosts pass it on. */
+export const DirectoryEntry = Announcement.omit({cacheEvents: true}).extend({handle: count, warmth: Warmth});
+export type DirectoryEntry = z.infer<typeof DirectoryEntry>;
+
+/** Quantised load of a target known by its handle: handle, running, waiting, cache use in sixteenths. */
+export const LoadChange = z.tuple([count, count, count, count]);
+export type LoadChange = z.infer<typeof LoadChange>;
+
+/** Position of a reader in the changes of one directory. */
+export const DigestPosition = z.object({epoch: z.string(), seq: count});
+export type DigestPosition = z.infer<typeof DigestPosition>;
+
+/** Changes of a directory since a position; targets that are not named are unchanged and alive. */
+export const DirectoryDigest = DigestPosition.extend({
+	full: z.boolean(),
+	entries: z.array(DirectoryEntry),
+	loads: z.array(LoadChange),
+	removed: z.array(count),
+});
+export type DirectoryDigest = z.infer<typeof DirectoryDigest>;
+
+/** Free capacity of one model in a zone. */
+export const ModelSummary = z.object({model: z.string(), copies: count, freeSlots: count});
+export type ModelSummary = z.infer<typeof ModelSummary>;
+
+/** Bounded view of a zone for the hosts of other zones, with the warm targets open to spill-over. */
+export const ZoneSummary = z.object({zone: z.string(), models: z.array(ModelSummary), targets: z.array(DirectoryEntry)});
+export type ZoneSummary = z.infer<typeof ZoneSummary>;
+
+export const CandidateQuery = z.object({
+	model: z.string().optional(),
+	adapter: z.string().optional(),
+	service: z.string().optional(),
+	zoneStates: ZoneConditions,
+	hostZone: z.string(),
+});
+export type CandidateQuery = z.infer<typeof CandidateQuery>;
+
+/** A target that holds what a request needs, as the routing policies see it. */
+export const Candidate = z.object({
+	targetId: z.string(),
+	startId: z.string(),
+	zone: z.string(),
+	address: z.string(),
+	role: z.enum(['prefill', 'decode', 'mixed']),
+	load: LoadReport,
+	/** Load that the host believes the target to have now: the report corrected by its own work. */
+	outstanding: count,
+	adapterResident: z.boolean(),
+	cold: z.boolean(),
+	suspected: z.boolean(),
+	distanceMs: durationMs,
+	/** Share of requests that may consider this candidate, below 1 while its zone returns. */
+	zoneShare: z.number().min(0).max(1),
+});
+export type Candidate = z.infer<typeof Candidate>;
+
+/** Targets that hold what a request needs but take no new work, by reason. */
+export const SetAside = z.object({leaving: count, takenOut: count, cutOff: count});
+export type SetAside = z.infer<typeof SetAside>;
+
+export const CandidateSet = z.object({candidates: z.array(Candidate), setAside: SetAside});
+export type CandidateSet = z.infer<typeof CandidateSet>;
+
+export const RoutingRequest = z.object({
+	model: z.string().optional(),
+	adapter: z.string().optional(),
+	service: z.string().optional(),
+	/** Whether the configuration in force names the model or service. */
+	known: z.boolean(),
+	prompt: z.string().default(''),
+	/** Targets that this request has already been refused by. */
+	excluded: z.array(z.object({targetId: z.string(), reason: z.enum(['permit-denied', 'tried'])})).default([]),
+});
+export type RoutingRequest = z.infer<typeof RoutingRequest>;
+
+export const CandidateScore = z.object({targetId: z.string(), score: z.number()});
+export type CandidateScore = z.infer<typeof CandidateScore>;
+
+/** The chosen target, with what the log line of the decision says. */
+export const Choice = z.object({
+	targetId: z.string(),
+	startId: z.string(),
+	zone: z.string(),
+	address: z.string(),
+	needsPermit: z.boolean(),
+	adapterResident: z.boolean(),
+	reason: z.string(),
+	considered: count,
+	scores: z.array(CandidateScore),
+});
+export type Choice = z.infer<typeof Choice>;
+
+export const PermitRequest = z.object({hostId: z.string(), targetId: z.string(), startId: z.string()});
+export type PermitRequest = z.infer<typeof PermitRequest>;
+
+/** The zone owner's answer; `ttlMs` counts from when the host sent its request. */
+export const PermitAnswer = z.discriminatedUnion('kind', [
+	z.object({kind: z.literal('warm'), warmth: Warmth}),
+	z.object({
+		kind: z.literal('granted'), permitId: z.string(), ttlMs: durationMs, level: count,
+	}),
+	z.object({kind: z.literal('denied'), reason: z.string(), retryAfterMs: durationMs}),
+]);
+export type PermitAnswer = z.infer<typeof PermitAnswer>;
+
+/** How a request under a permit ended; only a completed one raises the ramp. */
+export const PermitOutcome = z.enum(['completed', 'failed', 'cancelled']);
+export type PermitOutcome = z.infer<typeof PermitOutcome>;
+
+export const PermitRelease = PermitRequest.extend({permitId: z.string(), outcome: PermitOutcome});
+export type PermitRelease = z.infer<typeof PermitRelease>;
+
+export const PermitRenewal = z.object({hostId: z.string(), permitIds: z.array(z.string())});
+export type PermitRenewal = z.infer<typeof PermitRenewal>;
+
+/** Host's right to send one request to a target; without an id the target is warm and needs none. */
+export const HeldPermit = PermitRequest.extend({permitId: z.string().optional(), zone: z.string()});
+export type HeldPermit = z.infer<typeof HeldPermit>;
--- /dev/null
+++ b/packages/engines/tests/routing/target-directory.test.ts
@@ -0,0 +1,249 @@
+import {createCodec, ManualClock} from '@egretrill/common';
+import {expect} from 'chai';
+import {DirectoryDigest, TargetDirectory, ZoneSummary} from '../../src/routing/index.js';
+import {announce, announceWarm, query} from './helpers.js';
+
+function createDirectory(clock: ManualClock, epoch = 'e1'): TargetDirectory {
+	return new TargetDirectory({clock, epoch});
+}
+
+function getOutstanding(directory: TargetDirectory): Record<string, number> {
+	return Object.fromEntries(directory.getCandidates(query).candidates.map(candidate => [`${candidate.targetId}/${candidate.startId}`, candidate.outstanding]));
+}
+
+describe('TargetDirectory', () => {
+	it('drops silent targets after 2,000 ms and counts the age of relayed announcements', () => {
+		const clock = new ManualClock();
+		const directory = createDirectory(clock);
+		directory.recordAnnouncement(announce('t1'));
+		directory.recordAnnouncement(announce('t2'), 1500);
+		const seen = [getOutstanding(directory)];
+		clock.advance(501);
+		seen.push(getOutstanding(directory));
+		clock.advance(1500);
+		seen.push(getOutstanding(directory));
+		expect(seen).toMatchSnapshot();
+	});
+
+	it('does not revive an earlier start at the same address when its report arrives late', () => {
+		const clock = new ManualClock();
+		const directory = createDirectory(clock);
+		directory.recordAnnouncement(announce('t1', {load: {running: 9}}));
+		const request = directory.beginRequest('t1', 't1-s1');
+		clock.advance(300);
+		directory.recordAnnouncement(announce('t1', {startId: 't1-s2'}));
+		const restarted = getOutstanding(directory);
+		directory.recordAnnouncement(announce('t1', {load: {running: 9}}));
+		directory.endRequest(request!);
+		expect({restarted, afterLateReport: getOutstanding(directory)}).toMatchSnapshot();
+	});
+
+	it('ignores a relayed report of an unknown start that is older than the present one', () => {
+		const clock = new ManualClock();
+		const directory = createDirectory(clock);
+		clock.advance(5000);
+		directory.recordAnnouncement(announce('t1', {startId: 't1-s2'}));
+		directory.recordAnnouncement(announce('t1'), 1200);
+		expect(Object.keys(getOutstanding(directory))).to.deep.equal(['t1/t1-s2']);
+	});
+
+	it('gives a leaving target no new work, also when a later report omits the flag', () => {
+		const directory = createDirectory(new ManualClock());
+		directory.recordAnnouncement(announce('t1', {leaving: true}));
+		directory.recordAnnouncement(announce('t1'));
+		expect(directory.getCandidates(query)).to.deep.equal({candidates: [], setAside: {leaving: 1, takenOut: 0, cutOff: 0}});
+	});
+
+	it('corrects a late report by own requests begun and ended since, without counting them twice', () => {
+		const clock = new ManualClock();
+		const directory = createDirectory(clock);
+		const counts: number[] = [];
+		const step = (advanceMs: number, running?: number): void => {
+			clock.advance(advanceMs);
+			if (running !== undefined) {
+				directory.recordAnnouncement(announce('t1', {load: {running}}));
+			}
+
+			counts.push(getOutstanding(directory)['t1/t1-s1']!);
+		};
+
+		step(0, 2);
+		const first = directory.beginRequest('t1', 't1-s1')!;
+		const second = directory.beginRequest('t1', 't1-s1')!;
+		step(500, 2);
+		step(501, 4);
+		directory.endRequest(first);
+		directory.endRequest(second);
+		step(100);
+		step(700, 2);
+		expect(counts).to.deep.equal([2, 4, 4, 2, 2]);
+	});
+
+	it('keeps a connect failure to this host, for a short time that doubles and ends on success', () => {
+		const clock = new ManualClock();
+		const directory = createDirectory(clock);
+		const isSuspected = (): boolean => {
+			directory.recordAnnouncement(announce('t1'));
+			return directory.getCandidates(query).candidates[0]!.suspected;
+		};
+
+		directory.recordAnnouncement(announce('t1'));
+		const before = directory.getDigest().seq;
+		directory.recordConnectFailure('t1', 't1-s1');
+		const seen = [isSuspected()];
+		clock.advance(500);
+		seen.push(isSuspected());
+		directory.recordConnectFailure('t1', 't1-s1');
+		clock.advance(500);
+		seen.push(isSuspected());
+		directory.recordConnectSuccess('t1', 't1-s1');
+		seen.push(isSuspected());
+		expect(seen).to.deep.equal([true, false, true, false]);
+		expect(directory.getDigest().seq).to.equal(before);
+	});
+
+	it('keeps a target whose announcements to this host are lost while a directory host hears it', () => {
+		const clock = new ManualClock();
+		const [near, far] = [createDirectory(clock), createDirectory(clock, 'e2')];
+		near.recordAnnouncement(announce('t1'));
+		for (let round = 0; round < 8; round++) {
+			clock.advance(500);
+			far.recordAnnouncement(announce('t1'));
+			near.recordDigest('far', far.getDigest(near.getDigestPosition('far')));
+		}
+
+		expect(getOutstanding(near)).to.deep.equal({'t1/t1-s1': 0});
+	});
+
+	it('does not let two directory hosts keep a dead target alive for each other', () => {
+		const clock = new ManualClock();
+		const [first, second] = [createDirectory(clock), createDirectory(clock, 'e2')];
+		for (const directory of [first, second]) {
+			directory.recordAnnouncement(announce('t1'));
+		}
+
+		for (let round = 0; round < 12; round++) {
+			clock.advance(500);
+			first.recordDigest('second', second.getDigest(first.getDigestPosition('second')));
+			second.recordDigest('first', first.getDigest(second.getDigestPosition('first')));
+		}
+
+		expect([first, second].map(directory => getOutstanding(directory))).to.deep.equal([{}, {}]);
+	});
+
+	it('keeps a target that one directory host loses while the other still hears it', () => {
+		const clock = new ManualClock();
+		const [near, far, reader] = [createDirectory(clock), createDirectory(clock, 'e2'), createDirectory(clock, 'e3')];
+		for (const directory of [near, far]) {
+			directory.recordAnnouncement(announce('t1'));
+		}
+
+		const seen: unknown[] = [];
+		for (let round = 0; round < 12; round++) {
+			reader.recordDigest('near', near.getDigest(reader.getDigestPosition('near')));
+			reader.recordDigest('far', far.getDigest(reader.getDigestPosition('far')));
+			seen.push(Object.keys(getOutstanding(reader)).length);
+			clock.advance(500);
+			if (round < 5) {
+				far.recordAnnouncement(announce('t1'));
+			}
+		}
+
+		expect(seen).to.deep.equal([1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 0, 0]);
+	});
+
+	it('sends only changed targets in a digest, in about 10 bytes each, and removals', () => {
+		const clock = new ManualClock();
+		const [source, reader] = [createDirectory(clock), createDirectory(clock, 'e2')];
+		const codec = createCodec(DirectoryDigest);
+		const exchanges: unknown[] = [];
+		const exchange = (): void => {
+			const digest = source.getDigest(reader.getDigestPosition('source'));
+			const bytes = codec.encode(digest);
+			reader.recordDigest('source', codec.decode(bytes));
+			exchanges.push({
+				full: digest.full, entries: digest.entries.length, loads: digest.loads, removed: digest.removed.length, bytes: bytes.length,
+			});
+		};
+
+		const announceAll = (running: number): void => {
+			for (let index = 0; index < 148; index++) {
+				source.recordAnnouncement(announce(`t${index}`, {load: {running: index < 3 ? running : 0, limit: 64}}));
+			}
+		};
+
+		announceAll(0);
+		exchange();
+		announceAll(1);
+		exchange();
+		announceAll(17);
+		exchange();
+		clock.advance(1900);
+		source.recordAnnouncement(announce('t2', {load: {running: 17, limit: 64}}));
+		source.recordAnnouncement(announce('t9', {leaving: true, load: {limit: 64}}));
+		exchange();
+		clock.advance(200);
+		exchange();
+		expect({exchanges, left: Object.keys(getOutstanding(reader)), leaving: reader.getCandidates(query).setAside.leaving}).toMatchSnapshot();
+	});
+
+	it('asks for a full digest when the source restarted or a target has expired here', () => {
+		const clock = new ManualClock();
+		const reader = createDirectory(clock, 'reader');
+		const source = createDirectory(clock);
+		source.recordAnnouncement(announce('t1'));
+		reader.recordDigest('source', source.getDigest());
+		const restarted = createDirectory(clock, 'e2');
+		restarted.recordAnnouncement(announce('t2'));
+		const accepted = [reader.recordDigest('source', {...restarted.getDigest(), full: false})];
+		accepted.push(reader.recordDigest('source', restarted.getDigest(reader.getDigestPosition('source'))));
+		clock.advance(2100);
+		reader.getTargets();
+		restarted.recordAnnouncement(announce('t2'));
+		accepted.push(
+			reader.recordDigest('source', restarted.getDigest(reader.getDigestPosition('source'))),
+			reader.recordDigest('source', restarted.getDigest(reader.getDigestPosition('source'))),
+		);
+		expect({accepted, known: getOutstanding(reader)}).to.deep.equal({accepted: [false, true, false, true], known: {'t2/t2-s1': 0}});
+	});
+
+	it('bounds the summary for other zones, which gives them spill-over candidates', () => {
+		const clock = new ManualClock();
+		const [remote, local] = [createDirectory(clock), createDirectory(clock, 'e2')];
+		for (let index = 0; index < 148; index++) {
+			announceWarm(remote, announce(`t${index}`, {zone: 'b', load: {running: index % 16}}));
+		}
+
+		remote.recordAnnouncement(announce('fresh', {zone: 'b'}));
+		const codec = createCodec(ZoneSummary);
+		const bytes = codec.encode(remote.getZoneSummary('b'));
+		local.recordSummary(codec.decode(bytes));
+		const {candidates} = local.getCandidates(query);
+		expect({
+			bytes: bytes.length, models: local.getSummary('b')!.models, count: candidates.length, first: candidates[0], cold: candidates.filter(candidate => candidate.cold).length,
+		}).toMatchSnapshot();
+	});
+
+	it('follows the zone states: taken out and cut off get nothing, returning zones a growing share', () => {
+		const clock = new ManualClock();
+		const directory = createDirectory(clock);
+		announceWarm(directory, announce('t1'), announce('t2', {zone: 'b'}), announce('t3', {zone: 'c'}));
+		const {candidates, setAside} = directory.getCandidates({
+			...query, zoneStates: {a: {state: 'taken-out'}, b: {state: 'cut-off'}, c: {state: 'returning', sinceMs: 2500, distanceMs: 1}},
+		});
+		expect({shares: candidates.map(candidate => [candidate.targetId, candidate.zoneShare]), setAside}).toMatchSnapshot();
+	});
+
+	it('asks for a new ramp when a warm target reports the cold flag without a restart', () => {
+		const directory = createDirectory(new ManualClock());
+		announceWarm(directory, announce('t1'));
+		const seen = [directory.getCandidates(query).candidates[0]!.cold];
+		directory.recordAnnouncement(announce('t1', {cold: true}));
+		directory.recordAnnouncement(announce('t1'));
+		directory.recordWarmth('t1', 't1-s1', {generation: 0, warm: true});
+		seen.push(directory.getCandidates(query).candidates[0]!.cold);
+		directory.recordWarmth('t1', 't1-s1', {generation: 1, warm: true});
+		seen.push(directory.getCandidates(query).candidates[0]!.cold);
+		expect(seen).to.deep.equal([false, true, false]);
+	});
+});
