--- /dev/null
+++ b/packages/disk/src/memory-file-system.ts
@@ -0,0 +1,82 @@
+import type {Random} from '@egretrill/common';
+import {AppendFile, FileSystem} from './file-system.js';
+
+type MemoryFile = {content: Uint8Array; synced: Uint8Array};
+
+function concat(first: Uint8Array, second: Uint8Array): Uint8Array {
+	const joined = new Uint8Array(first.length + second.length);
+	joined.set(first);
+	joined.set(second, first.length);
+	return joined;
+}
+
+class MemoryAppendFile extends AppendFile {
+	constructor(private readonly file: MemoryFile) {
+		super();
+	}
+
+	async append(bytes: Uint8Array): Promise<void> {
+		this.file.content = concat(this.file.content, bytes);
+	}
+
+	async truncate(length: number): Promise<void> {
+		this.file.content = this.file.content.slice(0, length);
+	}
+
+	async sync(): Promise<void> {
+		this.file.synced = this.file.content;
+	}
+
+	async close(): Promise<void> {
+		// Nothing is held open.
+	}
+}
+
+/** A file system in memory that loses unsynced data and names in a crash, as a disk does. */
+export class MemoryFileSystem extends FileSystem {
+	private names = new Map<string, MemoryFile>();
+	private syncedNames = new Map<string, MemoryFile>();
+
+	async readFile(file: string): Promise<Uint8Array | undefined> {
+		return this.names.get(file)?.content;
+	}
+
+	async openFile(file: string): Promise<AppendFile> {
+		const opened = this.names.get(file) ?? {content: new Uint8Array(), synced: new Uint8Array()};
+		this.names.set(file, opened);
+		return new MemoryAppendFile(opened);
+	}
+
+	async rename(from: string, to: string): Promise<void> {
+		const file = this.names.get(from);
+		if (file === undefined) {
+			throw new Error(`${from} does not exist.`);
+		}
+
+		this.names.delete(from);
+		this.names.set(to, file);
+	}
+
+	async remove(file: string): Promise<void> {
+		this.names.delete(file);
+	}
+
+	async makeFolder(): Promise<void> {
+		// Folders exist as soon as a file is in them.
+	}
+
+	async syncFolder(): Promise<void> {
+		this.syncedNames = new Map(this.names);
+	}
+
+	/** Drops what was not synced; of unsynced appended bytes a random part survives, which tears the last record. */
+	crash(random: Random): void {
+		this.names = new Map([...this.syncedNames].map(([name, file]) => {
+			const isAppended = file.content.length > file.synced.length && file.synced.every((byte, i) => byte === file.content[i]);
+			const unsynced = isAppended ? file.content.slice(file.synced.length) : new Uint8Array();
+			const kept = concat(file.synced, unsynced.slice(0, Math.floor(random() * unsynced.length)));
+			return [name, {content: kept, synced: kept}];
+		}));
+		this.syncedNames = new Map(this.names);
+	}
+}
--- /dev/null
+++ b/packages/disk/src/types.ts
@@ -0,0 +1,36 @@
+import {z} from 'zod';
+
+const count = z.int().nonnegative();
+
+/** Binary data inside MessagePack messages. */
+export const Bytes = z.instanceof(Uint8Array);
+
+/** One entry of the replicated log; `data` is opaque to the storage. */
+export const LogEntry = z.object({
+	index: z.int().positive(),
+	term: count,
+	kind: z.enum(['empty', 'command', 'members']),
+	data: Bytes,
+});
+export type LogEntry = z.infer<typeof LogEntry>;
+
+/** Position of an entry in the log. */
+export const LogPosition = z.object({index: count, term: count});
+export type LogPosition = z.infer<typeof LogPosition>;
+
+/** What a voter must not forget between answers: its term and its vote in that term. */
+export const HardState = z.object({term: count, votedFor: z.string().nullable()});
+export type HardState = z.infer<typeof HardState>;
+
+/** Names one lifetime of a data directory; a wiped directory gets a new `identity`. */
+export const Identity = z.object({memberId: z.string(), identity: z.string()});
+export type Identity = z.infer<typeof Identity>;
+
+/** State up to and including one log position, with the membership in force there. */
+export const Snapshot = z.object({
+	index: count,
+	term: count,
+	members: Bytes,
+	data: Bytes,
+});
+export type Snapshot = z.infer<typeof Snapshot>;
--- /dev/null
+++ b/packages/disk/tests/log-storage.test.ts
@@ -0,0 +1,240 @@
+import {Buffer} from 'node:buffer';
+import {mkdtemp, rm} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {createRandom} from '@egretrill/common';
+import {expect} from 'chai';
+import fc from 'fast-check';
+import {
+	AppendFile, CorruptionError, FileLogStorage, type FileSystem, type LogEntry, MemoryFileSystem, MemoryLogStorage, NodeFileSystem, SnapshotStore, StorageFailedError,
+} from '../src/index.js';
+
+const SEED = 7;
+const LOG = '/memory/log';
+const folder = '/memory';
+
+type Fault = 'sync' | 'full' | undefined;
+
+/** Fails syncs, or writes half of the bytes and then reports a full disk. */
+class FaultyFileSystem extends MemoryFileSystem {
+	fault: Fault;
+
+	override async openFile(file: string): Promise<AppendFile> {
+		const opened = await super.openFile(file);
+		const fail = (fault: Fault, message: string): void => {
+			if (this.fault === fault) {
+				throw new Error(message);
+			}
+		};
+
+		return new class extends AppendFile {
+			async append(bytes: Uint8Array): Promise<void> {
+				try {
+					fail('full', 'ENOSPC: no space left on device');
+				} catch (err: unknown) {
+					await opened.append(bytes.subarray(0, bytes.length / 2));
+					throw err;
+				}
+
+				await opened.append(bytes);
+			}
+
+			async truncate(length: number): Promise<void> {
+				await opened.truncate(length);
+			}
+
+			async sync(): Promise<void> {
+				fail('sync', 'EIO: i/o error, fsync');
+				await opened.sync();
+			}
+
+			async close(): Promise<void> {
+				await opened.close();
+			}
+		}();
+	}
+}
+
+function createEntries(fromIndex: number, count: number, term = 1): readonly LogEntry[] {
+	return Array.from({length: count}, (_, i) => ({
+		index: fromIndex + i, term, kind: 'command' as const, data: Buffer.from(`change ${fromIndex + i}`),
+	}));
+}
+
+function describeLog(storage: FileLogStorage): unknown {
+	const entries = storage.read(1, storage.getLastIndex());
+	return {base: storage.getBase(), entries: entries.map(entry => `${entry.index}@${entry.term} ${Buffer.from(entry.data).toString()}`)};
+}
+
+async function reopen(fileSystem: FileSystem): Promise<FileLogStorage> {
+	const storage = new FileLogStorage({folder, fileSystem});
+	await storage.open();
+	return storage;
+}
+
+async function catchError(action: Promise<unknown>): Promise<Error | undefined> {
+	try {
+		await action;
+		return undefined;
+	} catch (err: unknown) {
+		return err as Error;
+	}
+}
+
+/** Stores bytes as they would be found at a start. */
+async function storeFile(name: string, bytes: Uint8Array): Promise<MemoryFileSystem> {
+	const fileSystem = new MemoryFileSystem();
+	const file = await fileSystem.openFile(`${folder}/${name}`);
+	await file.append(bytes);
+	return fileSystem;
+}
+
+async function storeLog(bytes: Uint8Array): Promise<MemoryFileSystem> {
+	return storeFile('log', bytes);
+}
+
+async function writeLog(fileSystem: MemoryFileSystem, count: number): Promise<Uint8Array> {
+	const storage = new MemoryLogStorage(fileSystem);
+	await storage.open();
+	await storage.append(createEntries(1, count));
+	return await fileSystem.readFile(LOG) ?? new Uint8Array();
+}
+
+describe('log storage', () => {
+	it('keeps appends, truncation, compaction, hard state and identity over a restart on a real folder', async () => {
+		const realFolder = await mkdtemp(path.join(tmpdir(), 'egretrill-disk-'));
+		try {
+			const storage = new FileLogStorage({folder: realFolder, fileSystem: new NodeFileSystem()});
+			await storage.open();
+			await storage.saveIdentity({memberId: 'a', identity: 'first'});
+			await storage.saveHardState({term: 3, votedFor: 'a'});
+			await storage.append(createEntries(1, 6));
+			await storage.truncateFrom(5);
+			await storage.append(createEntries(5, 1, 2));
+			await storage.compact({index: 2, term: 1});
+			await storage.append(createEntries(6, 1, 3));
+			await storage.close();
+			const again = new FileLogStorage({folder: realFolder});
+			await again.open();
+			expect([describeLog(again), await again.loadHardState(), await again.loadIdentity()]).toMatchSnapshot();
+			await again.close();
+		} finally {
+			await rm(realFolder, {recursive: true});
+		}
+	});
+
+	it('truncates a torn tail and appends behind the last whole record', async () => {
+		const bytes = await writeLog(new MemoryFileSystem(), 3);
+		const {length: wholeBytes} = await writeLog(new MemoryFileSystem(), 2);
+		for (const tail of [bytes.subarray(0, -5), Buffer.concat([bytes.subarray(0, wholeBytes), Buffer.alloc(700)])]) {
+			const fileSystem = await storeLog(tail);
+			const storage = await reopen(fileSystem);
+			await storage.append(createEntries(3, 1, 2));
+			expect(describeLog(await reopen(fileSystem))).toMatchSnapshot();
+		}
+	});
+
+	it('reports every single flipped bit instead of dropping or changing an acknowledged entry', async () => {
+		const bytes = await writeLog(new MemoryFileSystem(), 3);
+		for (let bit = 0; bit < bytes.length * 8; bit++) {
+			const flipped = Uint8Array.from(bytes);
+			flipped[bit >> 3] = (flipped[bit >> 3] ?? 0) ^ (1 << (bit & 7)); // eslint-disable-line no-bitwise
+			expect(await catchError(reopen(await storeLog(flipped))), `bit ${bit}`).to.be.instanceOf(CorruptionError);
+		}
+	});
+
+	it('yields a prefix or a CorruptionError for any damaged log bytes', async () => {
+		const bytes = await writeLog(new MemoryFileSystem(), 4);
+		const wholeLog = await reopen(await storeLog(bytes));
+		const whole = wholeLog.read(1, 4);
+		const damage = fc.record({cut: fc.nat(bytes.length), at: fc.nat(bytes.length), patch: fc.uint8Array({maxLength: 24})});
+		await fc.assert(fc.asyncProperty(damage, async ({cut, at, patch}) => {
+			const damaged = Buffer.concat([bytes.subarray(0, at), patch, bytes.subarray(at + patch.length)]).subarray(0, cut);
+			try {
+				const storage = await reopen(await storeLog(damaged));
+				const read = storage.read(1, storage.getLastIndex());
+				expect(read).to.deep.equal(whole.slice(0, read.length));
+			} catch (err: unknown) {
+				if (!(err instanceof CorruptionError)) {
+					throw err;
+				}
+			}
+		}), {seed: SEED, numRuns: 500});
+	});
+
+	for (const fault of ['sync', 'full'] as const) {
+		it(`stops for good after a failed write (${fault}), so that a later sync cannot pass for a success`, async () => {
+			const fileSystem = new FaultyFileSystem();
+			const storage = new FileLogStorage({folder, fileSystem});
+			await storage.open();
+			await storage.append(createEntries(1, 2));
+			fileSystem.fault = fault;
+			expect(await catchError(storage.append(createEntries(3, 1)))).to.be.instanceOf(StorageFailedError);
+			fileSystem.fault = undefined;
+			expect(await catchError(storage.append(createEntries(3, 1)))).to.be.instanceOf(StorageFailedError);
+			expect(await catchError(storage.saveHardState({term: 1, votedFor: null}))).to.be.instanceOf(StorageFailedError);
+			fileSystem.crash(createRandom(SEED));
+			expect(describeLog(await reopen(fileSystem))).toMatchSnapshot();
+		});
+	}
+
+	it('never loses a synced entry in a crash, wherever the unsynced write is torn', async () => {
+		for (let seed = 0; seed < 50; seed++) {
+			const fileSystem = new FaultyFileSystem();
+			const storage = await reopen(fileSystem);
+			await storage.append(createEntries(1, 2));
+			fileSystem.fault = 'sync';
+			await catchError(storage.append(createEntries(3, 3)));
+			fileSystem.fault = undefined;
+			fileSystem.crash(createRandom(seed));
+			const restarted = await reopen(fileSystem);
+			const entries = restarted.read(1, 5);
+			expect(entries.map(entry => entry.index), `seed ${seed}`).to.deep.equal([1, 2, 3, 4, 5].slice(0, entries.length));
+			expect(entries.length, `seed ${seed}`).to.be.at.least(2);
+		}
+	});
+
+	it('refuses a log whose hard state is gone, since the member could vote twice in a term', async () => {
+		const fileSystem = new MemoryFileSystem();
+		await writeLog(fileSystem, 2);
+		const storage = await reopen(fileSystem);
+		expect(await catchError(storage.loadHardState())).to.be.instanceOf(CorruptionError);
+	});
+
+	it('moves damaged files aside and starts without an identity', async () => {
+		const fileSystem = new MemoryFileSystem();
+		const bytes = await writeLog(fileSystem, 2);
+		const storage = await reopen(fileSystem);
+		await storage.saveIdentity({memberId: 'a', identity: 'first'});
+		await storage.discard();
+		expect([describeLog(storage), await storage.loadIdentity()]).toMatchSnapshot();
+		expect(await fileSystem.readFile(`${LOG}.damaged`)).to.deep.equal(bytes);
+	});
+});
+
+describe('snapshot store', () => {
+	const snapshot = {
+		index: 9, term: 2, members: Buffer.from('members'), data: Buffer.from('state'),
+	};
+
+	it('keeps the old snapshot when a new one cannot be synced', async () => {
+		const fileSystem = new FaultyFileSystem();
+		const store = new SnapshotStore({folder, fileSystem});
+		await store.save(snapshot);
+		fileSystem.fault = 'sync';
+		expect(await catchError(store.save({...snapshot, index: 12}))).to.be.instanceOf(StorageFailedError);
+		fileSystem.crash(createRandom(SEED));
+		expect(await store.load()).to.deep.equal(snapshot);
+	});
+
+	it('reports damaged bytes and never returns another state', async () => {
+		const fileSystem = new MemoryFileSystem();
+		await new SnapshotStore({folder, fileSystem}).save(snapshot);
+		const bytes = await fileSystem.readFile('/memory/snapshot') ?? new Uint8Array();
+		await fc.assert(fc.asyncProperty(fc.nat(bytes.length), fc.uint8Array({maxLength: 16}), async (at, patch) => {
+			const damaged = Buffer.concat([bytes.subarray(0, at), patch]);
+			const error = await catchError(new SnapshotStore({folder, fileSystem: await storeFile('snapshot', damaged)}).load());
+			expect(damaged.equals(bytes) || error instanceof CorruptionError).to.equal(true);
+		}), {seed: SEED, numRuns: 300});
+	});
+});
