--- /dev/null
+++ b/packages/engines/src/placement/baseline-policies.ts
@@ -0,0 +1,94 @@
+import {DemandPlacement} from './demand-placement.js';
+import {
+	type CopyState, FleetState, type ModelState, type TargetState,
+} from './fleet-state.js';
+import {PlacementPolicy} from './placement-policy.js';
+import {RoundPlan} from './round-plan.js';
+import type {DemandEstimate, PlanInput, PlanRound} from './types.js';
+
+/** Places models once by their mean demand; the baseline without adaptation. */
+export class StaticPlacement extends DemandPlacement {
+	constructor(private readonly meanDemand: readonly DemandEstimate[]) {
+		super();
+	}
+
+	override get name(): string {
+		return 'static';
+	}
+
+	protected override getDemand(): readonly DemandEstimate[] {
+		return this.meanDemand;
+	}
+}
+
+/** Upper bound that knows the coming demand and therefore needs no hysteresis. */
+export class ForesightPlacement extends DemandPlacement {
+	protected override readonly hysteresisRatio = 1;
+
+	constructor(private readonly getComingDemand: (nowMs: number) => readonly DemandEstimate[]) {
+		super();
+	}
+
+	override get name(): string {
+		return 'foresight';
+	}
+
+	protected override getDemand(input: PlanInput): readonly DemandEstimate[] {
+		return this.getComingDemand(input.nowMs);
+	}
+}
+
+/** Loads a model wherever its requests find no place, in place of the least recently used copies. */
+export class LoadOnDemandPlacement extends PlacementPolicy {
+	get name(): string {
+		return 'load-on-demand';
+	}
+
+	planRound(input: PlanInput): PlanRound {
+		const plan = new RoundPlan(new FleetState(input, input.demand));
+		const {fleet} = plan;
+		const models = [...fleet.models.values()]
+			.map(model => ({model, unserved: fleet.getUnserved(model)}))
+			.filter(({unserved}) => unserved > 0)
+			.sort((a, b) => b.unserved - a.unserved);
+		for (const {model} of models) {
+			const target = this.findLeastLoaded(fleet, model);
+			if (target === undefined || plan.loadSlots <= 0) {
+				continue;
+			}
+
+			const evicted = this.findLeastRecent(target, model.sizeMb);
+			if (evicted !== undefined) {
+				plan.addLoad(model, target, evicted, {reason: 'on-demand', urgent: true, weighedAgainst: 'least recently used copies'});
+				fleet.balance();
+			}
+		}
+
+		return plan.finish();
+	}
+
+	private findLeastLoaded(fleet: FleetState, model: ModelState): TargetState | undefined {
+		const present = new Set([...model.copies].map(({target}) => target));
+		return fleet.targets
+			.filter(target => fleet.isAvailable(target) && !present.has(target) && !fleet.isForbidden(model.model.id, target))
+			.filter(target => fleet.getSpare(target) > 0 || model.copies.size === 0)
+			.sort((a, b) => (a.loadPerS / a.planned.capacityPerS) - (b.loadPerS / b.planned.capacityPerS))
+			.at(0);
+	}
+
+	private findLeastRecent(target: TargetState, neededMb: number): readonly CopyState[] | undefined {
+		const byIdleness = [...target.copies].filter(({isLoading}) => !isLoading).sort((a, b) => b.idleMs - a.idleMs);
+		const evicted: CopyState[] = [];
+		let {freeMb} = target;
+		for (const copy of byIdleness) {
+			if (freeMb >= neededMb) {
+				break;
+			}
+
+			evicted.push(copy);
+			freeMb += copy.sizeMb;
+		}
+
+		return freeMb >= neededMb ? evicted : undefined;
+	}
+}
--- /dev/null
+++ b/packages/engines/src/placement/constants.ts
@@ -0,0 +1,80 @@
+/** Duration of a zone owner's lease, counted by the owner from when it asked. */
+export const OWNER_LEASE_MS = 3000;
+
+/** Longest time between the first write of an order and the destruction of its last connection. */
+export const ORDER_LIFETIME_MS = 2000;
+
+/** Announcements that arrive were made at most this long ago; it equals the life of a directory entry. */
+export const REPORT_MAX_AGE_MS = 2000;
+
+/**
+ * An order that was never answered may still have started a model load, which a report does not show. Nine concurrent
+ * loads at 2 loads/s take 4.5 s each at full speed; twice that allows for a slow store.
+ */
+export const MODEL_LOAD_BOUND_MS = 10_000;
+
+/** A load that the engine confirmed holds its memory this long, unless the engine reports its end. */
+export const ACCEPTED_LOAD_BOUND_MS = 60_000;
+
+/** Adapter loads take 5-10 ms under the knee; beyond it they slow down by an unspecified factor. */
+export const ADAPTER_LOAD_BOUND_MS = 500;
+
+/** Number of earlier starts of a target that are remembered, so that their late reports are ignored. */
+export const RETIRED_STARTS = 8;
+
+/** First pause before a lost order is sent again; it doubles with each attempt. */
+export const ORDER_RETRY_MS = 100;
+
+/** An owner stops writing when less than this remains of its lease. */
+export const LEASE_MARGIN_MS = 50;
+
+/** How often a host without the lease looks whether it has been granted. */
+export const LEASE_POLL_MS = 100;
+
+export const PLAN_PERIOD_MS = 1000;
+
+/** A move gives up when the weight store has no permit for it within this time; the next round decides afresh. */
+export const PERMIT_WAIT_MS = 5000;
+
+/** Time that a request occupies one of an engine's parallel places, until the caller measures it. */
+export const MEAN_SERVICE_MS = 2000;
+
+/** Time constants of the two demand estimates: the quick one notices a shift, the slow one is steady. */
+export const QUICK_DEMAND_MS = 2000;
+export const SLOW_DEMAND_MS = 30_000;
+
+/** Quick and slow estimates must differ by this many standard deviations to count as a shift. */
+export const SHIFT_SIGMAS = 4;
+
+/** Rates below this are forgotten, so that the table does not grow with every name ever asked for. */
+export const FORGOTTEN_RATE_PER_S = 0.0001;
+
+/** Planning horizon over which the gain of a move is weighed against its cost. */
+export const GAIN_HORIZON_MS = 30_000;
+
+/** A gain must exceed the cost by this factor, which keeps two near-equal models from swapping places. */
+export const HYSTERESIS_RATIO = 1.5;
+
+/** A copy younger than this is not evicted for another model's gain. */
+export const MIN_RESIDENCE_MS = 15_000;
+
+/** Share of a target's capacity that the plan fills; queues grow steeply above it. */
+export const PLANNED_UTILISATION = 0.85;
+
+/** Smallest unserved demand, as a share of one target's capacity, that justifies a further copy. */
+export const MIN_UNSERVED_RATIO = 0.03;
+
+export const MAX_MOVES_PER_ROUND = 32;
+
+/** Passes that shift each model's load to its less loaded copies; further passes change loads by under 1 %. */
+export const BALANCE_PASSES = 8;
+
+/** Phase utilisation above which a role is short of targets, and below which it can give one up. */
+export const ROLE_SHORT_UTILISATION = 0.9;
+export const ROLE_SPARE_UTILISATION = 0.5;
+
+/** A target keeps a role at least this long, since changing it drops its KV cache. */
+export const MIN_ROLE_MS = 60_000;
+
+/** Explanations kept per model for `egretrill placement explain`. */
+export const EXPLANATIONS_PER_MODEL = 8;
--- /dev/null
+++ b/packages/engines/src/placement/plan-input.ts
@@ -0,0 +1,85 @@
+import type {
+	Announcement, Model, Placements, ResidentModel,
+} from '@egretrill/common';
+import {MEAN_SERVICE_MS} from './constants.js';
+import type {MemoryLedger} from './memory-ledger.js';
+import type {
+	DemandEstimate, Move, PhaseLoad, PlanInput, PlannedTarget,
+} from './types.js';
+
+/** What a zone owner knows when it plans a round. */
+export type PlanningView = {
+	readonly nowMs: number;
+	readonly zone: string;
+	readonly models: readonly Model[];
+	readonly placements: Placements;
+	readonly demand: readonly DemandEstimate[];
+	readonly remoteTargets: readonly PlannedTarget[];
+	readonly loadSlots: number;
+	readonly phase?: PhaseLoad;
+	readonly announcements: readonly Announcement[];
+	readonly ledger: MemoryLedger;
+	readonly moving: ReadonlyMap<string, Move>;
+	/** When each copy or role was first seen; entries of gone copies are removed here. */
+	readonly copySince: Map<string, number>;
+	readonly getCapacityPerS?: (target: Announcement) => number;
+};
+
+/** Estimated duration of one load at the store's full speed, used to weigh moves. */
+const LOAD_MS = 4500;
+
+function getCapacityPerS(target: Announcement): number {
+	return target.load.limit * 1000 / MEAN_SERVICE_MS;
+}
+
+function getLoading(move: Move | undefined): readonly ResidentModel[] {
+	return (move?.steps ?? []).flatMap(step => step.kind === 'load-model' ? [{model: step.model, version: step.version, adapters: []}] : []);
+}
+
+function toPlannedTarget(view: PlanningView, target: Announcement): PlannedTarget {
+	const {nowMs, copySince} = view;
+	const getAgeMs = (key: string): number => {
+		const sinceMs = copySince.get(key) ?? nowMs;
+		copySince.set(key, sinceMs);
+		return nowMs - sinceMs;
+	};
+
+	const use = view.ledger.getUse(target.targetId);
+	return {
+		targetId: target.targetId,
+		zone: target.zone,
+		orderable: true,
+		memoryMb: target.memoryMb,
+		freeMb: use?.freeMb ?? 0,
+		capacityPerS: (view.getCapacityPerS ?? getCapacityPerS)(target),
+		role: target.role,
+		roleAgeMs: getAgeMs(`${target.targetId}#${target.role}`),
+		busy: view.moving.has(target.targetId),
+		leaving: target.leaving,
+		copies: target.resident.map(copy => ({...copy, ageMs: getAgeMs(`${target.targetId}/${copy.model}@${copy.version}`), idleMs: 0})),
+		loading: [...getLoading(view.moving.get(target.targetId))],
+	};
+}
+
+/** Assembles the plain data of one planning round. */
+export function buildPlanInput(view: PlanningView): PlanInput {
+	const targets = view.announcements.map(target => toPlannedTarget(view, target));
+	const seen = new Set(targets.flatMap(target => [`${target.targetId}#${target.role}`, ...target.copies.map(copy => `${target.targetId}/${copy.model}@${copy.version}`)]));
+	for (const key of view.copySince.keys()) {
+		if (!seen.has(key)) {
+			view.copySince.delete(key);
+		}
+	}
+
+	return {
+		nowMs: view.nowMs,
+		models: [...view.models],
+		placements: view.placements,
+		demand: [...view.demand],
+		targets: [...targets, ...view.remoteTargets.map(target => ({...target, orderable: false}))],
+		loadSlots: view.loadSlots,
+		loadMs: LOAD_MS,
+		phase: view.phase,
+	};
+}
+
--- /dev/null
+++ b/packages/engines/src/placement/secondary-moves.ts
@@ -0,0 +1,81 @@
+import {MIN_ROLE_MS, ROLE_SHORT_UTILISATION, ROLE_SPARE_UTILISATION} from './constants.js';
+import type {CopyState, TargetState} from './fleet-state.js';
+import type {RoundPlan} from './round-plan.js';
+import type {DemandEstimate, MoveStep} from './types.js';
+
+/** Makes adapters in demand resident beside their model, in place of ones that nobody asks for. */
+export function planAdapters(plan: RoundPlan, demand: readonly DemandEstimate[]): void {
+	const wanted = demand.filter(({adapter, ratePerS}) => adapter !== undefined && ratePerS > 0).sort((a, b) => b.ratePerS - a.ratePerS);
+	const asked = new Set(wanted.map(({model, adapter}) => `${model}/${adapter}`));
+	for (const {model: modelId, adapter: adapterId, ratePerS} of wanted) {
+		const model = plan.fleet.models.get(modelId);
+		const adapter = model?.model.adapters.find(({id}) => id === adapterId);
+		if (model === undefined || adapter === undefined || [...model.copies].some(({adapters}) => adapters.includes(adapter.id))) {
+			continue;
+		}
+
+		const room = [...model.copies]
+			.filter(copy => !copy.isLoading && copy.version === model.model.version && plan.fleet.isAvailable(copy.target))
+			.map(copy => ({copy, steps: makeAdapterRoom(copy, adapter.memoryMb, asked)}))
+			.find(({steps}) => steps !== undefined);
+		if (room?.steps !== undefined) {
+			plan.add({
+				targetId: room.copy.target.planned.targetId, model: modelId, reason: 'adapter-demand', urgent: true, steps: [...room.steps, {
+					kind: 'load-adapter', model: modelId, version: room.copy.version, adapter: adapter.id,
+				}],
+			}, room.copy.target, `${room.steps.length} adapters without demand, ${ratePerS.toFixed(2)} requests/s`);
+		}
+	}
+}
+
+/** Returns the unloads of idle adapters that make room, or undefined when they do not suffice. */
+function makeAdapterRoom(copy: CopyState, neededMb: number, asked: ReadonlySet<string>): readonly MoveStep[] | undefined {
+	let missingMb = neededMb - copy.target.freeMb;
+	const steps: MoveStep[] = [];
+	for (const {modelId, version, adapters, model} of copy.target.copies) {
+		for (const adapter of adapters.filter(id => !asked.has(`${modelId}/${id}`))) {
+			if (missingMb <= 0) {
+				return steps;
+			}
+
+			missingMb -= model?.model.adapters.find(({id}) => id === adapter)?.memoryMb ?? 0;
+			steps.push({
+				kind: 'unload-adapter', model: modelId, version, adapter,
+			});
+		}
+	}
+
+	return missingMb <= 0 ? steps : undefined;
+}
+
+/** Changes at most one target's role when one phase is short of targets while the other has spare ones. */
+export function planRoles(plan: RoundPlan): void {
+	const {phase} = plan.fleet.input;
+	if (phase === undefined) {
+		return;
+	}
+
+	const {prefillUtilisation, decodeUtilisation} = phase;
+	if (prefillUtilisation > ROLE_SHORT_UTILISATION && decodeUtilisation < ROLE_SPARE_UTILISATION) {
+		changeRole(plan, 'prefill', 'decode');
+	} else if (decodeUtilisation > ROLE_SHORT_UTILISATION && prefillUtilisation < ROLE_SPARE_UTILISATION) {
+		changeRole(plan, 'decode', 'prefill');
+	}
+}
+
+function keepsOtherPhase({model, target}: CopyState, short: 'prefill' | 'decode'): boolean {
+	return [...model?.copies ?? []].some(other => other.target !== target && !other.isLoading && !other.target.planned.leaving && other.target.planned.role !== short);
+}
+
+function changeRole(plan: RoundPlan, short: 'prefill' | 'decode', spare: 'prefill' | 'decode'): void {
+	const mayChange = (target: TargetState): boolean => plan.fleet.isAvailable(target) && target.planned.roleAgeMs >= MIN_ROLE_MS;
+	// A target of the spare role helps both phases once it is mixed; a mixed one gives up the spare phase only if its models keep that phase elsewhere.
+	const chosen = plan.fleet.targets.find(target => target.planned.role === spare && mayChange(target));
+	const fallback = plan.fleet.targets.find(target => target.planned.role === 'mixed' && mayChange(target) && [...target.copies].every(copy => keepsOtherPhase(copy, short)));
+	const target = chosen ?? fallback;
+	if (target !== undefined) {
+		plan.add({
+			targetId: target.planned.targetId, model: '*', reason: 'role-short', urgent: false, steps: [{kind: 'set-role', role: chosen === undefined ? short : 'mixed'}],
+		}, target, `${short} is short while ${spare} has spare capacity`);
+	}
+}
