egretrilld: thin daemon, testkit, demo, example configurations

Cause: the whole path has to work before the parts are refined. Change: daemon with caller, target, peer and health servers wired by inversify; target directory shared between hosts by digests and zone summaries; testkit that runs daemons as processes; demo; example documents of today's two sizes. Before: no process ran.

--- a/apps/egretrilld/src/index.ts
+++ b/apps/egretrilld/src/index.ts
@@ -1,1 +1,3 @@
-export {};
+export * from './container.js';
+export * from './daemon.js';
+export * from './tokens.js';
--- a/apps/egretrilld/src/peer-directory.ts
+++ b/apps/egretrilld/src/peer-directory.ts
@@ -1,23 +1,62 @@
-import type {PeerHost, Settings} from '@egretrill/common';
-import {PeerClient} from '@egretrill/hosts';
+import {createHash} from 'node:crypto';
+import type {Clock, PeerHost, Settings} from '@egretrill/common';
+import {type Method, type PeerCallError, PeerClient} from '@egretrill/hosts';
 import type {ChannelCredentials} from '@grpc/grpc-js';
+import {Result} from 'true-myth';
+import {DIRECTORY_HOSTS_PER_ZONE, PEER_RETRY_MS, PEER_SUSPECT_MS} from './constants.js';
 
-/** Connections to the other hosts that this one talks to, opened when first used. */
+type FailureSpan = {readonly firstMs: number; readonly lastMs: number};
+
+function getRendezvousWeight(zone: string, hostId: string): string {
+	return createHash('sha256').update(`${zone}/${hostId}`).digest('hex');
+}
+
+/** Connections to the other hosts that this one talks to, opened when first used, and which of them answer. */
 export class PeerDirectory {
 	private readonly clients = new Map<string, PeerClient>();
+	private readonly failures = new Map<string, FailureSpan>();
 
-	constructor(private readonly settings: Settings, private readonly credentials: ChannelCredentials) {}
+	constructor(private readonly settings: Settings, private readonly clock: Clock, private readonly credentials: ChannelCredentials) {}
 
 	getPeers(): readonly PeerHost[] {
 		return this.settings.peers.filter(peer => peer.id !== this.settings.host);
 	}
 
-	getPeer(hostId: string): PeerHost | undefined {
-		return this.settings.peers.find(peer => peer.id === hostId);
+	/** Calls another host and remembers whether it answers. */
+	async call<Req, Res>(hostId: string, method: Method<Req, Res>, req: Req, deadlineMs?: number): Promise<Result<Res, PeerCallError>> {
+		const client = this.getClient(hostId);
+		if (!client) {
+			return Result.err({code: 'unreachable', message: `The host ${hostId} is not in the settings.`});
+		}
+
+		const answer = await client.call(method, req, deadlineMs);
+		if (answer.isOk || answer.error.code === 'failed') {
+			this.failures.delete(hostId);
+		} else {
+			const nowMs = this.clock.now();
+			this.failures.set(hostId, {firstMs: this.failures.get(hostId)?.firstMs ?? nowMs, lastMs: nowMs});
+		}
+
+		return answer;
+	}
+
+	/** True while a host has failed for some time; it is tried again after a pause. */
+	isSuspected(hostId: string): boolean {
+		const span = this.failures.get(hostId);
+		return span !== undefined && span.lastMs - span.firstMs > PEER_SUSPECT_MS && this.clock.now() - span.lastMs < PEER_RETRY_MS;
+	}
+
+	/** The hosts that hold the target directory of a zone: every host computes the same order and passes over those that do not answer. */
+	getDirectoryHosts(zone: string): readonly PeerHost[] {
+		const ranked = this.settings.peers
+			.filter(peer => peer.zone === zone)
+			.toSorted((a, b) => getRendezvousWeight(zone, a.id).localeCompare(getRendezvousWeight(zone, b.id)));
+		const answering = ranked.filter(peer => !this.isSuspected(peer.id));
+		return (answering.length > 0 ? answering : ranked).slice(0, DIRECTORY_HOSTS_PER_ZONE);
 	}
 
 	getClient(hostId: string): PeerClient | undefined {
-		const peer = this.getPeer(hostId);
+		const peer = this.settings.peers.find(candidate => candidate.id === hostId);
 		if (!peer) {
 			return undefined;
 		}
--- /dev/null
+++ b/dev/testkit/src/daemon-process.ts
@@ -0,0 +1,102 @@
+import {type ChildProcess, spawn} from 'node:child_process';
+import {once} from 'node:events';
+import {createRequire} from 'node:module';
+import path from 'node:path';
+import process from 'node:process';
+import {createInterface} from 'node:readline';
+import type {PeerHost} from '@egretrill/common';
+import got from 'got';
+import {START_TIMEOUT_MS} from './constants.js';
+import {waitFor} from './wait.js';
+
+export type LogLine = Readonly<Record<string, unknown>> & {readonly msg: string};
+export type ProcessAddresses = {
+	readonly callers: string; readonly targets: string; readonly peers: string; readonly health: string; readonly admin: string; readonly monitor: string;
+};
+
+const mainFile = path.join(path.dirname(createRequire(import.meta.url).resolve('@egretrill/testkit')), '../../../../apps/egretrilld/dist/src/main.js');
+
+/** One daemon as a process of its own, which tests may pause and kill. */
+export class DaemonProcess {
+	readonly log: LogLine[] = [];
+	readonly errors: string[] = [];
+	private child: ChildProcess | undefined;
+	private found: ProcessAddresses | undefined;
+
+	constructor(readonly peer: PeerHost, private readonly settingsFile: string, private readonly configFile: string) {}
+
+	get addresses(): ProcessAddresses {
+		if (!this.found) {
+			throw new Error('The daemon has not started.');
+		}
+
+		return this.found;
+	}
+
+	async start(): Promise<void> {
+		const from = this.log.length;
+		const child = spawn(process.execPath, [mainFile, '--settings', this.settingsFile, '--initial-config', this.configFile], {stdio: ['ignore', 'pipe', 'pipe']});
+		this.child = child;
+		createInterface({input: child.stdout}).on('line', line => {
+			this.log.push(JSON.parse(line) as LogLine);
+		});
+		createInterface({input: child.stderr}).on('line', line => {
+			this.errors.push(line);
+		});
+		const started = await waitFor(`the start of ${this.peer.id}`, () => {
+			if (child.exitCode !== null) {
+				throw new Error(`The daemon ${this.peer.id} ended: ${this.errors.join('\n')}`);
+			}
+
+			return this.log.slice(from).find(line => line.msg === 'Daemon started.');
+		}, START_TIMEOUT_MS);
+		this.found = started as unknown as ProcessAddresses;
+	}
+
+	async isReady(): Promise<boolean> {
+		const res = await got(`http://${this.addresses.health}/readyz`, {throwHttpErrors: false, retry: {limit: 0}});
+		return res.statusCode === 200;
+	}
+
+	async waitUntilReady(): Promise<void> {
+		await waitFor(`readiness of ${this.peer.id}`, async () => await this.isReady() || undefined, START_TIMEOUT_MS);
+	}
+
+	pause(): void {
+		this.child?.kill('SIGSTOP');
+	}
+
+	resume(): void {
+		this.child?.kill('SIGCONT');
+	}
+
+	/** Ends the process at once. */
+	async kill(): Promise<void> {
+		await this.end('SIGKILL');
+	}
+
+	/** Asks the process to drain and returns its exit code. */
+	async terminate(): Promise<number | undefined> {
+		return this.end('SIGTERM');
+	}
+
+	private async end(signal: NodeJS.Signals): Promise<number | undefined> {
+		const {child} = this;
+		if (!child) {
+			return undefined;
+		}
+
+		if (child.exitCode === null && child.signalCode === null) {
+			const ended = once(child, 'exit');
+			child.kill(signal);
+			if (signal === 'SIGKILL') {
+				// A stopped process dies only once it may run again.
+				child.kill('SIGCONT');
+			}
+
+			await ended;
+		}
+
+		return child.exitCode ?? undefined;
+	}
+}
--- a/packages/engines/src/index.ts
+++ b/packages/engines/src/index.ts
@@ -1,2 +1,4 @@
 export * from './client/index.js';
 export * from './constants.js';
+export * from './placement/index.js';
+export * from './routing/index.js';
--- a/packages/engines/src/routing/target-directory.ts
+++ b/packages/engines/src/routing/target-directory.ts
@@ -190,9 +190,9 @@
 			}
 		}
 
-		const warm = open.filter(record => !record.isCold());
-		const targets = warm
-			.toSorted((first, second) => (first.getOutstanding() / first.entry.load.limit) - (second.getOutstanding() / second.entry.load.limit) || first.handle - second.handle)
+		// Cold targets come last but are named: a model whose only copy is cold must stay reachable from other zones.
+		const targets = open
+			.toSorted((first, second) => Number(first.isCold()) - Number(second.isCold()) || (first.getOutstanding() / first.entry.load.limit) - (second.getOutstanding() / second.entry.load.limit) || first.handle - second.handle)
 			.slice(0, MAX_SUMMARY_TARGETS)
 			.map(record => getEntry(record));
 		return {zone, models: [...models.values()].slice(0, MAX_SUMMARY_MODELS), targets};
--- a/xo.config.js
+++ b/xo.config.js
@@ -43,6 +43,7 @@
 			// Wire and configuration formats fix some property names.
 			'@typescript-eslint/naming-convention': 'off',
 			camelcase: 'off',
+			'import-x/no-unassigned-import': ['error', {allow: ['reflect-metadata']}],
 		},
 	},
 	{
