--- a/packages/disk/src/types.ts
+++ b/packages/disk/src/types.ts
@@ -3,7 +3,7 @@
 const count = z.int().nonnegative();
 
 /** Binary data inside MessagePack messages. */
-export const Bytes = z.instanceof(Uint8Array);
+export const Bytes = z.custom<Uint8Array>(value => value instanceof Uint8Array, 'binary data');
 
 /** One entry of the replicated log; `data` is opaque to the storage. */
 export const LogEntry = z.object({
--- /dev/null
+++ b/packages/hosts/src/consensus/apply.ts
@@ -0,0 +1,55 @@
+import type {LogEntry} from '@egretrill/disk';
+import {
+	COMPACTION_ENTRIES, IDLE_WAIT_MS, KEPT_ENTRIES, MAX_BATCH_ENTRIES,
+} from '../constants.js';
+import {membersCodec, type Replica} from './replica.js';
+
+function applyEntry(replica: Replica, entry: LogEntry): void {
+	const result = entry.kind === 'command' ? replica.opts.machine.apply(entry.data, entry.index) : undefined;
+	replica.appliedIndex = entry.index;
+	const proposal = replica.pending.get(entry.index);
+	if (proposal !== undefined) {
+		replica.pending.delete(entry.index);
+		proposal.settle({kind: 'committed', index: entry.index, result});
+	}
+}
+
+/** Saves a snapshot of the applied state and drops the entries that it covers; call it within `exclusive`. */
+async function compactLog(replica: Replica): Promise<void> {
+	const {machine, snapshots, storage} = replica.opts;
+	const index = replica.appliedIndex;
+	await snapshots.save({
+		index,
+		term: storage.getTerm(index) ?? 0,
+		members: membersCodec.encode([...replica.getMembersAt(index)]),
+		data: machine.snapshot(),
+	});
+	replica.snapshotIndex = index;
+	replica.pruneMembers(index);
+	const baseIndex = Math.max(storage.getBase().index, index - KEPT_ENTRIES);
+	await storage.compact({index: baseIndex, term: storage.getTerm(baseIndex) ?? 0});
+}
+
+async function applyCommitted(replica: Replica): Promise<void> {
+	const {memberId, storage} = replica.opts;
+	for (const entry of storage.read(replica.appliedIndex + 1, Math.min(replica.commitIndex, replica.appliedIndex + MAX_BATCH_ENTRIES))) {
+		applyEntry(replica, entry);
+	}
+
+	replica.changed.notify();
+	const isRemoved = replica.membersIndex <= replica.appliedIndex && replica.members.every(member => member.id !== memberId);
+	if (replica.leadership !== undefined && isRemoved) {
+		replica.endLeadership();
+	}
+
+	if (replica.appliedIndex - replica.snapshotIndex >= COMPACTION_ENTRIES) {
+		await compactLog(replica);
+	}
+}
+
+/** Applies committed entries in order and compacts the log. */
+export async function runApply(replica: Replica): Promise<void> {
+	while (!replica.isStopped) {
+		await (replica.appliedIndex < replica.commitIndex ? replica.exclusive(async () => applyCommitted(replica)) : replica.changed.wait(replica.opts.clock, IDLE_WAIT_MS, replica.stopSignal));
+	}
+}
--- /dev/null
+++ b/packages/hosts/src/consensus/election.ts
@@ -0,0 +1,145 @@
+import {Signal} from '@egretrill/common';
+import {MAX_ELECTION_TIMEOUT_MS, MIN_ELECTION_TIMEOUT_MS, VOTE_TIMEOUT_MS} from '../constants.js';
+import type {Member, RequestVoteRequest, RequestVoteResponse} from '../types.js';
+import {callPeer} from './call-peer.js';
+import {lead} from './leadership.js';
+import {membersCodec, type Replica} from './replica.js';
+
+/** Votes of one round; `open` counts voters that have not answered yet. */
+type Ballot = {granted: number; open: number; readonly changed: Signal};
+
+async function ask(replica: Replica, memberId: string, req: RequestVoteRequest): Promise<RequestVoteResponse | undefined> {
+	const {clock, transport} = replica.opts;
+	return callPeer(clock, VOTE_TIMEOUT_MS, replica.stopSignal, async signal => transport.requestVote(memberId, req, signal));
+}
+
+async function askVoter(replica: Replica, voter: Member, req: RequestVoteRequest, ballot: Ballot): Promise<void> {
+	const answer = await ask(replica, voter.id, {...req, voterIdentity: voter.identity});
+	if (answer?.granted && answer.identity === voter.identity) {
+		ballot.granted += 1;
+	}
+
+	ballot.open -= 1;
+	ballot.changed.notify();
+	if (answer !== undefined && answer.term > replica.hardState.term && !replica.isStopped) {
+		await replica.exclusive(async () => replica.adoptTerm(answer.term));
+	}
+}
+
+/** Asks all other voters at once; returns true as soon as a majority has granted its vote. */
+async function collectVotes(replica: Replica, term: number, preVote: boolean): Promise<boolean> {
+	const {clock, memberId} = replica.opts;
+	const voters = replica.members.filter(member => member.role === 'voter');
+	const others = voters.filter(voter => voter.id !== memberId);
+	const last = replica.getLastPosition();
+	const req = {
+		candidateId: memberId, term, preVote, lastIndex: last.index, lastTerm: last.term, voterIdentity: '',
+	};
+	const ballot: Ballot = {granted: 1, open: others.length, changed: new Signal()};
+	for (const voter of others) {
+		void replica.guard(askVoter(replica, voter, req, ballot));
+	}
+
+	const isWon = (): boolean => ballot.granted > voters.length / 2;
+	while (!isWon() && ballot.open > 0 && !replica.isStopped) {
+		await ballot.changed.wait(clock, VOTE_TIMEOUT_MS, replica.stopSignal);
+	}
+
+	return isWon();
+}
+
+/** Moves to the next term with a vote for itself; returns undefined when a leader appeared meanwhile. */
+async function startTerm(replica: Replica): Promise<number | undefined> {
+	return replica.exclusive(async () => {
+		if (!canStand(replica)) {
+			return undefined;
+		}
+
+		const term = replica.hardState.term + 1;
+		replica.leaderId = undefined;
+		await replica.saveHardState({term, votedFor: replica.opts.memberId});
+		return term;
+	});
+}
+
+function isSoleVoter(replica: Replica): boolean {
+	return replica.isSelfVoter && replica.members.filter(member => member.role === 'voter').length === 1;
+}
+
+function canStand(replica: Replica): boolean {
+	return replica.isSelfVoter && (isSoleVoter(replica) || !replica.hasLiveLeader());
+}
+
+async function runElection(replica: Replica): Promise<void> {
+	if (!canStand(replica) || !await collectVotes(replica, replica.hardState.term + 1, true)) {
+		return;
+	}
+
+	const term = await startTerm(replica);
+	if (term !== undefined && await collectVotes(replica, term, false)) {
+		await lead(replica, term);
+	}
+}
+
+/**
+ * Starts the log of a new fleet when every initial member has answered that it never had one. With only some
+ * answers, this member may have lost its disk while the others hold a log.
+ */
+async function startLog(replica: Replica): Promise<void> {
+	const {initialMembers, memberId} = replica.opts;
+	if (initialMembers.toSorted()[0] !== memberId) {
+		return;
+	}
+
+	const others = initialMembers.filter(id => id !== memberId);
+	const req = {
+		candidateId: memberId, term: 0, preVote: true, lastIndex: 0, lastTerm: 0, voterIdentity: '',
+	};
+	const answers = await Promise.all(others.map(async id => ask(replica, id, req)));
+	if (!answers.every(answer => answer?.blank)) {
+		return;
+	}
+
+	const members: Member[] = [
+		{id: memberId, identity: replica.identity, role: 'voter'},
+		...others.map((id, i): Member => ({id, identity: answers[i]?.identity ?? '', role: 'initial'})),
+	];
+	await replica.exclusive(async () => {
+		if (replica.isBlank) {
+			await replica.saveHardState({term: 1, votedFor: memberId});
+			await replica.append([{
+				index: 1, term: 1, kind: 'members', data: membersCodec.encode(members),
+			}]);
+		}
+	});
+}
+
+async function waitForTimeout(replica: Replica): Promise<void> {
+	const {clock, random} = replica.opts;
+	const timeoutMs = MIN_ELECTION_TIMEOUT_MS + (random() * (MAX_ELECTION_TIMEOUT_MS - MIN_ELECTION_TIMEOUT_MS));
+	// A sole voter need not wait: there is no other leader that it could have acknowledged.
+	while (!replica.isStopped && !isSoleVoter(replica)) {
+		const remainingMs = replica.timeoutBaseMs + timeoutMs - clock.now();
+		if (remainingMs <= 0) {
+			return;
+		}
+
+		await clock.sleep(remainingMs, replica.stopSignal);
+	}
+}
+
+/** Stands for election whenever no leader is heard, and leads the terms that it wins. */
+export async function runElections(replica: Replica): Promise<void> {
+	const {clock} = replica.opts;
+	while (!replica.isStopped) {
+		if (replica.isBlank) {
+			await startLog(replica);
+		}
+
+		await waitForTimeout(replica);
+		replica.timeoutBaseMs = clock.now();
+		if (!replica.isStopped) {
+			await runElection(replica);
+		}
+	}
+}
--- /dev/null
+++ b/packages/hosts/src/consensus/follower.ts
@@ -0,0 +1,141 @@
+import {jitter} from '@egretrill/common';
+import {type LogEntry, type Snapshot} from '@egretrill/disk';
+import {
+	APPEND_TIMEOUT_MS, HEARTBEAT_MS, MAX_BATCH_BYTES, MAX_BATCH_ENTRIES, SNAPSHOT_CHUNK_BYTES, SNAPSHOT_TIMEOUT_MS,
+} from '../constants.js';
+import {callPeer} from './call-peer.js';
+import type {Leadership, Progress} from './leadership.js';
+import type {Replica} from './replica.js';
+
+type Follower = {
+	readonly replica: Replica;
+	readonly leadership: Leadership;
+	readonly memberId: string;
+	readonly progress: Progress;
+};
+
+/** `more` asks for another message at once, `idle` for one after the heartbeat interval or with new entries. */
+type SendOutcome = 'more' | 'idle';
+
+function takeBatch(entries: readonly LogEntry[]): readonly LogEntry[] {
+	let bytes = 0;
+	return entries.filter((entry, i) => {
+		bytes += entry.data.length;
+		return i === 0 || bytes <= MAX_BATCH_BYTES;
+	});
+}
+
+/** Checks the term and identity of an answer; returns false when the answer says nothing about the follower's log. */
+async function acceptAnswer(follower: Follower, answer: {readonly term: number; readonly identity: string}, sentMs: number): Promise<boolean> {
+	const {replica, leadership, progress} = follower;
+	if (leadership.isOver) {
+		return false;
+	}
+
+	if (answer.term > leadership.term) {
+		await replica.exclusive(async () => replica.adoptTerm(answer.term));
+		return false;
+	}
+
+	if (answer.identity !== progress.identity) {
+		// The member lost its log: nothing that it acknowledged before counts.
+		progress.identity = answer.identity;
+		progress.matchIndex = 0;
+		leadership.membersChanged.notify();
+	}
+
+	progress.ackedSentMs = sentMs;
+	return true;
+}
+
+async function sendEntries(follower: Follower): Promise<SendOutcome> {
+	const {replica, leadership, memberId, progress} = follower;
+	const {clock, storage, transport} = replica.opts;
+	const previousIndex = progress.nextIndex - 1;
+	const entries = takeBatch(storage.read(progress.nextIndex, previousIndex + MAX_BATCH_ENTRIES));
+	const req = {
+		leaderId: replica.opts.memberId,
+		term: leadership.term,
+		prevIndex: previousIndex,
+		prevTerm: storage.getTerm(previousIndex) ?? 0,
+		entries: [...entries],
+		commitIndex: replica.commitIndex,
+	};
+	const sentMs = clock.now();
+	const answer = await callPeer(clock, APPEND_TIMEOUT_MS, leadership.signal, async signal => transport.appendEntries(memberId, req, signal));
+	if (answer === undefined || !await acceptAnswer(follower, answer, sentMs)) {
+		return 'idle';
+	}
+
+	if (!answer.accepted) {
+		progress.nextIndex = Math.max(1, Math.min(answer.lastIndex + 1, previousIndex));
+		return 'more';
+	}
+
+	progress.matchIndex = Math.max(progress.matchIndex, previousIndex + entries.length);
+	progress.nextIndex = progress.matchIndex + 1;
+	leadership.advanceCommit();
+	return progress.nextIndex <= storage.getLastIndex() ? 'more' : 'idle';
+}
+
+async function sendChunk(follower: Follower, snapshot: Snapshot, offset: number): Promise<number | undefined> {
+	const {replica, leadership, memberId} = follower;
+	const {clock, transport} = replica.opts;
+	const chunk = snapshot.data.subarray(offset, offset + SNAPSHOT_CHUNK_BYTES);
+	const req = {
+		leaderId: replica.opts.memberId,
+		term: leadership.term,
+		index: snapshot.index,
+		snapshotTerm: snapshot.term,
+		members: snapshot.members,
+		offset,
+		chunk,
+		last: offset + chunk.length === snapshot.data.length,
+	};
+	const sentMs = clock.now();
+	const answer = await callPeer(clock, SNAPSHOT_TIMEOUT_MS, leadership.signal, async signal => transport.installSnapshot(memberId, req, signal));
+	return answer !== undefined && await acceptAnswer(follower, answer, sentMs) ? answer.nextOffset : undefined;
+}
+
+async function sendSnapshot(follower: Follower): Promise<SendOutcome> {
+	const {replica, leadership, progress} = follower;
+	const snapshot = await replica.exclusive(async () => replica.opts.snapshots.load());
+	if (snapshot === undefined) {
+		throw new Error(`The log starts after entry ${replica.opts.storage.getBase().index}, but there is no snapshot.`);
+	}
+
+	let offset = 0;
+	while (offset < snapshot.data.length || offset === 0) {
+		const nextOffset = await sendChunk(follower, snapshot, offset);
+		if (nextOffset === undefined || nextOffset <= offset) {
+			return 'idle';
+		}
+
+		offset = nextOffset;
+	}
+
+	progress.matchIndex = Math.max(progress.matchIndex, snapshot.index);
+	progress.nextIndex = progress.matchIndex + 1;
+	leadership.advanceCommit();
+	return 'more';
+}
+
+/** Keeps one member's log equal to the leader's until the leadership ends or the member is removed. */
+export async function runFollower(replica: Replica, leadership: Leadership, memberId: string): Promise<void> {
+	const {clock, random, storage} = replica.opts;
+	const progress: Progress = {
+		nextIndex: storage.getLastIndex() + 1, matchIndex: 0, identity: '', ackedSentMs: Number.NEGATIVE_INFINITY,
+	};
+	leadership.progress.set(memberId, progress);
+	const follower = {
+		replica, leadership, memberId, progress,
+	};
+	while (!leadership.isOver && replica.members.some(member => member.id === memberId)) {
+		const outcome = progress.nextIndex <= storage.getBase().index ? await sendSnapshot(follower) : await sendEntries(follower);
+		if (outcome === 'idle') {
+			await leadership.appended.wait(clock, jitter(HEARTBEAT_MS, random), leadership.signal);
+		}
+	}
+
+	leadership.progress.delete(memberId);
+}
--- /dev/null
+++ b/packages/hosts/src/consensus/handlers.ts
@@ -0,0 +1,165 @@
+import {Buffer} from 'node:buffer';
+import type {LogEntry} from '@egretrill/disk';
+import type {
+	AppendEntriesRequest, AppendEntriesResponse, InstallSnapshotRequest, InstallSnapshotResponse, RequestVoteRequest, RequestVoteResponse,
+} from '../types.js';
+import {ProtocolError} from './errors.js';
+import {membersCodec, type Replica} from './replica.js';
+import {decideVote} from './rules.js';
+
+/** Answers a vote or pre-vote; a granted vote is synced before the answer. */
+export async function handleRequestVote(replica: Replica, req: RequestVoteRequest): Promise<RequestVoteResponse> {
+	return replica.exclusive(async () => {
+		const {hardState, identity} = replica;
+		const decision = decideVote(req, {
+			hardState, identity, last: replica.getLastPosition(), hasLiveLeader: replica.hasLiveLeader(),
+		});
+		if (decision.isTermAdopted) {
+			await replica.adoptTerm(req.term);
+		}
+
+		if (decision.isGranted && !req.preVote) {
+			await replica.saveHardState({term: req.term, votedFor: req.candidateId});
+			replica.timeoutBaseMs = replica.opts.clock.now();
+		}
+
+		return {
+			term: replica.hardState.term, granted: decision.isGranted, identity, blank: replica.isBlank,
+		};
+	});
+}
+
+function checkEntries(req: AppendEntriesRequest): void {
+	let lastTerm = req.prevTerm;
+	for (const [i, entry] of req.entries.entries()) {
+		if (entry.index !== req.prevIndex + 1 + i || entry.term < lastTerm || entry.term > req.term) {
+			throw new ProtocolError(`Entry ${entry.index} of term ${entry.term} does not continue the log at ${req.prevIndex + i}.`);
+		}
+
+		if (entry.kind === 'members') {
+			decodeMembers(entry.data);
+		}
+
+		lastTerm = entry.term;
+	}
+}
+
+function decodeMembers(data: Uint8Array): ReturnType<typeof membersCodec.decode> {
+	try {
+		return membersCodec.decode(data);
+	} catch (err: unknown) {
+		throw new ProtocolError('The membership in the message is not valid.', {cause: err});
+	}
+}
+
+/** The last index before the term that conflicts with the leader's; the leader continues from there. */
+function getRetryIndex(replica: Replica, previousIndex: number): number {
+	const {storage} = replica.opts;
+	const conflictTerm = storage.getTerm(previousIndex);
+	if (conflictTerm === undefined) {
+		return storage.getLastIndex();
+	}
+
+	let index = previousIndex;
+	while (index > replica.commitIndex && storage.getTerm(index) === conflictTerm) {
+		index -= 1;
+	}
+
+	return index;
+}
+
+async function storeEntries(replica: Replica, entries: readonly LogEntry[]): Promise<void> {
+	const {storage} = replica.opts;
+	const firstNew = entries.findIndex(entry => storage.getTerm(entry.index) !== entry.term);
+	const first = entries[firstNew];
+	if (first === undefined) {
+		return;
+	}
+
+	if (first.index <= storage.getLastIndex()) {
+		await replica.truncateFrom(first.index);
+	}
+
+	await replica.append(entries.slice(firstNew));
+}
+
+/** Stores the leader's entries; they are synced before the answer. */
+export async function handleAppendEntries(replica: Replica, req: AppendEntriesRequest): Promise<AppendEntriesResponse> {
+	checkEntries(req);
+	return replica.exclusive(async () => {
+		const {identity, opts: {storage}} = replica;
+		const answer = (accepted: boolean, lastIndex: number): AppendEntriesResponse => ({
+			term: replica.hardState.term, accepted, lastIndex, identity,
+		});
+		if (req.term < replica.hardState.term) {
+			return answer(false, storage.getLastIndex());
+		}
+
+		await replica.followLeader(req.term, req.leaderId);
+		// Entries up to the base are committed and compacted here, so they match the leader's.
+		const baseIndex = storage.getBase().index;
+		const isBehindBase = req.prevIndex < baseIndex;
+		if (!isBehindBase && storage.getTerm(req.prevIndex) !== req.prevTerm) {
+			return answer(false, getRetryIndex(replica, req.prevIndex));
+		}
+
+		await storeEntries(replica, req.entries.filter(entry => entry.index > baseIndex));
+		const matchIndex = req.prevIndex + req.entries.length;
+		replica.setCommitIndex(Math.min(req.commitIndex, matchIndex));
+		return answer(true, matchIndex);
+	});
+}
+
+async function installSnapshot(replica: Replica, req: InstallSnapshotRequest, data: Uint8Array): Promise<void> {
+	const {machine, snapshots, storage} = replica.opts;
+	const members = decodeMembers(req.members);
+	try {
+		machine.restore(data);
+	} catch (err: unknown) {
+		throw new ProtocolError('The snapshot in the message is not valid.', {cause: err});
+	}
+
+	await snapshots.save({
+		index: req.index, term: req.snapshotTerm, members: req.members, data,
+	});
+	await storage.compact({index: req.index, term: req.snapshotTerm});
+	replica.snapshotIndex = req.index;
+	replica.appliedIndex = req.index;
+	replica.resetMembers({index: req.index, members});
+	replica.setCommitIndex(req.index);
+	replica.changed.notify();
+}
+
+/** Collects the parts of a snapshot and installs it with the last one. */
+export async function handleInstallSnapshot(replica: Replica, req: InstallSnapshotRequest): Promise<InstallSnapshotResponse> {
+	return replica.exclusive(async () => {
+		const {identity} = replica;
+		const answer = (nextOffset: number): InstallSnapshotResponse => ({term: replica.hardState.term, identity, nextOffset});
+		if (req.term < replica.hardState.term) {
+			return answer(0);
+		}
+
+		await replica.followLeader(req.term, req.leaderId);
+		const endOffset = req.offset + req.chunk.length;
+		if (req.index <= replica.appliedIndex) {
+			return answer(Math.max(1, endOffset));
+		}
+
+		const {incoming} = replica;
+		const isSame = incoming?.index === req.index && incoming.term === req.term;
+		const received = req.offset > 0 && isSame ? incoming.bytes : new Uint8Array();
+		if (received.length !== req.offset) {
+			return answer(received.length);
+		}
+
+		const bytes = Buffer.concat([received, req.chunk]);
+		replica.incoming = req.last ? undefined : {index: req.index, term: req.term, bytes};
+		if (req.last) {
+			await installSnapshot(replica, req, bytes);
+			replica.leaderContactMs = replica.opts.clock.now();
+			replica.timeoutBaseMs = replica.leaderContactMs;
+		}
+
+		return answer(Math.max(1, endOffset));
+	});
+}
--- /dev/null
+++ b/packages/hosts/src/consensus/leadership.ts
@@ -0,0 +1,188 @@
+import {Signal} from '@egretrill/common';
+import type {LogEntry} from '@egretrill/disk';
+import {
+	HEARTBEAT_MS, IDLE_WAIT_MS, LEADER_LEASE_MS, MAX_BATCH_ENTRIES, MAX_ELECTION_TIMEOUT_MS,
+} from '../constants.js';
+import {runFollower} from './follower.js';
+import {membersCodec, type Proposal, type Replica} from './replica.js';
+import {getMajorityValue, type MemberReport, planMemberChange} from './rules.js';
+
+/** What the leader knows of one other member. */
+export type Progress = {
+	nextIndex: number;
+	matchIndex: number;
+	/** Identity in the member's last answer. */
+	identity: string;
+	/** When the last acknowledged message was sent. */
+	ackedSentMs: number;
+};
+
+/** State of this member while it leads one term. */
+export class Leadership {
+	readonly startedMs: number;
+	readonly proposals: Proposal[] = [];
+	readonly progress = new Map<string, Progress>();
+	/** Index of the empty entry that starts the term; entries before it are committed together with it. */
+	firstIndex = Number.POSITIVE_INFINITY;
+	/** Notified when proposals wait to be logged. */
+	readonly proposed = new Signal();
+	/** Notified when entries wait to be sent. */
+	readonly appended = new Signal();
+	readonly membersChanged = new Signal();
+	private readonly stopper = new AbortController();
+
+	constructor(private readonly replica: Replica, readonly term: number) {
+		this.startedMs = replica.opts.clock.now();
+	}
+
+	get signal(): AbortSignal {
+		return this.stopper.signal;
+	}
+
+	get isOver(): boolean {
+		return this.stopper.signal.aborted;
+	}
+
+	/** Until a second member votes, the loss of one disk would lose acknowledged changes of a new fleet. */
+	get isForming(): boolean {
+		const {members} = this.replica;
+		return members.some(member => member.role === 'initial') && members.filter(member => member.role === 'voter').length === 1;
+	}
+
+	/** Send time of the newest messages that a majority of the voters acknowledged. */
+	getLeaseStartMs(): number {
+		return getMajorityValue(this.getVoterValues(this.replica.opts.clock.now(), progress => progress.ackedSentMs));
+	}
+
+	hasLease(): boolean {
+		const {appliedIndex, opts} = this.replica;
+		return appliedIndex >= this.firstIndex && opts.clock.now() - this.getLeaseStartMs() < LEADER_LEASE_MS;
+	}
+
+	/** Commits what a majority has synced; entries of earlier terms only together with one of this term. */
+	advanceCommit(): void {
+		const {storage} = this.replica.opts;
+		const index = getMajorityValue(this.getVoterValues(storage.getLastIndex(), progress => progress.matchIndex));
+		if (storage.getTerm(index) === this.term) {
+			this.replica.setCommitIndex(index);
+		}
+	}
+
+	end(): void {
+		this.stopper.abort();
+		const {leaderId, opts} = this.replica;
+		for (const proposal of this.proposals.splice(0)) {
+			proposal.settle({kind: 'not-leader', ...(leaderId !== undefined && leaderId !== opts.memberId && {leaderId})});
+		}
+	}
+
+	getReports(): ReadonlyMap<string, MemberReport> {
+		const {clock} = this.replica.opts;
+		return new Map([...this.progress].map(([id, progress]) => [id, {
+			identity: progress.identity,
+			isCaughtUp: progress.matchIndex >= this.replica.commitIndex && clock.now() - progress.ackedSentMs < LEADER_LEASE_MS,
+		}]));
+	}
+
+	private getVoterValues(ownValue: number, getValue: (progress: Progress) => number): readonly number[] {
+		const {members, opts} = this.replica;
+		return members.filter(member => member.role === 'voter').map(member => {
+			if (member.id === opts.memberId) {
+				return ownValue;
+			}
+
+			const progress = this.progress.get(member.id);
+			// An answer under another identity comes from a member that lost its log.
+			return progress?.identity === member.identity ? getValue(progress) : Number.NEGATIVE_INFINITY;
+		});
+	}
+}
+
+/** Appends entries of the leader's term and tells the follower tasks; call it within `exclusive`. */
+async function appendOwn(replica: Replica, leadership: Leadership, items: ReadonlyArray<Pick<LogEntry, 'kind' | 'data'>>): Promise<void> {
+	const firstIndex = replica.opts.storage.getLastIndex() + 1;
+	await replica.append(items.map((item, i) => ({index: firstIndex + i, term: leadership.term, ...item})));
+	leadership.advanceCommit();
+	leadership.appended.notify();
+}
+
+/** Logs proposals in batches, one sync for each. */
+async function runWriter(replica: Replica, leadership: Leadership): Promise<void> {
+	while (!leadership.isOver) {
+		if (leadership.proposals.length === 0) {
+			await leadership.proposed.wait(replica.opts.clock, IDLE_WAIT_MS, leadership.signal);
+			continue;
+		}
+
+		await replica.exclusive(async () => {
+			const batch = leadership.proposals.splice(0, MAX_BATCH_ENTRIES);
+			if (batch.length === 0) {
+				return;
+			}
+
+			const firstIndex = replica.opts.storage.getLastIndex() + 1;
+			for (const [i, proposal] of batch.entries()) {
+				replica.pending.set(firstIndex + i, {...proposal, term: leadership.term});
+			}
+
+			await appendOwn(replica, leadership, batch.map(proposal => ({kind: 'command', data: proposal.data})));
+		});
+	}
+}
+
+async function changeMembers(replica: Replica, leadership: Leadership): Promise<void> {
+	// One change at a time, and none before an entry of this term is committed: otherwise two majorities could be disjoint.
+	const isAllowed = (): boolean => !leadership.isOver && replica.commitIndex >= Math.max(leadership.firstIndex, replica.membersIndex);
+	const plan = (): ReturnType<typeof planMemberChange> => isAllowed() ? planMemberChange(replica.members, replica.opts.machine.getMemberWishes(), leadership.getReports()) : undefined;
+	if (plan() === undefined) {
+		return;
+	}
+
+	await replica.exclusive(async () => {
+		const members = plan();
+		if (members !== undefined) {
+			replica.opts.logger?.info({members}, 'Membership changes.');
+			await appendOwn(replica, leadership, [{kind: 'members', data: membersCodec.encode(members)}]);
+		}
+	});
+}
+
+/** Runs one task for each other member, changes the membership, and ends the leadership without a majority. */
+async function runFollowers(replica: Replica, leadership: Leadership): Promise<void> {
+	const {clock, memberId} = replica.opts;
+	const tasks: Array<Promise<void>> = [];
+	while (!leadership.isOver) {
+		for (const member of replica.members) {
+			if (member.id !== memberId && !leadership.progress.has(member.id)) {
+				tasks.push(replica.guard(runFollower(replica, leadership, member.id)));
+			}
+		}
+
+		await changeMembers(replica, leadership);
+		if (clock.now() - Math.max(leadership.startedMs, leadership.getLeaseStartMs()) > MAX_ELECTION_TIMEOUT_MS) {
+			replica.endLeadership();
+		}
+
+		await leadership.membersChanged.wait(clock, HEARTBEAT_MS, leadership.signal);
+	}
+
+	await Promise.all(tasks);
+}
+
+/** Leads the term until another leader, a lost majority or a stop ends it. */
+export async function lead(replica: Replica, term: number): Promise<void> {
+	const leadership = new Leadership(replica, term);
+	await replica.exclusive(async () => {
+		if (replica.hardState.term !== term) {
+			leadership.end();
+			return;
+		}
+
+		replica.leadership = leadership;
+		replica.leaderId = replica.opts.memberId;
+		leadership.firstIndex = replica.opts.storage.getLastIndex() + 1;
+		await appendOwn(replica, leadership, [{kind: 'empty', data: new Uint8Array()}]);
+		replica.changed.notify();
+	});
+	await Promise.all([runWriter(replica, leadership), runFollowers(replica, leadership)]);
+}
--- /dev/null
+++ b/packages/hosts/src/consensus/node.ts
@@ -0,0 +1,135 @@
+import {PROPOSE_TIMEOUT_MS} from '../constants.js';
+import type {
+	AppendEntriesRequest, AppendEntriesResponse, ConsensusStatus, InstallSnapshotRequest, InstallSnapshotResponse, ProposeOutcome, RequestVoteRequest, RequestVoteResponse,
+} from '../types.js';
+import {runApply} from './apply.js';
+import {runElections} from './election.js';
+import {handleAppendEntries, handleInstallSnapshot, handleRequestVote} from './handlers.js';
+import {recover} from './recovery.js';
+import {Replica, type ReplicaOpts} from './replica.js';
+import type {StateMachine} from './state-machine.js';
+
+export type ConsensusOpts<Command, Result> = ReplicaOpts & {readonly machine: StateMachine<Command, Result>};
+
+/** One member of the replicated log. */
+export class ConsensusNode<Command, Result> {
+	private readonly replica: Replica;
+	private tasks: Promise<unknown> = Promise.resolve();
+
+	constructor(private readonly opts: ConsensusOpts<Command, Result>) {
+		this.replica = new Replica(opts);
+	}
+
+	/** Restores the stored state and begins to take part; the member is ready once it has applied the leader's entries. */
+	async start(): Promise<void> {
+		const {replica, opts} = this;
+		await recover(replica);
+		// This member may have acknowledged a leader just before it restarted, so it waits before it votes.
+		replica.leaderContactMs = opts.clock.now();
+		replica.timeoutBaseMs = replica.leaderContactMs;
+		this.tasks = Promise.all([replica.guard(runElections(replica)), replica.guard(runApply(replica))]);
+	}
+
+	/** Ends all tasks and closes the log; proposals without an outcome resolve to `unknown`. */
+	async stop(): Promise<void> {
+		this.replica.stop();
+		await this.tasks;
+		await this.opts.storage.close();
+	}
+
+	/** Resolves when the member has stopped, with the error that stopped it, if any. */
+	async waitUntilStopped(): Promise<Error | undefined> {
+		await this.tasks;
+		return this.replica.failure;
+	}
+
+	/** Proposes a command; throws when the command is not valid. */
+	async propose(command: Command, timeoutMs = PROPOSE_TIMEOUT_MS): Promise<ProposeOutcome<Result>> {
+		const {replica, opts} = this;
+		const {leadership, leaderId} = replica;
+		if (leadership === undefined || leadership.isForming) {
+			return {kind: 'not-leader', ...(leaderId !== undefined && leaderId !== opts.memberId && {leaderId})};
+		}
+
+		const data = opts.machine.encode(opts.machine.prepare(command, leadership.term, opts.clock.now()));
+		const expiry = new AbortController();
+		const outcome = new Promise<ProposeOutcome<unknown>>(resolve => {
+			leadership.proposals.push({data, settle: resolve});
+			leadership.proposed.notify();
+		});
+		const expire = async (): Promise<ProposeOutcome<unknown>> => {
+			await opts.clock.sleep(timeoutMs, expiry.signal);
+			return {kind: 'unknown'};
+		};
+
+		try {
+			// The replica keeps results of any state machine; this one's results have the type Result.
+			return await Promise.race([outcome, expire()]) as ProposeOutcome<Result>;
+		} finally {
+			expiry.abort();
+		}
+	}
+
+	/** Whether this member leads and no other member can lead yet; check it immediately before the answer or write. */
+	isLeaderWithLease(): boolean {
+		return this.replica.leadership?.hasLease() ?? false;
+	}
+
+	/** Age of the knowledge that this member leads; infinite on other members. */
+	leaseAgeMs(): number {
+		const {leadership} = this.replica;
+		return leadership === undefined ? Number.POSITIVE_INFINITY : this.opts.clock.now() - leadership.getLeaseStartMs();
+	}
+
+	/** Waits until the entry is applied here; returns false on timeout or stop. */
+	async waitForApplied(index: number, timeoutMs: number): Promise<boolean> {
+		const {replica, opts} = this;
+		const deadlineMs = opts.clock.now() + timeoutMs;
+		while (replica.appliedIndex < index && !replica.isStopped && opts.clock.now() < deadlineMs) {
+			await replica.changed.wait(opts.clock, deadlineMs - opts.clock.now(), replica.stopSignal);
+		}
+
+		return replica.appliedIndex >= index;
+	}
+
+	status(): ConsensusStatus {
+		const {replica, opts} = this;
+		return {
+			memberId: opts.memberId,
+			identity: replica.identity,
+			role: this.getRole(),
+			term: replica.hardState.term,
+			leaderId: replica.leaderId,
+			lastIndex: opts.storage.getLastIndex(),
+			commitIndex: replica.commitIndex,
+			appliedIndex: replica.appliedIndex,
+			snapshotIndex: replica.snapshotIndex,
+			members: [...replica.members],
+			...(replica.failure && {failure: replica.failure.message}),
+		};
+	}
+
+	async handleRequestVote(req: RequestVoteRequest): Promise<RequestVoteResponse> {
+		return handleRequestVote(this.replica, req);
+	}
+
+	async handleAppendEntries(req: AppendEntriesRequest): Promise<AppendEntriesResponse> {
+		return handleAppendEntries(this.replica, req);
+	}
+
+	async handleInstallSnapshot(req: InstallSnapshotRequest): Promise<InstallSnapshotResponse> {
+		return handleInstallSnapshot(this.replica, req);
+	}
+
+	private getRole(): ConsensusStatus['role'] {
+		if (this.replica.isStopped) {
+			return 'stopped';
+		}
+
+		if (this.replica.leadership !== undefined) {
+			return 'leader';
+		}
+
+		return this.replica.isSelfVoter ? 'follower' : 'learner';
+	}
+}
--- /dev/null
+++ b/packages/hosts/src/consensus/recovery.ts
@@ -0,0 +1,79 @@
+import {randomUUID} from 'node:crypto';
+import {CorruptionError} from '@egretrill/disk';
+import {membersCodec, type Replica} from './replica.js';
+
+async function restoreState(replica: Replica): Promise<void> {
+	const {machine, snapshots, storage} = replica.opts;
+	await storage.open();
+	replica.hardState = await storage.loadHardState();
+	const snapshot = await snapshots.load();
+	if ((snapshot?.index ?? 0) < storage.getBase().index) {
+		throw new CorruptionError('snapshot', 0, `the log starts after entry ${storage.getBase().index}, which the snapshot does not cover`);
+	}
+
+	if (snapshot === undefined) {
+		replica.resetMembers({index: 0, members: []});
+		return;
+	}
+
+	// A crash between saving a received snapshot and emptying the log leaves entries that the snapshot replaces.
+	if (storage.getTerm(snapshot.index) !== snapshot.term) {
+		await storage.compact({index: snapshot.index, term: snapshot.term});
+	}
+
+	try {
+		machine.restore(snapshot.data);
+		replica.resetMembers({index: snapshot.index, members: membersCodec.decode(snapshot.members)});
+	} catch (err: unknown) {
+		throw new CorruptionError('snapshot', 0, 'the state in it cannot be restored', {cause: err});
+	}
+
+	replica.snapshotIndex = snapshot.index;
+	replica.appliedIndex = snapshot.index;
+	replica.commitIndex = snapshot.index;
+}
+
+async function loadIdentity(replica: Replica): Promise<string | undefined> {
+	const {memberId, storage} = replica.opts;
+	const identity = await storage.loadIdentity();
+	if (identity !== undefined && identity.memberId !== memberId) {
+		throw new Error(`The data directory belongs to ${identity.memberId}, not to ${memberId}.`);
+	}
+
+	return identity?.identity;
+}
+
+/** Moves damaged or unidentified files aside, so that the member joins again as a learner. */
+async function startOver(replica: Replica): Promise<void> {
+	await replica.opts.storage.discard();
+	replica.hardState = {term: 0, votedFor: null};
+	replica.resetMembers({index: 0, members: []});
+}
+
+/** Loads the stored state of a member. */
+export async function recover(replica: Replica): Promise<void> {
+	const {memberId, logger, storage} = replica.opts;
+	try {
+		await restoreState(replica);
+		const identity = await loadIdentity(replica);
+		if (identity !== undefined) {
+			replica.identity = identity;
+			return;
+		}
+
+		if (!replica.isBlank) {
+			logger?.warn('The identity file is missing; the member joins again as a learner.');
+			await startOver(replica);
+		}
+	} catch (err: unknown) {
+		if (!(err instanceof CorruptionError)) {
+			throw err;
+		}
+
+		logger?.error({err}, 'The stored log is damaged; the member joins again as a learner.');
+		await startOver(replica);
+	}
+
+	replica.identity = randomUUID();
+	await storage.saveIdentity({memberId, identity: replica.identity});
+}
--- /dev/null
+++ b/packages/hosts/src/consensus/rules.ts
@@ -0,0 +1,82 @@
+import type {HardState, LogPosition} from '@egretrill/disk';
+import type {Members, RequestVoteRequest} from '../types.js';
+import type {MemberWish} from './state-machine.js';
+
+/** The largest value that a majority has reached; negative infinity without any value. */
+export function getMajorityValue(values: readonly number[]): number {
+	const descending = values.toSorted((a, b) => b - a);
+	return descending[Math.floor(descending.length / 2)] ?? Number.NEGATIVE_INFINITY;
+}
+
+/** Whether a candidate's log contains every entry that may be committed, as far as this voter knows. */
+export function isUpToDate(candidate: LogPosition, own: LogPosition): boolean {
+	return candidate.term > own.term || (candidate.term === own.term && candidate.index >= own.index);
+}
+
+export type VoterState = {
+	readonly hardState: HardState;
+	readonly identity: string;
+	readonly last: LogPosition;
+	/** Whether a leader was heard within the minimum election timeout; its lease may still run. */
+	readonly hasLiveLeader: boolean;
+};
+
+export type VoteDecision = {readonly isGranted: boolean; readonly isTermAdopted: boolean};
+
+/** Decides a vote or pre-vote. */
+export function decideVote(req: RequestVoteRequest, voter: VoterState): VoteDecision {
+	const {hardState} = voter;
+	if (req.voterIdentity !== voter.identity || voter.hasLiveLeader || req.term < hardState.term) {
+		return {isGranted: false, isTermAdopted: false};
+	}
+
+	const isNewTerm = req.term > hardState.term;
+	const isVoteFree = isNewTerm || hardState.votedFor === null || hardState.votedFor === req.candidateId;
+	const isCandidateCurrent = isUpToDate({index: req.lastIndex, term: req.lastTerm}, voter.last);
+	return req.preVote
+		? {isGranted: isNewTerm && isCandidateCurrent, isTermAdopted: false}
+		: {isGranted: isVoteFree && isCandidateCurrent, isTermAdopted: isNewTerm};
+}
+
+/** Whether the membership lists this lifetime of the member as a voter. */
+export function isVoter(members: Members, memberId: string, identity: string): boolean {
+	return members.some(member => member.id === memberId && member.identity === identity && member.role === 'voter');
+}
+
+/** What the leader knows of a member when it plans a change. */
+export type MemberReport = {
+	/** Identity in the member's last answer; empty before the first. */
+	readonly identity: string;
+	readonly isCaughtUp: boolean;
+};
+
+function planIdentityChange(members: Members, reports: ReadonlyMap<string, MemberReport>): Members | undefined {
+	const changed = members.find(member => {
+		const identity = reports.get(member.id)?.identity ?? '';
+		return identity !== '' && identity !== member.identity;
+	});
+	// A member with a new identity has lost its votes and entries, so it starts again as a learner.
+	return changed && members.map(member => member === changed ? {id: member.id, identity: reports.get(member.id)?.identity ?? '', role: 'learner'} : member);
+}
+
+/** Plans the next change of one member, or returns undefined when the membership is as it should be. */
+export function planMemberChange(members: Members, wishes: ReadonlyMap<string, MemberWish>, reports: ReadonlyMap<string, MemberReport>): Members | undefined {
+	const removed = members.find(member => wishes.get(member.id) === 'absent');
+	const isLastVoter = removed?.role === 'voter' && members.filter(member => member.role === 'voter').length === 1;
+	if (removed && !isLastVoter) {
+		return members.filter(member => member !== removed);
+	}
+
+	const renewed = planIdentityChange(members, reports);
+	if (renewed) {
+		return renewed;
+	}
+
+	const added = [...wishes].find(([id, wish]) => wish === 'voter' && members.every(member => member.id !== id));
+	if (added) {
+		return [...members, {id: added[0], identity: '', role: 'learner'}];
+	}
+
+	const promoted = members.find(member => member.role !== 'voter' && reports.get(member.id)?.isCaughtUp);
+	return promoted && members.map(member => member === promoted ? {...member, role: 'voter'} : member);
+}
--- /dev/null
+++ b/packages/hosts/src/consensus/serial-queue.ts
@@ -0,0 +1,24 @@
+/** Runs tasks one after the other in the order of their calls. */
+export class SerialQueue {
+	private tail: Promise<void> = Promise.resolve();
+
+	async run<T>(task: () => Promise<T>): Promise<T> {
+		const previous = this.tail;
+		const {promise, resolve} = createDeferred();
+		this.tail = promise;
+		await previous;
+		try {
+			return await task();
+		} finally {
+			resolve();
+		}
+	}
+}
+
+function createDeferred(): {readonly promise: Promise<void>; readonly resolve: () => void} {
+	let settle: (() => void) | undefined;
+	const promise = new Promise<void>(resolve => {
+		settle = resolve;
+	});
+	return {promise, resolve: () => settle?.()};
+}
--- /dev/null
+++ b/packages/hosts/src/constants.ts
@@ -0,0 +1,28 @@
+export const HEARTBEAT_MS = 150;
+/** Leader lease; it ends before any follower that acknowledged a heartbeat may vote for another leader. */
+export const LEADER_LEASE_MS = 500;
+export const MIN_ELECTION_TIMEOUT_MS = 900;
+export const MAX_ELECTION_TIMEOUT_MS = 1800;
+
+export const VOTE_TIMEOUT_MS = 300;
+/** A follower may sync a large batch before it answers, so this is well above the heartbeat. */
+export const APPEND_TIMEOUT_MS = 1000;
+export const SNAPSHOT_TIMEOUT_MS = 3000;
+export const PROPOSE_TIMEOUT_MS = 5000;
+/** Tasks that wait for a notification look again after this time at the latest. */
+export const IDLE_WAIT_MS = 60_000;
+
+export const COMPACTION_ENTRIES = 256;
+/** Entries kept behind a snapshot, so that a briefly slow follower needs no snapshot. */
+export const KEPT_ENTRIES = 64;
+export const MAX_BATCH_ENTRIES = 64;
+export const MAX_BATCH_BYTES = 1_048_576;
+export const SNAPSHOT_CHUNK_BYTES = 1_048_576;
+
+export const MAX_OUTCOME_BODY_BYTES = 65_536;
+export const RECORD_RETENTION_MS = 86_400_000;
+export const RECORD_BUCKETS = 256;
+/** Followers that are further behind receive the whole document. */
+export const KEPT_CHANGES = 256;
+/** Answers kept for resends, about one day of changes at the design size of 4,300 a day. */
+export const KEPT_ANSWERS = 4096;
--- /dev/null
+++ b/packages/hosts/src/fleet-state-operations.ts
@@ -0,0 +1,128 @@
+import type {ConfigDocument} from '@egretrill/common';
+import {KEPT_ANSWERS, KEPT_CHANGES} from './constants.js';
+import {createChange, getDocumentDigest} from './fleet-state-changes.js';
+import type {
+	FleetCommandOf, FleetResult, FleetSnapshot, MemberRequest,
+} from './types.js';
+
+export type OperatorCommand = FleetCommandOf<'apply' | 'withdrawKey' | 'setZoneState' | 'addMember' | 'removeMember'>;
+type Step = {readonly state: FleetSnapshot; readonly result: FleetResult};
+
+function refuseCommand(state: FleetSnapshot, code: string, message: string): Step {
+	return {state, result: {kind: 'refused', code, message}};
+}
+
+function acceptUnchanged(state: FleetSnapshot): Step {
+	return {state, result: {kind: 'accepted', version: state.config.version, digest: state.config.digest}};
+}
+
+/** Puts a document in force as the next version. */
+function acceptDocument(state: FleetSnapshot, document: ConfigDocument, info: {readonly digest?: string; readonly author: string}): Step {
+	const version = state.config.version + 1;
+	const accepted = {...document, version};
+	if (accepted.zones.every(zone => zone.state === 'taken-out')) {
+		return refuseCommand(state, 'last-zone', 'At least one zone must stay in service.');
+	}
+
+	const digest = info.digest ?? getDocumentDigest(accepted);
+	const change = createChange(state.config.document, accepted, {version, digest, author: info.author});
+	return {
+		state: {
+			...state,
+			config: {
+				version, digest, author: info.author, document: accepted,
+			},
+			changes: [...state.changes, change].slice(-KEPT_CHANGES),
+		},
+		result: {kind: 'accepted', version, digest},
+	};
+}
+
+function applyDocument(state: FleetSnapshot, command: FleetCommandOf<'apply'>): Step {
+	const {config} = state;
+	return command.follows === config.version
+		? acceptDocument(state, command.document, command)
+		: {
+			state,
+			result: {
+				kind: 'conflict', version: config.version, digest: config.digest, author: config.author,
+			},
+		};
+}
+
+function withdrawKey(state: FleetSnapshot, command: FleetCommandOf<'withdrawKey'>): Step {
+	const {document} = state.config;
+	const key = document?.keys.find(key => key.id === command.keyId);
+	if (document === undefined || key === undefined) {
+		return refuseCommand(state, 'unknown-key', `There is no key ${command.keyId}.`);
+	}
+
+	const keys = document.keys.map(other => other === key ? {...key, state: 'withdrawn' as const} : other);
+	return key.state === 'withdrawn' ? acceptUnchanged(state) : acceptDocument(state, {...document, keys}, {author: command.author});
+}
+
+function setZoneState(state: FleetSnapshot, command: FleetCommandOf<'setZoneState'>): Step {
+	const {document} = state.config;
+	const zone = document?.zones.find(zone => zone.id === command.zone);
+	if (document === undefined || zone === undefined) {
+		return refuseCommand(state, 'unknown-zone', `There is no zone ${command.zone}.`);
+	}
+
+	const zones = document.zones.map(other => other === zone ? {...zone, state: command.state} : other);
+	return zone.state === command.state ? acceptUnchanged(state) : acceptDocument(state, {...document, zones}, {author: command.author});
+}
+
+function requestMember(state: FleetSnapshot, request: MemberRequest): Step {
+	return acceptUnchanged({...state, members: [...state.members.filter(member => member.id !== request.id), request]});
+}
+
+function runOperation(state: FleetSnapshot, command: OperatorCommand): Step {
+	switch (command.kind) {
+		case 'apply': {
+			return applyDocument(state, command);
+		}
+
+		case 'withdrawKey': {
+			return withdrawKey(state, command);
+		}
+
+		case 'setZoneState': {
+			return setZoneState(state, command);
+		}
+
+		case 'addMember': {
+			return requestMember(state, {id: command.member.id, wish: 'voter', host: command.member});
+		}
+
+		case 'removeMember': {
+			return requestMember(state, {id: command.memberId, wish: 'absent'});
+		}
+	}
+}
+
+/** Identifies what an operator asked for, apart from who asked and under which request id. */
+function getFingerprint(command: OperatorCommand): string {
+	const {requestId: _requestId, author: _author, ...content} = command;
+	return command.kind === 'apply' ? `apply ${command.follows} ${command.digest}` : JSON.stringify(content);
+}
+
+/** Runs an operator's command once; a resend gets the first answer. */
+export function applyOperation(state: FleetSnapshot, command: OperatorCommand): Step {
+	const fingerprint = getFingerprint(command);
+	const sameRequest = state.answers.find(answer => answer.requestId === command.requestId);
+	if (sameRequest !== undefined) {
+		return sameRequest.fingerprint === fingerprint
+			? {state, result: sameRequest.result}
+			: refuseCommand(state, 'request-id-reused', `Request ${command.requestId} was already used for another change.`);
+	}
+
+	// An operator's tool that lost its request id sends the same document again.
+	const sameDocument = command.kind === 'apply' && state.answers.find(answer => answer.fingerprint === fingerprint && answer.result.kind === 'accepted');
+	if (sameDocument) {
+		return {state, result: sameDocument.result};
+	}
+
+	const step = runOperation(state, command);
+	const answer = {requestId: command.requestId, fingerprint, result: step.result};
+	return {state: {...step.state, answers: [...step.state.answers, answer].slice(-KEPT_ANSWERS)}, result: step.result};
+}
--- /dev/null
+++ b/packages/hosts/src/fleet-state-records.ts
@@ -0,0 +1,84 @@
+import {crc32} from 'node:zlib';
+import {RECORD_BUCKETS, RECORD_RETENTION_MS} from './constants.js';
+import type {
+	AtMostOnceRecord, FleetCommandOf, FleetResult, FleetSnapshot, RecordTable,
+} from './types.js';
+
+export type RecordKey = {readonly customer: string; readonly key: string};
+type Step = {readonly state: FleetSnapshot; readonly result: FleetResult};
+
+export function createRecordTable(): RecordTable {
+	return Array.from({length: RECORD_BUCKETS}, () => ({}));
+}
+
+function getRecordId({customer, key}: RecordKey): string {
+	return JSON.stringify([customer, key]);
+}
+
+function getBucketIndex(id: string): number {
+	return crc32(id) % RECORD_BUCKETS;
+}
+
+function isAlive(record: AtMostOnceRecord, logTimeMs: number): boolean {
+	return record.recordedMs + RECORD_RETENTION_MS > logTimeMs;
+}
+
+/** Finds a record that is still retained. */
+export function findRecord(state: FleetSnapshot, recordKey: RecordKey): AtMostOnceRecord | undefined {
+	const id = getRecordId(recordKey);
+	const bucket = state.records[getBucketIndex(id)] ?? {};
+	const record = Object.hasOwn(bucket, id) ? bucket[id] : undefined;
+	return record && isAlive(record, state.logTimeMs) ? record : undefined;
+}
+
+/** Sets or removes one record and drops the expired ones of its bucket. */
+function setRecord(state: FleetSnapshot, recordKey: RecordKey, record: AtMostOnceRecord | undefined): FleetSnapshot {
+	const id = getRecordId(recordKey);
+	const index = getBucketIndex(id);
+	const kept = Object.entries(state.records[index] ?? {}).filter(([otherId, other]) => otherId !== id && isAlive(other, state.logTimeMs));
+	const bucket = Object.fromEntries(record ? [...kept, [id, record]] : kept);
+	return {...state, records: state.records.with(index, bucket)};
+}
+
+/** Records that a request is about to be sent, or answers what is known of an earlier send. */
+export function applyRecord(state: FleetSnapshot, command: FleetCommandOf<'record'>): Step {
+	const existing = findRecord(state, command);
+	if (existing === undefined) {
+		const {fingerprint, host, attempt} = command;
+		const record = {
+			fingerprint, host, attempt, recordedMs: state.logTimeMs,
+		};
+		return {state: setRecord(state, command, record), result: {kind: 'new'}};
+	}
+
+	if (existing.fingerprint !== command.fingerprint) {
+		return {state, result: {kind: 'key-reused'}};
+	}
+
+	// The same attempt gets no second permission either: its first record may have led to a send.
+	return {state, result: existing.outcome ? {kind: 'known', outcome: existing.outcome} : {kind: 'pending'}};
+}
+
+function findAttempt(state: FleetSnapshot, command: RecordKey & {readonly host: string; readonly attempt: string}): AtMostOnceRecord | undefined {
+	const record = findRecord(state, command);
+	return record?.host === command.host && record.attempt === command.attempt ? record : undefined;
+}
+
+/** Stores the first outcome of a recorded send. */
+export function applyOutcome(state: FleetSnapshot, command: FleetCommandOf<'outcome'>): Step {
+	const record = findAttempt(state, command);
+	if (record === undefined) {
+		return {state, result: {kind: 'no-record'}};
+	}
+
+	const isFirst = record.outcome === undefined;
+	return {state: isFirst ? setRecord(state, command, {...record, outcome: command.outcome}) : state, result: {kind: 'recorded'}};
+}
+
+/** Removes the record of a send that never reached its target. */
+export function applyRelease(state: FleetSnapshot, command: FleetCommandOf<'release'>): Step {
+	const record = findAttempt(state, command);
+	return record !== undefined && record.outcome === undefined
+		? {state: setRecord(state, command, undefined), result: {kind: 'released'}}
+		: {state, result: {kind: 'no-record'}};
+}
--- /dev/null
+++ b/packages/hosts/src/fleet-state.ts
@@ -0,0 +1,127 @@
+import {createCodec, type PeerHost} from '@egretrill/common';
+import {type MemberWish, StateMachine} from './consensus/state-machine.js';
+import {applyOperation} from './fleet-state-operations.js';
+import {
+	applyOutcome, applyRecord, applyRelease, createRecordTable, findRecord, type RecordKey,
+} from './fleet-state-records.js';
+import {
+	type AtMostOnceRecord, type ConfigUpdate, FleetCommand, type FleetCommandOf, type FleetConfig, type FleetResult, FleetSnapshot, type ZoneLease,
+} from './types.js';
+
+const commandCodec = createCodec(FleetCommand);
+const snapshotCodec = createCodec(FleetSnapshot);
+
+type Step = {readonly state: FleetSnapshot; readonly result: FleetResult};
+
+const EMPTY_STATE: FleetSnapshot = {
+	config: {version: 0, digest: '', author: ''},
+	changes: [],
+	answers: [],
+	records: createRecordTable(),
+	leases: {},
+	members: [],
+	logTimeMs: 0,
+};
+
+function grantLease(state: FleetSnapshot, command: FleetCommandOf<'grantLease'>): Step {
+	const {zone, host} = command;
+	const held = Object.hasOwn(state.leases, zone) ? state.leases[zone] : undefined;
+	const lease = held?.host === host ? held : {host, epoch: (held?.epoch ?? 0) + 1};
+	return {state: {...state, leases: {...state.leases, [zone]: lease}}, result: {kind: 'lease', ...lease}};
+}
+
+/** Applies one command; pure and the same on every member. */
+export function applyFleetCommand(state: FleetSnapshot, command: FleetCommand): Step {
+	const timed = 'elapsedMs' in command ? {...state, logTimeMs: state.logTimeMs + command.elapsedMs} : state;
+	switch (command.kind) {
+		case 'record': {
+			return applyRecord(timed, command);
+		}
+
+		case 'outcome': {
+			return applyOutcome(timed, command);
+		}
+
+		case 'release': {
+			return applyRelease(timed, command);
+		}
+
+		case 'grantLease': {
+			return grantLease(timed, command);
+		}
+
+		case 'apply':
+		case 'withdrawKey':
+		case 'setZoneState':
+		case 'addMember':
+		case 'removeMember': {
+			return applyOperation(timed, command);
+		}
+	}
+}
+
+/** Replicated state of the fleet: configuration, at-most-once records, zone leases and wished members. */
+export class FleetState extends StateMachine<FleetCommand, FleetResult> {
+	private state = EMPTY_STATE;
+	/** Up to where this leader has put elapsed time into commands of its term. */
+	private stamp: {readonly term: number; readonly ms: number} | undefined;
+
+	/** Fills in the elapsed time. A new leader starts at zero, so records are kept too long rather than too short. */
+	override prepare(command: FleetCommand, term: number, nowMs: number): FleetCommand {
+		if (!('elapsedMs' in command)) {
+			return command;
+		}
+
+		const startMs = this.stamp?.term === term ? this.stamp.ms : nowMs;
+		const elapsedMs = Math.floor(nowMs - startMs);
+		this.stamp = {term, ms: startMs + elapsedMs};
+		return {...command, elapsedMs};
+	}
+
+	override getMemberWishes(): ReadonlyMap<string, MemberWish> {
+		return new Map(this.state.members.map(member => [member.id, member.wish]));
+	}
+
+	encode(command: FleetCommand): Uint8Array {
+		return commandCodec.encode(FleetCommand.parse(command));
+	}
+
+	apply(data: Uint8Array): FleetResult {
+		const {state, result} = applyFleetCommand(this.state, commandCodec.decode(data));
+		this.state = state;
+		return result;
+	}
+
+	snapshot(): Uint8Array {
+		return snapshotCodec.encode(this.state);
+	}
+
+	restore(data: Uint8Array): void {
+		this.state = snapshotCodec.decode(data);
+	}
+
+	/** Returns the configuration in force on this member. */
+	getConfig(): FleetConfig {
+		return this.state.config;
+	}
+
+	/** Returns what a follower at the version needs, as changes or, when these are no longer kept, as a whole. */
+	getChangesSince(version: number): ConfigUpdate {
+		const changes = this.state.changes.filter(change => change.version > version);
+		const isComplete = version >= this.state.config.version || changes[0]?.version === version + 1;
+		return isComplete ? {kind: 'changes', changes} : {kind: 'snapshot', config: this.state.config};
+	}
+
+	getZoneLease(zone: string): ZoneLease | undefined {
+		return Object.hasOwn(this.state.leases, zone) ? this.state.leases[zone] : undefined;
+	}
+
+	getRecord(recordKey: RecordKey): AtMostOnceRecord | undefined {
+		return findRecord(this.state, recordKey);
+	}
+
+	/** Hosts that operators added, for the transport to find their addresses. */
+	getAddedHosts(): readonly PeerHost[] {
+		return this.state.members.flatMap(member => member.host ?? []);
+	}
+}
--- a/packages/hosts/src/index.ts
+++ b/packages/hosts/src/index.ts
@@ -1,1 +1,5 @@
-export {};
+export * from './constants.js';
+export * from './consensus/index.js';
+export * from './types.js';
+export * from './fleet-state.js';
+export {applyChange, getDocumentDigest, updateConfig} from './fleet-state-changes.js';
--- /dev/null
+++ b/packages/hosts/src/types.ts
@@ -0,0 +1,231 @@
+import {ConfigDocument, PeerHost, ZoneState} from '@egretrill/common';
+import {Bytes, LogEntry} from '@egretrill/disk';
+import {z} from 'zod';
+import {MAX_OUTCOME_BODY_BYTES} from './constants.js';
+
+const count = z.int().nonnegative();
+
+/** One member of the replicated log. `initial` is a learner of the fleet's first start. */
+export const Member = z.object({
+	id: z.string(),
+	/** The lifetime of the member's data directory that this role belongs to; empty until the member has answered. */
+	identity: z.string(),
+	role: z.enum(['voter', 'learner', 'initial']),
+});
+export type Member = z.infer<typeof Member>;
+
+export const Members = z.array(Member);
+export type Members = z.infer<typeof Members>;
+
+export const RequestVoteRequest = z.object({
+	candidateId: z.string(),
+	term: count,
+	/** A pre-vote only asks whether an election could be won, and changes nothing at the voter. */
+	preVote: z.boolean(),
+	lastIndex: count,
+	lastTerm: count,
+	/** Identity of the voter in the candidate's membership; a voter with another identity has lost its log. */
+	voterIdentity: z.string(),
+});
+export type RequestVoteRequest = z.infer<typeof RequestVoteRequest>;
+
+export const RequestVoteResponse = z.object({
+	term: count,
+	granted: z.boolean(),
+	identity: z.string(),
+	/** Whether the member has never been part of a log. */
+	blank: z.boolean(),
+});
+export type RequestVoteResponse = z.infer<typeof RequestVoteResponse>;
+
+export const AppendEntriesRequest = z.object({
+	leaderId: z.string(),
+	term: count,
+	prevIndex: count,
+	prevTerm: count,
+	entries: z.array(LogEntry),
+	commitIndex: count,
+});
+export type AppendEntriesRequest = z.infer<typeof AppendEntriesRequest>;
+
+export const AppendEntriesResponse = z.object({
+	term: count,
+	accepted: z.boolean(),
+	/** When refused: the last index at which the follower's log may still match. */
+	lastIndex: count,
+	identity: z.string(),
+});
+export type AppendEntriesResponse = z.infer<typeof AppendEntriesResponse>;
+
+/** One part of a snapshot; parts arrive in order of their offset. */
+export const InstallSnapshotRequest = z.object({
+	leaderId: z.string(),
+	term: count,
+	index: z.int().positive(),
+	snapshotTerm: count,
+	members: Bytes,
+	offset: count,
+	chunk: Bytes,
+	last: z.boolean(),
+});
+export type InstallSnapshotRequest = z.infer<typeof InstallSnapshotRequest>;
+
+export const InstallSnapshotResponse = z.object({
+	term: count,
+	identity: z.string(),
+	/** Offset of the part that the follower expects next. */
+	nextOffset: count,
+});
+export type InstallSnapshotResponse = z.infer<typeof InstallSnapshotResponse>;
+
+/** What an operator or a metric sees of a member. */
+export const ConsensusStatus = z.object({
+	memberId: z.string(),
+	identity: z.string(),
+	role: z.enum(['leader', 'follower', 'learner', 'stopped']),
+	term: count,
+	leaderId: z.string().optional(),
+	lastIndex: count,
+	commitIndex: count,
+	appliedIndex: count,
+	snapshotIndex: count,
+	members: Members,
+	failure: z.string().optional(),
+});
+export type ConsensusStatus = z.infer<typeof ConsensusStatus>;
+
+/** What became of a proposed command; after `unknown` it may or may not take effect later. */
+export type ProposeOutcome<Result> =
+	| {readonly kind: 'committed'; readonly index: number; readonly result: Result}
+	| {readonly kind: 'not-leader'; readonly leaderId?: string}
+	| {readonly kind: 'unknown'};
+
+const operation = {requestId: z.string().min(1).max(128), author: z.string().min(1).max(256)};
+const digest = z.string().min(1).max(128);
+
+/** Names one send of a non-idempotent request; `attempt` must be new for every send. */
+const attemptFields = {
+	customer: z.string().min(1), key: z.string().min(1).max(256), host: z.string().min(1), attempt: z.string().min(1),
+};
+
+/** Answer of a target that is repeated to a caller who sends the same request again. */
+export const RequestOutcome = z.object({
+	status: z.int().min(100).max(599),
+	headers: z.record(z.string(), z.string()),
+	body: Bytes.refine(body => body.length <= MAX_OUTCOME_BODY_BYTES, `at most ${MAX_OUTCOME_BODY_BYTES} bytes`),
+});
+export type RequestOutcome = z.infer<typeof RequestOutcome>;
+
+/** Time that passed on the leader since its previous command with this field; the leader fills it in. */
+const elapsedMs = count.default(0);
+
+/** Everything that changes the fleet's replicated state. */
+export const FleetCommand = z.discriminatedUnion('kind', [
+	z.object({
+		kind: z.literal('apply'), document: ConfigDocument, follows: count, digest, ...operation,
+	}),
+	z.object({kind: z.literal('withdrawKey'), keyId: z.string(), ...operation}),
+	z.object({
+		kind: z.literal('setZoneState'), zone: z.string(), state: ZoneState, ...operation,
+	}),
+	z.object({kind: z.literal('addMember'), member: PeerHost, ...operation}),
+	z.object({kind: z.literal('removeMember'), memberId: z.string(), ...operation}),
+	z.object({
+		kind: z.literal('record'), fingerprint: z.string().min(1), elapsedMs, ...attemptFields,
+	}),
+	z.object({
+		kind: z.literal('outcome'), outcome: RequestOutcome, elapsedMs, ...attemptFields,
+	}),
+	z.object({kind: z.literal('release'), ...attemptFields}),
+	z.object({
+		kind: z.literal('grantLease'), zone: z.string(), host: z.string(), ttlMs: z.int().positive(),
+	}),
+]);
+export type FleetCommand = z.infer<typeof FleetCommand>;
+export type FleetCommandOf<Kind extends FleetCommand['kind']> = Extract<FleetCommand, {kind: Kind}>;
+
+/** Right to manage a zone; `epoch` is the fencing number and grows with every change of holder. */
+export const ZoneLease = z.object({host: z.string(), epoch: z.int().positive()});
+export type ZoneLease = z.infer<typeof ZoneLease>;
+
+/** Answer to a fleet command. */
+export const FleetResult = z.discriminatedUnion('kind', [
+	z.object({kind: z.literal('accepted'), version: count, digest: z.string()}),
+	/** Another operator's document is in force. */
+	z.object({
+		kind: z.literal('conflict'), version: count, digest: z.string(), author: z.string(),
+	}),
+	z.object({kind: z.literal('refused'), code: z.string(), message: z.string()}),
+	/** The request may be sent: no earlier send is recorded. */
+	z.object({kind: z.literal('new')}),
+	z.object({kind: z.literal('known'), outcome: RequestOutcome}),
+	/** An earlier send has no outcome, so the request may have run. */
+	z.object({kind: z.literal('pending')}),
+	z.object({kind: z.literal('key-reused')}),
+	z.object({kind: z.literal('recorded')}),
+	z.object({kind: z.literal('released')}),
+	z.object({kind: z.literal('no-record')}),
+	z.object({kind: z.literal('lease'), ...ZoneLease.shape}),
+]);
+export type FleetResult = z.infer<typeof FleetResult>;
+
+const changeFields = {version: z.int().positive(), digest: z.string(), author: z.string()};
+
+/** Entries of one list of the document that were added, replaced or removed. */
+export const ListChange = z.object({set: z.array(z.unknown()), removed: z.array(z.string())});
+export type ListChange = z.infer<typeof ListChange>;
+
+/** One accepted version, as the difference to the version before it or as a whole document. */
+export const ConfigChange = z.discriminatedUnion('kind', [
+	z.object({kind: z.literal('document'), document: ConfigDocument, ...changeFields}),
+	z.object({
+		kind: z.literal('patch'), lists: z.record(z.string(), ListChange), values: z.record(z.string(), z.unknown()), ...changeFields,
+	}),
+]);
+export type ConfigChange = z.infer<typeof ConfigChange>;
+
+/** The configuration in force; version 0 has no document. */
+export const FleetConfig = z.object({
+	version: count, digest: z.string(), author: z.string(), document: ConfigDocument.optional(),
+});
+export type FleetConfig = z.infer<typeof FleetConfig>;
+
+/** What a follower needs to reach the version in force. */
+export const ConfigUpdate = z.discriminatedUnion('kind', [
+	z.object({kind: z.literal('changes'), changes: z.array(ConfigChange)}),
+	z.object({kind: z.literal('snapshot'), config: FleetConfig}),
+]);
+export type ConfigUpdate = z.infer<typeof ConfigUpdate>;
+
+export const AtMostOnceRecord = z.object({
+	fingerprint: z.string(),
+	host: z.string(),
+	attempt: z.string(),
+	/** Log time of the record. */
+	recordedMs: count,
+	outcome: RequestOutcome.optional(),
+});
+export type AtMostOnceRecord = z.infer<typeof AtMostOnceRecord>;
+
+/** Records in buckets by the hash of customer and key, so that an immutable update copies only a small part. */
+export const RecordTable = z.array(z.record(z.string(), AtMostOnceRecord));
+export type RecordTable = z.infer<typeof RecordTable>;
+
+export const OperatorAnswer = z.object({requestId: z.string(), fingerprint: z.string(), result: FleetResult});
+export type OperatorAnswer = z.infer<typeof OperatorAnswer>;
+
+export const MemberRequest = z.object({id: z.string(), wish: z.enum(['voter', 'absent']), host: PeerHost.optional()});
+export type MemberRequest = z.infer<typeof MemberRequest>;
+
+/** The whole replicated state of the fleet. */
+export const FleetSnapshot = z.object({
+	config: FleetConfig,
+	changes: z.array(ConfigChange),
+	answers: z.array(OperatorAnswer),
+	records: RecordTable,
+	leases: z.record(z.string(), ZoneLease),
+	members: z.array(MemberRequest),
+	/** Sum of the elapsed times in commands; it never runs faster than real time. */
+	logTimeMs: count,
+});
+export type FleetSnapshot = z.infer<typeof FleetSnapshot>;
