limits: customer buckets lent to hosts as expiring shares

A successor's level stays 0 until the shares of its predecessor have expired and grows from then. The request unit is settled by Reservation.start() right before the write.

--- /dev/null
+++ b/packages/callers/src/admission-parts.ts
@@ -0,0 +1,1 @@
+export * from './limits/index.js';
--- /dev/null
+++ b/packages/callers/src/limits/bucket-owner.ts
@@ -0,0 +1,230 @@
+import {CLOCK_DRIFT_RATIO, type Clock, type Customer} from '@egretrill/common';
+import {Result} from 'true-myth';
+import {
+	addAmounts, coversAmounts, hasAmounts, mapAmounts, minAmounts, NO_AMOUNTS, subtractAmounts, sumAmounts,
+} from './amounts.js';
+import {Bucket} from './bucket.js';
+import {
+	HOST_MEMORY_MS, MAX_SHORT_RETRY_MS, MIN_SHORT_RETRY_MS, NEED_TTL_MS, SHARE_TTL_MS,
+} from './constants.js';
+import type {
+	Amounts, BucketStatus, CustomerExchange, ShareAnswer, ShareGrant, ShareRequest,
+} from './types.js';
+
+/** What one host still needs of one customer's bucket. */
+type Need = {
+	readonly wanted: Amounts;
+	readonly waiting: Amounts;
+	readonly head: Amounts;
+	readonly headSinceMs: number;
+	readonly statedAtMs: number;
+};
+
+type Account = {readonly bucket: Bucket; removed: boolean; needs: ReadonlyMap<string, Need>};
+
+type HostMemory = {readonly answer: ShareAnswer; readonly atMs: number};
+
+export type BucketOwnerOpts = {
+	readonly clock: Clock;
+	/** Increases with each owner; reports on grants of another term are ignored. */
+	readonly term: number;
+	/** When this owner took over; shares of its predecessor may be in use for the share lifetime after it. */
+	readonly startedAtMs: number;
+	readonly customers: readonly Customer[];
+	/** Whether the owner still holds its lease; checked at each exchange. */
+	readonly isCurrent?: () => boolean;
+};
+
+export const GRANT_LIFETIME_MS = SHARE_TTL_MS * (1 + CLOCK_DRIFT_RATIO);
+
+/** Holds the customer buckets and lends shares of them to the hosts. */
+export class BucketOwner {
+	private readonly clock: Clock;
+	private readonly term: number;
+	private readonly growsFromMs: number;
+	private readonly isCurrent: () => boolean;
+	private readonly accounts = new Map<string, Account>();
+	private readonly hosts = new Map<string, HostMemory>();
+	private nextSerial = 1;
+
+	constructor(opts: BucketOwnerOpts) {
+		this.clock = opts.clock;
+		this.term = opts.term;
+		// Levels stay 0 for the whole wait: growth during it, on top of a burst still held by hosts, would exceed the limit.
+		this.growsFromMs = opts.startedAtMs + GRANT_LIFETIME_MS;
+		this.isCurrent = opts.isCurrent ?? (() => true);
+		this.setCustomers(opts.customers);
+	}
+
+	/** Applies the configured customers and rates. */
+	setCustomers(customers: readonly Customer[]): void {
+		const now = this.clock.now();
+		const configured = new Set(customers.map(customer => customer.id));
+		for (const [id, account] of this.accounts) {
+			account.removed = !configured.has(id);
+		}
+
+		for (const customer of customers) {
+			const account = this.accounts.get(customer.id);
+			if (account) {
+				account.bucket.setRate(customer.rate, now);
+			} else {
+				this.accounts.set(customer.id, {bucket: new Bucket(customer.rate, Math.max(now, this.growsFromMs)), removed: false, needs: new Map()});
+			}
+		}
+
+		this.dropRemovedAccounts(now);
+	}
+
+	/** Carries out one exchange of a host; a repeated serial gets the same grants again. */
+	grant(req: ShareRequest): Result<ShareAnswer, string> {
+		if (!this.isCurrent()) {
+			return Result.err('This host is not the owner of the customer buckets.');
+		}
+
+		const now = this.clock.now();
+		const host = `${req.hostId}/${req.startId}`;
+		if (req.ownerTerm === this.term) {
+			this.applyReports(req.customers, now);
+		}
+
+		const blockedMs = Math.ceil(Math.max(0, this.growsFromMs - now));
+		const previous = this.hosts.get(host)?.answer;
+		if (previous && req.serial <= previous.serial) {
+			// A delayed duplicate of an older exchange gets nothing; its host has moved on.
+			return Result.ok(req.serial === previous.serial
+				? previous
+				: {
+					ownerTerm: this.term, serial: req.serial, blockedMs, grants: [],
+				});
+		}
+
+		const grants = req.customers.flatMap(entry => this.grantCustomer(host, entry, now));
+		const answer = {
+			ownerTerm: this.term, serial: req.serial, blockedMs, grants,
+		};
+		this.forgetSilentHosts(now);
+		this.hosts.set(host, {answer, atMs: now});
+		return Result.ok(answer);
+	}
+
+	/** State of all buckets now. */
+	getStatus(): readonly BucketStatus[] {
+		const now = this.clock.now();
+		return [...this.accounts].map(([customer, {bucket}]) => {
+			bucket.advance(now);
+			return {customer, level: bucket.getLevel(), outstanding: bucket.getOutstanding()};
+		});
+	}
+
+	private applyReports(entries: readonly CustomerExchange[], nowMs: number): void {
+		for (const entry of entries) {
+			const bucket = this.accounts.get(entry.customer)?.bucket;
+			bucket?.advance(nowMs);
+			for (const report of entry.reports ?? []) {
+				bucket?.applyReport(report);
+			}
+		}
+	}
+
+	private grantCustomer(host: string, entry: CustomerExchange, nowMs: number): readonly ShareGrant[] {
+		const account = this.accounts.get(entry.customer);
+		if (!account || account.removed) {
+			return [];
+		}
+
+		const {bucket} = account;
+		bucket.advance(nowMs);
+		const own = getNeed(entry, nowMs);
+		const others = [...account.needs].filter(([id, need]) => id !== host && nowMs - need.statedAtMs < NEED_TTL_MS);
+		const otherNeeds = others.map(([, need]) => need);
+		const amounts = getAllocation(bucket.getLevel(), own, otherNeeds);
+		const serial = hasAmounts(amounts) ? this.nextSerial++ : 0;
+		if (serial > 0) {
+			bucket.issue(serial, amounts, nowMs + GRANT_LIFETIME_MS);
+		}
+
+		const left = getRemainingNeed(own, amounts);
+		account.needs = new Map(hasAmounts(left.wanted) || hasAmounts(left.waiting) ? [...others, [host, left]] : others);
+		const earlierHeads = sumAmounts(otherNeeds.filter(need => need.headSinceMs <= own.headSinceMs).map(need => need.head));
+		const isLeftWaiting = hasAmounts(left.waiting);
+		const waitMs = Math.ceil(bucket.getWaitMs(nowMs, addAmounts(left.head, earlierHeads)));
+		return [{
+			customer: entry.customer,
+			serial,
+			amounts,
+			short: isLeftWaiting || !coversAmounts(bucket.getLevel(), sumAmounts([left, ...otherNeeds].map(need => need.head))),
+			retryAfterMs: isLeftWaiting ? Math.min(MAX_SHORT_RETRY_MS, Math.max(MIN_SHORT_RETRY_MS, waitMs)) : 0,
+		}];
+	}
+
+	private forgetSilentHosts(nowMs: number): void {
+		for (const [host, memory] of this.hosts) {
+			if (nowMs - memory.atMs > HOST_MEMORY_MS) {
+				this.hosts.delete(host);
+			}
+		}
+	}
+
+	/** A removed customer is kept while hosts hold its tokens, so that adding it again starts no second burst. */
+	private dropRemovedAccounts(nowMs: number): void {
+		for (const [id, {bucket, removed}] of this.accounts) {
+			bucket.advance(nowMs);
+			if (removed && !hasAmounts(bucket.getOutstanding())) {
+				this.accounts.delete(id);
+			}
+		}
+	}
+}
+
+function getNeed(entry: CustomerExchange, nowMs: number): Need {
+	return {
+		wanted: entry.wanted ?? NO_AMOUNTS,
+		waiting: entry.waiting?.total ?? NO_AMOUNTS,
+		head: entry.waiting?.head ?? NO_AMOUNTS,
+		headSinceMs: nowMs - (entry.waiting?.waitedMs ?? 0),
+		statedAtMs: nowMs,
+	};
+}
+
+function getRemainingNeed(need: Need, granted: Amounts): Need {
+	const isHeadMet = coversAmounts(granted, need.head);
+	const waiting = subtractAmounts(need.waiting, granted);
+	return {
+		...need,
+		wanted: subtractAmounts(need.wanted, subtractAmounts(granted, need.waiting)),
+		waiting,
+		head: isHeadMet ? NO_AMOUNTS : need.head,
+	};
+}
+
+/**
+ * Divides the level among the hosts by need. When it is short, the request that has waited longest comes first and
+ * is granted whole or not at all, since parts of it on several hosts would block each other until they expire.
+ */
+function getAllocation(level: Amounts, own: Need, others: readonly Need[]): Amounts {
+	const available = mapAmounts(unit => Math.floor(level[unit]));
+	const ownTotal = addAmounts(own.waiting, own.wanted);
+	if (coversAmounts(available, sumAmounts([ownTotal, ...others.flatMap(need => [need.waiting, need.wanted])]))) {
+		return ownTotal;
+	}
+
+	if (!hasAmounts(own.waiting)) {
+		const free = subtractAmounts(available, sumAmounts(others.map(need => need.waiting)));
+		return minAmounts(own.wanted, getPortion(free, own.wanted, others.map(need => need.wanted)));
+	}
+
+	const earlierHeads = sumAmounts(others.filter(need => need.headSinceMs < own.headSinceMs).map(need => need.head));
+	if (!coversAmounts(available, addAmounts(earlierHeads, own.head))) {
+		return NO_AMOUNTS;
+	}
+
+	const free = subtractAmounts(available, sumAmounts([own.head, ...others.map(need => need.head)]));
+	const extra = getPortion(free, own.waiting, others.map(need => need.waiting));
+	return addAmounts(own.head, minAmounts(subtractAmounts(own.waiting, own.head), extra));
+}
+
+function getPortion(free: Amounts, own: Amounts, others: readonly Amounts[]): Amounts {
+	const total = addAmounts(own, sumAmounts(others));
+	return mapAmounts(unit => total[unit] > 0 ? Math.floor(free[unit] * own[unit] / total[unit]) : 0);
+}
--- /dev/null
+++ b/packages/callers/src/limits/bucket.ts
@@ -0,0 +1,112 @@
+import type {Rate} from '@egretrill/common';
+import {
+	addAmounts, getBurst, getPerSecond, mapAmounts, minAmounts, NO_AMOUNTS, subtractAmounts,
+} from './amounts.js';
+import type {Amounts, GrantReport} from './types.js';
+
+type LiveGrant = {
+	readonly amounts: Amounts;
+	readonly settled: Amounts;
+	readonly returned: Amounts;
+	readonly expiresAtMs: number;
+};
+
+/**
+ * Token bucket of one customer that counts what hosts still hold: `level + outstanding <= burst`.
+ * After a lower burst is configured, `outstanding` alone may exceed it until the older grants expire; `level` is then 0.
+ */
+export class Bucket {
+	private level = NO_AMOUNTS;
+	private outstanding = NO_AMOUNTS;
+	/** In the order of issue, which is also the order of expiry. */
+	private readonly grants = new Map<number, LiveGrant>();
+	private accruedAtMs: number;
+
+	/** The level is 0 and grows from the given time, which may lie in the future. */
+	constructor(private rate: Rate, growsFromMs: number) {
+		this.accruedAtMs = growsFromMs;
+	}
+
+	getLevel(): Amounts {
+		return this.level;
+	}
+
+	getOutstanding(): Amounts {
+		return this.outstanding;
+	}
+
+	/** Expires grants and grows the level up to the given time. */
+	advance(nowMs: number): void {
+		for (const [serial, grant] of this.grants) {
+			if (grant.expiresAtMs > nowMs) {
+				break;
+			}
+
+			// Growth stops at `burst - outstanding`, so it is added up to each expiry before that expiry makes room.
+			this.accrue(grant.expiresAtMs);
+			this.grants.delete(serial);
+			this.outstanding = subtractAmounts(this.outstanding, getUnsettled(grant));
+		}
+
+		this.accrue(nowMs);
+	}
+
+	/** Applies a configured rate; tokens already granted keep their lifetime. */
+	setRate(rate: Rate, nowMs: number): void {
+		this.advance(nowMs);
+		this.rate = rate;
+		this.level = minAmounts(this.level, this.getRoom());
+	}
+
+	/** Moves whole tokens from the level to a new grant. */
+	issue(serial: number, amounts: Amounts, expiresAtMs: number): void {
+		this.level = subtractAmounts(this.level, amounts);
+		this.outstanding = addAmounts(this.outstanding, amounts);
+		this.grants.set(serial, {
+			amounts, settled: NO_AMOUNTS, returned: NO_AMOUNTS, expiresAtMs,
+		});
+	}
+
+	/** Settles and takes back tokens of a live grant; a report on an expired one is dropped. */
+	applyReport(report: GrantReport): void {
+		const grant = this.grants.get(report.serial);
+		if (!grant) {
+			return;
+		}
+
+		// Totals only grow and never exceed the grant, whatever order reports arrive in.
+		const settled = mapAmounts(unit => Math.min(grant.amounts[unit] - grant.returned[unit], Math.max(grant.settled[unit], report.settled[unit])));
+		const returned = mapAmounts(unit => Math.min(grant.amounts[unit] - settled[unit], Math.max(grant.returned[unit], report.returned?.[unit] ?? 0)));
+		const after = {...grant, settled, returned};
+		this.outstanding = addAmounts(subtractAmounts(this.outstanding, getUnsettled(grant)), getUnsettled(after));
+		this.level = minAmounts(addAmounts(this.level, subtractAmounts(returned, grant.returned)), this.getRoom());
+		this.grants.set(report.serial, after);
+	}
+
+	/** Time until the level reaches the amounts if nothing else is granted. */
+	getWaitMs(nowMs: number, amounts: Amounts): number {
+		const missing = subtractAmounts(amounts, this.level);
+		const perSecond = getPerSecond(this.rate);
+		return Math.max(0, this.accruedAtMs - nowMs) + (Math.max(missing.tokens / perSecond.tokens, missing.requests / perSecond.requests) * 1000);
+	}
+
+	private getRoom(): Amounts {
+		return subtractAmounts(getBurst(this.rate), this.outstanding);
+	}
+
+	private accrue(untilMs: number): void {
+		if (untilMs <= this.accruedAtMs) {
+			return;
+		}
+
+		const seconds = (untilMs - this.accruedAtMs) / 1000;
+		const perSecond = getPerSecond(this.rate);
+		const grown = mapAmounts(unit => this.level[unit] + (perSecond[unit] * seconds));
+		this.level = minAmounts(grown, this.getRoom());
+		this.accruedAtMs = untilMs;
+	}
+}
+
+function getUnsettled(grant: LiveGrant): Amounts {
+	return subtractAmounts(subtractAmounts(grant.amounts, grant.settled), grant.returned);
+}
--- /dev/null
+++ b/packages/callers/src/limits/customer-share.ts
@@ -0,0 +1,265 @@
+import {refuse, type Rate, type Verdict} from '@egretrill/common';
+import {
+	addAmounts, coversAmounts, getBurst, getPerSecond, hasAmounts, mapAmounts, minAmounts, NO_AMOUNTS, subtractAmounts, sumAmounts,
+} from './amounts.js';
+import {
+	DEMAND_AVERAGE_MS, DEMAND_MARGIN, EXCHANGE_PERIOD_MS, IDLE_REQUESTS, MAX_RATE_WAITERS, MIN_SHORT_RETRY_MS, REFRESH_AGE_MS, SHARE_TTL_MS, SHORTAGE_MEMORY_MS, SURPLUS_RATIO,
+} from './constants.js';
+import type {
+	Amounts, CustomerExchange, GrantReport, ShareGrant,
+} from './types.js';
+
+/** A grant as its host holds it; `free` is neither reserved, settled nor returned. */
+type HeldGrant = {
+	readonly ownerTerm: number;
+	readonly serial: number;
+	readonly expiresAtMs: number;
+	readonly amounts: Amounts;
+	free: Amounts;
+	settled: Amounts;
+	returned: Amounts;
+	/** Sum of settled and returned in the last report sent and in the last one answered. */
+	sentTotal: number;
+	answeredTotal: number;
+};
+
+type Draw = {readonly grant: HeldGrant; readonly taken: Amounts};
+
+/** Tokens drawn for one request. */
+export type Drawn = {readonly draws: readonly Draw[]; readonly expiresAtMs: number};
+
+/** A request that waits for the next grant. */
+export type RateWaiter = {readonly need: Amounts; readonly sinceMs: number; readonly onDrawn: (drawn: Drawn) => void};
+
+/** What one host holds of one customer's bucket; plain state without tasks. */
+export class CustomerShare {
+	private grants: readonly HeldGrant[] = [];
+	private waiters: readonly RateWaiter[] = [];
+	/** Sum of what the waiting requests need. */
+	private queued = NO_AMOUNTS;
+	private demand = NO_AMOUNTS;
+	private demandAtMs = 0;
+	private retryAtMs = 0;
+	private shortUntilMs = Number.NEGATIVE_INFINITY;
+
+	constructor(readonly customer: string, private rate: Rate) {}
+
+	setRate(rate: Rate): void {
+		this.rate = rate;
+	}
+
+	/** Refuses what cannot be admitted before the deadline whatever the other hosts do. */
+	check(need: Amounts, waitMs: number): Verdict | undefined {
+		const burst = getBurst(this.rate);
+		if (!coversAmounts(burst, need)) {
+			return refuse(429, 'exceeds-burst', `The request needs ${need.tokens} tokens; customer ${this.customer} may use at most ${burst.tokens} at once.`);
+		}
+
+		const perSecond = getPerSecond(this.rate);
+		const possible = mapAmounts(unit => burst[unit] + (perSecond[unit] * waitMs / 1000));
+		return this.waiters.length >= MAX_RATE_WAITERS || !coversAmounts(possible, addAmounts(this.queued, need)) ? this.refuseOverRate(need) : undefined;
+	}
+
+	/** The refusal of a request that found no tokens, with the time the rate needs for what waits before it. */
+	refuseOverRate(need: Amounts): Verdict {
+		const missing = addAmounts(need, this.queued);
+		const perSecond = getPerSecond(this.rate);
+		const retryAfterMs = Math.ceil(Math.max(missing.tokens / perSecond.tokens, missing.requests / perSecond.requests) * 1000);
+		return refuse(429, 'rate-exceeded', `Customer ${this.customer} is over its rate of ${perSecond.tokens} tokens and ${perSecond.requests} requests per second.`, retryAfterMs);
+	}
+
+	/** Counts a request towards the estimate of demand. */
+	countDemand(need: Amounts, nowMs: number): void {
+		this.demand = addAmounts(this.getDemand(nowMs), need);
+		this.demandAtMs = nowMs;
+	}
+
+	/** Draws tokens for a request unless others wait before it or too few are held. */
+	draw(need: Amounts, nowMs: number): Drawn | undefined {
+		return this.waiters.length === 0 ? this.take(need, nowMs) : undefined;
+	}
+
+	addWaiter(waiter: RateWaiter): void {
+		this.waiters = [...this.waiters, waiter];
+		this.queued = addAmounts(this.queued, waiter.need);
+	}
+
+	/** Removes a request that gave up, and serves the requests behind it if they now fit. */
+	removeWaiter(waiter: RateWaiter, nowMs: number): void {
+		this.waiters = this.waiters.filter(other => other !== waiter);
+		this.queued = subtractAmounts(this.queued, waiter.need);
+		this.serveWaiters(nowMs);
+	}
+
+	/** Settles what a request used of the reserved amounts; the rest is free again where its grant is still valid. */
+	settle(drawn: Drawn, reserved: Amounts, actual: Amounts, nowMs: number): void {
+		let left = actual;
+		for (const {grant, taken} of drawn.draws) {
+			const part = minAmounts(taken, reserved);
+			const used = minAmounts(part, left);
+			left = subtractAmounts(left, used);
+			grant.settled = addAmounts(grant.settled, used);
+			if (isValid(grant, nowMs)) {
+				grant.free = addAmounts(grant.free, subtractAmounts(part, used));
+			}
+		}
+
+		this.serveWaiters(nowMs);
+	}
+
+	/** Whether requests wait that the owner has not just put off. */
+	isUrgent(nowMs: number): boolean {
+		return this.waiters.length > 0 && nowMs >= this.retryAtMs;
+	}
+
+	/** When to ask again for the requests that wait. */
+	getRetryAtMs(): number {
+		return this.waiters.length > 0 ? this.retryAtMs : Number.POSITIVE_INFINITY;
+	}
+
+	/** Builds this customer's part of an exchange; undefined when there is nothing to say. */
+	buildExchange(ownerTerm: number, nowMs: number): CustomerExchange | undefined {
+		this.grants = this.grants.filter(grant => isValid(grant, nowMs));
+		const target = this.getTarget(nowMs);
+		this.returnUnneeded(target, ownerTerm, nowMs);
+		const free = this.getFree(nowMs);
+		const [head] = this.waiters;
+		const total = subtractAmounts(this.queued, free);
+		const wanted = subtractAmounts(target, subtractAmounts(free, this.queued));
+		const reports = this.buildReports(ownerTerm);
+		if (!head && !hasAmounts(wanted) && reports.length === 0) {
+			return undefined;
+		}
+
+		return {
+			customer: this.customer,
+			...(hasAmounts(wanted) && {wanted}),
+			...(head && {waiting: {total, head: subtractAmounts(head.need, free), waitedMs: nowMs - head.sinceMs}}),
+			...(reports.length > 0 && {reports}),
+		};
+	}
+
+	/** Whether an exchange would carry anything for this customer. */
+	isActive(nowMs: number): boolean {
+		return this.waiters.length > 0
+			|| hasAmounts(this.getTarget(nowMs))
+			|| this.grants.some(grant => isValid(grant, nowMs) && (hasAmounts(grant.free) || getReportedTotal(grant) !== grant.answeredTotal));
+	}
+
+	/** Notes that the owner has received the reports of the last exchange. */
+	acknowledgeReports(): void {
+		for (const grant of this.grants) {
+			grant.answeredTotal = grant.sentTotal;
+		}
+	}
+
+	/** Takes over a grant, counting its lifetime from when the exchange was first sent, and serves waiting requests. */
+	applyGrant(grant: ShareGrant, ownerTerm: number, sentAtMs: number, nowMs: number): void {
+		const expiresAtMs = sentAtMs + SHARE_TTL_MS;
+		const isKnown = this.grants.some(held => held.serial === grant.serial && held.ownerTerm === ownerTerm);
+		if (grant.serial > 0 && !isKnown && expiresAtMs > nowMs) {
+			this.grants = [{
+				ownerTerm, serial: grant.serial, expiresAtMs, amounts: grant.amounts, free: grant.amounts, settled: NO_AMOUNTS, returned: NO_AMOUNTS, sentTotal: 0, answeredTotal: 0,
+			}, ...this.grants];
+		}
+
+		this.retryAtMs = nowMs + grant.retryAfterMs;
+		this.shortUntilMs = grant.short ? nowMs + SHORTAGE_MEMORY_MS : Number.NEGATIVE_INFINITY;
+		this.serveWaiters(nowMs);
+	}
+
+	/** Waits before asking again when the owner's answer did not cover this customer. */
+	postpone(nowMs: number): void {
+		this.retryAtMs = nowMs + MIN_SHORT_RETRY_MS;
+	}
+
+	private serveWaiters(nowMs: number): void {
+		for (let [head] = this.waiters; head; [head] = this.waiters) {
+			const drawn = this.take(head.need, nowMs);
+			if (!drawn) {
+				return;
+			}
+
+			this.waiters = this.waiters.slice(1);
+			this.queued = subtractAmounts(this.queued, head.need);
+			head.onDrawn(drawn);
+		}
+	}
+
+	/** Takes from the youngest grants first, which gives the reservation the longest lifetime. */
+	private take(need: Amounts, nowMs: number): Drawn | undefined {
+		if (!coversAmounts(this.getFree(nowMs), need)) {
+			return undefined;
+		}
+
+		let left = need;
+		let expiresAtMs = Number.POSITIVE_INFINITY;
+		const draws: Draw[] = [];
+		for (const grant of this.grants) {
+			const taken = minAmounts(grant.free, left);
+			if (!hasAmounts(taken)) {
+				continue;
+			}
+
+			grant.free = subtractAmounts(grant.free, taken);
+			left = subtractAmounts(left, taken);
+			expiresAtMs = Math.min(expiresAtMs, grant.expiresAtMs);
+			draws.push({grant, taken});
+		}
+
+		return {draws, expiresAtMs};
+	}
+
+	private returnUnneeded(target: Amounts, ownerTerm: number, nowMs: number): void {
+		const isShort = nowMs < this.shortUntilMs;
+		const free = this.getFree(nowMs);
+		const needed = addAmounts(target, this.queued);
+		let surplus = mapAmounts(unit => isShort || free[unit] > SURPLUS_RATIO * needed[unit] ? free[unit] : 0);
+		surplus = isShort ? surplus : subtractAmounts(surplus, needed);
+		// The oldest grants are the last in the list.
+		for (const grant of this.grants.filter(held => held.ownerTerm === ownerTerm).toReversed()) {
+			const isOld = grant.expiresAtMs - nowMs < SHARE_TTL_MS - REFRESH_AGE_MS;
+			const returned = isOld ? grant.free : minAmounts(grant.free, surplus);
+			grant.free = subtractAmounts(grant.free, returned);
+			grant.returned = addAmounts(grant.returned, returned);
+			surplus = subtractAmounts(surplus, returned);
+		}
+	}
+
+	private buildReports(ownerTerm: number): GrantReport[] {
+		const changed = this.grants.filter(grant => grant.ownerTerm === ownerTerm && getReportedTotal(grant) !== grant.answeredTotal);
+		return changed.map(grant => {
+			grant.sentTotal = getReportedTotal(grant);
+			return {serial: grant.serial, settled: grant.settled, ...(hasAmounts(grant.returned) && {returned: grant.returned})};
+		});
+	}
+
+	private getFree(nowMs: number): Amounts {
+		return sumAmounts(this.grants.filter(grant => isValid(grant, nowMs)).map(grant => grant.free));
+	}
+
+	private getDemand(nowMs: number): Amounts {
+		const decay = Math.exp((this.demandAtMs - nowMs) / DEMAND_AVERAGE_MS);
+		return mapAmounts(unit => this.demand[unit] * decay);
+	}
+
+	/** Amounts to hold for the next period; nothing for an idle customer or while the owner is short. */
+	private getTarget(nowMs: number): Amounts {
+		const demand = this.getDemand(nowMs);
+		const share = EXCHANGE_PERIOD_MS / DEMAND_AVERAGE_MS;
+		if (nowMs < this.shortUntilMs || demand.requests * share < IDLE_REQUESTS) {
+			return NO_AMOUNTS;
+		}
+
+		const burst = getBurst(this.rate);
+		return mapAmounts(unit => Math.min(Math.floor(burst[unit]), Math.ceil(demand[unit] * share * DEMAND_MARGIN)));
+	}
+}
+
+function isValid(grant: HeldGrant, nowMs: number): boolean {
+	return grant.expiresAtMs > nowMs;
+}
+
+function getReportedTotal(grant: HeldGrant): number {
+	return grant.settled.tokens + grant.settled.requests + grant.returned.tokens + grant.returned.requests;
+}
--- /dev/null
+++ b/packages/callers/src/limits/index.ts
@@ -0,0 +1,5 @@
+export * from './bucket-owner.js';
+export * from './constants.js';
+export * from './share-holder.js';
+export * from './spend-audit.js';
+export * from './types.js';
--- /dev/null
+++ b/packages/callers/src/limits/share-holder.ts
@@ -0,0 +1,286 @@
+import {
+	jitter, refuse, Signal, type Clock, type Customer, type Random, type Verdict,
+} from '@egretrill/common';
+import {Result} from 'true-myth';
+import {hasAmounts, NO_AMOUNTS, subtractAmounts} from './amounts.js';
+import {
+	EXCHANGE_PERIOD_MS, EXCHANGE_TIMEOUT_MS, IDLE_WAIT_MS, MAX_FAILURE_BACKOFF_MS, MAX_REPEAT_AGE_MS, MIN_EXCHANGE_GAP_MS, MIN_FAILURE_BACKOFF_MS, SHARE_TTL_MS,
+} from './constants.js';
+import {CustomerShare, type Drawn, type RateWaiter} from './customer-share.js';
+import type {Amounts, ShareAnswer, ShareRequest} from './types.js';
+
+/** Carries exchanges to a bucket owner. */
+export abstract class ShareTransport {
+	/** Settles within the timeout; an error means that the answer is unknown. */
+	abstract exchange(ownerId: string, req: ShareRequest, timeoutMs: number): Promise<Result<ShareAnswer, string>>;
+}
+
+export type AcquireShare = {
+	readonly customer: string;
+	readonly tokens: number;
+	readonly requests: 1;
+	/** On the holder's clock. */
+	readonly deadlineMs: number;
+	readonly signal?: AbortSignal;
+};
+
+export type ShareHolderOpts = {
+	readonly clock: Clock;
+	readonly random: Random;
+	readonly hostId: string;
+	/** Differs at each start of the host, since serials begin anew. */
+	readonly startId: string;
+	readonly transport: ShareTransport;
+	readonly customers: readonly Customer[];
+	/** Names the owner of a customer's bucket. */
+	readonly getOwnerId: (customer: string) => string;
+};
+
+/** One request and its tokens, reserved from a customer's share. */
+export class Reservation {
+	/** What `settle` or `cancel` still has to account for. */
+	private open: Amounts;
+
+	constructor(private readonly share: CustomerShare, private readonly drawn: Drawn, readonly tokens: number, private readonly clock: Clock) {
+		this.open = {tokens, requests: 1};
+	}
+
+	/** Whether the share may still be spent. */
+	isFresh(): boolean {
+		return hasAmounts(this.open) && this.clock.now() < this.drawn.expiresAtMs;
+	}
+
+	/**
+	 * Checks right before the write to a target that the share may be spent, and settles the request unit.
+	 * Settling it at admission would let a request that waits in the queue be written after the level has grown again.
+	 */
+	start(): boolean {
+		if (!this.isFresh()) {
+			return false;
+		}
+
+		this.close({tokens: 0, requests: 1}, {tokens: 0, requests: 1});
+		return true;
+	}
+
+	/** Returns the unused tokens, unless the share has expired; the request counts as spent. Repeated calls have no effect. */
+	settle(actualTokens: number): void {
+		this.close(this.open, {tokens: Math.max(0, Math.ceil(actualTokens)), requests: 1});
+	}
+
+	/** Returns everything that is still reserved, for a request that was not run. */
+	cancel(): void {
+		this.close(this.open, NO_AMOUNTS);
+	}
+
+	private close(reserved: Amounts, actual: Amounts): void {
+		this.open = subtractAmounts(this.open, reserved);
+		this.share.settle(this.drawn, reserved, actual, this.clock.now());
+	}
+}
+
+/** State of the exchanges with one owner. */
+type OwnerSession = {
+	readonly ownerId: string;
+	readonly wake: Signal;
+	ownerTerm: number;
+	serial: number;
+	/** When the unanswered serial was first sent; a grant under it counts from then. */
+	firstSentAtMs: number | undefined;
+	lastSentAtMs: number;
+	nextDueAtMs: number;
+	lastAnswerAtMs: number;
+	blockedUntilMs: number;
+	failures: number;
+};
+
+/** Borrows shares of the customer buckets for one host; one task for each owner exchanges with it. */
+export class ShareHolder {
+	private readonly shares = new Map<string, CustomerShare>();
+	private readonly sessions = new Map<string, OwnerSession>();
+	private readonly tasks: Array<Promise<void>> = [];
+	private readonly stopping = new AbortController();
+
+	constructor(private readonly opts: ShareHolderOpts) {
+		this.setCustomers(opts.customers);
+	}
+
+	/** Applies the configured customers and rates. */
+	setCustomers(customers: readonly Customer[]): void {
+		const configured = new Map(customers.map(customer => [customer.id, customer]));
+		for (const id of this.shares.keys()) {
+			if (!configured.has(id)) {
+				this.shares.delete(id);
+			}
+		}
+
+		for (const {id, rate} of customers) {
+			const share = this.shares.get(id);
+			if (share) {
+				share.setRate(rate);
+			} else {
+				this.shares.set(id, new CustomerShare(id, rate));
+			}
+		}
+	}
+
+	/** Reserves from the customer's share, waiting for the next grant until the deadline. */
+	async acquire(req: AcquireShare): Promise<Result<Reservation, Verdict>> {
+		const {clock} = this.opts;
+		const share = this.shares.get(req.customer);
+		if (!share) {
+			return Result.err(refuse(403, 'unknown-customer', `Customer ${req.customer} is not configured on this host.`));
+		}
+
+		const now = clock.now();
+		const need: Amounts = {tokens: Math.ceil(req.tokens), requests: req.requests};
+		const refusal = share.check(need, Math.max(0, req.deadlineMs - now));
+		if (refusal) {
+			return Result.err(refusal);
+		}
+
+		share.countDemand(need, now);
+		const session = this.getSession(req.customer);
+		let drawn = share.draw(need, now);
+		if (drawn) {
+			session.wake.notify();
+			return Result.ok(new Reservation(share, drawn, need.tokens, clock));
+		}
+
+		const granted = new Signal();
+		const waiter: RateWaiter = {
+			need, sinceMs: now, onDrawn(result) {
+				drawn = result;
+				granted.notify();
+			},
+		};
+		share.addWaiter(waiter);
+		session.wake.notify();
+		await granted.wait(clock, req.deadlineMs - now, req.signal);
+		if (drawn) {
+			return Result.ok(new Reservation(share, drawn, need.tokens, clock));
+		}
+
+		share.removeWaiter(waiter, clock.now());
+		return Result.err(req.signal?.aborted ? refuse(499, 'cancelled', 'The caller went away before the request was admitted.') : this.getRefusal(session, share, need));
+	}
+
+	/** Ends the exchange tasks; shares still held expire at their owner. */
+	async stop(): Promise<void> {
+		this.stopping.abort();
+		await Promise.all(this.tasks);
+	}
+
+	/** The task of an owner starts with the first request of one of its customers. */
+	private getSession(customer: string): OwnerSession {
+		const ownerId = this.opts.getOwnerId(customer);
+		const known = this.sessions.get(ownerId);
+		if (known) {
+			return known;
+		}
+
+		const session: OwnerSession = {
+			ownerId, wake: new Signal(), ownerTerm: 0, serial: 0, firstSentAtMs: undefined, lastSentAtMs: Number.NEGATIVE_INFINITY,
+			nextDueAtMs: 0, lastAnswerAtMs: Number.NEGATIVE_INFINITY, blockedUntilMs: 0, failures: 0,
+		};
+		this.sessions.set(ownerId, session);
+		this.tasks.push(this.runSession(session));
+		return session;
+	}
+
+	private async runSession(session: OwnerSession): Promise<void> {
+		const {clock} = this.opts;
+		while (!this.stopping.signal.aborted) {
+			const now = clock.now();
+			const dueAtMs = this.getDueAtMs(session, now);
+			if (dueAtMs > now) {
+				await session.wake.wait(clock, dueAtMs - now, this.stopping.signal);
+				continue;
+			}
+
+			await this.exchange(session);
+		}
+	}
+
+	/** When the next exchange is due: each period while a customer is active, sooner for requests that wait. */
+	private getDueAtMs(session: OwnerSession, nowMs: number): number {
+		const active = this.getShares(session).filter(share => share.isActive(nowMs));
+		if (active.length === 0) {
+			return nowMs + IDLE_WAIT_MS;
+		}
+
+		if (session.failures > 0) {
+			return session.nextDueAtMs;
+		}
+
+		const retryAtMs = Math.min(...active.map(share => share.getRetryAtMs()));
+		return Math.min(session.nextDueAtMs, Math.max(retryAtMs, session.lastSentAtMs + MIN_EXCHANGE_GAP_MS));
+	}
+
+	private async exchange(session: OwnerSession): Promise<void> {
+		const {clock, random, transport} = this.opts;
+		const sentAtMs = clock.now();
+		const entries = this.getShares(session).map(share => share.buildExchange(session.ownerTerm, sentAtMs)).filter(entry => entry !== undefined);
+		session.nextDueAtMs = sentAtMs + jitter(EXCHANGE_PERIOD_MS, random);
+		if (entries.length === 0) {
+			return;
+		}
+
+		// An unanswered exchange is repeated under its serial, unless a grant under it would already be too old.
+		if (session.firstSentAtMs === undefined || sentAtMs - session.firstSentAtMs > MAX_REPEAT_AGE_MS) {
+			session.serial += 1;
+			session.firstSentAtMs = sentAtMs;
+		}
+
+		session.lastSentAtMs = sentAtMs;
+		const result = await transport.exchange(session.ownerId, {
+			hostId: this.opts.hostId, startId: this.opts.startId, ownerTerm: session.ownerTerm, serial: session.serial, customers: entries,
+		}, EXCHANGE_TIMEOUT_MS);
+		if (result.isErr || result.value.serial !== session.serial || result.value.ownerTerm < session.ownerTerm) {
+			session.failures += 1;
+			session.nextDueAtMs = clock.now() + jitter(Math.min(MAX_FAILURE_BACKOFF_MS, MIN_FAILURE_BACKOFF_MS * (2 ** session.failures)), random);
+			return;
+		}
+
+		this.applyAnswer(session, result.value, new Set(entries.map(entry => entry.customer)));
+	}
+
+	private applyAnswer(session: OwnerSession, answer: ShareAnswer, asked: ReadonlySet<string>): void {
+		const now = this.opts.clock.now();
+		const firstSentAtMs = session.firstSentAtMs ?? Number.NEGATIVE_INFINITY;
+		session.firstSentAtMs = undefined;
+		session.failures = 0;
+		session.ownerTerm = answer.ownerTerm;
+		session.lastAnswerAtMs = now;
+		session.blockedUntilMs = now + answer.blockedMs;
+		const grants = new Map(answer.grants.map(grant => [grant.customer, grant]));
+		for (const share of this.getShares(session).filter(({customer}) => asked.has(customer))) {
+			share.acknowledgeReports();
+			const grant = grants.get(share.customer);
+			if (grant) {
+				share.applyGrant(grant, answer.ownerTerm, firstSentAtMs, now);
+			} else {
+				share.postpone(now);
+			}
+		}
+	}
+
+	private getShares(session: OwnerSession): readonly CustomerShare[] {
+		return [...this.shares.values()].filter(share => this.opts.getOwnerId(share.customer) === session.ownerId);
+	}
+
+	/** The truthful reason why no grant came before the deadline. */
+	private getRefusal(session: OwnerSession, share: CustomerShare, need: Amounts): Verdict {
+		const now = this.opts.clock.now();
+		if (now - session.lastAnswerAtMs > SHARE_TTL_MS) {
+			return refuse(503, 'zone-cut-off', `The owner of the bucket of customer ${share.customer} has not answered within ${SHARE_TTL_MS} ms.`, EXCHANGE_PERIOD_MS);
+		}
+
+		if (now < session.blockedUntilMs) {
+			const remainingMs = Math.ceil(session.blockedUntilMs - now);
+			return refuse(503, 'shares-blocked', `The new owner of the bucket of customer ${share.customer} waits until the shares of its predecessor have expired.`, remainingMs);
+		}
+
+		return share.refuseOverRate(need);
+	}
+}
