operators: document validation, admin API and console

Cause: operators need every fault of a document at once, a truthful answer to each change, and forms whose only output is one document. Change: validateDocument and describeExpectation list faults as path, expected and found; createAdminApp serves /v1 from one table of operations that also generates the OpenAPI document; /console renders plain HTML forms and posts one document with the version it follows and a request id; FleetControl is the seam to the fleet. Before: an empty package. Two faults met on the way are covered by tests: an inner template lost its leading space, so no option was selected; a list below a missing entry raised a RangeError.

--- /dev/null
+++ b/packages/operators/src/console/form-page.ts
@@ -0,0 +1,149 @@
+import type {Fault} from '@egretrill/common';
+import {getAt, getEntries, type Draft} from './draft.js';
+import {
+	documentFields, sections, type FormField, type FormSection,
+} from './form-sections.js';
+import {html, type Html} from './html.js';
+
+/** What the form shows besides the draft. */
+export type FormState = {
+	readonly draft: Draft;
+	readonly follows: number;
+	readonly token: string;
+	readonly faults?: readonly Fault[];
+	/** Path of an entry that was just added, which takes the focus. */
+	readonly focus?: string;
+	/** A generated key, shown this once. */
+	readonly secret?: string;
+};
+
+type RenderContext = FormState & {readonly anchors: Set<string>};
+
+function getAnchor(ctx: RenderContext, path: string): string {
+	ctx.anchors.add(path);
+	return getId(path);
+}
+
+function getId(path: string): string {
+	return `f-${path.replaceAll('.', '-')}`;
+}
+
+function getText(value: unknown): string {
+	return typeof value === 'string' || typeof value === 'number' ? String(value) : '';
+}
+
+function renderFaults(faults: readonly Fault[]): readonly Html[] {
+	return faults.map(fault => html`Expected ${fault.expected}, found ${fault.found}. `);
+}
+
+function renderInput(ctx: RenderContext, field: FormField, path: string, attributes: Html): Html {
+	const value = getAt(ctx.draft, path);
+	if (field.kind === 'select') {
+		return html`<select name="${path}" ${attributes}>${(field.options ?? []).map(option => html`<option${option === value && html` selected`}>${option}</option>`)}</select>`;
+	}
+
+	if (field.kind === 'checkbox') {
+		return html`<input type="checkbox" name="${path}" value="true"${value === true && html` checked`} ${attributes}>`;
+	}
+
+	const mode = field.kind === 'number' && html` inputmode="decimal"`;
+	const list = field.suggests && html` list="${`ids-${field.suggests}`}"`;
+	return html`<input type="text" name="${path}" value="${getText(value)}" autocomplete="off"${mode}${list}${field.isReadOnly && html` readonly`} ${attributes}>`;
+}
+
+function renderField(ctx: RenderContext, field: FormField, prefix: string, isFocused: boolean): Html {
+	const path = `${prefix}${field.name}`;
+	const id = getAnchor(ctx, path);
+	const faults = (ctx.faults ?? []).filter(fault => fault.path === path);
+	const described = [...(field.hint ? [`${id}-hint`] : []), ...(faults.length > 0 ? [`${id}-fault`] : [])].join(' ');
+	const describedBy = described !== '' && html` aria-describedby="${described}"`;
+	const attributes = html`id="${id}"${faults.length > 0 && html` aria-invalid="true"`}${describedBy}${isFocused && html` autofocus`}`;
+	const hint = field.hint && html`<p class="hint" id="${`${id}-hint`}">${field.hint}</p>`;
+	const fault = faults.length > 0 && html`<p class="fault" id="${`${id}-fault`}">${renderFaults(faults)}</p>`;
+	return html`
+		<div class="field"><label for="${id}">${field.label}</label>
+		${hint}${fault}${renderInput(ctx, field, path, attributes)}</div>
+	`;
+}
+
+function getEntryName(section: FormSection, entry: unknown, i: number): string {
+	const name = section.fields[0] && getAt(entry, section.fields[0].name);
+	return typeof name === 'string' && name !== '' ? `${section.entry} ${name}` : `${section.entry} ${i + 1}`;
+}
+
+function renderEntryFaults(ctx: RenderContext, path: string): Html {
+	const faults = (ctx.faults ?? []).filter(fault => fault.path === path);
+	return html`${faults.length > 0 && html`<p class="fault">${renderFaults(faults)}</p>`}`;
+}
+
+function renderList(ctx: RenderContext, section: FormSection, path: string): Html {
+	const entries = getEntries(ctx.draft, path).map((entry, i) => {
+		const entryPath = `${path}.${i}`;
+		const name = getEntryName(section, entry, i);
+		const fields = section.fields.map((field, position) => renderField(ctx, field, `${entryPath}.`, ctx.focus === entryPath && position === 0));
+		const lists = (section.lists ?? []).map(list => renderList(ctx, list, `${entryPath}.${list.path}`));
+		return html`
+			<fieldset id="${getAnchor(ctx, entryPath)}"><legend>${name}</legend>
+			${renderEntryFaults(ctx, entryPath)}${fields}${lists}<button name="action" value="${`remove ${entryPath}`}">Remove ${name}</button>
+			</fieldset>
+		`;
+	});
+	const heading = path === section.path ? html`<h2>${section.title}</h2>` : html`<h3>${section.title}</h3>`;
+	return html`
+		<section id="${getAnchor(ctx, path)}" aria-label="${section.title}">${heading}
+		${renderEntryFaults(ctx, path)}${entries}<button name="action" value="${`add ${path}`}">Add ${section.entry.toLowerCase()}</button>
+		</section>
+	`;
+}
+
+function renderSuggestions(draft: Draft): Html {
+	const lists = {
+		customers: 'id', models: 'id', services: 'id', accelerators: 'target',
+	};
+	return html`${Object.entries(lists).map(([path, field]) => html`
+		<datalist id="${`ids-${path}`}">${getEntries(draft, path).map(entry => html`<option value="${getText(getAt(entry, field))}">`)}</datalist>
+	`)}`;
+}
+
+function renderSummary(ctx: RenderContext): Html | undefined {
+	const faults = ctx.faults ?? [];
+	if (faults.length === 0) {
+		return undefined;
+	}
+
+	const links = faults.map(fault => {
+		let anchor = fault.path;
+		while (anchor !== '' && !ctx.anchors.has(anchor)) {
+			anchor = anchor.slice(0, Math.max(0, anchor.lastIndexOf('.')));
+		}
+
+		return html`
+			<li><a href="${anchor === '' ? '#main' : `#${getId(anchor)}`}">${fault.path}: expected ${fault.expected}, found ${fault.found}</a></li>
+		`;
+	});
+	return html`
+		<div class="summary" role="alert" tabindex="-1" autofocus><h2>Nothing was applied: ${faults.length === 1 ? '1 fault' : `${faults.length} faults`}</h2><ul>
+		${links}</ul></div>
+	`;
+}
+
+/** Renders the form that edits the whole document. */
+export function renderForm(state: FormState): Html {
+	const ctx: RenderContext = {...state, anchors: new Set()};
+	const fields = documentFields.map(field => renderField(ctx, field, '', false));
+	const lists = sections.map(section => renderList(ctx, section, section.path));
+	return html`
+		${renderSummary(ctx)}${state.secret !== undefined && html`
+			<div class="notice" role="status"><h2>The new key</h2>
+			<p>Hand this key to the customer now. It is not stored and cannot be shown again.</p><p><code>${state.secret}</code></p></div>
+		`}<nav aria-label="Sections"><ul>${sections.map(section => html`<li><a href="#${getId(section.path)}">${section.title}</a></li>`)}</ul></nav>
+		<form method="post" action="/console">
+		<input type="hidden" name="token" value="${state.token}"><input type="hidden" name="follows" value="${state.follows}">
+		<button name="action" value="review">Review changes</button>
+		<section aria-label="Fleet and weight store"><h2>Fleet and weight store</h2>
+		${fields}</section>
+		${lists}<button name="action" value="review">Review changes</button>
+		</form>
+		${renderSuggestions(state.draft)}
+	`;
+}
--- /dev/null
+++ b/packages/operators/src/console/html.ts
@@ -0,0 +1,34 @@
+/** Markup that needs no further escaping. */
+export type Html = {readonly markup: string};
+
+type Insert = Html | string | number | undefined | false | readonly Html[];
+
+const entities: Readonly<Record<string, string>> = {
+	'&': '&amp;', '<': '&lt;', '>': '&gt;', '"': '&quot;', '\'': '&#39;',
+};
+
+/** Escapes text for element content and quoted attributes. */
+export function escapeHtml(text: string): string {
+	return text.replaceAll(/[&<>"']/gv, character => entities[character] ?? character);
+}
+
+function isMarkup(value: Insert): value is Html {
+	return typeof value === 'object' && 'markup' in value;
+}
+
+function renderInsert(value: Insert): string {
+	if (value === undefined || value === false) {
+		return '';
+	}
+
+	if (isMarkup(value)) {
+		return value.markup;
+	}
+
+	return typeof value === 'object' ? value.map(part => part.markup).join('') : escapeHtml(String(value));
+}
+
+/** Template tag that escapes everything but markup made by itself; indentation of the template is left out. */
+export function html(strings: TemplateStringsArray, ...inserts: readonly Insert[]): Html {
+	return {markup: strings.map((text, i) => (i === 0 ? '' : renderInsert(inserts[i - 1])) + text.replaceAll(/\n\s+/gv, '\n')).join('').replace(/^\n/v, '')};
+}
--- /dev/null
+++ b/packages/operators/src/constants.ts
@@ -0,0 +1,20 @@
+/** Tokens that a chat request reserves when it sets no `max_tokens`; a smaller burst would refuse every such request. */
+export const MIN_BURST_TOKENS = 256;
+
+/** Found values longer than this are cut in faults. */
+export const MAX_FOUND_LENGTH = 200;
+
+/** Names the person behind a change; the credential alone does not tell operators apart. */
+export const OPERATOR_HEADER = 'x-egretrill-operator';
+export const DEFAULT_OPERATOR = 'operator';
+
+export const SESSION_COOKIE = 'egretrill-console';
+
+/** A working day, so that operators sign in once. */
+export const SESSION_TTL_MS = 8 * 3_600_000;
+
+/** 256 random bits, so that the digest of a key cannot be searched. */
+export const KEY_SECRET_BYTES = 32;
+
+/** Bounds the memory of sessions; the oldest one ends first. */
+export const MAX_SESSIONS = 256;
--- /dev/null
+++ b/packages/operators/src/expectation.ts
@@ -0,0 +1,133 @@
+import type {Fault} from '@egretrill/common';
+import type {z} from 'zod';
+import {MAX_FOUND_LENGTH} from './constants.js';
+
+type Issue = z.core.$ZodIssue;
+type SizeIssue = z.core.$ZodIssueTooSmall | z.core.$ZodIssueTooBig;
+
+const typeNames: Readonly<Record<string, string>> = {
+	int: 'a whole number',
+	number: 'a number',
+	string: 'text',
+	boolean: 'true or false',
+	array: 'a list',
+	object: 'a map',
+	record: 'a map',
+};
+
+function formatChoice(values: readonly unknown[]): string {
+	const texts = values.map(value => JSON.stringify(value));
+	return texts.length === 1 ? texts.join('') : `one of ${texts.join(', ')}`;
+}
+
+function formatCount(amount: number, singular: string, plural: string): string {
+	return `${amount} ${amount === 1 ? singular : plural}`;
+}
+
+function describeSize(issue: SizeIssue): string {
+	const isMinimum = issue.code === 'too_small';
+	const bound = Number(isMinimum ? issue.minimum : issue.maximum);
+	if (issue.origin === 'string') {
+		return `text of at ${isMinimum ? 'least' : 'most'} ${formatCount(bound, 'character', 'characters')}`;
+	}
+
+	if (issue.origin === 'array' || issue.origin === 'set') {
+		return `a list of at ${isMinimum ? 'least' : 'most'} ${formatCount(bound, 'entry', 'entries')}`;
+	}
+
+	const noun = issue.origin === 'int' ? 'a whole number' : 'a number';
+	if (issue.inclusive) {
+		return `${noun} of at ${isMinimum ? 'least' : 'most'} ${bound}`;
+	}
+
+	return `${noun} ${isMinimum ? 'above' : 'below'} ${bound}`;
+}
+
+function describeUnion(issue: z.core.$ZodIssueInvalidUnion): string {
+	if ('options' in issue && issue.options) {
+		return formatChoice(issue.options);
+	}
+
+	const phrases = issue.errors.flatMap(branch => branch.slice(0, 1).map(nested => describeExpectation(nested)));
+	return phrases.length > 0 ? [...new Set(phrases)].join(' or ') : 'one of the documented kinds';
+}
+
+/** Turns a zod issue into a phrase that completes "expected ...". */
+export function describeExpectation(issue: Issue): string {
+	switch (issue.code) {
+		case 'invalid_type': {
+			return typeNames[issue.expected] ?? issue.expected;
+		}
+
+		case 'too_small':
+		case 'too_big': {
+			return describeSize(issue);
+		}
+
+		case 'invalid_value': {
+			return formatChoice(issue.values);
+		}
+
+		case 'not_multiple_of': {
+			return `a multiple of ${issue.divisor}`;
+		}
+
+		case 'unrecognized_keys': {
+			return 'no such field';
+		}
+
+		case 'invalid_union': {
+			return describeUnion(issue);
+		}
+
+		case 'invalid_format':
+		case 'invalid_key':
+		case 'invalid_element':
+		case 'custom': {
+			// Schemas word their own formats and custom checks as expectations.
+			return issue.message;
+		}
+	}
+}
+
+/** Describes a found value in a few words. */
+export function describeFound(value: unknown): string {
+	if (value === undefined || value === null) {
+		return 'nothing';
+	}
+
+	if (Array.isArray(value)) {
+		return value.length === 0 ? 'an empty list' : 'a list';
+	}
+
+	if (typeof value === 'object') {
+		return 'a map';
+	}
+
+	const text = JSON.stringify(value);
+	return text.length > MAX_FOUND_LENGTH ? `${text.slice(0, MAX_FOUND_LENGTH)}...` : text;
+}
+
+function getIn(value: unknown, path: readonly PropertyKey[]): unknown {
+	let current = value;
+	for (const key of path) {
+		if (typeof current !== 'object' || current === null || !Object.hasOwn(current, key)) {
+			return undefined;
+		}
+
+		current = (current as Record<PropertyKey, unknown>)[key];
+	}
+
+	return current;
+}
+
+/** Lists the faults of a value that its schema rejected, one for each field. */
+export function getSchemaFaults(input: unknown, error: z.ZodError): readonly Fault[] {
+	return error.issues.flatMap(issue => {
+		// Unknown keys are reported at themselves, not at the map that holds them.
+		const paths = issue.code === 'unrecognized_keys' ? issue.keys.map(key => [...issue.path, key]) : [issue.path];
+		return paths.map(path => ({
+			path: path.map(String).join('.'), expected: describeExpectation(issue), found: describeFound(getIn(input, path)),
+		}));
+	});
+}
--- /dev/null
+++ b/packages/operators/src/validate-document.ts
@@ -0,0 +1,150 @@
+import {
+	ConfigDocument, type Customer, type Fault, type Model, type Pin, type Route,
+} from '@egretrill/common';
+import {MIN_BURST_TOKENS} from './constants.js';
+import {describeFound, getSchemaFaults} from './expectation.js';
+
+type Rule = (document: ConfigDocument) => readonly Fault[];
+
+function getDuplicates(path: string, field: string, values: readonly string[]): readonly Fault[] {
+	const seen = new Map<string, number>();
+	return values.flatMap((value, i) => {
+		const first = seen.get(value);
+		if (first === undefined) {
+			seen.set(value, i);
+			return [];
+		}
+
+		return [{path: `${path}.${i}.${field}`, expected: `a value that ${path}.${first} does not use`, found: describeFound(value)}];
+	});
+}
+
+const findDuplicateIds: Rule = ({zones, customers, keys, models, services, accelerators}) => {
+	const lists = {
+		zones, customers, keys, models, services,
+	};
+	return [
+		...Object.entries(lists).flatMap(([path, entries]) => getDuplicates(path, 'id', entries.map(entry => entry.id))),
+		...models.flatMap((model, i) => getDuplicates(`models.${i}.adapters`, 'id', model.adapters.map(adapter => adapter.id))),
+		...getDuplicates('accelerators', 'target', accelerators.map(entry => entry.target)),
+	];
+};
+
+const findKeyFaults: Rule = ({keys, customers}) => {
+	const known = new Set(customers.map(customer => customer.id));
+	return [
+		...keys.flatMap((key, i) => known.has(key.customer) ? [] : [{path: `keys.${i}.customer`, expected: 'the id of a customer in this document', found: describeFound(key.customer)}]),
+		...getDuplicates('keys', 'digest', keys.map(key => key.digest)),
+	];
+};
+
+function trimPath(path: string): string {
+	return path.replace(/\/+$/v, '');
+}
+
+function overlaps(first: Route, second: Route): boolean {
+	const [shorter, longer] = [trimPath(first.path), trimPath(second.path)].toSorted((a, b) => a.length - b.length);
+	return longer === shorter || longer!.startsWith(`${shorter}/`);
+}
+
+const findRouteFaults: Rule = ({routes, services}) => {
+	const known = new Set(services.map(service => service.id));
+	const serviceFaults = routes.flatMap((route, i) => route.kind === 'service' && !known.has(route.service)
+		? [{path: `routes.${i}.service`, expected: 'the id of a service in this document', found: describeFound(route.service)}]
+		: []);
+	const overlapFaults = routes.flatMap((route, i) => {
+		const rival = routes.findIndex((earlier, index) => index < i && overlaps(earlier, route));
+		const expected = `a path that does not overlap with routes.${rival} (${routes[rival]?.path ?? ''})`;
+		return rival === -1 ? [] : [{path: `routes.${i}.path`, expected, found: describeFound(route.path)}];
+	});
+	return [...serviceFaults, ...overlapFaults];
+};
+
+function findPinFaults(path: string, pins: readonly Pin[], models: ReadonlySet<string>, targets: ReadonlySet<string>): readonly Fault[] {
+	return pins.flatMap(({model, target}, i) => [
+		...(models.has(model) ? [] : [{path: `${path}.${i}.model`, expected: 'the id of a model in this document', found: describeFound(model)}]),
+		...(targets.has(target) ? [] : [{path: `${path}.${i}.target`, expected: 'a target with a declared accelerator', found: describeFound(target)}]),
+	]);
+}
+
+const findPlacementFaults: Rule = ({placements, models, accelerators}) => {
+	const known = new Set(models.map(model => model.id));
+	const targets = new Set(accelerators.map(entry => entry.target));
+	const {pins, forbids} = placements;
+	return [
+		...findPinFaults('placements.pins', pins, known, targets),
+		...findPinFaults('placements.forbids', forbids, known, targets),
+		...pins.flatMap((pin, i) => {
+			const forbidden = forbids.findIndex(forbid => forbid.model === pin.model && forbid.target === pin.target);
+			return forbidden === -1 ? [] : [{path: `placements.pins.${i}`, expected: `a pin that placements.forbids.${forbidden} does not forbid`, found: `${pin.model} on ${pin.target}`}];
+		}),
+	];
+};
+
+function getModelMemory(model: Model): number {
+	return model.memoryMb + model.kvReserveMb;
+}
+
+const findMemoryFaults: Rule = ({placements, models, accelerators}) => {
+	const pinFaults = accelerators.flatMap(({target, memoryMb}, i) => {
+		const pinnedIds = new Set(placements.pins.filter(pin => pin.target === target).map(pin => pin.model));
+		const pinned = models.filter(model => pinnedIds.has(model.id));
+		const sum = pinned.reduce((total, model) => total + getModelMemory(model), 0);
+		const terms = pinned.map(model => `${model.id} ${getModelMemory(model)}`).join(' + ');
+		return sum > memoryMb ? [{path: `accelerators.${i}.memoryMb`, expected: `pinned models of at most ${memoryMb} MB on ${target}`, found: `${terms} = ${sum} MB`}] : [];
+	});
+	if (accelerators.length === 0) {
+		return pinFaults;
+	}
+
+	const largestMb = Math.max(...accelerators.map(entry => entry.memoryMb));
+	return [
+		...pinFaults,
+		...models.flatMap((model, i) => {
+			const expected = `memoryMb + kvReserveMb of at most ${largestMb} MB, the largest accelerator`;
+			const found = `${model.memoryMb} + ${model.kvReserveMb} = ${getModelMemory(model)} MB`;
+			return getModelMemory(model) > largestMb ? [{path: `models.${i}.memoryMb`, expected, found}] : [];
+		}),
+	];
+};
+
+function findBurstFaults({rate}: Customer, i: number): readonly Fault[] {
+	const bounds = [['burstRequests', 1], ['burstTokens', MIN_BURST_TOKENS]] as const;
+	return bounds.flatMap(([field, minimum]) => rate[field] < minimum
+		? [{path: `customers.${i}.rate.${field}`, expected: `a number of at least ${minimum}, so that one request fits`, found: describeFound(rate[field])}]
+		: []);
+}
+
+const findZoneFaults: Rule = ({zones}) => zones.some(zone => zone.state === 'in-service') ? [] : [{path: 'zones', expected: 'at least one zone in service', found: `${zones.length} taken out`}];
+
+const rules: readonly Rule[] = [
+	findZoneFaults,
+	findDuplicateIds,
+	({customers}) => customers.flatMap((customer, i) => findBurstFaults(customer, i)),
+	findKeyFaults,
+	findRouteFaults,
+	findPlacementFaults,
+	findMemoryFaults,
+];
+
+/** Lists every fault of a document that its schema accepts; `current` is the document in force. */
+export function validateDocument(document: ConfigDocument, current?: ConfigDocument): readonly Fault[] {
+	const fleetFaults = current && current.fleet !== document.fleet ? [{path: 'fleet', expected: describeFound(current.fleet), found: describeFound(document.fleet)}] : [];
+	return [...fleetFaults, ...rules.flatMap(rule => rule(document))];
+}
+
+/** Outcome of checking a received document. */
+export type DocumentCheck
+	= | {readonly isValid: true; readonly document: ConfigDocument}
+		| {readonly isValid: false; readonly faults: readonly Fault[]};
+
+/** Restores a received document and validates it in full. */
+export function checkDocument(input: unknown, current?: ConfigDocument): DocumentCheck {
+	const parsed = ConfigDocument.safeParse(input);
+	if (!parsed.success) {
+		return {isValid: false, faults: getSchemaFaults(input, parsed.error)};
+	}
+
+	const faults = validateDocument(parsed.data, current);
+	return faults.length > 0 ? {isValid: false, faults} : {isValid: true, document: parsed.data};
+}
--- /dev/null
+++ b/packages/operators/tests/console.test.ts
@@ -0,0 +1,188 @@
+import {expect} from 'chai';
+import {getDigest} from '../src/index.js';
+import {
+	createDocument, credential, getBasicHeader, MemoryFleet, normalise, withAdmin, type Exchange,
+} from './memory-fleet.js';
+
+type Send = (path: string, init?: RequestInit) => Promise<Exchange>;
+type Fields = Readonly<Record<string, string>>;
+
+const authorization = getBasicHeader('ben', credential);
+const entities: Readonly<Record<string, string>> = {
+	'&amp;': '&', '&lt;': '<', '&gt;': '>', '&quot;': '"', '&#39;': '\'',
+};
+
+function unescapeHtml(text: string): string {
+	return text.replaceAll(/&[#\w]+;/gv, entity => entities[entity] ?? entity);
+}
+
+/** Reads the fields that a browser would send back with the page's main form. */
+function readForm({body}: Exchange): URLSearchParams {
+	const params = new URLSearchParams();
+	const form = /<form method="post" action="\/console">.*?<\/form>/sv.exec(body)?.[0] ?? '';
+	for (const [tag] of form.matchAll(/<select[^>]*>.*?<\/select>|<input[^>]*>/gv)) {
+		const name = /name="(?<name>[^"]*)"/v.exec(tag)?.groups?.name ?? '';
+		const value = /(?:value="|<option selected>)(?<value>[^"<]*)/v.exec(tag)?.groups?.value ?? '';
+		if (!tag.includes('type="checkbox"') || tag.includes(' checked')) {
+			params.set(name, unescapeHtml(value));
+		}
+	}
+
+	return params;
+}
+
+async function submit(send: Send, page: Exchange, fields: Fields, headers: Fields = {}): Promise<Exchange> {
+	const body = readForm(page);
+	for (const [name, value] of Object.entries(fields)) {
+		body.set(name, value);
+	}
+
+	return send('/console', {method: 'POST', headers: {authorization, ...headers}, body});
+}
+
+async function open(send: Send): Promise<Exchange> {
+	return send('/console', {headers: {authorization}});
+}
+
+function show(exchange: Exchange) {
+	return {...exchange, headers: {...exchange.headers, 'set-cookie': normalise(exchange.headers['set-cookie'] ?? '')}, body: normalise(exchange.body).split('\n')};
+}
+
+describe('console', () => {
+	it('shows the whole document as a labelled form', async () => {
+		await withAdmin(new MemoryFleet(), async send => {
+			const page = await open(send);
+			expect(show(page)).toMatchSnapshot();
+			const ids = [...page.body.matchAll(/<(?:input type="(?:text|checkbox)"|select)[^>]* id="(?<id>[^"]+)"/gv)].map(match => match.groups?.id);
+			expect(ids.filter(id => !page.body.includes(`<label for="${id}">`))).to.deep.equal([]);
+			expect(new Set(ids).size).to.equal(ids.length);
+		});
+	});
+
+	it('reviews the difference and applies it with the version it follows; an unchanged form loses no field', async () => {
+		const fleet = new MemoryFleet();
+		await withAdmin(fleet, async send => {
+			const review = await submit(send, await open(send), {action: 'review', 'customers.0.rate.burstTokens': '5000', 'keys.0.state': 'withdrawn'});
+			expect(show(review)).toMatchSnapshot();
+			expect(fleet.inForce?.version).to.equal(1);
+			const accepted = await submit(send, review, {action: 'apply'});
+			expect(show(accepted)).toMatchSnapshot();
+			expect(await submit(send, review, {action: 'apply'})).to.deep.equal(accepted);
+		});
+		const before = createDocument();
+		expect(fleet.inForce?.document).to.deep.equal({
+			...before, version: 2, keys: [{...before.keys[0]!, state: 'withdrawn'}], customers: [{...before.customers[0]!, rate: {...before.customers[0]!.rate, burstTokens: 5000}}],
+		});
+	});
+
+	it('shows the secret of an added key once and keeps only its digest', async () => {
+		const fleet = new MemoryFleet();
+		await withAdmin(fleet, async send => {
+			const added = await submit(send, await open(send), {action: 'add keys'});
+			const secret = /<code>(?<secret>[\w\-]{43})<\/code>/v.exec(added.body)?.groups?.secret ?? '';
+			const review = await submit(send, added, {action: 'review', 'keys.1.id': 'k2', 'keys.1.customer': 'atlas'});
+			expect(review.body).not.to.include(secret);
+			const accepted = await submit(send, review, {action: 'apply'});
+			expect(accepted.status).to.equal(200);
+			expect(fleet.inForce?.document.keys[1]).to.deep.equal({
+				id: 'k2', customer: 'atlas', digest: getDigest(secret), state: 'active',
+			});
+			const later = await open(send);
+			expect(later.body).not.to.include(secret);
+		});
+	});
+
+	it('puts faults at their fields with a linked summary and escapes markup, so that a customer name cannot run a script', async () => {
+		const fleet = new MemoryFleet();
+		await withAdmin(fleet, async send => {
+			const page = await submit(send, await open(send), {
+				action: 'review', 'customers.0.id': '"><script>alert(1)</script>', 'customers.0.weight': 'much', 'zones.0.id': '', 'models.0.adapters.0.memoryMb': '-1',
+			});
+			expect(page.body).not.to.include('<script>');
+			const lines = page.body.split('\n').filter(line => /class="(?:summary|fault)"|aria-invalid|<li><a href="#f-(?:customers|zones|models)-/v.test(line));
+			expect({status: page.status, lines}).toMatchSnapshot();
+			const links = [...page.body.matchAll(/href="#(?<id>f-[^"]+)"/gv)].map(match => match.groups?.id);
+			expect(links.filter(id => !page.body.includes(`id="${id}"`))).to.deep.equal([]);
+		});
+		expect(fleet.inForce?.version).to.equal(1);
+	});
+
+	it('adds and removes entries in any list without a script', async () => {
+		await withAdmin(new MemoryFleet(), async send => {
+			let page = await open(send);
+			const actions = [
+				'add models.0.adapters', 'add placements.forbids', 'add customers', 'remove zones.0', 'remove models.0.adapters.0', 'add models.7.adapters', 'remove models.7', 'add nothing',
+			];
+			for (const action of actions) {
+				page = await submit(send, page, {action});
+				expect(page.status, action).to.equal(200);
+			}
+
+			const names = new Set(readForm(page).keys());
+			const present = ['zones.0.id', 'models.0.adapters.0.id', 'placements.forbids.0.model', 'customers.1.id'];
+			expect(names).to.include.members(present);
+			expect(names).not.to.include('zones.1.id').and.not.to.include('models.0.adapters.1.id');
+		});
+	});
+
+	it('shows the loser of a race what won and what keeping the document would undo', async () => {
+		const fleet = new MemoryFleet();
+		await withAdmin(fleet, async send => {
+			const mine = await submit(send, await open(send), {action: 'review', 'customers.0.weight': '2'});
+			const other = await submit(send, await open(send), {action: 'review', 'customers.0.weight': '3'});
+			await submit(send, other, {action: 'apply'});
+			const conflict = await submit(send, mine, {action: 'apply'});
+			expect(show(conflict)).toMatchSnapshot();
+			expect(fleet.inForce?.document.customers[0]?.weight).to.equal(3);
+			const review = await submit(send, conflict, {action: 'rebase'});
+			const accepted = await submit(send, review, {action: 'apply'});
+			expect(accepted.status).to.equal(200);
+			expect(fleet.inForce?.version).to.equal(3);
+		});
+	});
+
+	it('offers a safe resend when the effect is unknown', async () => {
+		const fleet = new MemoryFleet();
+		await withAdmin(fleet, async send => {
+			const review = await submit(send, await open(send), {action: 'review', 'customers.0.weight': '2'});
+			fleet.fault = new Error('connection lost');
+			const unknown = await submit(send, review, {action: 'apply'});
+			expect(show(unknown)).toMatchSnapshot();
+			expect(readForm(unknown).get('requestId')).to.equal(readForm(review).get('requestId'));
+			const accepted = await submit(send, unknown, {action: 'apply'});
+			expect(accepted.status).to.equal(200);
+		});
+	});
+
+	it('refuses posts of other sites, altered forms and wrong credentials without applying anything', async () => {
+		const fleet = new MemoryFleet();
+		await withAdmin(fleet, async send => {
+			const review = await submit(send, await open(send), {action: 'review', 'customers.0.weight': '2'});
+			const answers = [
+				await submit(send, review, {action: 'apply', token: 'x'.repeat(43)}),
+				await submit(send, review, {action: 'apply', token: ''}),
+				await submit(send, review, {action: 'apply'}, {origin: 'http://evil.example'}),
+				await submit(send, review, {action: 'apply'}, {origin: 'null'}),
+				await submit(send, review, {action: 'apply'}, {'sec-fetch-site': 'cross-site'}),
+				await submit(send, review, {action: 'apply', draft: '{"version":'}),
+				await submit(send, review, {action: 'apply'}, {authorization: getBasicHeader('ben', 'wrong')}),
+			];
+			expect(answers.map(({status, body}) => [status, /<h1>.*<\/h1>/v.exec(body)?.[0]])).toMatchSnapshot();
+		});
+		expect(fleet.inForce?.version).to.equal(1);
+	});
+
+	it('signs operators in with a cookie that scripts and other sites cannot use, and out again', async () => {
+		await withAdmin(new MemoryFleet(), async send => {
+			const wrong = await send('/console/sign-in', {method: 'POST', body: new URLSearchParams({credential: 'wrong'})});
+			const right = await send('/console/sign-in', {method: 'POST', body: new URLSearchParams({credential, user: 'eva'})});
+			expect([await send('/console'), await send('/console/sign-in'), wrong, right].map(exchange => show(exchange))).toMatchSnapshot();
+			const cookie = right.headers['set-cookie']?.split(';')[0] ?? '';
+			const page = await send('/console', {headers: {cookie}});
+			expect(page.body).to.include('Signed in as eva');
+			await send('/console/sign-out', {method: 'POST', headers: {cookie}, body: readForm(page)});
+			const later = await send('/console', {headers: {cookie}});
+			expect(later.status).to.equal(303);
+		});
+	});
+});
