monitor: evidence log, verification, promise counters and read-only app

Cause: the firm has to show the monitor that each promise held, from records that cannot be changed unnoticed. Change: EvidenceLog appends synced, hash-chained records and keeps the last one in a head file; verifyEvidence names the first broken link and takes a head that the monitor noted; PromiseCounters reports P1 to P12 as held, broken or not counted; createMonitorApp serves the read API and one page and answers 405 to every writing method. Before: an empty package.

--- /dev/null
+++ b/packages/monitor/src/constants.ts
@@ -0,0 +1,27 @@
+/** Previous hash of the first record. */
+export const GENESIS_HASH = '0'.repeat(64);
+
+/** Records between two remembered file positions; a page reads at most this many records too many. */
+export const PAGE_INDEX_STEP = 256;
+
+export const DEFAULT_PAGE_SIZE = 100;
+export const MAX_PAGE_SIZE = 1000;
+
+/** Fixed length of the head file, below one disk sector, so that overwriting it in place leaves the old or the new head. */
+export const HEAD_FILE_BYTES = 256;
+
+/** Each promise with what is counted for it. */
+export const PROMISES = {
+	P1: ['Accelerator memory is never overcommitted, including during a change.', 'orders checked against the memory ledger'],
+	P2: ['Every model stays reachable.', 'models checked for a copy or a load under way, once a planning round'],
+	P3: ['A request runs only for the customer whose key came with it; a withdrawn key stops working within seconds.', 'requests checked for their key immediately before the write'],
+	P4: ['No customer gets more than its rate and burst across all hosts together.', 'share grants checked against burst and rate'],
+	P5: ['A target in cold start gets no more load than it can sustain.', 'requests to cold targets checked against their permits'],
+	P6: ['A zone taken out of service gets no new work after a few seconds.', 'requests checked for the state of the target zone before the write'],
+	P7: ['Every caller gets the whole answer to its own request.', 'answers checked for request id, order and end'],
+	P8: ['A refusal that says "not run" is true.', 'refusals checked against what left the host'],
+	P9: ['A non-idempotent request runs at most once.', 'non-idempotent requests checked for a committed record before the write'],
+	P10: ['A leaving target gets no new work after a few seconds.', 'requests checked for the state of the target before the write'],
+	P11: ['Every planned stop interrupts no request.', 'planned stops checked for work left behind'],
+	P12: ['An accepted configuration is in force everywhere within seconds and never reverts.', 'versions checked against the version served before and their delay'],
+} as const;
--- /dev/null
+++ b/packages/monitor/src/credential.ts
@@ -0,0 +1,16 @@
+import {Buffer} from 'node:buffer';
+import {createHash, timingSafeEqual} from 'node:crypto';
+
+/** Creates a check of the monitor's credential, sent as a bearer token or, by a browser, as a Basic password. */
+export function createMonitorCheck(digest: string): (header: string | undefined) => boolean {
+	const expected = Buffer.from(digest, 'hex');
+	if (expected.length !== 32) {
+		throw new Error('The credential digest must be 64 hexadecimal digits.');
+	}
+
+	return header => {
+		const {scheme = '', value = ''} = /^(?<scheme>Basic|Bearer) +(?<value>\S+)$/iv.exec(header ?? '')?.groups ?? {};
+		const presented = scheme.toLowerCase() === 'basic' ? Buffer.from(value, 'base64').toString().replace(/^[^:]*:/v, '') : value;
+		return timingSafeEqual(createHash('sha256').update(presented).digest(), expected);
+	};
+}
--- /dev/null
+++ b/packages/monitor/src/evidence-chain.ts
@@ -0,0 +1,87 @@
+import {createHash} from 'node:crypto';
+import {GENESIS_HASH, HEAD_FILE_BYTES} from './constants.js';
+import {
+	EvidenceEntry, EvidenceHead, type BrokenLink, type EvidenceRecord,
+} from './types.js';
+
+/** A line of the evidence file, which ends in a newline unless it was torn. */
+export type EvidenceLine = {readonly text: string; readonly bytes: number; readonly isComplete: boolean};
+
+/** An entry with the hash that stands before it in the file. */
+export type HashedEntry = EvidenceEntry & {readonly hash: string};
+
+const linePattern = /^(?<hash>[\da-f]{64}) (?<json>\{.*\})$/sv;
+
+function getHash(text: string): string {
+	return createHash('sha256').update(text).digest('hex');
+}
+
+/** Appends a record to a chain: the hash covers the exact JSON text, which names the previous hash. */
+export function createLine(head: EvidenceHead | undefined, record: EvidenceRecord, at: string): {readonly text: string; readonly entry: HashedEntry} {
+	const entry = {
+		seq: (head?.seq ?? -1) + 1, previous: head?.hash ?? GENESIS_HASH, at, record,
+	};
+	const json = JSON.stringify(entry);
+	const hash = getHash(json);
+	return {text: `${hash} ${json}\n`, entry: {hash, ...entry}};
+}
+
+function parseJson(text: string): unknown {
+	try {
+		return JSON.parse(text);
+	} catch {
+		return undefined;
+	}
+}
+
+function createBrokenLink(line: number, fault: BrokenLink['fault'], expected: string, found: string): BrokenLink {
+	return {
+		intact: false, line, fault, expected, found,
+	};
+}
+
+/** Restores one line and checks that it continues the chain after `head`. */
+export function restoreLine(head: EvidenceHead | undefined, line: EvidenceLine): HashedEntry | BrokenLink {
+	const seq = (head?.seq ?? -1) + 1;
+	const number = seq + 1;
+	const {hash = '', json = ''} = linePattern.exec(line.text)?.groups ?? {};
+	if (hash === '') {
+		return createBrokenLink(number, 'format', 'a hash and a JSON object', `${line.bytes} bytes of another form`);
+	}
+
+	if (getHash(json) !== hash) {
+		return createBrokenLink(number, 'hash', hash, getHash(json));
+	}
+
+	const parsed = EvidenceEntry.safeParse(parseJson(json));
+	if (!parsed.success) {
+		return createBrokenLink(number, 'format', 'an evidence entry', parsed.error.issues.map(issue => issue.path.join('.')).join(', '));
+	}
+
+	const previous = head?.hash ?? GENESIS_HASH;
+	if (parsed.data.previous !== previous) {
+		return createBrokenLink(number, 'link', `previous ${previous}`, `previous ${parsed.data.previous}`);
+	}
+
+	if (parsed.data.seq !== seq) {
+		return createBrokenLink(number, 'sequence', `record ${seq}`, `record ${parsed.data.seq}`);
+	}
+
+	return {hash, ...parsed.data};
+}
+
+/** Type guard for lines that do not continue their chain. */
+export function isBrokenLink(value: HashedEntry | BrokenLink): value is BrokenLink {
+	return 'intact' in value;
+}
+
+/** Formats the head file; the padding keeps its length constant. */
+export function formatHead(head: EvidenceHead): string {
+	return `${JSON.stringify(head).padEnd(HEAD_FILE_BYTES - 1)}\n`;
+}
+
+/** Restores a head; undefined when the text is not one. */
+export function restoreHead(text: string): EvidenceHead | undefined {
+	const parsed = EvidenceHead.safeParse(parseJson(text));
+	return parsed.success ? parsed.data : undefined;
+}
--- /dev/null
+++ b/packages/monitor/src/evidence-log.ts
@@ -0,0 +1,171 @@
+import {PAGE_INDEX_STEP} from './constants.js';
+import {
+	createLine, formatHead, isBrokenLink, restoreLine, type HashedEntry,
+} from './evidence-chain.js';
+import {
+	EvidenceRecord, type BrokenLink, type EvidenceHead, type EvidencePage, type Verification,
+} from './types.js';
+import type {EvidenceStorage} from './evidence-storage.js';
+import {getAnchors, getUnreadableHead, verifyLines} from './verify-evidence.js';
+
+/** Evidence that cannot be written, or a file whose chain is broken. */
+export class EvidenceError extends Error {
+	override readonly name = 'EvidenceError';
+
+	constructor(message: string, readonly link?: BrokenLink, opts?: ErrorOptions) {
+		super(message, opts);
+	}
+}
+
+/** File position of the record `head.seq + 1`, with the head before it. */
+type Bookmark = {readonly byte: number; readonly head: EvidenceHead | undefined};
+
+export type EvidenceLogOptions = {
+	readonly storage: EvidenceStorage;
+	/** Wall-clock time as ISO text; it informs the reader and orders nothing. */
+	readonly getWallTime?: () => string;
+};
+
+/** Append-only, hash-chained and synced record of what happened on this host. */
+export class EvidenceLog {
+	/** Opens a log, checks its whole chain and drops a torn tail, which was never acknowledged. */
+	static async open(opts: EvidenceLogOptions): Promise<EvidenceLog> {
+		const log = new EvidenceLog(opts);
+		const anchors = getAnchors(await opts.storage.readHead());
+		const verification = anchors
+			? await verifyLines(opts.storage.readLines(0), {
+				anchors, onEntry(entry, bytes) {
+					log.advance(entry, bytes);
+				},
+			})
+			: getUnreadableHead();
+		log.durable = log.head;
+		await log.recover(verification);
+		return log;
+	}
+
+	private readonly storage: EvidenceStorage;
+	private readonly getWallTime: () => string;
+	private head: EvidenceHead | undefined;
+	private durable: EvidenceHead | undefined;
+	private bytes = 0;
+	private bookmarks: readonly Bookmark[] = [{byte: 0, head: undefined}];
+	private pending: readonly string[] = [];
+	private flushing: Promise<void> | undefined;
+	private nextFlush: Promise<void> | undefined;
+	private failure: Error | undefined;
+
+	private constructor(opts: EvidenceLogOptions) {
+		this.storage = opts.storage;
+		this.getWallTime = opts.getWallTime ?? (() => new Date().toISOString());
+	}
+
+	/** Appends a record and resolves once it is durable; records of the same moment share one sync. */
+	async append(record: EvidenceRecord): Promise<HashedEntry> {
+		this.checkUsable();
+		const line = createLine(this.head, EvidenceRecord.parse(record), this.getWallTime());
+		this.advance(line.entry, new TextEncoder().encode(line.text).length);
+		this.pending = [...this.pending, line.text];
+		this.nextFlush ??= this.flushAfter(this.flushing);
+		await this.nextFlush;
+		return line.entry;
+	}
+
+	/** The last durable record. */
+	getHead(): EvidenceHead | undefined {
+		return this.durable;
+	}
+
+	/** Why nothing can be appended any more, or undefined. */
+	getFailure(): string | undefined {
+		return this.failure?.message;
+	}
+
+	/** Reads durable records after a sequence number; -1 starts at the first. */
+	async readPage(after: number, limit: number): Promise<EvidencePage> {
+		const head = this.durable;
+		const bookmark = this.bookmarks.findLast(candidate => (candidate.head?.seq ?? -1) <= after) ?? {byte: 0, head: undefined};
+		const entries: HashedEntry[] = [];
+		let previous = bookmark.head;
+		for await (const line of this.storage.readLines(bookmark.byte)) {
+			if (entries.length >= limit || (previous?.seq ?? -1) >= (head?.seq ?? -1)) {
+				break;
+			}
+
+			const entry = restoreLine(previous, line);
+			if (isBrokenLink(entry)) {
+				throw new EvidenceError(`The evidence is broken at line ${entry.line} (${entry.fault}).`, entry);
+			}
+
+			previous = {seq: entry.seq, hash: entry.hash};
+			if (entry.seq > after) {
+				entries.push(entry);
+			}
+		}
+
+		const last = entries.at(-1)?.seq;
+		return {entries, next: last !== undefined && last < (head?.seq ?? -1) ? last : null, head: head ?? null};
+	}
+
+	/** Verifies what is durable now; `known` is a head that the caller noted earlier. */
+	async verify(known?: EvidenceHead): Promise<Verification> {
+		const {durable} = this;
+		const anchors = [durable, known].filter(head => head !== undefined);
+		return verifyLines(this.storage.readLines(0), {anchors, until: durable?.seq ?? -1});
+	}
+
+	/** Waits for appends under way and closes the files. */
+	async close(): Promise<void> {
+		await Promise.allSettled([this.flushing, this.nextFlush]);
+		this.failure ??= new EvidenceError('The evidence log is closed.');
+		await this.storage.close();
+	}
+
+	private advance(entry: HashedEntry, bytes: number): void {
+		this.head = {seq: entry.seq, hash: entry.hash};
+		this.bytes += bytes;
+		if ((entry.seq + 1) % PAGE_INDEX_STEP === 0) {
+			this.bookmarks = [...this.bookmarks, {byte: this.bytes, head: this.head}];
+		}
+	}
+
+	private async recover(verification: Verification): Promise<void> {
+		if (!verification.intact) {
+			const {line, fault, expected, found} = verification;
+			await this.storage.close();
+			throw new EvidenceError(`The evidence is broken at line ${line} (${fault}): expected ${expected}, found ${found}.`, verification);
+		}
+
+		if (verification.tornBytes > 0) {
+			await this.storage.truncate(this.bytes);
+			await this.append({kind: 'tail-dropped', bytes: verification.tornBytes});
+		}
+	}
+
+	private checkUsable(): void {
+		if (this.failure) {
+			throw new EvidenceError('The evidence log accepts no more records.', undefined, {cause: this.failure});
+		}
+	}
+
+	private async flushAfter(previous: Promise<void> | undefined): Promise<void> {
+		// Records that arrive while the previous batch is synced wait here and go out together.
+		await Promise.allSettled([previous]);
+		this.flushing = this.nextFlush;
+		this.nextFlush = undefined;
+		const text = this.pending.join('');
+		const head = this.head!;
+		this.pending = [];
+		this.checkUsable();
+		try {
+			await this.storage.append(text);
+			await this.storage.writeHead(formatHead(head));
+		} catch (err: unknown) {
+			// After a failed write or sync the state of the file is unknown, so nothing more is appended.
+			this.failure = err instanceof Error ? err : new Error(String(err));
+			throw new EvidenceError('The record could not be made durable.', undefined, {cause: err});
+		}
+
+		this.durable = head;
+	}
+}
--- a/packages/monitor/src/index.ts
+++ b/packages/monitor/src/index.ts
@@ -1,1 +1,9 @@
-export {};
+export * from './constants.js';
+export * from './evidence-chain.js';
+export * from './evidence-log.js';
+export * from './evidence-storage.js';
+export * from './monitor-app.js';
+export * from './monitor-view.js';
+export * from './promise-counters.js';
+export * from './types.js';
+export {verifyEvidence} from './verify-evidence.js';
--- /dev/null
+++ b/packages/monitor/tests/evidence.test.ts
@@ -0,0 +1,150 @@
+import {
+	appendFile, mkdtemp, readFile, rm, truncate, writeFile,
+} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {expect} from 'chai';
+import {
+	EvidenceError, EvidenceLog, FileEvidenceStorage, verifyEvidence, type EvidencePage, type EvidenceRecord,
+} from '../src/index.js';
+
+const getWallTime = () => '2026-12-04T08:00:00.000Z';
+
+function createRecord(version: number): EvidenceRecord {
+	return {
+		kind: 'zone-changed', zone: 'a', state: 'taken-out', version, author: 'line\u2028separator\nand newline',
+	};
+}
+
+/** Opens a log on a disk whose writes of one kind fail from now on. */
+async function openFailingLog(file: string, fails: 'append' | 'writeHead'): Promise<EvidenceLog> {
+	const storage = await FileEvidenceStorage.open(file);
+	storage[fails] = async () => {
+		throw new Error('ENOSPC: no space left on device');
+	};
+
+	return EvidenceLog.open({storage, getWallTime});
+}
+
+async function getFailure(run: () => Promise<unknown>): Promise<unknown> {
+	try {
+		await run();
+		return 'no failure';
+	} catch (err: unknown) {
+		return err instanceof EvidenceError ? {message: err.message, cause: (err.cause as Error | undefined)?.message, link: err.link} : err;
+	}
+}
+
+describe('evidence log', () => {
+	let folder = '';
+	let file = '';
+
+	async function openLog(): Promise<EvidenceLog> {
+		return EvidenceLog.open({storage: await FileEvidenceStorage.open(file), getWallTime});
+	}
+
+	async function writeLog(count: number): Promise<readonly string[]> {
+		const log = await openLog();
+		await Promise.all(Array.from({length: count}, async (_, i) => log.append(createRecord(i))));
+		await log.close();
+		const text = await readFile(file, 'utf8');
+		return text.split(/(?<=\n)/v);
+	}
+
+	beforeEach(async () => {
+		folder = await mkdtemp(path.join(tmpdir(), 'egretrill-evidence-'));
+		file = path.join(folder, 'data', 'evidence.log');
+	});
+
+	afterEach(async () => {
+		await rm(folder, {recursive: true});
+	});
+
+	it('writes a chain that anyone can verify and continues it after a restart', async () => {
+		await writeLog(2);
+		await writeLog(1);
+		expect({text: await readFile(file, 'utf8'), verification: await verifyEvidence(file)}).toMatchSnapshot();
+	});
+
+	it('reads pages across bookmarks in order and completely', async () => {
+		await writeLog(600);
+		const log = await openLog();
+		const seen: number[] = [];
+		for (let after: EvidencePage['next'] = -1; after !== null;) {
+			const page = await log.readPage(after, 170);
+			seen.push(...page.entries.map(entry => entry.seq));
+			after = page.next;
+		}
+
+		expect(seen).to.deep.equal(Array.from({length: 600}, (_, i) => i));
+		const last = await log.readPage(599, 10);
+		expect(last.entries).to.deep.equal([]);
+		await log.close();
+	});
+
+	it('names the first broken link of a changed file and refuses to append to it', async () => {
+		const lines = await writeLog(4);
+		const head = await readFile(`${file}.head`, 'utf8');
+		const cases: Readonly<Record<string, () => Promise<void>>> = {
+			tampered: async () => writeFile(file, lines.map((line, i) => i === 1 ? line.replace('taken-out', 'in-service') : line).join('')),
+			reordered: async () => writeFile(file, [lines[0], lines[2], lines[1], lines[3]].join('')),
+			'one record removed': async () => writeFile(file, [lines[0], lines[2], lines[3]].join('')),
+			'one record repeated': async () => writeFile(file, [lines[0], lines[0], ...lines.slice(1)].join('')),
+			'cut at a record': async () => writeFile(file, lines.slice(0, 3).join('')),
+			'cut within a record': async () => truncate(file, lines.join('').length - 10),
+			emptied: async () => truncate(file, 0),
+			'text inserted': async () => writeFile(file, [lines[0], 'hello\n', ...lines.slice(1)].join('')),
+			'damaged head': async () => writeFile(`${file}.head`, 'damaged'),
+		};
+		const outcomes: Record<string, unknown> = {};
+		for (const [name, change] of Object.entries(cases)) {
+			await change();
+			const verification = await verifyEvidence(file);
+			outcomes[name] = verification;
+			expect(await getFailure(openLog), name).to.have.property('link').that.deep.equals(verification);
+			await writeFile(file, lines.join(''));
+			await writeFile(`${file}.head`, head);
+		}
+
+		expect(outcomes).toMatchSnapshot();
+	});
+
+	it('detects a whole chain that was written anew, given a head that the monitor noted', async () => {
+		await writeLog(2);
+		const first = await verifyEvidence(file);
+		const noted = first.intact && first.head ? first.head : undefined;
+		await rm(path.dirname(file), {recursive: true});
+		const log = await EvidenceLog.open({storage: await FileEvidenceStorage.open(file), getWallTime: () => '2026-12-05T08:00:00.000Z'});
+		await log.append(createRecord(0));
+		await log.append(createRecord(1));
+		expect(await log.verify(noted)).to.include({intact: false, line: 2, fault: 'replaced'});
+		await log.close();
+		expect(await verifyEvidence(file, noted)).to.include({intact: false, line: 2, fault: 'replaced'});
+		expect(await verifyEvidence(file)).to.include({intact: true, records: 2});
+	});
+
+	it('drops and records a torn tail that was never acknowledged, as after a crash during a write', async () => {
+		await writeLog(2);
+		await appendFile(file, '0123456789');
+		expect(await verifyEvidence(file)).to.include({intact: true, records: 2, tornBytes: 10});
+		const log = await openLog();
+		const page = await log.readPage(1, 10);
+		expect(page.entries.map(entry => entry.record)).to.deep.equal([{kind: 'tail-dropped', bytes: 10}]);
+		await log.close();
+		expect(await verifyEvidence(file)).to.include({intact: true, records: 3, tornBytes: 0});
+	});
+
+	it('acknowledges nothing after a disk error and shows no record that is not durable', async () => {
+		await writeLog(1);
+		for (const fails of ['append', 'writeHead'] as const) {
+			const log = await openFailingLog(file, fails);
+			const append = async (version: number) => getFailure(async () => log.append(createRecord(version)));
+			const failures = [...await Promise.all([append(1), append(2)]), await append(3)];
+			const page = await log.readPage(-1, 10);
+			expect({
+				failures, failure: log.getFailure(), shown: page.entries.length, verification: await log.verify(),
+			}).toMatchSnapshot(fails);
+			await log.close();
+		}
+	});
+});
