--- /dev/null
+++ b/packages/engines/tests/placement/engine-books.ts
@@ -0,0 +1,63 @@
+import type {Order} from '@egretrill/common';
+import type {TargetReport} from '../../src/placement/index.js';
+
+/** Sizes of the models that the histories place, in MB. */
+export const SIZES_MB: Readonly<Record<string, number>> = {
+	a: 30, b: 40, c: 50, d: 20,
+};
+
+export const MEMORY_MB = 100;
+
+/** Builds a model of the configuration. */
+export function createModel(id: string, memoryMb = SIZES_MB[id] ?? 0, version = 'v1') {
+	return {
+		id, version, memoryMb, kvReserveMb: 0, minCopies: 1, adapters: [],
+	};
+}
+
+/** A stand-in engine's own books: memory is taken when a load begins, and listed when it ends. */
+export class EngineBooks {
+	startId = 's1';
+	peakMb = 0;
+	private contents = new Map<string, {readonly listedAtMs: number}>();
+	private taken: string[] = [];
+	private done: Array<{readonly orderId: string; readonly atMs: number}> = [];
+
+	constructor(private readonly namesOrders: boolean) {}
+
+	/** Carries out an order unless this start has already seen it. */
+	take(order: Order, nowMs: number, loadMs: number): void {
+		if (this.taken.includes(order.orderId) || !('model' in order)) {
+			return;
+		}
+
+		this.taken.push(order.orderId);
+		if (order.kind === 'load-model') {
+			this.contents.set(order.model, {listedAtMs: this.contents.get(order.model)?.listedAtMs ?? nowMs + loadMs});
+			this.done.push({orderId: order.orderId, atMs: nowMs + loadMs});
+		} else {
+			this.contents.delete(order.model);
+			this.done.push({orderId: order.orderId, atMs: nowMs});
+		}
+
+		this.peakMb = Math.max(this.peakMb, [...this.contents.keys()].reduce((sum, model) => sum + (SIZES_MB[model] ?? 0), 0));
+	}
+
+	/** Starts anew with some of the listed contents and no memory of earlier orders. */
+	restart(nowMs: number, keeps: () => boolean): void {
+		this.startId = `s${Number(this.startId.slice(1)) + 1}`;
+		this.contents = new Map([...this.contents].filter(([, {listedAtMs}]) => listedAtMs <= nowMs && keeps()));
+		this.taken = [];
+		this.done = [];
+	}
+
+	report(nowMs: number): TargetReport {
+		return {
+			targetId: 't1',
+			startId: this.startId,
+			memoryMb: MEMORY_MB,
+			resident: [...this.contents].filter(([, {listedAtMs}]) => listedAtMs <= nowMs).map(([model]) => ({model, version: 'v1', adapters: []})),
+			settledOrders: this.namesOrders ? this.done.filter(({atMs}) => atMs <= nowMs).map(({orderId}) => orderId).slice(-64) : [],
+		};
+	}
+}
