placement, weight-store: tests of the zone owner and order channels; load budget

Cause: two owners must never both act, a lost order must not run twice, and loads must stay within the store's budget. Before: no test; moves planned while a predecessor's loads may run used up permits.

--- a/packages/engines/src/placement/load-permits.ts
+++ b/packages/engines/src/placement/load-permits.ts
@@ -1,5 +1,5 @@
-/** A permit of the weight store, given back when the load has ended. */
-export type LoadPermit = {readonly release: () => Promise<void>};
+/** A permit of the weight store; `release` gives it back and does not wait for the answer. */
+export type LoadPermit = {readonly release: () => void};
 
 /** Asks the owner of the weight store's budget for permits; the daemon connects it to `LoadBudget`. */
 export abstract class LoadPermits {
--- a/packages/engines/src/placement/memory-ledger.ts
+++ b/packages/engines/src/placement/memory-ledger.ts
@@ -182,11 +182,9 @@
 		return [...this.books.get(targetId)?.entries.values() ?? []].some(({order, state}) => order.kind === 'unload-model' && order.model === model && state !== 'settled');
 	}
 
-	/** Returns targets on which the model is resident and no unload of it is under way. */
-	getServingTargets(model: string): readonly string[] {
-		return [...this.books]
-			.filter(([targetId, book]) => [...book.items.keys()].some(key => key.startsWith(`${model}@`)) && !this.isUnloading(targetId, model))
-			.map(([targetId]) => targetId);
+	/** Returns whether loads that an earlier owner ordered may still be under way on the target. */
+	isSettling(targetId: string): boolean {
+		return !(this.books.get(targetId)?.quiet ?? false);
 	}
 
 	/** Forgets a target that has left, once none of its orders can still arrive. */
--- a/packages/engines/src/placement/plan-input.ts
+++ b/packages/engines/src/placement/plan-input.ts
@@ -54,7 +54,7 @@
 		capacityPerS: (view.getCapacityPerS ?? getCapacityPerS)(target),
 		role: target.role,
 		roleAgeMs: getAgeMs(`${target.targetId}#${target.role}`),
-		busy: view.moving.has(target.targetId),
+		busy: view.moving.has(target.targetId) || view.ledger.isSettling(target.targetId),
 		leaving: target.leaving,
 		copies: target.resident.map(copy => ({...copy, ageMs: getAgeMs(`${target.targetId}/${copy.model}@${copy.version}`), idleMs: 0})),
 		loading: [...getLoading(view.moving.get(target.targetId))],
--- a/packages/engines/src/placement/round-plan.ts
+++ b/packages/engines/src/placement/round-plan.ts
@@ -26,8 +26,9 @@
 		const unloads = evictions.map(copy => this.evict(copy));
 		this.fleet.addLoading(model, target);
 		this.loadsLeft -= 1;
+		const {id, version} = model.model;
 		this.add({
-			targetId: target.planned.targetId, model: model.model.id, reason: cause.reason, urgent: cause.urgent, steps: [...unloads, {kind: 'load-model', model: model.model.id, version: model.model.version}],
+			targetId: target.planned.targetId, model: id, reason: cause.reason, urgent: cause.urgent, steps: [...unloads, {kind: 'load-model', model: id, version}],
 		}, target, cause.weighedAgainst);
 	}
 
--- a/packages/engines/src/placement/zone-owner.ts
+++ b/packages/engines/src/placement/zone-owner.ts
@@ -4,7 +4,7 @@
 import {
 	EXPLANATIONS_PER_MODEL, LEASE_MARGIN_MS, LEASE_POLL_MS, MODEL_LOAD_BOUND_MS, ORDER_LIFETIME_MS, ORDER_RETRY_MS, OWNER_LEASE_MS, PERMIT_WAIT_MS, PLAN_PERIOD_MS,
 } from './constants.js';
-import type {LoadPermits} from './load-permits.js';
+import type {LoadPermit, LoadPermits} from './load-permits.js';
 import {MemoryLedger} from './memory-ledger.js';
 import type {OrderChannel} from './order-channel.js';
 import {buildPlanInput, type PlanningView} from './plan-input.js';
@@ -108,11 +108,19 @@
 			this.startRound(term, signal);
 			await this.opts.clock.sleep(PLAN_PERIOD_MS, signal);
 		}
+
+		while ((this.term?.moving.size ?? 0) > 0) {
+			await this.changed.wait(this.opts.clock, PLAN_PERIOD_MS);
+		}
 	}
 
-	/** Issues one order and waits until its outcome is known: reserve, write, settle. */
+	/** Issues one order under the present lease and waits until its outcome is known. */
 	async issueOrder(targetId: string, step: MoveStep, signal: AbortSignal): Promise<OrderResult> {
-		const term = this.openTerm();
+		return this.issue(this.openTerm(), targetId, step, signal);
+	}
+
+	/** Carries one order straight down: reserve, write, settle. */
+	private async issue(term: Term, targetId: string, step: MoveStep, signal: AbortSignal): Promise<OrderResult> {
 		term.orderCount += 1;
 		const order: Order = {
 			...step, orderId: `${this.opts.zone}-${term.epoch}-${term.orderCount}`, fencing: term.epoch, expiresInMs: ORDER_LIFETIME_MS,
@@ -189,12 +197,11 @@
 	/** Carries out one move straight down: permit, then each step after the one before has settled. */
 	private async carryOut(term: Term, move: Move, signal: AbortSignal): Promise<void> {
 		const load = move.steps.find(step => step.kind === 'load-model' || step.kind === 'load-adapter');
-		const permit = load === undefined ? undefined : await this.opts.permits.acquire(load.kind === 'load-model' ? 'model' : 'adapter', move.urgent, PERMIT_WAIT_MS, signal);
+		let permit: LoadPermit | undefined;
 		try {
+			permit = load === undefined ? undefined : await this.opts.permits.acquire(load.kind === 'load-model' ? 'model' : 'adapter', move.urgent, PERMIT_WAIT_MS, signal);
 			if (load !== undefined && permit === undefined) {
-				this.keepExplanation({
-					model: move.model, targetId: move.targetId, decision: 'wait', reason: 'no-permit', weighedAgainst: `no load permit within ${PERMIT_WAIT_MS} ms`,
-				});
+				this.explainWait(move, 'no-permit', `no load permit within ${PERMIT_WAIT_MS} ms`);
 				return;
 			}
 
@@ -203,24 +210,27 @@
 					return;
 				}
 
-				const done = await this.issueOrder(move.targetId, step, signal);
+				const done = await this.issue(term, move.targetId, step, signal);
 				if (done.result !== 'applied') {
-					this.keepExplanation({
-						model: move.model, targetId: move.targetId, decision: 'wait', reason: done.result, weighedAgainst: done.reason,
-					});
+					this.explainWait(move, done.result, done.reason);
 					return;
 				}
 			}
+		} catch (err: unknown) {
+			// The budget's owner may be out of reach; the next round tries again.
+			this.explainWait(move, 'failed', String(err));
 		} finally {
-			await permit?.release();
+			permit?.release();
 			term.moving.delete(move.targetId);
+			this.changed.notify();
 		}
 	}
 
 	/** Checks again, at the moment of the order, that another copy serves; other moves may have run since planning. */
 	private mayUnload(term: Term, move: Move, step: MoveStep & {kind: 'unload-model' | 'load-model'}): boolean {
 		const isConfigured = this.state.models.some(({id}) => id === step.model);
-		const isElsewhere = term.ledger.getServingTargets(step.model).some(targetId => targetId !== move.targetId && this.isLive(targetId));
+		const isElsewhere = [...this.announcements.values()].some(({announcement: {targetId, resident}}) => targetId !== move.targetId && this.isLive(targetId)
+			&& resident.some(({model}) => model === step.model) && !term.ledger.isUnloading(targetId, step.model));
 		const isRemote = this.state.remoteTargets.some(target => !target.leaving && target.zone < this.opts.zone && target.copies.some(copy => copy.model === step.model));
 		return !isConfigured || isElsewhere || isRemote || move.reason === 'no-copy';
 	}
@@ -272,6 +282,12 @@
 		return !term.isFenced && this.opts.lease.epoch === term.epoch && this.opts.lease.remainingMs() > LEASE_MARGIN_MS && this.opts.clock.now() >= term.firstOrderAtMs;
 	}
 
+	private explainWait({model, targetId}: Move, reason: string, weighedAgainst: string): void {
+		this.keepExplanation({
+			model, targetId, decision: 'wait', reason, weighedAgainst,
+		});
+	}
+
 	private keepExplanation(explanation: Explanation): void {
 		const earlier = this.explanations.get(explanation.model) ?? [];
 		this.explanations.set(explanation.model, [explanation, ...earlier].slice(0, EXPLANATIONS_PER_MODEL));
--- a/packages/engines/tests/placement/engine-books.ts
+++ b/packages/engines/tests/placement/engine-books.ts
@@ -19,28 +19,34 @@
 export class EngineBooks {
 	startId = 's1';
 	peakMb = 0;
-	private contents = new Map<string, {readonly listedAtMs: number}>();
+	/** Every order that arrived, repeated ones included. */
+	readonly arrivals: string[] = [];
+	private contents: Map<string, {readonly listedAtMs: number}>;
 	private taken: string[] = [];
 	private done: Array<{readonly orderId: string; readonly atMs: number}> = [];
 
-	constructor(private readonly namesOrders: boolean) {}
+	constructor(private readonly namesOrders: boolean, private readonly targetId = 't1', residents: readonly string[] = []) {
+		this.contents = new Map(residents.map(key => [key, {listedAtMs: 0}]));
+	}
 
 	/** Carries out an order unless this start has already seen it. */
 	take(order: Order, nowMs: number, loadMs: number): void {
+		this.arrivals.push(`${nowMs} ms: ${order.orderId} ${order.kind}${'model' in order ? ` ${order.model}@${order.version}` : ''}`);
 		if (this.taken.includes(order.orderId) || !('model' in order)) {
 			return;
 		}
 
+		const key = `${order.model}@${order.version}`;
 		this.taken.push(order.orderId);
 		if (order.kind === 'load-model') {
-			this.contents.set(order.model, {listedAtMs: this.contents.get(order.model)?.listedAtMs ?? nowMs + loadMs});
+			this.contents.set(key, {listedAtMs: this.contents.get(key)?.listedAtMs ?? nowMs + loadMs});
 			this.done.push({orderId: order.orderId, atMs: nowMs + loadMs});
 		} else {
-			this.contents.delete(order.model);
+			this.contents.delete(key);
 			this.done.push({orderId: order.orderId, atMs: nowMs});
 		}
 
-		this.peakMb = Math.max(this.peakMb, [...this.contents.keys()].reduce((sum, model) => sum + (SIZES_MB[model] ?? 0), 0));
+		this.peakMb = Math.max(this.peakMb, [...this.contents.keys()].reduce((sum, key) => sum + (SIZES_MB[key.split('@')[0]!] ?? 0), 0));
 	}
 
 	/** Starts anew with some of the listed contents and no memory of earlier orders. */
@@ -53,10 +59,10 @@
 
 	report(nowMs: number): TargetReport {
 		return {
-			targetId: 't1',
+			targetId: this.targetId,
 			startId: this.startId,
 			memoryMb: MEMORY_MB,
-			resident: [...this.contents].filter(([, {listedAtMs}]) => listedAtMs <= nowMs).map(([model]) => ({model, version: 'v1', adapters: []})),
+			resident: [...this.contents].filter(([, {listedAtMs}]) => listedAtMs <= nowMs).map(([key]) => ({model: key.split('@')[0]!, version: key.split('@')[1]!, adapters: []})),
 			settledOrders: this.namesOrders ? this.done.filter(({atMs}) => atMs <= nowMs).map(({orderId}) => orderId).slice(-64) : [],
 		};
 	}
--- /dev/null
+++ b/packages/engines/tests/placement/order-channel.test.ts
@@ -0,0 +1,87 @@
+import {once} from 'node:events';
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import type {Order} from '@egretrill/common';
+import {expect} from 'chai';
+import {
+	FencingOrderChannel, type HttpOrderChannel, type SendOutcome, UnfencedOrderChannel,
+} from '../../src/placement/index.js';
+
+type Answer = (req: IncomingMessage, res: ServerResponse) => void;
+
+const order: Order = {
+	orderId: 'o1', fencing: 3, expiresInMs: 2000, kind: 'load-model', model: 'a', version: 'v1',
+};
+
+function answer(status: number): Answer {
+	return (_req, res) => {
+		res.writeHead(status).end();
+	};
+}
+
+describe('order channels over HTTP', () => {
+	let server: Server;
+	let handle: Answer = answer(202);
+	let received = 0;
+
+	before(async () => {
+		server = createServer((req, res) => {
+			received += 1;
+			handle(req, res);
+		}).listen(0, '127.0.0.1');
+		await once(server, 'listening');
+	});
+
+	after(() => {
+		server.close();
+	});
+
+	async function send(channel: HttpOrderChannel, sent: Order, mayWrite = true): Promise<SendOutcome> {
+		const {port} = server.address() as AddressInfo;
+		return channel.send({targetId: 't1', startId: 's1', address: `127.0.0.1:${port}`}, sent, () => mayWrite, new AbortController().signal);
+	}
+
+	it('tells refusals and stale fencing numbers from outcomes that are unknown', async () => {
+		const outcomes: Record<string, unknown> = {};
+		for (const status of [200, 202, 400, 409, 412, 503]) {
+			handle = answer(status);
+			outcomes[status] = {fencing: await send(new FencingOrderChannel(), order), unfenced: await send(new UnfencedOrderChannel(), order)};
+		}
+
+		expect(outcomes).toMatchSnapshot();
+	});
+
+	it('destroys the connection at expiry and reports the outcome as unknown, since the engine may have taken the order', async () => {
+		let closed: Promise<unknown> | undefined;
+		handle = req => {
+			closed = once(req.socket, 'close');
+		};
+
+		const {result} = await send(new UnfencedOrderChannel(), {...order, expiresInMs: 100});
+		await closed;
+		expect(result).to.equal('unknown');
+	});
+
+	it('reports a connection that breaks after the write as unknown', async () => {
+		handle = req => {
+			req.socket.destroy();
+		};
+
+		const {result} = await send(new FencingOrderChannel(), order);
+		expect(result).to.equal('unknown');
+	});
+
+	it('writes nothing without a lease or without a listener, and says so', async () => {
+		received = 0;
+		const forbidden = await send(new FencingOrderChannel(), order, false);
+		const idle = createServer().listen(0, '127.0.0.1');
+		await once(idle, 'listening');
+		const {port} = idle.address() as AddressInfo;
+		idle.close();
+		await once(idle, 'close');
+		const refused = await new UnfencedOrderChannel().send({targetId: 't1', startId: 's1', address: `127.0.0.1:${port}`}, order, () => true, new AbortController().signal);
+		expect({received, forbidden: forbidden.result, refused: refused.result}).to.deep.equal({received: 0, forbidden: 'not-sent', refused: 'not-sent'});
+	});
+});
--- /dev/null
+++ b/packages/engines/tests/placement/zone-owner.test.ts
@@ -0,0 +1,217 @@
+import {setImmediate} from 'node:timers/promises';
+import {
+	Announcement, ManualClock, type Model, type Order,
+} from '@egretrill/common';
+import {expect} from 'chai';
+import {
+	DemandPlacement, LeaseHolder, type LoadPermit, LoadPermits, type MoveStep, OrderChannel, type OrderTarget, type SendOutcome, TAKEOVER_WAIT_MS, ZoneOwner,
+} from '../../src/placement/index.js';
+import {createModel, EngineBooks, MEMORY_MB} from './engine-books.js';
+
+class TestLease extends LeaseHolder {
+	epoch = 1;
+	remaining = 3000;
+
+	remainingMs(): number {
+		return this.remaining;
+	}
+}
+
+class OpenPermits extends LoadPermits {
+	held = 0;
+
+	async acquire(): Promise<LoadPermit> {
+		this.held += 1;
+		return {
+			release: () => {
+				this.held -= 1;
+			},
+		};
+	}
+}
+
+type Fault = 'lost' | 'answer-lost' | 'stale-fencing' | 'refused' | 'lease-ends';
+
+/** Delivers orders to the stand-in engines, after the faults that a test sets up. */
+class TestChannel extends OrderChannel {
+	faults: Fault[] = [];
+
+	constructor(private readonly engines: ReadonlyMap<string, EngineBooks>, private readonly clock: ManualClock, private readonly lease: TestLease) {
+		super();
+	}
+
+	async send(target: OrderTarget, order: Order, mayWrite: () => boolean): Promise<SendOutcome> {
+		const fault = this.faults.shift();
+		if (fault === 'lease-ends') {
+			this.lease.remaining = 0;
+		}
+
+		if (!mayWrite()) {
+			return {result: 'not-sent', reason: 'The lease does not allow a write.'};
+		}
+
+		if (fault === 'lost') {
+			return {result: 'unknown', reason: 'lost'};
+		}
+
+		if (fault === 'stale-fencing' || fault === 'refused') {
+			return {result: fault, reason: fault};
+		}
+
+		this.engines.get(target.targetId)?.take(order, this.clock.now(), 1000);
+		return fault === 'answer-lost' ? {result: 'unknown', reason: 'answer lost'} : {result: 'accepted', reason: 'accepted'};
+	}
+}
+
+/** A zone with stand-in engines on a clock that the test moves. */
+class TestZone {
+	readonly clock = new ManualClock();
+	readonly lease = new TestLease();
+	readonly permits = new OpenPermits();
+	readonly engines: ReadonlyMap<string, EngineBooks>;
+	readonly channel: TestChannel;
+	readonly owner: ZoneOwner;
+	/** Models that no engine listed at some announcement. */
+	readonly unreachable = new Set<string>();
+	private readonly stopping = new AbortController();
+
+	constructor(residents: Readonly<Record<string, readonly string[]>>, private models: readonly Model[]) {
+		this.engines = new Map(Object.entries(residents).map(([id, keys]) => [id, new EngineBooks(true, id, keys)]));
+		this.channel = new TestChannel(this.engines, this.clock, this.lease);
+		this.owner = new ZoneOwner({
+			zone: 'z1', clock: this.clock, lease: this.lease, policy: new DemandPlacement(), permits: this.permits, getChannel: () => this.channel,
+		});
+		this.setModels(models);
+	}
+
+	setModels(models: readonly Model[], demand: Readonly<Record<string, number>> = {}): void {
+		this.models = models;
+		this.owner.setState({
+			models,
+			placements: {pins: [], forbids: []},
+			demand: Object.entries(demand).map(([model, ratePerS]) => ({
+				model, ratePerS, sigmaPerS: 0, shifted: false,
+			})),
+			remoteTargets: [],
+			loadSlots: 2,
+		});
+	}
+
+	/** Runs the owner's planning in the background until `stop`. */
+	start(): void {
+		void this.owner.run(this.stopping.signal);
+	}
+
+	stop(): void {
+		this.stopping.abort();
+	}
+
+	async issue(targetId: string, step: MoveStep) {
+		return this.owner.issueOrder(targetId, step, this.stopping.signal);
+	}
+
+	/** Advances time while the engines announce themselves every 500 ms. */
+	async advance(ms: number): Promise<void> {
+		for (let elapsedMs = 0; elapsedMs < ms; elapsedMs += 100) {
+			this.clock.advance(100);
+			if (this.clock.now() % 500 === 0) {
+				this.announce();
+			}
+
+			for (let turn = 0; turn < 5; turn++) {
+				await setImmediate();
+			}
+		}
+	}
+
+	getArrivals(): readonly string[] {
+		return [...this.engines].flatMap(([id, engine]) => engine.arrivals.map(line => `${id} ${line}`));
+	}
+
+	private announce(): void {
+		const reports = [...this.engines.values()].map(engine => engine.report(this.clock.now()));
+		for (const report of reports) {
+			this.owner.observe(Announcement.parse({
+				...report, zone: 'z1', address: '127.0.0.1:1', kind: 'engine', load: {
+					running: 0, waiting: 0, limit: 8, kvUsedRatio: 0,
+				},
+			}));
+		}
+
+		for (const {id} of this.models) {
+			if (!reports.some(({resident}) => resident.some(({model}) => model === id))) {
+				this.unreachable.add(id);
+			}
+		}
+	}
+}
+
+const loadB: MoveStep = {kind: 'load-model', model: 'b', version: 'v1'};
+const QUIET_MS = Math.ceil(TAKEOVER_WAIT_MS) + 12_900;
+
+async function openZone(): Promise<TestZone> {
+	const zone = new TestZone({t1: ['a@v1']}, ['a', 'b', 'c', 'd'].map(id => createModel(id)));
+	await zone.advance(100);
+	await zone.issue('t1', loadB);
+	await zone.advance(QUIET_MS);
+	return zone;
+}
+
+describe('zone owner', () => {
+	it('orders nothing before the orders of the holder before it have ended, and no load before their loads have', async () => {
+		const zone = new TestZone({t1: ['a@v1']}, ['a', 'b'].map(id => createModel(id)));
+		zone.start();
+		await zone.advance(TAKEOVER_WAIT_MS + 9000);
+		expect(zone.getArrivals()).to.deep.equal([]);
+		await zone.advance(10_000);
+		zone.lease.epoch = 2;
+		const before = zone.getArrivals();
+		await zone.advance(100);
+		expect(await zone.issue('t1', {kind: 'unload-model', model: 'b', version: 'v1'})).toMatchSnapshot();
+		zone.stop();
+		expect({before, after: zone.getArrivals()}).toMatchSnapshot();
+	});
+
+	for (const faults of [['lost', 'lost'], ['answer-lost'], ['refused'], ['lost', 'refused'], ['stale-fencing'], ['lease-ends']] satisfies Fault[][]) {
+		it(`carries an order out at most once and reports the truth after: ${faults.join(', ')}`, async () => {
+			const zone = await openZone();
+			zone.channel.faults = [...faults];
+			const issued = zone.issue('t1', loadB);
+			await zone.advance(20_000);
+			const result = await issued;
+			zone.lease.remaining = 3000;
+			const next = zone.issue('t1', {kind: 'load-model', model: 'c', version: 'v1'});
+			await zone.advance(20_000);
+			expect({
+				result, next: await next, arrivals: zone.getArrivals(), peakMb: zone.engines.get('t1')?.peakMb,
+			}).toMatchSnapshot();
+		});
+	}
+
+	it('keeps every model reachable and memory within bounds through a version change on full engines', async () => {
+		const zone = new TestZone({t1: ['a@v1', 'b@v1', 'd@v1'], t2: ['c@v1', 'a@v1', 'd@v1']}, ['a', 'b', 'c', 'd'].map(id => createModel(id)));
+		zone.start();
+		await zone.advance(QUIET_MS);
+		zone.setModels([createModel('a', 30, 'v2'), ...['b', 'c', 'd'].map(id => createModel(id))], {a: 1});
+		await zone.advance(20_000);
+		zone.stop();
+		expect({
+			unreachable: [...zone.unreachable],
+			arrivals: zone.getArrivals(),
+			peaks: [...zone.engines.values()].map(({peakMb}) => peakMb),
+			permitsHeld: zone.permits.held,
+			explained: zone.owner.explain('a'),
+		}).toMatchSnapshot();
+		expect([...zone.engines.values()].every(({peakMb}) => peakMb <= MEMORY_MB)).to.equal(true);
+	});
+
+	it('does not act on an earlier move once its target has restarted with other contents', async () => {
+		const zone = await openZone();
+		zone.channel.faults = ['answer-lost'];
+		const issued = zone.issue('t1', loadB);
+		await zone.advance(300);
+		zone.engines.get('t1')?.restart(zone.clock.now(), () => false);
+		await zone.advance(20_000);
+		expect({result: await issued, arrivals: zone.getArrivals()}).toMatchSnapshot();
+	});
+});
--- /dev/null
+++ b/packages/weight-store/tests/load-budget.test.ts
@@ -0,0 +1,80 @@
+import {expect} from 'chai';
+import {
+	LoadBudget, type LoadKind, type LoadUrgency, MODEL_PERMIT_TTL_MS,
+} from '../src/index.js';
+
+const limits = {loadsPerSecond: 2, concurrentLoads: 9, concurrentAdapterLoads: 70};
+
+function createBudget(isSuccessor = false): LoadBudget {
+	return new LoadBudget({
+		limits, nowMs: 0, isSuccessor, epoch: 1,
+	});
+}
+
+function ask(budget: LoadBudget, requestId: string, nowMs: number, opts: {readonly urgency?: LoadUrgency; readonly kind?: LoadKind} = {}): string {
+	const answer = budget.requestPermit({
+		requestId, holder: 'host', kind: 'model', urgency: 'urgent', ...opts,
+	}, nowMs);
+	return `${nowMs} ms ${requestId}: ${answer.granted ? `permit ${answer.permitId}` : `${answer.reason}, again in ${answer.retryAfterMs.toFixed(0)} ms`}`;
+}
+
+describe('load budget', () => {
+	it('starts no burst when 50 hosts ask at once, and stays under both limits', () => {
+		const budget = createBudget();
+		const grantedAtMs: number[] = [];
+		const granted = new Set<string>();
+		let most = 0;
+		for (let nowMs = 0; nowMs < 20_000; nowMs += 20) {
+			for (let host = 0; host < 50; host++) {
+				const id = `h${host}`;
+				if (!granted.has(id) && ask(budget, id, nowMs).includes('permit')) {
+					granted.add(id);
+					grantedAtMs.push(nowMs);
+				}
+			}
+
+			most = Math.max(most, budget.countHeld('model', nowMs));
+		}
+
+		expect({most, grantedAtMs}).toMatchSnapshot();
+		expect(most).to.be.at.most(limits.concurrentLoads);
+		expect(grantedAtMs.every((atMs, i) => i === 0 || atMs - grantedAtMs[i - 1]! >= 500)).to.equal(true);
+	});
+
+	it('puts urgent loads before speculative ones that asked earlier', () => {
+		const budget = createBudget();
+		expect([
+			ask(budget, 'first', 0),
+			ask(budget, 'guess', 10, {urgency: 'speculative'}),
+			ask(budget, 'needed', 20),
+			ask(budget, 'guess', 500, {urgency: 'speculative'}),
+			ask(budget, 'needed', 510),
+			ask(budget, 'guess', 1010, {urgency: 'speculative'}),
+		]).toMatchSnapshot();
+	});
+
+	it('gives a repeated request its own permit and frees places by release and by expiry', () => {
+		const budget = createBudget();
+		const lines = [ask(budget, 'a', 0), ask(budget, 'a', 100), ask(budget, 'b', 500)];
+		budget.releasePermit('1-1');
+		budget.releasePermit('1-1');
+		expect([...lines, `held ${budget.countHeld('model', 600)}`, `held ${budget.countHeld('model', 600 + (MODEL_PERMIT_TTL_MS * 1.1))}`]).toMatchSnapshot();
+	});
+
+	it('keeps adapter loads under the knee, apart from model loads', () => {
+		const budget = createBudget();
+		const answers = Array.from({length: 80}, (_, i) => ask(budget, `x${i}`, 0, {kind: 'adapter'}));
+		expect(answers.filter(line => line.includes('permit'))).to.have.length(70);
+		expect(answers.at(-1)).toMatchSnapshot();
+	});
+
+	it('forgets a waiter that stopped asking, so that it does not block the queue', () => {
+		const budget = createBudget();
+		expect([ask(budget, 'first', 0), ask(budget, 'gone', 100), ask(budget, 'next', 600), ask(budget, 'next', 1600), ask(budget, 'next', 2200)]).toMatchSnapshot();
+	});
+
+	it('grants nothing as successor until the permits of the owner before have expired', () => {
+		const budget = createBudget(true);
+		expect([0, 5000, 10_000, 10_100].map(nowMs => ask(budget, 'a', nowMs))).toMatchSnapshot();
+	});
+});
