routing: draw near-equal targets and weigh own work for the fleet

Cause: eight hosts that read one stale report each corrected it by their own requests alone and filled the best of 13 targets to 18 of 16 slots. Change: an own request since the report counts for up to four, by the root of this host's inverse share of the reported load; the tie-break is a fair draw within 10 ms and never prefers a farther target; round robin takes the longest unused candidate.

--- a/packages/engines/src/routing/baseline-routing.ts
+++ b/packages/engines/src/routing/baseline-routing.ts
@@ -1,4 +1,5 @@
 import type {Random} from '@egretrill/common';
+import {MAX_TURNS} from './constants.js';
 import {type Pick, RoutingPolicy} from './routing-policy.js';
 import type {Candidate, RoutingRequest} from './types.js';
 
@@ -28,19 +29,30 @@
 
 /** Baseline: each model's candidates in turn. */
 export class RoundRobinRouting extends RoutingPolicy {
+	private readonly turns = new Map<string, number>();
+	private turn = 0;
+
 	get name(): string {
 		return 'round-robin';
 	}
 
-	private readonly lastByNeed = new Map<string, string>();
-
 	protected pick(candidates: readonly Candidate[], req: RoutingRequest): Pick {
-		const need = `${req.model ?? ''}/${req.service ?? ''}`;
-		const last = this.lastByNeed.get(need) ?? '';
-		const ordered = candidates.toSorted((first, second) => first.targetId < second.targetId ? -1 : 1);
-		// Continuing after the last target id stays fair when targets come and go.
-		const candidate = ordered.find(entry => entry.targetId > last) ?? ordered[0]!;
-		this.lastByNeed.set(need, candidate.targetId);
-		return {candidate, reason: 'next in turn', scores: [getScore(candidate)]};
+		const getKey = (candidate: Candidate): string => `${req.model ?? req.service ?? ''}/${candidate.targetId}`;
+		const getTurn = (candidate: Candidate): number => this.turns.get(getKey(candidate)) ?? 0;
+		// The longest unused candidate stays fair when the set of candidates varies from request to request.
+		let [chosen] = candidates;
+		for (const candidate of candidates) {
+			chosen = getTurn(candidate) < getTurn(chosen!) ? candidate : chosen;
+		}
+
+		this.turn += 1;
+		this.turns.delete(getKey(chosen!));
+		this.turns.set(getKey(chosen!), this.turn);
+		if (this.turns.size > MAX_TURNS) {
+			const [oldest] = this.turns.keys();
+			this.turns.delete(oldest!);
+		}
+
+		return {candidate: chosen!, reason: 'next in turn', scores: [getScore(chosen!)]};
 	}
 }
--- a/packages/engines/src/routing/constants.ts
+++ b/packages/engines/src/routing/constants.ts
@@ -4,6 +4,9 @@
 /** A report may describe the load of one announcement period before it was sent. */
 export const REPORT_LAG_MS = 500;
 
+/** Bounds the weight of one own request while this host has few in flight. */
+export const MAX_FLEET_FACTOR = 4;
+
 /** The first exclusion after a failed connect; each further failure doubles it. */
 export const SUSPICION_MIN_MS = 500;
 /** Short enough that a repaired link is used again within seconds. */
@@ -41,8 +44,11 @@
 /** Above this use of cache memory engines preempt running requests. */
 export const KV_PRESSURE_RATIO = 0.9;
 export const KV_PRESSURE_MS = 500;
-/** Cost difference at which the second-best candidate is no longer drawn. */
-export const TIE_SPREAD_MS = 20;
+/** Cost difference up to which two candidates count as equal: one to two slots of a 16-slot engine; wider draws load the best target again before the others were used. */
+export const TIE_SPREAD_MS = 10;
+
+/** Last turns that round-robin routing remembers, over all models. */
+export const MAX_TURNS = 8192;
 
 export const BLOCK_CHARS = 64;
 /** Bounds the hashing of one long prompt; longer common prefixes add nothing to the ranking. */
--- a/packages/engines/src/routing/cost-routing.ts
+++ b/packages/engines/src/routing/cost-routing.ts
@@ -8,9 +8,9 @@
 
 /** Expected time to first token in ms, given how many prompt characters the target has to prefill. */
 export function getCost(candidate: Candidate, prefillChars: number): number {
-	const {load, outstanding} = candidate;
-	const occupancy = Math.min(1, outstanding / load.limit);
-	const queued = Math.max(0, outstanding + 1 - load.limit);
+	const {load, expected} = candidate;
+	const occupancy = Math.min(1, expected / load.limit);
+	const queued = Math.max(0, expected + 1 - load.limit);
 	const queueMs = (queued / load.limit) * MEAN_REQUEST_MS;
 	const prefillMs = prefillChars * PREFILL_MS_PER_CHAR * (1 + occupancy);
 	const pressure = Math.max(0, load.kvUsedRatio - KV_PRESSURE_RATIO) / (1 - KV_PRESSURE_RATIO);
@@ -72,9 +72,11 @@
 			return {candidate: candidates[best]!, reason: 'only candidate', scores};
 		}
 
-		// Hosts that read the same stale report would all pick the same best target; near-equal ones are drawn.
-		const difference = costs[second]! - costs[best]!;
-		const isTie = random() * 2 * TIE_SPREAD_MS < TIE_SPREAD_MS - difference;
+		// Hosts that read the same stale report would all pick the same best target, so near-equal ones are drawn.
+		// Distance is never stale: a farther target is no tie.
+		const isTie = costs[second]! - costs[best]! < TIE_SPREAD_MS
+			&& candidates[second]!.distanceMs <= candidates[best]!.distanceMs
+			&& random() < 0.5;
 		const chosen = isTie ? second : best;
 		const reason = isTie ? 'drawn from the best two' : (hits[chosen]! >= BLOCK_CHARS ? 'lowest cost, prefix cached' : 'lowest cost');
 		return {candidate: candidates[chosen]!, reason, scores};
--- a/packages/engines/src/routing/own-work.ts
+++ b/packages/engines/src/routing/own-work.ts
@@ -29,6 +29,20 @@
 		this.ended.push({startedAtMs, endedAtMs: nowMs});
 	}
 
+	/** Requests that a sample counts, including those that ended since. */
+	getCounted(sampledAtMs: number): number {
+		let counted = 0;
+		for (const startedAtMs of this.active.values()) {
+			counted += startedAtMs < sampledAtMs ? 1 : 0;
+		}
+
+		for (const request of this.ended) {
+			counted += request.startedAtMs < sampledAtMs && request.endedAtMs >= sampledAtMs ? 1 : 0;
+		}
+
+		return counted;
+	}
+
 	/** Forgets requests that ended before the load was sampled. */
 	prune(sampledAtMs: number): void {
 		this.ended = this.ended.filter(request => request.endedAtMs >= sampledAtMs);
--- a/packages/engines/src/routing/target-directory.ts
+++ b/packages/engines/src/routing/target-directory.ts
@@ -1,6 +1,6 @@
 import {ANNOUNCE_TTL_MS, type Announcement, type Clock} from '@egretrill/common';
 import {
-	LOAD_STEPS, MAX_SUMMARY_MODELS, MAX_SUMMARY_TARGETS, MAX_TOMBSTONES, ZONE_RETURN_RAMP_MS,
+	LOAD_STEPS, MAX_FLEET_FACTOR, MAX_SUMMARY_MODELS, MAX_SUMMARY_TARGETS, MAX_TOMBSTONES, ZONE_RETURN_RAMP_MS,
 } from './constants.js';
 import {
 	type EntrySource, getLoadChange, getNewerWarmth, type ReportedEntry, TargetRecord,
@@ -202,6 +202,7 @@
 	getCandidates(query: CandidateQuery): CandidateSet {
 		this.expire();
 		const nowMs = this.clock.now();
+		const fleetFactor = this.getFleetFactor();
 		const setAside: SetAside = {leaving: 0, takenOut: 0, cutOff: 0};
 		const candidates: Candidate[] = [];
 		for (const record of this.records.values()) {
@@ -226,6 +227,7 @@
 					role: record.entry.role,
 					load: record.entry.load,
 					outstanding: record.getOutstanding(),
+					expected: record.getExpected(fleetFactor),
 					adapterResident: query.adapter === undefined || adapters.has(query.adapter),
 					cold: record.isCold(),
 					suspected: nowMs < record.suspectedUntilMs,
@@ -247,6 +249,21 @@
 		return [...this.records.values()].filter(record => record.isPublished);
 	}
 
+	/**
+	 * How far this host's work since a report stands for that of all hosts.
+	 * Its share of the work in flight is known, but not whether the others chose the same target; the root lies between.
+	 */
+	private getFleetFactor(): number {
+		let reported = 0;
+		let own = 0;
+		for (const record of this.records.values()) {
+			reported += record.entry.load.running + record.entry.load.waiting;
+			own += record.getReportedOwn();
+		}
+
+		return Math.min(MAX_FLEET_FACTOR, Math.max(1, Math.sqrt(reported / Math.max(1, own))));
+	}
+
 	private acceptEntry(received: DirectoryEntry, source: EntrySource, sampledAtMs: number): void {
 		const {handle, warmth, ...entry} = received;
 		this.accept(entry, source, sampledAtMs);
--- a/packages/engines/src/routing/target-record.ts
+++ b/packages/engines/src/routing/target-record.ts
@@ -104,8 +104,18 @@
 
 	/** Load now: the report, corrected by this host's requests that it cannot count yet. */
 	getOutstanding(): number {
+		return this.getExpected(1);
+	}
+
+	/** Load now if the rest of the fleet has acted as this host has since the report. */
+	getExpected(fleetFactor: number): number {
 		const {running, waiting} = this.entry.load;
-		return Math.max(this.work.activeCount, running + waiting + this.work.getDelta(this.sampledAtMs - REPORT_LAG_MS));
+		return Math.max(this.work.activeCount, running + waiting + (this.work.getDelta(this.sampledAtMs - REPORT_LAG_MS) * fleetFactor));
+	}
+
+	/** This host's part of the reported load. */
+	getReportedOwn(): number {
+		return this.work.getCounted(this.sampledAtMs - REPORT_LAG_MS);
 	}
 
 	isCold(): boolean {
--- a/packages/engines/src/routing/types.ts
+++ b/packages/engines/src/routing/types.ts
@@ -68,6 +68,8 @@
 	load: LoadReport,
 	/** Load that the host believes the target to have now: the report corrected by its own work. */
 	outstanding: count,
+	/** The same if the other hosts, which read the same report, have acted like this one. */
+	expected: z.number().nonnegative(),
 	adapterResident: z.boolean(),
 	cold: z.boolean(),
 	suspected: z.boolean(),
