routing: add the zone owner's cold-start ramp and the hosts' permits

Cause: hosts that ramp a cold target each on their own load it with the sum of their ramps. Change: ColdStartRamp grants permits for the fleet; ColdPermitHolder keeps a host's permits over an abstract PermitTransport; CollapseDetector notices a cold target from latency and errors. Before: no limit for cold targets.

--- a/packages/engines/src/routing/index.ts
+++ b/packages/engines/src/routing/index.ts
@@ -1,4 +1,7 @@
 export * from './baseline-routing.js';
+export * from './cold-permit-holder.js';
+export * from './cold-start-ramp.js';
+export * from './collapse-detector.js';
 export * from './constants.js';
 export * from './cost-routing.js';
 export * from './prefix-belief.js';
--- a/packages/engines/src/routing/types.ts
+++ b/packages/engines/src/routing/types.ts
@@ -139,5 +139,13 @@
 export type PermitRenewal = z.infer<typeof PermitRenewal>;
 
 /** Host's right to send one request to a target; without an id the target is warm and needs none. */
-export const HeldPermit = PermitRequest.extend({permitId: z.string().optional(), zone: z.string()});
+export const HeldPermit = PermitRequest.extend({permitId: z.string().optional(), zone: z.string(), requestedAtMs: durationMs});
 export type HeldPermit = z.infer<typeof HeldPermit>;
+
+/** A host's word that a start it took for warm answers like a cold one. */
+export const ColdReport = PermitRequest.extend({generation: count});
+export type ColdReport = z.infer<typeof ColdReport>;
+
+/** The owner's present word on one start, for the directories of the zone. */
+export const StartWarmth = z.object({targetId: z.string(), startId: z.string(), warmth: Warmth});
+export type StartWarmth = z.infer<typeof StartWarmth>;
