--- a/packages/engines/src/routing/constants.ts
+++ b/packages/engines/src/routing/constants.ts
@@ -4,6 +4,9 @@
 /** A report may describe the load of one announcement period before it was sent. */
 export const REPORT_LAG_MS = 500;
 
+/** Bounds the weight of one own request while this host has few in flight. */
+export const MAX_FLEET_FACTOR = 4;
+
 /** The first exclusion after a failed connect; each further failure doubles it. */
 export const SUSPICION_MIN_MS = 500;
 /** Short enough that a repaired link is used again within seconds. */
@@ -41,8 +44,11 @@
 /** Above this use of cache memory engines preempt running requests. */
 export const KV_PRESSURE_RATIO = 0.9;
 export const KV_PRESSURE_MS = 500;
-/** Cost difference at which the second-best candidate is no longer drawn. */
-export const TIE_SPREAD_MS = 20;
+/** Cost difference up to which two candidates count as equal: one to two slots of a 16-slot engine; wider draws load the best target again before the others were used. */
+export const TIE_SPREAD_MS = 10;
+
+/** Last turns that round-robin routing remembers, over all models. */
+export const MAX_TURNS = 8192;
 
 export const BLOCK_CHARS = 64;
 /** Bounds the hashing of one long prompt; longer common prefixes add nothing to the ranking. */
@@ -64,6 +70,12 @@
 export const PERMIT_TTL_MS = 2000;
 export const PERMIT_RENEW_MS = 500;
 export const PERMIT_RETRY_MS = 100;
+/** A permit is used at once or not at all, so that a report sampled later counts its request. */
+export const PERMIT_WRITE_MS = 500;
+/** Lease of the zone owner; an earlier owner may have granted permits until it ended. */
+export const ZONE_OWNER_LEASE_MS = 3000;
+/** Ramps of targets that have not been observed for this long are forgotten. */
+export const RAMP_IDLE_MS = 60_000;
 /** A reported limit below this part of the highest one of the same start means a cold target. */
 export const LIMIT_COLLAPSE_RATIO = 0.5;
 
