--- a/packages/hosts/src/constants.ts
+++ b/packages/hosts/src/constants.ts
@@ -1,4 +1,3 @@
-<<<<<<< HEAD
 export const PEER_CALL_DEADLINE_MS = 1000;
 
 /** A connection between hosts that answers no ping for this long is closed and opened anew. */
@@ -10,7 +9,6 @@
 /** Longest time a parent holds a follow poll open while nothing changes. */
 export const FOLLOW_WAIT_MS = 250;
 export const FOLLOW_RETRY_MS = 100;
-=======
 export const HEARTBEAT_MS = 150;
 /** Leader lease; it ends before any follower that acknowledged a heartbeat may vote for another leader. */
 export const LEADER_LEASE_MS = 500;
@@ -39,4 +37,3 @@
 export const KEPT_CHANGES = 256;
 /** Answers kept for resends, about one day of changes at the design size of 4,300 a day. */
 export const KEPT_ANSWERS = 4096;
->>>>>>> consensus
--- a/packages/hosts/src/index.ts
+++ b/packages/hosts/src/index.ts
@@ -1,10 +1,7 @@
 export * from './constants.js';
-<<<<<<< HEAD
 export * from './follow/index.js';
 export * from './transport/index.js';
-=======
 export * from './consensus/index.js';
 export * from './types.js';
 export * from './fleet-state.js';
 export {applyChange, getDocumentDigest, updateConfig} from './fleet-state-changes.js';
->>>>>>> consensus
