--- a/apps/egretrilld/src/constants.ts
+++ b/apps/egretrilld/src/constants.ts
@@ -1,11 +1,12 @@
 export const DIRECTORY_SYNC_INTERVAL_MS = 500;
 export const SUMMARY_SYNC_INTERVAL_MS = 1000;
-export const DIRECTORY_HOSTS_PER_ZONE = 2;
+export const DEMAND_REPORT_INTERVAL_MS = 1000;
 
-/** A host that has not answered for this long is passed over when a peer is chosen. */
-export const PEER_SUSPECT_MS = 1500;
+/** Reports of a host's demand are forgotten after this time without a new one. */
+export const DEMAND_TTL_MS = 5000;
+export const ZONE_DUTY_INTERVAL_MS = 200;
+export const POOL_RETRY_MS = 20;
 
-/** A suspected host is tried again after this pause. */
-export const PEER_RETRY_MS = 5000;
-
-export const POOL_RETRY_MS = 50;
+/** How often the slots of the fair queues follow the targets' capacity. */
+export const SLOT_UPDATE_INTERVAL_MS = 100;
+export const LOAD_PERMIT_POLL_MS = 50;
--- /dev/null
+++ b/apps/egretrilld/src/hosts/leader-duties.ts
@@ -0,0 +1,109 @@
+import {BucketOwner, PoisonCounter} from '@egretrill/callers';
+import type {Clock, ConfigDocument, Logger} from '@egretrill/common';
+import {
+	DUTY_CHECK_MS, type FleetNode, type FleetState, type InForceReports, WithdrawalTracker, ZONE_LEASE_TTL_MS, ZoneLeaseTable,
+} from '@egretrill/hosts';
+import {LoadBudget} from '@egretrill/weight-store';
+
+/** What a leader owns during one term. */
+export type Tenure = {
+	readonly term: number;
+	readonly buckets: BucketOwner;
+	readonly leases: ZoneLeaseTable;
+	readonly withdrawals: WithdrawalTracker;
+	readonly poison: PoisonCounter;
+	readonly loads: LoadBudget;
+};
+
+export type LeaderDutiesOptions = {
+	readonly hostId: string;
+	readonly clock: Clock;
+	readonly logger: Logger;
+	readonly node: FleetNode;
+	readonly state: FleetState;
+	readonly reports: InForceReports;
+	readonly getHostIds: () => readonly string[];
+};
+
+/** Thrown to a caller that took this host for the leader. */
+export class NotLeaderError extends Error {
+	override readonly name = 'NotLeaderError';
+}
+
+/** The duties of the leader: customer buckets, zone leases, withdrawals, poison requests and the weight store's budget. */
+export class LeaderDuties {
+	private tenure: Tenure | undefined;
+	private appliedVersion = 0;
+
+	constructor(private readonly opts: LeaderDutiesOptions) {}
+
+	/** The present tenure; throws unless this host leads at this moment. */
+	getTenure(): Tenure {
+		const {node} = this.opts;
+		if (!node.isLeaderWithLease() || this.tenure?.term !== node.status().term) {
+			throw new NotLeaderError('This host does not lead.');
+		}
+
+		return this.tenure;
+	}
+
+	/** Takes up the duties with each new term and keeps them in step with the configuration. */
+	async run(signal: AbortSignal): Promise<void> {
+		const {clock, node, state, logger} = this.opts;
+		while (!signal.aborted) {
+			const {document} = state.getConfig();
+			if (document && node.isLeaderWithLease()) {
+				const {term} = node.status();
+				if (this.tenure?.term !== term) {
+					this.tenure = this.createTenure(term, document);
+					this.appliedVersion = 0;
+					logger.info({term}, 'This host leads.');
+				}
+
+				this.applyConfig(document);
+			}
+
+			await clock.sleep(DUTY_CHECK_MS, signal);
+		}
+	}
+
+	private applyConfig(document: ConfigDocument): void {
+		if (!this.tenure || document.version === this.appliedVersion) {
+			return;
+		}
+
+		const withdrawn = document.keys.filter(key => key.state === 'withdrawn').map(key => key.id);
+		this.tenure.buckets.setCustomers(document.customers);
+		this.tenure.loads.setLimits(document.weightStore);
+		this.tenure.withdrawals.observe(document.version, withdrawn);
+		this.opts.reports.record(this.opts.hostId, document.version);
+		this.appliedVersion = document.version;
+	}
+
+	private createTenure(term: number, document: ConfigDocument): Tenure {
+		const {clock, node, state, reports, getHostIds} = this.opts;
+		const isCurrent = (): boolean => node.isLeaderWithLease() && node.status().term === term;
+		return {
+			term,
+			buckets: new BucketOwner({
+				clock, term, startedAtMs: clock.now(), customers: document.customers, isCurrent,
+			}),
+			leases: new ZoneLeaseTable({
+				clock,
+				isCurrent,
+				known: state.getZoneLeases(),
+				async grant(zone, host) {
+					const outcome = await node.propose({
+						kind: 'grantLease', zone, host, ttlMs: ZONE_LEASE_TTL_MS,
+					});
+					return outcome.kind === 'committed' && outcome.result.kind === 'lease' ? {host: outcome.result.host, epoch: outcome.result.epoch} : undefined;
+				},
+			}),
+			withdrawals: new WithdrawalTracker({clock, reports, getHostIds}),
+			poison: new PoisonCounter(clock),
+			loads: new LoadBudget({
+				limits: document.weightStore, nowMs: clock.now(), isSuccessor: true, epoch: term,
+			}),
+		};
+	}
+}
--- /dev/null
+++ b/apps/egretrilld/src/targets/directory-pool.ts
@@ -0,0 +1,181 @@
+import {
+	ChosenTarget, type ConfigSource, type TargetOutcome, TargetPool, type TargetWant,
+} from '@egretrill/callers';
+import {
+	type Clock, type Logger, type Random, refuse, type TargetAddress, type Verdict,
+} from '@egretrill/common';
+import type {
+	Choice, ColdPermitHolder, CollapseDetector, DemandEstimator, HeldPermit, OwnRequest, PrefixBelief, RoutingPolicy, RoutingRequest, TargetDirectory, ZoneConditions,
+} from '@egretrill/engines';
+import {Result} from 'true-myth';
+import {POOL_RETRY_MS} from '../constants.js';
+
+export type DirectoryPoolOptions = {
+	readonly clock: Clock;
+	readonly random: Random;
+	readonly logger: Logger;
+	readonly hostZone: string;
+	readonly directory: TargetDirectory;
+	readonly policy: RoutingPolicy;
+	readonly permits: ColdPermitHolder;
+	readonly collapses: CollapseDetector;
+	readonly demand: DemandEstimator;
+	readonly belief?: PrefixBelief;
+	readonly config: ConfigSource;
+	readonly getZoneConditions: () => ZoneConditions;
+};
+
+type Excluded = RoutingRequest['excluded'][number];
+
+/** Refusals that may end before the request's deadline; refusing at once would be wrongful. */
+const passingCodes: ReadonlySet<string> = new Set(['copies-busy', 'no-target', 'cold-target', 'permit-unavailable']);
+
+/** A target of the directory that runs one request. */
+class DirectoryTarget extends ChosenTarget {
+	override readonly address: TargetAddress;
+
+	constructor(
+		private readonly opts: DirectoryPoolOptions,
+		private readonly choice: Choice,
+		private readonly own: OwnRequest | undefined,
+		private readonly permit?: HeldPermit,
+		private readonly want?: TargetWant,
+	) {
+		super();
+		const {targetId, startId, address} = choice;
+		this.address = {targetId, startId, address};
+	}
+
+	override isAvailable(): boolean {
+		const entry = this.opts.directory.getEntry(this.choice.targetId, this.choice.startId);
+		const isZoneOpen = this.opts.getZoneConditions()[this.choice.zone]?.state !== 'taken-out';
+		return entry !== undefined && !entry.leaving && isZoneOpen && (!this.permit || this.opts.permits.canWrite(this.permit));
+	}
+
+	override isSameStart(): boolean {
+		return this.opts.directory.getEntry(this.choice.targetId, this.choice.startId) !== undefined;
+	}
+
+	override noteFirstToken(elapsedMs: number): void {
+		this.noteLatency(elapsedMs);
+	}
+
+	override release(outcome: TargetOutcome): void {
+		const {directory, permits} = this.opts;
+		const {targetId, startId} = this.address;
+		if (this.own) {
+			directory.endRequest(this.own);
+		}
+
+		if (this.permit) {
+			void permits.release(this.permit, outcome === 'unreachable' ? 'failed' : outcome);
+		}
+
+		if (outcome === 'unreachable') {
+			directory.recordConnectFailure(targetId, startId);
+		} else if (outcome === 'completed') {
+			directory.recordConnectSuccess(targetId, startId);
+			this.notePrefix();
+		} else if (outcome === 'failed') {
+			this.noteLatency('failed');
+		}
+	}
+
+	/** The engine now holds the prompt's prefix, before any cache event says so. */
+	private notePrefix(): void {
+		const {belief} = this.opts;
+		if (belief && this.want?.model !== undefined) {
+			belief.recordCompleted(this.choice.targetId, this.choice.startId, belief.getBlocks(this.want.model, this.want.adapter, this.want.prompt));
+		}
+	}
+
+	private noteLatency(latency: number | 'failed'): void {
+		const {targetId, startId} = this.address;
+		if (this.want?.kind === 'engine' && this.opts.collapses.record(targetId, startId, latency)) {
+			this.opts.logger.warn({targetId, startId}, 'A warm target answers like a cold one.');
+			void this.opts.permits.reportCold(this.choice.zone, {targetId, startId});
+		}
+	}
+}
+
+/** Chooses targets from the directory by the configured policy. */
+export class DirectoryPool extends TargetPool {
+	constructor(private readonly opts: DirectoryPoolOptions) {
+		super();
+	}
+
+	override async choose(want: TargetWant, signal: AbortSignal): Promise<Result<ChosenTarget, Verdict>> {
+		const {clock, logger} = this.opts;
+		const endsMs = clock.now() + want.timeoutMs;
+		for (;;) {
+			const chosen = want.startId === undefined ? await this.tryChoose(want) : this.findStart(want.startId);
+			if (chosen.isOk) {
+				return chosen;
+			}
+
+			const canWait = passingCodes.has(chosen.error.code) && !signal.aborted && clock.now() + POOL_RETRY_MS < endsMs;
+			if (!canWait) {
+				logger.info({requestId: want.requestId, model: want.model, service: want.service, code: chosen.error.code}, 'No target chosen.');
+				return Result.err(chosen.error);
+			}
+
+			await clock.sleep(POOL_RETRY_MS, signal);
+		}
+	}
+
+	/** Goes through the candidates once; a cold one that gives no permit is passed over. */
+	private async tryChoose(want: TargetWant): Promise<Result<ChosenTarget, Verdict>> {
+		let excluded: readonly Excluded[] = [...want.excluded].map(targetId => ({targetId, reason: 'tried'}));
+		for (;;) {
+			const choice = this.decide(want, excluded);
+			if (choice.isErr) {
+				return Result.err(choice.error);
+			}
+
+			const permit = choice.value.needsPermit ? await this.opts.permits.acquire(choice.value) : undefined;
+			if (!permit?.isErr) {
+				this.logChoice(want, choice.value);
+				return Result.ok(this.createTarget(want, choice.value, permit?.value));
+			}
+
+			excluded = [...excluded, {targetId: choice.value.targetId, reason: 'permit-denied'}];
+		}
+	}
+
+	private createTarget(want: TargetWant, choice: Choice, permit?: HeldPermit): ChosenTarget {
+		const own = this.opts.directory.beginRequest(choice.targetId, choice.startId);
+		return new DirectoryTarget(this.opts, choice, own, permit, want);
+	}
+
+	private logChoice({requestId, model, adapter, service}: TargetWant, choice: Choice): void {
+		this.opts.logger.info({
+			requestId, model, adapter, service, policy: this.opts.policy.name, ...choice,
+		}, 'Target chosen.');
+	}
+
+	private decide(want: TargetWant, excluded: readonly Excluded[]): Result<Choice, Verdict> {
+		const {directory, policy, random, hostZone, config} = this.opts;
+		const {model, adapter, service, prompt} = want;
+		const index = config.getIndex();
+		const set = directory.getCandidates({
+			model, adapter, service, hostZone, zoneStates: this.opts.getZoneConditions(),
+		});
+		const known = model === undefined ? index?.document.services.some(({id}) => id === service) : index?.models.has(model);
+		return policy.choose(set, {
+			model, adapter, service, prompt, known: known ?? false, excluded: [...excluded],
+		}, random);
+	}
+
+	private findStart(startId: string): Result<ChosenTarget, Verdict> {
+		const live = this.opts.directory.getTargets().find(({entry}) => entry.startId === startId);
+		if (!live) {
+			return Result.err(refuse(503, 'target-left', 'The target that began the answer has left.'));
+		}
+
+		const {targetId, zone, address} = live.entry;
+		const choice: Choice = {
+			targetId, startId, zone, address, needsPermit: false, adapterResident: true, reason: 'resume', considered: 1, scores: [],
+		};
+		return Result.ok(new DirectoryTarget(this.opts, choice, this.opts.directory.beginRequest(targetId, startId)));
+	}
+}
--- a/apps/egretrilld/src/directory-sync.ts
+++ b/apps/egretrilld/src/targets/directory-sync.ts
@@ -2,9 +2,9 @@
 	type Announcement, type Clock, jitter, type Logger, type PeerHost, type Random, type Settings,
 } from '@egretrill/common';
 import type {TargetDirectory} from '@egretrill/engines';
-import {DIRECTORY_SYNC_INTERVAL_MS, SUMMARY_SYNC_INTERVAL_MS} from './constants.js';
-import {announceMethod, digestMethod, summaryMethod} from './methods.js';
-import type {PeerDirectory} from './peer-directory.js';
+import type {PeerDirectory} from '@egretrill/hosts';
+import {DIRECTORY_SYNC_INTERVAL_MS, SUMMARY_SYNC_INTERVAL_MS} from '../constants.js';
+import {announceMethod, digestMethod, summaryMethod} from '../methods.js';
 
 export type DirectorySyncOptions = {
 	readonly settings: Settings;
@@ -17,8 +17,15 @@
 
 /** Exchanges the target directory with the directory hosts of the zone and with other zones. */
 export class DirectorySync {
+	private readonly zoneOwners = new Map<string, string>();
+
 	constructor(private readonly opts: DirectorySyncOptions) {}
 
+	/** The host that owns a zone, as its directory hosts last said. */
+	getZoneOwner(zone: string): string | undefined {
+		return this.zoneOwners.get(zone);
+	}
+
 	/** Takes an announcement that reached this host and passes it on to the zone's directory hosts. */
 	async acceptAnnouncement(announcement: Announcement): Promise<void> {
 		const {directory, peers, settings} = this.opts;
@@ -55,10 +62,11 @@
 	}
 
 	private async readDigest(peer: PeerHost): Promise<void> {
-		const {clock, directory, peers} = this.opts;
+		const {clock, directory, peers, settings} = this.opts;
 		const sentMs = clock.now();
 		const position = directory.getDigestPosition(peer.id);
 		const answer = await peers.call(peer.id, digestMethod, position ? {position} : {});
+		this.noteOwner(settings.zone, answer.isOk ? answer.value.owner : undefined);
 		if (answer.isOk && !directory.recordDigest(peer.id, answer.value.digest, clock.now() - sentMs)) {
 			const full = await peers.call(peer.id, digestMethod, {});
 			if (full.isOk) {
@@ -74,10 +82,17 @@
 			const [peer] = peers.getDirectoryHosts(zone);
 			const answer = peer && await peers.call(peer.id, summaryMethod, {zone});
 			if (answer?.isOk) {
+				this.noteOwner(zone, answer.value.owner);
 				directory.recordSummary(answer.value.summary, clock.now() - sentMs);
 			}
 
 			await clock.sleep(jitter(SUMMARY_SYNC_INTERVAL_MS, random), signal);
 		}
 	}
+
+	private noteOwner(zone: string, owner: string | undefined): void {
+		if (owner !== undefined) {
+			this.zoneOwners.set(zone, owner);
+		}
+	}
 }
--- a/packages/callers/src/constants.ts
+++ b/packages/callers/src/constants.ts
@@ -13,3 +13,15 @@
 export const UNFORWARDED_HEADERS: ReadonlySet<string> = new Set([
 	'authorization', 'proxy-authorization', 'cookie', 'x-api-key', 'host', 'connection', 'keep-alive', 'transfer-encoding', 'te', 'trailer', 'upgrade', 'content-length', 'expect', 'accept-encoding',
 ]);
+
+/** Customer name under which requests of open routes are queued and recorded. */
+export const OPEN_CUSTOMER = '(open)';
+
+/** A share is given back after this wait in the queue, well before its lifetime of 2,000 ms ends. */
+export const SHARE_HOLD_MS = 1500;
+
+/** Longest wait for a new share by a request that already has its slot. */
+export const REACQUIRE_MS = 500;
+
+/** How often the slots of the queues follow the capacity of the targets. */
+export const SLOT_UPDATE_INTERVAL_MS = 100;
--- a/packages/callers/src/exchange-types.ts
+++ b/packages/callers/src/exchange-types.ts
@@ -1,4 +1,5 @@
 import type {CallOutcome, SendFailure, TargetRequest} from '@egretrill/common';
+import type {Admission} from './admission.js';
 import type {Identity} from './authenticate.js';
 import type {CallerReply} from './caller-reply.js';
 import type {RequestParts} from './request-parts.js';
@@ -11,7 +12,10 @@
 	readonly reply: CallerReply;
 	readonly work: Work;
 	readonly identity: Identity;
+	readonly admission: Admission;
+	readonly fingerprint: string;
 	readonly signal: AbortSignal;
+	readonly startedMs: number;
 	readonly deadlineMs: number;
 	readonly parts: RequestParts;
 	/** Runs before a whole answer is sent to the caller. */
--- a/packages/callers/src/handle-request.ts
+++ b/packages/callers/src/handle-request.ts
@@ -2,10 +2,13 @@
 	refuse, type Verdict, VerdictError,
 } from '@egretrill/common';
 import {Result} from 'true-myth';
+import {admitWork} from './admission.js';
 import {authenticate, type Identity} from './authenticate.js';
 import {type CallerReply, sendRefusal} from './caller-reply.js';
 import type {ConfigIndex} from './config-index.js';
+import {OPEN_CUSTOMER} from './constants.js';
 import type {Exchange} from './exchange-types.js';
+import {getFingerprint} from './poison-list.js';
 import {matchRoute} from './match-route.js';
 import type {RequestParts} from './request-parts.js';
 import {runOnTargets, type RunResult} from './run-on-targets.js';
@@ -35,10 +38,36 @@
 	}
 
 	const {identity, work} = admitted.value;
-	const exchange: Exchange = {
-		req, reply, work, identity, signal, parts, deadlineMs: parts.clock.now() + work.route.timeoutMs,
-	};
-	return work.route.idempotent ? runOnTargets(exchange) : runOnce(exchange);
+	parts.observer.noteArrival(work);
+	parts.retries.countRequest();
+	const startedMs = parts.clock.now();
+	const customer = identity.customer?.id ?? OPEN_CUSTOMER;
+	const fingerprint = getFingerprint(customer, `${req.method} ${req.path}`, req.body);
+	const admission = await admitWork(parts, identity, work, fingerprint, signal);
+	if (admission.isErr) {
+		return Result.err(admission.error);
+	}
+
+	parts.observer.noteTimes({customer, queueMs: parts.clock.now() - startedMs, ...(work.chat && {model: work.chat.model})});
+	return run({
+		req, reply, work, identity, fingerprint, signal, parts, startedMs, admission: admission.value, deadlineMs: startedMs + work.route.timeoutMs,
+	});
+}
+
+/** Runs an admitted request and settles what it held. */
+async function run(exchange: Exchange): Promise<Result<RunResult, Verdict>> {
+	const {admission, work} = exchange;
+	let result: Result<RunResult, Verdict> | undefined;
+	try {
+		result = await (work.route.idempotent ? runOnTargets(exchange) : runOnce(exchange));
+		return result;
+	} finally {
+		if (result?.isErr && result.error.run === 'not-run') {
+			admission.cancel();
+		} else {
+			admission.end(result?.isOk && result.value.kind === 'completed' ? result.value.tokens : undefined);
+		}
+	}
 }
 
 /** Ends a request whose answer had already begun, so that the caller can tell it from a whole one. */
@@ -72,6 +101,7 @@
 		result = Result.err(toVerdict(err));
 	}
 
+	parts.observer.noteEnd(req.path, result.isOk ? result.value.kind : result.error);
 	const elapsedMs = Math.round(parts.clock.now() - startedMs);
 	if (result.isOk) {
 		parts.logger.info({
--- a/packages/callers/src/index.ts
+++ b/packages/callers/src/index.ts
@@ -1,3 +1,4 @@
+export * from './admission.js';
 export * from './app.js';
 export * from './authenticate.js';
 export * from './caller-reply.js';
@@ -6,8 +7,12 @@
 export * from './decide-retry.js';
 export type * from './exchange-types.js';
 export * from './handle-request.js';
+export * from './limits/index.js';
 export * from './match-route.js';
+export * from './poison-list.js';
+export * from './queue-set.js';
 export type * from './request-parts.js';
+export * from './retry-budget.js';
 export * from './run-on-targets.js';
 export * from './target-pool.js';
 export * from './types.js';
--- /dev/null
+++ b/packages/callers/src/queue-set.ts
@@ -0,0 +1,79 @@
+import type {Clock, Verdict} from '@egretrill/common';
+import type {Result} from 'true-myth';
+import {SLOT_UPDATE_INTERVAL_MS} from './constants.js';
+import {type AcquireSlot, FairQueue, type Slot} from './fair-queue.js';
+
+type ModelQueue = {readonly queue: FairQueue; running: number; waiting: number};
+
+export type QueueSetOptions = {
+	readonly clock: Clock;
+	/** Requests that the targets of a model can take beyond those that run now. */
+	readonly getFreeSlots: (model: string) => number;
+};
+
+/** One fair queue for each model, so that requests for a busy model do not hold up the others. */
+export class QueueSet {
+	private readonly queues = new Map<string, ModelQueue>();
+
+	constructor(private readonly opts: QueueSetOptions) {}
+
+	async acquire(model: string, req: AcquireSlot): Promise<Result<Slot, Verdict>> {
+		const entry = this.getQueue(model);
+		entry.waiting += 1;
+		const acquired = await entry.queue.acquire(req);
+		entry.waiting -= 1;
+		return acquired.map(slot => this.countSlot(entry, slot));
+	}
+
+	/** Number of requests that wait for a model. */
+	getWaiting(): number {
+		return [...this.queues.values()].reduce((sum, {waiting}) => sum + waiting, 0);
+	}
+
+	/** Keeps the slots in step with the targets until the signal aborts. */
+	async run(signal: AbortSignal): Promise<void> {
+		while (!signal.aborted) {
+			for (const [model, entry] of this.queues) {
+				if (entry.running + entry.waiting === 0) {
+					this.queues.delete(model);
+				} else {
+					this.updateSlots(model, entry);
+				}
+			}
+
+			await this.opts.clock.sleep(SLOT_UPDATE_INTERVAL_MS, signal);
+		}
+	}
+
+	private getQueue(model: string): ModelQueue {
+		const known = this.queues.get(model);
+		if (known) {
+			return known;
+		}
+
+		const entry = {queue: new FairQueue({clock: this.opts.clock, slots: 0}), running: 0, waiting: 0};
+		this.queues.set(model, entry);
+		this.updateSlots(model, entry);
+		return entry;
+	}
+
+	private updateSlots(model: string, entry: ModelQueue): void {
+		// One request may always go ahead: the choice of a target waits for capacity by itself and refuses with its reason.
+		entry.queue.setSlots(Math.max(1, entry.running + this.opts.getFreeSlots(model)));
+	}
+
+	private countSlot(entry: ModelQueue, slot: Slot): Slot {
+		entry.running += 1;
+		let isReleased = false;
+		return {
+			release(actualCost) {
+				if (!isReleased) {
+					isReleased = true;
+					entry.running -= 1;
+				}
+
+				slot.release(actualCost);
+			},
+		};
+	}
+}
--- a/packages/callers/src/request-parts.ts
+++ b/packages/callers/src/request-parts.ts
@@ -1,8 +1,32 @@
 import type {
-	AtMostOnceLedger, Clock, EngineChannel, Logger, TargetClient,
+	AtMostOnceLedger, Clock, EngineChannel, Logger, TargetClient, Verdict,
 } from '@egretrill/common';
 import type {ConfigSource} from './config-index.js';
+import type {ShareHolder} from './limits/index.js';
+import type {PoisonList} from './poison-list.js';
+import type {QueueSet} from './queue-set.js';
+import type {RetryBudget} from './retry-budget.js';
 import type {TargetPool} from './target-pool.js';
+import type {Work} from './work.js';
+
+/** What a request took, for metrics. */
+export type RequestTimes = {
+	readonly customer: string;
+	readonly model?: string;
+	readonly queueMs?: number;
+	readonly firstTokenMs?: number;
+	readonly betweenTokensMs?: number;
+};
+
+/** Takes what happens to requests, for metrics, demand and promise counters. */
+export abstract class RequestObserver {
+	/** Notes a request with a known route before anything can refuse it. */
+	abstract noteArrival(work: Work): void;
+	abstract noteTimes(times: RequestTimes): void;
+	abstract noteEnd(customer: string, outcome: 'completed' | 'cancelled' | Verdict): void;
+	/** Notes that a target's process ended while it ran a request. */
+	abstract noteCrash(fingerprint: string, startId: string): void;
+}
 
 /** Everything that the handling of one request uses. */
 export type RequestParts = {
@@ -10,10 +34,13 @@
 	readonly clock: Clock;
 	readonly logger: Logger;
 	readonly config: ConfigSource;
+	readonly shares: ShareHolder;
+	readonly queues: QueueSet;
+	readonly poison: PoisonList;
+	readonly retries: RetryBudget;
 	readonly targets: TargetPool;
 	readonly engines: EngineChannel;
 	readonly services: TargetClient;
 	readonly ledger: AtMostOnceLedger;
-	/** Draws one retry from the host's budget. */
-	readonly takeRetry: () => boolean;
+	readonly observer: RequestObserver;
 };
--- a/packages/callers/src/run-on-targets.ts
+++ b/packages/callers/src/run-on-targets.ts
@@ -2,6 +2,7 @@
 	mayHaveRun, refuse, type TargetRequest, type Verdict,
 } from '@egretrill/common';
 import {Result} from 'true-myth';
+import {refuseStaleShare} from './admission.js';
 import {checkKey} from './authenticate.js';
 import {MIN_WORK_MS, UNFORWARDED_HEADERS} from './constants.js';
 import {decideRetry} from './decide-retry.js';
@@ -63,7 +64,8 @@
 		return Result.err(refuse(503, 'not-ready', 'This host has no configuration yet.', 1000));
 	}
 
-	return identity.keyDigest === undefined ? Result.ok(true) : checkKey(index, identity.keyDigest, parts.config.getAgeMs()).map(() => true as const);
+	const key = identity.keyDigest === undefined ? Result.ok<unknown, Verdict>(true) : checkKey(index, identity.keyDigest, parts.config.getAgeMs());
+	return key.andThen(() => exchange.admission.start() ? Result.ok<true, Verdict>(true) : Result.err<true, Verdict>(refuseStaleShare()));
 }
 
 /** A refusal is no longer "not run" once an earlier attempt may have reached a target. */
@@ -122,10 +124,14 @@
 		isDeterministic: work.isDeterministic,
 		deliveredChunks: failed.deliveredChunks,
 		isSameStartAlive: chosen.isSameStart(),
-	}, parts.takeRetry);
+	}, () => parts.retries.tryRetry());
 	parts.logger.info({
 		requestId: req.requestId, targetId, attempt: state.attempt, failure: failed.failure.code, next: decision.next,
 	}, 'An attempt failed.');
+	if (failed.failure.accepted && !chosen.isSameStart()) {
+		parts.observer.noteCrash(exchange.fingerprint, startId);
+	}
+
 	if (decision.next === 'give-up') {
 		return Result.err(decision.verdict);
 	}
@@ -151,8 +157,9 @@
 			return Result.err(withEarlierAttempt(chosen.error, state));
 		}
 
+		const refreshed = await exchange.admission.refresh();
 		// The last check before the write: key, deadline and caller may have changed during the waits above.
-		const allowed = checkBeforeSend(exchange);
+		const allowed = refreshed.andThen(() => checkBeforeSend(exchange));
 		if (allowed.isErr) {
 			chosen.value.release('cancelled');
 			return Result.err(withEarlierAttempt(allowed.error, state));
--- a/packages/callers/src/run-once.ts
+++ b/packages/callers/src/run-once.ts
@@ -2,18 +2,17 @@
 	type CallIdentity, type CallOutcome, mayHaveRun, refuse, type Verdict,
 } from '@egretrill/common';
 import {Result} from 'true-myth';
+import {OPEN_CUSTOMER} from './constants.js';
 import type {Exchange} from './exchange-types.js';
 import {sendAnswer} from './relay-answer.js';
 import {runOnTargets, type RunResult} from './run-on-targets.js';
-import {getFingerprint} from './work.js';
 
 const IDEMPOTENCY_HEADER = 'idempotency-key';
-const OPEN_CUSTOMER = '(open)';
 
-function getCall({req, identity, parts}: Exchange, idempotencyKey: string): CallIdentity {
+function getCall({req, identity, parts, fingerprint}: Exchange, idempotencyKey: string): CallIdentity {
 	const customer = identity.customer?.id ?? OPEN_CUSTOMER;
 	return {
-		customer, idempotencyKey, fingerprint: getFingerprint(customer, req), host: parts.hostId, attempt: req.requestId,
+		customer, idempotencyKey, fingerprint, host: parts.hostId, attempt: req.requestId,
 	};
 }
 
--- a/packages/callers/src/work.ts
+++ b/packages/callers/src/work.ts
@@ -1,4 +1,3 @@
-import {createHash} from 'node:crypto';
 import {
 	ChatRequest, PRIORITY_HEADER, refuse, type Route, type Verdict,
 } from '@egretrill/common';
@@ -74,8 +73,3 @@
 		.andThen(chat => checkModel(index, chat))
 		.map(chat => describeChat(route, req, chat));
 }
-
-/** Identifies a request by its content, independent of host and connection. */
-export function getFingerprint(customer: string, req: CallerRequest): string {
-	return createHash('sha256').update(customer).update('\0').update(req.method).update('\0').update(req.path).update('\0').update(req.body).digest('hex');
-}
--- a/packages/engines/src/routing/target-directory.ts
+++ b/packages/engines/src/routing/target-directory.ts
@@ -148,6 +148,13 @@
 		}
 	}
 
+	/** Returns one start of a target while it is live. */
+	getEntry(targetId: string, startId: string): DirectoryEntry | undefined {
+		this.expire();
+		const record = this.getRecord(targetId, startId);
+		return record && getEntry(record);
+	}
+
 	/** Returns every live target, for placement and the zone owner. */
 	getTargets(): readonly LiveTarget[] {
 		this.expire();
--- a/packages/hosts/src/constants.ts
+++ b/packages/hosts/src/constants.ts
@@ -37,3 +37,20 @@
 export const KEPT_CHANGES = 256;
 /** Answers kept for resends, about one day of changes at the design size of 4,300 a day. */
 export const KEPT_ANSWERS = 4096;
+
+export const DIRECTORY_HOSTS_PER_ZONE = 2;
+
+/** A host that has not answered for this long is passed over when a peer is chosen. */
+export const PEER_SUSPECT_MS = 1500;
+
+/** A suspected host is tried again after this pause. */
+export const PEER_RETRY_MS = 5000;
+
+/** Right of a zone's owner, renewed well before it ends. */
+export const ZONE_LEASE_TTL_MS = 3000;
+export const ZONE_LEASE_RENEW_MS = 1000;
+
+/** Time after which a command that found no leader is given up. */
+export const COMMAND_DEADLINE_MS = 5000;
+export const COMMAND_RETRY_MS = 50;
+export const DUTY_CHECK_MS = 50;
--- a/packages/hosts/src/fleet-state.ts
+++ b/packages/hosts/src/fleet-state.ts
@@ -116,6 +116,11 @@
 		return Object.hasOwn(this.state.leases, zone) ? this.state.leases[zone] : undefined;
 	}
 
+	/** Returns the last granted lease of every zone. */
+	getZoneLeases(): Readonly<Record<string, ZoneLease>> {
+		return this.state.leases;
+	}
+
 	getRecord(recordKey: RecordKey): AtMostOnceRecord | undefined {
 		return findRecord(this.state, recordKey);
 	}
--- /dev/null
+++ b/packages/hosts/src/fleet/fleet-log.ts
@@ -0,0 +1,102 @@
+import type {Clock} from '@egretrill/common';
+import {z} from 'zod';
+import {COMMAND_DEADLINE_MS, COMMAND_RETRY_MS, PROPOSE_TIMEOUT_MS} from '../constants.js';
+import type {ConsensusNode} from '../consensus/index.js';
+import type {PeerDirectory} from '../membership/index.js';
+import {bindMethod, defineMethod, type MethodHandler} from '../transport/index.js';
+import {FleetCommand, FleetResult, type ProposeOutcome} from '../types.js';
+
+const ProposeAnswer = z.discriminatedUnion('kind', [
+	z.object({kind: z.literal('committed'), index: z.int(), result: FleetResult}),
+	z.object({kind: z.literal('not-leader'), leaderId: z.string().optional()}),
+	z.object({kind: z.literal('unknown')}),
+]);
+
+const proposeMethod = defineMethod('Fleet', 'propose', z.object({command: FleetCommand}), ProposeAnswer);
+
+/** What became of a command: `not-applied` is certain, `unknown` is not. */
+export type CommandOutcome =
+	| {readonly kind: 'committed'; readonly result: FleetResult}
+	| {readonly kind: 'not-applied'; readonly reason: string}
+	| {readonly kind: 'unknown'; readonly reason: string};
+
+export type FleetNode = ConsensusNode<FleetCommand, FleetResult>;
+
+export type FleetLogOptions = {
+	readonly hostId: string;
+	readonly clock: Clock;
+	readonly peers: PeerDirectory;
+	/** Present on the hosts that keep the log. */
+	readonly node?: FleetNode;
+	readonly getLeaderId: () => string | undefined;
+};
+
+/** A second `record` finds the first one and cannot tell it from another caller's, so it is never repeated. */
+function isRepeatable(command: FleetCommand): boolean {
+	return command.kind !== 'record';
+}
+
+/** Serves commands of hosts that do not lead. */
+export function bindFleetLog(node: FleetNode): MethodHandler {
+	return bindMethod(proposeMethod, async ({command}): Promise<ProposeOutcome<FleetResult>> => node.propose(command));
+}
+
+/** Brings commands to the leader from any host. */
+export class FleetLog {
+	constructor(private readonly opts: FleetLogOptions) {}
+
+	/** Proposes a command until a leader has taken it; after a doubtful answer only a command that may be repeated is sent again. */
+	async propose(command: FleetCommand, deadlineMs = COMMAND_DEADLINE_MS): Promise<CommandOutcome> {
+		const {clock} = this.opts;
+		const endsMs = clock.now() + deadlineMs;
+		let hint: string | undefined;
+		let isInDoubt = false;
+		for (let attempt = 0; clock.now() < endsMs; attempt++) {
+			const leaderId = hint ?? this.getCandidate(attempt);
+			const outcome = leaderId === undefined ? undefined : await this.proposeAt(leaderId, command);
+			if (outcome?.kind === 'committed') {
+				return {kind: 'committed', result: outcome.result};
+			}
+
+			if (outcome?.kind === 'unknown') {
+				isInDoubt = true;
+				if (!isRepeatable(command)) {
+					break;
+				}
+			}
+
+			hint = outcome?.kind === 'not-leader' ? outcome.leaderId : undefined;
+			await clock.sleep(COMMAND_RETRY_MS);
+		}
+
+		return isInDoubt
+			? {kind: 'unknown', reason: 'The leader did not confirm the command.'}
+			: {kind: 'not-applied', reason: 'No leader took the command.'};
+	}
+
+	/** The known leader first, then the other members in turn, since knowledge of the leader may be old. */
+	private getCandidate(attempt: number): string | undefined {
+		const leaderId = this.opts.getLeaderId();
+		if (leaderId !== undefined && attempt % 2 === 0) {
+			return leaderId;
+		}
+
+		const voters = this.opts.peers.getVoters();
+		return voters[attempt % Math.max(1, voters.length)]?.id;
+	}
+
+	private async proposeAt(hostId: string, command: FleetCommand): Promise<ProposeOutcome<FleetResult> | undefined> {
+		const {node, peers, hostId: self} = this.opts;
+		if (hostId === self) {
+			return node?.propose(command);
+		}
+
+		const answer = await peers.call(hostId, proposeMethod, {command}, PROPOSE_TIMEOUT_MS + 500);
+		if (answer.isOk) {
+			return answer.value;
+		}
+
+		const isUndelivered = answer.error.code === 'unreachable' || answer.error.code === 'refused';
+		return isUndelivered ? undefined : {kind: 'unknown'};
+	}
+}
--- /dev/null
+++ b/packages/hosts/src/membership/index.ts
@@ -0,0 +1,1 @@
+export * from './peer-directory.js';
--- a/apps/egretrilld/src/peer-directory.ts
+++ b/packages/hosts/src/membership/peer-directory.ts
@@ -1,9 +1,9 @@
 import {createHash} from 'node:crypto';
 import type {Clock, PeerHost, Settings} from '@egretrill/common';
-import {type Method, type PeerCallError, PeerClient} from '@egretrill/hosts';
 import type {ChannelCredentials} from '@grpc/grpc-js';
 import {Result} from 'true-myth';
-import {DIRECTORY_HOSTS_PER_ZONE, PEER_RETRY_MS, PEER_SUSPECT_MS} from './constants.js';
+import {DIRECTORY_HOSTS_PER_ZONE, PEER_RETRY_MS, PEER_SUSPECT_MS} from '../constants.js';
+import {type Method, type PeerCallError, PeerClient} from '../transport/index.js';
 
 type FailureSpan = {readonly firstMs: number; readonly lastMs: number};
 
@@ -22,6 +22,10 @@
 		return this.settings.peers.filter(peer => peer.id !== this.settings.host);
 	}
 
+	getVoters(): readonly PeerHost[] {
+		return this.settings.peers.filter(peer => peer.voter);
+	}
+
 	/** Calls another host and remembers whether it answers. */
 	async call<Req, Res>(hostId: string, method: Method<Req, Res>, req: Req, deadlineMs?: number): Promise<Result<Res, PeerCallError>> {
 		const client = this.getClient(hostId);
--- a/packages/hosts/src/transport/peer-client.ts
+++ b/packages/hosts/src/transport/peer-client.ts
@@ -6,16 +6,17 @@
 } from '../constants.js';
 import type {Method} from './method.js';
 
-/** Why a call to another host failed; only `refused` says that the other host did not act on it. */
+/** Why a call to another host failed; only after `unreachable` and `refused` is it certain that the other host did not act on it. */
 export type PeerCallError = {
-	readonly code: 'unreachable' | 'timeout' | 'refused' | 'failed';
+	readonly code: 'unreachable' | 'broken' | 'timeout' | 'refused' | 'failed';
 	readonly message: string;
 };
 
 function toCallError(err: grpc.ServiceError): PeerCallError {
 	switch (err.code) {
 		case grpc.status.UNAVAILABLE: {
-			return {code: 'unreachable', message: err.details};
+			// The library uses one status for connections that never opened and for those that broke during the call.
+			return {code: err.details.startsWith('No connection established') ? 'unreachable' : 'broken', message: err.details};
 		}
 
 		case grpc.status.DEADLINE_EXCEEDED:
