limits: fair queue, poison list, retry budget

Cause: one customer must not crowd out the others, a request that crashes targets must not be sent again, and retries must not multiply an overload. Change: FairQueue over StartTimeQueue (start-time fair queueing by cost, one slot in 8 for batch, push-out of the customer with the longest queue), PoisonCounter and PoisonList, RetryBudget. Before: nothing.

--- a/packages/callers/src/limits/constants.ts
+++ b/packages/callers/src/limits/constants.ts
@@ -38,8 +38,8 @@
 export const INTERACTIVE_QUEUE_DEADLINE_MS = 10_000;
 export const BATCH_QUEUE_DEADLINE_MS = 600_000;
 export const MAX_QUEUE_LENGTH = 2000;
-/** While batch requests wait, one dispatch in this many is theirs. */
-export const BATCH_DISPATCH_INTERVAL = 8;
+/** While batch requests wait, one slot in this many is theirs; counting slots keeps long batch requests from taking more. */
+export const BATCH_SLOT_INTERVAL = 8;
 
 export const POISON_BLOCK_MS = 600_000;
 export const POISON_TARGET_LIMIT = 2;
--- /dev/null
+++ b/packages/callers/src/retry-budget.ts
@@ -0,0 +1,50 @@
+import type {Clock} from '@egretrill/common';
+import {RETRY_RATIO, RETRY_RESERVE, RETRY_WINDOW_MS} from './limits/constants.js';
+
+/** Counts are kept for slices of the window, so that memory does not grow with the load. */
+const SLICE_MS = RETRY_WINDOW_MS / 100;
+
+type Slice = {readonly startMs: number; requests: number; retries: number};
+
+/** Limits the retries of a host to a share of its recent requests plus a small reserve. */
+export class RetryBudget {
+	private slices: readonly Slice[] = [];
+
+	constructor(private readonly clock: Clock) {}
+
+	/** Counts a first attempt. */
+	countRequest(): void {
+		this.getSlice().requests += 1;
+	}
+
+	/** Takes one retry from the budget; false when it is used up. */
+	tryRetry(): boolean {
+		const slice = this.getSlice();
+		let requests = 0;
+		let retries = 0;
+		for (const counted of this.slices) {
+			requests += counted.requests;
+			retries += counted.retries;
+		}
+
+		if (retries + 1 > (RETRY_RATIO * requests) + RETRY_RESERVE) {
+			return false;
+		}
+
+		slice.retries += 1;
+		return true;
+	}
+
+	private getSlice(): Slice {
+		const now = this.clock.now();
+		const startMs = Math.floor(now / SLICE_MS) * SLICE_MS;
+		const last = this.slices.at(-1);
+		if (last?.startMs === startMs) {
+			return last;
+		}
+
+		const slice: Slice = {startMs, requests: 0, retries: 0};
+		this.slices = [...this.slices.filter(old => old.startMs + SLICE_MS > now - RETRY_WINDOW_MS), slice];
+		return slice;
+	}
+}
--- /dev/null
+++ b/packages/callers/tests/fair-queue.test.ts
@@ -0,0 +1,99 @@
+import {
+	createRandom, ManualClock, type Priority, type Verdict,
+} from '@egretrill/common';
+import {expect} from 'chai';
+import {type Result} from 'true-myth';
+import {FairQueue, type Slot} from '../src/admission-parts.js';
+import {advance} from './support/share-fleet.js';
+
+const SEED = 31;
+
+type Outcome = {readonly name: string; readonly result: string; readonly atMs: number};
+
+/** Runs requests through a queue and records in which order they were answered. */
+class QueueRun {
+	readonly clock = new ManualClock();
+	readonly outcomes: Outcome[] = [];
+
+	constructor(private readonly holdMs = 10) {}
+
+	async request(queue: FairQueue, name: string, opts: {priority?: Priority; weight?: number; deadlineMs?: number; signal?: AbortSignal} = {}): Promise<Result<Slot, Verdict>> {
+		const result = await queue.acquire({
+			customer: name, weight: 1, priority: 'interactive', cost: 100, deadlineMs: this.clock.now() + 10_000, ...opts,
+		});
+		this.outcomes.push({name, result: result.isOk ? 'slot' : `${result.error.status} ${result.error.code} ${result.error.run}`, atMs: this.clock.now()});
+		if (result.isOk) {
+			await this.clock.sleep(this.holdMs);
+			result.value.release();
+		}
+
+		return result;
+	}
+}
+
+/** Share of each customer's requests that get a slot within 1 s while all send at random times. */
+async function measureInTime(requestsPerSecond: Readonly<Record<string, number>>): Promise<Readonly<Record<string, number>>> {
+	// 8 slots of 76 ms serve 105 requests/s, so each of five customers that send 20/s stays within its share.
+	const run = new QueueRun(76);
+	const queue = new FairQueue({clock: run.clock, slots: 8});
+	const random = createRandom(SEED);
+	const sent: Record<string, number> = {};
+	for (let ms = 0; ms < 20_000; ms += 2) {
+		for (const [name, rate] of Object.entries(requestsPerSecond)) {
+			if (random() < rate * 0.002) {
+				sent[name] = (sent[name] ?? 0) + 1;
+				void run.request(queue, name, {deadlineMs: run.clock.now() + 1000});
+			}
+		}
+
+		await advance(run.clock, 2);
+	}
+
+	await advance(run.clock, 1100);
+	return Object.fromEntries(Object.entries(sent).map(([name, count]) => [name, run.outcomes.filter(outcome => outcome.name === name && outcome.result === 'slot').length / count]));
+}
+
+describe('fair queue', () => {
+	it(`moves the others by at most 1 percentage point when one customer sends five times its rate at full load, seed ${SEED}`, async () => {
+		const others = {
+			a: 20, b: 20, c: 20, d: 20,
+		};
+		const quiet = await measureInTime({...others, noisy: 20});
+		const loud = await measureInTime({...others, noisy: 100});
+		for (const name of Object.keys(others)) {
+			expect(Math.abs(quiet[name]! - loud[name]!)).to.be.at.most(0.01);
+		}
+	});
+
+	it('serves by weight, interactive first, and keeps one slot in 8 for batch so that batch never starves', async () => {
+		const run = new QueueRun();
+		const queue = new FairQueue({clock: run.clock, slots: 0});
+		for (let i = 0; i < 12; i++) {
+			void run.request(queue, 'light');
+			void run.request(queue, 'heavy', {weight: 3});
+			void run.request(queue, 'batch', {priority: 'batch', deadlineMs: 600_000});
+		}
+
+		queue.setSlots(1);
+		await advance(run.clock, 200);
+		queue.setSlots(8);
+		await advance(run.clock, 100);
+		expect(run.outcomes.map(outcome => `${outcome.atMs} ${outcome.name}`)).toMatchSnapshot();
+	});
+
+	it('refuses truthfully when full, late or cancelled, and drops from the customer that fills the queue', async () => {
+		const run = new QueueRun();
+		const queue = new FairQueue({clock: run.clock, slots: 1, maxLength: 3});
+		const cancel = new AbortController();
+		for (let i = 0; i < 5; i++) {
+			void run.request(queue, 'greedy', {deadlineMs: 15});
+		}
+
+		void run.request(queue, 'modest', {signal: cancel.signal});
+		await advance(run.clock, 4);
+		cancel.abort();
+		await advance(run.clock, 30);
+		expect(run.outcomes).toMatchSnapshot();
+		expect(queue.length).to.equal(0);
+	});
+});
--- /dev/null
+++ b/packages/callers/tests/refusals.test.ts
@@ -0,0 +1,59 @@
+import {ManualClock} from '@egretrill/common';
+import {expect} from 'chai';
+import {
+	getFingerprint, PoisonCounter, PoisonList, RetryBudget,
+} from '../src/admission-parts.js';
+
+describe('poison list', () => {
+	it('counts distinct target starts only, so that one crash reported by several hosts blocks nothing', () => {
+		const clock = new ManualClock();
+		const counter = new PoisonCounter(clock);
+		const list = new PoisonList(clock);
+		const fingerprint = getFingerprint('atlas', '/v1/chat/completions', new TextEncoder().encode('{"model":"m"}'));
+		const steps: unknown[] = [];
+		for (const startId of ['start-1', 'start-1', 'start-2']) {
+			counter.report({fingerprint, startId});
+			list.update(counter.getBlocks());
+			steps.push(list.check(fingerprint) ?? 'admitted');
+		}
+
+		clock.advance(599_999);
+		list.update(counter.getBlocks());
+		steps.push(list.check(fingerprint) ?? 'admitted');
+		clock.advance(1);
+		steps.push(list.check(fingerprint) ?? 'admitted', counter.getBlocks());
+		expect(steps).toMatchSnapshot();
+	});
+
+	it('keeps fields apart, so that no customer can block the request of another', () => {
+		const body = new TextEncoder().encode('x');
+		expect(getFingerprint('a', 'b/c', body)).to.not.equal(getFingerprint('ab', '/c', body));
+	});
+});
+
+describe('retry budget', () => {
+	it('allows 10 % of the requests of the last 10 s plus 10, so that retries cannot multiply an overload', () => {
+		const clock = new ManualClock();
+		const budget = new RetryBudget(clock);
+		const countRetries = (): number => {
+			let retries = 0;
+			while (budget.tryRetry()) {
+				retries += 1;
+			}
+
+			return retries;
+		};
+
+		const allowed = [countRetries()];
+		for (let i = 0; i < 200; i++) {
+			budget.countRequest();
+		}
+
+		allowed.push(countRetries());
+		clock.advance(5000);
+		allowed.push(countRetries());
+		clock.advance(5100);
+		allowed.push(countRetries());
+		expect(allowed).to.deep.equal([10, 20, 0, 10]);
+	});
+});
