routing: skip targets without the adapter unless the host loads it first

Cause: an engine answers 404 to a request for an adapter that it does not hold, and the cost alone could choose such an engine. Change: RoutingRequest.canLoadAdapter (false by default) decides whether targets without the adapter qualify; their cost includes the order, 50 ms. Before: an idle engine without the adapter could be chosen. Conclusion: the caller sets the flag once it orders adapter loads.

--- a/packages/engines/src/routing/constants.ts
+++ b/packages/engines/src/routing/constants.ts
@@ -35,8 +35,8 @@
 export const PREFILL_MS_PER_CHAR = 0.025;
 /** Slowdown of the first token when every slot of the batch is in use. */
 export const BATCH_SLOWDOWN_MS = 100;
-/** Upper end of the adapter load times that both deployments state. */
-export const ADAPTER_LOAD_MS = 10;
+/** An adapter load of at most 10 ms, with the order that has to pass the zone owner first. */
+export const ADAPTER_LOAD_MS = 50;
 /** Keeps cold targets from being preferred while a warm copy has a short queue. */
 export const COLD_PENALTY_MS = 250;
 /** Engines in a pure prefill or decode role serve whole requests only when mixed ones are loaded. */
--- a/packages/engines/src/routing/routing-policy.ts
+++ b/packages/engines/src/routing/routing-policy.ts
@@ -46,7 +46,9 @@
 		}
 
 		const reasons = new Map(req.excluded.map(excluded => [excluded.targetId, excluded.reason]));
-		const untried = reasons.size === 0 ? set.candidates : set.candidates.filter(candidate => reasons.get(candidate.targetId) !== 'tried');
+		// An engine refuses a request for an adapter that it does not hold.
+		const able = req.canLoadAdapter ? set.candidates : set.candidates.filter(candidate => candidate.adapterResident);
+		const untried = reasons.size === 0 ? able : able.filter(candidate => reasons.get(candidate.targetId) !== 'tried');
 		if (untried.length === 0) {
 			return Result.err(refuseNoTarget(set, req));
 		}
--- a/packages/engines/src/routing/types.ts
+++ b/packages/engines/src/routing/types.ts
@@ -92,6 +92,8 @@
 	service: z.string().optional(),
 	/** Whether the configuration in force names the model or service. */
 	known: z.boolean(),
+	/** Whether the host has the adapter loaded before it sends; otherwise only targets that hold it qualify. */
+	canLoadAdapter: z.boolean().default(false),
 	prompt: z.string().default(''),
 	/** Targets that this request has already been refused by. */
 	excluded: z.array(z.object({targetId: z.string(), reason: z.enum(['permit-denied', 'tried'])})).default([]),
--- a/packages/engines/tests/routing/routing-policy.test.ts
+++ b/packages/engines/tests/routing/routing-policy.test.ts
@@ -36,7 +36,7 @@
 		const choose = (req: Partial<RoutingRequest>, zoneStates: ZoneConditions = query.zoneStates): unknown => {
 			const {model, service} = {model: 'm1', service: undefined, ...req};
 			const set = directory.getCandidates({
-				...query, zoneStates, model, service,
+				...query, zoneStates, model, service, adapter: req.adapter,
 			});
 			const result = policy.choose(set, {...request, ...req}, createRandom(seed));
 			return result.isErr ? result.error : {chosen: result.value.targetId, needsPermit: result.value.needsPermit};
@@ -46,6 +46,7 @@
 			unknown: choose({model: 'm9', known: false}),
 			noCopy: choose({model: 'm2'}),
 			zoneOut: choose({model: 'm3'}, {...query.zoneStates, b: {state: 'taken-out'}}),
+			adapterNowhere: choose({adapter: 'lora-2'}),
 			coldCopy: choose({}),
 			everyCopyColdOrFull: choose({excluded: [{targetId: 't4', reason: 'permit-denied'}]}),
 			unknownService: choose({model: undefined, service: 'orders', known: false}),
@@ -86,7 +87,9 @@
 		belief.recordCompleted('cached', 'cached-s1', belief.getBlocks('m1', undefined, prompt));
 		const chosen = (first: ReturnType<typeof announce>, second: ReturnType<typeof announce>, adapter?: string): Record<string, number> => {
 			const set = createDirectory(first, second).getCandidates({...query, ...(adapter && {adapter})});
-			return countChoices(new CostRouting(belief), set, 50, {...request, prompt, adapter});
+			return countChoices(new CostRouting(belief), set, 50, {
+				...request, prompt, adapter, canLoadAdapter: true,
+			});
 		};
 
 		expect({
