operators, monitor: tests for dropped fields, the first configuration and changed bytes

Cause: a field added to the schema could be lost silently by the console's form, and the evidence tests tried only chosen changes. Conclusion: no fault found by the new tests; only `version` has no field, because the console computes it.

--- a/packages/monitor/tests/evidence.test.ts
+++ b/packages/monitor/tests/evidence.test.ts
@@ -4,6 +4,7 @@
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import {expect} from 'chai';
+import fc from 'fast-check';
 import {
 	EvidenceError, EvidenceLog, FileEvidenceStorage, verifyEvidence, type EvidencePage, type EvidenceRecord,
 } from '../src/index.js';
@@ -109,6 +110,19 @@
 		expect(outcomes).toMatchSnapshot();
 	});
 
+	it('detects any changed byte', async () => {
+		const lines = await writeLog(3);
+		const original = await readFile(file);
+		expect(original.length).to.equal(new TextEncoder().encode(lines.join('')).length);
+		await fc.assert(fc.asyncProperty(fc.nat(original.length - 1), fc.integer({min: 1, max: 255}), async (position, change) => {
+			const changed = Uint8Array.from(original);
+			changed[position] = (changed[position]! + change) % 256;
+			await writeFile(file, changed);
+			const verification = await verifyEvidence(file);
+			expect(verification.intact).to.equal(false);
+		}), {seed: 20_261_204, numRuns: 500});
+	});
+
 	it('detects a whole chain that was written anew, given a head that the monitor noted', async () => {
 		await writeLog(2);
 		const first = await verifyEvidence(file);
--- a/packages/operators/src/console/form-sections.ts
+++ b/packages/operators/src/console/form-sections.ts
@@ -1,4 +1,4 @@
-import {DEFAULT_KEY_LEASE_MS, type ConfigDocument} from '@egretrill/common';
+import {DEFAULT_KEY_LEASE_MS} from '@egretrill/common';
 
 export type FormField = {
 	/** Path below the entry, with dots. */
@@ -136,6 +136,3 @@
 		path: 'placements.forbids', title: 'Forbidden placements', entry: 'Forbidden placement', fields: placementFields, initial: {},
 	},
 ];
-
-/** Fields of the document that the form computes itself. */
-export const computedFields: ReadonlyArray<keyof ConfigDocument> = ['version'];
--- a/packages/operators/tests/console.test.ts
+++ b/packages/operators/tests/console.test.ts
@@ -1,4 +1,7 @@
+import {ConfigDocument} from '@egretrill/common';
 import {expect} from 'chai';
+import {z} from 'zod';
+import {documentFields, sections, type FormSection} from '../src/console/form-sections.js';
 import {getDigest} from '../src/index.js';
 import {
 	createDocument, credential, getBasicHeader, MemoryFleet, normalise, withAdmin, type Exchange,
@@ -48,6 +51,18 @@
 	return {...exchange, headers: {...exchange.headers, 'set-cookie': normalise(exchange.headers['set-cookie'] ?? '')}, body: normalise(exchange.body).split('\n')};
 }
 
+type JsonSchema = {properties?: Record<string, JsonSchema>; items?: JsonSchema; oneOf?: JsonSchema[]};
+
+function getSchemaPaths({properties, items, oneOf}: JsonSchema, prefix: string): ReadonlySet<string> {
+	const inner = [...(oneOf ?? []).map(branch => getSchemaPaths(branch, prefix)), ...(items ? [getSchemaPaths(items, prefix)] : [])];
+	const named = Object.entries(properties ?? {}).map(([name, child]) => getSchemaPaths(child, prefix === '' ? name : `${prefix}.${name}`));
+	return new Set(inner.length + named.length === 0 ? [prefix] : [...inner, ...named].flatMap(paths => [...paths]));
+}
+
+function getFormPaths({fields, lists}: FormSection, prefix: string): readonly string[] {
+	return [...fields.map(field => `${prefix}.${field.name}`), ...(lists ?? []).flatMap(list => getFormPaths(list, `${prefix}.${list.path}`))];
+}
+
 describe('console', () => {
 	it('shows the whole document as a labelled form', async () => {
 		await withAdmin(new MemoryFleet(), async send => {
@@ -172,6 +187,25 @@
 		expect(fleet.inForce?.version).to.equal(1);
 	});
 
+	it('builds the first configuration from an empty form', async () => {
+		const fleet = new MemoryFleet();
+		fleet.inForce = undefined;
+		await withAdmin(fleet, async send => {
+			const fields = {
+				fleet: 'demo', 'zones.0.id': 'a', 'zones.0.region': 'r', 'weightStore.loadsPerSecond': '2', 'weightStore.concurrentLoads': '9', 'weightStore.concurrentAdapterLoads': '70',
+			};
+			const review = await submit(send, await open(send), {action: 'review', ...fields});
+			const accepted = await submit(send, review, {action: 'apply'});
+			expect(show(accepted)).toMatchSnapshot();
+			expect(fleet.inForce?.document).toMatchSnapshot();
+		});
+	});
+
+	it('has a field for everything in the schema, so that a new schema field cannot be dropped by the form', () => {
+		const formPaths = new Set([...documentFields.map(field => field.name), ...sections.flatMap(section => getFormPaths(section, section.path))]);
+		expect([...getSchemaPaths(z.toJSONSchema(ConfigDocument, {io: 'input'}) as JsonSchema, '')].filter(path => !formPaths.has(path))).to.deep.equal(['version']);
+	});
+
 	it('signs operators in with a cookie that scripts and other sites cannot use, and out again', async () => {
 		await withAdmin(new MemoryFleet(), async send => {
 			const wrong = await send('/console/sign-in', {method: 'POST', body: new URLSearchParams({credential: 'wrong'})});
