--- /dev/null
+++ b/apps/egretrilld/src/callers/daemon-observer.ts
@@ -0,0 +1,60 @@
+import {RequestObserver, type RequestTimes, type Work} from '@egretrill/callers';
+import type {Clock, Verdict} from '@egretrill/common';
+import type {DemandEstimator} from '@egretrill/engines';
+import type {PeerDirectory} from '@egretrill/hosts';
+import type {PromiseCounters} from '@egretrill/monitor';
+import type {Counter, Metrics} from '@egretrill/platform';
+import {crashMethod} from '../methods.js';
+
+export type DaemonObserverOptions = {
+	readonly clock: Clock;
+	readonly metrics: Metrics;
+	readonly demand: DemandEstimator;
+	readonly promises: PromiseCounters;
+	readonly peers: PeerDirectory;
+	readonly getLeaderId: () => string | undefined;
+};
+
+/** Brings what happens to requests to metrics, demand, promise counters and the leader. */
+export class DaemonObserver extends RequestObserver {
+	private readonly requests: Counter;
+
+	constructor(private readonly opts: DaemonObserverOptions) {
+		super();
+		this.requests = opts.metrics.createCounter({name: 'egretrill_requests_total', help: 'Requests by customer and outcome.', labels: ['customer', 'outcome', 'verdict']});
+	}
+
+	override noteArrival({chat}: Work): void {
+		if (chat) {
+			this.opts.demand.recordArrival(chat.model, chat.adapter, this.opts.clock.now());
+		}
+	}
+
+	override noteTimes({customer, model = '', queueMs, firstTokenMs, betweenTokensMs}: RequestTimes): void {
+		const {metrics} = this.opts;
+		const labels = {customer, model};
+		const pairs = [[metrics.queueTime, queueMs], [metrics.firstToken, firstTokenMs], [metrics.betweenTokens, betweenTokensMs]] as const;
+		for (const [durations, value] of pairs) {
+			if (value !== undefined) {
+				durations.record(value, labels);
+			}
+		}
+	}
+
+	override noteEnd(customer: string, outcome: 'completed' | 'cancelled' | Verdict): void {
+		const isVerdict = typeof outcome !== 'string';
+		this.requests.add(1, {customer, outcome: isVerdict ? outcome.code : outcome, verdict: isVerdict ? outcome.run : 'ran'});
+		if (outcome === 'completed') {
+			this.opts.promises.countHeld('P7');
+		} else if (isVerdict && outcome.run === 'not-run') {
+			this.opts.promises.countHeld('P8');
+		}
+	}
+
+	override noteCrash(fingerprint: string, startId: string): void {
+		const leaderId = this.opts.getLeaderId();
+		if (leaderId !== undefined) {
+			void this.opts.peers.call(leaderId, crashMethod, {fingerprint, startId});
+		}
+	}
+}
--- a/apps/egretrilld/src/constants.ts
+++ b/apps/egretrilld/src/constants.ts
@@ -10,3 +10,7 @@
 /** How often the slots of the fair queues follow the targets' capacity. */
 export const SLOT_UPDATE_INTERVAL_MS = 100;
 export const LOAD_PERMIT_POLL_MS = 50;
+
+/** Blocked requests reach the admission of this host at least this often. */
+export const CONFIG_SYNC_INTERVAL_MS = 250;
+export const INITIAL_CONFIG_RETRY_MS = 500;
--- a/apps/egretrilld/src/container.ts
+++ b/apps/egretrilld/src/container.ts
@@ -1,79 +1,133 @@
 import {randomInt, randomUUID} from 'node:crypto';
 import 'reflect-metadata';
 import {
-	createLogger, createRandom, getComponentLogger, MonotonicClock, type Settings,
+	PoisonList, QueueSet, RetryBudget, ShareHolder,
+} from '@egretrill/callers';
+import {
+	createLogger, createRandom, getComponentLogger, type Logger, MonotonicClock, type Settings,
 } from '@egretrill/common';
 import {
-	CostRouting, EngineClient, RoundRobinRouting, type RoutingPolicy, TargetDirectory, TwoChoicesRouting,
+	type BlockHasher, ColdPermitHolder, CollapseDetector, CostRouting, DemandEstimator, DemandPlacement, EngineClient, FencingOrderChannel, PrefixBelief, RoundRobinRouting,
+	type RoutingPolicy, TargetDirectory, TwoChoicesRouting, UnfencedOrderChannel, ZoneOwner,
 } from '@egretrill/engines';
-import {ConfigFollower, InForceReports} from '@egretrill/hosts';
+import {
+	ConfigFollower, FleetLog, FleetOrigin, InForceReports, MAX_OUTCOME_BODY_BYTES, PeerDirectory, ZoneLeaseKeeper, zoneLeaseMethod,
+} from '@egretrill/hosts';
+import {PromiseCounters} from '@egretrill/monitor';
 import {Drain, Metrics} from '@egretrill/platform';
-import {ServiceClient} from '@egretrill/services';
-import {credentials as grpcCredentials} from '@grpc/grpc-js';
+import {ReplicatedLedger, ServiceClient} from '@egretrill/services';
 import {Container, type ResolutionContext} from 'inversify';
-import {DirectoryPool} from './directory-pool.js';
-import {DirectorySync} from './directory-sync.js';
-import {LiveConfig} from './live-config.js';
-import {LocalOrigin} from './local-origin.js';
-import {PeerDirectory} from './peer-directory.js';
+import {DaemonObserver} from './callers/daemon-observer.js';
+import {FleetCallLog} from './callers/fleet-call-log.js';
+import {LiveConfig} from './callers/live-config.js';
+import {GrpcShareTransport} from './callers/share-transport.js';
+import type {PeerCredentials} from './hosts/peer-credentials.js';
+import {createVoter} from './hosts/voter.js';
+import {DaemonView} from './monitor/daemon-view.js';
+import {EvidenceHolder} from './monitor/evidence-holder.js';
+import {DaemonControl} from './operators/daemon-control.js';
+import {DirectoryPool} from './targets/directory-pool.js';
+import {DirectorySync} from './targets/directory-sync.js';
+import {LoadPermitClient} from './targets/load-permit-client.js';
+import {GrpcPermitTransport} from './targets/permit-transport.js';
+import {RecordingChannel} from './targets/recording-channel.js';
+import {ZoneDuties} from './targets/zone-duties.js';
+import {ZoneStates} from './targets/zone-states.js';
 import {tokens} from './tokens.js';
-import {UnavailableLedger} from './unavailable-ledger.js';
-import {ZoneStates} from './zone-conditions.js';
 
-function createPolicy(name: Settings['routingPolicy']): RoutingPolicy {
-	switch (name) {
-		case 'cost': {
-			return new CostRouting();
-		}
-
-		case 'two-choices': {
-			return new TwoChoicesRouting();
-		}
+/** What must be prepared before the parts can be wired. */
+export type ContainerOptions = {
+	readonly settings: Settings;
+	readonly credentials: PeerCredentials;
+	readonly hash: BlockHasher;
+};
 
-		case 'round-robin': {
-			return new RoundRobinRouting();
-		}
-	}
+function getLogger(ctx: ResolutionContext, component: string): Logger {
+	return getComponentLogger(ctx.get(tokens.logger), component);
 }
 
-function bindBase(container: Container, settings: Settings): void {
+function bindBase(container: Container, {settings}: ContainerOptions): void {
 	container.bind(tokens.settings).toConstantValue(settings);
 	container.bind(tokens.clock).toConstantValue(new MonotonicClock());
 	container.bind(tokens.random).toConstantValue(createRandom(randomInt(2 ** 31)));
 	container.bind(tokens.logger).toConstantValue(createLogger(`egretrilld.${settings.host}`, settings.logLevel));
-	container.bind(tokens.metrics).toDynamicValue(() => new Metrics()).inSingletonScope();
+	container.bind(tokens.metrics).toConstantValue(new Metrics());
+	container.bind(tokens.promises).toConstantValue(new PromiseCounters());
+	container.bind(tokens.evidence).toConstantValue(new EvidenceHolder(settings));
 	container.bind(tokens.drain).toDynamicValue(ctx => new Drain({clock: ctx.get(tokens.clock), deadlineMs: settings.drainDeadlineMs})).inSingletonScope();
 }
 
-function getLogger(ctx: ResolutionContext, component: string) {
-	return getComponentLogger(ctx.get(tokens.logger), component);
-}
-
-function bindHosts(container: Container, settings: Settings): void {
-	container.bind(tokens.reports).toDynamicValue(() => new InForceReports()).inSingletonScope();
-	container.bind(tokens.peers).toDynamicValue(ctx => new PeerDirectory(settings, ctx.get(tokens.clock), grpcCredentials.createInsecure())).inSingletonScope();
+function bindHosts(container: Container, {settings, credentials}: ContainerOptions): void {
+	container.bind(tokens.reports).toConstantValue(new InForceReports());
+	container.bind(tokens.peers).toDynamicValue(ctx => new PeerDirectory(settings, ctx.get(tokens.clock), credentials.client)).inSingletonScope();
+	container.bind(tokens.voter).toDynamicValue(ctx => createVoter({
+		settings, clock: ctx.get(tokens.clock), random: ctx.get(tokens.random), logger: getLogger(ctx, 'log'), peers: ctx.get(tokens.peers), reports: ctx.get(tokens.reports),
+	})).inSingletonScope();
+	container.bind(tokens.follower).toDynamicValue(ctx => new ConfigFollower({
+		hostId: settings.host,
+		fleet: settings.fleet,
+		clock: ctx.get(tokens.clock),
+		random: ctx.get(tokens.random),
+		logger: getLogger(ctx, 'hosts'),
+		reports: ctx.get(tokens.reports),
+		getParents() {
+			const node = ctx.get(tokens.voter)?.node;
+			return node?.isLeaderWithLease() ? [] : ctx.get(tokens.peers).getParents(node?.status().leaderId);
+		},
+	})).inSingletonScope();
 	container.bind(tokens.origin).toDynamicValue(ctx => {
-		const leader = settings.peers.find(peer => peer.voter);
-		return leader?.id === settings.host
-			? new LocalOrigin(settings.host)
-			: new ConfigFollower({
-				hostId: settings.host,
-				fleet: settings.fleet,
-				clock: ctx.get(tokens.clock),
-				random: ctx.get(tokens.random),
-				logger: getLogger(ctx, 'hosts'),
-				reports: ctx.get(tokens.reports),
-				getParents: () => [leader && ctx.get(tokens.peers).getClient(leader.id)].filter(client => client !== undefined),
-			});
+		const voter = ctx.get(tokens.voter);
+		const follower = ctx.get(tokens.follower);
+		return voter
+			? new FleetOrigin({
+				clock: ctx.get(tokens.clock), node: voter.node, state: voter.state, follower, getOwnBlocked: () => voter.duties.getBlocked(),
+			})
+			: follower;
 	}).inSingletonScope();
+	container.bind(tokens.log).toDynamicValue(ctx => new FleetLog({
+		hostId: settings.host,
+		clock: ctx.get(tokens.clock),
+		peers: ctx.get(tokens.peers),
+		node: ctx.get(tokens.voter)?.node,
+		getLeaderId: () => ctx.get(tokens.origin).getLeaderId(),
+	})).inSingletonScope();
+	container.bind(tokens.lease).toDynamicValue(ctx => new ZoneLeaseKeeper({
+		hostId: settings.host,
+		zone: settings.zone,
+		clock: ctx.get(tokens.clock),
+		random: ctx.get(tokens.random),
+		isCandidate: () => ctx.get(tokens.peers).getDirectoryHosts(settings.zone).some(peer => peer.id === settings.host),
+		async ask(zone, host) {
+			const leaderId = ctx.get(tokens.origin).getLeaderId();
+			const answer = leaderId === undefined ? undefined : await ctx.get(tokens.peers).call(leaderId, zoneLeaseMethod, {zone, host});
+			return answer?.isOk ? answer.value : undefined;
+		},
+	})).inSingletonScope();
 	container.bind(tokens.config).toDynamicValue(ctx => new LiveConfig(ctx.get(tokens.origin))).inSingletonScope();
 	container.bind(tokens.zones).toDynamicValue(ctx => new ZoneStates(ctx.get(tokens.clock), ctx.get(tokens.config))).inSingletonScope();
 }
 
-function bindTargets(container: Container, settings: Settings): void {
+function createPolicy(name: Settings['routingPolicy'], belief: PrefixBelief): RoutingPolicy {
+	switch (name) {
+		case 'cost': {
+			return new CostRouting(belief);
+		}
+
+		case 'two-choices': {
+			return new TwoChoicesRouting();
+		}
+
+		case 'round-robin': {
+			return new RoundRobinRouting();
+		}
+	}
+}
+
+function bindDirectory(container: Container, {settings, hash}: ContainerOptions): void {
 	container.bind(tokens.directory).toDynamicValue(ctx => new TargetDirectory({clock: ctx.get(tokens.clock), epoch: randomUUID()})).inSingletonScope();
-	container.bind(tokens.policy).toDynamicValue(() => createPolicy(settings.routingPolicy)).inSingletonScope();
-	container.bind(tokens.engines).toDynamicValue(ctx => new EngineClient(ctx.get(tokens.clock))).inSingletonScope();
+	container.bind(tokens.belief).toDynamicValue(ctx => new PrefixBelief({clock: ctx.get(tokens.clock), hash})).inSingletonScope();
+	container.bind(tokens.policy).toDynamicValue(ctx => createPolicy(settings.routingPolicy, ctx.get(tokens.belief))).inSingletonScope();
+	container.bind(tokens.demand).toDynamicValue(ctx => new DemandEstimator(ctx.get(tokens.clock).now())).inSingletonScope();
 	container.bind(tokens.directorySync).toDynamicValue(ctx => new DirectorySync({
 		settings,
 		clock: ctx.get(tokens.clock),
@@ -81,6 +135,16 @@
 		logger: getLogger(ctx, 'targets'),
 		peers: ctx.get(tokens.peers),
 		directory: ctx.get(tokens.directory),
+		belief: ctx.get(tokens.belief),
+		demand: ctx.get(tokens.demand),
+		getOwnHolder: () => ctx.get(tokens.lease).getHolder(),
+	})).inSingletonScope();
+	container.bind(tokens.permits).toDynamicValue(ctx => new ColdPermitHolder({
+		hostId: settings.host,
+		clock: ctx.get(tokens.clock),
+		random: ctx.get(tokens.random),
+		directory: ctx.get(tokens.directory),
+		transport: new GrpcPermitTransport(ctx.get(tokens.peers), zone => ctx.get(tokens.directorySync).getZoneOwner(zone)),
 	})).inSingletonScope();
 	container.bind(tokens.pool).toDynamicValue(ctx => new DirectoryPool({
 		clock: ctx.get(tokens.clock),
@@ -89,31 +153,100 @@
 		hostZone: settings.zone,
 		directory: ctx.get(tokens.directory),
 		policy: ctx.get(tokens.policy),
+		permits: ctx.get(tokens.permits),
+		collapses: new CollapseDetector(),
+		belief: ctx.get(tokens.belief),
 		config: ctx.get(tokens.config),
 		getZoneConditions: () => ctx.get(tokens.zones).getConditions(),
 	})).inSingletonScope();
 }
 
-function bindCallers(container: Container, settings: Settings): void {
+function bindPlacement(container: Container, {settings}: ContainerOptions): void {
+	container.bind(tokens.owner).toDynamicValue(ctx => {
+		const logger = getLogger(ctx, 'placement');
+		const getEvidence = () => ctx.get(tokens.evidence).get();
+		const fencing = new RecordingChannel(new FencingOrderChannel(), logger, getEvidence);
+		const unfenced = new RecordingChannel(new UnfencedOrderChannel(), logger, getEvidence);
+		return new ZoneOwner({
+			zone: settings.zone,
+			clock: ctx.get(tokens.clock),
+			lease: ctx.get(tokens.lease),
+			policy: new DemandPlacement(),
+			permits: new LoadPermitClient({
+				hostId: settings.host, clock: ctx.get(tokens.clock), peers: ctx.get(tokens.peers), getLeaderId: () => ctx.get(tokens.origin).getLeaderId(),
+			}),
+			getChannel: ({honoursFencing}) => honoursFencing ? fencing : unfenced,
+		});
+	}).inSingletonScope();
+	container.bind(tokens.zoneDuties).toDynamicValue(ctx => new ZoneDuties({
+		zone: settings.zone,
+		clock: ctx.get(tokens.clock),
+		logger: getLogger(ctx, 'placement'),
+		lease: ctx.get(tokens.lease),
+		directory: ctx.get(tokens.directory),
+		config: ctx.get(tokens.config),
+		owner: ctx.get(tokens.owner),
+	})).inSingletonScope();
+}
+
+function bindCallers(container: Container, {settings}: ContainerOptions): void {
+	container.bind(tokens.engines).toDynamicValue(ctx => new EngineClient(ctx.get(tokens.clock))).inSingletonScope();
+	container.bind(tokens.poison).toDynamicValue(ctx => new PoisonList(ctx.get(tokens.clock))).inSingletonScope();
+	container.bind(tokens.queues).toDynamicValue(ctx => new QueueSet({clock: ctx.get(tokens.clock), getFreeSlots: model => ctx.get(tokens.pool).getFreeSlots(model)})).inSingletonScope();
+	container.bind(tokens.shares).toDynamicValue(ctx => new ShareHolder({
+		clock: ctx.get(tokens.clock),
+		random: ctx.get(tokens.random),
+		hostId: settings.host,
+		startId: randomUUID(),
+		transport: new GrpcShareTransport(ctx.get(tokens.peers), () => ctx.get(tokens.origin).getLeaderId()),
+		customers: [],
+		getOwnerId: () => 'leader',
+	})).inSingletonScope();
 	container.bind(tokens.requestParts).toDynamicValue(ctx => ({
 		hostId: settings.host,
 		clock: ctx.get(tokens.clock),
 		logger: getLogger(ctx, 'callers'),
 		config: ctx.get(tokens.config),
+		shares: ctx.get(tokens.shares),
+		queues: ctx.get(tokens.queues),
+		poison: ctx.get(tokens.poison),
+		retries: new RetryBudget(ctx.get(tokens.clock)),
 		targets: ctx.get(tokens.pool),
 		engines: ctx.get(tokens.engines),
 		services: new ServiceClient(),
-		ledger: new UnavailableLedger(),
-		takeRetry: () => true,
+		ledger: new ReplicatedLedger(new FleetCallLog(ctx.get(tokens.log)), MAX_OUTCOME_BODY_BYTES),
+		observer: new DaemonObserver({
+			clock: ctx.get(tokens.clock),
+			metrics: ctx.get(tokens.metrics),
+			demand: ctx.get(tokens.demand),
+			promises: ctx.get(tokens.promises),
+			peers: ctx.get(tokens.peers),
+			getLeaderId: () => ctx.get(tokens.origin).getLeaderId(),
+		}),
 	})).inSingletonScope();
 }
 
+function bindOperators(container: Container, {settings}: ContainerOptions): void {
+	container.bind(tokens.control).toDynamicValue(ctx => new DaemonControl({
+		settings,
+		origin: ctx.get(tokens.origin),
+		config: ctx.get(tokens.config),
+		log: ctx.get(tokens.log),
+		peers: ctx.get(tokens.peers),
+		directory: ctx.get(tokens.directory),
+		owner: ctx.get(tokens.owner),
+		getEvidence: () => ctx.get(tokens.evidence).get(),
+		getTerm: () => ctx.get(tokens.voter)?.node.status().term ?? 0,
+	})).inSingletonScope();
+	container.bind(tokens.view).toDynamicValue(ctx => new DaemonView(ctx.get(tokens.origin), ctx.get(tokens.directory), ctx.get(tokens.control))).inSingletonScope();
+}
+
 /** Wires the daemon; the only place that knows which class serves which part. */
-export function createContainer(settings: Settings): Container {
+export function createContainer(opts: ContainerOptions): Container {
 	const container = new Container();
-	bindBase(container, settings);
-	bindHosts(container, settings);
-	bindTargets(container, settings);
-	bindCallers(container, settings);
+	for (const bind of [bindBase, bindHosts, bindDirectory, bindPlacement, bindCallers, bindOperators]) {
+		bind(container, opts);
+	}
+
 	return container;
 }
--- a/apps/egretrilld/src/daemon.ts
+++ b/apps/egretrilld/src/daemon.ts
@@ -1,57 +1,68 @@
-import {once} from 'node:events';
+import {once, setMaxListeners} from 'node:events';
 import {createServer, type RequestListener, type Server} from 'node:http';
 import type {AddressInfo} from 'node:net';
-import {createCallerApp, handleRequest} from '@egretrill/callers';
-import {type ConfigDocument, getComponentLogger} from '@egretrill/common';
+import {createCallerApp, handleRequest, sendRefusal} from '@egretrill/callers';
+import {type ConfigDocument, getComponentLogger, isVerdictError} from '@egretrill/common';
 import {createTargetApp} from '@egretrill/engines';
 import {
-	bindFollow, bindMethod, ConfigFollower, type MethodHandler, type PeerServer, startPeerServer,
+	FleetOrigin, getDocumentDigest, type PeerServer, startPeerServer,
 } from '@egretrill/hosts';
-import {createHealthApp, type DrainReport} from '@egretrill/platform';
-import {ServerCredentials} from '@grpc/grpc-js';
+import {createMonitorApp} from '@egretrill/monitor';
+import {createAdminApp} from '@egretrill/operators';
+import {createHealthApp, type DrainReport, type UnreadyReason} from '@egretrill/platform';
 import type {Container} from 'inversify';
-import {LocalOrigin} from './local-origin.js';
-import {announceMethod, digestMethod, summaryMethod} from './methods.js';
+import {CONFIG_SYNC_INTERVAL_MS, INITIAL_CONFIG_RETRY_MS} from './constants.js';
+import {createHandlers} from './handlers.js';
+import type {PeerCredentials} from './hosts/peer-credentials.js';
 import {tokens} from './tokens.js';
 
 /** Addresses on which a daemon listens, with the ports that the system gave. */
-export type DaemonAddresses = {readonly callers: string; readonly targets: string; readonly peers: string; readonly health: string};
+export type DaemonAddresses = {
+	readonly callers: string; readonly targets: string; readonly peers: string; readonly admin: string; readonly monitor: string; readonly health: string;
+};
 
 /** One host of the system: its servers and its tasks. */
 export class Daemon {
 	private readonly stopping = new AbortController();
-	private servers: Server[] = [];
+	private readonly drainRequests = new AbortController();
+	private servers: readonly Server[] = [];
 	private peerServer: PeerServer | undefined;
 	private tasks: ReadonlyArray<Promise<void>> = [];
 
-	constructor(private readonly container: Container) {}
+	constructor(private readonly container: Container, private readonly credentials: PeerCredentials) {
+		// Every task of the daemon waits on this one signal, which is more than the default limit for leaks allows.
+		setMaxListeners(0, this.stopping.signal);
+	}
+
+	/** Aborts when an operator asks this host to drain. */
+	get drainRequested(): AbortSignal {
+		return this.drainRequests.signal;
+	}
 
 	async start(initialConfig?: ConfigDocument): Promise<DaemonAddresses> {
-		const settings = this.container.get(tokens.settings);
+		const {listen, host, zone} = this.container.get(tokens.settings);
 		const logger = this.container.get(tokens.logger);
-		const origin = this.container.get(tokens.origin);
+		await this.container.get(tokens.evidence).open();
 		this.peerServer = await startPeerServer({
-			address: settings.listen.peers, credentials: ServerCredentials.createInsecure(), logger: getComponentLogger(logger, 'hosts'), handlers: this.getHandlers(),
+			address: listen.peers,
+			credentials: this.credentials.server,
+			logger: getComponentLogger(logger, 'hosts'),
+			handlers: createHandlers(this.container, author => {
+				logger.info({author}, 'An operator asked this host to drain.');
+				this.drainRequests.abort();
+			}, () => this.getUnreadyReasons().map(({reason}) => reason)),
 		});
-		if (origin instanceof LocalOrigin && initialConfig) {
-			origin.apply(initialConfig);
-		}
-
-		const sync = this.container.get(tokens.directorySync);
-		const {signal} = this.stopping;
-		this.tasks = [sync.run(signal), ...(origin instanceof ConfigFollower ? [origin.run(signal)] : [])];
+		await this.container.get(tokens.voter)?.node.start();
+		this.tasks = this.startTasks(initialConfig);
 		const addresses = {
-			callers: await this.listen(settings.listen.callers, this.createCallers()),
-			targets: await this.listen(settings.listen.targets, createTargetApp({
-				logger: getComponentLogger(logger, 'targets'),
-				onAnnounce(announcement) {
-					void sync.acceptAnnouncement(announcement);
-				},
-			})),
-			health: await this.listen(settings.listen.health, this.createHealth()),
-			peers: settings.listen.peers,
+			callers: await this.listen(listen.callers, this.createCallers()),
+			targets: await this.listen(listen.targets, this.createTargets()),
+			admin: await this.listen(listen.admin, this.createAdmin()),
+			monitor: await this.listen(listen.monitor, this.createMonitor()),
+			health: await this.listen(listen.health, this.createHealth()),
+			peers: listen.peers,
 		};
-		logger.info({host: settings.host, zone: settings.zone, ...addresses}, 'Daemon started.');
+		logger.info({host, zone, ...addresses}, 'Daemon started.');
 		return addresses;
 	}
 
@@ -64,30 +75,77 @@
 			server.closeAllConnections();
 		}
 
+		await this.container.get(tokens.shares).stop();
+		await this.container.get(tokens.voter)?.node.stop();
 		this.container.get(tokens.peers).close();
 		await this.peerServer?.stop();
 		await Promise.all(this.tasks);
 		return report;
 	}
 
-	private getHandlers(): readonly MethodHandler[] {
-		const {fleet} = this.container.get(tokens.settings);
-		const directory = this.container.get(tokens.directory);
-		const sync = this.container.get(tokens.directorySync);
+	private startTasks(initialConfig: ConfigDocument | undefined): ReadonlyArray<Promise<void>> {
+		const {signal} = this.stopping;
+		const origin = this.container.get(tokens.origin);
+		const voter = this.container.get(tokens.voter);
+		return [
+			this.container.get(tokens.follower).run(signal),
+			...(origin instanceof FleetOrigin ? [origin.run(signal)] : []),
+			...(voter ? [voter.duties.run(signal), this.watchLog()] : []),
+			this.container.get(tokens.lease).run(signal),
+			this.container.get(tokens.directorySync).run(signal),
+			this.container.get(tokens.permits).run(signal),
+			this.container.get(tokens.zoneDuties).run(signal),
+			this.container.get(tokens.queues).run(signal),
+			this.followConfig(signal),
+			...(initialConfig ? [this.proposeInitialConfig(initialConfig, signal)] : []),
+		];
+	}
+
+	/** Brings each new configuration to the parts that keep a copy. */
+	private async followConfig(signal: AbortSignal): Promise<void> {
+		const clock = this.container.get(tokens.clock);
+		const origin = this.container.get(tokens.origin);
+		let applied = 0;
+		while (!signal.aborted) {
+			const config = origin.getConfig();
+			if (config && config.version !== applied) {
+				applied = config.version;
+				this.container.get(tokens.shares).setCustomers(config.document.customers);
+			}
+
+			this.container.get(tokens.poison).update(origin.getBlocked());
+			await origin.changed.wait(clock, CONFIG_SYNC_INTERVAL_MS, signal);
+		}
+	}
+
+	/** Offers the first configuration of a new fleet; a fleet that has one refuses it as a conflict. */
+	private async proposeInitialConfig(document: ConfigDocument, signal: AbortSignal): Promise<void> {
+		const clock = this.container.get(tokens.clock);
+		const origin = this.container.get(tokens.origin);
+		const digest = getDocumentDigest(document);
+		while (!signal.aborted && !origin.getConfig()) {
+			await this.container.get(tokens.log).propose({
+				kind: 'apply', document, follows: 0, digest, requestId: `initial-${digest.slice(0, 32)}`, author: 'initial-config',
+			});
+			await origin.changed.wait(clock, INITIAL_CONFIG_RETRY_MS, signal);
+		}
+	}
+
+	/** Reports a member of the log that had to stop, for instance after a failed sync. */
+	private async watchLog(): Promise<void> {
+		const failure = await this.container.get(tokens.voter)?.node.waitUntilStopped();
+		if (failure) {
+			this.container.get(tokens.logger).error({err: failure}, 'This host no longer takes part in the log.');
+		}
+	}
+
+	private getUnreadyReasons(): readonly UnreadyReason[] {
+		const origin = this.container.get(tokens.origin);
+		const draining = this.container.get(tokens.drain).getUnreadyReason();
+		const hasConfirmedConfig = origin.getConfig() !== undefined && Number.isFinite(origin.getAgeMs());
 		return [
-			bindFollow({
-				fleet,
-				clock: this.container.get(tokens.clock),
-				logger: getComponentLogger(this.container.get(tokens.logger), 'hosts'),
-				origin: this.container.get(tokens.origin),
-				reports: this.container.get(tokens.reports),
-			}),
-			bindMethod(digestMethod, async ({position}) => ({digest: directory.getDigest(position)})),
-			bindMethod(summaryMethod, async ({zone}) => ({summary: directory.getZoneSummary(zone)})),
-			bindMethod(announceMethod, async ({announcement}) => {
-				directory.recordAnnouncement(announcement);
-				return {};
-			}),
+			...(draining ? [draining] : []),
+			...(hasConfirmedConfig ? [] : [{check: 'configuration', reason: 'The leader has not confirmed the configuration since this host started; it may be cut off.'}]),
 		];
 	}
 
@@ -97,7 +155,18 @@
 		return createCallerApp({
 			logger: parts.logger,
 			async handle(req, reply, signal) {
-				const end = drain.begin('request');
+				let end: () => void;
+				try {
+					end = drain.begin('request');
+				} catch (err: unknown) {
+					if (!isVerdictError(err)) {
+						throw err;
+					}
+
+					await sendRefusal(reply, err.verdict);
+					return;
+				}
+
 				try {
 					await handleRequest(req, reply, signal, parts);
 				} finally {
@@ -107,18 +176,38 @@
 		});
 	}
 
+	private createTargets(): RequestListener {
+		const sync = this.container.get(tokens.directorySync);
+		return createTargetApp({
+			logger: getComponentLogger(this.container.get(tokens.logger), 'targets'),
+			onAnnounce(announcement) {
+				void sync.acceptAnnouncement(announcement);
+			},
+		});
+	}
+
+	private createAdmin(): RequestListener {
+		return createAdminApp({
+			control: this.container.get(tokens.control),
+			adminKeyDigest: this.container.get(tokens.settings).adminKeyDigest ?? '',
+			logger: getComponentLogger(this.container.get(tokens.logger), 'operators'),
+		});
+	}
+
+	private createMonitor(): RequestListener {
+		return createMonitorApp({
+			view: this.container.get(tokens.view),
+			promises: this.container.get(tokens.promises),
+			evidence: this.container.get(tokens.evidence).get(),
+			monitorKeyDigest: this.container.get(tokens.settings).monitorKeyDigest ?? '',
+			logger: getComponentLogger(this.container.get(tokens.logger), 'monitor'),
+		});
+	}
+
 	private createHealth(): RequestListener {
-		const origin = this.container.get(tokens.origin);
-		const drain = this.container.get(tokens.drain);
 		return createHealthApp({
 			metrics: this.container.get(tokens.metrics),
-			getUnreadyReasons() {
-				const draining = drain.getUnreadyReason();
-				return [
-					...(draining ? [draining] : []),
-					...(origin.getConfig() ? [] : [{check: 'configuration', reason: 'No configuration has been received from the other hosts.'}]),
-				];
-			},
+			getUnreadyReasons: () => this.getUnreadyReasons(),
 		});
 	}
 
--- /dev/null
+++ b/apps/egretrilld/src/handlers.ts
@@ -0,0 +1,119 @@
+import {getComponentLogger} from '@egretrill/common';
+import {
+	bindConsensus, bindFleetLog, bindFollow, bindMethod, type MethodHandler, zoneLeaseMethod,
+} from '@egretrill/hosts';
+import type {Container} from 'inversify';
+import {NotLeaderError} from './hosts/leader-duties.js';
+import {
+	announceMethod, coldPermitMethod, coldReleaseMethod, coldRenewMethod, coldReportMethod, crashMethod, demandMethod, digestMethod, drainMethod, hostStatusMethod, inForceMethod,
+	loadPermitMethod, loadReleaseMethod, shareMethod, summaryMethod, withdrawalMethod,
+} from './methods.js';
+import {tokens, type Voter} from './tokens.js';
+
+function bindDirectoryMethods(container: Container): readonly MethodHandler[] {
+	const directory = container.get(tokens.directory);
+	const sync = container.get(tokens.directorySync);
+	const settings = container.get(tokens.settings);
+	return [
+		bindMethod(digestMethod, async ({position}) => ({digest: directory.getDigest(position), owner: sync.getZoneOwner(settings.zone)})),
+		bindMethod(summaryMethod, async ({zone}) => ({summary: directory.getZoneSummary(zone), owner: sync.getZoneOwner(zone)})),
+		bindMethod(announceMethod, async ({announcement}) => {
+			sync.recordAnnouncement(announcement);
+			return {};
+		}),
+	];
+}
+
+function bindZoneMethods(container: Container): readonly MethodHandler[] {
+	const duties = container.get(tokens.zoneDuties);
+	return [
+		bindMethod(coldPermitMethod, async req => duties.getRamp().requestPermit(req)),
+		bindMethod(coldReleaseMethod, async release => {
+			duties.getRamp().releasePermit(release);
+			return {};
+		}),
+		bindMethod(coldRenewMethod, async renewal => {
+			duties.getRamp().renewPermits(renewal);
+			return {};
+		}),
+		bindMethod(coldReportMethod, async report => {
+			duties.getRamp().reportCold(report);
+			return {};
+		}),
+		bindMethod(demandMethod, async ({hostId, reports}) => {
+			duties.recordDemand(hostId, reports);
+			return {};
+		}),
+	];
+}
+
+function bindLeaderMethods(container: Container, {node, duties}: Voter): readonly MethodHandler[] {
+	const clock = container.get(tokens.clock);
+	const reports = container.get(tokens.reports);
+	return [
+		...bindConsensus(node),
+		bindFleetLog(node),
+		bindMethod(shareMethod, async req => {
+			const answer = duties.getTenure().buckets.grant(req);
+			if (answer.isErr) {
+				throw new NotLeaderError(answer.error);
+			}
+
+			return answer.value;
+		}),
+		bindMethod(zoneLeaseMethod, async ({zone, host}) => {
+			const answer = await duties.getTenure().leases.request(zone, host);
+			if (!answer) {
+				throw new NotLeaderError('The lease could not be granted.');
+			}
+
+			return answer;
+		}),
+		bindMethod(crashMethod, async report => {
+			duties.getTenure().poison.report(report);
+			return {};
+		}),
+		bindMethod(loadPermitMethod, async req => duties.getTenure().loads.requestPermit(req, clock.now())),
+		bindMethod(loadReleaseMethod, async ({permitId}) => {
+			duties.getTenure().loads.releasePermit(permitId);
+			return {};
+		}),
+		bindMethod(withdrawalMethod, async ({keyId}) => {
+			const state = duties.getTenure().withdrawals.getState(keyId);
+			return state
+				? {...state, waitingFor: [...state.waitingFor], isKnown: true}
+				: {
+					isKnown: false, isInForce: false, version: 0, waitingFor: [],
+				};
+		}),
+		bindMethod(inForceMethod, async () => {
+			duties.getTenure();
+			return {versions: Object.fromEntries(reports.getAll())};
+		}),
+	];
+}
+
+/** Everything that other hosts may call at this one. */
+export function createHandlers(container: Container, onDrain: (author: string) => void, getUnreadyReasons: () => readonly string[]): readonly MethodHandler[] {
+	const voter = container.get(tokens.voter);
+	return [
+		bindFollow({
+			fleet: container.get(tokens.settings).fleet,
+			clock: container.get(tokens.clock),
+			logger: getComponentLogger(container.get(tokens.logger), 'hosts'),
+			origin: container.get(tokens.origin),
+			reports: container.get(tokens.reports),
+		}),
+		...bindDirectoryMethods(container),
+		...bindZoneMethods(container),
+		...(voter ? bindLeaderMethods(container, voter) : []),
+		bindMethod(drainMethod, async ({author}) => {
+			onDrain(author);
+			return {};
+		}),
+		bindMethod(hostStatusMethod, async () => {
+			const reasons = getUnreadyReasons();
+			return {ready: reasons.length === 0, reasons: [...reasons]};
+		}),
+	];
+}
--- a/apps/egretrilld/src/hosts/leader-duties.ts
+++ b/apps/egretrilld/src/hosts/leader-duties.ts
@@ -1,4 +1,4 @@
-import {BucketOwner, PoisonCounter} from '@egretrill/callers';
+import {BucketOwner, type PoisonBlock, PoisonCounter} from '@egretrill/callers';
 import type {Clock, ConfigDocument, Logger} from '@egretrill/common';
 import {
 	DUTY_CHECK_MS, type FleetNode, type FleetState, type InForceReports, WithdrawalTracker, ZONE_LEASE_TTL_MS, ZoneLeaseTable,
@@ -47,6 +47,11 @@
 		return this.tenure;
 	}
 
+	/** Requests that crashed several targets, while this host leads. */
+	getBlocked(): readonly PoisonBlock[] {
+		return this.opts.node.isLeaderWithLease() ? this.tenure?.poison.getBlocks() ?? [] : [];
+	}
+
 	/** Takes up the duties with each new term and keeps them in step with the configuration. */
 	async run(signal: AbortSignal): Promise<void> {
 		const {clock, node, state, logger} = this.opts;
--- a/apps/egretrilld/src/main.ts
+++ b/apps/egretrilld/src/main.ts
@@ -2,10 +2,12 @@
 import {readFile} from 'node:fs/promises';
 import process from 'node:process';
 import {formatFaults, readSettings, restoreConfigDocument} from '@egretrill/common';
+import {createBlockHasher} from '@egretrill/engines';
 import yargs from 'yargs';
 import {hideBin} from 'yargs/helpers';
 import {createContainer} from './container.js';
 import {Daemon} from './daemon.js';
+import {readPeerCredentials} from './hosts/peer-credentials.js';
 
 const EXIT_INVALID = 2;
 
@@ -27,7 +29,9 @@
 	}
 
 	const initialConfig = configFile === undefined ? undefined : await readInitialConfig(configFile);
-	const daemon = new Daemon(createContainer(settings.value));
+	const credentials = await readPeerCredentials(settings.value);
+	const container = createContainer({settings: settings.value, credentials, hash: await createBlockHasher()});
+	const daemon = new Daemon(container, credentials);
 	await daemon.start(initialConfig);
 	const stop = async (signal: string): Promise<void> => {
 		const report = await daemon.stop(signal);
@@ -37,6 +41,7 @@
 
 	process.on('SIGTERM', stop);
 	process.on('SIGINT', stop);
+	daemon.drainRequested.addEventListener('abort', async () => stop('operator'));
 }
 
 const argv = await yargs(hideBin(process.argv))
--- /dev/null
+++ b/apps/egretrilld/src/monitor/daemon-view.ts
@@ -0,0 +1,33 @@
+import type {TargetDirectory} from '@egretrill/engines';
+import type {ConfigOrigin} from '@egretrill/hosts';
+import {
+	type KeyView, type ModelCopy, type MonitoredConfig, MonitorView,
+} from '@egretrill/monitor';
+import type {FleetControl} from '@egretrill/operators';
+
+/** What the monitor reads through this host. */
+export class DaemonView extends MonitorView {
+	constructor(private readonly origin: ConfigOrigin, private readonly directory: TargetDirectory, private readonly control: FleetControl) {
+		super();
+	}
+
+	override async getConfig(): Promise<MonitoredConfig | undefined> {
+		return this.origin.getConfig();
+	}
+
+	override async getCopies(): Promise<readonly ModelCopy[]> {
+		return this.directory.getTargets().flatMap(({entry}) => entry.resident.map(({model, version}) => ({
+			model, version, target: entry.targetId, zone: entry.zone, state: 'resident' as const,
+		})));
+	}
+
+	override async getKeyState(keyId: string): Promise<KeyView['state']> {
+		const key = this.origin.getConfig()?.document.keys.find(({id}) => id === keyId);
+		if (key?.state !== 'withdrawn') {
+			return 'active';
+		}
+
+		const withdrawal = await this.control.getWithdrawal(keyId);
+		return withdrawal.result === 'in-force' ? 'withdrawn' : 'withdrawal-pending';
+	}
+}
--- a/apps/egretrilld/src/targets/directory-pool.ts
+++ b/apps/egretrilld/src/targets/directory-pool.ts
@@ -5,7 +5,7 @@
 	type Clock, type Logger, type Random, refuse, type TargetAddress, type Verdict,
 } from '@egretrill/common';
 import type {
-	Choice, ColdPermitHolder, CollapseDetector, DemandEstimator, HeldPermit, OwnRequest, PrefixBelief, RoutingPolicy, RoutingRequest, TargetDirectory, ZoneConditions,
+	Choice, ColdPermitHolder, CollapseDetector, HeldPermit, OwnRequest, PrefixBelief, RoutingPolicy, RoutingRequest, TargetDirectory, ZoneConditions,
 } from '@egretrill/engines';
 import {Result} from 'true-myth';
 import {POOL_RETRY_MS} from '../constants.js';
@@ -19,7 +19,6 @@
 	readonly policy: RoutingPolicy;
 	readonly permits: ColdPermitHolder;
 	readonly collapses: CollapseDetector;
-	readonly demand: DemandEstimator;
 	readonly belief?: PrefixBelief;
 	readonly config: ConfigSource;
 	readonly getZoneConditions: () => ZoneConditions;
@@ -30,30 +29,32 @@
 /** Refusals that may end before the request's deadline; refusing at once would be wrongful. */
 const passingCodes: ReadonlySet<string> = new Set(['copies-busy', 'no-target', 'cold-target', 'permit-unavailable']);
 
+/** What the choice of a target left to give back. */
+type HeldTarget = {
+	readonly choice: Choice;
+	readonly own: OwnRequest | undefined;
+	readonly permit?: HeldPermit;
+	readonly want: TargetWant;
+};
+
 /** A target of the directory that runs one request. */
 class DirectoryTarget extends ChosenTarget {
 	override readonly address: TargetAddress;
 
-	constructor(
-		private readonly opts: DirectoryPoolOptions,
-		private readonly choice: Choice,
-		private readonly own: OwnRequest | undefined,
-		private readonly permit?: HeldPermit,
-		private readonly want?: TargetWant,
-	) {
+	constructor(private readonly opts: DirectoryPoolOptions, private readonly held: HeldTarget) {
 		super();
-		const {targetId, startId, address} = choice;
+		const {targetId, startId, address} = held.choice;
 		this.address = {targetId, startId, address};
 	}
 
 	override isAvailable(): boolean {
-		const entry = this.opts.directory.getEntry(this.choice.targetId, this.choice.startId);
-		const isZoneOpen = this.opts.getZoneConditions()[this.choice.zone]?.state !== 'taken-out';
-		return entry !== undefined && !entry.leaving && isZoneOpen && (!this.permit || this.opts.permits.canWrite(this.permit));
+		const entry = this.opts.directory.getEntry(this.held.choice.targetId, this.held.choice.startId);
+		const isZoneOpen = this.opts.getZoneConditions()[this.held.choice.zone]?.state !== 'taken-out';
+		return entry !== undefined && !entry.leaving && isZoneOpen && (!this.held.permit || this.opts.permits.canWrite(this.held.permit));
 	}
 
 	override isSameStart(): boolean {
-		return this.opts.directory.getEntry(this.choice.targetId, this.choice.startId) !== undefined;
+		return this.opts.directory.getEntry(this.held.choice.targetId, this.held.choice.startId) !== undefined;
 	}
 
 	override noteFirstToken(elapsedMs: number): void {
@@ -63,37 +64,50 @@
 	override release(outcome: TargetOutcome): void {
 		const {directory, permits} = this.opts;
 		const {targetId, startId} = this.address;
-		if (this.own) {
-			directory.endRequest(this.own);
+		if (this.held.own) {
+			directory.endRequest(this.held.own);
 		}
 
-		if (this.permit) {
-			void permits.release(this.permit, outcome === 'unreachable' ? 'failed' : outcome);
+		if (this.held.permit) {
+			void permits.release(this.held.permit, outcome === 'unreachable' ? 'failed' : outcome);
 		}
 
-		if (outcome === 'unreachable') {
-			directory.recordConnectFailure(targetId, startId);
-		} else if (outcome === 'completed') {
-			directory.recordConnectSuccess(targetId, startId);
-			this.notePrefix();
-		} else if (outcome === 'failed') {
-			this.noteLatency('failed');
+		switch (outcome) {
+			case 'unreachable': {
+				directory.recordConnectFailure(targetId, startId);
+
+				break;
+			}
+
+			case 'completed': {
+				directory.recordConnectSuccess(targetId, startId);
+				this.notePrefix();
+
+				break;
+			}
+
+			case 'failed': {
+				this.noteLatency('failed');
+
+				break;
+			}
+		// No default
 		}
 	}
 
 	/** The engine now holds the prompt's prefix, before any cache event says so. */
 	private notePrefix(): void {
 		const {belief} = this.opts;
-		if (belief && this.want?.model !== undefined) {
-			belief.recordCompleted(this.choice.targetId, this.choice.startId, belief.getBlocks(this.want.model, this.want.adapter, this.want.prompt));
+		if (belief && this.held.want?.model !== undefined) {
+			belief.recordCompleted(this.held.choice.targetId, this.held.choice.startId, belief.getBlocks(this.held.want.model, this.held.want.adapter, this.held.want.prompt));
 		}
 	}
 
 	private noteLatency(latency: number | 'failed'): void {
 		const {targetId, startId} = this.address;
-		if (this.want?.kind === 'engine' && this.opts.collapses.record(targetId, startId, latency)) {
+		if (this.held.want?.kind === 'engine' && this.opts.collapses.record(targetId, startId, latency)) {
 			this.opts.logger.warn({targetId, startId}, 'A warm target answers like a cold one.');
-			void this.opts.permits.reportCold(this.choice.zone, {targetId, startId});
+			void this.opts.permits.reportCold(this.held.choice.zone, {targetId, startId});
 		}
 	}
 }
@@ -104,18 +118,28 @@
 		super();
 	}
 
+	override getFreeSlots(model: string): number {
+		const {directory, hostZone} = this.opts;
+		const {candidates} = directory.getCandidates({model, hostZone, zoneStates: this.opts.getZoneConditions()});
+		return candidates.reduce((sum, {load, outstanding}) => sum + Math.max(0, load.limit - outstanding), 0);
+	}
+
 	override async choose(want: TargetWant, signal: AbortSignal): Promise<Result<ChosenTarget, Verdict>> {
 		const {clock, logger} = this.opts;
 		const endsMs = clock.now() + want.timeoutMs;
 		for (;;) {
-			const chosen = want.startId === undefined ? await this.tryChoose(want) : this.findStart(want.startId);
+			const chosen = want.startId === undefined ? await this.tryChoose(want) : this.findStart(want);
 			if (chosen.isOk) {
 				return chosen;
 			}
 
-			const canWait = passingCodes.has(chosen.error.code) && !signal.aborted && clock.now() + POOL_RETRY_MS < endsMs;
+			// A request that has failed at every copy is told so at once; any other may wait for a copy.
+			const mayPass = passingCodes.has(chosen.error.code) && (chosen.error.code !== 'no-target' || want.excluded.size === 0);
+			const canWait = mayPass && !signal.aborted && clock.now() + POOL_RETRY_MS < endsMs;
 			if (!canWait) {
-				logger.info({requestId: want.requestId, model: want.model, service: want.service, code: chosen.error.code}, 'No target chosen.');
+				logger.info({
+					requestId: want.requestId, model: want.model, service: want.service, code: chosen.error.code,
+				}, 'No target chosen.');
 				return Result.err(chosen.error);
 			}
 
@@ -144,7 +168,9 @@
 
 	private createTarget(want: TargetWant, choice: Choice, permit?: HeldPermit): ChosenTarget {
 		const own = this.opts.directory.beginRequest(choice.targetId, choice.startId);
-		return new DirectoryTarget(this.opts, choice, own, permit, want);
+		return new DirectoryTarget(this.opts, {
+			choice, own, permit, want,
+		});
 	}
 
 	private logChoice({requestId, model, adapter, service}: TargetWant, choice: Choice): void {
@@ -162,20 +188,20 @@
 		});
 		const known = model === undefined ? index?.document.services.some(({id}) => id === service) : index?.models.has(model);
 		return policy.choose(set, {
-			model, adapter, service, prompt, known: known ?? false, excluded: [...excluded],
+			model, adapter, service, prompt, known: known ?? false, canLoadAdapter: false, excluded: [...excluded],
 		}, random);
 	}
 
-	private findStart(startId: string): Result<ChosenTarget, Verdict> {
-		const live = this.opts.directory.getTargets().find(({entry}) => entry.startId === startId);
+	private findStart(want: TargetWant): Result<ChosenTarget, Verdict> {
+		const live = this.opts.directory.getTargets().find(({entry}) => entry.startId === want.startId);
 		if (!live) {
 			return Result.err(refuse(503, 'target-left', 'The target that began the answer has left.'));
 		}
 
-		const {targetId, zone, address} = live.entry;
+		const {targetId, startId, zone, address} = live.entry;
 		const choice: Choice = {
 			targetId, startId, zone, address, needsPermit: false, adapterResident: true, reason: 'resume', considered: 1, scores: [],
 		};
-		return Result.ok(new DirectoryTarget(this.opts, choice, this.opts.directory.beginRequest(targetId, startId)));
+		return Result.ok(this.createTarget(want, choice));
 	}
 }
--- a/apps/egretrilld/src/targets/directory-sync.ts
+++ b/apps/egretrilld/src/targets/directory-sync.ts
@@ -1,10 +1,12 @@
 import {
 	type Announcement, type Clock, jitter, type Logger, type PeerHost, type Random, type Settings,
 } from '@egretrill/common';
-import type {TargetDirectory} from '@egretrill/engines';
+import type {DemandEstimator, PrefixBelief, TargetDirectory} from '@egretrill/engines';
 import type {PeerDirectory} from '@egretrill/hosts';
-import {DIRECTORY_SYNC_INTERVAL_MS, SUMMARY_SYNC_INTERVAL_MS} from '../constants.js';
-import {announceMethod, digestMethod, summaryMethod} from '../methods.js';
+import {DEMAND_REPORT_INTERVAL_MS, DIRECTORY_SYNC_INTERVAL_MS, SUMMARY_SYNC_INTERVAL_MS} from '../constants.js';
+import {
+	announceMethod, demandMethod, digestMethod, summaryMethod,
+} from '../methods.js';
 
 export type DirectorySyncOptions = {
 	readonly settings: Settings;
@@ -13,6 +15,10 @@
 	readonly logger: Logger;
 	readonly peers: PeerDirectory;
 	readonly directory: TargetDirectory;
+	readonly belief: PrefixBelief;
+	readonly demand: DemandEstimator;
+	/** The owner of the own zone as far as this host's requests for the lease show. */
+	readonly getOwnHolder: () => string | undefined;
 };
 
 /** Exchanges the target directory with the directory hosts of the zone and with other zones. */
@@ -26,10 +32,19 @@
 		return this.zoneOwners.get(zone);
 	}
 
+	/** Takes an announcement, from a target or through another host. */
+	recordAnnouncement(announcement: Announcement): void {
+		const {targetId, startId, cacheEvents} = announcement;
+		this.opts.directory.recordAnnouncement(announcement);
+		if (cacheEvents) {
+			this.opts.belief.recordEvents(targetId, startId, cacheEvents);
+		}
+	}
+
 	/** Takes an announcement that reached this host and passes it on to the zone's directory hosts. */
 	async acceptAnnouncement(announcement: Announcement): Promise<void> {
-		const {directory, peers, settings} = this.opts;
-		directory.recordAnnouncement(announcement);
+		const {peers, settings} = this.opts;
+		this.recordAnnouncement(announcement);
 		const directoryHosts = peers.getDirectoryHosts(settings.zone);
 		if (directoryHosts.some(peer => peer.id === settings.host)) {
 			return;
@@ -45,6 +60,7 @@
 		await Promise.all([
 			...Array.from({length: 2}, async (_, rank) => this.followDirectoryHost(rank, signal)),
 			...[...otherZones].map(async zone => this.followZone(zone, signal)),
+			this.reportDemand(signal),
 		]);
 	}
 
@@ -53,7 +69,9 @@
 		const {clock, random, peers, settings} = this.opts;
 		while (!signal.aborted) {
 			const peer = peers.getDirectoryHosts(settings.zone)[rank];
-			if (peer && peer.id !== settings.host) {
+			if (peer?.id === settings.host) {
+				this.noteOwner(settings.zone, this.opts.getOwnHolder());
+			} else if (peer) {
 				await this.readDigest(peer);
 			}
 
@@ -90,6 +108,20 @@
 		}
 	}
 
+	/** Tells the zone's owner what callers ask of this host. */
+	private async reportDemand(signal: AbortSignal): Promise<void> {
+		const {clock, random, peers, settings, demand} = this.opts;
+		while (!signal.aborted) {
+			const owner = this.getZoneOwner(settings.zone);
+			const reports = demand.report(clock.now());
+			if (owner !== undefined && reports.length > 0) {
+				await peers.call(owner, demandMethod, {hostId: settings.host, reports: [...reports]});
+			}
+
+			await clock.sleep(jitter(DEMAND_REPORT_INTERVAL_MS, random), signal);
+		}
+	}
+
 	private noteOwner(zone: string, owner: string | undefined): void {
 		if (owner !== undefined) {
 			this.zoneOwners.set(zone, owner);
--- a/apps/egretrilld/src/tokens.ts
+++ b/apps/egretrilld/src/tokens.ts
@@ -1,37 +1,68 @@
+import type {
+	ConfigSource, PoisonList, QueueSet, RequestParts, ShareHolder,
+} from '@egretrill/callers';
 import type {
 	Clock, Logger, Random, Settings,
 } from '@egretrill/common';
-import type {ConfigSource, RequestParts} from '@egretrill/callers';
-import type {EngineClient, RoutingPolicy, TargetDirectory} from '@egretrill/engines';
-import type {ConfigOrigin, InForceReports} from '@egretrill/hosts';
+import type {
+	ColdPermitHolder, DemandEstimator, EngineClient, PrefixBelief, RoutingPolicy, TargetDirectory, ZoneOwner,
+} from '@egretrill/engines';
+import type {
+	ConfigFollower, ConfigOrigin, FleetLog, FleetNode, FleetState, InForceReports, PeerDirectory, ZoneLeaseKeeper,
+} from '@egretrill/hosts';
+import type {PromiseCounters} from '@egretrill/monitor';
+import type {FleetControl} from '@egretrill/operators';
 import type {Drain, Metrics} from '@egretrill/platform';
 import type {ServiceIdentifier} from 'inversify';
-import type {DirectoryPool} from './directory-pool.js';
-import type {DirectorySync} from './directory-sync.js';
-import type {PeerDirectory} from './peer-directory.js';
-import type {ZoneStates} from './zone-conditions.js';
+import type {LeaderDuties} from './hosts/leader-duties.js';
+import type {EvidenceHolder} from './monitor/evidence-holder.js';
+import type {DaemonView} from './monitor/daemon-view.js';
+import type {DirectoryPool} from './targets/directory-pool.js';
+import type {DirectorySync} from './targets/directory-sync.js';
+import type {ZoneDuties} from './targets/zone-duties.js';
+import type {ZoneStates} from './targets/zone-states.js';
 
 function createToken<T>(name: string): ServiceIdentifier<T> {
 	return Symbol(`egretrilld.${name}`);
 }
 
+/** The parts of a host that keeps the replicated log. */
+export type Voter = {readonly node: FleetNode; readonly state: FleetState; readonly duties: LeaderDuties};
+
 /** Names under which the parts of the daemon are bound. */
 export const tokens = {
 	settings: createToken<Settings>('settings'),
 	clock: createToken<Clock>('clock'),
 	random: createToken<Random>('random'),
 	logger: createToken<Logger>('logger'),
+	drain: createToken<Drain>('drain'),
+	metrics: createToken<Metrics>('metrics'),
+	promises: createToken<PromiseCounters>('promises'),
+	evidence: createToken<EvidenceHolder>('evidence'),
 	peers: createToken<PeerDirectory>('peers'),
 	reports: createToken<InForceReports>('reports'),
+	/** Undefined on hosts without a part of the log. */
+	voter: createToken<Voter | undefined>('voter'),
+	follower: createToken<ConfigFollower>('follower'),
 	origin: createToken<ConfigOrigin>('origin'),
+	log: createToken<FleetLog>('log'),
+	lease: createToken<ZoneLeaseKeeper>('lease'),
 	config: createToken<ConfigSource>('config'),
 	zones: createToken<ZoneStates>('zones'),
 	directory: createToken<TargetDirectory>('directory'),
 	directorySync: createToken<DirectorySync>('directory sync'),
+	belief: createToken<PrefixBelief>('belief'),
 	policy: createToken<RoutingPolicy>('policy'),
+	permits: createToken<ColdPermitHolder>('permits'),
+	demand: createToken<DemandEstimator>('demand'),
+	owner: createToken<ZoneOwner>('zone owner'),
+	zoneDuties: createToken<ZoneDuties>('zone duties'),
 	pool: createToken<DirectoryPool>('pool'),
 	engines: createToken<EngineClient>('engines'),
-	drain: createToken<Drain>('drain'),
-	metrics: createToken<Metrics>('metrics'),
+	shares: createToken<ShareHolder>('shares'),
+	queues: createToken<QueueSet>('queues'),
+	poison: createToken<PoisonList>('poison'),
 	requestParts: createToken<RequestParts>('request parts'),
+	control: createToken<FleetControl>('control'),
+	view: createToken<DaemonView>('view'),
 } as const;
--- a/apps/egretrilld/tests/request-path.test.ts
+++ b/apps/egretrilld/tests/request-path.test.ts
@@ -109,7 +109,7 @@
 			return status === 200 || undefined;
 		});
 		const answer = chat({stream: true, max_tokens: 500});
-		await waitFor('the first tokens', () => dying.begunRequests.length > 1 ? true : undefined);
+		await waitFor('the first tokens', () => dying.sentChunks > 3 || undefined);
 		await dying.stop();
 		const {body, ...head} = await answer;
 		expect({...head, end: body.split('\n\n').filter(event => !event.startsWith('data:') && !event.startsWith(':')), hasEndMarker: body.includes('[DONE]')}).toMatchSnapshot();
--- a/dev/stand-ins/src/announce.ts
+++ b/dev/stand-ins/src/announce.ts
@@ -1,7 +1,9 @@
-import {ANNOUNCE_INTERVAL_MS} from '@egretrill/common';
+import {ANNOUNCE_INTERVAL_MS, MonotonicClock} from '@egretrill/common';
 import got from 'got';
 import type {Announcer} from './types.js';
 
+const clock = new MonotonicClock();
+
 /** Announces a target to its hosts until the signal aborts; hosts that do not answer are skipped. */
 export async function announceUntil({getAnnouncement, hosts}: Announcer, signal: AbortSignal): Promise<void> {
 	while (!signal.aborted) {
@@ -15,12 +17,6 @@
 				// A host that is down hears the next announcement after its restart.
 			}
 		}));
-		await new Promise<void>(resolve => {
-			const timer = setTimeout(resolve, ANNOUNCE_INTERVAL_MS);
-			signal.addEventListener('abort', () => {
-				clearTimeout(timer);
-				resolve();
-			}, {once: true});
-		});
+		await clock.sleep(ANNOUNCE_INTERVAL_MS, signal);
 	}
 }
--- a/dev/stand-ins/src/engine.ts
+++ b/dev/stand-ins/src/engine.ts
@@ -25,6 +25,7 @@
 	/** Ids of all requests that began, in order. */
 	readonly begunRequests: string[] = [];
 	peakRunning = 0;
+	sentChunks = 0;
 	private readonly opts: EngineOptions;
 	private running = 0;
 	private completed = 0;
@@ -176,6 +177,7 @@
 		}
 
 		const id = this.faults.crossAtChunk === seq ? 'req-of-another-caller' : requestId;
+		this.sentChunks += 1;
 		const isLast = seq === chat.max_tokens - 1;
 		const chunk = {
 			id,
--- a/packages/callers/src/exchange-types.ts
+++ b/packages/callers/src/exchange-types.ts
@@ -22,9 +22,12 @@
 	readonly beforeAnswer?: (answer: CallOutcome) => Promise<void>;
 };
 
+/** When the parts of a streamed answer came, from the start of the attempt. */
+export type StreamTimes = {readonly firstTokenMs: number; readonly betweenTokensMs?: number};
+
 /** How one attempt at a target ended. */
 export type AttemptResult =
-	| {readonly kind: 'completed'; readonly tokens?: number}
+	| {readonly kind: 'completed'; readonly tokens?: number; readonly times?: StreamTimes}
 	| {readonly kind: 'cancelled'}
 	| {readonly kind: 'failed'; readonly failure: SendFailure; readonly deliveredChunks: number};
 
--- a/packages/callers/src/handle-request.ts
+++ b/packages/callers/src/handle-request.ts
@@ -2,7 +2,7 @@
 	refuse, type Verdict, VerdictError,
 } from '@egretrill/common';
 import {Result} from 'true-myth';
-import {admitWork} from './admission.js';
+import {type AdmissionRequest, admitWork} from './admission.js';
 import {authenticate, type Identity} from './authenticate.js';
 import {type CallerReply, sendRefusal} from './caller-reply.js';
 import type {ConfigIndex} from './config-index.js';
@@ -37,20 +37,29 @@
 		return Result.err(admitted.error);
 	}
 
-	const {identity, work} = admitted.value;
+	const customer = admitted.value.identity.customer?.id ?? OPEN_CUSTOMER;
+	const result = await queueAndRun({
+		...admitted.value, parts, signal, fingerprint: getFingerprint(customer, `${req.method} ${req.path}`, req.body),
+	}, req, reply);
+	parts.observer.noteEnd(customer, result.isOk ? result.value.kind : result.error);
+	return result;
+}
+
+/** Takes a request with a known route and customer through its queue to a target. */
+async function queueAndRun(admissionReq: AdmissionRequest, req: CallerRequest, reply: CallerReply): Promise<Result<RunResult, Verdict>> {
+	const {parts, identity, work} = admissionReq;
 	parts.observer.noteArrival(work);
 	parts.retries.countRequest();
 	const startedMs = parts.clock.now();
-	const customer = identity.customer?.id ?? OPEN_CUSTOMER;
-	const fingerprint = getFingerprint(customer, `${req.method} ${req.path}`, req.body);
-	const admission = await admitWork(parts, identity, work, fingerprint, signal);
+	const admission = await admitWork(admissionReq);
 	if (admission.isErr) {
 		return Result.err(admission.error);
 	}
 
-	parts.observer.noteTimes({customer, queueMs: parts.clock.now() - startedMs, ...(work.chat && {model: work.chat.model})});
+	const queueMs = parts.clock.now() - startedMs;
+	parts.observer.noteTimes({customer: identity.customer?.id ?? OPEN_CUSTOMER, model: work.chat?.model, queueMs});
 	return run({
-		req, reply, work, identity, fingerprint, signal, parts, startedMs, admission: admission.value, deadlineMs: startedMs + work.route.timeoutMs,
+		...admissionReq, req, reply, startedMs, admission: admission.value, deadlineMs: startedMs + work.route.timeoutMs,
 	});
 }
 
@@ -101,7 +110,6 @@
 		result = Result.err(toVerdict(err));
 	}
 
-	parts.observer.noteEnd(req.path, result.isOk ? result.value.kind : result.error);
 	const elapsedMs = Math.round(parts.clock.now() - startedMs);
 	if (result.isOk) {
 		parts.logger.info({
@@ -114,5 +122,9 @@
 	parts.logger.info({
 		requestId: req.requestId, path: req.path, outcome: verdict.code, verdict: verdict.run, elapsedMs,
 	}, 'Request refused.');
+	if (signal.aborted) {
+		return;
+	}
+
 	await (reply.isStarted ? endBrokenAnswer(reply, verdict) : sendRefusal(reply, verdict));
 }
--- a/packages/callers/src/relay-stream.ts
+++ b/packages/callers/src/relay-stream.ts
@@ -1,7 +1,16 @@
 import {StreamBrokenError, type StreamItem, type TargetAddress} from '@egretrill/common';
-import type {AttemptResult, Exchange, TargetRequestBuilder} from './exchange-types.js';
+import type {
+	AttemptResult, Exchange, StreamTimes, TargetRequestBuilder,
+} from './exchange-types.js';
 
-type Progress = {delivered: number; tokens: number | undefined; isDone: boolean};
+type Progress = {
+	delivered: number;
+	tokens: number | undefined;
+	isDone: boolean;
+	received: number;
+	firstMs: number | undefined;
+	lastMs: number;
+};
 
 function formatItem(item: StreamItem): string {
 	switch (item.kind) {
@@ -19,9 +28,12 @@
 	}
 }
 
-function noteItems(progress: Progress, items: readonly StreamItem[]): void {
+function noteItems(progress: Progress, items: readonly StreamItem[], nowMs: number): void {
 	for (const item of items) {
 		if (item.kind === 'chunk') {
+			progress.received += 1;
+			progress.firstMs ??= nowMs;
+			progress.lastMs = nowMs;
 			progress.delivered = item.seq + 1;
 			progress.tokens = item.completionTokens ?? progress.tokens;
 		} else if (item.kind === 'done') {
@@ -30,10 +42,21 @@
 	}
 }
 
+function getTimes({received, firstMs, lastMs}: Progress, startedMs: number): {readonly times?: StreamTimes} {
+	if (firstMs === undefined) {
+		return {};
+	}
+
+	return {times: {firstTokenMs: firstMs - startedMs, ...(received > 1 && {betweenTokensMs: (lastMs - firstMs) / (received - 1)})}};
+}
+
 /** Relays one streamed attempt to the caller, from the first chunk that the caller does not have yet. */
 export async function relayStream(exchange: Exchange, target: TargetAddress, resumeFrom: number, build: TargetRequestBuilder): Promise<AttemptResult> {
 	const {reply, signal, parts} = exchange;
-	const progress: Progress = {delivered: resumeFrom, tokens: undefined, isDone: false};
+	const startedMs = parts.clock.now();
+	const progress: Progress = {
+		delivered: resumeFrom, tokens: undefined, isDone: false, received: 0, firstMs: undefined, lastMs: startedMs,
+	};
 	try {
 		for await (const items of parts.engines.stream(target, build(resumeFrom), signal)) {
 			if (items.length === 0) {
@@ -45,11 +68,11 @@
 			}
 
 			await reply.write(items.map(item => formatItem(item)).join(''));
-			noteItems(progress, items);
+			noteItems(progress, items, parts.clock.now());
 		}
 
 		await reply.end();
-		return {kind: 'completed', tokens: progress.tokens ?? progress.delivered};
+		return {kind: 'completed', tokens: progress.tokens ?? progress.delivered, ...getTimes(progress, startedMs)};
 	} catch (err: unknown) {
 		if (signal.aborted || !(err instanceof StreamBrokenError)) {
 			return {kind: 'cancelled'};
@@ -58,7 +81,7 @@
 		if (progress.isDone) {
 			// The end marker has reached the caller, so the answer is whole although the connection broke afterwards.
 			await reply.end();
-			return {kind: 'completed', tokens: progress.tokens ?? progress.delivered};
+			return {kind: 'completed', tokens: progress.tokens ?? progress.delivered, ...getTimes(progress, startedMs)};
 		}
 
 		return {kind: 'failed', failure: err.failure, deliveredChunks: progress.delivered};
--- a/packages/callers/src/run-on-targets.ts
+++ b/packages/callers/src/run-on-targets.ts
@@ -4,7 +4,7 @@
 import {Result} from 'true-myth';
 import {refuseStaleShare} from './admission.js';
 import {checkKey} from './authenticate.js';
-import {MIN_WORK_MS, UNFORWARDED_HEADERS} from './constants.js';
+import {MIN_WORK_MS, OPEN_CUSTOMER, UNFORWARDED_HEADERS} from './constants.js';
 import {decideRetry} from './decide-retry.js';
 import type {AttemptResult, Exchange, TargetRequestBuilder} from './exchange-types.js';
 import {relayAnswer} from './relay-answer.js';
@@ -26,7 +26,7 @@
 		requestId: exchange.req.requestId,
 		method: exchange.req.method,
 		path: exchange.req.path,
-		headers,
+		headers: exchange.work.chat ? {...headers, 'content-type': 'application/json'} : headers,
 		body: exchange.req.body,
 		deadlineMs: getRemainingMs(exchange),
 		...(resumeFrom > 0 && {resumeFrom}),
@@ -146,6 +146,13 @@
 	});
 }
 
+function noteTimes({parts, identity, work}: Exchange, chosen: ChosenTarget, result: AttemptResult): void {
+	if (result.kind === 'completed' && result.times) {
+		chosen.noteFirstToken(result.times.firstTokenMs);
+		parts.observer.noteTimes({customer: identity.customer?.id ?? OPEN_CUSTOMER, model: work.chat?.model, ...result.times});
+	}
+}
+
 /** Runs an admitted request on one target after another until it is answered or must be given up. */
 export async function runOnTargets(exchange: Exchange): Promise<Result<RunResult, Verdict>> {
 	let state: RunState = {
@@ -166,6 +173,7 @@
 		}
 
 		const result = await attemptAt(exchange, chosen.value, state);
+		noteTimes(exchange, chosen.value, result);
 		chosen.value.release(getOutcome(result));
 		if (result.kind !== 'failed') {
 			return Result.ok(result);
--- a/packages/callers/src/target-pool.ts
+++ b/packages/callers/src/target-pool.ts
@@ -34,5 +34,7 @@
 
 /** Chooses targets for requests. */
 export abstract class TargetPool {
+	/** Requests that the targets of a model can take beyond those that run now. */
+	abstract getFreeSlots(model: string): number;
 	abstract choose(want: TargetWant, signal: AbortSignal): Promise<Result<ChosenTarget, Verdict>>;
 }
--- a/packages/common/src/http-exchange.ts
+++ b/packages/common/src/http-exchange.ts
@@ -12,6 +12,8 @@
 /** Errors that occur before any byte of a request has left this host. */
 const unsentCodes: ReadonlySet<string> = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'EADDRNOTAVAIL', 'ENOTFOUND']);
 
+const bodilessMethods: ReadonlySet<string> = new Set(['GET', 'HEAD']);
+
 function isUnsent(err: unknown): boolean {
 	if (err instanceof TimeoutError) {
 		return err.event === 'connect' || err.event === 'lookup';
@@ -56,6 +58,11 @@
 	});
 	// Later failures reach the reader of the body; without a listener they would end the process.
 	stream.on('error', () => undefined);
+	if (req.body.length === 0 && !bodilessMethods.has(req.method)) {
+		// Without a body the library waits for one to be written.
+		stream.end();
+	}
+
 	return new Promise(resolve => {
 		stream.once('error', (err: unknown) => {
 			resolve(Result.err(toSendFailure(err)));
--- a/packages/hosts/src/consensus/state-machine.ts
+++ b/packages/hosts/src/consensus/state-machine.ts
@@ -21,3 +21,6 @@
 	/** Replaces the state, or throws and leaves it unchanged when the bytes are not valid. */
 	abstract restore(data: Uint8Array): void;
 }
+
+/** The part of a state machine that does not depend on its command type. */
+export type ReplicatedMachine = Pick<StateMachine<unknown, unknown>, 'getMemberWishes' | 'apply' | 'snapshot' | 'restore'>;
--- a/packages/hosts/src/constants.ts
+++ b/packages/hosts/src/constants.ts
@@ -9,6 +9,9 @@
 /** Longest time a parent holds a follow poll open while nothing changes. */
 export const FOLLOW_WAIT_MS = 250;
 export const FOLLOW_RETRY_MS = 100;
+
+/** A parent whose own knowledge is older than this is left for another one. */
+export const FOLLOW_STALE_MS = 1500;
 export const HEARTBEAT_MS = 150;
 /** Leader lease; it ends before any follower that acknowledged a heartbeat may vote for another leader. */
 export const LEADER_LEASE_MS = 500;
--- a/packages/hosts/src/fleet/fleet-origin.ts
+++ b/packages/hosts/src/fleet/fleet-origin.ts
@@ -1,7 +1,10 @@
 import {type Clock, Signal} from '@egretrill/common';
 import {DUTY_CHECK_MS} from '../constants.js';
 import type {FleetState} from '../fleet-state.js';
-import {type ConfigFollower, ConfigOrigin, type VersionedConfig} from '../follow/index.js';
+import {
+	type BlockedFingerprint, type ConfigFollower, ConfigOrigin, type VersionedConfig,
+} from '../follow/index.js';
+import type {ConfigUpdate} from '../types.js';
 import type {FleetNode} from './fleet-log.js';
 
 export type FleetOriginOptions = {
@@ -9,6 +12,8 @@
 	readonly node: FleetNode;
 	readonly state: FleetState;
 	readonly follower: ConfigFollower;
+	/** Requests that this host blocks while it leads. */
+	readonly getOwnBlocked: () => readonly BlockedFingerprint[];
 };
 
 /** The configuration on a host that keeps the log: from its own state while it leads, otherwise through the leader. */
@@ -35,14 +40,17 @@
 	}
 
 	override getConfig(): VersionedConfig | undefined {
-		const {version, digest, document} = this.opts.state.getConfig();
-		const followed = this.opts.follower.getConfig();
+		const {document, ...stamp} = this.opts.state.getConfig();
 		// What this member has applied is committed, so the higher version is always an accepted one.
-		if (!document || (followed && followed.version >= version)) {
-			return followed;
-		}
+		return document && this.isStateAhead() ? {...stamp, document} : this.opts.follower.getConfig();
+	}
+
+	override getUpdateSince(version: number): ConfigUpdate {
+		return this.isStateAhead() ? this.opts.state.getChangesSince(version) : this.opts.follower.getUpdateSince(version);
+	}
 
-		return {version, digest, document};
+	override getBlocked(): readonly BlockedFingerprint[] {
+		return this.opts.node.isLeaderWithLease() ? this.opts.getOwnBlocked() : this.opts.follower.getBlocked();
 	}
 
 	override getAgeMs(): number {
@@ -53,4 +61,9 @@
 	override getLeaderId(): string | undefined {
 		return this.opts.node.status().leaderId ?? this.opts.follower.getLeaderId();
 	}
+
+	private isStateAhead(): boolean {
+		const {state, follower} = this.opts;
+		return state.getConfig().version >= (follower.getConfig()?.version ?? 0);
+	}
 }
--- a/packages/hosts/src/follow/config-follower.ts
+++ b/packages/hosts/src/follow/config-follower.ts
@@ -1,12 +1,16 @@
 import {
 	type Clock, jitter, type Logger, type Random, Signal,
 } from '@egretrill/common';
-import {FOLLOW_RETRY_MS, FOLLOW_WAIT_MS, PEER_CALL_DEADLINE_MS} from '../constants.js';
+import {
+	FOLLOW_RETRY_MS, FOLLOW_STALE_MS, FOLLOW_WAIT_MS, KEPT_CHANGES, PEER_CALL_DEADLINE_MS,
+} from '../constants.js';
+import {updateConfig} from '../fleet-state-changes.js';
 import type {PeerClient} from '../transport/index.js';
+import type {ConfigChange, ConfigUpdate, FleetConfig} from '../types.js';
 import {ConfigOrigin, type VersionedConfig} from './config-origin.js';
 import {followMethod} from './follow-method.js';
 import type {InForceReports} from './in-force.js';
-import type {FollowResponse} from './types.js';
+import type {BlockedFingerprint, FollowResponse} from './types.js';
 
 export type ConfigFollowerOptions = {
 	readonly hostId: string;
@@ -22,9 +26,12 @@
 /** Follows the configuration through a parent in the tree. */
 export class ConfigFollower extends ConfigOrigin {
 	override readonly changed = new Signal();
-	private config: VersionedConfig | undefined;
+	private config: FleetConfig = {version: 0, digest: '', author: ''};
+	private changes: readonly ConfigChange[] = [];
+	private blocked: readonly BlockedFingerprint[] = [];
 	private confirmedMs = Number.NEGATIVE_INFINITY;
 	private leaderId: string | undefined;
+	private lastParent: string | undefined;
 	private failures = 0;
 
 	constructor(private readonly opts: ConfigFollowerOptions) {
@@ -32,7 +39,13 @@
 	}
 
 	override getConfig(): VersionedConfig | undefined {
-		return this.config;
+		const {document, ...stamp} = this.config;
+		return document && {...stamp, document};
+	}
+
+	override getUpdateSince(version: number): ConfigUpdate {
+		const changes = this.changes.filter(change => change.version > version);
+		return changes[0]?.version === version + 1 ? {kind: 'changes', changes} : {kind: 'snapshot', config: this.config};
 	}
 
 	override getAgeMs(): number {
@@ -43,6 +56,10 @@
 		return this.leaderId;
 	}
 
+	override getBlocked(): readonly BlockedFingerprint[] {
+		return this.blocked;
+	}
+
 	/** Polls one parent after another until the signal aborts. */
 	async run(signal: AbortSignal): Promise<void> {
 		const {clock, random} = this.opts;
@@ -51,7 +68,7 @@
 			const parent = parents[this.failures % Math.max(1, parents.length)];
 			if (!parent || !await this.poll(parent)) {
 				this.failures += 1;
-				this.opts.reports.restore();
+				this.lastParent = undefined;
 				await clock.sleep(jitter(FOLLOW_RETRY_MS, random), signal);
 			}
 		}
@@ -59,10 +76,16 @@
 
 	private async poll(parent: PeerClient): Promise<boolean> {
 		const {clock, hostId, fleet, reports, logger} = this.opts;
+		if (parent.address !== this.lastParent) {
+			// A new parent, or one that restarted, has not heard the reports of this subtree.
+			this.lastParent = parent.address;
+			reports.restore();
+		}
+
 		// The lease counts from before the poll was sent, so that time on the way never lengthens it.
 		const sentMs = clock.now();
 		const answer = await parent.call(followMethod, {
-			hostId, fleet, haveVersion: this.config?.version ?? 0, waitMs: FOLLOW_WAIT_MS, inForce: reports.takeUnsent(),
+			hostId, fleet, haveVersion: this.config.version, waitMs: FOLLOW_WAIT_MS, inForce: reports.takeUnsent(),
 		}, FOLLOW_WAIT_MS + PEER_CALL_DEADLINE_MS);
 		if (answer.isErr) {
 			logger.debug({parent: parent.address, err: answer.error}, 'A follow poll failed.');
@@ -74,25 +97,37 @@
 
 	/** Takes a parent's answer; knowledge and its age come together, so a lease is never renewed without the changes. */
 	private accept(answer: FollowResponse, sentMs: number): boolean {
-		const haveVersion = this.config?.version ?? 0;
-		if (answer.version < haveVersion) {
-			// A parent that lags behind may not turn this host back.
+		// A parent that lags behind may not turn this host back.
+		if (answer.version < this.config.version) {
 			return false;
 		}
 
-		if (answer.version > haveVersion) {
-			if (!answer.document || answer.digest === undefined) {
-				return false;
-			}
+		if (answer.version > this.config.version && !this.update(answer)) {
+			return false;
+		}
 
-			this.config = {version: answer.version, digest: answer.digest, document: answer.document};
-			this.opts.logger.info({version: answer.version}, 'Configuration in force.');
-			this.opts.reports.record(this.opts.hostId, answer.version);
-			this.changed.notify();
+		// A parent that has itself lost touch is left for another one; two hosts that follow each other are told apart from the leader this way.
+		if (answer.ageMs > FOLLOW_STALE_MS) {
+			return false;
 		}
 
 		this.leaderId = answer.leaderId;
+		this.blocked = answer.blocked ?? [];
 		this.confirmedMs = Math.max(this.confirmedMs, sentMs - answer.ageMs);
 		return true;
 	}
+
+	private update({version, update}: FollowResponse): boolean {
+		const config = update && updateConfig(this.config, update);
+		if (config?.version !== version) {
+			return false;
+		}
+
+		this.config = config;
+		this.changes = update?.kind === 'changes' ? [...this.changes, ...update.changes].slice(-KEPT_CHANGES) : [];
+		this.opts.logger.info({version}, 'Configuration in force.');
+		this.opts.reports.record(this.opts.hostId, version);
+		this.changed.notify();
+		return true;
+	}
 }
--- a/packages/hosts/src/follow/follow-method.ts
+++ b/packages/hosts/src/follow/follow-method.ts
@@ -19,11 +19,13 @@
 	const config = origin.getConfig();
 	const leaderId = origin.getLeaderId();
 	const ageMs = origin.getAgeMs();
+	const blocked = origin.getBlocked();
 	return {
 		version: config?.version ?? 0,
 		ageMs: Number.isFinite(ageMs) ? ageMs : Number.MAX_SAFE_INTEGER,
 		...(leaderId !== undefined && {leaderId}),
-		...(config && config.version > haveVersion && {document: config.document, digest: config.digest}),
+		...(config && config.version > haveVersion && {update: origin.getUpdateSince(haveVersion)}),
+		...(blocked.length > 0 && {blocked: [...blocked]}),
 	};
 }
 
--- a/packages/hosts/src/follow/types.ts
+++ b/packages/hosts/src/follow/types.ts
@@ -1,5 +1,5 @@
-import {ConfigDocument} from '@egretrill/common';
 import {z} from 'zod';
+import {ConfigUpdate} from '../types.js';
 
 /** A poll by which a host learns changes and proves that its knowledge is recent. */
 export const FollowRequest = z.object({
@@ -12,12 +12,16 @@
 });
 export type FollowRequest = z.infer<typeof FollowRequest>;
 
+/** A request that is refused fleet-wide for the remaining time, because it crashed several targets. */
+export const BlockedFingerprint = z.object({fingerprint: z.string(), remainingMs: z.number().positive()});
+export type BlockedFingerprint = z.infer<typeof BlockedFingerprint>;
+
 export const FollowResponse = z.object({
 	version: z.int().nonnegative(),
 	/** How long ago the leader confirmed that this version was the latest. */
 	ageMs: z.number().nonnegative(),
 	leaderId: z.string().optional(),
-	document: ConfigDocument.optional(),
-	digest: z.string().optional(),
+	update: ConfigUpdate.optional(),
+	blocked: z.array(BlockedFingerprint).optional(),
 });
 export type FollowResponse = z.infer<typeof FollowResponse>;
--- a/packages/hosts/src/membership/peer-directory.ts
+++ b/packages/hosts/src/membership/peer-directory.ts
@@ -26,6 +26,22 @@
 		return this.settings.peers.filter(peer => peer.voter);
 	}
 
+	/**
+	 * Hosts to follow, the preferred one first. Voters follow the leader; the first host of a zone in rendezvous order
+	 * follows the voters and the others follow it, so that more hosts add load to it and not to the leader.
+	 */
+	getParents(leaderId: string | undefined): readonly PeerClient[] {
+		const {host, zone} = this.settings;
+		const voters = this.getVoters().filter(peer => peer.id !== host);
+		const isVoter = this.getVoters().length > voters.length;
+		const near = voters.toSorted((a, b) => Number(b.zone === zone) - Number(a.zone === zone));
+		const relay = this.getDirectoryHosts(zone)[0];
+		const usesRelay = !isVoter && relay !== undefined && relay.id !== host && !relay.voter && near[0]?.zone !== zone;
+		const leader = isVoter ? voters.filter(peer => peer.id === leaderId) : [];
+		const order = [...leader, ...(usesRelay ? [relay] : []), ...near];
+		return [...new Set(order.map(peer => peer.id))].map(id => this.getClient(id)).filter(client => client !== undefined);
+	}
+
 	/** Calls another host and remembers whether it answers. */
 	async call<Req, Res>(hostId: string, method: Method<Req, Res>, req: Req, deadlineMs?: number): Promise<Result<Res, PeerCallError>> {
 		const client = this.getClient(hostId);
--- a/packages/services/src/index.ts
+++ b/packages/services/src/index.ts
@@ -1,1 +1,2 @@
+export * from './replicated-ledger.js';
 export * from './service-client.js';
