--- a/packages/callers/src/exchange-types.ts
+++ b/packages/callers/src/exchange-types.ts
@@ -1,4 +1,5 @@
 import type {CallOutcome, SendFailure, TargetRequest} from '@egretrill/common';
+import type {Admission} from './admission.js';
 import type {Identity} from './authenticate.js';
 import type {CallerReply} from './caller-reply.js';
 import type {RequestParts} from './request-parts.js';
@@ -11,16 +12,22 @@
 	readonly reply: CallerReply;
 	readonly work: Work;
 	readonly identity: Identity;
+	readonly admission: Admission;
+	readonly fingerprint: string;
 	readonly signal: AbortSignal;
+	readonly startedMs: number;
 	readonly deadlineMs: number;
 	readonly parts: RequestParts;
 	/** Runs before a whole answer is sent to the caller. */
 	readonly beforeAnswer?: (answer: CallOutcome) => Promise<void>;
 };
 
+/** When the parts of a streamed answer came, from the start of the attempt. */
+export type StreamTimes = {readonly firstTokenMs: number; readonly betweenTokensMs?: number};
+
 /** How one attempt at a target ended. */
 export type AttemptResult =
-	| {readonly kind: 'completed'; readonly tokens?: number}
+	| {readonly kind: 'completed'; readonly tokens?: number; readonly times?: StreamTimes}
 	| {readonly kind: 'cancelled'}
 	| {readonly kind: 'failed'; readonly failure: SendFailure; readonly deliveredChunks: number};
 
--- a/packages/callers/src/handle-request.ts
+++ b/packages/callers/src/handle-request.ts
@@ -2,10 +2,13 @@
 	refuse, type Verdict, VerdictError,
 } from '@egretrill/common';
 import {Result} from 'true-myth';
+import {type AdmissionRequest, admitWork} from './admission.js';
 import {authenticate, type Identity} from './authenticate.js';
 import {type CallerReply, sendRefusal} from './caller-reply.js';
 import type {ConfigIndex} from './config-index.js';
+import {OPEN_CUSTOMER} from './constants.js';
 import type {Exchange} from './exchange-types.js';
+import {getFingerprint} from './poison-list.js';
 import {matchRoute} from './match-route.js';
 import type {RequestParts} from './request-parts.js';
 import {runOnTargets, type RunResult} from './run-on-targets.js';
@@ -34,11 +37,46 @@
 		return Result.err(admitted.error);
 	}
 
-	const {identity, work} = admitted.value;
-	const exchange: Exchange = {
-		req, reply, work, identity, signal, parts, deadlineMs: parts.clock.now() + work.route.timeoutMs,
-	};
-	return work.route.idempotent ? runOnTargets(exchange) : runOnce(exchange);
+	const customer = admitted.value.identity.customer?.id ?? OPEN_CUSTOMER;
+	const result = await queueAndRun({
+		...admitted.value, parts, signal, fingerprint: getFingerprint(customer, `${req.method} ${req.path}`, req.body),
+	}, req, reply);
+	parts.observer.noteEnd(customer, result.isOk ? result.value.kind : result.error);
+	return result;
+}
+
+/** Takes a request with a known route and customer through its queue to a target. */
+async function queueAndRun(admissionReq: AdmissionRequest, req: CallerRequest, reply: CallerReply): Promise<Result<RunResult, Verdict>> {
+	const {parts, identity, work} = admissionReq;
+	parts.observer.noteArrival(work);
+	parts.retries.countRequest();
+	const startedMs = parts.clock.now();
+	const admission = await admitWork(admissionReq);
+	if (admission.isErr) {
+		return Result.err(admission.error);
+	}
+
+	const queueMs = parts.clock.now() - startedMs;
+	parts.observer.noteTimes({customer: identity.customer?.id ?? OPEN_CUSTOMER, model: work.chat?.model, queueMs});
+	return run({
+		...admissionReq, req, reply, startedMs, admission: admission.value, deadlineMs: startedMs + work.route.timeoutMs,
+	});
+}
+
+/** Runs an admitted request and settles what it held. */
+async function run(exchange: Exchange): Promise<Result<RunResult, Verdict>> {
+	const {admission, work} = exchange;
+	let result: Result<RunResult, Verdict> | undefined;
+	try {
+		result = await (work.route.idempotent ? runOnTargets(exchange) : runOnce(exchange));
+		return result;
+	} finally {
+		if (result?.isErr && result.error.run === 'not-run') {
+			admission.cancel();
+		} else {
+			admission.end(result?.isOk && result.value.kind === 'completed' ? result.value.tokens : undefined);
+		}
+	}
 }
 
 /** Ends a request whose answer had already begun, so that the caller can tell it from a whole one. */
@@ -84,5 +122,9 @@
 	parts.logger.info({
 		requestId: req.requestId, path: req.path, outcome: verdict.code, verdict: verdict.run, elapsedMs,
 	}, 'Request refused.');
+	if (signal.aborted) {
+		return;
+	}
+
 	await (reply.isStarted ? endBrokenAnswer(reply, verdict) : sendRefusal(reply, verdict));
 }
--- a/packages/callers/src/target-pool.ts
+++ b/packages/callers/src/target-pool.ts
@@ -26,11 +26,15 @@
 	abstract isAvailable(): boolean;
 	/** True while the process that was chosen still announces itself, even if it takes no new work. */
 	abstract isSameStart(): boolean;
+	/** Notes the time until the first part of the answer. */
+	abstract noteFirstToken(elapsedMs: number): void;
 	/** Says how the exchange ended; must be called exactly once. */
 	abstract release(outcome: TargetOutcome): void;
 }
 
 /** Chooses targets for requests. */
 export abstract class TargetPool {
+	/** Requests that the targets of a model can take beyond those that run now. */
+	abstract getFreeSlots(model: string): number;
 	abstract choose(want: TargetWant, signal: AbortSignal): Promise<Result<ChosenTarget, Verdict>>;
 }
--- /dev/null
+++ b/packages/hosts/src/fleet/fleet-origin.ts
@@ -0,0 +1,69 @@
+import {type Clock, Signal} from '@egretrill/common';
+import {DUTY_CHECK_MS} from '../constants.js';
+import type {FleetState} from '../fleet-state.js';
+import {
+	type BlockedFingerprint, type ConfigFollower, ConfigOrigin, type VersionedConfig,
+} from '../follow/index.js';
+import type {ConfigUpdate} from '../types.js';
+import type {FleetNode} from './fleet-log.js';
+
+export type FleetOriginOptions = {
+	readonly clock: Clock;
+	readonly node: FleetNode;
+	readonly state: FleetState;
+	readonly follower: ConfigFollower;
+	/** Requests that this host blocks while it leads. */
+	readonly getOwnBlocked: () => readonly BlockedFingerprint[];
+};
+
+/** The configuration on a host that keeps the log: from its own state while it leads, otherwise through the leader. */
+export class FleetOrigin extends ConfigOrigin {
+	override readonly changed = new Signal();
+
+	constructor(private readonly opts: FleetOriginOptions) {
+		super();
+	}
+
+	/** Forwards notifications of both sources until the signal aborts. */
+	async run(signal: AbortSignal): Promise<void> {
+		const {clock, follower} = this.opts;
+		let seen = 0;
+		while (!signal.aborted) {
+			const version = this.getConfig()?.version ?? 0;
+			if (version !== seen) {
+				seen = version;
+				this.changed.notify();
+			}
+
+			await follower.changed.wait(clock, DUTY_CHECK_MS, signal);
+		}
+	}
+
+	override getConfig(): VersionedConfig | undefined {
+		const {document, ...stamp} = this.opts.state.getConfig();
+		// What this member has applied is committed, so the higher version is always an accepted one.
+		return document && this.isStateAhead() ? {...stamp, document} : this.opts.follower.getConfig();
+	}
+
+	override getUpdateSince(version: number): ConfigUpdate {
+		return this.isStateAhead() ? this.opts.state.getChangesSince(version) : this.opts.follower.getUpdateSince(version);
+	}
+
+	override getBlocked(): readonly BlockedFingerprint[] {
+		return this.opts.node.isLeaderWithLease() ? this.opts.getOwnBlocked() : this.opts.follower.getBlocked();
+	}
+
+	override getAgeMs(): number {
+		const {node, follower} = this.opts;
+		return node.isLeaderWithLease() ? node.leaseAgeMs() : follower.getAgeMs();
+	}
+
+	override getLeaderId(): string | undefined {
+		return this.opts.node.status().leaderId ?? this.opts.follower.getLeaderId();
+	}
+
+	private isStateAhead(): boolean {
+		const {state, follower} = this.opts;
+		return state.getConfig().version >= (follower.getConfig()?.version ?? 0);
+	}
+}
--- a/apps/egretrilld/src/peer-directory.ts
+++ b/packages/hosts/src/membership/peer-directory.ts
@@ -1,9 +1,9 @@
 import {createHash} from 'node:crypto';
 import type {Clock, PeerHost, Settings} from '@egretrill/common';
-import {type Method, type PeerCallError, PeerClient} from '@egretrill/hosts';
 import type {ChannelCredentials} from '@grpc/grpc-js';
 import {Result} from 'true-myth';
-import {DIRECTORY_HOSTS_PER_ZONE, PEER_RETRY_MS, PEER_SUSPECT_MS} from './constants.js';
+import {DIRECTORY_HOSTS_PER_ZONE, PEER_RETRY_MS, PEER_SUSPECT_MS} from '../constants.js';
+import {type Method, type PeerCallError, PeerClient} from '../transport/index.js';
 
 type FailureSpan = {readonly firstMs: number; readonly lastMs: number};
 
@@ -22,6 +22,26 @@
 		return this.settings.peers.filter(peer => peer.id !== this.settings.host);
 	}
 
+	getVoters(): readonly PeerHost[] {
+		return this.settings.peers.filter(peer => peer.voter);
+	}
+
+	/**
+	 * Hosts to follow, the preferred one first. Voters follow the leader; the first host of a zone in rendezvous order
+	 * follows the voters and the others follow it, so that more hosts add load to it and not to the leader.
+	 */
+	getParents(leaderId: string | undefined): readonly PeerClient[] {
+		const {host, zone} = this.settings;
+		const voters = this.getVoters().filter(peer => peer.id !== host);
+		const isVoter = this.getVoters().length > voters.length;
+		const near = voters.toSorted((a, b) => Number(b.zone === zone) - Number(a.zone === zone));
+		const relay = this.getDirectoryHosts(zone)[0];
+		const usesRelay = !isVoter && relay !== undefined && relay.id !== host && !relay.voter && near[0]?.zone !== zone;
+		const leader = isVoter ? voters.filter(peer => peer.id === leaderId) : [];
+		const order = [...leader, ...(usesRelay ? [relay] : []), ...near];
+		return [...new Set(order.map(peer => peer.id))].map(id => this.getClient(id)).filter(client => client !== undefined);
+	}
+
 	/** Calls another host and remembers whether it answers. */
 	async call<Req, Res>(hostId: string, method: Method<Req, Res>, req: Req, deadlineMs?: number): Promise<Result<Res, PeerCallError>> {
 		const client = this.getClient(hostId);
