--- a/packages/hosts/src/consensus/node.ts
+++ b/packages/hosts/src/consensus/node.ts
@@ -9,7 +9,7 @@
 import {Replica, type ReplicaOpts} from './replica.js';
 import type {StateMachine} from './state-machine.js';
 
-export type ConsensusOpts<Command, Result> = ReplicaOpts & {readonly machine: StateMachine<Command, Result>};
+export type ConsensusOpts<Command, Result> = Omit<ReplicaOpts, 'machine'> & {readonly machine: StateMachine<Command, Result>};
 
 /** One member of the replicated log. */
 export class ConsensusNode<Command, Result> {
--- a/packages/hosts/src/consensus/replica.ts
+++ b/packages/hosts/src/consensus/replica.ts
@@ -22,7 +22,7 @@
 	readonly transport: ConsensusTransport;
 	readonly storage: LogStorage;
 	readonly snapshots: SnapshotStore;
-	readonly machine: StateMachine<never, unknown>;
+	readonly machine: Pick<StateMachine<never, unknown>, 'getMemberWishes' | 'apply' | 'snapshot' | 'restore'>;
 	readonly clock: Clock;
 	readonly random: Random;
 	readonly logger?: Logger;
--- /dev/null
+++ b/packages/hosts/tests/consensus.test.ts
@@ -0,0 +1,291 @@
+import {createRandom} from '@egretrill/common';
+import {
+	type LogEntry, MemoryFileSystem, MemoryLogStorage, SnapshotStore,
+} from '@egretrill/disk';
+import {expect} from 'chai';
+import {
+	APPEND_TIMEOUT_MS, ConsensusNode, ConsensusTransport, type FleetCommand, FleetState, type Members,
+} from '../src/index.js';
+import {membersCodec} from '../src/consensus/replica.js';
+import type {AppendEntriesResponse, InstallSnapshotResponse, RequestVoteResponse} from '../src/types.js';
+import {createApply} from './support/documents.js';
+import {SimClock} from './support/sim-clock.js';
+import {type Process, SimCluster} from './support/sim-cluster.js';
+
+const SEED = 11;
+
+function describeMembers(members: Members): string {
+	return members.map(member => `${member.id}:${member.role}`).toSorted().join(' ');
+}
+
+function describeCluster(cluster: SimCluster): unknown {
+	return [...cluster.processes].toSorted(([a], [b]) => a.localeCompare(b)).map(([id, {node, state}]) => {
+		const status = node.status();
+		const {version, digest} = state.getConfig();
+		return `${id} ${status.role} term ${status.term}, leader ${status.leaderId ?? 'unknown'}, config ${version} ${digest}, members ${describeMembers(status.members)}`;
+	});
+}
+
+function isWhole(process: Process): boolean {
+	const {members, commitIndex, lastIndex} = process.node.status();
+	return members.length >= 3 && members.every(member => member.role === 'voter') && commitIndex === lastIndex;
+}
+
+async function createCluster(seed = SEED): Promise<{cluster: SimCluster; leader: Process; leaderId: string}> {
+	const cluster = new SimCluster({seed});
+	cluster.startAll();
+	const leader = await cluster.waitForLeader(isWhole);
+	return {cluster, leader, leaderId: leader.node.status().memberId};
+}
+
+function getOther(cluster: SimCluster, ...ids: readonly string[]): string {
+	return cluster.initialMembers.find(id => !ids.includes(id)) ?? '';
+}
+
+async function apply(cluster: SimCluster, leader: Process, name: string): Promise<unknown> {
+	return cluster.settle(leader.node.propose(createApply(leader.state.getConfig().version, name)));
+}
+
+async function applyMany(cluster: SimCluster, leader: Process, count: number): Promise<void> {
+	for (let i = 0; i < count; i++) {
+		await apply(cluster, leader, String(i));
+	}
+}
+
+/** Lets the followers hear the last commit index, also after a call that was lost and has to time out first. */
+async function catchUp(cluster: SimCluster): Promise<void> {
+	await cluster.clock.run(APPEND_TIMEOUT_MS + 1000);
+}
+
+describe('replicated log', () => {
+	it('starts a new fleet once every member has answered, and all of them vote', async () => {
+		const cluster = new SimCluster({seed: SEED});
+		cluster.start('a');
+		cluster.start('b');
+		await cluster.clock.run(10_000);
+		expect(describeCluster(cluster)).toMatchSnapshot();
+		cluster.start('c');
+		await apply(cluster, await cluster.waitForLeader(isWhole), 'first');
+		await catchUp(cluster);
+		expect(describeCluster(cluster)).toMatchSnapshot();
+		cluster.stopAll();
+	});
+
+	it('ends the lease of an isolated leader before another member leads, and drops its uncommitted change', async () => {
+		const {cluster, leader, leaderId} = await createCluster();
+		cluster.isolate(leaderId);
+		const lost = leader.node.propose(createApply(0, 'lost'));
+		await cluster.clock.run(501);
+		const isEarlyLeader = [...cluster.processes.values()].some(process => process.node.isLeaderWithLease());
+		const newLeader = await cluster.waitForLeader();
+		const kept = await apply(cluster, newLeader, 'kept');
+		cluster.cuts.clear();
+		await catchUp(cluster);
+		expect([isEarlyLeader, await cluster.settle(lost), kept, describeCluster(cluster)]).toMatchSnapshot();
+		cluster.stopAll();
+	});
+
+	it('gives a paused leader no lease when it continues', async () => {
+		const {cluster, leader, leaderId} = await createCluster();
+		leader.clock.pause();
+		const newLeader = await cluster.waitForLeader(process => process !== leader);
+		await apply(cluster, newLeader, 'kept');
+		leader.clock.resume();
+		expect([leader.node.isLeaderWithLease(), leader.node.status().role]).to.deep.equal([false, 'leader']);
+		await catchUp(cluster);
+		expect([leader.node.status().role, leader.state.getConfig().digest, leaderId]).to.deep.equal(['follower', 'digest kept', leaderId]);
+		cluster.stopAll();
+	});
+
+	for (const fault of ['sync', 'full'] as const) {
+		it(`stops a leader whose disk fails (${fault}) without an acknowledgement; the others continue`, async () => {
+			const {cluster, leader} = await createCluster();
+			await apply(cluster, leader, 'before');
+			leader.fileSystem.fault = fault;
+			const failed = await apply(cluster, leader, 'failed');
+			const failure = await cluster.settle(leader.node.waitUntilStopped());
+			await apply(cluster, await cluster.waitForLeader(process => process !== leader), 'after');
+			await catchUp(cluster);
+			expect([failed, failure?.name, describeCluster(cluster)]).toMatchSnapshot();
+			cluster.stopAll();
+		});
+	}
+
+	it('lets a voter with a wiped disk vote only after it has caught up under its new identity', async () => {
+		const {cluster, leader, leaderId} = await createCluster();
+		await apply(cluster, leader, 'first');
+		const wiped = getOther(cluster, leaderId);
+		cluster.wipe(wiped);
+		cluster.isolate(wiped);
+		cluster.start(wiped);
+		await cluster.clock.run(100);
+		const {identity} = cluster.processes.get(wiped)?.node.status() ?? {};
+		const voterIdentity = leader.node.status().members.find(member => member.id === wiped)?.identity ?? '';
+		const candidate = {
+			candidateId: leaderId, term: 9, preVote: false, lastIndex: 99, lastTerm: 9, voterIdentity,
+		};
+		const vote = await cluster.settle(cluster.processes.get(wiped)?.node.handleRequestVote(candidate) ?? Promise.reject(new Error('not started')));
+		expect([vote.granted, vote.identity === identity]).to.deep.equal([false, true]);
+		cluster.cuts.clear();
+		await cluster.waitForLeader(process => process.node.status().members.some(member => member.id === wiped && member.role === 'learner'));
+		await cluster.waitForLeader(process => isWhole(process) && process.node.status().members.some(member => member.identity === identity));
+		await catchUp(cluster);
+		expect(describeCluster(cluster)).toMatchSnapshot();
+		cluster.stopAll();
+	});
+
+	it('does not start a second log when the member that started the first one loses its disk', async () => {
+		const {cluster, leader} = await createCluster();
+		await apply(cluster, leader, 'first');
+		cluster.wipe('a');
+		cluster.start('a');
+		await cluster.waitForLeader(process => isWhole(process) && process.node.status().memberId !== 'a');
+		await catchUp(cluster);
+		expect(describeCluster(cluster)).toMatchSnapshot();
+		cluster.stopAll();
+	});
+
+	it('joins again as a learner after a damaged record, and keeps the damaged file', async () => {
+		const {cluster, leader, leaderId} = await createCluster();
+		await applyMany(cluster, leader, 3);
+		const damaged = getOther(cluster, leaderId);
+		const identity = cluster.processes.get(damaged)?.node.status().identity;
+		cluster.crash(damaged);
+		const disk = cluster.disks.get(damaged);
+		const bytes = await disk?.readFile('/data/log') ?? new Uint8Array();
+		bytes[bytes.length >> 1] = (bytes[bytes.length >> 1] ?? 0) ^ 1; // eslint-disable-line no-bitwise
+		cluster.start(damaged);
+		await cluster.waitForLeader(process => isWhole(process) && process.node.status().members.every(member => member.identity !== identity));
+		await catchUp(cluster);
+		expect([await disk?.readFile('/data/log.damaged') === bytes, describeCluster(cluster)]).toMatchSnapshot();
+		cluster.stopAll();
+	});
+
+	it('survives the loss of the leader right after a wiped voter was repaired', async () => {
+		const {cluster, leader, leaderId} = await createCluster();
+		await applyMany(cluster, leader, 5);
+		const wiped = getOther(cluster, leaderId);
+		const {identity: oldIdentity} = cluster.processes.get(wiped)?.node.status() ?? {};
+		cluster.wipe(wiped);
+		cluster.start(wiped);
+		await cluster.waitForLeader(process => isWhole(process) && process.node.status().members.every(member => member.identity !== oldIdentity));
+		cluster.wipe(leaderId);
+		await apply(cluster, await cluster.waitForLeader(process => process !== leader), 'after');
+		await catchUp(cluster);
+		expect(describeCluster(cluster)).toMatchSnapshot();
+		cluster.stopAll();
+	});
+
+	it('installs a snapshot at a member that was cut off while entries keep arriving', async () => {
+		const {cluster, leader, leaderId} = await createCluster();
+		const late = getOther(cluster, leaderId);
+		cluster.isolate(late);
+		await applyMany(cluster, leader, 400);
+		cluster.cuts.clear();
+		await applyMany(cluster, leader, 100);
+		await catchUp(cluster);
+		cluster.crash(late);
+		cluster.start(late);
+		await catchUp(cluster);
+		const {snapshotIndex} = cluster.processes.get(late)?.node.status() ?? {};
+		expect([snapshotIndex, describeCluster(cluster)]).toMatchSnapshot();
+		cluster.stopAll();
+	});
+
+	it('changes one member at a time, also when a leader loses its uncommitted membership change', async () => {
+		const {cluster, leader, leaderId} = await createCluster();
+		const addMember = (id: string): FleetCommand => ({
+			kind: 'addMember', member: {
+				id, zone: 'z1', region: 'r', address: '127.0.0.1:1', voter: true,
+			}, requestId: `add ${id}`, author: 'ops',
+		});
+		cluster.start('d');
+		cluster.start('e');
+		await cluster.settle(leader.node.propose(addMember('d')));
+		await cluster.clock.runUntil(() => leader.node.status().members.length === 4, 5000);
+		cluster.isolate(leaderId);
+		const newLeader = await cluster.waitForLeader(process => process !== leader);
+		await cluster.settle(newLeader.node.propose(addMember('e')));
+		cluster.cuts.clear();
+		await cluster.waitForLeader(process => isWhole(process) && process.node.status().members.length === 5);
+		const removed = getOther(cluster, leaderId, newLeader.node.status().memberId);
+		await cluster.settle(newLeader.node.propose({
+			kind: 'removeMember', memberId: removed, requestId: 'remove', author: 'ops',
+		}));
+		await cluster.waitForLeader(process => isWhole(process) && process.node.status().members.length === 4);
+		await catchUp(cluster);
+		expect(describeCluster(cluster)).toMatchSnapshot();
+		cluster.stopAll();
+	});
+});
+
+/** Answers as a follower that grants every vote, has no entries, and loses every message with an entry after `limit`. */
+class ScriptedTransport extends ConsensusTransport {
+	limit = 64;
+	lastIndex = 0;
+
+	async requestVote(_to: string, req: {term: number; preVote: boolean}): Promise<RequestVoteResponse> {
+		return {
+			term: req.preVote ? req.term - 1 : req.term, granted: true, identity: 'b1', blank: false,
+		};
+	}
+
+	async appendEntries(_to: string, req: {term: number; prevIndex: number; entries: LogEntry[]}): Promise<AppendEntriesResponse> {
+		const endIndex = req.prevIndex + req.entries.length;
+		const accepted = req.prevIndex <= this.lastIndex;
+		if (accepted && endIndex > this.limit) {
+			throw new Error('lost');
+		}
+
+		this.lastIndex = accepted ? Math.max(this.lastIndex, endIndex) : this.lastIndex;
+		return {
+			term: req.term, accepted, lastIndex: this.lastIndex, identity: 'b1',
+		};
+	}
+
+	async installSnapshot(): Promise<InstallSnapshotResponse> {
+		throw new Error('not used');
+	}
+}
+
+/** Stores a membership of a and b and 99 entries of term 2, none of them committed. */
+async function createOldLog(): Promise<MemoryLogStorage> {
+	const storage = new MemoryLogStorage();
+	await storage.open();
+	const members = [{id: 'a', identity: 'a1', role: 'voter' as const}, {id: 'b', identity: 'b1', role: 'voter' as const}];
+	await storage.append(Array.from({length: 100}, (_, i) => i === 0
+		? {
+			index: 1, term: 1, kind: 'members' as const, data: membersCodec.encode(members),
+		}
+		: {
+			index: i + 1, term: 2, kind: 'empty' as const, data: new Uint8Array(),
+		}));
+	await storage.saveIdentity({memberId: 'a', identity: 'a1'});
+	await storage.saveHardState({term: 3, votedFor: 'a'});
+	return storage;
+}
+
+describe('commit rule', () => {
+	it('does not commit an entry of an earlier term by counting replicas', async () => {
+		const clock = new SimClock();
+		const transport = new ScriptedTransport();
+		const node = new ConsensusNode({
+			memberId: 'a',
+			initialMembers: ['a', 'b'],
+			transport,
+			storage: await createOldLog(),
+			snapshots: new SnapshotStore({folder: '/s', fileSystem: new MemoryFileSystem()}),
+			machine: new FleetState(),
+			clock,
+			random: createRandom(SEED),
+		});
+		await node.start();
+		await clock.runUntil(() => node.status().role === 'leader', 5000);
+		await clock.run(1000);
+		expect([transport.lastIndex, node.status().term, node.status().lastIndex, node.status().commitIndex]).to.deep.equal([64, 4, 101, 0]);
+		transport.limit = 101;
+		await clock.run(1000);
+		expect(node.status().commitIndex).to.equal(101);
+		await node.stop();
+	});
+});
--- /dev/null
+++ b/packages/hosts/tests/support/sim-cluster.ts
@@ -0,0 +1,268 @@
+import {type Clock, createRandom, type Random} from '@egretrill/common';
+import {
+	AppendFile, FileLogStorage, FileSystem, MemoryFileSystem, SnapshotStore,
+} from '@egretrill/disk';
+import {ConsensusNode, ConsensusTransport, FleetState} from '../../src/index.js';
+import type {
+	AppendEntriesRequest, AppendEntriesResponse, FleetCommand, FleetResult, InstallSnapshotRequest, InstallSnapshotResponse, RequestVoteRequest, RequestVoteResponse,
+} from '../../src/types.js';
+import {ProcessClock, SimClock} from './sim-clock.js';
+
+const FOLDER = '/data';
+
+export type DiskFault = 'sync' | 'full' | 'lying-sync' | undefined;
+
+/** What one process sees of its disk; syncs take time, and after a crash nothing of the process reaches the disk. */
+class ProcessFileSystem extends FileSystem {
+	isDetached = false;
+	fault: DiskFault;
+
+	constructor(private readonly disk: MemoryFileSystem, private readonly clock: Clock, private readonly random: Random) {
+		super();
+	}
+
+	check(): void {
+		if (this.isDetached) {
+			throw new Error('The process has crashed.');
+		}
+	}
+
+	async wait(): Promise<void> {
+		await this.clock.sleep(1 + (this.random() * 4));
+		this.check();
+		if (this.fault === 'sync') {
+			throw new Error('EIO: i/o error, fsync');
+		}
+	}
+
+	async readFile(file: string): Promise<Uint8Array | undefined> {
+		return this.disk.readFile(file);
+	}
+
+	async openFile(file: string): Promise<AppendFile> {
+		this.check();
+		return new ProcessFile(this, await this.disk.openFile(file));
+	}
+
+	async rename(from: string, to: string): Promise<void> {
+		this.check();
+		await this.disk.rename(from, to);
+	}
+
+	async remove(file: string): Promise<void> {
+		this.check();
+		await this.disk.remove(file);
+	}
+
+	async makeFolder(): Promise<void> {
+		this.check();
+	}
+
+	async syncFolder(): Promise<void> {
+		await this.wait();
+		await this.disk.syncFolder();
+	}
+}
+
+class ProcessFile extends AppendFile {
+	constructor(private readonly system: ProcessFileSystem, private readonly file: AppendFile) {
+		super();
+	}
+
+	async append(bytes: Uint8Array): Promise<void> {
+		this.system.check();
+		if (this.system.fault === 'full') {
+			await this.file.append(bytes.subarray(0, bytes.length / 2));
+			throw new Error('ENOSPC: no space left on device');
+		}
+
+		await this.file.append(bytes);
+	}
+
+	async truncate(length: number): Promise<void> {
+		this.system.check();
+		await this.file.truncate(length);
+	}
+
+	async sync(): Promise<void> {
+		await this.system.wait();
+		if (this.system.fault !== 'lying-sync') {
+			await this.file.sync();
+		}
+	}
+
+	async close(): Promise<void> {
+		await this.file.close();
+	}
+}
+
+/** One running process of a member. */
+export type Process = {
+	readonly node: ConsensusNode<FleetCommand, FleetResult>;
+	readonly state: FleetState;
+	readonly clock: ProcessClock;
+	readonly fileSystem: ProcessFileSystem;
+};
+
+class SimTransport extends ConsensusTransport {
+	constructor(private readonly cluster: SimCluster, private readonly from: string) {
+		super();
+	}
+
+	async requestVote(to: string, req: RequestVoteRequest): Promise<RequestVoteResponse> {
+		return this.cluster.send(this.from, to, async process => process.node.handleRequestVote(structuredClone(req)));
+	}
+
+	async appendEntries(to: string, req: AppendEntriesRequest): Promise<AppendEntriesResponse> {
+		return this.cluster.send(this.from, to, async process => process.node.handleAppendEntries(structuredClone(req)));
+	}
+
+	async installSnapshot(to: string, req: InstallSnapshotRequest): Promise<InstallSnapshotResponse> {
+		return this.cluster.send(this.from, to, async process => process.node.handleInstallSnapshot(structuredClone(req)));
+	}
+}
+
+export type SimOpts = {
+	readonly seed: number;
+	readonly initialMembers?: readonly string[];
+	readonly fault?: DiskFault;
+	readonly createState?: () => FleetState;
+};
+
+/** Members in one process on a simulated clock, network and disk; the seed fixes every delay and fault. */
+export class SimCluster {
+	readonly clock = new SimClock();
+	readonly random: Random;
+	readonly processes = new Map<string, Process>();
+	readonly disks = new Map<string, MemoryFileSystem>();
+	/** Directions that lose every message, as `from>to`. */
+	readonly cuts = new Set<string>();
+	readonly initialMembers: readonly string[];
+
+	constructor(private readonly opts: SimOpts) {
+		this.random = createRandom(opts.seed);
+		this.initialMembers = opts.initialMembers ?? ['a', 'b', 'c'];
+	}
+
+	start(id: string): void {
+		const disk = this.disks.get(id) ?? new MemoryFileSystem();
+		this.disks.set(id, disk);
+		const clock = new ProcessClock(this.clock);
+		const fileSystem = new ProcessFileSystem(disk, clock, this.random);
+		fileSystem.fault = this.opts.fault;
+		const state = this.opts.createState?.() ?? new FleetState();
+		const node = new ConsensusNode({
+			memberId: id,
+			initialMembers: this.initialMembers,
+			transport: new SimTransport(this, id),
+			storage: new FileLogStorage({folder: FOLDER, fileSystem}),
+			snapshots: new SnapshotStore({folder: FOLDER, fileSystem}),
+			machine: state,
+			clock,
+			random: this.random,
+		});
+		this.processes.set(id, {
+			node, state, clock, fileSystem,
+		});
+		void this.startNode(node);
+	}
+
+	async startNode(node: Process['node']): Promise<void> {
+		try {
+			await node.start();
+		} catch {
+			// The process crashed while it was starting.
+		}
+	}
+
+	startAll(): void {
+		for (const id of this.initialMembers) {
+			this.start(id);
+		}
+	}
+
+	/** Ends a process at once; data that it had not synced is lost. */
+	crash(id: string): void {
+		const process = this.processes.get(id);
+		if (process) {
+			process.fileSystem.isDetached = true;
+			this.processes.delete(id);
+			this.disks.get(id)?.crash(this.random);
+			process.clock.resume();
+			void process.node.stop();
+		}
+	}
+
+	wipe(id: string): void {
+		this.crash(id);
+		this.disks.delete(id);
+	}
+
+	isolate(id: string): void {
+		for (const other of this.disks.keys()) {
+			this.cuts.add(`${id}>${other}`).add(`${other}>${id}`);
+		}
+	}
+
+	/** Delivers a message and its answer with random delays; lost messages never answer. */
+	async send<T>(from: string, to: string, handle: (process: Process) => Promise<T>): Promise<T> {
+		const sender = this.processes.get(from);
+		await this.pass(from, to);
+		const receiver = this.processes.get(to);
+		if (receiver === undefined) {
+			throw new Error(`connect ECONNREFUSED ${to}`);
+		}
+
+		await receiver.clock.sleep(0);
+		const answer = await handle(receiver);
+		await this.pass(to, from);
+		// An answer for a process that has ended reaches nobody; a paused one sees it after the pause.
+		await sender?.clock.sleep(0);
+		return answer;
+	}
+
+	getLeader(): Process | undefined {
+		return [...this.processes.values()].find(process => process.node.isLeaderWithLease());
+	}
+
+	async waitForLeader(isWanted: (process: Process) => boolean = () => true): Promise<Process> {
+		let leader: Process | undefined;
+		await this.clock.runUntil(() => {
+			leader = this.getLeader();
+			return leader !== undefined && isWanted(leader);
+		}, 30_000);
+		if (leader === undefined || !isWanted(leader)) {
+			throw new Error(`seed ${this.opts.seed}: no leader within 30 s: ${JSON.stringify([...this.processes.values()].map(process => process.node.status()))}`);
+		}
+
+		return leader;
+	}
+
+	/** Runs the simulation until the promise settles. */
+	async settle<T>(promise: Promise<T>, maxMs = 30_000): Promise<T> {
+		let isSettled = false;
+		const observe = async (): Promise<void> => {
+			try {
+				await promise;
+			} finally {
+				isSettled = true;
+			}
+		};
+
+		const observed = observe();
+		await this.clock.runUntil(() => isSettled, maxMs);
+		await observed;
+		return promise;
+	}
+
+	stopAll(): void {
+		for (const id of this.processes.keys()) {
+			this.crash(id);
+		}
+	}
+
+	private async pass(from: string, to: string): Promise<void> {
+		const isLost = this.cuts.has(`${from}>${to}`);
+		await this.clock.sleep(isLost ? Number.POSITIVE_INFINITY : 0.5 + (this.random() * 5));
+	}
+}
