hosts: seeded history checker over racing operators

Cause: the promise that an accepted configuration never reverts needs more than single scenarios. Change: operators read, apply, resend and race on a simulated cluster under kills, wipes, pauses and cuts; the checker reports lost, reverted and repeated changes and orders permitted twice, and two planted faults show that it does. Before: nothing.

--- /dev/null
+++ b/packages/hosts/tests/history.test.ts
@@ -0,0 +1,55 @@
+import {expect} from 'chai';
+import {type FleetCommand, FleetState} from '../src/index.js';
+import {checkHistory, recordHistory} from './support/history.js';
+
+const SEEDS = Array.from({length: 200}, (_, i) => i + 1);
+
+/** Forgets request ids, so that a resend of an accepted change is decided anew. */
+class ForgetfulState extends FleetState {
+	private count = 0;
+
+	override encode(command: FleetCommand): Uint8Array {
+		this.count += 1;
+		const {version} = this.getConfig();
+		return super.encode(command.kind === 'apply' ? {...command, requestId: `${command.requestId} ${this.count}`, follows: version} : command);
+	}
+}
+
+/** Runs seeds until a history breaks a promise. */
+async function findViolation(opts: {fault?: 'lying-sync'; createState?: () => FleetState}): Promise<readonly string[]> {
+	for (const seed of SEEDS) {
+		const violations = checkHistory(await recordHistory({...opts, seed}));
+		if (violations.length > 0) {
+			return violations;
+		}
+	}
+
+	return [];
+}
+
+describe('histories of racing operators under kills, wipes, pauses and cuts', () => {
+	it('lose, revert or repeat no change and permit no order twice in 200 seeds', async () => {
+		const totals = {
+			accepted: 0, conflict: 0, read: 0, new: 0, other: 0,
+		};
+		for (const seed of SEEDS) {
+			const history = await recordHistory({seed});
+			expect(checkHistory(history), `seed ${seed}`).to.deep.equal([]);
+			for (const {kind} of history.observations) {
+				totals[kind] += 1;
+			}
+		}
+
+		console.log(`seeds ${SEEDS.at(0)} to ${SEEDS.at(-1)}: ${JSON.stringify(totals)}`);
+	});
+
+	it('are reported as lost when disks acknowledge a sync that they did not do', async () => {
+		const [violation] = await findViolation({fault: 'lying-sync'});
+		expect(violation).to.match(/is lost|saw version/v);
+	});
+
+	it('are reported as applied twice when a member ignores request ids', async () => {
+		const violations = await findViolation({createState: () => new ForgetfulState()});
+		expect(violations.join('\n')).to.match(/was applied twice/v);
+	});
+});
