operators: console and validation at design size

Cause: a trial with 610 models and 3,100 accelerators held the event loop for 1,937 ms while it parsed a posted form, long enough to lose the leader's lease of 500 ms; validation took 131 ms. Change: posted fields, faults, pins and forbids are looked up in maps; the form is rendered 25 entries at a time and gives way to other tasks between them; unchanged parts are skipped when documents are compared.

--- a/packages/operators/src/console/console.ts
+++ b/packages/operators/src/console/console.ts
@@ -34,14 +34,14 @@
 	return new URLSearchParams(typeof req.body === 'string' ? req.body : '');
 }
 
-function sendForm(res: Response, status: number, post: Pick<Post, 'identity' | 'inForce'>, state: Omit<FormState, 'token'>): void {
+async function sendForm(res: Response, status: number, post: Pick<Post, 'identity' | 'inForce'>, state: Omit<FormState, 'token'>): Promise<void> {
 	const {identity, inForce} = post;
-	const form = renderForm({...state, token: identity.token});
+	const form = await renderForm({...state, token: identity.token});
 	res.status(status).send(renderPage('Configuration', html`${renderStatus(identity.author, identity.token, inForce)}${form}`));
 }
 
-function sendFaults(res: Response, post: Post, draft: Draft, faults: readonly Fault[]): void {
-	sendForm(res, 422, post, {draft, follows: post.follows, faults});
+async function sendFaults(res: Response, post: Post, draft: Draft, faults: readonly Fault[]): Promise<void> {
+	await sendForm(res, 422, post, {draft, follows: post.follows, faults});
 }
 
 /** Restores the document that a review page carries; undefined when it was altered. */
@@ -58,11 +58,11 @@
 	}
 }
 
-function sendReview(res: Response, post: Post, draft: Draft): void {
+async function sendReview(res: Response, post: Post, draft: Draft): Promise<void> {
 	const {inForce, follows, identity} = post;
 	const check = checkDocument(draft, inForce?.document);
 	if (!check.isValid) {
-		sendFaults(res, post, draft, check.faults);
+		await sendFaults(res, post, draft, check.faults);
 		return;
 	}
 
@@ -77,7 +77,7 @@
 	res.send(renderPage('Review changes', renderReview(proposal, inForce)));
 }
 
-function sendOutcome(res: Response, post: Post, proposal: Proposal, outcome: ApplyOutcome): void {
+async function sendOutcome(res: Response, post: Post, proposal: Proposal, outcome: ApplyOutcome): Promise<void> {
 	switch (outcome.result) {
 		case 'accepted': {
 			res.send(renderPage('Change accepted', renderAccepted(outcome)));
@@ -90,7 +90,7 @@
 		}
 
 		case 'refused': {
-			sendFaults(res, post, proposal.document, outcome.faults);
+			await sendFaults(res, post, proposal.document, outcome.faults);
 			return;
 		}
 
@@ -115,14 +115,14 @@
 
 	// The winner of a race is in force only now.
 	const inForce = outcome.result === 'conflict' ? await control.getConfig() : post.inForce;
-	sendOutcome(res, {...post, inForce}, proposal, outcome);
+	await sendOutcome(res, {...post, inForce}, proposal, outcome);
 }
 
-function sendAdded(res: Response, post: Post, draft: Draft, path: string): void {
+async function sendAdded(res: Response, post: Post, draft: Draft, path: string): Promise<void> {
 	const secret = path === 'keys' ? randomBytes(KEY_SECRET_BYTES).toString('base64url') : undefined;
 	const added = addEntry(draft, path, secret === undefined ? {} : {digest: getDigest(secret)});
 	const focus = `${path}.${getEntries(added, path).length - 1}`;
-	sendForm(res, 200, post, {
+	await sendForm(res, 200, post, {
 		draft: added, follows: post.follows, focus, secret,
 	});
 }
@@ -141,11 +141,11 @@
 
 	if (action === 'rebase') {
 		const follows = post.inForce?.version ?? 0;
-		sendReview(res, {...post, follows}, {...proposal.document, version: follows + 1});
+		await sendReview(res, {...post, follows}, {...proposal.document, version: follows + 1});
 		return;
 	}
 
-	sendForm(res, 200, post, {draft: proposal.document, follows: post.follows});
+	await sendForm(res, 200, post, {draft: proposal.document, follows: post.follows});
 }
 
 async function handlePost(res: Response, opts: AdminAppOptions, post: Post): Promise<void> {
@@ -157,16 +157,16 @@
 
 	const draft = parseDraft(post.params, post.follows + 1);
 	if (action === 'add') {
-		sendAdded(res, post, draft, path);
+		await sendAdded(res, post, draft, path);
 		return;
 	}
 
 	if (action === 'remove') {
-		sendForm(res, 200, post, {draft: removeEntry(draft, path), follows: post.follows, focus: undefined});
+		await sendForm(res, 200, post, {draft: removeEntry(draft, path), follows: post.follows, focus: undefined});
 		return;
 	}
 
-	sendReview(res, post, draft);
+	await sendReview(res, post, draft);
 }
 
 function createErrorHandler({logger}: AdminAppOptions): ErrorRequestHandler {
@@ -239,7 +239,7 @@
 		}
 
 		const inForce = await opts.control.getConfig();
-		sendForm(res, 200, {identity, inForce}, {draft: inForce?.document ?? emptyDraft, follows: inForce?.version ?? 0});
+		await sendForm(res, 200, {identity, inForce}, {draft: inForce?.document ?? emptyDraft, follows: inForce?.version ?? 0});
 	});
 	router.post(['/', '/sign-out'], async (req, res) => {
 		const identity = sessions.getIdentity(req);
--- a/packages/operators/src/console/difference.ts
+++ b/packages/operators/src/console/difference.ts
@@ -1,34 +1,52 @@
 /** One field that differs between two documents. */
 export type Difference = {readonly path: string; readonly before?: string; readonly after?: string};
 
+type Item = Readonly<Record<string, unknown>>;
+
+function isItem(value: unknown): value is Item {
+	return typeof value === 'object' && value !== null;
+}
+
 function getIdentity(entry: unknown, i: number): string {
-	if (typeof entry !== 'object' || entry === null) {
+	if (!isItem(entry)) {
 		return String(i);
 	}
 
-	const {id, path, model, target} = entry as Readonly<Record<string, unknown>>;
+	const {id, path, model, target} = entry;
 	const parts = [id ?? path ?? model, target].filter(part => typeof part === 'string');
 	return parts.length > 0 ? parts.join(' on ') : String(i);
 }
 
-function flatten(value: unknown, path: string): ReadonlyArray<readonly [string, string]> {
+/** Returns the children of a value by the name under which a path shows them. */
+function getChildren(value: unknown): ReadonlyMap<string, unknown> {
 	if (Array.isArray(value)) {
-		return value.flatMap((entry, i) => flatten(entry, `${path}[${getIdentity(entry, i)}]`));
+		return new Map(value.map((entry, i) => [`[${getIdentity(entry, i)}]`, entry]));
 	}
 
-	if (typeof value === 'object' && value !== null) {
-		return Object.entries(value).flatMap(([key, child]) => flatten(child, path === '' ? key : `${path}.${key}`));
+	return new Map(isItem(value) ? Object.entries(value).map(([key, child]) => [`.${key}`, child]) : []);
+}
+
+function formatValue(value: unknown): string | undefined {
+	return value === undefined || isItem(value) ? undefined : JSON.stringify(value);
+}
+
+function compare(before: unknown, after: unknown, path: string): readonly Difference[] {
+	if (before === after) {
+		return [];
 	}
 
-	return value === undefined ? [] : [[path, JSON.stringify(value)]];
+	const old = formatValue(before);
+	const young = formatValue(after);
+	const oldChildren = getChildren(before);
+	const youngChildren = getChildren(after);
+	const names = new Set([...oldChildren.keys(), ...youngChildren.keys()]);
+	return [
+		...(old === young ? [] : [{path, before: old, after: young}]),
+		...[...names].flatMap(name => compare(oldChildren.get(name), youngChildren.get(name), `${path}${name}`)),
+	];
 }
 
 /** Lists the fields that differ; entries of lists are matched by what identifies them, not by their place. */
 export function getDifferences(before: unknown, after: unknown): readonly Difference[] {
-	const old = new Map(flatten(before, ''));
-	const young = new Map(flatten(after, ''));
-	const paths = [...new Set([...old.keys(), ...young.keys()])];
-	return paths
-		.filter(path => old.get(path) !== young.get(path))
-		.map(path => ({path, before: old.get(path), after: young.get(path)}));
+	return compare(before, after, '').map(difference => ({...difference, path: difference.path.replace(/^\./v, '')}));
 }
--- a/packages/operators/src/console/draft.ts
+++ b/packages/operators/src/console/draft.ts
@@ -5,6 +5,7 @@
 /** A document as the form holds it, which may not be valid yet. */
 export type Draft = Readonly<Record<string, unknown>>;
 type Entry = Record<string, unknown>;
+type SentFields = ReadonlyMap<string, string>;
 
 /** Reads a value at a path with dots. */
 export function getAt(value: unknown, path: string): unknown {
@@ -45,10 +46,10 @@
 	return field.kind === 'number' && Number.isFinite(parsed) ? parsed : trimmed;
 }
 
-function parseFields(fields: readonly FormField[], prefix: string, params: URLSearchParams): unknown {
+function parseFields(fields: readonly FormField[], prefix: string, sent: SentFields): unknown {
 	let entry: unknown = {};
 	for (const field of fields) {
-		entry = setAt(entry, field.name, parseField(field, params.get(`${prefix}${field.name}`) ?? undefined));
+		entry = setAt(entry, field.name, parseField(field, sent.get(`${prefix}${field.name}`)));
 	}
 
 	return entry;
@@ -63,12 +64,12 @@
 	return count;
 }
 
-function parseList(section: FormSection, prefix: string, params: URLSearchParams, names: ReadonlySet<string>): readonly unknown[] {
+function parseList(section: FormSection, prefix: string, sent: SentFields, names: ReadonlySet<string>): readonly unknown[] {
 	return Array.from({length: countEntries(prefix, names)}, (_, i) => {
 		const entryPrefix = `${prefix}.${i}.`;
-		let entry = parseFields(section.fields, entryPrefix, params);
+		let entry = parseFields(section.fields, entryPrefix, sent);
 		for (const list of section.lists ?? []) {
-			entry = setAt(entry, list.path, parseList(list, `${entryPrefix}${list.path}`, params, names));
+			entry = setAt(entry, list.path, parseList(list, `${entryPrefix}${list.path}`, sent, names));
 		}
 
 		return entry;
@@ -78,15 +79,17 @@
 /** Reads the posted form; only fields that the form defines are taken over. */
 export function parseDraft(params: URLSearchParams, version: number): Draft {
 	const names = new Set<string>();
-	for (const name of params.keys()) {
+	// Looking names up in the parameters themselves takes a scan for each of many thousand fields.
+	const sent: SentFields = new Map(params);
+	for (const name of sent.keys()) {
 		for (let end = name.indexOf('.'); end !== -1; end = name.indexOf('.', end + 1)) {
 			names.add(name.slice(0, end));
 		}
 	}
 
-	let draft = setAt(parseFields(documentFields, '', params), 'version', version);
+	let draft = setAt(parseFields(documentFields, '', sent), 'version', version);
 	for (const section of sections) {
-		draft = setAt(draft, section.path, parseList(section, section.path, params, names));
+		draft = setAt(draft, section.path, parseList(section, section.path, sent, names));
 	}
 
 	return draft as Draft;
--- a/packages/operators/src/console/form-page.ts
+++ b/packages/operators/src/console/form-page.ts
@@ -1,4 +1,7 @@
+import {setImmediate as yieldToLoop} from 'node:timers/promises';
 import type {Fault} from '@egretrill/common';
+import {ENTRIES_PER_TURN} from '../constants.js';
+import {groupBy} from '../group-by.js';
 import {getAt, getEntries, type Draft} from './draft.js';
 import {
 	documentFields, sections, type FormField, type FormSection,
@@ -17,7 +20,7 @@
 	readonly secret?: string;
 };
 
-type RenderContext = FormState & {readonly anchors: Set<string>};
+type RenderContext = FormState & {readonly anchors: Set<string>; readonly faultsByPath: ReadonlyMap<string, readonly Fault[]>};
 
 function getAnchor(ctx: RenderContext, path: string): string {
 	ctx.anchors.add(path);
@@ -54,7 +57,7 @@
 function renderField(ctx: RenderContext, field: FormField, prefix: string, isFocused: boolean): Html {
 	const path = `${prefix}${field.name}`;
 	const id = getAnchor(ctx, path);
-	const faults = (ctx.faults ?? []).filter(fault => fault.path === path);
+	const faults = ctx.faultsByPath.get(path) ?? [];
 	const described = [...(field.hint ? [`${id}-hint`] : []), ...(faults.length > 0 ? [`${id}-fault`] : [])].join(' ');
 	const describedBy = described !== '' && html` aria-describedby="${described}"`;
 	const attributes = html`id="${id}"${faults.length > 0 && html` aria-invalid="true"`}${describedBy}${isFocused && html` autofocus`}`;
@@ -72,22 +75,25 @@
 }
 
 function renderEntryFaults(ctx: RenderContext, path: string): Html {
-	const faults = (ctx.faults ?? []).filter(fault => fault.path === path);
+	const faults = ctx.faultsByPath.get(path) ?? [];
 	return html`${faults.length > 0 && html`<p class="fault">${renderFaults(faults)}</p>`}`;
 }
 
-function renderList(ctx: RenderContext, section: FormSection, path: string): Html {
-	const entries = getEntries(ctx.draft, path).map((entry, i) => {
-		const entryPath = `${path}.${i}`;
-		const name = getEntryName(section, entry, i);
-		const fields = section.fields.map((field, position) => renderField(ctx, field, `${entryPath}.`, ctx.focus === entryPath && position === 0));
-		const lists = (section.lists ?? []).map(list => renderList(ctx, list, `${entryPath}.${list.path}`));
-		return html`
-			<fieldset id="${getAnchor(ctx, entryPath)}"><legend>${name}</legend>
-			${renderEntryFaults(ctx, entryPath)}${fields}${lists}<button name="action" value="${`remove ${entryPath}`}">Remove ${name}</button>
-			</fieldset>
-		`;
+function renderEntry(ctx: RenderContext, section: FormSection, path: string, i: number): Html {
+	const name = getEntryName(section, getAt(ctx.draft, path), i);
+	const fields = section.fields.map((field, position) => renderField(ctx, field, `${path}.`, ctx.focus === path && position === 0));
+	const lists = (section.lists ?? []).map(list => {
+		const listPath = `${path}.${list.path}`;
+		return renderList(ctx, list, listPath, getEntries(ctx.draft, listPath).map((_, index) => renderEntry(ctx, list, `${listPath}.${index}`, index)));
 	});
+	return html`
+		<fieldset id="${getAnchor(ctx, path)}"><legend>${name}</legend>
+		${renderEntryFaults(ctx, path)}${fields}${lists}<button name="action" value="${`remove ${path}`}">Remove ${name}</button>
+		</fieldset>
+	`;
+}
+
+function renderList(ctx: RenderContext, section: FormSection, path: string, entries: readonly Html[]): Html {
 	const heading = path === section.path ? html`<h2>${section.title}</h2>` : html`<h3>${section.title}</h3>`;
 	return html`
 		<section id="${getAnchor(ctx, path)}" aria-label="${section.title}">${heading}
@@ -96,6 +102,18 @@
 	`;
 }
 
+async function renderSection(ctx: RenderContext, section: FormSection): Promise<Html> {
+	const entries: Html[] = [];
+	for (const i of getEntries(ctx.draft, section.path).keys()) {
+		entries.push(renderEntry(ctx, section, `${section.path}.${i}`, i));
+		if (entries.length % ENTRIES_PER_TURN === 0) {
+			await yieldToLoop();
+		}
+	}
+
+	return renderList(ctx, section, section.path, entries);
+}
+
 function renderSuggestions(draft: Draft): Html {
 	const lists = {
 		customers: 'id', models: 'id', services: 'id', accelerators: 'target',
@@ -127,11 +145,15 @@
 	`;
 }
 
-/** Renders the form that edits the whole document. */
-export function renderForm(state: FormState): Html {
-	const ctx: RenderContext = {...state, anchors: new Set()};
+/** Renders the form that edits the whole document, giving way to other tasks between entries. */
+export async function renderForm(state: FormState): Promise<Html> {
+	const ctx: RenderContext = {...state, anchors: new Set(), faultsByPath: groupBy(state.faults ?? [], fault => fault.path)};
 	const fields = documentFields.map(field => renderField(ctx, field, '', false));
-	const lists = sections.map(section => renderList(ctx, section, section.path));
+	const lists: Html[] = [];
+	for (const section of sections) {
+		lists.push(await renderSection(ctx, section));
+	}
+
 	return html`
 		${renderSummary(ctx)}${state.secret !== undefined && html`
 			<div class="notice" role="status"><h2>The new key</h2>
--- a/packages/operators/src/console/html.ts
+++ b/packages/operators/src/console/html.ts
@@ -28,7 +28,20 @@
 	return typeof value === 'object' ? value.map(part => part.markup).join('') : escapeHtml(String(value));
 }
 
+const trimmedTemplates = new WeakMap<TemplateStringsArray, readonly string[]>();
+
+function trimTemplate(strings: TemplateStringsArray): readonly string[] {
+	const known = trimmedTemplates.get(strings);
+	if (known) {
+		return known;
+	}
+
+	const trimmed = strings.map((text, i) => (i === 0 ? text.replace(/^\n\s*/v, '') : text).replaceAll(/\n\s+/gv, '\n'));
+	trimmedTemplates.set(strings, trimmed);
+	return trimmed;
+}
+
 /** Template tag that escapes everything but markup made by itself; indentation of the template is left out. */
 export function html(strings: TemplateStringsArray, ...inserts: readonly Insert[]): Html {
-	return {markup: strings.map((text, i) => (i === 0 ? '' : renderInsert(inserts[i - 1])) + text.replaceAll(/\n\s+/gv, '\n')).join('').replace(/^\n/v, '')};
+	return {markup: trimTemplate(strings).map((text, i) => (i === 0 ? '' : renderInsert(inserts[i - 1])) + text).join('')};
 }
--- a/packages/operators/src/constants.ts
+++ b/packages/operators/src/constants.ts
@@ -18,3 +18,6 @@
 
 /** Bounds the memory of sessions; the oldest one ends first. */
 export const MAX_SESSIONS = 256;
+
+/** Entries rendered before other tasks get a turn; a form of 3,100 accelerators would otherwise hold up streams and leases. */
+export const ENTRIES_PER_TURN = 25;
--- a/packages/operators/src/validate-document.ts
+++ b/packages/operators/src/validate-document.ts
@@ -3,6 +3,7 @@
 } from '@egretrill/common';
 import {MIN_BURST_TOKENS} from './constants.js';
 import {describeFound, getSchemaFaults} from './expectation.js';
+import {groupBy} from './group-by.js';
 
 type Rule = (document: ConfigDocument) => readonly Fault[];
 
@@ -67,16 +68,21 @@
 	]);
 }
 
+function getPinKey({model, target}: Pin): string {
+	return `${model} ${target}`;
+}
+
 const findPlacementFaults: Rule = ({placements, models, accelerators}) => {
 	const known = new Set(models.map(model => model.id));
 	const targets = new Set(accelerators.map(entry => entry.target));
 	const {pins, forbids} = placements;
+	const forbidIndexes = new Map(forbids.map((forbid, i) => [getPinKey(forbid), i]));
 	return [
 		...findPinFaults('placements.pins', pins, known, targets),
 		...findPinFaults('placements.forbids', forbids, known, targets),
 		...pins.flatMap((pin, i) => {
-			const forbidden = forbids.findIndex(forbid => forbid.model === pin.model && forbid.target === pin.target);
-			return forbidden === -1 ? [] : [{path: `placements.pins.${i}`, expected: `a pin that placements.forbids.${forbidden} does not forbid`, found: `${pin.model} on ${pin.target}`}];
+			const forbidden = forbidIndexes.get(getPinKey(pin));
+			return forbidden === undefined ? [] : [{path: `placements.pins.${i}`, expected: `a pin that placements.forbids.${forbidden} does not forbid`, found: `${pin.model} on ${pin.target}`}];
 		}),
 	];
 };
@@ -86,9 +92,11 @@
 }
 
 const findMemoryFaults: Rule = ({placements, models, accelerators}) => {
+	const modelsById = new Map(models.map(model => [model.id, model]));
+	const pinsByTarget = groupBy(placements.pins, pin => pin.target);
 	const pinFaults = accelerators.flatMap(({target, memoryMb}, i) => {
-		const pinnedIds = new Set(placements.pins.filter(pin => pin.target === target).map(pin => pin.model));
-		const pinned = models.filter(model => pinnedIds.has(model.id));
+		const pinnedIds = new Set((pinsByTarget.get(target) ?? []).map(pin => pin.model));
+		const pinned = [...pinnedIds].map(id => modelsById.get(id)).filter(model => model !== undefined);
 		const sum = pinned.reduce((total, model) => total + getModelMemory(model), 0);
 		const terms = pinned.map(model => `${model.id} ${getModelMemory(model)}`).join(' + ');
 		return sum > memoryMb ? [{path: `accelerators.${i}.memoryMb`, expected: `pinned models of at most ${memoryMb} MB on ${target}`, found: `${terms} = ${sum} MB`}] : [];
