platform: percentiles over the last five to ten minutes

Cause: percentiles since the start of the process hide a slow hour behind a fast week. Change: durations keep two windows of 300 s and report both merged; sum and count still run from the start; an empty window reports NaN instead of a latency of zero. Before: percentiles since the start. Conclusion: the memory bound per label set doubles to 16 KB at the longest durations, 12 MB for three metrics of 256 label sets.

--- a/packages/platform/src/metrics.ts
+++ b/packages/platform/src/metrics.ts
@@ -1,6 +1,7 @@
+import {MonotonicClock, type Clock} from '@egretrill/common';
 import {build, type Histogram} from 'hdr-histogram-js';
 import {
-	DURATION_STEPS_PER_MS, MAX_DURATION_MS, MAX_LABEL_SETS, MAX_PERCENTILE_LABEL_SETS, OVERFLOW_LABEL, REPORTED_QUANTILES,
+	DURATION_STEPS_PER_MS, MAX_DURATION_MS, MAX_LABEL_SETS, MAX_PERCENTILE_LABEL_SETS, OVERFLOW_LABEL, PERCENTILE_WINDOW_MS, REPORTED_QUANTILES,
 } from './constants.js';
 
 /** Label values of one series, by label name. */
@@ -113,48 +114,85 @@
 	}
 }
 
-type DurationStats = {readonly histogram: Histogram; sumMs: number};
+type DurationStats = {current: Histogram; previous: Histogram; startedMs: number; count: number; sumMs: number};
 
-/** Percentiles of durations since the start of the process, reported in milliseconds. */
+function createHistogram(): Histogram {
+	// Two digits bound the error to 1 %; the array grows with the largest value recorded.
+	return build({
+		bitBucketSize: 32, autoResize: true, lowestDiscernibleValue: 1, highestTrackableValue: 2, numberOfSignificantValueDigits: 2,
+	});
+}
+
+export type DurationsOptions = MetricOptions & {readonly clock: Clock};
+
+/** Percentiles of the durations of the last one to two windows, in milliseconds; sum and count run from the start of the process. */
 export class Durations extends Metric<DurationStats> {
-	protected get type() {
-		return 'summary' as const;
-	}
+	private readonly clock: Clock;
 
-	constructor(opts: MetricOptions) {
+	constructor({clock, ...opts}: DurationsOptions) {
 		super({maxLabelSets: MAX_PERCENTILE_LABEL_SETS, ...opts});
+		this.clock = clock;
 	}
 
 	record(durationMs: number, labels: Labels = {}): void {
 		const {value} = this.getSeries(labels);
+		this.rotate(value);
 		const boundedMs = Math.min(Math.max(durationMs, 0), MAX_DURATION_MS);
-		value.histogram.recordValue(Math.round(boundedMs * DURATION_STEPS_PER_MS));
+		value.current.recordValue(Math.round(boundedMs * DURATION_STEPS_PER_MS));
+		value.count++;
 		value.sumMs += boundedMs;
 	}
 
-	/** Returns a quantile in milliseconds; zero when nothing was recorded. */
+	/** Returns a quantile in milliseconds; NaN when nothing was recorded lately. */
 	getQuantile(quantile: number, labels: Labels = {}): number {
-		return this.getSeries(labels).value.histogram.getValueAtPercentile(quantile * 100) / DURATION_STEPS_PER_MS;
+		const [value = Number.NaN] = this.getQuantiles(this.getSeries(labels).value, [quantile]);
+		return value;
+	}
+
+	protected get type() {
+		return 'summary' as const;
 	}
 
 	protected createValue(): DurationStats {
-		// Two digits bound the error to 1 %; the array grows with the largest value recorded.
 		return {
-			histogram: build({
-				bitBucketSize: 32, autoResize: true, lowestDiscernibleValue: 1, highestTrackableValue: 2, numberOfSignificantValueDigits: 2,
-			}),
-			sumMs: 0,
+			current: createHistogram(), previous: createHistogram(), startedMs: this.clock.now(), count: 0, sumMs: 0,
 		};
 	}
 
-	protected formatSeries(series: Series<DurationStats>): readonly string[] {
-		const {histogram, sumMs} = series.value;
+	protected formatSeries({labels, value}: Series<DurationStats>): readonly string[] {
+		const values = this.getQuantiles(value, REPORTED_QUANTILES);
 		return [
-			...REPORTED_QUANTILES.map(quantile => this.formatLine('', series.labels, histogram.getValueAtPercentile(quantile * 100) / DURATION_STEPS_PER_MS, quantile)),
-			this.formatLine('_sum', series.labels, Number(sumMs.toFixed(3))),
-			this.formatLine('_count', series.labels, histogram.totalCount),
+			...REPORTED_QUANTILES.map((quantile, i) => this.formatLine('', labels, values[i] ?? Number.NaN, quantile)),
+			this.formatLine('_sum', labels, Number(value.sumMs.toFixed(3))),
+			this.formatLine('_count', labels, value.count),
 		];
 	}
+
+	private getQuantiles(value: DurationStats, quantiles: readonly number[]): readonly number[] {
+		this.rotate(value);
+		const merged = createHistogram();
+		merged.add(value.previous);
+		merged.add(value.current);
+		return quantiles.map(quantile => merged.totalCount === 0 ? Number.NaN : merged.getValueAtPercentile(quantile * 100) / DURATION_STEPS_PER_MS);
+	}
+
+	private rotate(value: DurationStats): void {
+		const elapsedMs = this.clock.now() - value.startedMs;
+		if (elapsedMs < PERCENTILE_WINDOW_MS) {
+			return;
+		}
+
+		const oldest = value.previous;
+		oldest.reset();
+		if (elapsedMs < 2 * PERCENTILE_WINDOW_MS) {
+			value.previous = value.current;
+			value.current = oldest;
+		} else {
+			value.current.reset();
+		}
+
+		value.startedMs += Math.floor(elapsedMs / PERCENTILE_WINDOW_MS) * PERCENTILE_WINDOW_MS;
+	}
 }
 
 const CUSTOMER_AND_MODEL = ['customer', 'model'] as const;
@@ -166,7 +204,7 @@
 	readonly queueTime: Durations;
 	private readonly metrics = new Map<string, {format: () => string}>();
 
-	constructor() {
+	constructor(private readonly clock: Clock = new MonotonicClock()) {
 		const labels = CUSTOMER_AND_MODEL;
 		this.firstToken = this.createDurations({name: 'egretrill_first_token_ms', help: 'Time from the arrival of a request to its first token.', labels});
 		this.betweenTokens = this.createDurations({name: 'egretrill_between_tokens_ms', help: 'Time between two tokens of a stream.', labels});
@@ -182,7 +220,7 @@
 	}
 
 	createDurations(opts: MetricOptions): Durations {
-		return this.register(opts.name, new Durations(opts));
+		return this.register(opts.name, new Durations({...opts, clock: this.clock}));
 	}
 
 	/** Formats all metrics as Prometheus text. */
--- a/packages/platform/tests/health-app.test.ts
+++ b/packages/platform/tests/health-app.test.ts
@@ -1,5 +1,6 @@
 import {once} from 'node:events';
 import type {AddressInfo} from 'node:net';
+import {ManualClock} from '@egretrill/common';
 import {expect} from 'chai';
 import {createHealthApp, Metrics, type UnreadyReason} from '../src/index.js';
 
@@ -57,6 +58,22 @@
 		expect(counter.format()).toMatchSnapshot();
 	});
 
+	it('forgets durations after two windows, so that an old fast period does not hide a slow one', () => {
+		const clock = new ManualClock();
+		const {queueTime} = new Metrics(clock);
+		const seen = [];
+		for (const durationMs of [10, 100, 1000]) {
+			queueTime.record(durationMs);
+			seen.push([queueTime.getQuantile(0), queueTime.getQuantile(1)]);
+			clock.advance(300_000);
+		}
+
+		seen.push([queueTime.getQuantile(0), queueTime.getQuantile(1)]);
+		clock.advance(600_000);
+		seen.push([queueTime.getQuantile(0), queueTime.getQuantile(1)]);
+		expect({seen, text: queueTime.format().split('\n')}).toMatchSnapshot();
+	});
+
 	it('keeps percentiles within 1 % and records durations beyond the range as its end', () => {
 		const metrics = new Metrics();
 		for (const durationMs of [0, 12.3, 1e9, -1]) {
