operators: getExpectations lists rejected fields for any fault format

Cause: packages/common builds its own faults with lines, and an unknown field must be named there too. Change: getExpectations returns path and phrase for each rejected field; getSchemaFaults uses it. Before: in a trial copy of common, an unknown field read "(document): expected no such field". After: 21 tests pass in packages/operators; the phrases are unchanged. Conclusion: document.ts can map getExpectations to faults and add its lines; expectation.ts has to move to packages/common for that, because dependencies point down.

--- a/packages/operators/src/expectation.ts
+++ b/packages/operators/src/expectation.ts
@@ -121,13 +121,17 @@
 	return current;
 }
 
-/** Lists the faults of a value that its schema rejected, one for each field. */
-export function getSchemaFaults(input: unknown, error: z.ZodError): readonly Fault[] {
+/** Lists the rejected fields of a value with what was expected at each; an unknown field is listed itself, not the map that holds it. */
+export function getExpectations(error: z.ZodError): ReadonlyArray<{readonly path: readonly PropertyKey[]; readonly expected: string}> {
 	return error.issues.flatMap(issue => {
-		// Unknown keys are reported at themselves, not at the map that holds them.
 		const paths = issue.code === 'unrecognized_keys' ? issue.keys.map(key => [...issue.path, key]) : [issue.path];
-		return paths.map(path => ({
-			path: path.map(String).join('.'), expected: describeExpectation(issue), found: describeFound(getIn(input, path)),
-		}));
+		return paths.map(path => ({path, expected: describeExpectation(issue)}));
 	});
 }
+
+/** Lists the faults of a value that its schema rejected, one for each field. */
+export function getSchemaFaults(input: unknown, error: z.ZodError): readonly Fault[] {
+	return getExpectations(error).map(({path, expected}) => ({
+		path: path.map(String).join('.'), expected, found: describeFound(getIn(input, path)),
+	}));
+}
