monitor, operators: tests for concurrent records and the end of sessions

Cause: appends that arrive during a sync and the bounds of console sessions were not covered. Change: ten tasks append 200 records through a counted storage; sessions are checked against their time and number with a manual clock.

--- a/packages/monitor/tests/evidence.test.ts
+++ b/packages/monitor/tests/evidence.test.ts
@@ -83,6 +83,27 @@
 		await log.close();
 	});
 
+	it('keeps records of concurrent tasks in one chain and shares syncs, also while an earlier sync runs', async () => {
+		const storage = await FileEvidenceStorage.open(file);
+		const write = storage.append.bind(storage);
+		let syncs = 0;
+		storage.append = async text => {
+			syncs++;
+			await write(text);
+		};
+
+		const log = await EvidenceLog.open({storage, getWallTime});
+		await Promise.all(Array.from({length: 10}, async (_, task) => {
+			for (let i = 0; i < 20; i++) {
+				const entry = await log.append(createRecord(task));
+				expect(log.getHead()?.seq).to.be.at.least(entry.seq);
+			}
+		}));
+		await log.close();
+		expect(await verifyEvidence(file)).to.include({intact: true, records: 200});
+		expect(syncs).to.be.below(200);
+	});
+
 	it('names the first broken link of a changed file and refuses to append to it', async () => {
 		const lines = await writeLog(4);
 		const head = await readFile(`${file}.head`, 'utf8');
--- a/packages/operators/tests/console.test.ts
+++ b/packages/operators/tests/console.test.ts
@@ -1,8 +1,10 @@
-import {ConfigDocument} from '@egretrill/common';
+import {ConfigDocument, ManualClock} from '@egretrill/common';
 import {expect} from 'chai';
+import type {Request, Response} from 'express';
 import {z} from 'zod';
 import {documentFields, sections, type FormSection} from '../src/console/form-sections.js';
-import {getDigest} from '../src/index.js';
+import {Sessions} from '../src/console/session.js';
+import {getDigest, MAX_SESSIONS, SESSION_TTL_MS} from '../src/index.js';
 import {
 	createDocument, credential, getBasicHeader, MemoryFleet, normalise, withAdmin, type Exchange,
 } from './memory-fleet.js';
@@ -219,4 +221,22 @@
 			expect(later.status).to.equal(303);
 		});
 	});
+
+	it('ends sessions after their time and bounds their number, so that a forgotten browser stays signed in no longer than a working day', () => {
+		const clock = new ManualClock();
+		const sessions = new Sessions(getDigest(credential), true, clock);
+		const cookies = Array.from({length: MAX_SESSIONS + 1}, () => {
+			let cookie = '';
+			sessions.signIn({
+				cookie(name: string, id: string) {
+					cookie = `${name}=${id}`;
+				},
+			} as unknown as Response, credential, 'eva');
+			return cookie;
+		});
+		const isKnown = (cookie: string) => sessions.getIdentity({headers: {cookie}} as unknown as Request) !== undefined;
+		expect(cookies.map(cookie => isKnown(cookie))).to.deep.equal([false, ...cookies.slice(1).map(() => true)]);
+		clock.advance(SESSION_TTL_MS);
+		expect(cookies.some(cookie => isKnown(cookie))).to.equal(false);
+	});
 });
