placement: bench of the four policies and of a planning round; faster planning

Change: discrete-event model of both deployments; a round balances only the models that it moves and weighs the 64 best targets for each copy.

--- /dev/null
+++ b/dev/bench/src/placement.ts
@@ -0,0 +1,81 @@
+import {
+	DemandPlacement, ForesightPlacement, LoadOnDemandPlacement, type PlacementPolicy, StaticPlacement,
+} from '@egretrill/engines';
+import {IN_TIME_MS, PlacementRun, type RunResult} from './placement-model.js';
+import {
+	createTrace, DEMAND_RATIO, type Deployment, deployments, ENGINE_CAPACITY_PER_S, ENGINE_MEMORIES_MB, HOT_RATIO, SHIFT_FACTOR, SHIFT_PERIOD_MS, toDemand, type Trace, TRACE_MS,
+} from './placement-trace.js';
+import {measurePlanningRound} from './planning-round.js';
+
+/** How long an interactive request may wait in the queue, as the design page has it. */
+const QUEUE_DEADLINE_MS = 10_000;
+
+const DESIGN_MODELS = 610;
+const DESIGN_ACCELERATORS = 3100;
+
+export type PlacementBenchOptions = {readonly seed: number; readonly models?: number; readonly accelerators?: number};
+
+function round(value: number, digits = 3): number {
+	return Number(value.toFixed(digits));
+}
+
+function createPolicies({models, meanDemand, getRates}: Trace): readonly PlacementPolicy[] {
+	return [
+		new DemandPlacement(),
+		new StaticPlacement(meanDemand),
+		new LoadOnDemandPlacement(),
+		new ForesightPlacement(nowMs => toDemand(models, getRates(nowMs))),
+	];
+}
+
+type Setting = {readonly engineMemoryMb: number; readonly queueDeadlineMs: number};
+
+function comparePolicies(deployment: Deployment, trace: Trace, seed: number, setting: Setting): Record<string, unknown> {
+	const runs = new Map<string, RunResult>(createPolicies(trace).map(policy => [policy.name, new PlacementRun(deployment, trace, policy, {
+		...setting, isInstant: policy.name === 'foresight', seed,
+	}).run()]));
+	const getShare = (name: string): number => (runs.get(name)?.inTime ?? 0) / (runs.get(name)?.requests ?? 1);
+	const getMoves = (name: string): number => runs.get(name)?.moves ?? 0;
+	const measured = {
+		timesStatic: round(getShare('demand') / getShare('static')),
+		movesOverLoadOnDemand: round(getMoves('demand') / getMoves('load-on-demand')),
+		ofForesight: round(getShare('demand') / getShare('foresight')),
+	};
+	return {
+		...setting,
+		policies: Object.fromEntries([...runs].map(([name, {requests, inTime, moves}]) => [name, {
+			requests, inTimeShare: round(inTime / requests), inTimePerAccelerator: round(inTime / deployment.engines, 0), moves,
+		}])),
+		measured,
+		met: {
+			timesStatic: measured.timesStatic >= 1.5, movesOverLoadOnDemand: measured.movesOverLoadOnDemand <= 0.5, ofForesight: measured.ofForesight >= 0.9,
+		},
+	};
+}
+
+/** Compares the placement policies at both deployments and measures a planning round at the design size. */
+export async function runPlacementBench({seed, models = DESIGN_MODELS, accelerators = DESIGN_ACCELERATORS}: PlacementBenchOptions): Promise<Record<string, unknown>> {
+	return {
+		seed,
+		setting: {
+			engineMemoriesMb: ENGINE_MEMORIES_MB,
+			modelMb: '14,000 to 22,000 with KV reserve, plus 200 for each of its adapters; adapter loads of 5-10 ms are not modelled',
+			engineCapacityPerS: ENGINE_CAPACITY_PER_S,
+			demandRatio: DEMAND_RATIO,
+			shift: `${HOT_RATIO * 100} % of the models in ${SHIFT_FACTOR}-fold demand, others every ${SHIFT_PERIOD_MS} ms; 1 s bursts of 1.5 and 0.5 times the rate`,
+			traceMs: TRACE_MS,
+			inTime: `begun within ${IN_TIME_MS} ms`,
+			foresight: 'knows the rates of the trace; its loads take no time and no permit',
+		},
+		goals: {timesStatic: 1.5, movesOverLoadOnDemand: 0.5, ofForesight: 0.9},
+		planningRound: measurePlanningRound(models, accelerators, seed),
+		deployments: Object.fromEntries(deployments.map(deployment => [deployment.name, compareSettings(deployment, seed)])),
+	};
+}
+
+function compareSettings(deployment: Deployment, seed: number): Record<string, unknown> {
+	const trace = createTrace(deployment, seed);
+	// The shorter deadline shows what remains of the differences when nobody waits for an answer that is late anyway.
+	const settings = ENGINE_MEMORIES_MB.flatMap(engineMemoryMb => [QUEUE_DEADLINE_MS, IN_TIME_MS].map(queueDeadlineMs => ({engineMemoryMb, queueDeadlineMs})));
+	return {...deployment, runs: settings.map(setting => comparePolicies(deployment, trace, seed, setting))};
+}
--- a/packages/engines/src/placement/baseline-policies.ts
+++ b/packages/engines/src/placement/baseline-policies.ts
@@ -38,7 +38,7 @@
 	}
 }
 
-/** Loads a model wherever its requests find no place, in place of the least recently used copies. */
+/** Loads a model whose requests wait on the least loaded target, in place of the least recently used copies; one load per model at a time. */
 export class LoadOnDemandPlacement extends PlacementPolicy {
 	get name(): string {
 		return 'load-on-demand';
@@ -47,20 +47,16 @@
 	planRound(input: PlanInput): PlanRound {
 		const plan = new RoundPlan(new FleetState(input, input.demand));
 		const {fleet} = plan;
-		const models = [...fleet.models.values()]
-			.map(model => ({model, unserved: fleet.getUnserved(model)}))
-			.filter(({unserved}) => unserved > 0)
-			.sort((a, b) => b.unserved - a.unserved);
-		for (const {model} of models) {
-			const target = this.findLeastLoaded(fleet, model);
-			if (target === undefined || plan.loadSlots <= 0) {
+		for (const {model: id} of [...input.waiting].sort((a, b) => b.count - a.count)) {
+			const model = fleet.models.get(id);
+			const target = model === undefined || model.copies.some(({isLoading}) => isLoading) ? undefined : this.findLeastLoaded(fleet, model);
+			if (model === undefined || target === undefined || plan.loadSlots <= 0) {
 				continue;
 			}
 
 			const evicted = this.findLeastRecent(target, model.sizeMb);
 			if (evicted !== undefined) {
 				plan.addLoad(model, target, evicted, {reason: 'on-demand', urgent: true, weighedAgainst: 'least recently used copies'});
-				fleet.balance();
 			}
 		}
 
@@ -68,16 +64,15 @@
 	}
 
 	private findLeastLoaded(fleet: FleetState, model: ModelState): TargetState | undefined {
-		const present = new Set([...model.copies].map(({target}) => target));
+		const present = new Set(model.copies.map(({target}) => target));
 		return fleet.targets
 			.filter(target => fleet.isAvailable(target) && !present.has(target) && !fleet.isForbidden(model.model.id, target))
-			.filter(target => fleet.getSpare(target) > 0 || model.copies.size === 0)
 			.sort((a, b) => (a.loadPerS / a.planned.capacityPerS) - (b.loadPerS / b.planned.capacityPerS))
 			.at(0);
 	}
 
 	private findLeastRecent(target: TargetState, neededMb: number): readonly CopyState[] | undefined {
-		const byIdleness = [...target.copies].filter(({isLoading}) => !isLoading).sort((a, b) => b.idleMs - a.idleMs);
+		const byIdleness = target.copies.filter(({isLoading}) => !isLoading).sort((a, b) => b.idleMs - a.idleMs);
 		const evicted: CopyState[] = [];
 		let {freeMb} = target;
 		for (const copy of byIdleness) {
--- a/packages/engines/src/placement/constants.ts
+++ b/packages/engines/src/placement/constants.ts
@@ -66,6 +66,9 @@
 
 export const MAX_MOVES_PER_ROUND = 32;
 
+/** Targets whose evictions are weighed for one copy; weighing all of 3,100 would exceed the time of a round. */
+export const MAX_CANDIDATES = 64;
+
 /** Passes that shift each model's load to its less loaded copies; further passes change loads by under 1 %. */
 export const BALANCE_PASSES = 8;
 
--- a/packages/engines/src/placement/demand-placement.ts
+++ b/packages/engines/src/placement/demand-placement.ts
@@ -1,5 +1,5 @@
 import {
-	GAIN_HORIZON_MS, HYSTERESIS_RATIO, MAX_MOVES_PER_ROUND, MIN_UNSERVED_RATIO,
+	GAIN_HORIZON_MS, HYSTERESIS_RATIO, MAX_CANDIDATES, MAX_MOVES_PER_ROUND, MIN_UNSERVED_RATIO,
 } from './constants.js';
 import {
 	type Evictions, FleetState, type ModelState, type TargetState,
@@ -15,7 +15,6 @@
 type Candidate = {
 	readonly target: TargetState;
 	readonly evictions: Evictions;
-	readonly gainPerS: number;
 	readonly gain: number;
 	readonly cost: number;
 };
@@ -52,7 +51,6 @@
 		const capacity = fleet.targets.reduce((sum, {planned}) => sum + planned.capacityPerS, 0) / Math.max(1, fleet.targets.length);
 		const rejected = new Set<ModelState>();
 		for (let count = 0; count < MAX_MOVES_PER_ROUND && plan.loadSlots > 0; count++) {
-			fleet.balance();
 			const worst = this.findWorstServed(fleet, rejected);
 			if (worst === undefined || worst.unserved < capacity * MIN_UNSERVED_RATIO) {
 				return;
@@ -100,30 +98,19 @@
 	private findBestTarget(fleet: FleetState, model: ModelState, unserved: number): Candidate | undefined {
 		const horizonS = GAIN_HORIZON_MS / 1000;
 		const loadS = fleet.input.loadMs / 1000;
-		const present = new Set([...model.copies].map(({target}) => target));
 		let best: Candidate | undefined;
-		for (const target of fleet.targets) {
-			const gainPerS = Math.min(unserved, fleet.getSpare(target));
-			if (gainPerS <= 0 || present.has(target) || !fleet.isAvailable(target) || fleet.isForbidden(model.model.id, target)) {
-				continue;
-			}
-
-			// The search for evictions is the costly part, so targets that cannot beat the best are left out first.
-			const gain = gainPerS * Math.max(0, horizonS - loadS);
-			if (best !== undefined && gain <= best.gain - best.cost) {
-				continue;
-			}
-
+		for (const target of listCandidates(fleet, model, unserved)) {
 			const evictions = fleet.findEvictions(target, model.sizeMb, false);
 			if (evictions === undefined) {
 				continue;
 			}
 
+			const gain = Math.min(unserved, fleet.getSpare(target)) * Math.max(0, horizonS - loadS);
 			const slotCost = target.planned.capacityPerS * MIN_UNSERVED_RATIO * loadS;
 			const cost = slotCost + (evictions.lossPerS * horizonS) + evictions.reloadCost;
 			if (best === undefined || gain - cost > best.gain - best.cost) {
 				best = {
-					target, evictions, gainPerS, gain, cost,
+					target, evictions, gain, cost,
 				};
 			}
 		}
@@ -131,3 +118,28 @@
 		return best;
 	}
 }
+
+/** Lists the targets that can serve most of the unserved demand: free memory first among equals, then most spare capacity. */
+function listCandidates(fleet: FleetState, model: ModelState, unserved: number): readonly TargetState[] {
+	const isBefore = (a: TargetState, b: TargetState): boolean => {
+		const gain = Math.min(unserved, fleet.getSpare(a)) - Math.min(unserved, fleet.getSpare(b));
+		const free = Number(a.freeMb >= model.sizeMb) - Number(b.freeMb >= model.sizeMb);
+		return (gain || free || (fleet.getSpare(a) - fleet.getSpare(b))) > 0;
+	};
+
+	const present = new Set(model.copies.map(({target}) => target));
+	const chosen: TargetState[] = [];
+	for (const target of fleet.targets) {
+		const last = chosen.at(-1);
+		const isLeftOut = chosen.length === MAX_CANDIDATES && last !== undefined && !isBefore(target, last);
+		if (isLeftOut || present.has(target) || !fleet.isAvailable(target) || fleet.getSpare(target) === 0 || fleet.isForbidden(model.model.id, target)) {
+			continue;
+		}
+
+		const place = chosen.findIndex(other => isBefore(target, other));
+		chosen.splice(place === -1 ? chosen.length : place, 0, target);
+		chosen.length = Math.min(chosen.length, MAX_CANDIDATES);
+	}
+
+	return chosen;
+}
--- a/packages/engines/src/placement/fleet-state.ts
+++ b/packages/engines/src/placement/fleet-state.ts
@@ -21,7 +21,7 @@
 
 export type TargetState = {
 	readonly planned: PlannedTarget;
-	readonly copies: Set<CopyState>;
+	readonly copies: CopyState[];
 	freeMb: number;
 	loadPerS: number;
 	isBusy: boolean;
@@ -32,7 +32,7 @@
 	readonly sizeMb: number;
 	readonly ratePerS: number;
 	readonly sigmaPerS: number;
-	readonly copies: Set<CopyState>;
+	readonly copies: CopyState[];
 };
 
 /** Copies that have to go before a load fits, and the requests per second that this costs. */
@@ -41,13 +41,20 @@
 /** Least utilisation assumed when shares are shifted, so that idle targets do not take everything in one pass. */
 const MIN_UTILISATION = 0.02;
 
+/** Routing sends hardly anything to a leaving target while another copy serves. */
+const LEAVING_ATTRACTION = 0.1;
+
 function getPairKey(model: string, target: string): string {
 	return `${model}\u0000${target}`;
 }
 
 function getCopySizeMb(model: Model | undefined, adapters: readonly string[]): number {
-	const adaptersMb = (model?.adapters ?? []).filter(({id}) => adapters.includes(id)).reduce((sum, {memoryMb}) => sum + memoryMb, 0);
-	return model === undefined ? 0 : model.memoryMb + model.kvReserveMb + adaptersMb;
+	if (model === undefined || adapters.length === 0) {
+		return model === undefined ? 0 : model.memoryMb + model.kvReserveMb;
+	}
+
+	const adaptersMb = model.adapters.filter(({id}) => adapters.includes(id)).reduce((sum, {memoryMb}) => sum + memoryMb, 0);
+	return model.memoryMb + model.kvReserveMb + adaptersMb;
 }
 
 /**
@@ -69,18 +76,18 @@
 			sizeMb: model.memoryMb + model.kvReserveMb,
 			ratePerS: rates.get(model.id)?.ratePerS ?? 0,
 			sigmaPerS: rates.get(model.id)?.sigmaPerS ?? 0,
-			copies: new Set<CopyState>(),
+			copies: [],
 		}]));
 		this.targets = input.targets.map(planned => this.createTarget(planned));
 		this.balance();
 	}
 
 	isPinned(modelId: string, target: TargetState): boolean {
-		return this.pins.has(getPairKey(modelId, target.planned.targetId));
+		return this.pins.size > 0 && this.pins.has(getPairKey(modelId, target.planned.targetId));
 	}
 
 	isForbidden(modelId: string, target: TargetState): boolean {
-		return this.forbids.has(getPairKey(modelId, target.planned.targetId));
+		return this.forbids.size > 0 && this.forbids.has(getPairKey(modelId, target.planned.targetId));
 	}
 
 	/** Returns whether a new move may start on the target in this round. */
@@ -95,7 +102,7 @@
 
 	/** Returns the model's requests per second that its copies cannot answer in time. */
 	getUnserved({ratePerS, copies}: ModelState): number {
-		if (copies.size === 0) {
+		if (copies.length === 0) {
 			return ratePerS;
 		}
 
@@ -126,7 +133,7 @@
 			return {copies: [], lossPerS: 0, reloadCost: 0};
 		}
 
-		const candidates = [...target.copies]
+		const candidates = target.copies
 			.filter(copy => this.isEvictable(copy, mayEvictIdle))
 			.map(copy => ({copy, lossPerS: this.getLossPerS(copy)}))
 			.sort((a, b) => (a.lossPerS - b.lossPerS) || (b.copy.sizeMb - a.copy.sizeMb));
@@ -152,34 +159,31 @@
 		const copy: CopyState = {
 			modelId: model.model.id, version: model.model.version, adapters: [], sizeMb: model.sizeMb, ageMs: 0, idleMs: 0, isLoading: true, model, target, share: 0,
 		};
-		const {size} = model.copies;
-		for (const other of model.copies) {
-			other.share *= size / (size + 1);
-		}
+		const {length} = model.copies;
+		this.changeShares(model, () => {
+			for (const other of model.copies) {
+				other.share *= length / (length + 1);
+			}
 
-		copy.share = 1 / (size + 1);
-		model.copies.add(copy);
-		target.copies.add(copy);
+			copy.share = 1 / (length + 1);
+			model.copies.push(copy);
+		});
+		target.copies.push(copy);
 		target.freeMb -= model.sizeMb;
 	}
 
 	/** Removes a copy and hands its share to the model's other copies. */
 	remove(copy: CopyState): void {
-		copy.target.copies.delete(copy);
-		copy.target.freeMb += copy.sizeMb;
-		copy.model?.copies.delete(copy);
-		for (const other of copy.model?.copies ?? []) {
-			other.share = copy.share >= 1 ? 1 / (copy.model?.copies.size ?? 1) : other.share / (1 - copy.share);
-		}
-	}
-
-	/** Shifts each model's load towards its less loaded copies, as routing does. */
-	balance(): void {
-		for (let pass = 0; pass <= BALANCE_PASSES; pass++) {
-			this.sumLoads();
-			if (pass < BALANCE_PASSES) {
-				this.shiftShares();
-			}
+		const {model, target} = copy;
+		target.copies.splice(target.copies.indexOf(copy), 1);
+		target.freeMb += copy.sizeMb;
+		if (model !== undefined) {
+			this.changeShares(model, () => {
+				model.copies.splice(model.copies.indexOf(copy), 1);
+				for (const other of model.copies) {
+					other.share = copy.share >= 1 ? 1 / model.copies.length : other.share / (1 - copy.share);
+				}
+			});
 		}
 	}
 
@@ -215,14 +219,16 @@
 
 	private createTarget(planned: PlannedTarget): TargetState {
 		const target: TargetState = {
-			planned, copies: new Set(), freeMb: planned.freeMb, loadPerS: 0, isBusy: planned.busy,
+			planned, copies: [], freeMb: planned.freeMb, loadPerS: 0, isBusy: planned.busy,
 		};
 		for (const copy of planned.copies) {
 			this.addCopy(target, copy, false);
 		}
 
 		for (const copy of planned.loading) {
-			this.addCopy(target, {...copy, ageMs: 0, idleMs: 0}, true);
+			if (!planned.copies.some(({model, version}) => model === copy.model && version === copy.version)) {
+				this.addCopy(target, {...copy, ageMs: 0, idleMs: 0}, true);
+			}
 		}
 
 		return target;
@@ -230,45 +236,78 @@
 
 	private addCopy(target: TargetState, planned: PlannedCopy, isLoading: boolean): void {
 		const model = this.models.get(planned.model);
-		if (isLoading && [...target.copies].some(({modelId, version}) => modelId === planned.model && version === planned.version)) {
-			return;
-		}
-
 		const copy: CopyState = {
-			...planned, modelId: planned.model, model, target, isLoading, sizeMb: getCopySizeMb(model?.model, planned.adapters), share: 1,
+			modelId: planned.model,
+			version: planned.version,
+			adapters: planned.adapters,
+			sizeMb: getCopySizeMb(model?.model, planned.adapters),
+			ageMs: planned.ageMs,
+			idleMs: planned.idleMs,
+			isLoading,
+			model,
+			target,
+			share: 1,
 		};
-		target.copies.add(copy);
-		model?.copies.add(copy);
-		for (const other of model?.copies ?? []) {
-			other.share = 1 / (model?.copies.size ?? 1);
-		}
+		target.copies.push(copy);
+		model?.copies.push(copy);
 	}
 
-	private sumLoads(): void {
-		for (const target of this.targets) {
-			target.loadPerS = 0;
-			for (const {model, share} of target.copies) {
-				target.loadPerS += (model?.ratePerS ?? 0) * share;
+	/** Shifts each model's load towards its less loaded copies, as routing does. */
+	private balance(): void {
+		for (const {copies, ratePerS} of this.models.values()) {
+			for (const copy of copies) {
+				copy.share = 1 / copies.length;
+				copy.target.loadPerS += ratePerS * copy.share;
 			}
 		}
-	}
 
-	private shiftShares(): void {
-		for (const {copies, ratePerS} of this.models.values()) {
-			if (copies.size < 2 || ratePerS === 0) {
-				continue;
+		for (let pass = 0; pass < BALANCE_PASSES; pass++) {
+			for (const model of this.models.values()) {
+				if (model.copies.length > 1 && model.ratePerS > 0) {
+					this.shiftShares(model);
+				}
 			}
+		}
+	}
 
-			let total = 0;
-			for (const copy of copies) {
-				const {planned, loadPerS} = copy.target;
-				copy.share *= planned.leaving ? 0.1 : 1 / Math.sqrt(Math.max(MIN_UTILISATION, loadPerS / planned.capacityPerS));
-				total += copy.share;
-			}
+	/** Changes which copies share a model's load, then balances that model alone; the others follow in the next round. */
+	private changeShares(model: ModelState, change: () => void): void {
+		this.addLoads(model, -1);
+		change();
+		this.addLoads(model, 1);
+		for (let pass = 0; pass < BALANCE_PASSES; pass++) {
+			this.shiftShares(model);
+		}
+	}
 
-			for (const copy of copies) {
-				copy.share /= total;
-			}
+	private addLoads({copies, ratePerS}: ModelState, sign: 1 | -1): void {
+		for (const {share, target} of copies) {
+			target.loadPerS += sign * ratePerS * share;
 		}
 	}
+
+	private shiftShares(model: ModelState): void {
+		let total = 0;
+		for (const {share, target} of model.copies) {
+			total += share * this.getAttraction(target);
+		}
+
+		if (total === 0) {
+			return;
+		}
+
+		// The attraction is read before any load changes, so that the order of the copies does not matter.
+		const shares = model.copies.map(({share, target}) => share * this.getAttraction(target) / total);
+		this.addLoads(model, -1);
+		for (const [i, copy] of model.copies.entries()) {
+			copy.share = shares[i] ?? 0;
+		}
+
+		this.addLoads(model, 1);
+	}
+
+	private getAttraction({planned, loadPerS}: TargetState): number {
+		const utilisation = Math.max(MIN_UTILISATION, loadPerS / planned.capacityPerS);
+		return (planned.leaving ? LEAVING_ATTRACTION : 1) / Math.sqrt(utilisation);
+	}
 }
--- a/packages/engines/src/placement/plan-input.ts
+++ b/packages/engines/src/placement/plan-input.ts
@@ -15,6 +15,7 @@
 	readonly placements: Placements;
 	readonly demand: readonly DemandEstimate[];
 	readonly remoteTargets: readonly PlannedTarget[];
+	readonly waiting?: PlanInput['waiting'];
 	readonly loadSlots: number;
 	readonly phase?: PhaseLoad;
 	readonly announcements: readonly Announcement[];
@@ -77,6 +78,7 @@
 		placements: view.placements,
 		demand: [...view.demand],
 		targets: [...targets, ...view.remoteTargets.map(target => ({...target, orderable: false}))],
+		waiting: [...view.waiting ?? []],
 		loadSlots: view.loadSlots,
 		loadMs: LOAD_MS,
 		phase: view.phase,
--- a/packages/engines/src/placement/required-moves.ts
+++ b/packages/engines/src/placement/required-moves.ts
@@ -5,11 +5,11 @@
 type Candidate = {readonly target: TargetState; readonly evictions: readonly CopyState[]; readonly lossPerS: number; readonly text: string};
 
 function hasVersion(model: ModelState, isLoading?: boolean): boolean {
-	return [...model.copies].some(copy => copy.version === model.model.version && (isLoading === undefined || copy.isLoading === isLoading));
+	return model.copies.some(copy => copy.version === model.model.version && (isLoading === undefined || copy.isLoading === isLoading));
 }
 
 function getCopyOn(model: ModelState, target: TargetState): CopyState | undefined {
-	return [...model.copies].find(copy => copy.target === target);
+	return model.copies.find(copy => copy.target === target);
 }
 
 /** Finds the target where a copy costs least: smallest loss, then fewest evictions, then most spare capacity. */
@@ -86,11 +86,11 @@
 /** Gives a copy to each model without one, those in demand first, and to each model short of its configured copies. */
 export function planMissingCopies(plan: RoundPlan): void {
 	const models = [...plan.fleet.models.values()].sort((a, b) => b.ratePerS - a.ratePerS);
-	for (const model of models.filter(({copies}) => [...copies].every(({target}) => target.planned.leaving))) {
+	for (const model of models.filter(({copies}) => copies.every(({target}) => target.planned.leaving))) {
 		requireCopy(plan, model, plan.fleet.targets, 'no-copy');
 	}
 
-	for (const model of models.filter(({copies, model: {minCopies}}) => copies.size > 0 && copies.size < minCopies)) {
+	for (const model of models.filter(({copies, model: {minCopies}}) => copies.length > 0 && copies.length < minCopies)) {
 		requireCopy(plan, model, plan.fleet.targets, 'no-copy');
 	}
 }
@@ -98,7 +98,7 @@
 /** Changes one copy of each model at a time to the configured version; earlier versions stay until it serves. */
 export function planVersions(plan: RoundPlan): void {
 	for (const model of plan.fleet.models.values()) {
-		const old = [...model.copies].filter(copy => copy.version !== model.model.version && !copy.isLoading);
+		const old = model.copies.filter(copy => copy.version !== model.model.version && !copy.isLoading);
 		if (old.length === 0 || hasVersion(model, true)) {
 			continue;
 		}
@@ -137,9 +137,9 @@
 
 /** Gives models in demand a copy in a second zone where memory is free. */
 export function planSecondZones(plan: RoundPlan): void {
-	const models = [...plan.fleet.models.values()].filter(({ratePerS, copies}) => ratePerS > 0 && copies.size > 0).sort((a, b) => b.ratePerS - a.ratePerS);
+	const models = [...plan.fleet.models.values()].filter(({ratePerS, copies}) => ratePerS > 0 && copies.length > 0).sort((a, b) => b.ratePerS - a.ratePerS);
 	for (const model of models) {
-		const zones = new Set([...model.copies].map(({target}) => target.planned.zone));
+		const zones = new Set(model.copies.map(({target}) => target.planned.zone));
 		if (zones.size > 1 || plan.loadSlots <= 0) {
 			continue;
 		}
--- a/packages/engines/src/placement/secondary-moves.ts
+++ b/packages/engines/src/placement/secondary-moves.ts
@@ -10,7 +10,7 @@
 	for (const {model: modelId, adapter: adapterId, ratePerS} of wanted) {
 		const model = plan.fleet.models.get(modelId);
 		const adapter = model?.model.adapters.find(({id}) => id === adapterId);
-		if (model === undefined || adapter === undefined || [...model.copies].some(({adapters}) => adapters.includes(adapter.id))) {
+		if (model === undefined || adapter === undefined || model.copies.some(({adapters}) => adapters.includes(adapter.id))) {
 			continue;
 		}
 
@@ -64,14 +64,14 @@
 }
 
 function keepsOtherPhase({model, target}: CopyState, short: 'prefill' | 'decode'): boolean {
-	return [...model?.copies ?? []].some(other => other.target !== target && !other.isLoading && !other.target.planned.leaving && other.target.planned.role !== short);
+	return (model?.copies ?? []).some(other => other.target !== target && !other.isLoading && !other.target.planned.leaving && other.target.planned.role !== short);
 }
 
 function changeRole(plan: RoundPlan, short: 'prefill' | 'decode', spare: 'prefill' | 'decode'): void {
 	const mayChange = (target: TargetState): boolean => plan.fleet.isAvailable(target) && target.planned.roleAgeMs >= MIN_ROLE_MS;
 	// A target of the spare role helps both phases once it is mixed; a mixed one gives up the spare phase only if its models keep that phase elsewhere.
 	const chosen = plan.fleet.targets.find(target => target.planned.role === spare && mayChange(target));
-	const fallback = plan.fleet.targets.find(target => target.planned.role === 'mixed' && mayChange(target) && [...target.copies].every(copy => keepsOtherPhase(copy, short)));
+	const fallback = plan.fleet.targets.find(target => target.planned.role === 'mixed' && mayChange(target) && target.copies.every(copy => keepsOtherPhase(copy, short)));
 	const target = chosen ?? fallback;
 	if (target !== undefined) {
 		plan.add({
--- a/packages/engines/src/placement/types.ts
+++ b/packages/engines/src/placement/types.ts
@@ -101,6 +101,8 @@
 	placements: Placements,
 	demand: z.array(DemandEstimate),
 	targets: z.array(PlannedTarget),
+	/** Requests of each model that wait for a place now. */
+	waiting: z.array(z.object({model: z.string(), count: z.int()})).default([]),
 	/** Loads that the weight store can start in this round. */
 	loadSlots: z.int(),
 	loadMs: z.number(),
--- a/packages/engines/src/placement/zone-owner.ts
+++ b/packages/engines/src/placement/zone-owner.ts
@@ -10,7 +10,7 @@
 import {buildPlanInput, type PlanningView} from './plan-input.js';
 import type {PlacementPolicy} from './placement-policy.js';
 import type {
-	DemandEstimate, Explanation, Move, MoveStep, OrderResult, PhaseLoad, PlannedTarget, SendOutcome, SettledOrder,
+	DemandEstimate, Explanation, Move, MoveStep, OrderResult, PhaseLoad, PlanInput, PlannedTarget, SendOutcome, SettledOrder,
 } from './types.js';
 
 /** The right to issue orders in a zone, granted by the leader. */
@@ -37,6 +37,7 @@
 	readonly placements: Placements;
 	readonly demand: readonly DemandEstimate[];
 	readonly remoteTargets: readonly PlannedTarget[];
+	readonly waiting?: PlanInput['waiting'];
 	readonly loadSlots: number;
 	readonly phase?: PhaseLoad;
 };
