placement: relocation of single copies, backlog as demand, lease check on the open connection

Cause: with three models per engine, idle engines kept cold single copies while hot models had no memory; the estimate fell back to a stale rate during a shift; a lease could end while a connection was being opened. Change: relocation of a single copy where a direct load gains little; requests that wait count as demand; quick and slow estimates are blended; the order channel connects, then checks the lease, then writes; a copy needs 10 % of a target's capacity unserved; silent targets are dropped.

--- a/packages/engines/src/placement/baseline-policies.ts
+++ b/packages/engines/src/placement/baseline-policies.ts
@@ -1,4 +1,4 @@
-import {DemandPlacement} from './demand-placement.js';
+import {addBacklog, DemandPlacement} from './demand-placement.js';
 import {
 	type CopyState, FleetState, type ModelState, type TargetState,
 } from './fleet-state.js';
@@ -6,8 +6,13 @@
 import {RoundPlan} from './round-plan.js';
 import type {DemandEstimate, PlanInput, PlanRound} from './types.js';
 
+/** Known demand is free of noise, so the baselines that know it place copies for smaller shortfalls. */
+const FINE_UNSERVED_RATIO = 0.03;
+
 /** Places models once by their mean demand; the baseline without adaptation. */
 export class StaticPlacement extends DemandPlacement {
+	protected override readonly minUnservedRatio = FINE_UNSERVED_RATIO;
+
 	constructor(private readonly meanDemand: readonly DemandEstimate[]) {
 		super();
 	}
@@ -24,6 +29,7 @@
 /** Upper bound that knows the coming demand and therefore needs no hysteresis. */
 export class ForesightPlacement extends DemandPlacement {
 	protected override readonly hysteresisRatio = 1;
+	protected override readonly minUnservedRatio = FINE_UNSERVED_RATIO;
 
 	constructor(private readonly getComingDemand: (nowMs: number) => readonly DemandEstimate[]) {
 		super();
@@ -34,7 +40,7 @@
 	}
 
 	protected override getDemand(input: PlanInput): readonly DemandEstimate[] {
-		return this.getComingDemand(input.nowMs);
+		return addBacklog(this.getComingDemand(input.nowMs), input);
 	}
 }
 
--- a/packages/engines/src/placement/constants.ts
+++ b/packages/engines/src/placement/constants.ts
@@ -28,6 +28,9 @@
 /** An owner stops writing when less than this remains of its lease. */
 export const LEASE_MARGIN_MS = 50;
 
+/** A silent target's books are kept until no order or load can be under way there any more. */
+export const SILENT_TARGET_MS = 2 * ACCEPTED_LOAD_BOUND_MS;
+
 /** How often a host without the lease looks whether it has been granted. */
 export const LEASE_POLL_MS = 100;
 
@@ -44,7 +47,7 @@
 export const SLOW_DEMAND_MS = 30_000;
 
 /** Quick and slow estimates must differ by this many standard deviations to count as a shift. */
-export const SHIFT_SIGMAS = 4;
+export const SHIFT_SIGMAS = 3;
 
 /** Rates below this are forgotten, so that the table does not grow with every name ever asked for. */
 export const FORGOTTEN_RATE_PER_S = 0.0001;
@@ -62,10 +65,16 @@
 export const PLANNED_UTILISATION = 0.85;
 
 /** Smallest unserved demand, as a share of one target's capacity, that justifies a further copy. */
-export const MIN_UNSERVED_RATIO = 0.03;
+export const MIN_UNSERVED_RATIO = 0.1;
 
 export const MAX_MOVES_PER_ROUND = 32;
 
+/** Requests that wait now count as demand that is to be worked off within this time. */
+export const BACKLOG_MS = 15_000;
+
+/** A direct load that gains less than this share of what is unserved is weighed against a relocation. */
+export const PARTIAL_GAIN_RATIO = 0.4;
+
 /** Targets whose evictions are weighed for one copy; weighing all of 3,100 would exceed the time of a round. */
 export const MAX_CANDIDATES = 64;
 
--- a/packages/engines/src/placement/demand-placement.ts
+++ b/packages/engines/src/placement/demand-placement.ts
@@ -1,5 +1,5 @@
 import {
-	GAIN_HORIZON_MS, HYSTERESIS_RATIO, MAX_CANDIDATES, MAX_MOVES_PER_ROUND, MIN_UNSERVED_RATIO,
+	BACKLOG_MS, GAIN_HORIZON_MS, HYSTERESIS_RATIO, MAX_CANDIDATES, MAX_MOVES_PER_ROUND, MIN_UNSERVED_RATIO, PARTIAL_GAIN_RATIO,
 } from './constants.js';
 import {
 	type Evictions, FleetState, type ModelState, type TargetState,
@@ -8,6 +8,7 @@
 import {
 	planMissingCopies, planPins, planRemovals, planSecondZones, planVersions,
 } from './required-moves.js';
+import {findRelocation, isRoomComing} from './relocation.js';
 import {describeEvictions, RoundPlan} from './round-plan.js';
 import {planAdapters, planRoles} from './secondary-moves.js';
 import type {DemandEstimate, PlanInput, PlanRound} from './types.js';
@@ -26,6 +27,7 @@
 	}
 
 	protected readonly hysteresisRatio: number = HYSTERESIS_RATIO;
+	protected readonly minUnservedRatio: number = MIN_UNSERVED_RATIO;
 
 	planRound(input: PlanInput): PlanRound {
 		const demand = this.getDemand(input);
@@ -43,7 +45,7 @@
 
 	/** Returns the demand that the round plans for. */
 	protected getDemand(input: PlanInput): readonly DemandEstimate[] {
-		return input.demand;
+		return addBacklog(input.demand, input);
 	}
 
 	private planGains(plan: RoundPlan): void {
@@ -52,7 +54,7 @@
 		const rejected = new Set<ModelState>();
 		for (let count = 0; count < MAX_MOVES_PER_ROUND && plan.loadSlots > 0; count++) {
 			const worst = this.findWorstServed(fleet, rejected);
-			if (worst === undefined || worst.unserved < capacity * MIN_UNSERVED_RATIO) {
+			if (worst === undefined || worst.unserved < capacity * this.minUnservedRatio) {
 				return;
 			}
 
@@ -73,33 +75,50 @@
 	}
 
 	private planCopy(plan: RoundPlan, model: ModelState, unserved: number, rejected: Set<ModelState>): void {
-		const best = this.findBestTarget(plan.fleet, model, unserved);
-		const {id} = model.model;
-		if (best === undefined) {
+		const candidates = listCandidates(plan.fleet, model, unserved);
+		const best = this.findBestTarget(plan.fleet, model, unserved, candidates);
+		// A relocation takes two loads, so it is weighed only where a direct load would leave most of the demand unserved.
+		const isPartial = best === undefined || best.gain < unserved * GAIN_HORIZON_MS / 1000 * PARTIAL_GAIN_RATIO;
+		const isComing = isPartial && isRoomComing(model, candidates);
+		const relocation = isPartial && !isComing ? findRelocation(plan.fleet, model, unserved, candidates) : undefined;
+		if (relocation !== undefined && this.isWorthwhile(relocation) && relocation.gain - relocation.cost > (best?.gain ?? 0) - (best?.cost ?? 0)) {
 			rejected.add(model);
-			plan.explain({
-				model: id, decision: 'wait', reason: 'unserved-demand', weighedAgainst: `${unserved.toFixed(2)} requests/s unserved, no target with spare capacity and memory`,
+			plan.addLoad(relocation.copy.model, relocation.target, relocation.evictions.copies, {
+				reason: 'relocation', urgent: true, weighedAgainst: `room for ${model.model.id} on ${relocation.copy.target.planned.targetId}, ${describeWeighing(relocation)}`,
 			});
 			return;
 		}
 
-		const text = `gain of ${best.gain.toFixed(1)} requests in ${GAIN_HORIZON_MS} ms against a cost of ${best.cost.toFixed(1)}, ${describeEvictions(best.evictions)}`;
-		if (best.gain < best.cost * this.hysteresisRatio) {
-			rejected.add(model);
+		if (best !== undefined && this.isWorthwhile(best)) {
+			plan.addLoad(model, best.target, best.evictions.copies, {reason: 'unserved-demand', urgent: true, weighedAgainst: describeWeighing(best)});
+			return;
+		}
+
+		rejected.add(model);
+		if (isComing) {
 			plan.explain({
-				model: id, targetId: best.target.planned.targetId, decision: 'keep', reason: 'unserved-demand', weighedAgainst: text,
+				model: model.model.id, decision: 'wait', reason: 'unserved-demand', weighedAgainst: 'a relocation under way makes room',
 			});
 			return;
 		}
 
-		plan.addLoad(model, best.target, best.evictions.copies, {reason: 'unserved-demand', urgent: true, weighedAgainst: text});
+		plan.explain({
+			model: model.model.id,
+			decision: best === undefined ? 'wait' : 'keep',
+			reason: 'unserved-demand',
+			weighedAgainst: best === undefined ? `${unserved.toFixed(2)} requests/s unserved, no target with spare capacity and memory` : describeWeighing(best),
+		});
 	}
 
-	private findBestTarget(fleet: FleetState, model: ModelState, unserved: number): Candidate | undefined {
+	private isWorthwhile({gain, cost}: Pick<Candidate, 'gain' | 'cost'>): boolean {
+		return gain >= cost * this.hysteresisRatio;
+	}
+
+	private findBestTarget(fleet: FleetState, model: ModelState, unserved: number, candidates: readonly TargetState[]): Candidate | undefined {
 		const horizonS = GAIN_HORIZON_MS / 1000;
 		const loadS = fleet.input.loadMs / 1000;
 		let best: Candidate | undefined;
-		for (const target of listCandidates(fleet, model, unserved)) {
+		for (const target of candidates) {
 			const evictions = fleet.findEvictions(target, model.sizeMb, false);
 			if (evictions === undefined) {
 				continue;
@@ -119,6 +138,16 @@
 	}
 }
 
+/** Adds the requests that wait now to a demand. */
+export function addBacklog(demand: readonly DemandEstimate[], {waiting}: PlanInput): readonly DemandEstimate[] {
+	const counts = new Map(waiting.map(({model, count}) => [model, count]));
+	return demand.map(estimate => estimate.adapter === undefined ? {...estimate, ratePerS: estimate.ratePerS + ((counts.get(estimate.model) ?? 0) * 1000 / BACKLOG_MS)} : estimate);
+}
+
+function describeWeighing({gain, cost, evictions}: Pick<Candidate, 'gain' | 'cost' | 'evictions'>): string {
+	return `gain of ${gain.toFixed(1)} requests in ${GAIN_HORIZON_MS} ms against a cost of ${cost.toFixed(1)}, ${describeEvictions(evictions)}`;
+}
+
 /** Lists the targets that can serve most of the unserved demand: free memory first among equals, then most spare capacity. */
 function listCandidates(fleet: FleetState, model: ModelState, unserved: number): readonly TargetState[] {
 	const isBefore = (a: TargetState, b: TargetState): boolean => {
--- a/packages/engines/src/placement/demand.ts
+++ b/packages/engines/src/placement/demand.ts
@@ -90,8 +90,13 @@
 	// The variance of an exponentially decayed Poisson count gives each rate's standard deviation.
 	const quickSigma = Math.sqrt(Math.max(quickPerS, slowPerS) * MS_PER_SECOND / (2 * QUICK_DEMAND_MS));
 	const slowSigma = Math.sqrt(slowPerS * MS_PER_SECOND / (2 * SLOW_DEMAND_MS));
-	const shifted = Math.abs(quickPerS - slowPerS) > SHIFT_SIGMAS * Math.hypot(quickSigma, slowSigma);
+	const deviation = Math.abs(quickPerS - slowPerS) / Math.max(Number.EPSILON, SHIFT_SIGMAS * Math.hypot(quickSigma, slowSigma));
+	// Switching between the estimates would drop to a stale rate while the slow one still catches up, so they are blended.
+	const weight = Math.min(1, deviation ** 2);
 	return {
-		...name, ratePerS: shifted ? quickPerS : slowPerS, sigmaPerS: shifted ? quickSigma : slowSigma, shifted,
+		...name,
+		ratePerS: slowPerS + (weight * (quickPerS - slowPerS)),
+		sigmaPerS: slowSigma + (weight * (quickSigma - slowSigma)),
+		shifted: deviation > 1,
 	};
 }
--- a/packages/engines/src/placement/order-channel.ts
+++ b/packages/engines/src/placement/order-channel.ts
@@ -1,6 +1,7 @@
-import {Agent} from 'node:http';
+import {once} from 'node:events';
+import {connect, type Socket} from 'node:net';
 import type {Announcement, Order} from '@egretrill/common';
-import got, {type RequestError} from 'got';
+import got from 'got';
 import type {SendOutcome} from './types.js';
 
 const STATUS_CONFLICT = 409;
@@ -9,43 +10,38 @@
 /** The part of an announcement that says where an order goes. */
 export type OrderTarget = Pick<Announcement, 'targetId' | 'startId' | 'address'>;
 
-/** Error codes after which nothing of the request has left this host. */
-const CONNECT_FAILURES: ReadonlySet<string> = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH']);
-
-/** Thrown before the write when the sender may no longer issue orders. */
-class WriteForbiddenError extends Error {
-	override readonly name = 'WriteForbiddenError';
-}
-
 /** Delivers orders to engines. */
 export abstract class OrderChannel {
-	/** Makes one attempt; `mayWrite` is asked immediately before the write, and nothing is in flight from here once `expiresInMs` has passed. */
+	/** Makes one attempt; `mayWrite` is asked immediately before the write, and the connection is destroyed once `expiresInMs` has passed. */
 	abstract send(target: OrderTarget, order: Order, mayWrite: () => boolean, signal: AbortSignal): Promise<SendOutcome>;
 }
 
 /** Delivers orders with `POST /orders`, one connection for each attempt. */
 export abstract class HttpOrderChannel extends OrderChannel {
 	async send(target: OrderTarget, order: Order, mayWrite: () => boolean, signal: AbortSignal): Promise<SendOutcome> {
+		const expiry = AbortSignal.any([signal, AbortSignal.timeout(order.expiresInMs)]);
+		let socket: Socket;
+		try {
+			socket = await openConnection(target.address, expiry);
+		} catch (err: unknown) {
+			return {result: 'not-sent', reason: String(err)};
+		}
+
+		// Connecting takes time, in which the lease may end; from here to the write nothing waits.
+		if (expiry.aborted || !mayWrite()) {
+			socket.destroy();
+			return {result: 'not-sent', reason: 'The lease does not allow a write.'};
+		}
+
 		try {
 			const res = await got.post(`http://${target.address}/orders`, {
-				json: order,
-				signal,
-				// A kept connection would outlive the order's expiry.
-				agent: {http: new Agent({keepAlive: false})},
-				retry: {limit: 0},
-				throwHttpErrors: false,
-				timeout: {request: order.expiresInMs},
-				hooks: {
-					beforeRequest: [() => {
-						if (!mayWrite()) {
-							throw new WriteForbiddenError('The lease does not allow a write.');
-						}
-					}],
-				},
+				json: order, signal: expiry, createConnection: () => socket, retry: {limit: 0}, throwHttpErrors: false,
 			});
 			return this.restoreOutcome(res.statusCode);
 		} catch (err: unknown) {
-			return getFailure(err as RequestError);
+			return {result: 'unknown', reason: String(err)};
+		} finally {
+			socket.destroy();
 		}
 	}
 
@@ -80,7 +76,15 @@
 		: {result: 'refused', reason: `The engine refused with ${status}.`};
 }
 
-function getFailure(err: RequestError): SendOutcome {
-	const isUnwritten = err instanceof WriteForbiddenError || err.cause instanceof WriteForbiddenError || CONNECT_FAILURES.has(err.code);
-	return {result: isUnwritten ? 'not-sent' : 'unknown', reason: err.message};
+async function openConnection(address: string, signal: AbortSignal): Promise<Socket> {
+	const {hostname, port} = new URL(`http://${address}`);
+	const socket = connect({host: hostname.replaceAll(/[\[\]]/gv, ''), port: Number(port)});
+	try {
+		await once(socket, 'connect', {signal});
+	} catch (err: unknown) {
+		socket.destroy();
+		throw err;
+	}
+
+	return socket;
 }
--- /dev/null
+++ b/packages/engines/src/placement/relocation.ts
@@ -0,0 +1,76 @@
+import {GAIN_HORIZON_MS, MIN_RESIDENCE_MS, MIN_UNSERVED_RATIO} from './constants.js';
+import type {
+	CopyState, Evictions, FleetState, ModelState, TargetState,
+} from './fleet-state.js';
+
+/** A single copy that makes room for another model once it is loaded on `target` as well. */
+export type Relocation = {
+	readonly copy: CopyState & {readonly model: ModelState};
+	readonly target: TargetState;
+	readonly evictions: Evictions;
+	readonly gain: number;
+	readonly cost: number;
+};
+
+function isMovable(fleet: FleetState, copy: CopyState): copy is Relocation['copy'] {
+	return copy.model !== undefined && !copy.isLoading && copy.ageMs >= MIN_RESIDENCE_MS && copy.model.copies.length === 1 && !fleet.isPinned(copy.modelId, copy.target);
+}
+
+/** Returns whether an earlier relocation is about to make room for the model. */
+export function isRoomComing(model: ModelState, candidates: readonly TargetState[]): boolean {
+	return candidates.some(target => target.copies.some(copy => !copy.isLoading && target.freeMb + copy.sizeMb >= model.sizeMb && (copy.model?.copies ?? []).some(other => other.isLoading)));
+}
+
+type Destination = {readonly target: TargetState; readonly evictions: Evictions; readonly lossPerS: number};
+
+/** Finds where the copy costs least; a loaded target counts with the part of the copy's load that it cannot take. */
+function findDestination(fleet: FleetState, copy: Relocation['copy']): Destination | undefined {
+	let best: Destination | undefined;
+	for (const target of fleet.targets) {
+		if (target === copy.target || !fleet.isAvailable(target) || fleet.isForbidden(copy.modelId, target)) {
+			continue;
+		}
+
+		const evictions = fleet.findEvictions(target, copy.sizeMb, false);
+		const lossPerS = (evictions?.lossPerS ?? 0) + Math.max(0, copy.model.ratePerS - fleet.getSpare(target));
+		if (evictions !== undefined && (best === undefined || lossPerS < best.lossPerS)) {
+			best = {target, evictions, lossPerS};
+		}
+
+		if (best?.lossPerS === 0 && best.evictions.copies.length === 0) {
+			return best;
+		}
+	}
+
+	return best;
+}
+
+/** Finds the single copy whose relocation gains most for the model, among targets with spare capacity. */
+export function findRelocation(fleet: FleetState, model: ModelState, unserved: number, candidates: readonly TargetState[]): Relocation | undefined {
+	const horizonS = GAIN_HORIZON_MS / 1000;
+	const loadS = fleet.input.loadMs / 1000;
+	let best: Relocation | undefined;
+	for (const from of candidates) {
+		const copy = from.copies
+			.filter(other => isMovable(fleet, other))
+			.filter(({sizeMb}) => from.freeMb + sizeMb >= model.sizeMb)
+			.sort((a, b) => a.model.ratePerS - b.model.ratePerS)
+			.at(0);
+		const gainPerS = Math.min(unserved, fleet.getSpare(from) + (copy?.model.ratePerS ?? 0));
+		const gain = gainPerS * Math.max(0, horizonS - (2 * loadS));
+		const slotCost = 2 * from.planned.capacityPerS * MIN_UNSERVED_RATIO * loadS;
+		if (copy === undefined || (best !== undefined && gain - slotCost <= best.gain - best.cost)) {
+			continue;
+		}
+
+		const found = findDestination(fleet, copy);
+		const cost = slotCost + ((found?.lossPerS ?? 0) * horizonS) + (found?.evictions.reloadCost ?? 0);
+		if (found !== undefined && (best === undefined || gain - cost > best.gain - best.cost)) {
+			best = {
+				copy, target: found.target, evictions: found.evictions, gain, cost,
+			};
+		}
+	}
+
+	return best;
+}
--- a/packages/engines/src/placement/required-moves.ts
+++ b/packages/engines/src/placement/required-moves.ts
@@ -34,7 +34,7 @@
 }
 
 function hasVersionOn(model: ModelState, target: TargetState): boolean {
-	return getCopyOn(model, target)?.version === model.model.version;
+	return model.copies.some(copy => copy.target === target && copy.version === model.model.version);
 }
 
 function requireCopy(plan: RoundPlan, model: ModelState, targets: readonly TargetState[], reason: MoveReason): void {
@@ -50,7 +50,10 @@
 	const found = findCheapest(plan, model, targets, false) ?? (mayEvictIdle ? findCheapest(plan, model, targets, true) : undefined);
 	if (found === undefined) {
 		plan.explain({
-			model: model.model.id, decision: 'wait', reason, weighedAgainst: `no target has ${model.sizeMb} MB free or evictable; loadable ${plan.fleet.input.loadMs} ms after memory is free`,
+			model: model.model.id,
+			decision: 'wait',
+			reason,
+			weighedAgainst: `no target that is not busy has ${model.sizeMb} MB free or evictable; loadable ${plan.fleet.input.loadMs} ms after memory is free`,
 		});
 		return;
 	}
--- a/packages/engines/src/placement/types.ts
+++ b/packages/engines/src/placement/types.ts
@@ -121,7 +121,7 @@
 export type MoveStep = z.infer<typeof MoveStep>;
 
 export const MoveReason = z.enum([
-	'no-copy', 'pinned', 'forbidden', 'new-version', 'old-version', 'not-configured', 'second-zone', 'unserved-demand', 'adapter-demand', 'role-short', 'static', 'on-demand',
+	'no-copy', 'pinned', 'forbidden', 'new-version', 'old-version', 'not-configured', 'second-zone', 'unserved-demand', 'relocation', 'adapter-demand', 'role-short', 'static', 'on-demand',
 ]);
 export type MoveReason = z.infer<typeof MoveReason>;
 
--- a/packages/engines/src/placement/zone-owner.ts
+++ b/packages/engines/src/placement/zone-owner.ts
@@ -1,8 +1,8 @@
 import {
-	type Announcement, type Clock, CLOCK_DRIFT_RATIO, type Model, type Order, type Placements, Signal,
+	ANNOUNCE_TTL_MS, type Announcement, type Clock, CLOCK_DRIFT_RATIO, type Model, type Order, type Placements, Signal,
 } from '@egretrill/common';
 import {
-	EXPLANATIONS_PER_MODEL, LEASE_MARGIN_MS, LEASE_POLL_MS, MODEL_LOAD_BOUND_MS, ORDER_LIFETIME_MS, ORDER_RETRY_MS, OWNER_LEASE_MS, PERMIT_WAIT_MS, PLAN_PERIOD_MS,
+	EXPLANATIONS_PER_MODEL, LEASE_MARGIN_MS, LEASE_POLL_MS, MODEL_LOAD_BOUND_MS, ORDER_LIFETIME_MS, ORDER_RETRY_MS, OWNER_LEASE_MS, PERMIT_WAIT_MS, PLAN_PERIOD_MS, SILENT_TARGET_MS,
 } from './constants.js';
 import type {LoadPermit, LoadPermits} from './load-permits.js';
 import {MemoryLedger} from './memory-ledger.js';
@@ -237,6 +237,7 @@
 	}
 
 	private startRound(term: Term, signal: AbortSignal): void {
+		this.dropSilentTargets(term);
 		const plan = this.opts.policy.planRound(buildPlanInput(this.getView(term)));
 		for (const explanation of plan.explanations) {
 			this.keepExplanation(explanation);
@@ -256,9 +257,18 @@
 		};
 	}
 
+	private dropSilentTargets(term: Term): void {
+		const nowMs = this.opts.clock.now();
+		for (const [targetId, {receivedAtMs}] of this.announcements) {
+			if (nowMs - receivedAtMs > SILENT_TARGET_MS && term.ledger.dropTarget(targetId, nowMs)) {
+				this.announcements.delete(targetId);
+			}
+		}
+	}
+
 	private isLive(targetId: string): boolean {
 		const seen = this.announcements.get(targetId);
-		return seen !== undefined && !seen.announcement.leaving && this.opts.clock.now() - seen.receivedAtMs <= ORDER_LIFETIME_MS;
+		return seen !== undefined && !seen.announcement.leaving && this.opts.clock.now() - seen.receivedAtMs <= ANNOUNCE_TTL_MS;
 	}
 
 	private openTerm(): Term {
