--- a/packages/engines/src/placement/baseline-policies.ts
+++ b/packages/engines/src/placement/baseline-policies.ts
@@ -1,4 +1,4 @@
-import {DemandPlacement} from './demand-placement.js';
+import {addBacklog, DemandPlacement} from './demand-placement.js';
 import {
 	type CopyState, FleetState, type ModelState, type TargetState,
 } from './fleet-state.js';
@@ -6,8 +6,13 @@
 import {RoundPlan} from './round-plan.js';
 import type {DemandEstimate, PlanInput, PlanRound} from './types.js';
 
+/** Known demand is free of noise, so the baselines that know it place copies for smaller shortfalls. */
+const FINE_UNSERVED_RATIO = 0.03;
+
 /** Places models once by their mean demand; the baseline without adaptation. */
 export class StaticPlacement extends DemandPlacement {
+	protected override readonly minUnservedRatio = FINE_UNSERVED_RATIO;
+
 	constructor(private readonly meanDemand: readonly DemandEstimate[]) {
 		super();
 	}
@@ -24,6 +29,7 @@
 /** Upper bound that knows the coming demand and therefore needs no hysteresis. */
 export class ForesightPlacement extends DemandPlacement {
 	protected override readonly hysteresisRatio = 1;
+	protected override readonly minUnservedRatio = FINE_UNSERVED_RATIO;
 
 	constructor(private readonly getComingDemand: (nowMs: number) => readonly DemandEstimate[]) {
 		super();
@@ -34,11 +40,11 @@
 	}
 
 	protected override getDemand(input: PlanInput): readonly DemandEstimate[] {
-		return this.getComingDemand(input.nowMs);
+		return addBacklog(this.getComingDemand(input.nowMs), input);
 	}
 }
 
-/** Loads a model wherever its requests find no place, in place of the least recently used copies. */
+/** Loads a model whose requests wait on the least loaded target, in place of the least recently used copies; one load per model at a time. */
 export class LoadOnDemandPlacement extends PlacementPolicy {
 	get name(): string {
 		return 'load-on-demand';
@@ -47,20 +53,16 @@
 	planRound(input: PlanInput): PlanRound {
 		const plan = new RoundPlan(new FleetState(input, input.demand));
 		const {fleet} = plan;
-		const models = [...fleet.models.values()]
-			.map(model => ({model, unserved: fleet.getUnserved(model)}))
-			.filter(({unserved}) => unserved > 0)
-			.sort((a, b) => b.unserved - a.unserved);
-		for (const {model} of models) {
-			const target = this.findLeastLoaded(fleet, model);
-			if (target === undefined || plan.loadSlots <= 0) {
+		for (const {model: id} of [...input.waiting].sort((a, b) => b.count - a.count)) {
+			const model = fleet.models.get(id);
+			const target = model === undefined || model.copies.some(({isLoading}) => isLoading) ? undefined : this.findLeastLoaded(fleet, model);
+			if (model === undefined || target === undefined || plan.loadSlots <= 0) {
 				continue;
 			}
 
 			const evicted = this.findLeastRecent(target, model.sizeMb);
 			if (evicted !== undefined) {
 				plan.addLoad(model, target, evicted, {reason: 'on-demand', urgent: true, weighedAgainst: 'least recently used copies'});
-				fleet.balance();
 			}
 		}
 
@@ -68,16 +70,15 @@
 	}
 
 	private findLeastLoaded(fleet: FleetState, model: ModelState): TargetState | undefined {
-		const present = new Set([...model.copies].map(({target}) => target));
+		const present = new Set(model.copies.map(({target}) => target));
 		return fleet.targets
 			.filter(target => fleet.isAvailable(target) && !present.has(target) && !fleet.isForbidden(model.model.id, target))
-			.filter(target => fleet.getSpare(target) > 0 || model.copies.size === 0)
 			.sort((a, b) => (a.loadPerS / a.planned.capacityPerS) - (b.loadPerS / b.planned.capacityPerS))
 			.at(0);
 	}
 
 	private findLeastRecent(target: TargetState, neededMb: number): readonly CopyState[] | undefined {
-		const byIdleness = [...target.copies].filter(({isLoading}) => !isLoading).sort((a, b) => b.idleMs - a.idleMs);
+		const byIdleness = target.copies.filter(({isLoading}) => !isLoading).sort((a, b) => b.idleMs - a.idleMs);
 		const evicted: CopyState[] = [];
 		let {freeMb} = target;
 		for (const copy of byIdleness) {
--- a/packages/engines/src/placement/demand-placement.ts
+++ b/packages/engines/src/placement/demand-placement.ts
@@ -1,5 +1,5 @@
 import {
-	GAIN_HORIZON_MS, HYSTERESIS_RATIO, MAX_MOVES_PER_ROUND, MIN_UNSERVED_RATIO,
+	BACKLOG_MS, GAIN_HORIZON_MS, HYSTERESIS_RATIO, MAX_CANDIDATES, MAX_MOVES_PER_ROUND, MIN_UNSERVED_RATIO, PARTIAL_GAIN_RATIO,
 } from './constants.js';
 import {
 	type Evictions, FleetState, type ModelState, type TargetState,
@@ -8,6 +8,7 @@
 import {
 	planMissingCopies, planPins, planRemovals, planSecondZones, planVersions,
 } from './required-moves.js';
+import {findRelocation, isRoomComing} from './relocation.js';
 import {describeEvictions, RoundPlan} from './round-plan.js';
 import {planAdapters, planRoles} from './secondary-moves.js';
 import type {DemandEstimate, PlanInput, PlanRound} from './types.js';
@@ -15,7 +16,6 @@
 type Candidate = {
 	readonly target: TargetState;
 	readonly evictions: Evictions;
-	readonly gainPerS: number;
 	readonly gain: number;
 	readonly cost: number;
 };
@@ -27,6 +27,7 @@
 	}
 
 	protected readonly hysteresisRatio: number = HYSTERESIS_RATIO;
+	protected readonly minUnservedRatio: number = MIN_UNSERVED_RATIO;
 
 	planRound(input: PlanInput): PlanRound {
 		const demand = this.getDemand(input);
@@ -44,7 +45,7 @@
 
 	/** Returns the demand that the round plans for. */
 	protected getDemand(input: PlanInput): readonly DemandEstimate[] {
-		return input.demand;
+		return addBacklog(input.demand, input);
 	}
 
 	private planGains(plan: RoundPlan): void {
@@ -52,9 +53,8 @@
 		const capacity = fleet.targets.reduce((sum, {planned}) => sum + planned.capacityPerS, 0) / Math.max(1, fleet.targets.length);
 		const rejected = new Set<ModelState>();
 		for (let count = 0; count < MAX_MOVES_PER_ROUND && plan.loadSlots > 0; count++) {
-			fleet.balance();
 			const worst = this.findWorstServed(fleet, rejected);
-			if (worst === undefined || worst.unserved < capacity * MIN_UNSERVED_RATIO) {
+			if (worst === undefined || worst.unserved < capacity * this.minUnservedRatio) {
 				return;
 			}
 
@@ -75,55 +75,61 @@
 	}
 
 	private planCopy(plan: RoundPlan, model: ModelState, unserved: number, rejected: Set<ModelState>): void {
-		const best = this.findBestTarget(plan.fleet, model, unserved);
-		const {id} = model.model;
-		if (best === undefined) {
+		const candidates = listCandidates(plan.fleet, model, unserved);
+		const best = this.findBestTarget(plan.fleet, model, unserved, candidates);
+		// A relocation takes two loads, so it is weighed only where a direct load would leave most of the demand unserved.
+		const isPartial = best === undefined || best.gain < unserved * GAIN_HORIZON_MS / 1000 * PARTIAL_GAIN_RATIO;
+		const isComing = isPartial && isRoomComing(model, candidates);
+		const relocation = isPartial && !isComing ? findRelocation(plan.fleet, model, unserved, candidates) : undefined;
+		if (relocation !== undefined && this.isWorthwhile(relocation) && relocation.gain - relocation.cost > (best?.gain ?? 0) - (best?.cost ?? 0)) {
 			rejected.add(model);
-			plan.explain({
-				model: id, decision: 'wait', reason: 'unserved-demand', weighedAgainst: `${unserved.toFixed(2)} requests/s unserved, no target with spare capacity and memory`,
+			plan.addLoad(relocation.copy.model, relocation.target, relocation.evictions.copies, {
+				reason: 'relocation', urgent: true, weighedAgainst: `room for ${model.model.id} on ${relocation.copy.target.planned.targetId}, ${describeWeighing(relocation)}`,
 			});
 			return;
 		}
 
-		const text = `gain of ${best.gain.toFixed(1)} requests in ${GAIN_HORIZON_MS} ms against a cost of ${best.cost.toFixed(1)}, ${describeEvictions(best.evictions)}`;
-		if (best.gain < best.cost * this.hysteresisRatio) {
-			rejected.add(model);
+		if (best !== undefined && this.isWorthwhile(best)) {
+			plan.addLoad(model, best.target, best.evictions.copies, {reason: 'unserved-demand', urgent: true, weighedAgainst: describeWeighing(best)});
+			return;
+		}
+
+		rejected.add(model);
+		if (isComing) {
 			plan.explain({
-				model: id, targetId: best.target.planned.targetId, decision: 'keep', reason: 'unserved-demand', weighedAgainst: text,
+				model: model.model.id, decision: 'wait', reason: 'unserved-demand', weighedAgainst: 'a relocation under way makes room',
 			});
 			return;
 		}
 
-		plan.addLoad(model, best.target, best.evictions.copies, {reason: 'unserved-demand', urgent: true, weighedAgainst: text});
+		plan.explain({
+			model: model.model.id,
+			decision: best === undefined ? 'wait' : 'keep',
+			reason: 'unserved-demand',
+			weighedAgainst: best === undefined ? `${unserved.toFixed(2)} requests/s unserved, no target with spare capacity and memory` : describeWeighing(best),
+		});
+	}
+
+	private isWorthwhile({gain, cost}: Pick<Candidate, 'gain' | 'cost'>): boolean {
+		return gain >= cost * this.hysteresisRatio;
 	}
 
-	private findBestTarget(fleet: FleetState, model: ModelState, unserved: number): Candidate | undefined {
+	private findBestTarget(fleet: FleetState, model: ModelState, unserved: number, candidates: readonly TargetState[]): Candidate | undefined {
 		const horizonS = GAIN_HORIZON_MS / 1000;
 		const loadS = fleet.input.loadMs / 1000;
-		const present = new Set([...model.copies].map(({target}) => target));
 		let best: Candidate | undefined;
-		for (const target of fleet.targets) {
-			const gainPerS = Math.min(unserved, fleet.getSpare(target));
-			if (gainPerS <= 0 || present.has(target) || !fleet.isAvailable(target) || fleet.isForbidden(model.model.id, target)) {
-				continue;
-			}
-
-			// The search for evictions is the costly part, so targets that cannot beat the best are left out first.
-			const gain = gainPerS * Math.max(0, horizonS - loadS);
-			if (best !== undefined && gain <= best.gain - best.cost) {
-				continue;
-			}
-
+		for (const target of candidates) {
 			const evictions = fleet.findEvictions(target, model.sizeMb, false);
 			if (evictions === undefined) {
 				continue;
 			}
 
+			const gain = Math.min(unserved, fleet.getSpare(target)) * Math.max(0, horizonS - loadS);
 			const slotCost = target.planned.capacityPerS * MIN_UNSERVED_RATIO * loadS;
 			const cost = slotCost + (evictions.lossPerS * horizonS) + evictions.reloadCost;
 			if (best === undefined || gain - cost > best.gain - best.cost) {
 				best = {
-					target, evictions, gainPerS, gain, cost,
+					target, evictions, gain, cost,
 				};
 			}
 		}
@@ -131,3 +137,38 @@
 		return best;
 	}
 }
+
+/** Adds the requests that wait now to a demand. */
+export function addBacklog(demand: readonly DemandEstimate[], {waiting}: PlanInput): readonly DemandEstimate[] {
+	const counts = new Map(waiting.map(({model, count}) => [model, count]));
+	return demand.map(estimate => estimate.adapter === undefined ? {...estimate, ratePerS: estimate.ratePerS + ((counts.get(estimate.model) ?? 0) * 1000 / BACKLOG_MS)} : estimate);
+}
+
+function describeWeighing({gain, cost, evictions}: Pick<Candidate, 'gain' | 'cost' | 'evictions'>): string {
+	return `gain of ${gain.toFixed(1)} requests in ${GAIN_HORIZON_MS} ms against a cost of ${cost.toFixed(1)}, ${describeEvictions(evictions)}`;
+}
+
+/** Lists the targets that can serve most of the unserved demand: free memory first among equals, then most spare capacity. */
+function listCandidates(fleet: FleetState, model: ModelState, unserved: number): readonly TargetState[] {
+	const isBefore = (a: TargetState, b: TargetState): boolean => {
+		const gain = Math.min(unserved, fleet.getSpare(a)) - Math.min(unserved, fleet.getSpare(b));
+		const free = Number(a.freeMb >= model.sizeMb) - Number(b.freeMb >= model.sizeMb);
+		return (gain || free || (fleet.getSpare(a) - fleet.getSpare(b))) > 0;
+	};
+
+	const present = new Set(model.copies.map(({target}) => target));
+	const chosen: TargetState[] = [];
+	for (const target of fleet.targets) {
+		const last = chosen.at(-1);
+		const isLeftOut = chosen.length === MAX_CANDIDATES && last !== undefined && !isBefore(target, last);
+		if (isLeftOut || present.has(target) || !fleet.isAvailable(target) || fleet.getSpare(target) === 0 || fleet.isForbidden(model.model.id, target)) {
+			continue;
+		}
+
+		const place = chosen.findIndex(other => isBefore(target, other));
+		chosen.splice(place === -1 ? chosen.length : place, 0, target);
+		chosen.length = Math.min(chosen.length, MAX_CANDIDATES);
+	}
+
+	return chosen;
+}
--- a/packages/engines/src/placement/types.ts
+++ b/packages/engines/src/placement/types.ts
@@ -101,6 +101,8 @@
 	placements: Placements,
 	demand: z.array(DemandEstimate),
 	targets: z.array(PlannedTarget),
+	/** Requests of each model that wait for a place now. */
+	waiting: z.array(z.object({model: z.string(), count: z.int()})).default([]),
 	/** Loads that the weight store can start in this round. */
 	loadSlots: z.int(),
 	loadMs: z.number(),
@@ -119,7 +121,7 @@
 export type MoveStep = z.infer<typeof MoveStep>;
 
 export const MoveReason = z.enum([
-	'no-copy', 'pinned', 'forbidden', 'new-version', 'old-version', 'not-configured', 'second-zone', 'unserved-demand', 'adapter-demand', 'role-short', 'static', 'on-demand',
+	'no-copy', 'pinned', 'forbidden', 'new-version', 'old-version', 'not-configured', 'second-zone', 'unserved-demand', 'relocation', 'adapter-demand', 'role-short', 'static', 'on-demand',
 ]);
 export type MoveReason = z.infer<typeof MoveReason>;
 
