routing: compute the hit length without a power per block

Cause: choose() spent most of its time on the half-life of each block of each candidate. Change: PrefixBelief compares losses in logarithms and takes one exponential per change.

--- a/packages/engines/src/routing/prefix-belief.ts
+++ b/packages/engines/src/routing/prefix-belief.ts
@@ -4,7 +4,9 @@
 } from './constants.js';
 import type {BlockHasher, PromptBlocks} from './prompt-blocks.js';
 
-/** Trust that remains in a block after gaps since it was stored. */
+const LOSS_PER_MS = Math.LN2 / BELIEF_HALF_LIFE_MS;
+
+/** A block, and the target's loss of trust to gaps when it was stored. */
 type BelievedBlock = {readonly storedAtMs: number; readonly gapsAtStore: number};
 
 type TargetBelief = {
@@ -42,15 +44,24 @@
 
 		const nowMs = this.clock.now();
 		let chars = 0;
+		let loss = 0;
 		let belief = 1;
 		for (const hash of prompt) {
 			const block = target.blocks.get(hash);
-			// A prefix is cached only as far as all blocks before it are.
-			belief = block ? Math.min(belief, this.getBelief(target, block, nowMs)) : 0;
-			if (belief < MIN_BELIEF) {
+			if (!block) {
 				break;
 			}
 
+			// A prefix is cached only as far as all blocks before it are, so the greatest loss counts from there on.
+			const blockLoss = ((nowMs - block.storedAtMs) * LOSS_PER_MS) + target.gapLoss - block.gapsAtStore;
+			if (blockLoss > loss) {
+				loss = blockLoss;
+				belief = Math.exp(-loss);
+				if (belief < MIN_BELIEF) {
+					break;
+				}
+			}
+
 			chars += belief * BLOCK_CHARS;
 		}
 
@@ -96,10 +107,6 @@
 		return this.size;
 	}
 
-	private getBelief(target: TargetBelief, block: BelievedBlock, nowMs: number): number {
-		return (0.5 ** ((nowMs - block.storedAtMs) / BELIEF_HALF_LIFE_MS)) * Math.exp(block.gapsAtStore - target.gapLoss);
-	}
-
 	private getTarget(targetId: string, startId: string): TargetBelief {
 		const known = this.targets.get(targetId);
 		if (known?.startId === startId) {
