routing: ramp on when a low first limit is raised at a jump

Cause: a target whose first reports state a low limit counted as warm once its ramp reached that limit, and then took everything when the limit rose. Change: a start is warm only after completed requests reached the limit; a limit of more than twice the proven one resumes the ramp from there. RoutingRequest.canLoadAdapter is optional, so present callers compile unchanged. Conclusion: the ramp follows what a target has shown to bear and not only what it reports.

--- a/dev/bench/src/cold-start.ts
+++ b/dev/bench/src/cold-start.ts
@@ -231,7 +231,7 @@
 		for (;;) {
 			const set = host.directory.getCandidates({model: 'm0', zoneStates: ZONE_STATES, hostZone: 'a'});
 			const choice = this.policy.choose(set, {
-				model: 'm0', known: true, prompt: '', canLoadAdapter: false, excluded,
+				model: 'm0', known: true, prompt: '', excluded,
 			}, this.random);
 			if (choice.isErr) {
 				this.retry(host, arrivedAtMs);
--- a/dev/bench/src/decision.ts
+++ b/dev/bench/src/decision.ts
@@ -45,7 +45,7 @@
 
 	const policy = new CostRouting(belief);
 	const req: RoutingRequest = {
-		model: 'm0', known: true, prompt, canLoadAdapter: false, excluded: [],
+		model: 'm0', known: true, prompt, excluded: [],
 	};
 	const times = build({lowestDiscernibleValue: 1, highestTrackableValue: 10_000_000, numberOfSignificantValueDigits: 3});
 	const candidateTimes = build({lowestDiscernibleValue: 1, highestTrackableValue: 10_000_000, numberOfSignificantValueDigits: 3});
--- a/dev/bench/src/routing.ts
+++ b/dev/bench/src/routing.ts
@@ -201,7 +201,7 @@
 		const zoneStates: ZoneConditions = Object.fromEntries(ZONES.map(zone => [zone, {state: 'in-service', distanceMs: this.size.zoneDistanceMs}]));
 		const set = host.directory.getCandidates({model, zoneStates, hostZone: host.zone});
 		const choice = host.policy.choose(set, {
-			model, known: true, prompt, canLoadAdapter: false, excluded: [],
+			model, known: true, prompt, excluded: [],
 		}, host.random);
 		if (choice.isErr) {
 			if (this.queue.clock.now() - arrivedAtMs >= GIVE_UP_MS) {
--- a/packages/engines/src/routing/cold-start-ramp.ts
+++ b/packages/engines/src/routing/cold-start-ramp.ts
@@ -16,6 +16,8 @@
 	limit: number;
 	highestLimit: number;
 	isFlagged: boolean;
+	/** Whether completed requests have raised the ramp to the limit. */
+	isProven: boolean;
 	/** Load in the last report, from all hosts. */
 	reported: number;
 	observedAtMs: number;
@@ -32,13 +34,15 @@
 
 function raise(ramp: Ramp): void {
 	ramp.level = Math.min(ramp.limit, ramp.level * 2);
-	ramp.warm ||= ramp.level >= ramp.limit && !ramp.isFlagged;
+	ramp.isProven ||= ramp.level >= ramp.limit;
+	ramp.warm ||= ramp.isProven && !ramp.isFlagged;
 }
 
-function startOver(ramp: Ramp, generation: number): void {
+function startOver(ramp: Ramp, generation: number, level = 1): void {
 	ramp.generation = generation;
 	ramp.warm = false;
-	ramp.level = 1;
+	ramp.isProven = false;
+	ramp.level = level;
 	// Requests sent while the target counted as warm hold no permits but load it all the same.
 	ramp.inherited = Math.max(0, ramp.reported - ramp.permits.size);
 }
@@ -68,13 +72,16 @@
 		if (this.hasTurnedCold(ramp, entry)) {
 			startOver(ramp, Math.max(ramp.generation + 1, entry.warmth.generation));
 			ramp.highestLimit = entry.load.limit;
+		} else if (ramp.warm && entry.load.limit > ramp.limit * 2) {
+			// A cold target may first report a low limit; what it bears beyond twice that is unproven.
+			startOver(ramp, ramp.generation + 1, ramp.limit);
 		}
 
 		ramp.limit = entry.load.limit;
 		ramp.highestLimit = Math.max(ramp.highestLimit, ramp.limit);
-		ramp.level = Math.min(ramp.level, ramp.limit);
 		ramp.isFlagged = entry.cold;
-		ramp.warm ||= ramp.level >= ramp.limit && !ramp.isFlagged;
+		ramp.warm ||= ramp.isProven && !ramp.isFlagged;
+		ramp.level = ramp.warm ? ramp.limit : Math.min(ramp.level, ramp.limit);
 		this.settle(ramp, sampledAtMs);
 	}
 
@@ -175,6 +182,7 @@
 			limit: entry.load.limit,
 			highestLimit: entry.load.limit,
 			isFlagged: entry.cold,
+			isProven: false,
 			reported: 0,
 			observedAtMs: nowMs,
 			isSettled: false,
--- a/packages/engines/src/routing/types.ts
+++ b/packages/engines/src/routing/types.ts
@@ -93,7 +93,7 @@
 	/** Whether the configuration in force names the model or service. */
 	known: z.boolean(),
 	/** Whether the host has the adapter loaded before it sends; otherwise only targets that hold it qualify. */
-	canLoadAdapter: z.boolean().default(false),
+	canLoadAdapter: z.boolean().optional(),
 	prompt: z.string().default(''),
 	/** Targets that this request has already been refused by. */
 	excluded: z.array(z.object({targetId: z.string(), reason: z.enum(['permit-denied', 'tried'])})).default([]),
--- a/packages/engines/tests/routing/cold-start.test.ts
+++ b/packages/engines/tests/routing/cold-start.test.ts
@@ -215,6 +215,19 @@
 		expect({isWarm, highest, excesses: fleet.excesses}).to.deep.equal({isWarm: true, highest: 1, excesses: []});
 	});
 
+	it('ramps on when a target that first reports a low limit raises it at a jump', async () => {
+		const fleet = await createFleet();
+		fleet.isCold = false;
+		fleet.limit = 1;
+		await fleet.run(6000, 100);
+		const isWarm = fleet.directory.getTargets()[0]!.entry.warmth.warm;
+		fleet.running = [];
+		fleet.completed = 0;
+		fleet.limit = 16;
+		const highest = await fleet.run(450, 5000);
+		expect({isWarm, highest, excesses: fleet.excesses}).to.deep.equal({isWarm: true, highest: 1, excesses: []});
+	});
+
 	it('gives no permit to a cold target when no owner answers, and says that nothing ran', async () => {
 		const fleet = await createFleet(1);
 		fleet.transport.owner = undefined;
--- a/packages/engines/tests/routing/helpers.ts
+++ b/packages/engines/tests/routing/helpers.ts
@@ -37,5 +37,5 @@
 } as const;
 
 export const request = {
-	model: 'm1', known: true, prompt: '', canLoadAdapter: false, excluded: [],
+	model: 'm1', known: true, prompt: '', excluded: [],
 };
