--- a/packages/callers/src/limits/constants.ts
+++ b/packages/callers/src/limits/constants.ts
@@ -38,6 +38,8 @@
 export const INTERACTIVE_QUEUE_DEADLINE_MS = 10_000;
 export const BATCH_QUEUE_DEADLINE_MS = 600_000;
 export const MAX_QUEUE_LENGTH = 2000;
+/** Requests by which a customer may catch up; without it, small customers wait behind a noisy one for their own small bursts. */
+export const CREDIT_REQUESTS = 4;
 /** While batch requests wait, one slot in this many is theirs; counting slots keeps long batch requests from taking more. */
 export const BATCH_SLOT_INTERVAL = 8;
 
--- a/packages/callers/src/start-time-queue.ts
+++ b/packages/callers/src/start-time-queue.ts
@@ -1,34 +1,47 @@
+import {CREDIT_REQUESTS} from './limits/constants.js';
+
 /** An entry of a start-time fair queue. */
 export type QueueEntry = {readonly customer: string; readonly weight: number; readonly cost: number};
 
+type Item<Entry> = {readonly entry: Entry; readonly arrivalTag: number; readonly order: number};
+
 /** Entries of one customer; `finishTag` is where the service dispatched so far ends in virtual time. */
 type Flow<Entry> = {
-	entries: ReadonlyArray<{readonly entry: Entry; readonly arrivalTag: number}>;
+	entries: ReadonlyArray<Item<Entry>>;
 	finishTag: number;
 	backlog: number;
+	lastService: number;
 };
 
-/** Start-time fair queue over customers: each gets service in proportion to its weight while it has entries. */
+type Candidate<Entry> = {readonly flow: Flow<Entry>; readonly head: Item<Entry>; readonly startTag: number; readonly isWithinShare: boolean};
+
+/**
+ * Start-time fair queue over customers: each gets service in proportion to its weight while it has entries.
+ * A customer that used less than its share may catch up by a few requests, so that its own small bursts do not wait.
+ */
 export class StartTimeQueue<Entry extends QueueEntry> {
 	private readonly flows = new Map<string, Flow<Entry>>();
 	private virtualTime = 0;
 	private count = 0;
+	private nextOrder = 0;
 
 	get length(): number {
 		return this.count;
 	}
 
 	push(entry: Entry): void {
-		const flow = this.flows.get(entry.customer) ?? {entries: [], finishTag: 0, backlog: 0};
-		flow.entries = [...flow.entries, {entry, arrivalTag: this.virtualTime}];
+		const flow = this.flows.get(entry.customer) ?? {
+			entries: [], finishTag: Number.NEGATIVE_INFINITY, backlog: 0, lastService: 0,
+		};
+		flow.entries = [...flow.entries, {entry, arrivalTag: this.virtualTime, order: this.nextOrder++}];
 		flow.backlog += getService(entry);
 		this.flows.set(entry.customer, flow);
 		this.count += 1;
 	}
 
-	/** Takes the entry with the smallest start tag. */
+	/** Takes the oldest entry of the customers within their share; when there is none, the entry with the smallest start tag. */
 	shift(): Entry | undefined {
-		let next: {readonly flow: Flow<Entry>; readonly entry: Entry; readonly startTag: number} | undefined;
+		let next: Candidate<Entry> | undefined;
 		for (const [customer, flow] of this.flows) {
 			const [head] = flow.entries;
 			if (!head) {
@@ -36,9 +49,12 @@
 				continue;
 			}
 
-			const startTag = Math.max(head.arrivalTag, flow.finishTag);
-			if (!next || startTag < next.startTag) {
-				next = {flow, entry: head.entry, startTag};
+			const startTag = Math.max(head.arrivalTag - (CREDIT_REQUESTS * getService(head.entry)), flow.finishTag);
+			const candidate = {
+				flow, head, startTag, isWithinShare: startTag <= this.virtualTime,
+			};
+			if (!next || isBefore(candidate, next)) {
+				next = candidate;
 			}
 		}
 
@@ -46,11 +62,12 @@
 			return undefined;
 		}
 
-		const {flow, entry, startTag} = next;
+		const {flow, head: {entry}, startTag} = next;
 		flow.entries = flow.entries.slice(1);
 		flow.backlog -= getService(entry);
-		flow.finishTag = startTag + getService(entry);
-		this.virtualTime = startTag;
+		flow.lastService = getService(entry);
+		flow.finishTag = startTag + flow.lastService;
+		this.virtualTime = Math.max(this.virtualTime, startTag);
 		this.count -= 1;
 		return entry;
 	}
@@ -86,14 +103,23 @@
 		return longest?.entries.at(-1)?.entry;
 	}
 
-	/** A customer without entries whose service lies in the virtual past needs no state. */
+	/** A customer without entries needs no state once its whole credit has grown back. */
 	private forgetIfSpent(customer: string, flow: Flow<Entry>): void {
-		if (flow.finishTag <= this.virtualTime) {
+		if (flow.finishTag + (CREDIT_REQUESTS * flow.lastService) <= this.virtualTime) {
 			this.flows.delete(customer);
 		}
 	}
 }
 
+/** Within their share, customers are served in order of arrival, which keeps the longest waits shorter than order by tag. */
+function isBefore(a: Candidate<QueueEntry>, b: Candidate<QueueEntry>): boolean {
+	if (a.isWithinShare !== b.isWithinShare) {
+		return a.isWithinShare;
+	}
+
+	return a.isWithinShare ? a.head.order < b.head.order : a.startTag < b.startTag;
+}
+
 function getService(entry: QueueEntry): number {
 	return entry.cost / entry.weight;
 }
--- a/packages/callers/tests/fair-queue.test.ts
+++ b/packages/callers/tests/fair-queue.test.ts
@@ -4,6 +4,7 @@
 import {expect} from 'chai';
 import {type Result} from 'true-myth';
 import {FairQueue, type Slot} from '../src/admission-parts.js';
+import {StartTimeQueue} from '../src/start-time-queue.js';
 import {advance} from './support/share-fleet.js';
 
 const SEED = 31;
@@ -81,6 +82,31 @@
 		expect(run.outcomes.map(outcome => `${outcome.atMs} ${outcome.name}`)).toMatchSnapshot();
 	});
 
+	it('renews no credit for a customer whose queue is briefly empty, which would let it exceed its share for ever', () => {
+		const queue = new StartTimeQueue();
+		for (let i = 0; i < 100; i++) {
+			queue.push({customer: 'backlog', weight: 3, cost: 100});
+		}
+
+		let pulsed = 0;
+		let waiting = 0;
+		for (let i = 0; i < 80; i++) {
+			// A request every second dispatch, twice the share of a quarter.
+			if (i % 2 === 0 && waiting === 0) {
+				queue.push({customer: 'pulsed', weight: 1, cost: 100});
+				waiting += 1;
+			}
+
+			if (queue.shift()?.customer === 'pulsed') {
+				waiting -= 1;
+				pulsed += 1;
+			}
+		}
+
+		// A quarter of the dispatches, plus the credit of 4 and the one in progress.
+		expect(pulsed).to.be.within(16, 25);
+	});
+
 	it('refuses truthfully when full, late or cancelled, and drops from the customer that fills the queue', async () => {
 		const run = new QueueRun();
 		const queue = new FairQueue({clock: run.clock, slots: 1, maxLength: 3});
