limits: positional messages, smaller urgent exchanges

Cause: field names made up most of an exchange; a host sent 6.9 KB/s while the design size allows 3 KB/s for all control traffic of a daemon. Change: share-wire.ts packs and restores ShareRequest and ShareAnswer; between regular exchanges only customers with waiting requests take part. The answer to a repeated exchange also applies grants of customers that only the first sending named.

--- a/dev/bench/src/share-hosts.ts
+++ b/dev/bench/src/share-hosts.ts
@@ -1,12 +1,12 @@
 import {createCodec, createRandom, type Rate} from '@egretrill/common';
 import {type Result} from 'true-myth';
 import {
-	BucketOwner, ShareAnswer, ShareHolder, ShareRequest, ShareTransport,
+	BucketOwner, packShareAnswer, packShareRequest, ShareHolder, ShareTransport, WireShareAnswer, WireShareRequest, type ShareAnswer, type ShareRequest,
 } from './admission.js';
 import type {SimulatedClock} from './simulated-clock.js';
 
-const requestCodec = createCodec(ShareRequest);
-const answerCodec = createCodec(ShareAnswer);
+const requestCodec = createCodec(WireShareRequest);
+const answerCodec = createCodec(WireShareAnswer);
 
 /** Carries exchanges in 0.5 to 1 ms each way, as between two zones, and counts them. */
 class CountingTransport extends ShareTransport {
@@ -21,7 +21,7 @@
 		await this.clock.sleep(0.5 + (0.5 * this.random()));
 		const answer = this.owner.grant(req);
 		this.messages += 2;
-		this.bytes += requestCodec.encode(req).length + (answer.isOk ? answerCodec.encode(answer.value).length : 0);
+		this.bytes += requestCodec.encode(packShareRequest(req)).length + (answer.isOk ? answerCodec.encode(packShareAnswer(answer.value)).length : 0);
 		await this.clock.sleep(0.5 + (0.5 * this.random()));
 		return answer;
 	}
--- a/packages/callers/src/limits/customer-share.ts
+++ b/packages/callers/src/limits/customer-share.ts
@@ -107,9 +107,8 @@
 		this.serveWaiters(nowMs);
 	}
 
-	/** Whether requests wait that the owner has not just put off. */
-	isUrgent(nowMs: number): boolean {
-		return this.waiters.length > 0 && nowMs >= this.retryAtMs;
+	isWaiting(): boolean {
+		return this.waiters.length > 0;
 	}
 
 	/** When to ask again for the requests that wait. */
@@ -134,7 +133,7 @@
 		return {
 			customer: this.customer,
 			...(hasAmounts(wanted) && {wanted}),
-			...(head && {waiting: {total, head: subtractAmounts(head.need, free), waitedMs: nowMs - head.sinceMs}}),
+			...(head && {waiting: {total, head: subtractAmounts(head.need, free), waitedMs: Math.floor(nowMs - head.sinceMs)}}),
 			...(reports.length > 0 && {reports}),
 		};
 	}
--- a/packages/callers/src/limits/share-holder.ts
+++ b/packages/callers/src/limits/share-holder.ts
@@ -220,8 +220,14 @@
 	private async exchange(session: OwnerSession): Promise<void> {
 		const {clock, random, transport} = this.opts;
 		const sentAtMs = clock.now();
-		const entries = this.getShares(session).map(share => share.buildExchange(session.ownerTerm, sentAtMs)).filter(entry => entry !== undefined);
-		session.nextDueAtMs = sentAtMs + jitter(EXCHANGE_PERIOD_MS, random);
+		// Between two regular exchanges only the customers with waiting requests take part, which keeps the message small.
+		const isRegular = sentAtMs > session.nextDueAtMs - (EXCHANGE_PERIOD_MS / 2);
+		const shares = this.getShares(session).filter(share => isRegular || share.isWaiting());
+		const entries = shares.map(share => share.buildExchange(session.ownerTerm, sentAtMs)).filter(entry => entry !== undefined);
+		if (isRegular) {
+			session.nextDueAtMs = sentAtMs + jitter(EXCHANGE_PERIOD_MS, random);
+		}
+
 		if (entries.length === 0) {
 			return;
 		}
@@ -254,12 +260,17 @@
 		session.lastAnswerAtMs = now;
 		session.blockedUntilMs = now + answer.blockedMs;
 		const grants = new Map(answer.grants.map(grant => [grant.customer, grant]));
-		for (const share of this.getShares(session).filter(({customer}) => asked.has(customer))) {
-			share.acknowledgeReports();
+		for (const share of this.getShares(session)) {
+			const isAsked = asked.has(share.customer);
 			const grant = grants.get(share.customer);
+			if (isAsked) {
+				share.acknowledgeReports();
+			}
+
+			// The answer to a repeated exchange may also grant customers that only its first sending named.
 			if (grant) {
 				share.applyGrant(grant, answer.ownerTerm, firstSentAtMs, now);
-			} else {
+			} else if (isAsked) {
 				share.postpone(now);
 			}
 		}
--- /dev/null
+++ b/packages/callers/src/limits/share-wire.ts
@@ -0,0 +1,81 @@
+import {z} from 'zod';
+import {hasAmounts, NO_AMOUNTS} from './amounts.js';
+import type {
+	CustomerExchange, GrantReport, ShareAnswer, ShareRequest, WaitingNeed,
+} from './types.js';
+
+const count = z.int().nonnegative();
+
+/** Serial, settled tokens and requests, returned tokens and requests. */
+const WireReport = z.tuple([count, count, count, count, count]);
+/** Total tokens and requests, tokens and requests of the head, its waiting time. */
+const WireWaiting = z.tuple([count, count, count, count, count]);
+/** Customer, wanted tokens and requests, waiting, reports. */
+const WireCustomer = z.tuple([z.string(), count, count, WireWaiting.nullable(), z.array(WireReport)]);
+/** Customer, serial, tokens, requests, short, retry time. */
+const WireGrant = z.tuple([z.string(), count, count, count, z.boolean(), count]);
+
+/** Positional form of an exchange; field names would make up most of the message. */
+export const WireShareRequest = z.tuple([z.string(), z.string(), count, count, z.array(WireCustomer)]);
+export type WireShareRequest = z.infer<typeof WireShareRequest>;
+
+/** Positional form of an answer. */
+export const WireShareAnswer = z.tuple([count, count, count, z.array(WireGrant)]);
+export type WireShareAnswer = z.infer<typeof WireShareAnswer>;
+
+function packReport({serial, settled, returned = NO_AMOUNTS}: GrantReport): z.infer<typeof WireReport> {
+	return [serial, settled.tokens, settled.requests, returned.tokens, returned.requests];
+}
+
+function packWaiting({total, head, waitedMs}: WaitingNeed): z.infer<typeof WireWaiting> {
+	return [total.tokens, total.requests, head.tokens, head.requests, waitedMs];
+}
+
+function packCustomer({customer, wanted = NO_AMOUNTS, waiting, reports = []}: CustomerExchange): z.infer<typeof WireCustomer> {
+	return [customer, wanted.tokens, wanted.requests, waiting ? packWaiting(waiting) : null, reports.map(report => packReport(report))];
+}
+
+export function packShareRequest(req: ShareRequest): WireShareRequest {
+	return [req.hostId, req.startId, req.ownerTerm, req.serial, req.customers.map(entry => packCustomer(entry))];
+}
+
+export function packShareAnswer(answer: ShareAnswer): WireShareAnswer {
+	const grants = answer.grants.map(({customer, serial, amounts, short, retryAfterMs}): z.infer<typeof WireGrant> => [customer, serial, amounts.tokens, amounts.requests, short, retryAfterMs]);
+	return [answer.ownerTerm, answer.serial, answer.blockedMs, grants];
+}
+
+function restoreReport([serial, settledTokens, settledRequests, returnedTokens, returnedRequests]: z.infer<typeof WireReport>): GrantReport {
+	const returned = {tokens: returnedTokens, requests: returnedRequests};
+	return {serial, settled: {tokens: settledTokens, requests: settledRequests}, ...(hasAmounts(returned) && {returned})};
+}
+
+function restoreWaiting([tokens, requests, headTokens, headRequests, waitedMs]: z.infer<typeof WireWaiting>): WaitingNeed {
+	return {total: {tokens, requests}, head: {tokens: headTokens, requests: headRequests}, waitedMs};
+}
+
+function restoreCustomer([customer, tokens, requests, waiting, reports]: z.infer<typeof WireCustomer>): CustomerExchange {
+	const wanted = {tokens, requests};
+	return {
+		customer,
+		...(hasAmounts(wanted) && {wanted}),
+		...(waiting && {waiting: restoreWaiting(waiting)}),
+		...(reports.length > 0 && {reports: reports.map(report => restoreReport(report))}),
+	};
+}
+
+export function restoreShareRequest([hostId, startId, ownerTerm, serial, customers]: WireShareRequest): ShareRequest {
+	return {
+		hostId, startId, ownerTerm, serial, customers: customers.map(entry => restoreCustomer(entry)),
+	};
+}
+
+export function restoreShareAnswer([ownerTerm, serial, blockedMs, grants]: WireShareAnswer): ShareAnswer {
+	return {
+		ownerTerm,
+		serial,
+		blockedMs,
+		grants: grants.map(([customer, grantSerial, tokens, requests, short, retryAfterMs]) => ({
+			customer, serial: grantSerial, amounts: {tokens, requests}, short, retryAfterMs,
+		})),
+	};
+}
--- a/packages/callers/src/limits/types.ts
+++ b/packages/callers/src/limits/types.ts
@@ -11,7 +11,7 @@
 export type GrantReport = z.infer<typeof GrantReport>;
 
 /** Requests that wait on a host, beyond what the host holds; `head` is the oldest of them. */
-export const WaitingNeed = z.object({total: Amounts, head: Amounts, waitedMs: z.number().nonnegative()});
+export const WaitingNeed = z.object({total: Amounts, head: Amounts, waitedMs: count});
 export type WaitingNeed = z.infer<typeof WaitingNeed>;
 
 /** One customer's part of an exchange. */
--- a/packages/callers/tests/support/share-fleet.ts
+++ b/packages/callers/tests/support/share-fleet.ts
@@ -4,7 +4,8 @@
 } from '@egretrill/common';
 import {Result} from 'true-myth';
 import {
-	BucketOwner, getLargestExcess, ShareHolder, ShareTransport, type ShareAnswer, type ShareRequest, type SpendEvent,
+	BucketOwner, getLargestExcess, packShareAnswer, packShareRequest, restoreShareAnswer, restoreShareRequest, ShareHolder, ShareTransport,
+	WireShareAnswer, WireShareRequest, type ShareAnswer, type ShareRequest, type SpendEvent,
 } from '../../src/admission-parts.js';
 
 export const STEP_MS = 2;
@@ -90,8 +91,9 @@
 			return undefined;
 		}
 
-		const answer = this.fleet.owner.grant(req);
-		return await this.isLost() ? undefined : answer;
+		// Both messages cross in their positional form, as between real hosts.
+		const answer = this.fleet.owner.grant(restoreShareRequest(WireShareRequest.parse(packShareRequest(req))));
+		return await this.isLost() ? undefined : answer.map(value => restoreShareAnswer(WireShareAnswer.parse(packShareAnswer(value))));
 	}
 
 	private async isLost(): Promise<boolean> {
