--- /dev/null
+++ b/packages/callers/tests/share-holder.test.ts
@@ -0,0 +1,91 @@
+import {expect} from 'chai';
+import {type Reservation} from '../src/admission-parts.js';
+import {advance, createCustomer, Fleet} from './support/share-fleet.js';
+
+const SEED = 5;
+const atlas = createCustomer('atlas', {
+	tokensPerSecond: 100, burstTokens: 300, requestsPerSecond: 10, burstRequests: 30,
+});
+
+/** A fleet whose owner has a full level, and one host that logs its outcomes. */
+async function createRun() {
+	const fleet = new Fleet(SEED, [atlas, createCustomer('idle')]);
+	await advance(fleet.clock, 6000);
+	const {holder, clock, transport} = fleet.hosts[0]!;
+	const log: unknown[] = [];
+	const acquire = async (tokens: number, deadlineMs: number, signal?: AbortSignal): Promise<Reservation | undefined> => {
+		const result = await holder.acquire({
+			customer: 'atlas', tokens, requests: 1, deadlineMs: clock.now() + deadlineMs, signal,
+		});
+		log.push({tokens, atMs: Math.round(fleet.clock.now()), result: result.isOk ? 'reserved' : result.error});
+		return result.isOk ? result.value : undefined;
+	};
+
+	const use = async (tokens: number, usedTokens: number): Promise<void> => {
+		const reservation = await acquire(tokens, 1000);
+		reservation?.settle(usedTokens);
+	};
+
+	return {
+		fleet, acquire, use, log, transport,
+	};
+}
+
+describe(`share holder, seed ${SEED}`, () => {
+	it('waits for the next grant in order of arrival, and refuses at the deadline with the truthful reason', async () => {
+		const {fleet, acquire, use, log, transport} = await createRun();
+		void acquire(301, 1000);
+		void use(250, 250);
+		void acquire(200, 4000);
+		void acquire(10, 4000);
+		void acquire(290, 500);
+		await advance(fleet.clock, 4500);
+		transport.isPartitioned = true;
+		void acquire(290, 3000);
+		await advance(fleet.clock, 3500);
+		fleet.replaceOwner();
+		transport.isPartitioned = false;
+		void acquire(290, 1500);
+		await advance(fleet.clock, 2000);
+		await fleet.stop();
+		expect(log).toMatchSnapshot();
+	});
+
+	it('sends nothing for idle customers, once what it held has gone back', async () => {
+		const {fleet, use, transport} = await createRun();
+		expect(transport.messages).to.equal(0);
+		void use(50, 10);
+		await advance(fleet.clock, 3000);
+		const {messages} = transport;
+		await advance(fleet.clock, 10_000);
+		expect(transport.messages).to.equal(messages);
+		expect(fleet.owner.getStatus()[0]).to.deep.equal({customer: 'atlas', level: {tokens: 300, requests: 30}, outstanding: {tokens: 0, requests: 0}});
+		await fleet.stop();
+	});
+
+	it('gives a cancelled request nothing, and returns everything of one that was not run', async () => {
+		const {fleet, acquire, log} = await createRun();
+		const reservation = acquire(300, 1000);
+		const cancel = new AbortController();
+		await advance(fleet.clock, 20);
+		void acquire(100, 1000, cancel.signal);
+		cancel.abort();
+		await advance(fleet.clock, 20);
+		(await reservation)!.cancel();
+		void acquire(300, 10);
+		await advance(fleet.clock, 20);
+		expect((await reservation)!.isFresh()).to.be.false;
+		await fleet.stop();
+		expect(log).toMatchSnapshot();
+	});
+
+	it('lets no share start after its lifetime, which its owner counts as spent', async () => {
+		const {fleet, acquire} = await createRun();
+		const reservation = acquire(100, 1000);
+		await advance(fleet.clock, 1900);
+		expect((await reservation)!.isFresh()).to.be.true;
+		await advance(fleet.clock, 110);
+		expect((await reservation)!.start()).to.be.false;
+		await fleet.stop();
+	});
+});
