limits: test that reports of another owner's term are ignored

Cause: a mutation run showed that no test noticed when an owner accepts reports on its predecessor's grants. Change: the test, and drawing tokens skips expired grants explicitly instead of by the order of the list. After: the new test fails without the check.

--- a/packages/callers/src/limits/customer-share.ts
+++ b/packages/callers/src/limits/customer-share.ts
@@ -194,7 +194,7 @@
 		let left = need;
 		let expiresAtMs = Number.POSITIVE_INFINITY;
 		const draws: Draw[] = [];
-		for (const grant of this.grants) {
+		for (const grant of this.grants.filter(held => isValid(held, nowMs))) {
 			const taken = minAmounts(grant.free, left);
 			if (!hasAmounts(taken)) {
 				continue;
--- a/packages/callers/tests/bucket-owner.test.ts
+++ b/packages/callers/tests/bucket-owner.test.ts
@@ -105,6 +105,15 @@
 		expect(steps).toMatchSnapshot();
 	});
 
+	it('ignores reports on grants of its predecessor, whose serials it uses again', () => {
+		const run = new OwnerRun();
+		const grant = run.exchange('host-0', 1, want(400));
+		run.owner.grant({
+			hostId: 'host-1', startId: 'start-1', ownerTerm: 0, serial: 1, customers: [{customer: 'atlas', reports: [{serial: grant!.serial, settled: {tokens: 400, requests: 1}}]}],
+		});
+		expect(run.getOutstandingTokens()).to.equal(400);
+	});
+
 	it('grants nothing without its lease', () => {
 		const run = new OwnerRun();
 		run.isLeading = false;
