placement: age of relayed reports, no further attempts after a restart, decisions for the log

Cause: a directory entry may be up to 2 s old before it reaches the owner, which the ledger took for a fresh report; an order was still retried after its target had restarted with other contents. Change: observe takes the age of an announcement; attempts stop when the start id changes; takeDecisions hands decisions to the caller's log; histories include changes of owner. Conclusion: the daemon has to pass the age to observe.

--- a/packages/engines/src/placement/constants.ts
+++ b/packages/engines/src/placement/constants.ts
@@ -88,5 +88,8 @@
 /** A target keeps a role at least this long, since changing it drops its KV cache. */
 export const MIN_ROLE_MS = 60_000;
 
+/** Decisions kept for a caller that does not fetch them. */
+export const MAX_UNREAD_DECISIONS = 256;
+
 /** Explanations kept per model for `egretrill placement explain`. */
 export const EXPLANATIONS_PER_MODEL = 8;
--- a/packages/engines/src/placement/memory-ledger.ts
+++ b/packages/engines/src/placement/memory-ledger.ts
@@ -55,8 +55,8 @@
 	}));
 }
 
-function reopen(entry: LedgerEntry, startId: string): LedgerEntry {
-	return entry.state === 'settled' || entry.state === 'accepted' ? {...entry, state: 'open', startId} : entry;
+function reopen(entry: LedgerEntry): LedgerEntry {
+	return entry.state === 'settled' || entry.state === 'accepted' ? {...entry, state: 'open'} : entry;
 }
 
 function isConflict(earlier: Order, later: Order): boolean {
@@ -89,7 +89,7 @@
 		}
 	}
 
-	/** Takes in a target's report and returns the orders that it settles. */
+	/** Takes in a target's report, at the time when the first host received it, and returns the orders that it settles. */
 	applyReport(report: TargetReport, receivedAtMs: number): readonly SettledOrder[] {
 		const book = this.books.get(report.targetId);
 		if (book?.retiredStarts.includes(report.startId)) {
@@ -97,7 +97,7 @@
 		}
 
 		const quiet = receivedAtMs - REPORT_MAX_AGE_MS >= (this.opts.quietAtMs ?? Number.NEGATIVE_INFINITY);
-		const fresh = {memoryMb: report.memoryMb, reportedAtMs: receivedAtMs, quiet: quiet || (book?.quiet ?? false)};
+		const fresh = {memoryMb: report.memoryMb, reportedAtMs: Math.max(receivedAtMs, book?.reportedAtMs ?? receivedAtMs), quiet: quiet || (book?.quiet ?? false)};
 		if (book?.startId !== report.startId) {
 			this.books.set(report.targetId, {
 				...fresh,
@@ -105,7 +105,7 @@
 				retiredStarts: book === undefined ? [] : [book.startId, ...book.retiredStarts].slice(0, RETIRED_STARTS),
 				items: listItems(report, receivedAtMs),
 				// A restarted engine has forgotten which orders it carried out, so a late copy of any of them counts again.
-				entries: new Map([...book?.entries ?? []].map(([orderId, entry]) => [orderId, reopen(entry, report.startId)])),
+				entries: new Map([...book?.entries ?? []].map(([orderId, entry]) => [orderId, reopen(entry)])),
 			});
 			return [];
 		}
@@ -223,8 +223,9 @@
 
 		// A report may be older than one received before it, so an item is dropped only when it certainly went away since.
 		const kept = [...book.items].filter(([key, item]) => !reported.has(key) && !unloaded.has(key) && !unloaded.has(item.owner) && item.sinceMs > madeAtMs);
+		const listed = [...reported].map(([key, item]) => [key, {...item, sinceMs: Math.max(item.sinceMs, book.items.get(key)?.sinceMs ?? item.sinceMs)}] as const);
 		this.books.set(report.targetId, {
-			...book, ...fresh, entries, items: new Map([...kept, ...reported]),
+			...book, ...fresh, entries, items: new Map([...kept, ...listed]),
 		});
 		return settled;
 	}
--- a/packages/engines/src/placement/zone-owner.ts
+++ b/packages/engines/src/placement/zone-owner.ts
@@ -2,7 +2,17 @@
 	ANNOUNCE_TTL_MS, type Announcement, type Clock, CLOCK_DRIFT_RATIO, type Model, type Order, type Placements, Signal,
 } from '@egretrill/common';
 import {
-	EXPLANATIONS_PER_MODEL, LEASE_MARGIN_MS, LEASE_POLL_MS, MODEL_LOAD_BOUND_MS, ORDER_LIFETIME_MS, ORDER_RETRY_MS, OWNER_LEASE_MS, PERMIT_WAIT_MS, PLAN_PERIOD_MS, SILENT_TARGET_MS,
+	EXPLANATIONS_PER_MODEL,
+	LEASE_MARGIN_MS,
+	LEASE_POLL_MS,
+	MAX_UNREAD_DECISIONS,
+	MODEL_LOAD_BOUND_MS,
+	ORDER_LIFETIME_MS,
+	ORDER_RETRY_MS,
+	OWNER_LEASE_MS,
+	PERMIT_WAIT_MS,
+	PLAN_PERIOD_MS,
+	SILENT_TARGET_MS,
 } from './constants.js';
 import type {LoadPermit, LoadPermits} from './load-permits.js';
 import {MemoryLedger} from './memory-ledger.js';
@@ -62,6 +72,7 @@
 	private readonly announcements = new Map<string, {readonly announcement: Announcement; readonly receivedAtMs: number}>();
 	private readonly copySince = new Map<string, number>();
 	private readonly explanations = new Map<string, readonly Explanation[]>();
+	private decisions: readonly Explanation[] = [];
 	private term: Term | undefined;
 	private state: PlacementState = {
 		models: [], placements: {pins: [], forbids: []}, demand: [], remoteTargets: [], loadSlots: 0,
@@ -75,11 +86,11 @@
 		this.term?.ledger.setModels(state.models);
 	}
 
-	/** Takes in an announcement of one of the zone's engines. */
-	observe(announcement: Announcement): void {
-		const nowMs = this.opts.clock.now();
-		this.announcements.set(announcement.targetId, {announcement, receivedAtMs: nowMs});
-		for (const order of this.term?.ledger.applyReport(announcement, nowMs) ?? []) {
+	/** Takes in an announcement of one of the zone's engines, with the time since a host received it. */
+	observe(announcement: Announcement, ageMs = 0): void {
+		const receivedAtMs = this.opts.clock.now() - ageMs;
+		this.announcements.set(announcement.targetId, {announcement, receivedAtMs});
+		for (const order of this.term?.ledger.applyReport(announcement, receivedAtMs) ?? []) {
 			this.term?.settled.set(order.orderId, order);
 		}
 
@@ -91,6 +102,13 @@
 		return this.explanations.get(model) ?? [];
 	}
 
+	/** Returns the decisions made since the last call, oldest first, for the caller's log. */
+	takeDecisions(): readonly Explanation[] {
+		const taken = this.decisions;
+		this.decisions = [];
+		return taken;
+	}
+
 	/** Plans and issues orders whenever the lease is held, until aborted. */
 	async run(signal: AbortSignal): Promise<void> {
 		while (!signal.aborted) {
@@ -156,7 +174,9 @@
 		for (let pauseMs = ORDER_RETRY_MS; !signal.aborted; pauseMs *= 2) {
 			const remainingMs = Math.floor(ORDER_LIFETIME_MS - (this.opts.clock.now() - startedAtMs));
 			const target = this.announcements.get(targetId)?.announcement;
-			if (remainingMs <= 0 || target === undefined || !this.mayWrite(term)) {
+			// The reservation holds for the contents of one start; a restarted target may hold something else.
+			const isSameStart = term.ledger.getStartId(targetId) === term.ledger.getEntry(targetId, order.orderId)?.startId;
+			if (remainingMs <= 0 || target === undefined || !isSameStart || !this.mayWrite(term)) {
 				break;
 			}
 
@@ -300,6 +320,7 @@
 	}
 
 	private keepExplanation(explanation: Explanation): void {
+		this.decisions = [...this.decisions, explanation].slice(-MAX_UNREAD_DECISIONS);
 		const earlier = this.explanations.get(explanation.model) ?? [];
 		this.explanations.set(explanation.model, [explanation, ...earlier].slice(0, EXPLANATIONS_PER_MODEL));
 	}
--- a/packages/engines/tests/placement/ledger-histories.test.ts
+++ b/packages/engines/tests/placement/ledger-histories.test.ts
@@ -1,13 +1,15 @@
 import {createRandom, type Order, type Random} from '@egretrill/common';
 import {expect} from 'chai';
-import {type LedgerOptions, MemoryLedger, ORDER_LIFETIME_MS} from '../../src/placement/index.js';
+import {
+	type LedgerOptions, MemoryLedger, MODEL_LOAD_BOUND_MS, ORDER_LIFETIME_MS, TAKEOVER_WAIT_MS,
+} from '../../src/placement/index.js';
 import {
 	createModel, EngineBooks, MEMORY_MB, SIZES_MB,
 } from './engine-books.js';
 
 const HISTORIES = 1000;
 const STEP_MS = 50;
-const LENGTH_MS = 60_000;
+const LENGTH_MS = 90_000;
 const models = Object.keys(SIZES_MB);
 
 type Delivery = {readonly atMs: number; readonly run: (nowMs: number) => void};
@@ -19,8 +21,14 @@
 /** Runs one history of orders, losses, reports and restarts; returns the engine's peak and the loads it carried out. */
 function runHistory(seed: number, opts: LedgerOptions): {readonly peakMb: number; readonly sent: number} {
 	const random = createRandom(seed);
-	const ledger = new MemoryLedger(opts);
-	ledger.setModels(models.map(id => createModel(id)));
+	const openLedger = (quietAtMs: number): MemoryLedger => {
+		const opened = new MemoryLedger({...opts, quietAtMs});
+		opened.setModels(models.map(id => createModel(id)));
+		return opened;
+	};
+
+	const owner = {ledger: openLedger(0)};
+	let firstOrderAtMs = 0;
 	const engine = new EngineBooks(random() < 0.5);
 	let deliveries: Delivery[] = [];
 	let sent = 0;
@@ -28,7 +36,7 @@
 
 	const attempt = (order: Order, sentAtMs: number, nowMs: number): void => {
 		const remainingMs = ORDER_LIFETIME_MS - (nowMs - sentAtMs);
-		ledger.markSent('t1', order.orderId, nowMs);
+		owner.ledger.markSent('t1', order.orderId, nowMs);
 		// The first attempt, and sometimes a copy of it, arrives at any time before the order expires, or never.
 		for (let copy = 0; copy < (random() < 0.3 ? 2 : 1); copy++) {
 			if (random() >= lossRatio) {
@@ -37,7 +45,7 @@
 					run(atMs) {
 						engine.take(order, atMs, random() * 4500);
 						if (random() >= lossRatio) {
-							ledger.markAccepted('t1', order.orderId);
+							owner.ledger.markAccepted('t1', order.orderId);
 						}
 					},
 				});
@@ -64,16 +72,22 @@
 			const report = engine.report(nowMs);
 			deliveries.push({
 				atMs: nowMs + (random() < 0.5 ? 0 : random() * 1900), run(atMs) {
-					ledger.applyReport(report, atMs);
+					owner.ledger.applyReport(report, atMs);
 				},
 			});
 		}
 
-		if (random() < 0.1) {
+		if (random() < 0.001) {
+			// The owner is killed or isolated; its orders under way still arrive, and its successor knows none of them.
+			firstOrderAtMs = nowMs + TAKEOVER_WAIT_MS;
+			owner.ledger = openLedger(firstOrderAtMs + MODEL_LOAD_BOUND_MS);
+		}
+
+		if (random() < 0.1 && nowMs >= firstOrderAtMs) {
 			const order: Order = {
 				orderId: `o${nowMs}`, fencing: 1, expiresInMs: ORDER_LIFETIME_MS, kind: random() < 0.6 ? 'load-model' : 'unload-model', model: pick(random, models), version: 'v1',
 			};
-			if (ledger.reserve({targetId: 't1', order}, nowMs).isOk) {
+			if (owner.ledger.reserve({targetId: 't1', order}, nowMs).isOk) {
 				sent += 1;
 				attempt(order, nowMs, nowMs);
 			}
@@ -91,7 +105,7 @@
 	return {peakMb: engine.peakMb, sent};
 }
 
-describe('memory ledger over histories of orders, losses, reports and restarts', () => {
+describe('memory ledger over histories of orders, losses, reports, restarts and changes of owner', () => {
 	it(`never overcommits in ${HISTORIES} histories (seeds 1 to ${HISTORIES})`, () => {
 		const runs = Array.from({length: HISTORIES}, (_, i) => ({seed: i + 1, ...runHistory(i + 1, {})}));
 		expect(runs.filter(({peakMb}) => peakMb > MEMORY_MB)).to.deep.equal([]);
--- a/packages/engines/tests/placement/memory-ledger.test.ts
+++ b/packages/engines/tests/placement/memory-ledger.test.ts
@@ -107,6 +107,17 @@
 		expect(exchange.lines).toMatchSnapshot();
 	});
 
+	it('does not take a relayed report for a fresh one, so that an old report neither settles nor frees anything', () => {
+		const exchange = new Exchange();
+		exchange.report(0, createReport('s1', []));
+		exchange.send(10, createOrder('o1', 'load-model', 'b'));
+		exchange.report(20_000, createReport('s1', ['b'], ['o1']));
+		exchange.report(19_000, createReport('s1', ['b'], ['o1']));
+		exchange.report(21_500, createReport('s1', []));
+		exchange.send(21_600, createOrder('o2', 'load-model', 'c'));
+		expect(exchange.lines).toMatchSnapshot();
+	});
+
 	it('refuses loads on a target that has gone silent or holds something of unknown size', () => {
 		const exchange = new Exchange();
 		exchange.report(0, createReport('s1', []));
--- a/packages/engines/tests/placement/zone-owner.test.ts
+++ b/packages/engines/tests/placement/zone-owner.test.ts
@@ -205,9 +205,9 @@
 		expect([...zone.engines.values()].every(({peakMb}) => peakMb <= MEMORY_MB)).to.equal(true);
 	});
 
-	it('does not act on an earlier move once its target has restarted with other contents', async () => {
+	it('sends an order no further once its target has restarted, since the reservation was for other contents', async () => {
 		const zone = await openZone();
-		zone.channel.faults = ['answer-lost'];
+		zone.channel.faults = ['answer-lost', 'answer-lost', 'lost'];
 		const issued = zone.issue('t1', loadB);
 		await zone.advance(300);
 		zone.engines.get('t1')?.restart(zone.clock.now(), () => false);
