--- /dev/null
+++ b/apps/egretrill/src/commands/drain.ts
@@ -0,0 +1,44 @@
+import {PeerHost} from '@egretrill/common';
+import {DrainOutcome, operations} from '@egretrill/operators';
+import {z} from 'zod';
+import {Command, type CommandHelp, connectionOptions} from '../command.js';
+import type {AdminConnector} from '../connector.js';
+import {
+	reportDone, reportChangeFailure, reportRefused, toCallFailure,
+} from '../reports.js';
+import {ConnectionArgs, type Report} from '../types.js';
+
+const DrainArgs = z.object({...ConnectionArgs.shape, host: PeerHost.shape.id});
+
+/** Drains a host. */
+export class DrainCommand extends Command<typeof DrainArgs> {
+	readonly help: CommandHelp = {
+		usage: 'drain <host>',
+		summary: 'Asks a host to finish its work and stop',
+		examples: [['drain host-a1', 'Stop a host without interrupting requests']],
+	};
+
+	readonly schema = DrainArgs;
+	override readonly positionals = {host: {type: 'string', describe: 'Id of the host'}} as const;
+	override readonly options = connectionOptions;
+
+	constructor(private readonly connector: AdminConnector) {
+		super();
+	}
+
+	async run(args: z.infer<typeof DrainArgs>): Promise<Report> {
+		const client = await this.connector.connect(args);
+		// A second request would end the wait for begun work, so a lost answer is reported and not sent again.
+		const answer = await client.call({operation: operations.drainHost, params: {id: args.host}, body: {}}, DrainOutcome);
+		if (answer.isErr) {
+			return reportChangeFailure(answer.error);
+		}
+
+		const outcome = answer.value;
+		if (outcome.result === 'unavailable') {
+			return reportChangeFailure(toCallFailure(outcome));
+		}
+
+		return outcome.result === 'draining' ? reportDone(`Host ${outcome.host} is draining.`, outcome) : reportRefused(outcome.reason, outcome);
+	}
+}
--- /dev/null
+++ b/apps/egretrill/src/start/run-daemon.ts
@@ -0,0 +1,33 @@
+import process from 'node:process';
+import type {ConfigDocument, Settings} from '@egretrill/common';
+import {createContainer, Daemon} from '@egretrill/egretrilld';
+import {createBlockHasher} from '@egretrill/engines';
+import type {DrainReport} from '@egretrill/platform';
+import {readPeerCredentials} from './peer-credentials.js';
+
+/** Resolves with why the daemon shall stop. */
+async function waitForStop(daemon: Daemon): Promise<string> {
+	return new Promise(resolve => {
+		process.once('SIGTERM', resolve);
+		process.once('SIGINT', resolve);
+		daemon.drainRequested.addEventListener('abort', () => {
+			resolve('operator');
+		});
+	});
+}
+
+/** Runs a host in this process until a signal or an operator stops it, and tells how it ended. */
+export async function runDaemon(settings: Settings, document: ConfigDocument | undefined): Promise<DrainReport> {
+	const credentials = await readPeerCredentials(settings);
+	const daemon = new Daemon(createContainer({settings, credentials, hash: await createBlockHasher()}), credentials);
+	await daemon.start(document);
+	const stopped = daemon.stop(await waitForStop(daemon));
+	// A further signal ends the wait for begun work.
+	const hurry = async (signal: string): Promise<void> => {
+		await daemon.stop(signal);
+	};
+
+	process.on('SIGTERM', hurry);
+	process.on('SIGINT', hurry);
+	return stopped;
+}
