testkit: put cuttable TCP links between the hosts of a fleet

Cause: no test could cut hosts off from each other without ending processes. Change: Link relays TCP and stops, refuses or resumes each direction; Fleet routes peers through links with hasLinks. A leader's duties follow the configuration before each call, so that a withdrawal is known right after its commit. Conclusion: partitions are testable with real processes.

--- a/apps/egretrilld/src/hosts/leader-duties.ts
+++ b/apps/egretrilld/src/hosts/leader-duties.ts
@@ -39,11 +39,17 @@
 
 	/** The present tenure; throws unless this host leads at this moment. */
 	getTenure(): Tenure {
-		const {node} = this.opts;
+		const {node, state} = this.opts;
 		if (!node.isLeaderWithLease() || this.tenure?.term !== node.status().term) {
 			throw new NotLeaderError('This host does not lead.');
 		}
 
+		// A call that follows a change at once must find the duties in step with it, for instance the state of a withdrawal.
+		const {document} = state.getConfig();
+		if (document) {
+			this.applyConfig(document);
+		}
+
 		return this.tenure;
 	}
 
--- /dev/null
+++ b/apps/egretrilld/tests/partition.test.ts
@@ -0,0 +1,148 @@
+import {StandInEngine, StandInService} from '@egretrill/stand-ins';
+import {
+	createLocalConfig, type DaemonProcess, exchange, Fleet, getLocalKey, OPERATOR_KEY, type RecordedAnswer, waitFor,
+} from '@egretrill/testkit';
+import {expect} from 'chai';
+import got from 'got';
+
+const zones = ['zone-a', 'zone-b', 'zone-c'];
+const resident = [{model: 'inscription', version: 'v1', adapters: ['plaque']}];
+const yardKey = {authorization: `Bearer ${getLocalKey('yard')}`};
+const portKey = {authorization: `Bearer ${getLocalKey('port')}`};
+const operatorKey = {authorization: `Bearer ${OPERATOR_KEY}`};
+
+type Status = {readonly leader: string | undefined; readonly inForce: {readonly version: number} | undefined};
+type Withdrawal = {readonly result: string; readonly waitingFor?: readonly string[]};
+
+async function admin<T>(host: DaemonProcess, path: string, body?: unknown): Promise<T> {
+	const res = await got<T>(`http://${host.addresses.admin}${path}`, {
+		method: body === undefined ? 'GET' : 'POST', ...(body !== undefined && {json: body}), headers: operatorKey, responseType: 'json', throwHttpErrors: false, retry: {limit: 0},
+	});
+	return res.body;
+}
+
+async function send(host: DaemonProcess, path: string, headers: Record<string, string> = {}, body = ''): Promise<RecordedAnswer> {
+	const answer = await exchange(`http://${host.addresses.callers}${path}`, {body, headers});
+	return {...answer, body: answer.body.replace(/"run":\d+/v, '"run":N')};
+}
+
+async function order(host: DaemonProcess, idempotencyKey: string): Promise<RecordedAnswer> {
+	return send(host, '/orders', {...portKey, 'idempotency-key': idempotencyKey}, idempotencyKey);
+}
+
+async function chat(host: DaemonProcess, tokens: number): Promise<RecordedAnswer> {
+	return send(host, '/v1/chat/completions', yardKey, JSON.stringify({
+		model: 'inscription', max_tokens: tokens, stream: true, messages: [{role: 'user', content: 'Draft.'}],
+	}));
+}
+
+describe('a fleet whose zones lose touch', () => {
+	let fleet: Fleet;
+	let engine: StandInEngine;
+	let registry: StandInService;
+	let ordering: StandInService;
+
+	before(async () => {
+		fleet = await Fleet.start({
+			fleet: 'local', zones: [...zones, 'zone-c'], config: createLocalConfig(zones), hasLinks: true,
+		});
+		// All targets are in the zone that is cut off, so that nothing it serves crosses the cut.
+		const place = {zone: 'zone-c', hosts: [...fleet.getTargetAddresses('zone-c')]};
+		engine = await new StandInEngine({...place, targetId: 'engine-1', resident}).start();
+		registry = await new StandInService({...place, targetId: 'registry-1', service: 'registry'}).start();
+		ordering = await new StandInService({...place, targetId: 'ordering-1', service: 'ordering'}).start();
+	});
+
+	beforeEach(async () => {
+		await fleet.heal();
+		await waitUntilServing(fleet.hosts);
+	});
+
+	after(async () => {
+		await Promise.all([engine, registry, ordering].map(async target => target.stop()));
+		await fleet.stop();
+	});
+
+	/** Waits until each host answers keyed calls of both customers and orders. */
+	async function waitUntilServing(hosts: readonly DaemonProcess[]): Promise<void> {
+		await Promise.all(hosts.map(async host => waitFor(`service at ${host.peer.id}`, async () => {
+			const answers = await Promise.all([send(host, '/registry/ready', yardKey), chat(host, 1), order(host, `ready-${host.peer.id}-${performance.now()}`)]);
+			return answers.every(({status}) => status === 200) || undefined;
+		})));
+	}
+
+	async function waitForLeader(hosts: readonly DaemonProcess[], isWanted: (leader: string) => boolean = () => true): Promise<DaemonProcess> {
+		return waitFor('a leader', async () => {
+			const answers = await Promise.all(hosts.map(async host => admin<Status>(host, '/v1/status')));
+			const leader = answers[0]?.leader ?? undefined;
+			return leader !== undefined && isWanted(leader) && answers.every(answer => answer.leader === leader) ? fleet.hosts.find(host => host.peer.id === leader) : undefined;
+		});
+	}
+
+	async function getVersion(host: DaemonProcess): Promise<number> {
+		const {version} = await admin<{version: number}>(host, '/v1/config');
+		return version;
+	}
+
+	/** Sends a keyed call again and again until it is refused, and returns the refusal. */
+	async function waitForRefusal(host: DaemonProcess, headers: Record<string, string>): Promise<RecordedAnswer> {
+		return waitFor(`a refusal at ${host.peer.id}`, async () => {
+			const answer = await send(host, '/registry/mark', headers);
+			return answer.status === 200 ? undefined : answer;
+		});
+	}
+
+	// Guards against a cut-off zone that goes on honouring keys or runs what it cannot record, and against one that stops serving what needs neither.
+	it('serves in a cut-off zone what needs neither a key lease nor a record', async () => {
+		const host = fleet.getHost(2);
+		const sentBefore = engine.sentChunks;
+		const stream = chat(host, 1200);
+		await waitFor('the first tokens', () => engine.sentChunks > sentBefore + 3 || undefined);
+		fleet.cutZone('zone-c');
+		const startedMs = performance.now();
+		const [open, keyed, recorded] = await Promise.all([send(host, '/public/mark'), send(host, '/registry/mark', yardKey), order(host, 'cut-off')]);
+		const refusal = await waitForRefusal(host, yardKey);
+		const late = await waitFor('the end of the key lease', async () => {
+			const answer = await send(host, '/registry/mark', yardKey);
+			return answer.body.includes('zone-cut-off') ? answer : undefined;
+		});
+		const whole = await stream;
+		expect(ordering.runs).not.to.include('cut-off');
+		expect(whole.body.match(/"seq":/gv)?.length).to.equal(1200);
+		expect({
+			open, keyed, recorded, late, 'open later': await send(host, '/public/mark'), isStreamWhole: whole.body.includes('[DONE]'),
+		}).toMatchSnapshot();
+	});
+
+	// Guards against a withdrawal that is called final while a cut-off host still honours the key, and against knowledge that turns back.
+	it('reports a withdrawal as pending until a cut-off host can no longer honour the key', async () => {
+		const [host, near] = [fleet.getHost(3), fleet.getHost(0)];
+		const before = await getVersion(host);
+		fleet.cutZone('zone-c');
+		const leader = await waitForLeader([near, fleet.getHost(1)], id => id === 'host-1' || id === 'host-2');
+		const first = await waitFor('an accepted withdrawal', async () => {
+			const answer = await admin<Withdrawal>(leader, '/v1/keys/port-1/withdraw', {requestId: 'withdraw-port-1'});
+			return answer.result === 'unavailable' ? undefined : answer;
+		});
+		expect(first).to.deep.include({result: 'pending'});
+		expect(first.waitingFor).to.include.members(['host-3', 'host-4']);
+		const seen: string[] = [];
+		await waitFor('the withdrawal in force', async () => {
+			const [answer, state] = await Promise.all([send(host, '/registry/mark', portKey), admin<Withdrawal>(leader, '/v1/keys/port-1/withdrawal')]);
+			seen.push(`${state.result} ${answer.status === 200 ? 'served' : 'refused'}`);
+			return state.result === 'in-force' || undefined;
+		});
+		expect(seen).not.to.include('in-force served');
+		const refused = await Promise.all([fleet.getHost(2), host].map(async cut => send(cut, '/registry/mark', portKey)));
+		const versions = [await getVersion(host)];
+		await fleet.heal();
+		await waitFor('service after healing', async () => {
+			versions.push(await getVersion(host));
+			const answer = await send(host, '/registry/mark', yardKey);
+			return answer.status === 200 || undefined;
+		});
+		expect(versions).to.deep.equal(versions.toSorted((a, b) => a - b));
+		expect(versions.at(-1)).to.be.greaterThan(before);
+		expect({refused, 'after healing': await send(host, '/registry/mark', portKey)}).toMatchSnapshot();
+	});
+});
--- a/dev/testkit/src/fleet.ts
+++ b/dev/testkit/src/fleet.ts
@@ -7,6 +7,7 @@
 import type {ConfigDocument, PeerHost, Settings} from '@egretrill/common';
 import {stringify} from 'yaml';
 import {DaemonProcess} from './daemon-process.js';
+import {Link} from './link.js';
 import {findPorts} from './ports.js';
 
 export type FleetOptions = {
@@ -15,8 +16,15 @@
 	readonly zones: readonly string[];
 	readonly config: ConfigDocument;
 	readonly settings?: Partial<Settings>;
+	/** Puts a link between each ordered pair of hosts. */
+	readonly hasLinks?: boolean;
+	/** Settings that differ from host to host. */
+	readonly getSettings?: (host: PeerHost, dir: string) => Partial<Settings>;
 };
 
+/** The relay of the connections that one host opens to another. */
+type HostLink = {readonly from: PeerHost; readonly to: PeerHost; readonly link: Link};
+
 export const OPERATOR_KEY = 'operator-credential';
 export const MONITOR_KEY = 'monitor-credential';
 
@@ -31,6 +39,16 @@
 	}));
 }
 
+async function createLinks(peers: readonly PeerHost[]): Promise<readonly HostLink[]> {
+	const pairs = peers.flatMap(from => peers.filter(to => to.id !== from.id).map(to => ({from, to})));
+	return Promise.all(pairs.map(async pair => ({...pair, link: await Link.open(pair.to.address)})));
+}
+
+/** The peers as one host sees them, behind its own links. */
+function getLinkedPeers(peers: readonly PeerHost[], links: readonly HostLink[], self: PeerHost): readonly PeerHost[] {
+	return peers.map(to => ({...to, address: links.find(link => link.from.id === self.id && link.to.id === to.id)?.link.address ?? to.address}));
+}
+
 function createSettings(opts: FleetOptions, peers: readonly PeerHost[], self: PeerHost, dir: string): Partial<Settings> {
 	const any = '127.0.0.1:0';
 	return {
@@ -47,6 +65,7 @@
 		monitorKeyDigest: getDigest(MONITOR_KEY),
 		...(self.voter && {dataDir: path.join(dir, self.id)}),
 		...opts.settings,
+		...opts.getSettings?.(self, dir),
 	};
 }
 
@@ -56,21 +75,22 @@
 	static async start(opts: FleetOptions): Promise<Fleet> {
 		const dir = await mkdtemp(path.join(tmpdir(), 'egretrill-'));
 		const peers = await createPeers(opts);
+		const links = opts.hasLinks ? await createLinks(peers) : [];
 		const configFile = path.join(dir, 'config.yaml');
 		await writeFile(configFile, stringify(opts.config));
 		const hosts = await Promise.all(peers.map(async self => {
 			await mkdir(path.join(dir, self.id), {recursive: true});
 			const file = path.join(dir, `${self.id}.yaml`);
-			await writeFile(file, stringify(createSettings(opts, peers, self, dir)));
+			await writeFile(file, stringify(createSettings(opts, getLinkedPeers(peers, links, self), self, dir)));
 			return new DaemonProcess(self, file, configFile);
 		}));
-		const fleet = new Fleet(dir, hosts);
+		const fleet = new Fleet(dir, hosts, links);
 		await Promise.all(hosts.map(async host => host.start()));
 		await Promise.all(hosts.map(async host => host.waitUntilReady()));
 		return fleet;
 	}
 
-	private constructor(readonly dir: string, readonly hosts: readonly DaemonProcess[]) {}
+	private constructor(readonly dir: string, readonly hosts: readonly DaemonProcess[], private readonly links: readonly HostLink[]) {}
 
 	getHost(index: number): DaemonProcess {
 		const host = this.hosts[index];
@@ -86,8 +106,38 @@
 		return this.hosts.filter(host => host.peer.zone === zone).map(host => host.addresses.targets);
 	}
 
+	/** Cuts a zone off from all others in both directions. */
+	cutZone(zone: string): void {
+		for (const {from, to, link} of this.links) {
+			if ((from.zone === zone) !== (to.zone === zone)) {
+				link.cut('forward', 'backward');
+			}
+		}
+	}
+
+	/** Loses everything that one host sends to another: its calls, and its answers to the other's calls. */
+	cutOneWay(from: PeerHost, to: PeerHost): void {
+		this.getLink(from, to).cut('forward');
+		this.getLink(to, from).cut('backward');
+	}
+
+	async heal(): Promise<void> {
+		await Promise.all(this.links.map(async ({link}) => link.heal()));
+	}
+
+	/** The link of the connections that one host opens to another. */
+	getLink(from: PeerHost, to: PeerHost): Link {
+		const found = this.links.find(link => link.from.id === from.id && link.to.id === to.id);
+		if (!found) {
+			throw new Error(`There is no link from ${from.id} to ${to.id}.`);
+		}
+
+		return found.link;
+	}
+
 	async stop(): Promise<void> {
 		await Promise.all(this.hosts.map(async host => host.kill()));
+		await Promise.all(this.links.map(async ({link}) => link.refuse()));
 		await rm(this.dir, {recursive: true, force: true});
 	}
 }
--- /dev/null
+++ b/dev/testkit/src/link.ts
@@ -0,0 +1,116 @@
+import {once} from 'node:events';
+import {
+	type AddressInfo, connect, createServer, type Server, type Socket,
+} from 'node:net';
+
+/** The way of bytes through a link: `forward` is from the side that connects to the one that listens. */
+export type LinkDirection = 'forward' | 'backward';
+
+type Pipe = {readonly from: Socket; readonly to: Socket; readonly direction: LinkDirection};
+
+/** A TCP relay whose directions tests cut and heal. */
+export class Link {
+	/** Opens a relay on a port of its own. */
+	static async open(target: string): Promise<Link> {
+		const link = new Link(target);
+		await link.listen(0);
+		return link;
+	}
+
+	private port = 0;
+	private server: Server | undefined;
+	private readonly cuts = new Set<LinkDirection>();
+	private readonly pipes = new Set<Pipe>();
+
+	private constructor(private readonly target: string) {}
+
+	get address(): string {
+		return `127.0.0.1:${this.port}`;
+	}
+
+	/** Lets bytes of one direction wait without closing a connection, as lost packets do; new connections are accepted and stay silent. */
+	cut(...directions: readonly LinkDirection[]): void {
+		for (const direction of directions) {
+			this.cuts.add(direction);
+		}
+
+		for (const {from, to, direction} of this.pipes) {
+			if (this.cuts.has(direction)) {
+				from.unpipe(to);
+			}
+		}
+	}
+
+	/** Closes all connections and refuses new ones. */
+	async refuse(): Promise<void> {
+		const {server} = this;
+		this.server = undefined;
+		for (const {from, to} of this.pipes) {
+			from.destroy();
+			to.destroy();
+		}
+
+		if (server) {
+			server.close();
+			await once(server, 'close');
+		}
+	}
+
+	/** Relays again; bytes that waited are delivered, as after retransmission. */
+	async heal(): Promise<void> {
+		const cut = new Set(this.cuts);
+		this.cuts.clear();
+		for (const {from, to, direction} of this.pipes) {
+			if (cut.has(direction) && from.destroyed) {
+				to.destroy();
+			} else if (cut.has(direction)) {
+				from.pipe(to);
+			}
+		}
+
+		if (!this.server) {
+			await this.listen(this.port);
+		}
+	}
+
+	private async listen(port: number): Promise<void> {
+		this.server = createServer(near => {
+			this.accept(near);
+		});
+		this.server.listen(port, '127.0.0.1');
+		await once(this.server, 'listening');
+		this.port = (this.server.address() as AddressInfo).port;
+	}
+
+	private accept(near: Socket): void {
+		const separator = this.target.lastIndexOf(':');
+		const far = connect(Number(this.target.slice(separator + 1)), this.target.slice(0, separator));
+		this.relay({from: near, to: far, direction: 'forward'});
+		this.relay({from: far, to: near, direction: 'backward'});
+	}
+
+	private relay(pipe: Pipe): void {
+		const {from, to, direction} = pipe;
+		this.pipes.add(pipe);
+		from.on('error', () => {
+			// The close event that follows ends the other side.
+		});
+		const forget = (): void => {
+			if (from.destroyed && to.destroyed) {
+				this.pipes.delete(pipe);
+			}
+		};
+
+		to.on('close', forget);
+		from.on('close', () => {
+			if (!this.cuts.has(direction)) {
+				to.destroy();
+			}
+
+			forget();
+		});
+		if (!this.cuts.has(direction)) {
+			from.pipe(to);
+		}
+	}
+}
