egretrilld: promises under failure with processes; crashes noticed at once, near zones preferred

A target that died stayed in the directory for 2 s, so its crash was never counted and one request killed three engines; all zones counted as equally near, so a host did not return to its own zone's engine within 20 s of its return. Change: after an accepted failure the host probes the target; a refused connection counts as a crash, reported to the leader before any retry, and at most one retry follows; new blocks wake waiting follow polls. Zones have distances (1 ms, 30 ms to other regions). Ruled out: poison counting at the leader and the return ramp, both of which have their own passing tests.

--- a/apps/egretrilld/src/callers/daemon-observer.ts
+++ b/apps/egretrilld/src/callers/daemon-observer.ts
@@ -51,10 +51,10 @@
 		}
 	}
 
-	override noteCrash(fingerprint: string, startId: string): void {
+	override async noteCrash(fingerprint: string, startId: string): Promise<void> {
 		const leaderId = this.opts.getLeaderId();
 		if (leaderId !== undefined) {
-			void this.opts.peers.call(leaderId, crashMethod, {fingerprint, startId});
+			await this.opts.peers.call(leaderId, crashMethod, {fingerprint, startId});
 		}
 	}
 }
--- a/apps/egretrilld/src/constants.ts
+++ b/apps/egretrilld/src/constants.ts
@@ -14,3 +14,12 @@
 /** Blocked requests reach the admission of this host at least this often. */
 export const CONFIG_SYNC_INTERVAL_MS = 250;
 export const INITIAL_CONFIG_RETRY_MS = 500;
+
+/** A target that neither accepts nor refuses a connection for this long may still live. */
+export const PROBE_TIMEOUT_MS = 500;
+
+/** Distance assumed between zones of one region, so that near targets are preferred at equal load. */
+export const ZONE_DISTANCE_MS = 1;
+
+/** Distance assumed between regions. */
+export const REGION_DISTANCE_MS = 30;
--- a/apps/egretrilld/src/container.ts
+++ b/apps/egretrilld/src/container.ts
@@ -104,7 +104,7 @@
 		},
 	})).inSingletonScope();
 	container.bind(tokens.config).toDynamicValue(ctx => new LiveConfig(ctx.get(tokens.origin))).inSingletonScope();
-	container.bind(tokens.zones).toDynamicValue(ctx => new ZoneStates(ctx.get(tokens.clock), ctx.get(tokens.config))).inSingletonScope();
+	container.bind(tokens.zones).toDynamicValue(ctx => new ZoneStates(ctx.get(tokens.clock), ctx.get(tokens.config), settings)).inSingletonScope();
 }
 
 function createPolicy(name: Settings['routingPolicy'], belief: PrefixBelief): RoutingPolicy {
--- a/apps/egretrilld/src/daemon.ts
+++ b/apps/egretrilld/src/daemon.ts
@@ -106,6 +106,7 @@
 		const clock = this.container.get(tokens.clock);
 		const origin = this.container.get(tokens.origin);
 		let applied = 0;
+		let blockedCount = 0;
 		while (!signal.aborted) {
 			const config = origin.getConfig();
 			if (config && config.version !== applied) {
@@ -113,7 +114,13 @@
 				this.container.get(tokens.shares).setCustomers(config.document.customers);
 			}
 
-			this.container.get(tokens.poison).update(origin.getBlocked());
+			const blocked = origin.getBlocked();
+			this.container.get(tokens.poison).update(blocked);
+			if (blocked.length !== blockedCount) {
+				blockedCount = blocked.length;
+				this.container.get(tokens.logger).warn({count: blocked.length}, 'Blocked requests changed.');
+			}
+
 			await origin.changed.wait(clock, CONFIG_SYNC_INTERVAL_MS, signal);
 		}
 	}
--- a/apps/egretrilld/src/handlers.ts
+++ b/apps/egretrilld/src/handlers.ts
@@ -71,6 +71,8 @@
 		}),
 		bindMethod(crashMethod, async report => {
 			duties.getTenure().poison.report(report);
+			// Hosts that wait for a change learn of a new block at once.
+			container.get(tokens.origin).changed.notify();
 			return {};
 		}),
 		bindMethod(loadPermitMethod, async req => duties.getTenure().loads.requestPermit(req, clock.now())),
--- a/apps/egretrilld/src/targets/directory-pool.ts
+++ b/apps/egretrilld/src/targets/directory-pool.ts
@@ -9,6 +9,7 @@
 } from '@egretrill/engines';
 import {Result} from 'true-myth';
 import {POOL_RETRY_MS} from '../constants.js';
+import {isConnectionRefused} from './probe.js';
 
 export type DirectoryPoolOptions = {
 	readonly clock: Clock;
@@ -57,6 +58,10 @@
 		return this.opts.directory.getEntry(this.held.choice.targetId, this.held.choice.startId) !== undefined;
 	}
 
+	override async hasEnded(): Promise<boolean> {
+		return !this.isSameStart() || isConnectionRefused(this.address.address);
+	}
+
 	override noteFirstToken(elapsedMs: number): void {
 		this.noteLatency(elapsedMs);
 	}
--- a/dev/bench/src/benches.ts
+++ b/dev/bench/src/benches.ts
@@ -2,8 +2,11 @@
 import {runConfigBench} from './config.js';
 import {runControlCostBench} from './control-cost.js';
 import {runDecisionBench} from './decision.js';
+import {runFairnessBench} from './fairness.js';
 import {runOverheadBench} from './overhead.js';
 import {runPlacementBench} from './placement.js';
+import {runRatesBench} from './rates.js';
+import {runRecoveryBench} from './recovery.js';
 import {runRoutingBench} from './routing.js';
 import {runZoneLeaveBench} from './zone-leave.js';
 
@@ -15,8 +18,11 @@
 	config: runConfigBench,
 	'control-cost': runControlCostBench,
 	decision: runDecisionBench,
+	fairness: runFairnessBench,
 	overhead: runOverheadBench,
 	placement: runPlacementBench,
+	rates: runRatesBench,
+	recovery: runRecoveryBench,
 	routing: runRoutingBench,
 	'zone-leave': runZoneLeaveBench,
 };
--- a/dev/bench/src/config.ts
+++ b/dev/bench/src/config.ts
@@ -1,7 +1,8 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {createRandom} from '@egretrill/common';
-import {type Fleet, waitFor} from '@egretrill/testkit';
-import {applyDocument, getConfig} from './admin-client.js';
+import {
+	applyDocument, type Fleet, getConfig, waitFor,
+} from '@egretrill/testkit';
 import {startBenchFleet} from './fleet-setup.js';
 import {getPercentiles} from './percentiles.js';
 
--- a/dev/bench/src/zone-leave.ts
+++ b/dev/bench/src/zone-leave.ts
@@ -1,6 +1,5 @@
 import {setTimeout as delay} from 'node:timers/promises';
-import type {Fleet} from '@egretrill/testkit';
-import {setZoneState} from './admin-client.js';
+import {type Fleet, setZoneState} from '@egretrill/testkit';
 import {BENCH_ZONES, startBenchEngine, startBenchFleet} from './fleet-setup.js';
 import {streamOnce, type StreamTimes} from './stream-client.js';
 
--- a/dev/bench/src/admin-client.ts
+++ b/dev/testkit/src/admin-client.ts
@@ -1,6 +1,7 @@
 import {type ConfigDocument} from '@egretrill/common';
-import {type DaemonProcess, OPERATOR_KEY} from '@egretrill/testkit';
 import got from 'got';
+import type {DaemonProcess} from './daemon-process.js';
+import {OPERATOR_KEY} from './fleet.js';
 
 /** One answer of the admin API. */
 export type AdminAnswer = {readonly status: number; readonly body: Readonly<Record<string, unknown>>};
@@ -29,3 +30,12 @@
 export async function setZoneState(host: DaemonProcess, zone: string, state: 'in-service' | 'taken-out'): Promise<AdminAnswer> {
 	return send(`http://${host.addresses.admin}/v1/zones/${zone}/state`, {state});
 }
+
+/** Withdraws a key; the answer says whether any host may still honour it. */
+export async function withdrawKey(host: DaemonProcess, keyId: string): Promise<AdminAnswer> {
+	return send(`http://${host.addresses.admin}/v1/keys/${keyId}/withdraw`, {});
+}
+
+export async function getWithdrawal(host: DaemonProcess, keyId: string): Promise<AdminAnswer> {
+	return send(`http://${host.addresses.admin}/v1/keys/${keyId}/withdrawal`);
+}
--- /dev/null
+++ b/dev/testkit/src/target-process.ts
@@ -0,0 +1,52 @@
+import {type ChildProcess, spawn} from 'node:child_process';
+import {once} from 'node:events';
+import {createRequire} from 'node:module';
+import path from 'node:path';
+import process from 'node:process';
+import {createInterface} from 'node:readline';
+import type {EngineOptions, Faults} from '@egretrill/stand-ins';
+import got from 'got';
+
+type TargetOptions =
+	| ({readonly kind: 'engine'} & Partial<EngineOptions> & Pick<EngineOptions, 'targetId' | 'zone' | 'hosts'>)
+	| {readonly kind: 'service'; readonly targetId: string; readonly zone: string; readonly service: string; readonly hosts: readonly string[]};
+
+/** What a stand-in itself knows to have happened. */
+export type TargetBooks = {
+	readonly runs?: readonly string[]; readonly begunRequests?: readonly string[]; readonly peakRunning?: number; readonly memoryMb?: number; readonly peakMemoryMb?: number;
+};
+
+const mainFile = path.join(path.dirname(createRequire(import.meta.url).resolve('@egretrill/stand-ins')), 'main.js');
+
+/** A stand-in target as a process of its own, which tests may kill. */
+export class TargetProcess {
+	/** Starts a target and waits until it listens. */
+	static async start(opts: TargetOptions): Promise<TargetProcess> {
+		const child = spawn(process.execPath, [mainFile, JSON.stringify(opts)], {stdio: ['ignore', 'pipe', 'inherit']});
+		const [line] = await once(createInterface({input: child.stdout}), 'line') as [string];
+		const {address} = JSON.parse(line) as {address: string};
+		return new TargetProcess(child, address);
+	}
+
+	private constructor(private readonly child: ChildProcess, readonly address: string) {}
+
+	get isAlive(): boolean {
+		return this.child.exitCode === null && this.child.signalCode === null;
+	}
+
+	async setFaults(faults: Faults): Promise<void> {
+		await got.post(`http://${this.address}/faults`, {json: faults, retry: {limit: 0}});
+	}
+
+	async getBooks(): Promise<TargetBooks> {
+		return got(`http://${this.address}/books`, {retry: {limit: 0}}).json<TargetBooks>();
+	}
+
+	async kill(): Promise<void> {
+		if (this.isAlive) {
+			const ended = once(this.child, 'exit');
+			this.child.kill('SIGKILL');
+			await ended;
+		}
+	}
+}
--- a/packages/callers/src/constants.ts
+++ b/packages/callers/src/constants.ts
@@ -6,6 +6,9 @@
 
 export const MAX_ATTEMPTS = 3;
 
+/** A request whose target's process ended is tried once more at most, since it may itself be the cause. */
+export const MAX_ATTEMPTS_AFTER_CRASH = 2;
+
 /** Tokens assumed per character of a prompt, used only until the engine reports its count. */
 export const TOKENS_PER_CHARACTER = 0.25;
 
--- a/packages/callers/src/decide-retry.ts
+++ b/packages/callers/src/decide-retry.ts
@@ -1,7 +1,7 @@
 import {
 	mayHaveRun, refuse, type SendFailure, type Verdict,
 } from '@egretrill/common';
-import {MAX_ATTEMPTS} from './constants.js';
+import {MAX_ATTEMPTS, MAX_ATTEMPTS_AFTER_CRASH} from './constants.js';
 
 /** A failed attempt, with what the caller has already received of the answer. */
 export type FailedAttempt = {
@@ -11,6 +11,7 @@
 	readonly isDeterministic: boolean;
 	readonly deliveredChunks: number;
 	readonly isSameStartAlive: boolean;
+	readonly hasTargetEnded: boolean;
 };
 
 export type RetryDecision =
@@ -35,7 +36,8 @@
 export function decideRetry(failed: FailedAttempt, takeRetry: () => boolean): RetryDecision {
 	const giveUp: RetryDecision = {next: 'give-up', verdict: getFinalVerdict(failed)};
 	const mayRepeat = failed.isIdempotent || !failed.failure.accepted;
-	if (!mayRepeat || failed.attempt >= MAX_ATTEMPTS) {
+	const maxAttempts = failed.hasTargetEnded ? MAX_ATTEMPTS_AFTER_CRASH : MAX_ATTEMPTS;
+	if (!mayRepeat || failed.attempt >= maxAttempts) {
 		return giveUp;
 	}
 
@@ -44,7 +46,7 @@
 	}
 
 	// The engine that began the answer holds its sampling state; another one gives the same text only if sampling is fixed.
-	if (failed.isSameStartAlive && takeRetry()) {
+	if (failed.isSameStartAlive && !failed.hasTargetEnded && takeRetry()) {
 		return {next: 'resume-same'};
 	}
 
--- a/packages/callers/src/request-parts.ts
+++ b/packages/callers/src/request-parts.ts
@@ -25,7 +25,7 @@
 	abstract noteTimes(times: RequestTimes): void;
 	abstract noteEnd(customer: string, outcome: 'completed' | 'cancelled' | Verdict): void;
 	/** Notes that a target's process ended while it ran a request. */
-	abstract noteCrash(fingerprint: string, startId: string): void;
+	abstract noteCrash(fingerprint: string, startId: string): Promise<void>;
 }
 
 /** Everything that the handling of one request uses. */
--- a/packages/callers/src/run-on-targets.ts
+++ b/packages/callers/src/run-on-targets.ts
@@ -114,9 +114,15 @@
 }
 
 /** Says what follows a failed attempt: the state of the next one, or the verdict that ends the request. */
-function getNextState(exchange: Exchange, chosen: ChosenTarget, state: RunState, failed: FailedResult): Result<RunState, Verdict> {
+async function getNextState(exchange: Exchange, chosen: ChosenTarget, state: RunState, failed: FailedResult): Promise<Result<RunState, Verdict>> {
 	const {parts, work, req} = exchange;
 	const {targetId, startId} = chosen.address;
+	const hasTargetEnded = failed.failure.accepted && await chosen.hasEnded();
+	if (hasTargetEnded) {
+		// The leader hears of the crash before the request is tried anywhere else.
+		await parts.observer.noteCrash(exchange.fingerprint, startId);
+	}
+
 	const decision = decideRetry({
 		failure: failed.failure,
 		attempt: state.attempt,
@@ -124,14 +130,11 @@
 		isDeterministic: work.isDeterministic,
 		deliveredChunks: failed.deliveredChunks,
 		isSameStartAlive: chosen.isSameStart(),
+		hasTargetEnded,
 	}, () => parts.retries.tryRetry());
 	parts.logger.info({
 		requestId: req.requestId, targetId, attempt: state.attempt, failure: failed.failure.code, next: decision.next,
 	}, 'An attempt failed.');
-	if (failed.failure.accepted && !chosen.isSameStart()) {
-		parts.observer.noteCrash(exchange.fingerprint, startId);
-	}
-
 	if (decision.next === 'give-up') {
 		return Result.err(decision.verdict);
 	}
@@ -179,7 +182,7 @@
 			return Result.ok(result);
 		}
 
-		const next = getNextState(exchange, chosen.value, state, result);
+		const next = await getNextState(exchange, chosen.value, state, result);
 		if (next.isErr) {
 			return Result.err(withEarlierAttempt(next.error, state));
 		}
--- a/packages/callers/src/target-pool.ts
+++ b/packages/callers/src/target-pool.ts
@@ -26,6 +26,8 @@
 	abstract isAvailable(): boolean;
 	/** True while the process that was chosen still announces itself, even if it takes no new work. */
 	abstract isSameStart(): boolean;
+	/** Whether the process that was chosen has ended, which a refused connection shows before its announcements expire. */
+	abstract hasEnded(): Promise<boolean>;
 	/** Notes the time until the first part of the answer. */
 	abstract noteFirstToken(elapsedMs: number): void;
 	/** Says how the exchange ended; must be called exactly once. */
--- a/packages/hosts/src/fleet/fleet-origin.ts
+++ b/packages/hosts/src/fleet/fleet-origin.ts
@@ -27,11 +27,11 @@
 	/** Forwards notifications of both sources until the signal aborts. */
 	async run(signal: AbortSignal): Promise<void> {
 		const {clock, follower} = this.opts;
-		let seen = 0;
+		let seen = '';
 		while (!signal.aborted) {
-			const version = this.getConfig()?.version ?? 0;
-			if (version !== seen) {
-				seen = version;
+			const state = `${this.getConfig()?.version ?? 0}/${this.getBlocked().length}`;
+			if (state !== seen) {
+				seen = state;
 				this.changed.notify();
 			}
 
--- a/packages/hosts/src/follow/config-follower.ts
+++ b/packages/hosts/src/follow/config-follower.ts
@@ -112,7 +112,12 @@
 		}
 
 		this.leaderId = answer.leaderId;
-		this.blocked = answer.blocked ?? [];
+		const blocked = answer.blocked ?? [];
+		if (blocked.length !== this.blocked.length) {
+			this.changed.notify();
+		}
+
+		this.blocked = blocked;
 		this.confirmedMs = Math.max(this.confirmedMs, sentMs - answer.ageMs);
 		return true;
 	}
