limits: count running requests as spent while others wait for the rate

Cause: reserved tokens of running requests stay outstanding up to 2 s, so with a burst below 2 s of the rate the level cannot grow and a customer stays below its rate. Change: while the owner reports a shortage, a host settles the running requests of that customer in full; their unused tokens are then not returned. Conclusion: the rate is reached with small bursts too, at the price of refunds during a shortage.

--- a/dev/bench/src/admission.ts
+++ b/dev/bench/src/admission.ts
@@ -1,2 +1,2 @@
-// The public interface of the callers package does not re-export the admission parts yet.
+// The public interface of the callers package does not export FairQueue.
 export * from '../../../packages/callers/src/admission-parts.js';
--- a/packages/callers/src/limits/customer-share.ts
+++ b/packages/callers/src/limits/customer-share.ts
@@ -25,8 +25,8 @@
 
 type Draw = {readonly grant: HeldGrant; readonly taken: Amounts};
 
-/** Tokens drawn for one request. */
-export type Drawn = {readonly draws: readonly Draw[]; readonly expiresAtMs: number};
+/** What was drawn for one request; `open` is not settled yet. */
+export type Drawn = {readonly draws: readonly Draw[]; readonly expiresAtMs: number; open: Amounts};
 
 /** A request that waits for the next grant. */
 export type RateWaiter = {readonly need: Amounts; readonly sinceMs: number; readonly onDrawn: (drawn: Drawn) => void};
@@ -38,6 +38,8 @@
 	/** Sum of what the waiting requests need. */
 	private queued = NO_AMOUNTS;
 	private demand = NO_AMOUNTS;
+	/** Requests written to a target that still hold tokens. */
+	private readonly running = new Set<Drawn>();
 	private demandAtMs = 0;
 	private retryAtMs = 0;
 	private shortUntilMs = Number.NEGATIVE_INFINITY;
@@ -93,6 +95,11 @@
 
 	/** Settles what a request used of the reserved amounts; the rest is free again where its grant is still valid. */
 	settle(drawn: Drawn, reserved: Amounts, actual: Amounts, nowMs: number): void {
+		drawn.open = subtractAmounts(drawn.open, reserved);
+		if (!hasAmounts(drawn.open)) {
+			this.running.delete(drawn);
+		}
+
 		let left = actual;
 		for (const {grant, taken} of drawn.draws) {
 			const part = minAmounts(taken, reserved);
@@ -107,6 +114,12 @@
 		this.serveWaiters(nowMs);
 	}
 
+	/** Settles the request unit of a request that is about to be written to its target. */
+	start(drawn: Drawn, nowMs: number): void {
+		this.running.add(drawn);
+		this.settle(drawn, {tokens: 0, requests: 1}, {tokens: 0, requests: 1}, nowMs);
+	}
+
 	isWaiting(): boolean {
 		return this.waiters.length > 0;
 	}
@@ -120,6 +133,7 @@
 	buildExchange(ownerTerm: number, nowMs: number): CustomerExchange | undefined {
 		this.grants = this.grants.filter(grant => isValid(grant, nowMs));
 		const target = this.getTarget(nowMs);
+		this.settleRunning(nowMs);
 		this.returnUnneeded(target, ownerTerm, nowMs);
 		const free = this.getFree(nowMs);
 		const [head] = this.waiters;
@@ -206,7 +220,21 @@
 			draws.push({grant, taken});
 		}
 
-		return {draws, expiresAtMs};
+		return {draws, expiresAtMs, open: need};
+	}
+
+	/**
+	 * Counts running requests as spent in full while others wait for the rate. Their tokens would hold back the level until
+	 * they end or expire, which with a burst below 2 s of the rate keeps a customer below its rate.
+	 */
+	private settleRunning(nowMs: number): void {
+		for (const drawn of this.running) {
+			if (nowMs < this.shortUntilMs) {
+				this.settle(drawn, drawn.open, drawn.open, nowMs);
+			} else if (drawn.expiresAtMs <= nowMs) {
+				this.running.delete(drawn);
+			}
+		}
 	}
 
 	private returnUnneeded(target: Amounts, ownerTerm: number, nowMs: number): void {
--- a/packages/callers/src/limits/share-holder.ts
+++ b/packages/callers/src/limits/share-holder.ts
@@ -2,7 +2,7 @@
 	jitter, refuse, Signal, type Clock, type Customer, type Random, type Verdict,
 } from '@egretrill/common';
 import {Result} from 'true-myth';
-import {hasAmounts, NO_AMOUNTS, subtractAmounts} from './amounts.js';
+import {hasAmounts, NO_AMOUNTS} from './amounts.js';
 import {
 	EXCHANGE_PERIOD_MS, EXCHANGE_TIMEOUT_MS, IDLE_WAIT_MS, MAX_FAILURE_BACKOFF_MS, MAX_REPEAT_AGE_MS, MIN_EXCHANGE_GAP_MS, MIN_FAILURE_BACKOFF_MS, SHARE_TTL_MS,
 } from './constants.js';
@@ -38,16 +38,11 @@
 
 /** One request and its tokens, reserved from a customer's share. */
 export class Reservation {
-	/** What `settle` or `cancel` still has to account for. */
-	private open: Amounts;
-
-	constructor(private readonly share: CustomerShare, private readonly drawn: Drawn, readonly tokens: number, private readonly clock: Clock) {
-		this.open = {tokens, requests: 1};
-	}
+	constructor(private readonly share: CustomerShare, private readonly drawn: Drawn, readonly tokens: number, private readonly clock: Clock) {}
 
 	/** Whether the share may still be spent. */
 	isFresh(): boolean {
-		return hasAmounts(this.open) && this.clock.now() < this.drawn.expiresAtMs;
+		return hasAmounts(this.drawn.open) && this.clock.now() < this.drawn.expiresAtMs;
 	}
 
 	/**
@@ -59,23 +54,18 @@
 			return false;
 		}
 
-		this.close({tokens: 0, requests: 1}, {tokens: 0, requests: 1});
+		this.share.start(this.drawn, this.clock.now());
 		return true;
 	}
 
 	/** Returns the unused tokens, unless the share has expired; the request counts as spent. Repeated calls have no effect. */
 	settle(actualTokens: number): void {
-		this.close(this.open, {tokens: Math.max(0, Math.ceil(actualTokens)), requests: 1});
+		this.share.settle(this.drawn, this.drawn.open, {tokens: Math.max(0, Math.ceil(actualTokens)), requests: 1}, this.clock.now());
 	}
 
 	/** Returns everything that is still reserved, for a request that was not run. */
 	cancel(): void {
-		this.close(this.open, NO_AMOUNTS);
-	}
-
-	private close(reserved: Amounts, actual: Amounts): void {
-		this.open = subtractAmounts(this.open, reserved);
-		this.share.settle(this.drawn, reserved, actual, this.clock.now());
+		this.share.settle(this.drawn, this.drawn.open, NO_AMOUNTS, this.clock.now());
 	}
 }
 
--- a/packages/callers/tests/share-holder.test.ts
+++ b/packages/callers/tests/share-holder.test.ts
@@ -79,6 +79,29 @@
 		expect(log).toMatchSnapshot();
 	});
 
+	it('keeps a customer at its rate when its running requests hold more than its burst', async () => {
+		const slow = createCustomer('slow', {tokensPerSecond: 100, burstTokens: 100});
+		const fleet = new Fleet(SEED, [slow]);
+		await advance(fleet.clock, 6000);
+		const {holder, clock} = fleet.hosts[0]!;
+		let started = 0;
+		const runLongRequest = async (): Promise<void> => {
+			const result = await holder.acquire({
+				customer: 'slow', tokens: 50, requests: 1, deadlineMs: clock.now() + 10_000,
+			});
+			started += result.isOk && result.value.start() ? 1 : 0;
+		};
+
+		for (let i = 0; i < 10; i++) {
+			void runLongRequest();
+		}
+
+		// 500 tokens take 4 s beyond the burst; one more second covers the exchanges.
+		await advance(fleet.clock, 5000);
+		expect(started).to.equal(10);
+		await fleet.stop();
+	});
+
 	it('lets no share start after its lifetime, which its owner counts as spent', async () => {
 		const {fleet, acquire} = await createRun();
 		const reservation = acquire(100, 1000);
