--- a/dev/bench/src/placement.ts
+++ b/dev/bench/src/placement.ts
@@ -43,8 +43,8 @@
 	};
 	return {
 		...setting,
-		policies: Object.fromEntries([...runs].map(([name, {requests, inTime, moves}]) => [name, {
-			requests, inTimeShare: round(inTime / requests), inTimePerAccelerator: round(inTime / deployment.engines, 0), moves,
+		policies: Object.fromEntries([...runs].map(([name, {requests, inTime, moves, peakMb}]) => [name, {
+			requests, inTimeShare: round(inTime / requests), inTimePerAccelerator: round(inTime / deployment.engines, 0), moves, peakEngineMb: peakMb,
 		}])),
 		measured,
 		met: {
