--- /dev/null
+++ b/apps/egretrill/tests/support/lossy-proxy.ts
@@ -0,0 +1,39 @@
+import {once} from 'node:events';
+import {createServer, type Server} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {text} from 'node:stream/consumers';
+import got from 'got';
+
+/** Passes calls on to a host and loses the answers of the first ones. */
+export class LossyProxy {
+	readonly bodies: string[] = [];
+	private readonly server: Server;
+
+	constructor(target: string, private losses: number) {
+		this.server = createServer(async (req, res) => {
+			const body = await text(req);
+			this.bodies.push(body);
+			const answer = await got(`http://${target}${req.url}`, {
+				method: req.method as 'POST', body, headers: {authorization: req.headers.authorization, 'content-type': 'application/json'}, throwHttpErrors: false, retry: {limit: 0},
+			});
+			if (this.losses > 0) {
+				this.losses -= 1;
+				req.socket.destroy();
+				return;
+			}
+
+			res.writeHead(answer.statusCode, {'content-type': 'application/json'}).end(answer.body);
+		});
+	}
+
+	async start(): Promise<string> {
+		this.server.listen(0, '127.0.0.1');
+		await once(this.server, 'listening');
+		return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+	}
+
+	stop(): void {
+		this.server.closeAllConnections();
+		this.server.close();
+	}
+}
--- /dev/null
+++ b/apps/egretrill/tests/support/run-cli.ts
@@ -0,0 +1,28 @@
+import {execFile} from 'node:child_process';
+import path from 'node:path';
+import process from 'node:process';
+import {fileURLToPath} from 'node:url';
+import {normalize} from '@egretrill/testkit';
+
+const mainFile = fileURLToPath(new URL('../../dist/src/main.js', import.meta.url));
+
+/** A whole run of the command line, as snapshots keep it. */
+export type CliRun = {readonly exitCode: number; readonly stdout: string; readonly stderr: string};
+
+/** Replaces what differs from run to run; tables lose their padding, because ids and addresses differ in length. */
+export function normalizeRun(text: string, dir?: string): string {
+	return normalize(dir === undefined ? text : text.replaceAll(`${dir}${path.sep}`, ''))
+		.replaceAll(/[\da-f]{8}(?:-[\da-f]{4}){3}-[\da-f]{12}/gv, 'UUID')
+		.replaceAll(/(?<=only here:\n|"secret": ")[\w\-]{43}/gv, 'SECRET')
+		.replaceAll(/\b\d+\.\d+\b(?!\.)/gv, 'TIME')
+		.replaceAll(/ {3,}/gv, '  ');
+}
+
+/** Runs the built command line in a process of its own. */
+export async function runCli(args: readonly string[], env: Readonly<Record<string, string>> = {}, dir?: string): Promise<CliRun> {
+	return new Promise(resolve => {
+		execFile(process.execPath, [mainFile, ...args], {env, cwd: dir}, (err, stdout, stderr) => {
+			resolve({exitCode: err ? Number(err.code) : 0, stdout: normalizeRun(stdout, dir), stderr: normalizeRun(stderr, dir)});
+		});
+	});
+}
