egretrill: leave addresses whole in normalised runs

Cause: the pattern for measured times also matched parts of IP addresses. Before: '127.0.0.0/8' was shown as '127.0.TIME/8'. After: shown whole.

--- a/apps/egretrill/tests/support/run-cli.ts
+++ b/apps/egretrill/tests/support/run-cli.ts
@@ -14,7 +14,7 @@
 	return normalize(dir === undefined ? text : text.replaceAll(`${dir}${path.sep}`, ''))
 		.replaceAll(/[\da-f]{8}(?:-[\da-f]{4}){3}-[\da-f]{12}/gv, 'UUID')
 		.replaceAll(/(?<=only here:\n|"secret": ")[\w\-]{43}/gv, 'SECRET')
-		.replaceAll(/\b\d+\.\d+\b(?!\.)/gv, 'TIME')
+		.replaceAll(/(?<![.\d])\d+\.\d+(?![.\d])/gv, 'TIME')
 		.replaceAll(/ {3,}/gv, '  ');
 }
 
