--- a/apps/egretrilld/src/constants.ts
+++ b/apps/egretrilld/src/constants.ts
@@ -14,3 +14,6 @@
 /** Blocked requests reach the admission of this host at least this often. */
 export const CONFIG_SYNC_INTERVAL_MS = 250;
 export const INITIAL_CONFIG_RETRY_MS = 500;
+
+/** How often the certificate files are read again, so that a rotation needs no restart. */
+export const CERTIFICATE_REFRESH_MS = 1000;
