egretrilld: one runDaemon for both binaries; reflect polyfill for the test setup

Cause: the command line carried its own copy of the daemon's start and of the certificate reading. Change: both binaries use runDaemon of egretrilld; the copy is removed; the certificate library's polyfill is loaded by the test setup. Conclusion: one place starts a host.

--- a/apps/egretrill/src/commands/start.ts
+++ b/apps/egretrill/src/commands/start.ts
@@ -35,7 +35,7 @@
 		const settings = await restoreFile(settingsFile, restoreSettings);
 		const document = initialConfig === undefined ? undefined : await restoreFile(initialConfig, restoreConfigDocument);
 		// Only this command needs the daemon, whose modules take most of the start time.
-		const {runDaemon} = await import('../start/run-daemon.js');
+		const {runDaemon} = await import('@egretrill/egretrilld');
 		try {
 			const report = await runDaemon(settings, document);
 			return {exitCode: report.exitCode, text: JSON.stringify(report), data: report};
--- a/apps/egretrill/src/start/run-daemon.ts
+++ b/apps/egretrilld/src/run-daemon.ts
@@ -1,9 +1,10 @@
 import process from 'node:process';
 import type {ConfigDocument, Settings} from '@egretrill/common';
-import {createContainer, Daemon} from '@egretrill/egretrilld';
 import {createBlockHasher} from '@egretrill/engines';
 import type {DrainReport} from '@egretrill/platform';
-import {readPeerCredentials} from './peer-credentials.js';
+import {createContainer} from './container.js';
+import {Daemon} from './daemon.js';
+import {readPeerCredentials} from './hosts/peer-credentials.js';
 
 /** Resolves with why the daemon shall stop. */
 async function waitForStop(daemon: Daemon): Promise<string> {
--- a/dev/testkit/mocha/setup.cjs
+++ b/dev/testkit/mocha/setup.cjs
@@ -1,3 +1,5 @@
+// The certificate library of the TLS tests needs this before it is loaded.
+require('reflect-metadata');
 const chai = require('chai');
 const {jestSnapshotPlugin} = require('mocha-chai-jest-snapshot');
 
--- a/packages/engines/src/routing/target-directory.ts
+++ b/packages/engines/src/routing/target-directory.ts
@@ -37,6 +37,12 @@
 	return {...record.entry, handle: record.handle, warmth: record.warmth};
 }
 
+/** Warm targets first, then the less loaded ones; the handle makes the order total. */
+function compareForSpillover(first: TargetRecord, second: TargetRecord): number {
+	const getLoad = (record: TargetRecord): number => record.getOutstanding() / record.entry.load.limit;
+	return Number(first.isCold()) - Number(second.isCold()) || getLoad(first) - getLoad(second) || first.handle - second.handle;
+}
+
 /** The targets that one host knows, from their announcements, its zone's directory hosts and other zones. */
 export class TargetDirectory {
 	private readonly clock: Clock;
@@ -199,7 +205,7 @@
 
 		// Cold targets come last but are named: a model whose only copy is cold must stay reachable from other zones.
 		const targets = open
-			.toSorted((first, second) => Number(first.isCold()) - Number(second.isCold()) || (first.getOutstanding() / first.entry.load.limit) - (second.getOutstanding() / second.entry.load.limit) || first.handle - second.handle)
+			.toSorted((first, second) => compareForSpillover(first, second))
 			.slice(0, MAX_SUMMARY_TARGETS)
 			.map(record => getEntry(record));
 		return {zone, models: [...models.values()].slice(0, MAX_SUMMARY_MODELS), targets};
