hosts: refuse a record within 2.5 s when no leader answers

Change: FleetLog gives a record up after RECORD_DEADLINE_MS, and at once on a host whose knowledge is older than that. Partition tests cover a paused and an isolated leader, one-way loss, a restart while cut off and a withdrawal. Conclusion: a cut-off zone refuses orders within an election's time, then at once.

--- a/apps/egretrilld/tests/partition.test.ts
+++ b/apps/egretrilld/tests/partition.test.ts
@@ -1,3 +1,4 @@
+import type {ConfigDocument} from '@egretrill/common';
 import {StandInEngine, StandInService} from '@egretrill/stand-ins';
 import {
 	createLocalConfig, type DaemonProcess, exchange, Fleet, getLocalKey, OPERATOR_KEY, type RecordedAnswer, waitFor,
@@ -27,7 +28,7 @@
 }
 
 async function order(host: DaemonProcess, idempotencyKey: string): Promise<RecordedAnswer> {
-	return send(host, '/orders', {...portKey, 'idempotency-key': idempotencyKey}, idempotencyKey);
+	return send(host, '/orders', {...yardKey, 'idempotency-key': idempotencyKey}, idempotencyKey);
 }
 
 async function chat(host: DaemonProcess, tokens: number): Promise<RecordedAnswer> {
@@ -84,6 +85,16 @@
 		return version;
 	}
 
+	/** Applies a change of one customer's weight; returns the version, or 0 if it was not accepted. */
+	async function apply(host: DaemonProcess, requestId: string): Promise<number> {
+		const {document, version} = await admin<{document: ConfigDocument; version: number}>(host, '/v1/config');
+		const customers = document.customers.map(customer => customer.id === 'port' ? {...customer, weight: customer.weight + 1} : customer);
+		const answer = await admin<{result: string; version?: number}>(host, '/v1/config/apply', {
+			document: {...document, customers, version: version + 1}, follows: version, requestId,
+		});
+		return answer.result === 'accepted' ? answer.version ?? 0 : 0;
+	}
+
 	/** Sends a keyed call again and again until it is refused, and returns the refusal. */
 	async function waitForRefusal(host: DaemonProcess, headers: Record<string, string>): Promise<RecordedAnswer> {
 		return waitFor(`a refusal at ${host.peer.id}`, async () => {
@@ -98,22 +109,87 @@
 		const sentBefore = engine.sentChunks;
 		const stream = chat(host, 1200);
 		await waitFor('the first tokens', () => engine.sentChunks > sentBefore + 3 || undefined);
+		// The share of the customer is fresh when the zone is cut off.
+		await order(host, 'before');
 		fleet.cutZone('zone-c');
-		const startedMs = performance.now();
 		const [open, keyed, recorded] = await Promise.all([send(host, '/public/mark'), send(host, '/registry/mark', yardKey), order(host, 'cut-off')]);
 		const refusal = await waitForRefusal(host, yardKey);
+		expect(refusal.headers).to.deep.include({'x-egretrill-verdict': 'not-run'});
 		const late = await waitFor('the end of the key lease', async () => {
 			const answer = await send(host, '/registry/mark', yardKey);
 			return answer.body.includes('zone-cut-off') ? answer : undefined;
 		});
 		const whole = await stream;
 		expect(ordering.runs).not.to.include('cut-off');
+		// The share is taken before the record, so a call whose share has run out is refused by the share instead.
+		expect(recorded.headers['x-egretrill-verdict']).to.equal('not-run');
+		expect(recorded.body).to.match(/record-unavailable|zone-cut-off/v);
 		expect(whole.body.match(/"seq":/gv)?.length).to.equal(1200);
 		expect({
-			open, keyed, recorded, late, 'open later': await send(host, '/public/mark'), isStreamWhole: whole.body.includes('[DONE]'),
+			open, keyed, late, 'open later': await send(host, '/public/mark'), isStreamWhole: whole.body.includes('[DONE]'),
 		}).toMatchSnapshot();
 	});
 
+	// Guards against a resumed leader that acts on its old term, and against a change that is lost with its leader.
+	it('replaces a leader that is paused, and loses no change', async () => {
+		const voters = fleet.hosts.slice(0, 3);
+		const old = await waitForLeader(voters);
+		const others = voters.filter(host => host !== old);
+		const [other] = others;
+		const applied = await apply(old, 'before-pause');
+		old.pause();
+		const next = await waitForLeader(others, id => id !== old.peer.id);
+		const version = await apply(next, 'during-pause');
+		const leads = old.log.filter(line => line.msg === 'This host leads.').length;
+		old.resume();
+		const seen: number[] = [];
+		await waitFor('the resumed host', async () => {
+			const {leader, inForce} = await admin<Status>(old, '/v1/status');
+			seen.push(inForce?.version ?? 0);
+			return (leader === next.peer.id && inForce?.version === version) || undefined;
+		});
+		expect(version).to.be.greaterThan(applied);
+		expect(seen.every((value, i) => value >= (seen[i - 1] ?? applied))).to.equal(true);
+		expect(old.log.filter(line => line.msg === 'This host leads.')).to.have.length(leads);
+		expect(other && await getVersion(other)).to.equal(version);
+	});
+
+	// Guards against a leader that goes on deciding without a majority, and against two leaders that each accept a change.
+	it('lets an isolated leader decide nothing', async () => {
+		const voters = fleet.hosts.slice(0, 3);
+		const old = await waitForLeader(voters);
+		const others = voters.filter(host => host !== old);
+		fleet.cutZone(old.peer.zone);
+		const doubtful = apply(old, 'isolated');
+		const next = await waitForLeader(others, id => id !== old.peer.id);
+		const version = await apply(next, 'majority');
+		expect(await doubtful).to.equal(0);
+		const state = await admin<Withdrawal>(old, '/v1/keys/yard-1/withdrawal');
+		expect(state.result).to.equal('unavailable');
+		await fleet.heal();
+		await waitFor('the same version everywhere', async () => {
+			const versions = await Promise.all(fleet.hosts.map(async host => getVersion(host)));
+			return versions.every(value => value === version) || undefined;
+		});
+	});
+
+	// Guards against a connection that counts as live although only one direction works.
+	it('treats one-way loss as loss', async () => {
+		const voters = fleet.hosts.slice(0, 3);
+		const old = await waitForLeader(voters);
+		const others = voters.filter(host => host !== old);
+		for (const {peer} of fleet.hosts) {
+			if (peer.id !== old.peer.id) {
+				fleet.cutOneWay(peer, old.peer);
+			}
+		}
+
+		const next = await waitForLeader(others, id => id !== old.peer.id);
+		expect(await apply(next, 'one-way')).to.be.greaterThan(0);
+		const refusal = await waitForRefusal(old, yardKey);
+		expect(refusal).toMatchSnapshot();
+	});
+
 	// Guards against a withdrawal that is called final while a cut-off host still honours the key, and against knowledge that turns back.
 	it('reports a withdrawal as pending until a cut-off host can no longer honour the key', async () => {
 		const [host, near] = [fleet.getHost(3), fleet.getHost(0)];
@@ -145,4 +221,23 @@
 		expect(versions.at(-1)).to.be.greaterThan(before);
 		expect({refused, 'after healing': await send(host, '/registry/mark', portKey)}).toMatchSnapshot();
 	});
+
+	// Guards against a host that serves keyed calls on knowledge from before its restart.
+	it('is not ready after a restart while cut off', async () => {
+		const voter = fleet.getHost(2);
+		const version = await getVersion(voter);
+		fleet.cutZone('zone-c');
+		const hosts = [voter, fleet.getHost(3)];
+		await Promise.all(hosts.map(async host => host.kill()));
+		await Promise.all(hosts.map(async host => host.start()));
+		const [first, second] = await Promise.all(hosts.map(async host => exchange(`http://${host.addresses.health}/readyz`, {method: 'GET'})));
+		const keyed = await Promise.all(hosts.map(async host => send(host, '/registry/mark', yardKey)));
+		expect({first, second, keyed}).toMatchSnapshot();
+		const served = await admin<{version?: number}>(voter, '/v1/config');
+		// Without the leader it does not know which entries of its log are committed; it may show nothing, but nothing older.
+		expect([undefined, version]).to.include(served.version);
+		await fleet.heal();
+		await Promise.all(hosts.map(async host => host.waitUntilReady()));
+		expect(await getVersion(fleet.getHost(3))).to.equal(version);
+	});
 });
--- a/packages/hosts/src/constants.ts
+++ b/packages/hosts/src/constants.ts
@@ -55,5 +55,7 @@
 
 /** Time after which a command that found no leader is given up. */
 export const COMMAND_DEADLINE_MS = 5000;
+/** A record that finds no leader is given up after the longest usual election, so that a cut-off zone refuses soon. */
+export const RECORD_DEADLINE_MS = 2500;
 export const COMMAND_RETRY_MS = 50;
 export const DUTY_CHECK_MS = 50;
--- a/packages/hosts/src/fleet/fleet-log.ts
+++ b/packages/hosts/src/fleet/fleet-log.ts
@@ -1,6 +1,8 @@
 import type {Clock} from '@egretrill/common';
 import {z} from 'zod';
-import {COMMAND_DEADLINE_MS, COMMAND_RETRY_MS, PROPOSE_TIMEOUT_MS} from '../constants.js';
+import {
+	COMMAND_DEADLINE_MS, COMMAND_RETRY_MS, PROPOSE_TIMEOUT_MS, RECORD_DEADLINE_MS,
+} from '../constants.js';
 import type {ConsensusNode} from '../consensus/index.js';
 import type {PeerDirectory} from '../membership/index.js';
 import {bindMethod, defineMethod, type MethodHandler} from '../transport/index.js';
@@ -29,6 +31,8 @@
 	/** Present on the hosts that keep the log. */
 	readonly node?: FleetNode;
 	readonly getLeaderId: () => string | undefined;
+	/** Milliseconds since a leader surely confirmed this host's knowledge. */
+	readonly getAgeMs: () => number;
 };
 
 /** A second `record` finds the first one and cannot tell it from another caller's, so it is never repeated. */
@@ -46,14 +50,18 @@
 	constructor(private readonly opts: FleetLogOptions) {}
 
 	/** Proposes a command until a leader has taken it; after a doubtful answer only a command that may be repeated is sent again. */
-	async propose(command: FleetCommand, deadlineMs = COMMAND_DEADLINE_MS): Promise<CommandOutcome> {
-		const {clock} = this.opts;
+	async propose(command: FleetCommand, deadlineMs = isRepeatable(command) ? COMMAND_DEADLINE_MS : RECORD_DEADLINE_MS): Promise<CommandOutcome> {
+		const {clock, getAgeMs} = this.opts;
+		if (!isRepeatable(command) && getAgeMs() > RECORD_DEADLINE_MS) {
+			return {kind: 'not-applied', reason: 'This host is cut off from the leader.'};
+		}
+
 		const endsMs = clock.now() + deadlineMs;
 		let hint: string | undefined;
 		let isInDoubt = false;
 		for (let attempt = 0; clock.now() < endsMs; attempt++) {
 			const leaderId = hint ?? this.getCandidate(attempt);
-			const outcome = leaderId === undefined ? undefined : await this.proposeAt(leaderId, command);
+			const outcome = leaderId === undefined ? undefined : await this.proposeAt(leaderId, command, endsMs - clock.now());
 			if (outcome?.kind === 'committed') {
 				return {kind: 'committed', result: outcome.result};
 			}
@@ -85,13 +93,14 @@
 		return voters[attempt % Math.max(1, voters.length)]?.id;
 	}
 
-	private async proposeAt(hostId: string, command: FleetCommand): Promise<ProposeOutcome<FleetResult> | undefined> {
+	private async proposeAt(hostId: string, command: FleetCommand, remainingMs: number): Promise<ProposeOutcome<FleetResult> | undefined> {
 		const {node, peers, hostId: self} = this.opts;
+		const timeoutMs = Math.min(PROPOSE_TIMEOUT_MS, remainingMs);
 		if (hostId === self) {
-			return node?.propose(command);
+			return node?.propose(command, timeoutMs);
 		}
 
-		const answer = await peers.call(hostId, proposeMethod, {command}, PROPOSE_TIMEOUT_MS + 500);
+		const answer = await peers.call(hostId, proposeMethod, {command}, timeoutMs);
 		if (answer.isOk) {
 			return answer.value;
 		}
