hosts: check the fleet and host names of certificates and reload the files

Cause: the code accepted any certificate of the authority and read its files only at the start (from reading it, no run). Change: certificates carry the URI name egretrill://FLEET/HOST; the caller checks the fleet and the host, the server checks the fleet and logs a refusal. PeerDirectory logs why a host does not answer. Conclusion: links between hosts are tied to the fleet.

--- a/apps/egretrilld/src/container.ts
+++ b/apps/egretrilld/src/container.ts
@@ -11,7 +11,7 @@
 	type RoutingPolicy, TargetDirectory, TwoChoicesRouting, UnfencedOrderChannel, ZoneOwner,
 } from '@egretrill/engines';
 import {
-	ConfigFollower, FleetLog, FleetOrigin, InForceReports, MAX_OUTCOME_BODY_BYTES, PeerDirectory, ZoneLeaseKeeper, zoneLeaseMethod,
+	ConfigFollower, FleetLog, FleetOrigin, InForceReports, MAX_OUTCOME_BODY_BYTES, type PeerCredentials, PeerDirectory, ZoneLeaseKeeper, zoneLeaseMethod,
 } from '@egretrill/hosts';
 import {PromiseCounters} from '@egretrill/monitor';
 import {Drain, Metrics} from '@egretrill/platform';
@@ -21,7 +21,6 @@
 import {FleetCallLog} from './callers/fleet-call-log.js';
 import {LiveConfig} from './callers/live-config.js';
 import {GrpcShareTransport} from './callers/share-transport.js';
-import type {PeerCredentials} from './hosts/peer-credentials.js';
 import {createVoter} from './hosts/voter.js';
 import {DaemonView} from './monitor/daemon-view.js';
 import {EvidenceHolder} from './monitor/evidence-holder.js';
@@ -59,7 +58,7 @@
 
 function bindHosts(container: Container, {settings, credentials}: ContainerOptions): void {
 	container.bind(tokens.reports).toConstantValue(new InForceReports());
-	container.bind(tokens.peers).toDynamicValue(ctx => new PeerDirectory(settings, ctx.get(tokens.clock), credentials.client)).inSingletonScope();
+	container.bind(tokens.peers).toDynamicValue(ctx => new PeerDirectory(settings, ctx.get(tokens.clock), credentials, getLogger(ctx, 'hosts'))).inSingletonScope();
 	container.bind(tokens.voter).toDynamicValue(ctx => createVoter({
 		settings, clock: ctx.get(tokens.clock), random: ctx.get(tokens.random), logger: getLogger(ctx, 'log'), peers: ctx.get(tokens.peers), reports: ctx.get(tokens.reports),
 	})).inSingletonScope();
@@ -90,6 +89,7 @@
 		peers: ctx.get(tokens.peers),
 		node: ctx.get(tokens.voter)?.node,
 		getLeaderId: () => ctx.get(tokens.origin).getLeaderId(),
+		getAgeMs: () => ctx.get(tokens.origin).getAgeMs(),
 	})).inSingletonScope();
 	container.bind(tokens.lease).toDynamicValue(ctx => new ZoneLeaseKeeper({
 		hostId: settings.host,
--- a/apps/egretrilld/src/daemon.ts
+++ b/apps/egretrilld/src/daemon.ts
@@ -5,7 +5,7 @@
 import {type ConfigDocument, getComponentLogger, isVerdictError} from '@egretrill/common';
 import {createTargetApp} from '@egretrill/engines';
 import {
-	FleetOrigin, getDocumentDigest, type PeerServer, startPeerServer,
+	FleetOrigin, getDocumentDigest, type PeerCredentials, type PeerServer, startPeerServer,
 } from '@egretrill/hosts';
 import {createMonitorApp} from '@egretrill/monitor';
 import {createAdminApp} from '@egretrill/operators';
@@ -13,7 +13,6 @@
 import type {Container} from 'inversify';
 import {CONFIG_SYNC_INTERVAL_MS, INITIAL_CONFIG_RETRY_MS} from './constants.js';
 import {createHandlers} from './handlers.js';
-import type {PeerCredentials} from './hosts/peer-credentials.js';
 import {tokens} from './tokens.js';
 
 /** Addresses on which a daemon listens, with the ports that the system gave. */
@@ -45,7 +44,7 @@
 		await this.container.get(tokens.evidence).open();
 		this.peerServer = await startPeerServer({
 			address: listen.peers,
-			credentials: this.credentials.server,
+			credentials: this.credentials,
 			logger: getComponentLogger(logger, 'hosts'),
 			handlers: createHandlers(this.container, author => {
 				logger.info({author}, 'An operator asked this host to drain.');
--- a/apps/egretrilld/src/hosts/peer-credentials.ts
+++ b/apps/egretrilld/src/hosts/peer-credentials.ts
@@ -1,10 +1,10 @@
+import {X509Certificate} from 'node:crypto';
 import {readFile} from 'node:fs/promises';
 import {isIP} from 'node:net';
 import type {Settings} from '@egretrill/common';
-import {type ChannelCredentials, credentials as channelCredentials, ServerCredentials} from '@grpc/grpc-js';
-
-/** Credentials for both directions of the connections between hosts. */
-export type PeerCredentials = {readonly server: ServerCredentials; readonly client: ChannelCredentials};
+import {getHostUri, hasUri, type PeerCredentials} from '@egretrill/hosts';
+import {credentials as channelCredentials, experimental, ServerCredentials} from '@grpc/grpc-js';
+import {CERTIFICATE_REFRESH_MS} from '../constants.js';
 
 /** Settings under which hosts would talk unprotected over a network. */
 export class PlaintextError extends Error {
@@ -16,20 +16,45 @@
 	return (isIP(host) === 4 && host.startsWith('127.')) || host === '[::1]';
 }
 
-/** Reads the certificates of the settings; plaintext is allowed only on loopback and only when the settings say so. */
-export async function readPeerCredentials({tls, plaintextLoopback, listen, peers}: Settings): Promise<PeerCredentials> {
-	if (!tls) {
-		const addresses = [listen.peers, ...peers.map(peer => peer.address)];
-		if (!plaintextLoopback || !addresses.every(address => isLoopback(address))) {
-			throw new PlaintextError('Without tls, plaintextLoopback must be true and all peer addresses must be on loopback.');
-		}
+function createPlaintext({plaintextLoopback, listen, peers}: Settings): PeerCredentials {
+	const addresses = [listen.peers, ...peers.map(peer => peer.address)];
+	if (!plaintextLoopback || !addresses.every(address => isLoopback(address))) {
+		throw new PlaintextError('Without tls, plaintextLoopback must be true and all peer addresses must be on loopback.');
+	}
+
+	const plaintext = channelCredentials.createInsecure();
+	return {server: ServerCredentials.createInsecure(), getClient: () => plaintext};
+}
 
-		return {server: ServerCredentials.createInsecure(), client: channelCredentials.createInsecure()};
+/** Fails at the start on certificate files that are missing, unreadable or made out for another host. */
+async function checkOwnCertificate({fleet, host}: Settings, tls: NonNullable<Settings['tls']>): Promise<void> {
+	const [cert] = await Promise.all([readFile(tls.cert), readFile(tls.ca), readFile(tls.key)]);
+	const uri = getHostUri(fleet, host);
+	if (!(new X509Certificate(cert).subjectAltName ?? '').split(', ').includes(`URI:${uri}`)) {
+		throw new Error(`The certificate ${tls.cert} does not carry the name ${uri}.`);
+	}
+}
+
+/** Credentials from the files of the settings, which are read again while the host runs; plaintext is allowed only on loopback and only when the settings say so. */
+export async function readPeerCredentials(settings: Settings): Promise<PeerCredentials> {
+	const {tls, fleet} = settings;
+	if (!tls) {
+		return createPlaintext(settings);
 	}
 
-	const [ca, cert, key] = await Promise.all([readFile(tls.ca), readFile(tls.cert), readFile(tls.key)]);
+	await checkOwnCertificate(settings, tls);
+	const files = new experimental.FileWatcherCertificateProvider({
+		caCertificateFile: tls.ca, certificateFile: tls.cert, privateKeyFile: tls.key, refreshIntervalMs: CERTIFICATE_REFRESH_MS,
+	});
 	return {
-		server: ServerCredentials.createSsl(ca, [{cert_chain: cert, private_key: key}], true),
-		client: channelCredentials.createSsl(ca, key, cert),
+		server: experimental.createCertificateProviderServerCredentials(files, files, true),
+		fleet,
+		// Hosts are known by the URI name in their certificates; addresses may change.
+		getClient: hostId => experimental.createCertificateProviderChannelCredentials(files, files, {
+			checkServerIdentity(_address, cert) {
+				const uri = getHostUri(fleet, hostId);
+				return hasUri(cert, uri) ? undefined : new Error(`The certificate of the peer does not carry the name ${uri}.`);
+			},
+		}),
 	};
 }
--- a/dev/testkit/src/fleet.ts
+++ b/dev/testkit/src/fleet.ts
@@ -18,8 +18,8 @@
 	readonly settings?: Partial<Settings>;
 	/** Puts a link between each ordered pair of hosts. */
 	readonly hasLinks?: boolean;
-	/** Settings that differ from host to host. */
-	readonly getSettings?: (host: PeerHost, dir: string) => Partial<Settings>;
+	/** Prepares the files of one host and returns the settings that are its own. */
+	readonly prepare?: (host: PeerHost, dir: string) => Promise<Partial<Settings>>;
 };
 
 /** The relay of the connections that one host opens to another. */
@@ -65,7 +65,6 @@
 		monitorKeyDigest: getDigest(MONITOR_KEY),
 		...(self.voter && {dataDir: path.join(dir, self.id)}),
 		...opts.settings,
-		...opts.getSettings?.(self, dir),
 	};
 }
 
@@ -81,7 +80,7 @@
 		const hosts = await Promise.all(peers.map(async self => {
 			await mkdir(path.join(dir, self.id), {recursive: true});
 			const file = path.join(dir, `${self.id}.yaml`);
-			await writeFile(file, stringify(createSettings(opts, getLinkedPeers(peers, links, self), self, dir)));
+			await writeFile(file, stringify({...createSettings(opts, getLinkedPeers(peers, links, self), self, dir), ...await opts.prepare?.(self, dir)}));
 			return new DaemonProcess(self, file, configFile);
 		}));
 		const fleet = new Fleet(dir, hosts, links);
--- a/packages/hosts/src/membership/peer-directory.ts
+++ b/packages/hosts/src/membership/peer-directory.ts
@@ -1,11 +1,14 @@
 import {createHash} from 'node:crypto';
-import type {Clock, PeerHost, Settings} from '@egretrill/common';
-import type {ChannelCredentials} from '@grpc/grpc-js';
+import type {
+	Clock, Logger, PeerHost, Settings,
+} from '@egretrill/common';
 import {Result} from 'true-myth';
 import {DIRECTORY_HOSTS_PER_ZONE, PEER_RETRY_MS, PEER_SUSPECT_MS} from '../constants.js';
-import {type Method, type PeerCallError, PeerClient} from '../transport/index.js';
+import {
+	type Method, type PeerCallError, PeerClient, type PeerCredentials,
+} from '../transport/index.js';
 
-type FailureSpan = {readonly firstMs: number; readonly lastMs: number};
+type FailureSpan = {readonly firstMs: number; readonly lastMs: number; readonly message: string};
 
 function getRendezvousWeight(zone: string, hostId: string): string {
 	return createHash('sha256').update(`${zone}/${hostId}`).digest('hex');
@@ -16,7 +19,7 @@
 	private readonly clients = new Map<string, PeerClient>();
 	private readonly failures = new Map<string, FailureSpan>();
 
-	constructor(private readonly settings: Settings, private readonly clock: Clock, private readonly credentials: ChannelCredentials) {}
+	constructor(private readonly settings: Settings, private readonly clock: Clock, private readonly credentials: PeerCredentials, private readonly logger: Logger) {}
 
 	getPeers(): readonly PeerHost[] {
 		return this.settings.peers.filter(peer => peer.id !== this.settings.host);
@@ -53,8 +56,7 @@
 		if (answer.isOk || answer.error.code === 'failed') {
 			this.failures.delete(hostId);
 		} else {
-			const nowMs = this.clock.now();
-			this.failures.set(hostId, {firstMs: this.failures.get(hostId)?.firstMs ?? nowMs, lastMs: nowMs});
+			this.noteFailure(hostId, answer.error.message);
 		}
 
 		return answer;
@@ -86,7 +88,7 @@
 			return existing;
 		}
 
-		const client = new PeerClient(peer.address, this.credentials);
+		const client = new PeerClient(peer.address, this.credentials.getClient(hostId));
 		this.clients.set(hostId, client);
 		return client;
 	}
@@ -96,4 +98,15 @@
 			client.close();
 		}
 	}
+
+	private noteFailure(hostId: string, message: string): void {
+		const nowMs = this.clock.now();
+		const span = this.failures.get(hostId);
+		// Deadlines name the time that passed, so each of them would be a new message.
+		if (span === undefined || (span.message !== message && !message.startsWith('Deadline exceeded'))) {
+			this.logger.warn({peer: hostId, reason: message}, 'A host does not answer.');
+		}
+
+		this.failures.set(hostId, {firstMs: span?.firstMs ?? nowMs, lastMs: nowMs, message});
+	}
 }
--- a/packages/hosts/src/transport/index.ts
+++ b/packages/hosts/src/transport/index.ts
@@ -1,3 +1,4 @@
 export * from './method.js';
 export * from './peer-client.js';
+export * from './peer-identity.js';
 export * from './peer-server.js';
--- a/packages/hosts/src/transport/peer-server.ts
+++ b/packages/hosts/src/transport/peer-server.ts
@@ -2,14 +2,13 @@
 import {DecodeError, type Logger, MAX_MESSAGE_BYTES} from '@egretrill/common';
 import * as grpc from '@grpc/grpc-js';
 import type {MethodHandler} from './method.js';
+import {isOfFleet, type PeerCredentials} from './peer-identity.js';
 
 export type PeerServerOptions = {
 	readonly address: string;
-	readonly credentials: grpc.ServerCredentials;
+	readonly credentials: PeerCredentials;
 	readonly handlers: readonly MethodHandler[];
 	readonly logger: Logger;
-	/** Refuses a peer by the names in its certificate; absent when the connection is plaintext. */
-	readonly isPeerAllowed?: (call: grpc.ServerUnaryCall<Uint8Array, Uint8Array>) => boolean;
 };
 
 /** A running server for the calls of other hosts. */
@@ -45,8 +44,10 @@
 
 function createImplementation(handler: MethodHandler, opts: PeerServerOptions): grpc.handleUnaryCall<Uint8Array, Uint8Array> {
 	return async (call, callback) => {
-		if (opts.isPeerAllowed && !opts.isPeerAllowed(call)) {
-			opts.logger.warn({peer: call.getPeer(), method: handler.path}, 'Refused a peer of another fleet.');
+		const {fleet} = opts.credentials;
+		const cert = call.getAuthContext()?.sslPeerCertificate;
+		if (fleet !== undefined && !(cert && isOfFleet(cert, fleet))) {
+			opts.logger.warn({peer: call.getPeer(), names: cert?.subjectaltname, method: handler.path}, 'Refused a peer of another fleet.');
 			callback({code: grpc.status.PERMISSION_DENIED, details: 'The certificate does not belong to this fleet.'});
 			return;
 		}
@@ -67,7 +68,7 @@
 	const implementations = Object.fromEntries(opts.handlers.map(handler => [handler.path, createImplementation(handler, opts)]));
 	server.addService(definitions, implementations);
 	const port = await new Promise<number>((resolve, reject) => {
-		server.bindAsync(opts.address, opts.credentials, (err, boundPort) => {
+		server.bindAsync(opts.address, opts.credentials.server, (err, boundPort) => {
 			if (err) {
 				reject(err);
 				return;
