hosts: pass the host's id to the certificate check in place of a DNS name

Change: PeerCredentials keeps one client credential; each PeerClient names its host by ssl_target_name_override.

--- a/apps/egretrilld/src/hosts/peer-credentials.ts
+++ b/apps/egretrilld/src/hosts/peer-credentials.ts
@@ -4,7 +4,9 @@
 import type {Settings} from '@egretrill/common';
 import {getHostUri, hasUri, type PeerCredentials} from '@egretrill/hosts';
 import {credentials as channelCredentials, experimental, ServerCredentials} from '@grpc/grpc-js';
-import {CERTIFICATE_REFRESH_MS} from '../constants.js';
+
+/** How often the certificate files are read again, so that a rotation needs no restart. */
+const CERTIFICATE_REFRESH_MS = 1000;
 
 /** Settings under which hosts would talk unprotected over a network. */
 export class PlaintextError extends Error {
@@ -22,8 +24,7 @@
 		throw new PlaintextError('Without tls, plaintextLoopback must be true and all peer addresses must be on loopback.');
 	}
 
-	const plaintext = channelCredentials.createInsecure();
-	return {server: ServerCredentials.createInsecure(), getClient: () => plaintext};
+	return {server: ServerCredentials.createInsecure(), client: channelCredentials.createInsecure()};
 }
 
 /** Fails at the start on certificate files that are missing, unreadable or made out for another host. */
@@ -50,8 +51,8 @@
 		server: experimental.createCertificateProviderServerCredentials(files, files, true),
 		fleet,
 		// Hosts are known by the URI name in their certificates; addresses may change.
-		getClient: hostId => experimental.createCertificateProviderChannelCredentials(files, files, {
-			checkServerIdentity(_address, cert) {
+		client: experimental.createCertificateProviderChannelCredentials(files, files, {
+			checkServerIdentity(hostId, cert) {
 				const uri = getHostUri(fleet, hostId);
 				return hasUri(cert, uri) ? undefined : new Error(`The certificate of the peer does not carry the name ${uri}.`);
 			},
--- a/apps/egretrilld/tests/tls.test.ts
+++ b/apps/egretrilld/tests/tls.test.ts
@@ -1,6 +1,7 @@
 import {webcrypto} from 'node:crypto';
 import {mkdir, rename, writeFile} from 'node:fs/promises';
 import path from 'node:path';
+import 'reflect-metadata';
 import type {Settings} from '@egretrill/common';
 import {
 	createLocalConfig, type DaemonProcess, Fleet, waitFor,
--- a/packages/hosts/src/membership/peer-directory.ts
+++ b/packages/hosts/src/membership/peer-directory.ts
@@ -88,7 +88,7 @@
 			return existing;
 		}
 
-		const client = new PeerClient(peer.address, this.credentials.getClient(hostId));
+		const client = new PeerClient(peer.address, this.credentials.client, {'grpc.ssl_target_name_override': hostId});
 		this.clients.set(hostId, client);
 		return client;
 	}
--- a/packages/hosts/src/transport/peer-identity.ts
+++ b/packages/hosts/src/transport/peer-identity.ts
@@ -4,8 +4,8 @@
 /** Credentials for both directions of the connections between hosts. */
 export type PeerCredentials = {
 	readonly server: ServerCredentials;
-	/** Credentials for the connection to one host, whose certificate must name it. */
-	readonly getClient: (hostId: string) => ChannelCredentials;
+	/** Checks the certificate of the host that a connection is for, whose id it receives in place of a DNS name. */
+	readonly client: ChannelCredentials;
 	/** Fleet that the certificates of callers must name; absent when the connections are plaintext. */
 	readonly fleet?: string;
 };
