--- a/apps/egretrilld/tests/tls.test.ts
+++ b/apps/egretrilld/tests/tls.test.ts
@@ -139,6 +139,8 @@
 			await reconnect();
 			return getRefusals(near, from).find(line => line.names === 'URI:egretrill://other/host-3');
 		});
+		// The other direction: a host that connects to this one checks the name as well.
+		await waitFor('the check by the caller', () => near.log.slice(from).find(line => String(line.reason).includes('does not carry the name egretrill://local/host-3')));
 		await authority.write(files, `egretrill://local/${odd.peer.id}`);
 		await restart(odd);
 		await odd.waitUntilReady();
