--- a/apps/egretrilld/src/run-daemon.ts
+++ b/apps/egretrilld/src/run-daemon.ts
@@ -21,8 +21,10 @@
 export async function runDaemon(settings: Settings, document: ConfigDocument | undefined): Promise<DrainReport> {
 	const credentials = await readPeerCredentials(settings);
 	const daemon = new Daemon(createContainer({settings, credentials, hash: await createBlockHasher()}), credentials);
+	// Signals are taken before the host serves, since one without a handler would end the process and its requests at once.
+	const stopRequested = waitForStop(daemon);
 	await daemon.start(document);
-	const stopped = daemon.stop(await waitForStop(daemon));
+	const stopped = daemon.stop(await stopRequested);
 	// A further signal ends the wait for begun work.
 	const hurry = async (signal: string): Promise<void> => {
 		await daemon.stop(signal);
--- a/dev/bench/src/fleet-setup.ts
+++ b/dev/bench/src/fleet-setup.ts
@@ -2,7 +2,7 @@
 import {createLocalConfig, Fleet} from '@egretrill/testkit';
 
 export const BENCH_ZONES = ['zone-a', 'zone-b', 'zone-c'];
-const resident = [{model: 'inscription', version: 'v1', adapters: ['plaque']}];
+export const benchResident = [{model: 'inscription', version: 'v1', adapters: ['plaque']}];
 
 /** Starts daemons in three zones, host by host in turn. */
 export async function startBenchFleet(hostCount: number): Promise<Fleet> {
@@ -13,6 +13,6 @@
 /** Starts one stand-in engine of a zone with the model of the local configuration. */
 export async function startBenchEngine(fleet: Fleet, zone: string, opts: Partial<EngineOptions> = {}): Promise<StandInEngine> {
 	return new StandInEngine({
-		targetId: `engine-${zone}`, zone, hosts: [...fleet.getTargetAddresses(zone)], resident, ...opts,
+		targetId: `engine-${zone}`, zone, hosts: [...fleet.getTargetAddresses(zone)], resident: benchResident, ...opts,
 	}).start();
 }
--- a/dev/bench/src/overhead.ts
+++ b/dev/bench/src/overhead.ts
@@ -1,7 +1,8 @@
 import {ChunkReader} from '@egretrill/engines';
-import {type DaemonProcess, type Fleet, waitFor} from '@egretrill/testkit';
-import type {StandInEngine} from '@egretrill/stand-ins';
-import {startBenchEngine, startBenchFleet} from './fleet-setup.js';
+import {
+	type DaemonProcess, type Fleet, TargetProcess, waitFor,
+} from '@egretrill/testkit';
+import {benchResident, startBenchFleet} from './fleet-setup.js';
 import {getPercentiles} from './percentiles.js';
 import {type StreamTimes, streamOnce} from './stream-client.js';
 
@@ -47,12 +48,12 @@
 }
 
 /** Events per second of processor time that the host forwards when engines send as fast as they can. */
-async function measureForwarding(host: DaemonProcess, engine: StandInEngine): Promise<Record<string, number>> {
-	engine.faults = {isFast: true};
+async function measureForwarding(host: DaemonProcess, engine: TargetProcess): Promise<Record<string, number>> {
+	await engine.setFaults({isFast: true});
 	const before = await host.getUsage();
 	const times = await Promise.all(Array.from({length: FAST_STREAMS}, async () => streamOnce(host.addresses.callers, FAST_TOKENS)));
 	const after = await host.getUsage();
-	engine.faults = {};
+	await engine.setFaults({});
 	const events = times.filter(({isWhole}) => isWhole).length * FAST_TOKENS;
 	return {events, cpuSeconds: after.cpuSeconds - before.cpuSeconds, eventsPerCoreSecond: Math.round(events / Math.max(0.01, after.cpuSeconds - before.cpuSeconds))};
 }
@@ -72,13 +73,16 @@
 /** Time that a host adds to a stream against the same stream without it. */
 export async function runOverheadBench(_opts: {seed: number}): Promise<Record<string, unknown>> {
 	const fleet = await startBenchFleet(1);
-	const engine = await startBenchEngine(fleet, 'zone-a', {slots: 256, prefillMs: 20, tokenIntervalMs: 50});
+	// The engine has a process of its own, so that generating the tokens does not delay the callers that are measured.
+	const engine = await TargetProcess.start({
+		kind: 'engine', targetId: 'engine-1', zone: 'zone-a', hosts: [...fleet.getTargetAddresses('zone-a')], resident: benchResident, slots: 256, prefillMs: 20, tokenIntervalMs: 50,
+	});
 	const host = fleet.getHost(0);
 	await warm(fleet, host);
 	const direct = summarize(await runStreams(engine.address));
 	const throughHost = summarize(await runStreams(host.addresses.callers));
 	const forwarding = await measureForwarding(host, engine);
-	await engine.stop();
+	await engine.kill();
 	await fleet.stop();
 	return {
 		streams: STREAMS,
