--- a/apps/egretrill/src/commands/status.ts
+++ b/apps/egretrill/src/commands/status.ts
@@ -1,11 +1,12 @@
 import {
 	FleetStatus, operations, TargetList, type TargetStatus,
 } from '@egretrill/operators';
-import {Command, type CommandHelp, connectionOptions} from '../command.js';
-import type {AdminConnector} from '../connector.js';
+import type {AdminClient} from '../admin-client.js';
+import type {CommandHelp} from '../command.js';
+import {ReadCommand} from '../read-command.js';
 import {reportDone, reportReadFailure} from '../reports.js';
 import {formatTable} from '../table.js';
-import {ConnectionArgs, type Report} from '../types.js';
+import type {Report} from '../types.js';
 
 /** Formats targets for people. */
 export function formatTargets(targets: readonly TargetStatus[]): string {
@@ -35,22 +36,14 @@
 }
 
 /** Shows the fleet as one host sees it. */
-export class StatusCommand extends Command<typeof ConnectionArgs> {
+export class StatusCommand extends ReadCommand {
 	readonly help: CommandHelp = {
 		usage: 'status',
 		summary: 'Shows zones, hosts and targets, and which version is in force where',
 		examples: [['status --admin 127.0.0.1:7004', 'Show the fleet as this host sees it']],
 	};
 
-	readonly schema = ConnectionArgs;
-	override readonly options = connectionOptions;
-
-	constructor(private readonly connector: AdminConnector) {
-		super();
-	}
-
-	async run(args: ConnectionArgs): Promise<Report> {
-		const client = await this.connector.connect(args);
+	protected override async read(client: AdminClient): Promise<Report> {
 		const status = await client.call({operation: operations.getStatus}, FleetStatus);
 		if (status.isErr) {
 			return reportReadFailure(status.error);
--- a/apps/egretrill/src/commands/zones-list.ts
+++ b/apps/egretrill/src/commands/zones-list.ts
@@ -1,27 +1,20 @@
 import {FleetStatus, operations} from '@egretrill/operators';
-import {Command, type CommandHelp, connectionOptions} from '../command.js';
-import type {AdminConnector} from '../connector.js';
+import type {AdminClient} from '../admin-client.js';
+import type {CommandHelp} from '../command.js';
+import {ReadCommand} from '../read-command.js';
 import {reportDone, reportReadFailure} from '../reports.js';
 import {formatTable} from '../table.js';
-import {ConnectionArgs, type Report} from '../types.js';
+import type {Report} from '../types.js';
 
 /** Lists the zones. */
-export class ZonesListCommand extends Command<typeof ConnectionArgs> {
+export class ZonesListCommand extends ReadCommand {
 	readonly help: CommandHelp = {
 		usage: 'list',
 		summary: 'Lists the zones with their states and hosts',
 		examples: [['zones list', 'Show which zones are in service']],
 	};
 
-	readonly schema = ConnectionArgs;
-	override readonly options = connectionOptions;
-
-	constructor(private readonly connector: AdminConnector) {
-		super();
-	}
-
-	async run(args: ConnectionArgs): Promise<Report> {
-		const client = await this.connector.connect(args);
+	protected override async read(client: AdminClient): Promise<Report> {
 		const answer = await client.call({operation: operations.getStatus}, FleetStatus);
 		if (answer.isErr) {
 			return reportReadFailure(answer.error);
