--- a/xo.config.js
+++ b/xo.config.js
@@ -36,16 +36,22 @@
 			'unicorn/catch-error-name': ['error', {name: 'err'}],
 			// One task per connection or peer awaits each step in turn, so awaiting inside a loop is the agreed shape.
 			'no-await-in-loop': 'off',
-			// A schema and the type inferred from it share one name.
-			'@typescript-eslint/no-redeclare': 'off',
-			// A default branch may stand for the remaining cases of a library's enumeration.
-			'@typescript-eslint/switch-exhaustiveness-check': ['error', {considerDefaultExhaustiveForUnions: true}],
 			// Wire and configuration formats fix some property names.
-			'@typescript-eslint/naming-convention': 'off',
 			camelcase: 'off',
 			'import-x/no-unassigned-import': ['error', {allow: ['reflect-metadata']}],
 		},
 	},
+	{
+		// Rules that need types; scripts in plain JavaScript belong to no TypeScript project.
+		files: ['**/*.ts'],
+		rules: {
+			// A default branch may stand for the remaining cases of a library's enumeration.
+			'@typescript-eslint/switch-exhaustiveness-check': ['error', {considerDefaultExhaustiveForUnions: true}],
+			// A schema and the type inferred from it share one name.
+			'@typescript-eslint/no-redeclare': 'off',
+			'@typescript-eslint/naming-convention': 'off',
+		},
+	},
 	{
 		// Test tools are development dependencies of the workspace root.
 		files: ['**/tests/**/*.ts', 'dev/**/*.{ts,cjs}'],
@@ -53,6 +59,12 @@
 			'import-x/no-extraneous-dependencies': 'off',
 			'n/no-extraneous-import': 'off',
 			'import-x/no-unassigned-import': 'off',
+		},
+	},
+	{
+		files: ['**/tests/**/*.ts'],
+		rules: {
+			// The assertions of the test library are expressions.
 			'@typescript-eslint/no-unused-expressions': 'off',
 		},
 	},
