stand-ins: weight store with a rate and a number of loads at once

Cause: engines loaded from nowhere, so no test could show a refused load. Change: a stand-in weight store; the stand-in engine loads models from it when its address is given.

--- a/dev/stand-ins/src/engine.ts
+++ b/dev/stand-ins/src/engine.ts
@@ -4,6 +4,7 @@
 import {
 	type Announcement, type ChatRequest, ChatRequest as ChatRequestSchema, Order, REQUEST_ID_HEADER, RESUME_HEADER,
 } from '@egretrill/common';
+import got from 'got';
 import express, {type Express, type Request, type Response} from 'express';
 import {HEARTBEAT_INTERVAL_MS, PROMPT_TOKENS} from './constants.js';
 import {EngineState} from './engine-state.js';
@@ -88,10 +89,22 @@
 			return;
 		}
 
-		const loadMs = {'load-model': this.opts.modelLoadMs, 'load-adapter': this.opts.adapterLoadMs}[order.kind as 'load-model'] ?? 0;
 		res.status(202).json({accepted: true});
-		await delay(loadMs);
-		this.state.apply(order);
+		if (await this.load(order)) {
+			this.state.apply(order);
+		}
+	}
+
+	/** Loads what the order names; false when the weight store refused. */
+	private async load(order: Order): Promise<boolean> {
+		const {weightStore, modelLoadMs, adapterLoadMs} = this.opts;
+		if (order.kind === 'load-model' && weightStore !== undefined) {
+			const res = await got(`http://${weightStore}/weights/${order.model}`, {throwHttpErrors: false, retry: {limit: 0}});
+			return res.statusCode === 200;
+		}
+
+		await delay(order.kind === 'load-model' ? modelLoadMs : (order.kind === 'load-adapter' ? adapterLoadMs : 0));
+		return true;
 	}
 
 	private async complete(req: Request, res: Response): Promise<void> {
--- a/dev/stand-ins/src/index.ts
+++ b/dev/stand-ins/src/index.ts
@@ -4,3 +4,4 @@
 export * from './service.js';
 export * from './target.js';
 export * from './types.js';
+export * from './weight-store.js';
--- a/dev/stand-ins/src/types.ts
+++ b/dev/stand-ins/src/types.ts
@@ -15,6 +15,8 @@
 	honoursFencing: z.boolean().default(true),
 	checksResidency: z.boolean().default(true),
 	modelLoadMs: z.number().default(500),
+	/** Address of a weight store from which models are loaded; without one a load takes `modelLoadMs`. */
+	weightStore: z.string().optional(),
 	adapterLoadMs: z.number().default(8),
 	resident: z.array(z.object({model: z.string(), version: z.string(), adapters: z.array(z.string()).default([])})).default([]),
 	/** Memory in MB of each model and adapter, with the KV reserve included for models. */
--- /dev/null
+++ b/dev/stand-ins/src/weight-store.ts
@@ -0,0 +1,74 @@
+import {once} from 'node:events';
+import type {Server} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {setTimeout as delay} from 'node:timers/promises';
+import type {WeightStoreLimits} from '@egretrill/common';
+import express from 'express';
+
+const MS_PER_S = 1000;
+
+export type WeightStoreOptions = Pick<WeightStoreLimits, 'loadsPerSecond' | 'concurrentLoads'> & {
+	/** Time of one load while the store is below its limits. */
+	readonly loadMs: number;
+};
+
+/** A weight store that refuses loads above its rate and slows down above its number of loads at once. */
+export class StandInWeightStore {
+	address = '';
+	refused = 0;
+	peakConcurrent = 0;
+	private concurrent = 0;
+	private allowance: number;
+	private refilledMs = performance.now();
+	private server: Server | undefined;
+
+	constructor(private readonly opts: WeightStoreOptions) {
+		this.allowance = opts.loadsPerSecond;
+	}
+
+	async start(): Promise<this> {
+		const app = express();
+		app.get('/weights/:model', async (req, res) => {
+			if (!this.takeAllowance()) {
+				this.refused += 1;
+				res.status(429).json({error: {code: 'rate'}});
+				return;
+			}
+
+			await this.load();
+			res.json({model: req.params.model});
+		});
+		this.server = app.listen(0, '127.0.0.1');
+		await once(this.server, 'listening');
+		this.address = `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+		return this;
+	}
+
+	async stop(): Promise<void> {
+		this.server?.closeAllConnections();
+		this.server?.close();
+	}
+
+	private takeAllowance(): boolean {
+		const nowMs = performance.now();
+		const refill = (nowMs - this.refilledMs) / MS_PER_S * this.opts.loadsPerSecond;
+		this.allowance = Math.min(this.opts.loadsPerSecond, this.allowance + refill);
+		this.refilledMs = nowMs;
+		if (this.allowance < 1) {
+			return false;
+		}
+
+		this.allowance -= 1;
+		return true;
+	}
+
+	private async load(): Promise<void> {
+		this.concurrent += 1;
+		this.peakConcurrent = Math.max(this.peakConcurrent, this.concurrent);
+		try {
+			await delay(this.opts.loadMs * Math.max(1, this.concurrent / this.opts.concurrentLoads));
+		} finally {
+			this.concurrent -= 1;
+		}
+	}
+}
