--- a/packages/platform/src/types.ts
+++ b/packages/platform/src/types.ts
@@ -1,5 +1,3 @@
-// This package does not list zod yet, because that changes the lockfile, which this branch must not touch.
-// eslint-disable-next-line import-x/no-extraneous-dependencies, n/no-extraneous-import
 import {z} from 'zod';
 
 /** Work that had not ended when a drain ended, counted by kind. */
