partition test: read the version after the host serves keyed calls again

Cause: the test read the host's version just before the call whose success ends the wait. Change: the version is read once more after the call was served, and compared with the leader's version too, which is stricter than before.

--- a/apps/egretrilld/tests/partition.test.ts
+++ b/apps/egretrilld/tests/partition.test.ts
@@ -228,8 +228,11 @@
 			const answer = await send(host, '/registry/mark', yardKey);
 			return answer.status === 200 || undefined;
 		});
+		// A host that serves keyed calls again holds the withdrawal; a version read before the served call may be older.
+		versions.push(await getVersion(host));
 		expect(versions).to.deep.equal(versions.toSorted((a, b) => a - b));
 		expect(versions.at(-1)).to.be.greaterThan(before);
+		expect(versions.at(-1)).to.equal(await getVersion(leader));
 		expect({refused, 'after healing': await send(host, '/registry/mark', portKey)}).toMatchSnapshot();
 	});
 
