operators: a repeated change names its first author, and YAML faults read in plain words

Cause: the answer to a change took the author from the request, so whoever repeated another operator's request was named as its author, in the answer and in the evidence. Faults of YAML files carried the schema library's messages ("expected Invalid input: expected string, received undefined"), and an unknown field was reported at the whole document. A refusal by the log put its message into the field for the value found. Change: the accepted result in the log carries its author, and the answer and the evidence take it from there. The wording of expectations moves from operators to common, where the YAML reader uses it too; a fault names the unknown field and its line. Refusals by the log are worded by their code. Before: "Accepted: version BASE+1 by ben" for a change by ana that ben repeated; "expected Too small: expected array to have >=1 items". After: "by ana" for every repeat (new test in apps/egretrill); "expected a list of at least 1 entry, found an empty list".

--- a/apps/egretrill/tests/fleet-commands.test.ts
+++ b/apps/egretrill/tests/fleet-commands.test.ts
@@ -112,6 +112,20 @@
 		expect(after.version).to.equal(version + 1);
 	});
 
+	// Guards against an answer that credits a change to the operator who repeats it.
+	it('names the first author of a change to whoever repeats it', async () => {
+		const version = await writeDocument('repeated.yaml', {services: [...config.services, {id: 'repeated'}]});
+		expect([
+			await run(`apply repeated.yaml --follows ${version} --operator ana --request-id repeated-1`, version),
+			await run(`apply repeated.yaml --follows ${version} --operator ben --request-id repeated-1`, version),
+			await run(`apply repeated.yaml --follows ${version} --operator eva --request-id repeated-2`, version),
+			await run('zones take-out zone-b --operator ana --request-id repeated-3', version),
+			await run('zones take-out zone-b --operator ben --request-id repeated-3', version),
+			await run('zones return zone-b --operator ana --request-id repeated-3', version),
+			await run('zones return zone-b --operator ana', version),
+		]).toMatchSnapshot();
+	});
+
 	it('says that the outcome is unknown when every answer is lost, and tells it on a repeat', async () => {
 		const {version} = await getInForce();
 		const proxy = new LossyProxy(admin, 5);
--- a/apps/egretrilld/src/operators/daemon-control.ts
+++ b/apps/egretrilld/src/operators/daemon-control.ts
@@ -1,8 +1,8 @@
 import type {ConfigSource} from '@egretrill/callers';
-import type {Settings, ZoneState} from '@egretrill/common';
+import type {Fault, Settings, ZoneState} from '@egretrill/common';
 import type {LiveTarget, TargetDirectory, ZoneOwner} from '@egretrill/engines';
 import {
-	type CommandOutcome, type ConfigOrigin, type FleetLog, getDocumentDigest, type PeerDirectory,
+	type CommandOutcome, type ConfigOrigin, type FleetLog, type FleetResult, getDocumentDigest, type PeerDirectory,
 } from '@egretrill/hosts';
 import type {EvidenceLog} from '@egretrill/monitor';
 import {
@@ -29,6 +29,29 @@
 	return {result: 'unavailable', effect: outcome.kind, reason: outcome.reason};
 }
 
+function toAccepted({version, digest, author}: Extract<FleetResult, {kind: 'accepted'}>) {
+	return {
+		result: 'accepted' as const, version, digest, author,
+	};
+}
+
+function toFault(result: FleetResult): Fault {
+	const code = result.kind === 'refused' ? result.code : result.kind;
+	switch (code) {
+		case 'last-zone': {
+			return {path: 'zones', expected: 'at least one zone in service', found: 'none'};
+		}
+
+		case 'request-id-reused': {
+			return {path: 'requestId', expected: 'an id that no other change has used', found: 'the id of another change'};
+		}
+
+		default: {
+			return {path: '', expected: 'a change that the fleet accepts', found: code};
+		}
+	}
+}
+
 function toTargetStatus({entry, ageMs}: LiveTarget): TargetStatus {
 	const isCold = entry.cold || (entry.kind === 'engine' && !entry.warmth.warm);
 	return {
@@ -74,11 +97,9 @@
 		const {result} = outcome;
 		if (result.kind === 'accepted') {
 			await this.opts.getEvidence()?.append({
-				kind: 'change-accepted', ...stamp, version: result.version, digest: result.digest,
+				kind: 'change-accepted', ...stamp, author: result.author, version: result.version, digest: result.digest,
 			});
-			return {
-				result: 'accepted', version: result.version, digest: result.digest, author,
-			};
+			return toAccepted(result);
 		}
 
 		if (result.kind === 'conflict') {
@@ -88,7 +109,7 @@
 			return {result: 'conflict', winner: {version: result.version, digest: result.digest, author: result.author}};
 		}
 
-		return {result: 'refused', faults: [{path: '', expected: 'a document that the fleet accepts', found: result.kind === 'refused' ? result.message : result.kind}]};
+		return {result: 'refused', faults: [toFault(result)]};
 	}
 
 	override async withdrawKey({id, author, requestId}: ControlRequest): Promise<WithdrawalOutcome> {
@@ -144,18 +165,16 @@
 		const {result} = outcome;
 		if (result.kind === 'accepted') {
 			await this.opts.getEvidence()?.append({
-				kind: 'zone-changed', zone: id, state, version: result.version, author,
+				kind: 'zone-changed', zone: id, state, version: result.version, author: result.author,
 			});
-			return {
-				result: 'accepted', version: result.version, digest: result.digest, author,
-			};
+			return toAccepted(result);
 		}
 
 		if (result.kind === 'refused' && result.code === 'unknown-zone') {
 			return {result: 'not-found', reason: result.message};
 		}
 
-		return {result: 'refused', faults: [{path: 'zones', expected: 'a zone state that the fleet accepts', found: result.kind === 'refused' ? result.message : result.kind}]};
+		return {result: 'refused', faults: [toFault(result)]};
 	}
 
 	override async drainHost({id, author}: ControlRequest): Promise<DrainOutcome> {
--- a/packages/common/src/constants.ts
+++ b/packages/common/src/constants.ts
@@ -5,6 +5,9 @@
 /** Largest whole answer that a host holds for one caller. */
 export const MAX_ANSWER_BYTES = 4_194_304;
 
+/** Found values longer than this are cut in faults. */
+export const MAX_FOUND_LENGTH = 200;
+
 /** Relative clock drift assumed between two hosts when one counts a lease granted by the other. */
 export const CLOCK_DRIFT_RATIO = 0.01;
 
--- a/packages/common/src/document.ts
+++ b/packages/common/src/document.ts
@@ -1,9 +1,10 @@
 import {readFile} from 'node:fs/promises';
 import {Result} from 'true-myth';
 import {
-	type Document, isMap, isNode, isSeq, LineCounter, parseDocument,
+	type Document, isNode, LineCounter, parseDocument,
 } from 'yaml';
 import type {z} from 'zod';
+import {getSchemaFaults} from './faults.js';
 import {ConfigDocument, type Fault, Settings} from './types.js';
 
 type Path = readonly PropertyKey[];
@@ -20,35 +21,6 @@
 	return undefined;
 }
 
-function describeValue(document: Document, path: Path): string {
-	const node: unknown = path.length === 0 ? document.contents : document.getIn(path, true);
-	if (node === undefined || node === null) {
-		return 'nothing';
-	}
-
-	if (isMap(node)) {
-		return 'a map';
-	}
-
-	if (isSeq(node)) {
-		return 'a list';
-	}
-
-	return JSON.stringify(document.getIn(path));
-}
-
-function getFaults(document: Document, lines: LineCounter, error: z.ZodError): readonly Fault[] {
-	return error.issues.map(issue => {
-		const offset = getNodeOffset(document, issue.path);
-		return {
-			path: issue.path.map(String).join('.'),
-			expected: issue.message,
-			found: describeValue(document, issue.path),
-			...(offset !== undefined && {line: lines.linePos(offset).line}),
-		};
-	});
-}
-
 /** Parses YAML text and validates it, reporting each fault with its line and path. */
 export function restoreYaml<Schema extends z.ZodType>(schema: Schema, text: string): Result<z.infer<Schema>, readonly Fault[]> {
 	const lines = new LineCounter();
@@ -59,8 +31,16 @@
 		})));
 	}
 
-	const parsed = schema.safeParse(document.toJS());
-	return parsed.success ? Result.ok(parsed.data) : Result.err(getFaults(document, lines, parsed.error));
+	const input: unknown = document.toJS();
+	const parsed = schema.safeParse(input);
+	if (parsed.success) {
+		return Result.ok(parsed.data);
+	}
+
+	return Result.err(getSchemaFaults(input, parsed.error, path => {
+		const offset = getNodeOffset(document, path);
+		return offset === undefined ? undefined : lines.linePos(offset).line;
+	}));
 }
 
 /** Restores a configuration document from YAML or JSON text. */
--- a/packages/operators/src/expectation.ts
+++ b/packages/common/src/faults.ts
@@ -1,7 +1,8 @@
-import type {Fault} from '@egretrill/common';
 import type {z} from 'zod';
 import {MAX_FOUND_LENGTH} from './constants.js';
+import type {Fault} from './types.js';
 
+type Path = readonly PropertyKey[];
 type Issue = z.core.$ZodIssue;
 type SizeIssue = z.core.$ZodIssueTooSmall | z.core.$ZodIssueTooBig;
 
@@ -53,7 +54,7 @@
 }
 
 /** Turns a zod issue into a phrase that completes "expected ...". */
-export function describeExpectation(issue: Issue): string {
+function describeExpectation(issue: Issue): string {
 	switch (issue.code) {
 		case 'invalid_type': {
 			return typeNames[issue.expected] ?? issue.expected;
@@ -108,7 +109,7 @@
 	return text.length > MAX_FOUND_LENGTH ? `${text.slice(0, MAX_FOUND_LENGTH)}...` : text;
 }
 
-function getIn(value: unknown, path: readonly PropertyKey[]): unknown {
+function getIn(value: unknown, path: Path): unknown {
 	let current = value;
 	for (const key of path) {
 		if (typeof current !== 'object' || current === null || !Object.hasOwn(current, key)) {
@@ -121,17 +122,20 @@
 	return current;
 }
 
-/** Lists the rejected fields of a value with what was expected at each; an unknown field is listed itself, not the map that holds it. */
-export function getExpectations(error: z.ZodError): ReadonlyArray<{readonly path: readonly PropertyKey[]; readonly expected: string}> {
-	return error.issues.flatMap(issue => {
-		const paths = issue.code === 'unrecognized_keys' ? issue.keys.map(key => [...issue.path, key]) : [issue.path];
-		return paths.map(path => ({path, expected: describeExpectation(issue)}));
-	});
+/** An unknown field is a fault of its own, not one of the map that holds it. */
+function getPaths(issue: Issue): readonly Path[] {
+	return issue.code === 'unrecognized_keys' ? issue.keys.map(key => [...issue.path, key]) : [issue.path];
 }
 
-/** Lists the faults of a value that its schema rejected, one for each field. */
-export function getSchemaFaults(input: unknown, error: z.ZodError): readonly Fault[] {
-	return getExpectations(error).map(({path, expected}) => ({
-		path: path.map(String).join('.'), expected, found: describeFound(getIn(input, path)),
+/** Lists the faults of a value that its schema rejected, one for each field, with the line where `getLine` knows it. */
+export function getSchemaFaults(input: unknown, error: z.ZodError, getLine?: (path: Path) => number | undefined): readonly Fault[] {
+	return error.issues.flatMap(issue => getPaths(issue).map(path => {
+		const line = getLine?.(path);
+		return {
+			path: path.map(String).join('.'),
+			expected: describeExpectation(issue),
+			found: describeFound(getIn(input, path)),
+			...(line !== undefined && {line}),
+		};
 	}));
 }
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -4,6 +4,7 @@
 export * from './constants.js';
 export * from './document.js';
 export * from './engine-channel.js';
+export * from './faults.js';
 export * from './http-exchange.js';
 export * from './logger.js';
 export * from './random.js';
--- a/packages/hosts/src/fleet-state-operations.ts
+++ b/packages/hosts/src/fleet-state-operations.ts
@@ -13,7 +13,13 @@
 }
 
 function acceptUnchanged(state: FleetSnapshot): Step {
-	return {state, result: {kind: 'accepted', version: state.config.version, digest: state.config.digest}};
+	const {version, digest, author} = state.config;
+	return {
+		state,
+		result: {
+			kind: 'accepted', version, digest, author,
+		},
+	};
 }
 
 /** Puts a document in force as the next version. */
@@ -34,7 +40,9 @@
 			},
 			changes: [...state.changes, change].slice(-KEPT_CHANGES),
 		},
-		result: {kind: 'accepted', version, digest},
+		result: {
+			kind: 'accepted', version, digest, author: info.author,
+		},
 	};
 }
 
--- a/packages/hosts/src/types.ts
+++ b/packages/hosts/src/types.ts
@@ -150,7 +150,10 @@
 
 /** Answer to a fleet command. */
 export const FleetResult = z.discriminatedUnion('kind', [
-	z.object({kind: z.literal('accepted'), version: count, digest: z.string()}),
+	/** The author is the operator whose change was accepted, also when another one repeats it. */
+	z.object({
+		kind: z.literal('accepted'), version: count, digest: z.string(), author: z.string(),
+	}),
 	/** Another operator's document is in force. */
 	z.object({
 		kind: z.literal('conflict'), version: count, digest: z.string(), author: z.string(),
--- a/packages/operators/src/admin-app.ts
+++ b/packages/operators/src/admin-app.ts
@@ -1,6 +1,6 @@
 import {randomUUID} from 'node:crypto';
 import {
-	MAX_MESSAGE_BYTES, VERDICT_HEADER, type Fault, type Logger, type RunState,
+	MAX_MESSAGE_BYTES, VERDICT_HEADER, type Fault, getSchemaFaults, type Logger, type RunState,
 } from '@egretrill/common';
 import express, {
 	type ErrorRequestHandler, type Express, type Request, type Response,
@@ -10,7 +10,6 @@
 import {createConsole} from './console/console.js';
 import {DEFAULT_OPERATOR, OPERATOR_HEADER} from './constants.js';
 import {createCredentialCheck, getBearer} from './credential.js';
-import {getSchemaFaults} from './expectation.js';
 import type {ControlRequest, FleetControl} from './fleet-control.js';
 import {
 	ApplyRequest, OperatorName, RequestIdBody, ValidateRequest, ZoneStateRequest, type ApiError, type OperatorName as Operator, type Unavailable,
--- a/packages/operators/src/constants.ts
+++ b/packages/operators/src/constants.ts
@@ -1,9 +1,6 @@
 /** Tokens that a chat request reserves when it sets no `max_tokens`; a smaller burst would refuse every such request. */
 export const MIN_BURST_TOKENS = 256;
 
-/** Found values longer than this are cut in faults. */
-export const MAX_FOUND_LENGTH = 200;
-
 /** Names the person behind a change; the credential alone does not tell operators apart. */
 export const OPERATOR_HEADER = 'x-egretrill-operator';
 export const DEFAULT_OPERATOR = 'operator';
--- a/packages/operators/src/index.ts
+++ b/packages/operators/src/index.ts
@@ -2,7 +2,6 @@
 export * from './api.js';
 export * from './constants.js';
 export * from './credential.js';
-export * from './expectation.js';
 export * from './fleet-control.js';
 export * from './types.js';
 export * from './validate-document.js';
