common: the clock of tests forgets sleeps that ended or were aborted

Cause: ManualClock.sleep left its abort listener on the signal after each sleep, and kept aborted sleepers in its list; long tests warned of too many listeners and grew slower with each step. Change: the listener is removed on waking, the sleeper on abort; sleepers are kept in a set. A comment in QueueSet says why an idle model's queue may be dropped. Conclusion: test scaffolding only; the running daemon uses MonotonicClock.

--- a/packages/callers/src/queue-set.ts
+++ b/packages/callers/src/queue-set.ts
@@ -35,6 +35,7 @@
 		while (!signal.aborted) {
 			for (const [model, entry] of this.queues) {
 				if (entry.running + entry.waiting === 0) {
+					// Shares are fair within a busy period of a model; an idle queue holds no debts that the next period must keep.
 					this.queues.delete(model);
 				} else {
 					this.updateSlots(model, entry);
--- a/packages/common/src/clock.ts
+++ b/packages/common/src/clock.ts
@@ -31,7 +31,7 @@
 /** A clock that moves only when a test advances it. */
 export class ManualClock extends Clock {
 	private currentMs = 0;
-	private sleepers: readonly Sleeper[] = [];
+	private readonly sleepers = new Set<Sleeper>();
 
 	now(): number {
 		return this.currentMs;
@@ -43,19 +43,27 @@
 		}
 
 		await new Promise<void>(resolve => {
-			this.sleepers = [...this.sleepers, {wakeAtMs: this.currentMs + ms, wake: resolve}];
-			signal?.addEventListener('abort', () => {
+			const cancel = () => {
+				this.sleepers.delete(sleeper);
 				resolve();
-			}, {once: true});
+			};
+
+			const wake = () => {
+				signal?.removeEventListener('abort', cancel);
+				resolve();
+			};
+
+			const sleeper = {wakeAtMs: this.currentMs + ms, wake};
+			this.sleepers.add(sleeper);
+			signal?.addEventListener('abort', cancel, {once: true});
 		});
 	}
 
 	/** Moves time forward and wakes every sleeper that is due. */
 	advance(ms: number): void {
 		this.currentMs += ms;
-		const due = this.sleepers.filter(sleeper => sleeper.wakeAtMs <= this.currentMs);
-		this.sleepers = this.sleepers.filter(sleeper => sleeper.wakeAtMs > this.currentMs);
-		for (const sleeper of due) {
+		for (const sleeper of [...this.sleepers].filter(({wakeAtMs}) => wakeAtMs <= this.currentMs)) {
+			this.sleepers.delete(sleeper);
 			sleeper.wake();
 		}
 	}
