operators: the console can be used in a browser

Cause: the console's pages set the referrer policy `no-referrer`. With it Chromium sends `Origin: null` with each form, and the check against other sites refused every sign-in with 403. The tests sent no Origin header, so they did not see it. Change: the policy is `same-origin`. A test signs in with the origin that a browser sends under the policy of the page. Before: sign-in in Chromium 403; with the old policy the new test fails with 403.

--- a/packages/operators/src/console/console.ts
+++ b/packages/operators/src/console/console.ts
@@ -185,7 +185,8 @@
 function setPageHeaders(_req: Request, res: Response, next: () => void): void {
 	res.set({
 		'content-security-policy': 'default-src \'none\'; style-src \'self\'; form-action \'self\'; base-uri \'none\'; frame-ancestors \'none\'',
-		'referrer-policy': 'no-referrer',
+		// With `no-referrer` browsers send `Origin: null` with each form, which is refused as another site.
+		'referrer-policy': 'same-origin',
 	});
 	next();
 }
--- a/packages/operators/tests/console.test.ts
+++ b/packages/operators/tests/console.test.ts
@@ -167,6 +167,20 @@
 		});
 	});
 
+	// Guards against a referrer policy with which browsers hide the origin of a form, so that nobody can sign in.
+	it('accepts a sign-in with the origin that a browser sends under the policy of the page', async () => {
+		await withAdmin(new MemoryFleet(), async (send, consoleOrigin) => {
+			const page = await send('/console/sign-in');
+			const origin = page.headers['referrer-policy'] === 'no-referrer' ? 'null' : consoleOrigin;
+			const answer = await send('/console/sign-in', {
+				method: 'POST',
+				headers: {origin, 'sec-fetch-site': 'same-origin'},
+				body: new URLSearchParams({user: 'ana', credential}),
+			});
+			expect({status: answer.status, location: answer.headers.location}).toMatchSnapshot();
+		});
+	});
+
 	it('refuses posts of other sites, altered forms and wrong credentials without applying anything', async () => {
 		const fleet = new MemoryFleet();
 		await withAdmin(fleet, async send => {
--- a/packages/operators/tests/memory-fleet.ts
+++ b/packages/operators/tests/memory-fleet.ts
@@ -133,7 +133,7 @@
 	readonly status: number; readonly headers: Readonly<Record<string, string>>; readonly body: string;
 };
 
-const shownHeaders = ['content-type', 'location', 'set-cookie', 'www-authenticate', 'x-egretrill-verdict', 'content-security-policy'];
+const shownHeaders = ['content-type', 'location', 'set-cookie', 'www-authenticate', 'x-egretrill-verdict', 'content-security-policy', 'referrer-policy'];
 
 /** Replaces what differs between runs. */
 export function normalise(text: string): string {
@@ -145,17 +145,17 @@
 }
 
 /** Serves the admin app on a free port while `use` runs. */
-export async function withAdmin(fleet: MemoryFleet, use: (send: (path: string, init?: RequestInit) => Promise<Exchange>) => Promise<void>): Promise<void> {
+export async function withAdmin(fleet: MemoryFleet, use: (send: (path: string, init?: RequestInit) => Promise<Exchange>, origin: string) => Promise<void>): Promise<void> {
 	const logger = createLogger('test', 'fatal', new Writable());
 	const server = createAdminApp({control: fleet, adminKeyDigest: getDigest(credential), logger}).listen(0, '127.0.0.1');
 	await once(server, 'listening');
-	const {port} = server.address() as AddressInfo;
+	const origin = `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
 	try {
 		await use(async (path, init) => {
-			const res = await fetch(`http://127.0.0.1:${port}${path}`, {redirect: 'manual', ...init});
+			const res = await fetch(`${origin}${path}`, {redirect: 'manual', ...init});
 			const headers = Object.fromEntries(shownHeaders.flatMap(name => res.headers.get(name) === null ? [] : [[name, res.headers.get(name)!]]));
 			return {status: res.status, headers, body: await res.text()};
-		});
+		}, origin);
 	} finally {
 		server.closeAllConnections();
 		server.close();
