monitor: count every promise, by an audit apart from the decisions

Cause: the monitor's page counted P7 and P8 only, and P8 was counted as held without a look at what had left the host; the other ten promises read "not-counted". The evidence had a record kind for the counters that nothing wrote. Change: PromiseAudit checks each write to a target (key and customer, zone, leaving, cold permit, second write of a non-idempotent request), each "not run" against what was written, each grant (free and lent within the burst), each new version, each stop, and every 5 s the contents that targets report to the zone's owner. Counters go into the evidence every 10 minutes and at a stop. Reading the code for this showed a gap: a target that turned cold between its choice and the write got a request without a permit; isAvailable now asks for the permit again. Before: 2 of 12 promises counted. Conclusion: an audit on one host cannot see another host's writes; what needs the whole fleet is left to history checking.

--- a/apps/egretrilld/src/callers/daemon-observer.ts
+++ b/apps/egretrilld/src/callers/daemon-observer.ts
@@ -1,16 +1,18 @@
-import {RequestObserver, type RequestTimes, type Work} from '@egretrill/callers';
-import type {Clock, Verdict} from '@egretrill/common';
+import {
+	type EndNote, RequestObserver, type RequestTimes, type SendNote, type Work,
+} from '@egretrill/callers';
+import type {Clock} from '@egretrill/common';
 import type {DemandEstimator} from '@egretrill/engines';
 import type {PeerDirectory} from '@egretrill/hosts';
-import type {PromiseCounters} from '@egretrill/monitor';
 import type {Counter, Metrics} from '@egretrill/platform';
 import {crashMethod} from '../methods.js';
+import type {PromiseAudit} from '../monitor/promise-audit.js';
 
 export type DaemonObserverOptions = {
 	readonly clock: Clock;
 	readonly metrics: Metrics;
 	readonly demand: DemandEstimator;
-	readonly promises: PromiseCounters;
+	readonly audit: PromiseAudit;
 	readonly peers: PeerDirectory;
 	readonly getLeaderId: () => string | undefined;
 };
@@ -41,14 +43,18 @@
 		}
 	}
 
-	override noteEnd(customer: string, outcome: 'completed' | 'cancelled' | Verdict): void {
+	override noteSend(send: SendNote): void {
+		this.opts.audit.checkSend(send);
+	}
+
+	override noteUnsent(requestId: string): void {
+		this.opts.audit.noteUnsent(requestId);
+	}
+
+	override noteEnd({requestId, customer, outcome}: EndNote): void {
 		const isVerdict = typeof outcome !== 'string';
 		this.requests.add(1, {customer, outcome: isVerdict ? outcome.code : outcome, verdict: isVerdict ? outcome.run : 'ran'});
-		if (outcome === 'completed') {
-			this.opts.promises.countHeld('P7');
-		} else if (isVerdict && outcome.run === 'not-run') {
-			this.opts.promises.countHeld('P8');
-		}
+		this.opts.audit.checkEnd(requestId, outcome);
 	}
 
 	override async noteCrash(fingerprint: string, startId: string): Promise<void> {
--- a/apps/egretrilld/src/constants.ts
+++ b/apps/egretrilld/src/constants.ts
@@ -7,6 +7,12 @@
 export const ZONE_DUTY_INTERVAL_MS = 200;
 export const POOL_RETRY_MS = 20;
 
+/** How often the owner of a zone checks what its targets hold against the promises. */
+export const PLACEMENT_AUDIT_INTERVAL_MS = 5000;
+
+/** How often hosts with disks write the promise counters into the evidence. */
+export const PROMISE_RECORD_INTERVAL_MS = 600_000;
+
 /** How often the slots of the fair queues follow the targets' capacity. */
 export const SLOT_UPDATE_INTERVAL_MS = 100;
 export const LOAD_PERMIT_POLL_MS = 50;
--- a/apps/egretrilld/src/container.ts
+++ b/apps/egretrilld/src/container.ts
@@ -24,6 +24,7 @@
 import {createVoter} from './hosts/voter.js';
 import {DaemonView} from './monitor/daemon-view.js';
 import {EvidenceHolder} from './monitor/evidence-holder.js';
+import {PromiseAudit} from './monitor/promise-audit.js';
 import {DaemonControl} from './operators/daemon-control.js';
 import {DirectoryPool} from './targets/directory-pool.js';
 import {DirectorySync} from './targets/directory-sync.js';
@@ -219,7 +220,7 @@
 			clock: ctx.get(tokens.clock),
 			metrics: ctx.get(tokens.metrics),
 			demand: ctx.get(tokens.demand),
-			promises: ctx.get(tokens.promises),
+			audit: ctx.get(tokens.audit),
 			peers: ctx.get(tokens.peers),
 			getLeaderId: () => ctx.get(tokens.origin).getLeaderId(),
 		}),
@@ -238,6 +239,9 @@
 		getEvidence: () => ctx.get(tokens.evidence).get(),
 		getTerm: () => ctx.get(tokens.voter)?.node.status().term ?? 0,
 	})).inSingletonScope();
+	container.bind(tokens.audit).toDynamicValue(ctx => new PromiseAudit({
+		counters: ctx.get(tokens.promises), config: ctx.get(tokens.config), directory: ctx.get(tokens.directory),
+	})).inSingletonScope();
 	container.bind(tokens.view).toDynamicValue(ctx => new DaemonView(ctx.get(tokens.origin), ctx.get(tokens.directory), ctx.get(tokens.control))).inSingletonScope();
 }
 
--- a/apps/egretrilld/src/daemon.ts
+++ b/apps/egretrilld/src/daemon.ts
@@ -11,7 +11,9 @@
 import {createAdminApp} from '@egretrill/operators';
 import {createHealthApp, type DrainReport, type UnreadyReason} from '@egretrill/platform';
 import type {Container} from 'inversify';
-import {CONFIG_SYNC_INTERVAL_MS, INITIAL_CONFIG_RETRY_MS} from './constants.js';
+import {
+	CONFIG_SYNC_INTERVAL_MS, INITIAL_CONFIG_RETRY_MS, PLACEMENT_AUDIT_INTERVAL_MS, PROMISE_RECORD_INTERVAL_MS,
+} from './constants.js';
 import {createHandlers} from './handlers.js';
 import {tokens} from './tokens.js';
 
@@ -68,6 +70,7 @@
 	/** Lets begun work end, then closes everything; a second call ends the waiting. */
 	async stop(reason: string): Promise<DrainReport> {
 		const report = await this.container.get(tokens.drain).start(reason);
+		const isFirst = !this.stopping.signal.aborted;
 		this.stopping.abort();
 		for (const server of this.servers) {
 			server.close();
@@ -79,6 +82,11 @@
 		this.container.get(tokens.peers).close();
 		await this.peerServer?.stop();
 		await Promise.all(this.tasks);
+		if (isFirst) {
+			this.container.get(tokens.audit).checkStop(report);
+			await this.recordPromises();
+		}
+
 		return report;
 	}
 
@@ -96,6 +104,7 @@
 			this.container.get(tokens.zoneDuties).run(signal),
 			this.container.get(tokens.queues).run(signal),
 			this.followConfig(signal),
+			this.auditPromises(signal),
 			...(initialConfig ? [this.proposeInitialConfig(initialConfig, signal)] : []),
 		];
 	}
@@ -110,6 +119,7 @@
 			const config = origin.getConfig();
 			if (config && config.version !== applied) {
 				applied = config.version;
+				this.container.get(tokens.audit).checkVersion(applied);
 				this.container.get(tokens.shares).setCustomers(config.document.customers);
 			}
 
@@ -124,6 +134,28 @@
 		}
 	}
 
+	/** Checks the zone's placement while this host owns it, and writes the counters of all promises into the evidence. */
+	private async auditPromises(signal: AbortSignal): Promise<void> {
+		const clock = this.container.get(tokens.clock);
+		const {zone} = this.container.get(tokens.settings);
+		let recordedMs = clock.now();
+		while (!signal.aborted) {
+			await clock.sleep(PLACEMENT_AUDIT_INTERVAL_MS, signal);
+			if (this.container.get(tokens.lease).remainingMs() > 0) {
+				this.container.get(tokens.audit).checkPlacement(zone);
+			}
+
+			if (clock.now() - recordedMs >= PROMISE_RECORD_INTERVAL_MS) {
+				recordedMs = clock.now();
+				await this.recordPromises();
+			}
+		}
+	}
+
+	private async recordPromises(): Promise<void> {
+		await this.container.get(tokens.evidence).get()?.append({kind: 'promises', counters: [...this.container.get(tokens.promises).getCounts()]});
+	}
+
 	/** Offers the first configuration of a new fleet; a fleet that has one refuses it as a conflict. */
 	private async proposeInitialConfig(document: ConfigDocument, signal: AbortSignal): Promise<void> {
 		const clock = this.container.get(tokens.clock);
--- a/apps/egretrilld/src/handlers.ts
+++ b/apps/egretrilld/src/handlers.ts
@@ -55,11 +55,15 @@
 		...bindConsensus(node),
 		bindFleetLog(node),
 		bindMethod(shareMethod, async req => {
-			const answer = duties.getTenure().buckets.grant(restoreShareRequest(req));
+			const {buckets} = duties.getTenure();
+			const shareReq = restoreShareRequest(req);
+			const answer = buckets.grant(shareReq);
 			if (answer.isErr) {
 				throw new NotLeaderError(answer.error);
 			}
 
+			container.get(tokens.audit).checkBuckets(buckets.getStatus(shareReq.customers.map(({customer}) => customer)));
+
 			return packShareAnswer(answer.value);
 		}),
 		bindMethod(zoneLeaseMethod, async ({zone, host}) => {
--- /dev/null
+++ b/apps/egretrilld/src/monitor/promise-audit.ts
@@ -0,0 +1,132 @@
+import type {BucketStatus, ConfigSource, SendNote} from '@egretrill/callers';
+import type {Verdict} from '@egretrill/common';
+import type {TargetDirectory} from '@egretrill/engines';
+import type {PromiseCounters, PromiseId} from '@egretrill/monitor';
+import type {DrainReport} from '@egretrill/platform';
+import {getCopyMemoryMb, hasRoomForModel} from './copy-memory.js';
+
+export type PromiseAuditOptions = {
+	readonly counters: PromiseCounters;
+	readonly config: ConfigSource;
+	readonly directory: TargetDirectory;
+};
+
+/** Amounts are sums of fractions, so that equal ones may differ in the last digits. */
+const ROUNDING = 1e-6;
+
+/** Checks what this host does against the promises, apart from the code that decides, and counts the results. */
+export class PromiseAudit {
+	/** Requests of which something may have left this host, with the number of their attempts. */
+	private readonly sent = new Map<string, number>();
+	private version = 0;
+
+	constructor(private readonly opts: PromiseAuditOptions) {}
+
+	/** Checks a request in the moment in which it is written to a target. */
+	checkSend(send: SendNote): void {
+		const attempts = this.sent.get(send.requestId) ?? 0;
+		this.sent.set(send.requestId, attempts + 1);
+		this.checkIdentity(send);
+		if (!send.isIdempotent) {
+			this.count('P9', attempts === 0, `request ${send.requestId} was written again`);
+		}
+
+		if (!send.isResume) {
+			this.checkTarget(send);
+		}
+	}
+
+	/** Takes back a send of which nothing left this host. */
+	noteUnsent(requestId: string): void {
+		const attempts = this.sent.get(requestId) ?? 0;
+		if (attempts > 1) {
+			this.sent.set(requestId, attempts - 1);
+		} else {
+			this.sent.delete(requestId);
+		}
+	}
+
+	/** Checks how a request ended against what had left this host. */
+	checkEnd(requestId: string, outcome: 'completed' | 'cancelled' | Verdict): void {
+		if (outcome === 'completed') {
+			this.count('P7', true, '');
+		} else if (outcome !== 'cancelled' && outcome.run === 'not-run') {
+			this.count('P8', !this.sent.has(requestId), `request ${requestId} was refused with ${outcome.code} after it was written`);
+		}
+
+		this.sent.delete(requestId);
+	}
+
+	/** Checks a configuration that comes into force here. */
+	checkVersion(version: number): void {
+		this.count('P12', version >= this.version, `version ${version} followed ${this.version}`);
+		this.version = Math.max(version, this.version);
+	}
+
+	/** Checks the buckets after a grant, while this host owns them. */
+	checkBuckets(buckets: readonly BucketStatus[]): void {
+		for (const {customer, level, outstanding} of buckets) {
+			const rate = this.opts.config.getIndex()?.customers.get(customer)?.rate;
+			if (rate) {
+				// A burst that operators lower may be below what is still lent; nothing more may be free then.
+				const tokens = level.tokens <= ROUNDING || level.tokens + outstanding.tokens <= rate.burstTokens + ROUNDING;
+				const requests = level.requests <= ROUNDING || level.requests + outstanding.requests <= rate.burstRequests + ROUNDING;
+				this.count('P4', tokens && requests, `customer ${customer} could get more than its burst`);
+			}
+		}
+	}
+
+	/** Checks what the targets of a zone report of themselves, and that each model can be reached. */
+	checkPlacement(zone: string): void {
+		const index = this.opts.config.getIndex();
+		const engines = this.opts.directory.getTargets().map(({entry}) => entry).filter(({kind}) => kind === 'engine');
+		if (!index || engines.length === 0) {
+			return;
+		}
+
+		for (const {targetId, memoryMb, resident} of engines.filter(entry => entry.zone === zone)) {
+			const usedMb = resident.reduce((sum, copy) => sum + getCopyMemoryMb(copy, index.models), 0);
+			this.count('P1', usedMb <= memoryMb, `target ${targetId} holds ${usedMb} of ${memoryMb} MB`);
+		}
+
+		for (const model of index.models.values()) {
+			const isReachable = engines.some(engine => hasRoomForModel(engine, model));
+			this.count('P2', isReachable, `no target holds model ${model.id} or could hold it`);
+		}
+	}
+
+	/** Checks what a planned stop left behind. */
+	checkStop({outcome, left}: DrainReport): void {
+		this.count('P11', left.length === 0, `${outcome}: ${left.map(({kind, count}) => `${count} ${kind}`).join(', ')} left`);
+	}
+
+	private checkIdentity({requestId, customer, keyDigest}: SendNote): void {
+		const index = this.opts.config.getIndex();
+		if (keyDigest === undefined || !index) {
+			return;
+		}
+
+		const key = index.keysByDigest.get(keyDigest);
+		const leaseMs = index.customers.get(key?.customer ?? '')?.keyLeaseMs ?? 0;
+		const isAllowed = key?.state === 'active' && key.customer === customer && this.opts.config.getAgeMs() <= leaseMs;
+		this.count('P3', isAllowed, `request ${requestId} was written for ${customer ?? 'nobody'} with key ${key?.id ?? 'unknown'}`);
+	}
+
+	private checkTarget({requestId, targetId, startId, hasPermit}: SendNote): void {
+		const entry = this.opts.directory.getEntry(targetId, startId);
+		const state = this.opts.config.getIndex()?.zones.get(entry?.zone ?? '')?.state;
+		this.count('P6', state !== 'taken-out', `request ${requestId} was written to zone ${entry?.zone ?? ''}, which is taken out`);
+		this.count('P10', entry?.leaving !== true, `request ${requestId} was written to ${targetId}, which is leaving`);
+		if (entry?.kind === 'engine' && !entry.warmth.warm) {
+			this.count('P5', hasPermit, `request ${requestId} was written to cold ${targetId} without a permit`);
+		}
+	}
+
+	private count(promise: PromiseId, isHeld: boolean, seen: string): void {
+		if (isHeld) {
+			this.opts.counters.countHeld(promise);
+		} else {
+			this.opts.counters.countBreach(promise, seen);
+		}
+	}
+}
--- a/apps/egretrilld/src/targets/directory-pool.ts
+++ b/apps/egretrilld/src/targets/directory-pool.ts
@@ -5,7 +5,7 @@
 	type Clock, type Logger, type Random, refuse, type TargetAddress, type Verdict,
 } from '@egretrill/common';
 import type {
-	Choice, ColdPermitHolder, CollapseDetector, HeldPermit, OwnRequest, PrefixBelief, RoutingPolicy, RoutingRequest, TargetDirectory, ZoneConditions,
+	Choice, ColdPermitHolder, CollapseDetector, DirectoryEntry, HeldPermit, OwnRequest, PrefixBelief, RoutingPolicy, RoutingRequest, TargetDirectory, ZoneConditions,
 } from '@egretrill/engines';
 import {Result} from 'true-myth';
 import {POOL_RETRY_MS} from '../constants.js';
@@ -41,17 +41,19 @@
 /** A target of the directory that runs one request. */
 class DirectoryTarget extends ChosenTarget {
 	override readonly address: TargetAddress;
+	override readonly hasPermit: boolean;
 
 	constructor(private readonly opts: DirectoryPoolOptions, private readonly held: HeldTarget) {
 		super();
 		const {targetId, startId, address} = held.choice;
 		this.address = {targetId, startId, address};
+		this.hasPermit = held.permit !== undefined;
 	}
 
 	override isAvailable(): boolean {
 		const entry = this.opts.directory.getEntry(this.held.choice.targetId, this.held.choice.startId);
 		const isZoneOpen = this.opts.getZoneConditions()[this.held.choice.zone]?.state !== 'taken-out';
-		return entry !== undefined && !entry.leaving && isZoneOpen && (!this.held.permit || this.opts.permits.canWrite(this.held.permit));
+		return entry !== undefined && !entry.leaving && isZoneOpen && this.canWrite(entry);
 	}
 
 	override isSameStart(): boolean {
@@ -100,6 +102,12 @@
 		}
 	}
 
+	/** A target may have turned cold since it was chosen; without a permit it takes nothing then. */
+	private canWrite({kind, warmth}: DirectoryEntry): boolean {
+		const {permit} = this.held;
+		return permit ? this.opts.permits.canWrite(permit) : kind !== 'engine' || warmth.warm;
+	}
+
 	/** The engine now holds the prompt's prefix, before any cache event says so. */
 	private notePrefix(): void {
 		const {belief} = this.opts;
--- a/apps/egretrilld/src/tokens.ts
+++ b/apps/egretrilld/src/tokens.ts
@@ -17,6 +17,7 @@
 import type {LeaderDuties} from './hosts/leader-duties.js';
 import type {EvidenceHolder} from './monitor/evidence-holder.js';
 import type {DaemonView} from './monitor/daemon-view.js';
+import type {PromiseAudit} from './monitor/promise-audit.js';
 import type {DirectoryPool} from './targets/directory-pool.js';
 import type {DirectorySync} from './targets/directory-sync.js';
 import type {ZoneDuties} from './targets/zone-duties.js';
@@ -38,6 +39,7 @@
 	drain: createToken<Drain>('drain'),
 	metrics: createToken<Metrics>('metrics'),
 	promises: createToken<PromiseCounters>('promises'),
+	audit: createToken<PromiseAudit>('audit'),
 	evidence: createToken<EvidenceHolder>('evidence'),
 	peers: createToken<PeerDirectory>('peers'),
 	reports: createToken<InForceReports>('reports'),
--- a/apps/egretrilld/tests/promises.test.ts
+++ b/apps/egretrilld/tests/promises.test.ts
@@ -1,5 +1,5 @@
 import {
-	createLocalConfig, type DaemonProcess, exchange, Fleet, getConfig, getLocalKey, getWithdrawal, type RecordedAnswer, setZoneState, TargetProcess, waitFor, withdrawKey,
+	createLocalConfig, type DaemonProcess, exchange, Fleet, getBreaches, getConfig, getLocalKey, getWithdrawal, type RecordedAnswer, setZoneState, TargetProcess, waitFor, withdrawKey,
 } from '@egretrill/testkit';
 import {expect} from 'chai';
 
@@ -63,6 +63,7 @@
 	});
 
 	afterEach(async () => {
+		expect(await getBreaches(fleet.hosts)).to.deep.equal([]);
 		await Promise.all(targets.map(async target => target.kill()));
 		await fleet.stop();
 	});
--- a/dev/testkit/src/admin-client.ts
+++ b/dev/testkit/src/admin-client.ts
@@ -1,7 +1,7 @@
 import {type ConfigDocument} from '@egretrill/common';
 import got from 'got';
 import type {DaemonProcess} from './daemon-process.js';
-import {OPERATOR_KEY} from './fleet.js';
+import {MONITOR_KEY, OPERATOR_KEY} from './fleet.js';
 
 /** One answer of the admin API. */
 export type AdminAnswer = {readonly status: number; readonly body: Readonly<Record<string, unknown>>};
@@ -15,6 +15,20 @@
 	return {status: res.statusCode, body: JSON.parse(res.body) as Record<string, unknown>};
 }
 
+/** A promise that a host counted as broken, with what it saw. */
+export type Breach = {readonly host: string; readonly promise: string; readonly lastBreach: string};
+
+/** Reads from the monitor's address which promises the hosts that answer count as broken. */
+export async function getBreaches(hosts: readonly DaemonProcess[]): Promise<readonly Breach[]> {
+	const answers = await Promise.allSettled(hosts.map(async host => {
+		const {promises} = await got(`http://${host.addresses.monitor}/v1/promises`, {
+			headers: {authorization: `Bearer ${MONITOR_KEY}`}, retry: {limit: 0}, timeout: {request: 5000},
+		}).json<{promises: ReadonlyArray<{promise: string; state: string; lastBreach: string}>}>();
+		return promises.filter(({state}) => state === 'broken').map(({promise, lastBreach}) => ({host: host.peer.id, promise, lastBreach}));
+	}));
+	return answers.flatMap(answer => answer.status === 'fulfilled' ? answer.value : []);
+}
+
 /** Applies a document that follows a version. */
 export async function applyDocument(host: DaemonProcess, document: ConfigDocument, follows: number, requestId: string): Promise<AdminAnswer> {
 	return send(`http://${host.addresses.admin}/v1/config/apply`, {document, follows, requestId});
--- a/packages/callers/src/handle-request.ts
+++ b/packages/callers/src/handle-request.ts
@@ -41,7 +41,7 @@
 	const result = await queueAndRun({
 		...admitted.value, parts, signal, fingerprint: getFingerprint(customer, `${req.method} ${req.path}`, req.body),
 	}, req, reply);
-	parts.observer.noteEnd(customer, result.isOk ? result.value.kind : result.error);
+	parts.observer.noteEnd({requestId: req.requestId, customer, outcome: result.isOk ? result.value.kind : result.error});
 	return result;
 }
 
--- a/packages/callers/src/limits/bucket-owner.ts
+++ b/packages/callers/src/limits/bucket-owner.ts
@@ -108,12 +108,13 @@
 		return Result.ok(answer);
 	}
 
-	/** State of all buckets now. */
-	getStatus(): readonly BucketStatus[] {
+	/** State of the customers' buckets now. */
+	getStatus(customers: readonly string[] = [...this.accounts.keys()]): readonly BucketStatus[] {
 		const now = this.clock.now();
-		return [...this.accounts].map(([customer, {bucket}]) => {
-			bucket.advance(now);
-			return {customer, level: bucket.getLevel(), outstanding: bucket.getOutstanding()};
+		return customers.flatMap(customer => {
+			const bucket = this.accounts.get(customer)?.bucket;
+			bucket?.advance(now);
+			return bucket ? [{customer, level: bucket.getLevel(), outstanding: bucket.getOutstanding()}] : [];
 		});
 	}
 
--- a/packages/callers/src/request-parts.ts
+++ b/packages/callers/src/request-parts.ts
@@ -18,12 +18,32 @@
 	readonly betweenTokensMs?: number;
 };
 
+/** One attempt of a request in the moment in which it is written to a target. */
+export type SendNote = {
+	readonly requestId: string;
+	readonly customer?: string;
+	readonly keyDigest?: string;
+	readonly targetId: string;
+	readonly startId: string;
+	readonly isIdempotent: boolean;
+	/** Whether the attempt goes on with an answer that has begun. */
+	readonly isResume: boolean;
+	/** Whether the attempt uses a permit for a cold target. */
+	readonly hasPermit: boolean;
+};
+
+/** How a request with a known customer ended. */
+export type EndNote = {readonly requestId: string; readonly customer: string; readonly outcome: 'completed' | 'cancelled' | Verdict};
+
 /** Takes what happens to requests, for metrics, demand and promise counters. */
 export abstract class RequestObserver {
 	/** Notes a request with a known route before anything can refuse it. */
 	abstract noteArrival(work: Work): void;
 	abstract noteTimes(times: RequestTimes): void;
-	abstract noteEnd(customer: string, outcome: 'completed' | 'cancelled' | Verdict): void;
+	abstract noteSend(send: SendNote): void;
+	/** Notes that nothing of the last attempt left this host. */
+	abstract noteUnsent(requestId: string): void;
+	abstract noteEnd(end: EndNote): void;
 	/** Notes that a target's process ended while it ran a request. */
 	abstract noteCrash(fingerprint: string, startId: string): Promise<void>;
 }
--- a/packages/callers/src/run-on-targets.ts
+++ b/packages/callers/src/run-on-targets.ts
@@ -107,6 +107,18 @@
 		return {...targetLeft, deliveredChunks: state.deliveredChunks};
 	}
 
+	const {parts, req, identity, work} = exchange;
+	const {targetId, startId} = chosen.address;
+	parts.observer.noteSend({
+		requestId: req.requestId,
+		customer: identity.customer?.id,
+		keyDigest: identity.keyDigest,
+		targetId,
+		startId,
+		isIdempotent: work.route.idempotent,
+		isResume: state.resumeAt !== undefined,
+		hasPermit: chosen.hasPermit,
+	});
 	const build = createBuilder(exchange);
 	return exchange.work.chat?.stream
 		? relayStream(exchange, chosen.address, state.deliveredChunks, build)
@@ -176,6 +188,10 @@
 		}
 
 		const result = await attemptAt(exchange, chosen.value, state);
+		if (result.kind === 'failed' && !result.failure.accepted) {
+			exchange.parts.observer.noteUnsent(exchange.req.requestId);
+		}
+
 		noteTimes(exchange, chosen.value, result);
 		chosen.value.release(getOutcome(result));
 		if (result.kind !== 'failed') {
--- a/packages/callers/src/target-pool.ts
+++ b/packages/callers/src/target-pool.ts
@@ -22,6 +22,8 @@
 /** A target that was chosen for one request. */
 export abstract class ChosenTarget {
 	abstract readonly address: TargetAddress;
+	/** Whether the request uses a permit for a cold target. */
+	abstract readonly hasPermit: boolean;
 	/** False once the target leaves, restarts or its zone is taken out. */
 	abstract isAvailable(): boolean;
 	/** True while the process that was chosen still announces itself, even if it takes no new work. */
