history: checks of the promises over a recorded history

Cause: promises were tested one by one; no check looked at concurrent calls, operators and faults of real daemons together. The stand-ins note their own runs, ends, leaves and memory, and print them, so that the record outlives a kill of the target. An engine's books count a model's memory from the begin of its load. Before: no check over a history of processes.

--- /dev/null
+++ b/dev/history/src/checks/describe.ts
@@ -0,0 +1,14 @@
+import type {HistoryEvent} from '../types.js';
+
+/** One event as evidence, without what is absent. */
+export function describeEvent(event: HistoryEvent): string {
+	const {kind, atMs, ...rest} = event;
+	const fields = Object.entries(rest)
+		.filter(([, value]) => value !== undefined && value !== '')
+		.map(([name, value]) => `${name}=${typeof value === 'object' ? JSON.stringify(value) : String(value)}`);
+	return `${atMs.toFixed(1)} ms ${kind} ${fields.join(' ')}`;
+}
+
+export function describeEvents(...events: ReadonlyArray<HistoryEvent | undefined>): string[] {
+	return events.filter(event => event !== undefined).toSorted((a, b) => a.atMs - b.atMs).map(event => describeEvent(event));
+}
--- /dev/null
+++ b/dev/history/src/index.ts
@@ -0,0 +1,2 @@
+export * from './checks/index.js';
+export * from './types.js';
--- /dev/null
+++ b/dev/history/src/types.ts
@@ -0,0 +1,123 @@
+import {ConfigDocument, RunState} from '@egretrill/common';
+import {TargetEvent} from '@egretrill/stand-ins';
+import {z} from 'zod';
+
+/** Milliseconds of the monotonic clock that all processes of one machine share. */
+const moment = {atMs: z.number()};
+
+export const CallKind = z.enum(['open', 'registry', 'order', 'reused-key', 'draft', 'batch', 'over-rate', 'withdrawn-key', 'unknown-key']);
+export type CallKind = z.infer<typeof CallKind>;
+
+/** One sending of a call; a resend is another attempt of the same call and has the same body. */
+export const CallBegun = z.object({
+	kind: z.literal('call-begun'),
+	...moment,
+	attempt: z.string(),
+	callKind: CallKind,
+	host: z.string(),
+	/** Customer and id of the key that was sent; empty where the fleet knows no such key. */
+	customer: z.string(),
+	keyId: z.string(),
+	route: z.string(),
+	isKeyed: z.boolean(),
+	isIdempotent: z.boolean(),
+	isStream: z.boolean(),
+	bodyDigest: z.string(),
+	/** Tokens of a whole answer; 0 for services. */
+	tokens: z.int(),
+});
+export type CallBegun = z.infer<typeof CallBegun>;
+
+export const CallEnded = z.object({
+	kind: z.literal('call-ended'),
+	...moment,
+	attempt: z.string(),
+	/** An answer that breaks off after its status line is `broken`, as is a connection that ends without an answer. */
+	end: z.enum(['answered', 'broken', 'unreachable', 'timed-out']),
+	status: z.int(),
+	verdict: RunState.optional(),
+	code: z.string().optional(),
+	/** Id that the host gave to this attempt. */
+	requestId: z.string().optional(),
+	/** Id and body digest of the run from which the answer comes, as the target wrote them into it. */
+	runId: z.string().optional(),
+	runDigest: z.string().optional(),
+	chunks: z.array(z.object({id: z.string(), seq: z.int()})),
+	isDone: z.boolean(),
+	hasErrorEvent: z.boolean(),
+});
+export type CallEnded = z.infer<typeof CallEnded>;
+
+export const OperatorBegun = z.object({
+	kind: z.literal('operator-begun'),
+	...moment,
+	operation: z.string(),
+	action: z.enum(['apply', 'withdraw', 'withdrawal-state', 'zone-out', 'zone-back']),
+	host: z.string(),
+	/** Request id of an apply, id of a key or a zone. */
+	subject: z.string(),
+	follows: z.int().optional(),
+});
+export type OperatorBegun = z.infer<typeof OperatorBegun>;
+
+export const OperatorEnded = z.object({
+	kind: z.literal('operator-ended'),
+	...moment,
+	operation: z.string(),
+	/** The result that the host named, or `no-answer`. */
+	result: z.string(),
+	version: z.int().optional(),
+	digest: z.string().optional(),
+});
+export type OperatorEnded = z.infer<typeof OperatorEnded>;
+
+export const FaultKind = z.enum(['kill-host', 'pause-host', 'cut-zone', 'cut-one-way', 'kill-target', 'leave-target', 'stop-host']);
+export type FaultKind = z.infer<typeof FaultKind>;
+
+export const FaultBegun = z.object({
+	kind: z.literal('fault-begun'),
+	...moment,
+	fault: z.string(),
+	faultKind: FaultKind,
+	/** The host, zone or target that it concerns. */
+	subject: z.string(),
+});
+export type FaultBegun = z.infer<typeof FaultBegun>;
+
+/** A fault ends when what it broke works again: after a kill, once the process is ready. */
+export const FaultEnded = z.object({
+	kind: z.literal('fault-ended'), ...moment, fault: z.string(), exitCode: z.int().optional(),
+});
+export type FaultEnded = z.infer<typeof FaultEnded>;
+
+/** A graceful stop has let the process end; the fault itself ends when the next process is ready. */
+export const ProcessEnded = z.object({
+	kind: z.literal('process-ended'), ...moment, fault: z.string(), exitCode: z.int(),
+});
+export type ProcessEnded = z.infer<typeof ProcessEnded>;
+
+/** A configuration read from one host; reads of one host follow each other. */
+export const VersionSeen = z.object({
+	kind: z.literal('version-seen'), ...moment, host: z.string(), version: z.int(), digest: z.string(),
+});
+export type VersionSeen = z.infer<typeof VersionSeen>;
+
+export const HistoryEvent = z.union([
+	z.discriminatedUnion('kind', [CallBegun, CallEnded, OperatorBegun, OperatorEnded, FaultBegun, FaultEnded, ProcessEnded, VersionSeen]), TargetEvent,
+]);
+export type HistoryEvent = z.infer<typeof HistoryEvent>;
+
+/** All that was recorded of one run, ordered by time. */
+export const History = z.object({
+	seed: z.int(), document: ConfigDocument, hosts: z.array(z.object({id: z.string(), zone: z.string()})), events: z.array(HistoryEvent),
+});
+export type History = z.infer<typeof History>;
+
+/** One broken promise, with the events that show it. */
+export const Finding = z.object({what: z.string(), evidence: z.array(z.string())});
+export type Finding = z.infer<typeof Finding>;
+
+export const CheckResult = z.object({
+	promise: z.string(), title: z.string(), counted: z.int(), unit: z.string(), findings: z.array(Finding),
+});
+export type CheckResult = z.infer<typeof CheckResult>;
--- a/dev/stand-ins/src/engine-state.ts
+++ b/dev/stand-ins/src/engine-state.ts
@@ -20,6 +20,19 @@
 		return this.residents.reduce((sum, resident) => sum + this.getSizeMb(resident.model) + resident.adapters.reduce((adapters, id) => adapters + this.getSizeMb(id), 0), 0);
 	}
 
+	/** Memory that an order takes beyond what is resident. */
+	getAddedMb(order: Order): number {
+		if (this.settledOrders.includes(order.orderId)) {
+			return 0;
+		}
+
+		const hasVersion = order.kind === 'load-model' && this.residents.some(({model, version}) => model === order.model && version === order.version);
+		const hasAdapter = order.kind === 'load-adapter' && this.hasModel(order.model, order.adapter);
+		return order.kind === 'load-model' && !hasVersion
+			? this.getSizeMb(order.model)
+			: (order.kind === 'load-adapter' && !hasAdapter ? this.getSizeMb(order.adapter) : 0);
+	}
+
 	hasModel(model: string, adapter?: string): boolean {
 		return this.residents.some(resident => resident.model === model && (adapter === undefined || resident.adapters.includes(adapter)));
 	}
--- a/dev/stand-ins/src/engine.ts
+++ b/dev/stand-ins/src/engine.ts
@@ -1,4 +1,5 @@
 import {once} from 'node:events';
+import type {IncomingMessage} from 'node:http';
 import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
 import {
@@ -8,6 +9,7 @@
 import express, {type Express, type Request, type Response} from 'express';
 import {HEARTBEAT_INTERVAL_MS, PROMPT_TOKENS} from './constants.js';
 import {EngineState} from './engine-state.js';
+import {getBodyDigest} from './monotonic.js';
 import {StandInTarget} from './target.js';
 import {EngineOptions} from './types.js';
 
@@ -29,6 +31,9 @@
 	peakRunning = 0;
 	sentChunks = 0;
 	private readonly opts: EngineOptions;
+	/** Memory of models that are being loaded; an engine takes it when the load begins. */
+	private loadingMb = 0;
+	private readonly digests = new WeakMap<IncomingMessage, string>();
 	private running = 0;
 	private completed = 0;
 
@@ -73,7 +78,11 @@
 	}
 
 	protected override mount(app: Express): void {
-		app.post('/v1/chat/completions', express.json({limit: '2mb'}), async (req, res) => this.complete(req, res));
+		app.post('/v1/chat/completions', express.json({
+			limit: '2mb', verify: (req, _res, body) => {
+				this.digests.set(req, getBodyDigest(body));
+			},
+		}), async (req, res) => this.complete(req, res));
 		app.post('/orders', express.json(), async (req, res) => this.takeOrder(req, res));
 	}
 
@@ -90,9 +99,20 @@
 		}
 
 		res.status(202).json({accepted: true});
-		if (await this.load(order)) {
+		const addedMb = this.state.getAddedMb(order);
+		this.loadingMb += addedMb;
+		this.noteMemory();
+		const isLoaded = await this.load(order);
+		this.loadingMb -= addedMb;
+		if (isLoaded) {
 			this.state.apply(order);
 		}
+
+		this.noteMemory();
+	}
+
+	private noteMemory(): void {
+		this.note({kind: 'memory', usedMb: this.state.getMemoryMb() + this.loadingMb, limitMb: this.opts.memoryMb});
 	}
 
 	/** Loads what the order names; false when the weight store refused. */
@@ -122,6 +142,7 @@
 		}
 
 		if (this.isCold() && this.running >= this.opts.coldSlots) {
+			this.note({kind: 'collapsed', requestId});
 			res.status(503).json({error: {code: 'collapsed'}});
 			return;
 		}
@@ -129,19 +150,25 @@
 		this.begunRequests.push(requestId);
 		this.running += 1;
 		this.peakRunning = Math.max(this.peakRunning, this.running);
+		this.noteRun(req, {
+			bodyDigest: this.digests.get(req) ?? '', resumeFrom: Number(req.get(RESUME_HEADER) ?? 0), running: this.running, completed: this.completed, limit: this.opts.slots, isCold: this.isCold(),
+		});
 		try {
-			await (chat.stream ? this.sendStream(req, res, chat, requestId) : this.sendWhole(res, chat, requestId));
+			const chunks = await (chat.stream ? this.sendStream(req, res, chat, requestId) : this.sendWhole(res, chat, requestId));
 			this.completed += 1;
+			this.note({
+				kind: 'run-ended', requestId, chunks, isComplete: res.writableEnded,
+			});
 		} finally {
 			this.running -= 1;
 		}
 	}
 
-	private async sendWhole(res: Response, chat: ChatRequest, requestId: string): Promise<void> {
+	private async sendWhole(res: Response, chat: ChatRequest, requestId: string): Promise<number> {
 		await delay((this.faults.prefillMs ?? this.opts.prefillMs) + (chat.max_tokens * this.opts.tokenIntervalMs));
 		if (this.faults.loseAnswer) {
 			res.destroy();
-			return;
+			return 0;
 		}
 
 		const content = Array.from({length: chat.max_tokens}, (_, seq) => getWord(seq)).join('');
@@ -152,20 +179,23 @@
 			choices: [{index: 0, message: {role: 'assistant', content}, finish_reason: 'length'}],
 			usage: getUsage(chat),
 		});
+		return chat.max_tokens;
 	}
 
-	private async sendStream(req: Request, res: Response, chat: ChatRequest, requestId: string): Promise<void> {
+	/** Returns the number of chunks that were sent. */
+	private async sendStream(req: Request, res: Response, chat: ChatRequest, requestId: string): Promise<number> {
 		res.set({'content-type': 'text/event-stream'}).flushHeaders();
 		const heartbeat = setInterval(() => {
 			if (this.faults.muteAfterChunks === undefined) {
 				res.write(': heartbeat\n\n');
 			}
 		}, HEARTBEAT_INTERVAL_MS);
+		const first = Number(req.get(RESUME_HEADER) ?? 0);
 		try {
 			await delay(this.faults.prefillMs ?? this.opts.prefillMs);
-			for (let seq = Number(req.get(RESUME_HEADER) ?? 0); seq < chat.max_tokens; seq++) {
+			for (let seq = first; seq < chat.max_tokens; seq++) {
 				if (res.closed || !this.writeChunk(res, chat, requestId, seq)) {
-					return;
+					return seq - first;
 				}
 
 				if (!this.faults.isFast) {
@@ -177,6 +207,7 @@
 
 			res.write('data: [DONE]\n\n');
 			res.end();
+			return chat.max_tokens - first;
 		} finally {
 			clearInterval(heartbeat);
 		}
--- a/dev/stand-ins/src/service.ts
+++ b/dev/stand-ins/src/service.ts
@@ -1,5 +1,7 @@
-import type {Announcement} from '@egretrill/common';
+import {type Announcement, REQUEST_ID_HEADER} from '@egretrill/common';
 import express, {type Express} from 'express';
+import {SERVICE_LIMIT} from './constants.js';
+import {getBodyDigest} from './monotonic.js';
 import {StandInTarget} from './target.js';
 
 export type ServiceOptions = {
@@ -30,7 +32,7 @@
 			honoursFencing: false,
 			memoryMb: 0,
 			load: {
-				running: 0, waiting: 0, limit: 64, kvUsedRatio: 0,
+				running: 0, waiting: 0, limit: SERVICE_LIMIT, kvUsedRatio: 0,
 			},
 			resident: [],
 			settledOrders: [],
@@ -46,12 +48,19 @@
 	protected override mount(app: Express): void {
 		app.use(express.text({type: () => true}), (req, res) => {
 			this.lastHeaders = req.headers;
-			this.runs.push(typeof req.body === 'string' ? req.body : '');
+			const body = typeof req.body === 'string' ? req.body : '';
+			const bodyDigest = getBodyDigest(body);
+			this.noteRun(req, {
+				bodyDigest, resumeFrom: 0, running: 1, completed: this.runs.length, limit: SERVICE_LIMIT, isCold: false,
+			});
+			this.runs.push(body);
 			if (this.faults.loseAnswer) {
 				req.socket.destroy();
 				return;
 			}
 
+			// The headers tell whose run an answer comes from, also when it is given again to a resend.
+			res.set({'x-run-id': req.get(REQUEST_ID_HEADER) ?? '', 'x-run-digest': bodyDigest});
 			res.json({service: this.opts.service, path: req.path, run: this.runs.length});
 		});
 	}
--- a/dev/stand-ins/src/target.ts
+++ b/dev/stand-ins/src/target.ts
@@ -2,10 +2,14 @@
 import {once} from 'node:events';
 import type {Server} from 'node:http';
 import type {AddressInfo} from 'node:net';
-import type {Announcement} from '@egretrill/common';
-import express, {type Express} from 'express';
+import {type Announcement, REQUEST_ID_HEADER} from '@egretrill/common';
+import express, {type Express, type Request} from 'express';
 import {announceUntil} from './announce.js';
-import {Faults} from './types.js';
+import {getMonotonicMs} from './monotonic.js';
+import {Faults, type TargetEvent} from './types.js';
+
+/** An event without what every event of one target shares. */
+type OwnEvent = TargetEvent extends infer Event ? (Event extends TargetEvent ? Omit<Event, 'atMs' | 'targetId' | 'startId' | 'zone'> : never) : never;
 
 /** A stand-in that listens, announces itself and takes faults from tests. */
 export abstract class StandInTarget {
@@ -14,6 +18,8 @@
 	address = '';
 	/** Headers of the last request, for checks that no key reaches a target. */
 	lastHeaders: Readonly<Record<string, unknown>> = {};
+	/** Takes each event before its effect can be seen from outside. */
+	onEvent: ((event: TargetEvent) => void) | undefined;
 	private server: Server | undefined;
 	private readonly stopping = new AbortController();
 
@@ -23,6 +29,10 @@
 		const app = express();
 		app.post('/faults', express.json(), (req, res) => {
 			this.faults = Faults.parse(req.body);
+			if (this.faults.leaving) {
+				this.note({kind: 'leaving'});
+			}
+
 			res.status(204).end();
 		});
 		app.get('/books', (_req, res) => {
@@ -43,6 +53,24 @@
 	}
 
 	abstract getAnnouncement(): Announcement;
+	protected note(event: OwnEvent): void {
+		const {targetId, startId, zone} = this.getAnnouncement();
+		this.onEvent?.({
+			...event, atMs: getMonotonicMs(), targetId, startId, zone,
+		});
+	}
+
+	protected noteRun(req: Request, run: Pick<Extract<OwnEvent, {kind: 'run-begun'}>, 'bodyDigest' | 'resumeFrom' | 'running' | 'completed' | 'limit' | 'isCold'>): void {
+		const values = Object.values(req.headers).map(String);
+		this.note({
+			kind: 'run-begun',
+			requestId: req.get(REQUEST_ID_HEADER) ?? '',
+			attempt: req.get('x-attempt') ?? '',
+			seesKey: ['authorization', 'x-api-key'].some(name => req.get(name) !== undefined) || values.some(value => value.includes('example-key')),
+			...run,
+		});
+	}
+
 	/** What the stand-in itself knows to have happened. */
 	protected abstract getBooks(): Record<string, unknown>;
 	protected abstract mount(app: Express): void;
--- a/dev/stand-ins/src/types.ts
+++ b/dev/stand-ins/src/types.ts
@@ -50,3 +50,41 @@
 
 /** Anything that announces itself to hosts. */
 export type Announcer = {readonly getAnnouncement: () => Announcement; readonly hosts: readonly string[]};
+
+const eventFields = {
+	/** Milliseconds of the system's monotonic clock, which all processes of one machine share. */
+	atMs: z.number(),
+	targetId: z.string(),
+	startId: z.string(),
+	zone: z.string(),
+};
+
+/** What a stand-in notes of its own work, for checks over a recorded history. */
+export const TargetEvent = z.discriminatedUnion('kind', [
+	z.object({
+		kind: z.literal('run-begun'),
+		...eventFields,
+		requestId: z.string(),
+		/** The caller's own name for this attempt, from the header `x-attempt`. */
+		attempt: z.string(),
+		bodyDigest: z.string(),
+		/** Chunks that an earlier run of the request had delivered. */
+		resumeFrom: z.int(),
+		/** Whether any header carries a caller's key. */
+		seesKey: z.boolean(),
+		/** Requests that run, with this one, and requests that this start has completed. */
+		running: z.int(),
+		completed: z.int(),
+		limit: z.int(),
+		isCold: z.boolean(),
+	}),
+	z.object({
+		kind: z.literal('run-ended'), ...eventFields, requestId: z.string(), chunks: z.int(), isComplete: z.boolean(),
+	}),
+	z.object({kind: z.literal('collapsed'), ...eventFields, requestId: z.string()}),
+	z.object({kind: z.literal('leaving'), ...eventFields}),
+	z.object({
+		kind: z.literal('memory'), ...eventFields, usedMb: z.number(), limitMb: z.number(),
+	}),
+]);
+export type TargetEvent = z.infer<typeof TargetEvent>;
--- a/dev/testkit/src/target-process.ts
+++ b/dev/testkit/src/target-process.ts
@@ -4,7 +4,7 @@
 import path from 'node:path';
 import process from 'node:process';
 import {createInterface} from 'node:readline';
-import type {EngineOptions, Faults} from '@egretrill/stand-ins';
+import {type EngineOptions, type Faults, TargetEvent} from '@egretrill/stand-ins';
 import got from 'got';
 
 type TargetOptions =
@@ -23,12 +23,20 @@
 	/** Starts a target and waits until it listens. */
 	static async start(opts: TargetOptions): Promise<TargetProcess> {
 		const child = spawn(process.execPath, [mainFile, JSON.stringify(opts)], {stdio: ['ignore', 'pipe', 'inherit']});
-		const [line] = await once(createInterface({input: child.stdout}), 'line') as [string];
-		const {address} = JSON.parse(line) as {address: string};
-		return new TargetProcess(child, address);
+		const lines = createInterface({input: child.stdout});
+		const [line] = await once(lines, 'line') as [string];
+		const {address, startId} = JSON.parse(line) as {address: string; startId: string};
+		const target = new TargetProcess(child, address, startId);
+		lines.on('line', event => {
+			target.events.push(TargetEvent.parse(JSON.parse(event)));
+		});
+		return target;
 	}
 
-	private constructor(private readonly child: ChildProcess, readonly address: string) {}
+	/** What the target noted of its own work, also up to a kill. */
+	readonly events: TargetEvent[] = [];
+
+	private constructor(private readonly child: ChildProcess, readonly address: string, readonly startId: string) {}
 
 	get isAlive(): boolean {
 		return this.child.exitCode === null && this.child.signalCode === null;
