history: record runs of real daemons under callers, operators and faults

Cause: the checks need histories of real processes. The testkit waits for the exit of a daemon that an operator drains.

--- /dev/null
+++ b/dev/history/src/recorder/callers.ts
@@ -0,0 +1,197 @@
+import {setTimeout as delay} from 'node:timers/promises';
+import type {Random} from '@egretrill/common';
+import {getBodyDigest} from '@egretrill/stand-ins';
+import type {CallBegun, CallKind} from '../types.js';
+import {WITHDRAWN_KEYS} from './constants.js';
+import type {FleetUnderTest} from './fleet-under-test.js';
+import type {Journal} from './journal.js';
+import {between, chance, pick} from './pick.js';
+import {type CallAnswer, sendCall} from './send-call.js';
+import {getKey, MODELS} from './test-config.js';
+
+export type CallerTools = {readonly fleet: FleetUnderTest; readonly journal: Journal; readonly random: Random; readonly signal: AbortSignal};
+
+type Call = {
+	readonly id: string;
+	readonly callKind: CallKind;
+	readonly route: string;
+	readonly customer: string;
+	readonly keyId: string;
+	readonly body: string;
+	readonly isKeyed?: boolean;
+	readonly isIdempotent?: boolean;
+	readonly isStream?: boolean;
+	readonly tokens?: number;
+	readonly headers?: Readonly<Record<string, string>>;
+};
+
+/** One caller: a task that makes calls one after another until its signal aborts. */
+export abstract class Caller {
+	private attempts = 0;
+
+	constructor(protected readonly tools: CallerTools, private readonly pauseMs: number) {}
+
+	async run(): Promise<void> {
+		const {random, signal} = this.tools;
+		while (!signal.aborted) {
+			await this.callOnce();
+			await delay(between(random, 0, 2 * this.pauseMs));
+		}
+	}
+
+	protected async send(call: Call): Promise<CallAnswer> {
+		const {fleet, journal, random} = this.tools;
+		const host = pick(random, fleet.fleet.hosts);
+		this.attempts += 1;
+		const attempt = `${call.id}/${this.attempts}`;
+		const {isKeyed = true, isIdempotent = true, isStream = false, tokens = 0, callKind, customer, keyId, route} = call;
+		const begun: Omit<CallBegun, 'atMs'> = {
+			kind: 'call-begun',
+			attempt,
+			callKind,
+			host: host.peer.id,
+			customer,
+			keyId: customer === '' ? '' : keyId,
+			route,
+			isKeyed,
+			isIdempotent,
+			isStream,
+			tokens,
+			bodyDigest: getBodyDigest(call.body),
+		};
+		journal.note(begun);
+		const answer = await sendCall(`http://${host.addresses.callers}${route}`, {
+			headers: {'x-attempt': attempt, ...(isKeyed && {authorization: `Bearer ${getKey(keyId)}`}), ...call.headers}, body: call.body,
+		});
+		journal.note({kind: 'call-ended', attempt, ...answer});
+		return answer;
+	}
+
+	protected abstract callOnce(): Promise<void>;
+}
+
+/** Calls a plain service with an open route, a valid key, a key that will be withdrawn, or one that nobody knows. */
+export class ServiceCaller extends Caller {
+	protected override async callOnce(): Promise<void> {
+		const {journal, random} = this.tools;
+		const callKind = pick(random, ['open', 'registry', 'registry', 'withdrawn-key', 'withdrawn-key', 'unknown-key'] as const);
+		const id = journal.createId(callKind);
+		const common = {id, callKind, body: id};
+		switch (callKind) {
+			case 'open': {
+				await this.send({
+					...common, route: '/public/board', customer: '', keyId: '', isKeyed: false,
+				});
+				break;
+			}
+
+			case 'registry': {
+				const customer = pick(random, ['yard', 'port']);
+				await this.send({
+					...common, route: '/registry/mark', customer, keyId: customer,
+				});
+				break;
+			}
+
+			case 'withdrawn-key': {
+				const keyId = `guild-key-${1 + Math.floor(random() * WITHDRAWN_KEYS)}`;
+				await this.send({
+					...common, route: '/registry/mark', customer: 'guild', keyId,
+				});
+				break;
+			}
+
+			case 'unknown-key': {
+				await this.send({
+					...common, route: pick(random, ['/registry/mark', '/orders']), customer: '', keyId: 'nobody', headers: {'idempotency-key': id},
+				});
+				break;
+			}
+		}
+	}
+}
+
+/** Asks for whole and streamed drafts. */
+export class DraftCaller extends Caller {
+	protected override async callOnce(): Promise<void> {
+		const {random} = this.tools;
+		const isBatch = chance(random, 0.25);
+		const customer = pick(random, ['yard', 'port']);
+		await this.draft(isBatch ? 'batch' : 'draft', customer, !isBatch && chance(random, 0.7));
+	}
+
+	protected async draft(callKind: CallKind, customer: string, isStream: boolean): Promise<void> {
+		const {journal, random} = this.tools;
+		const id = journal.createId(callKind);
+		const tokens = 5 + Math.floor(random() * 40);
+		const body = JSON.stringify({
+			model: pick(random, ['inscription', ...MODELS]),
+			stream: isStream,
+			max_tokens: tokens,
+			messages: [{role: 'user', content: `Draft ${id}.`}],
+			...(chance(random, 0.5) && {temperature: 0}),
+		});
+		await this.send({
+			id, callKind, route: '/v1/chat/completions', customer, keyId: customer, body, isStream, tokens, headers: callKind === 'batch' ? {'x-egretrill-priority': 'batch'} : {},
+		});
+	}
+}
+
+/** Places orders and sends them again to other hosts, one after another or at once, as after a lost answer. */
+export class OrderCaller extends Caller {
+	private round = 0;
+
+	constructor(tools: CallerTools, pauseMs: number, private readonly customer: string, private readonly lane: number) {
+		super(tools, pauseMs);
+	}
+
+	protected override async callOnce(): Promise<void> {
+		const {random} = this.tools;
+		this.round += 1;
+		const {customer, lane, round} = this;
+		// Customers use the same idempotency keys, which are their own all the same.
+		const id = `order-${lane}-${round}`;
+		const call: Call = {
+			id: `${customer}-${id}`, callKind: 'order', route: '/orders', customer, keyId: customer, isIdempotent: false, body: `${customer} ${id}`, headers: {'idempotency-key': id},
+		};
+		await Promise.all(chance(random, 0.3) ? [this.send(call), this.send(call)] : [this.send(call)]);
+		for (let i = 0; i < 3 && chance(random, 0.5); i++) {
+			await this.send(call);
+		}
+
+		if (chance(random, 0.1)) {
+			await this.send({
+				...call, id: `${call.id}-changed`, callKind: 'reused-key', body: `${call.body} changed`,
+			});
+		}
+	}
+}
+
+/** Sends calls at a fixed pace above its customers' rates, without waiting for answers. */
+export class OverRateCaller extends DraftCaller {
+	private readonly pending = new Set<Promise<void>>();
+
+	override async run(): Promise<void> {
+		await super.run();
+		await Promise.all(this.pending);
+	}
+
+	protected override async callOnce(): Promise<void> {
+		const {random} = this.tools;
+		const sent = chance(random, 0.35) ? this.draft('over-rate', 'survey', chance(random, 0.5)) : this.lookUp();
+		this.pending.add(sent);
+		const forget = async (): Promise<void> => {
+			await sent;
+			this.pending.delete(sent);
+		};
+
+		void forget();
+	}
+
+	private async lookUp(): Promise<void> {
+		const id = this.tools.journal.createId('over-rate');
+		await this.send({
+			id, callKind: 'over-rate', route: '/registry/mark', customer: 'archive', keyId: 'archive', body: id,
+		});
+	}
+}
--- /dev/null
+++ b/dev/history/src/recorder/faults.ts
@@ -0,0 +1,133 @@
+import {setTimeout as delay} from 'node:timers/promises';
+import type {DaemonProcess} from '@egretrill/testkit';
+import type {FaultKind} from '../types.js';
+import type {FleetUnderTest} from './fleet-under-test.js';
+import type {Journal} from './journal.js';
+import {callAdmin} from './operators.js';
+import type {PlannedFault} from './plan-faults.js';
+
+export type FaultTools = {readonly fleet: FleetUnderTest; readonly journal: Journal};
+
+/** One kind of fault: breaks something, waits and repairs it. */
+abstract class Fault {
+	constructor(protected readonly tools: FaultTools) {}
+
+	async run({faultKind, subject, durationMs}: PlannedFault): Promise<void> {
+		const {journal} = this.tools;
+		const fault = journal.createId('fault');
+		journal.note({
+			kind: 'fault-begun', fault, faultKind, subject,
+		});
+		await this.strike(subject, durationMs, fault);
+		journal.note({kind: 'fault-ended', fault});
+	}
+
+	protected async restart(host: DaemonProcess): Promise<void> {
+		await host.start();
+		await host.waitUntilReady();
+	}
+
+	/** Resolves once everything works again. */
+	protected abstract strike(subject: string, durationMs: number, fault: string): Promise<void>;
+}
+
+class KillHost extends Fault {
+	protected override async strike(subject: string, durationMs: number): Promise<void> {
+		const host = this.tools.fleet.getHost(subject);
+		await host.kill();
+		await delay(durationMs);
+		await this.restart(host);
+	}
+}
+
+class PauseHost extends Fault {
+	protected override async strike(subject: string, durationMs: number): Promise<void> {
+		const host = this.tools.fleet.getHost(subject);
+		host.pause();
+		await delay(durationMs);
+		host.resume();
+	}
+}
+
+class CutZone extends Fault {
+	protected override async strike(subject: string, durationMs: number): Promise<void> {
+		const {fleet} = this.tools.fleet;
+		fleet.cutZone(subject);
+		await delay(durationMs);
+		await fleet.heal();
+	}
+}
+
+class CutOneWay extends Fault {
+	protected override async strike(subject: string, durationMs: number): Promise<void> {
+		const {fleet} = this.tools;
+		const [from = '', to = ''] = subject.split('>');
+		fleet.fleet.cutOneWay(fleet.getHost(from).peer, fleet.getHost(to).peer);
+		await delay(durationMs);
+		await fleet.fleet.heal();
+	}
+}
+
+class KillTarget extends Fault {
+	protected override async strike(subject: string, durationMs: number): Promise<void> {
+		const {fleet} = this.tools;
+		await fleet.getTarget(subject).kill();
+		await delay(durationMs);
+		await fleet.startTarget(subject);
+	}
+}
+
+class LeaveTarget extends Fault {
+	protected override async strike(subject: string, durationMs: number): Promise<void> {
+		const {fleet} = this.tools;
+		const target = fleet.getTarget(subject);
+		await target.setFaults({leaving: true});
+		await delay(durationMs);
+		await target.kill();
+		await fleet.startTarget(subject);
+	}
+}
+
+/** A planned stop, asked for by a signal or, if it is to last long, by an operator. */
+class StopHost extends Fault {
+	protected override async strike(subject: string, durationMs: number, fault: string): Promise<void> {
+		const host = this.tools.fleet.getHost(subject);
+		const isAsked = durationMs > 2000 && await callAdmin(host, `/v1/hosts/${subject}/drain`, {}) !== undefined;
+		const exitCode = await (isAsked ? host.waitForExit() : host.terminate());
+		this.tools.journal.note({kind: 'process-ended', fault, exitCode: exitCode ?? -1});
+		await delay(durationMs);
+		await this.restart(host);
+	}
+}
+
+function createFaults(tools: FaultTools): Readonly<Record<FaultKind, Fault>> {
+	return {
+		'kill-host': new KillHost(tools),
+		'pause-host': new PauseHost(tools),
+		'cut-zone': new CutZone(tools),
+		'cut-one-way': new CutOneWay(tools),
+		'kill-target': new KillTarget(tools),
+		'leave-target': new LeaveTarget(tools),
+		'stop-host': new StopHost(tools),
+	};
+}
+
+/** Carries out a plan; a fault of something that is still being repaired is left out. */
+export async function runFaults(tools: FaultTools, plan: readonly PlannedFault[]): Promise<void> {
+	const faults = createFaults(tools);
+	const startedMs = performance.now();
+	const busy = new Set<string>();
+	await Promise.all(plan.map(async planned => {
+		await delay(planned.atMs - (performance.now() - startedMs));
+		const isCut = planned.faultKind === 'cut-zone' || planned.faultKind === 'cut-one-way';
+		// Healing repairs every link, so one cut at a time.
+		const subject = isCut ? 'links' : planned.subject;
+		if (busy.has(subject)) {
+			return;
+		}
+
+		busy.add(subject);
+		await faults[planned.faultKind].run(planned);
+		busy.delete(subject);
+	}));
+}
--- /dev/null
+++ b/dev/history/src/recorder/fleet-under-test.ts
@@ -0,0 +1,95 @@
+import type {PeerHost, Settings} from '@egretrill/common';
+import type {TargetEvent} from '@egretrill/stand-ins';
+import {
+	type DaemonProcess, findPorts, Fleet, TargetProcess,
+} from '@egretrill/testkit';
+import {HOSTS_PER_ZONE, WARM_AFTER_REQUESTS, ZONES} from './constants.js';
+import {
+	createTestConfig, ENGINE_MB, MODEL_MB, MODELS,
+} from './test-config.js';
+
+type TargetPlan = {readonly targetId: string; readonly zone: string; readonly service?: string; readonly models?: readonly string[]};
+
+/** Each model has copies in several zones; the engines numbered 2 have room for one more. */
+const targetPlans: readonly TargetPlan[] = ZONES.flatMap((zone, i) => [
+	{targetId: `engine-${zone}-1`, zone, models: ['inscription', 'relief']},
+	{targetId: `engine-${zone}-2`, zone, models: [MODELS[i] ?? 'chart']},
+	{targetId: `registry-${zone}`, zone, service: 'registry'},
+	{targetId: `ordering-${zone}`, zone, service: 'ordering'},
+]);
+
+/** Ports stay the same over restarts, since targets and callers know them from the start. */
+async function createListen(host: PeerHost): Promise<Partial<Settings>> {
+	const [callers, targets, admin] = await findPorts(3);
+	const any = '127.0.0.1:0';
+	return {
+		listen: {
+			callers: `127.0.0.1:${callers}`, targets: `127.0.0.1:${targets}`, admin: `127.0.0.1:${admin}`, peers: host.address, monitor: any, health: any,
+		},
+	};
+}
+
+/** A fleet of daemons in three zones with the targets that it serves. */
+export class FleetUnderTest {
+	static async start(): Promise<FleetUnderTest> {
+		const fleet = await Fleet.start({
+			fleet: 'local', zones: Array.from({length: HOSTS_PER_ZONE}, () => ZONES).flat(), config: createTestConfig(), hasLinks: true, prepare: createListen,
+		});
+		const started = new FleetUnderTest(fleet);
+		await Promise.all(targetPlans.map(async plan => started.startTarget(plan.targetId)));
+		return started;
+	}
+
+	private readonly targets: TargetProcess[] = [];
+	private readonly current = new Map<string, TargetProcess>();
+
+	private constructor(readonly fleet: Fleet) {}
+
+	get targetIds(): readonly string[] {
+		return targetPlans.map(({targetId}) => targetId);
+	}
+
+	getHost(id: string): DaemonProcess {
+		return this.fleet.getHost(this.fleet.hosts.findIndex(({peer}) => peer.id === id));
+	}
+
+	getTarget(targetId: string): TargetProcess {
+		const target = this.current.get(targetId);
+		if (!target) {
+			throw new Error(`There is no target ${targetId}.`);
+		}
+
+		return target;
+	}
+
+	/** Starts a target, also one that has ended, as a new process that is cold. */
+	async startTarget(targetId: string): Promise<void> {
+		const {zone, service, models = []} = targetPlans.find(plan => plan.targetId === targetId)!;
+		const place = {targetId, zone, hosts: [...this.fleet.getTargetAddresses(zone)]};
+		const target = await TargetProcess.start(service === undefined
+			? {
+				...place,
+				kind: 'engine',
+				memoryMb: ENGINE_MB,
+				slots: 8,
+				// A cold engine would fail only above its slots, so that the ramp alone decides what reaches it.
+				coldSlots: 8,
+				warmAfterRequests: WARM_AFTER_REQUESTS,
+				resident: models.map(model => ({model, version: 'v1', adapters: []})),
+				sizesMb: Object.fromEntries(MODELS.map(model => [model, MODEL_MB])),
+			}
+			: {...place, kind: 'service', service});
+		this.targets.push(target);
+		this.current.set(targetId, target);
+	}
+
+	/** What all targets noted, also those that were killed. */
+	getTargetEvents(): readonly TargetEvent[] {
+		return this.targets.flatMap(({events}) => events);
+	}
+
+	async stop(): Promise<void> {
+		await Promise.all(this.targets.map(async target => target.kill()));
+		await this.fleet.stop();
+	}
+}
--- /dev/null
+++ b/dev/history/src/recorder/journal.ts
@@ -0,0 +1,20 @@
+import {getMonotonicMs} from '@egretrill/stand-ins';
+import type {HistoryEvent} from '../types.js';
+
+/** An event that is noted at the present moment. */
+export type NewEvent = HistoryEvent extends infer Event ? (Event extends HistoryEvent ? Omit<Event, 'atMs'> : never) : never;
+
+/** Takes the events of all tasks of one run. */
+export class Journal {
+	readonly events: HistoryEvent[] = [];
+	private lastId = 0;
+
+	note(event: NewEvent): void {
+		this.events.push({...event, atMs: getMonotonicMs()});
+	}
+
+	createId(prefix: string): string {
+		this.lastId += 1;
+		return `${prefix}-${this.lastId}`;
+	}
+}
--- /dev/null
+++ b/dev/history/src/recorder/operators.ts
@@ -0,0 +1,148 @@
+import {setTimeout as delay} from 'node:timers/promises';
+import {ConfigDocument, type Random} from '@egretrill/common';
+import {type DaemonProcess, OPERATOR_KEY} from '@egretrill/testkit';
+import got from 'got';
+import {z} from 'zod';
+import type {OperatorBegun, OperatorEnded} from '../types.js';
+import {
+	ADMIN_TIMEOUT_MS, OPERATOR_PATIENCE_MS, SAMPLE_INTERVAL_MS, SPARE_ENGINES, WITHDRAWN_KEYS, ZONES,
+} from './constants.js';
+import type {FleetUnderTest} from './fleet-under-test.js';
+import type {Journal} from './journal.js';
+import {between, chance, pick} from './pick.js';
+import {MODELS} from './test-config.js';
+
+export type OperatorTools = {readonly fleet: FleetUnderTest; readonly journal: Journal; readonly random: Random; readonly signal: AbortSignal};
+
+const Answer = z.looseObject({result: z.string(), version: z.int().optional(), digest: z.string().optional()});
+const InForce = z.looseObject({version: z.int(), digest: z.string(), document: ConfigDocument});
+type InForce = z.infer<typeof InForce>;
+
+/** Results after which a change can no longer take effect later. */
+const definite: ReadonlySet<string> = new Set(['accepted', 'conflict', 'refused', 'not-found', 'pending', 'in-force']);
+
+/** Sends one request to the admin API; undefined when no answer comes. */
+export async function callAdmin(host: DaemonProcess, path: string, json?: Record<string, unknown>): Promise<unknown> {
+	try {
+		const res = await got(`http://${host.addresses.admin}${path}`, {
+			method: json ? 'POST' : 'GET', ...(json && {json}), headers: {authorization: `Bearer ${OPERATOR_KEY}`}, throwHttpErrors: false, retry: {limit: 0}, timeout: {request: ADMIN_TIMEOUT_MS},
+		});
+		return JSON.parse(res.body);
+	} catch {
+		return undefined;
+	}
+}
+
+/** Reads the configuration that a host serves. */
+export async function readConfig(host: DaemonProcess): Promise<InForce | undefined> {
+	return InForce.safeParse(await callAdmin(host, '/v1/config')).data;
+}
+
+/** One operator: a task that changes one kind of thing until its signal aborts. */
+export abstract class Operator {
+	constructor(protected readonly tools: OperatorTools) {}
+
+	abstract run(): Promise<void>;
+
+	protected pickHost(): DaemonProcess {
+		return pick(this.tools.random, this.tools.fleet.fleet.hosts);
+	}
+
+	/** Sends one request and notes both ends of it. */
+	protected async ask(begun: Pick<OperatorBegun, 'action' | 'subject' | 'follows'>, path: string, json?: Record<string, unknown>): Promise<Pick<OperatorEnded, 'result' | 'version'>> {
+		const {journal} = this.tools;
+		const host = this.pickHost();
+		const operation = journal.createId('operation');
+		journal.note({
+			kind: 'operator-begun', operation, host: host.peer.id, ...begun,
+		});
+		const answer = Answer.safeParse(await callAdmin(host, path, json));
+		const {result, version, digest} = answer.success ? answer.data : {result: 'no-answer'};
+		journal.note({
+			kind: 'operator-ended', operation, result, version, digest,
+		});
+		return {result, version};
+	}
+
+	/** Sends a request under one id until its answer is definite, so that it cannot take effect after later ones. */
+	protected async insist(begun: Pick<OperatorBegun, 'action' | 'subject'>, path: string, json: Record<string, unknown>): Promise<void> {
+		const endsMs = performance.now() + OPERATOR_PATIENCE_MS;
+		const requestId = this.tools.journal.createId('change');
+		for (;;) {
+			const {result} = await this.ask(begun, path, {...json, requestId});
+			if (definite.has(result) || performance.now() > endsMs) {
+				return;
+			}
+
+			await delay(SAMPLE_INTERVAL_MS);
+		}
+	}
+}
+
+/** Applies changed documents: races against itself under one version and sends changes again, also with a known answer. */
+export class ApplyOperator extends Operator {
+	private changes = 0;
+
+	override async run(): Promise<void> {
+		const {random, signal} = this.tools;
+		while (!signal.aborted) {
+			const current = await readConfig(this.pickHost());
+			if (current) {
+				await Promise.all(chance(random, 0.4) ? [this.change(current), this.change(current)] : [this.change(current)]);
+			}
+
+			await delay(between(random, 50, 600));
+		}
+	}
+
+	private async change({document, version}: InForce): Promise<void> {
+		const {journal, random} = this.tools;
+		this.changes += 1;
+		const requestId = journal.createId('apply');
+		// No two changes are equal, so that an answer names one of them.
+		const weight = 1 + (this.changes / 1000) + random();
+		const changed = {
+			...document,
+			customers: document.customers.map(customer => customer.id === 'yard' ? {...customer, weight} : customer),
+			// Each pin makes an engine load a model, mostly in place of another one.
+			placements: {pins: [{model: pick(random, MODELS), target: pick(random, SPARE_ENGINES)}], forbids: []},
+		};
+		const send = async () => this.ask({action: 'apply', subject: requestId, follows: version}, '/v1/config/apply', {document: changed, follows: version, requestId});
+		const {result} = await send();
+		if (result === 'no-answer' || result === 'unavailable' || chance(random, 0.3)) {
+			await send();
+		}
+	}
+}
+
+/** Takes one zone after another out of service and puts it back. */
+export class ZoneOperator extends Operator {
+	override async run(): Promise<void> {
+		const {random, signal} = this.tools;
+		while (!signal.aborted) {
+			const zone = pick(random, ZONES);
+			const path = `/v1/zones/${zone}/state`;
+			await delay(between(random, 200, 1500));
+			await this.insist({action: 'zone-out', subject: zone}, path, {state: 'taken-out'});
+			await delay(between(random, 2500, 5000));
+			await this.insist({action: 'zone-back', subject: zone}, path, {state: 'in-service'});
+		}
+	}
+}
+
+/** Withdraws one key after another and asks until each withdrawal is in force. */
+export class KeyOperator extends Operator {
+	override async run(): Promise<void> {
+		const {random, signal} = this.tools;
+		for (let i = 1; i <= WITHDRAWN_KEYS && !signal.aborted; i++) {
+			const keyId = `guild-key-${i}`;
+			await delay(between(random, 500, 2500));
+			await this.insist({action: 'withdraw', subject: keyId}, `/v1/keys/${keyId}/withdraw`, {});
+			let result = 'pending';
+			while (result !== 'in-force' && !signal.aborted) {
+				({result} = await this.ask({action: 'withdrawal-state', subject: keyId}, `/v1/keys/${keyId}/withdrawal`));
+				await delay(SAMPLE_INTERVAL_MS);
+			}
+		}
+	}
+}
--- /dev/null
+++ b/dev/history/src/recorder/record-history.ts
@@ -0,0 +1,110 @@
+import {setTimeout as delay} from 'node:timers/promises';
+import {createRandom} from '@egretrill/common';
+import {type DaemonProcess, type LogLine, waitFor} from '@egretrill/testkit';
+import type {History} from '../types.js';
+import {
+	type Caller, type CallerTools, DraftCaller, OrderCaller, OverRateCaller, ServiceCaller,
+} from './callers.js';
+import {SAMPLE_INTERVAL_MS, ZONES} from './constants.js';
+import {runFaults} from './faults.js';
+import {FleetUnderTest} from './fleet-under-test.js';
+import {Journal} from './journal.js';
+import {
+	ApplyOperator, KeyOperator, type Operator, readConfig, ZoneOperator,
+} from './operators.js';
+import {planFaults, type PlannedFault} from './plan-faults.js';
+import {createTestConfig} from './test-config.js';
+
+export type RecordOptions = {readonly seed: number; readonly seconds: number};
+
+/** A recorded run, with the logs of its daemons for finding causes. */
+export type Recording = {readonly history: History; readonly plan: readonly PlannedFault[]; readonly logs: ReadonlyMap<string, readonly LogLine[]>};
+
+type TaskTools = {readonly fleet: FleetUnderTest; readonly journal: Journal; readonly signal: AbortSignal};
+
+function createCallers(createTools: () => CallerTools): readonly Caller[] {
+	return [
+		...Array.from({length: 6}, () => new ServiceCaller(createTools(), 60)),
+		...Array.from({length: 6}, () => new DraftCaller(createTools(), 60)),
+		...['yard', 'port'].flatMap(customer => [1, 2].map(lane => new OrderCaller(createTools(), 100, customer, lane))),
+		new OverRateCaller(createTools(), 25),
+	];
+}
+
+function createOperators(createTools: () => CallerTools): readonly Operator[] {
+	return [new ApplyOperator(createTools()), new ApplyOperator(createTools()), new ZoneOperator(createTools()), new KeyOperator(createTools())];
+}
+
+/** Reads the version at one host again and again. */
+async function sample({journal, signal}: TaskTools, host: DaemonProcess): Promise<void> {
+	while (!signal.aborted) {
+		await sampleOnce(journal, host);
+		await delay(SAMPLE_INTERVAL_MS);
+	}
+}
+
+async function sampleOnce(journal: Journal, host: DaemonProcess): Promise<number | undefined> {
+	const config = await readConfig(host);
+	if (config) {
+		journal.note({
+			kind: 'version-seen', host: host.peer.id, version: config.version, digest: config.digest,
+		});
+	}
+
+	return config?.version;
+}
+
+/** Waits until all hosts serve one version; a host that never does is left to the check of the last reads. */
+async function settle({fleet: {fleet}, journal}: TaskTools): Promise<void> {
+	try {
+		await waitFor('one version at all hosts', async () => {
+			const versions = await Promise.all(fleet.hosts.map(async host => sampleOnce(journal, host)));
+			return new Set(versions).size === 1 && versions[0] !== undefined;
+		});
+	} catch {
+		await Promise.all(fleet.hosts.map(async host => sampleOnce(journal, host)));
+	}
+}
+
+async function runTasks(tools: TaskTools, stop: AbortController, {seed, seconds}: RecordOptions, plan: readonly PlannedFault[]): Promise<void> {
+	// Each task draws from a source of its own, so that its choices do not depend on the order in which answers come.
+	let tasks = 0;
+	const createTools = (): CallerTools => {
+		tasks += 1;
+		return {...tools, random: createRandom((seed * 1000) + tasks)};
+	};
+
+	const running = [
+		...createCallers(createTools).map(async caller => caller.run()),
+		...createOperators(createTools).map(async operator => operator.run()),
+		...tools.fleet.fleet.hosts.map(async host => sample(tools, host)),
+	];
+	await Promise.all([runFaults(tools, plan), delay(seconds * 1000)]);
+	stop.abort();
+	await Promise.all(running);
+}
+
+/** Runs callers, operators and faults against a fleet of daemons and returns all that was seen. */
+export async function recordHistory(opts: RecordOptions): Promise<Recording> {
+	const fleet = await FleetUnderTest.start();
+	const stop = new AbortController();
+	const tools = {fleet, journal: new Journal(), signal: stop.signal};
+	const hosts = fleet.fleet.hosts.map(({peer}) => ({id: peer.id, zone: peer.zone}));
+	const plan = planFaults(opts.seed, opts.seconds * 1000, {hosts: hosts.map(({id}) => id), zones: ZONES, targets: fleet.targetIds});
+	try {
+		await runTasks(tools, stop, opts, plan);
+		await settle(tools);
+	} finally {
+		stop.abort();
+		await fleet.stop();
+	}
+
+	const events = [...tools.journal.events, ...fleet.getTargetEvents()].toSorted((a, b) => a.atMs - b.atMs);
+	return {
+		plan,
+		history: {
+			seed: opts.seed, document: createTestConfig(), hosts, events,
+		},
+		logs: new Map(fleet.fleet.hosts.map(({peer, log}) => [peer.id, log])),
+	};
+}
--- a/dev/testkit/src/daemon-process.ts
+++ b/dev/testkit/src/daemon-process.ts
@@ -97,6 +97,16 @@
 		return this.end('SIGTERM');
 	}
 
+	/** Waits until a process that was told to stop has ended, and returns its exit code. */
+	async waitForExit(): Promise<number | undefined> {
+		const {child} = this;
+		if (child?.exitCode === null && child.signalCode === null) {
+			await once(child, 'exit');
+		}
+
+		return child?.exitCode ?? undefined;
+	}
+
 	private async end(signal: NodeJS.Signals): Promise<number | undefined> {
 		const {child} = this;
 		if (!child) {
