engines: a permit given up counts until a report shows less load

Cause: a host that gives up a whole answer at its deadline releases its permit, but the engine goes on with the request; the ramp then permitted a second request beside it on an engine that had completed none. Change: a permit that ends as failed or cancelled expires at once and is freed like that of a dead host: by a report made after its grant that shows less load than permits. After: npx mocha -g 'cold-start': 13 passing, one of them new (counts a request that its host gave up until a report shows that it ended).

--- a/packages/engines/src/routing/cold-start-ramp.ts
+++ b/packages/engines/src/routing/cold-start-ramp.ts
@@ -118,17 +118,20 @@
 			return;
 		}
 
-		const isOwn = ramp.permits.delete(release.permitId);
-		if (!isOwn && ramp.inherited === 0) {
+		const permit = ramp.permits.get(release.permitId);
+		if (!permit && ramp.inherited === 0) {
 			return;
 		}
 
-		ramp.inherited -= isOwn ? 0 : 1;
-		if (release.outcome === 'completed') {
-			raise(ramp);
-		} else if (release.outcome === 'failed' && !ramp.warm) {
-			ramp.level = 1;
+		if (release.outcome !== 'completed') {
+			this.expirePermit(ramp, release.permitId);
+			ramp.level = release.outcome === 'failed' && !ramp.warm ? 1 : ramp.level;
+			return;
 		}
+
+		ramp.permits.delete(release.permitId);
+		ramp.inherited -= permit ? 0 : 1;
+		raise(ramp);
 	}
 
 	/** Keeps the permits of a live host whose requests are still running. */
@@ -156,6 +159,14 @@
 		return [...this.ramps].map(([targetId, {startId, generation, warm}]) => ({targetId, startId, warmth: {generation, warm}}));
 	}
 
+	/** A target may go on with a request that its host gave up, so the permit counts until a report shows less load. */
+	private expirePermit(ramp: Ramp, permitId: string): void {
+		const permit = ramp.permits.get(permitId);
+		if (permit) {
+			ramp.permits.set(permitId, {...permit, expiresAtMs: this.clock.now()});
+		}
+	}
+
 	private getRamp({targetId, startId}: {targetId: string; startId: string}): Ramp | undefined {
 		const ramp = this.ramps.get(targetId);
 		return ramp?.startId === startId ? ramp : undefined;
--- a/packages/engines/tests/routing/cold-start.test.ts
+++ b/packages/engines/tests/routing/cold-start.test.ts
@@ -194,6 +194,22 @@
 		expect({whileRunning, afterEnd}).to.deep.equal({whileRunning: 1, afterEnd: 1});
 	});
 
+	// Guards against a second request beside one whose host gave up at its deadline while the target still runs it.
+	it('counts a request that its host gave up until a report shows that it ended', async () => {
+		const highest: number[] = [];
+		for (const outcome of ['failed', 'cancelled'] as const) {
+			const fleet = await createFleet(1);
+			await fleet.run(4500);
+			await fleet.run(100, 60_000);
+			await fleet.hosts[0]!.release(fleet.running[0]!.held, outcome);
+			highest.push(await fleet.run(5000, 60_000));
+			fleet.running = [];
+			highest.push(await fleet.run(2000, 60_000));
+		}
+
+		expect(highest).to.deep.equal([1, 1, 1, 1]);
+	});
+
 	it('starts over after a failed request', async () => {
 		const fleet = await createFleet();
 		const before = await fleet.run(5600);
