hosts: serve no configuration that may be older than before a restart

Change: FleetOrigin uses its own state only once every entry that was in the log at the start has been applied again or replaced; ConfigFollower shows nothing until a parent in touch with the leader has answered. Conclusion: until then such a host refuses calls as not-ready, also on open routes, as /readyz already said.

--- a/packages/hosts/src/consensus/node.ts
+++ b/packages/hosts/src/consensus/node.ts
@@ -24,6 +24,7 @@
 	async start(): Promise<void> {
 		const {replica, opts} = this;
 		await recover(replica);
+		replica.recoveredIndex = opts.storage.getLastIndex();
 		// This member may have acknowledged a leader just before it restarted, so it waits before it votes.
 		replica.leaderContactMs = opts.clock.now();
 		replica.timeoutBaseMs = replica.leaderContactMs;
@@ -82,6 +83,11 @@
 		return leadership === undefined ? Number.POSITIVE_INFINITY : Math.max(0, this.opts.clock.now() - leadership.getLeaseStartMs());
 	}
 
+	/** Whether this member has applied again all that it may have applied before its restart. */
+	hasReplayed(): boolean {
+		return this.replica.appliedIndex >= this.replica.recoveredIndex;
+	}
+
 	/** Waits until the entry is applied here; returns false on timeout or stop. */
 	async waitForApplied(index: number, timeoutMs: number): Promise<boolean> {
 		const {replica, opts} = this;
--- a/packages/hosts/src/consensus/replica.ts
+++ b/packages/hosts/src/consensus/replica.ts
@@ -52,6 +52,8 @@
 	commitIndex = 0;
 	appliedIndex = 0;
 	snapshotIndex = 0;
+	/** Last entry found at the start; the member may have applied any entry up to it before. */
+	recoveredIndex = 0;
 	/** When this member last heard a leader, or started. */
 	leaderContactMs = 0;
 	/** When the running election timeout began. */
@@ -141,6 +143,8 @@
 		}
 
 		await this.opts.storage.truncateFrom(index);
+		// What another leader replaces was never committed, so this member has not applied it.
+		this.recoveredIndex = Math.min(this.recoveredIndex, index - 1);
 		this.membersHistory = this.membersHistory.filter(entry => entry.index < index);
 	}
 
--- a/packages/hosts/src/fleet/fleet-origin.ts
+++ b/packages/hosts/src/fleet/fleet-origin.ts
@@ -63,7 +63,8 @@
 	}
 
 	private isStateAhead(): boolean {
-		const {state, follower} = this.opts;
-		return state.getConfig().version >= (follower.getConfig()?.version ?? 0);
+		const {node, state, follower} = this.opts;
+		// A stored snapshot is older than what this host may have served from the entries behind it.
+		return node.hasReplayed() && state.getConfig().version >= (follower.getConfig()?.version ?? 0);
 	}
 }
--- a/packages/hosts/src/follow/config-follower.ts
+++ b/packages/hosts/src/follow/config-follower.ts
@@ -39,6 +39,11 @@
 	}
 
 	override getConfig(): VersionedConfig | undefined {
+		// Until the leader's knowledge has arrived once, a parent may be behind what this host served before it restarted.
+		if (!Number.isFinite(this.confirmedMs)) {
+			return undefined;
+		}
+
 		const {document, ...stamp} = this.config;
 		return document && {...stamp, document};
 	}
