hosts: test for the age that a single voter reports

Cause: the clamp of the leader's age at 0 had no test of its own; without it the other hosts of a fleet with one voter never become ready. Change: a simulated clock whose readings take time, and a test that reads the age of a single voter. Conclusion: the clamp is covered.

--- a/packages/hosts/tests/consensus.test.ts
+++ b/packages/hosts/tests/consensus.test.ts
@@ -85,6 +85,16 @@
 		cluster.stopAll();
 	});
 
+	// Guards against a negative age in the answers of a fleet with one voter, which its other hosts refuse, so that they never become ready.
+	it('never answers with a negative age when the only voter reads its clock twice', async () => {
+		const cluster = new SimCluster({seed: SEED, initialMembers: ['a']});
+		cluster.startAll();
+		const leader = await cluster.waitForLeader();
+		leader.clock.readMs = 0.01;
+		expect(leader.node.leaseAgeMs()).to.be.within(0, 1);
+		cluster.stopAll();
+	});
+
 	it('gives a paused leader no lease when it continues', async () => {
 		const {cluster, leader, leaderId} = await createCluster();
 		leader.clock.pause();
--- a/packages/hosts/tests/support/sim-clock.ts
+++ b/packages/hosts/tests/support/sim-clock.ts
@@ -67,15 +67,19 @@
 
 /** The clock of one simulated process, which can be paused as a whole. */
 export class ProcessClock extends Clock {
+	/** Time that each reading of the clock takes. */
+	readMs = 0;
 	private paused: Promise<void> | undefined;
 	private release: (() => void) | undefined;
+	private readingsMs = 0;
 
 	constructor(private readonly clock: Clock) {
 		super();
 	}
 
 	now(): number {
-		return this.clock.now();
+		this.readingsMs += this.readMs;
+		return this.clock.now() + this.readingsMs;
 	}
 
 	async sleep(ms: number, signal?: AbortSignal): Promise<void> {
