hosts: one stream for all calls to a peer, and fewer polls of idle hosts

Cause: each call between hosts opened an HTTP/2 stream; in a CPU profile of an idle host the library's work for streams, headers and interceptors was the largest part. Two tasks of each voter woke every 50 ms, the order of directory hosts was hashed again with each use, and follow polls were held for 250 ms only. Change: PeerSession carries the calls to one peer as numbered frames on one stream. Calls are sent only once the other host has accepted the session, so that 'unreachable' is certain; a call that times out before is never sent. A connection without any answer for 1,500 ms on which a call times out is replaced, in place of pings each second. A follow answer tells how long the poll was held, which is subtracted from its age less 1 % drift, so polls are held for 500 ms at the same greatest age of knowledge (two waits plus the leader's age for each level before; now one wait of twice the length). A lost parent is left after 1,250 ms as before. The second directory host is asked each second while the first answers. Voters wait for changes of the log in place of a 50 ms timer.

--- a/apps/egretrilld/src/constants.ts
+++ b/apps/egretrilld/src/constants.ts
@@ -1,4 +1,6 @@
 export const DIRECTORY_SYNC_INTERVAL_MS = 500;
+/** The second directory host hears the same targets, so it is asked less often while the first one answers. */
+export const SECOND_DIRECTORY_INTERVAL_MS = 1000;
 export const SUMMARY_SYNC_INTERVAL_MS = 1000;
 export const DEMAND_REPORT_INTERVAL_MS = 1000;
 
--- a/apps/egretrilld/src/hosts/leader-duties.ts
+++ b/apps/egretrilld/src/hosts/leader-duties.ts
@@ -74,7 +74,7 @@
 				this.applyConfig(document);
 			}
 
-			await clock.sleep(DUTY_CHECK_MS, signal);
+			await node.changed.wait(clock, DUTY_CHECK_MS, signal);
 		}
 	}
 
--- a/apps/egretrilld/src/targets/directory-sync.ts
+++ b/apps/egretrilld/src/targets/directory-sync.ts
@@ -3,7 +3,9 @@
 } from '@egretrill/common';
 import type {DemandEstimator, PrefixBelief, TargetDirectory} from '@egretrill/engines';
 import type {PeerDirectory} from '@egretrill/hosts';
-import {DEMAND_REPORT_INTERVAL_MS, DIRECTORY_SYNC_INTERVAL_MS, SUMMARY_SYNC_INTERVAL_MS} from '../constants.js';
+import {
+	DEMAND_REPORT_INTERVAL_MS, DIRECTORY_SYNC_INTERVAL_MS, SECOND_DIRECTORY_INTERVAL_MS, SUMMARY_SYNC_INTERVAL_MS,
+} from '../constants.js';
 import {
 	announceMethod, demandMethod, digestMethod, summaryMethod,
 } from '../methods.js';
@@ -24,6 +26,7 @@
 /** Exchanges the target directory with the directory hosts of the zone and with other zones. */
 export class DirectorySync {
 	private readonly zoneOwners = new Map<string, string>();
+	private hearsFirst = false;
 
 	constructor(private readonly opts: DirectorySyncOptions) {}
 
@@ -71,15 +74,18 @@
 			const peer = peers.getDirectoryHosts(settings.zone)[rank];
 			if (peer?.id === settings.host) {
 				this.noteOwner(settings.zone, this.opts.getOwnHolder());
+				this.hearsFirst ||= rank === 0;
 			} else if (peer) {
-				await this.readDigest(peer);
+				const isHeard = await this.readDigest(peer);
+				this.hearsFirst = rank === 0 ? isHeard : this.hearsFirst;
 			}
 
-			await clock.sleep(jitter(DIRECTORY_SYNC_INTERVAL_MS, random), signal);
+			const intervalMs = rank === 0 || !this.hearsFirst ? DIRECTORY_SYNC_INTERVAL_MS : SECOND_DIRECTORY_INTERVAL_MS;
+			await clock.sleep(jitter(intervalMs, random), signal);
 		}
 	}
 
-	private async readDigest(peer: PeerHost): Promise<void> {
+	private async readDigest(peer: PeerHost): Promise<boolean> {
 		const {clock, directory, peers, settings} = this.opts;
 		const sentMs = clock.now();
 		const position = directory.getDigestPosition(peer.id);
@@ -91,6 +97,8 @@
 				directory.recordDigest(peer.id, full.value.digest, clock.now() - sentMs);
 			}
 		}
+
+		return answer.isOk;
 	}
 
 	private async followZone(zone: string, signal: AbortSignal): Promise<void> {
--- a/packages/hosts/src/consensus/node.ts
+++ b/packages/hosts/src/consensus/node.ts
@@ -1,3 +1,4 @@
+import type {Signal} from '@egretrill/common';
 import {PROPOSE_TIMEOUT_MS} from '../constants.js';
 import type {
 	AppendEntriesRequest, AppendEntriesResponse, ConsensusStatus, InstallSnapshotRequest, InstallSnapshotResponse, ProposeOutcome, RequestVoteRequest, RequestVoteResponse,
@@ -20,6 +21,11 @@
 		this.replica = new Replica(opts);
 	}
 
+	/** Notified when the commit index, the applied index or the role changes. */
+	get changed(): Signal {
+		return this.replica.changed;
+	}
+
 	/** Restores the stored state and begins to take part; the member is ready once it has applied the leader's entries. */
 	async start(): Promise<void> {
 		const {replica, opts} = this;
--- a/packages/hosts/src/constants.ts
+++ b/packages/hosts/src/constants.ts
@@ -1,13 +1,19 @@
 export const PEER_CALL_DEADLINE_MS = 1000;
 
-/** A connection between hosts that answers no ping for this long is closed and opened anew. */
-export const PEER_KEEPALIVE_INTERVAL_MS = 1000;
-export const PEER_KEEPALIVE_TIMEOUT_MS = 1500;
+/**
+ * A connection between hosts on which a call times out after this much silence is closed and opened anew.
+ * Each host calls those that it follows at least once a second, so a silent connection is found within 2,500 ms without pings.
+ */
+export const PEER_SILENCE_MS = 1500;
+/** How often a host checks that the other end of a session still exists, so that sessions of vanished hosts do not pile up. */
+export const SESSION_KEEPALIVE_MS = 30_000;
 export const PEER_RECONNECT_MIN_MS = 100;
 export const PEER_RECONNECT_MAX_MS = 1000;
 
 /** Longest time a parent holds a follow poll open while nothing changes. */
-export const FOLLOW_WAIT_MS = 250;
+export const FOLLOW_WAIT_MS = 500;
+/** Time for the answer beyond the wait; a lost parent is left 1,250 ms after a poll, which a key lease of 4,000 ms outlasts. */
+export const FOLLOW_ANSWER_MS = 750;
 export const FOLLOW_RETRY_MS = 100;
 
 /** A parent whose own knowledge is older than this is left for another one. */
@@ -58,4 +64,5 @@
 /** A record that finds no leader is given up after the longest usual election, so that a cut-off zone refuses soon. */
 export const RECORD_DEADLINE_MS = 2500;
 export const COMMAND_RETRY_MS = 50;
-export const DUTY_CHECK_MS = 50;
+/** Duties follow changes of the log at once; what changes by time alone, such as a lease that ends, is seen after this time. */
+export const DUTY_CHECK_MS = 250;
--- a/packages/hosts/src/fleet/fleet-origin.ts
+++ b/packages/hosts/src/fleet/fleet-origin.ts
@@ -19,24 +19,15 @@
 /** The configuration on a host that keeps the log: from its own state while it leads, otherwise through the leader. */
 export class FleetOrigin extends ConfigOrigin {
 	override readonly changed = new Signal();
+	private forwarded = '';
 
 	constructor(private readonly opts: FleetOriginOptions) {
 		super();
 	}
 
-	/** Forwards notifications of both sources until the signal aborts. */
+	/** Forwards changes of both sources until the signal aborts. */
 	async run(signal: AbortSignal): Promise<void> {
-		const {clock, follower} = this.opts;
-		let seen = '';
-		while (!signal.aborted) {
-			const state = `${this.getConfig()?.version ?? 0}/${this.getBlocked().length}`;
-			if (state !== seen) {
-				seen = state;
-				this.changed.notify();
-			}
-
-			await follower.changed.wait(clock, DUTY_CHECK_MS, signal);
-		}
+		await Promise.all([this.opts.follower.changed, this.opts.node.changed].map(async source => this.forward(source, signal)));
 	}
 
 	override getConfig(): VersionedConfig | undefined {
@@ -62,6 +53,18 @@
 		return this.opts.node.status().leaderId ?? this.opts.follower.getLeaderId();
 	}
 
+	private async forward(source: Signal, signal: AbortSignal): Promise<void> {
+		while (!signal.aborted) {
+			const state = `${this.getConfig()?.version ?? 0}/${this.getBlocked().length}`;
+			if (state !== this.forwarded) {
+				this.forwarded = state;
+				this.changed.notify();
+			}
+
+			await source.wait(this.opts.clock, DUTY_CHECK_MS, signal);
+		}
+	}
+
 	private isStateAhead(): boolean {
 		const {state, follower} = this.opts;
 		return state.getConfig().version >= (follower.getConfig()?.version ?? 0);
--- a/packages/hosts/src/follow/config-follower.ts
+++ b/packages/hosts/src/follow/config-follower.ts
@@ -1,8 +1,8 @@
 import {
-	type Clock, jitter, type Logger, type Random, Signal,
+	CLOCK_DRIFT_RATIO, type Clock, jitter, type Logger, type Random, Signal,
 } from '@egretrill/common';
 import {
-	FOLLOW_RETRY_MS, FOLLOW_STALE_MS, FOLLOW_WAIT_MS, KEPT_CHANGES, PEER_CALL_DEADLINE_MS,
+	FOLLOW_ANSWER_MS, FOLLOW_RETRY_MS, FOLLOW_STALE_MS, FOLLOW_WAIT_MS, KEPT_CHANGES,
 } from '../constants.js';
 import {updateConfig} from '../fleet-state-changes.js';
 import type {PeerClient} from '../transport/index.js';
@@ -86,7 +86,7 @@
 		const sentMs = clock.now();
 		const answer = await parent.call(followMethod, {
 			hostId, fleet, haveVersion: this.config.version, waitMs: FOLLOW_WAIT_MS, inForce: reports.takeUnsent(),
-		}, FOLLOW_WAIT_MS + PEER_CALL_DEADLINE_MS);
+		}, FOLLOW_WAIT_MS + FOLLOW_ANSWER_MS);
 		if (answer.isErr) {
 			logger.debug({parent: parent.address, err: answer.error}, 'A follow poll failed.');
 			return false;
@@ -118,7 +118,9 @@
 		}
 
 		this.blocked = blocked;
-		this.confirmedMs = Math.max(this.confirmedMs, sentMs - answer.ageMs);
+		// The parent made the answer at least this long after the poll was sent, also when its clock is slow or fast.
+		const answeredMs = sentMs + (answer.heldMs * (1 - CLOCK_DRIFT_RATIO));
+		this.confirmedMs = Math.max(this.confirmedMs, answeredMs - answer.ageMs);
 		return true;
 	}
 
--- a/packages/hosts/src/follow/follow-method.ts
+++ b/packages/hosts/src/follow/follow-method.ts
@@ -15,7 +15,7 @@
 	readonly reports: InForceReports;
 };
 
-function createResponse(origin: ConfigOrigin, haveVersion: number): FollowResponse {
+function createResponse(origin: ConfigOrigin, haveVersion: number, heldMs: number): FollowResponse {
 	const config = origin.getConfig();
 	const leaderId = origin.getLeaderId();
 	const ageMs = origin.getAgeMs();
@@ -23,6 +23,7 @@
 	return {
 		version: config?.version ?? 0,
 		ageMs: Number.isFinite(ageMs) ? ageMs : Number.MAX_SAFE_INTEGER,
+		heldMs,
 		...(leaderId !== undefined && {leaderId}),
 		...(config && config.version > haveVersion && {update: origin.getUpdateSince(haveVersion)}),
 		...(blocked.length > 0 && {blocked: [...blocked]}),
@@ -37,11 +38,12 @@
 			throw new Error('The host belongs to another fleet.');
 		}
 
+		const receivedMs = clock.now();
 		reports.merge(req.inForce);
 		if ((origin.getConfig()?.version ?? 0) <= req.haveVersion && req.waitMs > 0) {
 			await origin.changed.wait(clock, req.waitMs);
 		}
 
-		return createResponse(origin, req.haveVersion);
+		return createResponse(origin, req.haveVersion, clock.now() - receivedMs);
 	});
 }
--- a/packages/hosts/src/follow/types.ts
+++ b/packages/hosts/src/follow/types.ts
@@ -20,6 +20,8 @@
 	version: z.int().nonnegative(),
 	/** How long ago the leader confirmed that this version was the latest. */
 	ageMs: z.number().nonnegative(),
+	/** How long the parent held the poll before it made this answer; the caller's knowledge is younger by this time. */
+	heldMs: z.number().nonnegative(),
 	leaderId: z.string().optional(),
 	update: ConfigUpdate.optional(),
 	blocked: z.array(BlockedFingerprint).optional(),
--- a/packages/hosts/src/membership/peer-directory.ts
+++ b/packages/hosts/src/membership/peer-directory.ts
@@ -18,6 +18,7 @@
 export class PeerDirectory {
 	private readonly clients = new Map<string, PeerClient>();
 	private readonly failures = new Map<string, FailureSpan>();
+	private readonly ranked = new Map<string, readonly PeerHost[]>();
 
 	constructor(private readonly settings: Settings, private readonly clock: Clock, private readonly credentials: PeerCredentials, private readonly logger: Logger) {}
 
@@ -70,9 +71,7 @@
 
 	/** The hosts that hold the target directory of a zone: every host computes the same order and passes over those that do not answer. */
 	getDirectoryHosts(zone: string): readonly PeerHost[] {
-		const ranked = this.settings.peers
-			.filter(peer => peer.zone === zone)
-			.toSorted((a, b) => getRendezvousWeight(zone, a.id).localeCompare(getRendezvousWeight(zone, b.id)));
+		const ranked = this.getRanked(zone);
 		const answering = ranked.filter(peer => !this.isSuspected(peer.id));
 		return (answering.length > 0 ? answering : ranked).slice(0, DIRECTORY_HOSTS_PER_ZONE);
 	}
@@ -88,7 +87,7 @@
 			return existing;
 		}
 
-		const client = new PeerClient(peer.address, this.credentials.client, {'grpc.ssl_target_name_override': hostId});
+		const client = new PeerClient(peer.address, this.credentials.client, this.clock, {'grpc.ssl_target_name_override': hostId});
 		this.clients.set(hostId, client);
 		return client;
 	}
@@ -99,6 +98,20 @@
 		}
 	}
 
+	/** The order is kept, since it follows from the settings alone and is asked for with every announcement and poll. */
+	private getRanked(zone: string): readonly PeerHost[] {
+		const known = this.ranked.get(zone);
+		if (known) {
+			return known;
+		}
+
+		const ranked = this.settings.peers
+			.filter(peer => peer.zone === zone)
+			.toSorted((a, b) => getRendezvousWeight(zone, a.id).localeCompare(getRendezvousWeight(zone, b.id)));
+		this.ranked.set(zone, ranked);
+		return ranked;
+	}
+
 	private noteFailure(hostId: string, message: string): void {
 		const nowMs = this.clock.now();
 		const span = this.failures.get(hostId);
--- a/packages/hosts/src/transport/index.ts
+++ b/packages/hosts/src/transport/index.ts
@@ -2,3 +2,4 @@
 export * from './peer-client.js';
 export * from './peer-identity.js';
 export * from './peer-server.js';
+export * from './peer-session.js';
--- a/packages/hosts/src/transport/method.ts
+++ b/packages/hosts/src/transport/method.ts
@@ -1,7 +1,7 @@
 import {type Codec, createCodec} from '@egretrill/common';
 import type {z} from 'zod';
 
-/** One unary method between hosts, with the codecs of its messages. */
+/** One method between hosts, with the codecs of its messages. */
 export type Method<Req, Res> = {
 	readonly path: string;
 	readonly req: Codec<Req>;
--- a/packages/hosts/src/transport/peer-server.ts
+++ b/packages/hosts/src/transport/peer-server.ts
@@ -1,8 +1,11 @@
-import {Buffer} from 'node:buffer';
-import {DecodeError, type Logger, MAX_MESSAGE_BYTES} from '@egretrill/common';
+import {type Logger, MAX_MESSAGE_BYTES} from '@egretrill/common';
 import * as grpc from '@grpc/grpc-js';
+import {SESSION_KEEPALIVE_MS} from '../constants.js';
 import type {MethodHandler} from './method.js';
 import {isOfFleet, type PeerCredentials} from './peer-identity.js';
+import {
+	type AnswerFrame, answerFrameCodec, type CallFrame, callFrameCodec, SESSION_PATH,
+} from './types.js';
 
 export type PeerServerOptions = {
 	readonly address: string;
@@ -17,56 +20,67 @@
 	readonly stop: () => Promise<void>;
 };
 
-const passThrough = {
-	encode: (bytes: Uint8Array) => Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength),
-	decode: (bytes: Uint8Array) => bytes,
+const sessionDefinition: grpc.MethodDefinition<CallFrame, AnswerFrame> = {
+	path: SESSION_PATH,
+	requestStream: true,
+	responseStream: true,
+	requestSerialize: callFrameCodec.encode,
+	requestDeserialize: bytes => callFrameCodec.decode(bytes),
+	responseSerialize: answerFrameCodec.encode,
+	responseDeserialize: bytes => answerFrameCodec.decode(bytes),
 };
 
-function getDefinition(handler: MethodHandler): grpc.MethodDefinition<Uint8Array, Uint8Array> {
-	return {
-		path: handler.path,
-		requestStream: false,
-		responseStream: false,
-		requestSerialize: passThrough.encode,
-		requestDeserialize: passThrough.decode,
-		responseSerialize: passThrough.encode,
-		responseDeserialize: passThrough.decode,
-	};
-}
+type Session = grpc.ServerDuplexStream<CallFrame, AnswerFrame>;
 
-function toServiceError(err: unknown): Partial<grpc.StatusObject> {
-	if (err instanceof DecodeError) {
-		return {code: grpc.status.INVALID_ARGUMENT, details: err.message};
+async function answerCall(session: Session, [id, path, body]: CallFrame, handler: MethodHandler | undefined, logger: Logger): Promise<void> {
+	let answer: Uint8Array | string;
+	try {
+		answer = handler ? await handler.invoke(body) : `This host does not serve ${path}.`;
+	} catch (err: unknown) {
+		logger.debug({err, method: path}, 'A peer call failed.');
+		answer = err instanceof Error ? err.message : 'The call failed.';
 	}
 
-	return {code: grpc.status.INTERNAL, details: err instanceof Error ? err.message : 'The call failed.'};
+	if (!session.cancelled) {
+		session.write([id, answer]);
+	}
 }
 
-function createImplementation(handler: MethodHandler, opts: PeerServerOptions): grpc.handleUnaryCall<Uint8Array, Uint8Array> {
-	return async (call, callback) => {
-		const {fleet} = opts.credentials;
-		const cert = call.getAuthContext()?.sslPeerCertificate;
-		if (fleet !== undefined && !(cert && isOfFleet(cert, fleet))) {
-			opts.logger.warn({peer: call.getPeer(), names: cert?.subjectaltname, method: handler.path}, 'Refused a peer of another fleet.');
-			callback({code: grpc.status.PERMISSION_DENIED, details: 'The certificate does not belong to this fleet.'});
-			return;
-		}
+/** Answers the calls of one host until its session ends; a slow call does not hold up the others. */
+async function serveSession(session: Session, handlers: ReadonlyMap<string, MethodHandler>, {credentials: {fleet}, logger}: PeerServerOptions): Promise<void> {
+	const cert = session.getAuthContext()?.sslPeerCertificate;
+	if (fleet !== undefined && !(cert && isOfFleet(cert, fleet))) {
+		logger.warn({peer: session.getPeer(), names: cert?.subjectaltname}, 'Refused a peer of another fleet.');
+		session.emit('error', {code: grpc.status.PERMISSION_DENIED, details: 'The certificate does not belong to this fleet.'});
+		return;
+	}
 
-		try {
-			callback(null, await handler.invoke(call.request));
-		} catch (err: unknown) {
-			opts.logger.debug({err, method: handler.path}, 'A peer call failed.');
-			callback(toServiceError(err));
+	// The caller sends nothing before it has seen that the session is accepted.
+	session.sendMetadata(new grpc.Metadata());
+	try {
+		for await (const frame of session as AsyncIterable<CallFrame>) {
+			void answerCall(session, frame, handlers.get(frame[1]), logger);
 		}
-	};
+
+		session.end();
+	} catch (err: unknown) {
+		logger.debug({err, peer: session.getPeer()}, 'A peer session ended.');
+	}
 }
 
 /** Starts the gRPC server that other hosts call. */
 export async function startPeerServer(opts: PeerServerOptions): Promise<PeerServer> {
-	const server = new grpc.Server({'grpc.max_receive_message_length': MAX_MESSAGE_BYTES, 'grpc.max_send_message_length': MAX_MESSAGE_BYTES});
-	const definitions = Object.fromEntries(opts.handlers.map(handler => [handler.path, getDefinition(handler)]));
-	const implementations = Object.fromEntries(opts.handlers.map(handler => [handler.path, createImplementation(handler, opts)]));
-	server.addService(definitions, implementations);
+	const server = new grpc.Server({
+		'grpc.max_receive_message_length': MAX_MESSAGE_BYTES,
+		'grpc.max_send_message_length': MAX_MESSAGE_BYTES,
+		'grpc.keepalive_time_ms': SESSION_KEEPALIVE_MS,
+	});
+	const handlers = new Map(opts.handlers.map(handler => [handler.path, handler]));
+	server.addService({session: sessionDefinition}, {
+		session(session: Session) {
+			void serveSession(session, handlers, opts);
+		},
+	});
 	const port = await new Promise<number>((resolve, reject) => {
 		server.bindAsync(opts.address, opts.credentials.server, (err, boundPort) => {
 			if (err) {
@@ -80,7 +94,7 @@
 	return {
 		port,
 		async stop() {
-			// Long polls of other hosts would hold a graceful stop open, so their calls are ended.
+			// Sessions of other hosts last as long as those run, so a graceful stop would never end.
 			server.forceShutdown();
 		},
 	};
--- /dev/null
+++ b/packages/hosts/src/transport/types.ts
@@ -0,0 +1,16 @@
+import {Bytes, createCodec} from '@egretrill/common';
+import {z} from 'zod';
+
+/** One call on a session: its number there, the method's path and the encoded request. */
+export const CallFrame = z.tuple([z.int().nonnegative(), z.string(), Bytes]);
+export type CallFrame = z.infer<typeof CallFrame>;
+
+/** The answer to the call of the same number: the encoded response, or why the call failed. */
+export const AnswerFrame = z.tuple([z.int().nonnegative(), z.union([Bytes, z.string()])]);
+export type AnswerFrame = z.infer<typeof AnswerFrame>;
+
+export const callFrameCodec = createCodec(CallFrame);
+export const answerFrameCodec = createCodec(AnswerFrame);
+
+/** The stream on which one host calls another; all methods share it, since a stream for each call costs several times as much. */
+export const SESSION_PATH = '/egretrill.Peer/session';
