placement: waiting requests, demand in explain, adapters loaded on demand

Cause: the waiting requests of a plan existed only as a schema, `placement explain` showed a demand of 0, and a request for an adapter that was resident nowhere waited until the periodic plan noticed it. Change: hosts report the requests that wait in their queues and for a target with their demand; the zone owner sums them and plans with them, also for models whose rate is not measured yet. Arrivals are counted before any refusal, as before. Explain asks the zone's owner. Routing names a target with the model when no target holds the adapter, the host asks the owner of the target's zone to load it, under the permit of the weight store for adapters, and requests for the same adapter share one load. Demand gets a medium window (6 s) between the quick (1.5 s) and the slow one. Before: explain shows demand 0; no load on demand. Conclusion: what the plan needs from the hosts reaches it.

--- a/apps/egretrilld/src/constants.ts
+++ b/apps/egretrilld/src/constants.ts
@@ -1,3 +1,5 @@
+import {ADAPTER_ANSWER_MS} from '@egretrill/engines';
+
 export const DIRECTORY_SYNC_INTERVAL_MS = 500;
 export const SUMMARY_SYNC_INTERVAL_MS = 1000;
 export const DEMAND_REPORT_INTERVAL_MS = 1000;
@@ -7,6 +9,12 @@
 export const ZONE_DUTY_INTERVAL_MS = 200;
 export const POOL_RETRY_MS = 20;
 
+/** A call for an adapter ends well after the zone owner's own limit, so that a slow load does not count as a silent host. */
+export const ADAPTER_CALL_DEADLINE_MS = 2 * ADAPTER_ANSWER_MS;
+
+/** Pause after an adapter could not be loaded; its cause, such as a zone owner that has just changed, takes longer to pass. */
+export const ADAPTER_RETRY_MS = 250;
+
 /** How often the slots of the fair queues follow the targets' capacity. */
 export const SLOT_UPDATE_INTERVAL_MS = 100;
 export const LOAD_PERMIT_POLL_MS = 50;
--- a/apps/egretrilld/src/container.ts
+++ b/apps/egretrilld/src/container.ts
@@ -8,7 +8,7 @@
 } from '@egretrill/common';
 import {
 	type BlockHasher, ColdPermitHolder, CollapseDetector, CostRouting, DemandEstimator, DemandPlacement, EngineClient, FencingOrderChannel, PrefixBelief, RoundRobinRouting,
-	type RoutingPolicy, TargetDirectory, TwoChoicesRouting, UnfencedOrderChannel, ZoneOwner,
+	type RoutingPolicy, sumCounts, TargetDirectory, TwoChoicesRouting, UnfencedOrderChannel, ZoneOwner,
 } from '@egretrill/engines';
 import {
 	ConfigFollower, FleetLog, FleetOrigin, InForceReports, MAX_OUTCOME_BODY_BYTES, type PeerCredentials, PeerDirectory, ZoneLeaseKeeper, zoneLeaseMethod,
@@ -25,6 +25,7 @@
 import {DaemonView} from './monitor/daemon-view.js';
 import {EvidenceHolder} from './monitor/evidence-holder.js';
 import {DaemonControl} from './operators/daemon-control.js';
+import {AdapterLoader} from './targets/adapter-loader.js';
 import {DirectoryPool} from './targets/directory-pool.js';
 import {DirectorySync} from './targets/directory-sync.js';
 import {LoadPermitClient} from './targets/load-permit-client.js';
@@ -137,6 +138,7 @@
 		directory: ctx.get(tokens.directory),
 		belief: ctx.get(tokens.belief),
 		demand: ctx.get(tokens.demand),
+		getWaiting: () => sumCounts(ctx.get(tokens.queues).getWaitingByModel(), ctx.get(tokens.pool).getWaitingByModel()),
 		getOwnHolder: () => ctx.get(tokens.lease).getHolder(),
 	})).inSingletonScope();
 	container.bind(tokens.permits).toDynamicValue(ctx => new ColdPermitHolder({
@@ -158,6 +160,12 @@
 		belief: ctx.get(tokens.belief),
 		config: ctx.get(tokens.config),
 		getZoneConditions: () => ctx.get(tokens.zones).getConditions(),
+		adapters: new AdapterLoader({
+			clock: ctx.get(tokens.clock),
+			logger: getLogger(ctx, 'placement'),
+			peers: ctx.get(tokens.peers),
+			getZoneOwner: zone => ctx.get(tokens.directorySync).getZoneOwner(zone),
+		}),
 	})).inSingletonScope();
 }
 
@@ -235,6 +243,7 @@
 		peers: ctx.get(tokens.peers),
 		directory: ctx.get(tokens.directory),
 		owner: ctx.get(tokens.owner),
+		getZoneOwner: () => ctx.get(tokens.directorySync).getZoneOwner(settings.zone),
 		getEvidence: () => ctx.get(tokens.evidence).get(),
 		getTerm: () => ctx.get(tokens.voter)?.node.status().term ?? 0,
 	})).inSingletonScope();
--- a/apps/egretrilld/src/handlers.ts
+++ b/apps/egretrilld/src/handlers.ts
@@ -6,7 +6,8 @@
 import type {Container} from 'inversify';
 import {NotLeaderError} from './hosts/leader-duties.js';
 import {
-	announceMethod, coldPermitMethod, coldReleaseMethod, coldRenewMethod, coldReportMethod, crashMethod, demandMethod, digestMethod, drainMethod, hostStatusMethod, inForceMethod,
+	adapterLoadMethod, announceMethod,
+	coldPermitMethod, coldReleaseMethod, coldRenewMethod, coldReportMethod, crashMethod, demandMethod, digestMethod, drainMethod, explainMethod, hostStatusMethod, inForceMethod,
 	loadPermitMethod, loadReleaseMethod, shareMethod, summaryMethod, withdrawalMethod,
 } from './methods.js';
 import {tokens, type Voter} from './tokens.js';
@@ -45,6 +46,8 @@
 			duties.recordDemand(hostId, reports);
 			return {};
 		}),
+		bindMethod(adapterLoadMethod, async want => duties.loadAdapter(want)),
+		bindMethod(explainMethod, async ({model}) => duties.explain(model)),
 	];
 }
 
--- a/apps/egretrilld/src/operators/daemon-control.ts
+++ b/apps/egretrilld/src/operators/daemon-control.ts
@@ -10,7 +10,7 @@
 	type HostStatus, type PlacementExplanation, type TargetStatus, type Unavailable, validateDocument, type WithdrawalOutcome, type ZoneStateOutcome,
 } from '@egretrill/operators';
 import {
-	drainMethod, hostStatusMethod, inForceMethod, withdrawalMethod,
+	drainMethod, explainMethod, hostStatusMethod, inForceMethod, withdrawalMethod,
 } from '../methods.js';
 
 export type DaemonControlOptions = {
@@ -21,6 +21,7 @@
 	readonly peers: PeerDirectory;
 	readonly directory: TargetDirectory;
 	readonly owner: ZoneOwner;
+	readonly getZoneOwner: () => string | undefined;
 	readonly getEvidence: () => EvidenceLog | undefined;
 	readonly getTerm: () => number;
 };
@@ -200,11 +201,15 @@
 		const copies = this.opts.directory.getTargets().flatMap(({entry}) => entry.resident
 			.filter(resident => resident.model === model)
 			.map(({version}) => ({target: entry.targetId, version, state: 'resident' as const})));
-		const candidates = this.opts.owner.explain(model).map(({targetId = '', decision, reason, weighedAgainst}) => ({
+		const ownerId = this.opts.getZoneOwner();
+		const answer = ownerId === undefined ? undefined : await this.opts.peers.call(ownerId, explainMethod, {model});
+		// Without an answer of the owner, this host shows what it decided itself as an earlier owner.
+		const {demandPerS, explanations} = answer?.isOk ? answer.value : this.opts.owner.explain(model);
+		const candidates = explanations.map(({targetId = '', decision, reason, weighedAgainst}) => ({
 			target: targetId === '' ? 'none' : targetId, chosen: decision === 'move', reason: `${decision}: ${reason} (weighed against ${weighedAgainst})`,
 		}));
 		return {
-			model, demand: 0, copies, candidates,
+			model, demand: Number(demandPerS.toFixed(2)), copies, candidates,
 		};
 	}
 
--- /dev/null
+++ b/apps/egretrilld/src/targets/adapter-loader.ts
@@ -0,0 +1,53 @@
+import type {TargetWant} from '@egretrill/callers';
+import type {Clock, Logger} from '@egretrill/common';
+import type {Choice} from '@egretrill/engines';
+import type {PeerDirectory} from '@egretrill/hosts';
+import {ADAPTER_CALL_DEADLINE_MS, ADAPTER_RETRY_MS} from '../constants.js';
+import {adapterLoadMethod} from '../methods.js';
+
+export type AdapterLoaderOptions = {
+	readonly clock: Clock;
+	readonly logger: Logger;
+	readonly peers: PeerDirectory;
+	readonly getZoneOwner: (zone: string) => string | undefined;
+};
+
+/** Asks zone owners to load adapters that requests of this host wait for. */
+export class AdapterLoader {
+	private readonly running = new Map<string, Promise<boolean>>();
+
+	constructor(private readonly opts: AdapterLoaderOptions) {}
+
+	/** Has the adapter loaded on the chosen target; requests that need the same one share the call. */
+	async load({targetId, startId, zone}: Pick<Choice, 'targetId' | 'startId' | 'zone'>, {model, adapter}: TargetWant): Promise<boolean> {
+		if (model === undefined || adapter === undefined) {
+			return false;
+		}
+
+		const key = `${targetId}/${startId}/${model}/${adapter}`;
+		const running = this.running.get(key);
+		if (running !== undefined) {
+			return running;
+		}
+
+		const call = this.call(zone, {targetId, model, adapter});
+		this.running.set(key, call);
+		const isLoaded = await call;
+		this.running.delete(key);
+		return isLoaded;
+	}
+
+	private async call(zone: string, want: {readonly targetId: string; readonly model: string; readonly adapter: string}): Promise<boolean> {
+		const {clock, logger, peers, getZoneOwner} = this.opts;
+		const owner = getZoneOwner(zone);
+		const answer = owner === undefined ? undefined : await peers.call(owner, adapterLoadMethod, want, ADAPTER_CALL_DEADLINE_MS);
+		const isLoaded = answer?.isOk === true && answer.value.isLoaded;
+		logger.info({...want, isLoaded}, 'Adapter load asked for.');
+		if (!isLoaded) {
+			// Requests that wait for the adapter would otherwise ask again at once.
+			await clock.sleep(ADAPTER_RETRY_MS);
+		}
+
+		return isLoaded;
+	}
+}
--- a/apps/egretrilld/src/targets/directory-pool.ts
+++ b/apps/egretrilld/src/targets/directory-pool.ts
@@ -9,6 +9,7 @@
 } from '@egretrill/engines';
 import {Result} from 'true-myth';
 import {POOL_RETRY_MS} from '../constants.js';
+import type {AdapterLoader} from './adapter-loader.js';
 import {isConnectionRefused} from './probe.js';
 
 export type DirectoryPoolOptions = {
@@ -23,6 +24,7 @@
 	readonly belief?: PrefixBelief;
 	readonly config: ConfigSource;
 	readonly getZoneConditions: () => ZoneConditions;
+	readonly adapters: AdapterLoader;
 };
 
 type Excluded = RoutingRequest['excluded'][number];
@@ -119,6 +121,8 @@
 
 /** Chooses targets from the directory by the configured policy. */
 export class DirectoryPool extends TargetPool {
+	private readonly choosing = new Map<string, number>();
+
 	constructor(private readonly opts: DirectoryPoolOptions) {
 		super();
 	}
@@ -129,7 +133,31 @@
 		return candidates.reduce((sum, {load, outstanding}) => sum + Math.max(0, load.limit - outstanding), 0);
 	}
 
+	/** Requests that have left their queue and wait for a target, by model. */
+	getWaitingByModel(): ReadonlyMap<string, number> {
+		return this.choosing;
+	}
+
 	override async choose(want: TargetWant, signal: AbortSignal): Promise<Result<ChosenTarget, Verdict>> {
+		const {model = ''} = want;
+		this.countChoosing(model, 1);
+		try {
+			return await this.chooseInTime(want, signal);
+		} finally {
+			this.countChoosing(model, -1);
+		}
+	}
+
+	private countChoosing(model: string, change: number): void {
+		const count = (this.choosing.get(model) ?? 0) + change;
+		if (count === 0) {
+			this.choosing.delete(model);
+		} else {
+			this.choosing.set(model, count);
+		}
+	}
+
+	private async chooseInTime(want: TargetWant, signal: AbortSignal): Promise<Result<ChosenTarget, Verdict>> {
 		const {clock, logger} = this.opts;
 		const endsMs = clock.now() + want.timeoutMs;
 		for (;;) {
@@ -161,6 +189,13 @@
 				return Result.err(choice.error);
 			}
 
+			// An adapter that is resident nowhere is loaded before the request goes out, since the engine would refuse it.
+			const isLoaded = choice.value.adapterResident || await this.opts.adapters.load(choice.value, want);
+			if (!isLoaded) {
+				excluded = [...excluded, {targetId: choice.value.targetId, reason: 'permit-denied'}];
+				continue;
+			}
+
 			const permit = choice.value.needsPermit ? await this.opts.permits.acquire(choice.value) : undefined;
 			if (!permit?.isErr) {
 				this.logChoice(want, choice.value);
@@ -193,7 +228,7 @@
 		});
 		const known = model === undefined ? index?.document.services.some(({id}) => id === service) : index?.models.has(model);
 		return policy.choose(set, {
-			model, adapter, service, prompt, known: known ?? false, canLoadAdapter: false, excluded: [...excluded],
+			model, adapter, service, prompt, known: known ?? false, canLoadAdapter: set.candidates.every(({adapterResident}) => !adapterResident), excluded: [...excluded],
 		}, random);
 	}
 
--- a/apps/egretrilld/src/targets/directory-sync.ts
+++ b/apps/egretrilld/src/targets/directory-sync.ts
@@ -17,6 +17,8 @@
 	readonly directory: TargetDirectory;
 	readonly belief: PrefixBelief;
 	readonly demand: DemandEstimator;
+	/** Requests that wait at this host, by model. */
+	readonly getWaiting: () => ReadonlyMap<string, number>;
 	/** The owner of the own zone as far as this host's requests for the lease show. */
 	readonly getOwnHolder: () => string | undefined;
 };
@@ -110,10 +112,10 @@
 
 	/** Tells the zone's owner what callers ask of this host. */
 	private async reportDemand(signal: AbortSignal): Promise<void> {
-		const {clock, random, peers, settings, demand} = this.opts;
+		const {clock, random, peers, settings, demand, getWaiting} = this.opts;
 		while (!signal.aborted) {
 			const owner = this.getZoneOwner(settings.zone);
-			const reports = demand.report(clock.now());
+			const reports = demand.report(clock.now(), getWaiting());
 			if (owner !== undefined && reports.length > 0) {
 				await peers.call(owner, demandMethod, {hostId: settings.host, reports: [...reports]});
 			}
--- a/apps/egretrilld/src/targets/zone-duties.ts
+++ b/apps/egretrilld/src/targets/zone-duties.ts
@@ -1,7 +1,7 @@
 import type {ConfigSource} from '@egretrill/callers';
 import type {Clock, Logger} from '@egretrill/common';
 import {
-	ColdStartRamp, type DemandReport, sumDemand, type TargetDirectory, type ZoneOwner,
+	type AdapterAnswer, type AdapterWant, ColdStartRamp, type DemandReport, type ModelExplanation, sumDemand, sumWaiting, type TargetDirectory, type ZoneOwner,
 } from '@egretrill/engines';
 import type {ZoneLeaseKeeper} from '@egretrill/hosts';
 import {DEMAND_TTL_MS, ZONE_DUTY_INTERVAL_MS} from '../constants.js';
@@ -27,6 +27,7 @@
 /** The duties of the zone's owner: cold-start ramps and placement. */
 export class ZoneDuties {
 	private readonly demand = new Map<string, HostDemand>();
+	private readonly stopping = new AbortController();
 	private ramp: {readonly epoch: number; readonly ramp: ColdStartRamp} | undefined;
 
 	constructor(private readonly opts: ZoneDutiesOptions) {}
@@ -46,6 +47,19 @@
 		this.demand.set(hostId, {reports, heardMs: this.opts.clock.now()});
 	}
 
+	/** Has an adapter loaded for a request of another host or of this one. */
+	async loadAdapter(want: AdapterWant): Promise<AdapterAnswer> {
+		const answer = await this.opts.owner.loadAdapter(want, this.stopping.signal);
+		this.opts.logger.info({zone: this.opts.zone, ...want, ...answer}, 'Adapter asked for.');
+		return answer;
+	}
+
+	/** What this host knows about the placement of a model, as the owner of the zone. */
+	explain(model: string): ModelExplanation {
+		this.getRamp();
+		return this.opts.owner.explain(model);
+	}
+
 	/** Follows the lease and the zone's targets until the signal aborts. */
 	async run(signal: AbortSignal): Promise<void> {
 		const {clock, lease, logger, zone, owner} = this.opts;
@@ -65,6 +79,7 @@
 			await clock.sleep(ZONE_DUTY_INTERVAL_MS, signal);
 		}
 
+		this.stopping.abort();
 		await placement;
 	}
 
@@ -96,11 +111,12 @@
 		}
 
 		const nowMs = clock.now();
-		const live = [...this.demand.values()].filter(({heardMs}) => nowMs - heardMs < DEMAND_TTL_MS);
+		const reports = [...this.demand.values()].filter(({heardMs}) => nowMs - heardMs < DEMAND_TTL_MS).flatMap(host => [...host.reports]);
 		owner.setState({
 			models: document.models,
 			placements: document.placements,
-			demand: sumDemand(live.flatMap(({reports}) => [...reports])),
+			demand: sumDemand(reports),
+			waiting: sumWaiting(reports),
 			remoteTargets: getRemoteTargets(directory, zone),
 			loadSlots: document.weightStore.concurrentLoads,
 		});
--- a/packages/callers/src/queue-set.ts
+++ b/packages/callers/src/queue-set.ts
@@ -30,6 +30,11 @@
 		return [...this.queues.values()].reduce((sum, {waiting}) => sum + waiting, 0);
 	}
 
+	/** Number of requests that wait for each model, for the demand that placement plans with. */
+	getWaitingByModel(): ReadonlyMap<string, number> {
+		return new Map([...this.queues].map(([model, {waiting}]) => [model, waiting]));
+	}
+
 	/** Keeps the slots in step with the targets until the signal aborts. */
 	async run(signal: AbortSignal): Promise<void> {
 		while (!signal.aborted) {
--- a/packages/engines/src/placement/baseline-policies.ts
+++ b/packages/engines/src/placement/baseline-policies.ts
@@ -1,4 +1,5 @@
-import {addBacklog, DemandPlacement} from './demand-placement.js';
+import {addBacklog} from './demand.js';
+import {DemandPlacement} from './demand-placement.js';
 import {
 	type CopyState, FleetState, type ModelState, type TargetState,
 } from './fleet-state.js';
@@ -40,7 +41,7 @@
 	}
 
 	protected override getDemand(input: PlanInput): readonly DemandEstimate[] {
-		return addBacklog(this.getComingDemand(input.nowMs), input);
+		return addBacklog(this.getComingDemand(input.nowMs), input.waiting);
 	}
 }
 
--- a/packages/engines/src/placement/constants.ts
+++ b/packages/engines/src/placement/constants.ts
@@ -39,11 +39,15 @@
 /** A move gives up when the weight store has no permit for it within this time; the next round decides afresh. */
 export const PERMIT_WAIT_MS = 5000;
 
+/** An adapter load on demand is answered after this time at most: the permit, the order's lifetime and the report that shows it. */
+export const ADAPTER_ANSWER_MS = 3000;
+
 /** Time that a request occupies one of an engine's parallel places, until the caller measures it. */
 export const MEAN_SERVICE_MS = 2000;
 
-/** Time constants of the two demand estimates: the quick one notices a shift, the slow one is steady. */
-export const QUICK_DEMAND_MS = 2000;
+/** Time constants of the demand estimates: the quick one notices a shift, the slow one is steady, and the medium one replaces the noisy quick one while the slow one catches up. */
+export const QUICK_DEMAND_MS = 1500;
+export const MEDIUM_DEMAND_MS = 6000;
 export const SLOW_DEMAND_MS = 30_000;
 
 /** Quick and slow estimates must differ by this many standard deviations to count as a shift. */
--- a/packages/engines/src/placement/demand-placement.ts
+++ b/packages/engines/src/placement/demand-placement.ts
@@ -1,9 +1,10 @@
 import {
-	BACKLOG_MS, GAIN_HORIZON_MS, HYSTERESIS_RATIO, MAX_CANDIDATES, MAX_MOVES_PER_ROUND, MIN_UNSERVED_RATIO, PARTIAL_GAIN_RATIO,
+	GAIN_HORIZON_MS, HYSTERESIS_RATIO, MAX_CANDIDATES, MAX_MOVES_PER_ROUND, MIN_UNSERVED_RATIO, PARTIAL_GAIN_RATIO,
 } from './constants.js';
 import {
 	type Evictions, FleetState, type ModelState, type TargetState,
 } from './fleet-state.js';
+import {addBacklog} from './demand.js';
 import {PlacementPolicy} from './placement-policy.js';
 import {
 	planMissingCopies, planPins, planRemovals, planSecondZones, planVersions,
@@ -45,7 +46,7 @@
 
 	/** Returns the demand that the round plans for. */
 	protected getDemand(input: PlanInput): readonly DemandEstimate[] {
-		return addBacklog(input.demand, input);
+		return addBacklog(input.demand, input.waiting);
 	}
 
 	private planGains(plan: RoundPlan): void {
@@ -138,12 +139,6 @@
 	}
 }
 
-/** Adds the requests that wait now to a demand. */
-export function addBacklog(demand: readonly DemandEstimate[], {waiting}: PlanInput): readonly DemandEstimate[] {
-	const counts = new Map(waiting.map(({model, count}) => [model, count]));
-	return demand.map(estimate => estimate.adapter === undefined ? {...estimate, ratePerS: estimate.ratePerS + ((counts.get(estimate.model) ?? 0) * 1000 / BACKLOG_MS)} : estimate);
-}
-
 function describeWeighing({gain, cost, evictions}: Pick<Candidate, 'gain' | 'cost' | 'evictions'>): string {
 	return `gain of ${gain.toFixed(1)} requests in ${GAIN_HORIZON_MS} ms against a cost of ${cost.toFixed(1)}, ${describeEvictions(evictions)}`;
 }
--- a/packages/engines/src/placement/demand.ts
+++ b/packages/engines/src/placement/demand.ts
@@ -1,7 +1,7 @@
 import {
-	FORGOTTEN_RATE_PER_S, QUICK_DEMAND_MS, SHIFT_SIGMAS, SLOW_DEMAND_MS,
+	BACKLOG_MS, FORGOTTEN_RATE_PER_S, MEDIUM_DEMAND_MS, QUICK_DEMAND_MS, SHIFT_SIGMAS, SLOW_DEMAND_MS,
 } from './constants.js';
-import type {DemandEstimate, DemandReport} from './types.js';
+import type {DemandEstimate, DemandReport, WaitingCount} from './types.js';
 
 const MS_PER_SECOND = 1000;
 
@@ -10,6 +10,7 @@
 	readonly adapter?: string;
 	readonly atMs: number;
 	readonly quick: number;
+	readonly medium: number;
 	readonly slow: number;
 };
 
@@ -19,6 +20,7 @@
 		...tally,
 		atMs: nowMs,
 		quick: tally.quick * Math.exp(-elapsedMs / QUICK_DEMAND_MS),
+		medium: tally.medium * Math.exp(-elapsedMs / MEDIUM_DEMAND_MS),
 		slow: tally.slow * Math.exp(-elapsedMs / SLOW_DEMAND_MS),
 	};
 }
@@ -37,25 +39,33 @@
 		}
 	}
 
-	/** Returns this host's rates for the zone owner and forgets names that nobody asks for any more. */
-	report(nowMs: number): readonly DemandReport[] {
+	/** Returns this host's rates and waiting requests for the zone owner and forgets names that nobody asks for any more. */
+	report(nowMs: number, waiting: ReadonlyMap<string, number> = new Map()): readonly DemandReport[] {
 		const decayed = [...this.tallies].map(([key, tally]) => [key, decay(tally, nowMs)] as const);
 		const reports = decayed.map(([key, tally]) => ({key, tally, rates: this.getRates(tally, nowMs)}));
-		const live = reports.filter(({rates}) => Math.max(rates.quickPerS, rates.slowPerS) >= FORGOTTEN_RATE_PER_S);
+		const live = reports.filter(({key, rates}) => waiting.has(key) || Math.max(rates.quickPerS, rates.slowPerS) >= FORGOTTEN_RATE_PER_S);
 		this.tallies = new Map(live.map(({key, tally}) => [key, tally]));
-		return live.map(({tally, rates}) => ({model: tally.model, ...(tally.adapter !== undefined && {adapter: tally.adapter}), ...rates}));
+		return live.map(({key, tally, rates}) => ({
+			model: tally.model, ...(tally.adapter !== undefined && {adapter: tally.adapter}), ...rates, waiting: waiting.get(key) ?? 0,
+		}));
 	}
 
 	private add(model: string, adapter: string | undefined, nowMs: number): void {
 		const key = getDemandKey(model, adapter);
 		const tally = decay(this.tallies.get(key) ?? {
-			model, adapter, atMs: nowMs, quick: 0, slow: 0,
+			model, adapter, atMs: nowMs, quick: 0, medium: 0, slow: 0,
 		}, nowMs);
-		this.tallies.set(key, {...tally, quick: tally.quick + 1, slow: tally.slow + 1});
+		this.tallies.set(key, {
+			...tally, quick: tally.quick + 1, medium: tally.medium + 1, slow: tally.slow + 1,
+		});
 	}
 
-	private getRates({quick, slow}: Tally, nowMs: number): {readonly quickPerS: number; readonly slowPerS: number} {
-		return {quickPerS: quick * MS_PER_SECOND / this.getWindowMs(QUICK_DEMAND_MS, nowMs), slowPerS: slow * MS_PER_SECOND / this.getWindowMs(SLOW_DEMAND_MS, nowMs)};
+	private getRates({quick, medium, slow}: Tally, nowMs: number): Pick<DemandReport, 'quickPerS' | 'mediumPerS' | 'slowPerS'> {
+		return {
+			quickPerS: quick * MS_PER_SECOND / this.getWindowMs(QUICK_DEMAND_MS, nowMs),
+			mediumPerS: medium * MS_PER_SECOND / this.getWindowMs(MEDIUM_DEMAND_MS, nowMs),
+			slowPerS: slow * MS_PER_SECOND / this.getWindowMs(SLOW_DEMAND_MS, nowMs),
+		};
 	}
 
 	/** A decayed count covers less than its time constant while the estimator is young. */
@@ -79,24 +89,73 @@
 		sums.set(key, {
 			...report,
 			quickPerS: report.quickPerS + (sum?.quickPerS ?? 0),
+			mediumPerS: report.mediumPerS + (sum?.mediumPerS ?? 0),
 			slowPerS: report.slowPerS + (sum?.slowPerS ?? 0),
+			waiting: report.waiting + (sum?.waiting ?? 0),
 		});
 	}
 
 	return [...sums.values()].map(sum => estimateDemand(sum));
 }
 
-function estimateDemand({quickPerS, slowPerS, ...name}: DemandReport): DemandEstimate {
-	// The variance of an exponentially decayed Poisson count gives each rate's standard deviation.
-	const quickSigma = Math.sqrt(Math.max(quickPerS, slowPerS) * MS_PER_SECOND / (2 * QUICK_DEMAND_MS));
-	const slowSigma = Math.sqrt(slowPerS * MS_PER_SECOND / (2 * SLOW_DEMAND_MS));
-	const deviation = Math.abs(quickPerS - slowPerS) / Math.max(Number.EPSILON, SHIFT_SIGMAS * Math.hypot(quickSigma, slowSigma));
-	// Switching between the estimates would drop to a stale rate while the slow one still catches up, so they are blended.
+/** Sums the requests that wait for each model over the hosts. */
+export function sumWaiting(reports: readonly DemandReport[]): readonly WaitingCount[] {
+	const counts = new Map<string, number>();
+	for (const {model, adapter, waiting} of reports) {
+		if (adapter === undefined && waiting > 0) {
+			counts.set(model, (counts.get(model) ?? 0) + waiting);
+		}
+	}
+
+	return [...counts].map(([model, count]) => ({model, count}));
+}
+
+/** Adds counts by name. */
+export function sumCounts(...counts: ReadonlyArray<ReadonlyMap<string, number>>): ReadonlyMap<string, number> {
+	const sums = new Map<string, number>();
+	for (const [name, count] of counts.flatMap(map => [...map])) {
+		sums.set(name, (sums.get(name) ?? 0) + count);
+	}
+
+	return sums;
+}
+
+/** Adds the requests that wait now to a demand. */
+export function addBacklog(demand: readonly DemandEstimate[], waiting: readonly WaitingCount[]): readonly DemandEstimate[] {
+	const counts = new Map(waiting.map(({model, count}) => [model, count]));
+	const known = new Set(demand.filter(({adapter}) => adapter === undefined).map(({model}) => model));
+	const others = waiting.filter(({model}) => !known.has(model)).map(({model}): DemandEstimate => ({
+		model, ratePerS: 0, sigmaPerS: 0, shifted: false,
+	}));
+	return [...demand, ...others].map(estimate => estimate.adapter === undefined
+		? {...estimate, ratePerS: estimate.ratePerS + ((counts.get(estimate.model) ?? 0) * MS_PER_SECOND / BACKLOG_MS)}
+		: estimate);
+}
+
+type Estimate = {readonly ratePerS: number; readonly sigmaPerS: number; readonly shifted: boolean};
+
+function estimateDemand({
+	model, adapter, quickPerS, mediumPerS, slowPerS,
+}: DemandReport): DemandEstimate {
+	const steady = {ratePerS: slowPerS, sigmaPerS: getSigma(slowPerS, SLOW_DEMAND_MS), shifted: false};
+	const settled = blend(steady, mediumPerS, MEDIUM_DEMAND_MS);
+	return {model, ...(adapter !== undefined && {adapter}), ...blend(settled, quickPerS, QUICK_DEMAND_MS)};
+}
+
+/** The variance of an exponentially decayed Poisson count gives the rate's standard deviation. */
+function getSigma(ratePerS: number, constantMs: number): number {
+	return Math.sqrt(ratePerS * MS_PER_SECOND / (2 * constantMs));
+}
+
+/** Moves an estimate towards that of a shorter window as far as chance does not explain their difference. */
+function blend(longer: Estimate, ratePerS: number, constantMs: number): Estimate {
+	const sigmaPerS = getSigma(Math.max(ratePerS, longer.ratePerS), constantMs);
+	const deviation = Math.abs(ratePerS - longer.ratePerS) / Math.max(Number.EPSILON, SHIFT_SIGMAS * Math.hypot(sigmaPerS, longer.sigmaPerS));
+	// Switching between the estimates would drop to a stale rate while the longer one still catches up, so they are blended.
 	const weight = Math.min(1, deviation ** 2);
 	return {
-		...name,
-		ratePerS: slowPerS + (weight * (quickPerS - slowPerS)),
-		sigmaPerS: slowSigma + (weight * (quickSigma - slowSigma)),
-		shifted: deviation > 1,
+		ratePerS: longer.ratePerS + (weight * (ratePerS - longer.ratePerS)),
+		sigmaPerS: longer.sigmaPerS + (weight * (sigmaPerS - longer.sigmaPerS)),
+		shifted: longer.shifted || deviation > 1,
 	};
 }
--- a/packages/engines/src/placement/plan-input.ts
+++ b/packages/engines/src/placement/plan-input.ts
@@ -4,7 +4,7 @@
 import {MEAN_SERVICE_MS} from './constants.js';
 import type {MemoryLedger} from './memory-ledger.js';
 import type {
-	DemandEstimate, Move, PhaseLoad, PlanInput, PlannedTarget,
+	DemandEstimate, Move, PhaseLoad, PlanInput, PlannedTarget, WaitingCount,
 } from './types.js';
 
 /** What a zone owner knows when it plans a round. */
@@ -15,7 +15,7 @@
 	readonly placements: Placements;
 	readonly demand: readonly DemandEstimate[];
 	readonly remoteTargets: readonly PlannedTarget[];
-	readonly waiting?: PlanInput['waiting'];
+	readonly waiting: readonly WaitingCount[];
 	readonly loadSlots: number;
 	readonly phase?: PhaseLoad;
 	readonly announcements: readonly Announcement[];
@@ -78,7 +78,7 @@
 		placements: view.placements,
 		demand: [...view.demand],
 		targets: [...targets, ...view.remoteTargets.map(target => ({...target, orderable: false}))],
-		waiting: [...view.waiting ?? []],
+		waiting: [...view.waiting],
 		loadSlots: view.loadSlots,
 		loadMs: LOAD_MS,
 		phase: view.phase,
--- a/packages/engines/src/placement/types.ts
+++ b/packages/engines/src/placement/types.ts
@@ -55,12 +55,20 @@
 });
 export type OrderResult = z.infer<typeof OrderResult>;
 
-/** Arrivals per second of a model or one of its adapters at one host, refusals included. */
+/** Arrivals per second of a model or one of its adapters at one host, refusals included, and the requests that wait there for a place now. */
 export const DemandReport = z.object({
-	model: z.string(), adapter: z.string().optional(), quickPerS: z.number(), slowPerS: z.number(),
+	model: z.string(), adapter: z.string().optional(), quickPerS: z.number(), mediumPerS: z.number(), slowPerS: z.number(), waiting: z.int().nonnegative().default(0),
 });
 export type DemandReport = z.infer<typeof DemandReport>;
 
+/** An adapter that a request needs on a target that holds its model. */
+export const AdapterWant = z.object({targetId: z.string(), model: z.string(), adapter: z.string()});
+export type AdapterWant = z.infer<typeof AdapterWant>;
+
+/** Whether a target holds an adapter that was asked for, and why not. */
+export const AdapterAnswer = z.object({isLoaded: z.boolean(), reason: z.string()});
+export type AdapterAnswer = z.infer<typeof AdapterAnswer>;
+
 export const DemandEstimate = z.object({
 	model: z.string(),
 	adapter: z.string().optional(),
@@ -95,6 +103,10 @@
 export const PhaseLoad = z.object({prefillUtilisation: z.number(), decodeUtilisation: z.number()});
 export type PhaseLoad = z.infer<typeof PhaseLoad>;
 
+/** Requests of one model that wait for a place. */
+export const WaitingCount = z.object({model: z.string(), count: z.int()});
+export type WaitingCount = z.infer<typeof WaitingCount>;
+
 export const PlanInput = z.object({
 	nowMs: z.number(),
 	models: z.array(Model),
@@ -102,7 +114,7 @@
 	demand: z.array(DemandEstimate),
 	targets: z.array(PlannedTarget),
 	/** Requests of each model that wait for a place now. */
-	waiting: z.array(z.object({model: z.string(), count: z.int()})).default([]),
+	waiting: z.array(WaitingCount).default([]),
 	/** Loads that the weight store can start in this round. */
 	loadSlots: z.int(),
 	loadMs: z.number(),
@@ -140,5 +152,9 @@
 });
 export type Explanation = z.infer<typeof Explanation>;
 
+/** What a zone owner knows about one model, for `egretrill placement explain`. */
+export const ModelExplanation = z.object({demandPerS: z.number(), explanations: z.array(Explanation)});
+export type ModelExplanation = z.infer<typeof ModelExplanation>;
+
 export const PlanRound = z.object({moves: z.array(Move), explanations: z.array(Explanation)});
 export type PlanRound = z.infer<typeof PlanRound>;
--- a/packages/engines/tests/placement/engine-books.ts
+++ b/packages/engines/tests/placement/engine-books.ts
@@ -6,6 +6,8 @@
 	a: 30, b: 40, c: 50, d: 20,
 };
 
+export const ADAPTER_MB = 10;
+
 export const MEMORY_MB = 100;
 
 /** Builds a model of the configuration. */
@@ -31,14 +33,14 @@
 
 	/** Carries out an order unless this start has already seen it. */
 	take(order: Order, nowMs: number, loadMs: number): void {
-		this.arrivals.push(`${nowMs} ms: ${order.orderId} ${order.kind}${'model' in order ? ` ${order.model}@${order.version}` : ''}`);
+		this.arrivals.push(`${nowMs} ms: ${order.orderId} ${order.kind}${'model' in order ? ` ${order.model}@${order.version}` : ''}${'adapter' in order ? `/${order.adapter}` : ''}`);
 		if (this.taken.includes(order.orderId) || !('model' in order)) {
 			return;
 		}
 
-		const key = `${order.model}@${order.version}`;
+		const key = `${order.model}@${order.version}${'adapter' in order ? `/${order.adapter}` : ''}`;
 		this.taken.push(order.orderId);
-		if (order.kind === 'load-model') {
+		if (order.kind === 'load-model' || order.kind === 'load-adapter') {
 			this.contents.set(key, {listedAtMs: this.contents.get(key)?.listedAtMs ?? nowMs + loadMs});
 			this.done.push({orderId: order.orderId, atMs: nowMs + loadMs});
 		} else {
@@ -46,7 +48,7 @@
 			this.done.push({orderId: order.orderId, atMs: nowMs});
 		}
 
-		this.peakMb = Math.max(this.peakMb, [...this.contents.keys()].reduce((sum, key) => sum + (SIZES_MB[key.split('@')[0]!] ?? 0), 0));
+		this.peakMb = Math.max(this.peakMb, [...this.contents.keys()].reduce((sum, key) => sum + (key.includes('/') ? ADAPTER_MB : (SIZES_MB[key.split('@')[0]!] ?? 0)), 0));
 	}
 
 	/** Starts anew with some of the listed contents and no memory of earlier orders. */
@@ -58,11 +60,14 @@
 	}
 
 	report(nowMs: number): TargetReport {
+		const listed = [...this.contents].filter(([, {listedAtMs}]) => listedAtMs <= nowMs).map(([key]) => key);
 		return {
 			targetId: this.targetId,
 			startId: this.startId,
 			memoryMb: MEMORY_MB,
-			resident: [...this.contents].filter(([, {listedAtMs}]) => listedAtMs <= nowMs).map(([key]) => ({model: key.split('@')[0]!, version: key.split('@')[1]!, adapters: []})),
+			resident: listed.filter(key => !key.includes('/')).map(key => ({
+				model: key.split('@')[0]!, version: key.split('@')[1]!, adapters: listed.filter(other => other.startsWith(`${key}/`)).map(other => other.split('/')[1]!),
+			})),
 			settledOrders: this.namesOrders ? this.done.filter(({atMs}) => atMs <= nowMs).map(({orderId}) => orderId).slice(-64) : [],
 		};
 	}
--- a/packages/engines/tests/placement/policies.test.ts
+++ b/packages/engines/tests/placement/policies.test.ts
@@ -1,7 +1,7 @@
 import type {Model} from '@egretrill/common';
 import {expect} from 'chai';
 import {
-	DemandEstimator, DemandPlacement, LoadOnDemandPlacement, type PlanInput, type PlannedTarget, type PlanRound, StaticPlacement, sumDemand,
+	addBacklog, DemandEstimator, DemandPlacement, LoadOnDemandPlacement, type PlanInput, type PlannedTarget, type PlanRound, StaticPlacement, sumDemand, sumWaiting,
 } from '../../src/placement/index.js';
 import {createModel, MEMORY_MB, SIZES_MB} from './engine-books.js';
 
@@ -129,6 +129,21 @@
 });
 
 describe('demand estimates', () => {
+	it('count requests that wait, also for models whose demand is not measured yet, summed over hosts', () => {
+		const reports = ['a', 'a', 'b'].map(model => ({
+			model, quickPerS: 1, mediumPerS: 1, slowPerS: 1, waiting: model === 'a' ? 15 : 0,
+		}));
+		const waiting = [...sumWaiting(reports), {model: 'c', count: 30}];
+		expect({waiting, demand: addBacklog(sumDemand(reports), waiting)}).toMatchSnapshot();
+	});
+
+	it('keep a model in the report while its requests wait', () => {
+		const host = new DemandEstimator(0);
+		host.recordArrival('a', undefined, 0);
+		const reports = [host.report(600_000, new Map([['a', 2]])), host.report(600_000)];
+		expect(reports.map(names => names.map(({model, waiting}) => `${model} ${waiting}`))).to.deep.equal([['a 2'], []]);
+	});
+
 	it('notice a tenfold shift within 3 s, summed over hosts, and stay near a steady rate', () => {
 		const hosts = Array.from({length: 4}, () => new DemandEstimator(0));
 		let steady = 0;
--- a/packages/engines/tests/placement/zone-owner.test.ts
+++ b/packages/engines/tests/placement/zone-owner.test.ts
@@ -6,7 +6,9 @@
 import {
 	DemandPlacement, LeaseHolder, type LoadPermit, LoadPermits, type MoveStep, OrderChannel, type OrderTarget, type SendOutcome, TAKEOVER_WAIT_MS, ZoneOwner,
 } from '../../src/placement/index.js';
-import {createModel, EngineBooks, MEMORY_MB} from './engine-books.js';
+import {
+	ADAPTER_MB, createModel, EngineBooks, MEMORY_MB,
+} from './engine-books.js';
 
 class TestLease extends LeaseHolder {
 	epoch = 1;
@@ -89,6 +91,7 @@
 		this.owner.setState({
 			models,
 			placements: {pins: [], forbids: []},
+			waiting: [],
 			demand: Object.entries(demand).map(([model, ratePerS]) => ({
 				model, ratePerS, sigmaPerS: 0, shifted: false,
 			})),
@@ -200,11 +203,28 @@
 			arrivals: zone.getArrivals(),
 			peaks: [...zone.engines.values()].map(({peakMb}) => peakMb),
 			permitsHeld: zone.permits.held,
-			explained: zone.owner.explain('a'),
+			explained: zone.owner.explain('a').explanations,
 		}).toMatchSnapshot();
 		expect([...zone.engines.values()].every(({peakMb}) => peakMb <= MEMORY_MB)).to.equal(true);
 	});
 
+	it('loads an adapter once for all requests that wait for it, in place of one that nobody asks for, and not beyond the memory', async () => {
+		const models = ['a', 'b', 'c'].map(id => ({...createModel(id), adapters: [{id: 'x', memoryMb: ADAPTER_MB}, {id: 'y', memoryMb: ADAPTER_MB}]}));
+		const zone = new TestZone({t1: ['a@v1', 'c@v1', 'c@v1/x'], t2: ['b@v1', 'c@v1', 'c@v1/x']}, models);
+		const load = async (targetId: string, model: string, adapter: string) => zone.owner.loadAdapter({targetId, model, adapter}, new AbortController().signal);
+		await zone.advance(100);
+		const early = load('t1', 'a', 'x');
+		await zone.advance(QUIET_MS);
+		zone.channel.faults = ['answer-lost'];
+		const answers = Promise.all([early, load('t1', 'a', 'x'), load('t1', 'a', 'x'), load('t2', 'b', 'x'), load('t1', 'b', 'x'), load('t9', 'a', 'x')]);
+		await zone.advance(6000);
+		const second = load('t1', 'c', 'x');
+		await zone.advance(1000);
+		expect({
+			answers: await answers, second: await second, arrivals: zone.getArrivals(), peaks: [...zone.engines.values()].map(({peakMb}) => peakMb), permitsHeld: zone.permits.held,
+		}).toMatchSnapshot();
+	});
+
 	it('sends an order no further once its target has restarted, since the reservation was for other contents', async () => {
 		const zone = await openZone();
 		zone.channel.faults = ['answer-lost', 'answer-lost', 'lost'];
