placement: role changes by measured load

Cause: the plan could change roles, but no measured phase load reached it, a zone could give up its last target for a phase, and an unanswered role change counted as not made. Change: engines may tell how many running requests are in prefill; digests pass it on only for such engines. The zone owner measures the use of both phases, averages it over 10 s, and orders at most one change until all targets have kept their roles for 30 s. Conclusion: a zone keeps a target for each phase whatever becomes of an order.

--- a/apps/egretrilld/src/targets/zone-duties.ts
+++ b/apps/egretrilld/src/targets/zone-duties.ts
@@ -1,7 +1,7 @@
 import type {ConfigSource} from '@egretrill/callers';
 import type {Clock, Logger} from '@egretrill/common';
 import {
-	type AdapterAnswer, type AdapterWant, ColdStartRamp, type DemandReport, type ModelExplanation, sumDemand, sumWaiting, type TargetDirectory, type ZoneOwner,
+	type AdapterAnswer, type AdapterWant, ColdStartRamp, type DemandReport, measurePhases, type ModelExplanation, type PhaseLoad, smoothPhases, sumDemand, sumWaiting, type TargetDirectory, type ZoneOwner,
 } from '@egretrill/engines';
 import type {ZoneLeaseKeeper} from '@egretrill/hosts';
 import {DEMAND_TTL_MS, ZONE_DUTY_INTERVAL_MS} from '../constants.js';
@@ -28,6 +28,7 @@
 export class ZoneDuties {
 	private readonly demand = new Map<string, HostDemand>();
 	private readonly stopping = new AbortController();
+	private phase: {readonly load: PhaseLoad | undefined; readonly atMs: number} | undefined;
 	private ramp: {readonly epoch: number; readonly ramp: ColdStartRamp} | undefined;
 
 	constructor(private readonly opts: ZoneDutiesOptions) {}
@@ -103,6 +104,13 @@
 		}
 	}
 
+	private measurePhase(nowMs: number): PhaseLoad | undefined {
+		const targets = this.opts.directory.getTargets().flatMap(({entry}) => entry.zone === this.opts.zone && entry.kind === 'engine' && !entry.leaving ? [entry] : []);
+		const load = smoothPhases(this.phase?.load, measurePhases(targets), nowMs - (this.phase?.atMs ?? nowMs));
+		this.phase = {load, atMs: nowMs};
+		return load;
+	}
+
 	private updatePlacement(): void {
 		const {config, owner, clock, directory, zone} = this.opts;
 		const document = config.getIndex()?.document;
@@ -117,6 +125,7 @@
 			placements: document.placements,
 			demand: sumDemand(reports),
 			waiting: sumWaiting(reports),
+			phase: this.measurePhase(nowMs),
 			remoteTargets: getRemoteTargets(directory, zone),
 			loadSlots: document.weightStore.concurrentLoads,
 		});
--- a/dev/stand-ins/src/engine.ts
+++ b/dev/stand-ins/src/engine.ts
@@ -30,6 +30,7 @@
 	sentChunks = 0;
 	private readonly opts: EngineOptions;
 	private running = 0;
+	private prefilling = 0;
 	private completed = 0;
 
 	constructor(opts: Partial<EngineOptions> & Pick<EngineOptions, 'targetId' | 'zone' | 'hosts'>) {
@@ -57,6 +58,7 @@
 				waiting: Math.max(0, this.running - this.opts.slots),
 				limit: this.opts.slots,
 				kvUsedRatio: Math.min(1, this.running / this.opts.slots),
+				prefilling: Math.min(this.prefilling, this.opts.slots),
 			},
 			resident: this.state.residents.map(resident => ({...resident, adapters: [...resident.adapters]})),
 			settledOrders: [...this.state.settledOrders],
@@ -137,8 +139,15 @@
 		}
 	}
 
+	private async prefill(): Promise<void> {
+		this.prefilling += 1;
+		await delay(this.faults.prefillMs ?? this.opts.prefillMs);
+		this.prefilling -= 1;
+	}
+
 	private async sendWhole(res: Response, chat: ChatRequest, requestId: string): Promise<void> {
-		await delay((this.faults.prefillMs ?? this.opts.prefillMs) + (chat.max_tokens * this.opts.tokenIntervalMs));
+		await this.prefill();
+		await delay(chat.max_tokens * this.opts.tokenIntervalMs);
 		if (this.faults.loseAnswer) {
 			res.destroy();
 			return;
@@ -162,7 +171,7 @@
 			}
 		}, HEARTBEAT_INTERVAL_MS);
 		try {
-			await delay(this.faults.prefillMs ?? this.opts.prefillMs);
+			await this.prefill();
 			for (let seq = Number(req.get(RESUME_HEADER) ?? 0); seq < chat.max_tokens; seq++) {
 				if (res.closed || !this.writeChunk(res, chat, requestId, seq)) {
 					return;
--- a/packages/common/src/types.ts
+++ b/packages/common/src/types.ts
@@ -167,6 +167,8 @@
 	waiting: count,
 	limit: z.int().positive(),
 	kvUsedRatio: z.number().min(0).max(1),
+	/** How many of the running requests are in prefill; engines that do not tell the phases apart leave it out. */
+	prefilling: count.optional(),
 });
 export type LoadReport = z.infer<typeof LoadReport>;
 
--- a/packages/engines/src/placement/constants.ts
+++ b/packages/engines/src/placement/constants.ts
@@ -89,6 +89,15 @@
 export const ROLE_SHORT_UTILISATION = 0.9;
 export const ROLE_SPARE_UTILISATION = 0.5;
 
+/** Utilisation of the phases is averaged over this time, so that one burst of prompts changes no role. */
+export const PHASE_SMOOTHING_MS = 10_000;
+
+/** No role changes in a zone until the load of all its targets has been measured this long in their present roles. */
+export const ROLE_SETTLE_MS = 30_000;
+
+/** Utilisation of a phase that has work and no target. */
+export const MAX_PHASE_UTILISATION = 10;
+
 /** A target keeps a role at least this long, since changing it drops its KV cache. */
 export const MIN_ROLE_MS = 60_000;
 
--- a/packages/engines/src/placement/index.ts
+++ b/packages/engines/src/placement/index.ts
@@ -7,6 +7,7 @@
 export * from './memory-ledger.js';
 export * from './order-channel.js';
 export * from './order-issuer.js';
+export * from './phase-load.js';
 export * from './placement-policy.js';
 export * from './plan-input.js';
 export * from './types.js';
--- a/packages/engines/src/placement/memory-ledger.ts
+++ b/packages/engines/src/placement/memory-ledger.ts
@@ -4,7 +4,7 @@
 	ACCEPTED_LOAD_BOUND_MS, ADAPTER_LOAD_BOUND_MS, MODEL_LOAD_BOUND_MS, REPORT_MAX_AGE_MS, RETIRED_STARTS,
 } from './constants.js';
 import type {
-	LedgerEntry, MemoryUse, ReserveFailure, SettledOrder, TargetOrder, TargetReport,
+	EngineRole, LedgerEntry, MemoryUse, ReserveFailure, SettledOrder, TargetOrder, TargetReport,
 } from './types.js';
 
 type ModelOrder = Exclude<Order, {kind: 'set-role'}>;
@@ -20,6 +20,8 @@
 	/** Latest report made when no order of an earlier owner could still be at work. */
 	readonly quiet: boolean;
 	readonly items: ReadonlyMap<string, Item>;
+	/** Roles that reports have shown lately, with the time of the last such report. */
+	readonly roles: ReadonlyMap<EngineRole, number>;
 	readonly entries: ReadonlyMap<string, LedgerEntry>;
 };
 
@@ -104,6 +106,7 @@
 				startId: report.startId,
 				retiredStarts: book === undefined ? [] : [book.startId, ...book.retiredStarts].slice(0, RETIRED_STARTS),
 				items: listItems(report, receivedAtMs),
+				roles: new Map([[report.role, receivedAtMs]]),
 				// A restarted engine has forgotten which orders it carried out, so a late copy of any of them counts again.
 				entries: new Map([...book?.entries ?? []].map(([orderId, entry]) => [orderId, reopen(entry)])),
 			});
@@ -182,6 +185,13 @@
 		return [...this.books.get(targetId)?.entries.values() ?? []].some(({order, state}) => order.kind === 'unload-model' && order.model === model && state !== 'settled');
 	}
 
+	/** Returns whether the target certainly does the phase, whichever of the unsettled role changes are carried out. */
+	isAbleTo(targetId: string, phase: 'prefill' | 'decode'): boolean {
+		const book = this.books.get(targetId);
+		const ordered = [...book?.entries.values() ?? []].flatMap(({order, state}) => order.kind === 'set-role' && state !== 'settled' ? [order.role] : []);
+		return book !== undefined && book.quiet && [...book.roles.keys(), ...ordered].every(role => role === phase || role === 'mixed');
+	}
+
 	/** Returns whether loads that an earlier owner ordered may still be under way on the target. */
 	isSettling(targetId: string): boolean {
 		return !(this.books.get(targetId)?.quiet ?? false);
@@ -211,7 +221,7 @@
 				continue;
 			}
 
-			settled.push({orderId, applied: this.isApplied(entry.order, reported, named)});
+			settled.push({orderId, applied: this.isApplied(entry.order, report, reported)});
 			if (isModelOrder(entry.order) && !isLoad(entry.order)) {
 				unloaded.add(getItemKey(entry.order));
 			}
@@ -225,7 +235,11 @@
 		const kept = [...book.items].filter(([key, item]) => !reported.has(key) && !unloaded.has(key) && !unloaded.has(item.owner) && item.sinceMs > madeAtMs);
 		const listed = [...reported].map(([key, item]) => [key, {...item, sinceMs: Math.max(item.sinceMs, book.items.get(key)?.sinceMs ?? item.sinceMs)}] as const);
 		this.books.set(report.targetId, {
-			...book, ...fresh, entries, items: new Map([...kept, ...listed]),
+			...book,
+			...fresh,
+			entries,
+			items: new Map([...kept, ...listed]),
+			roles: new Map([...[...book.roles].filter(([, atMs]) => atMs > madeAtMs), [report.role, receivedAtMs]]),
 		});
 		return settled;
 	}
@@ -241,8 +255,8 @@
 		return madeAtMs >= expiresAtMs + (isMissing ? boundMs : 0);
 	}
 
-	private isApplied(order: Order, reported: ReadonlyMap<string, Item>, named: ReadonlySet<string>): boolean {
-		return isModelOrder(order) ? isLoad(order) === reported.has(getItemKey(order)) : named.has(order.orderId);
+	private isApplied(order: Order, report: TargetReport, reported: ReadonlyMap<string, Item>): boolean {
+		return isModelOrder(order) ? isLoad(order) === reported.has(getItemKey(order)) : report.settledOrders.includes(order.orderId) || report.role === order.role;
 	}
 
 	private getLoadBoundMs(order: Order): number {
--- a/packages/engines/src/placement/secondary-moves.ts
+++ b/packages/engines/src/placement/secondary-moves.ts
@@ -1,4 +1,6 @@
-import {MIN_ROLE_MS, ROLE_SHORT_UTILISATION, ROLE_SPARE_UTILISATION} from './constants.js';
+import {
+	MIN_ROLE_MS, ROLE_SETTLE_MS, ROLE_SHORT_UTILISATION, ROLE_SPARE_UTILISATION,
+} from './constants.js';
 import type {CopyState, FleetState, TargetState} from './fleet-state.js';
 import type {RoundPlan} from './round-plan.js';
 import type {AdapterWant, DemandEstimate, MoveStep} from './types.js';
@@ -62,8 +64,8 @@
 
 /** Changes at most one target's role when one phase is short of targets while the other has spare ones. */
 export function planRoles(plan: RoundPlan): void {
-	const {phase} = plan.fleet.input;
-	if (phase === undefined) {
+	const {phase, targets} = plan.fleet.input;
+	if (phase === undefined || targets.some(({orderable, roleAgeMs}) => orderable && roleAgeMs < ROLE_SETTLE_MS)) {
 		return;
 	}
 
@@ -82,8 +84,10 @@
 function changeRole(plan: RoundPlan, short: 'prefill' | 'decode', spare: 'prefill' | 'decode'): void {
 	const mayChange = (target: TargetState): boolean => plan.fleet.isAvailable(target) && target.planned.roleAgeMs >= MIN_ROLE_MS;
 	// A target of the spare role helps both phases once it is mixed; a mixed one gives up the spare phase only if its models keep that phase elsewhere.
-	const chosen = plan.fleet.targets.find(target => target.planned.role === spare && mayChange(target));
-	const fallback = plan.fleet.targets.find(target => target.planned.role === 'mixed' && mayChange(target) && target.copies.every(copy => keepsOtherPhase(copy, short)));
+	const targets = plan.fleet.targets.filter(target => mayChange(target)).sort((a, b) => a.loadPerS - b.loadPerS);
+	const keepsZone = (target: TargetState): boolean => plan.fleet.targets.some(({planned}) => planned !== target.planned && planned.orderable && !planned.leaving && planned.role !== short);
+	const chosen = targets.find(target => target.planned.role === spare);
+	const fallback = targets.find(target => target.planned.role === 'mixed' && keepsZone(target) && target.copies.every(copy => keepsOtherPhase(copy, short)));
 	const target = chosen ?? fallback;
 	if (target !== undefined) {
 		plan.add({
--- a/packages/engines/src/placement/types.ts
+++ b/packages/engines/src/placement/types.ts
@@ -5,10 +5,13 @@
 
 /** The part of an announcement that placement reads. */
 export const TargetReport = Announcement.pick({
-	targetId: true, startId: true, memoryMb: true, resident: true, settledOrders: true,
+	targetId: true, startId: true, memoryMb: true, resident: true, settledOrders: true, role: true,
 });
 export type TargetReport = z.infer<typeof TargetReport>;
 
+export const EngineRole = Announcement.shape.role.unwrap();
+export type EngineRole = z.infer<typeof EngineRole>;
+
 /** An order together with the target it goes to. */
 export const TargetOrder = z.object({targetId: z.string(), order: Order});
 export type TargetOrder = z.infer<typeof TargetOrder>;
--- a/packages/engines/src/placement/zone-owner.ts
+++ b/packages/engines/src/placement/zone-owner.ts
@@ -193,10 +193,10 @@
 			}
 
 			for (const step of move.steps) {
-				const isStillRight = () => step.kind !== 'unload-model' || this.mayUnload(term, move, step);
+				const isStillRight = () => this.isStillRight(term, move, step);
 				const done = isStillRight() ? await this.issuer.issue(term, move.targetId, step, {signal, isStillRight}) : undefined;
 				if (done?.result !== 'applied') {
-					this.explainWait(move, done?.result ?? 'last-copy', done?.reason ?? 'no other copy would be left');
+					this.explainWait(move, done?.result ?? 'last-one', done?.reason ?? 'no other target would serve the model or the phase');
 					return false;
 				}
 			}
@@ -211,6 +211,19 @@
 		}
 	}
 
+	private isStillRight(term: Term, move: Move, step: MoveStep): boolean {
+		if (step.kind === 'set-role') {
+			return step.role === 'mixed' || this.keepsPhase(term, move.targetId, step.role === 'prefill' ? 'decode' : 'prefill');
+		}
+
+		return step.kind !== 'unload-model' || this.mayUnload(term, move, step);
+	}
+
+	/** Checks, at the moment of the order, that another target of the zone does the phase that this one gives up. */
+	private keepsPhase(term: Term, targetId: string, phase: 'prefill' | 'decode'): boolean {
+		return [...this.issuer.announcements].some(([other, {announcement}]) => other !== targetId && announcement.kind === 'engine' && this.isLive(other) && term.ledger.isAbleTo(other, phase));
+	}
+
 	/** Checks again, at the moment of the order, that another copy serves; other moves may have run since planning. */
 	private mayUnload(term: Term, move: Move, step: MoveStep & {kind: 'unload-model' | 'load-model'}): boolean {
 		const isConfigured = this.state.models.some(({id}) => id === step.model);
--- a/packages/engines/src/routing/target-directory.ts
+++ b/packages/engines/src/routing/target-directory.ts
@@ -316,9 +316,9 @@
 			return;
 		}
 
-		const [, running, waiting, kvSteps] = change;
+		const [, running, waiting, kvSteps, prefilling] = change;
 		const load = {
-			running, waiting, limit: record.entry.load.limit, kvUsedRatio: Math.min(1, kvSteps / LOAD_STEPS),
+			running, waiting, limit: record.entry.load.limit, kvUsedRatio: Math.min(1, kvSteps / LOAD_STEPS), ...(prefilling !== undefined && {prefilling}),
 		};
 		record.update({...record.entry, load}, 'directory', sampledAtMs);
 		this.markChanges(record);
--- a/packages/engines/src/routing/target-record.ts
+++ b/packages/engines/src/routing/target-record.ts
@@ -19,7 +19,10 @@
 
 /** Encodes a load report as the tuple that digests carry. */
 export function getLoadChange(handle: number, load: LoadReport): LoadChange {
-	return [handle, quantiseCount(load.running, load.limit), quantiseCount(load.waiting, load.limit), Math.round(load.kvUsedRatio * LOAD_STEPS)];
+	const {limit, prefilling} = load;
+	return [
+		handle, quantiseCount(load.running, limit), quantiseCount(load.waiting, limit), Math.round(load.kvUsedRatio * LOAD_STEPS), ...(prefilling === undefined ? [] : [quantiseCount(prefilling, limit)]),
+	];
 }
 
 function getContentKey(entry: ReportedEntry, warmth: Warmth): string {
--- a/packages/engines/src/routing/types.ts
+++ b/packages/engines/src/routing/types.ts
@@ -24,8 +24,8 @@
 export const DirectoryEntry = Announcement.omit({cacheEvents: true}).extend({handle: count, warmth: Warmth});
 export type DirectoryEntry = z.infer<typeof DirectoryEntry>;
 
-/** Quantised load of a target known by its handle: handle, running, waiting, cache use in sixteenths. */
-export const LoadChange = z.tuple([count, count, count, count]);
+/** Quantised load of a target known by its handle: handle, running, waiting, cache use in sixteenths, and prefilling where the engine tells. */
+export const LoadChange = z.tuple([count, count, count, count]).rest(count);
 export type LoadChange = z.infer<typeof LoadChange>;
 
 /** Position of a reader in the changes of one directory. */
--- a/packages/engines/tests/placement/engine-books.ts
+++ b/packages/engines/tests/placement/engine-books.ts
@@ -20,6 +20,7 @@
 /** A stand-in engine's own books: memory is taken when a load begins, and listed when it ends. */
 export class EngineBooks {
 	startId = 's1';
+	role: TargetReport['role'] = 'mixed';
 	peakMb = 0;
 	/** Every order that arrived, repeated ones included. */
 	readonly arrivals: string[] = [];
@@ -33,8 +34,15 @@
 
 	/** Carries out an order unless this start has already seen it. */
 	take(order: Order, nowMs: number, loadMs: number): void {
-		this.arrivals.push(`${nowMs} ms: ${order.orderId} ${order.kind}${'model' in order ? ` ${order.model}@${order.version}` : ''}${'adapter' in order ? `/${order.adapter}` : ''}`);
-		if (this.taken.includes(order.orderId) || !('model' in order)) {
+		this.arrivals.push(`${nowMs} ms: ${order.orderId} ${order.kind}${'model' in order ? ` ${order.model}@${order.version}` : ''}${'adapter' in order ? `/${order.adapter}` : ''}${'role' in order ? ` ${order.role}` : ''}`);
+		if (this.taken.includes(order.orderId)) {
+			return;
+		}
+
+		if (!('model' in order)) {
+			this.role = order.role;
+			this.taken.push(order.orderId);
+			this.done.push({orderId: order.orderId, atMs: nowMs});
 			return;
 		}
 
@@ -65,6 +73,7 @@
 			targetId: this.targetId,
 			startId: this.startId,
 			memoryMb: MEMORY_MB,
+			role: this.role,
 			resident: listed.filter(key => !key.includes('/')).map(key => ({
 				model: key.split('@')[0]!, version: key.split('@')[1]!, adapters: listed.filter(other => other.startsWith(`${key}/`)).map(other => other.split('/')[1]!),
 			})),
--- a/packages/engines/tests/placement/memory-ledger.test.ts
+++ b/packages/engines/tests/placement/memory-ledger.test.ts
@@ -11,7 +11,7 @@
 
 function createReport(startId: string, residents: readonly string[], settledOrders: string[] = []): TargetReport {
 	return {
-		targetId: 't1', startId, memoryMb: MEMORY_MB, resident: residents.map(name => ({model: name.split('@')[0]!, version: name.split('@')[1] ?? 'v1', adapters: []})), settledOrders,
+		targetId: 't1', startId, memoryMb: MEMORY_MB, role: 'mixed', resident: residents.map(name => ({model: name.split('@')[0]!, version: name.split('@')[1] ?? 'v1', adapters: []})), settledOrders,
 	};
 }
 
--- a/packages/engines/tests/placement/zone-owner.test.ts
+++ b/packages/engines/tests/placement/zone-owner.test.ts
@@ -4,7 +4,7 @@
 } from '@egretrill/common';
 import {expect} from 'chai';
 import {
-	DemandPlacement, LeaseHolder, type LoadPermit, LoadPermits, type MoveStep, OrderChannel, type OrderTarget, type SendOutcome, TAKEOVER_WAIT_MS, ZoneOwner,
+	DemandPlacement, LeaseHolder, type LoadPermit, LoadPermits, type MoveStep, OrderChannel, type OrderTarget, type PhaseLoad, type SendOutcome, TAKEOVER_WAIT_MS, ZoneOwner,
 } from '../../src/placement/index.js';
 import {
 	ADAPTER_MB, createModel, EngineBooks, MEMORY_MB,
@@ -86,7 +86,7 @@
 		this.setModels(models);
 	}
 
-	setModels(models: readonly Model[], demand: Readonly<Record<string, number>> = {}): void {
+	setModels(models: readonly Model[], demand: Readonly<Record<string, number>> = {}, phase?: PhaseLoad): void {
 		this.models = models;
 		this.owner.setState({
 			models,
@@ -97,6 +97,7 @@
 			})),
 			remoteTargets: [],
 			loadSlots: 2,
+			...(phase && {phase}),
 		});
 	}
 
@@ -131,7 +132,7 @@
 		return [...this.engines].flatMap(([id, engine]) => engine.arrivals.map(line => `${id} ${line}`));
 	}
 
-	private announce(): void {
+	announce(): void {
 		const reports = [...this.engines.values()].map(engine => engine.report(this.clock.now()));
 		for (const report of reports) {
 			this.owner.observe(Announcement.parse({
@@ -160,6 +161,30 @@
 	return zone;
 }
 
+const prefillShort: PhaseLoad = {prefillUtilisation: 0.95, decodeUtilisation: 0.2};
+const decodeShort: PhaseLoad = {prefillUtilisation: 0.2, decodeUtilisation: 0.95};
+const toPrefill: MoveStep = {kind: 'set-role', role: 'prefill'};
+
+/** What leaves it uncertain whether the second target still decodes. */
+const lastToDecode: Readonly<Record<string, (zone: TestZone) => unknown>> = {
+	async 'an unanswered role change may have arrived'(zone) {
+		zone.channel.faults = ['lost', 'lost', 'lost', 'lost', 'lost'];
+		return zone.issue('t2', toPrefill);
+	},
+	async 'a role change is under way'(zone) {
+		return zone.issue('t2', toPrefill);
+	},
+	'nothing is uncertain, so one of two changes'() {
+		return undefined;
+	},
+	'the other target restarts in another role'(zone) {
+		const engine = zone.engines.get('t2')!;
+		engine.restart(zone.clock.now(), () => true);
+		engine.role = 'prefill';
+		zone.announce();
+	},
+};
+
 describe('zone owner', () => {
 	it('orders nothing before the orders of the holder before it have ended, and no load before their loads have', async () => {
 		const zone = new TestZone({t1: ['a@v1']}, ['a', 'b'].map(id => createModel(id)));
@@ -225,6 +250,39 @@
 		}).toMatchSnapshot();
 	});
 
+	it('changes a role once the load has called for it long enough, and not back while the load swings', async () => {
+		const models = ['a', 'd'].map(id => createModel(id));
+		const zone = new TestZone({t1: ['a@v1', 'd@v1'], t2: ['a@v1', 'd@v1'], t3: ['a@v1', 'd@v1']}, models);
+		zone.engines.get('t2')!.role = 'decode';
+		zone.setModels(models, {a: 1}, prefillShort);
+		zone.start();
+		await zone.advance(QUIET_MS + 30_000);
+		const early = zone.getArrivals();
+		zone.channel.faults = ['answer-lost', 'lost'];
+		await zone.advance(30_000);
+		for (let swing = 0; swing < 4; swing++) {
+			zone.setModels(models, {a: 1}, swing % 2 === 0 ? decodeShort : prefillShort);
+			await zone.advance(6000);
+		}
+
+		zone.stop();
+		expect({early, arrivals: zone.getArrivals(), roles: [...zone.engines.values()].map(({role}) => role)}).toMatchSnapshot();
+	});
+
+	for (const [title, prepare] of Object.entries(lastToDecode)) {
+		it(`keeps the last target of a zone that certainly decodes: ${title}`, async () => {
+			const models = ['a', 'd'].map(id => createModel(id));
+			const zone = new TestZone({t1: ['a@v1', 'd@v1'], t2: ['a@v1', 'd@v1']}, models);
+			zone.start();
+			await zone.advance(QUIET_MS + 65_000);
+			void prepare(zone);
+			zone.setModels(models, {a: 1}, prefillShort);
+			await zone.advance(4000);
+			zone.stop();
+			expect({arrivals: zone.getArrivals(), decoding: [...zone.engines.values()].some(({role}) => role !== 'prefill')}).toMatchSnapshot();
+		});
+	}
+
 	it('sends an order no further once its target has restarted, since the reservation was for other contents', async () => {
 		const zone = await openZone();
 		zone.channel.faults = ['answer-lost', 'answer-lost', 'lost'];
