--- a/dev/stand-ins/src/engine.ts
+++ b/dev/stand-ins/src/engine.ts
@@ -35,6 +35,7 @@
 	private loadingMb = 0;
 	private readonly digests = new WeakMap<IncomingMessage, string>();
 	private running = 0;
+	private prefilling = 0;
 	private completed = 0;
 
 	constructor(opts: Partial<EngineOptions> & Pick<EngineOptions, 'targetId' | 'zone' | 'hosts'>) {
@@ -62,6 +63,7 @@
 				waiting: Math.max(0, this.running - this.opts.slots),
 				limit: this.opts.slots,
 				kvUsedRatio: Math.min(1, this.running / this.opts.slots),
+				prefilling: Math.min(this.prefilling, this.opts.slots),
 			},
 			resident: this.state.residents.map(resident => ({...resident, adapters: [...resident.adapters]})),
 			settledOrders: [...this.state.settledOrders],
@@ -164,8 +166,15 @@
 		}
 	}
 
+	private async prefill(): Promise<void> {
+		this.prefilling += 1;
+		await delay(this.faults.prefillMs ?? this.opts.prefillMs);
+		this.prefilling -= 1;
+	}
+
 	private async sendWhole(res: Response, chat: ChatRequest, requestId: string): Promise<number> {
-		await delay((this.faults.prefillMs ?? this.opts.prefillMs) + (chat.max_tokens * this.opts.tokenIntervalMs));
+		await this.prefill();
+		await delay(chat.max_tokens * this.opts.tokenIntervalMs);
 		if (this.faults.loseAnswer) {
 			res.destroy();
 			return 0;
@@ -192,7 +201,7 @@
 		}, HEARTBEAT_INTERVAL_MS);
 		const first = Number(req.get(RESUME_HEADER) ?? 0);
 		try {
-			await delay(this.faults.prefillMs ?? this.opts.prefillMs);
+			await this.prefill();
 			for (let seq = first; seq < chat.max_tokens; seq++) {
 				if (res.closed || !this.writeChunk(res, chat, requestId, seq)) {
 					return seq - first;
--- a/packages/engines/src/placement/constants.ts
+++ b/packages/engines/src/placement/constants.ts
@@ -39,11 +39,15 @@
 /** A move gives up when the weight store has no permit for it within this time; the next round decides afresh. */
 export const PERMIT_WAIT_MS = 5000;
 
+/** An adapter load on demand is answered after this time at most: the permit, the order's lifetime and the report that shows it. */
+export const ADAPTER_ANSWER_MS = 3000;
+
 /** Time that a request occupies one of an engine's parallel places, until the caller measures it. */
 export const MEAN_SERVICE_MS = 2000;
 
-/** Time constants of the two demand estimates: the quick one notices a shift, the slow one is steady. */
-export const QUICK_DEMAND_MS = 2000;
+/** Time constants of the demand estimates: the quick one notices a shift, the slow one is steady, and the medium one replaces the noisy quick one while the slow one catches up. */
+export const QUICK_DEMAND_MS = 1500;
+export const MEDIUM_DEMAND_MS = 6000;
 export const SLOW_DEMAND_MS = 30_000;
 
 /** Quick and slow estimates must differ by this many standard deviations to count as a shift. */
@@ -85,6 +89,15 @@
 export const ROLE_SHORT_UTILISATION = 0.9;
 export const ROLE_SPARE_UTILISATION = 0.5;
 
+/** Utilisation of the phases is averaged over this time, so that one burst of prompts changes no role. */
+export const PHASE_SMOOTHING_MS = 10_000;
+
+/** No role changes in a zone until the load of all its targets has been measured this long in their present roles. */
+export const ROLE_SETTLE_MS = 30_000;
+
+/** Utilisation of a phase that has work and no target. */
+export const MAX_PHASE_UTILISATION = 10;
+
 /** A target keeps a role at least this long, since changing it drops its KV cache. */
 export const MIN_ROLE_MS = 60_000;
 
