bench overhead: new and kept connections, failed streams and processor time

Change: three blocks of both sides in turn; each first streams on connections of its own, then again on the same ones; failed streams and processor time of the host are reported.

--- a/dev/bench/src/overhead.ts
+++ b/dev/bench/src/overhead.ts
@@ -1,34 +1,80 @@
+import type {Agent} from 'node:http';
 import {ChunkReader} from '@egretrill/engines';
 import {
 	type DaemonProcess, type Fleet, TargetProcess, waitFor,
 } from '@egretrill/testkit';
 import {benchResident, startBenchFleet} from './fleet-setup.js';
 import {getPercentiles} from './percentiles.js';
-import {type StreamTimes, streamOnce} from './stream-client.js';
+import {createStreamAgent, type StreamTimes, streamOnce} from './stream-client.js';
 
 const STREAMS = 200;
 const TOKENS = 50;
+const BLOCKS = 3;
 const READER_CHUNKS = 200_000;
 const FAST_TOKENS = 2000;
 const FAST_STREAMS = 20;
 const TARGET_ADDED_MS = 2;
 const TARGET_EVENTS_PER_S = 30_000;
 
+type Rounds = {readonly newConnections: readonly StreamTimes[]; readonly keptConnections: readonly StreamTimes[]};
+
 /** Starts the streams over one second, so that the start of all at once is not what is measured. */
-async function runStreams(address: string): Promise<readonly StreamTimes[]> {
+async function runStreams(address: string, agent: Agent): Promise<readonly StreamTimes[]> {
 	return Promise.all(Array.from({length: STREAMS}, async (_, i) => {
 		await new Promise<void>(resolve => {
 			setTimeout(resolve, (i / STREAMS) * 1000);
 		});
-		return streamOnce(address, TOKENS);
+		return streamOnce(address, TOKENS, {}, agent);
 	}));
 }
 
+/** Runs the streams on connections of their own, and again on the same ones, which the balancer's traffic resembles. */
+async function runRounds(address: string): Promise<Rounds> {
+	const agent = createStreamAgent();
+	const newConnections = await runStreams(address, agent);
+	const keptConnections = await runStreams(address, agent);
+	agent.destroy();
+	return {newConnections, keptConnections};
+}
+
 function summarize(times: readonly StreamTimes[]) {
 	return {
 		firstTokenMs: getPercentiles(times.map(({firstMs}) => firstMs)),
 		betweenTokensMs: getPercentiles(times.flatMap(({gapsMs}) => [...gapsMs])),
-		whole: times.filter(({isWhole}) => isWhole).length,
+		failed: times.filter(({isWhole}) => !isWhole).length,
+	};
+}
+
+/** Compares the streams of all blocks with and without the host. */
+function compare(direct: readonly StreamTimes[], host: readonly StreamTimes[]) {
+	const [withoutHost, throughHost] = [summarize(direct), summarize(host)];
+	const getAdded = (percentile: 'p50' | 'p95') => ({
+		firstToken: throughHost.firstTokenMs[percentile] - withoutHost.firstTokenMs[percentile],
+		betweenTokens: throughHost.betweenTokensMs[percentile] - withoutHost.betweenTokensMs[percentile],
+	});
+	return {
+		direct: withoutHost, throughHost, addedP50Ms: getAdded('p50'), addedP95Ms: getAdded('p95'),
+	};
+}
+
+/** Measures both sides in turn, so that a change of the machine's load meets both. */
+async function measureStreams(engine: string, host: DaemonProcess): Promise<Record<string, unknown>> {
+	const direct: Rounds[] = [];
+	const throughHost: Rounds[] = [];
+	let cpuSeconds = 0;
+	for (let block = 0; block < BLOCKS; block++) {
+		direct.push(await runRounds(engine));
+		const before = await host.getUsage();
+		throughHost.push(await runRounds(host.addresses.callers));
+		const after = await host.getUsage();
+		cpuSeconds += after.cpuSeconds - before.cpuSeconds;
+	}
+
+	const collect = (rounds: readonly Rounds[], kind: keyof Rounds): readonly StreamTimes[] => rounds.flatMap(round => round[kind]);
+	return {
+		newConnections: compare(collect(direct, 'newConnections'), collect(throughHost, 'newConnections')),
+		keptConnections: compare(collect(direct, 'keptConnections'), collect(throughHost, 'keptConnections')),
+		hostCpuMsPerStream: Math.round(cpuSeconds * 1000 / (BLOCKS * 2 * STREAMS) * 10) / 10,
 	};
 }
 
@@ -79,19 +125,15 @@
 	});
 	const host = fleet.getHost(0);
 	await warm(fleet, host);
-	const direct = summarize(await runStreams(engine.address));
-	const throughHost = summarize(await runStreams(host.addresses.callers));
+	const streams = await measureStreams(engine.address, host);
 	const forwarding = await measureForwarding(host, engine);
 	await engine.kill();
 	await fleet.stop();
 	return {
 		streams: STREAMS,
 		tokens: TOKENS,
-		direct,
-		throughHost,
-		addedP95Ms: {
-			firstToken: throughHost.firstTokenMs.p95 - direct.firstTokenMs.p95, betweenTokens: throughHost.betweenTokensMs.p95 - direct.betweenTokensMs.p95,
-		},
+		blocks: BLOCKS,
+		...streams,
 		forwarding,
 		readerChunksPerCoreSecond: measureReader(),
 		targets: {addedP95Ms: TARGET_ADDED_MS, eventsPerCoreSecond: TARGET_EVENTS_PER_S},
--- a/dev/bench/src/stream-client.ts
+++ b/dev/bench/src/stream-client.ts
@@ -4,10 +4,15 @@
 /** What one caller saw of a streamed answer, in milliseconds. */
 export type StreamTimes = {readonly status: number; readonly isWhole: boolean; readonly firstMs: number; readonly gapsMs: readonly number[]};
 
-const agent = new Agent({keepAlive: true, maxSockets: 1000});
+/** Keeps connections, as the platform's balancer does. */
+export function createStreamAgent(): Agent {
+	return new Agent({keepAlive: true, maxSockets: 1000});
+}
+
+const sharedAgent = createStreamAgent();
 
 /** Streams one answer and notes when its parts arrive. */
-export async function streamOnce(address: string, tokens: number, headers: Record<string, string> = {}): Promise<StreamTimes> {
+export async function streamOnce(address: string, tokens: number, headers: Record<string, string> = {}, agent: Agent = sharedAgent): Promise<StreamTimes> {
 	const startedMs = performance.now();
 	const body = JSON.stringify({
 		model: 'inscription', stream: true, max_tokens: tokens, messages: [{role: 'user', content: 'Draft the plaque.'}],
