--- a/packages/hosts/tests/served-config.test.ts
+++ b/packages/hosts/tests/served-config.test.ts
@@ -19,7 +19,7 @@
 
 function createResponse(version: number, ageMs: number): FollowResponse {
 	return {
-		version, ageMs, update: {
+		version, ageMs, heldMs: 0, update: {
 			kind: 'snapshot', config: {
 				version, digest: `digest ${version}`, author: 'author', document: createDocument(version),
 			},
