engines: no new work on relayed word in which a leave may be missing

Cause: a host used a target of another zone for 2,000 ms after the last summary that named it. A target announces its leave within 500 ms, so with a late summary new work could reach it up to 2.5 s after its leave. Change: a target that is known only through another host is set aside when that word is older than 1,500 ms; the entry itself still lives for 2,000 ms. After: npx mocha -g 'TargetDirectory': 15 passing, one of them new (gives a target of another zone no new work on word from which its leave could be missing).

--- a/packages/engines/src/routing/constants.ts
+++ b/packages/engines/src/routing/constants.ts
@@ -4,6 +4,12 @@
 /** A report may describe the load of one announcement period before it was sent. */
 export const REPORT_LAG_MS = 500;
 
+/**
+ * A target heard of through another host takes no new work when that word is older. A leaving target tells the hosts
+ * of its zone within one announcement period and must get nothing after 2,000 ms, so later word than this names the leave.
+ */
+export const RELAYED_TTL_MS = 1500;
+
 /** Bounds the weight of one own request while this host has few in flight. */
 export const MAX_FLEET_FACTOR = 4;
 
--- a/packages/engines/src/routing/target-directory.ts
+++ b/packages/engines/src/routing/target-directory.ts
@@ -229,7 +229,7 @@
 				setAside.leaving += 1;
 			} else if (condition?.state === 'taken-out') {
 				setAside.takenOut += 1;
-			} else if (condition?.state === 'cut-off' || (!condition && record.entry.zone !== query.hostZone)) {
+			} else if (condition?.state === 'cut-off' || (!condition && record.entry.zone !== query.hostZone) || record.isUnconfirmed(nowMs)) {
 				setAside.cutOff += 1;
 			} else {
 				candidates.push({
--- a/packages/engines/src/routing/target-record.ts
+++ b/packages/engines/src/routing/target-record.ts
@@ -1,6 +1,6 @@
 import type {LoadReport} from '@egretrill/common';
 import {
-	LOAD_STEPS, MAX_RETIRED_STARTS, REPORT_LAG_MS, SUSPICION_MAX_MS, SUSPICION_MIN_MS,
+	LOAD_STEPS, MAX_RETIRED_STARTS, RELAYED_TTL_MS, REPORT_LAG_MS, SUSPICION_MAX_MS, SUSPICION_MIN_MS,
 } from './constants.js';
 import {OwnWork} from './own-work.js';
 import type {DirectoryEntry, LoadChange, Warmth} from './types.js';
@@ -122,6 +122,11 @@
 		return this.entry.cold || (this.entry.kind === 'engine' && !this.warmth.warm);
 	}
 
+	/** Whether another host's word of this target is so old that the target may have announced its leave since. */
+	isUnconfirmed(nowMs: number): boolean {
+		return this.source !== 'target' && nowMs - this.heardAtMs > RELAYED_TTL_MS;
+	}
+
 	/** Excludes the target for this host alone; the fault may be in the one link. */
 	suspect(nowMs: number): void {
 		this.suspectedUntilMs = nowMs + Math.min(SUSPICION_MAX_MS, SUSPICION_MIN_MS * (2 ** this.failures));
--- a/packages/engines/tests/routing/target-directory.test.ts
+++ b/packages/engines/tests/routing/target-directory.test.ts
@@ -54,6 +54,22 @@
 		expect(directory.getCandidates(query)).to.deep.equal({candidates: [], setAside: {leaving: 1, takenOut: 0, cutOff: 0}});
 	});
 
+	// Guards against new work at a target in another zone that left after the last summary, which arrives late.
+	it('gives a target of another zone no new work on word from which its leave could be missing', () => {
+		const clock = new ManualClock();
+		const [near, far] = [createDirectory(clock), createDirectory(clock, 'e2')];
+		far.recordAnnouncement(announce('t1', {zone: 'b'}));
+		near.recordSummary(far.getZoneSummary('b'));
+		far.recordAnnouncement(announce('t1', {zone: 'b', leaving: true}));
+		clock.advance(1500);
+		const seen = [getOutstanding(near)];
+		clock.advance(1);
+		seen.push(getOutstanding(near));
+		near.recordSummary(createDirectory(clock).getZoneSummary('b'));
+		const isKnown = near.getEntry('t1', 't1-s1') !== undefined;
+		expect({seen, isKnown}).to.deep.equal({seen: [{'t1/t1-s1': 0}, {}], isKnown: true});
+	});
+
 	it('corrects a late report by own requests begun and ended since, without counting them twice', () => {
 		const clock = new ManualClock();
 		const directory = createDirectory(clock);
