--- a/dev/history/src/recorder/plan-faults.ts
+++ b/dev/history/src/recorder/plan-faults.ts
@@ -1,8 +1,8 @@
-import {createRandom, type Random} from '@egretrill/common';
+import type {Random} from '@egretrill/common';
 import {z} from 'zod';
 import {FaultKind} from '../types.js';
 import {HOST_RESERVE_MS} from './constants.js';
-import {between, pick} from './pick.js';
+import {between, createSource, pick} from './pick.js';
 
 export const PlannedFault = z.object({
 	faultKind: FaultKind,
@@ -44,7 +44,7 @@
 
 /** Plans the faults of one run; the same seed gives the same plan. */
 export function planFaults(seed: number, durationMs: number, scope: FaultScope): readonly PlannedFault[] {
-	const random = createRandom(seed);
+	const random = createSource(seed);
 	const planned: PlannedFault[] = [];
 	for (const kinds of lanes) {
 		let atMs = between(random, 300, 3000);
--- a/dev/history/src/recorder/record-history.ts
+++ b/dev/history/src/recorder/record-history.ts
@@ -1,5 +1,4 @@
 import {setTimeout as delay} from 'node:timers/promises';
-import {createRandom} from '@egretrill/common';
 import {type DaemonProcess, type LogLine, waitFor} from '@egretrill/testkit';
 import type {History} from '../types.js';
 import {
@@ -12,6 +11,7 @@
 import {
 	ApplyOperator, KeyOperator, type Operator, readConfig, ZoneOperator,
 } from './operators.js';
+import {createSource} from './pick.js';
 import {planFaults, type PlannedFault} from './plan-faults.js';
 import {createTestConfig} from './test-config.js';
 
@@ -71,7 +71,7 @@
 	let tasks = 0;
 	const createTools = (): CallerTools => {
 		tasks += 1;
-		return {...tools, random: createRandom((seed * 1000) + tasks)};
+		return {...tools, random: createSource((seed * 1000) + tasks)};
 	};
 
 	const running = [
