--- a/packages/hosts/src/follow/config-follower.ts
+++ b/packages/hosts/src/follow/config-follower.ts
@@ -123,7 +123,12 @@
 		}
 
 		this.blocked = blocked;
+		const isFirst = !Number.isFinite(this.confirmedMs);
 		this.confirmedMs = Math.max(this.confirmedMs, sentMs - answer.ageMs);
+		if (isFirst) {
+			this.changed.notify();
+		}
+
 		return true;
 	}
 
--- a/packages/hosts/tests/served-config.test.ts
+++ b/packages/hosts/tests/served-config.test.ts
@@ -68,7 +68,7 @@
 	// Guards against a host without a disk that takes an old configuration from a parent which is itself cut off.
 	it('waits for a parent that is in touch with the leader', async () => {
 		const clock = new ManualClock();
-		const answers = [createResponse(2, 5000), createResponse(3, 10)];
+		const answers = [createResponse(2, 5000), createResponse(2, 10)];
 		const stop = new AbortController();
 		const parent = {
 			address: 'parent',
@@ -77,18 +77,20 @@
 					await once(stop.signal, 'abort');
 				}
 
-				return Result.ok(answers.shift() ?? createResponse(3, 10));
+				return Result.ok(answers.shift() ?? createResponse(2, 10));
 			},
 		} as unknown as PeerClient;
 		const follower = createFollower(clock, [parent]);
 		const running = follower.run(stop.signal);
 		await settle();
 		const seen = [follower.getConfig()?.version];
+		// What depends on the configuration is told in the moment in which it is first served.
+		const told = follower.changed.wait(clock, 60_000);
 		clock.advance(1000);
-		await settle();
+		await told;
 		seen.push(follower.getConfig()?.version);
 		stop.abort();
 		await running;
-		expect(seen).to.deep.equal([undefined, 3]);
+		expect(seen).to.deep.equal([undefined, 2]);
 	});
 });
