--- a/packages/hosts/src/follow/config-follower.ts
+++ b/packages/hosts/src/follow/config-follower.ts
@@ -125,7 +125,12 @@
 		this.blocked = blocked;
 		// The parent made the answer at least this long after the poll was sent, also when its clock is slow or fast.
 		const answeredMs = sentMs + (answer.heldMs * (1 - CLOCK_DRIFT_RATIO));
+		const isFirst = !Number.isFinite(this.confirmedMs);
 		this.confirmedMs = Math.max(this.confirmedMs, answeredMs - answer.ageMs);
+		if (isFirst) {
+			this.changed.notify();
+		}
+
 		return true;
 	}
 
