--- a/dev/testkit/src/daemon-process.ts
+++ b/dev/testkit/src/daemon-process.ts
@@ -29,7 +29,7 @@
 	private child: ChildProcess | undefined;
 	private found: ProcessAddresses | undefined;
 
-	constructor(readonly peer: PeerHost, private readonly settingsFile: string, private readonly configFile: string) {}
+	constructor(readonly peer: PeerHost, private readonly settingsFile: string, private readonly configFile: string, private readonly program: readonly string[] = [mainFile]) {}
 
 	get addresses(): ProcessAddresses {
 		if (!this.found) {
@@ -41,7 +41,7 @@
 
 	async start(): Promise<void> {
 		const from = this.log.length;
-		const child = spawn(process.execPath, [mainFile, '--settings', this.settingsFile, '--initial-config', this.configFile], {stdio: ['ignore', 'pipe', 'pipe']});
+		const child = spawn(process.execPath, [...this.program, '--settings', this.settingsFile, '--initial-config', this.configFile], {stdio: ['ignore', 'pipe', 'pipe']});
 		this.child = child;
 		createInterface({input: child.stdout}).on('line', line => {
 			this.log.push(JSON.parse(line) as LogLine);
