--- a/dev/testkit/src/daemon-process.ts
+++ b/dev/testkit/src/daemon-process.ts
@@ -15,8 +15,8 @@
 	readonly callers: string; readonly targets: string; readonly peers: string; readonly health: string; readonly admin: string; readonly monitor: string;
 };
 
-/** Processor time counts user and system time. */
-export type ProcessUsage = {readonly cpuSeconds: number; readonly residentMb: number};
+/** Processor time counts user and system time; bytes are what the process read and wrote, nearly all of it on connections while it is idle. */
+export type ProcessUsage = {readonly cpuSeconds: number; readonly residentMb: number; readonly readBytes: number; readonly writtenBytes: number};
 
 const TICKS_PER_SECOND = 100;
 
@@ -71,12 +71,17 @@
 	/** Processor time and resident memory that the process has used. */
 	async getUsage(): Promise<ProcessUsage> {
 		const pid = this.child?.pid ?? 0;
-		const [stat, status] = await Promise.all([readFile(`/proc/${pid}/stat`, 'utf8'), readFile(`/proc/${pid}/status`, 'utf8')]);
+		const [stat, status, io] = await Promise.all(['stat', 'status', 'io'].map(async name => readFile(`/proc/${pid}/${name}`, 'utf8'))) as [string, string, string];
 		// The second field holds the program's name, which may contain spaces, so fields are counted from its end.
 		const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ');
 		const ticks = Number(fields[11]) + Number(fields[12]);
 		const residentKb = Number(/VmRSS:\s+(\d+)/v.exec(status)?.[1] ?? 0);
-		return {cpuSeconds: ticks / TICKS_PER_SECOND, residentMb: residentKb / 1024};
+		return {
+			cpuSeconds: ticks / TICKS_PER_SECOND,
+			residentMb: residentKb / 1024,
+			readBytes: Number(/rchar: (\d+)/v.exec(io)?.[1] ?? 0),
+			writtenBytes: Number(/wchar: (\d+)/v.exec(io)?.[1] ?? 0),
+		};
 	}
 
 	pause(): void {
