--- a/packages/engines/tests/placement/engine-books.ts
+++ b/packages/engines/tests/placement/engine-books.ts
@@ -48,6 +48,10 @@
 
 		const key = `${order.model}@${order.version}${'adapter' in order ? `/${order.adapter}` : ''}`;
 		this.taken.push(order.orderId);
+		if (order.kind === 'load-adapter' && !this.contents.has(`${order.model}@${order.version}`)) {
+			return;
+		}
+
 		if (order.kind === 'load-model' || order.kind === 'load-adapter') {
 			this.contents.set(key, {listedAtMs: this.contents.get(key)?.listedAtMs ?? nowMs + loadMs});
 			this.done.push({orderId: order.orderId, atMs: nowMs + loadMs});
--- a/packages/engines/tests/placement/zone-owner.test.ts
+++ b/packages/engines/tests/placement/zone-owner.test.ts
@@ -32,7 +32,7 @@
 	}
 }
 
-type Fault = 'lost' | 'answer-lost' | 'stale-fencing' | 'refused' | 'lease-ends';
+type Fault = 'lost' | 'late' | 'answer-lost' | 'stale-fencing' | 'refused' | 'lease-ends';
 
 /** Delivers orders to the stand-in engines, after the faults that a test sets up. */
 class TestChannel extends OrderChannel {
@@ -56,6 +56,11 @@
 			return {result: 'unknown', reason: 'lost'};
 		}
 
+		if (fault === 'late') {
+			void this.takeLate(target, order);
+			return {result: 'unknown', reason: 'late'};
+		}
+
 		if (fault === 'stale-fencing' || fault === 'refused') {
 			return {result: fault, reason: fault};
 		}
@@ -63,8 +68,37 @@
 		this.engines.get(target.targetId)?.take(order, this.clock.now(), 1000);
 		return fault === 'answer-lost' ? {result: 'unknown', reason: 'answer lost'} : {result: 'accepted', reason: 'accepted'};
 	}
+
+	private async takeLate(target: OrderTarget, order: Order): Promise<void> {
+		await this.clock.sleep(1500);
+		this.engines.get(target.targetId)?.take(order, this.clock.now(), 1000);
+	}
 }
 
+type AdapterFault = {readonly faults: Fault[]; readonly disturb?: (zone: TestZone, models: readonly Model[]) => void};
+
+/** What goes wrong while an adapter is loaded on demand. */
+const adapterFaults: Readonly<Record<string, AdapterFault>> = {
+	'every order is lost': {faults: Array.from({length: 9}, () => 'lost')},
+	'the order arrives late and repeated': {faults: ['late']},
+	'the owner is isolated between the reservation and the order': {faults: ['lease-ends']},
+	'another host has become the owner': {
+		faults: ['answer-lost'], disturb(zone) {
+			zone.lease.epoch = 2;
+		},
+	},
+	'the target restarts without its model': {
+		faults: ['lost'], disturb(zone) {
+			zone.engines.get('t1')?.restart(zone.clock.now(), () => false);
+		},
+	},
+	'the version of the model changes': {
+		faults: ['lost'], disturb(zone, models) {
+			zone.setModels(models.map(model => ({...model, version: 'v2'})), {a: 1});
+		},
+	},
+};
+
 /** A zone with stand-in engines on a clock that the test moves. */
 class TestZone {
 	readonly clock = new ManualClock();
@@ -200,7 +234,7 @@
 		expect({before, after: zone.getArrivals()}).toMatchSnapshot();
 	});
 
-	for (const faults of [['lost', 'lost'], ['answer-lost'], ['refused'], ['lost', 'refused'], ['stale-fencing'], ['lease-ends']] satisfies Fault[][]) {
+	for (const faults of [['lost', 'lost'], ['late'], ['late', 'late', 'late', 'lost', 'lost'], ['answer-lost'], ['refused'], ['lost', 'refused'], ['stale-fencing'], ['lease-ends']] satisfies Fault[][]) {
 		it(`carries an order out at most once and reports the truth after: ${faults.join(', ')}`, async () => {
 			const zone = await openZone();
 			zone.channel.faults = [...faults];
@@ -250,6 +284,29 @@
 		}).toMatchSnapshot();
 	});
 
+	for (const [title, {faults, disturb}] of Object.entries(adapterFaults)) {
+		it(`loads an adapter at most once, within memory, and tells the truth when ${title}`, async () => {
+			const models = ['a', 'b'].map(id => ({...createModel(id), adapters: [{id: 'x', memoryMb: ADAPTER_MB}]}));
+			const zone = new TestZone({t1: ['a@v1', 'b@v1']}, models);
+			zone.start();
+			await zone.advance(QUIET_MS);
+			zone.channel.faults = [...faults];
+			const load = async () => zone.owner.loadAdapter({targetId: 't1', model: 'a', adapter: 'x'}, new AbortController().signal);
+			const first = load();
+			await zone.advance(100);
+			disturb?.(zone, models);
+			await zone.advance(QUIET_MS + 10_000);
+			zone.lease.remaining = 3000;
+			const second = load();
+			await zone.advance(4000);
+			zone.stop();
+			expect({
+				first: await first, second: await second, arrivals: zone.getArrivals(), peakMb: zone.engines.get('t1')?.peakMb, permitsHeld: zone.permits.held,
+			}).toMatchSnapshot();
+			expect(zone.engines.get('t1')?.peakMb).to.be.at.most(MEMORY_MB);
+		});
+	}
+
 	it('changes a role once the load has called for it long enough, and not back while the load swings', async () => {
 		const models = ['a', 'd'].map(id => createModel(id));
 		const zone = new TestZone({t1: ['a@v1', 'd@v1'], t2: ['a@v1', 'd@v1'], t3: ['a@v1', 'd@v1']}, models);
