callers, engines: no refusal of a customer that is configured; idle connections end before engines close them

Change: the admission brings the customer of the request to the holder. Idle connections to engines are closed after 4 s. Before: 403 in the new test without the change.

--- a/packages/callers/src/admission.ts
+++ b/packages/callers/src/admission.ts
@@ -75,6 +75,8 @@
 		return Result.ok(undefined);
 	}
 
+	// The request was matched against the configuration in force; the holder may hear of it only afterwards.
+	parts.shares.addCustomer(identity.customer);
 	const {promptTokens, maxTokens} = work.estimate;
 	return parts.shares.acquire({
 		customer: identity.customer.id, tokens: promptTokens + maxTokens, requests: 1, deadlineMs, signal,
--- a/packages/callers/src/limits/share-holder.ts
+++ b/packages/callers/src/limits/share-holder.ts
@@ -114,6 +114,13 @@
 		}
 	}
 
+	/** Adds a customer that the configuration in force has and that has not reached this holder yet. */
+	addCustomer({id, rate}: Customer): void {
+		if (!this.shares.has(id)) {
+			this.shares.set(id, new CustomerShare(id, rate));
+		}
+	}
+
 	/** Reserves from the customer's share, waiting for the next grant until the deadline. */
 	async acquire(req: AcquireShare): Promise<Result<Reservation, Verdict>> {
 		const {clock} = this.opts;
--- a/packages/callers/tests/share-holder.test.ts
+++ b/packages/callers/tests/share-holder.test.ts
@@ -51,6 +51,19 @@
 		expect(log).toMatchSnapshot();
 	});
 
+	// Guards against a refusal of a customer that the configuration in force already has.
+	it('serves a customer that a request brings before the holder hears of the configuration', async () => {
+		const {fleet, acquire, log} = await createRun();
+		const {holder} = fleet.hosts[0]!;
+		holder.setCustomers([]);
+		await acquire(10, 500);
+		holder.addCustomer(atlas);
+		void acquire(10, 500);
+		await advance(fleet.clock, 500);
+		await fleet.stop();
+		expect(log).toMatchSnapshot();
+	});
+
 	it('sends nothing for idle customers, once what it held has gone back', async () => {
 		const {fleet, use, transport} = await createRun();
 		expect(transport.messages).to.equal(0);
--- a/packages/engines/src/client/engine-client.ts
+++ b/packages/engines/src/client/engine-client.ts
@@ -3,13 +3,13 @@
 	type Clock, EngineChannel, exchangeHttp, type SendFailure, StreamBrokenError, type StreamItem, type TargetAddress, type TargetRequest, type TargetResponse, toSendFailure,
 } from '@egretrill/common';
 import type {Result} from 'true-myth';
-import {MAX_FREE_CONNECTIONS} from '../constants.js';
+import {IDLE_CONNECTION_MS, MAX_FREE_CONNECTIONS} from '../constants.js';
 import {ChunkReader} from './chunk-reader.js';
 import {StreamWatch} from './stream-watch.js';
 
 /** Talks to model engines over HTTP. */
 export class EngineClient extends EngineChannel {
-	private readonly agent = new Agent({keepAlive: true, maxFreeSockets: MAX_FREE_CONNECTIONS});
+	private readonly agent = new Agent({keepAlive: true, maxFreeSockets: MAX_FREE_CONNECTIONS, timeout: IDLE_CONNECTION_MS});
 
 	constructor(private readonly clock: Clock) {
 		super();
--- a/packages/engines/tests/client/engine-client.test.ts
+++ b/packages/engines/tests/client/engine-client.test.ts
@@ -1,9 +1,9 @@
 import {once} from 'node:events';
 import {createServer, type Server} from 'node:http';
-import type {AddressInfo} from 'node:net';
+import type {AddressInfo, Socket} from 'node:net';
 import {MonotonicClock, type StreamItem, type TargetAddress} from '@egretrill/common';
 import {expect} from 'chai';
-import {EngineClient} from '../../src/index.js';
+import {EngineClient, IDLE_CONNECTION_MS} from '../../src/index.js';
 
 const ANSWER = 'data: {"id":"req-1","egretrill":{"seq":0},"choices":[{"delta":{"content":"The"},"finish_reason":null}]}\n\ndata: [DONE]\n\n';
 
@@ -47,4 +47,27 @@
 		server.close();
 		expect(exchanges).toMatchSnapshot();
 	});
+
+	// Guards against a request that is written to an idle connection just as the engine closes it.
+	it('closes an idle connection before common servers do', async () => {
+		const {server, target} = await startEngine();
+		server.keepAliveTimeout = 0;
+		const closed = new Promise<number>(resolve => {
+			server.once('connection', (socket: Socket) => {
+				let idleSince = 0;
+				socket.on('data', () => {
+					idleSince = performance.now();
+				});
+				socket.once('close', () => {
+					resolve(performance.now() - idleSince);
+				});
+			});
+		});
+		const client = new EngineClient(new MonotonicClock());
+		await stream(client, target);
+		const idleMs = await closed;
+		client.close();
+		server.close();
+		expect(idleMs >= IDLE_CONNECTION_MS - 100).to.equal(true);
+	});
 });
