testkit: transcripts of sessions, links that swallow open connections

Cause: a test could not show what target, host, caller and operator saw of one exchange, nor let one connection go silent while new ones work. Change: Session records a whole exchange as text with ids, versions, ports and times normalised; LiveCall is a call that can stop reading or leave; Link.silence() swallows the connections open now; stand-ins keep what they received and how it ended, can hold work, pad chunks, and be reached through a relay.

--- a/dev/stand-ins/src/constants.ts
+++ b/dev/stand-ins/src/constants.ts
@@ -1,2 +1,6 @@
 export const HEARTBEAT_INTERVAL_MS = 1000;
 export const PROMPT_TOKENS = 8;
+/** How often held work looks whether it may go on. */
+export const HOLD_POLL_MS = 5;
+/** Requests kept for tests; long measurements send far more. */
+export const MAX_RECEIVED = 4096;
--- a/dev/stand-ins/src/engine.ts
+++ b/dev/stand-ins/src/engine.ts
@@ -9,7 +9,7 @@
 import {HEARTBEAT_INTERVAL_MS, PROMPT_TOKENS} from './constants.js';
 import {EngineState} from './engine-state.js';
 import {StandInTarget} from './target.js';
-import {EngineOptions} from './types.js';
+import {EngineOptions, type ReceivedRequest} from './types.js';
 
 const answerWords = ['The', ' mark', ' shows', ' the', ' water', ' level', ' of', ' the', ' flood', ' at', ' this', ' wall', '.'];
 
@@ -79,11 +79,14 @@
 
 	private async takeOrder(req: Request, res: Response): Promise<void> {
 		const order = Order.parse(req.body);
+		const received = this.noteReceived(req);
 		if (this.faults.dropOrders) {
+			received.outcome = 'not-answered';
 			req.socket.destroy();
 			return;
 		}
 
+		received.outcome = 'completed';
 		if (!this.state.isOrderAllowed(order)) {
 			res.status(409).json({error: {code: 'stale-fencing'}});
 			return;
@@ -110,7 +113,7 @@
 	private async complete(req: Request, res: Response): Promise<void> {
 		const chat = ChatRequestSchema.parse(req.body);
 		const requestId = req.get(REQUEST_ID_HEADER) ?? '';
-		this.lastHeaders = req.headers;
+		const received = this.noteReceived(req);
 		if (this.opts.checksResidency && !this.state.hasModel(chat.model, chat.adapter)) {
 			res.status(404).json({error: {code: 'not-resident'}});
 			return;
@@ -130,18 +133,20 @@
 		this.running += 1;
 		this.peakRunning = Math.max(this.peakRunning, this.running);
 		try {
-			await (chat.stream ? this.sendStream(req, res, chat, requestId) : this.sendWhole(res, chat, requestId));
+			const isWhole = await (chat.stream ? this.sendStream(req, res, chat, received) : this.sendWhole(res, chat, requestId));
+			received.outcome = isWhole ? 'completed' : 'not-answered';
 			this.completed += 1;
 		} finally {
 			this.running -= 1;
 		}
 	}
 
-	private async sendWhole(res: Response, chat: ChatRequest, requestId: string): Promise<void> {
+	/** Returns whether the answer was sent. */
+	private async sendWhole(res: Response, chat: ChatRequest, requestId: string): Promise<boolean> {
 		await delay((this.faults.prefillMs ?? this.opts.prefillMs) + (chat.max_tokens * this.opts.tokenIntervalMs));
 		if (this.faults.loseAnswer) {
 			res.destroy();
-			return;
+			return false;
 		}
 
 		const content = Array.from({length: chat.max_tokens}, (_, seq) => getWord(seq)).join('');
@@ -152,9 +157,12 @@
 			choices: [{index: 0, message: {role: 'assistant', content}, finish_reason: 'length'}],
 			usage: getUsage(chat),
 		});
+		return true;
 	}
 
-	private async sendStream(req: Request, res: Response, chat: ChatRequest, requestId: string): Promise<void> {
+	/** Returns whether the stream was sent to its end. */
+	private async sendStream(req: Request, res: Response, chat: ChatRequest, received: ReceivedRequest): Promise<boolean> {
+		const requestId = req.get(REQUEST_ID_HEADER) ?? '';
 		res.set({'content-type': 'text/event-stream'}).flushHeaders();
 		const heartbeat = setInterval(() => {
 			if (this.faults.muteAfterChunks === undefined) {
@@ -164,24 +172,45 @@
 		try {
 			await delay(this.faults.prefillMs ?? this.opts.prefillMs);
 			for (let seq = Number(req.get(RESUME_HEADER) ?? 0); seq < chat.max_tokens; seq++) {
+				await this.holdWhile(() => !res.closed && this.faults.holdAfterChunks !== undefined && seq >= this.faults.holdAfterChunks);
 				if (res.closed || !this.writeChunk(res, chat, requestId, seq)) {
-					return;
+					return false;
 				}
 
+				received.sentChunks += 1;
+
 				if (!this.faults.isFast) {
 					await delay(this.opts.tokenIntervalMs);
 				} else if (res.writableNeedDrain) {
-					await once(res, 'drain');
+					await this.waitForDrain(res);
 				}
 			}
 
 			res.write('data: [DONE]\n\n');
 			res.end();
+			return true;
 		} finally {
 			clearInterval(heartbeat);
 		}
 	}
 
+	/** Waits until the host takes more or has closed the connection. */
+	private async waitForDrain(res: Response): Promise<void> {
+		const closed = new AbortController();
+		const abort = (): void => {
+			closed.abort();
+		};
+
+		res.once('close', abort);
+		try {
+			await once(res, 'drain', {signal: closed.signal});
+		} catch {
+			// The connection was closed; the sender sees that itself.
+		} finally {
+			res.off('close', abort);
+		}
+	}
+
 	/** Returns false when a fault ends the stream here. */
 	private writeChunk(res: Response, chat: ChatRequest, requestId: string, seq: number): boolean {
 		if (this.faults.breakAfterChunks !== undefined && seq >= this.faults.breakAfterChunks) {
@@ -202,7 +231,7 @@
 			object: 'chat.completion.chunk',
 			model: chat.model,
 			egretrill: {seq},
-			choices: [{index: 0, delta: {content: getWord(seq)}, finish_reason: isLast ? 'length' : null}],
+			choices: [{index: 0, delta: {content: getWord(seq).padEnd(this.faults.chunkLength ?? 0, '.')}, finish_reason: isLast ? 'length' : null}],
 			...(isLast && {usage: getUsage(chat)}),
 		};
 		res.write(`data: ${JSON.stringify(chunk)}\n\n`);
--- a/dev/stand-ins/src/service.ts
+++ b/dev/stand-ins/src/service.ts
@@ -44,15 +44,19 @@
 	}
 
 	protected override mount(app: Express): void {
-		app.use(express.text({type: () => true}), (req, res) => {
-			this.lastHeaders = req.headers;
+		app.use(express.text({type: () => true}), async (req, res) => {
+			const received = this.noteReceived(req);
 			this.runs.push(typeof req.body === 'string' ? req.body : '');
+			const run = this.runs.length;
+			await this.holdWhile(() => this.faults.holdAnswer === true);
 			if (this.faults.loseAnswer) {
+				received.outcome = 'not-answered';
 				req.socket.destroy();
 				return;
 			}
 
-			res.json({service: this.opts.service, path: req.path, run: this.runs.length});
+			received.outcome = 'completed';
+			res.json({service: this.opts.service, path: req.path, run});
 		});
 	}
 }
--- a/dev/stand-ins/src/target.ts
+++ b/dev/stand-ins/src/target.ts
@@ -2,10 +2,12 @@
 import {once} from 'node:events';
 import type {Server} from 'node:http';
 import type {AddressInfo} from 'node:net';
+import {setTimeout as delay} from 'node:timers/promises';
 import type {Announcement} from '@egretrill/common';
-import express, {type Express} from 'express';
+import express, {type Express, type Request} from 'express';
 import {announceUntil} from './announce.js';
-import {Faults} from './types.js';
+import {HOLD_POLL_MS, MAX_RECEIVED} from './constants.js';
+import {Faults, type ReceivedRequest} from './types.js';
 
 /** A stand-in that listens, announces itself and takes faults from tests. */
 export abstract class StandInTarget {
@@ -14,24 +16,28 @@
 	address = '';
 	/** Headers of the last request, for checks that no key reaches a target. */
 	lastHeaders: Readonly<Record<string, unknown>> = {};
+	/** The latest requests, in order of arrival. */
+	readonly received: ReceivedRequest[] = [];
 	private server: Server | undefined;
 	private readonly stopping = new AbortController();
 
 	constructor(private readonly hosts: readonly string[], private readonly port = 0) {}
 
-	async start(): Promise<this> {
+	/** Listens and announces itself, under another address if it is reached through a relay. */
+	async start(getPublicAddress?: (address: string) => Promise<string>): Promise<this> {
 		const app = express();
 		app.post('/faults', express.json(), (req, res) => {
 			this.faults = Faults.parse(req.body);
 			res.status(204).end();
 		});
 		app.get('/books', (_req, res) => {
-			res.json(this.getBooks());
+			res.json({...this.getBooks(), received: this.received});
 		});
 		this.mount(app);
 		this.server = app.listen(this.port, '127.0.0.1');
 		await once(this.server, 'listening');
-		this.address = `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+		const address = `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+		this.address = await getPublicAddress?.(address) ?? address;
 		void announceUntil({hosts: this.hosts, getAnnouncement: () => this.getAnnouncement()}, this.stopping.signal);
 		return this;
 	}
@@ -43,6 +49,26 @@
 	}
 
 	abstract getAnnouncement(): Announcement;
+	protected noteReceived(req: Request): ReceivedRequest {
+		const received: ReceivedRequest = {
+			method: req.method, path: req.path, headers: req.headers, body: req.body, atMs: Date.now(), outcome: 'running', sentChunks: 0,
+		};
+		this.lastHeaders = req.headers;
+		this.received.push(received);
+		if (this.received.length > MAX_RECEIVED) {
+			this.received.shift();
+		}
+
+		return received;
+	}
+
+	/** Waits until a fault that holds work has been taken away. */
+	protected async holdWhile(isHeld: () => boolean): Promise<void> {
+		while (isHeld() && !this.stopping.signal.aborted) {
+			await delay(HOLD_POLL_MS);
+		}
+	}
+
 	/** What the stand-in itself knows to have happened. */
 	protected abstract getBooks(): Record<string, unknown>;
 	protected abstract mount(app: Express): void;
--- a/dev/stand-ins/src/types.ts
+++ b/dev/stand-ins/src/types.ts
@@ -33,12 +33,18 @@
 	breakAfterChunks: z.int().optional(),
 	/** Goes silent on open connections after so many chunks, without closing them. */
 	muteAfterChunks: z.int().optional(),
+	/** Stops after so many chunks, with heartbeats, until this fault is taken away. */
+	holdAfterChunks: z.int().optional(),
+	/** Runs the call and keeps its answer back until this fault is taken away. */
+	holdAnswer: z.boolean().optional(),
 	/** Sends a chunk of another request before this chunk. */
 	crossAtChunk: z.int().optional(),
 	/** Ends the process on requests whose prompt holds this text. */
 	crashOn: z.string().optional(),
 	/** Runs the call and breaks the connection instead of answering. */
 	loseAnswer: z.boolean().optional(),
+	/** Pads the text of each chunk to so many characters. */
+	chunkLength: z.int().optional(),
 	/** Sends tokens without a pause between them. */
 	isFast: z.boolean().optional(),
 	prefillMs: z.number().optional(),
@@ -48,5 +54,17 @@
 });
 export type Faults = z.infer<typeof Faults>;
 
+/** One request as a stand-in received it, and how it ended there. */
+export type ReceivedRequest = {
+	readonly method: string;
+	readonly path: string;
+	readonly headers: Readonly<Record<string, unknown>>;
+	readonly body: unknown;
+	/** Wall-clock time, to be compared with log lines of other processes. */
+	readonly atMs: number;
+	outcome: 'running' | 'completed' | 'not-answered';
+	sentChunks: number;
+};
+
 /** Anything that announces itself to hosts. */
 export type Announcer = {readonly getAnnouncement: () => Announcement; readonly hosts: readonly string[]};
--- /dev/null
+++ b/dev/testkit/src/caller.ts
@@ -0,0 +1,71 @@
+import {once} from 'node:events';
+import {type Agent, type IncomingMessage, request} from 'node:http';
+import {waitFor} from './wait.js';
+
+export type CallOptions = {
+	readonly method?: string;
+	readonly headers?: Readonly<Record<string, string>>;
+	readonly body?: string;
+	readonly agent?: Agent;
+	/** Ends the call when it aborts. */
+	readonly signal?: AbortSignal;
+};
+
+/** One request of a caller whose answer can be watched while it arrives. */
+export class LiveCall {
+	status = 0;
+	headers: Readonly<Record<string, string>> = {};
+	body = '';
+	/** The caller's port, by which requests on one connection are recognised. */
+	port = 0;
+	/** Resolves when the answer has ended or broken off; a break is part of the body. */
+	readonly ended: Promise<this>;
+	private readonly gone = new AbortController();
+	private answer: IncomingMessage | undefined;
+
+	constructor(readonly url: string, readonly opts: CallOptions) {
+		this.ended = this.run();
+	}
+
+	/** Waits until the answer holds a text. */
+	async waitFor(text: string): Promise<void> {
+		await waitFor(`${JSON.stringify(text)} in the answer`, () => this.body.includes(text) || undefined);
+	}
+
+	/** Stops reading the answer and leaves the connection open. */
+	stopReading(): void {
+		this.answer?.pause();
+	}
+
+	readOn(): void {
+		this.answer?.resume();
+	}
+
+	/** Closes the connection. */
+	leave(): void {
+		this.gone.abort();
+	}
+
+	private async run(): Promise<this> {
+		const {method = 'POST', headers = {}, body = '', agent, signal} = this.opts;
+		const req = request(this.url, {
+			method, headers: {...headers}, agent: agent ?? false, signal: signal ? AbortSignal.any([signal, this.gone.signal]) : this.gone.signal,
+		});
+		req.end(body);
+		try {
+			const [answer] = await once(req, 'response') as [IncomingMessage];
+			this.answer = answer;
+			this.port = answer.socket.localPort ?? 0;
+			this.status = answer.statusCode ?? 0;
+			this.headers = Object.fromEntries(Object.entries(answer.headers).map(([name, value]) => [name, String(value)]));
+			answer.setEncoding('utf8').on('data', (text: string) => {
+				this.body += text;
+			});
+			await once(answer, 'end');
+		} catch (err: unknown) {
+			this.body += `[connection broken: ${err instanceof Error ? err.message : 'unknown'}]`;
+		}
+
+		return this;
+	}
+}
--- a/dev/testkit/src/link.ts
+++ b/dev/testkit/src/link.ts
@@ -21,6 +21,7 @@
 	private server: Server | undefined;
 	private readonly cuts = new Set<LinkDirection>();
 	private readonly pipes = new Set<Pipe>();
+	private readonly silenced = new Set<Pipe>();
 
 	private constructor(private readonly target: string) {}
 
@@ -41,6 +42,15 @@
 		}
 	}
 
+	/** Swallows for good everything that is sent on the connections open now, their ends included; new connections work. */
+	silence(): void {
+		for (const pipe of this.pipes) {
+			this.silenced.add(pipe);
+			pipe.from.unpipe(pipe.to);
+			pipe.from.resume();
+		}
+	}
+
 	/** Closes all connections and refuses new ones. */
 	async refuse(): Promise<void> {
 		const {server} = this;
@@ -60,7 +70,12 @@
 	async heal(): Promise<void> {
 		const cut = new Set(this.cuts);
 		this.cuts.clear();
-		for (const {from, to, direction} of this.pipes) {
+		for (const pipe of this.pipes) {
+			const {from, to, direction} = pipe;
+			if (this.silenced.has(pipe)) {
+				continue;
+			}
+
 			if (cut.has(direction) && from.destroyed) {
 				to.destroy();
 			} else if (cut.has(direction)) {
@@ -98,12 +113,13 @@
 		const forget = (): void => {
 			if (from.destroyed && to.destroyed) {
 				this.pipes.delete(pipe);
+				this.silenced.delete(pipe);
 			}
 		};
 
 		to.on('close', forget);
 		from.on('close', () => {
-			if (!this.cuts.has(direction)) {
+			if (!this.cuts.has(direction) && !this.silenced.has(pipe)) {
 				to.destroy();
 			}
 
--- /dev/null
+++ b/dev/testkit/src/session.ts
@@ -0,0 +1,227 @@
+import {inspect} from 'node:util';
+import type {ReceivedRequest} from '@egretrill/stand-ins';
+import got from 'got';
+import {getConfig} from './admin-client.js';
+import {type CallOptions, LiveCall} from './caller.js';
+import type {DaemonProcess, LogLine} from './daemon-process.js';
+import {type Fleet, OPERATOR_KEY} from './fleet.js';
+import {getLocalKey} from './local-config.js';
+import {waitFor} from './wait.js';
+
+/** A target whose received requests a transcript shows. */
+export type WatchedTarget = {readonly name: string; readonly getReceived: () => Promise<readonly ReceivedRequest[]> | readonly ReceivedRequest[]};
+
+export type SessionOptions = {
+	readonly targets?: readonly WatchedTarget[];
+	/** Hosts whose log the transcript shows; all of the fleet if left out. */
+	readonly hosts?: readonly DaemonProcess[];
+	/** Path of calls by which a test waits for a state; their log lines are left out. */
+	readonly probePath?: string;
+	/** Model whose moves and orders the transcript shows. */
+	readonly placedModel?: string;
+};
+
+export type SessionCallOptions = CallOptions & {
+	/** Customer whose key is sent; without one the call carries no key. */
+	readonly customer?: string;
+};
+
+type OperatorExchange = {readonly host: DaemonProcess; readonly path: string; readonly json: unknown; readonly status: number; readonly body: unknown};
+type SentCall = {readonly host: DaemonProcess; readonly path: string; readonly opts: SessionCallOptions; readonly call: LiveCall};
+
+const answerHeaders = ['content-type', 'retry-after', 'x-egretrill-verdict', 'x-request-id'];
+const unstableTargetHeaders: ReadonlySet<string> = new Set(['host', 'connection', 'content-length', 'transfer-encoding', 'user-agent', 'accept-encoding', 'x-egretrill-deadline-ms']);
+/** Fields of log lines that differ from run to run or say the same on each line. */
+const unstableFields: ReadonlySet<string> = new Set(['name', 'hostname', 'pid', 'level', 'time', 'v', 'component', 'msg', 'address', 'startId', 'scores', 'elapsedMs']);
+const loggedComponents: ReadonlySet<unknown> = new Set(['routing', 'callers']);
+const endMessages: ReadonlySet<string> = new Set(['Request ended.', 'Request refused.']);
+const MAX_LINE_LENGTH = 400;
+/** The drain refuses before a call reaches the request path, which writes the log line. */
+const unloggedCode = '"code":"draining"';
+
+/** Formats a value on one line, or as an indented block if it is long. */
+function format(value: unknown): string {
+	const line = inspect(value, {
+		breakLength: Number.POSITIVE_INFINITY, compact: true, depth: null, maxArrayLength: null,
+	});
+	return line.length <= MAX_LINE_LENGTH ? line : inspect(value, {breakLength: 120, depth: null, maxArrayLength: null}).replaceAll('\n', '\n  ');
+}
+
+function formatText(text: string): string {
+	try {
+		return format(JSON.parse(text));
+	} catch {
+		return text;
+	}
+}
+
+/** Formats an answer line by line; heartbeats are left out, since they follow the clock and not the exchange. */
+function formatBody(body: string): readonly string[] {
+	return body.split('\n')
+		.filter(line => line !== '' && line !== ': heartbeat')
+		.map(line => line.startsWith('data: ') ? `data: ${formatText(line.slice('data: '.length))}` : formatText(line));
+}
+
+function formatLine(line: LogLine): string {
+	const fields = Object.entries(line).filter(([name]) => !unstableFields.has(name));
+	return `  ${String(line.component)}: ${line.msg} ${format(Object.fromEntries(fields))}`;
+}
+
+/** Records a whole exchange of callers and operators with a fleet as readable text. */
+export class Session {
+	/** Begins to record; earlier requests and log lines are left out. */
+	static async begin(fleet: Fleet, opts: SessionOptions = {}): Promise<Session> {
+		const received = await Promise.all((opts.targets ?? []).map(async target => target.getReceived()));
+		const earlier = received.map(({length}) => length);
+		const {version} = await getConfig(fleet.getHost(0));
+		return new Session(fleet, opts, earlier, version);
+	}
+
+	private readonly calls: SentCall[] = [];
+	private readonly operations: OperatorExchange[] = [];
+	private readonly logStarts: readonly number[];
+	private readonly ids = new Map<string, string>();
+
+	private constructor(private readonly fleet: Fleet, private readonly opts: SessionOptions, private readonly earlier: readonly number[], private readonly version: number) {
+		this.logStarts = fleet.hosts.map(host => host.log.length);
+	}
+
+	/** Sends a caller's request; its answer arrives while the session goes on. */
+	send(host: DaemonProcess, path: string, opts: SessionCallOptions = {}): LiveCall {
+		const key: Record<string, string> = opts.customer === undefined ? {} : {authorization: `Bearer ${getLocalKey(opts.customer)}`};
+		const call = new LiveCall(`http://${host.addresses.callers}${path}`, {...opts, headers: {...key, ...opts.headers}});
+		this.calls.push({
+			host, path, opts, call,
+		});
+		return call;
+	}
+
+	/** Sends one request of an operator and records the answer; a field that `passing` names may change at once and only its presence is recorded. */
+	async operate(host: DaemonProcess, path: string, json?: Readonly<Record<string, unknown>>, passing?: string): Promise<Readonly<Record<string, unknown>>> {
+		const exchange = await this.ask(host, path, json);
+		const body = exchange.body as Readonly<Record<string, unknown>>;
+		this.operations.push(passing !== undefined && passing in body ? {...exchange, body: {...body, [passing]: 'PASSING'}} : exchange);
+		return body;
+	}
+
+	/** Repeats an operator's question until the answer is the wanted one, and records only that. */
+	async operateUntil(host: DaemonProcess, path: string, isWanted: (body: Readonly<Record<string, unknown>>) => boolean): Promise<void> {
+		const exchange = await waitFor(`the answer of ${path}`, async () => {
+			const found = await this.ask(host, path);
+			return isWanted(found.body as Record<string, unknown>) ? found : undefined;
+		});
+		this.operations.push(exchange);
+	}
+
+	/** Log lines of one host since the session began. */
+	getLog(host: DaemonProcess): readonly LogLine[] {
+		return host.log.slice(this.logStarts[this.fleet.hosts.indexOf(host)]);
+	}
+
+	/** Waits until every call has ended at both ends, and returns the whole exchange. */
+	async getTranscript(): Promise<string> {
+		await Promise.all(this.calls.map(async ({call}) => call.ended));
+		const logged = this.calls.filter(({call}) => !call.body.includes(unloggedCode)).length;
+		await waitFor('the log lines of all calls', () => this.countEnds() >= logged || undefined);
+		const received = await Promise.all((this.opts.targets ?? []).map(async (target, i) => this.formatReceived(target, this.earlier[i] ?? 0)));
+		const parts = [
+			...this.calls.flatMap((sent, i) => this.formatCall(sent, i + 1)),
+			...this.operations.flatMap((operation, i) => this.formatOperation(operation, i + 1)),
+			...received.flat(),
+			...this.getHosts().flatMap(host => this.formatLog(host)),
+		];
+		return `\n${this.normalize(parts.join('\n'))}\n`;
+	}
+
+	private async ask(host: DaemonProcess, path: string, json?: unknown): Promise<OperatorExchange> {
+		const res = await got(`http://${host.addresses.admin}${path}`, {
+			method: json === undefined ? 'GET' : 'POST', headers: {authorization: `Bearer ${OPERATOR_KEY}`}, ...(json !== undefined && {json}), throwHttpErrors: false, retry: {limit: 0},
+		});
+		return {
+			host, path, json, status: res.statusCode, body: JSON.parse(res.body),
+		};
+	}
+
+	private getHosts(): readonly DaemonProcess[] {
+		return this.opts.hosts ?? this.fleet.hosts;
+	}
+
+	private countEnds(): number {
+		return this.getHosts().reduce((sum, host) => sum + this.getLog(host).filter(line => endMessages.has(line.msg) && !this.isProbe(line)).length, 0);
+	}
+
+	private isProbe({path}: LogLine): boolean {
+		return path !== undefined && path === this.opts.probePath;
+	}
+
+	/** Lines of requests, and those lines of placement that move the model of the session; the rest of placement repeats with each round. */
+	private getShownLog(host: DaemonProcess): readonly LogLine[] {
+		const log = this.getLog(host);
+		const probes = new Set(log.filter(line => this.isProbe(line)).map(({requestId}) => requestId));
+		return log.filter(({component, requestId, model, decision, order}) => component === 'placement'
+			? this.opts.placedModel !== undefined && decision !== 'wait' && decision !== 'keep' && (model ?? (order as {model?: unknown} | undefined)?.model) === this.opts.placedModel
+			: loggedComponents.has(component) && !probes.has(requestId));
+	}
+
+	private formatCall({host, path, opts, call}: SentCall, number: number): readonly string[] {
+		const ports = this.calls.map(sent => sent.call.port);
+		const firstOnPort = ports.indexOf(call.port) + 1;
+		const connection = firstOnPort < number && call.port > 0 ? `, on the connection of call ${firstOnPort}` : '';
+		return [
+			`call ${number}: ${opts.method ?? 'POST'} ${path} at ${host.peer.id}${opts.customer === undefined ? '' : ` with the key of ${opts.customer}`}${connection}`,
+			...Object.entries(opts.headers ?? {}).map(([name, value]) => `  ${name}: ${value}`),
+			...(opts.body === undefined ? [] : [`  ${formatText(opts.body)}`]),
+			`answer ${number}: ${call.status}`,
+			...answerHeaders.filter(name => call.headers[name] !== undefined).map(name => `  ${name}: ${call.headers[name]}`),
+			...formatBody(call.body).map(line => `  ${line}`),
+			'',
+		];
+	}
+
+	private formatOperation({host, path, json, status, body}: OperatorExchange, number: number): readonly string[] {
+		return [
+			`operator ${number}: ${json === undefined ? 'GET' : 'POST'} ${path} at ${host.peer.id}`,
+			...(json === undefined ? [] : [`  ${format(json)}`]),
+			`answer: ${status} ${format(body)}`,
+			'',
+		];
+	}
+
+	private async formatReceived({name, getReceived}: WatchedTarget, from: number): Promise<readonly string[]> {
+		const all = await getReceived();
+		const received = all.slice(from);
+		return [
+			`${name} received${received.length === 0 ? ' nothing' : ':'}`,
+			...received.flatMap(({method, path, headers, body, outcome, sentChunks}) => [
+				`  ${method} ${path}`,
+				...Object.entries(headers).filter(([header]) => !unstableTargetHeaders.has(header)).map(([header, value]) => `    ${header}: ${String(value)}`),
+				`    ${format(body)}`,
+				`    ${outcome}${sentChunks === 0 ? '' : `, ${sentChunks} chunks`}`,
+			]),
+			'',
+		];
+	}
+
+	private formatLog(host: DaemonProcess): readonly string[] {
+		const lines = this.getShownLog(host);
+		const formatPart = (isPlacement: boolean): readonly string[] => lines.filter(line => (line.component === 'placement') === isPlacement).map(line => formatLine(line));
+		// Orders and decisions are logged by two tasks, so their lines have no order among each other.
+		return lines.length === 0 ? [] : [`log of ${host.peer.id}:`, ...formatPart(false), ...formatPart(true).toSorted(), ''];
+	}
+
+	/** Numbers the request ids in the order in which the text names them, counts versions from the start of the session, and replaces digests. */
+	private normalize(text: string): string {
+		return text
+			.replaceAll(/req-[\da-f\-]{36}/gv, id => {
+				const known = this.ids.get(id) ?? `req-${this.ids.size + 1}`;
+				this.ids.set(id, known);
+				return known;
+			})
+			.replaceAll(/\b(?<name>version|follows): (?<number>\d+)/gv, (_, name: string, number: string) => `${name}: START+${Number(number) - this.version}`)
+			.replaceAll(/\b(?<name>expiresInMs|fencing): \d+/gv, '$<name>: N')
+			.replaceAll(/orderId: '[\w\-]+'/gv, 'orderId: ORDER')
+			.replaceAll(/[\d.]+ requests\/s/gv, 'N requests/s')
+			.replaceAll(/127\.0\.0\.1:\d+/gv, 'ADDRESS')
+			.replaceAll(/[\da-f]{64}/gv, 'DIGEST');
+	}
+}
--- a/dev/testkit/src/target-process.ts
+++ b/dev/testkit/src/target-process.ts
@@ -4,7 +4,7 @@
 import path from 'node:path';
 import process from 'node:process';
 import {createInterface} from 'node:readline';
-import type {EngineOptions, Faults} from '@egretrill/stand-ins';
+import type {EngineOptions, Faults, ReceivedRequest} from '@egretrill/stand-ins';
 import got from 'got';
 
 type TargetOptions =
@@ -14,6 +14,7 @@
 /** What a stand-in itself knows to have happened. */
 export type TargetBooks = {
 	readonly runs?: readonly string[]; readonly begunRequests?: readonly string[]; readonly peakRunning?: number; readonly memoryMb?: number; readonly peakMemoryMb?: number;
+	readonly received: readonly ReceivedRequest[];
 };
 
 const mainFile = path.join(path.dirname(createRequire(import.meta.url).resolve('@egretrill/stand-ins')), 'main.js');
