--- a/apps/egretrilld/src/daemon.ts
+++ b/apps/egretrilld/src/daemon.ts
@@ -211,8 +211,14 @@
 	}
 
 	private createHealth(): RequestListener {
+		const metrics = this.container.get(tokens.metrics);
+		const queues = this.container.get(tokens.queues);
+		const waiting = metrics.createGauge({name: 'egretrill_waiting_requests', help: 'Requests that wait in the fair queues.'});
 		return createHealthApp({
-			metrics: this.container.get(tokens.metrics),
+			metrics,
+			onScrape() {
+				waiting.set(queues.getWaiting());
+			},
 			getUnreadyReasons: () => this.getUnreadyReasons(),
 		});
 	}
