egretrilld: tests of silent engine connections and of callers that stop reading

Change: connections.test.ts; mid-stream and prefill connections that go silent for good, a slow prefill with heartbeats, and a caller that stops reading an answer of 375 MB. Dropping only the engine client's abort is not noticed, since leaving the body's iterator closes the connection too.

--- /dev/null
+++ b/apps/egretrilld/tests/connections.test.ts
@@ -0,0 +1,138 @@
+import type {ConfigDocument} from '@egretrill/common';
+import {StandInEngine} from '@egretrill/stand-ins';
+import {
+	createLocalConfig, type DaemonProcess, Fleet, Link, Session, waitFor,
+} from '@egretrill/testkit';
+import {expect} from 'chai';
+
+const zones = ['zone-a', 'zone-b', 'zone-c'];
+const draftPath = '/v1/chat/completions';
+const models = ['mid-stream', 'prefill', 'slow', 'large'];
+const BYTES_PER_MB = 1_048_576;
+/** The design size gives a host this much memory for its own work. */
+const MEMORY_BOUND_MB = 64;
+const CHUNK_LENGTH = 16_384;
+const LARGE_ANSWER_CHUNKS = 24_000;
+
+function createConfig(): ConfigDocument {
+	const config = createLocalConfig(zones);
+	return {
+		...config,
+		models: models.map(id => ({...config.models[0]!, id, adapters: []})),
+		customers: config.customers.map(customer => ({...customer, rate: {...customer.rate, tokensPerSecond: 1_000_000, burstTokens: 1_000_000}})),
+	};
+}
+
+function getDraft(model: string, tokens = 6): {readonly customer: string; readonly body: string} {
+	return {
+		customer: 'yard',
+		body: JSON.stringify({
+			model, max_tokens: tokens, stream: true, messages: [{role: 'user', content: 'Draft the plaque.'}],
+		}),
+	};
+}
+
+describe('connections between callers, hosts and targets', () => {
+	let fleet: Fleet;
+	const engines: StandInEngine[] = [];
+	const links: Link[] = [];
+
+	before(async () => {
+		fleet = await Fleet.start({fleet: 'local', zones, config: createConfig()});
+	});
+
+	after(async () => {
+		await Promise.all(engines.map(async engine => engine.stop()));
+		await Promise.all(links.map(async link => link.refuse()));
+		await fleet.stop();
+	});
+
+	/** Starts an engine that hosts reach through a link, and waits until a host lists it. */
+	async function startEngine(host: DaemonProcess, model: string, targetId = `engine-${model}`): Promise<{readonly engine: StandInEngine; readonly link: Link}> {
+		const engine = new StandInEngine({
+			targetId, zone: host.peer.zone, hosts: [...fleet.getTargetAddresses(host.peer.zone)], memoryMb: 20_000, resident: [{model, version: 'v1', adapters: []}],
+		});
+		let link: Link | undefined;
+		await engine.start(async address => {
+			link = await Link.open(address);
+			return link.address;
+		});
+		engines.push(engine);
+		links.push(link!);
+		return {engine, link: link!};
+	}
+
+	async function begin(host: DaemonProcess, watched: readonly StandInEngine[]): Promise<Session> {
+		return Session.begin(fleet, {hosts: [host], targets: watched.map((engine, i) => ({name: `engine ${i + 1}`, getReceived: () => engine.received}))});
+	}
+
+	/** The connection goes silent after three chunks have reached the caller, while the engine goes on and new connections work. */
+	async function loseMidStream(host: DaemonProcess): Promise<string> {
+		const {engine, link} = await startEngine(host, 'mid-stream');
+		const session = await begin(host, [engine]);
+		engine.faults = {holdAfterChunks: 3};
+		const call = session.send(host, draftPath, getDraft('mid-stream'));
+		await call.waitFor('"seq":2');
+		link.silence();
+		engine.faults = {};
+		return session.getTranscript();
+	}
+
+	/** The connection goes silent before the first token; another engine has the model by then. */
+	async function losePrefill(host: DaemonProcess): Promise<string> {
+		const {engine, link} = await startEngine(host, 'prefill');
+		engine.faults = {holdAfterChunks: 0};
+		const spare = new StandInEngine({
+			targetId: 'engine-spare', zone: host.peer.zone, hosts: [...fleet.getTargetAddresses(host.peer.zone)], memoryMb: 20_000, resident: [{model: 'prefill', version: 'v1', adapters: []}],
+		});
+		const session = await begin(host, [engine, spare]);
+		session.send(host, draftPath, getDraft('prefill'));
+		await waitFor('the request at the engine', () => engine.received.length === 1 || undefined);
+		link.silence();
+		engines.push(await spare.start());
+		return session.getTranscript();
+	}
+
+	/** The engine takes longer than the heartbeat deadline for its prefill, and says each second that it works. */
+	async function prefillSlowly(host: DaemonProcess): Promise<string> {
+		const {engine} = await startEngine(host, 'slow');
+		engine.faults = {prefillMs: 5000};
+		const session = await begin(host, [engine]);
+		session.send(host, draftPath, getDraft('slow'));
+		return session.getTranscript();
+	}
+
+	// Guards against a host that waits for good on a silent connection, and against one that takes a slow prefill for silence.
+	it('replaces a connection to an engine that goes silent, and lets a slow prefill run', async () => {
+		const [first, second, third] = fleet.hosts as [DaemonProcess, DaemonProcess, DaemonProcess];
+		const [midStream, prefill, slow] = await Promise.all([loseMidStream(first), losePrefill(second), prefillSlowly(third)]);
+		expect(midStream).toMatchSnapshot();
+		expect(prefill).toMatchSnapshot();
+		expect(slow).toMatchSnapshot();
+	});
+
+	// Guards against a host that keeps an answer in memory which its caller does not read, and against an engine that works on for nobody.
+	it('holds back the engine while a caller does not read, and cancels its work when the caller leaves', async () => {
+		const host = fleet.getHost(0);
+		const {engine} = await startEngine(host, 'large');
+		engine.faults = {isFast: true, chunkLength: CHUNK_LENGTH};
+		const before = await host.getUsage();
+		const session = await begin(host, [engine]);
+		const call = session.send(host, draftPath, getDraft('large', LARGE_ANSWER_CHUNKS));
+		await call.waitFor('"seq":0');
+		call.stopReading();
+		let [seen, unchanged] = [0, 0];
+		await waitFor('the end of sending', () => {
+			unchanged = engine.sentChunks === seen ? unchanged + 1 : 0;
+			seen = engine.sentChunks;
+			return unchanged > 40 || undefined;
+		});
+		const after = await host.getUsage();
+		expect(seen * CHUNK_LENGTH / BYTES_PER_MB).to.be.below(MEMORY_BOUND_MB);
+		expect(after.residentMb - before.residentMb).to.be.below(MEMORY_BOUND_MB);
+		call.leave();
+		await waitFor('the end of the work', () => engine.received.at(-1)?.outcome === 'not-answered' || undefined);
+		await waitFor('the log line', () => session.getLog(host).some(({msg, outcome}) => msg === 'Request ended.' && outcome === 'cancelled') || undefined);
+		expect(engine.sentChunks).to.be.below(LARGE_ANSWER_CHUNKS);
+	});
+});
