--- a/dev/stand-ins/src/engine.ts
+++ b/dev/stand-ins/src/engine.ts
@@ -11,7 +11,7 @@
 import {EngineState} from './engine-state.js';
 import {getBodyDigest} from './monotonic.js';
 import {StandInTarget} from './target.js';
-import {EngineOptions} from './types.js';
+import {EngineOptions, type ReceivedRequest} from './types.js';
 
 const answerWords = ['The', ' mark', ' shows', ' the', ' water', ' level', ' of', ' the', ' flood', ' at', ' this', ' wall', '.'];
 
@@ -90,11 +90,14 @@
 
 	private async takeOrder(req: Request, res: Response): Promise<void> {
 		const order = Order.parse(req.body);
+		const received = this.noteReceived(req);
 		if (this.faults.dropOrders) {
+			received.outcome = 'not-answered';
 			req.socket.destroy();
 			return;
 		}
 
+		received.outcome = 'completed';
 		if (!this.state.isOrderAllowed(order)) {
 			res.status(409).json({error: {code: 'stale-fencing'}});
 			return;
@@ -132,7 +135,8 @@
 	private async complete(req: Request, res: Response): Promise<void> {
 		const chat = ChatRequestSchema.parse(req.body);
 		const requestId = req.get(REQUEST_ID_HEADER) ?? '';
-		this.lastHeaders = req.headers;
+		const resumeFrom = Number(req.get(RESUME_HEADER) ?? 0);
+		const received = this.noteReceived(req);
 		if (this.opts.checksResidency && !this.state.hasModel(chat.model, chat.adapter)) {
 			res.status(404).json({error: {code: 'not-resident'}});
 			return;
@@ -153,10 +157,11 @@
 		this.running += 1;
 		this.peakRunning = Math.max(this.peakRunning, this.running);
 		this.noteRun(req, {
-			bodyDigest: this.digests.get(req) ?? '', resumeFrom: Number(req.get(RESUME_HEADER) ?? 0), running: this.running, completed: this.completed, limit: this.opts.slots, isCold: this.isCold(),
+			bodyDigest: this.digests.get(req) ?? '', resumeFrom, running: this.running, completed: this.completed, limit: this.opts.slots, isCold: this.isCold(),
 		});
 		try {
-			const chunks = await (chat.stream ? this.sendStream(req, res, chat, requestId) : this.sendWhole(res, chat, requestId));
+			const chunks = await (chat.stream ? this.sendStream(req, res, chat, received) : this.sendWhole(res, chat, requestId));
+			received.outcome = resumeFrom + chunks === chat.max_tokens ? 'completed' : 'not-answered';
 			this.completed += 1;
 			this.note({
 				kind: 'run-ended', requestId, chunks, isComplete: res.writableEnded,
@@ -192,7 +197,8 @@
 	}
 
 	/** Returns the number of chunks that were sent. */
-	private async sendStream(req: Request, res: Response, chat: ChatRequest, requestId: string): Promise<number> {
+	private async sendStream(req: Request, res: Response, chat: ChatRequest, received: ReceivedRequest): Promise<number> {
+		const requestId = req.get(REQUEST_ID_HEADER) ?? '';
 		res.set({'content-type': 'text/event-stream'}).flushHeaders();
 		const heartbeat = setInterval(() => {
 			if (this.faults.muteAfterChunks === undefined) {
@@ -203,14 +209,17 @@
 		try {
 			await this.prefill();
 			for (let seq = first; seq < chat.max_tokens; seq++) {
+				await this.holdWhile(() => !res.closed && this.faults.holdAfterChunks !== undefined && seq >= this.faults.holdAfterChunks);
 				if (res.closed || !this.writeChunk(res, chat, requestId, seq)) {
 					return seq - first;
 				}
 
+				received.sentChunks += 1;
+
 				if (!this.faults.isFast) {
 					await delay(this.opts.tokenIntervalMs);
 				} else if (res.writableNeedDrain) {
-					await once(res, 'drain');
+					await this.waitForDrain(res);
 				}
 			}
 
@@ -222,6 +231,23 @@
 		}
 	}
 
+	/** Waits until the host takes more or has closed the connection. */
+	private async waitForDrain(res: Response): Promise<void> {
+		const closed = new AbortController();
+		const abort = (): void => {
+			closed.abort();
+		};
+
+		res.once('close', abort);
+		try {
+			await once(res, 'drain', {signal: closed.signal});
+		} catch {
+			// The connection was closed; the sender sees that itself.
+		} finally {
+			res.off('close', abort);
+		}
+	}
+
 	/** Returns false when a fault ends the stream here. */
 	private writeChunk(res: Response, chat: ChatRequest, requestId: string, seq: number): boolean {
 		if (this.faults.breakAfterChunks !== undefined && seq >= this.faults.breakAfterChunks) {
@@ -242,7 +268,7 @@
 			object: 'chat.completion.chunk',
 			model: chat.model,
 			egretrill: {seq},
-			choices: [{index: 0, delta: {content: getWord(seq)}, finish_reason: isLast ? 'length' : null}],
+			choices: [{index: 0, delta: {content: getWord(seq).padEnd(this.faults.chunkLength ?? 0, '.')}, finish_reason: isLast ? 'length' : null}],
 			...(isLast && {usage: getUsage(chat)}),
 		};
 		res.write(`data: ${JSON.stringify(chunk)}\n\n`);
--- a/dev/stand-ins/src/service.ts
+++ b/dev/stand-ins/src/service.ts
@@ -46,22 +46,26 @@
 	}
 
 	protected override mount(app: Express): void {
-		app.use(express.text({type: () => true}), (req, res) => {
-			this.lastHeaders = req.headers;
+		app.use(express.text({type: () => true}), async (req, res) => {
+			const received = this.noteReceived(req);
 			const body = typeof req.body === 'string' ? req.body : '';
 			const bodyDigest = getBodyDigest(body);
 			this.noteRun(req, {
 				bodyDigest, resumeFrom: 0, running: 1, completed: this.runs.length, limit: SERVICE_LIMIT, isCold: false,
 			});
 			this.runs.push(body);
+			const run = this.runs.length;
+			await this.holdWhile(() => this.faults.holdAnswer === true);
 			if (this.faults.loseAnswer) {
+				received.outcome = 'not-answered';
 				req.socket.destroy();
 				return;
 			}
 
+			received.outcome = 'completed';
 			// The headers tell whose run an answer comes from, also when it is given again to a resend.
 			res.set({'x-run-id': req.get(REQUEST_ID_HEADER) ?? '', 'x-run-digest': bodyDigest});
-			res.json({service: this.opts.service, path: req.path, run: this.runs.length});
+			res.json({service: this.opts.service, path: req.path, run});
 		});
 	}
 }
