--- a/apps/egretrilld/src/targets/zone-duties.ts
+++ b/apps/egretrilld/src/targets/zone-duties.ts
@@ -1,7 +1,8 @@
 import type {ConfigSource} from '@egretrill/callers';
 import type {Clock, Logger} from '@egretrill/common';
 import {
-	type AdapterAnswer, type AdapterWant, ColdStartRamp, type DemandReport, measurePhases, type ModelExplanation, type PhaseLoad, smoothPhases, sumDemand, sumWaiting, type TargetDirectory, type ZoneOwner,
+	type AdapterAnswer, type AdapterWant, ColdStartRamp, type DemandReport, measurePhases, type ModelExplanation,
+	type PhaseLoad, smoothPhases, sumDemand, sumWaiting, type TargetDirectory, type ZoneOwner,
 } from '@egretrill/engines';
 import type {ZoneLeaseKeeper} from '@egretrill/hosts';
 import {DEMAND_TTL_MS, ZONE_DUTY_INTERVAL_MS} from '../constants.js';
--- a/packages/engines/src/routing/target-record.ts
+++ b/packages/engines/src/routing/target-record.ts
@@ -21,7 +21,11 @@
 export function getLoadChange(handle: number, load: LoadReport): LoadChange {
 	const {limit, prefilling} = load;
 	return [
-		handle, quantiseCount(load.running, limit), quantiseCount(load.waiting, limit), Math.round(load.kvUsedRatio * LOAD_STEPS), ...(prefilling === undefined ? [] : [quantiseCount(prefilling, limit)]),
+		handle,
+		quantiseCount(load.running, limit),
+		quantiseCount(load.waiting, limit),
+		Math.round(load.kvUsedRatio * LOAD_STEPS),
+		...(prefilling === undefined ? [] : [quantiseCount(prefilling, limit)]),
 	];
 }
 
--- a/packages/engines/tests/placement/engine-books.ts
+++ b/packages/engines/tests/placement/engine-books.ts
@@ -17,6 +17,10 @@
 	};
 }
 
+function getKey(order: Exclude<Order, {kind: 'set-role'}>): string {
+	return `${order.model}@${order.version}${'adapter' in order ? `/${order.adapter}` : ''}`;
+}
+
 /** A stand-in engine's own books: memory is taken when a load begins, and listed when it ends. */
 export class EngineBooks {
 	startId = 's1';
@@ -34,7 +38,7 @@
 
 	/** Carries out an order unless this start has already seen it. */
 	take(order: Order, nowMs: number, loadMs: number): void {
-		this.arrivals.push(`${nowMs} ms: ${order.orderId} ${order.kind}${'model' in order ? ` ${order.model}@${order.version}` : ''}${'adapter' in order ? `/${order.adapter}` : ''}${'role' in order ? ` ${order.role}` : ''}`);
+		this.arrivals.push(`${nowMs} ms: ${order.orderId} ${order.kind} ${'model' in order ? getKey(order) : order.role}`);
 		if (this.taken.includes(order.orderId)) {
 			return;
 		}
@@ -46,7 +50,7 @@
 			return;
 		}
 
-		const key = `${order.model}@${order.version}${'adapter' in order ? `/${order.adapter}` : ''}`;
+		const key = getKey(order);
 		this.taken.push(order.orderId);
 		if (order.kind === 'load-adapter' && !this.contents.has(`${order.model}@${order.version}`)) {
 			return;
--- a/packages/engines/tests/placement/zone-owner.test.ts
+++ b/packages/engines/tests/placement/zone-owner.test.ts
@@ -75,6 +75,10 @@
 	}
 }
 
+const orderFaults: readonly Fault[][] = [
+	['lost', 'lost'], ['late'], ['late', 'late', 'late', 'lost', 'lost'], ['answer-lost'], ['refused'], ['lost', 'refused'], ['stale-fencing'], ['lease-ends'],
+];
+
 type AdapterFault = {readonly faults: Fault[]; readonly disturb?: (zone: TestZone, models: readonly Model[]) => void};
 
 /** What goes wrong while an adapter is loaded on demand. */
@@ -234,7 +238,7 @@
 		expect({before, after: zone.getArrivals()}).toMatchSnapshot();
 	});
 
-	for (const faults of [['lost', 'lost'], ['late'], ['late', 'late', 'late', 'lost', 'lost'], ['answer-lost'], ['refused'], ['lost', 'refused'], ['stale-fencing'], ['lease-ends']] satisfies Fault[][]) {
+	for (const faults of orderFaults) {
 		it(`carries an order out at most once and reports the truth after: ${faults.join(', ')}`, async () => {
 			const zone = await openZone();
 			zone.channel.faults = [...faults];
