egretrilld: silent connections between hosts; one refusal for a late order in a cut-off zone

Change: a test silences the open connections of the leader; an order by a customer with a long key lease, sent after the other's has ended, is refused with record-unavailable only. The order of the fresh cut keeps its two refusals and now follows the call that needs the share.

--- a/apps/egretrilld/tests/partition.test.ts
+++ b/apps/egretrilld/tests/partition.test.ts
@@ -12,6 +12,15 @@
 const portKey = {authorization: `Bearer ${getLocalKey('port')}`};
 const operatorKey = {authorization: `Bearer ${OPERATOR_KEY}`};
 
+const millKey = {authorization: `Bearer ${getLocalKey('mill')}`};
+const MAX_KEY_LEASE_MS = 10_000;
+
+/** One customer's keys outlast those of the others in a cut-off zone. */
+function createConfig(): ConfigDocument {
+	const config = createLocalConfig(zones, ['yard', 'port', 'mill']);
+	return {...config, customers: config.customers.map(customer => customer.id === 'mill' ? {...customer, keyLeaseMs: MAX_KEY_LEASE_MS} : customer)};
+}
+
 type Status = {readonly leader: string | undefined; readonly inForce: {readonly version: number} | undefined};
 type Withdrawal = {readonly result: string; readonly waitingFor?: readonly string[]};
 
@@ -27,8 +36,8 @@
 	return {...answer, body: answer.body.replace(/"run":\d+/v, '"run":N')};
 }
 
-async function order(host: DaemonProcess, idempotencyKey: string): Promise<RecordedAnswer> {
-	return send(host, '/orders', {...yardKey, 'idempotency-key': idempotencyKey}, idempotencyKey);
+async function order(host: DaemonProcess, idempotencyKey: string, key = yardKey): Promise<RecordedAnswer> {
+	return send(host, '/orders', {...key, 'idempotency-key': idempotencyKey}, idempotencyKey);
 }
 
 async function chat(host: DaemonProcess, tokens: number): Promise<RecordedAnswer> {
@@ -45,7 +54,7 @@
 
 	before(async () => {
 		fleet = await Fleet.start({
-			fleet: 'local', zones: [...zones, 'zone-c'], config: createLocalConfig(zones), hasLinks: true,
+			fleet: 'local', zones: [...zones, 'zone-c'], config: createConfig(), hasLinks: true,
 		});
 		// All targets are in the zone that is cut off, so that nothing it serves crosses the cut.
 		const place = {zone: 'zone-c', hosts: [...fleet.getTargetAddresses('zone-c')]};
@@ -126,10 +135,15 @@
 		}
 
 		fleet.cutZone('zone-c');
+		// The share that the host holds is small, so the call that must be served takes from it before the order does.
+		const first = await send(host, '/registry/mark', yardKey);
 		const [open, recorded, keyed] = await Promise.all([send(host, '/public/mark'), order(host, 'cut-off'), sendUntilLeaseEnds(host)]);
-		const served = keyed.find(({status}) => status === 200);
+		const served = [first, ...keyed].find(({status}) => status === 200);
 		const refused = keyed.filter(({status}) => status !== 200);
 		expect(refused.every(({body, headers}) => body.includes('zone-cut-off') && headers['x-egretrill-verdict'] === 'not-run')).to.equal(true);
+		// The other customer's lease of 4 s has ended and this one's has not, so only the missing record can refuse the order.
+		const later = await order(host, 'cut-off-later', millKey);
+		expect(ordering.runs).not.to.include('cut-off-later');
 		const whole = await stream;
 		expect(ordering.runs).not.to.include('cut-off');
 		// The share is taken before the record, so a call whose share has run out is refused by the share instead.
@@ -139,6 +153,7 @@
 		expect({
 			open, keyed: served, late: refused.at(-1), 'open later': await send(host, '/public/mark'), isStreamWhole: whole.body.includes('[DONE]'),
 		}).toMatchSnapshot();
+		expect(later).toMatchSnapshot();
 	});
 
 	// Guards against a resumed leader that acts on its old term, and against a change that is lost with its leader.
@@ -184,6 +199,23 @@
 		});
 	});
 
+	// Guards against a connection that is kept although nothing that is sent on it arrives any more.
+	it('replaces connections between hosts that go silent for good', async () => {
+		const voters = fleet.hosts.slice(0, 3);
+		const old = await waitForLeader(voters);
+		for (const {peer} of fleet.hosts.filter(host => host !== old)) {
+			fleet.getLink(old.peer, peer).silence();
+			fleet.getLink(peer, old.peer).silence();
+		}
+
+		const version = await waitFor('an accepted change', async () => await apply(old, `silent-${performance.now()}`) || undefined);
+		await waitFor('the change everywhere', async () => {
+			const versions = await Promise.all(fleet.hosts.map(async host => getVersion(host)));
+			return versions.every(value => value >= version) || undefined;
+		});
+		await waitUntilServing(fleet.hosts);
+	});
+
 	// Guards against a connection that counts as live although only one direction works.
 	it('treats one-way loss as loss', async () => {
 		const voters = fleet.hosts.slice(0, 3);
