targets: a dying process is not taken for a live one

Cause: after a failed attempt the host probes whether the target has ended. A process that is killed may close its connections before its listening socket; the probe then connects, the crash is not reported, and the request goes on to a third engine. A log of such a run shows three attempts and one crash too few.

Change: a connection that is closed within 100 ms counts as no answer and the probe is repeated until the address refuses or 500 ms have passed. An engine that answered with a status is not probed at all.

--- a/apps/egretrilld/src/constants.ts
+++ b/apps/egretrilld/src/constants.ts
@@ -34,6 +34,10 @@
 /** A target that neither accepts nor refuses a connection for this long may still live. */
 export const PROBE_TIMEOUT_MS = 500;
 
+/** A dying process closes its listening socket within this time after its connections; a probe that stays open for longer has reached a live one. */
+export const PROBE_SETTLE_MS = 100;
+export const PROBE_RETRY_MS = 20;
+
 /** Distance assumed between zones of one region, so that near targets are preferred at equal load. */
 export const ZONE_DISTANCE_MS = 1;
 
--- a/apps/egretrilld/src/targets/probe.ts
+++ b/apps/egretrilld/src/targets/probe.ts
@@ -1,17 +1,44 @@
 import {once} from 'node:events';
 import {connect} from 'node:net';
-import {PROBE_TIMEOUT_MS} from '../constants.js';
+import {setTimeout as delay} from 'node:timers/promises';
+import {PROBE_RETRY_MS, PROBE_SETTLE_MS, PROBE_TIMEOUT_MS} from '../constants.js';
 
-/** Whether nothing listens at an address any more; a host that does not answer at all gives no such proof. */
-export async function isConnectionRefused(address: string): Promise<boolean> {
+type ProbeResult = 'refused' | 'closed' | 'open' | 'silent';
+
+function isTimeout(err: unknown): boolean {
+	return err instanceof Error && err.name === 'AbortError';
+}
+
+async function probe(address: string, signal: AbortSignal): Promise<ProbeResult> {
 	const separator = address.lastIndexOf(':');
 	const socket = connect(Number(address.slice(separator + 1)), address.slice(0, separator));
 	try {
-		await once(socket, 'connect', {signal: AbortSignal.timeout(PROBE_TIMEOUT_MS)});
-		return false;
+		await once(socket, 'connect', {signal});
+		socket.resume();
+		await once(socket, 'end', {signal: AbortSignal.any([signal, AbortSignal.timeout(PROBE_SETTLE_MS)])});
+		return 'closed';
 	} catch (err: unknown) {
-		return (err as NodeJS.ErrnoException).code === 'ECONNREFUSED';
+		if (isTimeout(err)) {
+			return socket.connecting ? 'silent' : 'open';
+		}
+
+		return (err as NodeJS.ErrnoException).code === 'ECONNREFUSED' ? 'refused' : 'closed';
 	} finally {
-		socket.destroy();
+		socket.on('error', () => undefined).destroy();
 	}
 }
+
+/**
+ * Whether nothing listens at an address any more; a host that does not answer at all gives no such proof.
+ * A process that dies may close its connections before its listening socket, so a connection that is closed at once is tried again.
+ */
+export async function isConnectionRefused(address: string): Promise<boolean> {
+	const signal = AbortSignal.timeout(PROBE_TIMEOUT_MS);
+	let result = await probe(address, signal);
+	while (result === 'closed' && !signal.aborted) {
+		await delay(PROBE_RETRY_MS);
+		result = await probe(address, signal);
+	}
+
+	return result === 'refused';
+}
--- a/packages/callers/src/run-on-targets.ts
+++ b/packages/callers/src/run-on-targets.ts
@@ -129,7 +129,9 @@
 async function getNextState(exchange: Exchange, chosen: ChosenTarget, state: RunState, failed: FailedResult): Promise<Result<RunState, Verdict>> {
 	const {parts, work, req} = exchange;
 	const {targetId, startId} = chosen.address;
-	const hasTargetEnded = failed.failure.accepted && await chosen.hasEnded();
+	// An engine that has answered with a status lives.
+	const mayHaveEnded = failed.failure.accepted && failed.failure.code !== 'engine-status';
+	const hasTargetEnded = mayHaveEnded && await chosen.hasEnded();
 	if (hasTargetEnded) {
 		// The leader hears of the crash before the request is tried anywhere else.
 		await parts.observer.noteCrash(exchange.fingerprint, startId);
