tests: withdraw the key once the draft has begun

Cause: the test sent a draft and withdrew its key at the same moment. The log of a failed run shows that the draft had no target yet when the withdrawal came into force, so it was rightly refused as "invalid-key" and not run.

Change: the test waits for the first chunk before it withdraws the key, so that the stream surely counts as begun.

Conclusion: the check is stricter than before, since it now always covers a stream that has begun.

--- a/apps/egretrilld/tests/promises.test.ts
+++ b/apps/egretrilld/tests/promises.test.ts
@@ -1,5 +1,5 @@
 import {
-	createLocalConfig, type DaemonProcess, exchange, Fleet, getBreaches, getConfig, getLocalKey, getWithdrawal, type RecordedAnswer, setZoneState, TargetProcess, waitFor, withdrawKey,
+	createLocalConfig, type DaemonProcess, exchange, Fleet, getBreaches, getConfig, getLocalKey, getWithdrawal, LiveCall, type RecordedAnswer, setZoneState, TargetProcess, waitFor, withdrawKey,
 } from '@egretrill/testkit';
 import {expect} from 'chai';
 
@@ -14,8 +14,8 @@
 	return exchange(`http://${host.addresses.callers}/orders`, {headers: getHeaders('yard', idempotencyKey), body});
 }
 
-async function draft(host: DaemonProcess, customer: string, fields: Record<string, unknown> = {}): Promise<RecordedAnswer> {
-	return exchange(`http://${host.addresses.callers}/v1/chat/completions`, {
+function startDraft(host: DaemonProcess, customer: string, fields: Record<string, unknown> = {}): LiveCall {
+	return new LiveCall(`http://${host.addresses.callers}/v1/chat/completions`, {
 		headers: getHeaders(customer),
 		body: JSON.stringify({
 			model: 'inscription', max_tokens: 2, messages: [{role: 'user', content: 'Draft.'}], ...fields,
@@ -23,12 +23,16 @@
 	});
 }
 
+async function draft(host: DaemonProcess, customer: string, fields: Record<string, unknown> = {}): Promise<RecordedAnswer> {
+	return startDraft(host, customer, fields).ended;
+}
+
 function getOutcome({status, headers, body}: RecordedAnswer): Record<string, unknown> {
 	const code = /"code":"(?<code>[^"]+)"/v.exec(body)?.groups?.code;
 	return {status, verdict: headers['x-egretrill-verdict'], ...(code !== undefined && {code})};
 }
 
-function isWhole({body}: RecordedAnswer): boolean {
+function isWhole({body}: Pick<RecordedAnswer, 'body'>): boolean {
 	return body.includes('[DONE]');
 }
 
@@ -100,7 +104,9 @@
 
 	it('stops honouring a withdrawn key at every host within 2 s, and says so only when it is true', async () => {
 		const operator = fleet.getHost(0);
-		const begun = draft(fleet.getHost(1), 'port', {stream: true, max_tokens: 150});
+		const begun = startDraft(fleet.getHost(1), 'port', {stream: true, max_tokens: 150});
+		// A draft that has no target yet when its key is withdrawn is rightly refused.
+		await begun.waitFor('data: ');
 		const withdrawnMs = performance.now();
 		await withdrawKey(operator, 'port-1');
 		await waitFor('the withdrawal in force', async () => {
@@ -112,7 +118,7 @@
 		const others = await Promise.all(fleet.hosts.map(async host => draft(host, 'yard')));
 		expect(tookMs).to.be.below(2000);
 		expect({
-			later: later.map(answer => getOutcome(answer)), others: others.map(({status}) => status), begunIsWhole: isWhole(await begun),
+			later: later.map(answer => getOutcome(answer)), others: others.map(({status}) => status), begunIsWhole: isWhole(await begun.ended),
 		}).toMatchSnapshot();
 	});
 
