hosts: keep the earlier certificate while only one of its files is new

Cause: the certificate and its key are two files, and a host that reads them between the two replacements gets a pair that does not match. Until the next read, up to 1 s later, every handshake with it failed.

Change: the provider passes on a new certificate only with a key that matches it. The interval of the reads had been defined twice and is now one constant.

Before: with a new key alone, a connection to the host ends in ECONNRESET (new test).

Conclusion: operators may replace the files one after the other while hosts connect.

--- a/apps/egretrilld/src/constants.ts
+++ b/apps/egretrilld/src/constants.ts
@@ -43,5 +43,6 @@
 
 /** Distance assumed between regions. */
 export const REGION_DISTANCE_MS = 30;
+
 /** How often the certificate files are read again, so that a rotation needs no restart. */
 export const CERTIFICATE_REFRESH_MS = 1000;
--- a/apps/egretrilld/src/hosts/peer-credentials.ts
+++ b/apps/egretrilld/src/hosts/peer-credentials.ts
@@ -1,12 +1,13 @@
-import {X509Certificate} from 'node:crypto';
+import {createPrivateKey, X509Certificate} from 'node:crypto';
 import {readFile} from 'node:fs/promises';
 import {isIP} from 'node:net';
 import type {Settings} from '@egretrill/common';
 import {getHostUri, hasUri, type PeerCredentials} from '@egretrill/hosts';
 import {credentials as channelCredentials, experimental, ServerCredentials} from '@grpc/grpc-js';
+import {CERTIFICATE_REFRESH_MS} from '../constants.js';
 
-/** How often the certificate files are read again, so that a rotation needs no restart. */
-const CERTIFICATE_REFRESH_MS = 1000;
+type IdentityListener = Parameters<experimental.FileWatcherCertificateProvider['addIdentityCertificateListener']>[0];
+type IdentityUpdate = NonNullable<Parameters<IdentityListener>[0]>;
 
 /** Settings under which hosts would talk unprotected over a network. */
 export class PlaintextError extends Error {
@@ -27,6 +28,35 @@
 	return {server: ServerCredentials.createInsecure(), client: channelCredentials.createInsecure()};
 }
 
+function isPair({certificate, privateKey}: IdentityUpdate): boolean {
+	try {
+		return new X509Certificate(certificate).checkPrivateKey(createPrivateKey(privateKey));
+	} catch {
+		return false;
+	}
+}
+
+/** Keeps the earlier certificate while only one of its two files has been replaced; otherwise no host could connect until the other one is. */
+class PairedCertificateProvider extends experimental.FileWatcherCertificateProvider {
+	private readonly checked = new Map<IdentityListener, IdentityListener>();
+
+	override addIdentityCertificateListener(listener: IdentityListener): void {
+		const onUpdate: IdentityListener = update => {
+			if (update && isPair(update)) {
+				listener(update);
+			}
+		};
+
+		this.checked.set(listener, onUpdate);
+		super.addIdentityCertificateListener(onUpdate);
+	}
+
+	override removeIdentityCertificateListener(listener: IdentityListener): void {
+		super.removeIdentityCertificateListener(this.checked.get(listener) ?? listener);
+		this.checked.delete(listener);
+	}
+}
+
 /** Fails at the start on certificate files that are missing, unreadable or made out for another host. */
 async function checkOwnCertificate({fleet, host}: Settings, tls: NonNullable<Settings['tls']>): Promise<void> {
 	const [cert] = await Promise.all([readFile(tls.cert), readFile(tls.ca), readFile(tls.key)]);
@@ -44,7 +74,7 @@
 	}
 
 	await checkOwnCertificate(settings, tls);
-	const files = new experimental.FileWatcherCertificateProvider({
+	const files = new PairedCertificateProvider({
 		caCertificateFile: tls.ca, certificateFile: tls.cert, privateKeyFile: tls.key, refreshIntervalMs: CERTIFICATE_REFRESH_MS,
 	});
 	return {
--- a/apps/egretrilld/tests/tls.test.ts
+++ b/apps/egretrilld/tests/tls.test.ts
@@ -1,7 +1,10 @@
 import {webcrypto} from 'node:crypto';
 import {once} from 'node:events';
-import {mkdir, rename, writeFile} from 'node:fs/promises';
+import {
+	mkdir, readFile, rename, writeFile,
+} from 'node:fs/promises';
 import path from 'node:path';
+import {setTimeout as delay} from 'node:timers/promises';
 import {connect} from 'node:tls';
 import type {Settings} from '@egretrill/common';
 import {StandInService} from '@egretrill/stand-ins';
@@ -17,6 +20,10 @@
 const CALLS_AFTER_RENEWAL = 20;
 const validity = {notBefore: new Date(Date.now() - 3_600_000), notAfter: new Date(Date.now() + 86_400_000)};
 
+async function exportKey(keys: webcrypto.CryptoKeyPair): Promise<string> {
+	return x509.PemConverter.encode(await webcrypto.subtle.exportKey('pkcs8', keys.privateKey), 'PRIVATE KEY');
+}
+
 /** A certificate authority of one test. */
 class Authority {
 	static async create(): Promise<Authority> {
@@ -42,8 +49,7 @@
 			extensions: [new x509.SubjectAlternativeNameExtension([{type: 'url', value: uri}])],
 			...validity,
 		});
-		const key = x509.PemConverter.encode(await webcrypto.subtle.exportKey('pkcs8', keys.privateKey), 'PRIVATE KEY');
-		for (const [file, text] of [[tls.ca, this.cert.toString('pem')], [tls.key, key], [tls.cert, cert.toString('pem')]] as const) {
+		for (const [file, text] of [[tls.ca, this.cert.toString('pem')], [tls.key, await exportKey(keys)], [tls.cert, cert.toString('pem')]] as const) {
 			await mkdir(path.dirname(file), {recursive: true});
 			await writeFile(`${file}.new`, text);
 			await rename(`${file}.new`, file);
@@ -201,6 +207,19 @@
 		await Promise.all(targets.map(async target => target.stop()));
 	});
 
+	// Guards against hosts that nobody can reach between the replacement of the key and of the certificate.
+	it('shows the earlier certificate while only the key is new', async () => {
+		const [host] = fleet.hosts;
+		const {key} = getFiles(fleet.dir, host!.peer.id);
+		const earlier = await readFile(key);
+		const shown = await getSerialNumber(host!);
+		await writeFile(key, await exportKey(await webcrypto.subtle.generateKey(algorithm, true, ['sign', 'verify'])));
+		// The files are read again once a second.
+		await delay(2500);
+		expect(await getSerialNumber(host!)).to.equal(shown);
+		await writeFile(key, earlier);
+	});
+
 	// Guards against a rotation that needs a restart of every host.
 	it('takes new files without a restart', async () => {
 		const [host] = fleet.hosts;
