hosts: voters no longer follow each other after an election

Cause: a host goes to its next parent after each failed poll, by the count of failures. During an election an odd count remained, so that a voter went past the leader, then first in the list, to the other follower, which did the same. The two confirmed each other's old knowledge until it was 1,500 ms old; with the next poll, held for 500 ms, its age passed 2,500 ms and the host refused records ("record-unavailable") although it could reach the leader. A trace of the polls of three hosts shows it: both ages grow in step, 547, 1,050 and 1,554 ms.

Change: a host begins with the preferred parent again when that changes; an answer names the hosts that its knowledge came through, and a host refuses an answer that came through itself; a new parent answers its first poll at once. The reason of an unconfirmed record is logged.

Ruled out: the key lease, lost sessions between hosts, and a leader without a lease (no such line in 7 traces).

After: below 1,500 ms in the test (packages/hosts/tests/follow-tree.test.ts).

--- a/apps/egretrilld/src/callers/fleet-call-log.ts
+++ b/apps/egretrilld/src/callers/fleet-call-log.ts
@@ -1,4 +1,4 @@
-import type {CallIdentity, CallOutcome} from '@egretrill/common';
+import type {CallIdentity, CallOutcome, Logger} from '@egretrill/common';
 import type {FleetCommand, FleetLog} from '@egretrill/hosts';
 import {CallLog, type LedgerAnswer} from '@egretrill/services';
 
@@ -10,7 +10,7 @@
 
 /** Writes the records of non-idempotent calls to the fleet's replicated log. */
 export class FleetCallLog extends CallLog {
-	constructor(private readonly log: FleetLog) {
+	constructor(private readonly log: FleetLog, private readonly logger: Logger) {
 		super();
 	}
 
@@ -33,6 +33,7 @@
 	private async propose(command: FleetCommand): Promise<LedgerAnswer> {
 		const outcome = await this.log.propose(command);
 		if (outcome.kind !== 'committed') {
+			this.logger.warn({command: command.kind, outcome: outcome.kind, reason: outcome.reason}, 'A record of a call was not confirmed.');
 			return {kind: outcome.kind};
 		}
 
--- a/apps/egretrilld/src/container.ts
+++ b/apps/egretrilld/src/container.ts
@@ -223,7 +223,7 @@
 		targets: ctx.get(tokens.pool),
 		engines: ctx.get(tokens.engines),
 		services: new ServiceClient(),
-		ledger: new ReplicatedLedger(new FleetCallLog(ctx.get(tokens.log)), MAX_OUTCOME_BODY_BYTES),
+		ledger: new ReplicatedLedger(new FleetCallLog(ctx.get(tokens.log), getLogger(ctx, 'services')), MAX_OUTCOME_BODY_BYTES),
 		observer: new DaemonObserver({
 			clock: ctx.get(tokens.clock),
 			metrics: ctx.get(tokens.metrics),
--- a/apps/egretrilld/src/handlers.ts
+++ b/apps/egretrilld/src/handlers.ts
@@ -108,6 +108,7 @@
 	const voter = container.get(tokens.voter);
 	return [
 		bindFollow({
+			hostId: container.get(tokens.settings).host,
 			fleet: container.get(tokens.settings).fleet,
 			clock: container.get(tokens.clock),
 			logger: getComponentLogger(container.get(tokens.logger), 'hosts'),
--- a/packages/hosts/src/fleet/fleet-origin.ts
+++ b/packages/hosts/src/fleet/fleet-origin.ts
@@ -49,6 +49,10 @@
 		return node.isLeaderWithLease() ? node.leaseAgeMs() : follower.getAgeMs();
 	}
 
+	override getVia(): readonly string[] {
+		return this.opts.node.isLeaderWithLease() ? [] : this.opts.follower.getVia();
+	}
+
 	override getLeaderId(): string | undefined {
 		return this.opts.node.status().leaderId ?? this.opts.follower.getLeaderId();
 	}
--- a/packages/hosts/src/follow/config-follower.ts
+++ b/packages/hosts/src/follow/config-follower.ts
@@ -31,7 +31,9 @@
 	private blocked: readonly BlockedFingerprint[] = [];
 	private confirmedMs = Number.NEGATIVE_INFINITY;
 	private leaderId: string | undefined;
+	private via: readonly string[] = [];
 	private lastParent: string | undefined;
+	private preferredParent: string | undefined;
 	private failures = 0;
 
 	constructor(private readonly opts: ConfigFollowerOptions) {
@@ -57,6 +59,10 @@
 		return this.opts.clock.now() - this.confirmedMs;
 	}
 
+	override getVia(): readonly string[] {
+		return this.via;
+	}
+
 	override getLeaderId(): string | undefined {
 		return this.leaderId;
 	}
@@ -69,8 +75,7 @@
 	async run(signal: AbortSignal): Promise<void> {
 		const {clock, random} = this.opts;
 		while (!signal.aborted) {
-			const parents = this.opts.getParents();
-			const parent = parents[this.failures % Math.max(1, parents.length)];
+			const parent = this.chooseParent();
 			if (!parent || !await this.poll(parent)) {
 				this.failures += 1;
 				this.lastParent = undefined;
@@ -79,9 +84,22 @@
 		}
 	}
 
+	private chooseParent(): PeerClient | undefined {
+		const parents = this.opts.getParents();
+		const preferred = parents[0]?.address;
+		if (preferred !== this.preferredParent) {
+			// Failures of earlier parents must not send this host past a leader that has just become known.
+			this.preferredParent = preferred;
+			this.failures = 0;
+		}
+
+		return parents[this.failures % Math.max(1, parents.length)];
+	}
+
 	private async poll(parent: PeerClient): Promise<boolean> {
 		const {clock, hostId, fleet, reports, logger} = this.opts;
-		if (parent.address !== this.lastParent) {
+		const isNew = parent.address !== this.lastParent;
+		if (isNew) {
 			// A new parent, or one that restarted, has not heard the reports of this subtree.
 			this.lastParent = parent.address;
 			reports.restore();
@@ -90,7 +108,8 @@
 		// The lease counts from before the poll was sent, so that time on the way never lengthens it.
 		const sentMs = clock.now();
 		const answer = await parent.call(followMethod, {
-			hostId, fleet, haveVersion: this.config.version, waitMs: FOLLOW_WAIT_MS, inForce: reports.takeUnsent(),
+			// A new parent answers at once, since this host's knowledge has aged since its last answer.
+			hostId, fleet, haveVersion: this.config.version, waitMs: isNew ? 0 : FOLLOW_WAIT_MS, inForce: reports.takeUnsent(),
 		}, FOLLOW_WAIT_MS + FOLLOW_ANSWER_MS);
 		if (answer.isErr) {
 			logger.debug({parent: parent.address, err: answer.error}, 'A follow poll failed.');
@@ -111,12 +130,14 @@
 			return false;
 		}
 
-		// A parent that has itself lost touch is left for another one; two hosts that follow each other are told apart from the leader this way.
-		if (answer.ageMs > FOLLOW_STALE_MS) {
+		// Hosts that follow each other learn nothing new, and a parent that has itself lost touch is left for another one.
+		const isOwnKnowledge = (answer.via ?? []).includes(this.opts.hostId);
+		if (isOwnKnowledge || answer.ageMs > FOLLOW_STALE_MS) {
 			return false;
 		}
 
 		this.leaderId = answer.leaderId;
+		this.via = answer.via ?? [];
 		const blocked = answer.blocked ?? [];
 		if (blocked.length !== this.blocked.length) {
 			this.changed.notify();
--- a/packages/hosts/src/follow/config-origin.ts
+++ b/packages/hosts/src/follow/config-origin.ts
@@ -19,6 +19,8 @@
 	abstract getUpdateSince(version: number): ConfigUpdate;
 	/** Milliseconds since the leader surely confirmed the configuration as the latest; infinite while unknown. */
 	abstract getAgeMs(): number;
+	/** The hosts above this one that its knowledge came through; empty at the leader. */
+	abstract getVia(): readonly string[];
 	abstract getLeaderId(): string | undefined;
 	/** Requests that crashed several targets, as the leader counts them. */
 	abstract getBlocked(): readonly BlockedFingerprint[];
--- a/packages/hosts/src/follow/follow-method.ts
+++ b/packages/hosts/src/follow/follow-method.ts
@@ -8,6 +8,7 @@
 export const followMethod = defineMethod('Follow', 'follow', FollowRequest, FollowResponse);
 
 export type FollowServerOptions = {
+	readonly hostId: string;
 	readonly fleet: string;
 	readonly clock: Clock;
 	readonly logger: Logger;
@@ -15,7 +16,7 @@
 	readonly reports: InForceReports;
 };
 
-function createResponse(origin: ConfigOrigin, haveVersion: number, heldMs: number): FollowResponse {
+function createResponse({origin, hostId}: FollowServerOptions, haveVersion: number, heldMs: number): FollowResponse {
 	const config = origin.getConfig();
 	const leaderId = origin.getLeaderId();
 	const ageMs = origin.getAgeMs();
@@ -24,6 +25,7 @@
 		version: config?.version ?? 0,
 		ageMs: Number.isFinite(ageMs) ? ageMs : Number.MAX_SAFE_INTEGER,
 		heldMs,
+		via: [hostId, ...origin.getVia()],
 		...(leaderId !== undefined && {leaderId}),
 		...(config && config.version > haveVersion && {update: origin.getUpdateSince(haveVersion)}),
 		...(blocked.length > 0 && {blocked: [...blocked]}),
@@ -31,7 +33,10 @@
 }
 
 /** Serves the polls of the hosts below this one; a poll waits for a change so that changes travel at once. */
-export function bindFollow({fleet, clock, logger, origin, reports}: FollowServerOptions): MethodHandler {
+export function bindFollow(opts: FollowServerOptions): MethodHandler {
+	const {
+		fleet, clock, logger, origin, reports,
+	} = opts;
 	return bindMethod(followMethod, async req => {
 		if (req.fleet !== fleet) {
 			logger.warn({hostId: req.hostId, fleet: req.fleet}, 'Refused a host of another fleet.');
@@ -44,6 +49,6 @@
 			await origin.changed.wait(clock, req.waitMs);
 		}
 
-		return createResponse(origin, req.haveVersion, clock.now() - receivedMs);
+		return createResponse(opts, req.haveVersion, clock.now() - receivedMs);
 	});
 }
--- a/packages/hosts/src/follow/types.ts
+++ b/packages/hosts/src/follow/types.ts
@@ -23,6 +23,8 @@
 	/** How long the parent held the poll before it made this answer; the caller's knowledge is younger by this time. */
 	heldMs: z.number().nonnegative(),
 	leaderId: z.string().optional(),
+	/** The hosts that this knowledge came through, from the answering one up; the leader's own list names it alone. */
+	via: z.array(z.string()).optional(),
 	update: ConfigUpdate.optional(),
 	blocked: z.array(BlockedFingerprint).optional(),
 });
--- /dev/null
+++ b/packages/hosts/tests/follow-tree.test.ts
@@ -0,0 +1,141 @@
+import {
+	createLogger, createRandom, ManualClock, Signal,
+} from '@egretrill/common';
+import {credentials} from '@grpc/grpc-js';
+import {expect} from 'chai';
+import {Result} from 'true-myth';
+import {
+	bindFollow, ConfigFollower, ConfigOrigin, InForceReports, type Method, type MethodHandler, type PeerCallError, PeerClient,
+} from '../src/index.js';
+import type {ConfigUpdate} from '../src/types.js';
+import {createDocument} from './support/documents.js';
+
+/** A record is refused when knowledge is older; a change of leader alone may not bring a follower there. */
+const MAX_AGE_MS = 1500;
+const STEP_MS = 50;
+
+/** A leader whose knowledge is always the latest. */
+class Leader extends ConfigOrigin {
+	override readonly changed = new Signal();
+
+	override getConfig() {
+		return {
+			version: 1, digest: 'digest', author: 'author', document: createDocument(1),
+		};
+	}
+
+	override getUpdateSince(): ConfigUpdate {
+		return {kind: 'snapshot', config: this.getConfig()};
+	}
+
+	override getAgeMs(): number {
+		return 0;
+	}
+
+	override getVia(): readonly string[] {
+		return [];
+	}
+
+	override getLeaderId(): string {
+		return 'leader';
+	}
+
+	override getBlocked(): readonly never[] {
+		return [];
+	}
+}
+
+/** A way to another host of the same process that can be cut. */
+class LocalPeer extends PeerClient {
+	isCut = false;
+
+	constructor(address: string, clock: ManualClock, private readonly getHandler: () => MethodHandler) {
+		super(address, credentials.createInsecure(), clock);
+	}
+
+	override async call<Req, Res>(method: Method<Req, Res>, req: Req): Promise<Result<Res, PeerCallError>> {
+		return this.isCut
+			? Result.err({code: 'unreachable', message: 'The way is cut.'})
+			: Result.ok(method.res.decode(await this.getHandler().invoke(method.req.encode(req))));
+	}
+}
+
+/** Lets promises settle that wait for no timer. */
+async function settle(): Promise<void> {
+	for (let i = 0; i < 20; i++) {
+		await new Promise(setImmediate);
+	}
+}
+
+describe('a tree of followers', () => {
+	const clock = new ManualClock();
+	const logger = createLogger('test', 'fatal');
+	const reports = new InForceReports();
+
+	function bind(hostId: string, origin: ConfigOrigin): MethodHandler {
+		return bindFollow({
+			hostId, fleet: 'test', clock, logger, origin, reports,
+		});
+	}
+
+	function createFollower(hostId: string, getParents: (leaderId: string | undefined) => readonly PeerClient[]): ConfigFollower {
+		const follower: ConfigFollower = new ConfigFollower({
+			hostId, fleet: 'test', clock, random: createRandom(1), logger, reports: new InForceReports(), getParents: () => getParents(follower.getLeaderId()),
+		});
+		return follower;
+	}
+
+	// Guards against two voters that take each other for their parent once a leader is known, and refuse records until they notice.
+	it('follows the leader as soon as it is known, and never ages meanwhile', async () => {
+		const toLeader = new LocalPeer('leader', clock, () => bind('leader', new Leader()));
+		const names = ['a', 'b'] as const;
+		const followers: ReadonlyMap<string, ConfigFollower> = new Map(names.map((name, i) => {
+			const other = names[1 - i]!;
+			const toOther = new LocalPeer(other, clock, () => bind(other, followers.get(other)!));
+			return [name, createFollower(name, leaderId => leaderId === undefined ? [toOther, toLeader] : [toLeader, toOther])];
+		}));
+		const stop = new AbortController();
+		const running = [...followers.values()].map(async follower => follower.run(stop.signal));
+		let oldestMs = 0;
+		for (let atMs = 0; atMs < 6000; atMs += STEP_MS) {
+			await settle();
+			if (atMs > 1000) {
+				oldestMs = Math.max(oldestMs, ...[...followers.values()].map(follower => follower.getAgeMs()));
+			}
+
+			clock.advance(STEP_MS);
+		}
+
+		stop.abort();
+		clock.advance(1000);
+		await Promise.all(running);
+		expect([...followers.values()].map(follower => follower.getVia())).toMatchSnapshot();
+		expect(oldestMs).to.be.below(MAX_AGE_MS);
+	});
+
+	// Guards against hosts that follow each other in a ring while the leader answers them.
+	it('leaves a parent whose knowledge came through the follower itself', async () => {
+		const toLeader = new LocalPeer('leader', clock, () => bind('leader', new Leader()));
+		toLeader.isCut = true;
+		const ring = new Leader();
+		ring.getVia = () => ['follower', 'leader'];
+		const follower = createFollower('follower', () => [toLeader, new LocalPeer('ring', clock, () => bind('ring', ring))]);
+		const stop = new AbortController();
+		const running = follower.run(stop.signal);
+		const seen = [];
+		for (const isCut of [true, false]) {
+			toLeader.isCut = isCut;
+			for (let atMs = 0; atMs < 1000; atMs += STEP_MS) {
+				await settle();
+				clock.advance(STEP_MS);
+			}
+
+			seen.push({isCut, via: follower.getVia(), isCurrent: follower.getAgeMs() < MAX_AGE_MS});
+		}
+
+		stop.abort();
+		clock.advance(1000);
+		await running;
+		expect(seen).toMatchSnapshot();
+	});
+});
