targets: free slots count a request of the last announcement period once

Cause: a report may be sampled up to 500 ms before it is sent, so a host counted its own requests of that period both as reported and as not yet reported. For the choice of a target this caution is wanted; the fair queue, however, found no free slot and let requests wait for the next report.

Change: the free slots take the report to count as many of the host's own requests as it can.

Before: with 10 own and 2 other requests at an engine with 16 slots, 22 are counted and no slot is free. After: 4 or 6 slots are free, by when the report was sampled (true: 4); new test in target-directory.test.ts.

--- a/apps/egretrilld/src/targets/directory-pool.ts
+++ b/apps/egretrilld/src/targets/directory-pool.ts
@@ -137,8 +137,7 @@
 
 	override getFreeSlots(model: string): number {
 		const {directory, hostZone} = this.opts;
-		const {candidates} = directory.getCandidates({model, hostZone, zoneStates: this.opts.getZoneConditions()});
-		return candidates.reduce((sum, {load, outstanding}) => sum + Math.max(0, load.limit - outstanding), 0);
+		return directory.getFreeSlots({model, hostZone, zoneStates: this.opts.getZoneConditions()});
 	}
 
 	/** Requests that have left their queue and wait for a target, by model. */
--- a/packages/engines/src/routing/target-directory.ts
+++ b/packages/engines/src/routing/target-directory.ts
@@ -253,6 +253,11 @@
 		return {candidates, setAside};
 	}
 
+	/** Requests that the candidates can take beyond those that surely run; what is too many waits at the target for a moment. */
+	getFreeSlots(query: CandidateQuery): number {
+		return this.getCandidates(query).candidates.reduce((sum, {targetId, load}) => sum + Math.max(0, load.limit - (this.records.get(targetId)?.getLeastOutstanding() ?? 0)), 0);
+	}
+
 	private getRecord(targetId: string, startId: string): TargetRecord | undefined {
 		const record = this.records.get(targetId);
 		return record?.entry.startId === startId ? record : undefined;
--- a/packages/engines/src/routing/target-record.ts
+++ b/packages/engines/src/routing/target-record.ts
@@ -120,6 +120,16 @@
 		return Math.max(this.work.activeCount, running + waiting + (this.work.getDelta(this.sampledAtMs - REPORT_LAG_MS) * fleetFactor));
 	}
 
+	/**
+	 * Load now if the report counts as many of this host's requests as it can, since it is sampled up to one announcement
+	 * period before it is sent. Counting them as not reported would count those of that period twice.
+	 */
+	getLeastOutstanding(): number {
+		const {running, waiting} = this.entry.load;
+		const own = Math.max(this.work.getCounted(this.sampledAtMs - REPORT_LAG_MS), this.work.getCounted(this.sampledAtMs));
+		return this.work.activeCount + Math.max(0, running + waiting - own);
+	}
+
 	/** This host's part of the reported load. */
 	getReportedOwn(): number {
 		return this.work.getCounted(this.sampledAtMs - REPORT_LAG_MS);
--- a/packages/engines/tests/routing/target-directory.test.ts
+++ b/packages/engines/tests/routing/target-directory.test.ts
@@ -54,6 +54,26 @@
 		expect(directory.getCandidates(query)).to.deep.equal({candidates: [], setAside: {leaving: 1, takenOut: 0, cutOff: 0}});
 	});
 
+	// Guards against requests that wait for a report although the target has free slots, because those of one announcement period count twice.
+	it('counts requests once for the free slots, whether the report was sampled early or late', () => {
+		const clock = new ManualClock();
+		const directory = createDirectory(clock);
+		announceWarm(directory, announce('t1'));
+		const sampled = new Map<string, number>();
+		for (let running = 1; running <= 10; running++) {
+			directory.beginRequest('t1', 't1-s1');
+			clock.advance(50);
+			sampled.set(running === 5 ? 'early' : 'late', running);
+		}
+
+		const others = 2;
+		const seen = [...sampled].map(([sample, own]) => {
+			directory.recordAnnouncement(announce('t1', {load: {running: own + others}}));
+			return {sample, freeSlots: directory.getFreeSlots(query), outstanding: getOutstanding(directory)};
+		});
+		expect(seen).toMatchSnapshot();
+	});
+
 	// Guards against new work at a target in another zone that left after the last summary, which arrives late.
 	it('gives a target of another zone no new work on word from which its leave could be missing', () => {
 		const clock = new ManualClock();
