--- a/packages/callers/src/run-on-targets.ts
+++ b/packages/callers/src/run-on-targets.ts
@@ -16,6 +16,8 @@
 /** How an admitted request ended. */
 export type RunResult = {readonly kind: 'completed'; readonly tokens?: number} | {readonly kind: 'cancelled'};
 
+const targetLeft: FailedResult = {kind: 'failed', deliveredChunks: 0, failure: {accepted: false, code: 'target-left', reason: 'The chosen target takes no more work.'}};
+
 function getRemainingMs({deadlineMs, parts}: Exchange): number {
 	return deadlineMs - parts.clock.now();
 }
@@ -84,7 +86,8 @@
 		}
 
 		case 'failed': {
-			return result.failure.accepted ? 'failed' : 'unreachable';
+			// Nothing was tried at a target that takes no work, so it must not be suspected.
+			return result.failure.accepted ? 'failed' : (result.failure === targetLeft.failure ? 'cancelled' : 'unreachable');
 		}
 	}
 }
@@ -99,8 +102,6 @@
 	readonly resumeAt?: string;
 };
 
-const targetLeft: FailedResult = {kind: 'failed', deliveredChunks: 0, failure: {accepted: false, code: 'target-left', reason: 'The chosen target takes no more work.'}};
-
 /** Makes one attempt at a chosen target. */
 async function attemptAt(exchange: Exchange, chosen: ChosenTarget, state: RunState): Promise<AttemptResult> {
 	if (!chosen.isAvailable() && state.resumeAt === undefined) {
@@ -154,9 +155,11 @@
 	}
 
 	const isResume = decision.next === 'resume-same';
+	// A target that takes no work without a permit may be chosen again with one; the pool itself passes over one that leaves.
+	const isExcluded = !isResume && failed.failure !== targetLeft.failure;
 	return Result.ok({
 		attempt: state.attempt + 1,
-		excluded: isResume ? state.excluded : new Set([...state.excluded, targetId]),
+		excluded: isExcluded ? new Set([...state.excluded, targetId]) : state.excluded,
 		deliveredChunks: failed.deliveredChunks,
 		hasReachedTarget: state.hasReachedTarget || failed.failure.accepted,
 		...(isResume && {resumeAt: startId}),
--- /dev/null
+++ b/packages/callers/tests/run-on-targets.test.ts
@@ -0,0 +1,94 @@
+import {ManualClock, type TargetAddress} from '@egretrill/common';
+import {expect} from 'chai';
+import {Result} from 'true-myth';
+import type {Exchange} from '../src/exchange-types.js';
+import {
+	ChosenTarget, type RequestObserver, RetryBudget, runOnTargets, TargetPool, type TargetOutcome, type TargetWant,
+} from '../src/index.js';
+
+/** A target that takes no work the first time it is chosen, as one that turned cold after the choice. */
+class TurnedColdTarget extends ChosenTarget {
+	override readonly address: TargetAddress = {targetId: 'engine-a', startId: 'start-1', address: '127.0.0.1:1'};
+	readonly outcomes: TargetOutcome[] = [];
+
+	constructor(override readonly hasPermit: boolean) {
+		super();
+	}
+
+	override isAvailable(): boolean {
+		return this.hasPermit;
+	}
+
+	override isSameStart(): boolean {
+		return true;
+	}
+
+	override async hasEnded(): Promise<boolean> {
+		return false;
+	}
+
+	override noteFirstToken(): void {
+		// The test looks at the choices only.
+	}
+
+	override release(outcome: TargetOutcome): void {
+		this.outcomes.push(outcome);
+	}
+}
+
+class OneTargetPool extends TargetPool {
+	readonly wants: string[][] = [];
+	readonly chosen: TurnedColdTarget[] = [];
+
+	override getFreeSlots(): number {
+		return 1;
+	}
+
+	override async choose({excluded}: TargetWant) {
+		this.wants.push([...excluded]);
+		const target = new TurnedColdTarget(this.chosen.length > 0);
+		this.chosen.push(target);
+		return Result.ok<ChosenTarget>(target);
+	}
+}
+
+function createExchange(targets: TargetPool, sent: string[]): Exchange {
+	const observer: Partial<RequestObserver> = {
+		noteSend({targetId}) {
+			sent.push(targetId);
+		},
+		noteUnsent() {
+			sent.push('unsent');
+		},
+	};
+	const clock = new ManualClock();
+	return {
+		req: {
+			requestId: 'req-1', method: 'POST', path: '/registry/mark', headers: {}, body: new Uint8Array(),
+		},
+		work: {route: {kind: 'service', service: 'registry', idempotent: true}, prompt: ''},
+		identity: {},
+		admission: {refresh: async () => Result.ok(true), start: () => true},
+		signal: new AbortController().signal,
+		deadlineMs: 5000,
+		parts: {
+			clock,
+			targets,
+			observer,
+			retries: new RetryBudget(clock),
+			config: {getIndex: () => ({}), getAgeMs: () => 0},
+			logger: {info: () => undefined},
+			services: {send: async () => Result.err({accepted: true, code: 'ECONNRESET', reason: 'The test ends here.'})},
+		},
+	} as unknown as Exchange;
+}
+
+describe('attempts of one request', () => {
+	// Guards against a refusal when the only target turns cold between its choice and the write.
+	it('choose a target again that took no work without a permit', async () => {
+		const pool = new OneTargetPool();
+		const sent: string[] = [];
+		await runOnTargets(createExchange(pool, sent));
+		expect({excluded: pool.wants, outcomes: pool.chosen.map(({outcomes}) => outcomes), sent}).toMatchSnapshot();
+	});
+});
