--- a/packages/callers/src/express-reply.ts
+++ b/packages/callers/src/express-reply.ts
@@ -7,7 +7,7 @@
 export class ExpressReply extends CallerReply {
 	private isStream = false;
 
-	constructor(private readonly res: Response, private readonly gone: AbortSignal) {
+	constructor(private readonly res: Response, private readonly gone: AbortSignal, private readonly stallMs = CALLER_STALL_MS) {
 		super();
 	}
 
@@ -44,6 +44,12 @@
 	}
 
 	private async waitForDrain(): Promise<void> {
-		await once(this.res, 'drain', {signal: AbortSignal.any([this.gone, AbortSignal.timeout(CALLER_STALL_MS)])});
+		try {
+			await once(this.res, 'drain', {signal: AbortSignal.any([this.gone, AbortSignal.timeout(this.stallMs)])});
+		} catch (err: unknown) {
+			// A caller that takes nothing would otherwise keep its connection and what is buffered for it.
+			this.abort();
+			throw err;
+		}
 	}
 }
