common: one simulated clock instead of three

Cause: ManualClock, the SimClock of the consensus tests and the SimulatedClock of dev/bench each kept sleepers, aborts and the order of waking in their own way.

Change: ManualClock also runs tasks one after the other (run, runTo, runUntil); the other two are gone. advance still wakes all that are due after one step, in order of sleeping, as the seeded tests of the callers need. The heap of SimulatedClock is replaced by the scan that the other two used.

--- a/dev/bench/src/fairness.ts
+++ b/dev/bench/src/fairness.ts
@@ -1,7 +1,6 @@
-import {createRandom, type Rate} from '@egretrill/common';
+import {createRandom, ManualClock, type Rate} from '@egretrill/common';
 import {FairQueue} from '@egretrill/callers';
 import {createShareHosts} from './share-hosts.js';
-import {SimulatedClock} from './simulated-clock.js';
 
 const HOSTS = 8;
 const SLOTS_PER_HOST = 8;
@@ -58,7 +57,7 @@
 
 /** Percentage of each customer's requests that were in time; one common flow makes the queue first in, first out. */
 async function getInTimePercentages(seed: number, load: number, noisyFactor: number, setup: Setup): Promise<Readonly<Record<string, number>>> {
-	const clock = new SimulatedClock();
+	const clock = new ManualClock();
 	const arrivals = createArrivals(seed, load, noisyFactor);
 	const queues = Array.from({length: HOSTS}, () => new FairQueue({clock, slots: SLOTS_PER_HOST}));
 	const holders = createShareHosts(clock, getRates(load), HOSTS, seed).map(({holder}) => holder);
@@ -90,11 +89,11 @@
 	};
 
 	for (const arrival of arrivals) {
-		await clock.runUntil(arrival.atMs);
+		await clock.runTo(arrival.atMs);
 		void serve(arrival);
 	}
 
-	await clock.runUntil(RUN_MS + (10 * IN_TIME_MS));
+	await clock.runTo(RUN_MS + (10 * IN_TIME_MS));
 	await Promise.all(holders.map(async holder => holder.stop()));
 	return Object.fromEntries(Object.keys(portions).map(customer => {
 		const sent = arrivals.filter(arrival => arrival.customer === customer && arrival.atMs >= WARM_UP_MS).length;
--- a/dev/bench/src/rates.ts
+++ b/dev/bench/src/rates.ts
@@ -1,5 +1,5 @@
 import {
-	createCodec, createRandom, type Customer, type Rate,
+	createCodec, createRandom, type Customer, ManualClock, type Rate,
 } from '@egretrill/common';
 import {type Result} from 'true-myth';
 import {
@@ -9,7 +9,6 @@
 	createArrivals, HOSTS, NOISY_CUSTOMER, rates, RUN_MS, type Arrival, type LoadShape,
 } from './rates-load.js';
 import {createShareHosts} from './share-hosts.js';
-import {SimulatedClock} from './simulated-clock.js';
 
 const DEADLINE_MS = 10_000;
 /** The owner blocks for the share lifetime and the levels start at 0, so the first requests show the start, not the steady state. */
@@ -27,7 +26,7 @@
 type Spend = {readonly customer: string; readonly atMs: number; readonly tokens: number};
 
 async function runShares(seed: number, arrivals: readonly Arrival[]) {
-	const clock = new SimulatedClock();
+	const clock = new ManualClock();
 	const hosts = createShareHosts(clock, rates, HOSTS, seed);
 	const outcomes: Outcome[] = [];
 	const spends: Spend[] = [];
@@ -48,13 +47,13 @@
 	};
 
 	for (const arrival of arrivals) {
-		await clock.runUntil(arrival.atMs);
+		await clock.runTo(arrival.atMs);
 		void serve(arrival);
 	}
 
-	await clock.runUntil(RUN_MS);
+	await clock.runTo(RUN_MS);
 	const traffic = hosts.map(({transport}) => ({messages: transport.messages, bytes: transport.bytes}));
-	await clock.runUntil(RUN_MS + DEADLINE_MS);
+	await clock.runTo(RUN_MS + DEADLINE_MS);
 	await Promise.all(hosts.map(async ({holder}) => holder.stop()));
 	return {outcomes, spends, traffic};
 }
--- a/dev/bench/src/share-hosts.ts
+++ b/dev/bench/src/share-hosts.ts
@@ -1,9 +1,10 @@
-import {createCodec, createRandom, type Rate} from '@egretrill/common';
+import {
+	createCodec, createRandom, type ManualClock, type Rate,
+} from '@egretrill/common';
 import {type Result} from 'true-myth';
 import {
 	BucketOwner, packShareAnswer, packShareRequest, ShareHolder, ShareTransport, WireShareAnswer, WireShareRequest, type ShareAnswer, type ShareRequest,
 } from '@egretrill/callers';
-import type {SimulatedClock} from './simulated-clock.js';
 
 const requestCodec = createCodec(WireShareRequest);
 const answerCodec = createCodec(WireShareAnswer);
@@ -13,7 +14,7 @@
 	messages = 0;
 	bytes = 0;
 
-	constructor(private readonly clock: SimulatedClock, private readonly owner: BucketOwner, private readonly random: () => number) {
+	constructor(private readonly clock: ManualClock, private readonly owner: BucketOwner, private readonly random: () => number) {
 		super();
 	}
 
@@ -30,7 +31,7 @@
 type ShareHost = {readonly holder: ShareHolder; readonly transport: CountingTransport};
 
 /** Creates one bucket owner and the hosts that borrow from it. */
-export function createShareHosts(clock: SimulatedClock, rates: ReadonlyMap<string, Rate>, hostCount: number, seed: number): readonly ShareHost[] {
+export function createShareHosts(clock: ManualClock, rates: ReadonlyMap<string, Rate>, hostCount: number, seed: number): readonly ShareHost[] {
 	const customers = [...rates].map(([id, rate]) => ({
 		id, rate, weight: 1, keyLeaseMs: 4000,
 	}));
--- a/packages/common/src/clock.ts
+++ b/packages/common/src/clock.ts
@@ -1,4 +1,5 @@
 import {performance} from 'node:perf_hooks';
+import {setImmediate as nextTurn} from 'node:timers/promises';
 
 /** Source of durations; leases, rates and deadlines never read the wall clock. */
 export abstract class Clock {
@@ -35,9 +36,10 @@
 
 type Sleeper = {readonly wakeAtMs: number; readonly wake: () => void};
 
-/** A clock that moves only when a test advances it. */
+/** A clock of tests and simulations: time moves only when it is told to. */
 export class ManualClock extends Clock {
 	private currentMs = 0;
+	/** In order of sleeping, which decides between sleepers that are due at the same time. */
 	private readonly sleepers = new Set<Sleeper>();
 
 	now(): number {
@@ -56,22 +58,65 @@
 			};
 
 			const wake = () => {
+				this.sleepers.delete(sleeper);
 				signal?.removeEventListener('abort', cancel);
 				resolve();
 			};
 
-			const sleeper = {wakeAtMs: this.currentMs + ms, wake};
+			const sleeper = {wakeAtMs: this.currentMs + Math.max(0, ms), wake};
 			this.sleepers.add(sleeper);
 			signal?.addEventListener('abort', cancel, {once: true});
 		});
 	}
 
-	/** Moves time forward and wakes every sleeper that is due. */
+	/** Moves time forward in one step, then wakes every sleeper that is due, in order of sleeping. */
 	advance(ms: number): void {
 		this.currentMs += ms;
 		for (const sleeper of [...this.sleepers].filter(({wakeAtMs}) => wakeAtMs <= this.currentMs)) {
-			this.sleepers.delete(sleeper);
 			sleeper.wake();
 		}
 	}
+
+	/** Runs every task that is due within the duration, each at its own time. */
+	async run(ms: number): Promise<void> {
+		await this.runTo(this.currentMs + ms);
+	}
+
+	/** Runs every task that is due up to the given time, each at its own time. */
+	async runTo(endMs: number): Promise<void> {
+		await this.wakeInTurn(endMs, () => false);
+		this.currentMs = Math.max(this.currentMs, endMs);
+	}
+
+	/** Runs tasks until the condition holds; returns false if nothing more is due within the duration. */
+	async runUntil(isReached: () => boolean, maxMs: number): Promise<boolean> {
+		return this.wakeInTurn(this.currentMs + maxMs, isReached);
+	}
+
+	/** Jumps from one sleeper to the next; between two of them, all tasks run until they sleep again. */
+	private async wakeInTurn(endMs: number, isReached: () => boolean): Promise<boolean> {
+		for (;;) {
+			await nextTurn();
+			if (isReached()) {
+				return true;
+			}
+
+			const next = this.findNext();
+			if (next === undefined || next.wakeAtMs > endMs) {
+				return false;
+			}
+
+			this.currentMs = Math.max(this.currentMs, next.wakeAtMs);
+			next.wake();
+		}
+	}
+
+	private findNext(): Sleeper | undefined {
+		let next: Sleeper | undefined;
+		for (const sleeper of this.sleepers) {
+			next = next === undefined || sleeper.wakeAtMs < next.wakeAtMs ? sleeper : next;
+		}
+
+		return next;
+	}
 }
--- a/packages/hosts/tests/consensus.test.ts
+++ b/packages/hosts/tests/consensus.test.ts
@@ -1,4 +1,4 @@
-import {createRandom} from '@egretrill/common';
+import {createRandom, ManualClock} from '@egretrill/common';
 import {
 	type LogEntry, MemoryFileSystem, MemoryLogStorage, SnapshotStore,
 } from '@egretrill/disk';
@@ -9,7 +9,6 @@
 import {membersCodec} from '../src/consensus/replica.js';
 import type {AppendEntriesResponse, InstallSnapshotResponse, RequestVoteResponse} from '../src/types.js';
 import {createApply} from './support/documents.js';
-import {SimClock} from './support/sim-clock.js';
 import {type Process, SimCluster} from './support/sim-cluster.js';
 
 const SEED = 11;
@@ -277,7 +276,7 @@
 
 describe('commit rule', () => {
 	it('does not commit an entry of an earlier term by counting replicas', async () => {
-		const clock = new SimClock();
+		const clock = new ManualClock();
 		const transport = new ScriptedTransport();
 		const node = new ConsensusNode({
 			memberId: 'a',
--- /dev/null
+++ b/packages/hosts/tests/support/process-clock.ts
@@ -0,0 +1,35 @@
+import {Clock} from '@egretrill/common';
+
+/** The clock of one simulated process, which can be paused as a whole. */
+export class ProcessClock extends Clock {
+	/** Time that each reading of the clock takes. */
+	readMs = 0;
+	private paused: Promise<void> | undefined;
+	private release: (() => void) | undefined;
+	private readingsMs = 0;
+
+	constructor(private readonly clock: Clock) {
+		super();
+	}
+
+	now(): number {
+		this.readingsMs += this.readMs;
+		return this.clock.now() + this.readingsMs;
+	}
+
+	async sleep(ms: number, signal?: AbortSignal): Promise<void> {
+		await this.clock.sleep(ms, signal);
+		await this.paused;
+	}
+
+	pause(): void {
+		this.paused ??= new Promise(resolve => {
+			this.release = resolve;
+		});
+	}
+
+	resume(): void {
+		this.release?.();
+		this.paused = undefined;
+	}
+}
--- a/packages/hosts/tests/support/sim-cluster.ts
+++ b/packages/hosts/tests/support/sim-cluster.ts
@@ -1,4 +1,6 @@
-import {type Clock, createRandom, type Random} from '@egretrill/common';
+import {
+	type Clock, createRandom, ManualClock, type Random,
+} from '@egretrill/common';
 import {
 	AppendFile, FileLogStorage, FileSystem, MemoryFileSystem, SnapshotStore,
 } from '@egretrill/disk';
@@ -6,7 +8,7 @@
 import type {
 	AppendEntriesRequest, AppendEntriesResponse, FleetCommand, FleetResult, InstallSnapshotRequest, InstallSnapshotResponse, RequestVoteRequest, RequestVoteResponse,
 } from '../../src/types.js';
-import {ProcessClock, SimClock} from './sim-clock.js';
+import {ProcessClock} from './process-clock.js';
 
 const FOLDER = '/data';
 
@@ -131,7 +133,7 @@
 
 /** Members in one process on a simulated clock, network and disk; the seed fixes every delay and fault. */
 export class SimCluster {
-	readonly clock = new SimClock();
+	readonly clock = new ManualClock();
 	readonly random: Random;
 	readonly processes = new Map<string, Process>();
 	readonly disks = new Map<string, MemoryFileSystem>();
