engines: the view of a round is the placement state and what the owner adds

Cause: PlanningView listed the seven fields of PlacementState again.

Change: PlacementState stands in plan-input.ts, and PlanningView extends it by intersection.

Conclusion: types only; no behaviour changes.

--- a/packages/engines/src/placement/plan-input.ts
+++ b/packages/engines/src/placement/plan-input.ts
@@ -7,17 +7,22 @@
 	DemandEstimate, Move, PhaseLoad, PlanInput, PlannedTarget, WaitingCount,
 } from './types.js';
 
-/** What a zone owner knows when it plans a round. */
-export type PlanningView = {
-	readonly nowMs: number;
-	readonly zone: string;
+/** What the owner is to place, as the daemon knows it at present. */
+export type PlacementState = {
 	readonly models: readonly Model[];
 	readonly placements: Placements;
 	readonly demand: readonly DemandEstimate[];
 	readonly remoteTargets: readonly PlannedTarget[];
+	/** Requests that wait for each model at the hosts of the zone. */
 	readonly waiting: readonly WaitingCount[];
 	readonly loadSlots: number;
 	readonly phase?: PhaseLoad;
+};
+
+/** What a zone owner knows when it plans a round. */
+export type PlanningView = PlacementState & {
+	readonly nowMs: number;
+	readonly zone: string;
 	readonly announcements: readonly Announcement[];
 	readonly ledger: MemoryLedger;
 	readonly moving: ReadonlyMap<string, Move>;
--- a/packages/engines/src/placement/zone-owner.ts
+++ b/packages/engines/src/placement/zone-owner.ts
@@ -1,5 +1,5 @@
 import {
-	ANNOUNCE_TTL_MS, type Announcement, CLOCK_DRIFT_RATIO, type Model, type Placements,
+	ANNOUNCE_TTL_MS, type Announcement, CLOCK_DRIFT_RATIO,
 } from '@egretrill/common';
 import {
 	ADAPTER_ANSWER_MS,
@@ -18,11 +18,11 @@
 import type {LoadPermit, LoadPermits} from './load-permits.js';
 import {MemoryLedger} from './memory-ledger.js';
 import {OrderIssuer, type OrderIssuerOptions, type Term} from './order-issuer.js';
-import {buildPlanInput, type PlanningView} from './plan-input.js';
+import {buildPlanInput, type PlacementState, type PlanningView} from './plan-input.js';
 import type {PlacementPolicy} from './placement-policy.js';
 import {planAdapterRoom} from './secondary-moves.js';
 import type {
-	AdapterAnswer, AdapterWant, DemandEstimate, Explanation, ModelExplanation, Move, MoveStep, OrderResult, PhaseLoad, PlannedTarget, WaitingCount,
+	AdapterAnswer, AdapterWant, Explanation, ModelExplanation, Move, MoveStep, OrderResult,
 } from './types.js';
 
 export type ZoneOwnerOptions = OrderIssuerOptions & {
@@ -31,18 +31,6 @@
 	readonly getCapacityPerS?: (target: Announcement) => number;
 };
 
-/** What the owner is to place, as the daemon knows it at present. */
-export type PlacementState = {
-	readonly models: readonly Model[];
-	readonly placements: Placements;
-	readonly demand: readonly DemandEstimate[];
-	readonly remoteTargets: readonly PlannedTarget[];
-	/** Requests that wait for each model at the hosts of the zone. */
-	readonly waiting: readonly WaitingCount[];
-	readonly loadSlots: number;
-	readonly phase?: PhaseLoad;
-};
-
 /** Time from a change of holder until no order of the predecessor can arrive any more. */
 export const TAKEOVER_WAIT_MS = (OWNER_LEASE_MS * (1 + CLOCK_DRIFT_RATIO)) + ORDER_LIFETIME_MS;
 
