bench: the placement model reads what a move loads as the owner does

Cause: placement-model.ts repeated the reading of a move's load steps from plan-input.ts, so the model could come to differ from the owner.

Change: getLoading is exported by packages/engines and used by both.

Conclusion: no behaviour changes. placement-model.ts and simulated-engine.ts share only the shape of constants and option types, and are left as they are.

--- a/dev/bench/src/placement-model.ts
+++ b/dev/bench/src/placement-model.ts
@@ -1,6 +1,6 @@
 import {createRandom, type Random} from '@egretrill/common';
 import {
-	DemandEstimator, type Move, PLAN_PERIOD_MS, type PlacementPolicy, type PlannedTarget, type PlanInput, sumDemand,
+	DemandEstimator, getLoading, type Move, PLAN_PERIOD_MS, type PlacementPolicy, type PlannedTarget, type PlanInput, sumDemand,
 } from '@egretrill/engines';
 import {LoadBudget} from '@egretrill/weight-store';
 import {
@@ -196,7 +196,6 @@
 
 	private toTarget({copies, move}: Engine, i: number): PlannedTarget {
 		const usedMb = [...copies.keys()].reduce((sum, model) => sum + this.getSizeMb(model), 0);
-		const loading = (move?.steps ?? []).flatMap(step => step.kind === 'load-model' ? [{model: step.model, version: step.version, adapters: []}] : []);
 		return {
 			targetId: `e${i}`,
 			zone: `z${i % 3}`,
@@ -211,7 +210,7 @@
 			copies: [...copies].map(([model, {sinceMs, usedMs}]) => ({
 				model: `m${model}`, version: 'v1', adapters: [], ageMs: this.nowMs - sinceMs, idleMs: this.nowMs - usedMs,
 			})),
-			loading,
+			loading: getLoading(move),
 		};
 	}
 
--- a/packages/engines/src/placement/plan-input.ts
+++ b/packages/engines/src/placement/plan-input.ts
@@ -38,7 +38,8 @@
 	return target.load.limit * 1000 / MEAN_SERVICE_MS;
 }
 
-function getLoading(move: Move | undefined): readonly ResidentModel[] {
+/** Returns the models that a move loads; they are on their way until the move has ended. */
+export function getLoading(move: Move | undefined): ResidentModel[] {
 	return (move?.steps ?? []).flatMap(step => step.kind === 'load-model' ? [{model: step.model, version: step.version, adapters: []}] : []);
 }
 
@@ -63,7 +64,7 @@
 		busy: view.moving.has(target.targetId) || view.ledger.isSettling(target.targetId),
 		leaving: target.leaving,
 		copies: target.resident.map(copy => ({...copy, ageMs: getAgeMs(`${target.targetId}/${copy.model}@${copy.version}`), idleMs: 0})),
-		loading: [...getLoading(view.moving.get(target.targetId))],
+		loading: getLoading(view.moving.get(target.targetId)),
 	};
 }
 
