command line: one class connects for the commands that talk to a host

Cause: drain, placement explain, keys withdraw and ReadCommand each kept the connector, the connection options and the call that connects.

Change: ConnectedCommand does this once, and the commands start from the client. apply stays apart, because it reads and checks its file before it connects.

Conclusion: no behaviour changes. bench and start share only the shape of their options with the others and with each other, and are left as they are.

--- a/apps/egretrill/src/commands/drain.ts
+++ b/apps/egretrill/src/commands/drain.ts
@@ -1,8 +1,9 @@
 import {PeerHost} from '@egretrill/common';
 import {DrainOutcome, operations} from '@egretrill/operators';
 import {z} from 'zod';
-import {Command, type CommandHelp, connectionOptions} from '../command.js';
-import type {AdminConnector} from '../connector.js';
+import type {AdminClient} from '../admin-client.js';
+import type {CommandHelp} from '../command.js';
+import {ConnectedCommand} from '../connected-command.js';
 import {
 	reportDone, reportChangeFailure, reportRefused, toCallFailure,
 } from '../reports.js';
@@ -11,7 +12,7 @@
 const DrainArgs = z.object({...ConnectionArgs.shape, host: PeerHost.shape.id});
 
 /** Drains a host. */
-export class DrainCommand extends Command<typeof DrainArgs> {
+export class DrainCommand extends ConnectedCommand<typeof DrainArgs> {
 	readonly help: CommandHelp = {
 		usage: 'drain <host>',
 		summary: 'Asks a host to finish its work and stop',
@@ -20,14 +21,8 @@
 
 	readonly schema = DrainArgs;
 	override readonly positionals = {host: {type: 'string', describe: 'Id of the host'}} as const;
-	override readonly options = connectionOptions;
 
-	constructor(private readonly connector: AdminConnector) {
-		super();
-	}
-
-	async run(args: z.infer<typeof DrainArgs>): Promise<Report> {
-		const client = await this.connector.connect(args);
+	protected override async runOn(client: AdminClient, args: z.infer<typeof DrainArgs>): Promise<Report> {
 		// A second request would end the wait for begun work, so a lost answer is reported and not sent again.
 		const answer = await client.call({operation: operations.drainHost, params: {id: args.host}, body: {}}, DrainOutcome);
 		if (answer.isErr) {
--- a/apps/egretrill/src/commands/keys-withdraw.ts
+++ b/apps/egretrill/src/commands/keys-withdraw.ts
@@ -3,8 +3,8 @@
 import {operations, WithdrawalOutcome, type Unavailable} from '@egretrill/operators';
 import {z} from 'zod';
 import type {AdminClient} from '../admin-client.js';
-import {changeOptions, Command, type CommandHelp} from '../command.js';
-import type {AdminConnector} from '../connector.js';
+import {changeOptions, type CommandHelp} from '../command.js';
+import {ConnectedCommand} from '../connected-command.js';
 import {EXIT_UNKNOWN, WITHDRAWAL_POLL_MS, WITHDRAWAL_WAIT_MS} from '../constants.js';
 import type {Output} from '../output.js';
 import {
@@ -64,7 +64,7 @@
 }
 
 /** Withdraws a caller's key. */
-export class KeysWithdrawCommand extends Command<typeof KeysWithdrawArgs> {
+export class KeysWithdrawCommand extends ConnectedCommand<typeof KeysWithdrawArgs> {
 	readonly help: CommandHelp = {
 		usage: 'withdraw <id>',
 		summary: 'Withdraws a key and tells when no host honours it any more',
@@ -75,12 +75,7 @@
 	override readonly positionals = {id: {type: 'string', describe: 'Id of the key'}} as const;
 	override readonly options = {...changeOptions, wait: {type: 'boolean', describe: 'Wait until the withdrawal is in force everywhere'}} as const;
 
-	constructor(private readonly connector: AdminConnector) {
-		super();
-	}
-
-	async run(args: z.infer<typeof KeysWithdrawArgs>, output: Output): Promise<Report> {
-		const client = await this.connector.connect(args);
+	protected override async runOn(client: AdminClient, args: z.infer<typeof KeysWithdrawArgs>, output: Output): Promise<Report> {
 		const call = {operation: operations.withdrawKey, params: {id: args.id}, body: {}};
 		const requestId = chooseRequestId(args, output);
 		const answer = await sendChange(client, {call, schema: WithdrawalOutcome}, requestId, output);
--- a/apps/egretrill/src/commands/placement-explain.ts
+++ b/apps/egretrill/src/commands/placement-explain.ts
@@ -1,8 +1,9 @@
 import {Model} from '@egretrill/common';
 import {NotFound, operations, PlacementExplanation} from '@egretrill/operators';
 import {z} from 'zod';
-import {Command, type CommandHelp, connectionOptions} from '../command.js';
-import type {AdminConnector} from '../connector.js';
+import type {AdminClient} from '../admin-client.js';
+import type {CommandHelp} from '../command.js';
+import {ConnectedCommand} from '../connected-command.js';
 import {reportDone, reportReadFailure, reportRefused} from '../reports.js';
 import {formatTable} from '../table.js';
 import {ConnectionArgs, type Report} from '../types.js';
@@ -18,7 +19,7 @@
 }
 
 /** Explains the placement of a model. */
-export class PlacementExplainCommand extends Command<typeof ExplainArgs> {
+export class PlacementExplainCommand extends ConnectedCommand<typeof ExplainArgs> {
 	readonly help: CommandHelp = {
 		usage: 'explain <model>',
 		summary: 'Tells where a model runs and why targets were or were not chosen',
@@ -27,14 +28,8 @@
 
 	readonly schema = ExplainArgs;
 	override readonly positionals = {model: {type: 'string', describe: 'Id of the model'}} as const;
-	override readonly options = connectionOptions;
 
-	constructor(private readonly connector: AdminConnector) {
-		super();
-	}
-
-	async run(args: z.infer<typeof ExplainArgs>): Promise<Report> {
-		const client = await this.connector.connect(args);
+	protected override async runOn(client: AdminClient, args: z.infer<typeof ExplainArgs>): Promise<Report> {
 		const answer = await client.call({operation: operations.explainPlacement, params: {model: args.model}}, z.union([PlacementExplanation, NotFound]));
 		if (answer.isErr) {
 			return reportReadFailure(answer.error);
--- a/apps/egretrill/src/commands/status.ts
+++ b/apps/egretrill/src/commands/status.ts
@@ -43,7 +43,7 @@
 		examples: [['status --admin 127.0.0.1:7004', 'Show the fleet as this host sees it']],
 	};
 
-	protected override async read(client: AdminClient): Promise<Report> {
+	protected override async runOn(client: AdminClient): Promise<Report> {
 		const status = await client.call({operation: operations.getStatus}, FleetStatus);
 		if (status.isErr) {
 			return reportReadFailure(status.error);
--- a/apps/egretrill/src/commands/targets.ts
+++ b/apps/egretrill/src/commands/targets.ts
@@ -14,7 +14,7 @@
 		examples: [['targets --json', 'List the targets for another program']],
 	};
 
-	protected override async read(client: AdminClient): Promise<Report> {
+	protected override async runOn(client: AdminClient): Promise<Report> {
 		const list = await client.call({operation: operations.getTargets}, TargetList);
 		return list.isErr ? reportReadFailure(list.error) : reportDone(formatTargets(list.value.targets), list.value);
 	}
--- a/apps/egretrill/src/commands/zones-list.ts
+++ b/apps/egretrill/src/commands/zones-list.ts
@@ -14,7 +14,7 @@
 		examples: [['zones list', 'Show which zones are in service']],
 	};
 
-	protected override async read(client: AdminClient): Promise<Report> {
+	protected override async runOn(client: AdminClient): Promise<Report> {
 		const answer = await client.call({operation: operations.getStatus}, FleetStatus);
 		if (answer.isErr) {
 			return reportReadFailure(answer.error);
--- a/apps/egretrill/src/read-command.ts
+++ b/apps/egretrill/src/read-command.ts
@@ -3,30 +3,18 @@
 } from '@egretrill/operators';
 import {z} from 'zod';
 import type {AdminClient} from './admin-client.js';
-import {Command, connectionOptions} from './command.js';
-import type {AdminConnector} from './connector.js';
+import {ConnectedCommand} from './connected-command.js';
 import {reportReadFailure, reportRefused} from './reports.js';
 import {ConnectionArgs, type Report} from './types.js';
 
 /** A command that only reads from a host and takes nothing but the connection. */
-export abstract class ReadCommand extends Command<typeof ConnectionArgs> {
+export abstract class ReadCommand extends ConnectedCommand<typeof ConnectionArgs> {
 	readonly schema = ConnectionArgs;
-	override readonly options = connectionOptions;
-
-	constructor(private readonly connector: AdminConnector) {
-		super();
-	}
-
-	async run(args: ConnectionArgs): Promise<Report> {
-		return this.read(await this.connector.connect(args));
-	}
-
-	protected abstract read(client: AdminClient): Promise<Report>;
 }
 
 /** A command that shows a part of the configuration in force. */
 export abstract class ConfigReadCommand extends ReadCommand {
-	protected override async read(client: AdminClient): Promise<Report> {
+	protected override async runOn(client: AdminClient): Promise<Report> {
 		const answer = await client.call({operation: operations.getConfig}, z.union([ConfigInForceSchema, NotFound]));
 		if (answer.isErr) {
 			return reportReadFailure(answer.error);
