command line: one class changes the state of a zone

Cause: zones take-out and zones return were two classes that differed in their help and the state alone.

Change: ZoneChangeCommand takes the state, from which its help follows, and connects through ConnectedCommand.

Conclusion: no behaviour changes.

--- a/apps/egretrill/src/commands/zones-change.ts
+++ b/apps/egretrill/src/commands/zones-change.ts
@@ -1,7 +1,9 @@
 import {Zone, type ZoneState} from '@egretrill/common';
 import {operations, ZoneStateOutcome, type Unavailable} from '@egretrill/operators';
 import {z} from 'zod';
-import {changeOptions, Command, type CommandHelp} from '../command.js';
+import type {AdminClient} from '../admin-client.js';
+import {changeOptions, type CommandHelp} from '../command.js';
+import {ConnectedCommand} from '../connected-command.js';
 import type {AdminConnector} from '../connector.js';
 import type {Output} from '../output.js';
 import {
@@ -32,47 +34,35 @@
 	}
 }
 
-/** Changes the state of a zone. */
-abstract class ZoneChangeCommand extends Command<typeof ZoneArgs> {
+const helpByState: Readonly<Record<ZoneState, CommandHelp>> = {
+	'taken-out': {
+		usage: 'take-out <zone>',
+		summary: 'Takes a zone out of service; the last zone in service is refused',
+		examples: [['zones take-out ma-nord-a', 'Stop new work in the zone within 2 s']],
+	},
+	'in-service': {
+		usage: 'return <zone>',
+		summary: 'Returns a zone to service',
+		examples: [['zones return ma-nord-a', 'Let the zone take work again']],
+	},
+};
+
+/** Takes a zone out of service or returns it, as the state says. */
+export class ZoneChangeCommand extends ConnectedCommand<typeof ZoneArgs> {
+	readonly help: CommandHelp;
 	readonly schema = ZoneArgs;
 	override readonly positionals = {zone: {type: 'string', describe: 'Id of the zone'}} as const;
 	override readonly options = changeOptions;
 
-	constructor(private readonly connector: AdminConnector, private readonly state: ZoneState) {
-		super();
+	constructor(connector: AdminConnector, private readonly state: ZoneState) {
+		super(connector);
+		this.help = helpByState[state];
 	}
 
-	async run(args: z.infer<typeof ZoneArgs>, output: Output): Promise<Report> {
-		const client = await this.connector.connect(args);
+	protected override async runOn(client: AdminClient, args: z.infer<typeof ZoneArgs>, output: Output): Promise<Report> {
 		const call = {operation: operations.setZoneState, params: {id: args.zone}, body: {state: this.state}};
 		const requestId = chooseRequestId(args, output);
 		const answer = await sendChange(client, {call, schema: ZoneStateOutcome}, requestId, output);
 		return answer.isOk ? reportOutcome(answer.value) : reportChangeFailure(answer.error, requestId);
 	}
 }
-
-/** Takes a zone out of service. */
-export class ZonesTakeOutCommand extends ZoneChangeCommand {
-	readonly help: CommandHelp = {
-		usage: 'take-out <zone>',
-		summary: 'Takes a zone out of service; the last zone in service is refused',
-		examples: [['zones take-out ma-nord-a', 'Stop new work in the zone within 2 s']],
-	};
-
-	constructor(connector: AdminConnector) {
-		super(connector, 'taken-out');
-	}
-}
-
-/** Returns a zone to service. */
-export class ZonesReturnCommand extends ZoneChangeCommand {
-	readonly help: CommandHelp = {
-		usage: 'return <zone>',
-		summary: 'Returns a zone to service',
-		examples: [['zones return ma-nord-a', 'Let the zone take work again']],
-	};
-
-	constructor(connector: AdminConnector) {
-		super(connector, 'in-service');
-	}
-}
--- a/apps/egretrill/src/container.ts
+++ b/apps/egretrill/src/container.ts
@@ -13,7 +13,7 @@
 import {StartCommand} from './commands/start.js';
 import {StatusCommand} from './commands/status.js';
 import {TargetsCommand} from './commands/targets.js';
-import {ZonesReturnCommand, ZonesTakeOutCommand} from './commands/zones-change.js';
+import {ZoneChangeCommand} from './commands/zones-change.js';
 import {ZonesListCommand} from './commands/zones-list.js';
 import {AdminConnector, type Environment} from './connector.js';
 import {JsonOutput, type Streams, TextOutput} from './output.js';
@@ -37,7 +37,11 @@
 			new ConfigCommand(connector),
 			new StatusCommand(connector),
 			{usage: 'keys', summary: 'Lists, creates and withdraws the keys of callers', commands: [new KeysListCommand(connector), new KeysNewCommand(), new KeysWithdrawCommand(connector)]},
-			{usage: 'zones', summary: 'Lists zones and changes their states', commands: [new ZonesListCommand(connector), new ZonesTakeOutCommand(connector), new ZonesReturnCommand(connector)]},
+			{
+				usage: 'zones',
+				summary: 'Lists zones and changes their states',
+				commands: [new ZonesListCommand(connector), new ZoneChangeCommand(connector, 'taken-out'), new ZoneChangeCommand(connector, 'in-service')],
+			},
 			new TargetsCommand(connector),
 			new DrainCommand(connector),
 			{usage: 'placement', summary: 'Explains where models run', commands: [new PlacementExplainCommand(connector)]},
