callers: say that the waiting requests are counted over all models

Cause: the comment on QueueSet.getWaiting spoke of one model.

Change: comment only.

Before and after: the code is the same; the build and the linter pass.

Conclusion: the comment now tells it from getWaitingByModel.

--- a/packages/callers/src/queue-set.ts
+++ b/packages/callers/src/queue-set.ts
@@ -25,7 +25,7 @@
 		return acquired.map(slot => this.countSlot(entry, slot));
 	}
 
-	/** Number of requests that wait for a model. */
+	/** Number of requests that wait, over all models. */
 	getWaiting(): number {
 		return [...this.queues.values()].reduce((sum, {waiting}) => sum + waiting, 0);
 	}
