engines: say what a resumed stream watch starts anew

Cause: the comment on StreamWatch.resume read as if progress were counted anew as well; only the time of the last bytes is.

Change: comment only.

Before and after: the code is the same; the build and the linter pass.

Conclusion: whether a pause should count towards the progress deadline is left open here.

--- a/packages/engines/src/client/stream-watch.ts
+++ b/packages/engines/src/client/stream-watch.ts
@@ -22,7 +22,7 @@
 		this.isPaused = true;
 	}
 
-	/** Judges the engine again, as if it had just sent something. */
+	/** Judges the engine again: silence counts from now, missing progress still from the last part of the answer. */
 	resume(): void {
 		this.isPaused = false;
 		this.lastByteMs = this.clock.now();
