--- a/packages/engines/src/placement/plan-input.ts
+++ b/packages/engines/src/placement/plan-input.ts
@@ -7,17 +7,22 @@
 	DemandEstimate, Move, PhaseLoad, PlanInput, PlannedTarget, WaitingCount,
 } from './types.js';
 
-/** What a zone owner knows when it plans a round. */
-export type PlanningView = {
-	readonly nowMs: number;
-	readonly zone: string;
+/** What the owner is to place, as the daemon knows it at present. */
+export type PlacementState = {
 	readonly models: readonly Model[];
 	readonly placements: Placements;
 	readonly demand: readonly DemandEstimate[];
 	readonly remoteTargets: readonly PlannedTarget[];
+	/** Requests that wait for each model at the hosts of the zone. */
 	readonly waiting: readonly WaitingCount[];
 	readonly loadSlots: number;
 	readonly phase?: PhaseLoad;
+};
+
+/** What a zone owner knows when it plans a round. */
+export type PlanningView = PlacementState & {
+	readonly nowMs: number;
+	readonly zone: string;
 	readonly announcements: readonly Announcement[];
 	readonly ledger: MemoryLedger;
 	readonly moving: ReadonlyMap<string, Move>;
@@ -33,7 +38,8 @@
 	return target.load.limit * 1000 / MEAN_SERVICE_MS;
 }
 
-function getLoading(move: Move | undefined): readonly ResidentModel[] {
+/** Returns the models that a move loads; they are on their way until the move has ended. */
+export function getLoading(move: Move | undefined): ResidentModel[] {
 	return (move?.steps ?? []).flatMap(step => step.kind === 'load-model' ? [{model: step.model, version: step.version, adapters: []}] : []);
 }
 
@@ -58,7 +64,7 @@
 		busy: view.moving.has(target.targetId) || view.ledger.isSettling(target.targetId),
 		leaving: target.leaving,
 		copies: target.resident.map(copy => ({...copy, ageMs: getAgeMs(`${target.targetId}/${copy.model}@${copy.version}`), idleMs: 0})),
-		loading: [...getLoading(view.moving.get(target.targetId))],
+		loading: getLoading(view.moving.get(target.targetId)),
 	};
 }
 
