status: show which hosts vote

Cause: the page has an operator wait until status shows a replaced voter live, and status showed a host live as soon as it answered. A learner that has not caught up was shown live; stopping a second voter then loses the quorum.

--- a/apps/egretrill/src/commands/status.ts
+++ b/apps/egretrill/src/commands/status.ts
@@ -18,9 +18,13 @@
 	);
 }
 
+function formatFlag(flag: boolean): string {
+	return flag ? 'yes' : 'no';
+}
+
 function formatHosts({hosts, leader}: FleetStatus): string {
-	return formatTable(['HOST', 'ZONE', 'LIVE', 'READY', 'IN FORCE', 'NOTES'], hosts.map(({id, zone, live, ready, version, reasons}) => [
-		id, zone, live ? 'yes' : 'no', ready ? 'yes' : 'no', version === 0 ? 'unknown' : String(version), [...(id === leader ? ['leader'] : []), ...reasons].join('; '),
+	return formatTable(['HOST', 'ZONE', 'LIVE', 'READY', 'VOTES', 'IN FORCE', 'NOTES'], hosts.map(({id, zone, live, ready, votes, version, reasons}) => [
+		id, zone, formatFlag(live), formatFlag(ready), votes === undefined ? '-' : formatFlag(votes), version === 0 ? 'unknown' : String(version), [...(id === leader ? ['leader'] : []), ...reasons].join('; '),
 	]));
 }
 
--- a/apps/egretrill/tests/fleet-commands.test.ts
+++ b/apps/egretrill/tests/fleet-commands.test.ts
@@ -74,7 +74,7 @@
 		});
 		// Either host may lead.
 		expect(stdout.match(/ leader$/gmv)).to.have.lengthOf(1);
-		expect(stdout.replace(/ +leader$/mv, '').replaceAll(/(?<=yes {2}yes {2})\d+/gv, found => `BASE+${Number(found) - version}`)).toMatchSnapshot();
+		expect(stdout.replace(/ +leader$/mv, '').replaceAll(/(?<=yes {2}yes {2}yes {2})\d+/gv, found => `BASE+${Number(found) - version}`)).toMatchSnapshot();
 		expect([await run('zones list', version), await run('targets', version), await run('placement explain nothing', version)]).toMatchSnapshot();
 	});
 
--- a/apps/egretrilld/src/handlers.ts
+++ b/apps/egretrilld/src/handlers.ts
@@ -123,7 +123,7 @@
 		}),
 		bindMethod(hostStatusMethod, async () => {
 			const reasons = getUnreadyReasons();
-			return {ready: reasons.length === 0, reasons: [...reasons]};
+			return {ready: reasons.length === 0, reasons: [...reasons], ...(voter && {votes: ['leader', 'follower'].includes(voter.node.status().role)})};
 		}),
 	];
 }
--- a/apps/egretrilld/src/methods.ts
+++ b/apps/egretrilld/src/methods.ts
@@ -54,5 +54,5 @@
 /** Asks a host to drain. */
 export const drainMethod = defineMethod('Host', 'drain', z.object({author: z.string()}), Empty);
 
-/** Readiness of a host, for the status of the fleet. */
-export const hostStatusMethod = defineMethod('Host', 'status', Empty, z.object({ready: z.boolean(), reasons: z.array(z.string())}));
+/** Readiness of a host and, if it keeps the log, whether it votes, for the status of the fleet. */
+export const hostStatusMethod = defineMethod('Host', 'status', Empty, z.object({ready: z.boolean(), votes: z.boolean().optional(), reasons: z.array(z.string())}));
--- a/apps/egretrilld/src/operators/daemon-control.ts
+++ b/apps/egretrilld/src/operators/daemon-control.ts
@@ -240,7 +240,7 @@
 		const answer = await this.opts.peers.call(id, hostStatusMethod, {});
 		return answer.isOk
 			? {
-				id, zone, live: true, ready: answer.value.ready, version, reasons: answer.value.reasons,
+				id, zone, live: true, version, ...answer.value,
 			}
 			: {
 				id, zone, live: false, ready: false, version, reasons: [answer.error.message],
--- a/packages/operators/src/types.ts
+++ b/packages/operators/src/types.ts
@@ -67,9 +67,9 @@
 ]);
 export type DrainOutcome = z.infer<typeof DrainOutcome>;
 
-/** One host as the answering host sees it. */
+/** One host as the answering host sees it; `votes` is absent if the host keeps no log or did not answer. */
 export const HostStatus = z.object({
-	id: identifier, zone: identifier, live: z.boolean(), ready: z.boolean(), version, reasons: z.array(z.string()),
+	id: identifier, zone: identifier, live: z.boolean(), ready: z.boolean(), votes: z.boolean().optional(), version, reasons: z.array(z.string()),
 });
 export type HostStatus = z.infer<typeof HostStatus>;
 
