--- a/apps/egretrill/src/commands/status.ts
+++ b/apps/egretrill/src/commands/status.ts
@@ -23,9 +23,10 @@
 }
 
 function formatHosts({hosts, leader}: FleetStatus): string {
-	return formatTable(['HOST', 'ZONE', 'LIVE', 'READY', 'VOTES', 'IN FORCE', 'NOTES'], hosts.map(({id, zone, live, ready, votes, version, reasons}) => [
-		id, zone, formatFlag(live), formatFlag(ready), votes === undefined ? '-' : formatFlag(votes), version === 0 ? 'unknown' : String(version), [...(id === leader ? ['leader'] : []), ...reasons].join('; '),
-	]));
+	return formatTable(['HOST', 'ZONE', 'LIVE', 'READY', 'VOTES', 'IN FORCE', 'NOTES'], hosts.map(({id, zone, live, ready, votes, version, reasons}) => {
+		const vote = votes === undefined ? '-' : formatFlag(votes);
+		return [id, zone, formatFlag(live), formatFlag(ready), vote, version === 0 ? 'unknown' : String(version), [...(id === leader ? ['leader'] : []), ...reasons].join('; ')];
+	}));
 }
 
 function formatStatus(status: FleetStatus, targets: readonly TargetStatus[]): string {
--- a/apps/egretrill/tests/support/run-cli.ts
+++ b/apps/egretrill/tests/support/run-cli.ts
@@ -8,8 +8,11 @@
 
 const mainFile = fileURLToPath(new URL('../../dist/src/main.js', import.meta.url));
 
+/** A whole run of the command line. */
+export type RawRun = {readonly exitCode: number; readonly stdout: string; readonly stderr: string};
+
 /** A whole run of the command line, as snapshots keep it. */
-export type CliRun = {readonly exitCode: number; readonly stdout: string; readonly stderr: string};
+export type CliRun = RawRun;
 
 /** Replaces what differs from run to run; tables lose their padding, because ids and addresses differ in length. */
 export function normalizeRun(text: string, dir?: string): string {
@@ -21,15 +24,26 @@
 		.replaceAll(/(?<=\S) {3,}/gv, '  ');
 }
 
-/** Runs the built command line in a process of its own. */
-export async function runCli(args: readonly string[], env: Readonly<Record<string, string>> = {}, dir?: string): Promise<CliRun> {
+/** Runs a program of this repository in a process of its own and keeps what it prints as it is. */
+export async function runProcess(args: readonly string[], env: Readonly<Record<string, string>> = {}, dir?: string): Promise<RawRun> {
 	return new Promise(resolve => {
-		execFile(process.execPath, [mainFile, ...args], {env, cwd: dir}, (err, stdout, stderr) => {
-			resolve({exitCode: err ? Number(err.code) : 0, stdout: normalizeRun(stdout, dir), stderr: normalizeRun(stderr, dir)});
+		execFile(process.execPath, args, {env, cwd: dir}, (err, stdout, stderr) => {
+			resolve({exitCode: err ? Number(err.code) : 0, stdout, stderr});
 		});
 	});
 }
 
+/** Runs the built command line and keeps what it prints as it is. */
+export async function runRawCli(args: readonly string[], env?: Readonly<Record<string, string>>, dir?: string): Promise<RawRun> {
+	return runProcess([mainFile, ...args], env, dir);
+}
+
+/** Runs the built command line and normalizes what it prints. */
+export async function runCli(args: readonly string[], env: Readonly<Record<string, string>> = {}, dir?: string): Promise<CliRun> {
+	const {exitCode, stdout, stderr} = await runRawCli(args, env, dir);
+	return {exitCode, stdout: normalizeRun(stdout, dir), stderr: normalizeRun(stderr, dir)};
+}
+
 /** Starts the command line, sends SIGTERM once it has printed a message, and waits for its end. */
 export async function startUntil(message: string, args: readonly string[], dir: string): Promise<CliRun> {
 	const child = spawn(process.execPath, [mainFile, ...args], {env: {}, cwd: dir, stdio: ['ignore', 'pipe', 'pipe']});
--- a/packages/common/tests/logger.test.ts
+++ b/packages/common/tests/logger.test.ts
@@ -10,6 +10,6 @@
 		createLogger('test', 'info', sink).error({err: new TypeError('the cause')}, 'It failed.');
 		const [bytes] = await once(sink, 'data') as [Uint8Array];
 		const {err, msg} = JSON.parse(String(bytes)) as {err: Record<string, string>; msg: string};
-		expect({...err, stack: err['stack']?.split('\n')[0], msg}).toMatchSnapshot();
+		expect({...err, stack: err.stack?.split('\n')[0], msg}).toMatchSnapshot();
 	});
 });
