--- a/apps/egretrill/src/commands/status.ts
+++ b/apps/egretrill/src/commands/status.ts
@@ -18,10 +18,15 @@
 	);
 }
 
+function formatFlag(flag: boolean): string {
+	return flag ? 'yes' : 'no';
+}
+
 function formatHosts({hosts, leader}: FleetStatus): string {
-	return formatTable(['HOST', 'ZONE', 'LIVE', 'READY', 'IN FORCE', 'NOTES'], hosts.map(({id, zone, live, ready, version, reasons}) => [
-		id, zone, live ? 'yes' : 'no', ready ? 'yes' : 'no', version === 0 ? 'unknown' : String(version), [...(id === leader ? ['leader'] : []), ...reasons].join('; '),
-	]));
+	return formatTable(['HOST', 'ZONE', 'LIVE', 'READY', 'VOTES', 'IN FORCE', 'NOTES'], hosts.map(({id, zone, live, ready, votes, version, reasons}) => {
+		const vote = votes === undefined ? '-' : formatFlag(votes);
+		return [id, zone, formatFlag(live), formatFlag(ready), vote, version === 0 ? 'unknown' : String(version), [...(id === leader ? ['leader'] : []), ...reasons].join('; ')];
+	}));
 }
 
 function formatStatus(status: FleetStatus, targets: readonly TargetStatus[]): string {
