engines: keep what follows the end marker, line breaks and endless events out of a stream

Cause: chunks and heartbeats that an engine sent after its end marker were given on when they came in the same piece; an event over several data lines was relayed with its line breaks, so the caller's event ended early; an event that never ends was kept in memory without a limit.

Change: the reader gives nothing after the end marker, replaces line breaks between JSON tokens by spaces, and breaks the stream when one event exceeds MAX_ANSWER_BYTES.

--- a/packages/engines/src/client/chunk-reader.ts
+++ b/packages/engines/src/client/chunk-reader.ts
@@ -1,5 +1,5 @@
 import {
-	ChatChunk, type SendFailure, StreamBrokenError, type StreamItem,
+	ChatChunk, MAX_ANSWER_BYTES, type SendFailure, StreamBrokenError, type StreamItem,
 } from '@egretrill/common';
 import {createParser} from 'eventsource-parser';
 import {DONE_MARKER} from '../constants.js';
@@ -25,7 +25,7 @@
 	return parsed.data;
 }
 
-/** Turns the bytes of one engine stream into items, and accepts only the chunks of its own request in order. */
+/** Turns the bytes of one engine stream into items, and accepts only the chunks of its own request in order, up to the end marker. */
 export class ChunkReader {
 	private items: StreamItem[] = [];
 	private nextSeq: number;
@@ -36,8 +36,17 @@
 			this.takeData(event.data);
 		},
 		onComment: () => {
-			this.items.push({kind: 'heartbeat'});
+			if (!this.isDone) {
+				this.items.push({kind: 'heartbeat'});
+			}
 		},
+		onError(err) {
+			// Unknown fields are skipped, as the format demands.
+			if (err.type === 'max-buffer-size-exceeded') {
+				throw breakStream('oversized-chunk', `The engine sent an event of more than ${MAX_ANSWER_BYTES} characters.`);
+			}
+		},
+		maxBufferSize: MAX_ANSWER_BYTES,
 	});
 
 	constructor(private readonly requestId: string, resumeFrom: number) {
@@ -60,6 +69,10 @@
 	}
 
 	private takeData(data: string): void {
+		if (this.isDone) {
+			return;
+		}
+
 		if (data === DONE_MARKER) {
 			this.isDone = true;
 			this.items.push({kind: 'done'});
@@ -82,7 +95,8 @@
 
 		this.nextSeq += 1;
 		this.items.push({
-			kind: 'chunk', seq: chunk.egretrill.seq, data, ...(chunk.usage && {completionTokens: chunk.usage.completion_tokens}),
+			// An event may span several lines; in JSON a line break is only white space, and the caller's event has one line.
+			kind: 'chunk', seq: chunk.egretrill.seq, data: data.replaceAll('\n', ' '), ...(chunk.usage && {completionTokens: chunk.usage.completion_tokens}),
 		});
 	}
 }
