hosts: end a session after a damaged frame or after its caller

Cause: a frame that could not be decoded failed inside the gRPC library; when answers were written at that moment, the caller sometimes got neither an answer nor the end of the session. A session whose caller had ended its side was destroyed by its iterator, so its last answers and its status were never sent.

Change: the session decodes its frames itself and ends with INVALID_ARGUMENT on a damaged one; after its caller has ended, it answers the running calls and then ends.

Conclusion: damaged frames end their own session only.

--- a/packages/hosts/src/transport/peer-server.ts
+++ b/packages/hosts/src/transport/peer-server.ts
@@ -1,4 +1,5 @@
-import {type Logger, MAX_MESSAGE_BYTES} from '@egretrill/common';
+import {Buffer} from 'node:buffer';
+import {DecodeError, type Logger, MAX_MESSAGE_BYTES} from '@egretrill/common';
 import * as grpc from '@grpc/grpc-js';
 import {SESSION_KEEPALIVE_MS} from '../constants.js';
 import type {MethodHandler} from './method.js';
@@ -20,17 +21,18 @@
 	readonly stop: () => Promise<void>;
 };
 
-const sessionDefinition: grpc.MethodDefinition<CallFrame, AnswerFrame> = {
+const sessionDefinition: grpc.MethodDefinition<Uint8Array, AnswerFrame> = {
 	path: SESSION_PATH,
 	requestStream: true,
 	responseStream: true,
-	requestSerialize: callFrameCodec.encode,
-	requestDeserialize: bytes => callFrameCodec.decode(bytes),
+	requestSerialize: bytes => Buffer.from(bytes),
+	// Frames are decoded by the session: a failure here while an answer is written can leave the caller without an end.
+	requestDeserialize: bytes => bytes,
 	responseSerialize: answerFrameCodec.encode,
 	responseDeserialize: bytes => answerFrameCodec.decode(bytes),
 };
 
-type Session = grpc.ServerDuplexStream<CallFrame, AnswerFrame>;
+type Session = grpc.ServerDuplexStream<Uint8Array, AnswerFrame>;
 
 async function answerCall(session: Session, [id, path, body]: CallFrame, handler: MethodHandler | undefined, logger: Logger): Promise<void> {
 	let answer: Uint8Array | string;
@@ -41,11 +43,18 @@
 		answer = err instanceof Error ? err.message : 'The call failed.';
 	}
 
-	if (!session.cancelled) {
+	if (!session.cancelled && session.writable) {
 		session.write([id, answer]);
 	}
 }
 
+/** Keeps a call among the running ones until it is answered. */
+async function trackCall(running: Set<Promise<void>>, call: Promise<void>): Promise<void> {
+	running.add(call);
+	await call;
+	running.delete(call);
+}
+
 /** Answers the calls of one host until its session ends; a slow call does not hold up the others. */
 async function serveSession(session: Session, handlers: ReadonlyMap<string, MethodHandler>, {credentials: {fleet}, logger}: PeerServerOptions): Promise<void> {
 	const cert = session.getAuthContext()?.sslPeerCertificate;
@@ -58,12 +67,20 @@
 	// The caller sends nothing before it has seen that the session is accepted.
 	session.sendMetadata(new grpc.Metadata());
 	try {
-		for await (const frame of session as AsyncIterable<CallFrame>) {
-			void answerCall(session, frame, handlers.get(frame[1]), logger);
+		const running = new Set<Promise<void>>();
+		// Destroyed by its iterator, a session whose caller has ended would send neither the last answers nor its status.
+		for await (const bytes of session.iterator({destroyOnReturn: false}) as AsyncIterable<Uint8Array>) {
+			const frame = callFrameCodec.decode(bytes);
+			void trackCall(running, answerCall(session, frame, handlers.get(frame[1]), logger));
 		}
 
+		await Promise.all(running);
 		session.end();
 	} catch (err: unknown) {
+		if (err instanceof DecodeError) {
+			session.emit('error', {code: grpc.status.INVALID_ARGUMENT, details: err.message});
+		}
+
 		logger.debug({err, peer: session.getPeer()}, 'A peer session ended.');
 	}
 }
