--- a/packages/engines/tests/client/chunk-reader.test.ts
+++ b/packages/engines/tests/client/chunk-reader.test.ts
@@ -58,7 +58,9 @@
 	cut: fc.integer({min: 0, max: 4}),
 	patch: fc.oneof(
 		fc.uint8Array({maxLength: 4}),
-		fc.constantFrom('\n', '\r', '\n\n', '\ndata:', 'data: [DONE]\n\n', ': heartbeat\n\n', formatChunk('req-2', 1, 'x'), formatChunk(ID, 1, 'x'), formatChunk(ID, 9, 'x')).map(part => Buffer.from(part)),
+		fc.constantFrom(
+			'\n', '\r', '\n\n', '\ndata:', 'data: [DONE]\n\n', ': heartbeat\n\n', formatChunk('req-2', 1, 'x'), formatChunk(ID, 1, 'x'), formatChunk(ID, 9, 'x'),
+		).map(part => Buffer.from(part)),
 	),
 }), {minLength: 1, maxLength: 3});
 
