common: one constant for the lease of a zone's owner

Cause: the lease was defined three times with the same value, where it is granted (hosts), where a new owner waits before its first permit for a cold target (routing), and before its first order (placement). One change alone would have let two owners act at once.

Change: ZONE_LEASE_TTL_MS in packages/common is used by all three.

Before: three constants of 3,000 ms.

Conclusion: the waits can no longer differ from the lease.

--- a/apps/egretrilld/src/hosts/leader-duties.ts
+++ b/apps/egretrilld/src/hosts/leader-duties.ts
@@ -1,7 +1,9 @@
 import {BucketOwner, type PoisonBlock, PoisonCounter} from '@egretrill/callers';
-import type {Clock, ConfigDocument, Logger} from '@egretrill/common';
 import {
-	DUTY_CHECK_MS, type FleetNode, type FleetState, type InForceReports, WithdrawalTracker, ZONE_LEASE_TTL_MS, ZoneLeaseTable,
+	type Clock, type ConfigDocument, type Logger, ZONE_LEASE_TTL_MS,
+} from '@egretrill/common';
+import {
+	DUTY_CHECK_MS, type FleetNode, type FleetState, type InForceReports, WithdrawalTracker, ZoneLeaseTable,
 } from '@egretrill/hosts';
 import {LoadBudget} from '@egretrill/weight-store';
 
--- a/packages/common/src/constants.ts
+++ b/packages/common/src/constants.ts
@@ -25,6 +25,9 @@
 export const ANNOUNCE_INTERVAL_MS = 500;
 export const ANNOUNCE_TTL_MS = 2000;
 
+/** Lease of a zone's owner, counted by the owner from when it asked; a successor waits it out before its first order and its first permit. */
+export const ZONE_LEASE_TTL_MS = 3000;
+
 export const DEFAULT_KEY_LEASE_MS = 4000;
 export const MIN_KEY_LEASE_MS = 1000;
 export const MAX_KEY_LEASE_MS = 10_000;
--- a/packages/engines/src/placement/constants.ts
+++ b/packages/engines/src/placement/constants.ts
@@ -1,6 +1,3 @@
-/** Duration of a zone owner's lease, counted by the owner from when it asked. */
-export const OWNER_LEASE_MS = 3000;
-
 /** Longest time between the first write of an order and the destruction of its last connection. */
 export const ORDER_LIFETIME_MS = 2000;
 
--- a/packages/engines/src/placement/zone-owner.ts
+++ b/packages/engines/src/placement/zone-owner.ts
@@ -1,5 +1,5 @@
 import {
-	ANNOUNCE_TTL_MS, type Announcement, CLOCK_DRIFT_RATIO,
+	ANNOUNCE_TTL_MS, type Announcement, CLOCK_DRIFT_RATIO, ZONE_LEASE_TTL_MS,
 } from '@egretrill/common';
 import {
 	ADAPTER_ANSWER_MS,
@@ -8,7 +8,6 @@
 	MAX_UNREAD_DECISIONS,
 	MODEL_LOAD_BOUND_MS,
 	ORDER_LIFETIME_MS,
-	OWNER_LEASE_MS,
 	PERMIT_WAIT_MS,
 	PLAN_PERIOD_MS,
 	SILENT_TARGET_MS,
@@ -32,7 +31,7 @@
 };
 
 /** Time from a change of holder until no order of the predecessor can arrive any more. */
-export const TAKEOVER_WAIT_MS = (OWNER_LEASE_MS * (1 + CLOCK_DRIFT_RATIO)) + ORDER_LIFETIME_MS;
+export const TAKEOVER_WAIT_MS = (ZONE_LEASE_TTL_MS * (1 + CLOCK_DRIFT_RATIO)) + ORDER_LIFETIME_MS;
 
 /** The only issuer of placement orders in its zone. */
 export class ZoneOwner {
--- a/packages/engines/src/routing/cold-start-ramp.ts
+++ b/packages/engines/src/routing/cold-start-ramp.ts
@@ -1,6 +1,6 @@
-import {CLOCK_DRIFT_RATIO, type Clock} from '@egretrill/common';
+import {CLOCK_DRIFT_RATIO, type Clock, ZONE_LEASE_TTL_MS} from '@egretrill/common';
 import {
-	LIMIT_COLLAPSE_RATIO, PERMIT_RETRY_MS, PERMIT_TTL_MS, PERMIT_WRITE_MS, RAMP_IDLE_MS, REPORT_LAG_MS, ZONE_OWNER_LEASE_MS,
+	LIMIT_COLLAPSE_RATIO, PERMIT_RETRY_MS, PERMIT_TTL_MS, PERMIT_WRITE_MS, RAMP_IDLE_MS, REPORT_LAG_MS,
 } from './constants.js';
 import type {
 	ColdReport, DirectoryEntry, PermitAnswer, PermitRelease, PermitRenewal, PermitRequest, StartWarmth,
@@ -59,7 +59,7 @@
 	constructor(opts: {clock: Clock; ownerEpoch: number}) {
 		this.clock = opts.clock;
 		this.ownerEpoch = opts.ownerEpoch;
-		this.quietUntilMs = opts.clock.now() + (ZONE_OWNER_LEASE_MS * (1 + CLOCK_DRIFT_RATIO)) + PERMIT_WRITE_MS;
+		this.quietUntilMs = opts.clock.now() + (ZONE_LEASE_TTL_MS * (1 + CLOCK_DRIFT_RATIO)) + PERMIT_WRITE_MS;
 	}
 
 	/** Takes what the directory knows of a target, with the age of the report. */
--- a/packages/engines/src/routing/constants.ts
+++ b/packages/engines/src/routing/constants.ts
@@ -78,8 +78,6 @@
 export const PERMIT_RETRY_MS = 100;
 /** A permit is used at once or not at all, so that a report sampled later counts its request. */
 export const PERMIT_WRITE_MS = 500;
-/** Lease of the zone owner; an earlier owner may have granted permits until it ended. */
-export const ZONE_OWNER_LEASE_MS = 3000;
 /** Ramps of targets that have not been observed for this long are forgotten. */
 export const RAMP_IDLE_MS = 60_000;
 /** A reported limit below this part of the highest one of the same start means a cold target. */
--- a/packages/hosts/src/constants.ts
+++ b/packages/hosts/src/constants.ts
@@ -55,8 +55,7 @@
 /** A suspected host is tried again after this pause. */
 export const PEER_RETRY_MS = 5000;
 
-/** Right of a zone's owner, renewed well before it ends. */
-export const ZONE_LEASE_TTL_MS = 3000;
+/** The right of a zone's owner is renewed well before ZONE_LEASE_TTL_MS has passed. */
 export const ZONE_LEASE_RENEW_MS = 1000;
 
 /** Time after which a command that found no leader is given up. */
--- a/packages/hosts/src/fleet/zone-leases.ts
+++ b/packages/hosts/src/fleet/zone-leases.ts
@@ -1,8 +1,8 @@
 import {
-	CLOCK_DRIFT_RATIO, type Clock, jitter, type Random,
+	CLOCK_DRIFT_RATIO, type Clock, jitter, type Random, ZONE_LEASE_TTL_MS,
 } from '@egretrill/common';
 import {z} from 'zod';
-import {ZONE_LEASE_RENEW_MS, ZONE_LEASE_TTL_MS} from '../constants.js';
+import {ZONE_LEASE_RENEW_MS} from '../constants.js';
 import type {ZoneLease} from '../types.js';
 import {defineMethod} from '../transport/index.js';
 
