balancer: name the package of readiness, drain and metrics after its peer

Cause: the name platform is needed for the adapter of the users' platform. Change: packages/platform is packages/balancer; no behaviour changes.

--- a/apps/egretrilld/src/callers/daemon-observer.ts
+++ b/apps/egretrilld/src/callers/daemon-observer.ts
@@ -4,7 +4,7 @@
 import type {Clock} from '@egretrill/common';
 import type {DemandEstimator} from '@egretrill/engines';
 import type {PeerDirectory} from '@egretrill/hosts';
-import type {Counter, Metrics} from '@egretrill/platform';
+import type {Counter, Metrics} from '@egretrill/balancer';
 import {crashMethod} from '../methods.js';
 import type {PromiseAudit} from '../monitor/promise-audit.js';
 
--- a/apps/egretrilld/src/container.ts
+++ b/apps/egretrilld/src/container.ts
@@ -14,7 +14,7 @@
 	ConfigFollower, FleetLog, FleetOrigin, InForceReports, MAX_OUTCOME_BODY_BYTES, type PeerCredentials, PeerDirectory, ZoneLeaseKeeper, zoneLeaseMethod,
 } from '@egretrill/hosts';
 import {PromiseCounters} from '@egretrill/monitor';
-import {Drain, Metrics} from '@egretrill/platform';
+import {Drain, Metrics} from '@egretrill/balancer';
 import {ReplicatedLedger, ServiceClient} from '@egretrill/services';
 import {Container, type ResolutionContext} from 'inversify';
 import {DaemonObserver} from './callers/daemon-observer.js';
--- a/apps/egretrilld/src/daemon.ts
+++ b/apps/egretrilld/src/daemon.ts
@@ -9,7 +9,7 @@
 } from '@egretrill/hosts';
 import {createMonitorApp} from '@egretrill/monitor';
 import {createAdminApp} from '@egretrill/operators';
-import {createHealthApp, type DrainReport, type UnreadyReason} from '@egretrill/platform';
+import {createHealthApp, type DrainReport, type UnreadyReason} from '@egretrill/balancer';
 import type {Container} from 'inversify';
 import {
 	CONFIG_SYNC_INTERVAL_MS, INITIAL_CONFIG_RETRY_MS, PLACEMENT_AUDIT_INTERVAL_MS, PROMISE_RECORD_INTERVAL_MS,
--- a/apps/egretrilld/src/monitor/promise-audit.ts
+++ b/apps/egretrilld/src/monitor/promise-audit.ts
@@ -2,7 +2,7 @@
 import type {Verdict} from '@egretrill/common';
 import type {TargetDirectory} from '@egretrill/engines';
 import type {PromiseCounters, PromiseId} from '@egretrill/monitor';
-import type {DrainReport} from '@egretrill/platform';
+import type {DrainReport} from '@egretrill/balancer';
 import {getCopyMemoryMb, hasRoomForModel} from './copy-memory.js';
 
 export type PromiseAuditOptions = {
--- a/apps/egretrilld/src/run-daemon.ts
+++ b/apps/egretrilld/src/run-daemon.ts
@@ -1,7 +1,7 @@
 import process from 'node:process';
 import type {ConfigDocument, Settings} from '@egretrill/common';
 import {createBlockHasher} from '@egretrill/engines';
-import type {DrainReport} from '@egretrill/platform';
+import type {DrainReport} from '@egretrill/balancer';
 import {createContainer} from './container.js';
 import {Daemon} from './daemon.js';
 import {readPeerCredentials} from './hosts/peer-credentials.js';
--- a/apps/egretrilld/src/tokens.ts
+++ b/apps/egretrilld/src/tokens.ts
@@ -12,7 +12,7 @@
 } from '@egretrill/hosts';
 import type {PromiseCounters} from '@egretrill/monitor';
 import type {FleetControl} from '@egretrill/operators';
-import type {Drain, Metrics} from '@egretrill/platform';
+import type {Drain, Metrics} from '@egretrill/balancer';
 import type {ServiceIdentifier} from 'inversify';
 import type {LeaderDuties} from './hosts/leader-duties.js';
 import type {EvidenceHolder} from './monitor/evidence-holder.js';
