--- /dev/null
+++ b/apps/egretrilld/src/traffic/adapter.ts
@@ -0,0 +1,17 @@
+import type {RequestListener} from 'node:http';
+import type {UnreadyReason} from '@egretrill/balancer';
+import type {ForwardDialect} from '@egretrill/callers';
+import type {EngineOrders} from '@egretrill/engines';
+import type {ConfigDecoder} from './config-decoder.js';
+import type {ControlService} from './control-service.js';
+
+/** What translates between this product and the platform that it runs on. */
+export abstract class Adapter {
+	abstract readonly dialect: ForwardDialect;
+	abstract readonly decoder: ConfigDecoder;
+	abstract createOrders(): EngineOrders;
+	/** Serves targets and operators. */
+	abstract createControlApp(service: ControlService): RequestListener;
+	/** Serves the balancer's question whether a host takes new connections. */
+	abstract createReadyApp(getUnreadyReasons: () => readonly UnreadyReason[]): RequestListener;
+}
--- /dev/null
+++ b/apps/egretrilld/src/traffic/book-places.ts
@@ -0,0 +1,47 @@
+import {
+	type Place, type PlaceAnswer, type PlaceNeed, PlaceSource,
+} from '@egretrill/callers';
+import type {Clock} from '@egretrill/common';
+import type {TargetBook} from '@egretrill/engines';
+import {WANT_GAP_MS} from './constants.js';
+
+/** Places at the targets of the book; models and adapters that are missing are asked for. */
+export class BookPlaces extends PlaceSource {
+	private readonly askedMs = new Map<string, number>();
+
+	constructor(private readonly opts: {readonly clock: Clock; readonly book: TargetBook; readonly ask: (service: string, model: string, adapter: string | undefined) => void}) {
+		super();
+	}
+
+	override find(need: PlaceNeed): PlaceAnswer {
+		const choice = this.opts.book.choose(need);
+		if (choice.kind !== 'target') {
+			return choice;
+		}
+
+		const taken = this.opts.book.take(choice.targetId, need);
+		if (!taken) {
+			return {kind: 'none'};
+		}
+
+		const {registration: {targetId, address, zone}, end} = taken;
+		const place: Place = {
+			targetId, address, zone, end,
+		};
+		return {kind: 'place', place};
+	}
+
+	override want({service, model, adapter}: PlaceNeed): void {
+		if (model === undefined) {
+			return;
+		}
+
+		const {clock, ask} = this.opts;
+		const key = JSON.stringify([service, model, adapter]);
+		const nowMs = clock.now();
+		if (nowMs - (this.askedMs.get(key) ?? Number.NEGATIVE_INFINITY) >= WANT_GAP_MS) {
+			this.askedMs.set(key, nowMs);
+			ask(service, model, adapter);
+		}
+	}
+}
--- /dev/null
+++ b/apps/egretrilld/src/traffic/constants.ts
@@ -0,0 +1,38 @@
+/** Longest time that a control host holds the poll of an entry host open while nothing changes. */
+export const SYNC_WAIT_MS = 200;
+
+/** Time for the answer to a poll beyond the wait. */
+export const SYNC_ANSWER_MS = 700;
+
+/** Least time between two polls, so that a burst of changes travels in one answer. */
+export const SYNC_GAP_MS = 25;
+
+/** Time between two polls when no control host answers. */
+export const SYNC_RETRY_MS = 150;
+
+/** A control host that did not answer is passed over for this long. */
+export const CONTROL_SUSPECT_MS = 1000;
+
+/** How often control hosts exchange registrations. */
+export const GOSSIP_MS = 150;
+
+/** How often a control host that is no member of the log asks to become one. */
+export const JOIN_RETRY_MS = 500;
+
+/** How often a control host looks for silent targets and changed duties. */
+export const DUTY_PERIOD_MS = 250;
+
+/** A member that has not answered for this long is replaced when another host can take its place. */
+export const DEAD_MEMBER_MS = 8000;
+
+/** Drift and delay added to the lease of an earlier holder before the first order of a new one. */
+export const ORDER_TAKEOVER_MARGIN_MS = 300;
+
+/** What the running requests of a silent entry host count for after its last poll. */
+export const ENTRY_SILENT_MS = 1500;
+
+/** A request for a model or adapter is not repeated within this time. */
+export const WANT_GAP_MS = 50;
+
+/** How long a change of the settings file may go unnoticed when no signal tells of it. */
+export const SETTINGS_POLL_MS = 1000;
--- /dev/null
+++ b/apps/egretrilld/src/traffic/container.ts
@@ -0,0 +1,58 @@
+import 'reflect-metadata';
+import {randomInt} from 'node:crypto';
+import {Metrics} from '@egretrill/balancer';
+import {
+	createLogger, createRandom, getComponentLogger, MonotonicClock,
+} from '@egretrill/common';
+import {ControlPeers} from '@egretrill/hosts';
+import {credentials, ServerCredentials} from '@grpc/grpc-js';
+import {Container} from 'inversify';
+import type {Adapter} from './adapter.js';
+import {ControlHost} from './control-host.js';
+import {EntryHost} from './entry-host.js';
+import type {ControlSettings, EntrySettings, TrafficSettings} from './settings.js';
+import {trafficTokens} from './tokens.js';
+
+function bindControl(container: Container, settings: ControlSettings): void {
+	container.bind(trafficTokens.control).toDynamicValue(ctx => new ControlHost({
+		settings,
+		clock: ctx.get(trafficTokens.clock),
+		random: ctx.get(trafficTokens.random),
+		logger: getComponentLogger(ctx.get(trafficTokens.logger), 'control'),
+		credentials: ctx.get(trafficTokens.credentials),
+		decoder: ctx.get(trafficTokens.adapter).decoder,
+		orders: ctx.get(trafficTokens.adapter).createOrders(),
+	})).inSingletonScope();
+}
+
+function bindEntry(container: Container, settings: EntrySettings): void {
+	container.bind(trafficTokens.entry).toDynamicValue(ctx => new EntryHost({
+		settings,
+		clock: ctx.get(trafficTokens.clock),
+		random: ctx.get(trafficTokens.random),
+		logger: getComponentLogger(ctx.get(trafficTokens.logger), 'callers'),
+		metrics: ctx.get(trafficTokens.metrics),
+		peers: new ControlPeers({seedIds: settings.seeds, clock: ctx.get(trafficTokens.clock), credentials: ctx.get(trafficTokens.credentials)}),
+		dialect: ctx.get(trafficTokens.adapter).dialect,
+		decoder: ctx.get(trafficTokens.adapter).decoder,
+	})).inSingletonScope();
+}
+
+/** Wires a host of either role. */
+export function createTrafficContainer(settings: TrafficSettings, adapter: Adapter): Container {
+	const container = new Container();
+	container.bind(trafficTokens.adapter).toConstantValue(adapter);
+	container.bind(trafficTokens.clock).toConstantValue(new MonotonicClock());
+	container.bind(trafficTokens.random).toConstantValue(createRandom(randomInt(2 ** 31)));
+	container.bind(trafficTokens.logger).toConstantValue(createLogger(`egretrilld.${settings.host}`, settings.logLevel));
+	container.bind(trafficTokens.metrics).toConstantValue(new Metrics());
+	// The platform's network between hosts is closed to others; it gives no certificates.
+	container.bind(trafficTokens.credentials).toConstantValue({server: ServerCredentials.createInsecure(), client: credentials.createInsecure()});
+	if (settings.role === 'control') {
+		bindControl(container, settings);
+	} else {
+		bindEntry(container, settings);
+	}
+
+	return container;
+}
--- /dev/null
+++ b/apps/egretrilld/src/traffic/control-follower.ts
@@ -0,0 +1,131 @@
+import {randomUUID} from 'node:crypto';
+import {
+	type Clock, type Logger, type TrafficSource,
+} from '@egretrill/common';
+import type {ControlPeers} from '@egretrill/hosts';
+import {
+	CONTROL_SUSPECT_MS, SYNC_ANSWER_MS, SYNC_GAP_MS, SYNC_RETRY_MS, SYNC_WAIT_MS,
+} from './constants.js';
+import {
+	type EntryReport, type LeaderPlan, syncMethod, type SyncResponse, wantMethod,
+} from './methods.js';
+
+/** What an entry host tells with a poll, apart from who it is. */
+export type OwnReport = Omit<EntryReport, 'hostId' | 'startId'>;
+
+/** Takes what a poll brings. */
+export abstract class SyncSink {
+	abstract createReport(): OwnReport;
+	abstract getKnown(): {readonly configVersion: number; readonly registry: {readonly origin: string; readonly revision: number}};
+	abstract takeConfig(config: TrafficSource): void;
+	abstract takeTargets(update: SyncResponse['registry'], zonesOut: readonly string[]): void;
+	/** Takes the leader's plan; leases in it count from when the poll was sent. */
+	abstract takePlan(plan: LeaderPlan, sentMs: number): void;
+}
+
+export type ControlFollowerOptions = {
+	readonly hostId: string;
+	readonly zone: string;
+	readonly clock: Clock;
+	readonly logger: Logger;
+	readonly peers: ControlPeers;
+	readonly sink: SyncSink;
+};
+
+/** Follows the control hosts: the leader while it answers, otherwise one near by. */
+export class ControlFollower {
+	private readonly startId = randomUUID();
+	private readonly suspectUntilMs = new Map<string, number>();
+	/** Control hosts that did not answer the last poll. */
+	private readonly silent = new Set<string>();
+	private leaderId: string | undefined;
+	private lastAnswerMs = Number.NEGATIVE_INFINITY;
+	private turn = 0;
+
+	constructor(private readonly opts: ControlFollowerOptions) {}
+
+	/** Age of what this host knows. */
+	getAgeMs(): number {
+		return this.opts.clock.now() - this.lastAnswerMs;
+	}
+
+	async run(signal: AbortSignal): Promise<void> {
+		while (!signal.aborted) {
+			const controlId = this.pick();
+			const sentMs = this.opts.clock.now();
+			const isAnswered = controlId !== undefined && await this.poll(controlId);
+			if (!isAnswered) {
+				this.turn += 1;
+			}
+
+			const gapMs = isAnswered ? SYNC_GAP_MS : SYNC_RETRY_MS;
+			await this.opts.clock.sleep(Math.max(SYNC_GAP_MS, sentMs + gapMs - this.opts.clock.now()), signal);
+		}
+	}
+
+	/** Tells the leader of a model or adapter that a request needs now. */
+	async want(service: string, model: string, adapter: string | undefined): Promise<void> {
+		if (this.leaderId !== undefined) {
+			// A lost message is repeated by the requests that still wait.
+			await this.opts.peers.call(this.leaderId, wantMethod, {service, model, ...(adapter !== undefined && {adapter})});
+		}
+	}
+
+	private pick(): string | undefined {
+		const nowMs = this.opts.clock.now();
+		const isTrusted = (id: string): boolean => (this.suspectUntilMs.get(id) ?? 0) <= nowMs;
+		if (this.leaderId !== undefined && isTrusted(this.leaderId)) {
+			return this.leaderId;
+		}
+
+		const hosts = this.opts.peers.getOthers();
+		const trusted = hosts.filter(({id}) => isTrusted(id));
+		const near = trusted.filter(({zone}) => zone === this.opts.zone);
+		const choices = near.length > 0 ? near : (trusted.length > 0 ? trusted : hosts);
+		return choices[this.turn % Math.max(1, choices.length)]?.id;
+	}
+
+	private async poll(controlId: string): Promise<boolean> {
+		const {clock, hostId, logger, peers, sink} = this.opts;
+		const {configVersion, registry} = sink.getKnown();
+		const sentMs = clock.now();
+		const answer = await peers.call(controlId, syncMethod, {
+			report: {...sink.createReport(), hostId, startId: this.startId}, configVersion, registry, planRevision: 0, waitMs: SYNC_WAIT_MS,
+		}, SYNC_WAIT_MS + SYNC_ANSWER_MS);
+		if (answer.isErr) {
+			this.suspectUntilMs.set(controlId, clock.now() + CONTROL_SUSPECT_MS);
+			if (!this.silent.has(controlId)) {
+				this.silent.add(controlId);
+				logger.warn({peer: controlId, reason: answer.error.message, ageMs: Math.round(this.getAgeMs())}, 'A control host does not answer.');
+			}
+
+			return false;
+		}
+
+		if (this.silent.delete(controlId)) {
+			logger.info({peer: controlId}, 'A control host answers again.');
+		}
+
+		this.lastAnswerMs = clock.now();
+		this.take(answer.value, controlId, sentMs);
+		return true;
+	}
+
+	private take({leaderId, controls, config, zonesOut, registry, plan}: SyncResponse, controlId: string, sentMs: number): void {
+		const {logger, peers, sink} = this.opts;
+		if (leaderId !== this.leaderId) {
+			logger.info({leaderId, from: controlId}, 'The leader has changed.');
+			this.leaderId = leaderId;
+		}
+
+		peers.learn(controls);
+		if (config) {
+			sink.takeConfig(config);
+		}
+
+		sink.takeTargets(registry, zonesOut);
+		if (plan) {
+			sink.takePlan(plan, sentMs);
+		}
+	}
+}
--- /dev/null
+++ b/apps/egretrilld/src/traffic/control-host.ts
@@ -0,0 +1,340 @@
+import {randomUUID} from 'node:crypto';
+import path from 'node:path';
+import {
+	type Clock, type EngineClass, jitter, type Logger, type Random, type Registration, Signal, type TrafficConfig,
+} from '@egretrill/common';
+import {FileLogStorage, SnapshotStore} from '@egretrill/disk';
+import {type EngineOrders, TargetRegistry} from '@egretrill/engines';
+import {
+	bindConsensus, bindFleetLog, bindMethod, ConsensusNode, ControlPeers, FleetLog, type FleetNode, FleetState, GrpcConsensusTransport, type MethodHandler, type PeerCredentials,
+} from '@egretrill/hosts';
+import type {ConfigDecoder} from './config-decoder.js';
+import {
+	DEAD_MEMBER_MS, DUTY_PERIOD_MS, GOSSIP_MS, JOIN_RETRY_MS,
+} from './constants.js';
+import {ControlService, type PutOutcome} from './control-service.js';
+import {LeaderTerm} from './leader-term.js';
+import {
+	gossipMethod, readTrafficMethod, syncMethod, wantMethod,
+} from './methods.js';
+import type {ControlSettings} from './settings.js';
+
+export type ControlHostOptions = {
+	readonly settings: ControlSettings;
+	readonly clock: Clock;
+	readonly random: Random;
+	readonly logger: Logger;
+	readonly credentials: PeerCredentials;
+	readonly decoder: ConfigDecoder;
+	readonly orders: EngineOrders;
+};
+
+type Contact = {zone: string; heardMs: number};
+
+/** A host that keeps the log, hears the targets and serves operators; the leader among them divides rates and orders engines. */
+export class ControlHost extends ControlService {
+	readonly peers: ControlPeers;
+	readonly registry: TargetRegistry;
+	private readonly hostId: string;
+	private readonly state = new FleetState();
+	private readonly node: FleetNode;
+	private readonly log: FleetLog;
+	private readonly contacts = new Map<string, Contact>();
+	/** Notified when entry hosts must hear of a change. */
+	private readonly news = new Signal();
+	private readonly origin = randomUUID();
+	private term: LeaderTerm | undefined;
+	private decoded: {readonly source: string; readonly config: TrafficConfig | undefined} | undefined;
+	private leaderHint: string | undefined;
+
+	constructor(private readonly opts: ControlHostOptions) {
+		super();
+		const {settings, clock, random, logger, credentials} = opts;
+		this.hostId = settings.listen.peers;
+		this.peers = new ControlPeers({
+			selfId: this.hostId, seedIds: settings.seeds, clock, credentials,
+		});
+		this.registry = new TargetRegistry(clock, this.origin);
+		const folder = path.join(settings.dataDir, 'log');
+		this.node = new ConsensusNode({
+			memberId: this.hostId,
+			initialMembers: settings.isFirstStart ? settings.seeds : [],
+			transport: new GrpcConsensusTransport(this.peers),
+			storage: new FileLogStorage({folder}),
+			snapshots: new SnapshotStore({folder}),
+			machine: this.state,
+			clock,
+			random,
+			logger,
+		});
+		this.log = new FleetLog({
+			hostId: this.hostId,
+			clock,
+			peers: this.peers,
+			node: this.node,
+			getLeaderId: () => this.getLeaderId(),
+			getAgeMs: () => 0,
+		});
+	}
+
+	/** What other hosts may call. */
+	getHandlers(): readonly MethodHandler[] {
+		return [
+			...bindConsensus(this.node),
+			bindFleetLog(this.node),
+			bindMethod(syncMethod, async ({report, configVersion, registry, waitMs}) => {
+				await this.waitForNews(configVersion, registry, waitMs);
+				const traffic = this.state.getTraffic();
+				const leaderId = this.getLeaderId();
+				const plan = this.getTerm()?.takeReport(report);
+				return {
+					...(leaderId !== undefined && {leaderId}),
+					controls: this.getControls(),
+					...(traffic && traffic.version > configVersion && {config: traffic}),
+					zonesOut: [...this.state.getZonesOut()],
+					registry: this.registry.getUpdateSince(registry, false),
+					...(plan && {plan}),
+				};
+			}),
+			bindMethod(wantMethod, async want => {
+				const term = this.getTerm();
+				term?.engines.want(want, term.signal);
+				return {};
+			}),
+			bindMethod(gossipMethod, async ({hostId, zone, registry}) => {
+				this.contacts.set(hostId, {zone, heardMs: this.opts.clock.now()});
+				const leaderId = this.getLeaderId();
+				return {
+					registry: this.registry.getUpdateSince(registry, true),
+					zone: this.opts.settings.zone,
+					memberIds: this.node.status().members.map(({id}) => id),
+					...(leaderId !== undefined && {leaderId}),
+				};
+			}),
+			bindMethod(readTrafficMethod, async () => {
+				const isCurrent = this.node.isLeaderWithLease();
+				const traffic = this.state.getTraffic();
+				return {isCurrent, ...(isCurrent && traffic && {traffic})};
+			}),
+		];
+	}
+
+	/** Keeps the log, hears the other control hosts and leads when it is this host's turn, until aborted. */
+	async run(signal: AbortSignal): Promise<void> {
+		await this.node.start();
+		await Promise.all([
+			this.followLog(signal), this.followRegistry(signal), this.gossip(signal), this.join(signal), this.doDuties(signal), this.watchLog(),
+		]);
+		this.term?.end();
+		await this.node.stop();
+		this.peers.close();
+	}
+
+	override acceptRegistration(registration: Registration): boolean {
+		const isNew = this.registry.get(registration.targetId) === undefined;
+		const isAccepted = this.registry.accept(registration);
+		if (isAccepted && (isNew || registration.isLeaving)) {
+			const {targetId, service, zone, startedAtMs, sequence, isLeaving, coldForMs} = registration;
+			this.opts.logger.info({
+				targetId, service, zone, startedAtMs, sequence, isLeaving, coldForMs,
+			}, 'A target has registered.');
+		}
+
+		return isAccepted;
+	}
+
+	override endTarget(targetId: string): void {
+		this.opts.logger.info({targetId}, 'A target has left.');
+		this.registry.end(targetId);
+	}
+
+	override async putTraffic(source: string): Promise<PutOutcome> {
+		const decoded = this.opts.decoder.decode(source);
+		if (decoded.isErr) {
+			this.opts.logger.info({faults: decoded.error.slice(0, 3)}, 'A configuration was refused.');
+			return {kind: 'invalid', faults: decoded.error};
+		}
+
+		const {version} = decoded.value;
+		const outcome = await this.log.propose({kind: 'putTraffic', traffic: {version, source}});
+		this.opts.logger.info({version, outcome: outcome.kind, ...('reason' in outcome && {reason: outcome.reason})}, 'A configuration was put.');
+		return outcome.kind === 'committed' ? {kind: 'accepted', version} : {kind: 'unavailable', reason: outcome.reason};
+	}
+
+	override async readTraffic(): Promise<string | undefined> {
+		if (this.node.isLeaderWithLease()) {
+			return this.state.getTraffic()?.source;
+		}
+
+		const leaderId = this.getLeaderId();
+		if (leaderId === undefined || leaderId === this.hostId) {
+			return undefined;
+		}
+
+		const answer = await this.peers.call(leaderId, readTrafficMethod, {});
+		return answer.isOk && answer.value.isCurrent ? answer.value.traffic?.source : undefined;
+	}
+
+	override async setZoneService(zone: string, isInService: boolean): Promise<boolean> {
+		const outcome = await this.log.propose({kind: 'setZoneService', zone, isInService});
+		this.opts.logger.info({zone, isInService, outcome: outcome.kind}, 'The service of a zone was changed.');
+		return outcome.kind === 'committed';
+	}
+
+	/** Seeds from changed settings. */
+	learnSeeds(seeds: readonly string[]): void {
+		this.peers.learnSeeds(seeds);
+	}
+
+	private getLeaderId(): string | undefined {
+		const {leaderId, members} = this.node.status();
+		return leaderId ?? (members.some(({id}) => id === this.hostId) ? undefined : this.leaderHint);
+	}
+
+	private getTerm(): LeaderTerm | undefined {
+		return this.node.isLeaderWithLease() && this.term?.term === this.node.status().term ? this.term : undefined;
+	}
+
+	private getControls(): Array<{id: string; zone?: string}> {
+		const ids = new Set([this.hostId, ...this.node.status().members.map(({id}) => id), ...this.peers.getVoterIds()]);
+		return [...ids].map(id => {
+			const zone = id === this.hostId ? this.opts.settings.zone : this.contacts.get(id)?.zone;
+			return {id, ...(zone !== undefined && {zone})};
+		});
+	}
+
+	private async waitForNews(configVersion: number, known: {readonly origin: string; readonly revision: number}, waitMs: number): Promise<void> {
+		const {clock} = this.opts;
+		const endsMs = clock.now() + waitMs;
+		while (clock.now() < endsMs && (this.state.getTraffic()?.version ?? 0) <= configVersion && !this.registry.hasChangedSince(known)) {
+			await this.news.wait(clock, endsMs - clock.now());
+		}
+	}
+
+	private async followLog(signal: AbortSignal): Promise<void> {
+		while (!signal.aborted) {
+			await this.node.changed.wait(this.opts.clock, DUTY_PERIOD_MS, signal);
+			this.followLeadership();
+			this.news.notify();
+		}
+	}
+
+	private async followRegistry(signal: AbortSignal): Promise<void> {
+		while (!signal.aborted) {
+			await this.registry.changed.wait(this.opts.clock, DUTY_PERIOD_MS, signal);
+			this.registry.sweep();
+			this.news.notify();
+		}
+	}
+
+	/** Starts or ends a term as this host gains or loses the leadership. */
+	private followLeadership(): void {
+		const {role, term, leaderId} = this.node.status();
+		const {clock, random, logger, orders, settings} = this.opts;
+		if (role === 'leader' && this.term?.term !== term) {
+			this.term?.end();
+			logger.info({term}, 'This host leads.');
+			this.term = new LeaderTerm({
+				clock, random, logger, orders, term, node: this.node, registry: this.registry, hostId: settings.host, orderLeaseMs: settings.bounds.orderLeaseMs, getClasses: () => this.getClasses(),
+			});
+			void this.term.run();
+		} else if (role !== 'leader' && this.term) {
+			logger.info({term, leaderId}, 'This host no longer leads.');
+			this.term.end();
+			this.term = undefined;
+		}
+	}
+
+	private getClasses(): ReadonlyMap<string, EngineClass> {
+		const source = this.state.getTraffic()?.source;
+		if (source !== undefined && this.decoded?.source !== source) {
+			const decoded = this.opts.decoder.decode(source);
+			this.decoded = {source, config: decoded.isOk ? decoded.value : undefined};
+		}
+
+		return new Map((this.decoded?.config?.services ?? []).flatMap(({name, engine}) => engine ? [[name, engine] as const] : []));
+	}
+
+	/** Runs one task for each other control host. */
+	private async gossip(signal: AbortSignal): Promise<void> {
+		const tasks = new Map<string, Promise<void>>();
+		while (!signal.aborted) {
+			for (const {id} of this.peers.getOthers()) {
+				if (!tasks.has(id)) {
+					tasks.set(id, this.gossipWith(id, signal));
+				}
+			}
+
+			await this.opts.clock.sleep(JOIN_RETRY_MS, signal);
+		}
+
+		await Promise.all(tasks.values());
+	}
+
+	private async gossipWith(id: string, signal: AbortSignal): Promise<void> {
+		const {clock, random, settings, logger} = this.opts;
+		let known = {origin: '', revision: 0};
+		let isHeard = false;
+		while (!signal.aborted) {
+			const answer = await this.peers.call(id, gossipMethod, {hostId: this.hostId, zone: settings.zone, registry: known});
+			if (answer.isOk !== isHeard) {
+				isHeard = answer.isOk;
+				logger.info({peer: id, ...(answer.isErr && {reason: answer.error.message})}, isHeard ? 'A control host answers.' : 'A control host does not answer.');
+			}
+
+			if (answer.isOk) {
+				const {registry, zone, memberIds, leaderId} = answer.value;
+				known = {origin: registry.origin, revision: registry.revision};
+				this.contacts.set(id, {zone, heardMs: clock.now()});
+				this.registry.merge(registry.targets);
+				this.leaderHint = leaderId ?? this.leaderHint;
+				this.peers.learn([...new Set([...memberIds, ...this.node.status().members.map(member => member.id), ...this.contacts.keys()])].map(other => ({id: other})));
+			}
+
+			await clock.sleep(jitter(GOSSIP_MS, random), signal);
+		}
+	}
+
+	/** Asks for membership while this host is no member of the log that the others keep. */
+	private async join(signal: AbortSignal): Promise<void> {
+		const {clock, settings, logger} = this.opts;
+		while (!signal.aborted) {
+			await clock.sleep(JOIN_RETRY_MS, signal);
+			const {members} = this.node.status();
+			const isFounder = settings.isFirstStart && settings.seeds.includes(this.hostId);
+			if (signal.aborted || isFounder || this.leaderHint === undefined || members.some(({id}) => id === this.hostId) || members.length >= settings.maxVoters) {
+				continue;
+			}
+
+			const outcome = await this.log.propose({
+				kind: 'addMember', member: {id: this.hostId, zone: settings.zone, region: settings.zone, address: this.hostId, voter: true}, requestId: randomUUID(), author: settings.host,
+			}, JOIN_RETRY_MS * 4);
+			logger.info({outcome: outcome.kind}, 'This host asked to become a member of the log.');
+			await clock.sleep(JOIN_RETRY_MS * 2, signal);
+		}
+	}
+
+	/** As leader, lets a member go that has been silent for long once another host has taken its place. */
+	private async doDuties(signal: AbortSignal): Promise<void> {
+		const {clock, settings, logger} = this.opts;
+		while (!signal.aborted) {
+			await clock.sleep(DUTY_PERIOD_MS * 4, signal);
+			const {members} = this.node.status();
+			const dead = members.find(({id}) => id !== this.hostId && clock.now() - (this.contacts.get(id)?.heardMs ?? 0) > DEAD_MEMBER_MS);
+			const living = members.filter(member => member !== dead && member.role === 'voter');
+			if (dead && this.getTerm() && living.length >= Math.min(3, settings.maxVoters) && this.contacts.has(dead.id)) {
+				const outcome = await this.log.propose({
+					kind: 'removeMember', memberId: dead.id, requestId: randomUUID(), author: settings.host,
+				});
+				logger.info({memberId: dead.id, outcome: outcome.kind}, 'A silent member was removed from the log.');
+			}
+		}
+	}
+
+	private async watchLog(): Promise<void> {
+		const failure = await this.node.waitUntilStopped();
+		if (failure) {
+			this.opts.logger.error({err: failure}, 'This host no longer takes part in the log.');
+		}
+	}
+}
--- /dev/null
+++ b/apps/egretrilld/src/traffic/entry-host.ts
@@ -0,0 +1,219 @@
+import {createServer, type IncomingMessage, type Server, type ServerResponse} from 'node:http';
+import {
+	type Clock, jitter, type Logger, type Random, type TrafficSource,
+} from '@egretrill/common';
+import {
+	type ForwardDialect, type ForwardParts, forwardRequest, PlaceQueue, RATE_LEASE_MS, RateParts, RetryBudget, RouteTable,
+} from '@egretrill/callers';
+import {Drain, type Metrics, type UnreadyReason} from '@egretrill/balancer';
+import {TargetBook} from '@egretrill/engines';
+import type {ControlPeers} from '@egretrill/hosts';
+import {BookPlaces} from './book-places.js';
+import type {ConfigDecoder} from './config-decoder.js';
+import {ControlFollower, type OwnReport, SyncSink} from './control-follower.js';
+import {DecisionLog} from './decision-log.js';
+import {EntryObserver} from './entry-observer.js';
+import {HttpSender} from './http-sender.js';
+import type {LeaderPlan, SyncResponse} from './methods.js';
+import {NodeExchange} from './node-exchange.js';
+import type {EntrySettings, TrafficBounds} from './settings.js';
+
+/** How often waiting requests are tried again when nothing tells of a change. */
+const PUMP_MS = 100;
+
+export type EntryHostOptions = {
+	readonly settings: EntrySettings;
+	readonly clock: Clock;
+	readonly random: Random;
+	readonly logger: Logger;
+	readonly metrics: Metrics;
+	readonly peers: ControlPeers;
+	readonly dialect: ForwardDialect;
+	readonly decoder: ConfigDecoder;
+};
+
+/** A host that serves callers: it follows the control hosts and forwards requests to targets. */
+export class EntryHost extends SyncSink {
+	readonly server: Server;
+	private table: RouteTable | undefined;
+	private bounds: TrafficBounds;
+	private readonly follower: ControlFollower;
+	private readonly book: TargetBook;
+	private readonly queue: PlaceQueue;
+	private readonly rates: RateParts;
+	private readonly observer: EntryObserver;
+	private readonly retries = new Map<string, RetryBudget>();
+	private readonly sender = new HttpSender();
+	private readonly drain: Drain;
+	private readonly parts: ForwardParts;
+	private ratesHeld = {ackedSerial: 0, standing: 0};
+	private hostCount = 1;
+	private isStopping = false;
+
+	constructor(private readonly opts: EntryHostOptions) {
+		super();
+		const {settings, clock, logger, metrics, peers} = opts;
+		this.bounds = settings.bounds;
+		this.drain = new Drain({clock, deadlineMs: settings.bounds.drainMs, balancerWaitMs: settings.bounds.balancerWaitMs});
+		this.rates = new RateParts(clock);
+		this.book = new TargetBook({
+			clock,
+			zone: settings.zone,
+			getColdRate: service => this.getColdRate(service),
+			getBatchSlots: service => this.table?.services.get(service)?.engine?.batchSlots,
+		});
+		this.follower = new ControlFollower({
+			hostId: settings.host, zone: settings.zone, clock, logger, peers, sink: this,
+		});
+		this.queue = new PlaceQueue(clock, new BookPlaces({
+			clock,
+			book: this.book,
+			ask: (service, model, adapter) => {
+				void this.follower.want(service, model, adapter);
+			},
+		}));
+		this.observer = new EntryObserver(new DecisionLog(clock, logger), metrics, () => this.follower.getAgeMs());
+		this.parts = {
+			clock,
+			random: opts.random,
+			dialect: opts.dialect,
+			queue: this.queue,
+			rates: this.rates,
+			sender: this.sender,
+			observer: this.observer,
+			getTable: () => this.table,
+			getRetries: service => this.getRetries(service),
+		};
+		this.server = createServer((req, res) => {
+			void this.serve(req, res);
+		});
+	}
+
+	/** Follows the control hosts and places waiting requests until aborted. */
+	async run(signal: AbortSignal): Promise<void> {
+		await Promise.all([this.follower.run(signal), this.pump(signal)]);
+		this.sender.close();
+	}
+
+	getUnreadyReasons(): readonly UnreadyReason[] {
+		const draining = this.drain.getUnreadyReason();
+		return [
+			...(draining ? [draining] : []),
+			...(this.table ? [] : [{check: 'configuration', reason: 'No configuration has arrived yet.'}]),
+		];
+	}
+
+	/** Lets begun requests end; connections that still arrive are served meanwhile. */
+	async stop(reason: string): Promise<void> {
+		this.isStopping = true;
+		const report = await this.drain.start(reason);
+		this.opts.logger.info({...report}, 'The host has drained.');
+		this.server.close();
+		this.server.closeAllConnections();
+	}
+
+	/** Takes over what may change while the host runs. */
+	learnSettings({seeds, bounds}: Pick<EntrySettings, 'seeds' | 'bounds'>): void {
+		this.opts.peers.learnSeeds(seeds);
+		this.bounds = bounds;
+		this.applyBounds();
+	}
+
+	override createReport(): OwnReport {
+		return {
+			running: this.book.getOwn().map(([id, count]) => [id, count]),
+			arrivals: this.observer.takeArrivals(),
+			waiting: [...this.queue.getWaitingByModel()].map(([key, count]) => {
+				const [service, model] = JSON.parse(key) as [string, string];
+				return [service, model, count];
+			}),
+			rates: {...this.ratesHeld, demand: this.rates.getDemand().map(([name, perSecond]) => [name, perSecond])},
+		};
+	}
+
+	override getKnown(): {readonly configVersion: number; readonly registry: {readonly origin: string; readonly revision: number}} {
+		return {configVersion: this.table?.config.version ?? 0, registry: this.book.getKnown()};
+	}
+
+	override takeConfig({version, source}: TrafficSource): void {
+		const {decoder, logger} = this.opts;
+		const decoded = decoder.decode(source);
+		if (decoded.isErr || version <= (this.table?.config.version ?? 0)) {
+			logger.error({version, faults: decoded.isErr ? decoded.error.slice(0, 3) : []}, 'A configuration cannot be put into force.');
+			return;
+		}
+
+		this.table = new RouteTable(decoded.value);
+		this.rates.setCustomers(decoded.value.customers ?? []);
+		const {headerTimeoutMs, idleTimeoutMs} = decoded.value.limits;
+		this.server.headersTimeout = headerTimeoutMs;
+		this.server.keepAliveTimeout = idleTimeoutMs;
+		logger.info({version, routes: decoded.value.routes.length, services: decoded.value.services.length}, 'A configuration is in force.');
+	}
+
+	override takeTargets(update: SyncResponse['registry'], zonesOut: readonly string[]): void {
+		this.book.setZonesOut(zonesOut);
+		if (update.isWhole || update.targets.length > 0) {
+			this.book.update(update);
+		}
+	}
+
+	override takePlan({others, rates}: LeaderPlan, sentMs: number): void {
+		this.book.setOthers(others);
+		this.hostCount = Math.max(1, rates.hostCount);
+		this.ratesHeld = {ackedSerial: rates.serial, standing: rates.standing};
+		const leased = new Map(rates.leased);
+		for (const {name} of this.table?.config.customers ?? []) {
+			this.rates.setPart(name, {standing: rates.standing, leased: leased.get(name) ?? 0, leaseEndsMs: sentMs + RATE_LEASE_MS});
+		}
+
+		this.applyBounds();
+	}
+
+	private applyBounds(): void {
+		this.rates.setExcess(this.bounds.rateExcess / this.hostCount);
+		for (const retries of this.retries.values()) {
+			retries.setLimits(this.getRetryLimits());
+		}
+	}
+
+	private getRetryLimits(): {ratio: number; reserve: number} {
+		return {ratio: this.bounds.retryRatio, reserve: this.bounds.retryReserve / this.hostCount};
+	}
+
+	private getRetries(service: string): RetryBudget {
+		const known = this.retries.get(service);
+		if (known) {
+			return known;
+		}
+
+		const created = new RetryBudget(this.opts.clock, this.getRetryLimits());
+		this.retries.set(service, created);
+		return created;
+	}
+
+	private getColdRate(service: string): number {
+		return (this.table?.services.get(service)?.coldRequestsPerSecond ?? 0) * this.bounds.coldExcessRatio / this.hostCount;
+	}
+
+	private async serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
+		const exchange = new NodeExchange(req, res, () => this.isStopping);
+		const end = this.drain.count('request');
+		try {
+			await forwardRequest(exchange, this.parts);
+		} catch (err: unknown) {
+			this.opts.logger.error({err, url: req.url}, 'A request failed unexpectedly.');
+			exchange.abort();
+		} finally {
+			end();
+		}
+	}
+
+	private async pump(signal: AbortSignal): Promise<void> {
+		const {clock} = this.opts;
+		while (!signal.aborted) {
+			await this.book.changed.wait(clock, jitter(PUMP_MS, this.opts.random), signal);
+			this.queue.pump();
+		}
+	}
+}
--- /dev/null
+++ b/apps/egretrilld/src/traffic/entry-observer.ts
@@ -0,0 +1,73 @@
+import {
+	type AttemptNote, type ForwardCall, type ForwardEndNote, ForwardObserver,
+} from '@egretrill/callers';
+import type {Metrics} from '@egretrill/balancer';
+import type {DecisionLog} from './decision-log.js';
+import type {EntryReport} from './methods.js';
+
+/** Turns what happens to requests into decision lines, metrics and the demand that the leader hears of. */
+export class EntryObserver extends ForwardObserver {
+	private arrivals = new Map<string, number>();
+	private readonly requests;
+	private readonly attempts;
+	private readonly durations;
+	private readonly firstBytes;
+
+	constructor(private readonly log: DecisionLog, metrics: Metrics, private readonly getKnowledgeAgeMs: () => number) {
+		super();
+		this.requests = metrics.createCounter({name: 'egretrill_forwarded_requests_total', help: 'Forwarded requests by route and outcome.', labels: ['route', 'outcome']});
+		this.attempts = metrics.createCounter({name: 'egretrill_target_attempts_total', help: 'Sends to targets by outcome.', labels: ['outcome']});
+		this.durations = metrics.createDurations({name: 'egretrill_forward_ms', help: 'Time from the arrival of a request to its end.', labels: ['route']});
+		this.firstBytes = metrics.createDurations({name: 'egretrill_place_wait_ms', help: 'Time that a request waited for a target.', labels: ['route']});
+	}
+
+	override noteArrival(service: string, {model, adapter}: ForwardCall): void {
+		if (model !== undefined) {
+			const key = JSON.stringify([service, model, adapter ?? null]);
+			this.arrivals.set(key, (this.arrivals.get(key) ?? 0) + 1);
+		}
+	}
+
+	override noteAttempt({call, place, attempt, outcome, tookMs, reason}: AttemptNote): void {
+		this.attempts.add(1, {outcome});
+		if (outcome !== 'answered') {
+			this.log.write({
+				requestId: call.attemptId, targetId: place.targetId, attempt, outcome, tookMs: Math.round(tookMs), reason,
+			}, 'A target did not answer a request.', true);
+		}
+	}
+
+	override noteEnd({call, route = '', customer, configVersion, outcome, status, targetId, attempts, waitMs, tookMs}: ForwardEndNote): void {
+		const isRefused = typeof outcome === 'object';
+		const name = isRefused ? outcome.code : outcome;
+		this.requests.add(1, {route, outcome: name});
+		this.durations.record(tookMs, {route});
+		this.firstBytes.record(waitMs, {route});
+		this.log.write({
+			requestId: call?.attemptId,
+			route,
+			customer,
+			model: call?.model,
+			adapter: call?.adapter,
+			configVersion,
+			knowledgeAgeMs: Math.round(this.getKnowledgeAgeMs()),
+			outcome: name,
+			status: isRefused ? outcome.status : status,
+			...(isRefused && {run: outcome.run, reason: outcome.reason, retryAfterMs: outcome.retryAfterMs}),
+			targetId,
+			attempts,
+			waitMs: Math.round(waitMs),
+			tookMs: Math.round(tookMs),
+		}, isRefused ? 'A request was refused.' : 'A request has ended.', outcome !== 'answered');
+	}
+
+	/** Arrivals since the last call. */
+	takeArrivals(): EntryReport['arrivals'] {
+		const taken = [...this.arrivals].map(([key, count]): EntryReport['arrivals'][number] => {
+			const [service, model, adapter] = JSON.parse(key) as [string, string, string | null];
+			return [service, model, adapter, count];
+		});
+		this.arrivals = new Map();
+		return taken;
+	}
+}
--- /dev/null
+++ b/apps/egretrilld/src/traffic/leader-term.ts
@@ -0,0 +1,87 @@
+import {RateOwner} from '@egretrill/callers';
+import type {
+	Clock, EngineClass, Logger, Random,
+} from '@egretrill/common';
+import {type EngineOrders, EngineOwner, type TargetRegistry} from '@egretrill/engines';
+import type {FleetNode} from '@egretrill/hosts';
+import {ENTRY_SILENT_MS, ORDER_TAKEOVER_MARGIN_MS} from './constants.js';
+import type {EntryReport, LeaderPlan} from './methods.js';
+
+export type LeaderTermOptions = {
+	readonly clock: Clock;
+	readonly random: Random;
+	readonly logger: Logger;
+	readonly node: FleetNode;
+	readonly registry: TargetRegistry;
+	readonly orders: EngineOrders;
+	readonly hostId: string;
+	readonly term: number;
+	readonly orderLeaseMs: number;
+	readonly getClasses: () => ReadonlyMap<string, EngineClass>;
+};
+
+type Running = {readonly counts: EntryReport['running']; readonly seenMs: number};
+
+/** What a leader owns during one term: the division of rates, the engines' orders and the sum of running requests. */
+export class LeaderTerm {
+	readonly engines: EngineOwner;
+	private readonly rates: RateOwner;
+	private readonly running = new Map<string, Running>();
+	private readonly stopper = new AbortController();
+
+	constructor(private readonly opts: LeaderTermOptions) {
+		const {clock, node, orderLeaseMs, term} = opts;
+		this.rates = new RateOwner(clock);
+		this.engines = new EngineOwner({
+			...opts,
+			holder: opts.hostId,
+			fencingToken: term,
+			firstOrderAtMs: clock.now() + orderLeaseMs + ORDER_TAKEOVER_MARGIN_MS,
+			mayOrder: () => !this.stopper.signal.aborted && node.isLeaderWithLease() && node.status().term === term,
+		});
+	}
+
+	get term(): number {
+		return this.opts.term;
+	}
+
+	get signal(): AbortSignal {
+		return this.stopper.signal;
+	}
+
+	async run(): Promise<void> {
+		await this.engines.run(this.stopper.signal);
+	}
+
+	end(): void {
+		this.stopper.abort();
+	}
+
+	/** Takes in what an entry host tells and answers with its part of what this leader owns. */
+	takeReport({hostId, startId, running, arrivals, waiting, rates}: EntryReport): LeaderPlan {
+		this.running.set(hostId, {counts: running, seenMs: this.opts.clock.now()});
+		for (const [service, model, adapter, count] of arrivals) {
+			this.engines.noteArrivals({service, model, ...(adapter !== null && {adapter})}, count);
+		}
+
+		this.engines.noteWaiting(hostId, waiting);
+		const grant = this.rates.request({hostId, startId, ...rates});
+		return {others: this.sumOthers(hostId), rates: {...grant, leased: grant.leased.map(([name, part]) => [name, part])}};
+	}
+
+	private sumOthers(hostId: string): LeaderPlan['others'] {
+		const oldestMs = this.opts.clock.now() - ENTRY_SILENT_MS;
+		const sums = new Map<string, number>();
+		for (const [other, {counts, seenMs}] of this.running) {
+			if (other === hostId || seenMs < oldestMs) {
+				continue;
+			}
+
+			for (const [targetId, count] of counts) {
+				sums.set(targetId, (sums.get(targetId) ?? 0) + count);
+			}
+		}
+
+		return [...sums];
+	}
+}
--- /dev/null
+++ b/apps/egretrilld/src/traffic/methods.ts
@@ -0,0 +1,60 @@
+import {TrafficSource} from '@egretrill/common';
+import {RegistryUpdate} from '@egretrill/engines';
+import {defineDocumentMethod, defineMethod} from '@egretrill/hosts';
+import {z} from 'zod';
+
+const count = z.int().nonnegative();
+const KnownRegistry = z.object({origin: z.string(), revision: count});
+const Control = z.object({id: z.string(), zone: z.string().optional()});
+
+/** What an entry host tells with each poll. */
+export const EntryReport = z.object({
+	hostId: z.string(),
+	startId: z.string(),
+	/** Requests of this host at each target. */
+	running: z.array(z.tuple([z.string(), count])),
+	/** Arrivals since the last poll: service, model, adapter or null, count. */
+	arrivals: z.array(z.tuple([z.string(), z.string(), z.string().nullable(), count])),
+	/** Requests that wait: service, model, count. */
+	waiting: z.array(z.tuple([z.string(), z.string(), count])),
+	rates: z.object({ackedSerial: count, standing: z.number(), demand: z.array(z.tuple([z.string(), z.number()]))}),
+});
+export type EntryReport = z.infer<typeof EntryReport>;
+
+const SyncRequest = z.object({
+	report: EntryReport, configVersion: count, registry: KnownRegistry, planRevision: count, waitMs: count,
+});
+
+/** What only the leader can tell. */
+export const LeaderPlan = z.object({
+	/** Requests of the other hosts at each target. */
+	others: z.array(z.tuple([z.string(), count])),
+	rates: z.object({
+		serial: count, standing: z.number(), leased: z.array(z.tuple([z.string(), z.number()])), hostCount: count,
+	}),
+});
+export type LeaderPlan = z.infer<typeof LeaderPlan>;
+
+const SyncResponse = z.object({
+	leaderId: z.string().optional(),
+	controls: z.array(Control),
+	config: TrafficSource.optional(),
+	zonesOut: z.array(z.string()),
+	registry: RegistryUpdate,
+	plan: LeaderPlan.optional(),
+});
+export type SyncResponse = z.infer<typeof SyncResponse>;
+
+/** The poll by which entry hosts follow configuration, targets and their parts of rates. */
+export const syncMethod = defineDocumentMethod('Traffic', 'sync', SyncRequest, SyncResponse);
+
+/** Tells the leader of a model or adapter that a request needs now. */
+export const wantMethod = defineMethod('Traffic', 'want', z.object({service: z.string(), model: z.string(), adapter: z.string().optional()}), z.object({}));
+
+/** Exchanges registrations between control hosts. */
+export const gossipMethod = defineMethod('Traffic', 'gossip', z.object({hostId: z.string(), zone: z.string(), registry: KnownRegistry}), z.object({
+	registry: RegistryUpdate, zone: z.string(), memberIds: z.array(z.string()), leaderId: z.string().optional(),
+}));
+
+/** Reads the newest configuration at the leader; `isCurrent` is false when it cannot be sure. */
+export const readTrafficMethod = defineDocumentMethod('Traffic', 'read', z.object({}), z.object({isCurrent: z.boolean(), traffic: TrafficSource.optional()}));
--- a/packages/balancer/src/drain.ts
+++ b/packages/balancer/src/drain.ts
@@ -36,6 +36,11 @@
 			throw new VerdictError(refuse(503, 'draining', 'This host is shutting down.', DRAIN_RETRY_AFTER_MS));
 		}
 
+		return this.count(kind);
+	}
+
+	/** Counts a piece of work as begun also while draining, for hosts that serve whatever still arrives. */
+	count(kind: string): EndWork {
 		this.counts.set(kind, (this.counts.get(kind) ?? 0) + 1);
 		let ended = false;
 		return () => {
--- /dev/null
+++ b/packages/callers/src/forward/constants.ts
@@ -0,0 +1,35 @@
+/** A request that does not get a place within this share of its time is refused, while its caller can still go elsewhere. */
+export const MAX_WAIT_RATIO = 0.5;
+
+/** Least time left for which a request is still sent to a target. */
+export const MIN_SEND_MS = 20;
+
+/** Shortest time after which a refused caller is told to return. */
+export const MIN_RETRY_AFTER_MS = 100;
+
+/** When callers return that found no target at all. */
+export const NO_TARGET_RETRY_MS = 500;
+
+/** A stream without a byte for this long continues at another target; callers leave after two seconds of silence. */
+export const STREAM_SILENCE_MS = 1000;
+
+/** Answers that arrive whole are held up to this size before the caller sees them. */
+export const MAX_HELD_ANSWER_BYTES = 1_048_576;
+
+/** Decision lines that one process writes a second; more are counted. */
+export const MAX_LOG_LINES_PER_SECOND = 40;
+
+/** Share of a customer's rate that hosts hold without a lease, so that they serve while the owner is out of reach. */
+export const STANDING_RATIO = 0.75;
+
+/** Lifetime of the leased part of a rate, counted by the host from when it asked. */
+export const RATE_LEASE_MS = 4000;
+
+/** Time constant of the demand that a host reports for a customer. */
+export const RATE_DEMAND_MS = 2000;
+
+/** Part of the permitted excess of a rate that hosts may use for single requests larger than their share. */
+export const EXCESS_USE_RATIO = 0.5;
+
+/** A host that has not asked for this long no longer counts when rates are divided, beyond what it still holds. */
+export const RATE_HOST_TTL_MS = 15_000;
--- /dev/null
+++ b/packages/callers/src/forward/event-splitter.ts
@@ -0,0 +1,58 @@
+import {Buffer} from 'node:buffer';
+
+const LINE_FEED = 10;
+const CARRIAGE_RETURN = 13;
+const EMPTY = Buffer.alloc(0);
+
+/** Bytes of whole events, and the id of the last of them that has one. */
+export type WholeEvents = {readonly bytes: Uint8Array; readonly lastEventId: number | undefined};
+
+/** Splits an event stream behind whole events without changing a byte. */
+export class EventSplitter {
+	// The bytes are cut and joined with operations that only Buffer has.
+	// eslint-disable-next-line @typescript-eslint/no-restricted-types
+	private rest: Buffer = EMPTY;
+
+	/** Takes in bytes and returns those that complete an event; ids up to `skipUpTo` are left out as already delivered. */
+	push(chunk: Uint8Array, skipUpTo: number | undefined): WholeEvents {
+		const bytes = Buffer.concat([this.rest, chunk]);
+		const whole: Uint8Array[] = [];
+		let lastEventId: number | undefined;
+		let startOffset = 0;
+		for (let endOffset = findEventEnd(bytes, 0); endOffset !== -1; endOffset = findEventEnd(bytes, startOffset)) {
+			const event = bytes.subarray(startOffset, endOffset);
+			const id = readEventId(event);
+			if (id === undefined || skipUpTo === undefined || id > skipUpTo) {
+				whole.push(event);
+				lastEventId = id ?? lastEventId;
+			}
+
+			startOffset = endOffset;
+		}
+
+		this.rest = bytes.subarray(startOffset);
+		return {bytes: whole.length === 1 ? whole[0] ?? EMPTY : Buffer.concat(whole), lastEventId};
+	}
+
+	/** Bytes of an event that has not ended. */
+	getRest(): Uint8Array {
+		return this.rest;
+	}
+}
+
+/** Offset behind the empty line that ends the event, or -1. */
+function findEventEnd(bytes: Uint8Array, startOffset: number): number {
+	for (let offset = bytes.indexOf(LINE_FEED, startOffset); offset !== -1; offset = bytes.indexOf(LINE_FEED, offset + 1)) {
+		const next = bytes[offset + 1] === CARRIAGE_RETURN ? offset + 2 : offset + 1;
+		if (bytes[next] === LINE_FEED) {
+			return next + 1;
+		}
+	}
+
+	return -1;
+}
+
+function readEventId(event: Uint8Array): number | undefined {
+	const match = /^id: ?(?<id>\d+)\r?$/mv.exec(Buffer.from(event.buffer, event.byteOffset, event.byteLength).toString('latin1'));
+	return match?.groups?.id === undefined ? undefined : Number(match.groups.id);
+}
--- /dev/null
+++ b/packages/callers/src/forward/forward-parts.ts
@@ -0,0 +1,78 @@
+import type {
+	Clock, Random, SendFailure, Verdict,
+} from '@egretrill/common';
+import type {Result} from 'true-myth';
+import type {RetryBudget} from '../retry-budget.js';
+import type {ForwardDialect} from './forward-dialect.js';
+import type {Place, PlaceQueue} from './place-queue.js';
+import type {RateParts} from './rate-part.js';
+import type {RouteTable} from './route-table.js';
+import type {ForwardCall} from './types.js';
+
+/** A target's answer whose body is still to be read. */
+export type TargetAnswer = {
+	readonly status: number;
+	readonly rawHeaders: readonly string[];
+	readonly body: AsyncIterable<Uint8Array>;
+	/** Whether the body arrived to its end; meaningful once it has been read. */
+	readonly isComplete: () => boolean;
+	/** Reads and drops the body of a short answer, so that the connection can be kept. */
+	readonly discard: () => void;
+	/** Closes the connection, which ends the target's work. */
+	readonly destroy: () => void;
+};
+
+/** A request as it is written to a target. */
+export type OutgoingMessage = {
+	readonly address: string;
+	readonly method: string;
+	readonly url: string;
+	readonly headers: string[];
+	readonly body: Uint8Array;
+	readonly mayReuse: boolean;
+};
+
+/** Writes requests to targets; it never retries. */
+export abstract class ForwardSender {
+	abstract send(message: OutgoingMessage, signal: AbortSignal): Promise<Result<TargetAnswer, SendFailure>>;
+}
+
+/** How one attempt at a target ended. */
+export type AttemptNote = {readonly call: ForwardCall; readonly place: Place; readonly attempt: number; readonly outcome: string; readonly tookMs: number; readonly reason?: string};
+
+/** How a request ended, for logs, metrics and demand. */
+export type ForwardEndNote = {
+	readonly call?: ForwardCall;
+	readonly route?: string;
+	readonly customer?: string;
+	readonly configVersion?: number;
+	readonly outcome: 'answered' | 'broken' | 'left' | Verdict;
+	readonly status?: number;
+	readonly targetId?: string;
+	readonly attempts: number;
+	readonly waitMs: number;
+	readonly firstByteMs?: number;
+	readonly tookMs: number;
+};
+
+/** Takes what happens to forwarded requests. */
+export abstract class ForwardObserver {
+	/** Notes a request for a model before anything can refuse it. */
+	abstract noteArrival(service: string, call: ForwardCall): void;
+	abstract noteAttempt(note: AttemptNote): void;
+	abstract noteEnd(note: ForwardEndNote): void;
+}
+
+/** Everything that the forwarding of one request uses. */
+export type ForwardParts = {
+	readonly clock: Clock;
+	readonly random: Random;
+	readonly dialect: ForwardDialect;
+	readonly queue: PlaceQueue;
+	readonly rates: RateParts;
+	readonly sender: ForwardSender;
+	readonly observer: ForwardObserver;
+	readonly getTable: () => RouteTable | undefined;
+	/** Retries of the requests of one service. */
+	readonly getRetries: (service: string) => RetryBudget;
+};
--- /dev/null
+++ b/packages/callers/src/forward/forward-request.ts
@@ -0,0 +1,334 @@
+import {
+	mayHaveRun, refuse, type TrafficCustomer, type TrafficRoute, type Verdict,
+} from '@egretrill/common';
+import type {CallerExchange} from './caller-exchange.js';
+import {
+	MAX_WAIT_RATIO, MIN_RETRY_AFTER_MS, MIN_SEND_MS, NO_TARGET_RETRY_MS,
+} from './constants.js';
+import type {ForwardParts} from './forward-parts.js';
+import type {Place, PlaceNeed} from './place-queue.js';
+import {relayEvents, type RelayEnd, relayWhole} from './relay.js';
+import {getCost, pickService, type RouteTable} from './route-table.js';
+import type {AnswerFacts, ForwardCall} from './types.js';
+
+const STATUS_MISDIRECTED = 421;
+const STATUS_SERVER_ERROR = 500;
+
+/** A request that the configuration allows, on its way to targets. */
+type Forwarding = {
+	readonly parts: ForwardParts;
+	readonly exchange: CallerExchange;
+	readonly call: ForwardCall;
+	readonly table: RouteTable;
+	readonly route: TrafficRoute;
+	readonly service: string;
+	readonly customer: TrafficCustomer | undefined;
+	readonly body: Uint8Array;
+	readonly endsMs: number;
+	/** Aborts when the caller has left or the time is over. */
+	readonly signal: AbortSignal;
+	readonly progress: Progress;
+};
+
+/** What has happened to a request so far. */
+type Progress = {
+	readonly tried: Set<string>;
+	attempts: number;
+	mayHaveRun: boolean;
+	waitMs: number;
+	lastEventId: number | undefined;
+	targetId?: string;
+	status?: number;
+	firstByteMs?: number;
+};
+
+type Outcome =
+	| {readonly kind: 'answered'}
+	/** The target certainly did not run the request. */
+	| {readonly kind: 'not-run'; readonly isSent: boolean; readonly reason: string}
+	/** The target may have run it and no whole answer came. */
+	| {readonly kind: 'broken'; readonly reason: string};
+
+/** The end of a forwarded request. */
+type End = 'answered' | 'broken' | Verdict;
+
+/** Serves one request of a caller from its arrival to its answer. */
+export async function forwardRequest(exchange: CallerExchange, parts: ForwardParts): Promise<void> {
+	const startedMs = parts.clock.now();
+	const progress: Progress = {
+		tried: new Set(), attempts: 0, mayHaveRun: false, waitMs: 0, lastEventId: undefined,
+	};
+	const table = parts.getTable();
+	const call = parts.dialect.readCall(exchange.head);
+	const admitted = table && call ? await admit(exchange, table, call, parts) : undefined;
+	let end: End;
+	if (!table) {
+		end = refuse(503, 'not-ready', 'This host has no configuration yet.', NO_TARGET_RETRY_MS);
+	} else if (!call) {
+		end = refuse(400, 'invalid-request', 'The request lacks what it needs to be served.');
+	} else if (!admitted || 'status' in admitted) {
+		end = admitted ?? refuse(400, 'invalid-request', 'The request was not read.');
+	} else {
+		progress.lastEventId = call.lastEventId;
+		end = await runUntil({
+			...admitted, parts, exchange, call, table, progress,
+		}, startedMs);
+	}
+
+	finish(exchange, end);
+	parts.observer.noteEnd({
+		...(call && {call}),
+		...(admitted && !('status' in admitted) && {route: admitted.route.name, customer: admitted.customer?.name}),
+		configVersion: table?.config.version,
+		outcome: exchange.callerLeft.aborted && end !== 'answered' ? 'left' : end,
+		status: progress.status,
+		targetId: progress.targetId,
+		attempts: progress.attempts,
+		waitMs: progress.waitMs,
+		firstByteMs: progress.firstByteMs,
+		tookMs: parts.clock.now() - startedMs,
+	});
+}
+
+function finish(exchange: CallerExchange, end: End): void {
+	if (end === 'answered' || exchange.callerLeft.aborted) {
+		return;
+	}
+
+	if (end === 'broken' || exchange.hasBegun()) {
+		exchange.abort();
+		return;
+	}
+
+	exchange.refuse(end);
+}
+
+type Admitted = Pick<Forwarding, 'route' | 'service' | 'customer' | 'body'>;
+
+/** Finds out whether the configuration allows a request, and counts it against its customer's rate. */
+async function admit(exchange: CallerExchange, table: RouteTable, call: ForwardCall, parts: ForwardParts): Promise<Admitted | Verdict> {
+	const route = table.findRoute(call.hostName, call.url);
+	if (route.isErr) {
+		return route.error;
+	}
+
+	const customer = table.findCustomer(route.value, call);
+	if (customer.isErr) {
+		return customer.error;
+	}
+
+	const body = await exchange.readBody(table.config.limits.maxBodyBytes);
+	if (!body) {
+		return refuse(413, 'body-too-large', `The body is longer than ${table.config.limits.maxBodyBytes} bytes.`);
+	}
+
+	const service = pickService(route.value, parts.random());
+	if (service === undefined) {
+		return refuse(503, 'no-service', 'The route leads to no service.', NO_TARGET_RETRY_MS);
+	}
+
+	parts.observer.noteArrival(service, call);
+	const rate = customer.value && parts.rates.take(customer.value.name, getCost(customer.value, call));
+	if (rate && !rate.isGranted) {
+		return refuse(429, 'over-rate', 'The customer has used up its rate.', Math.max(MIN_RETRY_AFTER_MS, rate.retryAfterMs));
+	}
+
+	return {
+		route: route.value, service, customer: customer.value, body,
+	};
+}
+
+/** Runs a request until it has an answer, its time is over or its caller leaves. */
+async function runUntil(admitted: Omit<Forwarding, 'endsMs' | 'signal'>, startedMs: number): Promise<End> {
+	const {parts: {clock}, exchange, call, route} = admitted;
+	const limitMs = Math.min(route.timeoutMs, call.timeLeftMs ?? route.timeoutMs);
+	const stopper = new AbortController();
+	const timer = new AbortController();
+	const stop = (): void => {
+		stopper.abort();
+		timer.abort();
+	};
+
+	const expire = async (): Promise<void> => {
+		await clock.sleep(startedMs + limitMs - clock.now(), timer.signal);
+		stopper.abort();
+	};
+
+	exchange.callerLeft.addEventListener('abort', stop, {once: true});
+	void expire();
+	try {
+		return exchange.callerLeft.aborted
+			? refuse(503, 'caller-left', 'The caller left before the request was placed.')
+			: await runOnPlaces({...admitted, endsMs: startedMs + limitMs, signal: stopper.signal});
+	} finally {
+		timer.abort();
+		exchange.callerLeft.removeEventListener('abort', stop);
+		refundUnsent(admitted);
+	}
+}
+
+/** A request that certainly reached no target does not count against the rate. */
+function refundUnsent({parts, customer, call, progress}: Omit<Forwarding, 'endsMs' | 'signal'>): void {
+	if (customer && progress.attempts === 0) {
+		parts.rates.refund(customer.name, getCost(customer, call));
+	}
+}
+
+/** Tries targets until one has answered or nothing more may be tried. */
+async function runOnPlaces(work: Forwarding): Promise<End> {
+	const {parts, progress, service} = work;
+	const retries = parts.getRetries(service);
+	retries.countRequest();
+	for (;;) {
+		const place = await findPlace(work);
+		if ('status' in place) {
+			return giveUp(work, place);
+		}
+
+		const outcome = await tryPlace(work, place);
+		if (outcome.kind === 'answered') {
+			return 'answered';
+		}
+
+		if (work.signal.aborted || !mayRepeat(work, outcome) || !retries.tryRetry()) {
+			return giveUp(work, refuse(503, 'target-failed', outcome.reason, MIN_RETRY_AFTER_MS));
+		}
+	}
+}
+
+async function findPlace(work: Forwarding): Promise<Place | Verdict> {
+	const {parts: {clock, queue}, call, service, customer, route, progress, endsMs, signal, table} = work;
+	const leftMs = endsMs - clock.now();
+	if (leftMs < MIN_SEND_MS) {
+		return refuse(503, 'out-of-time', 'The time of the request is over.', MIN_RETRY_AFTER_MS);
+	}
+
+	const usesModel = table.services.get(service)?.engine !== undefined;
+	const need: PlaceNeed = {
+		service, parts: call.promptParts, tried: progress.tried, ...(usesModel && {model: call.model, adapter: call.adapter}),
+	};
+	const startedMs = clock.now();
+	const found = await queue.getPlace(need, customer?.priority ?? route.priority, leftMs * MAX_WAIT_RATIO, signal);
+	progress.waitMs += clock.now() - startedMs;
+	return found.isOk ? found.value : found.error;
+}
+
+/** Sends the request to one target and passes on its answer. */
+async function tryPlace(work: Forwarding, place: Place): Promise<Outcome> {
+	const {parts: {clock, observer}, call, progress} = work;
+	const startedMs = clock.now();
+	progress.targetId = place.targetId;
+	let outcome: Outcome = {kind: 'broken', reason: 'The exchange failed.'};
+	try {
+		outcome = await exchangeWith(work, place);
+	} finally {
+		place.end(outcome.kind !== 'answered' && !work.signal.aborted);
+		progress.tried.add(place.targetId);
+	}
+
+	progress.mayHaveRun ||= outcome.kind === 'broken';
+	observer.noteAttempt({
+		call, place, attempt: progress.attempts, outcome: outcome.kind, tookMs: clock.now() - startedMs, ...('reason' in outcome && {reason: outcome.reason}),
+	});
+	return outcome;
+}
+
+async function exchangeWith(work: Forwarding, place: Place): Promise<Outcome> {
+	const {parts, call, body, route, customer, progress, signal, endsMs} = work;
+	const headers = parts.dialect.writeSendHeaders(call, {
+		targetId: place.targetId,
+		timeLeftMs: Math.max(1, Math.floor(endsMs - parts.clock.now())),
+		bodyLength: body.length,
+		customer: customer?.name,
+		priority: customer?.priority ?? route.priority,
+		lastEventId: progress.lastEventId,
+	});
+	const sent = await parts.sender.send({
+		address: place.address, method: call.method, url: call.url, headers, body, mayReuse: isRepeatable(route),
+	}, signal);
+	if (sent.isErr) {
+		progress.attempts += sent.error.accepted ? 1 : 0;
+		return sent.error.accepted
+			? {kind: 'broken', reason: `The target broke off: ${sent.error.reason}`}
+			: {kind: 'not-run', isSent: false, reason: `The target cannot be reached: ${sent.error.reason}`};
+	}
+
+	progress.attempts += 1;
+	const answer = sent.value;
+	const facts = parts.dialect.readAnswer(answer);
+	const fault = findFault(facts, answer.status, call);
+	if (fault !== undefined) {
+		answer.destroy();
+		return {kind: 'broken', reason: fault};
+	}
+
+	if (facts.isNotExecuted || answer.status === STATUS_MISDIRECTED) {
+		answer.discard();
+		return {kind: 'not-run', isSent: true, reason: `The target refused with ${answer.status}.`};
+	}
+
+	if (answer.status >= STATUS_SERVER_ERROR && isRepeatable(route) && progress.attempts < route.maxAttempts && !work.exchange.hasBegun()) {
+		answer.destroy();
+		return {kind: 'broken', reason: `The target failed with ${answer.status}.`};
+	}
+
+	return relay(work, answer, facts);
+}
+
+/** Why an answer cannot belong to the request, or undefined. */
+function findFault({attemptId, isSigned}: AnswerFacts, status: number, call: ForwardCall): string | undefined {
+	if (attemptId !== undefined && attemptId !== call.attemptId) {
+		return 'The answer belongs to another request.';
+	}
+
+	return status < 300 && (!isSigned || attemptId === undefined) ? 'The answer does not carry the signature of a target.' : undefined;
+}
+
+async function relay(work: Forwarding, answer: Parameters<typeof relayWhole>[0]['answer'], facts: AnswerFacts): Promise<Outcome> {
+	const {parts: {clock}, exchange, route, progress} = work;
+	const isEvents = facts.isEventStream && answer.status < 300;
+	if (exchange.hasBegun() && !isEvents) {
+		answer.destroy();
+		return {kind: 'broken', reason: `The target answered the rest of a stream with ${answer.status}.`};
+	}
+
+	progress.status = answer.status;
+	const relayed = {exchange, answer, headers: facts.headers};
+	const end: RelayEnd = isEvents
+		? await relayEvents(relayed, progress.lastEventId, route.isResumable ? {clock} : undefined)
+		: await relayWhole(relayed);
+	progress.lastEventId = end.lastEventId ?? progress.lastEventId;
+	if (end.kind === 'complete') {
+		return {kind: 'answered'};
+	}
+
+	answer.destroy();
+	return {kind: 'broken', reason: 'The answer ended early.'};
+}
+
+function isRepeatable({repeat, isStream, isResumable}: TrafficRoute): boolean {
+	return isStream ? isResumable : repeat === 'idempotent';
+}
+
+function mayRepeat({route, progress, exchange}: Forwarding, outcome: Exclude<Outcome, {kind: 'answered'}>): boolean {
+	if (exchange.hasBegun() && !(route.isStream && route.isResumable)) {
+		return false;
+	}
+
+	return progress.attempts < route.maxAttempts && (outcome.kind === 'not-run' || isRepeatable(route));
+}
+
+/** Ends a request without an answer; the refusal is only true while no target may have run it. */
+function giveUp({progress, exchange, signal}: Forwarding, verdict: Verdict): End {
+	if (exchange.hasBegun()) {
+		return 'broken';
+	}
+
+	if (progress.mayHaveRun) {
+		return signal.aborted
+			? mayHaveRun(504, 'timeout', 'No target answered in time.')
+			: mayHaveRun(502, 'target-broke-off', verdict.reason);
+	}
+
+	return verdict;
+}
--- /dev/null
+++ b/packages/callers/src/forward/relay.ts
@@ -0,0 +1,131 @@
+import {Buffer} from 'node:buffer';
+import type {Clock} from '@egretrill/common';
+import type {CallerExchange} from './caller-exchange.js';
+import {MAX_HELD_ANSWER_BYTES, STREAM_SILENCE_MS} from './constants.js';
+import {EventSplitter} from './event-splitter.js';
+import type {TargetAnswer} from './forward-parts.js';
+
+/** Whether the caller has the whole answer; after `broken` it has all whole events up to `lastEventId`. */
+export type RelayEnd = {readonly kind: 'complete' | 'broken'; readonly lastEventId?: number};
+
+type Relay = {
+	readonly exchange: CallerExchange;
+	readonly answer: TargetAnswer;
+	readonly headers: readonly string[];
+};
+
+async function readAll(answer: TargetAnswer, onLong: (chunks: readonly Uint8Array[]) => Promise<void>): Promise<Uint8Array | undefined> {
+	const chunks: Uint8Array[] = [];
+	let length = 0;
+	let isHeld = true;
+	for await (const chunk of answer.body) {
+		if (!isHeld) {
+			await onLong([chunk]);
+			continue;
+		}
+
+		chunks.push(chunk);
+		length += chunk.length;
+		if (length > MAX_HELD_ANSWER_BYTES) {
+			isHeld = false;
+			await onLong(chunks);
+		}
+	}
+
+	return isHeld ? Buffer.concat(chunks) : undefined;
+}
+
+/** Passes on an answer once it is whole; a longer one is passed on as it arrives. */
+export async function relayWhole({exchange, answer, headers}: Relay): Promise<RelayEnd> {
+	try {
+		const held = await readAll(answer, async chunks => {
+			if (!exchange.hasBegun()) {
+				exchange.begin(answer.status, headers);
+			}
+
+			for (const chunk of chunks) {
+				await exchange.write(chunk);
+			}
+		});
+		if (!answer.isComplete()) {
+			return {kind: 'broken'};
+		}
+
+		if (held) {
+			exchange.begin(answer.status, headers, held.length);
+			await exchange.write(held);
+		}
+
+		exchange.end();
+		return {kind: 'complete'};
+	} catch {
+		// The body ends with an error when the target or this host breaks the connection off.
+		return {kind: 'broken'};
+	}
+}
+
+/** Closes an answer that has been silent for too long; one task watches one stream. */
+class SilenceWatch {
+	private readonly stopper = new AbortController();
+	private lastMs: number;
+
+	constructor(private readonly clock: Clock, private readonly answer: TargetAnswer) {
+		this.lastMs = clock.now();
+	}
+
+	note(): void {
+		this.lastMs = this.clock.now();
+	}
+
+	stop(): void {
+		this.stopper.abort();
+	}
+
+	async run(): Promise<void> {
+		while (!this.stopper.signal.aborted) {
+			const leftMs = this.lastMs + STREAM_SILENCE_MS - this.clock.now();
+			if (leftMs <= 0) {
+				this.answer.destroy();
+				return;
+			}
+
+			await this.clock.sleep(leftMs, this.stopper.signal);
+		}
+	}
+}
+
+/** Passes on the whole events of a stream as they arrive. */
+export async function relayEvents({exchange, answer, headers}: Relay, lastEventId: number | undefined, watch?: {readonly clock: Clock}): Promise<RelayEnd> {
+	const splitter = new EventSplitter();
+	const skipUpTo = lastEventId;
+	const silence = watch && new SilenceWatch(watch.clock, answer);
+	let last = lastEventId;
+	try {
+		for await (const chunk of answer.body) {
+			const events = splitter.push(chunk, skipUpTo);
+			if (events.bytes.length > 0) {
+				if (!exchange.hasBegun()) {
+					exchange.begin(answer.status, headers);
+					void silence?.run();
+				}
+
+				last = events.lastEventId ?? last;
+				await exchange.write(events.bytes);
+			}
+
+			silence?.note();
+		}
+	} catch {
+		// The body ends with an error when the target or this host breaks the connection off.
+		return {kind: 'broken', lastEventId: last};
+	} finally {
+		silence?.stop();
+	}
+
+	if (!answer.isComplete() || splitter.getRest().length > 0 || !exchange.hasBegun()) {
+		return {kind: 'broken', lastEventId: last};
+	}
+
+	exchange.end();
+	return {kind: 'complete', lastEventId: last};
+}
--- a/packages/callers/src/retry-budget.ts
+++ b/packages/callers/src/retry-budget.ts
@@ -4,13 +4,21 @@
 /** Counts are kept for slices of the window, so that memory does not grow with the load. */
 const SLICE_MS = RETRY_WINDOW_MS / 100;
 
+/** Retries that a window may hold: a share of its requests plus a reserve. */
+export type RetryLimits = {readonly ratio: number; readonly reserve: number};
+
 type Slice = {readonly startMs: number; requests: number; retries: number};
 
 /** Limits the retries of a host to a share of its recent requests plus a small reserve. */
 export class RetryBudget {
 	private slices: readonly Slice[] = [];
 
-	constructor(private readonly clock: Clock) {}
+	constructor(private readonly clock: Clock, private limits: RetryLimits = {ratio: RETRY_RATIO, reserve: RETRY_RESERVE}) {}
+
+	/** Puts other limits into force. */
+	setLimits(limits: RetryLimits): void {
+		this.limits = limits;
+	}
 
 	/** Counts a first attempt. */
 	countRequest(): void {
@@ -27,7 +35,7 @@
 			retries += counted.retries;
 		}
 
-		if (retries + 1 > (RETRY_RATIO * requests) + RETRY_RESERVE) {
+		if (retries + 1 > (this.limits.ratio * requests) + this.limits.reserve) {
 			return false;
 		}
 
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -10,5 +10,6 @@
 export * from './random.js';
 export * from './signal.js';
 export * from './target-client.js';
+export * from './traffic.js';
 export * from './types.js';
 export * from './verdict.js';
--- /dev/null
+++ b/packages/engines/src/client/forward-client.ts
@@ -0,0 +1,106 @@
+import {Agent, type IncomingMessage, request} from 'node:http';
+import type {Socket} from 'node:net';
+import type {SendFailure} from '@egretrill/common';
+import {Result} from 'true-myth';
+
+/** Time for a connection to be established; a target that is cut off or without power answers nothing at all. */
+export const FORWARD_CONNECT_MS = 400;
+
+/** Idle connections kept to each target. */
+export const MAX_IDLE_CONNECTIONS = 8;
+
+export type ForwardMessage = {
+	readonly address: string;
+	readonly method: string;
+	readonly url: string;
+	/** Header names and values in turn, written as they are. */
+	readonly headers: string[];
+	readonly body: Uint8Array;
+	/** Whether a kept connection may carry the request, which its other end may have closed already. */
+	readonly mayReuse: boolean;
+};
+
+/** Kept connections to targets; one on which bytes arrive that belong to no request is closed. */
+class ForwardAgent extends Agent {
+	private readonly guards = new WeakMap<Socket, () => void>();
+
+	constructor() {
+		super({keepAlive: true, maxFreeSockets: MAX_IDLE_CONNECTIONS, scheduling: 'lifo'});
+	}
+
+	override keepSocketAlive(socket: Socket): boolean {
+		const isKept = super.keepSocketAlive(socket) as unknown as boolean;
+		if (isKept) {
+			const guard = (): void => {
+				socket.destroy();
+			};
+
+			this.guards.set(socket, guard);
+			socket.on('data', guard);
+		}
+
+		return isKept;
+	}
+
+	override reuseSocket(socket: Socket, req: Parameters<Agent['reuseSocket']>[1]): void {
+		const guard = this.guards.get(socket);
+		if (guard) {
+			socket.off('data', guard);
+			this.guards.delete(socket);
+		}
+
+		super.reuseSocket(socket, req);
+	}
+}
+
+/** Sends requests to targets byte for byte and gives back the head of the answer; it never retries. */
+export class ForwardClient {
+	private readonly agent = new ForwardAgent();
+
+	/** Resolves with the answer, whose body is still to be read, or with whether the target may have received anything. */
+	async send(message: ForwardMessage, signal: AbortSignal): Promise<Result<IncomingMessage, SendFailure>> {
+		const separator = message.address.lastIndexOf(':');
+		return new Promise(resolve => {
+			let isConnected = false;
+			const req = request({
+				host: message.address.slice(0, separator),
+				port: Number(message.address.slice(separator + 1)),
+				method: message.method,
+				path: message.url,
+				headers: message.headers,
+				agent: message.mayReuse ? this.agent : false,
+				signal,
+			});
+			req.once('socket', socket => {
+				if (!socket.connecting) {
+					isConnected = true;
+					return;
+				}
+
+				const timer = setTimeout(() => {
+					req.destroy(new Error(`No connection within ${FORWARD_CONNECT_MS} ms.`));
+				}, FORWARD_CONNECT_MS);
+				socket.once('connect', () => {
+					isConnected = true;
+					clearTimeout(timer);
+				});
+				socket.once('close', () => {
+					clearTimeout(timer);
+				});
+			});
+			req.on('error', (err: NodeJS.ErrnoException) => {
+				resolve(Result.err({accepted: isConnected, code: err.code ?? 'ERR_EXCHANGE', reason: err.message}));
+			});
+			req.once('response', res => {
+				// Later failures reach the reader of the body; without a listener they would end the process.
+				res.on('error', () => undefined);
+				resolve(Result.ok(res));
+			});
+			req.end(message.body);
+		});
+	}
+
+	close(): void {
+		this.agent.destroy();
+	}
+}
--- /dev/null
+++ b/packages/engines/src/loading/constants.ts
@@ -0,0 +1,38 @@
+/** How often the owner plans loads. */
+export const LOAD_PLAN_MS = 100;
+
+/** Time constant of the demand that loads follow. */
+export const LOAD_DEMAND_MS = 2500;
+
+/** Requests a second below which a model counts as idle. */
+export const IDLE_DEMAND = 0.05;
+
+/** A model whose copies carry this many times the mean load of an engine gets another copy. */
+export const CROWDED_RATIO = 1.25;
+
+/** A copy is not evicted for another model within this time after it was loaded. */
+export const MIN_COPY_AGE_MS = 3000;
+
+/** Requests that wait for a model count as so many arrivals a second. */
+export const WAITING_WEIGHT = 2;
+
+/** Time between telling the entry hosts that a model goes and the order to unload it. */
+export const UNLOAD_NOTICE_MS = 80;
+
+/** Longest time for the answer to an order. */
+export const ORDER_ANSWER_MS = 1000;
+
+/** Time that an adapter takes until requests for it are accepted. */
+export const ADAPTER_LOAD_MS = 15;
+
+/** Pause before an engine whose state is in doubt is asked for it. */
+export const REPORT_PAUSE_MS = 300;
+
+/** How often a load or unload in progress is looked at when no registration shows its end. */
+export const PROGRESS_POLL_MS = 400;
+
+/** A load that has not ended by then is given up; its engine is asked what it holds. */
+export const MAX_LOAD_MS = 30_000;
+
+/** An adapter that was asked for again within this time is not loaded a second time. */
+export const ADAPTER_RETRY_MS = 300;
--- /dev/null
+++ b/packages/engines/src/loading/engine-line.ts
@@ -0,0 +1,251 @@
+import type {
+	Clock, EngineClass, HeldModel, Logger, Registration,
+} from '@egretrill/common';
+import type {TargetRegistry} from '../registry/index.js';
+import {
+	ADAPTER_LOAD_MS, MAX_LOAD_MS, PROGRESS_POLL_MS, REPORT_PAUSE_MS, UNLOAD_NOTICE_MS,
+} from './constants.js';
+import type {EngineOrders} from './engine-orders.js';
+import type {LoadAnswer, LoadMove, LoadStep} from './types.js';
+
+const MAX_ORDER_ATTEMPTS = 3;
+
+export type EngineLineOptions = {
+	readonly clock: Clock;
+	readonly logger: Logger;
+	readonly registry: TargetRegistry;
+	readonly orders: EngineOrders;
+	readonly holder: string;
+	readonly fencingToken: number;
+	readonly mayOrder: () => boolean;
+	readonly signal: AbortSignal;
+};
+
+/** An adapter that an engine holds. */
+export type HeldAdapter = {readonly model: string; readonly adapter: string};
+
+/** Whether an engine that holds these models has done a step. */
+function isDone(models: readonly HeldModel[], {kind, model, adapter}: LoadStep): boolean {
+	const held = models.find(({name}) => name === model);
+	switch (kind) {
+		case 'load-model': {
+			return held !== undefined;
+		}
+
+		case 'unload-model': {
+			return held === undefined;
+		}
+
+		case 'load-adapter': {
+			return held?.adapters.includes(adapter ?? '') ?? false;
+		}
+
+		case 'unload-adapter': {
+			return !held?.adapters.includes(adapter ?? '');
+		}
+	}
+}
+
+function withAdapter(models: readonly HeldModel[], model: string, adapter: string, isHeld: boolean): readonly HeldModel[] {
+	return models.map(held => {
+		const others = held.adapters.filter(other => other !== adapter);
+		return held.name === model ? {...held, adapters: isHeld ? [...others, adapter] : others} : held;
+	});
+}
+
+/** The orders to one engine, one after the other; each names how many the engine has accepted, so that a late one is refused. */
+export class EngineLine {
+	move: LoadMove | undefined;
+	private orderCount: number | undefined;
+	private last: Promise<unknown> = Promise.resolve();
+
+	constructor(readonly targetId: string, readonly startedAtMs: number, private readonly opts: EngineLineOptions) {}
+
+	/** Model that a running move loads. */
+	getLoading(): string | undefined {
+		return this.move?.load;
+	}
+
+	/** Unloads what must go and loads a model; returns whether the model is held. */
+	async runMove(move: LoadMove, engineClass: EngineClass): Promise<boolean> {
+		this.move = move;
+		try {
+			return await this.inTurn(async () => {
+				for (const model of move.unload) {
+					if (!await this.unloadModel(model)) {
+						return false;
+					}
+				}
+
+				return this.loadModel(move, engineClass);
+			});
+		} finally {
+			this.move = undefined;
+		}
+	}
+
+	/** Loads an adapter, in place of another one where there is no room; returns whether the engine holds it. */
+	async loadAdapter(model: string, adapter: string, findEvicted: () => HeldAdapter | undefined): Promise<boolean> {
+		return this.inTurn(async () => {
+			const evicted = findEvicted();
+			if (evicted) {
+				this.believe(withAdapter(this.getModels(), evicted.model, evicted.adapter, false));
+				if (!await this.issue({kind: 'unload-adapter', ...evicted})) {
+					return false;
+				}
+			}
+
+			if (!await this.issue({kind: 'load-adapter', model, adapter})) {
+				return false;
+			}
+
+			await this.opts.clock.sleep(ADAPTER_LOAD_MS, this.opts.signal);
+			this.believe(withAdapter(this.getModels(), model, adapter, true));
+			return true;
+		});
+	}
+
+	private async unloadModel(model: string): Promise<boolean> {
+		const step: LoadStep = {kind: 'unload-model', model};
+		this.believeWithout(model);
+		await this.opts.clock.sleep(UNLOAD_NOTICE_MS, this.opts.signal);
+		return await this.issue(step) && this.waitUntilDone(step, 0);
+	}
+
+	private async loadModel({load, fromStore}: LoadMove, {models}: EngineClass): Promise<boolean> {
+		const step: LoadStep = {kind: 'load-model', model: load};
+		const stored = models.find(({name}) => name === load);
+		const expectedMs = (fromStore ? stored?.storeLoadMs : stored?.diskLoadMs) ?? 0;
+		return await this.issue(step) && this.waitUntilDone(step, expectedMs);
+	}
+
+	/** Sends an order until its effect is certain; returns whether it is carried out or under way. */
+	private async issue(step: LoadStep): Promise<boolean> {
+		const {clock, logger, orders, signal} = this.opts;
+		for (let attempt = 0; attempt < MAX_ORDER_ATTEMPTS && !signal.aborted; attempt++) {
+			const engine = this.getEngine();
+			const expectedOrderCount = this.orderCount ?? engine?.orderCount ?? await this.refresh();
+			if (!engine || expectedOrderCount === undefined) {
+				return false;
+			}
+
+			const answer = await orders.send(engine, {
+				...step, holder: this.opts.holder, fencingToken: this.opts.fencingToken, expectedOrderCount,
+			}, this.opts.mayOrder);
+			logger.info({
+				targetId: this.targetId, ...step, expectedOrderCount, fencingToken: this.opts.fencingToken, answer,
+			}, 'An engine was given an order.');
+			this.noteAnswer(answer, step, expectedOrderCount);
+			if (answer === 'begun' || answer === 'done') {
+				return true;
+			}
+
+			if (answer === 'refused' || answer === 'not-sent') {
+				return false;
+			}
+
+			// The engine may still carry the order out; what it then refuses shows in its count.
+			await clock.sleep(REPORT_PAUSE_MS, signal);
+			if (await this.refresh() !== undefined && isDone(this.getModels(), step)) {
+				return true;
+			}
+		}
+
+		return false;
+	}
+
+	private noteAnswer(answer: LoadAnswer, {kind}: LoadStep, expected: number): void {
+		const isCounted = answer === 'begun' || (answer === 'done' && kind === 'unload-adapter');
+		this.orderCount = isCounted ? expected + 1 : undefined;
+	}
+
+	/** Asks the engine what it holds and how many orders it has accepted. */
+	private async refresh(): Promise<number | undefined> {
+		const engine = this.getEngine();
+		const report = engine && await this.opts.orders.getReport(engine);
+		if (!report) {
+			return undefined;
+		}
+
+		this.orderCount = report.orderCount;
+		this.believe(report.models);
+		return report.orderCount;
+	}
+
+	private async waitUntilDone(step: LoadStep, expectedMs: number): Promise<boolean> {
+		const {clock, registry, signal} = this.opts;
+		const startedMs = clock.now();
+		let askAtMs = startedMs + Math.max(expectedMs, PROGRESS_POLL_MS);
+		while (!signal.aborted && clock.now() - startedMs < MAX_LOAD_MS + expectedMs) {
+			if (!this.getEngine()) {
+				return false;
+			}
+
+			if (step.kind === 'unload-model') {
+				if (this.hasRegistered(startedMs) && isDone(this.getRegisteredModels(), step)) {
+					return true;
+				}
+
+				this.believeWithout(step.model);
+			} else if (isDone(this.getModels(), step)) {
+				return true;
+			}
+
+			if (clock.now() >= askAtMs) {
+				const engine = this.getEngine();
+				const report = engine && await this.opts.orders.getReport(engine);
+				if (report && !report.isBusy) {
+					this.orderCount = report.orderCount;
+					this.believe(report.models);
+					return isDone(report.models, step);
+				}
+
+				askAtMs = clock.now() + PROGRESS_POLL_MS;
+			}
+
+			await registry.changed.wait(clock, Math.max(1, askAtMs - clock.now()), signal);
+		}
+
+		return false;
+	}
+
+	private getEngine(): Registration | undefined {
+		const engine = this.opts.registry.get(this.targetId);
+		return engine?.startedAtMs === this.startedAtMs && !engine.isLeaving ? engine : undefined;
+	}
+
+	private getModels(): readonly HeldModel[] {
+		return this.getEngine()?.models ?? [];
+	}
+
+	private getRegisteredModels(): readonly HeldModel[] {
+		return this.opts.registry.getRegistered(this.targetId)?.models ?? [];
+	}
+
+	private hasRegistered(sinceMs: number): boolean {
+		return (this.opts.registry.getReceivedMs(this.targetId) ?? 0) > sinceMs;
+	}
+
+	private believe(models: readonly HeldModel[]): void {
+		this.opts.registry.believeHoldings(this.targetId, models);
+	}
+
+	private believeWithout(model: string): void {
+		const models = this.getModels();
+		if (models.some(({name}) => name === model)) {
+			this.believe(models.filter(({name}) => name !== model));
+		}
+	}
+
+	private async inTurn<T>(work: () => Promise<T>): Promise<T> {
+		const earlier = this.last;
+		const run = async (): Promise<T> => {
+			await earlier.catch(() => undefined);
+			return work();
+		};
+
+		const result = run();
+		this.last = result;
+		return result;
+	}
+}
--- /dev/null
+++ b/packages/engines/src/loading/engine-owner.ts
@@ -0,0 +1,208 @@
+import {
+	type Clock, type EngineClass, jitter, type Logger, type Random, type Registration,
+} from '@egretrill/common';
+import type {TargetRegistry} from '../registry/index.js';
+import {ADAPTER_RETRY_MS, LOAD_PLAN_MS} from './constants.js';
+import {DemandCounter} from './demand-counter.js';
+import {EngineLine, type HeldAdapter} from './engine-line.js';
+import type {EngineOrders} from './engine-orders.js';
+import {planLoads} from './plan-loads.js';
+import type {LoadMove, ModelDemand, PlannedEngine} from './types.js';
+
+export type EngineOwnerOptions = {
+	readonly clock: Clock;
+	readonly random: Random;
+	readonly logger: Logger;
+	readonly registry: TargetRegistry;
+	readonly orders: EngineOrders;
+	/** Names this host in its orders. */
+	readonly holder: string;
+	readonly fencingToken: number;
+	/** When no order of an earlier owner can arrive any more. */
+	readonly firstOrderAtMs: number;
+	readonly mayOrder: () => boolean;
+	/** Engine classes by service. */
+	readonly getClasses: () => ReadonlyMap<string, EngineClass>;
+};
+
+/** A model, or one of its adapters, that a request needs. */
+export type ModelWant = {readonly service: string; readonly model: string; readonly adapter?: string};
+
+/** Requests that wait for a model at one host. */
+export type WaitingCounts = ReadonlyArray<readonly [service: string, model: string, count: number]>;
+
+function getName({service, model, adapter}: ModelWant): string {
+	return JSON.stringify([service, model, adapter ?? null]);
+}
+
+/** The one holder of all engines: it decides what they hold and gives them their orders. */
+export class EngineOwner {
+	private readonly lines = new Map<string, EngineLine>();
+	private readonly copySince = new Map<string, number>();
+	private readonly demand: DemandCounter;
+	private readonly waiting = new Map<string, WaitingCounts>();
+	private readonly asked = new Map<string, number>();
+	private readonly nextStoreLoadMs = new Map<string, number>();
+
+	constructor(private readonly opts: EngineOwnerOptions) {
+		this.demand = new DemandCounter(opts.clock);
+	}
+
+	noteArrivals(want: ModelWant, count: number): void {
+		this.demand.add(getName({service: want.service, model: want.model}), count);
+		if (want.adapter !== undefined) {
+			this.demand.add(getName(want), count);
+		}
+	}
+
+	/** Takes over what waits at one host. */
+	noteWaiting(hostId: string, counts: WaitingCounts): void {
+		this.waiting.set(hostId, counts);
+	}
+
+	/** Has an adapter loaded that a request needs; a missing model is left to the plan. */
+	want(want: ModelWant, signal: AbortSignal): void {
+		if (want.adapter !== undefined) {
+			void this.loadAdapter({...want, adapter: want.adapter}, signal);
+		}
+	}
+
+	/** Plans and gives orders until the ownership ends. */
+	async run(signal: AbortSignal): Promise<void> {
+		const {clock, firstOrderAtMs, random} = this.opts;
+		await clock.sleep(firstOrderAtMs - clock.now(), signal);
+		while (!signal.aborted) {
+			for (const [service, engineClass] of this.opts.getClasses()) {
+				this.startMoves(service, engineClass, signal);
+			}
+
+			await clock.sleep(jitter(LOAD_PLAN_MS, random), signal);
+		}
+	}
+
+	private startMoves(service: string, engineClass: EngineClass, signal: AbortSignal): void {
+		const engines = this.getEngines(service);
+		const mayUseStore = this.opts.clock.now() >= (this.nextStoreLoadMs.get(service) ?? 0);
+		const moves = planLoads({
+			engineClass, engines: engines.map(engine => this.describe(engine, engineClass, signal)), demand: this.getDemand(service, engineClass), mayUseStore,
+		});
+		for (const move of moves) {
+			const engine = engines.find(({targetId}) => targetId === move.targetId);
+			if (engine) {
+				void this.carryOut(this.getLine(engine, signal), service, move, engineClass);
+			}
+		}
+	}
+
+	private async carryOut(line: EngineLine, service: string, move: LoadMove, engineClass: EngineClass): Promise<void> {
+		const {clock, logger} = this.opts;
+		if (move.fromStore && engineClass.storeLoadsPerSecond > 0) {
+			this.nextStoreLoadMs.set(service, clock.now() + (1000 / engineClass.storeLoadsPerSecond));
+		}
+
+		const startedMs = clock.now();
+		logger.info({...move, demandPerS: this.demand.getPerSecond(getName({service, model: move.load}))}, 'A model is loaded.');
+		try {
+			const isHeld = await line.runMove(move, engineClass);
+			logger.info({
+				targetId: move.targetId, model: move.load, isHeld, tookMs: Math.round(clock.now() - startedMs),
+			}, 'A load has ended.');
+		} catch (err: unknown) {
+			logger.error({err, ...move}, 'A load failed.');
+		}
+	}
+
+	private async loadAdapter({service, model, adapter}: Required<ModelWant>, signal: AbortSignal): Promise<void> {
+		const {clock, logger} = this.opts;
+		const key = getName({service, model, adapter});
+		const engineClass = this.opts.getClasses().get(service);
+		const nowMs = clock.now();
+		if (!engineClass || nowMs < this.opts.firstOrderAtMs || nowMs < (this.asked.get(key) ?? 0)) {
+			return;
+		}
+
+		const engine = this.findAdapterSite(service, model, adapter);
+		if (!engine) {
+			return;
+		}
+
+		this.asked.set(key, nowMs + ADAPTER_RETRY_MS);
+		try {
+			const isHeld = await this.getLine(engine, signal).loadAdapter(model, adapter, () => this.findIdleAdapter(engine.targetId, engineClass));
+			logger.info({
+				targetId: engine.targetId, model, adapter, isHeld, tookMs: Math.round(clock.now() - nowMs),
+			}, 'An adapter was asked for.');
+		} catch (err: unknown) {
+			logger.error({err, targetId: engine.targetId, model, adapter}, 'An adapter could not be loaded.');
+		}
+	}
+
+	/** The engine with the model that has the fewest adapters and no move under way. */
+	private findAdapterSite(service: string, model: string, adapter: string): Registration | undefined {
+		const holders = this.getEngines(service).filter(({models}) => models.some(({name}) => name === model));
+		if (holders.some(({models}) => models.some(({name, adapters}) => name === model && adapters.includes(adapter)))) {
+			return undefined;
+		}
+
+		const getLoad = (engine: Registration): number => engine.models.reduce((sum, {adapters}) => sum + adapters.length, 0) + (this.lines.get(engine.targetId)?.move ? 100 : 0);
+		return holders.toSorted((a, b) => getLoad(a) - getLoad(b)).at(0);
+	}
+
+	/** The adapter that is asked for least, when every place of the engine is taken. */
+	private findIdleAdapter(targetId: string, {adapterSlots}: EngineClass): HeldAdapter | undefined {
+		const {service = '', models = []} = this.opts.registry.get(targetId) ?? {};
+		const held = models.flatMap(({name, adapters}) => adapters.map(adapter => ({model: name, adapter})));
+		if (held.length < adapterSlots) {
+			return undefined;
+		}
+
+		return held.toSorted((a, b) => this.demand.getPerSecond(getName({service, ...a})) - this.demand.getPerSecond(getName({service, ...b}))).at(0);
+	}
+
+	private getEngines(service: string): readonly Registration[] {
+		return this.opts.registry.getLive().filter(engine => engine.service === service && !engine.isLeaving);
+	}
+
+	private getDemand(service: string, {models}: EngineClass): readonly ModelDemand[] {
+		const waiting = new Map<string, number>();
+		for (const counts of this.waiting.values()) {
+			for (const [other, model, count] of counts) {
+				if (other === service) {
+					waiting.set(model, (waiting.get(model) ?? 0) + count);
+				}
+			}
+		}
+
+		return models.map(({name}) => ({model: name, perSecond: this.demand.getPerSecond(getName({service, model: name})), waiting: waiting.get(name) ?? 0}));
+	}
+
+	private describe(engine: Registration, engineClass: EngineClass, signal: AbortSignal): PlannedEngine {
+		const line = this.getLine(engine, signal);
+		const nowMs = this.opts.clock.now();
+		return {
+			targetId: engine.targetId,
+			isFree: line.move === undefined,
+			weightsMb: engineClass.weightsMb,
+			copies: engine.models.map(({name, adapters}) => {
+				const key = `${engine.targetId}/${engine.startedAtMs}/${name}`;
+				const sinceMs = this.copySince.get(key) ?? nowMs;
+				this.copySince.set(key, sinceMs);
+				return {model: name, ageMs: nowMs - sinceMs, adapterCount: adapters.length};
+			}),
+			loading: line.getLoading(),
+			inMemory: engine.inMemory,
+			onDisk: engine.onDisk,
+		};
+	}
+
+	private getLine({targetId, startedAtMs}: Registration, signal: AbortSignal): EngineLine {
+		const known = this.lines.get(targetId);
+		if (known?.startedAtMs === startedAtMs) {
+			return known;
+		}
+
+		const line = new EngineLine(targetId, startedAtMs, {...this.opts, signal});
+		this.lines.set(targetId, line);
+		return line;
+	}
+}
--- /dev/null
+++ b/packages/engines/src/loading/types.ts
@@ -0,0 +1,56 @@
+import {HeldModel} from '@egretrill/common';
+import {z} from 'zod';
+
+/** What an engine is told to do. */
+export const LoadStep = z.object({
+	kind: z.enum(['load-model', 'unload-model', 'load-adapter', 'unload-adapter']),
+	model: z.string(),
+	adapter: z.string().optional(),
+});
+export type LoadStep = z.infer<typeof LoadStep>;
+
+/** An order to one engine, which refuses it when it has accepted another one since. */
+export const LoadOrder = LoadStep.extend({
+	holder: z.string(),
+	/** Grows with each change of the ordering host. */
+	fencingToken: z.int(),
+	/** Orders that the engine has accepted so far. */
+	expectedOrderCount: z.int(),
+});
+export type LoadOrder = z.infer<typeof LoadOrder>;
+
+/** What became of sending an order; after `unknown` it may be carried out seconds later. */
+export const LoadAnswer = z.enum(['begun', 'done', 'conflict', 'refused', 'not-sent', 'unknown']);
+export type LoadAnswer = z.infer<typeof LoadAnswer>;
+
+/** State of an engine as it tells it when asked. */
+export const EngineReport = z.object({
+	models: z.array(HeldModel),
+	isBusy: z.boolean(),
+	orderCount: z.int(),
+});
+export type EngineReport = z.infer<typeof EngineReport>;
+
+/** Arrivals a second of a model and the requests that wait for it. */
+export const ModelDemand = z.object({model: z.string(), perSecond: z.number(), waiting: z.number()});
+export type ModelDemand = z.infer<typeof ModelDemand>;
+
+/** An engine as the plan sees it. */
+export const PlannedEngine = z.object({
+	targetId: z.string(),
+	/** Whether it can take an order now. */
+	isFree: z.boolean(),
+	weightsMb: z.number(),
+	copies: z.array(z.object({model: z.string(), ageMs: z.number(), adapterCount: z.int()})),
+	/** Model that a running order loads. */
+	loading: z.string().optional(),
+	inMemory: z.array(z.string()),
+	onDisk: z.array(z.string()),
+});
+export type PlannedEngine = z.infer<typeof PlannedEngine>;
+
+/** One change of what an engine holds: unloads first, then the load. */
+export const LoadMove = z.object({
+	targetId: z.string(), unload: z.array(z.string()), load: z.string(), reason: z.enum(['missing', 'crowded']), fromStore: z.boolean(),
+});
+export type LoadMove = z.infer<typeof LoadMove>;
--- a/packages/engines/src/placement/order-channel.ts
+++ b/packages/engines/src/placement/order-channel.ts
@@ -76,7 +76,8 @@
 		: {result: 'refused', reason: `The engine refused with ${status}.`};
 }
 
-async function openConnection(address: string, signal: AbortSignal): Promise<Socket> {
+/** Opens a connection, so that a check can stand between connecting and writing. */
+export async function openConnection(address: string, signal: AbortSignal): Promise<Socket> {
 	const {hostname, port} = new URL(`http://${address}`);
 	const socket = connect({host: hostname.replaceAll(/[\[\]]/gv, ''), port: Number(port)});
 	try {
--- /dev/null
+++ b/packages/engines/src/registry/choose-target.ts
@@ -0,0 +1,48 @@
+import {BATCH_SHARE_MS, OTHER_ZONE_MS, PROMPT_TOKENS_PER_MS} from './constants.js';
+
+/** What is known of a target when a request is placed. */
+export type TargetCandidate = {
+	readonly targetId: string;
+	readonly isSameZone: boolean;
+	readonly isSuspect: boolean;
+	readonly hasAdapter: boolean;
+	/** Requests of all hosts that the target runs or queues. */
+	readonly outstanding: number;
+	/** Requests that it takes at the same time. */
+	readonly places: number;
+	/** Whether it may take a request now although it is cold. */
+	readonly mayTakeCold: boolean;
+	/** Prompt tokens of this request that it probably keeps. */
+	readonly keptTokens: number;
+};
+
+export type TargetChoice =
+	| {readonly kind: 'target'; readonly targetId: string}
+	/** Targets that could serve are full or cold. */
+	| {readonly kind: 'full'}
+	/** Targets hold the model but not the adapter. */
+	| {readonly kind: 'adapter-missing'}
+	| {readonly kind: 'none'};
+
+function getCostMs({outstanding, isSameZone, keptTokens}: TargetCandidate): number {
+	return (outstanding * BATCH_SHARE_MS) + (isSameZone ? 0 : OTHER_ZONE_MS) - (keptTokens / PROMPT_TOKENS_PER_MS);
+}
+
+function compare(a: TargetCandidate, b: TargetCandidate): number {
+	return Number(a.isSuspect) - Number(b.isSuspect) || getCostMs(a) - getCostMs(b);
+}
+
+/** Places a request at the least loaded target that can serve it, and with the kept prompt where that saves more than the load costs. */
+export function chooseTarget(candidates: readonly TargetCandidate[]): TargetChoice {
+	if (candidates.length === 0) {
+		return {kind: 'none'};
+	}
+
+	const able = candidates.filter(({hasAdapter}) => hasAdapter);
+	if (able.length === 0) {
+		return {kind: 'adapter-missing'};
+	}
+
+	const [best] = able.filter(({outstanding, places, mayTakeCold}) => outstanding < places && mayTakeCold).toSorted(compare);
+	return best ? {kind: 'target', targetId: best.targetId} : {kind: 'full'};
+}
--- /dev/null
+++ b/packages/engines/src/registry/target-book.ts
@@ -0,0 +1,192 @@
+import {type Clock, type Registration, Signal} from '@egretrill/common';
+import {type TargetCandidate, chooseTarget, type TargetChoice} from './choose-target.js';
+import {QUEUED_PER_SLOT, REGISTRATION_TTL_MS, SUSPECT_MS} from './constants.js';
+import {KeptPrompts} from './kept-prompts.js';
+import type {RegistryUpdate} from './types.js';
+
+type Target = {
+	registration: Registration;
+	coldUntilMs: number;
+	/** Requests of this host that have not ended. */
+	own: number;
+	/** Requests of the other hosts, as last told. */
+	others: number;
+	suspectUntilMs: number;
+	/** Sends to the cold target in the running second. */
+	coldSends: {startMs: number; count: number};
+};
+
+/** What a request needs of its target. */
+export type TargetNeed = {
+	readonly service: string;
+	readonly model?: string;
+	readonly adapter?: string;
+	readonly parts: ReadonlyArray<{readonly id: string; readonly tokens: number}>;
+	/** Targets that have already had this request. */
+	readonly tried: ReadonlySet<string>;
+};
+
+/** A place at a target; `end` gives it back. */
+export type TargetPlace = {readonly registration: Registration; readonly end: (failed: boolean) => void};
+
+export type TargetBookOptions = {
+	readonly clock: Clock;
+	readonly zone: string;
+	/** Requests a second that this host may send to a cold target of a service. */
+	readonly getColdRate: (service: string) => number;
+	/** Requests that a target runs at once when its service has engines. */
+	readonly getBatchSlots: (service: string) => number | undefined;
+};
+
+/** The targets as an entry host knows them, and what it has running there. */
+export class TargetBook {
+	/** Notified when a place may have become free or a target appeared. */
+	readonly changed = new Signal();
+	private readonly targets = new Map<string, Target>();
+	private readonly kept = new KeptPrompts();
+	private zonesOut: ReadonlySet<string> = new Set();
+	private known = {origin: '', revision: 0};
+
+	constructor(private readonly opts: TargetBookOptions) {}
+
+	/** Registry and revision that this host follows. */
+	getKnown(): {readonly origin: string; readonly revision: number} {
+		return this.known;
+	}
+
+	update({origin, revision, isWhole, targets}: RegistryUpdate): void {
+		const nowMs = this.opts.clock.now();
+		if (isWhole) {
+			const ids = new Set(targets.map(({registration}) => registration.targetId));
+			this.drop([...this.targets.keys()].filter(id => !ids.has(id)));
+		}
+
+		for (const {registration, ageMs, hasEnded} of targets) {
+			if (hasEnded || ageMs > REGISTRATION_TTL_MS) {
+				this.drop([registration.targetId]);
+			} else {
+				this.put(registration, nowMs + registration.coldForMs - ageMs);
+			}
+		}
+
+		this.known = {origin, revision};
+		this.changed.notify();
+	}
+
+	setZonesOut(zones: readonly string[]): void {
+		this.zonesOut = new Set(zones);
+	}
+
+	/** Takes over what the other hosts have running at each target. */
+	setOthers(counts: ReadonlyArray<readonly [targetId: string, count: number]>): void {
+		const byId = new Map(counts);
+		for (const [id, target] of this.targets) {
+			target.others = byId.get(id) ?? 0;
+		}
+
+		this.changed.notify();
+	}
+
+	/** Requests of this host at each target. */
+	getOwn(): ReadonlyArray<readonly [targetId: string, count: number]> {
+		return [...this.targets].filter(([, {own}]) => own > 0).map(([id, {own}]) => [id, own]);
+	}
+
+	choose(need: TargetNeed): TargetChoice {
+		return chooseTarget(this.getCandidates(need));
+	}
+
+	/** Takes a place at a chosen target. */
+	take(targetId: string, {model, parts}: TargetNeed): TargetPlace | undefined {
+		const target = this.targets.get(targetId);
+		if (!target) {
+			return undefined;
+		}
+
+		target.own += 1;
+		this.countColdSend(target);
+		if (model !== undefined) {
+			this.kept.note(targetId, model, parts);
+		}
+
+		let hasEnded = false;
+		return {
+			registration: target.registration,
+			end: failed => {
+				if (hasEnded) {
+					return;
+				}
+
+				hasEnded = true;
+				target.own -= 1;
+				if (failed) {
+					target.suspectUntilMs = this.opts.clock.now() + SUSPECT_MS;
+				}
+
+				this.changed.notify();
+			},
+		};
+	}
+
+	private getCandidates(need: TargetNeed): readonly TargetCandidate[] {
+		const candidates: TargetCandidate[] = [];
+		for (const [targetId, target] of this.targets) {
+			const {registration} = target;
+			const isUsable = registration.service === need.service && !registration.isLeaving && !this.zonesOut.has(registration.zone) && !need.tried.has(targetId);
+			const held = need.model === undefined ? undefined : registration.models.find(({name}) => name === need.model);
+			if (isUsable && (need.model === undefined || held !== undefined)) {
+				candidates.push(this.describe(target, need, held?.adapters));
+			}
+		}
+
+		return candidates;
+	}
+
+	private describe(target: Target, {service, model, adapter, parts}: TargetNeed, adapters: readonly string[] | undefined): TargetCandidate {
+		const {registration: {targetId, zone, slots}, own, others} = target;
+		const batchSlots = this.opts.getBatchSlots(service);
+		return {
+			targetId,
+			isSameZone: zone === this.opts.zone,
+			isSuspect: target.suspectUntilMs > this.opts.clock.now(),
+			hasAdapter: adapter === undefined || (adapters?.includes(adapter) ?? false),
+			outstanding: own + others,
+			places: batchSlots ?? Math.ceil(slots * (1 + QUEUED_PER_SLOT)),
+			mayTakeCold: this.mayTakeCold(target),
+			keptTokens: model === undefined ? 0 : this.kept.countTokens(targetId, model, parts),
+		};
+	}
+
+	private mayTakeCold(target: Target): boolean {
+		const nowMs = this.opts.clock.now();
+		const rate = this.opts.getColdRate(target.registration.service);
+		return nowMs >= target.coldUntilMs || rate <= 0 || nowMs - target.coldSends.startMs >= 1000 || target.coldSends.count < Math.max(1, Math.floor(rate));
+	}
+
+	private countColdSend(target: Target): void {
+		const nowMs = this.opts.clock.now();
+		const isNewSecond = nowMs - target.coldSends.startMs >= 1000;
+		target.coldSends = isNewSecond ? {startMs: nowMs, count: 1} : {startMs: target.coldSends.startMs, count: target.coldSends.count + 1};
+	}
+
+	private put(registration: Registration, coldUntilMs: number): void {
+		const known = this.targets.get(registration.targetId);
+		if (known?.registration.startedAtMs === registration.startedAtMs) {
+			known.registration = registration;
+			known.coldUntilMs = coldUntilMs;
+			return;
+		}
+
+		this.kept.forget(registration.targetId);
+		this.targets.set(registration.targetId, {
+			registration, coldUntilMs, own: 0, others: 0, suspectUntilMs: 0, coldSends: {startMs: 0, count: 0},
+		});
+	}
+
+	private drop(ids: readonly string[]): void {
+		for (const id of ids) {
+			this.targets.delete(id);
+			this.kept.forget(id);
+		}
+	}
+}
--- /dev/null
+++ b/packages/engines/tests/registry/target-registry.test.ts
@@ -0,0 +1,99 @@
+import {ManualClock, type Registration} from '@egretrill/common';
+import {expect} from 'chai';
+import {TargetRegistry} from '../../src/registry/index.js';
+
+function register(changes: Partial<Registration> = {}): Registration {
+	return {
+		targetId: 't1', startedAtMs: 1000, sequence: 1, service: 'drafts', address: '127.0.0.1:9000', zone: 'a', slots: 8, isLeaving: false, coldForMs: 0, models: [{name: 'm1', version: 1, adapters: []}], inMemory: [], onDisk: [], ...changes,
+	};
+}
+
+function describeLive(registry: TargetRegistry): readonly string[] {
+	return registry.getLive().map(({targetId, startedAtMs, sequence, isLeaving}) => `${targetId} of ${startedAtMs}, ${sequence}${isLeaving ? ', leaving' : ''}`);
+}
+
+describe('TargetRegistry', () => {
+	// Guards against a late registration that undoes a newer one and puts a leaving target in use again.
+	it('keeps the newest registration of a lifetime', () => {
+		const registry = new TargetRegistry(new ManualClock(), 'r1');
+		const accepted = [
+			registry.accept(register({sequence: 3, isLeaving: true})),
+			registry.accept(register({sequence: 2})),
+			registry.accept(register({sequence: 4, isLeaving: true})),
+			registry.accept(register({startedAtMs: 2000, sequence: 1})),
+			registry.accept(register({sequence: 9})),
+		];
+		expect({accepted, live: describeLive(registry)}).toMatchSnapshot();
+	});
+
+	// Guards against work for a target that has left and whose last registration arrives after it.
+	it('does not bring back a lifetime that has ended', () => {
+		const registry = new TargetRegistry(new ManualClock(), 'r1');
+		registry.accept(register({sequence: 1}));
+		registry.end('t1');
+		const late = registry.accept(register({sequence: 2}));
+		const next = registry.accept(register({startedAtMs: 2000, sequence: 1}));
+		expect({late, next, live: describeLive(registry)}).toMatchSnapshot();
+	});
+
+	// Guards against a delayed registration of a dead process that takes the address from its successor.
+	it('gives an address to the process that started last', () => {
+		const registry = new TargetRegistry(new ManualClock(), 'r1');
+		registry.accept(register({targetId: 'old', startedAtMs: 1000}));
+		registry.accept(register({targetId: 'new', startedAtMs: 3000}));
+		const late = registry.accept(register({targetId: 'old', startedAtMs: 1000, sequence: 7}));
+		expect({late, live: describeLive(registry)}).toMatchSnapshot();
+	});
+
+	// Guards against the use of a target that crashed without a word.
+	it('leaves out silent targets until they register again', async () => {
+		const clock = new ManualClock();
+		const registry = new TargetRegistry(clock, 'r1');
+		registry.accept(register({sequence: 1}));
+		clock.advance(6001);
+		const silent = describeLive(registry);
+		const known = registry.getUpdateSince({origin: '', revision: 0}, false);
+		registry.accept(register({sequence: 2}));
+		expect({silent, again: describeLive(registry), update: registry.getUpdateSince(known, false).targets.length}).toMatchSnapshot();
+	});
+
+	// Guards against traffic that grows with each registration although nothing changed.
+	it('sends entry hosts changes only, and control hosts the age too', () => {
+		const registry = new TargetRegistry(new ManualClock(), 'r1');
+		registry.accept(register({sequence: 1}));
+		const known = registry.getUpdateSince({origin: '', revision: 0}, false);
+		registry.accept(register({sequence: 2, orderCount: 4}));
+		const quiet = {toEntryHosts: registry.getUpdateSince(known, false).targets.length, toControlHosts: registry.getUpdateSince(known, true).targets.length};
+		registry.accept(register({sequence: 3, isLeaving: true}));
+		expect({quiet, changed: registry.getUpdateSince(known, false).targets.length, elsewhere: registry.getUpdateSince({origin: 'r2', revision: 1}, false).isWhole}).toMatchSnapshot();
+	});
+
+	// Guards against requests that wait for an adapter which the engine already holds, until its next registration.
+	it('believes an order until registrations show it', () => {
+		const clock = new ManualClock();
+		const registry = new TargetRegistry(clock, 'r1');
+		registry.accept(register({sequence: 1}));
+		registry.believeHoldings('t1', [{name: 'm1', version: 1, adapters: ['a1']}]);
+		const getAdapters = () => registry.get('t1')?.models[0]?.adapters;
+		const believed = getAdapters();
+		registry.accept(register({sequence: 2}));
+		const kept = getAdapters();
+		clock.advance(1600);
+		registry.accept(register({sequence: 3}));
+		expect({believed, kept, corrected: getAdapters()}).toMatchSnapshot();
+	});
+
+	// Guards against targets that stay in use on hosts which did not hear themselves that they leave.
+	it('merges what another host heard', () => {
+		const clock = new ManualClock();
+		const first = new TargetRegistry(clock, 'r1');
+		const second = new TargetRegistry(clock, 'r2');
+		first.accept(register({sequence: 5, isLeaving: true}));
+		second.accept(register({sequence: 4}));
+		second.merge(first.getUpdateSince({origin: '', revision: 0}, true).targets);
+		const leaving = describeLive(second);
+		first.end('t1');
+		second.merge(first.getUpdateSince({origin: '', revision: 0}, true).targets);
+		expect({leaving, ended: describeLive(second)}).toMatchSnapshot();
+	});
+});
--- a/packages/hosts/src/fleet-state.ts
+++ b/packages/hosts/src/fleet-state.ts
@@ -1,4 +1,4 @@
-import {createCodec, type PeerHost} from '@egretrill/common';
+import {createCodec, type PeerHost, type TrafficSource} from '@egretrill/common';
 import {type MemberWish, StateMachine} from './consensus/state-machine.js';
 import {applyOperation} from './fleet-state-operations.js';
 import {
@@ -20,6 +20,7 @@
 	records: createRecordTable(),
 	leases: {},
 	members: [],
+	zonesOut: [],
 	logTimeMs: 0,
 };
 
@@ -30,6 +31,17 @@
 	return {state: {...state, leases: {...state.leases, [zone]: lease}}, result: {kind: 'lease', ...lease}};
 }
 
+function putTraffic(state: FleetSnapshot, {traffic}: FleetCommandOf<'putTraffic'>): Step {
+	const kept = state.traffic !== undefined && state.traffic.version >= traffic.version ? state.traffic : traffic;
+	return {state: {...state, traffic: kept}, result: {kind: 'traffic', version: kept.version}};
+}
+
+function setZoneService(state: FleetSnapshot, {zone, isInService}: FleetCommandOf<'setZoneService'>): Step {
+	const others = state.zonesOut.filter(other => other !== zone);
+	const zonesOut = isInService ? others : [...others, zone];
+	return {state: {...state, zonesOut}, result: {kind: 'zone-service', zonesOut}};
+}
+
 /** Applies one command; pure and the same on every member. */
 export function applyFleetCommand(state: FleetSnapshot, command: FleetCommand): Step {
 	const timed = 'elapsedMs' in command ? {...state, logTimeMs: state.logTimeMs + command.elapsedMs} : state;
@@ -50,6 +62,14 @@
 			return grantLease(timed, command);
 		}
 
+		case 'putTraffic': {
+			return putTraffic(timed, command);
+		}
+
+		case 'setZoneService': {
+			return setZoneService(timed, command);
+		}
+
 		case 'apply':
 		case 'withdrawKey':
 		case 'setZoneState':
@@ -125,6 +145,15 @@
 		return findRecord(this.state, recordKey);
 	}
 
+	/** The traffic configuration in force on this member, as its author wrote it. */
+	getTraffic(): TrafficSource | undefined {
+		return this.state.traffic;
+	}
+
+	getZonesOut(): readonly string[] {
+		return this.state.zonesOut;
+	}
+
 	/** Hosts that operators added, for the transport to find their addresses. */
 	getAddedHosts(): readonly PeerHost[] {
 		return this.state.members.flatMap(member => member.host ?? []);
--- a/packages/hosts/src/fleet/consensus-methods.ts
+++ b/packages/hosts/src/fleet/consensus-methods.ts
@@ -1,6 +1,6 @@
 import {APPEND_TIMEOUT_MS, SNAPSHOT_TIMEOUT_MS, VOTE_TIMEOUT_MS} from '../constants.js';
 import {type ConsensusNode, ConsensusTransport} from '../consensus/index.js';
-import type {PeerDirectory} from '../membership/index.js';
+import type {PeerCaller} from '../membership/index.js';
 import {
 	bindMethod, defineMethod, type Method, type MethodHandler,
 } from '../transport/index.js';
@@ -24,7 +24,7 @@
 
 /** Carries the messages of the replicated log over gRPC. */
 export class GrpcConsensusTransport extends ConsensusTransport {
-	constructor(private readonly peers: PeerDirectory) {
+	constructor(private readonly peers: PeerCaller) {
 		super();
 	}
 
--- a/packages/hosts/src/fleet/fleet-log.ts
+++ b/packages/hosts/src/fleet/fleet-log.ts
@@ -4,7 +4,7 @@
 	COMMAND_DEADLINE_MS, COMMAND_RETRY_MS, PROPOSE_TIMEOUT_MS, RECORD_DEADLINE_MS,
 } from '../constants.js';
 import type {ConsensusNode} from '../consensus/index.js';
-import type {PeerDirectory} from '../membership/index.js';
+import type {PeerCaller} from '../membership/index.js';
 import {bindMethod, defineDocumentMethod, type MethodHandler} from '../transport/index.js';
 import {FleetCommand, FleetResult, type ProposeOutcome} from '../types.js';
 
@@ -28,7 +28,7 @@
 export type FleetLogOptions = {
 	readonly hostId: string;
 	readonly clock: Clock;
-	readonly peers: PeerDirectory;
+	readonly peers: PeerCaller;
 	/** Present on the hosts that keep the log. */
 	readonly node?: FleetNode;
 	readonly getLeaderId: () => string | undefined;
@@ -90,8 +90,8 @@
 			return leaderId;
 		}
 
-		const voters = this.opts.peers.getVoters();
-		return voters[attempt % Math.max(1, voters.length)]?.id;
+		const voterIds = this.opts.peers.getVoterIds();
+		return voterIds[attempt % Math.max(1, voterIds.length)];
 	}
 
 	private async proposeAt(hostId: string, command: FleetCommand, remainingMs: number): Promise<ProposeOutcome<FleetResult> | undefined> {
--- /dev/null
+++ b/packages/hosts/src/membership/control-peers.ts
@@ -0,0 +1,56 @@
+import type {Clock} from '@egretrill/common';
+import type {Result} from 'true-myth';
+import {
+	type Method, type PeerCallError, PeerClient, type PeerCredentials,
+} from '../transport/index.js';
+import {PeerCaller} from './peer-caller.js';
+
+/** A control host that was found through the seeds; its peer address is its id. */
+export type ControlHost = {readonly id: string; readonly zone?: string};
+
+/** Connections to the control hosts of a fleet without a fixed list; each is found through another one, the first through the seeds. */
+export class ControlPeers extends PeerCaller {
+	private readonly clients = new Map<string, PeerClient>();
+	private known: readonly ControlHost[];
+	private seedIds: readonly string[];
+
+	constructor(private readonly opts: {readonly selfId?: string; readonly seedIds: readonly string[]; readonly clock: Clock; readonly credentials: PeerCredentials}) {
+		super();
+		this.seedIds = opts.seedIds;
+		this.known = opts.seedIds.map(id => ({id}));
+	}
+
+	/** Takes over the list of a host that knows the members; seeds stay as a last resort. */
+	learn(hosts: readonly ControlHost[]): void {
+		const ids = new Set(hosts.map(({id}) => id));
+		this.known = [...hosts, ...this.seedIds.filter(id => !ids.has(id)).map(id => ({id}))];
+	}
+
+	/** Takes over other seeds from changed settings. */
+	learnSeeds(seedIds: readonly string[]): void {
+		this.seedIds = seedIds;
+		this.learn(this.known);
+	}
+
+	/** Control hosts other than this one. */
+	getOthers(): readonly ControlHost[] {
+		return this.known.filter(({id}) => id !== this.opts.selfId);
+	}
+
+	override getVoterIds(): readonly string[] {
+		return this.known.map(({id}) => id);
+	}
+
+	override async call<Req, Res>(hostId: string, method: Method<Req, Res>, req: Req, deadlineMs?: number): Promise<Result<Res, PeerCallError>> {
+		const existing = this.clients.get(hostId);
+		const client = existing ?? new PeerClient(hostId, this.opts.credentials.client, this.opts.clock);
+		this.clients.set(hostId, client);
+		return client.call(method, req, deadlineMs);
+	}
+
+	close(): void {
+		for (const client of this.clients.values()) {
+			client.close();
+		}
+	}
+}
--- a/packages/hosts/src/membership/peer-directory.ts
+++ b/packages/hosts/src/membership/peer-directory.ts
@@ -7,6 +7,7 @@
 import {
 	type Method, type PeerCallError, PeerClient, type PeerCredentials,
 } from '../transport/index.js';
+import {PeerCaller} from './peer-caller.js';
 
 type FailureSpan = {readonly firstMs: number; readonly lastMs: number; readonly message: string};
 
@@ -15,17 +16,23 @@
 }
 
 /** Connections to the other hosts that this one talks to, opened when first used, and which of them answer. */
-export class PeerDirectory {
+export class PeerDirectory extends PeerCaller {
 	private readonly clients = new Map<string, PeerClient>();
 	private readonly failures = new Map<string, FailureSpan>();
 	private readonly ranked = new Map<string, readonly PeerHost[]>();
 
-	constructor(private readonly settings: Settings, private readonly clock: Clock, private readonly credentials: PeerCredentials, private readonly logger: Logger) {}
+	constructor(private readonly settings: Settings, private readonly clock: Clock, private readonly credentials: PeerCredentials, private readonly logger: Logger) {
+		super();
+	}
 
 	getPeers(): readonly PeerHost[] {
 		return this.settings.peers.filter(peer => peer.id !== this.settings.host);
 	}
 
+	override getVoterIds(): readonly string[] {
+		return this.getVoters().map(({id}) => id);
+	}
+
 	getVoters(): readonly PeerHost[] {
 		return this.settings.peers.filter(peer => peer.voter);
 	}
@@ -47,7 +54,7 @@
 	}
 
 	/** Calls another host and remembers whether it answers. */
-	async call<Req, Res>(hostId: string, method: Method<Req, Res>, req: Req, deadlineMs?: number): Promise<Result<Res, PeerCallError>> {
+	override async call<Req, Res>(hostId: string, method: Method<Req, Res>, req: Req, deadlineMs?: number): Promise<Result<Res, PeerCallError>> {
 		const client = this.getClient(hostId);
 		if (!client) {
 			return Result.err({code: 'unreachable', message: `The host ${hostId} is not in the settings.`});
--- a/packages/hosts/src/types.ts
+++ b/packages/hosts/src/types.ts
@@ -1,4 +1,6 @@
-import {ConfigDocument, PeerHost, ZoneState} from '@egretrill/common';
+import {
+	ConfigDocument, PeerHost, TrafficSource, ZoneState,
+} from '@egretrill/common';
 import {Bytes, LogEntry} from '@egretrill/disk';
 import {z} from 'zod';
 import {MAX_OUTCOME_BODY_BYTES} from './constants.js';
@@ -140,6 +142,9 @@
 	z.object({
 		kind: z.literal('grantLease'), zone: z.string(), host: z.string(), ttlMs: z.int().positive(),
 	}),
+	/** Of two traffic configurations the higher version stays; the content under a held version never changes. */
+	z.object({kind: z.literal('putTraffic'), traffic: TrafficSource}),
+	z.object({kind: z.literal('setZoneService'), zone: z.string(), isInService: z.boolean()}),
 ]);
 export type FleetCommand = z.infer<typeof FleetCommand>;
 export type FleetCommandOf<Kind extends FleetCommand['kind']> = Extract<FleetCommand, {kind: Kind}>;
@@ -169,6 +174,8 @@
 	z.object({kind: z.literal('released')}),
 	z.object({kind: z.literal('no-record')}),
 	z.object({kind: z.literal('lease'), ...ZoneLease.shape}),
+	z.object({kind: z.literal('traffic'), version: count}),
+	z.object({kind: z.literal('zone-service'), zonesOut: z.array(z.string())}),
 ]);
 export type FleetResult = z.infer<typeof FleetResult>;
 
@@ -228,6 +235,10 @@
 	records: RecordTable,
 	leases: z.record(z.string(), ZoneLease),
 	members: z.array(MemberRequest),
+	/** The traffic configuration in force. */
+	traffic: TrafficSource.optional(),
+	/** Zones whose targets get no new work. */
+	zonesOut: z.array(z.string()).default([]),
 	/** Sum of the elapsed times in commands; it never runs faster than real time. */
 	logTimeMs: count,
 });
