callers, engines: rates from a pool for small customers, loads only for what waits

Cause: a standing part of a small customer's rate is smaller than one request, so that hosts refused within the rate; copies were added on the first noisy demand and evicted what served. Ruled out: the engines themselves, whose answers were in time. Change: a quarter of each rate stands, half is leased to hosts where its burst holds some requests, the rest is lent for single requests; a model is loaded when a request waits for it, copies are added by what one copy serves well.

--- a/apps/egretrilld/src/traffic/constants.ts
+++ b/apps/egretrilld/src/traffic/constants.ts
@@ -1,6 +1,9 @@
 /** Longest time that a control host holds the poll of an entry host open while nothing changes. */
 export const SYNC_WAIT_MS = 200;
 
+/** Time for the owner of rates to lend; a request that waits longer spends what its host holds. */
+export const BORROW_ANSWER_MS = 250;
+
 /** Time for the answer to a poll beyond the wait. */
 export const SYNC_ANSWER_MS = 700;
 
--- a/apps/egretrilld/src/traffic/control-follower.ts
+++ b/apps/egretrilld/src/traffic/control-follower.ts
@@ -1,13 +1,14 @@
 import {randomUUID} from 'node:crypto';
+import {type RateAnswer, RateLender} from '@egretrill/callers';
 import {
 	type Clock, type Logger, type TrafficSource,
 } from '@egretrill/common';
 import type {ControlPeers} from '@egretrill/hosts';
 import {
-	CONTROL_SUSPECT_MS, SYNC_ANSWER_MS, SYNC_GAP_MS, SYNC_RETRY_MS, SYNC_WAIT_MS,
+	BORROW_ANSWER_MS, CONTROL_SUSPECT_MS, SYNC_ANSWER_MS, SYNC_GAP_MS, SYNC_RETRY_MS, SYNC_WAIT_MS,
 } from './constants.js';
 import {
-	type EntryReport, type LeaderPlan, syncMethod, type SyncResponse, wantMethod,
+	borrowMethod, type EntryReport, type LeaderPlan, syncMethod, type SyncResponse, wantMethod,
 } from './methods.js';
 
 /** What an entry host tells with a poll, apart from who it is. */
@@ -33,7 +34,7 @@
 };
 
 /** Follows the control hosts: the leader while it answers, otherwise one near by. */
-export class ControlFollower {
+export class ControlFollower extends RateLender {
 	private readonly startId = randomUUID();
 	private readonly suspectUntilMs = new Map<string, number>();
 	/** Control hosts that did not answer the last poll. */
@@ -42,7 +43,9 @@
 	private lastAnswerMs = Number.NEGATIVE_INFINITY;
 	private turn = 0;
 
-	constructor(private readonly opts: ControlFollowerOptions) {}
+	constructor(private readonly opts: ControlFollowerOptions) {
+		super();
+	}
 
 	/** Age of what this host knows. */
 	getAgeMs(): number {
@@ -71,6 +74,15 @@
 		}
 	}
 
+	override async borrow(name: string, cost: number): Promise<RateAnswer | undefined> {
+		if (this.leaderId === undefined || this.silent.has(this.leaderId)) {
+			return undefined;
+		}
+
+		const answer = await this.opts.peers.call(this.leaderId, borrowMethod, {customer: name, cost}, BORROW_ANSWER_MS);
+		return answer.isOk ? answer.value.answer : undefined;
+	}
+
 	private pick(): string | undefined {
 		const nowMs = this.opts.clock.now();
 		const isTrusted = (id: string): boolean => (this.suspectUntilMs.get(id) ?? 0) <= nowMs;
--- a/apps/egretrilld/src/traffic/control-host.ts
+++ b/apps/egretrilld/src/traffic/control-host.ts
@@ -1,7 +1,7 @@
 import {randomUUID} from 'node:crypto';
 import path from 'node:path';
 import {
-	type Clock, type EngineClass, jitter, type Logger, type Random, type Registration, Signal, type TrafficConfig,
+	type Clock, type EngineClass, jitter, type Logger, type Random, type Registration, Signal, type TrafficConfig, type TrafficCustomer,
 } from '@egretrill/common';
 import {FileLogStorage, SnapshotStore} from '@egretrill/disk';
 import {type EngineOrders, TargetRegistry} from '@egretrill/engines';
@@ -15,7 +15,7 @@
 import {ControlService, type PutOutcome} from './control-service.js';
 import {LeaderTerm} from './leader-term.js';
 import {
-	gossipMethod, readTrafficMethod, syncMethod, wantMethod,
+	borrowMethod, gossipMethod, readTrafficMethod, syncMethod, wantMethod,
 } from './methods.js';
 import type {ControlSettings} from './settings.js';
 
@@ -29,6 +29,7 @@
 	readonly orders: EngineOrders;
 };
 
+type DecodedTraffic = {readonly source: string; readonly classes: ReadonlyMap<string, EngineClass>; readonly customers: ReadonlyMap<string, TrafficCustomer>};
 type Contact = {zone: string; heardMs: number};
 
 /** A host that keeps the log, hears the targets and serves operators; the leader among them divides rates and orders engines. */
@@ -44,7 +45,7 @@
 	private readonly news = new Signal();
 	private readonly origin = randomUUID();
 	private term: LeaderTerm | undefined;
-	private decoded: {readonly source: string; readonly config: TrafficConfig | undefined} | undefined;
+	private decoded: DecodedTraffic | undefined;
 	private leaderHint: string | undefined;
 
 	constructor(private readonly opts: ControlHostOptions) {
@@ -101,6 +102,10 @@
 				term?.engines.want(want, term.signal);
 				return {};
 			}),
+			bindMethod(borrowMethod, async ({customer, cost}) => {
+				const answer = this.getTerm()?.rates.borrow(customer, cost);
+				return {...(answer && {answer})};
+			}),
 			bindMethod(gossipMethod, async ({hostId, zone, registry}) => {
 				this.contacts.set(hostId, {zone, heardMs: this.opts.clock.now()});
 				const leaderId = this.getLeaderId();
@@ -235,7 +240,7 @@
 			this.term?.end();
 			logger.info({term}, 'This host leads.');
 			this.term = new LeaderTerm({
-				clock, random, logger, orders, term, node: this.node, registry: this.registry, hostId: settings.host, orderLeaseMs: settings.bounds.orderLeaseMs, getClasses: () => this.getClasses(),
+				clock, random, logger, orders, term, node: this.node, registry: this.registry, hostId: settings.host, orderLeaseMs: settings.bounds.orderLeaseMs, getClasses: () => this.getClasses(), getCustomers: () => this.getCustomers(),
 			});
 			void this.term.run();
 		} else if (role !== 'leader' && this.term) {
@@ -246,13 +251,27 @@
 	}
 
 	private getClasses(): ReadonlyMap<string, EngineClass> {
+		return this.getDecoded()?.classes ?? new Map();
+	}
+
+	private getCustomers(): ReadonlyMap<string, TrafficCustomer> {
+		return this.getDecoded()?.customers ?? new Map();
+	}
+
+	/** The parts of the configuration in force that the leader uses, read once for each version. */
+	private getDecoded(): DecodedTraffic | undefined {
 		const source = this.state.getTraffic()?.source;
 		if (source !== undefined && this.decoded?.source !== source) {
 			const decoded = this.opts.decoder.decode(source);
-			this.decoded = {source, config: decoded.isOk ? decoded.value : undefined};
+			const {services, customers = []} = decoded.unwrapOr({services: [], customers: []});
+			this.decoded = {
+				source,
+				classes: new Map(services.flatMap(({name, engine}) => engine ? [[name, engine] as const] : [])),
+				customers: new Map(customers.map(customer => [customer.name, customer])),
+			};
 		}
 
-		return new Map((this.decoded?.config?.services ?? []).flatMap(({name, engine}) => engine ? [[name, engine] as const] : []));
+		return this.decoded;
 	}
 
 	/** Runs one task for each other control host. */
@@ -307,7 +326,9 @@
 			}
 
 			const outcome = await this.log.propose({
-				kind: 'addMember', member: {id: this.hostId, zone: settings.zone, region: settings.zone, address: this.hostId, voter: true}, requestId: randomUUID(), author: settings.host,
+				kind: 'addMember', member: {
+					id: this.hostId, zone: settings.zone, region: settings.zone, address: this.hostId, voter: true,
+				}, requestId: randomUUID(), author: settings.host,
 			}, JOIN_RETRY_MS * 4);
 			logger.info({outcome: outcome.kind}, 'This host asked to become a member of the log.');
 			await clock.sleep(JOIN_RETRY_MS * 2, signal);
--- a/apps/egretrilld/src/traffic/entry-host.ts
+++ b/apps/egretrilld/src/traffic/entry-host.ts
@@ -1,4 +1,6 @@
-import {createServer, type IncomingMessage, type Server, type ServerResponse} from 'node:http';
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
 import {
 	type Clock, jitter, type Logger, type Random, type TrafficSource,
 } from '@egretrill/common';
@@ -79,6 +81,7 @@
 			dialect: opts.dialect,
 			queue: this.queue,
 			rates: this.rates,
+			lender: this.follower,
 			sender: this.sender,
 			observer: this.observer,
 			getTable: () => this.table,
@@ -127,7 +130,7 @@
 				const [service, model] = JSON.parse(key) as [string, string];
 				return [service, model, count];
 			}),
-			rates: {...this.ratesHeld, demand: this.rates.getDemand().map(([name, perSecond]) => [name, perSecond])},
+			rates: {...this.ratesHeld, demand: [...this.rates.getDemand()]},
 		};
 	}
 
@@ -171,7 +174,6 @@
 	}
 
 	private applyBounds(): void {
-		this.rates.setExcess(this.bounds.rateExcess / this.hostCount);
 		for (const retries of this.retries.values()) {
 			retries.setLimits(this.getRetryLimits());
 		}
--- a/apps/egretrilld/src/traffic/entry-observer.ts
+++ b/apps/egretrilld/src/traffic/entry-observer.ts
@@ -64,7 +64,7 @@
 	/** Arrivals since the last call. */
 	takeArrivals(): EntryReport['arrivals'] {
 		const taken = [...this.arrivals].map(([key, count]): EntryReport['arrivals'][number] => {
-			const [service, model, adapter] = JSON.parse(key) as [string, string, string | null];
+			const [service, model, adapter] = JSON.parse(key) as [string, string, string | undefined];
 			return [service, model, adapter, count];
 		});
 		this.arrivals = new Map();
--- a/apps/egretrilld/src/traffic/leader-term.ts
+++ b/apps/egretrilld/src/traffic/leader-term.ts
@@ -1,6 +1,6 @@
 import {RateOwner} from '@egretrill/callers';
 import type {
-	Clock, EngineClass, Logger, Random,
+	Clock, EngineClass, Logger, Random, TrafficCustomer,
 } from '@egretrill/common';
 import {type EngineOrders, EngineOwner, type TargetRegistry} from '@egretrill/engines';
 import type {FleetNode} from '@egretrill/hosts';
@@ -18,6 +18,7 @@
 	readonly term: number;
 	readonly orderLeaseMs: number;
 	readonly getClasses: () => ReadonlyMap<string, EngineClass>;
+	readonly getCustomers: () => ReadonlyMap<string, TrafficCustomer>;
 };
 
 type Running = {readonly counts: EntryReport['running']; readonly seenMs: number};
@@ -25,13 +26,13 @@
 /** What a leader owns during one term: the division of rates, the engines' orders and the sum of running requests. */
 export class LeaderTerm {
 	readonly engines: EngineOwner;
-	private readonly rates: RateOwner;
+	readonly rates: RateOwner;
 	private readonly running = new Map<string, Running>();
 	private readonly stopper = new AbortController();
 
 	constructor(private readonly opts: LeaderTermOptions) {
 		const {clock, node, orderLeaseMs, term} = opts;
-		this.rates = new RateOwner(clock);
+		this.rates = new RateOwner(clock, opts.getCustomers);
 		this.engines = new EngineOwner({
 			...opts,
 			holder: opts.hostId,
--- a/apps/egretrilld/src/traffic/methods.ts
+++ b/apps/egretrilld/src/traffic/methods.ts
@@ -17,7 +17,7 @@
 	arrivals: z.array(z.tuple([z.string(), z.string(), z.string().nullable(), count])),
 	/** Requests that wait: service, model, count. */
 	waiting: z.array(z.tuple([z.string(), z.string(), count])),
-	rates: z.object({ackedSerial: count, standing: z.number(), demand: z.array(z.tuple([z.string(), z.number()]))}),
+	rates: z.object({ackedSerial: count, standing: z.number(), demand: z.array(z.object({name: z.string(), perSecond: z.number(), meanCost: z.number()}))}),
 });
 export type EntryReport = z.infer<typeof EntryReport>;
 
@@ -51,6 +51,11 @@
 /** Tells the leader of a model or adapter that a request needs now. */
 export const wantMethod = defineMethod('Traffic', 'want', z.object({service: z.string(), model: z.string(), adapter: z.string().optional()}), z.object({}));
 
+/** Spends from the leader's pool of a customer's rate; without an answer the host asked does not lead. */
+export const borrowMethod = defineMethod('Traffic', 'borrow', z.object({customer: z.string(), cost: z.number().nonnegative()}), z.object({
+	answer: z.object({isGranted: z.boolean(), retryAfterMs: z.number()}).optional(),
+}));
+
 /** Exchanges registrations between control hosts. */
 export const gossipMethod = defineMethod('Traffic', 'gossip', z.object({hostId: z.string(), zone: z.string(), registry: KnownRegistry}), z.object({
 	registry: RegistryUpdate, zone: z.string(), memberIds: z.array(z.string()), leaderId: z.string().optional(),
--- a/apps/egretrilld/src/traffic/run-traffic.ts
+++ b/apps/egretrilld/src/traffic/run-traffic.ts
@@ -67,7 +67,9 @@
 	const server = createServer(adapter.createControlApp(control));
 	await listen(server, settings.listen.control);
 	const metrics = await serveMetrics(container, settings, () => []);
-	logger.info({role: settings.role, ...settings.listen, seeds: settings.seeds, isFirstStart: settings.isFirstStart}, 'Host started.');
+	logger.info({
+		role: settings.role, ...settings.listen, seeds: settings.seeds, isFirstStart: settings.isFirstStart,
+	}, 'Host started.');
 	void watchSettings(container, source, settings, changed => {
 		control.learnSeeds(changed.seeds);
 	}, signal);
--- a/apps/egretrilld/src/traffic/settings.ts
+++ b/apps/egretrilld/src/traffic/settings.ts
@@ -8,8 +8,6 @@
 	/** Retries that a service may get in a window: a share of its requests plus a number. */
 	retryRatio: z.number().nonnegative(),
 	retryReserve: z.number().nonnegative(),
-	/** Excess over a customer's rate that is tolerated, in its unit. */
-	rateExcess: z.number().nonnegative(),
 	/** How far the rate of a cold target may be exceeded. */
 	coldExcessRatio: z.number().nonnegative(),
 	/** Time after which another host may give an engine its orders. */
--- a/packages/callers/src/forward/constants.ts
+++ b/packages/callers/src/forward/constants.ts
@@ -1,6 +1,13 @@
 /** A request that does not get a place within this share of its time is refused, while its caller can still go elsewhere. */
 export const MAX_WAIT_RATIO = 0.5;
 
+/** Callers of streams leave when nothing comes for this long, or for a multiple of the target latency if that is longer. */
+export const STREAM_PATIENCE_MS = 2000;
+export const STREAM_PATIENCE_RATIO = 4;
+
+/** Part of a stream caller's patience that a request may wait for a place; the rest is for the target. */
+export const STREAM_WAIT_RATIO = 0.75;
+
 /** Least time left for which a request is still sent to a target. */
 export const MIN_SEND_MS = 20;
 
@@ -20,7 +27,13 @@
 export const MAX_LOG_LINES_PER_SECOND = 40;
 
 /** Share of a customer's rate that hosts hold without a lease, so that they serve while the owner is out of reach. */
-export const STANDING_RATIO = 0.75;
+export const STANDING_RATIO = 0.25;
+
+/** Share of a large customer's rate that is leased to hosts by demand; the rest is a pool for single requests. */
+export const LEASED_RATIO = 0.5;
+
+/** A customer is large when the leased part of a host holds a burst of this many of its requests. */
+export const LARGE_SHARE_REQUESTS = 3;
 
 /** Lifetime of the leased part of a rate, counted by the host from when it asked. */
 export const RATE_LEASE_MS = 4000;
@@ -28,8 +41,5 @@
 /** Time constant of the demand that a host reports for a customer. */
 export const RATE_DEMAND_MS = 2000;
 
-/** Part of the permitted excess of a rate that hosts may use for single requests larger than their share. */
-export const EXCESS_USE_RATIO = 0.5;
-
 /** A host that has not asked for this long no longer counts when rates are divided, beyond what it still holds. */
 export const RATE_HOST_TTL_MS = 15_000;
--- a/packages/callers/src/forward/forward-dialect.ts
+++ b/packages/callers/src/forward/forward-dialect.ts
@@ -18,7 +18,7 @@
 ]);
 
 /** Visits each header with its name in lower case. */
-export function* readHeaders(rawHeaders: readonly string[]): Generator<readonly [name: string, value: string, rawName: string]> {
+export function * readHeaders(rawHeaders: readonly string[]): Generator<readonly [name: string, value: string, rawName: string]> {
 	for (let i = 0; i + 1 < rawHeaders.length; i += 2) {
 		const rawName = rawHeaders[i] ?? '';
 		yield [rawName.toLowerCase(), rawHeaders[i + 1] ?? '', rawName];
--- a/packages/callers/src/forward/forward-parts.ts
+++ b/packages/callers/src/forward/forward-parts.ts
@@ -5,7 +5,7 @@
 import type {RetryBudget} from '../retry-budget.js';
 import type {ForwardDialect} from './forward-dialect.js';
 import type {Place, PlaceQueue} from './place-queue.js';
-import type {RateParts} from './rate-part.js';
+import type {RateAnswer, RateParts} from './rate-part.js';
 import type {RouteTable} from './route-table.js';
 import type {ForwardCall} from './types.js';
 
@@ -63,6 +63,12 @@
 	abstract noteEnd(note: ForwardEndNote): void;
 }
 
+/** Lends from the pool of a customer's rate. */
+export abstract class RateLender {
+	/** Undefined when the owner cannot be reached. */
+	abstract borrow(name: string, cost: number): Promise<RateAnswer | undefined>;
+}
+
 /** Everything that the forwarding of one request uses. */
 export type ForwardParts = {
 	readonly clock: Clock;
@@ -70,6 +76,7 @@
 	readonly dialect: ForwardDialect;
 	readonly queue: PlaceQueue;
 	readonly rates: RateParts;
+	readonly lender: RateLender;
 	readonly sender: ForwardSender;
 	readonly observer: ForwardObserver;
 	readonly getTable: () => RouteTable | undefined;
--- a/packages/callers/src/forward/forward-request.ts
+++ b/packages/callers/src/forward/forward-request.ts
@@ -3,10 +3,11 @@
 } from '@egretrill/common';
 import type {CallerExchange} from './caller-exchange.js';
 import {
-	MAX_WAIT_RATIO, MIN_RETRY_AFTER_MS, MIN_SEND_MS, NO_TARGET_RETRY_MS,
+	MAX_WAIT_RATIO, MIN_RETRY_AFTER_MS, MIN_SEND_MS, NO_TARGET_RETRY_MS, STREAM_PATIENCE_MS, STREAM_PATIENCE_RATIO, STREAM_WAIT_RATIO,
 } from './constants.js';
 import type {ForwardParts} from './forward-parts.js';
 import type {Place, PlaceNeed} from './place-queue.js';
+import type {RateAnswer} from './rate-part.js';
 import {relayEvents, type RelayEnd, relayWhole} from './relay.js';
 import {getCost, pickService, type RouteTable} from './route-table.js';
 import type {AnswerFacts, ForwardCall} from './types.js';
@@ -128,7 +129,7 @@
 	}
 
 	parts.observer.noteArrival(service, call);
-	const rate = customer.value && parts.rates.take(customer.value.name, getCost(customer.value, call));
+	const rate = customer.value && await spend(customer.value, call, parts);
 	if (rate && !rate.isGranted) {
 		return refuse(429, 'over-rate', 'The customer has used up its rate.', Math.max(MIN_RETRY_AFTER_MS, rate.retryAfterMs));
 	}
@@ -138,6 +139,24 @@
 	};
 }
 
+/** Counts a request against its customer's rate: from what this host holds, then from the owner's pool. */
+async function spend(customer: TrafficCustomer, call: ForwardCall, {rates, lender}: ForwardParts): Promise<RateAnswer> {
+	const cost = getCost(customer, call);
+	const own = rates.take(customer.name, cost);
+	if (own.isGranted) {
+		return own;
+	}
+
+	const lent = await lender.borrow(customer.name, cost) ?? rates.overdraw(customer.name, cost);
+	return lent.isGranted ? lent : {isGranted: false, retryAfterMs: Math.min(own.retryAfterMs, lent.retryAfterMs)};
+}
+
+/** How long a request may wait for a place. */
+function getMaxWaitMs({isStream, targetLatencyMs}: TrafficRoute, leftMs: number): number {
+	const patienceMs = isStream ? Math.max(STREAM_PATIENCE_MS, targetLatencyMs * STREAM_PATIENCE_RATIO) * STREAM_WAIT_RATIO : leftMs;
+	return Math.min(leftMs * MAX_WAIT_RATIO, patienceMs);
+}
+
 /** Runs a request until it has an answer, its time is over or its caller leaves. */
 async function runUntil(admitted: Omit<Forwarding, 'endsMs' | 'signal'>, startedMs: number): Promise<End> {
 	const {parts: {clock}, exchange, call, route} = admitted;
@@ -208,7 +227,7 @@
 		service, parts: call.promptParts, tried: progress.tried, ...(usesModel && {model: call.model, adapter: call.adapter}),
 	};
 	const startedMs = clock.now();
-	const found = await queue.getPlace(need, customer?.priority ?? route.priority, leftMs * MAX_WAIT_RATIO, signal);
+	const found = await queue.getPlace(need, customer?.priority ?? route.priority, getMaxWaitMs(route, leftMs), signal);
 	progress.waitMs += clock.now() - startedMs;
 	return found.isOk ? found.value : found.error;
 }
--- a/packages/callers/src/forward/rate-owner.ts
+++ b/packages/callers/src/forward/rate-owner.ts
@@ -1,5 +1,8 @@
-import {CLOCK_DRIFT_RATIO, type Clock} from '@egretrill/common';
-import {RATE_HOST_TTL_MS, RATE_LEASE_MS, STANDING_RATIO} from './constants.js';
+import {CLOCK_DRIFT_RATIO, type Clock, type TrafficCustomer} from '@egretrill/common';
+import {
+	LARGE_SHARE_REQUESTS, LEASED_RATIO, RATE_HOST_TTL_MS, RATE_LEASE_MS, STANDING_RATIO,
+} from './constants.js';
+import type {RateAnswer, RateDemand} from './rate-part.js';
 
 /** What one host asks of the owner of all rates. */
 export type RateRequest = {
@@ -9,21 +12,23 @@
 	readonly ackedSerial: number;
 	/** Standing part that the host holds now. */
 	readonly standing: number;
-	readonly demand: ReadonlyArray<readonly [name: string, perSecond: number]>;
+	readonly demand: readonly RateDemand[];
 };
 
 /** Parts of the customers' rates for one host; the leased ones end `RATE_LEASE_MS` after the host asked. */
 export type RateGrant = {readonly serial: number; readonly standing: number; readonly leased: ReadonlyArray<readonly [name: string, part: number]>; readonly hostCount: number};
 
 type PartPromise = {readonly serial: number; readonly standing: number; readonly leased: ReadonlyMap<string, number>; readonly endsMs: number};
-type HostState = {startId: string; seenMs: number; demand: ReadonlyMap<string, number>; promises: readonly PartPromise[]};
+type HostState = {startId: string; seenMs: number; demand: ReadonlyMap<string, RateDemand>; promises: readonly PartPromise[]};
+type Pool = {level: number; levelMs: number};
 
-/** Divides the customers' rates among the hosts so that all parts together never exceed one. */
+/** Divides the customers' rates: a standing part for each host, leases by demand, and a pool from which hosts borrow for single requests. */
 export class RateOwner {
 	private readonly hosts = new Map<string, HostState>();
+	private readonly pools = new Map<string, Pool>();
 	private readonly startedMs: number;
 
-	constructor(private readonly clock: Clock) {
+	constructor(private readonly clock: Clock, private readonly getCustomers: () => ReadonlyMap<string, TrafficCustomer>) {
 		this.startedMs = clock.now();
 	}
 
@@ -42,6 +47,42 @@
 		};
 	}
 
+	/** Spends the cost of one request from the pool; it may exceed what is left, since a later one then waits for it. */
+	borrow(name: string, cost: number): RateAnswer {
+		const customer = this.getCustomers().get(name);
+		if (!customer || customer.ratePerSecond <= 0) {
+			return {isGranted: true, retryAfterMs: 0};
+		}
+
+		const ratio = this.getPoolRatio(customer, this.countHosts());
+		const pool = this.accrue(customer, ratio);
+		if (pool.level > 0) {
+			pool.level -= cost;
+			return {isGranted: true, retryAfterMs: 0};
+		}
+
+		return {isGranted: false, retryAfterMs: (1 - pool.level) * 1000 / (customer.ratePerSecond * ratio)};
+	}
+
+	/** Parts of a customer whose burst is small would be too small for a single request, so its rate stays in the pool. */
+	private isLarge({name, burst}: TrafficCustomer, hostCount: number): boolean {
+		const meanCost = Math.max(0, ...[...this.hosts.values()].map(({demand}) => demand.get(name)?.meanCost ?? 0));
+		return burst * LEASED_RATIO / hostCount >= meanCost * LARGE_SHARE_REQUESTS;
+	}
+
+	private getPoolRatio(customer: TrafficCustomer, hostCount: number): number {
+		return 1 - STANDING_RATIO - (this.isLarge(customer, hostCount) ? LEASED_RATIO : 0);
+	}
+
+	private accrue(customer: TrafficCustomer, ratio: number): Pool {
+		const nowMs = this.clock.now();
+		const known = this.pools.get(customer.name) ?? {level: 0, levelMs: this.startedMs};
+		const grown = known.level + (customer.ratePerSecond * ratio * (nowMs - known.levelMs) / 1000);
+		const pool = {level: Math.min(grown, customer.burst * ratio), levelMs: nowMs};
+		this.pools.set(customer.name, pool);
+		return pool;
+	}
+
 	/** A new owner does not know the leases of the one before it, so it waits until they have ended. */
 	private isSettled(): boolean {
 		return this.clock.now() - this.startedMs > RATE_LEASE_MS * (1 + CLOCK_DRIFT_RATIO);
@@ -49,12 +90,14 @@
 
 	private noteHost(req: RateRequest): HostState {
 		const known = this.hosts.get(req.hostId);
-		const demand = new Map(req.demand);
+		const demand = new Map(req.demand.map(entry => [entry.name, entry]));
 		const nowMs = this.clock.now();
 		if (known?.startId !== req.startId) {
-			const promises = req.standing > 0 ? [{
-				serial: req.ackedSerial, standing: req.standing, leased: new Map<string, number>(), endsMs: nowMs,
-			}] : [];
+			const promises = req.standing > 0
+				? [{
+					serial: req.ackedSerial, standing: req.standing, leased: new Map<string, number>(), endsMs: nowMs,
+				}]
+				: [];
 			const host = {
 				startId: req.startId, seenMs: nowMs, demand, promises,
 			};
@@ -70,10 +113,15 @@
 
 	private divideLeases({hostId, demand}: RateRequest, hostCount: number): ReadonlyMap<string, number> {
 		const leased = new Map<string, number>();
-		for (const [name, own] of demand) {
-			const all = [...this.hosts.values()].reduce((sum, host) => sum + (host.demand.get(name) ?? 0), 0);
-			const wanted = (1 - STANDING_RATIO) * (all > 0 ? own / all : 1 / hostCount);
-			const free = 1 - STANDING_RATIO - this.sumOthers(hostId, promise => promise.endsMs > this.clock.now() ? promise.leased.get(name) ?? 0 : 0);
+		for (const {name, perSecond} of demand) {
+			const customer = this.getCustomers().get(name);
+			if (!customer || !this.isLarge(customer, hostCount)) {
+				continue;
+			}
+
+			const all = [...this.hosts.values()].reduce((sum, host) => sum + (host.demand.get(name)?.perSecond ?? 0), 0);
+			const wanted = LEASED_RATIO * (all > 0 ? perSecond / all : 1 / hostCount);
+			const free = LEASED_RATIO - this.sumOthers(hostId, promise => promise.endsMs > this.clock.now() ? promise.leased.get(name) ?? 0 : 0);
 			const part = Math.max(0, Math.min(wanted, free));
 			if (part > 0) {
 				leased.set(name, part);
--- a/packages/callers/src/forward/rate-part.ts
+++ b/packages/callers/src/forward/rate-part.ts
@@ -4,23 +4,30 @@
 /** The part of a customer's rate that this host may spend, as the owner told it. */
 export type RatePart = {readonly standing: number; readonly leased: number; readonly leaseEndsMs: number};
 
+/** What callers ask for of a customer's rate at this host. */
+export type RateDemand = {readonly name: string; readonly perSecond: number; readonly meanCost: number};
+
 type Spending = {
 	readonly customer: TrafficCustomer;
 	level: number;
 	levelMs: number;
 	demand: number;
 	demandMs: number;
+	meanCost: number;
 	part: RatePart;
 };
 
+/** Whether a cost was granted, and otherwise when it may be. */
 export type RateAnswer = {readonly isGranted: boolean; readonly retryAfterMs: number};
 
 const NO_PART: RatePart = {standing: 0, leased: 0, leaseEndsMs: 0};
+const GRANTED: RateAnswer = {isGranted: true, retryAfterMs: 0};
+/** Weight of the newest request in the mean cost of a customer's requests. */
+const COST_WEIGHT = 0.1;
 
 /** What this host may spend of each customer's rate; a standing part outlasts the loss of the owner. */
 export class RateParts {
 	private readonly spendings = new Map<string, Spending>();
-	private excess = 0;
 
 	constructor(private readonly clock: Clock) {}
 
@@ -36,17 +43,14 @@
 		const nowMs = this.clock.now();
 		for (const customer of customers) {
 			const known = this.spendings.get(customer.name);
-			this.spendings.set(customer.name, known ? {...known, customer} : {
-				customer, level: 0, levelMs: nowMs, demand: 0, demandMs: nowMs, part: NO_PART,
-			});
+			this.spendings.set(customer.name, known
+				? {...known, customer}
+				: {
+					customer, level: 0, levelMs: nowMs, demand: 0, demandMs: nowMs, meanCost: 0, part: NO_PART,
+				});
 		}
 	}
 
-	/** Tokens beyond its share that a host may save up, from what the deployment tolerates above a rate. */
-	setExcess(tokens: number): void {
-		this.excess = tokens;
-	}
-
 	setPart(name: string, part: RatePart): void {
 		const spending = this.spendings.get(name);
 		if (spending) {
@@ -55,22 +59,37 @@
 		}
 	}
 
-	/** Spends the cost of a request; it may exceed what is left, since a later one then waits for it. */
+	/** Spends the cost of a request from what this host holds. */
 	take(name: string, cost: number): RateAnswer {
 		const spending = this.spendings.get(name);
 		if (!spending || spending.customer.ratePerSecond <= 0) {
-			return {isGranted: true, retryAfterMs: 0};
+			return GRANTED;
 		}
 
 		this.accrue(spending);
 		this.noteDemand(spending, cost);
+		if (spending.level >= cost) {
+			spending.level -= cost;
+			return GRANTED;
+		}
+
+		return {isGranted: false, retryAfterMs: this.getWaitMs(spending, cost)};
+	}
+
+	/** Spends a cost that exceeds what this host holds; later requests wait for it. For hosts that cannot reach the owner. */
+	overdraw(name: string, cost: number): RateAnswer {
+		const spending = this.spendings.get(name);
+		if (!spending) {
+			return GRANTED;
+		}
+
+		this.accrue(spending);
 		if (spending.level > 0) {
 			spending.level -= cost;
-			return {isGranted: true, retryAfterMs: 0};
+			return GRANTED;
 		}
 
-		const perMs = spending.customer.ratePerSecond * this.getShare(spending) / 1000;
-		return {isGranted: false, retryAfterMs: perMs > 0 ? (1 - spending.level) / perMs : RATE_DEMAND_MS};
+		return {isGranted: false, retryAfterMs: this.getWaitMs(spending, 1)};
 	}
 
 	/** Gives back the cost of a request that certainly reached no target. */
@@ -81,21 +100,24 @@
 		}
 	}
 
-	/** What callers asked for of each customer lately, in units a second. */
-	getDemand(): ReadonlyArray<readonly [name: string, perSecond: number]> {
+	getDemand(): readonly RateDemand[] {
 		return [...this.spendings].map(([name, spending]) => {
 			this.decayDemand(spending);
-			return [name, spending.demand * 1000 / RATE_DEMAND_MS];
+			return {name, perSecond: spending.demand * 1000 / RATE_DEMAND_MS, meanCost: spending.meanCost};
 		});
 	}
 
+	private getWaitMs(spending: Spending, cost: number): number {
+		const perMs = spending.customer.ratePerSecond * this.getShare(spending) / 1000;
+		return perMs > 0 ? (cost - spending.level) / perMs : RATE_DEMAND_MS;
+	}
+
 	private getShare({part}: Spending): number {
 		return part.standing + (this.clock.now() < part.leaseEndsMs ? part.leased : 0);
 	}
 
 	private getRoom(spending: Spending): number {
-		const share = this.getShare(spending);
-		return share > 0 ? (spending.customer.burst * share) + this.excess : 0;
+		return spending.customer.burst * this.getShare(spending);
 	}
 
 	private accrue(spending: Spending): void {
@@ -108,6 +130,7 @@
 	private noteDemand(spending: Spending, cost: number): void {
 		this.decayDemand(spending);
 		spending.demand += cost;
+		spending.meanCost = spending.meanCost === 0 ? cost : spending.meanCost + ((cost - spending.meanCost) * COST_WEIGHT);
 	}
 
 	private decayDemand(spending: Spending): void {
--- a/packages/engines/src/loading/constants.ts
+++ b/packages/engines/src/loading/constants.ts
@@ -7,8 +7,17 @@
 /** Requests a second below which a model counts as idle. */
 export const IDLE_DEMAND = 0.05;
 
-/** A model whose copies carry this many times the mean load of an engine gets another copy. */
-export const CROWDED_RATIO = 1.25;
+/** Requests a second that one copy of a model serves well; a model with more gets another copy. */
+export const COPY_REQUESTS_PER_SECOND = 18;
+
+/** A copy may go when those that are left would each get at most this share of what one serves well. */
+export const SPARE_RATIO = 0.7;
+
+/** Demand that one second of loading must be worth, to weigh a slow load against a busy copy that would go. */
+export const LOAD_SECOND_DEMAND = 2;
+
+/** The owner watches demand for this long before it adds copies of models that have one. */
+export const DEMAND_WATCH_MS = 2500;
 
 /** A copy is not evicted for another model within this time after it was loaded. */
 export const MIN_COPY_AGE_MS = 3000;
--- a/packages/engines/src/loading/engine-owner.ts
+++ b/packages/engines/src/loading/engine-owner.ts
@@ -2,7 +2,7 @@
 	type Clock, type EngineClass, jitter, type Logger, type Random, type Registration,
 } from '@egretrill/common';
 import type {TargetRegistry} from '../registry/index.js';
-import {ADAPTER_RETRY_MS, LOAD_PLAN_MS} from './constants.js';
+import {ADAPTER_RETRY_MS, DEMAND_WATCH_MS, LOAD_PLAN_MS} from './constants.js';
 import {DemandCounter} from './demand-counter.js';
 import {EngineLine, type HeldAdapter} from './engine-line.js';
 import type {EngineOrders} from './engine-orders.js';
@@ -42,6 +42,8 @@
 	private readonly demand: DemandCounter;
 	private readonly waiting = new Map<string, WaitingCounts>();
 	private readonly asked = new Map<string, number>();
+	/** When the first request arrived that this owner heard of. */
+	private demandSinceMs = Number.POSITIVE_INFINITY;
 	private readonly nextStoreLoadMs = new Map<string, number>();
 
 	constructor(private readonly opts: EngineOwnerOptions) {
@@ -49,6 +51,7 @@
 	}
 
 	noteArrivals(want: ModelWant, count: number): void {
+		this.demandSinceMs = Math.min(this.demandSinceMs, this.opts.clock.now());
 		this.demand.add(getName({service: want.service, model: want.model}), count);
 		if (want.adapter !== undefined) {
 			this.demand.add(getName(want), count);
@@ -84,7 +87,7 @@
 		const engines = this.getEngines(service);
 		const mayUseStore = this.opts.clock.now() >= (this.nextStoreLoadMs.get(service) ?? 0);
 		const moves = planLoads({
-			engineClass, engines: engines.map(engine => this.describe(engine, engineClass, signal)), demand: this.getDemand(service, engineClass), mayUseStore,
+			engineClass, engines: engines.map(engine => this.describe(engine, engineClass, signal)), demand: this.getDemand(service, engineClass), mayUseStore, mayAddCopies: this.opts.clock.now() - this.demandSinceMs > DEMAND_WATCH_MS,
 		});
 		for (const move of moves) {
 			const engine = engines.find(({targetId}) => targetId === move.targetId);
@@ -127,13 +130,17 @@
 		}
 
 		this.asked.set(key, nowMs + ADAPTER_RETRY_MS);
+		// Entry hosts report arrivals later; until then the new adapter must not look idle.
+		this.demand.add(key, 1);
 		try {
 			const isHeld = await this.getLine(engine, signal).loadAdapter(model, adapter, () => this.findIdleAdapter(engine.targetId, engineClass));
 			logger.info({
 				targetId: engine.targetId, model, adapter, isHeld, tookMs: Math.round(clock.now() - nowMs),
 			}, 'An adapter was asked for.');
 		} catch (err: unknown) {
-			logger.error({err, targetId: engine.targetId, model, adapter}, 'An adapter could not be loaded.');
+			logger.error({
+				err, targetId: engine.targetId, model, adapter,
+			}, 'An adapter could not be loaded.');
 		}
 	}
 
--- a/packages/engines/src/loading/plan-loads.ts
+++ b/packages/engines/src/loading/plan-loads.ts
@@ -1,6 +1,6 @@
 import type {EngineClass, StoredModel} from '@egretrill/common';
 import {
-	CROWDED_RATIO, IDLE_DEMAND, MIN_COPY_AGE_MS, WAITING_WEIGHT,
+	COPY_REQUESTS_PER_SECOND, IDLE_DEMAND, LOAD_SECOND_DEMAND, MIN_COPY_AGE_MS, SPARE_RATIO, WAITING_WEIGHT,
 } from './constants.js';
 import type {LoadMove, ModelDemand, PlannedEngine} from './types.js';
 
@@ -10,6 +10,8 @@
 	readonly demand: readonly ModelDemand[];
 	/** Whether the weight store may begin another load now. */
 	readonly mayUseStore: boolean;
+	/** Whether demand is known well enough to add copies of models that have one. */
+	readonly mayAddCopies: boolean;
 };
 
 type Want = {readonly model: StoredModel; readonly weight: number; readonly reason: LoadMove['reason']};
@@ -17,38 +19,51 @@
 
 /** Demand and copies of each model while a plan is made. */
 class Supply {
-	readonly meanLoad: number;
 	private readonly weights: ReadonlyMap<string, number>;
 
 	constructor(private readonly view: LoadView) {
 		this.weights = new Map(view.demand.map(({model, perSecond, waiting}) => [model, perSecond + (waiting * WAITING_WEIGHT)]));
-		const total = [...this.weights.values()].reduce((sum, weight) => sum + weight, 0);
-		this.meanLoad = total / Math.max(1, view.engines.length);
 	}
 
 	getWeight(model: string): number {
 		return this.weights.get(model) ?? 0;
 	}
 
+	isWaitedFor(model: string): boolean {
+		return this.view.demand.some(demand => demand.model === model && demand.waiting > 0);
+	}
+
 	/** Engines that hold the model or are loading it. */
 	countCopies(model: string): number {
 		return this.view.engines.filter(({copies, loading}) => loading === model || copies.some(copy => copy.model === model)).length;
 	}
 
 	getWantedCopies(model: string): number {
-		return this.meanLoad > 0 ? Math.min(this.view.engines.length, Math.ceil(this.getWeight(model) / (this.meanLoad * CROWDED_RATIO))) : 0;
+		return Math.min(this.view.engines.length, Math.ceil(this.getWeight(model) / COPY_REQUESTS_PER_SECOND));
+	}
+
+	/** Whether the other copies can take over what one copy serves. */
+	isSpare(model: string): boolean {
+		const left = this.countCopies(model) - 1;
+		return left > 0 && this.getWeight(model) / left <= COPY_REQUESTS_PER_SECOND * SPARE_RATIO;
+	}
+
+	/** Requests a second that an engine gets if each model's copies share its demand. */
+	getLoad({copies}: PlannedEngine): number {
+		return copies.reduce((sum, {model}) => sum + (this.getWeight(model) / Math.max(1, this.countCopies(model))), 0);
 	}
 }
 
-function getWants({engineClass: {models}}: LoadView, supply: Supply): readonly Want[] {
+function getWants(view: LoadView, supply: Supply): readonly Want[] {
+	const {engineClass: {models}} = view;
 	const wants = models.flatMap((model): readonly Want[] => {
 		const weight = supply.getWeight(model.name);
 		const copies = supply.countCopies(model.name);
-		if (weight < IDLE_DEMAND || copies >= Math.max(1, supply.getWantedCopies(model.name))) {
-			return [];
+		if (copies === 0) {
+			return supply.isWaitedFor(model.name) ? [{model, weight, reason: 'missing'}] : [];
 		}
 
-		return [copies === 0 ? {model, weight, reason: 'missing'} : {model, weight: weight / copies, reason: 'crowded'}];
+		return view.mayAddCopies && copies < supply.getWantedCopies(model.name) ? [{model, weight: weight / copies, reason: 'crowded'}] : [];
 	});
 	return wants.toSorted((a, b) => Number(b.reason === 'missing') - Number(a.reason === 'missing') || b.weight - a.weight);
 }
@@ -70,7 +85,7 @@
 		.filter(({model, ageMs}) => {
 			const isLast = supply.countCopies(model) <= 1;
 			const isIdle = supply.getWeight(model) < IDLE_DEMAND;
-			return isIdle ? !isLast || want.reason === 'missing' : !isLast && ageMs >= MIN_COPY_AGE_MS && supply.countCopies(model) > supply.getWantedCopies(model);
+			return isIdle ? !isLast || want.reason === 'missing' : ageMs >= MIN_COPY_AGE_MS && supply.isSpare(model);
 		})
 		.map(({model}) => model)
 		.toSorted((a, b) => supply.getWeight(a) - supply.getWeight(b) || supply.countCopies(b) - supply.countCopies(a));
@@ -104,11 +119,14 @@
 		const loadMs = getLoadMs(engine, want.model);
 		const fromStore = loadMs === want.model.storeLoadMs;
 		const lostDemand = unload.reduce((sum, model) => sum + (supply.getWeight(model) / supply.countCopies(model)), 0);
-		return freeMb >= want.model.weightsMb && (!fromStore || view.mayUseStore) && lostDemand < want.weight ? [{
-			engine, unload, lostDemand, loadMs, fromStore,
-		}] : [];
+		return freeMb >= want.model.weightsMb && (!fromStore || view.mayUseStore) && (want.reason === 'missing' || lostDemand < want.weight)
+			? [{
+				engine, unload, lostDemand, loadMs, fromStore,
+			}]
+			: [];
 	});
-	return sites.toSorted((a, b) => a.loadMs - b.loadMs || a.lostDemand - b.lostDemand || a.unload.length - b.unload.length).at(0);
+	const getCost = ({engine, loadMs, lostDemand}: Site): number => lostDemand + (loadMs * LOAD_SECOND_DEMAND / 1000) + supply.getLoad(engine);
+	return sites.toSorted((a, b) => getCost(a) - getCost(b)).at(0);
 }
 
 /** Plans loads for models that callers ask for and no engine holds, then more copies of those whose engines carry most. Answers demand that moves between models within seconds. */
@@ -116,7 +134,7 @@
 	const supply = new Supply(view);
 	const taken = new Set<string>();
 	const moves: LoadMove[] = [];
-	let mayUseStore = view.mayUseStore;
+	let {mayUseStore} = view;
 	for (const want of getWants(view, supply)) {
 		const site = findSite({...view, mayUseStore}, supply, want, taken);
 		if (site) {
