--- a/apps/egretrilld/src/traffic/book-places.ts
+++ b/apps/egretrilld/src/traffic/book-places.ts
@@ -13,7 +13,7 @@
 		super();
 	}
 
-	override find(need: PlaceNeed): PlaceAnswer {
+	override findPlace(need: PlaceNeed): PlaceAnswer {
 		const choice = this.opts.book.choose(need);
 		if (choice.kind !== 'target') {
 			return choice;
--- a/apps/egretrilld/src/traffic/container.ts
+++ b/apps/egretrilld/src/traffic/container.ts
@@ -1,5 +1,5 @@
-import 'reflect-metadata';
 import {randomInt} from 'node:crypto';
+import 'reflect-metadata';
 import {Metrics} from '@egretrill/balancer';
 import {
 	createLogger, createRandom, getComponentLogger, MonotonicClock,
--- a/apps/egretrilld/src/traffic/entry-observer.ts
+++ b/apps/egretrilld/src/traffic/entry-observer.ts
@@ -23,7 +23,7 @@
 
 	override noteArrival(service: string, {model, adapter}: ForwardCall): void {
 		if (model !== undefined) {
-			const key = JSON.stringify([service, model, adapter ?? null]);
+			const key = JSON.stringify([service, model, adapter ?? '']);
 			this.arrivals.set(key, (this.arrivals.get(key) ?? 0) + 1);
 		}
 	}
@@ -64,7 +64,7 @@
 	/** Arrivals since the last call. */
 	takeArrivals(): EntryReport['arrivals'] {
 		const taken = [...this.arrivals].map(([key, count]): EntryReport['arrivals'][number] => {
-			const [service, model, adapter] = JSON.parse(key) as [string, string, string | undefined];
+			const [service, model, adapter] = JSON.parse(key) as [string, string, string];
 			return [service, model, adapter, count];
 		});
 		this.arrivals = new Map();
--- a/apps/egretrilld/src/traffic/leader-term.ts
+++ b/apps/egretrilld/src/traffic/leader-term.ts
@@ -62,7 +62,7 @@
 	takeReport({hostId, startId, running, arrivals, waiting, rates}: EntryReport): LeaderPlan {
 		this.running.set(hostId, {counts: running, seenMs: this.opts.clock.now()});
 		for (const [service, model, adapter, count] of arrivals) {
-			this.engines.noteArrivals({service, model, ...(adapter !== null && {adapter})}, count);
+			this.engines.noteArrivals({service, model, ...(adapter !== '' && {adapter})}, count);
 		}
 
 		this.engines.noteWaiting(hostId, waiting);
--- a/apps/egretrilld/src/traffic/methods.ts
+++ b/apps/egretrilld/src/traffic/methods.ts
@@ -13,8 +13,8 @@
 	startId: z.string(),
 	/** Requests of this host at each target. */
 	running: z.array(z.tuple([z.string(), count])),
-	/** Arrivals since the last poll: service, model, adapter or null, count. */
-	arrivals: z.array(z.tuple([z.string(), z.string(), z.string().nullable(), count])),
+	/** Arrivals since the last poll: service, model, adapter or an empty text, count. */
+	arrivals: z.array(z.tuple([z.string(), z.string(), z.string(), count])),
 	/** Requests that wait: service, model, count. */
 	waiting: z.array(z.tuple([z.string(), z.string(), count])),
 	rates: z.object({ackedSerial: count, standing: z.number(), demand: z.array(z.object({name: z.string(), perSecond: z.number(), meanCost: z.number()}))}),
--- a/apps/egretrilld/src/traffic/node-exchange.ts
+++ b/apps/egretrilld/src/traffic/node-exchange.ts
@@ -86,7 +86,7 @@
 		}
 	}
 
-	protected close(): void {
+	abort(): void {
 		this.isClosing = true;
 		this.req.destroy();
 	}
--- a/packages/callers/src/forward/caller-exchange.ts
+++ b/packages/callers/src/forward/caller-exchange.ts
@@ -16,11 +16,7 @@
 	abstract write(bytes: Uint8Array): Promise<void>;
 	abstract end(): void;
 	/** Closes the connection, so that a begun answer does not look complete. */
-	abort(): void {
-		this.close();
-	}
-
+	abstract abort(): void;
 	/** Sends a refusal or failure of this host. */
 	abstract refuse(verdict: Verdict): void;
-	protected abstract close(): void;
 }
--- a/packages/callers/src/forward/forward-request.ts
+++ b/packages/callers/src/forward/forward-request.ts
@@ -67,8 +67,8 @@
 		end = refuse(503, 'not-ready', 'This host has no configuration yet.', NO_TARGET_RETRY_MS);
 	} else if (!call) {
 		end = refuse(400, 'invalid-request', 'The request lacks what it needs to be served.');
-	} else if (!admitted || 'status' in admitted) {
-		end = admitted ?? refuse(400, 'invalid-request', 'The request was not read.');
+	} else if (!admitted || 'refusal' in admitted) {
+		end = admitted?.refusal ?? refuse(400, 'invalid-request', 'The request was not read.');
 	} else {
 		progress.lastEventId = call.lastEventId;
 		end = await runUntil({
@@ -79,7 +79,7 @@
 	finish(exchange, end);
 	parts.observer.noteEnd({
 		...(call && {call}),
-		...(admitted && !('status' in admitted) && {route: admitted.route.name, customer: admitted.customer?.name}),
+		...(admitted && {route: admitted.route?.name, customer: admitted.customer?.name}),
 		configVersion: table?.config.version,
 		outcome: exchange.callerLeft.aborted && end !== 'answered' ? 'left' : end,
 		status: progress.status,
@@ -106,32 +106,35 @@
 
 type Admitted = Pick<Forwarding, 'route' | 'service' | 'customer' | 'body'>;
 
+/** A request that is not served, with what was found out about it. */
+type Refused = {readonly refusal: Verdict; readonly route?: TrafficRoute; readonly customer?: TrafficCustomer};
+
 /** Finds out whether the configuration allows a request, and counts it against its customer's rate. */
-async function admit(exchange: CallerExchange, table: RouteTable, call: ForwardCall, parts: ForwardParts): Promise<Admitted | Verdict> {
+async function admit(exchange: CallerExchange, table: RouteTable, call: ForwardCall, parts: ForwardParts): Promise<Admitted | Refused> {
 	const route = table.findRoute(call.hostName, call.url);
 	if (route.isErr) {
-		return route.error;
+		return {refusal: route.error};
 	}
 
 	const customer = table.findCustomer(route.value, call);
 	if (customer.isErr) {
-		return customer.error;
+		return {refusal: customer.error, route: route.value};
 	}
 
 	const body = await exchange.readBody(table.config.limits.maxBodyBytes);
 	if (!body) {
-		return refuse(413, 'body-too-large', `The body is longer than ${table.config.limits.maxBodyBytes} bytes.`);
+		return {refusal: refuse(413, 'body-too-large', `The body is longer than ${table.config.limits.maxBodyBytes} bytes.`), route: route.value, customer: customer.value};
 	}
 
 	const service = pickService(route.value, parts.random());
 	if (service === undefined) {
-		return refuse(503, 'no-service', 'The route leads to no service.', NO_TARGET_RETRY_MS);
+		return {refusal: refuse(503, 'no-service', 'The route leads to no service.', NO_TARGET_RETRY_MS), route: route.value, customer: customer.value};
 	}
 
 	parts.observer.noteArrival(service, call);
 	const rate = customer.value && await spend(customer.value, call, parts);
 	if (rate && !rate.isGranted) {
-		return refuse(429, 'over-rate', 'The customer has used up its rate.', Math.max(MIN_RETRY_AFTER_MS, rate.retryAfterMs));
+		return {refusal: refuse(429, 'over-rate', 'The customer has used up its rate.', Math.max(MIN_RETRY_AFTER_MS, rate.retryAfterMs)), route: route.value, customer: customer.value};
 	}
 
 	return {
--- a/packages/callers/src/forward/place-queue.ts
+++ b/packages/callers/src/forward/place-queue.ts
@@ -23,7 +23,7 @@
 
 /** Knows the targets. */
 export abstract class PlaceSource {
-	abstract find(need: PlaceNeed): PlaceAnswer;
+	abstract findPlace(need: PlaceNeed): PlaceAnswer;
 	/** Asks for a model or adapter that no target can serve yet. */
 	abstract want(need: PlaceNeed): void;
 }
@@ -60,7 +60,7 @@
 
 	/** Resolves with a place, or with a refusal when none was found within the time. */
 	async getPlace(need: PlaceNeed, priority: number, maxWaitMs: number, signal: AbortSignal): Promise<Result<Place, Verdict>> {
-		const first = this.hasRival(need, priority) ? undefined : this.source.find(need);
+		const first = this.hasRival(need, priority) ? undefined : this.source.findPlace(need);
 		if (first?.kind === 'place') {
 			return Result.ok(first.place);
 		}
@@ -82,7 +82,7 @@
 				continue;
 			}
 
-			const answer = this.source.find(waiter.need);
+			const answer = this.source.findPlace(waiter.need);
 			if (answer.kind === 'place') {
 				waiter.settle(Result.ok(answer.place));
 				continue;
--- a/packages/callers/src/forward/rate-owner.ts
+++ b/packages/callers/src/forward/rate-owner.ts
@@ -139,6 +139,11 @@
 
 	/** What other hosts may hold at most: an answer that a host has not confirmed may or may not be in force there. */
 	private sumOthers(hostId: string, getPart: (promise: PartPromise) => number): number {
-		return [...this.hosts].reduce((sum, [id, {promises}]) => id === hostId ? sum : sum + Math.max(0, ...promises.map(promise => getPart(promise))), 0);
+		let sum = 0;
+		for (const [id, {promises}] of this.hosts) {
+			sum += id === hostId ? 0 : Math.max(0, ...promises.map(promise => getPart(promise)));
+		}
+
+		return sum;
 	}
 }
--- /dev/null
+++ b/packages/callers/tests/forward/place-queue.test.ts
@@ -0,0 +1,102 @@
+import {ManualClock} from '@egretrill/common';
+import {expect} from 'chai';
+import {
+	type Place, type PlaceAnswer, type PlaceNeed, PlaceQueue, PlaceSource,
+} from '../../src/forward/index.js';
+
+class FakeSource extends PlaceSource {
+	free = 0;
+	missing = new Set<string>();
+	readonly wanted: string[] = [];
+
+	override findPlace({model}: PlaceNeed): PlaceAnswer {
+		if (model !== undefined && this.missing.has(model)) {
+			return {kind: 'none'};
+		}
+
+		if (this.free === 0) {
+			return {kind: 'full'};
+		}
+
+		this.free -= 1;
+		const place: Place = {
+			targetId: 't1', address: '127.0.0.1:1', zone: 'a', end: () => undefined,
+		};
+		return {kind: 'place', place};
+	}
+
+	override want({model}: PlaceNeed): void {
+		this.wanted.push(model ?? '');
+	}
+}
+
+function need(model: string): PlaceNeed {
+	return {
+		service: 's', model, parts: [], tried: new Set(),
+	};
+}
+
+describe('PlaceQueue', () => {
+	// Guards against urgent requests that wait behind a burst of less urgent ones; answers a burst on full targets.
+	it('gives places to the most urgent first, then in order of arrival', async () => {
+		const clock = new ManualClock();
+		const source = new FakeSource();
+		const queue = new PlaceQueue(clock, source);
+		const order: string[] = [];
+		const ask = async (name: string, priority: number): Promise<void> => {
+			const found = await queue.getPlace(need('m'), priority, 1000, new AbortController().signal);
+			order.push(found.isOk ? name : `${name} refused`);
+		};
+
+		const asked = [ask('late 1', 5), ask('late 2', 5), ask('urgent', 0), ask('middle', 2)];
+		for (let i = 0; i < asked.length; i++) {
+			source.free = 1;
+			queue.pump();
+			await clock.run(1);
+		}
+
+		await Promise.all(asked);
+		expect(order).toMatchSnapshot();
+	});
+
+	// Guards against a request that overtakes those which wait for the same model.
+	it('does not let a new request take the place that another waits for', async () => {
+		const clock = new ManualClock();
+		const source = new FakeSource();
+		const queue = new PlaceQueue(clock, source);
+		const first = queue.getPlace(need('m'), 1, 1000, new AbortController().signal);
+		source.free = 1;
+		const second = queue.getPlace(need('m'), 1, 50, new AbortController().signal);
+		queue.pump();
+		const placed = await first;
+		await clock.run(60);
+		const refused = await second;
+		expect({first: placed.isOk, second: refused.isErr && refused.error}).toMatchSnapshot();
+	});
+
+	// Guards against callers that wait for a model until they leave, although nobody has asked for its load.
+	it('asks for a missing model and says when to return if it does not come', async () => {
+		const clock = new ManualClock();
+		const source = new FakeSource();
+		source.missing.add('rare');
+		const queue = new PlaceQueue(clock, source);
+		const asked = queue.getPlace(need('rare'), 1, 200, new AbortController().signal);
+		const waiting = [...queue.getWaitingByModel()];
+		await clock.run(250);
+		const refused = await asked;
+		expect({wanted: source.wanted, waiting, refusal: refused.isErr && refused.error, left: queue.getLength()}).toMatchSnapshot();
+	});
+
+	// Guards against places that are given to callers who have left.
+	it('forgets a request whose caller leaves', async () => {
+		const source = new FakeSource();
+		const queue = new PlaceQueue(new ManualClock(), source);
+		const caller = new AbortController();
+		const asked = queue.getPlace(need('m'), 1, 1000, caller.signal);
+		caller.abort();
+		const left = await asked;
+		source.free = 1;
+		queue.pump();
+		expect({refusal: left.isErr && left.error.code, free: source.free, waiting: queue.getLength()}).toMatchSnapshot();
+	});
+});
--- /dev/null
+++ b/packages/callers/tests/forward/rates.test.ts
@@ -0,0 +1,132 @@
+import {ManualClock, type TrafficCustomer} from '@egretrill/common';
+import {expect} from 'chai';
+import {RATE_LEASE_MS, RateOwner, RateParts} from '../../src/forward/index.js';
+
+const SYNC_MS = 200;
+const WINDOW_MS = 8000;
+
+function customer(ratePerSecond: number): TrafficCustomer {
+	return {
+		name: 'c', keys: [], unit: 'tokens', plainTokens: 0, ratePerSecond, burst: ratePerSecond,
+	};
+}
+
+type Host = {
+	readonly id: string; readonly parts: RateParts; serial: number; standing: number; isCut: boolean; granted: number;
+};
+
+/** Hosts that divide one customer's rate, each with a caller that asks for a cost at a steady pace. */
+class RateFleet {
+	readonly clock = new ManualClock();
+	readonly hosts: readonly Host[];
+	readonly spent: Array<{readonly atMs: number; readonly cost: number}> = [];
+	asked = 0;
+	owner: RateOwner;
+	private limit: TrafficCustomer;
+
+	constructor(count: number, ratePerSecond: number) {
+		this.limit = customer(ratePerSecond);
+		this.owner = this.createOwner();
+		this.hosts = Array.from({length: count}, (_, i) => {
+			const parts = new RateParts(this.clock);
+			parts.setCustomers([this.limit]);
+			return {
+				id: `h${i}`, parts, serial: 0, standing: 0, isCut: false, granted: 0,
+			};
+		});
+	}
+
+	createOwner(): RateOwner {
+		return new RateOwner(this.clock, () => new Map([['c', this.limit]]));
+	}
+
+	/** Plays some time; each host's callers ask `perSecond` times the given cost. */
+	play(ms: number, cost: number, getPerSecond: (host: Host, index: number) => number): void {
+		for (let elapsedMs = 0; elapsedMs < ms; elapsedMs += 10) {
+			this.clock.advance(10);
+			for (const [i, host] of this.hosts.entries()) {
+				if (!host.isCut && Math.floor(this.clock.now() / SYNC_MS) !== Math.floor((this.clock.now() - 10) / SYNC_MS)) {
+					this.sync(host);
+				}
+
+				// The callers of the hosts do not ask at the same moments.
+				const nowMs = this.clock.now() + (i * 1000);
+				const before = Math.floor((nowMs - 10) * getPerSecond(host, i) / 1000);
+				const after = Math.floor(nowMs * getPerSecond(host, i) / 1000);
+				for (let k = before; k < after; k++) {
+					this.ask(host, cost);
+				}
+			}
+		}
+	}
+
+	/** The most that was spent in any window, relative to rate and burst. */
+	getWorstWindow(): number {
+		const allowed = (this.limit.ratePerSecond * WINDOW_MS / 1000) + this.limit.burst;
+		let worst = 0;
+		for (const {atMs} of this.spent) {
+			let sum = 0;
+			for (const other of this.spent) {
+				sum += other.atMs >= atMs && other.atMs < atMs + WINDOW_MS ? other.cost : 0;
+			}
+
+			worst = Math.max(worst, sum);
+		}
+
+		return worst / allowed;
+	}
+
+	private sync(host: Host): void {
+		const sentMs = this.clock.now();
+		const grant = this.owner.request({
+			hostId: host.id, startId: 's', ackedSerial: host.serial, standing: host.standing, demand: host.parts.getDemand(),
+		});
+		host.serial = grant.serial;
+		host.standing = grant.standing;
+		host.parts.setPart('c', {standing: grant.standing, leased: new Map(grant.leased).get('c') ?? 0, leaseEndsMs: sentMs + RATE_LEASE_MS});
+	}
+
+	private ask(host: Host, cost: number): void {
+		this.asked += 1;
+		const own = host.parts.take('c', cost);
+		const lent = own.isGranted || host.isCut ? undefined : this.owner.borrow('c', cost);
+		if (own.isGranted || (lent ?? host.parts.overdraw('c', cost)).isGranted) {
+			host.granted += 1;
+			this.spent.push({atMs: this.clock.now(), cost});
+		}
+	}
+}
+
+describe('rates', () => {
+	// Guards against refusals within a rate whose part at one host is smaller than a single request.
+	it('serves a small customer whose few requests arrive at many hosts', () => {
+		const fleet = new RateFleet(8, 1900);
+		fleet.play(5000, 1000, () => 0);
+		fleet.play(30_000, 1000, () => 0.125);
+		expect({asked: fleet.asked, granted: fleet.spent.length}).toMatchSnapshot();
+	});
+
+	// Guards against fixed slices: most requests of a large customer arrive at one host.
+	it('serves a large customer within its rate when one host gets most requests', () => {
+		const fleet = new RateFleet(8, 60_000);
+		fleet.play(5000, 1000, () => 0);
+		fleet.play(20_000, 1000, (_host, i) => i === 0 ? 30 : 1);
+		expect({asked: fleet.asked, refused: fleet.asked - fleet.spent.length}).toMatchSnapshot();
+	});
+
+	// Guards against more than rate and burst in any window, also while hosts are cut off and the owner changes.
+	it('keeps the rate in every window across cuts and a new owner', () => {
+		const fleet = new RateFleet(6, 20_000);
+		fleet.play(6000, 500, () => 40);
+		fleet.hosts[0]!.isCut = true;
+		fleet.hosts[1]!.isCut = true;
+		fleet.play(6000, 500, () => 40);
+		fleet.owner = fleet.createOwner();
+		fleet.play(6000, 500, () => 40);
+		fleet.hosts[0]!.isCut = false;
+		fleet.hosts[1]!.isCut = false;
+		fleet.play(6000, 500, () => 40);
+		expect(fleet.getWorstWindow()).to.be.at.most(1.1);
+		expect(fleet.getWorstWindow()).to.be.at.least(0.6);
+	});
+});
--- /dev/null
+++ b/packages/callers/tests/forward/support/forward-world.ts
@@ -0,0 +1,224 @@
+import {Buffer} from 'node:buffer';
+import {
+	ManualClock, type SendFailure, type TrafficConfig, type TrafficRoute, type Verdict,
+} from '@egretrill/common';
+import {Result} from 'true-myth';
+import {RetryBudget} from '../../../src/index.js';
+import {
+	type AnswerFacts, type AnswerHead, CallerExchange, type ForwardCall, ForwardDialect, type ForwardEndNote, ForwardObserver, type ForwardParts, forwardRequest, ForwardSender, type OutgoingMessage, type PlaceAnswer, type PlaceNeed, PlaceQueue, PlaceSource, RateLender, RateParts, type RequestHead, RouteTable, type SendDetails, type TargetAnswer,
+} from '../../../src/forward/index.js';
+
+/** How a fake target answers one request. */
+export type FakeAnswer = {
+	readonly status?: number;
+	readonly attemptId?: string;
+	readonly isUnsigned?: boolean;
+	readonly isNotExecuted?: boolean;
+	readonly isEventStream?: boolean;
+	readonly chunks?: readonly string[];
+	/** The body ends early. */
+	readonly isCut?: boolean;
+	/** Nothing answers; the value says whether the request was written. */
+	readonly failure?: SendFailure;
+	/** The target is silent after its chunks. */
+	readonly isSilent?: boolean;
+};
+
+class FakeDialect extends ForwardDialect {
+	override readCall({method, url, rawHeaders}: RequestHead): ForwardCall {
+		const get = (name: string): string | undefined => rawHeaders[rawHeaders.indexOf(name) + 1];
+		const has = (name: string): boolean => rawHeaders.includes(name);
+		return {
+			attemptId: 'attempt-1', method, url, hostName: 'app.test', promptParts: [], headers: [], ...(has('key') && {key: get('key')}), ...(has('time') && {timeLeftMs: Number(get('time'))}),
+		};
+	}
+
+	override writeSendHeaders(_call: ForwardCall, {targetId, timeLeftMs, customer, lastEventId}: SendDetails): string[] {
+		return [targetId, String(timeLeftMs), customer ?? '', String(lastEventId ?? '')];
+	}
+
+	override readAnswer({rawHeaders}: AnswerHead): AnswerFacts {
+		const facts = JSON.parse(rawHeaders[0] ?? '{}') as FakeAnswer;
+		return {
+			attemptId: facts.attemptId ?? 'attempt-1', isSigned: !facts.isUnsigned, isNotExecuted: facts.isNotExecuted ?? false, isEventStream: facts.isEventStream ?? false, headers: ['x-target', 'yes'],
+		};
+	}
+}
+
+class FakeSender extends ForwardSender {
+	readonly sent: string[] = [];
+
+	constructor(private readonly answers: FakeAnswer[], private readonly clock: ManualClock) {
+		super();
+	}
+
+	override async send({headers}: OutgoingMessage, signal: AbortSignal): Promise<Result<TargetAnswer, SendFailure>> {
+		const [targetId, timeLeftMs, customer, lastEventId] = headers;
+		this.sent.push(`${targetId} with ${timeLeftMs} ms${customer ? ` for ${customer}` : ''}${lastEventId ? ` after event ${lastEventId}` : ''}`);
+		const answer = this.answers.shift() ?? {};
+		if (answer.failure) {
+			return Result.err(answer.failure);
+		}
+
+		const closed = new AbortController();
+		const {clock} = this;
+		const body = async function * (): AsyncGenerator<Uint8Array> {
+			for (const chunk of answer.chunks ?? []) {
+				yield Buffer.from(chunk);
+			}
+
+			if (answer.isSilent) {
+				await clock.sleep(1_000_000, AbortSignal.any([signal, closed.signal]));
+			}
+
+			if (answer.isCut || answer.isSilent) {
+				throw new Error('aborted');
+			}
+		};
+
+		return Result.ok({
+			status: answer.status ?? 200,
+			rawHeaders: [JSON.stringify(answer)],
+			body: body(),
+			isComplete: () => !answer.isCut,
+			discard: () => undefined,
+			destroy() {
+				closed.abort();
+			},
+		});
+	}
+}
+
+class FakeExchange extends CallerExchange {
+	readonly left = new AbortController();
+	readonly seen: string[] = [];
+	private begun = false;
+
+	constructor(readonly head: RequestHead) {
+		super();
+	}
+
+	get callerLeft(): AbortSignal {
+		return this.left.signal;
+	}
+
+	override async readBody(): Promise<Uint8Array> {
+		return Buffer.from('body');
+	}
+
+	override hasBegun(): boolean {
+		return this.begun;
+	}
+
+	override begin(status: number, headers: readonly string[], bodyLength?: number): void {
+		this.begun = true;
+		this.seen.push(`${status} ${headers.join('=')}${bodyLength === undefined ? '' : ` of ${bodyLength} bytes`}`);
+	}
+
+	override async write(bytes: Uint8Array): Promise<void> {
+		this.seen.push(Buffer.from(bytes).toString());
+	}
+
+	override end(): void {
+		this.seen.push('end');
+	}
+
+	override abort(): void {
+		this.seen.push('connection closed');
+	}
+
+	override refuse({status, code, run, retryAfterMs}: Verdict): void {
+		this.seen.push(`${status} ${code}, ${run}${retryAfterMs === undefined ? '' : `, return after ${Math.round(retryAfterMs)} ms`}`);
+	}
+}
+
+class FakePlaces extends PlaceSource {
+	constructor(private readonly targets: readonly string[]) {
+		super();
+	}
+
+	override findPlace({tried}: PlaceNeed): PlaceAnswer {
+		const targetId = this.targets.find(target => !tried.has(target));
+		return targetId === undefined ? {kind: 'none'} : {
+			kind: 'place',
+			place: {
+				targetId, address: `${targetId}:1`, zone: 'a', end: () => undefined,
+			},
+		};
+	}
+
+	override want(): void {
+		// Services have no models.
+	}
+}
+
+class EndRecorder extends ForwardObserver {
+	readonly ends: ForwardEndNote[] = [];
+
+	override noteArrival(): void {
+		// Arrivals do not matter here.
+	}
+
+	override noteAttempt(): void {
+		// The sender records what is sent.
+	}
+
+	override noteEnd(note: ForwardEndNote): void {
+		this.ends.push(note);
+	}
+}
+
+class NoLender extends RateLender {
+	override async borrow(): Promise<undefined> {
+		return undefined;
+	}
+}
+
+const route: TrafficRoute = {
+	name: 'r', hostName: 'app.test', pathPrefix: '/', repeat: 'once', isStream: false, isResumable: false, isOpen: true, timeoutMs: 2000, targetLatencyMs: 500, priority: 1, maxAttempts: 2, services: [{service: 's', weight: 1}],
+};
+
+const config: TrafficConfig = {
+	version: 1,
+	routes: [],
+	services: [{name: 's', coldRequestsPerSecond: 0}],
+	limits: {
+		maxHeaderBytes: 1000, maxBodyBytes: 1000, headerTimeoutMs: 1000, idleTimeoutMs: 1000,
+	},
+	customers: [{
+		name: 'c', keys: ['k'], unit: 'requests', plainTokens: 0, ratePerSecond: 0, burst: 0,
+	}],
+};
+
+export type WorldOptions = {
+	readonly route?: Partial<TrafficRoute>;
+	readonly answers?: readonly FakeAnswer[];
+	readonly targets?: readonly string[];
+	readonly headers?: readonly string[];
+	/** When the caller leaves. */
+	readonly leavesMs?: number;
+	readonly isUnconfigured?: boolean;
+};
+
+/** Plays one request of a caller and tells what the caller and the targets saw. */
+export async function playRequest(opts: WorldOptions): Promise<unknown> {
+	const clock = new ManualClock();
+	const table = new RouteTable({...config, routes: [{...route, ...opts.route}]});
+	const sender = new FakeSender([...opts.answers ?? []], clock);
+	const observer = new EndRecorder();
+	const exchange = new FakeExchange({method: 'POST', url: '/orders', rawHeaders: opts.headers ?? []});
+	const retries = new RetryBudget(clock, {ratio: 0, reserve: 3});
+	const parts: ForwardParts = {
+		clock, random: () => 0, dialect: new FakeDialect(), queue: new PlaceQueue(clock, new FakePlaces(opts.targets ?? ['t1', 't2', 't3'])), rates: new RateParts(clock), lender: new NoLender(), sender, observer, getTable: () => opts.isUnconfigured ? undefined : table, getRetries: () => retries,
+	};
+	const served = forwardRequest(exchange, parts);
+	if (opts.leavesMs !== undefined) {
+		await clock.run(opts.leavesMs);
+		exchange.left.abort();
+	}
+
+	await clock.run(5000);
+	await served;
+	const end = observer.ends[0]?.outcome;
+	return {caller: exchange.seen, targets: sender.sent, logged: typeof end === 'object' ? end.code : end};
+}
--- a/packages/engines/src/client/forward-client.ts
+++ b/packages/engines/src/client/forward-client.ts
@@ -29,7 +29,9 @@
 	}
 
 	override keepSocketAlive(socket: Socket): boolean {
-		const isKept = super.keepSocketAlive(socket) as unknown as boolean;
+		// The types leave out that the library answers whether the connection is kept.
+		const keep = super.keepSocketAlive as unknown as (socket: Socket) => boolean;
+		const isKept = keep.call(this, socket);
 		if (isKept) {
 			const guard = (): void => {
 				socket.destroy();
--- a/packages/engines/src/loading/engine-line.ts
+++ b/packages/engines/src/loading/engine-line.ts
@@ -239,13 +239,15 @@
 
 	private async inTurn<T>(work: () => Promise<T>): Promise<T> {
 		const earlier = this.last;
-		const run = async (): Promise<T> => {
-			await earlier.catch(() => undefined);
-			return work();
-		};
-
-		const result = run();
-		this.last = result;
-		return result;
+		const turn = new AbortController();
+		this.last = new Promise(resolve => {
+			turn.signal.addEventListener('abort', resolve, {once: true});
+		});
+		await earlier;
+		try {
+			return await work();
+		} finally {
+			turn.abort();
+		}
 	}
 }
