callers: pass on no unsigned answer and no status that falsely promises not to have run

Cause: a target's 503 without its mark says nothing about whether it ran; passed on, it promises the caller that it has not. An unsigned answer of any status is not the target's. Change: both end as 502; a signed failure is kept for the caller when no retry is left. The budget's question drops old counts. Test: forward-request.test.ts, shown failing before for the unsigned 404.

--- a/packages/callers/src/forward/forward-request.ts
+++ b/packages/callers/src/forward/forward-request.ts
@@ -14,6 +14,8 @@
 
 const STATUS_MISDIRECTED = 421;
 const STATUS_SERVER_ERROR = 500;
+/** Statuses that promise a caller that its request has not run. */
+const notRunStatuses: ReadonlySet<number> = new Set([408, 429, 503]);
 
 /** A request that the configuration allows, on its way to targets. */
 type Forwarding = {
@@ -46,7 +48,7 @@
 type Outcome =
 	| {readonly kind: 'answered'}
 	/** The target certainly did not run the request. */
-	| {readonly kind: 'not-run'; readonly isSent: boolean; readonly reason: string}
+	| {readonly kind: 'not-run'; readonly reason: string}
 	/** The target may have run it and no whole answer came. */
 	| {readonly kind: 'broken'; readonly reason: string};
 
@@ -212,7 +214,7 @@
 			return 'answered';
 		}
 
-		if (work.signal.aborted || !mayRepeat(work, outcome) || !retries.tryRetry()) {
+		if (work.signal.aborted || !mayRepeat(work, outcome.kind) || !retries.tryRetry()) {
 			return giveUp(work, refuse(503, 'target-failed', outcome.reason, MIN_RETRY_AFTER_MS));
 		}
 	}
@@ -272,24 +274,25 @@
 		progress.attempts += sent.error.accepted ? 1 : 0;
 		return sent.error.accepted
 			? {kind: 'broken', reason: `The target broke off: ${sent.error.reason}`}
-			: {kind: 'not-run', isSent: false, reason: `The target cannot be reached: ${sent.error.reason}`};
+			: {kind: 'not-run', reason: `The target cannot be reached: ${sent.error.reason}`};
 	}
 
 	progress.attempts += 1;
 	const answer = sent.value;
 	const facts = parts.dialect.readAnswer(answer);
+	const isOther = facts.attemptId !== undefined && facts.attemptId !== call.attemptId;
+	if (!isOther && (facts.isNotExecuted || answer.status === STATUS_MISDIRECTED)) {
+		answer.discard();
+		return {kind: 'not-run', reason: `The target refused with ${answer.status}.`};
+	}
+
 	const fault = findFault(facts, answer.status, call);
 	if (fault !== undefined) {
 		answer.destroy();
 		return {kind: 'broken', reason: fault};
 	}
 
-	if (facts.isNotExecuted || answer.status === STATUS_MISDIRECTED) {
-		answer.discard();
-		return {kind: 'not-run', isSent: true, reason: `The target refused with ${answer.status}.`};
-	}
-
-	if (answer.status >= STATUS_SERVER_ERROR && isRepeatable(route) && progress.attempts < route.maxAttempts && !work.exchange.hasBegun()) {
+	if (answer.status >= STATUS_SERVER_ERROR && mayRepeat(work, 'broken') && parts.getRetries(work.service).hasRetry()) {
 		answer.destroy();
 		return {kind: 'broken', reason: `The target failed with ${answer.status}.`};
 	}
@@ -303,7 +306,12 @@
 		return 'The answer belongs to another request.';
 	}
 
-	return status < 300 && (!isSigned || attemptId === undefined) ? 'The answer does not carry the signature of a target.' : undefined;
+	if (!isSigned || (status < 300 && attemptId === undefined)) {
+		return 'The answer does not carry the signature of a target.';
+	}
+
+	// These statuses promise callers that nothing has run, which this target does not say.
+	return notRunStatuses.has(status) ? `The target answered ${status} and may have run the request.` : undefined;
 }
 
 async function relay(work: Forwarding, answer: Parameters<typeof relayWhole>[0]['answer'], facts: AnswerFacts): Promise<Outcome> {
@@ -332,12 +340,12 @@
 	return isStream ? isResumable : repeat === 'idempotent';
 }
 
-function mayRepeat({route, progress, exchange}: Forwarding, outcome: Exclude<Outcome, {kind: 'answered'}>): boolean {
+function mayRepeat({route, progress, exchange}: Forwarding, outcome: 'not-run' | 'broken'): boolean {
 	if (exchange.hasBegun() && !(route.isStream && route.isResumable)) {
 		return false;
 	}
 
-	return progress.attempts < route.maxAttempts && (outcome.kind === 'not-run' || isRepeatable(route));
+	return progress.attempts < route.maxAttempts && (outcome === 'not-run' || isRepeatable(route));
 }
 
 /** Ends a request without an answer; the refusal is only true while no target may have run it. */
--- a/packages/callers/src/retry-budget.ts
+++ b/packages/callers/src/retry-budget.ts
@@ -27,7 +27,18 @@
 
 	/** Takes one retry from the budget; false when it is used up. */
 	tryRetry(): boolean {
-		const slice = this.getSlice();
+		if (!this.hasRetry()) {
+			return false;
+		}
+
+		this.getSlice().retries += 1;
+		return true;
+	}
+
+	/** Whether the budget holds a retry. */
+	hasRetry(): boolean {
+		// Drops the counts of windows that have passed.
+		this.getSlice();
 		let requests = 0;
 		let retries = 0;
 		for (const counted of this.slices) {
@@ -35,12 +46,7 @@
 			retries += counted.retries;
 		}
 
-		if (retries + 1 > (this.limits.ratio * requests) + this.limits.reserve) {
-			return false;
-		}
-
-		slice.retries += 1;
-		return true;
+		return retries + 1 <= (this.limits.ratio * requests) + this.limits.reserve;
 	}
 
 	private getSlice(): Slice {
--- a/packages/callers/tests/forward/forward-request.test.ts
+++ b/packages/callers/tests/forward/forward-request.test.ts
@@ -44,6 +44,7 @@
 			await playRequest({answers: [{isUnsigned: true, chunks: ['forged']}]}),
 			await playRequest({answers: [{status: 404, isUnsigned: true, chunks: ['not found']}]}),
 			await playRequest({answers: [{status: 422, chunks: ['invalid']}]}),
+			await playRequest({answers: [{status: 503, chunks: ['busy']}]}),
 		]).toMatchSnapshot();
 	});
 
--- /dev/null
+++ b/packages/engines/tests/loading/plan-loads.test.ts
@@ -0,0 +1,73 @@
+import type {EngineClass} from '@egretrill/common';
+import {expect} from 'chai';
+import {type LoadView, planLoads, type PlannedEngine} from '../../src/loading/index.js';
+
+const engineClass: EngineClass = {
+	batchSlots: 64,
+	weightsMb: 200,
+	adapterSlots: 8,
+	storeLoadsPerSecond: 2,
+	models: ['a', 'b', 'c', 'd', 'e'].map(name => ({
+		name, weightsMb: 90, storeLoadMs: 5000, diskLoadMs: 1200, memoryLoadMs: 400, adapterMb: 1,
+	})),
+};
+
+function engine(targetId: string, models: readonly string[], changes: Partial<PlannedEngine> = {}): PlannedEngine {
+	return {
+		targetId, isFree: true, weightsMb: 200, copies: models.map(model => ({model, ageMs: 60_000, adapterCount: 0})), inMemory: [], onDisk: [], ...changes,
+	};
+}
+
+function plan(engines: readonly PlannedEngine[], demand: Readonly<Record<string, readonly [perSecond: number, waiting: number]>>, changes: Partial<LoadView> = {}): unknown {
+	return planLoads({
+		engineClass, engines, demand: Object.entries(demand).map(([model, [perSecond, waiting]]) => ({model, perSecond, waiting})), mayUseStore: true, mayAddCopies: true, ...changes,
+	});
+}
+
+describe('planLoads', () => {
+	// Guards against callers that wait for a model which nobody loads; answers demand that moves to a model without a copy.
+	it('loads a model that requests wait for where it costs least', () => {
+		expect({
+			freeEngine: plan([engine('t1', ['a', 'b']), engine('t2', ['c'])], {a: [5, 0], b: [5, 0], c: [5, 0], d: [1, 2]}),
+			weightsAtHand: plan([engine('t1', ['a', 'b']), engine('t2', ['a', 'c'], {inMemory: ['d']})], {a: [5, 0], b: [0, 0], c: [0, 0], d: [1, 2]}),
+			onlyIfWaitedFor: plan([engine('t1', ['a'])], {a: [5, 0], d: [0.1, 0]}),
+		}).toMatchSnapshot();
+	});
+
+	// Guards against a load that takes the last copy of a model which callers use.
+	it('keeps last copies that are in use', () => {
+		expect({
+			allBusy: plan([engine('t1', ['a', 'b']), engine('t2', ['c', 'd'])], {
+				a: [5, 0], b: [5, 0], c: [5, 0], d: [5, 0], e: [1, 1],
+			}),
+			idleGoes: plan([engine('t1', ['a', 'b']), engine('t2', ['c', 'd'])], {
+				a: [5, 0], b: [5, 0], c: [5, 0], d: [0, 0], e: [1, 1],
+			}),
+			spareGoes: plan([engine('t1', ['a', 'b']), engine('t2', ['a', 'c'])], {a: [5, 0], b: [5, 0], c: [5, 0], d: [1, 1]}),
+		}).toMatchSnapshot();
+	});
+
+	// Guards against more weights than an engine holds while another load is under way.
+	it('counts the model that an engine is loading', () => {
+		expect(plan([engine('t1', ['a'], {loading: 'b', isFree: false}), engine('t2', ['c', 'e'])], {
+			a: [5, 0], c: [5, 0], e: [5, 0], b: [1, 4], d: [1, 1],
+		})).toMatchSnapshot();
+	});
+
+	// Guards against engines that are full of one model while others idle; answers a model whose copies get more than they serve well.
+	it('adds a copy of a crowded model once demand is known', () => {
+		const engines = [engine('t1', ['a', 'b']), engine('t2', ['c'])];
+		expect({
+			crowded: plan(engines, {a: [40, 0], b: [1, 0], c: [1, 0]}),
+			unknown: plan(engines, {a: [40, 0], b: [1, 0], c: [1, 0]}, {mayAddCopies: false}),
+			served: plan(engines, {a: [10, 0], b: [1, 0], c: [1, 0]}),
+		}).toMatchSnapshot();
+	});
+
+	// Guards against more loads from the weight store than it allows.
+	it('begins one load from the store at a time', () => {
+		const engines = [engine('t1', []), engine('t2', []), engine('t3', [], {onDisk: ['c']})];
+		const demand = {a: [1, 3], b: [1, 2], c: [1, 1]} as const;
+		expect({one: plan(engines, demand), none: plan(engines, demand, {mayUseStore: false})}).toMatchSnapshot();
+	});
+});
