engines: order nothing of an engine whose state is not known, and keep its own account of what it holds

Ruled out: late orders, which the expected count refuses. Change: an engine is asked for its state before its first order of a term and counts as busy until it tells it; afterwards the account follows the orders. An unloaded adapter keeps its place until the engine shows that it is gone. Test: engine-owner.test.ts, shown failing with the code before (engine overfilled).

--- a/apps/egretrilld/src/traffic/book-places.ts
+++ b/apps/egretrilld/src/traffic/book-places.ts
@@ -9,7 +9,7 @@
 export class BookPlaces extends PlaceSource {
 	private readonly askedMs = new Map<string, number>();
 
-	constructor(private readonly opts: {readonly clock: Clock; readonly book: TargetBook; readonly ask: (service: string, model: string, adapter: string | undefined) => void}) {
+	constructor(private readonly opts: {readonly clock: Clock; readonly book: TargetBook; readonly ask: (service: string, model: string, adapter: string | undefined) => Promise<string | undefined>}) {
 		super();
 	}
 
@@ -36,12 +36,19 @@
 			return;
 		}
 
-		const {clock, ask} = this.opts;
+		const {clock} = this.opts;
 		const key = JSON.stringify([service, model, adapter]);
 		const nowMs = clock.now();
 		if (nowMs - (this.askedMs.get(key) ?? Number.NEGATIVE_INFINITY) >= WANT_GAP_MS) {
 			this.askedMs.set(key, nowMs);
-			ask(service, model, adapter);
+			void this.askFor(service, model, adapter);
+		}
+	}
+
+	private async askFor(service: string, model: string, adapter: string | undefined): Promise<void> {
+		const targetId = await this.opts.ask(service, model, adapter);
+		if (targetId !== undefined && adapter !== undefined) {
+			this.opts.book.noteAdapter(targetId, model, adapter);
 		}
 	}
 }
--- a/apps/egretrilld/src/traffic/control-follower.ts
+++ b/apps/egretrilld/src/traffic/control-follower.ts
@@ -66,12 +66,15 @@
 		}
 	}
 
-	/** Tells the leader of a model or adapter that a request needs now. */
-	async want(service: string, model: string, adapter: string | undefined): Promise<void> {
-		if (this.leaderId !== undefined) {
-			// A lost message is repeated by the requests that still wait.
-			await this.opts.peers.call(this.leaderId, wantMethod, {service, model, ...(adapter !== undefined && {adapter})});
+	/** Tells the leader of a model or adapter that a request needs now; resolves with the engine that holds the adapter then. */
+	async want(service: string, model: string, adapter: string | undefined): Promise<string | undefined> {
+		if (this.leaderId === undefined) {
+			return undefined;
 		}
+
+		// A lost message is repeated by the requests that still wait.
+		const answer = await this.opts.peers.call(this.leaderId, wantMethod, {service, model, ...(adapter !== undefined && {adapter})});
+		return answer.isOk ? answer.value.targetId : undefined;
 	}
 
 	override async borrow(name: string, cost: number): Promise<RateAnswer | undefined> {
--- a/apps/egretrilld/src/traffic/control-host.ts
+++ b/apps/egretrilld/src/traffic/control-host.ts
@@ -99,8 +99,8 @@
 			}),
 			bindMethod(wantMethod, async want => {
 				const term = this.getTerm();
-				term?.engines.want(want, term.signal);
-				return {};
+				const targetId = await term?.engines.want(want, term.signal);
+				return {...(targetId !== undefined && {targetId})};
 			}),
 			bindMethod(borrowMethod, async ({customer, cost}) => {
 				const answer = this.getTerm()?.rates.borrow(customer, cost);
--- a/apps/egretrilld/src/traffic/entry-host.ts
+++ b/apps/egretrilld/src/traffic/entry-host.ts
@@ -1,3 +1,4 @@
+import {setMaxListeners} from 'node:events';
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
@@ -20,6 +21,9 @@
 import {NodeExchange} from './node-exchange.js';
 import type {EntrySettings, TrafficBounds} from './settings.js';
 
+/** Time for the last answers to leave before the connections are closed. */
+const HALT_MS = 150;
+
 /** How often waiting requests are tried again when nothing tells of a change. */
 const PUMP_MS = 100;
 
@@ -51,6 +55,8 @@
 	private ratesHeld = {ackedSerial: 0, standing: 0};
 	private hostCount = 1;
 	private isStopping = false;
+	/** Aborts when begun requests must end. */
+	private readonly halted = new AbortController();
 
 	constructor(private readonly opts: EntryHostOptions) {
 		super();
@@ -70,9 +76,7 @@
 		this.queue = new PlaceQueue(clock, new BookPlaces({
 			clock,
 			book: this.book,
-			ask: (service, model, adapter) => {
-				void this.follower.want(service, model, adapter);
-			},
+			ask: async (service, model, adapter) => this.follower.want(service, model, adapter),
 		}));
 		this.observer = new EntryObserver(new DecisionLog(clock, logger), metrics, () => this.follower.getAgeMs());
 		this.parts = {
@@ -85,8 +89,11 @@
 			sender: this.sender,
 			observer: this.observer,
 			getTable: () => this.table,
+			halted: this.halted.signal,
 			getRetries: service => this.getRetries(service),
 		};
+		// Every begun request waits on this one signal, which is more than the default limit for leaks allows.
+		setMaxListeners(0, this.halted.signal);
 		this.server = createServer((req, res) => {
 			void this.serve(req, res);
 		});
@@ -109,9 +116,15 @@
 	/** Lets begun requests end; connections that still arrive are served meanwhile. */
 	async stop(reason: string): Promise<void> {
 		this.isStopping = true;
-		const report = await this.drain.start(reason);
-		this.opts.logger.info({...report}, 'The host has drained.');
+		const drained = this.drain.start(reason);
+		await this.opts.clock.sleep(this.bounds.balancerWaitMs);
+		// The balancer has moved callers elsewhere; requests on idle connections would come too late to be served whole.
 		this.server.close();
+		this.queue.close();
+		const report = await drained;
+		this.opts.logger.info({...report}, 'The host has drained.');
+		this.halted.abort();
+		await this.opts.clock.sleep(HALT_MS);
 		this.server.closeAllConnections();
 	}
 
--- a/apps/egretrilld/src/traffic/methods.ts
+++ b/apps/egretrilld/src/traffic/methods.ts
@@ -49,7 +49,10 @@
 export const syncMethod = defineDocumentMethod('Traffic', 'sync', SyncRequest, SyncResponse);
 
 /** Tells the leader of a model or adapter that a request needs now. */
-export const wantMethod = defineMethod('Traffic', 'want', z.object({service: z.string(), model: z.string(), adapter: z.string().optional()}), z.object({}));
+export const wantMethod = defineMethod('Traffic', 'want', z.object({service: z.string(), model: z.string(), adapter: z.string().optional()}), z.object({
+	/** Engine that holds the adapter now. */
+	targetId: z.string().optional(),
+}));
 
 /** Spends from the leader's pool of a customer's rate; without an answer the host asked does not lead. */
 export const borrowMethod = defineMethod('Traffic', 'borrow', z.object({customer: z.string(), cost: z.number().nonnegative()}), z.object({
--- a/packages/callers/src/forward/forward-parts.ts
+++ b/packages/callers/src/forward/forward-parts.ts
@@ -80,6 +80,8 @@
 	readonly sender: ForwardSender;
 	readonly observer: ForwardObserver;
 	readonly getTable: () => RouteTable | undefined;
+	/** Aborts when this host stops and begun requests must end. */
+	readonly halted: AbortSignal;
 	/** Retries of the requests of one service. */
 	readonly getRetries: (service: string) => RetryBudget;
 };
--- a/packages/callers/src/forward/forward-request.ts
+++ b/packages/callers/src/forward/forward-request.ts
@@ -164,7 +164,8 @@
 
 /** Runs a request until it has an answer, its time is over or its caller leaves. */
 async function runUntil(admitted: Omit<Forwarding, 'endsMs' | 'signal'>, startedMs: number): Promise<End> {
-	const {parts: {clock}, exchange, call, route} = admitted;
+	const {parts, exchange, call, route} = admitted;
+	const {clock} = parts;
 	const limitMs = Math.min(route.timeoutMs, call.timeLeftMs ?? route.timeoutMs);
 	const stopper = new AbortController();
 	const timer = new AbortController();
@@ -179,6 +180,7 @@
 	};
 
 	exchange.callerLeft.addEventListener('abort', stop, {once: true});
+	parts.halted.addEventListener('abort', stop, {once: true});
 	void expire();
 	try {
 		return exchange.callerLeft.aborted
@@ -187,6 +189,7 @@
 	} finally {
 		timer.abort();
 		exchange.callerLeft.removeEventListener('abort', stop);
+		parts.halted.removeEventListener('abort', stop);
 		refundUnsent(admitted);
 	}
 }
--- a/packages/callers/src/forward/place-queue.ts
+++ b/packages/callers/src/forward/place-queue.ts
@@ -40,6 +40,7 @@
 export class PlaceQueue {
 	private waiters: Waiter[] = [];
 	private arrivals = 0;
+	private isClosed = false;
 
 	constructor(private readonly clock: Clock, private readonly source: PlaceSource) {}
 
@@ -72,6 +73,14 @@
 		return this.wait(need, priority, maxWaitMs, first?.kind ?? 'full', signal);
 	}
 
+	/** Refuses all that wait and whatever finds no place from now on; callers are served sooner by another host. */
+	close(): void {
+		this.isClosed = true;
+		for (const waiter of this.waiters) {
+			waiter.settle(Result.err(refuse(503, 'draining', 'This host is shutting down.', MIN_RETRY_AFTER_MS)));
+		}
+	}
+
 	/** Gives free places to those who wait; call it whenever a target may have become free or known. */
 	pump(): void {
 		const full = new Set<string>();
@@ -102,6 +111,10 @@
 	}
 
 	private async wait(need: PlaceNeed, priority: number, maxWaitMs: number, lastKind: PlaceAnswer['kind'], signal: AbortSignal): Promise<Result<Place, Verdict>> {
+		if (this.isClosed) {
+			return Result.err(refuse(503, 'draining', 'This host is shutting down.', MIN_RETRY_AFTER_MS));
+		}
+
 		if (signal.aborted) {
 			return Result.err(refuse(503, 'caller-left', 'The caller left before the request was placed.'));
 		}
--- a/packages/callers/tests/forward/place-queue.test.ts
+++ b/packages/callers/tests/forward/place-queue.test.ts
@@ -49,7 +49,7 @@
 		};
 
 		const asked = [ask('late 1', 5), ask('late 2', 5), ask('urgent', 0), ask('middle', 2)];
-		for (let i = 0; i < asked.length; i++) {
+		for (const _asked of asked) {
 			source.free = 1;
 			queue.pump();
 			await clock.run(1);
@@ -84,7 +84,9 @@
 		const waiting = [...queue.getWaitingByModel()];
 		await clock.run(250);
 		const refused = await asked;
-		expect({wanted: source.wanted, waiting, refusal: refused.isErr && refused.error, left: queue.getLength()}).toMatchSnapshot();
+		expect({
+			wanted: source.wanted, waiting, refusal: refused.isErr && refused.error, left: queue.getLength(),
+		}).toMatchSnapshot();
 	});
 
 	// Guards against places that are given to callers who have left.
--- a/packages/callers/tests/forward/rates.test.ts
+++ b/packages/callers/tests/forward/rates.test.ts
@@ -22,7 +22,7 @@
 	readonly spent: Array<{readonly atMs: number; readonly cost: number}> = [];
 	asked = 0;
 	owner: RateOwner;
-	private limit: TrafficCustomer;
+	private readonly limit: TrafficCustomer;
 
 	constructor(count: number, ratePerSecond: number) {
 		this.limit = customer(ratePerSecond);
--- a/packages/callers/tests/forward/support/forward-world.ts
+++ b/packages/callers/tests/forward/support/forward-world.ts
@@ -139,12 +139,14 @@
 
 	override findPlace({tried}: PlaceNeed): PlaceAnswer {
 		const targetId = this.targets.find(target => !tried.has(target));
-		return targetId === undefined ? {kind: 'none'} : {
-			kind: 'place',
-			place: {
-				targetId, address: `${targetId}:1`, zone: 'a', end: () => undefined,
-			},
-		};
+		return targetId === undefined
+			? {kind: 'none'}
+			: {
+				kind: 'place',
+				place: {
+					targetId, address: `${targetId}:1`, zone: 'a', end: () => undefined,
+				},
+			};
 	}
 
 	override want(): void {
@@ -209,7 +211,7 @@
 	const exchange = new FakeExchange({method: 'POST', url: '/orders', rawHeaders: opts.headers ?? []});
 	const retries = new RetryBudget(clock, {ratio: 0, reserve: 3});
 	const parts: ForwardParts = {
-		clock, random: () => 0, dialect: new FakeDialect(), queue: new PlaceQueue(clock, new FakePlaces(opts.targets ?? ['t1', 't2', 't3'])), rates: new RateParts(clock), lender: new NoLender(), sender, observer, getTable: () => opts.isUnconfigured ? undefined : table, getRetries: () => retries,
+		clock, random: () => 0, dialect: new FakeDialect(), queue: new PlaceQueue(clock, new FakePlaces(opts.targets ?? ['t1', 't2', 't3'])), rates: new RateParts(clock), lender: new NoLender(), sender, observer, getTable: () => opts.isUnconfigured ? undefined : table, halted: new AbortController().signal, getRetries: () => retries,
 	};
 	const served = forwardRequest(exchange, parts);
 	if (opts.leavesMs !== undefined) {
--- a/packages/engines/src/loading/constants.ts
+++ b/packages/engines/src/loading/constants.ts
@@ -42,6 +42,3 @@
 
 /** A load that has not ended by then is given up; its engine is asked what it holds. */
 export const MAX_LOAD_MS = 30_000;
-
-/** An adapter that was asked for again within this time is not loaded a second time. */
-export const ADAPTER_RETRY_MS = 300;
--- a/packages/engines/src/loading/engine-line.ts
+++ b/packages/engines/src/loading/engine-line.ts
@@ -53,14 +53,60 @@
 	});
 }
 
+/** What an engine holds after a step. */
+function applyStep(models: readonly HeldModel[], step: LoadStep): readonly HeldModel[] {
+	const {kind, model, adapter = ''} = step;
+	switch (kind) {
+		case 'load-model': {
+			return isDone(models, step) ? models : [...models, {name: model, version: 0, adapters: []}];
+		}
+
+		case 'unload-model': {
+			return models.filter(({name}) => name !== model);
+		}
+
+		case 'load-adapter':
+		case 'unload-adapter': {
+			return withAdapter(models, model, adapter, kind === 'load-adapter');
+		}
+	}
+}
+
 /** The orders to one engine, one after the other; each names how many the engine has accepted, so that a late one is refused. */
 export class EngineLine {
 	move: LoadMove | undefined;
+	/** What the engine holds; undefined until it has told it while it carried out no order. */
+	private models: readonly HeldModel[] | undefined;
+	private isLearning = false;
 	private orderCount: number | undefined;
+	/** Whether the last order was done when the engine answered. */
+	private isAnsweredDone = false;
 	private last: Promise<unknown> = Promise.resolve();
 
 	constructor(readonly targetId: string, readonly startedAtMs: number, private readonly opts: EngineLineOptions) {}
 
+	/** What the engine holds as far as its own report and the orders since tell; undefined while that is not known. */
+	getHoldings(): readonly HeldModel[] | undefined {
+		return this.models;
+	}
+
+	/** Asks the engine what it holds; an order of an earlier owner may still be under way. */
+	async learn(): Promise<void> {
+		if (this.isLearning || this.models) {
+			return;
+		}
+
+		this.isLearning = true;
+		try {
+			await this.inTurn(async () => this.refresh());
+			if (!this.models) {
+				await this.opts.clock.sleep(PROGRESS_POLL_MS, this.opts.signal);
+			}
+		} finally {
+			this.isLearning = false;
+		}
+	}
+
 	/** Model that a running move loads. */
 	getLoading(): string | undefined {
 		return this.move?.load;
@@ -87,10 +133,15 @@
 	/** Loads an adapter, in place of another one where there is no room; returns whether the engine holds it. */
 	async loadAdapter(model: string, adapter: string, findEvicted: () => HeldAdapter | undefined): Promise<boolean> {
 		return this.inTurn(async () => {
+			if (!this.models) {
+				return false;
+			}
+
 			const evicted = findEvicted();
 			if (evicted) {
+				const step: LoadStep = {kind: 'unload-adapter', ...evicted};
 				this.believe(withAdapter(this.getModels(), evicted.model, evicted.adapter, false));
-				if (!await this.issue({kind: 'unload-adapter', ...evicted})) {
+				if (!await this.issue(step) || !await this.waitUntilDone(step, 0)) {
 					return false;
 				}
 			}
@@ -100,7 +151,7 @@
 			}
 
 			await this.opts.clock.sleep(ADAPTER_LOAD_MS, this.opts.signal);
-			this.believe(withAdapter(this.getModels(), model, adapter, true));
+			this.hold(withAdapter(this.getModels(), model, adapter, true));
 			return true;
 		});
 	}
@@ -147,6 +198,7 @@
 			// The engine may still carry the order out; what it then refuses shows in its count.
 			await clock.sleep(REPORT_PAUSE_MS, signal);
 			if (await this.refresh() !== undefined && isDone(this.getModels(), step)) {
+				this.isAnsweredDone = true;
 				return true;
 			}
 		}
@@ -156,6 +208,7 @@
 
 	private noteAnswer(answer: LoadAnswer, {kind}: LoadStep, expected: number): void {
 		const isCounted = answer === 'begun' || (answer === 'done' && kind === 'unload-adapter');
+		this.isAnsweredDone = answer === 'done';
 		this.orderCount = isCounted ? expected + 1 : undefined;
 	}
 
@@ -168,12 +221,29 @@
 		}
 
 		this.orderCount = report.orderCount;
-		this.believe(report.models);
+		if (report.isBusy) {
+			this.models = undefined;
+			return undefined;
+		}
+
+		this.hold(report.models);
 		return report.orderCount;
 	}
 
+	/** Takes over what the engine holds and tells the hosts. */
+	private hold(models: readonly HeldModel[]): void {
+		this.models = models;
+		this.believe(models);
+	}
+
+	/** Waits for the end of an order that the engine has begun, as its next registration or report shows it. */
 	private async waitUntilDone(step: LoadStep, expectedMs: number): Promise<boolean> {
 		const {clock, registry, signal} = this.opts;
+		if (this.isAnsweredDone) {
+			this.hold(applyStep(this.getModels(), step));
+			return true;
+		}
+
 		const startedMs = clock.now();
 		let askAtMs = startedMs + Math.max(expectedMs, PROGRESS_POLL_MS);
 		while (!signal.aborted && clock.now() - startedMs < MAX_LOAD_MS + expectedMs) {
@@ -181,23 +251,14 @@
 				return false;
 			}
 
-			if (step.kind === 'unload-model') {
-				if (this.hasRegistered(startedMs) && isDone(this.getRegisteredModels(), step)) {
-					return true;
-				}
-
-				this.believeWithout(step.model);
-			} else if (isDone(this.getModels(), step)) {
+			if (this.hasRegistered(startedMs) && isDone(this.getRegisteredModels(), step)) {
+				this.hold(applyStep(this.getModels(), step));
 				return true;
 			}
 
 			if (clock.now() >= askAtMs) {
-				const engine = this.getEngine();
-				const report = engine && await this.opts.orders.getReport(engine);
-				if (report && !report.isBusy) {
-					this.orderCount = report.orderCount;
-					this.believe(report.models);
-					return isDone(report.models, step);
+				if (await this.refresh() !== undefined && isDone(this.getModels(), step)) {
+					return true;
 				}
 
 				askAtMs = clock.now() + PROGRESS_POLL_MS;
@@ -215,7 +276,7 @@
 	}
 
 	private getModels(): readonly HeldModel[] {
-		return this.getEngine()?.models ?? [];
+		return this.models ?? this.getEngine()?.models ?? [];
 	}
 
 	private getRegisteredModels(): readonly HeldModel[] {
--- a/packages/engines/src/loading/engine-owner.ts
+++ b/packages/engines/src/loading/engine-owner.ts
@@ -2,7 +2,7 @@
 	type Clock, type EngineClass, jitter, type Logger, type Random, type Registration,
 } from '@egretrill/common';
 import type {TargetRegistry} from '../registry/index.js';
-import {ADAPTER_RETRY_MS, DEMAND_WATCH_MS, LOAD_PLAN_MS} from './constants.js';
+import {DEMAND_WATCH_MS, LOAD_PLAN_MS} from './constants.js';
 import {DemandCounter} from './demand-counter.js';
 import {EngineLine, type HeldAdapter} from './engine-line.js';
 import type {EngineOrders} from './engine-orders.js';
@@ -41,7 +41,7 @@
 	private readonly copySince = new Map<string, number>();
 	private readonly demand: DemandCounter;
 	private readonly waiting = new Map<string, WaitingCounts>();
-	private readonly asked = new Map<string, number>();
+	private readonly adapterLoads = new Map<string, Promise<string | undefined>>();
 	/** When the first request arrived that this owner heard of. */
 	private demandSinceMs = Number.POSITIVE_INFINITY;
 	private readonly nextStoreLoadMs = new Map<string, number>();
@@ -63,10 +63,24 @@
 		this.waiting.set(hostId, counts);
 	}
 
-	/** Has an adapter loaded that a request needs; a missing model is left to the plan. */
-	want(want: ModelWant, signal: AbortSignal): void {
-		if (want.adapter !== undefined) {
-			void this.loadAdapter({...want, adapter: want.adapter}, signal);
+	/** Has an adapter loaded that a request needs, and resolves with the engine that holds it then; a missing model is left to the plan. */
+	async want(want: ModelWant, signal: AbortSignal): Promise<string | undefined> {
+		if (want.adapter === undefined) {
+			return undefined;
+		}
+
+		const key = getName(want);
+		const known = this.adapterLoads.get(key);
+		if (known) {
+			return known;
+		}
+
+		const load = this.loadAdapter({...want, adapter: want.adapter}, signal);
+		this.adapterLoads.set(key, load);
+		try {
+			return await load;
+		} finally {
+			this.adapterLoads.delete(key);
 		}
 	}
 
@@ -115,21 +129,20 @@
 		}
 	}
 
-	private async loadAdapter({service, model, adapter}: Required<ModelWant>, signal: AbortSignal): Promise<void> {
+	private async loadAdapter({service, model, adapter}: Required<ModelWant>, signal: AbortSignal): Promise<string | undefined> {
 		const {clock, logger} = this.opts;
 		const key = getName({service, model, adapter});
 		const engineClass = this.opts.getClasses().get(service);
 		const nowMs = clock.now();
-		if (!engineClass || nowMs < this.opts.firstOrderAtMs || nowMs < (this.asked.get(key) ?? 0)) {
-			return;
+		if (!engineClass || nowMs < this.opts.firstOrderAtMs) {
+			return undefined;
 		}
 
-		const engine = this.findAdapterSite(service, model, adapter);
-		if (!engine) {
-			return;
+		const {engine, isHeld: isHeldAlready} = this.findAdapterSite(service, model, adapter);
+		if (!engine || isHeldAlready) {
+			return engine?.targetId;
 		}
 
-		this.asked.set(key, nowMs + ADAPTER_RETRY_MS);
 		// Entry hosts report arrivals later; until then the new adapter must not look idle.
 		this.demand.add(key, 1);
 		try {
@@ -137,27 +150,31 @@
 			logger.info({
 				targetId: engine.targetId, model, adapter, isHeld, tookMs: Math.round(clock.now() - nowMs),
 			}, 'An adapter was asked for.');
+			return isHeld ? engine.targetId : undefined;
 		} catch (err: unknown) {
 			logger.error({
 				err, targetId: engine.targetId, model, adapter,
 			}, 'An adapter could not be loaded.');
+			return undefined;
 		}
 	}
 
 	/** The engine with the model that has the fewest adapters and no move under way. */
-	private findAdapterSite(service: string, model: string, adapter: string): Registration | undefined {
+	private findAdapterSite(service: string, model: string, adapter: string): {readonly engine?: Registration; readonly isHeld: boolean} {
 		const holders = this.getEngines(service).filter(({models}) => models.some(({name}) => name === model));
-		if (holders.some(({models}) => models.some(({name, adapters}) => name === model && adapters.includes(adapter)))) {
-			return undefined;
+		const holder = holders.find(({models}) => models.some(({name, adapters}) => name === model && adapters.includes(adapter)));
+		if (holder) {
+			return {engine: holder, isHeld: true};
 		}
 
 		const getLoad = (engine: Registration): number => engine.models.reduce((sum, {adapters}) => sum + adapters.length, 0) + (this.lines.get(engine.targetId)?.move ? 100 : 0);
-		return holders.toSorted((a, b) => getLoad(a) - getLoad(b)).at(0);
+		return {engine: holders.toSorted((a, b) => getLoad(a) - getLoad(b)).at(0), isHeld: false};
 	}
 
 	/** The adapter that is asked for least, when every place of the engine is taken. */
 	private findIdleAdapter(targetId: string, {adapterSlots}: EngineClass): HeldAdapter | undefined {
-		const {service = '', models = []} = this.opts.registry.get(targetId) ?? {};
+		const service = this.opts.registry.get(targetId)?.service ?? '';
+		const models = this.lines.get(targetId)?.getHoldings() ?? [];
 		const held = models.flatMap(({name, adapters}) => adapters.map(adapter => ({model: name, adapter})));
 		if (held.length < adapterSlots) {
 			return undefined;
@@ -186,11 +203,16 @@
 	private describe(engine: Registration, engineClass: EngineClass, signal: AbortSignal): PlannedEngine {
 		const line = this.getLine(engine, signal);
 		const nowMs = this.opts.clock.now();
+		const holdings = line.getHoldings();
+		if (!holdings) {
+			void line.learn();
+		}
+
 		return {
 			targetId: engine.targetId,
-			isFree: line.move === undefined,
+			isFree: line.move === undefined && holdings !== undefined,
 			weightsMb: engineClass.weightsMb,
-			copies: engine.models.map(({name, adapters}) => {
+			copies: (holdings ?? engine.models).map(({name, adapters}) => {
 				const key = `${engine.targetId}/${engine.startedAtMs}/${name}`;
 				const sinceMs = this.copySince.get(key) ?? nowMs;
 				this.copySince.set(key, sinceMs);
--- a/packages/engines/src/registry/target-book.ts
+++ b/packages/engines/src/registry/target-book.ts
@@ -92,6 +92,17 @@
 		return [...this.targets].filter(([, {own}]) => own > 0).map(([id, {own}]) => [id, own]);
 	}
 
+	/** Notes an adapter that an engine holds now; the next update of the registry tells the same. */
+	noteAdapter(targetId: string, model: string, adapter: string): void {
+		const target = this.targets.get(targetId);
+		const held = target?.registration.models.find(({name}) => name === model);
+		if (target && held && !held.adapters.includes(adapter)) {
+			const models = target.registration.models.map(other => other === held ? {...held, adapters: [...held.adapters, adapter]} : other);
+			target.registration = {...target.registration, models};
+			this.changed.notify();
+		}
+	}
+
 	choose(need: TargetNeed): TargetChoice {
 		return chooseTarget(this.getCandidates(need));
 	}
--- a/packages/engines/src/registry/target-registry.ts
+++ b/packages/engines/src/registry/target-registry.ts
@@ -14,7 +14,7 @@
 	readonly beatRevision: number;
 	/** Whether hosts were told that the target is silent. */
 	readonly isSilent?: boolean;
-	/** Holdings that an order has changed since, and until when they count more than a registration. */
+	/** Holdings that an order has changed since, until a registration arrives after this time. */
 	readonly believed?: {readonly models: readonly HeldModel[]; readonly untilMs: number};
 };
 
@@ -175,7 +175,7 @@
 
 	private describe({registration, believed, receivedMs, hasEnded}: Entry): RegisteredTarget {
 		const nowMs = this.clock.now();
-		const models = believed && believed.untilMs > nowMs ? [...believed.models] : registration.models;
+		const models = believed ? [...believed.models] : registration.models;
 		return {registration: {...registration, models}, ageMs: nowMs - receivedMs, hasEnded};
 	}
 }
--- /dev/null
+++ b/packages/engines/tests/loading/engine-owner.test.ts
@@ -0,0 +1,209 @@
+import {
+	createLogger, createRandom, type EngineClass, type HeldModel, ManualClock, type Registration,
+} from '@egretrill/common';
+import {expect} from 'chai';
+import {
+	EngineOrders, EngineOwner, type EngineReport, type LoadAnswer, type LoadOrder, type OrderedEngine,
+} from '../../src/loading/index.js';
+import {TargetRegistry} from '../../src/registry/index.js';
+
+const engineClass: EngineClass = {
+	batchSlots: 64,
+	weightsMb: 200,
+	adapterSlots: 2,
+	storeLoadsPerSecond: 2,
+	models: ['a', 'b', 'c'].map(name => ({
+		name, weightsMb: 90, storeLoadMs: 5000, diskLoadMs: 1000, memoryLoadMs: 400, adapterMb: 1,
+	})),
+};
+
+/** An engine that carries out orders as the protocol says and notes each that would overfill it. */
+class SimulatedEngine extends EngineOrders {
+	models: readonly HeldModel[] = [{name: 'a', version: 1, adapters: []}];
+	orderCount = 0;
+	busyUntilMs = 0;
+	/** The next order gets no answer and is carried out this much later. */
+	delayMs = 0;
+	readonly seen: string[] = [];
+	/** Model that an order under way loads. */
+	loading: string | undefined;
+
+	constructor(private readonly clock: ManualClock) {
+		super();
+	}
+
+	override async send(_engine: OrderedEngine, order: LoadOrder, mayWrite: () => boolean): Promise<LoadAnswer> {
+		if (!mayWrite()) {
+			return 'not-sent';
+		}
+
+		if (this.delayMs > 0) {
+			void this.acceptLate(order, this.delayMs);
+			this.delayMs = 0;
+			await this.clock.sleep(1000);
+			this.note(order, 'unanswered');
+			return 'unknown';
+		}
+
+		const answer = this.accept(order);
+		this.note(order, answer);
+		return answer;
+	}
+
+	override async getReport(): Promise<EngineReport> {
+		return {models: [...this.models], isBusy: this.isBusy(), orderCount: this.orderCount};
+	}
+
+	private async acceptLate(order: LoadOrder, delayMs: number): Promise<void> {
+		await this.clock.sleep(delayMs);
+		this.note(order, `late ${this.accept(order)}`);
+	}
+
+	private isBusy(): boolean {
+		return this.clock.now() < this.busyUntilMs;
+	}
+
+	private accept(order: LoadOrder): LoadAnswer {
+		const possible = this.models.length + (this.isBusy() && this.loading !== undefined ? 1 : 0);
+		if (order.kind === 'load-model' && order.expectedOrderCount === this.orderCount && (possible + 1) * 90 > engineClass.weightsMb) {
+			this.seen.push('OVERFILLED with weights');
+		}
+
+		if (this.isBusy() || order.expectedOrderCount !== this.orderCount) {
+			return 'conflict';
+		}
+
+		this.orderCount += 1;
+		const held = this.models.find(({name}) => name === order.model);
+		switch (order.kind) {
+			case 'load-model': {
+				void this.finishLoad(order.model);
+				return 'begun';
+			}
+
+			case 'unload-model': {
+				this.models = this.models.filter(model => model !== held);
+				return 'begun';
+			}
+
+			case 'load-adapter': {
+				if (this.models.flatMap(({adapters}) => adapters).length >= engineClass.adapterSlots) {
+					this.seen.push('OVERFILLED with adapters');
+				}
+
+				this.models = this.models.map(model => model === held ? {...held, adapters: [...held.adapters, order.adapter ?? '']} : model);
+				return 'begun';
+			}
+
+			case 'unload-adapter': {
+				this.models = this.models.map(model => model === held ? {...held, adapters: held.adapters.filter(name => name !== order.adapter)} : model);
+				return 'done';
+			}
+		}
+	}
+
+	private async finishLoad(model: string): Promise<void> {
+		this.busyUntilMs = this.clock.now() + 5000;
+		this.loading = model;
+		await this.clock.sleep(5000);
+		this.models = [...this.models, {name: model, version: 1, adapters: []}];
+	}
+
+	private note({kind, model, adapter, expectedOrderCount}: LoadOrder, answer: string): void {
+		this.seen.push(`${Math.round(this.clock.now() / 100) * 100} ms: ${kind} ${model}${adapter ? `/${adapter}` : ''} after ${expectedOrderCount}: ${answer}`);
+	}
+}
+
+type Play = {readonly clock: ManualClock; readonly engine: SimulatedEngine; readonly owner: EngineOwner; readonly stopper: AbortController};
+
+function start(prepare: (engine: SimulatedEngine) => void = () => undefined): Play {
+	const clock = new ManualClock();
+	const engine = new SimulatedEngine(clock);
+	prepare(engine);
+	const registry = new TargetRegistry(clock, 'r');
+	const stopper = new AbortController();
+	const registration: Registration = {
+		targetId: 't1', startedAtMs: 1, sequence: 1, service: 's', address: '127.0.0.1:1', zone: 'z', slots: 64, isLeaving: false, coldForMs: 0, models: [{name: 'a', version: 1, adapters: []}], inMemory: [], onDisk: [],
+	};
+	const beat = async (): Promise<void> => {
+		for (let sequence = 1; !stopper.signal.aborted; sequence++) {
+			registry.accept({...registration, sequence, models: [...engine.models]});
+			await clock.sleep(1200, stopper.signal);
+		}
+	};
+
+	const owner = new EngineOwner({
+		clock, random: createRandom(1), logger: createLogger('test', 'fatal'), registry, orders: engine, holder: 'h', fencingToken: 1, firstOrderAtMs: 0, mayOrder: () => true, getClasses: () => new Map([['s', engineClass]]),
+	});
+	void beat();
+	void owner.run(stopper.signal);
+	return {
+		clock, engine, owner, stopper,
+	};
+}
+
+async function finish({clock, stopper}: Play): Promise<void> {
+	stopper.abort();
+	await clock.run(1);
+}
+
+describe('EngineOwner', () => {
+	// Guards against a model that nobody loads although requests wait for it.
+	it('loads what requests wait for', async () => {
+		const play = start();
+		play.owner.noteArrivals({service: 's', model: 'b'}, 3);
+		play.owner.noteWaiting('h1', [['s', 'b', 2]]);
+		await play.clock.run(7000);
+		play.owner.noteWaiting('h1', []);
+		await finish(play);
+		expect({seen: play.engine.seen, models: play.engine.models.map(({name}) => name)}).toMatchSnapshot();
+	});
+
+	// Guards against an engine that a new owner overfills because the load of its predecessor is not in its registrations yet.
+	it('gives no order to an engine that still carries one out', async () => {
+		const play = start(engine => {
+			engine.models = [{name: 'a', version: 1, adapters: []}];
+			engine.orderCount = 1;
+			engine.busyUntilMs = 3000;
+			engine.loading = 'c';
+		});
+		const end = async (): Promise<void> => {
+			await play.clock.sleep(3000);
+			play.engine.models = [...play.engine.models, {name: 'c', version: 1, adapters: []}];
+		};
+
+		void end();
+		play.owner.noteArrivals({service: 's', model: 'a'}, 200);
+		play.owner.noteWaiting('h1', [['s', 'b', 2]]);
+		await play.clock.run(12_000);
+		await finish(play);
+		expect(play.engine.seen).toMatchSnapshot();
+	});
+
+	// Guards against an order that is carried out late, after a newer one, and overfills the engine.
+	it('survives an order that is carried out late', async () => {
+		const play = start(engine => {
+			engine.delayMs = 3000;
+		});
+		play.owner.noteArrivals({service: 's', model: 'a'}, 20);
+		play.owner.noteWaiting('h1', [['s', 'b', 2]]);
+		await play.clock.run(15_000);
+		await finish(play);
+		expect(play.engine.seen).toMatchSnapshot();
+	});
+
+	// Guards against more adapters than the engine has places for, and against one load for each waiting request.
+	it('loads adapters on demand in the place of the least used', async () => {
+		const play = start();
+		await play.clock.run(500);
+		const ask = async (adapter: string): Promise<string | undefined> => play.owner.want({service: 's', model: 'a', adapter}, play.stopper.signal);
+		const asked = [ask('a1'), ask('a1'), ask('a2')];
+		await play.clock.run(200);
+		play.owner.noteArrivals({service: 's', model: 'a', adapter: 'a2'}, 5);
+		asked.push(ask('a3'));
+		await play.clock.run(200);
+		const answers = await Promise.all(asked);
+		await finish(play);
+		expect({answers, seen: play.engine.seen, adapters: play.engine.models[0]?.adapters}).toMatchSnapshot();
+	});
+});
--- a/packages/engines/tests/loading/plan-loads.test.ts
+++ b/packages/engines/tests/loading/plan-loads.test.ts
@@ -28,8 +28,12 @@
 	// Guards against callers that wait for a model which nobody loads; answers demand that moves to a model without a copy.
 	it('loads a model that requests wait for where it costs least', () => {
 		expect({
-			freeEngine: plan([engine('t1', ['a', 'b']), engine('t2', ['c'])], {a: [5, 0], b: [5, 0], c: [5, 0], d: [1, 2]}),
-			weightsAtHand: plan([engine('t1', ['a', 'b']), engine('t2', ['a', 'c'], {inMemory: ['d']})], {a: [5, 0], b: [0, 0], c: [0, 0], d: [1, 2]}),
+			freeEngine: plan([engine('t1', ['a', 'b']), engine('t2', ['c'])], {
+				a: [5, 0], b: [5, 0], c: [5, 0], d: [1, 2],
+			}),
+			weightsAtHand: plan([engine('t1', ['a', 'b']), engine('t2', ['a', 'c'], {inMemory: ['d']})], {
+				a: [5, 0], b: [0, 0], c: [0, 0], d: [1, 2],
+			}),
 			onlyIfWaitedFor: plan([engine('t1', ['a'])], {a: [5, 0], d: [0.1, 0]}),
 		}).toMatchSnapshot();
 	});
@@ -43,7 +47,9 @@
 			idleGoes: plan([engine('t1', ['a', 'b']), engine('t2', ['c', 'd'])], {
 				a: [5, 0], b: [5, 0], c: [5, 0], d: [0, 0], e: [1, 1],
 			}),
-			spareGoes: plan([engine('t1', ['a', 'b']), engine('t2', ['a', 'c'])], {a: [5, 0], b: [5, 0], c: [5, 0], d: [1, 1]}),
+			spareGoes: plan([engine('t1', ['a', 'b']), engine('t2', ['a', 'c'])], {
+				a: [5, 0], b: [5, 0], c: [5, 0], d: [1, 1],
+			}),
 		}).toMatchSnapshot();
 	});
 
