--- a/packages/callers/tests/forward/support/forward-world.ts
+++ b/packages/callers/tests/forward/support/forward-world.ts
@@ -71,7 +71,7 @@
 				await clock.sleep(1_000_000, AbortSignal.any([signal, closed.signal]));
 			}
 
-			if (answer.isCut || answer.isSilent) {
+			if ([answer.isCut, answer.isSilent].includes(true)) {
 				throw new Error('aborted');
 			}
 		};
