hosts: remove silent members once enough others vote, and let a leaving member go itself

Change: members above the number that the tolerance needs are removed after 2.5 s of silence, and a host that stops gives up its membership when the others suffice; reports with fewer orders than known are passed over and adapters on their way count; a stopping host closes each connection behind its last answer.

--- a/apps/egretrilld/src/traffic/constants.ts
+++ b/apps/egretrilld/src/traffic/constants.ts
@@ -25,8 +25,11 @@
 /** How often a control host looks for silent targets and changed duties. */
 export const DUTY_PERIOD_MS = 250;
 
-/** A member that has not answered for this long is replaced when another host can take its place. */
-export const DEAD_MEMBER_MS = 8000;
+/** A member that has not answered for this long is removed when enough others vote; it asks to be added again when it returns. */
+export const DEAD_MEMBER_MS = 2500;
+
+/** Time for a leaving member's own removal before it stops. */
+export const LEAVE_MS = 1500;
 
 /** Drift and delay added to the lease of an earlier holder before the first order of a new one. */
 export const ORDER_TAKEOVER_MARGIN_MS = 300;
--- a/apps/egretrilld/src/traffic/control-host.ts
+++ b/apps/egretrilld/src/traffic/control-host.ts
@@ -10,7 +10,7 @@
 } from '@egretrill/hosts';
 import type {ConfigDecoder} from './config-decoder.js';
 import {
-	DEAD_MEMBER_MS, DUTY_PERIOD_MS, GOSSIP_MS, JOIN_RETRY_MS,
+	DEAD_MEMBER_MS, DUTY_PERIOD_MS, GOSSIP_MS, JOIN_RETRY_MS, LEAVE_MS,
 } from './constants.js';
 import {ControlService, type PutOutcome} from './control-service.js';
 import {LeaderTerm} from './leader-term.js';
@@ -47,11 +47,13 @@
 	private term: LeaderTerm | undefined;
 	private decoded: DecodedTraffic | undefined;
 	private leaderHint: string | undefined;
+	private readonly startedMs: number;
 
 	constructor(private readonly opts: ControlHostOptions) {
 		super();
 		const {settings, clock, random, logger, credentials} = opts;
 		this.hostId = settings.listen.peers;
+		this.startedMs = clock.now();
 		this.peers = new ControlPeers({
 			selfId: this.hostId, seedIds: settings.seeds, clock, credentials,
 		});
@@ -127,11 +129,14 @@
 	/** Keeps the log, hears the other control hosts and leads when it is this host's turn, until aborted. */
 	async run(signal: AbortSignal): Promise<void> {
 		await this.node.start();
+		const watching = this.watchLog();
 		await Promise.all([
-			this.followLog(signal), this.followRegistry(signal), this.gossip(signal), this.join(signal), this.doDuties(signal), this.watchLog(),
+			this.followLog(signal), this.followRegistry(signal), this.gossip(signal), this.join(signal), this.doDuties(signal),
 		]);
+		await this.leave();
 		this.term?.end();
 		await this.node.stop();
+		await watching;
 		this.peers.close();
 	}
 
@@ -341,17 +346,36 @@
 		while (!signal.aborted) {
 			await clock.sleep(DUTY_PERIOD_MS * 4, signal);
 			const {members} = this.node.status();
-			const dead = members.find(({id}) => id !== this.hostId && clock.now() - (this.contacts.get(id)?.heardMs ?? 0) > DEAD_MEMBER_MS);
-			const living = members.filter(member => member !== dead && member.role === 'voter');
-			if (dead && this.getTerm() && living.length >= Math.min(3, settings.maxVoters) && this.contacts.has(dead.id)) {
+			const isSilent = (id: string): boolean => id !== this.hostId && clock.now() - (this.contacts.get(id)?.heardMs ?? this.startedMs) > DEAD_MEMBER_MS;
+			const dead = members.find(({id}) => isSilent(id));
+			const living = members.filter(({id, role}) => !isSilent(id) && role === 'voter');
+			if (dead && this.getTerm() && living.length >= settings.minVoters) {
 				const outcome = await this.log.propose({
 					kind: 'removeMember', memberId: dead.id, requestId: randomUUID(), author: settings.host,
 				});
-				logger.info({memberId: dead.id, outcome: outcome.kind}, 'A silent member was removed from the log.');
+				logger.info({memberId: dead.id, living: living.length, outcome: outcome.kind}, 'A silent member was removed from the log.');
 			}
 		}
 	}
 
+	/** Gives up this host's membership before it stops when the others suffice; a host that only restarts asks to be added again. */
+	private async leave(): Promise<void> {
+		const {clock, settings, logger} = this.opts;
+		const {members} = this.node.status();
+		const others = members.filter(({id, role}) => id !== this.hostId && role === 'voter');
+		if (!members.some(({id}) => id === this.hostId) || others.length < settings.minVoters) {
+			return;
+		}
+
+		const outcome = await Promise.race([
+			this.log.propose({
+				kind: 'removeMember', memberId: this.hostId, requestId: randomUUID(), author: settings.host,
+			}, LEAVE_MS),
+			clock.sleep(LEAVE_MS),
+		]);
+		logger.info({others: others.length, outcome: outcome?.kind ?? 'timeout'}, 'This host gave up its membership of the log.');
+	}
+
 	private async watchLog(): Promise<void> {
 		const failure = await this.node.waitUntilStopped();
 		if (failure) {
--- a/apps/egretrilld/src/traffic/node-exchange.ts
+++ b/apps/egretrilld/src/traffic/node-exchange.ts
@@ -68,6 +68,13 @@
 	}
 
 	end(): void {
+		if (this.isStopping()) {
+			// The head may have promised that the connection stays open, but a further request on it would come too late.
+			this.res.once('finish', () => {
+				this.req.socket.end();
+			});
+		}
+
 		this.res.end();
 	}
 
--- a/apps/egretrilld/src/traffic/settings.ts
+++ b/apps/egretrilld/src/traffic/settings.ts
@@ -45,6 +45,8 @@
 	dataDir: z.string(),
 	/** True only when the whole fleet starts for the first time. */
 	isFirstStart: z.boolean(),
+	/** Members that suffice for the losses that must be borne; more are kept only while they answer. */
+	minVoters: z.int().positive().default(3),
 	/** Members of the log beyond which further control hosts only follow. */
 	maxVoters: z.int().positive().default(5),
 });
--- a/packages/engines/src/loading/engine-line.ts
+++ b/packages/engines/src/loading/engine-line.ts
@@ -79,6 +79,8 @@
 	private models: readonly HeldModel[] | undefined;
 	private isLearning = false;
 	private orderCount: number | undefined;
+	/** Orders that the engine has certainly accepted; a report with fewer is older than the last order. */
+	private minOrderCount = 0;
 	/** Whether the last order was done when the engine answered. */
 	private isAnsweredDone = false;
 	private last: Promise<unknown> = Promise.resolve();
@@ -210,17 +212,19 @@
 		const isCounted = answer === 'begun' || (answer === 'done' && kind === 'unload-adapter');
 		this.isAnsweredDone = answer === 'done';
 		this.orderCount = isCounted ? expected + 1 : undefined;
+		this.minOrderCount = Math.max(this.minOrderCount, this.orderCount ?? 0);
 	}
 
 	/** Asks the engine what it holds and how many orders it has accepted. */
 	private async refresh(): Promise<number | undefined> {
 		const engine = this.getEngine();
 		const report = engine && await this.opts.orders.getReport(engine);
-		if (!report) {
+		if (!report || report.orderCount < this.minOrderCount) {
 			return undefined;
 		}
 
 		this.orderCount = report.orderCount;
+		this.minOrderCount = report.orderCount;
 		if (report.isBusy) {
 			this.models = undefined;
 			return undefined;
