engines: never give up two copies of a model at once, and add no copy for a missing adapter

Change: copies that go no longer count; a sole holder of a busy model is a worse site for a load; requests that miss only an adapter do not ask for copies; a copy stays six seconds at least. Test: plan-loads.test.ts, shown failing with the plan before.

--- a/packages/callers/src/forward/place-queue.ts
+++ b/packages/callers/src/forward/place-queue.ts
@@ -48,10 +48,14 @@
 		return this.waiters.length;
 	}
 
-	/** Requests that wait for each model. */
+	/** Requests that wait for a place at an engine with their model; those that only miss an adapter need no further copy. */
 	getWaitingByModel(): ReadonlyMap<string, number> {
 		const counts = new Map<string, number>();
-		for (const {need: {service, model}} of this.waiters) {
+		for (const {need: {service, model}, lastKind} of this.waiters) {
+			if (lastKind === 'adapter-missing') {
+				continue;
+			}
+
 			const key = JSON.stringify([service, model ?? '']);
 			counts.set(key, (counts.get(key) ?? 0) + 1);
 		}
--- a/packages/engines/src/loading/constants.ts
+++ b/packages/engines/src/loading/constants.ts
@@ -20,7 +20,7 @@
 export const DEMAND_WATCH_MS = 2500;
 
 /** A copy is not evicted for another model within this time after it was loaded. */
-export const MIN_COPY_AGE_MS = 3000;
+export const MIN_COPY_AGE_MS = 6000;
 
 /** Requests that wait for a model count as so many arrivals a second. */
 export const WAITING_WEIGHT = 2;
--- a/packages/engines/src/loading/engine-owner.ts
+++ b/packages/engines/src/loading/engine-owner.ts
@@ -219,6 +219,7 @@
 				return {model: name, ageMs: nowMs - sinceMs, adapterCount: adapters.length};
 			}),
 			loading: line.getLoading(),
+			unloading: line.move?.unload ?? [],
 			inMemory: engine.inMemory,
 			onDisk: engine.onDisk,
 		};
--- a/packages/engines/src/loading/plan-loads.ts
+++ b/packages/engines/src/loading/plan-loads.ts
@@ -20,6 +20,8 @@
 /** Demand and copies of each model while a plan is made. */
 class Supply {
 	private readonly weights: ReadonlyMap<string, number>;
+	/** Copies that this plan gives up. */
+	private readonly evicted = new Map<string, number>();
 
 	constructor(private readonly view: LoadView) {
 		this.weights = new Map(view.demand.map(({model, perSecond, waiting}) => [model, perSecond + (waiting * WAITING_WEIGHT)]));
@@ -35,7 +37,24 @@
 
 	/** Engines that hold the model or are loading it. */
 	countCopies(model: string): number {
-		return this.view.engines.filter(({copies, loading}) => loading === model || copies.some(copy => copy.model === model)).length;
+		const holders = this.view.engines.filter(({copies, loading, unloading}) => loading === model || (!unloading.includes(model) && copies.some(copy => copy.model === model)));
+		return holders.length - (this.evicted.get(model) ?? 0);
+	}
+
+	noteEvicted(models: readonly string[]): void {
+		for (const model of models) {
+			this.evicted.set(model, (this.evicted.get(model) ?? 0) + 1);
+		}
+	}
+
+	/** Demand for models that only this engine holds; their adapters cannot be changed while it carries out an order. */
+	getSoleDemand({copies}: PlannedEngine): number {
+		let sum = 0;
+		for (const {model} of copies) {
+			sum += this.countCopies(model) <= 1 ? this.getWeight(model) : 0;
+		}
+
+		return sum;
 	}
 
 	getWantedCopies(model: string): number {
@@ -125,7 +144,7 @@
 			}]
 			: [];
 	});
-	const getCost = ({engine, loadMs, lostDemand}: Site): number => lostDemand + (loadMs * LOAD_SECOND_DEMAND / 1000) + supply.getLoad(engine);
+	const getCost = ({engine, loadMs, lostDemand}: Site): number => lostDemand + (loadMs * LOAD_SECOND_DEMAND / 1000) + supply.getLoad(engine) + supply.getSoleDemand(engine);
 	return sites.toSorted((a, b) => getCost(a) - getCost(b)).at(0);
 }
 
@@ -140,6 +159,7 @@
 		if (site) {
 			taken.add(site.engine.targetId);
 			mayUseStore &&= !site.fromStore;
+			supply.noteEvicted(site.unload);
 			moves.push({
 				targetId: site.engine.targetId, unload: [...site.unload], load: want.model.name, reason: want.reason, fromStore: site.fromStore,
 			});
--- a/packages/engines/src/loading/types.ts
+++ b/packages/engines/src/loading/types.ts
@@ -42,8 +42,9 @@
 	isFree: z.boolean(),
 	weightsMb: z.number(),
 	copies: z.array(z.object({model: z.string(), ageMs: z.number(), adapterCount: z.int()})),
-	/** Model that a running order loads. */
+	/** Model that a running move loads, and those that it unloads. */
 	loading: z.string().optional(),
+	unloading: z.array(z.string()).default([]),
 	inMemory: z.array(z.string()),
 	onDisk: z.array(z.string()),
 });
--- a/packages/engines/tests/loading/plan-loads.test.ts
+++ b/packages/engines/tests/loading/plan-loads.test.ts
@@ -14,7 +14,7 @@
 
 function engine(targetId: string, models: readonly string[], changes: Partial<PlannedEngine> = {}): PlannedEngine {
 	return {
-		targetId, isFree: true, weightsMb: 200, copies: models.map(model => ({model, ageMs: 60_000, adapterCount: 0})), inMemory: [], onDisk: [], ...changes,
+		targetId, isFree: true, unloading: [], weightsMb: 200, copies: models.map(model => ({model, ageMs: 60_000, adapterCount: 0})), inMemory: [], onDisk: [], ...changes,
 	};
 }
 
@@ -53,6 +53,18 @@
 		}).toMatchSnapshot();
 	});
 
+	// Guards against two loads of one round that each count on the other's copy.
+	it('does not give up every copy of a model at once', () => {
+		expect({
+			sameRound: plan([engine('t1', ['a', 'b']), engine('t2', ['a', 'c'])], {
+				a: [5, 0], b: [5, 0], c: [5, 0], d: [1, 1], e: [1, 1],
+			}),
+			earlierMove: plan([engine('t1', ['a', 'b'], {isFree: false, unloading: ['a'], loading: 'd'}), engine('t2', ['a', 'c'])], {
+				a: [5, 0], b: [5, 0], c: [5, 0], e: [1, 1],
+			}),
+		}).toMatchSnapshot();
+	});
+
 	// Guards against more weights than an engine holds while another load is under way.
 	it('counts the model that an engine is loading', () => {
 		expect(plan([engine('t1', ['a'], {loading: 'b', isFree: false}), engine('t2', ['c', 'e'])], {
