--- a/packages/callers/src/forward/constants.ts
+++ b/packages/callers/src/forward/constants.ts
@@ -32,6 +32,9 @@
 /** Share of a large customer's rate that is leased to hosts by demand; the rest is a pool for single requests. */
 export const LEASED_RATIO = 0.5;
 
+/** Share of a small customer's rate in the pool. Its standing parts are smaller than a request and serve only hosts that cannot reach the owner, up to the tolerated excess. */
+export const SMALL_POOL_RATIO = 0.9;
+
 /** A customer is large when the leased part of a host holds a burst of this many of its requests. */
 export const LARGE_SHARE_REQUESTS = 3;
 
--- a/packages/callers/src/forward/rate-owner.ts
+++ b/packages/callers/src/forward/rate-owner.ts
@@ -1,6 +1,6 @@
 import {CLOCK_DRIFT_RATIO, type Clock, type TrafficCustomer} from '@egretrill/common';
 import {
-	LARGE_SHARE_REQUESTS, LEASED_RATIO, RATE_HOST_TTL_MS, RATE_LEASE_MS, STANDING_RATIO,
+	LARGE_SHARE_REQUESTS, LEASED_RATIO, RATE_HOST_TTL_MS, RATE_LEASE_MS, SMALL_POOL_RATIO, STANDING_RATIO,
 } from './constants.js';
 import type {RateAnswer, RateDemand} from './rate-part.js';
 
@@ -71,7 +71,7 @@
 	}
 
 	private getPoolRatio(customer: TrafficCustomer, hostCount: number): number {
-		return 1 - STANDING_RATIO - (this.isLarge(customer, hostCount) ? LEASED_RATIO : 0);
+		return this.isLarge(customer, hostCount) ? 1 - STANDING_RATIO - LEASED_RATIO : SMALL_POOL_RATIO;
 	}
 
 	private accrue(customer: TrafficCustomer, ratio: number): Pool {
--- a/packages/callers/tests/forward/rates.test.ts
+++ b/packages/callers/tests/forward/rates.test.ts
@@ -106,6 +106,17 @@
 		expect({asked: fleet.asked, granted: fleet.spent.length}).toMatchSnapshot();
 	});
 
+	// Guards against a small customer that gets only the lent part of its rate when it asks for all of it.
+	it('grants a small customer nearly its whole rate', () => {
+		const fleet = new RateFleet(8, 4000);
+		fleet.play(5000, 1000, () => 0);
+		fleet.spent.length = 0;
+		fleet.play(30_000, 1000, () => 0.7);
+		const granted = fleet.spent.reduce((sum, {cost}) => sum + cost, 0) / 30 / 4000;
+		expect(granted).to.be.within(0.85, 1.1);
+		expect(fleet.getWorstWindow()).to.be.at.most(1.1);
+	});
+
 	// Guards against fixed slices: most requests of a large customer arrive at one host.
 	it('serves a large customer within its rate when one host gets most requests', () => {
 		const fleet = new RateFleet(8, 60_000);
--- a/packages/engines/src/loading/plan-loads.ts
+++ b/packages/engines/src/loading/plan-loads.ts
@@ -58,7 +58,9 @@
 	}
 
 	getWantedCopies(model: string): number {
-		return Math.min(this.view.engines.length, Math.ceil(this.getWeight(model) / COPY_REQUESTS_PER_SECOND));
+		// Requests that wait for a load under way need no second copy, so only arrivals count.
+		const arrivals = this.view.demand.find(demand => demand.model === model)?.perSecond ?? 0;
+		return Math.min(this.view.engines.length, Math.ceil(arrivals / COPY_REQUESTS_PER_SECOND));
 	}
 
 	/** Whether the other copies can take over what one copy serves. */
--- a/packages/engines/tests/loading/plan-loads.test.ts
+++ b/packages/engines/tests/loading/plan-loads.test.ts
@@ -79,6 +79,7 @@
 			crowded: plan(engines, {a: [40, 0], b: [1, 0], c: [1, 0]}),
 			unknown: plan(engines, {a: [40, 0], b: [1, 0], c: [1, 0]}, {mayAddCopies: false}),
 			served: plan(engines, {a: [10, 0], b: [1, 0], c: [1, 0]}),
+			waitedForOnly: plan(engines, {a: [3, 9], b: [1, 0], c: [1, 0]}),
 		}).toMatchSnapshot();
 	});
 
