engines: weigh a slow load by the requests that wait for it, and count requests that found all copies full

Change: a second of loading costs the demand that waits; other work of a site weighs a fifth; entry hosts report requests without a copy apart from those that found all copies full. Test: plan-loads.test.ts.

--- a/apps/egretrilld/src/traffic/entry-host.ts
+++ b/apps/egretrilld/src/traffic/entry-host.ts
@@ -139,10 +139,7 @@
 		return {
 			running: this.book.getOwn().map(([id, count]) => [id, count]),
 			arrivals: this.observer.takeArrivals(),
-			waiting: [...this.queue.getWaitingByModel()].map(([key, count]) => {
-				const [service, model] = JSON.parse(key) as [string, string];
-				return [service, model, count];
-			}),
+			waiting: this.queue.getWaitingByModel().map(({service, model = '', waiting, crowded}) => [service, model, waiting, crowded]),
 			rates: {...this.ratesHeld, demand: [...this.rates.getDemand()]},
 		};
 	}
--- a/apps/egretrilld/src/traffic/methods.ts
+++ b/apps/egretrilld/src/traffic/methods.ts
@@ -15,8 +15,8 @@
 	running: z.array(z.tuple([z.string(), count])),
 	/** Arrivals since the last poll: service, model, adapter or an empty text, count. */
 	arrivals: z.array(z.tuple([z.string(), z.string(), z.string(), count])),
-	/** Requests that wait: service, model, count. */
-	waiting: z.array(z.tuple([z.string(), z.string(), count])),
+	/** Requests that wait: service, model, those without a copy, those that found all copies full. */
+	waiting: z.array(z.tuple([z.string(), z.string(), count, count])),
 	rates: z.object({ackedSerial: count, standing: z.number(), demand: z.array(z.object({name: z.string(), perSecond: z.number(), meanCost: z.number()}))}),
 });
 export type EntryReport = z.infer<typeof EntryReport>;
--- a/packages/callers/src/forward/place-queue.ts
+++ b/packages/callers/src/forward/place-queue.ts
@@ -28,6 +28,9 @@
 	abstract want(need: PlaceNeed): void;
 }
 
+/** Requests that wait for a copy of a model, and those that found all copies full. */
+export type WaitingByModel = {readonly service: string; readonly model: string | undefined; readonly waiting: number; readonly crowded: number};
+
 type Waiter = {
 	readonly need: PlaceNeed;
 	readonly priority: number;
@@ -49,18 +52,22 @@
 	}
 
 	/** Requests that wait for a place at an engine with their model; those that only miss an adapter need no further copy. */
-	getWaitingByModel(): ReadonlyMap<string, number> {
-		const counts = new Map<string, number>();
+	getWaitingByModel(): readonly WaitingByModel[] {
+		const counts = new Map<string, WaitingByModel>();
 		for (const {need: {service, model}, lastKind} of this.waiters) {
 			if (lastKind === 'adapter-missing') {
 				continue;
 			}
 
-			const key = JSON.stringify([service, model ?? '']);
-			counts.set(key, (counts.get(key) ?? 0) + 1);
+			const key = JSON.stringify([service, model]);
+			const known = counts.get(key) ?? {
+				service, model, waiting: 0, crowded: 0,
+			};
+			const isCrowded = lastKind === 'full';
+			counts.set(key, {...known, waiting: known.waiting + Number(!isCrowded), crowded: known.crowded + Number(isCrowded)});
 		}
 
-		return counts;
+		return [...counts.values()];
 	}
 
 	/** Resolves with a place, or with a refusal when none was found within the time. */
--- a/packages/engines/src/loading/constants.ts
+++ b/packages/engines/src/loading/constants.ts
@@ -13,9 +13,12 @@
 /** A copy may go when those that are left would each get at most this share of what one serves well. */
 export const SPARE_RATIO = 0.7;
 
-/** Demand that one second of loading must be worth, to weigh a slow load against a busy copy that would go. */
+/** Least demand that one second of loading counts as, to weigh a slow load against a busy copy that would go. */
 export const LOAD_SECOND_DEMAND = 2;
 
+/** Weight of an engine's other work when a site for a load is chosen. */
+export const SITE_LOAD_RATIO = 0.2;
+
 /** The owner watches demand for this long before it adds copies of models that have one. */
 export const DEMAND_WATCH_MS = 2500;
 
--- a/packages/engines/src/loading/engine-owner.ts
+++ b/packages/engines/src/loading/engine-owner.ts
@@ -28,8 +28,8 @@
 /** A model, or one of its adapters, that a request needs. */
 export type ModelWant = {readonly service: string; readonly model: string; readonly adapter?: string};
 
-/** Requests that wait for a model at one host. */
-export type WaitingCounts = ReadonlyArray<readonly [service: string, model: string, count: number]>;
+/** Requests that wait at one host for a copy of a model, and those that found all copies full. */
+export type WaitingCounts = ReadonlyArray<readonly [service: string, model: string, waiting: number, crowded: number]>;
 
 function getName({service, model, adapter}: ModelWant): string {
 	return JSON.stringify([service, model, adapter ?? null]);
@@ -189,15 +189,19 @@
 
 	private getDemand(service: string, {models}: EngineClass): readonly ModelDemand[] {
 		const waiting = new Map<string, number>();
+		const crowded = new Map<string, number>();
 		for (const counts of this.waiting.values()) {
-			for (const [other, model, count] of counts) {
+			for (const [other, model, waitingCount, crowdedCount] of counts) {
 				if (other === service) {
-					waiting.set(model, (waiting.get(model) ?? 0) + count);
+					waiting.set(model, (waiting.get(model) ?? 0) + waitingCount);
+					crowded.set(model, (crowded.get(model) ?? 0) + crowdedCount);
 				}
 			}
 		}
 
-		return models.map(({name}) => ({model: name, perSecond: this.demand.getPerSecond(getName({service, model: name})), waiting: waiting.get(name) ?? 0}));
+		return models.map(({name}) => ({
+			model: name, perSecond: this.demand.getPerSecond(getName({service, model: name})), waiting: waiting.get(name) ?? 0, crowded: crowded.get(name) ?? 0,
+		}));
 	}
 
 	private describe(engine: Registration, engineClass: EngineClass, signal: AbortSignal): PlannedEngine {
--- a/packages/engines/src/loading/plan-loads.ts
+++ b/packages/engines/src/loading/plan-loads.ts
@@ -1,6 +1,6 @@
 import type {EngineClass, StoredModel} from '@egretrill/common';
 import {
-	COPY_REQUESTS_PER_SECOND, IDLE_DEMAND, LOAD_SECOND_DEMAND, MIN_COPY_AGE_MS, SPARE_RATIO, WAITING_WEIGHT,
+	COPY_REQUESTS_PER_SECOND, IDLE_DEMAND, LOAD_SECOND_DEMAND, MIN_COPY_AGE_MS, SITE_LOAD_RATIO, SPARE_RATIO, WAITING_WEIGHT,
 } from './constants.js';
 import type {LoadMove, ModelDemand, PlannedEngine} from './types.js';
 
@@ -58,9 +58,9 @@
 	}
 
 	getWantedCopies(model: string): number {
-		// Requests that wait for a load under way need no second copy, so only arrivals count.
-		const arrivals = this.view.demand.find(demand => demand.model === model)?.perSecond ?? 0;
-		return Math.min(this.view.engines.length, Math.ceil(arrivals / COPY_REQUESTS_PER_SECOND));
+		// Requests that wait for a load under way need no second copy; those that found all copies full do.
+		const {perSecond = 0, crowded = 0} = this.view.demand.find(demand => demand.model === model) ?? {};
+		return Math.min(this.view.engines.length, Math.ceil((perSecond + crowded) / COPY_REQUESTS_PER_SECOND));
 	}
 
 	/** Whether the other copies can take over what one copy serves. */
@@ -146,7 +146,7 @@
 			}]
 			: [];
 	});
-	const getCost = ({engine, loadMs, lostDemand}: Site): number => lostDemand + (loadMs * LOAD_SECOND_DEMAND / 1000) + supply.getLoad(engine) + supply.getSoleDemand(engine);
+	const getCost = ({engine, loadMs, lostDemand}: Site): number => lostDemand + (loadMs * Math.max(LOAD_SECOND_DEMAND, want.weight) / 1000) + ((supply.getLoad(engine) + supply.getSoleDemand(engine)) * SITE_LOAD_RATIO);
 	return sites.toSorted((a, b) => getCost(a) - getCost(b)).at(0);
 }
 
--- a/packages/engines/src/loading/types.ts
+++ b/packages/engines/src/loading/types.ts
@@ -31,8 +31,10 @@
 });
 export type EngineReport = z.infer<typeof EngineReport>;
 
-/** Arrivals a second of a model and the requests that wait for it. */
-export const ModelDemand = z.object({model: z.string(), perSecond: z.number(), waiting: z.number()});
+/** Arrivals a second of a model, the requests that wait for a copy, and those that found all copies full. */
+export const ModelDemand = z.object({
+	model: z.string(), perSecond: z.number(), waiting: z.number(), crowded: z.number().default(0),
+});
 export type ModelDemand = z.infer<typeof ModelDemand>;
 
 /** An engine as the plan sees it. */
--- a/packages/engines/tests/loading/engine-owner.test.ts
+++ b/packages/engines/tests/loading/engine-owner.test.ts
@@ -152,7 +152,7 @@
 	it('loads what requests wait for', async () => {
 		const play = start();
 		play.owner.noteArrivals({service: 's', model: 'b'}, 3);
-		play.owner.noteWaiting('h1', [['s', 'b', 2]]);
+		play.owner.noteWaiting('h1', [['s', 'b', 2, 0]]);
 		await play.clock.run(7000);
 		play.owner.noteWaiting('h1', []);
 		await finish(play);
@@ -174,7 +174,7 @@
 
 		void end();
 		play.owner.noteArrivals({service: 's', model: 'a'}, 200);
-		play.owner.noteWaiting('h1', [['s', 'b', 2]]);
+		play.owner.noteWaiting('h1', [['s', 'b', 2, 0]]);
 		await play.clock.run(12_000);
 		await finish(play);
 		expect(play.engine.seen).toMatchSnapshot();
@@ -186,7 +186,7 @@
 			engine.delayMs = 3000;
 		});
 		play.owner.noteArrivals({service: 's', model: 'a'}, 20);
-		play.owner.noteWaiting('h1', [['s', 'b', 2]]);
+		play.owner.noteWaiting('h1', [['s', 'b', 2, 0]]);
 		await play.clock.run(15_000);
 		await finish(play);
 		expect(play.engine.seen).toMatchSnapshot();
--- a/packages/engines/tests/loading/plan-loads.test.ts
+++ b/packages/engines/tests/loading/plan-loads.test.ts
@@ -18,9 +18,11 @@
 	};
 }
 
-function plan(engines: readonly PlannedEngine[], demand: Readonly<Record<string, readonly [perSecond: number, waiting: number]>>, changes: Partial<LoadView> = {}): unknown {
+function plan(engines: readonly PlannedEngine[], demand: Readonly<Record<string, readonly [perSecond: number, waiting: number, crowded?: number]>>, changes: Partial<LoadView> = {}): unknown {
 	return planLoads({
-		engineClass, engines, demand: Object.entries(demand).map(([model, [perSecond, waiting]]) => ({model, perSecond, waiting})), mayUseStore: true, mayAddCopies: true, ...changes,
+		engineClass, engines, demand: Object.entries(demand).map(([model, [perSecond, waiting, crowded = 0]]) => ({
+			model, perSecond, waiting, crowded,
+		})), mayUseStore: true, mayAddCopies: true, ...changes,
 	});
 }
 
@@ -38,6 +40,13 @@
 		}).toMatchSnapshot();
 	});
 
+	// Guards against a slow load of a model that many requests wait for, while an engine with other work has its weights at hand.
+	it('loads from the weights at hand when many requests wait', () => {
+		expect(plan([engine('t1', ['a', 'b'], {onDisk: ['e']}), engine('t2', ['c', 'd'])], {
+			a: [30, 0], b: [0, 0], c: [1, 0], d: [0, 0], e: [4, 3],
+		})).toMatchSnapshot();
+	});
+
 	// Guards against a load that takes the last copy of a model which callers use.
 	it('keeps last copies that are in use', () => {
 		expect({
@@ -79,6 +88,7 @@
 			crowded: plan(engines, {a: [40, 0], b: [1, 0], c: [1, 0]}),
 			unknown: plan(engines, {a: [40, 0], b: [1, 0], c: [1, 0]}, {mayAddCopies: false}),
 			served: plan(engines, {a: [10, 0], b: [1, 0], c: [1, 0]}),
+			full: plan(engines, {a: [15, 0, 9], b: [1, 0], c: [1, 0]}),
 			waitedForOnly: plan(engines, {a: [3, 9], b: [1, 0], c: [1, 0]}),
 		}).toMatchSnapshot();
 	});
