entry hosts: poll at most every 50 ms

Cause: with 100 ms between polls, requests waited longer for models and adapters that had just been loaded.

--- a/apps/egretrilld/src/traffic/constants.ts
+++ b/apps/egretrilld/src/traffic/constants.ts
@@ -8,7 +8,7 @@
 export const SYNC_ANSWER_MS = 700;
 
 /** Least time between two polls, so that a burst of changes travels in one answer. */
-export const SYNC_GAP_MS = 100;
+export const SYNC_GAP_MS = 50;
 
 /** Time between two polls when no control host answers. */
 export const SYNC_RETRY_MS = 150;
