targets: leave unreachable targets alone for longer, keep those that answer with failures, count cold sends over any second

A cold target could get two bursts within one second. Change: the pause doubles up to 6 s; only broken or missing answers count against a target; a connection has 250 ms; sends to a cold target are counted over a sliding second.

--- a/packages/callers/src/forward/forward-request.ts
+++ b/packages/callers/src/forward/forward-request.ts
@@ -6,7 +6,7 @@
 	MAX_WAIT_RATIO, MIN_RETRY_AFTER_MS, MIN_SEND_MS, NO_TARGET_RETRY_MS, STREAM_PATIENCE_MS, STREAM_PATIENCE_RATIO, STREAM_WAIT_RATIO,
 } from './constants.js';
 import type {ForwardParts} from './forward-parts.js';
-import type {Place, PlaceNeed} from './place-queue.js';
+import type {Place, PlaceEnd, PlaceNeed} from './place-queue.js';
 import type {RateAnswer} from './rate-part.js';
 import {relayEvents, type RelayEnd, relayWhole} from './relay.js';
 import {getCost, pickService, type RouteTable} from './route-table.js';
@@ -48,9 +48,9 @@
 type Outcome =
 	| {readonly kind: 'answered'}
 	/** The target certainly did not run the request. */
-	| {readonly kind: 'not-run'; readonly reason: string}
+	| {readonly kind: 'not-run'; readonly reason: string; readonly targetEnd: PlaceEnd}
 	/** The target may have run it and no whole answer came. */
-	| {readonly kind: 'broken'; readonly reason: string};
+	| {readonly kind: 'broken'; readonly reason: string; readonly targetEnd: PlaceEnd};
 
 /** The end of a forwarded request. */
 type End = 'answered' | 'broken' | Verdict;
@@ -245,11 +245,11 @@
 	const {parts: {clock, observer}, call, progress} = work;
 	const startedMs = clock.now();
 	progress.targetId = place.targetId;
-	let outcome: Outcome = {kind: 'broken', reason: 'The exchange failed.'};
+	let outcome: Outcome = {kind: 'broken', reason: 'The exchange failed.', targetEnd: 'answered'};
 	try {
 		outcome = await exchangeWith(work, place);
 	} finally {
-		place.end(outcome.kind !== 'answered' && !work.signal.aborted);
+		place.end(outcome.kind === 'answered' || work.signal.aborted ? 'answered' : outcome.targetEnd);
 		progress.tried.add(place.targetId);
 	}
 
@@ -276,8 +276,8 @@
 	if (sent.isErr) {
 		progress.attempts += sent.error.accepted ? 1 : 0;
 		return sent.error.accepted
-			? {kind: 'broken', reason: `The target broke off: ${sent.error.reason}`}
-			: {kind: 'not-run', reason: `The target cannot be reached: ${sent.error.reason}`};
+			? {kind: 'broken', reason: `The target broke off: ${sent.error.reason}`, targetEnd: 'broke-off'}
+			: {kind: 'not-run', reason: `The target cannot be reached: ${sent.error.reason}`, targetEnd: 'unreachable'};
 	}
 
 	progress.attempts += 1;
@@ -286,18 +286,18 @@
 	const isOther = facts.attemptId !== undefined && facts.attemptId !== call.attemptId;
 	if (!isOther && (facts.isNotExecuted || answer.status === STATUS_MISDIRECTED)) {
 		answer.discard();
-		return {kind: 'not-run', reason: `The target refused with ${answer.status}.`};
+		return {kind: 'not-run', reason: `The target refused with ${answer.status}.`, targetEnd: 'answered'};
 	}
 
 	const fault = findFault(facts, answer.status, call);
 	if (fault !== undefined) {
 		answer.destroy();
-		return {kind: 'broken', reason: fault};
+		return {kind: 'broken', reason: fault, targetEnd: 'broke-off'};
 	}
 
 	if (answer.status >= STATUS_SERVER_ERROR && mayRepeat(work, 'broken') && parts.getRetries(work.service).hasRetry()) {
 		answer.destroy();
-		return {kind: 'broken', reason: `The target failed with ${answer.status}.`};
+		return {kind: 'broken', reason: `The target failed with ${answer.status}.`, targetEnd: 'answered'};
 	}
 
 	return relay(work, answer, facts);
@@ -322,7 +322,7 @@
 	const isEvents = facts.isEventStream && answer.status < 300;
 	if (exchange.hasBegun() && !isEvents) {
 		answer.destroy();
-		return {kind: 'broken', reason: `The target answered the rest of a stream with ${answer.status}.`};
+		return {kind: 'broken', reason: `The target answered the rest of a stream with ${answer.status}.`, targetEnd: 'answered'};
 	}
 
 	progress.status = answer.status;
@@ -336,7 +336,7 @@
 	}
 
 	answer.destroy();
-	return {kind: 'broken', reason: 'The answer ended early.'};
+	return {kind: 'broken', reason: 'The answer ended early.', targetEnd: 'broke-off'};
 }
 
 function isRepeatable({repeat, isStream, isResumable}: TrafficRoute): boolean {
--- a/packages/callers/src/forward/place-queue.ts
+++ b/packages/callers/src/forward/place-queue.ts
@@ -13,8 +13,11 @@
 	readonly tried: ReadonlySet<string>;
 };
 
+/** What a request tells of its target: whether it answered in any way, broke off, or could not be reached at all. */
+export type PlaceEnd = 'answered' | 'broke-off' | 'unreachable';
+
 /** The target that a request goes to; `end` gives the place back. */
-export type Place = {readonly targetId: string; readonly address: string; readonly zone: string; readonly end: (failed: boolean) => void};
+export type Place = {readonly targetId: string; readonly address: string; readonly zone: string; readonly end: (end: PlaceEnd) => void};
 
 /** Whether a request can be placed now, and otherwise why not. */
 export type PlaceAnswer =
--- a/packages/callers/tests/forward/support/forward-world.ts
+++ b/packages/callers/tests/forward/support/forward-world.ts
@@ -133,6 +133,8 @@
 }
 
 class FakePlaces extends PlaceSource {
+	readonly ends: string[] = [];
+
 	constructor(private readonly targets: readonly string[]) {
 		super();
 	}
@@ -144,7 +146,9 @@
 			: {
 				kind: 'place',
 				place: {
-					targetId, address: `${targetId}:1`, zone: 'a', end: () => undefined,
+					targetId, address: `${targetId}:1`, zone: 'a', end: end => {
+						this.ends.push(`${targetId} ${end}`);
+					},
 				},
 			};
 	}
@@ -209,9 +213,10 @@
 	const sender = new FakeSender([...opts.answers ?? []], clock);
 	const observer = new EndRecorder();
 	const exchange = new FakeExchange({method: 'POST', url: '/orders', rawHeaders: opts.headers ?? []});
+	const places = new FakePlaces(opts.targets ?? ['t1', 't2', 't3']);
 	const retries = new RetryBudget(clock, {ratio: 0, reserve: 3});
 	const parts: ForwardParts = {
-		clock, random: () => 0, dialect: new FakeDialect(), queue: new PlaceQueue(clock, new FakePlaces(opts.targets ?? ['t1', 't2', 't3'])), rates: new RateParts(clock), lender: new NoLender(), sender, observer, getTable: () => opts.isUnconfigured ? undefined : table, halted: new AbortController().signal, getRetries: () => retries,
+		clock, random: () => 0, dialect: new FakeDialect(), queue: new PlaceQueue(clock, places), rates: new RateParts(clock), lender: new NoLender(), sender, observer, getTable: () => opts.isUnconfigured ? undefined : table, halted: new AbortController().signal, getRetries: () => retries,
 	};
 	const served = forwardRequest(exchange, parts);
 	if (opts.leavesMs !== undefined) {
@@ -222,5 +227,7 @@
 	await clock.run(5000);
 	await served;
 	const end = observer.ends[0]?.outcome;
-	return {caller: exchange.seen, targets: sender.sent, logged: typeof end === 'object' ? end.code : end};
+	return {
+		caller: exchange.seen, targets: sender.sent, ends: places.ends, logged: typeof end === 'object' ? end.code : end,
+	};
 }
--- a/packages/engines/src/client/forward-client.ts
+++ b/packages/engines/src/client/forward-client.ts
@@ -4,7 +4,7 @@
 import {Result} from 'true-myth';
 
 /** Time for a connection to be established; a target that is cut off or without power answers nothing at all. */
-export const FORWARD_CONNECT_MS = 400;
+export const FORWARD_CONNECT_MS = 250;
 
 /** Idle connections kept to each target. */
 export const MAX_IDLE_CONNECTIONS = 8;
--- a/packages/engines/src/registry/constants.ts
+++ b/packages/engines/src/registry/constants.ts
@@ -10,6 +10,9 @@
 /** A target that failed a request for a reason of its own is chosen after all others for this long. */
 export const SUSPECT_MS = 1500;
 
+/** The longest time for which an unreachable target is chosen after all others; its registration ends soon after. */
+export const MAX_SUSPECT_MS = 6000;
+
 /** Work that one more running request adds for the others of an engine's batch, to weigh engines against each other. */
 export const BATCH_SHARE_MS = 12;
 
--- a/packages/engines/src/registry/target-book.ts
+++ b/packages/engines/src/registry/target-book.ts
@@ -1,9 +1,13 @@
 import {type Clock, type Registration, Signal} from '@egretrill/common';
 import {type TargetCandidate, chooseTarget, type TargetChoice} from './choose-target.js';
-import {QUEUED_PER_SLOT, REGISTRATION_TTL_MS, SUSPECT_MS} from './constants.js';
+import {
+	MAX_SUSPECT_MS, QUEUED_PER_SLOT, REGISTRATION_TTL_MS, SUSPECT_MS,
+} from './constants.js';
 import {KeptPrompts} from './kept-prompts.js';
 import type {RegistryUpdate} from './types.js';
 
+const MS_PER_SECOND = 1000;
+
 type Target = {
 	registration: Registration;
 	coldUntilMs: number;
@@ -12,8 +16,10 @@
 	/** Requests of the other hosts, as last told. */
 	others: number;
 	suspectUntilMs: number;
-	/** Sends to the cold target in the running second. */
-	coldSends: {startMs: number; count: number};
+	/** Requests in a row that could not reach the target. */
+	unreachableCount: number;
+	/** Times of the sends of the last second, kept while the target is cold. */
+	coldSends: readonly number[];
 };
 
 /** What a request needs of its target. */
@@ -26,8 +32,11 @@
 	readonly tried: ReadonlySet<string>;
 };
 
+/** What a request tells of its target: whether it answered in any way, broke off, or could not be reached at all. */
+export type TargetEnd = 'answered' | 'broke-off' | 'unreachable';
+
 /** A place at a target; `end` gives it back. */
-export type TargetPlace = {readonly registration: Registration; readonly end: (failed: boolean) => void};
+export type TargetPlace = {readonly registration: Registration; readonly end: (end: TargetEnd) => void};
 
 export type TargetBookOptions = {
 	readonly clock: Clock;
@@ -38,6 +47,10 @@
 	readonly getBatchSlots: (service: string) => number | undefined;
 };
 
+function getRecent(times: readonly number[], nowMs: number): readonly number[] {
+	return times.filter(timeMs => nowMs - timeMs < MS_PER_SECOND);
+}
+
 /** The targets as an entry host knows them, and what it has running there. */
 export class TargetBook {
 	/** Notified when a place may have become free or a target appeared. */
@@ -123,22 +136,29 @@
 		let hasEnded = false;
 		return {
 			registration: target.registration,
-			end: failed => {
+			end: end => {
 				if (hasEnded) {
 					return;
 				}
 
 				hasEnded = true;
 				target.own -= 1;
-				if (failed) {
-					target.suspectUntilMs = this.opts.clock.now() + SUSPECT_MS;
-				}
+				this.noteEnd(target, end);
 
 				this.changed.notify();
 			},
 		};
 	}
 
+	/** A target without power or behind a cut costs each request a timeout, so it is left alone for longer each time. */
+	private noteEnd(target: Target, end: TargetEnd): void {
+		target.unreachableCount = end === 'unreachable' ? target.unreachableCount + 1 : 0;
+		if (end !== 'answered') {
+			const factor = 2 ** Math.max(0, target.unreachableCount - 1);
+			target.suspectUntilMs = this.opts.clock.now() + Math.min(SUSPECT_MS * factor, MAX_SUSPECT_MS);
+		}
+	}
+
 	private getCandidates(need: TargetNeed): readonly TargetCandidate[] {
 		const candidates: TargetCandidate[] = [];
 		for (const [targetId, target] of this.targets) {
@@ -171,13 +191,12 @@
 	private mayTakeCold(target: Target): boolean {
 		const nowMs = this.opts.clock.now();
 		const rate = this.opts.getColdRate(target.registration.service);
-		return nowMs >= target.coldUntilMs || rate <= 0 || nowMs - target.coldSends.startMs >= 1000 || target.coldSends.count < Math.max(1, Math.floor(rate));
+		return nowMs >= target.coldUntilMs || rate <= 0 || getRecent(target.coldSends, nowMs).length < Math.max(1, Math.floor(rate));
 	}
 
 	private countColdSend(target: Target): void {
 		const nowMs = this.opts.clock.now();
-		const isNewSecond = nowMs - target.coldSends.startMs >= 1000;
-		target.coldSends = isNewSecond ? {startMs: nowMs, count: 1} : {startMs: target.coldSends.startMs, count: target.coldSends.count + 1};
+		target.coldSends = nowMs < target.coldUntilMs ? [...getRecent(target.coldSends, nowMs), nowMs] : [];
 	}
 
 	private put(registration: Registration, coldUntilMs: number): void {
@@ -190,7 +209,7 @@
 
 		this.kept.forget(registration.targetId);
 		this.targets.set(registration.targetId, {
-			registration, coldUntilMs, own: 0, others: 0, suspectUntilMs: 0, coldSends: {startMs: 0, count: 0},
+			registration, coldUntilMs, own: 0, others: 0, suspectUntilMs: 0, unreachableCount: 0, coldSends: [],
 		});
 	}
 
--- /dev/null
+++ b/packages/engines/tests/registry/target-book.test.ts
@@ -0,0 +1,81 @@
+import {ManualClock, type Registration} from '@egretrill/common';
+import {expect} from 'chai';
+import {TargetBook, type TargetEnd, type TargetNeed} from '../../src/registry/index.js';
+
+const need: TargetNeed = {service: 's', parts: [], tried: new Set()};
+
+function register(targetId: string, changes: Partial<Registration> = {}): Registration {
+	return {
+		targetId, startedAtMs: 1, sequence: 1, service: 's', address: `${targetId}:1`, zone: 'a', slots: 4, isLeaving: false, coldForMs: 0, models: [], inMemory: [], onDisk: [], ...changes,
+	};
+}
+
+function createBook(registrations: readonly Registration[]): {book: TargetBook; clock: ManualClock} {
+	const clock = new ManualClock();
+	const book = new TargetBook({
+		clock, zone: 'a', getColdRate: () => 2, getBatchSlots: () => undefined,
+	});
+	book.update({
+		origin: 'r', revision: 1, isWhole: true, targets: registrations.map(registration => ({registration, ageMs: 0, hasEnded: false})),
+	});
+	return {book, clock};
+}
+
+function send(book: TargetBook, end?: TargetEnd): string {
+	const choice = book.choose(need);
+	if (choice.kind !== 'target') {
+		return choice.kind;
+	}
+
+	const place = book.take(choice.targetId, need);
+	if (end) {
+		place?.end(end);
+	}
+
+	return choice.targetId;
+}
+
+describe('TargetBook', () => {
+	// Guards against each request losing a timeout to a target without power while others serve.
+	it('leaves an unreachable target alone for longer each time, and one that answers with a failure in use', () => {
+		const {book, clock} = createBook([register('near'), register('far', {zone: 'b'})]);
+		const chosen: string[] = [];
+		for (const end of ['answered', 'unreachable', 'answered'] as const) {
+			chosen.push(send(book, end));
+		}
+
+		clock.advance(1600);
+		chosen.push(send(book, 'unreachable'));
+		clock.advance(1600);
+		chosen.push(send(book, 'answered'));
+		clock.advance(1600);
+		chosen.push(send(book, 'answered'));
+		expect(chosen).toMatchSnapshot();
+	});
+
+	// Guards against a cold target that breaks down under the first burst.
+	it('sends a cold target no more than this host\'s part', () => {
+		const {book, clock} = createBook([register('cold', {coldForMs: 5000})]);
+		const sends = [send(book, 'answered')];
+		clock.advance(900);
+		sends.push(send(book, 'answered'), send(book, 'answered'));
+		// A second that begins anew must not allow a second burst at once.
+		clock.advance(200);
+		sends.push(send(book, 'answered'), send(book, 'answered'));
+		clock.advance(1000);
+		sends.push(send(book, 'answered'));
+		clock.advance(5000);
+		sends.push(send(book, 'answered'), send(book, 'answered'), send(book, 'answered'));
+		expect(sends).toMatchSnapshot();
+	});
+
+	// Guards against work for leaving targets, for zones out of service, and beyond the places of a target.
+	it('chooses among targets that may take work', () => {
+		const {book} = createBook([register('leaving', {isLeaving: true}), register('out', {zone: 'c'}), register('full', {slots: 1})]);
+		book.setZonesOut(['c']);
+		const sends = [send(book), send(book), send(book)];
+		book.setZonesOut([]);
+		sends.push(send(book));
+		expect(sends).toMatchSnapshot();
+	});
+});
