control hosts: gossip and membership as modules of their own; a removed host joins by what the leader tells

Cause: control-host.ts held five tasks; a host that was removed from the log while it was frozen still found itself in its own copy and never asked to be added again. Change: ControlGossip and Membership; both bundles share their options. Test: membership.test.ts; the second case fails when the host's own members decide, as they did before (seen by reading, the code before was not run against it).

--- a/apps/egretrilld/src/traffic/constants.ts
+++ b/apps/egretrilld/src/traffic/constants.ts
@@ -28,6 +28,9 @@
 /** A member that has not answered for this long is removed when enough others vote; it asks to be added again when it returns. */
 export const DEAD_MEMBER_MS = 2500;
 
+/** How often the leader looks for silent members. */
+export const MEMBER_CHECK_MS = 1000;
+
 /** Time for a leaving member's own removal before it stops. */
 export const LEAVE_MS = 1500;
 
--- /dev/null
+++ b/apps/egretrilld/src/traffic/control-gossip.ts
@@ -0,0 +1,93 @@
+import {
+	type Clock, jitter, type Logger, type Random,
+} from '@egretrill/common';
+import type {TargetRegistry} from '@egretrill/engines';
+import type {ControlPeers, FleetNode} from '@egretrill/hosts';
+import {GOSSIP_MS, JOIN_RETRY_MS} from './constants.js';
+import {gossipMethod} from './methods.js';
+
+export type ControlGossipOptions = {
+	readonly hostId: string;
+	readonly zone: string;
+	readonly clock: Clock;
+	readonly random: Random;
+	readonly logger: Logger;
+	readonly node: FleetNode;
+	readonly peers: ControlPeers;
+	readonly registry: TargetRegistry;
+};
+
+type Contact = {readonly zone: string; readonly heardMs: number};
+
+/** What the control hosts tell each other: registrations, members and who leads. */
+export class ControlGossip {
+	/** Leader that another host named last, for hosts that are no members themselves. */
+	leaderHint: string | undefined;
+	/** Members as the leader itself told them last. */
+	leaderMemberIds: readonly string[] | undefined;
+	private readonly contacts = new Map<string, Contact>();
+	private readonly startedMs: number;
+
+	constructor(private readonly opts: ControlGossipOptions) {
+		this.startedMs = opts.clock.now();
+	}
+
+	/** Notes that another control host has called or answered. */
+	noteHeard(id: string, zone: string): void {
+		this.contacts.set(id, {zone, heardMs: this.opts.clock.now()});
+	}
+
+	getZone(id: string): string | undefined {
+		return id === this.opts.hostId ? this.opts.zone : this.contacts.get(id)?.zone;
+	}
+
+	/** Time since a control host was heard, or since this one started. */
+	getSilentMs(id: string): number {
+		return id === this.opts.hostId ? 0 : this.opts.clock.now() - (this.contacts.get(id)?.heardMs ?? this.startedMs);
+	}
+
+	/** Runs one task for each other control host until aborted. */
+	async run(signal: AbortSignal): Promise<void> {
+		const tasks = new Map<string, Promise<void>>();
+		while (!signal.aborted) {
+			for (const {id} of this.opts.peers.getOthers()) {
+				if (!tasks.has(id)) {
+					tasks.set(id, this.exchangeWith(id, signal));
+				}
+			}
+
+			await this.opts.clock.sleep(JOIN_RETRY_MS, signal);
+		}
+
+		await Promise.all(tasks.values());
+	}
+
+	private async exchangeWith(id: string, signal: AbortSignal): Promise<void> {
+		const {clock, hostId, logger, node, peers, random, registry, zone} = this.opts;
+		let known = {origin: '', revision: 0};
+		let isHeard = false;
+		while (!signal.aborted) {
+			const answer = await peers.call(id, gossipMethod, {hostId, zone, registry: known});
+			if (answer.isOk !== isHeard) {
+				isHeard = answer.isOk;
+				logger.info({peer: id, ...(answer.isErr && {reason: answer.error.message})}, isHeard ? 'A control host answers.' : 'A control host does not answer.');
+			}
+
+			if (answer.isOk) {
+				const {registry: update, zone: peerZone, memberIds, leaderId} = answer.value;
+				known = {origin: update.origin, revision: update.revision};
+				this.noteHeard(id, peerZone);
+				registry.merge(update.targets);
+				this.leaderHint = leaderId ?? this.leaderHint;
+				if (leaderId === id) {
+					this.leaderMemberIds = memberIds;
+				}
+
+				const ids = new Set([...memberIds, ...node.status().members.map(member => member.id), ...this.contacts.keys()]);
+				peers.learn([...ids].map(other => ({id: other})));
+			}
+
+			await clock.sleep(jitter(GOSSIP_MS, random), signal);
+		}
+	}
+}
--- a/apps/egretrilld/src/traffic/control-host.ts
+++ b/apps/egretrilld/src/traffic/control-host.ts
@@ -1,7 +1,7 @@
 import {randomUUID} from 'node:crypto';
 import path from 'node:path';
 import {
-	type Clock, type EngineClass, jitter, type Logger, type Random, type Registration, Signal, type TrafficConfig, type TrafficCustomer,
+	type Clock, type EngineClass, type Logger, type Random, type Registration, Signal, type TrafficConfig, type TrafficCustomer,
 } from '@egretrill/common';
 import {FileLogStorage, SnapshotStore} from '@egretrill/disk';
 import {type EngineOrders, TargetRegistry} from '@egretrill/engines';
@@ -9,11 +9,11 @@
 	bindConsensus, bindFleetLog, bindMethod, ConsensusNode, ControlPeers, FleetLog, type FleetNode, FleetState, GrpcConsensusTransport, type MethodHandler, type PeerCredentials,
 } from '@egretrill/hosts';
 import type {ConfigDecoder} from './config-decoder.js';
-import {
-	DEAD_MEMBER_MS, DUTY_PERIOD_MS, GOSSIP_MS, JOIN_RETRY_MS, LEAVE_MS,
-} from './constants.js';
+import {DUTY_PERIOD_MS} from './constants.js';
+import {ControlGossip} from './control-gossip.js';
 import {ControlService, type PutOutcome} from './control-service.js';
 import {LeaderTerm} from './leader-term.js';
+import {Membership} from './membership.js';
 import {
 	borrowMethod, gossipMethod, readTrafficMethod, syncMethod, wantMethod,
 } from './methods.js';
@@ -30,7 +30,6 @@
 };
 
 type DecodedTraffic = {readonly source: string; readonly classes: ReadonlyMap<string, EngineClass>; readonly customers: ReadonlyMap<string, TrafficCustomer>};
-type Contact = {zone: string; heardMs: number};
 
 /** A host that keeps the log, hears the targets and serves operators; the leader among them divides rates and orders engines. */
 export class ControlHost extends ControlService {
@@ -40,20 +39,18 @@
 	private readonly state = new FleetState();
 	private readonly node: FleetNode;
 	private readonly log: FleetLog;
-	private readonly contacts = new Map<string, Contact>();
+	private readonly gossip: ControlGossip;
+	private readonly membership: Membership;
 	/** Notified when entry hosts must hear of a change. */
 	private readonly news = new Signal();
 	private readonly origin = randomUUID();
 	private term: LeaderTerm | undefined;
 	private decoded: DecodedTraffic | undefined;
-	private leaderHint: string | undefined;
-	private readonly startedMs: number;
 
 	constructor(private readonly opts: ControlHostOptions) {
 		super();
 		const {settings, clock, random, logger, credentials} = opts;
 		this.hostId = settings.listen.peers;
-		this.startedMs = clock.now();
 		this.peers = new ControlPeers({
 			selfId: this.hostId, seedIds: settings.seeds, clock, credentials,
 		});
@@ -78,6 +75,13 @@
 			getLeaderId: () => this.getLeaderId(),
 			getAgeMs: () => 0,
 		});
+		const {hostId, node, log, registry, peers} = this;
+		this.gossip = new ControlGossip({
+			hostId, zone: settings.zone, clock, random, logger, node, peers, registry,
+		});
+		this.membership = new Membership({
+			hostId, settings, clock, logger, node, log, gossip: this.gossip,
+		});
 	}
 
 	/** What other hosts may call. */
@@ -109,7 +113,7 @@
 				return {...(answer && {answer})};
 			}),
 			bindMethod(gossipMethod, async ({hostId, zone, registry}) => {
-				this.contacts.set(hostId, {zone, heardMs: this.opts.clock.now()});
+				this.gossip.noteHeard(hostId, zone);
 				const leaderId = this.getLeaderId();
 				return {
 					registry: this.registry.getUpdateSince(registry, true),
@@ -131,9 +135,9 @@
 		await this.node.start();
 		const watching = this.watchLog();
 		await Promise.all([
-			this.followLog(signal), this.followRegistry(signal), this.gossip(signal), this.join(signal), this.doDuties(signal),
+			this.followLog(signal), this.followRegistry(signal), this.gossip.run(signal), this.membership.join(signal), this.membership.removeSilent(signal),
 		]);
-		await this.leave();
+		await this.membership.leave();
 		this.term?.end();
 		await this.node.stop();
 		await watching;
@@ -198,7 +202,7 @@
 
 	private getLeaderId(): string | undefined {
 		const {leaderId, members} = this.node.status();
-		return leaderId ?? (members.some(({id}) => id === this.hostId) ? undefined : this.leaderHint);
+		return leaderId ?? (members.some(({id}) => id === this.hostId) ? undefined : this.gossip.leaderHint);
 	}
 
 	private getTerm(): LeaderTerm | undefined {
@@ -208,7 +212,7 @@
 	private getControls(): Array<{id: string; zone?: string}> {
 		const ids = new Set([this.hostId, ...this.node.status().members.map(({id}) => id), ...this.peers.getVoterIds()]);
 		return [...ids].map(id => {
-			const zone = id === this.hostId ? this.opts.settings.zone : this.contacts.get(id)?.zone;
+			const zone = this.gossip.getZone(id);
 			return {id, ...(zone !== undefined && {zone})};
 		});
 	}
@@ -279,103 +283,6 @@
 		return this.decoded;
 	}
 
-	/** Runs one task for each other control host. */
-	private async gossip(signal: AbortSignal): Promise<void> {
-		const tasks = new Map<string, Promise<void>>();
-		while (!signal.aborted) {
-			for (const {id} of this.peers.getOthers()) {
-				if (!tasks.has(id)) {
-					tasks.set(id, this.gossipWith(id, signal));
-				}
-			}
-
-			await this.opts.clock.sleep(JOIN_RETRY_MS, signal);
-		}
-
-		await Promise.all(tasks.values());
-	}
-
-	private async gossipWith(id: string, signal: AbortSignal): Promise<void> {
-		const {clock, random, settings, logger} = this.opts;
-		let known = {origin: '', revision: 0};
-		let isHeard = false;
-		while (!signal.aborted) {
-			const answer = await this.peers.call(id, gossipMethod, {hostId: this.hostId, zone: settings.zone, registry: known});
-			if (answer.isOk !== isHeard) {
-				isHeard = answer.isOk;
-				logger.info({peer: id, ...(answer.isErr && {reason: answer.error.message})}, isHeard ? 'A control host answers.' : 'A control host does not answer.');
-			}
-
-			if (answer.isOk) {
-				const {registry, zone, memberIds, leaderId} = answer.value;
-				known = {origin: registry.origin, revision: registry.revision};
-				this.contacts.set(id, {zone, heardMs: clock.now()});
-				this.registry.merge(registry.targets);
-				this.leaderHint = leaderId ?? this.leaderHint;
-				this.peers.learn([...new Set([...memberIds, ...this.node.status().members.map(member => member.id), ...this.contacts.keys()])].map(other => ({id: other})));
-			}
-
-			await clock.sleep(jitter(GOSSIP_MS, random), signal);
-		}
-	}
-
-	/** Asks for membership while this host is no member of the log that the others keep. */
-	private async join(signal: AbortSignal): Promise<void> {
-		const {clock, settings, logger} = this.opts;
-		while (!signal.aborted) {
-			await clock.sleep(JOIN_RETRY_MS, signal);
-			const {members} = this.node.status();
-			const isFounder = settings.isFirstStart && settings.seeds.includes(this.hostId);
-			if (signal.aborted || isFounder || this.leaderHint === undefined || members.some(({id}) => id === this.hostId) || members.length >= settings.maxVoters) {
-				continue;
-			}
-
-			const outcome = await this.log.propose({
-				kind: 'addMember', member: {
-					id: this.hostId, zone: settings.zone, region: settings.zone, address: this.hostId, voter: true,
-				}, requestId: randomUUID(), author: settings.host,
-			}, JOIN_RETRY_MS * 4);
-			logger.info({outcome: outcome.kind}, 'This host asked to become a member of the log.');
-			await clock.sleep(JOIN_RETRY_MS * 2, signal);
-		}
-	}
-
-	/** As leader, lets a member go that has been silent for long once another host has taken its place. */
-	private async doDuties(signal: AbortSignal): Promise<void> {
-		const {clock, settings, logger} = this.opts;
-		while (!signal.aborted) {
-			await clock.sleep(DUTY_PERIOD_MS * 4, signal);
-			const {members} = this.node.status();
-			const isSilent = (id: string): boolean => id !== this.hostId && clock.now() - (this.contacts.get(id)?.heardMs ?? this.startedMs) > DEAD_MEMBER_MS;
-			const dead = members.find(({id}) => isSilent(id));
-			const living = members.filter(({id, role}) => !isSilent(id) && role === 'voter');
-			if (dead && this.getTerm() && living.length >= settings.minVoters) {
-				const outcome = await this.log.propose({
-					kind: 'removeMember', memberId: dead.id, requestId: randomUUID(), author: settings.host,
-				});
-				logger.info({memberId: dead.id, living: living.length, outcome: outcome.kind}, 'A silent member was removed from the log.');
-			}
-		}
-	}
-
-	/** Gives up this host's membership before it stops when the others suffice; a host that only restarts asks to be added again. */
-	private async leave(): Promise<void> {
-		const {clock, settings, logger} = this.opts;
-		const {members} = this.node.status();
-		const others = members.filter(({id, role}) => id !== this.hostId && role === 'voter');
-		if (!members.some(({id}) => id === this.hostId) || others.length < settings.minVoters) {
-			return;
-		}
-
-		const outcome = await Promise.race([
-			this.log.propose({
-				kind: 'removeMember', memberId: this.hostId, requestId: randomUUID(), author: settings.host,
-			}, LEAVE_MS),
-			clock.sleep(LEAVE_MS),
-		]);
-		logger.info({others: others.length, outcome: outcome?.kind ?? 'timeout'}, 'This host gave up its membership of the log.');
-	}
-
 	private async watchLog(): Promise<void> {
 		const failure = await this.node.waitUntilStopped();
 		if (failure) {
--- /dev/null
+++ b/apps/egretrilld/src/traffic/membership.ts
@@ -0,0 +1,77 @@
+import {randomUUID} from 'node:crypto';
+import type {Clock, Logger} from '@egretrill/common';
+import type {FleetLog, FleetNode} from '@egretrill/hosts';
+import {
+	DEAD_MEMBER_MS, JOIN_RETRY_MS, LEAVE_MS, MEMBER_CHECK_MS,
+} from './constants.js';
+import type {ControlGossip} from './control-gossip.js';
+import type {ControlSettings} from './settings.js';
+
+export type MembershipOptions = {
+	readonly hostId: string;
+	readonly settings: Pick<ControlSettings, 'host' | 'zone' | 'minVoters' | 'maxVoters'>;
+	readonly clock: Clock;
+	readonly logger: Logger;
+	readonly node: Pick<FleetNode, 'status' | 'isLeaderWithLease'>;
+	readonly log: Pick<FleetLog, 'propose'>;
+	readonly gossip: Pick<ControlGossip, 'leaderMemberIds' | 'getSilentMs'>;
+};
+
+/** Keeps the members of the log in step with the control hosts that run. */
+export class Membership {
+	constructor(private readonly opts: MembershipOptions) {}
+
+	/** Asks for membership while this host is none of the members that the leader tells. */
+	async join(signal: AbortSignal): Promise<void> {
+		const {clock, gossip, hostId, log, logger, settings} = this.opts;
+		while (!signal.aborted) {
+			await clock.sleep(JOIN_RETRY_MS, signal);
+			const memberIds = gossip.leaderMemberIds;
+			if (signal.aborted || memberIds === undefined || memberIds.includes(hostId) || memberIds.length >= settings.maxVoters || this.opts.node.isLeaderWithLease()) {
+				continue;
+			}
+
+			const member = {
+				id: hostId, zone: settings.zone, region: settings.zone, address: hostId, voter: true,
+			};
+			const outcome = await log.propose({
+				kind: 'addMember', member, requestId: randomUUID(), author: settings.host,
+			}, JOIN_RETRY_MS * 4);
+			logger.info({outcome: outcome.kind, memberIds}, 'This host asked to become a member of the log.');
+			await clock.sleep(JOIN_RETRY_MS * 2, signal);
+		}
+	}
+
+	/** As leader, lets a member go that has been silent for long while enough others vote. */
+	async removeSilent(signal: AbortSignal): Promise<void> {
+		const {clock, gossip, log, logger, node, settings} = this.opts;
+		while (!signal.aborted) {
+			await clock.sleep(MEMBER_CHECK_MS, signal);
+			const {members} = node.status();
+			const dead = members.find(({id}) => gossip.getSilentMs(id) > DEAD_MEMBER_MS);
+			const living = members.filter(({id, role}) => gossip.getSilentMs(id) <= DEAD_MEMBER_MS && role === 'voter');
+			if (dead && node.isLeaderWithLease() && living.length >= settings.minVoters) {
+				const outcome = await log.propose({
+					kind: 'removeMember', memberId: dead.id, requestId: randomUUID(), author: settings.host,
+				});
+				logger.info({memberId: dead.id, living: living.length, outcome: outcome.kind}, 'A silent member was removed from the log.');
+			}
+		}
+	}
+
+	/** Gives up this host's membership before it stops when the others suffice; a host that only restarts asks to be added again. */
+	async leave(): Promise<void> {
+		const {clock, hostId, log, logger, node, settings} = this.opts;
+		const {members} = node.status();
+		const others = members.filter(({id, role}) => id !== hostId && role === 'voter');
+		if (!members.some(({id}) => id === hostId) || others.length < settings.minVoters) {
+			return;
+		}
+
+		const removal = log.propose({
+			kind: 'removeMember', memberId: hostId, requestId: randomUUID(), author: settings.host,
+		}, LEAVE_MS);
+		const outcome = await Promise.race([removal, clock.sleep(LEAVE_MS)]);
+		logger.info({others: others.length, outcome: outcome?.kind ?? 'timeout'}, 'This host gave up its membership of the log.');
+	}
+}
--- /dev/null
+++ b/apps/egretrilld/tests/traffic/membership.test.ts
@@ -0,0 +1,110 @@
+import {createLogger, ManualClock} from '@egretrill/common';
+import type {CommandOutcome, ConsensusStatus, FleetCommand} from '@egretrill/hosts';
+import {expect} from 'chai';
+import {Membership} from '../../src/traffic/index.js';
+
+/** One control host of a fleet whose members, silences and leader the test sets. */
+class MembershipWorld {
+	readonly clock = new ManualClock();
+	readonly proposed: string[] = [];
+	memberIds: readonly string[] = ['h1', 'h2', 'h3'];
+	leaderMemberIds: readonly string[] | undefined;
+	silentMs = new Map<string, number>();
+	isLeader = false;
+	private readonly membership: Membership;
+
+	constructor(hostId: string) {
+		this.membership = new Membership({
+			hostId,
+			settings: {
+				host: hostId, zone: 'z', minVoters: 3, maxVoters: 5,
+			},
+			clock: this.clock,
+			logger: createLogger('test', 'fatal'),
+			node: {status: () => this.createStatus(hostId), isLeaderWithLease: () => this.isLeader},
+			log: {propose: async command => this.propose(command)},
+			gossip: this.createGossip(),
+		});
+	}
+
+	async play(ms: number): Promise<readonly string[]> {
+		const stopper = new AbortController();
+		const tasks = [this.membership.join(stopper.signal), this.membership.removeSilent(stopper.signal)];
+		await this.clock.run(ms);
+		stopper.abort();
+		await this.clock.run(1);
+		await Promise.all(tasks);
+		return this.proposed;
+	}
+
+	async leave(): Promise<readonly string[]> {
+		const left = this.membership.leave();
+		await this.clock.run(2000);
+		await left;
+		return this.proposed;
+	}
+
+	private createGossip(): {readonly leaderMemberIds: readonly string[] | undefined; getSilentMs: (id: string) => number} {
+		const getMemberIds = (): readonly string[] | undefined => this.leaderMemberIds;
+		return {
+			get leaderMemberIds() {
+				return getMemberIds();
+			},
+			getSilentMs: id => this.silentMs.get(id) ?? 0,
+		};
+	}
+
+	private createStatus(memberId: string): ConsensusStatus {
+		return {
+			memberId, identity: memberId, role: this.isLeader ? 'leader' : 'follower', term: 1, lastIndex: 1, commitIndex: 1, appliedIndex: 1, snapshotIndex: 0, members: this.memberIds.map(id => ({id, identity: id, role: 'voter'})),
+		};
+	}
+
+	private async propose(command: FleetCommand): Promise<CommandOutcome> {
+		if (command.kind === 'addMember') {
+			this.proposed.push(`add ${command.member.id}`);
+			this.leaderMemberIds = [...this.leaderMemberIds ?? [], command.member.id];
+		}
+
+		if (command.kind === 'removeMember') {
+			this.proposed.push(`remove ${command.memberId}`);
+			this.memberIds = this.memberIds.filter(id => id !== command.memberId);
+		}
+
+		return {kind: 'not-applied', reason: 'The test only records it.'};
+	}
+}
+
+describe('Membership', () => {
+	// Guards against a host that is replaced and stays a voter: the loss of one more disk would leave no majority.
+	it('removes a silent member only while enough others vote', async () => {
+		const replaced = new MembershipWorld('h1');
+		replaced.isLeader = true;
+		replaced.memberIds = ['h1', 'h2', 'h3', 'h4'];
+		replaced.silentMs.set('h2', 3000);
+		const short = new MembershipWorld('h1');
+		short.isLeader = true;
+		short.silentMs.set('h2', 60_000);
+		const follower = new MembershipWorld('h1');
+		follower.memberIds = ['h1', 'h2', 'h3', 'h4'];
+		follower.silentMs.set('h2', 3000);
+		expect([await replaced.play(5000), await short.play(5000), await follower.play(5000)]).toMatchSnapshot();
+	});
+
+	// Guards against a host that was removed while it was frozen and still takes itself for a member by its own log.
+	it('asks to be added by what the leader tells, not by its own log', async () => {
+		const removed = new MembershipWorld('h2');
+		removed.leaderMemberIds = ['h1', 'h3', 'h4'];
+		const unknown = new MembershipWorld('h5');
+		const full = new MembershipWorld('h6');
+		full.leaderMemberIds = ['h1', 'h2', 'h3', 'h4', 'h5'];
+		expect([await removed.play(3000), await unknown.play(3000), await full.play(3000)]).toMatchSnapshot();
+	});
+
+	// Guards against a planned stop that leaves a dead voter behind, or too few living ones.
+	it('gives up its membership on a planned stop when the others suffice', async () => {
+		const spare = new MembershipWorld('h1');
+		spare.memberIds = ['h1', 'h2', 'h3', 'h4'];
+		expect([await spare.leave(), await new MembershipWorld('h1').leave(), await new MembershipWorld('h9').leave()]).toMatchSnapshot();
+	});
+});
