engines: spread adapter loads over the engines that hold the model

Change: changes that wait at an engine count when one is chosen. Test: engine-owner.test.ts, shown failing without it (t1, t1, t1).

--- a/packages/engines/src/loading/constants.ts
+++ b/packages/engines/src/loading/constants.ts
@@ -19,6 +19,10 @@
 /** Weight of an engine's other work when a site for a load is chosen. */
 export const SITE_LOAD_RATIO = 0.2;
 
+/** Adapters that a waiting change, and a move of a model, count as when an engine for an adapter is chosen. */
+export const PENDING_WEIGHT = 2;
+export const MOVE_WEIGHT = 100;
+
 /** The owner watches demand for this long before it adds copies of models that have one. */
 export const DEMAND_WATCH_MS = 2500;
 
--- a/packages/engines/src/loading/engine-line.ts
+++ b/packages/engines/src/loading/engine-line.ts
@@ -84,6 +84,7 @@
 	/** Whether the last order was done when the engine answered. */
 	private isAnsweredDone = false;
 	private last: Promise<unknown> = Promise.resolve();
+	private pending = 0;
 
 	constructor(readonly targetId: string, readonly startedAtMs: number, private readonly opts: EngineLineOptions) {}
 
@@ -109,6 +110,11 @@
 		}
 	}
 
+	/** Changes that run or wait for their turn. */
+	getPending(): number {
+		return this.pending;
+	}
+
 	/** Model that a running move loads. */
 	getLoading(): string | undefined {
 		return this.move?.load;
@@ -303,6 +309,7 @@
 	}
 
 	private async inTurn<T>(work: () => Promise<T>): Promise<T> {
+		this.pending += 1;
 		const earlier = this.last;
 		const turn = new AbortController();
 		this.last = new Promise(resolve => {
@@ -312,6 +319,7 @@
 		try {
 			return await work();
 		} finally {
+			this.pending -= 1;
 			turn.abort();
 		}
 	}
--- a/packages/engines/src/loading/engine-owner.ts
+++ b/packages/engines/src/loading/engine-owner.ts
@@ -2,7 +2,9 @@
 	type Clock, type EngineClass, jitter, type Logger, type Random, type Registration,
 } from '@egretrill/common';
 import type {TargetRegistry} from '../registry/index.js';
-import {DEMAND_WATCH_MS, LOAD_PLAN_MS} from './constants.js';
+import {
+	DEMAND_WATCH_MS, LOAD_PLAN_MS, MOVE_WEIGHT, PENDING_WEIGHT,
+} from './constants.js';
 import {DemandCounter} from './demand-counter.js';
 import {EngineLine, type HeldAdapter} from './engine-line.js';
 import type {EngineOrders} from './engine-orders.js';
@@ -159,7 +161,7 @@
 		}
 	}
 
-	/** The engine with the model that has the fewest adapters and no move under way. */
+	/** The engine with the model where an adapter has a place soonest: few changes wait, few adapters are held, and no model is moved. */
 	private findAdapterSite(service: string, model: string, adapter: string): {readonly engine?: Registration; readonly isHeld: boolean} {
 		const holders = this.getEngines(service).filter(({models}) => models.some(({name}) => name === model));
 		const holder = holders.find(({models}) => models.some(({name, adapters}) => name === model && adapters.includes(adapter)));
@@ -167,7 +169,12 @@
 			return {engine: holder, isHeld: true};
 		}
 
-		const getLoad = (engine: Registration): number => engine.models.reduce((sum, {adapters}) => sum + adapters.length, 0) + (this.lines.get(engine.targetId)?.move ? 100 : 0);
+		const getLoad = ({targetId, models}: Registration): number => {
+			const line = this.lines.get(targetId);
+			const held = models.flatMap(({adapters}) => adapters).length;
+			return held + ((line?.getPending() ?? 0) * PENDING_WEIGHT) + (line?.move ? MOVE_WEIGHT : 0);
+		};
+
 		return {engine: holders.toSorted((a, b) => getLoad(a) - getLoad(b)).at(0), isHeld: false};
 	}
 
--- a/packages/engines/tests/loading/engine-owner.test.ts
+++ b/packages/engines/tests/loading/engine-owner.test.ts
@@ -114,6 +114,10 @@
 	}
 }
 
+const registration: Registration = {
+	targetId: 't1', startedAtMs: 1, sequence: 1, service: 's', address: '127.0.0.1:1', zone: 'z', slots: 64, isLeaving: false, coldForMs: 0, models: [{name: 'a', version: 1, adapters: []}], inMemory: [], onDisk: [],
+};
+
 type Play = {readonly clock: ManualClock; readonly engine: SimulatedEngine; readonly owner: EngineOwner; readonly stopper: AbortController};
 
 function start(prepare: (engine: SimulatedEngine) => void = () => undefined): Play {
@@ -122,9 +126,6 @@
 	prepare(engine);
 	const registry = new TargetRegistry(clock, 'r');
 	const stopper = new AbortController();
-	const registration: Registration = {
-		targetId: 't1', startedAtMs: 1, sequence: 1, service: 's', address: '127.0.0.1:1', zone: 'z', slots: 64, isLeaving: false, coldForMs: 0, models: [{name: 'a', version: 1, adapters: []}], inMemory: [], onDisk: [],
-	};
 	const beat = async (): Promise<void> => {
 		for (let sequence = 1; !stopper.signal.aborted; sequence++) {
 			registry.accept({...registration, sequence, models: [...engine.models]});
@@ -206,4 +207,40 @@
 		await finish(play);
 		expect({answers, seen: play.engine.seen, adapters: play.engine.models[0]?.adapters}).toMatchSnapshot();
 	});
+
+	// Guards against adapters that queue at one of several engines with the model while the others are idle.
+	it('spreads adapter loads over the engines that hold the model', async () => {
+		const clock = new ManualClock();
+		const registry = new TargetRegistry(clock, 'r');
+		const engines = new Map(['t1', 't2', 't3'].map(id => [id, new SimulatedEngine(clock)]));
+		for (const [targetId, engine] of engines) {
+			engine.models = [{name: 'a', version: 1, adapters: ['x', 'y']}];
+			registry.accept({
+				...registration, targetId, address: `${targetId}:1`, models: [...engine.models],
+			});
+		}
+
+		class Orders extends EngineOrders {
+			override async send(engine: OrderedEngine, order: LoadOrder, mayWrite: () => boolean): Promise<LoadAnswer> {
+				await clock.sleep(50);
+				return engines.get(engine.targetId)?.send(engine, order, mayWrite) ?? 'not-sent';
+			}
+
+			override async getReport(engine: OrderedEngine): Promise<EngineReport | undefined> {
+				return engines.get(engine.targetId)?.getReport();
+			}
+		}
+
+		const owner = new EngineOwner({
+			clock, random: createRandom(1), logger: createLogger('test', 'fatal'), registry, orders: new Orders(), holder: 'h', fencingToken: 1, firstOrderAtMs: 0, mayOrder: () => true, getClasses: () => new Map([['s', engineClass]]),
+		});
+		const stopper = new AbortController();
+		void owner.run(stopper.signal);
+		await clock.run(300);
+		const asked = ['a1', 'a2', 'a3'].map(async adapter => owner.want({service: 's', model: 'a', adapter}, stopper.signal));
+		await clock.run(1000);
+		stopper.abort();
+		await clock.run(1);
+		expect(await Promise.all(asked)).toMatchSnapshot();
+	});
 });
