engines: an answer without a length whose connection is reset is not complete

Ruled out: bodies with a length and chunked ones, which the client reports as cut. Change: such an answer counts as complete only if its connection ended without an error.

--- a/packages/engines/src/client/forward-client.ts
+++ b/packages/engines/src/client/forward-client.ts
@@ -55,12 +55,19 @@
 	}
 }
 
+/** An answer whose body is still to be read. */
+export type ForwardAnswer = {
+	readonly message: IncomingMessage;
+	/** Whether the body arrived to its end; meaningful once it has been read. */
+	readonly isComplete: () => boolean;
+};
+
 /** Sends requests to targets byte for byte and gives back the head of the answer; it never retries. */
 export class ForwardClient {
 	private readonly agent = new ForwardAgent();
 
 	/** Resolves with the answer, whose body is still to be read, or with whether the target may have received anything. */
-	async send(message: ForwardMessage, signal: AbortSignal): Promise<Result<IncomingMessage, SendFailure>> {
+	async send(message: ForwardMessage, signal: AbortSignal): Promise<Result<ForwardAnswer, SendFailure>> {
 		const separator = message.address.lastIndexOf(':');
 		return new Promise(resolve => {
 			let isConnected = false;
@@ -96,7 +103,12 @@
 			req.once('response', res => {
 				// Later failures reach the reader of the body; without a listener they would end the process.
 				res.on('error', () => undefined);
-				resolve(Result.ok(res));
+				const {socket} = res;
+				resolve(Result.ok({
+					message: res,
+					// The library takes any end of a connection, also a reset, for the end of a body without a length.
+					isComplete: () => res.complete && !socket.errored,
+				}));
 			});
 			req.end(message.body);
 		});
