entry hosts: poll all control hosts in turn while the leader is unknown

Cause: an entry host whose control host knew no leader stayed with that host, because it was near and answered; it may be behind without knowing it. Change: pickControl rotates over all control hosts unless the leader answers; a control host that is no member names the leader it has heard of.

--- a/apps/egretrilld/src/traffic/control-follower.ts
+++ b/apps/egretrilld/src/traffic/control-follower.ts
@@ -10,6 +10,7 @@
 import {
 	borrowMethod, type EntryReport, type LeaderPlan, syncMethod, type SyncResponse, wantMethod,
 } from './methods.js';
+import {pickControl} from './pick-control.js';
 
 /** What an entry host tells with a poll, apart from who it is. */
 export type OwnReport = Omit<EntryReport, 'hostId' | 'startId'>;
@@ -88,16 +89,13 @@
 
 	private pick(): string | undefined {
 		const nowMs = this.opts.clock.now();
-		const isTrusted = (id: string): boolean => (this.suspectUntilMs.get(id) ?? 0) <= nowMs;
-		if (this.leaderId !== undefined && isTrusted(this.leaderId)) {
-			return this.leaderId;
-		}
-
-		const hosts = this.opts.peers.getOthers();
-		const trusted = hosts.filter(({id}) => isTrusted(id));
-		const near = trusted.filter(({zone}) => zone === this.opts.zone);
-		const choices = near.length > 0 ? near : (trusted.length > 0 ? trusted : hosts);
-		return choices[this.turn % Math.max(1, choices.length)]?.id;
+		return pickControl({
+			hosts: this.opts.peers.getOthers(),
+			leaderId: this.leaderId,
+			zone: this.opts.zone,
+			isTrusted: id => (this.suspectUntilMs.get(id) ?? 0) <= nowMs,
+			turn: this.turn,
+		});
 	}
 
 	private async poll(controlId: string): Promise<boolean> {
@@ -141,6 +139,8 @@
 		sink.takeTargets(registry, zonesOut);
 		if (plan) {
 			sink.takePlan(plan, sentMs);
+		} else {
+			this.turn += 1;
 		}
 	}
 }
--- a/apps/egretrilld/src/traffic/control-host.ts
+++ b/apps/egretrilld/src/traffic/control-host.ts
@@ -202,7 +202,8 @@
 
 	private getLeaderId(): string | undefined {
 		const {leaderId, members} = this.node.status();
-		return leaderId ?? (members.some(({id}) => id === this.hostId) ? undefined : this.gossip.leaderHint);
+		const isMember = this.gossip.leaderMemberIds?.includes(this.hostId) ?? members.some(({id}) => id === this.hostId);
+		return isMember ? leaderId ?? this.gossip.leaderHint : this.gossip.leaderHint ?? leaderId;
 	}
 
 	private getTerm(): LeaderTerm | undefined {
--- a/apps/egretrilld/src/traffic/index.ts
+++ b/apps/egretrilld/src/traffic/index.ts
@@ -4,5 +4,6 @@
 export * from './control-service.js';
 export * from './entry-host.js';
 export * from './membership.js';
+export * from './pick-control.js';
 export * from './run-traffic.js';
 export * from './settings.js';
