--- a/apps/egretrilld/src/traffic/control-follower.ts
+++ b/apps/egretrilld/src/traffic/control-follower.ts
@@ -103,7 +103,7 @@
 		const {configVersion, registry} = sink.getKnown();
 		const sentMs = clock.now();
 		const answer = await peers.call(controlId, syncMethod, {
-			report: {...sink.createReport(), hostId, startId: this.startId}, configVersion, registry, planRevision: 0, waitMs: SYNC_WAIT_MS,
+			report: {...sink.createReport(), hostId, startId: this.startId}, configVersion, registry, waitMs: SYNC_WAIT_MS,
 		}, SYNC_WAIT_MS + SYNC_ANSWER_MS);
 		if (answer.isErr) {
 			this.suspectUntilMs.set(controlId, clock.now() + CONTROL_SUSPECT_MS);
--- a/apps/egretrilld/src/traffic/methods.ts
+++ b/apps/egretrilld/src/traffic/methods.ts
@@ -22,7 +22,7 @@
 export type EntryReport = z.infer<typeof EntryReport>;
 
 const SyncRequest = z.object({
-	report: EntryReport, configVersion: count, registry: KnownRegistry, planRevision: count, waitMs: count,
+	report: EntryReport, configVersion: count, registry: KnownRegistry, waitMs: count,
 });
 
 /** What only the leader can tell. */
