--- a/packages/engines/src/registry/target-registry.ts
+++ b/packages/engines/src/registry/target-registry.ts
@@ -11,7 +11,7 @@
 	/** Revision of the last change that other hosts must see. */
 	readonly revision: number;
 	/** Revision of the last registration, for control hosts that keep the age. */
-	readonly beatRevision: number;
+	readonly heartbeatRevision: number;
 	/** Whether hosts were told that the target is silent. */
 	readonly isSilent?: boolean;
 	/** Holdings that an order has changed since, until a registration arrives after this time. */
@@ -92,11 +92,11 @@
 	}
 
 	/** Everything that changed after a revision; a host that followed another registry gets all. */
-	getUpdateSince(known: {readonly origin: string; readonly revision: number}, withBeats: boolean): RegistryUpdate {
+	getUpdateSince(known: {readonly origin: string; readonly revision: number}, withHeartbeats: boolean): RegistryUpdate {
 		this.dropEnded();
 		const isWhole = known.origin !== this.origin || known.revision > this.revision;
 		const since = isWhole ? 0 : known.revision;
-		const changed = [...this.entries.values()].filter(entry => isWhole || Math.max(entry.revision, withBeats ? entry.beatRevision : 0) > since);
+		const changed = [...this.entries.values()].filter(entry => isWhole || Math.max(entry.revision, withHeartbeats ? entry.heartbeatRevision : 0) > since);
 		return {
 			origin: this.origin, revision: this.revision, isWhole, targets: changed.map(entry => this.describe(entry)),
 		};
@@ -137,16 +137,16 @@
 		const wasSilent = held !== undefined && receivedMs - held.receivedMs > REGISTRATION_TTL_MS;
 		if (held && !held.hasEnded && !wasSilent && isSameState(this.describe(held).registration, this.describe({...held, ...entry}).registration)) {
 			this.revision += 1;
-			this.entries.set(registration.targetId, {...held, ...entry, beatRevision: this.revision});
+			this.entries.set(registration.targetId, {...held, ...entry, heartbeatRevision: this.revision});
 			return;
 		}
 
 		this.store(entry);
 	}
 
-	private store(entry: Omit<Entry, 'revision' | 'beatRevision'>): void {
+	private store(entry: Omit<Entry, 'revision' | 'heartbeatRevision'>): void {
 		this.revision += 1;
-		this.entries.set(entry.registration.targetId, {...entry, revision: this.revision, beatRevision: this.revision});
+		this.entries.set(entry.registration.targetId, {...entry, revision: this.revision, heartbeatRevision: this.revision});
 		this.changed.notify();
 	}
 
