callers: drop a field that nothing fills, and name the place waits for what they are

Cause: the read-through found firstByteMs declared and never set, and the histogram of place waits in a field called firstBytes. Change: names and one field only, and the reason of a constant age.

--- a/apps/egretrilld/src/traffic/control-host.ts
+++ b/apps/egretrilld/src/traffic/control-host.ts
@@ -73,6 +73,7 @@
 			peers: this.peers,
 			node: this.node,
 			getLeaderId: () => this.getLeaderId(),
+			// Only at-most-once records ask for the age, and forwarded requests need none.
 			getAgeMs: () => 0,
 		});
 		const {hostId, node, log, registry, peers} = this;
--- a/apps/egretrilld/src/traffic/entry-observer.ts
+++ b/apps/egretrilld/src/traffic/entry-observer.ts
@@ -11,14 +11,14 @@
 	private readonly requests;
 	private readonly attempts;
 	private readonly durations;
-	private readonly firstBytes;
+	private readonly placeWaits;
 
 	constructor(private readonly log: DecisionLog, metrics: Metrics, private readonly getKnowledgeAgeMs: () => number) {
 		super();
 		this.requests = metrics.createCounter({name: 'egretrill_forwarded_requests_total', help: 'Forwarded requests by route and outcome.', labels: ['route', 'outcome']});
 		this.attempts = metrics.createCounter({name: 'egretrill_target_attempts_total', help: 'Sends to targets by outcome.', labels: ['outcome']});
 		this.durations = metrics.createDurations({name: 'egretrill_forward_ms', help: 'Time from the arrival of a request to its end.', labels: ['route']});
-		this.firstBytes = metrics.createDurations({name: 'egretrill_place_wait_ms', help: 'Time that a request waited for a target.', labels: ['route']});
+		this.placeWaits = metrics.createDurations({name: 'egretrill_place_wait_ms', help: 'Time that a request waited for a target.', labels: ['route']});
 	}
 
 	override noteArrival(service: string, {model, adapter}: ForwardCall): void {
@@ -42,7 +42,7 @@
 		const name = isRefused ? outcome.code : outcome;
 		this.requests.add(1, {route, outcome: name});
 		this.durations.record(tookMs, {route});
-		this.firstBytes.record(waitMs, {route});
+		this.placeWaits.record(waitMs, {route});
 		this.log.write({
 			requestId: call?.attemptId,
 			route,
--- a/packages/callers/src/forward/forward-parts.ts
+++ b/packages/callers/src/forward/forward-parts.ts
@@ -51,7 +51,6 @@
 	readonly targetId?: string;
 	readonly attempts: number;
 	readonly waitMs: number;
-	readonly firstByteMs?: number;
 	readonly tookMs: number;
 };
 
--- a/packages/callers/src/forward/forward-request.ts
+++ b/packages/callers/src/forward/forward-request.ts
@@ -42,7 +42,6 @@
 	lastEventId: number | undefined;
 	targetId?: string;
 	status?: number;
-	firstByteMs?: number;
 };
 
 type Outcome =
@@ -88,7 +87,6 @@
 		targetId: progress.targetId,
 		attempts: progress.attempts,
 		waitMs: progress.waitMs,
-		firstByteMs: progress.firstByteMs,
 		tookMs: parts.clock.now() - startedMs,
 	});
 }
