--- a/apps/egretrilld/src/traffic/book-places.ts
+++ b/apps/egretrilld/src/traffic/book-places.ts
@@ -24,9 +24,9 @@
 			return {kind: 'none'};
 		}
 
-		const {registration: {targetId, address, zone}, end} = taken;
+		const {registration: {targetId, address, zone}, outstanding, end} = taken;
 		const place: Place = {
-			targetId, address, zone, end,
+			targetId, address, zone, outstanding, end,
 		};
 		return {kind: 'place', place};
 	}
@@ -45,6 +45,10 @@
 		}
 	}
 
+	override getReadyMs({service, model}: PlaceNeed): number | undefined {
+		return model === undefined ? undefined : this.opts.book.getReadyMs(service, model);
+	}
+
 	private async askFor(service: string, model: string, adapter: string | undefined): Promise<void> {
 		const targetId = await this.opts.ask(service, model, adapter);
 		if (targetId !== undefined && adapter !== undefined) {
--- a/apps/egretrilld/src/traffic/entry-host.ts
+++ b/apps/egretrilld/src/traffic/entry-host.ts
@@ -171,7 +171,8 @@
 		}
 	}
 
-	override takePlan({others, rates}: LeaderPlan, sentMs: number): void {
+	override takePlan({others, expected, rates}: LeaderPlan, sentMs: number): void {
+		this.book.setExpected(expected);
 		this.book.setOthers(others);
 		this.hostCount = Math.max(1, rates.hostCount);
 		this.ratesHeld = {ackedSerial: rates.serial, standing: rates.standing};
--- a/apps/egretrilld/src/traffic/entry-observer.ts
+++ b/apps/egretrilld/src/traffic/entry-observer.ts
@@ -2,12 +2,13 @@
 	type AttemptNote, type ForwardCall, type ForwardEndNote, ForwardObserver,
 } from '@egretrill/callers';
 import type {Metrics} from '@egretrill/balancer';
+import {estimateRunMs} from '@egretrill/engines';
 import type {DecisionLog} from './decision-log.js';
 import type {EntryReport} from './methods.js';
 
 /** Turns what happens to requests into decision lines, metrics and the demand that the leader hears of. */
 export class EntryObserver extends ForwardObserver {
-	private arrivals = new Map<string, number>();
+	private arrivals = new Map<string, {readonly count: number; readonly runMs: number}>();
 	private readonly requests;
 	private readonly attempts;
 	private readonly durations;
@@ -21,10 +22,11 @@
 		this.placeWaits = metrics.createDurations({name: 'egretrill_place_wait_ms', help: 'Time that a request waited for a target.', labels: ['route']});
 	}
 
-	override noteArrival(service: string, {model, adapter}: ForwardCall): void {
+	override noteArrival(service: string, {model, adapter, tokensIn = 0, tokensOut = 0}: ForwardCall): void {
 		if (model !== undefined) {
 			const key = JSON.stringify([service, model, adapter ?? '']);
-			this.arrivals.set(key, (this.arrivals.get(key) ?? 0) + 1);
+			const {count, runMs} = this.arrivals.get(key) ?? {count: 0, runMs: 0};
+			this.arrivals.set(key, {count: count + 1, runMs: runMs + estimateRunMs(tokensIn, tokensOut)});
 		}
 	}
 
@@ -37,7 +39,7 @@
 		}
 	}
 
-	override noteEnd({call, route = '', customer, configVersion, outcome, status, targetId, attempts, waitMs, tookMs}: ForwardEndNote): void {
+	override noteEnd({call, route = '', customer, configVersion, outcome, status, targetId, outstanding, attempts, waitMs, tookMs, firstMs, longestPauseMs}: ForwardEndNote): void {
 		const isRefused = typeof outcome === 'object';
 		const name = isRefused ? outcome.code : outcome;
 		this.requests.add(1, {route, outcome: name});
@@ -55,17 +57,20 @@
 			status: isRefused ? outcome.status : status,
 			...(isRefused && {run: outcome.run, reason: outcome.reason, retryAfterMs: outcome.retryAfterMs}),
 			targetId,
+			outstanding,
 			attempts,
 			waitMs: Math.round(waitMs),
 			tookMs: Math.round(tookMs),
+			...(firstMs !== undefined && {firstMs: Math.round(firstMs)}),
+			...(longestPauseMs !== undefined && {longestPauseMs: Math.round(longestPauseMs)}),
 		}, isRefused ? 'A request was refused.' : 'A request has ended.', outcome !== 'answered');
 	}
 
 	/** Arrivals since the last call. */
 	takeArrivals(): EntryReport['arrivals'] {
-		const taken = [...this.arrivals].map(([key, count]): EntryReport['arrivals'][number] => {
+		const taken = [...this.arrivals].map(([key, {count, runMs}]): EntryReport['arrivals'][number] => {
 			const [service, model, adapter] = JSON.parse(key) as [string, string, string];
-			return [service, model, adapter, count];
+			return [service, model, adapter, count, Math.round(runMs)];
 		});
 		this.arrivals = new Map();
 		return taken;
--- a/apps/egretrilld/src/traffic/methods.ts
+++ b/apps/egretrilld/src/traffic/methods.ts
@@ -13,8 +13,8 @@
 	startId: z.string(),
 	/** Requests of this host at each target. */
 	running: z.array(z.tuple([z.string(), count])),
-	/** Arrivals since the last poll: service, model, adapter or an empty text, count. */
-	arrivals: z.array(z.tuple([z.string(), z.string(), z.string(), count])),
+	/** Arrivals since the last poll: service, model, adapter or an empty text, count, milliseconds for which they will hold places together. */
+	arrivals: z.array(z.tuple([z.string(), z.string(), z.string(), count, z.number()])),
 	/** Requests that wait: service, model, those without a copy, those that found all copies full. */
 	waiting: z.array(z.tuple([z.string(), z.string(), count, count])),
 	rates: z.object({ackedSerial: count, standing: z.number(), demand: z.array(z.object({name: z.string(), perSecond: z.number(), meanCost: z.number()}))}),
@@ -29,6 +29,8 @@
 export const LeaderPlan = z.object({
 	/** Requests of the other hosts at each target. */
 	others: z.array(z.tuple([z.string(), count])),
+	/** Models that no engine can serve yet: service, model, expected time in milliseconds until one can. */
+	expected: z.array(z.tuple([z.string(), z.string(), z.number()])),
 	rates: z.object({
 		serial: count, standing: z.number(), leased: z.array(z.tuple([z.string(), z.number()])), hostCount: count,
 	}),
--- a/packages/callers/src/forward/constants.ts
+++ b/packages/callers/src/forward/constants.ts
@@ -1,6 +1,24 @@
-/** A request that does not get a place within this share of its time is refused, while its caller can still go elsewhere. */
+/** A request for which no target is in sight within this share of its time is refused, while its caller can still go elsewhere. */
 export const MAX_WAIT_RATIO = 0.5;
 
+/** Longest wait for a model that no owner of engines has planned to load; plans are made several times a second while there is an owner. */
+export const UNPLANNED_MODEL_WAIT_MS = 700;
+
+/** Share of its time that a request may wait for a model whose load is known to end by then. */
+export const PLANNED_WAIT_RATIO = 0.75;
+
+/** Part of the target latency that a request may wait for busy targets; those that are answered late keep others from being answered in time. */
+export const CROWDED_WAIT_RATIO = 0.8;
+
+/** Shortest time that a request may wait for busy targets. */
+export const MIN_CROWDED_WAIT_MS = 250;
+
+/** Time constant of the rate at which places become free. */
+export const PLACE_RATE_MS = 1000;
+
+/** A caller that was told when to return counts as waiting until this long after that time. */
+export const RETURN_SLACK_MS = 500;
+
 /** Callers of streams leave when nothing comes for this long, or for a multiple of the target latency if that is longer. */
 export const STREAM_PATIENCE_MS = 2000;
 export const STREAM_PATIENCE_RATIO = 4;
@@ -15,7 +33,7 @@
 export const MIN_RETRY_AFTER_MS = 100;
 
 /** When callers return that found no target at all. */
-export const NO_TARGET_RETRY_MS = 500;
+export const NO_TARGET_RETRY_MS = 1500;
 
 /** A stream without a byte for this long continues at another target; callers leave after two seconds of silence. */
 export const STREAM_SILENCE_MS = 1000;
--- a/packages/callers/src/forward/forward-parts.ts
+++ b/packages/callers/src/forward/forward-parts.ts
@@ -49,9 +49,14 @@
 	readonly outcome: 'answered' | 'broken' | 'left' | Verdict;
 	readonly status?: number;
 	readonly targetId?: string;
+	/** Requests that the target had when it was chosen. */
+	readonly outstanding?: number;
 	readonly attempts: number;
 	readonly waitMs: number;
 	readonly tookMs: number;
+	/** Time to the first piece of a stream, and the longest pause between two. */
+	readonly firstMs?: number;
+	readonly longestPauseMs?: number;
 };
 
 /** Takes what happens to forwarded requests. */
--- a/packages/callers/src/forward/forward-request.ts
+++ b/packages/callers/src/forward/forward-request.ts
@@ -3,14 +3,16 @@
 } from '@egretrill/common';
 import type {CallerExchange} from './caller-exchange.js';
 import {
-	MAX_WAIT_RATIO, MIN_RETRY_AFTER_MS, MIN_SEND_MS, NO_TARGET_RETRY_MS, STREAM_PATIENCE_MS, STREAM_PATIENCE_RATIO, STREAM_WAIT_RATIO,
+	CROWDED_WAIT_RATIO, MAX_WAIT_RATIO, MIN_CROWDED_WAIT_MS, MIN_RETRY_AFTER_MS, MIN_SEND_MS, NO_TARGET_RETRY_MS, PLANNED_WAIT_RATIO, STREAM_PATIENCE_MS, STREAM_PATIENCE_RATIO, STREAM_WAIT_RATIO,
 } from './constants.js';
-import type {ForwardParts} from './forward-parts.js';
+import type {ForwardEndNote, ForwardParts} from './forward-parts.js';
+import {PieceTimes} from './piece-times.js';
 import type {Place, PlaceEnd, PlaceNeed} from './place-queue.js';
 import type {RateAnswer} from './rate-part.js';
 import {relayEvents, type RelayEnd, relayWhole} from './relay.js';
 import {getCost, pickService, type RouteTable} from './route-table.js';
 import type {AnswerFacts, ForwardCall} from './types.js';
+import type {WaitLimits} from './wait-forecast.js';
 
 const STATUS_MISDIRECTED = 421;
 const STATUS_SERVER_ERROR = 500;
@@ -40,7 +42,9 @@
 	mayHaveRun: boolean;
 	waitMs: number;
 	lastEventId: number | undefined;
+	readonly pieces: PieceTimes;
 	targetId?: string;
+	outstanding?: number;
 	status?: number;
 };
 
@@ -58,7 +62,7 @@
 export async function forwardRequest(exchange: CallerExchange, parts: ForwardParts): Promise<void> {
 	const startedMs = parts.clock.now();
 	const progress: Progress = {
-		tried: new Set(), attempts: 0, mayHaveRun: false, waitMs: 0, lastEventId: undefined,
+		tried: new Set(), attempts: 0, mayHaveRun: false, waitMs: 0, lastEventId: undefined, pieces: new PieceTimes(parts.clock, startedMs),
 	};
 	const table = parts.getTable();
 	const call = parts.dialect.readCall(exchange.head);
@@ -85,12 +89,19 @@
 		outcome: exchange.callerLeft.aborted && end !== 'answered' ? 'left' : end,
 		status: progress.status,
 		targetId: progress.targetId,
+		outstanding: progress.outstanding,
 		attempts: progress.attempts,
 		waitMs: progress.waitMs,
 		tookMs: parts.clock.now() - startedMs,
+		...describePieces(progress.pieces),
 	});
 }
 
+function describePieces(pieces: PieceTimes): Pick<ForwardEndNote, 'firstMs' | 'longestPauseMs'> {
+	const firstMs = pieces.getFirstMs();
+	return firstMs === undefined ? {} : {firstMs, longestPauseMs: pieces.getLongestPauseMs()};
+}
+
 function finish(exchange: CallerExchange, end: End): void {
 	if (end === 'answered' || exchange.callerLeft.aborted) {
 		return;
@@ -155,9 +166,14 @@
 }
 
 /** How long a request may wait for a place. */
-function getMaxWaitMs({isStream, targetLatencyMs}: TrafficRoute, leftMs: number): number {
+function getWaitLimits({isStream, targetLatencyMs}: TrafficRoute, leftMs: number): WaitLimits {
 	const patienceMs = isStream ? Math.max(STREAM_PATIENCE_MS, targetLatencyMs * STREAM_PATIENCE_RATIO) * STREAM_WAIT_RATIO : leftMs;
-	return Math.min(leftMs * MAX_WAIT_RATIO, patienceMs);
+	const unplannedMs = Math.min(leftMs * MAX_WAIT_RATIO, patienceMs);
+	return {
+		unplannedMs,
+		plannedMs: Math.min(leftMs * PLANNED_WAIT_RATIO, patienceMs),
+		crowdedMs: Math.min(unplannedMs, Math.max(MIN_CROWDED_WAIT_MS, targetLatencyMs * CROWDED_WAIT_RATIO)),
+	};
 }
 
 /** Runs a request until it has an answer, its time is over or its caller leaves. */
@@ -233,7 +249,7 @@
 		service, parts: call.promptParts, tried: progress.tried, ...(usesModel && {model: call.model, adapter: call.adapter}),
 	};
 	const startedMs = clock.now();
-	const found = await queue.getPlace(need, customer?.priority ?? route.priority, getMaxWaitMs(route, leftMs), signal);
+	const found = await queue.getPlace(need, customer?.priority ?? route.priority, getWaitLimits(route, leftMs), signal);
 	progress.waitMs += clock.now() - startedMs;
 	return found.isOk ? found.value : found.error;
 }
@@ -243,6 +259,7 @@
 	const {parts: {clock, observer}, call, progress} = work;
 	const startedMs = clock.now();
 	progress.targetId = place.targetId;
+	progress.outstanding = place.outstanding;
 	let outcome: Outcome = {kind: 'broken', reason: 'The exchange failed.', targetEnd: 'answered'};
 	try {
 		outcome = await exchangeWith(work, place);
@@ -324,7 +341,11 @@
 	}
 
 	progress.status = answer.status;
-	const relayed = {exchange, answer, headers: facts.headers};
+	const relayed = {
+		exchange, answer, headers: facts.headers, onPiece() {
+			progress.pieces.note();
+		},
+	};
 	const end: RelayEnd = isEvents
 		? await relayEvents(relayed, progress.lastEventId, route.isResumable ? {clock} : undefined)
 		: await relayWhole(relayed);
--- a/packages/callers/src/forward/place-queue.ts
+++ b/packages/callers/src/forward/place-queue.ts
@@ -1,7 +1,10 @@
 import {type Clock, refuse, type Verdict} from '@egretrill/common';
 import {Result} from 'true-myth';
-import {NO_TARGET_RETRY_MS, MIN_RETRY_AFTER_MS} from './constants.js';
+import {MIN_RETRY_AFTER_MS, RETURN_SLACK_MS} from './constants.js';
 import type {PromptPart} from './types.js';
+import {
+	decideWait, PlaceRate, type WaitDecision, type WaitLimits, type WaitReason,
+} from './wait-forecast.js';
 
 /** What a request needs of its target. */
 export type PlaceNeed = {
@@ -17,18 +20,27 @@
 export type PlaceEnd = 'answered' | 'broke-off' | 'unreachable';
 
 /** The target that a request goes to; `end` gives the place back. */
-export type Place = {readonly targetId: string; readonly address: string; readonly zone: string; readonly end: (end: PlaceEnd) => void};
+export type Place = {
+	readonly targetId: string;
+	readonly address: string;
+	readonly zone: string;
+	/** Requests of all hosts that the target had, as far as known, when it was chosen. */
+	readonly outstanding: number;
+	readonly end: (end: PlaceEnd) => void;
+};
 
 /** Whether a request can be placed now, and otherwise why not. */
 export type PlaceAnswer =
 	| {readonly kind: 'place'; readonly place: Place}
-	| {readonly kind: 'full' | 'adapter-missing' | 'none'};
+	| {readonly kind: WaitReason};
 
 /** Knows the targets. */
 export abstract class PlaceSource {
 	abstract findPlace(need: PlaceNeed): PlaceAnswer;
 	/** Asks for a model or adapter that no target can serve yet. */
 	abstract want(need: PlaceNeed): void;
+	/** Time until a model that is on its way can serve; undefined when none is. */
+	abstract getReadyMs(need: PlaceNeed): number | undefined;
 }
 
 /** Requests that wait for a copy of a model, and those that found all copies full. */
@@ -37,45 +49,67 @@
 type Waiter = {
 	readonly need: PlaceNeed;
 	readonly priority: number;
-	readonly order: number;
+	readonly limits: WaitLimits;
+	readonly startedMs: number;
 	readonly settle: (result: Result<Place, Verdict>) => void;
-	lastKind: PlaceAnswer['kind'];
+	lastKind: WaitReason;
 };
 
+/** A caller that was refused and told when to return. */
+type Returning = {readonly need: PlaceNeed; readonly kind: WaitReason; readonly untilMs: number};
+
+function getModelKey({service, model}: PlaceNeed): string {
+	return JSON.stringify([service, model]);
+}
+
 /** Requests that wait for a place, the most urgent first and then in order of arrival. Answers bursts and models that are on their way. */
 export class PlaceQueue {
-	private waiters: Waiter[] = [];
-	private arrivals = 0;
+	private waiters: readonly Waiter[] = [];
+	private returning: readonly Returning[] = [];
+	private readonly rate: PlaceRate;
 	private isClosed = false;
 
-	constructor(private readonly clock: Clock, private readonly source: PlaceSource) {}
+	constructor(private readonly clock: Clock, private readonly source: PlaceSource) {
+		this.rate = new PlaceRate(clock);
+	}
 
 	getLength(): number {
 		return this.waiters.length;
 	}
 
-	/** Requests that wait for a place at an engine with their model; those that only miss an adapter need no further copy. */
+	/** Requests that wait for a place at an engine with their model, and callers that were told to return for one; those that only miss an adapter need no further copy. */
 	getWaitingByModel(): readonly WaitingByModel[] {
 		const counts = new Map<string, WaitingByModel>();
-		for (const {need: {service, model}, lastKind} of this.waiters) {
-			if (lastKind === 'adapter-missing') {
-				continue;
+		const add = ({service, model}: PlaceNeed, kind: WaitReason): void => {
+			if (kind === 'adapter-missing') {
+				return;
 			}
 
-			const key = JSON.stringify([service, model]);
+			const key = getModelKey({
+				service, model, parts: [], tried: new Set(),
+			});
 			const known = counts.get(key) ?? {
 				service, model, waiting: 0, crowded: 0,
 			};
-			const isCrowded = lastKind === 'full';
+			const isCrowded = kind === 'full';
 			counts.set(key, {...known, waiting: known.waiting + Number(!isCrowded), crowded: known.crowded + Number(isCrowded)});
+		};
+
+		for (const {need, lastKind} of this.waiters) {
+			add(need, lastKind);
+		}
+
+		this.returning = this.returning.filter(({untilMs}) => untilMs > this.clock.now());
+		for (const {need, kind} of this.returning) {
+			add(need, kind);
 		}
 
 		return [...counts.values()];
 	}
 
-	/** Resolves with a place, or with a refusal when none was found within the time. */
-	async getPlace(need: PlaceNeed, priority: number, maxWaitMs: number, signal: AbortSignal): Promise<Result<Place, Verdict>> {
-		const first = this.hasRival(need, priority) ? undefined : this.source.findPlace(need);
+	/** Resolves with a place, or with a refusal as soon as none is expected within the limits. */
+	async getPlace(need: PlaceNeed, priority: number, limits: WaitLimits, signal: AbortSignal): Promise<Result<Place, Verdict>> {
+		const first = this.hasRival(need, priority) ? undefined : this.findPlace(need);
 		if (first?.kind === 'place') {
 			return Result.ok(first.place);
 		}
@@ -84,7 +118,13 @@
 			this.source.want(need);
 		}
 
-		return this.wait(need, priority, maxWaitMs, first?.kind ?? 'full', signal);
+		if (this.isClosed) {
+			return Result.err(refuse(503, 'draining', 'This host is shutting down.', MIN_RETRY_AFTER_MS));
+		}
+
+		return this.wait({
+			need, priority, limits, lastKind: first?.kind ?? 'full',
+		}, signal);
 	}
 
 	/** Refuses all that wait and whatever finds no place from now on; callers are served sooner by another host. */
@@ -95,40 +135,67 @@
 		}
 	}
 
-	/** Gives free places to those who wait; call it whenever a target may have become free or known. */
+	/** Gives free places to those who wait and refuses those for whom none is in sight; call it whenever a target may have become free or known. */
 	pump(): void {
-		const full = new Set<string>();
+		const unserved = new Map<string, WaitReason>();
+		const ahead = new Map<string, number>();
 		for (const waiter of this.waiters) {
 			const {service, model, adapter} = waiter.need;
 			const key = JSON.stringify([service, model, adapter]);
-			if (full.has(key)) {
-				continue;
-			}
-
-			const answer = this.source.findPlace(waiter.need);
+			const known = unserved.get(key);
+			const answer = known === undefined ? this.findPlace(waiter.need) : {kind: known} as const;
 			if (answer.kind === 'place') {
 				waiter.settle(Result.ok(answer.place));
 				continue;
 			}
 
-			full.add(key);
-			waiter.lastKind = answer.kind;
-			if (answer.kind !== 'full') {
+			if (known === undefined && answer.kind !== 'full') {
 				this.source.want(waiter.need);
 			}
+
+			unserved.set(key, answer.kind);
+			waiter.lastKind = answer.kind;
+			const modelKey = getModelKey(waiter.need);
+			const before = ahead.get(modelKey) ?? 0;
+			if (this.review(waiter, before).kind === 'wait') {
+				ahead.set(modelKey, before + 1);
+			}
 		}
 	}
 
+	private findPlace(need: PlaceNeed): PlaceAnswer {
+		const answer = this.source.findPlace(need);
+		if (answer.kind === 'place') {
+			this.rate.note(getModelKey(need));
+		}
+
+		return answer;
+	}
+
 	/** Whether a request that came earlier or is more urgent waits for the same. */
 	private hasRival({service, model, adapter}: PlaceNeed, priority: number): boolean {
 		return this.waiters.some(({need, priority: other}) => other <= priority && need.service === service && need.model === model && need.adapter === adapter);
 	}
 
-	private async wait(need: PlaceNeed, priority: number, maxWaitMs: number, lastKind: PlaceAnswer['kind'], signal: AbortSignal): Promise<Result<Place, Verdict>> {
-		if (this.isClosed) {
-			return Result.err(refuse(503, 'draining', 'This host is shutting down.', MIN_RETRY_AFTER_MS));
+	private countAhead(waiter: Waiter): number {
+		const key = getModelKey(waiter.need);
+		return this.waiters.slice(0, this.waiters.indexOf(waiter)).filter(({need}) => getModelKey(need) === key).length;
+	}
+
+	/** Refuses a waiting request when its place would come too late. */
+	private review(waiter: Waiter, ahead: number): WaitDecision {
+		const {need, limits, lastKind, startedMs, settle} = waiter;
+		const forecastMs = lastKind === 'full' ? this.rate.getWaitMs(getModelKey(need), ahead) : this.source.getReadyMs(need);
+		const decision = decideWait({reason: lastKind, waitedMs: this.clock.now() - startedMs, forecastMs}, limits);
+		if (decision.kind === 'refuse') {
+			this.returning = [...this.returning, {need, kind: lastKind, untilMs: this.clock.now() + decision.retryAfterMs + RETURN_SLACK_MS}];
+			settle(Result.err(refusePlace(lastKind, decision.retryAfterMs)));
 		}
 
+		return decision;
+	}
+
+	private async wait(asked: Pick<Waiter, 'need' | 'priority' | 'limits' | 'lastKind'>, signal: AbortSignal): Promise<Result<Place, Verdict>> {
 		if (signal.aborted) {
 			return Result.err(refuse(503, 'caller-left', 'The caller left before the request was placed.'));
 		}
@@ -146,27 +213,27 @@
 				settle(Result.err(refuse(503, 'caller-left', 'The caller left before the request was placed.')));
 			};
 
-			const expire = async (): Promise<void> => {
-				await this.clock.sleep(maxWaitMs, expiry.signal);
-				if (!expiry.signal.aborted) {
-					settle(Result.err(refusePlace(waiter.lastKind)));
-				}
-			};
-
-			this.arrivals += 1;
-			const waiter: Waiter = {
-				need, priority, order: this.arrivals, settle, lastKind,
-			};
-			const behind = this.waiters.findIndex(other => other.priority > priority);
+			const waiter: Waiter = {...asked, startedMs: this.clock.now(), settle};
+			const behind = this.waiters.findIndex(other => other.priority > waiter.priority);
 			this.waiters = behind === -1 ? [...this.waiters, waiter] : this.waiters.toSpliced(behind, 0, waiter);
 			signal.addEventListener('abort', leave, {once: true});
-			void expire();
+			void this.watch(waiter, expiry.signal);
 		});
 	}
+
+	/** Reviews a waiting request when its limit is reached, although nothing has changed. */
+	private async watch(waiter: Waiter, settled: AbortSignal): Promise<void> {
+		while (!settled.aborted) {
+			const decision = this.review(waiter, this.countAhead(waiter));
+			if (decision.kind === 'wait') {
+				await this.clock.sleep(decision.untilMs, settled);
+			}
+		}
+	}
 }
 
-function refusePlace(kind: PlaceAnswer['kind']): Verdict {
-	return kind === 'none' || kind === 'adapter-missing'
-		? refuse(503, 'no-target', 'No target serves what the request needs.', NO_TARGET_RETRY_MS)
-		: refuse(503, 'overloaded', 'All targets for the request are busy.', MIN_RETRY_AFTER_MS);
+function refusePlace(kind: WaitReason, retryAfterMs: number): Verdict {
+	return kind === 'full'
+		? refuse(503, 'overloaded', 'All targets for the request are busy.', retryAfterMs)
+		: refuse(503, 'no-target', 'No target serves what the request needs.', retryAfterMs);
 }
--- a/packages/callers/src/forward/relay.ts
+++ b/packages/callers/src/forward/relay.ts
@@ -12,6 +12,8 @@
 	readonly exchange: CallerExchange;
 	readonly answer: TargetAnswer;
 	readonly headers: readonly string[];
+	/** Told of each piece that is passed on. */
+	readonly onPiece?: () => void;
 };
 
 async function readAll(answer: TargetAnswer, onLong: (chunks: readonly Uint8Array[]) => Promise<void>): Promise<Uint8Array | undefined> {
@@ -95,7 +97,7 @@
 }
 
 /** Passes on the whole events of a stream as they arrive. */
-export async function relayEvents({exchange, answer, headers}: Relay, lastEventId: number | undefined, watch?: {readonly clock: Clock}): Promise<RelayEnd> {
+export async function relayEvents({exchange, answer, headers, onPiece}: Relay, lastEventId: number | undefined, watch?: {readonly clock: Clock}): Promise<RelayEnd> {
 	const splitter = new EventSplitter();
 	const skipUpTo = lastEventId;
 	const silence = watch && new SilenceWatch(watch.clock, answer);
@@ -110,6 +112,7 @@
 				}
 
 				last = events.lastEventId ?? last;
+				onPiece?.();
 				await exchange.write(events.bytes);
 			}
 
--- /dev/null
+++ b/packages/callers/src/forward/wait-forecast.ts
@@ -0,0 +1,78 @@
+import type {Clock} from '@egretrill/common';
+import {
+	MIN_RETRY_AFTER_MS, NO_TARGET_RETRY_MS, PLACE_RATE_MS, UNPLANNED_MODEL_WAIT_MS,
+} from './constants.js';
+
+/** How long a request may wait for a place, by what it waits for. */
+export type WaitLimits = {
+	/** For a model or adapter of which nobody knows when it can serve. */
+	readonly unplannedMs: number;
+	/** For a model or adapter that is known to be ready by then. */
+	readonly plannedMs: number;
+	/** For a place at targets that are all busy. */
+	readonly crowdedMs: number;
+};
+
+/** What a waiting request waits for. */
+export type WaitReason = 'full' | 'adapter-missing' | 'none';
+
+export type WaitState = {
+	readonly reason: WaitReason;
+	readonly waitedMs: number;
+	/** Expected time until a place; undefined if nothing tells. */
+	readonly forecastMs: number | undefined;
+};
+
+/** Whether a request goes on waiting, or when its caller should return instead. */
+export type WaitDecision = {readonly kind: 'wait'; readonly untilMs: number} | {readonly kind: 'refuse'; readonly retryAfterMs: number};
+
+function getLimitMs(reason: WaitReason, isPlanned: boolean, {unplannedMs, plannedMs, crowdedMs}: WaitLimits): number {
+	if (reason === 'full') {
+		return crowdedMs;
+	}
+
+	if (isPlanned) {
+		return plannedMs;
+	}
+
+	return reason === 'none' ? Math.min(unplannedMs, UNPLANNED_MODEL_WAIT_MS) : unplannedMs;
+}
+
+/** Refuses a request as soon as it is plain that its place would come too late. Answers bursts beyond what the targets serve, and models whose load takes longer than callers wait. */
+export function decideWait({reason, waitedMs, forecastMs}: WaitState, limits: WaitLimits): WaitDecision {
+	const limitMs = getLimitMs(reason, forecastMs !== undefined, limits);
+	if (waitedMs + (forecastMs ?? 0) < limitMs) {
+		return {kind: 'wait', untilMs: limitMs - waitedMs};
+	}
+
+	const defaultMs = reason === 'full' ? MIN_RETRY_AFTER_MS : NO_TARGET_RETRY_MS;
+	return {kind: 'refuse', retryAfterMs: Math.max(MIN_RETRY_AFTER_MS, forecastMs ?? defaultMs)};
+}
+
+type Count = {value: number; atMs: number};
+
+/** Counts places given by name, the older ones less, to tell how fast a line of waiting requests moves. */
+export class PlaceRate {
+	private readonly counts = new Map<string, Count>();
+	private readonly startedMs: number;
+
+	constructor(private readonly clock: Clock) {
+		this.startedMs = clock.now();
+	}
+
+	note(name: string): void {
+		this.counts.set(name, {value: this.decay(name) + 1, atMs: this.clock.now()});
+	}
+
+	/** Time until the request behind `ahead` others has a place; undefined when none were given lately. */
+	getWaitMs(name: string, ahead: number): number | undefined {
+		const count = this.decay(name);
+		const spanMs = Math.min(PLACE_RATE_MS, Math.max(1, this.clock.now() - this.startedMs));
+		return count < 1 ? undefined : (ahead + 1) * spanMs / count;
+	}
+
+	private decay(name: string): number {
+		const count = this.counts.get(name);
+		return count ? count.value * Math.exp((count.atMs - this.clock.now()) / PLACE_RATE_MS) : 0;
+	}
+}
--- a/packages/callers/tests/forward/place-queue.test.ts
+++ b/packages/callers/tests/forward/place-queue.test.ts
@@ -1,12 +1,13 @@
 import {ManualClock} from '@egretrill/common';
 import {expect} from 'chai';
 import {
-	type Place, type PlaceAnswer, type PlaceNeed, PlaceQueue, PlaceSource,
+	type Place, type PlaceAnswer, type PlaceNeed, PlaceQueue, PlaceSource, type WaitLimits,
 } from '../../src/forward/index.js';
 
 class FakeSource extends PlaceSource {
 	free = 0;
 	missing = new Set<string>();
+	readonly readyMs = new Map<string, number>();
 	readonly wanted: string[] = [];
 
 	override findPlace({model}: PlaceNeed): PlaceAnswer {
@@ -20,11 +21,15 @@
 
 		this.free -= 1;
 		const place: Place = {
-			targetId: 't1', address: '127.0.0.1:1', zone: 'a', end: () => undefined,
+			targetId: 't1', address: '127.0.0.1:1', zone: 'a', outstanding: 0, end: () => undefined,
 		};
 		return {kind: 'place', place};
 	}
 
+	override getReadyMs({model}: PlaceNeed): number | undefined {
+		return this.readyMs.get(model ?? '');
+	}
+
 	override want({model}: PlaceNeed): void {
 		this.wanted.push(model ?? '');
 	}
@@ -36,6 +41,12 @@
 	};
 }
 
+function upTo(limitMs: number, changes: Partial<WaitLimits> = {}): WaitLimits {
+	return {
+		unplannedMs: limitMs, plannedMs: limitMs, crowdedMs: limitMs, ...changes,
+	};
+}
+
 describe('PlaceQueue', () => {
 	// Guards against urgent requests that wait behind a burst of less urgent ones; answers a burst on full targets.
 	it('gives places to the most urgent first, then in order of arrival', async () => {
@@ -44,7 +55,7 @@
 		const queue = new PlaceQueue(clock, source);
 		const order: string[] = [];
 		const ask = async (name: string, priority: number): Promise<void> => {
-			const found = await queue.getPlace(need('m'), priority, 1000, new AbortController().signal);
+			const found = await queue.getPlace(need('m'), priority, upTo(1000), new AbortController().signal);
 			order.push(found.isOk ? name : `${name} refused`);
 		};
 
@@ -64,9 +75,9 @@
 		const clock = new ManualClock();
 		const source = new FakeSource();
 		const queue = new PlaceQueue(clock, source);
-		const first = queue.getPlace(need('m'), 1, 1000, new AbortController().signal);
+		const first = queue.getPlace(need('m'), 1, upTo(1000), new AbortController().signal);
 		source.free = 1;
-		const second = queue.getPlace(need('m'), 1, 50, new AbortController().signal);
+		const second = queue.getPlace(need('m'), 1, upTo(50), new AbortController().signal);
 		queue.pump();
 		const placed = await first;
 		await clock.run(60);
@@ -80,7 +91,7 @@
 		const source = new FakeSource();
 		source.missing.add('rare');
 		const queue = new PlaceQueue(clock, source);
-		const asked = queue.getPlace(need('rare'), 1, 200, new AbortController().signal);
+		const asked = queue.getPlace(need('rare'), 1, upTo(200), new AbortController().signal);
 		const waiting = [...queue.getWaitingByModel()];
 		await clock.run(250);
 		const refused = await asked;
@@ -94,11 +105,32 @@
 		const source = new FakeSource();
 		const queue = new PlaceQueue(new ManualClock(), source);
 		const caller = new AbortController();
-		const asked = queue.getPlace(need('m'), 1, 1000, caller.signal);
+		const asked = queue.getPlace(need('m'), 1, upTo(1000), caller.signal);
 		caller.abort();
 		const left = await asked;
 		source.free = 1;
 		queue.pump();
 		expect({refusal: left.isErr && left.error.code, free: source.free, waiting: queue.getLength()}).toMatchSnapshot();
 	});
+
+	// Guards against callers that are held for a model whose load ends after they have left.
+	it('refuses at once when a model on its way comes too late, and counts the caller as waiting until it returns', async () => {
+		const clock = new ManualClock();
+		const source = new FakeSource();
+		source.missing.add('slow').add('soon');
+		source.readyMs.set('slow', 4000).set('soon', 800);
+		const queue = new PlaceQueue(clock, source);
+		const refused = await queue.getPlace(need('slow'), 1, upTo(1500), new AbortController().signal);
+		const waits = queue.getPlace(need('soon'), 1, upTo(1500), new AbortController().signal);
+		const waiting = [...queue.getWaitingByModel()];
+		await clock.run(800);
+		source.missing.delete('soon');
+		source.free = 1;
+		queue.pump();
+		const served = await waits;
+		await clock.run(4000);
+		expect({
+			refusal: refused.isErr && refused.error, waiting, isServed: served.isOk, waitingLater: [...queue.getWaitingByModel()],
+		}).toMatchSnapshot();
+	});
 });
--- a/packages/callers/tests/forward/support/forward-world.ts
+++ b/packages/callers/tests/forward/support/forward-world.ts
@@ -146,13 +146,17 @@
 			: {
 				kind: 'place',
 				place: {
-					targetId, address: `${targetId}:1`, zone: 'a', end: end => {
+					targetId, address: `${targetId}:1`, zone: 'a', outstanding: 0, end: end => {
 						this.ends.push(`${targetId} ${end}`);
 					},
 				},
 			};
 	}
 
+	override getReadyMs(): undefined {
+		return undefined;
+	}
+
 	override want(): void {
 		// Services have no models.
 	}
--- /dev/null
+++ b/packages/callers/tests/forward/wait-forecast.test.ts
@@ -0,0 +1,140 @@
+import {ManualClock} from '@egretrill/common';
+import {expect} from 'chai';
+import {
+	decideWait, type Place, type PlaceAnswer, type PlaceNeed, PlaceQueue, PlaceRate, PlaceSource, type WaitLimits, type WaitReason,
+} from '../../src/forward/index.js';
+
+const limits: WaitLimits = {unplannedMs: 1500, plannedMs: 2500, crowdedMs: 400};
+
+function decide(reason: WaitReason, waitedMs: number, forecastMs?: number): unknown {
+	return decideWait({reason, waitedMs, forecastMs}, limits);
+}
+
+const need: PlaceNeed = {
+	service: 's', model: 'm', parts: [], tried: new Set(),
+};
+
+/** Targets with places for so many requests at once, each of which takes the same time. */
+class BusyPlaces extends PlaceSource {
+	private running = 0;
+
+	constructor(private readonly clock: ManualClock, private readonly places: number, private readonly workMs: number) {
+		super();
+	}
+
+	override findPlace(): PlaceAnswer {
+		if (this.running >= this.places) {
+			return {kind: 'full'};
+		}
+
+		this.running += 1;
+		const place: Place = {
+			targetId: 't', address: '127.0.0.1:1', zone: 'a', outstanding: 0, end: () => undefined,
+		};
+		void this.work();
+		return {kind: 'place', place};
+	}
+
+	override want(): void {
+		throw new Error('The model is there.');
+	}
+
+	override getReadyMs(): undefined {
+		return undefined;
+	}
+
+	private async work(): Promise<void> {
+		await this.clock.sleep(this.workMs);
+		this.running -= 1;
+	}
+}
+
+type Tally = {served: number; inTime: number; refused: number; heldMs: number};
+
+/** Plays callers that arrive evenly at busy targets and counts what they get. */
+async function playBurst({perSecond, seconds, latencyMs}: {perSecond: number; seconds: number; latencyMs: number}): Promise<Tally> {
+	const clock = new ManualClock();
+	const queue = new PlaceQueue(clock, new BusyPlaces(clock, 10, 200));
+	const tally: Tally = {
+		served: 0, inTime: 0, refused: 0, heldMs: 0,
+	};
+	const call = async (): Promise<void> => {
+		const startedMs = clock.now();
+		const found = await queue.getPlace(need, 1, {unplannedMs: 1500, plannedMs: 1500, crowdedMs: latencyMs}, new AbortController().signal);
+		const waitedMs = clock.now() - startedMs;
+		if (found.isOk) {
+			tally.served += 1;
+			tally.inTime += Number(waitedMs <= latencyMs);
+		} else {
+			tally.refused += 1;
+			tally.heldMs += waitedMs;
+		}
+	};
+
+	const calls: Array<Promise<void>> = [];
+	for (let sent = 0; sent < perSecond * seconds; sent++) {
+		calls.push(call());
+		await clock.run(1000 / perSecond);
+		queue.pump();
+	}
+
+	for (let step = 0; step < 200; step++) {
+		await clock.run(10);
+		queue.pump();
+	}
+
+	await Promise.all(calls);
+	return tally;
+}
+
+describe('decideWait', () => {
+	// Guards against callers that are kept waiting for what cannot come in time, and against refusals of those who could be served.
+	it('keeps a request waiting only while its place is expected within the limit', () => {
+		expect({
+			loadEndsInTime: decide('none', 100, 2000),
+			loadEndsTooLate: decide('none', 0, 4000),
+			nobodyLoads: decide('none', 100),
+			nobodyLoadsAfterAWhile: decide('none', 700),
+			adapterOnItsWay: decide('adapter-missing', 900),
+			placeSoon: decide('full', 100, 200),
+			placeTooLate: decide('full', 100, 900),
+			placeUnknown: decide('full', 100),
+			placeUnknownTooLong: decide('full', 400),
+		}).toMatchSnapshot();
+	});
+});
+
+describe('PlaceRate', () => {
+	// Guards against a forecast that goes on after the targets have stopped giving places.
+	it('tells the wait from the places given lately', async () => {
+		const clock = new ManualClock();
+		const rate = new PlaceRate(clock);
+		const early = rate.getWaitMs('m', 0);
+		for (let i = 0; i < 200; i++) {
+			rate.note('m');
+			await clock.run(20);
+		}
+
+		const steady = [rate.getWaitMs('m', 0), rate.getWaitMs('m', 9)].map(waitMs => waitMs && Math.round(waitMs));
+		await clock.run(6000);
+		expect({early, steady, afterStall: rate.getWaitMs('m', 0)}).toMatchSnapshot();
+	});
+});
+
+describe('PlaceQueue under a burst', () => {
+	// Guards against a queue in which every caller waits until it is too late for all of them. The load is twice what the targets serve.
+	it('serves as many as the targets bear, nearly all in time, and refuses the others at once', async () => {
+		const tally = await playBurst({perSecond: 100, seconds: 10, latencyMs: 400});
+		expect(tally.served, 'served').to.be.within(480, 520);
+		expect(tally.inTime / tally.served, 'served in time').to.be.above(0.95);
+		expect(tally.heldMs / tally.refused, 'mean time to a refusal').to.be.below(100);
+	});
+
+	// Guards against refusals of a load that the targets bear.
+	it('refuses nothing that the targets bear', async () => {
+		const tally = await playBurst({perSecond: 40, seconds: 10, latencyMs: 400});
+		expect(tally).to.deep.equal({
+			served: 400, inTime: 400, refused: 0, heldMs: 0,
+		});
+	});
+});
--- a/packages/engines/src/loading/constants.ts
+++ b/packages/engines/src/loading/constants.ts
@@ -4,37 +4,53 @@
 /** Time constant of the demand that loads follow. */
 export const LOAD_DEMAND_MS = 2500;
 
-/** Requests a second below which a model counts as idle. */
+/** Places in use below which a model counts as idle. */
 export const IDLE_DEMAND = 0.05;
 
-/** Requests a second that one copy of a model serves well; a model with more gets another copy. */
-export const COPY_REQUESTS_PER_SECOND = 18;
+/** Share of an engine's places that may be in use before a further copy pays; beyond it answers come in late pieces. */
+export const COPY_BUSY_RATIO = 0.5;
 
-/** A copy may go when those that are left would each get at most this share of what one serves well. */
-export const SPARE_RATIO = 0.7;
+/** Time that an engine takes for one generated token, and prompt tokens that it reads in a millisecond, to tell how long a request holds a place. */
+export const GENERATED_TOKEN_MS = 7;
+export const READ_TOKENS_PER_MS = 38;
 
-/** Least demand that one second of loading counts as, to weigh a slow load against a busy copy that would go. */
-export const LOAD_SECOND_DEMAND = 2;
+/** What a request at a crowded engine counts for, against one that no engine can serve. */
+export const CROWDED_LOSS_RATIO = 0.2;
 
-/** Weight of an engine's other work when a site for a load is chosen. */
-export const SITE_LOAD_RATIO = 0.2;
+/** Rounds in which demand is balanced over the engines of each model. */
+export const SPREAD_ROUNDS = 4;
+
+/** A load must pay for itself within this time; demand moves on after it. */
+export const PLAN_HORIZON_S = 20;
+
+/** Least gain, in requests lost times seconds, for which a further copy is loaded. */
+export const MIN_MOVE_GAIN = 4;
+
+/** Share of requests that need an adapter their engine does not hold yet. */
+export const ADAPTER_DEMAND_RATIO = 0.1;
 
 /** Adapters that a waiting change, and a move of a model, count as when an engine for an adapter is chosen. */
 export const PENDING_WEIGHT = 2;
 export const MOVE_WEIGHT = 100;
 
-/** The owner watches demand for this long before it adds copies of models that have one. */
-export const DEMAND_WATCH_MS = 2500;
-
 /** A copy is not evicted for another model within this time after it was loaded. */
-export const MIN_COPY_AGE_MS = 6000;
+export const MIN_COPY_AGE_MS = 2500;
 
-/** Requests that wait for a model count as so many arrivals a second. */
+/** Places that a request counts as which waits for a model. */
 export const WAITING_WEIGHT = 2;
 
+/** Requests for a model without a copy count once more for each such time that it has been missing, so that rare models get their turn beside busy ones. */
+export const MISSING_PATIENCE_MS = 1000;
+
+/** The owner watches demand for this long before it unloads a copy for a further one of a busier model. */
+export const DEMAND_WATCH_MS = 2500;
+
 /** Time between telling the entry hosts that a model goes and the order to unload it. */
 export const UNLOAD_NOTICE_MS = 80;
 
+/** Time that an unload usually takes, with its notice and the requests that the engine still answers. */
+export const EXPECTED_UNLOAD_MS = 600;
+
 /** Longest time for the answer to an order. */
 export const ORDER_ANSWER_MS = 1000;
 
--- a/packages/engines/src/loading/engine-line.ts
+++ b/packages/engines/src/loading/engine-line.ts
@@ -1,9 +1,9 @@
 import type {
-	Clock, EngineClass, HeldModel, Logger, Registration,
+	Clock, HeldModel, Logger, Registration,
 } from '@egretrill/common';
 import type {TargetRegistry} from '../registry/index.js';
 import {
-	ADAPTER_LOAD_MS, MAX_LOAD_MS, PROGRESS_POLL_MS, REPORT_PAUSE_MS, UNLOAD_NOTICE_MS,
+	ADAPTER_LOAD_MS, EXPECTED_UNLOAD_MS, MAX_LOAD_MS, PROGRESS_POLL_MS, REPORT_PAUSE_MS, UNLOAD_NOTICE_MS,
 } from './constants.js';
 import type {EngineOrders} from './engine-orders.js';
 import type {LoadAnswer, LoadMove, LoadStep} from './types.js';
@@ -75,6 +75,7 @@
 /** The orders to one engine, one after the other; each names how many the engine has accepted, so that a late one is refused. */
 export class EngineLine {
 	move: LoadMove | undefined;
+	private moveEndsMs = 0;
 	/** What the engine holds; undefined until it has told it while it carried out no order. */
 	private models: readonly HeldModel[] | undefined;
 	private isLearning = false;
@@ -120,9 +121,15 @@
 		return this.move?.load;
 	}
 
+	/** Expected time until the running move ends. */
+	getMoveLeftMs(): number {
+		return this.move ? Math.max(PROGRESS_POLL_MS, this.moveEndsMs - this.opts.clock.now()) : 0;
+	}
+
 	/** Unloads what must go and loads a model; returns whether the model is held. */
-	async runMove(move: LoadMove, engineClass: EngineClass): Promise<boolean> {
+	async runMove(move: LoadMove): Promise<boolean> {
 		this.move = move;
+		this.moveEndsMs = this.opts.clock.now() + (move.unload.length * EXPECTED_UNLOAD_MS) + move.loadMs;
 		try {
 			return await this.inTurn(async () => {
 				for (const model of move.unload) {
@@ -131,7 +138,7 @@
 					}
 				}
 
-				return this.loadModel(move, engineClass);
+				return this.loadModel(move);
 			});
 		} finally {
 			this.move = undefined;
@@ -171,11 +178,9 @@
 		return await this.issue(step) && this.waitUntilDone(step, 0);
 	}
 
-	private async loadModel({load, fromStore}: LoadMove, {models}: EngineClass): Promise<boolean> {
+	private async loadModel({load, loadMs}: LoadMove): Promise<boolean> {
 		const step: LoadStep = {kind: 'load-model', model: load};
-		const stored = models.find(({name}) => name === load);
-		const expectedMs = (fromStore ? stored?.storeLoadMs : stored?.diskLoadMs) ?? 0;
-		return await this.issue(step) && this.waitUntilDone(step, expectedMs);
+		return await this.issue(step) && this.waitUntilDone(step, loadMs);
 	}
 
 	/** Sends an order until its effect is certain; returns whether it is carried out or under way. */
--- a/packages/engines/src/loading/engine-owner.ts
+++ b/packages/engines/src/loading/engine-owner.ts
@@ -8,9 +8,12 @@
 import {DemandCounter} from './demand-counter.js';
 import {EngineLine, type HeldAdapter} from './engine-line.js';
 import type {EngineOrders} from './engine-orders.js';
+import {type ExpectedModel, expectModels} from './expect-models.js';
 import {planLoads} from './plan-loads.js';
 import type {LoadMove, ModelDemand, PlannedEngine} from './types.js';
 
+const MS_PER_SECOND = 1000;
+
 export type EngineOwnerOptions = {
 	readonly clock: Clock;
 	readonly random: Random;
@@ -41,20 +44,23 @@
 export class EngineOwner {
 	private readonly lines = new Map<string, EngineLine>();
 	private readonly copySince = new Map<string, number>();
+	private readonly missingSince = new Map<string, number>();
 	private readonly demand: DemandCounter;
 	private readonly waiting = new Map<string, WaitingCounts>();
 	private readonly adapterLoads = new Map<string, Promise<string | undefined>>();
 	/** When the first request arrived that this owner heard of. */
 	private demandSinceMs = Number.POSITIVE_INFINITY;
 	private readonly nextStoreLoadMs = new Map<string, number>();
+	private readonly expected = new Map<string, readonly ExpectedModel[]>();
 
 	constructor(private readonly opts: EngineOwnerOptions) {
 		this.demand = new DemandCounter(opts.clock);
 	}
 
-	noteArrivals(want: ModelWant, count: number): void {
+	/** Takes in arrivals, and the time for which they will hold places. */
+	noteArrivals(want: ModelWant, count: number, runMs: number): void {
 		this.demandSinceMs = Math.min(this.demandSinceMs, this.opts.clock.now());
-		this.demand.add(getName({service: want.service, model: want.model}), count);
+		this.demand.add(getName({service: want.service, model: want.model}), runMs / MS_PER_SECOND);
 		if (want.adapter !== undefined) {
 			this.demand.add(getName(want), count);
 		}
@@ -86,6 +92,11 @@
 		}
 	}
 
+	/** Models that no engine can serve now, with the time until one can as expected when loads were last planned. */
+	getExpected(): readonly ExpectedModel[] {
+		return [...this.expected.values()].flat();
+	}
+
 	/** Plans and gives orders until the ownership ends. */
 	async run(signal: AbortSignal): Promise<void> {
 		const {clock, firstOrderAtMs, random} = this.opts;
@@ -93,6 +104,7 @@
 		while (!signal.aborted) {
 			for (const [service, engineClass] of this.opts.getClasses()) {
 				this.startMoves(service, engineClass, signal);
+				this.expected.set(service, this.expect(service, engineClass));
 			}
 
 			await clock.sleep(jitter(LOAD_PLAN_MS, random), signal);
@@ -103,7 +115,7 @@
 		const engines = this.getEngines(service);
 		const mayUseStore = this.opts.clock.now() >= (this.nextStoreLoadMs.get(service) ?? 0);
 		const moves = planLoads({
-			engineClass, engines: engines.map(engine => this.describe(engine, engineClass, signal)), demand: this.getDemand(service, engineClass), mayUseStore, mayAddCopies: this.opts.clock.now() - this.demandSinceMs > DEMAND_WATCH_MS,
+			engineClass, engines: engines.map(engine => this.describe(engine, engineClass, signal)), demand: this.getDemand(service, engineClass), mayUseStore, mayEvictForCopies: this.opts.clock.now() - this.demandSinceMs > DEMAND_WATCH_MS,
 		});
 		for (const move of moves) {
 			const engine = engines.find(({targetId}) => targetId === move.targetId);
@@ -113,16 +125,30 @@
 		}
 	}
 
+	/** A model whose engines all carry out moves cannot take adapters meanwhile, so it is among those that are expected. */
+	private expect(service: string, engineClass: EngineClass): readonly ExpectedModel[] {
+		return expectModels({
+			service,
+			engineClass,
+			engines: this.getEngines(service).map(({targetId, models}) => {
+				const line = this.lines.get(targetId);
+				return {models: models.map(({name}) => name), loading: line?.getLoading(), moveLeftMs: line?.getMoveLeftMs() ?? 0};
+			}),
+			demand: this.getDemand(service, engineClass),
+			storeFreeInMs: Math.max(0, (this.nextStoreLoadMs.get(service) ?? 0) - this.opts.clock.now()),
+		});
+	}
+
 	private async carryOut(line: EngineLine, service: string, move: LoadMove, engineClass: EngineClass): Promise<void> {
 		const {clock, logger} = this.opts;
 		if (move.fromStore && engineClass.storeLoadsPerSecond > 0) {
-			this.nextStoreLoadMs.set(service, clock.now() + (1000 / engineClass.storeLoadsPerSecond));
+			this.nextStoreLoadMs.set(service, clock.now() + (MS_PER_SECOND / engineClass.storeLoadsPerSecond));
 		}
 
 		const startedMs = clock.now();
-		logger.info({...move, demandPerS: this.demand.getPerSecond(getName({service, model: move.load}))}, 'A model is loaded.');
+		logger.info({...move, places: this.demand.getPerSecond(getName({service, model: move.load}))}, 'A model is loaded.');
 		try {
-			const isHeld = await line.runMove(move, engineClass);
+			const isHeld = await line.runMove(move);
 			logger.info({
 				targetId: move.targetId, model: move.load, isHeld, tookMs: Math.round(clock.now() - startedMs),
 			}, 'A load has ended.');
@@ -207,10 +233,27 @@
 		}
 
 		return models.map(({name}) => ({
-			model: name, perSecond: this.demand.getPerSecond(getName({service, model: name})), waiting: waiting.get(name) ?? 0, crowded: crowded.get(name) ?? 0,
+			model: name,
+			places: this.demand.getPerSecond(getName({service, model: name})),
+			waiting: waiting.get(name) ?? 0,
+			crowded: crowded.get(name) ?? 0,
+			missingMs: this.noteMissing(getName({service, model: name}), (waiting.get(name) ?? 0) > 0),
 		}));
 	}
 
+	/** How long a model has been waited for. */
+	private noteMissing(key: string, isWaitedFor: boolean): number {
+		if (!isWaitedFor) {
+			this.missingSince.delete(key);
+			return 0;
+		}
+
+		const nowMs = this.opts.clock.now();
+		const sinceMs = this.missingSince.get(key) ?? nowMs;
+		this.missingSince.set(key, sinceMs);
+		return nowMs - sinceMs;
+	}
+
 	private describe(engine: Registration, engineClass: EngineClass, signal: AbortSignal): PlannedEngine {
 		const line = this.getLine(engine, signal);
 		const nowMs = this.opts.clock.now();
--- a/packages/engines/src/loading/index.ts
+++ b/packages/engines/src/loading/index.ts
@@ -2,5 +2,8 @@
 export * from './engine-line.js';
 export * from './engine-orders.js';
 export * from './engine-owner.js';
+export * from './estimate-run.js';
+export * from './expect-models.js';
 export * from './plan-loads.js';
+export * from './spread-demand.js';
 export * from './types.js';
--- a/packages/engines/src/loading/plan-loads.ts
+++ b/packages/engines/src/loading/plan-loads.ts
@@ -1,92 +1,109 @@
 import type {EngineClass, StoredModel} from '@egretrill/common';
 import {
-	COPY_REQUESTS_PER_SECOND, IDLE_DEMAND, LOAD_SECOND_DEMAND, MIN_COPY_AGE_MS, SITE_LOAD_RATIO, SPARE_RATIO, WAITING_WEIGHT,
+	ADAPTER_DEMAND_RATIO, IDLE_DEMAND, MIN_COPY_AGE_MS, MIN_MOVE_GAIN, MISSING_PATIENCE_MS, PLAN_HORIZON_S, WAITING_WEIGHT,
 } from './constants.js';
+import {type LaidOutEngine, spreadDemand} from './spread-demand.js';
 import type {LoadMove, ModelDemand, PlannedEngine} from './types.js';
 
+const MS_PER_SECOND = 1000;
+
 export type LoadView = {
 	readonly engineClass: EngineClass;
 	readonly engines: readonly PlannedEngine[];
 	readonly demand: readonly ModelDemand[];
 	/** Whether the weight store may begin another load now. */
 	readonly mayUseStore: boolean;
-	/** Whether demand is known well enough to add copies of models that have one. */
-	readonly mayAddCopies: boolean;
+	/** Whether demand is known well enough to unload a copy for a further one of a busier model. */
+	readonly mayEvictForCopies: boolean;
 };
 
-type Want = {readonly model: StoredModel; readonly weight: number; readonly reason: LoadMove['reason']};
-type Site = {readonly engine: PlannedEngine; readonly unload: readonly string[]; readonly lostDemand: number; readonly loadMs: number; readonly fromStore: boolean};
+type Want = {readonly model: StoredModel; readonly lost: number; readonly reason: LoadMove['reason']};
+type Site = {readonly engine: PlannedEngine; readonly unload: readonly string[]; readonly loadMs: number; readonly fromStore: boolean; readonly cost: number};
 
-/** Demand and copies of each model while a plan is made. */
-class Supply {
-	private readonly weights: ReadonlyMap<string, number>;
-	/** Copies that this plan gives up. */
-	private readonly evicted = new Map<string, number>();
+/** What the engines hold and what callers need while a plan is made; each planned move changes it. */
+class Layout {
+	readonly needs: ReadonlyMap<string, number>;
+	private engines: readonly LaidOutEngine[];
+	private readonly places: number;
 
 	constructor(private readonly view: LoadView) {
-		this.weights = new Map(view.demand.map(({model, perSecond, waiting}) => [model, perSecond + (waiting * WAITING_WEIGHT)]));
+		this.places = view.engineClass.batchSlots;
+		this.engines = view.engines.map(({targetId, copies, loading, unloading}) => ({
+			targetId,
+			models: new Set([
+				...copies.map(({model}) => model).filter(model => !unloading.includes(model)), ...(loading === undefined ? [] : [loading]),
+			]),
+		}));
+		this.needs = new Map(view.demand.map(demand => [demand.model, this.getNeed(demand)]));
 	}
 
-	getWeight(model: string): number {
-		return this.weights.get(model) ?? 0;
+	countCopies(model: string): number {
+		return this.engines.filter(({models}) => models.has(model)).length;
 	}
 
-	isWaitedFor(model: string): boolean {
-		return this.view.demand.some(demand => demand.model === model && demand.waiting > 0);
+	isIdle(model: string): boolean {
+		return (this.needs.get(model) ?? 0) < IDLE_DEMAND;
 	}
 
-	/** Engines that hold the model or are loading it. */
-	countCopies(model: string): number {
-		const holders = this.view.engines.filter(({copies, loading, unloading}) => loading === model || (!unloading.includes(model) && copies.some(copy => copy.model === model)));
-		return holders.length - (this.evicted.get(model) ?? 0);
+	/** Places that find no engine, by model. */
+	getLost(): ReadonlyMap<string, number> {
+		return spreadDemand(this.engines, this.needs, this.places).lost;
 	}
 
-	noteEvicted(models: readonly string[]): void {
-		for (const model of models) {
-			this.evicted.set(model, (this.evicted.get(model) ?? 0) + 1);
-		}
+	/** Request-seconds lost over the horizon if an engine gives up models and loads another one in a given time. */
+	getCost(targetId: string, unload: readonly string[], load: string | undefined, loadMs: number): number {
+		const loadS = Math.min(PLAN_HORIZON_S, loadMs / MS_PER_SECOND);
+		const during = spreadDemand(this.change(targetId, unload, undefined), this.needs, this.places).totalLost;
+		const after = load === undefined ? during : spreadDemand(this.change(targetId, unload, load), this.needs, this.places).totalLost;
+		return (during * loadS) + (after * (PLAN_HORIZON_S - loadS));
 	}
 
-	/** Demand for models that only this engine holds; their adapters cannot be changed while it carries out an order. */
-	getSoleDemand({copies}: PlannedEngine): number {
+	/** Needs of models that only this engine holds; their adapters cannot be changed while it carries out an order. */
+	getSoleNeeds(targetId: string): number {
+		const models = this.engines.find(engine => engine.targetId === targetId)?.models ?? new Set();
 		let sum = 0;
-		for (const {model} of copies) {
-			sum += this.countCopies(model) <= 1 ? this.getWeight(model) : 0;
+		for (const model of models) {
+			sum += this.countCopies(model) === 1 ? this.needs.get(model) ?? 0 : 0;
 		}
 
 		return sum;
 	}
 
-	getWantedCopies(model: string): number {
-		// Requests that wait for a load under way need no second copy; those that found all copies full do.
-		const {perSecond = 0, crowded = 0} = this.view.demand.find(demand => demand.model === model) ?? {};
-		return Math.min(this.view.engines.length, Math.ceil((perSecond + crowded) / COPY_REQUESTS_PER_SECOND));
+	apply({targetId, unload, load}: Pick<LoadMove, 'targetId' | 'unload' | 'load'>): void {
+		this.engines = this.change(targetId, unload, load);
 	}
 
-	/** Whether the other copies can take over what one copy serves. */
-	isSpare(model: string): boolean {
-		const left = this.countCopies(model) - 1;
-		return left > 0 && this.getWeight(model) / left <= COPY_REQUESTS_PER_SECOND * SPARE_RATIO;
+	private change(targetId: string, unload: readonly string[], load: string | undefined): readonly LaidOutEngine[] {
+		return this.engines.map(engine => {
+			if (engine.targetId !== targetId) {
+				return engine;
+			}
+
+			const kept = [...engine.models].filter(model => !unload.includes(model));
+			return {targetId, models: new Set(load === undefined ? kept : [...kept, load])};
+		});
 	}
 
-	/** Requests a second that an engine gets if each model's copies share its demand. */
-	getLoad({copies}: PlannedEngine): number {
-		return copies.reduce((sum, {model}) => sum + (this.getWeight(model) / Math.max(1, this.countCopies(model))), 0);
+	/** A model without a copy counts for more the longer it has been missing. */
+	private getNeed({model, places, waiting, crowded, missingMs}: ModelDemand): number {
+		const need = places + crowded + (waiting * WAITING_WEIGHT);
+		return this.countCopies(model) === 0 ? need * (1 + (missingMs / MISSING_PATIENCE_MS)) : places + crowded;
 	}
 }
 
-function getWants(view: LoadView, supply: Supply): readonly Want[] {
-	const {engineClass: {models}} = view;
+function getWants({engineClass: {models}, engines, demand}: LoadView, layout: Layout): readonly Want[] {
+	const lostByModel = layout.getLost();
 	const wants = models.flatMap((model): readonly Want[] => {
-		const weight = supply.getWeight(model.name);
-		const copies = supply.countCopies(model.name);
+		const lost = lostByModel.get(model.name) ?? 0;
+		const copies = layout.countCopies(model.name);
 		if (copies === 0) {
-			return supply.isWaitedFor(model.name) ? [{model, weight, reason: 'missing'}] : [];
+			const isWaitedFor = demand.some(({model: name, waiting}) => name === model.name && waiting > 0);
+			return isWaitedFor ? [{model, lost, reason: 'missing'}] : [];
 		}
 
-		return view.mayAddCopies && copies < supply.getWantedCopies(model.name) ? [{model, weight: weight / copies, reason: 'crowded'}] : [];
+		return lost > 0 && copies < engines.length ? [{model, lost, reason: 'crowded'}] : [];
 	});
-	return wants.toSorted((a, b) => Number(b.reason === 'missing') - Number(a.reason === 'missing') || b.weight - a.weight);
+	return wants.toSorted((a, b) => b.lost - a.lost);
 }
 
 function getModelMb({engineClass: {models}}: LoadView, name: string, adapterCount: number): number {
@@ -100,16 +117,35 @@
 	return engine.weightsMb - usedMb - loadingMb;
 }
 
-/** Copies that may go for another model, those that serve least first. */
-function getVictims(engine: PlannedEngine, supply: Supply, want: Want): readonly string[] {
+/** Copies that may go for another model, those first whose loss costs least. The last copy of a model in use stays. */
+function getVictims(engine: PlannedEngine, layout: Layout, want: Want): readonly string[] {
+	const {targetId} = engine;
 	return engine.copies
 		.filter(({model, ageMs}) => {
-			const isLast = supply.countCopies(model) <= 1;
-			const isIdle = supply.getWeight(model) < IDLE_DEMAND;
-			return isIdle ? !isLast || want.reason === 'missing' : ageMs >= MIN_COPY_AGE_MS && supply.isSpare(model);
+			const isLast = layout.countCopies(model) <= 1;
+			return layout.isIdle(model) ? !isLast || want.reason === 'missing' : !isLast && ageMs >= MIN_COPY_AGE_MS;
 		})
-		.map(({model}) => model)
-		.toSorted((a, b) => supply.getWeight(a) - supply.getWeight(b) || supply.countCopies(b) - supply.countCopies(a));
+		.map(({model}) => ({
+			model, cost: layout.getCost(targetId, [model], undefined, 0), need: layout.needs.get(model) ?? 0, copies: layout.countCopies(model),
+		}))
+		.toSorted((a, b) => a.cost - b.cost || a.need - b.need || b.copies - a.copies)
+		.map(({model}) => model);
+}
+
+/** What an engine would unload for a model, or undefined if it cannot make room. */
+function makeRoom(view: LoadView, engine: PlannedEngine, layout: Layout, want: Want): readonly string[] | undefined {
+	const unload: string[] = [];
+	let freeMb = getFreeMb(view, engine);
+	for (const victim of getVictims(engine, layout, want)) {
+		if (freeMb >= want.model.weightsMb) {
+			break;
+		}
+
+		unload.push(victim);
+		freeMb += getModelMb(view, victim, engine.copies.find(({model}) => model === victim)?.adapterCount ?? 0);
+	}
+
+	return freeMb >= want.model.weightsMb ? unload : undefined;
 }
 
 function getLoadMs(engine: PlannedEngine, {name, memoryLoadMs, diskLoadMs, storeLoadMs}: StoredModel): number {
@@ -120,51 +156,46 @@
 	return engine.onDisk.includes(name) ? diskLoadMs : storeLoadMs;
 }
 
-function findSite(view: LoadView, supply: Supply, want: Want, taken: ReadonlySet<string>): Site | undefined {
-	const sites = view.engines.flatMap((engine): readonly Site[] => {
-		if (!engine.isFree || taken.has(engine.targetId) || engine.copies.some(({model}) => model === want.model.name)) {
-			return [];
-		}
-
-		const unload: string[] = [];
-		let freeMb = getFreeMb(view, engine);
-		for (const victim of getVictims(engine, supply, want)) {
-			if (freeMb >= want.model.weightsMb) {
-				break;
-			}
+function describeSite(view: LoadView, engine: PlannedEngine, layout: Layout, want: Want): Site | undefined {
+	const unload = makeRoom(view, engine, layout, want);
+	const loadMs = getLoadMs(engine, want.model);
+	const fromStore = loadMs === want.model.storeLoadMs;
+	if (!unload || (fromStore && !view.mayUseStore) || (want.reason === 'crowded' && !view.mayEvictForCopies && unload.length > 0)) {
+		return undefined;
+	}
 
-			unload.push(victim);
-			freeMb += getModelMb(view, victim, engine.copies.find(({model}) => model === victim)?.adapterCount ?? 0);
-		}
+	const blocked = layout.getSoleNeeds(engine.targetId) * ADAPTER_DEMAND_RATIO * loadMs / MS_PER_SECOND;
+	return {
+		engine, unload, loadMs, fromStore, cost: layout.getCost(engine.targetId, unload, want.model.name, loadMs) + blocked,
+	};
+}
 
-		const loadMs = getLoadMs(engine, want.model);
-		const fromStore = loadMs === want.model.storeLoadMs;
-		const lostDemand = unload.reduce((sum, model) => sum + (supply.getWeight(model) / supply.countCopies(model)), 0);
-		return freeMb >= want.model.weightsMb && (!fromStore || view.mayUseStore) && (want.reason === 'missing' || lostDemand < want.weight)
-			? [{
-				engine, unload, lostDemand, loadMs, fromStore,
-			}]
-			: [];
-	});
-	const getCost = ({engine, loadMs, lostDemand}: Site): number => lostDemand + (loadMs * Math.max(LOAD_SECOND_DEMAND, want.weight) / 1000) + ((supply.getLoad(engine) + supply.getSoleDemand(engine)) * SITE_LOAD_RATIO);
-	return sites.toSorted((a, b) => getCost(a) - getCost(b)).at(0);
+function findSite(view: LoadView, layout: Layout, want: Want, taken: ReadonlySet<string>): Site | undefined {
+	const idleCost = layout.getCost('', [], undefined, 0);
+	return view.engines
+		.filter(({targetId, isFree, copies}) => isFree && !taken.has(targetId) && copies.every(({model}) => model !== want.model.name))
+		.flatMap(engine => describeSite(view, engine, layout, want) ?? [])
+		.filter(({cost}) => want.reason === 'missing' || cost < idleCost - MIN_MOVE_GAIN)
+		.toSorted((a, b) => a.cost - b.cost)
+		.at(0);
 }
 
-/** Plans loads for models that callers ask for and no engine holds, then more copies of those whose engines carry most. Answers demand that moves between models within seconds. */
+/** Plans loads in the order of the requests that they serve: first copies of models that callers wait for, and more copies of those whose engines are full. Answers demand that moves between models within seconds, and engines that come back empty. */
 export function planLoads(view: LoadView): readonly LoadMove[] {
-	const supply = new Supply(view);
+	const layout = new Layout(view);
 	const taken = new Set<string>();
 	const moves: LoadMove[] = [];
 	let {mayUseStore} = view;
-	for (const want of getWants(view, supply)) {
-		const site = findSite({...view, mayUseStore}, supply, want, taken);
+	for (const want of getWants(view, layout)) {
+		const site = findSite({...view, mayUseStore}, layout, want, taken);
 		if (site) {
-			taken.add(site.engine.targetId);
+			const move: LoadMove = {
+				targetId: site.engine.targetId, unload: [...site.unload], load: want.model.name, reason: want.reason, fromStore: site.fromStore, loadMs: site.loadMs,
+			};
+			taken.add(move.targetId);
 			mayUseStore &&= !site.fromStore;
-			supply.noteEvicted(site.unload);
-			moves.push({
-				targetId: site.engine.targetId, unload: [...site.unload], load: want.model.name, reason: want.reason, fromStore: site.fromStore,
-			});
+			layout.apply(move);
+			moves.push(move);
 		}
 	}
 
--- a/packages/engines/src/loading/types.ts
+++ b/packages/engines/src/loading/types.ts
@@ -31,9 +31,11 @@
 });
 export type EngineReport = z.infer<typeof EngineReport>;
 
-/** Arrivals a second of a model, the requests that wait for a copy, and those that found all copies full. */
+/** Places that the requests for a model hold at once, the requests that wait for a copy, and those that found all copies full. */
 export const ModelDemand = z.object({
-	model: z.string(), perSecond: z.number(), waiting: z.number(), crowded: z.number().default(0),
+	model: z.string(), places: z.number(), waiting: z.number(), crowded: z.number().default(0),
+	/** How long requests have been waiting for a first copy. */
+	missingMs: z.number().default(0),
 });
 export type ModelDemand = z.infer<typeof ModelDemand>;
 
@@ -54,6 +56,6 @@
 
 /** One change of what an engine holds: unloads first, then the load. */
 export const LoadMove = z.object({
-	targetId: z.string(), unload: z.array(z.string()), load: z.string(), reason: z.enum(['missing', 'crowded']), fromStore: z.boolean(),
+	targetId: z.string(), unload: z.array(z.string()), load: z.string(), reason: z.enum(['missing', 'crowded']), fromStore: z.boolean(), loadMs: z.number(),
 });
 export type LoadMove = z.infer<typeof LoadMove>;
--- a/packages/engines/src/registry/target-book.ts
+++ b/packages/engines/src/registry/target-book.ts
@@ -36,7 +36,7 @@
 export type TargetEnd = 'answered' | 'broke-off' | 'unreachable';
 
 /** A place at a target; `end` gives it back. */
-export type TargetPlace = {readonly registration: Registration; readonly end: (end: TargetEnd) => void};
+export type TargetPlace = {readonly registration: Registration; readonly outstanding: number; readonly end: (end: TargetEnd) => void};
 
 export type TargetBookOptions = {
 	readonly clock: Clock;
@@ -47,6 +47,10 @@
 	readonly getBatchSlots: (service: string) => number | undefined;
 };
 
+function getModelKey(service: string, model: string): string {
+	return JSON.stringify([service, model]);
+}
+
 function getRecent(times: readonly number[], nowMs: number): readonly number[] {
 	return times.filter(timeMs => nowMs - timeMs < MS_PER_SECOND);
 }
@@ -59,6 +63,8 @@
 	private readonly kept = new KeptPrompts();
 	private zonesOut: ReadonlySet<string> = new Set();
 	private known = {origin: '', revision: 0};
+	/** When models that are on their way can serve, by service and model. */
+	private readyAtMs: ReadonlyMap<string, number> = new Map();
 
 	constructor(private readonly opts: TargetBookOptions) {}
 
@@ -100,6 +106,18 @@
 		this.changed.notify();
 	}
 
+	/** Takes over when models that no engine can serve yet are expected. */
+	setExpected(expected: ReadonlyArray<readonly [service: string, model: string, readyInMs: number]>): void {
+		const nowMs = this.opts.clock.now();
+		this.readyAtMs = new Map(expected.map(([service, model, readyInMs]) => [getModelKey(service, model), nowMs + readyInMs]));
+	}
+
+	/** Time until a model on its way can serve; undefined when none is. */
+	getReadyMs(service: string, model: string): number | undefined {
+		const readyAtMs = this.readyAtMs.get(getModelKey(service, model));
+		return readyAtMs === undefined ? undefined : Math.max(0, readyAtMs - this.opts.clock.now());
+	}
+
 	/** Requests of this host at each target. */
 	getOwn(): ReadonlyArray<readonly [targetId: string, count: number]> {
 		return [...this.targets].filter(([, {own}]) => own > 0).map(([id, {own}]) => [id, own]);
@@ -127,6 +145,7 @@
 			return undefined;
 		}
 
+		const outstanding = target.own + target.others;
 		target.own += 1;
 		this.countColdSend(target);
 		if (model !== undefined) {
@@ -136,6 +155,7 @@
 		let hasEnded = false;
 		return {
 			registration: target.registration,
+			outstanding,
 			end: end => {
 				if (hasEnded) {
 					return;
--- a/packages/engines/tests/loading/engine-owner.test.ts
+++ b/packages/engines/tests/loading/engine-owner.test.ts
@@ -152,7 +152,7 @@
 	// Guards against a model that nobody loads although requests wait for it.
 	it('loads what requests wait for', async () => {
 		const play = start();
-		play.owner.noteArrivals({service: 's', model: 'b'}, 3);
+		play.owner.noteArrivals({service: 's', model: 'b'}, 3, 3000);
 		play.owner.noteWaiting('h1', [['s', 'b', 2, 0]]);
 		await play.clock.run(7000);
 		play.owner.noteWaiting('h1', []);
@@ -174,7 +174,7 @@
 		};
 
 		void end();
-		play.owner.noteArrivals({service: 's', model: 'a'}, 200);
+		play.owner.noteArrivals({service: 's', model: 'a'}, 200, 200_000);
 		play.owner.noteWaiting('h1', [['s', 'b', 2, 0]]);
 		await play.clock.run(12_000);
 		await finish(play);
@@ -186,7 +186,7 @@
 		const play = start(engine => {
 			engine.delayMs = 3000;
 		});
-		play.owner.noteArrivals({service: 's', model: 'a'}, 20);
+		play.owner.noteArrivals({service: 's', model: 'a'}, 20, 20_000);
 		play.owner.noteWaiting('h1', [['s', 'b', 2, 0]]);
 		await play.clock.run(15_000);
 		await finish(play);
@@ -200,7 +200,7 @@
 		const ask = async (adapter: string): Promise<string | undefined> => play.owner.want({service: 's', model: 'a', adapter}, play.stopper.signal);
 		const asked = [ask('a1'), ask('a1'), ask('a2')];
 		await play.clock.run(200);
-		play.owner.noteArrivals({service: 's', model: 'a', adapter: 'a2'}, 5);
+		play.owner.noteArrivals({service: 's', model: 'a', adapter: 'a2'}, 5, 5000);
 		asked.push(ask('a3'));
 		await play.clock.run(200);
 		const answers = await Promise.all(asked);
--- a/packages/engines/tests/loading/plan-loads.test.ts
+++ b/packages/engines/tests/loading/plan-loads.test.ts
@@ -1,6 +1,8 @@
 import type {EngineClass} from '@egretrill/common';
 import {expect} from 'chai';
-import {type LoadView, planLoads, type PlannedEngine} from '../../src/loading/index.js';
+import {
+	type LoadMove, type LoadView, planLoads, type PlannedEngine,
+} from '../../src/loading/index.js';
 
 const engineClass: EngineClass = {
 	batchSlots: 64,
@@ -18,11 +20,11 @@
 	};
 }
 
-function plan(engines: readonly PlannedEngine[], demand: Readonly<Record<string, readonly [perSecond: number, waiting: number, crowded?: number]>>, changes: Partial<LoadView> = {}): unknown {
+function plan(engines: readonly PlannedEngine[], demand: Readonly<Record<string, readonly [places: number, waiting: number, crowded?: number, missingMs?: number]>>, changes: Partial<LoadView> = {}): readonly LoadMove[] {
 	return planLoads({
-		engineClass, engines, demand: Object.entries(demand).map(([model, [perSecond, waiting, crowded = 0]]) => ({
-			model, perSecond, waiting, crowded,
-		})), mayUseStore: true, mayAddCopies: true, ...changes,
+		engineClass, engines, demand: Object.entries(demand).map(([model, [places, waiting, crowded = 0, missingMs = 0]]) => ({
+			model, places, waiting, crowded, missingMs,
+		})), mayUseStore: true, mayEvictForCopies: true, ...changes,
 	});
 }
 
@@ -82,17 +84,28 @@
 	});
 
 	// Guards against engines that are full of one model while others idle; answers a model whose copies get more than they serve well.
-	it('adds a copy of a crowded model once demand is known', () => {
+	it('adds a copy of a crowded model, in place of another one only once demand is known', () => {
 		const engines = [engine('t1', ['a', 'b']), engine('t2', ['c'])];
 		expect({
 			crowded: plan(engines, {a: [40, 0], b: [1, 0], c: [1, 0]}),
-			unknown: plan(engines, {a: [40, 0], b: [1, 0], c: [1, 0]}, {mayAddCopies: false}),
+			unknown: plan([engine('t1', ['a', 'b']), engine('t2', ['c', 'b'])], {a: [40, 0], b: [1, 0], c: [1, 0]}, {mayEvictForCopies: false}),
+			unknownButFree: plan(engines, {a: [40, 0], b: [1, 0], c: [1, 0]}, {mayEvictForCopies: false}),
 			served: plan(engines, {a: [10, 0], b: [1, 0], c: [1, 0]}),
-			full: plan(engines, {a: [15, 0, 9], b: [1, 0], c: [1, 0]}),
+			full: plan(engines, {a: [25, 0, 20], b: [1, 0], c: [1, 0]}),
 			waitedForOnly: plan(engines, {a: [3, 9], b: [1, 0], c: [1, 0]}),
 		}).toMatchSnapshot();
 	});
 
+	// Guards against a busy model that is short of copies while every engine loads a model that hardly anybody asks for; answers engines that come back empty under load.
+	it('puts the loads first that serve most requests', () => {
+		const engines = [engine('t1', ['a']), engine('t2', [])];
+		expect({
+			busyFirst: plan(engines, {a: [90, 0, 20], b: [0.4, 1]}).map(({load}) => load),
+			busyTakesTurns: plan([...engines, engine('t3', [])], {a: [90, 0, 20], b: [0.4, 1], c: [2, 3]}, {mayUseStore: true}).map(({load}) => load),
+			rareAfterAWhile: plan(engines, {a: [40, 0, 0], b: [0.4, 1, 0, 8000]}).map(({load}) => load),
+		}).toMatchSnapshot();
+	});
+
 	// Guards against more loads from the weight store than it allows.
 	it('begins one load from the store at a time', () => {
 		const engines = [engine('t1', []), engine('t2', []), engine('t3', [], {onDisk: ['c']})];
--- /dev/null
+++ b/packages/engines/tests/loading/spread-demand.test.ts
@@ -0,0 +1,34 @@
+import {expect} from 'chai';
+import {estimateRunMs, spreadDemand} from '../../src/loading/index.js';
+
+function spread(engines: readonly string[], demand: Readonly<Record<string, number>>): unknown {
+	const {lost, totalLost, loads} = spreadDemand(engines.map((models, i) => ({targetId: `t${i}`, models: new Set(models)})), new Map(Object.entries(demand)), 64);
+	const round = (value: number): number => Math.round(value * 10) / 10;
+	return {
+		lost: Object.fromEntries([...lost].map(([model, places]) => [model, round(places)])), totalLost: round(totalLost), loads: loads.map(load => round(load)),
+	};
+}
+
+describe('spreadDemand', () => {
+	// Guards against a second busy model on a full engine that seems to have room of its own.
+	it('counts what models that share an engine take from each other', () => {
+		expect(spread(['ab', 'c'], {a: 60, b: 30, c: 10})).toMatchSnapshot();
+	});
+
+	// Guards against copies that seem to be needed although the other engines of the model have room.
+	it('moves demand to the engines that carry less', () => {
+		expect(spread(['ab', 'a'], {a: 30, b: 25})).toMatchSnapshot();
+	});
+
+	// Guards against models without a copy that are left out of the loss.
+	it('counts a model without a copy as lost', () => {
+		expect(spread(['a'], {a: 5, b: 7})).toMatchSnapshot();
+	});
+});
+
+describe('estimateRunMs', () => {
+	// Guards against short answers that count like long ones when copies are planned.
+	it('follows the tokens of a request', () => {
+		expect([estimateRunMs(715, 280), estimateRunMs(383, 45), estimateRunMs(0, 0)].map(ms => Math.round(ms))).toMatchSnapshot();
+	});
+});
