engines, traffic: ignore what engines in zones out of service hold, and believe the load that targets tell

Change: the owner plans with the engines that get requests. The count of running and waiting requests that a target tells with an answer replaces the leader's until that comes again.

--- a/apps/egretrilld/src/traffic/book-places.ts
+++ b/apps/egretrilld/src/traffic/book-places.ts
@@ -24,9 +24,9 @@
 			return {kind: 'none'};
 		}
 
-		const {registration: {targetId, address, zone}, outstanding, end} = taken;
+		const {registration: {targetId, address, zone}, outstanding, noteOutstanding, end} = taken;
 		const place: Place = {
-			targetId, address, zone, outstanding, end,
+			targetId, address, zone, outstanding, noteOutstanding, end,
 		};
 		return {kind: 'place', place};
 	}
--- a/apps/egretrilld/src/traffic/leader-term.ts
+++ b/apps/egretrilld/src/traffic/leader-term.ts
@@ -17,6 +17,7 @@
 	readonly hostId: string;
 	readonly term: number;
 	readonly orderLeaseMs: number;
+	readonly getZonesOut: () => readonly string[];
 	readonly getClasses: () => ReadonlyMap<string, EngineClass>;
 	readonly getCustomers: () => ReadonlyMap<string, TrafficCustomer>;
 };
--- a/packages/callers/src/forward/forward-request.ts
+++ b/packages/callers/src/forward/forward-request.ts
@@ -298,6 +298,10 @@
 	progress.attempts += 1;
 	const answer = sent.value;
 	const facts = parts.dialect.readAnswer(answer);
+	if (facts.outstanding !== undefined) {
+		place.noteOutstanding(facts.outstanding);
+	}
+
 	const isOther = facts.attemptId !== undefined && facts.attemptId !== call.attemptId;
 	if (!isOther && (facts.isNotExecuted || answer.status === STATUS_MISDIRECTED)) {
 		answer.discard();
--- a/packages/callers/src/forward/place-queue.ts
+++ b/packages/callers/src/forward/place-queue.ts
@@ -26,6 +26,8 @@
 	readonly zone: string;
 	/** Requests of all hosts that the target had, as far as known, when it was chosen. */
 	readonly outstanding: number;
+	/** Takes in how many requests the target itself says it has. */
+	readonly noteOutstanding: (count: number) => void;
 	readonly end: (end: PlaceEnd) => void;
 };
 
--- a/packages/callers/src/forward/types.ts
+++ b/packages/callers/src/forward/types.ts
@@ -46,6 +46,8 @@
 	isSigned: z.boolean(),
 	/** Whether the target says that it has not run the request. */
 	isNotExecuted: z.boolean(),
+	/** Requests that the target runs or lets wait, if it tells. */
+	outstanding: z.number().optional(),
 	isEventStream: z.boolean(),
 	/** Header names and values in turn that pass on to the caller. */
 	headers: z.array(z.string()),
--- a/packages/callers/tests/forward/support/forward-world.ts
+++ b/packages/callers/tests/forward/support/forward-world.ts
@@ -146,7 +146,7 @@
 			: {
 				kind: 'place',
 				place: {
-					targetId, address: `${targetId}:1`, zone: 'a', outstanding: 0, end: end => {
+					targetId, address: `${targetId}:1`, zone: 'a', outstanding: 0, noteOutstanding: () => undefined, end: end => {
 						this.ends.push(`${targetId} ${end}`);
 					},
 				},
--- a/packages/engines/src/loading/engine-owner.ts
+++ b/packages/engines/src/loading/engine-owner.ts
@@ -26,6 +26,8 @@
 	/** When no order of an earlier owner can arrive any more. */
 	readonly firstOrderAtMs: number;
 	readonly mayOrder: () => boolean;
+	/** Zones whose engines get no requests. */
+	readonly getZonesOut: () => readonly string[];
 	/** Engine classes by service. */
 	readonly getClasses: () => ReadonlyMap<string, EngineClass>;
 };
@@ -216,8 +218,10 @@
 		return held.toSorted((a, b) => this.demand.getPerSecond(getName({service, ...a})) - this.demand.getPerSecond(getName({service, ...b}))).at(0);
 	}
 
+	/** Engines that get requests; what the others hold serves nobody. */
 	private getEngines(service: string): readonly Registration[] {
-		return this.opts.registry.getLive().filter(engine => engine.service === service && !engine.isLeaving);
+		const zonesOut = this.opts.getZonesOut();
+		return this.opts.registry.getLive().filter(engine => engine.service === service && !engine.isLeaving && !zonesOut.includes(engine.zone));
 	}
 
 	private getDemand(service: string, {models}: EngineClass): readonly ModelDemand[] {
--- a/packages/engines/src/registry/target-book.ts
+++ b/packages/engines/src/registry/target-book.ts
@@ -13,7 +13,7 @@
 	coldUntilMs: number;
 	/** Requests of this host that have not ended. */
 	own: number;
-	/** Requests of the other hosts, as last told. */
+	/** Requests of the other hosts, as the leader or the target told last. */
 	others: number;
 	suspectUntilMs: number;
 	/** Requests in a row that could not reach the target. */
@@ -36,7 +36,7 @@
 export type TargetEnd = 'answered' | 'broke-off' | 'unreachable';
 
 /** A place at a target; `end` gives it back. */
-export type TargetPlace = {readonly registration: Registration; readonly outstanding: number; readonly end: (end: TargetEnd) => void};
+export type TargetPlace = {readonly registration: Registration; readonly outstanding: number; readonly noteOutstanding: (count: number) => void; readonly end: (end: TargetEnd) => void};
 
 export type TargetBookOptions = {
 	readonly clock: Clock;
@@ -156,6 +156,9 @@
 		return {
 			registration: target.registration,
 			outstanding,
+			noteOutstanding: count => {
+				target.others = Math.max(0, count - target.own);
+			},
 			end: end => {
 				if (hasEnded) {
 					return;
--- a/packages/engines/tests/loading/engine-owner.test.ts
+++ b/packages/engines/tests/loading/engine-owner.test.ts
@@ -24,6 +24,8 @@
 	busyUntilMs = 0;
 	/** The next order gets no answer and is carried out this much later. */
 	delayMs = 0;
+	/** What engines hold that get no orders. */
+	readonly others = new Map<string, readonly HeldModel[]>();
 	readonly seen: string[] = [];
 	/** Model that an order under way loads. */
 	loading: string | undefined;
@@ -50,8 +52,9 @@
 		return answer;
 	}
 
-	override async getReport(): Promise<EngineReport> {
-		return {models: [...this.models], isBusy: this.isBusy(), orderCount: this.orderCount};
+	override async getReport({targetId}: OrderedEngine = registration): Promise<EngineReport> {
+		const other = this.others.get(targetId);
+		return other ? {models: [...other], isBusy: false, orderCount: 0} : {models: [...this.models], isBusy: this.isBusy(), orderCount: this.orderCount};
 	}
 
 	private async acceptLate(order: LoadOrder, delayMs: number): Promise<void> {
@@ -120,21 +123,29 @@
 
 type Play = {readonly clock: ManualClock; readonly engine: SimulatedEngine; readonly owner: EngineOwner; readonly stopper: AbortController};
 
-function start(prepare: (engine: SimulatedEngine) => void = () => undefined): Play {
+function start(prepare: (engine: SimulatedEngine) => void = () => undefined, outOfService: readonly Registration[] = []): Play {
 	const clock = new ManualClock();
 	const engine = new SimulatedEngine(clock);
 	prepare(engine);
+	for (const {targetId, models} of outOfService) {
+		engine.others.set(targetId, models);
+	}
+
 	const registry = new TargetRegistry(clock, 'r');
 	const stopper = new AbortController();
 	const beat = async (): Promise<void> => {
 		for (let sequence = 1; !stopper.signal.aborted; sequence++) {
 			registry.accept({...registration, sequence, models: [...engine.models]});
+			for (const other of outOfService) {
+				registry.accept({...other, sequence});
+			}
+
 			await clock.sleep(1200, stopper.signal);
 		}
 	};
 
 	const owner = new EngineOwner({
-		clock, random: createRandom(1), logger: createLogger('test', 'fatal'), registry, orders: engine, holder: 'h', fencingToken: 1, firstOrderAtMs: 0, mayOrder: () => true, getClasses: () => new Map([['s', engineClass]]),
+		clock, random: createRandom(1), logger: createLogger('test', 'fatal'), registry, orders: engine, holder: 'h', fencingToken: 1, firstOrderAtMs: 0, mayOrder: () => true, getZonesOut: () => outOfService.map(({zone}) => zone), getClasses: () => new Map([['s', engineClass]]),
 	});
 	void beat();
 	void owner.run(stopper.signal);
@@ -160,6 +171,18 @@
 		expect({seen: play.engine.seen, models: play.engine.models.map(({name}) => name)}).toMatchSnapshot();
 	});
 
+	// Guards against a model that nobody loads because an engine holds it whose zone was taken out of service.
+	it('loads a model whose only engine is in a zone out of service', async () => {
+		const play = start(undefined, [{
+			...registration, targetId: 't2', address: '127.0.0.1:2', zone: 'out', models: [{name: 'b', version: 1, adapters: []}],
+		}]);
+		play.owner.noteArrivals({service: 's', model: 'b'}, 3, 3000);
+		play.owner.noteWaiting('h1', [['s', 'b', 2, 0]]);
+		await play.clock.run(7000);
+		await finish(play);
+		expect(play.engine.seen).toMatchSnapshot();
+	});
+
 	// Guards against an engine that a new owner overfills because the load of its predecessor is not in its registrations yet.
 	it('gives no order to an engine that still carries one out', async () => {
 		const play = start(engine => {
@@ -232,7 +255,7 @@
 		}
 
 		const owner = new EngineOwner({
-			clock, random: createRandom(1), logger: createLogger('test', 'fatal'), registry, orders: new Orders(), holder: 'h', fencingToken: 1, firstOrderAtMs: 0, mayOrder: () => true, getClasses: () => new Map([['s', engineClass]]),
+			clock, random: createRandom(1), logger: createLogger('test', 'fatal'), registry, orders: new Orders(), holder: 'h', fencingToken: 1, firstOrderAtMs: 0, mayOrder: () => true, getZonesOut: () => [], getClasses: () => new Map([['s', engineClass]]),
 		});
 		const stopper = new AbortController();
 		void owner.run(stopper.signal);
--- a/packages/engines/tests/registry/target-book.test.ts
+++ b/packages/engines/tests/registry/target-book.test.ts
@@ -53,6 +53,16 @@
 		expect(chosen).toMatchSnapshot();
 	});
 
+	// Guards against a target that every host takes for idle while no leader tells what the others have sent there.
+	it('believes the load that a target tells with an answer', () => {
+		const {book} = createBook([register('near'), register('far', {zone: 'b'})]);
+		const before = book.choose(need);
+		const place = book.take('near', need);
+		place?.noteOutstanding(5);
+		place?.end('answered');
+		expect({before, after: book.choose(need)}).toMatchSnapshot();
+	});
+
 	// Guards against a cold target that breaks down under the first burst.
 	it('sends a cold target no more than this host\'s part', () => {
 		const {book, clock} = createBook([register('cold', {coldForMs: 5000})]);
