engines: keep adapters in use, and swap models only where it pays

Change: entry hosts report the adapters that their requests use; one in use, or loaded less than 400 ms ago, stays. A swap counts the time of its unloads, must gain 15 request-seconds, and at most a quarter of the engines swap at the same time. The need of a request follows the length that its caller expects. A further copy pays from four tenths of the places.

--- a/apps/egretrilld/src/traffic/entry-host.ts
+++ b/apps/egretrilld/src/traffic/entry-host.ts
@@ -138,6 +138,7 @@
 	override createReport(): OwnReport {
 		return {
 			running: this.book.getOwn().map(([id, count]) => [id, count]),
+			adapters: this.book.getOwnAdapters().map(([id, model, adapter, count]) => [id, model, adapter, count]),
 			arrivals: this.observer.takeArrivals(),
 			waiting: this.queue.getWaitingByModel().map(({service, model = '', waiting, crowded}) => [service, model, waiting, crowded]),
 			rates: {...this.ratesHeld, demand: [...this.rates.getDemand()]},
--- a/apps/egretrilld/src/traffic/entry-observer.ts
+++ b/apps/egretrilld/src/traffic/entry-observer.ts
@@ -22,11 +22,11 @@
 		this.placeWaits = metrics.createDurations({name: 'egretrill_place_wait_ms', help: 'Time that a request waited for a target.', labels: ['route']});
 	}
 
-	override noteArrival(service: string, {model, adapter, tokensIn = 0, tokensOut = 0}: ForwardCall): void {
+	override noteArrival(service: string, {model, adapter, tokensIn = 0, tokensOut = 0, expectedTokensOut = tokensOut}: ForwardCall): void {
 		if (model !== undefined) {
 			const key = JSON.stringify([service, model, adapter ?? '']);
 			const {count, runMs} = this.arrivals.get(key) ?? {count: 0, runMs: 0};
-			this.arrivals.set(key, {count: count + 1, runMs: runMs + estimateRunMs(tokensIn, tokensOut)});
+			this.arrivals.set(key, {count: count + 1, runMs: runMs + estimateRunMs(tokensIn, Math.min(tokensOut, expectedTokensOut))});
 		}
 	}
 
--- a/apps/egretrilld/src/traffic/leader-term.ts
+++ b/apps/egretrilld/src/traffic/leader-term.ts
@@ -60,12 +60,13 @@
 	}
 
 	/** Takes in what an entry host tells and answers with its part of what this leader owns. */
-	takeReport({hostId, startId, running, arrivals, waiting, rates}: EntryReport): LeaderPlan {
+	takeReport({hostId, startId, running, adapters, arrivals, waiting, rates}: EntryReport): LeaderPlan {
 		this.running.set(hostId, {counts: running, seenMs: this.opts.clock.now()});
 		for (const [service, model, adapter, count, runMs] of arrivals) {
 			this.engines.noteArrivals({service, model, ...(adapter !== '' && {adapter})}, count, runMs);
 		}
 
+		this.engines.noteAdapterUse(hostId, adapters);
 		this.engines.noteWaiting(hostId, waiting);
 		const grant = this.rates.request({hostId, startId, ...rates});
 		return {others: this.sumOthers(hostId), expected: this.engines.getExpected().map(({service, model, readyInMs}) => [service, model, Math.round(readyInMs)]), rates: {...grant, leased: grant.leased.map(([name, part]) => [name, part])}};
--- a/apps/egretrilld/src/traffic/methods.ts
+++ b/apps/egretrilld/src/traffic/methods.ts
@@ -13,6 +13,8 @@
 	startId: z.string(),
 	/** Requests of this host at each target. */
 	running: z.array(z.tuple([z.string(), count])),
+	/** Requests of this host that use an adapter: target, model, adapter, count. */
+	adapters: z.array(z.tuple([z.string(), z.string(), z.string(), count])),
 	/** Arrivals since the last poll: service, model, adapter or an empty text, count, milliseconds for which they will hold places together. */
 	arrivals: z.array(z.tuple([z.string(), z.string(), z.string(), count, z.number()])),
 	/** Requests that wait: service, model, those without a copy, those that found all copies full. */
--- a/packages/callers/src/forward/types.ts
+++ b/packages/callers/src/forward/types.ts
@@ -19,6 +19,8 @@
 	/** Prompt tokens and the most tokens to generate; absent for requests that are not counted in tokens. */
 	tokensIn: z.number().optional(),
 	tokensOut: z.number().optional(),
+	/** Tokens that the caller expects to be generated; often far off. */
+	expectedTokensOut: z.number().optional(),
 	promptParts: z.array(PromptPart),
 	/** Last event that the caller has received of an earlier answer. */
 	lastEventId: z.int().optional(),
--- /dev/null
+++ b/packages/engines/src/loading/adapter-places.ts
@@ -0,0 +1,60 @@
+import type {Clock} from '@egretrill/common';
+import type {AdapterUse} from '../registry/index.js';
+import {ADAPTER_HOLD_MS, ADAPTER_USE_TTL_MS} from './constants.js';
+
+/** An adapter that an engine holds. */
+export type HeldAdapter = {readonly model: string; readonly adapter: string};
+
+/** Whether an engine has a place for an adapter, or which one can go; `full` while every one is in use. */
+export type AdapterRoom = {readonly kind: 'free' | 'full'} | {readonly kind: 'evict'; readonly evicted: HeldAdapter};
+
+function getKey({model, adapter}: HeldAdapter): string {
+	return JSON.stringify([model, adapter]);
+}
+
+/** Decides which adapter makes room for another one. Answers more adapters in demand than an engine has places for. */
+export class AdapterPlaces {
+	private readonly uses = new Map<string, {readonly uses: readonly AdapterUse[]; readonly seenMs: number}>();
+	/** When adapters were loaded, by engine and adapter. */
+	private readonly loadedMs = new Map<string, Map<string, number>>();
+
+	constructor(private readonly clock: Clock) {}
+
+	/** Takes over which adapters the requests of one host use. */
+	noteUse(hostId: string, uses: readonly AdapterUse[]): void {
+		this.uses.set(hostId, {uses, seenMs: this.clock.now()});
+	}
+
+	noteLoaded(targetId: string, adapter: HeldAdapter): void {
+		const loaded = this.loadedMs.get(targetId) ?? new Map<string, number>();
+		this.loadedMs.set(targetId, loaded.set(getKey(adapter), this.clock.now()));
+	}
+
+	/** Room for one more adapter. Of those that no request uses the one that is asked for least goes; one just loaded stays for the requests that waited for it. */
+	findRoom(targetId: string, held: readonly HeldAdapter[], places: number, getDemand: (adapter: HeldAdapter) => number): AdapterRoom {
+		if (held.length < places) {
+			return {kind: 'free'};
+		}
+
+		const inUse = this.getInUse(targetId);
+		const loaded = this.loadedMs.get(targetId);
+		const newestMs = this.clock.now() - ADAPTER_HOLD_MS;
+		const idle = held.filter(adapter => !inUse.has(getKey(adapter)) && (loaded?.get(getKey(adapter)) ?? Number.NEGATIVE_INFINITY) <= newestMs);
+		const [evicted] = idle.toSorted((a, b) => getDemand(a) - getDemand(b));
+		return evicted ? {kind: 'evict', evicted} : {kind: 'full'};
+	}
+
+	private getInUse(targetId: string): ReadonlySet<string> {
+		const oldestMs = this.clock.now() - ADAPTER_USE_TTL_MS;
+		const inUse = new Set<string>();
+		for (const {uses, seenMs} of this.uses.values()) {
+			for (const [other, model, adapter] of seenMs >= oldestMs ? uses : []) {
+				if (other === targetId) {
+					inUse.add(getKey({model, adapter}));
+				}
+			}
+		}
+
+		return inUse;
+	}
+}
--- a/packages/engines/src/loading/constants.ts
+++ b/packages/engines/src/loading/constants.ts
@@ -8,14 +8,14 @@
 export const IDLE_DEMAND = 0.05;
 
 /** Share of an engine's places that may be in use before a further copy pays; beyond it answers come in late pieces. */
-export const COPY_BUSY_RATIO = 0.5;
+export const COPY_BUSY_RATIO = 0.4;
 
 /** Time that an engine takes for one generated token, and prompt tokens that it reads in a millisecond, to tell how long a request holds a place. */
 export const GENERATED_TOKEN_MS = 7;
 export const READ_TOKENS_PER_MS = 38;
 
 /** What a request at a crowded engine counts for, against one that no engine can serve. */
-export const CROWDED_LOSS_RATIO = 0.2;
+export const CROWDED_LOSS_RATIO = 0.15;
 
 /** Rounds in which demand is balanced over the engines of each model. */
 export const SPREAD_ROUNDS = 4;
@@ -24,7 +24,7 @@
 export const PLAN_HORIZON_S = 20;
 
 /** Least gain, in requests lost times seconds, for which a further copy is loaded. */
-export const MIN_MOVE_GAIN = 4;
+export const MIN_MOVE_GAIN = 15;
 
 /** Share of requests that need an adapter their engine does not hold yet. */
 export const ADAPTER_DEMAND_RATIO = 0.1;
@@ -48,8 +48,12 @@
 /** Time between telling the entry hosts that a model goes and the order to unload it. */
 export const UNLOAD_NOTICE_MS = 80;
 
-/** Time that an unload usually takes, with its notice and the requests that the engine still answers. */
-export const EXPECTED_UNLOAD_MS = 600;
+/** Time that an unload usually takes: that of an idle model its notice, that of one in use also the answers under way. */
+export const IDLE_UNLOAD_MS = 200;
+export const BUSY_UNLOAD_MS = 2500;
+
+/** Share of the engines that may unload a model at the same time to make room for a further copy of another one; the rest stays ready for models without a copy and for adapters. */
+export const MAX_SWAP_RATIO = 0.25;
 
 /** Longest time for the answer to an order. */
 export const ORDER_ANSWER_MS = 1000;
@@ -57,6 +61,12 @@
 /** Time that an adapter takes until requests for it are accepted. */
 export const ADAPTER_LOAD_MS = 15;
 
+/** Time after its load for which an adapter is not unloaded, so that the requests that waited for it reach the engine. */
+export const ADAPTER_HOLD_MS = 400;
+
+/** How long the word of a host counts that its requests use an adapter. */
+export const ADAPTER_USE_TTL_MS = 1500;
+
 /** Pause before an engine whose state is in doubt is asked for it. */
 export const REPORT_PAUSE_MS = 300;
 
--- a/packages/engines/src/loading/engine-line.ts
+++ b/packages/engines/src/loading/engine-line.ts
@@ -3,8 +3,9 @@
 } from '@egretrill/common';
 import type {TargetRegistry} from '../registry/index.js';
 import {
-	ADAPTER_LOAD_MS, EXPECTED_UNLOAD_MS, MAX_LOAD_MS, PROGRESS_POLL_MS, REPORT_PAUSE_MS, UNLOAD_NOTICE_MS,
+	ADAPTER_LOAD_MS, MAX_LOAD_MS, PROGRESS_POLL_MS, REPORT_PAUSE_MS, UNLOAD_NOTICE_MS,
 } from './constants.js';
+import type {AdapterRoom} from './adapter-places.js';
 import type {EngineOrders} from './engine-orders.js';
 import type {LoadAnswer, LoadMove, LoadStep} from './types.js';
 
@@ -21,9 +22,6 @@
 	readonly signal: AbortSignal;
 };
 
-/** An adapter that an engine holds. */
-export type HeldAdapter = {readonly model: string; readonly adapter: string};
-
 /** Whether an engine that holds these models has done a step. */
 function isDone(models: readonly HeldModel[], {kind, model, adapter}: LoadStep): boolean {
 	const held = models.find(({name}) => name === model);
@@ -129,7 +127,7 @@
 	/** Unloads what must go and loads a model; returns whether the model is held. */
 	async runMove(move: LoadMove): Promise<boolean> {
 		this.move = move;
-		this.moveEndsMs = this.opts.clock.now() + (move.unload.length * EXPECTED_UNLOAD_MS) + move.loadMs;
+		this.moveEndsMs = this.opts.clock.now() + move.totalMs;
 		try {
 			return await this.inTurn(async () => {
 				for (const model of move.unload) {
@@ -146,14 +144,19 @@
 	}
 
 	/** Loads an adapter, in place of another one where there is no room; returns whether the engine holds it. */
-	async loadAdapter(model: string, adapter: string, findEvicted: () => HeldAdapter | undefined): Promise<boolean> {
+	async loadAdapter(model: string, adapter: string, findRoom: () => AdapterRoom): Promise<boolean> {
 		return this.inTurn(async () => {
 			if (!this.models) {
 				return false;
 			}
 
-			const evicted = findEvicted();
-			if (evicted) {
+			const room = findRoom();
+			if (room.kind === 'full') {
+				return false;
+			}
+
+			if (room.kind === 'evict') {
+				const {evicted} = room;
 				const step: LoadStep = {kind: 'unload-adapter', ...evicted};
 				this.believe(withAdapter(this.getModels(), evicted.model, evicted.adapter, false));
 				if (!await this.issue(step) || !await this.waitUntilDone(step, 0)) {
--- a/packages/engines/src/loading/engine-owner.ts
+++ b/packages/engines/src/loading/engine-owner.ts
@@ -1,12 +1,13 @@
 import {
 	type Clock, type EngineClass, jitter, type Logger, type Random, type Registration,
 } from '@egretrill/common';
-import type {TargetRegistry} from '../registry/index.js';
+import type {AdapterUse, TargetRegistry} from '../registry/index.js';
 import {
 	DEMAND_WATCH_MS, LOAD_PLAN_MS, MOVE_WEIGHT, PENDING_WEIGHT,
 } from './constants.js';
 import {DemandCounter} from './demand-counter.js';
-import {EngineLine, type HeldAdapter} from './engine-line.js';
+import {AdapterPlaces, type AdapterRoom} from './adapter-places.js';
+import {EngineLine} from './engine-line.js';
 import type {EngineOrders} from './engine-orders.js';
 import {type ExpectedModel, expectModels} from './expect-models.js';
 import {planLoads} from './plan-loads.js';
@@ -49,6 +50,7 @@
 	private readonly missingSince = new Map<string, number>();
 	private readonly demand: DemandCounter;
 	private readonly waiting = new Map<string, WaitingCounts>();
+	private readonly adapters: AdapterPlaces;
 	private readonly adapterLoads = new Map<string, Promise<string | undefined>>();
 	/** When the first request arrived that this owner heard of. */
 	private demandSinceMs = Number.POSITIVE_INFINITY;
@@ -57,6 +59,7 @@
 
 	constructor(private readonly opts: EngineOwnerOptions) {
 		this.demand = new DemandCounter(opts.clock);
+		this.adapters = new AdapterPlaces(opts.clock);
 	}
 
 	/** Takes in arrivals, and the time for which they will hold places. */
@@ -73,6 +76,11 @@
 		this.waiting.set(hostId, counts);
 	}
 
+	/** Takes over which adapters the requests of one host use. */
+	noteAdapterUse(hostId: string, uses: readonly AdapterUse[]): void {
+		this.adapters.noteUse(hostId, uses);
+	}
+
 	/** Has an adapter loaded that a request needs, and resolves with the engine that holds it then; a missing model is left to the plan. */
 	async want(want: ModelWant, signal: AbortSignal): Promise<string | undefined> {
 		if (want.adapter === undefined) {
@@ -168,7 +176,7 @@
 			return undefined;
 		}
 
-		const {engine, isHeld: isHeldAlready} = this.findAdapterSite(service, model, adapter);
+		const {engine, isHeld: isHeldAlready} = this.findAdapterSite(service, model, adapter, engineClass);
 		if (!engine || isHeldAlready) {
 			return engine?.targetId;
 		}
@@ -176,7 +184,11 @@
 		// Entry hosts report arrivals later; until then the new adapter must not look idle.
 		this.demand.add(key, 1);
 		try {
-			const isHeld = await this.getLine(engine, signal).loadAdapter(model, adapter, () => this.findIdleAdapter(engine.targetId, engineClass));
+			const isHeld = await this.getLine(engine, signal).loadAdapter(model, adapter, () => this.findAdapterRoom(engine.targetId, engineClass));
+			if (isHeld) {
+				this.adapters.noteLoaded(engine.targetId, {model, adapter});
+			}
+
 			logger.info({
 				targetId: engine.targetId, model, adapter, isHeld, tookMs: Math.round(clock.now() - nowMs),
 			}, 'An adapter was asked for.');
@@ -189,8 +201,8 @@
 		}
 	}
 
-	/** The engine with the model where an adapter has a place soonest: few changes wait, few adapters are held, and no model is moved. */
-	private findAdapterSite(service: string, model: string, adapter: string): {readonly engine?: Registration; readonly isHeld: boolean} {
+	/** The engine with the model where an adapter has a place soonest: there is room, few changes wait, few adapters are held, and no model is moved. */
+	private findAdapterSite(service: string, model: string, adapter: string, engineClass: EngineClass): {readonly engine?: Registration; readonly isHeld: boolean} {
 		const holders = this.getEngines(service).filter(({models}) => models.some(({name}) => name === model));
 		const holder = holders.find(({models}) => models.some(({name, adapters}) => name === model && adapters.includes(adapter)));
 		if (holder) {
@@ -200,22 +212,18 @@
 		const getLoad = ({targetId, models}: Registration): number => {
 			const line = this.lines.get(targetId);
 			const held = models.flatMap(({adapters}) => adapters).length;
-			return held + ((line?.getPending() ?? 0) * PENDING_WEIGHT) + (line?.move ? MOVE_WEIGHT : 0);
+			const isFull = this.findAdapterRoom(targetId, engineClass).kind === 'full';
+			return held + ((line?.getPending() ?? 0) * PENDING_WEIGHT) + (line?.move === undefined && !isFull ? 0 : MOVE_WEIGHT);
 		};
 
 		return {engine: holders.toSorted((a, b) => getLoad(a) - getLoad(b)).at(0), isHeld: false};
 	}
 
-	/** The adapter that is asked for least, when every place of the engine is taken. */
-	private findIdleAdapter(targetId: string, {adapterSlots}: EngineClass): HeldAdapter | undefined {
+	private findAdapterRoom(targetId: string, {adapterSlots}: EngineClass): AdapterRoom {
 		const service = this.opts.registry.get(targetId)?.service ?? '';
 		const models = this.lines.get(targetId)?.getHoldings() ?? [];
 		const held = models.flatMap(({name, adapters}) => adapters.map(adapter => ({model: name, adapter})));
-		if (held.length < adapterSlots) {
-			return undefined;
-		}
-
-		return held.toSorted((a, b) => this.demand.getPerSecond(getName({service, ...a})) - this.demand.getPerSecond(getName({service, ...b}))).at(0);
+		return this.adapters.findRoom(targetId, held, adapterSlots, adapter => this.demand.getPerSecond(getName({service, ...adapter})));
 	}
 
 	/** Engines that get requests; what the others hold serves nobody. */
--- a/packages/engines/src/loading/index.ts
+++ b/packages/engines/src/loading/index.ts
@@ -1,3 +1,4 @@
+export * from './adapter-places.js';
 export * from './demand-counter.js';
 export * from './engine-line.js';
 export * from './engine-orders.js';
--- a/packages/engines/src/loading/plan-loads.ts
+++ b/packages/engines/src/loading/plan-loads.ts
@@ -1,6 +1,6 @@
 import type {EngineClass, StoredModel} from '@egretrill/common';
 import {
-	ADAPTER_DEMAND_RATIO, IDLE_DEMAND, MIN_COPY_AGE_MS, MIN_MOVE_GAIN, MISSING_PATIENCE_MS, PLAN_HORIZON_S, WAITING_WEIGHT,
+	ADAPTER_DEMAND_RATIO, BUSY_UNLOAD_MS, IDLE_DEMAND, IDLE_UNLOAD_MS, MAX_SWAP_RATIO, MIN_COPY_AGE_MS, MIN_MOVE_GAIN, MISSING_PATIENCE_MS, PLAN_HORIZON_S, WAITING_WEIGHT,
 } from './constants.js';
 import {type LaidOutEngine, spreadDemand} from './spread-demand.js';
 import type {LoadMove, ModelDemand, PlannedEngine} from './types.js';
@@ -18,7 +18,7 @@
 };
 
 type Want = {readonly model: StoredModel; readonly lost: number; readonly reason: LoadMove['reason']};
-type Site = {readonly engine: PlannedEngine; readonly unload: readonly string[]; readonly loadMs: number; readonly fromStore: boolean; readonly cost: number};
+type Site = {readonly engine: PlannedEngine; readonly unload: readonly string[]; readonly totalMs: number; readonly loadMs: number; readonly fromStore: boolean; readonly cost: number};
 
 /** What the engines hold and what callers need while a plan is made; each planned move changes it. */
 class Layout {
@@ -156,17 +156,23 @@
 	return engine.onDisk.includes(name) ? diskLoadMs : storeLoadMs;
 }
 
+function getUnloadMs(unload: readonly string[], layout: Layout): number {
+	return unload.reduce((sum, model) => sum + (layout.isIdle(model) ? IDLE_UNLOAD_MS : BUSY_UNLOAD_MS), 0);
+}
+
 function describeSite(view: LoadView, engine: PlannedEngine, layout: Layout, want: Want): Site | undefined {
 	const unload = makeRoom(view, engine, layout, want);
 	const loadMs = getLoadMs(engine, want.model);
 	const fromStore = loadMs === want.model.storeLoadMs;
-	if (!unload || (fromStore && !view.mayUseStore) || (want.reason === 'crowded' && !view.mayEvictForCopies && unload.length > 0)) {
+	const isSwap = want.reason === 'crowded' && unload !== undefined && unload.length > 0;
+	if (!unload || (fromStore && !view.mayUseStore) || (isSwap && !view.mayEvictForCopies)) {
 		return undefined;
 	}
 
-	const blocked = layout.getSoleNeeds(engine.targetId) * ADAPTER_DEMAND_RATIO * loadMs / MS_PER_SECOND;
+	const totalMs = loadMs + getUnloadMs(unload, layout);
+	const blocked = layout.getSoleNeeds(engine.targetId) * ADAPTER_DEMAND_RATIO * totalMs / MS_PER_SECOND;
 	return {
-		engine, unload, loadMs, fromStore, cost: layout.getCost(engine.targetId, unload, want.model.name, loadMs) + blocked,
+		engine, unload, totalMs, loadMs, fromStore, cost: layout.getCost(engine.targetId, unload, want.model.name, totalMs) + blocked,
 	};
 }
 
@@ -186,13 +192,17 @@
 	const taken = new Set<string>();
 	const moves: LoadMove[] = [];
 	let {mayUseStore} = view;
+	let swaps = view.engines.filter(({unloading}) => unloading.length > 0).length;
+	const maxSwaps = Math.max(1, Math.floor(view.engines.length * MAX_SWAP_RATIO));
 	for (const want of getWants(view, layout)) {
-		const site = findSite({...view, mayUseStore}, layout, want, taken);
+		const mayEvictForCopies = view.mayEvictForCopies && swaps < maxSwaps;
+		const site = findSite({...view, mayUseStore, mayEvictForCopies}, layout, want, taken);
 		if (site) {
 			const move: LoadMove = {
-				targetId: site.engine.targetId, unload: [...site.unload], load: want.model.name, reason: want.reason, fromStore: site.fromStore, loadMs: site.loadMs,
+				targetId: site.engine.targetId, unload: [...site.unload], load: want.model.name, reason: want.reason, fromStore: site.fromStore, totalMs: site.totalMs, loadMs: site.loadMs,
 			};
 			taken.add(move.targetId);
+			swaps += move.unload.length > 0 ? 1 : 0;
 			mayUseStore &&= !site.fromStore;
 			layout.apply(move);
 			moves.push(move);
--- a/packages/engines/src/registry/target-book.ts
+++ b/packages/engines/src/registry/target-book.ts
@@ -13,6 +13,8 @@
 	coldUntilMs: number;
 	/** Requests of this host that have not ended. */
 	own: number;
+	/** Requests of this host that use an adapter, by model and adapter. */
+	readonly ownAdapters: Map<string, number>;
 	/** Requests of the other hosts, as the leader or the target told last. */
 	others: number;
 	suspectUntilMs: number;
@@ -22,6 +24,9 @@
 	coldSends: readonly number[];
 };
 
+/** Requests that use an adapter of a target's model. */
+export type AdapterUse = readonly [targetId: string, model: string, adapter: string, count: number];
+
 /** What a request needs of its target. */
 export type TargetNeed = {
 	readonly service: string;
@@ -51,6 +56,20 @@
 	return JSON.stringify([service, model]);
 }
 
+function countAdapter({ownAdapters}: Target, model: string | undefined, adapter: string | undefined, change: number): void {
+	if (adapter === undefined) {
+		return;
+	}
+
+	const key = JSON.stringify([model, adapter]);
+	const count = (ownAdapters.get(key) ?? 0) + change;
+	if (count > 0) {
+		ownAdapters.set(key, count);
+	} else {
+		ownAdapters.delete(key);
+	}
+}
+
 function getRecent(times: readonly number[], nowMs: number): readonly number[] {
 	return times.filter(timeMs => nowMs - timeMs < MS_PER_SECOND);
 }
@@ -123,6 +142,14 @@
 		return [...this.targets].filter(([, {own}]) => own > 0).map(([id, {own}]) => [id, own]);
 	}
 
+	/** Requests of this host that use an adapter. */
+	getOwnAdapters(): readonly AdapterUse[] {
+		return [...this.targets].flatMap(([id, {ownAdapters}]) => [...ownAdapters].map(([key, count]): AdapterUse => {
+			const [model, adapter] = JSON.parse(key) as [string, string];
+			return [id, model, adapter, count];
+		}));
+	}
+
 	/** Notes an adapter that an engine holds now; the next update of the registry tells the same. */
 	noteAdapter(targetId: string, model: string, adapter: string): void {
 		const target = this.targets.get(targetId);
@@ -139,7 +166,7 @@
 	}
 
 	/** Takes a place at a chosen target. */
-	take(targetId: string, {model, parts}: TargetNeed): TargetPlace | undefined {
+	take(targetId: string, {model, adapter, parts}: TargetNeed): TargetPlace | undefined {
 		const target = this.targets.get(targetId);
 		if (!target) {
 			return undefined;
@@ -147,6 +174,7 @@
 
 		const outstanding = target.own + target.others;
 		target.own += 1;
+		countAdapter(target, model, adapter, 1);
 		this.countColdSend(target);
 		if (model !== undefined) {
 			this.kept.note(targetId, model, parts);
@@ -156,7 +184,7 @@
 		return {
 			registration: target.registration,
 			outstanding,
-			noteOutstanding: count => {
+			noteOutstanding(count) {
 				target.others = Math.max(0, count - target.own);
 			},
 			end: end => {
@@ -166,6 +194,7 @@
 
 				hasEnded = true;
 				target.own -= 1;
+				countAdapter(target, model, adapter, -1);
 				this.noteEnd(target, end);
 
 				this.changed.notify();
@@ -232,7 +261,7 @@
 
 		this.kept.forget(registration.targetId);
 		this.targets.set(registration.targetId, {
-			registration, coldUntilMs, own: 0, others: 0, suspectUntilMs: 0, unreachableCount: 0, coldSends: [],
+			registration, coldUntilMs, own: 0, ownAdapters: new Map(), others: 0, suspectUntilMs: 0, unreachableCount: 0, coldSends: [],
 		});
 	}
 
--- /dev/null
+++ b/packages/engines/tests/loading/adapter-places.test.ts
@@ -0,0 +1,38 @@
+import {ManualClock} from '@egretrill/common';
+import {expect} from 'chai';
+import {AdapterPlaces, type AdapterRoom, type HeldAdapter} from '../../src/loading/index.js';
+
+const held: readonly HeldAdapter[] = ['a1', 'a2'].map(adapter => ({model: 'm', adapter}));
+const demand: Readonly<Record<string, number>> = {a1: 5, a2: 1};
+
+function findRoom(places: AdapterPlaces, count = 2): AdapterRoom {
+	return places.findRoom('t1', held, count, ({adapter}) => demand[adapter] ?? 0);
+}
+
+describe('AdapterPlaces', () => {
+	// Guards against an unload that waits for the runs of an adapter in use and blocks the engine meanwhile.
+	it('gives up the adapter that is asked for least, but none in use', () => {
+		const clock = new ManualClock();
+		const places = new AdapterPlaces(clock);
+		const seen = [findRoom(places, 3), findRoom(places)];
+		places.noteUse('h1', [['t1', 'm', 'a2', 1], ['t2', 'm', 'a1', 1]]);
+		seen.push(findRoom(places));
+		places.noteUse('h2', [['t1', 'm', 'a1', 2]]);
+		seen.push(findRoom(places));
+		places.noteUse('h1', []);
+		seen.push(findRoom(places));
+		clock.advance(2000);
+		seen.push(findRoom(places));
+		expect(seen).toMatchSnapshot();
+	});
+
+	// Guards against adapters that replace each other before the requests that waited for them arrive.
+	it('keeps an adapter for a while after its load', () => {
+		const clock = new ManualClock();
+		const places = new AdapterPlaces(clock);
+		places.noteLoaded('t1', {model: 'm', adapter: 'a2'});
+		const atOnce = findRoom(places);
+		clock.advance(500);
+		expect({atOnce, later: findRoom(places)}).toMatchSnapshot();
+	});
+});
