traffic: ask the control host that was asked longest ago

Their logs show polls at two hosts beyond the cut and none answered in the zone: they took turns by a count over the hosts that were not suspect, and as that list shrank and grew the count passed over the one that answers. Change: the host asked longest ago is next, of several the nearest.

--- a/apps/egretrilld/src/traffic/control-follower.ts
+++ b/apps/egretrilld/src/traffic/control-follower.ts
@@ -42,7 +42,7 @@
 	private readonly silent = new Set<string>();
 	private leaderId: string | undefined;
 	private lastAnswerMs = Number.NEGATIVE_INFINITY;
-	private turn = 0;
+	private readonly askedMs = new Map<string, number>();
 
 	constructor(private readonly opts: ControlFollowerOptions) {
 		super();
@@ -58,10 +58,6 @@
 			const controlId = this.pick();
 			const sentMs = this.opts.clock.now();
 			const isAnswered = controlId !== undefined && await this.poll(controlId);
-			if (!isAnswered) {
-				this.turn += 1;
-			}
-
 			const gapMs = isAnswered ? SYNC_GAP_MS : SYNC_RETRY_MS;
 			await this.opts.clock.sleep(Math.max(SYNC_GAP_MS, sentMs + gapMs - this.opts.clock.now()), signal);
 		}
@@ -94,7 +90,7 @@
 			leaderId: this.leaderId,
 			zone: this.opts.zone,
 			isTrusted: id => (this.suspectUntilMs.get(id) ?? 0) <= nowMs,
-			turn: this.turn,
+			getAskedMs: id => this.askedMs.get(id),
 		});
 	}
 
@@ -102,6 +98,7 @@
 		const {clock, hostId, logger, peers, sink} = this.opts;
 		const {configVersion, registry} = sink.getKnown();
 		const sentMs = clock.now();
+		this.askedMs.set(controlId, sentMs);
 		const answer = await peers.call(controlId, syncMethod, {
 			report: {...sink.createReport(), hostId, startId: this.startId}, configVersion, registry, waitMs: SYNC_WAIT_MS,
 		}, SYNC_WAIT_MS + SYNC_ANSWER_MS);
@@ -141,8 +138,6 @@
 		sink.takeTargets(registry, zonesOut);
 		if (plan) {
 			sink.takePlan(plan, sentMs);
-		} else {
-			this.turn += 1;
 		}
 	}
 }
