hosts, callers: lead and lease again soon after all hosts were killed

A restarted member waits a whole election timeout before it votes, although it needs to outlast a lease of 500 ms only. A new owner of rates leases nothing until the leases of an earlier one have ended, since it does not know who holds some. Ruled out: configuration from a member without a leader; without an owner of rates the host would refuse customers all the same. Change: a restarted member votes after 600 ms. The log names the entry hosts; leases go only to these, and a new owner leases as soon as each of them has put one of its answers into force. The rate stays within every window across cuts and a new owner (existing test).

--- a/apps/egretrilld/src/traffic/constants.ts
+++ b/apps/egretrilld/src/traffic/constants.ts
@@ -40,6 +40,9 @@
 /** What the running requests of a silent entry host count for after its last poll. */
 export const ENTRY_SILENT_MS = 1500;
 
+/** How often the leader compares the entry hosts that it hears with those that the log names. */
+export const ENTRY_RECORD_MS = 400;
+
 /** A request for a model or adapter is not repeated within this time. */
 export const WANT_GAP_MS = 50;
 
--- a/apps/egretrilld/src/traffic/control-host.ts
+++ b/apps/egretrilld/src/traffic/control-host.ts
@@ -197,6 +197,11 @@
 		return outcome.kind === 'committed';
 	}
 
+	private async putEntryHosts(hostIds: readonly string[]): Promise<boolean> {
+		const outcome = await this.log.propose({kind: 'setEntryHosts', hostIds: [...hostIds]});
+		return outcome.kind === 'committed';
+	}
+
 	/** Seeds from changed settings. */
 	learnSeeds(seeds: readonly string[]): void {
 		this.peers.learnSeeds(seeds);
@@ -254,7 +259,7 @@
 			this.term?.end();
 			logger.info({term}, 'This host leads.');
 			this.term = new LeaderTerm({
-				clock, random, logger, orders, term, node: this.node, registry: this.registry, hostId: settings.host, orderLeaseMs: settings.bounds.orderLeaseMs, getZonesOut: () => [...this.state.getZonesOut()], getClasses: () => this.getClasses(), getCustomers: () => this.getCustomers(),
+				clock, random, logger, orders, term, node: this.node, registry: this.registry, hostId: settings.host, orderLeaseMs: settings.bounds.orderLeaseMs, getZonesOut: () => [...this.state.getZonesOut()], getClasses: () => this.getClasses(), getCustomers: () => this.getCustomers(), getEntryHosts: () => this.state.getEntryHosts(), putEntryHosts: async hostIds => this.putEntryHosts(hostIds),
 			});
 			void this.term.run();
 		} else if (role !== 'leader' && this.term) {
--- a/apps/egretrilld/src/traffic/leader-term.ts
+++ b/apps/egretrilld/src/traffic/leader-term.ts
@@ -1,10 +1,10 @@
-import {RateOwner} from '@egretrill/callers';
+import {RATE_HOST_TTL_MS, RateOwner} from '@egretrill/callers';
 import type {
 	Clock, EngineClass, Logger, Random, TrafficCustomer,
 } from '@egretrill/common';
 import {type EngineOrders, EngineOwner, type TargetRegistry} from '@egretrill/engines';
 import type {FleetNode} from '@egretrill/hosts';
-import {ENTRY_SILENT_MS, ORDER_TAKEOVER_MARGIN_MS} from './constants.js';
+import {ENTRY_RECORD_MS, ENTRY_SILENT_MS, ORDER_TAKEOVER_MARGIN_MS} from './constants.js';
 import type {EntryReport, LeaderPlan} from './methods.js';
 
 export type LeaderTermOptions = {
@@ -20,6 +20,9 @@
 	readonly getZonesOut: () => readonly string[];
 	readonly getClasses: () => ReadonlyMap<string, EngineClass>;
 	readonly getCustomers: () => ReadonlyMap<string, TrafficCustomer>;
+	/** Hosts that the log names as possible holders of leased rates, and how to name others. */
+	readonly getEntryHosts: () => readonly string[];
+	readonly putEntryHosts: (hostIds: readonly string[]) => Promise<boolean>;
 };
 
 type Running = {readonly counts: EntryReport['running']; readonly seenMs: number};
@@ -30,10 +33,12 @@
 	readonly rates: RateOwner;
 	private readonly running = new Map<string, Running>();
 	private readonly stopper = new AbortController();
+	private readonly startedMs: number;
 
 	constructor(private readonly opts: LeaderTermOptions) {
 		const {clock, node, orderLeaseMs, term} = opts;
-		this.rates = new RateOwner(clock, opts.getCustomers);
+		this.startedMs = clock.now();
+		this.rates = new RateOwner(clock, opts.getCustomers, opts.getEntryHosts);
 		this.engines = new EngineOwner({
 			...opts,
 			holder: opts.hostId,
@@ -52,7 +57,7 @@
 	}
 
 	async run(): Promise<void> {
-		await this.engines.run(this.stopper.signal);
+		await Promise.all([this.engines.run(this.stopper.signal), this.recordHosts()]);
 	}
 
 	end(): void {
@@ -72,6 +77,25 @@
 		return {others: this.sumOthers(hostId), expected: this.engines.getExpected().map(({service, model, readyInMs}) => [service, model, Math.round(readyInMs)]), rates: {...grant, leased: grant.leased.map(([name, part]) => [name, part])}};
 	}
 
+	/** Keeps the log's list of entry hosts up to date. */
+	private async recordHosts(): Promise<void> {
+		const {clock, getEntryHosts, logger, putEntryHosts} = this.opts;
+		while (!this.stopper.signal.aborted) {
+			const hostIds = [...new Set([...this.rates.getHostIds(), ...this.getUnsettledHosts()])].toSorted();
+			if (hostIds.join(' ') !== getEntryHosts().join(' ')) {
+				const isPut = await putEntryHosts(hostIds);
+				logger.info({hostIds, isPut}, 'The entry hosts have changed.');
+			}
+
+			await clock.sleep(ENTRY_RECORD_MS, this.stopper.signal);
+		}
+	}
+
+	/** Hosts of an earlier leader that may still hold leases. */
+	private getUnsettledHosts(): readonly string[] {
+		return this.opts.clock.now() - this.startedMs < RATE_HOST_TTL_MS ? this.opts.getEntryHosts() : [];
+	}
+
 	private sumOthers(hostId: string): LeaderPlan['others'] {
 		const oldestMs = this.opts.clock.now() - ENTRY_SILENT_MS;
 		const sums = new Map<string, number>();
--- a/packages/callers/src/forward/rate-owner.ts
+++ b/packages/callers/src/forward/rate-owner.ts
@@ -19,7 +19,16 @@
 export type RateGrant = {readonly serial: number; readonly standing: number; readonly leased: ReadonlyArray<readonly [name: string, part: number]>; readonly hostCount: number};
 
 type PartPromise = {readonly serial: number; readonly standing: number; readonly leased: ReadonlyMap<string, number>; readonly endsMs: number};
-type HostState = {startId: string; seenMs: number; demand: ReadonlyMap<string, RateDemand>; promises: readonly PartPromise[]};
+type HostState = {
+	startId: string;
+	seenMs: number;
+	demand: ReadonlyMap<string, RateDemand>;
+	promises: readonly PartPromise[];
+	/** Number of this owner's first answer to the host. */
+	firstSerial: number | undefined;
+	/** Whether the host has put an answer of this owner into force, which ends what an earlier owner leased to it. */
+	isConfirmed: boolean;
+};
 type Pool = {level: number; levelMs: number};
 
 /** Divides the customers' rates: a standing part for each host, leases by demand, and a pool from which hosts borrow for single requests. */
@@ -28,7 +37,8 @@
 	private readonly pools = new Map<string, Pool>();
 	private readonly startedMs: number;
 
-	constructor(private readonly clock: Clock, private readonly getCustomers: () => ReadonlyMap<string, TrafficCustomer>) {
+	/** Leases go only to recorded hosts, so that the next owner knows who may hold one. */
+	constructor(private readonly clock: Clock, private readonly getCustomers: () => ReadonlyMap<string, TrafficCustomer>, private readonly getRecordedHosts: () => readonly string[]) {
 		this.startedMs = clock.now();
 	}
 
@@ -37,8 +47,9 @@
 		const host = this.noteHost(req);
 		const hostCount = this.countHosts();
 		const standing = Math.max(0, Math.min(STANDING_RATIO / hostCount, STANDING_RATIO - this.sumOthers(req.hostId, promise => promise.standing)));
-		const leased = this.isSettled() ? this.divideLeases(req, hostCount) : new Map<string, number>();
+		const leased = this.isSettled() && this.getRecordedHosts().includes(req.hostId) ? this.divideLeases(req, hostCount) : new Map<string, number>();
 		const serial = (host.promises.at(-1)?.serial ?? req.ackedSerial) + 1;
+		host.firstSerial ??= serial;
 		host.promises = [...host.promises, {
 			serial, standing, leased, endsMs: this.clock.now() + (RATE_LEASE_MS * (1 + CLOCK_DRIFT_RATIO)),
 		}];
@@ -83,9 +94,20 @@
 		return pool;
 	}
 
-	/** A new owner does not know the leases of the one before it, so it waits until they have ended. */
+	/** Hosts that asked lately, in a fixed order. */
+	getHostIds(): readonly string[] {
+		const oldestMs = this.clock.now() - RATE_HOST_TTL_MS;
+		return [...this.hosts].filter(([, {seenMs}]) => seenMs >= oldestMs).map(([id]) => id).toSorted();
+	}
+
+	/** A new owner does not know the leases of the one before it, so it waits until they have ended or every host that may hold one has replaced it. */
 	private isSettled(): boolean {
-		return this.clock.now() - this.startedMs > RATE_LEASE_MS * (1 + CLOCK_DRIFT_RATIO);
+		if (this.clock.now() - this.startedMs > RATE_LEASE_MS * (1 + CLOCK_DRIFT_RATIO)) {
+			return true;
+		}
+
+		const recorded = this.getRecordedHosts();
+		return recorded.length > 0 && recorded.every(id => this.hosts.get(id)?.isConfirmed);
 	}
 
 	private noteHost(req: RateRequest): HostState {
@@ -99,7 +121,7 @@
 				}]
 				: [];
 			const host = {
-				startId: req.startId, seenMs: nowMs, demand, promises,
+				startId: req.startId, seenMs: nowMs, demand, promises, firstSerial: undefined, isConfirmed: false,
 			};
 			this.hosts.set(req.hostId, host);
 			return host;
@@ -107,6 +129,7 @@
 
 		known.seenMs = nowMs;
 		known.demand = demand;
+		known.isConfirmed ||= known.firstSerial !== undefined && req.ackedSerial >= known.firstSerial;
 		known.promises = known.promises.filter(({serial}) => serial >= req.ackedSerial);
 		return known;
 	}
--- a/packages/callers/tests/forward/rates.test.ts
+++ b/packages/callers/tests/forward/rates.test.ts
@@ -12,7 +12,7 @@
 }
 
 type Host = {
-	readonly id: string; readonly parts: RateParts; serial: number; standing: number; isCut: boolean; granted: number;
+	readonly id: string; readonly parts: RateParts; serial: number; standing: number; leased: number; isCut: boolean; granted: number;
 };
 
 /** Hosts that divide one customer's rate, each with a caller that asks for a cost at a steady pace. */
@@ -21,23 +21,25 @@
 	readonly hosts: readonly Host[];
 	readonly spent: Array<{readonly atMs: number; readonly cost: number}> = [];
 	asked = 0;
+	recorded: readonly string[] = [];
 	owner: RateOwner;
 	private readonly limit: TrafficCustomer;
 
 	constructor(count: number, ratePerSecond: number) {
 		this.limit = customer(ratePerSecond);
 		this.owner = this.createOwner();
+		this.recorded = Array.from({length: count}, (_, i) => `h${i}`);
 		this.hosts = Array.from({length: count}, (_, i) => {
 			const parts = new RateParts(this.clock);
 			parts.setCustomers([this.limit]);
 			return {
-				id: `h${i}`, parts, serial: 0, standing: 0, isCut: false, granted: 0,
+				id: `h${i}`, parts, serial: 0, standing: 0, leased: 0, isCut: false, granted: 0,
 			};
 		});
 	}
 
 	createOwner(): RateOwner {
-		return new RateOwner(this.clock, () => new Map([['c', this.limit]]));
+		return new RateOwner(this.clock, () => new Map([['c', this.limit]]), () => this.recorded);
 	}
 
 	/** Plays some time; each host's callers ask `perSecond` times the given cost. */
@@ -83,7 +85,8 @@
 		});
 		host.serial = grant.serial;
 		host.standing = grant.standing;
-		host.parts.setPart('c', {standing: grant.standing, leased: new Map(grant.leased).get('c') ?? 0, leaseEndsMs: sentMs + RATE_LEASE_MS});
+		host.leased = new Map(grant.leased).get('c') ?? 0;
+		host.parts.setPart('c', {standing: grant.standing, leased: host.leased, leaseEndsMs: sentMs + RATE_LEASE_MS});
 	}
 
 	private ask(host: Host, cost: number): void {
@@ -125,6 +128,31 @@
 		expect({asked: fleet.asked, refused: fleet.asked - fleet.spent.length}).toMatchSnapshot();
 	});
 
+	// Guards against seconds of refusals after each change of the owner, although every host that held a lease has heard the new one.
+	it('leases at once when all recorded hosts have replaced what an earlier owner leased', () => {
+		const play = (cut: number): number => {
+			const fleet = new RateFleet(6, 20_000);
+			fleet.play(6000, 500, () => 6);
+			for (const host of fleet.hosts.slice(0, cut)) {
+				host.isCut = true;
+			}
+
+			fleet.owner = fleet.createOwner();
+			fleet.play(1000, 500, () => 6);
+			return fleet.hosts.filter((host, i) => i >= cut && host.leased > 0).length;
+		};
+
+		expect({allHeard: play(0), oneSilent: play(1)}).toMatchSnapshot();
+	});
+
+	// Guards against a lease that the next owner does not know of.
+	it('leases nothing to a host that the log does not name', () => {
+		const fleet = new RateFleet(6, 20_000);
+		fleet.recorded = ['h0', 'h1'];
+		fleet.play(6000, 500, () => 6);
+		expect(fleet.hosts.map(({leased}) => leased > 0)).toMatchSnapshot();
+	});
+
 	// Guards against more than rate and burst in any window, also while hosts are cut off and the owner changes.
 	it('keeps the rate in every window across cuts and a new owner', () => {
 		const fleet = new RateFleet(6, 20_000);
--- a/packages/hosts/src/constants.ts
+++ b/packages/hosts/src/constants.ts
@@ -23,6 +23,8 @@
 export const LEADER_LEASE_MS = 500;
 export const MIN_ELECTION_TIMEOUT_MS = 900;
 export const MAX_ELECTION_TIMEOUT_MS = 1800;
+/** How long a restarted member waits before it votes; longer than any lease that it may have acknowledged, and shorter than an election timeout, so that a fleet that lost all members leads again soon. */
+export const RESTART_VOTE_WAIT_MS = 600;
 
 export const VOTE_TIMEOUT_MS = 300;
 /** A follower may sync a large batch before it answers, so this is well above the heartbeat. */
--- a/packages/hosts/src/fleet-state.ts
+++ b/packages/hosts/src/fleet-state.ts
@@ -21,6 +21,7 @@
 	leases: {},
 	members: [],
 	zonesOut: [],
+	entryHosts: [],
 	logTimeMs: 0,
 };
 
@@ -70,6 +71,11 @@
 			return setZoneService(timed, command);
 		}
 
+		case 'setEntryHosts': {
+			const {hostIds} = command;
+			return {state: {...timed, entryHosts: hostIds}, result: {kind: 'entry-hosts', hostIds}};
+		}
+
 		case 'apply':
 		case 'withdrawKey':
 		case 'setZoneState':
@@ -154,6 +160,11 @@
 		return this.state.zonesOut;
 	}
 
+	/** Hosts that may hold leased parts of rates. */
+	getEntryHosts(): readonly string[] {
+		return this.state.entryHosts;
+	}
+
 	/** Hosts that operators added, for the transport to find their addresses. */
 	getAddedHosts(): readonly PeerHost[] {
 		return this.state.members.flatMap(member => member.host ?? []);
--- a/packages/hosts/src/types.ts
+++ b/packages/hosts/src/types.ts
@@ -145,6 +145,7 @@
 	/** Of two traffic configurations the higher version stays; the content under a held version never changes. */
 	z.object({kind: z.literal('putTraffic'), traffic: TrafficSource}),
 	z.object({kind: z.literal('setZoneService'), zone: z.string(), isInService: z.boolean()}),
+	z.object({kind: z.literal('setEntryHosts'), hostIds: z.array(z.string())}),
 ]);
 export type FleetCommand = z.infer<typeof FleetCommand>;
 export type FleetCommandOf<Kind extends FleetCommand['kind']> = Extract<FleetCommand, {kind: Kind}>;
@@ -176,6 +177,7 @@
 	z.object({kind: z.literal('lease'), ...ZoneLease.shape}),
 	z.object({kind: z.literal('traffic'), version: count}),
 	z.object({kind: z.literal('zone-service'), zonesOut: z.array(z.string())}),
+	z.object({kind: z.literal('entry-hosts'), hostIds: z.array(z.string())}),
 ]);
 export type FleetResult = z.infer<typeof FleetResult>;
 
@@ -239,6 +241,8 @@
 	traffic: TrafficSource.optional(),
 	/** Zones whose targets get no new work. */
 	zonesOut: z.array(z.string()).default([]),
+	/** Hosts that may hold leased parts of rates. */
+	entryHosts: z.array(z.string()).default([]),
 	/** Sum of the elapsed times in commands; it never runs faster than real time. */
 	logTimeMs: count,
 });
--- a/packages/hosts/tests/consensus.test.ts
+++ b/packages/hosts/tests/consensus.test.ts
@@ -4,7 +4,7 @@
 } from '@egretrill/disk';
 import {expect} from 'chai';
 import {
-	APPEND_TIMEOUT_MS, ConsensusNode, ConsensusTransport, type FleetCommand, FleetState, type Members,
+	APPEND_TIMEOUT_MS, ConsensusNode, ConsensusTransport, type FleetCommand, FleetState, LEADER_LEASE_MS, type Members, MIN_ELECTION_TIMEOUT_MS,
 } from '../src/index.js';
 import {membersCodec} from '../src/consensus/replica.js';
 import type {AppendEntriesResponse, InstallSnapshotResponse, RequestVoteResponse} from '../src/types.js';
@@ -84,6 +84,28 @@
 		cluster.stopAll();
 	});
 
+	// Guards against a fleet that serves nobody for an election timeout after all its members were killed.
+	it('leads again soon after all members have restarted, and not before an old lease has ended', async () => {
+		const waits: number[] = [];
+		for (let seed = 1; seed <= 8; seed++) {
+			const {cluster, leader} = await createCluster(seed);
+			await apply(cluster, leader, 'first');
+			await catchUp(cluster);
+			for (const id of cluster.initialMembers) {
+				cluster.crash(id);
+			}
+
+			cluster.startAll();
+			const startedMs = cluster.clock.now();
+			await cluster.waitForLeader();
+			waits.push(cluster.clock.now() - startedMs);
+			cluster.stopAll();
+		}
+
+		expect(Math.min(...waits), 'earliest').to.be.at.least(LEADER_LEASE_MS);
+		expect(waits.toSorted((a, b) => a - b)[4], 'median').to.be.below(MIN_ELECTION_TIMEOUT_MS);
+	});
+
 	// Guards against a negative age in the answers of a fleet with one voter, which its other hosts refuse, so that they never become ready.
 	it('never answers with a negative age when the only voter reads its clock twice', async () => {
 		const cluster = new SimCluster({seed: SEED, initialMembers: ['a']});
