callers, engines: spare requests the targets of a zone that cannot be reached

A send that reached nothing takes nothing from the budget; each target is tried once. Before: the new test of the budget ends with a refusal after four targets, that of the zone chooses the third unreachable target. After: both reach one that answers.

--- a/apps/egretrilld/src/traffic/control-host.ts
+++ b/apps/egretrilld/src/traffic/control-host.ts
@@ -197,16 +197,16 @@
 		return outcome.kind === 'committed';
 	}
 
-	private async putEntryHosts(hostIds: readonly string[]): Promise<boolean> {
-		const outcome = await this.log.propose({kind: 'setEntryHosts', hostIds: [...hostIds]});
-		return outcome.kind === 'committed';
-	}
-
 	/** Seeds from changed settings. */
 	learnSeeds(seeds: readonly string[]): void {
 		this.peers.learnSeeds(seeds);
 	}
 
+	private async putEntryHosts(hostIds: readonly string[]): Promise<boolean> {
+		const outcome = await this.log.propose({kind: 'setEntryHosts', hostIds: [...hostIds]});
+		return outcome.kind === 'committed';
+	}
+
 	private getLeaderId(): string | undefined {
 		const {leaderId, members} = this.node.status();
 		const isMember = this.gossip.leaderMemberIds?.includes(this.hostId) ?? members.some(({id}) => id === this.hostId);
--- a/packages/callers/src/forward/forward-request.ts
+++ b/packages/callers/src/forward/forward-request.ts
@@ -231,7 +231,9 @@
 			return 'answered';
 		}
 
-		if (work.signal.aborted || !mayRepeat(work, outcome.kind) || !retries.tryRetry()) {
+		// The budget bounds what arrives at targets; a request that reached none may always go to another one.
+		const isUnsent = outcome.kind === 'not-run' && outcome.targetEnd === 'unreachable';
+		if (work.signal.aborted || !mayRepeat(work, outcome.kind) || !(isUnsent || retries.tryRetry())) {
 			return giveUp(work, refuse(503, 'target-failed', outcome.reason, MIN_RETRY_AFTER_MS));
 		}
 	}
--- a/packages/callers/src/forward/rate-owner.ts
+++ b/packages/callers/src/forward/rate-owner.ts
@@ -75,6 +75,12 @@
 		return {isGranted: false, retryAfterMs: (1 - pool.level) * 1000 / (customer.ratePerSecond * ratio)};
 	}
 
+	/** Hosts that asked lately, in a fixed order. */
+	getHostIds(): readonly string[] {
+		const oldestMs = this.clock.now() - RATE_HOST_TTL_MS;
+		return [...this.hosts].filter(([, {seenMs}]) => seenMs >= oldestMs).map(([id]) => id).toSorted();
+	}
+
 	/** Parts of a customer whose burst is small would be too small for a single request, so its rate stays in the pool. */
 	private isLarge({name, burst}: TrafficCustomer, hostCount: number): boolean {
 		const meanCost = Math.max(0, ...[...this.hosts.values()].map(({demand}) => demand.get(name)?.meanCost ?? 0));
@@ -94,12 +100,6 @@
 		return pool;
 	}
 
-	/** Hosts that asked lately, in a fixed order. */
-	getHostIds(): readonly string[] {
-		const oldestMs = this.clock.now() - RATE_HOST_TTL_MS;
-		return [...this.hosts].filter(([, {seenMs}]) => seenMs >= oldestMs).map(([id]) => id).toSorted();
-	}
-
 	/** A new owner does not know the leases of the one before it, so it waits until they have ended or every host that may hold one has replaced it. */
 	private isSettled(): boolean {
 		if (this.clock.now() - this.startedMs > RATE_LEASE_MS * (1 + CLOCK_DRIFT_RATIO)) {
--- a/packages/callers/tests/forward/forward-request.test.ts
+++ b/packages/callers/tests/forward/forward-request.test.ts
@@ -27,6 +27,12 @@
 		]).toMatchSnapshot();
 	});
 
+	// Guards against refusals in a zone that is cut off, because the budget for repeats was spent on targets that nothing reached.
+	it('tries further targets without the retry budget while none was reached', async () => {
+		const unreached = Array.from({length: 4}, () => ({failure: unwritten}));
+		expect(await playRequest({targets: ['t1', 't2', 't3', 't4', 't5'], answers: [...unreached, {chunks: ['ok']}]})).toMatchSnapshot();
+	});
+
 	// Guards against a failed lookup although a second target would have answered.
 	it('repeats an idempotent request up to its attempts', async () => {
 		const route = {repeat: 'idempotent', maxAttempts: 2} as const;
--- a/packages/engines/src/registry/constants.ts
+++ b/packages/engines/src/registry/constants.ts
@@ -13,6 +13,9 @@
 /** The longest time for which an unreachable target is chosen after all others; its registration ends soon after. */
 export const MAX_SUSPECT_MS = 6000;
 
+/** Unreachable targets of one zone from which on all its targets are chosen after the others. */
+export const CUT_ZONE_TARGETS = 2;
+
 /** Work that one more running request adds for the others of an engine's batch, to weigh engines against each other. */
 export const BATCH_SHARE_MS = 12;
 
--- a/packages/engines/src/registry/target-book.ts
+++ b/packages/engines/src/registry/target-book.ts
@@ -1,7 +1,7 @@
 import {type Clock, type Registration, Signal} from '@egretrill/common';
 import {type TargetCandidate, chooseTarget, type TargetChoice} from './choose-target.js';
 import {
-	MAX_SUSPECT_MS, QUEUED_PER_SLOT, REGISTRATION_TTL_MS, SUSPECT_MS,
+	CUT_ZONE_TARGETS, MAX_SUSPECT_MS, QUEUED_PER_SLOT, REGISTRATION_TTL_MS, SUSPECT_MS,
 } from './constants.js';
 import {KeptPrompts} from './kept-prompts.js';
 import type {RegistryUpdate} from './types.js';
@@ -82,6 +82,8 @@
 	private readonly kept = new KeptPrompts();
 	private zonesOut: ReadonlySet<string> = new Set();
 	private known = {origin: '', revision: 0};
+	/** Targets of each zone that could not be reached since one of them answered last. */
+	private readonly unreachable = new Map<string, {readonly targetIds: ReadonlySet<string>; readonly seenMs: number}>();
 	/** When models that are on their way can serve, by service and model. */
 	private readyAtMs: ReadonlyMap<string, number> = new Map();
 
@@ -204,6 +206,7 @@
 
 	/** A target without power or behind a cut costs each request a timeout, so it is left alone for longer each time. */
 	private noteEnd(target: Target, end: TargetEnd): void {
+		this.noteZone(target.registration, end);
 		target.unreachableCount = end === 'unreachable' ? target.unreachableCount + 1 : 0;
 		if (end !== 'answered') {
 			const factor = 2 ** Math.max(0, target.unreachableCount - 1);
@@ -211,6 +214,21 @@
 		}
 	}
 
+	/** Several unreachable targets of a zone mean that the way there is cut; the first answer from it ends that. */
+	private noteZone({targetId, zone}: Registration, end: TargetEnd): void {
+		if (end === 'answered') {
+			this.unreachable.delete(zone);
+		} else if (end === 'unreachable') {
+			const known = this.unreachable.get(zone)?.targetIds ?? [];
+			this.unreachable.set(zone, {targetIds: new Set([...known, targetId]), seenMs: this.opts.clock.now()});
+		}
+	}
+
+	private isZoneSuspect(zone: string): boolean {
+		const {targetIds, seenMs} = this.unreachable.get(zone) ?? {targetIds: new Set(), seenMs: 0};
+		return targetIds.size >= CUT_ZONE_TARGETS && this.opts.clock.now() - seenMs < SUSPECT_MS;
+	}
+
 	private getCandidates(need: TargetNeed): readonly TargetCandidate[] {
 		const candidates: TargetCandidate[] = [];
 		for (const [targetId, target] of this.targets) {
@@ -231,7 +249,7 @@
 		return {
 			targetId,
 			isSameZone: zone === this.opts.zone,
-			isSuspect: target.suspectUntilMs > this.opts.clock.now(),
+			isSuspect: target.suspectUntilMs > this.opts.clock.now() || this.isZoneSuspect(zone),
 			hasAdapter: adapter === undefined || (adapters?.includes(adapter) ?? false),
 			outstanding: own + others,
 			places: batchSlots ?? Math.ceil(slots * (1 + QUEUED_PER_SLOT)),
--- a/packages/engines/tests/registry/target-book.test.ts
+++ b/packages/engines/tests/registry/target-book.test.ts
@@ -53,6 +53,23 @@
 		expect(chosen).toMatchSnapshot();
 	});
 
+	// Guards against requests that lose a timeout to each target of a zone that is cut off, one after the other.
+	it('leaves a zone alone when several of its targets cannot be reached, until one answers', () => {
+		const {book} = createBook([register('b1', {zone: 'b'}), register('b2', {zone: 'b'}), register('b3', {zone: 'b'}), register('c1', {zone: 'c', slots: 1})]);
+		const at = (targetId: string, end: TargetEnd): void => {
+			book.take(targetId, need)?.end(end);
+		};
+
+		at('c1', 'answered');
+		book.take('c1', need);
+		const before = book.choose(need);
+		at('b1', 'unreachable');
+		at('b2', 'unreachable');
+		const cut = book.choose(need);
+		at('b3', 'answered');
+		expect({before, cut, after: book.choose(need)}).toMatchSnapshot();
+	});
+
 	// Guards against a target that every host takes for idle while no leader tells what the others have sent there.
 	it('believes the load that a target tells with an answer', () => {
 		const {book} = createBook([register('near'), register('far', {zone: 'b'})]);
