callers, engines: weigh failures of targets whose health is good

Change: a failed or refused request adds a cost to its target, which good answers and three seconds take away again; 421 and unreachable targets are not counted, as other rules cover them.

--- a/packages/callers/src/forward/forward-request.ts
+++ b/packages/callers/src/forward/forward-request.ts
@@ -266,7 +266,7 @@
 	try {
 		outcome = await exchangeWith(work, place);
 	} finally {
-		place.end(outcome.kind === 'answered' || work.signal.aborted ? 'answered' : outcome.targetEnd);
+		place.end(getTargetEnd(work, outcome));
 		progress.tried.add(place.targetId);
 	}
 
@@ -277,6 +277,15 @@
 	return outcome;
 }
 
+/** What an attempt tells of its target; a caller that leaves tells nothing against it. */
+function getTargetEnd({signal, progress}: Forwarding, outcome: Outcome): PlaceEnd {
+	if (outcome.kind === 'answered') {
+		return (progress.status ?? 0) >= STATUS_SERVER_ERROR ? 'failed' : 'answered';
+	}
+
+	return signal.aborted ? 'answered' : outcome.targetEnd;
+}
+
 async function exchangeWith(work: Forwarding, place: Place): Promise<Outcome> {
 	const {parts, call, body, route, customer, progress, signal, endsMs} = work;
 	const headers = parts.dialect.writeSendHeaders(call, {
@@ -307,7 +316,7 @@
 	const isOther = facts.attemptId !== undefined && facts.attemptId !== call.attemptId;
 	if (!isOther && (facts.isNotExecuted || answer.status === STATUS_MISDIRECTED)) {
 		answer.discard();
-		return {kind: 'not-run', reason: `The target refused with ${answer.status}.`, targetEnd: 'answered'};
+		return {kind: 'not-run', reason: `The target refused with ${answer.status}.`, targetEnd: answer.status === STATUS_MISDIRECTED ? 'answered' : 'failed'};
 	}
 
 	const fault = findFault(facts, answer.status, call);
@@ -318,7 +327,7 @@
 
 	if (answer.status >= STATUS_SERVER_ERROR && mayRepeat(work, 'broken') && parts.getRetries(work.service).hasRetry()) {
 		answer.destroy();
-		return {kind: 'broken', reason: `The target failed with ${answer.status}.`, targetEnd: 'answered'};
+		return {kind: 'broken', reason: `The target failed with ${answer.status}.`, targetEnd: 'failed'};
 	}
 
 	return relay(work, answer, facts);
--- a/packages/callers/src/forward/place-queue.ts
+++ b/packages/callers/src/forward/place-queue.ts
@@ -16,8 +16,8 @@
 	readonly tried: ReadonlySet<string>;
 };
 
-/** What a request tells of its target: whether it answered in any way, broke off, or could not be reached at all. */
-export type PlaceEnd = 'answered' | 'broke-off' | 'unreachable';
+/** What a request tells of its target: whether it answered, failed or refused the request, broke off, or could not be reached at all. */
+export type PlaceEnd = 'answered' | 'failed' | 'broke-off' | 'unreachable';
 
 /** The target that a request goes to; `end` gives the place back. */
 export type Place = {
--- a/packages/engines/src/registry/choose-target.ts
+++ b/packages/engines/src/registry/choose-target.ts
@@ -1,10 +1,14 @@
-import {BATCH_SHARE_MS, OTHER_ZONE_MS, PROMPT_TOKENS_PER_MS} from './constants.js';
+import {
+	BATCH_SHARE_MS, FAILURE_COST_MS, OTHER_ZONE_MS, PROMPT_TOKENS_PER_MS,
+} from './constants.js';
 
 /** What is known of a target when a request is placed. */
 export type TargetCandidate = {
 	readonly targetId: string;
 	readonly isSameZone: boolean;
 	readonly isSuspect: boolean;
+	/** Failures of late. */
+	readonly failures: number;
 	readonly hasAdapter: boolean;
 	/** Requests of all hosts that the target runs or queues. */
 	readonly outstanding: number;
@@ -24,8 +28,8 @@
 	| {readonly kind: 'adapter-missing'}
 	| {readonly kind: 'none'};
 
-function getCostMs({outstanding, isSameZone, keptTokens}: TargetCandidate): number {
-	return (outstanding * BATCH_SHARE_MS) + (isSameZone ? 0 : OTHER_ZONE_MS) - (keptTokens / PROMPT_TOKENS_PER_MS);
+function getCostMs({outstanding, failures, isSameZone, keptTokens}: TargetCandidate): number {
+	return (outstanding * BATCH_SHARE_MS) + (failures * FAILURE_COST_MS) + (isSameZone ? 0 : OTHER_ZONE_MS) - (keptTokens / PROMPT_TOKENS_PER_MS);
 }
 
 function compare(a: TargetCandidate, b: TargetCandidate): number {
--- a/packages/engines/src/registry/constants.ts
+++ b/packages/engines/src/registry/constants.ts
@@ -13,6 +13,13 @@
 /** The longest time for which an unreachable target is chosen after all others; its registration ends soon after. */
 export const MAX_SUSPECT_MS = 6000;
 
+/** What a recent failure of a target counts for when targets are weighed; a target whose health is good may still fail a part of its requests. */
+export const FAILURE_COST_MS = 60;
+
+/** Time constant with which failures are forgotten, and what a good answer leaves of them. */
+export const FAILURE_MEMORY_MS = 3000;
+export const FAILURE_FORGIVENESS = 0.8;
+
 /** Unreachable targets of one zone from which on all its targets are chosen after the others. */
 export const CUT_ZONE_TARGETS = 2;
 
--- a/packages/engines/src/registry/target-book.ts
+++ b/packages/engines/src/registry/target-book.ts
@@ -1,7 +1,7 @@
 import {type Clock, type Registration, Signal} from '@egretrill/common';
 import {type TargetCandidate, chooseTarget, type TargetChoice} from './choose-target.js';
 import {
-	CUT_ZONE_TARGETS, MAX_SUSPECT_MS, QUEUED_PER_SLOT, REGISTRATION_TTL_MS, SUSPECT_MS,
+	CUT_ZONE_TARGETS, FAILURE_FORGIVENESS, FAILURE_MEMORY_MS, MAX_SUSPECT_MS, QUEUED_PER_SLOT, REGISTRATION_TTL_MS, SUSPECT_MS,
 } from './constants.js';
 import {KeptPrompts} from './kept-prompts.js';
 import type {RegistryUpdate} from './types.js';
@@ -18,6 +18,9 @@
 	/** Requests of the other hosts, as the leader or the target told last. */
 	others: number;
 	suspectUntilMs: number;
+	/** Failures of late; older ones count less. */
+	failures: number;
+	failuresMs: number;
 	/** Requests in a row that could not reach the target. */
 	unreachableCount: number;
 	/** Times of the sends of the last second, kept while the target is cold. */
@@ -37,8 +40,8 @@
 	readonly tried: ReadonlySet<string>;
 };
 
-/** What a request tells of its target: whether it answered in any way, broke off, or could not be reached at all. */
-export type TargetEnd = 'answered' | 'broke-off' | 'unreachable';
+/** What a request tells of its target: whether it answered, failed or refused the request, broke off, or could not be reached at all. */
+export type TargetEnd = 'answered' | 'failed' | 'broke-off' | 'unreachable';
 
 /** A place at a target; `end` gives it back. */
 export type TargetPlace = {readonly registration: Registration; readonly outstanding: number; readonly noteOutstanding: (count: number) => void; readonly end: (end: TargetEnd) => void};
@@ -208,19 +211,33 @@
 	private noteEnd(target: Target, end: TargetEnd): void {
 		this.noteZone(target.registration, end);
 		target.unreachableCount = end === 'unreachable' ? target.unreachableCount + 1 : 0;
-		if (end !== 'answered') {
+		this.noteFailure(target, end);
+		if (end === 'broke-off' || end === 'unreachable') {
 			const factor = 2 ** Math.max(0, target.unreachableCount - 1);
 			target.suspectUntilMs = this.opts.clock.now() + Math.min(SUSPECT_MS * factor, MAX_SUSPECT_MS);
 		}
 	}
 
+	/** Targets that cannot be reached are left alone by suspicion; failures are for those that go on answering. */
+	private noteFailure(target: Target, end: TargetEnd): void {
+		if (end !== 'unreachable') {
+			const failures = this.getFailures(target);
+			target.failures = end === 'answered' ? failures * FAILURE_FORGIVENESS : failures + 1;
+			target.failuresMs = this.opts.clock.now();
+		}
+	}
+
+	private getFailures({failures, failuresMs}: Target): number {
+		return failures * Math.exp((failuresMs - this.opts.clock.now()) / FAILURE_MEMORY_MS);
+	}
+
 	/** Several unreachable targets of a zone mean that the way there is cut; the first answer from it ends that. */
 	private noteZone({targetId, zone}: Registration, end: TargetEnd): void {
-		if (end === 'answered') {
-			this.unreachable.delete(zone);
-		} else if (end === 'unreachable') {
+		if (end === 'unreachable') {
 			const known = this.unreachable.get(zone)?.targetIds ?? [];
 			this.unreachable.set(zone, {targetIds: new Set([...known, targetId]), seenMs: this.opts.clock.now()});
+		} else {
+			this.unreachable.delete(zone);
 		}
 	}
 
@@ -250,6 +267,7 @@
 			targetId,
 			isSameZone: zone === this.opts.zone,
 			isSuspect: target.suspectUntilMs > this.opts.clock.now() || this.isZoneSuspect(zone),
+			failures: this.getFailures(target),
 			hasAdapter: adapter === undefined || (adapters?.includes(adapter) ?? false),
 			outstanding: own + others,
 			places: batchSlots ?? Math.ceil(slots * (1 + QUEUED_PER_SLOT)),
@@ -279,7 +297,7 @@
 
 		this.kept.forget(registration.targetId);
 		this.targets.set(registration.targetId, {
-			registration, coldUntilMs, own: 0, ownAdapters: new Map(), others: 0, suspectUntilMs: 0, unreachableCount: 0, coldSends: [],
+			registration, coldUntilMs, own: 0, ownAdapters: new Map(), others: 0, suspectUntilMs: 0, failures: 0, failuresMs: 0, unreachableCount: 0, coldSends: [],
 		});
 	}
 
--- a/packages/engines/tests/registry/target-book.test.ts
+++ b/packages/engines/tests/registry/target-book.test.ts
@@ -70,6 +70,25 @@
 		expect({before, cut, after: book.choose(need)}).toMatchSnapshot();
 	});
 
+	// Guards against a target that fails part of its requests, says that it is well, and seems idle because of that.
+	it('prefers targets that have not failed lately', () => {
+		const {book, clock} = createBook([register('grey', {slots: 64}), register('sound', {slots: 64})]);
+		const count = (): Record<string, number> => {
+			const counts: Record<string, number> = {grey: 0, sound: 0};
+			for (let i = 0; i < 40; i++) {
+				const choice = book.choose(need);
+				const targetId = choice.kind === 'target' ? choice.targetId : '';
+				counts[targetId]! += 1;
+				book.take(targetId, need)?.end(targetId === 'grey' && i % 5 < 2 ? 'failed' : 'answered');
+				clock.advance(20);
+			}
+
+			return counts;
+		};
+
+		expect(count()).toMatchSnapshot();
+	});
+
 	// Guards against a target that every host takes for idle while no leader tells what the others have sent there.
 	it('believes the load that a target tells with an answer', () => {
 		const {book} = createBook([register('near'), register('far', {zone: 'b'})]);
