callers, engines: plan copies for demand within the customers' rates

Requests beyond the rate counted as demand (209 places), and from 7 s to 12 s no further copy was planned: a quarter of the engines was making room for rare models, which counted against the limit of swaps. Change: a request counts as demand once its customer's rate allows it. Only swaps for further copies count against the limit of swaps.

--- a/packages/callers/src/forward/forward-parts.ts
+++ b/packages/callers/src/forward/forward-parts.ts
@@ -61,7 +61,7 @@
 
 /** Takes what happens to forwarded requests. */
 export abstract class ForwardObserver {
-	/** Notes a request for a model before anything can refuse it. */
+	/** Notes a request that its customer's rate allows, before it is placed. */
 	abstract noteArrival(service: string, call: ForwardCall): void;
 	abstract noteAttempt(note: AttemptNote): void;
 	abstract noteEnd(note: ForwardEndNote): void;
--- a/packages/callers/src/forward/forward-request.ts
+++ b/packages/callers/src/forward/forward-request.ts
@@ -142,12 +142,13 @@
 		return {refusal: refuse(503, 'no-service', 'The route leads to no service.', NO_TARGET_RETRY_MS), route: route.value, customer: customer.value};
 	}
 
-	parts.observer.noteArrival(service, call);
 	const rate = customer.value && await spend(customer.value, call, parts);
 	if (rate && !rate.isGranted) {
 		return {refusal: refuse(429, 'over-rate', 'The customer has used up its rate.', Math.max(MIN_RETRY_AFTER_MS, rate.retryAfterMs)), route: route.value, customer: customer.value};
 	}
 
+	// What lies beyond a customer's rate is served by no copy of its model, so it is no demand.
+	parts.observer.noteArrival(service, call);
 	return {
 		route: route.value, service, customer: customer.value, body,
 	};
--- a/packages/callers/tests/forward/forward-request.test.ts
+++ b/packages/callers/tests/forward/forward-request.test.ts
@@ -1,5 +1,5 @@
 import {expect} from 'chai';
-import {playRequest} from './support/forward-world.js';
+import {countDemand, playRequest} from './support/forward-world.js';
 
 const written = {accepted: true, code: 'ECONNRESET', reason: 'reset'};
 const unwritten = {accepted: false, code: 'ECONNREFUSED', reason: 'refused'};
@@ -33,6 +33,12 @@
 		expect(await playRequest({targets: ['t1', 't2', 't3', 't4', 't5'], answers: [...unreached, {chunks: ['ok']}]})).toMatchSnapshot();
 	});
 
+	// Guards against copies that are loaded for requests beyond a customer's rate, which no copy may serve.
+	it('counts no demand beyond a rate', async () => {
+		const keyed = {route: {isOpen: false}, headers: ['key', 'k']};
+		expect([await countDemand(keyed), await countDemand({...keyed, ratePerSecond: 0.1})]).to.deep.equal([1, 0]);
+	});
+
 	// Guards against a failed lookup although a second target would have answered.
 	it('repeats an idempotent request up to its attempts', async () => {
 		const route = {repeat: 'idempotent', maxAttempts: 2} as const;
--- a/packages/callers/tests/forward/support/forward-world.ts
+++ b/packages/callers/tests/forward/support/forward-world.ts
@@ -164,9 +164,11 @@
 
 class EndRecorder extends ForwardObserver {
 	readonly ends: ForwardEndNote[] = [];
+	/** Requests that count as demand. */
+	arrivals = 0;
 
 	override noteArrival(): void {
-		// Arrivals do not matter here.
+		this.arrivals += 1;
 	}
 
 	override noteAttempt(): void {
@@ -208,19 +210,38 @@
 	/** When the caller leaves. */
 	readonly leavesMs?: number;
 	readonly isUnconfigured?: boolean;
+	/** Rate of the only customer; there is no limit if it is left out. */
+	readonly ratePerSecond?: number;
 };
 
+/** Plays one request of a caller and tells how often it counted as demand. */
+export async function countDemand(opts: WorldOptions): Promise<number> {
+	const {observer} = await play(opts);
+	return observer.arrivals;
+}
+
 /** Plays one request of a caller and tells what the caller and the targets saw. */
 export async function playRequest(opts: WorldOptions): Promise<unknown> {
+	const {exchange, sender, places, observer} = await play(opts);
+	const end = observer.ends[0]?.outcome;
+	return {
+		caller: exchange.seen, targets: sender.sent, ends: places.ends, logged: typeof end === 'object' ? end.code : end,
+	};
+}
+
+async function play(opts: WorldOptions): Promise<{exchange: FakeExchange; sender: FakeSender; places: FakePlaces; observer: EndRecorder}> {
 	const clock = new ManualClock();
-	const table = new RouteTable({...config, routes: [{...route, ...opts.route}]});
+	const customers = config.customers?.map(customer => ({...customer, ratePerSecond: opts.ratePerSecond ?? 0, burst: opts.ratePerSecond ?? 0}));
+	const table = new RouteTable({...config, customers, routes: [{...route, ...opts.route}]});
 	const sender = new FakeSender([...opts.answers ?? []], clock);
 	const observer = new EndRecorder();
 	const exchange = new FakeExchange({method: 'POST', url: '/orders', rawHeaders: opts.headers ?? []});
 	const places = new FakePlaces(opts.targets ?? ['t1', 't2', 't3']);
 	const retries = new RetryBudget(clock, {ratio: 0, reserve: 3});
+	const rates = new RateParts(clock);
+	rates.setCustomers(customers ?? []);
 	const parts: ForwardParts = {
-		clock, random: () => 0, dialect: new FakeDialect(), queue: new PlaceQueue(clock, places), rates: new RateParts(clock), lender: new NoLender(), sender, observer, getTable: () => opts.isUnconfigured ? undefined : table, halted: new AbortController().signal, getRetries: () => retries,
+		clock, random: () => 0, dialect: new FakeDialect(), queue: new PlaceQueue(clock, places), rates, lender: new NoLender(), sender, observer, getTable: () => opts.isUnconfigured ? undefined : table, halted: new AbortController().signal, getRetries: () => retries,
 	};
 	const served = forwardRequest(exchange, parts);
 	if (opts.leavesMs !== undefined) {
@@ -230,8 +251,7 @@
 
 	await clock.run(5000);
 	await served;
-	const end = observer.ends[0]?.outcome;
 	return {
-		caller: exchange.seen, targets: sender.sent, ends: places.ends, logged: typeof end === 'object' ? end.code : end,
+		exchange, sender, places, observer,
 	};
 }
--- a/packages/engines/src/loading/engine-owner.ts
+++ b/packages/engines/src/loading/engine-owner.ts
@@ -10,7 +10,7 @@
 import {EngineLine} from './engine-line.js';
 import type {EngineOrders} from './engine-orders.js';
 import {type ExpectedModel, expectModels} from './expect-models.js';
-import {planLoads} from './plan-loads.js';
+import {isSwap, planLoads} from './plan-loads.js';
 import type {LoadMove, ModelDemand, PlannedEngine} from './types.js';
 
 const MS_PER_SECOND = 1000;
@@ -286,6 +286,7 @@
 			}),
 			loading: line.getLoading(),
 			unloading: line.move?.unload ?? [],
+			isSwapping: line.move !== undefined && isSwap(line.move),
 			inMemory: engine.inMemory,
 			onDisk: engine.onDisk,
 		};
--- a/packages/engines/src/loading/plan-loads.ts
+++ b/packages/engines/src/loading/plan-loads.ts
@@ -160,12 +160,16 @@
 	return unload.reduce((sum, model) => sum + (layout.isIdle(model) ? IDLE_UNLOAD_MS : BUSY_UNLOAD_MS), 0);
 }
 
+/** Whether a move gives up a copy for a further one of a model that has some. */
+export function isSwap({reason, unload}: Pick<LoadMove, 'reason'> & {readonly unload: readonly string[]}): boolean {
+	return reason === 'crowded' && unload.length > 0;
+}
+
 function describeSite(view: LoadView, engine: PlannedEngine, layout: Layout, want: Want): Site | undefined {
 	const unload = makeRoom(view, engine, layout, want);
 	const loadMs = getLoadMs(engine, want.model);
 	const fromStore = loadMs === want.model.storeLoadMs;
-	const isSwap = want.reason === 'crowded' && unload !== undefined && unload.length > 0;
-	if (!unload || (fromStore && !view.mayUseStore) || (isSwap && !view.mayEvictForCopies)) {
+	if (!unload || (fromStore && !view.mayUseStore) || (isSwap({reason: want.reason, unload}) && !view.mayEvictForCopies)) {
 		return undefined;
 	}
 
@@ -192,7 +196,7 @@
 	const taken = new Set<string>();
 	const moves: LoadMove[] = [];
 	let {mayUseStore} = view;
-	let swaps = view.engines.filter(({unloading}) => unloading.length > 0).length;
+	let swaps = view.engines.filter(({isSwapping}) => isSwapping).length;
 	const maxSwaps = Math.max(1, Math.floor(view.engines.length * MAX_SWAP_RATIO));
 	for (const want of getWants(view, layout)) {
 		const mayEvictForCopies = view.mayEvictForCopies && swaps < maxSwaps;
@@ -202,7 +206,7 @@
 				targetId: site.engine.targetId, unload: [...site.unload], load: want.model.name, reason: want.reason, fromStore: site.fromStore, totalMs: site.totalMs, loadMs: site.loadMs,
 			};
 			taken.add(move.targetId);
-			swaps += move.unload.length > 0 ? 1 : 0;
+			swaps += isSwap(move) ? 1 : 0;
 			mayUseStore &&= !site.fromStore;
 			layout.apply(move);
 			moves.push(move);
--- a/packages/engines/src/loading/types.ts
+++ b/packages/engines/src/loading/types.ts
@@ -49,6 +49,8 @@
 	/** Model that a running move loads, and those that it unloads. */
 	loading: z.string().optional(),
 	unloading: z.array(z.string()).default([]),
+	/** Whether a running move unloads a model for a further copy of another one. */
+	isSwapping: z.boolean().default(false),
 	inMemory: z.array(z.string()),
 	onDisk: z.array(z.string()),
 });
--- a/packages/engines/tests/loading/plan-loads.test.ts
+++ b/packages/engines/tests/loading/plan-loads.test.ts
@@ -16,7 +16,7 @@
 
 function engine(targetId: string, models: readonly string[], changes: Partial<PlannedEngine> = {}): PlannedEngine {
 	return {
-		targetId, isFree: true, unloading: [], weightsMb: 200, copies: models.map(model => ({model, ageMs: 60_000, adapterCount: 0})), inMemory: [], onDisk: [], ...changes,
+		targetId, isFree: true, unloading: [], isSwapping: false, weightsMb: 200, copies: models.map(model => ({model, ageMs: 60_000, adapterCount: 0})), inMemory: [], onDisk: [], ...changes,
 	};
 }
 
@@ -106,6 +106,15 @@
 		}).toMatchSnapshot();
 	});
 
+	// Guards against a busy model that gets no further copy because engines make room for rare ones, and against swaps at all engines at once.
+	it('lets few engines swap models at the same time, whatever else makes room', () => {
+		const moving = (isSwapping: boolean): readonly PlannedEngine[] => [1, 2, 3].map(i => engine(`m${i}`, ['a', 'c'], {
+			isFree: false, unloading: ['c'], loading: 'd', isSwapping,
+		}));
+		const play = (isSwapping: boolean): unknown => plan([...moving(isSwapping), engine('t1', ['b', 'e']), engine('t2', ['b', 'e'])], {a: [400, 0, 0], b: [1, 0], e: [1, 0]}).length;
+		expect({roomForMissing: play(false), swaps: play(true)}).toMatchSnapshot();
+	});
+
 	// Guards against more loads from the weight store than it allows.
 	it('begins one load from the store at a time', () => {
 		const engines = [engine('t1', []), engine('t2', []), engine('t3', [], {onDisk: ['c']})];
