--- a/packages/engines/src/registry/choose-target.ts
+++ b/packages/engines/src/registry/choose-target.ts
@@ -1,5 +1,5 @@
 import {
-	BATCH_SHARE_MS, FAILURE_COST_MS, OTHER_ZONE_MS, PROMPT_TOKENS_PER_MS,
+	BATCH_SHARE_MS, COLD_COST_MS, FAILURE_COST_MS, OTHER_ZONE_MS, PROMPT_TOKENS_PER_MS,
 } from './constants.js';
 
 /** What is known of a target when a request is placed. */
@@ -14,6 +14,8 @@
 	readonly outstanding: number;
 	/** Requests that it takes at the same time. */
 	readonly places: number;
+	/** Whether it is slow because it started lately. */
+	readonly isCold: boolean;
 	/** Whether it may take a request now although it is cold. */
 	readonly mayTakeCold: boolean;
 	/** Prompt tokens of this request that it probably keeps. */
@@ -28,8 +30,8 @@
 	| {readonly kind: 'adapter-missing'}
 	| {readonly kind: 'none'};
 
-function getCostMs({outstanding, failures, isSameZone, keptTokens}: TargetCandidate): number {
-	return (outstanding * BATCH_SHARE_MS) + (failures * FAILURE_COST_MS) + (isSameZone ? 0 : OTHER_ZONE_MS) - (keptTokens / PROMPT_TOKENS_PER_MS);
+function getCostMs({outstanding, failures, isCold, isSameZone, keptTokens}: TargetCandidate): number {
+	return (outstanding * BATCH_SHARE_MS) + (failures * FAILURE_COST_MS) + (isCold ? COLD_COST_MS : 0) + (isSameZone ? 0 : OTHER_ZONE_MS) - (keptTokens / PROMPT_TOKENS_PER_MS);
 }
 
 function compare(a: TargetCandidate, b: TargetCandidate): number {
--- a/packages/engines/src/registry/constants.ts
+++ b/packages/engines/src/registry/constants.ts
@@ -16,6 +16,9 @@
 /** What a recent failure of a target counts for when targets are weighed; a target whose health is good may still fail a part of its requests. */
 export const FAILURE_COST_MS = 60;
 
+/** What a request loses at a cold target; it goes there when the others carry that much more. */
+export const COLD_COST_MS = 200;
+
 /** Time constant with which failures are forgotten, and what a good answer leaves of them. */
 export const FAILURE_MEMORY_MS = 3000;
 export const FAILURE_FORGIVENESS = 0.8;
--- a/packages/engines/src/registry/target-book.ts
+++ b/packages/engines/src/registry/target-book.ts
@@ -271,6 +271,7 @@
 			hasAdapter: adapter === undefined || (adapters?.includes(adapter) ?? false),
 			outstanding: own + others,
 			places: batchSlots ?? Math.ceil(slots * (1 + QUEUED_PER_SLOT)),
+			isCold: this.opts.clock.now() < target.coldUntilMs,
 			mayTakeCold: this.mayTakeCold(target),
 			keptTokens: model === undefined ? 0 : this.kept.countTokens(targetId, model, parts),
 		};
--- a/packages/engines/tests/registry/target-book.test.ts
+++ b/packages/engines/tests/registry/target-book.test.ts
@@ -89,6 +89,17 @@
 		expect(count()).toMatchSnapshot();
 	});
 
+	// Guards against requests that are answered slowly by a target which has just started, while others have room.
+	it('prefers warm targets until they carry much more', () => {
+		const {book} = createBook([register('cold', {slots: 64, coldForMs: 3000}), register('warm', {slots: 64, zone: 'b'})]);
+		const chosen: string[] = [];
+		for (let i = 0; i < 20; i++) {
+			chosen.push(send(book));
+		}
+
+		expect(chosen.indexOf('cold')).to.be.within(10, 18);
+	});
+
 	// Guards against a target that every host takes for idle while no leader tells what the others have sent there.
 	it('believes the load that a target tells with an answer', () => {
 		const {book} = createBook([register('near'), register('far', {zone: 'b'})]);
