--- a/packages/engines/src/loading/constants.ts
+++ b/packages/engines/src/loading/constants.ts
@@ -36,6 +36,9 @@
 /** A copy is not evicted for another model within this time after it was loaded. */
 export const MIN_COPY_AGE_MS = 2500;
 
+/** How many times the places of a model in use a missing one must need to take its last copy. */
+export const LAST_COPY_RATIO = 5;
+
 /** Places that a request counts as which waits for a model. */
 export const WAITING_WEIGHT = 2;
 
--- a/packages/engines/src/loading/plan-loads.ts
+++ b/packages/engines/src/loading/plan-loads.ts
@@ -1,6 +1,6 @@
 import type {EngineClass, StoredModel} from '@egretrill/common';
 import {
-	ADAPTER_DEMAND_RATIO, BUSY_UNLOAD_MS, IDLE_DEMAND, IDLE_UNLOAD_MS, MAX_SWAP_RATIO, MIN_COPY_AGE_MS, MIN_MOVE_GAIN, MISSING_PATIENCE_MS, PLAN_HORIZON_S, WAITING_WEIGHT,
+	ADAPTER_DEMAND_RATIO, BUSY_UNLOAD_MS, IDLE_DEMAND, IDLE_UNLOAD_MS, LAST_COPY_RATIO, MAX_SWAP_RATIO, MIN_COPY_AGE_MS, MIN_MOVE_GAIN, MISSING_PATIENCE_MS, PLAN_HORIZON_S, WAITING_WEIGHT,
 } from './constants.js';
 import {type LaidOutEngine, spreadDemand} from './spread-demand.js';
 import type {LoadMove, ModelDemand, PlannedEngine} from './types.js';
@@ -117,13 +117,17 @@
 	return engine.weightsMb - usedMb - loadingMb;
 }
 
-/** Copies that may go for another model, those first whose loss costs least. The last copy of a model in use stays. */
+/** Copies that may go for another model, those first whose loss costs least. The last copy of a model in use goes only for one that needs many times its places. */
 function getVictims(engine: PlannedEngine, layout: Layout, want: Want): readonly string[] {
 	const {targetId} = engine;
 	return engine.copies
 		.filter(({model, ageMs}) => {
 			const isLast = layout.countCopies(model) <= 1;
-			return layout.isIdle(model) ? !isLast || want.reason === 'missing' : !isLast && ageMs >= MIN_COPY_AGE_MS;
+			if (layout.isIdle(model)) {
+				return !isLast || want.reason === 'missing';
+			}
+
+			return ageMs >= MIN_COPY_AGE_MS && (!isLast || isOutweighed(model, layout, want));
 		})
 		.map(({model}) => ({
 			model, cost: layout.getCost(targetId, [model], undefined, 0), need: layout.needs.get(model) ?? 0, copies: layout.countCopies(model),
@@ -132,6 +136,10 @@
 		.map(({model}) => model);
 }
 
+function isOutweighed(model: string, layout: Layout, {reason, lost}: Want): boolean {
+	return reason === 'missing' && (layout.needs.get(model) ?? 0) * LAST_COPY_RATIO <= lost;
+}
+
 /** What an engine would unload for a model, or undefined if it cannot make room. */
 function makeRoom(view: LoadView, engine: PlannedEngine, layout: Layout, want: Want): readonly string[] | undefined {
 	const unload: string[] = [];
@@ -185,7 +193,7 @@
 	return view.engines
 		.filter(({targetId, isFree, copies}) => isFree && !taken.has(targetId) && copies.every(({model}) => model !== want.model.name))
 		.flatMap(engine => describeSite(view, engine, layout, want) ?? [])
-		.filter(({cost}) => want.reason === 'missing' || cost < idleCost - MIN_MOVE_GAIN)
+		.filter(({cost, unload}) => (want.reason === 'missing' && unload.every(model => layout.isIdle(model) || layout.countCopies(model) > 1)) || cost < idleCost - MIN_MOVE_GAIN)
 		.toSorted((a, b) => a.cost - b.cost)
 		.at(0);
 }
--- a/packages/engines/tests/loading/plan-loads.test.ts
+++ b/packages/engines/tests/loading/plan-loads.test.ts
@@ -64,6 +64,19 @@
 		}).toMatchSnapshot();
 	});
 
+	// Guards against a busy model that stays without a copy because every engine is full of last copies that hardly anybody uses.
+	it('gives up a last copy for a model that needs many times its places', () => {
+		const engines = [engine('t1', ['a', 'b']), engine('t2', ['c', 'd'])];
+		expect({
+			outweighed: plan(engines, {
+				a: [30, 0], b: [1, 0], c: [5, 0], d: [5, 0], e: [12, 4],
+			}),
+			notMuchMore: plan(engines, {
+				a: [30, 0], b: [4, 0], c: [5, 0], d: [5, 0], e: [8, 4],
+			}),
+		}).toMatchSnapshot();
+	});
+
 	// Guards against two loads of one round that each count on the other's copy.
 	it('does not give up every copy of a model at once', () => {
 		expect({
