common: one decaying count for demand and for places given

The rate at which places are given and the demand for models each had their own copy of the same arithmetic.

--- a/packages/callers/src/forward/wait-forecast.ts
+++ b/packages/callers/src/forward/wait-forecast.ts
@@ -1,4 +1,4 @@
-import type {Clock} from '@egretrill/common';
+import {type Clock, DecayingCounts} from '@egretrill/common';
 import {
 	MIN_RETRY_AFTER_MS, NO_TARGET_RETRY_MS, PLACE_RATE_MS, UNPLANNED_MODEL_WAIT_MS,
 } from './constants.js';
@@ -49,30 +49,24 @@
 	return {kind: 'refuse', retryAfterMs: Math.max(MIN_RETRY_AFTER_MS, forecastMs ?? defaultMs)};
 }
 
-type Count = {value: number; atMs: number};
-
 /** Counts places given by name, the older ones less, to tell how fast a line of waiting requests moves. */
 export class PlaceRate {
-	private readonly counts = new Map<string, Count>();
+	private readonly counts: DecayingCounts;
 	private readonly startedMs: number;
 
 	constructor(private readonly clock: Clock) {
+		this.counts = new DecayingCounts(clock, PLACE_RATE_MS);
 		this.startedMs = clock.now();
 	}
 
 	note(name: string): void {
-		this.counts.set(name, {value: this.decay(name) + 1, atMs: this.clock.now()});
+		this.counts.add(name, 1);
 	}
 
 	/** Time until the request behind `ahead` others has a place; undefined when none were given lately. */
 	getWaitMs(name: string, ahead: number): number | undefined {
-		const count = this.decay(name);
+		const count = this.counts.get(name);
 		const spanMs = Math.min(PLACE_RATE_MS, Math.max(1, this.clock.now() - this.startedMs));
 		return count < 1 ? undefined : (ahead + 1) * spanMs / count;
 	}
-
-	private decay(name: string): number {
-		const count = this.counts.get(name);
-		return count ? count.value * Math.exp((count.atMs - this.clock.now()) / PLACE_RATE_MS) : 0;
-	}
 }
--- /dev/null
+++ b/packages/common/src/decaying-counts.ts
@@ -0,0 +1,25 @@
+import type {Clock} from './clock.js';
+
+type Count = {readonly value: number; readonly atMs: number};
+
+const MS_PER_SECOND = 1000;
+
+/** Counts by name; older ones weigh less, with the given time constant. */
+export class DecayingCounts {
+	private readonly counts = new Map<string, Count>();
+
+	constructor(private readonly clock: Clock, private readonly timeConstantMs: number) {}
+
+	add(name: string, amount: number): void {
+		this.counts.set(name, {value: this.get(name) + amount, atMs: this.clock.now()});
+	}
+
+	get(name: string): number {
+		const count = this.counts.get(name);
+		return count ? count.value * Math.exp((count.atMs - this.clock.now()) / this.timeConstantMs) : 0;
+	}
+
+	getPerSecond(name: string): number {
+		return this.get(name) * MS_PER_SECOND / this.timeConstantMs;
+	}
+}
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -2,6 +2,7 @@
 export * from './clock.js';
 export * from './codec.js';
 export * from './constants.js';
+export * from './decaying-counts.js';
 export * from './document.js';
 export * from './engine-channel.js';
 export * from './faults.js';
--- a/packages/engines/src/loading/engine-owner.ts
+++ b/packages/engines/src/loading/engine-owner.ts
@@ -1,11 +1,10 @@
 import {
-	type Clock, type EngineClass, jitter, type Logger, type Random, type Registration,
+	type Clock, DecayingCounts, type EngineClass, jitter, type Logger, type Random, type Registration,
 } from '@egretrill/common';
 import type {AdapterUse, TargetRegistry} from '../registry/index.js';
 import {
-	DEMAND_WATCH_MS, LOAD_PLAN_MS, MOVE_WEIGHT, PENDING_WEIGHT,
+	DEMAND_WATCH_MS, LOAD_DEMAND_MS, LOAD_PLAN_MS, MOVE_WEIGHT, PENDING_WEIGHT,
 } from './constants.js';
-import {DemandCounter} from './demand-counter.js';
 import {AdapterPlaces, type AdapterRoom} from './adapter-places.js';
 import {EngineLine} from './engine-line.js';
 import type {EngineOrders} from './engine-orders.js';
@@ -48,7 +47,7 @@
 	private readonly lines = new Map<string, EngineLine>();
 	private readonly copySince = new Map<string, number>();
 	private readonly missingSince = new Map<string, number>();
-	private readonly demand: DemandCounter;
+	private readonly demand: DecayingCounts;
 	private readonly waiting = new Map<string, WaitingCounts>();
 	private readonly adapters: AdapterPlaces;
 	private readonly adapterLoads = new Map<string, Promise<string | undefined>>();
@@ -58,7 +57,7 @@
 	private readonly expected = new Map<string, readonly ExpectedModel[]>();
 
 	constructor(private readonly opts: EngineOwnerOptions) {
-		this.demand = new DemandCounter(opts.clock);
+		this.demand = new DecayingCounts(opts.clock, LOAD_DEMAND_MS);
 		this.adapters = new AdapterPlaces(opts.clock);
 	}
 
