callers: split the forwarding of a request into its steps

One request still reads from top to bottom there; the attempt at one target, the limits of a wait and the types have files of their own. No behaviour changes.

--- a/packages/callers/src/forward/forward-request.ts
+++ b/packages/callers/src/forward/forward-request.ts
@@ -3,57 +3,17 @@
 } from '@egretrill/common';
 import type {CallerExchange} from './caller-exchange.js';
 import {
-	CROWDED_WAIT_RATIO, MAX_WAIT_RATIO, MIN_CROWDED_WAIT_MS, MIN_RETRY_AFTER_MS, MIN_SEND_MS, NO_TARGET_RETRY_MS, PLANNED_WAIT_RATIO, STREAM_PATIENCE_MS, STREAM_PATIENCE_RATIO, STREAM_WAIT_RATIO,
+	MIN_RETRY_AFTER_MS, MIN_SEND_MS, NO_TARGET_RETRY_MS,
 } from './constants.js';
 import type {ForwardEndNote, ForwardParts} from './forward-parts.js';
+import type {Forwarding, Progress} from './forwarding.js';
 import {PieceTimes} from './piece-times.js';
-import type {Place, PlaceEnd, PlaceNeed} from './place-queue.js';
+import type {Place, PlaceNeed} from './place-queue.js';
 import type {RateAnswer} from './rate-part.js';
-import {relayEvents, type RelayEnd, relayWhole} from './relay.js';
 import {getCost, pickService, type RouteTable} from './route-table.js';
-import type {AnswerFacts, ForwardCall} from './types.js';
-import type {WaitLimits} from './wait-forecast.js';
-
-const STATUS_MISDIRECTED = 421;
-const STATUS_SERVER_ERROR = 500;
-/** Statuses that promise a caller that its request has not run. */
-const notRunStatuses: ReadonlySet<number> = new Set([408, 429, 503]);
-
-/** A request that the configuration allows, on its way to targets. */
-type Forwarding = {
-	readonly parts: ForwardParts;
-	readonly exchange: CallerExchange;
-	readonly call: ForwardCall;
-	readonly table: RouteTable;
-	readonly route: TrafficRoute;
-	readonly service: string;
-	readonly customer: TrafficCustomer | undefined;
-	readonly body: Uint8Array;
-	readonly endsMs: number;
-	/** Aborts when the caller has left or the time is over. */
-	readonly signal: AbortSignal;
-	readonly progress: Progress;
-};
-
-/** What has happened to a request so far. */
-type Progress = {
-	readonly tried: Set<string>;
-	attempts: number;
-	mayHaveRun: boolean;
-	waitMs: number;
-	lastEventId: number | undefined;
-	readonly pieces: PieceTimes;
-	targetId?: string;
-	outstanding?: number;
-	status?: number;
-};
-
-type Outcome =
-	| {readonly kind: 'answered'}
-	/** The target certainly did not run the request. */
-	| {readonly kind: 'not-run'; readonly reason: string; readonly targetEnd: PlaceEnd}
-	/** The target may have run it and no whole answer came. */
-	| {readonly kind: 'broken'; readonly reason: string; readonly targetEnd: PlaceEnd};
+import {mayRepeat, tryPlace} from './try-place.js';
+import type {ForwardCall} from './types.js';
+import {getWaitLimits} from './wait-limits.js';
 
 /** The end of a forwarded request. */
 type End = 'answered' | 'broken' | Verdict;
@@ -166,17 +126,6 @@
 	return lent.isGranted ? lent : {isGranted: false, retryAfterMs: Math.min(own.retryAfterMs, lent.retryAfterMs)};
 }
 
-/** How long a request may wait for a place. */
-function getWaitLimits({isStream, targetLatencyMs}: TrafficRoute, leftMs: number): WaitLimits {
-	const patienceMs = isStream ? Math.max(STREAM_PATIENCE_MS, targetLatencyMs * STREAM_PATIENCE_RATIO) * STREAM_WAIT_RATIO : leftMs;
-	const unplannedMs = Math.min(leftMs * MAX_WAIT_RATIO, patienceMs);
-	return {
-		unplannedMs,
-		plannedMs: Math.min(leftMs * PLANNED_WAIT_RATIO, patienceMs),
-		crowdedMs: Math.min(unplannedMs, Math.max(MIN_CROWDED_WAIT_MS, targetLatencyMs * CROWDED_WAIT_RATIO)),
-	};
-}
-
 /** Runs a request until it has an answer, its time is over or its caller leaves. */
 async function runUntil(admitted: Omit<Forwarding, 'endsMs' | 'signal'>, startedMs: number): Promise<End> {
 	const {parts, exchange, call, route} = admitted;
@@ -257,135 +206,6 @@
 	return found.isOk ? found.value : found.error;
 }
 
-/** Sends the request to one target and passes on its answer. */
-async function tryPlace(work: Forwarding, place: Place): Promise<Outcome> {
-	const {parts: {clock, observer}, call, progress} = work;
-	const startedMs = clock.now();
-	progress.targetId = place.targetId;
-	progress.outstanding = place.outstanding;
-	let outcome: Outcome = {kind: 'broken', reason: 'The exchange failed.', targetEnd: 'answered'};
-	try {
-		outcome = await exchangeWith(work, place);
-	} finally {
-		place.end(getTargetEnd(work, outcome));
-		progress.tried.add(place.targetId);
-	}
-
-	progress.mayHaveRun ||= outcome.kind === 'broken';
-	observer.noteAttempt({
-		call, place, attempt: progress.attempts, outcome: outcome.kind, tookMs: clock.now() - startedMs, ...('reason' in outcome && {reason: outcome.reason}),
-	});
-	return outcome;
-}
-
-/** What an attempt tells of its target; a caller that leaves tells nothing against it. */
-function getTargetEnd({signal, progress}: Forwarding, outcome: Outcome): PlaceEnd {
-	if (outcome.kind === 'answered') {
-		return (progress.status ?? 0) >= STATUS_SERVER_ERROR ? 'failed' : 'answered';
-	}
-
-	return signal.aborted ? 'answered' : outcome.targetEnd;
-}
-
-async function exchangeWith(work: Forwarding, place: Place): Promise<Outcome> {
-	const {parts, call, body, route, customer, progress, signal, endsMs} = work;
-	const headers = parts.dialect.writeSendHeaders(call, {
-		targetId: place.targetId,
-		timeLeftMs: Math.max(1, Math.floor(endsMs - parts.clock.now())),
-		bodyLength: body.length,
-		customer: customer?.name,
-		priority: customer?.priority ?? route.priority,
-		lastEventId: progress.lastEventId,
-	});
-	const sent = await parts.sender.send({
-		address: place.address, method: call.method, url: call.url, headers, body, mayReuse: isRepeatable(route),
-	}, signal);
-	if (sent.isErr) {
-		progress.attempts += sent.error.accepted ? 1 : 0;
-		return sent.error.accepted
-			? {kind: 'broken', reason: `The target broke off: ${sent.error.reason}`, targetEnd: 'broke-off'}
-			: {kind: 'not-run', reason: `The target cannot be reached: ${sent.error.reason}`, targetEnd: 'unreachable'};
-	}
-
-	progress.attempts += 1;
-	const answer = sent.value;
-	const facts = parts.dialect.readAnswer(answer);
-	if (facts.outstanding !== undefined) {
-		place.noteOutstanding(facts.outstanding);
-	}
-
-	const isOther = facts.attemptId !== undefined && facts.attemptId !== call.attemptId;
-	if (!isOther && (facts.isNotExecuted || answer.status === STATUS_MISDIRECTED)) {
-		answer.discard();
-		return {kind: 'not-run', reason: `The target refused with ${answer.status}.`, targetEnd: answer.status === STATUS_MISDIRECTED ? 'answered' : 'failed'};
-	}
-
-	const fault = findFault(facts, answer.status, call);
-	if (fault !== undefined) {
-		answer.destroy();
-		return {kind: 'broken', reason: fault, targetEnd: 'broke-off'};
-	}
-
-	if (answer.status >= STATUS_SERVER_ERROR && mayRepeat(work, 'broken') && parts.getRetries(work.service).hasRetry()) {
-		answer.destroy();
-		return {kind: 'broken', reason: `The target failed with ${answer.status}.`, targetEnd: 'failed'};
-	}
-
-	return relay(work, answer, facts);
-}
-
-/** Why an answer cannot belong to the request, or undefined. */
-function findFault({attemptId, isSigned}: AnswerFacts, status: number, call: ForwardCall): string | undefined {
-	if (attemptId !== undefined && attemptId !== call.attemptId) {
-		return 'The answer belongs to another request.';
-	}
-
-	if (!isSigned || (status < 300 && attemptId === undefined)) {
-		return 'The answer does not carry the signature of a target.';
-	}
-
-	// These statuses promise callers that nothing has run, which this target does not say.
-	return notRunStatuses.has(status) ? `The target answered ${status} and may have run the request.` : undefined;
-}
-
-async function relay(work: Forwarding, answer: Parameters<typeof relayWhole>[0]['answer'], facts: AnswerFacts): Promise<Outcome> {
-	const {parts: {clock}, exchange, route, progress} = work;
-	const isEvents = facts.isEventStream && answer.status < 300;
-	if (exchange.hasBegun() && !isEvents) {
-		answer.destroy();
-		return {kind: 'broken', reason: `The target answered the rest of a stream with ${answer.status}.`, targetEnd: 'answered'};
-	}
-
-	progress.status = answer.status;
-	const relayed = {
-		exchange, answer, headers: facts.headers, onPiece() {
-			progress.pieces.note();
-		},
-	};
-	const end: RelayEnd = isEvents
-		? await relayEvents(relayed, progress.lastEventId, route.isResumable ? {clock} : undefined)
-		: await relayWhole(relayed);
-	progress.lastEventId = end.lastEventId ?? progress.lastEventId;
-	if (end.kind === 'complete') {
-		return {kind: 'answered'};
-	}
-
-	answer.destroy();
-	return {kind: 'broken', reason: 'The answer ended early.', targetEnd: 'broke-off'};
-}
-
-function isRepeatable({repeat, isStream, isResumable}: TrafficRoute): boolean {
-	return isStream ? isResumable : repeat === 'idempotent';
-}
-
-function mayRepeat({route, progress, exchange}: Forwarding, outcome: 'not-run' | 'broken'): boolean {
-	if (exchange.hasBegun() && !(route.isStream && route.isResumable)) {
-		return false;
-	}
-
-	return progress.attempts < route.maxAttempts && (outcome === 'not-run' || isRepeatable(route));
-}
-
 /** Ends a request without an answer; the refusal is only true while no target may have run it. */
 function giveUp({progress, exchange, signal}: Forwarding, verdict: Verdict): End {
 	if (exchange.hasBegun()) {
