callers: let refused callers return one after the other

All callers refused in one second for the same model were told nearly the same time, and came back as a wave into targets that were as full as before. Ruled out: longer waits at the host (they hold callers, and those served are late). Change: each refused caller is told a time behind the one before it, at half the pace at which places are given, at most 4 s later.

--- a/packages/callers/src/forward/constants.ts
+++ b/packages/callers/src/forward/constants.ts
@@ -16,6 +16,15 @@
 /** Time constant of the rate at which places become free. */
 export const PLACE_RATE_MS = 1000;
 
+/** Time between the returns of two refused callers when nothing tells how fast places are given. */
+export const RETURN_GAP_MS = 25;
+
+/** Share of the places given that refused callers may count on; the rest is for those who come for the first time. */
+export const RETURN_SHARE = 0.5;
+
+/** Latest time to return that a refused caller is told for the sake of others. */
+export const MAX_RETURN_MS = 4000;
+
 /** A caller that was told when to return counts as waiting until this long after that time. */
 export const RETURN_SLACK_MS = 500;
 
--- a/packages/callers/src/forward/place-queue.ts
+++ b/packages/callers/src/forward/place-queue.ts
@@ -1,9 +1,9 @@
 import {type Clock, refuse, type Verdict} from '@egretrill/common';
 import {Result} from 'true-myth';
-import {MIN_RETRY_AFTER_MS, RETURN_SLACK_MS} from './constants.js';
+import {MIN_RETRY_AFTER_MS, RETURN_SHARE, RETURN_SLACK_MS} from './constants.js';
 import type {PromptPart} from './types.js';
 import {
-	decideWait, PlaceRate, type WaitDecision, type WaitLimits, type WaitReason,
+	decideWait, PlaceRate, ReturnTimes, type WaitDecision, type WaitLimits, type WaitReason,
 } from './wait-forecast.js';
 
 /** What a request needs of its target. */
@@ -69,10 +69,12 @@
 	private waiters: readonly Waiter[] = [];
 	private returning: readonly Returning[] = [];
 	private readonly rate: PlaceRate;
+	private readonly returnTimes: ReturnTimes;
 	private isClosed = false;
 
 	constructor(private readonly clock: Clock, private readonly source: PlaceSource) {
 		this.rate = new PlaceRate(clock);
+		this.returnTimes = new ReturnTimes(clock);
 	}
 
 	getLength(): number {
@@ -190,8 +192,10 @@
 		const forecastMs = lastKind === 'full' ? this.rate.getWaitMs(getModelKey(need), ahead) : this.source.getReadyMs(need);
 		const decision = decideWait({reason: lastKind, waitedMs: this.clock.now() - startedMs, forecastMs}, limits);
 		if (decision.kind === 'refuse') {
-			this.returning = [...this.returning, {need, kind: lastKind, untilMs: this.clock.now() + decision.retryAfterMs + RETURN_SLACK_MS}];
-			settle(Result.err(refusePlace(lastKind, decision.retryAfterMs)));
+			const gapMs = this.rate.getWaitMs(getModelKey(need), 0);
+			const retryAfterMs = this.returnTimes.getRetryMs(getModelKey(need), decision.retryAfterMs, gapMs === undefined ? undefined : gapMs / RETURN_SHARE);
+			this.returning = [...this.returning, {need, kind: lastKind, untilMs: this.clock.now() + retryAfterMs + RETURN_SLACK_MS}];
+			settle(Result.err(refusePlace(lastKind, retryAfterMs)));
 		}
 
 		return decision;
--- a/packages/callers/src/forward/wait-forecast.ts
+++ b/packages/callers/src/forward/wait-forecast.ts
@@ -1,6 +1,6 @@
 import {type Clock, DecayingCounts} from '@egretrill/common';
 import {
-	MIN_RETRY_AFTER_MS, NO_TARGET_RETRY_MS, PLACE_RATE_MS, UNPLANNED_MODEL_WAIT_MS,
+	MAX_RETURN_MS, MIN_RETRY_AFTER_MS, NO_TARGET_RETRY_MS, PLACE_RATE_MS, RETURN_GAP_MS, UNPLANNED_MODEL_WAIT_MS,
 } from './constants.js';
 
 /** How long a request may wait for a place, by what it waits for. */
@@ -70,3 +70,19 @@
 		return count < 1 ? undefined : (ahead + 1) * spanMs / count;
 	}
 }
+
+/** Tells callers that were refused for the same reason to return one after the other. Answers the wave that comes back at once when all are told the same time. */
+export class ReturnTimes {
+	private readonly lastMs = new Map<string, number>();
+
+	constructor(private readonly clock: Clock) {}
+
+	/** Time after which a refused caller should return, not before the given time, and at the pace at which places are given. */
+	getRetryMs(name: string, earliestMs: number, gapMs = RETURN_GAP_MS): number {
+		const nowMs = this.clock.now();
+		const inTurnMs = (this.lastMs.get(name) ?? nowMs) + gapMs - nowMs;
+		const retryMs = Math.max(earliestMs, Math.min(inTurnMs, MAX_RETURN_MS));
+		this.lastMs.set(name, nowMs + retryMs);
+		return retryMs;
+	}
+}
--- a/packages/callers/tests/forward/wait-forecast.test.ts
+++ b/packages/callers/tests/forward/wait-forecast.test.ts
@@ -1,7 +1,7 @@
 import {ManualClock} from '@egretrill/common';
 import {expect} from 'chai';
 import {
-	decideWait, type Place, type PlaceAnswer, type PlaceNeed, PlaceQueue, PlaceRate, PlaceSource, type WaitLimits, type WaitReason,
+	decideWait, type Place, type PlaceAnswer, type PlaceNeed, PlaceQueue, PlaceRate, PlaceSource, ReturnTimes, type WaitLimits, type WaitReason,
 } from '../../src/forward/index.js';
 
 const limits: WaitLimits = {unplannedMs: 1500, plannedMs: 2500, crowdedMs: 400};
@@ -121,6 +121,21 @@
 	});
 });
 
+describe('ReturnTimes', () => {
+	// Guards against refused callers who all return at the same moment and are refused again.
+	it('lets callers return one after the other, and none much later than it pays', () => {
+		const clock = new ManualClock();
+		const times = new ReturnTimes(clock);
+		const told = Array.from({length: 5}, () => times.getRetryMs('m', 300, 100));
+		const others = times.getRetryMs('n', 300);
+		const latest = Array.from({length: 100}, () => times.getRetryMs('m', 300, 100)).at(-1);
+		clock.advance(10_000);
+		expect({
+			told, others, latest, later: times.getRetryMs('m', 300, 100),
+		}).toMatchSnapshot();
+	});
+});
+
 describe('PlaceQueue under a burst', () => {
 	// Guards against a queue in which every caller waits until it is too late for all of them. The load is twice what the targets serve.
 	it('serves as many as the targets bear, nearly all in time, and refuses the others at once', async () => {
