--- a/apps/egretrilld/src/traffic/entry-host.ts
+++ b/apps/egretrilld/src/traffic/entry-host.ts
@@ -6,7 +6,7 @@
 	type Clock, jitter, type Logger, type Random, type TrafficSource,
 } from '@egretrill/common';
 import {
-	type ForwardDialect, type ForwardParts, forwardRequest, PlaceQueue, RATE_LEASE_MS, RateParts, RetryBudget, RouteTable,
+	type ForwardDialect, type ForwardParts, forwardRequest, PlaceQueue, RATE_LEASE_MS, RateParts, RetryBudget, ReturnTimes, RouteTable,
 } from '@egretrill/callers';
 import {Drain, type Metrics, type UnreadyReason} from '@egretrill/balancer';
 import {TargetBook} from '@egretrill/engines';
@@ -86,6 +86,7 @@
 			queue: this.queue,
 			rates: this.rates,
 			lender: this.follower,
+			returnTimes: new ReturnTimes(clock),
 			sender: this.sender,
 			observer: this.observer,
 			getTable: () => this.table,
--- a/packages/callers/src/forward/forward-parts.ts
+++ b/packages/callers/src/forward/forward-parts.ts
@@ -8,6 +8,7 @@
 import type {RateAnswer, RateParts} from './rate-part.js';
 import type {RouteTable} from './route-table.js';
 import type {ForwardCall} from './types.js';
+import type {ReturnTimes} from './wait-forecast.js';
 
 /** A target's answer whose body is still to be read. */
 export type TargetAnswer = {
@@ -81,6 +82,8 @@
 	readonly queue: PlaceQueue;
 	readonly rates: RateParts;
 	readonly lender: RateLender;
+	/** When callers beyond a rate are told to return, by customer. */
+	readonly returnTimes: ReturnTimes;
 	readonly sender: ForwardSender;
 	readonly observer: ForwardObserver;
 	readonly getTable: () => RouteTable | undefined;
--- a/packages/callers/src/forward/forward-request.ts
+++ b/packages/callers/src/forward/forward-request.ts
@@ -104,7 +104,8 @@
 
 	const rate = customer.value && await spend(customer.value, call, parts);
 	if (rate && !rate.isGranted) {
-		return {refusal: refuse(429, 'over-rate', 'The customer has used up its rate.', Math.max(MIN_RETRY_AFTER_MS, rate.retryAfterMs)), route: route.value, customer: customer.value};
+		const retryAfterMs = parts.returnTimes.getRetryMs(customer.value?.name ?? '', Math.max(MIN_RETRY_AFTER_MS, rate.retryAfterMs));
+		return {refusal: refuse(429, 'over-rate', 'The customer has used up its rate.', retryAfterMs), route: route.value, customer: customer.value};
 	}
 
 	// What lies beyond a customer's rate is served by no copy of its model, so it is no demand.
--- a/packages/callers/tests/forward/forward-request.test.ts
+++ b/packages/callers/tests/forward/forward-request.test.ts
@@ -33,6 +33,11 @@
 		expect(await playRequest({targets: ['t1', 't2', 't3', 't4', 't5'], answers: [...unreached, {chunks: ['ok']}]})).toMatchSnapshot();
 	});
 
+	// Guards against callers beyond a rate who all come back at the same moment; the times themselves are tested with ReturnTimes.
+	it('tells a caller beyond its rate when to return', async () => {
+		expect(await playRequest({route: {isOpen: false}, headers: ['key', 'k'], ratePerSecond: 0.1})).toMatchSnapshot();
+	});
+
 	// Guards against copies that are loaded for requests beyond a customer's rate, which no copy may serve.
 	it('counts no demand beyond a rate', async () => {
 		const keyed = {route: {isOpen: false}, headers: ['key', 'k']};
--- a/packages/callers/tests/forward/support/forward-world.ts
+++ b/packages/callers/tests/forward/support/forward-world.ts
@@ -5,7 +5,7 @@
 import {Result} from 'true-myth';
 import {RetryBudget} from '../../../src/index.js';
 import {
-	type AnswerFacts, type AnswerHead, CallerExchange, type ForwardCall, ForwardDialect, type ForwardEndNote, ForwardObserver, type ForwardParts, forwardRequest, ForwardSender, type OutgoingMessage, type PlaceAnswer, type PlaceNeed, PlaceQueue, PlaceSource, RateLender, RateParts, type RequestHead, RouteTable, type SendDetails, type TargetAnswer,
+	type AnswerFacts, type AnswerHead, CallerExchange, type ForwardCall, ForwardDialect, type ForwardEndNote, ForwardObserver, type ForwardParts, forwardRequest, ForwardSender, type OutgoingMessage, type PlaceAnswer, type PlaceNeed, PlaceQueue, PlaceSource, RateLender, RateParts, type RequestHead, ReturnTimes, RouteTable, type SendDetails, type TargetAnswer,
 } from '../../../src/forward/index.js';
 
 /** How a fake target answers one request. */
@@ -241,7 +241,7 @@
 	const rates = new RateParts(clock);
 	rates.setCustomers(customers ?? []);
 	const parts: ForwardParts = {
-		clock, random: () => 0, dialect: new FakeDialect(), queue: new PlaceQueue(clock, places), rates, lender: new NoLender(), sender, observer, getTable: () => opts.isUnconfigured ? undefined : table, halted: new AbortController().signal, getRetries: () => retries,
+		clock, random: () => 0, dialect: new FakeDialect(), queue: new PlaceQueue(clock, places), rates, lender: new NoLender(), returnTimes: new ReturnTimes(clock), sender, observer, getTable: () => opts.isUnconfigured ? undefined : table, halted: new AbortController().signal, getRetries: () => retries,
 	};
 	const served = forwardRequest(exchange, parts);
 	if (opts.leavesMs !== undefined) {
