--- a/dev/bench/src/benches.ts
+++ b/dev/bench/src/benches.ts
@@ -1,6 +1,7 @@
 import {runColdStartBench} from './cold-start.js';
 import {runConfigBench} from './config.js';
 import {runControlCostBench} from './control-cost.js';
+import {runDataPathBench} from './data-path.js';
 import {runDecisionBench} from './decision.js';
 import {runFairnessBench} from './fairness.js';
 import {runOverheadBench} from './overhead.js';
@@ -17,6 +18,7 @@
 	'cold-start': runColdStartBench,
 	config: runConfigBench,
 	'control-cost': runControlCostBench,
+	'data-path': runDataPathBench,
 	decision: runDecisionBench,
 	fairness: runFairnessBench,
 	overhead: runOverheadBench,
