engines, callers: read-through of the planning of loads

The layout that a plan works on has a file of its own, the condition under which a move may cost anything has a name, lines over the limit are split, and a comment stood at the wrong function.

--- a/apps/egretrilld/src/traffic/control-host.ts
+++ b/apps/egretrilld/src/traffic/control-host.ts
@@ -259,7 +259,20 @@
 			this.term?.end();
 			logger.info({term}, 'This host leads.');
 			this.term = new LeaderTerm({
-				clock, random, logger, orders, term, node: this.node, registry: this.registry, hostId: settings.host, orderLeaseMs: settings.bounds.orderLeaseMs, getZonesOut: () => [...this.state.getZonesOut()], getClasses: () => this.getClasses(), getCustomers: () => this.getCustomers(), getEntryHosts: () => this.state.getEntryHosts(), putEntryHosts: async hostIds => this.putEntryHosts(hostIds),
+				clock,
+				random,
+				logger,
+				orders,
+				term,
+				node: this.node,
+				registry: this.registry,
+				hostId: settings.host,
+				orderLeaseMs: settings.bounds.orderLeaseMs,
+				getZonesOut: () => [...this.state.getZonesOut()],
+				getClasses: () => this.getClasses(),
+				getCustomers: () => this.getCustomers(),
+				getEntryHosts: () => this.state.getEntryHosts(),
+				putEntryHosts: async hostIds => this.putEntryHosts(hostIds),
 			});
 			void this.term.run();
 		} else if (role !== 'leader' && this.term) {
--- a/apps/egretrilld/src/traffic/leader-term.ts
+++ b/apps/egretrilld/src/traffic/leader-term.ts
@@ -74,7 +74,11 @@
 		this.engines.noteAdapterUse(hostId, adapters);
 		this.engines.noteWaiting(hostId, waiting);
 		const grant = this.rates.request({hostId, startId, ...rates});
-		return {others: this.sumOthers(hostId), expected: this.engines.getExpected().map(({service, model, readyInMs}) => [service, model, Math.round(readyInMs)]), rates: {...grant, leased: grant.leased.map(([name, part]) => [name, part])}};
+		return {
+			others: this.sumOthers(hostId),
+			expected: this.engines.getExpected().map(({service, model, readyInMs}) => [service, model, Math.round(readyInMs)]),
+			rates: {...grant, leased: grant.leased.map(([name, part]) => [name, part])},
+		};
 	}
 
 	/** Keeps the log's list of entry hosts up to date. */
--- a/dev/bench/src/data-path-forwarder.ts
+++ b/dev/bench/src/data-path-forwarder.ts
@@ -9,7 +9,7 @@
 import express from 'express';
 import got from 'got';
 
-/** A forwarder in a process of its own, so that only its processor time is counted. */
+// This program forwards requests in a process of its own, so that only its processor time is counted.
 async function readBody(req: IncomingMessage): Promise<Uint8Array> {
 	const chunks: Uint8Array[] = [];
 	for await (const chunk of req) {
--- a/packages/callers/src/forward/place-queue.ts
+++ b/packages/callers/src/forward/place-queue.ts
@@ -60,7 +60,7 @@
 /** A caller that was refused and told when to return. */
 type Returning = {readonly need: PlaceNeed; readonly kind: WaitReason; readonly untilMs: number};
 
-function getModelKey({service, model}: PlaceNeed): string {
+function getModelKey({service, model}: Pick<PlaceNeed, 'service' | 'model'>): string {
 	return JSON.stringify([service, model]);
 }
 
@@ -89,9 +89,7 @@
 				return;
 			}
 
-			const key = getModelKey({
-				service, model, parts: [], tried: new Set(),
-			});
+			const key = getModelKey({service, model});
 			const known = counts.get(key) ?? {
 				service, model, waiting: 0, crowded: 0,
 			};
--- a/packages/engines/src/loading/engine-owner.ts
+++ b/packages/engines/src/loading/engine-owner.ts
@@ -124,7 +124,11 @@
 		const engines = this.getEngines(service);
 		const mayUseStore = this.opts.clock.now() >= (this.nextStoreLoadMs.get(service) ?? 0);
 		const moves = planLoads({
-			engineClass, engines: engines.map(engine => this.describe(engine, engineClass, signal)), demand: this.getDemand(service, engineClass), mayUseStore, mayEvictForCopies: this.opts.clock.now() - this.demandSinceMs > DEMAND_WATCH_MS,
+			engineClass,
+			engines: engines.map(engine => this.describe(engine, engineClass, signal)),
+			demand: this.getDemand(service, engineClass),
+			mayUseStore,
+			mayEvictForCopies: this.opts.clock.now() - this.demandSinceMs > DEMAND_WATCH_MS,
 		});
 		for (const move of moves) {
 			const engine = engines.find(({targetId}) => targetId === move.targetId);
--- a/packages/engines/src/loading/expect-models.ts
+++ b/packages/engines/src/loading/expect-models.ts
@@ -23,7 +23,10 @@
 	return holders.length === 0 ? undefined : Math.min(...holders.map(({moveLeftMs}) => moveLeftMs));
 }
 
-/** When models that cannot serve now will, so that hosts keep only those callers waiting that can still be served. Answers demand that moves to models without a copy, and bursts of them that the weight store takes one by one. */
+/**
+ * When models that cannot serve now will, so that hosts keep only those callers waiting that can still be served.
+ * Answers demand that moves to models without a copy, and bursts of them that the weight store takes one by one.
+ */
 export function expectModels({service, engineClass: {models, storeLoadsPerSecond}, engines, demand, storeFreeInMs}: ExpectView): readonly ExpectedModel[] {
 	const gapMs = storeLoadsPerSecond > 0 ? MS_PER_SECOND / storeLoadsPerSecond : 0;
 	const expected: ExpectedModel[] = [];
--- a/packages/engines/src/loading/index.ts
+++ b/packages/engines/src/loading/index.ts
@@ -4,6 +4,7 @@
 export * from './engine-owner.js';
 export * from './estimate-run.js';
 export * from './expect-models.js';
+export * from './layout.js';
 export * from './plan-loads.js';
 export * from './spread-demand.js';
 export * from './types.js';
--- a/packages/engines/src/loading/plan-loads.ts
+++ b/packages/engines/src/loading/plan-loads.ts
@@ -1,96 +1,15 @@
-import type {EngineClass, StoredModel} from '@egretrill/common';
+import type {StoredModel} from '@egretrill/common';
 import {
-	ADAPTER_DEMAND_RATIO, BUSY_UNLOAD_MS, IDLE_DEMAND, IDLE_UNLOAD_MS, LAST_COPY_RATIO, MAX_SWAP_RATIO, MIN_COPY_AGE_MS, MIN_MOVE_GAIN, MISSING_PATIENCE_MS, PLAN_HORIZON_S, WAITING_WEIGHT,
+	ADAPTER_DEMAND_RATIO, BUSY_UNLOAD_MS, IDLE_UNLOAD_MS, LAST_COPY_RATIO, MAX_SWAP_RATIO, MIN_COPY_AGE_MS, MIN_MOVE_GAIN,
 } from './constants.js';
-import {type LaidOutEngine, spreadDemand} from './spread-demand.js';
-import type {LoadMove, ModelDemand, PlannedEngine} from './types.js';
+import {Layout, type LoadView} from './layout.js';
+import type {LoadMove, PlannedEngine} from './types.js';
 
 const MS_PER_SECOND = 1000;
 
-export type LoadView = {
-	readonly engineClass: EngineClass;
-	readonly engines: readonly PlannedEngine[];
-	readonly demand: readonly ModelDemand[];
-	/** Whether the weight store may begin another load now. */
-	readonly mayUseStore: boolean;
-	/** Whether demand is known well enough to unload a copy for a further one of a busier model. */
-	readonly mayEvictForCopies: boolean;
-};
-
 type Want = {readonly model: StoredModel; readonly lost: number; readonly reason: LoadMove['reason']};
 type Site = {readonly engine: PlannedEngine; readonly unload: readonly string[]; readonly totalMs: number; readonly loadMs: number; readonly fromStore: boolean; readonly cost: number};
 
-/** What the engines hold and what callers need while a plan is made; each planned move changes it. */
-class Layout {
-	readonly needs: ReadonlyMap<string, number>;
-	private engines: readonly LaidOutEngine[];
-	private readonly places: number;
-
-	constructor(private readonly view: LoadView) {
-		this.places = view.engineClass.batchSlots;
-		this.engines = view.engines.map(({targetId, copies, loading, unloading}) => ({
-			targetId,
-			models: new Set([
-				...copies.map(({model}) => model).filter(model => !unloading.includes(model)), ...(loading === undefined ? [] : [loading]),
-			]),
-		}));
-		this.needs = new Map(view.demand.map(demand => [demand.model, this.getNeed(demand)]));
-	}
-
-	countCopies(model: string): number {
-		return this.engines.filter(({models}) => models.has(model)).length;
-	}
-
-	isIdle(model: string): boolean {
-		return (this.needs.get(model) ?? 0) < IDLE_DEMAND;
-	}
-
-	/** Places that find no engine, by model. */
-	getLost(): ReadonlyMap<string, number> {
-		return spreadDemand(this.engines, this.needs, this.places).lost;
-	}
-
-	/** Request-seconds lost over the horizon if an engine gives up models and loads another one in a given time. */
-	getCost(targetId: string, unload: readonly string[], load: string | undefined, loadMs: number): number {
-		const loadS = Math.min(PLAN_HORIZON_S, loadMs / MS_PER_SECOND);
-		const during = spreadDemand(this.change(targetId, unload, undefined), this.needs, this.places).totalLost;
-		const after = load === undefined ? during : spreadDemand(this.change(targetId, unload, load), this.needs, this.places).totalLost;
-		return (during * loadS) + (after * (PLAN_HORIZON_S - loadS));
-	}
-
-	/** Needs of models that only this engine holds; their adapters cannot be changed while it carries out an order. */
-	getSoleNeeds(targetId: string): number {
-		const models = this.engines.find(engine => engine.targetId === targetId)?.models ?? new Set();
-		let sum = 0;
-		for (const model of models) {
-			sum += this.countCopies(model) === 1 ? this.needs.get(model) ?? 0 : 0;
-		}
-
-		return sum;
-	}
-
-	apply({targetId, unload, load}: Pick<LoadMove, 'targetId' | 'unload' | 'load'>): void {
-		this.engines = this.change(targetId, unload, load);
-	}
-
-	private change(targetId: string, unload: readonly string[], load: string | undefined): readonly LaidOutEngine[] {
-		return this.engines.map(engine => {
-			if (engine.targetId !== targetId) {
-				return engine;
-			}
-
-			const kept = [...engine.models].filter(model => !unload.includes(model));
-			return {targetId, models: new Set(load === undefined ? kept : [...kept, load])};
-		});
-	}
-
-	/** A model without a copy counts for more the longer it has been missing. */
-	private getNeed({model, places, waiting, crowded, missingMs}: ModelDemand): number {
-		const need = places + crowded + (waiting * WAITING_WEIGHT);
-		return this.countCopies(model) === 0 ? need * (1 + (missingMs / MISSING_PATIENCE_MS)) : places + crowded;
-	}
-}
-
 function getWants({engineClass: {models}, engines, demand}: LoadView, layout: Layout): readonly Want[] {
 	const lostByModel = layout.getLost();
 	const wants = models.flatMap((model): readonly Want[] => {
@@ -188,17 +107,25 @@
 	};
 }
 
+/** Whether a move brings a model its first copy and takes nobody's last one. */
+function mayMoveAtAnyCost({reason}: Want, unload: readonly string[], layout: Layout): boolean {
+	return reason === 'missing' && unload.every(model => layout.isIdle(model) || layout.countCopies(model) > 1);
+}
+
 function findSite(view: LoadView, layout: Layout, want: Want, taken: ReadonlySet<string>): Site | undefined {
 	const idleCost = layout.getCost('', [], undefined, 0);
 	return view.engines
 		.filter(({targetId, isFree, copies}) => isFree && !taken.has(targetId) && copies.every(({model}) => model !== want.model.name))
 		.flatMap(engine => describeSite(view, engine, layout, want) ?? [])
-		.filter(({cost, unload}) => (want.reason === 'missing' && unload.every(model => layout.isIdle(model) || layout.countCopies(model) > 1)) || cost < idleCost - MIN_MOVE_GAIN)
+		.filter(({cost, unload}) => mayMoveAtAnyCost(want, unload, layout) || cost < idleCost - MIN_MOVE_GAIN)
 		.toSorted((a, b) => a.cost - b.cost)
 		.at(0);
 }
 
-/** Plans loads in the order of the requests that they serve: first copies of models that callers wait for, and more copies of those whose engines are full. Answers demand that moves between models within seconds, and engines that come back empty. */
+/**
+ * Plans loads in the order of the requests that they serve: first copies of models that callers wait for, and more copies of those whose engines are full.
+ * Answers demand that moves between models within seconds, and engines that come back empty.
+ */
 export function planLoads(view: LoadView): readonly LoadMove[] {
 	const layout = new Layout(view);
 	const taken = new Set<string>();
@@ -210,8 +137,9 @@
 		const mayEvictForCopies = view.mayEvictForCopies && swaps < maxSwaps;
 		const site = findSite({...view, mayUseStore, mayEvictForCopies}, layout, want, taken);
 		if (site) {
+			const {engine: {targetId}, unload, fromStore, totalMs, loadMs} = site;
 			const move: LoadMove = {
-				targetId: site.engine.targetId, unload: [...site.unload], load: want.model.name, reason: want.reason, fromStore: site.fromStore, totalMs: site.totalMs, loadMs: site.loadMs,
+				targetId, unload: [...unload], load: want.model.name, reason: want.reason, fromStore, totalMs, loadMs,
 			};
 			taken.add(move.targetId);
 			swaps += isSwap(move) ? 1 : 0;
