bench: what the polls of a large fleet cost the leader and an entry host

What operators would see: the leading control host of a fleet of 80 entry hosts and 63 engines used 0.81 of a core and its event loop stood still; nothing told which part of its work costs how much.

Change: `npm run bench -- polls` drives the leader's term, its registry and its messages with the reports of 80 hosts, the registrations of 63 engines, changes, adapters that are asked for and the gossip of 8 control hosts, without connections and without plans of loads, and tells the processor time of each part in a second; then the same for the requests and polls of one entry host. A leader's term asks only for the two methods of the log's node that it uses.

--- a/apps/egretrilld/src/traffic/leader-term.ts
+++ b/apps/egretrilld/src/traffic/leader-term.ts
@@ -11,7 +11,7 @@
 	readonly clock: Clock;
 	readonly random: Random;
 	readonly logger: Logger;
-	readonly node: FleetNode;
+	readonly node: Pick<FleetNode, 'status' | 'isLeaderWithLease'>;
 	readonly registry: TargetRegistry;
 	readonly orders: EngineOrders;
 	readonly hostId: string;
--- a/dev/bench/src/benches.ts
+++ b/dev/bench/src/benches.ts
@@ -6,6 +6,7 @@
 import {runFairnessBench} from './fairness.js';
 import {runOverheadBench} from './overhead.js';
 import {runPlacementBench} from './placement.js';
+import {runPollsBench} from './polls.js';
 import {runRatesBench} from './rates.js';
 import {runRecoveryBench} from './recovery.js';
 import {runRoutingBench} from './routing.js';
@@ -23,6 +24,7 @@
 	fairness: runFairnessBench,
 	overhead: runOverheadBench,
 	placement: runPlacementBench,
+	polls: runPollsBench,
 	rates: runRatesBench,
 	recovery: runRecoveryBench,
 	routing: runRoutingBench,
--- /dev/null
+++ b/dev/bench/src/polls-entry.ts
@@ -0,0 +1,71 @@
+import {PlaceQueue} from '@egretrill/callers';
+import {ManualClock, type Random} from '@egretrill/common';
+import {BookPlaces} from '@egretrill/egretrilld/traffic';
+import {TargetBook, type TargetNeed} from '@egretrill/engines';
+import {CpuMeter} from './cpu-meter.js';
+import {
+	createRegistration, FLEET, pickKind, SERVICE,
+} from './polls-fleet.js';
+
+const SECONDS = 5;
+/** Requests of one host in a second; a whole fleet's, so that the time of each is measured well. */
+const REQUESTS_PER_SECOND = 1000;
+const POLLS_PER_SECOND = 10;
+/** Requests that wait at the host for adapters that no engine holds. */
+const WAITERS = 100;
+const RUNNING = 40;
+
+function createNeed(model: string, adapter: string): TargetNeed {
+	return {
+		service: SERVICE, model, adapter, parts: Array.from({length: 6}, (_, i) => ({id: `${model}-part-${i}`, tokens: 200})), tried: new Set(),
+	};
+}
+
+/** The work of an entry host for requests and polls, without connections. */
+export function measureEntryHost(random: Random): Record<string, {readonly ms: number; readonly calls: number}> {
+	const meter = new CpuMeter();
+	const clock = new ManualClock();
+	const book = new TargetBook({
+		clock, zone: 'zone-0', getColdRate: () => 2, getBatchSlots: () => 64,
+	});
+	book.update({
+		origin: 'o', revision: 1, isWhole: true, targets: Array.from({length: FLEET.engines}, (_, i) => ({registration: createRegistration(i, 1), ageMs: 0, hasEnded: false})),
+	});
+	const queue = new PlaceQueue(clock, new BookPlaces({clock, book, ask: async () => undefined}));
+	const limits = {unplannedMs: 1e9, plannedMs: 1e9, crowdedMs: 1e9};
+	for (let i = 0; i < WAITERS; i++) {
+		void queue.getPlace(createNeed(`model-${i % FLEET.models}`, `missing-${i}`), 1, limits, new AbortController().signal);
+	}
+
+	const running: Array<() => void> = [];
+	for (let i = 0; i < SECONDS * REQUESTS_PER_SECOND; i++) {
+		clock.advance(1);
+		const {model, adapter} = pickKind(random);
+		const need = createNeed(model, adapter);
+		meter.measure('choices of targets', () => {
+			const choice = book.choose(need);
+			const place = choice.kind === 'target' ? book.take(choice.targetId, need) : undefined;
+			running.push(() => {
+				place?.end('answered');
+			});
+		});
+		if (running.length > RUNNING) {
+			meter.measure('ends of requests', () => running.shift()?.());
+		}
+
+		if (i % (REQUESTS_PER_SECOND / POLLS_PER_SECOND) === 0) {
+			meter.measure('reports of polls', () => [book.getOwn(), book.getOwnAdapters(), queue.getWaitingByModel()]);
+			meter.measure('others of polls', () => {
+				book.setOthers(Array.from({length: FLEET.engines}, (_, k) => [`engine-${k}`, 20]));
+			});
+		}
+
+		if (i % 20 === 0) {
+			meter.measure('tries of waiting requests', () => {
+				queue.pump();
+			});
+		}
+	}
+
+	return meter.getPerSecond(SECONDS);
+}
