callers: the owner of rates no longer walks over all hosts for each report

What operators would see: with 80 entry hosts the leader's event loop stood still for a second and more at a time and it lost its lease.

Cause: for each report the owner of rates walked over all hosts once for the standing parts and three times for each customer: for the demand, the largest mean cost and the leases that others may hold. That is the product of hosts, hosts and customers in each period of reports.

Ruled out: running sums with additions and subtractions, since rounding stays behind when large demands fade, and a customer's demand of zero is told apart from a small one.

The owner folds demand, mean cost and leases of each customer and the standing parts as reports arrive; ended leases are taken out when the first of them ends, and silent hosts are counted from the front of a map in the order of the last report.

Conclusion: a report costs the owner a time that grows with the number of customers and the logarithm of the number of hosts.

--- a/packages/callers/src/forward/rate-owner.ts
+++ b/packages/callers/src/forward/rate-owner.ts
@@ -1,4 +1,6 @@
-import {CLOCK_DRIFT_RATIO, type Clock, type TrafficCustomer} from '@egretrill/common';
+import {
+	CLOCK_DRIFT_RATIO, type Clock, KeyedFold, type TrafficCustomer,
+} from '@egretrill/common';
 import {
 	LARGE_SHARE_REQUESTS, LEASED_RATIO, RATE_HOST_TTL_MS, RATE_LEASE_MS, SMALL_POOL_RATIO, STANDING_RATIO,
 } from './constants.js';
@@ -24,6 +26,8 @@
 	seenMs: number;
 	demand: ReadonlyMap<string, RateDemand>;
 	promises: readonly PartPromise[];
+	/** What the host may hold of each customer's rate under promises that have not ended, as the sums have it. */
+	leased: ReadonlyMap<string, number>;
 	/** Number of this owner's first answer to the host. */
 	firstSerial: number | undefined;
 	/** Whether the host has put an answer of this owner into force, which ends what an earlier owner leased to it. */
@@ -31,9 +35,26 @@
 };
 type Pool = {level: number; levelMs: number};
 
+/** Folds over all hosts of what they ask for and may hold of one customer's rate; they change with each report, while a walk over all hosts for each report costs the square of their number. */
+type CustomerFolds = {readonly perSecond: KeyedFold; readonly meanCost: KeyedFold; readonly leased: KeyedFold};
+
+function add(first: number, second: number): number {
+	return first + second;
+}
+
+function createFolds(): CustomerFolds {
+	return {perSecond: new KeyedFold(add), meanCost: new KeyedFold(Math.max), leased: new KeyedFold(add)};
+}
+
 /** Divides the customers' rates: a standing part for each host, leases by demand, and a pool from which hosts borrow for single requests. */
 export class RateOwner {
+	/** The host that asked last comes last. */
 	private readonly hosts = new Map<string, HostState>();
+	private readonly folds = new Map<string, CustomerFolds>();
+	/** The largest standing part that each host may hold: an answer that it has not confirmed may or may not be in force there. */
+	private readonly standing = new KeyedFold(add);
+	/** When the first lease ends that the folds still count. */
+	private nextLeaseEndMs = Number.POSITIVE_INFINITY;
 	private readonly pools = new Map<string, Pool>();
 	private readonly startedMs: number;
 
@@ -45,14 +66,17 @@
 	/** Answers a host's report with the parts that it may spend from now on. */
 	request(req: RateRequest): RateGrant {
 		const host = this.noteHost(req);
+		this.foldEndedLeases();
 		const hostCount = this.countHosts();
-		const standing = Math.max(0, Math.min(STANDING_RATIO / hostCount, STANDING_RATIO - this.sumOthers(req.hostId, promise => promise.standing)));
+		const standing = Math.max(0, Math.min(STANDING_RATIO / hostCount, STANDING_RATIO - this.standing.getOthers(req.hostId)));
 		const leased = this.isSettled() && this.getRecordedHosts().includes(req.hostId) ? this.divideLeases(req, hostCount) : new Map<string, number>();
 		const serial = (host.promises.at(-1)?.serial ?? req.ackedSerial) + 1;
 		host.firstSerial ??= serial;
 		host.promises = [...host.promises, {
 			serial, standing, leased, endsMs: this.clock.now() + (RATE_LEASE_MS * (1 + CLOCK_DRIFT_RATIO)),
 		}];
+		this.standing.set(req.hostId, Math.max(0, ...host.promises.map(promise => promise.standing)));
+		this.foldLeases(req.hostId, host);
 		return {
 			serial, standing, leased: [...leased], hostCount,
 		};
@@ -83,7 +107,7 @@
 
 	/** Parts of a customer whose burst is small would be too small for a single request, so its rate stays in the pool. */
 	private isLarge({name, burst}: TrafficCustomer, hostCount: number): boolean {
-		const meanCost = Math.max(0, ...[...this.hosts.values()].map(({demand}) => demand.get(name)?.meanCost ?? 0));
+		const meanCost = this.folds.get(name)?.meanCost.getAll() ?? 0;
 		return burst * LEASED_RATIO / hostCount >= meanCost * LARGE_SHARE_REQUESTS;
 	}
 
@@ -113,27 +137,83 @@
 	private noteHost(req: RateRequest): HostState {
 		const known = this.hosts.get(req.hostId);
 		const demand = new Map(req.demand.map(entry => [entry.name, entry]));
+		this.foldDemand(req.hostId, demand, known?.demand ?? new Map());
+		const host = known?.startId === req.startId ? known : this.createHost(req, known);
+		host.seenMs = this.clock.now();
+		host.demand = demand;
+		host.isConfirmed ||= host.firstSerial !== undefined && req.ackedSerial >= host.firstSerial;
+		host.promises = host.promises.filter(({serial}) => serial >= req.ackedSerial);
+		this.hosts.delete(req.hostId);
+		this.hosts.set(req.hostId, host);
+		return host;
+	}
+
+	private createHost({startId, ackedSerial, standing}: RateRequest, earlier: HostState | undefined): HostState {
 		const nowMs = this.clock.now();
-		if (known?.startId !== req.startId) {
-			const promises = req.standing > 0
+		return {
+			startId,
+			seenMs: nowMs,
+			demand: new Map(),
+			promises: standing > 0
 				? [{
-					serial: req.ackedSerial, standing: req.standing, leased: new Map<string, number>(), endsMs: nowMs,
+					serial: ackedSerial, standing, leased: new Map(), endsMs: nowMs,
 				}]
-				: [];
-			const host = {
-				startId: req.startId, seenMs: nowMs, demand, promises, firstSerial: undefined, isConfirmed: false,
-			};
-			this.hosts.set(req.hostId, host);
-			return host;
-		}
+				: [],
+			leased: earlier?.leased ?? new Map(),
+			firstSerial: undefined,
+			isConfirmed: false,
+		};
+	}
 
-		known.seenMs = nowMs;
-		known.demand = demand;
-		known.isConfirmed ||= known.firstSerial !== undefined && req.ackedSerial >= known.firstSerial;
-		known.promises = known.promises.filter(({serial}) => serial >= req.ackedSerial);
+	private getFolds(name: string): CustomerFolds {
+		const known = this.folds.get(name) ?? createFolds();
+		this.folds.set(name, known);
 		return known;
 	}
 
+	private foldDemand(hostId: string, demand: HostState['demand'], earlier: HostState['demand']): void {
+		for (const name of new Set([...earlier.keys(), ...demand.keys()])) {
+			const {perSecond = 0, meanCost = 0} = demand.get(name) ?? {};
+			const folds = this.getFolds(name);
+			folds.perSecond.set(hostId, perSecond);
+			folds.meanCost.set(hostId, meanCost);
+		}
+	}
+
+	/** Folds what a host may hold at most under the promises that have not ended. */
+	private foldLeases(hostId: string, host: HostState): void {
+		const nowMs = this.clock.now();
+		const leased = new Map<string, number>();
+		for (const promise of host.promises) {
+			if (promise.endsMs <= nowMs || promise.leased.size === 0) {
+				continue;
+			}
+
+			this.nextLeaseEndMs = Math.min(this.nextLeaseEndMs, promise.endsMs);
+			for (const [name, part] of promise.leased) {
+				leased.set(name, Math.max(part, leased.get(name) ?? 0));
+			}
+		}
+
+		for (const name of new Set([...host.leased.keys(), ...leased.keys()])) {
+			this.getFolds(name).leased.set(hostId, leased.get(name) ?? 0);
+		}
+
+		host.leased = leased;
+	}
+
+	/** Hosts that report replace their promises long before these end, so it walks over all hosts only once in about `RATE_LEASE_MS`. */
+	private foldEndedLeases(): void {
+		if (this.clock.now() < this.nextLeaseEndMs) {
+			return;
+		}
+
+		this.nextLeaseEndMs = Number.POSITIVE_INFINITY;
+		for (const [hostId, host] of this.hosts) {
+			this.foldLeases(hostId, host);
+		}
+	}
+
 	private divideLeases({hostId, demand}: RateRequest, hostCount: number): ReadonlyMap<string, number> {
 		const leased = new Map<string, number>();
 		for (const {name, perSecond} of demand) {
@@ -142,9 +222,10 @@
 				continue;
 			}
 
-			const all = [...this.hosts.values()].reduce((sum, host) => sum + (host.demand.get(name)?.perSecond ?? 0), 0);
+			const {perSecond: asked, leased: held} = this.getFolds(name);
+			const all = asked.getAll();
 			const wanted = LEASED_RATIO * (all > 0 ? perSecond / all : 1 / hostCount);
-			const free = LEASED_RATIO - this.sumOthers(hostId, promise => promise.endsMs > this.clock.now() ? promise.leased.get(name) ?? 0 : 0);
+			const free = LEASED_RATIO - held.getOthers(hostId);
 			const part = Math.max(0, Math.min(wanted, free));
 			if (part > 0) {
 				leased.set(name, part);
@@ -157,16 +238,15 @@
 	/** Hosts that asked lately; one that is only silent keeps its standing part. */
 	private countHosts(): number {
 		const oldestMs = this.clock.now() - RATE_HOST_TTL_MS;
-		return Math.max(1, [...this.hosts.values()].filter(({seenMs}) => seenMs >= oldestMs).length);
-	}
+		let silent = 0;
+		for (const {seenMs} of this.hosts.values()) {
+			if (seenMs >= oldestMs) {
+				break;
+			}
 
-	/** What other hosts may hold at most: an answer that a host has not confirmed may or may not be in force there. */
-	private sumOthers(hostId: string, getPart: (promise: PartPromise) => number): number {
-		let sum = 0;
-		for (const [id, {promises}] of this.hosts) {
-			sum += id === hostId ? 0 : Math.max(0, ...promises.map(promise => getPart(promise)));
+			silent += 1;
 		}
 
-		return sum;
+		return Math.max(1, this.hosts.size - silent);
 	}
 }
--- a/packages/callers/tests/forward/rates.test.ts
+++ b/packages/callers/tests/forward/rates.test.ts
@@ -11,6 +11,16 @@
 	};
 }
 
+/** A clock that counts how often it is asked. */
+class CountingClock extends ManualClock {
+	asked = 0;
+
+	override now(): number {
+		this.asked += 1;
+		return super.now();
+	}
+}
+
 type Host = {
 	readonly id: string; readonly parts: RateParts; serial: number; standing: number; leased: number; isCut: boolean; granted: number;
 };
@@ -168,4 +178,39 @@
 		expect(fleet.getWorstWindow()).to.be.at.most(1.1);
 		expect(fleet.getWorstWindow()).to.be.at.least(0.6);
 	});
+
+	// Guards against a leader that stands still for seconds because each report of a host makes it walk over all hosts for each customer.
+	it('divides rates without a walk over all hosts for each report', () => {
+		const count = (hosts: number): {readonly timesAsked: number; readonly demandsRead: number} => {
+			const clock = new CountingClock();
+			const customers = new Map(Array.from({length: 12}, (_, i) => [`c${i}`, {...customer(60_000), name: `c${i}`}]));
+			const ids = Array.from({length: hosts}, (_, i) => `h${i}`);
+			const owner = new RateOwner(clock, () => customers, () => ids);
+			let demandsRead = 0;
+			const report = (hostId: string, ackedSerial: number): number => owner.request({
+				hostId, startId: 's', ackedSerial, standing: 0, demand: [...customers.keys()].map(name => ({
+					name,
+					meanCost: 10,
+					get perSecond() {
+						demandsRead += 1;
+						return 5;
+					},
+				})),
+			}).serial;
+			const serials = new Map<string, number>();
+			for (let round = 0; round < 30; round++) {
+				clock.advance(SYNC_MS);
+				for (const id of ids) {
+					serials.set(id, report(id, serials.get(id) ?? 0));
+				}
+			}
+
+			clock.asked = 0;
+			demandsRead = 0;
+			report('h0', serials.get('h0') ?? 0);
+			return {timesAsked: clock.asked, demandsRead};
+		};
+
+		expect({of8: count(8), of80: count(80)}).toMatchSnapshot();
+	});
 });
