daemon: the leader keeps the sums of running requests instead of making them for each poll

Cause: the answer to each poll added up the reports of all other hosts, about 25 targets in each, so the work grew with the square of the number of hosts.

Ruled out: rounding, since counts are whole numbers and their sums are exact after any number of changes.

Change: RunningCounts takes a host's earlier report out of the sums, adds the new one, and answers with the sums without the host's own part. Hosts that fell silent are taken out from the front of a map in the order of the last report.

Conclusion: the cost of a poll grows with the number of targets, not with the number of hosts.

--- a/apps/egretrilld/src/traffic/leader-term.ts
+++ b/apps/egretrilld/src/traffic/leader-term.ts
@@ -4,8 +4,9 @@
 } from '@egretrill/common';
 import {type EngineOrders, EngineOwner, type TargetRegistry} from '@egretrill/engines';
 import type {FleetNode} from '@egretrill/hosts';
-import {ENTRY_RECORD_MS, ENTRY_SILENT_MS, ORDER_TAKEOVER_MARGIN_MS} from './constants.js';
+import {ENTRY_RECORD_MS, ORDER_TAKEOVER_MARGIN_MS} from './constants.js';
 import type {EntryReport, LeaderPlan} from './methods.js';
+import {RunningCounts} from './running-counts.js';
 
 export type LeaderTermOptions = {
 	readonly clock: Clock;
@@ -25,19 +26,18 @@
 	readonly putEntryHosts: (hostIds: readonly string[]) => Promise<boolean>;
 };
 
-type Running = {readonly counts: EntryReport['running']; readonly seenMs: number};
-
 /** What a leader owns during one term: the division of rates, the engines' orders and the sum of running requests. */
 export class LeaderTerm {
 	readonly engines: EngineOwner;
 	readonly rates: RateOwner;
-	private readonly running = new Map<string, Running>();
+	private readonly running: RunningCounts;
 	private readonly stopper = new AbortController();
 	private readonly startedMs: number;
 
 	constructor(private readonly opts: LeaderTermOptions) {
 		const {clock, node, orderLeaseMs, term} = opts;
 		this.startedMs = clock.now();
+		this.running = new RunningCounts(clock);
 		this.rates = new RateOwner(clock, opts.getCustomers, opts.getEntryHosts);
 		this.engines = new EngineOwner({
 			...opts,
@@ -66,7 +66,7 @@
 
 	/** Takes in what an entry host tells and answers with its part of what this leader owns. */
 	takeReport({hostId, startId, running, adapters, arrivals, waiting, rates}: EntryReport): LeaderPlan {
-		this.running.set(hostId, {counts: running, seenMs: this.opts.clock.now()});
+		this.running.note(hostId, running);
 		for (const [service, model, adapter, count, runMs] of arrivals) {
 			this.engines.noteArrivals({service, model, ...(adapter !== '' && {adapter})}, count, runMs);
 		}
@@ -75,7 +75,7 @@
 		this.engines.noteWaiting(hostId, waiting);
 		const grant = this.rates.request({hostId, startId, ...rates});
 		return {
-			others: this.sumOthers(hostId),
+			others: this.running.getOthers(hostId),
 			expected: this.engines.getExpected().map(({service, model, readyInMs}) => [service, model, Math.round(readyInMs)]),
 			rates: {...grant, leased: grant.leased.map(([name, part]) => [name, part])},
 		};
@@ -99,20 +99,4 @@
 	private getUnsettledHosts(): readonly string[] {
 		return this.opts.clock.now() - this.startedMs < RATE_HOST_TTL_MS ? this.opts.getEntryHosts() : [];
 	}
-
-	private sumOthers(hostId: string): LeaderPlan['others'] {
-		const oldestMs = this.opts.clock.now() - ENTRY_SILENT_MS;
-		const sums = new Map<string, number>();
-		for (const [other, {counts, seenMs}] of this.running) {
-			if (other === hostId || seenMs < oldestMs) {
-				continue;
-			}
-
-			for (const [targetId, count] of counts) {
-				sums.set(targetId, (sums.get(targetId) ?? 0) + count);
-			}
-		}
-
-		return [...sums];
-	}
 }
--- /dev/null
+++ b/apps/egretrilld/tests/traffic/leader-term.test.ts
@@ -0,0 +1,95 @@
+import {createLogger, createRandom, ManualClock} from '@egretrill/common';
+import {
+	EngineOrders, type EngineReport, type LoadAnswer, TargetRegistry,
+} from '@egretrill/engines';
+import type {ConsensusStatus} from '@egretrill/hosts';
+import {expect} from 'chai';
+import {type EntryReport, LeaderTerm} from '../../src/traffic/index.js';
+
+class NoOrders extends EngineOrders {
+	override async send(): Promise<LoadAnswer> {
+		return 'not-sent';
+	}
+
+	override async getReport(): Promise<EngineReport | undefined> {
+		return undefined;
+	}
+}
+
+/** A list that counts how many of its items are visited. */
+class CountedList<T> extends Array<T> {
+	static visited = 0;
+
+	override * [Symbol.iterator](): ArrayIterator<T> {
+		for (let i = 0; i < this.length; i++) {
+			CountedList.visited += 1;
+			yield this[i]!;
+		}
+	}
+}
+
+const status: ConsensusStatus = {
+	memberId: 'c', identity: 'c', role: 'leader', term: 1, lastIndex: 1, commitIndex: 1, appliedIndex: 1, snapshotIndex: 0, members: [],
+};
+
+function createTerm(clock: ManualClock): LeaderTerm {
+	return new LeaderTerm({
+		clock,
+		random: createRandom(7),
+		logger: createLogger('test', 'fatal'),
+		node: {isLeaderWithLease: () => true, status: () => status},
+		registry: new TargetRegistry(clock, 'r'),
+		orders: new NoOrders(),
+		hostId: 'c',
+		term: 1,
+		orderLeaseMs: 1000,
+		getZonesOut: () => [],
+		getClasses: () => new Map(),
+		getCustomers: () => new Map(),
+		getEntryHosts: () => [],
+		putEntryHosts: async () => true,
+	});
+}
+
+function report(hostId: string, running: EntryReport['running']): EntryReport {
+	return {
+		hostId, startId: 's', running, adapters: [], arrivals: [], waiting: [], rates: {ackedSerial: 0, standing: 0, demand: []},
+	};
+}
+
+describe('LeaderTerm', () => {
+	// Guards against hosts that choose a full target because the requests of others are not counted, or no target because those of a silent host still are.
+	it('tells each host what the others have running', () => {
+		const clock = new ManualClock();
+		const term = createTerm(clock);
+		const seen = [
+			term.takeReport(report('h1', [['t1', 2], ['t2', 1]])).others,
+			term.takeReport(report('h2', [['t1', 3]])).others,
+			term.takeReport(report('h3', [['t1', 1], ['t1', 1]])).others,
+			term.takeReport(report('h1', [['t2', 4]])).others,
+			term.takeReport(report('h2', [])).others,
+		];
+		clock.advance(1000);
+		seen.push(term.takeReport(report('h2', [['t3', 1]])).others);
+		clock.advance(600);
+		seen.push(term.takeReport(report('h3', [])).others, term.takeReport(report('h1', [['t1', 1]])).others, term.takeReport(report('h2', [])).others);
+		expect(seen.map(others => others.toSorted(([first], [second]) => first.localeCompare(second)))).toMatchSnapshot();
+	});
+
+	// Guards against a leader that stands still because each report makes it add up what all hosts have running.
+	it('takes a report without a walk over what all hosts have running', () => {
+		const count = (hosts: number): number => {
+			const term = createTerm(new ManualClock());
+			const running = (): EntryReport['running'] => CountedList.from(Array.from({length: 10}, (_, i): [string, number] => [`t${i}`, 1]));
+			for (let i = 0; i < hosts; i++) {
+				term.takeReport(report(`h${i}`, running()));
+			}
+
+			CountedList.visited = 0;
+			term.takeReport(report('h0', running()));
+			return CountedList.visited;
+		};
+
+		expect({of8: count(8), of80: count(80)}).toMatchSnapshot();
+	});
+});
