engines: an entry host looks only at the targets that hold a request's model

What operators would see: an entry host before 63 engines that has 100 requests waiting for adapters used about 2 ms of processor time at each change of a place or a target.

Cause: each choice of a target walked over all targets of all services, and a pass over the waiting requests makes one choice for each model and adapter waited for. Kept prompts were looked up also for targets without the adapter, which are not weighed.

Ruled out: an index that changes target by target, since the order of targets decides between equal ones; it is made again, in order, at the first choice after a change of the targets.

Change: the book keeps the targets by service and by service and model. Kept prompts are counted only for targets that have the adapter.

Conclusion: a choice costs a time that grows with the copies of the model.

--- a/packages/engines/src/registry/target-book.ts
+++ b/packages/engines/src/registry/target-book.ts
@@ -55,10 +55,29 @@
 	readonly getBatchSlots: (service: string) => number | undefined;
 };
 
-function getModelKey(service: string, model: string): string {
+function getModelKey(service: string, model?: string): string {
 	return JSON.stringify([service, model]);
 }
 
+/** Targets by service, and by service and model, in the order of the given ones. */
+function createIndex(targets: Iterable<Target>): ReadonlyMap<string, readonly Target[]> {
+	const index = new Map<string, Target[]>();
+	for (const target of targets) {
+		const {service, models} = target.registration;
+		// A target may hold two versions of a model.
+		for (const key of new Set([getModelKey(service), ...models.map(({name}) => getModelKey(service, name))])) {
+			const known = index.get(key);
+			if (known) {
+				known.push(target);
+			} else {
+				index.set(key, [target]);
+			}
+		}
+	}
+
+	return index;
+}
+
 function countAdapter({ownAdapters}: Target, model: string | undefined, adapter: string | undefined, change: number): void {
 	if (adapter === undefined) {
 		return;
@@ -82,6 +101,8 @@
 	/** Notified when a place may have become free or a target appeared. */
 	readonly changed = new Signal();
 	private readonly targets = new Map<string, Target>();
+	/** Made again after a change of the targets, of which there are far fewer than requests. */
+	private index: ReadonlyMap<string, readonly Target[]> | undefined;
 	private readonly kept = new KeptPrompts();
 	private zonesOut: ReadonlySet<string> = new Set();
 	private known = {origin: '', revision: 0};
@@ -247,12 +268,12 @@
 	}
 
 	private getCandidates(need: TargetNeed): readonly TargetCandidate[] {
+		this.index ??= createIndex(this.targets.values());
 		const candidates: TargetCandidate[] = [];
-		for (const [targetId, target] of this.targets) {
-			const {registration} = target;
-			const isUsable = registration.service === need.service && !registration.isLeaving && !this.zonesOut.has(registration.zone) && !need.tried.has(targetId);
-			const held = need.model === undefined ? undefined : registration.models.find(({name}) => name === need.model);
-			if (isUsable && (need.model === undefined || held !== undefined)) {
+		for (const target of this.index.get(getModelKey(need.service, need.model)) ?? []) {
+			const {targetId, isLeaving, zone, models} = target.registration;
+			if (!isLeaving && !this.zonesOut.has(zone) && !need.tried.has(targetId)) {
+				const held = need.model === undefined ? undefined : models.find(({name}) => name === need.model);
 				candidates.push(this.describe(target, need, held?.adapters));
 			}
 		}
@@ -263,17 +284,19 @@
 	private describe(target: Target, {service, model, adapter, parts}: TargetNeed, adapters: readonly string[] | undefined): TargetCandidate {
 		const {registration: {targetId, zone, slots}, own, others} = target;
 		const batchSlots = this.opts.getBatchSlots(service);
+		const hasAdapter = adapter === undefined || (adapters?.includes(adapter) ?? false);
 		return {
 			targetId,
 			isSameZone: zone === this.opts.zone,
 			isSuspect: target.suspectUntilMs > this.opts.clock.now() || this.isZoneSuspect(zone),
 			failures: this.getFailures(target),
-			hasAdapter: adapter === undefined || (adapters?.includes(adapter) ?? false),
+			hasAdapter,
 			outstanding: own + others,
 			places: batchSlots ?? Math.ceil(slots * (1 + QUEUED_PER_SLOT)),
 			isCold: this.opts.clock.now() < target.coldUntilMs,
 			mayTakeCold: this.mayTakeCold(target),
-			keptTokens: model === undefined ? 0 : this.kept.countTokens(targetId, model, parts),
+			// A target without the adapter is not weighed against others.
+			keptTokens: model === undefined || !hasAdapter ? 0 : this.kept.countTokens(targetId, model, parts),
 		};
 	}
 
@@ -289,6 +312,7 @@
 	}
 
 	private put(registration: Registration, coldUntilMs: number): void {
+		this.index = undefined;
 		const known = this.targets.get(registration.targetId);
 		if (known?.registration.startedAtMs === registration.startedAtMs) {
 			known.registration = registration;
@@ -303,6 +327,7 @@
 	}
 
 	private drop(ids: readonly string[]): void {
+		this.index = undefined;
 		for (const id of ids) {
 			this.targets.delete(id);
 			this.kept.forget(id);
--- a/packages/engines/tests/registry/target-book.test.ts
+++ b/packages/engines/tests/registry/target-book.test.ts
@@ -135,4 +135,48 @@
 		sends.push(send(book));
 		expect(sends).toMatchSnapshot();
 	});
+
+	// Guards against requests that go to a target which no longer holds their model, or miss one that holds it now.
+	it('knows which targets hold a model after each change', () => {
+		const {book} = createBook([]);
+		const models = (...names: readonly string[]): Registration['models'] => names.map(name => ({name, version: 1, adapters: []}));
+		const seen: string[] = [];
+		let revision = 1;
+		const change = (registration: Registration, hasEnded = false): void => {
+			revision += 1;
+			book.update({
+				origin: 'r', revision, isWhole: false, targets: [{registration, ageMs: 0, hasEnded}],
+			});
+			const choices = ['m1', 'm2'].map(model => book.choose({...need, model})).map(choice => choice.kind === 'target' ? choice.targetId : choice.kind);
+			seen.push(choices.join(', '));
+		};
+
+		change(register('t1', {models: models('m1')}));
+		change(register('t2', {models: models('m1', 'm2')}));
+		change(register('t1', {models: models('m2')}));
+		change(register('t2', {models: []}));
+		change(register('t1', {service: 'other', startedAtMs: 2, models: models('m1')}));
+		change(register('t3', {models: models('m1')}));
+		change(register('t3', {models: models('m1')}), true);
+		expect(seen).toMatchSnapshot();
+	});
+
+	// Guards against an entry host that looks at every engine of the fleet for each request and, while requests wait, for each of them at each change.
+	it('looks only at the targets that hold the model', () => {
+		const count = (targets: number): number => {
+			let reads = 0;
+			const {book} = createBook(Array.from({length: targets}, (_, i) => new Proxy(register(`t${i}`, {models: [{name: `m${i % (targets / 4)}`, version: 1, adapters: []}]}), {
+				get(registration, name: keyof Registration) {
+					reads += 1;
+					return registration[name];
+				},
+			})));
+			book.choose({...need, model: 'm1'});
+			reads = 0;
+			book.choose({...need, model: 'm1'});
+			return reads;
+		};
+
+		expect({of8: count(8), of80: count(80)}).toMatchSnapshot();
+	});
 });
