callers: names of what waiting requests need are made once for each request

What operators would see: at a host where many requests wait, each further one and each pass over them costs more processor time than it should.

Cause: a request that begins to wait compared its need with that of each other one and made a JSON name for each to count those ahead; a pass over the waiting requests made two names for each.

Ruled out: lines by model instead of one list; places go to the most urgent request of all models first, and a comparison of two names costs little.

Change: a waiting request keeps the names of its need and its model.

--- a/dev/bench/src/polls-entry.ts
+++ b/dev/bench/src/polls-entry.ts
@@ -60,6 +60,14 @@
 			});
 		}
 
+		if (i % 10 === 0) {
+			meter.measure('requests that begin to wait', () => {
+				const caller = new AbortController();
+				void queue.getPlace(createNeed(model, 'missing'), 1, limits, caller.signal);
+				caller.abort();
+			});
+		}
+
 		if (i % 20 === 0) {
 			meter.measure('tries of waiting requests', () => {
 				queue.pump();
--- a/packages/callers/src/forward/place-queue.ts
+++ b/packages/callers/src/forward/place-queue.ts
@@ -50,6 +50,9 @@
 
 type Waiter = {
 	readonly need: PlaceNeed;
+	/** Names what the request needs, and its model. */
+	readonly needKey: string;
+	readonly modelKey: string;
 	readonly priority: number;
 	readonly limits: WaitLimits;
 	readonly startedMs: number;
@@ -64,6 +67,10 @@
 	return JSON.stringify([service, model]);
 }
 
+function getNeedKey({service, model, adapter}: PlaceNeed): string {
+	return JSON.stringify([service, model, adapter]);
+}
+
 /** Requests that wait for a place, the most urgent first and then in order of arrival. Answers bursts and models that are on their way. */
 export class PlaceQueue {
 	private waiters: readonly Waiter[] = [];
@@ -111,7 +118,8 @@
 
 	/** Resolves with a place, or with a refusal as soon as none is expected within the limits. */
 	async getPlace(need: PlaceNeed, priority: number, limits: WaitLimits, signal: AbortSignal): Promise<Result<Place, Verdict>> {
-		const first = this.hasRival(need, priority) ? undefined : this.findPlace(need);
+		const needKey = getNeedKey(need);
+		const first = this.hasRival(needKey, priority) ? undefined : this.findPlace(need);
 		if (first?.kind === 'place') {
 			return Result.ok(first.place);
 		}
@@ -125,7 +133,7 @@
 		}
 
 		return this.wait({
-			need, priority, limits, lastKind: first?.kind ?? 'full',
+			need, needKey, modelKey: getModelKey(need), priority, limits, lastKind: first?.kind ?? 'full',
 		}, signal);
 	}
 
@@ -142,9 +150,8 @@
 		const unserved = new Map<string, WaitReason>();
 		const ahead = new Map<string, number>();
 		for (const waiter of this.waiters) {
-			const {service, model, adapter} = waiter.need;
-			const key = JSON.stringify([service, model, adapter]);
-			const known = unserved.get(key);
+			const {needKey, modelKey} = waiter;
+			const known = unserved.get(needKey);
 			const answer = known === undefined ? this.findPlace(waiter.need) : {kind: known} as const;
 			if (answer.kind === 'place') {
 				waiter.settle(Result.ok(answer.place));
@@ -155,9 +162,8 @@
 				this.source.want(waiter.need);
 			}
 
-			unserved.set(key, answer.kind);
+			unserved.set(needKey, answer.kind);
 			waiter.lastKind = answer.kind;
-			const modelKey = getModelKey(waiter.need);
 			const before = ahead.get(modelKey) ?? 0;
 			if (this.review(waiter, before).kind === 'wait') {
 				ahead.set(modelKey, before + 1);
@@ -175,23 +181,31 @@
 	}
 
 	/** Whether a request that came earlier or is more urgent waits for the same. */
-	private hasRival({service, model, adapter}: PlaceNeed, priority: number): boolean {
-		return this.waiters.some(({need, priority: other}) => other <= priority && need.service === service && need.model === model && need.adapter === adapter);
+	private hasRival(key: string, priority: number): boolean {
+		return this.waiters.some(({needKey, priority: other}) => other <= priority && needKey === key);
 	}
 
 	private countAhead(waiter: Waiter): number {
-		const key = getModelKey(waiter.need);
-		return this.waiters.slice(0, this.waiters.indexOf(waiter)).filter(({need}) => getModelKey(need) === key).length;
+		let ahead = 0;
+		for (const other of this.waiters) {
+			if (other === waiter) {
+				break;
+			}
+
+			ahead += Number(other.modelKey === waiter.modelKey);
+		}
+
+		return ahead;
 	}
 
 	/** Refuses a waiting request when its place would come too late. */
 	private review(waiter: Waiter, ahead: number): WaitDecision {
-		const {need, limits, lastKind, startedMs, settle} = waiter;
-		const forecastMs = lastKind === 'full' ? this.rate.getWaitMs(getModelKey(need), ahead) : this.source.getReadyMs(need);
+		const {need, modelKey, limits, lastKind, startedMs, settle} = waiter;
+		const forecastMs = lastKind === 'full' ? this.rate.getWaitMs(modelKey, ahead) : this.source.getReadyMs(need);
 		const decision = decideWait({reason: lastKind, waitedMs: this.clock.now() - startedMs, forecastMs}, limits);
 		if (decision.kind === 'refuse') {
-			const gapMs = this.rate.getWaitMs(getModelKey(need), 0);
-			const retryAfterMs = this.returnTimes.getRetryMs(getModelKey(need), decision.retryAfterMs, gapMs === undefined ? undefined : gapMs / RETURN_SHARE);
+			const gapMs = this.rate.getWaitMs(modelKey, 0);
+			const retryAfterMs = this.returnTimes.getRetryMs(modelKey, decision.retryAfterMs, gapMs === undefined ? undefined : gapMs / RETURN_SHARE);
 			this.returning = [...this.returning, {need, kind: lastKind, untilMs: this.clock.now() + retryAfterMs + RETURN_SLACK_MS}];
 			settle(Result.err(refusePlace(lastKind, retryAfterMs)));
 		}
@@ -199,7 +213,7 @@
 		return decision;
 	}
 
-	private async wait(asked: Pick<Waiter, 'need' | 'priority' | 'limits' | 'lastKind'>, signal: AbortSignal): Promise<Result<Place, Verdict>> {
+	private async wait(asked: Omit<Waiter, 'startedMs' | 'settle'>, signal: AbortSignal): Promise<Result<Place, Verdict>> {
 		if (signal.aborted) {
 			return Result.err(refuse(503, 'caller-left', 'The caller left before the request was placed.'));
 		}
--- a/packages/callers/tests/forward/place-queue.test.ts
+++ b/packages/callers/tests/forward/place-queue.test.ts
@@ -133,4 +133,31 @@
 			refusal: refused.isErr && refused.error, waiting, isServed: served.isOk, waitingLater: [...queue.getWaitingByModel()],
 		}).toMatchSnapshot();
 	});
+
+	// Guards against a host that takes ever longer for each request the more of them wait: names of needs are made once, not for each that waits.
+	it('reads what the waiting requests need as often for one more whether few or many wait', () => {
+		const count = (waiting: number): {readonly joining: number; readonly trying: number} => {
+			let reads = 0;
+			const createCounted = (model: string): PlaceNeed => new Proxy(need(model), {
+				get(target, name: keyof PlaceNeed) {
+					reads += 1;
+					return target[name];
+				},
+			});
+			const queue = new PlaceQueue(new ManualClock(), new FakeSource());
+			const {signal} = new AbortController();
+			for (let i = 0; i < waiting; i++) {
+				void queue.getPlace(createCounted('m'), 1, upTo(1000), signal);
+			}
+
+			reads = 0;
+			void queue.getPlace(createCounted('m'), 1, upTo(1000), signal);
+			const joining = reads;
+			reads = 0;
+			queue.pump();
+			return {joining, trying: reads};
+		};
+
+		expect({of8: count(8), of80: count(80)}).toMatchSnapshot();
+	});
 });
