engines: a test that a plan of loads for a large fleet leaves time for the leader's heartbeats

Cause: planLoads weighs each engine for each model by spreading the whole demand anew, twice: the work grows with models x engines x copies.

--- /dev/null
+++ b/packages/engines/tests/loading/plan-size.test.ts
@@ -0,0 +1,50 @@
+import type {EngineClass} from '@egretrill/common';
+import {expect} from 'chai';
+import {type LoadView, planLoads} from '../../src/loading/index.js';
+
+const ENGINES = 63;
+const MODELS = 126;
+const BUSY_MODELS = 8;
+/** A leader that stands still for as long as its lease loses it; a plan must leave most of that time to heartbeats. */
+const MAX_PLAN_MS = 250;
+
+const engineClass: EngineClass = {
+	batchSlots: 16,
+	weightsMb: 200_000,
+	adapterSlots: 5,
+	storeLoadsPerSecond: 14,
+	models: Array.from({length: MODELS}, (_, i) => ({
+		name: `m${i}`, weightsMb: 62_000, storeLoadMs: 4000, diskLoadMs: 840, memoryLoadMs: 400, adapterMb: 40,
+	})),
+};
+
+/** Three copies an engine, one of them of a busy model; one model in three has requests that wait for it. */
+const view: LoadView = {
+	engineClass,
+	engines: Array.from({length: ENGINES}, (_, i) => ({
+		targetId: `t${i}`,
+		isFree: true,
+		weightsMb: 200_000,
+		copies: [i % BUSY_MODELS, ((2 * i) + 1) % MODELS, ((2 * i) + 2) % MODELS].map(model => ({model: `m${model}`, ageMs: 10_000, adapterCount: 1})),
+		unloading: [],
+		isSwapping: false,
+		inMemory: [],
+		onDisk: [`m${(5 * i) % MODELS}`],
+	})),
+	demand: Array.from({length: MODELS}, (_, i) => ({
+		model: `m${i}`, places: i < BUSY_MODELS ? 100 : i % 5, waiting: i % 3 === 0 ? 4 : 0, crowded: i % 4, missingMs: i % 3 === 0 ? 500 : 0,
+	})),
+	mayUseStore: true,
+	mayEvictForCopies: true,
+};
+
+describe('planLoads for a large fleet', () => {
+	// Guards against a leader that plans for seconds, sends no heartbeat meanwhile and loses its lease, so that no engine gets an order.
+	it('plans within a part of the lease of a leader', () => {
+		const startedUs = process.cpuUsage().user;
+		const moves = planLoads(view);
+		const tookMs = (process.cpuUsage().user - startedUs) / 1000;
+		expect(tookMs).to.be.below(MAX_PLAN_MS);
+		expect(moves.length).to.be.above(0);
+	});
+});
