engines: bound the work of a plan of loads, and rest after it

Cause: the time of a plan still grows with models x engines; at five times the grown fleet one plan would take longer than the lease of a leader again. Change: a plan stops after 300,000 visited copies and engines (about 30 ms of a core); models left out come first in the next plan; the owner rests five times as long as a plan took. After: bounded; the test 'bounds the work of a plan and comes back to what it left out' counts what is left out and taken up again. Conclusion: what a very large fleet loses is moves a second, and not its leader.

--- a/packages/engines/src/loading/constants.ts
+++ b/packages/engines/src/loading/constants.ts
@@ -26,6 +26,12 @@
 /** Engines at which a load is weighed exactly, of those that an estimate prefers. */
 export const MAX_WEIGHED_SITES = 8;
 
+/** Copies and engines that one plan may visit; what is left over comes first in the next plan. A leader sends its heartbeats from the thread that plans. */
+export const MAX_PLAN_VISITS = 300_000;
+
+/** Rest after a plan, in times of the time that it took, so that planning takes a small part of a core. */
+export const PLAN_REST_RATIO = 5;
+
 /** Least gain, in requests lost times seconds, for which a further copy is loaded. */
 export const MIN_MOVE_GAIN = 15;
 
--- a/packages/engines/src/loading/engine-owner.ts
+++ b/packages/engines/src/loading/engine-owner.ts
@@ -3,13 +3,13 @@
 } from '@egretrill/common';
 import type {AdapterUse, TargetRegistry} from '../registry/index.js';
 import {
-	DEMAND_WATCH_MS, LOAD_DEMAND_MS, LOAD_PLAN_MS, MOVE_WEIGHT, PENDING_WEIGHT,
+	DEMAND_WATCH_MS, LOAD_DEMAND_MS, LOAD_PLAN_MS, MOVE_WEIGHT, PENDING_WEIGHT, PLAN_REST_RATIO,
 } from './constants.js';
 import {AdapterPlaces, type AdapterRoom} from './adapter-places.js';
 import {EngineLine} from './engine-line.js';
 import type {EngineOrders} from './engine-orders.js';
 import {type ExpectedModel, expectModels} from './expect-models.js';
-import {isSwap, planLoads} from './plan-loads.js';
+import {isSwap, planMoves} from './plan-loads.js';
 import type {LoadMove, ModelDemand, PlannedEngine} from './types.js';
 
 const MS_PER_SECOND = 1000;
@@ -55,6 +55,8 @@
 	private demandSinceMs = Number.POSITIVE_INFINITY;
 	private readonly nextStoreLoadMs = new Map<string, number>();
 	private readonly expected = new Map<string, readonly ExpectedModel[]>();
+	/** Models that the last plan of a service had no time for. */
+	private readonly deferred = new Map<string, readonly string[]>();
 
 	constructor(private readonly opts: EngineOwnerOptions) {
 		this.demand = new DecayingCounts(opts.clock, LOAD_DEMAND_MS);
@@ -111,25 +113,29 @@
 		const {clock, firstOrderAtMs, random} = this.opts;
 		await clock.sleep(firstOrderAtMs - clock.now(), signal);
 		while (!signal.aborted) {
+			const startedMs = clock.now();
 			for (const [service, engineClass] of this.opts.getClasses()) {
 				this.startMoves(service, engineClass, signal);
 				this.expected.set(service, this.expect(service, engineClass));
 			}
 
-			await clock.sleep(jitter(LOAD_PLAN_MS, random), signal);
+			const tookMs = clock.now() - startedMs;
+			await clock.sleep(Math.max(jitter(LOAD_PLAN_MS, random), tookMs * PLAN_REST_RATIO), signal);
 		}
 	}
 
 	private startMoves(service: string, engineClass: EngineClass, signal: AbortSignal): void {
 		const engines = this.getEngines(service);
 		const mayUseStore = this.opts.clock.now() >= (this.nextStoreLoadMs.get(service) ?? 0);
-		const moves = planLoads({
+		const {moves, deferred} = planMoves({
 			engineClass,
 			engines: engines.map(engine => this.describe(engine, engineClass, signal)),
 			demand: this.getDemand(service, engineClass),
 			mayUseStore,
 			mayEvictForCopies: this.opts.clock.now() - this.demandSinceMs > DEMAND_WATCH_MS,
+			deferred: this.deferred.get(service),
 		});
+		this.deferred.set(service, deferred);
 		for (const move of moves) {
 			const engine = engines.find(({targetId}) => targetId === move.targetId);
 			if (engine) {
--- a/packages/engines/src/loading/layout.ts
+++ b/packages/engines/src/loading/layout.ts
@@ -18,6 +18,8 @@
 	readonly mayUseStore: boolean;
 	/** Whether demand is known well enough to unload a copy for a further one of a busier model. */
 	readonly mayEvictForCopies: boolean;
+	/** Models that the last plan had no time for; they come first. */
+	readonly deferred?: readonly string[];
 };
 
 /** What the engines hold and what callers need while a plan is made; each planned move changes it. */
@@ -29,7 +31,10 @@
 	/** Need and holders of each model, those of the demand first. */
 	private readonly demand: HeldDemand[];
 	private readonly places: number;
+	private readonly copyCount: number;
 	private spread: IndexedSpread;
+	/** Copies visited so far to spread demand. */
+	private visitedCopies = 0;
 	/** Losses with models taken from an engine, until the layout changes. */
 	private readonly removalLosses = new Map<string, number>();
 
@@ -39,6 +44,7 @@
 		this.heldModels = engines.map(({copies, loading, unloading}) => new Set([
 			...copies.map(({model}) => model).filter(model => !unloading.includes(model)), ...(loading === undefined ? [] : [loading]),
 		]));
+		this.copyCount = this.heldModels.reduce((sum, models) => sum + models.size, 0);
 		const names = [...new Set([...demand.map(({model}) => model), ...this.heldModels.flatMap(models => [...models])])];
 		this.modelIndexes = new Map(names.map((name, i) => [name, i]));
 		const holders = names.map((): number[] => []);
@@ -52,7 +58,12 @@
 			const asked = demand[i];
 			return {holders: holders[i]!, need: asked ? getNeed(asked, holders[i]!.length) : 0};
 		});
-		this.spread = this.spreadNow();
+		this.spread = this.spreadOver(this.demand);
+	}
+
+	/** Copies visited so far, which the time of a plan follows. */
+	getVisitedCopies(): number {
+		return this.visitedCopies;
 	}
 
 	countCopies(model: string): number {
@@ -85,7 +96,7 @@
 	/** Request-seconds lost over the horizon if an engine gives up models and loads another one in a given time. */
 	getMoveCost(targetId: string, unload: readonly string[], load: string, loadMs: number): number {
 		const loadS = Math.min(PLAN_HORIZON_S, loadMs / MS_PER_SECOND);
-		const after = spreadOverHolders(this.change(targetId, unload, load), this.heldModels.length, this.places).totalLost;
+		const after = this.spreadOver(this.change(targetId, unload, load)).totalLost;
 		return (this.getRemovalLoss(targetId, unload) * loadS) + (after * (PLAN_HORIZON_S - loadS));
 	}
 
@@ -113,7 +124,7 @@
 		this.demand.splice(0, this.demand.length, ...changed);
 		const engine = this.engineIndexes.get(targetId)!;
 		this.heldModels[engine] = new Set([...[...this.heldModels[engine]!].filter(model => !unload.includes(model)), load]);
-		this.spread = this.spreadNow();
+		this.spread = this.spreadOver(this.demand);
 		this.removalLosses.clear();
 	}
 
@@ -128,7 +139,7 @@
 			return known;
 		}
 
-		const loss = spreadOverHolders(this.change(targetId, unload, undefined), this.heldModels.length, this.places).totalLost;
+		const loss = this.spreadOver(this.change(targetId, unload, undefined)).totalLost;
 		this.removalLosses.set(key, loss);
 		return loss;
 	}
@@ -137,8 +148,9 @@
 		return this.demand[this.modelIndexes.get(model) ?? -1] ?? {holders: [], need: 0};
 	}
 
-	private spreadNow(): IndexedSpread {
-		return spreadOverHolders(this.demand, this.heldModels.length, this.places);
+	private spreadOver(demand: readonly HeldDemand[]): IndexedSpread {
+		this.visitedCopies += this.copyCount;
+		return spreadOverHolders(demand, this.heldModels.length, this.places);
 	}
 
 	private change(targetId: string, unload: readonly string[], load: string | undefined): readonly HeldDemand[] {
--- a/packages/engines/src/loading/plan-loads.ts
+++ b/packages/engines/src/loading/plan-loads.ts
@@ -1,6 +1,6 @@
 import type {StoredModel} from '@egretrill/common';
 import {
-	ADAPTER_DEMAND_RATIO, BUSY_UNLOAD_MS, IDLE_UNLOAD_MS, MAX_SWAP_RATIO, MAX_WEIGHED_SITES, MIN_MOVE_GAIN,
+	ADAPTER_DEMAND_RATIO, BUSY_UNLOAD_MS, IDLE_UNLOAD_MS, MAX_PLAN_VISITS, MAX_SWAP_RATIO, MAX_WEIGHED_SITES, MIN_MOVE_GAIN,
 } from './constants.js';
 import {Layout, type LoadView} from './layout.js';
 import type {LoadMove, PlannedEngine} from './types.js';
@@ -146,38 +146,62 @@
 		.at(0);
 }
 
+/** Planned moves, and the models for which the time of the plan did not suffice. */
+export type LoadPlan = {readonly moves: readonly LoadMove[]; readonly deferred: readonly string[]};
+
+/** Puts those first that the last plan had no time for. */
+function orderWants(wants: readonly Want[], deferred: readonly string[] = []): readonly Want[] {
+	const first = new Set(deferred);
+	return [...wants.filter(({model}) => first.has(model.name)), ...wants.filter(({model}) => !first.has(model.name))];
+}
+
 /**
  * Plans loads in the order of the requests that they serve: first copies of models that callers wait for, and more copies of those whose engines are full.
- * Answers demand that moves between models within seconds, and engines that come back empty.
+ * Answers demand that moves between models within seconds, and engines that come back empty. The work of one plan is bounded, since the leader sends its heartbeats from the same thread.
  */
-export function planLoads(view: LoadView): readonly LoadMove[] {
+export function planMoves(view: LoadView): LoadPlan {
 	const layout = new Layout(view);
 	const models = new Map(view.engineClass.models.map(model => [model.name, model]));
-	const freeMb = getFreeMb(view, models);
-	const victims = new Victims(layout);
+	const state = {
+		layout, victims: new Victims(layout), models, freeMb: getFreeMb(view, models),
+	};
 	const taken = new Set<string>();
 	const moves: LoadMove[] = [];
+	const deferred: string[] = [];
 	let {mayUseStore} = view;
 	let swaps = view.engines.filter(({isSwapping}) => isSwapping).length;
+	let visitedEngines = 0;
 	const maxSwaps = Math.max(1, Math.floor(view.engines.length * MAX_SWAP_RATIO));
-	for (const want of getWants(view, layout)) {
+	for (const want of orderWants(getWants(view, layout), view.deferred)) {
+		if (layout.getVisitedCopies() + visitedEngines > MAX_PLAN_VISITS) {
+			deferred.push(want.model.name);
+			continue;
+		}
+
+		visitedEngines += view.engines.length;
 		const mayEvictForCopies = view.mayEvictForCopies && swaps < maxSwaps;
-		const site = findSite({...view, mayUseStore, mayEvictForCopies}, {
-			layout, victims, models, freeMb,
-		}, want, taken);
+		const site = findSite({...view, mayUseStore, mayEvictForCopies}, state, want, taken);
 		if (site) {
-			const {engine: {targetId}, unload, fromStore, totalMs, loadMs} = site;
-			const move: LoadMove = {
-				targetId, unload: [...unload], load: want.model.name, reason: want.reason, fromStore, totalMs, loadMs,
-			};
+			const move = createMove(want, site);
 			taken.add(move.targetId);
 			swaps += isSwap(move) ? 1 : 0;
 			mayUseStore &&= !site.fromStore;
 			layout.apply(move);
-			victims.noteMove(move);
+			state.victims.noteMove(move);
 			moves.push(move);
 		}
 	}
 
-	return moves;
+	return {moves, deferred};
+}
+
+function createMove({model, reason}: Want, {engine: {targetId}, unload, fromStore, totalMs, loadMs}: Site): LoadMove {
+	return {
+		targetId, unload: [...unload], load: model.name, reason, fromStore, totalMs, loadMs,
+	};
+}
+
+/** The moves of a plan that nothing was deferred to. */
+export function planLoads(view: LoadView): readonly LoadMove[] {
+	return planMoves(view).moves;
 }
--- a/packages/engines/tests/loading/plan-size.test.ts
+++ b/packages/engines/tests/loading/plan-size.test.ts
@@ -1,49 +1,49 @@
 import process from 'node:process';
-import type {EngineClass} from '@egretrill/common';
 import {expect} from 'chai';
-import {type LoadView, planLoads} from '../../src/loading/index.js';
+import {type LoadView, planLoads, planMoves} from '../../src/loading/index.js';
 
 const ENGINES = 63;
-const MODELS = 126;
 const BUSY_MODELS = 8;
 /** The first plans of a process are slowed down by compilation. */
 const WARM_UP_PLANS = 5;
 /** A leader that stands still for as long as its lease loses it; a plan must leave most of that time to heartbeats. */
 const MAX_PLAN_MS = 250;
 
-const engineClass: EngineClass = {
-	batchSlots: 16,
-	weightsMb: 200_000,
-	adapterSlots: 5,
-	storeLoadsPerSecond: 14,
-	models: Array.from({length: MODELS}, (_, i) => ({
-		name: `m${i}`, weightsMb: 62_000, storeLoadMs: 4000, diskLoadMs: 840, memoryLoadMs: 400, adapterMb: 40,
-	})),
-};
-
-/** Three copies an engine, one of them of a busy model, and two at every ninth engine, so that seven models have no copy; one model in three has requests that wait for it. */
-const view: LoadView = {
-	engineClass,
-	engines: Array.from({length: ENGINES}, (_, i) => ({
-		targetId: `t${i}`,
-		isFree: true,
-		weightsMb: 200_000,
-		copies: [i % BUSY_MODELS, ((2 * i) + 1) % MODELS, ((2 * i) + 2) % MODELS].slice(0, i % 9 === 5 ? 2 : 3).map(model => ({model: `m${model}`, ageMs: 10_000, adapterCount: 1})),
-		unloading: [],
-		isSwapping: false,
-		inMemory: [],
-		onDisk: [`m${(5 * i) % MODELS}`],
-	})),
-	demand: Array.from({length: MODELS}, (_, i) => ({
-		model: `m${i}`, places: i < BUSY_MODELS ? 100 : i % 5, waiting: i % 3 === 0 ? 4 : 0, crowded: i % 4, missingMs: i % 3 === 0 ? 500 : 0,
-	})),
-	mayUseStore: true,
-	mayEvictForCopies: true,
-};
+/** Three copies an engine, one of them of a busy model, and two at every ninth engine, so that seven models in 126 have no copy; one model in three has requests that wait for it. */
+function createView(engineCount: number): LoadView {
+	const modelCount = engineCount * 2;
+	return {
+		engineClass: {
+			batchSlots: 16,
+			weightsMb: 200_000,
+			adapterSlots: 5,
+			storeLoadsPerSecond: 14,
+			models: Array.from({length: modelCount}, (_, i) => ({
+				name: `m${i}`, weightsMb: 62_000, storeLoadMs: 4000, diskLoadMs: 840, memoryLoadMs: 400, adapterMb: 40,
+			})),
+		},
+		engines: Array.from({length: engineCount}, (_, i) => ({
+			targetId: `t${i}`,
+			isFree: true,
+			weightsMb: 200_000,
+			copies: [i % BUSY_MODELS, ((2 * i) + 1) % modelCount, ((2 * i) + 2) % modelCount].slice(0, i % 9 === 5 ? 2 : 3).map(model => ({model: `m${model}`, ageMs: 10_000, adapterCount: 1})),
+			unloading: [],
+			isSwapping: false,
+			inMemory: [],
+			onDisk: [`m${(5 * i) % modelCount}`],
+		})),
+		demand: Array.from({length: modelCount}, (_, i) => ({
+			model: `m${i}`, places: i < BUSY_MODELS ? 100 : i % 5, waiting: i % 3 === 0 ? 4 : 0, crowded: i % 4, missingMs: i % 3 === 0 ? 500 : 0,
+		})),
+		mayUseStore: true,
+		mayEvictForCopies: true,
+	};
+}
 
 describe('planLoads for a large fleet', () => {
 	// Guards against a leader that plans for seconds, sends no heartbeat meanwhile and loses its lease, so that no engine gets an order.
 	it('plans within a part of the lease of a leader', () => {
+		const view = createView(ENGINES);
 		for (let i = 0; i < WARM_UP_PLANS; i++) {
 			planLoads(view);
 		}
@@ -54,4 +54,15 @@
 		expect(tookMs).to.be.below(MAX_PLAN_MS);
 		expect(moves.length).to.be.above(0);
 	});
+
+	// Guards against plans that take longer than the lease once the fleet has grown further, and against models that never get their turn then.
+	it('bounds the work of a plan and comes back to what it left out', () => {
+		const view = createView(ENGINES * 5);
+		const first = planMoves(view);
+		const second = planMoves({...view, deferred: first.deferred});
+		const seen = new Set([...first.deferred].filter(model => !second.deferred.includes(model)));
+		expect(first.deferred.length).to.be.above(0);
+		expect(seen.size).to.be.above(0);
+		expect(second.deferred.some(model => !first.deferred.includes(model))).to.equal(true);
+	});
 });
