traffic: entry hosts of a large fleet poll the leader less often

What callers would see: adapters that load 0.3 s late or not at all. Cause: every entry host polls again 50 ms after an answer while anything changes, and adapters change all the time: 80 hosts make up to 1,150 polls a second at one leader. Change: the time between two polls grows with the number of hosts, 4 ms each, up to 500 ms, so that the leader answers about 250 polls a second. A host that asks for an adapter hears of it in that answer. Before (test 'polls less often the more hosts there are', with the gap fixed at 50 ms): 14.3 polls a second and host. After: 14.3 for 8 hosts, 3.2 for 80, 2.1 for 300.

--- a/apps/egretrilld/src/traffic/constants.ts
+++ b/apps/egretrilld/src/traffic/constants.ts
@@ -10,6 +10,10 @@
 /** Least time between two polls, so that a burst of changes travels in one answer. */
 export const SYNC_GAP_MS = 50;
 
+/** What each entry host adds to the time between two polls, so that the leader answers at most 250 polls a second, and the most that this adds up to. */
+export const SYNC_GAP_PER_HOST_MS = 4;
+export const MAX_SYNC_GAP_MS = 500;
+
 /** Time between two polls when no control host answers. */
 export const SYNC_RETRY_MS = 150;
 
--- a/apps/egretrilld/src/traffic/control-follower.ts
+++ b/apps/egretrilld/src/traffic/control-follower.ts
@@ -11,6 +11,7 @@
 	borrowMethod, type EntryReport, type LeaderPlan, syncMethod, type SyncResponse, wantMethod,
 } from './methods.js';
 import {pickControl} from './pick-control.js';
+import {getSyncGapMs} from './sync-gap.js';
 
 /** What an entry host tells with a poll, apart from who it is. */
 export type OwnReport = Omit<EntryReport, 'hostId' | 'startId'>;
@@ -41,6 +42,8 @@
 	/** Control hosts that did not answer the last poll. */
 	private readonly silent = new Set<string>();
 	private leaderId: string | undefined;
+	/** Entry hosts that the leader hears. */
+	private hostCount = 1;
 	private lastAnswerMs = Number.NEGATIVE_INFINITY;
 	private readonly askedMs = new Map<string, number>();
 
@@ -58,7 +61,7 @@
 			const controlId = this.pick();
 			const sentMs = this.opts.clock.now();
 			const isAnswered = controlId !== undefined && await this.poll(controlId);
-			const gapMs = isAnswered ? SYNC_GAP_MS : SYNC_RETRY_MS;
+			const gapMs = isAnswered ? getSyncGapMs(this.hostCount) : SYNC_RETRY_MS;
 			await this.opts.clock.sleep(Math.max(SYNC_GAP_MS, sentMs + gapMs - this.opts.clock.now()), signal);
 		}
 	}
@@ -137,6 +140,7 @@
 
 		sink.takeTargets(registry, zonesOut);
 		if (plan) {
+			this.hostCount = plan.rates.hostCount;
 			sink.takePlan(plan, sentMs);
 		}
 	}
--- a/apps/egretrilld/tests/traffic/control-follower.test.ts
+++ b/apps/egretrilld/tests/traffic/control-follower.test.ts
@@ -84,6 +84,29 @@
 	});
 });
 
+describe('ControlFollower in a fleet', () => {
+	async function countPolls(hostCount: number): Promise<number> {
+		const clock = new ManualClock();
+		const peers = new FakeControls({lead: {leaderId: 'lead', plan: {...plan, rates: {...plan.rates, hostCount}}}}, clock);
+		const follower = new ControlFollower({
+			hostId: 'e1', zone: 'a', clock, logger: createLogger('test', 'fatal'), peers, sink: new QuietSink(),
+		});
+		const stopper = new AbortController();
+		const task = follower.run(stopper.signal);
+		await clock.run(10_000);
+		stopper.abort();
+		await clock.run(500);
+		await task;
+		return peers.asked.filter(id => id !== '-').length / 10;
+	}
+
+	// Guards against a leader that spends its core on polls, since every host of a large fleet polls at each change of any engine.
+	it('polls less often the more hosts there are', async () => {
+		const perHost = {few: await countPolls(8), eighty: await countPolls(80), many: await countPolls(300)};
+		expect({perHost, leaderAtEighty: perHost.eighty * 80}).toMatchSnapshot();
+	});
+});
+
 describe('nameLeader', () => {
 	const view = {
 		hostId: 'me', isMember: true, isLeading: false, logLeaderId: undefined, hintedId: undefined,
