callers: do not ask for a customer's pool before it has something

Cause: each request beyond a rate asks the leader to lend, at every host. Change: the refusal of the leader says when its pool has something again; until then, and for 500 ms at most, the host refuses by itself with the time that is left. Before: 500 requests of a customer in one second ask 500 times.

--- a/apps/egretrilld/src/traffic/entry-host.ts
+++ b/apps/egretrilld/src/traffic/entry-host.ts
@@ -6,7 +6,7 @@
 	type Clock, jitter, type Logger, type Random, type TrafficSource,
 } from '@egretrill/common';
 import {
-	type ForwardDialect, type ForwardParts, forwardRequest, PlaceQueue, RATE_LEASE_MS, RateParts, RetryBudget, ReturnTimes, RouteTable,
+	type ForwardDialect, type ForwardParts, forwardRequest, PausedLender, PlaceQueue, RATE_LEASE_MS, RateParts, RetryBudget, ReturnTimes, RouteTable,
 } from '@egretrill/callers';
 import {Drain, type Metrics, type UnreadyReason} from '@egretrill/balancer';
 import {TargetBook} from '@egretrill/engines';
@@ -85,7 +85,7 @@
 			dialect: opts.dialect,
 			queue: this.queue,
 			rates: this.rates,
-			lender: this.follower,
+			lender: new PausedLender(clock, this.follower),
 			returnTimes: new ReturnTimes(clock),
 			sender: this.sender,
 			observer: this.observer,
--- a/packages/callers/src/forward/constants.ts
+++ b/packages/callers/src/forward/constants.ts
@@ -73,3 +73,6 @@
 
 /** A host that has not asked for this long no longer counts when rates are divided, beyond what it still holds. */
 export const RATE_HOST_TTL_MS = 15_000;
+
+/** Longest time for which a host takes a customer's pool for empty without asking its owner again. */
+export const MAX_BORROW_PAUSE_MS = 500;
--- a/packages/callers/src/forward/index.ts
+++ b/packages/callers/src/forward/index.ts
@@ -4,6 +4,7 @@
 export * from './forward-dialect.js';
 export * from './forward-parts.js';
 export * from './forward-request.js';
+export * from './paused-lender.js';
 export * from './piece-times.js';
 export * from './place-queue.js';
 export * from './rate-owner.js';
