traffic: allow all tasks of a control host to wait on one signal

Each control host wrote a warning of Node about a possible leak of listeners at its start, and the leader for the orders of each engine; the listeners end with the signal.

--- a/apps/egretrilld/src/traffic/control-host.ts
+++ b/apps/egretrilld/src/traffic/control-host.ts
@@ -1,4 +1,5 @@
 import {randomUUID} from 'node:crypto';
+import {setMaxListeners} from 'node:events';
 import path from 'node:path';
 import {
 	type Clock, type EngineClass, type Logger, type Random, type Registration, Signal, type TrafficConfig, type TrafficCustomer,
@@ -134,6 +135,8 @@
 
 	/** Keeps the log, hears the other control hosts and leads when it is this host's turn, until aborted. */
 	async run(signal: AbortSignal): Promise<void> {
+		// The tasks of all members wait on this one signal.
+		setMaxListeners(0, signal);
 		await this.node.start();
 		const watching = this.watchLog();
 		await Promise.all([
--- a/apps/egretrilld/src/traffic/leader-term.ts
+++ b/apps/egretrilld/src/traffic/leader-term.ts
@@ -1,3 +1,4 @@
+import {setMaxListeners} from 'node:events';
 import {RATE_HOST_TTL_MS, RateOwner} from '@egretrill/callers';
 import type {
 	Clock, EngineClass, Logger, Random, TrafficCustomer,
@@ -38,6 +39,8 @@
 	constructor(private readonly opts: LeaderTermOptions) {
 		const {clock, node, orderLeaseMs, term} = opts;
 		this.startedMs = clock.now();
+		// Each engine's orders wait on this one signal, which is more than the default limit for leaks allows.
+		setMaxListeners(0, this.stopper.signal);
 		this.rates = new RateOwner(clock, opts.getCustomers, opts.getEntryHosts);
 		this.engines = new EngineOwner({
 			...opts,
