traffic: note by what the end of an answer was recognised, and its bytes

Callers saw: nothing; an operator could not tell from the notes whether an answer that was passed on ended by its length, its last chunk or the end of its connection. Cause: the client knew it and told nobody. Change: TargetAnswer names the framing, and ForwardEndNote tells it for whole answers with the bytes of the body that were passed on. A raw target, a raw caller and the forwarding path with its real HTTP parts play answers with each framing and each end of a connection. Ruled out: by the new table, short answers by length, by chunks, without the last chunk and by a connection that was reset (alone or together with the last bytes) are told from whole ones, and contradictory lengths are refused. Evidence: answer-end.test.ts, both tests pass; they tell nothing new about faults.

--- a/apps/egretrilld/src/traffic/http-sender.ts
+++ b/apps/egretrilld/src/traffic/http-sender.ts
@@ -11,10 +11,11 @@
 
 	override async send(message: OutgoingMessage, signal: AbortSignal): Promise<Result<TargetAnswer, SendFailure>> {
 		const sent = await this.client.send(message, signal);
-		return sent.map(({message: res, isComplete}) => ({
+		return sent.map(({message: res, framing, isComplete}) => ({
 			status: res.statusCode ?? 0,
 			rawHeaders: res.rawHeaders,
 			body: res as AsyncIterable<Uint8Array>,
+			framing,
 			isComplete,
 			discard() {
 				res.resume();
--- /dev/null
+++ b/apps/egretrilld/tests/traffic/answer-end.test.ts
@@ -0,0 +1,124 @@
+import type {TrafficRoute} from '@egretrill/common';
+import {expect} from 'chai';
+import {ForwardHost, SIGNED} from './support/forward-host.js';
+import {callRaw} from './support/raw-caller.js';
+import {type RawPeer, type RawScript, RawTarget} from './support/raw-target.js';
+
+/** How a connection ends after the last bytes. */
+type Ending = (peer: RawPeer, last: string, wasRead: Promise<void>) => Promise<void> | void;
+
+const endings: Readonly<Record<string, Ending>> = {
+	async 'in order'(peer, last) {
+		await peer.write(last);
+		peer.end();
+		await peer.closed;
+	},
+	async 'half-closed'(peer, last) {
+		await peer.write(last);
+		peer.end();
+	},
+	async 'reset after it was read'(peer, last, wasRead) {
+		await peer.write(last);
+		await wasRead;
+		peer.reset();
+	},
+	'reset with the last bytes'(peer, last) {
+		void peer.write(last);
+		peer.reset();
+	},
+};
+
+const OK = `HTTP/1.1 200 OK\r\n${SIGNED}`;
+
+type Exchange = {
+	readonly script: (wasRead: Promise<void>) => RawScript;
+	readonly route?: Partial<TrafficRoute>;
+	readonly method?: string;
+	readonly body?: string;
+};
+
+/** Plays one exchange and describes in a line what the caller received and what was noted. */
+async function play({script, route, method, body}: Exchange): Promise<string> {
+	let tell: () => void = () => undefined;
+	const wasRead = new Promise<void>(resolve => {
+		tell = resolve;
+	});
+	const target = await RawTarget.open(script(wasRead));
+	const host = await ForwardHost.open({
+		targets: [target.address], route, onPiece: tell,
+	});
+	try {
+		const received = await callRaw(host.port, {method, body});
+		const {outcome, answerEnd} = host.notes.ends[0] ?? {};
+		const noted = typeof outcome === 'object' ? outcome.code : outcome;
+		return `${received.status} ${JSON.stringify(received.status < 500 ? received.body : '')}${received.isWhole ? '' : ' cut'}; ${noted}${answerEnd ? `, ${answerEnd.bytes} bytes by ${answerEnd.framing}` : ''}`;
+	} finally {
+		host.close();
+		target.close();
+	}
+}
+
+/** Plays an answer with each ending. */
+async function playEndings(head: string, last: string, route?: Partial<TrafficRoute>): Promise<Record<string, string>> {
+	const lines: Record<string, string> = {};
+	for (const [name, ending] of Object.entries(endings)) {
+		lines[name] = await play({
+			route, script: wasRead => async peer => {
+				await peer.readHead();
+				await ending(peer, `${head}\r\n${last}`, wasRead);
+			},
+		});
+	}
+
+	return lines;
+}
+
+/** Plays answers that a target sends at once, before it ends the connection in order. */
+async function playTexts(texts: Readonly<Record<string, string>>, method?: string): Promise<Record<string, string>> {
+	const lines: Record<string, string> = {};
+	for (const [name, text] of Object.entries(texts)) {
+		lines[name] = await play({
+			method, script: () => async peer => {
+				await peer.readHead();
+				await peer.write(text);
+				peer.end();
+			},
+		});
+	}
+
+	return lines;
+}
+
+describe('the end of a target\'s answer', () => {
+	// Guards against an answer that ended early and looks whole to the caller, for each way to mark the end and each way to end a connection.
+	it('is told from an end that came early', async () => {
+		expect({
+			'whole by length': await playEndings(`${OK}Content-Length: 5\r\n`, 'whole'),
+			'short by length': await playEndings(`${OK}Content-Length: 9\r\n`, 'short'),
+			'whole by chunks': await playEndings(`${OK}Transfer-Encoding: chunked\r\n`, '5\r\nwhole\r\n0\r\n\r\n'),
+			'short by chunks': await playEndings(`${OK}Transfer-Encoding: chunked\r\n`, '5\r\nshort\r\n'),
+			'chunks without the last line': await playEndings(`${OK}Transfer-Encoding: chunked\r\n`, '5\r\nshort\r\n0\r\n'),
+			'by connection': await playEndings(OK, 'bytes'),
+			'by connection, old version': await playEndings(`HTTP/1.0 200 OK\r\n${SIGNED}`, 'bytes'),
+			'empty by connection': await playTexts({'in order': `${OK}\r\n`}),
+		}).toMatchSnapshot();
+	});
+
+	// Guards against contradictory or doubtful framing that is read as one of its meanings, and against a longer body whose rest is taken for an answer.
+	it('is not guessed from framing that has two meanings', async () => {
+		const chunks = '5\r\nwhole\r\n0\r\n\r\n';
+		expect(await playTexts({
+			'length and chunks': `${OK}Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n${chunks}`,
+			'chunks and length': `${OK}Transfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n${chunks}`,
+			'two equal lengths': `${OK}Content-Length: 5\r\nContent-Length: 5\r\n\r\nwhole`,
+			'two lengths': `${OK}Content-Length: 5\r\nContent-Length: 4\r\n\r\nwhole`,
+			'an empty length': `${OK}Content-Length: \r\n\r\nwhole`,
+			'a length that is no number': `${OK}Content-Length: 0x5\r\n\r\nwhole`,
+			'a body longer than its length': `${OK}Content-Length: 5\r\n\r\nwhole and more`,
+			'bytes after the last chunk': `${OK}Transfer-Encoding: chunked\r\n\r\n${chunks}and more`,
+			'a chunk longer than its size': `${OK}Transfer-Encoding: chunked\r\n\r\n4\r\nwhole\r\n0\r\n\r\n`,
+			'a size that is no number': `${OK}Transfer-Encoding: chunked\r\n\r\nx\r\nwhole\r\n0\r\n\r\n`,
+			'a second answer at once': `${OK}Content-Length: 5\r\n\r\nwhole${OK}Content-Length: 6\r\n\r\nsecond`,
+		})).toMatchSnapshot();
+	});
+});
--- a/packages/callers/src/forward/forward-parts.ts
+++ b/packages/callers/src/forward/forward-parts.ts
@@ -1,5 +1,5 @@
 import type {
-	Clock, Random, SendFailure, Verdict,
+	BodyFraming, Clock, Random, SendFailure, Verdict,
 } from '@egretrill/common';
 import type {Result} from 'true-myth';
 import type {RetryBudget} from '../retry-budget.js';
@@ -7,7 +7,7 @@
 import type {Place, PlaceQueue} from './place-queue.js';
 import type {RateAnswer, RateParts} from './rate-part.js';
 import type {RouteTable} from './route-table.js';
-import type {ForwardCall} from './types.js';
+import type {AnswerEnd, ForwardCall} from './types.js';
 import type {ReturnTimes} from './wait-forecast.js';
 
 /** A target's answer whose body is still to be read. */
@@ -15,6 +15,8 @@
 	readonly status: number;
 	readonly rawHeaders: readonly string[];
 	readonly body: AsyncIterable<Uint8Array>;
+	/** By what the end of the body is recognised. */
+	readonly framing: BodyFraming;
 	/** Whether the body arrived to its end; meaningful once it has been read. */
 	readonly isComplete: () => boolean;
 	/** Reads and drops the body of a short answer, so that the connection can be kept. */
@@ -58,6 +60,8 @@
 	/** Time to the first piece of a stream, and the longest pause between two. */
 	readonly firstMs?: number;
 	readonly longestPauseMs?: number;
+	/** How the answer that was passed on whole ended. */
+	readonly answerEnd?: AnswerEnd;
 };
 
 /** Takes what happens to forwarded requests. */
--- a/packages/callers/src/forward/forward-request.ts
+++ b/packages/callers/src/forward/forward-request.ts
@@ -54,6 +54,7 @@
 		waitMs: progress.waitMs,
 		tookMs: parts.clock.now() - startedMs,
 		...describePieces(progress.pieces),
+		...(progress.answerEnd && {answerEnd: progress.answerEnd}),
 	});
 }
 
--- a/packages/callers/src/forward/forwarding.ts
+++ b/packages/callers/src/forward/forwarding.ts
@@ -4,7 +4,7 @@
 import type {PieceTimes} from './piece-times.js';
 import type {PlaceEnd} from './place-queue.js';
 import type {RouteTable} from './route-table.js';
-import type {ForwardCall} from './types.js';
+import type {AnswerEnd, ForwardCall} from './types.js';
 
 /** A request that the configuration allows, on its way to targets. */
 export type Forwarding = {
@@ -33,6 +33,8 @@
 	targetId?: string;
 	outstanding?: number;
 	status?: number;
+	/** Known once an answer has been passed on whole. */
+	answerEnd?: AnswerEnd;
 };
 
 /** How an attempt at one target ended. */
--- a/packages/callers/src/forward/relay.ts
+++ b/packages/callers/src/forward/relay.ts
@@ -6,7 +6,12 @@
 import type {TargetAnswer} from './forward-parts.js';
 
 /** Whether the caller has the whole answer; after `broken` it has all whole events up to `lastEventId`. */
-export type RelayEnd = {readonly kind: 'complete' | 'broken'; readonly lastEventId?: number};
+export type RelayEnd = {
+	readonly kind: 'complete' | 'broken';
+	/** Bytes of the body that were passed on. */
+	readonly bytes: number;
+	readonly lastEventId?: number;
+};
 
 type Relay = {
 	readonly exchange: CallerExchange;
@@ -39,6 +44,7 @@
 
 /** Passes on an answer once it is whole; a longer one is passed on as it arrives. */
 export async function relayWhole({exchange, answer, headers}: Relay): Promise<RelayEnd> {
+	let bytes = 0;
 	try {
 		const held = await readAll(answer, async chunks => {
 			if (!exchange.hasBegun()) {
@@ -47,22 +53,24 @@
 
 			for (const chunk of chunks) {
 				await exchange.write(chunk);
+				bytes += chunk.length;
 			}
 		});
 		if (!answer.isComplete()) {
-			return {kind: 'broken'};
+			return {kind: 'broken', bytes};
 		}
 
 		if (held) {
 			exchange.begin(answer.status, headers, held.length);
 			await exchange.write(held);
+			bytes = held.length;
 		}
 
 		exchange.end();
-		return {kind: 'complete'};
+		return {kind: 'complete', bytes};
 	} catch {
 		// The body ends with an error when the target or this host breaks the connection off.
-		return {kind: 'broken'};
+		return {kind: 'broken', bytes};
 	}
 }
 
@@ -102,6 +110,7 @@
 	const skipUpTo = lastEventId;
 	const silence = watch && new SilenceWatch(watch.clock, answer);
 	let last = lastEventId;
+	let bytes = 0;
 	try {
 		for await (const chunk of answer.body) {
 			const events = splitter.push(chunk, skipUpTo);
@@ -114,21 +123,22 @@
 				last = events.lastEventId ?? last;
 				onPiece?.();
 				await exchange.write(events.bytes);
+				bytes += events.bytes.length;
 			}
 
 			silence?.note();
 		}
 	} catch {
 		// The body ends with an error when the target or this host breaks the connection off.
-		return {kind: 'broken', lastEventId: last};
+		return {kind: 'broken', bytes, lastEventId: last};
 	} finally {
 		silence?.stop();
 	}
 
 	if (!answer.isComplete() || splitter.getRest().length > 0 || !exchange.hasBegun()) {
-		return {kind: 'broken', lastEventId: last};
+		return {kind: 'broken', bytes, lastEventId: last};
 	}
 
 	exchange.end();
-	return {kind: 'complete', lastEventId: last};
+	return {kind: 'complete', bytes, lastEventId: last};
 }
--- a/packages/callers/src/forward/try-place.ts
+++ b/packages/callers/src/forward/try-place.ts
@@ -119,6 +119,7 @@
 		: await relayWhole(relayed);
 	progress.lastEventId = end.lastEventId ?? progress.lastEventId;
 	if (end.kind === 'complete') {
+		progress.answerEnd = {framing: answer.framing, bytes: end.bytes};
 		return {kind: 'answered'};
 	}
 
--- a/packages/callers/src/forward/types.ts
+++ b/packages/callers/src/forward/types.ts
@@ -1,3 +1,4 @@
+import {BodyFraming} from '@egretrill/common';
 import {z} from 'zod';
 
 /** A piece of a prompt that requests share; the pieces before it are part of its meaning. */
@@ -55,3 +56,7 @@
 	headers: z.array(z.string()),
 });
 export type AnswerFacts = z.infer<typeof AnswerFacts>;
+
+/** How a whole answer ended: by what its end was recognised, and the bytes of its body that were passed on. */
+export const AnswerEnd = z.object({framing: BodyFraming, bytes: z.int()});
+export type AnswerEnd = z.infer<typeof AnswerEnd>;
--- a/packages/callers/tests/forward/support/forward-world.ts
+++ b/packages/callers/tests/forward/support/forward-world.ts
@@ -80,6 +80,7 @@
 			status: answer.status ?? 200,
 			rawHeaders: [JSON.stringify(answer)],
 			body: body(),
+			framing: 'chunks',
 			isComplete: () => !answer.isCut,
 			discard: () => undefined,
 			destroy() {
--- a/packages/common/src/target-client.ts
+++ b/packages/common/src/target-client.ts
@@ -1,4 +1,5 @@
 import type {Result} from 'true-myth';
+import {z} from 'zod';
 
 /** Where a chosen target listens, and which start of it was chosen. */
 export type TargetAddress = {
@@ -24,6 +25,10 @@
 	readonly body: AsyncIterable<Uint8Array>;
 };
 
+/** By what the end of an answer's body is recognised; `none` where the status or the method allows no body. */
+export const BodyFraming = z.enum(['length', 'chunks', 'connection', 'none']);
+export type BodyFraming = z.infer<typeof BodyFraming>;
+
 /** Why an exchange with a target failed; `accepted` is false only when nothing of the request left this host. */
 export type SendFailure = {
 	readonly accepted: boolean;
--- a/packages/engines/src/client/forward-client.ts
+++ b/packages/engines/src/client/forward-client.ts
@@ -1,6 +1,6 @@
 import {Agent, type IncomingMessage, request} from 'node:http';
 import type {Socket} from 'node:net';
-import type {SendFailure} from '@egretrill/common';
+import type {BodyFraming, SendFailure} from '@egretrill/common';
 import {Result} from 'true-myth';
 
 /** Time for a connection to be established; a target that is cut off or without power answers nothing at all. */
@@ -55,9 +55,19 @@
 	}
 }
 
-/** Whether nothing but the end of the connection ends the body. */
-function endsWithConnection({headers}: IncomingMessage): boolean {
-	return headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
+const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
+
+/** By what the parser recognises the end of the body. */
+function getFraming({headers, statusCode = 0}: IncomingMessage, method: string): BodyFraming {
+	if (method === 'HEAD' || bodilessStatuses.has(statusCode)) {
+		return 'none';
+	}
+
+	if (headers['transfer-encoding'] !== undefined) {
+		return 'chunks';
+	}
+
+	return headers['content-length'] === undefined ? 'connection' : 'length';
 }
 
 /** Whether a connection whose end was just read has been reset. A reset that arrives together with data is reported as an orderly end, but leaves the connection without a remote address. */
@@ -68,6 +78,8 @@
 /** An answer whose body is still to be read. */
 export type ForwardAnswer = {
 	readonly message: IncomingMessage;
+	/** By what the end of the body is recognised. */
+	readonly framing: BodyFraming;
 	/** Whether the body arrived to its end; meaningful once it has been read. */
 	readonly isComplete: () => boolean;
 };
@@ -115,7 +127,8 @@
 				res.on('error', () => undefined);
 				const {socket} = res;
 				let wasReset = false;
-				if (endsWithConnection(res)) {
+				const framing = getFraming(res, message.method);
+				if (framing === 'connection') {
 					socket.prependOnceListener('end', () => {
 						wasReset = isDisconnected(socket);
 					});
@@ -123,6 +136,7 @@
 
 				resolve(Result.ok({
 					message: res,
+					framing,
 					// The library takes any end of a connection, also a reset, for the end of a body without a length.
 					isComplete: () => res.complete && !socket.errored && !wasReset,
 				}));
