traffic: close the caller's connection when a begun answer breaks off

Callers saw: the head and the whole events of a stream whose target broke off, and then nothing; the connection stayed open and silent until the caller gave up, though the log said that the request was broken. Cause: NodeExchange.abort() destroyed the request. Node closes the connection of a request that is destroyed only while its body has not been read; every forwarded request has been read. Ruled out: relay.ts and try-place.ts (they reported 'broken'); a dependence on the caller's Connection header or body (four trials with node:http alone, with and without a body, kept and not kept: the socket stayed open in each). Change: abort() destroys the connection itself. Before: 'is told from a cut in the middle of an event' timed out after 2 s in its first case. After: 20 cases end with a cut or whole answer in 81 ms. Conclusion: mended.

--- a/apps/egretrilld/src/traffic/node-exchange.ts
+++ b/apps/egretrilld/src/traffic/node-exchange.ts
@@ -95,7 +95,8 @@
 
 	abort(): void {
 		this.isClosing = true;
-		this.req.destroy();
+		// Destroying a request that has been read leaves its connection open.
+		this.req.socket.destroy();
 	}
 
 	private prepare(): void {
--- a/apps/egretrilld/tests/traffic/answer-end.test.ts
+++ b/apps/egretrilld/tests/traffic/answer-end.test.ts
@@ -29,6 +29,7 @@
 };
 
 const OK = `HTTP/1.1 200 OK\r\n${SIGNED}`;
+const EVENTS = `${OK}events: 1\r\n`;
 
 type Exchange = {
 	readonly script: (wasRead: Promise<void>) => RawScript;
@@ -121,4 +122,17 @@
 			'a second answer at once': `${OK}Content-Length: 5\r\n\r\nwhole${OK}Content-Length: 6\r\n\r\nsecond`,
 		})).toMatchSnapshot();
 	});
+
+	// Guards against a stream that ends in the middle of an event and looks whole to the caller, or whose caller waits on because its connection stays open.
+	it('is told from a cut in the middle of an event', async () => {
+		const isStream = {isStream: true};
+		const part = 'id: 1\ndata: a\n\nid: 2\nda';
+		expect({
+			'by connection': await playEndings(EVENTS, part, isStream),
+			'by length': await playEndings(`${EVENTS}Content-Length: ${part.length}\r\n`, part, isStream),
+			'by chunks': await playEndings(`${EVENTS}Transfer-Encoding: chunked\r\n`, `${part.length.toString(16)}\r\n${part}\r\n0\r\n\r\n`, isStream),
+			'between events, by connection': await playEndings(EVENTS, 'id: 1\ndata: a\n\n', isStream),
+			'between events, short by length': await playEndings(`${EVENTS}Content-Length: 99\r\n`, 'id: 1\ndata: a\n\n', isStream),
+		}).toMatchSnapshot();
+	});
 });
