traffic: reset the connection of an old caller when its answer breaks off

Callers saw: with HTTP/1.0 a stream or long answer that broke off ended like a whole one. Cause: such an answer has neither chunks nor a length, so that an orderly end of the connection is its end; abort() closed the connection in order. Change: abort() resets a connection on which a begun answer has no chunks. Before: 'is not an orderly end of the connection to an old caller when it came early' received '200 ...; broken' without the mark 'cut'. After: with it; the whole answer of the same test ends in order.

--- a/apps/egretrilld/src/traffic/node-exchange.ts
+++ b/apps/egretrilld/src/traffic/node-exchange.ts
@@ -96,7 +96,14 @@
 	abort(): void {
 		this.isClosing = true;
 		// Destroying a request that has been read leaves its connection open.
-		this.req.socket.destroy();
+		const {socket} = this.req;
+		if (this.res.headersSent && !this.res.chunkedEncoding) {
+			// Without chunks an orderly end of the connection may be the end of the answer.
+			socket.resetAndDestroy();
+			return;
+		}
+
+		socket.destroy();
 	}
 
 	private prepare(): void {
--- a/apps/egretrilld/tests/traffic/answer-end.test.ts
+++ b/apps/egretrilld/tests/traffic/answer-end.test.ts
@@ -35,11 +35,13 @@
 	readonly script: (wasRead: Promise<void>) => RawScript;
 	readonly route?: Partial<TrafficRoute>;
 	readonly method?: string;
+	/** HTTP version of the caller. */
+	readonly version?: string;
 	readonly body?: string;
 };
 
 /** Plays one exchange and describes in a line what the caller received and what was noted. */
-async function play({script, route, method, body}: Exchange): Promise<string> {
+async function play({script, route, method, version, body}: Exchange): Promise<string> {
 	let tell: () => void = () => undefined;
 	const wasRead = new Promise<void>(resolve => {
 		tell = resolve;
@@ -49,7 +51,7 @@
 		targets: [target.address], route, onPiece: tell,
 	});
 	try {
-		const received = await callRaw(host.port, {method, body});
+		const received = await callRaw(host.port, {method, version, body});
 		const {outcome, answerEnd} = host.notes.ends[0] ?? {};
 		const noted = typeof outcome === 'object' ? outcome.code : outcome;
 		return `${received.status} ${JSON.stringify(received.status < 500 ? received.body : '')}${received.isWhole ? '' : ' cut'}; ${noted}${answerEnd ? `, ${answerEnd.bytes} bytes by ${answerEnd.framing}` : ''}`;
@@ -135,4 +137,16 @@
 			'between events, short by length': await playEndings(`${EVENTS}Content-Length: 99\r\n`, 'id: 1\ndata: a\n\n', isStream),
 		}).toMatchSnapshot();
 	});
+
+	// Guards against an answer that breaks off and ends like a whole one for a caller whose HTTP version knows no chunks.
+	it('is not an orderly end of the connection to an old caller when it came early', async () => {
+		const playOld = async (last: string): Promise<string> => play({
+			version: '1.0', route: {isStream: true}, script: () => async peer => {
+				await peer.readHead();
+				await peer.write(`${EVENTS}\r\nid: 1\ndata: a\n\n${last}`);
+				peer.end();
+			},
+		});
+		expect([await playOld('id: 2\nda'), await playOld('id: 2\ndata: b\n\n')]).toMatchSnapshot();
+	});
 });
--- a/apps/egretrilld/tests/traffic/support/raw-caller.ts
+++ b/apps/egretrilld/tests/traffic/support/raw-caller.ts
@@ -33,6 +33,10 @@
 	socket.on('data', (bytes: Uint8Array) => {
 		text += bytes.toString();
 	});
+	socket.once('end', () => {
+		// A reset that is read together with the last bytes is reported as an orderly end, but leaves no remote address.
+		isReset = socket.remoteAddress === undefined;
+	});
 	socket.on('error', () => {
 		isReset = true;
 	});
