engines: refuse an answer in a transfer coding other than chunks

Callers saw: 200 with the target's signature and the bytes of the coding as body; and when such an answer ends with its connection, a body that is too short and looks whole after a reset that was read together with its last bytes. Cause: an answer with any Transfer-Encoding counted as ended by chunks. Without 'chunked' as the last coding its end is that of the connection, and the head of the coding is not passed on. Ruled out: length together with a coding (the parser refuses it). Change: an answer with a coding other than 'chunked' closes the connection and counts as 'may have run'.

--- a/apps/egretrilld/tests/traffic/answer-end.test.ts
+++ b/apps/egretrilld/tests/traffic/answer-end.test.ts
@@ -149,4 +149,14 @@
 		});
 		expect([await playOld('id: 2\nda'), await playOld('id: 2\ndata: b\n\n')]).toMatchSnapshot();
 	});
+
+	// Guards against a body in a transfer coding that the caller takes for the target's bytes, and whose end by a reset counts as orderly.
+	it('is not looked for in a transfer coding other than chunks', async () => {
+		expect({
+			gzip: await playEndings(`${OK}Transfer-Encoding: gzip\r\n`, 'coded'),
+			'gzip in chunks': await playEndings(`${OK}Transfer-Encoding: gzip, chunked\r\n`, '5\r\ncoded\r\n0\r\n\r\n'),
+			'chunks, then gzip': await playEndings(`${OK}Transfer-Encoding: chunked, gzip\r\n`, 'coded'),
+			'an empty coding': await playEndings(`${OK}Transfer-Encoding: \r\n`, 'bytes'),
+		}).toMatchSnapshot();
+	});
 });
--- a/packages/engines/src/client/forward-client.ts
+++ b/packages/engines/src/client/forward-client.ts
@@ -57,13 +57,18 @@
 
 const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
 
-/** By what the parser recognises the end of the body. */
-function getFraming({headers, statusCode = 0}: IncomingMessage, method: string): BodyFraming {
+/** By what the parser recognises the end of the body; undefined for a transfer coding that callers cannot read, and that may end by chunks or by the connection. */
+function getFraming({headers, statusCode = 0}: IncomingMessage, method: string): BodyFraming | undefined {
+	const coding = headers['transfer-encoding'];
+	if (coding !== undefined && coding.toLowerCase() !== 'chunked') {
+		return undefined;
+	}
+
 	if (method === 'HEAD' || bodilessStatuses.has(statusCode)) {
 		return 'none';
 	}
 
-	if (headers['transfer-encoding'] !== undefined) {
+	if (coding !== undefined) {
 		return 'chunks';
 	}
 
@@ -128,6 +133,12 @@
 				const {socket} = res;
 				let wasReset = false;
 				const framing = getFraming(res, message.method);
+				if (framing === undefined) {
+					req.destroy();
+					resolve(Result.err({accepted: true, code: 'ERR_TRANSFER_CODING', reason: 'The answer has a transfer coding other than chunks.'}));
+					return;
+				}
+
 				if (framing === 'connection') {
 					socket.prependOnceListener('end', () => {
 						wasReset = isDisconnected(socket);
