engines: end the exchange when a target changes the protocol

Callers saw: no answer at all, and their request never ended, also after its time, when a target answered 101 with the headers of another protocol; 101 without these headers was passed on as the final answer. Cause: Node closes a connection whose protocol changes without an error and without an answer, and ForwardClient.send() settled on these two alone. An abort after the close has no effect, so that the place at the target stayed taken. Ruled out: interim answers (100, 103): 40 of them before the final answer are left out, and interim answers alone end with the connection. Change: send() settles when the exchange closes, whatever the cause; 101 is refused.

--- a/apps/egretrilld/tests/traffic/answer-end.test.ts
+++ b/apps/egretrilld/tests/traffic/answer-end.test.ts
@@ -159,4 +159,15 @@
 			'an empty coding': await playEndings(`${OK}Transfer-Encoding: \r\n`, 'bytes'),
 		}).toMatchSnapshot();
 	});
+
+	// Guards against a request that is never ended because its target changes the protocol, and against an interim answer that is passed on as the final one.
+	it('is not waited for when the target changes the protocol', async () => {
+		const whole = `${OK}Content-Length: 5\r\n\r\nwhole`;
+		expect(await playTexts({
+			'101 with a protocol': `HTTP/1.1 101 Switching Protocols\r\n${SIGNED}Upgrade: other\r\nConnection: Upgrade\r\n\r\nwhole`,
+			'101 without a protocol': `HTTP/1.1 101 Switching Protocols\r\n${SIGNED}\r\n${whole}`,
+			'interim answers before the final one': `${`HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n${SIGNED}\r\n`.repeat(20)}${whole}`,
+			'interim answers alone': 'HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n\r\n',
+		})).toMatchSnapshot();
+	});
 });
--- a/packages/engines/src/client/forward-client.ts
+++ b/packages/engines/src/client/forward-client.ts
@@ -55,6 +55,7 @@
 	}
 }
 
+const STATUS_SWITCHING_PROTOCOLS = 101;
 const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
 
 /** By what the parser recognises the end of the body; undefined for a transfer coding that callers cannot read, and that may end by chunks or by the connection. */
@@ -127,6 +128,10 @@
 			req.on('error', (err: NodeJS.ErrnoException) => {
 				resolve(Result.err({accepted: isConnected, code: err.code ?? 'ERR_EXCHANGE', reason: err.message}));
 			});
+			// The library closes a connection whose protocol changes without an error or an answer.
+			req.once('close', () => {
+				resolve(Result.err({accepted: isConnected, code: 'ERR_EXCHANGE', reason: 'The connection was closed without an answer.'}));
+			});
 			req.once('response', res => {
 				// Later failures reach the reader of the body; without a listener they would end the process.
 				res.on('error', () => undefined);
@@ -139,6 +144,12 @@
 					return;
 				}
 
+				if (res.statusCode === STATUS_SWITCHING_PROTOCOLS) {
+					req.destroy();
+					resolve(Result.err({accepted: true, code: 'ERR_PROTOCOL', reason: 'The target changed the protocol.'}));
+					return;
+				}
+
 				if (framing === 'connection') {
 					socket.prependOnceListener('end', () => {
 						wasReset = isDisconnected(socket);
