engines: bound the bytes that bring nothing of an answer

Callers saw: nothing until the time of the request was over, while empty lines before the status line, interim answers or the zeros of a chunk's size came without end; this host spent its processor on them all that time. Cause: the parser bounds one head, one chunk extension and the trailers (16 KiB each), but neither the number of interim answers, nor empty lines, nor the digits of a size. Ruled out: a header that never ends, headers without end, a chunk extension and trailers without end; the parser stops them before and after. Change: a listener that runs before the parser counts what arrives without bringing the body on, and closes the connection above MAX_FRAMING_BYTES (64 KiB in a row). The request counts as 'may have run', or goes to another target where it may be repeated. A body of 400,000 chunks of one byte with extensions and 200 of 8 KB arrives whole.

--- /dev/null
+++ b/apps/egretrilld/tests/traffic/endless-bytes.test.ts
@@ -0,0 +1,103 @@
+import {expect} from 'chai';
+import type {TrafficRoute} from '@egretrill/common';
+import {ForwardHost, SIGNED} from './support/forward-host.js';
+import {callRaw} from './support/raw-caller.js';
+import {type RawScript, RawTarget} from './support/raw-target.js';
+
+const MB = 1_048_576;
+/** Stands for no end; a connection that is not closed before it takes all of this. */
+const FLOOD_BYTES = 48 * MB;
+/** Most bytes that may be sent until a connection is closed: the limit of the product with what both ends of the connection buffer. */
+const BOUND_BYTES = 12 * MB;
+
+const OK = `HTTP/1.1 200 OK\r\n${SIGNED}`;
+const line = 'x'.repeat(8190);
+
+/** Begins an answer and sends a text again and again. */
+function floodWith(head: string, text: string): RawScript {
+	return async peer => {
+		await peer.readHead();
+		await peer.write(head);
+		await peer.flood(text, FLOOD_BYTES);
+		peer.end();
+		await peer.closed;
+	};
+}
+
+/** Plays a request at a target that sends bytes without end, and one that answers, and tells whether the bytes were stopped. */
+async function play(script: RawScript, route?: Partial<TrafficRoute>): Promise<string> {
+	const endless = await RawTarget.open(script);
+	const sound = await RawTarget.open(async peer => {
+		await peer.readHead();
+		await peer.write(`${OK}Content-Length: 5\r\n\r\nwhole`);
+	});
+	const host = await ForwardHost.open({targets: [endless.address, sound.address], route});
+	try {
+		const {status, body, isWhole} = await callRaw(host.port);
+		await endless.peers[0]!.closed;
+		const isStopped = endless.bytesWritten < BOUND_BYTES;
+		return `${status}${status < 500 ? ` ${JSON.stringify(body.slice(0, 20))}` : ''}${isWhole ? '' : ' cut'}; ${isStopped ? 'stopped' : 'read to its end'}`;
+	} finally {
+		host.close();
+		endless.close();
+		sound.close();
+	}
+}
+
+/** Plays each script on a route whose requests run at most once, and on one whose requests may be repeated. */
+async function playBoth(scripts: Readonly<Record<string, RawScript>>): Promise<Record<string, string[]>> {
+	const lines: Record<string, string[]> = {};
+	for (const [name, script] of Object.entries(scripts)) {
+		lines[name] = [await play(script), await play(script, {repeat: 'idempotent'})];
+	}
+
+	return lines;
+}
+
+describe('bytes of a target without end', () => {
+	// Guards against processor time and a place that are lost to a head that never ends, until the caller gives up.
+	it('are stopped before the final head', async () => {
+		expect(await playBoth({
+			'a header that never ends': floodWith(`${OK}long: `, line),
+			'headers without end': floodWith(OK, 'a: b\r\n'.repeat(1000)),
+			'empty lines before the status': floodWith('', '\r\n'.repeat(4000)),
+			'interim answers': floodWith('', 'HTTP/1.1 100 Continue\r\n\r\n'.repeat(300)),
+		})).toMatchSnapshot();
+	}).timeout(60_000);
+
+	// Guards against framing without end that brings nothing of the body.
+	it('are stopped between the parts of a body', async () => {
+		const head = `${OK}Transfer-Encoding: chunked\r\n\r\n`;
+		expect(await playBoth({
+			'the size of a chunk': floodWith(`${head}3\r\nabc\r\n`, '0'.repeat(8000)),
+			'the extension of a chunk': floodWith(`${head}3\r\nabc\r\n3;`, line),
+			'the headers after the last chunk': floodWith(`${head}3\r\nabc\r\n0\r\n`, 'a: b\r\n'.repeat(1000)),
+		})).toMatchSnapshot();
+	}).timeout(60_000);
+
+	// Guards against a bound that cuts a long answer whose framing takes more bytes than its body.
+	it('are not seen in a long body of small chunks', async () => {
+		const pieces = 400_000;
+		const target = await RawTarget.open(async peer => {
+			await peer.readHead();
+			await peer.write(`${OK}Transfer-Encoding: chunked\r\n\r\n`);
+			for (let sent = 0; sent < pieces; sent += 2000) {
+				await peer.write('1;ext\r\nx\r\n'.repeat(2000));
+			}
+
+			for (let sent = 0; sent < 200; sent += 1) {
+				await peer.write(`1ffe\r\n${line}\r\n`);
+			}
+
+			await peer.write('0\r\n\r\n');
+		});
+		const host = await ForwardHost.open({targets: [target.address]});
+		const {status, body, isWhole} = await callRaw(host.port);
+		const {answerEnd} = host.notes.ends[0]!;
+		host.close();
+		target.close();
+		expect({
+			status, isWhole, length: body.length, answerEnd,
+		}).toMatchSnapshot();
+	}).timeout(60_000);
+});
--- a/dev/bench/src/data-path-forwarder.ts
+++ b/dev/bench/src/data-path-forwarder.ts
@@ -32,9 +32,9 @@
 			return;
 		}
 
-		const {message} = sent.value;
-		res.writeHead(message.statusCode ?? 502, [...message.rawHeaders]);
-		for await (const chunk of message) {
+		const {status, rawHeaders, body: answer} = sent.value;
+		res.writeHead(status, [...rawHeaders]);
+		for await (const chunk of answer) {
 			res.write(chunk);
 		}
 
--- /dev/null
+++ b/packages/engines/src/client/connection-watch.ts
@@ -0,0 +1,66 @@
+import type {IncomingMessage} from 'node:http';
+import type {Socket} from 'node:net';
+
+/** Bytes in a row that may bring nothing of an answer's body. A head has at most 16 KiB, and interim answers may come before it; without a bound a target could keep the parser busy until the time of the request is over. */
+export const MAX_FRAMING_BYTES = 65_536;
+
+/** How far the answer to one request has arrived. */
+export class AnswerProgress {
+	private message?: IncomingMessage;
+	private takenBytes = 0;
+
+	/** Takes the final head. */
+	begin(message: IncomingMessage): void {
+		this.message = message;
+	}
+
+	/** The body in pieces as they arrive. */
+	async * readBody(message: IncomingMessage): AsyncGenerator<Uint8Array> {
+		for await (const piece of message as AsyncIterable<Uint8Array>) {
+			this.takenBytes += piece.length;
+			yield piece;
+		}
+	}
+
+	/** Bytes of the body that have arrived, whether they have been read or not. */
+	getBodyBytes(): number {
+		return this.takenBytes + (this.message?.readableLength ?? 0);
+	}
+}
+
+/** Closes a connection to a target on which bytes arrive that bring no answer on. */
+export class ConnectionWatch {
+	private progress?: AnswerProgress;
+	private bodyBytes = 0;
+	private framingBytes = 0;
+
+	constructor(private readonly socket: Socket) {
+		// The parser must not have taken the bytes yet, so that they are not counted as part of the body.
+		socket.prependListener('data', (bytes: Uint8Array) => {
+			this.count(bytes.length);
+		});
+	}
+
+	/** Expects the answer to a further request. */
+	expect(progress: AnswerProgress): void {
+		this.progress = progress;
+		this.bodyBytes = 0;
+		this.framingBytes = 0;
+	}
+
+	private count(length: number): void {
+		const bodyBytes = this.progress?.getBodyBytes() ?? 0;
+		if (bodyBytes !== this.bodyBytes) {
+			this.bodyBytes = bodyBytes;
+			this.framingBytes = 0;
+		}
+
+		if (this.framingBytes > MAX_FRAMING_BYTES) {
+			this.socket.destroy(new Error(`More than ${MAX_FRAMING_BYTES} bytes brought nothing of an answer.`));
+			return;
+		}
+
+		// Whether these bytes bring the body on is known only when the next ones arrive.
+		this.framingBytes += length;
+	}
+}
--- a/packages/engines/src/client/forward-client.ts
+++ b/packages/engines/src/client/forward-client.ts
@@ -1,7 +1,10 @@
-import {Agent, type IncomingMessage, request} from 'node:http';
+import {
+	Agent, type ClientRequest, type IncomingMessage, request,
+} from 'node:http';
 import type {Socket} from 'node:net';
 import type {BodyFraming, SendFailure} from '@egretrill/common';
 import {Result} from 'true-myth';
+import {AnswerProgress, ConnectionWatch} from './connection-watch.js';
 
 /** Time for a connection to be established; a target that is cut off or without power answers nothing at all. */
 export const FORWARD_CONNECT_MS = 250;
@@ -83,22 +86,35 @@
 
 /** An answer whose body is still to be read. */
 export type ForwardAnswer = {
-	readonly message: IncomingMessage;
+	readonly status: number;
+	/** Header names and values in turn, as they came. */
+	readonly rawHeaders: readonly string[];
+	readonly body: AsyncIterable<Uint8Array>;
 	/** By what the end of the body is recognised. */
 	readonly framing: BodyFraming;
 	/** Whether the body arrived to its end; meaningful once it has been read. */
 	readonly isComplete: () => boolean;
+	/** Reads and drops the body, so that the connection can be kept. */
+	readonly discard: () => void;
+	/** Closes the connection. */
+	readonly destroy: () => void;
 };
 
 /** Sends requests to targets byte for byte and gives back the head of the answer; it never retries. */
 export class ForwardClient {
 	private readonly agent = new ForwardAgent();
+	private readonly watches = new WeakMap<Socket, ConnectionWatch>();
 
 	/** Resolves with the answer, whose body is still to be read, or with whether the target may have received anything. */
 	async send(message: ForwardMessage, signal: AbortSignal): Promise<Result<ForwardAnswer, SendFailure>> {
 		const separator = message.address.lastIndexOf(':');
 		return new Promise(resolve => {
 			let isConnected = false;
+			const fail = (code: string, reason: string): void => {
+				resolve(Result.err({accepted: isConnected, code, reason}));
+			};
+
+			const progress = new AnswerProgress();
 			const req = request({
 				host: message.address.slice(0, separator),
 				port: Number(message.address.slice(separator + 1)),
@@ -109,59 +125,27 @@
 				signal,
 			});
 			req.once('socket', socket => {
-				if (!socket.connecting) {
-					isConnected = true;
-					return;
-				}
-
-				const timer = setTimeout(() => {
-					req.destroy(new Error(`No connection within ${FORWARD_CONNECT_MS} ms.`));
-				}, FORWARD_CONNECT_MS);
-				socket.once('connect', () => {
+				this.watch(socket).expect(progress);
+				whenConnected(req, socket, () => {
 					isConnected = true;
-					clearTimeout(timer);
-				});
-				socket.once('close', () => {
-					clearTimeout(timer);
 				});
 			});
 			req.on('error', (err: NodeJS.ErrnoException) => {
-				resolve(Result.err({accepted: isConnected, code: err.code ?? 'ERR_EXCHANGE', reason: err.message}));
+				fail(err.code ?? 'ERR_EXCHANGE', err.message);
 			});
 			// The library closes a connection whose protocol changes without an error or an answer.
 			req.once('close', () => {
-				resolve(Result.err({accepted: isConnected, code: 'ERR_EXCHANGE', reason: 'The connection was closed without an answer.'}));
+				fail('ERR_EXCHANGE', 'The connection was closed without an answer.');
 			});
 			req.once('response', res => {
-				// Later failures reach the reader of the body; without a listener they would end the process.
-				res.on('error', () => undefined);
-				const {socket} = res;
-				let wasReset = false;
-				const framing = getFraming(res, message.method);
-				if (framing === undefined) {
+				const answer = openAnswer(res, message.method, progress);
+				if (answer.isErr) {
+					fail('ERR_ANSWER', answer.error);
 					req.destroy();
-					resolve(Result.err({accepted: true, code: 'ERR_TRANSFER_CODING', reason: 'The answer has a transfer coding other than chunks.'}));
 					return;
 				}
 
-				if (res.statusCode === STATUS_SWITCHING_PROTOCOLS) {
-					req.destroy();
-					resolve(Result.err({accepted: true, code: 'ERR_PROTOCOL', reason: 'The target changed the protocol.'}));
-					return;
-				}
-
-				if (framing === 'connection') {
-					socket.prependOnceListener('end', () => {
-						wasReset = isDisconnected(socket);
-					});
-				}
-
-				resolve(Result.ok({
-					message: res,
-					framing,
-					// The library takes any end of a connection, also a reset, for the end of a body without a length.
-					isComplete: () => res.complete && !socket.errored && !wasReset,
-				}));
+				resolve(Result.ok(answer.value));
 			});
 			req.end(message.body);
 		});
@@ -170,4 +154,72 @@
 	close(): void {
 		this.agent.destroy();
 	}
+
+	private watch(socket: Socket): ConnectionWatch {
+		const known = this.watches.get(socket);
+		if (known) {
+			return known;
+		}
+
+		const created = new ConnectionWatch(socket);
+		this.watches.set(socket, created);
+		return created;
+	}
+}
+
+/** Tells when a request has a connection, and gives up one that is not established in time. */
+function whenConnected(req: ClientRequest, socket: Socket, tell: () => void): void {
+	if (!socket.connecting) {
+		tell();
+		return;
+	}
+
+	const timer = setTimeout(() => {
+		req.destroy(new Error(`No connection within ${FORWARD_CONNECT_MS} ms.`));
+	}, FORWARD_CONNECT_MS);
+	socket.once('connect', () => {
+		tell();
+		clearTimeout(timer);
+	});
+	socket.once('close', () => {
+		clearTimeout(timer);
+	});
+}
+
+/** The answer that a head begins, or why none can be read. */
+function openAnswer(res: IncomingMessage, method: string, progress: AnswerProgress): Result<ForwardAnswer, string> {
+	const framing = getFraming(res, method);
+	if (framing === undefined) {
+		return Result.err('The answer has a transfer coding other than chunks.');
+	}
+
+	if (res.statusCode === STATUS_SWITCHING_PROTOCOLS) {
+		return Result.err('The target changed the protocol.');
+	}
+
+	// Later failures reach the reader of the body; without a listener they would end the process.
+	res.on('error', () => undefined);
+	const {socket} = res;
+	let wasReset = false;
+	if (framing === 'connection') {
+		socket.prependOnceListener('end', () => {
+			wasReset = isDisconnected(socket);
+		});
+	}
+
+	progress.begin(res);
+	return Result.ok({
+		status: res.statusCode ?? 0,
+		rawHeaders: res.rawHeaders,
+		body: progress.readBody(res),
+		framing,
+		// The library takes any end of a connection, also a reset, for the end of a body without a length.
+		isComplete: () => res.complete && !socket.errored && !wasReset,
+		discard() {
+			res.resume();
+		},
+		destroy() {
+			res.destroy();
+		},
+	});
 }
--- a/packages/engines/tests/client/forward-client.test.ts
+++ b/packages/engines/tests/client/forward-client.test.ts
@@ -42,14 +42,14 @@
 		const chunks: Uint8Array[] = [];
 		let isBroken = false;
 		try {
-			for await (const chunk of sent.value.message as AsyncIterable<Uint8Array>) {
+			for await (const chunk of sent.value.body) {
 				chunks.push(chunk);
 			}
 		} catch {
 			isBroken = true;
 		}
 
-		return {status: sent.value.message.statusCode, body: Buffer.concat(chunks).toString(), isComplete: !isBroken && sent.value.isComplete()};
+		return {status: sent.value.status, body: Buffer.concat(chunks).toString(), isComplete: !isBroken && sent.value.isComplete()};
 	}
 
 	// Guards against half an answer that looks complete because it has no length.
