engines: close a connection on which bytes arrive before an answer has been read

Callers would see: bytes of an engine's own choice as the answer to a request. The beginning of a second answer was dropped unseen, the connection kept, and what came next on it was taken for the answer to the next request. Cause: kept connections were guarded only from the moment at which they became idle. Between the end of an answer and the reading of its last bytes by this host nothing listened, and Node drops what arrives then. Ruled out: bytes in the same read as the end of the answer (the parser refuses them and closes the connection) and bytes on an idle connection (guarded before). Change: the listener that counts framing stays for as long as the connection is open, and closes it on bytes that belong to no request. It replaces the guard of idle connections. Before: 'closes a connection on which more bytes arrive before the answer has been read' got the answer 'other' on one connection. After: 'right' on a second one. Left open: a whole further answer that arrives after the next request was written cannot be told by the connection; the attempt id tells it on success, and failures without an id are passed on.

--- a/packages/engines/src/client/connection-watch.ts
+++ b/packages/engines/src/client/connection-watch.ts
@@ -22,13 +22,18 @@
 		}
 	}
 
+	/** Whether the end of the answer has arrived, whether it has been read or not. */
+	isOver(): boolean {
+		return this.message?.complete ?? false;
+	}
+
 	/** Bytes of the body that have arrived, whether they have been read or not. */
 	getBodyBytes(): number {
 		return this.takenBytes + (this.message?.readableLength ?? 0);
 	}
 }
 
-/** Closes a connection to a target on which bytes arrive that bring no answer on. */
+/** Closes a connection to a target on which bytes arrive that belong to no request or bring no answer on; it listens for as long as the connection is open. */
 export class ConnectionWatch {
 	private progress?: AnswerProgress;
 	private bodyBytes = 0;
@@ -49,7 +54,14 @@
 	}
 
 	private count(length: number): void {
-		const bodyBytes = this.progress?.getBodyBytes() ?? 0;
+		const {progress} = this;
+		if (!progress || progress.isOver()) {
+			// Bytes that belong to no request; their rest would be taken for the answer to the next one.
+			this.socket.destroy();
+			return;
+		}
+
+		const bodyBytes = progress.getBodyBytes();
 		if (bodyBytes !== this.bodyBytes) {
 			this.bodyBytes = bodyBytes;
 			this.framingBytes = 0;
--- a/packages/engines/src/client/forward-client.ts
+++ b/packages/engines/src/client/forward-client.ts
@@ -23,41 +23,6 @@
 	readonly mayReuse: boolean;
 };
 
-/** Kept connections to targets; one on which bytes arrive that belong to no request is closed. */
-class ForwardAgent extends Agent {
-	private readonly guards = new WeakMap<Socket, () => void>();
-
-	constructor() {
-		super({keepAlive: true, maxFreeSockets: MAX_IDLE_CONNECTIONS, scheduling: 'lifo'});
-	}
-
-	override keepSocketAlive(socket: Socket): boolean {
-		// The types leave out that the library answers whether the connection is kept.
-		const keep = super.keepSocketAlive as unknown as (socket: Socket) => boolean;
-		const isKept = keep.call(this, socket);
-		if (isKept) {
-			const guard = (): void => {
-				socket.destroy();
-			};
-
-			this.guards.set(socket, guard);
-			socket.on('data', guard);
-		}
-
-		return isKept;
-	}
-
-	override reuseSocket(socket: Socket, req: Parameters<Agent['reuseSocket']>[1]): void {
-		const guard = this.guards.get(socket);
-		if (guard) {
-			socket.off('data', guard);
-			this.guards.delete(socket);
-		}
-
-		super.reuseSocket(socket, req);
-	}
-}
-
 const STATUS_SWITCHING_PROTOCOLS = 101;
 const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
 
@@ -102,7 +67,7 @@
 
 /** Sends requests to targets byte for byte and gives back the head of the answer; it never retries. */
 export class ForwardClient {
-	private readonly agent = new ForwardAgent();
+	private readonly agent = new Agent({keepAlive: true, maxFreeSockets: MAX_IDLE_CONNECTIONS, scheduling: 'lifo'});
 	private readonly watches = new WeakMap<Socket, ConnectionWatch>();
 
 	/** Resolves with the answer, whose body is still to be read, or with whether the target may have received anything. */
--- a/packages/engines/tests/client/forward-client.test.ts
+++ b/packages/engines/tests/client/forward-client.test.ts
@@ -4,7 +4,7 @@
 	createServer, type Server, type Socket, type AddressInfo,
 } from 'node:net';
 import {expect} from 'chai';
-import {ForwardClient} from '../../src/client/index.js';
+import {ForwardClient, type ForwardMessage} from '../../src/client/index.js';
 
 describe('ForwardClient', () => {
 	let server: Server;
@@ -31,10 +31,23 @@
 		server.close();
 	});
 
-	async function send(mayReuse = true): Promise<unknown> {
-		const sent = await client.send({
+	function createMessage(mayReuse: boolean): ForwardMessage {
+		return {
 			address: `127.0.0.1:${(server.address() as AddressInfo).port}`, method: 'GET', url: '/', headers: ['Host', 'a'], body: new Uint8Array(), mayReuse,
-		}, new AbortController().signal);
+		};
+	}
+
+	/** Lets both ends of the loopback connection read what was written. */
+	async function takeTurns(): Promise<void> {
+		for (let turns = 0; turns < 20; turns += 1) {
+			await new Promise(resolve => {
+				setImmediate(resolve);
+			});
+		}
+	}
+
+	async function send(mayReuse = true): Promise<unknown> {
+		const sent = await client.send(createMessage(mayReuse), new AbortController().signal);
 		if (sent.isErr) {
 			return {accepted: sent.error.accepted};
 		}
@@ -127,4 +140,31 @@
 		}, new AbortController().signal);
 		expect({closed, refused: refused.isErr && refused.error.accepted}).toMatchSnapshot();
 	});
+
+	// Guards against the rest of a second answer that is taken for the answer to the next request, because its beginning arrived while the first one was not yet read to its end.
+	it('closes a connection on which more bytes arrive before the answer has been read', async () => {
+		let peer: Socket | undefined;
+		const long = 'x'.repeat(40_000);
+		serve = socket => {
+			peer = socket;
+			socket.write(`HTTP/1.1 200 OK\r\nContent-Length: ${long.length}\r\n\r\n${long}`);
+		};
+
+		const first = await client.send(createMessage(true), new AbortController().signal);
+		// The body of the second answer reads like an answer, and its beginning comes at another time.
+		peer?.write('HTTP/1.1 200 OK\r\nContent-Length: 43\r\n\r\n');
+		await takeTurns();
+		const pieces: Uint8Array[] = [];
+		for await (const piece of first.isOk ? first.value.body : []) {
+			pieces.push(piece);
+		}
+
+		await takeTurns();
+		serve = socket => {
+			socket.write(`HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n${socket === peer ? 'other' : 'right'}`);
+		};
+
+		const isComplete = first.isOk && first.value.isComplete() && Buffer.concat(pieces).length === long.length;
+		expect({isComplete, next: await send(), connections}).toMatchSnapshot();
+	});
 });
