traffic: test that the rest of a request that was answered early is not kept

Callers saw: nothing; this is a check of a suspected fault that is none. Suspected: a target that answers before it has read a long body, and never reads on, keeps its connection and the body in memory. Ruled out: forwardRequest aborts the signal of its exchange also when the request has ended, so that the connection is closed and the target gets no other bytes where the rest of the body is due. Conclusion: no fault; the test guards it.

--- a/apps/egretrilld/tests/traffic/answer-end.test.ts
+++ b/apps/egretrilld/tests/traffic/answer-end.test.ts
@@ -1,9 +1,13 @@
+import {once} from 'node:events';
 import type {TrafficRoute} from '@egretrill/common';
 import {expect} from 'chai';
 import {ForwardHost, SIGNED} from './support/forward-host.js';
 import {callRaw} from './support/raw-caller.js';
 import {type RawPeer, type RawScript, RawTarget} from './support/raw-target.js';
 
+/** More than the buffers of both ends of a loopback connection hold. */
+const LONG_BODY_BYTES = 20_000_000;
+
 /** How a connection ends after the last bytes. */
 type Ending = (peer: RawPeer, last: string, wasRead: Promise<void>) => Promise<void> | void;
 
@@ -170,4 +174,28 @@
 			'interim answers alone': 'HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n\r\n',
 		})).toMatchSnapshot();
 	});
+
+	// Guards against a connection and a body in memory that are kept for as long as a target does not read the rest of a request that it has answered.
+	it('ends the connection when the request has not been read', async () => {
+		const body = 'x'.repeat(LONG_BODY_BYTES);
+		const seen = [];
+		for (const repeat of ['once', 'idempotent'] as const) {
+			const target = await RawTarget.open(async peer => {
+				await peer.readHead();
+				peer.socket.pause();
+				await peer.write(`${OK}Content-Length: 5\r\n\r\nwhole`);
+			});
+			const host = await ForwardHost.open({targets: [target.address], route: {repeat}});
+			const answer = await callRaw(host.port, {method: 'POST', body});
+			const peer = target.peers[0]!;
+			const {bytesRead} = peer.socket;
+			peer.socket.resume();
+			await Promise.race([once(peer.socket, 'end'), peer.readBytes(LONG_BODY_BYTES - bytesRead)]);
+			seen.push({body: answer.body, isWhole: answer.isWhole, rest: peer.socket.bytesRead < LONG_BODY_BYTES ? 'not sent' : 'sent after the request had ended'});
+			host.close();
+			target.close();
+		}
+
+		expect(seen).toMatchSnapshot();
+	});
 });
--- a/apps/egretrilld/tests/traffic/support/raw-target.ts
+++ b/apps/egretrilld/tests/traffic/support/raw-target.ts
@@ -29,6 +29,14 @@
 		this.received = '';
 	}
 
+	/** Resolves once so many further bytes have arrived, or the connection is closed. */
+	async readBytes(count: number): Promise<void> {
+		const end = this.socket.bytesRead + count;
+		while (this.socket.bytesRead < end && !this.socket.destroyed) {
+			await Promise.race([this.wait('data'), this.closed]);
+		}
+	}
+
 	/** Resolves when the connection takes more, or is closed. */
 	async write(text: string): Promise<void> {
 		if (this.socket.writable && !this.socket.write(text)) {
