engines: bear a reset between connecting and the first write of an order

Seen: an engine that resets a connection right after accepting it, as those above their connection limit do, could end the control host's process with an unhandled error event. Cause: openConnection gives its socket away without an error listener; until the HTTP library adds its own, an error has none. Change: the socket has a listener from its creation. The write that follows finds the connection closed and reports the outcome as before. Conclusion: mended.

--- a/packages/engines/src/placement/order-channel.ts
+++ b/packages/engines/src/placement/order-channel.ts
@@ -80,6 +80,8 @@
 export async function openConnection(address: string, signal: AbortSignal): Promise<Socket> {
 	const {hostname, port} = new URL(`http://${address}`);
 	const socket = connect({host: hostname.replaceAll(/[\[\]]/gv, ''), port: Number(port)});
+	// A connection that is reset before its first write would otherwise end the process; the write finds it closed.
+	socket.on('error', () => undefined);
 	try {
 		await once(socket, 'connect', {signal});
 	} catch (err: unknown) {
--- a/packages/engines/tests/placement/order-channel.test.ts
+++ b/packages/engines/tests/placement/order-channel.test.ts
@@ -2,11 +2,11 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
-import type {AddressInfo} from 'node:net';
+import {type AddressInfo, createServer as createSocketServer} from 'node:net';
 import type {Order} from '@egretrill/common';
 import {expect} from 'chai';
 import {
-	FencingOrderChannel, type HttpOrderChannel, type SendOutcome, UnfencedOrderChannel,
+	FencingOrderChannel, type HttpOrderChannel, openConnection, type SendOutcome, UnfencedOrderChannel,
 } from '../../src/placement/index.js';
 
 type Answer = (req: IncomingMessage, res: ServerResponse) => void;
@@ -84,4 +84,22 @@
 		const refused = await new UnfencedOrderChannel().send({targetId: 't1', startId: 's1', address: `127.0.0.1:${port}`}, order, () => true, new AbortController().signal);
 		expect({received, forbidden: forbidden.result, refused: refused.result}).to.deep.equal({received: 0, forbidden: 'not-sent', refused: 'not-sent'});
 	});
+
+	// Guards against a reset between connecting and writing that ends the process as an error without a listener.
+	it('bears a connection that is reset before anything is written', async () => {
+		const resetting = createSocketServer(accepted => {
+			accepted.once('data', () => {
+				accepted.resetAndDestroy();
+			});
+		}).listen(0, '127.0.0.1');
+		await once(resetting, 'listening');
+		const socket = await openConnection(`127.0.0.1:${(resetting.address() as AddressInfo).port}`, new AbortController().signal);
+		const closed = new Promise<boolean>(resolve => {
+			socket.once('close', resolve);
+		});
+		socket.write('bytes');
+		const hadError = await closed;
+		resetting.close();
+		expect(hadError).to.equal(true);
+	});
 });
