--- a/packages/engines/src/placement/order-channel.ts
+++ b/packages/engines/src/placement/order-channel.ts
@@ -1,7 +1,7 @@
 import {once} from 'node:events';
 import {connect, type Socket} from 'node:net';
 import type {Announcement, Order} from '@egretrill/common';
-import got from 'got';
+import got, {type Response} from 'got';
 import type {SendOutcome} from './types.js';
 
 const STATUS_CONFLICT = 409;
@@ -34,10 +34,7 @@
 		}
 
 		try {
-			const res = await got.post(`http://${target.address}/orders`, {
-				json: order, signal: expiry, createConnection: () => socket, retry: {limit: 0}, throwHttpErrors: false,
-			});
-			return this.restoreOutcome(res.statusCode);
+			return this.restoreOutcome(await postForStatus(`http://${target.address}/orders`, {json: order, signal: expiry}, socket));
 		} catch (err: unknown) {
 			return {result: 'unknown', reason: String(err)};
 		} finally {
@@ -91,3 +88,27 @@
 
 	return socket;
 }
+
+type StatusRequest = {
+	readonly json: unknown;
+	readonly headers?: Readonly<Record<string, string>>;
+	readonly signal: AbortSignal;
+};
+
+/**
+ * Posts a message over a connection of its own and resolves with the status of the answer.
+ * The body says no more than the status, so it is not read, and the caller closes the connection; a redirect is not followed, since the right to write holds for one engine.
+ */
+export async function postForStatus(url: string, {json, headers, signal}: StatusRequest, socket: Socket): Promise<number> {
+	const stream = got.stream.post(url, {
+		json, headers: {...headers}, signal, createConnection: () => socket, retry: {limit: 0}, throwHttpErrors: false, followRedirect: false, decompress: false,
+	});
+	// What fails after the head has arrived changes nothing; without a listener it would end the process.
+	stream.on('error', () => undefined);
+	try {
+		const [res] = await once(stream, 'response') as [Response];
+		return res.statusCode;
+	} finally {
+		stream.destroy();
+	}
+}
--- a/packages/engines/tests/placement/order-channel.test.ts
+++ b/packages/engines/tests/placement/order-channel.test.ts
@@ -85,6 +85,15 @@
 		expect({received, forbidden: forbidden.result, refused: refused.result}).to.deep.equal({received: 0, forbidden: 'not-sent', refused: 'not-sent'});
 	});
 
+	// Guards against an order that counts as unknown although the engine has accepted it, and against a body without end that fills the memory until the order expires.
+	it('needs no more of an answer than its head', async () => {
+		handle = (_req, res) => {
+			res.writeHead(202).write('the rest never comes');
+		};
+
+		expect(await send(new FencingOrderChannel(), order)).toMatchSnapshot();
+	});
+
 	// Guards against a reset between connecting and writing that ends the process as an error without a listener.
 	it('bears a connection that is reset before anything is written', async () => {
 		const resetting = createSocketServer(accepted => {
