--- a/dev/testkit/src/index.ts
+++ b/dev/testkit/src/index.ts
@@ -6,6 +6,7 @@
 export * from './link.js';
 export * from './local-config.js';
 export * from './ports.js';
+export * from './raw-server.js';
 export * from './session.js';
 export * from './target-process.js';
 export * from './wait.js';
--- /dev/null
+++ b/dev/testkit/src/raw-server.ts
@@ -0,0 +1,60 @@
+import {once} from 'node:events';
+import {
+	type AddressInfo, createServer, type Server, type Socket,
+} from 'node:net';
+
+const PART_BYTES = 65_536;
+
+/** A TCP server that answers with bytes of a test's choice, valid or not. */
+export class RawServer {
+	/** Starts a server whose `serve` runs once for each connection, as soon as the first bytes have arrived. */
+	static async start(serve: (socket: Socket, request: string) => void): Promise<RawServer> {
+		const started = new RawServer(serve);
+		started.server.listen(0, '127.0.0.1');
+		await once(started.server, 'listening');
+		return started;
+	}
+
+	private readonly sockets = new Set<Socket>();
+	private readonly server: Server;
+
+	private constructor(serve: (socket: Socket, request: string) => void) {
+		this.server = createServer(socket => {
+			this.sockets.add(socket);
+			socket.on('error', () => undefined);
+			socket.once('data', bytes => {
+				serve(socket, bytes.toString());
+			});
+		});
+	}
+
+	get address(): string {
+		return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+	}
+
+	stop(): void {
+		this.server.close();
+		for (const socket of this.sockets) {
+			socket.destroy();
+		}
+	}
+}
+
+/** Writes as fast as the other end reads until the connection is closed; resolves with the number of bytes that left. */
+export async function writeWithoutEnd(socket: Socket, part = ' '.repeat(PART_BYTES)): Promise<number> {
+	const closed = new AbortController();
+	socket.once('close', () => {
+		closed.abort();
+	});
+	while (!socket.destroyed) {
+		if (!socket.write(part)) {
+			try {
+				await once(socket, 'drain', {signal: closed.signal});
+			} catch {
+				break;
+			}
+		}
+	}
+
+	return socket.bytesWritten;
+}
