common: a reset does not end an answer without a length

Seen: an answer of a plain service or an engine that has no length and whose connection is reset halfway reached the caller as a whole one, with the verdict "ran", and would be kept as the outcome in the at-most-once record. Cause: the HTTP library takes any end of a connection, also a reset, for the end of a body that nothing else ends; a reset that arrives together with data is even reported as an orderly end. Ruled out: answers with a length or in chunks, and heads, that are cut or reset; they already failed. Bodies and heads without end already ended at MAX_ANSWER_BYTES and at the library's 16 KiB, which the test now shows. An answer without a length that a dying process ends in an orderly way cannot be told from a whole one. Change: exchangeHttp watches how the connection of such an answer ends and throws to its reader after a reset. Answers with a length or in chunks pass through as before.

--- /dev/null
+++ b/packages/callers/tests/relay-answer.test.ts
@@ -0,0 +1,103 @@
+import {Buffer} from 'node:buffer';
+import {once} from 'node:events';
+import {Agent} from 'node:http';
+import {type AddressInfo, createServer, type Socket} from 'node:net';
+import {setImmediate as nextTurn} from 'node:timers/promises';
+import {exchangeHttp, MAX_ANSWER_BYTES} from '@egretrill/common';
+import {expect} from 'chai';
+import {isSendFailure, readAnswer} from '../src/relay-answer.js';
+
+const DEADLINE_MS = 20_000;
+const head = 'HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n';
+
+/** Writes as fast as the other end reads until the connection closes. */
+function writeWithoutEnd(socket: Socket, part: string): void {
+	while (!socket.destroyed) {
+		if (!socket.write(part)) {
+			socket.once('drain', () => {
+				writeWithoutEnd(socket, part);
+			});
+			return;
+		}
+	}
+}
+
+/** Reads the answer of a target that treats each connection as `serve` says. */
+async function read(serve: (socket: Socket) => void): Promise<string> {
+	const server = createServer(socket => {
+		socket.on('error', () => undefined);
+		socket.once('data', () => {
+			serve(socket);
+		});
+	});
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const target = {targetId: 't-1', startId: 's-1', address: `127.0.0.1:${(server.address() as AddressInfo).port}`};
+	const agent = new Agent();
+	const sent = await exchangeHttp(target, {
+		requestId: 'req-1', method: 'GET', path: '/', headers: {}, body: new Uint8Array(0), deadlineMs: DEADLINE_MS,
+	}, new AbortController().signal, agent);
+	const outcome = sent.isErr ? sent.error : await readAnswer(sent.value);
+	server.close();
+	agent.destroy();
+	return isSendFailure(outcome) ? `failed: ${outcome.code}` : `whole: ${Buffer.from(outcome.body).toString()}`;
+}
+
+describe('reading of a whole answer', () => {
+	// Guards against a part of an answer that reaches the caller, and the at-most-once record, as the whole one.
+	it('takes an answer whose connection was cut or reset for a failure', async () => {
+		const outcomes: Record<string, string> = {
+			'no length, orderly end': await read(socket => {
+				socket.end(`${head}\r\nwhole`);
+			}),
+			'no length, reset together with the data': await read(socket => {
+				socket.write(`${head}\r\npart`);
+				socket.resetAndDestroy();
+			}),
+			'no length, reset after the data': await read(socket => {
+				socket.write(`${head}\r\npart`, async () => {
+					await nextTurn();
+					socket.resetAndDestroy();
+				});
+			}),
+			'no body by its status, reset with its head': await read(socket => {
+				socket.write('HTTP/1.1 204 No Content\r\n\r\n');
+				socket.resetAndDestroy();
+			}),
+			'length, cut': await read(socket => {
+				socket.end(`${head}Content-Length: 10\r\n\r\npart`);
+			}),
+			'length, reset': await read(socket => {
+				socket.write(`${head}Content-Length: 10\r\n\r\npart`);
+				socket.resetAndDestroy();
+			}),
+			'chunks, cut': await read(socket => {
+				socket.end(`${head}Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n`);
+			}),
+			'chunks, reset': await read(socket => {
+				socket.write(`${head}Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n`);
+				socket.resetAndDestroy();
+			}),
+			'head, cut': await read(socket => {
+				socket.end(head);
+			}),
+		};
+		// Which code a failure has depends on how the bytes and the reset arrive.
+		expect(Object.fromEntries(Object.entries(outcomes).map(([name, text]) => [name, text.replace(/^failed: .*$/v, 'failed')]))).toMatchSnapshot();
+	});
+
+	// Guards against an answer without end that fills the memory or keeps its task until the deadline.
+	it('ends an answer without end once it is too long', async () => {
+		const outcomes = {
+			body: await read(socket => {
+				socket.write(`${head}\r\n`);
+				writeWithoutEnd(socket, ' '.repeat(MAX_ANSWER_BYTES / 64));
+			}),
+			head: await read(socket => {
+				socket.write(head);
+				writeWithoutEnd(socket, 'X-More: of the same\r\n'.repeat(64));
+			}),
+		};
+		expect(outcomes).toMatchSnapshot();
+	});
+});
--- a/packages/common/src/http-exchange.ts
+++ b/packages/common/src/http-exchange.ts
@@ -1,5 +1,6 @@
 import {Buffer} from 'node:buffer';
 import type {Agent} from 'node:http';
+import type {Socket} from 'node:net';
 import got, {RequestError, type Response, TimeoutError} from 'got';
 import {Result} from 'true-myth';
 import type {
@@ -14,6 +15,9 @@
 
 const bodilessMethods: ReadonlySet<string> = new Set(['GET', 'HEAD']);
 
+/** Answers with these statuses end with their head. */
+const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
+
 function isUnsent(err: unknown): boolean {
 	if (err instanceof TimeoutError) {
 		return err.event === 'connect' || err.event === 'lookup';
@@ -42,6 +46,29 @@
 	};
 }
 
+/** Whether nothing but the end of the connection ends the body. */
+function endsWithConnection({headers, statusCode}: Response, method: string): boolean {
+	const hasNoBody = method === 'HEAD' || bodilessStatuses.has(statusCode);
+	return !hasNoBody && headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
+}
+
+/** Notes how a connection ends. A reset that arrives together with data is reported as an orderly end, but leaves the connection without a remote address. */
+function watchReset(socket: Socket): () => boolean {
+	let isDisconnected = false;
+	socket.prependOnceListener('end', () => {
+		isDisconnected = socket.remoteAddress === undefined;
+	});
+	return () => isDisconnected || Boolean(socket.errored);
+}
+
+/** Passes a body on and throws at its end if the connection was reset, which the library takes for the end of a body without a length. */
+async function * failAfterReset(body: AsyncIterable<Uint8Array>, wasReset: () => boolean): AsyncGenerator<Uint8Array, void> {
+	yield * body;
+	if (wasReset()) {
+		throw new Error('The connection was reset before the end of the answer.');
+	}
+}
+
 /** Sends one HTTP request to a target, without retries, and resolves with the head of the answer. */
 export async function exchangeHttp(target: TargetAddress, req: TargetRequest, signal: AbortSignal, agent: Agent): Promise<Result<TargetResponse, SendFailure>> {
 	const stream = got.stream(`http://${target.address}${req.path}`, {
@@ -68,7 +95,8 @@
 			resolve(Result.err(toSendFailure(err)));
 		});
 		stream.once('response', (response: Response) => {
-			resolve(Result.ok({status: response.statusCode, headers: getHeaders(response), body: stream}));
+			const body = endsWithConnection(response, req.method) ? failAfterReset(stream, watchReset(response.socket)) : stream;
+			resolve(Result.ok({status: response.statusCode, headers: getHeaders(response), body}));
 		});
 	});
 }
