common, traffic, daemon: look for requests beyond their time twice a second

Seen: a caller whose head does not end was kept until the library's next look at its connections, which it takes every 30 s, although the configuration allows 3 s; one whose body does not end was kept for 300 to 330 s, and a body without end after an answer that needs none was read and dropped as fast as it came for as long. Cause: headersTimeout was set from the configuration, but not how often the library looks for what is beyond it. requestTimeout was left at 300 s on every server: callers, targets, operators, monitor, health. Ruled out: bytes. Callers' bodies are bounded by the configuration or MAX_BODY_BYTES, control calls by 16 MB, announcements by 256 kB, heads by the library. Change: createHttpServer makes all servers, with a look every 500 ms, 5 s for a head and 30 s for a request unless set otherwise; an entry host takes the time for a head from the configuration, and for the request as much more as the longest time of a route. What is beyond is answered 408, which promises that nothing has run, since only whole requests are forwarded. A connection that sends nothing at all after its opening falls under the time for a head too, as before. Conclusion: mended.

--- a/apps/egretrilld/src/daemon.ts
+++ b/apps/egretrilld/src/daemon.ts
@@ -1,8 +1,10 @@
 import {once, setMaxListeners} from 'node:events';
-import {createServer, type RequestListener, type Server} from 'node:http';
+import type {RequestListener, Server} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import {createCallerApp, handleRequest, sendRefusal} from '@egretrill/callers';
-import {type ConfigDocument, getComponentLogger, isVerdictError} from '@egretrill/common';
+import {
+	type ConfigDocument, createHttpServer, getComponentLogger, isVerdictError,
+} from '@egretrill/common';
 import {createTargetApp} from '@egretrill/engines';
 import {
 	FleetOrigin, getDocumentDigest, type PeerCredentials, type PeerServer, startPeerServer,
@@ -258,7 +260,7 @@
 	private async listen(address: string, listener: RequestListener): Promise<string> {
 		const separator = address.lastIndexOf(':');
 		const host = address.slice(0, separator);
-		const server = createServer(listener);
+		const server = createHttpServer(listener);
 		server.listen(Number(address.slice(separator + 1)), host);
 		await once(server, 'listening');
 		this.servers = [...this.servers, server];
--- a/apps/egretrilld/src/traffic/entry-host.ts
+++ b/apps/egretrilld/src/traffic/entry-host.ts
@@ -1,9 +1,7 @@
 import {setMaxListeners} from 'node:events';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {
-	createServer, type IncomingMessage, type Server, type ServerResponse,
-} from 'node:http';
-import {
-	type Clock, jitter, type Logger, type Random, type TrafficSource,
+	type Clock, createHttpServer, jitter, type Logger, type Random, setReadLimits, type TrafficSource,
 } from '@egretrill/common';
 import {
 	type ForwardDialect, type ForwardParts, forwardRequest, PlaceQueue, RATE_LEASE_MS, RateParts, RetryBudget, ReturnTimes, RouteTable,
@@ -95,7 +93,7 @@
 		};
 		// Every begun request waits on this one signal, which is more than the default limit for leaks allows.
 		setMaxListeners(0, this.halted.signal);
-		this.server = createServer((req, res) => {
+		this.server = createHttpServer((req, res) => {
 			void this.serve(req, res);
 		});
 	}
@@ -161,7 +159,8 @@
 		this.table = new RouteTable(decoded.value);
 		this.rates.setCustomers(decoded.value.customers ?? []);
 		const {headerTimeoutMs, idleTimeoutMs} = decoded.value.limits;
-		this.server.headersTimeout = headerTimeoutMs;
+		// A request that is still arriving when the time of every route has passed can be served on none.
+		setReadLimits(this.server, {headMs: headerTimeoutMs, requestMs: headerTimeoutMs + Math.max(0, ...decoded.value.routes.map(({timeoutMs}) => timeoutMs))});
 		this.server.keepAliveTimeout = idleTimeoutMs;
 		logger.info({version, routes: decoded.value.routes.length, services: decoded.value.services.length}, 'A configuration is in force.');
 	}
--- a/apps/egretrilld/src/traffic/run-traffic.ts
+++ b/apps/egretrilld/src/traffic/run-traffic.ts
@@ -1,7 +1,8 @@
 import {once} from 'node:events';
-import {createServer, type RequestListener, type Server} from 'node:http';
+import type {RequestListener, Server} from 'node:http';
 import process from 'node:process';
 import {createHealthApp, type UnreadyReason} from '@egretrill/balancer';
+import {createHttpServer} from '@egretrill/common';
 import {startPeerServer} from '@egretrill/hosts';
 import type {Container} from 'inversify';
 import type {Adapter} from './adapter.js';
@@ -26,7 +27,7 @@
 		return undefined;
 	}
 
-	const server = createServer(createHealthApp({metrics: container.get(trafficTokens.metrics), getUnreadyReasons}) as RequestListener);
+	const server = createHttpServer(createHealthApp({metrics: container.get(trafficTokens.metrics), getUnreadyReasons}) as RequestListener);
 	await listen(server, settings.metrics);
 	return server;
 }
@@ -64,7 +65,7 @@
 		address: settings.listen.peers, credentials: container.get(trafficTokens.credentials), handlers: control.getHandlers(), logger,
 	});
 	const running = control.run(signal);
-	const server = createServer(adapter.createControlApp(control));
+	const server = createHttpServer(adapter.createControlApp(control));
 	await listen(server, settings.listen.control);
 	const metrics = await serveMetrics(container, settings, () => []);
 	logger.info({
@@ -85,7 +86,7 @@
 	const logger = container.get(trafficTokens.logger);
 	const ended = new AbortController();
 	const running = entry.run(ended.signal);
-	const ready = createServer(adapter.createReadyApp(() => entry.getUnreadyReasons()));
+	const ready = createHttpServer(adapter.createReadyApp(() => entry.getUnreadyReasons()));
 	await listen(ready, settings.listen.health);
 	await listen(entry.server, settings.listen.callers);
 	const metrics = await serveMetrics(container, settings, () => entry.getUnreadyReasons());
