engines: the time in which a caller reads nothing does not count against the engine

Seen (by reading): a caller that reads nothing for a minute and then goes on had its stream broken off as "no-progress" at the next look of the watch, although the engine, held back by the connection, could not send. Cause: resume restarted the time of silence but left the time of the last part of the answer where it was. Ruled out: silence of the connection, which restarts at each resume already. Change: resume moves the last progress by the length of the pause, so that pauses count as no time.

--- a/packages/engines/src/client/stream-watch.ts
+++ b/packages/engines/src/client/stream-watch.ts
@@ -3,7 +3,7 @@
 
 /** Ends a stream whose connection has gone silent, or whose engine makes no progress. */
 export class StreamWatch {
-	private isPaused = false;
+	private pausedMs: number | undefined;
 	private lastByteMs: number;
 	private lastProgressMs: number;
 	private cause: 'connection-silent' | 'no-progress' | undefined;
@@ -19,13 +19,15 @@
 
 	/** Stops judging the engine while the caller is slow to take what has arrived. */
 	pause(): void {
-		this.isPaused = true;
+		this.pausedMs = this.clock.now();
 	}
 
-	/** Judges the engine again: silence counts from now, missing progress still from the last part of the answer. */
+	/** Judges the engine again: silence counts from now, missing progress from the last part of the answer, without the pause. */
 	resume(): void {
-		this.isPaused = false;
-		this.lastByteMs = this.clock.now();
+		const now = this.clock.now();
+		this.lastByteMs = now;
+		this.lastProgressMs += now - (this.pausedMs ?? now);
+		this.pausedMs = undefined;
 	}
 
 	/** Notes bytes of any kind, heartbeats included. */
@@ -47,7 +49,7 @@
 	}
 
 	private check(): void {
-		if (this.isPaused) {
+		if (this.pausedMs !== undefined) {
 			return;
 		}
 
