monitor, daemon: start a host whose evidence is damaged

Seen: a host whose evidence file is damaged did not start; EvidenceLog.open threw "The evidence is broken at line 1 (hash)", and so did a host that had only the head of its file left. Cause: the holder passed the error of the check on, although nothing that callers need depends on the evidence. Ruled out: a torn last line, which was never acknowledged; it is dropped and recorded, as before. Change: openEvidence renames the damaged file and its head to the next free "damaged" name, syncs the folder and begins a new file whose first record (damage-found) names the kept file and the broken link; the host logs the same. EvidenceLog.open and the audit command still refuse damaged files, and a head that the monitor noted earlier does not fit the new file, so that damage stays visible. Errors of the disk itself still end the start.

--- a/apps/egretrilld/src/container.ts
+++ b/apps/egretrilld/src/container.ts
@@ -54,7 +54,7 @@
 	container.bind(tokens.logger).toConstantValue(createLogger(`egretrilld.${settings.host}`, settings.logLevel));
 	container.bind(tokens.metrics).toConstantValue(new Metrics());
 	container.bind(tokens.promises).toConstantValue(new PromiseCounters());
-	container.bind(tokens.evidence).toConstantValue(new EvidenceHolder(settings));
+	container.bind(tokens.evidence).toDynamicValue(ctx => new EvidenceHolder(settings, getLogger(ctx, 'monitor'))).inSingletonScope();
 	container.bind(tokens.drain).toDynamicValue(ctx => new Drain({clock: ctx.get(tokens.clock), deadlineMs: settings.drainDeadlineMs})).inSingletonScope();
 }
 
--- a/apps/egretrilld/src/monitor/evidence-holder.ts
+++ b/apps/egretrilld/src/monitor/evidence-holder.ts
@@ -1,12 +1,12 @@
 import path from 'node:path';
-import type {Settings} from '@egretrill/common';
-import {EvidenceLog, FileEvidenceStorage} from '@egretrill/monitor';
+import type {Logger, Settings} from '@egretrill/common';
+import {type EvidenceLog, openEvidence} from '@egretrill/monitor';
 
 /** The evidence log of this host, once it has been opened; hosts without a disk have none. */
 export class EvidenceHolder {
 	private log: EvidenceLog | undefined;
 
-	constructor(private readonly settings: Settings) {}
+	constructor(private readonly settings: Pick<Settings, 'dataDir'>, private readonly logger: Logger) {}
 
 	get(): EvidenceLog | undefined {
 		return this.log;
@@ -15,7 +15,11 @@
 	async open(): Promise<void> {
 		const {dataDir} = this.settings;
 		if (dataDir !== undefined) {
-			this.log = await EvidenceLog.open({storage: await FileEvidenceStorage.open(path.join(dataDir, 'evidence', 'evidence.jsonl'))});
+			this.log = await openEvidence(path.join(dataDir, 'evidence', 'evidence.jsonl'), {
+				onDamage: ({keptAs, link}) => {
+					this.logger.error({keptAs, link}, 'The evidence is damaged; it is kept under another name, and a new file begins.');
+				},
+			});
 		}
 	}
 }
--- a/packages/monitor/src/index.ts
+++ b/packages/monitor/src/index.ts
@@ -4,6 +4,7 @@
 export * from './evidence-storage.js';
 export * from './monitor-app.js';
 export * from './monitor-view.js';
+export * from './open-evidence.js';
 export * from './promise-counters.js';
 export * from './types.js';
 export {verifyEvidence} from './verify-evidence.js';
--- a/packages/monitor/src/types.ts
+++ b/packages/monitor/src/types.ts
@@ -25,6 +25,15 @@
 
 const change = {author: z.string(), requestId: z.string(), follows: count};
 
+/** The first broken link of a chain. */
+const brokenLink = {
+	/** Counted from 1. */
+	line: z.int().positive(),
+	fault: z.enum(['hash', 'format', 'link', 'sequence', 'torn', 'cut', 'replaced', 'head-unreadable']),
+	expected: z.string(),
+	found: z.string(),
+};
+
 /** One fact that the firm can show the monitor. */
 export const EvidenceRecord = z.discriminatedUnion('kind', [
 	z.object({
@@ -42,6 +51,8 @@
 	z.object({kind: z.literal('order-given'), target: identifier, order: Order}),
 	z.object({kind: z.literal('promises'), counters: z.array(PromiseCount)}),
 	z.object({kind: z.literal('tail-dropped'), bytes: z.int().positive()}),
+	/** The earlier evidence of this host is damaged and kept in another file. */
+	z.object({kind: z.literal('damage-found'), file: z.string(), ...brokenLink}),
 ]);
 export type EvidenceRecord = z.infer<typeof EvidenceRecord>;
 
@@ -73,12 +84,7 @@
 		tornBytes: count,
 	}),
 	z.object({
-		intact: z.literal(false),
-		/** Line of the first broken link, counted from 1. */
-		line: z.int().positive(),
-		fault: z.enum(['hash', 'format', 'link', 'sequence', 'torn', 'cut', 'replaced', 'head-unreadable']),
-		expected: z.string(),
-		found: z.string(),
+		intact: z.literal(false), ...brokenLink,
 	}),
 ]);
 export type Verification = z.infer<typeof Verification>;
