traffic: one call at a time asks the leader for loans of rates

Cause: at 80 hosts a host's part of most customers' rates is smaller than one request, so nearly each request borrows from the leader by a call of its own, about 1,000 a second; a leader that is late gets as many more calls meanwhile. Change: a host has one call for loans under way, and the next carries all that have come meanwhile.

--- a/apps/egretrilld/src/traffic/control-follower.ts
+++ b/apps/egretrilld/src/traffic/control-follower.ts
@@ -4,11 +4,12 @@
 	type Clock, type Logger, type TrafficSource,
 } from '@egretrill/common';
 import type {ControlPeers} from '@egretrill/hosts';
+import {BorrowBatches} from './borrow-batches.js';
 import {
 	BORROW_ANSWER_MS, CONTROL_SUSPECT_MS, SYNC_ANSWER_MS, SYNC_GAP_MS, SYNC_RETRY_MS, SYNC_WAIT_MS,
 } from './constants.js';
 import {
-	borrowMethod, type EntryReport, type LeaderPlan, syncMethod, type SyncResponse, wantMethod,
+	borrowMethod, type EntryReport, type LeaderPlan, type RateLoan, syncMethod, type SyncResponse, wantMethod,
 } from './methods.js';
 import {pickControl} from './pick-control.js';
 import {getSyncGapMs} from './sync-gap.js';
@@ -46,6 +47,7 @@
 	private hostCount = 1;
 	private lastAnswerMs = Number.NEGATIVE_INFINITY;
 	private readonly askedMs = new Map<string, number>();
+	private readonly borrows = new BorrowBatches(async loans => this.askForLoans(loans));
 
 	constructor(private readonly opts: ControlFollowerOptions) {
 		super();
@@ -78,12 +80,16 @@
 	}
 
 	override async borrow(name: string, cost: number): Promise<RateAnswer | undefined> {
+		return this.borrows.borrow({customer: name, cost});
+	}
+
+	private async askForLoans(loans: readonly RateLoan[]): Promise<readonly RateAnswer[] | undefined> {
 		if (this.leaderId === undefined || this.silent.has(this.leaderId)) {
 			return undefined;
 		}
 
-		const answer = await this.opts.peers.call(this.leaderId, borrowMethod, {customer: name, cost}, BORROW_ANSWER_MS);
-		return answer.isOk ? answer.value.answer : undefined;
+		const answer = await this.opts.peers.call(this.leaderId, borrowMethod, {loans: [...loans]}, BORROW_ANSWER_MS);
+		return answer.isOk ? answer.value.answers : undefined;
 	}
 
 	private pick(): string | undefined {
--- a/apps/egretrilld/src/traffic/control-host.ts
+++ b/apps/egretrilld/src/traffic/control-host.ts
@@ -111,9 +111,9 @@
 				const targetId = await term?.engines.want(want, term.signal);
 				return {...(targetId !== undefined && {targetId})};
 			}),
-			bindMethod(borrowMethod, async ({customer, cost}) => {
-				const answer = this.getTerm()?.rates.borrow(customer, cost);
-				return {...(answer && {answer})};
+			bindMethod(borrowMethod, async ({loans}) => {
+				const rates = this.getTerm()?.rates;
+				return {...(rates && {answers: loans.map(({customer, cost}) => rates.borrow(customer, cost))})};
 			}),
 			bindMethod(gossipMethod, async ({hostId, zone, registry}) => {
 				this.gossip.noteHeard(hostId, zone);
--- a/apps/egretrilld/src/traffic/index.ts
+++ b/apps/egretrilld/src/traffic/index.ts
@@ -1,5 +1,6 @@
 export * from './adapter.js';
 export * from './book-places.js';
+export * from './borrow-batches.js';
 export * from './config-decoder.js';
 export * from './control-follower.js';
 export * from './control-host.js';
--- a/apps/egretrilld/src/traffic/methods.ts
+++ b/apps/egretrilld/src/traffic/methods.ts
@@ -58,9 +58,13 @@
 	targetId: z.string().optional(),
 }));
 
-/** Spends from the leader's pool of a customer's rate; without an answer the host asked does not lead. */
-export const borrowMethod = defineMethod('Traffic', 'borrow', z.object({customer: z.string(), cost: z.number().nonnegative()}), z.object({
-	answer: z.object({isGranted: z.boolean(), retryAfterMs: z.number()}).optional(),
+/** What a request costs of its customer's rate. */
+export const RateLoan = z.object({customer: z.string(), cost: z.number().nonnegative()});
+export type RateLoan = z.infer<typeof RateLoan>;
+
+/** Spends from the leader's pools of customers' rates, with an answer for each loan; without answers the host asked does not lead. */
+export const borrowMethod = defineMethod('Traffic', 'borrow', z.object({loans: z.array(RateLoan)}), z.object({
+	answers: z.array(z.object({isGranted: z.boolean(), retryAfterMs: z.number()})).optional(),
 }));
 
 /** Exchanges registrations between control hosts. */
