traffic: held polls are woken only when there is something to tell

What operators would see: control hosts of a large fleet spend processor time although nothing changes.

Cause: the tasks that follow the log and the registry woke all held polls each time they ran, that is at each entry of the log and at least eight times a second; each woken poll walked over all targets to see whether one had changed, and waited again with a timer of its own.

Ruled out: a change that is missed because it falls between the look of a poll and its wait; both happen in one turn of the event loop, and a later change has a later revision.

Change: SyncNews holds the polls and wakes them when the version of the configuration or the revision of the last change that others must see differs from those at the last wake. The registry keeps that revision, so that a look for changes is one comparison.

--- a/apps/egretrilld/src/traffic/control-host.ts
+++ b/apps/egretrilld/src/traffic/control-host.ts
@@ -2,7 +2,7 @@
 import {setMaxListeners} from 'node:events';
 import path from 'node:path';
 import {
-	type Clock, type EngineClass, type Logger, type Random, type Registration, Signal, type TrafficConfig, type TrafficCustomer,
+	type Clock, type EngineClass, type Logger, type Random, type Registration, type TrafficConfig, type TrafficCustomer,
 } from '@egretrill/common';
 import {FileLogStorage, SnapshotStore} from '@egretrill/disk';
 import {type EngineOrders, TargetRegistry} from '@egretrill/engines';
@@ -20,6 +20,7 @@
 } from './methods.js';
 import {nameLeader} from './name-leader.js';
 import type {ControlSettings} from './settings.js';
+import {SyncNews} from './sync-news.js';
 
 export type ControlHostOptions = {
 	readonly settings: ControlSettings;
@@ -43,8 +44,7 @@
 	private readonly log: FleetLog;
 	private readonly gossip: ControlGossip;
 	private readonly membership: Membership;
-	/** Notified when entry hosts must hear of a change. */
-	private readonly news = new Signal();
+	private readonly news: SyncNews;
 	private readonly origin = randomUUID();
 	private term: LeaderTerm | undefined;
 	private decoded: DecodedTraffic | undefined;
@@ -57,6 +57,7 @@
 			selfId: this.hostId, seedIds: settings.seeds, clock, credentials,
 		});
 		this.registry = new TargetRegistry(clock, this.origin);
+		this.news = new SyncNews({clock, registry: this.registry, getConfigVersion: () => this.state.getTraffic()?.version ?? 0});
 		const folder = path.join(settings.dataDir, 'log');
 		this.node = new ConsensusNode({
 			memberId: this.hostId,
@@ -93,7 +94,7 @@
 			...bindConsensus(this.node),
 			bindFleetLog(this.node),
 			bindMethod(syncMethod, async ({report, configVersion, registry, waitMs}) => {
-				await this.waitForNews(configVersion, registry, waitMs);
+				await this.news.wait(configVersion, registry, waitMs);
 				const traffic = this.state.getTraffic();
 				const leaderId = this.getLeaderId();
 				const plan = this.getTerm()?.takeReport(report);
@@ -230,19 +231,11 @@
 		});
 	}
 
-	private async waitForNews(configVersion: number, known: {readonly origin: string; readonly revision: number}, waitMs: number): Promise<void> {
-		const {clock} = this.opts;
-		const endsMs = clock.now() + waitMs;
-		while (clock.now() < endsMs && (this.state.getTraffic()?.version ?? 0) <= configVersion && !this.registry.hasChangedSince(known)) {
-			await this.news.wait(clock, endsMs - clock.now());
-		}
-	}
-
 	private async followLog(signal: AbortSignal): Promise<void> {
 		while (!signal.aborted) {
 			await this.node.changed.wait(this.opts.clock, DUTY_PERIOD_MS, signal);
 			this.followLeadership();
-			this.news.notify();
+			this.news.tell();
 		}
 	}
 
@@ -250,7 +243,7 @@
 		while (!signal.aborted) {
 			await this.registry.changed.wait(this.opts.clock, DUTY_PERIOD_MS, signal);
 			this.registry.sweep();
-			this.news.notify();
+			this.news.tell();
 		}
 	}
 
--- a/apps/egretrilld/src/traffic/index.ts
+++ b/apps/egretrilld/src/traffic/index.ts
@@ -12,3 +12,4 @@
 export * from './pick-control.js';
 export * from './run-traffic.js';
 export * from './settings.js';
+export * from './sync-news.js';
--- a/packages/engines/src/registry/target-registry.ts
+++ b/packages/engines/src/registry/target-registry.ts
@@ -35,6 +35,8 @@
 	readonly changed = new Signal();
 	private readonly entries = new Map<string, Entry>();
 	private revision = 0;
+	/** Revision of the last change that other hosts must see. */
+	private changedRevision = 0;
 
 	constructor(private readonly clock: Clock, private readonly origin: string) {}
 
@@ -104,7 +106,12 @@
 
 	/** Whether anything that other hosts must see changed after a revision. */
 	hasChangedSince(known: {readonly origin: string; readonly revision: number}): boolean {
-		return known.origin !== this.origin || [...this.entries.values()].some(({revision}) => revision > known.revision);
+		return known.origin !== this.origin || this.changedRevision > known.revision;
+	}
+
+	/** Revision of the last change that other hosts must see. */
+	getChangedRevision(): number {
+		return this.changedRevision;
 	}
 
 	/** Targets that registered recently and have not ended. */
@@ -146,6 +153,7 @@
 
 	private store(entry: Omit<Entry, 'revision' | 'heartbeatRevision'>): void {
 		this.revision += 1;
+		this.changedRevision = this.revision;
 		this.entries.set(entry.registration.targetId, {...entry, revision: this.revision, heartbeatRevision: this.revision});
 		this.changed.notify();
 	}
