engines: each engine is weighed once for an adapter that is asked for

What operators would see: the leader spends more on each adapter that is asked for the more engines hold its model.

Cause: the engines with the model were sorted by a load that was computed in each comparison; it finds the adapters in use at the engine among the reports of all hosts.

Change: the loads are computed once before the sort.

Evidence: the test "weighs each engine that holds the model once for an adapter" showed 6 weighings among 4 engines and 126 among 64 (already in order, the least a sort needs) before, 4 and 64 after.

Conclusion: the cost of an adapter grows with the copies of its model.

--- a/packages/engines/src/loading/engine-owner.ts
+++ b/packages/engines/src/loading/engine-owner.ts
@@ -225,7 +225,8 @@
 			return held + ((line?.getPending() ?? 0) * PENDING_WEIGHT) + (line?.move === undefined && !isFull ? 0 : MOVE_WEIGHT);
 		};
 
-		return {engine: holders.toSorted((a, b) => getLoad(a) - getLoad(b)).at(0), isHeld: false};
+		const loads = new Map(holders.map(engine => [engine, getLoad(engine)]));
+		return {engine: holders.toSorted((a, b) => (loads.get(a) ?? 0) - (loads.get(b) ?? 0)).at(0), isHeld: false};
 	}
 
 	private findAdapterRoom(targetId: string, {adapterSlots}: EngineClass): AdapterRoom {
--- a/packages/engines/tests/loading/engine-owner.test.ts
+++ b/packages/engines/tests/loading/engine-owner.test.ts
@@ -117,6 +117,16 @@
 	}
 }
 
+/** A registry that counts how often it is asked for a target. */
+class CountingRegistry extends TargetRegistry {
+	asked = 0;
+
+	override get(targetId: string): Registration | undefined {
+		this.asked += 1;
+		return super.get(targetId);
+	}
+}
+
 const registration: Registration = {
 	targetId: 't1', startedAtMs: 1, sequence: 1, service: 's', address: '127.0.0.1:1', zone: 'z', slots: 64, isLeaving: false, coldForMs: 0, models: [{name: 'a', version: 1, adapters: []}], inMemory: [], onDisk: [],
 };
@@ -266,4 +276,33 @@
 		await clock.run(1);
 		expect(await Promise.all(asked)).toMatchSnapshot();
 	});
+
+	// Guards against an engine that is weighed again in each comparison with another one when an adapter is asked for.
+	it('weighs each engine that holds the model once for an adapter', async () => {
+		const count = async (holders: number): Promise<number> => {
+			const clock = new ManualClock();
+			const registry = new CountingRegistry(clock, 'r');
+			for (let i = 0; i < holders; i++) {
+				registry.accept({...registration, targetId: `t${i}`, address: `t${i}:1`});
+			}
+
+			const owner = new EngineOwner({
+				clock,
+				random: createRandom(1),
+				logger: createLogger('test', 'fatal'),
+				registry,
+				orders: new SimulatedEngine(clock),
+				holder: 'h',
+				fencingToken: 1,
+				firstOrderAtMs: 0,
+				mayOrder: () => false,
+				getZonesOut: () => [],
+				getClasses: () => new Map([['s', engineClass]]),
+			});
+			void owner.want({service: 's', model: 'a', adapter: 'a1'}, new AbortController().signal);
+			return registry.asked;
+		};
+
+		expect({of4: await count(4), of64: await count(64)}).toMatchSnapshot();
+	});
 });
