engines: the adapters in use are read from a report once, not for each engine

What operators would see: the leader of a large fleet spends processor time on each adapter that is asked for.

Cause: for each engine with the model, the room for an adapter was found by a walk over what all hosts have reported, about 25 entries for each of 80 hosts.

Change: a report is grouped by target when an engine is first looked for in it, and kept so until the host's next report.

Evidence: the test "reads the report of a host once, not for each engine" showed 800 entries visited for one engine and 16,000 for 20 before, 800 in both cases after.

Conclusion: a gain where several engines hold a model, and none where reports are much more frequent than adapters asked for.

--- a/packages/engines/src/loading/adapter-places.ts
+++ b/packages/engines/src/loading/adapter-places.ts
@@ -12,9 +12,32 @@
 	return JSON.stringify([model, adapter]);
 }
 
+/** Which adapters the requests of one host use. */
+type UseReport = {
+	readonly uses: readonly AdapterUse[];
+	readonly seenMs: number;
+	/** The same by target, made when it is first asked for: most reports are replaced before. */
+	byTarget?: ReadonlyMap<string, readonly AdapterUse[]>;
+};
+
+function groupByTarget(uses: readonly AdapterUse[]): ReadonlyMap<string, readonly AdapterUse[]> {
+	const byTarget = new Map<string, AdapterUse[]>();
+	for (const use of uses) {
+		const [targetId] = use;
+		const known = byTarget.get(targetId);
+		if (known) {
+			known.push(use);
+		} else {
+			byTarget.set(targetId, [use]);
+		}
+	}
+
+	return byTarget;
+}
+
 /** Decides which adapter makes room for another one. Answers more adapters in demand than an engine has places for. */
 export class AdapterPlaces {
-	private readonly uses = new Map<string, {readonly uses: readonly AdapterUse[]; readonly seenMs: number}>();
+	private readonly uses = new Map<string, UseReport>();
 	/** When adapters were loaded, by engine and adapter. */
 	private readonly loadedMs = new Map<string, Map<string, number>>();
 
@@ -47,9 +70,10 @@
 	private getInUse(targetId: string): ReadonlySet<string> {
 		const oldestMs = this.clock.now() - ADAPTER_USE_TTL_MS;
 		const inUse = new Set<string>();
-		for (const {uses, seenMs} of this.uses.values()) {
-			for (const [other, model, adapter] of seenMs >= oldestMs ? uses : []) {
-				if (other === targetId) {
+		for (const report of this.uses.values()) {
+			if (report.seenMs >= oldestMs) {
+				report.byTarget ??= groupByTarget(report.uses);
+				for (const [, model, adapter] of report.byTarget.get(targetId) ?? []) {
 					inUse.add(getKey({model, adapter}));
 				}
 			}
--- a/packages/engines/tests/loading/adapter-places.test.ts
+++ b/packages/engines/tests/loading/adapter-places.test.ts
@@ -1,6 +1,19 @@
 import {ManualClock} from '@egretrill/common';
 import {expect} from 'chai';
 import {AdapterPlaces, type AdapterRoom, type HeldAdapter} from '../../src/loading/index.js';
+import type {AdapterUse} from '../../src/registry/index.js';
+
+/** A list that counts how many of its items are visited. */
+class CountedList<T> extends Array<T> {
+	static visited = 0;
+
+	override * [Symbol.iterator](): ArrayIterator<T> {
+		for (let i = 0; i < this.length; i++) {
+			CountedList.visited += 1;
+			yield this[i]!;
+		}
+	}
+}
 
 const held: readonly HeldAdapter[] = ['a1', 'a2'].map(adapter => ({model: 'm', adapter}));
 const demand: Readonly<Record<string, number>> = {a1: 5, a2: 1};
@@ -35,4 +48,23 @@
 		clock.advance(500);
 		expect({atOnce, later: findRoom(places)}).toMatchSnapshot();
 	});
+
+	// Guards against a leader that walks over the reports of all hosts for each engine at which it weighs an adapter.
+	it('reads the report of a host once, not for each engine', () => {
+		const count = (targets: number): number => {
+			const places = new AdapterPlaces(new ManualClock());
+			for (let i = 0; i < 80; i++) {
+				places.noteUse(`h${i}`, CountedList.from(Array.from({length: 10}, (_, k): AdapterUse => [`t${k}`, 'm', 'a1', 1])));
+			}
+
+			CountedList.visited = 0;
+			for (let i = 0; i < targets; i++) {
+				places.findRoom(`t${i}`, held, 2, () => 0);
+			}
+
+			return CountedList.visited;
+		};
+
+		expect({of1: count(1), of20: count(20)}).toMatchSnapshot();
+	});
 });
