engines: requests that waited at a host which has stopped are forgotten

What callers would see: after the loss of an entry host, models that its requests waited for keep being loaded, in places that other models need, until another leader begins.

Cause: the owner of engines kept the last report of each host for what waits there, without an end; what runs at a host and which adapters it uses ended after 1.5 s without a report.

Ruled out: the same 1.5 s, which one lost poll of a large fleet can exceed; demand would then come and go, and the time for which a model has been missed would begin again.

Change: a report of waiting requests counts for 3 s.

Conclusion: demand ends with the host that told of it.

--- a/packages/engines/src/loading/constants.ts
+++ b/packages/engines/src/loading/constants.ts
@@ -87,3 +87,6 @@
 
 /** A load that has not ended by then is given up; its engine is asked what it holds. */
 export const MAX_LOAD_MS = 30_000;
+
+/** How long the word of a host counts that requests wait there, which outlasts the loss of a poll; those of a host that stopped have ended. */
+export const WAITING_TTL_MS = 3000;
--- a/packages/engines/src/loading/engine-owner.ts
+++ b/packages/engines/src/loading/engine-owner.ts
@@ -3,7 +3,7 @@
 } from '@egretrill/common';
 import type {AdapterUse, TargetRegistry} from '../registry/index.js';
 import {
-	DEMAND_WATCH_MS, LOAD_DEMAND_MS, LOAD_PLAN_MS, MOVE_WEIGHT, PENDING_WEIGHT, PLAN_REST_RATIO,
+	DEMAND_WATCH_MS, LOAD_DEMAND_MS, LOAD_PLAN_MS, MOVE_WEIGHT, PENDING_WEIGHT, PLAN_REST_RATIO, WAITING_TTL_MS,
 } from './constants.js';
 import {AdapterPlaces, type AdapterRoom} from './adapter-places.js';
 import {EngineLine} from './engine-line.js';
@@ -48,7 +48,7 @@
 	private readonly copySince = new Map<string, number>();
 	private readonly missingSince = new Map<string, number>();
 	private readonly demand: DecayingCounts;
-	private readonly waiting = new Map<string, WaitingCounts>();
+	private readonly waiting = new Map<string, {readonly counts: WaitingCounts; readonly seenMs: number}>();
 	private readonly adapters: AdapterPlaces;
 	private readonly adapterLoads = new Map<string, Promise<string | undefined>>();
 	/** When the first request arrived that this owner heard of. */
@@ -74,7 +74,7 @@
 
 	/** Takes over what waits at one host. */
 	noteWaiting(hostId: string, counts: WaitingCounts): void {
-		this.waiting.set(hostId, counts);
+		this.waiting.set(hostId, {counts, seenMs: this.opts.clock.now()});
 	}
 
 	/** Takes over which adapters the requests of one host use. */
@@ -245,8 +245,9 @@
 	private getDemand(service: string, {models}: EngineClass): readonly ModelDemand[] {
 		const waiting = new Map<string, number>();
 		const crowded = new Map<string, number>();
-		for (const counts of this.waiting.values()) {
-			for (const [other, model, waitingCount, crowdedCount] of counts) {
+		const oldestMs = this.opts.clock.now() - WAITING_TTL_MS;
+		for (const {counts, seenMs} of this.waiting.values()) {
+			for (const [other, model, waitingCount, crowdedCount] of seenMs >= oldestMs ? counts : []) {
 				if (other === service) {
 					waiting.set(model, (waiting.get(model) ?? 0) + waitingCount);
 					crowded.set(model, (crowded.get(model) ?? 0) + crowdedCount);
