traffic: entry hosts no longer ask the leader for models

What operators would see: while models are on their way, the leader of a large fleet answers up to 20 calls a second from each host for each of them; callers see nothing.

Cause: a waiting request asked the leader for its model at each try, at most every 50 ms. The leader answers such a call at once with nothing, since it loads models by the waiting requests that the polls tell.

Ruled out: a loss of demand; the only use of a call without an adapter was to return.

Change: BookPlaces asks for adapters only.

Evidence: the test "asks the leader for adapters, and not for models" (a request tried every 10 ms for a second) showed 20 calls for a model and 20 for an adapter before, 0 and 20 after. The other 12 tests of the folder pass.

Conclusion: models on their way cost the leader what the polls cost.

--- a/apps/egretrilld/src/traffic/book-places.ts
+++ b/apps/egretrilld/src/traffic/book-places.ts
@@ -5,11 +5,11 @@
 import type {TargetBook} from '@egretrill/engines';
 import {WANT_GAP_MS} from './constants.js';
 
-/** Places at the targets of the book; models and adapters that are missing are asked for. */
+/** Places at the targets of the book; adapters that are missing are asked for. Missing models are not: the leader loads them by what the polls tell of waiting requests. */
 export class BookPlaces extends PlaceSource {
 	private readonly askedMs = new Map<string, number>();
 
-	constructor(private readonly opts: {readonly clock: Clock; readonly book: TargetBook; readonly ask: (service: string, model: string, adapter: string | undefined) => Promise<string | undefined>}) {
+	constructor(private readonly opts: {readonly clock: Clock; readonly book: TargetBook; readonly ask: (service: string, model: string, adapter: string) => Promise<string | undefined>}) {
 		super();
 	}
 
@@ -32,7 +32,7 @@
 	}
 
 	override want({service, model, adapter}: PlaceNeed): void {
-		if (model === undefined) {
+		if (model === undefined || adapter === undefined) {
 			return;
 		}
 
@@ -49,9 +49,9 @@
 		return model === undefined ? undefined : this.opts.book.getReadyMs(service, model);
 	}
 
-	private async askFor(service: string, model: string, adapter: string | undefined): Promise<void> {
+	private async askFor(service: string, model: string, adapter: string): Promise<void> {
 		const targetId = await this.opts.ask(service, model, adapter);
-		if (targetId !== undefined && adapter !== undefined) {
+		if (targetId !== undefined) {
 			this.opts.book.noteAdapter(targetId, model, adapter);
 		}
 	}
--- a/apps/egretrilld/src/traffic/constants.ts
+++ b/apps/egretrilld/src/traffic/constants.ts
@@ -47,7 +47,7 @@
 /** How often the leader compares the entry hosts that it hears with those that the log names. */
 export const ENTRY_RECORD_MS = 400;
 
-/** A request for a model or adapter is not repeated within this time. */
+/** The leader is not asked again for an adapter within this time. */
 export const WANT_GAP_MS = 50;
 
 /** How long a change of the settings file may go unnoticed when no signal tells of it. */
--- a/apps/egretrilld/src/traffic/control-follower.ts
+++ b/apps/egretrilld/src/traffic/control-follower.ts
@@ -66,14 +66,14 @@
 		}
 	}
 
-	/** Tells the leader of a model or adapter that a request needs now; resolves with the engine that holds the adapter then. */
-	async want(service: string, model: string, adapter: string | undefined): Promise<string | undefined> {
+	/** Tells the leader of an adapter that a request needs now; resolves with the engine that holds it then. */
+	async want(service: string, model: string, adapter: string): Promise<string | undefined> {
 		if (this.leaderId === undefined) {
 			return undefined;
 		}
 
 		// A lost message is repeated by the requests that still wait.
-		const answer = await this.opts.peers.call(this.leaderId, wantMethod, {service, model, ...(adapter !== undefined && {adapter})});
+		const answer = await this.opts.peers.call(this.leaderId, wantMethod, {service, model, adapter});
 		return answer.isOk ? answer.value.targetId : undefined;
 	}
 
