traffic: an adapter is asked for again seldom while the leader has not answered

What operators would see: while an engine carries out a move, calls for its adapters pile up at the leader, up to 20 from each host for each adapter, each with a timer and a message.

Cause: the leader answers when the adapter is loaded, which waits for the engine's moves, and the host asked again every 50 ms whether or not an answer was due.

Ruled out: to ask only once; a call may be lost with its connection or go to a leader that has stopped, and then ends only after a second.

Change: the next call for an adapter comes 50 ms after the last when that has been answered, as before, and otherwise after 250 ms.

Evidence: the test "asks seldom while the leader has not answered" (a request tried every 10 ms for a second) showed 20 calls for an answer after 5 ms and 20 for one after 900 ms before, 20 and 5 after.

Conclusion: at most four calls for an adapter wait at the leader for each host. A leader that refuses because all places are in use is still asked 20 times a second.

--- a/apps/egretrilld/src/traffic/book-places.ts
+++ b/apps/egretrilld/src/traffic/book-places.ts
@@ -3,11 +3,12 @@
 } from '@egretrill/callers';
 import type {Clock} from '@egretrill/common';
 import type {TargetBook} from '@egretrill/engines';
-import {WANT_GAP_MS} from './constants.js';
+import {WANT_GAP_MS, WANT_REPEAT_MS} from './constants.js';
 
 /** Places at the targets of the book; adapters that are missing are asked for. Missing models are not: the leader loads them by what the polls tell of waiting requests. */
 export class BookPlaces extends PlaceSource {
-	private readonly askedMs = new Map<string, number>();
+	/** When the leader may be asked again, by what was asked for. */
+	private readonly nextAskMs = new Map<string, number>();
 
 	constructor(private readonly opts: {readonly clock: Clock; readonly book: TargetBook; readonly ask: (service: string, model: string, adapter: string) => Promise<string | undefined>}) {
 		super();
@@ -36,12 +37,11 @@
 			return;
 		}
 
-		const {clock} = this.opts;
 		const key = JSON.stringify([service, model, adapter]);
-		const nowMs = clock.now();
-		if (nowMs - (this.askedMs.get(key) ?? Number.NEGATIVE_INFINITY) >= WANT_GAP_MS) {
-			this.askedMs.set(key, nowMs);
-			void this.askFor(service, model, adapter);
+		const nowMs = this.opts.clock.now();
+		if (nowMs >= (this.nextAskMs.get(key) ?? 0)) {
+			this.nextAskMs.set(key, nowMs + WANT_REPEAT_MS);
+			void this.askFor(key, service, model, adapter);
 		}
 	}
 
@@ -49,8 +49,10 @@
 		return model === undefined ? undefined : this.opts.book.getReadyMs(service, model);
 	}
 
-	private async askFor(service: string, model: string, adapter: string): Promise<void> {
+	private async askFor(key: string, service: string, model: string, adapter: string): Promise<void> {
+		const askedMs = this.opts.clock.now();
 		const targetId = await this.opts.ask(service, model, adapter);
+		this.nextAskMs.set(key, Math.min(this.nextAskMs.get(key) ?? 0, Math.max(this.opts.clock.now(), askedMs + WANT_GAP_MS)));
 		if (targetId !== undefined) {
 			this.opts.book.noteAdapter(targetId, model, adapter);
 		}
--- a/apps/egretrilld/src/traffic/constants.ts
+++ b/apps/egretrilld/src/traffic/constants.ts
@@ -50,5 +50,8 @@
 /** The leader is not asked again for an adapter within this time. */
 export const WANT_GAP_MS = 50;
 
+/** The same while it has not answered: it answers when the adapter is loaded, and the call may be lost. */
+export const WANT_REPEAT_MS = 250;
+
 /** How long a change of the settings file may go unnoticed when no signal tells of it. */
 export const SETTINGS_POLL_MS = 1000;
--- a/apps/egretrilld/tests/traffic/book-places.test.ts
+++ b/apps/egretrilld/tests/traffic/book-places.test.ts
@@ -42,4 +42,9 @@
 	it('asks the leader for adapters, and not for models', async () => {
 		expect({model: await new AskingWorld(5).play(), adapter: await new AskingWorld(5).play('a')}).toMatchSnapshot();
 	});
+
+	// Guards against a pile of calls at the leader for an adapter whose engine is busy, and against a request that is forgotten with a lost call.
+	it('asks seldom while the leader has not answered', async () => {
+		expect({soon: await new AskingWorld(5).play('a'), late: await new AskingWorld(900).play('a')}).toMatchSnapshot();
+	});
 });
