engines: the adapters in use are told without parsing their names

What operators would see: a small share of an entry host's processor time in each poll.

Cause: the book counted the requests that use an adapter under a JSON name, and parsed all names for each poll.

Change: the count is kept with model and adapter.

--- a/packages/engines/src/registry/target-book.ts
+++ b/packages/engines/src/registry/target-book.ts
@@ -14,7 +14,7 @@
 	/** Requests of this host that have not ended. */
 	own: number;
 	/** Requests of this host that use an adapter, by model and adapter. */
-	readonly ownAdapters: Map<string, number>;
+	readonly ownAdapters: Map<string, {readonly model: string; readonly adapter: string; readonly count: number}>;
 	/** Requests of the other hosts, as the leader or the target told last. */
 	others: number;
 	suspectUntilMs: number;
@@ -79,14 +79,14 @@
 }
 
 function countAdapter({ownAdapters}: Target, model: string | undefined, adapter: string | undefined, change: number): void {
-	if (adapter === undefined) {
+	if (model === undefined || adapter === undefined) {
 		return;
 	}
 
 	const key = JSON.stringify([model, adapter]);
-	const count = (ownAdapters.get(key) ?? 0) + change;
+	const count = (ownAdapters.get(key)?.count ?? 0) + change;
 	if (count > 0) {
-		ownAdapters.set(key, count);
+		ownAdapters.set(key, {model, adapter, count});
 	} else {
 		ownAdapters.delete(key);
 	}
@@ -170,10 +170,14 @@
 
 	/** Requests of this host that use an adapter. */
 	getOwnAdapters(): readonly AdapterUse[] {
-		return [...this.targets].flatMap(([id, {ownAdapters}]) => [...ownAdapters].map(([key, count]): AdapterUse => {
-			const [model, adapter] = JSON.parse(key) as [string, string];
-			return [id, model, adapter, count];
-		}));
+		const uses: AdapterUse[] = [];
+		for (const [id, {ownAdapters}] of this.targets) {
+			for (const {model, adapter, count} of ownAdapters.values()) {
+				uses.push([id, model, adapter, count]);
+			}
+		}
+
+		return uses;
 	}
 
 	/** Notes an adapter that an engine holds now; the next update of the registry tells the same. */
--- a/packages/engines/tests/registry/target-book.test.ts
+++ b/packages/engines/tests/registry/target-book.test.ts
@@ -179,4 +179,32 @@
 
 		expect({of8: count(8), of80: count(80)}).toMatchSnapshot();
 	});
+
+	// Guards against a host that reads the names of all adapters in use out of texts at each poll.
+	it('tells the adapters in use without parsing their names', () => {
+		const {book} = createBook(['t1', 't2'].map(id => register(id, {models: [{name: 'm', version: 1, adapters: ['a', 'b']}]})));
+		const take = (targetId: string, adapter: string): (() => void) => {
+			const place = book.take(targetId, {...need, model: 'm', adapter});
+			return () => {
+				place?.end('answered');
+			};
+		};
+
+		const ends = [take('t1', 'a'), take('t1', 'a'), take('t2', 'b')];
+		const {parse} = JSON;
+		let parsed = 0;
+		JSON.parse = (text: string) => {
+			parsed += 1;
+			return parse(text) as unknown;
+		};
+
+		try {
+			const before = book.getOwnAdapters();
+			ends[0]?.();
+			ends[2]?.();
+			expect({parsed, before, after: book.getOwnAdapters()}).toMatchSnapshot();
+		} finally {
+			JSON.parse = parse;
+		}
+	});
 });
