--- a/apps/egretrilld/src/traffic/index.ts
+++ b/apps/egretrilld/src/traffic/index.ts
@@ -13,3 +13,4 @@
 export * from './pick-control.js';
 export * from './run-traffic.js';
 export * from './settings.js';
+export * from './sync-news.js';
--- a/packages/engines/tests/loading/engine-owner.test.ts
+++ b/packages/engines/tests/loading/engine-owner.test.ts
@@ -3,7 +3,7 @@
 } from '@egretrill/common';
 import {expect} from 'chai';
 import {
-	EngineOrders, EngineOwner, type EngineReport, type LoadAnswer, type LoadOrder, type OrderedEngine,
+	EngineOrders, EngineOwner, type EngineReport, type LoadAnswer, type LoadOrder, type OrderedEngine, type WaitingCounts,
 } from '../../src/loading/index.js';
 import {TargetRegistry} from '../../src/registry/index.js';
 
@@ -117,6 +117,16 @@
 	}
 }
 
+/** A registry that counts how often it is asked for a target. */
+class CountingRegistry extends TargetRegistry {
+	asked = 0;
+
+	override get(targetId: string): Registration | undefined {
+		this.asked += 1;
+		return super.get(targetId);
+	}
+}
+
 const registration: Registration = {
 	targetId: 't1', startedAtMs: 1, sequence: 1, service: 's', address: '127.0.0.1:1', zone: 'z', slots: 64, isLeaving: false, coldForMs: 0, models: [{name: 'a', version: 1, adapters: []}], inMemory: [], onDisk: [],
 };
@@ -154,6 +164,14 @@
 	};
 }
 
+/** Reports what waits at a host as often as hosts do. */
+async function keepReporting({clock, owner, stopper}: Play, counts: WaitingCounts): Promise<void> {
+	while (!stopper.signal.aborted) {
+		owner.noteWaiting('h1', counts);
+		await clock.sleep(200, stopper.signal);
+	}
+}
+
 async function finish({clock, stopper}: Play): Promise<void> {
 	stopper.abort();
 	await clock.run(1);
@@ -198,7 +216,7 @@
 
 		void end();
 		play.owner.noteArrivals({service: 's', model: 'a'}, 200, 200_000);
-		play.owner.noteWaiting('h1', [['s', 'b', 2, 0]]);
+		void keepReporting(play, [['s', 'b', 2, 0]]);
 		await play.clock.run(12_000);
 		await finish(play);
 		expect(play.engine.seen).toMatchSnapshot();
@@ -266,4 +284,47 @@
 		await clock.run(1);
 		expect(await Promise.all(asked)).toMatchSnapshot();
 	});
+
+	// Guards against loads for requests that ended with the host where they waited, for as long as the leader leads.
+	it('forgets what waited at a host that has stopped', async () => {
+		const play = start(engine => {
+			engine.orderCount = 1;
+			engine.busyUntilMs = 5000;
+			engine.loading = 'c';
+		});
+		play.owner.noteArrivals({service: 's', model: 'a'}, 200, 200_000);
+		play.owner.noteWaiting('h1', [['s', 'b', 2, 0]]);
+		await play.clock.run(12_000);
+		await finish(play);
+		expect(play.engine.seen).toMatchSnapshot();
+	});
+
+	// Guards against an engine that is weighed again in each comparison with another one when an adapter is asked for.
+	it('weighs each engine that holds the model once for an adapter', async () => {
+		const count = async (holders: number): Promise<number> => {
+			const clock = new ManualClock();
+			const registry = new CountingRegistry(clock, 'r');
+			for (let i = 0; i < holders; i++) {
+				registry.accept({...registration, targetId: `t${i}`, address: `t${i}:1`});
+			}
+
+			const owner = new EngineOwner({
+				clock,
+				random: createRandom(1),
+				logger: createLogger('test', 'fatal'),
+				registry,
+				orders: new SimulatedEngine(clock),
+				holder: 'h',
+				fencingToken: 1,
+				firstOrderAtMs: 0,
+				mayOrder: () => false,
+				getZonesOut: () => [],
+				getClasses: () => new Map([['s', engineClass]]),
+			});
+			void owner.want({service: 's', model: 'a', adapter: 'a1'}, new AbortController().signal);
+			return registry.asked;
+		};
+
+		expect({of4: await count(4), of64: await count(64)}).toMatchSnapshot();
+	});
 });
