engines: bound the body of an answer that is dropped

Callers saw: nothing; while their request ran at another target, this host read the refusal of the first one for as long as its body went on. Cause: a refused answer was resumed and never looked at again; only the end of the whole request stopped it. Ruled out: failures that are replaced by another attempt (their connection is closed at once). Change: at most MAX_DISCARD_BYTES (64 KiB) are read and dropped, then the connection is closed. The body goes through the count of framing, which otherwise took it for bytes that bring nothing.

--- a/apps/egretrilld/tests/traffic/endless-bytes.test.ts
+++ b/apps/egretrilld/tests/traffic/endless-bytes.test.ts
@@ -24,11 +24,15 @@
 	};
 }
 
-/** Plays a request at a target that sends bytes without end, and one that answers, and tells whether the bytes were stopped. */
-async function play(script: RawScript, route?: Partial<TrafficRoute>): Promise<string> {
+/** Plays a request at a target that sends bytes without end, and one that answers, at once or after the first has ended, and tells whether the bytes were stopped. */
+async function play(script: RawScript, route?: Partial<TrafficRoute>, isLate = false): Promise<string> {
 	const endless = await RawTarget.open(script);
 	const sound = await RawTarget.open(async peer => {
 		await peer.readHead();
+		if (isLate) {
+			await endless.peers[0]!.closed;
+		}
+
 		await peer.write(`${OK}Content-Length: 5\r\n\r\nwhole`);
 	});
 	const host = await ForwardHost.open({targets: [endless.address, sound.address], route});
@@ -100,4 +104,20 @@
 			status, isWhole, length: body.length, answerEnd,
 		}).toMatchSnapshot();
 	}).timeout(60_000);
+
+	// Guards against a body that is read and dropped without end while the request runs at another target.
+	it('are stopped in the body of an answer that is not passed on', async () => {
+		const refusals = {
+			'421 in chunks': `HTTP/1.1 421 Misdirected Request\r\n${SIGNED}Transfer-Encoding: chunked\r\n\r\n`,
+			'421 by connection': `HTTP/1.1 421 Misdirected Request\r\n${SIGNED}\r\n`,
+			'503 that was not run': `HTTP/1.1 503 Service Unavailable\r\n${SIGNED}not-run: 1\r\nTransfer-Encoding: chunked\r\n\r\n`,
+			'503 that may have run': `HTTP/1.1 503 Service Unavailable\r\n${SIGNED}Transfer-Encoding: chunked\r\n\r\n`,
+		};
+		const lines: Record<string, string> = {};
+		for (const [name, head] of Object.entries(refusals)) {
+			lines[name] = await play(floodWith(head, `1ffe\r\n${line}\r\n`), {repeat: 'idempotent'}, true);
+		}
+
+		expect(lines).toMatchSnapshot();
+	}).timeout(60_000);
 });
--- a/packages/engines/src/client/forward-client.ts
+++ b/packages/engines/src/client/forward-client.ts
@@ -12,6 +12,9 @@
 /** Idle connections kept to each target. */
 export const MAX_IDLE_CONNECTIONS = 8;
 
+/** Longest body that is read and dropped to keep its connection; refusals are short, and a target could send without end while the request runs elsewhere. */
+export const MAX_DISCARD_BYTES = 65_536;
+
 export type ForwardMessage = {
 	readonly address: string;
 	readonly method: string;
@@ -59,7 +62,7 @@
 	readonly framing: BodyFraming;
 	/** Whether the body arrived to its end; meaningful once it has been read. */
 	readonly isComplete: () => boolean;
-	/** Reads and drops the body, so that the connection can be kept. */
+	/** Reads and drops the body, so that the connection can be kept; a long one closes it. */
 	readonly discard: () => void;
 	/** Closes the connection. */
 	readonly destroy: () => void;
@@ -151,6 +154,22 @@
 	});
 }
 
+/** Reads and drops a body, so that its connection can be kept; a longer one closes the connection. */
+async function discardBody(body: AsyncIterable<Uint8Array>): Promise<void> {
+	let bytes = 0;
+	try {
+		for await (const piece of body) {
+			bytes += piece.length;
+			if (bytes > MAX_DISCARD_BYTES) {
+				// Leaving the loop closes the connection.
+				return;
+			}
+		}
+	} catch {
+		// Nobody waits for this body, so that its early end matters to nobody.
+	}
+}
+
 /** The answer that a head begins, or why none can be read. */
 function openAnswer(res: IncomingMessage, method: string, progress: AnswerProgress): Result<ForwardAnswer, string> {
 	const framing = getFraming(res, method);
@@ -173,15 +192,16 @@
 	}
 
 	progress.begin(res);
+	const body = progress.readBody(res);
 	return Result.ok({
 		status: res.statusCode ?? 0,
 		rawHeaders: res.rawHeaders,
-		body: progress.readBody(res),
+		body,
 		framing,
 		// The library takes any end of a connection, also a reset, for the end of a body without a length.
 		isComplete: () => res.complete && !socket.errored && !wasReset,
 		discard() {
-			res.resume();
+			void discardBody(body);
 		},
 		destroy() {
 			res.destroy();
--- a/packages/engines/tests/client/forward-client.test.ts
+++ b/packages/engines/tests/client/forward-client.test.ts
@@ -167,4 +167,28 @@
 		const isComplete = first.isOk && first.value.isComplete() && Buffer.concat(pieces).length === long.length;
 		expect({isComplete, next: await send(), connections}).toMatchSnapshot();
 	});
+
+	// Guards against a connection that is lost with each short refusal, and one that is kept busy with a long one.
+	it('keeps the connection of a short answer that is dropped', async () => {
+		const seen = [];
+		for (const length of [100, 200_000]) {
+			serve = socket => {
+				socket.write(`HTTP/1.1 421 Misdirected Request\r\nContent-Length: ${length}\r\n\r\n${'x'.repeat(length)}`);
+			};
+
+			const dropped = await client.send(createMessage(true), new AbortController().signal);
+			if (dropped.isOk) {
+				dropped.value.discard();
+			}
+
+			await takeTurns();
+			serve = socket => {
+				socket.write('HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown');
+			};
+
+			seen.push({length, next: await send(), connections});
+		}
+
+		expect(seen).toMatchSnapshot();
+	});
 });
