callers: bound an event that does not end, and search its bytes once

Callers saw: no event and 504 after the whole time of the request, while this host held every byte of an event that did not end and copied and searched all of them with each piece. Cause: EventSplitter joined what it held with each new piece and searched it from the beginning, without a limit; the watch for silence saw a stream that was not silent. Ruled out: a whole event that is long but ends (passed on as before), and events of which several arrive at once. Change: what is held grows in one block and is searched from where the search ended; above MAX_EVENT_BYTES (1 MiB) the answer is broken with that reason, so that a stream that may be resumed goes on at another target.

--- a/apps/egretrilld/tests/traffic/endless-bytes.test.ts
+++ b/apps/egretrilld/tests/traffic/endless-bytes.test.ts
@@ -120,4 +120,16 @@
 
 		expect(lines).toMatchSnapshot();
 	}).timeout(60_000);
+
+	// Guards against memory and processor time that are lost to an event that never ends.
+	it('are stopped in an event', async () => {
+		const head = `${OK}events: 1\r\n\r\n`;
+		const stream = {isStream: true, isResumable: true};
+		const events = 'id: 1\ndata: a\n\n';
+		expect({
+			'the first event': await play(floodWith(`${head}data: `, line), {isStream: true}),
+			'a later event': await play(floodWith(`${head}${events}data: `, line), {isStream: true}),
+			'an event that another target sends': await play(floodWith(`${head}data: `, line), stream),
+		}).toMatchSnapshot();
+	}).timeout(120_000);
 });
--- a/packages/callers/src/forward/constants.ts
+++ b/packages/callers/src/forward/constants.ts
@@ -50,6 +50,9 @@
 /** Answers that arrive whole are held up to this size before the caller sees them. */
 export const MAX_HELD_ANSWER_BYTES = 1_048_576;
 
+/** Longest event of a stream; only whole events are passed on, and the rest of one is held in memory. */
+export const MAX_EVENT_BYTES = 1_048_576;
+
 /** Decision lines that one process writes a second; more are counted. */
 export const MAX_LOG_LINES_PER_SECOND = 40;
 
--- a/packages/callers/src/forward/event-splitter.ts
+++ b/packages/callers/src/forward/event-splitter.ts
@@ -1,7 +1,10 @@
 import {Buffer} from 'node:buffer';
+import {HeldBytes} from './held-bytes.js';
 
 const LINE_FEED = 10;
 const CARRIAGE_RETURN = 13;
+/** Bytes that may belong to the end of an event before its last one. */
+const EVENT_END_OVERLAP = 2;
 const EMPTY = Buffer.alloc(0);
 
 /** Bytes of whole events, and the id of the last of them that has one. */
@@ -9,17 +12,18 @@
 
 /** Splits an event stream behind whole events without changing a byte. */
 export class EventSplitter {
-	// The bytes are cut and joined with operations that only Buffer has.
-	// eslint-disable-next-line @typescript-eslint/no-restricted-types
-	private rest: Buffer = EMPTY;
+	private readonly rest = new HeldBytes();
 
 	/** Takes in bytes and returns those that complete an event; ids up to `skipUpTo` are left out as already delivered. */
 	push(chunk: Uint8Array, skipUpTo: number | undefined): WholeEvents {
-		const bytes = Buffer.concat([this.rest, chunk]);
+		// What was held before has been searched, and searching it again with each piece would make the work grow with its square.
+		const searchOffset = Math.max(0, this.rest.length - EVENT_END_OVERLAP);
+		this.rest.append(chunk);
+		const bytes = this.rest.getBytes();
 		const whole: Uint8Array[] = [];
 		let lastEventId: number | undefined;
 		let startOffset = 0;
-		for (let endOffset = findEventEnd(bytes, 0); endOffset !== -1; endOffset = findEventEnd(bytes, startOffset)) {
+		for (let endOffset = findEventEnd(bytes, searchOffset); endOffset !== -1; endOffset = findEventEnd(bytes, startOffset)) {
 			const event = bytes.subarray(startOffset, endOffset);
 			const id = readEventId(event);
 			if (id === undefined || skipUpTo === undefined || id > skipUpTo) {
@@ -30,13 +34,16 @@
 			startOffset = endOffset;
 		}
 
-		this.rest = bytes.subarray(startOffset);
+		if (startOffset > 0) {
+			this.rest.drop(startOffset);
+		}
+
 		return {bytes: whole.length === 1 ? whole[0] ?? EMPTY : Buffer.concat(whole), lastEventId};
 	}
 
 	/** Bytes of an event that has not ended. */
 	getRest(): Uint8Array {
-		return this.rest;
+		return this.rest.getBytes();
 	}
 }
 
--- a/packages/callers/src/forward/relay.ts
+++ b/packages/callers/src/forward/relay.ts
@@ -1,7 +1,7 @@
 import {Buffer} from 'node:buffer';
 import type {Clock} from '@egretrill/common';
 import type {CallerExchange} from './caller-exchange.js';
-import {MAX_HELD_ANSWER_BYTES, STREAM_SILENCE_MS} from './constants.js';
+import {MAX_EVENT_BYTES, MAX_HELD_ANSWER_BYTES, STREAM_SILENCE_MS} from './constants.js';
 import {EventSplitter} from './event-splitter.js';
 import type {TargetAnswer} from './forward-parts.js';
 
@@ -11,6 +11,8 @@
 	/** Bytes of the body that were passed on. */
 	readonly bytes: number;
 	readonly lastEventId?: number;
+	/** Why it is broken, if it did not just end early. */
+	readonly reason?: string;
 };
 
 type Relay = {
@@ -114,6 +116,12 @@
 	try {
 		for await (const chunk of answer.body) {
 			const events = splitter.push(chunk, skipUpTo);
+			if (splitter.getRest().length > MAX_EVENT_BYTES) {
+				return {
+					kind: 'broken', bytes, lastEventId: last, reason: `An event is longer than ${MAX_EVENT_BYTES} bytes.`,
+				};
+			}
+
 			if (events.bytes.length > 0) {
 				if (!exchange.hasBegun()) {
 					exchange.begin(answer.status, headers);
--- a/packages/callers/src/forward/try-place.ts
+++ b/packages/callers/src/forward/try-place.ts
@@ -124,7 +124,7 @@
 	}
 
 	answer.destroy();
-	return {kind: 'broken', reason: 'The answer ended early.', targetEnd: 'broke-off'};
+	return {kind: 'broken', reason: end.reason ?? 'The answer ended early.', targetEnd: 'broke-off'};
 }
 
 function isRepeatable({repeat, isStream, isResumable}: TrafficRoute): boolean {
