callers: hold an answer that comes in small pieces in one block

Callers saw: nothing; this host used a hundred times the size of an answer while it held it. Cause: each piece was kept as an object of its own until the answer was whole, and a target may send single bytes. Change: relayWhole holds what has arrived in one block (HeldBytes).

--- a/packages/callers/src/forward/relay.ts
+++ b/packages/callers/src/forward/relay.ts
@@ -1,9 +1,9 @@
-import {Buffer} from 'node:buffer';
 import type {Clock} from '@egretrill/common';
 import type {CallerExchange} from './caller-exchange.js';
 import {MAX_EVENT_BYTES, MAX_HELD_ANSWER_BYTES, STREAM_SILENCE_MS} from './constants.js';
 import {EventSplitter} from './event-splitter.js';
 import type {TargetAnswer} from './forward-parts.js';
+import {HeldBytes} from './held-bytes.js';
 
 /** Whether the caller has the whole answer; after `broken` it has all whole events up to `lastEventId`. */
 export type RelayEnd = {
@@ -23,40 +23,35 @@
 	readonly onPiece?: () => void;
 };
 
-async function readAll(answer: TargetAnswer, onLong: (chunks: readonly Uint8Array[]) => Promise<void>): Promise<Uint8Array | undefined> {
-	const chunks: Uint8Array[] = [];
-	let length = 0;
-	let isHeld = true;
-	for await (const chunk of answer.body) {
-		if (!isHeld) {
-			await onLong([chunk]);
+/** Reads a body whole; what is too long to be held is told piece by piece, beginning with all that was held. */
+async function readAll(answer: TargetAnswer, onLong: (bytes: Uint8Array) => Promise<void>): Promise<Uint8Array | undefined> {
+	const held = new HeldBytes();
+	for await (const piece of answer.body) {
+		if (held.length > MAX_HELD_ANSWER_BYTES) {
+			await onLong(piece);
 			continue;
 		}
 
-		chunks.push(chunk);
-		length += chunk.length;
-		if (length > MAX_HELD_ANSWER_BYTES) {
-			isHeld = false;
-			await onLong(chunks);
+		held.append(piece);
+		if (held.length > MAX_HELD_ANSWER_BYTES) {
+			await onLong(held.getBytes());
 		}
 	}
 
-	return isHeld ? Buffer.concat(chunks) : undefined;
+	return held.length > MAX_HELD_ANSWER_BYTES ? undefined : held.getBytes();
 }
 
 /** Passes on an answer once it is whole; a longer one is passed on as it arrives. */
 export async function relayWhole({exchange, answer, headers}: Relay): Promise<RelayEnd> {
 	let bytes = 0;
 	try {
-		const held = await readAll(answer, async chunks => {
+		const held = await readAll(answer, async piece => {
 			if (!exchange.hasBegun()) {
 				exchange.begin(answer.status, headers);
 			}
 
-			for (const chunk of chunks) {
-				await exchange.write(chunk);
-				bytes += chunk.length;
-			}
+			await exchange.write(piece);
+			bytes += piece.length;
 		});
 		if (!answer.isComplete()) {
 			return {kind: 'broken', bytes};
--- /dev/null
+++ b/packages/callers/tests/forward/held-bytes.test.ts
@@ -0,0 +1,54 @@
+import {Buffer} from 'node:buffer';
+import process from 'node:process';
+import {setFlagsFromString} from 'node:v8';
+import {runInNewContext} from 'node:vm';
+import {expect} from 'chai';
+import {type CallerExchange, relayWhole} from '../../src/forward/index.js';
+
+const BODY_BYTES = 1_000_000;
+/** Ten times what a body of this size takes in one block. */
+const MAX_HELD_MEMORY_BYTES = 20_000_000;
+
+/** Memory in use after a collection. */
+function measure(): number {
+	setFlagsFromString('--expose-gc');
+	(runInNewContext('gc') as () => void)();
+	const {heapUsed, external} = process.memoryUsage();
+	return heapUsed + external;
+}
+
+describe('relayWhole', () => {
+	// Guards against memory of a hundred times an answer's size while it is held, when a target sends it in single bytes.
+	it('holds small pieces of an answer in little memory', async () => {
+		const before = measure();
+		let heldBytes = 0;
+		const body = async function * (): AsyncGenerator<Uint8Array> {
+			const piece = Buffer.alloc(BODY_BYTES, 'x');
+			for (let offset = 0; offset < BODY_BYTES; offset += 1) {
+				yield piece.subarray(offset, offset + 1);
+			}
+
+			heldBytes = measure() - before;
+		};
+
+		const seen: number[] = [];
+		const exchange = {
+			hasBegun: () => false,
+			begin(status: number, _headers: readonly string[], length?: number) {
+				seen.push(status, length ?? -1);
+			},
+			async write(bytes: Uint8Array) {
+				seen.push(bytes.length);
+			},
+			end: () => undefined,
+		} as unknown as CallerExchange;
+		const end = await relayWhole({
+			exchange,
+			answer: {
+				status: 200, rawHeaders: [], body: body(), framing: 'chunks', isComplete: () => true, discard: () => undefined, destroy: () => undefined,
+			},
+			headers: [],
+		});
+		expect({end, seen, isSmall: heldBytes < MAX_HELD_MEMORY_BYTES}).toMatchSnapshot();
+	}).timeout(60_000);
+});
