engines: refuse a body that the status of an answer does not allow

Callers saw: nothing until the time of the request was over, when a target answered 204 with a length or a coding and kept the connection open. Cause: the parser waits for the announced body of a 204; for 304 and HEAD it does not. Ruled out: 204 without framing or with a length of 0, 304 with a length, HEAD with a length, chunks or neither: all end at the head. Change: such an answer closes the connection and counts as 'may have run'. What makes an answer unreadable is decided in one function.

--- a/apps/egretrilld/tests/traffic/answer-end.test.ts
+++ b/apps/egretrilld/tests/traffic/answer-end.test.ts
@@ -44,6 +44,11 @@
 	readonly body?: string;
 };
 
+/** The length that the head of an answer without a body names. */
+function describeLength(head: string): string {
+	return /^content-length: \d+$/imv.exec(head)?.[0].toLowerCase() ?? 'no length';
+}
+
 /** Plays one exchange and describes in a line what the caller received and what was noted. */
 async function play({script, route, method, version, body}: Exchange): Promise<string> {
 	let tell: () => void = () => undefined;
@@ -58,7 +63,11 @@
 		const received = await callRaw(host.port, {method, version, body});
 		const {outcome, answerEnd} = host.notes.ends[0] ?? {};
 		const noted = typeof outcome === 'object' ? outcome.code : outcome;
-		return `${received.status} ${JSON.stringify(received.status < 500 ? received.body : '')}${received.isWhole ? '' : ' cut'}; ${noted}${answerEnd ? `, ${answerEnd.bytes} bytes by ${answerEnd.framing}` : ''}`;
+		const {status, head, isWhole} = received;
+		const shown = method === 'HEAD' || status === 204 || status === 304
+			? describeLength(head)
+			: JSON.stringify(status < 500 ? received.body : '');
+		return `${status} ${shown}${isWhole ? '' : ' cut'}; ${noted}${answerEnd ? `, ${answerEnd.bytes} bytes by ${answerEnd.framing}` : ''}`;
 	} finally {
 		host.close();
 		target.close();
@@ -198,4 +207,27 @@
 
 		expect(seen).toMatchSnapshot();
 	});
+
+	// Guards against a wait for a body that cannot come, and against a length of 0 that the target never named.
+	it('is at the head of an answer without a body', async () => {
+		expect({
+			...await playTexts({
+				204: `HTTP/1.1 204 No Content\r\n${SIGNED}\r\n`,
+				'204 with a length of 0': `HTTP/1.1 204 No Content\r\n${SIGNED}Content-Length: 0\r\n\r\n`,
+				304: `HTTP/1.1 304 Not Modified\r\n${SIGNED}Content-Length: 5\r\n\r\n`,
+			}),
+			...await playTexts({'HEAD with a length': `${OK}Content-Length: 5\r\n\r\n`, 'HEAD in chunks': `${OK}Transfer-Encoding: chunked\r\n\r\n`, 'HEAD without either': `${OK}\r\n`}, 'HEAD'),
+		}).toMatchSnapshot();
+	});
+
+	// Guards against a wait for a body, until the time of the request is over, that a status does not allow.
+	it('is not awaited after a status that allows no body', async () => {
+		const playOpen = async (framing: string): Promise<string> => play({
+			script: () => async peer => {
+				await peer.readHead();
+				await peer.write(`HTTP/1.1 204 No Content\r\n${SIGNED}${framing}\r\n\r\n`);
+			},
+		});
+		expect([await playOpen('Content-Length: 5'), await playOpen('Transfer-Encoding: chunked')]).toMatchSnapshot();
+	});
 });
--- a/packages/engines/src/client/forward-client.ts
+++ b/packages/engines/src/client/forward-client.ts
@@ -27,24 +27,35 @@
 };
 
 const STATUS_SWITCHING_PROTOCOLS = 101;
-const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
+const STATUS_NO_CONTENT = 204;
+const STATUS_NOT_MODIFIED = 304;
 
-/** By what the parser recognises the end of the body; undefined for a transfer coding that callers cannot read, and that may end by chunks or by the connection. */
-function getFraming({headers, statusCode = 0}: IncomingMessage, method: string): BodyFraming | undefined {
-	const coding = headers['transfer-encoding'];
+/** By what the parser recognises the end of the body, or why the answer cannot be read. */
+function readFraming({headers, statusCode = 0}: IncomingMessage, method: string): Result<BodyFraming, string> {
+	const {'transfer-encoding': coding, 'content-length': length} = headers;
+	if (statusCode === STATUS_SWITCHING_PROTOCOLS) {
+		return Result.err('The target changed the protocol.');
+	}
+
+	// Callers cannot read other codings, and their end may be that of the connection.
 	if (coding !== undefined && coding.toLowerCase() !== 'chunked') {
-		return undefined;
+		return Result.err('The answer has a transfer coding other than chunks.');
+	}
+
+	if (method === 'HEAD' || statusCode === STATUS_NOT_MODIFIED) {
+		return Result.ok('none');
 	}
 
-	if (method === 'HEAD' || bodilessStatuses.has(statusCode)) {
-		return 'none';
+	if (statusCode === STATUS_NO_CONTENT) {
+		// The parser would wait for the body that is announced.
+		return coding === undefined && Number(length ?? 0) === 0 ? Result.ok('none') : Result.err('The answer announces a body that its status does not allow.');
 	}
 
 	if (coding !== undefined) {
-		return 'chunks';
+		return Result.ok('chunks');
 	}
 
-	return headers['content-length'] === undefined ? 'connection' : 'length';
+	return Result.ok(length === undefined ? 'connection' : 'length');
 }
 
 /** Whether a connection whose end was just read has been reset. A reset that arrives together with data is reported as an orderly end, but leaves the connection without a remote address. */
@@ -172,20 +183,16 @@
 
 /** The answer that a head begins, or why none can be read. */
 function openAnswer(res: IncomingMessage, method: string, progress: AnswerProgress): Result<ForwardAnswer, string> {
-	const framing = getFraming(res, method);
-	if (framing === undefined) {
-		return Result.err('The answer has a transfer coding other than chunks.');
-	}
-
-	if (res.statusCode === STATUS_SWITCHING_PROTOCOLS) {
-		return Result.err('The target changed the protocol.');
+	const framing = readFraming(res, method);
+	if (framing.isErr) {
+		return Result.err(framing.error);
 	}
 
 	// Later failures reach the reader of the body; without a listener they would end the process.
 	res.on('error', () => undefined);
 	const {socket} = res;
 	let wasReset = false;
-	if (framing === 'connection') {
+	if (framing.value === 'connection') {
 		socket.prependOnceListener('end', () => {
 			wasReset = isDisconnected(socket);
 		});
@@ -197,7 +204,7 @@
 		status: res.statusCode ?? 0,
 		rawHeaders: res.rawHeaders,
 		body,
-		framing,
+		framing: framing.value,
 		// The library takes any end of a connection, also a reset, for the end of a body without a length.
 		isComplete: () => res.complete && !socket.errored && !wasReset,
 		discard() {
