callers: name no length for an answer without a body

Callers saw: Content-Length: 0 for HEAD, 204 and 304, whatever the target's answer to GET is; 204 may not have one at all. Cause: relayWhole named the length of what was held, which is nothing for these. Change: it names none where status or method allow no body. Before: 'is at the head of an answer without a body' showed 'content-length: 0' in all six cases. After: 'no length' in all. Conclusion: mended.

--- a/packages/callers/src/forward/relay.ts
+++ b/packages/callers/src/forward/relay.ts
@@ -58,7 +58,8 @@
 		}
 
 		if (held) {
-			exchange.begin(answer.status, headers, held.length);
+			// The length of a body that is not sent is known to the target alone.
+			exchange.begin(answer.status, headers, answer.framing === 'none' ? undefined : held.length);
 			await exchange.write(held);
 			bytes = held.length;
 		}
