entry hosts: answered requests of a second share one line, within 2.4 kB a second

What on-call engineers saw: the platform keeps about 180 kB of the output of each process, and an entry host under load wrote it in 10 to 25 s. The lines of the second in which a wrong answer was given were gone.

Cause: each answered request had a line of about 430 bytes, at most 20 a second, and failures had up to 40.

Ruled out: dropping the lines of answered requests, since a wrong answer looks like a good one to the host.

Change: requests answered at the first attempt, in time and with a status below 500 share one line a second, with their ids and facts by target. Other answers have a line of their own while there is room and are in the shared line otherwise. The bound is in bytes (2,400 a second, 12,000 at once): with less than half left, only the first failure of a second has a line; with less than a quarter, answers are noted by id and target. What was collected is written at the stop, and what ends later at once. The note of a request's end has the target latency of its route, and how the body's end was recognised, which nothing sets yet.

Failures beyond the bound are only counted so far.

--- a/apps/egretrilld/src/traffic/constants.ts
+++ b/apps/egretrilld/src/traffic/constants.ts
@@ -48,3 +48,24 @@
 
 /** How long a change of the settings file may go unnoticed when no signal tells of it. */
 export const SETTINGS_POLL_MS = 1000;
+
+/** Decision lines that an entry host writes on average. The platform keeps about 180 kB of the output of a process, which then reaches back more than a minute. */
+export const LOG_BYTES_PER_SECOND = 2400;
+
+/** Decision lines that may be written at once after a quiet time. */
+export const LOG_BURST_BYTES = 12_000;
+
+/** With less than this left, only the first failure of a second has a line of its own. */
+export const LINE_RESERVE_BYTES = 6000;
+
+/** With less than this left, the line of answered requests holds their ids without further facts. */
+export const FACTS_RESERVE_BYTES = 3000;
+
+/** What a line holds beside its fields: the names of process, host and part, its level, time and message. */
+export const LINE_OVERHEAD_BYTES = 220;
+
+/** Time whose decisions share a line. */
+export const FOLD_MS = 1000;
+
+/** Callers choose their ids; longer ones are cut in folded lines. */
+export const MAX_LOGGED_ID_LENGTH = 64;
--- a/apps/egretrilld/src/traffic/decision-log.ts
+++ b/apps/egretrilld/src/traffic/decision-log.ts
@@ -1,32 +1,73 @@
-import {type Clock, type Logger} from '@egretrill/common';
-import {MAX_LOG_LINES_PER_SECOND} from '@egretrill/callers';
+import type {ForwardEndNote} from '@egretrill/callers';
+import type {Clock, Logger} from '@egretrill/common';
+import {ByteBudget} from './byte-budget.js';
+import {FOLD_MS, LINE_OVERHEAD_BYTES, LINE_RESERVE_BYTES} from './constants.js';
+import {FoldedAnswers} from './folded-answers.js';
 
-/** Writes decision lines up to a rate and says how many were left out; failures may use the whole rate, other lines half of it. */
+type Fields = Readonly<Record<string, unknown>>;
+
+/** Writes decision lines up to a number of bytes a second: failures one by one while there is room, answered requests in one line a second. */
 export class DecisionLog {
-	private tokens = MAX_LOG_LINES_PER_SECOND;
-	private filledMs: number;
+	private readonly budget: ByteBudget;
+	private readonly answers = new FoldedAnswers();
+	private hasLine = false;
 	private leftOut = 0;
+	private isEnded = false;
 
 	constructor(private readonly clock: Clock, private readonly logger: Logger) {
-		this.filledMs = clock.now();
+		this.budget = new ByteBudget(clock);
+	}
+
+	/** Writes what was collected once a second and when aborted; what comes later is written at once. */
+	async run(signal: AbortSignal): Promise<void> {
+		while (!signal.aborted) {
+			await this.clock.sleep(FOLD_MS, signal);
+			this.flush();
+		}
+
+		this.isEnded = true;
 	}
 
-	write(fields: Readonly<Record<string, unknown>>, message: string, isFailure: boolean): void {
-		this.fill();
-		if (this.tokens < (isFailure ? 1 : MAX_LOG_LINES_PER_SECOND / 2)) {
-			this.leftOut += 1;
-			return;
+	/** Writes a line, or returns false when there is no room for it. The first of each second always has room. */
+	tryLine(fields: Fields, message: string): boolean {
+		if (this.hasLine && this.getRoom() < LINE_RESERVE_BYTES) {
+			return false;
 		}
 
-		this.tokens -= 1;
+		this.hasLine = true;
 		const leftOut = this.leftOut > 0 && {leftOut: this.leftOut};
 		this.leftOut = 0;
-		this.logger.info({...fields, ...leftOut}, message);
+		this.write({...fields, ...leftOut}, message);
+		return true;
+	}
+
+	/** Writes a line of a failure; without room it is counted. */
+	noteFailure(fields: Fields, message: string): void {
+		this.leftOut += this.tryLine(fields, message) ? 0 : 1;
+	}
+
+	/** Notes an answered request for the line of its second. */
+	noteAnswer(note: ForwardEndNote, knowledgeAgeMs: number): void {
+		this.answers.add(note, knowledgeAgeMs, this.getRoom());
+		if (this.isEnded) {
+			this.flush();
+		}
+	}
+
+	private flush(): void {
+		this.hasLine = false;
+		const answers = this.answers.take();
+		if (answers) {
+			this.write(answers, 'Requests were answered.');
+		}
+	}
+
+	private getRoom(): number {
+		return this.budget.getLeft() - this.answers.getBytes();
 	}
 
-	private fill(): void {
-		const nowMs = this.clock.now();
-		this.tokens = Math.min(MAX_LOG_LINES_PER_SECOND, this.tokens + ((nowMs - this.filledMs) * MAX_LOG_LINES_PER_SECOND / 1000));
-		this.filledMs = nowMs;
+	private write(fields: Fields, message: string): void {
+		this.budget.take(JSON.stringify(fields).length + LINE_OVERHEAD_BYTES);
+		this.logger.info(fields, message);
 	}
 }
--- /dev/null
+++ b/apps/egretrilld/src/traffic/describe-answer.ts
@@ -0,0 +1,29 @@
+import type {ForwardEndNote} from '@egretrill/callers';
+import {MAX_LOGGED_ID_LENGTH} from './constants.js';
+
+const STATUS_OK = 200;
+const bodyEndLetters = {length: 'l', chunks: 'k', connection: 'c'} as const;
+
+/** Cuts an id and replaces what separates the entries of a folded line. */
+export function shortenId(id: string): string {
+	return id.slice(0, MAX_LOGGED_ID_LENGTH).replaceAll(/[\s,"\\]/g, '_');
+}
+
+function describeMs(letter: string, ms: number | undefined): readonly string[] {
+	return ms === undefined ? [] : [`${letter}${Math.round(ms)}`];
+}
+
+/** The facts of an answered request, each with its letter; docs/OPERATIONS.md lists them. */
+export function describeAnswer(note: ForwardEndNote, lineConfigVersion: number | undefined): string {
+	const {status = STATUS_OK, bodyEnd, bodyBytes, waitMs, tookMs, firstMs, longestPauseMs, attempts, configVersion} = note;
+	return [
+		...(status === STATUS_OK ? [] : [`s${status}`]),
+		...(bodyEnd ? [`${bodyEndLetters[bodyEnd]}${bodyBytes ?? ''}`] : []),
+		...(waitMs < 0.5 ? [] : describeMs('w', waitMs)),
+		...describeMs('t', tookMs),
+		...describeMs('f', firstMs),
+		...describeMs('p', longestPauseMs),
+		...(attempts === 1 ? [] : [`a${attempts}`]),
+		...(configVersion === lineConfigVersion ? [] : [`v${configVersion}`]),
+	].join(' ');
+}
--- a/apps/egretrilld/src/traffic/entry-host.ts
+++ b/apps/egretrilld/src/traffic/entry-host.ts
@@ -47,6 +47,7 @@
 	private readonly book: TargetBook;
 	private readonly queue: PlaceQueue;
 	private readonly rates: RateParts;
+	private readonly log: DecisionLog;
 	private readonly observer: EntryObserver;
 	private readonly retries = new Map<string, RetryBudget>();
 	private readonly sender = new HttpSender();
@@ -78,7 +79,8 @@
 			book: this.book,
 			ask: async (service, model, adapter) => this.follower.want(service, model, adapter),
 		}));
-		this.observer = new EntryObserver(new DecisionLog(clock, logger), metrics, () => this.follower.getAgeMs());
+		this.log = new DecisionLog(clock, logger);
+		this.observer = new EntryObserver(this.log, metrics, () => this.follower.getAgeMs());
 		this.parts = {
 			clock,
 			random: opts.random,
@@ -102,7 +104,7 @@
 
 	/** Follows the control hosts and places waiting requests until aborted. */
 	async run(signal: AbortSignal): Promise<void> {
-		await Promise.all([this.follower.run(signal), this.pump(signal)]);
+		await Promise.all([this.follower.run(signal), this.pump(signal), this.log.run(signal)]);
 		this.sender.close();
 	}
 
--- a/apps/egretrilld/src/traffic/entry-observer.ts
+++ b/apps/egretrilld/src/traffic/entry-observer.ts
@@ -6,6 +6,39 @@
 import type {DecisionLog} from './decision-log.js';
 import type {EntryReport} from './methods.js';
 
+const STATUS_SERVER_ERROR = 500;
+
+/** Whether an answer came at the first attempt, without an error and in time, as far as this host can tell. */
+function isPlain({attempts, status = 0, tookMs, firstMs, targetLatencyMs = Number.POSITIVE_INFINITY}: ForwardEndNote): boolean {
+	return attempts === 1 && status < STATUS_SERVER_ERROR && (firstMs ?? tookMs) <= targetLatencyMs;
+}
+
+function describeEnd(note: ForwardEndNote, knowledgeAgeMs: number): Readonly<Record<string, unknown>> {
+	const {call, route = '', customer, configVersion, outcome, status, bodyEnd, bodyBytes, targetId, outstanding, attempts, waitMs, tookMs, firstMs, longestPauseMs} = note;
+	const isRefused = typeof outcome === 'object';
+	return {
+		requestId: call?.attemptId,
+		route,
+		customer,
+		model: call?.model,
+		adapter: call?.adapter,
+		configVersion,
+		knowledgeAgeMs: Math.round(knowledgeAgeMs),
+		outcome: isRefused ? outcome.code : outcome,
+		status: isRefused ? outcome.status : status,
+		...(isRefused && {run: outcome.run, reason: outcome.reason, retryAfterMs: outcome.retryAfterMs}),
+		bodyEnd,
+		bodyBytes,
+		targetId,
+		outstanding,
+		attempts,
+		waitMs: Math.round(waitMs),
+		tookMs: Math.round(tookMs),
+		...(firstMs !== undefined && {firstMs: Math.round(firstMs)}),
+		...(longestPauseMs !== undefined && {longestPauseMs: Math.round(longestPauseMs)}),
+	};
+}
+
 /** Turns what happens to requests into decision lines, metrics and the demand that the leader hears of. */
 export class EntryObserver extends ForwardObserver {
 	private arrivals = new Map<string, {readonly count: number; readonly runMs: number}>();
@@ -33,37 +66,23 @@
 	override noteAttempt({call, place, attempt, outcome, tookMs, reason}: AttemptNote): void {
 		this.attempts.add(1, {outcome});
 		if (outcome !== 'answered') {
-			this.log.write({
+			this.log.noteFailure({
 				requestId: call.attemptId, targetId: place.targetId, attempt, outcome, tookMs: Math.round(tookMs), reason,
-			}, 'A target did not answer a request.', true);
+			}, 'A target did not answer a request.');
 		}
 	}
 
-	override noteEnd({call, route = '', customer, configVersion, outcome, status, targetId, outstanding, attempts, waitMs, tookMs, firstMs, longestPauseMs}: ForwardEndNote): void {
-		const isRefused = typeof outcome === 'object';
-		const name = isRefused ? outcome.code : outcome;
-		this.requests.add(1, {route, outcome: name});
+	override noteEnd(note: ForwardEndNote): void {
+		const {route = '', outcome, waitMs, tookMs} = note;
+		this.requests.add(1, {route, outcome: typeof outcome === 'object' ? outcome.code : outcome});
 		this.durations.record(tookMs, {route});
 		this.placeWaits.record(waitMs, {route});
-		this.log.write({
-			requestId: call?.attemptId,
-			route,
-			customer,
-			model: call?.model,
-			adapter: call?.adapter,
-			configVersion,
-			knowledgeAgeMs: Math.round(this.getKnowledgeAgeMs()),
-			outcome: name,
-			status: isRefused ? outcome.status : status,
-			...(isRefused && {run: outcome.run, reason: outcome.reason, retryAfterMs: outcome.retryAfterMs}),
-			targetId,
-			outstanding,
-			attempts,
-			waitMs: Math.round(waitMs),
-			tookMs: Math.round(tookMs),
-			...(firstMs !== undefined && {firstMs: Math.round(firstMs)}),
-			...(longestPauseMs !== undefined && {longestPauseMs: Math.round(longestPauseMs)}),
-		}, isRefused ? 'A request was refused.' : 'A request has ended.', outcome !== 'answered');
+		const knowledgeAgeMs = this.getKnowledgeAgeMs();
+		if (outcome !== 'answered') {
+			this.log.noteFailure(describeEnd(note, knowledgeAgeMs), typeof outcome === 'object' ? 'A request was refused.' : 'A request has ended.');
+		} else if (isPlain(note) || !this.log.tryLine(describeEnd(note, knowledgeAgeMs), 'A request has ended.')) {
+			this.log.noteAnswer(note, knowledgeAgeMs);
+		}
 	}
 
 	/** Arrivals since the last call. */
--- a/packages/callers/src/forward/constants.ts
+++ b/packages/callers/src/forward/constants.ts
@@ -50,9 +50,6 @@
 /** Answers that arrive whole are held up to this size before the caller sees them. */
 export const MAX_HELD_ANSWER_BYTES = 1_048_576;
 
-/** Decision lines that one process writes a second; more are counted. */
-export const MAX_LOG_LINES_PER_SECOND = 40;
-
 /** Share of a customer's rate that hosts hold without a lease, so that they serve while the owner is out of reach. */
 export const STANDING_RATIO = 0.25;
 
--- a/packages/callers/src/forward/forward-parts.ts
+++ b/packages/callers/src/forward/forward-parts.ts
@@ -49,6 +49,11 @@
 	readonly configVersion?: number;
 	readonly outcome: 'answered' | 'broken' | 'left' | Verdict;
 	readonly status?: number;
+	/** What told the end of the target's body, and how long it was. */
+	readonly bodyEnd?: 'length' | 'chunks' | 'connection';
+	readonly bodyBytes?: number;
+	/** Time within which the route's answers count as in time. */
+	readonly targetLatencyMs?: number;
 	readonly targetId?: string;
 	/** Requests that the target had when it was chosen. */
 	readonly outstanding?: number;
--- a/packages/callers/src/forward/forward-request.ts
+++ b/packages/callers/src/forward/forward-request.ts
@@ -44,7 +44,7 @@
 	finish(exchange, end);
 	parts.observer.noteEnd({
 		...(call && {call}),
-		...(admitted && {route: admitted.route?.name, customer: admitted.customer?.name}),
+		...(admitted && {route: admitted.route?.name, targetLatencyMs: admitted.route?.targetLatencyMs, customer: admitted.customer?.name}),
 		configVersion: table?.config.version,
 		outcome: exchange.callerLeft.aborted && end !== 'answered' ? 'left' : end,
 		status: progress.status,
