entry hosts: equal failures of a second share its line, and a storm leaves the answered requests their room

Cause: each refusal had a line of about 430 bytes whatever the earlier ones said.

Ruled out: a second folded line for failures.

Change: the first refusal of an outcome, route and model in a second has a line, the ids of the others are in the one line of the second, by cause ("overloaded ROUTE MODEL": "ID,ID,+3", where +3 are three without id). So are attempts that failed at one target for one reason. Other failures have lines while there is room. Under load each cause still has a line every 10 s. When room runs short, lines of their own go first, then ids of failures, then facts of answered requests, then their ids. Ids and names that callers choose are cut at 64 characters in all decision lines, since one caller could use up the bound with long ones.

--- a/apps/egretrilld/src/traffic/constants.ts
+++ b/apps/egretrilld/src/traffic/constants.ts
@@ -50,22 +50,28 @@
 export const SETTINGS_POLL_MS = 1000;
 
 /** Decision lines that an entry host writes on average. The platform keeps about 180 kB of the output of a process, which then reaches back more than a minute. */
-export const LOG_BYTES_PER_SECOND = 2400;
+export const LOG_BYTES_PER_SECOND = 2450;
 
 /** Decision lines that may be written at once after a quiet time. */
-export const LOG_BURST_BYTES = 12_000;
+export const LOG_BURST_BYTES = 8500;
 
-/** With less than this left, only the first failure of a second has a line of its own. */
-export const LINE_RESERVE_BYTES = 6000;
+/** With less than this left, failures share the line of their second. */
+export const LINE_RESERVE_BYTES = 5000;
 
-/** With less than this left, the line of answered requests holds their ids without further facts. */
-export const FACTS_RESERVE_BYTES = 3000;
+/** A cause whose failures share lines has a line of its own at least this often, since that one tells more. */
+export const CAUSE_LINE_MS = 10_000;
+
+/** With less than this left, the line of a second counts failures without their ids. */
+export const FAILURE_RESERVE_BYTES = 3500;
+
+/** With less than this left, the line of a second holds the ids of answered requests without further facts. */
+export const FACTS_RESERVE_BYTES = 2000;
 
 /** What a line holds beside its fields: the names of process, host and part, its level, time and message. */
-export const LINE_OVERHEAD_BYTES = 220;
+export const LINE_OVERHEAD_BYTES = 200;
 
 /** Time whose decisions share a line. */
 export const FOLD_MS = 1000;
 
-/** Callers choose their ids; longer ones are cut in folded lines. */
-export const MAX_LOGGED_ID_LENGTH = 64;
+/** Callers choose ids and the names of models; longer ones are cut, so that no caller can use up the room of the others' lines. */
+export const MAX_LOGGED_NAME_LENGTH = 64;
--- a/apps/egretrilld/src/traffic/decision-log.ts
+++ b/apps/egretrilld/src/traffic/decision-log.ts
@@ -1,21 +1,39 @@
+import {Buffer} from 'node:buffer';
 import type {ForwardEndNote} from '@egretrill/callers';
 import type {Clock, Logger} from '@egretrill/common';
 import {ByteBudget} from './byte-budget.js';
-import {FOLD_MS, LINE_OVERHEAD_BYTES, LINE_RESERVE_BYTES} from './constants.js';
+import {
+	CAUSE_LINE_MS, FOLD_MS, LINE_OVERHEAD_BYTES, LINE_RESERVE_BYTES,
+} from './constants.js';
 import {FoldedAnswers} from './folded-answers.js';
+import {FoldedFailures} from './folded-failures.js';
 
 type Fields = Readonly<Record<string, unknown>>;
 
-/** Writes decision lines up to a number of bytes a second: failures one by one while there is room, answered requests in one line a second. */
+/** A failure with the line that describes it. */
+export type Failure = {
+	readonly cause: string;
+	/** Whether failures of this cause tell nothing more than the first of them. */
+	readonly isAlike: boolean;
+	readonly requestId: string;
+	readonly fields: Fields;
+	readonly message: string;
+};
+
+/** Writes decision lines up to a number of bytes a second: one for the first failure of each cause in a second, and one a second for all other requests. */
 export class DecisionLog {
 	private readonly budget: ByteBudget;
 	private readonly answers = new FoldedAnswers();
-	private hasLine = false;
-	private leftOut = 0;
+	private readonly failures = new FoldedFailures();
+	/** When a failure of a cause last had a line of its own. */
+	private readonly causeLineMs = new Map<string, number>();
+	private secondStartedMs: number;
+	private hasFailed = false;
 	private isEnded = false;
 
 	constructor(private readonly clock: Clock, private readonly logger: Logger) {
 		this.budget = new ByteBudget(clock);
+		this.secondStartedMs = clock.now();
 	}
 
 	/** Writes what was collected once a second and when aborted; what comes later is written at once. */
@@ -28,46 +46,76 @@
 		this.isEnded = true;
 	}
 
-	/** Writes a line, or returns false when there is no room for it. The first of each second always has room. */
+	/** Writes a line, or returns false when there is no room for it. */
 	tryLine(fields: Fields, message: string): boolean {
-		if (this.hasLine && this.getRoom() < LINE_RESERVE_BYTES) {
-			return false;
+		const hasRoom = this.getRoom() >= LINE_RESERVE_BYTES;
+		if (hasRoom) {
+			this.write(fields, message);
 		}
 
-		this.hasLine = true;
-		const leftOut = this.leftOut > 0 && {leftOut: this.leftOut};
-		this.leftOut = 0;
-		this.write({...fields, ...leftOut}, message);
-		return true;
+		return hasRoom;
 	}
 
-	/** Writes a line of a failure; without room it is counted. */
-	noteFailure(fields: Fields, message: string): void {
-		this.leftOut += this.tryLine(fields, message) ? 0 : 1;
+	/** Writes a line of a failure, or notes it for the line of its second. */
+	noteFailure({cause, isAlike, requestId, fields, message}: Failure): void {
+		if (!this.mayHaveLine(cause, isAlike)) {
+			this.failures.add(cause, requestId, this.getRoom());
+			this.flushAtEnd();
+			return;
+		}
+
+		this.hasFailed = true;
+		this.causeLineMs.set(cause, this.clock.now());
+		this.write(fields, message);
 	}
 
 	/** Notes an answered request for the line of its second. */
 	noteAnswer(note: ForwardEndNote, knowledgeAgeMs: number): void {
 		this.answers.add(note, knowledgeAgeMs, this.getRoom());
+		this.flushAtEnd();
+	}
+
+	/** Without room, one failure a second still has a line, if its cause had none for long. */
+	private mayHaveLine(cause: string, isAlike: boolean): boolean {
+		const lineMs = this.causeLineMs.get(cause) ?? Number.NEGATIVE_INFINITY;
+		if (this.getRoom() >= LINE_RESERVE_BYTES) {
+			return !isAlike || lineMs < this.secondStartedMs;
+		}
+
+		return !this.hasFailed && this.clock.now() - lineMs >= CAUSE_LINE_MS;
+	}
+
+	private flushAtEnd(): void {
 		if (this.isEnded) {
 			this.flush();
 		}
 	}
 
 	private flush(): void {
-		this.hasLine = false;
+		this.startSecond();
 		const answers = this.answers.take();
-		if (answers) {
-			this.write(answers, 'Requests were answered.');
+		const failures = this.failures.take();
+		if (answers ?? failures) {
+			this.write({...answers, ...failures}, 'Requests of a second.');
+		}
+	}
+
+	private startSecond(): void {
+		this.hasFailed = false;
+		this.secondStartedMs = this.clock.now();
+		for (const [cause, lineMs] of this.causeLineMs) {
+			if (this.secondStartedMs - lineMs >= CAUSE_LINE_MS) {
+				this.causeLineMs.delete(cause);
+			}
 		}
 	}
 
 	private getRoom(): number {
-		return this.budget.getLeft() - this.answers.getBytes();
+		return this.budget.getLeft() - this.answers.getBytes() - this.failures.getBytes();
 	}
 
 	private write(fields: Fields, message: string): void {
-		this.budget.take(JSON.stringify(fields).length + LINE_OVERHEAD_BYTES);
+		this.budget.take(Buffer.byteLength(JSON.stringify(fields)) + LINE_OVERHEAD_BYTES);
 		this.logger.info(fields, message);
 	}
 }
--- a/apps/egretrilld/src/traffic/describe-answer.ts
+++ b/apps/egretrilld/src/traffic/describe-answer.ts
@@ -1,12 +1,12 @@
 import type {ForwardEndNote} from '@egretrill/callers';
-import {MAX_LOGGED_ID_LENGTH} from './constants.js';
+import {MAX_LOGGED_NAME_LENGTH} from './constants.js';
 
 const STATUS_OK = 200;
 const bodyEndLetters = {length: 'l', chunks: 'k', connection: 'c'} as const;
 
-/** Cuts an id and replaces what separates the entries of a folded line. */
-export function shortenId(id: string): string {
-	return id.slice(0, MAX_LOGGED_ID_LENGTH).replaceAll(/[\s,"\\]/g, '_');
+/** Cuts a name that a caller has chosen, and replaces what separates or escapes the entries of a folded line. */
+export function shorten(name: string): string {
+	return name.slice(0, MAX_LOGGED_NAME_LENGTH).replaceAll(/[^!-~]|[",\\]/g, '_');
 }
 
 function describeMs(letter: string, ms: number | undefined): readonly string[] {
--- a/apps/egretrilld/src/traffic/entry-observer.ts
+++ b/apps/egretrilld/src/traffic/entry-observer.ts
@@ -4,9 +4,11 @@
 import type {Metrics} from '@egretrill/balancer';
 import {estimateRunMs} from '@egretrill/engines';
 import type {DecisionLog} from './decision-log.js';
+import {shorten} from './describe-answer.js';
 import type {EntryReport} from './methods.js';
 
 const STATUS_SERVER_ERROR = 500;
+const END_MESSAGE = 'A request has ended.';
 
 /** Whether an answer came at the first attempt, without an error and in time, as far as this host can tell. */
 function isPlain({attempts, status = 0, tookMs, firstMs, targetLatencyMs = Number.POSITIVE_INFINITY}: ForwardEndNote): boolean {
@@ -17,11 +19,11 @@
 	const {call, route = '', customer, configVersion, outcome, status, bodyEnd, bodyBytes, targetId, outstanding, attempts, waitMs, tookMs, firstMs, longestPauseMs} = note;
 	const isRefused = typeof outcome === 'object';
 	return {
-		requestId: call?.attemptId,
+		requestId: call && shorten(call.attemptId),
 		route,
 		customer,
-		model: call?.model,
-		adapter: call?.adapter,
+		model: call?.model && shorten(call.model),
+		adapter: call?.adapter && shorten(call.adapter),
 		configVersion,
 		knowledgeAgeMs: Math.round(knowledgeAgeMs),
 		outcome: isRefused ? outcome.code : outcome,
@@ -63,24 +65,39 @@
 		}
 	}
 
-	override noteAttempt({call, place, attempt, outcome, tookMs, reason}: AttemptNote): void {
+	override noteAttempt({call, place: {targetId}, attempt, outcome, tookMs, reason}: AttemptNote): void {
 		this.attempts.add(1, {outcome});
 		if (outcome !== 'answered') {
+			const requestId = shorten(call.attemptId);
 			this.log.noteFailure({
-				requestId: call.attemptId, targetId: place.targetId, attempt, outcome, tookMs: Math.round(tookMs), reason,
-			}, 'A target did not answer a request.');
+				cause: `${outcome} ${targetId}: ${reason}`,
+				isAlike: true,
+				requestId,
+				fields: {
+					requestId, targetId, attempt, outcome, tookMs: Math.round(tookMs), reason,
+				},
+				message: 'A target did not answer a request.',
+			});
 		}
 	}
 
 	override noteEnd(note: ForwardEndNote): void {
-		const {route = '', outcome, waitMs, tookMs} = note;
-		this.requests.add(1, {route, outcome: typeof outcome === 'object' ? outcome.code : outcome});
+		const {call, route = '', outcome, waitMs, tookMs} = note;
+		const name = typeof outcome === 'object' ? outcome.code : outcome;
+		this.requests.add(1, {route, outcome: name});
 		this.durations.record(tookMs, {route});
 		this.placeWaits.record(waitMs, {route});
 		const knowledgeAgeMs = this.getKnowledgeAgeMs();
 		if (outcome !== 'answered') {
-			this.log.noteFailure(describeEnd(note, knowledgeAgeMs), typeof outcome === 'object' ? 'A request was refused.' : 'A request has ended.');
-		} else if (isPlain(note) || !this.log.tryLine(describeEnd(note, knowledgeAgeMs), 'A request has ended.')) {
+			const isAlike = typeof outcome === 'object';
+			this.log.noteFailure({
+				cause: [name, route, ...(call?.model ? [shorten(call.model)] : [])].join(' '),
+				isAlike,
+				requestId: shorten(call?.attemptId ?? ''),
+				fields: describeEnd(note, knowledgeAgeMs),
+				message: isAlike ? 'A request was refused.' : END_MESSAGE,
+			});
+		} else if (isPlain(note) || !this.log.tryLine(describeEnd(note, knowledgeAgeMs), END_MESSAGE)) {
 			this.log.noteAnswer(note, knowledgeAgeMs);
 		}
 	}
--- a/apps/egretrilld/src/traffic/folded-answers.ts
+++ b/apps/egretrilld/src/traffic/folded-answers.ts
@@ -1,27 +1,9 @@
 import type {ForwardEndNote} from '@egretrill/callers';
-import {z} from 'zod';
 import {FACTS_RESERVE_BYTES} from './constants.js';
-import {describeAnswer, shortenId} from './describe-answer.js';
+import {describeAnswer, shorten} from './describe-answer.js';
+import {type FoldedLine, NAME_SEPARATOR_BYTES} from './folded-line.js';
 
-const count = z.int().nonnegative();
-
-/** The line that holds the requests answered within a second. */
-export const AnswersLine = z.object({
-	configVersion: count.optional(),
-	/** Age of this host's knowledge when it was oldest. */
-	knowledgeAgeMs: z.number(),
-	count,
-	/** Answered requests whose ids the line does not hold. */
-	leftOut: count.optional(),
-	/** Entries by target, each an id and facts. */
-	answers: z.record(z.string(), z.string()),
-});
-export type AnswersLine = z.infer<typeof AnswersLine>;
-
-/** Quotes, colon and comma around the entries of one target. */
-const TARGET_SEPARATOR_BYTES = 6;
-
-/** Answered requests that wait for their line. */
+/** Answered requests that wait for the line of their second. */
 export class FoldedAnswers {
 	private bytes = 0;
 	private count = 0;
@@ -36,14 +18,14 @@
 
 	/** Adds an answer as far as there is room: with its facts, by its id alone, or only to the count. */
 	add(note: ForwardEndNote, knowledgeAgeMs: number, roomBytes: number): void {
+		const {call, targetId = ''} = note;
 		this.configVersion = this.count === 0 ? note.configVersion : this.configVersion;
-		this.count += 1;
 		this.knowledgeAgeMs = Math.max(this.knowledgeAgeMs, knowledgeAgeMs);
-		const {call, targetId = ''} = note;
+		this.count += 1;
 		const known = this.entries.get(targetId);
-		const id = shortenId(call?.attemptId ?? '');
+		const id = shorten(call?.attemptId ?? '');
 		const entry = roomBytes > FACTS_RESERVE_BYTES ? `${id} ${describeAnswer(note, this.configVersion)}` : id;
-		const bytes = entry.length + 1 + (known ? 0 : targetId.length + TARGET_SEPARATOR_BYTES);
+		const bytes = entry.length + 1 + (known ? 0 : targetId.length + NAME_SEPARATOR_BYTES);
 		if (bytes > roomBytes) {
 			this.leftOut += 1;
 			return;
@@ -54,7 +36,7 @@
 	}
 
 	/** Removes what was added; undefined when there is nothing to write. */
-	take(): AnswersLine | undefined {
+	take(): FoldedLine | undefined {
 		if (this.count === 0) {
 			return undefined;
 		}
@@ -68,7 +50,7 @@
 		return {
 			...(configVersion !== undefined && {configVersion}),
 			knowledgeAgeMs: Math.round(knowledgeAgeMs),
-			count,
+			answered: count,
 			...(leftOut > 0 && {leftOut}),
 			answers: Object.fromEntries([...entries].map(([targetId, texts]) => [targetId, texts.join(',')])),
 		};
--- a/apps/egretrilld/src/traffic/index.ts
+++ b/apps/egretrilld/src/traffic/index.ts
@@ -6,7 +6,7 @@
 export * from './decision-log.js';
 export * from './entry-host.js';
 export * from './entry-observer.js';
-export * from './folded-answers.js';
+export * from './folded-line.js';
 export * from './membership.js';
 export * from './methods.js';
 export * from './name-leader.js';
