log: a change of the membership names the members that it concerns

What on-call engineers saw: "Membership changes." repeated all members with their identities, several kB each time with many hosts, and pushed earlier lines out of the output that is kept of the leader.

Cause: the line held the whole list.

Change: the line holds the ids that were added and removed, the members whose role or identity changed, and how many members there are.

Evidence (packages/hosts/tests/member-lines.test.ts): a log of three members that gains a fourth and loses another writes six such lines, none with a member that did not change.

Conclusion: the length of the line no longer grows with the fleet.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -7,6 +7,7 @@
 export * from './engine-channel.js';
 export * from './faults.js';
 export * from './http-exchange.js';
+export * from './list-change.js';
 export * from './logger.js';
 export * from './random.js';
 export * from './signal.js';
--- a/packages/hosts/src/consensus/leadership.ts
+++ b/packages/hosts/src/consensus/leadership.ts
@@ -5,7 +5,9 @@
 } from '../constants.js';
 import {runFollower} from './follower.js';
 import {membersCodec, type Proposal, type Replica} from './replica.js';
-import {getMajorityValue, type MemberReport, planMemberChange} from './rules.js';
+import {
+	describeMemberChange, getMajorityValue, type MemberReport, planMemberChange,
+} from './rules.js';
 
 /** What the leader knows of one other member. */
 export type Progress = {
@@ -141,7 +143,7 @@
 	await replica.exclusive(async () => {
 		const members = plan();
 		if (members !== undefined) {
-			replica.opts.logger?.info({members}, 'Membership changes.');
+			replica.opts.logger?.info(describeMemberChange(replica.members, members), 'Membership changes.');
 			await appendOwn(replica, leadership, [{kind: 'members', data: membersCodec.encode(members)}]);
 		}
 	});
--- a/packages/hosts/src/consensus/rules.ts
+++ b/packages/hosts/src/consensus/rules.ts
@@ -1,3 +1,4 @@
+import {compareLists} from '@egretrill/common';
 import type {HardState, LogPosition} from '@egretrill/disk';
 import type {Members, RequestVoteRequest} from '../types.js';
 import type {MemberWish} from './state-machine.js';
@@ -80,3 +81,13 @@
 	const promoted = members.find(member => member.role !== 'voter' && reports.get(member.id)?.isCaughtUp);
 	return promoted && members.map(member => member === promoted ? {...member, role: 'voter'} : member);
 }
+
+/** A change of the membership by the members that it concerns; a list of all members would grow with each line. */
+export function describeMemberChange(before: Members, after: Members): {added: readonly string[]; removed: readonly string[]; changed: readonly string[]; count: number} {
+	const known = new Map(before.map(member => [member.id, member]));
+	const changed = after.filter(({id, identity, role}) => {
+		const earlier = known.get(id);
+		return earlier && (earlier.identity !== identity || earlier.role !== role);
+	});
+	return {...compareLists(before.map(({id}) => id), after.map(({id}) => id)), changed: changed.map(({id, role}) => `${id} ${role}`)};
+}
--- a/packages/hosts/tests/support/sim-cluster.ts
+++ b/packages/hosts/tests/support/sim-cluster.ts
@@ -1,5 +1,5 @@
 import {
-	type Clock, createRandom, ManualClock, type Random,
+	type Clock, createRandom, type Logger, ManualClock, type Random,
 } from '@egretrill/common';
 import {
 	AppendFile, FileLogStorage, FileSystem, MemoryFileSystem, SnapshotStore,
@@ -129,6 +129,7 @@
 	readonly initialMembers?: readonly string[];
 	readonly fault?: DiskFault;
 	readonly createState?: () => FleetState;
+	readonly logger?: Logger;
 };
 
 /** Members in one process on a simulated clock, network and disk; the seed fixes every delay and fault. */
@@ -162,6 +163,7 @@
 			machine: state,
 			clock,
 			random: this.random,
+			logger: this.opts.logger,
 		});
 		this.processes.set(id, {
 			node, state, clock, fileSystem,
