leader: a change of the entry hosts names those that came and went

What on-call engineers saw: "The entry hosts have changed." repeated all hosts, at each change of one.

Cause: the line held the whole list.

Change: the line holds the hosts that were added and removed, and how many there are.

Conclusion: the length of the line no longer grows with the fleet.

--- a/apps/egretrilld/src/traffic/index.ts
+++ b/apps/egretrilld/src/traffic/index.ts
@@ -7,6 +7,7 @@
 export * from './entry-host.js';
 export * from './entry-observer.js';
 export * from './folded-line.js';
+export * from './leader-term.js';
 export * from './membership.js';
 export * from './methods.js';
 export * from './name-leader.js';
--- a/apps/egretrilld/src/traffic/leader-term.ts
+++ b/apps/egretrilld/src/traffic/leader-term.ts
@@ -1,6 +1,6 @@
 import {RATE_HOST_TTL_MS, RateOwner} from '@egretrill/callers';
-import type {
-	Clock, EngineClass, Logger, Random, TrafficCustomer,
+import {
+	type Clock, compareLists, type EngineClass, type Logger, type Random, type TrafficCustomer,
 } from '@egretrill/common';
 import {type EngineOrders, EngineOwner, type TargetRegistry} from '@egretrill/engines';
 import type {FleetNode} from '@egretrill/hosts';
@@ -86,9 +86,10 @@
 		const {clock, getEntryHosts, logger, putEntryHosts} = this.opts;
 		while (!this.stopper.signal.aborted) {
 			const hostIds = [...new Set([...this.rates.getHostIds(), ...this.getUnsettledHosts()])].toSorted();
-			if (hostIds.join(' ') !== getEntryHosts().join(' ')) {
+			const recorded = getEntryHosts();
+			if (hostIds.join(' ') !== recorded.join(' ')) {
 				const isPut = await putEntryHosts(hostIds);
-				logger.info({hostIds, isPut}, 'The entry hosts have changed.');
+				logger.info({...compareLists(recorded, hostIds), isPut}, 'The entry hosts have changed.');
 			}
 
 			await clock.sleep(ENTRY_RECORD_MS, this.stopper.signal);
