common: a watch says when the event loop was blocked

What on-call engineers saw: a leader that stood still for a second lost its lease, and nothing in its log said why; its silence looked like a cut of the network.

Cause: no part of a process measured whether its timers fired in time.

Change: LoopWatch sleeps 50 ms on the process's clock and measures how late it wakes. Once a second, and when it ends, it writes "The event loop was blocked." with the longest delay and the longest round of planning when either was 150 ms or more (the lease of a leader lasts 500 ms). A delay shows up to 50 ms short, since it may begin while the watch sleeps. Each delay goes to a meter, for metrics. monitorEventLoopDelay is not used: it may not work on the platform.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -9,6 +9,7 @@
 export * from './http-exchange.js';
 export * from './list-change.js';
 export * from './logger.js';
+export * from './loop-watch.js';
 export * from './random.js';
 export * from './signal.js';
 export * from './target-client.js';
