hosts: watch the event loop, and measure each round of planning

Cause: neither the planning of loads nor the event loop of any host was measured.

Change: entry and control hosts run a LoopWatch; the owner of engines tells it how long each round of planning took.

Conclusion: whether a lost lease came from a blocked event loop, and whether planning blocked it, is in the log.

--- a/apps/egretrilld/src/traffic/container.ts
+++ b/apps/egretrilld/src/traffic/container.ts
@@ -2,7 +2,7 @@
 import 'reflect-metadata';
 import {Metrics} from '@egretrill/balancer';
 import {
-	createLogger, createRandom, getComponentLogger, MonotonicClock,
+	createLogger, createRandom, getComponentLogger, LoopWatch, MonotonicClock,
 } from '@egretrill/common';
 import {ControlPeers} from '@egretrill/hosts';
 import {credentials, ServerCredentials} from '@grpc/grpc-js';
@@ -10,6 +10,7 @@
 import type {Adapter} from './adapter.js';
 import {ControlHost} from './control-host.js';
 import {EntryHost} from './entry-host.js';
+import {LoopMetrics} from './loop-metrics.js';
 import type {ControlSettings, EntrySettings, TrafficSettings} from './settings.js';
 import {trafficTokens} from './tokens.js';
 
@@ -19,6 +20,7 @@
 		clock: ctx.get(trafficTokens.clock),
 		random: ctx.get(trafficTokens.random),
 		logger: getComponentLogger(ctx.get(trafficTokens.logger), 'control'),
+		watch: ctx.get(trafficTokens.watch),
 		credentials: ctx.get(trafficTokens.credentials),
 		decoder: ctx.get(trafficTokens.adapter).decoder,
 		orders: ctx.get(trafficTokens.adapter).createOrders(),
@@ -32,6 +34,7 @@
 		random: ctx.get(trafficTokens.random),
 		logger: getComponentLogger(ctx.get(trafficTokens.logger), 'callers'),
 		metrics: ctx.get(trafficTokens.metrics),
+		watch: ctx.get(trafficTokens.watch),
 		peers: new ControlPeers({seedIds: settings.seeds, clock: ctx.get(trafficTokens.clock), credentials: ctx.get(trafficTokens.credentials)}),
 		dialect: ctx.get(trafficTokens.adapter).dialect,
 		decoder: ctx.get(trafficTokens.adapter).decoder,
@@ -46,6 +49,7 @@
 	container.bind(trafficTokens.random).toConstantValue(createRandom(randomInt(2 ** 31)));
 	container.bind(trafficTokens.logger).toConstantValue(createLogger(`egretrilld.${settings.host}`, settings.logLevel));
 	container.bind(trafficTokens.metrics).toConstantValue(new Metrics());
+	container.bind(trafficTokens.watch).toDynamicValue(ctx => new LoopWatch(ctx.get(trafficTokens.clock), ctx.get(trafficTokens.logger), new LoopMetrics(ctx.get(trafficTokens.metrics)))).inSingletonScope();
 	// The platform's network between hosts is closed to others; it gives no certificates.
 	container.bind(trafficTokens.credentials).toConstantValue({server: ServerCredentials.createInsecure(), client: credentials.createInsecure()});
 	if (settings.role === 'control') {
--- a/apps/egretrilld/src/traffic/control-host.ts
+++ b/apps/egretrilld/src/traffic/control-host.ts
@@ -1,7 +1,7 @@
 import {randomUUID} from 'node:crypto';
 import path from 'node:path';
 import {
-	type Clock, type EngineClass, type Logger, type Random, type Registration, Signal, type TrafficConfig, type TrafficCustomer,
+	type Clock, type EngineClass, type Logger, type LoopWatch, type Random, type Registration, Signal, type TrafficConfig, type TrafficCustomer,
 } from '@egretrill/common';
 import {FileLogStorage, SnapshotStore} from '@egretrill/disk';
 import {type EngineOrders, TargetRegistry} from '@egretrill/engines';
@@ -25,6 +25,7 @@
 	readonly clock: Clock;
 	readonly random: Random;
 	readonly logger: Logger;
+	readonly watch: LoopWatch;
 	readonly credentials: PeerCredentials;
 	readonly decoder: ConfigDecoder;
 	readonly orders: EngineOrders;
@@ -137,7 +138,7 @@
 		await this.node.start();
 		const watching = this.watchLog();
 		await Promise.all([
-			this.followLog(signal), this.followRegistry(signal), this.gossip.run(signal), this.membership.join(signal), this.membership.removeSilent(signal),
+			this.opts.watch.run(signal), this.followLog(signal), this.followRegistry(signal), this.gossip.run(signal), this.membership.join(signal), this.membership.removeSilent(signal),
 		]);
 		await this.membership.leave();
 		this.term?.end();
@@ -254,7 +255,7 @@
 	/** Starts or ends a term as this host gains or loses the leadership. */
 	private followLeadership(): void {
 		const {role, term, leaderId} = this.node.status();
-		const {clock, random, logger, orders, settings} = this.opts;
+		const {clock, random, logger, orders, settings, watch} = this.opts;
 		if (role === 'leader' && this.term?.term !== term) {
 			this.term?.end();
 			logger.info({term}, 'This host leads.');
@@ -264,6 +265,7 @@
 				logger,
 				orders,
 				term,
+				watch,
 				node: this.node,
 				registry: this.registry,
 				hostId: settings.host,
--- a/apps/egretrilld/src/traffic/entry-host.ts
+++ b/apps/egretrilld/src/traffic/entry-host.ts
@@ -3,7 +3,7 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {
-	type Clock, jitter, type Logger, type Random, type TrafficSource,
+	type Clock, jitter, type Logger, type LoopWatch, type Random, type TrafficSource,
 } from '@egretrill/common';
 import {
 	type ForwardDialect, type ForwardParts, forwardRequest, PlaceQueue, RATE_LEASE_MS, RateParts, RetryBudget, ReturnTimes, RouteTable,
@@ -33,6 +33,7 @@
 	readonly random: Random;
 	readonly logger: Logger;
 	readonly metrics: Metrics;
+	readonly watch: LoopWatch;
 	readonly peers: ControlPeers;
 	readonly dialect: ForwardDialect;
 	readonly decoder: ConfigDecoder;
@@ -104,7 +105,7 @@
 
 	/** Follows the control hosts and places waiting requests until aborted. */
 	async run(signal: AbortSignal): Promise<void> {
-		await Promise.all([this.follower.run(signal), this.pump(signal), this.log.run(signal)]);
+		await Promise.all([this.follower.run(signal), this.pump(signal), this.log.run(signal), this.opts.watch.run(signal)]);
 		this.sender.close();
 	}
 
--- a/apps/egretrilld/src/traffic/leader-term.ts
+++ b/apps/egretrilld/src/traffic/leader-term.ts
@@ -1,6 +1,6 @@
 import {RATE_HOST_TTL_MS, RateOwner} from '@egretrill/callers';
 import {
-	type Clock, compareLists, type EngineClass, type Logger, type Random, type TrafficCustomer,
+	type Clock, compareLists, type EngineClass, type Logger, type LoopWatch, type Random, type TrafficCustomer,
 } from '@egretrill/common';
 import {type EngineOrders, EngineOwner, type TargetRegistry} from '@egretrill/engines';
 import type {FleetNode} from '@egretrill/hosts';
@@ -11,6 +11,7 @@
 	readonly clock: Clock;
 	readonly random: Random;
 	readonly logger: Logger;
+	readonly watch: Pick<LoopWatch, 'notePlan'>;
 	readonly node: FleetNode;
 	readonly registry: TargetRegistry;
 	readonly orders: EngineOrders;
--- a/apps/egretrilld/src/traffic/tokens.ts
+++ b/apps/egretrilld/src/traffic/tokens.ts
@@ -1,6 +1,6 @@
 import type {Metrics} from '@egretrill/balancer';
 import type {
-	Clock, Logger, Random,
+	Clock, Logger, LoopWatch, Random,
 } from '@egretrill/common';
 import type {PeerCredentials} from '@egretrill/hosts';
 import type {ServiceIdentifier} from 'inversify';
@@ -15,6 +15,7 @@
 	random: Symbol.for('random') as ServiceIdentifier<Random>,
 	logger: Symbol.for('logger') as ServiceIdentifier<Logger>,
 	metrics: Symbol.for('metrics') as ServiceIdentifier<Metrics>,
+	watch: Symbol.for('watch') as ServiceIdentifier<LoopWatch>,
 	credentials: Symbol.for('credentials') as ServiceIdentifier<PeerCredentials>,
 	control: Symbol.for('control') as ServiceIdentifier<ControlHost>,
 	entry: Symbol.for('entry') as ServiceIdentifier<EntryHost>,
--- a/apps/egretrilld/tests/traffic/leader-term.test.ts
+++ b/apps/egretrilld/tests/traffic/leader-term.test.ts
@@ -1,4 +1,6 @@
-import {createRandom, ManualClock} from '@egretrill/common';
+import {
+	createRandom, LoopMeter, LoopWatch, ManualClock,
+} from '@egretrill/common';
 import {EngineOrders, type EngineReport, TargetRegistry} from '@egretrill/engines';
 import {expect} from 'chai';
 import {type EntryReport, LeaderTerm} from '../../src/traffic/index.js';
@@ -14,18 +16,35 @@
 	}
 }
 
+class PlanRecorder extends LoopMeter {
+	readonly planMs: number[] = [];
+
+	override noteLate(): void {
+		// Only the plans matter here.
+	}
+
+	override notePlan(tookMs: number): void {
+		this.planMs.push(tookMs);
+	}
+}
+
 /** One term of a leader whose entry hosts the test names. */
 class TermWorld extends LogLines {
 	readonly clock = new ManualClock();
+	readonly meter = new PlanRecorder();
+	readonly watch: LoopWatch;
 	readonly term: LeaderTerm;
 	private entryHosts: readonly string[] = [];
 
-	constructor() {
+	/** Each round of planning holds the event loop for the given time. */
+	constructor(private readonly planMs = 0) {
 		super('control');
+		this.watch = new LoopWatch(this.clock, this.logger, this.meter);
 		this.term = new LeaderTerm({
 			clock: this.clock,
 			random: createRandom(1),
 			logger: this.logger,
+			watch: this.watch,
 			node: {isLeaderWithLease: () => true, status: () => ({term: 1})} as unknown as ConstructorParameters<typeof LeaderTerm>[0]['node'],
 			registry: new TargetRegistry(this.clock, 'origin'),
 			orders: new NoOrders(),
@@ -33,7 +52,10 @@
 			term: 1,
 			orderLeaseMs: 3000,
 			getZonesOut: () => [],
-			getClasses: () => new Map(),
+			getClasses: () => {
+				this.clock.advance(this.planMs);
+				return new Map();
+			},
 			getCustomers: () => new Map(),
 			getEntryHosts: () => this.entryHosts,
 			putEntryHosts: async hostIds => {
@@ -70,4 +92,17 @@
 		await running;
 		expect(await world.getLines()).toMatchSnapshot();
 	});
+
+	// Guards against a plan that takes so long that the leader loses its lease, without a line that says why.
+	it('say how long a round of planning took that blocked the event loop', async () => {
+		const world = new TermWorld(700);
+		const watching = new AbortController();
+		const running = [world.term.run(), world.watch.run(watching.signal)];
+		await world.clock.run(4200);
+		world.term.end();
+		watching.abort();
+		await world.clock.run(1);
+		await Promise.all(running);
+		expect([world.meter.planMs, await world.getLines()]).toMatchSnapshot();
+	});
 });
--- a/packages/engines/src/loading/engine-owner.ts
+++ b/packages/engines/src/loading/engine-owner.ts
@@ -1,5 +1,5 @@
 import {
-	type Clock, DecayingCounts, type EngineClass, jitter, type Logger, type Random, type Registration,
+	type Clock, DecayingCounts, type EngineClass, jitter, type Logger, type LoopWatch, type Random, type Registration,
 } from '@egretrill/common';
 import type {AdapterUse, TargetRegistry} from '../registry/index.js';
 import {
@@ -18,6 +18,8 @@
 	readonly clock: Clock;
 	readonly random: Random;
 	readonly logger: Logger;
+	/** Told how long each round of planning held the event loop. */
+	readonly watch?: Pick<LoopWatch, 'notePlan'>;
 	readonly registry: TargetRegistry;
 	readonly orders: EngineOrders;
 	/** Names this host in its orders. */
@@ -108,14 +110,16 @@
 
 	/** Plans and gives orders until the ownership ends. */
 	async run(signal: AbortSignal): Promise<void> {
-		const {clock, firstOrderAtMs, random} = this.opts;
+		const {clock, firstOrderAtMs, random, watch} = this.opts;
 		await clock.sleep(firstOrderAtMs - clock.now(), signal);
 		while (!signal.aborted) {
+			const startedMs = clock.now();
 			for (const [service, engineClass] of this.opts.getClasses()) {
 				this.startMoves(service, engineClass, signal);
 				this.expected.set(service, this.expect(service, engineClass));
 			}
 
+			watch?.notePlan(clock.now() - startedMs);
 			await clock.sleep(jitter(LOAD_PLAN_MS, random), signal);
 		}
 	}
