--- a/apps/egretrilld/src/traffic/control-host.ts
+++ b/apps/egretrilld/src/traffic/control-host.ts
@@ -2,7 +2,7 @@
 import {setMaxListeners} from 'node:events';
 import path from 'node:path';
 import {
-	type Clock, type EngineClass, type Logger, type Random, type Registration, type TrafficConfig, type TrafficCustomer,
+	type Clock, type EngineClass, type Logger, type LoopWatch, type Random, type Registration, type TrafficConfig, type TrafficCustomer,
 } from '@egretrill/common';
 import {FileLogStorage, SnapshotStore} from '@egretrill/disk';
 import {type EngineOrders, TargetRegistry} from '@egretrill/engines';
@@ -27,6 +27,7 @@
 	readonly clock: Clock;
 	readonly random: Random;
 	readonly logger: Logger;
+	readonly watch: LoopWatch;
 	readonly credentials: PeerCredentials;
 	readonly decoder: ConfigDecoder;
 	readonly orders: EngineOrders;
@@ -141,7 +142,7 @@
 		await this.node.start();
 		const watching = this.watchLog();
 		await Promise.all([
-			this.followLog(signal), this.followRegistry(signal), this.gossip.run(signal), this.membership.join(signal), this.membership.removeSilent(signal),
+			this.opts.watch.run(signal), this.followLog(signal), this.followRegistry(signal), this.gossip.run(signal), this.membership.join(signal), this.membership.removeSilent(signal),
 		]);
 		await this.membership.leave();
 		this.term?.end();
@@ -250,7 +251,7 @@
 	/** Starts or ends a term as this host gains or loses the leadership. */
 	private followLeadership(): void {
 		const {role, term, leaderId} = this.node.status();
-		const {clock, random, logger, orders, settings} = this.opts;
+		const {clock, random, logger, orders, settings, watch} = this.opts;
 		if (role === 'leader' && this.term?.term !== term) {
 			this.term?.end();
 			logger.info({term}, 'This host leads.');
@@ -260,6 +261,7 @@
 				logger,
 				orders,
 				term,
+				watch,
 				node: this.node,
 				registry: this.registry,
 				hostId: settings.host,
--- a/apps/egretrilld/src/traffic/decision-log.ts
+++ b/apps/egretrilld/src/traffic/decision-log.ts
@@ -1,32 +1,121 @@
-import {type Clock, type Logger} from '@egretrill/common';
-import {MAX_LOG_LINES_PER_SECOND} from '@egretrill/callers';
+import {Buffer} from 'node:buffer';
+import type {ForwardEndNote} from '@egretrill/callers';
+import type {Clock, Logger} from '@egretrill/common';
+import {ByteBudget} from './byte-budget.js';
+import {
+	CAUSE_LINE_MS, FOLD_MS, LINE_OVERHEAD_BYTES, LINE_RESERVE_BYTES,
+} from './constants.js';
+import {FoldedAnswers} from './folded-answers.js';
+import {FoldedFailures} from './folded-failures.js';
 
-/** Writes decision lines up to a rate and says how many were left out; failures may use the whole rate, other lines half of it. */
+type Fields = Readonly<Record<string, unknown>>;
+
+/** A failure with the line that describes it. */
+export type Failure = {
+	readonly cause: string;
+	/** Whether failures of this cause tell nothing more than the first of them. */
+	readonly isAlike: boolean;
+	readonly requestId: string;
+	readonly fields: Fields;
+	readonly message: string;
+};
+
+/** Writes decision lines up to a number of bytes a second: one for the first failure of each cause in a second, and one a second for all other requests. */
 export class DecisionLog {
-	private tokens = MAX_LOG_LINES_PER_SECOND;
-	private filledMs: number;
-	private leftOut = 0;
+	private readonly budget: ByteBudget;
+	private readonly answers = new FoldedAnswers();
+	private readonly failures = new FoldedFailures();
+	/** When a failure of a cause last had a line of its own. */
+	private readonly causeLineMs = new Map<string, number>();
+	private secondStartedMs: number;
+	private hasFailed = false;
+	private isEnded = false;
 
 	constructor(private readonly clock: Clock, private readonly logger: Logger) {
-		this.filledMs = clock.now();
+		this.budget = new ByteBudget(clock);
+		this.secondStartedMs = clock.now();
+	}
+
+	/** Writes what was collected once a second and when aborted; what comes later is written at once. */
+	async run(signal: AbortSignal): Promise<void> {
+		while (!signal.aborted) {
+			await this.clock.sleep(FOLD_MS, signal);
+			this.flush();
+		}
+
+		this.isEnded = true;
+	}
+
+	/** Writes a line, or returns false when there is no room for it. */
+	tryLine(fields: Fields, message: string): boolean {
+		const hasRoom = this.getRoom() >= LINE_RESERVE_BYTES;
+		if (hasRoom) {
+			this.write(fields, message);
+		}
+
+		return hasRoom;
 	}
 
-	write(fields: Readonly<Record<string, unknown>>, message: string, isFailure: boolean): void {
-		this.fill();
-		if (this.tokens < (isFailure ? 1 : MAX_LOG_LINES_PER_SECOND / 2)) {
-			this.leftOut += 1;
+	/** Writes a line of a failure, or notes it for the line of its second. */
+	noteFailure({cause, isAlike, requestId, fields, message}: Failure): void {
+		if (!this.mayHaveLine(cause, isAlike)) {
+			this.failures.add(cause, requestId, this.getRoom());
+			this.flushAtEnd();
 			return;
 		}
 
-		this.tokens -= 1;
-		const leftOut = this.leftOut > 0 && {leftOut: this.leftOut};
-		this.leftOut = 0;
-		this.logger.info({...fields, ...leftOut}, message);
+		this.hasFailed = true;
+		this.causeLineMs.set(cause, this.clock.now());
+		this.write(fields, message);
+	}
+
+	/** Notes an answered request for the line of its second. */
+	noteAnswer(note: ForwardEndNote, knowledgeAgeMs: number): void {
+		this.answers.add(note, knowledgeAgeMs, this.getRoom());
+		this.flushAtEnd();
+	}
+
+	/** Without room, one failure a second still has a line, if its cause had none for long. */
+	private mayHaveLine(cause: string, isAlike: boolean): boolean {
+		const lineMs = this.causeLineMs.get(cause) ?? Number.NEGATIVE_INFINITY;
+		if (this.getRoom() >= LINE_RESERVE_BYTES) {
+			return !isAlike || lineMs < this.secondStartedMs;
+		}
+
+		return !this.hasFailed && this.clock.now() - lineMs >= CAUSE_LINE_MS;
+	}
+
+	private flushAtEnd(): void {
+		if (this.isEnded) {
+			this.flush();
+		}
+	}
+
+	private flush(): void {
+		this.startSecond();
+		const answers = this.answers.take();
+		const failures = this.failures.take();
+		if (answers ?? failures) {
+			this.write({...answers, ...failures}, 'Requests of a second.');
+		}
+	}
+
+	private startSecond(): void {
+		this.hasFailed = false;
+		this.secondStartedMs = this.clock.now();
+		for (const [cause, lineMs] of this.causeLineMs) {
+			if (this.secondStartedMs - lineMs >= CAUSE_LINE_MS) {
+				this.causeLineMs.delete(cause);
+			}
+		}
+	}
+
+	private getRoom(): number {
+		return this.budget.getLeft() - this.answers.getBytes() - this.failures.getBytes();
 	}
 
-	private fill(): void {
-		const nowMs = this.clock.now();
-		this.tokens = Math.min(MAX_LOG_LINES_PER_SECOND, this.tokens + ((nowMs - this.filledMs) * MAX_LOG_LINES_PER_SECOND / 1000));
-		this.filledMs = nowMs;
+	private write(fields: Fields, message: string): void {
+		this.budget.take(Buffer.byteLength(JSON.stringify(fields)) + LINE_OVERHEAD_BYTES);
+		this.logger.info(fields, message);
 	}
 }
--- /dev/null
+++ b/apps/egretrilld/src/traffic/describe-answer.ts
@@ -0,0 +1,32 @@
+import type {ForwardEndNote} from '@egretrill/callers';
+import type {BodyFraming} from '@egretrill/common';
+import {MAX_LOGGED_NAME_LENGTH} from './constants.js';
+
+const STATUS_OK = 200;
+const bodyEndLetters: Readonly<Record<BodyFraming, string>> = {
+	length: 'l', chunks: 'k', connection: 'c', none: 'n',
+};
+
+/** Cuts a name that a caller has chosen, and replaces what separates or escapes the entries of a folded line. */
+export function shorten(name: string): string {
+	return name.slice(0, MAX_LOGGED_NAME_LENGTH).replaceAll(/[^!-~]|[",\\]/g, '_');
+}
+
+function describeMs(letter: string, ms: number | undefined): readonly string[] {
+	return ms === undefined ? [] : [`${letter}${Math.round(ms)}`];
+}
+
+/** The facts of an answered request, each with its letter; docs/OPERATIONS.md lists them. */
+export function describeAnswer(note: ForwardEndNote, lineConfigVersion: number | undefined): string {
+	const {status = STATUS_OK, bodyEnd, bodyBytes, waitMs, tookMs, firstMs, longestPauseMs, attempts, configVersion} = note;
+	return [
+		...(status === STATUS_OK ? [] : [`s${status}`]),
+		...(bodyEnd ? [`${bodyEndLetters[bodyEnd]}${bodyBytes ?? ''}`] : []),
+		...(waitMs < 0.5 ? [] : describeMs('w', waitMs)),
+		...describeMs('t', tookMs),
+		...describeMs('f', firstMs),
+		...describeMs('p', longestPauseMs),
+		...(attempts === 1 ? [] : [`a${attempts}`]),
+		...(configVersion === lineConfigVersion ? [] : [`v${configVersion}`]),
+	].join(' ');
+}
--- a/apps/egretrilld/src/traffic/entry-host.ts
+++ b/apps/egretrilld/src/traffic/entry-host.ts
@@ -1,7 +1,7 @@
 import {setMaxListeners} from 'node:events';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {
-	type Clock, createHttpServer, jitter, type Logger, type Random, setReadLimits, type TrafficSource,
+	type Clock, createHttpServer, jitter, type Logger, type LoopWatch, type Random, setReadLimits, type TrafficSource,
 } from '@egretrill/common';
 import {
 	type ForwardDialect, type ForwardParts, forwardRequest, PausedLender, PlaceQueue, RATE_LEASE_MS, RateParts, RetryBudget, ReturnTimes, RouteTable,
@@ -31,6 +31,7 @@
 	readonly random: Random;
 	readonly logger: Logger;
 	readonly metrics: Metrics;
+	readonly watch: LoopWatch;
 	readonly peers: ControlPeers;
 	readonly dialect: ForwardDialect;
 	readonly decoder: ConfigDecoder;
@@ -45,6 +46,7 @@
 	private readonly book: TargetBook;
 	private readonly queue: PlaceQueue;
 	private readonly rates: RateParts;
+	private readonly log: DecisionLog;
 	private readonly observer: EntryObserver;
 	private readonly retries = new Map<string, RetryBudget>();
 	private readonly sender = new HttpSender();
@@ -76,7 +78,8 @@
 			book: this.book,
 			ask: async (service, model, adapter) => this.follower.want(service, model, adapter),
 		}));
-		this.observer = new EntryObserver(new DecisionLog(clock, logger), metrics, () => this.follower.getAgeMs());
+		this.log = new DecisionLog(clock, logger);
+		this.observer = new EntryObserver(this.log, metrics, () => this.follower.getAgeMs());
 		this.parts = {
 			clock,
 			random: opts.random,
@@ -100,7 +103,7 @@
 
 	/** Follows the control hosts and places waiting requests until aborted. */
 	async run(signal: AbortSignal): Promise<void> {
-		await Promise.all([this.follower.run(signal), this.pump(signal)]);
+		await Promise.all([this.follower.run(signal), this.pump(signal), this.log.run(signal), this.opts.watch.run(signal)]);
 		this.sender.close();
 	}
 
--- a/apps/egretrilld/src/traffic/entry-observer.ts
+++ b/apps/egretrilld/src/traffic/entry-observer.ts
@@ -4,8 +4,43 @@
 import type {Metrics} from '@egretrill/balancer';
 import {estimateRunMs} from '@egretrill/engines';
 import type {DecisionLog} from './decision-log.js';
+import {shorten} from './describe-answer.js';
 import type {EntryReport} from './methods.js';
 
+const STATUS_SERVER_ERROR = 500;
+const END_MESSAGE = 'A request has ended.';
+
+/** Whether an answer came at the first attempt, without an error and in time, as far as this host can tell. */
+function isPlain({attempts, status = 0, tookMs, firstMs, targetLatencyMs = Number.POSITIVE_INFINITY}: ForwardEndNote): boolean {
+	return attempts === 1 && status < STATUS_SERVER_ERROR && (firstMs ?? tookMs) <= targetLatencyMs;
+}
+
+function describeEnd(note: ForwardEndNote, knowledgeAgeMs: number): Readonly<Record<string, unknown>> {
+	const {call, route = '', customer, configVersion, outcome, status, bodyEnd, bodyBytes, targetId, outstanding, attempts, waitMs, tookMs, firstMs, longestPauseMs} = note;
+	const isRefused = typeof outcome === 'object';
+	return {
+		requestId: call && shorten(call.attemptId),
+		route,
+		customer,
+		model: call?.model && shorten(call.model),
+		adapter: call?.adapter && shorten(call.adapter),
+		configVersion,
+		knowledgeAgeMs: Math.round(knowledgeAgeMs),
+		outcome: isRefused ? outcome.code : outcome,
+		status: isRefused ? outcome.status : status,
+		...(isRefused && {run: outcome.run, reason: outcome.reason, retryAfterMs: outcome.retryAfterMs}),
+		bodyEnd,
+		bodyBytes,
+		targetId,
+		outstanding,
+		attempts,
+		waitMs: Math.round(waitMs),
+		tookMs: Math.round(tookMs),
+		...(firstMs !== undefined && {firstMs: Math.round(firstMs)}),
+		...(longestPauseMs !== undefined && {longestPauseMs: Math.round(longestPauseMs)}),
+	};
+}
+
 /** Turns what happens to requests into decision lines, metrics and the demand that the leader hears of. */
 export class EntryObserver extends ForwardObserver {
 	private arrivals = new Map<string, {readonly count: number; readonly runMs: number}>();
@@ -30,40 +65,41 @@
 		}
 	}
 
-	override noteAttempt({call, place, attempt, outcome, tookMs, reason}: AttemptNote): void {
+	override noteAttempt({call, place: {targetId}, attempt, outcome, tookMs, reason}: AttemptNote): void {
 		this.attempts.add(1, {outcome});
 		if (outcome !== 'answered') {
-			this.log.write({
-				requestId: call.attemptId, targetId: place.targetId, attempt, outcome, tookMs: Math.round(tookMs), reason,
-			}, 'A target did not answer a request.', true);
+			const requestId = shorten(call.attemptId);
+			this.log.noteFailure({
+				cause: `${outcome} ${targetId}: ${reason}`,
+				isAlike: true,
+				requestId,
+				fields: {
+					requestId, targetId, attempt, outcome, tookMs: Math.round(tookMs), reason,
+				},
+				message: 'A target did not answer a request.',
+			});
 		}
 	}
 
-	override noteEnd({call, route = '', customer, configVersion, outcome, status, targetId, outstanding, attempts, waitMs, tookMs, firstMs, longestPauseMs}: ForwardEndNote): void {
-		const isRefused = typeof outcome === 'object';
-		const name = isRefused ? outcome.code : outcome;
+	override noteEnd(note: ForwardEndNote): void {
+		const {call, route = '', outcome, waitMs, tookMs} = note;
+		const name = typeof outcome === 'object' ? outcome.code : outcome;
 		this.requests.add(1, {route, outcome: name});
 		this.durations.record(tookMs, {route});
 		this.placeWaits.record(waitMs, {route});
-		this.log.write({
-			requestId: call?.attemptId,
-			route,
-			customer,
-			model: call?.model,
-			adapter: call?.adapter,
-			configVersion,
-			knowledgeAgeMs: Math.round(this.getKnowledgeAgeMs()),
-			outcome: name,
-			status: isRefused ? outcome.status : status,
-			...(isRefused && {run: outcome.run, reason: outcome.reason, retryAfterMs: outcome.retryAfterMs}),
-			targetId,
-			outstanding,
-			attempts,
-			waitMs: Math.round(waitMs),
-			tookMs: Math.round(tookMs),
-			...(firstMs !== undefined && {firstMs: Math.round(firstMs)}),
-			...(longestPauseMs !== undefined && {longestPauseMs: Math.round(longestPauseMs)}),
-		}, isRefused ? 'A request was refused.' : 'A request has ended.', outcome !== 'answered');
+		const knowledgeAgeMs = this.getKnowledgeAgeMs();
+		if (outcome !== 'answered') {
+			const isAlike = typeof outcome === 'object';
+			this.log.noteFailure({
+				cause: [name, route, ...(call?.model ? [shorten(call.model)] : [])].join(' '),
+				isAlike,
+				requestId: shorten(call?.attemptId ?? ''),
+				fields: describeEnd(note, knowledgeAgeMs),
+				message: isAlike ? 'A request was refused.' : END_MESSAGE,
+			});
+		} else if (isPlain(note) || !this.log.tryLine(describeEnd(note, knowledgeAgeMs), END_MESSAGE)) {
+			this.log.noteAnswer(note, knowledgeAgeMs);
+		}
 	}
 
 	/** Arrivals since the last call. */
--- /dev/null
+++ b/apps/egretrilld/src/traffic/folded-answers.ts
@@ -0,0 +1,58 @@
+import type {ForwardEndNote} from '@egretrill/callers';
+import {FACTS_RESERVE_BYTES} from './constants.js';
+import {describeAnswer, shorten} from './describe-answer.js';
+import {type FoldedLine, NAME_SEPARATOR_BYTES} from './folded-line.js';
+
+/** Answered requests that wait for the line of their second. */
+export class FoldedAnswers {
+	private bytes = 0;
+	private count = 0;
+	private leftOut = 0;
+	private configVersion: number | undefined;
+	private knowledgeAgeMs = 0;
+	private entries = new Map<string, string[]>();
+
+	getBytes(): number {
+		return this.bytes;
+	}
+
+	/** Adds an answer as far as there is room: with its facts, by its id alone, or only to the count. */
+	add(note: ForwardEndNote, knowledgeAgeMs: number, roomBytes: number): void {
+		const {call, targetId = ''} = note;
+		this.configVersion = this.count === 0 ? note.configVersion : this.configVersion;
+		this.knowledgeAgeMs = Math.max(this.knowledgeAgeMs, knowledgeAgeMs);
+		this.count += 1;
+		const known = this.entries.get(targetId);
+		const id = shorten(call?.attemptId ?? '');
+		const entry = roomBytes > FACTS_RESERVE_BYTES ? `${id} ${describeAnswer(note, this.configVersion)}` : id;
+		const bytes = entry.length + 1 + (known ? 0 : targetId.length + NAME_SEPARATOR_BYTES);
+		if (bytes > roomBytes) {
+			this.leftOut += 1;
+			return;
+		}
+
+		this.bytes += bytes;
+		this.entries.set(targetId, [...known ?? [], entry]);
+	}
+
+	/** Removes what was added; undefined when there is nothing to write. */
+	take(): FoldedLine | undefined {
+		if (this.count === 0) {
+			return undefined;
+		}
+
+		const {configVersion, count, entries, knowledgeAgeMs, leftOut} = this;
+		this.bytes = 0;
+		this.count = 0;
+		this.leftOut = 0;
+		this.knowledgeAgeMs = 0;
+		this.entries = new Map();
+		return {
+			...(configVersion !== undefined && {configVersion}),
+			knowledgeAgeMs: Math.round(knowledgeAgeMs),
+			answered: count,
+			...(leftOut > 0 && {leftOut}),
+			answers: Object.fromEntries([...entries].map(([targetId, texts]) => [targetId, texts.join(',')])),
+		};
+	}
+}
--- a/apps/egretrilld/tests/traffic/answer-end.test.ts
+++ b/apps/egretrilld/tests/traffic/answer-end.test.ts
@@ -61,13 +61,13 @@
 	});
 	try {
 		const received = await callRaw(host.port, {method, version, body});
-		const {outcome, answerEnd} = host.notes.ends[0] ?? {};
+		const {outcome, bodyEnd, bodyBytes} = host.notes.ends[0] ?? {};
 		const noted = typeof outcome === 'object' ? outcome.code : outcome;
 		const {status, head, isWhole} = received;
 		const shown = method === 'HEAD' || status === 204 || status === 304
 			? describeLength(head)
 			: JSON.stringify(status < 500 ? received.body : '');
-		return `${status} ${shown}${isWhole ? '' : ' cut'}; ${noted}${answerEnd ? `, ${answerEnd.bytes} bytes by ${answerEnd.framing}` : ''}`;
+		return `${status} ${shown}${isWhole ? '' : ' cut'}; ${noted}${bodyEnd ? `, ${bodyBytes} bytes by ${bodyEnd}` : ''}`;
 	} finally {
 		host.close();
 		target.close();
--- a/apps/egretrilld/tests/traffic/endless-bytes.test.ts
+++ b/apps/egretrilld/tests/traffic/endless-bytes.test.ts
@@ -97,11 +97,11 @@
 		});
 		const host = await ForwardHost.open({targets: [target.address]});
 		const {status, body, isWhole} = await callRaw(host.port);
-		const {answerEnd} = host.notes.ends[0]!;
+		const {bodyBytes: bytes, bodyEnd: framing} = host.notes.ends[0]!;
 		host.close();
 		target.close();
 		expect({
-			status, isWhole, length: body.length, answerEnd,
+			status, isWhole, length: body.length, answerEnd: {bytes, framing},
 		}).toMatchSnapshot();
 	}).timeout(60_000);
 
--- a/packages/callers/src/forward/constants.ts
+++ b/packages/callers/src/forward/constants.ts
@@ -53,9 +53,6 @@
 /** Longest event of a stream; only whole events are passed on, and the rest of one is held in memory. */
 export const MAX_EVENT_BYTES = 1_048_576;
 
-/** Decision lines that one process writes a second; more are counted. */
-export const MAX_LOG_LINES_PER_SECOND = 40;
-
 /** Share of a customer's rate that hosts hold without a lease, so that they serve while the owner is out of reach. */
 export const STANDING_RATIO = 0.25;
 
--- a/packages/callers/src/forward/forward-parts.ts
+++ b/packages/callers/src/forward/forward-parts.ts
@@ -7,7 +7,7 @@
 import type {Place, PlaceQueue} from './place-queue.js';
 import type {RateAnswer, RateParts} from './rate-part.js';
 import type {RouteTable} from './route-table.js';
-import type {AnswerEnd, ForwardCall} from './types.js';
+import type {ForwardCall} from './types.js';
 import type {ReturnTimes} from './wait-forecast.js';
 
 /** A target's answer whose body is still to be read. */
@@ -51,6 +51,11 @@
 	readonly configVersion?: number;
 	readonly outcome: 'answered' | 'broken' | 'left' | Verdict;
 	readonly status?: number;
+	/** By what the end of a body that was passed on whole was recognised, and its bytes. */
+	readonly bodyEnd?: BodyFraming;
+	readonly bodyBytes?: number;
+	/** Time within which the route's answers count as in time. */
+	readonly targetLatencyMs?: number;
 	readonly targetId?: string;
 	/** Requests that the target had when it was chosen. */
 	readonly outstanding?: number;
@@ -60,8 +65,6 @@
 	/** Time to the first piece of a stream, and the longest pause between two. */
 	readonly firstMs?: number;
 	readonly longestPauseMs?: number;
-	/** How the answer that was passed on whole ended. */
-	readonly answerEnd?: AnswerEnd;
 };
 
 /** Takes what happens to forwarded requests. */
--- a/packages/engines/src/loading/engine-owner.ts
+++ b/packages/engines/src/loading/engine-owner.ts
@@ -1,5 +1,5 @@
 import {
-	type Clock, DecayingCounts, type EngineClass, jitter, type Logger, type Random, type Registration,
+	type Clock, DecayingCounts, type EngineClass, jitter, type Logger, type LoopWatch, type Random, type Registration,
 } from '@egretrill/common';
 import type {AdapterUse, TargetRegistry} from '../registry/index.js';
 import {
@@ -18,6 +18,8 @@
 	readonly clock: Clock;
 	readonly random: Random;
 	readonly logger: Logger;
+	/** Told how long each round of planning held the event loop. */
+	readonly watch?: Pick<LoopWatch, 'notePlan'>;
 	readonly registry: TargetRegistry;
 	readonly orders: EngineOrders;
 	/** Names this host in its orders. */
@@ -110,7 +112,7 @@
 
 	/** Plans and gives orders until the ownership ends. */
 	async run(signal: AbortSignal): Promise<void> {
-		const {clock, firstOrderAtMs, random} = this.opts;
+		const {clock, firstOrderAtMs, random, watch} = this.opts;
 		await clock.sleep(firstOrderAtMs - clock.now(), signal);
 		while (!signal.aborted) {
 			const startedMs = clock.now();
@@ -120,6 +122,7 @@
 			}
 
 			const tookMs = clock.now() - startedMs;
+			watch?.notePlan(tookMs);
 			await clock.sleep(Math.max(jitter(LOAD_PLAN_MS, random), tookMs * PLAN_REST_RATIO), signal);
 		}
 	}
