--- a/apps/egretrilld/src/traffic/leader-term.ts
+++ b/apps/egretrilld/src/traffic/leader-term.ts
@@ -1,12 +1,13 @@
 import {setMaxListeners} from 'node:events';
 import {RATE_HOST_TTL_MS, RateOwner} from '@egretrill/callers';
-import {
-	type Clock, type EngineClass, type Logger, type Random, ReportedSums, type TrafficCustomer,
+import type {
+	Clock, EngineClass, Logger, Random, TrafficCustomer,
 } from '@egretrill/common';
 import {type EngineOrders, EngineOwner, type TargetRegistry} from '@egretrill/engines';
 import type {FleetNode} from '@egretrill/hosts';
-import {ENTRY_RECORD_MS, ENTRY_SILENT_MS, ORDER_TAKEOVER_MARGIN_MS} from './constants.js';
+import {ENTRY_RECORD_MS, ORDER_TAKEOVER_MARGIN_MS} from './constants.js';
 import type {EntryReport, LeaderPlan} from './methods.js';
+import {RunningCounts} from './running-counts.js';
 
 export type LeaderTermOptions = {
 	readonly clock: Clock;
@@ -30,15 +31,14 @@
 export class LeaderTerm {
 	readonly engines: EngineOwner;
 	readonly rates: RateOwner;
-	/** Requests of the entry hosts at each target. */
-	private readonly running: ReportedSums;
+	private readonly running: RunningCounts;
 	private readonly stopper = new AbortController();
 	private readonly startedMs: number;
 
 	constructor(private readonly opts: LeaderTermOptions) {
 		const {clock, node, orderLeaseMs, term} = opts;
 		this.startedMs = clock.now();
-		this.running = new ReportedSums(clock, ENTRY_SILENT_MS);
+		this.running = new RunningCounts(clock);
 		// Each engine's orders wait on this one signal, which is more than the default limit for leaks allows.
 		setMaxListeners(0, this.stopper.signal);
 		this.rates = new RateOwner(clock, opts.getCustomers, opts.getEntryHosts);
--- /dev/null
+++ b/apps/egretrilld/src/traffic/running-counts.ts
@@ -0,0 +1,73 @@
+import type {Clock} from '@egretrill/common';
+import {ENTRY_SILENT_MS} from './constants.js';
+
+/** Requests that run at each target. */
+export type TargetCounts = ReadonlyArray<readonly [targetId: string, count: number]>;
+
+type HostCounts = {readonly counts: ReadonlyMap<string, number>; readonly seenMs: number};
+
+/** Requests that run at each target, as the entry hosts report them. The sums change with each report, since a sum over all hosts for each report costs the square of their number. */
+export class RunningCounts {
+	/** The host that reported last comes last. */
+	private readonly hosts = new Map<string, HostCounts>();
+	private readonly sums = new Map<string, number>();
+
+	constructor(private readonly clock: Clock) {}
+
+	/** Replaces what a host has running. */
+	note(hostId: string, running: TargetCounts): void {
+		this.drop(hostId);
+		const counts = new Map<string, number>();
+		for (const [targetId, count] of running) {
+			counts.set(targetId, (counts.get(targetId) ?? 0) + count);
+		}
+
+		this.hosts.set(hostId, {counts, seenMs: this.clock.now()});
+		this.add(counts, 1);
+	}
+
+	/** Requests of all hosts that reported lately, except one. */
+	getOthers(hostId: string): Array<[targetId: string, count: number]> {
+		this.dropSilent();
+		const own = this.hosts.get(hostId)?.counts;
+		const others: Array<[targetId: string, count: number]> = [];
+		for (const [targetId, sum] of this.sums) {
+			const count = sum - (own?.get(targetId) ?? 0);
+			if (count > 0) {
+				others.push([targetId, count]);
+			}
+		}
+
+		return others;
+	}
+
+	private dropSilent(): void {
+		const oldestMs = this.clock.now() - ENTRY_SILENT_MS;
+		for (const [hostId, {seenMs}] of this.hosts) {
+			if (seenMs >= oldestMs) {
+				break;
+			}
+
+			this.drop(hostId);
+		}
+	}
+
+	private drop(hostId: string): void {
+		const known = this.hosts.get(hostId);
+		if (known) {
+			this.add(known.counts, -1);
+			this.hosts.delete(hostId);
+		}
+	}
+
+	private add(counts: ReadonlyMap<string, number>, sign: 1 | -1): void {
+		for (const [targetId, count] of counts) {
+			const sum = (this.sums.get(targetId) ?? 0) + (sign * count);
+			if (sum > 0) {
+				this.sums.set(targetId, sum);
+			} else {
+				this.sums.delete(targetId);
+			}
+		}
+	}
+}
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -10,7 +10,6 @@
 export * from './keyed-fold.js';
 export * from './logger.js';
 export * from './random.js';
-export * from './reported-sums.js';
 export * from './signal.js';
 export * from './target-client.js';
 export * from './traffic.js';
