engines: a single engine with the model is not weighed for an adapter

What operators would see: the leader spends processor time on the choice among engines where there is none.

Cause: since the loads of engines are computed before they are sorted, the load of a single engine was computed too, which looks up the adapters in use.

Change: one engine, or none, is the answer without a weighing.

Evidence: the test "weighs each engine that holds the model once for an adapter" now also counts a single engine: 1 weighing before, 0 after; 4 and 64 for 4 and 64 engines as before.

--- a/packages/engines/src/loading/engine-owner.ts
+++ b/packages/engines/src/loading/engine-owner.ts
@@ -218,6 +218,10 @@
 			return {engine: holder, isHeld: true};
 		}
 
+		if (holders.length <= 1) {
+			return {engine: holders[0], isHeld: false};
+		}
+
 		const getLoad = ({targetId, models}: Registration): number => {
 			const line = this.lines.get(targetId);
 			const held = models.flatMap(({adapters}) => adapters).length;
--- a/packages/engines/tests/loading/engine-owner.test.ts
+++ b/packages/engines/tests/loading/engine-owner.test.ts
@@ -299,7 +299,7 @@
 		expect(play.engine.seen).toMatchSnapshot();
 	});
 
-	// Guards against an engine that is weighed again in each comparison with another one when an adapter is asked for.
+	// Guards against an engine that is weighed again in each comparison with another one when an adapter is asked for, or without another one.
 	it('weighs each engine that holds the model once for an adapter', async () => {
 		const count = async (holders: number): Promise<number> => {
 			const clock = new ManualClock();
@@ -325,6 +325,6 @@
 			return registry.asked;
 		};
 
-		expect({of4: await count(4), of64: await count(64)}).toMatchSnapshot();
+		expect({of1: await count(1), of4: await count(4), of64: await count(64)}).toMatchSnapshot();
 	});
 });
