--- a/packages/callers/src/forward/relay.ts
+++ b/packages/callers/src/forward/relay.ts
@@ -1,12 +1,19 @@
-import {Buffer} from 'node:buffer';
 import type {Clock} from '@egretrill/common';
 import type {CallerExchange} from './caller-exchange.js';
-import {MAX_HELD_ANSWER_BYTES, STREAM_SILENCE_MS} from './constants.js';
+import {MAX_EVENT_BYTES, MAX_HELD_ANSWER_BYTES, STREAM_SILENCE_MS} from './constants.js';
 import {EventSplitter} from './event-splitter.js';
 import type {TargetAnswer} from './forward-parts.js';
+import {HeldBytes} from './held-bytes.js';
 
 /** Whether the caller has the whole answer; after `broken` it has all whole events up to `lastEventId`. */
-export type RelayEnd = {readonly kind: 'complete' | 'broken'; readonly lastEventId?: number};
+export type RelayEnd = {
+	readonly kind: 'complete' | 'broken';
+	/** Bytes of the body that were passed on. */
+	readonly bytes: number;
+	readonly lastEventId?: number;
+	/** Why it is broken, if it did not just end early. */
+	readonly reason?: string;
+};
 
 type Relay = {
 	readonly exchange: CallerExchange;
@@ -16,53 +23,52 @@
 	readonly onPiece?: () => void;
 };
 
-async function readAll(answer: TargetAnswer, onLong: (chunks: readonly Uint8Array[]) => Promise<void>): Promise<Uint8Array | undefined> {
-	const chunks: Uint8Array[] = [];
-	let length = 0;
-	let isHeld = true;
-	for await (const chunk of answer.body) {
-		if (!isHeld) {
-			await onLong([chunk]);
+/** Reads a body whole; what is too long to be held is told piece by piece, beginning with all that was held. */
+async function readAll(answer: TargetAnswer, onLong: (bytes: Uint8Array) => Promise<void>): Promise<Uint8Array | undefined> {
+	const held = new HeldBytes();
+	for await (const piece of answer.body) {
+		if (held.length > MAX_HELD_ANSWER_BYTES) {
+			await onLong(piece);
 			continue;
 		}
 
-		chunks.push(chunk);
-		length += chunk.length;
-		if (length > MAX_HELD_ANSWER_BYTES) {
-			isHeld = false;
-			await onLong(chunks);
+		held.append(piece);
+		if (held.length > MAX_HELD_ANSWER_BYTES) {
+			await onLong(held.getBytes());
 		}
 	}
 
-	return isHeld ? Buffer.concat(chunks) : undefined;
+	return held.length > MAX_HELD_ANSWER_BYTES ? undefined : held.getBytes();
 }
 
 /** Passes on an answer once it is whole; a longer one is passed on as it arrives. */
 export async function relayWhole({exchange, answer, headers}: Relay): Promise<RelayEnd> {
+	let bytes = 0;
 	try {
-		const held = await readAll(answer, async chunks => {
+		const held = await readAll(answer, async piece => {
 			if (!exchange.hasBegun()) {
 				exchange.begin(answer.status, headers);
 			}
 
-			for (const chunk of chunks) {
-				await exchange.write(chunk);
-			}
+			await exchange.write(piece);
+			bytes += piece.length;
 		});
 		if (!answer.isComplete()) {
-			return {kind: 'broken'};
+			return {kind: 'broken', bytes};
 		}
 
 		if (held) {
-			exchange.begin(answer.status, headers, held.length);
+			// The length of a body that is not sent is known to the target alone.
+			exchange.begin(answer.status, headers, answer.framing === 'none' ? undefined : held.length);
 			await exchange.write(held);
+			bytes = held.length;
 		}
 
 		exchange.end();
-		return {kind: 'complete'};
+		return {kind: 'complete', bytes};
 	} catch {
 		// The body ends with an error when the target or this host breaks the connection off.
-		return {kind: 'broken'};
+		return {kind: 'broken', bytes};
 	}
 }
 
@@ -102,9 +108,16 @@
 	const skipUpTo = lastEventId;
 	const silence = watch && new SilenceWatch(watch.clock, answer);
 	let last = lastEventId;
+	let bytes = 0;
 	try {
 		for await (const chunk of answer.body) {
 			const events = splitter.push(chunk, skipUpTo);
+			if (splitter.getRest().length > MAX_EVENT_BYTES) {
+				return {
+					kind: 'broken', bytes, lastEventId: last, reason: `An event is longer than ${MAX_EVENT_BYTES} bytes.`,
+				};
+			}
+
 			if (events.bytes.length > 0) {
 				if (!exchange.hasBegun()) {
 					exchange.begin(answer.status, headers);
@@ -114,21 +127,22 @@
 				last = events.lastEventId ?? last;
 				onPiece?.();
 				await exchange.write(events.bytes);
+				bytes += events.bytes.length;
 			}
 
 			silence?.note();
 		}
 	} catch {
 		// The body ends with an error when the target or this host breaks the connection off.
-		return {kind: 'broken', lastEventId: last};
+		return {kind: 'broken', bytes, lastEventId: last};
 	} finally {
 		silence?.stop();
 	}
 
 	if (!answer.isComplete() || splitter.getRest().length > 0 || !exchange.hasBegun()) {
-		return {kind: 'broken', lastEventId: last};
+		return {kind: 'broken', bytes, lastEventId: last};
 	}
 
 	exchange.end();
-	return {kind: 'complete', lastEventId: last};
+	return {kind: 'complete', bytes, lastEventId: last};
 }
--- a/packages/engines/src/client/forward-client.ts
+++ b/packages/engines/src/client/forward-client.ts
@@ -1,7 +1,10 @@
-import {Agent, type IncomingMessage, request} from 'node:http';
+import {
+	Agent, type ClientRequest, type IncomingMessage, request,
+} from 'node:http';
 import type {Socket} from 'node:net';
-import type {SendFailure} from '@egretrill/common';
+import type {BodyFraming, SendFailure} from '@egretrill/common';
 import {Result} from 'true-myth';
+import {AnswerProgress, ConnectionWatch} from './connection-watch.js';
 
 /** Time for a connection to be established; a target that is cut off or without power answers nothing at all. */
 export const FORWARD_CONNECT_MS = 250;
@@ -9,6 +12,9 @@
 /** Idle connections kept to each target. */
 export const MAX_IDLE_CONNECTIONS = 8;
 
+/** Longest body that is read and dropped to keep its connection; refusals are short, and a target could send without end while the request runs elsewhere. */
+export const MAX_DISCARD_BYTES = 65_536;
+
 export type ForwardMessage = {
 	readonly address: string;
 	readonly method: string;
@@ -20,44 +26,36 @@
 	readonly mayReuse: boolean;
 };
 
-/** Kept connections to targets; one on which bytes arrive that belong to no request is closed. */
-class ForwardAgent extends Agent {
-	private readonly guards = new WeakMap<Socket, () => void>();
+const STATUS_SWITCHING_PROTOCOLS = 101;
+const STATUS_NO_CONTENT = 204;
+const STATUS_NOT_MODIFIED = 304;
 
-	constructor() {
-		super({keepAlive: true, maxFreeSockets: MAX_IDLE_CONNECTIONS, scheduling: 'lifo'});
+/** By what the parser recognises the end of the body, or why the answer cannot be read. */
+function readFraming({headers, statusCode = 0}: IncomingMessage, method: string): Result<BodyFraming, string> {
+	const {'transfer-encoding': coding, 'content-length': length} = headers;
+	if (statusCode === STATUS_SWITCHING_PROTOCOLS) {
+		return Result.err('The target changed the protocol.');
 	}
 
-	override keepSocketAlive(socket: Socket): boolean {
-		// The types leave out that the library answers whether the connection is kept.
-		const keep = super.keepSocketAlive as unknown as (socket: Socket) => boolean;
-		const isKept = keep.call(this, socket);
-		if (isKept) {
-			const guard = (): void => {
-				socket.destroy();
-			};
-
-			this.guards.set(socket, guard);
-			socket.on('data', guard);
-		}
+	// Callers cannot read other codings, and their end may be that of the connection.
+	if (coding !== undefined && coding.toLowerCase() !== 'chunked') {
+		return Result.err('The answer has a transfer coding other than chunks.');
+	}
 
-		return isKept;
+	if (method === 'HEAD' || statusCode === STATUS_NOT_MODIFIED) {
+		return Result.ok('none');
 	}
 
-	override reuseSocket(socket: Socket, req: Parameters<Agent['reuseSocket']>[1]): void {
-		const guard = this.guards.get(socket);
-		if (guard) {
-			socket.off('data', guard);
-			this.guards.delete(socket);
-		}
+	if (statusCode === STATUS_NO_CONTENT) {
+		// The parser would wait for the body that is announced.
+		return coding === undefined && Number(length ?? 0) === 0 ? Result.ok('none') : Result.err('The answer announces a body that its status does not allow.');
+	}
 
-		super.reuseSocket(socket, req);
+	if (coding !== undefined) {
+		return Result.ok('chunks');
 	}
-}
 
-/** Whether nothing but the end of the connection ends the body. */
-function endsWithConnection({headers}: IncomingMessage): boolean {
-	return headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
+	return Result.ok(length === undefined ? 'connection' : 'length');
 }
 
 /** Whether a connection whose end was just read has been reset. A reset that arrives together with data is reported as an orderly end, but leaves the connection without a remote address. */
@@ -67,20 +65,35 @@
 
 /** An answer whose body is still to be read. */
 export type ForwardAnswer = {
-	readonly message: IncomingMessage;
+	readonly status: number;
+	/** Header names and values in turn, as they came. */
+	readonly rawHeaders: readonly string[];
+	readonly body: AsyncIterable<Uint8Array>;
+	/** By what the end of the body is recognised. */
+	readonly framing: BodyFraming;
 	/** Whether the body arrived to its end; meaningful once it has been read. */
 	readonly isComplete: () => boolean;
+	/** Reads and drops the body, so that the connection can be kept; a long one closes it. */
+	readonly discard: () => void;
+	/** Closes the connection. */
+	readonly destroy: () => void;
 };
 
 /** Sends requests to targets byte for byte and gives back the head of the answer; it never retries. */
 export class ForwardClient {
-	private readonly agent = new ForwardAgent();
+	private readonly agent = new Agent({keepAlive: true, maxFreeSockets: MAX_IDLE_CONNECTIONS, scheduling: 'lifo'});
+	private readonly watches = new WeakMap<Socket, ConnectionWatch>();
 
 	/** Resolves with the answer, whose body is still to be read, or with whether the target may have received anything. */
 	async send(message: ForwardMessage, signal: AbortSignal): Promise<Result<ForwardAnswer, SendFailure>> {
 		const separator = message.address.lastIndexOf(':');
 		return new Promise(resolve => {
 			let isConnected = false;
+			const fail = (code: string, reason: string): void => {
+				resolve(Result.err({accepted: isConnected, code, reason}));
+			};
+
+			const progress = new AnswerProgress();
 			const req = request({
 				host: message.address.slice(0, separator),
 				port: Number(message.address.slice(separator + 1)),
@@ -91,41 +104,27 @@
 				signal,
 			});
 			req.once('socket', socket => {
-				if (!socket.connecting) {
-					isConnected = true;
-					return;
-				}
-
-				const timer = setTimeout(() => {
-					req.destroy(new Error(`No connection within ${FORWARD_CONNECT_MS} ms.`));
-				}, FORWARD_CONNECT_MS);
-				socket.once('connect', () => {
+				this.watch(socket).expect(progress);
+				whenConnected(req, socket, () => {
 					isConnected = true;
-					clearTimeout(timer);
-				});
-				socket.once('close', () => {
-					clearTimeout(timer);
 				});
 			});
 			req.on('error', (err: NodeJS.ErrnoException) => {
-				resolve(Result.err({accepted: isConnected, code: err.code ?? 'ERR_EXCHANGE', reason: err.message}));
+				fail(err.code ?? 'ERR_EXCHANGE', err.message);
+			});
+			// The library closes a connection whose protocol changes without an error or an answer.
+			req.once('close', () => {
+				fail('ERR_EXCHANGE', 'The connection was closed without an answer.');
 			});
 			req.once('response', res => {
-				// Later failures reach the reader of the body; without a listener they would end the process.
-				res.on('error', () => undefined);
-				const {socket} = res;
-				let wasReset = false;
-				if (endsWithConnection(res)) {
-					socket.prependOnceListener('end', () => {
-						wasReset = isDisconnected(socket);
-					});
+				const answer = openAnswer(res, message.method, progress);
+				if (answer.isErr) {
+					fail('ERR_ANSWER', answer.error);
+					req.destroy();
+					return;
 				}
 
-				resolve(Result.ok({
-					message: res,
-					// The library takes any end of a connection, also a reset, for the end of a body without a length.
-					isComplete: () => res.complete && !socket.errored && !wasReset,
-				}));
+				resolve(Result.ok(answer.value));
 			});
 			req.end(message.body);
 		});
@@ -134,4 +133,85 @@
 	close(): void {
 		this.agent.destroy();
 	}
+
+	private watch(socket: Socket): ConnectionWatch {
+		const known = this.watches.get(socket);
+		if (known) {
+			return known;
+		}
+
+		const created = new ConnectionWatch(socket);
+		this.watches.set(socket, created);
+		return created;
+	}
+}
+
+/** Tells when a request has a connection, and gives up one that is not established in time. */
+function whenConnected(req: ClientRequest, socket: Socket, tell: () => void): void {
+	if (!socket.connecting) {
+		tell();
+		return;
+	}
+
+	const timer = setTimeout(() => {
+		req.destroy(new Error(`No connection within ${FORWARD_CONNECT_MS} ms.`));
+	}, FORWARD_CONNECT_MS);
+	socket.once('connect', () => {
+		tell();
+		clearTimeout(timer);
+	});
+	socket.once('close', () => {
+		clearTimeout(timer);
+	});
+}
+
+/** Reads and drops a body, so that its connection can be kept; a longer one closes the connection. */
+async function discardBody(body: AsyncIterable<Uint8Array>): Promise<void> {
+	let bytes = 0;
+	try {
+		for await (const piece of body) {
+			bytes += piece.length;
+			if (bytes > MAX_DISCARD_BYTES) {
+				// Leaving the loop closes the connection.
+				return;
+			}
+		}
+	} catch {
+		// Nobody waits for this body, so that its early end matters to nobody.
+	}
+}
+
+/** The answer that a head begins, or why none can be read. */
+function openAnswer(res: IncomingMessage, method: string, progress: AnswerProgress): Result<ForwardAnswer, string> {
+	const framing = readFraming(res, method);
+	if (framing.isErr) {
+		return Result.err(framing.error);
+	}
+
+	// Later failures reach the reader of the body; without a listener they would end the process.
+	res.on('error', () => undefined);
+	const {socket} = res;
+	let wasReset = false;
+	if (framing.value === 'connection') {
+		socket.prependOnceListener('end', () => {
+			wasReset = isDisconnected(socket);
+		});
+	}
+
+	progress.begin(res);
+	const body = progress.readBody(res);
+	return Result.ok({
+		status: res.statusCode ?? 0,
+		rawHeaders: res.rawHeaders,
+		body,
+		framing: framing.value,
+		// The library takes any end of a connection, also a reset, for the end of a body without a length.
+		isComplete: () => res.complete && !socket.errored && !wasReset,
+		discard() {
+			void discardBody(body);
+		},
+		destroy() {
+			res.destroy();
+		},
+	});
 }
