traffic: test second answers, resets after the end, and kept connections that are reset

Callers saw: nothing; these are checks of suspected faults that are none. Suspected: a remote address that Node remembered when isDisconnected asks; a second answer at once, late, or while the next request waits; a reset just after an orderly end. Ruled out: the address is read nowhere else in the product, and the first reading at the end of a connection is fresh, also on a connection that carried answers before. A second answer at once or late closes the connection; one that arrives while the next request waits is refused for its attempt id. A reset after an orderly end never makes part of an answer look whole. Left open: an answer without a length that is whole and whose connection is reset right after its orderly end may count as cut, when both are read at once; Node cannot tell them apart. Conclusion: no fault; a comment says why nothing may read the address before.

--- a/apps/egretrilld/tests/traffic/answer-end.test.ts
+++ b/apps/egretrilld/tests/traffic/answer-end.test.ts
@@ -105,6 +105,38 @@
 	return lines;
 }
 
+/** What the first connection does with two requests; the promise resolves when the caller has the first answer, and the second request is sent once the connection is closed or ready for it. */
+type TwiceScript = (peer: RawPeer, firstEnded: Promise<void>, tellReady: () => void) => Promise<void>;
+
+/** Sends two requests one after the other to a target whose first connection may be kept. */
+async function playTwice(script: TwiceScript): Promise<string> {
+	let tellEnded: () => void = () => undefined;
+	const firstEnded = new Promise<void>(resolve => {
+		tellEnded = resolve;
+	});
+	let tellReady: () => void = () => undefined;
+	const isReady = new Promise<void>(resolve => {
+		tellReady = resolve;
+	});
+	const target = await RawTarget.open(async (peer, number) => {
+		if (number === 1) {
+			await script(peer, firstEnded, tellReady);
+			return;
+		}
+
+		await peer.readHead();
+		await peer.write(`${OK}Content-Length: 3\r\n\r\nnew`);
+	});
+	const host = await ForwardHost.open({targets: [target.address], route: {repeat: 'idempotent'}});
+	const before = await callRaw(host.port);
+	tellEnded();
+	await Promise.race([target.peers[0]!.closed, isReady]);
+	const after = await callRaw(host.port);
+	host.close();
+	target.close();
+	return `${before.body}, then ${after.status}${after.status < 500 ? ` ${after.body}` : ''} on ${target.peers.length} connections`;
+}
+
 describe('the end of a target\'s answer', () => {
 	// Guards against an answer that ended early and looks whole to the caller, for each way to mark the end and each way to end a connection.
 	it('is told from an end that came early', async () => {
@@ -230,4 +262,61 @@
 		});
 		expect([await playOpen('Content-Length: 5'), await playOpen('Transfer-Encoding: chunked')]).toMatchSnapshot();
 	});
+
+	// Guards against a further answer on a kept connection that is taken for the answer to the next request.
+	it('is the end of what a request may receive on its connection', async () => {
+		const first = `${OK}Content-Length: 5\r\n\r\nfirst`;
+		const extra = 'HTTP/1.1 200 OK\r\nseal: s\r\nattempt: a0\r\nContent-Length: 5\r\n\r\nextra';
+		const scripts: Readonly<Record<string, TwiceScript>> = {
+			async 'at once'(peer) {
+				await peer.readHead();
+				await peer.write(`${first}${extra}`);
+				await peer.closed;
+			},
+			async late(peer, firstEnded) {
+				await peer.readHead();
+				await peer.write(first);
+				await firstEnded;
+				await peer.write(extra);
+				await peer.closed;
+			},
+			async 'before the answer to the next request'(peer, firstEnded, tellReady) {
+				await peer.readHead();
+				await peer.write(first);
+				await firstEnded;
+				tellReady();
+				await peer.readHead();
+				await peer.write(`${extra}${OK}Content-Length: 3\r\n\r\nown`);
+				await peer.closed;
+			},
+		};
+		const lines: Record<string, string> = {};
+		for (const [name, script] of Object.entries(scripts)) {
+			lines[name] = await playTwice(script);
+		}
+
+		expect(lines).toMatchSnapshot();
+	});
+
+	// Guards against part of an answer that looks whole because a reset follows on an orderly end; both may be read at once, and then a whole answer counts as cut.
+	it('is never a part when a reset follows on an orderly end', async () => {
+		const playReset = async (framing: string, last: string): Promise<string> => play({
+			script: () => async peer => {
+				await peer.readHead();
+				await peer.write(`${OK}${framing}\r\n${last}`);
+				peer.socket.end(() => {
+					peer.reset();
+				});
+				await peer.closed;
+			},
+		});
+		const byConnection = await playReset('', 'whole');
+		expect({
+			length: await playReset('Content-Length: 5\r\n', 'whole'),
+			'short by length': await playReset('Content-Length: 9\r\n', 'short'),
+			chunks: await playReset('Transfer-Encoding: chunked\r\n', '5\r\nwhole\r\n0\r\n\r\n'),
+			'short by chunks': await playReset('Transfer-Encoding: chunked\r\n', '5\r\nshort\r\n'),
+			isTruthful: byConnection.startsWith('200 "whole"; answered') || byConnection.startsWith('502'),
+		}).toMatchSnapshot();
+	});
 });
--- a/packages/engines/src/client/forward-client.ts
+++ b/packages/engines/src/client/forward-client.ts
@@ -58,7 +58,7 @@
 	return Result.ok(length === undefined ? 'connection' : 'length');
 }
 
-/** Whether a connection whose end was just read has been reset. A reset that arrives together with data is reported as an orderly end, but leaves the connection without a remote address. */
+/** Whether a connection whose end was just read has been reset. A reset that arrives together with data is reported as an orderly end, but leaves the connection without a remote address. Node remembers the address once it has been read, so that nothing may read it before. */
 function isDisconnected(socket: Socket): boolean {
 	return socket.remoteAddress === undefined;
 }
--- a/packages/engines/tests/client/forward-client.test.ts
+++ b/packages/engines/tests/client/forward-client.test.ts
@@ -191,4 +191,22 @@
 
 		expect(seen).toMatchSnapshot();
 	});
+
+	// Guards against a remote address that was remembered from an earlier reading, so that a reset together with the last bytes counts as an orderly end.
+	it('tells a reset on a connection that has carried answers before', async () => {
+		const seen = [];
+		for (const isReset of [false, false, true]) {
+			serve = socket => {
+				socket.write(isReset ? 'HTTP/1.1 200 OK\r\n\r\nhalf' : 'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole');
+				if (isReset) {
+					socket.resetAndDestroy();
+				}
+			};
+
+			seen.push(await send());
+			await takeTurns();
+		}
+
+		expect({seen, connections}).toMatchSnapshot();
+	});
 });
