docs: how the end of an answer is recognised, and what bounds it

The listener for late failures of an answer is set before the answer may be refused, so that no path depends on the library's leaving out errors that nobody hears.

--- a/packages/engines/src/client/connection-watch.ts
+++ b/packages/engines/src/client/connection-watch.ts
@@ -1,7 +1,7 @@
 import type {IncomingMessage} from 'node:http';
 import type {Socket} from 'node:net';
 
-/** Bytes in a row that may bring nothing of an answer's body. A head has at most 16 KiB, and interim answers may come before it; without a bound a target could keep the parser busy until the time of the request is over. */
+/** Bytes in a row that may bring nothing of an answer's body. A head has at most 16 KiB, and some interim answers may come before it; the parser alone would read these, empty lines and the digits of a chunk's size without end. */
 export const MAX_FRAMING_BYTES = 65_536;
 
 /** How far the answer to one request has arrived. */
--- a/packages/engines/src/client/forward-client.ts
+++ b/packages/engines/src/client/forward-client.ts
@@ -183,13 +183,13 @@
 
 /** The answer that a head begins, or why none can be read. */
 function openAnswer(res: IncomingMessage, method: string, progress: AnswerProgress): Result<ForwardAnswer, string> {
+	// Later failures reach the reader of the body; without a listener they would end the process.
+	res.on('error', () => undefined);
 	const framing = readFraming(res, method);
 	if (framing.isErr) {
 		return Result.err(framing.error);
 	}
 
-	// Later failures reach the reader of the body; without a listener they would end the process.
-	res.on('error', () => undefined);
 	const {socket} = res;
 	let wasReset = false;
 	if (framing.value === 'connection') {
