callers: count only ended events as life of a stream

Callers saw: a stream that stood still in the middle of an event until the time of its request was over, though another target could have continued it, when its target sent the bytes of the event slowly and without end. Cause: the watch for silence was told of each byte, while only whole events are passed on. Ruled out: events that are left out as already delivered still count, so that a target that begins a resumed stream too early is not given up. Change: STREAM_SILENCE_MS counts from the last event that ended. The bound is unchanged; an event whose bytes take longer than that on their way now goes on at another target.

--- a/apps/egretrilld/tests/traffic/endless-bytes.test.ts
+++ b/apps/egretrilld/tests/traffic/endless-bytes.test.ts
@@ -1,3 +1,4 @@
+import {setTimeout} from 'node:timers/promises';
 import {expect} from 'chai';
 import type {TrafficRoute} from '@egretrill/common';
 import {ForwardHost, SIGNED} from './support/forward-host.js';
@@ -11,6 +12,9 @@
 const BOUND_BYTES = 12 * MB;
 
 const OK = `HTTP/1.1 200 OK\r\n${SIGNED}`;
+/** Between two bytes of a slow target, well below the silence after which a stream continues elsewhere. */
+const PAUSE_MS = 50;
+
 const line = 'x'.repeat(8190);
 
 /** Begins an answer and sends a text again and again. */
@@ -132,4 +136,27 @@
 			'an event that another target sends': await play(floodWith(`${head}data: `, line), stream),
 		}).toMatchSnapshot();
 	}).timeout(120_000);
+
+	// Guards against a stream that comes to nothing for its caller because the bytes of an event that does not end count as life.
+	it('are stopped when they come slowly in an event', async () => {
+		const slow = await RawTarget.open(async peer => {
+			await peer.readHead();
+			await peer.write(`${OK}events: 1\r\n\r\nid: 1\ndata: a\n\nid: 2\ndata: `);
+			while (peer.socket.writable) {
+				await peer.write('x');
+				await setTimeout(PAUSE_MS);
+			}
+		});
+		const sound = await RawTarget.open(async peer => {
+			await peer.readHead();
+			await peer.write(`${OK}events: 1\r\n\r\nid: 1\ndata: a\n\nid: 2\ndata: b\n\n`);
+			peer.end();
+		});
+		const host = await ForwardHost.open({targets: [slow.address, sound.address], route: {isStream: true, isResumable: true}});
+		const {status, body, isWhole} = await callRaw(host.port);
+		host.close();
+		slow.close();
+		sound.close();
+		expect({status, body, isWhole}).toMatchSnapshot();
+	}).timeout(60_000);
 });
--- a/packages/callers/src/forward/constants.ts
+++ b/packages/callers/src/forward/constants.ts
@@ -44,7 +44,7 @@
 /** When callers return that found no target at all. */
 export const NO_TARGET_RETRY_MS = 1500;
 
-/** A stream without a byte for this long continues at another target; callers leave after two seconds of silence. */
+/** A stream in which no event ends for this long continues at another target; callers leave after two seconds of silence. */
 export const STREAM_SILENCE_MS = 1000;
 
 /** Answers that arrive whole are held up to this size before the caller sees them. */
--- a/packages/callers/src/forward/relay.ts
+++ b/packages/callers/src/forward/relay.ts
@@ -111,6 +111,7 @@
 	let bytes = 0;
 	try {
 		for await (const chunk of answer.body) {
+			const heldBytes = splitter.getRest().length;
 			const events = splitter.push(chunk, skipUpTo);
 			if (splitter.getRest().length > MAX_EVENT_BYTES) {
 				return {
@@ -130,7 +131,10 @@
 				bytes += events.bytes.length;
 			}
 
-			silence?.note();
+			if (splitter.getRest().length < heldBytes + chunk.length) {
+				// An event ended; the bytes of one that does not end reach nobody.
+				silence?.note();
+			}
 		}
 	} catch {
 		// The body ends with an error when the target or this host breaks the connection off.
