--- a/packages/engines/src/client/forward-client.ts
+++ b/packages/engines/src/client/forward-client.ts
@@ -58,7 +58,7 @@
 	return Result.ok(length === undefined ? 'connection' : 'length');
 }
 
-/** Whether a connection whose end was just read has been reset. A reset that arrives together with data is reported as an orderly end, but leaves the connection without a remote address. */
+/** Whether a connection whose end was just read has been reset. A reset that arrives together with data is reported as an orderly end, but leaves the connection without a remote address. Node remembers the address once it has been read, so that nothing may read it before. */
 function isDisconnected(socket: Socket): boolean {
 	return socket.remoteAddress === undefined;
 }
@@ -183,13 +183,13 @@
 
 /** The answer that a head begins, or why none can be read. */
 function openAnswer(res: IncomingMessage, method: string, progress: AnswerProgress): Result<ForwardAnswer, string> {
+	// Later failures reach the reader of the body; without a listener they would end the process.
+	res.on('error', () => undefined);
 	const framing = readFraming(res, method);
 	if (framing.isErr) {
 		return Result.err(framing.error);
 	}
 
-	// Later failures reach the reader of the body; without a listener they would end the process.
-	res.on('error', () => undefined);
 	const {socket} = res;
 	let wasReset = false;
 	if (framing.value === 'connection') {
