entry hosts: a test that no id is lost at 100 requests a second

What on-call engineers would see without it: a change of the order in which room is given up goes unnoticed, since at 50 requests a second everything fits.

Change and evidence: apps/egretrilld/tests/traffic/decision-log.test.ts plays a minute of 100 requests a second with a tenth failing and looks for the ids of all 5,400 answered requests.

Conclusion: OPERATIONS.md may name this load.

--- a/apps/egretrilld/tests/traffic/decision-log.test.ts
+++ b/apps/egretrilld/tests/traffic/decision-log.test.ts
@@ -46,6 +46,16 @@
 		expect(text.length).to.be.below(MINUTE_BYTES);
 	});
 
+	// Guards against a peak of load that takes the ids of answered requests and not only their facts.
+	it('lose no id of an answered request at 100 requests a second with a tenth failing', async () => {
+		const world = new LogWorld();
+		const answered = await world.play(60, 100);
+		await world.stop();
+		const text = await world.getText();
+		expect(answered.filter(id => !text.includes(id))).to.deep.equal([]);
+		expect(text.length).to.be.below(MINUTE_BYTES);
+	});
+
 	// Guards against a storm that writes without a bound, and against requests that no line counts.
 	it('count the answered requests whose ids do not fit', async () => {
 		const world = new LogWorld();
