hosts: the line of a blocked event loop names its part of the system

What on-call engineers saw: the line had no `component`, so that the search for the lines of control hosts did not find it.

Cause: the watch had the root logger of the process.

Change: it has the logger of the control host or of the callers' part.

Evidence: the tests of the parts (apps/egretrilld/tests/traffic, platform/tests/fleet.test.ts) pass unchanged; none looks at this field of a real process.

Conclusion: OPERATIONS.md can search by component.

--- a/apps/egretrilld/src/traffic/container.ts
+++ b/apps/egretrilld/src/traffic/container.ts
@@ -49,7 +49,11 @@
 	container.bind(trafficTokens.random).toConstantValue(createRandom(randomInt(2 ** 31)));
 	container.bind(trafficTokens.logger).toConstantValue(createLogger(`egretrilld.${settings.host}`, settings.logLevel));
 	container.bind(trafficTokens.metrics).toConstantValue(new Metrics());
-	container.bind(trafficTokens.watch).toDynamicValue(ctx => new LoopWatch(ctx.get(trafficTokens.clock), ctx.get(trafficTokens.logger), new LoopMetrics(ctx.get(trafficTokens.metrics)))).inSingletonScope();
+	container.bind(trafficTokens.watch).toDynamicValue(ctx => new LoopWatch(
+		ctx.get(trafficTokens.clock),
+		getComponentLogger(ctx.get(trafficTokens.logger), settings.role === 'control' ? 'control' : 'callers'),
+		new LoopMetrics(ctx.get(trafficTokens.metrics)),
+	)).inSingletonScope();
 	// The platform's network between hosts is closed to others; it gives no certificates.
 	container.bind(trafficTokens.credentials).toConstantValue({server: ServerCredentials.createInsecure(), client: credentials.createInsecure()});
 	if (settings.role === 'control') {
