common: refuse the one name that does not arrive at other hosts

Seen: a record with the key "__proto__" arrives at other hosts with the key "__proto_". Host and zone names are such keys, so that the reports of a host of that name would count for nobody, and a withdrawn key would not be known to be in force there (by reading). Cause: the decoder renames that key so that it sets no prototype, and the schemas leave it out; identifiers allowed it. Ruled out: other names of Object.prototype ("constructor", "toString"), which arrive as they are. Record ids are JSON lists, which never equal it, and Node gives out no header of that name (by reading). A negative zero arrives as zero, which compares and prints alike; no code tells them apart, so that this is no fault. Change: identifiers refuse "__proto__", in settings as in documents.

--- a/apps/egretrilld/tests/arbitrary.ts
+++ b/apps/egretrilld/tests/arbitrary.ts
@@ -90,7 +90,7 @@
 		}
 
 		case 'record': {
-			// The decoder renames this key so that it sets no prototype.
+			// Names refuse this key, which the decoder renames so that it sets no prototype.
 			return fc.dictionary(text.filter(key => key !== '__proto__'), toArbitrary(def.valueType), {maxKeys: 3, noNullPrototype: true});
 		}
 
--- a/packages/common/src/types.ts
+++ b/packages/common/src/types.ts
@@ -1,7 +1,8 @@
 import {z} from 'zod';
 import {DEFAULT_KEY_LEASE_MS, MAX_KEY_LEASE_MS, MIN_KEY_LEASE_MS} from './constants.js';
 
-const identifier = z.string().regex(/^[\w.:\-]{1,128}$/v, 'an identifier of 1 to 128 letters, digits, or . _ : -');
+/** The decoder of messages between hosts renames the key __proto__, so that what is kept by name under it would be lost. */
+const identifier = z.string().regex(/^[\w.:\-]{1,128}$/v, 'an identifier of 1 to 128 letters, digits, or . _ : -').refine(name => name !== '__proto__', 'an identifier other than __proto__');
 const socketAddress = z.string().regex(/^[\w.\-:\[\]]+:\d{1,5}$/v, 'an address as ip:port');
 const count = z.int().nonnegative();
 
