cli: bound the replies of hosts

Seen: a reply without end filled the memory of the command line for the 10 s that a call may take; more than 256 MB were sent by then. Cause: the HTTP library holds whole replies without a limit. Ruled out: replies that are cut or reset; a JSON object without its end cannot be read and counts as an outcome that may have happened.

--- a/apps/egretrill/src/admin-client.ts
+++ b/apps/egretrill/src/admin-client.ts
@@ -1,9 +1,9 @@
-import {toSendFailure} from '@egretrill/common';
+import {limitAnswer, toSendFailure} from '@egretrill/common';
 import {ApiError, type operations, OPERATOR_HEADER} from '@egretrill/operators';
 import got from 'got';
 import {Result} from 'true-myth';
 import type {z} from 'zod';
-import {CALL_TIMEOUT_MS, CONNECT_TIMEOUT_MS} from './constants.js';
+import {CALL_TIMEOUT_MS, CONNECT_TIMEOUT_MS, MAX_REPLY_BYTES} from './constants.js';
 import type {CallFailure} from './types.js';
 
 export type OperationCall = {
@@ -46,7 +46,7 @@
 		const path = operation.path.replaceAll(/\{(?<name>\w+)\}/gv, (_match, name: string) => encodeURIComponent(params[name] ?? ''));
 		const isChange = operation.method === 'post';
 		try {
-			const res = await got(`${url}${path}`, {
+			const res = await limitAnswer(got(`${url}${path}`, {
 				method: operation.method,
 				headers: {authorization: `Bearer ${credential}`, ...(operator !== undefined && {[OPERATOR_HEADER]: operator})},
 				...(body !== undefined && {json: body}),
@@ -54,7 +54,7 @@
 				followRedirect: false,
 				throwHttpErrors: false,
 				timeout: {connect: CONNECT_TIMEOUT_MS, request: CALL_TIMEOUT_MS},
-			});
+			}), MAX_REPLY_BYTES);
 			const answer = parseJson(res.body);
 			const parsed = schema.safeParse(answer);
 			const isDeclared = Object.hasOwn(operation.answers, String(res.statusCode));
--- a/apps/egretrill/src/constants.ts
+++ b/apps/egretrill/src/constants.ts
@@ -14,6 +14,9 @@
 export const CALL_TIMEOUT_MS = 10_000;
 export const CONNECT_TIMEOUT_MS = 2000;
 
+/** Several times the largest document that a host accepts, which answers repeat with its defaults filled in. */
+export const MAX_REPLY_BYTES = 67_108_864;
+
 /** Sends of one change; the pauses between them outlast an election of 1 to 2 s. */
 export const MAX_SENDS = 5;
 export const RESEND_DELAY_MS = 750;
