engines: end a stream whose answer does not end after its end marker

Seen: an engine that goes on sending after the end marker kept the finished request's task, and its place in the account of the engine, and the processor reading, until the request's deadline (30 s in the test) or the progress deadline of 60 s, although the caller had its whole answer. Cause: what follows the end marker is read so that the connection can be used again, without a time of its own; bytes of any kind counted as a sign of life. Ruled out: bytes after the marker reaching the caller (chunk-reader.test.ts), and an event without end (ended at MAX_ANSWER_BYTES). Change: one second after the end marker the watch ends the stream as "no-end". relayStream already takes a stream that breaks after its marker for complete; only the connection is lost. Conclusion: mended.

--- a/packages/engines/src/client/engine-client.ts
+++ b/packages/engines/src/client/engine-client.ts
@@ -44,6 +44,9 @@
 				watch.pause();
 				yield items;
 				watch.resume();
+				if (items.some(({kind}) => kind === 'done')) {
+					watch.noteDone();
+				}
 			}
 
 			reader.finish();
--- a/packages/engines/src/client/stream-watch.ts
+++ b/packages/engines/src/client/stream-watch.ts
@@ -1,12 +1,15 @@
 import type {Clock} from '@egretrill/common';
-import {STREAM_HEARTBEAT_DEADLINE_MS, STREAM_PROGRESS_DEADLINE_MS, STREAM_WATCH_INTERVAL_MS} from '../constants.js';
+import {
+	STREAM_END_DEADLINE_MS, STREAM_HEARTBEAT_DEADLINE_MS, STREAM_PROGRESS_DEADLINE_MS, STREAM_WATCH_INTERVAL_MS,
+} from '../constants.js';
 
 /** Ends a stream whose connection has gone silent, or whose engine makes no progress. */
 export class StreamWatch {
 	private pausedMs: number | undefined;
 	private lastByteMs: number;
 	private lastProgressMs: number;
-	private cause: 'connection-silent' | 'no-progress' | undefined;
+	private doneMs: number | undefined;
+	private cause: 'connection-silent' | 'no-progress' | 'no-end' | undefined;
 	private readonly timer: NodeJS.Timeout;
 
 	constructor(private readonly clock: Clock, private readonly stop: AbortController) {
@@ -40,6 +43,11 @@
 		this.lastProgressMs = this.clock.now();
 	}
 
+	/** Notes the end marker, which the end of the answer has to follow soon. */
+	noteDone(): void {
+		this.doneMs ??= this.clock.now();
+	}
+
 	getCause(): string | undefined {
 		return this.cause;
 	}
@@ -58,6 +66,8 @@
 			this.cause = 'connection-silent';
 		} else if (now - this.lastProgressMs > STREAM_PROGRESS_DEADLINE_MS) {
 			this.cause = 'no-progress';
+		} else if (this.doneMs !== undefined && now - this.doneMs > STREAM_END_DEADLINE_MS) {
+			this.cause = 'no-end';
 		}
 
 		if (this.cause !== undefined) {
--- a/packages/engines/src/constants.ts
+++ b/packages/engines/src/constants.ts
@@ -4,6 +4,9 @@
 /** Longest prefill of a live engine; heartbeats alone do not extend it. */
 export const STREAM_PROGRESS_DEADLINE_MS = 60_000;
 
+/** Time from the end marker to the end of the answer; the caller has its whole answer by then, so that only the kept connection is lost. */
+export const STREAM_END_DEADLINE_MS = 1000;
+
 export const STREAM_WATCH_INTERVAL_MS = 250;
 export const DONE_MARKER = '[DONE]';
 
