--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -13,6 +13,7 @@
 export * from './list-change.js';
 export * from './logger.js';
 export * from './loop-watch.js';
+export * from './parse-in-parts.js';
 export * from './random.js';
 export * from './signal.js';
 export * from './target-client.js';
