--- a/packages/engines/src/loading/engine-owner.ts
+++ b/packages/engines/src/loading/engine-owner.ts
@@ -9,7 +9,7 @@
 import {EngineLine} from './engine-line.js';
 import type {EngineOrders} from './engine-orders.js';
 import {type ExpectedModel, expectModels} from './expect-models.js';
-import {isSwap, planMoves} from './plan-loads.js';
+import {isSwap, planLoads} from './plan-loads.js';
 import type {LoadMove, ModelDemand, PlannedEngine} from './types.js';
 
 const MS_PER_SECOND = 1000;
@@ -130,7 +130,7 @@
 	private startMoves(service: string, engineClass: EngineClass, signal: AbortSignal): void {
 		const engines = this.getEngines(service);
 		const mayUseStore = this.opts.clock.now() >= (this.nextStoreLoadMs.get(service) ?? 0);
-		const {moves, deferred} = planMoves({
+		const {moves, deferred} = planLoads({
 			engineClass,
 			engines: engines.map(engine => this.describe(engine, engineClass, signal)),
 			demand: this.getDemand(service, engineClass),
--- a/packages/engines/src/loading/plan-loads.ts
+++ b/packages/engines/src/loading/plan-loads.ts
@@ -9,6 +9,7 @@
 const MS_PER_SECOND = 1000;
 
 type Want = {readonly model: StoredModel; readonly lost: number; readonly reason: LoadMove['reason']};
+
 /** An engine that could load a model, and what it would unload. */
 type Site = {
 	readonly engine: PlannedEngine;
@@ -16,10 +17,13 @@
 	readonly totalMs: number;
 	readonly loadMs: number;
 	readonly fromStore: boolean;
-	/** Request-seconds lost by adapters that wait for the move, and about those lost by the removals. */
+	/** Request-seconds lost by adapters that cannot be changed during the move. */
 	readonly blocked: number;
+	/** Request-seconds lost by the removals, each taken alone. */
 	readonly removalCost: number;
 };
+type WeighedSite = Site & {readonly cost: number};
+
 /** The layout with the moves planned so far, and what could make room in it. */
 type State = {
 	readonly layout: Layout;
@@ -27,7 +31,6 @@
 	readonly models: ReadonlyMap<string, StoredModel>;
 	readonly freeMb: ReadonlyMap<string, number>;
 };
-type WeighedSite = Site & {readonly cost: number};
 
 function getWants({engineClass: {models}, engines, demand}: LoadView, layout: Layout): readonly Want[] {
 	const waitedFor = new Set(demand.filter(({waiting}) => waiting > 0).map(({model}) => model));
@@ -159,7 +162,7 @@
  * Plans loads in the order of the requests that they serve: first copies of models that callers wait for, and more copies of those whose engines are full.
  * Answers demand that moves between models within seconds, and engines that come back empty. The work of one plan is bounded, since the leader sends its heartbeats from the same thread.
  */
-export function planMoves(view: LoadView): LoadPlan {
+export function planLoads(view: LoadView): LoadPlan {
 	const layout = new Layout(view);
 	const models = new Map(view.engineClass.models.map(model => [model.name, model]));
 	const state = {
@@ -200,8 +203,3 @@
 		targetId, unload: [...unload], load: model.name, reason, fromStore, totalMs, loadMs,
 	};
 }
-
-/** The moves of a plan that nothing was deferred to. */
-export function planLoads(view: LoadView): readonly LoadMove[] {
-	return planMoves(view).moves;
-}
--- a/packages/engines/tests/loading/plan-loads.test.ts
+++ b/packages/engines/tests/loading/plan-loads.test.ts
@@ -21,11 +21,12 @@
 }
 
 function plan(engines: readonly PlannedEngine[], demand: Readonly<Record<string, readonly [places: number, waiting: number, crowded?: number, missingMs?: number]>>, changes: Partial<LoadView> = {}): readonly LoadMove[] {
-	return planLoads({
+	const {moves} = planLoads({
 		engineClass, engines, demand: Object.entries(demand).map(([model, [places, waiting, crowded = 0, missingMs = 0]]) => ({
 			model, places, waiting, crowded, missingMs,
 		})), mayUseStore: true, mayEvictForCopies: true, ...changes,
 	});
+	return moves;
 }
 
 describe('planLoads', () => {
--- a/packages/engines/tests/loading/plan-size.test.ts
+++ b/packages/engines/tests/loading/plan-size.test.ts
@@ -1,6 +1,6 @@
 import process from 'node:process';
 import {expect} from 'chai';
-import {type LoadView, planLoads, planMoves} from '../../src/loading/index.js';
+import {type LoadView, planLoads} from '../../src/loading/index.js';
 
 const ENGINES = 63;
 const BUSY_MODELS = 8;
@@ -49,7 +49,7 @@
 		}
 
 		const startedUs = process.cpuUsage().user;
-		const moves = planLoads(view);
+		const {moves} = planLoads(view);
 		const tookMs = (process.cpuUsage().user - startedUs) / 1000;
 		expect(tookMs).to.be.below(MAX_PLAN_MS);
 		expect(moves.length).to.be.above(0);
@@ -58,8 +58,8 @@
 	// Guards against plans that take longer than the lease once the fleet has grown further, and against models that never get their turn then.
 	it('bounds the work of a plan and comes back to what it left out', () => {
 		const view = createView(ENGINES * 5);
-		const first = planMoves(view);
-		const second = planMoves({...view, deferred: first.deferred});
+		const first = planLoads(view);
+		const second = planLoads({...view, deferred: first.deferred});
 		const seen = new Set([...first.deferred].filter(model => !second.deferred.includes(model)));
 		expect(first.deferred.length).to.be.above(0);
 		expect(seen.size).to.be.above(0);
