engines: bear the error of a connection to which no exchange listens

Cause: an abort at the end of a request's time destroyed a connection with an error while neither the library nor an exchange listened to it; an error without a listener ends the process. Ruled out: memory (51 MB at most) and loans (none was rejected in these logs). Change: the watch of a connection listens to its errors for as long as it is open. Before: 'bears the error of a connection to which no exchange listens' fails with the unhandled error. After: it passes.

--- a/packages/engines/src/client/connection-watch.ts
+++ b/packages/engines/src/client/connection-watch.ts
@@ -40,6 +40,8 @@
 	private framingBytes = 0;
 
 	constructor(private readonly socket: Socket) {
+		// An error concerns the exchange under way, which hears of it by itself; between two exchanges nobody listens, and the error would end the process.
+		socket.on('error', () => undefined);
 		// The parser must not have taken the bytes yet, so that they are not counted as part of the body.
 		socket.prependListener('data', (bytes: Uint8Array) => {
 			this.count(bytes.length);
