--- a/apps/egretrilld/tests/traffic/borrow-batches.test.ts
+++ b/apps/egretrilld/tests/traffic/borrow-batches.test.ts
@@ -44,4 +44,20 @@
 		const loan = {customer: 'c', cost: 1};
 		expect([await batches.borrow(loan), await batches.borrow(loan)]).toMatchSnapshot();
 	});
+
+	// Guards against requests that wait for ever, and a host that ends, because one call failed unexpectedly.
+	it('tells a failure to those who wait, and asks again for the next', async () => {
+		let calls = 0;
+		const batches = new BorrowBatches(async () => {
+			calls += 1;
+			if (calls === 1) {
+				throw new Error('no connection');
+			}
+
+			return [{isGranted: true, retryAfterMs: 0}];
+		});
+		const loan = {customer: 'c', cost: 1};
+		const outcomes = await Promise.allSettled([batches.borrow(loan)]);
+		expect([outcomes, await batches.borrow(loan)]).toMatchSnapshot();
+	});
 });
