egretrilld: tell the three ways apart in which a request ends without an answer

Callers saw: a connection that closes without an answer, and operators could not tell why. The line of an unexpected error had no request id, a stream closed for its silence had the reason of one that the engine broke off, and a refusal of a request that had not arrived completely looked like any other.

Change: the request id in "A request failed unexpectedly.", a reason of its own for a stream without events, and isRequestIncomplete in the line of the end.

--- a/apps/egretrilld/src/traffic/entry-host.ts
+++ b/apps/egretrilld/src/traffic/entry-host.ts
@@ -13,6 +13,7 @@
 import type {ConfigDecoder} from './config-decoder.js';
 import {ControlFollower, type HostReport, SyncSink} from './control-follower.js';
 import {DecisionLog} from './decision-log.js';
+import {sanitizeName} from './describe-answer.js';
 import {EntryObserver} from './entry-observer.js';
 import {HttpSender} from './http-sender.js';
 import type {LeaderPlan, SyncResponse} from './methods.js';
@@ -219,7 +220,8 @@
 		try {
 			await forwardRequest(exchange, this.forwardDependencies);
 		} catch (err: unknown) {
-			this.opts.logger.error({err, url: req.url}, 'A request failed unexpectedly.');
+			const requestId = sanitizeName(this.opts.dialect.readCall(exchange.head)?.attemptId ?? '');
+			this.opts.logger.error({err, requestId, url: req.url}, 'A request failed unexpectedly.');
 			exchange.abort();
 		} finally {
 			endWork();
--- a/apps/egretrilld/src/traffic/entry-observer.ts
+++ b/apps/egretrilld/src/traffic/entry-observer.ts
@@ -16,7 +16,7 @@
 }
 
 function describeEnd(event: ForwardEndEvent, knowledgeAgeMs: number): Readonly<Record<string, unknown>> {
-	const {call, route = '', customer, configVersion, outcome, status, bodyEnd, bodyBytes, targetId, outstanding, attempts, waitMs, tookMs, firstMs, longestPauseMs} = event;
+	const {call, route = '', customer, configVersion, outcome, status, bodyEnd, bodyBytes, targetId, outstanding, attempts, waitMs, tookMs, isRequestIncomplete, firstMs, longestPauseMs} = event;
 	const isRefused = typeof outcome === 'object';
 	return {
 		requestId: call && sanitizeName(call.attemptId),
@@ -36,6 +36,7 @@
 		attempts,
 		waitMs: Math.round(waitMs),
 		tookMs: Math.round(tookMs),
+		...(isRequestIncomplete && {isRequestIncomplete}),
 		...(firstMs !== undefined && {firstMs: Math.round(firstMs)}),
 		...(longestPauseMs !== undefined && {longestPauseMs: Math.round(longestPauseMs)}),
 	};
--- a/apps/egretrilld/src/traffic/node-exchange.ts
+++ b/apps/egretrilld/src/traffic/node-exchange.ts
@@ -47,6 +47,10 @@
 		return chunks.length === 1 ? chunks[0] : Buffer.concat(chunks);
 	}
 
+	isRequestComplete(): boolean {
+		return this.req.complete;
+	}
+
 	hasStarted(): boolean {
 		return this.res.headersSent;
 	}
--- a/packages/callers/src/forward/caller-exchange.ts
+++ b/packages/callers/src/forward/caller-exchange.ts
@@ -8,6 +8,8 @@
 	abstract readonly callerDisconnected: AbortSignal;
 	/** Reads the complete body; undefined when it exceeds the limit. */
 	abstract readBody(maxBytes: number): Promise<Uint8Array | undefined>;
+	/** Whether the complete request, with its body, has arrived. */
+	abstract isRequestComplete(): boolean;
 	/** Whether the head of an answer has been sent. */
 	abstract hasStarted(): boolean;
 	/** Sends the head of a target's answer; the headers alternate names and values. */
--- a/packages/callers/src/forward/forward-dependencies.ts
+++ b/packages/callers/src/forward/forward-dependencies.ts
@@ -62,6 +62,8 @@
 	readonly attempts: number;
 	readonly waitMs: number;
 	readonly tookMs: number;
+	/** Whether a part of the request had not arrived when it ended. */
+	readonly isRequestIncomplete?: boolean;
 	/** Time to the first chunk of a stream, and the longest pause between two chunks. */
 	readonly firstMs?: number;
 	readonly longestPauseMs?: number;
--- a/packages/callers/src/forward/forward-request.ts
+++ b/packages/callers/src/forward/forward-request.ts
@@ -41,6 +41,7 @@
 		}, startedMs);
 	}
 
+	const isRequestComplete = exchange.isRequestComplete();
 	endExchange(exchange, outcome);
 	deps.observer.recordEnd({
 		...(call && {call}),
@@ -54,6 +55,7 @@
 		waitMs: progress.waitMs,
 		tookMs: deps.clock.now() - startedMs,
 		...getChunkTimes(progress.chunkTimes),
+		...(!isRequestComplete && {isRequestIncomplete: true}),
 		...(progress.answerSummary && {bodyEnd: progress.answerSummary.framing, bodyBytes: progress.answerSummary.bytes}),
 	});
 }
--- a/packages/callers/src/forward/relay.ts
+++ b/packages/callers/src/forward/relay.ts
@@ -74,6 +74,8 @@
 
 /** Closes a streamed answer that has been idle for too long; each stream has its own task. */
 class StreamIdleTimer {
+	/** Whether the answer was closed because it was idle. */
+	hasExpired = false;
 	private readonly stopping = new AbortController();
 	private lastMs: number;
 
@@ -93,6 +95,7 @@
 		while (!this.stopping.signal.aborted) {
 			const remainingMs = this.lastMs + STREAM_IDLE_TIMEOUT_MS - this.clock.now();
 			if (remainingMs <= 0) {
+				this.hasExpired = true;
 				this.answer.destroy();
 				return;
 			}
@@ -138,7 +141,9 @@
 		}
 	} catch {
 		// The body ends with an error when the target or this host breaks the connection off.
-		return {kind: 'broken', bytes, lastEventId: lastRelayedId};
+		return {
+			kind: 'broken', bytes, lastEventId: lastRelayedId, ...(idleTimer?.hasExpired && {reason: `The target completed no event for ${STREAM_IDLE_TIMEOUT_MS} ms.`}),
+		};
 	} finally {
 		idleTimer?.stop();
 	}
--- a/packages/callers/tests/forward/support/forward-scenario.ts
+++ b/packages/callers/tests/forward/support/forward-scenario.ts
@@ -107,6 +107,10 @@
 		return Buffer.from('body');
 	}
 
+	override isRequestComplete(): boolean {
+		return true;
+	}
+
 	override hasStarted(): boolean {
 		return this.isStarted;
 	}
