engines: fail a send to an unusable address instead of rejecting

An entry with an address such as 127.0.0.1:99999 made Node throw while the request was created, so that send() rejected. The exception passed the attempt, counted the target as one that broke off and closed the caller's connection, although nothing was written to any target. Callers lost requests that another target could have served.

The address is now parsed before the request is created: an IPv4 address or host name and a port from 1 to 65535. Node's other exceptions (invalid method, path, header name or value) are caught where the request is created. Nothing is written at that time, so the failure says accepted: false, and the request goes to another target. The address is not named in the failure, whose reason may reach the caller.

The test sends 15 kinds of faulty requests with and without connection reuse. It failed before with ERR_SOCKET_BAD_PORT.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -16,6 +16,7 @@
 export * from './parse-in-parts.js';
 export * from './random.js';
 export * from './signal.js';
+export * from './socket-address.js';
 export * from './target-client.js';
 export * from './traffic.js';
 export * from './types.js';
--- a/packages/engines/src/client/forward-client.ts
+++ b/packages/engines/src/client/forward-client.ts
@@ -2,7 +2,9 @@
 	Agent, type ClientRequest, type IncomingMessage, request,
 } from 'node:http';
 import type {Socket} from 'node:net';
-import type {BodyFraming, SendFailure} from '@egretrill/common';
+import {
+	type BodyFraming, type HostAndPort, parseSocketAddress, type SendFailure,
+} from '@egretrill/common';
 import {Result} from 'true-myth';
 import {AnswerProgress, ConnectionMonitor} from './connection-watch.js';
 
@@ -88,9 +90,35 @@
 	private readonly agent = new Agent({keepAlive: true, maxFreeSockets: MAX_IDLE_CONNECTIONS, scheduling: 'lifo'});
 	private readonly monitors = new WeakMap<Socket, ConnectionMonitor>();
 
-	/** Resolves with the answer, whose body has not been read yet, or with a failure that says whether the target may have received the request. */
+	/** Resolves with the answer, whose body has not been read yet, or with a failure that says whether the target may have received the request. Never rejects. */
 	async send(forwardReq: ForwardRequest, signal: AbortSignal): Promise<Result<ForwardAnswer, SendFailure>> {
-		const separator = forwardReq.address.lastIndexOf(':');
+		const address = parseSocketAddress(forwardReq.address);
+		if (!address) {
+			return Result.err({accepted: false, code: 'ERR_ADDRESS', reason: 'The address of the target cannot be used.'});
+		}
+
+		const created = this.createRequest(forwardReq, address, signal);
+		return created.isErr ? Result.err(created.error) : this.exchange(created.value, forwardReq);
+	}
+
+	close(): void {
+		this.agent.destroy();
+	}
+
+	/** Creates a request, of which nothing is written yet. Node throws if its method, path or a header is invalid. */
+	private createRequest({method, url, headers, mayReuse}: ForwardRequest, address: HostAndPort, signal: AbortSignal): Result<ClientRequest, SendFailure> {
+		try {
+			return Result.ok(request({
+				...address, method, path: url, headers, agent: mayReuse ? this.agent : false, signal,
+			}));
+		} catch (err: unknown) {
+			const {code = 'ERR_REQUEST', message} = err as NodeJS.ErrnoException;
+			return Result.err({accepted: false, code, reason: message});
+		}
+	}
+
+	/** Writes a request and resolves with the head of its answer. */
+	private async exchange(req: ClientRequest, {method, body}: ForwardRequest): Promise<Result<ForwardAnswer, SendFailure>> {
 		return new Promise(resolve => {
 			let isConnected = false;
 			const fail = (code: string, reason: string): void => {
@@ -98,15 +126,6 @@
 			};
 
 			const progress = new AnswerProgress();
-			const req = request({
-				host: forwardReq.address.slice(0, separator),
-				port: Number(forwardReq.address.slice(separator + 1)),
-				method: forwardReq.method,
-				path: forwardReq.url,
-				headers: forwardReq.headers,
-				agent: forwardReq.mayReuse ? this.agent : false,
-				signal,
-			});
 			req.once('socket', socket => {
 				this.getMonitor(socket).expectAnswer(progress);
 				whenConnected(req, socket, () => {
@@ -121,7 +140,7 @@
 				fail('ERR_EXCHANGE', 'The connection was closed without an answer.');
 			});
 			req.once('response', res => {
-				const answer = createAnswer(res, forwardReq.method, progress);
+				const answer = createAnswer(res, method, progress);
 				if (answer.isErr) {
 					fail('ERR_ANSWER', answer.error);
 					req.destroy();
@@ -130,14 +149,10 @@
 
 				resolve(Result.ok(answer.value));
 			});
-			req.end(forwardReq.body);
+			req.end(body);
 		});
 	}
 
-	close(): void {
-		this.agent.destroy();
-	}
-
 	private getMonitor(socket: Socket): ConnectionMonitor {
 		const existing = this.monitors.get(socket);
 		if (existing) {
--- a/packages/engines/tests/client/forward-client.test.ts
+++ b/packages/engines/tests/client/forward-client.test.ts
@@ -209,4 +209,34 @@
 
 		expect({seen, connections}).toMatchSnapshot();
 	});
+
+	// Guards against an entry of a target with an unusable address or name that closes its caller's connection, and against a refusal that says "may have run" although nothing was written.
+	it('resolves with a failure before the target was reached whatever is wrong with the request', async () => {
+		const faults: Readonly<Record<string, Partial<ForwardRequest>>> = {
+			'port out of range': {address: '127.0.0.1:99999'},
+			'port 0': {address: '127.0.0.1:0'},
+			'no port': {address: '127.0.0.1'},
+			'negative port': {address: '127.0.0.1:-1'},
+			'fractional port': {address: '127.0.0.1:80.5'},
+			'empty address': {address: ''},
+			'no host': {address: ':80'},
+			'host with a space': {address: 'a b:80'},
+			'unknown host': {address: 'no-such-host.invalid:80'},
+			'very long host': {address: `${'a'.repeat(100_000)}:80`},
+			'line break in a header': {headers: ['x-target', 'i-1\r\nx-other: 1']},
+			'invalid header name': {headers: ['a b', 'c']},
+			'header without a value': {headers: ['Host', 'a', 'x-target']},
+			'invalid method': {method: 'G T'},
+			'space in the path': {url: '/a b'},
+		};
+		const outcomes: Record<string, unknown> = {};
+		for (const [name, fault] of Object.entries(faults)) {
+			for (const mayReuse of [true, false]) {
+				const sent = await client.send({...createMessage(mayReuse), ...fault}, new AbortController().signal);
+				outcomes[`${name}${mayReuse ? ', reusable' : ''}`] = sent.isErr ? {accepted: sent.error.accepted} : 'answered';
+			}
+		}
+
+		expect(outcomes).to.deep.equal(Object.fromEntries(Object.keys(outcomes).map(name => [name, {accepted: false}])));
+	});
 });
