egretrilld: keep a refusal from being lost when the rest of the request arrives later

Callers saw: a request that is refused before its body has arrived (unknown route or key) ended with a reset connection and no answer.

Cause: the connection was destroyed right after the refusal. Body bytes that arrive on the closed socket make the kernel reset the connection, and the caller's write fails before it reads the refusal.

Change: the refusal is sent at once with Connection: close. The rest of the request is then read and dropped, for at most 5 s and 16 MiB, and the connection closes after that. Nothing is kept in memory, and the connection takes no further request. The refusal of a HEAD request is sent in the same way.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -3,6 +3,7 @@
 export * from './codec.js';
 export * from './constants.js';
 export * from './decaying-counts.js';
+export * from './discard-rest.js';
 export * from './document.js';
 export * from './engine-channel.js';
 export * from './faults.js';
