egretrilld: send the refusal of a body over the limit before the connection closes

Callers saw: a request whose body is over the configured limit ended with a closed connection in place of the 413.

Cause: leaving a `for await` loop destroys the stream, here the request, and with it the connection. The exchange then counted as left by its caller, so the 413 was not even written.

Change: the body is read with an iterator that leaves the request open; the refusal then takes the way of any refusal of an incomplete request.

The new test failed before ("no answer; reset") and passes now.

--- a/apps/egretrilld/src/traffic/node-exchange.ts
+++ b/apps/egretrilld/src/traffic/node-exchange.ts
@@ -31,7 +31,8 @@
 		const chunks: Uint8Array[] = [];
 		let length = 0;
 		try {
-			for await (const chunk of this.req as AsyncIterable<Uint8Array>) {
+			// Destroying the request on return would close the connection before a refusal is sent.
+			for await (const chunk of this.req.iterator({destroyOnReturn: false}) as AsyncIterable<Uint8Array>) {
 				length += chunk.length;
 				if (length > maxBytes) {
 					return undefined;
--- a/apps/egretrilld/tests/traffic/refusal-end.test.ts
+++ b/apps/egretrilld/tests/traffic/refusal-end.test.ts
@@ -13,15 +13,15 @@
 /** More than the host reads of a refused request. */
 const ENDLESS_BYTES = 1_000_000_000_000;
 
-function writeHead(socket: CallerSocket, bodyBytes: number, method = 'POST'): void {
-	socket.write(`${method} /unknown HTTP/1.1\r\nHost: app.test\r\nContent-Length: ${bodyBytes}\r\n\r\n`);
+function writeHead(socket: CallerSocket, bodyBytes: number, method = 'POST', path = '/unknown'): void {
+	socket.write(`${method} ${path} HTTP/1.1\r\nHost: app.test\r\nContent-Length: ${bodyBytes}\r\n\r\n`);
 }
 
-/** Sends a refused request whose body arrives in parts, and reads only afterwards. */
-async function sendInParts(port: number, method?: string): Promise<string> {
+/** Sends a request whose body arrives in parts, and reads only afterwards. */
+async function sendInParts(port: number, {method, path}: {readonly method?: string; readonly path?: string} = {}): Promise<string> {
 	const caller = await CallerSocket.open(port);
 	caller.socket.pause();
-	writeHead(caller, PARTS * PART.length, method);
+	writeHead(caller, PARTS * PART.length, method, path);
 	for (let sent = 0; sent < PARTS; sent += 1) {
 		caller.write(PART);
 		await setTimeout(PAUSE_MS);
@@ -53,7 +53,7 @@
 describe('a refusal before the request has arrived', () => {
 	let host: ForwardHost;
 	beforeEach(async () => {
-		host = await ForwardHost.open({targets: [], route: {pathPrefix: '/known/'}});
+		host = await ForwardHost.open({targets: [], route: {pathPrefix: '/known/'}, maxBodyBytes: PART.length});
 	});
 	afterEach(() => {
 		host.close();
@@ -62,10 +62,15 @@
 	// Guards against a reset that overtakes the refusal because the rest of the body arrives on a closed connection.
 	it('reaches a caller that sends the rest of its body afterwards', async () => {
 		const answers = await Promise.all(Array.from({length: CALLERS}, async () => sendInParts(host.port)));
-		const head = await sendInParts(host.port, 'HEAD');
+		const head = await sendInParts(host.port, {method: 'HEAD'});
 		expect({answers: [...new Set(answers)], head}).toMatchSnapshot();
 	});
 
+	// Guards against a connection that is closed before the refusal of a body over the limit is sent.
+	it('reaches a caller whose body is over the limit', async () => {
+		expect(await sendInParts(host.port, {path: '/known/'})).toMatchSnapshot();
+	});
+
 	// Guards against connections that stay open for callers whose body never ends.
 	it('is followed by the end of the connection within a bounded time and size', async () => {
 		expect(await Promise.all([
--- a/apps/egretrilld/tests/traffic/support/forward-host.ts
+++ b/apps/egretrilld/tests/traffic/support/forward-host.ts
@@ -119,6 +119,7 @@
 	readonly targets: readonly string[];
 	readonly route?: Partial<TrafficRoute>;
 	readonly onChunk?: () => void;
+	readonly maxBodyBytes?: number;
 };
 
 /** The forwarding path of an entry host with its real HTTP server and client and fixed targets. */
@@ -134,9 +135,9 @@
 	private readonly sender = new HttpSender();
 	private readonly server: Server;
 
-	private constructor({targets, route: changes, onChunk = () => undefined}: ForwardHostOptions) {
+	private constructor({targets, route: changes, onChunk = () => undefined, maxBodyBytes = config.limits.maxBodyBytes}: ForwardHostOptions) {
 		const clock = new MonotonicClock();
-		const table = new RouteTable({...config, routes: [{...route, ...changes}]});
+		const table = new RouteTable({...config, limits: {...config.limits, maxBodyBytes}, routes: [{...route, ...changes}]});
 		const retries = new RetryBudget(clock, {ratio: 0, reserve: 100});
 		const parts: ForwardDependencies = {
 			clock, random: () => 0, dialect: new TestDialect(), queue: new SlotQueue(clock, new FixedSlotSource(targets)), rates: new RateAllocations(clock), poolClient: new RefusingLender(), retrySchedule: new RetrySchedule(clock), sender: new ObservedSender(this.sender, onChunk), observer: this.observer, getTable: () => table, stopping: new AbortController().signal, getRetries: () => retries,
