egretrilld: end an answer at the route's timeout also when its caller reads nothing

Cause: a write that waits for the caller ended only with the caller's connection. The timeout aborted the request's signal, which nothing looked at while the write waited.

Change: the exchange gets the signal of the request, which also aborts when the caller disconnects or the host stops, and waiting writes end with it. The request then ends as broken and its connection is closed.

--- a/apps/egretrilld/src/traffic/node-exchange.ts
+++ b/apps/egretrilld/src/traffic/node-exchange.ts
@@ -8,6 +8,7 @@
 export class NodeExchange extends CallerExchange {
 	readonly head: RequestHead;
 	private readonly callerDisconnect = new AbortController();
+	private writeSignal = this.callerDisconnect.signal;
 	private isAborting = false;
 
 	constructor(private readonly req: IncomingMessage, private readonly res: ServerResponse, private readonly isStopping: () => boolean) {
@@ -66,9 +67,13 @@
 		}
 	}
 
+	cancelWritesOn(signal: AbortSignal): void {
+		this.writeSignal = signal;
+	}
+
 	async write(bytes: Uint8Array): Promise<void> {
 		if (bytes.length > 0 && !this.res.write(bytes) && !this.res.destroyed) {
-			await once(this.res, 'drain', {signal: this.callerDisconnect.signal});
+			await once(this.res, 'drain', {signal: this.writeSignal});
 		}
 	}
 
--- a/packages/callers/src/forward/caller-exchange.ts
+++ b/packages/callers/src/forward/caller-exchange.ts
@@ -14,7 +14,9 @@
 	abstract hasStarted(): boolean;
 	/** Sends the head of a target's answer; the headers alternate names and values. */
 	abstract start(status: number, headers: readonly string[], bodyLength?: number): void;
-	/** Resolves when the caller can accept more data. */
+	/** Sets the signal that ends writes which wait for the caller; it must also abort when the caller disconnects. */
+	abstract cancelWritesOn(signal: AbortSignal): void;
+	/** Resolves when the caller can accept more data; rejects when the caller disconnects or the signal for waiting writes aborts. */
 	abstract write(bytes: Uint8Array): Promise<void>;
 	abstract end(): void;
 	/** Closes the connection, so that a partial answer does not look complete. */
--- a/packages/callers/src/forward/forward-request.ts
+++ b/packages/callers/src/forward/forward-request.ts
@@ -147,6 +147,7 @@
 		aborter.abort();
 	};
 
+	exchange.cancelWritesOn(aborter.signal);
 	exchange.callerDisconnected.addEventListener('abort', stop, {once: true});
 	deps.stopping.addEventListener('abort', stop, {once: true});
 	void expire();
--- a/packages/callers/tests/forward/support/forward-scenario.ts
+++ b/packages/callers/tests/forward/support/forward-scenario.ts
@@ -120,6 +120,10 @@
 		this.received.push(`${status} ${headers.join('=')}${bodyLength === undefined ? '' : ` of ${bodyLength} bytes`}`);
 	}
 
+	override cancelWritesOn(): void {
+		// Writes to this caller do not wait.
+	}
+
 	override async write(bytes: Uint8Array): Promise<void> {
 		this.received.push(Buffer.from(bytes).toString());
 	}
