--- a/apps/egretrilld/src/traffic/node-exchange.ts
+++ b/apps/egretrilld/src/traffic/node-exchange.ts
@@ -2,12 +2,13 @@
 import {once} from 'node:events';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {CallerExchange, type RequestHead} from '@egretrill/callers';
-import type {Verdict} from '@egretrill/common';
+import {discardRest, type Verdict} from '@egretrill/common';
 
 /** A caller's request and response on Node's HTTP server. */
 export class NodeExchange extends CallerExchange {
 	readonly head: RequestHead;
 	private readonly callerDisconnect = new AbortController();
+	private writeSignal = this.callerDisconnect.signal;
 	private isAborting = false;
 
 	constructor(private readonly req: IncomingMessage, private readonly res: ServerResponse, private readonly isStopping: () => boolean) {
@@ -31,7 +32,8 @@
 		const chunks: Uint8Array[] = [];
 		let length = 0;
 		try {
-			for await (const chunk of this.req as AsyncIterable<Uint8Array>) {
+			// Destroying the request on return would close the connection before a refusal is sent.
+			for await (const chunk of this.req.iterator({destroyOnReturn: false}) as AsyncIterable<Uint8Array>) {
 				length += chunk.length;
 				if (length > maxBytes) {
 					return undefined;
@@ -65,9 +67,13 @@
 		}
 	}
 
+	cancelWritesOn(signal: AbortSignal): void {
+		this.writeSignal = signal;
+	}
+
 	async write(bytes: Uint8Array): Promise<void> {
 		if (bytes.length > 0 && !this.res.write(bytes) && !this.res.destroyed) {
-			await once(this.res, 'drain', {signal: this.callerDisconnect.signal});
+			await once(this.res, 'drain', {signal: this.writeSignal});
 		}
 	}
 
@@ -84,16 +90,18 @@
 
 	refuse({status, code, reason, retryAfterMs, run}: Verdict): void {
 		this.prepare();
+		const isComplete = this.isRequestComplete();
+		this.res.shouldKeepAlive &&= isComplete;
 		const body = JSON.stringify({error: {verdict: run, code, message: reason}});
 		this.res.writeHead(status, {
 			'content-type': 'application/json',
 			'content-length': Buffer.byteLength(body),
 			...(retryAfterMs !== undefined && {'retry-after': (retryAfterMs / 1000).toFixed(3)}),
 		});
-		this.res.end(body);
-		if (!this.req.complete) {
-			// An unread rest of the body would be parsed as the next request.
-			this.req.destroy();
+		if (isComplete) {
+			this.res.end(body);
+		} else {
+			void this.endAfterRest(body);
 		}
 	}
 
@@ -110,6 +118,15 @@
 		socket.destroy();
 	}
 
+	/** Sends the body of a refusal at once, but ends it, and with it the connection, only after the rest of the request. */
+	private async endAfterRest(body: string): Promise<void> {
+		this.res.write(body);
+		// For HEAD, the body does not send the head.
+		this.res.flushHeaders();
+		await discardRest(this.req);
+		this.res.end();
+	}
+
 	private prepare(): void {
 		if (this.isStopping()) {
 			this.res.shouldKeepAlive = false;
