common: count nested values without recursion

parseInParts counted the values of a message recursively. A value nested 100,000 deep ended the call with a RangeError, which no caller expects. Messages between hosts are refused beyond 64 levels before that, but bodies that arrive over HTTP have no such check. The containers are now listed in one loop and their sizes summed from the innermost outwards.

--- a/packages/common/src/parse-in-parts.ts
+++ b/packages/common/src/parse-in-parts.ts
@@ -24,18 +24,40 @@
 	return isPlainObject(value) ? Object.values(value) : [];
 }
 
-/** Adds the containers with more than `maxPartValues` values, themselves included, to `large`; returns the number of values in this one. */
-function collectLargeContainers(value: unknown, maxPartValues: number, large: Set<unknown>): number {
-	let count = 1;
-	for (const child of getChildren(value)) {
-		count += collectLargeContainers(child, maxPartValues, large);
+/** Returns the containers of a value, each before those inside it. Values may be nested deeper than the stack allows recursion. */
+function listContainers(root: unknown): ReadonlyArray<readonly [container: unknown, parent: number]> {
+	const containers: Array<readonly [container: unknown, parent: number]> = [[root, -1]];
+	// The list grows while it is read.
+	for (const [index, [container]] of containers.entries()) {
+		for (const child of getChildren(container)) {
+			if (typeof child === 'object' && child !== null) {
+				containers.push([child, index]);
+			}
+		}
 	}
 
-	if (count > maxPartValues) {
-		large.add(value);
+	return containers;
+}
+
+/** Returns the containers with more than `maxPartValues` values, themselves included. */
+function findLargeContainers(root: unknown, maxPartValues: number): ReadonlySet<unknown> {
+	const containers = listContainers(root);
+	const counts = containers.map(([container]) => 1 + getChildren(container).length);
+	const large = new Set<unknown>();
+	for (let i = containers.length - 1; i >= 0; i--) {
+		const [container, parent] = containers[i] ?? [undefined, -1];
+		const count = counts[i] ?? 0;
+		if (parent >= 0) {
+			// The container itself is already counted in its parent.
+			counts[parent] = (counts[parent] ?? 0) + count - 1;
+		}
+
+		if (count > maxPartValues) {
+			large.add(container);
+		}
 	}
 
-	return count;
+	return large;
 }
 
 /** Validates a value at once. */
@@ -46,9 +68,7 @@
 
 /** Validates a value against a schema, large values part by part. Returns the same data as the schema, or the faults of the first part that has some. */
 export function parseInParts(schema: core.$ZodType, value: unknown, maxPartValues = MAX_PART_VALUES): ParseResult {
-	const large = new Set<unknown>();
-	collectLargeContainers(value, maxPartValues, large);
-	return parseValue(schema, value, large);
+	return parseValue(schema, value, findLargeContainers(value, maxPartValues));
 }
 
 function parseValue(schema: core.$ZodType, value: unknown, large: ReadonlySet<unknown>): ParseResult {
