control: refuse registrations that the rest of the product cannot use

A heartbeat with any one to five digits as port, an IP address such as 999.1.1.1, a line break in its id, 10^15 slots, a start time in microseconds or thousands of models was accepted and passed to every host. Such an entry could not be connected to, could not be named in a header, counted as newer than all others, or made the lists between hosts exceed their limits.

Registration now holds these invariants, and the wire schema of heartbeats only the shape; the models in an engine's report must satisfy the same schema. A body is validated in parts and limited to 1 MB, so that a large invalid one costs no seconds. It is answered with 400 (413 if it is too long) and one log line of bounded length every 5 s at most. Calls that the framework cannot read, such as an id with a broken escape, no longer write a stack to the error stream each. A deregistration of an unknown target is not logged any more, since anyone can send these at any rate.

--- a/apps/egretrilld/src/traffic/constants.ts
+++ b/apps/egretrilld/src/traffic/constants.ts
@@ -82,3 +82,9 @@
 
 /** Callers choose request ids and model names; longer ones are truncated, so that no caller can exhaust the log budget of the others. */
 export const MAX_LOGGED_NAME_LENGTH = 64;
+
+/** Shortest time between two warnings of one kind that other processes can cause at any rate. */
+export const WARNING_INTERVAL_MS = 5000;
+
+/** Longer texts of other processes are truncated in warnings. */
+export const MAX_LOGGED_TEXT_LENGTH = 200;
--- a/apps/egretrilld/src/traffic/control-host.ts
+++ b/apps/egretrilld/src/traffic/control-host.ts
@@ -19,9 +19,12 @@
 	borrowMethod, gossipMethod, readTrafficMethod, requestAdapterMethod, syncMethod,
 } from './methods.js';
 import {getReportedLeaderId} from './name-leader.js';
+import {RateLimitedLog} from './rate-limited-log.js';
 import type {ControlSettings} from './settings.js';
 import {SyncNotifier} from './sync-notifier.js';
 
+const MAX_LOGGED_FAULTS = 3;
+
 export type ControlHostOptions = {
 	readonly settings: ControlSettings;
 	readonly clock: Clock;
@@ -47,6 +50,8 @@
 	private readonly membership: Membership;
 	private readonly syncNotifier: SyncNotifier;
 	private readonly origin = randomUUID();
+	private readonly invalidRegistrations: RateLimitedLog;
+	private readonly failedCalls: RateLimitedLog;
 	private term: LeaderTerm | undefined;
 	private decoded: DecodedTraffic | undefined;
 
@@ -54,6 +59,8 @@
 		super();
 		const {settings, clock, random, logger, credentials} = opts;
 		this.hostId = settings.listen.peers;
+		this.invalidRegistrations = new RateLimitedLog(clock, logger, 'A registration describes no usable target.');
+		this.failedCalls = new RateLimitedLog(clock, logger, 'A call of a target or operator failed.');
 		this.peers = new ControlPeers({
 			selfId: this.hostId, seedIds: settings.seeds, clock, credentials,
 		});
@@ -164,9 +171,19 @@
 		return isAccepted;
 	}
 
+	override recordInvalidRegistration(targetId: string, faults: readonly string[]): void {
+		this.invalidRegistrations.warn({targetId, faults: faults.slice(0, MAX_LOGGED_FAULTS).join('; ')});
+	}
+
+	override recordFailedCall(err: Error): void {
+		this.failedCalls.warn({reason: err.message});
+	}
+
 	override removeTarget(targetId: string): void {
-		this.opts.logger.info({targetId}, 'A target has left.');
-		this.registry.markEnded(targetId);
+		if (this.registry.get(targetId)) {
+			this.opts.logger.info({targetId}, 'A target has left.');
+			this.registry.markEnded(targetId);
+		}
 	}
 
 	override async putTraffic(source: string): Promise<PutOutcome> {
--- a/apps/egretrilld/src/traffic/control-service.ts
+++ b/apps/egretrilld/src/traffic/control-service.ts
@@ -11,6 +11,10 @@
 export abstract class ControlService {
 	/** Accepts a registration; returns false if a newer one is known. */
 	abstract acceptRegistration(registration: Registration): boolean;
+	/** Records a registration that describes no usable target, with its faults. */
+	abstract recordInvalidRegistration(targetId: string, faults: readonly string[]): void;
+	/** Records a call that could not be read or answered. */
+	abstract recordFailedCall(err: Error): void;
 	abstract removeTarget(targetId: string): void;
 	/** Puts a configuration into force unless a higher version is in force. */
 	abstract putTraffic(source: string): Promise<PutOutcome>;
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -15,6 +15,7 @@
 export * from './loop-watch.js';
 export * from './parse-in-parts.js';
 export * from './random.js';
+export * from './registration.js';
 export * from './signal.js';
 export * from './socket-address.js';
 export * from './target-client.js';
--- a/packages/common/src/traffic.ts
+++ b/packages/common/src/traffic.ts
@@ -95,29 +95,3 @@
 /** The source text of a traffic configuration, which is stored and returned unchanged. */
 export const TrafficSource = z.object({version: count, source: z.string()});
 export type TrafficSource = z.infer<typeof TrafficSource>;
-
-/** A model that is loaded in an engine, with its resident adapters. */
-export const HeldModel = z.object({name: z.string(), version: z.int(), adapters: z.array(z.string())});
-export type HeldModel = z.infer<typeof HeldModel>;
-
-/** What a target reports about itself when it registers. */
-export const Registration = z.object({
-	targetId: z.string(),
-	/** Start time of the target's process, which distinguishes its lifetimes. */
-	startedAtMs: z.int(),
-	/** Increases with each registration within a lifetime. */
-	sequence: z.int(),
-	service: z.string(),
-	address: z.string(),
-	zone: z.string(),
-	slots: z.int().positive(),
-	isLeaving: z.boolean(),
-	coldForMs: z.number().nonnegative(),
-	models: z.array(HeldModel),
-	/** Number of orders that the engine has accepted in this lifetime, if it reports it. */
-	orderCount: z.int().optional(),
-	/** Models whose weights the engine keeps in host memory and on disk. */
-	inMemory: z.array(z.string()),
-	onDisk: z.array(z.string()),
-});
-export type Registration = z.infer<typeof Registration>;
