hosts: skip invalid entries in lists of registrations

One entry that does not match the schema made the whole answer of a poll or of an exchange between control hosts invalid. The reader counted the host as silent and asked for the same list again, so that entry hosts stopped following all control hosts that hold the entry, and other control hosts missed every change.

RegistryUpdate now validates each entry by itself, keeps the order of the valid ones and names the ids of the skipped ones. Entry hosts remove the targets with these ids: while the fault lasts, no later entry tells that they have gone. Control hosts keep their last valid entry, which expires as usual. The exchange between control hosts gets the limit of values of the poll, which carries the same list.

--- a/apps/egretrilld/src/traffic/control-follower.ts
+++ b/apps/egretrilld/src/traffic/control-follower.ts
@@ -12,6 +12,8 @@
 	borrowMethod, type EntryReport, type LeaderPlan, type RateLoan, requestAdapterMethod, syncMethod, type SyncResponse,
 } from './methods.js';
 import {pickControlHost} from './pick-control.js';
+import {RateLimitedLog} from './rate-limited-log.js';
+import {SKIPPED_ENTRIES_MESSAGE, warnOfSkippedEntries} from './skipped-entries.js';
 import {getSyncIntervalMs} from './sync-gap.js';
 
 /** Report of an entry host in a poll, without the host's identity. */
@@ -48,9 +50,11 @@
 	private lastResponseMs = Number.NEGATIVE_INFINITY;
 	private readonly lastPollMs = new Map<string, number>();
 	private readonly batcher = new BorrowBatcher(async loans => this.requestLoans(loans));
+	private readonly skippedEntries: RateLimitedLog;
 
 	constructor(private readonly opts: ControlFollowerOptions) {
 		super();
+		this.skippedEntries = new RateLimitedLog(opts.clock, opts.logger, SKIPPED_ENTRIES_MESSAGE);
 	}
 
 	/** Time since the last answered poll, which is the age of this host's configuration and targets. */
@@ -144,6 +148,7 @@
 			sink.applyConfig(config);
 		}
 
+		warnOfSkippedEntries(this.skippedEntries, controlId, registry);
 		sink.applyTargets(registry, zonesOut);
 		if (plan) {
 			this.hostCount = plan.rates.hostCount;
--- a/apps/egretrilld/src/traffic/control-gossip.ts
+++ b/apps/egretrilld/src/traffic/control-gossip.ts
@@ -5,6 +5,8 @@
 import type {ControlPeers, FleetNode} from '@egretrill/hosts';
 import {GOSSIP_INTERVAL_MS, JOIN_RETRY_MS} from './constants.js';
 import {gossipMethod} from './methods.js';
+import {RateLimitedLog} from './rate-limited-log.js';
+import {SKIPPED_ENTRIES_MESSAGE, warnOfSkippedEntries} from './skipped-entries.js';
 
 export type ControlGossipOptions = {
 	readonly hostId: string;
@@ -27,8 +29,10 @@
 	leaderMemberIds: readonly string[] | undefined;
 	private readonly contacts = new Map<string, Contact>();
 	private readonly startedMs: number;
+	private readonly skippedEntries: RateLimitedLog;
 
 	constructor(private readonly opts: ControlGossipOptions) {
+		this.skippedEntries = new RateLimitedLog(opts.clock, opts.logger, SKIPPED_ENTRIES_MESSAGE);
 		this.startedMs = opts.clock.now();
 	}
 
@@ -78,6 +82,7 @@
 				knownRegistry = {origin: update.origin, revision: update.revision};
 				this.recordContact(id, peerZone);
 				registry.merge(update.targets);
+				warnOfSkippedEntries(this.skippedEntries, id, update);
 				this.leaderHint = leaderId ?? this.leaderHint;
 				if (leaderId === id) {
 					this.leaderMemberIds = memberIds;
--- a/apps/egretrilld/src/traffic/entry-host.ts
+++ b/apps/egretrilld/src/traffic/entry-host.ts
@@ -171,7 +171,7 @@
 
 	override applyTargets(update: SyncResponse['registry'], zonesOut: readonly string[]): void {
 		this.targets.setZonesOutOfService(zonesOut);
-		if (update.isWhole || update.targets.length > 0) {
+		if (update.isWhole || update.targets.length > 0 || update.skippedIds) {
 			this.targets.update(update);
 		}
 	}
--- a/apps/egretrilld/src/traffic/methods.ts
+++ b/apps/egretrilld/src/traffic/methods.ts
@@ -67,8 +67,8 @@
 	answers: z.array(z.object({isGranted: z.boolean(), retryAfterMs: z.number()})).optional(),
 }));
 
-/** Exchanges registrations, members and the current leader between control hosts. */
-export const gossipMethod = defineMethod('Traffic', 'gossip', z.object({hostId: z.string(), zone: z.string(), registry: KnownRegistry}), z.object({
+/** Exchanges registrations, members and the current leader between control hosts. The whole registry has as many values as a configuration document. */
+export const gossipMethod = defineDocumentMethod('Traffic', 'gossip', z.object({hostId: z.string(), zone: z.string(), registry: KnownRegistry}), z.object({
 	registry: RegistryUpdate, zone: z.string(), memberIds: z.array(z.string()), leaderId: z.string().optional(),
 }));
 
--- a/apps/egretrilld/tests/fill-lists.ts
+++ b/apps/egretrilld/tests/fill-lists.ts
@@ -43,6 +43,10 @@
 				return fill(def.innerType);
 			}
 
+			case 'pipe': {
+				return fill(def.in);
+			}
+
 			case 'union': {
 				const filled = def.options.map(option => {
 					const before = isFilled;
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -14,6 +14,7 @@
 export * from './logger.js';
 export * from './loop-watch.js';
 export * from './parse-in-parts.js';
+export * from './partition-valid.js';
 export * from './random.js';
 export * from './registration.js';
 export * from './signal.js';
--- a/packages/engines/src/registry/target-book.ts
+++ b/packages/engines/src/registry/target-book.ts
@@ -118,8 +118,10 @@
 		return this.followedRevision;
 	}
 
-	update({origin, revision, isWhole, targets}: RegistryUpdate): void {
+	/** Applies an update; targets whose entries were skipped are removed, since no usable entry about them follows while that fault lasts. */
+	update({origin, revision, isWhole, targets, skippedIds = []}: RegistryUpdate): void {
 		const nowMs = this.opts.clock.now();
+		this.removeTargets(skippedIds);
 		if (isWhole) {
 			const ids = new Set(targets.map(({registration}) => registration.targetId));
 			this.removeTargets([...this.targets.keys()].filter(id => !ids.has(id)));
