common: keep idle connections open as long as announced and configured

Callers saw: a next request on a kept connection that is closed although its idle time was not over, beside a change of the configuration or a standstill of the host.

Cause: Node announces the idle time with the head of an answer, but starts the timer at its end, with the time that is then configured. A shorter time that came in between closed the connection before the announced time. The timer of an idle connection does not change either, so a longer time did not hold for connections that were already idle, although callers use them for up to four fifths of the configured time. After a standstill of the process the timer runs before the socket is read, so the connection of a request that had arrived was closed.

Change: at the end of an answer the timer gets at least the announced time. When it fires, a connection that is due for a longer time gets that time, and any other is closed only after the sockets have been read once more.

--- a/packages/common/src/http-server.ts
+++ b/packages/common/src/http-server.ts
@@ -1,4 +1,5 @@
 import {createServer, type RequestListener, type Server} from 'node:http';
+import {keepIdleConnections} from './idle-connections.js';
 
 /** How long a client may take to send a request; the time for the answer is not limited. */
 export type ReadTimeouts = {
@@ -24,5 +25,6 @@
 export function createHttpServer(listener: RequestListener, timeouts = DEFAULT_TIMEOUTS): Server {
 	const server = createServer({connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS}, listener);
 	setReadTimeouts(server, timeouts);
+	keepIdleConnections(server);
 	return server;
 }
