callers: refuse requests that arrive once a stopping host has ended its waiting

Callers saw: a request on a kept connection of a host that stops was passed on to a target and then cut off without an answer.

Cause: at the end of the drain the host aborts the requests in flight and closes all connections 150 ms later. A request that arrives between the two began as usual, because a listener on a signal that has already aborted is not called: it was passed on, and its connection closed.

Change: such a request is refused with 503, not run, before it is passed on.

--- a/apps/egretrilld/tests/traffic/support/forward-host.ts
+++ b/apps/egretrilld/tests/traffic/support/forward-host.ts
@@ -15,7 +15,7 @@
 export const SIGNED = 'seal: s\r\nattempt: a1\r\n';
 
 /** Dialect of a deployment whose targets sign answers with `seal` and identify the request with `attempt`. */
-class TestDialect extends ForwardDialect {
+export class TestDialect extends ForwardDialect {
 	override readCall({method, url}: RequestHead): ForwardCall {
 		return {
 			attemptId: 'a1', method, url, hostName: 'app.test', promptParts: [], headers: ['Host', 'app.test'],
@@ -102,7 +102,8 @@
 	}
 }
 
-const config: TrafficConfig = {
+/** A configuration without routes. */
+export const config: TrafficConfig = {
 	version: 1,
 	routes: [],
 	services: [{name: 's', coldRequestsPerSecond: 0}],
@@ -111,7 +112,7 @@
 	},
 };
 
-const route: TrafficRoute = {
+export const route: TrafficRoute = {
 	name: 'r', hostName: 'app.test', pathPrefix: '/', repeat: 'once', isStream: false, isResumable: false, isOpen: true, timeoutMs: 10_000, targetLatencyMs: 500, priority: 1, maxAttempts: 2, services: [{service: 's', weight: 1}],
 };
 
--- a/packages/callers/src/forward/forward-request.ts
+++ b/packages/callers/src/forward/forward-request.ts
@@ -152,6 +152,11 @@
 	deps.stopping.addEventListener('abort', stop, {once: true});
 	void expire();
 	try {
+		if (deps.stopping.aborted) {
+			// Its answer might not arrive before the connections are closed.
+			return refuse(503, 'stopping', 'This host is shutting down.', MIN_RETRY_AFTER_MS);
+		}
+
 		return exchange.callerDisconnected.aborted
 			? refuse(503, 'caller-left', 'The caller left before the request was placed.')
 			: await forwardUntilAnswered({...admitted, endsMs: startedMs + timeoutMs, signal: aborter.signal});
