callers: trust no answer without an id on a connection that carried an earlier request

Callers of idempotent requests and resumable streams were told 503 "not run" when a target wrote an earlier refusal without an attempt id once more on a kept connection, while it ran their request. An earlier 404 without an id was relayed to them as their own answer.

Cause: only an answer with another attempt's id was rejected; one without an id counted as the answer to the request that waited on the connection.

An answer now tells whether its connection carried an earlier request. On such a connection an answer without an id proves nothing: the attempt counts as one that may have run, and the connection is closed, so that the true answer that follows cannot reach the next request. On a new connection a refusal without an id still proves that nothing ran, as no earlier request could be meant.

The check of an answer moves from try-place.ts to check-answer.ts.

--- a/apps/egretrilld/tests/traffic/support/forward-host.ts
+++ b/apps/egretrilld/tests/traffic/support/forward-host.ts
@@ -16,14 +16,15 @@
 
 /** Dialect of a deployment whose targets sign answers with `seal` and identify the request with `attempt`. */
 class TestDialect extends ForwardDialect {
-	override readCall({method, url}: RequestHead): ForwardCall {
+	override readCall({method, url, rawHeaders}: RequestHead): ForwardCall {
+		const attemptIndex = rawHeaders.indexOf('attempt');
 		return {
-			attemptId: 'a1', method, url, hostName: 'app.test', promptParts: [], headers: ['Host', 'app.test'],
+			attemptId: rawHeaders[attemptIndex === -1 ? rawHeaders.length : attemptIndex + 1] ?? 'a1', method, url, hostName: 'app.test', promptParts: [], headers: ['Host', 'app.test'],
 		};
 	}
 
-	override writeSendHeaders({headers}: ForwardCall, {bodyLength}: SendDetails): string[] {
-		return [...headers, 'Content-Length', String(bodyLength)];
+	override writeSendHeaders({headers}: ForwardCall, {bodyLength, lastEventId}: SendDetails): string[] {
+		return [...headers, ...(lastEventId === undefined ? [] : ['last-event-id', String(lastEventId)]), 'Content-Length', String(bodyLength)];
 	}
 
 	override readAnswer({rawHeaders}: AnswerHead): AnswerMetadata {
--- a/apps/egretrilld/tests/traffic/support/raw-caller.ts
+++ b/apps/egretrilld/tests/traffic/support/raw-caller.ts
@@ -26,7 +26,7 @@
 }
 
 /** Sends one request on a new connection and reads until the host closes it. */
-export async function callRaw(port: number, {method = 'GET', version = '1.1', body = ''} = {}): Promise<ReceivedAnswer> {
+export async function callRaw(port: number, {method = 'GET', version = '1.1', body = '', attemptId = 'a1'} = {}): Promise<ReceivedAnswer> {
 	const socket = connect({port, host: '127.0.0.1'});
 	let text = '';
 	let isReset = false;
@@ -43,7 +43,7 @@
 	const closed = new Promise(resolve => {
 		socket.once('close', resolve);
 	});
-	socket.write(`${method} / HTTP/${version}\r\nHost: app.test\r\nConnection: close\r\nContent-Length: ${body.length}\r\n\r\n${body}`);
+	socket.write(`${method} / HTTP/${version}\r\nHost: app.test\r\nattempt: ${attemptId}\r\nConnection: close\r\nContent-Length: ${body.length}\r\n\r\n${body}`);
 	await closed;
 	const headEnd = text.indexOf(HEAD_END);
 	const head = text.slice(0, Math.max(0, headEnd));
--- a/packages/callers/src/forward/forward-dependencies.ts
+++ b/packages/callers/src/forward/forward-dependencies.ts
@@ -17,6 +17,8 @@
 	readonly body: AsyncIterable<Uint8Array>;
 	/** How the end of the body is detected. */
 	readonly framing: BodyFraming;
+	/** Whether the connection has carried an earlier request, whose answer this may be. */
+	readonly isConnectionReused: boolean;
 	/** Whether the body arrived completely; valid only after it has been read. */
 	readonly isComplete: () => boolean;
 	/** Reads and discards the body of a short answer, so that the connection can be reused. */
--- a/packages/callers/src/forward/try-place.ts
+++ b/packages/callers/src/forward/try-place.ts
@@ -1,13 +1,11 @@
 import type {TrafficRoute} from '@egretrill/common';
+import {checkAnswer, STATUS_MISDIRECTED} from './check-answer.js';
 import type {ForwardContext, AttemptOutcome} from './forward-context.js';
 import type {TargetSlot, SlotOutcome} from './place-queue.js';
 import {relayEvents, type RelayResult, relayBuffered} from './relay.js';
-import type {AnswerMetadata, ForwardCall} from './types.js';
+import type {AnswerMetadata} from './types.js';
 
-const STATUS_MISDIRECTED = 421;
 const STATUS_SERVER_ERROR = 500;
-/** Statuses that guarantee to a caller that its request was not run. */
-const notRunStatuses: ReadonlySet<number> = new Set([408, 429, 503]);
 
 /** Sends the request to one target and relays its answer. */
 export async function forwardToTarget(context: ForwardContext, slot: TargetSlot): Promise<AttemptOutcome> {
@@ -66,16 +64,15 @@
 		slot.updateOutstanding(metadata.outstanding);
 	}
 
-	const isForOtherAttempt = metadata.attemptId !== undefined && metadata.attemptId !== call.attemptId;
-	if (!isForOtherAttempt && (metadata.isNotExecuted || answer.status === STATUS_MISDIRECTED)) {
-		answer.discard();
-		return {kind: 'not-run', reason: `The target refused with ${answer.status}.`, slotOutcome: answer.status === STATUS_MISDIRECTED ? 'answered' : 'failed'};
+	const check = checkAnswer(answer, metadata, call.attemptId);
+	if (check.isErr) {
+		answer.destroy();
+		return {kind: 'broken', reason: check.error, slotOutcome: 'broke-off'};
 	}
 
-	const error = findAnswerError(metadata, answer.status, call);
-	if (error !== undefined) {
-		answer.destroy();
-		return {kind: 'broken', reason: error, slotOutcome: 'broke-off'};
+	if (check.value === 'refusal') {
+		answer.discard();
+		return {kind: 'not-run', reason: `The target refused with ${answer.status}.`, slotOutcome: answer.status === STATUS_MISDIRECTED ? 'answered' : 'failed'};
 	}
 
 	if (answer.status >= STATUS_SERVER_ERROR && mayRetry(context, 'broken') && deps.getRetries(context.service).hasRetry()) {
@@ -86,20 +83,6 @@
 	return relay(context, answer, metadata);
 }
 
-/** Why an answer must not be relayed, or undefined. */
-function findAnswerError({attemptId, isSigned}: AnswerMetadata, status: number, call: ForwardCall): string | undefined {
-	if (attemptId !== undefined && attemptId !== call.attemptId) {
-		return 'The answer belongs to another request.';
-	}
-
-	if (!isSigned || (status < 300 && attemptId === undefined)) {
-		return 'The answer does not carry the signature of a target.';
-	}
-
-	// These statuses guarantee to callers that nothing was run, but the target did not mark its answer as not executed.
-	return notRunStatuses.has(status) ? `The target answered ${status} and may have run the request.` : undefined;
-}
-
 async function relay(context: ForwardContext, answer: Parameters<typeof relayBuffered>[0]['answer'], metadata: AnswerMetadata): Promise<AttemptOutcome> {
 	const {deps: {clock}, exchange, route, progress} = context;
 	const isEventStream = metadata.isEventStream && answer.status < 300;
--- a/packages/callers/tests/forward/relay.test.ts
+++ b/packages/callers/tests/forward/relay.test.ts
@@ -45,7 +45,7 @@
 		const end = await relayBuffered({
 			exchange,
 			answer: {
-				status: 200, rawHeaders: [], body: body(), framing: 'chunks', isComplete: () => true, discard: () => undefined, destroy: () => undefined,
+				status: 200, rawHeaders: [], body: body(), framing: 'chunks', isConnectionReused: false, isComplete: () => true, discard: () => undefined, destroy: () => undefined,
 			},
 			headers: [],
 		});
--- a/packages/callers/tests/forward/support/forward-scenario.ts
+++ b/packages/callers/tests/forward/support/forward-scenario.ts
@@ -81,6 +81,7 @@
 			rawHeaders: [JSON.stringify(answer)],
 			body: body(),
 			framing: 'chunks',
+			isConnectionReused: false,
 			isComplete: () => !answer.isCut,
 			discard: () => undefined,
 			destroy() {
--- a/packages/engines/src/client/connection-watch.ts
+++ b/packages/engines/src/client/connection-watch.ts
@@ -6,6 +6,8 @@
 
 /** Receive progress of the answer to one request. */
 export class AnswerProgress {
+	/** Whether the connection has carried an earlier request, whose answer the target may repeat. */
+	isConnectionReused = false;
 	private message?: IncomingMessage;
 	private readBytes = 0;
 
@@ -50,6 +52,7 @@
 
 	/** Starts monitoring the answer to the next request on this connection. */
 	expectAnswer(progress: AnswerProgress): void {
+		progress.isConnectionReused = this.progress !== undefined;
 		this.progress = progress;
 		this.bodyBytes = 0;
 		this.framingBytes = 0;
--- a/packages/engines/src/client/forward-client.ts
+++ b/packages/engines/src/client/forward-client.ts
@@ -75,6 +75,8 @@
 	readonly body: AsyncIterable<Uint8Array>;
 	/** How the end of the body is detected. */
 	readonly framing: BodyFraming;
+	/** Whether the connection has carried an earlier request, whose answer this may be. */
+	readonly isConnectionReused: boolean;
 	/** Whether the complete body was received; valid once it has been read. */
 	readonly isComplete: () => boolean;
 	/** Discards the body so that the connection can be reused; closes the connection if the body is long. */
@@ -209,6 +211,7 @@
 		rawHeaders: res.rawHeaders,
 		body,
 		framing: framing.value,
+		isConnectionReused: progress.isConnectionReused,
 		// Node treats any end of the connection, also a reset, as the end of a body without a length.
 		isComplete: () => res.complete && !socket.errored && !wasReset,
 		discard() {
