callers: continue a stream only with the events that follow the delivered ones

When a resumable stream broke off, callers got the next target's events whatever their ids: a piece was missing (1, 2, then 4), came twice (3, 3), went back (3, 2), or had no id at all, and a target that sent nothing more ended the stream as if it were complete. Within one answer, ids that repeated or went back were relayed too.

Cause: only events with ids up to the last delivered one were dropped; the order of the others, and whether an answer reached the delivered events at all, was not checked.

EventOrder now checks the ids over all answers of a request. So: - an id that does not increase within one answer breaks that answer; - a larger step within one answer is no gap, and the answer is relayed as it is; - the step from the delivered events to the continuation is a gap if the stream has made no such step before; - a target that starts again from earlier events must send the last delivered one again, which then is dropped with those before it; - data without an id has no place in a continuation; - a continuation that ends before the last delivered event proves no end. A broken continuation is tried at the next target if the route allows one; else the caller's connection is closed, never ended.

--- a/packages/callers/src/forward/event-splitter.ts
+++ b/packages/callers/src/forward/event-splitter.ts
@@ -1,4 +1,5 @@
 import {Buffer} from 'node:buffer';
+import type {EventOrder, EventPlace} from './event-order.js';
 import {GrowableBuffer} from './growable-buffer.js';
 
 const LINE_FEED = 10;
@@ -7,28 +8,29 @@
 const EVENT_END_OVERLAP = 2;
 const EMPTY = Buffer.alloc(0);
 
-/** Bytes of complete events and the id of the last event that has one. */
-export type CompleteEvents = {readonly bytes: Uint8Array; readonly lastEventId: number | undefined};
+/** Bytes of complete events that are new to the caller; `fault` says why the events after them must not be relayed. */
+export type CompleteEvents = {readonly bytes: Uint8Array; readonly fault?: string};
 
 /** Splits an event stream at event boundaries without changing its bytes. */
 export class EventSplitter {
 	private readonly incompleteEvent = new GrowableBuffer();
 
-	/** Adds a chunk and returns the events that it completes; events with ids up to `skipUpTo` are dropped as already delivered. */
-	push(chunk: Uint8Array, skipUpTo: number | undefined): CompleteEvents {
+	/** Adds a chunk and returns the events that it completes; events that the caller has already received are dropped. */
+	push(chunk: Uint8Array, order: EventOrder): CompleteEvents {
 		// The buffered bytes have been searched already; searching them again with each chunk would take quadratic time.
 		const searchOffset = Math.max(0, this.incompleteEvent.length - EVENT_END_OVERLAP);
 		this.incompleteEvent.append(chunk);
 		const bytes = this.incompleteEvent.getBytes();
-		const completeEvents: Uint8Array[] = [];
-		let lastEventId: number | undefined;
+		const newEvents: Uint8Array[] = [];
+		let fault: string | undefined;
 		let startOffset = 0;
-		for (let endOffset = findEventEnd(bytes, searchOffset); endOffset !== -1; endOffset = findEventEnd(bytes, startOffset)) {
+		for (let endOffset = findEventEnd(bytes, searchOffset); endOffset !== -1 && fault === undefined; endOffset = findEventEnd(bytes, startOffset)) {
 			const event = bytes.subarray(startOffset, endOffset);
-			const id = readEventId(event);
-			if (id === undefined || skipUpTo === undefined || id > skipUpTo) {
-				completeEvents.push(event);
-				lastEventId = id ?? lastEventId;
+			const added = order.addEvent(readPlace(event));
+			if (added.isErr) {
+				fault = added.error;
+			} else if (added.value) {
+				newEvents.push(event);
 			}
 
 			startOffset = endOffset;
@@ -38,7 +40,7 @@
 			this.incompleteEvent.dropStart(startOffset);
 		}
 
-		return {bytes: completeEvents.length === 1 ? completeEvents[0] ?? EMPTY : Buffer.concat(completeEvents), lastEventId};
+		return {bytes: newEvents.length === 1 ? newEvents[0] ?? EMPTY : Buffer.concat(newEvents), ...(fault !== undefined && {fault})};
 	}
 
 	/** Buffered bytes of the event that is not complete yet. */
@@ -59,7 +61,8 @@
 	return -1;
 }
 
-function readEventId(event: Uint8Array): number | undefined {
-	const match = /^id: ?(?<id>\d+)\r?$/mv.exec(Buffer.from(event.buffer, event.byteOffset, event.byteLength).toString('latin1'));
-	return match?.groups?.id === undefined ? undefined : Number(match.groups.id);
+function readPlace(event: Uint8Array): EventPlace {
+	const text = Buffer.from(event.buffer, event.byteOffset, event.byteLength).toString('latin1');
+	const id = /^id: ?(?<id>\d+)\r?$/mv.exec(text)?.groups?.id;
+	return {id: id === undefined ? undefined : Number(id), hasData: /^data(?::|\r?$)/mv.test(text)};
 }
--- a/packages/callers/src/forward/forward-context.ts
+++ b/packages/callers/src/forward/forward-context.ts
@@ -1,6 +1,7 @@
 import type {TrafficCustomer, TrafficRoute} from '@egretrill/common';
 import type {CallerExchange} from './caller-exchange.js';
 import type {ForwardDependencies} from './forward-dependencies.js';
+import type {EventOrder} from './event-order.js';
 import type {ChunkTimes} from './chunk-times.js';
 import type {SlotOutcome} from './place-queue.js';
 import type {RouteTable} from './route-table.js';
@@ -29,6 +30,8 @@
 	mayHaveRun: boolean;
 	waitMs: number;
 	lastEventId: number | undefined;
+	/** The events that have been relayed; absent before the first event stream. */
+	eventOrder?: EventOrder;
 	readonly chunkTimes: ChunkTimes;
 	targetId?: string;
 	outstanding?: number;
--- a/packages/callers/src/forward/index.ts
+++ b/packages/callers/src/forward/index.ts
@@ -1,5 +1,6 @@
 export * from './caller-exchange.js';
 export * from './constants.js';
+export * from './event-order.js';
 export * from './event-splitter.js';
 export * from './forward-dialect.js';
 export * from './forward-dependencies.js';
--- a/packages/callers/src/forward/relay.ts
+++ b/packages/callers/src/forward/relay.ts
@@ -1,6 +1,7 @@
 import type {Clock} from '@egretrill/common';
 import type {CallerExchange} from './caller-exchange.js';
 import {MAX_BUFFERED_ANSWER_BYTES, MAX_EVENT_BYTES, STREAM_IDLE_TIMEOUT_MS} from './constants.js';
+import type {EventOrder} from './event-order.js';
 import {EventSplitter} from './event-splitter.js';
 import type {TargetAnswer} from './forward-dependencies.js';
 import {GrowableBuffer} from './growable-buffer.js';
@@ -105,21 +106,21 @@
 	}
 }
 
-/** Relays the complete events of a stream as they arrive. */
-export async function relayEvents({exchange, answer, headers, onChunk}: RelayOptions, lastEventId: number | undefined, idleOptions?: {readonly clock: Clock}): Promise<RelayResult> {
+/** Relays the complete events of a stream as they arrive, as long as they follow those that the caller has. */
+export async function relayEvents({exchange, answer, headers, onChunk}: RelayOptions, order: EventOrder, idleOptions?: {readonly clock: Clock}): Promise<RelayResult> {
 	const splitter = new EventSplitter();
-	const skipUpTo = lastEventId;
 	const idleTimer = idleOptions && new StreamIdleTimer(idleOptions.clock, answer);
-	let lastRelayedId = lastEventId;
 	let bytes = 0;
+	const getBroken = (reason?: string): RelayResult => ({
+		kind: 'broken', bytes, lastEventId: order.lastEventId, ...(reason !== undefined && {reason}),
+	});
+	order.beginAnswer();
 	try {
 		for await (const chunk of answer.body) {
 			const previousBytes = splitter.getIncompleteEvent().length;
-			const events = splitter.push(chunk, skipUpTo);
+			const events = splitter.push(chunk, order);
 			if (splitter.getIncompleteEvent().length > MAX_EVENT_BYTES) {
-				return {
-					kind: 'broken', bytes, lastEventId: lastRelayedId, reason: `An event is longer than ${MAX_EVENT_BYTES} bytes.`,
-				};
+				return getBroken(`An event is longer than ${MAX_EVENT_BYTES} bytes.`);
 			}
 
 			if (events.bytes.length > 0) {
@@ -128,12 +129,15 @@
 					void idleTimer?.run();
 				}
 
-				lastRelayedId = events.lastEventId ?? lastRelayedId;
 				onChunk?.();
 				await exchange.write(events.bytes);
 				bytes += events.bytes.length;
 			}
 
+			if (events.fault !== undefined) {
+				return getBroken(events.fault);
+			}
+
 			if (splitter.getIncompleteEvent().length < previousBytes + chunk.length) {
 				// Only a completed event resets the timer; bytes of an incomplete event do not reach the caller.
 				idleTimer?.reset();
@@ -141,17 +145,19 @@
 		}
 	} catch {
 		// The body ends with an error when the target or this host breaks the connection off.
-		return {
-			kind: 'broken', bytes, lastEventId: lastRelayedId, ...(idleTimer?.hasExpired && {reason: `The target completed no event for ${STREAM_IDLE_TIMEOUT_MS} ms.`}),
-		};
+		return getBroken(idleTimer?.hasExpired ? `The target completed no event for ${STREAM_IDLE_TIMEOUT_MS} ms.` : undefined);
 	} finally {
 		idleTimer?.stop();
 	}
 
 	if (!answer.isComplete() || splitter.getIncompleteEvent().length > 0 || !exchange.hasStarted()) {
-		return {kind: 'broken', bytes, lastEventId: lastRelayedId};
+		return getBroken();
+	}
+
+	if (!order.mayEnd()) {
+		return getBroken(`The answer ended before it continued the stream after event ${order.lastEventId}.`);
 	}
 
 	exchange.end();
-	return {kind: 'complete', bytes, lastEventId: lastRelayedId};
+	return {kind: 'complete', bytes, lastEventId: order.lastEventId};
 }
--- a/packages/callers/src/forward/try-place.ts
+++ b/packages/callers/src/forward/try-place.ts
@@ -1,5 +1,6 @@
 import type {TrafficRoute} from '@egretrill/common';
 import {checkAnswer, STATUS_MISDIRECTED} from './check-answer.js';
+import {EventOrder} from './event-order.js';
 import type {ForwardContext, AttemptOutcome} from './forward-context.js';
 import type {TargetSlot, SlotOutcome} from './place-queue.js';
 import {relayEvents, type RelayResult, relayBuffered} from './relay.js';
@@ -97,9 +98,14 @@
 			progress.chunkTimes.recordChunk();
 		},
 	};
-	const result: RelayResult = isEventStream
-		? await relayEvents(relayed, progress.lastEventId, route.isResumable ? {clock} : undefined)
-		: await relayBuffered(relayed);
+	let result: RelayResult;
+	if (isEventStream) {
+		progress.eventOrder ??= new EventOrder(progress.lastEventId);
+		result = await relayEvents(relayed, progress.eventOrder, route.isResumable ? {clock} : undefined);
+	} else {
+		result = await relayBuffered(relayed);
+	}
+
 	progress.lastEventId = result.lastEventId ?? progress.lastEventId;
 	if (result.kind === 'complete') {
 		progress.answerSummary = {framing: answer.framing, bytes: result.bytes};
--- a/packages/callers/tests/forward/event-splitter.test.ts
+++ b/packages/callers/tests/forward/event-splitter.test.ts
@@ -1,7 +1,7 @@
 import {Buffer} from 'node:buffer';
 import process from 'node:process';
 import {expect} from 'chai';
-import {EventSplitter} from '../../src/forward/index.js';
+import {EventOrder, EventSplitter} from '../../src/forward/index.js';
 
 const stream = 'id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n: note\n\nid: 3\ndata: c\n\nid: 4\nda';
 
@@ -11,15 +11,17 @@
 
 function split(sizes: readonly number[], skipUpTo?: number): unknown {
 	const splitter = new EventSplitter();
+	const order = new EventOrder(skipUpTo);
 	const pushed: string[] = [];
 	const ids: number[] = [];
 	let offset = 0;
 	for (const size of sizes) {
-		const {bytes, lastEventId} = splitter.push(Buffer.from(stream.slice(offset, offset + size)), skipUpTo);
+		const previousId = order.lastEventId;
+		const {bytes} = splitter.push(Buffer.from(stream.slice(offset, offset + size)), order);
 		offset += size;
 		pushed.push(Buffer.from(bytes).toString());
-		if (lastEventId !== undefined) {
-			ids.push(lastEventId);
+		if (order.lastEventId !== undefined && order.lastEventId !== previousId) {
+			ids.push(order.lastEventId);
 		}
 	}
 
@@ -40,13 +42,14 @@
 	// Guards against quadratic time in the length of an event, which blocks the event loop when a target sends small chunks.
 	it('searches each byte of a long event once', () => {
 		const splitter = new EventSplitter();
+		const order = new EventOrder(undefined);
 		const chunk = Buffer.from('x');
 		const before = process.cpuUsage();
 		for (let sent = 0; sent < LONG_EVENT_BYTES; sent += 1) {
-			splitter.push(chunk, undefined);
+			splitter.push(chunk, order);
 		}
 
-		const ends = ['\n', '\r', '\n'].map(end => splitter.push(Buffer.from(end), undefined).bytes.length);
+		const ends = ['\n', '\r', '\n'].map(end => splitter.push(Buffer.from(end), order).bytes.length);
 		const {user, system} = process.cpuUsage(before);
 		expect({ends, rest: splitter.getIncompleteEvent().length, isFast: (user + system) / 1000 < MAX_CPU_MS}).toMatchSnapshot();
 	}).timeout(60_000);
