callers: continue a stream only with an answer of the same status

A target that answered the rest of a stream with 206 and events had them joined to an answer of status 200. An event stream answered with 204, or to HEAD, was read as a stream that ended without an event, and the caller got 502.

Cause: any status below 300 counted as an event stream, also without a body.

An answer without a body is relayed as such, and a continuation needs the status that the caller has received.

Evidence: continued-streams.test.ts ("206 as an event stream") and answer-end.test.ts ("204 of an event stream", "HEAD of an event stream"); before the change they gave "[1][2][3][4]", 502 and 502.

--- a/apps/egretrilld/tests/traffic/continued-streams.test.ts
+++ b/apps/egretrilld/tests/traffic/continued-streams.test.ts
@@ -69,6 +69,7 @@
 			'200 without events': `${OK}Content-Length: 5\r\n\r\nwhole`,
 			204: `HTTP/1.1 204 No Content\r\n${SIGNED}\r\n`,
 			'204 as an event stream': `HTTP/1.1 204 No Content\r\n${SIGNED}events: 1\r\n\r\n`,
+			'206 as an event stream': `HTTP/1.1 206 Partial Content\r\n${SIGNED}events: 1\r\n\r\n${formatEvents(3, 4)}`,
 			'the events of another request': `HTTP/1.1 200 OK\r\nseal: s\r\nattempt: a9\r\nevents: 1\r\n\r\n${formatEvents(3, 4)}`,
 			'all events from the first': `${EVENTS}\r\n${formatEvents(1, 2, 3, 4)}`,
 			'the last event again': `${EVENTS}\r\n${formatEvents(2, 3, 4)}`,
--- a/packages/callers/src/forward/try-place.ts
+++ b/packages/callers/src/forward/try-place.ts
@@ -86,8 +86,8 @@
 
 async function relay(context: ForwardContext, answer: Parameters<typeof relayBuffered>[0]['answer'], metadata: AnswerMetadata): Promise<AttemptOutcome> {
 	const {deps: {clock}, exchange, route, progress} = context;
-	const isEventStream = metadata.isEventStream && answer.status < 300;
-	if (exchange.hasStarted() && !isEventStream) {
+	const isEventStream = metadata.isEventStream && answer.status < 300 && answer.framing !== 'none';
+	if (exchange.hasStarted() && !(isEventStream && answer.status === progress.status)) {
 		answer.destroy();
 		return {kind: 'broken', reason: `The target answered the rest of a stream with ${answer.status}.`, slotOutcome: 'answered'};
 	}
