callers: break a stream off when it contains text that is no event

Callers found the head of a 503, a JSON error, an error page or an error text in the middle of their stream when a target wrote it into the body of an event stream, in a continuation as well as in a single answer. With a body that the connection ends, the answer then looked complete.

Cause: everything up to an empty line was relayed as an event.

An event now consists of the fields of the event stream format (id, data, event, retry) with at most one id, and comments; lines of the form "name: value" may precede the fields, as the callers' page has it for the weights' version. Any other text breaks the answer off: it is continued at another target where the route allows that, and else the caller's connection is closed. What remains undetected is an error text whose lines look like these fields.

Evidence: continued-streams.test.ts; before the change callers received, among others, "[1]HTTP/1.1 503 Service Unavailable ...[2][3][4][5]" and a whole "[1]{"error":"busy"}".

--- a/apps/egretrilld/tests/traffic/answer-end.test.ts
+++ b/apps/egretrilld/tests/traffic/answer-end.test.ts
@@ -249,7 +249,12 @@
 				304: `HTTP/1.1 304 Not Modified\r\n${SIGNED}Content-Length: 5\r\n\r\n`,
 				'204 of an event stream': `HTTP/1.1 204 No Content\r\n${SIGNED}events: 1\r\n\r\n`,
 			}),
-			...await runWithTexts({'HEAD with a length': `${OK}Content-Length: 5\r\n\r\n`, 'HEAD in chunks': `${OK}Transfer-Encoding: chunked\r\n\r\n`, 'HEAD without either': `${OK}\r\n`, 'HEAD of an event stream': `${EVENTS}\r\n`}, 'HEAD'),
+			...await runWithTexts({
+				'HEAD with a length': `${OK}Content-Length: 5\r\n\r\n`,
+				'HEAD in chunks': `${OK}Transfer-Encoding: chunked\r\n\r\n`,
+				'HEAD without either': `${OK}\r\n`,
+				'HEAD of an event stream': `${EVENTS}\r\n`,
+			}, 'HEAD'),
 		}).toMatchSnapshot();
 	});
 
--- a/apps/egretrilld/tests/traffic/continued-streams.test.ts
+++ b/apps/egretrilld/tests/traffic/continued-streams.test.ts
@@ -10,6 +10,7 @@
 const CUT = 'Content-Length: 99999999\r\n\r\n';
 const LAST_EVENT_ID = 5;
 
+const errorHead = 'HTTP/1.1 503 Service Unavailable\r\nnot-run: 1\r\nContent-Length: 4\r\n\r\nbusy';
 const resumable: Partial<TrafficRoute> = {isStream: true, isResumable: true};
 
 function formatEvents(...ids: readonly number[]): string {
@@ -56,7 +57,7 @@
 }
 
 describe('a stream that broke off', () => {
-	// Guards against a gap, a repetition or another run's events in the middle of the stream, and against a truncated stream that ends as a complete one.
+	// Guards against an error, a gap, a repetition or another run's events in the middle of the stream, and against a truncated stream that ends as a complete one.
 	it('is continued by the events that follow, or ends with a broken connection', async () => {
 		const secondAnswers = {
 			'the following events': `${EVENTS}\r\n${formatEvents(3, 4)}`,
@@ -80,6 +81,10 @@
 			'events without ids': `${EVENTS}\r\ndata: x\n\ndata: y\n\n`,
 			'an event without id after the following one': `${EVENTS}\r\n${formatEvents(3)}data: y\n\n`,
 			'comments and the following events': `${EVENTS}\r\n: note\n\nretry: 100\n\n${formatEvents(3, 4)}`,
+			'an error head': `${EVENTS}\r\n${errorHead}`,
+			'an error head after an event': `${EVENTS}\r\n${formatEvents(3)}${errorHead}`,
+			'an error text as an event': `${EVENTS}\r\n${formatEvents(3)}{"error":"busy"}\n\n`,
+			'an error head in the middle of an event': `${EVENTS}\r\n${formatEvents(3)}id: 4\ndata: ${errorHead}\n\n`,
 			nothing: `${EVENTS}\r\n`,
 			'comments alone': `${EVENTS}\r\n: note\n\n`,
 			'all delivered events, and no more': `${EVENTS}\r\n${formatEvents(1, 2)}`,
@@ -108,8 +113,8 @@
 });
 
 describe('the events of one answer', () => {
-	// Guards against doubled events or another run's events in one answer; ids only have to increase, so a larger step is no gap.
-	it('have increasing ids', async () => {
+	// Guards against doubled events, another run's events or an error in one answer; ids only have to increase, so a larger step is no gap.
+	it('have increasing ids and contain no other text', async () => {
 		const answers = {
 			'an id that is skipped': formatEvents(1, 2, 4, 5),
 			'an id twice': formatEvents(1, 2, 2, 3),
@@ -117,6 +122,13 @@
 			'no ids': 'data: x\n\ndata: y\n\n',
 			'an event without id': `${formatEvents(1)}data: x\n\n${formatEvents(2, 3, 4, 5)}`,
 			'other lines first': `x-versions: 7\n${formatEvents(1)}: note\n\nretry: 100\n\n${formatEvents(2)}event: e\nid: 3\ndata\ndata:x\n\n`,
+			'an error head at once': errorHead,
+			'an error head': `${formatEvents(1)}${errorHead}`,
+			'an error text': `${formatEvents(1)}{"error":"busy"}\n\n`,
+			'an error text without quotes': `${formatEvents(1)}Internal Server Error\n\n`,
+			'an error head in the middle of an event': `${formatEvents(1)}id: 2\ndata: ${errorHead}\n\n`,
+			'parts of two events': `${formatEvents(1)}id: 2\ndata: x\nid: 3\ndata: y\n\n`,
+			'an error page': `${formatEvents(1)}<html>\n<p>error</p>\n</html>\n\n`,
 		};
 		expect({
 			stream: await runAll(answers, async text => runScripts([answerWith(`${EVENTS}\r\n${text}`)], {isStream: true})),
--- a/packages/callers/src/forward/event-splitter.ts
+++ b/packages/callers/src/forward/event-splitter.ts
@@ -1,5 +1,7 @@
 import {Buffer} from 'node:buffer';
-import type {EventOrder, EventPlace} from './event-order.js';
+import {Result} from 'true-myth';
+import {readEventPlace} from './event-fields.js';
+import type {EventOrder} from './event-order.js';
 import {GrowableBuffer} from './growable-buffer.js';
 
 const LINE_FEED = 10;
@@ -26,7 +28,8 @@
 		let startOffset = 0;
 		for (let endOffset = findEventEnd(bytes, searchOffset); endOffset !== -1 && fault === undefined; endOffset = findEventEnd(bytes, startOffset)) {
 			const event = bytes.subarray(startOffset, endOffset);
-			const added = order.addEvent(readPlace(event));
+			const place = readEventPlace(event);
+			const added = place ? order.addEvent(place) : Result.err<boolean, string>('The stream contains text that is no event.');
 			if (added.isErr) {
 				fault = added.error;
 			} else if (added.value) {
@@ -60,9 +63,3 @@
 
 	return -1;
 }
-
-function readPlace(event: Uint8Array): EventPlace {
-	const text = Buffer.from(event.buffer, event.byteOffset, event.byteLength).toString('latin1');
-	const id = /^id: ?(?<id>\d+)\r?$/mv.exec(text)?.groups?.id;
-	return {id: id === undefined ? undefined : Number(id), hasData: /^data(?::|\r?$)/mv.test(text)};
-}
--- a/packages/callers/tests/forward/event-splitter.test.ts
+++ b/packages/callers/tests/forward/event-splitter.test.ts
@@ -5,6 +5,7 @@
 
 const stream = 'id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n: note\n\nid: 3\ndata: c\n\nid: 4\nda';
 
+const FIELD_START = 'data: ';
 const LONG_EVENT_BYTES = 262_144;
 /** Ten times the CPU time measured on a busy machine; searching all buffered bytes with each chunk takes over ten seconds. */
 const MAX_CPU_MS = 3000;
@@ -45,7 +46,8 @@
 		const order = new EventOrder(undefined);
 		const chunk = Buffer.from('x');
 		const before = process.cpuUsage();
-		for (let sent = 0; sent < LONG_EVENT_BYTES; sent += 1) {
+		splitter.push(Buffer.from(FIELD_START), order);
+		for (let sent = FIELD_START.length; sent < LONG_EVENT_BYTES; sent += 1) {
 			splitter.push(chunk, order);
 		}
 
