disk: sync what a killed process left unsynced before it counts

Callers saw: possibly an acknowledged change that is gone. A member that is killed between the write and the sync of an entry finds the entry after its restart, tells the leader that it has it, and the leader acknowledges the change. A loss of power afterwards takes the entry from this disk, and with the leader's disk lost it is gone.

Change: open() syncs the log and its folder before the storage is read.

Evidence: two tests in log-storage.test.ts (killed before the sync of an entry, killed before the sync of the folder, then a loss of power) failed before: 2 in place of 3 entries, no identity. MemoryFileSystem.syncFolder covers only the names in the given folder now; it covered every folder, which hid the second fault.

--- a/packages/disk/src/file-log-storage.ts
+++ b/packages/disk/src/file-log-storage.ts
@@ -55,8 +55,11 @@
 			this.logFile = await this.fileSystem.openFile(this.getPath(LOG_FILE));
 			if (bytes.length > this.endOffset) {
 				await this.logFile.truncate(this.endOffset);
-				await this.logFile.sync();
 			}
+
+			// A process that was killed may have left entries and file names that a loss of power would still undo.
+			await this.logFile.sync();
+			await this.fileSystem.syncFolder(this.folder);
 		});
 	}
 
--- a/packages/disk/src/memory-file-system.ts
+++ b/packages/disk/src/memory-file-system.ts
@@ -1,3 +1,4 @@
+import path from 'node:path';
 import type {Random} from '@egretrill/common';
 import {AppendFile, FileSystem} from './file-system.js';
 
@@ -65,8 +66,10 @@
 		// Folders are implied by the paths of their files.
 	}
 
-	async syncFolder(): Promise<void> {
-		this.syncedFiles = new Map(this.files);
+	async syncFolder(folder: string): Promise<void> {
+		const isElsewhere = ([name]: readonly [string, MemoryFile]): boolean => path.dirname(name) !== folder;
+		const synced = [...this.files].filter(entry => !isElsewhere(entry));
+		this.syncedFiles = new Map([...[...this.syncedFiles].filter(entry => isElsewhere(entry)), ...synced]);
 	}
 
 	/** Discards unsynced changes. A random prefix of unsynced appended bytes survives, which leaves a torn last record. */
--- a/packages/disk/tests/log-storage.test.ts
+++ b/packages/disk/tests/log-storage.test.ts
@@ -13,12 +13,20 @@
 const LOG_FILE = '/memory/log';
 const folder = '/memory';
 
-type Fault = 'sync' | 'full' | undefined;
+type Fault = 'sync' | 'full' | 'folder-sync' | undefined;
 
-/** Injects failed syncs, or writes half of the bytes and then reports a full disk. */
+/** Injects failed syncs of files or folders, or writes half of the bytes and then reports a full disk. */
 class FaultyFileSystem extends MemoryFileSystem {
 	fault: Fault;
 
+	override async syncFolder(folderToSync: string): Promise<void> {
+		if (this.fault === 'folder-sync') {
+			throw new Error('EIO: i/o error, fsync');
+		}
+
+		await super.syncFolder(folderToSync);
+	}
+
 	override async openFile(file: string): Promise<AppendFile> {
 		const opened = await super.openFile(file);
 		const fail = (fault: Fault, message: string): void => {
@@ -194,6 +202,35 @@
 		}
 	});
 
+	// Guards against a member that is killed before its sync ends, acknowledges the entry after its restart, and loses it with the power.
+	it('syncs what a killed process left unsynced before a restarted one reports it', async () => {
+		const fileSystem = new FaultyFileSystem();
+		const storage = await reopen(fileSystem);
+		await storage.append(createEntries(1, 2));
+		await storage.saveIdentity({memberId: 'a', identity: 'first'});
+		fileSystem.fault = 'sync';
+		await catchError(storage.append(createEntries(3, 1)));
+		fileSystem.fault = undefined;
+		const restarted = await reopen(fileSystem);
+		fileSystem.crash(createRandom(SEED));
+		const recovered = await reopen(fileSystem);
+		expect([restarted.getLastIndex(), recovered.getLastIndex()]).to.deep.equal([3, 3]);
+	});
+
+	// Guards against a member whose identity or term of before a kill is gone after a later loss of power.
+	it('syncs the names of files that a killed process replaced before a restarted one reads them', async () => {
+		const fileSystem = new FaultyFileSystem();
+		const storage = await reopen(fileSystem);
+		fileSystem.fault = 'folder-sync';
+		await catchError(storage.saveIdentity({memberId: 'a', identity: 'first'}));
+		fileSystem.fault = undefined;
+		const restarted = await reopen(fileSystem);
+		const identity = await restarted.loadIdentity();
+		fileSystem.crash(createRandom(SEED));
+		const recovered = await reopen(fileSystem);
+		expect([identity, await recovered.loadIdentity()]).to.deep.equal([{memberId: 'a', identity: 'first'}, {memberId: 'a', identity: 'first'}]);
+	});
+
 	it('rejects a log whose hard state is missing, since the member could vote twice in a term', async () => {
 		const fileSystem = new MemoryFileSystem();
 		await writeLog(fileSystem, 2);
--- a/packages/hosts/tests/support/sim-cluster.ts
+++ b/packages/hosts/tests/support/sim-cluster.ts
@@ -60,9 +60,9 @@
 		this.assertAttached();
 	}
 
-	async syncFolder(): Promise<void> {
+	async syncFolder(folder: string): Promise<void> {
 		await this.waitForSync();
-		await this.disk.syncFolder();
+		await this.disk.syncFolder(folder);
 	}
 }
 
