hosts: remove no voter unless enough running ones remain

Callers saw: possibly a fleet that never answers operators again, and with it every acknowledged change gone. With four voters and one loss to be tolerated, two hosts that stop at once each count three others, both ask to leave, and the leader removes both. Of the two that remain the loss of one disk leaves no majority. The same follows from a removal while another voter is down.

Cause: the hosts that ask decide by their own view of the members; the leader carried out any request but that for the last voter.

Change: the leader removes a voter only while minVoters others answer and have caught up, and otherwise later. A host whose removal is pending and that runs again asks for membership anew, which withdraws it.

--- a/apps/egretrilld/src/traffic/control-host.ts
+++ b/apps/egretrilld/src/traffic/control-host.ts
@@ -63,6 +63,7 @@
 		this.node = new ConsensusNode({
 			memberId: this.hostId,
 			initialMembers: settings.isFirstStart ? settings.seeds : [],
+			minVoters: settings.minVoters,
 			transport: new GrpcConsensusTransport(this.peers),
 			storage: new FileLogStorage({folder}),
 			snapshots: new SnapshotStore({folder}),
@@ -85,7 +86,7 @@
 			hostId, zone: settings.zone, clock, random, logger, node, peers, registry,
 		});
 		this.membership = new Membership({
-			hostId, settings, clock, logger, node, log, gossip: this.gossip,
+			hostId, settings, clock, logger, node, log, gossip: this.gossip, isRemovalRequested: () => this.state.getDesiredMemberships().get(hostId) === 'absent',
 		});
 	}
 
--- a/apps/egretrilld/src/traffic/membership.ts
+++ b/apps/egretrilld/src/traffic/membership.ts
@@ -15,19 +15,21 @@
 	readonly node: Pick<FleetNode, 'status' | 'isLeaderWithLease'>;
 	readonly log: Pick<FleetLog, 'propose'>;
 	readonly gossip: Pick<ControlGossip, 'leaderMemberIds' | 'getContactAgeMs'>;
+	/** Whether the log holds a request to remove this host, which the leader carries out once enough other voters run. */
+	readonly isRemovalRequested: () => boolean;
 };
 
 /** Keeps the members of the log up to date with the running control hosts. */
 export class Membership {
 	constructor(private readonly opts: MembershipOptions) {}
 
-	/** Requests membership while this host is not among the members reported by the leader. */
+	/** Requests membership while this host is not among the members reported by the leader, or is to be removed. */
 	async join(signal: AbortSignal): Promise<void> {
 		const {clock, gossip, hostId, log, logger, settings} = this.opts;
 		while (!signal.aborted) {
 			await clock.sleep(JOIN_RETRY_MS, signal);
 			const memberIds = gossip.leaderMemberIds;
-			if (signal.aborted || memberIds === undefined || memberIds.includes(hostId) || memberIds.length >= settings.maxVoters || this.opts.node.isLeaderWithLease()) {
+			if (signal.aborted || memberIds === undefined || !this.isJoinNeeded(memberIds) || this.opts.node.isLeaderWithLease()) {
 				continue;
 			}
 
@@ -74,4 +76,9 @@
 		const outcome = await Promise.race([removal, clock.sleep(LEAVE_TIMEOUT_MS)]);
 		logger.info({others: others.length, outcome: outcome?.kind ?? 'timeout'}, 'This host requested its removal from the log.');
 	}
+
+	private isJoinNeeded(memberIds: readonly string[]): boolean {
+		const {hostId, isRemovalRequested, settings} = this.opts;
+		return memberIds.includes(hostId) ? isRemovalRequested() : memberIds.length < settings.maxVoters;
+	}
 }
--- a/apps/egretrilld/tests/traffic/membership.test.ts
+++ b/apps/egretrilld/tests/traffic/membership.test.ts
@@ -11,6 +11,7 @@
 	leaderMemberIds: readonly string[] | undefined;
 	contactAgeMs = new Map<string, number>();
 	isLeader = false;
+	isRemovalRequested = false;
 	private readonly membership: Membership;
 
 	constructor(hostId: string) {
@@ -24,6 +25,7 @@
 			node: {status: () => this.createStatus(hostId), isLeaderWithLease: () => this.isLeader},
 			log: {propose: async command => this.propose(command)},
 			gossip: this.createGossip(),
+			isRemovalRequested: () => this.isRemovalRequested,
 		});
 	}
 
@@ -62,6 +64,7 @@
 
 	private async propose(command: FleetCommand): Promise<CommandOutcome> {
 		if (command.kind === 'addMember') {
+			this.isRemovalRequested = false;
 			this.proposed.push(`add ${command.member.id}`);
 			this.leaderMemberIds = [...this.leaderMemberIds ?? [], command.member.id];
 		}
@@ -101,6 +104,14 @@
 		expect([await removed.run(3000), await unknown.run(3000), await full.run(3000)]).toMatchSnapshot();
 	});
 
+	// Guards against a restarted voter that is removed later by the request of its earlier process.
+	it('withdraws its removal when it runs again', async () => {
+		const restarted = new MembershipFixture('h2');
+		restarted.leaderMemberIds = ['h1', 'h2', 'h3', 'h4', 'h5'];
+		restarted.isRemovalRequested = true;
+		expect(await restarted.run(3000)).to.deep.equal(['add h2']);
+	});
+
 	// Guards against a planned stop that leaves a stopped voter among the members, or too few running ones.
 	it('requests its removal on a planned stop if enough other voters remain', async () => {
 		const spare = new MembershipFixture('h1');
--- a/packages/hosts/src/consensus/leadership.ts
+++ b/packages/hosts/src/consensus/leadership.ts
@@ -1,7 +1,7 @@
 import {Signal} from '@egretrill/common';
 import type {LogEntry} from '@egretrill/disk';
 import {
-	HEARTBEAT_MS, MAX_IDLE_WAIT_MS, LEADER_LEASE_MS, MAX_BATCH_ENTRIES, MAX_ELECTION_TIMEOUT_MS,
+	DEFAULT_MIN_VOTERS, HEARTBEAT_MS, MAX_IDLE_WAIT_MS, LEADER_LEASE_MS, MAX_BATCH_ENTRIES, MAX_ELECTION_TIMEOUT_MS,
 } from '../constants.js';
 import {runReplicator} from './replicator.js';
 import {membersCodec, type Proposal, type Replica} from './replica.js';
@@ -78,12 +78,14 @@
 		}
 	}
 
+	/** Statuses of all members, including this one. */
 	getMemberStatuses(): ReadonlyMap<string, MemberStatus> {
-		const {clock} = this.replica.opts;
-		return new Map([...this.progress].map(([id, progress]) => [id, {
+		const {identity, opts: {clock, memberId}} = this.replica;
+		const others = [...this.progress].map(([id, progress]): readonly [string, MemberStatus] => [id, {
 			identity: progress.identity,
 			isCaughtUp: progress.matchIndex >= this.replica.commitIndex && clock.now() - progress.lastAckedSendMs < LEADER_LEASE_MS,
-		}]));
+		}]);
+		return new Map([...others, [memberId, {identity, isCaughtUp: true}]]);
 	}
 
 	private getVoterValues(ownValue: number, getValue: (progress: ReplicationProgress) => number): readonly number[] {
@@ -135,7 +137,12 @@
 async function changeMembers(replica: Replica, leadership: Leadership): Promise<void> {
 	// Only one change may be in progress, and only after an entry of this term is committed; otherwise two disjoint majorities could exist.
 	const isAllowed = (): boolean => !leadership.hasEnded && replica.commitIndex >= Math.max(leadership.termStartIndex, replica.membersIndex);
-	const plan = (): ReturnType<typeof planMemberChange> => isAllowed() ? planMemberChange(replica.members, replica.opts.machine.getDesiredMemberships(), leadership.getMemberStatuses()) : undefined;
+	const {machine, minVoters = DEFAULT_MIN_VOTERS} = replica.opts;
+	const plan = (): ReturnType<typeof planMemberChange> => isAllowed()
+		? planMemberChange({
+			members: replica.members, desiredMemberships: machine.getDesiredMemberships(), statuses: leadership.getMemberStatuses(), minVoters,
+		})
+		: undefined;
 	if (plan() === undefined) {
 		return;
 	}
--- a/packages/hosts/src/consensus/replica.ts
+++ b/packages/hosts/src/consensus/replica.ts
@@ -19,6 +19,8 @@
 	readonly memberId: string;
 	/** Members at the bootstrap of the fleet; the one whose id sorts first bootstraps the log. */
 	readonly initialMembers: readonly string[];
+	/** Number of voters that survives the disk losses to be tolerated: twice their number plus one. */
+	readonly minVoters?: number;
 	readonly transport: ConsensusTransport;
 	readonly storage: LogStorage;
 	readonly snapshots: SnapshotStore;
--- a/packages/hosts/src/consensus/rules.ts
+++ b/packages/hosts/src/consensus/rules.ts
@@ -1,6 +1,6 @@
 import {compareLists} from '@egretrill/common';
 import type {HardState, LogPosition} from '@egretrill/disk';
-import type {Members, RequestVoteRequest} from '../types.js';
+import type {Member, Members, RequestVoteRequest} from '../types.js';
 import type {DesiredMembership} from './state-machine.js';
 
 /** Returns the highest value that a majority has reached, or negative infinity if there are no values. */
@@ -51,6 +51,16 @@
 	readonly isCaughtUp: boolean;
 };
 
+/** What the leader knows when it plans a membership change. */
+export type MembershipView = {
+	readonly members: Members;
+	readonly desiredMemberships: ReadonlyMap<string, DesiredMembership>;
+	/** Statuses of all members, including the leader. */
+	readonly statuses: ReadonlyMap<string, MemberStatus>;
+	/** Number of running voters below which no voter is removed. */
+	readonly minVoters: number;
+};
+
 function planIdentityChange(members: Members, statuses: ReadonlyMap<string, MemberStatus>): Members | undefined {
 	const changed = members.find(member => {
 		const identity = statuses.get(member.id)?.identity ?? '';
@@ -60,11 +70,17 @@
 	return changed && members.map(member => member === changed ? {id: member.id, identity: statuses.get(member.id)?.identity ?? '', role: 'learner'} : member);
 }
 
-/** Plans the next single-member change; returns undefined if the membership is as desired. */
-export function planMemberChange(members: Members, desiredMemberships: ReadonlyMap<string, DesiredMembership>, statuses: ReadonlyMap<string, MemberStatus>): Members | undefined {
-	const removed = members.find(member => desiredMemberships.get(member.id) === 'absent');
-	const isLastVoter = removed?.role === 'voter' && members.filter(member => member.role === 'voter').length === 1;
-	if (removed && !isLastVoter) {
+/** Whether enough running voters remain without the member; a voter that does not answer may be one of the losses to be survived. */
+function isRemovable(member: Member, {members, statuses, minVoters}: MembershipView): boolean {
+	const others = members.filter(other => other !== member && other.role === 'voter' && statuses.get(other.id)?.isCaughtUp);
+	return member.role !== 'voter' || others.length >= minVoters;
+}
+
+/** Plans the next single-member change; returns undefined if the membership is as desired or cannot become so yet. */
+export function planMemberChange(view: MembershipView): Members | undefined {
+	const {members, desiredMemberships, statuses} = view;
+	const removed = members.find(member => desiredMemberships.get(member.id) === 'absent' && isRemovable(member, view));
+	if (removed) {
 		return members.filter(member => member !== removed);
 	}
 
--- a/packages/hosts/tests/support/sim-cluster.ts
+++ b/packages/hosts/tests/support/sim-cluster.ts
@@ -128,6 +128,7 @@
 	readonly seed: number;
 	readonly initialMembers?: readonly string[];
 	readonly fault?: DiskFault;
+	readonly minVoters?: number;
 	readonly createState?: () => FleetState;
 	readonly logger?: Logger;
 };
@@ -157,6 +158,7 @@
 		const node = new ConsensusNode({
 			memberId: id,
 			initialMembers: this.initialMembers,
+			minVoters: this.opts.minVoters,
 			transport: new SimTransport(this, id),
 			storage: new FileLogStorage({folder: FOLDER, fileSystem}),
 			snapshots: new SnapshotStore({folder: FOLDER, fileSystem}),
