hosts: acknowledge no change before the fleet has all its voters

Callers saw: possibly a change acknowledged during the start that is gone with two disks. Where two disks may be lost at once, six hosts start from three seeds; a change was acknowledged as soon as two of them had it, and the loss of these two left one voter of three, which can never elect a leader again.

Cause: isBootstrapping ended with the second voter, whatever the losses to be tolerated.

Change: a fleet that has never had minVoters voters accepts only requests for membership, up to 10 s after the start of a leader's term; a host that is still missing then counts as one of the losses. Members that join such a fleet have the role 'initial', which tells it from a fleet that has lost voters, so that a wiped voter holds up no change. An initial member keeps this role when its identity becomes known.

--- a/packages/hosts/src/consensus/leadership.ts
+++ b/packages/hosts/src/consensus/leadership.ts
@@ -1,12 +1,12 @@
 import {Signal} from '@egretrill/common';
 import type {LogEntry} from '@egretrill/disk';
 import {
-	DEFAULT_MIN_VOTERS, HEARTBEAT_MS, MAX_IDLE_WAIT_MS, LEADER_LEASE_MS, MAX_BATCH_ENTRIES, MAX_ELECTION_TIMEOUT_MS,
+	BOOTSTRAP_TIMEOUT_MS, DEFAULT_MIN_VOTERS, HEARTBEAT_MS, MAX_IDLE_WAIT_MS, LEADER_LEASE_MS, MAX_BATCH_ENTRIES, MAX_ELECTION_TIMEOUT_MS,
 } from '../constants.js';
 import {runReplicator} from './replicator.js';
 import {membersCodec, type Proposal, type Replica} from './replica.js';
 import {
-	describeMemberChange, getMajorityValue, type MemberStatus, planMemberChange,
+	describeMemberChange, getMajorityValue, isIncomplete, type MemberStatus, planMemberChange,
 } from './rules.js';
 
 /** Replication state of one other member. */
@@ -45,10 +45,14 @@
 		return this.endController.signal.aborted;
 	}
 
-	/** Whether the fleet has only its first voter; until there is a second one, the loss of one disk would lose acknowledged changes. */
+	/**
+	 * Whether the fleet is too new to acknowledge changes: the disks that may be lost at once could hold all copies. A host that
+	 * is still missing after the timeout counts as lost, but a single copy is never enough.
+	 */
 	get isBootstrapping(): boolean {
-		const {members} = this.replica;
-		return members.some(member => member.role === 'initial') && members.filter(member => member.role === 'voter').length === 1;
+		const {members, opts: {clock, minVoters = DEFAULT_MIN_VOTERS}} = this.replica;
+		const hasOneCopy = members.some(({role}) => role === 'initial') && members.filter(({role}) => role === 'voter').length === 1;
+		return hasOneCopy || (isIncomplete({members, minVoters}) && clock.now() - this.startedMs < BOOTSTRAP_TIMEOUT_MS);
 	}
 
 	/** Latest send time whose messages a majority of the voters has acknowledged. */
--- a/packages/hosts/src/consensus/node.ts
+++ b/packages/hosts/src/consensus/node.ts
@@ -55,7 +55,7 @@
 	async propose(command: Command, timeoutMs = PROPOSE_TIMEOUT_MS): Promise<ProposeOutcome<Result>> {
 		const {replica, opts} = this;
 		const {leadership, leaderId} = replica;
-		if (leadership === undefined || leadership.isBootstrapping) {
+		if (leadership === undefined || (leadership.isBootstrapping && !opts.machine.isMemberRequest(command))) {
 			return {kind: 'not-leader', ...(leaderId !== undefined && leaderId !== opts.memberId && {leaderId})};
 		}
 
--- a/packages/hosts/src/consensus/rules.ts
+++ b/packages/hosts/src/consensus/rules.ts
@@ -61,13 +61,21 @@
 	readonly minVoters: number;
 };
 
+/** Whether the fleet still lacks voters because it was started, not because it lost some. */
+export function isIncomplete({members, minVoters}: Pick<MembershipView, 'members' | 'minVoters'>): boolean {
+	const voters = members.filter(({role}) => role === 'voter');
+	return voters.length < minVoters && (members.length < minVoters || members.some(({role}) => role === 'initial'));
+}
+
 function planIdentityChange(members: Members, statuses: ReadonlyMap<string, MemberStatus>): Members | undefined {
 	const changed = members.find(member => {
 		const identity = statuses.get(member.id)?.identity ?? '';
 		return identity !== '' && identity !== member.identity;
 	});
-	// A member with a new identity has lost its votes and entries, so it becomes a learner again.
-	return changed && members.map(member => member === changed ? {id: member.id, identity: statuses.get(member.id)?.identity ?? '', role: 'learner'} : member);
+	// A member with a new identity has lost its votes and entries, so a voter becomes a learner again.
+	return changed && members.map(member => member === changed
+		? {...member, identity: statuses.get(member.id)?.identity ?? '', role: member.role === 'voter' ? 'learner' : member.role}
+		: member);
 }
 
 /** Whether enough running voters remain without the member; a voter that does not answer may be one of the losses to be survived. */
@@ -91,7 +99,7 @@
 
 	const added = [...desiredMemberships].find(([id, desired]) => desired === 'voter' && members.every(member => member.id !== id));
 	if (added) {
-		return [...members, {id: added[0], identity: '', role: 'learner'}];
+		return [...members, {id: added[0], identity: '', role: isIncomplete(view) ? 'initial' : 'learner'}];
 	}
 
 	const promoted = members.find(member => member.role !== 'voter' && statuses.get(member.id)?.isCaughtUp);
--- a/packages/hosts/src/consensus/state-machine.ts
+++ b/packages/hosts/src/consensus/state-machine.ts
@@ -8,6 +8,11 @@
 		return command;
 	}
 
+	/** Whether the command requests a change of the members, which a fleet that is not complete yet accepts. */
+	isMemberRequest(_command: Command): boolean {
+		return false;
+	}
+
 	/** Members that operators added or removed; the leader adjusts the membership to match, one member at a time. */
 	getDesiredMemberships(): ReadonlyMap<string, DesiredMembership> {
 		return new Map();
--- a/packages/hosts/src/constants.ts
+++ b/packages/hosts/src/constants.ts
@@ -72,6 +72,8 @@
 export const COMMAND_DEADLINE_MS = 5000;
 /** Voters that stay when members are removed, in a fleet whose operators require no number. */
 export const DEFAULT_MIN_VOTERS = 1;
+/** How long a new leader of a fleet that has not been complete yet waits for the missing voters before it acknowledges changes. */
+export const BOOTSTRAP_TIMEOUT_MS = 10_000;
 /** Deadline for a `record` command without a leader: the longest usual election, so that a partitioned zone rejects requests soon. */
 export const RECORD_DEADLINE_MS = 2500;
 export const COMMAND_RETRY_MS = 50;
--- a/packages/hosts/src/fleet-state.ts
+++ b/packages/hosts/src/fleet-state.ts
@@ -104,6 +104,10 @@
 		return {...command, elapsedMs};
 	}
 
+	override isMemberRequest({kind}: FleetCommand): boolean {
+		return kind === 'addMember' || kind === 'removeMember';
+	}
+
 	override getDesiredMemberships(): ReadonlyMap<string, DesiredMembership> {
 		return new Map(this.state.members.map(member => [member.id, member.wish]));
 	}
--- a/packages/hosts/src/types.ts
+++ b/packages/hosts/src/types.ts
@@ -7,7 +7,7 @@
 
 const count = z.int().nonnegative();
 
-/** A member of the replicated log. `initial` is a learner from the bootstrap of the fleet. */
+/** A member of the replicated log. `initial` is a learner of a fleet that has not had all its voters yet. */
 export const Member = z.object({
 	id: z.string(),
 	/** Identity of the data directory to which this role belongs; empty until the member has answered. */
--- a/packages/hosts/tests/min-voters.test.ts
+++ b/packages/hosts/tests/min-voters.test.ts
@@ -3,6 +3,7 @@
 import {type Process, SimCluster} from './support/sim-cluster.js';
 
 const HOSTS = ['a', 'b', 'c', 'd', 'e', 'f'];
+const CONFIG: FleetCommand = {kind: 'putTraffic', traffic: {version: 7, source: '{}'}};
 
 function addMember(id: string): FleetCommand {
 	return {
@@ -43,6 +44,39 @@
 }
 
 describe('number of voters', () => {
+	// Guards against an acknowledgement on two or three disks while two of them may be lost at once.
+	it('is at least the required one before the first change is acknowledged, which then survives the loss of two disks', async () => {
+		for (let seed = 1; seed <= 6; seed++) {
+			const cluster = await startFleet(seed, 5);
+			const joined = ['d', 'e', 'f'].map(async id => commit(cluster, addMember(id)));
+			await cluster.runUntilSettled(commit(cluster, CONFIG));
+			const lost = new Set(getVoterIds(await cluster.waitForLeader()).slice(0, 2));
+			for (const id of HOSTS) {
+				cluster[lost.has(id) ? 'wipe' : 'crash'](id);
+			}
+
+			for (const id of HOSTS) {
+				cluster.start(id);
+			}
+
+			const leader = await cluster.waitForLeader();
+			expect(leader.state.getTraffic()?.version, `seed ${seed}`).to.equal(7);
+			await cluster.runUntilSettled(Promise.all(joined));
+			cluster.stopAll();
+		}
+	});
+
+	// Guards against an order that is never acknowledged because a seed is lost before it has become a voter.
+	it('does not hold up changes forever while a host is missing', async () => {
+		const cluster = new SimCluster({seed: 1, minVoters: 3});
+		cluster.startAll();
+		await cluster.clock.runUntil(() => cluster.processes.get('a')?.node.status().members.length === 3, 5000);
+		cluster.crash('c');
+		await cluster.runUntilSettled(commit(cluster, CONFIG));
+		expect(getVoterIds(await cluster.waitForLeader())).to.deep.equal(['a', 'b']);
+		cluster.stopAll();
+	});
+
 	// Guards against two hosts that stop at once and both leave, after which the loss of one disk ends the log.
 	it('stays at the required one when two members are removed at once', async () => {
 		const cluster = await startFleet(3, 3);
