hosts: void the lease of a leader whose machine was suspended

Callers saw: possibly an older configuration in a read, and orders of a deposed leader, right after a machine was suspended. Its steady clock does not count that time, so that the leader took its lease for valid for up to 500 ms after it resumed, although another leader had acknowledged a newer configuration.

Change: the leader compares the clock with the time of day whenever it checks its lease. When the time of day has gained more than 200 ms, only messages sent after that count for the lease; the next heartbeat renews it. A step of the time of day forward has the same effect, without an election. A step backward during the suspension hides it.

Evidence: both new tests of consensus.test.ts failed before: the suspended leader had a lease, with an age of 6 ms, after a new leader had committed.

--- a/apps/egretrilld/src/traffic/control-host.ts
+++ b/apps/egretrilld/src/traffic/control-host.ts
@@ -69,6 +69,7 @@
 			snapshots: new SnapshotStore({folder}),
 			machine: this.state,
 			clock,
+			getTimeOfDayMs: () => Date.now(),
 			random,
 			logger,
 		});
--- a/packages/hosts/src/consensus/leadership.ts
+++ b/packages/hosts/src/consensus/leadership.ts
@@ -1,7 +1,7 @@
 import {Signal} from '@egretrill/common';
 import type {LogEntry} from '@egretrill/disk';
 import {
-	BOOTSTRAP_TIMEOUT_MS, DEFAULT_MIN_VOTERS, HEARTBEAT_MS, MAX_IDLE_WAIT_MS, LEADER_LEASE_MS, MAX_BATCH_ENTRIES, MAX_ELECTION_TIMEOUT_MS,
+	BOOTSTRAP_TIMEOUT_MS, DEFAULT_MIN_VOTERS, HEARTBEAT_MS, MAX_IDLE_WAIT_MS, LEADER_LEASE_MS, MAX_BATCH_ENTRIES, MAX_ELECTION_TIMEOUT_MS, MIN_SUSPENSION_MS,
 } from '../constants.js';
 import {runReplicator} from './replicator.js';
 import {membersCodec, type Proposal, type Replica} from './replica.js';
@@ -32,9 +32,14 @@
 	readonly appended = new Signal();
 	readonly membersChanged = new Signal();
 	private readonly endController = new AbortController();
+	/** Difference between the time of day and the clock at the last check. */
+	private timeOfDayOffsetMs: number;
+	/** Messages sent up to this time do not count for the lease, since the machine may have been suspended after they were sent. */
+	private resumedMs = Number.NEGATIVE_INFINITY;
 
 	constructor(private readonly replica: Replica, readonly term: number) {
 		this.startedMs = replica.opts.clock.now();
+		this.timeOfDayOffsetMs = this.getTimeOfDayOffsetMs();
 	}
 
 	get signal(): AbortSignal {
@@ -60,9 +65,16 @@
 		return getMajorityValue(this.getVoterValues(this.replica.opts.clock.now(), progress => progress.lastAckedSendMs));
 	}
 
+	/** Time since the lease started; infinite if the machine may have been suspended since then. */
+	getLeaseAgeMs(): number {
+		this.detectSuspension();
+		const startMs = this.getLeaseStartMs();
+		// With a single voter the lease start is the current time, read after the first call of now(), so the difference can be negative.
+		return startMs > this.resumedMs ? Math.max(0, this.replica.opts.clock.now() - startMs) : Number.POSITIVE_INFINITY;
+	}
+
 	hasLease(): boolean {
-		const {appliedIndex, opts} = this.replica;
-		return appliedIndex >= this.termStartIndex && opts.clock.now() - this.getLeaseStartMs() < LEADER_LEASE_MS;
+		return this.replica.appliedIndex >= this.termStartIndex && this.getLeaseAgeMs() < LEADER_LEASE_MS;
 	}
 
 	/** Commits entries that a majority has synced; entries of earlier terms only together with one of this term. */
@@ -92,6 +104,22 @@
 		return new Map([...others, [memberId, {identity, isCaughtUp: true}]]);
 	}
 
+	private getTimeOfDayOffsetMs(): number {
+		const {clock, getTimeOfDayMs} = this.replica.opts;
+		return getTimeOfDayMs === undefined ? 0 : getTimeOfDayMs() - clock.now();
+	}
+
+	/** Voids the lease after a suspension, during which another member may have become leader; a step of the time of day looks the same. */
+	private detectSuspension(): void {
+		const offsetMs = this.getTimeOfDayOffsetMs();
+		if (offsetMs - this.timeOfDayOffsetMs > MIN_SUSPENSION_MS) {
+			this.resumedMs = this.replica.opts.clock.now();
+			this.replica.opts.logger?.warn({ms: Math.round(offsetMs - this.timeOfDayOffsetMs)}, 'The machine was suspended or its time of day was set; the lease of this leader must be renewed.');
+		}
+
+		this.timeOfDayOffsetMs = offsetMs;
+	}
+
 	private getVoterValues(ownValue: number, getValue: (progress: ReplicationProgress) => number): readonly number[] {
 		const {members, opts} = this.replica;
 		return members.filter(member => member.role === 'voter').map(member => {
--- a/packages/hosts/src/consensus/node.ts
+++ b/packages/hosts/src/consensus/node.ts
@@ -85,9 +85,7 @@
 
 	/** Time since a majority last confirmed this member as leader; infinite on other members. */
 	leaseAgeMs(): number {
-		const {leadership} = this.replica;
-		// With a single voter the lease start is the current time, read after the first call of now(), so the difference can be negative.
-		return leadership === undefined ? Number.POSITIVE_INFINITY : Math.max(0, this.opts.clock.now() - leadership.getLeaseStartMs());
+		return this.replica.leadership?.getLeaseAgeMs() ?? Number.POSITIVE_INFINITY;
 	}
 
 	/** Whether this member has reapplied every entry that it may have applied before its restart. */
--- a/packages/hosts/src/consensus/replica.ts
+++ b/packages/hosts/src/consensus/replica.ts
@@ -26,6 +26,8 @@
 	readonly snapshots: SnapshotStore;
 	readonly machine: ReplicatedStateMachine;
 	readonly clock: Clock;
+	/** Time of day, which unlike the clock counts the time while the machine is suspended; without it suspensions are not detected. */
+	readonly getTimeOfDayMs?: () => number;
 	readonly random: Random;
 	readonly logger?: Logger;
 };
--- a/packages/hosts/src/constants.ts
+++ b/packages/hosts/src/constants.ts
@@ -25,6 +25,11 @@
 export const HEARTBEAT_MS = 150;
 /** Leader lease; it expires before any follower that acknowledged a heartbeat may vote for another leader. */
 export const LEADER_LEASE_MS = 500;
+/**
+ * Shortest suspension that voids the lease. A shorter one lengthens the lease by less than the margin of 400 ms that the
+ * election timeout leaves.
+ */
+export const MIN_SUSPENSION_MS = 200;
 export const MIN_ELECTION_TIMEOUT_MS = 900;
 export const MAX_ELECTION_TIMEOUT_MS = 1800;
 /**
--- a/packages/hosts/tests/consensus.test.ts
+++ b/packages/hosts/tests/consensus.test.ts
@@ -128,6 +128,31 @@
 		cluster.stopAll();
 	});
 
+	// Guards against an older configuration in the answers of a deposed leader whose machine was suspended: its clock did not count that time.
+	it('does not give a leader a lease when its machine resumes', async () => {
+		const {cluster, leader} = await createCluster();
+		leader.clock.suspend();
+		const newLeader = await cluster.waitForLeader(process => process !== leader);
+		await apply(cluster, newLeader, 'kept');
+		leader.clock.resume();
+		expect([leader.node.isLeaderWithLease(), leader.node.leaseAgeMs(), leader.node.status().role]).to.deep.equal([false, Number.POSITIVE_INFINITY, 'leader']);
+		await waitForCatchUp(cluster);
+		expect(leader.node.status().role).to.equal('follower');
+		cluster.stopAll();
+	});
+
+	// Guards against elections after each step of the time of day, which looks like a resumed machine.
+	it('renews the lease of a leader whose machine was suspended briefly', async () => {
+		const {cluster, leader} = await createCluster();
+		leader.clock.suspend();
+		await cluster.clock.run(300);
+		leader.clock.resume();
+		const isLeadingAtOnce = leader.node.isLeaderWithLease();
+		await cluster.clock.run(300);
+		expect([isLeadingAtOnce, leader.node.isLeaderWithLease()]).to.deep.equal([false, true]);
+		cluster.stopAll();
+	});
+
 	for (const fault of ['sync', 'full'] as const) {
 		it(`stops a leader whose disk fails (${fault}) without acknowledging the change; the others continue`, async () => {
 			const {cluster, leader} = await createCluster();
--- a/packages/hosts/tests/support/sim-cluster.ts
+++ b/packages/hosts/tests/support/sim-cluster.ts
@@ -164,6 +164,7 @@
 			snapshots: new SnapshotStore({folder: FOLDER, fileSystem}),
 			machine: state,
 			clock,
+			getTimeOfDayMs: () => this.clock.now(),
 			random: this.random,
 			logger: this.opts.logger,
 		});
