--- a/apps/egretrilld/src/traffic/control-host.ts
+++ b/apps/egretrilld/src/traffic/control-host.ts
@@ -70,11 +70,13 @@
 		this.node = new ConsensusNode({
 			memberId: this.hostId,
 			initialMembers: settings.isFirstStart ? settings.seeds : [],
+			minVoters: settings.minVoters,
 			transport: new GrpcConsensusTransport(this.peers),
 			storage: new FileLogStorage({folder}),
 			snapshots: new SnapshotStore({folder}),
 			machine: this.state,
 			clock,
+			getTimeOfDayMs: () => Date.now(),
 			random,
 			logger,
 		});
@@ -92,7 +94,7 @@
 			hostId, zone: settings.zone, clock, random, logger, node, peers, registry,
 		});
 		this.membership = new Membership({
-			hostId, settings, clock, logger, node, log, gossip: this.gossip,
+			hostId, settings, clock, logger, node, log, gossip: this.gossip, isRemovalRequested: () => this.state.getDesiredMemberships().get(hostId) === 'absent',
 		});
 	}
 
--- a/packages/hosts/src/consensus/leadership.ts
+++ b/packages/hosts/src/consensus/leadership.ts
@@ -1,12 +1,12 @@
 import {Signal} from '@egretrill/common';
 import type {LogEntry} from '@egretrill/disk';
 import {
-	HEARTBEAT_MS, MAX_IDLE_WAIT_MS, LEADER_LEASE_MS, MAX_BATCH_ENTRIES, MAX_ELECTION_TIMEOUT_MS,
+	BOOTSTRAP_TIMEOUT_MS, DEFAULT_MIN_VOTERS, HEARTBEAT_MS, MAX_IDLE_WAIT_MS, LEADER_LEASE_MS, MAX_BATCH_ENTRIES, MAX_ELECTION_TIMEOUT_MS, MIN_SUSPENSION_MS,
 } from '../constants.js';
 import {runReplicator} from './replicator.js';
 import {membersCodec, type Proposal, type Replica} from './replica.js';
 import {
-	describeMemberChange, getMajorityValue, type MemberStatus, planMemberChange,
+	describeMemberChange, getMajorityValue, isIncomplete, type MemberStatus, planMemberChange,
 } from './rules.js';
 
 /** Replication state of one other member. */
@@ -32,9 +32,14 @@
 	readonly appended = new Signal();
 	readonly membersChanged = new Signal();
 	private readonly endController = new AbortController();
+	/** Difference between the time of day and the clock at the last check. */
+	private timeOfDayOffsetMs: number;
+	/** Messages sent up to this time do not count for the lease, since the machine may have been suspended after they were sent. */
+	private resumedMs = Number.NEGATIVE_INFINITY;
 
 	constructor(private readonly replica: Replica, readonly term: number) {
 		this.startedMs = replica.opts.clock.now();
+		this.timeOfDayOffsetMs = this.getTimeOfDayOffsetMs();
 	}
 
 	get signal(): AbortSignal {
@@ -45,10 +50,14 @@
 		return this.endController.signal.aborted;
 	}
 
-	/** Whether the fleet has only its first voter; until there is a second one, the loss of one disk would lose acknowledged changes. */
+	/**
+	 * Whether the fleet is too new to acknowledge changes: the disks that may be lost at once could hold all copies. A host that
+	 * is still missing after the timeout counts as lost, but a single copy is never enough.
+	 */
 	get isBootstrapping(): boolean {
-		const {members} = this.replica;
-		return members.some(member => member.role === 'initial') && members.filter(member => member.role === 'voter').length === 1;
+		const {members, opts: {clock, minVoters = DEFAULT_MIN_VOTERS}} = this.replica;
+		const hasOneCopy = members.some(({role}) => role === 'initial') && members.filter(({role}) => role === 'voter').length === 1;
+		return hasOneCopy || (isIncomplete({members, minVoters}) && clock.now() - this.startedMs < BOOTSTRAP_TIMEOUT_MS);
 	}
 
 	/** Latest send time whose messages a majority of the voters has acknowledged. */
@@ -56,9 +65,16 @@
 		return getMajorityValue(this.getVoterValues(this.replica.opts.clock.now(), progress => progress.lastAckedSendMs));
 	}
 
+	/** Time since the lease started; infinite if the machine may have been suspended since then. */
+	getLeaseAgeMs(): number {
+		this.detectSuspension();
+		const startMs = this.getLeaseStartMs();
+		// With a single voter the lease start is the current time, read after the first call of now(), so the difference can be negative.
+		return startMs > this.resumedMs ? Math.max(0, this.replica.opts.clock.now() - startMs) : Number.POSITIVE_INFINITY;
+	}
+
 	hasLease(): boolean {
-		const {appliedIndex, opts} = this.replica;
-		return appliedIndex >= this.termStartIndex && opts.clock.now() - this.getLeaseStartMs() < LEADER_LEASE_MS;
+		return this.replica.appliedIndex >= this.termStartIndex && this.getLeaseAgeMs() < LEADER_LEASE_MS;
 	}
 
 	/** Commits entries that a majority has synced; entries of earlier terms only together with one of this term. */
@@ -78,12 +94,30 @@
 		}
 	}
 
+	/** Statuses of all members, including this one. */
 	getMemberStatuses(): ReadonlyMap<string, MemberStatus> {
-		const {clock} = this.replica.opts;
-		return new Map([...this.progress].map(([id, progress]) => [id, {
+		const {identity, opts: {clock, memberId}} = this.replica;
+		const others = [...this.progress].map(([id, progress]): readonly [string, MemberStatus] => [id, {
 			identity: progress.identity,
 			isCaughtUp: progress.matchIndex >= this.replica.commitIndex && clock.now() - progress.lastAckedSendMs < LEADER_LEASE_MS,
-		}]));
+		}]);
+		return new Map([...others, [memberId, {identity, isCaughtUp: true}]]);
+	}
+
+	private getTimeOfDayOffsetMs(): number {
+		const {clock, getTimeOfDayMs} = this.replica.opts;
+		return getTimeOfDayMs === undefined ? 0 : getTimeOfDayMs() - clock.now();
+	}
+
+	/** Voids the lease after a suspension, during which another member may have become leader; a step of the time of day looks the same. */
+	private detectSuspension(): void {
+		const offsetMs = this.getTimeOfDayOffsetMs();
+		if (offsetMs - this.timeOfDayOffsetMs > MIN_SUSPENSION_MS) {
+			this.resumedMs = this.replica.opts.clock.now();
+			this.replica.opts.logger?.warn({ms: Math.round(offsetMs - this.timeOfDayOffsetMs)}, 'The machine was suspended or its time of day was set; the lease of this leader must be renewed.');
+		}
+
+		this.timeOfDayOffsetMs = offsetMs;
 	}
 
 	private getVoterValues(ownValue: number, getValue: (progress: ReplicationProgress) => number): readonly number[] {
@@ -135,7 +169,12 @@
 async function changeMembers(replica: Replica, leadership: Leadership): Promise<void> {
 	// Only one change may be in progress, and only after an entry of this term is committed; otherwise two disjoint majorities could exist.
 	const isAllowed = (): boolean => !leadership.hasEnded && replica.commitIndex >= Math.max(leadership.termStartIndex, replica.membersIndex);
-	const plan = (): ReturnType<typeof planMemberChange> => isAllowed() ? planMemberChange(replica.members, replica.opts.machine.getDesiredMemberships(), leadership.getMemberStatuses()) : undefined;
+	const {machine, minVoters = DEFAULT_MIN_VOTERS} = replica.opts;
+	const plan = (): ReturnType<typeof planMemberChange> => isAllowed()
+		? planMemberChange({
+			members: replica.members, desiredMemberships: machine.getDesiredMemberships(), statuses: leadership.getMemberStatuses(), minVoters,
+		})
+		: undefined;
 	if (plan() === undefined) {
 		return;
 	}
--- a/packages/hosts/src/constants.ts
+++ b/packages/hosts/src/constants.ts
@@ -25,6 +25,11 @@
 export const HEARTBEAT_MS = 150;
 /** Leader lease; it expires before any follower that acknowledged a heartbeat may vote for another leader. */
 export const LEADER_LEASE_MS = 500;
+/**
+ * Shortest suspension that voids the lease. A shorter one lengthens the lease by less than the margin of 400 ms that the
+ * election timeout leaves.
+ */
+export const MIN_SUSPENSION_MS = 200;
 export const MIN_ELECTION_TIMEOUT_MS = 900;
 export const MAX_ELECTION_TIMEOUT_MS = 1800;
 /**
@@ -70,6 +75,10 @@
 
 /** Time after which a command that no leader has accepted fails. */
 export const COMMAND_DEADLINE_MS = 5000;
+/** Voters that stay when members are removed, in a fleet whose operators require no number. */
+export const DEFAULT_MIN_VOTERS = 1;
+/** How long a new leader of a fleet that has not been complete yet waits for the missing voters before it acknowledges changes. */
+export const BOOTSTRAP_TIMEOUT_MS = 10_000;
 /** Deadline for a `record` command without a leader: the longest usual election, so that a partitioned zone rejects requests soon. */
 export const RECORD_DEADLINE_MS = 2500;
 export const COMMAND_RETRY_MS = 50;
--- a/packages/hosts/tests/support/sim-cluster.ts
+++ b/packages/hosts/tests/support/sim-cluster.ts
@@ -60,9 +60,9 @@
 		this.assertAttached();
 	}
 
-	async syncFolder(): Promise<void> {
+	async syncFolder(folder: string): Promise<void> {
 		await this.waitForSync();
-		await this.disk.syncFolder();
+		await this.disk.syncFolder(folder);
 	}
 }
 
@@ -128,6 +128,7 @@
 	readonly seed: number;
 	readonly initialMembers?: readonly string[];
 	readonly fault?: DiskFault;
+	readonly minVoters?: number;
 	readonly createState?: () => FleetState;
 	readonly logger?: Logger;
 };
@@ -157,11 +158,13 @@
 		const node = new ConsensusNode({
 			memberId: id,
 			initialMembers: this.initialMembers,
+			minVoters: this.opts.minVoters,
 			transport: new SimTransport(this, id),
 			storage: new FileLogStorage({folder: FOLDER, fileSystem}),
 			snapshots: new SnapshotStore({folder: FOLDER, fileSystem}),
 			machine: state,
 			clock,
+			getTimeOfDayMs: () => this.clock.now(),
 			random: this.random,
 			logger: this.opts.logger,
 		});
