callers: read a silent stream on until another target has answered

Callers saw: an answer that breaks off after one second although its engine only paused and would have gone on. The connection to the engine of a resumable stream was closed when no event had ended for 1 s; without another target, a free slot, an attempt or a retry, the caller's answer ended with it. The log named no reason beyond "The answer ended early.".

Cause: the idle timer closed the first connection before anything was known about a second one.

Change: silence alone ends no answer. After 1 s the host takes a slot at another target if one is free, within the route's attempts and the retry budget, and sends the request there with the id of the last event while it goes on reading. When that target has answered with a valid head, the first connection is closed at once and the second answer is relayed. When the first one completes an event or ends before that, the second request is cancelled; when the first one breaks off, the second request is awaited. The limits are plain functions (silence.ts), the task is switch-watch.ts, and forward-to-target.ts goes from one attempt to the next. A retry that reached no target is returned to the budget. A target ranks last for 1.5 s from the start of a silence, also while the slot is held.

Why it works: the only thing that closes the first answer is the head of the second one, in the same turn of the event loop, and a cancelled second one is never relayed, so no event is lost, doubled or out of order.

Evidence: silent-engine.test.ts (real sockets, an engine that pauses for 1.6 s) failed before: "1a 2a cut" in all cases in which the other target is missing, full, refuses, fails or cannot be reached, and "1a 2a 3b 4b" where the first engine goes on before the other one answers.

--- a/apps/egretrilld/src/traffic/book-places.ts
+++ b/apps/egretrilld/src/traffic/book-places.ts
@@ -29,9 +29,9 @@
 			return {kind: 'none'};
 		}
 
-		const {registration: {targetId, address, zone}, outstanding, updateOutstanding, release} = acquired;
+		const {registration: {targetId, address, zone}, outstanding, updateOutstanding, reportSilence, release} = acquired;
 		const slot: TargetSlot = {
-			targetId, address, zone, outstanding, updateOutstanding, release,
+			targetId, address, zone, outstanding, updateOutstanding, reportSilence, release,
 		};
 		return {kind: 'slot', slot};
 	}
--- a/apps/egretrilld/tests/traffic/support/forward-host.ts
+++ b/apps/egretrilld/tests/traffic/support/forward-host.ts
@@ -2,7 +2,7 @@
 import {createServer, type Server} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import {
-	type AnswerHead, type AnswerMetadata, type AttemptEvent, type ForwardCall, type ForwardDependencies, ForwardDialect, type ForwardEndEvent, ForwardObserver, forwardRequest, ForwardSender, type OutgoingMessage, RateAllocations, RatePoolClient, type RequestHead, RetryBudget, RetrySchedule, RouteTable, type SendDetails, SlotQueue, type SlotRequirements, type SlotResult, SlotSource, type TargetAnswer,
+	type AnswerHead, type AnswerMetadata, type AttemptEvent, type ForwardCall, type ForwardDependencies, ForwardDialect, type ForwardEndEvent, ForwardObserver, forwardRequest, ForwardSender, type OutgoingMessage, RateAllocations, RatePoolClient, type RequestHead, RetryBudget, RetrySchedule, RouteTable, type SendDetails, type SlotOutcome, SlotQueue, type SlotRequirements, type SlotResult, SlotSource, type TargetAnswer,
 } from '@egretrill/callers';
 import {
 	MonotonicClock, type SendFailure, type TrafficConfig, type TrafficRoute,
@@ -22,8 +22,9 @@
 		};
 	}
 
-	override writeSendHeaders({headers}: ForwardCall, {bodyLength}: SendDetails): string[] {
-		return [...headers, 'Content-Length', String(bodyLength)];
+	override writeSendHeaders({headers}: ForwardCall, {bodyLength, lastEventId}: SendDetails): string[] {
+		const resumed = lastEventId === undefined ? [] : ['Last-Event-Id', String(lastEventId)];
+		return [...headers, 'Content-Length', String(bodyLength), ...resumed];
 	}
 
 	override readAnswer({rawHeaders}: AnswerHead): AnswerMetadata {
@@ -35,18 +36,26 @@
 	}
 }
 
+/** A slot that was released, with its outcome. */
+type ReleasedSlot = {readonly targetId: string; readonly outcome: SlotOutcome};
+
 class FixedSlotSource extends SlotSource {
-	constructor(private readonly addresses: readonly string[]) {
+	readonly released: ReleasedSlot[] = [];
+
+	constructor(private readonly addresses: readonly string[], private readonly fullTargets: readonly string[]) {
 		super();
 	}
 
 	override findSlot({tried}: SlotRequirements): SlotResult {
-		const address = this.addresses.find(known => !tried.has(known));
+		const untried = this.addresses.filter(known => !tried.has(known));
+		const address = untried.find(known => !this.fullTargets.includes(known));
 		return address === undefined
-			? {kind: 'none'}
+			? {kind: untried.length === 0 ? 'none' : 'full'}
 			: {
 				kind: 'slot', slot: {
-					targetId: address, address, zone: 'a', outstanding: 0, updateOutstanding: () => undefined, release: () => undefined,
+					targetId: address, address, zone: 'a', outstanding: 0, updateOutstanding: () => undefined, reportSilence: () => undefined, release: outcome => {
+						this.released.push({targetId: address, outcome});
+					},
 				},
 			};
 	}
@@ -117,6 +126,8 @@
 
 export type ForwardHostOptions = {
 	readonly targets: readonly string[];
+	/** Targets without a free slot. */
+	readonly fullTargets?: readonly string[];
 	readonly route?: Partial<TrafficRoute>;
 	readonly onChunk?: () => void;
 };
@@ -131,15 +142,17 @@
 	}
 
 	readonly observer = new RecordingObserver();
+	readonly slots: FixedSlotSource;
 	private readonly sender = new HttpSender();
 	private readonly server: Server;
 
-	private constructor({targets, route: changes, onChunk = () => undefined}: ForwardHostOptions) {
+	private constructor({targets, fullTargets = [], route: changes, onChunk = () => undefined}: ForwardHostOptions) {
+		this.slots = new FixedSlotSource(targets, fullTargets);
 		const clock = new MonotonicClock();
 		const table = new RouteTable({...config, routes: [{...route, ...changes}]});
 		const retries = new RetryBudget(clock, {ratio: 0, reserve: 100});
 		const parts: ForwardDependencies = {
-			clock, random: () => 0, dialect: new TestDialect(), queue: new SlotQueue(clock, new FixedSlotSource(targets)), rates: new RateAllocations(clock), poolClient: new RefusingLender(), retrySchedule: new RetrySchedule(clock), sender: new ObservedSender(this.sender, onChunk), observer: this.observer, getTable: () => table, stopping: new AbortController().signal, getRetries: () => retries,
+			clock, random: () => 0, dialect: new TestDialect(), queue: new SlotQueue(clock, this.slots), rates: new RateAllocations(clock), poolClient: new RefusingLender(), retrySchedule: new RetrySchedule(clock), sender: new ObservedSender(this.sender, onChunk), observer: this.observer, getTable: () => table, stopping: new AbortController().signal, getRetries: () => retries,
 		};
 		this.server = createServer((req, res) => {
 			void forwardRequest(new NodeExchange(req, res, () => false), parts);
--- a/apps/egretrilld/tests/traffic/support/raw-target.ts
+++ b/apps/egretrilld/tests/traffic/support/raw-target.ts
@@ -20,13 +20,15 @@
 		});
 	}
 
-	/** Resolves once the head of a further request has arrived, or the connection is closed. */
-	async readHead(): Promise<void> {
+	/** Resolves with what was received once the head of a further request has arrived, or the connection is closed. */
+	async readHead(): Promise<string> {
 		while (!this.received.includes(HEAD_END) && !this.socket.destroyed) {
 			await Promise.race([this.waitForEvent('data'), this.closed]);
 		}
 
+		const {received} = this;
 		this.received = '';
+		return received;
 	}
 
 	/** Resolves once `count` further bytes have arrived, or the connection is closed. */
--- a/packages/callers/src/forward/constants.ts
+++ b/packages/callers/src/forward/constants.ts
@@ -28,7 +28,7 @@
 /** A refused caller counts as waiting until this long after its retry time. */
 export const RETRY_GRACE_MS = 500;
 
-/** Callers of streams disconnect when they receive nothing for this long, or for a multiple of the target latency if that is longer. */
+/** Callers of streams disconnect when they receive nothing for this long, for this multiple of the target latency or for eight times the pause that their route allows between events, whichever is longest. */
 export const STREAM_CALLER_TIMEOUT_MS = 2000;
 export const STREAM_CALLER_TIMEOUT_RATIO = 4;
 
@@ -44,9 +44,12 @@
 /** Retry time for callers when no target serves their request. */
 export const NO_TARGET_RETRY_MS = 1500;
 
-/** A stream that completes no event for this long is resumed at another target; callers disconnect after two seconds without data. */
+/** A resumable stream that completes no event for this long is offered to another target, while its own may still go on: a sound engine may pause for longer. Callers disconnect after `STREAM_CALLER_TIMEOUT_MS` or later, which leaves the other target time to answer. */
 export const STREAM_IDLE_TIMEOUT_MS = 1000;
 
+/** Interval at which a free slot at another target is looked for while a stream is silent. */
+export const SWITCH_RETRY_INTERVAL_MS = 100;
+
 /** Answers that are not streams are buffered up to this size before they are sent to the caller. */
 export const MAX_BUFFERED_ANSWER_BYTES = 1_048_576;
 
--- a/packages/callers/src/forward/forward-context.ts
+++ b/packages/callers/src/forward/forward-context.ts
@@ -37,10 +37,12 @@
 	answerSummary?: AnswerSummary;
 };
 
-/** How an attempt at one target ended. */
-export type AttemptOutcome =
-	| {readonly kind: 'answered'}
+/** Why an attempt at one target brought no complete answer. */
+export type AttemptFailure =
 	/** The target certainly did not run the request. */
 	| {readonly kind: 'not-run'; readonly reason: string; readonly slotOutcome: SlotOutcome}
 	/** The target may have run the request, and no complete answer was received. */
 	| {readonly kind: 'broken'; readonly reason: string; readonly slotOutcome: SlotOutcome};
+
+/** How an attempt at one target ended. */
+export type AttemptOutcome = {readonly kind: 'answered'} | AttemptFailure;
--- a/packages/callers/src/forward/forward-request.ts
+++ b/packages/callers/src/forward/forward-request.ts
@@ -2,18 +2,16 @@
 	mayHaveRun, refuse, type TrafficCustomer, type TrafficRoute, type Verdict,
 } from '@egretrill/common';
 import type {CallerExchange} from './caller-exchange.js';
-import {
-	MIN_RETRY_AFTER_MS, MIN_TIME_LEFT_TO_SEND_MS, NO_TARGET_RETRY_MS,
-} from './constants.js';
+import {MIN_RETRY_AFTER_MS, NO_TARGET_RETRY_MS} from './constants.js';
 import type {ForwardEndEvent, ForwardDependencies} from './forward-dependencies.js';
 import type {ForwardContext, ForwardProgress} from './forward-context.js';
 import {ChunkTimes} from './chunk-times.js';
-import type {TargetSlot, SlotRequirements} from './place-queue.js';
+import {forwardToTarget} from './forward-to-target.js';
 import type {RateDecision} from './rate-part.js';
 import {getCost, pickService, type RouteTable} from './route-table.js';
-import {mayRetry, forwardToTarget} from './try-place.js';
+import {acquireSlot} from './slot-search.js';
+import {mayRetry} from './try-place.js';
 import type {ForwardCall} from './types.js';
-import {getWaitLimits} from './wait-limits.js';
 
 /** How a forwarded request ended. */
 type ForwardOutcome = 'answered' | 'broken' | Verdict;
@@ -193,23 +191,6 @@
 	}
 }
 
-async function acquireSlot(context: ForwardContext): Promise<TargetSlot | Verdict> {
-	const {deps: {clock, queue}, call, service, customer, route, progress, endsMs, signal, table} = context;
-	const remainingMs = endsMs - clock.now();
-	if (remainingMs < MIN_TIME_LEFT_TO_SEND_MS) {
-		return refuse(503, 'out-of-time', 'The time of the request is over.', MIN_RETRY_AFTER_MS);
-	}
-
-	const usesModel = table.services.get(service)?.engine !== undefined;
-	const requirements: SlotRequirements = {
-		service, parts: call.promptParts, tried: progress.tried, ...(usesModel && {model: call.model, adapter: call.adapter}),
-	};
-	const startedMs = clock.now();
-	const acquired = await queue.acquire(requirements, customer?.priority ?? route.priority, getWaitLimits(route, remainingMs), signal);
-	progress.waitMs += clock.now() - startedMs;
-	return acquired.isOk ? acquired.value : acquired.error;
-}
-
 /** The outcome of a request without a complete answer; a refusal with "not run" is correct only if no target may have run the request. */
 function getUnansweredOutcome({progress, exchange, signal}: ForwardContext, verdict: Verdict): ForwardOutcome {
 	if (exchange.hasStarted()) {
--- /dev/null
+++ b/packages/callers/src/forward/forward-to-target.ts
@@ -0,0 +1,71 @@
+import {STREAM_IDLE_TIMEOUT_MS} from './constants.js';
+import type {AttemptOutcome, ForwardContext} from './forward-context.js';
+import type {TargetSlot} from './place-queue.js';
+import {relayBuffered, relayEvents, type RelayResult} from './relay.js';
+import {SwitchWatch} from './switch-watch.js';
+import {
+	endAttempt, EXCHANGE_FAILED, isEventStream, openAttempt, type OpenAttempt,
+} from './try-place.js';
+
+/** Sends the request to a target and relays its answer; a stream that falls silent may go on at other targets. */
+export async function forwardToTarget(context: ForwardContext, slot: TargetSlot): Promise<AttemptOutcome> {
+	recordTarget(context, slot);
+	let attempt = await openAttempt(context, slot, context.signal);
+	if (attempt.kind !== 'open') {
+		return attempt;
+	}
+
+	for (;;) {
+		const watch = createWatch(context, attempt);
+		const outcome = await relayAttempt(context, attempt, watch);
+		const next = await watch?.getNext();
+		if (!next) {
+			return outcome;
+		}
+
+		recordTarget(context, next.slot);
+		attempt = next;
+	}
+}
+
+function recordTarget({progress}: ForwardContext, {targetId, outstanding}: TargetSlot): void {
+	progress.targetId = targetId;
+	progress.outstanding = outstanding;
+}
+
+function createWatch(context: ForwardContext, attempt: OpenAttempt): SwitchWatch | undefined {
+	return context.route.isResumable && isEventStream(attempt.answer.status, attempt.metadata) ? new SwitchWatch(context, attempt) : undefined;
+}
+
+async function relayAttempt(context: ForwardContext, attempt: OpenAttempt, watch: SwitchWatch | undefined): Promise<AttemptOutcome> {
+	let outcome: AttemptOutcome = EXCHANGE_FAILED;
+	try {
+		outcome = await relay(context, attempt, watch);
+	} finally {
+		watch?.endSearch(outcome.kind === 'answered');
+		endAttempt(context, attempt, outcome);
+	}
+
+	return outcome;
+}
+
+async function relay({exchange, progress}: ForwardContext, {answer, metadata}: OpenAttempt, watch: SwitchWatch | undefined): Promise<AttemptOutcome> {
+	progress.status = answer.status;
+	const relayed = {
+		exchange, answer, headers: metadata.headers, onChunk(lastEventId: number | undefined) {
+			progress.chunkTimes.recordChunk();
+			progress.lastEventId = lastEventId ?? progress.lastEventId;
+		},
+	};
+	const result: RelayResult = isEventStream(answer.status, metadata)
+		? await relayEvents(relayed, progress.lastEventId, watch)
+		: await relayBuffered(relayed);
+	if (result.kind === 'complete') {
+		progress.answerSummary = {framing: answer.framing, bytes: result.bytes};
+		return {kind: 'answered'};
+	}
+
+	answer.destroy();
+	const silenceReason = watch?.hasMoved() ? `The target completed no event for ${STREAM_IDLE_TIMEOUT_MS} ms, and another one goes on with the stream.` : undefined;
+	return {kind: 'broken', reason: silenceReason ?? result.reason ?? 'The answer ended early.', slotOutcome: 'broke-off'};
+}
--- a/packages/callers/src/forward/index.ts
+++ b/packages/callers/src/forward/index.ts
@@ -11,5 +11,6 @@
 export * from './rate-part.js';
 export * from './relay.js';
 export * from './route-table.js';
+export * from './silence.js';
 export * from './types.js';
 export * from './wait-forecast.js';
--- a/packages/callers/src/forward/place-queue.ts
+++ b/packages/callers/src/forward/place-queue.ts
@@ -28,6 +28,8 @@
 	readonly outstanding: number;
 	/** Sets the number of outstanding requests that the target itself reported. */
 	readonly updateOutstanding: (count: number) => void;
+	/** Ranks the target last for a while, since it is silent in the middle of its answer. */
+	readonly reportSilence: () => void;
 	readonly release: (outcome: SlotOutcome) => void;
 };
 
@@ -137,6 +139,12 @@
 		}, signal);
 	}
 
+	/** Takes a slot that is free now and for which no request of the same or a more urgent priority waits. */
+	takeFree(requirements: SlotRequirements, priority: number): TargetSlot | undefined {
+		const result = this.hasEarlierWaiter(getRequirementsKey(requirements), priority) ? undefined : this.findSlot(requirements);
+		return result?.kind === 'slot' ? result.slot : undefined;
+	}
+
 	/** Refuses all waiting requests, and new requests for which no slot is free; another host can serve these callers sooner. */
 	close(): void {
 		this.isClosed = true;
--- a/packages/callers/src/forward/relay.ts
+++ b/packages/callers/src/forward/relay.ts
@@ -1,16 +1,15 @@
-import type {Clock} from '@egretrill/common';
 import type {CallerExchange} from './caller-exchange.js';
-import {MAX_BUFFERED_ANSWER_BYTES, MAX_EVENT_BYTES, STREAM_IDLE_TIMEOUT_MS} from './constants.js';
+import {MAX_BUFFERED_ANSWER_BYTES, MAX_EVENT_BYTES} from './constants.js';
 import {EventSplitter} from './event-splitter.js';
 import type {TargetAnswer} from './forward-dependencies.js';
 import {GrowableBuffer} from './growable-buffer.js';
+import type {Silence} from './silence.js';
 
-/** Whether the caller received the complete answer; after `broken` it has all complete events up to `lastEventId`. */
+/** Whether the caller received the complete answer. */
 export type RelayResult = {
 	readonly kind: 'complete' | 'broken';
 	/** Number of body bytes relayed. */
 	readonly bytes: number;
-	readonly lastEventId?: number;
 	/** Why the answer is broken, unless it merely ended early. */
 	readonly reason?: string;
 };
@@ -19,8 +18,8 @@
 	readonly exchange: CallerExchange;
 	readonly answer: TargetAnswer;
 	readonly headers: readonly string[];
-	/** Called for each chunk that is relayed. */
-	readonly onChunk?: () => void;
+	/** Called for each chunk of events before it is relayed, with the id of the last of them that has one. */
+	readonly onChunk?: (lastEventId: number | undefined) => void;
 };
 
 /** Buffers a complete body; once it exceeds the limit, passes first the buffered bytes and then each chunk to `onOverflow`, and returns undefined. */
@@ -72,86 +71,50 @@
 	}
 }
 
-/** Closes a streamed answer that has been idle for too long; each stream has its own task. */
-class StreamIdleTimer {
-	/** Whether the answer was closed because it was idle. */
-	hasExpired = false;
-	private readonly stopping = new AbortController();
-	private lastMs: number;
-
-	constructor(private readonly clock: Clock, private readonly answer: TargetAnswer) {
-		this.lastMs = clock.now();
-	}
-
-	reset(): void {
-		this.lastMs = this.clock.now();
-	}
-
-	stop(): void {
-		this.stopping.abort();
-	}
-
-	async run(): Promise<void> {
-		while (!this.stopping.signal.aborted) {
-			const remainingMs = this.lastMs + STREAM_IDLE_TIMEOUT_MS - this.clock.now();
-			if (remainingMs <= 0) {
-				this.hasExpired = true;
-				this.answer.destroy();
-				return;
-			}
-
-			await this.clock.sleep(remainingMs, this.stopping.signal);
-		}
-	}
-}
+/** A stream that may be continued by another target; its events that arrive after that are not relayed. */
+export type MovableStream = {readonly silence: Silence; readonly hasMoved: () => boolean};
 
 /** Relays the complete events of a stream as they arrive. */
-export async function relayEvents({exchange, answer, headers, onChunk}: RelayOptions, lastEventId: number | undefined, idleOptions?: {readonly clock: Clock}): Promise<RelayResult> {
+export async function relayEvents({exchange, answer, headers, onChunk}: RelayOptions, lastEventId: number | undefined, movable?: MovableStream): Promise<RelayResult> {
 	const splitter = new EventSplitter();
-	const skipUpTo = lastEventId;
-	const idleTimer = idleOptions && new StreamIdleTimer(idleOptions.clock, answer);
-	let lastRelayedId = lastEventId;
 	let bytes = 0;
 	try {
 		for await (const chunk of answer.body) {
+			if (movable?.hasMoved()) {
+				break;
+			}
+
 			const previousBytes = splitter.getIncompleteEvent().length;
-			const events = splitter.push(chunk, skipUpTo);
+			const events = splitter.push(chunk, lastEventId);
 			if (splitter.getIncompleteEvent().length > MAX_EVENT_BYTES) {
-				return {
-					kind: 'broken', bytes, lastEventId: lastRelayedId, reason: `An event is longer than ${MAX_EVENT_BYTES} bytes.`,
-				};
+				return {kind: 'broken', bytes, reason: `An event is longer than ${MAX_EVENT_BYTES} bytes.`};
+			}
+
+			if (splitter.getIncompleteEvent().length < previousBytes + chunk.length) {
+				// Bytes of an incomplete event do not reach the caller, so they do not end the silence.
+				movable?.silence.recordEvent();
 			}
 
 			if (events.bytes.length > 0) {
 				if (!exchange.hasStarted()) {
 					exchange.start(answer.status, headers);
-					void idleTimer?.run();
 				}
 
-				lastRelayedId = events.lastEventId ?? lastRelayedId;
-				onChunk?.();
+				onChunk?.(events.lastEventId);
 				await exchange.write(events.bytes);
 				bytes += events.bytes.length;
 			}
-
-			if (splitter.getIncompleteEvent().length < previousBytes + chunk.length) {
-				// Only a completed event resets the timer; bytes of an incomplete event do not reach the caller.
-				idleTimer?.reset();
-			}
 		}
 	} catch {
 		// The body ends with an error when the target or this host breaks the connection off.
-		return {
-			kind: 'broken', bytes, lastEventId: lastRelayedId, ...(idleTimer?.hasExpired && {reason: `The target completed no event for ${STREAM_IDLE_TIMEOUT_MS} ms.`}),
-		};
-	} finally {
-		idleTimer?.stop();
+		return {kind: 'broken', bytes};
 	}
 
-	if (!answer.isComplete() || splitter.getIncompleteEvent().length > 0 || !exchange.hasStarted()) {
-		return {kind: 'broken', bytes, lastEventId: lastRelayedId};
+	const isIncomplete = !answer.isComplete() || splitter.getIncompleteEvent().length > 0 || !exchange.hasStarted();
+	if (isIncomplete || movable?.hasMoved()) {
+		return {kind: 'broken', bytes};
 	}
 
 	exchange.end();
-	return {kind: 'complete', bytes, lastEventId: lastRelayedId};
+	return {kind: 'complete', bytes};
 }
--- /dev/null
+++ b/packages/callers/src/forward/switch-watch.ts
@@ -0,0 +1,112 @@
+import {SWITCH_RETRY_INTERVAL_MS} from './constants.js';
+import type {ForwardContext} from './forward-context.js';
+import type {TargetSlot} from './place-queue.js';
+import {
+	getTimeUntilSwitchMs, maySwitch, Silence, STREAM_WENT_ON,
+} from './silence.js';
+import {takeFreeSlot} from './slot-search.js';
+import {endAttempt, type OpenAttempt, openAttempt} from './try-place.js';
+
+/** Offers a resumable stream to other targets while it is silent, and goes on reading its own; each stream has its own task. */
+export class SwitchWatch {
+	readonly silence: Silence;
+	private next: OpenAttempt | undefined;
+	private readonly stopping = new AbortController();
+	private readonly task: Promise<void>;
+
+	constructor(private readonly context: ForwardContext, private readonly attempt: OpenAttempt) {
+		this.silence = new Silence(context.deps.clock);
+		this.task = this.run();
+	}
+
+	/** Whether another target goes on with the stream, so that this one is closed. */
+	hasMoved(): boolean {
+		return this.next !== undefined;
+	}
+
+	/** Ends the search for another target; a request that is already at one is cancelled if the stream is complete. */
+	endSearch(isComplete: boolean): void {
+		this.stopping.abort();
+		if (isComplete) {
+			this.silence.recordEvent();
+		}
+	}
+
+	/** Resolves after the end of the search with the attempt that goes on with the stream, if there is one. */
+	async getNext(): Promise<OpenAttempt | undefined> {
+		await this.task;
+		return this.next;
+	}
+
+	private async run(): Promise<void> {
+		const {clock} = this.context.deps;
+		const {signal} = this.stopping;
+		while (!signal.aborted) {
+			const remainingMs = getTimeUntilSwitchMs(this.getSilentMs());
+			if (remainingMs > 0) {
+				await clock.sleep(remainingMs, signal);
+				continue;
+			}
+
+			// Reported once per silence, so that a single dead connection does not keep a working target ranked last.
+			this.attempt.slot.reportSilence();
+			await this.searchWhileSilent();
+			if (this.next) {
+				return;
+			}
+		}
+	}
+
+	private async searchWhileSilent(): Promise<void> {
+		const {clock} = this.context.deps;
+		const {signal} = this.stopping;
+		while (!signal.aborted && getTimeUntilSwitchMs(this.getSilentMs()) <= 0) {
+			await this.trySwitch();
+			if (this.next) {
+				return;
+			}
+
+			await clock.sleep(SWITCH_RETRY_INTERVAL_MS, signal);
+		}
+	}
+
+	/** Before its first event a stream is not silent, since the engine may still read the prompt. */
+	private getSilentMs(): number {
+		return this.context.exchange.hasStarted() ? this.silence.getDurationMs() : 0;
+	}
+
+	private async trySwitch(): Promise<void> {
+		const {deps, service, progress, route, endsMs} = this.context;
+		const retries = deps.getRetries(service);
+		const isAllowed = maySwitch({
+			attempts: progress.attempts, maxAttempts: route.maxAttempts, hasRetry: retries.hasRetry(), timeLeftMs: endsMs - deps.clock.now(), lastEventId: progress.lastEventId,
+		});
+		const slot = isAllowed ? takeFreeSlot(this.context) : undefined;
+		if (slot) {
+			retries.tryConsumeRetry();
+			const isSent = await this.offerTo(slot);
+			if (!isSent) {
+				retries.returnRetry();
+			}
+		}
+	}
+
+	/** Sends the request to another target, and closes the silent answer as soon as that one has answered; resolves with false if the target was not reached. */
+	private async offerTo(slot: TargetSlot): Promise<boolean> {
+		const wentOn = this.silence.getNextEventSignal();
+		const opened = await openAttempt(this.context, slot, AbortSignal.any([this.context.signal, wentOn]));
+		if (opened.kind !== 'open') {
+			return opened.kind === 'broken' || opened.slotOutcome !== 'unreachable';
+		}
+
+		if (opened.signal.aborted) {
+			opened.answer.destroy();
+			endAttempt(this.context, opened, {kind: 'broken', reason: wentOn.aborted ? STREAM_WENT_ON : 'The request has ended.', slotOutcome: 'answered'});
+			return true;
+		}
+
+		this.next = opened;
+		this.attempt.answer.destroy();
+		return true;
+	}
+}
--- a/packages/callers/src/forward/try-place.ts
+++ b/packages/callers/src/forward/try-place.ts
@@ -1,7 +1,7 @@
-import type {TrafficRoute} from '@egretrill/common';
-import type {ForwardContext, AttemptOutcome} from './forward-context.js';
+import type {SendFailure, TrafficRoute} from '@egretrill/common';
+import type {AttemptFailure, AttemptOutcome, ForwardContext} from './forward-context.js';
+import type {TargetAnswer} from './forward-dependencies.js';
 import type {TargetSlot, SlotOutcome} from './place-queue.js';
-import {relayEvents, type RelayResult, relayBuffered} from './relay.js';
 import type {AnswerMetadata, ForwardCall} from './types.js';
 
 const STATUS_MISDIRECTED = 421;
@@ -9,54 +9,92 @@
 /** Statuses that guarantee to a caller that its request was not run. */
 const notRunStatuses: ReadonlySet<number> = new Set([408, 429, 503]);
 
-/** Sends the request to one target and relays its answer. */
-export async function forwardToTarget(context: ForwardContext, slot: TargetSlot): Promise<AttemptOutcome> {
-	const {deps: {clock, observer}, call, progress} = context;
+/** An attempt whose target has answered with a valid head. */
+export type OpenAttempt = {
+	readonly kind: 'open';
+	readonly slot: TargetSlot;
+	/** Cancels the attempt. */
+	readonly signal: AbortSignal;
+	/** Number of the attempt, from 1. */
+	readonly number: number;
+	readonly startedMs: number;
+	readonly answer: TargetAnswer;
+	readonly metadata: AnswerMetadata;
+};
+
+type AnsweredHead = Pick<OpenAttempt, 'kind' | 'answer' | 'metadata'>;
+
+/** Failure of an attempt during which an unexpected error was thrown. */
+export const EXCHANGE_FAILED: AttemptFailure = {kind: 'broken', reason: 'The exchange failed.', slotOutcome: 'answered'};
+
+/** Sends the request to one target and checks the head of its answer; releases the slot unless the answer is valid. */
+export async function openAttempt(context: ForwardContext, slot: TargetSlot, signal: AbortSignal): Promise<OpenAttempt | AttemptFailure> {
+	const {deps: {clock}, progress} = context;
 	const startedMs = clock.now();
-	progress.targetId = slot.targetId;
-	progress.outstanding = slot.outstanding;
-	let outcome: AttemptOutcome = {kind: 'broken', reason: 'The exchange failed.', slotOutcome: 'answered'};
+	progress.tried.add(slot.targetId);
+	let head: AnsweredHead | AttemptFailure = EXCHANGE_FAILED;
 	try {
-		outcome = await sendAndRelay(context, slot);
+		head = await sendRequest(context, slot, signal);
 	} finally {
-		slot.release(getSlotOutcome(context, outcome));
-		progress.tried.add(slot.targetId);
+		if (head.kind !== 'open') {
+			endAttempt(context, {
+				slot, signal, startedMs, number: progress.attempts,
+			}, head);
+		}
 	}
 
+	return head.kind === 'open'
+		? {
+			...head, slot, signal, startedMs, number: progress.attempts,
+		}
+		: head;
+}
+
+/** Releases the slot of an attempt and records how it ended. */
+export function endAttempt({deps: {clock, observer}, call, progress}: ForwardContext, attempt: Omit<OpenAttempt, 'kind' | 'answer' | 'metadata'>, outcome: AttemptOutcome): void {
+	const {slot, signal, number, startedMs} = attempt;
+	slot.release(getSlotOutcome(outcome, signal, progress.status));
 	progress.mayHaveRun ||= outcome.kind === 'broken';
 	observer.recordAttempt({
-		call, slot, attempt: progress.attempts, outcome: outcome.kind, tookMs: clock.now() - startedMs, ...('reason' in outcome && {reason: outcome.reason}),
+		call, slot, attempt: number, outcome: outcome.kind, tookMs: clock.now() - startedMs, ...('reason' in outcome && {reason: outcome.reason}),
 	});
-	return outcome;
 }
 
-/** The result of an attempt for the health of its target; an attempt that the caller, the timeout or a stopping host cancelled does not count as a failure. */
-function getSlotOutcome({signal, progress}: ForwardContext, outcome: AttemptOutcome): SlotOutcome {
+/** The result of an attempt for the health of its target; a cancelled attempt does not count as a failure. */
+function getSlotOutcome(outcome: AttemptOutcome, {aborted}: AbortSignal, status = 0): SlotOutcome {
 	if (outcome.kind === 'answered') {
-		return (progress.status ?? 0) >= STATUS_SERVER_ERROR ? 'failed' : 'answered';
+		return status >= STATUS_SERVER_ERROR ? 'failed' : 'answered';
 	}
 
-	return signal.aborted ? 'answered' : outcome.slotOutcome;
+	return aborted ? 'answered' : outcome.slotOutcome;
 }
 
-async function sendAndRelay(context: ForwardContext, slot: TargetSlot): Promise<AttemptOutcome> {
-	const {deps, call, body, route, customer, progress, signal, endsMs} = context;
-	const headers = deps.dialect.writeSendHeaders(call, {
-		targetId: slot.targetId,
+/** Describes a failed send by its error, or by the reason of its cancellation if one was given. */
+function describeFailure(summary: string, failure: SendFailure, {reason}: AbortSignal): string {
+	return typeof reason === 'string' ? reason : `${summary}: ${failure.reason}`;
+}
+
+function writeHeaders({deps, call, body, customer, route, progress, endsMs}: ForwardContext, {targetId}: TargetSlot): string[] {
+	return deps.dialect.writeSendHeaders(call, {
+		targetId,
 		timeLeftMs: Math.max(1, Math.floor(endsMs - deps.clock.now())),
 		bodyLength: body.length,
 		customer: customer?.name,
 		priority: customer?.priority ?? route.priority,
 		lastEventId: progress.lastEventId,
 	});
+}
+
+async function sendRequest(context: ForwardContext, slot: TargetSlot, signal: AbortSignal): Promise<AnsweredHead | AttemptFailure> {
+	const {deps, call, body, route, progress, exchange} = context;
 	const sent = await deps.sender.send({
-		address: slot.address, method: call.method, url: call.url, headers, body, mayReuse: isRetryable(route),
+		address: slot.address, method: call.method, url: call.url, headers: writeHeaders(context, slot), body, mayReuse: isRetryable(route),
 	}, signal);
 	if (sent.isErr) {
 		progress.attempts += sent.error.accepted ? 1 : 0;
 		return sent.error.accepted
-			? {kind: 'broken', reason: `The target broke off: ${sent.error.reason}`, slotOutcome: 'broke-off'}
-			: {kind: 'not-run', reason: `The target cannot be reached: ${sent.error.reason}`, slotOutcome: 'unreachable'};
+			? {kind: 'broken', reason: describeFailure('The target broke off', sent.error, signal), slotOutcome: 'broke-off'}
+			: {kind: 'not-run', reason: describeFailure('The target cannot be reached', sent.error, signal), slotOutcome: 'unreachable'};
 	}
 
 	progress.attempts += 1;
@@ -83,7 +121,17 @@
 		return {kind: 'broken', reason: `The target failed with ${answer.status}.`, slotOutcome: 'failed'};
 	}
 
-	return relay(context, answer, metadata);
+	if (exchange.hasStarted() && !isEventStream(answer.status, metadata)) {
+		answer.destroy();
+		return {kind: 'broken', reason: `The target answered the rest of a stream with ${answer.status}.`, slotOutcome: 'answered'};
+	}
+
+	return {kind: 'open', answer, metadata};
+}
+
+/** Whether an answer is relayed event by event. */
+export function isEventStream(status: number, metadata: AnswerMetadata): boolean {
+	return metadata.isEventStream && status < 300;
 }
 
 /** Why an answer must not be relayed, or undefined. */
@@ -100,33 +148,6 @@
 	return notRunStatuses.has(status) ? `The target answered ${status} and may have run the request.` : undefined;
 }
 
-async function relay(context: ForwardContext, answer: Parameters<typeof relayBuffered>[0]['answer'], metadata: AnswerMetadata): Promise<AttemptOutcome> {
-	const {deps: {clock}, exchange, route, progress} = context;
-	const isEventStream = metadata.isEventStream && answer.status < 300;
-	if (exchange.hasStarted() && !isEventStream) {
-		answer.destroy();
-		return {kind: 'broken', reason: `The target answered the rest of a stream with ${answer.status}.`, slotOutcome: 'answered'};
-	}
-
-	progress.status = answer.status;
-	const relayed = {
-		exchange, answer, headers: metadata.headers, onChunk() {
-			progress.chunkTimes.recordChunk();
-		},
-	};
-	const result: RelayResult = isEventStream
-		? await relayEvents(relayed, progress.lastEventId, route.isResumable ? {clock} : undefined)
-		: await relayBuffered(relayed);
-	progress.lastEventId = result.lastEventId ?? progress.lastEventId;
-	if (result.kind === 'complete') {
-		progress.answerSummary = {framing: answer.framing, bytes: result.bytes};
-		return {kind: 'answered'};
-	}
-
-	answer.destroy();
-	return {kind: 'broken', reason: result.reason ?? 'The answer ended early.', slotOutcome: 'broke-off'};
-}
-
 function isRetryable({repeat, isStream, isResumable}: TrafficRoute): boolean {
 	return isStream ? isResumable : repeat === 'idempotent';
 }
--- a/packages/callers/src/retry-budget.ts
+++ b/packages/callers/src/retry-budget.ts
@@ -35,6 +35,16 @@
 		return true;
 	}
 
+	/** Returns a consumed retry that reached no target. */
+	returnRetry(): void {
+		// Removes the counts of slices that have left the window.
+		this.getCurrentSlice();
+		const oldest = this.slices.find(({retries}) => retries > 0);
+		if (oldest) {
+			oldest.retries -= 1;
+		}
+	}
+
 	/** Whether the budget allows another retry. */
 	hasRetry(): boolean {
 		// Removes the counts of slices that have left the window.
--- a/packages/callers/tests/forward/place-queue.test.ts
+++ b/packages/callers/tests/forward/place-queue.test.ts
@@ -21,7 +21,7 @@
 
 		this.free -= 1;
 		const slot: TargetSlot = {
-			targetId: 't1', address: '127.0.0.1:1', zone: 'a', outstanding: 0, updateOutstanding: () => undefined, release: () => undefined,
+			targetId: 't1', address: '127.0.0.1:1', zone: 'a', outstanding: 0, updateOutstanding: () => undefined, reportSilence: () => undefined, release: () => undefined,
 		};
 		return {kind: 'slot', slot};
 	}
@@ -70,6 +70,23 @@
 		expect(order).toMatchSnapshot();
 	});
 
+	// Guards against a running request that takes another slot while requests of its priority or more urgent ones wait for it.
+	it('gives a running request only a slot that no other waits for', async () => {
+		const clock = new ManualClock();
+		const source = new FakeSource();
+		const queue = new SlotQueue(clock, source);
+		const take = (priority: number): boolean => queue.takeFree(createRequirements('m'), priority) !== undefined;
+		const taken = [take(1)];
+		const waiting = queue.acquire(createRequirements('m'), 1, createLimits(1000), new AbortController().signal);
+		source.free = 2;
+		taken.push(take(1), take(0));
+		queue.dispatch();
+		await waiting;
+		source.free = 1;
+		taken.push(take(1));
+		expect(taken).to.deep.equal([false, false, true, true]);
+	});
+
 	// Guards against a new request that overtakes requests waiting for the same model.
 	it('does not assign a new request the slot that another waits for', async () => {
 		const clock = new ManualClock();
--- a/packages/callers/tests/forward/support/forward-scenario.ts
+++ b/packages/callers/tests/forward/support/forward-scenario.ts
@@ -5,7 +5,7 @@
 import {Result} from 'true-myth';
 import {RetryBudget} from '../../../src/index.js';
 import {
-	type AnswerMetadata, type AnswerHead, CallerExchange, type ForwardCall, ForwardDialect, type ForwardEndEvent, ForwardObserver, type ForwardDependencies, forwardRequest, ForwardSender, type OutgoingMessage, type SlotResult, type SlotRequirements, SlotQueue, SlotSource, RatePoolClient, RateAllocations, type RequestHead, RetrySchedule, RouteTable, type SendDetails, type TargetAnswer,
+	type AnswerMetadata, type AnswerHead, type AttemptEvent, CallerExchange, type ForwardCall, ForwardDialect, type ForwardEndEvent, ForwardObserver, type ForwardDependencies, forwardRequest, ForwardSender, type OutgoingMessage, type SlotResult, type SlotRequirements, SlotQueue, SlotSource, RatePoolClient, RateAllocations, type RequestHead, RetrySchedule, RouteTable, type SendDetails, type TargetAnswer,
 } from '../../../src/forward/index.js';
 
 /** How a fake target answers one request. */
@@ -22,6 +22,10 @@
 	readonly failure?: SendFailure;
 	/** The target sends nothing after its chunks. */
 	readonly isSilent?: boolean;
+	/** Time that the target takes to answer. */
+	readonly headDelayMs?: number;
+	/** Pauses of the target before its chunks, by the index of the chunk. */
+	readonly pausesMs?: Readonly<Record<number, number>>;
 };
 
 class FakeDialect extends ForwardDialect {
@@ -56,6 +60,15 @@
 		const [targetId, timeLeftMs, customer, lastEventId] = headers;
 		this.sent.push(`${targetId} with ${timeLeftMs} ms${customer ? ` for ${customer}` : ''}${lastEventId ? ` after event ${lastEventId}` : ''}`);
 		const answer = this.answers.shift() ?? {};
+		if (answer.headDelayMs !== undefined) {
+			await this.clock.sleep(answer.headDelayMs, signal);
+		}
+
+		if (signal.aborted) {
+			this.sent.push(`${targetId} cancelled`);
+			return Result.err({accepted: true, code: 'ABORT_ERR', reason: 'aborted'});
+		}
+
 		if (answer.failure) {
 			return Result.err(answer.failure);
 		}
@@ -63,12 +76,22 @@
 		const closed = new AbortController();
 		const {clock} = this;
 		const body = async function * (): AsyncGenerator<Uint8Array> {
-			for (const chunk of answer.chunks ?? []) {
+			const ended = AbortSignal.any([signal, closed.signal]);
+			for (const [index, chunk] of (answer.chunks ?? []).entries()) {
+				const pauseMs = answer.pausesMs?.[index];
+				if (pauseMs !== undefined) {
+					await clock.sleep(pauseMs, ended);
+				}
+
+				if (ended.aborted) {
+					throw new Error('aborted');
+				}
+
 				yield Buffer.from(chunk);
 			}
 
 			if (answer.isSilent) {
-				await clock.sleep(1_000_000, AbortSignal.any([signal, closed.signal]));
+				await clock.sleep(1_000_000, ended);
 			}
 
 			if ([answer.isCut, answer.isSilent].includes(true)) {
@@ -95,7 +118,8 @@
 	readonly received: string[] = [];
 	private isStarted = false;
 
-	constructor(readonly head: RequestHead) {
+	/** `blockWrite` resolves when the caller accepts more data. */
+	constructor(readonly head: RequestHead, private readonly blockWrite: () => Promise<void>) {
 		super();
 	}
 
@@ -122,6 +146,7 @@
 
 	override async write(bytes: Uint8Array): Promise<void> {
 		this.received.push(Buffer.from(bytes).toString());
+		await this.blockWrite();
 	}
 
 	override end(): void {
@@ -140,18 +165,21 @@
 class FakeSlots extends SlotSource {
 	readonly ends: string[] = [];
 
-	constructor(private readonly targets: readonly string[]) {
+	/** Targets in `freeAfterMs` are full until then. */
+	constructor(private readonly targets: readonly string[], private readonly clock: ManualClock, private readonly freeAfterMs: Readonly<Record<string, number>>) {
 		super();
 	}
 
 	override findSlot({tried}: SlotRequirements): SlotResult {
-		const targetId = this.targets.find(target => !tried.has(target));
+		const targetId = this.targets.find(target => !tried.has(target) && this.clock.now() >= (this.freeAfterMs[target] ?? 0));
 		return targetId === undefined
 			? {kind: 'none'}
 			: {
 				kind: 'slot',
 				slot: {
-					targetId, address: `${targetId}:1`, zone: 'a', outstanding: 0, updateOutstanding: () => undefined, release: end => {
+					targetId, address: `${targetId}:1`, zone: 'a', outstanding: 0, updateOutstanding: () => undefined, reportSilence: () => {
+						this.ends.push(`${targetId} silent`);
+					}, release: end => {
 						this.ends.push(`${targetId} ${end}`);
 					},
 				},
@@ -168,6 +196,7 @@
 }
 
 class EndRecorder extends ForwardObserver {
+	readonly attempts: AttemptEvent[] = [];
 	readonly ends: ForwardEndEvent[] = [];
 	/** Requests that count as demand. */
 	arrivals = 0;
@@ -176,8 +205,8 @@
 		this.arrivals += 1;
 	}
 
-	override recordAttempt(): void {
-		// The sender records what is sent.
+	override recordAttempt(event: AttemptEvent): void {
+		this.attempts.push(event);
 	}
 
 	override recordEnd(event: ForwardEndEvent): void {
@@ -212,6 +241,12 @@
 	readonly answers?: readonly FakeAnswer[];
 	readonly targets?: readonly string[];
 	readonly headers?: readonly string[];
+	/** Times at which full targets get a free slot. */
+	readonly freeAfterMs?: Readonly<Record<string, number>>;
+	/** Time for which the caller accepts no data after each event. */
+	readonly writeMs?: number;
+	/** Retries that the service may use. */
+	readonly retryReserve?: number;
 	/** Time after which the caller disconnects. */
 	readonly disconnectsAfterMs?: number;
 	readonly isUnconfigured?: boolean;
@@ -225,6 +260,12 @@
 	return observer.arrivals;
 }
 
+/** Runs one request of a caller and returns how each attempt ended. */
+export async function listAttempts(opts: ScenarioOptions): Promise<readonly string[]> {
+	const {observer} = await runScenario(opts);
+	return observer.attempts.map(({slot, attempt, outcome, reason}) => `${slot.targetId} as ${attempt}: ${outcome}${reason ? `, ${reason}` : ''}`);
+}
+
 /** Runs one request of a caller and returns what the caller and the targets received. */
 export async function runRequest(opts: ScenarioOptions): Promise<unknown> {
 	const {exchange, sender, slots, observer} = await runScenario(opts);
@@ -240,9 +281,13 @@
 	const table = new RouteTable({...config, customers, routes: [{...route, ...opts.route}]});
 	const sender = new FakeSender([...opts.answers ?? []], clock);
 	const observer = new EndRecorder();
-	const exchange = new FakeExchange({method: 'POST', url: '/orders', rawHeaders: opts.headers ?? []});
-	const slots = new FakeSlots(opts.targets ?? ['t1', 't2', 't3']);
-	const retries = new RetryBudget(clock, {ratio: 0, reserve: 3});
+	const exchange = new FakeExchange({method: 'POST', url: '/orders', rawHeaders: opts.headers ?? []}, async () => {
+		if (opts.writeMs !== undefined) {
+			await clock.sleep(opts.writeMs);
+		}
+	});
+	const slots = new FakeSlots(opts.targets ?? ['t1', 't2', 't3'], clock, opts.freeAfterMs ?? {});
+	const retries = new RetryBudget(clock, {ratio: 0, reserve: opts.retryReserve ?? 3});
 	const rates = new RateAllocations(clock);
 	rates.setCustomers(customers ?? []);
 	const deps: ForwardDependencies = {
@@ -254,7 +299,7 @@
 		exchange.disconnected.abort();
 	}
 
-	await clock.run(5000);
+	await clock.run(10_000);
 	await served;
 	return {
 		exchange, sender, slots, observer,
--- a/packages/engines/src/registry/target-book.ts
+++ b/packages/engines/src/registry/target-book.ts
@@ -44,7 +44,14 @@
 export type TargetOutcome = 'answered' | 'failed' | 'broke-off' | 'unreachable';
 
 /** A slot for one request at a target, held until it is released with the outcome. */
-export type AcquiredSlot = {readonly registration: Registration; readonly outstanding: number; readonly updateOutstanding: (count: number) => void; readonly release: (outcome: TargetOutcome) => void};
+export type AcquiredSlot = {
+	readonly registration: Registration;
+	readonly outstanding: number;
+	readonly updateOutstanding: (count: number) => void;
+	/** Ranks the target last for a while, since it is silent in the middle of its answer. */
+	readonly reportSilence: () => void;
+	readonly release: (outcome: TargetOutcome) => void;
+};
 
 export type TargetTableOptions = {
 	readonly clock: Clock;
@@ -217,6 +224,9 @@
 			updateOutstanding(count) {
 				target.otherHostsRequests = Math.max(0, count - target.ownRequests);
 			},
+			reportSilence: () => {
+				target.suspectedUntilMs = Math.max(target.suspectedUntilMs, this.opts.clock.now() + SUSPECT_MS);
+			},
 			release: outcome => {
 				if (isReleased) {
 					return;
--- a/packages/engines/tests/registry/target-book.test.ts
+++ b/packages/engines/tests/registry/target-book.test.ts
@@ -110,6 +110,19 @@
 		expect({before, after: table.choose(requirements)}).toMatchSnapshot();
 	});
 
+	// Guards against new requests at a target whose open connections are silent, and against a working target that is avoided as long as one dead connection stays open.
+	it('avoids a target for a while after one of its answers was silent', () => {
+		const {table, clock} = createTable([register('near'), register('far', {zone: 'b'})]);
+		const slot = table.acquireSlot('near', requirements);
+		table.acquireSlot('far', requirements);
+		const chosen = [send(table, 'answered')];
+		slot?.reportSilence();
+		chosen.push(send(table, 'answered'));
+		clock.advance(1600);
+		chosen.push(send(table, 'answered'));
+		expect(chosen).to.deep.equal(['near', 'far', 'near']);
+	});
+
 	// Guards against overloading a cold target with the first burst.
 	it('limits the requests to a cold target to this host\'s share', () => {
 		const {table, clock} = createTable([register('cold', {coldForMs: 5000})]);
