callers: do not count the time in which a caller reads nothing as silence

The engine cannot send while the caller accepts no data, so the host took its own back pressure for silence and sent the request to another engine.

Change: the silence of a stream is suspended while a write to the caller is blocked, and counted from the moment at which the caller accepts data again.

--- a/apps/egretrilld/tests/traffic/silent-engine.test.ts
+++ b/apps/egretrilld/tests/traffic/silent-engine.test.ts
@@ -11,6 +11,9 @@
 const LAST_EVENT = 4;
 /** A pause that a sound engine may make; callers wait longer. */
 const PAUSE_MS = 1600;
+/** More than the buffers of both ends of two loopback connections hold. */
+const LONG_EVENT = 'x'.repeat(500_000);
+const LONG_EVENT_COUNT = 40;
 /** Time within which the first engine must be released after another one has answered. */
 const MAX_OVERLAP_MS = 400;
 /** Time that the test leaves for a connection to close. */
@@ -213,6 +216,36 @@
 		}).toMatchSnapshot();
 	});
 
+	// Guards against an engine that is taken for silent while its caller reads nothing.
+	it('is not looked for while the caller reads nothing', async () => {
+		const setup = await open({
+			async first(peer) {
+				await peer.readHead();
+				await peer.write(EVENTS);
+				for (let id = 1; id <= LONG_EVENT_COUNT; id += 1) {
+					await peer.write(`id: ${id}\ndata: ${LONG_EVENT}\n\n`);
+				}
+
+				peer.end();
+			},
+			second: resumeAfter(0),
+		});
+		const socket = await callWithoutReading(setup.host.port);
+		await delay(2500);
+		let text = '';
+		socket.on('data', (bytes: Uint8Array) => {
+			text += bytes.toString();
+		});
+		socket.resume();
+		await once(socket, 'close');
+		const ids = [...text.matchAll(/^id: (?<id>\d+)$/gmv)].map(({groups}) => Number(groups?.id));
+		const result = {
+			isInOrder: ids.every((id, index) => id === index + 1), count: ids.length, sentToOther: setup.targets[1]?.peers.length, ...describeRecords(setup),
+		};
+		close(setup);
+		expect(result).toMatchSnapshot();
+	}).timeout(20_000);
+
 	// Guards against engines that go on with a request whose caller has left, or whose time is over, during a switch.
 	it('is released together with the other one when the request ends', async () => {
 		const left = await open({first: silent, second: neverAnswering});
--- a/packages/callers/src/forward/relay.ts
+++ b/packages/callers/src/forward/relay.ts
@@ -101,7 +101,9 @@
 				}
 
 				onChunk?.(events.lastEventId);
+				movable?.silence.suspend();
 				await exchange.write(events.bytes);
+				movable?.silence.resume();
 				bytes += events.bytes.length;
 			}
 		}
--- a/packages/callers/src/forward/silence.ts
+++ b/packages/callers/src/forward/silence.ts
@@ -4,9 +4,10 @@
 /** Reason for cancelling the request at another target when the silent one goes on. */
 export const STREAM_WENT_ON = 'The silent target has gone on.';
 
-/** How long a stream has completed no event. */
+/** How long a stream has completed no event, apart from the time in which its caller accepted no data. */
 export class Silence {
 	private lastEventMs: number;
+	private isWriting = false;
 	private nextEvent: AbortController | undefined;
 
 	constructor(private readonly clock: Clock) {
@@ -19,8 +20,18 @@
 		this.nextEvent = undefined;
 	}
 
+	/** Suspends the measurement until `resume`, while the engine cannot send since its caller accepts no data. */
+	suspend(): void {
+		this.isWriting = true;
+	}
+
+	resume(): void {
+		this.isWriting = false;
+		this.lastEventMs = this.clock.now();
+	}
+
 	getDurationMs(): number {
-		return this.clock.now() - this.lastEventMs;
+		return this.isWriting ? 0 : this.clock.now() - this.lastEventMs;
 	}
 
 	/** Returns a signal that aborts at the next event. */
--- a/packages/callers/tests/forward/silence.test.ts
+++ b/packages/callers/tests/forward/silence.test.ts
@@ -28,6 +28,27 @@
 }
 
 describe('Silence', () => {
+	// Guards against a stream that counts as silent because its caller reads slowly.
+	it('does not include the time in which the caller accepts no data', () => {
+		const clock = new ManualClock();
+		const silence = new Silence(clock);
+		const durations: number[] = [];
+		const advance = (ms: number): void => {
+			clock.advance(ms);
+			durations.push(silence.getDurationMs());
+		};
+
+		advance(300);
+		silence.recordEvent();
+		silence.suspend();
+		advance(5000);
+		silence.resume();
+		advance(700);
+		silence.recordEvent();
+		advance(100);
+		expect(durations).to.deep.equal([300, 0, 700, 100]);
+	});
+
 	// Guards against a request at another target that goes on after the first one has completed an event.
 	it('aborts the signal at the next event only', () => {
 		const silence = new Silence(new ManualClock());
@@ -79,6 +100,11 @@
 		}).toMatchSnapshot();
 	});
 
+	// Guards against a switch while the caller accepts no data.
+	it('is not tried while the caller reads nothing', async () => {
+		expect(await run({writeMs: 3000, answers: [events(event(1), event(2)), resumed]})).toMatchSnapshot();
+	});
+
 	// Guards against requests that go on after the caller has left or the time is over.
 	it('ends with the request', async () => {
 		const silent = {...events(event(1)), isSilent: true};
