callers: read what has arrived before a stream counts as silent

Callers saw: nothing yet; found by reading. After a host stood still for more than a second (frozen process, blocked event loop) its timers fire before the data that arrived meanwhile is read, so each resumable stream looked silent and was sent to a second engine although its events were waiting in the socket. The events then cancelled the second request, but on a kept connection the engine had it already, and it used up an attempt and a retry.

Change: a wake-up of the watch that is more than 50 ms late is followed by another 50 ms before the silence is judged.

Evidence: "is not offered to others because the host itself stood still" (event loop blocked for 1.6 s after the events were written) failed before with one connection to the other target, and passes now, with 27 tests of silence, forward-request and silent-engine.

--- a/apps/egretrilld/tests/traffic/silent-engine.test.ts
+++ b/apps/egretrilld/tests/traffic/silent-engine.test.ts
@@ -246,6 +246,29 @@
 		expect(result).toMatchSnapshot();
 	}).timeout(20_000);
 
+	// Guards against the streams of a host being sent to other engines after it stood still, although their events have arrived meanwhile.
+	it('is not offered to others because the host itself stood still', async () => {
+		const setup = await open({
+			async first(peer) {
+				await peer.readHead();
+				await peer.write(`${EVENTS}${formatEvents('a', 1, 2)}`);
+				await delay(500);
+				await peer.write(formatEvents('a', 3, LAST_EVENT));
+				// Blocks the event loop that the host shares, without using the processor.
+				Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, PAUSE_MS);
+				await delay(CLOSE_TIME_MS);
+				peer.end();
+			},
+			second: resumeAfter(0),
+		});
+		const {body, isWhole} = await callRaw(setup.host.port);
+		const result = {
+			events: listEvents(body), isWhole, sentToOther: setup.targets[1]?.peers.length, ...describeRecords(setup),
+		};
+		close(setup);
+		expect(result).toMatchSnapshot();
+	});
+
 	// Guards against engines that go on with a request whose caller has left, or whose time is over, during a switch.
 	it('is released together with the other one when the request ends', async () => {
 		const left = await open({first: silent, second: neverAnswering});
--- a/packages/callers/src/forward/constants.ts
+++ b/packages/callers/src/forward/constants.ts
@@ -50,6 +50,9 @@
 /** Interval at which a free slot at another target is looked for while a stream is silent. */
 export const SWITCH_RETRY_INTERVAL_MS = 100;
 
+/** A timer that fires later than this shows that the host itself stood still. Timers fire before the data that arrived meanwhile is read, so a stream then seems silent that is not. */
+export const MAX_WAKE_DELAY_MS = 50;
+
 /** Answers that are not streams are buffered up to this size before they are sent to the caller. */
 export const MAX_BUFFERED_ANSWER_BYTES = 1_048_576;
 
--- a/packages/callers/src/forward/switch-watch.ts
+++ b/packages/callers/src/forward/switch-watch.ts
@@ -1,4 +1,4 @@
-import {SWITCH_RETRY_INTERVAL_MS} from './constants.js';
+import {MAX_WAKE_DELAY_MS, SWITCH_RETRY_INTERVAL_MS} from './constants.js';
 import type {ForwardContext} from './forward-context.js';
 import type {TargetSlot} from './place-queue.js';
 import {
@@ -44,7 +44,7 @@
 		while (!signal.aborted) {
 			const remainingMs = getTimeUntilSwitchMs(this.getSilentMs());
 			if (remainingMs > 0) {
-				await clock.sleep(remainingMs, signal);
+				await this.sleepAndCatchUp(remainingMs);
 				continue;
 			}
 
@@ -57,6 +57,17 @@
 		}
 	}
 
+	/** Sleeps; after a standstill of this host also until what arrived meanwhile has been read. */
+	private async sleepAndCatchUp(ms: number): Promise<void> {
+		const {clock} = this.context.deps;
+		const {signal} = this.stopping;
+		const dueMs = clock.now() + ms;
+		await clock.sleep(ms, signal);
+		if (clock.now() - dueMs > MAX_WAKE_DELAY_MS) {
+			await clock.sleep(MAX_WAKE_DELAY_MS, signal);
+		}
+	}
+
 	private async searchWhileSilent(): Promise<void> {
 		const {clock} = this.context.deps;
 		const {signal} = this.stopping;
