engines: count the head of an answer as a sign of life

Callers saw: a chat-completions stream that ends as "connection-silent" although its engine was never silent for the 3 s that the heartbeat deadline allows. The deadline ran from the start of the connection to the first byte of the body: a sound engine that pauses for 1.6 s before its head, and again between two heartbeats, was given up 3 s after the connection.

Change: the arrival of the head counts as received bytes.

Evidence: "outlasts the pauses of a sound engine" (head after 1.6 s, first body byte 2.6 s later) failed before with "connection-silent", and passes now. The other pauses in it (1.6 s between chunks, 2.6 s between heartbeats, 1.6 s between the end marker and the end) ended no answer before either.

--- a/packages/engines/src/client/engine-client.ts
+++ b/packages/engines/src/client/engine-client.ts
@@ -29,6 +29,8 @@
 				throw new StreamBrokenError(answer.error);
 			}
 
+			watchdog.recordBytes();
+
 			if (answer.value.status !== 200) {
 				throw new StreamBrokenError({accepted: true, code: 'engine-status', reason: `The engine answered with status ${answer.value.status}.`}, answer.value.status);
 			}
