--- a/packages/callers/src/forward/check-answer.ts
+++ b/packages/callers/src/forward/check-answer.ts
@@ -3,7 +3,7 @@
 import type {AnswerMetadata} from './types.js';
 
 export const STATUS_MISDIRECTED = 421;
-const STATUS_REDIRECT = 300;
+export const STATUS_REDIRECT = 300;
 /** Statuses that guarantee to a caller that its request was not run. */
 const notRunStatuses: ReadonlySet<number> = new Set([408, 429, 503]);
 
