callers: end a request with a true verdict after an unexpected exception

An exception on the way of a request, such as that of a client that rejected, ended in EntryHost.serve, which closed the caller's connection. The caller could not know whether its request ran, although nothing was sent in many cases; no end event was recorded; and while the exception was logged the head was parsed again, so that an exception of the parser became an unhandled rejection.

forwardRequest knows the progress of the request and now decides: an answer that was relayed completely stays, one that has started is closed, and otherwise the caller is told 503 "not run" if no attempt reached a target and 502 "may have run" if one did. The end event is recorded in each case, and then the exception is passed on to be logged.

The scenarios throw at each step: the caller got nothing, no end was recorded, and a request whose sender rejected was refunded.

--- a/apps/egretrilld/src/traffic/entry-host.ts
+++ b/apps/egretrilld/src/traffic/entry-host.ts
@@ -220,14 +220,27 @@
 		try {
 			await forwardRequest(exchange, this.forwardDependencies);
 		} catch (err: unknown) {
-			const requestId = sanitizeName(this.opts.dialect.readCall(exchange.head)?.attemptId ?? '');
-			this.opts.logger.error({err, requestId, url: req.url}, 'A request failed unexpectedly.');
-			exchange.abort();
+			this.logFailedRequest(exchange, err);
+			// The request has been ended already, unless that failed too.
+			if (!res.writableEnded) {
+				exchange.abort();
+			}
 		} finally {
 			endWork();
 		}
 	}
 
+	private logFailedRequest({head}: NodeExchange, err: unknown): void {
+		let requestId = '';
+		try {
+			requestId = sanitizeName(this.opts.dialect.readCall(head)?.attemptId ?? '');
+		} catch {
+			// The failure to be logged may be that the head cannot be parsed.
+		}
+
+		this.opts.logger.error({err, requestId, url: sanitizeName(head.url)}, 'A request failed unexpectedly.');
+	}
+
 	private async processQueue(signal: AbortSignal): Promise<void> {
 		const {clock} = this.opts;
 		while (!signal.aborted) {
--- a/packages/callers/src/forward/forward-request.ts
+++ b/packages/callers/src/forward/forward-request.ts
@@ -8,6 +8,7 @@
 import type {ForwardEndEvent, ForwardDependencies} from './forward-dependencies.js';
 import type {ForwardContext, ForwardProgress} from './forward-context.js';
 import {ChunkTimes} from './chunk-times.js';
+import {GuardedSender} from './guarded-sender.js';
 import type {TargetSlot, SlotRequirements} from './place-queue.js';
 import type {RateDecision} from './rate-part.js';
 import {getCost, pickService, type RouteTable} from './route-table.js';
@@ -18,46 +19,109 @@
 /** How a forwarded request ended. */
 type ForwardOutcome = 'answered' | 'broken' | Verdict;
 
-/** Serves a caller's request from its arrival to its answer. */
+/** What is known of a request so far. */
+type RequestState = {
+	readonly startedMs: number;
+	readonly table: RouteTable | undefined;
+	readonly progress: ForwardProgress;
+	call?: ForwardCall;
+	admitted?: Admitted | Refused;
+	/** Whether the exchange with the caller has been ended. */
+	hasEnded?: boolean;
+};
+
+/** Serves a caller's request from its arrival to its answer. Ends the request after an unexpected exception as well, and then rejects with it. */
 export async function forwardRequest(exchange: CallerExchange, deps: ForwardDependencies): Promise<void> {
 	const startedMs = deps.clock.now();
-	const progress: ForwardProgress = {
-		tried: new Set(), attempts: 0, mayHaveRun: false, waitMs: 0, lastEventId: undefined, chunkTimes: new ChunkTimes(deps.clock, startedMs),
+	const state: RequestState = {
+		startedMs,
+		table: deps.getTable(),
+		progress: {
+			tried: new Set(), attempts: 0, mayHaveRun: false, waitMs: 0, lastEventId: undefined, chunkTimes: new ChunkTimes(deps.clock, startedMs),
+		},
 	};
-	const table = deps.getTable();
+	const sender = new GuardedSender(deps.sender);
+	try {
+		finish(exchange, deps, state, await runRequest(exchange, {...deps, sender}, state));
+	} catch (err: unknown) {
+		if (!state.hasEnded) {
+			sender.destroyLastAnswer();
+			finish(exchange, deps, state, getFailedOutcome(exchange, state.progress));
+		}
+
+		throw err;
+	}
+}
+
+/** Runs a request and returns its outcome; keeps in the state what becomes known of it. */
+async function runRequest(exchange: CallerExchange, deps: ForwardDependencies, state: RequestState): Promise<ForwardOutcome> {
+	const {startedMs, table, progress} = state;
 	const call = deps.dialect.readCall(exchange.head);
-	const admitted = table && call ? await admit(exchange, table, call, deps) : undefined;
-	let outcome: ForwardOutcome;
+	state.call = call;
 	if (!table) {
-		outcome = refuse(503, 'not-ready', 'This host has no configuration yet.', NO_TARGET_RETRY_MS);
-	} else if (!call) {
-		outcome = refuse(400, 'invalid-request', 'The request lacks what it needs to be served.');
-	} else if (!admitted || 'refusal' in admitted) {
-		outcome = admitted?.refusal ?? refuse(400, 'invalid-request', 'The request was not read.');
-	} else {
-		progress.lastEventId = call.lastEventId;
-		outcome = await runWithDeadline({
-			...admitted, deps, exchange, call, table, progress,
-		}, startedMs);
+		return refuse(503, 'not-ready', 'This host has no configuration yet.', NO_TARGET_RETRY_MS);
+	}
+
+	if (!call) {
+		return refuse(400, 'invalid-request', 'The request lacks what it needs to be served.');
+	}
+
+	const admitted = await admit(exchange, table, call, deps);
+	state.admitted = admitted;
+	if ('refusal' in admitted) {
+		return admitted.refusal;
+	}
+
+	progress.lastEventId = call.lastEventId;
+	return runWithDeadline({
+		...admitted, deps, exchange, call, table, progress,
+	}, startedMs);
+}
+
+/** The outcome of a request that an unexpected exception ended. */
+function getFailedOutcome(exchange: CallerExchange, {attempts, answerSummary}: ForwardProgress): ForwardOutcome {
+	if (answerSummary) {
+		return 'answered';
 	}
 
+	if (exchange.hasStarted()) {
+		return 'broken';
+	}
+
+	return attempts > 0
+		? mayHaveRun(502, 'internal-error', 'The request failed unexpectedly after it was sent to a target.')
+		: refuse(503, 'internal-error', 'The request failed unexpectedly before it was sent to a target.', MIN_RETRY_AFTER_MS);
+}
+
+/** Ends the exchange with the caller and records the end. */
+function finish(exchange: CallerExchange, deps: ForwardDependencies, state: RequestState, outcome: ForwardOutcome): void {
 	const isRequestComplete = exchange.isRequestComplete();
-	endExchange(exchange, outcome);
-	deps.observer.recordEnd({
+	state.hasEnded = true;
+	try {
+		endExchange(exchange, outcome);
+	} finally {
+		deps.observer.recordEnd(createEndEvent(exchange, deps, state, {outcome, isRequestComplete}));
+	}
+}
+
+type End = {readonly outcome: ForwardOutcome; readonly isRequestComplete: boolean};
+
+function createEndEvent({callerDisconnected}: CallerExchange, {clock}: ForwardDependencies, {startedMs, table, progress, call, admitted}: RequestState, {outcome, isRequestComplete}: End): ForwardEndEvent {
+	return {
 		...(call && {call}),
 		...(admitted && {route: admitted.route?.name, targetLatencyMs: admitted.route?.targetLatencyMs, customer: admitted.customer?.name}),
 		configVersion: table?.config.version,
-		outcome: exchange.callerDisconnected.aborted && outcome !== 'answered' ? 'left' : outcome,
+		outcome: callerDisconnected.aborted && outcome !== 'answered' ? 'left' : outcome,
 		status: progress.status,
 		targetId: progress.targetId,
 		outstanding: progress.outstanding,
 		attempts: progress.attempts,
 		waitMs: progress.waitMs,
-		tookMs: deps.clock.now() - startedMs,
+		tookMs: clock.now() - startedMs,
 		...getChunkTimes(progress.chunkTimes),
 		...(!isRequestComplete && {isRequestIncomplete: true}),
 		...(progress.answerSummary && {bodyEnd: progress.answerSummary.framing, bodyBytes: progress.answerSummary.bytes}),
-	});
+	};
 }
 
 function getChunkTimes(chunkTimes: ChunkTimes): Pick<ForwardEndEvent, 'firstMs' | 'longestPauseMs'> {
--- a/packages/callers/tests/forward/forward-request.test.ts
+++ b/packages/callers/tests/forward/forward-request.test.ts
@@ -1,5 +1,5 @@
 import {expect} from 'chai';
-import {countDemand, runRequest} from './support/forward-scenario.js';
+import {countDemand, runFailingRequest, runRequest} from './support/forward-scenario.js';
 
 const failedAfterSend = {accepted: true, code: 'ECONNRESET', reason: 'reset'};
 const failedBeforeSend = {accepted: false, code: 'ECONNREFUSED', reason: 'refused'};
@@ -100,4 +100,18 @@
 			await runRequest({headers: ['time', '400'], targets: []}),
 		]).toMatchSnapshot();
 	});
+
+	// Guards against a caller whose connection is closed although its request reached no target, and against a refusal, refund or missing end event that is untrue.
+	it('ends a request with a true verdict after an unexpected exception', async () => {
+		expect({
+			beforeAdmission: await runFailingRequest({throwingStep: 'readCall'}),
+			beforeSending: await runFailingRequest({throwingStep: 'writeSendHeaders'}),
+			whileSending: await runFailingRequest({answers: [{isRejected: true}]}),
+			afterSending: await runFailingRequest({answers: [{isUnparsable: true}]}),
+			afterUnsent: await runFailingRequest({answers: [{failure: failedBeforeSend}, {isUnparsable: true}]}),
+			afterAnswer: await runFailingRequest({throwingStep: 'recordAttempt', answers: [{chunks: ['ok']}]}),
+			afterStart: await runFailingRequest({throwingStep: 'recordAttempt', answers: [{isEventStream: true, chunks: [event(1)], isCut: true}]}),
+			whileRefusing: await runFailingRequest({throwingStep: 'refuse', targets: []}),
+		}).toMatchSnapshot();
+	});
 });
--- a/packages/callers/tests/forward/support/forward-scenario.ts
+++ b/packages/callers/tests/forward/support/forward-scenario.ts
@@ -22,10 +22,34 @@
 	readonly failure?: SendFailure;
 	/** The target sends nothing after its chunks. */
 	readonly isSilent?: boolean;
+	/** The sender rejects. */
+	readonly isRejected?: boolean;
+	/** The head cannot be parsed, which throws. */
+	readonly isUnparsable?: boolean;
 };
 
+/** Step of a request that throws unexpectedly. */
+export type ThrowingStep = 'readCall' | 'writeSendHeaders' | 'recordAttempt' | 'refuse';
+
+class UnexpectedError extends Error {
+	constructor(step: string) {
+		super(`Unexpected in ${step}.`);
+	}
+}
+
+function throwAt(step: ThrowingStep, throwingStep: ThrowingStep | undefined): void {
+	if (step === throwingStep) {
+		throw new UnexpectedError(step);
+	}
+}
+
 class FakeDialect extends ForwardDialect {
+	constructor(private readonly throwingStep: ThrowingStep | undefined) {
+		super();
+	}
+
 	override readCall({method, url, rawHeaders}: RequestHead): ForwardCall {
+		throwAt('readCall', this.throwingStep);
 		const get = (name: string): string | undefined => rawHeaders[rawHeaders.indexOf(name) + 1];
 		const has = (name: string): boolean => rawHeaders.includes(name);
 		return {
@@ -34,11 +58,16 @@
 	}
 
 	override writeSendHeaders(_call: ForwardCall, {targetId, timeLeftMs, customer, lastEventId}: SendDetails): string[] {
+		throwAt('writeSendHeaders', this.throwingStep);
 		return [targetId, String(timeLeftMs), customer ?? '', String(lastEventId ?? '')];
 	}
 
 	override readAnswer({rawHeaders}: AnswerHead): AnswerMetadata {
 		const metadata = JSON.parse(rawHeaders[0] ?? '{}') as FakeAnswer;
+		if (metadata.isUnparsable) {
+			throw new UnexpectedError('readAnswer');
+		}
+
 		return {
 			attemptId: metadata.attemptId ?? 'attempt-1', isSigned: !metadata.isUnsigned, isNotExecuted: metadata.isNotExecuted ?? false, isEventStream: metadata.isEventStream ?? false, headers: ['x-target', 'yes'],
 		};
@@ -56,6 +85,10 @@
 		const [targetId, timeLeftMs, customer, lastEventId] = headers;
 		this.sent.push(`${targetId} with ${timeLeftMs} ms${customer ? ` for ${customer}` : ''}${lastEventId ? ` after event ${lastEventId}` : ''}`);
 		const answer = this.answers.shift() ?? {};
+		if (answer.isRejected) {
+			throw new UnexpectedError('send');
+		}
+
 		if (answer.failure) {
 			return Result.err(answer.failure);
 		}
@@ -95,7 +128,7 @@
 	readonly received: string[] = [];
 	private isStarted = false;
 
-	constructor(readonly head: RequestHead) {
+	constructor(readonly head: RequestHead, private readonly throwingStep: ThrowingStep | undefined) {
 		super();
 	}
 
@@ -133,6 +166,7 @@
 	}
 
 	override refuse({status, code, run, retryAfterMs}: Verdict): void {
+		throwAt('refuse', this.throwingStep);
 		this.received.push(`${status} ${code}, ${run}${retryAfterMs === undefined ? '' : `, return after ${Math.round(retryAfterMs)} ms`}`);
 	}
 }
@@ -172,12 +206,16 @@
 	/** Requests that count as demand. */
 	arrivals = 0;
 
+	constructor(private readonly throwingStep: ThrowingStep | undefined) {
+		super();
+	}
+
 	override recordArrival(): void {
 		this.arrivals += 1;
 	}
 
 	override recordAttempt(): void {
-		// The sender records what is sent.
+		throwAt('recordAttempt', this.throwingStep);
 	}
 
 	override recordEnd(event: ForwardEndEvent): void {
@@ -185,6 +223,15 @@
 	}
 }
 
+class RecordingRates extends RateAllocations {
+	wasRefunded = false;
+
+	override refund(name: string, cost: number): void {
+		this.wasRefunded = true;
+		super.refund(name, cost);
+	}
+}
+
 class UnavailablePoolClient extends RatePoolClient {
 	override async borrow(): Promise<undefined> {
 		return undefined;
@@ -217,6 +264,9 @@
 	readonly isUnconfigured?: boolean;
 	/** Rate of the only customer; unlimited if absent. */
 	readonly ratePerSecond?: number;
+	/** Whether this host may spend the customer's rate. */
+	readonly hasRate?: boolean;
+	readonly throwingStep?: ThrowingStep;
 };
 
 /** Runs one request of a caller and returns how often it was counted as demand. */
@@ -234,29 +284,53 @@
 	};
 }
 
-async function runScenario(opts: ScenarioOptions): Promise<{exchange: FakeExchange; sender: FakeSender; slots: FakeSlots; observer: EndRecorder}> {
+async function catchError(task: Promise<void>): Promise<unknown> {
+	try {
+		await task;
+		return undefined;
+	} catch (err: unknown) {
+		return err;
+	}
+}
+
+/** Runs one request that ends with an unexpected exception; returns also whether the customer's rate was refunded, and the reported exception. */
+export async function runFailingRequest(opts: ScenarioOptions): Promise<unknown> {
+	const {exchange, sender, slots, observer, rates, error} = await runScenario({
+		route: {isOpen: false}, headers: ['key', 'k'], ratePerSecond: 1, hasRate: true, ...opts,
+	});
+	return {
+		caller: exchange.received, targets: sender.sent, ends: slots.ends, logged: observer.ends.map(({outcome, attempts}) => [typeof outcome === 'object' ? outcome.code : outcome, attempts]), isRefunded: rates.wasRefunded, error: String(error),
+	};
+}
+
+async function runScenario(opts: ScenarioOptions): Promise<{exchange: FakeExchange; sender: FakeSender; slots: FakeSlots; observer: EndRecorder; rates: RecordingRates; error: unknown}> {
 	const clock = new ManualClock();
 	const customers = config.customers?.map(customer => ({...customer, ratePerSecond: opts.ratePerSecond ?? 0, burst: opts.ratePerSecond ?? 0}));
 	const table = new RouteTable({...config, customers, routes: [{...route, ...opts.route}]});
 	const sender = new FakeSender([...opts.answers ?? []], clock);
-	const observer = new EndRecorder();
-	const exchange = new FakeExchange({method: 'POST', url: '/orders', rawHeaders: opts.headers ?? []});
+	const observer = new EndRecorder(opts.throwingStep);
+	const exchange = new FakeExchange({method: 'POST', url: '/orders', rawHeaders: opts.headers ?? []}, opts.throwingStep);
 	const slots = new FakeSlots(opts.targets ?? ['t1', 't2', 't3']);
 	const retries = new RetryBudget(clock, {ratio: 0, reserve: 3});
-	const rates = new RateAllocations(clock);
+	const rates = new RecordingRates(clock);
 	rates.setCustomers(customers ?? []);
+	if (opts.hasRate) {
+		rates.setAllocation('c', {standing: 1, leased: 0, leaseEndsMs: 0});
+		await clock.run(2000);
+	}
+
 	const deps: ForwardDependencies = {
-		clock, random: () => 0, dialect: new FakeDialect(), queue: new SlotQueue(clock, slots), rates, poolClient: new UnavailablePoolClient(), retrySchedule: new RetrySchedule(clock), sender, observer, getTable: () => opts.isUnconfigured ? undefined : table, stopping: new AbortController().signal, getRetries: () => retries,
+		clock, random: () => 0, dialect: new FakeDialect(opts.throwingStep), queue: new SlotQueue(clock, slots), rates, poolClient: new UnavailablePoolClient(), retrySchedule: new RetrySchedule(clock), sender, observer, getTable: () => opts.isUnconfigured ? undefined : table, stopping: new AbortController().signal, getRetries: () => retries,
 	};
-	const served = forwardRequest(exchange, deps);
+	const served = catchError(forwardRequest(exchange, deps));
 	if (opts.disconnectsAfterMs !== undefined) {
 		await clock.run(opts.disconnectsAfterMs);
 		exchange.disconnected.abort();
 	}
 
 	await clock.run(5000);
-	await served;
+	const error = await served;
 	return {
-		exchange, sender, slots, observer,
+		exchange, sender, slots, observer, rates, error,
 	};
 }
