common: tell in exchangeHttp whether a request could have been written

A request with an unusable address, method or header failed with accepted: true although nothing was written, so that its caller was told that it may have run and no other target was tried. The failure now counts as accepted only once the request had a connection, new or kept alive; an exception while the request is created becomes a failure as well.

--- a/packages/common/src/http-exchange.ts
+++ b/packages/common/src/http-exchange.ts
@@ -1,7 +1,9 @@
 import {Buffer} from 'node:buffer';
-import type {Agent} from 'node:http';
+import type {Agent, ClientRequest} from 'node:http';
 import type {Socket} from 'node:net';
-import got, {RequestError, type Response, TimeoutError} from 'got';
+import got, {
+	type Request as GotRequest, RequestError, type Response, TimeoutError,
+} from 'got';
 import {Result} from 'true-myth';
 import type {
 	SendFailure, TargetAddress, TargetRequest, TargetResponse,
@@ -69,9 +71,26 @@
 	}
 }
 
-/** Sends one HTTP request to a target, without retries, and resolves with the head of the answer. */
-export async function exchangeHttp(target: TargetAddress, req: TargetRequest, signal: AbortSignal, agent: Agent): Promise<Result<TargetResponse, SendFailure>> {
-	const stream = got.stream(`http://${target.address}${req.path}`, {
+/** Calls back when a request gets its connection, which may be a kept-alive one. */
+function whenConnected(req: ClientRequest, onConnected: () => void): void {
+	const watch = (socket: Socket): void => {
+		if (socket.connecting) {
+			socket.once('connect', onConnected);
+		} else {
+			onConnected();
+		}
+	};
+
+	if (req.socket) {
+		watch(req.socket);
+	} else {
+		req.once('socket', watch);
+	}
+}
+
+/** Creates the exchange; nothing is written before a later iteration of the event loop. */
+function createExchange(target: TargetAddress, req: TargetRequest, signal: AbortSignal, agent: Agent): GotRequest {
+	return got.stream(`http://${target.address}${req.path}`, {
 		method: req.method as 'POST',
 		headers: createRequestHeaders(req),
 		...(req.body.length > 0 && {body: Buffer.from(req.body.buffer, req.body.byteOffset, req.body.byteLength)}),
@@ -83,6 +102,23 @@
 		timeout: {connect: TARGET_CONNECT_TIMEOUT_MS, request: Math.max(1, req.deadlineMs)},
 		signal,
 	});
+}
+
+/** Sends one HTTP request to a target, without retries, and resolves with the head of the answer or a failure. Never rejects. */
+export async function exchangeHttp(target: TargetAddress, req: TargetRequest, signal: AbortSignal, agent: Agent): Promise<Result<TargetResponse, SendFailure>> {
+	let stream: GotRequest;
+	try {
+		stream = createExchange(target, req, signal, agent);
+	} catch (err: unknown) {
+		return Result.err({...toSendFailure(err), accepted: false});
+	}
+
+	let isConnected = false;
+	stream.once('request', (sent: ClientRequest) => {
+		whenConnected(sent, () => {
+			isConnected = true;
+		});
+	});
 	// Failures after the head are reported to the reader of the body; without a listener they would terminate the process.
 	stream.on('error', () => undefined);
 	if (req.body.length === 0 && !bodilessMethods.has(req.method)) {
@@ -92,7 +128,9 @@
 
 	return new Promise(resolve => {
 		stream.once('error', (err: unknown) => {
-			resolve(Result.err(toSendFailure(err)));
+			// An invalid address, method or header fails before there is a connection to which a part could be written.
+			const failure = toSendFailure(err);
+			resolve(Result.err({...failure, accepted: isConnected && failure.accepted}));
 		});
 		stream.once('response', (response: Response) => {
 			const body = isCloseDelimited(response, req.method) ? failAfterReset(stream, detectReset(response.socket)) : stream;
--- /dev/null
+++ b/packages/common/tests/http-exchange.test.ts
@@ -0,0 +1,75 @@
+import {once} from 'node:events';
+import {Agent} from 'node:http';
+import {type AddressInfo, createServer} from 'node:net';
+import {text} from 'node:stream/consumers';
+import {expect} from 'chai';
+import {exchangeHttp, type TargetRequest} from '../src/index.js';
+
+const good: TargetRequest = {
+	requestId: 'req-1', method: 'GET', path: '/', headers: {}, body: new Uint8Array(0), deadlineMs: 2000,
+};
+
+describe('exchangeHttp', () => {
+	// Guards against an exception, and against "may have run" for a request that was never written.
+	it('resolves with a failure before the target was reached whatever is wrong with the request', async () => {
+		const cases: Readonly<Record<string, {readonly address?: string; readonly req?: Partial<TargetRequest>}>> = {
+			'port out of range': {address: '127.0.0.1:99999'},
+			'port 0': {address: '127.0.0.1:0'},
+			'no port number': {address: '127.0.0.1:x'},
+			'empty address': {address: ''},
+			'host with a space': {address: 'a b:80'},
+			'very long host': {address: `${'a'.repeat(100_000)}:80`},
+			'line break in a header': {req: {headers: {'x-target': 'i-1\r\nx-other: 1'}}},
+			'invalid header name': {req: {headers: {'a b': 'c'}}},
+			'line break in the id': {req: {requestId: 'a\nb'}},
+			'invalid method': {req: {method: 'G T'}},
+			'deadline that is no number': {req: {deadlineMs: Number.NaN}},
+			'nobody listens': {},
+		};
+		const outcomes: Record<string, unknown> = {};
+		const agent = new Agent();
+		for (const [name, {address = '127.0.0.1:1', req}] of Object.entries(cases)) {
+			for (const [kind, body] of Object.entries({empty: new Uint8Array(0), full: new Uint8Array(9)})) {
+				const sent = await exchangeHttp({targetId: 't-1', startId: 's-1', address}, {
+					...good, method: body.length > 0 ? 'POST' : 'GET', body, ...req,
+				}, new AbortController().signal, agent);
+				outcomes[`${name}, ${kind}`] = sent.isErr ? sent.error.accepted : 'answered';
+			}
+		}
+
+		agent.destroy();
+		expect(outcomes).to.deep.equal(Object.fromEntries(Object.keys(outcomes).map(name => [name, false])));
+	});
+
+	// Guards against "not run" for a request that a target received, also over a kept-alive connection.
+	it('reports that a target may have received a request', async () => {
+		let requests = 0;
+		const server = createServer(socket => {
+			socket.on('error', () => undefined);
+			socket.on('data', () => {
+				requests += 1;
+				if (requests % 2 === 0) {
+					socket.destroy();
+				} else {
+					socket.write('HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok');
+				}
+			});
+		});
+		server.listen(0, '127.0.0.1');
+		await once(server, 'listening');
+		const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+		const outcomes: unknown[] = [];
+		for (const keepAlive of [true, false]) {
+			const agent = new Agent({keepAlive});
+			for (let i = 0; i < 4; i++) {
+				const sent = await exchangeHttp({targetId: 't-1', startId: 's-1', address}, good, new AbortController().signal, agent);
+				outcomes.push(sent.isErr ? sent.error.accepted : await text(sent.value.body));
+			}
+
+			agent.destroy();
+		}
+
+		server.close();
+		expect(outcomes).to.deep.equal(['ok', true, 'ok', true, 'ok', true, 'ok', true]);
+	});
+});
