engines: connect to engines on port 80

openConnection took the port from a URL, which omits port 80, so that it connected to port 0: an engine at this port never got an order and stayed without the models that it was meant to load.

The test reads the port of a refused connection and failed before.

--- a/packages/engines/src/placement/order-channel.ts
+++ b/packages/engines/src/placement/order-channel.ts
@@ -73,10 +73,13 @@
 		: {result: 'refused', reason: `The engine refused with ${status}.`};
 }
 
+/** The URL parser omits this port. */
+const HTTP_PORT = 80;
+
 /** Opens a connection, so that a check can be made between connecting and writing. */
 export async function openConnection(address: string, signal: AbortSignal): Promise<Socket> {
 	const {hostname, port} = new URL(`http://${address}`);
-	const socket = connect({host: hostname.replaceAll(/[\[\]]/gv, ''), port: Number(port)});
+	const socket = connect({host: hostname.replaceAll(/[\[\]]/gv, ''), port: port === '' ? HTTP_PORT : Number(port)});
 	// Without a listener, a reset before the first write would end the process; the write then fails on the closed socket.
 	socket.on('error', () => undefined);
 	try {
--- a/packages/engines/tests/placement/order-channel.test.ts
+++ b/packages/engines/tests/placement/order-channel.test.ts
@@ -111,4 +111,20 @@
 		resetting.close();
 		expect(hadError).to.equal(true);
 	});
+
+	// Guards against an engine on port 80 that never gets an order, since a URL with this port has none.
+	it('connects to the port of the address', async () => {
+		const ports: unknown[] = [];
+		for (const port of [1, 80]) {
+			try {
+				// Nothing listens at this loopback address.
+				const socket = await openConnection(`127.77.77.77:${port}`, new AbortController().signal);
+				socket.destroy();
+			} catch (err: unknown) {
+				ports.push((err as {readonly port?: number}).port);
+			}
+		}
+
+		expect(ports).to.deep.equal([1, 80]);
+	});
 });
