--- a/apps/egretrilld/src/traffic/settings.ts
+++ b/apps/egretrilld/src/traffic/settings.ts
@@ -1,6 +1,6 @@
+import {SocketAddress} from '@egretrill/common';
 import {z} from 'zod';
 
-const address = z.string().regex(/^[\w.\-]+:\d{1,5}$/v, 'an address as ip:port');
 const milliseconds = z.number().nonnegative();
 
 /** Limits that the deployment sets for all hosts together. */
@@ -23,17 +23,17 @@
 	host: z.string(),
 	zone: z.string(),
 	/** Peer addresses of some control hosts. */
-	seeds: z.array(address).min(1),
+	seeds: z.array(SocketAddress).min(1),
 	bounds: TrafficBounds,
 	logLevel: z.enum(['debug', 'info', 'warn', 'error']).default('info'),
-	metrics: address.optional(),
+	metrics: SocketAddress.optional(),
 };
 
 /** Settings of a host that serves callers. */
 export const EntrySettings = z.object({
 	...common,
 	role: z.literal('entry'),
-	listen: z.object({callers: address, health: address}),
+	listen: z.object({callers: SocketAddress, health: SocketAddress}),
 });
 export type EntrySettings = z.infer<typeof EntrySettings>;
 
@@ -41,7 +41,7 @@
 export const ControlSettings = z.object({
 	...common,
 	role: z.literal('control'),
-	listen: z.object({control: address, peers: address}),
+	listen: z.object({control: SocketAddress, peers: SocketAddress}),
 	dataDir: z.string(),
 	/** True only when the whole fleet starts for the first time. */
 	isFirstStart: z.boolean(),
