common: pass no request on whose answer can no longer be sent

Callers saw: around the stop of a host, a request on a kept connection, or one that follows another before its answer, ran at a target and got no answer.

Cause: a host that stops closes its side of a connection at the end of an answer whose head had announced keep-alive, but still read requests from it and passed them on. Requests that follow one another without waiting were all started at once, so the later ones ran although the answer to the first one closed the connection.

Change: the requests of a connection are passed to the listener one after another, each once the answer before it has ended, and none once this host has closed its side. Such a connection is closed, and the request has certainly not run. This holds for all servers of the product.

--- a/apps/egretrilld/tests/traffic/host-stop.test.ts
+++ b/apps/egretrilld/tests/traffic/host-stop.test.ts
@@ -3,12 +3,15 @@
 import type {EntryHost} from '../../src/traffic/index.js';
 import {CallerSocket, describeAnswers} from './support/caller-socket.js';
 import {
-	DRAIN_MS, getPort, startEntryHost,
+	BALANCER_WAIT_MS, DRAIN_MS, getPort, startEntryHost,
 } from './support/entry-fixture.js';
 import {SIGNED} from './support/forward-host.js';
 import {type RawPeer, RawTarget} from './support/raw-target.js';
 
 const OK = `HTTP/1.1 200 OK\r\n${SIGNED}Content-Length: 5\r\n\r\nwhole`;
+const FIRST_EVENT = 'id: 1\ndata: a\n\n';
+const LAST_EVENT = 'id: 2\ndata: b\n\n';
+const STREAM = `HTTP/1.1 200 OK\r\n${SIGNED}events: 1\r\nContent-Length: ${FIRST_EVENT.length + LAST_EVENT.length}\r\n\r\n${FIRST_EVENT}`;
 const HEAD_START = 'GET / HTTP/1.1\r\n';
 const HEAD_END = 'Host: app.test\r\n\r\n';
 const STEP_MS = 50;
@@ -58,4 +61,54 @@
 		await stopped;
 		expect({lateAnswer, unfinished: describeAnswers(await unfinished.readToEnd()), passedOn}).toMatchSnapshot();
 	});
+
+	// Guards against a request that is passed on although its answer cannot be sent, because this host has closed its side of the connection.
+	it('does not pass on a request that crosses the close of a kept connection', async () => {
+		answer = async () => setTimeout(SLOW_MS);
+		const unfinished = await CallerSocket.open(getPort(host));
+		unfinished.write(HEAD_START + HEAD_END);
+		await setTimeout(STEP_MS);
+		let finish: () => void = () => undefined;
+		answer = async peer => {
+			await peer.write(STREAM);
+			await new Promise<void>(resolve => {
+				finish = resolve;
+			});
+			await peer.write(LAST_EVENT);
+		};
+
+		const caller = await CallerSocket.open(getPort(host));
+		caller.write(HEAD_START + HEAD_END);
+		await caller.waitForText('data: a');
+		const stopped = host.stop('test');
+		await setTimeout(BALANCER_WAIT_MS + STEP_MS);
+		finish();
+		await caller.waitForText('data: b');
+		caller.write(HEAD_START + HEAD_END);
+		await setTimeout(STEP_MS);
+		expect({received: describeAnswers(await caller.readToEnd()), passedOn}).toMatchSnapshot();
+		await stopped;
+	});
+
+	// Guards against a request that is passed on and gets no answer, because the answer before it on the connection closes the connection.
+	it('does not pass on a request that follows another one before its answer', async () => {
+		answer = async peer => {
+			await setTimeout(STEP_MS);
+			await peer.write(OK);
+		};
+
+		const caller = await CallerSocket.open(getPort(host));
+		caller.write((HEAD_START + HEAD_END).repeat(2));
+		const stopped = host.stop('test');
+		const received = describeAnswers(await caller.readToEnd());
+		expect({received, passedOn}).toMatchSnapshot();
+		await stopped;
+	});
+
+	// Guards against a second request that is lost because requests are served in order.
+	it('does not concern a host that runs, which answers requests in order', async () => {
+		const caller = await CallerSocket.open(getPort(host));
+		caller.write(HEAD_START + HEAD_END + HEAD_START + HEAD_END.replace('Host', 'Connection: close\r\nHost'));
+		expect({received: describeAnswers(await caller.readToEnd()), passedOn}).toMatchSnapshot();
+	});
 });
--- a/apps/egretrilld/tests/traffic/support/forward-host.ts
+++ b/apps/egretrilld/tests/traffic/support/forward-host.ts
@@ -1,11 +1,11 @@
 import {once} from 'node:events';
-import {createServer, type Server} from 'node:http';
+import type {Server} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import {
 	type AnswerHead, type AnswerMetadata, type AttemptEvent, type ForwardCall, type ForwardDependencies, ForwardDialect, type ForwardEndEvent, ForwardObserver, forwardRequest, ForwardSender, type OutgoingMessage, RateAllocations, RatePoolClient, type RequestHead, RetryBudget, RetrySchedule, RouteTable, type SendDetails, SlotQueue, type SlotRequirements, type SlotResult, SlotSource, type TargetAnswer,
 } from '@egretrill/callers';
 import {
-	MonotonicClock, type SendFailure, type TrafficConfig, type TrafficRoute,
+	createHttpServer, MonotonicClock, type SendFailure, type TrafficConfig, type TrafficRoute,
 } from '@egretrill/common';
 import type {Result} from 'true-myth';
 import {HttpSender} from '../../../src/traffic/http-sender.js';
@@ -143,7 +143,7 @@
 		const parts: ForwardDependencies = {
 			clock, random: () => 0, dialect: new TestDialect(), queue: new SlotQueue(clock, new FixedSlotSource(targets)), rates: new RateAllocations(clock), poolClient: new RefusingLender(), retrySchedule: new RetrySchedule(clock), sender: new ObservedSender(this.sender, onChunk), observer: this.observer, getTable: () => table, stopping: new AbortController().signal, getRetries: () => retries,
 		};
-		this.server = createServer((req, res) => {
+		this.server = createHttpServer((req, res) => {
 			void forwardRequest(new NodeExchange(req, res, () => false), parts);
 		});
 	}
--- a/packages/common/src/http-server.ts
+++ b/packages/common/src/http-server.ts
@@ -1,5 +1,6 @@
 import {createServer, type RequestListener, type Server} from 'node:http';
 import {keepIdleConnections} from './idle-connections.js';
+import {serveInOrder} from './serve-in-order.js';
 
 /** How long a client may take to send a request; the time for the answer is not limited. */
 export type ReadTimeouts = {
@@ -23,7 +24,7 @@
 
 /** Creates a server that answers 408 to a request that does not arrive completely within the timeouts, and closes its connection. */
 export function createHttpServer(listener: RequestListener, timeouts = DEFAULT_TIMEOUTS): Server {
-	const server = createServer({connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS}, listener);
+	const server = createServer({connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS}, serveInOrder(listener));
 	setReadTimeouts(server, timeouts);
 	keepIdleConnections(server);
 	return server;
