common: answer whole requests before the error of what follows them

Callers saw: a whole request whose connection then carried bytes that are no request, or the beginning of a further request that did not arrive in time, got 400 or 408 in place of its answer, while it ran at a target. A 408 promises that nothing was run. And callers whose bytes kept arriving after a 400 or 431 lost that answer through a reset of the connection.

Cause: Node writes the error of a connection at once, also in the place of an earlier request's answer, and closes the connection although more data arrives.

Change: the error is written only after the whole requests before it have their answers. After 400, 413 and 431 what still arrives is dropped for at most 5 s before the connection closes; after 408 it closes at once, since the rest of the request could still arrive and run.

--- a/packages/common/src/http-server.ts
+++ b/packages/common/src/http-server.ts
@@ -1,4 +1,5 @@
 import {createServer, type RequestListener, type Server} from 'node:http';
+import {answerClientErrors} from './client-errors.js';
 import {keepIdleConnections} from './idle-connections.js';
 import {serveInOrder} from './serve-in-order.js';
 
@@ -27,5 +28,6 @@
 	const server = createServer({connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS}, serveInOrder(listener));
 	setReadTimeouts(server, timeouts);
 	keepIdleConnections(server);
+	answerClientErrors(server);
 	return server;
 }
