egretrilld: end a stopping control host only after its successor is a voter

Callers saw: possibly a fleet without a leader for good, and with it every acknowledged change gone. In a planned replacement the new host starts first and the old one gets SIGTERM a second later. The new one was not a voter yet, so the old one counted too few others, stopped without leaving and stayed one of four voters until it had been silent for 2.5 s. When a disk was lost in this time, two of four voters were left.

Change: a stopping host waits up to 1.5 s until enough other hosts have made contact, and if so up to 3 s until they are voters, and then asks to leave; a leader stays until its removal is committed. Meanwhile its tasks go on, so that it serves as before. With no host to replace it, a stop takes 1.5 s longer.

--- a/apps/egretrilld/src/traffic/constants.ts
+++ b/apps/egretrilld/src/traffic/constants.ts
@@ -38,6 +38,15 @@
 /** Longest time that a stopping member waits for its own removal from the log. */
 export const LEAVE_TIMEOUT_MS = 1500;
 
+/** Longest time that a stopping member waits for a host that replaces it: the platform starts that one first, but it needs a while to be heard. */
+export const SUCCESSOR_CONTACT_TIMEOUT_MS = 1500;
+
+/** Longest time that a stopping member waits for a running host to become a voter in its place. */
+export const SUCCESSOR_CATCH_UP_TIMEOUT_MS = 3000;
+
+/** How often a stopping member checks whether it may stop. */
+export const LEAVE_CHECK_INTERVAL_MS = 50;
+
 /** Margin for clock drift and delays that a new order holder waits after the lease of the previous one. */
 export const ORDER_TAKEOVER_MARGIN_MS = 300;
 
--- a/apps/egretrilld/src/traffic/control-gossip.ts
+++ b/apps/egretrilld/src/traffic/control-gossip.ts
@@ -41,6 +41,11 @@
 		return id === this.opts.hostId ? this.opts.zone : this.contacts.get(id)?.zone;
 	}
 
+	/** Control hosts that this host has been in contact with since its start. */
+	get contactIds(): readonly string[] {
+		return [...this.contacts.keys()];
+	}
+
 	/** Time since the last contact with a control host, or since this host started if there was none. */
 	getContactAgeMs(id: string): number {
 		return id === this.opts.hostId ? 0 : this.opts.clock.now() - (this.contacts.get(id)?.lastContactMs ?? this.startedMs);
--- a/apps/egretrilld/src/traffic/control-host.ts
+++ b/apps/egretrilld/src/traffic/control-host.ts
@@ -137,16 +137,20 @@
 		];
 	}
 
-	/** Runs the log member, the gossip with other control hosts and, while this host is the leader, the leader's term, until the signal aborts. */
+	/** Runs the log member, the gossip with other control hosts and, while this host is the leader, the leader's term, until the signal aborts and this host has left the log. */
 	async run(signal: AbortSignal): Promise<void> {
+		const ended = new AbortController();
 		// The tasks for all members listen to this signal, which exceeds Node's default limit for listener leaks.
-		setMaxListeners(0, signal);
+		setMaxListeners(0, ended.signal);
 		await this.node.start();
 		const watching = this.reportLogFailure();
-		await Promise.all([
-			this.opts.watch.run(signal), this.followLog(signal), this.followRegistry(signal), this.gossip.run(signal), this.membership.join(signal), this.membership.removeUnresponsive(signal),
+		const tasks = Promise.all([
+			this.opts.watch.run(ended.signal), this.followLog(ended.signal), this.followRegistry(ended.signal), this.gossip.run(ended.signal), this.membership.removeUnresponsive(ended.signal),
 		]);
+		await this.membership.join(signal);
 		await this.membership.leave();
+		ended.abort();
+		await tasks;
 		this.term?.end();
 		await this.node.stop();
 		await watching;
--- a/apps/egretrilld/src/traffic/membership.ts
+++ b/apps/egretrilld/src/traffic/membership.ts
@@ -2,7 +2,7 @@
 import type {Clock, Logger} from '@egretrill/common';
 import type {FleetLog, FleetNode} from '@egretrill/hosts';
 import {
-	JOIN_RETRY_MS, LEAVE_TIMEOUT_MS, MEMBER_CHECK_INTERVAL_MS, MEMBER_TIMEOUT_MS,
+	JOIN_RETRY_MS, LEAVE_CHECK_INTERVAL_MS, LEAVE_TIMEOUT_MS, MEMBER_CHECK_INTERVAL_MS, MEMBER_TIMEOUT_MS, SUCCESSOR_CATCH_UP_TIMEOUT_MS, SUCCESSOR_CONTACT_TIMEOUT_MS,
 } from './constants.js';
 import type {ControlGossip} from './control-gossip.js';
 import type {ControlSettings} from './settings.js';
@@ -14,7 +14,7 @@
 	readonly logger: Logger;
 	readonly node: Pick<FleetNode, 'status' | 'isLeaderWithLease'>;
 	readonly log: Pick<FleetLog, 'propose'>;
-	readonly gossip: Pick<ControlGossip, 'leaderMemberIds' | 'getContactAgeMs'>;
+	readonly gossip: Pick<ControlGossip, 'leaderMemberIds' | 'contactIds' | 'getContactAgeMs'>;
 	/** Whether the log holds a request to remove this host, which the leader carries out once enough other voters run. */
 	readonly isRemovalRequested: () => boolean;
 };
@@ -61,12 +61,14 @@
 		}
 	}
 
-	/** Removes this host from the log before it stops if enough other voters remain; after a restart it requests membership again. */
+	/**
+	 * Removes this host from the log before it stops, once enough other voters remain; after a restart it requests membership
+	 * again. A host that replaces this one may not be a voter yet: this host waits for it, since otherwise it would stay among
+	 * the voters after its end.
+	 */
 	async leave(): Promise<void> {
 		const {clock, hostId, log, logger, node, settings} = this.opts;
-		const {members} = node.status();
-		const others = members.filter(({id, role}) => id !== hostId && role === 'voter');
-		if (!members.some(({id}) => id === hostId) || others.length < settings.minVoters) {
+		if (!node.status().members.some(({id}) => id === hostId) || !await this.waitForOtherVoters()) {
 			return;
 		}
 
@@ -74,7 +76,37 @@
 			kind: 'removeMember', memberId: hostId, requestId: randomUUID(), author: settings.host,
 		}, LEAVE_TIMEOUT_MS);
 		const outcome = await Promise.race([removal, clock.sleep(LEAVE_TIMEOUT_MS)]);
-		logger.info({others: others.length, outcome: outcome?.kind ?? 'timeout'}, 'This host requested its removal from the log.');
+		logger.info({others: this.countOtherVoters(), outcome: outcome?.kind ?? 'timeout'}, 'This host requested its removal from the log.');
+		// A leader replicates its own removal; it stops leading once that is committed.
+		await this.waitUntil(() => node.status().role !== 'leader', LEAVE_TIMEOUT_MS);
+	}
+
+	/** Waits for a host that replaces this one, and for it to become a voter; returns whether enough other voters remain. */
+	private async waitForOtherVoters(): Promise<boolean> {
+		const {minVoters} = this.opts.settings;
+		await this.waitUntil(() => this.countRunningOthers() >= minVoters, SUCCESSOR_CONTACT_TIMEOUT_MS);
+		if (this.countRunningOthers() >= minVoters) {
+			await this.waitUntil(() => this.countOtherVoters() >= minVoters, SUCCESSOR_CATCH_UP_TIMEOUT_MS);
+		}
+
+		return this.countOtherVoters() >= minVoters;
+	}
+
+	private countRunningOthers(): number {
+		const {gossip, hostId} = this.opts;
+		return gossip.contactIds.filter(id => id !== hostId && gossip.getContactAgeMs(id) <= MEMBER_TIMEOUT_MS).length;
+	}
+
+	private countOtherVoters(): number {
+		return this.opts.node.status().members.filter(({id, role}) => id !== this.opts.hostId && role === 'voter').length;
+	}
+
+	private async waitUntil(isReached: () => boolean, timeoutMs: number): Promise<void> {
+		const {clock} = this.opts;
+		const endMs = clock.now() + timeoutMs;
+		while (!isReached() && clock.now() < endMs) {
+			await clock.sleep(LEAVE_CHECK_INTERVAL_MS);
+		}
 	}
 
 	private isJoinNeeded(memberIds: readonly string[]): boolean {
--- a/apps/egretrilld/tests/traffic/membership.test.ts
+++ b/apps/egretrilld/tests/traffic/membership.test.ts
@@ -9,6 +9,7 @@
 	readonly proposed: string[] = [];
 	memberIds: readonly string[] = ['h1', 'h2', 'h3'];
 	leaderMemberIds: readonly string[] | undefined;
+	readonly contactIds = ['h1', 'h2', 'h3'];
 	contactAgeMs = new Map<string, number>();
 	isLeader = false;
 	isRemovalRequested = false;
@@ -46,9 +47,10 @@
 		return this.proposed;
 	}
 
-	private createGossip(): {readonly leaderMemberIds: readonly string[] | undefined; getContactAgeMs: (id: string) => number} {
+	private createGossip(): {readonly leaderMemberIds: readonly string[] | undefined; readonly contactIds: readonly string[]; getContactAgeMs: (id: string) => number} {
 		const getMemberIds = (): readonly string[] | undefined => this.leaderMemberIds;
 		return {
+			contactIds: this.contactIds,
 			get leaderMemberIds() {
 				return getMemberIds();
 			},
--- /dev/null
+++ b/apps/egretrilld/tests/traffic/support/sim-control-fleet.ts
@@ -0,0 +1,201 @@
+import {createLogger} from '@egretrill/common';
+import {TargetRegistry} from '@egretrill/engines';
+import {
+	type ControlHost, type ControlPeers, type FleetCommand, FleetLog, type Method, PeerCaller, type PeerCallError, proposeMethod,
+} from '@egretrill/hosts';
+import {Result} from 'true-myth';
+import {type Process, SimCluster} from '../../../../../packages/hosts/tests/support/sim-cluster.js';
+import {ControlGossip} from '../../../src/traffic/control-gossip.js';
+import {gossipMethod, Membership} from '../../../src/traffic/index.js';
+
+const SEED_COUNT = 3;
+/** Time from the start of a process until it takes part, as measured on the platform. */
+const STARTUP_MS = 700;
+/** An operator turns to another host after this time without an answer. */
+const OPERATOR_PATIENCE_MS = 1000;
+const OPERATOR_RETRY_MS = 100;
+const CALL_TIMEOUT_MS = 1000;
+
+const logger = createLogger('test', 'fatal');
+
+/** Calls between the simulated control hosts. */
+class SimPeers extends PeerCaller {
+	private knownIds: readonly string[];
+
+	constructor(private readonly fleet: SimControlFleet, private readonly selfId: string) {
+		super();
+		this.knownIds = fleet.seedIds;
+	}
+
+	setKnownHosts(hosts: readonly ControlHost[]): void {
+		this.knownIds = [...new Set([...hosts.map(({id}) => id), ...this.fleet.seedIds])];
+	}
+
+	getOthers(): readonly ControlHost[] {
+		return this.knownIds.filter(id => id !== this.selfId).map(id => ({id}));
+	}
+
+	override getVoterIds(): readonly string[] {
+		return this.knownIds;
+	}
+
+	override async call<Req, Res>(hostId: string, method: Method<Req, Res>, req: Req, deadlineMs = CALL_TIMEOUT_MS): Promise<Result<Res, PeerCallError>> {
+		const {cluster} = this.fleet;
+		const expire = async (): Promise<never> => {
+			await cluster.clock.sleep(deadlineMs);
+			throw new Error('timeout');
+		};
+
+		try {
+			const answer = await Promise.race([cluster.send(this.selfId, hostId, async process => this.fleet.handle(process, method, req)), expire()]);
+			return Result.ok(answer as Res);
+		} catch (err: unknown) {
+			const message = err instanceof Error ? err.message : String(err);
+			return Result.err({code: message.includes('ECONNREFUSED') ? 'unreachable' : 'timeout', message} as PeerCallError);
+		}
+	}
+}
+
+type SimControl = {readonly process: Process; readonly log: FleetLog; readonly gossip: ControlGossip; readonly membership: Membership; readonly stopping: AbortController; readonly ended: AbortController};
+
+export type SimControlFleetOptions = {readonly seed: number; readonly hostIds: readonly string[]; readonly machines: number};
+
+/** Control hosts with the real log and membership on a simulated network, clock and disks. */
+export class SimControlFleet {
+	readonly cluster: SimCluster;
+	readonly seedIds: readonly string[];
+	private readonly controls = new Map<string, SimControl>();
+	private hasStarted = false;
+
+	constructor(private readonly opts: SimControlFleetOptions) {
+		this.seedIds = opts.hostIds.slice(0, SEED_COUNT);
+		this.cluster = new SimCluster({seed: opts.seed, initialMembers: this.seedIds, minVoters: this.minVoters});
+	}
+
+	get minVoters(): number {
+		return (2 * this.opts.machines) + 1;
+	}
+
+	get runningIds(): readonly string[] {
+		return [...this.controls.keys()];
+	}
+
+	/** Starts all hosts for the first time and waits until a change is acknowledged. */
+	async startAll(): Promise<void> {
+		for (const id of this.opts.hostIds) {
+			void this.start(id);
+		}
+
+		await this.cluster.runUntilSettled(this.put(1));
+		this.hasStarted = true;
+	}
+
+	/** Starts a host after the usual startup time. */
+	async start(id: string): Promise<void> {
+		await this.cluster.clock.sleep(STARTUP_MS);
+		this.cluster.start(id, this.hasStarted ? [] : this.seedIds);
+		const process = this.cluster.processes.get(id);
+		if (process) {
+			const control = this.createControl(id, process);
+			this.controls.set(id, control);
+			void this.run(control);
+		}
+	}
+
+	/** Ends a host at once: by a kill, a loss of power, or a loss of power with its disk. */
+	lose(id: string, how: 'kill' | 'crash' | 'wipe'): void {
+		this.controls.get(id)?.stopping.abort();
+		this.controls.get(id)?.ended.abort();
+		this.controls.delete(id);
+		this.cluster[how](id);
+	}
+
+	/** Stops a host as on SIGTERM. */
+	async stop(id: string): Promise<void> {
+		const control = this.controls.get(id);
+		control?.stopping.abort();
+		await control?.membership.leave();
+		this.lose(id, 'kill');
+	}
+
+	/** Puts a configuration as an operator does: to another host after a second without an acknowledgement. */
+	async put(version: number): Promise<void> {
+		await this.propose({kind: 'putTraffic', traffic: {version, source: '{}'}});
+	}
+
+	async setZoneService(zone: string, isInService: boolean): Promise<void> {
+		await this.propose({kind: 'setZoneService', zone, isInService});
+	}
+
+	async handle(process: Process, method: {readonly path: string}, req: unknown): Promise<unknown> {
+		const {node} = process;
+		if (method.path === proposeMethod.path) {
+			return node.propose((req as {command: FleetCommand}).command);
+		}
+
+		const {hostId, zone} = req as {hostId: string; zone: string};
+		const control = [...this.controls.values()].find(other => other.process === process);
+		if (method.path !== gossipMethod.path || !control) {
+			throw new Error(`connect ECONNREFUSED ${method.path}`);
+		}
+
+		control.gossip.recordContact(hostId, zone);
+		const {members, leaderId} = node.status();
+		return {
+			registry: {
+				origin: 'o', revision: 1, isWhole: false, targets: [],
+			},
+			zone: 'z',
+			memberIds: members.map(({id}) => id),
+			...(leaderId !== undefined && (leaderId !== node.status().memberId || node.isLeaderWithLease()) && {leaderId}),
+		};
+	}
+
+	private createControl(id: string, process: Process): SimControl {
+		const {node, clock, state} = process;
+		const {cluster, minVoters} = this;
+		const peers = new SimPeers(this, id);
+		const gossip = new ControlGossip({
+			hostId: id, zone: 'z', clock, random: cluster.random, logger, node, peers: peers as unknown as ControlPeers, registry: new TargetRegistry(clock, id),
+		});
+		const log = new FleetLog({
+			hostId: id, clock, peers, node, getLeaderId: () => node.status().leaderId ?? gossip.leaderHint, getAgeMs: () => 0,
+		});
+		const membership = new Membership({
+			hostId: id,
+			settings: {
+				host: id, zone: 'z', minVoters, maxVoters: minVoters + 2,
+			},
+			clock,
+			logger,
+			node,
+			log,
+			gossip,
+			isRemovalRequested: () => state.getDesiredMemberships().get(id) === 'absent',
+		});
+		return {
+			process, log, gossip, membership, stopping: new AbortController(), ended: new AbortController(),
+		};
+	}
+
+	private async run({gossip, membership, stopping, ended}: SimControl): Promise<void> {
+		await Promise.all([gossip.run(ended.signal), membership.join(stopping.signal), membership.removeUnresponsive(ended.signal)]);
+	}
+
+	private async propose(command: FleetCommand): Promise<void> {
+		const {clock, random} = this.cluster;
+		let isAcknowledged = false;
+		while (!isAcknowledged) {
+			const controls = [...this.controls.values()];
+			const control = controls[Math.floor(random() * controls.length)];
+			const wait = async (): Promise<undefined> => {
+				await clock.sleep(control ? OPERATOR_PATIENCE_MS : OPERATOR_RETRY_MS);
+				return undefined;
+			};
+
+			const outcome = await Promise.race([control?.log.propose(command), wait()]);
+			isAcknowledged = outcome?.kind === 'committed' && control?.ended.signal.aborted === false;
+			await clock.sleep(isAcknowledged ? 0 : OPERATOR_RETRY_MS);
+		}
+	}
+}
--- a/packages/hosts/tests/support/sim-cluster.ts
+++ b/packages/hosts/tests/support/sim-cluster.ts
@@ -148,7 +148,8 @@
 		this.initialMembers = opts.initialMembers ?? ['a', 'b', 'c'];
 	}
 
-	start(id: string): void {
+	/** Starts a process of a member; `initialMembers` is empty when the fleet has been started before. */
+	start(id: string, initialMembers = this.initialMembers): void {
 		const disk = this.disks.get(id) ?? new MemoryFileSystem();
 		this.disks.set(id, disk);
 		const clock = new ProcessClock(this.clock);
@@ -157,7 +158,7 @@
 		const state = this.opts.createState?.() ?? new FleetState();
 		const node = new ConsensusNode({
 			memberId: id,
-			initialMembers: this.initialMembers,
+			initialMembers,
 			minVoters: this.opts.minVoters,
 			transport: new SimTransport(this, id),
 			storage: new FileLogStorage({folder: FOLDER, fileSystem}),
@@ -188,13 +189,20 @@
 		}
 	}
 
-	/** Terminates a process immediately; unsynced data is lost. */
+	/** Terminates a process immediately by a loss of power; unsynced data is lost. */
 	crash(id: string): void {
+		if (this.processes.has(id)) {
+			this.kill(id);
+			this.disks.get(id)?.crash(this.random);
+		}
+	}
+
+	/** Terminates a process immediately; its files stay as they are. */
+	kill(id: string): void {
 		const process = this.processes.get(id);
 		if (process) {
 			process.fileSystem.isDetached = true;
 			this.processes.delete(id);
-			this.disks.get(id)?.crash(this.random);
 			process.clock.resume();
 			void process.node.stop();
 		}
