egretrilld: test losses by moments for what control hosts acknowledge

A table of eight situations (all run, wiped leader, replaced follower or leader with and without a plan, all hosts replaced one after the other, all processes killed), four choices of disks and two sizes (1 of 3, 2 of 6 disks), the loss 0 to 400 ms after an order was sent, and the loss of all power at any moment of a replacement. In each the configuration and the zones out of service are in force after the loss, and the resent order is acknowledged again.

--- a/apps/egretrilld/tests/traffic/acknowledged-losses.test.ts
+++ b/apps/egretrilld/tests/traffic/acknowledged-losses.test.ts
@@ -6,11 +6,13 @@
 /** Time within which a fleet serves again once all machines are back. */
 const RECOVERY_MS = 12_000;
 const DOWN_MS = 1000;
+const ZONE = 'z1';
 
 type Size = {readonly machines: number; readonly hostIds: readonly string[]};
 
+const SMALL: Size = {machines: 1, hostIds: ['a:1', 'b:1', 'c:1']};
 const SIZES: readonly Size[] = [
-	{machines: 1, hostIds: ['a:1', 'b:1', 'c:1']},
+	SMALL,
 	{machines: 2, hostIds: ['a:1', 'b:1', 'c:1', 'd:1', 'e:1', 'f:1']},
 ];
 
@@ -38,11 +40,173 @@
 	}
 }
 
+/** Brings the fleet into the situation in which the loss strikes. Each ends once the machines concerned no longer count as lost. */
+type Situation = (fleet: SimControlFleet) => Promise<void>;
+
+async function replaceUnplanned(fleet: SimControlFleet, lostId: string): Promise<void> {
+	fleet.lose(lostId, 'wipe');
+	await fleet.cluster.clock.run(1000);
+	void fleet.start('new:1');
+	await fleet.cluster.clock.run(CATCH_UP_MS);
+}
+
+function getLeaderId(fleet: SimControlFleet): string {
+	return fleet.cluster.getLeader()?.node.status().memberId ?? '';
+}
+
+function getFollowerId(fleet: SimControlFleet): string {
+	return fleet.runningIds.find(id => id !== getLeaderId(fleet)) ?? '';
+}
+
+const SITUATIONS: Readonly<Record<string, Situation>> = {
+	async 'all members run'() {
+		// The fleet is as it was created.
+	},
+	async 'the leader has come back with an empty disk'(fleet) {
+		const id = getLeaderId(fleet);
+		fleet.lose(id, 'wipe');
+		await fleet.cluster.clock.run(3000);
+		void fleet.start(id);
+		await fleet.cluster.clock.run(CATCH_UP_MS);
+	},
+	async 'a follower is gone and an empty one has come at another address'(fleet) {
+		await replaceUnplanned(fleet, getFollowerId(fleet));
+	},
+	async 'the leader is gone and an empty one has come at another address'(fleet) {
+		await replaceUnplanned(fleet, getLeaderId(fleet));
+	},
+	async 'a follower was replaced as planned'(fleet) {
+		const id = getFollowerId(fleet);
+		void fleet.start('new:1');
+		await fleet.cluster.clock.run(1000);
+		void fleet.stop(id);
+		await fleet.cluster.clock.run(CATCH_UP_MS - 1000);
+	},
+	async 'the leader was replaced as planned'(fleet) {
+		const id = getLeaderId(fleet);
+		void fleet.start('new:1');
+		await fleet.cluster.clock.run(2000);
+		void fleet.stop(id);
+		await fleet.cluster.clock.run(CATCH_UP_MS - 2000);
+	},
+	async 'every host was replaced, one after the other'(fleet) {
+		for (const [i, id] of fleet.runningIds.entries()) {
+			void fleet.start(`new${i}:1`);
+			await fleet.cluster.clock.run(1000);
+			await fleet.cluster.runUntilSettled(fleet.stop(id));
+			await fleet.cluster.clock.run(CATCH_UP_MS);
+		}
+	},
+	async 'all processes were killed'(fleet) {
+		const ids = fleet.runningIds;
+		for (const id of ids) {
+			fleet.lose(id, 'kill');
+		}
+
+		await fleet.cluster.clock.run(900);
+		for (const id of ids) {
+			void fleet.start(id);
+		}
+
+		await fleet.cluster.clock.run(CATCH_UP_MS);
+	},
+};
+
+/** Chooses the disks that are lost; `ids` are the running hosts, those that have run longest first. */
+type Choice = (fleet: SimControlFleet, ids: readonly string[], machines: number) => readonly string[];
+
+const CHOICES: Readonly<Record<string, Choice>> = {
+	'the oldest disks': (_fleet, ids, machines) => ids.slice(0, machines),
+	'the newest disks': (_fleet, ids, machines) => ids.slice(-machines),
+	'the leader and others': (fleet, ids, machines) => [getLeaderId(fleet), ...ids.filter(id => id !== getLeaderId(fleet))].slice(0, machines),
+	'no disks': () => [],
+};
+
+/** Describes what an operator finds within the time for recovery. */
+async function describeRecovery(fleet: SimControlFleet): Promise<{version: number | undefined; zonesOut: readonly string[] | undefined}> {
+	const {cluster} = fleet;
+	await cluster.clock.runUntil(() => cluster.getLeader() !== undefined, RECOVERY_MS);
+	const state = cluster.getLeader()?.state;
+	return {version: state?.getTraffic()?.version, zonesOut: state?.getZonesOut()};
+}
+
+describe('what a control host acknowledged', () => {
+	for (const size of SIZES) {
+		for (const [situation, bringAbout] of Object.entries(SITUATIONS)) {
+			// Guards against an acknowledgement that too few disks back up, and against members of which too few remain to elect a leader.
+			it(`survives the loss of ${size.machines} of ${size.hostIds.length} disks and the power of all others when ${situation}`, async () => {
+				for (const [i, [choice, choose]] of Object.entries(CHOICES).entries()) {
+					const fleet = await createFleet(i + 1, size);
+					await bringAbout(fleet);
+					await fleet.cluster.runUntilSettled(fleet.setZoneService(ZONE, false));
+					await fleet.cluster.runUntilSettled(fleet.put(5));
+					await loseAtOnce(fleet, choose(fleet, fleet.runningIds, size.machines));
+					expect(await describeRecovery(fleet), choice).to.deep.equal({version: 5, zonesOut: [ZONE]});
+					await fleet.cluster.runUntilSettled(fleet.put(5));
+					fleet.cluster.stopAll();
+				}
+			});
+		}
+
+		// Guards against an acknowledgement before enough disks have synced the change: the loss comes at any moment after its sending.
+		it(`survives the loss of ${size.machines} of ${size.hostIds.length} disks 0 to 400 ms after the order was sent`, async () => {
+			for (let delayMs = 0; delayMs <= 400; delayMs += delayMs < 60 ? 5 : 40) {
+				const fleet = await createFleet(delayMs + 1, size);
+				const sent = fleet.put(5);
+				let isAcknowledged = false;
+				const observe = async (): Promise<void> => {
+					await sent;
+					isAcknowledged = true;
+				};
+
+				void observe();
+				await fleet.cluster.clock.run(delayMs);
+				const acknowledgedVersion = isAcknowledged ? 5 : 1;
+				await loseAtOnce(fleet, CHOICES['the leader and others']?.(fleet, fleet.runningIds, size.machines) ?? []);
+				await fleet.cluster.clock.runUntil(() => fleet.cluster.getLeader() !== undefined, RECOVERY_MS);
+				expect(fleet.cluster.getLeader()?.state.getTraffic()?.version, `after ${delayMs} ms`).to.be.at.least(acknowledgedVersion);
+				await fleet.cluster.runUntilSettled(sent);
+				fleet.cluster.stopAll();
+			}
+		});
+	}
+});
+
+async function stopLater(fleet: SimControlFleet, id: string): Promise<void> {
+	await fleet.cluster.clock.sleep(1000);
+	await fleet.stop(id);
+}
+
+describe('while the set of members changes, what a control host acknowledged', () => {
+	// Guards against members of which no majority comes back when the power fails between two steps of a change.
+	it('survives the loss of the power of all hosts at any moment', async () => {
+		for (let delayMs = 0; delayMs < CATCH_UP_MS; delayMs += 90) {
+			const fleet = await createFleet(delayMs + 1, SMALL);
+			const isPlanned = delayMs % 180 === 0;
+			const id = delayMs % 360 < 180 ? getLeaderId(fleet) : getFollowerId(fleet);
+			if (isPlanned) {
+				void fleet.start('new:1');
+				void stopLater(fleet, id);
+			} else {
+				fleet.lose(id, 'wipe');
+				void fleet.start('new:1');
+			}
+
+			await fleet.cluster.clock.run(delayMs);
+			await fleet.cluster.runUntilSettled(fleet.put(5));
+			await loseAtOnce(fleet, []);
+			const {version} = await describeRecovery(fleet);
+			expect(version, `${isPlanned ? 'planned' : 'unplanned'}, after ${delayMs} ms`).to.equal(5);
+			fleet.cluster.stopAll();
+		}
+	});
+});
+
 describe('planned replacement of a control host', () => {
 	// Guards against a stopped host that stays a voter, so that the loss of the oldest disk right after it leaves two voters of four.
 	it('ends the old host only after the new one has become a voter', async () => {
 		for (const [seed, pauseMs] of [[1, 300], [2, 1000], [3, 1700], [4, 2500]] as const) {
-			const fleet = await createFleet(seed, SIZES[0] ?? {machines: 1, hostIds: []});
+			const fleet = await createFleet(seed, SMALL);
 			void fleet.start('d:1');
 			await fleet.cluster.clock.run(pauseMs);
 			await fleet.cluster.runUntilSettled(fleet.stop('a:1'));
--- a/apps/egretrilld/tests/traffic/support/sim-control-fleet.ts
+++ b/apps/egretrilld/tests/traffic/support/sim-control-fleet.ts
@@ -20,15 +20,17 @@
 
 /** Calls between the simulated control hosts. */
 class SimPeers extends PeerCaller {
+	private readonly seedIds: readonly string[];
 	private knownIds: readonly string[];
 
 	constructor(private readonly fleet: SimControlFleet, private readonly selfId: string) {
 		super();
-		this.knownIds = fleet.seedIds;
+		this.seedIds = fleet.seedIds;
+		this.knownIds = this.seedIds;
 	}
 
 	setKnownHosts(hosts: readonly ControlHost[]): void {
-		this.knownIds = [...new Set([...hosts.map(({id}) => id), ...this.fleet.seedIds])];
+		this.knownIds = [...new Set([...hosts.map(({id}) => id), ...this.seedIds])];
 	}
 
 	getOthers(): readonly ControlHost[] {
@@ -63,7 +65,8 @@
 /** Control hosts with the real log and membership on a simulated network, clock and disks. */
 export class SimControlFleet {
 	readonly cluster: SimCluster;
-	readonly seedIds: readonly string[];
+	/** Hosts that started last, as the operators list them. */
+	seedIds: readonly string[];
 	private readonly controls = new Map<string, SimControl>();
 	private hasStarted = false;
 
@@ -95,6 +98,10 @@
 		await this.cluster.clock.sleep(STARTUP_MS);
 		this.cluster.start(id, this.hasStarted ? [] : this.seedIds);
 		const process = this.cluster.processes.get(id);
+		if (this.hasStarted) {
+			this.seedIds = [...this.seedIds.filter(seedId => seedId !== id), id].slice(-SEED_COUNT);
+		}
+
 		if (process) {
 			const control = this.createControl(id, process);
 			this.controls.set(id, control);
