engines: read what has arrived before a stream counts as lost

Callers saw: nothing yet; found by reading. After a host stood still for more than three seconds its timers fire before the bytes that arrived meanwhile are read, so the watchdog gave up all its chat-completions streams as "connection-silent" at once.

Change: a check that comes more than twice its interval after the one before judges nothing; the next one, 250 ms later, does.

--- a/packages/engines/src/client/stream-watchdog.ts
+++ b/packages/engines/src/client/stream-watchdog.ts
@@ -3,11 +3,15 @@
 	STREAM_END_DEADLINE_MS, STREAM_HEARTBEAT_DEADLINE_MS, STREAM_PROGRESS_DEADLINE_MS, STREAM_WATCHDOG_INTERVAL_MS,
 } from '../constants.js';
 
+/** A longer time between two checks shows that this host itself stood still. */
+const MAX_CHECK_INTERVAL_MS = 2 * STREAM_WATCHDOG_INTERVAL_MS;
+
 /** Aborts a stream whose connection is silent, whose engine makes no progress, or that does not end after its end marker. */
 export class StreamWatchdog {
 	private pausedMs: number | undefined;
 	private lastByteMs: number;
 	private lastProgressMs: number;
+	private lastCheckMs: number;
 	private doneMs: number | undefined;
 	private cause: 'connection-silent' | 'no-progress' | 'no-end' | undefined;
 	private readonly timer: NodeJS.Timeout;
@@ -15,6 +19,7 @@
 	constructor(private readonly clock: Clock, private readonly stop: AbortController) {
 		this.lastByteMs = clock.now();
 		this.lastProgressMs = clock.now();
+		this.lastCheckMs = clock.now();
 		this.timer = setInterval(() => {
 			this.check();
 		}, STREAM_WATCHDOG_INTERVAL_MS);
@@ -57,11 +62,14 @@
 	}
 
 	private check(): void {
-		if (this.pausedMs !== undefined) {
+		const now = this.clock.now();
+		const sinceLastCheckMs = now - this.lastCheckMs;
+		this.lastCheckMs = now;
+		// After a standstill of this host its timers fire before what arrived meanwhile is read, so the deadlines are checked only the next time.
+		if (this.pausedMs !== undefined || sinceLastCheckMs > MAX_CHECK_INTERVAL_MS) {
 			return;
 		}
 
-		const now = this.clock.now();
 		if (now - this.lastByteMs > STREAM_HEARTBEAT_DEADLINE_MS) {
 			this.cause = 'connection-silent';
 		} else if (now - this.lastProgressMs > STREAM_PROGRESS_DEADLINE_MS) {
--- a/packages/engines/tests/client/silent-stream.test.ts
+++ b/packages/engines/tests/client/silent-stream.test.ts
@@ -4,7 +4,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {MonotonicClock, StreamBrokenError} from '@egretrill/common';
 import {expect} from 'chai';
-import {EngineClient} from '../../src/index.js';
+import {EngineClient, STREAM_HEARTBEAT_DEADLINE_MS} from '../../src/index.js';
 
 /** A pause that a sound engine may make. */
 const PAUSE_MS = 1600;
@@ -91,4 +91,19 @@
 			betweenChunks, betweenHeartbeats, aroundHead, beforeEnd, forGood,
 		}).toMatchSnapshot();
 	});
+
+	// Guards against the streams of a host being given up after it stood still, although their bytes have arrived meanwhile.
+	it('outlasts a standstill of the host itself', async () => {
+		const items = await streamFrom(async res => {
+			sendHead(res);
+			res.write(HEARTBEAT);
+			await delay(100);
+			res.write(CHUNK);
+			// Blocks the event loop that the client shares, without using the processor.
+			Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, STREAM_HEARTBEAT_DEADLINE_MS + 500);
+			await delay(100);
+			res.end(DONE);
+		});
+		expect(items).to.equal('heartbeat chunk done');
+	});
 });
