callers: log the bytes of a stream from all its targets

Operators saw: a line of the end whose bodyBytes counts only what the last target sent, when a stream was resumed at another one.

Change: the progress record sums the relayed bytes over the attempts.

Evidence: "is recorded with the bytes of all engines of its answer" failed before with 30 of 60 bytes, and passes now, with 70 tests of packages/callers/tests/forward, silent-engine, answer-end and unbounded-answer.

--- a/apps/egretrilld/tests/traffic/silent-engine.test.ts
+++ b/apps/egretrilld/tests/traffic/silent-engine.test.ts
@@ -216,6 +216,15 @@
 		}).toMatchSnapshot();
 	});
 
+	// Guards against a log line that counts only the bytes of the engine that ended the answer.
+	it('is recorded with the bytes of all engines of its answer', async () => {
+		const setup = await open({first: pausing, second: resumeAfter(0)});
+		const {body} = await callRaw(setup.host.port);
+		const [end] = setup.host.observer.ends;
+		close(setup);
+		expect({recordedBytes: end?.bodyBytes, events: listEvents(body)}).to.deep.equal({recordedBytes: body.length, events: '1a 2a 3b 4b'});
+	});
+
 	// Guards against an engine that is taken for silent while its caller reads nothing.
 	it('is not looked for while the caller reads nothing', async () => {
 		const setup = await open({
--- a/packages/callers/src/forward/forward-context.ts
+++ b/packages/callers/src/forward/forward-context.ts
@@ -29,6 +29,8 @@
 	mayHaveRun: boolean;
 	waitMs: number;
 	lastEventId: number | undefined;
+	/** Body bytes relayed from all targets. */
+	relayedBytes: number;
 	readonly chunkTimes: ChunkTimes;
 	targetId?: string;
 	outstanding?: number;
--- a/packages/callers/src/forward/forward-request.ts
+++ b/packages/callers/src/forward/forward-request.ts
@@ -20,7 +20,7 @@
 export async function forwardRequest(exchange: CallerExchange, deps: ForwardDependencies): Promise<void> {
 	const startedMs = deps.clock.now();
 	const progress: ForwardProgress = {
-		tried: new Set(), attempts: 0, mayHaveRun: false, waitMs: 0, lastEventId: undefined, chunkTimes: new ChunkTimes(deps.clock, startedMs),
+		tried: new Set(), attempts: 0, mayHaveRun: false, waitMs: 0, lastEventId: undefined, relayedBytes: 0, chunkTimes: new ChunkTimes(deps.clock, startedMs),
 	};
 	const table = deps.getTable();
 	const call = deps.dialect.readCall(exchange.head);
--- a/packages/callers/src/forward/forward-to-target.ts
+++ b/packages/callers/src/forward/forward-to-target.ts
@@ -60,8 +60,9 @@
 	const result: RelayResult = isEventStream(answer.status, metadata)
 		? await relayEvents(relayed, progress.lastEventId, watch)
 		: await relayBuffered(relayed);
+	progress.relayedBytes += result.bytes;
 	if (result.kind === 'complete') {
-		progress.answerSummary = {framing: answer.framing, bytes: result.bytes};
+		progress.answerSummary = {framing: answer.framing, bytes: progress.relayedBytes};
 		return {kind: 'answered'};
 	}
 
