--- a/packages/callers/tests/forward/support/forward-scenario.ts
+++ b/packages/callers/tests/forward/support/forward-scenario.ts
@@ -16,6 +16,8 @@
 	readonly isNotExecuted?: boolean;
 	readonly isEventStream?: boolean;
 	readonly chunks?: readonly string[];
+	/** Without chunks: the id up to which the target sends the events that the request lacks. */
+	readonly lastId?: number;
 	/** The body is truncated. */
 	readonly isCut?: boolean;
 	/** The exchange fails; the value says whether the target may have received the request. */
@@ -49,8 +51,16 @@
 	}
 }
 
+/** Time from the head of a relayed answer until it ended or was closed. */
+export type AnswerTime = {readonly targetId: string | undefined; readonly openedMs: number; closedMs?: number};
+
+function createEvents(firstId: number, lastId: number): readonly string[] {
+	return Array.from({length: Math.max(0, lastId - firstId + 1)}, (_, index) => `id: ${firstId + index}\ndata: x\n\n`);
+}
+
 class FakeSender extends ForwardSender {
 	readonly sent: string[] = [];
+	readonly answerTimes: AnswerTime[] = [];
 
 	constructor(private readonly answers: FakeAnswer[], private readonly clock: ManualClock) {
 		super();
@@ -75,9 +85,13 @@
 
 		const closed = new AbortController();
 		const {clock} = this;
+		const time: AnswerTime = {targetId, openedMs: clock.now()};
+		const {answerTimes} = this;
+		const chunks = answer.chunks ?? createEvents(Number(lastEventId ?? 0) + 1, answer.lastId ?? 0);
 		const body = async function * (): AsyncGenerator<Uint8Array> {
+			answerTimes.push(time);
 			const ended = AbortSignal.any([signal, closed.signal]);
-			for (const [index, chunk] of (answer.chunks ?? []).entries()) {
+			for (const [index, chunk] of chunks.entries()) {
 				const pauseMs = answer.pausesMs?.[index];
 				if (pauseMs !== undefined) {
 					await clock.sleep(pauseMs, ended);
@@ -94,6 +108,7 @@
 				await clock.sleep(1_000_000, ended);
 			}
 
+			time.closedMs ??= clock.now();
 			if ([answer.isCut, answer.isSilent].includes(true)) {
 				throw new Error('aborted');
 			}
@@ -107,6 +122,7 @@
 			isComplete: () => !answer.isCut,
 			discard: () => undefined,
 			destroy() {
+				time.closedMs ??= clock.now();
 				closed.abort();
 			},
 		});
@@ -275,7 +291,11 @@
 	};
 }
 
-async function runScenario(opts: ScenarioOptions): Promise<{exchange: FakeExchange; sender: FakeSender; slots: FakeSlots; observer: EndRecorder}> {
+/** What took part in a request of a caller. */
+export type ScenarioResult = {readonly exchange: FakeExchange; readonly sender: FakeSender; readonly slots: FakeSlots; readonly observer: EndRecorder};
+
+/** Runs one request of a caller to its end. */
+export async function runScenario(opts: ScenarioOptions): Promise<ScenarioResult> {
 	const clock = new ManualClock();
 	const customers = config.customers?.map(customer => ({...customer, ratePerSecond: opts.ratePerSecond ?? 0, burst: opts.ratePerSecond ?? 0}));
 	const table = new RouteTable({...config, customers, routes: [{...route, ...opts.route}]});
@@ -299,7 +319,7 @@
 		exchange.disconnected.abort();
 	}
 
-	await clock.run(10_000);
+	await clock.run(200_000);
 	await served;
 	return {
 		exchange, sender, slots, observer,
