--- a/packages/callers/src/forward/forward-context.ts
+++ b/packages/callers/src/forward/forward-context.ts
@@ -32,6 +32,8 @@
 	lastEventId: number | undefined;
 	/** The events that have been relayed; absent before the first event stream. */
 	eventOrder?: EventOrder;
+	/** Body bytes relayed from all targets. */
+	relayedBytes: number;
 	readonly chunkTimes: ChunkTimes;
 	targetId?: string;
 	outstanding?: number;
--- a/packages/callers/src/forward/forward-request.ts
+++ b/packages/callers/src/forward/forward-request.ts
@@ -35,7 +35,7 @@
 		startedMs,
 		table: deps.getTable(),
 		progress: {
-			tried: new Set(), attempts: 0, mayHaveRun: false, waitMs: 0, lastEventId: undefined, chunkTimes: new ChunkTimes(deps.clock, startedMs),
+			tried: new Set(), attempts: 0, mayHaveRun: false, waitMs: 0, lastEventId: undefined, relayedBytes: 0, chunkTimes: new ChunkTimes(deps.clock, startedMs),
 		},
 	};
 	const sender = new GuardedSender(deps.sender);
--- a/packages/callers/src/forward/forward-to-target.ts
+++ b/packages/callers/src/forward/forward-to-target.ts
@@ -66,8 +66,9 @@
 		result = await relayBuffered(relayed);
 	}
 
+	progress.relayedBytes += result.bytes;
 	if (result.kind === 'complete') {
-		progress.answerSummary = {framing: answer.framing, bytes: result.bytes};
+		progress.answerSummary = {framing: answer.framing, bytes: progress.relayedBytes};
 		return {kind: 'answered'};
 	}
 
