hosts: export the simulated cluster to tests of other packages

The tests now import @egretrill/hosts/testing; a build after removing the dist folders of both packages passes.

--- a/apps/egretrilld/tests/traffic/support/sim-control-fleet.ts
+++ b/apps/egretrilld/tests/traffic/support/sim-control-fleet.ts
@@ -3,8 +3,8 @@
 import {
 	type ControlHost, type ControlPeers, type FleetCommand, FleetLog, type Method, PeerCaller, type PeerCallError, proposeMethod,
 } from '@egretrill/hosts';
+import {type Process, SimCluster} from '@egretrill/hosts/testing';
 import {Result} from 'true-myth';
-import {type Process, SimCluster} from '../../../../../packages/hosts/tests/support/sim-cluster.js';
 import {ControlGossip} from '../../../src/traffic/control-gossip.js';
 import {gossipMethod, Membership} from '../../../src/traffic/index.js';
 
--- /dev/null
+++ b/packages/hosts/tests/support/index.ts
@@ -0,0 +1,2 @@
+export * from './process-clock.js';
+export * from './sim-cluster.js';
