egretrilld: let no older state of the log replace a newer one at entry hosts

Callers saw: possibly requests in a zone out of service, for as long as no leader answers.

Change: a control host that has not replayed its log since its restart serves neither; the others name the log entry up to which their state is complete, and an entry host keeps what it has unless the answer is at least as new.

--- a/apps/egretrilld/src/traffic/control-follower.ts
+++ b/apps/egretrilld/src/traffic/control-follower.ts
@@ -43,6 +43,9 @@
 	/** Control hosts that did not answer the last poll. */
 	private readonly unresponsive = new Set<string>();
 	private leaderId: string | undefined;
+	/** Log entry up to which the adopted state is complete; a control host that restarted or was cut off may answer with an older one. */
+	private stateIndex = 0;
+	private zonesOut: readonly string[] = [];
 	/** Number of entry hosts that poll the leader. */
 	private hostCount = 1;
 	private lastResponseMs = Number.NEGATIVE_INFINITY;
@@ -130,7 +133,8 @@
 		return true;
 	}
 
-	private applyResponse({leaderId: reportedId, controls, config, zonesOut, registry, plan}: SyncResponse, controlId: string, sentMs: number): void {
+	private applyResponse(answer: SyncResponse, controlId: string, sentMs: number): void {
+		const {leaderId: reportedId, controls, registry, plan} = answer;
 		const {logger, peers, sink} = this.opts;
 		// A host that reports itself as leader without a plan has lost its lease, and its state may be outdated.
 		const leaderId = reportedId === controlId && !plan ? undefined : reportedId;
@@ -140,14 +144,23 @@
 		}
 
 		peers.setKnownHosts(controls);
-		if (config) {
-			sink.applyConfig(config);
-		}
-
-		sink.applyTargets(registry, zonesOut);
+		this.applyState(answer);
+		sink.applyTargets(registry, this.zonesOut);
 		if (plan) {
 			this.hostCount = plan.rates.hostCount;
 			sink.applyPlan(plan, sentMs);
 		}
 	}
+
+	private applyState({stateIndex, config, zonesOut}: SyncResponse): void {
+		if (stateIndex === undefined || stateIndex < this.stateIndex) {
+			return;
+		}
+
+		this.stateIndex = stateIndex;
+		this.zonesOut = zonesOut;
+		if (config) {
+			this.opts.sink.applyConfig(config);
+		}
+	}
 }
--- a/apps/egretrilld/src/traffic/control-host.ts
+++ b/apps/egretrilld/src/traffic/control-host.ts
@@ -19,6 +19,7 @@
 	borrowMethod, gossipMethod, readTrafficMethod, requestAdapterMethod, syncMethod,
 } from './methods.js';
 import {getReportedLeaderId} from './name-leader.js';
+import {getServedState} from './served-state.js';
 import type {ControlSettings} from './settings.js';
 import {SyncNotifier} from './sync-notifier.js';
 
@@ -98,14 +99,12 @@
 			bindFleetLog(this.node),
 			bindMethod(syncMethod, async ({report, configVersion, registry, waitMs}) => {
 				await this.syncNotifier.wait(configVersion, registry, waitMs);
-				const traffic = this.state.getTraffic();
 				const leaderId = this.getLeaderId();
 				const plan = this.getTerm()?.handleReport(report);
 				return {
 					...(leaderId !== undefined && {leaderId}),
 					controls: this.getControlHosts(),
-					...(traffic && traffic.version > configVersion && {config: traffic}),
-					zonesOut: [...this.state.getZonesOut()],
+					...getServedState({node: this.node, state: this.state}, configVersion),
 					registry: this.registry.getUpdateSince(registry, false),
 					...(plan && {plan}),
 				};
--- a/apps/egretrilld/src/traffic/index.ts
+++ b/apps/egretrilld/src/traffic/index.ts
@@ -15,5 +15,6 @@
 export * from './name-leader.js';
 export * from './pick-control.js';
 export * from './run-traffic.js';
+export * from './served-state.js';
 export * from './settings.js';
 export * from './sync-notifier.js';
--- a/apps/egretrilld/src/traffic/methods.ts
+++ b/apps/egretrilld/src/traffic/methods.ts
@@ -42,6 +42,8 @@
 const SyncResponse = z.object({
 	leaderId: z.string().optional(),
 	controls: z.array(Control),
+	/** Log entry up to which `config` and `zonesOut` are complete; absent while the host replays its log. */
+	stateIndex: count.optional(),
 	config: TrafficSource.optional(),
 	zonesOut: z.array(z.string()),
 	registry: RegistryUpdate,
--- a/apps/egretrilld/tests/traffic/control-follower.test.ts
+++ b/apps/egretrilld/tests/traffic/control-follower.test.ts
@@ -1,4 +1,4 @@
-import {createLogger, ManualClock} from '@egretrill/common';
+import {createLogger, ManualClock, type TrafficSource} from '@egretrill/common';
 import type {ControlHost, Method, PeerCallError} from '@egretrill/hosts';
 import {expect} from 'chai';
 import {Result} from 'true-myth';
@@ -16,7 +16,7 @@
 class FakeControlHosts {
 	readonly polledIds: string[] = [];
 
-	constructor(private readonly answers: Readonly<Record<string, Pick<SyncResponse, 'leaderId' | 'plan'>>>, private readonly clock: ManualClock) {}
+	constructor(private readonly answers: Readonly<Record<string, Partial<SyncResponse>>>, private readonly clock: ManualClock) {}
 
 	getOthers(): readonly ControlHost[] {
 		return Object.keys(this.answers).map(id => ({id}));
@@ -84,6 +84,42 @@
 	});
 });
 
+class RecordingSink extends CountingSink {
+	readonly versions: number[] = [];
+	readonly zonesOut = new Set<string>();
+
+	override applyConfig(config?: TrafficSource): void {
+		this.versions.push(config?.version ?? 0);
+	}
+
+	override applyTargets(_update?: SyncResponse['registry'], zonesOut: readonly string[] = []): void {
+		this.zonesOut.add(zonesOut.join(' '));
+	}
+}
+
+describe('ControlFollower without a leader', () => {
+	// Guards against an entry host that sends requests to a zone out of service, or goes back to an older configuration, because a restarted or cut-off control host answers.
+	it('keeps the newest state of the log, whichever host answers', async () => {
+		const clock = new ManualClock();
+		const peers = new FakeControlHosts({
+			newest: {stateIndex: 9, zonesOut: ['z1'], config: {version: 7, source: '{}'}},
+			behind: {stateIndex: 4, config: {version: 3, source: '{}'}},
+			replaying: {},
+		}, clock);
+		const sink = new RecordingSink();
+		const follower = new ControlFollower({
+			hostId: 'e1', zone: 'a', clock, logger: createLogger('test', 'fatal'), peers, sink,
+		});
+		const stopper = new AbortController();
+		const task = follower.run(stopper.signal);
+		await clock.run(1000);
+		stopper.abort();
+		await clock.run(500);
+		await task;
+		expect({versions: new Set(sink.versions), zonesOut: sink.zonesOut}).to.deep.equal({versions: new Set([7]), zonesOut: new Set(['z1'])});
+	});
+});
+
 describe('ControlFollower in a large fleet', () => {
 	async function countPolls(hostCount: number): Promise<number> {
 		const clock = new ManualClock();
