--- a/apps/egretrilld/src/traffic/control-follower.ts
+++ b/apps/egretrilld/src/traffic/control-follower.ts
@@ -45,6 +45,9 @@
 	/** Control hosts that did not answer the last poll. */
 	private readonly unresponsive = new Set<string>();
 	private leaderId: string | undefined;
+	/** Log entry up to which the adopted state is complete; a control host that restarted or was cut off may answer with an older one. */
+	private stateIndex = 0;
+	private zonesOut: readonly string[] = [];
 	/** Number of entry hosts that poll the leader. */
 	private hostCount = 1;
 	private lastResponseMs = Number.NEGATIVE_INFINITY;
@@ -134,7 +137,8 @@
 		return true;
 	}
 
-	private applyResponse({leaderId: reportedId, controls, config, zonesOut, registry, plan}: SyncResponse, controlId: string, sentMs: number): void {
+	private applyResponse(answer: SyncResponse, controlId: string, sentMs: number): void {
+		const {leaderId: reportedId, controls, registry, plan} = answer;
 		const {logger, peers, sink} = this.opts;
 		// A host that reports itself as leader without a plan has lost its lease, and its state may be outdated.
 		const leaderId = reportedId === controlId && !plan ? undefined : reportedId;
@@ -144,15 +148,24 @@
 		}
 
 		peers.setKnownHosts(controls);
-		if (config) {
-			sink.applyConfig(config);
-		}
-
+		this.applyState(answer);
 		warnOfSkippedEntries(this.skippedEntries, controlId, registry);
-		sink.applyTargets(registry, zonesOut);
+		sink.applyTargets(registry, this.zonesOut);
 		if (plan) {
 			this.hostCount = plan.rates.hostCount;
 			sink.applyPlan(plan, sentMs);
 		}
 	}
+
+	private applyState({stateIndex, config, zonesOut}: SyncResponse): void {
+		if (stateIndex === undefined || stateIndex < this.stateIndex) {
+			return;
+		}
+
+		this.stateIndex = stateIndex;
+		this.zonesOut = zonesOut;
+		if (config) {
+			this.opts.sink.applyConfig(config);
+		}
+	}
 }
