callers: do not continue an answer whose end has no place in a stream

On a resumable route a target's answer without events that had begun (over 1 MB) and broke off was continued with the events of the next target. A stream whose last event had no id was continued from an earlier event or from the first, so that its caller could get pieces twice.

Cause: every broken answer that had begun counted as a stream that can go on after the last id, also without events or without that id.

A retry after the start now needs an event stream whose last event with data has an id. A stream that has relayed comments alone is still sent from its start.

--- a/apps/egretrilld/tests/traffic/continued-streams.test.ts
+++ b/apps/egretrilld/tests/traffic/continued-streams.test.ts
@@ -8,6 +8,9 @@
 const EVENTS = `${OK}events: 1\r\n`;
 /** Ends a head whose body is cut off. */
 const CUT = 'Content-Length: 99999999\r\n\r\n';
+/** More than the host buffers of an answer before it sends it on. */
+const OVERLONG_BODY = 'x'.repeat(2_000_000);
+const MAX_SHOWN_LENGTH = 1000;
 const LAST_EVENT_ID = 5;
 
 const errorHead = 'HTTP/1.1 503 Service Unavailable\r\nnot-run: 1\r\nContent-Length: 4\r\n\r\nbusy';
@@ -40,7 +43,7 @@
 	const host = await ForwardHost.open({targets: targets.map(({address}) => address), route: {...route, maxAttempts: scripts.length}});
 	try {
 		const {status, content, isWhole} = await callRaw(host.port);
-		const shown = content.replaceAll(/id: (?<id>\d+)\ndata: \k<id>\n\n/gv, '[$<id>]');
+		const shown = content.length > MAX_SHOWN_LENGTH ? 'a part of the long body' : content.replaceAll(/id: (?<id>\d+)\ndata: \k<id>\n\n/gv, '[$<id>]');
 		const outcomes = host.observer.attempts.map(({outcome, reason}) => `${outcome}${reason === undefined ? '' : `: ${reason}`}`);
 		return `${status} ${status < 500 ? JSON.stringify(shown) : 'refused'}${isWhole ? '' : ' cut'}; ${outcomes.join(' ')}`;
 	} finally {
@@ -98,6 +101,17 @@
 		}).toMatchSnapshot();
 	}).timeout(60_000);
 
+	// Guards against events joined to an answer whose end they cannot follow.
+	it('is not continued when the place of its end is unknown', async () => {
+		expect(await runAll({
+			'events without ids': `${EVENTS}${CUT}data: x\n\n`,
+			'an event without id at the end': `${EVENTS}${CUT}${formatEvents(1)}data: x\n\n`,
+			'an event without id before the end': `${EVENTS}${CUT}data: x\n\n${formatEvents(1)}`,
+			'comments alone': `${EVENTS}${CUT}: note\n\n`,
+			'an answer without events': `${OK}${CUT}${OVERLONG_BODY}`,
+		}, async text => runScripts([answerWith(text), continueSoundly], resumable))).toMatchSnapshot();
+	}).timeout(60_000);
+
 	// Guards against a gap at a third target, and against a break of a stream whose ids count more than its events.
 	it('is continued in the steps of its ids', async () => {
 		const runSteps = async (...answers: readonly string[]): Promise<string> => runScripts(answers.map(text => answerWith(text)), resumable);
--- a/packages/callers/src/forward/event-order.ts
+++ b/packages/callers/src/forward/event-order.ts
@@ -15,6 +15,7 @@
 	private lastAnswerId: number | undefined;
 	private largestStep = MIN_ID_STEP;
 	private hasEvents = false;
+	private endsWithoutId = false;
 	private isContinuation = false;
 
 	constructor(private lastId: number | undefined) {}
@@ -24,6 +25,11 @@
 		return this.lastId;
 	}
 
+	/** Whether another target can be told where to go on; the place of an event without an id is unknown. */
+	canContinue(): boolean {
+		return !this.endsWithoutId;
+	}
+
 	/** Starts the checks of a further answer. */
 	beginAnswer(): void {
 		this.lastAnswerId = undefined;
@@ -38,6 +44,7 @@
 			}
 
 			this.hasEvents ||= hasData;
+			this.endsWithoutId ||= hasData;
 			return Result.ok(true);
 		}
 
@@ -52,6 +59,7 @@
 			this.largestStep = Math.max(this.largestStep, this.getStep(id));
 			this.lastId = id;
 			this.hasEvents = true;
+			this.endsWithoutId = false;
 		}
 
 		return Result.ok(isNew);
--- a/packages/callers/src/forward/forward-context.ts
+++ b/packages/callers/src/forward/forward-context.ts
@@ -30,7 +30,7 @@
 	mayHaveRun: boolean;
 	waitMs: number;
 	lastEventId: number | undefined;
-	/** The events that have been relayed; absent before the first event stream. */
+	/** The events that have been relayed; absent unless the answer is an event stream. */
 	eventOrder?: EventOrder;
 	readonly chunkTimes: ChunkTimes;
 	targetId?: string;
--- a/packages/callers/src/forward/try-place.ts
+++ b/packages/callers/src/forward/try-place.ts
@@ -103,6 +103,7 @@
 		progress.eventOrder ??= new EventOrder(progress.lastEventId);
 		result = await relayEvents(relayed, progress.eventOrder, route.isResumable ? {clock} : undefined);
 	} else {
+		progress.eventOrder = undefined;
 		result = await relayBuffered(relayed);
 	}
 
@@ -122,7 +123,7 @@
 
 /** Whether a request may be sent to another target after an attempt. */
 export function mayRetry({route, progress, exchange}: ForwardContext, outcome: 'not-run' | 'broken'): boolean {
-	if (exchange.hasStarted() && !(route.isStream && route.isResumable)) {
+	if (exchange.hasStarted() && !(route.isStream && route.isResumable && progress.eventOrder?.canContinue())) {
 		return false;
 	}
 
