engines: send each completion on a new connection

A caller of a completion that is not streamed got an earlier caller's 404 or 429 as its own answer, marked as run, when the engine wrote that answer once more on the kept connection.

Cause: the engine protocol names the request in the body of a 200 and in the chunks of a stream, but not in other answers, and completions shared kept connections.

Completions now use a connection each, as calls of plain services do, so that no earlier answer can arrive on it. Streams keep their connections: each chunk is checked, and another status never reaches the caller.

--- a/packages/engines/src/client/engine-client.ts
+++ b/packages/engines/src/client/engine-client.ts
@@ -10,13 +10,15 @@
 /** Sends requests to model engines over HTTP. */
 export class EngineClient extends EngineChannel {
 	private readonly agent = new Agent({keepAlive: true, maxFreeSockets: MAX_IDLE_ENGINE_CONNECTIONS, timeout: IDLE_CONNECTION_MS});
+	/** Answers other than 200 do not name their request, so on a kept connection a repeated one could be taken for the next one. Each chunk of a stream names it. */
+	private readonly newConnections = new Agent({keepAlive: false});
 
 	constructor(private readonly clock: Clock) {
 		super();
 	}
 
 	override async complete(target: TargetAddress, req: TargetRequest, signal: AbortSignal): Promise<Result<TargetResponse, SendFailure>> {
-		return exchangeHttp(target, req, signal, this.agent);
+		return exchangeHttp(target, req, signal, this.newConnections);
 	}
 
 	override async * stream(target: TargetAddress, req: TargetRequest, signal: AbortSignal): AsyncGenerator<readonly StreamItem[], void> {
@@ -64,6 +66,7 @@
 
 	close(): void {
 		this.agent.destroy();
+		this.newConnections.destroy();
 	}
 
 	private toStreamBrokenError(err: unknown, watchdog: StreamWatchdog): StreamBrokenError {
