engines: accept chunks only in sequence and an end only after the last chunk

A streamed completion ended as complete, with [DONE], when the engine sent the end marker without any chunk or, after a resume, after fewer chunks than the caller already had. An answer whose chunks repeated, went back or left one of the delivered ones out was joined to the stream as if it were the same run.

Cause: chunks below the next sequence number were dropped wherever they stood, and the end marker was accepted at any place.

Within one answer the sequence numbers must now follow each other, beginning at the first missing chunk or at a delivered one, and the end marker must follow the last chunk.

--- a/packages/callers/src/exchange-types.ts
+++ b/packages/callers/src/exchange-types.ts
@@ -29,7 +29,11 @@
 export type AttemptResult =
 	| {readonly kind: 'completed'; readonly tokens?: number; readonly times?: StreamTimes}
 	| {readonly kind: 'cancelled'}
-	| {readonly kind: 'failed'; readonly failure: SendFailure; readonly deliveredChunks: number};
+	/** `isTextDelivered` tells that the caller has the chunk that the engine marked as the last one of the text. */
+	| {readonly kind: 'failed'; readonly failure: SendFailure; readonly deliveredChunks: number; readonly isTextDelivered?: boolean};
 
 /** Builds the request that a target receives, without anything that identifies the caller. */
 export type TargetRequestBuilder = (resumeFrom: number) => TargetRequest;
+
+/** What the caller has received of a streamed answer. */
+export type DeliveredStream = {readonly deliveredChunks: number; readonly isTextDelivered: boolean};
--- a/packages/callers/src/relay-stream.ts
+++ b/packages/callers/src/relay-stream.ts
@@ -1,10 +1,11 @@
 import {StreamBrokenError, type StreamItem, type TargetAddress} from '@egretrill/common';
 import type {
-	AttemptResult, Exchange, StreamTimes, TargetRequestBuilder,
+	AttemptResult, DeliveredStream, Exchange, StreamTimes, TargetRequestBuilder,
 } from './exchange-types.js';
 
 type StreamProgress = {
 	deliveredChunks: number;
+	isTextDelivered: boolean;
 	completionTokens: number | undefined;
 	isDone: boolean;
 	receivedChunks: number;
@@ -44,6 +45,7 @@
 			progress.firstMs ??= nowMs;
 			progress.lastMs = nowMs;
 			progress.deliveredChunks = item.seq + 1;
+			progress.isTextDelivered ||= item.isLastOfText ?? false;
 			progress.completionTokens = item.completionTokens ?? progress.completionTokens;
 		} else if (item.kind === 'done') {
 			progress.isDone = true;
@@ -60,19 +62,23 @@
 }
 
 /** Makes one streamed attempt and relays it to the caller, from the first chunk that the caller does not have yet. */
-export async function relayStream(exchange: Exchange, target: TargetAddress, resumeFrom: number, buildRequest: TargetRequestBuilder): Promise<AttemptResult> {
+export async function relayStream(exchange: Exchange, target: TargetAddress, delivered: DeliveredStream, buildRequest: TargetRequestBuilder): Promise<AttemptResult> {
 	const {reply, signal, deps} = exchange;
 	const startedMs = deps.clock.now();
 	const progress: StreamProgress = {
-		deliveredChunks: resumeFrom, completionTokens: undefined, isDone: false, receivedChunks: 0, firstMs: undefined, lastMs: startedMs,
+		...delivered, completionTokens: undefined, isDone: false, receivedChunks: 0, firstMs: undefined, lastMs: startedMs,
 	};
 	try {
-		for await (const items of deps.engines.stream(target, buildRequest(resumeFrom), signal)) {
+		for await (const items of deps.engines.stream(target, buildRequest(delivered.deliveredChunks), signal)) {
 			// Data after the engine's end marker is read only so that the connection can be reused.
 			if (items.length === 0 || progress.isDone) {
 				continue;
 			}
 
+			if (!progress.isTextDelivered && items.some(item => item.kind === 'done' && item.hasNoChunks)) {
+				throw new StreamBrokenError({accepted: true, code: 'early-end', reason: 'The engine ended a resumed stream without a chunk.'});
+			}
+
 			if (!reply.isStarted) {
 				reply.start(200, {'content-type': 'text/event-stream; charset=utf-8', 'cache-control': 'no-store', 'x-request-id': exchange.req.requestId});
 			}
@@ -96,6 +102,8 @@
 			return {kind: 'completed', tokens: progress.completionTokens ?? progress.deliveredChunks, ...getTimes(progress, startedMs)};
 		}
 
-		return {kind: 'failed', failure: err.failure, deliveredChunks: progress.deliveredChunks};
+		return {
+			kind: 'failed', failure: err.failure, deliveredChunks: progress.deliveredChunks, isTextDelivered: progress.isTextDelivered,
+		};
 	}
 }
--- a/packages/callers/src/run-on-targets.ts
+++ b/packages/callers/src/run-on-targets.ts
@@ -97,6 +97,7 @@
 	readonly attempt: number;
 	readonly excluded: ReadonlySet<string>;
 	readonly deliveredChunks: number;
+	readonly isTextDelivered: boolean;
 	readonly hasReachedTarget: boolean;
 	/** The target start that holds the state of the answer to resume. */
 	readonly resumeAt?: string;
@@ -122,7 +123,7 @@
 	});
 	const buildRequest = createRequestBuilder(exchange);
 	return exchange.work.chat?.stream
-		? relayStream(exchange, chosen.address, state.deliveredChunks, buildRequest)
+		? relayStream(exchange, chosen.address, state, buildRequest)
 		: relayAnswer(exchange, chosen.address, buildRequest);
 }
 
@@ -161,6 +162,7 @@
 		attempt: state.attempt + 1,
 		excluded: isExcluded ? new Set([...state.excluded, targetId]) : state.excluded,
 		deliveredChunks: failed.deliveredChunks,
+		isTextDelivered: failed.isTextDelivered ?? state.isTextDelivered,
 		hasReachedTarget: state.hasReachedTarget || failed.failure.accepted,
 		...(isResume && {resumeAt: startId}),
 	});
@@ -176,7 +178,7 @@
 /** Runs an admitted request on one target after another until it is answered or must not be retried. */
 export async function runOnTargets(exchange: Exchange): Promise<Result<RunResult, Verdict>> {
 	let state: RunState = {
-		attempt: 1, excluded: new Set(), deliveredChunks: 0, hasReachedTarget: false,
+		attempt: 1, excluded: new Set(), deliveredChunks: 0, isTextDelivered: false, hasReachedTarget: false,
 	};
 	for (;;) {
 		const chosen = await exchange.deps.targets.choose(createRequirements(exchange, state), exchange.signal);
--- a/packages/common/src/engine-channel.ts
+++ b/packages/common/src/engine-channel.ts
@@ -5,9 +5,10 @@
 
 /** One item of a streamed answer, already checked against the request's id and the expected sequence number. */
 export type StreamItem =
-	| {readonly kind: 'chunk'; readonly seq: number; readonly data: string; readonly completionTokens?: number}
+	| {readonly kind: 'chunk'; readonly seq: number; readonly data: string; readonly completionTokens?: number; readonly isLastOfText?: boolean}
 	| {readonly kind: 'heartbeat'}
-	| {readonly kind: 'done'};
+	/** `hasNoChunks` marks the end of a resumed stream that brought no chunk of its request, which proves an end only after the last chunk. */
+	| {readonly kind: 'done'; readonly hasNoChunks?: boolean};
 
 /** A streamed exchange that ended before its answer was complete. */
 export class StreamBrokenError extends Error {
--- a/packages/engines/src/client/chunk-reader.ts
+++ b/packages/engines/src/client/chunk-reader.ts
@@ -29,6 +29,7 @@
 export class ChunkReader {
 	private items: StreamItem[] = [];
 	private nextSeq: number;
+	private lastReceivedSeq: number | undefined;
 	private isDone = false;
 	private readonly decoder = new TextDecoder();
 	private readonly parser = createParser({
@@ -49,7 +50,7 @@
 		maxBufferSize: MAX_ANSWER_BYTES,
 	});
 
-	constructor(private readonly requestId: string, resumeFrom: number) {
+	constructor(private readonly requestId: string, private readonly resumeFrom: number) {
 		this.nextSeq = resumeFrom;
 	}
 
@@ -74,8 +75,7 @@
 		}
 
 		if (data === DONE_MARKER) {
-			this.isDone = true;
-			this.items.push({kind: 'done'});
+			this.handleDone();
 			return;
 		}
 
@@ -84,19 +84,41 @@
 			throw createStreamError('crossed-chunk', 'The engine sent a chunk of another request.');
 		}
 
-		if (chunk.egretrill.seq < this.nextSeq) {
-			// An engine may resend delivered chunks after a resume.
-			return;
+		const {seq} = chunk.egretrill;
+		if (seq !== this.getExpectedSeq(seq)) {
+			throw createStreamError('missing-chunk', `Expected chunk ${this.getExpectedSeq(seq)}, received ${seq}.`);
 		}
 
-		if (chunk.egretrill.seq > this.nextSeq) {
-			throw createStreamError('missing-chunk', `Expected chunk ${this.nextSeq}, received ${chunk.egretrill.seq}.`);
+		this.lastReceivedSeq = seq;
+		if (seq < this.nextSeq) {
+			// An engine may resend delivered chunks after a resume.
+			return;
 		}
 
 		this.nextSeq += 1;
 		this.items.push({
 			// An event's data may span several lines, but the event sent to the caller has one data line. In JSON a line break is only white space.
-			kind: 'chunk', seq: chunk.egretrill.seq, data: data.replaceAll('\n', ' '), ...(chunk.usage && {completionTokens: chunk.usage.completion_tokens}),
+			kind: 'chunk',
+			seq,
+			data: data.replaceAll('\n', ' '),
+			...(chunk.usage && {completionTokens: chunk.usage.completion_tokens}),
+			...(chunk.choices.some(choice => typeof choice.finish_reason === 'string') && {isLastOfText: true}),
 		});
 	}
+
+	/** The sequence number that must follow; a resumed stream may begin with any chunk that was delivered before. */
+	private getExpectedSeq(seq: number): number {
+		return this.lastReceivedSeq === undefined ? Math.min(seq, this.nextSeq) : this.lastReceivedSeq + 1;
+	}
+
+	private handleDone(): void {
+		const hasNoChunks = this.lastReceivedSeq === undefined;
+		const isEnd = hasNoChunks ? this.resumeFrom > 0 : this.lastReceivedSeq === this.nextSeq - 1;
+		if (!isEnd) {
+			throw createStreamError('early-end', `The engine ended the stream before chunk ${this.nextSeq}.`);
+		}
+
+		this.isDone = true;
+		this.items.push({kind: 'done', ...(hasNoChunks && {hasNoChunks})});
+	}
 }
--- a/packages/engines/tests/client/repeated-answers.test.ts
+++ b/packages/engines/tests/client/repeated-answers.test.ts
@@ -101,7 +101,7 @@
 		}).toMatchSnapshot();
 	});
 
-	// Guards against a repeated refusal that counts as "not run", and against a repeated stream in the next one.
+	// Guards against a repeated refusal that counts as "not run", and against a repeated stream or end marker that ends the next stream as complete.
 	it('never becomes the answer to the next stream', async () => {
 		const formatChunk = (id: string): string => `data: {"id":"${id}","egretrill":{"seq":0},"choices":[]}\n\n`;
 		const done = 'data: [DONE]\n\n';
@@ -110,6 +110,7 @@
 			429: await runTwice(formatAnswer('429 Too Many Requests', 'busy'), own, readStream),
 			503: await runTwice(formatAnswer('503 Service Unavailable', 'busy'), own, readStream),
 			200: await runTwice(formatAnswer('200 OK', `${formatChunk('req-1')}${done}`), own, readStream),
+			'an end marker alone': await runTwice(formatAnswer('200 OK', done), own, readStream),
 		}).toMatchSnapshot();
 	});
 });
