callers: drop delivered events only on routes whose streams can be resumed

A caller that sent Last-Event-Id on a route without resumption lost the events up to that id when the target, as it may, answered with the whole stream; if there were no others it got 502.

Cause: the id counted as delivered on every route. It is still passed on, but only resumable routes drop events by it.

Evidence: continued-streams.test.ts, "a stream that its caller resumes"; before the change the caller got "[3][4]" and 502 instead of "[1][2][3][4]" and "[1][2]".

--- a/apps/egretrilld/tests/traffic/continued-streams.test.ts
+++ b/apps/egretrilld/tests/traffic/continued-streams.test.ts
@@ -38,11 +38,11 @@
 };
 
 /** Sends one request to a host whose targets run the scripts; describes the events that the caller received, and each attempt. */
-async function runScripts(scripts: readonly RawScript[], route: Partial<TrafficRoute>): Promise<string> {
+async function runScripts(scripts: readonly RawScript[], route: Partial<TrafficRoute>, headers = ''): Promise<string> {
 	const targets = await Promise.all(scripts.map(async script => RawTarget.open(script)));
 	const host = await ForwardHost.open({targets: targets.map(({address}) => address), route: {...route, maxAttempts: scripts.length}});
 	try {
-		const {status, content, isWhole} = await callRaw(host.port);
+		const {status, content, isWhole} = await callRaw(host.port, {headers});
 		const shown = content.length > MAX_SHOWN_LENGTH ? 'a part of the long body' : content.replaceAll(/id: (?<id>\d+)\ndata: \k<id>\n\n/gv, '[$<id>]');
 		const outcomes = host.observer.attempts.map(({outcome, reason}) => `${outcome}${reason === undefined ? '' : `: ${reason}`}`);
 		return `${status} ${status < 500 ? JSON.stringify(shown) : 'refused'}${isWhole ? '' : ' cut'}; ${outcomes.join(' ')}`;
@@ -126,6 +126,21 @@
 	}).timeout(60_000);
 });
 
+describe('a stream that its caller resumes', () => {
+	// Guards against events that the caller already has, and against events that are left out of a stream that cannot be resumed.
+	it('begins after the last event of the caller only where streams can be resumed', async () => {
+		const answers = {
+			'the following events': formatEvents(3, 4), 'all events': formatEvents(1, 2, 3, 4), 'delivered events alone': formatEvents(1, 2),
+		};
+		const run = async (text: string, route: Partial<TrafficRoute>): Promise<string> => runScripts([answerWith(`${EVENTS}\r\n${text}`)], route, 'last-event-id: 2\r\n');
+		expect({
+			resumable: await runAll(answers, async text => run(text, resumable)),
+			'not resumable': await runAll(answers, async text => run(text, {isStream: true})),
+			'not resumed': await runScripts([answerWith(`${EVENTS}\r\n${formatEvents(1, 2)}`)], resumable),
+		}).toMatchSnapshot();
+	}).timeout(60_000);
+});
+
 describe('the events of one answer', () => {
 	// Guards against doubled events, another run's events or an error in one answer; ids only have to increase, so a larger step is no gap.
 	it('have increasing ids and contain no other text', async () => {
--- a/apps/egretrilld/tests/traffic/support/forward-host.ts
+++ b/apps/egretrilld/tests/traffic/support/forward-host.ts
@@ -14,12 +14,23 @@
 /** Headers that a target's answer needs to be forwarded. */
 export const SIGNED = 'seal: s\r\nattempt: a1\r\n';
 
+function getHeader(rawHeaders: readonly string[], name: string): string | undefined {
+	const index = rawHeaders.findIndex((value, i) => i % 2 === 0 && value === name);
+	return index === -1 ? undefined : rawHeaders[index + 1];
+}
+
 /** Dialect of a deployment whose targets sign answers with `seal` and identify the request with `attempt`. */
 class TestDialect extends ForwardDialect {
 	override readCall({method, url, rawHeaders}: RequestHead): ForwardCall {
-		const attemptIndex = rawHeaders.indexOf('attempt');
+		const lastEventId = getHeader(rawHeaders, 'last-event-id');
 		return {
-			attemptId: rawHeaders[attemptIndex === -1 ? rawHeaders.length : attemptIndex + 1] ?? 'a1', method, url, hostName: 'app.test', promptParts: [], headers: ['Host', 'app.test'],
+			attemptId: getHeader(rawHeaders, 'attempt') ?? 'a1',
+			method,
+			url,
+			hostName: 'app.test',
+			promptParts: [],
+			headers: ['Host', 'app.test'],
+			...(lastEventId !== undefined && {lastEventId: Number(lastEventId)}),
 		};
 	}
 
@@ -28,10 +39,9 @@
 	}
 
 	override readAnswer({rawHeaders}: AnswerHead): AnswerMetadata {
-		const get = (name: string): string | undefined => rawHeaders[rawHeaders.findIndex((value, index) => index % 2 === 0 && value === name) + 1];
-		const has = (name: string): boolean => rawHeaders.includes(name);
+		const has = (name: string): boolean => getHeader(rawHeaders, name) !== undefined;
 		return {
-			...(has('attempt') && {attemptId: get('attempt')}), isSigned: has('seal'), isNotExecuted: has('not-run'), isEventStream: has('events'), headers: ['seal', 's'],
+			attemptId: getHeader(rawHeaders, 'attempt'), isSigned: has('seal'), isNotExecuted: has('not-run'), isEventStream: has('events'), headers: ['seal', 's'],
 		};
 	}
 }
--- a/packages/callers/src/forward/try-place.ts
+++ b/packages/callers/src/forward/try-place.ts
@@ -100,7 +100,7 @@
 	};
 	let result: RelayResult;
 	if (isEventStream) {
-		progress.eventOrder ??= new EventOrder(progress.lastEventId);
+		progress.eventOrder ??= new EventOrder(route.isResumable ? progress.lastEventId : undefined);
 		result = await relayEvents(relayed, progress.eventOrder, route.isResumable ? {clock} : undefined);
 	} else {
 		progress.eventOrder = undefined;
