--- a/packages/callers/src/forward/forward-to-target.ts
+++ b/packages/callers/src/forward/forward-to-target.ts
@@ -50,7 +50,7 @@
 	return outcome;
 }
 
-async function relay({exchange, progress}: ForwardContext, {answer, metadata}: OpenAttempt, watch: SwitchWatch | undefined): Promise<AttemptOutcome> {
+async function relay({exchange, progress, route}: ForwardContext, {answer, metadata}: OpenAttempt, watch: SwitchWatch | undefined): Promise<AttemptOutcome> {
 	progress.status = answer.status;
 	const relayed = {
 		exchange, answer, headers: metadata.headers, onChunk(lastEventId: number | undefined) {
@@ -60,9 +60,10 @@
 	};
 	let result: RelayResult;
 	if (isEventStream(answer, metadata)) {
-		progress.eventOrder ??= new EventOrder(progress.lastEventId);
+		progress.eventOrder ??= new EventOrder(route.isResumable ? progress.lastEventId : undefined);
 		result = await relayEvents(relayed, progress.eventOrder, watch);
 	} else {
+		progress.eventOrder = undefined;
 		result = await relayBuffered(relayed);
 	}
 
--- a/packages/callers/src/forward/switch-watch.ts
+++ b/packages/callers/src/forward/switch-watch.ts
@@ -90,7 +90,7 @@
 		const {deps, service, progress, route, endsMs} = this.context;
 		const retries = deps.getRetries(service);
 		const isAllowed = maySwitch({
-			attempts: progress.attempts, maxAttempts: route.maxAttempts, hasRetry: retries.hasRetry(), timeLeftMs: endsMs - deps.clock.now(), lastEventId: progress.lastEventId,
+			attempts: progress.attempts, maxAttempts: route.maxAttempts, hasRetry: retries.hasRetry(), timeLeftMs: endsMs - deps.clock.now(), lastEventId: progress.eventOrder?.canContinue() ? progress.lastEventId : undefined,
 		});
 		const slot = isAllowed ? takeFreeSlot(this.context) : undefined;
 		if (slot) {
--- a/packages/callers/src/forward/try-place.ts
+++ b/packages/callers/src/forward/try-place.ts
@@ -137,7 +137,7 @@
 
 /** Whether a request may be sent to another target after an attempt. */
 export function mayRetry({route, progress, exchange}: ForwardContext, outcome: 'not-run' | 'broken'): boolean {
-	if (exchange.hasStarted() && !(route.isStream && route.isResumable)) {
+	if (exchange.hasStarted() && !(route.isStream && route.isResumable && progress.eventOrder?.canContinue())) {
 		return false;
 	}
 
