egretrilld: leave a refusal alone that waits for the rest of its request

Callers saw, with the exception path and the bounded reading of the rest joined: a connection reset in place of the refusal, when the request ended with an exception before its body had arrived. The host took an answer whose end waits for the rest of the request for one that was never ended, and closed the connection.

Change: the exchange says itself whether it has been ended.

--- a/apps/egretrilld/src/traffic/entry-host.ts
+++ b/apps/egretrilld/src/traffic/entry-host.ts
@@ -222,7 +222,7 @@
 		} catch (err: unknown) {
 			this.logFailedRequest(exchange, err);
 			// The request has been ended already, unless that failed too.
-			if (!res.writableEnded) {
+			if (!exchange.hasEnded()) {
 				exchange.abort();
 			}
 		} finally {
--- a/apps/egretrilld/src/traffic/node-exchange.ts
+++ b/apps/egretrilld/src/traffic/node-exchange.ts
@@ -10,6 +10,7 @@
 	private readonly callerDisconnect = new AbortController();
 	private writeSignal = this.callerDisconnect.signal;
 	private isAborting = false;
+	private isEnding = false;
 
 	constructor(private readonly req: IncomingMessage, private readonly res: ServerResponse, private readonly isStopping: () => boolean) {
 		super();
@@ -77,7 +78,13 @@
 		}
 	}
 
+	/** Whether the answer or the connection has been ended, or will be once the rest of the request has arrived. */
+	hasEnded(): boolean {
+		return this.isEnding;
+	}
+
 	end(): void {
+		this.isEnding = true;
 		if (this.isStopping()) {
 			// The head may have announced a keep-alive connection, but this host accepts no further request on it.
 			this.res.once('finish', () => {
@@ -89,6 +96,7 @@
 	}
 
 	refuse({status, code, reason, retryAfterMs, run}: Verdict): void {
+		this.isEnding = true;
 		this.prepare();
 		const isComplete = this.isRequestComplete();
 		this.res.shouldKeepAlive &&= isComplete;
@@ -106,6 +114,7 @@
 	}
 
 	abort(): void {
+		this.isEnding = true;
 		this.isAborting = true;
 		// Destroying a fully read request would leave its connection open, so the socket is closed instead.
 		const {socket} = this.req;
