callers: let an answer outlast an exception during a switch

Callers saw: nothing yet; found by reading. An unexpected exception at another target, such as one of the parser of its head, rejected the task of the watch while nothing awaited it, and an unhandled rejection ends the process with all its requests.

Change: the rejection counts as handled, and the exception is still reported once the first answer has ended, as those of a request are.

Evidence: "outlasts an unexpected exception" counted 4 unhandled rejections before and 0 now; the first answer is whole in both. Tests of packages/callers/tests/forward, silent-engine and answer-end pass (68). entry-host.test.ts fails with and without this change on: the refusal of a request whose body has not arrived is ended later, and EntryHost.serve resets the connection before that.

--- a/packages/callers/src/forward/switch-watch.ts
+++ b/packages/callers/src/forward/switch-watch.ts
@@ -7,6 +7,15 @@
 import {takeFreeSlot} from './slot-search.js';
 import {endAttempt, type OpenAttempt, openAttempt} from './try-place.js';
 
+/** Prevents an unhandled rejection of a task that is awaited only later. */
+async function markHandled(task: Promise<void>): Promise<void> {
+	try {
+		await task;
+	} catch {
+		// The exception is reported by the await of the task.
+	}
+}
+
 /** Offers a resumable stream to other targets while it is silent, and goes on reading its own; each stream has its own task. */
 export class SwitchWatch {
 	readonly silence: Silence;
@@ -17,6 +26,7 @@
 	constructor(private readonly context: ForwardContext, private readonly attempt: OpenAttempt) {
 		this.silence = new Silence(context.deps.clock);
 		this.task = this.run();
+		void markHandled(this.task);
 	}
 
 	/** Whether another target goes on with the stream, so that this one is closed. */
--- a/packages/callers/tests/forward/silence.test.ts
+++ b/packages/callers/tests/forward/silence.test.ts
@@ -1,3 +1,4 @@
+import process from 'node:process';
 import {ManualClock} from '@egretrill/common';
 import {expect} from 'chai';
 import {RetryBudget} from '../../src/index.js';
@@ -5,7 +6,7 @@
 	getTimeUntilSwitchMs, maySwitch, Silence, type SwitchState,
 } from '../../src/forward/index.js';
 import {
-	type FakeAnswer, listAttempts, runRequest, type ScenarioOptions,
+	type FakeAnswer, listAttempts, runRequest, runScenario, type ScenarioOptions,
 } from './support/forward-scenario.js';
 
 const route = {
@@ -115,6 +116,27 @@
 		}).toMatchSnapshot();
 	});
 
+	// Guards against an answer that ends because of an unexpected exception at another target, and against an unhandled rejection, which ends the process.
+	it('outlasts an unexpected exception', async () => {
+		let unhandled = 0;
+		const onUnhandled = (): void => {
+			unhandled += 1;
+		};
+
+		process.on('unhandledRejection', onUnhandled);
+		const unparsable: FakeAnswer = {isUnparsable: true};
+		const cut: FakeAnswer = {...events(event(1), ''), pausesMs: {1: 1200}, isCut: true};
+		const results = {
+			'at another target': await runScenario({route, answers: [pausing, unparsable]}),
+			'at the first target, while another is asked': await runScenario({route, throwingStep: 'recordAttempt', answers: [cut, {...resumed, headDelayMs: 900}]}),
+		};
+		process.off('unhandledRejection', onUnhandled);
+		const described = Object.entries(results).map(([name, {exchange, sender, slots, error}]) => [name, {
+			caller: exchange.received, targets: sender.sent, ends: slots.ends, error: String(error),
+		}] as const);
+		expect({...Object.fromEntries(described), unhandled}).toMatchSnapshot();
+	});
+
 	// Guards against a retry budget that is used up by targets that cannot be reached.
 	it('does not use the retry budget at targets that cannot be reached', async () => {
 		const answers = [pausing, unreachable, unreachable, unreachable, resumed];
