hosts: fail a call whose request cannot be encoded

PeerClient.call promises not to throw, but the encoder raises a RangeError for a value that is nested too deeply, which ended the task that follows the other host. The call now fails as "refused", since nothing was sent.

--- a/packages/hosts/src/transport/peer-client.ts
+++ b/packages/hosts/src/transport/peer-client.ts
@@ -16,8 +16,13 @@
 
 	/** Calls a method and resolves with its answer or the reason of the failure; a failed call does not throw. */
 	async call<Req, Res>(method: Method<Req, Res>, req: Req, deadlineMs = PEER_CALL_DEADLINE_MS): Promise<Result<Res, PeerCallError>> {
+		const body = encodeRequest(method, req);
+		if (body.isErr) {
+			return Result.err(body.error);
+		}
+
 		const session = this.getSession();
-		const answer = await session.call(method.path, method.req.encode(req), deadlineMs);
+		const answer = await session.call(method.path, body.value, deadlineMs);
 		// A connection can stay unresponsive indefinitely while new ones work, so it is replaced.
 		if (answer.isErr && session === this.session && session.getUnresponsiveMs() >= PEER_UNRESPONSIVE_MS) {
 			this.close();
@@ -56,6 +61,15 @@
 	}
 }
 
+/** Encodes a request; a value nested too deeply cannot be encoded, and nothing is sent then. */
+function encodeRequest<Req, Res>(method: Method<Req, Res>, req: Req): Result<Uint8Array, PeerCallError> {
+	try {
+		return Result.ok(method.req.encode(req));
+	} catch (err: unknown) {
+		return Result.err({code: 'refused', message: err instanceof Error ? err.message : 'The request cannot be encoded.'});
+	}
+}
+
 function decodeAnswer<Req, Res>(method: Method<Req, Res>, bytes: Uint8Array): Result<Res, PeerCallError> {
 	try {
 		return Result.ok(method.res.decode(bytes));
