engines: bound the number of registered targets

A writer that registers under ever new ids filled the registry, whose silent entries were never dropped, until the update of all targets was longer than readers accept; then no host could follow the control host any more. A new target is now accepted only while the registry holds fewer than 8,192, the number that an update may list; silent and ended targets are dropped to make room once other hosts have removed them. Known targets are always accepted.

The test failed before, where the update listed 8,193 targets.

--- a/packages/engines/src/registry/constants.ts
+++ b/packages/engines/src/registry/constants.ts
@@ -43,5 +43,5 @@
 /** Requests queued at a target of a service without engines, for each of its slots; further requests wait at the host. */
 export const QUEUED_PER_SLOT = 0.5;
 
-/** Largest number of targets in one update; a fleet has at most a few thousand. Validating this many invalid entries takes a fraction of a second. */
+/** Largest number of targets in a registry and in one update; a fleet has at most a few thousand. Validating this many invalid entries takes a fraction of a second. */
 export const MAX_TARGETS = 8192;
--- a/packages/engines/src/registry/target-registry.ts
+++ b/packages/engines/src/registry/target-registry.ts
@@ -1,7 +1,9 @@
 import {
 	type Clock, type HeldModel, type Registration, Signal,
 } from '@egretrill/common';
-import {ENDED_RETENTION_MS, MODELS_OVERRIDE_MS, REGISTRATION_TTL_MS} from './constants.js';
+import {
+	ENDED_RETENTION_MS, MAX_TARGETS, MODELS_OVERRIDE_MS, REGISTRATION_TTL_MS,
+} from './constants.js';
 import type {RegisteredTarget, RegistryUpdate} from './types.js';
 
 type Entry = {
@@ -34,20 +36,22 @@
 	/** Notified when a change must be sent to other hosts. */
 	readonly changed = new Signal();
 	private readonly entries = new Map<string, Entry>();
+	/** Ids of the targets at each address, so that a registration is not compared with all others. */
+	private readonly idsByAddress = new Map<string, Set<string>>();
 	private revision = 0;
 	/** Revision of the last change that must be sent to other hosts. */
 	private changedRevision = 0;
 
 	constructor(private readonly clock: Clock, private readonly origin: string) {}
 
-	/** Stores a registration; returns false if it is outdated. */
+	/** Stores a registration; returns false if it is outdated, or new while the registry is full. */
 	accept(registration: Registration, ageMs = 0): boolean {
 		const stored = this.entries.get(registration.targetId);
 		if (stored && (!isNewerRegistration(registration, stored.registration) || (stored.hasEnded && registration.startedAtMs === stored.registration.startedAtMs))) {
 			return false;
 		}
 
-		if (this.isAddressTaken(registration)) {
+		if (this.isAddressTaken(registration) || (!stored && !this.hasRoom())) {
 			return false;
 		}
 
@@ -95,7 +99,7 @@
 
 	/** Returns the changes since a revision, or all targets if the host followed another registry. */
 	getUpdateSince(known: {readonly origin: string; readonly revision: number}, withHeartbeats: boolean): RegistryUpdate {
-		this.dropEnded();
+		this.dropOld(({hasEnded}) => hasEnded);
 		const isWhole = known.origin !== this.origin || known.revision > this.revision;
 		const since = isWhole ? 0 : known.revision;
 		const changed = [...this.entries.values()].filter(entry => isWhole || Math.max(entry.revision, withHeartbeats ? entry.heartbeatRevision : 0) > since);
@@ -144,7 +148,7 @@
 		const wasSilent = stored !== undefined && receivedMs - stored.receivedMs > REGISTRATION_TTL_MS;
 		if (stored && !stored.hasEnded && !wasSilent && isSameState(this.toRegisteredTarget(stored).registration, this.toRegisteredTarget({...stored, ...entry}).registration)) {
 			this.revision += 1;
-			this.entries.set(registration.targetId, {...stored, ...entry, heartbeatRevision: this.revision});
+			this.setEntry({...stored, ...entry, heartbeatRevision: this.revision});
 			return;
 		}
 
@@ -154,29 +158,70 @@
 	private store(entry: Omit<Entry, 'revision' | 'heartbeatRevision'>): void {
 		this.revision += 1;
 		this.changedRevision = this.revision;
-		this.entries.set(entry.registration.targetId, {...entry, revision: this.revision, heartbeatRevision: this.revision});
+		this.setEntry({...entry, revision: this.revision, heartbeatRevision: this.revision});
 		this.changed.notify();
 	}
 
+	private setEntry(entry: Entry): void {
+		const {targetId, address} = entry.registration;
+		const oldAddress = this.entries.get(targetId)?.registration.address;
+		if (oldAddress !== undefined && oldAddress !== address) {
+			this.removeFromAddress(targetId, oldAddress);
+		}
+
+		this.entries.set(targetId, entry);
+		const ids = this.idsByAddress.get(address) ?? new Set();
+		this.idsByAddress.set(address, ids.add(targetId));
+	}
+
+	private removeFromAddress(targetId: string, address: string): void {
+		const ids = this.idsByAddress.get(address);
+		ids?.delete(targetId);
+		if (ids?.size === 0) {
+			this.idsByAddress.delete(address);
+		}
+	}
+
+	/** Returns the other targets at the address of a registration that have not ended. */
+	private getOthersAtAddress({targetId, address}: Registration): readonly Registration[] {
+		const others: Registration[] = [];
+		for (const id of this.idsByAddress.get(address) ?? []) {
+			const entry = this.entries.get(id);
+			if (entry && !entry.hasEnded && id !== targetId) {
+				others.push(entry.registration);
+			}
+		}
+
+		return others;
+	}
+
 	/** Whether a process that started later uses the address; a delayed registration may name such an address. */
 	private isAddressTaken(registration: Registration): boolean {
-		return [...this.entries.values()].some(({registration: other, hasEnded}) => !hasEnded && other.targetId !== registration.targetId
-			&& other.address === registration.address && other.startedAtMs > registration.startedAtMs);
+		return this.getOthersAtAddress(registration).some(({startedAtMs}) => startedAtMs > registration.startedAtMs);
 	}
 
 	private endOthersAtAddress(registration: Registration): void {
-		for (const {registration: other, hasEnded} of this.entries.values()) {
-			if (!hasEnded && other.targetId !== registration.targetId && other.address === registration.address) {
-				this.markEnded(other.targetId);
-			}
+		for (const {targetId} of this.getOthersAtAddress(registration)) {
+			this.markEnded(targetId);
 		}
 	}
 
-	private dropEnded(): void {
+	/** Whether a further target fits into an update; drops silent targets to make room. */
+	private hasRoom(): boolean {
+		if (this.entries.size >= MAX_TARGETS) {
+			this.dropOld(({hasEnded, isSilent}) => hasEnded || Boolean(isSilent));
+		}
+
+		return this.entries.size < MAX_TARGETS;
+	}
+
+	/** Drops targets that other hosts have removed; a delayed registration would revive those that ended a short time ago. */
+	private dropOld(isDroppable: (entry: Entry) => boolean): void {
 		const oldestMs = this.clock.now() - ENDED_RETENTION_MS;
-		for (const [id, {hasEnded, receivedMs}] of this.entries) {
-			if (hasEnded && receivedMs < oldestMs) {
+		for (const [id, entry] of this.entries) {
+			if (isDroppable(entry) && entry.receivedMs < oldestMs) {
 				this.entries.delete(id);
+				this.removeFromAddress(id, entry.registration.address);
 			}
 		}
 	}
--- a/packages/engines/tests/registry/target-registry.test.ts
+++ b/packages/engines/tests/registry/target-registry.test.ts
@@ -1,6 +1,6 @@
 import {ManualClock, type Registration} from '@egretrill/common';
 import {expect} from 'chai';
-import {TargetRegistry} from '../../src/registry/index.js';
+import {ENDED_RETENTION_MS, MAX_TARGETS, TargetRegistry} from '../../src/registry/index.js';
 
 function register(changes: Partial<Registration> = {}): Registration {
 	return {
@@ -96,4 +96,20 @@
 		second.merge(first.getUpdateSince({origin: '', revision: 0}, true).targets);
 		expect({leaving, ended: describeLive(second)}).toMatchSnapshot();
 	});
+
+	// Guards against a writer of ever new ids that makes the update of all targets longer than any reader accepts.
+	it('holds at most as many targets as an update may list', () => {
+		const clock = new ManualClock();
+		const registry = new TargetRegistry(clock, 'r1');
+		const accept = (number: number, sequence = 1): boolean => registry.accept(register({targetId: `t${number}`, sequence, address: `10.0.${Math.floor(number / 250)}.${number % 250}:80`}));
+		for (let number = 0; number < MAX_TARGETS; number++) {
+			accept(number);
+		}
+
+		const isFull = {isNewAccepted: accept(MAX_TARGETS), isKnownAccepted: accept(0, 2), targets: registry.getUpdateSince({origin: '', revision: 0}, false).targets.length};
+		clock.advance(ENDED_RETENTION_MS + 1);
+		registry.sweep();
+		const later = {isNewAccepted: accept(MAX_TARGETS), targets: registry.getUpdateSince({origin: '', revision: 0}, false).targets.length};
+		expect({isFull, later}).to.deep.equal({isFull: {isNewAccepted: false, isKnownAccepted: true, targets: MAX_TARGETS}, later: {isNewAccepted: true, targets: 1}});
+	});
 });
