hosts: fail calls to addresses that the gRPC library cannot parse

The library throws for an empty address or a line break while the client is created, so that PeerClient.call rejected and ended the task that follows this host. Addresses of control hosts also come from other hosts, which do not check them. The call now fails as "unreachable".

The test calls five odd addresses and failed before with "Could not parse target name".

--- a/packages/hosts/src/transport/peer-client.ts
+++ b/packages/hosts/src/transport/peer-client.ts
@@ -21,7 +21,12 @@
 			return Result.err(body.error);
 		}
 
-		const session = this.getSession();
+		const opened = this.openSession();
+		if (opened.isErr) {
+			return Result.err(opened.error);
+		}
+
+		const session = opened.value;
 		const answer = await session.call(method.path, body.value, deadlineMs);
 		// A connection can stay unresponsive indefinitely while new ones work, so it is replaced.
 		if (answer.isErr && session === this.session && session.getUnresponsiveMs() >= PEER_UNRESPONSIVE_MS) {
@@ -38,6 +43,15 @@
 		this.client = undefined;
 	}
 
+	/** Returns the current session or a new one; the library throws for some addresses that it cannot parse. */
+	private openSession(): Result<PeerSession, PeerCallError> {
+		try {
+			return Result.ok(this.getSession());
+		} catch (err: unknown) {
+			return Result.err({code: 'unreachable', message: err instanceof Error ? err.message : 'The address cannot be used.'});
+		}
+	}
+
 	private getSession(): PeerSession {
 		if (!this.session || this.session.isClosed) {
 			this.client ??= this.createClient();
--- a/packages/hosts/tests/peer-client.test.ts
+++ b/packages/hosts/tests/peer-client.test.ts
@@ -111,4 +111,17 @@
 		expect(codes[0]).to.equal('timeout');
 		expect(sockets.length).to.be.greaterThan(2);
 	});
+
+	// Guards against an odd address in a list of hosts that ends the task that calls it.
+	it('fails calls to an address that cannot be used', async () => {
+		const codes: string[] = [];
+		for (const address of ['', '\n', 'a b:80', '127.0.0.1:99999', '999.1.1.1:80']) {
+			const unusable = new PeerClient(address, credentials.createInsecure(), clock);
+			const answer = await unusable.call(echo, {text: 'one'}, CALL_MS);
+			codes.push(answer.isErr ? answer.error.code : 'answered');
+			unusable.close();
+		}
+
+		expect(codes).to.deep.equal(Array.from(codes, () => 'unreachable'));
+	});
 });
