--- a/packages/common/src/faults.ts
+++ b/packages/common/src/faults.ts
@@ -128,8 +128,8 @@
 }
 
 /** Lists the faults of a value that its schema rejected, one for each field, with the line if `getLine` returns one. */
-export function getSchemaFaults(input: unknown, error: z.ZodError, getLine?: (path: Path) => number | undefined): readonly Fault[] {
-	return error.issues.flatMap(issue => getPaths(issue).map(path => {
+export function getSchemaFaults(input: unknown, {issues}: {readonly issues: readonly Issue[]}, getLine?: (path: Path) => number | undefined): readonly Fault[] {
+	return issues.flatMap(issue => getPaths(issue).map(path => {
 		const line = getLine?.(path);
 		return {
 			path: path.map(String).join('.'),
--- a/packages/common/src/parse-in-parts.ts
+++ b/packages/common/src/parse-in-parts.ts
@@ -6,8 +6,8 @@
  */
 export const MAX_PART_VALUES = 512;
 
-/** A fault of a value, and its path from the value that was parsed. */
-export type PartFault = {readonly path: readonly PropertyKey[]; readonly message: string};
+/** A fault of a value; its path starts at the value that was parsed. */
+export type PartFault = core.$ZodIssue;
 
 type ParseResult = {readonly data: unknown} | {readonly faults: readonly PartFault[]};
 type PlainObject = Readonly<Record<string, unknown>>;
@@ -122,7 +122,7 @@
 }
 
 function addPath(key: PropertyKey, faults: readonly PartFault[]): ParseResult {
-	return {faults: faults.map(({path, message}) => ({path: [key, ...path], message}))};
+	return {faults: faults.map(fault => ({...fault, path: [key, ...fault.path]}))};
 }
 
 function parseList(value: readonly unknown[], getSchema: (index: number) => core.$ZodType, large: ReadonlySet<unknown>): ParseResult {
