egretrilld: end a control host whose log has failed

Callers saw: possibly a fleet without a leader for good. A disk that refuses a write stops the log member, and the process went on without it. After a disk was full for seconds the host stayed one of three voters that never answers again, until its next planned restart; the loss of one more disk then leaves one voter of three. Its gossip went on, so that it also counted as responsive.

Change: the process ends 0.5 s after its log member failed, and the platform starts it again; it then takes part with its disk as before.

--- a/apps/egretrilld/src/traffic/constants.ts
+++ b/apps/egretrilld/src/traffic/constants.ts
@@ -47,6 +47,9 @@
 /** How often a stopping member checks whether it may stop. */
 export const LEAVE_CHECK_INTERVAL_MS = 50;
 
+/** Time from the failure of the log to the end of the process, so that a host whose disk stays full for seconds does not restart all the time. */
+export const LOG_FAILURE_EXIT_DELAY_MS = 500;
+
 /** Margin for clock drift and delays that a new order holder waits after the lease of the previous one. */
 export const ORDER_TAKEOVER_MARGIN_MS = 300;
 
--- a/apps/egretrilld/src/traffic/control-host.ts
+++ b/apps/egretrilld/src/traffic/control-host.ts
@@ -10,7 +10,7 @@
 	bindConsensus, bindFleetLog, bindMethod, ConsensusNode, ControlPeers, FleetLog, type FleetNode, FleetState, GrpcConsensusTransport, type MethodHandler, type PeerCredentials,
 } from '@egretrill/hosts';
 import type {ConfigDecoder} from './config-decoder.js';
-import {CONTROL_CHECK_INTERVAL_MS} from './constants.js';
+import {CONTROL_CHECK_INTERVAL_MS, LOG_FAILURE_EXIT_DELAY_MS} from './constants.js';
 import {ControlGossip} from './control-gossip.js';
 import {ControlService, type PutOutcome} from './control-service.js';
 import {LeaderTerm} from './leader-term.js';
@@ -136,24 +136,34 @@
 		];
 	}
 
-	/** Runs the log member, the gossip with other control hosts and, while this host is the leader, the leader's term, until the signal aborts and this host has left the log. */
+	/**
+	 * Runs the log member, the gossip with other control hosts and, while this host is the leader, the leader's term, until the
+	 * signal aborts and this host has left the log. Throws the error that stopped the log member, if any.
+	 */
 	async run(signal: AbortSignal): Promise<void> {
 		const ended = new AbortController();
 		// The tasks for all members listen to this signal, which exceeds Node's default limit for listener leaks.
 		setMaxListeners(0, ended.signal);
 		await this.node.start();
-		const watching = this.reportLogFailure();
+		const logEnded = new AbortController();
+		const watching = this.watchLog(logEnded);
 		const tasks = Promise.all([
 			this.opts.watch.run(ended.signal), this.followLog(ended.signal), this.followRegistry(ended.signal), this.gossip.run(ended.signal), this.membership.removeUnresponsive(ended.signal),
 		]);
-		await this.membership.join(signal);
-		await this.membership.leave();
+		await this.membership.join(AbortSignal.any([signal, logEnded.signal]));
+		if (!logEnded.signal.aborted) {
+			await this.membership.leave();
+		}
+
 		ended.abort();
 		await tasks;
 		this.term?.end();
 		await this.node.stop();
-		await watching;
+		const failure = await watching;
 		this.peers.close();
+		if (failure) {
+			throw failure;
+		}
 	}
 
 	override acceptRegistration(registration: Registration): boolean {
@@ -309,10 +319,15 @@
 		return this.decoded;
 	}
 
-	private async reportLogFailure(): Promise<void> {
+	/** Aborts `logEnded` some time after the log member stopped by itself; returns the error that stopped it, if any. */
+	private async watchLog(logEnded: AbortController): Promise<Error | undefined> {
 		const failure = await this.node.waitUntilStopped();
 		if (failure) {
-			this.opts.logger.error({err: failure}, 'This host no longer takes part in the log.');
+			this.opts.logger.error({err: failure}, 'This host no longer takes part in the log; it ends to be started again.');
+			await this.opts.clock.sleep(LOG_FAILURE_EXIT_DELAY_MS);
+			logEnded.abort();
 		}
+
+		return failure;
 	}
 }
