disk: recognise a last write of which only the beginning was stored

Callers saw: possibly every acknowledged change gone after a loss of power of all machines shortly after an order. A file whose size has grown while the rest of the last write is zeros counted as damaged, and its member started empty. The followers write the same entries at the same time, so that several of them can have such a file; then no majority has the log. Whether the platform tears writes in this way isn't known (its page says 'present, missing or torn').

Change: a record that fails its checksum and reaches into at least 8 zeros at the end of the file counts as torn, like one that ends with the file. Any other damage still ends in a CorruptionError (the test that flips each bit and the one that patches random bytes are unchanged).

--- a/packages/disk/src/constants.ts
+++ b/packages/disk/src/constants.ts
@@ -8,3 +8,6 @@
 
 /** Header layout: body length, CRC-32 of the body, CRC-32 of the first two fields; each a 32-bit little-endian integer. */
 export const RECORD_HEADER_BYTES = 12;
+
+/** Zeros at the end of a file that count as data missing after a loss of power; a record that ends in so many is unlikely. */
+export const MIN_MISSING_BYTES = 8;
--- a/packages/disk/src/records.ts
+++ b/packages/disk/src/records.ts
@@ -1,7 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {crc32} from 'node:zlib';
 import type {Codec} from '@egretrill/common';
-import {RECORD_HEADER_BYTES} from './constants.js';
+import {MIN_MISSING_BYTES, RECORD_HEADER_BYTES} from './constants.js';
 import {CorruptionError} from './errors.js';
 
 /** A decoded record and the offset of the first byte after it. */
@@ -19,8 +19,10 @@
 	return record;
 }
 
-function isZeroed(bytes: Uint8Array): boolean {
-	return bytes.every(byte => byte === 0);
+/** Length without the zeros at the end, where the file has its new size but not its data; a few zeros may belong to a record. */
+function getStoredLength(bytes: Uint8Array): number {
+	const length = bytes.findLastIndex(byte => byte !== 0) + 1;
+	return bytes.length - length < MIN_MISSING_BYTES ? bytes.length : length;
 }
 
 type Frame =
@@ -30,8 +32,8 @@
 
 function readFrame(bytes: Uint8Array, offset: number): Frame {
 	const remaining = bytes.subarray(offset);
-	// After a crash the file may end in zeros: its size was updated, but the data was never written.
-	if (remaining.length < RECORD_HEADER_BYTES || isZeroed(remaining)) {
+	const storedLength = getStoredLength(remaining);
+	if (storedLength < RECORD_HEADER_BYTES) {
 		return {kind: 'torn'};
 	}
 
@@ -42,11 +44,12 @@
 
 	const endOffset = RECORD_HEADER_BYTES + header.getUint32(0, true);
 	const body = remaining.subarray(RECORD_HEADER_BYTES, endOffset);
-	if (endOffset > remaining.length || (endOffset === remaining.length && isZeroed(body))) {
+	const isValid = endOffset <= remaining.length && crc32(body) === header.getUint32(4, true);
+	if (!isValid && endOffset > storedLength) {
 		return {kind: 'torn'};
 	}
 
-	if (crc32(body) !== header.getUint32(4, true)) {
+	if (!isValid) {
 		return {kind: 'damaged', reason: 'the record body fails its checksum'};
 	}
 
--- a/packages/disk/tests/log-storage.test.ts
+++ b/packages/disk/tests/log-storage.test.ts
@@ -10,6 +10,8 @@
 } from '../src/index.js';
 
 const SEED = 7;
+/** Zeros at the end of a file by which a missing write is recognised. */
+const MIN_ZEROS = 8;
 const LOG_FILE = '/memory/log';
 const folder = '/memory';
 
@@ -142,6 +144,18 @@
 		}
 	});
 
+	// Guards against several members that lose their logs at once because a loss of power left zeros where their last write was.
+	it('truncates a last write of which only the beginning was stored, wherever the zeros begin', async () => {
+		const bytes = await writeLog(new MemoryFileSystem(), 4);
+		const {length: completeBytes} = await writeLog(new MemoryFileSystem(), 2);
+		const {length: thirdBytes} = await writeLog(new MemoryFileSystem(), 3);
+		for (let cut = completeBytes; cut <= bytes.length - MIN_ZEROS; cut++) {
+			const torn = Buffer.concat([bytes.subarray(0, cut), Buffer.alloc(bytes.length - cut)]);
+			const storage = await reopen(await storeLog(torn));
+			expect(storage.getLastIndex(), `zeros from byte ${cut}`).to.equal(cut < thirdBytes ? 2 : 3);
+		}
+	});
+
 	it('reports corruption for any single flipped bit instead of dropping or changing an acknowledged entry', async () => {
 		const bytes = await writeLog(new MemoryFileSystem(), 3);
 		for (let bit = 0; bit < bytes.length * 8; bit++) {
