common: let every answer that closes its connection wait for the rest of its request

Callers and operators saw: with Connection: close in the request, a refusal that is sent before the body has arrived was lost through a reset of the connection, at the front end (an unknown content coding), at the operators' interface (no or a wrong key) and at the readiness server.

Cause: the same as for the refusals of the entry hosts. Node closes the connection right after the answer, and the rest of the request resets it. On connections that stay open Node reads the rest, so their answers arrive.

--- a/apps/egretrilld/src/traffic/node-exchange.ts
+++ b/apps/egretrilld/src/traffic/node-exchange.ts
@@ -2,7 +2,7 @@
 import {once} from 'node:events';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {CallerExchange, type RequestHead} from '@egretrill/callers';
-import {discardRest, type Verdict} from '@egretrill/common';
+import type {Verdict} from '@egretrill/common';
 
 /** A caller's request and response on Node's HTTP server. */
 export class NodeExchange extends CallerExchange {
@@ -90,19 +90,15 @@
 
 	refuse({status, code, reason, retryAfterMs, run}: Verdict): void {
 		this.prepare();
-		const isComplete = this.isRequestComplete();
-		this.res.shouldKeepAlive &&= isComplete;
+		// The connection of an incomplete request is not used again.
+		this.res.shouldKeepAlive &&= this.isRequestComplete();
 		const body = JSON.stringify({error: {verdict: run, code, message: reason}});
 		this.res.writeHead(status, {
 			'content-type': 'application/json',
 			'content-length': Buffer.byteLength(body),
 			...(retryAfterMs !== undefined && {'retry-after': (retryAfterMs / 1000).toFixed(3)}),
 		});
-		if (isComplete) {
-			this.res.end(body);
-		} else {
-			void this.endAfterRest(body);
-		}
+		this.res.end(body);
 	}
 
 	abort(): void {
@@ -118,15 +114,6 @@
 		socket.destroy();
 	}
 
-	/** Sends the body of a refusal at once, but ends it, and with it the connection, only after the rest of the request. */
-	private async endAfterRest(body: string): Promise<void> {
-		this.res.write(body);
-		// For HEAD, the body does not send the head.
-		this.res.flushHeaders();
-		await discardRest(this.req);
-		this.res.end();
-	}
-
 	private prepare(): void {
 		if (this.isStopping()) {
 			this.res.shouldKeepAlive = false;
--- a/packages/common/src/http-server.ts
+++ b/packages/common/src/http-server.ts
@@ -1,6 +1,7 @@
 import {createServer, type RequestListener, type Server} from 'node:http';
 import {answerClientErrors} from './client-errors.js';
 import {keepIdleConnections} from './idle-connections.js';
+import {lingerAtEnd} from './linger-at-end.js';
 import {serveInOrder} from './serve-in-order.js';
 
 /** How long a client may take to send a request; the time for the answer is not limited. */
@@ -29,5 +30,6 @@
 	setReadTimeouts(server, timeouts);
 	keepIdleConnections(server);
 	answerClientErrors(server);
+	server.prependListener('request', lingerAtEnd);
 	return server;
 }
