common: refuse CONNECT requests in place of closing their connections

Callers saw: a CONNECT request got a closed connection and no answer.

Cause: Node closes the connection of a CONNECT request if nothing listens for it.

Change: it is answered 405, after the whole requests before it, in the same way as bytes that are no request.

HTTP/1.0, kept HTTP/1.0 connections, Expect: 100-continue (200), other expectations (417), a missing Host header (400) and Upgrade (200) were answered before.

--- a/packages/common/src/client-errors.ts
+++ b/packages/common/src/client-errors.ts
@@ -4,9 +4,12 @@
 import {MAX_DISCARD_MS} from './discard-rest.js';
 
 const REQUEST_TIMEOUT_CODE = 'ERR_HTTP_REQUEST_TIMEOUT';
+/** A request for a tunnel, which Node would leave without an answer. */
+const TUNNEL_CODE = 'TUNNEL_REQUESTED';
 
 const statusLines: Readonly<Record<string, string>> = {
 	[REQUEST_TIMEOUT_CODE]: '408 Request Timeout',
+	[TUNNEL_CODE]: '405 Method Not Allowed',
 	HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
 	HPE_CHUNK_EXTENSIONS_OVERFLOW: '413 Payload Too Large',
 };
@@ -71,6 +74,11 @@
 		}
 	};
 
+	server.on('connect', (_req: IncomingMessage, socket: Socket) => {
+		// Node has removed its listeners from the connection.
+		socket.on('error', () => undefined).resume();
+		void answerError(TUNNEL_CODE, socket);
+	});
 	server.on('clientError', ({code = ''}: NodeJS.ErrnoException, socket: Socket) => {
 		if (!failed.has(socket)) {
 			failed.add(socket);
