hosts: let a leader step down while its disk answers nothing

Callers saw: possibly orders of operators without an acknowledgement for as long as the disk of the leading control host stands still, although the others run. The leader went on sending heartbeats and kept its lease, but wrote nothing.

Change: a leader whose write takes longer than 1 s, with its wait for other writes, ends its leadership; the others elect another one. The check is a task of its own, since a change of the members can hang as well.

Evidence: both new tests of consensus.test.ts failed before ('no leader within 30 s'; role 'leader' after 3 s). With the change the others acknowledge a change within 3.5 s of the order that hung.

--- a/packages/hosts/src/consensus/leadership.ts
+++ b/packages/hosts/src/consensus/leadership.ts
@@ -1,7 +1,7 @@
 import {Signal} from '@egretrill/common';
 import type {LogEntry} from '@egretrill/disk';
 import {
-	BOOTSTRAP_TIMEOUT_MS, DEFAULT_MIN_VOTERS, HEARTBEAT_MS, MAX_IDLE_WAIT_MS, LEADER_LEASE_MS, MAX_BATCH_ENTRIES, MAX_ELECTION_TIMEOUT_MS, MIN_SUSPENSION_MS,
+	BOOTSTRAP_TIMEOUT_MS, DEFAULT_MIN_VOTERS, HEARTBEAT_MS, MAX_IDLE_WAIT_MS, LEADER_LEASE_MS, LEADER_WRITE_TIMEOUT_MS, MAX_BATCH_ENTRIES, MAX_ELECTION_TIMEOUT_MS, MIN_SUSPENSION_MS,
 } from '../constants.js';
 import {runReplicator} from './replicator.js';
 import {membersCodec, type Proposal, type Replica} from './replica.js';
@@ -31,6 +31,8 @@
 	/** Notified when entries were appended and have to be replicated. */
 	readonly appended = new Signal();
 	readonly membersChanged = new Signal();
+	/** Writes to the log under way, including those that wait for others. */
+	private readonly writes = new Set<{readonly startedMs: number}>();
 	private readonly endController = new AbortController();
 	/** Difference between the time of day and the clock at the last check. */
 	private timeOfDayOffsetMs: number;
@@ -77,6 +79,25 @@
 		return this.replica.appliedIndex >= this.termStartIndex && this.getLeaseAgeMs() < LEADER_LEASE_MS;
 	}
 
+	/** Whether this member can lead no longer: it has lost its majority, or its disk does not answer. */
+	isUnable(): boolean {
+		const nowMs = this.replica.opts.clock.now();
+		const confirmedMs = Math.max(this.startedMs, this.getLeaseStartMs());
+		const isWriteLate = [...this.writes].some(({startedMs}) => nowMs - startedMs > LEADER_WRITE_TIMEOUT_MS);
+		return isWriteLate || nowMs - confirmedMs > MAX_ELECTION_TIMEOUT_MS;
+	}
+
+	/** Runs a write to the log one at a time with others and keeps track of how long it takes. */
+	async write(task: () => Promise<void>): Promise<void> {
+		const write = {startedMs: this.replica.opts.clock.now()};
+		this.writes.add(write);
+		try {
+			await this.replica.runExclusive(task);
+		} finally {
+			this.writes.delete(write);
+		}
+	}
+
 	/** Commits entries that a majority has synced; entries of earlier terms only together with one of this term. */
 	advanceCommit(): void {
 		const {storage} = this.replica.opts;
@@ -150,7 +171,7 @@
 			continue;
 		}
 
-		await replica.runExclusive(async () => {
+		await leadership.write(async () => {
 			const batch = leadership.proposals.splice(0, MAX_BATCH_ENTRIES);
 			if (batch.length === 0) {
 				return;
@@ -179,7 +200,7 @@
 		return;
 	}
 
-	await replica.runExclusive(async () => {
+	await leadership.write(async () => {
 		const members = plan();
 		if (members !== undefined) {
 			replica.opts.logger?.info(describeMemberChange(replica.members, members), 'Membership changes.');
@@ -188,7 +209,18 @@
 	});
 }
 
-/** Runs one replication task per other member, applies membership changes, and ends the leadership if it loses its majority. */
+/** Ends the leadership once this member is unable to lead. */
+async function watchLeadership(replica: Replica, leadership: Leadership): Promise<void> {
+	while (!leadership.hasEnded) {
+		if (leadership.isUnable()) {
+			replica.endLeadership();
+		}
+
+		await replica.opts.clock.sleep(HEARTBEAT_MS, leadership.signal);
+	}
+}
+
+/** Runs one replication task per other member and applies membership changes. */
 async function runReplication(replica: Replica, leadership: Leadership): Promise<void> {
 	const {clock, memberId} = replica.opts;
 	const tasks: Array<Promise<void>> = [];
@@ -200,10 +232,6 @@
 		}
 
 		await changeMembers(replica, leadership);
-		if (clock.now() - Math.max(leadership.startedMs, leadership.getLeaseStartMs()) > MAX_ELECTION_TIMEOUT_MS) {
-			replica.endLeadership();
-		}
-
 		await leadership.membersChanged.wait(clock, HEARTBEAT_MS, leadership.signal);
 	}
 
@@ -225,5 +253,5 @@
 		await appendAsLeader(replica, leadership, [{kind: 'empty', data: new Uint8Array()}]);
 		replica.changed.notify();
 	});
-	await Promise.all([runProposalWriter(replica, leadership), runReplication(replica, leadership)]);
+	await Promise.all([runProposalWriter(replica, leadership), runReplication(replica, leadership), watchLeadership(replica, leadership)]);
 }
--- a/packages/hosts/src/constants.ts
+++ b/packages/hosts/src/constants.ts
@@ -38,6 +38,9 @@
  */
 export const RESTART_VOTE_DELAY_MS = 600;
 
+/** Longest time that a leader's write may take before it steps down; a sync on a slow disk takes up to about 100 ms. */
+export const LEADER_WRITE_TIMEOUT_MS = 1000;
+
 export const VOTE_TIMEOUT_MS = 300;
 /** Well above the heartbeat interval, since a follower may sync a large batch before it answers. */
 export const APPEND_TIMEOUT_MS = 1000;
--- a/packages/hosts/tests/consensus.test.ts
+++ b/packages/hosts/tests/consensus.test.ts
@@ -167,6 +167,36 @@
 		});
 	}
 
+	// Guards against a leader that keeps its lease while its disk answers nothing, so that no change is acknowledged for seconds.
+	it('replaces a leader whose disk stalls, and keeps the change that it could not write or drops it', async () => {
+		const {cluster, leader} = await createCluster();
+		leader.fileSystem.fault = 'stall';
+		const startedMs = cluster.clock.now();
+		const stalled = leader.node.propose(createApply(0, 'stalled'));
+		const newLeader = await cluster.waitForLeader(process => process !== leader);
+		const committed = await apply(cluster, newLeader, 'after');
+		expect(cluster.clock.now() - startedMs).to.be.below(3500);
+		const stalledOutcome = await cluster.runUntilSettled(stalled);
+		leader.fileSystem.fault = undefined;
+		await waitForCatchUp(cluster);
+		expect([stalledOutcome, committed, describeCluster(cluster)]).toMatchSnapshot();
+		cluster.stopAll();
+	});
+
+	// Guards against the same leader when the write that hangs is a change of the members.
+	it('replaces a leader whose disk stalls while it changes the members', async () => {
+		const {cluster, leader, leaderId} = await createCluster();
+		const wiped = getOtherMember(cluster, leaderId);
+		leader.fileSystem.fault = 'stall';
+		cluster.wipe(wiped);
+		cluster.start(wiped);
+		await cluster.clock.run(3000);
+		expect(leader.node.status().role).to.equal('follower');
+		leader.fileSystem.fault = undefined;
+		await cluster.waitForLeader(isFullyFormed);
+		cluster.stopAll();
+	});
+
 	it('lets a voter with a wiped disk vote only after it has caught up under its new identity', async () => {
 		const {cluster, leader, leaderId} = await createCluster();
 		await apply(cluster, leader, 'first');
--- a/packages/hosts/tests/support/sim-cluster.ts
+++ b/packages/hosts/tests/support/sim-cluster.ts
@@ -12,7 +12,8 @@
 
 const FOLDER = '/data';
 
-export type DiskFault = 'sync' | 'full' | 'lying-sync' | undefined;
+/** With `stall`, syncs end only after the fault. */
+export type DiskFault = 'sync' | 'full' | 'stall' | 'lying-sync' | undefined;
 
 /** File system of one simulated process. Syncs take time, and after a crash its writes fail without reaching the disk. */
 class ProcessFileSystem extends FileSystem {
@@ -30,8 +31,11 @@
 	}
 
 	async waitForSync(): Promise<void> {
-		await this.clock.sleep(1 + (this.random() * 4));
-		this.assertAttached();
+		do {
+			await this.clock.sleep(1 + (this.random() * 4));
+			this.assertAttached();
+		} while (this.fault === 'stall');
+
 		if (this.fault === 'sync') {
 			throw new Error('EIO: i/o error, fsync');
 		}
