disk: write a batch of the log at once

Callers saw: possibly every acknowledged change gone after a loss of power while large configurations were written. appendFile writes 512 KiB at a time, and after a loss of power each write is present, missing or torn by itself: a later part without an earlier one looks like damage, and members that had the same batch under way start empty together.

Change: one write for the whole batch; only a short write is continued.

Evidence: the new test counts the writes of 1.5 MB; before, the batch passed through appendFile. That a member with such a hole starts empty follows from the code; no run of the platform shows it.

--- a/packages/disk/src/file-system.ts
+++ b/packages/disk/src/file-system.ts
@@ -41,7 +41,12 @@
 	}
 
 	async append(bytes: Uint8Array): Promise<void> {
-		await this.handle.appendFile(bytes);
+		// Unlike appendFile, which writes 512 KiB at a time: after a loss of power the file could have the later part only.
+		let written = 0;
+		while (written < bytes.length) {
+			const {bytesWritten} = await this.handle.write(bytes, written);
+			written += bytesWritten;
+		}
 	}
 
 	async truncate(length: number): Promise<void> {
--- a/packages/disk/tests/log-storage.test.ts
+++ b/packages/disk/tests/log-storage.test.ts
@@ -1,5 +1,7 @@
 import {Buffer} from 'node:buffer';
-import {mkdtemp, rm} from 'node:fs/promises';
+import {
+	type FileHandle, mkdtemp, open, rm,
+} from 'node:fs/promises';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import {createRandom} from '@egretrill/common';
@@ -12,6 +14,7 @@
 const SEED = 7;
 /** Zeros at the end of a file by which a missing write is recognised. */
 const MIN_ZEROS = 8;
+const LARGE_BATCH_BYTES = 1_500_000;
 const LOG_FILE = '/memory/log';
 const folder = '/memory';
 
@@ -263,6 +266,34 @@
 	});
 });
 
+describe('file system of the operating system', () => {
+	// Guards against a torn write with a hole in it: after a loss of power each of several writes may be present or missing.
+	it('appends a large batch in one write', async () => {
+		const realFolder = await mkdtemp(path.join(tmpdir(), 'egretrill-disk-'));
+		const file = path.join(realFolder, 'log');
+		const handle = await open(file, 'a');
+		const prototype = Object.getPrototypeOf(handle) as FileHandle;
+		const {write} = prototype;
+		const lengths: number[] = [];
+		prototype.write = async function (this: FileHandle, ...args: Parameters<typeof write>) {
+			const result = await write.apply(this, args);
+			lengths.push(result.bytesWritten);
+			return result;
+		} as typeof write;
+		try {
+			const opened = await new NodeFileSystem().openFile(file);
+			await opened.append(Buffer.alloc(LARGE_BATCH_BYTES, 1));
+			await opened.close();
+			const {size} = await handle.stat();
+			expect([lengths, size]).to.deep.equal([[LARGE_BATCH_BYTES], LARGE_BATCH_BYTES]);
+		} finally {
+			prototype.write = write;
+			await handle.close();
+			await rm(realFolder, {recursive: true});
+		}
+	});
+});
+
 describe('snapshot store', () => {
 	const snapshot = {
 		index: 9, term: 2, members: Buffer.from('members'), data: Buffer.from('state'),
