--- a/packages/hosts/src/consensus/handlers.ts
+++ b/packages/hosts/src/consensus/handlers.ts
@@ -125,6 +125,8 @@
 	await storage.compact({index: req.index, term: req.snapshotTerm});
 	replica.snapshotIndex = req.index;
 	replica.appliedIndex = req.index;
+	// Entries that the snapshot replaced were never committed, so this member cannot have applied them.
+	replica.recoveredIndex = Math.min(replica.recoveredIndex, storage.getLastIndex());
 	replica.resetMembers({index: req.index, members});
 	replica.setCommitIndex(req.index);
 	replica.changed.notify();
--- a/packages/hosts/tests/consensus.test.ts
+++ b/packages/hosts/tests/consensus.test.ts
@@ -375,3 +375,29 @@
 		await node.stop();
 	});
 });
+
+describe('snapshot of a leader', () => {
+	// Guards against a control host that withholds its state for good, since it waits for entries that the snapshot has replaced.
+	it('ends the replay of a member whose own entries it replaces', async () => {
+		const clock = new ManualClock();
+		const node = new ConsensusNode({
+			memberId: 'a',
+			initialMembers: [],
+			transport: new ScriptedTransport(),
+			storage: await createUncommittedLog(),
+			snapshots: new SnapshotStore({folder: '/s', fileSystem: new MemoryFileSystem()}),
+			machine: new FleetState(),
+			clock,
+			random: createRandom(SEED),
+		});
+		await node.start();
+		const members = membersCodec.encode([{id: 'b', identity: 'b1', role: 'voter'}]);
+		const chunk = new FleetState().snapshot();
+		await node.handleInstallSnapshot({
+			leaderId: 'b', term: 9, index: 50, snapshotTerm: 8, members, offset: 0, chunk, last: true,
+		});
+		const {lastIndex, appliedIndex} = node.status();
+		expect([lastIndex, appliedIndex, node.hasReplayed()]).to.deep.equal([50, 50, true]);
+		await node.stop();
+	});
+});
