--- a/apps/egretrilld/tests/traffic/support/forward-host.ts
+++ b/apps/egretrilld/tests/traffic/support/forward-host.ts
@@ -1,11 +1,11 @@
 import {once} from 'node:events';
-import {createServer, type Server} from 'node:http';
+import type {Server} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import {
-	type AnswerHead, type AnswerMetadata, type AttemptEvent, type ForwardCall, type ForwardDependencies, ForwardDialect, type ForwardEndEvent, ForwardObserver, forwardRequest, ForwardSender, type OutgoingMessage, RateAllocations, RatePoolClient, type RequestHead, RetryBudget, RetrySchedule, RouteTable, type SendDetails, SlotQueue, type SlotRequirements, type SlotResult, SlotSource, type TargetAnswer,
+	type AnswerHead, type AnswerMetadata, type AttemptEvent, type ForwardCall, type ForwardDependencies, ForwardDialect, type ForwardEndEvent, ForwardObserver, forwardRequest, ForwardSender, type OutgoingMessage, RateAllocations, RatePoolClient, type RequestHead, RetryBudget, RetrySchedule, RouteTable, type SendDetails, type SlotOutcome, SlotQueue, type SlotRequirements, type SlotResult, SlotSource, type TargetAnswer,
 } from '@egretrill/callers';
 import {
-	MonotonicClock, type SendFailure, type TrafficConfig, type TrafficRoute,
+	createHttpServer, MonotonicClock, type SendFailure, type TrafficConfig, type TrafficRoute,
 } from '@egretrill/common';
 import type {Result} from 'true-myth';
 import {HttpSender} from '../../../src/traffic/http-sender.js';
@@ -14,39 +14,58 @@
 /** Headers that a target's answer needs to be forwarded. */
 export const SIGNED = 'seal: s\r\nattempt: a1\r\n';
 
+function getHeader(rawHeaders: readonly string[], name: string): string | undefined {
+	const index = rawHeaders.findIndex((value, i) => i % 2 === 0 && value === name);
+	return index === -1 ? undefined : rawHeaders[index + 1];
+}
+
 /** Dialect of a deployment whose targets sign answers with `seal` and identify the request with `attempt`. */
-class TestDialect extends ForwardDialect {
-	override readCall({method, url}: RequestHead): ForwardCall {
+export class TestDialect extends ForwardDialect {
+	override readCall({method, url, rawHeaders}: RequestHead): ForwardCall {
+		const lastEventId = getHeader(rawHeaders, 'last-event-id');
 		return {
-			attemptId: 'a1', method, url, hostName: 'app.test', promptParts: [], headers: ['Host', 'app.test'],
+			attemptId: getHeader(rawHeaders, 'attempt') ?? 'a1',
+			method,
+			url,
+			hostName: 'app.test',
+			promptParts: [],
+			headers: ['Host', 'app.test'],
+			...(lastEventId !== undefined && {lastEventId: Number(lastEventId)}),
 		};
 	}
 
-	override writeSendHeaders({headers}: ForwardCall, {bodyLength}: SendDetails): string[] {
-		return [...headers, 'Content-Length', String(bodyLength)];
+	override writeSendHeaders({headers}: ForwardCall, {bodyLength, lastEventId}: SendDetails): string[] {
+		return [...headers, ...(lastEventId === undefined ? [] : ['last-event-id', String(lastEventId)]), 'Content-Length', String(bodyLength)];
 	}
 
 	override readAnswer({rawHeaders}: AnswerHead): AnswerMetadata {
-		const get = (name: string): string | undefined => rawHeaders[rawHeaders.findIndex((value, index) => index % 2 === 0 && value === name) + 1];
-		const has = (name: string): boolean => rawHeaders.includes(name);
+		const has = (name: string): boolean => getHeader(rawHeaders, name) !== undefined;
 		return {
-			...(has('attempt') && {attemptId: get('attempt')}), isSigned: has('seal'), isNotExecuted: has('not-run'), isEventStream: has('events'), headers: ['seal', 's'],
+			attemptId: getHeader(rawHeaders, 'attempt'), isSigned: has('seal'), isNotExecuted: has('not-run'), isEventStream: has('events'), headers: ['seal', 's'],
 		};
 	}
 }
 
+/** A slot that was released, with its outcome. */
+type ReleasedSlot = {readonly targetId: string; readonly outcome: SlotOutcome};
+
 class FixedSlotSource extends SlotSource {
-	constructor(private readonly addresses: readonly string[]) {
+	readonly released: ReleasedSlot[] = [];
+
+	constructor(private readonly addresses: readonly string[], private readonly fullTargets: readonly string[]) {
 		super();
 	}
 
 	override findSlot({tried}: SlotRequirements): SlotResult {
-		const address = this.addresses.find(known => !tried.has(known));
+		const untried = this.addresses.filter(known => !tried.has(known));
+		const address = untried.find(known => !this.fullTargets.includes(known));
 		return address === undefined
-			? {kind: 'none'}
+			? {kind: untried.length === 0 ? 'none' : 'full'}
 			: {
 				kind: 'slot', slot: {
-					targetId: address, address, zone: 'a', outstanding: 0, updateOutstanding: () => undefined, release: () => undefined,
+					targetId: address, address, zone: 'a', outstanding: 0, updateOutstanding: () => undefined, reportSilence: () => undefined, release: outcome => {
+						this.released.push({targetId: address, outcome});
+					},
 				},
 			};
 	}
@@ -102,7 +121,8 @@
 	}
 }
 
-const config: TrafficConfig = {
+/** A configuration without routes. */
+export const config: TrafficConfig = {
 	version: 1,
 	routes: [],
 	services: [{name: 's', coldRequestsPerSecond: 0}],
@@ -111,14 +131,17 @@
 	},
 };
 
-const route: TrafficRoute = {
+export const route: TrafficRoute = {
 	name: 'r', hostName: 'app.test', pathPrefix: '/', repeat: 'once', isStream: false, isResumable: false, isOpen: true, timeoutMs: 10_000, targetLatencyMs: 500, priority: 1, maxAttempts: 2, services: [{service: 's', weight: 1}],
 };
 
 export type ForwardHostOptions = {
 	readonly targets: readonly string[];
+	/** Targets without a free slot. */
+	readonly fullTargets?: readonly string[];
 	readonly route?: Partial<TrafficRoute>;
 	readonly onChunk?: () => void;
+	readonly maxBodyBytes?: number;
 };
 
 /** The forwarding path of an entry host with its real HTTP server and client and fixed targets. */
@@ -131,17 +154,19 @@
 	}
 
 	readonly observer = new RecordingObserver();
+	readonly slots: FixedSlotSource;
 	private readonly sender = new HttpSender();
 	private readonly server: Server;
 
-	private constructor({targets, route: changes, onChunk = () => undefined}: ForwardHostOptions) {
+	private constructor({targets, fullTargets = [], route: changes, onChunk = () => undefined, maxBodyBytes = config.limits.maxBodyBytes}: ForwardHostOptions) {
+		this.slots = new FixedSlotSource(targets, fullTargets);
 		const clock = new MonotonicClock();
-		const table = new RouteTable({...config, routes: [{...route, ...changes}]});
+		const table = new RouteTable({...config, limits: {...config.limits, maxBodyBytes}, routes: [{...route, ...changes}]});
 		const retries = new RetryBudget(clock, {ratio: 0, reserve: 100});
 		const parts: ForwardDependencies = {
-			clock, random: () => 0, dialect: new TestDialect(), queue: new SlotQueue(clock, new FixedSlotSource(targets)), rates: new RateAllocations(clock), poolClient: new RefusingLender(), retrySchedule: new RetrySchedule(clock), sender: new ObservedSender(this.sender, onChunk), observer: this.observer, getTable: () => table, stopping: new AbortController().signal, getRetries: () => retries,
+			clock, random: () => 0, dialect: new TestDialect(), queue: new SlotQueue(clock, this.slots), rates: new RateAllocations(clock), poolClient: new RefusingLender(), retrySchedule: new RetrySchedule(clock), sender: new ObservedSender(this.sender, onChunk), observer: this.observer, getTable: () => table, stopping: new AbortController().signal, getRetries: () => retries,
 		};
-		this.server = createServer((req, res) => {
+		this.server = createHttpServer((req, res) => {
 			void forwardRequest(new NodeExchange(req, res, () => false), parts);
 		});
 	}
--- a/packages/callers/src/forward/forward-context.ts
+++ b/packages/callers/src/forward/forward-context.ts
@@ -1,6 +1,7 @@
 import type {TrafficCustomer, TrafficRoute} from '@egretrill/common';
 import type {CallerExchange} from './caller-exchange.js';
 import type {ForwardDependencies} from './forward-dependencies.js';
+import type {EventOrder} from './event-order.js';
 import type {ChunkTimes} from './chunk-times.js';
 import type {SlotOutcome} from './place-queue.js';
 import type {RouteTable} from './route-table.js';
@@ -29,6 +30,10 @@
 	mayHaveRun: boolean;
 	waitMs: number;
 	lastEventId: number | undefined;
+	/** The events that have been relayed; absent unless the answer is an event stream. */
+	eventOrder?: EventOrder;
+	/** Body bytes relayed from all targets. */
+	relayedBytes: number;
 	readonly chunkTimes: ChunkTimes;
 	targetId?: string;
 	outstanding?: number;
@@ -37,10 +42,12 @@
 	answerSummary?: AnswerSummary;
 };
 
-/** How an attempt at one target ended. */
-export type AttemptOutcome =
-	| {readonly kind: 'answered'}
+/** Why an attempt at one target brought no complete answer. */
+export type AttemptFailure =
 	/** The target certainly did not run the request. */
 	| {readonly kind: 'not-run'; readonly reason: string; readonly slotOutcome: SlotOutcome}
 	/** The target may have run the request, and no complete answer was received. */
 	| {readonly kind: 'broken'; readonly reason: string; readonly slotOutcome: SlotOutcome};
+
+/** How an attempt at one target ended. */
+export type AttemptOutcome = {readonly kind: 'answered'} | AttemptFailure;
--- a/packages/callers/src/forward/index.ts
+++ b/packages/callers/src/forward/index.ts
@@ -1,5 +1,6 @@
 export * from './caller-exchange.js';
 export * from './constants.js';
+export * from './event-order.js';
 export * from './event-splitter.js';
 export * from './forward-dialect.js';
 export * from './forward-dependencies.js';
@@ -11,5 +12,6 @@
 export * from './rate-part.js';
 export * from './relay.js';
 export * from './route-table.js';
+export * from './silence.js';
 export * from './types.js';
 export * from './wait-forecast.js';
--- a/packages/callers/tests/forward/support/forward-scenario.ts
+++ b/packages/callers/tests/forward/support/forward-scenario.ts
@@ -5,7 +5,7 @@
 import {Result} from 'true-myth';
 import {RetryBudget} from '../../../src/index.js';
 import {
-	type AnswerMetadata, type AnswerHead, CallerExchange, type ForwardCall, ForwardDialect, type ForwardEndEvent, ForwardObserver, type ForwardDependencies, forwardRequest, ForwardSender, type OutgoingMessage, type SlotResult, type SlotRequirements, SlotQueue, SlotSource, RatePoolClient, RateAllocations, type RequestHead, RetrySchedule, RouteTable, type SendDetails, type TargetAnswer,
+	type AnswerMetadata, type AnswerHead, type AttemptEvent, CallerExchange, type ForwardCall, ForwardDialect, type ForwardEndEvent, ForwardObserver, type ForwardDependencies, forwardRequest, ForwardSender, type OutgoingMessage, type SlotResult, type SlotRequirements, SlotQueue, SlotSource, RatePoolClient, RateAllocations, type RequestHead, RetrySchedule, RouteTable, type SendDetails, type TargetAnswer,
 } from '../../../src/forward/index.js';
 
 /** How a fake target answers one request. */
@@ -16,16 +16,46 @@
 	readonly isNotExecuted?: boolean;
 	readonly isEventStream?: boolean;
 	readonly chunks?: readonly string[];
+	/** Without chunks: the id up to which the target sends the events that the request lacks. */
+	readonly lastId?: number;
 	/** The body is truncated. */
 	readonly isCut?: boolean;
 	/** The exchange fails; the value says whether the target may have received the request. */
 	readonly failure?: SendFailure;
 	/** The target sends nothing after its chunks. */
 	readonly isSilent?: boolean;
+	/** Time that the target takes to answer. */
+	readonly headDelayMs?: number;
+	/** Pauses of the target before its chunks, by the index of the chunk. */
+	readonly pausesMs?: Readonly<Record<number, number>>;
+	/** The sender rejects. */
+	readonly isRejected?: boolean;
+	/** The head cannot be parsed, which throws. */
+	readonly isUnparsable?: boolean;
 };
 
+/** Step of a request that throws unexpectedly. */
+export type ThrowingStep = 'readCall' | 'writeSendHeaders' | 'recordAttempt' | 'refuse';
+
+class UnexpectedError extends Error {
+	constructor(step: string) {
+		super(`Unexpected in ${step}.`);
+	}
+}
+
+function throwAt(step: ThrowingStep, throwingStep: ThrowingStep | undefined): void {
+	if (step === throwingStep) {
+		throw new UnexpectedError(step);
+	}
+}
+
 class FakeDialect extends ForwardDialect {
+	constructor(private readonly throwingStep: ThrowingStep | undefined) {
+		super();
+	}
+
 	override readCall({method, url, rawHeaders}: RequestHead): ForwardCall {
+		throwAt('readCall', this.throwingStep);
 		const get = (name: string): string | undefined => rawHeaders[rawHeaders.indexOf(name) + 1];
 		const has = (name: string): boolean => rawHeaders.includes(name);
 		return {
@@ -34,19 +64,32 @@
 	}
 
 	override writeSendHeaders(_call: ForwardCall, {targetId, timeLeftMs, customer, lastEventId}: SendDetails): string[] {
+		throwAt('writeSendHeaders', this.throwingStep);
 		return [targetId, String(timeLeftMs), customer ?? '', String(lastEventId ?? '')];
 	}
 
 	override readAnswer({rawHeaders}: AnswerHead): AnswerMetadata {
 		const metadata = JSON.parse(rawHeaders[0] ?? '{}') as FakeAnswer;
+		if (metadata.isUnparsable) {
+			throw new UnexpectedError('readAnswer');
+		}
+
 		return {
 			attemptId: metadata.attemptId ?? 'attempt-1', isSigned: !metadata.isUnsigned, isNotExecuted: metadata.isNotExecuted ?? false, isEventStream: metadata.isEventStream ?? false, headers: ['x-target', 'yes'],
 		};
 	}
 }
 
+/** Time from the head of a relayed answer until it ended or was closed. */
+export type AnswerTime = {readonly targetId: string | undefined; readonly openedMs: number; closedMs?: number};
+
+function createEvents(firstId: number, lastId: number): readonly string[] {
+	return Array.from({length: Math.max(0, lastId - firstId + 1)}, (_, index) => `id: ${firstId + index}\ndata: x\n\n`);
+}
+
 class FakeSender extends ForwardSender {
 	readonly sent: string[] = [];
+	readonly answerTimes: AnswerTime[] = [];
 
 	constructor(private readonly answers: FakeAnswer[], private readonly clock: ManualClock) {
 		super();
@@ -56,21 +99,49 @@
 		const [targetId, timeLeftMs, customer, lastEventId] = headers;
 		this.sent.push(`${targetId} with ${timeLeftMs} ms${customer ? ` for ${customer}` : ''}${lastEventId ? ` after event ${lastEventId}` : ''}`);
 		const answer = this.answers.shift() ?? {};
+		if (answer.headDelayMs !== undefined) {
+			await this.clock.sleep(answer.headDelayMs, signal);
+		}
+
+		if (signal.aborted) {
+			this.sent.push(`${targetId} cancelled`);
+			return Result.err({accepted: true, code: 'ABORT_ERR', reason: 'aborted'});
+		}
+
+		if (answer.isRejected) {
+			throw new UnexpectedError('send');
+		}
+
 		if (answer.failure) {
 			return Result.err(answer.failure);
 		}
 
 		const closed = new AbortController();
 		const {clock} = this;
+		const time: AnswerTime = {targetId, openedMs: clock.now()};
+		const {answerTimes} = this;
+		const chunks = answer.chunks ?? createEvents(Number(lastEventId ?? 0) + 1, answer.lastId ?? 0);
 		const body = async function * (): AsyncGenerator<Uint8Array> {
-			for (const chunk of answer.chunks ?? []) {
+			answerTimes.push(time);
+			const ended = AbortSignal.any([signal, closed.signal]);
+			for (const [index, chunk] of chunks.entries()) {
+				const pauseMs = answer.pausesMs?.[index];
+				if (pauseMs !== undefined) {
+					await clock.sleep(pauseMs, ended);
+				}
+
+				if (ended.aborted) {
+					throw new Error('aborted');
+				}
+
 				yield Buffer.from(chunk);
 			}
 
 			if (answer.isSilent) {
-				await clock.sleep(1_000_000, AbortSignal.any([signal, closed.signal]));
+				await clock.sleep(1_000_000, ended);
 			}
 
+			time.closedMs ??= clock.now();
 			if ([answer.isCut, answer.isSilent].includes(true)) {
 				throw new Error('aborted');
 			}
@@ -81,9 +152,11 @@
 			rawHeaders: [JSON.stringify(answer)],
 			body: body(),
 			framing: 'chunks',
+			isConnectionReused: false,
 			isComplete: () => !answer.isCut,
 			discard: () => undefined,
 			destroy() {
+				time.closedMs ??= clock.now();
 				closed.abort();
 			},
 		});
@@ -95,7 +168,8 @@
 	readonly received: string[] = [];
 	private isStarted = false;
 
-	constructor(readonly head: RequestHead) {
+	/** `blockWrite` resolves when the caller accepts more data. */
+	constructor(readonly head: RequestHead, private readonly throwingStep: ThrowingStep | undefined, private readonly blockWrite: () => Promise<void>) {
 		super();
 	}
 
@@ -120,8 +194,13 @@
 		this.received.push(`${status} ${headers.join('=')}${bodyLength === undefined ? '' : ` of ${bodyLength} bytes`}`);
 	}
 
+	override cancelWritesOn(): void {
+		// Writes to this caller do not wait.
+	}
+
 	override async write(bytes: Uint8Array): Promise<void> {
 		this.received.push(Buffer.from(bytes).toString());
+		await this.blockWrite();
 	}
 
 	override end(): void {
@@ -133,6 +212,7 @@
 	}
 
 	override refuse({status, code, run, retryAfterMs}: Verdict): void {
+		throwAt('refuse', this.throwingStep);
 		this.received.push(`${status} ${code}, ${run}${retryAfterMs === undefined ? '' : `, return after ${Math.round(retryAfterMs)} ms`}`);
 	}
 }
@@ -140,18 +220,21 @@
 class FakeSlots extends SlotSource {
 	readonly ends: string[] = [];
 
-	constructor(private readonly targets: readonly string[]) {
+	/** Targets in `freeAfterMs` are full until then. */
+	constructor(private readonly targets: readonly string[], private readonly clock: ManualClock, private readonly freeAfterMs: Readonly<Record<string, number>>) {
 		super();
 	}
 
 	override findSlot({tried}: SlotRequirements): SlotResult {
-		const targetId = this.targets.find(target => !tried.has(target));
+		const targetId = this.targets.find(target => !tried.has(target) && this.clock.now() >= (this.freeAfterMs[target] ?? 0));
 		return targetId === undefined
 			? {kind: 'none'}
 			: {
 				kind: 'slot',
 				slot: {
-					targetId, address: `${targetId}:1`, zone: 'a', outstanding: 0, updateOutstanding: () => undefined, release: end => {
+					targetId, address: `${targetId}:1`, zone: 'a', outstanding: 0, updateOutstanding: () => undefined, reportSilence: () => {
+						this.ends.push(`${targetId} silent`);
+					}, release: end => {
 						this.ends.push(`${targetId} ${end}`);
 					},
 				},
@@ -168,16 +251,22 @@
 }
 
 class EndRecorder extends ForwardObserver {
+	readonly attempts: AttemptEvent[] = [];
 	readonly ends: ForwardEndEvent[] = [];
 	/** Requests that count as demand. */
 	arrivals = 0;
 
+	constructor(private readonly throwingStep: ThrowingStep | undefined) {
+		super();
+	}
+
 	override recordArrival(): void {
 		this.arrivals += 1;
 	}
 
-	override recordAttempt(): void {
-		// The sender records what is sent.
+	override recordAttempt(event: AttemptEvent): void {
+		throwAt('recordAttempt', this.throwingStep);
+		this.attempts.push(event);
 	}
 
 	override recordEnd(event: ForwardEndEvent): void {
@@ -185,6 +274,15 @@
 	}
 }
 
+class RecordingRates extends RateAllocations {
+	wasRefunded = false;
+
+	override refund(name: string, cost: number): void {
+		this.wasRefunded = true;
+		super.refund(name, cost);
+	}
+}
+
 class UnavailablePoolClient extends RatePoolClient {
 	override async borrow(): Promise<undefined> {
 		return undefined;
@@ -212,11 +310,20 @@
 	readonly answers?: readonly FakeAnswer[];
 	readonly targets?: readonly string[];
 	readonly headers?: readonly string[];
+	/** Times at which full targets get a free slot. */
+	readonly freeAfterMs?: Readonly<Record<string, number>>;
+	/** Time for which the caller accepts no data after each event. */
+	readonly writeMs?: number;
+	/** Retries that the service may use. */
+	readonly retryReserve?: number;
 	/** Time after which the caller disconnects. */
 	readonly disconnectsAfterMs?: number;
 	readonly isUnconfigured?: boolean;
 	/** Rate of the only customer; unlimited if absent. */
 	readonly ratePerSecond?: number;
+	/** Whether this host may spend the customer's rate. */
+	readonly hasRate?: boolean;
+	readonly throwingStep?: ThrowingStep;
 };
 
 /** Runs one request of a caller and returns how often it was counted as demand. */
@@ -225,6 +332,12 @@
 	return observer.arrivals;
 }
 
+/** Runs one request of a caller and returns how each attempt ended. */
+export async function listAttempts(opts: ScenarioOptions): Promise<readonly string[]> {
+	const {observer} = await runScenario(opts);
+	return observer.attempts.map(({slot, attempt, outcome, reason}) => `${slot.targetId} as ${attempt}: ${outcome}${reason ? `, ${reason}` : ''}`);
+}
+
 /** Runs one request of a caller and returns what the caller and the targets received. */
 export async function runRequest(opts: ScenarioOptions): Promise<unknown> {
 	const {exchange, sender, slots, observer} = await runScenario(opts);
@@ -234,29 +347,69 @@
 	};
 }
 
-async function runScenario(opts: ScenarioOptions): Promise<{exchange: FakeExchange; sender: FakeSender; slots: FakeSlots; observer: EndRecorder}> {
+async function catchError(task: Promise<void>): Promise<unknown> {
+	try {
+		await task;
+		return undefined;
+	} catch (err: unknown) {
+		return err;
+	}
+}
+
+/** Runs one request that ends with an unexpected exception; returns also whether the customer's rate was refunded, and the reported exception. */
+export async function runFailingRequest(opts: ScenarioOptions): Promise<unknown> {
+	const {exchange, sender, slots, observer, rates, error} = await runScenario({
+		route: {isOpen: false}, headers: ['key', 'k'], ratePerSecond: 1, hasRate: true, ...opts,
+	});
+	return {
+		caller: exchange.received, targets: sender.sent, ends: slots.ends, logged: observer.ends.map(({outcome, attempts}) => [typeof outcome === 'object' ? outcome.code : outcome, attempts]), isRefunded: rates.wasRefunded, error: String(error),
+	};
+}
+
+/** What took part in a request of a caller. */
+export type ScenarioResult = {
+	readonly exchange: FakeExchange;
+	readonly sender: FakeSender;
+	readonly slots: FakeSlots;
+	readonly observer: EndRecorder;
+	readonly rates: RecordingRates;
+	/** The exception with which the request was reported as failed. */
+	readonly error: unknown;
+};
+
+/** Runs one request of a caller to its end. */
+export async function runScenario(opts: ScenarioOptions): Promise<ScenarioResult> {
 	const clock = new ManualClock();
 	const customers = config.customers?.map(customer => ({...customer, ratePerSecond: opts.ratePerSecond ?? 0, burst: opts.ratePerSecond ?? 0}));
 	const table = new RouteTable({...config, customers, routes: [{...route, ...opts.route}]});
 	const sender = new FakeSender([...opts.answers ?? []], clock);
-	const observer = new EndRecorder();
-	const exchange = new FakeExchange({method: 'POST', url: '/orders', rawHeaders: opts.headers ?? []});
-	const slots = new FakeSlots(opts.targets ?? ['t1', 't2', 't3']);
-	const retries = new RetryBudget(clock, {ratio: 0, reserve: 3});
-	const rates = new RateAllocations(clock);
+	const observer = new EndRecorder(opts.throwingStep);
+	const exchange = new FakeExchange({method: 'POST', url: '/orders', rawHeaders: opts.headers ?? []}, opts.throwingStep, async () => {
+		if (opts.writeMs !== undefined) {
+			await clock.sleep(opts.writeMs);
+		}
+	});
+	const slots = new FakeSlots(opts.targets ?? ['t1', 't2', 't3'], clock, opts.freeAfterMs ?? {});
+	const retries = new RetryBudget(clock, {ratio: 0, reserve: opts.retryReserve ?? 3});
+	const rates = new RecordingRates(clock);
 	rates.setCustomers(customers ?? []);
+	if (opts.hasRate) {
+		rates.setAllocation('c', {standing: 1, leased: 0, leaseEndsMs: 0});
+		await clock.run(2000);
+	}
+
 	const deps: ForwardDependencies = {
-		clock, random: () => 0, dialect: new FakeDialect(), queue: new SlotQueue(clock, slots), rates, poolClient: new UnavailablePoolClient(), retrySchedule: new RetrySchedule(clock), sender, observer, getTable: () => opts.isUnconfigured ? undefined : table, stopping: new AbortController().signal, getRetries: () => retries,
+		clock, random: () => 0, dialect: new FakeDialect(opts.throwingStep), queue: new SlotQueue(clock, slots), rates, poolClient: new UnavailablePoolClient(), retrySchedule: new RetrySchedule(clock), sender, observer, getTable: () => opts.isUnconfigured ? undefined : table, stopping: new AbortController().signal, getRetries: () => retries,
 	};
-	const served = forwardRequest(exchange, deps);
+	const served = catchError(forwardRequest(exchange, deps));
 	if (opts.disconnectsAfterMs !== undefined) {
 		await clock.run(opts.disconnectsAfterMs);
 		exchange.disconnected.abort();
 	}
 
-	await clock.run(5000);
-	await served;
+	await clock.run(200_000);
+	const error = await served;
 	return {
-		exchange, sender, slots, observer,
+		exchange, sender, slots, observer, rates, error,
 	};
 }
