callers: count events as delivered only once their answer has begun

Callers saw: a resumable stream without its first events that ended as a complete one.

Cause: the order of events was kept over attempts also when the first answer never reached the caller. Node refuses to send a status below 100 such as 099, which its parser accepts; by then the events of the first chunk counted as delivered, and the next target's events with these ids were dropped.

Change: while no answer has begun, each one starts with a new order.

Evidence: the new test failed before; the caller received "[3][4][5]" as a whole answer and receives "[1][2][3][4][5]" now.

--- a/apps/egretrilld/tests/traffic/continued-streams.test.ts
+++ b/apps/egretrilld/tests/traffic/continued-streams.test.ts
@@ -112,6 +112,15 @@
 		}, async text => runScripts([answerWith(text), continueSoundly], resumable))).toMatchSnapshot();
 	}).timeout(60_000);
 
+	// Guards against events that count as delivered although their answer never began, and are then left out of the next one.
+	it('begins anew when the head of its first answer cannot be sent', async () => {
+		const unsendable = answerWith(`HTTP/1.1 099 Odd\r\n${SIGNED}events: 1\r\n\r\n${formatEvents(1, 2)}`);
+		expect({
+			'from the first event': await runScripts([unsendable, continueSoundly], resumable),
+			'after the last event of the caller': await runScripts([unsendable, continueSoundly], resumable, 'last-event-id: 1\r\n'),
+		}).toMatchSnapshot();
+	}).timeout(60_000);
+
 	// Guards against a gap at a third target, and against a break of a stream whose ids count more than its events.
 	it('is continued in the steps of its ids', async () => {
 		const runSteps = async (...answers: readonly string[]): Promise<string> => runScripts(answers.map(text => answerWith(text)), resumable);
--- a/packages/callers/src/forward/forward-to-target.ts
+++ b/packages/callers/src/forward/forward-to-target.ts
@@ -50,7 +50,14 @@
 	return outcome;
 }
 
-async function relay({exchange, progress, route}: ForwardContext, {answer, metadata}: OpenAttempt, watch: SwitchWatch | undefined): Promise<AttemptOutcome> {
+/** The order of the events that the caller has; those of an answer that never began did not reach it. */
+function getEventOrder({exchange, progress, route}: ForwardContext): EventOrder {
+	const delivered = exchange.hasStarted() ? progress.eventOrder : undefined;
+	return delivered ?? new EventOrder(route.isResumable ? progress.lastEventId : undefined);
+}
+
+async function relay(context: ForwardContext, {answer, metadata}: OpenAttempt, watch: SwitchWatch | undefined): Promise<AttemptOutcome> {
+	const {exchange, progress} = context;
 	progress.status = answer.status;
 	const relayed = {
 		exchange, answer, headers: metadata.headers, onChunk(lastEventId: number | undefined) {
@@ -60,8 +67,9 @@
 	};
 	let result: RelayResult;
 	if (isEventStream(answer, metadata)) {
-		progress.eventOrder ??= new EventOrder(route.isResumable ? progress.lastEventId : undefined);
-		result = await relayEvents(relayed, progress.eventOrder, watch);
+		const order = getEventOrder(context);
+		progress.eventOrder = order;
+		result = await relayEvents(relayed, order, watch);
 	} else {
 		progress.eventOrder = undefined;
 		result = await relayBuffered(relayed);
