egretrilld: end a stopping control host within the time of the platform

Callers saw: nothing yet; found by review. A control host could need 11 s to stop, and the platform kills it after 8 s, in the middle of its last writes.

Cause: the waits for a successor, for the removal and for the end of the leadership add up to 7.2 s, and the removal of another member that was under way was awaited for up to 5 s more.

Change: leaving takes 5.5 s at most, and the removal of another member 1.5 s; the leader requests it again at its next check.

--- a/apps/egretrilld/src/traffic/constants.ts
+++ b/apps/egretrilld/src/traffic/constants.ts
@@ -44,6 +44,9 @@
 /** Longest time that a stopping member waits for a running host to become a voter in its place. */
 export const SUCCESSOR_CATCH_UP_TIMEOUT_MS = 3000;
 
+/** Longest time that a stopping member spends on leaving in all: the platform kills a process 8 s after its stop signal, and other tasks still have to end. */
+export const MAX_LEAVE_MS = 5500;
+
 /** How often a stopping member checks whether it may stop. */
 export const LEAVE_CHECK_INTERVAL_MS = 50;
 
@@ -53,6 +56,9 @@
 /** Margin for clock drift and delays that a new order holder waits after the lease of the previous one. */
 export const ORDER_TAKEOVER_MARGIN_MS = 300;
 
+/** Longest time that the leader waits for the removal of another member, which it requests again at its next check; a stop waits for it as well. */
+export const MEMBER_REMOVAL_TIMEOUT_MS = 1500;
+
 /** The running requests of an entry host are counted for this long after its last poll. */
 export const ENTRY_REPORT_TTL_MS = 1500;
 
--- a/apps/egretrilld/src/traffic/membership.ts
+++ b/apps/egretrilld/src/traffic/membership.ts
@@ -2,7 +2,8 @@
 import type {Clock, Logger} from '@egretrill/common';
 import type {FleetLog, FleetNode} from '@egretrill/hosts';
 import {
-	JOIN_RETRY_MS, LEAVE_CHECK_INTERVAL_MS, LEAVE_TIMEOUT_MS, MEMBER_CHECK_INTERVAL_MS, MEMBER_TIMEOUT_MS, SUCCESSOR_CATCH_UP_TIMEOUT_MS, SUCCESSOR_CONTACT_TIMEOUT_MS,
+	JOIN_RETRY_MS, LEAVE_CHECK_INTERVAL_MS, LEAVE_TIMEOUT_MS, MAX_LEAVE_MS, MEMBER_CHECK_INTERVAL_MS, MEMBER_REMOVAL_TIMEOUT_MS, MEMBER_TIMEOUT_MS,
+	SUCCESSOR_CATCH_UP_TIMEOUT_MS, SUCCESSOR_CONTACT_TIMEOUT_MS,
 } from './constants.js';
 import type {ControlGossip} from './control-gossip.js';
 import type {ControlSettings} from './settings.js';
@@ -55,7 +56,7 @@
 			if (unresponsive && node.isLeaderWithLease() && responsive.length >= settings.minVoters) {
 				const outcome = await log.propose({
 					kind: 'removeMember', memberId: unresponsive.id, requestId: randomUUID(), author: settings.host,
-				});
+				}, MEMBER_REMOVAL_TIMEOUT_MS);
 				logger.info({memberId: unresponsive.id, living: responsive.length, outcome: outcome.kind}, 'An unresponsive member was removed from the log.');
 			}
 		}
@@ -68,17 +69,20 @@
 	 */
 	async leave(): Promise<void> {
 		const {clock, hostId, log, logger, node, settings} = this.opts;
+		const endMs = clock.now() + MAX_LEAVE_MS;
+		const getTimeoutMs = (): number => Math.max(0, Math.min(LEAVE_TIMEOUT_MS, endMs - clock.now()));
 		if (!node.status().members.some(({id}) => id === hostId) || !await this.waitForOtherVoters()) {
 			return;
 		}
 
+		const timeoutMs = getTimeoutMs();
 		const removal = log.propose({
 			kind: 'removeMember', memberId: hostId, requestId: randomUUID(), author: settings.host,
-		}, LEAVE_TIMEOUT_MS);
-		const outcome = await Promise.race([removal, clock.sleep(LEAVE_TIMEOUT_MS)]);
+		}, timeoutMs);
+		const outcome = await Promise.race([removal, clock.sleep(timeoutMs)]);
 		logger.info({others: this.countOtherVoters(), outcome: outcome?.kind ?? 'timeout'}, 'This host requested its removal from the log.');
 		// A leader replicates its own removal; it stops leading once that is committed.
-		await this.waitUntil(() => node.status().role !== 'leader', LEAVE_TIMEOUT_MS);
+		await this.waitUntil(() => node.status().role !== 'leader', getTimeoutMs());
 	}
 
 	/** Waits for a host that replaces this one, and for it to become a voter; returns whether enough other voters remain. */
--- a/apps/egretrilld/tests/traffic/membership.test.ts
+++ b/apps/egretrilld/tests/traffic/membership.test.ts
@@ -3,16 +3,25 @@
 import {expect} from 'chai';
 import {Membership} from '../../src/traffic/index.js';
 
+/** Deadline of a command without another one. */
+const COMMAND_DEADLINE_MS = 5000;
+const MEMBER_CHECK_MS = 1000;
+/** The platform kills a process 8 s after its stop signal; other tasks end after those of the membership. */
+const MAX_STOP_MS = 7000;
+
 /** One control host of a fleet with members, contact ages and leader set by the test. */
 class MembershipFixture {
 	readonly clock = new ManualClock();
 	readonly proposed: string[] = [];
 	memberIds: readonly string[] = ['h1', 'h2', 'h3'];
+	learnerIds: readonly string[] = [];
 	leaderMemberIds: readonly string[] | undefined;
 	readonly contactIds = ['h1', 'h2', 'h3'];
 	contactAgeMs = new Map<string, number>();
 	isLeader = false;
 	isRemovalRequested = false;
+	/** Whether the log confirms no change. */
+	isLogSilent = false;
 	private readonly membership: Membership;
 
 	constructor(hostId: string) {
@@ -24,7 +33,7 @@
 			clock: this.clock,
 			logger: createLogger('test', 'fatal'),
 			node: {status: () => this.createStatus(hostId), isLeaderWithLease: () => this.isLeader},
-			log: {propose: async command => this.propose(command)},
+			log: {propose: async (command, deadlineMs) => this.propose(command, deadlineMs)},
 			gossip: this.createGossip(),
 			isRemovalRequested: () => this.isRemovalRequested,
 		});
@@ -47,6 +56,30 @@
 		return this.proposed;
 	}
 
+	/** Time that a leader takes to stop, from the signal on, when the host that replaces it makes contact and becomes a voter at the given times after it. */
+	async measureStopMs(successorContactMs: number, successorVoteMs: number): Promise<number> {
+		const ended = new AbortController();
+		const removing = this.membership.removeUnresponsive(ended.signal);
+		await this.clock.run(MEMBER_CHECK_MS);
+		const startedMs = this.clock.now();
+		let tookMs = 0;
+		const stop = async (): Promise<void> => {
+			await this.membership.leave();
+			ended.abort();
+			await removing;
+			tookMs = this.clock.now() - startedMs;
+		};
+
+		const stopped = stop();
+		await this.clock.run(successorContactMs);
+		this.contactAgeMs.set('h4', 0);
+		await this.clock.run(successorVoteMs - successorContactMs);
+		this.memberIds = [...this.memberIds, 'h4'];
+		await this.clock.run(60_000);
+		await stopped;
+		return tookMs;
+	}
+
 	private createGossip(): {readonly leaderMemberIds: readonly string[] | undefined; readonly contactIds: readonly string[]; getContactAgeMs: (id: string) => number} {
 		const getMemberIds = (): readonly string[] | undefined => this.leaderMemberIds;
 		return {
@@ -60,11 +93,16 @@
 
 	private createStatus(memberId: string): ConsensusStatus {
 		return {
-			memberId, identity: memberId, role: this.isLeader ? 'leader' : 'follower', term: 1, lastIndex: 1, commitIndex: 1, appliedIndex: 1, snapshotIndex: 0, members: this.memberIds.map(id => ({id, identity: id, role: 'voter'})),
+			memberId, identity: memberId, role: this.isLeader ? 'leader' : 'follower', term: 1, lastIndex: 1, commitIndex: 1, appliedIndex: 1, snapshotIndex: 0, members: this.memberIds.map(id => ({id, identity: id, role: this.learnerIds.includes(id) ? 'learner' : 'voter'})),
 		};
 	}
 
-	private async propose(command: FleetCommand): Promise<CommandOutcome> {
+	private async propose(command: FleetCommand, deadlineMs = COMMAND_DEADLINE_MS): Promise<CommandOutcome> {
+		if (this.isLogSilent) {
+			await this.clock.sleep(deadlineMs);
+			return {kind: 'unknown', reason: 'The log is silent.'};
+		}
+
 		if (command.kind === 'addMember') {
 			this.isRemovalRequested = false;
 			this.proposed.push(`add ${command.member.id}`);
@@ -120,4 +158,17 @@
 		spare.memberIds = ['h1', 'h2', 'h3', 'h4'];
 		expect([await spare.leave(), await new MembershipFixture('h1').leave(), await new MembershipFixture('h9').leave()]).toMatchSnapshot();
 	});
+
+	// Guards against a stopping host that is killed by the platform before it has ended its tasks.
+	it('ends in time although its successor is slow and the log confirms nothing', async () => {
+		const stopping = new MembershipFixture('h1');
+		stopping.isLeader = true;
+		stopping.isLogSilent = true;
+		stopping.memberIds = ['h1', 'h2', 'h3', 'h5'];
+		stopping.learnerIds = ['h5'];
+		stopping.contactIds.push('h4');
+		stopping.contactAgeMs = new Map([['h4', 60_000], ['h5', 60_000]]);
+		const tookMs = await stopping.measureStopMs(1400, 4200);
+		expect(tookMs).to.be.at.most(MAX_STOP_MS);
+	});
 });
