--- a/packages/common/src/clock.ts
+++ b/packages/common/src/clock.ts
@@ -1,6 +1,9 @@
 import {performance} from 'node:perf_hooks';
 import {setImmediate as nextTurn} from 'node:timers/promises';
 
+/** Longest duration of a timer; Node runs a longer one after 1 ms. */
+const MAX_TIMER_MS = 2_147_483_647;
+
 /** Measures durations; leases, rates and deadlines use this instead of the wall clock. */
 export abstract class Clock {
 	/** Milliseconds since an arbitrary fixed point; never goes backwards. */
@@ -28,7 +31,7 @@
 				resolve();
 			};
 
-			const timer = setTimeout(wake, ms);
+			const timer = setTimeout(wake, Math.min(ms, MAX_TIMER_MS));
 			signal?.addEventListener('abort', wake, {once: true});
 		});
 	}
--- a/packages/common/tests/clock.test.ts
+++ b/packages/common/tests/clock.test.ts
@@ -1,6 +1,7 @@
 import {getEventListeners} from 'node:events';
+import {setTimeout as delay} from 'node:timers/promises';
 import {expect} from 'chai';
-import {ManualClock} from '../src/index.js';
+import {ManualClock, MonotonicClock} from '../src/index.js';
 
 describe('ManualClock', () => {
 	// Guards against long tests that slow down because listeners or sleepers of earlier sleeps accumulate.
@@ -64,3 +65,23 @@
 		expect(woken).toMatchSnapshot();
 	});
 });
+
+describe('MonotonicClock', () => {
+	// Guards against a timeout of more than 24 days that ends each request at once, since Node's timers then fire after 1 ms.
+	it('does not wake early from a sleep that is longer than a timer can be', async () => {
+		const clock = new MonotonicClock();
+		const stopper = new AbortController();
+		let wakeups = 0;
+		const sleep = async (ms: number): Promise<void> => {
+			await clock.sleep(ms, stopper.signal);
+			wakeups += 1;
+		};
+
+		const sleeps = [2 ** 31, 3e9, Number.POSITIVE_INFINITY].map(async ms => sleep(ms));
+		await delay(50);
+		const wakeupsBeforeAbort = wakeups;
+		stopper.abort();
+		await Promise.all(sleeps);
+		expect([wakeupsBeforeAbort, wakeups]).to.deep.equal([0, 3]);
+	});
+});
