egretrilld: count a refusal as sent only once its head is written

Callers saw: nothing yet; found by review. A refusal that Node refuses to write left its connection open without an answer.

Cause: the exchange counted as ended before the head was written, and EntryHost.serve closes the connection of a failed request only if it has not ended.

Change: it counts as ended after the head was written.

Evidence: the new test (a refusal with status 1000) failed before. refusal-end and entry-host pass.

--- a/apps/egretrilld/src/traffic/node-exchange.ts
+++ b/apps/egretrilld/src/traffic/node-exchange.ts
@@ -96,7 +96,6 @@
 	}
 
 	refuse({status, code, reason, retryAfterMs, run}: Verdict): void {
-		this.isEnding = true;
 		this.prepare();
 		const isComplete = this.isRequestComplete();
 		this.res.shouldKeepAlive &&= isComplete;
@@ -106,6 +105,7 @@
 			'content-length': Buffer.byteLength(body),
 			...(retryAfterMs !== undefined && {'retry-after': (retryAfterMs / 1000).toFixed(3)}),
 		});
+		this.isEnding = true;
 		if (isComplete) {
 			this.res.end(body);
 		} else {
