--- a/apps/egretrilld/src/traffic/node-exchange.ts
+++ b/apps/egretrilld/src/traffic/node-exchange.ts
@@ -96,7 +96,6 @@
 	}
 
 	refuse({status, code, reason, retryAfterMs, run}: Verdict): void {
-		this.isEnding = true;
 		this.prepare();
 		// The connection of an incomplete request is not used again.
 		this.res.shouldKeepAlive &&= this.isRequestComplete();
@@ -106,6 +105,7 @@
 			'content-length': Buffer.byteLength(body),
 			...(retryAfterMs !== undefined && {'retry-after': (retryAfterMs / 1000).toFixed(3)}),
 		});
+		this.isEnding = true;
 		this.res.end(body);
 	}
 
