Rename files after what they hold

The renaming of their contents left the file names behind: slot-queue.ts, rate-allocations.ts, open-attempt.ts, backoff-pool-client.ts, connection-monitor.ts, cached-prompts.ts, target-table.ts, target-slot-source.ts, borrow-batcher.ts, pick-control-host.ts, reported-leader.ts, sync-interval.ts, and the tests of these.

--- a/apps/egretrilld/src/traffic/control-follower.ts
+++ b/apps/egretrilld/src/traffic/control-follower.ts
@@ -4,17 +4,17 @@
 	type Clock, type Logger, type TrafficSource,
 } from '@egretrill/common';
 import type {ControlPeers} from '@egretrill/hosts';
-import {BorrowBatcher} from './borrow-batches.js';
+import {BorrowBatcher} from './borrow-batcher.js';
 import {
 	BORROW_TIMEOUT_MS, CONTROL_SUSPICION_MS, MIN_SYNC_INTERVAL_MS, SYNC_RESPONSE_TIMEOUT_MS, SYNC_RETRY_MS, SYNC_WAIT_MS,
 } from './constants.js';
 import {
 	borrowMethod, type EntryReport, type LeaderPlan, type RateLoan, requestAdapterMethod, syncMethod, type SyncResponse,
 } from './methods.js';
-import {pickControlHost} from './pick-control.js';
+import {pickControlHost} from './pick-control-host.js';
 import {RateLimitedLog} from './rate-limited-log.js';
 import {SKIPPED_ENTRIES_MESSAGE, warnOfSkippedEntries} from './skipped-entries.js';
-import {getSyncIntervalMs} from './sync-gap.js';
+import {getSyncIntervalMs} from './sync-interval.js';
 
 /** Report of an entry host in a poll, without the host's identity. */
 export type HostReport = Omit<EntryReport, 'hostId' | 'startId'>;
--- a/apps/egretrilld/src/traffic/control-host.ts
+++ b/apps/egretrilld/src/traffic/control-host.ts
@@ -18,7 +18,7 @@
 import {
 	borrowMethod, gossipMethod, readTrafficMethod, requestAdapterMethod, syncMethod,
 } from './methods.js';
-import {getReportedLeaderId} from './name-leader.js';
+import {getReportedLeaderId} from './reported-leader.js';
 import {RateLimitedLog} from './rate-limited-log.js';
 import {getServedState} from './served-state.js';
 import type {ControlSettings} from './settings.js';
--- a/apps/egretrilld/src/traffic/entry-host.ts
+++ b/apps/egretrilld/src/traffic/entry-host.ts
@@ -9,7 +9,7 @@
 import {Drain, type Metrics, type UnreadyReason} from '@egretrill/balancer';
 import {TargetTable} from '@egretrill/engines';
 import type {ControlPeers} from '@egretrill/hosts';
-import {TargetSlotSource} from './book-places.js';
+import {TargetSlotSource} from './target-slot-source.js';
 import type {ConfigDecoder} from './config-decoder.js';
 import {ControlFollower, type HostReport, SyncSink} from './control-follower.js';
 import {DecisionLog} from './decision-log.js';
--- a/packages/callers/src/forward/forward-context.ts
+++ b/packages/callers/src/forward/forward-context.ts
@@ -3,7 +3,7 @@
 import type {ForwardDependencies} from './forward-dependencies.js';
 import type {EventOrder} from './event-order.js';
 import type {ChunkTimes} from './chunk-times.js';
-import type {SlotOutcome} from './place-queue.js';
+import type {SlotOutcome} from './slot-queue.js';
 import type {RouteTable} from './route-table.js';
 import type {AnswerSummary, ForwardCall} from './types.js';
 
--- a/packages/callers/src/forward/forward-dependencies.ts
+++ b/packages/callers/src/forward/forward-dependencies.ts
@@ -4,8 +4,8 @@
 import type {Result} from 'true-myth';
 import type {RetryBudget} from '../retry-budget.js';
 import type {ForwardDialect} from './forward-dialect.js';
-import type {TargetSlot, SlotQueue} from './place-queue.js';
-import type {RateDecision, RateAllocations} from './rate-part.js';
+import type {TargetSlot, SlotQueue} from './slot-queue.js';
+import type {RateDecision, RateAllocations} from './rate-allocations.js';
 import type {RouteTable} from './route-table.js';
 import type {ForwardCall} from './types.js';
 import type {RetrySchedule} from './wait-forecast.js';
--- a/packages/callers/src/forward/forward-request.ts
+++ b/packages/callers/src/forward/forward-request.ts
@@ -8,10 +8,10 @@
 import {ChunkTimes} from './chunk-times.js';
 import {forwardToTarget} from './forward-to-target.js';
 import {GuardedSender} from './guarded-sender.js';
-import type {RateDecision} from './rate-part.js';
+import type {RateDecision} from './rate-allocations.js';
 import {getCost, pickService, type RouteTable} from './route-table.js';
 import {acquireSlot} from './slot-search.js';
-import {mayRetry} from './try-place.js';
+import {mayRetry} from './open-attempt.js';
 import type {ForwardCall} from './types.js';
 
 /** How a forwarded request ended. */
--- a/packages/callers/src/forward/forward-to-target.ts
+++ b/packages/callers/src/forward/forward-to-target.ts
@@ -1,12 +1,12 @@
 import {STREAM_IDLE_TIMEOUT_MS} from './constants.js';
 import {EventOrder} from './event-order.js';
 import type {AttemptOutcome, ForwardContext} from './forward-context.js';
-import type {TargetSlot} from './place-queue.js';
+import type {TargetSlot} from './slot-queue.js';
 import {relayBuffered, relayEvents, type RelayResult} from './relay.js';
 import {SwitchWatch} from './switch-watch.js';
 import {
 	endAttempt, EXCHANGE_FAILED, isEventStream, openAttempt, type OpenAttempt,
-} from './try-place.js';
+} from './open-attempt.js';
 
 /** Sends the request to a target and relays its answer; a stream that falls silent may go on at other targets. */
 export async function forwardToTarget(context: ForwardContext, slot: TargetSlot): Promise<AttemptOutcome> {
--- a/packages/callers/src/forward/try-place.ts
+++ b/packages/callers/src/forward/open-attempt.ts
@@ -2,7 +2,7 @@
 import {checkAnswer, STATUS_MISDIRECTED, STATUS_REDIRECT} from './check-answer.js';
 import type {AttemptFailure, AttemptOutcome, ForwardContext} from './forward-context.js';
 import type {TargetAnswer} from './forward-dependencies.js';
-import type {TargetSlot, SlotOutcome} from './place-queue.js';
+import type {TargetSlot, SlotOutcome} from './slot-queue.js';
 import type {AnswerMetadata} from './types.js';
 
 const STATUS_SERVER_ERROR = 500;
--- a/packages/callers/src/forward/slot-search.ts
+++ b/packages/callers/src/forward/slot-search.ts
@@ -1,7 +1,7 @@
 import {refuse, type Verdict} from '@egretrill/common';
 import {MIN_RETRY_AFTER_MS, MIN_TIME_LEFT_TO_SEND_MS} from './constants.js';
 import type {ForwardContext} from './forward-context.js';
-import type {SlotRequirements, TargetSlot} from './place-queue.js';
+import type {SlotRequirements, TargetSlot} from './slot-queue.js';
 import {getWaitLimits} from './wait-limits.js';
 
 function getRequirements({call, service, progress, table}: ForwardContext): SlotRequirements {
--- a/packages/callers/src/forward/switch-watch.ts
+++ b/packages/callers/src/forward/switch-watch.ts
@@ -1,11 +1,11 @@
 import {MAX_WAKE_DELAY_MS, SWITCH_RETRY_INTERVAL_MS} from './constants.js';
 import type {ForwardContext} from './forward-context.js';
-import type {TargetSlot} from './place-queue.js';
+import type {TargetSlot} from './slot-queue.js';
 import {
 	getTimeUntilSwitchMs, maySwitch, Silence, STREAM_WENT_ON,
 } from './silence.js';
 import {takeFreeSlot} from './slot-search.js';
-import {endAttempt, type OpenAttempt, openAttempt} from './try-place.js';
+import {endAttempt, type OpenAttempt, openAttempt} from './open-attempt.js';
 
 /** Prevents an unhandled rejection of a task that is awaited only later. */
 async function markHandled(task: Promise<void>): Promise<void> {
--- a/packages/engines/src/client/forward-client.ts
+++ b/packages/engines/src/client/forward-client.ts
@@ -6,7 +6,7 @@
 	type BodyFraming, type HostAndPort, parseSocketAddress, type SendFailure,
 } from '@egretrill/common';
 import {Result} from 'true-myth';
-import {AnswerProgress, ConnectionMonitor} from './connection-watch.js';
+import {AnswerProgress, ConnectionMonitor} from './connection-monitor.js';
 
 /** Timeout for establishing a connection. A target that is partitioned or powered off does not even refuse the connection. */
 export const FORWARD_CONNECT_TIMEOUT_MS = 250;
--- a/packages/engines/src/client/index.ts
+++ b/packages/engines/src/client/index.ts
@@ -1,5 +1,5 @@
 export * from './chunk-reader.js';
-export * from './connection-watch.js';
+export * from './connection-monitor.js';
 export * from './engine-client.js';
 export * from './forward-client.js';
 export * from './stream-watchdog.js';
--- a/packages/engines/src/registry/target-book.ts
+++ b/packages/engines/src/registry/target-table.ts
@@ -3,7 +3,7 @@
 import {
 	SUSPECT_ZONE_MIN_TARGETS, SUCCESS_DECAY_RATIO, FAILURE_DECAY_MS, MAX_SUSPECT_MS, QUEUED_PER_SLOT, REGISTRATION_TTL_MS, SUSPECT_MS,
 } from './constants.js';
-import {CachedPrompts} from './kept-prompts.js';
+import {CachedPrompts} from './cached-prompts.js';
 import type {RegistryUpdate} from './types.js';
 
 const MS_PER_SECOND = 1000;
