--- a/apps/egretrilld/tests/traffic/support/sim-control-fleet.ts
+++ b/apps/egretrilld/tests/traffic/support/sim-control-fleet.ts
@@ -9,7 +9,7 @@
 import {gossipMethod, Membership} from '../../../src/traffic/index.js';
 
 const SEED_COUNT = 3;
-/** Time from the start of a process until it takes part, as measured on the platform. */
+/** Time from the start of a process until it takes part. */
 const STARTUP_MS = 700;
 /** An operator turns to another host after this time without an answer. */
 const OPERATOR_PATIENCE_MS = 1000;
