--- a/apps/egretrilld/tests/traffic/control-follower.test.ts
+++ b/apps/egretrilld/tests/traffic/control-follower.test.ts
@@ -64,22 +64,27 @@
 	}
 }
 
+/** Lets an entry host poll the control hosts for some time, then stops it; returns the hosts that it polled. */
+async function poll(peers: FakeControlHosts, clock: ManualClock, {sink, forMs}: {readonly sink: SyncSink; readonly forMs: number}): Promise<readonly string[]> {
+	const follower = new ControlFollower({
+		hostId: 'e1', zone: 'a', clock, logger: createLogger('test', 'fatal'), peers, sink,
+	});
+	const stopper = new AbortController();
+	const task = follower.run(stopper.signal);
+	await clock.run(forMs);
+	stopper.abort();
+	await clock.run(500);
+	await task;
+	return peers.polledIds.filter(id => id !== '-');
+}
+
 describe('ControlFollower', () => {
 	// Guards against an entry host that keeps polling a deposed leader in a minority, which still reports itself as leader and has no newer configuration.
 	it('stops polling a host that reports itself as leader without a plan', async () => {
 		const clock = new ManualClock();
 		const peers = new FakeControlHosts({old: {leaderId: 'old'}, new: {leaderId: 'new', plan}}, clock);
 		const sink = new CountingSink();
-		const follower = new ControlFollower({
-			hostId: 'e1', zone: 'a', clock, logger: createLogger('test', 'fatal'), peers, sink,
-		});
-		const stopper = new AbortController();
-		const task = follower.run(stopper.signal);
-		await clock.run(1000);
-		stopper.abort();
-		await clock.run(500);
-		await task;
-		const polled = peers.polledIds.filter(id => id !== '-');
+		const polled = await poll(peers, clock, {sink, forMs: 1000});
 		expect({first: polled.slice(0, 4), last: polled.at(-1), hasPlans: sink.plans > 5}).toMatchSnapshot();
 	});
 });
@@ -107,15 +112,7 @@
 			replaying: {},
 		}, clock);
 		const sink = new RecordingSink();
-		const follower = new ControlFollower({
-			hostId: 'e1', zone: 'a', clock, logger: createLogger('test', 'fatal'), peers, sink,
-		});
-		const stopper = new AbortController();
-		const task = follower.run(stopper.signal);
-		await clock.run(1000);
-		stopper.abort();
-		await clock.run(500);
-		await task;
+		await poll(peers, clock, {sink, forMs: 1000});
 		expect({versions: new Set(sink.versions), zonesOut: sink.zonesOut}).to.deep.equal({versions: new Set([7]), zonesOut: new Set(['z1'])});
 	});
 });
@@ -124,16 +121,8 @@
 	async function countPolls(hostCount: number): Promise<number> {
 		const clock = new ManualClock();
 		const peers = new FakeControlHosts({lead: {leaderId: 'lead', plan: {...plan, rates: {...plan.rates, hostCount}}}}, clock);
-		const follower = new ControlFollower({
-			hostId: 'e1', zone: 'a', clock, logger: createLogger('test', 'fatal'), peers, sink: new CountingSink(),
-		});
-		const stopper = new AbortController();
-		const task = follower.run(stopper.signal);
-		await clock.run(10_000);
-		stopper.abort();
-		await clock.run(500);
-		await task;
-		return peers.polledIds.filter(id => id !== '-').length / 10;
+		const polled = await poll(peers, clock, {sink: new CountingSink(), forMs: 10_000});
+		return polled.length / 10;
 	}
 
 	// Guards against a leader whose processor time is used up by polls, since every host of a large fleet polls at each change of any engine.
