engines: end the wait for an order only on a report of the engine

An unload that is answered `begun` is waited for until a registration or a report shows its effect. A registration counted by its time of receipt, so one that was sent before the order and arrived after it could show an adapter as gone that the engine still held, and another one was loaded into its slot. Registrations carry no count of orders, so nothing in them tells whether they were sent before or after an order; the sequence only orders them among themselves.

A report tells its count of orders, and one with a lower count than the last accepted order is not used. It alone ends the wait now. A registration that shows the effect brings the next report forward, so that a load is not noticed later than before by more than the age of a report.

Evidence: order-room.test.ts, row "registration", ordered a third adapter at 1202 ms to an engine with two slots before the change; now it is ordered at 2802 ms, after the end of the request that used the second one. The row "report" passed before as well and keeps it so.

--- a/packages/engines/src/loading/constants.ts
+++ b/packages/engines/src/loading/constants.ts
@@ -82,9 +82,12 @@
 /** Pause before the state of an engine is requested after an order with an uncertain outcome. */
 export const REPORT_RETRY_MS = 300;
 
-/** Period in which the state of an engine is polled while a load or unload is in progress and no registration shows its end. */
+/** Period in which the state of an engine is polled while a load or unload is in progress. */
 export const PROGRESS_POLL_MS = 400;
 
+/** Period of these polls once a registration shows the end, which the engine's reports show some hundred milliseconds late. */
+export const REGISTERED_POLL_MS = 100;
+
 /** Timeout of a load beyond its expected duration; what the engine holds is requested after it. */
 export const MAX_LOAD_MS = 30_000;
 
--- a/packages/engines/src/loading/engine-order-queue.ts
+++ b/packages/engines/src/loading/engine-order-queue.ts
@@ -3,7 +3,7 @@
 } from '@egretrill/common';
 import type {TargetRegistry} from '../registry/index.js';
 import {
-	ADAPTER_LOAD_MS, MAX_LOAD_MS, PROGRESS_POLL_MS, REPORT_RETRY_MS, UNLOAD_NOTICE_MS,
+	ADAPTER_LOAD_MS, MAX_LOAD_MS, PROGRESS_POLL_MS, REGISTERED_POLL_MS, REPORT_RETRY_MS, UNLOAD_NOTICE_MS,
 } from './constants.js';
 import type {AdapterSlotChoice} from './adapter-slots.js';
 import type {EngineOrders} from './engine-orders.js';
@@ -254,7 +254,7 @@
 		this.publishHoldings(models);
 	}
 
-	/** Waits for the end of an order in progress until a registration or report of the engine shows its effect. */
+	/** Waits for the end of an order in progress until a report of the engine shows its effect. */
 	private async waitUntilDone(step: LoadStep, expectedMs: number): Promise<boolean> {
 		const {clock, registry, signal} = this.opts;
 		if (this.wasDoneOnAnswer) {
@@ -263,23 +263,24 @@
 		}
 
 		const waitStartedAtMs = clock.now();
-		let nextRefreshAtMs = waitStartedAtMs + Math.max(expectedMs, PROGRESS_POLL_MS);
+		let plannedRefreshAtMs = waitStartedAtMs + Math.max(expectedMs, PROGRESS_POLL_MS);
+		let refreshedAtMs = waitStartedAtMs;
 		while (!signal.aborted && clock.now() - waitStartedAtMs < MAX_LOAD_MS + expectedMs) {
 			if (!this.getEngine()) {
 				return false;
 			}
 
-			if (this.hasRegistered(waitStartedAtMs) && isDone(this.getRegisteredModels(), step)) {
-				this.setHoldings(applyStep(this.getModels(), step));
-				return true;
-			}
-
+			// A registration may have been sent before the order and delayed, so it only brings the next report forward.
+			const isExpected = this.hasRegistered(waitStartedAtMs) && isDone(this.getRegisteredModels(), step);
+			const nextRefreshAtMs = isExpected ? Math.min(plannedRefreshAtMs, refreshedAtMs + REGISTERED_POLL_MS) : plannedRefreshAtMs;
 			if (clock.now() >= nextRefreshAtMs) {
 				if (await this.refresh() !== undefined && isDone(this.getModels(), step)) {
 					return true;
 				}
 
-				nextRefreshAtMs = clock.now() + PROGRESS_POLL_MS;
+				refreshedAtMs = clock.now();
+				plannedRefreshAtMs = refreshedAtMs + PROGRESS_POLL_MS;
+				continue;
 			}
 
 			await registry.changed.wait(clock, Math.max(1, nextRefreshAtMs - clock.now()), signal);
--- /dev/null
+++ b/packages/engines/tests/loading/order-room.test.ts
@@ -0,0 +1,100 @@
+import {
+	createLogger, createRandom, type EngineClass, ManualClock,
+} from '@egretrill/common';
+import {expect} from 'chai';
+import {EngineOwner} from '../../src/loading/index.js';
+import {TargetRegistry} from '../../src/registry/index.js';
+import {type OrderFate, SimulatedEngine} from './simulated-engine.js';
+
+const WEIGHTS_MB = 90;
+const engineClass: EngineClass = {
+	batchSlots: 64,
+	weightsMb: 200,
+	adapterSlots: 2,
+	storeLoadsPerSecond: 2,
+	models: ['a', 'b', 'c'].map(name => ({
+		name, weightsMb: WEIGHTS_MB, storeLoadMs: 1000, diskLoadMs: 1000, memoryLoadMs: 400, adapterMb: 1,
+	})),
+};
+
+const promptly: OrderFate = {deliveryMs: 1, isAnswered: true};
+
+/** An owner and one engine that registers only when the test says so. */
+class Fixture {
+	readonly clock = new ManualClock();
+	readonly registry = new TargetRegistry(this.clock, 'r');
+	readonly controller = new AbortController();
+	readonly fates: OrderFate[] = [];
+	reportLagMs = 0;
+	readonly engine = new SimulatedEngine({
+		clock: this.clock,
+		targetId: 't1',
+		adapterSlots: engineClass.adapterSlots,
+		weightsMb: engineClass.weightsMb,
+		models: new Map(engineClass.models.map(({name, weightsMb}) => [name, weightsMb])),
+		loadMs: 1000,
+		countsEmptyOrders: false,
+		getReportLagMs: () => this.reportLagMs,
+		getOrderFate: () => this.fates.shift() ?? promptly,
+	});
+
+	readonly owner = new EngineOwner({
+		clock: this.clock,
+		random: createRandom(1),
+		logger: createLogger('test', 'fatal'),
+		registry: this.registry,
+		orders: this.engine,
+		holder: 'h',
+		fencingToken: 1,
+		firstOrderAtMs: 0,
+		mayOrder: () => true,
+		getZonesOut: () => [],
+		getClasses: () => new Map([['s', engineClass]]),
+	});
+
+	async start(adapters: readonly string[]): Promise<void> {
+		this.engine.hold('a', adapters);
+		this.register();
+		void this.owner.run(this.controller.signal);
+		await this.clock.run(300);
+	}
+
+	register(): void {
+		this.registry.accept(this.engine.register());
+	}
+
+	async load(adapter: string): Promise<string | undefined> {
+		return this.owner.ensureAdapter({service: 's', model: 'a', adapter}, this.controller.signal);
+	}
+
+	async stop(): Promise<readonly string[]> {
+		this.controller.abort();
+		await this.clock.run(1);
+		return [...this.engine.log, ...this.engine.overfilled.map(entry => `OVERFILLED at ${entry}`)];
+	}
+}
+
+describe('EngineOwner and the room of an engine', () => {
+	for (const source of ['registration', 'report'] as const) {
+		// Guards against the load of an adapter into the slot of one that the engine still holds until its requests end.
+		it(`does not take a ${source} of before an unload for the end of the unload`, async () => {
+			const fixture = new Fixture();
+			await fixture.start(['a1']);
+			fixture.owner.recordArrivals({service: 's', model: 'a', adapter: 'a1'}, 50, 50);
+			const delayed = fixture.engine.register();
+			void fixture.load('a2');
+			await fixture.clock.run(500);
+			fixture.engine.use('a', 'a2', 2000);
+			void fixture.load('a3');
+			await fixture.clock.run(100);
+			if (source === 'registration') {
+				fixture.registry.accept(delayed);
+			} else {
+				fixture.reportLagMs = 1000;
+			}
+
+			await fixture.clock.run(4000);
+			expect(await fixture.stop()).toMatchSnapshot();
+		});
+	}
+});
