engines: choose the room of an order again when the account has changed

An order that is refused with a conflict, or gets no answer, is repeated after a report. The report may show more than the account that the slot or the memory was chosen by: an order of the last leader, or a late one of this leader. The order was repeated with the new count of orders, which the engine accepts, but the room was not chosen again. The same held for an account that was asked for just before the first attempt.

Each attempt to load now asks whether its room is still there by the account whose count it names: for an adapter by the choice of the slot itself, which may evict another adapter, for a model by the list of the models that the plan left there; a move without room ends and is planned again. A report of a busy engine no longer sets the count, since no account goes with it. The pure functions on held models move to held-models.ts.

--- a/packages/engines/src/loading/engine-order-queue.ts
+++ b/packages/engines/src/loading/engine-order-queue.ts
@@ -5,11 +5,16 @@
 import {
 	ADAPTER_LOAD_MS, MAX_LOAD_MS, PROGRESS_POLL_MS, REGISTERED_POLL_MS, REPORT_RETRY_MS, UNLOAD_NOTICE_MS,
 } from './constants.js';
-import type {AdapterSlotChoice} from './adapter-slots.js';
+import type {AdapterSlotChoice, HeldAdapter} from './adapter-slots.js';
 import type {EngineOrders} from './engine-orders.js';
+import {
+	applyStep, holdsOnly, isDone, withAdapter,
+} from './held-models.js';
 import type {LoadMove, LoadOrderOutcome, LoadStep} from './types.js';
 
 const MAX_ORDER_ATTEMPTS = 3;
+/** Evictions for one adapter; more than one is needed if an engine holds more adapters than the account showed. */
+const MAX_ADAPTER_EVICTIONS = 8;
 
 export type EngineOrderQueueOptions = {
 	readonly clock: Clock;
@@ -22,54 +27,6 @@
 	readonly signal: AbortSignal;
 };
 
-/** Whether the effect of a step shows in the models that an engine holds. */
-function isDone(models: readonly HeldModel[], {kind, model, adapter}: LoadStep): boolean {
-	const held = models.find(({name}) => name === model);
-	switch (kind) {
-		case 'load-model': {
-			return held !== undefined;
-		}
-
-		case 'unload-model': {
-			return held === undefined;
-		}
-
-		case 'load-adapter': {
-			return held?.adapters.includes(adapter ?? '') ?? false;
-		}
-
-		case 'unload-adapter': {
-			return !held?.adapters.includes(adapter ?? '');
-		}
-	}
-}
-
-function withAdapter(models: readonly HeldModel[], model: string, adapter: string, isHeld: boolean): readonly HeldModel[] {
-	return models.map(held => {
-		const others = held.adapters.filter(other => other !== adapter);
-		return held.name === model ? {...held, adapters: isHeld ? [...others, adapter] : others} : held;
-	});
-}
-
-/** Returns what an engine holds after a step. */
-function applyStep(models: readonly HeldModel[], step: LoadStep): readonly HeldModel[] {
-	const {kind, model, adapter = ''} = step;
-	switch (kind) {
-		case 'load-model': {
-			return isDone(models, step) ? models : [...models, {name: model, version: 0, adapters: []}];
-		}
-
-		case 'unload-model': {
-			return models.filter(({name}) => name !== model);
-		}
-
-		case 'load-adapter':
-		case 'unload-adapter': {
-			return withAdapter(models, model, adapter, kind === 'load-adapter');
-		}
-	}
-}
-
 /** Sends orders to one engine one at a time. Each order names the number of orders that the engine has accepted, so that the engine refuses a delayed one. */
 export class EngineOrderQueue {
 	move: LoadMove | undefined;
@@ -126,6 +83,7 @@
 
 	/** Unloads the models that the move names, then loads its model; returns whether the engine holds it. */
 	async runMove(move: LoadMove): Promise<boolean> {
+		const plannedModels = this.getModels().map(({name}) => name).filter(name => !move.unload.includes(name));
 		this.move = move;
 		this.moveEndsAtMs = this.opts.clock.now() + move.totalMs;
 		try {
@@ -136,44 +94,54 @@
 					}
 				}
 
-				return this.loadModel(move);
+				return this.loadModel(move, plannedModels);
 			});
 		} finally {
 			this.move = undefined;
 		}
 	}
 
-	/** Loads an adapter, after evicting another one if no slot is free; returns whether the engine holds it. */
+	/** Loads an adapter, after evicting others if no slot is free; returns whether the engine holds it. */
 	async loadAdapter(model: string, adapter: string, chooseSlot: () => AdapterSlotChoice): Promise<boolean> {
 		return this.runInOrder(async () => {
-			if (!this.models) {
-				return false;
-			}
-
-			const slot = chooseSlot();
-			if (slot.kind === 'full') {
-				return false;
-			}
-
-			if (slot.kind === 'evict') {
-				const {evicted} = slot;
-				const step: LoadStep = {kind: 'unload-adapter', ...evicted};
-				this.publishHoldings(withAdapter(this.getModels(), evicted.model, evicted.adapter, false));
-				if (!await this.sendOrder(step) || !await this.waitUntilDone(step, 0)) {
+			for (let evictions = 0; this.models && evictions <= MAX_ADAPTER_EVICTIONS; evictions++) {
+				const slot = chooseSlot();
+				if (slot.kind === 'full') {
 					return false;
 				}
-			}
 
-			if (!await this.sendOrder({kind: 'load-adapter', model, adapter})) {
-				return false;
+				if (slot.kind === 'evict') {
+					if (!await this.evictAdapter(slot.evicted)) {
+						return false;
+					}
+				} else if (await this.loadAdapterIntoFreeSlot(model, adapter, chooseSlot)) {
+					return true;
+				} else if (chooseSlot().kind === 'free') {
+					return false;
+				}
 			}
 
-			await this.opts.clock.sleep(ADAPTER_LOAD_MS, this.opts.signal);
-			this.setHoldings(withAdapter(this.getModels(), model, adapter, true));
-			return true;
+			return false;
 		});
 	}
 
+	private async evictAdapter({model, adapter}: HeldAdapter): Promise<boolean> {
+		const step: LoadStep = {kind: 'unload-adapter', model, adapter};
+		this.publishHoldings(withAdapter(this.getModels(), model, adapter, false));
+		return await this.sendOrder(step) && this.waitUntilDone(step, 0);
+	}
+
+	private async loadAdapterIntoFreeSlot(model: string, adapter: string, chooseSlot: () => AdapterSlotChoice): Promise<boolean> {
+		const isRoomLeft = (): boolean => chooseSlot().kind === 'free';
+		if (!await this.sendOrder({kind: 'load-adapter', model, adapter}, isRoomLeft)) {
+			return false;
+		}
+
+		await this.opts.clock.sleep(ADAPTER_LOAD_MS, this.opts.signal);
+		this.setHoldings(withAdapter(this.getModels(), model, adapter, true));
+		return true;
+	}
+
 	private async unloadModel(model: string): Promise<boolean> {
 		const step: LoadStep = {kind: 'unload-model', model};
 		this.publishHoldingsWithout(model);
@@ -181,18 +149,19 @@
 		return await this.sendOrder(step) && this.waitUntilDone(step, 0);
 	}
 
-	private async loadModel({load, loadMs}: LoadMove): Promise<boolean> {
+	private async loadModel({load, loadMs}: LoadMove, plannedModels: readonly string[]): Promise<boolean> {
 		const step: LoadStep = {kind: 'load-model', model: load};
-		return await this.sendOrder(step) && this.waitUntilDone(step, loadMs);
+		const isRoomLeft = (): boolean => holdsOnly(this.getModels(), plannedModels);
+		return await this.sendOrder(step, isRoomLeft) && this.waitUntilDone(step, loadMs);
 	}
 
-	/** Sends an order and repeats it until its effect is certain; returns whether it is complete or in progress. */
-	private async sendOrder(step: LoadStep): Promise<boolean> {
+	/** Sends an order and repeats it until its effect is certain; returns whether it is complete or in progress. Each attempt may rest on a newer account, in which the room may be gone. */
+	private async sendOrder(step: LoadStep, isRoomLeft = () => true): Promise<boolean> {
 		const {clock, logger, orders, signal} = this.opts;
 		for (let attempt = 0; attempt < MAX_ORDER_ATTEMPTS && !signal.aborted; attempt++) {
 			const engine = this.getEngine();
 			const expectedOrderCount = this.orderCount ?? engine?.orderCount ?? await this.refresh();
-			if (!engine || expectedOrderCount === undefined) {
+			if (!engine || expectedOrderCount === undefined || !this.models || !isRoomLeft()) {
 				return false;
 			}
 
@@ -237,13 +206,15 @@
 			return undefined;
 		}
 
-		this.orderCount = report.orderCount;
 		this.minOrderCount = report.orderCount;
 		if (report.isBusy) {
 			this.models = undefined;
+			this.orderCount = undefined;
 			return undefined;
 		}
 
+		this.orderCount = report.orderCount;
+
 		this.setHoldings(report.models);
 		return report.orderCount;
 	}
--- a/packages/engines/tests/loading/order-room.test.ts
+++ b/packages/engines/tests/loading/order-room.test.ts
@@ -19,6 +19,8 @@
 
 const promptly: OrderFate = {deliveryMs: 1, isAnswered: true};
 
+const lastLeader = {holder: 'h0', fencingToken: 0, expectedOrderCount: 0} as const;
+
 /** An owner and one engine that registers only when the test says so. */
 class Fixture {
 	readonly clock = new ManualClock();
@@ -32,7 +34,7 @@
 		adapterSlots: engineClass.adapterSlots,
 		weightsMb: engineClass.weightsMb,
 		models: new Map(engineClass.models.map(({name, weightsMb}) => [name, weightsMb])),
-		loadMs: 1000,
+		loadMs: 300,
 		countsEmptyOrders: false,
 		getReportLagMs: () => this.reportLagMs,
 		getOrderFate: () => this.fates.shift() ?? promptly,
@@ -97,4 +99,36 @@
 			expect(await fixture.stop()).toMatchSnapshot();
 		});
 	}
+
+	// Guards against a slot that was chosen by an account from before an order of the last leader: the order was repeated with the new count, not chosen again.
+	it('chooses a slot again when an order of the last leader shows late', async () => {
+		const fixture = new Fixture();
+		fixture.engine.hold('a', ['a1']);
+		fixture.register();
+		await fixture.clock.run(1000);
+		void fixture.engine.send(fixture.engine.register(), {
+			...lastLeader, kind: 'load-adapter', model: 'a', adapter: 'a2',
+		}, () => true);
+		fixture.reportLagMs = 500;
+		void fixture.owner.run(fixture.controller.signal);
+		await fixture.clock.run(100);
+		void fixture.load('a3');
+		await fixture.clock.run(2000);
+		expect(await fixture.stop()).toMatchSnapshot();
+	});
+
+	// Guards against the load of a model into the memory of one that the last leader has ordered.
+	it('plans a load again when an order of the last leader shows late', async () => {
+		const fixture = new Fixture();
+		fixture.engine.hold('a');
+		fixture.register();
+		await fixture.clock.run(1000);
+		void fixture.engine.send(fixture.engine.register(), {...lastLeader, kind: 'load-model', model: 'b'}, () => true);
+		fixture.reportLagMs = 500;
+		fixture.owner.recordArrivals({service: 's', model: 'c'}, 3, 3000);
+		fixture.owner.recordWaiting('h1', [['s', 'c', 2, 0]]);
+		void fixture.owner.run(fixture.controller.signal);
+		await fixture.clock.run(3000);
+		expect(await fixture.stop()).toMatchSnapshot();
+	});
 });
