engines: count a held model without known weights as a full engine

The monitor could see an engine ordered to load more model weights than it has room for, after a change of the configuration.

A model that an operator removes from a service stays in the engines that hold it until its memory is needed. The plan looked up its weights in the new configuration, found none and counted 0 MB, so it loaded another model beside it.

Such a copy now counts as using all memory of its engine until it is evicted. No request needs it, so it may also go for an additional copy of a busy model; otherwise an engine that holds only such a copy would stay out of use.

--- a/packages/engines/src/loading/eviction-candidates.ts
+++ b/packages/engines/src/loading/eviction-candidates.ts
@@ -9,6 +9,7 @@
 	readonly adapterCount: number;
 	readonly need: number;
 	readonly isIdle: boolean;
+	/** Whether it is the only copy of a model that requests may need. */
 	readonly isLast: boolean;
 	/** Request-seconds lost by its removal alone. */
 	readonly cost: number;
@@ -66,7 +67,7 @@
 					adapterCount,
 					need: layout.getNeededSlots(model),
 					isIdle: layout.isIdle(model),
-					isLast: layout.countCopies(model) <= 1,
+					isLast: layout.countCopies(model) <= 1 && layout.isConfigured(model),
 					cost: layout.getRemovalCost(targetId, [model]) - unchangedCost,
 				},
 				copies: layout.countCopies(model),
--- a/packages/engines/src/loading/layout.ts
+++ b/packages/engines/src/loading/layout.ts
@@ -30,6 +30,7 @@
 	private readonly modelsByEngine: Array<ReadonlySet<string>>;
 	/** Needed slots and holders of each model; models with demand come first. */
 	private readonly demand: DemandOverHolders[];
+	private readonly configuredModels: ReadonlySet<string>;
 	private readonly slotsPerEngine: number;
 	private readonly copyCount: number;
 	private spread: IndexedDemandSpread;
@@ -39,6 +40,7 @@
 	private readonly lostSlotsAfterRemoval = new Map<string, number>();
 
 	constructor({engineClass, engines, demand}: LoadPlanInput) {
+		this.configuredModels = new Set(engineClass.models.map(({name}) => name));
 		this.slotsPerEngine = engineClass.batchSlots;
 		this.engineIndexes = new Map(engines.map(({targetId}, i) => [targetId, i]));
 		this.modelsByEngine = engines.map(({copies, loading, unloading}) => new Set([
@@ -66,6 +68,11 @@
 		return this.visitedCopies;
 	}
 
+	/** Whether the configuration has a model; no request needs another one. */
+	isConfigured(model: string): boolean {
+		return this.configuredModels.has(model);
+	}
+
 	countCopies(model: string): number {
 		return this.getModelDemand(model).holders.length;
 	}
--- a/packages/engines/src/loading/plan-loads.ts
+++ b/packages/engines/src/loading/plan-loads.ts
@@ -47,16 +47,17 @@
 	return neededCopies.toSorted((a, b) => b.lostSlots - a.lostSlots);
 }
 
-function getWeightsMb(models: ReadonlyMap<string, StoredModel>, name: string, adapterCount: number): number {
+/** Memory that a copy uses at an engine. A copy of a model that the configuration no longer has may use all of it. */
+function getCopyMb(models: ReadonlyMap<string, StoredModel>, engineMb: number, name: string, adapterCount: number): number {
 	const model = models.get(name);
-	return (model?.weightsMb ?? 0) + (adapterCount * (model?.adapterMb ?? 0));
+	return model ? model.weightsMb + (adapterCount * model.adapterMb) : engineMb;
 }
 
 /** Memory of each engine that is used neither by the models it holds nor by the one it is loading. */
 function getFreeMb({engines}: LoadPlanInput, models: ReadonlyMap<string, StoredModel>): ReadonlyMap<string, number> {
 	return new Map(engines.map(({targetId, weightsMb, copies, loading}) => {
-		const usedMb = copies.reduce((sum, {model, adapterCount}) => sum + getWeightsMb(models, model, adapterCount), 0);
-		return [targetId, weightsMb - usedMb - (loading === undefined ? 0 : getWeightsMb(models, loading, 0))];
+		const usedMb = copies.reduce((sum, {model, adapterCount}) => sum + getCopyMb(models, weightsMb, model, adapterCount), 0);
+		return [targetId, weightsMb - usedMb - (loading === undefined ? 0 : getCopyMb(models, weightsMb, loading, 0))];
 	}));
 }
 
@@ -71,7 +72,7 @@
 	for (const candidate of evictionCandidates.get(engine)) {
 		if (mayEvict(candidate, neededCopy)) {
 			evictions.push(candidate);
-			freeMb += getWeightsMb(models, candidate.model, candidate.adapterCount);
+			freeMb += getCopyMb(models, engine.weightsMb, candidate.model, candidate.adapterCount);
 		}
 
 		if (freeMb >= neededCopy.model.weightsMb) {
--- a/packages/engines/tests/loading/plan-loads.test.ts
+++ b/packages/engines/tests/loading/plan-loads.test.ts
@@ -97,6 +97,15 @@
 		})).toMatchSnapshot();
 	});
 
+	// Guards against exceeding the memory of an engine that still holds a model which the configuration no longer has.
+	it('makes room where an engine holds a model without known weights', () => {
+		expect({
+			idle: plan([engine('t1', ['a', 'removed'])], {a: [5, 0], d: [1, 2]}),
+			kept: plan([engine('t1', ['a', 'removed'])], {a: [40, 0], removed: [5, 0], d: [1, 2]}),
+			crowded: plan([engine('t1', ['a']), engine('t2', ['removed'])], {a: [90, 0, 20]}),
+		}).toMatchSnapshot();
+	});
+
 	// Guards against engines that are crowded with requests for one model while others are idle.
 	it('adds a copy of a crowded model, and evicts another one for it only once demand has been measured', () => {
 		const engines = [engine('t1', ['a', 'b']), engine('t2', ['c'])];
--- a/packages/engines/tests/loading/simulated-engine.ts
+++ b/packages/engines/tests/loading/simulated-engine.ts
@@ -50,9 +50,10 @@
 		this.recordState();
 	}
 
-	/** Puts a model with adapters in place without an order. */
+	/** Puts a model with adapters in place without an order, as if it had always been there. */
 	hold(model: string, adapters: readonly string[] = []): void {
 		this.models.set(model, {state: 'held', adapters: new Map(adapters.map(adapter => [adapter, 'held']))});
+		this.history = [];
 		this.recordState();
 	}
 
