engines: note the load of an adapter before the next change chooses a slot

The owner noted the load after the queue had returned. The queue starts the next change in the same turn, which chose the adapter to evict before that. The queue now notes the load itself, inside its turn.

Evidence: the new test orders four adapters at once from an engine with two slots.

--- a/packages/engines/src/loading/engine-order-queue.ts
+++ b/packages/engines/src/loading/engine-order-queue.ts
@@ -27,6 +27,13 @@
 	readonly signal: AbortSignal;
 };
 
+/** An adapter to load, with the decision on its slot, which is made again before each order. */
+export type AdapterLoad = HeldAdapter & {
+	readonly chooseSlot: () => AdapterSlotChoice;
+	/** Called before the next change of the engine chooses its slot. */
+	readonly recordLoad: () => void;
+};
+
 /** Sends orders to one engine one at a time. Each order names the number of orders that the engine has accepted, so that the engine refuses a delayed one. */
 export class EngineOrderQueue {
 	move: LoadMove | undefined;
@@ -102,10 +109,10 @@
 	}
 
 	/** Loads an adapter, after evicting others if no slot is free; returns whether the engine holds it. */
-	async loadAdapter(model: string, adapter: string, chooseSlot: () => AdapterSlotChoice): Promise<boolean> {
+	async loadAdapter(load: AdapterLoad): Promise<boolean> {
 		return this.runInOrder(async () => {
 			for (let evictions = 0; this.models && evictions <= MAX_ADAPTER_EVICTIONS; evictions++) {
-				const slot = chooseSlot();
+				const slot = load.chooseSlot();
 				if (slot.kind === 'full') {
 					return false;
 				}
@@ -114,9 +121,9 @@
 					if (!await this.evictAdapter(slot.evicted)) {
 						return false;
 					}
-				} else if (await this.loadAdapterIntoFreeSlot(model, adapter, chooseSlot)) {
+				} else if (await this.loadAdapterIntoFreeSlot(load)) {
 					return true;
-				} else if (chooseSlot().kind === 'free') {
+				} else if (load.chooseSlot().kind === 'free') {
 					return false;
 				}
 			}
@@ -131,7 +138,7 @@
 		return await this.sendOrder(step) && this.waitUntilDone(step, 0);
 	}
 
-	private async loadAdapterIntoFreeSlot(model: string, adapter: string, chooseSlot: () => AdapterSlotChoice): Promise<boolean> {
+	private async loadAdapterIntoFreeSlot({model, adapter, chooseSlot, recordLoad}: AdapterLoad): Promise<boolean> {
 		const isRoomLeft = (): boolean => chooseSlot().kind === 'free';
 		if (!await this.sendOrder({kind: 'load-adapter', model, adapter}, isRoomLeft)) {
 			return false;
@@ -139,6 +146,7 @@
 
 		await this.opts.clock.sleep(ADAPTER_LOAD_MS, this.opts.signal);
 		this.setHoldings(withAdapter(this.getModels(), model, adapter, true));
+		recordLoad();
 		return true;
 	}
 
--- a/packages/engines/src/loading/engine-owner.ts
+++ b/packages/engines/src/loading/engine-owner.ts
@@ -196,11 +196,14 @@
 		// Entry hosts report arrivals later; until then the new adapter must not look idle.
 		this.demand.add(key, 1);
 		try {
-			const isHeld = await this.getOrderQueue(engine, signal).loadAdapter(model, adapter, () => this.chooseAdapterSlot(engine.targetId, engineClass));
-			if (isHeld) {
-				this.adapterSlots.recordLoad(engine.targetId, {model, adapter});
-			}
-
+			const isHeld = await this.getOrderQueue(engine, signal).loadAdapter({
+				model,
+				adapter,
+				chooseSlot: () => this.chooseAdapterSlot(engine.targetId, engineClass),
+				recordLoad: () => {
+					this.adapterSlots.recordLoad(engine.targetId, {model, adapter});
+				},
+			});
 			logger.info({
 				targetId: engine.targetId, model, adapter, isHeld, tookMs: Math.round(clock.now() - nowMs),
 			}, 'An adapter load has ended.');
--- a/packages/engines/tests/loading/order-room.test.ts
+++ b/packages/engines/tests/loading/order-room.test.ts
@@ -131,4 +131,16 @@
 		await fixture.clock.run(3000);
 		expect(await fixture.stop()).toMatchSnapshot();
 	});
+
+	// Guards against an adapter that is unloaded for the next one that waits, before the requests that waited for it arrive.
+	it('keeps an adapter that was just loaded while several changes wait', async () => {
+		const fixture = new Fixture();
+		await fixture.start([]);
+		const loads = ['a1', 'a2', 'a3', 'a4'].map(async adapter => fixture.load(adapter));
+		await fixture.clock.run(100);
+		await fixture.clock.run(400);
+		loads.push(fixture.load('a3'));
+		await fixture.clock.run(100);
+		expect({answers: await Promise.all(loads), orders: await fixture.stop()}).toMatchSnapshot();
+	});
 });
