engines: evict nothing for an adapter that the engine still holds

Before an unload the owner hides the adapter from the hosts. If the order is not sent, the engine keeps the adapter and the account shows it, but the hosts ask for it again and the owner chose a slot for it without a look at the account.

An adapter of the account is now confirmed by a new report, which also publishes it again, and needs no slot. If the report lacks it, the account is up to date and the host's next request gets a slot.

Evidence: the new test evicted and loaded a2 for a request for a2 before; now no order is sent and the request gets its engine.

--- a/packages/engines/src/loading/engine-order-queue.ts
+++ b/packages/engines/src/loading/engine-order-queue.ts
@@ -112,6 +112,10 @@
 	async loadAdapter(load: AdapterLoad): Promise<boolean> {
 		return this.runInOrder(async () => {
 			for (let evictions = 0; this.models && evictions <= MAX_ADAPTER_EVICTIONS; evictions++) {
+				if (isDone(this.models, {...load, kind: 'load-adapter'})) {
+					return this.confirmAdapter(load);
+				}
+
 				const slot = load.chooseSlot();
 				if (slot.kind === 'full') {
 					return false;
@@ -132,6 +136,11 @@
 		});
 	}
 
+	/** Whether an adapter of the account that the hosts do not see is in a new report, which is published. */
+	private async confirmAdapter({model, adapter}: HeldAdapter): Promise<boolean> {
+		return await this.refresh() !== undefined && isDone(this.getModels(), {kind: 'load-adapter', model, adapter});
+	}
+
 	private async evictAdapter({model, adapter}: HeldAdapter): Promise<boolean> {
 		const step: LoadStep = {kind: 'unload-adapter', model, adapter};
 		this.publishHoldings(withAdapter(this.getModels(), model, adapter, false));
--- a/packages/engines/tests/loading/order-room.test.ts
+++ b/packages/engines/tests/loading/order-room.test.ts
@@ -143,4 +143,17 @@
 		await fixture.clock.run(100);
 		expect({answers: await Promise.all(loads), orders: await fixture.stop()}).toMatchSnapshot();
 	});
+
+	// Guards against an eviction for an adapter that the engine holds, and that only the view of the hosts lacks since its own eviction failed.
+	it('evicts nothing for an adapter that the engine still holds', async () => {
+		const fixture = new Fixture();
+		await fixture.start(['a1', 'a2']);
+		fixture.owner.recordArrivals({service: 's', model: 'a', adapter: 'a1'}, 50, 50);
+		fixture.fates.push('not-sent');
+		const loads = [fixture.load('a3')];
+		await fixture.clock.run(1100);
+		loads.push(fixture.load('a2'));
+		await fixture.clock.run(100);
+		expect({answers: await Promise.all(loads), orders: await fixture.stop()}).toMatchSnapshot();
+	});
 });
--- a/packages/engines/tests/loading/room-histories.test.ts
+++ b/packages/engines/tests/loading/room-histories.test.ts
@@ -87,8 +87,8 @@
 			models: weights,
 			loadMs: 600,
 			countsEmptyOrders,
-			getReportLagMs: () => this.reportLagMs,
-			getOrderFate: () => this.isCutOff ? {deliveryMs: undefined, isAnswered: false} : drawOrderFate(this.random, MAX_ORDER_DELAY_MS),
+			getReportLagMs: () => this.isCutOff ? undefined : this.reportLagMs,
+			getOrderFate: () => this.isCutOff ? 'not-sent' : drawOrderFate(this.random, MAX_ORDER_DELAY_MS),
 		})]));
 	}
 
--- a/packages/engines/tests/loading/simulated-engine.ts
+++ b/packages/engines/tests/loading/simulated-engine.ts
@@ -11,8 +11,8 @@
 const ANSWER_TIMEOUT_MS = 1000;
 const ADAPTER_LOAD_MS = 8;
 
-/** What becomes of an order on its way: `deliveryMs` until it arrives, undefined if never; `isAnswered` is false if the answer is lost. */
-export type OrderFate = {readonly deliveryMs: number | undefined; readonly isAnswered: boolean};
+/** What becomes of an order on its way: no connection, or `deliveryMs` until it arrives, undefined if never; `isAnswered` is false if the answer is lost. */
+export type OrderFate = 'not-sent' | {readonly deliveryMs: number | undefined; readonly isAnswered: boolean};
 
 export type SimulatedEngineOptions = {
 	readonly clock: Clock;
@@ -24,8 +24,8 @@
 	readonly loadMs: number;
 	/** Whether an order that finds its effect in place advances the count of orders. */
 	readonly countsEmptyOrders: boolean;
-	/** Age of the state that the next report shows. */
-	readonly getReportLagMs: () => number;
+	/** Age of the state that the next report shows, undefined if there is no answer. */
+	readonly getReportLagMs: () => number | undefined;
 	readonly getOrderFate: () => OrderFate;
 };
 
@@ -99,7 +99,13 @@
 		}
 
 		const {clock} = this.opts;
-		const {deliveryMs, isAnswered} = this.opts.getOrderFate();
+		const fate = this.opts.getOrderFate();
+		if (fate === 'not-sent') {
+			await clock.sleep(ANSWER_TIMEOUT_MS);
+			return 'not-sent';
+		}
+
+		const {deliveryMs, isAnswered} = fate;
 		const {startedAtMs} = this;
 		const delivered = deliveryMs === undefined ? undefined : this.deliver(order, deliveryMs, startedAtMs);
 		if (!delivered || !isAnswered || deliveryMs! >= ANSWER_TIMEOUT_MS) {
@@ -112,7 +118,13 @@
 
 	override async getReport(_engine: EngineAddress): Promise<EngineReport | undefined> {
 		const {clock, getReportLagMs} = this.opts;
-		const shownMs = clock.now() - getReportLagMs();
+		const lagMs = getReportLagMs();
+		if (lagMs === undefined) {
+			await clock.sleep(ANSWER_TIMEOUT_MS);
+			return undefined;
+		}
+
+		const shownMs = clock.now() - lagMs;
 		return this.history.findLast(({atMs}) => atMs <= shownMs)?.report ?? this.history[0]?.report;
 	}
 
