engines: keep ordering after an unload that changed nothing

Callers of an engine's models could wait for an adapter until the leader or the engine changed.

An unload of an adapter that is answered `done` counted as one more order accepted, and reports with a lower count as outdated. An engine that did not hold the adapter (it lost it, or the account came from an older report) may not count the order. Its reports then stayed below that number, so no account was accepted and no order sent any more.

Only an order that has begun raises the lowest count that a report must have. A report from before an unload that was done shows more than the engine holds, and the engine refuses its count.

--- a/packages/engines/src/loading/engine-order-queue.ts
+++ b/packages/engines/src/loading/engine-order-queue.ts
@@ -227,7 +227,10 @@
 		const wasAccepted = answer === 'begun' || (answer === 'done' && kind === 'unload-adapter');
 		this.wasDoneOnAnswer = answer === 'done';
 		this.orderCount = wasAccepted ? expected + 1 : undefined;
-		this.minOrderCount = Math.max(this.minOrderCount, this.orderCount ?? 0);
+		if (answer === 'begun') {
+			// An engine may not count an order that is done at once because there was nothing to do.
+			this.minOrderCount = expected + 1;
+		}
 	}
 
 	/** Requests what the engine holds and how many orders it has accepted; returns that number if it is up to date and the engine is not busy. */
--- a/packages/engines/tests/loading/order-room.test.ts
+++ b/packages/engines/tests/loading/order-room.test.ts
@@ -29,6 +29,7 @@
 	readonly fates: OrderFate[] = [];
 	/** Undefined while the engine answers no request for a report. */
 	reportLagMs: number | undefined = 0;
+	countsEmptyOrders = false;
 	readonly engine = new SimulatedEngine({
 		clock: this.clock,
 		targetId: 't1',
@@ -36,7 +37,7 @@
 		weightsMb: engineClass.weightsMb,
 		models: new Map(engineClass.models.map(({name, weightsMb}) => [name, weightsMb])),
 		loadMs: 300,
-		countsEmptyOrders: false,
+		countsEmptyOrders: () => this.countsEmptyOrders,
 		getReportLagMs: () => this.reportLagMs,
 		getOrderFate: () => this.fates.shift() ?? promptly,
 	});
@@ -174,4 +175,20 @@
 		await fixture.clock.run(3000);
 		expect(await fixture.stop()).toMatchSnapshot();
 	});
+
+	for (const countsEmptyOrders of [false, true]) {
+		// Guards against an engine that gets no order any more since its reports seem outdated: it may not count an order that changes nothing.
+		it(`goes on after an order that changed nothing and was ${countsEmptyOrders ? '' : 'not '}counted`, async () => {
+			const fixture = new Fixture();
+			fixture.countsEmptyOrders = countsEmptyOrders;
+			await fixture.start(['a1', 'a2']);
+			fixture.engine.drop('a', 'a2');
+			fixture.owner.recordArrivals({service: 's', model: 'a', adapter: 'a1'}, 50, 50);
+			const loads = [fixture.load('a3')];
+			await fixture.clock.run(2000);
+			loads.push(fixture.load('a4'));
+			await fixture.clock.run(2000);
+			expect({answers: await Promise.all(loads), orders: await fixture.stop()}).toMatchSnapshot();
+		});
+	}
 });
--- a/packages/engines/tests/loading/room-histories.test.ts
+++ b/packages/engines/tests/loading/room-histories.test.ts
@@ -86,7 +86,7 @@
 			weightsMb: engineClass.weightsMb,
 			models: weights,
 			loadMs: 600,
-			countsEmptyOrders,
+			countsEmptyOrders: () => countsEmptyOrders,
 			getReportLagMs: () => this.isCutOff ? undefined : this.reportLagMs,
 			getOrderFate: () => this.isCutOff ? 'not-sent' : drawOrderFate(this.random, MAX_ORDER_DELAY_MS),
 		})]));
--- a/packages/engines/tests/loading/simulated-engine.ts
+++ b/packages/engines/tests/loading/simulated-engine.ts
@@ -23,7 +23,7 @@
 	readonly models: ReadonlyMap<string, number>;
 	readonly loadMs: number;
 	/** Whether an order that finds its effect in place advances the count of orders. */
-	readonly countsEmptyOrders: boolean;
+	readonly countsEmptyOrders: () => boolean;
 	/** Age of the state that the next report shows, undefined if there is no answer. */
 	readonly getReportLagMs: () => number | undefined;
 	readonly getOrderFate: () => OrderFate;
@@ -57,6 +57,12 @@
 		this.recordState();
 	}
 
+	/** Loses an adapter without an order. */
+	drop(model: string, adapter: string): void {
+		this.models.get(model)?.adapters.delete(adapter);
+		this.recordState();
+	}
+
 	/** Lets a request use an adapter; its unload waits for the end. */
 	use(model: string, adapter: string, durationMs: number): void {
 		const key = `${model}/${adapter}`;
@@ -152,7 +158,7 @@
 		}
 
 		if (this.isInEffect(order)) {
-			this.orderCount += this.opts.countsEmptyOrders ? 1 : 0;
+			this.orderCount += this.opts.countsEmptyOrders() ? 1 : 0;
 			return 'done';
 		}
 
