--- a/packages/engines/src/loading/engine-order-queue.ts
+++ b/packages/engines/src/loading/engine-order-queue.ts
@@ -3,13 +3,18 @@
 } from '@egretrill/common';
 import type {TargetRegistry} from '../registry/index.js';
 import {
-	ADAPTER_LOAD_MS, MAX_LOAD_MS, PROGRESS_POLL_MS, REPORT_RETRY_MS, UNLOAD_NOTICE_MS,
+	ADAPTER_LOAD_MS, MAX_LOAD_MS, PROGRESS_POLL_MS, REGISTERED_POLL_MS, REPORT_RETRY_MS, UNLOAD_NOTICE_MS,
 } from './constants.js';
-import type {AdapterSlotChoice} from './adapter-slots.js';
+import type {AdapterSlotChoice, HeldAdapter} from './adapter-slots.js';
 import type {EngineOrders} from './engine-orders.js';
+import {
+	applyStep, holdsOnly, isDone, withAdapter,
+} from './held-models.js';
 import type {LoadMove, LoadOrderOutcome, LoadStep} from './types.js';
 
 const MAX_ORDER_ATTEMPTS = 3;
+/** Evictions for one adapter; more than one is needed if an engine holds more adapters than the account showed. */
+const MAX_ADAPTER_EVICTIONS = 8;
 
 export type EngineOrderQueueOptions = {
 	readonly clock: Clock;
@@ -22,53 +27,12 @@
 	readonly signal: AbortSignal;
 };
 
-/** Whether the effect of a step shows in the models that an engine holds. */
-function isDone(models: readonly HeldModel[], {kind, model, adapter}: LoadStep): boolean {
-	const held = models.find(({name}) => name === model);
-	switch (kind) {
-		case 'load-model': {
-			return held !== undefined;
-		}
-
-		case 'unload-model': {
-			return held === undefined;
-		}
-
-		case 'load-adapter': {
-			return held?.adapters.includes(adapter ?? '') ?? false;
-		}
-
-		case 'unload-adapter': {
-			return !held?.adapters.includes(adapter ?? '');
-		}
-	}
-}
-
-function withAdapter(models: readonly HeldModel[], model: string, adapter: string, isHeld: boolean): readonly HeldModel[] {
-	return models.map(held => {
-		const others = held.adapters.filter(other => other !== adapter);
-		return held.name === model ? {...held, adapters: isHeld ? [...others, adapter] : others} : held;
-	});
-}
-
-/** Returns what an engine holds after a step. */
-function applyStep(models: readonly HeldModel[], step: LoadStep): readonly HeldModel[] {
-	const {kind, model, adapter = ''} = step;
-	switch (kind) {
-		case 'load-model': {
-			return isDone(models, step) ? models : [...models, {name: model, version: 0, adapters: []}];
-		}
-
-		case 'unload-model': {
-			return models.filter(({name}) => name !== model);
-		}
-
-		case 'load-adapter':
-		case 'unload-adapter': {
-			return withAdapter(models, model, adapter, kind === 'load-adapter');
-		}
-	}
-}
+/** An adapter to load, with the decision on its slot, which is made again before each order. */
+export type AdapterLoad = HeldAdapter & {
+	readonly chooseSlot: () => AdapterSlotChoice;
+	/** Called before the next change of the engine chooses its slot. */
+	readonly recordLoad: () => void;
+};
 
 /** Sends orders to one engine one at a time. Each order names the number of orders that the engine has accepted, so that the engine refuses a delayed one. */
 export class EngineOrderQueue {
@@ -126,6 +90,7 @@
 
 	/** Unloads the models that the move names, then loads its model; returns whether the engine holds it. */
 	async runMove(move: LoadMove): Promise<boolean> {
+		const plannedModels = this.getModels().map(({name}) => name).filter(name => !move.unload.includes(name));
 		this.move = move;
 		this.moveEndsAtMs = this.opts.clock.now() + move.totalMs;
 		try {
@@ -136,63 +101,99 @@
 					}
 				}
 
-				return this.loadModel(move);
+				return this.loadModel(move, plannedModels);
 			});
 		} finally {
 			this.move = undefined;
 		}
 	}
 
-	/** Loads an adapter, after evicting another one if no slot is free; returns whether the engine holds it. */
-	async loadAdapter(model: string, adapter: string, chooseSlot: () => AdapterSlotChoice): Promise<boolean> {
+	/** Loads an adapter, after evicting others if no slot is free; returns whether the engine holds it. */
+	async loadAdapter(load: AdapterLoad): Promise<boolean> {
 		return this.runInOrder(async () => {
-			if (!this.models) {
-				return false;
-			}
-
-			const slot = chooseSlot();
-			if (slot.kind === 'full') {
-				return false;
-			}
+			for (let evictions = 0; this.models && evictions <= MAX_ADAPTER_EVICTIONS; evictions++) {
+				if (isDone(this.models, {...load, kind: 'load-adapter'})) {
+					return this.confirmAdapter(load);
+				}
 
-			if (slot.kind === 'evict') {
-				const {evicted} = slot;
-				const step: LoadStep = {kind: 'unload-adapter', ...evicted};
-				this.publishHoldings(withAdapter(this.getModels(), evicted.model, evicted.adapter, false));
-				if (!await this.sendOrder(step) || !await this.waitUntilDone(step, 0)) {
+				const slot = load.chooseSlot();
+				if (slot.kind === 'full') {
 					return false;
 				}
-			}
 
-			if (!await this.sendOrder({kind: 'load-adapter', model, adapter})) {
-				return false;
+				if (slot.kind === 'evict') {
+					if (!await this.evictAdapter(slot.evicted)) {
+						return false;
+					}
+				} else if (await this.loadAdapterIntoFreeSlot(load)) {
+					return true;
+				} else if (load.chooseSlot().kind === 'free') {
+					return false;
+				}
 			}
 
-			await this.opts.clock.sleep(ADAPTER_LOAD_MS, this.opts.signal);
-			this.setHoldings(withAdapter(this.getModels(), model, adapter, true));
-			return true;
+			return false;
 		});
 	}
 
+	/** Whether an adapter of the account that the hosts do not see is in a new report, which is published. */
+	private async confirmAdapter({model, adapter}: HeldAdapter): Promise<boolean> {
+		return await this.refresh() !== undefined && isDone(this.getModels(), {kind: 'load-adapter', model, adapter});
+	}
+
+	private async evictAdapter({model, adapter}: HeldAdapter): Promise<boolean> {
+		const step: LoadStep = {kind: 'unload-adapter', model, adapter};
+		this.publishHoldings(withAdapter(this.getModels(), model, adapter, false));
+		return this.carryOut(step, 0);
+	}
+
+	private async loadAdapterIntoFreeSlot({model, adapter, chooseSlot, recordLoad}: AdapterLoad): Promise<boolean> {
+		const isRoomLeft = (): boolean => chooseSlot().kind === 'free';
+		if (!await this.sendOrder({kind: 'load-adapter', model, adapter}, isRoomLeft)) {
+			return false;
+		}
+
+		await this.opts.clock.sleep(ADAPTER_LOAD_MS, this.opts.signal);
+		this.setHoldings(withAdapter(this.getModels(), model, adapter, true));
+		recordLoad();
+		return true;
+	}
+
 	private async unloadModel(model: string): Promise<boolean> {
 		const step: LoadStep = {kind: 'unload-model', model};
 		this.publishHoldingsWithout(model);
 		await this.opts.clock.sleep(UNLOAD_NOTICE_MS, this.opts.signal);
-		return await this.sendOrder(step) && this.waitUntilDone(step, 0);
+		return this.carryOut(step, 0);
 	}
 
-	private async loadModel({load, loadMs}: LoadMove): Promise<boolean> {
+	private async loadModel({load, loadMs}: LoadMove, plannedModels: readonly string[]): Promise<boolean> {
 		const step: LoadStep = {kind: 'load-model', model: load};
-		return await this.sendOrder(step) && this.waitUntilDone(step, loadMs);
+		const isRoomLeft = (): boolean => holdsOnly(this.getModels(), plannedModels);
+		return this.carryOut(step, loadMs, isRoomLeft);
 	}
 
-	/** Sends an order and repeats it until its effect is certain; returns whether it is complete or in progress. */
-	private async sendOrder(step: LoadStep): Promise<boolean> {
+	/** Sends an order and waits for its end; returns whether a report has shown it. */
+	private async carryOut(step: LoadStep, expectedMs: number, isRoomLeft?: () => boolean): Promise<boolean> {
+		if (!await this.sendOrder(step, isRoomLeft)) {
+			return false;
+		}
+
+		const isComplete = await this.waitUntilDone(step, expectedMs);
+		if (!isComplete) {
+			// The engine may still carry it out, or may have done so unseen.
+			this.forgetHoldings();
+		}
+
+		return isComplete;
+	}
+
+	/** Sends an order and repeats it until its effect is certain; returns whether it is complete or in progress. Each attempt may rest on a newer account, in which the room may be gone. */
+	private async sendOrder(step: LoadStep, isRoomLeft = () => true): Promise<boolean> {
 		const {clock, logger, orders, signal} = this.opts;
 		for (let attempt = 0; attempt < MAX_ORDER_ATTEMPTS && !signal.aborted; attempt++) {
 			const engine = this.getEngine();
 			const expectedOrderCount = this.orderCount ?? engine?.orderCount ?? await this.refresh();
-			if (!engine || expectedOrderCount === undefined) {
+			if (!engine || expectedOrderCount === undefined || !this.models || !isRoomLeft()) {
 				return false;
 			}
 
@@ -226,7 +227,10 @@
 		const wasAccepted = answer === 'begun' || (answer === 'done' && kind === 'unload-adapter');
 		this.wasDoneOnAnswer = answer === 'done';
 		this.orderCount = wasAccepted ? expected + 1 : undefined;
-		this.minOrderCount = Math.max(this.minOrderCount, this.orderCount ?? 0);
+		if (answer === 'begun') {
+			// An engine may not count an order that is done at once because there was nothing to do.
+			this.minOrderCount = expected + 1;
+		}
 	}
 
 	/** Requests what the engine holds and how many orders it has accepted; returns that number if it is up to date and the engine is not busy. */
@@ -237,24 +241,31 @@
 			return undefined;
 		}
 
-		this.orderCount = report.orderCount;
 		this.minOrderCount = report.orderCount;
 		if (report.isBusy) {
-			this.models = undefined;
+			this.forgetHoldings();
 			return undefined;
 		}
 
+		this.orderCount = report.orderCount;
+
 		this.setHoldings(report.models);
 		return report.orderCount;
 	}
 
+	/** No order is sent until the engine has reported what it holds. */
+	private forgetHoldings(): void {
+		this.models = undefined;
+		this.orderCount = undefined;
+	}
+
 	/** Records what the engine holds and publishes it to the hosts. */
 	private setHoldings(models: readonly HeldModel[]): void {
 		this.models = models;
 		this.publishHoldings(models);
 	}
 
-	/** Waits for the end of an order in progress until a registration or report of the engine shows its effect. */
+	/** Waits for the end of an order in progress until a report of the engine shows its effect. */
 	private async waitUntilDone(step: LoadStep, expectedMs: number): Promise<boolean> {
 		const {clock, registry, signal} = this.opts;
 		if (this.wasDoneOnAnswer) {
@@ -263,23 +274,24 @@
 		}
 
 		const waitStartedAtMs = clock.now();
-		let nextRefreshAtMs = waitStartedAtMs + Math.max(expectedMs, PROGRESS_POLL_MS);
+		let plannedRefreshAtMs = waitStartedAtMs + Math.max(expectedMs, PROGRESS_POLL_MS);
+		let refreshedAtMs = waitStartedAtMs;
 		while (!signal.aborted && clock.now() - waitStartedAtMs < MAX_LOAD_MS + expectedMs) {
 			if (!this.getEngine()) {
 				return false;
 			}
 
-			if (this.hasRegistered(waitStartedAtMs) && isDone(this.getRegisteredModels(), step)) {
-				this.setHoldings(applyStep(this.getModels(), step));
-				return true;
-			}
-
+			// A registration may have been sent before the order and delayed, so it only brings the next report forward.
+			const isExpected = this.hasRegistered(waitStartedAtMs) && isDone(this.getRegisteredModels(), step);
+			const nextRefreshAtMs = isExpected ? Math.min(plannedRefreshAtMs, refreshedAtMs + REGISTERED_POLL_MS) : plannedRefreshAtMs;
 			if (clock.now() >= nextRefreshAtMs) {
 				if (await this.refresh() !== undefined && isDone(this.getModels(), step)) {
 					return true;
 				}
 
-				nextRefreshAtMs = clock.now() + PROGRESS_POLL_MS;
+				refreshedAtMs = clock.now();
+				plannedRefreshAtMs = refreshedAtMs + PROGRESS_POLL_MS;
+				continue;
 			}
 
 			await registry.changed.wait(clock, Math.max(1, nextRefreshAtMs - clock.now()), signal);
