engines: a target that goes on registering keeps its address

What callers saw: an entry with another id, the address of a running engine and a later start ended that engine's registration until it restarted, also after the entry had fallen silent; its capacity was gone. Cause: the latest start alone decided who has an address, and the loser counted as ended, after which no registration of the same start is accepted. Fix: the registry keeps all targets that name an address and lets one of them take requests. address-claims.ts decides: the first that goes on registering; if that one is silent for 2.4 s (two heartbeats) or leaves, the one that started last. A target that returns after a gap gets its address back after 2.4 s of registrations, so that one delayed registration of a dead process does not. Waiting targets are passed on to control hosts, and to entry hosts as ended.

--- a/apps/egretrilld/src/traffic/control-host.ts
+++ b/apps/egretrilld/src/traffic/control-host.ts
@@ -174,7 +174,7 @@
 	}
 
 	override acceptRegistration(registration: Registration): boolean {
-		const isNew = this.registry.get(registration.targetId) === undefined;
+		const isNew = this.registry.getRegistered(registration.targetId)?.startedAtMs !== registration.startedAtMs;
 		const isAccepted = this.registry.accept(registration);
 		if (isAccepted && (isNew || registration.isLeaving)) {
 			const {targetId, service, zone, startedAtMs, sequence, isLeaving, coldForMs} = registration;
--- a/packages/engines/src/registry/constants.ts
+++ b/packages/engines/src/registry/constants.ts
@@ -1,6 +1,9 @@
 /** Time after which a registration expires. Targets register about every second, sometimes seconds late. */
 export const REGISTRATION_TTL_MS = 6000;
 
+/** Two heartbeats: a target that has been silent for this long loses its address to another one that registers with it. */
+export const ADDRESS_SILENCE_MS = 2400;
+
 /** Retention of ended registrations, so that a delayed registration from the same process does not revive one. */
 export const ENDED_RETENTION_MS = 60_000;
 
--- a/packages/engines/src/registry/index.ts
+++ b/packages/engines/src/registry/index.ts
@@ -1,3 +1,4 @@
+export * from './address-claims.js';
 export * from './choose-target.js';
 export * from './constants.js';
 export * from './cached-prompts.js';
--- a/packages/engines/src/registry/target-registry.ts
+++ b/packages/engines/src/registry/target-registry.ts
@@ -1,6 +1,7 @@
 import {
 	type Clock, type HeldModel, type Registration, Signal,
 } from '@egretrill/common';
+import {type AddressClaim, chooseHolder, getSteadySinceMs} from './address-claims.js';
 import {
 	ENDED_RETENTION_MS, MAX_TARGETS, MODELS_OVERRIDE_MS, REGISTRATION_TTL_MS,
 } from './constants.js';
@@ -10,6 +11,11 @@
 	readonly registration: Registration;
 	readonly receivedMs: number;
 	readonly hasEnded: boolean;
+	/** Whether another target has the address; this one then takes no requests, and goes on registering. */
+	readonly isWaiting: boolean;
+	/** Position among the targets in the order of their first registration at their address. */
+	readonly claimOrder: number;
+	readonly steadySinceMs: number;
 	/** Revision of the last change that must be sent to other hosts. */
 	readonly revision: number;
 	/** Revision of the last registration, for control hosts that track its age. */
@@ -20,6 +26,8 @@
 	readonly modelsOverride?: {readonly models: readonly HeldModel[]; readonly untilMs: number};
 };
 
+type EntryState = Omit<Entry, 'revision' | 'heartbeatRevision'>;
+
 /** Whether a registration is newer than the stored one of the same target. */
 export function isNewerRegistration(registration: Registration, stored: Registration): boolean {
 	return registration.startedAtMs === stored.startedAtMs ? registration.sequence > stored.sequence : registration.startedAtMs > stored.startedAtMs;
@@ -31,6 +39,12 @@
 	return (firstCold > 0) === (secondCold > 0) && JSON.stringify(rest) === JSON.stringify(other);
 }
 
+function toClaim({registration: {targetId, startedAtMs, isLeaving}, claimOrder, steadySinceMs, receivedMs}: Entry): AddressClaim {
+	return {
+		targetId, startedAtMs, isLeaving, order: claimOrder, steadySinceMs, receivedMs,
+	};
+}
+
 /** The registered targets, merged from the registrations that each control host received. */
 export class TargetRegistry {
 	/** Notified when a change must be sent to other hosts. */
@@ -38,6 +52,7 @@
 	private readonly entries = new Map<string, Entry>();
 	/** Ids of the targets at each address, so that a registration is not compared with all others. */
 	private readonly idsByAddress = new Map<string, Set<string>>();
+	private claimCount = 0;
 	private revision = 0;
 	/** Revision of the last change that must be sent to other hosts. */
 	private changedRevision = 0;
@@ -51,12 +66,12 @@
 			return false;
 		}
 
-		if (this.isAddressTaken(registration) || (!stored && !this.hasRoom())) {
+		if (!stored && !this.hasRoom()) {
 			return false;
 		}
 
-		this.endOthersAtAddress(registration);
 		this.storeRegistration(registration, this.clock.now() - ageMs, stored);
+		this.assignAddress(registration.address);
 		return true;
 	}
 
@@ -65,6 +80,7 @@
 		const stored = this.entries.get(targetId);
 		if (stored && !stored.hasEnded) {
 			this.store({...stored, hasEnded: true, receivedMs: this.clock.now()});
+			this.assignAddress(stored.registration.address);
 		}
 	}
 
@@ -87,7 +103,7 @@
 		}
 	}
 
-	/** Notifies other hosts of expired registrations; must be called several times a second. */
+	/** Notifies other hosts of expired registrations and assigns the addresses of silent targets; must be called several times a second. */
 	sweep(): void {
 		const oldestMs = this.clock.now() - REGISTRATION_TTL_MS;
 		for (const entry of this.entries.values()) {
@@ -95,16 +111,22 @@
 				this.store({...entry, isSilent: true});
 			}
 		}
+
+		for (const [address, ids] of this.idsByAddress) {
+			if (ids.size > 1) {
+				this.assignAddress(address);
+			}
+		}
 	}
 
 	/** Returns the changes since a revision, or all targets if the host followed another registry. */
 	getUpdateSince(known: {readonly origin: string; readonly revision: number}, withHeartbeats: boolean): RegistryUpdate {
-		this.dropOld(({hasEnded}) => hasEnded);
+		this.dropOld(({hasEnded, isWaiting}) => hasEnded || isWaiting);
 		const isWhole = known.origin !== this.origin || known.revision > this.revision;
 		const since = isWhole ? 0 : known.revision;
 		const changed = [...this.entries.values()].filter(entry => isWhole || Math.max(entry.revision, withHeartbeats ? entry.heartbeatRevision : 0) > since);
 		return {
-			origin: this.origin, revision: this.revision, isWhole, targets: changed.map(entry => this.toRegisteredTarget(entry)),
+			origin: this.origin, revision: this.revision, isWhole, targets: withHeartbeats ? this.listForControlHosts(changed) : this.listForEntryHosts(changed),
 		};
 	}
 
@@ -121,7 +143,7 @@
 	/** Returns the targets that registered recently and have not ended. */
 	getLive(): readonly Registration[] {
 		const oldestMs = this.clock.now() - REGISTRATION_TTL_MS;
-		return [...this.entries.values()].filter(({hasEnded, receivedMs}) => !hasEnded && receivedMs >= oldestMs).map(entry => this.toRegisteredTarget(entry).registration);
+		return [...this.entries.values()].filter(({hasEnded, isWaiting, receivedMs}) => !hasEnded && !isWaiting && receivedMs >= oldestMs).map(entry => this.toRegisteredTarget(entry).registration);
 	}
 
 	/** Returns the last registration of a target, without changes by later orders. */
@@ -136,14 +158,14 @@
 
 	get(targetId: string): Registration | undefined {
 		const entry = this.entries.get(targetId);
-		return entry && !entry.hasEnded ? this.toRegisteredTarget(entry).registration : undefined;
+		return entry && !entry.hasEnded && !entry.isWaiting ? this.toRegisteredTarget(entry).registration : undefined;
 	}
 
 	private storeRegistration(registration: Registration, receivedMs: number, stored: Entry | undefined): void {
 		const isSameProcess = stored?.registration.startedAtMs === registration.startedAtMs;
 		const modelsOverride = isSameProcess && stored.modelsOverride && stored.modelsOverride.untilMs > receivedMs ? stored.modelsOverride : undefined;
 		const entry = {
-			registration, receivedMs, hasEnded: false, modelsOverride,
+			registration, receivedMs, hasEnded: false, modelsOverride, ...this.createClaim(registration, receivedMs, stored),
 		};
 		const wasSilent = stored !== undefined && receivedMs - stored.receivedMs > REGISTRATION_TTL_MS;
 		if (stored && !stored.hasEnded && !wasSilent && isSameState(this.toRegisteredTarget(stored).registration, this.toRegisteredTarget({...stored, ...entry}).registration)) {
@@ -155,7 +177,19 @@
 		this.store(entry);
 	}
 
-	private store(entry: Omit<Entry, 'revision' | 'heartbeatRevision'>): void {
+	/** A target that names another address, or has ended, claims its address anew, after the others there. */
+	private createClaim({targetId, address}: Registration, receivedMs: number, stored: Entry | undefined): Pick<Entry, 'isWaiting' | 'claimOrder' | 'steadySinceMs'> {
+		const known = stored && !stored.hasEnded && stored.registration.address === address ? stored : undefined;
+		if (known) {
+			return {isWaiting: known.isWaiting, claimOrder: known.claimOrder, steadySinceMs: getSteadySinceMs(receivedMs, known)};
+		}
+
+		this.claimCount += 1;
+		const isWaiting = this.getClaimants(address).some(entry => entry.registration.targetId !== targetId);
+		return {isWaiting, claimOrder: this.claimCount, steadySinceMs: receivedMs};
+	}
+
+	private store(entry: EntryState): void {
 		this.revision += 1;
 		this.changedRevision = this.revision;
 		this.setEntry({...entry, revision: this.revision, heartbeatRevision: this.revision});
@@ -167,6 +201,7 @@
 		const oldAddress = this.entries.get(targetId)?.registration.address;
 		if (oldAddress !== undefined && oldAddress !== address) {
 			this.removeFromAddress(targetId, oldAddress);
+			this.assignAddress(oldAddress);
 		}
 
 		this.entries.set(targetId, entry);
@@ -182,28 +217,41 @@
 		}
 	}
 
-	/** Returns the other targets at the address of a registration that have not ended. */
-	private getOthersAtAddress({targetId, address}: Registration): readonly Registration[] {
-		const others: Registration[] = [];
+	/** Returns the targets at an address that have not ended. */
+	private getClaimants(address: string): readonly Entry[] {
+		const claimants: Entry[] = [];
 		for (const id of this.idsByAddress.get(address) ?? []) {
 			const entry = this.entries.get(id);
-			if (entry && !entry.hasEnded && id !== targetId) {
-				others.push(entry.registration);
+			if (entry && !entry.hasEnded) {
+				claimants.push(entry);
 			}
 		}
 
-		return others;
+		return claimants;
 	}
 
-	/** Whether a process that started later uses the address; a delayed registration may name such an address. */
-	private isAddressTaken(registration: Registration): boolean {
-		return this.getOthersAtAddress(registration).some(({startedAtMs}) => startedAtMs > registration.startedAtMs);
+	/** Lets one of the targets at an address take requests. */
+	private assignAddress(address: string): void {
+		const claimants = this.getClaimants(address);
+		const holder = claimants.find(({isWaiting}) => !isWaiting);
+		const chosenId = chooseHolder(claimants.map(entry => toClaim(entry)), holder?.registration.targetId, this.clock.now());
+		for (const entry of claimants) {
+			const isWaiting = entry.registration.targetId !== chosenId;
+			if (entry.isWaiting !== isWaiting) {
+				this.store({...entry, isWaiting});
+			}
+		}
 	}
 
-	private endOthersAtAddress(registration: Registration): void {
-		for (const {targetId} of this.getOthersAtAddress(registration)) {
-			this.markEnded(targetId);
-		}
+	/** Lists targets with those that wait for their address last, so that a host that has just started assigns the addresses in the same way. */
+	private listForControlHosts(entries: readonly Entry[]): RegisteredTarget[] {
+		const holders = entries.filter(({isWaiting}) => !isWaiting);
+		const waiting = entries.filter(({isWaiting}) => isWaiting);
+		return [...holders, ...waiting].map(entry => this.toRegisteredTarget(entry));
+	}
+
+	private listForEntryHosts(entries: readonly Entry[]): RegisteredTarget[] {
+		return entries.map(entry => this.toRegisteredTarget({...entry, hasEnded: entry.hasEnded || entry.isWaiting}));
 	}
 
 	/** Whether a further target fits into an update; drops silent targets to make room. */
