engines: set aside registrations whose sequence is out of line

What callers saw: an entry with the id and start of an engine and a huge sequence blocked the engine's registrations until it restarted; after 6 s no request was sent there. Cause: of one lifetime the highest sequence alone counted. Evidence: five tests on the registry; two of them failed before the change (beside a known engine, and at a control host that knew the odd entry first). Fix: sequence-run.ts decides from sequences and times. A registration counts if its sequence has grown by no more than the calls of the time between and ten delayed ones. Others are set aside; they count once they have gone on for 2.4 s and those that counted have been silent for as long. A sequence of up to 50 calls (a minute) back is a delayed registration and never counts; a property test sends these in any order and distance. Run: tests of engines/registry, engines/loading, platform, leader and odd entries, 111 passing.

--- a/packages/engines/src/registry/constants.ts
+++ b/packages/engines/src/registry/constants.ts
@@ -4,6 +4,18 @@
 /** Two heartbeats: a target that has been silent for this long loses its address to another one that registers with it. */
 export const ADDRESS_SILENCE_MS = 2400;
 
+/** Shortest time between two calls of a target in the long run; targets call every 1.2 s. */
+export const CALL_INTERVAL_MS = 1000;
+
+/** Calls that may be missing before a registration in addition to those of the time between, since it may arrive seconds before delayed ones. */
+export const MAX_SKIPPED_CALLS = 10;
+
+/** A registration of up to this many calls before the last one is a delayed one; this covers a delay of a minute. */
+export const MAX_DELAYED_CALLS = 50;
+
+/** Registrations with sequences out of line count after they have gone on, and the others have been silent, for two heartbeats. */
+export const SEQUENCE_PROOF_MS = 2400;
+
 /** Retention of ended registrations, so that a delayed registration from the same process does not revive one. */
 export const ENDED_RETENTION_MS = 60_000;
 
--- a/packages/engines/src/registry/target-registry.ts
+++ b/packages/engines/src/registry/target-registry.ts
@@ -5,6 +5,7 @@
 import {
 	ENDED_RETENTION_MS, MAX_TARGETS, MODELS_OVERRIDE_MS, REGISTRATION_TTL_MS,
 } from './constants.js';
+import {judgeSequence, type SequenceRun} from './sequence-run.js';
 import type {RegisteredTarget, RegistryUpdate} from './types.js';
 
 type Entry = {
@@ -16,6 +17,8 @@
 	/** Position among the targets in the order of their first registration at their address. */
 	readonly claimOrder: number;
 	readonly steadySinceMs: number;
+	/** Registrations of the same lifetime that do not count, since their sequences are out of line. */
+	readonly rival?: SequenceRun | undefined;
 	/** Revision of the last change that must be sent to other hosts. */
 	readonly revision: number;
 	/** Revision of the last registration, for control hosts that track its age. */
@@ -28,11 +31,6 @@
 
 type EntryState = Omit<Entry, 'revision' | 'heartbeatRevision'>;
 
-/** Whether a registration is newer than the stored one of the same target. */
-export function isNewerRegistration(registration: Registration, stored: Registration): boolean {
-	return registration.startedAtMs === stored.startedAtMs ? registration.sequence > stored.sequence : registration.startedAtMs > stored.startedAtMs;
-}
-
 function isSameState(first: Registration, second: Registration): boolean {
 	const {sequence: _first, orderCount: _firstCount, coldForMs: firstCold, ...rest} = first;
 	const {sequence: _second, orderCount: _secondCount, coldForMs: secondCold, ...other} = second;
@@ -61,16 +59,13 @@
 
 	/** Stores a registration; returns false if it is outdated, or new while the registry is full. */
 	accept(registration: Registration, ageMs = 0): boolean {
+		const receivedMs = this.clock.now() - ageMs;
 		const stored = this.entries.get(registration.targetId);
-		if (stored && (!isNewerRegistration(registration, stored.registration) || (stored.hasEnded && registration.startedAtMs === stored.registration.startedAtMs))) {
+		if (stored ? !this.isNewer(registration, receivedMs, stored) : !this.hasRoom()) {
 			return false;
 		}
 
-		if (!stored && !this.hasRoom()) {
-			return false;
-		}
-
-		this.storeRegistration(registration, this.clock.now() - ageMs, stored);
+		this.storeRegistration(registration, receivedMs, stored);
 		this.assignAddress(registration.address);
 		return true;
 	}
@@ -161,11 +156,29 @@
 		return entry && !entry.hasEnded && !entry.isWaiting ? this.toRegisteredTarget(entry).registration : undefined;
 	}
 
+	/** Whether a registration is newer than the stored one of the same target. */
+	private isNewer({startedAtMs, sequence}: Registration, receivedMs: number, stored: Entry): boolean {
+		if (startedAtMs !== stored.registration.startedAtMs) {
+			return startedAtMs > stored.registration.startedAtMs;
+		}
+
+		if (stored.hasEnded) {
+			return false;
+		}
+
+		const verdict = judgeSequence(sequence, receivedMs, {sequence: stored.registration.sequence, lastMs: stored.receivedMs}, stored.rival);
+		if (!verdict.isNext) {
+			this.setEntry({...stored, rival: verdict.rival});
+		}
+
+		return verdict.isNext;
+	}
+
 	private storeRegistration(registration: Registration, receivedMs: number, stored: Entry | undefined): void {
 		const isSameProcess = stored?.registration.startedAtMs === registration.startedAtMs;
 		const modelsOverride = isSameProcess && stored.modelsOverride && stored.modelsOverride.untilMs > receivedMs ? stored.modelsOverride : undefined;
 		const entry = {
-			registration, receivedMs, hasEnded: false, modelsOverride, ...this.createClaim(registration, receivedMs, stored),
+			registration, receivedMs, hasEnded: false, modelsOverride, rival: undefined, ...this.createClaim(registration, receivedMs, stored),
 		};
 		const wasSilent = stored !== undefined && receivedMs - stored.receivedMs > REGISTRATION_TTL_MS;
 		if (stored && !stored.hasEnded && !wasSilent && isSameState(this.toRegisteredTarget(stored).registration, this.toRegisteredTarget({...stored, ...entry}).registration)) {
