engines, hosts: bound a list of targets without losing the engines in it

What callers saw: one entry of an older build without bounds made a whole answer between hosts unreadable, so that no host heard of any change; 8,192 live odd ids kept new engines out. A test of the fix also showed that an update of 8,192 ordinary targets exceeded the limit of 262,144 values. Cause: the value limit was checked for the message as a whole before any item was skipped; the registry bounded the number of targets only and took a new one only in place of targets that were silent for a minute. Hosts that follow the registry then get all targets, since a change alone does not tell them what was dropped.

--- a/apps/egretrilld/src/traffic/control-host.ts
+++ b/apps/egretrilld/src/traffic/control-host.ts
@@ -37,7 +37,7 @@
 	readonly orders: EngineOrders;
 };
 
-type DecodedTraffic = {readonly source: string; readonly classes: ReadonlyMap<string, EngineClass>; readonly customers: ReadonlyMap<string, TrafficCustomer>};
+type DecodedTraffic = {readonly source: string; readonly services: ReadonlySet<string>; readonly classes: ReadonlyMap<string, EngineClass>; readonly customers: ReadonlyMap<string, TrafficCustomer>};
 
 /** A host that keeps the log, accepts registrations of targets and serves operators; the leader also divides rates and sends orders to engines. */
 export class ControlHost extends ControlService {
@@ -65,7 +65,7 @@
 		this.peers = new ControlPeers({
 			selfId: this.hostId, seedIds: settings.seeds, clock, credentials,
 		});
-		this.registry = new TargetRegistry(clock, this.origin);
+		this.registry = new TargetRegistry(clock, this.origin, service => this.getDecodedTraffic()?.services.has(service) ?? true);
 		this.syncNotifier = new SyncNotifier({clock, registry: this.registry, getConfigVersion: () => this.state.getTraffic()?.version ?? 0});
 		const folder = path.join(settings.dataDir, 'log');
 		this.node = new ConsensusNode({
@@ -328,6 +328,7 @@
 			const {services, customers = []} = decoded.unwrapOr({services: [], customers: []});
 			this.decoded = {
 				source,
+				services: new Set(services.map(({name}) => name)),
 				classes: new Map(services.flatMap(({name, engine}) => engine ? [[name, engine] as const] : [])),
 				customers: new Map(customers.map(customer => [customer.name, customer])),
 			};
--- a/apps/egretrilld/src/traffic/methods.ts
+++ b/apps/egretrilld/src/traffic/methods.ts
@@ -1,6 +1,6 @@
 import {TrafficSource} from '@egretrill/common';
 import {RegistryUpdate} from '@egretrill/engines';
-import {defineDocumentMethod, defineMethod} from '@egretrill/hosts';
+import {defineDocumentMethod, defineListMethod, defineMethod} from '@egretrill/hosts';
 import {z} from 'zod';
 
 const count = z.int().nonnegative();
@@ -52,7 +52,7 @@
 export type SyncResponse = z.infer<typeof SyncResponse>;
 
 /** Long poll of an entry host for the configuration, the targets and its rate allocations. */
-export const syncMethod = defineDocumentMethod('Traffic', 'sync', SyncRequest, SyncResponse);
+export const syncMethod = defineListMethod('Traffic', 'sync', SyncRequest, SyncResponse);
 
 /** Requests a model or adapter from the leader; the answer follows once the adapter is loaded. */
 export const requestAdapterMethod = defineMethod('Traffic', 'want', z.object({service: z.string(), model: z.string(), adapter: z.string().optional()}), z.object({
@@ -70,7 +70,7 @@
 }));
 
 /** Exchanges registrations, members and the current leader between control hosts. The whole registry has as many values as a configuration document. */
-export const gossipMethod = defineDocumentMethod('Traffic', 'gossip', z.object({hostId: z.string(), zone: z.string(), registry: KnownRegistry}), z.object({
+export const gossipMethod = defineListMethod('Traffic', 'gossip', z.object({hostId: z.string(), zone: z.string(), registry: KnownRegistry}), z.object({
 	registry: RegistryUpdate, zone: z.string(), memberIds: z.array(z.string()), leaderId: z.string().optional(),
 }));
 
--- a/apps/egretrilld/tests/methods.test.ts
+++ b/apps/egretrilld/tests/methods.test.ts
@@ -1,6 +1,6 @@
 import {Buffer} from 'node:buffer';
 import {
-	type Codec, DecodeError, MAX_DOCUMENT_VALUES, MAX_MESSAGE_BYTES, MAX_MESSAGE_VALUES, parseInParts,
+	type Codec, DecodeError, MAX_DOCUMENT_VALUES, MAX_LIST_VALUES, MAX_MESSAGE_BYTES, MAX_MESSAGE_VALUES, parseInParts,
 } from '@egretrill/common';
 import * as hosts from '@egretrill/hosts';
 import {expect} from 'chai';
@@ -19,6 +19,7 @@
 
 const peerMethods = [...Object.values<unknown>(hosts), ...Object.values<unknown>(methods)].filter(value => isMethod(value));
 const allMethods = [...peerMethods, ...Object.values<unknown>(trafficMethods).filter(value => isMethod(value))];
+const listPaths = new Set<string>([trafficMethods.syncMethod.path, trafficMethods.gossipMethod.path]);
 const codecs = peerMethods.flatMap(({path, req, res}) => [{name: `${path} request`, codec: req}, {name: `${path} answer`, codec: res}]);
 
 /** Decodes bytes that may be damaged and ignores a `DecodeError`; any other error is thrown. */
@@ -51,7 +52,7 @@
 function * generateFilledMessages(): Generator<{readonly name: string; readonly codec: Codec<unknown>; readonly value: unknown}> {
 	for (const {path, req, res} of allMethods) {
 		for (const [kind, codec] of Object.entries({req, res})) {
-			for (const count of [MAX_MESSAGE_VALUES - 200, MAX_DOCUMENT_VALUES - 200]) {
+			for (const count of [MAX_MESSAGE_VALUES - 200, MAX_DOCUMENT_VALUES - 200, ...(listPaths.has(path) ? [MAX_LIST_VALUES - 200] : [])]) {
 				for (let number = 1, value = fillList(codec.schema, number, count); value !== undefined; number++, value = fillList(codec.schema, number, count)) {
 					yield {name: `${path} ${kind}, list ${number} of ${count} values`, codec, value};
 				}
--- a/apps/egretrilld/tests/traffic/odd-entries.test.ts
+++ b/apps/egretrilld/tests/traffic/odd-entries.test.ts
@@ -1,6 +1,6 @@
 import {type Codec, ManualClock, type Registration} from '@egretrill/common';
 import {
-	type RegisteredTarget, type RegistryUpdate, TargetRegistry, TargetTable,
+	MAX_TARGETS, type RegisteredTarget, type RegistryUpdate, TargetRegistry, TargetTable,
 } from '@egretrill/engines';
 import {PEER_UNRESPONSIVE_MS} from '@egretrill/hosts';
 import {expect} from 'chai';
@@ -122,6 +122,25 @@
 			}), {seed: SEED, numRuns: 300});
 		});
 
+		// Guards against one entry of an older build, which had no bounds, that makes the whole message exceed its number of values.
+		it(`skips an entry with very many values (${name})`, () => {
+			const large = list(register({targetId: 'large', models: [{name: 'm1', version: 1, adapters: Array.from({length: 600_000}, () => 'a')}]}));
+			expect(read(createUpdate([first, large, second, large]))).to.deep.equal({...createUpdate([first, second]), skippedIds: ['', '']});
+		});
+
+		// Guards against a full registry that no reader accepts.
+		it(`reads the update of a full registry (${name})`, () => {
+			const registry = new TargetRegistry(new ManualClock(), 'r');
+			for (let number = 0; number < MAX_TARGETS; number++) {
+				registry.accept(register({targetId: `t${number}`, address: `10.0.${Math.floor(number / 250)}.${number % 250}:80`}));
+			}
+
+			const {targets} = registry.getUpdateSince({origin: '', revision: 0}, true);
+			const startMs = performance.now();
+			expect(read(createUpdate(targets)).targets.length).to.equal(targets.length);
+			expect(performance.now() - startMs).to.be.below(PEER_UNRESPONSIVE_MS);
+		});
+
 		// Guards against a list of invalid entries that blocks the process until other hosts consider it unresponsive.
 		it(`reads a list of invalid entries in bounded time (${name})`, () => {
 			for (const entry of [{}, 0, {registration: {targetId: 'x', models: [{}, {}]}}]) {
--- a/packages/common/src/codec.ts
+++ b/packages/common/src/codec.ts
@@ -3,6 +3,7 @@
 import type {z} from 'zod';
 import {MAX_DECODE_FAULTS} from './constants.js';
 import {countValues} from './message-shape.js';
+import {dropLargeItems} from './large-items.js';
 import {MAX_PART_VALUES, parseInParts, parseWhole} from './parse-in-parts.js';
 
 /** Encodes and decodes one message type; decoding validates it. */
@@ -23,12 +24,13 @@
 	useRecords: false, moreTypes: false, encodeUndefinedAsNil: false, int64AsType: 'number',
 });
 
-/** Creates the MessagePack codec of a schema; decoding rejects messages with more than `maxValues` values. */
-export function createCodec<T>(schema: z.ZodType<T>, maxValues = Infinity): Codec<T> {
+/** Creates the MessagePack codec of a schema; decoding rejects messages with more than `maxValues` values, after it has replaced list items with more than `maxItemValues` by null. */
+export function createCodec<T>(schema: z.ZodType<T>, maxValues = Infinity, maxItemValues = Infinity): Codec<T> {
 	return {
 		schema,
 		encode: value => Buffer.from(packr.pack(value)),
-		decode(bytes) {
+		decode(received) {
+			const bytes = maxItemValues === Infinity ? received : dropLargeItems(received, maxItemValues);
 			const count = countValues(bytes, maxValues);
 			if (count === undefined) {
 				throw new DecodeError('The bytes are not one MessagePack value of plain types within the limits.');
--- a/packages/common/src/constants.ts
+++ b/packages/common/src/constants.ts
@@ -9,6 +9,10 @@
  */
 export const MAX_MESSAGE_VALUES = 65_536;
 export const MAX_DOCUMENT_VALUES = 262_144;
+/** Limit of messages with a list of registrations, whose items are validated one by one: a full registry and as much as a message besides. */
+export const MAX_LIST_VALUES = 524_288;
+/** Largest number of values in one item of a list whose other items are used without it. */
+export const MAX_ITEM_VALUES = 8192;
 /** No schema nests this deep, and recursive code could exhaust the stack on deeper messages. */
 export const MAX_MESSAGE_DEPTH = 64;
 /** Number of faults listed in the error for a message that does not match its schema. */
--- a/packages/common/src/message-shape.ts
+++ b/packages/common/src/message-shape.ts
@@ -34,9 +34,11 @@
 	return layoutsByFormat[formatByte];
 }
 
-const formatLayouts = Array.from({length: 256}, (_, formatByte) => getLayout(formatByte));
+/** Layout of each format byte; undefined for those that no message may contain. */
+export const formatLayouts = Array.from({length: 256}, (_, formatByte) => getLayout(formatByte));
 
-function readCount(view: DataView, offset: number, countBytes: 1 | 2 | 4): number {
+/** Reads the count that follows a format byte. */
+export function readCount(view: DataView, offset: number, countBytes: 1 | 2 | 4): number {
 	switch (countBytes) {
 		case 1: {
 			return view.getUint8(offset);
--- a/packages/common/src/registration.ts
+++ b/packages/common/src/registration.ts
@@ -8,6 +8,8 @@
 const MAX_HELD_MODELS = 256;
 const MAX_ADAPTERS = 1024;
 const MAX_STORED_MODELS = 1024;
+/** Bound of all models and adapters in the lists of one registration. */
+const MAX_NAMES = 4096;
 const MAX_SLOTS = 65_536;
 /** Bound of the time for which a target stays slow after its start, one day. */
 const MAX_COLD_MS = 86_400_000;
@@ -30,6 +32,17 @@
 /** The models that are loaded in one engine. */
 export const HeldModels = z.array(HeldModel).max(MAX_HELD_MODELS);
 
+type NamedLists = {readonly models: readonly HeldModel[]; readonly inMemory: readonly string[]; readonly onDisk: readonly string[]};
+
+function countNames({models, inMemory, onDisk}: NamedLists): number {
+	let count = models.length + inMemory.length + onDisk.length;
+	for (const {adapters} of models) {
+		count += adapters.length;
+	}
+
+	return count;
+}
+
 /** What a target reports about itself when it registers. */
 export const Registration = z.object({
 	targetId: TargetId,
@@ -49,5 +62,14 @@
 	/** Models whose weights the engine keeps in host memory and on disk. */
 	inMemory: z.array(Name).max(MAX_STORED_MODELS),
 	onDisk: z.array(Name).max(MAX_STORED_MODELS),
-});
+}).refine(registration => countNames(registration) <= MAX_NAMES, `at most ${MAX_NAMES} models and adapters in all lists`);
 export type Registration = z.infer<typeof Registration>;
+
+/** Values of a registration in a message besides its lists, with room for further fields. */
+const BASE_VALUES = 40;
+const VALUES_PER_MODEL = 7;
+
+/** Returns an upper bound of the number of values that a registration adds to a message. */
+export function countRegistrationValues(registration: Registration): number {
+	return BASE_VALUES + (VALUES_PER_MODEL * registration.models.length) + countNames(registration);
+}
--- a/packages/engines/src/registry/constants.ts
+++ b/packages/engines/src/registry/constants.ts
@@ -58,5 +58,14 @@
 /** Requests queued at a target of a service without engines, for each of its slots; further requests wait at the host. */
 export const QUEUED_PER_SLOT = 0.5;
 
+/** Largest number of values in all registrations of a registry: 48 for each target of the largest fleet. A whole update stays below MAX_LIST_VALUES. */
+export const MAX_REGISTRY_VALUES = 393_216;
+
+/** Shortest time between two searches of a full registry for targets to drop, which read all of them. */
+export const FULL_CHECK_INTERVAL_MS = 250;
+
+/** Number of targets that are dropped at once to make room, since each such change sends all targets to all hosts. */
+export const DROPPED_TARGETS = 512;
+
 /** Largest number of targets in a registry and in one update; a fleet has at most a few thousand. Validating this many invalid entries takes a fraction of a second. */
 export const MAX_TARGETS = 8192;
--- a/packages/engines/src/registry/index.ts
+++ b/packages/engines/src/registry/index.ts
@@ -1,4 +1,5 @@
 export * from './address-claims.js';
+export * from './choose-dropped.js';
 export * from './choose-target.js';
 export * from './constants.js';
 export * from './cached-prompts.js';
--- a/packages/engines/src/registry/target-registry.ts
+++ b/packages/engines/src/registry/target-registry.ts
@@ -1,9 +1,10 @@
 import {
-	type Clock, type HeldModel, type Registration, Signal,
+	type Clock, countRegistrationValues, type HeldModel, type Registration, Signal,
 } from '@egretrill/common';
 import {type AddressClaim, chooseHolder, getSteadySinceMs} from './address-claims.js';
+import {chooseDropped, getRank, type KeptTarget} from './choose-dropped.js';
 import {
-	ENDED_RETENTION_MS, MAX_TARGETS, MODELS_OVERRIDE_MS, REGISTRATION_TTL_MS,
+	ADDRESS_SILENCE_MS, DROPPED_TARGETS, ENDED_RETENTION_MS, FULL_CHECK_INTERVAL_MS, MAX_REGISTRY_VALUES, MAX_TARGETS, MODELS_OVERRIDE_MS, REGISTRATION_TTL_MS,
 } from './constants.js';
 import {judgeSequence, type SequenceRun} from './sequence-run.js';
 import type {RegisteredTarget, RegistryUpdate} from './types.js';
@@ -55,13 +56,25 @@
 	/** Revision of the last change that must be sent to other hosts. */
 	private changedRevision = 0;
 
-	constructor(private readonly clock: Clock, private readonly origin: string) {}
+	/** Whether room was looked for in vain a moment ago, for targets up to a rank. */
+	private full = {rank: 0, untilMs: 0};
+	/** A host that follows an earlier revision may use a target that was dropped since; it gets all targets. */
+	private droppedRevision = 0;
+	/** Number of values in all registrations. */
+	private values = 0;
+
+	/** `isServiceNamed`: whether the configuration names a service; targets of other services are dropped first when the registry is full. */
+	constructor(private readonly clock: Clock, private readonly origin: string, private readonly isServiceNamed: (service: string) => boolean = () => true) {}
 
 	/** Stores a registration; returns false if it is outdated, or new while the registry is full. */
 	accept(registration: Registration, ageMs = 0): boolean {
 		const receivedMs = this.clock.now() - ageMs;
 		const stored = this.entries.get(registration.targetId);
-		if (stored ? !this.isNewer(registration, receivedMs, stored) : !this.hasRoom()) {
+		if (stored && !this.isNewer(registration, receivedMs, stored)) {
+			return false;
+		}
+
+		if (!this.makeRoom(registration, receivedMs, stored)) {
 			return false;
 		}
 
@@ -117,7 +130,7 @@
 	/** Returns the changes since a revision, or all targets if the host followed another registry. */
 	getUpdateSince(known: {readonly origin: string; readonly revision: number}, withHeartbeats: boolean): RegistryUpdate {
 		this.dropOld(({hasEnded, isWaiting}) => hasEnded || isWaiting);
-		const isWhole = known.origin !== this.origin || known.revision > this.revision;
+		const isWhole = known.origin !== this.origin || known.revision > this.revision || known.revision < this.droppedRevision;
 		const since = isWhole ? 0 : known.revision;
 		const changed = [...this.entries.values()].filter(entry => isWhole || Math.max(entry.revision, withHeartbeats ? entry.heartbeatRevision : 0) > since);
 		return {
@@ -211,7 +224,9 @@
 
 	private setEntry(entry: Entry): void {
 		const {targetId, address} = entry.registration;
-		const oldAddress = this.entries.get(targetId)?.registration.address;
+		const old = this.entries.get(targetId)?.registration;
+		this.values += countRegistrationValues(entry.registration) - (old ? countRegistrationValues(old) : 0);
+		const oldAddress = old?.address;
 		if (oldAddress !== undefined && oldAddress !== address) {
 			this.removeFromAddress(targetId, oldAddress);
 			this.assignAddress(oldAddress);
@@ -267,13 +282,70 @@
 		return entries.map(entry => this.toRegisteredTarget({...entry, hasEnded: entry.hasEnded || entry.isWaiting}));
 	}
 
-	/** Whether a further target fits into an update; drops silent targets to make room. */
-	private hasRoom(): boolean {
-		if (this.entries.size >= MAX_TARGETS) {
-			this.dropOld(({hasEnded, isSilent}) => hasEnded || Boolean(isSilent));
+	/** Whether a registration fits into an update; drops targets that are worth less to make room. */
+	private makeRoom(registration: Registration, receivedMs: number, stored: Entry | undefined): boolean {
+		const addedValues = countRegistrationValues(registration) - (stored ? countRegistrationValues(stored.registration) : 0);
+		const hasRoom = (): boolean => this.entries.size + (stored ? 0 : 1) <= MAX_TARGETS && this.values + addedValues <= MAX_REGISTRY_VALUES;
+		if (hasRoom()) {
+			return true;
 		}
 
-		return this.entries.size < MAX_TARGETS;
+		const nowMs = this.clock.now();
+		const {isSteady, isWaiting} = stored ? this.toKeptTarget(stored) : {isSteady: false, isWaiting: false};
+		const rank = getRank({
+			isGone: nowMs - receivedMs > REGISTRATION_TTL_MS, isWaiting, isNamed: this.isServiceNamed(registration.service), isSteady,
+		});
+		if (nowMs < this.full.untilMs && rank <= this.full.rank) {
+			return false;
+		}
+
+		this.dropOld(({hasEnded, isSilent}) => hasEnded || Boolean(isSilent));
+		if (!hasRoom()) {
+			this.dropLesser(rank, stored);
+		}
+
+		if (!hasRoom()) {
+			this.full = {rank, untilMs: nowMs + FULL_CHECK_INTERVAL_MS};
+		}
+
+		return hasRoom();
+	}
+
+	private dropLesser(rank: number, kept: Entry | undefined): void {
+		const others = [...this.entries.values()].filter(entry => entry !== kept).map(entry => this.toKeptTarget(entry));
+		const dropped = chooseDropped(others, rank, DROPPED_TARGETS);
+		for (const id of dropped) {
+			this.remove(id);
+		}
+
+		if (dropped.length > 0) {
+			this.revision += 1;
+			this.changedRevision = this.revision;
+			this.droppedRevision = this.revision;
+			this.changed.notify();
+		}
+	}
+
+	private toKeptTarget(entry: Entry): KeptTarget {
+		const {registration: {targetId, service}, receivedMs, steadySinceMs, isWaiting, hasEnded} = entry;
+		return {
+			targetId,
+			isGone: hasEnded || this.clock.now() - receivedMs > REGISTRATION_TTL_MS,
+			isWaiting,
+			isNamed: this.isServiceNamed(service),
+			isSteady: receivedMs - steadySinceMs >= ADDRESS_SILENCE_MS,
+			receivedMs,
+		};
+	}
+
+	private remove(id: string): void {
+		const entry = this.entries.get(id);
+		if (entry) {
+			this.entries.delete(id);
+			this.values -= countRegistrationValues(entry.registration);
+			this.droppedRevision = Math.max(this.droppedRevision, entry.revision);
+			this.removeFromAddress(id, entry.registration.address);
+		}
 	}
 
 	/** Drops targets that other hosts have removed; a delayed registration would revive those that ended a short time ago. */
@@ -281,8 +353,7 @@
 		const oldestMs = this.clock.now() - ENDED_RETENTION_MS;
 		for (const [id, entry] of this.entries) {
 			if (isDroppable(entry) && entry.receivedMs < oldestMs) {
-				this.entries.delete(id);
-				this.removeFromAddress(id, entry.registration.address);
+				this.remove(id);
 			}
 		}
 	}
--- a/packages/hosts/src/transport/method.ts
+++ b/packages/hosts/src/transport/method.ts
@@ -1,5 +1,5 @@
 import {
-	type Codec, createCodec, MAX_DOCUMENT_VALUES, MAX_MESSAGE_VALUES,
+	type Codec, createCodec, MAX_DOCUMENT_VALUES, MAX_ITEM_VALUES, MAX_LIST_VALUES, MAX_MESSAGE_VALUES,
 } from '@egretrill/common';
 import type {z} from 'zod';
 
@@ -20,6 +20,11 @@
 	return {path: `/egretrill.${service}/${name}`, req: createCodec(req, MAX_DOCUMENT_VALUES), res: createCodec(res, MAX_DOCUMENT_VALUES)};
 }
 
+/** Defines a method that is answered with a list whose items come from other writers; a reader gets null instead of an item that is too large. */
+export function defineListMethod<Req, Res>(service: string, name: string, req: z.ZodType<Req>, res: z.ZodType<Res>): Method<Req, Res> {
+	return {path: `/egretrill.${service}/${name}`, req: createCodec(req, MAX_DOCUMENT_VALUES), res: createCodec(res, MAX_LIST_VALUES, MAX_ITEM_VALUES)};
+}
+
 /** Handler of one method; decodes and validates the request and encodes the response. */
 export type MethodHandler = {
 	readonly path: string;
