traffic: tell the other control hosts of a deregistration before it is acknowledged

What callers saw: requests went to a target for up to 6 s after its deregistration had been acknowledged, if the control host was killed before its next exchange (150 ms) or did not know the target. Cause: removeTarget only marked the target as ended here, and did nothing for an unknown one. Fix: departures.ts calls all other control hosts and then answers. It waits at most 300 ms for hosts that do not answer (600 ms if the target is unknown here, since the others are asked for its start first). Passing it on after the answer would leave the same gap, only shorter: a killed host loses what it has not sent. A departure names the start of the process, so that a late one does not end the next process with that id. Hosts of an older build answer with an error and learn of the end with the next exchange. Open: a control host that is cut off or suspended for more than 300 ms learns of it with the exchange after that; if only such a host knows the target, not at all before the registration expires.

--- a/apps/egretrilld/src/traffic/constants.ts
+++ b/apps/egretrilld/src/traffic/constants.ts
@@ -23,6 +23,9 @@
 /** How often control hosts exchange registrations, members and the leader. */
 export const GOSSIP_INTERVAL_MS = 150;
 
+/** Longest time that a deregistration waits for the other control hosts before it is answered; one that does not answer in time must not hold up the target. */
+export const DEPARTURE_TIMEOUT_MS = 300;
+
 /** How often a control host that is not a member of the log requests membership. */
 export const JOIN_RETRY_MS = 500;
 
--- a/apps/egretrilld/src/traffic/control-host.ts
+++ b/apps/egretrilld/src/traffic/control-host.ts
@@ -13,10 +13,11 @@
 import {CONTROL_CHECK_INTERVAL_MS, LOG_FAILURE_EXIT_DELAY_MS} from './constants.js';
 import {ControlGossip} from './control-gossip.js';
 import {ControlService, type PutOutcome} from './control-service.js';
+import {Departures} from './departures.js';
 import {LeaderTerm} from './leader-term.js';
 import {Membership} from './membership.js';
 import {
-	borrowMethod, gossipMethod, readTrafficMethod, requestAdapterMethod, syncMethod,
+	borrowMethod, departMethod, gossipMethod, readTrafficMethod, requestAdapterMethod, syncMethod,
 } from './methods.js';
 import {getReportedLeaderId} from './reported-leader.js';
 import {RateLimitedLog} from './rate-limited-log.js';
@@ -48,6 +49,7 @@
 	private readonly node: FleetNode;
 	private readonly log: FleetLog;
 	private readonly gossip: ControlGossip;
+	private readonly departures: Departures;
 	private readonly membership: Membership;
 	private readonly syncNotifier: SyncNotifier;
 	private readonly origin = randomUUID();
@@ -94,6 +96,7 @@
 		this.gossip = new ControlGossip({
 			hostId, zone: settings.zone, clock, random, logger, node, peers, registry,
 		});
+		this.departures = new Departures({peers, registry});
 		this.membership = new Membership({
 			hostId, settings, clock, logger, node, log, gossip: this.gossip, isRemovalRequested: () => this.state.getDesiredMemberships().get(hostId) === 'absent',
 		});
@@ -135,6 +138,7 @@
 					...(leaderId !== undefined && {leaderId}),
 				};
 			}),
+			bindMethod(departMethod, async req => this.departures.handle(req)),
 			bindMethod(readTrafficMethod, async () => {
 				const isCurrent = this.node.isLeaderWithLease();
 				const traffic = this.state.getTraffic();
@@ -194,10 +198,10 @@
 		this.failedCalls.warn({reason: err.message});
 	}
 
-	override removeTarget(targetId: string): void {
-		if (this.registry.get(targetId)) {
+	override async removeTarget(targetId: string): Promise<void> {
+		const isKnown = await this.departures.announce(targetId);
+		if (isKnown) {
 			this.opts.logger.info({targetId}, 'A target has left.');
-			this.registry.markEnded(targetId);
 		}
 	}
 
--- a/apps/egretrilld/src/traffic/index.ts
+++ b/apps/egretrilld/src/traffic/index.ts
@@ -7,6 +7,7 @@
 export * from './control-host.js';
 export * from './control-service.js';
 export * from './decision-log.js';
+export * from './departures.js';
 export * from './entry-host.js';
 export * from './entry-observer.js';
 export * from './leader-term.js';
--- a/apps/egretrilld/src/traffic/methods.ts
+++ b/apps/egretrilld/src/traffic/methods.ts
@@ -74,5 +74,8 @@
 	registry: RegistryUpdate, zone: z.string(), memberIds: z.array(z.string()), leaderId: z.string().optional(),
 }));
 
+/** Ends a process of a target at another control host; without a start time, only asks which process that host knows as running. */
+export const departMethod = defineMethod('Traffic', 'depart', z.object({targetId: z.string(), startedAtMs: count.optional()}), z.object({startedAtMs: count.optional()}));
+
 /** Reads the latest configuration from the leader; `isCurrent` is false if the host cannot confirm that it is the latest. */
 export const readTrafficMethod = defineDocumentMethod('Traffic', 'read', z.object({}), z.object({isCurrent: z.boolean(), traffic: TrafficSource.optional()}));
--- a/packages/engines/src/registry/target-registry.ts
+++ b/packages/engines/src/registry/target-registry.ts
@@ -83,10 +83,10 @@
 		return true;
 	}
 
-	/** Marks a target as ended after it has left. */
-	markEnded(targetId: string): void {
+	/** Marks a target as ended after it has left; does nothing for a process that started after `startedAtMs`. */
+	markEnded(targetId: string, startedAtMs = Infinity): void {
 		const stored = this.entries.get(targetId);
-		if (stored && !stored.hasEnded) {
+		if (stored && !stored.hasEnded && stored.registration.startedAtMs <= startedAtMs) {
 			this.store({...stored, hasEnded: true, receivedMs: this.clock.now()});
 			this.assignAddress(stored.registration.address);
 		}
@@ -159,6 +159,13 @@
 		return this.entries.get(targetId)?.registration;
 	}
 
+	/** Returns the start time of a target that registered recently and has not ended, also of one that waits for its address. */
+	getRunningStartMs(targetId: string): number | undefined {
+		const entry = this.entries.get(targetId);
+		const isRunning = entry && !entry.hasEnded && this.clock.now() - entry.receivedMs <= REGISTRATION_TTL_MS;
+		return isRunning ? entry.registration.startedAtMs : undefined;
+	}
+
 	/** Returns when the last registration of a target was received. */
 	getReceivedMs(targetId: string): number | undefined {
 		return this.entries.get(targetId)?.receivedMs;
