traffic: refuse an order for a zone that reaches the log after a later one

What callers saw (by reading): an evacuation that was withdrawn, and whose withdrawal was acknowledged, came back when a proposal stuck in a cut connection or a suspended host reached the leader; or the reverse. Cause: the log applied each order when it came, whenever it had been given. Fix: the state counts the orders for each zone. A control host asks the leader for this number before it proposes (zone-orders.ts), and the order names it; if another order was applied since, it is refused and the caller gets a 503. An equal order counts too, since its caller relies on it as on the first. A repetition finds the zone as it wants it and stays acknowledged. A host that was suspended before it asked sends nothing once its caller has closed the connection or 5 s have passed. A leader of an older build answers the question with an error; it then gets the order without the number, as before. Not covered: an order that is stuck in the caller's own connection, without its end; and members of an older build, which apply a late order that others refuse.

--- a/apps/egretrilld/src/traffic/constants.ts
+++ b/apps/egretrilld/src/traffic/constants.ts
@@ -23,6 +23,12 @@
 /** How often control hosts exchange registrations, members and the leader. */
 export const GOSSIP_INTERVAL_MS = 150;
 
+/** Longest time from the arrival of an order for a zone to its confirmation. */
+export const ZONE_ORDER_DEADLINE_MS = 5000;
+
+/** Time between two questions to the leader while it does not answer. */
+export const ZONE_ORDER_RETRY_MS = 50;
+
 /** Longest time that a deregistration waits for the other control hosts before it is answered; one that does not answer in time must not hold up the target. */
 export const DEPARTURE_TIMEOUT_MS = 300;
 
--- a/apps/egretrilld/src/traffic/control-host.ts
+++ b/apps/egretrilld/src/traffic/control-host.ts
@@ -17,13 +17,14 @@
 import {LeaderTerm} from './leader-term.js';
 import {Membership} from './membership.js';
 import {
-	borrowMethod, departMethod, gossipMethod, readTrafficMethod, requestAdapterMethod, syncMethod,
+	borrowMethod, departMethod, gossipMethod, readTrafficMethod, readZoneOrdersMethod, requestAdapterMethod, syncMethod,
 } from './methods.js';
 import {getReportedLeaderId} from './reported-leader.js';
 import {RateLimitedLog} from './rate-limited-log.js';
 import {getServedState} from './served-state.js';
 import type {ControlSettings} from './settings.js';
 import {SyncNotifier} from './sync-notifier.js';
+import {ZoneOrders} from './zone-orders.js';
 
 const MAX_LOGGED_FAULTS = 3;
 
@@ -50,6 +51,7 @@
 	private readonly log: FleetLog;
 	private readonly gossip: ControlGossip;
 	private readonly departures: Departures;
+	private readonly zoneOrders: ZoneOrders;
 	private readonly membership: Membership;
 	private readonly syncNotifier: SyncNotifier;
 	private readonly origin = randomUUID();
@@ -97,6 +99,9 @@
 			hostId, zone: settings.zone, clock, random, logger, node, peers, registry,
 		});
 		this.departures = new Departures({peers, registry});
+		this.zoneOrders = new ZoneOrders({
+			hostId, clock, node, log, peers, state: this.state, getLeaderId: () => this.getLeaderId(),
+		});
 		this.membership = new Membership({
 			hostId, settings, clock, logger, node, log, gossip: this.gossip, isRemovalRequested: () => this.state.getDesiredMemberships().get(hostId) === 'absent',
 		});
@@ -138,6 +143,7 @@
 					...(leaderId !== undefined && {leaderId}),
 				};
 			}),
+			bindMethod(readZoneOrdersMethod, async ({zone}) => this.zoneOrders.handleRead(zone)),
 			bindMethod(departMethod, async req => this.departures.handle(req)),
 			bindMethod(readTrafficMethod, async () => {
 				const isCurrent = this.node.isLeaderWithLease();
@@ -232,10 +238,10 @@
 		return answer.isOk && answer.value.isCurrent ? answer.value.traffic?.source : undefined;
 	}
 
-	override async setZoneService(zone: string, isInService: boolean): Promise<boolean> {
-		const outcome = await this.log.propose({kind: 'setZoneService', zone, isInService});
-		this.opts.logger.info({zone, isInService, outcome: outcome.kind}, 'The service of a zone was changed.');
-		return outcome.kind === 'committed';
+	override async setZoneService(zone: string, isInService: boolean, signal: AbortSignal): Promise<boolean> {
+		const outcome = await this.zoneOrders.order(zone, isInService, signal);
+		this.opts.logger.info({zone, isInService, outcome}, 'A change of the service of a zone was ordered.');
+		return outcome === 'applied';
 	}
 
 	/** Applies the seeds of changed settings. */
--- a/apps/egretrilld/src/traffic/control-service.ts
+++ b/apps/egretrilld/src/traffic/control-service.ts
@@ -21,6 +21,6 @@
 	abstract putTraffic(source: string): Promise<PutOutcome>;
 	/** The source text of the configuration in force; undefined if this host cannot confirm that it is the latest. */
 	abstract readTraffic(): Promise<string | undefined>;
-	/** Takes a zone's targets out of service or returns them to service; returns false if the change is not confirmed. */
-	abstract setZoneService(zone: string, isInService: boolean): Promise<boolean>;
+	/** Takes a zone's targets out of service or returns them to service; returns false if the change is not confirmed. Nothing is sent once the signal of the caller's end aborts. */
+	abstract setZoneService(zone: string, isInService: boolean, signal: AbortSignal): Promise<boolean>;
 }
--- a/apps/egretrilld/src/traffic/index.ts
+++ b/apps/egretrilld/src/traffic/index.ts
@@ -19,3 +19,4 @@
 export * from './served-state.js';
 export * from './settings.js';
 export * from './sync-notifier.js';
+export * from './zone-orders.js';
--- a/apps/egretrilld/src/traffic/methods.ts
+++ b/apps/egretrilld/src/traffic/methods.ts
@@ -74,6 +74,9 @@
 	registry: RegistryUpdate, zone: z.string(), memberIds: z.array(z.string()), leaderId: z.string().optional(),
 }));
 
+/** Reads the number of applied orders for a zone from the leader; a host that cannot confirm it returns none. */
+export const readZoneOrdersMethod = defineMethod('Traffic', 'zone-orders', z.object({zone: z.string()}), z.object({orderCount: count.optional()}));
+
 /** Ends a process of a target at another control host; without a start time, only asks which process that host knows as running. */
 export const departMethod = defineMethod('Traffic', 'depart', z.object({targetId: z.string(), startedAtMs: count.optional()}), z.object({startedAtMs: count.optional()}));
 
--- a/packages/hosts/src/fleet-state.ts
+++ b/packages/hosts/src/fleet-state.ts
@@ -21,6 +21,7 @@
 	leases: {},
 	members: [],
 	zonesOut: [],
+	zoneOrders: {},
 	entryHosts: [],
 	logTimeMs: 0,
 };
@@ -37,10 +38,25 @@
 	return {state: {...state, traffic: newestTraffic}, result: {kind: 'traffic', version: newestTraffic.version}};
 }
 
-function setZoneService(state: FleetSnapshot, {zone, isInService}: FleetCommandOf<'setZoneService'>): Transition {
+function countZoneOrders({zoneOrders}: FleetSnapshot, zone: string): number {
+	return (Object.hasOwn(zoneOrders, zone) ? zoneOrders[zone] : undefined) ?? 0;
+}
+
+/**
+ * Applies an order for a zone unless another one was applied after it was given: it may have been stuck in a connection or a suspended host since. An equal
+ * order also counts as one, since its caller relies on it as on the first. A repetition of an applied order finds the zone as it wants it.
+ */
+function setZoneService(state: FleetSnapshot, {zone, isInService, follows}: FleetCommandOf<'setZoneService'>): Transition {
+	const orders = countZoneOrders(state, zone);
+	if (follows !== undefined && follows < orders) {
+		return state.zonesOut.includes(zone) === isInService
+			? {state, result: {kind: 'refused', code: 'overtaken', message: 'Another order for the zone was applied after this one was given.'}}
+			: {state, result: {kind: 'zone-service', zonesOut: state.zonesOut}};
+	}
+
 	const others = state.zonesOut.filter(other => other !== zone);
 	const zonesOut = isInService ? others : [...others, zone];
-	return {state: {...state, zonesOut}, result: {kind: 'zone-service', zonesOut}};
+	return {state: {...state, zonesOut, zoneOrders: {...state.zoneOrders, [zone]: orders + 1}}, result: {kind: 'zone-service', zonesOut}};
 }
 
 /** Applies one command; pure and deterministic, so that all members reach the same state. */
@@ -164,6 +180,11 @@
 		return this.state.zonesOut;
 	}
 
+	/** Returns the number of applied orders for a zone. */
+	getZoneOrderCount(zone: string): number {
+		return countZoneOrders(this.state, zone);
+	}
+
 	/** Returns the entry hosts, each of which may hold a leased share of the rate limits. */
 	getEntryHosts(): readonly string[] {
 		return this.state.entryHosts;
--- a/packages/hosts/src/types.ts
+++ b/packages/hosts/src/types.ts
@@ -144,7 +144,10 @@
 	}),
 	/** Ignored unless its version is higher than the stored one; a stored version's content never changes. */
 	z.object({kind: z.literal('putTraffic'), traffic: TrafficSource}),
-	z.object({kind: z.literal('setZoneService'), zone: z.string(), isInService: z.boolean()}),
+	/** `follows`: number of orders for the zone when this one was given; refused if another one has changed the zone since. */
+	z.object({
+		kind: z.literal('setZoneService'), zone: z.string(), isInService: z.boolean(), follows: count.optional(),
+	}),
 	z.object({kind: z.literal('setEntryHosts'), hostIds: z.array(z.string())}),
 ]);
 export type FleetCommand = z.infer<typeof FleetCommand>;
@@ -241,6 +244,8 @@
 	traffic: TrafficSource.optional(),
 	/** Zones out of service: their targets receive no new requests. */
 	zonesOut: z.array(z.string()).default([]),
+	/** Number of applied orders for each zone. */
+	zoneOrders: z.record(z.string(), count).default({}),
 	/** Entry hosts, each of which may hold a leased share of the rate limits. */
 	entryHosts: z.array(z.string()).default([]),
 	/** Sum of the elapsed times in commands; never advances faster than real time. */
