--- a/apps/egretrilld/src/traffic/control-host.ts
+++ b/apps/egretrilld/src/traffic/control-host.ts
@@ -13,16 +13,18 @@
 import {CONTROL_CHECK_INTERVAL_MS, LOG_FAILURE_EXIT_DELAY_MS} from './constants.js';
 import {ControlGossip} from './control-gossip.js';
 import {ControlService, type PutOutcome} from './control-service.js';
+import {Departures} from './departures.js';
 import {LeaderTerm} from './leader-term.js';
 import {Membership} from './membership.js';
 import {
-	borrowMethod, gossipMethod, readTrafficMethod, requestAdapterMethod, syncMethod,
+	borrowMethod, departMethod, gossipMethod, readTrafficMethod, readZoneOrdersMethod, requestAdapterMethod, syncMethod,
 } from './methods.js';
 import {getReportedLeaderId} from './reported-leader.js';
 import {RateLimitedLog} from './rate-limited-log.js';
 import {getServedState} from './served-state.js';
 import type {ControlSettings} from './settings.js';
 import {SyncNotifier} from './sync-notifier.js';
+import {ZoneOrders} from './zone-orders.js';
 
 const MAX_LOGGED_FAULTS = 3;
 
@@ -37,7 +39,7 @@
 	readonly orders: EngineOrders;
 };
 
-type DecodedTraffic = {readonly source: string; readonly classes: ReadonlyMap<string, EngineClass>; readonly customers: ReadonlyMap<string, TrafficCustomer>};
+type DecodedTraffic = {readonly source: string; readonly services: ReadonlySet<string>; readonly classes: ReadonlyMap<string, EngineClass>; readonly customers: ReadonlyMap<string, TrafficCustomer>};
 
 /** A host that keeps the log, accepts registrations of targets and serves operators; the leader also divides rates and sends orders to engines. */
 export class ControlHost extends ControlService {
@@ -48,6 +50,8 @@
 	private readonly node: FleetNode;
 	private readonly log: FleetLog;
 	private readonly gossip: ControlGossip;
+	private readonly departures: Departures;
+	private readonly zoneOrders: ZoneOrders;
 	private readonly membership: Membership;
 	private readonly syncNotifier: SyncNotifier;
 	private readonly origin = randomUUID();
@@ -65,7 +69,7 @@
 		this.peers = new ControlPeers({
 			selfId: this.hostId, seedIds: settings.seeds, clock, credentials,
 		});
-		this.registry = new TargetRegistry(clock, this.origin);
+		this.registry = new TargetRegistry(clock, this.origin, service => this.getDecodedTraffic()?.services.has(service) ?? true);
 		this.syncNotifier = new SyncNotifier({clock, registry: this.registry, getConfigVersion: () => this.state.getTraffic()?.version ?? 0});
 		const folder = path.join(settings.dataDir, 'log');
 		this.node = new ConsensusNode({
@@ -94,6 +98,10 @@
 		this.gossip = new ControlGossip({
 			hostId, zone: settings.zone, clock, random, logger, node, peers, registry,
 		});
+		this.departures = new Departures({peers, registry});
+		this.zoneOrders = new ZoneOrders({
+			hostId, clock, node, log, peers, state: this.state, getLeaderId: () => this.getLeaderId(),
+		});
 		this.membership = new Membership({
 			hostId, settings, clock, logger, node, log, gossip: this.gossip, isRemovalRequested: () => this.state.getDesiredMemberships().get(hostId) === 'absent',
 		});
@@ -135,6 +143,8 @@
 					...(leaderId !== undefined && {leaderId}),
 				};
 			}),
+			bindMethod(readZoneOrdersMethod, async ({zone}) => this.zoneOrders.handleRead(zone)),
+			bindMethod(departMethod, async req => this.departures.handle(req)),
 			bindMethod(readTrafficMethod, async () => {
 				const isCurrent = this.node.isLeaderWithLease();
 				const traffic = this.state.getTraffic();
@@ -174,7 +184,7 @@
 	}
 
 	override acceptRegistration(registration: Registration): boolean {
-		const isNew = this.registry.get(registration.targetId) === undefined;
+		const isNew = this.registry.getRegistered(registration.targetId)?.startedAtMs !== registration.startedAtMs;
 		const isAccepted = this.registry.accept(registration);
 		if (isAccepted && (isNew || registration.isLeaving)) {
 			const {targetId, service, zone, startedAtMs, sequence, isLeaving, coldForMs} = registration;
@@ -194,10 +204,10 @@
 		this.failedCalls.warn({reason: err.message});
 	}
 
-	override removeTarget(targetId: string): void {
-		if (this.registry.get(targetId)) {
+	override async removeTarget(targetId: string): Promise<void> {
+		const isKnown = await this.departures.announce(targetId);
+		if (isKnown) {
 			this.opts.logger.info({targetId}, 'A target has left.');
-			this.registry.markEnded(targetId);
 		}
 	}
 
@@ -228,10 +238,10 @@
 		return answer.isOk && answer.value.isCurrent ? answer.value.traffic?.source : undefined;
 	}
 
-	override async setZoneService(zone: string, isInService: boolean): Promise<boolean> {
-		const outcome = await this.log.propose({kind: 'setZoneService', zone, isInService});
-		this.opts.logger.info({zone, isInService, outcome: outcome.kind}, 'The service of a zone was changed.');
-		return outcome.kind === 'committed';
+	override async setZoneService(zone: string, isInService: boolean, signal: AbortSignal): Promise<boolean> {
+		const outcome = await this.zoneOrders.order(zone, isInService, signal);
+		this.opts.logger.info({zone, isInService, outcome}, 'A change of the service of a zone was ordered.');
+		return outcome === 'applied';
 	}
 
 	/** Applies the seeds of changed settings. */
@@ -328,6 +338,7 @@
 			const {services, customers = []} = decoded.unwrapOr({services: [], customers: []});
 			this.decoded = {
 				source,
+				services: new Set(services.map(({name}) => name)),
 				classes: new Map(services.flatMap(({name, engine}) => engine ? [[name, engine] as const] : [])),
 				customers: new Map(customers.map(customer => [customer.name, customer])),
 			};
--- a/apps/egretrilld/src/traffic/control-service.ts
+++ b/apps/egretrilld/src/traffic/control-service.ts
@@ -15,11 +15,12 @@
 	abstract recordInvalidRegistration(targetId: string, faults: readonly string[]): void;
 	/** Records a call that could not be read or answered. */
 	abstract recordFailedCall(err: Error): void;
-	abstract removeTarget(targetId: string): void;
+	/** Removes a target that has left; resolves once the other control hosts that answer in time know it. */
+	abstract removeTarget(targetId: string): Promise<void>;
 	/** Puts a configuration into force unless a higher version is in force. */
 	abstract putTraffic(source: string): Promise<PutOutcome>;
 	/** The source text of the configuration in force; undefined if this host cannot confirm that it is the latest. */
 	abstract readTraffic(): Promise<string | undefined>;
-	/** Takes a zone's targets out of service or returns them to service; returns false if the change is not confirmed. */
-	abstract setZoneService(zone: string, isInService: boolean): Promise<boolean>;
+	/** Takes a zone's targets out of service or returns them to service; returns false if the change is not confirmed. Nothing is sent once the signal of the caller's end aborts. */
+	abstract setZoneService(zone: string, isInService: boolean, signal: AbortSignal): Promise<boolean>;
 }
--- a/packages/engines/src/registry/constants.ts
+++ b/packages/engines/src/registry/constants.ts
@@ -1,6 +1,21 @@
 /** Time after which a registration expires. Targets register about every second, sometimes seconds late. */
 export const REGISTRATION_TTL_MS = 6000;
 
+/** Two heartbeats: a target that has been silent for this long loses its address to another one that registers with it. */
+export const ADDRESS_SILENCE_MS = 2400;
+
+/** Shortest time between two calls of a target in the long run; targets call every 1.2 s. */
+export const CALL_INTERVAL_MS = 1000;
+
+/** Calls that may be missing before a registration in addition to those of the time between, since it may arrive seconds before delayed ones. */
+export const MAX_SKIPPED_CALLS = 10;
+
+/** A registration of up to this many calls before the last one is a delayed one; this covers a delay of a minute. */
+export const MAX_DELAYED_CALLS = 50;
+
+/** Registrations with sequences out of line count after they have gone on, and the others have been silent, for two heartbeats. */
+export const SEQUENCE_PROOF_MS = 2400;
+
 /** Retention of ended registrations, so that a delayed registration from the same process does not revive one. */
 export const ENDED_RETENTION_MS = 60_000;
 
@@ -43,5 +58,14 @@
 /** Requests queued at a target of a service without engines, for each of its slots; further requests wait at the host. */
 export const QUEUED_PER_SLOT = 0.5;
 
+/** Largest number of values in all registrations of a registry: 48 for each target of the largest fleet. A whole update stays below MAX_LIST_VALUES. */
+export const MAX_REGISTRY_VALUES = 393_216;
+
+/** Shortest time between two searches of a full registry for targets to drop, which read all of them. */
+export const FULL_CHECK_INTERVAL_MS = 250;
+
+/** Number of targets that are dropped at once to make room, since each such change sends all targets to all hosts. */
+export const DROPPED_TARGETS = 512;
+
 /** Largest number of targets in a registry and in one update; a fleet has at most a few thousand. Validating this many invalid entries takes a fraction of a second. */
 export const MAX_TARGETS = 8192;
--- a/packages/engines/src/registry/target-registry.ts
+++ b/packages/engines/src/registry/target-registry.ts
@@ -1,15 +1,25 @@
 import {
-	type Clock, type HeldModel, type Registration, Signal,
+	type Clock, countRegistrationValues, type HeldModel, type Registration, Signal,
 } from '@egretrill/common';
+import {type AddressClaim, chooseHolder, getSteadySinceMs} from './address-claims.js';
+import {chooseDropped, getRank, type KeptTarget} from './choose-dropped.js';
 import {
-	ENDED_RETENTION_MS, MAX_TARGETS, MODELS_OVERRIDE_MS, REGISTRATION_TTL_MS,
+	ADDRESS_SILENCE_MS, DROPPED_TARGETS, ENDED_RETENTION_MS, FULL_CHECK_INTERVAL_MS, MAX_REGISTRY_VALUES, MAX_TARGETS, MODELS_OVERRIDE_MS, REGISTRATION_TTL_MS,
 } from './constants.js';
+import {judgeSequence, type SequenceRun} from './sequence-run.js';
 import type {RegisteredTarget, RegistryUpdate} from './types.js';
 
 type Entry = {
 	readonly registration: Registration;
 	readonly receivedMs: number;
 	readonly hasEnded: boolean;
+	/** Whether another target has the address; this one then takes no requests, and goes on registering. */
+	readonly isWaiting: boolean;
+	/** Position among the targets in the order of their first registration at their address. */
+	readonly claimOrder: number;
+	readonly steadySinceMs: number;
+	/** Registrations of the same lifetime that do not count, since their sequences are out of line. */
+	readonly rival?: SequenceRun | undefined;
 	/** Revision of the last change that must be sent to other hosts. */
 	readonly revision: number;
 	/** Revision of the last registration, for control hosts that track its age. */
@@ -20,10 +30,7 @@
 	readonly modelsOverride?: {readonly models: readonly HeldModel[]; readonly untilMs: number};
 };
 
-/** Whether a registration is newer than the stored one of the same target. */
-export function isNewerRegistration(registration: Registration, stored: Registration): boolean {
-	return registration.startedAtMs === stored.startedAtMs ? registration.sequence > stored.sequence : registration.startedAtMs > stored.startedAtMs;
-}
+type EntryState = Omit<Entry, 'revision' | 'heartbeatRevision'>;
 
 function isSameState(first: Registration, second: Registration): boolean {
 	const {sequence: _first, orderCount: _firstCount, coldForMs: firstCold, ...rest} = first;
@@ -31,6 +38,12 @@
 	return (firstCold > 0) === (secondCold > 0) && JSON.stringify(rest) === JSON.stringify(other);
 }
 
+function toClaim({registration: {targetId, startedAtMs, isLeaving}, claimOrder, steadySinceMs, receivedMs}: Entry): AddressClaim {
+	return {
+		targetId, startedAtMs, isLeaving, order: claimOrder, steadySinceMs, receivedMs,
+	};
+}
+
 /** The registered targets, merged from the registrations that each control host received. */
 export class TargetRegistry {
 	/** Notified when a change must be sent to other hosts. */
@@ -38,33 +51,44 @@
 	private readonly entries = new Map<string, Entry>();
 	/** Ids of the targets at each address, so that a registration is not compared with all others. */
 	private readonly idsByAddress = new Map<string, Set<string>>();
+	private claimCount = 0;
 	private revision = 0;
 	/** Revision of the last change that must be sent to other hosts. */
 	private changedRevision = 0;
 
-	constructor(private readonly clock: Clock, private readonly origin: string) {}
+	/** Whether room was looked for in vain a moment ago, for targets up to a rank. */
+	private full = {rank: 0, untilMs: 0};
+	/** A host that follows an earlier revision may use a target that was dropped since; it gets all targets. */
+	private droppedRevision = 0;
+	/** Number of values in all registrations. */
+	private values = 0;
+
+	/** `isServiceNamed`: whether the configuration names a service; targets of other services are dropped first when the registry is full. */
+	constructor(private readonly clock: Clock, private readonly origin: string, private readonly isServiceNamed: (service: string) => boolean = () => true) {}
 
 	/** Stores a registration; returns false if it is outdated, or new while the registry is full. */
 	accept(registration: Registration, ageMs = 0): boolean {
+		const receivedMs = this.clock.now() - ageMs;
 		const stored = this.entries.get(registration.targetId);
-		if (stored && (!isNewerRegistration(registration, stored.registration) || (stored.hasEnded && registration.startedAtMs === stored.registration.startedAtMs))) {
+		if (stored && !this.isNewer(registration, receivedMs, stored)) {
 			return false;
 		}
 
-		if (this.isAddressTaken(registration) || (!stored && !this.hasRoom())) {
+		if (!this.makeRoom(registration, receivedMs, stored)) {
 			return false;
 		}
 
-		this.endOthersAtAddress(registration);
-		this.storeRegistration(registration, this.clock.now() - ageMs, stored);
+		this.storeRegistration(registration, receivedMs, stored);
+		this.assignAddress(registration.address);
 		return true;
 	}
 
-	/** Marks a target as ended after it has left. */
-	markEnded(targetId: string): void {
+	/** Marks a target as ended after it has left; does nothing for a process that started after `startedAtMs`. */
+	markEnded(targetId: string, startedAtMs = Infinity): void {
 		const stored = this.entries.get(targetId);
-		if (stored && !stored.hasEnded) {
+		if (stored && !stored.hasEnded && stored.registration.startedAtMs <= startedAtMs) {
 			this.store({...stored, hasEnded: true, receivedMs: this.clock.now()});
+			this.assignAddress(stored.registration.address);
 		}
 	}
 
@@ -87,7 +111,7 @@
 		}
 	}
 
-	/** Notifies other hosts of expired registrations; must be called several times a second. */
+	/** Notifies other hosts of expired registrations and assigns the addresses of silent targets; must be called several times a second. */
 	sweep(): void {
 		const oldestMs = this.clock.now() - REGISTRATION_TTL_MS;
 		for (const entry of this.entries.values()) {
@@ -95,16 +119,22 @@
 				this.store({...entry, isSilent: true});
 			}
 		}
+
+		for (const [address, ids] of this.idsByAddress) {
+			if (ids.size > 1) {
+				this.assignAddress(address);
+			}
+		}
 	}
 
 	/** Returns the changes since a revision, or all targets if the host followed another registry. */
 	getUpdateSince(known: {readonly origin: string; readonly revision: number}, withHeartbeats: boolean): RegistryUpdate {
-		this.dropOld(({hasEnded}) => hasEnded);
-		const isWhole = known.origin !== this.origin || known.revision > this.revision;
+		this.dropOld(({hasEnded, isWaiting}) => hasEnded || isWaiting);
+		const isWhole = known.origin !== this.origin || known.revision > this.revision || known.revision < this.droppedRevision;
 		const since = isWhole ? 0 : known.revision;
 		const changed = [...this.entries.values()].filter(entry => isWhole || Math.max(entry.revision, withHeartbeats ? entry.heartbeatRevision : 0) > since);
 		return {
-			origin: this.origin, revision: this.revision, isWhole, targets: changed.map(entry => this.toRegisteredTarget(entry)),
+			origin: this.origin, revision: this.revision, isWhole, targets: withHeartbeats ? this.listForControlHosts(changed) : this.listForEntryHosts(changed),
 		};
 	}
 
@@ -121,7 +151,7 @@
 	/** Returns the targets that registered recently and have not ended. */
 	getLive(): readonly Registration[] {
 		const oldestMs = this.clock.now() - REGISTRATION_TTL_MS;
-		return [...this.entries.values()].filter(({hasEnded, receivedMs}) => !hasEnded && receivedMs >= oldestMs).map(entry => this.toRegisteredTarget(entry).registration);
+		return [...this.entries.values()].filter(({hasEnded, isWaiting, receivedMs}) => !hasEnded && !isWaiting && receivedMs >= oldestMs).map(entry => this.toRegisteredTarget(entry).registration);
 	}
 
 	/** Returns the last registration of a target, without changes by later orders. */
@@ -129,6 +159,13 @@
 		return this.entries.get(targetId)?.registration;
 	}
 
+	/** Returns the start time of a target that registered recently and has not ended, also of one that waits for its address. */
+	getRunningStartMs(targetId: string): number | undefined {
+		const entry = this.entries.get(targetId);
+		const isRunning = entry && !entry.hasEnded && this.clock.now() - entry.receivedMs <= REGISTRATION_TTL_MS;
+		return isRunning ? entry.registration.startedAtMs : undefined;
+	}
+
 	/** Returns when the last registration of a target was received. */
 	getReceivedMs(targetId: string): number | undefined {
 		return this.entries.get(targetId)?.receivedMs;
@@ -136,14 +173,32 @@
 
 	get(targetId: string): Registration | undefined {
 		const entry = this.entries.get(targetId);
-		return entry && !entry.hasEnded ? this.toRegisteredTarget(entry).registration : undefined;
+		return entry && !entry.hasEnded && !entry.isWaiting ? this.toRegisteredTarget(entry).registration : undefined;
+	}
+
+	/** Whether a registration is newer than the stored one of the same target. */
+	private isNewer({startedAtMs, sequence}: Registration, receivedMs: number, stored: Entry): boolean {
+		if (startedAtMs !== stored.registration.startedAtMs) {
+			return startedAtMs > stored.registration.startedAtMs;
+		}
+
+		if (stored.hasEnded) {
+			return false;
+		}
+
+		const verdict = judgeSequence(sequence, receivedMs, {sequence: stored.registration.sequence, lastMs: stored.receivedMs}, stored.rival);
+		if (!verdict.isNext) {
+			this.setEntry({...stored, rival: verdict.rival});
+		}
+
+		return verdict.isNext;
 	}
 
 	private storeRegistration(registration: Registration, receivedMs: number, stored: Entry | undefined): void {
 		const isSameProcess = stored?.registration.startedAtMs === registration.startedAtMs;
 		const modelsOverride = isSameProcess && stored.modelsOverride && stored.modelsOverride.untilMs > receivedMs ? stored.modelsOverride : undefined;
 		const entry = {
-			registration, receivedMs, hasEnded: false, modelsOverride,
+			registration, receivedMs, hasEnded: false, modelsOverride, rival: undefined, ...this.createClaim(registration, receivedMs, stored),
 		};
 		const wasSilent = stored !== undefined && receivedMs - stored.receivedMs > REGISTRATION_TTL_MS;
 		if (stored && !stored.hasEnded && !wasSilent && isSameState(this.toRegisteredTarget(stored).registration, this.toRegisteredTarget({...stored, ...entry}).registration)) {
@@ -155,7 +210,19 @@
 		this.store(entry);
 	}
 
-	private store(entry: Omit<Entry, 'revision' | 'heartbeatRevision'>): void {
+	/** A target that names another address, or has ended, claims its address anew, after the others there. */
+	private createClaim({targetId, address}: Registration, receivedMs: number, stored: Entry | undefined): Pick<Entry, 'isWaiting' | 'claimOrder' | 'steadySinceMs'> {
+		const known = stored && !stored.hasEnded && stored.registration.address === address ? stored : undefined;
+		if (known) {
+			return {isWaiting: known.isWaiting, claimOrder: known.claimOrder, steadySinceMs: getSteadySinceMs(receivedMs, known)};
+		}
+
+		this.claimCount += 1;
+		const isWaiting = this.getClaimants(address).some(entry => entry.registration.targetId !== targetId);
+		return {isWaiting, claimOrder: this.claimCount, steadySinceMs: receivedMs};
+	}
+
+	private store(entry: EntryState): void {
 		this.revision += 1;
 		this.changedRevision = this.revision;
 		this.setEntry({...entry, revision: this.revision, heartbeatRevision: this.revision});
@@ -164,9 +231,12 @@
 
 	private setEntry(entry: Entry): void {
 		const {targetId, address} = entry.registration;
-		const oldAddress = this.entries.get(targetId)?.registration.address;
+		const old = this.entries.get(targetId)?.registration;
+		this.values += countRegistrationValues(entry.registration) - (old ? countRegistrationValues(old) : 0);
+		const oldAddress = old?.address;
 		if (oldAddress !== undefined && oldAddress !== address) {
 			this.removeFromAddress(targetId, oldAddress);
+			this.assignAddress(oldAddress);
 		}
 
 		this.entries.set(targetId, entry);
@@ -182,37 +252,107 @@
 		}
 	}
 
-	/** Returns the other targets at the address of a registration that have not ended. */
-	private getOthersAtAddress({targetId, address}: Registration): readonly Registration[] {
-		const others: Registration[] = [];
+	/** Returns the targets at an address that have not ended. */
+	private getClaimants(address: string): readonly Entry[] {
+		const claimants: Entry[] = [];
 		for (const id of this.idsByAddress.get(address) ?? []) {
 			const entry = this.entries.get(id);
-			if (entry && !entry.hasEnded && id !== targetId) {
-				others.push(entry.registration);
+			if (entry && !entry.hasEnded) {
+				claimants.push(entry);
 			}
 		}
 
-		return others;
+		return claimants;
 	}
 
-	/** Whether a process that started later uses the address; a delayed registration may name such an address. */
-	private isAddressTaken(registration: Registration): boolean {
-		return this.getOthersAtAddress(registration).some(({startedAtMs}) => startedAtMs > registration.startedAtMs);
+	/** Lets one of the targets at an address take requests. */
+	private assignAddress(address: string): void {
+		const claimants = this.getClaimants(address);
+		const holder = claimants.find(({isWaiting}) => !isWaiting);
+		const chosenId = chooseHolder(claimants.map(entry => toClaim(entry)), holder?.registration.targetId, this.clock.now());
+		for (const entry of claimants) {
+			const isWaiting = entry.registration.targetId !== chosenId;
+			if (entry.isWaiting !== isWaiting) {
+				this.store({...entry, isWaiting});
+			}
+		}
+	}
+
+	/** Lists targets with those that wait for their address last, so that a host that has just started assigns the addresses in the same way. */
+	private listForControlHosts(entries: readonly Entry[]): RegisteredTarget[] {
+		const holders = entries.filter(({isWaiting}) => !isWaiting);
+		const waiting = entries.filter(({isWaiting}) => isWaiting);
+		return [...holders, ...waiting].map(entry => this.toRegisteredTarget(entry));
 	}
 
-	private endOthersAtAddress(registration: Registration): void {
-		for (const {targetId} of this.getOthersAtAddress(registration)) {
-			this.markEnded(targetId);
+	private listForEntryHosts(entries: readonly Entry[]): RegisteredTarget[] {
+		return entries.map(entry => this.toRegisteredTarget({...entry, hasEnded: entry.hasEnded || entry.isWaiting}));
+	}
+
+	/** Whether a registration fits into an update; drops targets that are worth less to make room. */
+	private makeRoom(registration: Registration, receivedMs: number, stored: Entry | undefined): boolean {
+		const addedValues = countRegistrationValues(registration) - (stored ? countRegistrationValues(stored.registration) : 0);
+		const hasRoom = (): boolean => this.entries.size + (stored ? 0 : 1) <= MAX_TARGETS && this.values + addedValues <= MAX_REGISTRY_VALUES;
+		if (hasRoom()) {
+			return true;
+		}
+
+		const nowMs = this.clock.now();
+		const {isSteady, isWaiting} = stored ? this.toKeptTarget(stored) : {isSteady: false, isWaiting: false};
+		const rank = getRank({
+			isGone: nowMs - receivedMs > REGISTRATION_TTL_MS, isWaiting, isNamed: this.isServiceNamed(registration.service), isSteady,
+		});
+		if (nowMs < this.full.untilMs && rank <= this.full.rank) {
+			return false;
+		}
+
+		this.dropOld(({hasEnded, isSilent}) => hasEnded || Boolean(isSilent));
+		if (!hasRoom()) {
+			this.dropLesser(rank, stored);
 		}
+
+		if (!hasRoom()) {
+			this.full = {rank, untilMs: nowMs + FULL_CHECK_INTERVAL_MS};
+		}
+
+		return hasRoom();
 	}
 
-	/** Whether a further target fits into an update; drops silent targets to make room. */
-	private hasRoom(): boolean {
-		if (this.entries.size >= MAX_TARGETS) {
-			this.dropOld(({hasEnded, isSilent}) => hasEnded || Boolean(isSilent));
+	private dropLesser(rank: number, kept: Entry | undefined): void {
+		const others = [...this.entries.values()].filter(entry => entry !== kept).map(entry => this.toKeptTarget(entry));
+		const dropped = chooseDropped(others, rank, DROPPED_TARGETS);
+		for (const id of dropped) {
+			this.remove(id);
+		}
+
+		if (dropped.length > 0) {
+			this.revision += 1;
+			this.changedRevision = this.revision;
+			this.droppedRevision = this.revision;
+			this.changed.notify();
 		}
+	}
 
-		return this.entries.size < MAX_TARGETS;
+	private toKeptTarget(entry: Entry): KeptTarget {
+		const {registration: {targetId, service}, receivedMs, steadySinceMs, isWaiting, hasEnded} = entry;
+		return {
+			targetId,
+			isGone: hasEnded || this.clock.now() - receivedMs > REGISTRATION_TTL_MS,
+			isWaiting,
+			isNamed: this.isServiceNamed(service),
+			isSteady: receivedMs - steadySinceMs >= ADDRESS_SILENCE_MS,
+			receivedMs,
+		};
+	}
+
+	private remove(id: string): void {
+		const entry = this.entries.get(id);
+		if (entry) {
+			this.entries.delete(id);
+			this.values -= countRegistrationValues(entry.registration);
+			this.droppedRevision = Math.max(this.droppedRevision, entry.revision);
+			this.removeFromAddress(id, entry.registration.address);
+		}
 	}
 
 	/** Drops targets that other hosts have removed; a delayed registration would revive those that ended a short time ago. */
@@ -220,8 +360,7 @@
 		const oldestMs = this.clock.now() - ENDED_RETENTION_MS;
 		for (const [id, entry] of this.entries) {
 			if (isDroppable(entry) && entry.receivedMs < oldestMs) {
-				this.entries.delete(id);
-				this.removeFromAddress(id, entry.registration.address);
+				this.remove(id);
 			}
 		}
 	}
