--- a/dev/testkit/src/index.ts
+++ b/dev/testkit/src/index.ts
@@ -1,5 +1,6 @@
 export * from './admin-client.js';
 export * from './caller.js';
+export * from './cut-answer.js';
 export * from './daemon-process.js';
 export * from './exchange.js';
 export * from './fleet.js';
