common: end a request whose target switches protocols

What callers saw: a chat or a call of a plain service whose target answered 101 with a protocol got no answer, also after its deadline; a later reset of that connection ended the whole process with "read ECONNRESET". A 101 without a protocol was passed on as the final answer. Cause: got passes the `upgrade` event of its request on, so Node hands the connection over instead of closing it. Nothing listened: the request got neither an answer nor an error, its timers had no request to end, and the connection had no listener for errors. Evidence: a table of cuts of such an answer, which hung for its whole time limit and saw the uncaught error; a script then showed both for 101 alone. Fix: the exchange closes that connection and fails; a 101 that is read as an answer fails too. Both count as perhaps run, since the request was sent.

--- a/packages/common/src/http-exchange.ts
+++ b/packages/common/src/http-exchange.ts
@@ -1,6 +1,7 @@
 import {Buffer} from 'node:buffer';
-import type {Agent, ClientRequest} from 'node:http';
+import type {Agent, ClientRequest, IncomingMessage} from 'node:http';
 import type {Socket} from 'node:net';
+import type {Duplex} from 'node:stream';
 import got, {
 	type Request as GotRequest, RequestError, type Response, TimeoutError,
 } from 'got';
@@ -15,6 +16,8 @@
 /** Error codes of failures that occur before any byte of a request has left this host. */
 const unsentErrorCodes: ReadonlySet<string> = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'EADDRNOTAVAIL', 'ENOTFOUND']);
 
+const STATUS_SWITCHING_PROTOCOLS = 101;
+
 const bodilessMethods: ReadonlySet<string> = new Set(['GET', 'HEAD']);
 
 /** Answers with these statuses have no body. */
@@ -88,6 +91,14 @@
 	}
 }
 
+/** Calls back when a server switches protocols. The HTTP library reports neither an answer nor an error then, its time limit no longer applies, and an error of the connection would end the process. */
+export function onProtocolSwitch(req: ClientRequest, onSwitch: () => void): void {
+	req.once('upgrade', (_res: IncomingMessage, socket: Duplex) => {
+		socket.destroy();
+		onSwitch();
+	});
+}
+
 /** Creates the exchange; nothing is written before a later iteration of the event loop. */
 function createExchange(target: TargetAddress, req: TargetRequest, signal: AbortSignal, agent: Agent): GotRequest {
 	return got.stream(`http://${target.address}${req.path}`, {
@@ -113,11 +124,16 @@
 		return Result.err({...toSendFailure(err), accepted: false});
 	}
 
+	const failSwitch = (): void => {
+		stream.destroy(new Error('The target changed the protocol.'));
+	};
+
 	let isConnected = false;
 	stream.once('request', (sent: ClientRequest) => {
 		whenConnected(sent, () => {
 			isConnected = true;
 		});
+		onProtocolSwitch(sent, failSwitch);
 	});
 	// Failures after the head are reported to the reader of the body; without a listener they would terminate the process.
 	stream.on('error', () => undefined);
@@ -133,6 +149,11 @@
 			resolve(Result.err({...failure, accepted: isConnected && failure.accepted}));
 		});
 		stream.once('response', (response: Response) => {
+			if (response.statusCode === STATUS_SWITCHING_PROTOCOLS) {
+				failSwitch();
+				return;
+			}
+
 			const body = isCloseDelimited(response, req.method) ? failAfterReset(stream, detectReset(response.socket)) : stream;
 			resolve(Result.ok({status: response.statusCode, headers: getHeaders(response), body}));
 		});
--- a/packages/common/tests/http-exchange.test.ts
+++ b/packages/common/tests/http-exchange.test.ts
@@ -1,7 +1,8 @@
 import {once} from 'node:events';
 import {Agent} from 'node:http';
-import {type AddressInfo, createServer} from 'node:net';
+import {type AddressInfo, createServer, type Socket} from 'node:net';
 import {text} from 'node:stream/consumers';
+import {setTimeout as delay} from 'node:timers/promises';
 import {expect} from 'chai';
 import {exchangeHttp, type TargetRequest} from '../src/index.js';
 
@@ -9,6 +10,9 @@
 	requestId: 'req-1', method: 'GET', path: '/', headers: {}, body: new Uint8Array(0), deadlineMs: 2000,
 };
 
+/** Time between a switch of protocols and the end of the connection. */
+const SWITCH_TO_END_MS = 20;
+
 describe('exchangeHttp', () => {
 	// Guards against an exception, and against "may have run" for a request that was never written.
 	it('resolves with a failure before the target was reached whatever is wrong with the request', async () => {
@@ -72,4 +76,45 @@
 		server.close();
 		expect(outcomes).to.deep.equal(['ok', true, 'ok', true, 'ok', true, 'ok', true]);
 	});
+
+	// Guards against a request that never ends, not even at its deadline, because its target switches protocols unasked, and against a reset of that connection that ends the process.
+	it('fails when the target switches protocols', async () => {
+		const heads = {
+			'with a protocol': 'HTTP/1.1 101 Switching Protocols\r\nUpgrade: other\r\nConnection: Upgrade\r\n\r\n',
+			'without a protocol': 'HTTP/1.1 101 Switching Protocols\r\n\r\n',
+		};
+		const endings: Readonly<Record<string, (socket: Socket) => void>> = {
+			'in order'(socket) {
+				socket.end();
+			},
+			reset(socket) {
+				socket.resetAndDestroy();
+			},
+			'held open': () => undefined,
+		};
+		const outcomes: Record<string, unknown> = {};
+		const agent = new Agent();
+		for (const [headName, head] of Object.entries(heads)) {
+			for (const [endName, end] of Object.entries(endings)) {
+				const server = createServer(socket => {
+					socket.on('error', () => undefined);
+					socket.once('data', async () => {
+						socket.write(head);
+						await delay(SWITCH_TO_END_MS);
+						end(socket);
+					});
+				});
+				server.listen(0, '127.0.0.1');
+				await once(server, 'listening');
+				const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+				const sent = await exchangeHttp({targetId: 't-1', startId: 's-1', address}, good, new AbortController().signal, agent);
+				await delay(2 * SWITCH_TO_END_MS);
+				server.close();
+				outcomes[`${headName}, ${endName}`] = sent.isErr ? {accepted: sent.error.accepted, reason: sent.error.reason} : sent.value.status;
+			}
+		}
+
+		agent.destroy();
+		expect(outcomes).to.deep.equal(Object.fromEntries(Object.keys(outcomes).map(name => [name, {accepted: true, reason: 'The target changed the protocol.'}])));
+	}).timeout(10_000);
 });
