disk: refuse a write that finds no room, and stay usable

Cause: runWrite took every error as if the content of the file were unknown. ENOSPC or EDQUOT of a write says nothing about a sync; what a part of the write left is known.

Now an append that finds no room cuts the file back to the last known end, syncs it and throws NoSpaceError. replaceFile removes its temporary file and keeps the old one; rewriteLog closes the old log only after the new one is in place. Temporary files of an earlier process are removed when the log is opened, since no later write may replace them. A failed sync (also one that reports ENOSPC), a failed cut and all other errors end the storage as before.

--- a/packages/disk/src/file-log-storage.ts
+++ b/packages/disk/src/file-log-storage.ts
@@ -4,7 +4,9 @@
 import {
 	DAMAGED_SUFFIX, HARD_STATE_FILE, IDENTITY_FILE, LOG_FILE, SNAPSHOT_FILE, TEMPORARY_SUFFIX,
 } from './constants.js';
-import {CorruptionError, StorageFailedError} from './errors.js';
+import {
+	claimSpace, CorruptionError, NoSpaceError, StorageFailedError,
+} from './errors.js';
 import {
 	type AppendFile, type FileSystem, NodeFileSystem, replaceFile,
 } from './file-system.js';
@@ -42,8 +44,10 @@
 	}
 
 	async open(): Promise<void> {
-		await this.fileSystem.makeFolder(this.folder);
+		await this.close();
+		await claimSpace(async () => this.fileSystem.makeFolder(this.folder));
 		await this.fileSystem.syncFolder(path.dirname(this.folder));
+		await this.removeTemporaryFiles();
 		const bytes = await this.fileSystem.readFile(this.getPath(LOG_FILE));
 		await this.runWrite(async () => {
 			if (bytes === undefined) {
@@ -88,9 +92,7 @@
 	async append(entries: readonly LogEntry[]): Promise<void> {
 		const records = entries.map(entry => encodeRecord(entryCodec, entry));
 		await this.runWrite(async () => {
-			const logFile = this.getLogFile();
-			await logFile.append(Buffer.concat(records));
-			await logFile.sync();
+			await this.appendBytes(Buffer.concat(records));
 			this.trackEntries(entries, records);
 		});
 	}
@@ -155,7 +157,7 @@
 			for (const name of [IDENTITY_FILE, HARD_STATE_FILE, SNAPSHOT_FILE, LOG_FILE]) {
 				const file = this.getPath(name);
 				if (await this.fileSystem.readFile(file) !== undefined) {
-					await this.fileSystem.rename(file, file + DAMAGED_SUFFIX);
+					await claimSpace(async () => this.fileSystem.rename(file, file + DAMAGED_SUFFIX));
 					await this.fileSystem.syncFolder(this.folder);
 				}
 			}
@@ -176,6 +178,30 @@
 		return this.logFile;
 	}
 
+	/** Removes what an earlier process left unfinished, which may take the room that is needed. */
+	private async removeTemporaryFiles(): Promise<void> {
+		for (const name of [LOG_FILE, HARD_STATE_FILE, IDENTITY_FILE, SNAPSHOT_FILE]) {
+			await this.fileSystem.remove(this.getPath(name) + TEMPORARY_SUFFIX);
+		}
+	}
+
+	private async appendBytes(bytes: Uint8Array): Promise<void> {
+		const logFile = this.getLogFile();
+		try {
+			await claimSpace(async () => logFile.append(bytes));
+		} catch (err: unknown) {
+			if (err instanceof NoSpaceError) {
+				// A part may be written. An error here is no NoSpaceError and ends the storage.
+				await logFile.truncate(this.endOffset);
+				await logFile.sync();
+			}
+
+			throw err;
+		}
+
+		await logFile.sync();
+	}
+
 	private restoreLog(bytes: Uint8Array): void {
 		const baseRecord = decodeFirstRecord(baseCodec, LOG_FILE, bytes);
 		this.base = baseRecord.value;
@@ -203,9 +229,9 @@
 		const baseRecord = encodeRecord(baseCodec, base);
 		const records = entries.map(entry => encodeRecord(entryCodec, entry));
 		const file = this.getPath(LOG_FILE);
-		await this.logFile?.close();
-		this.logFile = undefined;
+		// The old file stays open, since it remains the log if the disk has no room for the new one.
 		await replaceFile(this.fileSystem, file, file + TEMPORARY_SUFFIX, Buffer.concat([baseRecord, ...records]));
+		await this.close();
 		this.logFile = await this.fileSystem.openFile(file);
 		this.base = base;
 		this.storedEntries = [];
@@ -218,7 +244,10 @@
 		await this.runWrite(async () => replaceFile(this.fileSystem, file, file + TEMPORARY_SUFFIX, bytes));
 	}
 
-	/** Runs an operation that writes to disk. After a failure the file contents are unknown, so every later write is rejected. */
+	/**
+	 * Runs an operation that writes to disk. After a failure the file contents are unknown, so every later write is rejected;
+	 * after a NoSpaceError they are as before.
+	 */
 	private async runWrite(change: () => Promise<void>): Promise<void> {
 		if (this.failure !== undefined) {
 			throw this.failure;
@@ -227,7 +256,7 @@
 		try {
 			await change();
 		} catch (err: unknown) {
-			if (err instanceof CorruptionError) {
+			if (err instanceof CorruptionError || err instanceof NoSpaceError) {
 				throw err;
 			}
 
--- a/packages/disk/src/file-system.ts
+++ b/packages/disk/src/file-system.ts
@@ -2,6 +2,7 @@
 	mkdir, open, readFile, rename, rm, type FileHandle,
 } from 'node:fs/promises';
 import path from 'node:path';
+import {claimSpace, NoSpaceError} from './errors.js';
 
 /** An open append-only file. */
 export abstract class AppendFile {
@@ -101,18 +102,33 @@
 	}
 }
 
-/** Replaces a file atomically: after a crash it has either the old or the new content. */
-export async function replaceFile(fileSystem: FileSystem, file: string, temporaryFile: string, bytes: Uint8Array): Promise<void> {
-	// The file is opened for appending, so a temporary file left by an earlier crash would precede the new content.
-	await fileSystem.remove(temporaryFile);
-	const opened = await fileSystem.openFile(temporaryFile);
+async function writeNewFile(fileSystem: FileSystem, file: string, bytes: Uint8Array): Promise<void> {
+	const opened = await claimSpace(async () => fileSystem.openFile(file));
 	try {
-		await opened.append(bytes);
+		await claimSpace(async () => opened.append(bytes));
 		await opened.sync();
 	} finally {
 		await opened.close();
 	}
+}
+
+/**
+ * Replaces a file atomically: after a crash it has either the old or the new content. On a full disk it keeps the old one,
+ * and the room that the new one has taken is released.
+ */
+export async function replaceFile(fileSystem: FileSystem, file: string, temporaryFile: string, bytes: Uint8Array): Promise<void> {
+	// The file is opened for appending, so a temporary file left by an earlier crash would precede the new content.
+	await fileSystem.remove(temporaryFile);
+	try {
+		await writeNewFile(fileSystem, temporaryFile, bytes);
+		await claimSpace(async () => fileSystem.rename(temporaryFile, file));
+	} catch (err: unknown) {
+		if (err instanceof NoSpaceError) {
+			await fileSystem.remove(temporaryFile);
+		}
+
+		throw err;
+	}
 
-	await fileSystem.rename(temporaryFile, file);
 	await fileSystem.syncFolder(path.dirname(file));
 }
--- a/packages/disk/src/log-storage.ts
+++ b/packages/disk/src/log-storage.ts
@@ -2,9 +2,12 @@
 	HardState, Identity, LogEntry, LogPosition,
 } from './types.js';
 
-/** Durable log of one member. Each write is synced before its promise resolves; calls must not overlap. */
+/**
+ * Durable log of one member. Each write is synced before its promise resolves; calls must not overlap. A write that finds no
+ * room on the disk throws a NoSpaceError and changes nothing, so that it may be tried again.
+ */
 export abstract class LogStorage {
-	/** Loads the stored log and truncates a torn tail; throws CorruptionError for any other damage. */
+	/** Loads the stored log and truncates a torn tail; throws CorruptionError for any other damage. May be called again after a NoSpaceError. */
 	abstract open(): Promise<void>;
 	abstract close(): Promise<void>;
 	/** Position of the last compacted entry; the first stored entry directly follows it. */
--- a/packages/disk/src/snapshot-store.ts
+++ b/packages/disk/src/snapshot-store.ts
@@ -1,7 +1,7 @@
 import path from 'node:path';
 import {createCodec} from '@egretrill/common';
 import {SNAPSHOT_FILE, TEMPORARY_SUFFIX} from './constants.js';
-import {StorageFailedError} from './errors.js';
+import {claimSpace, NoSpaceError, StorageFailedError} from './errors.js';
 import {type FileSystem, NodeFileSystem, replaceFile} from './file-system.js';
 import {decodeSingleRecord, encodeRecord} from './records.js';
 import {Snapshot} from './types.js';
@@ -24,13 +24,17 @@
 		return bytes === undefined ? undefined : decodeSingleRecord(snapshotCodec, SNAPSHOT_FILE, bytes);
 	}
 
-	/** Resolves once the snapshot is synced. */
+	/** Resolves once the snapshot is synced; throws a NoSpaceError and keeps the previous one if the disk has no room. */
 	async save(snapshot: Snapshot): Promise<void> {
 		const file = path.join(this.folder, SNAPSHOT_FILE);
 		try {
-			await this.fileSystem.makeFolder(this.folder);
+			await claimSpace(async () => this.fileSystem.makeFolder(this.folder));
 			await replaceFile(this.fileSystem, file, file + TEMPORARY_SUFFIX, encodeRecord(snapshotCodec, snapshot));
 		} catch (err: unknown) {
+			if (err instanceof NoSpaceError) {
+				throw err;
+			}
+
 			throw new StorageFailedError(`The snapshot in ${this.folder} could not be written.`, {cause: err});
 		}
 	}
