hosts: keep members whose disks are full for seconds in the log

Cause: runExclusive stopped the member on any error of its storage.

Start: an intact log needs no room. As it may wait long, it answers no message of the log before it has read its files.

--- a/apps/egretrilld/src/traffic/control-host.ts
+++ b/apps/egretrilld/src/traffic/control-host.ts
@@ -151,7 +151,7 @@
 		const ended = new AbortController();
 		// The tasks for all members listen to this signal, which exceeds Node's default limit for listener leaks.
 		setMaxListeners(0, ended.signal);
-		await this.node.start();
+		await this.node.start(signal);
 		const logEnded = new AbortController();
 		const watching = this.watchLog(logEnded);
 		const tasks = Promise.all([
--- a/packages/hosts/src/consensus/apply.ts
+++ b/packages/hosts/src/consensus/apply.ts
@@ -2,6 +2,7 @@
 import {
 	COMPACTION_THRESHOLD_ENTRIES, MAX_IDLE_WAIT_MS, RETAINED_LOG_ENTRIES, MAX_BATCH_ENTRIES,
 } from '../constants.js';
+import {runIfRoom} from './disk-room.js';
 import {membersCodec, type Replica} from './replica.js';
 
 function applyEntry(replica: Replica, entry: LogEntry): void {
@@ -14,11 +15,10 @@
 	}
 }
 
-/** Saves a snapshot of the applied state and removes entries that it covers. Must run within `runExclusive`. */
-async function compactLog(replica: Replica): Promise<void> {
-	const {machine, snapshots, storage} = replica.opts;
+async function saveSnapshot(replica: Replica): Promise<void> {
+	const {machine, storage} = replica.opts;
 	const index = replica.appliedIndex;
-	await snapshots.save({
+	await replica.saveSnapshot({
 		index,
 		term: storage.getTerm(index) ?? 0,
 		members: membersCodec.encode([...replica.getMembersAt(index)]),
@@ -26,8 +26,19 @@
 	});
 	replica.snapshotIndex = index;
 	replica.pruneMembers(index);
-	const baseIndex = Math.max(storage.getBase().index, index - RETAINED_LOG_ENTRIES);
-	await storage.compact({index: baseIndex, term: storage.getTerm(baseIndex) ?? 0});
+}
+
+/** Saves a snapshot once enough entries were applied, and removes entries that it covers. Must run within `runExclusive`. */
+async function compactLog(replica: Replica): Promise<void> {
+	const {storage} = replica.opts;
+	if (replica.appliedIndex - replica.snapshotIndex >= COMPACTION_THRESHOLD_ENTRIES) {
+		await saveSnapshot(replica);
+	}
+
+	const baseIndex = replica.snapshotIndex - RETAINED_LOG_ENTRIES;
+	if (storage.getBase().index < baseIndex) {
+		await replica.compact({index: baseIndex, term: storage.getTerm(baseIndex) ?? 0});
+	}
 }
 
 async function applyCommitted(replica: Replica): Promise<void> {
@@ -42,9 +53,7 @@
 		replica.endLeadership();
 	}
 
-	if (replica.appliedIndex - replica.snapshotIndex >= COMPACTION_THRESHOLD_ENTRIES) {
-		await compactLog(replica);
-	}
+	await runIfRoom(async () => compactLog(replica));
 }
 
 /** Applies committed entries in order and compacts the log until the member stops. */
--- a/packages/hosts/src/consensus/election.ts
+++ b/packages/hosts/src/consensus/election.ts
@@ -2,6 +2,7 @@
 import {MAX_ELECTION_TIMEOUT_MS, MIN_ELECTION_TIMEOUT_MS, VOTE_TIMEOUT_MS} from '../constants.js';
 import type {Member, RequestVoteRequest, RequestVoteResponse} from '../types.js';
 import {callPeer} from './call-peer.js';
+import {runIfRoom} from './disk-room.js';
 import {runLeadership} from './leadership.js';
 import {membersCodec, type Replica} from './replica.js';
 
@@ -23,7 +24,7 @@
 	ballot.unansweredCount -= 1;
 	ballot.changed.notify();
 	if (answer !== undefined && answer.term > replica.hardState.term && !replica.isStopped) {
-		await replica.runExclusive(async () => replica.adoptTerm(answer.term));
+		await replica.learnTerm(answer.term);
 	}
 }
 
@@ -57,8 +58,8 @@
 		}
 
 		const term = replica.hardState.term + 1;
-		replica.leaderId = undefined;
 		await replica.saveHardState({term, votedFor: replica.opts.memberId});
+		replica.leaderId = undefined;
 		return term;
 	});
 }
@@ -129,18 +130,24 @@
 	}
 }
 
+async function runElectionRound(replica: Replica): Promise<void> {
+	if (replica.isLogEmpty) {
+		await bootstrapLog(replica);
+	}
+
+	await waitForTimeout(replica);
+	replica.electionTimerStartMs = replica.opts.clock.now();
+	if (!replica.isStopped) {
+		await runElection(replica);
+	}
+}
+
 /** Runs an election whenever the election timeout passes without contact from a leader, and leads the terms that it wins. */
 export async function runElections(replica: Replica): Promise<void> {
-	const {clock} = replica.opts;
 	while (!replica.isStopped) {
-		if (replica.isLogEmpty) {
-			await bootstrapLog(replica);
-		}
-
-		await waitForTimeout(replica);
-		replica.electionTimerStartMs = clock.now();
-		if (!replica.isStopped) {
-			await runElection(replica);
+		const hasRoom = await runIfRoom(async () => runElectionRound(replica));
+		if (!hasRoom) {
+			await replica.opts.clock.sleep(replica.room.getRetryDelayMs(), replica.stopSignal);
 		}
 	}
 }
--- a/packages/hosts/src/consensus/errors.ts
+++ b/packages/hosts/src/consensus/errors.ts
@@ -3,7 +3,7 @@
 	override readonly name = 'ProtocolError';
 }
 
-/** Thrown by calls to a member that has stopped. */
+/** Thrown by calls to a member that has stopped or has not read its log yet. */
 export class StoppedError extends Error {
 	override readonly name = 'StoppedError';
 }
--- a/packages/hosts/src/consensus/handlers.ts
+++ b/packages/hosts/src/consensus/handlers.ts
@@ -3,9 +3,21 @@
 import type {
 	AppendEntriesRequest, AppendEntriesResponse, InstallSnapshotRequest, InstallSnapshotResponse, RequestVoteRequest, RequestVoteResponse,
 } from '../types.js';
+import {runIfRoom} from './disk-room.js';
 import {ProtocolError} from './errors.js';
 import {membersCodec, type Replica} from './replica.js';
-import {decideVote} from './rules.js';
+import {decideVote, type VoteDecision} from './rules.js';
+
+async function storeDecision(replica: Replica, req: RequestVoteRequest, decision: VoteDecision): Promise<void> {
+	if (decision.isTermAdopted) {
+		await replica.adoptTerm(req.term);
+	}
+
+	if (decision.isGranted && !req.preVote) {
+		await replica.saveHardState({term: req.term, votedFor: req.candidateId});
+		replica.electionTimerStartMs = replica.opts.clock.now();
+	}
+}
 
 /** Handles a vote or pre-vote request; a granted vote is synced before the answer. */
 export async function handleRequestVote(replica: Replica, req: RequestVoteRequest): Promise<RequestVoteResponse> {
@@ -14,17 +26,9 @@
 		const decision = decideVote(req, {
 			hardState, identity, last: replica.getLastPosition(), hasLiveLeader: replica.hasLiveLeader(),
 		});
-		if (decision.isTermAdopted) {
-			await replica.adoptTerm(req.term);
-		}
-
-		if (decision.isGranted && !req.preVote) {
-			await replica.saveHardState({term: req.term, votedFor: req.candidateId});
-			replica.electionTimerStartMs = replica.opts.clock.now();
-		}
-
+		const isStored = await runIfRoom(async () => storeDecision(replica, req, decision));
 		return {
-			term: replica.hardState.term, granted: decision.isGranted, identity, blank: replica.isLogEmpty,
+			term: replica.hardState.term, granted: decision.isGranted && isStored, identity, blank: replica.isLogEmpty,
 		};
 	});
 }
@@ -83,7 +87,10 @@
 	await replica.append(entries.slice(firstNew));
 }
 
-/** Appends the leader's entries to the log; they are synced before the answer. */
+/**
+ * Appends the leader's entries to the log; they are synced before the answer. On a full disk they are refused, but the leader
+ * is followed on; if already its term cannot be stored, the call fails, since an answer would confirm its lease.
+ */
 export async function handleAppendEntries(replica: Replica, req: AppendEntriesRequest): Promise<AppendEntriesResponse> {
 	validateEntries(req);
 	return replica.runExclusive(async () => {
@@ -103,36 +110,40 @@
 			return createAnswer(false, getRetryIndex(replica, req.prevIndex));
 		}
 
-		await storeEntries(replica, req.entries.filter(entry => entry.index > baseIndex));
-		const matchIndex = req.prevIndex + req.entries.length;
+		const isStored = await runIfRoom(async () => storeEntries(replica, req.entries.filter(entry => entry.index > baseIndex)));
+		const matchIndex = isStored ? req.prevIndex + req.entries.length : req.prevIndex;
 		replica.setCommitIndex(Math.min(req.commitIndex, matchIndex));
-		return createAnswer(true, matchIndex);
+		return isStored ? createAnswer(true, matchIndex) : {...createAnswer(false, storage.getLastIndex()), isFull: true};
 	});
 }
 
-async function installSnapshot(replica: Replica, req: InstallSnapshotRequest, data: Uint8Array): Promise<void> {
-	const {machine, snapshots, storage} = replica.opts;
-	const members = decodeMembers(req.members);
+function prepareRestore(replica: Replica, data: Uint8Array): () => void {
 	try {
-		machine.restore(data);
+		return replica.opts.machine.prepareRestore(data);
 	} catch (err: unknown) {
 		throw new ProtocolError('The snapshot in the message is not valid.', {cause: err});
 	}
+}
 
-	await snapshots.save({
+async function installSnapshot(replica: Replica, req: InstallSnapshotRequest, data: Uint8Array): Promise<void> {
+	const members = decodeMembers(req.members);
+	const restore = prepareRestore(replica, data);
+	await replica.saveSnapshot({
 		index: req.index, term: req.snapshotTerm, members: req.members, data,
 	});
-	await storage.compact({index: req.index, term: req.snapshotTerm});
+	await replica.compact({index: req.index, term: req.snapshotTerm});
+	// Only now, since the entries before the snapshot are still to be applied if the disk has no room for it.
+	restore();
 	replica.snapshotIndex = req.index;
 	replica.appliedIndex = req.index;
 	// Entries that the snapshot replaced were never committed, so this member cannot have applied them.
-	replica.recoveredIndex = Math.min(replica.recoveredIndex, storage.getLastIndex());
+	replica.recoveredIndex = Math.min(replica.recoveredIndex, replica.opts.storage.getLastIndex());
 	replica.resetMembers({index: req.index, members});
 	replica.setCommitIndex(req.index);
 	replica.changed.notify();
 }
 
-/** Collects the chunks of a snapshot and installs it after the last one. */
+/** Collects the chunks of a snapshot and installs it after the last one; on a full disk the leader is to send it again later. */
 export async function handleInstallSnapshot(replica: Replica, req: InstallSnapshotRequest): Promise<InstallSnapshotResponse> {
 	return replica.runExclusive(async () => {
 		const {identity} = replica;
@@ -157,7 +168,11 @@
 		const bytes = Buffer.concat([received, req.chunk]);
 		replica.incomingSnapshot = req.last ? undefined : {index: req.index, term: req.term, bytes};
 		if (req.last) {
-			await installSnapshot(replica, req, bytes);
+			const isInstalled = await runIfRoom(async () => installSnapshot(replica, req, bytes));
+			if (!isInstalled) {
+				return createAnswer(req.offset);
+			}
+
 			replica.lastLeaderContactMs = replica.opts.clock.now();
 			replica.electionTimerStartMs = replica.lastLeaderContactMs;
 		}
--- a/packages/hosts/src/consensus/leadership.ts
+++ b/packages/hosts/src/consensus/leadership.ts
@@ -1,8 +1,9 @@
 import {Signal} from '@egretrill/common';
-import type {LogEntry} from '@egretrill/disk';
+import {type LogEntry, NoSpaceError} from '@egretrill/disk';
 import {
 	BOOTSTRAP_TIMEOUT_MS, DEFAULT_MIN_VOTERS, HEARTBEAT_MS, MAX_IDLE_WAIT_MS, LEADER_LEASE_MS, LEADER_WRITE_TIMEOUT_MS, MAX_BATCH_ENTRIES, MAX_ELECTION_TIMEOUT_MS, MIN_SUSPENSION_MS,
 } from '../constants.js';
+import {runIfRoom} from './disk-room.js';
 import {runReplicator} from './replicator.js';
 import {membersCodec, type Proposal, type Replica} from './replica.js';
 import {
@@ -87,12 +88,15 @@
 		return isWriteLate || nowMs - confirmedMs > MAX_ELECTION_TIMEOUT_MS;
 	}
 
-	/** Runs a write to the log one at a time with others and keeps track of how long it takes. */
+	/** Runs a write to the log one at a time with others and keeps track of how long it takes; ends the leadership if the disk has no room for it. */
 	async write(task: () => Promise<void>): Promise<void> {
 		const write = {startedMs: this.replica.opts.clock.now()};
 		this.writes.add(write);
 		try {
-			await this.replica.runExclusive(task);
+			const hasRoom = await runIfRoom(async () => this.replica.runExclusive(task));
+			if (!hasRoom && !this.hasEnded) {
+				this.replica.yieldLeadership();
+			}
 		} finally {
 			this.writes.delete(write);
 		}
@@ -163,6 +167,31 @@
 	leadership.appended.notify();
 }
 
+async function appendProposals(replica: Replica, leadership: Leadership, batch: readonly Proposal[]): Promise<void> {
+	const firstIndex = replica.opts.storage.getLastIndex() + 1;
+	for (const [i, proposal] of batch.entries()) {
+		replica.pendingProposals.set(firstIndex + i, {...proposal, term: leadership.term});
+	}
+
+	try {
+		await appendAsLeader(replica, leadership, batch.map(proposal => ({kind: 'command', data: proposal.data})));
+	} catch (err: unknown) {
+		if (err instanceof NoSpaceError) {
+			refuseProposals(replica, firstIndex, batch);
+		}
+
+		throw err;
+	}
+}
+
+/** Refuses proposals that the log did not take. Entries are sent to other members only once they are in this log, so no copy exists. */
+function refuseProposals(replica: Replica, firstIndex: number, proposals: readonly Proposal[]): void {
+	for (const [i, proposal] of proposals.entries()) {
+		replica.pendingProposals.delete(firstIndex + i);
+		proposal.complete({kind: 'not-leader'});
+	}
+}
+
 /** Appends queued proposals to the log in batches with one sync per batch. */
 async function runProposalWriter(replica: Replica, leadership: Leadership): Promise<void> {
 	while (!leadership.hasEnded) {
@@ -177,12 +206,7 @@
 				return;
 			}
 
-			const firstIndex = replica.opts.storage.getLastIndex() + 1;
-			for (const [i, proposal] of batch.entries()) {
-				replica.pendingProposals.set(firstIndex + i, {...proposal, term: leadership.term});
-			}
-
-			await appendAsLeader(replica, leadership, batch.map(proposal => ({kind: 'command', data: proposal.data})));
+			await appendProposals(replica, leadership, batch);
 		});
 	}
 }
@@ -241,7 +265,7 @@
 /** Leads the term until another leader appears, the majority is lost or the member stops. */
 export async function runLeadership(replica: Replica, term: number): Promise<void> {
 	const leadership = new Leadership(replica, term);
-	await replica.runExclusive(async () => {
+	await leadership.write(async () => {
 		if (replica.hardState.term !== term) {
 			leadership.end();
 			return;
--- a/packages/hosts/src/consensus/node.ts
+++ b/packages/hosts/src/consensus/node.ts
@@ -6,7 +6,7 @@
 import {runApply} from './apply.js';
 import {runElections} from './election.js';
 import {handleAppendEntries, handleInstallSnapshot, handleRequestVote} from './handlers.js';
-import {recover} from './recovery.js';
+import {recoverWhenRoom} from './recovery.js';
 import {Replica, type ReplicaOpts} from './replica.js';
 import type {StateMachine} from './state-machine.js';
 
@@ -26,10 +26,17 @@
 		return this.replica.changed;
 	}
 
-	/** Restores the stored state and starts the tasks of the member, which is ready once it has applied the leader's entries. */
-	async start(): Promise<void> {
+	/**
+	 * Restores the stored state and starts the tasks of the member, which is ready once it has applied the leader's entries. A
+	 * member that must write first waits until its disk has room, or `signal` aborts.
+	 */
+	async start(signal?: AbortSignal): Promise<void> {
 		const {replica, opts} = this;
-		await recover(replica);
+		const waiting = signal ? AbortSignal.any([signal, replica.stopSignal]) : replica.stopSignal;
+		if (!await recoverWhenRoom(replica, waiting)) {
+			return;
+		}
+
 		replica.recoveredIndex = opts.storage.getLastIndex();
 		// A restarted member may have acknowledged a leader just before, so it must not vote until that leader's lease has expired.
 		const waitMs = replica.recoveredIndex > 0 ? RESTART_VOTE_DELAY_MS : MIN_ELECTION_TIMEOUT_MS;
--- a/packages/hosts/src/consensus/recovery.ts
+++ b/packages/hosts/src/consensus/recovery.ts
@@ -1,5 +1,6 @@
 import {randomUUID} from 'node:crypto';
 import {CorruptionError} from '@egretrill/disk';
+import {runIfRoom} from './disk-room.js';
 import {membersCodec, type Replica} from './replica.js';
 
 async function restoreState(replica: Replica): Promise<void> {
@@ -22,7 +23,7 @@
 	}
 
 	try {
-		machine.restore(snapshot.data);
+		machine.prepareRestore(snapshot.data)();
 		replica.resetMembers({index: snapshot.index, members: membersCodec.decode(snapshot.members)});
 	} catch (err: unknown) {
 		throw new CorruptionError('snapshot', 0, 'the state in it cannot be restored', {cause: err});
@@ -51,7 +52,7 @@
 }
 
 /** Loads the stored state of a member. If it is damaged or has no identity, the member starts empty under a new identity. */
-export async function recover(replica: Replica): Promise<void> {
+async function recover(replica: Replica): Promise<void> {
 	const {memberId, logger, storage} = replica.opts;
 	try {
 		await restoreState(replica);
@@ -77,3 +78,20 @@
 	replica.identity = randomUUID();
 	await storage.saveIdentity({memberId, identity: replica.identity});
 }
+
+/**
+ * Recovers the member as soon as the disk has room for what has to be written: a log that is intact needs none, a new member
+ * and one whose log is damaged do. Returns false if the member or the signal ends first.
+ */
+export async function recoverWhenRoom(replica: Replica, signal: AbortSignal): Promise<boolean> {
+	while (!signal.aborted) {
+		replica.isRecovered = await runIfRoom(async () => replica.room.write(async () => recover(replica)));
+		if (replica.isRecovered) {
+			return true;
+		}
+
+		await replica.opts.clock.sleep(replica.room.getRetryDelayMs(), signal);
+	}
+
+	return false;
+}
--- a/packages/hosts/src/consensus/replica.ts
+++ b/packages/hosts/src/consensus/replica.ts
@@ -1,11 +1,12 @@
 import {
 	type Clock, createCodec, type Logger, type Random, Signal,
 } from '@egretrill/common';
-import type {
-	HardState, LogEntry, LogPosition, LogStorage, SnapshotStore,
+import {
+	type HardState, type LogEntry, type LogPosition, type LogStorage, NoSpaceError, type Snapshot, type SnapshotStore,
 } from '@egretrill/disk';
-import {MIN_ELECTION_TIMEOUT_MS} from '../constants.js';
+import {MAX_ELECTION_TIMEOUT_MS, MIN_ELECTION_TIMEOUT_MS} from '../constants.js';
 import {Members, type ProposeOutcome} from '../types.js';
+import {DiskRoom, runIfRoom} from './disk-room.js';
 import {ProtocolError, StoppedError} from './errors.js';
 import type {Leadership} from './leadership.js';
 import {isVoter} from './rules.js';
@@ -50,6 +51,8 @@
 /** State of one member, shared by its tasks and message handlers. */
 export class Replica {
 	identity = '';
+	/** Whether the stored log and term have been read; before, the member answers nothing. */
+	isRecovered = false;
 	hardState: HardState = {term: 0, votedFor: null};
 	leaderId: string | undefined;
 	leadership: Leadership | undefined;
@@ -64,6 +67,10 @@
 	electionTimerStartMs = 0;
 	incomingSnapshot: IncomingSnapshot | undefined;
 	failure: Error | undefined;
+	/** Room for the log and the term. */
+	readonly room: DiskRoom;
+	/** Room for snapshots, which may be missing although the log still finds some. */
+	readonly snapshotRoom: DiskRoom;
 	/** Notified when the commit index, the applied index or the role changes. */
 	readonly changed = new Signal();
 	/** Logged proposals of this leader that are not applied yet, by the index of their entry. */
@@ -72,7 +79,10 @@
 	private readonly stopController = new AbortController();
 	private readonly exclusiveQueue = new SerialQueue();
 
-	constructor(readonly opts: ReplicaOpts) {}
+	constructor(readonly opts: ReplicaOpts) {
+		this.room = new DiskRoom('log', opts);
+		this.snapshotRoom = new DiskRoom('snapshots', opts);
+	}
 
 	get isStopped(): boolean {
 		return this.stopController.signal.aborted;
@@ -122,10 +132,14 @@
 				throw this.failure ?? new StoppedError('The member has stopped.');
 			}
 
+			if (!this.isRecovered) {
+				throw new StoppedError('The member has not read its log yet.');
+			}
+
 			try {
 				return await task();
 			} catch (err: unknown) {
-				if (!(err instanceof ProtocolError)) {
+				if (!(err instanceof ProtocolError || err instanceof NoSpaceError)) {
 					this.fail(err);
 				}
 
@@ -136,7 +150,7 @@
 
 	/** Appends entries to this member's log. Must run within `runExclusive`. */
 	async append(entries: readonly LogEntry[]): Promise<void> {
-		await this.opts.storage.append(entries);
+		await this.room.write(async () => this.opts.storage.append(entries));
 		this.recordMemberships(entries);
 	}
 
@@ -167,9 +181,19 @@
 		];
 	}
 
+	/** Persists a snapshot. Must run within `runExclusive`. */
+	async saveSnapshot(snapshot: Snapshot): Promise<void> {
+		await this.snapshotRoom.write(async () => this.opts.snapshots.save(snapshot));
+	}
+
+	/** Removes entries that a snapshot covers from the log. Must run within `runExclusive`. */
+	async compact(upTo: LogPosition): Promise<void> {
+		await this.snapshotRoom.write(async () => this.opts.storage.compact(upTo));
+	}
+
 	/** Persists a term and vote. Must run within `runExclusive`. */
 	async saveHardState(hardState: HardState): Promise<void> {
-		await this.opts.storage.saveHardState(hardState);
+		await this.room.write(async () => this.opts.storage.saveHardState(hardState));
 		this.hardState = hardState;
 	}
 
@@ -184,6 +208,11 @@
 		await this.saveHardState({term, votedFor: null});
 	}
 
+	/** Adopts a higher term received in an answer, if the disk has room for it; later messages contain it again. */
+	async learnTerm(term: number): Promise<void> {
+		await runIfRoom(async () => this.runExclusive(async () => this.adoptTerm(term)));
+	}
+
 	/** Accepts the sender as leader of the term and restarts the election timeout. Must run within `runExclusive`. */
 	async acceptLeader(term: number, leaderId: string): Promise<void> {
 		await this.adoptTerm(term);
@@ -219,6 +248,12 @@
 		this.changed.notify();
 	}
 
+	/** Ends the leadership because the log can take no entry; gives the other members one election in which to replace this one. */
+	yieldLeadership(): void {
+		this.endLeadership();
+		this.electionTimerStartMs = this.opts.clock.now() + MAX_ELECTION_TIMEOUT_MS;
+	}
+
 	stop(): void {
 		this.stopController.abort();
 		this.endLeadership();
--- a/packages/hosts/src/consensus/replicator.ts
+++ b/packages/hosts/src/consensus/replicator.ts
@@ -33,7 +33,7 @@
 	}
 
 	if (answer.term > leadership.term) {
-		await replica.runExclusive(async () => replica.adoptTerm(answer.term));
+		await replica.learnTerm(answer.term);
 		return false;
 	}
 
@@ -67,6 +67,10 @@
 		return 'idle';
 	}
 
+	if (answer.isFull) {
+		return 'idle';
+	}
+
 	if (!answer.accepted) {
 		progress.nextIndex = Math.max(1, Math.min(answer.lastIndex + 1, previousIndex));
 		return 'more';
--- a/packages/hosts/src/consensus/state-machine.ts
+++ b/packages/hosts/src/consensus/state-machine.ts
@@ -23,9 +23,9 @@
 	/** Must be deterministic: the result depends only on the state and the arguments. */
 	abstract apply(data: Uint8Array, index: number): Result;
 	abstract snapshot(): Uint8Array;
-	/** Replaces the state; if the bytes are not valid, throws and leaves the state unchanged. */
-	abstract restore(data: Uint8Array): void;
+	/** Decodes a snapshot, or throws if the bytes are not valid; the returned function replaces the state. */
+	abstract prepareRestore(data: Uint8Array): () => void;
 }
 
 /** The part of a state machine that does not depend on its command type. */
-export type ReplicatedStateMachine = Pick<StateMachine<unknown, unknown>, 'getDesiredMemberships' | 'apply' | 'snapshot' | 'restore'>;
+export type ReplicatedStateMachine = Pick<StateMachine<unknown, unknown>, 'getDesiredMemberships' | 'apply' | 'snapshot' | 'prepareRestore'>;
--- a/packages/hosts/src/constants.ts
+++ b/packages/hosts/src/constants.ts
@@ -38,6 +38,9 @@
  */
 export const RESTART_VOTE_DELAY_MS = 600;
 
+/** Shortest time between two writes that a member tries while its disk is full; each has to cut off what it has written. */
+export const NO_SPACE_RETRY_MS = 100;
+
 /** Longest time that a leader's write may take before it steps down; a sync on a slow disk takes up to about 100 ms. */
 export const LEADER_WRITE_TIMEOUT_MS = 1000;
 
--- a/packages/hosts/src/fleet-state.ts
+++ b/packages/hosts/src/fleet-state.ts
@@ -126,8 +126,11 @@
 		return snapshotCodec.encode(this.state);
 	}
 
-	restore(data: Uint8Array): void {
-		this.state = snapshotCodec.decode(data);
+	prepareRestore(data: Uint8Array): () => void {
+		const state = snapshotCodec.decode(data);
+		return () => {
+			this.state = state;
+		};
 	}
 
 	/** Returns the configuration that this member has applied. */
--- a/packages/hosts/src/types.ts
+++ b/packages/hosts/src/types.ts
@@ -56,6 +56,8 @@
 	/** If not accepted: the last index at which the follower's log may still match the leader's. */
 	lastIndex: count,
 	identity: z.string(),
+	/** Not accepted only because the follower's disk is full: the same entries are to be sent again later. */
+	isFull: z.boolean().optional(),
 });
 export type AppendEntriesResponse = z.infer<typeof AppendEntriesResponse>;
 
