callers, egretrilld: serve during a stop only what is expected to end in time

What callers saw: in a planned stop of one entry host, requests that came late in the grace period were passed on and cut at its end: a POST that may not be repeated ended with 504 "may have run", a stream after some of its events. A request on an idle kept connection got no answer at all once the balancer's time was over. Cause: `Drain.trackWork` counts work of any age, the end aborts all of it, and nothing asked whether a request can end before that. `server.close()` also destroys idle connections on which requests may be on their way, and an answer that was under way at the signal closed a connection that it had announced as kept. Change: `decideAtStop` decides from plain data: the route's target latency and limits, whether it may be repeated, and how long the latest 128 answers of the route took on this host. It is asked at arrival, when the body has arrived, while a request waits in the queue and before each attempt, and before a silent stream moves. Refusals are 503 "not run" with Retry-After 0.1 s. Idle connections stay open until the end (`CallerConnections`), because any earlier close crosses more requests; their next answer closes them. At the end a request that has not arrived completely is answered "not run", then idle connections are half-closed 50 ms before the rest, so that a request that crosses the close is neither read nor passed on. Tests changed: the crossing request of host-stop.test.ts now gets an answer; the guard against passing it on moved to a test that waits for the close. The pipelined request uses a route whose requests end in time. A cut request says `stopping` in place of `timeout`.

--- a/apps/egretrilld/src/traffic/constants.ts
+++ b/apps/egretrilld/src/traffic/constants.ts
@@ -71,6 +71,12 @@
 /** Time after which an unanswered request for an adapter is repeated: the leader answers only when the adapter is loaded, and the call may be lost. */
 export const ADAPTER_REQUEST_RETRY_MS = 250;
 
+/** Time after the end of a planned stop in which requests that still arrive are refused and the last answers are sent. */
+export const FINAL_FLUSH_MS = 150;
+
+/** Time from the end of the host's side of a connection until the connection is closed, in which a refusal reaches its caller. */
+export const FINAL_CLOSE_MS = 50;
+
 /** How often the settings are re-read when no signal announces a change. */
 export const SETTINGS_POLL_INTERVAL_MS = 1000;
 
--- a/apps/egretrilld/src/traffic/entry-host.ts
+++ b/apps/egretrilld/src/traffic/entry-host.ts
@@ -4,12 +4,13 @@
 	type Clock, createHttpServer, jitter, type Logger, type LoopWatch, type Random, setReadTimeouts, type TrafficSource,
 } from '@egretrill/common';
 import {
-	BackoffPoolClient, type ForwardDependencies, type ForwardDialect, forwardRequest, RATE_LEASE_MS, RateAllocations, RetryBudget, RetrySchedule, RouteTable, SlotQueue,
+	BackoffPoolClient, type ForwardDependencies, type ForwardDialect, forwardRequest, PlannedStop, RATE_LEASE_MS, RateAllocations, RetryBudget, RetrySchedule, RouteDurations, RouteTable, SlotQueue,
 } from '@egretrill/callers';
 import {Drain, type Metrics, type UnreadyReason} from '@egretrill/balancer';
 import {TargetTable} from '@egretrill/engines';
 import type {ControlPeers} from '@egretrill/hosts';
 import {TargetSlotSource} from './target-slot-source.js';
+import {CallerConnections} from './caller-connections.js';
 import type {ConfigDecoder} from './config-decoder.js';
 import {ControlFollower, type HostReport, SyncSink} from './control-follower.js';
 import {DecisionLog} from './decision-log.js';
@@ -20,9 +21,6 @@
 import {NodeExchange} from './node-exchange.js';
 import type {EntrySettings, TrafficBounds} from './settings.js';
 
-/** Time for the last answers to be flushed before the connections are closed. */
-const FINAL_FLUSH_MS = 150;
-
 /** How often waiting requests are retried if no change of the targets triggers it. */
 const QUEUE_RETRY_INTERVAL_MS = 100;
 
@@ -55,14 +53,14 @@
 	private readonly forwardDependencies: ForwardDependencies;
 	private rateState = {ackedSerial: 0, standing: 0};
 	private hostCount = 1;
-	private isStopping = false;
-	/** Aborts the requests that are still in flight at the end of the drain. */
-	private readonly requestAbort = new AbortController();
+	private readonly plannedStop: PlannedStop;
+	private readonly connections: CallerConnections;
 
 	constructor(private readonly opts: EntryHostOptions) {
 		super();
 		const {settings, clock, logger, metrics, peers} = opts;
 		this.bounds = settings.bounds;
+		this.plannedStop = new PlannedStop(clock);
 		this.drain = new Drain({clock, deadlineMs: settings.bounds.drainMs, balancerWaitMs: settings.bounds.balancerWaitMs});
 		this.rates = new RateAllocations(clock);
 		this.targets = new TargetTable({
@@ -92,14 +90,16 @@
 			sender: this.sender,
 			observer: this.observer,
 			getTable: () => this.routeTable,
-			stopping: this.requestAbort.signal,
+			stop: this.plannedStop,
+			durations: new RouteDurations(),
 			getRetries: service => this.getRetryBudget(service),
 		};
 		// Every request in flight listens to this signal, which exceeds Node's default limit for listener leaks.
-		setMaxListeners(0, this.requestAbort.signal);
+		setMaxListeners(0, this.plannedStop.ended);
 		this.server = createHttpServer((req, res) => {
 			void this.serve(req, res);
 		});
+		this.connections = new CallerConnections(this.server, () => this.drain.trackWork('connection'));
 	}
 
 	/** Polls the control hosts and assigns waiting requests to targets until the signal aborts. */
@@ -116,19 +116,19 @@
 		];
 	}
 
-	/** Drains the host: in-flight requests finish, and new connections are still served until the balancer has stopped sending them. */
+	/** Drains the host: requests that are expected to end in time are served, others refused, and each answer closes its connection. New connections are accepted until the balancer has stopped sending them. */
 	async stop(reason: string): Promise<void> {
-		this.isStopping = true;
+		const {clock, logger, settings: {bounds: {drainMs, balancerWaitMs}}} = this.opts;
+		this.plannedStop.begin(drainMs);
 		const drained = this.drain.start(reason);
-		await this.opts.clock.sleep(this.bounds.balancerWaitMs);
-		// The balancer no longer sends callers to this host; a request that arrives on an idle connection now might not finish before the stop.
-		this.server.close();
+		this.queue.dispatch();
+		await clock.sleep(Math.min(balancerWaitMs, drainMs));
+		this.connections.stopAccepting();
 		this.queue.close();
 		const report = await drained;
-		this.opts.logger.info({...report}, 'The host has drained.');
-		this.requestAbort.abort();
-		await this.opts.clock.sleep(FINAL_FLUSH_MS);
-		this.server.closeAllConnections();
+		logger.info({...report}, 'The host has drained.');
+		this.plannedStop.end();
+		await this.connections.close(clock);
 	}
 
 	/** Applies the settings that may change while the host runs. */
@@ -215,7 +215,7 @@
 	}
 
 	private async serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
-		const exchange = new NodeExchange(req, res, () => this.isStopping);
+		const exchange = new NodeExchange(req, res, () => this.plannedStop.hasBegun());
 		const endWork = this.drain.trackWork('request');
 		try {
 			await forwardRequest(exchange, this.forwardDependencies);
--- a/apps/egretrilld/src/traffic/entry-observer.ts
+++ b/apps/egretrilld/src/traffic/entry-observer.ts
@@ -1,5 +1,5 @@
 import {
-	type AttemptEvent, type ForwardCall, type ForwardEndEvent, ForwardObserver,
+	type AttemptEvent, type ForwardCall, type ForwardEndEvent, ForwardObserver, type StopRefusal,
 } from '@egretrill/callers';
 import type {Metrics} from '@egretrill/balancer';
 import {estimateRunMs} from '@egretrill/engines';
@@ -15,8 +15,15 @@
 	return attempts === 1 && status < STATUS_SERVER_ERROR && (firstMs ?? tookMs) <= targetLatencyMs;
 }
 
+/** Says why a planned stop ended a request: at which step, the time that was left and the time that the request was expected to take. */
+function describeStop({checkpoint, stopLeftMs, expectedMs, basis, observedCount}: StopRefusal): Readonly<Record<string, unknown>> {
+	return {
+		stopCheckpoint: checkpoint, stopLeftMs: Math.round(stopLeftMs), expectedMs: Math.round(expectedMs), expectedFrom: basis, observedCount,
+	};
+}
+
 function describeEnd(event: ForwardEndEvent, knowledgeAgeMs: number): Readonly<Record<string, unknown>> {
-	const {call, route = '', customer, configVersion, outcome, status, bodyEnd, bodyBytes, targetId, outstanding, attempts, waitMs, tookMs, isRequestIncomplete, firstMs, longestPauseMs} = event;
+	const {call, route = '', customer, configVersion, outcome, status, bodyEnd, bodyBytes, targetId, outstanding, attempts, waitMs, tookMs, isRequestIncomplete, firstMs, longestPauseMs, stopRefusal} = event;
 	const isRefused = typeof outcome === 'object';
 	return {
 		requestId: call && sanitizeName(call.attemptId),
@@ -38,6 +45,7 @@
 		tookMs: Math.round(tookMs),
 		...(isRequestIncomplete && {isRequestIncomplete}),
 		...(firstMs !== undefined && {firstMs: Math.round(firstMs)}),
+		...(stopRefusal && describeStop(stopRefusal)),
 		...(longestPauseMs !== undefined && {longestPauseMs: Math.round(longestPauseMs)}),
 	};
 }
@@ -83,20 +91,21 @@
 	}
 
 	override recordEnd(event: ForwardEndEvent): void {
-		const {call, route = '', outcome, waitMs, tookMs} = event;
+		const {call, route = '', outcome, waitMs, tookMs, stopRefusal} = event;
 		const name = typeof outcome === 'object' ? outcome.code : outcome;
 		this.requests.add(1, {route, outcome: name});
 		this.durations.record(tookMs, {route});
 		this.slotWaits.record(waitMs, {route});
 		const knowledgeAgeMs = this.getKnowledgeAgeMs();
 		if (outcome !== 'answered') {
-			const isRepetitive = typeof outcome === 'object';
+			const isRefused = typeof outcome === 'object';
 			this.log.recordFailure({
-				cause: [name, route, ...(call?.model ? [sanitizeName(call.model)] : [])].join(' '),
-				isRepetitive,
+				cause: [name, route, ...(call?.model ? [sanitizeName(call.model)] : []), ...(stopRefusal ? [stopRefusal.checkpoint, stopRefusal.basis] : [])].join(' '),
+				// What was left of a stop and expected of the request differs from one refusal to the next.
+				isRepetitive: isRefused && !stopRefusal,
 				requestId: sanitizeName(call?.attemptId ?? ''),
 				fields: describeEnd(event, knowledgeAgeMs),
-				message: isRepetitive ? 'A request was refused.' : END_MESSAGE,
+				message: isRefused ? 'A request was refused.' : END_MESSAGE,
 			});
 		} else if (isRoutine(event) || !this.log.tryWrite(describeEnd(event, knowledgeAgeMs), END_MESSAGE)) {
 			this.log.recordAnswer(event, knowledgeAgeMs);
--- a/apps/egretrilld/src/traffic/node-exchange.ts
+++ b/apps/egretrilld/src/traffic/node-exchange.ts
@@ -3,6 +3,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {CallerExchange, type RequestHead} from '@egretrill/callers';
 import type {Verdict} from '@egretrill/common';
+import {createRefusalBody, getRetryAfter} from './refusal-body.js';
 
 /** A caller's request and response on Node's HTTP server. */
 export class NodeExchange extends CallerExchange {
@@ -85,25 +86,19 @@
 
 	end(): void {
 		this.isEnding = true;
-		if (this.isStopping()) {
-			// The head may have announced a keep-alive connection, but this host accepts no further request on it.
-			this.res.once('finish', () => {
-				this.req.socket.end();
-			});
-		}
-
 		this.res.end();
 	}
 
-	refuse({status, code, reason, retryAfterMs, run}: Verdict): void {
+	refuse(verdict: Verdict): void {
 		this.prepare();
 		// The connection of an incomplete request is not used again.
 		this.res.shouldKeepAlive &&= this.isRequestComplete();
-		const body = JSON.stringify({error: {verdict: run, code, message: reason}});
-		this.res.writeHead(status, {
+		const body = createRefusalBody(verdict);
+		const retryAfter = getRetryAfter(verdict);
+		this.res.writeHead(verdict.status, {
 			'content-type': 'application/json',
 			'content-length': Buffer.byteLength(body),
-			...(retryAfterMs !== undefined && {'retry-after': (retryAfterMs / 1000).toFixed(3)}),
+			...(retryAfter !== undefined && {'retry-after': retryAfter}),
 		});
 		this.isEnding = true;
 		this.res.end(body);
--- a/apps/egretrilld/src/traffic/settings.ts
+++ b/apps/egretrilld/src/traffic/settings.ts
@@ -12,7 +12,7 @@
 	coldExcessRatio: z.number().nonnegative(),
 	/** Duration of a host's lease for orders to an engine; another host may send orders only after it. */
 	orderLeaseMs: milliseconds,
-	/** Time for in-flight requests to finish after the signal to stop. */
+	/** Time after the signal to stop in which requests are served. */
 	drainMs: milliseconds,
 	/** Time after which the balancer has stopped sending new connections to an unready host. */
 	balancerWaitMs: milliseconds,
--- a/apps/egretrilld/tests/traffic/decision-log.test.ts
+++ b/apps/egretrilld/tests/traffic/decision-log.test.ts
@@ -1,3 +1,4 @@
+import {refuseForStop} from '@egretrill/callers';
 import {expect} from 'chai';
 import {AggregatedLine} from '../../src/traffic/index.js';
 import type {Line} from './support/log-capture.js';
@@ -36,6 +37,20 @@
 		expect(await fixture.getLines()).toMatchSnapshot();
 	});
 
+	// Guards against refusals of a planned stop that look like others, or of which only the first of a second says why.
+	it('say of each refusal during a planned stop what time was left and expected', async () => {
+		const fixture = new DecisionLogFixture();
+		const stopRefusal = {
+			checkpoint: 'arrival', stopLeftMs: 812.3, expectedMs: 2400.5, basis: 'observed', observedCount: 128,
+		} as const;
+		for (let i = 1; i <= 9; i++) {
+			fixture.refuse(createId(i), refuseForStop(), undefined, {stopRefusal: {...stopRefusal, stopLeftMs: 812.3 - i}});
+		}
+
+		await fixture.clock.run(1000);
+		expect(await fixture.getLines()).toMatchSnapshot();
+	});
+
 	// Guards against output that covers only 15 s under load, so that the lines about a wrong answer are lost.
 	it('keep a minute of output at 50 requests a second with 10 % failures, and omit no id and no details of answered requests', async () => {
 		const fixture = new DecisionLogFixture();
--- a/apps/egretrilld/tests/traffic/host-stop.test.ts
+++ b/apps/egretrilld/tests/traffic/host-stop.test.ts
@@ -1,3 +1,4 @@
+import {once} from 'node:events';
 import {setTimeout} from 'node:timers/promises';
 import {expect} from 'chai';
 import type {EntryHost} from '../../src/traffic/index.js';
@@ -14,6 +15,11 @@
 const STREAM = `HTTP/1.1 200 OK\r\n${SIGNED}events: 1\r\nContent-Length: ${FIRST_EVENT.length + LAST_EVENT.length}\r\n\r\n${FIRST_EVENT}`;
 const HEAD_START = 'GET / HTTP/1.1\r\n';
 const HEAD_END = 'Host: app.test\r\n\r\n';
+const incompleteRequests: Readonly<Record<string, string>> = {
+	'the head': HEAD_START,
+	'the body': `POST / HTTP/1.1\r\nContent-Length: 4\r\n${HEAD_END}ab`,
+	'the body in chunks': `POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n${HEAD_END}2\r\nab\r\n`,
+};
 const STEP_MS = 50;
 /** Longer than a host that stops keeps its connections. */
 const SLOW_MS = 1500;
@@ -64,6 +70,19 @@
 
 	// Guards against a request that is passed on although its answer cannot be sent, because this host has closed its side of the connection.
 	it('does not pass on a request that crosses the close of a kept connection', async () => {
+		const caller = await CallerSocket.open(getPort(host));
+		caller.write(HEAD_START + HEAD_END);
+		await caller.waitForText('whole');
+		const stopped = host.stop('test');
+		await once(caller.socket, 'end');
+		caller.write(HEAD_START + HEAD_END);
+		await setTimeout(STEP_MS);
+		expect({received: describeAnswers(await caller.readToEnd()), passedOn}).toMatchSnapshot();
+		await stopped;
+	});
+
+	// Guards against a request without an answer, because the answer before it announced a kept connection and its end closed it.
+	it('answers a request that follows an answer begun before the stop', async () => {
 		answer = async () => setTimeout(SLOW_MS);
 		const unfinished = await CallerSocket.open(getPort(host));
 		unfinished.write(HEAD_START + HEAD_END);
@@ -90,6 +109,37 @@
 		await stopped;
 	});
 
+	/** Stops the host while only a part of a request has arrived. */
+	const stopAtPart = async (part: string, isKept: boolean): Promise<unknown> => {
+		host.server.close();
+		// The request may arrive late, since its route has a short time limit.
+		host = await startEntryHost(target.address, {timeoutMs: DRAIN_MS / 3});
+		const caller = await CallerSocket.open(getPort(host));
+		if (isKept) {
+			caller.write(HEAD_START + HEAD_END);
+			await caller.waitForText('whole');
+		}
+
+		caller.text = '';
+		passedOn = 0;
+		caller.write(part);
+		await setTimeout(STEP_MS);
+		const stopped = host.stop('test');
+		const received = describeAnswers(await caller.readToEnd());
+		await stopped;
+		return {received, passedOn};
+	};
+
+	// Guards against a connection that is cut without an answer while its request arrives.
+	for (const [name, part] of Object.entries(incompleteRequests)) {
+		it(`answers a request of which only a part of ${name} has arrived, on a new connection`, async () => {
+			expect(await stopAtPart(part, false)).toMatchSnapshot();
+		});
+		it(`answers a request of which only a part of ${name} has arrived, on a kept connection`, async () => {
+			expect(await stopAtPart(part, true)).toMatchSnapshot();
+		});
+	}
+
 	// Guards against a request that is passed on and gets no answer, because the answer before it on the connection closes the connection.
 	it('does not pass on a request that follows another one before its answer', async () => {
 		answer = async peer => {
@@ -97,6 +147,8 @@
 			await peer.write(OK);
 		};
 
+		host.server.close();
+		host = await startEntryHost(target.address, {repeat: 'idempotent', targetLatencyMs: 100});
 		const caller = await CallerSocket.open(getPort(host));
 		caller.write((HEAD_START + HEAD_END).repeat(2));
 		const stopped = host.stop('test');
--- a/apps/egretrilld/tests/traffic/support/decision-log-fixture.ts
+++ b/apps/egretrilld/tests/traffic/support/decision-log-fixture.ts
@@ -44,9 +44,9 @@
 		});
 	}
 
-	refuse(id: string, verdict: Verdict = overloaded, model = 'bami79301a'): void {
+	refuse(id: string, verdict: Verdict = overloaded, model = 'bami79301a', event: Partial<ForwardEndEvent> = {}): void {
 		this.observer.recordEnd({
-			call: createCall(id, model), route: 'r-97eknmk', customer: 'bose983', configVersion: 16, outcome: verdict, attempts: 0, waitMs: 501, tookMs: 502,
+			call: createCall(id, model), route: 'r-97eknmk', customer: 'bose983', configVersion: 16, outcome: verdict, attempts: 0, waitMs: 501, tookMs: 502, ...event,
 		});
 	}
 
--- a/apps/egretrilld/tests/traffic/support/entry-fixture.ts
+++ b/apps/egretrilld/tests/traffic/support/entry-fixture.ts
@@ -2,7 +2,7 @@
 import type {AddressInfo} from 'node:net';
 import {Metrics} from '@egretrill/balancer';
 import {
-	createLogger, LoopWatch, MonotonicClock, type TrafficConfig, type TrafficRoute,
+	createLogger, type Logger, LoopWatch, MonotonicClock, type TrafficConfig, type TrafficRoute,
 } from '@egretrill/common';
 import {ControlPeers} from '@egretrill/hosts';
 import {credentials, ServerCredentials} from '@grpc/grpc-js';
@@ -20,10 +20,18 @@
 	}
 }
 
+export type EntryFixtureOptions = {
+	readonly logger?: Logger;
+	/** Slots of each target. */
+	readonly slots?: number;
+	/** Addresses of further targets. */
+	readonly otherAddresses?: readonly string[];
+};
+
 /** Starts an entry host without control hosts, whose only route leads to the target at the address. */
-export async function startEntryHost(address: string, changes: Partial<TrafficRoute> = {}): Promise<EntryHost> {
+export async function startEntryHost(address: string, changes: Partial<TrafficRoute> = {}, opts: EntryFixtureOptions = {}): Promise<EntryHost> {
+	const {logger = createLogger('test', 'fatal'), slots = 8, otherAddresses = []} = opts;
 	const clock = new MonotonicClock();
-	const logger = createLogger('test', 'fatal');
 	const metrics = new Metrics();
 	const peerCredentials = {server: ServerCredentials.createInsecure(), client: credentials.createInsecure()};
 	const host = new EntryHost({
@@ -43,11 +51,11 @@
 	});
 	host.applyConfig({version: 1, source: JSON.stringify({...config, routes: [{...route, ...changes}]})});
 	host.applyTargets({
-		origin: 'o', revision: 1, isWhole: true, targets: [{
+		origin: 'o', revision: 1, isWhole: true, targets: [address, ...otherAddresses].map((targetAddress, index) => ({
 			ageMs: 0, hasEnded: false, registration: {
-				targetId: 't1', startedAtMs: 1, sequence: 1, service: 's', address, zone: 'a', slots: 8, isLeaving: false, coldForMs: 0, models: [], inMemory: [], onDisk: [],
+				targetId: `t${index + 1}`, startedAtMs: 1, sequence: 1, service: 's', address: targetAddress, zone: 'a', slots, isLeaving: false, coldForMs: 0, models: [], inMemory: [], onDisk: [],
 			},
-		}],
+		})),
 	}, []);
 	host.server.listen(0, '127.0.0.1');
 	await once(host.server, 'listening');
--- a/apps/egretrilld/tests/traffic/support/forward-host.ts
+++ b/apps/egretrilld/tests/traffic/support/forward-host.ts
@@ -2,7 +2,7 @@
 import type {Server} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import {
-	type AnswerHead, type AnswerMetadata, type AttemptEvent, type ForwardCall, type ForwardDependencies, ForwardDialect, type ForwardEndEvent, ForwardObserver, forwardRequest, ForwardSender, type OutgoingMessage, RateAllocations, RatePoolClient, type RequestHead, RetryBudget, RetrySchedule, RouteTable, type SendDetails, type SlotOutcome, SlotQueue, type SlotRequirements, type SlotResult, SlotSource, type TargetAnswer,
+	type AnswerHead, type AnswerMetadata, type AttemptEvent, type ForwardCall, type ForwardDependencies, ForwardDialect, type ForwardEndEvent, ForwardObserver, forwardRequest, ForwardSender, type OutgoingMessage, PlannedStop, RateAllocations, RatePoolClient, type RequestHead, RetryBudget, RetrySchedule, RouteDurations, RouteTable, type SendDetails, type SlotOutcome, SlotQueue, type SlotRequirements, type SlotResult, SlotSource, type TargetAnswer,
 } from '@egretrill/callers';
 import {
 	createHttpServer, MonotonicClock, type SendFailure, type TrafficConfig, type TrafficRoute,
@@ -164,7 +164,7 @@
 		const table = new RouteTable({...config, limits: {...config.limits, maxBodyBytes}, routes: [{...route, ...changes}]});
 		const retries = new RetryBudget(clock, {ratio: 0, reserve: 100});
 		const parts: ForwardDependencies = {
-			clock, random: () => 0, dialect: new TestDialect(), queue: new SlotQueue(clock, this.slots), rates: new RateAllocations(clock), poolClient: new RefusingLender(), retrySchedule: new RetrySchedule(clock), sender: new ObservedSender(this.sender, onChunk), observer: this.observer, getTable: () => table, stopping: new AbortController().signal, getRetries: () => retries,
+			clock, random: () => 0, dialect: new TestDialect(), queue: new SlotQueue(clock, this.slots), rates: new RateAllocations(clock), poolClient: new RefusingLender(), retrySchedule: new RetrySchedule(clock), sender: new ObservedSender(this.sender, onChunk), observer: this.observer, getTable: () => table, stop: new PlannedStop(clock), durations: new RouteDurations(), getRetries: () => retries,
 		};
 		this.server = createHttpServer((req, res) => {
 			void forwardRequest(new NodeExchange(req, res, () => false), parts);
--- a/packages/callers/src/forward/constants.ts
+++ b/packages/callers/src/forward/constants.ts
@@ -82,3 +82,25 @@
 
 /** Maximum time that a host treats a customer's pool as empty without another request to the owner. */
 export const MAX_EMPTY_POOL_CACHE_MS = 500;
+
+/** Time before the end of a planned stop by which a request should have ended: its answer still has to reach the caller, and timers may fire up to 50 ms late. */
+export const STOP_END_MARGIN_MS = 100;
+
+/** With fewer observed durations of a route, the longest of them says little about the next request. */
+export const MIN_OBSERVED_DURATIONS = 20;
+
+/** Durations that are remembered for a route, and routes for which they are; 128 let the high quantile rest on six requests. */
+export const MAX_DURATIONS_PER_ROUTE = 128;
+export const MAX_DURATION_ROUTES = 1024;
+
+/** Quantile of the observed durations that a request which may be repeated is expected to stay below. */
+export const HIGH_DURATION_QUANTILE = 0.95;
+
+/** Factor applied to the high quantile, since the targets of a host that stops may be busier than before. */
+export const REPEATABLE_DURATION_FACTOR = 1.5;
+
+/** Factor applied to the longest observed duration, or the target latency if that is longer, while few durations of a route are known. */
+export const FEW_OBSERVED_FACTOR = 4;
+
+/** Factor applied to the longest observed duration for requests that must not be repeated. */
+export const ONCE_DURATION_FACTOR = 2;
--- /dev/null
+++ b/packages/callers/src/forward/decide-at-stop.ts
@@ -0,0 +1,60 @@
+import type {TrafficRoute} from '@egretrill/common';
+import {
+	FEW_OBSERVED_FACTOR, MIN_OBSERVED_DURATIONS, ONCE_DURATION_FACTOR, REPEATABLE_DURATION_FACTOR, STOP_END_MARGIN_MS,
+} from './constants.js';
+
+/** How long requests of a route have taken on this host: their number, a high quantile and the longest. */
+export type ObservedDurations = {readonly count: number; readonly highMs: number; readonly longestMs: number};
+
+/** What is known of a request during a planned stop of this host. */
+export type StopState = {
+	readonly route: Pick<TrafficRoute, 'repeat' | 'isStream' | 'isResumable' | 'targetLatencyMs'>;
+	/** Time until this host ends all requests. */
+	readonly stopLeftMs: number;
+	/** Time until the request reaches its own time limit. */
+	readonly requestLeftMs: number;
+	/** How long a stream that is to be resumed has run already. */
+	readonly ranMs: number;
+	readonly observed: ObservedDurations;
+};
+
+/** What an expected duration is based on. */
+export type DurationBasis = 'observed' | 'few-observed' | 'target-latency' | 'time-limit';
+
+/** Whether a request is served although its host stops, and how long it is expected to take. */
+export type StopDecision = {readonly isServed: boolean; readonly expectedMs: number; readonly basis: DurationBasis};
+
+type Expectation = {readonly expectedMs: number; readonly basis: DurationBasis};
+
+/** Whether a request that is cut off may be sent again, by this host or its caller. */
+export function isRepeatable({repeat, isStream, isResumable}: Pick<TrafficRoute, 'repeat' | 'isStream' | 'isResumable'>): boolean {
+	return isStream ? isResumable : repeat === 'idempotent';
+}
+
+/** A request that must not be repeated loses more by being cut off than by a refusal, so its expectation is the more cautious one. */
+function getExpectation({route, requestLeftMs, ranMs, observed}: StopState): Expectation {
+	const {targetLatencyMs, isStream} = route;
+	const repeatable = isRepeatable(route);
+	if (observed.count >= MIN_OBSERVED_DURATIONS) {
+		const wholeMs = repeatable ? observed.highMs * REPEATABLE_DURATION_FACTOR : observed.longestMs * ONCE_DURATION_FACTOR;
+		return {expectedMs: ranMs > 0 ? Math.max(targetLatencyMs, wholeMs - ranMs) : wholeMs, basis: 'observed'};
+	}
+
+	if (observed.count > 0) {
+		return {expectedMs: Math.max(targetLatencyMs, observed.longestMs) * FEW_OBSERVED_FACTOR, basis: 'few-observed'};
+	}
+
+	// The target latency of a stream is the time to its first event.
+	return repeatable && !isStream
+		? {expectedMs: targetLatencyMs * REPEATABLE_DURATION_FACTOR, basis: 'target-latency'}
+		: {expectedMs: requestLeftMs, basis: 'time-limit'};
+}
+
+/** Decides whether a request is served during a planned stop: only if it is expected to end before this host does. */
+export function decideAtStop(state: StopState): StopDecision {
+	const {stopLeftMs} = state;
+	const requestLeftMs = Math.max(0, state.requestLeftMs);
+	const expectation = getExpectation({...state, requestLeftMs});
+	const expected: Expectation = expectation.expectedMs < requestLeftMs ? expectation : {expectedMs: requestLeftMs, basis: 'time-limit'};
+	return {isServed: expected.expectedMs + STOP_END_MARGIN_MS <= stopLeftMs, ...expected};
+}
--- a/packages/callers/src/forward/forward-context.ts
+++ b/packages/callers/src/forward/forward-context.ts
@@ -1,4 +1,5 @@
 import type {TrafficCustomer, TrafficRoute} from '@egretrill/common';
+import type {StopRefusal} from './check-stop.js';
 import type {CallerExchange} from './caller-exchange.js';
 import type {ForwardDependencies} from './forward-dependencies.js';
 import type {EventOrder} from './event-order.js';
@@ -35,6 +36,10 @@
 	/** Body bytes relayed from all targets. */
 	relayedBytes: number;
 	readonly chunkTimes: ChunkTimes;
+	/** Time of the first attempt. */
+	sentMs?: number;
+	/** Set when the request is refused or not sent again because this host stops. */
+	stopRefusal?: StopRefusal;
 	targetId?: string;
 	outstanding?: number;
 	status?: number;
--- a/packages/callers/src/forward/forward-dependencies.ts
+++ b/packages/callers/src/forward/forward-dependencies.ts
@@ -3,9 +3,12 @@
 } from '@egretrill/common';
 import type {Result} from 'true-myth';
 import type {RetryBudget} from '../retry-budget.js';
+import type {StopRefusal} from './check-stop.js';
 import type {ForwardDialect} from './forward-dialect.js';
 import type {TargetSlot, SlotQueue} from './slot-queue.js';
+import type {PlannedStop} from './planned-stop.js';
 import type {RateDecision, RateAllocations} from './rate-allocations.js';
+import type {RouteDurations} from './route-durations.js';
 import type {RouteTable} from './route-table.js';
 import type {ForwardCall} from './types.js';
 import type {RetrySchedule} from './wait-forecast.js';
@@ -69,6 +72,8 @@
 	/** Time to the first chunk of a stream, and the longest pause between two chunks. */
 	readonly firstMs?: number;
 	readonly longestPauseMs?: number;
+	/** Why a planned stop of this host ended the request. */
+	readonly stopRefusal?: StopRefusal;
 };
 
 /** Receives events of forwarded requests. */
@@ -98,8 +103,8 @@
 	readonly sender: ForwardSender;
 	readonly observer: ForwardObserver;
 	readonly getTable: () => RouteTable | undefined;
-	/** Aborts when this host stops and requests in progress must end. */
-	readonly stopping: AbortSignal;
+	readonly stop: PlannedStop;
+	readonly durations: RouteDurations;
 	/** Retry budget of a service. */
 	readonly getRetries: (service: string) => RetryBudget;
 };
--- a/packages/callers/src/forward/forward-request.ts
+++ b/packages/callers/src/forward/forward-request.ts
@@ -5,11 +5,13 @@
 import {MIN_RETRY_AFTER_MS, NO_TARGET_RETRY_MS} from './constants.js';
 import type {ForwardEndEvent, ForwardDependencies} from './forward-dependencies.js';
 import type {ForwardContext, ForwardProgress} from './forward-context.js';
+import {checkStop, refuseForStop, type StopCheck} from './check-stop.js';
 import {ChunkTimes} from './chunk-times.js';
 import {forwardToTarget} from './forward-to-target.js';
 import {GuardedSender} from './guarded-sender.js';
 import type {RateDecision} from './rate-allocations.js';
 import {getCost, pickService, type RouteTable} from './route-table.js';
+import {readBodyUntil} from './read-body-until.js';
 import {acquireSlot} from './slot-search.js';
 import {mayRetry} from './open-attempt.js';
 import type {ForwardCall} from './types.js';
@@ -64,7 +66,7 @@
 		return refuse(400, 'invalid-request', 'The request lacks what it needs to be served.');
 	}
 
-	const admitted = await admit(exchange, table, call, deps);
+	const admitted = await admit(exchange, deps, state, {table, call});
 	state.admitted = admitted;
 	if ('refusal' in admitted) {
 		return admitted.refusal;
@@ -118,6 +120,7 @@
 		tookMs: clock.now() - startedMs,
 		...getChunkTimes(progress.chunkTimes),
 		...(!isRequestComplete && {isRequestIncomplete: true}),
+		...(outcome !== 'answered' && progress.stopRefusal && {stopRefusal: progress.stopRefusal}),
 		...(progress.answerSummary && {bodyEnd: progress.answerSummary.framing, bodyBytes: progress.answerSummary.bytes}),
 	};
 }
@@ -145,8 +148,15 @@
 /** A refused request, with what is known about it. */
 type Refused = {readonly refusal: Verdict; readonly route?: TrafficRoute; readonly customer?: TrafficCustomer};
 
+type ParsedRequest = {readonly table: RouteTable; readonly call: ForwardCall};
+
+/** Time at which a request reaches its time limit. */
+function getEndsMs({timeoutMs}: TrafficRoute, {timeLeftMs}: ForwardCall, startedMs: number): number {
+	return startedMs + Math.min(timeoutMs, timeLeftMs ?? timeoutMs);
+}
+
 /** Checks that the configuration allows a request, and charges it to its customer's rate. */
-async function admit(exchange: CallerExchange, table: RouteTable, call: ForwardCall, deps: ForwardDependencies): Promise<Admitted | Refused> {
+async function admit(exchange: CallerExchange, deps: ForwardDependencies, {startedMs, progress}: RequestState, {table, call}: ParsedRequest): Promise<Admitted | Refused> {
 	const route = table.findRoute(call.hostName, call.url);
 	if (route.isErr) {
 		return {refusal: route.error};
@@ -157,27 +167,39 @@
 		return {refusal: customer.error, route: route.value};
 	}
 
-	const body = await exchange.readBody(table.config.limits.maxBodyBytes);
-	if (!body) {
-		return {refusal: refuse(413, 'body-too-large', `The body is longer than ${table.config.limits.maxBodyBytes} bytes.`), route: route.value, customer: customer.value};
+	const known = {route: route.value, customer: customer.value};
+	const body = await readAllowedBody(exchange, table, deps, {route: route.value, progress, endsMs: getEndsMs(route.value, call, startedMs)});
+	if ('status' in body) {
+		return {refusal: body, ...known};
 	}
 
 	const service = pickService(route.value, deps.random());
 	if (service === undefined) {
-		return {refusal: refuse(503, 'no-service', 'The route leads to no service.', NO_TARGET_RETRY_MS), route: route.value, customer: customer.value};
+		return {refusal: refuse(503, 'no-service', 'The route leads to no service.', NO_TARGET_RETRY_MS), ...known};
 	}
 
 	const decision = customer.value && await spendRate(customer.value, call, deps);
 	if (decision && !decision.isGranted) {
 		const retryAfterMs = deps.retrySchedule.getRetryAfterMs(customer.value?.name ?? '', Math.max(MIN_RETRY_AFTER_MS, decision.retryAfterMs));
-		return {refusal: refuse(429, 'over-rate', 'The customer has used up its rate.', retryAfterMs), route: route.value, customer: customer.value};
+		return {refusal: refuse(429, 'over-rate', 'The customer has used up its rate.', retryAfterMs), ...known};
 	}
 
 	// No copy of a model serves requests over the customer's rate, so they do not count as demand.
 	deps.observer.recordArrival(service, call);
-	return {
-		route: route.value, service, customer: customer.value, body,
-	};
+	return {...known, service, body};
+}
+
+/** Reads the body of a request, unless it is too long or not expected to end before this host stops. */
+async function readAllowedBody(exchange: CallerExchange, {config: {limits}}: RouteTable, deps: ForwardDependencies, request: Omit<StopCheck, 'deps'>): Promise<Uint8Array | Verdict> {
+	const refusal = checkStop({...request, deps}, 'arrival');
+	if (refusal) {
+		return refusal;
+	}
+
+	const body = await readBodyUntil(exchange, limits.maxBodyBytes, deps.stop.ended);
+	return checkStop({...request, deps}, 'body')
+		?? body
+		?? refuse(413, 'body-too-large', `The body is longer than ${limits.maxBodyBytes} bytes.`);
 }
 
 /** Charges a request to its customer's rate: to this host's allocation first, then to the owner's pool. */
@@ -195,8 +217,8 @@
 /** Runs a request until it is answered, times out, its caller disconnects or this host stops. */
 async function runWithDeadline(admitted: Omit<ForwardContext, 'endsMs' | 'signal'>, startedMs: number): Promise<ForwardOutcome> {
 	const {deps, exchange, call, route} = admitted;
-	const {clock} = deps;
-	const timeoutMs = Math.min(route.timeoutMs, call.timeLeftMs ?? route.timeoutMs);
+	const {clock, stop: {ended}} = deps;
+	const endsMs = getEndsMs(route, call, startedMs);
 	const aborter = new AbortController();
 	const timer = new AbortController();
 	const stop = (): void => {
@@ -205,27 +227,27 @@
 	};
 
 	const expire = async (): Promise<void> => {
-		await clock.sleep(startedMs + timeoutMs - clock.now(), timer.signal);
+		await clock.sleep(endsMs - clock.now(), timer.signal);
 		aborter.abort();
 	};
 
 	exchange.cancelWritesOn(aborter.signal);
 	exchange.callerDisconnected.addEventListener('abort', stop, {once: true});
-	deps.stopping.addEventListener('abort', stop, {once: true});
+	ended.addEventListener('abort', stop, {once: true});
 	void expire();
 	try {
-		if (deps.stopping.aborted) {
+		if (ended.aborted) {
 			// Its answer might not arrive before the connections are closed.
-			return refuse(503, 'stopping', 'This host is shutting down.', MIN_RETRY_AFTER_MS);
+			return refuseForStop();
 		}
 
 		return exchange.callerDisconnected.aborted
 			? refuse(503, 'caller-left', 'The caller left before the request was placed.')
-			: await forwardUntilAnswered({...admitted, endsMs: startedMs + timeoutMs, signal: aborter.signal});
+			: await forwardUntilAnswered({...admitted, endsMs, signal: aborter.signal});
 	} finally {
 		timer.abort();
 		exchange.callerDisconnected.removeEventListener('abort', stop);
-		deps.stopping.removeEventListener('abort', stop);
+		ended.removeEventListener('abort', stop);
 		refundUnsent(admitted);
 	}
 }
@@ -262,11 +284,15 @@
 }
 
 /** The outcome of a request without a complete answer; a refusal with "not run" is correct only if no target may have run the request. */
-function getUnansweredOutcome({progress, exchange, signal}: ForwardContext, verdict: Verdict): ForwardOutcome {
+function getUnansweredOutcome({deps, progress, exchange, signal}: ForwardContext, verdict: Verdict): ForwardOutcome {
 	if (exchange.hasStarted()) {
 		return 'broken';
 	}
 
+	if (deps.stop.ended.aborted) {
+		return progress.mayHaveRun ? mayHaveRun(504, 'stopping', 'This host shut down before a target had answered.') : refuseForStop();
+	}
+
 	if (progress.mayHaveRun) {
 		return signal.aborted
 			? mayHaveRun(504, 'timeout', 'No target answered in time.')
--- a/packages/callers/src/forward/open-attempt.ts
+++ b/packages/callers/src/forward/open-attempt.ts
@@ -1,5 +1,6 @@
-import type {SendFailure, TrafficRoute} from '@egretrill/common';
+import type {SendFailure} from '@egretrill/common';
 import {checkAnswer, STATUS_MISDIRECTED, STATUS_REDIRECT} from './check-answer.js';
+import {isRepeatable} from './decide-at-stop.js';
 import type {AttemptFailure, AttemptOutcome, ForwardContext} from './forward-context.js';
 import type {TargetAnswer} from './forward-dependencies.js';
 import type {TargetSlot, SlotOutcome} from './slot-queue.js';
@@ -30,6 +31,7 @@
 	const {deps: {clock}, progress} = context;
 	const startedMs = clock.now();
 	progress.tried.add(slot.targetId);
+	progress.sentMs ??= startedMs;
 	let head: AnsweredHead | AttemptFailure = EXCHANGE_FAILED;
 	try {
 		head = await sendRequest(context, slot, signal);
@@ -49,9 +51,13 @@
 }
 
 /** Releases the slot of an attempt and records how it ended. */
-export function endAttempt({deps: {clock, observer}, call, progress}: ForwardContext, attempt: Omit<OpenAttempt, 'kind' | 'answer' | 'metadata'>, outcome: AttemptOutcome): void {
+export function endAttempt({deps: {clock, observer, durations}, call, route, progress}: ForwardContext, attempt: Omit<OpenAttempt, 'kind' | 'answer' | 'metadata'>, outcome: AttemptOutcome): void {
 	const {slot, signal, number, startedMs} = attempt;
 	slot.release(getSlotOutcome(outcome, signal, progress.status));
+	if (outcome.kind === 'answered') {
+		durations.record(route.name, clock.now() - (progress.sentMs ?? startedMs));
+	}
+
 	progress.mayHaveRun ||= outcome.kind === 'broken';
 	observer.recordAttempt({
 		call, slot, attempt: number, outcome: outcome.kind, tookMs: clock.now() - startedMs, ...('reason' in outcome && {reason: outcome.reason}),
@@ -86,7 +92,7 @@
 async function sendRequest(context: ForwardContext, slot: TargetSlot, signal: AbortSignal): Promise<AnsweredHead | AttemptFailure> {
 	const {deps, call, body, route, progress, exchange} = context;
 	const sent = await deps.sender.send({
-		address: slot.address, method: call.method, url: call.url, headers: writeHeaders(context, slot), body, mayReuse: isRetryable(route),
+		address: slot.address, method: call.method, url: call.url, headers: writeHeaders(context, slot), body, mayReuse: isRepeatable(route),
 	}, signal);
 	if (sent.isErr) {
 		progress.attempts += sent.error.accepted ? 1 : 0;
@@ -131,15 +137,11 @@
 	return metadata.isEventStream && status < STATUS_REDIRECT && framing !== 'none';
 }
 
-function isRetryable({repeat, isStream, isResumable}: TrafficRoute): boolean {
-	return isStream ? isResumable : repeat === 'idempotent';
-}
-
 /** Whether a request may be sent to another target after an attempt. */
 export function mayRetry({route, progress, exchange}: ForwardContext, outcome: 'not-run' | 'broken'): boolean {
 	if (exchange.hasStarted() && !(route.isStream && route.isResumable && progress.eventOrder?.canContinue())) {
 		return false;
 	}
 
-	return progress.attempts < route.maxAttempts && (outcome === 'not-run' || isRetryable(route));
+	return progress.attempts < route.maxAttempts && (outcome === 'not-run' || isRepeatable(route));
 }
--- /dev/null
+++ b/packages/callers/src/forward/planned-stop.ts
@@ -0,0 +1,35 @@
+import type {Clock} from '@egretrill/common';
+
+/** The planned stop of a host: its beginning, and the time at which the requests in progress must end. */
+export class PlannedStop {
+	private readonly endAbort = new AbortController();
+	private endsMs: number | undefined;
+
+	constructor(private readonly clock: Clock) {}
+
+	/** Aborts when requests in progress must end. */
+	get ended(): AbortSignal {
+		return this.endAbort.signal;
+	}
+
+	begin(durationMs: number): void {
+		this.endsMs = this.clock.now() + durationMs;
+	}
+
+	end(): void {
+		this.endAbort.abort();
+	}
+
+	hasBegun(): boolean {
+		return this.endsMs !== undefined;
+	}
+
+	/** Time until the requests in progress must end; undefined while the host runs. */
+	getTimeLeftMs(): number | undefined {
+		if (this.ended.aborted) {
+			return 0;
+		}
+
+		return this.endsMs === undefined ? undefined : Math.max(0, this.endsMs - this.clock.now());
+	}
+}
--- a/packages/callers/src/forward/slot-queue.ts
+++ b/packages/callers/src/forward/slot-queue.ts
@@ -50,13 +50,19 @@
 /** Number of requests that wait for a copy of a model, and of those that found all copies full (`crowded`). */
 export type ModelBacklog = {readonly service: string; readonly model: string | undefined; readonly waiting: number; readonly crowded: number};
 
+/** How long a request may wait for a slot. */
+export type SlotWait = WaitLimits & {
+	/** Refuses the request for a reason outside the queue; asked before a slot is taken for it. */
+	readonly getRefusal?: () => Verdict | undefined;
+};
+
 type Waiter = {
 	readonly requirements: SlotRequirements;
 	/** Keys that are equal for requests with the same requirements and with the same model. */
 	readonly requirementsKey: string;
 	readonly modelKey: string;
 	readonly priority: number;
-	readonly limits: WaitLimits;
+	readonly limits: SlotWait;
 	readonly startedMs: number;
 	readonly settle: (result: Result<TargetSlot, Verdict>) => void;
 	lastReason: WaitReason;
@@ -119,7 +125,12 @@
 	}
 
 	/** Resolves with a slot, or with a refusal as soon as none is expected within the limits. */
-	async acquire(requirements: SlotRequirements, priority: number, limits: WaitLimits, signal: AbortSignal): Promise<Result<TargetSlot, Verdict>> {
+	async acquire(requirements: SlotRequirements, priority: number, limits: SlotWait, signal: AbortSignal): Promise<Result<TargetSlot, Verdict>> {
+		const refusal = limits.getRefusal?.();
+		if (refusal) {
+			return Result.err(refusal);
+		}
+
 		const requirementsKey = getRequirementsKey(requirements);
 		const initialResult = this.hasEarlierWaiter(requirementsKey, priority) ? undefined : this.findSlot(requirements);
 		if (initialResult?.kind === 'slot') {
@@ -157,6 +168,7 @@
 	dispatch(): void {
 		const unserved = new Map<string, WaitReason>();
 		const ahead = new Map<string, number>();
+		this.refuseForOtherReasons();
 		for (const waiter of this.waiters) {
 			const {requirementsKey, modelKey} = waiter;
 			const known = unserved.get(requirementsKey);
@@ -179,6 +191,15 @@
 		}
 	}
 
+	private refuseForOtherReasons(): void {
+		for (const {limits, settle} of this.waiters) {
+			const refusal = limits.getRefusal?.();
+			if (refusal) {
+				settle(Result.err(refusal));
+			}
+		}
+	}
+
 	private findSlot(requirements: SlotRequirements): SlotResult {
 		const result = this.source.findSlot(requirements);
 		if (result.kind === 'slot') {
--- a/packages/callers/src/forward/slot-search.ts
+++ b/packages/callers/src/forward/slot-search.ts
@@ -1,4 +1,5 @@
 import {refuse, type Verdict} from '@egretrill/common';
+import {checkStop} from './check-stop.js';
 import {MIN_RETRY_AFTER_MS, MIN_TIME_LEFT_TO_SEND_MS} from './constants.js';
 import type {ForwardContext} from './forward-context.js';
 import type {SlotRequirements, TargetSlot} from './slot-queue.js';
@@ -17,14 +18,15 @@
 
 /** Waits for a slot at a target to which the request has not been sent yet. */
 export async function acquireSlot(context: ForwardContext): Promise<TargetSlot | Verdict> {
-	const {deps: {clock, queue}, route, progress, endsMs, signal} = context;
+	const {deps: {clock, queue}, route, progress, endsMs, signal, exchange} = context;
 	const startedMs = clock.now();
 	const remainingMs = endsMs - startedMs;
 	if (remainingMs < MIN_TIME_LEFT_TO_SEND_MS) {
 		return refuse(503, 'out-of-time', 'The time of the request is over.', MIN_RETRY_AFTER_MS);
 	}
 
-	const acquired = await queue.acquire(getRequirements(context), getPriority(context), getWaitLimits(route, remainingMs), signal);
+	const wait = {...getWaitLimits(route, remainingMs), getRefusal: () => checkStop({...context, hasStarted: exchange.hasStarted()}, 'send')};
+	const acquired = await queue.acquire(getRequirements(context), getPriority(context), wait, signal);
 	progress.waitMs += clock.now() - startedMs;
 	return acquired.isOk ? acquired.value : acquired.error;
 }
--- /dev/null
+++ b/packages/callers/tests/forward/stopping-requests.test.ts
@@ -0,0 +1,57 @@
+import {expect} from 'chai';
+import {runStoppedRequest, type ScenarioOptions} from './support/forward-scenario.js';
+
+const event = (id: number): string => `id: ${id}\ndata: x\n\n`;
+const failedAfterSend = {accepted: true, code: 'ECONNRESET', reason: 'reset'};
+const resumable = {isStream: true, isResumable: true, timeoutMs: 20_000};
+/** Durations of enough requests that took about a second. */
+const history = Array.from({length: 30}, () => 1000);
+
+const rows: Readonly<Record<string, ScenarioOptions>> = {
+	'a request that waits in the queue when the stop begins': {
+		targets: ['t1'], freeAfterMs: {t1: 300}, stop: {afterMs: 100, durationMs: 500}, route: {timeoutMs: 10_000},
+	},
+	'a request that waits in the queue and is expected to end': {
+		targets: ['t1'], freeAfterMs: {t1: 100}, stop: {afterMs: 100, durationMs: 5000}, history, answers: [{headDelayMs: 1000, chunks: ['ok']}],
+	},
+	'a request in flight that ends in time': {
+		stop: {afterMs: 100, durationMs: 2000}, answers: [{headDelayMs: 1500, chunks: ['ok']}],
+	},
+	'a request in flight that does not end in time': {
+		stop: {afterMs: 100, durationMs: 500}, answers: [{headDelayMs: 1500, chunks: ['ok']}],
+	},
+	'a second attempt that is expected to end': {
+		route: {repeat: 'idempotent'}, history, stop: {afterMs: 100, durationMs: 5000}, answers: [{headDelayMs: 300, failure: failedAfterSend}, {chunks: ['ok']}],
+	},
+	'a second attempt that is not expected to end': {
+		route: {repeat: 'idempotent'}, history, stop: {afterMs: 100, durationMs: 1200}, answers: [{headDelayMs: 300, failure: failedAfterSend}, {chunks: ['ok']}],
+	},
+	'a second attempt after one that did not run': {
+		history, stop: {afterMs: 100, durationMs: 1200}, answers: [{headDelayMs: 300, failure: {...failedAfterSend, accepted: false}}, {chunks: ['ok']}],
+	},
+	'the rest of a stream that is expected to end': {
+		route: resumable, history, stop: {afterMs: 100, durationMs: 5000}, answers: [{
+			isEventStream: true, chunks: [event(1), event(2)], pausesMs: {1: 300}, isCut: true,
+		}, {isEventStream: true, chunks: [event(3)]}],
+	},
+	'the rest of a stream that is not expected to end': {
+		route: resumable, history, stop: {afterMs: 100, durationMs: 700}, answers: [{
+			isEventStream: true, chunks: [event(1), event(2)], pausesMs: {1: 300}, isCut: true,
+		}, {isEventStream: true, chunks: [event(3)]}],
+	},
+	'a silent stream that goes on at another target': {
+		route: resumable, history, stop: {afterMs: 100, durationMs: 5000}, answers: [{isEventStream: true, chunks: [event(1)], isSilent: true}, {isEventStream: true, chunks: [event(2)]}],
+	},
+	'a silent stream that would not end at another target': {
+		route: resumable, history, stop: {afterMs: 100, durationMs: 1400}, answers: [{isEventStream: true, chunks: [event(1), event(2)], pausesMs: {1: 1300}}, {isEventStream: true, chunks: [event(2)]}],
+	},
+};
+
+describe('forwardRequest during a planned stop', () => {
+	// Guards against an attempt that the end of the stop cuts off, and against a refusal that says "not run" of a request that may have run.
+	for (const [name, opts] of Object.entries(rows)) {
+		it(`answers truly: ${name}`, async () => {
+			expect(await runStoppedRequest(opts)).toMatchSnapshot();
+		});
+	}
+});
--- a/packages/callers/tests/forward/support/forward-scenario.ts
+++ b/packages/callers/tests/forward/support/forward-scenario.ts
@@ -3,7 +3,7 @@
 } from '@egretrill/common';
 import {RetryBudget} from '../../../src/index.js';
 import {
-	type ForwardDependencies, forwardRequest, SlotQueue, RetrySchedule, RouteTable,
+	type ForwardDependencies, forwardRequest, PlannedStop, RouteDurations, SlotQueue, RetrySchedule, RouteTable,
 } from '../../../src/forward/index.js';
 import {
 	type FakeAnswer, type ThrowingStep, FakeDialect, FakeSender, FakeExchange, FakeSlots, EndRecorder, RecordingRates, UnavailablePoolClient,
@@ -46,6 +46,10 @@
 	/** Whether this host may spend the customer's rate. */
 	readonly hasRate?: boolean;
 	readonly throwingStep?: ThrowingStep;
+	/** A planned stop of the host, counted from the arrival of the request. */
+	readonly stop?: {readonly afterMs: number; readonly durationMs: number};
+	/** Durations of earlier requests of the route. */
+	readonly history?: readonly number[];
 };
 
 /** Runs one request of a caller and returns how often it was counted as demand. */
@@ -69,6 +73,14 @@
 	};
 }
 
+/** Runs one request of a caller during a planned stop; returns also why the stop ended it. */
+export async function runStoppedRequest(opts: ScenarioOptions): Promise<unknown> {
+	const {exchange, sender, slots, observer} = await runScenario(opts);
+	return {
+		caller: exchange.received, targets: sender.sent, ends: slots.ends, stopRefusal: observer.ends[0]?.stopRefusal,
+	};
+}
+
 async function catchError(task: Promise<void>): Promise<unknown> {
 	try {
 		await task;
@@ -120,8 +132,15 @@
 		await clock.run(2000);
 	}
 
+	const queue = new SlotQueue(clock, slots);
+	const stop = new PlannedStop(clock);
+	const durations = new RouteDurations();
+	for (const durationMs of opts.history ?? []) {
+		durations.record(route.name, durationMs);
+	}
+
 	const deps: ForwardDependencies = {
-		clock, random: () => 0, dialect: new FakeDialect(opts.throwingStep), queue: new SlotQueue(clock, slots), rates, poolClient: new UnavailablePoolClient(), retrySchedule: new RetrySchedule(clock), sender, observer, getTable: () => opts.isUnconfigured ? undefined : table, stopping: new AbortController().signal, getRetries: () => retries,
+		clock, random: () => 0, dialect: new FakeDialect(opts.throwingStep), queue, rates, poolClient: new UnavailablePoolClient(), retrySchedule: new RetrySchedule(clock), sender, observer, getTable: () => opts.isUnconfigured ? undefined : table, stop, durations, getRetries: () => retries,
 	};
 	const served = catchError(forwardRequest(exchange, deps));
 	if (opts.disconnectsAfterMs !== undefined) {
@@ -129,6 +148,14 @@
 		exchange.disconnected.abort();
 	}
 
+	if (opts.stop) {
+		await clock.run(opts.stop.afterMs);
+		stop.begin(opts.stop.durationMs);
+		queue.dispatch();
+		await clock.run(opts.stop.durationMs);
+		stop.end();
+	}
+
 	await clock.run(200_000);
 	const error = await served;
 	return {
