engines: learn how far a target's sequence grows with each call

Callers would have lost targets whose sequence grows by more than ten a call: each registration would have been set aside, and at best one in 3.6 s counted. Cause: judgeSequence took a growth of one a call for granted; the contract says only that the sequence increases. Change: a run of registrations knows its largest step, and the allowed growth is counted in such steps; the second registration of a run always counts. The calls of the time between are counted from 250 ms on, since targets repeat refused calls sooner than their heartbeat. Evidence: the new test fails with the sources before (step 1000) and passes now.

--- a/packages/engines/src/registry/constants.ts
+++ b/packages/engines/src/registry/constants.ts
@@ -4,8 +4,8 @@
 /** Two heartbeats: a target that has been silent for this long loses its address to another one that registers with it. */
 export const ADDRESS_SILENCE_MS = 2400;
 
-/** Shortest time between two calls of a target in the long run; targets call every 1.2 s. */
-export const CALL_INTERVAL_MS = 1000;
+/** Shortest time between two calls of a target in the long run: it calls every 1.2 s, and sooner while control hosts refuse its calls. */
+export const MIN_CALL_INTERVAL_MS = 250;
 
 /** Calls that may be missing before a registration in addition to those of the time between, since it may arrive seconds before delayed ones. */
 export const MAX_SKIPPED_CALLS = 10;
--- a/packages/engines/src/registry/sequence-run.ts
+++ b/packages/engines/src/registry/sequence-run.ts
@@ -1,29 +1,39 @@
 import {
-	CALL_INTERVAL_MS, MAX_DELAYED_CALLS, MAX_SKIPPED_CALLS, SEQUENCE_PROOF_MS,
+	MAX_DELAYED_CALLS, MAX_SKIPPED_CALLS, MIN_CALL_INTERVAL_MS, SEQUENCE_PROOF_MS,
 } from './constants.js';
 
-/** Registrations of one lifetime whose sequences grow as those of one process do. */
-export type SequenceRun = {
+/** The last of the registrations of one lifetime that follow each other. */
+export type RunEnd = {
 	readonly sequence: number;
-	/** When the first and the last registration of the run were received. */
-	readonly sinceMs: number;
+	/** Largest growth of the sequence from one of them to the next; unknown after the first. */
+	readonly step: number | undefined;
 	readonly lastMs: number;
 };
 
-type RunEnd = Pick<SequenceRun, 'sequence' | 'lastMs'>;
+/** Registrations that do not count yet. */
+export type SequenceRun = RunEnd & {readonly sinceMs: number};
 
-/** Whether a registration counts, or else the run of registrations that may count later. */
-export type SequenceVerdict = {readonly isNext: true} | {readonly isNext: false; readonly rival: SequenceRun | undefined};
+/** Whether a registration counts, with the step of its run, or else the run of registrations that may count later. */
+export type SequenceVerdict = {readonly isNext: true; readonly step: number | undefined} | {readonly isNext: false; readonly rival: SequenceRun | undefined};
 
-/** Whether the sequence has grown no further than by the calls of the time between, of which some may be delayed. */
-function continuesRun(sequence: number, receivedMs: number, run: RunEnd): boolean {
-	const missedCalls = Math.max(0, receivedMs - run.lastMs) / CALL_INTERVAL_MS;
-	return sequence > run.sequence && sequence - run.sequence <= MAX_SKIPPED_CALLS + missedCalls;
+/** Whether the sequence has grown no further than by the calls of the time between, of which some may be delayed. Nothing is known of the growth before the second registration. */
+function continuesRun(sequence: number, receivedMs: number, {sequence: last, step = Infinity, lastMs}: RunEnd): boolean {
+	const missedCalls = Math.max(0, receivedMs - lastMs) / MIN_CALL_INTERVAL_MS;
+	return sequence > last && sequence - last <= (MAX_SKIPPED_CALLS + missedCalls) * step;
+}
+
+function getStep(sequence: number, run: RunEnd): number {
+	return Math.max(run.step ?? 1, sequence - run.sequence);
 }
 
 function extendRival(sequence: number, receivedMs: number, rival: SequenceRun | undefined): SequenceRun {
-	const sinceMs = rival && continuesRun(sequence, receivedMs, rival) ? rival.sinceMs : receivedMs;
-	return {sequence, sinceMs, lastMs: receivedMs};
+	return rival && continuesRun(sequence, receivedMs, rival)
+		? {
+			sequence, step: getStep(sequence, rival), sinceMs: rival.sinceMs, lastMs: receivedMs,
+		}
+		: {
+			sequence, step: undefined, sinceMs: receivedMs, lastMs: receivedMs,
+		};
 }
 
 /**
@@ -32,7 +42,7 @@
  */
 export function judgeSequence(sequence: number, receivedMs: number, counting: RunEnd, rival: SequenceRun | undefined): SequenceVerdict {
 	if (continuesRun(sequence, receivedMs, counting)) {
-		return {isNext: true};
+		return {isNext: true, step: getStep(sequence, counting)};
 	}
 
 	const isDelayed = sequence <= counting.sequence && counting.sequence - sequence <= MAX_DELAYED_CALLS;
@@ -43,5 +53,5 @@
 
 	const extended = extendRival(sequence, receivedMs, rival);
 	const isProven = extended.lastMs - extended.sinceMs >= SEQUENCE_PROOF_MS && receivedMs - counting.lastMs >= SEQUENCE_PROOF_MS;
-	return isProven ? {isNext: true} : {isNext: false, rival: extended};
+	return isProven ? {isNext: true, step: extended.step} : {isNext: false, rival: extended};
 }
--- a/packages/engines/src/registry/target-registry.ts
+++ b/packages/engines/src/registry/target-registry.ts
@@ -6,7 +6,7 @@
 import {
 	ADDRESS_SILENCE_MS, DROPPED_TARGETS, ENDED_RETENTION_MS, FULL_CHECK_INTERVAL_MS, MAX_REGISTRY_VALUES, MAX_TARGETS, MODELS_OVERRIDE_MS, REGISTRATION_TTL_MS,
 } from './constants.js';
-import {judgeSequence, type SequenceRun} from './sequence-run.js';
+import {judgeSequence, type SequenceRun, type SequenceVerdict} from './sequence-run.js';
 import type {RegisteredTarget, RegistryUpdate} from './types.js';
 
 type Entry = {
@@ -18,6 +18,8 @@
 	/** Position among the targets in the order of their first registration at their address. */
 	readonly claimOrder: number;
 	readonly steadySinceMs: number;
+	/** Largest growth of the sequence between two registrations; unknown after the first. */
+	readonly sequenceStep?: number | undefined;
 	/** Registrations of the same lifetime that do not count, since their sequences are out of line. */
 	readonly rival?: SequenceRun | undefined;
 	/** Revision of the last change that must be sent to other hosts. */
@@ -70,7 +72,9 @@
 	accept(registration: Registration, ageMs = 0): boolean {
 		const receivedMs = this.clock.now() - ageMs;
 		const stored = this.entries.get(registration.targetId);
-		if (stored && !this.isNewer(registration, receivedMs, stored)) {
+		const verdict: SequenceVerdict = stored ? this.judge(registration, receivedMs, stored) : {isNext: true, step: undefined};
+		if (!verdict.isNext) {
+			this.recordRival(registration.targetId, verdict.rival);
 			return false;
 		}
 
@@ -78,7 +82,7 @@
 			return false;
 		}
 
-		this.storeRegistration(registration, receivedMs, stored);
+		this.storeRegistration(registration, {receivedMs, sequenceStep: verdict.step}, stored);
 		this.assignAddress(registration.address);
 		return true;
 	}
@@ -176,29 +180,28 @@
 		return entry && !entry.hasEnded && !entry.isWaiting ? this.toRegisteredTarget(entry).registration : undefined;
 	}
 
-	/** Whether a registration is newer than the stored one of the same target. */
-	private isNewer({startedAtMs, sequence}: Registration, receivedMs: number, stored: Entry): boolean {
-		if (startedAtMs !== stored.registration.startedAtMs) {
-			return startedAtMs > stored.registration.startedAtMs;
+	/** Decides whether a registration replaces the stored one of the same target. */
+	private judge({startedAtMs, sequence}: Registration, receivedMs: number, stored: Entry): SequenceVerdict {
+		const {registration: last, sequenceStep, rival} = stored;
+		if (startedAtMs !== last.startedAtMs) {
+			return startedAtMs > last.startedAtMs ? {isNext: true, step: undefined} : {isNext: false, rival};
 		}
 
-		if (stored.hasEnded) {
-			return false;
-		}
+		return stored.hasEnded ? {isNext: false, rival} : judgeSequence(sequence, receivedMs, {sequence: last.sequence, step: sequenceStep, lastMs: stored.receivedMs}, rival);
+	}
 
-		const verdict = judgeSequence(sequence, receivedMs, {sequence: stored.registration.sequence, lastMs: stored.receivedMs}, stored.rival);
-		if (!verdict.isNext) {
-			this.setEntry({...stored, rival: verdict.rival});
+	private recordRival(targetId: string, rival: SequenceRun | undefined): void {
+		const stored = this.entries.get(targetId);
+		if (stored && stored.rival !== rival) {
+			this.setEntry({...stored, rival});
 		}
-
-		return verdict.isNext;
 	}
 
-	private storeRegistration(registration: Registration, receivedMs: number, stored: Entry | undefined): void {
+	private storeRegistration(registration: Registration, {receivedMs, sequenceStep}: Pick<Entry, 'receivedMs' | 'sequenceStep'>, stored: Entry | undefined): void {
 		const isSameProcess = stored?.registration.startedAtMs === registration.startedAtMs;
 		const modelsOverride = isSameProcess && stored.modelsOverride && stored.modelsOverride.untilMs > receivedMs ? stored.modelsOverride : undefined;
 		const entry = {
-			registration, receivedMs, hasEnded: false, modelsOverride, rival: undefined, ...this.createClaim(registration, receivedMs, stored),
+			registration, receivedMs, hasEnded: false, modelsOverride, sequenceStep, rival: undefined, ...this.createClaim(registration, receivedMs, stored),
 		};
 		const wasSilent = stored !== undefined && receivedMs - stored.receivedMs > REGISTRATION_TTL_MS;
 		if (stored && !stored.hasEnded && !wasSilent && isSameState(this.toRegisteredTarget(stored).registration, this.toRegisteredTarget({...stored, ...entry}).registration)) {
--- a/packages/engines/tests/registry/sequence-run.test.ts
+++ b/packages/engines/tests/registry/sequence-run.test.ts
@@ -58,6 +58,20 @@
 		expect(runEngine(clock, registry, 1004, 2)).to.deep.equal([1004, 1005]);
 	});
 
+	// Guards against an engine whose sequence grows by more than one with each call, and whose registrations would be set aside.
+	it('count at once whatever their step', () => {
+		for (const step of [1, 7, 1000, 1_000_000]) {
+			const clock = new ManualClock();
+			const registry = new TargetRegistry(clock, 'r1');
+			const counting = Array.from({length: 6}, (_, i) => {
+				registry.accept(register(i * step));
+				clock.advance(HEARTBEAT_MS);
+				return registry.get('t1')?.sequence;
+			});
+			expect(counting, `step ${step}`).to.deep.equal([0, 1, 2, 3, 4, 5].map(i => i * step));
+		}
+	});
+
 	// Guards against an entry with a low sequence that keeps out the engine's own, which are far ahead.
 	it('of an engine count a few heartbeats after an entry with a low one', () => {
 		const clock = new ManualClock();
