engines: vary the trouble of the histories of orders

Each history of room-histories.test.ts now draws how many orders are lost or late, how old reports are, how many registrations are late, how many use reports are missed, and whether an order without effect is answered before its count is compared. Demand shifts between adapters within seconds, so that they are unloaded while requests still use them.

--- a/packages/engines/tests/loading/room-histories.test.ts
+++ b/packages/engines/tests/loading/room-histories.test.ts
@@ -9,25 +9,32 @@
 import {TargetRegistry} from '../../src/registry/index.js';
 import {drawOrderFate, SimulatedEngine} from './simulated-engine.js';
 
-const HISTORIES = 60;
-const LENGTH_MS = 40_000;
-const ENGINES = 2;
+const HISTORIES = 200;
+const LENGTH_MS = 30_000;
+/** Each history draws its own kind of trouble up to these bounds. */
+const MAX_ENGINES = 2;
+const MAX_LOSS_RATIO = 0.5;
+const MAX_LATE_REGISTRATION_RATIO = 1;
+const MAX_MISSED_USE_REPORT_RATIO = 0.9;
+const MIN_ADAPTERS = 6;
+const ADAPTERS_IN_DEMAND = 5;
+const DEMAND_SHIFT_MS = 700;
+const MAX_ADAPTERS = 9;
 /** Longest delay of an order, a registration and a report's state. */
-const MAX_ORDER_DELAY_MS = 3000;
-const MAX_REGISTRATION_DELAY_MS = 4000;
-const MAX_REPORT_LAG_MS = 600;
+const MAX_ORDER_DELAY_MS = 2000;
+const MAX_REGISTRATION_DELAY_MS = 5500;
+const MAX_REPORT_LAG_MS = 800;
 const REGISTRATION_PERIOD_MS = 1000;
 const USE_REPORT_PERIOD_MS = 300;
 /** Mean times between events of a history. */
-const MEAN_REQUEST_GAP_MS = 60;
-const MEAN_RESTART_GAP_MS = 30_000;
-const MEAN_TERM_MS = 12_000;
+const MEAN_REQUEST_GAP_MS = 40;
+const MEAN_RESTART_GAP_MS = 40_000;
+const MEAN_TERM_MS = 8000;
 const MEAN_CONFIG_GAP_MS = 8000;
-const MAX_USE_MS = 2500;
+const MAX_USE_MS = 1500;
 const MEAN_DEMAND_GAP_MS = 4000;
 
 const weights = new Map([['a', 60], ['b', 60], ['c', 90], ['d', 30]]);
-const adapters = Array.from({length: 9}, (_, i) => `a${i}`);
 const engineClass: EngineClass = {
 	batchSlots: 8,
 	weightsMb: 160,
@@ -67,6 +74,10 @@
 	private readonly ended = new AbortController();
 	private readonly engines: ReadonlyMap<string, SimulatedEngine>;
 	private readonly reportLagMs: number;
+	private readonly lossRatio: number;
+	private readonly lateRegistrationRatio: number;
+	private readonly missedUseReportRatio: number;
+	private readonly adapters: readonly string[];
 	private fencingToken = 0;
 	private isCutOff = false;
 	private classes: ReadonlyMap<string, EngineClass> = new Map([['s', engineClass]]);
@@ -78,8 +89,15 @@
 	constructor(private readonly seed: number) {
 		this.random = createRandom(seed);
 		this.reportLagMs = this.random() * MAX_REPORT_LAG_MS;
+		this.lossRatio = this.random() * this.random() * MAX_LOSS_RATIO;
+		this.lateRegistrationRatio = this.random() * MAX_LATE_REGISTRATION_RATIO;
+		this.missedUseReportRatio = this.random() * MAX_MISSED_USE_REPORT_RATIO;
+		const adapterCount = MIN_ADAPTERS + Math.floor(this.random() * (MAX_ADAPTERS - MIN_ADAPTERS + 1));
+		this.adapters = Array.from({length: adapterCount}, (_, i) => `a${i}`);
 		const countsEmptyOrders = this.random() < 0.5;
-		this.engines = new Map(Array.from({length: ENGINES}, (_, i) => [`t${i}`, new SimulatedEngine({
+		const answersEmptyOrdersFirst = this.random() < 0.5;
+		const engineCount = 1 + Math.floor(this.random() * MAX_ENGINES);
+		this.engines = new Map(Array.from({length: engineCount}, (_, i) => [`t${i}`, new SimulatedEngine({
 			clock: this.clock,
 			targetId: `t${i}`,
 			adapterSlots: engineClass.adapterSlots,
@@ -87,8 +105,9 @@
 			models: weights,
 			loadMs: 600,
 			countsEmptyOrders: () => countsEmptyOrders,
+			answersEmptyOrdersFirst,
 			getReportLagMs: () => this.isCutOff ? undefined : this.reportLagMs,
-			getOrderFate: () => this.isCutOff ? 'not-sent' : drawOrderFate(this.random, MAX_ORDER_DELAY_MS),
+			getOrderFate: () => this.isCutOff ? 'not-sent' : drawOrderFate(this.random, this.lossRatio, MAX_ORDER_DELAY_MS),
 		})]));
 	}
 
@@ -148,7 +167,7 @@
 
 	private async register(engine: SimulatedEngine): Promise<void> {
 		const registration = engine.register();
-		await this.clock.sleep(this.random() < 0.7 ? this.random() * 50 : this.random() * MAX_REGISTRATION_DELAY_MS, this.ended.signal);
+		await this.clock.sleep(this.random() < this.lateRegistrationRatio ? this.random() * MAX_REGISTRATION_DELAY_MS : this.random() * 50, this.ended.signal);
 		this.registry.accept(registration);
 	}
 
@@ -198,20 +217,31 @@
 	}
 
 	private reportUses(): void {
+		if (this.random() < this.missedUseReportRatio) {
+			return;
+		}
+
 		const nowMs = this.clock.now();
 		const current = [...this.uses.values()].filter(({untilMs}) => untilMs > nowMs);
 		this.owner?.recordAdapterUse('h1', current.map(({targetId, adapter}) => [targetId, 'a', adapter, 1]));
 	}
 
+	/** Demand shifts from one adapter to the next, so that each is evicted within seconds of its load. */
+	private pickAdapter(): string {
+		const shift = Math.floor(this.clock.now() / DEMAND_SHIFT_MS);
+		const index = shift + Math.floor(this.random() * ADAPTERS_IN_DEMAND);
+		return this.adapters[index % this.adapters.length]!;
+	}
+
 	/** One request for an adapter, which an engine that holds it runs for a while. */
 	private async request(): Promise<void> {
-		const adapter = pick(this.random, adapters);
+		const adapter = this.pickAdapter();
 		const {owner, term} = this;
 		owner?.recordArrivals({service: 's', model: 'a', adapter}, 1, 100);
 		const targetId = await owner?.ensureAdapter({service: 's', model: 'a', adapter}, term.signal);
 		const engine = targetId === undefined ? undefined : this.engines.get(targetId);
 		if (engine) {
-			const durationMs = this.random() * this.random() * MAX_USE_MS;
+			const durationMs = this.random() * MAX_USE_MS;
 			engine.use('a', adapter, durationMs);
 			this.uses.set(`${targetId}/${adapter}`, {targetId: targetId!, adapter, untilMs: this.clock.now() + durationMs});
 		}
--- a/packages/engines/tests/loading/simulated-engine.ts
+++ b/packages/engines/tests/loading/simulated-engine.ts
@@ -24,6 +24,8 @@
 	readonly loadMs: number;
 	/** Whether an order that finds its effect in place advances the count of orders. */
 	readonly countsEmptyOrders: () => boolean;
+	/** Whether such an order is answered before its count is compared. */
+	readonly answersEmptyOrdersFirst?: boolean;
 	/** Age of the state that the next report shows, undefined if there is no answer. */
 	readonly getReportLagMs: () => number | undefined;
 	readonly getOrderFate: () => OrderFate;
@@ -153,15 +155,16 @@
 		}
 
 		this.highestToken = order.fencingToken;
-		if (order.expectedOrderCount !== this.orderCount || this.isBusy()) {
-			return 'conflict';
-		}
-
-		if (this.isInEffect(order)) {
+		const isOutdated = order.expectedOrderCount !== this.orderCount || this.isBusy();
+		if (this.isInEffect(order) && (!isOutdated || this.opts.answersEmptyOrdersFirst)) {
 			this.orderCount += this.opts.countsEmptyOrders() ? 1 : 0;
 			return 'done';
 		}
 
+		if (isOutdated) {
+			return 'conflict';
+		}
+
 		const answer = this.execute(order);
 		this.orderCount += answer === 'begun' || answer === 'done' ? 1 : 0;
 		return answer;
@@ -300,16 +303,16 @@
 	}
 }
 
-/** Draws the fate of an order: most arrive at once, some late, some never, and some answers are lost. */
-export function drawOrderFate(random: Random, maxDelayMs: number): OrderFate {
-	const draw = random();
-	if (draw < 0.8) {
+/** Draws the fate of an order: most arrive at once; of the others some arrive late, some never, and some answers are lost. */
+export function drawOrderFate(random: Random, lossRatio: number, maxDelayMs: number): OrderFate {
+	if (random() >= lossRatio) {
 		return {deliveryMs: random() * 20, isAnswered: true};
 	}
 
-	if (draw < 0.87) {
+	const draw = random();
+	if (draw < 0.4) {
 		return {deliveryMs: random() * 20, isAnswered: false};
 	}
 
-	return {deliveryMs: draw < 0.95 ? random() * maxDelayMs : undefined, isAnswered: true};
+	return {deliveryMs: draw < 0.8 ? random() * maxDelayMs : undefined, isAnswered: true};
 }
