engines: free one slot for one unload where two versions hold an adapter

Seen by reading only: a report may list two versions of a model, and an order names none. The account removed an adapter from both versions after one unload that was done, kept the count of orders, and so could fall one slot below what the engine holds. A load was counted once for each version, and an unload counted as done when the first version listed lacked the adapter.

One unload now removes the adapter from one version, one load adds it to one, and an unload is done when no version holds it.

--- a/packages/engines/src/loading/engine-order-queue.ts
+++ b/packages/engines/src/loading/engine-order-queue.ts
@@ -8,7 +8,7 @@
 import type {AdapterSlotChoice, HeldAdapter} from './adapter-slots.js';
 import type {EngineOrders} from './engine-orders.js';
 import {
-	applyStep, holdsOnly, isDone, withAdapter,
+	applyStep, hideAdapter, holdsOnly, isDone,
 } from './held-models.js';
 import type {LoadMove, LoadOrderOutcome, LoadStep} from './types.js';
 
@@ -143,18 +143,19 @@
 
 	private async evictAdapter({model, adapter}: HeldAdapter): Promise<boolean> {
 		const step: LoadStep = {kind: 'unload-adapter', model, adapter};
-		this.publishHoldings(withAdapter(this.getModels(), model, adapter, false));
+		this.publishHoldings(hideAdapter(this.getModels(), model, adapter));
 		return this.carryOut(step, 0);
 	}
 
 	private async loadAdapterIntoFreeSlot({model, adapter, chooseSlot, recordLoad}: AdapterLoad): Promise<boolean> {
 		const isRoomLeft = (): boolean => chooseSlot().kind === 'free';
-		if (!await this.sendOrder({kind: 'load-adapter', model, adapter}, isRoomLeft)) {
+		const step: LoadStep = {kind: 'load-adapter', model, adapter};
+		if (!await this.sendOrder(step, isRoomLeft)) {
 			return false;
 		}
 
 		await this.opts.clock.sleep(ADAPTER_LOAD_MS, this.opts.signal);
-		this.setHoldings(withAdapter(this.getModels(), model, adapter, true));
+		this.setHoldings(applyStep(this.getModels(), step));
 		recordLoad();
 		return true;
 	}
--- a/packages/engines/src/loading/held-models.ts
+++ b/packages/engines/src/loading/held-models.ts
@@ -1,34 +1,45 @@
 import type {HeldModel} from '@egretrill/common';
 import type {LoadStep} from './types.js';
 
+function holdsAdapter(models: readonly HeldModel[], model: string, adapter: string): boolean {
+	return models.some(({name, adapters}) => name === model && adapters.includes(adapter));
+}
+
 /** Whether the effect of a step shows in the models that an engine holds. */
-export function isDone(models: readonly HeldModel[], {kind, model, adapter}: LoadStep): boolean {
-	const held = models.find(({name}) => name === model);
+export function isDone(models: readonly HeldModel[], {kind, model, adapter = ''}: LoadStep): boolean {
 	switch (kind) {
 		case 'load-model': {
-			return held !== undefined;
+			return models.some(({name}) => name === model);
 		}
 
 		case 'unload-model': {
-			return held === undefined;
+			return models.every(({name}) => name !== model);
 		}
 
 		case 'load-adapter': {
-			return held?.adapters.includes(adapter ?? '') ?? false;
+			return holdsAdapter(models, model, adapter);
 		}
 
 		case 'unload-adapter': {
-			return !held?.adapters.includes(adapter ?? '');
+			return !holdsAdapter(models, model, adapter);
 		}
 	}
 }
 
-/** Returns what an engine holds after one adapter was loaded or unloaded. */
-export function withAdapter(models: readonly HeldModel[], model: string, adapter: string, isHeld: boolean): readonly HeldModel[] {
-	return models.map(held => {
-		const others = held.adapters.filter(other => other !== adapter);
-		return held.name === model ? {...held, adapters: isHeld ? [...others, adapter] : others} : held;
-	});
+/** Returns the models without an adapter, whichever versions of its model hold it. */
+export function hideAdapter(models: readonly HeldModel[], model: string, adapter: string): readonly HeldModel[] {
+	return models.map(held => held.name === model ? {...held, adapters: held.adapters.filter(other => other !== adapter)} : held);
+}
+
+function addAdapter(models: readonly HeldModel[], model: string, adapter: string): readonly HeldModel[] {
+	const index = models.findIndex(({name}) => name === model);
+	return holdsAdapter(models, model, adapter) ? models : models.map((held, i) => i === index ? {...held, adapters: [...held.adapters, adapter]} : held);
+}
+
+/** Removes an adapter from one version of its model, since an unload may free one slot only. */
+function removeAdapter(models: readonly HeldModel[], model: string, adapter: string): readonly HeldModel[] {
+	const index = models.findIndex(({name, adapters}) => name === model && adapters.includes(adapter));
+	return models.map((held, i) => i === index ? {...held, adapters: held.adapters.toSpliced(held.adapters.indexOf(adapter), 1)} : held);
 }
 
 /** Returns what an engine holds after a step. */
@@ -43,9 +54,12 @@
 			return models.filter(({name}) => name !== model);
 		}
 
-		case 'load-adapter':
+		case 'load-adapter': {
+			return addAdapter(models, model, adapter);
+		}
+
 		case 'unload-adapter': {
-			return withAdapter(models, model, adapter, kind === 'load-adapter');
+			return removeAdapter(models, model, adapter);
 		}
 	}
 }
--- a/packages/engines/src/loading/index.ts
+++ b/packages/engines/src/loading/index.ts
@@ -4,6 +4,7 @@
 export * from './engine-owner.js';
 export * from './estimate-run.js';
 export * from './estimate-ready-times.js';
+export * from './held-models.js';
 export * from './layout.js';
 export * from './plan-loads.js';
 export * from './spread-demand.js';
