engines: order no adapter of a model that the engine no longer holds

A load of an adapter that waits behind a move may find its model unloaded: the hosts see the model again when a registration arrives while the unload waits for its runs. The queue chose a slot, perhaps evicted an adapter of another model, and ordered the load all the same. The engine refuses it; if it accepted it, the account would have no place for the adapter and fall below what the engine holds.

The queue now looks for the model in its account before each choice.

--- a/packages/engines/src/loading/engine-order-queue.ts
+++ b/packages/engines/src/loading/engine-order-queue.ts
@@ -111,8 +111,8 @@
 	/** Loads an adapter, after evicting others if no slot is free; returns whether the engine holds it. */
 	async loadAdapter(load: AdapterLoad): Promise<boolean> {
 		return this.runInOrder(async () => {
-			for (let evictions = 0; this.models && evictions <= MAX_ADAPTER_EVICTIONS; evictions++) {
-				if (isDone(this.models, {...load, kind: 'load-adapter'})) {
+			for (let evictions = 0; this.holdsModel(load.model) && evictions <= MAX_ADAPTER_EVICTIONS; evictions++) {
+				if (isDone(this.getModels(), {...load, kind: 'load-adapter'})) {
 					return this.confirmAdapter(load);
 				}
 
@@ -136,6 +136,11 @@
 		});
 	}
 
+	/** Whether the account is known and has a model. */
+	private holdsModel(model: string): boolean {
+		return this.models?.some(({name}) => name === model) ?? false;
+	}
+
 	/** Whether an adapter of the account that the hosts do not see is in a new report, which is published. */
 	private async confirmAdapter({model, adapter}: HeldAdapter): Promise<boolean> {
 		return await this.refresh() !== undefined && isDone(this.getModels(), {kind: 'load-adapter', model, adapter});
--- a/packages/engines/tests/loading/order-room.test.ts
+++ b/packages/engines/tests/loading/order-room.test.ts
@@ -191,4 +191,19 @@
 			expect({answers: await Promise.all(loads), orders: await fixture.stop()}).toMatchSnapshot();
 		});
 	}
+
+	// Guards against an order, and an eviction before it, for an adapter whose model a move has unloaded in the meantime.
+	it('orders no adapter of a model that a move has unloaded', async () => {
+		const fixture = new Fixture();
+		fixture.engine.hold('c', ['x1']);
+		await fixture.start(['a0']);
+		fixture.engine.use('a', 'a0', 4000);
+		fixture.owner.recordArrivals({service: 's', model: 'c'}, 9, 9000);
+		fixture.owner.recordWaiting('h1', [['s', 'b', 2, 0]]);
+		await fixture.clock.run(2000);
+		fixture.register();
+		const load = fixture.load('a1');
+		await fixture.clock.run(9000);
+		expect({answer: await load, orders: await fixture.stop()}).toMatchSnapshot();
+	});
 });
