engines: keep an adapter that was confirmed like one that was loaded

An adapter that the account showed and a new report confirmed could be evicted for the next change that waits at the engine, before the requests that waited for it arrive, as one that was just loaded was.

Evidence: the test that evicts nothing for a held adapter asks for another one at once; before, a2 was confirmed and unloaded in the same millisecond, now a1 goes.

--- a/packages/engines/src/loading/engine-order-queue.ts
+++ b/packages/engines/src/loading/engine-order-queue.ts
@@ -141,9 +141,14 @@
 		return this.models?.some(({name}) => name === model) ?? false;
 	}
 
-	/** Whether an adapter of the account that the hosts do not see is in a new report, which is published. */
-	private async confirmAdapter({model, adapter}: HeldAdapter): Promise<boolean> {
-		return await this.refresh() !== undefined && isDone(this.getModels(), {kind: 'load-adapter', model, adapter});
+	/** Whether an adapter of the account that the hosts do not see is in a new report, which is published. It is kept like one that was just loaded, since requests waited for it as well. */
+	private async confirmAdapter({model, adapter, recordLoad}: AdapterLoad): Promise<boolean> {
+		if (await this.refresh() === undefined || !isDone(this.getModels(), {kind: 'load-adapter', model, adapter})) {
+			return false;
+		}
+
+		recordLoad();
+		return true;
 	}
 
 	private async evictAdapter({model, adapter}: HeldAdapter): Promise<boolean> {
--- a/packages/engines/tests/loading/order-room.test.ts
+++ b/packages/engines/tests/loading/order-room.test.ts
@@ -154,7 +154,7 @@
 		fixture.fates.push('not-sent');
 		const loads = [fixture.load('a3')];
 		await fixture.clock.run(1100);
-		loads.push(fixture.load('a2'));
+		loads.push(fixture.load('a2'), fixture.load('a4'));
 		await fixture.clock.run(100);
 		expect({answers: await Promise.all(loads), orders: await fixture.stop()}).toMatchSnapshot();
 	});
