engines: name only the count of orders that belongs to the account

While the count of orders was unknown, an order named the one of the last registration, if the registration had one. The models of the account stayed those of an older report, so the engine accepted an order for a slot that another one had filled.

The count now comes only from the report or answer that the models come from.

Evidence: the new test loaded a third adapter into two slots before; now it evicts one first.

--- a/packages/engines/src/loading/engine-order-queue.ts
+++ b/packages/engines/src/loading/engine-order-queue.ts
@@ -203,7 +203,7 @@
 		const {clock, logger, orders, signal} = this.opts;
 		for (let attempt = 0; attempt < MAX_ORDER_ATTEMPTS && !signal.aborted; attempt++) {
 			const engine = this.getEngine();
-			const expectedOrderCount = this.orderCount ?? engine?.orderCount ?? await this.refresh();
+			const expectedOrderCount = this.orderCount ?? await this.refresh();
 			if (!engine || expectedOrderCount === undefined || !this.models || !isRoomLeft()) {
 				return false;
 			}
--- a/packages/engines/tests/loading/order-room.test.ts
+++ b/packages/engines/tests/loading/order-room.test.ts
@@ -159,6 +159,23 @@
 		expect({answers: await Promise.all(loads), orders: await fixture.stop()}).toMatchSnapshot();
 	});
 
+	// Guards against an order that names a newer count than its account has: the count of a registration, without the adapters that came with it.
+	it('names only the count of orders that its account has', async () => {
+		const fixture = new Fixture();
+		await fixture.start(['a1']);
+		fixture.fates.push('not-sent');
+		const loads = [fixture.load('a3')];
+		await fixture.clock.run(1100);
+		void fixture.engine.send(fixture.engine.register(), {
+			...lastLeader, kind: 'load-adapter', model: 'a', adapter: 'a2',
+		}, () => true);
+		await fixture.clock.run(100);
+		fixture.registry.accept({...fixture.engine.register(), orderCount: 1});
+		loads.push(fixture.load('a3'));
+		await fixture.clock.run(100);
+		expect({answers: await Promise.all(loads), orders: await fixture.stop()}).toMatchSnapshot();
+	});
+
 	// Guards against memory that counts as free after a load whose end no report has shown within the time for it.
 	it('asks what an engine holds after it has waited in vain for the end of a load', async () => {
 		const fixture = new Fixture();
