engines: move the account of an engine out of its order queue

No change of orders: the models that an engine holds and the count that belongs to them are one thing, EngineAccount, which takes answers and reports as plain data. The queue keeps the sending and waiting. An account that is unknown stays so when a step is complete; before, it was filled from registrations.

--- a/packages/engines/src/loading/engine-order-queue.ts
+++ b/packages/engines/src/loading/engine-order-queue.ts
@@ -7,10 +7,11 @@
 } from './constants.js';
 import type {AdapterSlotChoice, HeldAdapter} from './adapter-slots.js';
 import type {EngineOrders} from './engine-orders.js';
+import {EngineAccount} from './engine-account.js';
 import {
 	applyStep, hideAdapter, holdsOnly, isDone,
 } from './held-models.js';
-import type {LoadMove, LoadOrderOutcome, LoadStep} from './types.js';
+import type {LoadMove, LoadStep} from './types.js';
 
 const MAX_ORDER_ATTEMPTS = 3;
 /** Evictions for one adapter; more than one is needed if an engine holds more adapters than the account showed. */
@@ -38,12 +39,8 @@
 export class EngineOrderQueue {
 	move: LoadMove | undefined;
 	private moveEndsAtMs = 0;
-	/** What the engine holds; undefined until it has reported this while it executed no order. */
-	private models: readonly HeldModel[] | undefined;
+	private readonly account = new EngineAccount();
 	private isRefreshing = false;
-	private orderCount: number | undefined;
-	/** Number of orders that the engine has certainly accepted; a report with a lower number predates the last order. */
-	private minOrderCount = 0;
 	/** Whether the last order was complete when the engine answered. */
 	private wasDoneOnAnswer = false;
 	private tail: Promise<unknown> = Promise.resolve();
@@ -53,19 +50,19 @@
 
 	/** What the engine holds according to its last report and the orders sent since; undefined while that is unknown. */
 	getHoldings(): readonly HeldModel[] | undefined {
-		return this.models;
+		return this.account.getModels();
 	}
 
 	/** Requests what the engine holds, since an order of an earlier owner may still be in progress. */
 	async refreshHoldings(): Promise<void> {
-		if (this.isRefreshing || this.models) {
+		if (this.isRefreshing || this.account.getModels()) {
 			return;
 		}
 
 		this.isRefreshing = true;
 		try {
 			await this.runInOrder(async () => this.refresh());
-			if (!this.models) {
+			if (!this.account.getModels()) {
 				await this.opts.clock.sleep(PROGRESS_POLL_MS, this.opts.signal);
 			}
 		} finally {
@@ -111,7 +108,7 @@
 	/** Loads an adapter, after evicting others if no slot is free; returns whether the engine holds it. */
 	async loadAdapter(load: AdapterLoad): Promise<boolean> {
 		return this.runInOrder(async () => {
-			for (let evictions = 0; this.holdsModel(load.model) && evictions <= MAX_ADAPTER_EVICTIONS; evictions++) {
+			for (let evictions = 0; this.account.holdsModel(load.model) && evictions <= MAX_ADAPTER_EVICTIONS; evictions++) {
 				if (isDone(this.getModels(), {...load, kind: 'load-adapter'})) {
 					return this.confirmAdapter(load);
 				}
@@ -136,14 +133,9 @@
 		});
 	}
 
-	/** Whether the account is known and has a model. */
-	private holdsModel(model: string): boolean {
-		return this.models?.some(({name}) => name === model) ?? false;
-	}
-
 	/** Whether an adapter of the account that the hosts do not see is in a new report, which is published. It is kept like one that was just loaded, since requests waited for it as well. */
 	private async confirmAdapter({model, adapter, recordLoad}: AdapterLoad): Promise<boolean> {
-		if (await this.refresh() === undefined || !isDone(this.getModels(), {kind: 'load-adapter', model, adapter})) {
+		if (!await this.refresh() || !isDone(this.getModels(), {kind: 'load-adapter', model, adapter})) {
 			return false;
 		}
 
@@ -165,7 +157,7 @@
 		}
 
 		await this.opts.clock.sleep(ADAPTER_LOAD_MS, this.opts.signal);
-		this.setHoldings(applyStep(this.getModels(), step));
+		this.completeStep(step);
 		recordLoad();
 		return true;
 	}
@@ -192,7 +184,7 @@
 		const isComplete = await this.waitUntilDone(step, expectedMs);
 		if (!isComplete) {
 			// The engine may still carry it out, or may have done so unseen.
-			this.forgetHoldings();
+			this.account.forget();
 		}
 
 		return isComplete;
@@ -203,8 +195,12 @@
 		const {clock, logger, orders, signal} = this.opts;
 		for (let attempt = 0; attempt < MAX_ORDER_ATTEMPTS && !signal.aborted; attempt++) {
 			const engine = this.getEngine();
-			const expectedOrderCount = this.orderCount ?? await this.refresh();
-			if (!engine || expectedOrderCount === undefined || !this.models || !isRoomLeft()) {
+			if (this.account.getOrderCount() === undefined) {
+				await this.refresh();
+			}
+
+			const expectedOrderCount = this.account.getOrderCount();
+			if (!engine || expectedOrderCount === undefined || !isRoomLeft()) {
 				return false;
 			}
 
@@ -214,7 +210,8 @@
 			logger.info({
 				targetId: this.targetId, ...step, expectedOrderCount, fencingToken: this.opts.fencingToken, answer,
 			}, 'An engine was given an order.');
-			this.recordAnswer(answer, step, expectedOrderCount);
+			this.account.recordAnswer(answer, step, expectedOrderCount);
+			this.wasDoneOnAnswer = answer === 'done';
 			if (answer === 'begun' || answer === 'done') {
 				return true;
 			}
@@ -225,7 +222,7 @@
 
 			// The engine may still execute the order; if it does, its order count has grown and a repeated order is refused.
 			await clock.sleep(REPORT_RETRY_MS, signal);
-			if (await this.refresh() !== undefined && isDone(this.getModels(), step)) {
+			if (await this.refresh() && isDone(this.getModels(), step)) {
 				this.wasDoneOnAnswer = true;
 				return true;
 			}
@@ -234,45 +231,22 @@
 		return false;
 	}
 
-	private recordAnswer(answer: LoadOrderOutcome, {kind}: LoadStep, expected: number): void {
-		const wasAccepted = answer === 'begun' || (answer === 'done' && kind === 'unload-adapter');
-		this.wasDoneOnAnswer = answer === 'done';
-		this.orderCount = wasAccepted ? expected + 1 : undefined;
-		if (answer === 'begun') {
-			// An engine may not count an order that is done at once because there was nothing to do.
-			this.minOrderCount = expected + 1;
-		}
-	}
-
-	/** Requests what the engine holds and how many orders it has accepted; returns that number if it is up to date and the engine is not busy. */
-	private async refresh(): Promise<number | undefined> {
+	/** Requests the state of the engine; returns whether the account is up to date, so that the next order may name its count. */
+	private async refresh(): Promise<boolean> {
 		const engine = this.getEngine();
 		const report = engine && await this.opts.orders.getReport(engine);
-		if (!report || report.orderCount < this.minOrderCount) {
-			return undefined;
-		}
-
-		this.minOrderCount = report.orderCount;
-		if (report.isBusy) {
-			this.forgetHoldings();
-			return undefined;
+		if (!report || !this.account.applyReport(report)) {
+			return false;
 		}
 
-		this.orderCount = report.orderCount;
-
-		this.setHoldings(report.models);
-		return report.orderCount;
-	}
-
-	/** No order is sent until the engine has reported what it holds. */
-	private forgetHoldings(): void {
-		this.models = undefined;
-		this.orderCount = undefined;
+		this.publishHoldings(report.models);
+		return true;
 	}
 
-	/** Records what the engine holds and publishes it to the hosts. */
-	private setHoldings(models: readonly HeldModel[]): void {
-		this.models = models;
+	/** Records the effect of a complete step and publishes it to the hosts. */
+	private completeStep(step: LoadStep): void {
+		const models = applyStep(this.getModels(), step);
+		this.account.apply(step);
 		this.publishHoldings(models);
 	}
 
@@ -280,7 +254,7 @@
 	private async waitUntilDone(step: LoadStep, expectedMs: number): Promise<boolean> {
 		const {clock, registry, signal} = this.opts;
 		if (this.wasDoneOnAnswer) {
-			this.setHoldings(applyStep(this.getModels(), step));
+			this.completeStep(step);
 			return true;
 		}
 
@@ -296,7 +270,7 @@
 			const isExpected = this.hasRegistered(waitStartedAtMs) && isDone(this.getRegisteredModels(), step);
 			const nextRefreshAtMs = isExpected ? Math.min(plannedRefreshAtMs, refreshedAtMs + REGISTERED_POLL_MS) : plannedRefreshAtMs;
 			if (clock.now() >= nextRefreshAtMs) {
-				if (await this.refresh() !== undefined && isDone(this.getModels(), step)) {
+				if (await this.refresh() && isDone(this.getModels(), step)) {
 					return true;
 				}
 
@@ -317,7 +291,7 @@
 	}
 
 	private getModels(): readonly HeldModel[] {
-		return this.models ?? this.getEngine()?.models ?? [];
+		return this.account.getModels() ?? this.getEngine()?.models ?? [];
 	}
 
 	private getRegisteredModels(): readonly HeldModel[] {
