--- a/packages/engines/tests/loading/order-room.test.ts
+++ b/packages/engines/tests/loading/order-room.test.ts
@@ -154,7 +154,24 @@
 		fixture.fates.push('not-sent');
 		const loads = [fixture.load('a3')];
 		await fixture.clock.run(1100);
-		loads.push(fixture.load('a2'));
+		loads.push(fixture.load('a2'), fixture.load('a4'));
+		await fixture.clock.run(100);
+		expect({answers: await Promise.all(loads), orders: await fixture.stop()}).toMatchSnapshot();
+	});
+
+	// Guards against an order that names a newer count than its account has: the count of a registration, without the adapters that came with it.
+	it('names only the count of orders that its account has', async () => {
+		const fixture = new Fixture();
+		await fixture.start(['a1']);
+		fixture.fates.push('not-sent');
+		const loads = [fixture.load('a3')];
+		await fixture.clock.run(1100);
+		void fixture.engine.send(fixture.engine.register(), {
+			...lastLeader, kind: 'load-adapter', model: 'a', adapter: 'a2',
+		}, () => true);
+		await fixture.clock.run(100);
+		fixture.registry.accept({...fixture.engine.register(), orderCount: 1});
+		loads.push(fixture.load('a3'));
 		await fixture.clock.run(100);
 		expect({answers: await Promise.all(loads), orders: await fixture.stop()}).toMatchSnapshot();
 	});
@@ -191,4 +208,19 @@
 			expect({answers: await Promise.all(loads), orders: await fixture.stop()}).toMatchSnapshot();
 		});
 	}
+
+	// Guards against an order, and an eviction before it, for an adapter whose model a move has unloaded in the meantime.
+	it('orders no adapter of a model that a move has unloaded', async () => {
+		const fixture = new Fixture();
+		fixture.engine.hold('c', ['x1']);
+		await fixture.start(['a0']);
+		fixture.engine.use('a', 'a0', 4000);
+		fixture.owner.recordArrivals({service: 's', model: 'c'}, 9, 9000);
+		fixture.owner.recordWaiting('h1', [['s', 'b', 2, 0]]);
+		await fixture.clock.run(2000);
+		fixture.register();
+		const load = fixture.load('a1');
+		await fixture.clock.run(9000);
+		expect({answer: await load, orders: await fixture.stop()}).toMatchSnapshot();
+	});
 });
