callers: judge the step to a continuation by the steps of the stream's answers

What callers saw: after events 1, 2, 3 a continuation 6, 9, 12 was taken for a gap and the stream was closed; after 100, 101, 102 a continuation 110 was not, so that missing events could pass unnoticed. Cause: the largest step counted the distance of the first id from 0, and the steps of the continuation itself were not considered. The contract: ids increase, nothing promises a step. Taken alone this allows any id above the last one, and 1, 2, then 4 (a report of callers) would pass again. The strictest rule that still allows another step: no answer of the stream makes a step as large as the one to the continuation. Steps count only within an answer; the first event of a continuation after a larger step is held until the second one shows the step of its answer, and is refused if that is smaller or there is none. What remains: a continuation in steps of one whose first event holds several tokens (1, 2, 3, then 5, 6) is closed although the contract allows it, and so is one that consists of one event after a larger step than was seen; a gap as large as the steps of its own answer passes. Evidence: the earlier code on the two cases: "Err(The stream was continued after event 3 with event 6.)", and Ok for 110 and 111. Now eight cases in event-order.test.ts, the property over faulty targets as before (its harness knows the new verdicts), and a held event byte by byte in event-splitter.test.ts. Run: tests of callers/forward, continued streams and silent engines.

--- a/packages/callers/src/forward/event-order.ts
+++ b/packages/callers/src/forward/event-order.ts
@@ -3,16 +3,22 @@
 /** What an event tells about its place in a stream. */
 export type EventPlace = {readonly id: number | undefined; readonly hasData: boolean};
 
+/** What is done with an event: `hold` keeps it until `release`, which relays it before the event that releases it. */
+export type EventVerdict = 'relay' | 'drop' | 'hold' | 'release';
+
 /** Step between two ids that is never a gap. */
 const MIN_ID_STEP = 1;
 
 /**
  * Checks the order of a stream's events over the answers of several targets. Targets promise increasing ids and that a resumed stream goes on after the id
  * that was sent to them, but not which step the ids take: an event may hold several tokens. So a larger step within one answer is no gap; one from the
- * end of an answer to the start of the next is, if the stream has made no such step before.
+ * end of an answer to the start of the next is, unless an answer of the stream has made such a step: an earlier one, or this one with its second event, until
+ * which the first one is held.
  */
 export class EventOrder {
 	private lastAnswerId: number | undefined;
+	/** First event of a continuation, after a step that none of the stream's answers has made yet. */
+	private heldId: number | undefined;
 	private largestStep = MIN_ID_STEP;
 	private hasEvents = false;
 	private endsWithoutId = false;
@@ -33,11 +39,12 @@
 	/** Starts the checks of a further answer. */
 	beginAnswer(): void {
 		this.lastAnswerId = undefined;
+		this.heldId = undefined;
 		this.isContinuation = this.hasEvents;
 	}
 
-	/** Returns whether the next event of the answer is new to the caller; an error says why the answer must not be used further. */
-	addEvent({id, hasData}: EventPlace): Result<boolean, string> {
+	/** Returns what is done with the next event of the answer; an error says why the answer must not be used further. */
+	addEvent({id, hasData}: EventPlace): Result<EventVerdict, string> {
 		if (id === undefined) {
 			if (hasData && this.isContinuation) {
 				return Result.err('An event of a continued stream has no id.');
@@ -45,7 +52,7 @@
 
 			this.hasEvents ||= hasData;
 			this.endsWithoutId ||= hasData;
-			return Result.ok(true);
+			return Result.ok('relay');
 		}
 
 		const fault = this.findFault(id);
@@ -53,21 +60,24 @@
 			return Result.err(fault);
 		}
 
-		this.lastAnswerId = id;
-		const isNew = this.lastId === undefined || id > this.lastId;
-		if (isNew) {
-			this.largestStep = Math.max(this.largestStep, this.getStep(id));
-			this.lastId = id;
-			this.hasEvents = true;
-			this.endsWithoutId = false;
+		const verdict = this.getVerdict(id);
+		if (verdict === 'relay' || verdict === 'release') {
+			this.deliver(id);
 		}
 
-		return Result.ok(isNew);
+		this.heldId = verdict === 'hold' ? id : undefined;
+		this.lastAnswerId = id;
+		return Result.ok(verdict);
 	}
 
-	/** Whether the answer may end here; one that has not reached the last delivered event does not show that the stream has ended. */
-	mayEnd(): boolean {
-		return !this.isContinuation || this.lastAnswerId === this.lastId;
+	/** Returns why the answer may not end here; one that has not reached the last delivered event does not show that the stream has ended. */
+	findEndFault(): string | undefined {
+		if (this.heldId !== undefined) {
+			return this.describeGap(this.heldId);
+		}
+
+		const mayEnd = !this.isContinuation || this.lastAnswerId === this.lastId;
+		return mayEnd ? undefined : `The answer ended before it continued the stream after event ${this.lastId}.`;
 	}
 
 	private findFault(id: number): string | undefined {
@@ -75,13 +85,41 @@
 			return `Event ${id} follows event ${this.lastAnswerId}.`;
 		}
 
-		if (!this.isContinuation || this.lastAnswerId === this.lastId || id <= (this.lastId ?? 0)) {
-			return undefined;
+		if (this.heldId !== undefined) {
+			return id - this.heldId < this.getStep(this.heldId) ? this.describeGap(this.heldId) : undefined;
 		}
 
 		// A target that sends delivered events again must include the last one, or its events are not those that the caller has.
-		const isGap = this.lastAnswerId !== undefined || this.getStep(id) > this.largestStep;
-		return isGap ? `The stream was continued after event ${this.lastId} with event ${id}.` : undefined;
+		const leavesOutLast = this.isContinuation && this.lastAnswerId !== undefined && this.lastAnswerId !== this.lastId && id > (this.lastId ?? 0);
+		return leavesOutLast ? this.describeGap(id) : undefined;
+	}
+
+	private getVerdict(id: number): EventVerdict {
+		if (this.heldId !== undefined) {
+			return 'release';
+		}
+
+		if (this.lastId !== undefined && id <= this.lastId) {
+			return 'drop';
+		}
+
+		const startsContinuation = this.isContinuation && this.lastAnswerId === undefined;
+		return startsContinuation && this.getStep(id) > this.largestStep ? 'hold' : 'relay';
+	}
+
+	private deliver(id: number): void {
+		// The distance from the start of an answer is no step of its ids.
+		if (this.lastAnswerId !== undefined) {
+			this.largestStep = Math.max(this.largestStep, id - this.lastAnswerId);
+		}
+
+		this.lastId = id;
+		this.hasEvents = true;
+		this.endsWithoutId = false;
+	}
+
+	private describeGap(id: number): string {
+		return `The stream was continued after event ${this.lastId} with event ${id}.`;
 	}
 
 	private getStep(id: number): number {
--- a/packages/callers/src/forward/event-splitter.ts
+++ b/packages/callers/src/forward/event-splitter.ts
@@ -1,7 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {Result} from 'true-myth';
 import {readEventPlace} from './event-fields.js';
-import type {EventOrder} from './event-order.js';
+import type {EventOrder, EventVerdict} from './event-order.js';
 import {GrowableBuffer} from './growable-buffer.js';
 
 const LINE_FEED = 10;
@@ -16,6 +16,8 @@
 /** Splits an event stream at event boundaries without changing its bytes. */
 export class EventSplitter {
 	private readonly incompleteEvent = new GrowableBuffer();
+	/** Event that is relayed only with the next one. */
+	private heldEvent: Uint8Array = EMPTY;
 
 	/** Adds a chunk and returns the events that it completes; events that the caller has already received are dropped. */
 	push(chunk: Uint8Array, order: EventOrder): CompleteEvents {
@@ -29,11 +31,11 @@
 		for (let endOffset = findEventEnd(bytes, searchOffset); endOffset !== -1 && fault === undefined; endOffset = findEventEnd(bytes, startOffset)) {
 			const event = bytes.subarray(startOffset, endOffset);
 			const place = readEventPlace(event);
-			const added = place ? order.addEvent(place) : Result.err<boolean, string>('The stream contains text that is no event.');
-			if (added.isErr) {
-				fault = added.error;
-			} else if (added.value) {
-				newEvents.push(event);
+			const verdict = place ? order.addEvent(place) : Result.err<EventVerdict, string>('The stream contains text that is no event.');
+			if (verdict.isErr) {
+				fault = verdict.error;
+			} else {
+				newEvents.push(...this.selectEvents(event, verdict.value));
 			}
 
 			startOffset = endOffset;
@@ -50,6 +52,31 @@
 	getIncompleteEvent(): Uint8Array {
 		return this.incompleteEvent.getBytes();
 	}
+
+	/** Returns the events to relay after the verdict on one of them. */
+	private selectEvents(event: Uint8Array, verdict: EventVerdict): readonly Uint8Array[] {
+		switch (verdict) {
+			case 'relay': {
+				return [event];
+			}
+
+			case 'drop': {
+				return [];
+			}
+
+			case 'hold': {
+				// The buffer of the event is used again for the next chunk.
+				this.heldEvent = Buffer.from(event);
+				return [];
+			}
+
+			case 'release': {
+				const held = this.heldEvent;
+				this.heldEvent = EMPTY;
+				return [held, event];
+			}
+		}
+	}
 }
 
 /** Offset after the empty line that ends the event, or -1. */
--- a/packages/callers/src/forward/relay.ts
+++ b/packages/callers/src/forward/relay.ts
@@ -124,8 +124,9 @@
 		return getBroken();
 	}
 
-	if (!order.mayEnd()) {
-		return getBroken(`The answer ended before it continued the stream after event ${order.lastEventId}.`);
+	const endFault = order.findEndFault();
+	if (endFault !== undefined) {
+		return getBroken(endFault);
 	}
 
 	exchange.end();
--- a/packages/callers/tests/forward/event-order.test.ts
+++ b/packages/callers/tests/forward/event-order.test.ts
@@ -46,22 +46,51 @@
 	}
 }
 
+/** Relays the events of one answer; returns the ids that reach the caller and whether the answer is faulty. */
+function relayAnswer(order: EventOrder, ids: ReadonlyArray<number | undefined>): {readonly relayed: ReadonlyArray<number | undefined>; readonly isFaulty: boolean} {
+	const relayed: Array<number | undefined> = [];
+	const held: Array<number | undefined> = [];
+	order.beginAnswer();
+	for (const id of ids) {
+		const verdict = order.addEvent({id, hasData: true});
+		if (verdict.isErr) {
+			return {relayed, isFaulty: true};
+		}
+
+		switch (verdict.value) {
+			case 'hold': {
+				held.push(id);
+
+				break;
+			}
+
+			case 'release': {
+				relayed.push(...held.splice(0), id);
+
+				break;
+			}
+
+			case 'relay': {
+				relayed.push(id);
+
+				break;
+			}
+		// No default
+		}
+	}
+
+	return {relayed, isFaulty: false};
+}
+
 /** Relays answers until one ends the stream; returns the delivered ids and whether the stream ended. */
 function relayAnswers(run: readonly number[], plan: ReadonlyArray<readonly [Fault, number]>): {readonly delivered: ReadonlyArray<number | undefined>; readonly isEnded: boolean} {
 	const order = new EventOrder(undefined);
 	const delivered: Array<number | undefined> = [];
 	for (const [fault, length] of plan) {
 		const {ids, isEnd} = createAnswer(run, delivered.length, fault, length);
-		order.beginAnswer();
-		const isFaulty = ids.some(id => {
-			const added = order.addEvent({id, hasData: true});
-			if (added.isOk && added.value) {
-				delivered.push(id);
-			}
-
-			return added.isErr;
-		});
-		if (!isFaulty && isEnd && order.mayEnd()) {
+		const {relayed, isFaulty} = relayAnswer(order, ids);
+		delivered.push(...relayed);
+		if (!isFaulty && isEnd && order.findEndFault() === undefined) {
 			return {delivered, isEnded: true};
 		}
 	}
@@ -83,4 +112,34 @@
 		}), {seed: SEED, numRuns: 2000});
 		expect(endedCount).to.be.greaterThan(0);
 	});
+
+	// Guards against a break of a stream whose next target cuts the text into larger events, and against a gap in a stream whose first id is large.
+	it('allows a larger step to a continuation only if its own steps are as large', () => {
+		const continueAfter = (delivered: readonly number[], ...ids: readonly number[]): unknown => {
+			const order = new EventOrder(undefined);
+			relayAnswer(order, delivered);
+			const {relayed, isFaulty} = relayAnswer(order, ids);
+			return {relayed, isSound: !isFaulty && order.findEndFault() === undefined, lastEventId: order.lastEventId};
+		};
+
+		expect({
+			'larger steps': continueAfter([1, 2, 3], 6, 9, 12),
+			'a gap in steps of one': continueAfter([1, 2, 3], 5, 6),
+			'a gap after a large first id': continueAfter([100, 101, 102], 110, 111),
+			'one event after a large first id': continueAfter([100, 101, 102], 110),
+			'the next event after a large first id': continueAfter([100, 101, 102], 103),
+			'a step of the stream': continueAfter([5, 10], 15, 16),
+			'a larger step within the continuation': continueAfter([1, 2, 3], 4, 9, 10),
+			'steps that were seen at one target only': continueAfter([5], 10, 15),
+		}).to.deep.equal({
+			'larger steps': {relayed: [6, 9, 12], isSound: true, lastEventId: 12},
+			'a gap in steps of one': {relayed: [], isSound: false, lastEventId: 3},
+			'a gap after a large first id': {relayed: [], isSound: false, lastEventId: 102},
+			'one event after a large first id': {relayed: [], isSound: false, lastEventId: 102},
+			'the next event after a large first id': {relayed: [103], isSound: true, lastEventId: 103},
+			'a step of the stream': {relayed: [15, 16], isSound: true, lastEventId: 16},
+			'a larger step within the continuation': {relayed: [4, 9, 10], isSound: true, lastEventId: 10},
+			'steps that were seen at one target only': {relayed: [10, 15], isSound: true, lastEventId: 15},
+		});
+	});
 });
--- a/packages/callers/tests/forward/event-splitter.test.ts
+++ b/packages/callers/tests/forward/event-splitter.test.ts
@@ -40,6 +40,17 @@
 		expect(split([stream.length], 2)).toMatchSnapshot();
 	});
 
+	// Guards against a held event that is lost, or overwritten by the next chunk.
+	it('returns the first event of a continuation with the second one that shows its step', () => {
+		const events = ['id: 5\ndata: a\n\n', ': note\n\n', 'id: 8\ndata: b\n\n', 'id: 11\ndata: c\n\n'];
+		const order = new EventOrder(undefined);
+		new EventSplitter().push(Buffer.from('id: 1\ndata: x\n\nid: 2\ndata: y\n\n'), order);
+		order.beginAnswer();
+		const splitter = new EventSplitter();
+		const relayed = events.map(text => [...text].map(char => Buffer.from(splitter.push(Buffer.from(char), order).bytes).toString()).join(''));
+		expect(relayed).to.deep.equal(['', events[1], `${events[0]}${events[2]}`, events[3]]);
+	});
+
 	// Guards against quadratic time in the length of an event, which blocks the event loop when a target sends small chunks.
 	it('searches each byte of a long event once', () => {
 		const splitter = new EventSplitter();
