engines: send a silent target again after a delayed registration

What callers saw (by reading): no requests at a running engine, for as long as its state stayed the same, after an exchange between control hosts had been late. Cause: a target that had counted as silent (6 s) and then came back with a registration from before that moment, passed on late by another control host, was stored as an ordinary heartbeat. Entry hosts, which had removed it, were not told, and the next heartbeats did not tell them either. Fix: the first registration after the silence is a change that is sent. Evidence: the test failed before ("expected [] to deeply equal [ 500 ]"). Run: tests of engines/registry, 38 passing.

--- a/packages/engines/src/registry/target-registry.ts
+++ b/packages/engines/src/registry/target-registry.ts
@@ -201,7 +201,7 @@
 			registration, receivedMs, hasEnded: false, modelsOverride, rival: undefined, ...this.createClaim(registration, receivedMs, stored),
 		};
 		const wasSilent = stored !== undefined && receivedMs - stored.receivedMs > REGISTRATION_TTL_MS;
-		if (stored && !stored.hasEnded && !wasSilent && isSameState(this.toRegisteredTarget(stored).registration, this.toRegisteredTarget({...stored, ...entry}).registration)) {
+		if (stored && !stored.hasEnded && !stored.isSilent && !wasSilent && isSameState(this.toRegisteredTarget(stored).registration, this.toRegisteredTarget({...stored, ...entry}).registration)) {
 			this.revision += 1;
 			this.setEntry({...stored, ...entry, heartbeatRevision: this.revision});
 			return;
--- a/packages/engines/tests/registry/target-registry.test.ts
+++ b/packages/engines/tests/registry/target-registry.test.ts
@@ -61,6 +61,19 @@
 		expect({silent, again: describeLive(registry), update: registry.getUpdateSince(known, false).targets.length}).toMatchSnapshot();
 	});
 
+	// Guards against a running target that entry hosts have removed for good, since a delayed exchange brought a registration from before it counted as silent.
+	it('sends a silent target again after a delayed registration', () => {
+		const clock = new ManualClock();
+		const registry = new TargetRegistry(clock, 'r1');
+		registry.accept(register({sequence: 1}));
+		clock.advance(6001);
+		registry.sweep();
+		const known = registry.getUpdateSince({origin: '', revision: 0}, false);
+		registry.merge([{registration: register({sequence: 2}), ageMs: 500, hasEnded: false}]);
+		const {targets} = registry.getUpdateSince(known, false);
+		expect(targets.map(({ageMs}) => ageMs)).to.deep.equal([500]);
+	});
+
 	// Guards against updates to every entry host for each registration although nothing changed.
 	it('sends only changes to entry hosts, and also heartbeats to control hosts', () => {
 		const registry = new TargetRegistry(new ManualClock(), 'r1');
