--- a/packages/common/src/http-exchange.ts
+++ b/packages/common/src/http-exchange.ts
@@ -91,6 +91,12 @@
 	}
 }
 
+/** The server switched protocols instead of answering. */
+export class ProtocolSwitchError extends Error {
+	override readonly name = 'ProtocolSwitchError';
+	override readonly message = 'The server switched protocols.';
+}
+
 /** Calls back when a server switches protocols. The HTTP library reports neither an answer nor an error then, its time limit no longer applies, and an error of the connection would end the process. */
 export function onProtocolSwitch(req: ClientRequest, onSwitch: () => void): void {
 	req.once('upgrade', (_res: IncomingMessage, socket: Duplex) => {
@@ -125,7 +131,7 @@
 	}
 
 	const failSwitch = (): void => {
-		stream.destroy(new Error('The target changed the protocol.'));
+		stream.destroy(new ProtocolSwitchError());
 	};
 
 	let isConnected = false;
--- a/packages/common/tests/http-exchange.test.ts
+++ b/packages/common/tests/http-exchange.test.ts
@@ -115,6 +115,6 @@
 		}
 
 		agent.destroy();
-		expect(outcomes).to.deep.equal(Object.fromEntries(Object.keys(outcomes).map(name => [name, {accepted: true, reason: 'The target changed the protocol.'}])));
+		expect(outcomes).to.deep.equal(Object.fromEntries(Object.keys(outcomes).map(name => [name, {accepted: true, reason: 'The server switched protocols.'}])));
 	}).timeout(10_000);
 });
