--- a/apps/egretrilld/tests/continued-chats.test.ts
+++ b/apps/egretrilld/tests/continued-chats.test.ts
@@ -1,114 +1,10 @@
-import {
-	CallerReply, ChosenTarget, type RequestObserver, RetryBudget, runOnTargets, TargetPool, type TargetRequirements,
-} from '@egretrill/callers';
-import {
-	MonotonicClock, refuse, type TargetAddress, type Verdict,
-} from '@egretrill/common';
-import {EngineClient} from '@egretrill/engines';
+import {runOnTargets} from '@egretrill/callers';
 import {expect} from 'chai';
-import {Result} from 'true-myth';
+import {
+	createExchange, FixedTargetPool, RecordedReply, TargetClients,
+} from './support/target-exchange.js';
 import {type RawScript, RawTarget} from './traffic/support/raw-target.js';
 
-type Exchange = Parameters<typeof runOnTargets>[0];
-
-class RecordedReply extends CallerReply {
-	text = '';
-	private isBegun = false;
-
-	override get isStarted(): boolean {
-		return this.isBegun;
-	}
-
-	override get isEventStream(): boolean {
-		return true;
-	}
-
-	override start(): void {
-		this.isBegun = true;
-	}
-
-	override async write(bytes: Uint8Array | string): Promise<void> {
-		this.text += String(bytes);
-	}
-
-	override async end(): Promise<void> {
-		this.text += 'end';
-	}
-
-	override abort(): void {
-		this.text += 'connection closed';
-	}
-}
-
-/** A target that no longer announces itself, so that a stream is resumed at another one. */
-class UnannouncedTarget extends ChosenTarget {
-	override readonly hasPermit = true;
-
-	constructor(override readonly address: TargetAddress) {
-		super();
-	}
-
-	override isAvailable(): boolean {
-		return true;
-	}
-
-	override isProcessAnnounced(): boolean {
-		return false;
-	}
-
-	override async hasEnded(): Promise<boolean> {
-		return false;
-	}
-
-	override recordFirstToken(): void {
-		// Not used by these tests.
-	}
-
-	override release(): void {
-		// Not used by these tests.
-	}
-}
-
-class FixedTargetPool extends TargetPool {
-	constructor(private readonly addresses: readonly string[]) {
-		super();
-	}
-
-	override getFreeSlots(): number {
-		return 1;
-	}
-
-	override async choose({excluded}: TargetRequirements): Promise<Result<ChosenTarget, Verdict>> {
-		const address = this.addresses.find(known => !excluded.has(known));
-		return address === undefined
-			? Result.err(refuse(503, 'no-target', 'No target is left.'))
-			: Result.ok(new UnannouncedTarget({targetId: address, startId: address, address}));
-	}
-}
-
-function createExchange(targets: TargetPool, reply: CallerReply, engines: EngineClient): Exchange {
-	const clock = new MonotonicClock();
-	const observer: Partial<RequestObserver> = {
-		recordSend: () => undefined, recordUnsent: () => undefined, recordTimes: () => undefined,
-	};
-	return {
-		req: {
-			requestId: 'req-1', method: 'POST', path: '/v1/chat/completions', headers: {}, body: new TextEncoder().encode('{}'),
-		},
-		work: {
-			route: {kind: 'model', idempotent: true}, prompt: '', isDeterministic: true, chat: {model: 'm', stream: true},
-		},
-		reply,
-		identity: {},
-		admission: {refresh: async () => Result.ok(true), start: () => true},
-		signal: new AbortController().signal,
-		deadlineMs: clock.now() + 5000,
-		deps: {
-			clock, targets, observer, engines, retries: new RetryBudget(clock), config: {getIndex: () => ({}), getAgeMs: () => 0}, logger: {info: () => undefined},
-		},
-	} as unknown as Exchange;
-}
-
 const DONE = 'data: [DONE]\n\n';
 
 function formatChunk(seq: number, {id = 'req-1', isLast = false} = {}): string {
@@ -131,14 +27,14 @@
 /** Relays a stream from the targets, in this order, and describes what the caller received and the verdict. */
 async function runScripts(...scripts: readonly RawScript[]): Promise<string> {
 	const targets = await Promise.all(scripts.map(async script => RawTarget.open(script)));
-	const engines = new EngineClient(new MonotonicClock());
+	const clients = new TargetClients();
 	const reply = new RecordedReply();
 	try {
-		const result = await runOnTargets(createExchange(new FixedTargetPool(targets.map(({address}) => address)), reply, engines));
+		const result = await runOnTargets(createExchange(new FixedTargetPool(targets.map(({address}) => address)), reply, clients));
 		const shown = reply.text.replaceAll(/data: \{[^\n]*"seq":(?<seq>\d+)[^\n]*\n\n/gv, '[$<seq>]').replaceAll(DONE, '[DONE]');
 		return `${JSON.stringify(shown)}; ${result.isOk ? result.value.kind : `${result.error.run} ${result.error.code}`}`;
 	} finally {
-		engines.close();
+		clients.close();
 		for (const target of targets) {
 			target.close();
 		}
