common: never "not run" for a request whose connection failed after it was sent

What callers may have seen: "not run", and a second run elsewhere, for a request that had reached its target, when the network reported the target as unreachable afterwards. Cause: an error code such as EHOSTUNREACH was taken to mean that connecting had failed. Linux gives the same codes for an established connection whose packets find no way, for instance after the keepalive of a kept connection. Evidence: the test, which fails an established connection with these codes, read "not run" for three of three codes before the head and in the body. Fix: only errors of connect, bind or the lookup of the name count as unsent.

--- a/packages/common/src/http-exchange.ts
+++ b/packages/common/src/http-exchange.ts
@@ -16,6 +16,9 @@
 /** Error codes of failures that occur before any byte of a request has left this host. */
 const unsentErrorCodes: ReadonlySet<string> = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'EADDRNOTAVAIL', 'ENOTFOUND']);
 
+/** System calls that fail before there is a connection. Reading from an established one may fail with the same codes. */
+const connectSyscalls: ReadonlySet<string> = new Set(['bind', 'connect', 'getaddrinfo']);
+
 const STATUS_SWITCHING_PROTOCOLS = 101;
 
 const bodilessMethods: ReadonlySet<string> = new Set(['GET', 'HEAD']);
@@ -23,12 +26,19 @@
 /** Answers with these statuses have no body. */
 const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
 
+/** Whether connecting failed; Node joins the errors of a name with several addresses. */
+function isConnectError(err: unknown): boolean {
+	return err instanceof AggregateError
+		? err.errors.every(part => isConnectError(part))
+		: connectSyscalls.has((err as NodeJS.ErrnoException | undefined)?.syscall ?? '');
+}
+
 function isUnsent(err: unknown): boolean {
 	if (err instanceof TimeoutError) {
 		return err.event === 'connect' || err.event === 'lookup';
 	}
 
-	return err instanceof RequestError && unsentErrorCodes.has(err.code);
+	return err instanceof RequestError && unsentErrorCodes.has(err.code) && isConnectError(err.cause);
 }
 
 /** Describes a failed exchange and whether the target may have received any of the request. */
--- a/packages/common/tests/http-exchange.test.ts
+++ b/packages/common/tests/http-exchange.test.ts
@@ -1,17 +1,36 @@
 import {once} from 'node:events';
 import {Agent} from 'node:http';
-import {type AddressInfo, createServer, type Socket} from 'node:net';
+import {
+	type AddressInfo, createServer, type Server, type Socket,
+} from 'node:net';
 import {text} from 'node:stream/consumers';
 import {setTimeout as delay} from 'node:timers/promises';
 import {expect} from 'chai';
-import {exchangeHttp, type TargetRequest} from '../src/index.js';
+import {
+	exchangeHttp, type TargetRequest, type TargetResponse, toSendFailure,
+} from '../src/index.js';
 
 const good: TargetRequest = {
 	requestId: 'req-1', method: 'GET', path: '/', headers: {}, body: new Uint8Array(0), deadlineMs: 2000,
 };
 
-/** Time between a switch of protocols and the end of the connection. */
-const SWITCH_TO_END_MS = 20;
+/** Time between what a target sends and the end of the connection. */
+const TIME_TO_END_MS = 20;
+
+/** Reads a body, or returns whether its target may have received the request. */
+async function readBody({body}: TargetResponse): Promise<string | boolean> {
+	try {
+		return await text(body);
+	} catch (err: unknown) {
+		return toSendFailure(err).accepted;
+	}
+}
+
+async function listen(server: Server): Promise<string> {
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
 
 describe('exchangeHttp', () => {
 	// Guards against an exception, and against "may have run" for a request that was never written.
@@ -59,9 +78,7 @@
 				}
 			});
 		});
-		server.listen(0, '127.0.0.1');
-		await once(server, 'listening');
-		const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+		const address = await listen(server);
 		const outcomes: unknown[] = [];
 		for (const keepAlive of [true, false]) {
 			const agent = new Agent({keepAlive});
@@ -100,15 +117,13 @@
 					socket.on('error', () => undefined);
 					socket.once('data', async () => {
 						socket.write(head);
-						await delay(SWITCH_TO_END_MS);
+						await delay(TIME_TO_END_MS);
 						end(socket);
 					});
 				});
-				server.listen(0, '127.0.0.1');
-				await once(server, 'listening');
-				const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+				const address = await listen(server);
 				const sent = await exchangeHttp({targetId: 't-1', startId: 's-1', address}, good, new AbortController().signal, agent);
-				await delay(2 * SWITCH_TO_END_MS);
+				await delay(2 * TIME_TO_END_MS);
 				server.close();
 				outcomes[`${headName}, ${endName}`] = sent.isErr ? {accepted: sent.error.accepted, reason: sent.error.reason} : sent.value.status;
 			}
@@ -117,4 +132,36 @@
 		agent.destroy();
 		expect(outcomes).to.deep.equal(Object.fromEntries(Object.keys(outcomes).map(name => [name, {accepted: true, reason: 'The server switched protocols.'}])));
 	}).timeout(10_000);
+
+	// Guards against "not run" for a request that was sent, since a connection that the network has cut fails with the same codes as an attempt to connect.
+	it('reports that a target may have received a request when its connection fails as unreachable', async () => {
+		const outcomes: Record<string, unknown> = {};
+		for (const code of ['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH']) {
+			const agent = new Agent();
+			const failConnection = (): void => {
+				for (const socket of Object.values(agent.sockets).flat()) {
+					socket?.destroy(Object.assign(new Error(`read ${code}`), {code, syscall: 'read'}));
+				}
+			};
+
+			for (const [name, head] of Object.entries({'before the head': '', 'in the body': 'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart'})) {
+				const server = createServer(socket => {
+					socket.on('error', () => undefined);
+					socket.once('data', async () => {
+						socket.write(head);
+						await delay(TIME_TO_END_MS);
+						failConnection();
+					});
+				});
+				const address = await listen(server);
+				const sent = await exchangeHttp({targetId: 't-1', startId: 's-1', address}, good, new AbortController().signal, agent);
+				outcomes[`${code} ${name}`] = sent.isErr ? sent.error.accepted : await readBody(sent.value);
+				server.close();
+			}
+
+			agent.destroy();
+		}
+
+		expect(outcomes).to.deep.equal(Object.fromEntries(Object.keys(outcomes).map(name => [name, true])));
+	});
 });
