engines: a switch of protocols does not accept an order

What operators would see: an order counted as accepted that no engine had answered: 101 without a protocol is read as a final answer, and each status below 300 counted as accepted. Fix: a status below 200 leaves the outcome unknown, like no answer. Otherwise no fault was found: the outcome is unknown until the head with the status is whole, and at the expiry of the order if the engine keeps the connection open. A whole head is enough, as it was.

--- a/packages/engines/src/placement/order-channel.ts
+++ b/packages/engines/src/placement/order-channel.ts
@@ -4,6 +4,7 @@
 import got, {type Response} from 'got';
 import type {SendOutcome} from './types.js';
 
+const STATUS_OK = 200;
 const STATUS_CONFLICT = 409;
 const STATUS_PRECONDITION_FAILED = 412;
 
@@ -63,6 +64,10 @@
 }
 
 function getOutcome(status: number): SendOutcome {
+	if (status < STATUS_OK) {
+		return {result: 'unknown', reason: `The engine switched protocols with ${status}.`};
+	}
+
 	if (status < 300) {
 		return {result: 'accepted', reason: `The engine answered ${status}.`};
 	}
