--- a/apps/egretrilld/src/daemon.ts
+++ b/apps/egretrilld/src/daemon.ts
@@ -42,7 +42,7 @@
 		return this.drainRequests.signal;
 	}
 
-	async start(initialConfig?: ConfigDocument): Promise<DaemonAddresses> {
+	async start(initialConfig?: ConfigDocument, signal?: AbortSignal): Promise<DaemonAddresses> {
 		const {listen, host, zone} = this.container.get(tokens.settings);
 		const logger = this.container.get(tokens.logger);
 		await this.container.get(tokens.evidence).open();
@@ -55,7 +55,7 @@
 				this.drainRequests.abort();
 			}, () => this.getUnreadyReasons().map(({reason}) => reason)),
 		});
-		await this.container.get(tokens.voter)?.node.start();
+		await this.container.get(tokens.voter)?.node.start(signal);
 		this.tasks = this.startTasks(initialConfig);
 		const addresses = {
 			callers: await this.listen(listen.callers, this.createCallers()),
--- a/apps/egretrilld/src/run-daemon.ts
+++ b/apps/egretrilld/src/run-daemon.ts
@@ -23,7 +23,15 @@
 	const daemon = new Daemon(createContainer({settings, credentials, hash: await createBlockHasher()}), credentials);
 	// The signal handlers are installed before the host serves, since an unhandled signal would terminate the process and its in-flight requests.
 	const stopRequested = waitForStop(daemon);
-	await daemon.start(document);
+	const starting = new AbortController();
+	const abortStart = async (): Promise<void> => {
+		await stopRequested;
+		starting.abort();
+	};
+
+	// A voter whose disk is full waits while it starts.
+	void abortStart();
+	await daemon.start(document, starting.signal);
 	const stopped = daemon.stop(await stopRequested);
 	// A second signal stops waiting for in-flight work.
 	const forceStop = async (signal: string): Promise<void> => {
--- a/packages/hosts/tests/full-disk.test.ts
+++ b/packages/hosts/tests/full-disk.test.ts
@@ -332,17 +332,27 @@
 	});
 
 	// Guards against a process that cannot be stopped while it waits.
-	it('ends when it is stopped while it waits for room', async () => {
-		const cluster = new SimCluster({seed: SEED, initialMembers: []});
-		cluster.start('d');
-		const {node, fileSystem} = getProcess(cluster, 'd');
-		fill(getProcess(cluster, 'd'));
-		await cluster.clock.run(1000);
-		const tries = fileSystem.refusedWrites;
-		await node.stop();
-		await cluster.clock.run(1000);
-		expect([tries > 1, fileSystem.refusedWrites, node.status().role]).to.deep.equal([true, tries, 'stopped']);
-	});
+	for (const way of ['signal', 'stop'] as const) {
+		it(`ends when it is stopped (${way}) while it waits for room`, async () => {
+			const cluster = new SimCluster({seed: SEED, initialMembers: []});
+			const stopper = new AbortController();
+			cluster.start('d', [], stopper.signal);
+			const {node, fileSystem} = getProcess(cluster, 'd');
+			fill(getProcess(cluster, 'd'));
+			await cluster.clock.run(1000);
+			const tries = fileSystem.refusedWrites;
+			if (way === 'stop') {
+				await node.stop();
+			} else {
+				stopper.abort();
+			}
+
+			await cluster.clock.run(1000);
+			expect([tries > 1, fileSystem.refusedWrites]).to.deep.equal([true, tries]);
+			await node.stop();
+			expect(node.status().role).to.equal('stopped');
+		});
+	}
 
 	// Guards against a vote that is forgotten, or a log that counts as empty, since a message came before the files were read.
 	it('answers no message before it has read its log', async () => {
--- a/packages/hosts/tests/support/sim-cluster.ts
+++ b/packages/hosts/tests/support/sim-cluster.ts
@@ -164,7 +164,7 @@
 	}
 
 	/** Starts a process of a member; `initialMembers` is empty when the fleet has been started before. */
-	start(id: string, initialMembers = this.initialMembers): void {
+	start(id: string, initialMembers = this.initialMembers, signal?: AbortSignal): void {
 		const disk = this.disks.get(id) ?? new MemoryFileSystem();
 		this.disks.set(id, disk);
 		const clock = new ProcessClock(this.clock);
@@ -187,12 +187,12 @@
 		this.processes.set(id, {
 			node, state, clock, fileSystem,
 		});
-		void this.startNode(node);
+		void this.startNode(node, signal);
 	}
 
-	async startNode(node: Process['node']): Promise<void> {
+	async startNode(node: Process['node'], signal?: AbortSignal): Promise<void> {
 		try {
-			await node.start();
+			await node.start(signal);
 		} catch {
 			// The process crashed while it was starting.
 		}
