--- a/packages/hosts/tests/full-disk.test.ts
+++ b/packages/hosts/tests/full-disk.test.ts
@@ -108,6 +108,24 @@
 		cluster.stopAll();
 	});
 
+	// Guards against a leader that is elected again and again, since a term still finds the room that entries do not.
+	it('hands over for good when only its log finds no room', async () => {
+		const {cluster, leader} = await createCluster();
+		const {term} = leader.node.status();
+		fill(leader, /log$/v);
+		const startedMs = cluster.clock.now();
+		await propose(cluster, leader, 'refused');
+		const newLeader = await cluster.waitForLeader(process => process !== leader);
+		await propose(cluster, newLeader, 'kept');
+		expect(cluster.clock.now() - startedMs).to.be.below(4000);
+		await cluster.clock.run(2 * FULL_MS);
+		expect([newLeader.node.isLeaderWithLease(), newLeader.node.status().term]).to.deep.equal([true, term + 1]);
+		free(leader);
+		await cluster.clock.run(CATCH_UP_MS);
+		expect(describeStates(cluster).size).to.equal(1);
+		cluster.stopAll();
+	});
+
 	// Guards against a change that is refused although an earlier leader's copy of it may still be committed.
 	it('leaves the outcome of earlier changes open when its log takes no further one', async () => {
 		const {cluster, leader, leaderId} = await createCluster();
--- a/packages/hosts/tests/support/history.ts
+++ b/packages/hosts/tests/support/history.ts
@@ -164,12 +164,19 @@
 		process?.clock.resume();
 	}
 
+	/** Fills a disk for a while, in which other faults may follow. */
 	private async fillDisk(id: string): Promise<void> {
 		const {fileSystem} = this.cluster.processes.get(id) ?? {};
+		const freeLater = async (): Promise<void> => {
+			await this.sleepRandomly(3000);
+			if (fileSystem) {
+				fileSystem.fault = undefined;
+			}
+		};
+
 		if (fileSystem) {
 			fileSystem.fault = 'full';
-			await this.sleepRandomly(3000);
-			fileSystem.fault = undefined;
+			void freeLater();
 		}
 	}
 
