monitor: continue the evidence after a full disk

One record that found no room ended it until the next start of the process, and the rejected task of the promise counters was not caught.

Now a record that finds no room is refused with those that are chained to it, the file is cut back to the last durable record, and later records continue the chain. A failed cut, a failed sync and a failed write of the head end the log as before. The counters of promises skip one record.

Evidence: the two new tests of packages/monitor/tests/evidence.test.ts failed with the old sources of the package.

--- a/apps/egretrilld/src/daemon.ts
+++ b/apps/egretrilld/src/daemon.ts
@@ -5,11 +5,12 @@
 import {
 	type ConfigDocument, createHttpServer, getComponentLogger, isVerdictError,
 } from '@egretrill/common';
+import {NoSpaceError} from '@egretrill/disk';
 import {createTargetApp} from '@egretrill/engines';
 import {
 	FleetConfigSource, getDocumentDigest, type PeerCredentials, type PeerServer, startPeerServer,
 } from '@egretrill/hosts';
-import {createMonitorApp} from '@egretrill/monitor';
+import {createMonitorApp, EvidenceError} from '@egretrill/monitor';
 import {createAdminApp} from '@egretrill/operators';
 import {createHealthApp, type DrainReport, type UnreadyReason} from '@egretrill/balancer';
 import type {Container} from 'inversify';
@@ -154,8 +155,17 @@
 		}
 	}
 
+	/** Appends the counters of all promises to the evidence; on a full disk the next record contains them. */
 	private async recordPromises(): Promise<void> {
-		await this.container.get(tokens.evidence).get()?.append({kind: 'promises', counters: [...this.container.get(tokens.promises).getCounts()]});
+		try {
+			await this.container.get(tokens.evidence).get()?.append({kind: 'promises', counters: [...this.container.get(tokens.promises).getCounts()]});
+		} catch (err: unknown) {
+			if (!(err instanceof EvidenceError && err.cause instanceof NoSpaceError)) {
+				throw err;
+			}
+
+			this.container.get(tokens.logger).warn({err}, 'The counters of promises were not recorded, since the disk is full.');
+		}
 	}
 
 	/** Proposes the first configuration of a new fleet; a fleet that already has one rejects it as a conflict. */
--- a/packages/monitor/src/evidence-log.ts
+++ b/packages/monitor/src/evidence-log.ts
@@ -1,3 +1,4 @@
+import {NoSpaceError} from '@egretrill/disk';
 import {PAGE_INDEX_STEP} from './constants.js';
 import {
 	createLine, formatHead, isBrokenLink, parseLine, type HashedEntry,
@@ -20,6 +21,13 @@
 /** File position of the record that follows `head`. */
 type PageIndexEntry = {readonly byte: number; readonly head: EvidenceHead | undefined};
 
+/** Records that are written and synced together. */
+type Batch = {
+	readonly lines: string[];
+	/** Whether an earlier batch, to which these records are chained, found no room. */
+	isRefused: boolean;
+};
+
 export type EvidenceLogOptions = {
 	readonly storage: EvidenceStorage;
 	/** Wall-clock time in ISO format, for readers only; records are ordered by their sequence numbers. */
@@ -40,6 +48,7 @@
 			})
 			: createUnreadableHeadResult();
 		log.durableHead = log.head;
+		log.durableBytes = log.bytes;
 		await log.recover(verification);
 		return log;
 	}
@@ -49,9 +58,10 @@
 	private head: EvidenceHead | undefined;
 	private durableHead: EvidenceHead | undefined;
 	private bytes = 0;
+	private durableBytes = 0;
 	private pageIndex: readonly PageIndexEntry[] = [{byte: 0, head: undefined}];
-	private pending: readonly string[] = [];
 	private flushing: Promise<void> | undefined;
+	private nextBatch: Batch | undefined;
 	private nextFlush: Promise<void> | undefined;
 	private failure: Error | undefined;
 
@@ -60,13 +70,20 @@
 		this.getWallTime = opts.getWallTime ?? (() => new Date().toISOString());
 	}
 
-	/** Appends a record and resolves once it is durable; records appended while a sync is running share the next one. */
+	/**
+	 * Appends a record and resolves once it is durable; records appended while a sync is running share the next one. On a full
+	 * disk the record is refused, and later ones are taken once there is room.
+	 */
 	async append(record: EvidenceRecord): Promise<HashedEntry> {
 		this.assertWritable();
 		const line = createLine(this.head, EvidenceRecord.parse(record), this.getWallTime());
 		this.advance(line.entry, new TextEncoder().encode(line.text).length);
-		this.pending = [...this.pending, line.text];
-		this.nextFlush ??= this.flushAfter(this.flushing);
+		if (this.nextBatch === undefined) {
+			this.nextBatch = {lines: [], isRefused: false};
+			this.nextFlush = this.flushAfter(this.flushing, this.nextBatch);
+		}
+
+		this.nextBatch.lines.push(line.text);
 		await this.nextFlush;
 		return line.entry;
 	}
@@ -148,24 +165,58 @@
 		}
 	}
 
-	private async flushAfter(previous: Promise<void> | undefined): Promise<void> {
+	private async flushAfter(previous: Promise<void> | undefined, batch: Batch): Promise<void> {
 		// Records that are appended while the previous batch is synced wait here and are written in one batch.
 		await Promise.allSettled([previous]);
+		if (batch.isRefused) {
+			throw new EvidenceError('The record follows one that could not be made durable.', undefined, {cause: new NoSpaceError('The disk had no room.')});
+		}
+
 		this.flushing = this.nextFlush;
+		this.nextBatch = undefined;
 		this.nextFlush = undefined;
-		const text = this.pending.join('');
-		const head = this.head!;
-		this.pending = [];
 		this.assertWritable();
+		await this.writeBatch(batch, this.head!, this.bytes);
+	}
+
+	private async writeBatch(batch: Batch, head: EvidenceHead, bytes: number): Promise<void> {
 		try {
-			await this.storage.append(text);
+			await this.storage.append(batch.lines.join(''));
 			await this.storage.writeHead(formatHead(head));
 		} catch (err: unknown) {
-			// After a failed write or sync the content of the file is unknown, so the log accepts no further records.
-			this.failure = err instanceof Error ? err : new Error(String(err));
+			await this.handleFailedWrite(err);
 			throw new EvidenceError('The record could not be made durable.', undefined, {cause: err});
 		}
 
 		this.durableHead = head;
+		this.durableBytes = bytes;
+	}
+
+	/** Cuts the file back after a write that found no room. After any other failure its content is unknown, so the log accepts no further records. */
+	private async handleFailedWrite(err: unknown): Promise<void> {
+		let failure = err;
+		if (err instanceof NoSpaceError) {
+			try {
+				await this.storage.truncate(this.durableBytes);
+				this.dropUndurable();
+				return;
+			} catch (truncateErr: unknown) {
+				failure = truncateErr;
+			}
+		}
+
+		this.failure = failure instanceof Error ? failure : new Error(String(failure));
+	}
+
+	private dropUndurable(): void {
+		this.head = this.durableHead;
+		this.bytes = this.durableBytes;
+		this.pageIndex = this.pageIndex.filter(({byte}) => byte <= this.durableBytes);
+		if (this.nextBatch) {
+			this.nextBatch.isRefused = true;
+		}
+
+		this.nextBatch = undefined;
+		this.nextFlush = undefined;
 	}
 }
--- a/packages/monitor/src/evidence-storage.ts
+++ b/packages/monitor/src/evidence-storage.ts
@@ -4,11 +4,12 @@
 	mkdir, open, readFile, type FileHandle,
 } from 'node:fs/promises';
 import path from 'node:path';
+import {claimSpace} from '@egretrill/disk';
 import type {EvidenceLine} from './evidence-chain.js';
 
 /** Stores the lines and the head of an evidence log. */
 export abstract class EvidenceStorage {
-	/** Appends text; durable once this resolves. */
+	/** Appends text; durable once this resolves. Throws a NoSpaceError if the disk has no room, after which a part may be stored. */
 	abstract append(text: string): Promise<void>;
 	/** Truncates to a length, which drops an incomplete last line; durable once this resolves. */
 	abstract truncate(bytes: number): Promise<void>;
@@ -84,7 +85,7 @@
 	}
 
 	async append(text: string): Promise<void> {
-		await this.linesFile.appendFile(text);
+		await claimSpace(async () => this.linesFile.appendFile(text));
 		await this.linesFile.datasync();
 	}
 
--- a/packages/monitor/tests/evidence.test.ts
+++ b/packages/monitor/tests/evidence.test.ts
@@ -3,6 +3,8 @@
 } from 'node:fs/promises';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
+import {setImmediate as nextTurn} from 'node:timers/promises';
+import {NoSpaceError} from '@egretrill/disk';
 import {expect} from 'chai';
 import fc from 'fast-check';
 import {
@@ -168,6 +170,47 @@
 		expect(await verifyEvidence(file)).to.include({intact: true, records: 3, tornBytes: 0});
 	});
 
+	// Guards against evidence that ends for good because the disk was full for seconds.
+	it('refuses records that find no room, with those chained to them, and continues the chain once there is room', async () => {
+		await writeLog(1);
+		const storage = await FileEvidenceStorage.open(file);
+		const append = storage.append.bind(storage);
+		const log = await EvidenceLog.open({storage, getWallTime});
+		storage.append = async text => {
+			await append(text.slice(0, text.length / 2));
+			throw new NoSpaceError('The disk has no room.');
+		};
+
+		const first = getFailure(async () => log.append(createRecord(1)));
+		await nextTurn();
+		const failures = [await getFailure(async () => log.append(createRecord(2))), await first];
+		expect(failures.map(failure => (failure as {cause?: string}).cause)).to.deep.equal(['The disk had no room.', 'The disk has no room.']);
+		storage.append = append;
+		await Promise.all([log.append(createRecord(3)), log.append(createRecord(4))]);
+		const {entries} = await log.readPage(-1, 10);
+		expect(entries.map(({record}) => 'version' in record && record.version)).to.deep.equal([0, 3, 4]);
+		await log.close();
+		expect(await verifyEvidence(file)).to.include({intact: true, records: 3, tornBytes: 0});
+	});
+
+	// Guards against a log that goes on although a part of a refused record may be in its file.
+	it('accepts no more records if it cannot cut off what a full disk has taken', async () => {
+		await writeLog(1);
+		const storage = await FileEvidenceStorage.open(file);
+		const log = await EvidenceLog.open({storage, getWallTime});
+		storage.append = async () => {
+			throw new NoSpaceError('The disk has no room.');
+		};
+
+		storage.truncate = async () => {
+			throw new Error('EIO: i/o error, ftruncate');
+		};
+
+		await getFailure(async () => log.append(createRecord(1)));
+		expect(log.getFailure()).to.equal('EIO: i/o error, ftruncate');
+		await log.close();
+	});
+
 	it('acknowledges nothing after a disk error and shows no record that is not durable', async () => {
 		await writeLog(1);
 		for (const failingMethod of ['append', 'writeHead'] as const) {
