--- a/packages/hosts/tests/full-disk.test.ts
+++ b/packages/hosts/tests/full-disk.test.ts
@@ -108,6 +108,24 @@
 		cluster.stopAll();
 	});
 
+	// Guards against a leader that is elected again and again, since a term still finds the room that entries do not.
+	it('hands over for good when only its log finds no room', async () => {
+		const {cluster, leader} = await createCluster();
+		const {term} = leader.node.status();
+		fill(leader, /log$/v);
+		const startedMs = cluster.clock.now();
+		await propose(cluster, leader, 'refused');
+		const newLeader = await cluster.waitForLeader(process => process !== leader);
+		await propose(cluster, newLeader, 'kept');
+		expect(cluster.clock.now() - startedMs).to.be.below(4000);
+		await cluster.clock.run(2 * FULL_MS);
+		expect([newLeader.node.isLeaderWithLease(), newLeader.node.status().term]).to.deep.equal([true, term + 1]);
+		free(leader);
+		await cluster.clock.run(CATCH_UP_MS);
+		expect(describeStates(cluster).size).to.equal(1);
+		cluster.stopAll();
+	});
+
 	// Guards against a change that is refused although an earlier leader's copy of it may still be committed.
 	it('leaves the outcome of earlier changes open when its log takes no further one', async () => {
 		const {cluster, leader, leaderId} = await createCluster();
@@ -332,17 +350,27 @@
 	});
 
 	// Guards against a process that cannot be stopped while it waits.
-	it('ends when it is stopped while it waits for room', async () => {
-		const cluster = new SimCluster({seed: SEED, initialMembers: []});
-		cluster.start('d');
-		const {node, fileSystem} = getProcess(cluster, 'd');
-		fill(getProcess(cluster, 'd'));
-		await cluster.clock.run(1000);
-		const tries = fileSystem.refusedWrites;
-		await node.stop();
-		await cluster.clock.run(1000);
-		expect([tries > 1, fileSystem.refusedWrites, node.status().role]).to.deep.equal([true, tries, 'stopped']);
-	});
+	for (const way of ['signal', 'stop'] as const) {
+		it(`ends when it is stopped (${way}) while it waits for room`, async () => {
+			const cluster = new SimCluster({seed: SEED, initialMembers: []});
+			const stopper = new AbortController();
+			cluster.start('d', [], stopper.signal);
+			const {node, fileSystem} = getProcess(cluster, 'd');
+			fill(getProcess(cluster, 'd'));
+			await cluster.clock.run(1000);
+			const tries = fileSystem.refusedWrites;
+			if (way === 'stop') {
+				await node.stop();
+			} else {
+				stopper.abort();
+			}
+
+			await cluster.clock.run(1000);
+			expect([tries > 1, fileSystem.refusedWrites]).to.deep.equal([true, tries]);
+			await node.stop();
+			expect(node.status().role).to.equal('stopped');
+		});
+	}
 
 	// Guards against a vote that is forgotten, or a log that counts as empty, since a message came before the files were read.
 	it('answers no message before it has read its log', async () => {
