egretrilld: read what has arrived before a stopping host closes a socket

Cause: timers run before sockets are read. When the balancer's time ended, `server.close()` destroyed idle connections on which a request had arrived but was not read, which resets them. Connections that wait to be accepted are reset in the same way when the listening socket is closed; Node 20 accepts one in each turn of the event loop, so that many wait after a standstill. The limit of 511 turns, and the end of the stop, bound the wait.

--- a/apps/egretrilld/src/traffic/caller-connections.ts
+++ b/apps/egretrilld/src/traffic/caller-connections.ts
@@ -1,11 +1,15 @@
 import {Buffer} from 'node:buffer';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {Server as NetServer, type Socket} from 'node:net';
+import {setImmediate as nextTurn} from 'node:timers/promises';
 import {refuseForStop} from '@egretrill/callers';
 import type {Clock} from '@egretrill/common';
 import {FINAL_CLOSE_MS, FINAL_FLUSH_MS} from './constants.js';
 import {createRefusalBody, getRetryAfter} from './refusal-body.js';
 
+/** Connections that wait until they are accepted, by Node's default for `listen`. */
+const MAX_WAITING_CONNECTIONS = 511;
+
 type Connection = {
 	/** Number of requests that have not been answered. */
 	openCount: number;
@@ -13,6 +17,13 @@
 	answeredBytes: number;
 };
 
+/** Resolves once all sockets that have something to read have been read. */
+async function readArrived(): Promise<void> {
+	// The first turn may have read some sockets before this was called.
+	await nextTurn();
+	await nextTurn();
+}
+
 /** The refusal of a request whose head has not arrived completely. */
 function createRawRefusal(): string {
 	const verdict = refuseForStop();
@@ -25,11 +36,13 @@
 /** The connections of callers to a server that stops. Idle ones stay open until the end: closing one earlier would lose the requests that cross the close. */
 export class CallerConnections {
 	private readonly connections = new Map<Socket, Connection>();
+	private acceptedCount = 0;
 
 	/** `trackConnection` is called for each connection and returns a function that is called at its end. */
 	constructor(private readonly server: Server, trackConnection: () => () => void) {
 		server.on('connection', (socket: Socket) => {
 			const end = trackConnection();
+			this.acceptedCount += 1;
 			this.connections.set(socket, {openCount: 0, answeredBytes: 0});
 			socket.once('close', () => {
 				this.connections.delete(socket);
@@ -41,8 +54,16 @@
 		});
 	}
 
-	/** Accepts no further connections; the open ones are kept. */
-	stopAccepting(): void {
+	/** Accepts no further connections after those that have arrived, or at once when the signal aborts; the open ones are kept. */
+	async stopAccepting(signal: AbortSignal): Promise<void> {
+		const startCount = this.acceptedCount;
+		let knownCount: number;
+		do {
+			knownCount = this.acceptedCount;
+			// Node accepts one connection of a socket in each turn of the event loop; closing the socket resets those that still wait.
+			await readArrived();
+		} while (this.acceptedCount > knownCount && knownCount - startCount < MAX_WAITING_CONNECTIONS && !signal.aborted);
+
 		// The close method of the HTTP server would also close idle connections, on which requests may be arriving.
 		NetServer.prototype.close.call(this.server);
 	}
@@ -50,6 +71,7 @@
 	/** Closes all connections once the last answers have been sent. A request that arrives until then is answered; one that crosses the close finds the connection ended without an answer. */
 	async close(clock: Clock): Promise<void> {
 		await clock.sleep(FINAL_FLUSH_MS);
+		await readArrived();
 		for (const [socket, {openCount, answeredBytes}] of this.connections) {
 			if (openCount === 0) {
 				socket.end(socket.bytesRead > answeredBytes ? createRawRefusal() : '');
--- a/apps/egretrilld/src/traffic/entry-host.ts
+++ b/apps/egretrilld/src/traffic/entry-host.ts
@@ -123,11 +123,12 @@
 		const drained = this.drain.start(reason);
 		this.queue.dispatch();
 		await clock.sleep(Math.min(balancerWaitMs, drainMs));
-		this.connections.stopAccepting();
 		this.queue.close();
+		const listenerClosed = this.connections.stopAccepting(this.plannedStop.ended);
 		const report = await drained;
 		logger.info({...report}, 'The host has drained.');
 		this.plannedStop.end();
+		await listenerClosed;
 		await this.connections.close(clock);
 	}
 
