callers, egretrilld: end requests at the drain deadline of the daemon with a verdict

Cause: `Daemon.stop` destroyed all connections as soon as the deadline was over, and nothing told the requests. Change: the daemon aborts the requests, waits up to 0.5 s for their ends and 50 ms for their answers, and closes then. `getResultAtStop` turns the abort into a verdict: "may have run" once a target was connected, "not run" for those that wait or were not sent, whose records and shares are released. A stream ends with an error event. A request that is still arriving is refused with its connection closed; refusals carry a length for that, since chunked encoding would end only after the rest of the request. An attempt that was aborted before it was connected counts as not sent. Evidence: drain-deadline.test.ts (one daemon with a deadline of 1.5 s, an order, a lookup, a stream, a queued stream and half a body).

--- a/apps/egretrilld/src/constants.ts
+++ b/apps/egretrilld/src/constants.ts
@@ -46,3 +46,9 @@
 
 /** How often the certificate files are re-read, so that a rotation needs no restart. */
 export const CERTIFICATE_REFRESH_MS = 1000;
+
+/** Longest wait at the end of a drain for the requests in flight to end; a record of a call that must not run twice is released within it. */
+export const REQUEST_END_TIMEOUT_MS = 500;
+
+/** Time for the last answers to be sent before the connections are closed. */
+export const FINAL_FLUSH_MS = 50;
--- a/apps/egretrilld/src/daemon.ts
+++ b/apps/egretrilld/src/daemon.ts
@@ -14,7 +14,7 @@
 import {createHealthApp, type DrainReport, type UnreadyReason} from '@egretrill/balancer';
 import type {Container} from 'inversify';
 import {
-	CONFIG_SYNC_INTERVAL_MS, INITIAL_CONFIG_RETRY_MS, PLACEMENT_AUDIT_INTERVAL_MS, PROMISE_RECORD_INTERVAL_MS,
+	CONFIG_SYNC_INTERVAL_MS, FINAL_FLUSH_MS, INITIAL_CONFIG_RETRY_MS, PLACEMENT_AUDIT_INTERVAL_MS, PROMISE_RECORD_INTERVAL_MS, REQUEST_END_TIMEOUT_MS,
 } from './constants.js';
 import {createHandlers} from './handlers.js';
 import {tokens} from './tokens.js';
@@ -28,13 +28,15 @@
 export class Daemon {
 	private readonly stopping = new AbortController();
 	private readonly drainRequests = new AbortController();
+	/** Aborts the requests that are in flight at the end of the drain. */
+	private readonly requestAbort = new AbortController();
 	private servers: readonly Server[] = [];
 	private peerServer: PeerServer | undefined;
 	private tasks: ReadonlyArray<Promise<void>> = [];
 
 	constructor(private readonly container: Container, private readonly credentials: PeerCredentials) {
 		// All tasks of the daemon listen to this signal, which exceeds Node's default limit for listener leaks.
-		setMaxListeners(0, this.stopping.signal);
+		setMaxListeners(0, this.stopping.signal, this.requestAbort.signal);
 	}
 
 	/** Aborts when an operator requests a drain of this host. */
@@ -69,9 +71,10 @@
 		return addresses;
 	}
 
-	/** Waits for in-flight work to finish, then closes all servers and connections; a second call stops waiting. */
+	/** Waits for in-flight work to finish, answers what is left, then closes all servers and connections; a second call stops waiting. */
 	async stop(reason: string): Promise<DrainReport> {
 		const report = await this.container.get(tokens.drain).start(reason);
+		await this.endRequests();
 		const isFirst = !this.stopping.signal.aborted;
 		this.stopping.abort();
 		for (const server of this.servers) {
@@ -92,6 +95,13 @@
 		return report;
 	}
 
+	/** Ends the requests in flight with a verdict, and waits until their answers are sent. */
+	private async endRequests(): Promise<void> {
+		this.requestAbort.abort();
+		await this.container.get(tokens.drain).waitUntilEnded(REQUEST_END_TIMEOUT_MS);
+		await this.container.get(tokens.clock).sleep(FINAL_FLUSH_MS);
+	}
+
 	private startTasks(initialConfig: ConfigDocument | undefined): ReadonlyArray<Promise<void>> {
 		const {signal} = this.stopping;
 		const source = this.container.get(tokens.versionedConfig);
@@ -192,9 +202,11 @@
 	private createCallers(): RequestListener {
 		const deps = this.container.get(tokens.requestDependencies);
 		const drain = this.container.get(tokens.drain);
+		const {signal: stopping} = this.requestAbort;
 		return createCallerApp({
 			logger: deps.logger,
-			async handle(req, reply, signal) {
+			stopping,
+			async handle(req, reply, disconnected) {
 				let end: () => void;
 				try {
 					end = drain.startWork('request');
@@ -208,7 +220,7 @@
 				}
 
 				try {
-					await handleRequest(req, reply, signal, deps);
+					await handleRequest(req, reply, {disconnected, stopping}, deps);
 				} finally {
 					end();
 				}
--- /dev/null
+++ b/apps/egretrilld/tests/drain-deadline.test.ts
@@ -0,0 +1,97 @@
+import {once} from 'node:events';
+import {connect} from 'node:net';
+import {StandInEngine, StandInService} from '@egretrill/stand-ins';
+import {
+	createLocalConfig, type DaemonProcess, Fleet, getLocalKey, Session, type StreamingCall, waitFor,
+} from '@egretrill/testkit';
+import {expect} from 'chai';
+import got from 'got';
+
+const ZONE = 'zone-a';
+const DRAIN_DEADLINE_MS = 1500;
+const draftPath = '/v1/chat/completions';
+
+function getDraft(stream: boolean): string {
+	return JSON.stringify({
+		model: 'inscription', max_tokens: 4, stream, messages: [{role: 'user', content: 'Draft the plaque.'}],
+	});
+}
+
+/** Sends the head of a request and a part of its body, and resolves with what the host answers until it closes the connection. */
+async function sendPart(host: DaemonProcess): Promise<string> {
+	const [address, port] = host.addresses.callers.split(':');
+	const socket = connect(Number(port), address);
+	await once(socket, 'connect');
+	let text = '';
+	socket.on('error', () => undefined).on('data', (bytes: Uint8Array) => {
+		text += String(bytes);
+	});
+	socket.write(`POST /orders HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer ${getLocalKey('yard')}\r\nIdempotency-Key: part\r\nContent-Length: 4\r\n\r\nab`);
+	await once(socket, 'close');
+	return text;
+}
+
+function describeCall({status, headers, body}: StreamingCall): unknown {
+	return {status, verdict: headers['x-egretrill-verdict'], body: body.replaceAll(/req-[\da-f\-]+/gv, 'REQUEST').replaceAll(': heartbeat\n\n', '')};
+}
+
+describe('the deadline of a drain', () => {
+	let fleet: Fleet;
+	let host: DaemonProcess;
+	let engine: StandInEngine;
+	let registry: StandInService;
+	let ordering: StandInService;
+
+	before(async () => {
+		fleet = await Fleet.start({
+			fleet: 'local', zones: [ZONE], config: createLocalConfig([ZONE]), settings: {drainDeadlineMs: DRAIN_DEADLINE_MS},
+		});
+		host = fleet.getHost(0);
+		const hosts = fleet.getTargetAddresses(ZONE);
+		engine = new StandInEngine({
+			targetId: 'engine', zone: ZONE, hosts: [...hosts], slots: 1, memoryMb: 20_000, resident: [{model: 'inscription', version: 'v1', adapters: []}],
+		});
+		registry = new StandInService({
+			targetId: 'registry', zone: ZONE, service: 'registry', hosts,
+		});
+		ordering = new StandInService({
+			targetId: 'ordering', zone: ZONE, service: 'ordering', hosts,
+		});
+		await Promise.all([engine, registry, ordering].map(async target => target.start()));
+	});
+
+	after(async () => {
+		await Promise.all([engine, registry, ordering].map(async target => target.stop()));
+		await fleet.stop();
+	});
+
+	// Guards against requests in flight that end without an answer, so that their callers don't know whether they ran.
+	it('ends each request in flight with a true verdict', async () => {
+		const session = await Session.start(fleet);
+		await session.send(host, draftPath, {customer: 'yard', body: getDraft(false)}).ended;
+		registry.faults = {holdAnswer: true};
+		ordering.faults = {holdAnswer: true};
+		engine.faults = {holdAfterChunks: 2};
+		const calls = {
+			stream: session.send(host, draftPath, {customer: 'yard', body: getDraft(true)}),
+			lookup: session.send(host, '/registry/mark', {customer: 'yard', method: 'GET'}),
+			order: session.send(host, '/orders', {customer: 'yard', headers: {'idempotency-key': 'order'}, body: 'bronze'}),
+		};
+		await calls.stream.waitFor('"seq":1');
+		const queued = session.send(host, draftPath, {customer: 'port', body: getDraft(true)});
+		const part = sendPart(host);
+		await waitFor('the held calls and the queued one', async () => {
+			const metrics = await got(`http://${host.addresses.health}/metrics`).text();
+			return (registry.runs.length === 1 && ordering.runs.length === 1 && metrics.includes('egretrill_waiting_requests 1\n')) || undefined;
+		});
+		const exitCode = await host.terminate();
+		const answerToPart = await part;
+		const ended = await Promise.all(Object.values({...calls, queued}).map(async call => call.ended));
+		expect({
+			exitCode,
+			calls: Object.fromEntries(['stream', 'lookup', 'order', 'queued'].map((name, i) => [name, describeCall(ended[i]!)])),
+			part: answerToPart.split('\r\n').filter(line => !/^(?:date|keep-alive):/iv.test(line)),
+			runs: {engine: engine.received.length, registry: registry.runs, ordering: ordering.runs},
+		}).toMatchSnapshot();
+	});
+});
--- a/apps/egretrilld/tests/traffic/closing-answers.test.ts
+++ b/apps/egretrilld/tests/traffic/closing-answers.test.ts
@@ -23,6 +23,7 @@
 		res.end('not ready');
 	},
 	'front end': createCallerApp({
+		stopping: new AbortController().signal,
 		logger, async handle(_req, reply) {
 			await sendRefusal(reply, refuse(404, 'unknown-route', 'No route.'));
 		},
--- a/packages/balancer/src/drain.ts
+++ b/packages/balancer/src/drain.ts
@@ -63,6 +63,15 @@
 		return [...this.workCounts.values()].reduce((sum, count) => sum + count, 0);
 	}
 
+	/** Resolves once no started work is left, or the time is over. */
+	async waitUntilEnded(maxMs: number): Promise<void> {
+		const {clock} = this.opts;
+		const endMs = clock.now() + maxMs;
+		while (this.getWorkCount() > 0 && clock.now() < endMs) {
+			await this.workEnded.wait(clock, endMs - clock.now());
+		}
+	}
+
 	/** Starts the drain and resolves with its report; a second call ends the wait at once. */
 	async start(reason: string): Promise<DrainReport> {
 		if (this.report) {
--- a/packages/callers/src/app.ts
+++ b/packages/callers/src/app.ts
@@ -1,14 +1,19 @@
 import {Buffer} from 'node:buffer';
 import {randomUUID} from 'node:crypto';
 import {type Logger, MAX_BODY_BYTES, refuse} from '@egretrill/common';
-import express, {type ErrorRequestHandler, type Express, type Request} from 'express';
+import express, {
+	type ErrorRequestHandler, type Express, type Request, type Response,
+} from 'express';
 import {type CallerReply, sendRefusal} from './caller-reply.js';
+import {refuseAtStop} from './end-at-stop.js';
 import {ExpressReply} from './express-reply.js';
 import type {CallerRequest} from './types.js';
 
 export type CallerAppOptions = {
 	readonly logger: Logger;
-	readonly handle: (req: CallerRequest, reply: CallerReply, signal: AbortSignal) => Promise<void>;
+	/** Aborts when this host stops; requests that have not arrived completely are then refused. */
+	readonly stopping: AbortSignal;
+	readonly handle: (req: CallerRequest, reply: CallerReply, disconnected: AbortSignal) => Promise<void>;
 };
 
 function getHeaders(req: Request): Record<string, string> {
@@ -27,13 +32,39 @@
 	};
 }
 
+/** Refuses a request at the stop of this host unless it has arrived completely by then. */
+function refuseIncomplete(res: Response, stopping: AbortSignal): void {
+	const refuseNow = (): void => {
+		if (!res.locals.hasArrived && !res.headersSent) {
+			// The rest of the request is not read.
+			res.shouldKeepAlive = false;
+			void sendRefusal(new ExpressReply(res, new AbortController().signal), refuseAtStop());
+		}
+	};
+
+	stopping.addEventListener('abort', refuseNow, {once: true});
+	res.once('close', () => {
+		stopping.removeEventListener('abort', refuseNow);
+	});
+}
+
 /** Creates the HTTP server application for callers. */
-export function createCallerApp({logger, handle}: CallerAppOptions): Express {
+export function createCallerApp({logger, stopping, handle}: CallerAppOptions): Express {
 	const app = express();
 	app.disable('x-powered-by');
 	app.disable('etag');
+	app.use((_req, res, next) => {
+		refuseIncomplete(res, stopping);
+		next();
+	});
 	app.use(express.raw({type: () => true, limit: MAX_BODY_BYTES}));
 	app.use(async (req, res) => {
+		if (res.headersSent) {
+			// It was refused before it had arrived completely.
+			return;
+		}
+
+		res.locals.hasArrived = true;
 		const disconnected = new AbortController();
 		res.once('close', () => {
 			if (!res.writableFinished) {
--- a/packages/callers/src/caller-reply.ts
+++ b/packages/callers/src/caller-reply.ts
@@ -1,3 +1,4 @@
+import {Buffer} from 'node:buffer';
 import {VERDICT_HEADER, type Verdict} from '@egretrill/common';
 import type {ErrorBody} from './types.js';
 
@@ -18,12 +19,15 @@
 
 /** Sends a refusal with its verdict in status, header and body. */
 export async function sendRefusal(reply: CallerReply, verdict: Verdict): Promise<void> {
-	const body: ErrorBody = {error: {verdict: verdict.run, code: verdict.code, message: verdict.reason}};
+	const error: ErrorBody = {error: {verdict: verdict.run, code: verdict.code, message: verdict.reason}};
+	const body = Buffer.from(JSON.stringify(error));
 	reply.start(verdict.status, {
 		'content-type': 'application/json',
+		// With a length, the refusal of a request that is still arriving is complete before the rest has been read.
+		'content-length': String(body.length),
 		[VERDICT_HEADER]: verdict.run,
 		...(verdict.retryAfterMs !== undefined && {'retry-after': String(Math.ceil(verdict.retryAfterMs / 1000))}),
 	});
-	await reply.write(JSON.stringify(body));
+	await reply.write(body);
 	await reply.end();
 }
--- a/packages/callers/src/constants.ts
+++ b/packages/callers/src/constants.ts
@@ -31,3 +31,6 @@
 
 /** A host that has received nothing from the leader for this long cannot commit a record and refuses calls that need one at once. */
 export const RECORD_STALE_MS = 1500;
+
+/** Retry time of requests that the stop of this host refuses: long enough for the balancer's next check. */
+export const STOP_RETRY_AFTER_MS = 1000;
--- a/packages/callers/src/exchange-types.ts
+++ b/packages/callers/src/exchange-types.ts
@@ -28,7 +28,8 @@
 /** How one attempt at a target ended. */
 export type AttemptResult =
 	| {readonly kind: 'completed'; readonly tokens?: number; readonly times?: StreamTimes}
-	| {readonly kind: 'cancelled'}
+	/** `isUnsent` tells that nothing was sent to the target. */
+	| {readonly kind: 'cancelled'; readonly isUnsent?: boolean}
 	/** `isTextDelivered` tells that the caller has the chunk that the engine marked as the last one of the text. */
 	| {readonly kind: 'failed'; readonly failure: SendFailure; readonly deliveredChunks: number; readonly isTextDelivered?: boolean};
 
--- a/packages/callers/src/handle-request.ts
+++ b/packages/callers/src/handle-request.ts
@@ -7,6 +7,7 @@
 import {type CallerReply, sendRefusal} from './caller-reply.js';
 import type {ConfigIndex} from './config-index.js';
 import {OPEN_CUSTOMER, RECORD_STALE_MS} from './constants.js';
+import {getResultAtStop, linkSignals, type RequestSignals} from './end-at-stop.js';
 import type {Exchange} from './exchange-types.js';
 import {getFingerprint} from './poison-list.js';
 import {matchRoute} from './match-route.js';
@@ -26,7 +27,7 @@
 				.map(work => ({identity, work}))));
 }
 
-async function serve(req: CallerRequest, reply: CallerReply, signal: AbortSignal, deps: RequestDependencies): Promise<Result<RunResult, Verdict>> {
+async function serve(req: CallerRequest, reply: CallerReply, signals: RequestSignals, deps: RequestDependencies): Promise<Result<RunResult, Verdict>> {
 	const index = deps.config.getIndex();
 	if (!index) {
 		return Result.err(refuse(503, 'not-ready', 'This host has no configuration yet.', 1000));
@@ -38,13 +39,24 @@
 	}
 
 	const customer = authorized.value.identity.customer?.id ?? OPEN_CUSTOMER;
-	const result = await admitAndRun({
+	const result = await runUntilEnded(signals, async signal => admitAndRun({
 		...authorized.value, deps, signal, fingerprint: getFingerprint(customer, `${req.method} ${req.path}`, req.body),
-	}, req, reply);
+	}, req, reply));
 	deps.observer.recordEnd({requestId: req.requestId, customer, outcome: result.isOk ? result.value.kind : result.error});
 	return result;
 }
 
+/** Runs a request until it ends, its caller disconnects or this host stops. */
+async function runUntilEnded(signals: RequestSignals, run: (signal: AbortSignal) => Promise<Result<RunResult, Verdict>>): Promise<Result<RunResult, Verdict>> {
+	const {signal, unlink} = linkSignals(signals);
+	try {
+		const result = await run(signal);
+		return signals.stopping.aborted && !signals.disconnected.aborted ? getResultAtStop(result) : result;
+	} finally {
+		unlink();
+	}
+}
+
 /** Admits a request with a known route and customer, and runs it on a target. */
 async function admitAndRun(admissionReq: AdmissionRequest, req: CallerRequest, reply: CallerReply): Promise<Result<RunResult, Verdict>> {
 	const {deps, identity, work} = admissionReq;
@@ -104,11 +116,11 @@
 }
 
 /** Handles a caller's request and sends its answer or refusal. */
-export async function handleRequest(req: CallerRequest, reply: CallerReply, signal: AbortSignal, deps: RequestDependencies): Promise<void> {
+export async function handleRequest(req: CallerRequest, reply: CallerReply, signals: RequestSignals, deps: RequestDependencies): Promise<void> {
 	const startedMs = deps.clock.now();
 	let result: Result<RunResult, Verdict>;
 	try {
-		result = await serve(req, reply, signal, deps);
+		result = await serve(req, reply, signals, deps);
 	} catch (err: unknown) {
 		deps.logger.error({err, requestId: req.requestId}, 'A request failed unexpectedly.');
 		result = Result.err(toVerdict(err));
@@ -126,7 +138,7 @@
 	deps.logger.info({
 		requestId: req.requestId, path: req.path, outcome: verdict.code, verdict: verdict.run, elapsedMs,
 	}, 'Request refused.');
-	if (signal.aborted) {
+	if (signals.disconnected.aborted) {
 		return;
 	}
 
--- a/packages/callers/src/index.ts
+++ b/packages/callers/src/index.ts
@@ -7,6 +7,7 @@
 export * from './decide-retry.js';
 export * from './fair-queue.js';
 export * from './forward/index.js';
+export * from './end-at-stop.js';
 export * from './handle-request.js';
 export * from './limits/index.js';
 export * from './match-route.js';
--- a/packages/callers/src/relay-answer.ts
+++ b/packages/callers/src/relay-answer.ts
@@ -63,7 +63,7 @@
 		? await deps.services.send(target, req, signal)
 		: await deps.engines.complete(target, req, signal);
 	if (sent.isErr) {
-		return signal.aborted ? {kind: 'cancelled'} : {kind: 'failed', failure: sent.error, deliveredChunks: 0};
+		return signal.aborted ? {kind: 'cancelled', isUnsent: !sent.error.accepted} : {kind: 'failed', failure: sent.error, deliveredChunks: 0};
 	}
 
 	const answer = await readAnswer(sent.value);
--- a/packages/callers/src/relay-stream.ts
+++ b/packages/callers/src/relay-stream.ts
@@ -94,7 +94,7 @@
 		return {kind: 'completed', tokens: progress.completionTokens ?? progress.deliveredChunks, ...getTimes(progress, startedMs)};
 	} catch (err: unknown) {
 		if (signal.aborted || !(err instanceof StreamBrokenError)) {
-			return {kind: 'cancelled'};
+			return {kind: 'cancelled', isUnsent: err instanceof StreamBrokenError && !err.failure.accepted};
 		}
 
 		if (progress.isDone) {
--- a/packages/callers/src/run-on-targets.ts
+++ b/packages/callers/src/run-on-targets.ts
@@ -51,11 +51,15 @@
 	};
 }
 
+function refuseGoneCaller(): Verdict {
+	return refuse(499, 'caller-gone', 'The caller closed the connection.');
+}
+
 /** Checks again, right before the request is sent, the conditions that may have changed while it waited. */
 export function checkBeforeSend({identity, deps, signal, ...exchange}: Exchange): Result<true, Verdict> {
 	const index = deps.config.getIndex();
 	if (signal.aborted) {
-		return Result.err(refuse(499, 'caller-gone', 'The caller closed the connection.'));
+		return Result.err(refuseGoneCaller());
 	}
 
 	if (exchange.deadlineMs - deps.clock.now() < MIN_TIME_LEFT_TO_START_MS) {
@@ -195,12 +199,18 @@
 		}
 
 		const result = await attemptOnTarget(exchange, chosen.value, state);
-		if (result.kind === 'failed' && !result.failure.accepted) {
+		const isCancelledUnsent = result.kind === 'cancelled' && result.isUnsent === true;
+		const isFailedUnsent = result.kind === 'failed' && !result.failure.accepted;
+		if (isCancelledUnsent || isFailedUnsent) {
 			exchange.deps.observer.recordUnsent(exchange.req.requestId);
 		}
 
 		recordTimes(exchange, chosen.value, result);
 		chosen.value.release(getTargetOutcome(result));
+		if (isCancelledUnsent) {
+			return Result.err(adjustForEarlierAttempt(refuseGoneCaller(), state));
+		}
+
 		if (result.kind !== 'failed') {
 			return Result.ok(result);
 		}
--- a/packages/callers/tests/run-on-targets.test.ts
+++ b/packages/callers/tests/run-on-targets.test.ts
@@ -3,7 +3,7 @@
 import {Result} from 'true-myth';
 import type {Exchange} from '../src/exchange-types.js';
 import {
-	ChosenTarget, type RequestObserver, RetryBudget, runOnTargets, TargetPool, type TargetOutcome, type TargetRequirements,
+	ChosenTarget, getResultAtStop, type RequestObserver, RetryBudget, runOnTargets, TargetPool, type TargetOutcome, type TargetRequirements,
 } from '../src/index.js';
 
 /** A target that accepts no requests without a permit, like one that turned cold after it was chosen. */
@@ -40,13 +40,17 @@
 	readonly excludedByChoice: string[][] = [];
 	readonly chosen: TurnedColdTarget[] = [];
 
+	constructor(private readonly isWarm = false) {
+		super();
+	}
+
 	override getFreeSlots(): number {
 		return 1;
 	}
 
 	override async choose({excluded}: TargetRequirements) {
 		this.excludedByChoice.push([...excluded]);
-		const target = new TurnedColdTarget(this.chosen.length > 0);
+		const target = new TurnedColdTarget(this.isWarm || this.chosen.length > 0);
 		this.chosen.push(target);
 		return Result.ok<ChosenTarget>(target);
 	}
@@ -91,4 +95,25 @@
 		await runOnTargets(createExchange(pool, sent));
 		expect({excluded: pool.excludedByChoice, outcomes: pool.chosen.map(({outcomes}) => outcomes), sent}).toMatchSnapshot();
 	});
+
+	// Guards against "may have run" of a request whose connection was not open yet when it was aborted, and "not run" of one that was sent.
+	it('tell whether an aborted request was sent', async () => {
+		const outcomes = [];
+		for (const accepted of [false, true]) {
+			const pool = new OneTargetPool(true);
+			const aborter = new AbortController();
+			const sent: string[] = [];
+			const exchange = createExchange(pool, sent);
+			const services = {
+				async send() {
+					aborter.abort();
+					return Result.err({accepted, code: 'ABORT_ERR', reason: 'aborted'});
+				},
+			};
+			const result = await runOnTargets({...exchange, signal: aborter.signal, deps: {...exchange.deps, services}});
+			outcomes.push({ended: getResultAtStop(result).unwrapOrElse(verdict => verdict), released: pool.chosen.flatMap(({outcomes: released}) => released), sent});
+		}
+
+		expect(outcomes).toMatchSnapshot();
+	});
 });
