engines: hide an adapter from the hosts until its unload has ended

Callers' requests could be sent to an adapter that the engine was unloading. An unload that waits for its runs is followed by reports, and each report that still lists the adapter was published to the hosts as it came, so the adapter that the owner had hidden before the order appeared again.

The queue leaves it out of everything that it publishes during the eviction.

--- a/packages/engines/src/loading/engine-order-queue.ts
+++ b/packages/engines/src/loading/engine-order-queue.ts
@@ -43,6 +43,8 @@
 	private isRefreshing = false;
 	/** Whether the last order was complete when the engine answered. */
 	private wasDoneOnAnswer = false;
+	/** The adapter that is being evicted; the hosts do not see it even while the engine still holds it. */
+	private leaving: HeldAdapter | undefined;
 	private tail: Promise<unknown> = Promise.resolve();
 	private pending = 0;
 
@@ -143,10 +145,14 @@
 		return true;
 	}
 
-	private async evictAdapter({model, adapter}: HeldAdapter): Promise<boolean> {
-		const step: LoadStep = {kind: 'unload-adapter', model, adapter};
-		this.publishHoldings(hideAdapter(this.getModels(), model, adapter));
-		return this.carryOut(step, 0);
+	private async evictAdapter(evicted: HeldAdapter): Promise<boolean> {
+		this.leaving = evicted;
+		this.publishHoldings(this.getModels());
+		try {
+			return await this.carryOut({kind: 'unload-adapter', ...evicted}, 0);
+		} finally {
+			this.leaving = undefined;
+		}
 	}
 
 	private async loadAdapterIntoFreeSlot({model, adapter, chooseSlot, recordLoad}: AdapterLoad): Promise<boolean> {
@@ -304,7 +310,7 @@
 
 	/** Overrides the registered models, which the registry sends to the hosts, until registrations include the change. */
 	private publishHoldings(models: readonly HeldModel[]): void {
-		this.opts.registry.overrideModels(this.targetId, models);
+		this.opts.registry.overrideModels(this.targetId, this.leaving ? hideAdapter(models, this.leaving) : models);
 	}
 
 	private publishHoldingsWithout(model: string): void {
--- a/packages/engines/src/loading/held-models.ts
+++ b/packages/engines/src/loading/held-models.ts
@@ -1,4 +1,5 @@
 import type {HeldModel} from '@egretrill/common';
+import type {HeldAdapter} from './adapter-slots.js';
 import type {LoadStep} from './types.js';
 
 function holdsAdapter(models: readonly HeldModel[], model: string, adapter: string): boolean {
@@ -27,7 +28,7 @@
 }
 
 /** Returns the models without an adapter, whichever versions of its model hold it. */
-export function hideAdapter(models: readonly HeldModel[], model: string, adapter: string): readonly HeldModel[] {
+export function hideAdapter(models: readonly HeldModel[], {model, adapter}: HeldAdapter): readonly HeldModel[] {
 	return models.map(held => held.name === model ? {...held, adapters: held.adapters.filter(other => other !== adapter)} : held);
 }
 
--- a/packages/engines/tests/loading/order-room.test.ts
+++ b/packages/engines/tests/loading/order-room.test.ts
@@ -119,6 +119,22 @@
 		expect(await fixture.stop()).toMatchSnapshot();
 	});
 
+	// Guards against new requests for an adapter whose unload waits for the requests that use it: a report on the way published it again.
+	it('hides an adapter from the hosts until its unload has ended', async () => {
+		const fixture = new Fixture();
+		await fixture.start(['a1', 'a2']);
+		fixture.engine.use('a', 'a2', 2000);
+		fixture.owner.recordArrivals({service: 's', model: 'a', adapter: 'a1'}, 50, 50);
+		void fixture.load('a3');
+		const seen: unknown[] = [];
+		for (let i = 0; i < 6; i++) {
+			await fixture.clock.run(500);
+			seen.push(fixture.registry.get('t1')?.models.flatMap(({adapters}) => adapters));
+		}
+
+		expect({seen, orders: await fixture.stop()}).toMatchSnapshot();
+	});
+
 	// Guards against the load of a model into the memory of one that the last leader has ordered.
 	it('plans a load again when an order of the last leader shows late', async () => {
 		const fixture = new Fixture();
