--- a/packages/hosts/src/consensus/apply.ts
+++ b/packages/hosts/src/consensus/apply.ts
@@ -31,6 +31,10 @@
 /** Saves a snapshot once enough entries were applied, and removes entries that it covers. Must run within `runExclusive`. */
 async function compactLog(replica: Replica): Promise<void> {
 	const {storage} = replica.opts;
+	if (replica.snapshotRoom.getRetryDelayMs() > 0) {
+		return;
+	}
+
 	if (replica.appliedIndex - replica.snapshotIndex >= COMPACTION_THRESHOLD_ENTRIES) {
 		await saveSnapshot(replica);
 	}
