egretrilld: leave time for the end of the process when only idle callers remain

Change: idle connections alone keep the host for nine tenths of the drain time. Requests in flight keep their whole time.

--- a/apps/egretrilld/src/traffic/caller-connections.ts
+++ b/apps/egretrilld/src/traffic/caller-connections.ts
@@ -11,6 +11,8 @@
 const MAX_WAITING_CONNECTIONS = 511;
 
 type Connection = {
+	/** Ends the tracking of the connection. */
+	readonly endTracking: () => void;
 	/** Number of requests that have not been answered. */
 	openCount: number;
 	/** Bytes that had arrived when the last request was answered. */
@@ -41,12 +43,12 @@
 	/** `trackConnection` is called for each connection and returns a function that is called at its end. */
 	constructor(private readonly server: Server, trackConnection: () => () => void) {
 		server.on('connection', (socket: Socket) => {
-			const end = trackConnection();
+			const endTracking = trackConnection();
 			this.acceptedCount += 1;
-			this.connections.set(socket, {openCount: 0, answeredBytes: 0});
+			this.connections.set(socket, {endTracking, openCount: 0, answeredBytes: 0});
 			socket.once('close', () => {
 				this.connections.delete(socket);
-				end();
+				endTracking();
 			});
 		});
 		server.prependListener('request', ({socket}: IncomingMessage, res: ServerResponse) => {
@@ -68,6 +70,13 @@
 		NetServer.prototype.close.call(this.server);
 	}
 
+	/** Ends the tracking of all connections, so that idle ones no longer delay the stop. */
+	stopTracking(): void {
+		for (const {endTracking} of this.connections.values()) {
+			endTracking();
+		}
+	}
+
 	/** Closes all connections once the last answers have been sent. A request that arrives until then is answered; one that crosses the close finds the connection ended without an answer. */
 	async close(clock: Clock): Promise<void> {
 		await clock.sleep(FINAL_FLUSH_MS);
--- a/apps/egretrilld/src/traffic/constants.ts
+++ b/apps/egretrilld/src/traffic/constants.ts
@@ -71,6 +71,9 @@
 /** Time after which an unanswered request for an adapter is repeated: the leader answers only when the adapter is loaded, and the call may be lost. */
 export const ADAPTER_REQUEST_RETRY_MS = 250;
 
+/** Part of the drain time for which idle connections alone keep a host running; the rest is for the end of its process, which took up to 0.3 s. */
+export const IDLE_WAIT_RATIO = 0.9;
+
 /** Time after the end of a planned stop in which requests that still arrive are refused and the last answers are sent. */
 export const FINAL_FLUSH_MS = 150;
 
--- a/apps/egretrilld/src/traffic/entry-host.ts
+++ b/apps/egretrilld/src/traffic/entry-host.ts
@@ -11,6 +11,7 @@
 import type {ControlPeers} from '@egretrill/hosts';
 import {TargetSlotSource} from './target-slot-source.js';
 import {CallerConnections} from './caller-connections.js';
+import {IDLE_WAIT_RATIO} from './constants.js';
 import type {ConfigDecoder} from './config-decoder.js';
 import {ControlFollower, type HostReport, SyncSink} from './control-follower.js';
 import {DecisionLog} from './decision-log.js';
@@ -125,6 +126,7 @@
 		await clock.sleep(Math.min(balancerWaitMs, drainMs));
 		this.queue.close();
 		const listenerClosed = this.connections.stopAccepting(this.plannedStop.ended);
+		void this.limitIdleWait(drainMs * (1 - IDLE_WAIT_RATIO));
 		const report = await drained;
 		logger.info({...report}, 'The host has drained.');
 		this.plannedStop.end();
@@ -190,6 +192,12 @@
 		this.applyRetryLimits();
 	}
 
+	/** Lets the drain end the given time before its deadline if only idle connections are left. */
+	private async limitIdleWait(beforeEndMs: number): Promise<void> {
+		await this.opts.clock.sleep((this.plannedStop.getTimeLeftMs() ?? 0) - beforeEndMs, this.plannedStop.ended);
+		this.connections.stopTracking();
+	}
+
 	private applyRetryLimits(): void {
 		for (const retryBudget of this.retryBudgets.values()) {
 			retryBudget.setLimits(this.getRetryLimits());
--- a/apps/egretrilld/tests/traffic/stop-crossing.test.ts
+++ b/apps/egretrilld/tests/traffic/stop-crossing.test.ts
@@ -1,5 +1,6 @@
 import {setImmediate, setTimeout} from 'node:timers/promises';
 import {expect} from 'chai';
+import {FINAL_FLUSH_MS, IDLE_WAIT_RATIO} from '../../src/traffic/constants.js';
 import {CallerSocket, describeAnswers} from './support/caller-socket.js';
 import {
 	BALANCER_WAIT_MS, DRAIN_MS, getPort, startEntryHost,
@@ -8,8 +9,6 @@
 import {RawTarget} from './support/raw-target.js';
 
 const REQUEST = 'GET / HTTP/1.1\r\nHost: app.test\r\n\r\n';
-/** Time from the end of the stop until idle connections are closed. */
-const FLUSH_MS = 150;
 const LEAD_MS = 20;
 const BLOCKED_MS = 60;
 
@@ -54,6 +53,6 @@
 	});
 
 	it('is answered when it arrives as the connections are closed', async () => {
-		expect(await callRightBefore(DRAIN_MS + FLUSH_MS)).toMatchSnapshot();
+		expect(await callRightBefore((DRAIN_MS * IDLE_WAIT_RATIO) + FINAL_FLUSH_MS)).toMatchSnapshot();
 	});
 });
