callers: expect no fast end of a request because a target fails fast

What callers would have seen: on a route whose target answers 500 at once, which counts as an answered attempt, a stopping host would have taken such durations for those of real answers and passed on requests that it has to cut. Change: only answers without a server error count.

--- a/packages/callers/src/forward/open-attempt.ts
+++ b/packages/callers/src/forward/open-attempt.ts
@@ -54,7 +54,7 @@
 export function endAttempt({deps: {clock, observer, durations}, call, route, progress}: ForwardContext, attempt: Omit<OpenAttempt, 'kind' | 'answer' | 'metadata'>, outcome: AttemptOutcome): void {
 	const {slot, signal, number, startedMs} = attempt;
 	slot.release(getSlotOutcome(outcome, signal, progress.status));
-	if (outcome.kind === 'answered') {
+	if (outcome.kind === 'answered' && (progress.status ?? 0) < STATUS_SERVER_ERROR) {
 		durations.record(route.name, clock.now() - (progress.sentMs ?? startedMs));
 	}
 
--- a/packages/callers/tests/forward/stopping-requests.test.ts
+++ b/packages/callers/tests/forward/stopping-requests.test.ts
@@ -1,5 +1,5 @@
 import {expect} from 'chai';
-import {runStoppedRequest, type ScenarioOptions} from './support/forward-scenario.js';
+import {observeDuration, runStoppedRequest, type ScenarioOptions} from './support/forward-scenario.js';
 
 const event = (id: number): string => `id: ${id}\ndata: x\n\n`;
 const failedAfterSend = {accepted: true, code: 'ECONNRESET', reason: 'reset'};
@@ -55,3 +55,16 @@
 		});
 	}
 });
+
+describe('the observed durations of a route', () => {
+	// Guards against targets that fail fast and make a stopping host pass on requests that it has to cut off.
+	it('are those of answers without a server error', async () => {
+		const headDelayMs = 300;
+		expect([
+			await observeDuration({answers: [{headDelayMs, chunks: ['ok']}]}),
+			await observeDuration({answers: [{headDelayMs, status: 404, chunks: ['unknown']}]}),
+			await observeDuration({answers: [{headDelayMs, status: 500, chunks: ['failed']}]}),
+			await observeDuration({answers: [{headDelayMs, chunks: ['part'], isCut: true}]}),
+		]).to.deep.equal([1, 1, 0, 0].map(count => ({count, highMs: count * headDelayMs, longestMs: count * headDelayMs})));
+	});
+});
--- a/packages/callers/tests/forward/support/forward-scenario.ts
+++ b/packages/callers/tests/forward/support/forward-scenario.ts
@@ -73,6 +73,12 @@
 	};
 }
 
+/** Runs one request of a caller and returns what this host has observed of the durations of its route. */
+export async function observeDuration(opts: ScenarioOptions): Promise<unknown> {
+	const {durations} = await runScenario(opts);
+	return durations.getObserved(route.name);
+}
+
 /** Runs one request of a caller during a planned stop; returns also why the stop ended it. */
 export async function runStoppedRequest(opts: ScenarioOptions): Promise<unknown> {
 	const {exchange, sender, slots, observer} = await runScenario(opts);
@@ -107,6 +113,7 @@
 	readonly slots: FakeSlots;
 	readonly observer: EndRecorder;
 	readonly rates: RecordingRates;
+	readonly durations: RouteDurations;
 	/** The exception with which the request was reported as failed. */
 	readonly error: unknown;
 };
@@ -159,6 +166,6 @@
 	await clock.run(200_000);
 	const error = await served;
 	return {
-		exchange, sender, slots, observer, rates, error,
+		exchange, sender, slots, observer, rates, durations, error,
 	};
 }
