common: reject an answer with a transfer coding other than chunks

What callers saw: a chat or a call of a plain service got a part of an answer with status 200, framed as whole, when its target named another coding, such as "identity", and reset the connection in the body; with an orderly end they got the encoded bytes as the plain body, for the coding is not passed on. Cause: the check for a reset covers bodies that only the connection ends; one with any transfer coding counted as chunked, but Node reads it to the end of the connection unless the last coding is chunked. Fix: such an answer fails as perhaps run, as on the forwarding path, whose check moves to the common package. Chunks alone are read as before.

--- a/packages/callers/tests/relay-answer.test.ts
+++ b/packages/callers/tests/relay-answer.test.ts
@@ -86,6 +86,26 @@
 		expect(Object.fromEntries(Object.entries(outcomes).map(([name, text]) => [name, text.replace(/^failed: .*$/v, 'failed')]))).toMatchSnapshot();
 	});
 
+	// Guards against an encoded body that is passed on as the plain one, and against a part of it that counts as whole after a reset.
+	it('rejects a transfer coding other than chunked', async () => {
+		const outcomes: Record<string, string> = {};
+		for (const coding of ['identity', 'gzip', 'chunked, gzip', 'gzip, chunked', '', 'Chunked']) {
+			for (const isReset of [false, true]) {
+				const outcome = await read(socket => {
+					socket.write(`${head}Transfer-Encoding: ${coding}\r\n\r\n4\r\npart\r\n0\r\n\r\n`);
+					if (isReset) {
+						socket.resetAndDestroy();
+					} else {
+						socket.end();
+					}
+				});
+				outcomes[`${coding || 'empty'}, ${isReset ? 'reset' : 'orderly end'}`] = outcome;
+			}
+		}
+
+		expect(outcomes).toMatchSnapshot();
+	});
+
 	// Guards against an endless answer that exhausts memory or occupies its task until the deadline.
 	it('stops reading an endless answer once it is too long', async () => {
 		const outcomes = {
--- a/packages/common/src/http-exchange.ts
+++ b/packages/common/src/http-exchange.ts
@@ -12,6 +12,7 @@
 import {
 	DEADLINE_HEADER, REQUEST_ID_HEADER, RESUME_HEADER, TARGET_CONNECT_TIMEOUT_MS,
 } from './constants.js';
+import {hasOtherCoding} from './transfer-coding.js';
 
 /** Error codes of failures that occur before any byte of a request has left this host. */
 const unsentErrorCodes: ReadonlySet<string> = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'EADDRNOTAVAIL', 'ENOTFOUND']);
@@ -115,6 +116,15 @@
 	});
 }
 
+/** Returns why an answer cannot be read. */
+function findFault({statusCode, headers}: Response): Error | undefined {
+	if (statusCode === STATUS_SWITCHING_PROTOCOLS) {
+		return new ProtocolSwitchError();
+	}
+
+	return hasOtherCoding(headers) ? new Error('The answer has a transfer coding other than chunks.') : undefined;
+}
+
 /** Creates the exchange; nothing is written before a later iteration of the event loop. */
 function createExchange(target: TargetAddress, req: TargetRequest, signal: AbortSignal, agent: Agent): GotRequest {
 	return got.stream(`http://${target.address}${req.path}`, {
@@ -140,16 +150,14 @@
 		return Result.err({...toSendFailure(err), accepted: false});
 	}
 
-	const failSwitch = (): void => {
-		stream.destroy(new ProtocolSwitchError());
-	};
-
 	let isConnected = false;
 	stream.once('request', (sent: ClientRequest) => {
 		whenConnected(sent, () => {
 			isConnected = true;
 		});
-		onProtocolSwitch(sent, failSwitch);
+		onProtocolSwitch(sent, () => {
+			stream.destroy(new ProtocolSwitchError());
+		});
 	});
 	// Failures after the head are reported to the reader of the body; without a listener they would terminate the process.
 	stream.on('error', () => undefined);
@@ -165,8 +173,9 @@
 			resolve(Result.err({...failure, accepted: isConnected && failure.accepted}));
 		});
 		stream.once('response', (response: Response) => {
-			if (response.statusCode === STATUS_SWITCHING_PROTOCOLS) {
-				failSwitch();
+			const fault = findFault(response);
+			if (fault) {
+				stream.destroy(fault);
 				return;
 			}
 
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -22,5 +22,6 @@
 export * from './socket-address.js';
 export * from './target-client.js';
 export * from './traffic.js';
+export * from './transfer-coding.js';
 export * from './types.js';
 export * from './verdict.js';
--- a/packages/engines/src/client/forward-client.ts
+++ b/packages/engines/src/client/forward-client.ts
@@ -3,7 +3,7 @@
 } from 'node:http';
 import type {Socket} from 'node:net';
 import {
-	type BodyFraming, type HostAndPort, parseSocketAddress, type SendFailure,
+	type BodyFraming, hasOtherCoding, type HostAndPort, parseSocketAddress, type SendFailure,
 } from '@egretrill/common';
 import {Result} from 'true-myth';
 import {AnswerProgress, ConnectionMonitor} from './connection-monitor.js';
@@ -39,8 +39,7 @@
 		return Result.err('The target changed the protocol.');
 	}
 
-	// Callers may not support other codings, whose end may only be marked by the end of the connection.
-	if (coding !== undefined && coding.toLowerCase() !== 'chunked') {
+	if (hasOtherCoding(headers)) {
 		return Result.err('The answer has a transfer coding other than chunks.');
 	}
 
