common: detect a reset that comes with the last bytes of a later part of an answer

What callers saw: a call of a plain service, or a chat refused by its engine, got a part of the answer with its status, framed as whole; the part of a call that must not run twice was recorded as its outcome. It took an answer that the connection ends, whose body was sent after its head and broken off by a reset. Cause: Node reports a reset that is read with data as an orderly end, and only the lost address of the connection tells it. got reads that address with each head, and Node keeps an address that was read, so nothing was lost any more. Fix: the exchange hides got's own reading of the address, which nothing uses.

--- a/packages/common/src/http-exchange.ts
+++ b/packages/common/src/http-exchange.ts
@@ -127,7 +127,7 @@
 
 /** Creates the exchange; nothing is written before a later iteration of the event loop. */
 function createExchange(target: TargetAddress, req: TargetRequest, signal: AbortSignal, agent: Agent): GotRequest {
-	return got.stream(`http://${target.address}${req.path}`, {
+	const stream = got.stream(`http://${target.address}${req.path}`, {
 		method: req.method as 'POST',
 		headers: createRequestHeaders(req),
 		...(req.body.length > 0 && {body: Buffer.from(req.body.buffer, req.body.byteOffset, req.body.byteLength)}),
@@ -139,6 +139,9 @@
 		timeout: {connect: TARGET_CONNECT_TIMEOUT_MS, request: Math.max(1, req.deadlineMs)},
 		signal,
 	});
+	// The library reads the connection's address for each answer. Node keeps an address that was read, also after a reset, which then goes undetected.
+	Object.defineProperty(stream, 'ip', {value: undefined});
+	return stream;
 }
 
 /** Sends one HTTP request to a target, without retries, and resolves with the head of the answer or a failure. Never rejects. */
