--- a/apps/egretrilld/tests/traffic/cut-answers.test.ts
+++ b/apps/egretrilld/tests/traffic/cut-answers.test.ts
@@ -98,6 +98,7 @@
 			'by length': await runAnswer({text: BY_LENGTH, ending: 'FIN', earlier}, reusing),
 			'by chunks, reset': await runAnswer({text: answers['by chunks'], ending: 'RST', earlier}, reusing),
 			'by connection': await runAnswer({text: answers['by connection'], ending: 'FIN', earlier}, reusing),
+			'by connection, reset': await runAnswer({text: answers['by connection'], ending: 'last byte and RST', earlier}, reusing),
 		}).toMatchSnapshot();
 	});
 
