--- a/apps/egretrilld/src/daemon.ts
+++ b/apps/egretrilld/src/daemon.ts
@@ -5,16 +5,17 @@
 import {
 	type ConfigDocument, createHttpServer, getComponentLogger, isVerdictError,
 } from '@egretrill/common';
+import {NoSpaceError} from '@egretrill/disk';
 import {createTargetApp} from '@egretrill/engines';
 import {
 	FleetConfigSource, getDocumentDigest, type PeerCredentials, type PeerServer, startPeerServer,
 } from '@egretrill/hosts';
-import {createMonitorApp} from '@egretrill/monitor';
+import {createMonitorApp, EvidenceError} from '@egretrill/monitor';
 import {createAdminApp} from '@egretrill/operators';
 import {createHealthApp, type DrainReport, type UnreadyReason} from '@egretrill/balancer';
 import type {Container} from 'inversify';
 import {
-	CONFIG_SYNC_INTERVAL_MS, INITIAL_CONFIG_RETRY_MS, PLACEMENT_AUDIT_INTERVAL_MS, PROMISE_RECORD_INTERVAL_MS,
+	CONFIG_SYNC_INTERVAL_MS, FINAL_FLUSH_MS, INITIAL_CONFIG_RETRY_MS, PLACEMENT_AUDIT_INTERVAL_MS, PROMISE_RECORD_INTERVAL_MS, REQUEST_END_TIMEOUT_MS,
 } from './constants.js';
 import {createHandlers} from './handlers.js';
 import {tokens} from './tokens.js';
@@ -28,13 +29,15 @@
 export class Daemon {
 	private readonly stopping = new AbortController();
 	private readonly drainRequests = new AbortController();
+	/** Aborts the requests that are in flight at the end of the drain. */
+	private readonly requestAbort = new AbortController();
 	private servers: readonly Server[] = [];
 	private peerServer: PeerServer | undefined;
 	private tasks: ReadonlyArray<Promise<void>> = [];
 
 	constructor(private readonly container: Container, private readonly credentials: PeerCredentials) {
 		// All tasks of the daemon listen to this signal, which exceeds Node's default limit for listener leaks.
-		setMaxListeners(0, this.stopping.signal);
+		setMaxListeners(0, this.stopping.signal, this.requestAbort.signal);
 	}
 
 	/** Aborts when an operator requests a drain of this host. */
@@ -42,7 +45,7 @@
 		return this.drainRequests.signal;
 	}
 
-	async start(initialConfig?: ConfigDocument): Promise<DaemonAddresses> {
+	async start(initialConfig?: ConfigDocument, signal?: AbortSignal): Promise<DaemonAddresses> {
 		const {listen, host, zone} = this.container.get(tokens.settings);
 		const logger = this.container.get(tokens.logger);
 		await this.container.get(tokens.evidence).open();
@@ -55,7 +58,7 @@
 				this.drainRequests.abort();
 			}, () => this.getUnreadyReasons().map(({reason}) => reason)),
 		});
-		await this.container.get(tokens.voter)?.node.start();
+		await this.container.get(tokens.voter)?.node.start(signal);
 		this.tasks = this.startTasks(initialConfig);
 		const addresses = {
 			callers: await this.listen(listen.callers, this.createCallers()),
@@ -69,9 +72,10 @@
 		return addresses;
 	}
 
-	/** Waits for in-flight work to finish, then closes all servers and connections; a second call stops waiting. */
+	/** Waits for in-flight work to finish, answers what is left, then closes all servers and connections; a second call stops waiting. */
 	async stop(reason: string): Promise<DrainReport> {
 		const report = await this.container.get(tokens.drain).start(reason);
+		await this.endRequests();
 		const isFirst = !this.stopping.signal.aborted;
 		this.stopping.abort();
 		for (const server of this.servers) {
@@ -92,6 +96,13 @@
 		return report;
 	}
 
+	/** Ends the requests in flight with a verdict, and waits until their answers are sent. */
+	private async endRequests(): Promise<void> {
+		this.requestAbort.abort();
+		await this.container.get(tokens.drain).waitUntilEnded(REQUEST_END_TIMEOUT_MS);
+		await this.container.get(tokens.clock).sleep(FINAL_FLUSH_MS);
+	}
+
 	private startTasks(initialConfig: ConfigDocument | undefined): ReadonlyArray<Promise<void>> {
 		const {signal} = this.stopping;
 		const source = this.container.get(tokens.versionedConfig);
@@ -154,8 +165,17 @@
 		}
 	}
 
+	/** Appends the counters of all promises to the evidence; on a full disk the next record contains them. */
 	private async recordPromises(): Promise<void> {
-		await this.container.get(tokens.evidence).get()?.append({kind: 'promises', counters: [...this.container.get(tokens.promises).getCounts()]});
+		try {
+			await this.container.get(tokens.evidence).get()?.append({kind: 'promises', counters: [...this.container.get(tokens.promises).getCounts()]});
+		} catch (err: unknown) {
+			if (!(err instanceof EvidenceError && err.cause instanceof NoSpaceError)) {
+				throw err;
+			}
+
+			this.container.get(tokens.logger).warn({err}, 'The counters of promises were not recorded, since the disk is full.');
+		}
 	}
 
 	/** Proposes the first configuration of a new fleet; a fleet that already has one rejects it as a conflict. */
@@ -192,9 +212,11 @@
 	private createCallers(): RequestListener {
 		const deps = this.container.get(tokens.requestDependencies);
 		const drain = this.container.get(tokens.drain);
+		const {signal: stopping} = this.requestAbort;
 		return createCallerApp({
 			logger: deps.logger,
-			async handle(req, reply, signal) {
+			stopping,
+			async handle(req, reply, disconnected) {
 				let end: () => void;
 				try {
 					end = drain.startWork('request');
@@ -208,7 +230,7 @@
 				}
 
 				try {
-					await handleRequest(req, reply, signal, deps);
+					await handleRequest(req, reply, {disconnected, stopping}, deps);
 				} finally {
 					end();
 				}
--- a/packages/common/src/http-exchange.ts
+++ b/packages/common/src/http-exchange.ts
@@ -12,10 +12,14 @@
 import {
 	DEADLINE_HEADER, REQUEST_ID_HEADER, RESUME_HEADER, TARGET_CONNECT_TIMEOUT_MS,
 } from './constants.js';
+import {hasOtherCoding} from './transfer-coding.js';
 
 /** Error codes of failures that occur before any byte of a request has left this host. */
 const unsentErrorCodes: ReadonlySet<string> = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'EADDRNOTAVAIL', 'ENOTFOUND']);
 
+/** System calls that fail before there is a connection. Reading from an established one may fail with the same codes. */
+const connectSyscalls: ReadonlySet<string> = new Set(['bind', 'connect', 'getaddrinfo']);
+
 const STATUS_SWITCHING_PROTOCOLS = 101;
 
 const bodilessMethods: ReadonlySet<string> = new Set(['GET', 'HEAD']);
@@ -23,12 +27,19 @@
 /** Answers with these statuses have no body. */
 const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
 
+/** Whether connecting failed; Node joins the errors of a name with several addresses. */
+function isConnectError(err: unknown): boolean {
+	return err instanceof AggregateError
+		? err.errors.every(part => isConnectError(part))
+		: connectSyscalls.has((err as NodeJS.ErrnoException | undefined)?.syscall ?? '');
+}
+
 function isUnsent(err: unknown): boolean {
 	if (err instanceof TimeoutError) {
 		return err.event === 'connect' || err.event === 'lookup';
 	}
 
-	return err instanceof RequestError && unsentErrorCodes.has(err.code);
+	return err instanceof RequestError && unsentErrorCodes.has(err.code) && isConnectError(err.cause);
 }
 
 /** Describes a failed exchange and whether the target may have received any of the request. */
@@ -91,6 +102,12 @@
 	}
 }
 
+/** The server switched protocols instead of answering. */
+export class ProtocolSwitchError extends Error {
+	override readonly name = 'ProtocolSwitchError';
+	override readonly message = 'The server switched protocols.';
+}
+
 /** Calls back when a server switches protocols. The HTTP library reports neither an answer nor an error then, its time limit no longer applies, and an error of the connection would end the process. */
 export function onProtocolSwitch(req: ClientRequest, onSwitch: () => void): void {
 	req.once('upgrade', (_res: IncomingMessage, socket: Duplex) => {
@@ -99,9 +116,18 @@
 	});
 }
 
+/** Returns why an answer cannot be read. */
+function findFault({statusCode, headers}: Response): Error | undefined {
+	if (statusCode === STATUS_SWITCHING_PROTOCOLS) {
+		return new ProtocolSwitchError();
+	}
+
+	return hasOtherCoding(headers) ? new Error('The answer has a transfer coding other than chunks.') : undefined;
+}
+
 /** Creates the exchange; nothing is written before a later iteration of the event loop. */
 function createExchange(target: TargetAddress, req: TargetRequest, signal: AbortSignal, agent: Agent): GotRequest {
-	return got.stream(`http://${target.address}${req.path}`, {
+	const stream = got.stream(`http://${target.address}${req.path}`, {
 		method: req.method as 'POST',
 		headers: createRequestHeaders(req),
 		...(req.body.length > 0 && {body: Buffer.from(req.body.buffer, req.body.byteOffset, req.body.byteLength)}),
@@ -113,6 +139,9 @@
 		timeout: {connect: TARGET_CONNECT_TIMEOUT_MS, request: Math.max(1, req.deadlineMs)},
 		signal,
 	});
+	// The library reads the connection's address for each answer. Node keeps an address that was read, also after a reset, which then goes undetected.
+	Object.defineProperty(stream, 'ip', {value: undefined});
+	return stream;
 }
 
 /** Sends one HTTP request to a target, without retries, and resolves with the head of the answer or a failure. Never rejects. */
@@ -124,16 +153,14 @@
 		return Result.err({...toSendFailure(err), accepted: false});
 	}
 
-	const failSwitch = (): void => {
-		stream.destroy(new Error('The target changed the protocol.'));
-	};
-
 	let isConnected = false;
 	stream.once('request', (sent: ClientRequest) => {
 		whenConnected(sent, () => {
 			isConnected = true;
 		});
-		onProtocolSwitch(sent, failSwitch);
+		onProtocolSwitch(sent, () => {
+			stream.destroy(new ProtocolSwitchError());
+		});
 	});
 	// Failures after the head are reported to the reader of the body; without a listener they would terminate the process.
 	stream.on('error', () => undefined);
@@ -149,8 +176,9 @@
 			resolve(Result.err({...failure, accepted: isConnected && failure.accepted}));
 		});
 		stream.once('response', (response: Response) => {
-			if (response.statusCode === STATUS_SWITCHING_PROTOCOLS) {
-				failSwitch();
+			const fault = findFault(response);
+			if (fault) {
+				stream.destroy(fault);
 				return;
 			}
 
