traffic: end no later process by a deregistration whose caller has gone

What callers would see (found by reading): no requests at a running engine until it starts again, refused or sent elsewhere. An ended process never counts again. Cause: a control host that was suspended for more than 6 s with a deregistration unread no longer counts the target as running. It asked the other hosts which process they know, and ended that one: the next start under the same id. Fix: the start that other hosts name is used only while the caller still waits. A caller that has gone has turned to another host, as for orders for zones. Evidence: the new test of departures.test.ts failed before (no host used the new process: expected [] to deeply equal [c1, c2]).

--- a/apps/egretrilld/src/traffic/control-host.ts
+++ b/apps/egretrilld/src/traffic/control-host.ts
@@ -204,8 +204,8 @@
 		this.failedCalls.warn({reason: err.message});
 	}
 
-	override async removeTarget(targetId: string): Promise<void> {
-		const isKnown = await this.departures.announce(targetId);
+	override async removeTarget(targetId: string, signal: AbortSignal): Promise<void> {
+		const isKnown = await this.departures.announce(targetId, signal);
 		if (isKnown) {
 			this.opts.logger.info({targetId}, 'A target has left.');
 		}
--- a/apps/egretrilld/src/traffic/control-service.ts
+++ b/apps/egretrilld/src/traffic/control-service.ts
@@ -15,8 +15,8 @@
 	abstract recordInvalidRegistration(targetId: string, faults: readonly string[]): void;
 	/** Records a call that could not be read or answered. */
 	abstract recordFailedCall(err: Error): void;
-	/** Removes a target that has left; resolves once the other control hosts that answer in time know it. */
-	abstract removeTarget(targetId: string): Promise<void>;
+	/** Removes a target that has left; resolves once the other control hosts that answer in time know it. The signal aborts when the caller ends. */
+	abstract removeTarget(targetId: string, signal: AbortSignal): Promise<void>;
 	/** Puts a configuration into force unless a higher version is in force. */
 	abstract putTraffic(source: string): Promise<PutOutcome>;
 	/** The source text of the configuration in force; undefined if this host cannot confirm that it is the latest. */
--- a/apps/egretrilld/src/traffic/departures.ts
+++ b/apps/egretrilld/src/traffic/departures.ts
@@ -18,12 +18,13 @@
 export class Departures {
 	constructor(private readonly opts: DeparturesOptions) {}
 
-	/** Ends a target here and at the other control hosts. Resolves when all of them have answered or their time is over; returns whether any host knew the target. */
-	async announce(targetId: string): Promise<boolean> {
+	/** Ends a target here and at the other control hosts. Resolves when all of them have answered or their time is over; returns whether any host knew the target. A target that this host does not know is ended only while the signal of the caller's end has not aborted. */
+	async announce(targetId: string, callerGone: AbortSignal): Promise<boolean> {
 		const {registry} = this.opts;
 		const knownMs = registry.getRunningStartMs(targetId);
 		registry.markEnded(targetId);
-		const startedAtMs = knownMs ?? await this.findStartMs(targetId);
+		// Without its caller, the call may have waited in a suspended host, and the other hosts know the next process.
+		const startedAtMs = knownMs ?? await this.findStartMs(targetId, callerGone);
 		if (startedAtMs !== undefined) {
 			registry.markEnded(targetId, startedAtMs);
 			await this.callOthers({targetId, startedAtMs});
@@ -42,10 +43,10 @@
 		return knownMs === undefined ? {} : {startedAtMs: knownMs};
 	}
 
-	/** Returns the latest start of a target that this host does not know, as the other control hosts know it. */
-	private async findStartMs(targetId: string): Promise<number | undefined> {
+	/** Returns the latest start of a target that this host does not know, as the other control hosts know it; none once the signal aborts. */
+	private async findStartMs(targetId: string, signal: AbortSignal): Promise<number | undefined> {
 		const knownMs = await this.callOthers({targetId});
-		return knownMs.length > 0 ? Math.max(...knownMs) : undefined;
+		return knownMs.length > 0 && !signal.aborted ? Math.max(...knownMs) : undefined;
 	}
 
 	private async callOthers(departure: Departure): Promise<readonly number[]> {
--- a/apps/egretrilld/tests/traffic/departures.test.ts
+++ b/apps/egretrilld/tests/traffic/departures.test.ts
@@ -8,6 +8,8 @@
 const HOST_IDS = ['c0', 'c1', 'c2'];
 /** Time after an acknowledged deregistration during which requests may still be sent. */
 const MAX_SENDING_MS = 2000;
+/** Longer than a registration counts. */
+const SUSPENSION_MS = 8000;
 
 const target: Registration = {
 	targetId: 't1', startedAtMs: 1000, sequence: 1, service: 's', address: '127.0.0.1:9000', zone: 'z', slots: 8, isLeaving: false, coldForMs: 0, models: [], inMemory: [], onDisk: [],
@@ -44,10 +46,10 @@
 	}
 
 	/** Deregisters the target at a host; returns whether the answer comes within a time. */
-	async deregister(id: string, withinMs: number): Promise<boolean> {
+	async deregister(id: string, withinMs: number, callerGone = new AbortController().signal): Promise<boolean> {
 		let isAnswered = false;
 		const announce = async (): Promise<void> => {
-			await this.departures.get(id)?.announce('t1');
+			await this.departures.get(id)?.announce('t1', callerGone);
 			isAnswered = true;
 		};
 
@@ -100,4 +102,17 @@
 		expect(fixture.handle('c2', {targetId: 't1'})).to.deep.equal({startedAtMs: 2000});
 		expect(fixture.listUsing()).to.deep.equal(HOST_IDS);
 	});
+
+	// Guards against a running process that no host uses any more, ended by the deregistration of the last one with its id: a host was suspended with it unread and, at its end, knew the target no longer.
+	it('do not end the next process when their caller has gone before the target is found', async () => {
+		const fixture = new ControlFixture();
+		fixture.register(target, 'c0');
+		fixture.clock.advance(SUSPENSION_MS);
+		fixture.register({...target, startedAtMs: 2000}, 'c1', 'c2');
+		const caller = new AbortController();
+		const answered = fixture.deregister('c0', 100, caller.signal);
+		caller.abort();
+		expect(await answered).to.equal(true);
+		expect(fixture.listUsing()).to.deep.equal(['c1', 'c2']);
+	});
 });
