hosts: count no orders for a zone that an older build gave

What operators would see (shown by the test): after an update, control hosts that disagree on whether a zone is in service, and for good. An order was refused at one member and applied at another. The outcome of an order depends on the count, so members were no longer deterministic. Fix: only orders that name what they follow are counted. Those of the older build name nothing, whichever member applies them. Evidence: the new test of zone-orders.test.ts failed before (expected [ 'z1' ] to deeply equal []).

--- a/apps/egretrilld/tests/traffic/zone-orders.test.ts
+++ b/apps/egretrilld/tests/traffic/zone-orders.test.ts
@@ -1,16 +1,27 @@
-import {ManualClock} from '@egretrill/common';
+import {createCodec, ManualClock} from '@egretrill/common';
 import {
 	type CommandOutcome, type FleetCommand, FleetState, type Method, type PeerCallError,
 } from '@egretrill/hosts';
 import {expect} from 'chai';
 import fc from 'fast-check';
 import {Result} from 'true-myth';
+import {z} from 'zod';
 import {ZONE_ORDER_DEADLINE_MS} from '../../src/traffic/constants.js';
 import {type ZoneOrderOutcome, ZoneOrders} from '../../src/traffic/index.js';
 
 const SEED = 23;
 const ZONE = 'z1';
 
+const snapshotCodec = createCodec(z.record(z.string(), z.unknown()));
+
+/** Returns the state of a member that restarts with a snapshot of a build that counted no orders. */
+function restoreUncounted(state: FleetState): FleetState {
+	const {zoneOrders: _zoneOrders, ...older} = snapshotCodec.decode(state.snapshot());
+	const restored = new FleetState();
+	restored.prepareRestore(snapshotCodec.encode(older))();
+	return restored;
+}
+
 /** A control host whose proposals are stuck until the test releases them. */
 type StuckHost = {readonly orders: ZoneOrders; readonly release: () => void};
 
@@ -143,4 +154,19 @@
 		expect(await fixture.createHost().order(ZONE, false, fixture.running)).to.equal('applied');
 		expect(fixture.isOut()).to.equal(true);
 	});
+
+	// Guards against members whose states differ after an update of the build, since one has a snapshot where the other applies the earlier orders again.
+	it('take effect alike at members that know the orders of an older build from a snapshot or from the log', () => {
+		const replayed = new FleetState();
+		replayed.apply(replayed.encode({kind: 'setZoneService', zone: ZONE, isInService: false}));
+		const restored = restoreUncounted(replayed);
+		for (const state of [replayed, restored]) {
+			state.apply(state.encode({
+				kind: 'setZoneService', zone: ZONE, isInService: true, follows: restored.getZoneOrderCount(ZONE),
+			}));
+		}
+
+		expect(replayed.getZonesOut()).to.deep.equal(restored.getZonesOut());
+		expect(replayed.getZoneOrderCount(ZONE)).to.equal(restored.getZoneOrderCount(ZONE));
+	});
 });
--- a/packages/hosts/src/fleet-state.ts
+++ b/packages/hosts/src/fleet-state.ts
@@ -45,6 +45,7 @@
 /**
  * Applies an order for a zone unless another one was applied after it was given: it may have been stuck in a connection or a suspended host since. An equal
  * order also counts as one, since its caller relies on it as on the first. A repetition of an applied order finds the zone as it wants it.
+ * An order that follows none is one of an older build. It is always applied and never counted, since the snapshots of that build don't count it either.
  */
 function setZoneService(state: FleetSnapshot, {zone, isInService, follows}: FleetCommandOf<'setZoneService'>): Transition {
 	const orders = countZoneOrders(state, zone);
@@ -56,7 +57,8 @@
 
 	const others = state.zonesOut.filter(other => other !== zone);
 	const zonesOut = isInService ? others : [...others, zone];
-	return {state: {...state, zonesOut, zoneOrders: {...state.zoneOrders, [zone]: orders + 1}}, result: {kind: 'zone-service', zonesOut}};
+	const zoneOrders = follows === undefined ? state.zoneOrders : {...state.zoneOrders, [zone]: orders + 1};
+	return {state: {...state, zonesOut, zoneOrders}, result: {kind: 'zone-service', zonesOut}};
 }
 
 /** Applies one command; pure and deterministic, so that all members reach the same state. */
--- a/packages/hosts/src/types.ts
+++ b/packages/hosts/src/types.ts
@@ -246,7 +246,7 @@
 	traffic: TrafficSource.optional(),
 	/** Zones out of service: their targets receive no new requests. */
 	zonesOut: z.array(z.string()).default([]),
-	/** Number of applied orders for each zone. */
+	/** Number of applied orders for each zone, without those of older builds. */
 	zoneOrders: z.record(z.string(), count).default({}),
 	/** Entry hosts, each of which may hold a leased share of the rate limits. */
 	entryHosts: z.array(z.string()).default([]),
