engines: count the memory of adapters in orders

Cause: an adapter was loaded into any free slot; no one asked for memory. A plan of a model counted the adapters of its moment, and not those under way. Fix: a slot counts as free only if the engine has memory for the adapter, now and after the move that is planned for it. Before a model is loaded, its memory is checked again. Where not even an engine without adapters has the memory, nothing is evicted. The simulated engine now counts the memory of adapters.

--- a/packages/engines/src/loading/engine-order-queue.ts
+++ b/packages/engines/src/loading/engine-order-queue.ts
@@ -85,8 +85,8 @@
 		return this.move ? Math.max(PROGRESS_POLL_MS, this.moveEndsAtMs - this.opts.clock.now()) : 0;
 	}
 
-	/** Unloads the models that the move names, then loads its model; returns whether the engine holds it. */
-	async runMove(move: LoadMove): Promise<boolean> {
+	/** Unloads the models that the move names, then loads its model if the engine has memory for it; returns whether the engine holds it. */
+	async runMove(move: LoadMove, hasMemory: (held: readonly HeldModel[]) => boolean): Promise<boolean> {
 		const plannedModels = this.getModels().map(({name}) => name).filter(name => !move.unload.includes(name));
 		this.move = move;
 		this.moveEndsAtMs = this.opts.clock.now() + move.totalMs;
@@ -98,7 +98,8 @@
 					}
 				}
 
-				return this.loadModel(move, plannedModels);
+				// An adapter that was under way when the move was planned may have taken the memory.
+				return this.loadModel(move, () => holdsOnly(this.getModels(), plannedModels) && hasMemory(this.getModels()));
 			});
 		} finally {
 			this.move = undefined;
@@ -169,9 +170,8 @@
 		return this.carryOut(step, 0);
 	}
 
-	private async loadModel({load, loadMs}: LoadMove, plannedModels: readonly string[]): Promise<boolean> {
+	private async loadModel({load, loadMs}: LoadMove, isRoomLeft: () => boolean): Promise<boolean> {
 		const step: LoadStep = {kind: 'load-model', model: load};
-		const isRoomLeft = (): boolean => holdsOnly(this.getModels(), plannedModels);
 		return this.carryOut(step, loadMs, isRoomLeft);
 	}
 
--- a/packages/engines/src/loading/engine-owner.ts
+++ b/packages/engines/src/loading/engine-owner.ts
@@ -1,5 +1,5 @@
 import {
-	type Clock, DecayingCounts, type EngineClass, jitter, type Logger, type LoopWatch, type Random, type Registration,
+	type Clock, DecayingCounts, type EngineClass, type HeldModel, jitter, type Logger, type LoopWatch, type Random, type Registration,
 } from '@egretrill/common';
 import type {AdapterUse, TargetRegistry} from '../registry/index.js';
 import {
@@ -8,6 +8,7 @@
 import {type AdapterSlotChoice, AdapterSlots} from './adapter-slots.js';
 import {EngineOrderQueue} from './engine-order-queue.js';
 import type {EngineOrders} from './engine-orders.js';
+import {hasMemoryForAdapter, hasMemoryForModel} from './engine-memory.js';
 import {estimateReadyTimes, type ModelReadyTime} from './estimate-ready-times.js';
 import {isSwap, planLoads} from './plan-loads.js';
 import type {LoadMove, ModelDemand, PlannedEngine} from './types.js';
@@ -170,7 +171,7 @@
 		const startedMs = clock.now();
 		logger.info({...move, places: this.demand.getPerSecond(getDemandKey({service, model: move.load}))}, 'A model is loaded.');
 		try {
-			const isHeld = await queue.runMove(move);
+			const isHeld = await queue.runMove(move, held => hasMemoryForModel(held, move.load, engineClass));
 			logger.info({
 				targetId: move.targetId, model: move.load, isHeld, tookMs: Math.round(clock.now() - startedMs),
 			}, 'A load has ended.');
@@ -199,7 +200,7 @@
 			const isHeld = await this.getOrderQueue(engine, signal).loadAdapter({
 				model,
 				adapter,
-				chooseSlot: () => this.chooseAdapterSlot(engine.targetId, engineClass),
+				chooseSlot: () => this.chooseAdapterSlot(engine.targetId, model, engineClass),
 				recordLoad: () => {
 					this.adapterSlots.recordLoad(engine.targetId, {model, adapter});
 				},
@@ -231,7 +232,7 @@
 		const getLoad = ({targetId, models}: Registration): number => {
 			const queue = this.orderQueues.get(targetId);
 			const held = models.flatMap(({adapters}) => adapters).length;
-			const isFull = this.chooseAdapterSlot(targetId, engineClass).kind === 'full';
+			const isFull = this.chooseAdapterSlot(targetId, model, engineClass).kind === 'full';
 			return held + ((queue?.getPendingCount() ?? 0) * PENDING_CHANGE_WEIGHT) + (queue?.move === undefined && !isFull ? 0 : MODEL_MOVE_WEIGHT);
 		};
 
@@ -239,11 +240,19 @@
 		return {engine: holders.toSorted((a, b) => (loads.get(a) ?? 0) - (loads.get(b) ?? 0)).at(0), isHeld: false};
 	}
 
-	private chooseAdapterSlot(targetId: string, {adapterSlots}: EngineClass): AdapterSlotChoice {
+	private chooseAdapterSlot(targetId: string, model: string, engineClass: EngineClass): AdapterSlotChoice {
 		const service = this.opts.registry.get(targetId)?.service ?? '';
-		const models = this.orderQueues.get(targetId)?.getHoldings() ?? [];
+		const queue = this.orderQueues.get(targetId);
+		const models = queue?.getHoldings() ?? [];
+		const hasMemory = (holdings: readonly HeldModel[]): boolean => hasMemoryForAdapter(holdings, model, engineClass, queue?.move);
+		if (!hasMemory(models.map(copy => ({...copy, adapters: []})))) {
+			return {kind: 'full'};
+		}
+
+		// Without memory for another adapter, one has to go first, as without a slot.
+		const slotCount = hasMemory(models) ? engineClass.adapterSlots : 0;
 		const held = models.flatMap(({name, adapters}) => adapters.map(adapter => ({model: name, adapter})));
-		return this.adapterSlots.chooseSlot(targetId, held, adapterSlots, adapter => this.demand.getPerSecond(getDemandKey({service, ...adapter})));
+		return this.adapterSlots.chooseSlot(targetId, held, slotCount, adapter => this.demand.getPerSecond(getDemandKey({service, ...adapter})));
 	}
 
 	/** Engines that get requests; copies at other engines serve none. */
--- a/packages/engines/tests/loading/order-room.test.ts
+++ b/packages/engines/tests/loading/order-room.test.ts
@@ -30,11 +30,13 @@
 	/** Undefined while the engine answers no request for a report. */
 	reportLagMs: number | undefined = 0;
 	countsEmptyOrders = false;
+	adapterMb = 1;
 	readonly engine = new SimulatedEngine({
 		clock: this.clock,
 		targetId: 't1',
 		adapterSlots: engineClass.adapterSlots,
 		weightsMb: engineClass.weightsMb,
+		getAdapterMb: () => this.adapterMb,
 		models: new Map(engineClass.models.map(({name, weightsMb}) => [name, weightsMb])),
 		loadMs: 300,
 		countsEmptyOrders: () => this.countsEmptyOrders,
@@ -53,7 +55,7 @@
 		firstOrderAtMs: 0,
 		mayOrder: () => true,
 		getZonesOut: () => [],
-		getClasses: () => new Map([['s', engineClass]]),
+		getClasses: () => new Map([['s', {...engineClass, models: engineClass.models.map(model => ({...model, adapterMb: this.adapterMb}))}]]),
 	});
 
 	async start(adapters: readonly string[]): Promise<void> {
@@ -223,4 +225,60 @@
 		await fixture.clock.run(9000);
 		expect({answer: await load, orders: await fixture.stop()}).toMatchSnapshot();
 	});
+
+	// Guards against an adapter that finds a slot but no memory: models and adapters share the memory of an engine.
+	it('loads no adapter into memory that the models leave too little of', async () => {
+		const fixture = new Fixture();
+		fixture.adapterMb = 15;
+		fixture.engine.hold('b');
+		await fixture.start([]);
+		const loads = [fixture.load('a1')];
+		await fixture.clock.run(100);
+		loads.push(fixture.load('a2'));
+		await fixture.clock.run(1000);
+		loads.push(fixture.load('a3'));
+		await fixture.clock.run(100);
+		expect({answers: await Promise.all(loads), orders: await fixture.stop()}).toMatchSnapshot();
+	});
+
+	// Guards against evictions for an adapter that finds no memory even without any other.
+	it('evicts nothing for an adapter that the models leave no memory for', async () => {
+		const fixture = new Fixture();
+		fixture.adapterMb = 25;
+		fixture.engine.hold('b', ['x1']);
+		await fixture.start([]);
+		const load = fixture.load('a1');
+		await fixture.clock.run(1000);
+		expect({answer: await load, orders: await fixture.stop()}).to.deep.equal({answer: undefined, orders: []});
+	});
+
+	// Guards against a model that is loaded into memory which an adapter has taken since the load was planned.
+	it('loads no model into memory of an adapter that was under way when the load was planned', async () => {
+		const fixture = new Fixture();
+		fixture.adapterMb = 15;
+		await fixture.start([]);
+		const loads = [fixture.load('a1')];
+		await fixture.clock.run(100);
+		fixture.fates.push({deliveryMs: 200, isAnswered: true});
+		loads.push(fixture.load('a2'));
+		fixture.owner.recordArrivals({service: 's', model: 'b'}, 3, 3000);
+		fixture.owner.recordWaiting('h1', [['s', 'b', 2, 0]]);
+		await fixture.clock.run(3000);
+		expect({answers: await Promise.all(loads), orders: await fixture.stop()}).toMatchSnapshot();
+	});
+
+	// Guards against an adapter that takes memory which a planned load of a model is about to use.
+	it('leaves the memory for a model whose load is planned', async () => {
+		const fixture = new Fixture();
+		fixture.adapterMb = 15;
+		fixture.engine.hold('c');
+		await fixture.start([]);
+		fixture.fates.push({deliveryMs: 300, isAnswered: true});
+		const loads = [fixture.load('a1')];
+		loads.push(fixture.load('a2'));
+		fixture.owner.recordArrivals({service: 's', model: 'b'}, 9, 9000);
+		fixture.owner.recordWaiting('h1', [['s', 'b', 2, 0]]);
+		await fixture.clock.run(4000);
+		expect({answers: await Promise.all(loads), orders: await fixture.stop()}).toMatchSnapshot();
+	});
 });
--- a/packages/engines/tests/loading/simulated-engine.ts
+++ b/packages/engines/tests/loading/simulated-engine.ts
@@ -19,6 +19,8 @@
 	readonly targetId: string;
 	readonly adapterSlots: number;
 	readonly weightsMb: number;
+	/** Memory that each adapter takes beside its model. */
+	readonly getAdapterMb?: () => number;
 	/** Weights by model; each of them can be loaded. */
 	readonly models: ReadonlyMap<string, number>;
 	readonly loadMs: number;
@@ -214,11 +216,7 @@
 
 	private loadModel(model: string): LoadOrderOutcome {
 		this.models.set(model, {state: 'coming', adapters: new Map()});
-		const usedMb = [...this.models.keys()].reduce((sum, name) => sum + (this.opts.models.get(name) ?? 0), 0);
-		if (usedMb > this.opts.weightsMb) {
-			this.overfilled.push(`${Math.round(this.opts.clock.now())} ms: ${usedMb} MB of ${this.opts.weightsMb} with ${model}`);
-		}
-
+		this.checkMemory(model);
 		void this.changeLater(this.opts.loadMs, () => {
 			this.models.get(model)!.state = 'held';
 		});
@@ -251,6 +249,7 @@
 			this.overfilled.push(`${Math.round(this.opts.clock.now())} ms: ${count} adapters of ${this.opts.adapterSlots} with ${model}/${adapter}`);
 		}
 
+		this.checkMemory(`${model}/${adapter}`);
 		void this.changeLater(ADAPTER_LOAD_MS, () => {
 			if (adapters.get(adapter) === 'coming') {
 				adapters.set(adapter, 'held');
@@ -259,6 +258,14 @@
 		return 'begun';
 	}
 
+	private checkMemory(loaded: string): void {
+		const weightsMb = [...this.models.keys()].reduce((sum, name) => sum + (this.opts.models.get(name) ?? 0), 0);
+		const usedMb = weightsMb + (this.countAdapters() * (this.opts.getAdapterMb?.() ?? 0));
+		if (usedMb > this.opts.weightsMb) {
+			this.overfilled.push(`${Math.round(this.opts.clock.now())} ms: ${usedMb} MB of ${this.opts.weightsMb} with ${loaded}`);
+		}
+	}
+
 	private unloadAdapter(model: string, adapter: string): LoadOrderOutcome {
 		const {adapters} = this.models.get(model)!;
 		const leftMs = (this.usedUntilMs.get(`${model}/${adapter}`) ?? 0) - this.opts.clock.now();
