engines: publish nothing of an ended process for the next one with its id

What callers would see (by reading): for up to 1.5 s 421 from an engine that had started again under its id, since the hosts were told that it holds what its predecessor held. Cause: the order queue of the ended process published the effect of its last order by id alone, and the registry put it over the registration of the next. Fix: an override names the process. Evidence: the new test of order-room.test.ts failed before (expected a with a1 and a2 to deeply equal []). Run: order-room.test.ts and target-registry.test.ts, 25 passing; npx tsc -b.

--- a/dev/bench/src/polls.ts
+++ b/dev/bench/src/polls.ts
@@ -112,7 +112,7 @@
 
 	private changeResidentModels(): void {
 		const registration = createRegistration(Math.floor(this.random() * FLEET.engines), 0);
-		this.registry.overrideModels(registration.targetId, registration.models);
+		this.registry.overrideModels(registration, registration.models);
 		// A change wakes every poll that is held open, and each compares its revision with the registry's.
 		this.meter.measure('looks for news', () => {
 			for (let i = 0; i < FLEET.hosts; i++) {
--- a/packages/engines/src/loading/engine-order-queue.ts
+++ b/packages/engines/src/loading/engine-order-queue.ts
@@ -304,7 +304,7 @@
 
 	/** Overrides the registered models, which the registry sends to the hosts, until registrations include the change. */
 	private publishHoldings(models: readonly HeldModel[]): void {
-		this.opts.registry.overrideModels(this.targetId, models);
+		this.opts.registry.overrideModels(this, models);
 	}
 
 	private publishHoldingsWithout(model: string): void {
--- a/packages/engines/src/registry/target-registry.ts
+++ b/packages/engines/src/registry/target-registry.ts
@@ -107,10 +107,10 @@
 		}
 	}
 
-	/** Uses the models from an order's answer until the engine's registrations include the change. */
-	overrideModels(targetId: string, models: readonly HeldModel[]): void {
+	/** Uses the models from an order's answer until the registrations of the same process include the change; does nothing for another process with its id. */
+	overrideModels({targetId, startedAtMs}: Pick<Registration, 'targetId' | 'startedAtMs'>, models: readonly HeldModel[]): void {
 		const stored = this.entries.get(targetId);
-		if (stored) {
+		if (stored?.registration.startedAtMs === startedAtMs) {
 			this.store({...stored, modelsOverride: {models, untilMs: this.clock.now() + MODELS_OVERRIDE_MS}});
 		}
 	}
--- a/packages/engines/tests/loading/order-room.test.ts
+++ b/packages/engines/tests/loading/order-room.test.ts
@@ -281,4 +281,20 @@
 		await fixture.clock.run(4000);
 		expect({answers: await Promise.all(loads), orders: await fixture.stop()}).toMatchSnapshot();
 	});
+
+	// Guards against requests for what an ended process held, at the next one with its id, which holds nothing.
+	it('publishes nothing of an ended process for the next one with its id', async () => {
+		const fixture = new Fixture();
+		await fixture.start(['a1']);
+		const load = fixture.load('a2');
+		await fixture.clock.run(5);
+		fixture.engine.restart();
+		fixture.register();
+		// A report of the next process would replace what was published.
+		fixture.reportLagMs = undefined;
+		await fixture.clock.run(100);
+		await load;
+		expect(fixture.registry.get('t1')?.models).to.deep.equal([]);
+		await fixture.stop();
+	});
 });
--- a/packages/engines/tests/registry/target-registry.test.ts
+++ b/packages/engines/tests/registry/target-registry.test.ts
@@ -90,7 +90,7 @@
 		const clock = new ManualClock();
 		const registry = new TargetRegistry(clock, 'r1');
 		registry.accept(register({sequence: 1}));
-		registry.overrideModels('t1', [{name: 'm1', version: 1, adapters: ['a1']}]);
+		registry.overrideModels({targetId: 't1', startedAtMs: 1000}, [{name: 'm1', version: 1, adapters: ['a1']}]);
 		const getAdapters = () => registry.get('t1')?.models[0]?.adapters;
 		const believed = getAdapters();
 		registry.accept(register({sequence: 2}));
