engines: keep the sizes of models that the configuration no longer has

With adapters of 4 and 8 MB, three of 200 histories of room-histories.test.ts still ordered an engine beyond its memory (nine orders): a model that the configuration had lost counted as nothing beside an adapter. Fix: the owner keeps the sizes that it has known during its term; a model whose size it never knew counts as a full engine, as in the plan of loads. The histories now differ in the size of adapters.

--- a/packages/engines/src/loading/engine-memory.ts
+++ b/packages/engines/src/loading/engine-memory.ts
@@ -1,15 +1,34 @@
-import type {EngineClass, HeldModel} from '@egretrill/common';
+import type {EngineClass, HeldModel, StoredModel} from '@egretrill/common';
 import type {LoadMove} from './types.js';
 
 /** Sizes that fill an engine exactly may add up to a little more than its memory. */
 const ROUNDING_MB = 0.001;
 
-/** Memory for models and their adapters, as the configuration describes it. */
-export type MemoryLimits = Pick<EngineClass, 'weightsMb' | 'models'>;
+/** Memory of an engine, and the sizes of the models that it may hold with their adapters. */
+export type MemoryLimits = {readonly weightsMb: number; readonly models: ReadonlyMap<string, StoredModel>};
 
-function getSizes({models}: MemoryLimits, model: string): {readonly weightsMb: number; readonly adapterMb: number} {
-	// Nothing is known of a model that the configuration no longer has; planned loads count it as a full engine.
-	return models.find(({name}) => name === model) ?? {weightsMb: 0, adapterMb: 0};
+type Sizes = Pick<StoredModel, 'weightsMb' | 'adapterMb'>;
+
+/** Memory limits of the engines of each service. Keeps the sizes of models that the configuration had earlier, since engines may still hold them. */
+export class KnownMemory {
+	private readonly byService = new Map<string, {readonly engineClass: EngineClass; readonly limits: MemoryLimits}>();
+
+	getLimits(service: string, engineClass: EngineClass): MemoryLimits {
+		const known = this.byService.get(service);
+		if (known?.engineClass === engineClass) {
+			return known.limits;
+		}
+
+		const models = new Map([...known?.limits.models ?? [], ...engineClass.models.map(model => [model.name, model] as const)]);
+		const limits = {weightsMb: engineClass.weightsMb, models};
+		this.byService.set(service, {engineClass, limits});
+		return limits;
+	}
+}
+
+/** A model whose size is not known may use the whole engine. */
+function getSizes({weightsMb, models}: MemoryLimits, model: string): Sizes {
+	return models.get(model) ?? {weightsMb, adapterMb: 0};
 }
 
 function getUsedMb(held: readonly HeldModel[], limits: MemoryLimits): number {
--- a/packages/engines/src/loading/engine-owner.ts
+++ b/packages/engines/src/loading/engine-owner.ts
@@ -8,7 +8,7 @@
 import {type AdapterSlotChoice, AdapterSlots} from './adapter-slots.js';
 import {EngineOrderQueue} from './engine-order-queue.js';
 import type {EngineOrders} from './engine-orders.js';
-import {hasMemoryForAdapter, hasMemoryForModel} from './engine-memory.js';
+import {hasMemoryForAdapter, hasMemoryForModel, KnownMemory} from './engine-memory.js';
 import {estimateReadyTimes, type ModelReadyTime} from './estimate-ready-times.js';
 import {isSwap, planLoads} from './plan-loads.js';
 import type {LoadMove, ModelDemand, PlannedEngine} from './types.js';
@@ -53,6 +53,7 @@
 	private readonly demand: DecayingCounts;
 	private readonly waiting = new Map<string, {readonly counts: WaitingCounts; readonly receivedAtMs: number}>();
 	private readonly adapterSlots: AdapterSlots;
+	private readonly memory = new KnownMemory();
 	private readonly adapterLoads = new Map<string, Promise<string | undefined>>();
 	/** Time of the first arrivals that were reported to this owner. */
 	private firstArrivalMs = Number.POSITIVE_INFINITY;
@@ -129,6 +130,8 @@
 	}
 
 	private startMoves(service: string, engineClass: EngineClass, signal: AbortSignal): void {
+		// Sizes are kept from here on, also if the next configuration lacks them.
+		this.memory.getLimits(service, engineClass);
 		const engines = this.getEngines(service);
 		const mayUseStore = this.opts.clock.now() >= (this.nextStoreLoadAtMs.get(service) ?? 0);
 		const {moves, deferred} = planLoads({
@@ -171,7 +174,7 @@
 		const startedMs = clock.now();
 		logger.info({...move, places: this.demand.getPerSecond(getDemandKey({service, model: move.load}))}, 'A model is loaded.');
 		try {
-			const isHeld = await queue.runMove(move, held => hasMemoryForModel(held, move.load, engineClass));
+			const isHeld = await queue.runMove(move, held => hasMemoryForModel(held, move.load, this.memory.getLimits(service, engineClass)));
 			logger.info({
 				targetId: move.targetId, model: move.load, isHeld, tookMs: Math.round(clock.now() - startedMs),
 			}, 'A load has ended.');
@@ -244,7 +247,8 @@
 		const service = this.opts.registry.get(targetId)?.service ?? '';
 		const queue = this.orderQueues.get(targetId);
 		const models = queue?.getHoldings() ?? [];
-		const hasMemory = (holdings: readonly HeldModel[]): boolean => hasMemoryForAdapter(holdings, model, engineClass, queue?.move);
+		const limits = this.memory.getLimits(service, engineClass);
+		const hasMemory = (holdings: readonly HeldModel[]): boolean => hasMemoryForAdapter(holdings, model, limits, queue?.move);
 		if (!hasMemory(models.map(copy => ({...copy, adapters: []})))) {
 			return {kind: 'full'};
 		}
--- a/packages/engines/tests/loading/room-histories.test.ts
+++ b/packages/engines/tests/loading/room-histories.test.ts
@@ -35,6 +35,8 @@
 const MEAN_DEMAND_GAP_MS = 4000;
 
 const weights = new Map([['a', 60], ['b', 60], ['c', 90], ['d', 30]]);
+/** Memory of an adapter by history; with the larger ones, the adapter slots cannot all be used beside some models. */
+const ADAPTER_SIZES_MB = [0, 4, 8];
 const engineClass: EngineClass = {
 	batchSlots: 8,
 	weightsMb: 160,
@@ -78,9 +80,10 @@
 	private readonly lateRegistrationRatio: number;
 	private readonly missedUseReportRatio: number;
 	private readonly adapters: readonly string[];
+	private readonly adapterMb: number;
 	private fencingToken = 0;
 	private isCutOff = false;
-	private classes: ReadonlyMap<string, EngineClass> = new Map([['s', engineClass]]);
+	private classes: ReadonlyMap<string, EngineClass>;
 	private owner: EngineOwner | undefined;
 	private term = new AbortController();
 	/** Adapters that requests use, by target; the hosts report them periodically. */
@@ -88,6 +91,8 @@
 
 	constructor(private readonly seed: number) {
 		this.random = createRandom(seed);
+		this.adapterMb = ADAPTER_SIZES_MB[seed % ADAPTER_SIZES_MB.length]!;
+		this.classes = this.createClasses();
 		this.reportLagMs = this.random() * MAX_REPORT_LAG_MS;
 		this.lossRatio = this.random() * this.random() * MAX_LOSS_RATIO;
 		this.lateRegistrationRatio = this.random() * MAX_LATE_REGISTRATION_RATIO;
@@ -102,6 +107,7 @@
 			targetId: `t${i}`,
 			adapterSlots: engineClass.adapterSlots,
 			weightsMb: engineClass.weightsMb,
+			getAdapterMb: () => this.adapterMb,
 			models: weights,
 			loadMs: 600,
 			countsEmptyOrders: () => countsEmptyOrders,
@@ -206,7 +212,12 @@
 	/** Removes a model from the configuration, or brings all of them back; engines keep what they hold. */
 	private changeConfig(): void {
 		const removed = this.random() < 0.5 ? pick(this.random, [...weights.keys()]) : undefined;
-		this.classes = new Map([['s', {...engineClass, models: engineClass.models.filter(({name}) => name !== removed)}]]);
+		this.classes = this.createClasses(removed);
+	}
+
+	private createClasses(removed?: string): ReadonlyMap<string, EngineClass> {
+		const models = engineClass.models.filter(({name}) => name !== removed).map(model => ({...model, adapterMb: this.adapterMb}));
+		return new Map([['s', {...engineClass, models}]]);
 	}
 
 	private changeDemand(): void {
