traffic: acknowledge no leaving whose registration was set aside

What callers would see (DRAIN; by reading, shown on the registry): requests at an engine longer than it serves after its leaving was acknowledged. A registration whose sequence is out of line is set aside for up to two heartbeats, but was answered like one that counts. The contract says only that sequences increase. Fix: a heartbeat that says draining is answered 503 while the target is used on. The engine calls the next host, and is acknowledged as soon as it counts.

--- a/apps/egretrilld/src/traffic/control-host.ts
+++ b/apps/egretrilld/src/traffic/control-host.ts
@@ -193,7 +193,7 @@
 			}, 'A target has registered.');
 		}
 
-		return isAccepted;
+		return !this.registry.ignoresLeaving(registration);
 	}
 
 	override recordInvalidRegistration(targetId: string, faults: readonly string[]): void {
--- a/apps/egretrilld/src/traffic/control-service.ts
+++ b/apps/egretrilld/src/traffic/control-service.ts
@@ -9,7 +9,7 @@
 
 /** Operations that a control host serves to targets and operators. */
 export abstract class ControlService {
-	/** Accepts a registration; returns false if a newer one is known. */
+	/** Accepts a registration; returns false if it must not be acknowledged, since the target says that it leaves and is used on. */
 	abstract acceptRegistration(registration: Registration): boolean;
 	/** Records a registration that describes no usable target, with its faults. */
 	abstract recordInvalidRegistration(targetId: string, faults: readonly string[]): void;
--- a/packages/engines/src/registry/target-registry.ts
+++ b/packages/engines/src/registry/target-registry.ts
@@ -170,6 +170,12 @@
 		return isRunning ? entry.registration.startedAtMs : undefined;
 	}
 
+	/** Whether a registration says that a target leaves which is used on, since the registration was set aside. */
+	ignoresLeaving({targetId, startedAtMs, isLeaving}: Registration): boolean {
+		const used = this.get(targetId);
+		return isLeaving && used?.startedAtMs === startedAtMs && !used.isLeaving;
+	}
+
 	/** Returns when the last registration of a target was received. */
 	getReceivedMs(targetId: string): number | undefined {
 		return this.entries.get(targetId)?.receivedMs;
--- a/packages/engines/tests/registry/sequence-run.test.ts
+++ b/packages/engines/tests/registry/sequence-run.test.ts
@@ -94,4 +94,20 @@
 			}
 		}), {seed: SEED});
 	});
+
+	// Guards against requests to an engine that was told that it may leave, although its registration was set aside.
+	it('are not acknowledged while the target that says it leaves is used', () => {
+		const clock = new ManualClock();
+		const registry = new TargetRegistry(clock, 'r1');
+		runEngine(clock, registry, 1, 10);
+		const answers = [40, 41, 42, 43].map(sequence => {
+			const leaving = register(sequence, {isLeaving: true});
+			registry.accept(leaving);
+			clock.advance(HEARTBEAT_MS);
+			return {isIgnored: registry.ignoresLeaving(leaving), isLeaving: registry.get('t1')?.isLeaving};
+		});
+		expect(answers).to.deep.equal([true, true, false, false].map(isIgnored => ({isIgnored, isLeaving: !isIgnored})));
+		expect(registry.ignoresLeaving(register(5)), 'a delayed one').to.equal(false);
+		expect(registry.ignoresLeaving(register(44, {startedAtMs: 1, isLeaving: true})), 'an earlier process').to.equal(false);
+	});
 });
