engines: end the wait for a load at the first registration that shows it

Cause: let only a report end the wait for any order. A registration that comes late can show room that is not there; for a load it cannot. Change: a registration that shows the loaded model ends the wait again. Unloads still wait for a report. Evidence: the 200 histories of room-histories.test.ts stay within the room of their engines; 51 tests of packages/engines/tests/loading pass.

--- a/packages/engines/src/loading/engine-order-queue.ts
+++ b/packages/engines/src/loading/engine-order-queue.ts
@@ -272,9 +272,14 @@
 				return false;
 			}
 
-			// A registration may have been sent before the order and delayed, so it only brings the next report forward.
-			const isExpected = this.hasRegistered(waitStartedAtMs) && isDone(this.getRegisteredModels(), step);
-			const nextRefreshAtMs = isExpected ? Math.min(plannedRefreshAtMs, refreshedAtMs + REGISTERED_POLL_MS) : plannedRefreshAtMs;
+			const isRegistered = this.hasRegistered(waitStartedAtMs) && isDone(this.getRegisteredModels(), step);
+			if (isRegistered && step.kind === 'load-model') {
+				this.completeStep(step);
+				return true;
+			}
+
+			// A registration may have been sent before the order and delayed. It must not show room that is not there yet, so for an unload it only brings the next report forward.
+			const nextRefreshAtMs = isRegistered ? Math.min(plannedRefreshAtMs, refreshedAtMs + REGISTERED_POLL_MS) : plannedRefreshAtMs;
 			if (clock.now() >= nextRefreshAtMs) {
 				if (await this.refresh() && isDone(this.getModels(), step)) {
 					return true;
