callers, traffic: log the end of a target with the requests that were in flight there

Callers saw: refusals and broken streams beside engines that ended one after the other. Change: after a lost connection the host probes the target once for each of its lifetimes. If it refuses connections, one line names the requests of this host that were in flight, whether their answers had begun, and their prompt parts; a counter tells planned ends and cold targets apart. The probe of the chat path moves to packages/engines and serves both. No decision depends on it yet.

--- a/apps/egretrilld/src/constants.ts
+++ b/apps/egretrilld/src/constants.ts
@@ -31,13 +31,6 @@
 export const CONFIG_SYNC_INTERVAL_MS = 250;
 export const INITIAL_CONFIG_RETRY_MS = 500;
 
-/** Timeout of a probe; a target that neither accepts nor refuses a connection within it may still be alive. */
-export const PROBE_TIMEOUT_MS = 500;
-
-/** A terminating process closes its listening socket within this time after its connections, so a probe connection that stays open longer has reached a live process. */
-export const PROBE_CLOSE_WAIT_MS = 100;
-export const PROBE_RETRY_MS = 20;
-
 /** Assumed latency between zones of one region, so that near targets are preferred at equal load. */
 export const ZONE_DISTANCE_MS = 1;
 
--- a/apps/egretrilld/src/targets/directory-pool.ts
+++ b/apps/egretrilld/src/targets/directory-pool.ts
@@ -4,13 +4,12 @@
 import {
 	type Clock, type Logger, type Random, refuse, type TargetAddress, type Verdict,
 } from '@egretrill/common';
-import type {
-	Choice, ColdPermitHolder, ColdTargetDetector, DirectoryEntry, HeldPermit, OwnRequest, PrefixCacheEstimate, RoutingPolicy, RoutingRequest, TargetDirectory, ZoneConditions,
+import {
+	type Choice, type ColdPermitHolder, type ColdTargetDetector, type DirectoryEntry, type HeldPermit, isConnectionRefused, type OwnRequest, type PrefixCacheEstimate, type RoutingPolicy, type RoutingRequest, type TargetDirectory, type ZoneConditions,
 } from '@egretrill/engines';
 import {Result} from 'true-myth';
 import {POOL_RETRY_MS} from '../constants.js';
 import type {AdapterLoader} from './adapter-loader.js';
-import {isConnectionRefused} from './probe.js';
 
 export type DirectoryPoolOptions = {
 	readonly clock: Clock;
--- a/apps/egretrilld/src/traffic/constants.ts
+++ b/apps/egretrilld/src/traffic/constants.ts
@@ -110,6 +110,9 @@
 /** With fewer bytes left, the aggregated line holds the ids of answered requests without further details. */
 export const ANSWER_DETAILS_RESERVE_BYTES = 2000;
 
+/** Lost requests, and prompt parts of each, that the line about the end of a target names. */
+export const MAX_LOGGED_LOST_REQUESTS = 8;
+
 /** Size of a line in addition to its fields: the names of process, host and component, its level, time and message. */
 export const LINE_OVERHEAD_BYTES = 200;
 
--- a/apps/egretrilld/src/traffic/entry-host.ts
+++ b/apps/egretrilld/src/traffic/entry-host.ts
@@ -4,7 +4,7 @@
 	type Clock, createHttpServer, jitter, type Logger, type LoopWatch, type Random, setReadTimeouts, type TrafficSource,
 } from '@egretrill/common';
 import {
-	BackoffPoolClient, type ForwardDependencies, type ForwardDialect, forwardRequest, PlannedStop, RATE_LEASE_MS, RateAllocations, RetryBudget, RetrySchedule, RouteDurations, RouteTable, SlotQueue,
+	BackoffPoolClient, type ForwardDependencies, type ForwardDialect, forwardRequest, PlannedStop, RATE_LEASE_MS, RateAllocations, RetryBudget, RetrySchedule, RouteDurations, RouteTable, SlotQueue, TargetEnds,
 } from '@egretrill/callers';
 import {Drain, type Metrics, type UnreadyReason} from '@egretrill/balancer';
 import {TargetTable} from '@egretrill/engines';
@@ -18,6 +18,7 @@
 import {sanitizeName} from './describe-answer.js';
 import {EntryObserver} from './entry-observer.js';
 import {HttpSender} from './http-sender.js';
+import {HttpTargetProbe} from './http-target-probe.js';
 import type {LeaderPlan, SyncResponse} from './methods.js';
 import {NodeExchange} from './node-exchange.js';
 import type {EntrySettings, TrafficBounds} from './settings.js';
@@ -92,6 +93,13 @@
 			observer: this.observer,
 			getTable: () => this.routeTable,
 			stop: this.plannedStop,
+			targetEnds: new TargetEnds({
+				clock,
+				probe: new HttpTargetProbe(),
+				onEnd: end => {
+					this.observer.recordTargetEnd(end);
+				},
+			}),
 			durations: new RouteDurations(),
 			getRetries: service => this.getRetryBudget(service),
 		};
--- a/apps/egretrilld/src/traffic/entry-observer.ts
+++ b/apps/egretrilld/src/traffic/entry-observer.ts
@@ -1,8 +1,9 @@
 import {
-	type AttemptEvent, type ForwardCall, type ForwardEndEvent, ForwardObserver, type StopRefusal,
+	type AttemptEvent, type ForwardCall, type ForwardEndEvent, ForwardObserver, type LostRequest, type StopRefusal, type TargetEnd,
 } from '@egretrill/callers';
 import type {Metrics} from '@egretrill/balancer';
 import {estimateRunMs} from '@egretrill/engines';
+import {MAX_LOGGED_LOST_REQUESTS} from './constants.js';
 import type {DecisionLog} from './decision-log.js';
 import {sanitizeName} from './describe-answer.js';
 import type {EntryReport} from './methods.js';
@@ -50,6 +51,11 @@
 	};
 }
 
+/** Describes a lost request as its id, whether its answer had begun, and the ids of its prompt parts. */
+function describeLost({requestId, hasBegun, partIds}: LostRequest): string {
+	return `${sanitizeName(requestId)} ${hasBegun ? 'begun' : 'waiting'} ${partIds.slice(0, MAX_LOGGED_LOST_REQUESTS).map(id => sanitizeName(id)).join(',')}`;
+}
+
 /** Records request events as decision lines, metrics and the demand reported to the leader. */
 export class EntryObserver extends ForwardObserver {
 	private arrivals = new Map<string, {readonly count: number; readonly runMs: number}>();
@@ -57,12 +63,14 @@
 	private readonly attempts;
 	private readonly durations;
 	private readonly slotWaits;
+	private readonly targetEnds;
 
 	constructor(private readonly log: DecisionLog, metrics: Metrics, private readonly getKnowledgeAgeMs: () => number) {
 		super();
 		this.requests = metrics.createCounter({name: 'egretrill_forwarded_requests_total', help: 'Forwarded requests by route and outcome.', labels: ['route', 'outcome']});
 		this.attempts = metrics.createCounter({name: 'egretrill_target_attempts_total', help: 'Sends to targets by outcome.', labels: ['outcome']});
 		this.durations = metrics.createDurations({name: 'egretrill_forward_ms', help: 'Time from the arrival of a request to its end.', labels: ['route']});
+		this.targetEnds = metrics.createCounter({name: 'egretrill_target_ends_total', help: 'Targets that ended while requests of this host were in flight there.', labels: ['planned', 'cold']});
 		this.slotWaits = metrics.createDurations({name: 'egretrill_place_wait_ms', help: 'Time that a request waited for a target.', labels: ['route']});
 	}
 
@@ -112,6 +120,20 @@
 		}
 	}
 
+	override recordTargetEnd({targetId, startedAtMs, wasCold, isPlanned, lost}: TargetEnd): void {
+		this.targetEnds.add(1, {planned: String(isPlanned), cold: String(wasCold)});
+		const [waiting, begun] = [lost.filter(({hasBegun}) => !hasBegun), lost.filter(({hasBegun}) => hasBegun)];
+		this.log.recordFailure({
+			cause: `ended ${targetId}`,
+			isRepetitive: false,
+			requestId: sanitizeName(waiting[0]?.requestId ?? ''),
+			fields: {
+				targetId, startedAtMs, wasCold, isPlanned, waiting: waiting.length, begun: begun.length, requests: [...waiting, ...begun].slice(0, MAX_LOGGED_LOST_REQUESTS).map(request => describeLost(request)),
+			},
+			message: 'A target has ended with requests in flight.',
+		});
+	}
+
 	/** Returns and resets the arrivals since the last call. */
 	collectArrivals(): EntryReport['arrivals'] {
 		const collected = [...this.arrivals].map(([key, {count, runMs}]): EntryReport['arrivals'][number] => {
--- a/apps/egretrilld/src/traffic/target-slot-source.ts
+++ b/apps/egretrilld/src/traffic/target-slot-source.ts
@@ -29,9 +29,9 @@
 			return {kind: 'none'};
 		}
 
-		const {registration: {targetId, address, zone}, outstanding, updateOutstanding, reportSilence, release} = acquired;
+		const {registration: {targetId, address, zone, startedAtMs}, ...rest} = acquired;
 		const slot: TargetSlot = {
-			targetId, address, zone, outstanding, updateOutstanding, reportSilence, release,
+			targetId, address, zone, startedAtMs, ...rest,
 		};
 		return {kind: 'slot', slot};
 	}
--- a/apps/egretrilld/tests/traffic/support/forward-host.ts
+++ b/apps/egretrilld/tests/traffic/support/forward-host.ts
@@ -2,13 +2,14 @@
 import type {Server} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import {
-	type AnswerHead, type AnswerMetadata, type AttemptEvent, type ForwardCall, type ForwardDependencies, ForwardDialect, type ForwardEndEvent, ForwardObserver, forwardRequest, ForwardSender, type OutgoingMessage, PlannedStop, RateAllocations, RatePoolClient, type RequestHead, RetryBudget, RetrySchedule, RouteDurations, RouteTable, type SendDetails, type SlotOutcome, SlotQueue, type SlotRequirements, type SlotResult, SlotSource, type TargetAnswer,
+	type AnswerHead, type AnswerMetadata, type AttemptEvent, type ForwardCall, type ForwardDependencies, ForwardDialect, type ForwardEndEvent, ForwardObserver, forwardRequest, ForwardSender, type OutgoingMessage, PlannedStop, RateAllocations, RatePoolClient, type RequestHead, RetryBudget, RetrySchedule, RouteDurations, RouteTable, type SendDetails, type SlotOutcome, SlotQueue, type SlotRequirements, type SlotResult, SlotSource, type TargetAnswer, TargetEnds,
 } from '@egretrill/callers';
 import {
 	createHttpServer, MonotonicClock, type SendFailure, type TrafficConfig, type TrafficRoute,
 } from '@egretrill/common';
 import type {Result} from 'true-myth';
 import {HttpSender} from '../../../src/traffic/http-sender.js';
+import {HttpTargetProbe} from '../../../src/traffic/http-target-probe.js';
 import {NodeExchange} from '../../../src/traffic/node-exchange.js';
 
 /** Headers that a target's answer needs to be forwarded. */
@@ -63,7 +64,7 @@
 			? {kind: untried.length === 0 ? 'none' : 'full'}
 			: {
 				kind: 'slot', slot: {
-					targetId: address, address, zone: 'a', outstanding: 0, updateOutstanding: () => undefined, reportSilence: () => undefined, release: outcome => {
+					targetId: address, address, zone: 'a', startedAtMs: 1, wasCold: false, isLeaving: () => false, outstanding: 0, updateOutstanding: () => undefined, reportSilence: () => undefined, release: outcome => {
 						this.released.push({targetId: address, outcome});
 					},
 				},
@@ -94,6 +95,10 @@
 	override recordEnd(event: ForwardEndEvent): void {
 		this.ends.push(event);
 	}
+
+	override recordTargetEnd(): void {
+		// The tests do not check the ends of targets.
+	}
 }
 
 class RefusingLender extends RatePoolClient {
@@ -164,7 +169,7 @@
 		const table = new RouteTable({...config, limits: {...config.limits, maxBodyBytes}, routes: [{...route, ...changes}]});
 		const retries = new RetryBudget(clock, {ratio: 0, reserve: 100});
 		const parts: ForwardDependencies = {
-			clock, random: () => 0, dialect: new TestDialect(), queue: new SlotQueue(clock, this.slots), rates: new RateAllocations(clock), poolClient: new RefusingLender(), retrySchedule: new RetrySchedule(clock), sender: new ObservedSender(this.sender, onChunk), observer: this.observer, getTable: () => table, stop: new PlannedStop(clock), durations: new RouteDurations(), getRetries: () => retries,
+			clock, random: () => 0, dialect: new TestDialect(), queue: new SlotQueue(clock, this.slots), rates: new RateAllocations(clock), poolClient: new RefusingLender(), retrySchedule: new RetrySchedule(clock), sender: new ObservedSender(this.sender, onChunk), observer: this.observer, getTable: () => table, stop: new PlannedStop(clock), durations: new RouteDurations(), targetEnds: new TargetEnds({clock, probe: new HttpTargetProbe(), onEnd: () => undefined}), getRetries: () => retries,
 		};
 		this.server = createHttpServer((req, res) => {
 			void forwardRequest(new NodeExchange(req, res, () => false), parts);
--- a/packages/callers/src/forward/constants.ts
+++ b/packages/callers/src/forward/constants.ts
@@ -83,6 +83,12 @@
 /** Maximum time that a host treats a customer's pool as empty without another request to the owner. */
 export const MAX_EMPTY_POOL_CACHE_MS = 500;
 
+/** Time after the first broken exchange in which those of other requests at the same target are collected for one record. */
+export const END_COLLECT_MS = 200;
+
+/** Time for which the end of a target is remembered; its last connections break within it. */
+export const END_MEMORY_MS = 5000;
+
 /** Time before the end of a planned stop by which a request should have ended: its answer still has to reach the caller, and timers may fire up to 50 ms late. */
 export const STOP_END_MARGIN_MS = 100;
 
--- a/packages/callers/src/forward/forward-context.ts
+++ b/packages/callers/src/forward/forward-context.ts
@@ -47,12 +47,18 @@
 	answerSummary?: AnswerSummary;
 };
 
+/** A connection to a target that ended before the answer was complete. */
+export type LostConnection = {
+	/** Whether a part of the answer had arrived. */
+	readonly hasBegun: boolean;
+};
+
 /** Why an attempt at one target brought no complete answer. */
 export type AttemptFailure =
 	/** The target certainly did not run the request. */
 	| {readonly kind: 'not-run'; readonly reason: string; readonly slotOutcome: SlotOutcome}
 	/** The target may have run the request, and no complete answer was received. */
-	| {readonly kind: 'broken'; readonly reason: string; readonly slotOutcome: SlotOutcome};
+	| {readonly kind: 'broken'; readonly reason: string; readonly slotOutcome: SlotOutcome; readonly lostConnection?: LostConnection};
 
 /** How an attempt at one target ended. */
 export type AttemptOutcome = {readonly kind: 'answered'} | AttemptFailure;
--- a/packages/callers/src/forward/forward-dependencies.ts
+++ b/packages/callers/src/forward/forward-dependencies.ts
@@ -10,6 +10,7 @@
 import type {RateDecision, RateAllocations} from './rate-allocations.js';
 import type {RouteDurations} from './route-durations.js';
 import type {RouteTable} from './route-table.js';
+import type {TargetEnd, TargetEnds} from './target-ends.js';
 import type {ForwardCall} from './types.js';
 import type {RetrySchedule} from './wait-forecast.js';
 
@@ -82,6 +83,8 @@
 	abstract recordArrival(service: string, call: ForwardCall): void;
 	abstract recordAttempt(event: AttemptEvent): void;
 	abstract recordEnd(event: ForwardEndEvent): void;
+	/** Records that a target's process has ended while requests of this host were in flight there. */
+	abstract recordTargetEnd(end: TargetEnd): void;
 }
 
 /** Borrows from the pool of a customer's rate, which the rate owner holds. */
@@ -104,6 +107,7 @@
 	readonly observer: ForwardObserver;
 	readonly getTable: () => RouteTable | undefined;
 	readonly stop: PlannedStop;
+	readonly targetEnds: TargetEnds;
 	readonly durations: RouteDurations;
 	/** Retry budget of a service. */
 	readonly getRetries: (service: string) => RetryBudget;
--- a/packages/callers/src/forward/forward-to-target.ts
+++ b/packages/callers/src/forward/forward-to-target.ts
@@ -83,5 +83,8 @@
 
 	answer.destroy();
 	const silenceReason = watch?.hasMoved() ? `The target completed no event for ${STREAM_IDLE_TIMEOUT_MS} ms, and another one goes on with the stream.` : undefined;
-	return {kind: 'broken', reason: silenceReason ?? result.reason ?? 'The answer ended early.', slotOutcome: 'broke-off'};
+	const faultReason = silenceReason ?? result.reason;
+	return {
+		kind: 'broken', reason: faultReason ?? 'The answer ended early.', slotOutcome: 'broke-off', ...(faultReason === undefined && {lostConnection: {hasBegun: result.bytes > 0}}),
+	};
 }
--- a/packages/callers/src/forward/index.ts
+++ b/packages/callers/src/forward/index.ts
@@ -17,5 +17,6 @@
 export * from './relay.js';
 export * from './route-table.js';
 export * from './silence.js';
+export * from './target-ends.js';
 export * from './types.js';
 export * from './wait-forecast.js';
--- a/packages/callers/src/forward/open-attempt.ts
+++ b/packages/callers/src/forward/open-attempt.ts
@@ -51,7 +51,7 @@
 }
 
 /** Releases the slot of an attempt and records how it ended. */
-export function endAttempt({deps: {clock, observer, durations}, call, route, progress}: ForwardContext, attempt: Omit<OpenAttempt, 'kind' | 'answer' | 'metadata'>, outcome: AttemptOutcome): void {
+export function endAttempt({deps: {clock, observer, durations, targetEnds}, call, route, progress}: ForwardContext, attempt: Omit<OpenAttempt, 'kind' | 'answer' | 'metadata'>, outcome: AttemptOutcome): void {
 	const {slot, signal, number, startedMs} = attempt;
 	slot.release(getSlotOutcome(outcome, signal, progress.status));
 	if (outcome.kind === 'answered' && (progress.status ?? 0) < STATUS_SERVER_ERROR) {
@@ -59,6 +59,10 @@
 	}
 
 	progress.mayHaveRun ||= outcome.kind === 'broken';
+	if (outcome.kind === 'broken' && outcome.lostConnection && !signal.aborted) {
+		void targetEnds.recordBreak(slot, {requestId: call.attemptId, partIds: call.promptParts.map(({id}) => id), ...outcome.lostConnection});
+	}
+
 	observer.recordAttempt({
 		call, slot, attempt: number, outcome: outcome.kind, tookMs: clock.now() - startedMs, ...('reason' in outcome && {reason: outcome.reason}),
 	});
@@ -89,6 +93,11 @@
 	});
 }
 
+/** Whether an exchange failed because its connection ended, rather than by an answer that cannot be read. */
+function isConnectionLost({code}: SendFailure): boolean {
+	return code !== 'ERR_ANSWER' && code !== 'ERR_SENDER';
+}
+
 async function sendRequest(context: ForwardContext, slot: TargetSlot, signal: AbortSignal): Promise<AnsweredHead | AttemptFailure> {
 	const {deps, call, body, route, progress, exchange} = context;
 	const sent = await deps.sender.send({
@@ -97,7 +106,7 @@
 	if (sent.isErr) {
 		progress.attempts += sent.error.accepted ? 1 : 0;
 		return sent.error.accepted
-			? {kind: 'broken', reason: describeFailure('The target broke off', sent.error, signal), slotOutcome: 'broke-off'}
+			? {kind: 'broken', reason: describeFailure('The target broke off', sent.error, signal), slotOutcome: 'broke-off', ...(isConnectionLost(sent.error) && {lostConnection: {hasBegun: false}})}
 			: {kind: 'not-run', reason: describeFailure('The target cannot be reached', sent.error, signal), slotOutcome: 'unreachable'};
 	}
 
--- a/packages/callers/src/forward/slot-queue.ts
+++ b/packages/callers/src/forward/slot-queue.ts
@@ -24,6 +24,12 @@
 	readonly targetId: string;
 	readonly address: string;
 	readonly zone: string;
+	/** Start time of the target's process, which distinguishes its lifetimes. */
+	readonly startedAtMs: number;
+	/** Whether the target was still slow after its start when it was chosen. */
+	readonly wasCold: boolean;
+	/** Whether the target has announced that it leaves. */
+	readonly isLeaving: () => boolean;
 	/** Known requests of all hosts outstanding at the target when it was chosen. */
 	readonly outstanding: number;
 	/** Sets the number of outstanding requests that the target itself reported. */
--- a/packages/callers/tests/forward/support/forward-fakes.ts
+++ b/packages/callers/tests/forward/support/forward-fakes.ts
@@ -4,7 +4,7 @@
 } from '@egretrill/common';
 import {Result} from 'true-myth';
 import {
-	type AnswerMetadata, type AnswerHead, type AttemptEvent, CallerExchange, type ForwardCall, ForwardDialect, type ForwardEndEvent, ForwardObserver, ForwardSender, type OutgoingMessage, type SlotResult, type SlotRequirements, SlotSource, RatePoolClient, RateAllocations, type RequestHead, type SendDetails, type TargetAnswer,
+	type AnswerMetadata, type AnswerHead, type AttemptEvent, CallerExchange, type ForwardCall, ForwardDialect, type ForwardEndEvent, ForwardObserver, ForwardSender, type OutgoingMessage, type SlotResult, type SlotRequirements, SlotSource, RatePoolClient, RateAllocations, type RequestHead, type SendDetails, type TargetAnswer, TargetProbe,
 } from '../../../src/forward/index.js';
 
 /** How a fake target answers one request. */
@@ -231,7 +231,7 @@
 			: {
 				kind: 'slot',
 				slot: {
-					targetId, address: `${targetId}:1`, zone: 'a', outstanding: 0, updateOutstanding: () => undefined, reportSilence: () => {
+					targetId, address: `${targetId}:1`, zone: 'a', startedAtMs: 1, wasCold: false, isLeaving: () => false, outstanding: 0, updateOutstanding: () => undefined, reportSilence: () => {
 						this.ends.push(`${targetId} silent`);
 					}, release: end => {
 						this.ends.push(`${targetId} ${end}`);
@@ -271,6 +271,10 @@
 	override recordEnd(event: ForwardEndEvent): void {
 		this.ends.push(event);
 	}
+
+	override recordTargetEnd(): void {
+		// The end of a target is tested with the hosts.
+	}
 }
 
 export class RecordingRates extends RateAllocations {
@@ -287,3 +291,10 @@
 		return undefined;
 	}
 }
+
+/** A probe that finds each target ended. */
+export class RefusingProbe extends TargetProbe {
+	override async isRefused(): Promise<boolean> {
+		return true;
+	}
+}
--- a/packages/callers/tests/forward/support/forward-scenario.ts
+++ b/packages/callers/tests/forward/support/forward-scenario.ts
@@ -3,10 +3,10 @@
 } from '@egretrill/common';
 import {RetryBudget} from '../../../src/index.js';
 import {
-	type ForwardDependencies, forwardRequest, PlannedStop, RouteDurations, SlotQueue, RetrySchedule, RouteTable,
+	type ForwardDependencies, forwardRequest, PlannedStop, RouteDurations, SlotQueue, RetrySchedule, RouteTable, TargetEnds,
 } from '../../../src/forward/index.js';
 import {
-	type FakeAnswer, type ThrowingStep, FakeDialect, FakeSender, FakeExchange, FakeSlots, EndRecorder, RecordingRates, UnavailablePoolClient,
+	type FakeAnswer, type ThrowingStep, FakeDialect, FakeSender, FakeExchange, FakeSlots, EndRecorder, RecordingRates, RefusingProbe, UnavailablePoolClient,
 } from './forward-fakes.js';
 
 export type {FakeAnswer} from './forward-fakes.js';
@@ -147,7 +147,7 @@
 	}
 
 	const deps: ForwardDependencies = {
-		clock, random: () => 0, dialect: new FakeDialect(opts.throwingStep), queue, rates, poolClient: new UnavailablePoolClient(), retrySchedule: new RetrySchedule(clock), sender, observer, getTable: () => opts.isUnconfigured ? undefined : table, stop, durations, getRetries: () => retries,
+		clock, random: () => 0, dialect: new FakeDialect(opts.throwingStep), queue, rates, poolClient: new UnavailablePoolClient(), retrySchedule: new RetrySchedule(clock), sender, observer, getTable: () => opts.isUnconfigured ? undefined : table, stop, durations, targetEnds: new TargetEnds({clock, probe: new RefusingProbe(), onEnd: () => undefined}), getRetries: () => retries,
 	};
 	const served = catchError(forwardRequest(exchange, deps));
 	if (opts.disconnectsAfterMs !== undefined) {
--- a/packages/engines/src/constants.ts
+++ b/packages/engines/src/constants.ts
@@ -15,3 +15,10 @@
 
 /** Idle connections kept open to one engine. Covers the streams of one host, so that a burst after a pause opens no new connections. */
 export const MAX_IDLE_ENGINE_CONNECTIONS = 256;
+
+/** Timeout of a probe; a target that neither accepts nor refuses a connection within it may still be alive. */
+export const PROBE_TIMEOUT_MS = 500;
+
+/** A terminating process closes its listening socket within this time after its connections, so a probe connection that stays open longer has reached a live process. */
+export const PROBE_CLOSE_WAIT_MS = 100;
+export const PROBE_RETRY_MS = 20;
--- a/packages/engines/src/registry/target-table.ts
+++ b/packages/engines/src/registry/target-table.ts
@@ -47,6 +47,8 @@
 export type AcquiredSlot = {
 	readonly registration: Registration;
 	readonly outstanding: number;
+	readonly wasCold: boolean;
+	readonly isLeaving: () => boolean;
 	readonly updateOutstanding: (count: number) => void;
 	/** Ranks the target last for a while, since it is silent in the middle of its answer. */
 	readonly reportSilence: () => void;
@@ -223,6 +225,8 @@
 		return {
 			registration: target.registration,
 			outstanding,
+			wasCold: this.opts.clock.now() < target.coldUntilMs,
+			isLeaving: () => target.registration.isLeaving,
 			updateOutstanding(count) {
 				target.otherHostsRequests = Math.max(0, count - target.ownRequests);
 			},
