callers, traffic: refuse requests with a part that ends targets

Callers saw: one part of a prompt ended engine after engine, for as long as such requests came, and the sound requests beside them were refused. Cause: the forwarding path kept no record of what was waiting at a target when it ended. It sent a broken request on to the next target at once and accepted each later one with the same part. Change: each entry host counts, by part and by whole request, the ends of targets at which a request was waiting, and the answers that went on; the ends after the last such answer count. It exchanges both with the leader in its polls (changes only, ages in place of times), and the leader with all others, so that a new leader or host learns them from the hosts. From two ends on a key's requests are sent one at a time by each host; with three, and one second after the first, they are refused with 422. Parts that were waiting at the same ends only as company of a more specific one are not refused. An answer that goes on clears a key at once, and the leader grants one probe of a blocked key after 10, 40, 160 s and so on.

--- a/apps/egretrilld/src/traffic/control-host.ts
+++ b/apps/egretrilld/src/traffic/control-host.ts
@@ -113,9 +113,16 @@
 			...bindConsensus(this.node),
 			bindFleetLog(this.node),
 			bindMethod(syncMethod, async ({report, configVersion, registry, waitMs}) => {
+				const firstTerm = this.getTerm();
+				firstTerm?.joinEvidence(report);
 				await this.syncNotifier.wait(configVersion, registry, waitMs);
 				const leaderId = this.getLeaderId();
-				const plan = this.getTerm()?.handleReport(report);
+				const term = this.getTerm();
+				if (term !== firstTerm) {
+					term?.joinEvidence(report);
+				}
+
+				const plan = term?.handleReport(report);
 				return {
 					...(leaderId !== undefined && {leaderId}),
 					controls: this.getControlHosts(),
--- a/apps/egretrilld/src/traffic/entry-host.ts
+++ b/apps/egretrilld/src/traffic/entry-host.ts
@@ -1,10 +1,11 @@
+import {randomUUID} from 'node:crypto';
 import {setMaxListeners} from 'node:events';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {
 	type Clock, createHttpServer, jitter, type Logger, type LoopWatch, type Random, setReadTimeouts, type TrafficSource,
 } from '@egretrill/common';
 import {
-	BackoffPoolClient, type ForwardDependencies, type ForwardDialect, forwardRequest, PlannedStop, RATE_LEASE_MS, RateAllocations, RetryBudget, RetrySchedule, RouteDurations, RouteTable, SlotQueue, TargetEnds,
+	BackoffPoolClient, CrashGate, CrashTracker, type ForwardDependencies, type ForwardDialect, forwardRequest, PlannedStop, RATE_LEASE_MS, RateAllocations, RetryBudget, RetrySchedule, RouteDurations, RouteTable, SlotQueue, TargetEnds,
 } from '@egretrill/callers';
 import {Drain, type Metrics, type UnreadyReason} from '@egretrill/balancer';
 import {TargetTable} from '@egretrill/engines';
@@ -14,6 +15,8 @@
 import {IDLE_WAIT_RATIO} from './constants.js';
 import type {ConfigDecoder} from './config-decoder.js';
 import {ControlFollower, type HostReport, SyncSink} from './control-follower.js';
+import {BlockLog} from './block-log.js';
+import {CrashExchange} from './crash-exchange.js';
 import {DecisionLog} from './decision-log.js';
 import {sanitizeName} from './describe-answer.js';
 import {EntryObserver} from './entry-observer.js';
@@ -57,6 +60,8 @@
 	private hostCount = 1;
 	private readonly plannedStop: PlannedStop;
 	private readonly connections: CallerConnections;
+	private readonly crashExchange: CrashExchange;
+	private readonly blockLog: BlockLog;
 
 	constructor(private readonly opts: EntryHostOptions) {
 		super();
@@ -81,6 +86,12 @@
 		}));
 		this.decisionLog = new DecisionLog(clock, logger);
 		this.observer = new EntryObserver(this.decisionLog, metrics, () => this.follower.getAgeMs());
+		const crashes = new CrashTracker(clock, randomUUID());
+		const crashGate = new CrashGate(clock, crashes);
+		this.crashExchange = new CrashExchange(crashes, crashGate);
+		this.blockLog = new BlockLog({
+			clock, logger, metrics, crashes,
+		});
 		this.forwardDependencies = {
 			clock,
 			random: opts.random,
@@ -93,6 +104,8 @@
 			observer: this.observer,
 			getTable: () => this.routeTable,
 			stop: this.plannedStop,
+			crashes,
+			crashGate,
 			targetEnds: new TargetEnds({
 				clock,
 				probe: new HttpTargetProbe(),
@@ -113,7 +126,7 @@
 
 	/** Polls the control hosts and assigns waiting requests to targets until the signal aborts. */
 	async run(signal: AbortSignal): Promise<void> {
-		await Promise.all([this.follower.run(signal), this.processQueue(signal), this.decisionLog.run(signal), this.opts.watch.run(signal)]);
+		await Promise.all([this.follower.run(signal), this.processQueue(signal), this.decisionLog.run(signal), this.blockLog.run(signal), this.opts.watch.run(signal)]);
 		this.sender.close();
 	}
 
@@ -156,6 +169,7 @@
 			arrivals: this.observer.collectArrivals(),
 			waiting: this.queue.getWaitingByModel().map(({service, model = '', waiting, crowded}) => [service, model, waiting, crowded]),
 			rates: {...this.rateState, demand: [...this.rates.getDemand()]},
+			crashes: this.crashExchange.createReport(),
 		};
 	}
 
@@ -187,7 +201,11 @@
 		}
 	}
 
-	override applyPlan({others, expected, rates}: LeaderPlan, sentMs: number): void {
+	override applyPlan({others, expected, rates, crashes}: LeaderPlan, sentMs: number): void {
+		if (crashes) {
+			this.crashExchange.applyAnswer(crashes);
+		}
+
 		this.targets.setExpectedModels(expected);
 		this.targets.setOtherHostsRequests(others);
 		this.hostCount = Math.max(1, rates.hostCount);
--- a/apps/egretrilld/src/traffic/leader-term.ts
+++ b/apps/egretrilld/src/traffic/leader-term.ts
@@ -1,5 +1,8 @@
+import {randomUUID} from 'node:crypto';
 import {setMaxListeners} from 'node:events';
-import {RATE_HOST_TTL_MS, RateOwner} from '@egretrill/callers';
+import {
+	CrashTracker, type EvidenceAnswer, type EvidenceReport, RATE_HOST_TTL_MS, RateOwner,
+} from '@egretrill/callers';
 import {
 	type Clock, compareLists, type EngineClass, type Logger, type LoopWatch, type Random, type TrafficCustomer,
 } from '@egretrill/common';
@@ -33,6 +36,7 @@
 	readonly engines: EngineOwner;
 	readonly rates: RateOwner;
 	private readonly running: RunningCounts;
+	private readonly crashes: CrashTracker;
 	private readonly stopper = new AbortController();
 	private readonly startedMs: number;
 
@@ -40,6 +44,7 @@
 		const {clock, node, orderLeaseMs, term} = opts;
 		this.startedMs = clock.now();
 		this.running = new RunningCounts(clock);
+		this.crashes = new CrashTracker(clock, randomUUID());
 		// The order tasks of all engines listen to this signal, which exceeds Node's default limit for listener leaks.
 		setMaxListeners(0, this.stopper.signal);
 		this.rates = new RateOwner(clock, opts.getCustomers, opts.getEntryHosts);
@@ -68,8 +73,13 @@
 		this.stopper.abort();
 	}
 
+	/** Joins the evidence of an entry host, whose ages count from its arrival. */
+	joinEvidence({crashes}: Pick<EntryReport, 'crashes'>): void {
+		this.crashes.mergeReport(crashes?.records ?? []);
+	}
+
 	/** Processes the report of an entry host and returns the host's part of the plan. */
-	handleReport({hostId, startId, running, adapters, arrivals, waiting, rates}: EntryReport): LeaderPlan {
+	handleReport({hostId, startId, running, adapters, arrivals, waiting, rates, crashes}: EntryReport): LeaderPlan {
 		this.running.update(hostId, running);
 		for (const [service, model, adapter, count, runMs] of arrivals) {
 			this.engines.recordArrivals({service, model, ...(adapter !== '' && {adapter})}, count, runMs);
@@ -82,9 +92,19 @@
 			others: this.running.getOthers(hostId),
 			expected: this.engines.getReadyTimes().map(({service, model, readyInMs}) => [service, model, Math.round(readyInMs)]),
 			rates: {...grant, leased: grant.leased.map(([name, allocation]) => [name, allocation])},
+			...(crashes && {crashes: this.answerEvidence(crashes)}),
 		};
 	}
 
+	private answerEvidence({known, probeCandidates}: EvidenceReport): EvidenceAnswer {
+		const probes = probeCandidates.filter(key => this.crashes.grantProbe(key));
+		if (probes.length > 0) {
+			this.opts.logger.info({keys: probes}, 'Probes of blocked keys were granted.');
+		}
+
+		return {...this.crashes.getChanges(known), probes};
+	}
+
 	/** Keeps the entry hosts recorded in the log up to date. */
 	private async recordEntryHosts(): Promise<void> {
 		const {clock, getEntryHosts, logger, putEntryHosts} = this.opts;
--- a/apps/egretrilld/src/traffic/methods.ts
+++ b/apps/egretrilld/src/traffic/methods.ts
@@ -1,3 +1,4 @@
+import {EvidenceAnswer, EvidenceReport} from '@egretrill/callers';
 import {TrafficSource} from '@egretrill/common';
 import {RegistryUpdate} from '@egretrill/engines';
 import {defineDocumentMethod, defineListMethod, defineMethod} from '@egretrill/hosts';
@@ -20,6 +21,8 @@
 	/** Waiting requests: service, model, number without a copy, number for which all copies were full. */
 	waiting: z.array(z.tuple([z.string(), z.string(), count, count])),
 	rates: z.object({ackedSerial: count, standing: z.number(), demand: z.array(z.object({name: z.string(), perSecond: z.number(), meanCost: z.number()}))}),
+	/** Evidence on what ends targets; hosts of earlier builds report none. */
+	crashes: EvidenceReport.optional(),
 });
 export type EntryReport = z.infer<typeof EntryReport>;
 
@@ -36,6 +39,7 @@
 	rates: z.object({
 		serial: count, standing: z.number(), leased: z.array(z.tuple([z.string(), z.number()])), hostCount: count,
 	}),
+	crashes: EvidenceAnswer.optional(),
 });
 export type LeaderPlan = z.infer<typeof LeaderPlan>;
 
--- a/packages/callers/src/forward/forward-context.ts
+++ b/packages/callers/src/forward/forward-context.ts
@@ -1,4 +1,5 @@
 import type {TrafficCustomer, TrafficRoute} from '@egretrill/common';
+import type {RankedKey} from '../crashes/index.js';
 import type {StopRefusal} from './check-stop.js';
 import type {CallerExchange} from './caller-exchange.js';
 import type {ForwardDependencies} from './forward-dependencies.js';
@@ -36,6 +37,9 @@
 	/** Body bytes relayed from all targets. */
 	relayedBytes: number;
 	readonly chunkTimes: ChunkTimes;
+	/** Keys of the request's shared parts, and those with the whole request; set when they are first needed. */
+	partKeys?: readonly RankedKey[];
+	allKeys?: readonly RankedKey[];
 	/** Time of the first attempt. */
 	sentMs?: number;
 	/** Set when the request is refused or not sent again because this host stops. */
@@ -47,18 +51,12 @@
 	answerSummary?: AnswerSummary;
 };
 
-/** A connection to a target that ended before the answer was complete. */
-export type LostConnection = {
-	/** Whether a part of the answer had arrived. */
-	readonly hasBegun: boolean;
-};
-
 /** Why an attempt at one target brought no complete answer. */
 export type AttemptFailure =
 	/** The target certainly did not run the request. */
 	| {readonly kind: 'not-run'; readonly reason: string; readonly slotOutcome: SlotOutcome}
 	/** The target may have run the request, and no complete answer was received. */
-	| {readonly kind: 'broken'; readonly reason: string; readonly slotOutcome: SlotOutcome; readonly lostConnection?: LostConnection};
+	| {readonly kind: 'broken'; readonly reason: string; readonly slotOutcome: SlotOutcome; /** Whether the connection ended before the answer was complete. */ readonly lostConnection?: true};
 
 /** How an attempt at one target ended. */
 export type AttemptOutcome = {readonly kind: 'answered'} | AttemptFailure;
--- a/packages/callers/src/forward/forward-dependencies.ts
+++ b/packages/callers/src/forward/forward-dependencies.ts
@@ -2,6 +2,7 @@
 	BodyFraming, Clock, Random, SendFailure, Verdict,
 } from '@egretrill/common';
 import type {Result} from 'true-myth';
+import type {CrashGate, CrashTracker} from '../crashes/index.js';
 import type {RetryBudget} from '../retry-budget.js';
 import type {StopRefusal} from './check-stop.js';
 import type {ForwardDialect} from './forward-dialect.js';
@@ -108,6 +109,9 @@
 	readonly getTable: () => RouteTable | undefined;
 	readonly stop: PlannedStop;
 	readonly targetEnds: TargetEnds;
+	/** Evidence on what ends targets, and the decisions that rest on it. */
+	readonly crashes: CrashTracker;
+	readonly crashGate: CrashGate;
 	readonly durations: RouteDurations;
 	/** Retry budget of a service. */
 	readonly getRetries: (service: string) => RetryBudget;
--- a/packages/callers/src/forward/forward-request.ts
+++ b/packages/callers/src/forward/forward-request.ts
@@ -10,6 +10,7 @@
 import {forwardToTarget} from './forward-to-target.js';
 import {GuardedSender} from './guarded-sender.js';
 import type {RateDecision} from './rate-allocations.js';
+import {listKeys} from './list-keys.js';
 import {getCost, pickService, type RouteTable} from './route-table.js';
 import {readBodyUntil} from './read-body-until.js';
 import {acquireSlot} from './slot-search.js';
@@ -173,6 +174,14 @@
 		return {refusal: body, ...known};
 	}
 
+	// A refused request is neither charged to a rate nor counted as demand.
+	const blocked = deps.crashGate.getRefusal(listKeys({
+		deps, call, progress, customer: customer.value, body,
+	}));
+	if (blocked) {
+		return {refusal: blocked, ...known};
+	}
+
 	const service = pickService(route.value, deps.random());
 	if (service === undefined) {
 		return {refusal: refuse(503, 'no-service', 'The route leads to no service.', NO_TARGET_RETRY_MS), ...known};
@@ -265,12 +274,12 @@
 	const retries = deps.getRetries(service);
 	retries.countRequest();
 	for (;;) {
-		const slot = await acquireSlot(context);
-		if ('status' in slot) {
-			return getUnansweredOutcome(context, slot);
+		const acquired = await acquireSlot(context);
+		if ('status' in acquired) {
+			return getUnansweredOutcome(context, acquired);
 		}
 
-		const outcome = await forwardToTarget(context, slot);
+		const outcome = await forwardToTarget(context, acquired);
 		if (outcome.kind === 'answered') {
 			return 'answered';
 		}
--- a/packages/callers/src/forward/forward-to-target.ts
+++ b/packages/callers/src/forward/forward-to-target.ts
@@ -1,7 +1,7 @@
 import {STREAM_IDLE_TIMEOUT_MS} from './constants.js';
 import {EventOrder} from './event-order.js';
 import type {AttemptOutcome, ForwardContext} from './forward-context.js';
-import type {TargetSlot} from './slot-queue.js';
+import type {AttemptSlot} from './slot-search.js';
 import {relayBuffered, relayEvents, type RelayResult} from './relay.js';
 import {SwitchWatch} from './switch-watch.js';
 import {
@@ -9,9 +9,9 @@
 } from './open-attempt.js';
 
 /** Sends the request to a target and relays its answer; a stream that falls silent may go on at other targets. */
-export async function forwardToTarget(context: ForwardContext, slot: TargetSlot): Promise<AttemptOutcome> {
-	recordTarget(context, slot);
-	let attempt = await openAttempt(context, slot, context.signal);
+export async function forwardToTarget(context: ForwardContext, attemptSlot: AttemptSlot): Promise<AttemptOutcome> {
+	recordTarget(context, attemptSlot);
+	let attempt = await openAttempt(context, attemptSlot, context.signal);
 	if (attempt.kind !== 'open') {
 		return attempt;
 	}
@@ -24,12 +24,12 @@
 			return outcome;
 		}
 
-		recordTarget(context, next.slot);
+		recordTarget(context, next);
 		attempt = next;
 	}
 }
 
-function recordTarget({progress}: ForwardContext, {targetId, outstanding}: TargetSlot): void {
+function recordTarget({progress}: ForwardContext, {slot: {targetId, outstanding}}: AttemptSlot): void {
 	progress.targetId = targetId;
 	progress.outstanding = outstanding;
 }
@@ -44,7 +44,7 @@
 		outcome = await relay(context, attempt, watch);
 	} finally {
 		watch?.endSearch(outcome.kind === 'answered');
-		endAttempt(context, attempt, outcome);
+		await endAttempt(context, attempt, outcome);
 	}
 
 	return outcome;
@@ -56,12 +56,13 @@
 	return delivered ?? new EventOrder(route.isResumable ? progress.lastEventId : undefined);
 }
 
-async function relay(context: ForwardContext, {answer, metadata}: OpenAttempt, watch: SwitchWatch | undefined): Promise<AttemptOutcome> {
+async function relay(context: ForwardContext, {answer, metadata, sent}: OpenAttempt, watch: SwitchWatch | undefined): Promise<AttemptOutcome> {
 	const {exchange, progress} = context;
 	progress.status = answer.status;
 	const relayed = {
 		exchange, answer, headers: metadata.headers, onChunk(lastEventId: number | undefined) {
 			progress.chunkTimes.recordChunk();
+			sent.recordEvent();
 			progress.lastEventId = lastEventId ?? progress.lastEventId;
 		},
 	};
@@ -85,6 +86,6 @@
 	const silenceReason = watch?.hasMoved() ? `The target completed no event for ${STREAM_IDLE_TIMEOUT_MS} ms, and another one goes on with the stream.` : undefined;
 	const faultReason = silenceReason ?? result.reason;
 	return {
-		kind: 'broken', reason: faultReason ?? 'The answer ended early.', slotOutcome: 'broke-off', ...(faultReason === undefined && {lostConnection: {hasBegun: result.bytes > 0}}),
+		kind: 'broken', reason: faultReason ?? 'The answer ended early.', slotOutcome: 'broke-off', ...(faultReason === undefined && {lostConnection: true}),
 	};
 }
--- /dev/null
+++ b/packages/callers/src/forward/list-keys.ts
@@ -0,0 +1,21 @@
+import {getPartKeys, getRequestKey, type RankedKey} from '../crashes/index.js';
+import type {ForwardContext} from './forward-context.js';
+
+type KeyedRequest = Pick<ForwardContext, 'call' | 'customer' | 'body'>;
+
+/** Keys under which the end of a target counts against a request: its shared prompt parts, and the request as a whole. */
+export function listAllKeys({call: {method, hostName, url, promptParts}, customer, body}: KeyedRequest): readonly RankedKey[] {
+	return [...getPartKeys(promptParts.map(({id}) => id)), getRequestKey([customer?.name ?? '', method, hostName, url], body)];
+}
+
+/** Keys of a request that may have evidence against them. The digest of the whole request is computed only while there is any. */
+export function listKeys({deps: {crashGate}, ...context}: KeyedRequest & Pick<ForwardContext, 'deps' | 'progress'>): readonly RankedKey[] {
+	const {progress, call: {promptParts}} = context;
+	if (crashGate.hasEvidence()) {
+		progress.allKeys ??= listAllKeys(context);
+		return progress.allKeys;
+	}
+
+	progress.partKeys ??= getPartKeys(promptParts.map(({id}) => id));
+	return progress.partKeys;
+}
--- a/packages/callers/src/forward/open-attempt.ts
+++ b/packages/callers/src/forward/open-attempt.ts
@@ -3,15 +3,17 @@
 import {isRepeatable} from './decide-at-stop.js';
 import type {AttemptFailure, AttemptOutcome, ForwardContext} from './forward-context.js';
 import type {TargetAnswer} from './forward-dependencies.js';
-import type {TargetSlot, SlotOutcome} from './slot-queue.js';
+import {listAllKeys} from './list-keys.js';
+import type {SlotOutcome, TargetSlot} from './slot-queue.js';
+import type {AttemptSlot} from './slot-search.js';
+import {getStartId} from './target-ends.js';
 import type {AnswerMetadata} from './types.js';
 
 const STATUS_SERVER_ERROR = 500;
 
 /** An attempt whose target has answered with a valid head. */
-export type OpenAttempt = {
+export type OpenAttempt = AttemptSlot & {
 	readonly kind: 'open';
-	readonly slot: TargetSlot;
 	/** Cancels the attempt. */
 	readonly signal: AbortSignal;
 	/** Number of the attempt, from 1. */
@@ -27,8 +29,9 @@
 export const EXCHANGE_FAILED: AttemptFailure = {kind: 'broken', reason: 'The exchange failed.', slotOutcome: 'answered'};
 
 /** Sends the request to one target and checks the head of its answer; releases the slot unless the answer is valid. */
-export async function openAttempt(context: ForwardContext, slot: TargetSlot, signal: AbortSignal): Promise<OpenAttempt | AttemptFailure> {
+export async function openAttempt(context: ForwardContext, attemptSlot: AttemptSlot, signal: AbortSignal): Promise<OpenAttempt | AttemptFailure> {
 	const {deps: {clock}, progress} = context;
+	const {slot} = attemptSlot;
 	const startedMs = clock.now();
 	progress.tried.add(slot.targetId);
 	progress.sentMs ??= startedMs;
@@ -37,21 +40,25 @@
 		head = await sendRequest(context, slot, signal);
 	} finally {
 		if (head.kind !== 'open') {
-			endAttempt(context, {
-				slot, signal, startedMs, number: progress.attempts,
+			await endAttempt(context, {
+				...attemptSlot, signal, startedMs, number: progress.attempts,
 			}, head);
 		}
 	}
 
 	return head.kind === 'open'
 		? {
-			...head, slot, signal, startedMs, number: progress.attempts,
+			...head, ...attemptSlot, signal, startedMs, number: progress.attempts,
 		}
 		: head;
 }
 
-/** Releases the slot of an attempt and records how it ended. */
-export function endAttempt({deps: {clock, observer, durations, targetEnds}, call, route, progress}: ForwardContext, attempt: Omit<OpenAttempt, 'kind' | 'answer' | 'metadata'>, outcome: AttemptOutcome): void {
+/** An attempt that has ended, or whose target has not answered. */
+type EndingAttempt = Omit<OpenAttempt, 'kind' | 'answer' | 'metadata'>;
+
+/** Releases the slot of an attempt and records how it ended; after a lost connection resolves once it is known whether the target has ended. */
+export async function endAttempt(context: ForwardContext, attempt: EndingAttempt, outcome: AttemptOutcome): Promise<void> {
+	const {deps: {clock, observer, durations}, call, route, progress} = context;
 	const {slot, signal, number, startedMs} = attempt;
 	slot.release(getSlotOutcome(outcome, signal, progress.status));
 	if (outcome.kind === 'answered' && (progress.status ?? 0) < STATUS_SERVER_ERROR) {
@@ -59,13 +66,29 @@
 	}
 
 	progress.mayHaveRun ||= outcome.kind === 'broken';
-	if (outcome.kind === 'broken' && outcome.lostConnection && !signal.aborted) {
-		void targetEnds.recordBreak(slot, {requestId: call.attemptId, partIds: call.promptParts.map(({id}) => id), ...outcome.lostConnection});
-	}
-
 	observer.recordAttempt({
 		call, slot, attempt: number, outcome: outcome.kind, tookMs: clock.now() - startedMs, ...('reason' in outcome && {reason: outcome.reason}),
 	});
+	await recordEvidence(context, attempt, outcome);
+}
+
+/** Records what the end of an attempt says of the request's keys: its target survived it, or ended while the request waited there. */
+async function recordEvidence(context: ForwardContext, {slot, sent, signal}: EndingAttempt, outcome: AttemptOutcome): Promise<void> {
+	const {deps: {crashes, targetEnds}, call, progress: {status = 0}} = context;
+	if (outcome.kind === 'answered' && status < STATUS_REDIRECT) {
+		sent.complete();
+	}
+
+	const lostConnection = outcome.kind === 'broken' && !signal.aborted ? outcome.lostConnection : undefined;
+	if (lostConnection) {
+		const isWaiting = !sent.isSettled();
+		const hasEnded = await targetEnds.recordBreak(slot, {requestId: call.attemptId, partIds: call.promptParts.map(({id}) => id), hasBegun: !isWaiting});
+		if (hasEnded && isWaiting && !slot.isLeaving()) {
+			crashes.recordEnd(listAllKeys(context), getStartId(slot));
+		}
+	}
+
+	sent.release();
 }
 
 /** The result of an attempt for the health of its target; a cancelled attempt does not count as a failure. */
@@ -106,7 +129,9 @@
 	if (sent.isErr) {
 		progress.attempts += sent.error.accepted ? 1 : 0;
 		return sent.error.accepted
-			? {kind: 'broken', reason: describeFailure('The target broke off', sent.error, signal), slotOutcome: 'broke-off', ...(isConnectionLost(sent.error) && {lostConnection: {hasBegun: false}})}
+			? {
+				kind: 'broken', reason: describeFailure('The target broke off', sent.error, signal), slotOutcome: 'broke-off', ...(isConnectionLost(sent.error) && {lostConnection: true}),
+			}
 			: {kind: 'not-run', reason: describeFailure('The target cannot be reached', sent.error, signal), slotOutcome: 'unreachable'};
 	}
 
--- a/packages/callers/src/forward/slot-search.ts
+++ b/packages/callers/src/forward/slot-search.ts
@@ -1,7 +1,9 @@
 import {refuse, type Verdict} from '@egretrill/common';
+import type {SentRequest} from '../crashes/index.js';
 import {checkStop} from './check-stop.js';
 import {MIN_RETRY_AFTER_MS, MIN_TIME_LEFT_TO_SEND_MS} from './constants.js';
 import type {ForwardContext} from './forward-context.js';
+import {listKeys} from './list-keys.js';
 import type {SlotRequirements, TargetSlot} from './slot-queue.js';
 import {getWaitLimits} from './wait-limits.js';
 
@@ -16,22 +18,59 @@
 	return customer?.priority ?? route.priority;
 }
 
-/** Waits for a slot at a target to which the request has not been sent yet. */
-export async function acquireSlot(context: ForwardContext): Promise<TargetSlot | Verdict> {
-	const {deps: {clock, queue}, route, progress, endsMs, signal, exchange} = context;
+/** A slot for one attempt of a request that may be sent now. */
+export type AttemptSlot = {readonly slot: TargetSlot; readonly sent: SentRequest};
+
+/** Registers the request as sent to the target of a slot; frees the slot if the request has to wait after all. */
+function start(context: ForwardContext, slot: TargetSlot): AttemptSlot | undefined {
+	const sent = context.deps.crashGate.start(listKeys(context));
+	if (!sent) {
+		slot.release('unsent');
+		return undefined;
+	}
+
+	return {slot, sent};
+}
+
+/** Waits for a slot at a target to which the request has not been sent yet, and for the verdict on keys of the request that are suspected. */
+export async function acquireSlot(context: ForwardContext): Promise<AttemptSlot | Verdict> {
+	const {deps: {clock, crashGate}, endsMs, progress, signal} = context;
 	const startedMs = clock.now();
-	const remainingMs = endsMs - startedMs;
-	if (remainingMs < MIN_TIME_LEFT_TO_SEND_MS) {
-		return refuse(503, 'out-of-time', 'The time of the request is over.', MIN_RETRY_AFTER_MS);
+	try {
+		for (;;) {
+			const remainingMs = endsMs - clock.now();
+			if (remainingMs < MIN_TIME_LEFT_TO_SEND_MS) {
+				return refuse(503, 'out-of-time', 'The time of the request is over.', MIN_RETRY_AFTER_MS);
+			}
+
+			const refusal = await crashGate.waitForTurn(listKeys(context), remainingMs, signal);
+			const found = refusal ?? await waitForSlot(context);
+			if ('status' in found) {
+				return found;
+			}
+
+			const started = start(context, found);
+			if (started) {
+				return started;
+			}
+		}
+	} finally {
+		progress.waitMs += clock.now() - startedMs;
 	}
+}
 
-	const wait = {...getWaitLimits(route, remainingMs), getRefusal: () => checkStop({...context, hasStarted: exchange.hasStarted()}, 'send')};
+async function waitForSlot(context: ForwardContext): Promise<TargetSlot | Verdict> {
+	const {deps: {clock, queue, crashGate}, route, endsMs, signal, exchange} = context;
+	const wait = {
+		...getWaitLimits(route, endsMs - clock.now()),
+		getRefusal: () => checkStop({...context, hasStarted: exchange.hasStarted()}, 'send') ?? crashGate.getRefusal(listKeys(context)),
+	};
 	const acquired = await queue.acquire(getRequirements(context), getPriority(context), wait, signal);
-	progress.waitMs += clock.now() - startedMs;
 	return acquired.isOk ? acquired.value : acquired.error;
 }
 
 /** Takes a slot that is free now at a target to which the request has not been sent yet. */
-export function takeFreeSlot(context: ForwardContext): TargetSlot | undefined {
-	return context.deps.queue.takeFree(getRequirements(context), getPriority(context));
+export function takeFreeSlot(context: ForwardContext): AttemptSlot | undefined {
+	const slot = context.deps.queue.takeFree(getRequirements(context), getPriority(context));
+	return slot && start(context, slot);
 }
--- a/packages/callers/src/forward/switch-watch.ts
+++ b/packages/callers/src/forward/switch-watch.ts
@@ -1,11 +1,10 @@
 import {checkStop} from './check-stop.js';
 import {MAX_WAKE_DELAY_MS, SWITCH_RETRY_INTERVAL_MS} from './constants.js';
 import type {ForwardContext} from './forward-context.js';
-import type {TargetSlot} from './slot-queue.js';
 import {
 	getTimeUntilSwitchMs, maySwitch, Silence, STREAM_WENT_ON,
 } from './silence.js';
-import {takeFreeSlot} from './slot-search.js';
+import {type AttemptSlot, takeFreeSlot} from './slot-search.js';
 import {endAttempt, type OpenAttempt, openAttempt} from './open-attempt.js';
 
 /** Prevents an unhandled rejection of a task that is awaited only later. */
@@ -114,7 +113,7 @@
 	}
 
 	/** Sends the request to another target, and closes the silent answer as soon as that one has answered; resolves with false if the target was not reached. */
-	private async offerTo(slot: TargetSlot): Promise<boolean> {
+	private async offerTo(slot: AttemptSlot): Promise<boolean> {
 		const wentOn = this.silence.getNextEventSignal();
 		const opened = await openAttempt(this.context, slot, AbortSignal.any([this.context.signal, wentOn]));
 		if (opened.kind !== 'open') {
@@ -123,7 +122,7 @@
 
 		if (opened.signal.aborted) {
 			opened.answer.destroy();
-			endAttempt(this.context, opened, {kind: 'broken', reason: wentOn.aborted ? STREAM_WENT_ON : 'The request has ended.', slotOutcome: 'answered'});
+			await endAttempt(this.context, opened, {kind: 'broken', reason: wentOn.aborted ? STREAM_WENT_ON : 'The request has ended.', slotOutcome: 'answered'});
 			return true;
 		}
 
--- a/packages/callers/src/index.ts
+++ b/packages/callers/src/index.ts
@@ -3,6 +3,7 @@
 export * from './authenticate.js';
 export * from './caller-reply.js';
 export * from './config-index.js';
+export * from './crashes/index.js';
 export * from './constants.js';
 export * from './decide-retry.js';
 export * from './fair-queue.js';
--- a/packages/callers/tests/forward/support/forward-scenario.ts
+++ b/packages/callers/tests/forward/support/forward-scenario.ts
@@ -1,7 +1,7 @@
 import {
 	ManualClock, type TrafficConfig, type TrafficRoute,
 } from '@egretrill/common';
-import {RetryBudget} from '../../../src/index.js';
+import {CrashGate, CrashTracker, RetryBudget} from '../../../src/index.js';
 import {
 	type ForwardDependencies, forwardRequest, PlannedStop, RouteDurations, SlotQueue, RetrySchedule, RouteTable, TargetEnds,
 } from '../../../src/forward/index.js';
@@ -146,8 +146,9 @@
 		durations.record(route.name, durationMs);
 	}
 
+	const crashes = new CrashTracker(clock, 'test');
 	const deps: ForwardDependencies = {
-		clock, random: () => 0, dialect: new FakeDialect(opts.throwingStep), queue, rates, poolClient: new UnavailablePoolClient(), retrySchedule: new RetrySchedule(clock), sender, observer, getTable: () => opts.isUnconfigured ? undefined : table, stop, durations, targetEnds: new TargetEnds({clock, probe: new RefusingProbe(), onEnd: () => undefined}), getRetries: () => retries,
+		clock, random: () => 0, dialect: new FakeDialect(opts.throwingStep), queue, rates, poolClient: new UnavailablePoolClient(), retrySchedule: new RetrySchedule(clock), sender, observer, getTable: () => opts.isUnconfigured ? undefined : table, stop, durations, crashes, crashGate: new CrashGate(clock, crashes), targetEnds: new TargetEnds({clock, probe: new RefusingProbe(), onEnd: () => undefined}), getRetries: () => retries,
 	};
 	const served = catchError(forwardRequest(exchange, deps));
 	if (opts.disconnectsAfterMs !== undefined) {
--- a/packages/engines/src/registry/target-table.ts
+++ b/packages/engines/src/registry/target-table.ts
@@ -40,8 +40,8 @@
 	readonly tried: ReadonlySet<string>;
 };
 
-/** Outcome of a request at its target: it answered, failed or refused the request, aborted the answer, or could not be reached. */
-export type TargetOutcome = 'answered' | 'failed' | 'broke-off' | 'unreachable';
+/** Outcome of a request at its target: it answered, failed or refused the request, aborted the answer, could not be reached, or was sent nothing. */
+export type TargetOutcome = 'answered' | 'failed' | 'broke-off' | 'unreachable' | 'unsent';
 
 /** A slot for one request at a target, held until it is released with the outcome. */
 export type AcquiredSlot = {
@@ -241,7 +241,9 @@
 				isReleased = true;
 				target.ownRequests -= 1;
 				changeAdapterUse(target, model, adapter, -1);
-				this.recordOutcome(target, outcome);
+				if (outcome !== 'unsent') {
+					this.recordOutcome(target, outcome);
+				}
 
 				this.changed.notify();
 			},
