callers: ask callers of an unconfirmed block to come back, and judge whole requests apart from parts

Cause: a request that was sent three times explained the ends of its parts, so that the part was open again although other requests with it ended targets; the ends of a part were cut at eight, so that later ones counted against its parents; a probe was granted to a host at which no request with the key arrived in time. Change: a request explains the ends of its parts only while no other request ended a target under them; 32 ends are kept. A block with three ends is answered 503 with a time to return, one with a fourth end is final. While a probe is due, a request waits for its grant, so that a granted probe is sent.

--- a/packages/callers/src/crashes/assess-keys.ts
+++ b/packages/callers/src/crashes/assess-keys.ts
@@ -1,15 +1,26 @@
 import {
-	BLOCK_SETTLE_MS, ENDS_TO_BLOCK, ENDS_TO_SUSPECT, FIRST_PROBE_DELAY_MS, PROBE_DELAY_FACTOR, UNEXPLAINED_ENDS_TO_BLOCK,
+	BLOCK_SETTLE_MS, ENDS_TO_BLOCK, ENDS_TO_SUSPECT, FIRST_PROBE_DELAY_MS, PROBE_DELAY_FACTOR, REQUEST_RANK, UNEXPLAINED_ENDS_TO_BLOCK,
 } from './constants.js';
-import {type KeyEvidence, listSeparateEnds} from './key-evidence.js';
+import {type CountedEnd, type KeyEvidence, listSeparateEnds} from './key-evidence.js';
 import type {KeyVerdict} from './types.js';
 
 /** Keys that are blocked, or will be unless an answer proves them harmless, with the times of their blocks. */
 export type BlockTimes = ReadonlyMap<string, number>;
 
-/** Number of ends that a key needs for a block besides those explained by more specific keys. */
-function getNeededEnds(explainedCount: number): number {
-	return explainedCount === 0 ? ENDS_TO_BLOCK : UNEXPLAINED_ENDS_TO_BLOCK;
+/** Lifetimes of targets whose ends have a blocked key among their causes. */
+type Explained = {readonly byParts: Set<string>; readonly byRequests: Set<string>};
+
+/** The ends that count towards a block of a key, if they are enough. */
+function findBlockingEnds({ends, rank}: KeyEvidence, {byParts, byRequests}: Explained): readonly CountedEnd[] | undefined {
+	// A request that came several times explains the ends of its parts only while no other request ended a target under them.
+	if (rank !== REQUEST_RANK && ends.every(({startId}) => byRequests.has(startId))) {
+		return undefined;
+	}
+
+	const unexplained = ends.filter(({startId}) => !byParts.has(startId));
+	const neededCount = unexplained.length === ends.length ? ENDS_TO_BLOCK : UNEXPLAINED_ENDS_TO_BLOCK;
+	const separate = listSeparateEnds(unexplained);
+	return separate.length >= neededCount ? separate.slice(0, neededCount) : undefined;
 }
 
 /**
@@ -18,18 +29,17 @@
  */
 export function assessKeys(evidences: ReadonlyMap<string, KeyEvidence>): BlockTimes {
 	const blockTimes = new Map<string, number>();
-	const explained = new Set<string>();
+	const explained: Explained = {byParts: new Set(), byRequests: new Set()};
 	const candidates = [...evidences].filter(([, {ends}]) => listSeparateEnds(ends).length >= ENDS_TO_BLOCK);
-	for (const [key, {ends}] of candidates.toSorted(([, a], [, b]) => b.rank - a.rank || b.ends.length - a.ends.length)) {
-		const unexplained = ends.filter(({startId}) => !explained.has(startId));
-		const separate = listSeparateEnds(unexplained);
-		const neededCount = getNeededEnds(ends.length - unexplained.length);
-		const [first] = ends;
-		const last = separate[neededCount - 1];
+	for (const [key, evidence] of candidates.toSorted(([, a], [, b]) => b.rank - a.rank || b.ends.length - a.ends.length)) {
+		const blocking = findBlockingEnds(evidence, explained);
+		const [first] = evidence.ends;
+		const last = blocking?.at(-1);
 		if (first && last) {
 			blockTimes.set(key, Math.max(last.atMs, first.atMs + BLOCK_SETTLE_MS));
-			for (const {startId} of ends) {
-				explained.add(startId);
+			const explainedIds = evidence.rank === REQUEST_RANK ? explained.byRequests : explained.byParts;
+			for (const {startId} of evidence.ends) {
+				explainedIds.add(startId);
 			}
 		}
 	}
--- a/packages/callers/src/crashes/constants.ts
+++ b/packages/callers/src/crashes/constants.ts
@@ -4,6 +4,13 @@
 /** Ends of targets under one key, without a proven answer after the first of them, from which on requests with the key are refused. */
 export const ENDS_TO_BLOCK = 3;
 
+/** Ends from which on the refusal of a blocked key is final. With fewer the callers are asked to come back, since sound requests may have been caught at the same targets by chance. */
+export const ENDS_TO_CONFIRM = 4;
+
+/** Bounds on the time after which callers of a block that is not confirmed are asked to come back. */
+export const MIN_BLOCK_RETRY_MS = 1000;
+export const MAX_BLOCK_RETRY_MS = 4000;
+
 /** Ends that a key needs beside those at which a key was waiting that is blocked already; those are explained by that key. */
 export const UNEXPLAINED_ENDS_TO_BLOCK = 2;
 
@@ -29,20 +36,17 @@
 export const FIRST_PROBE_DELAY_MS = 10_000;
 export const PROBE_DELAY_FACTOR = 4;
 
-/** Time in which the host that was granted a probe may send it. */
+/** Time in which the host that was granted a probe may send it; a request waits there for the grant. */
 export const PROBE_GRANT_TTL_MS = 3000;
 
 /** Interval at which arrivals of a blocked key are passed on to the other hosts. */
 export const ARRIVAL_REPORT_INTERVAL_MS = 10_000;
 
-/** Age up to which an arrival shows that a host can send a probe. */
-export const RECENT_ARRIVAL_MS = 2000;
-
 /** Keys with evidence that one host keeps; the ones that changed first are dropped. */
 export const MAX_CRASH_RECORDS = 4096;
 
-/** Ends kept for one key. */
-export const MAX_ENDS_PER_KEY = 8;
+/** Ends kept for one key; with fewer, ends under a blocked key could count against the other parts of its requests. */
+export const MAX_ENDS_PER_KEY = 32;
 
 /** Records in one message; the rest follow in the next. */
 export const MAX_RECORDS_PER_MESSAGE = 256;
--- a/packages/callers/src/crashes/crash-gate.ts
+++ b/packages/callers/src/crashes/crash-gate.ts
@@ -2,7 +2,7 @@
 	type Clock, refuse, type Verdict,
 } from '@egretrill/common';
 import {
-	ANSWER_PROOF_MS, MAX_VERDICT_WAIT_MS, PROBE_GRANT_TTL_MS, RECENT_ARRIVAL_MS, MAX_RECORDS_PER_MESSAGE,
+	ANSWER_PROOF_MS, MAX_BLOCK_RETRY_MS, MAX_RECORDS_PER_MESSAGE, MAX_VERDICT_WAIT_MS, MIN_BLOCK_RETRY_MS, PROBE_GRANT_TTL_MS,
 } from './constants.js';
 import type {CrashTracker} from './crash-tracker.js';
 import type {RankedKey} from './types.js';
@@ -10,6 +10,15 @@
 /** Whether a request may be sent now, has to wait for evidence, or is refused. */
 type Admission = 'open' | 'wait' | 'refused';
 
+function addToCount(counts: Map<string, number>, key: string, change: 1 | -1): void {
+	const count = (counts.get(key) ?? 0) + change;
+	if (count > 0) {
+		counts.set(key, count);
+	} else {
+		counts.delete(key);
+	}
+}
+
 /** A request that has been sent to a target and has no proven answer yet. */
 export class SentRequest {
 	private firstEventMs: number | undefined;
@@ -54,8 +63,8 @@
 	private readonly unproven = new Map<string, number>();
 	/** Ends of granted probes, by key. */
 	private readonly probeUntilMs = new Map<string, number>();
-	/** Last arrivals of refused requests, by key. */
-	private readonly refusedMs = new Map<string, number>();
+	/** Requests that wait for the grant of a probe, by blocked key. */
+	private readonly probeWaiters = new Map<string, number>();
 
 	constructor(private readonly clock: Clock, private readonly tracker: CrashTracker) {}
 
@@ -66,29 +75,20 @@
 
 	/** Waits until a request with these keys may be sent; resolves with a refusal if it must not be. */
 	async waitForTurn(keys: readonly RankedKey[], maxWaitMs: number, signal: AbortSignal): Promise<Verdict | undefined> {
-		const endsMs = this.clock.now() + Math.min(maxWaitMs, MAX_VERDICT_WAIT_MS);
-		for (;;) {
-			const admission = this.getAdmission(keys);
-			if (admission === 'open' || signal.aborted) {
-				return undefined;
-			}
-
-			if (admission === 'refused') {
-				return this.refuseBlocked(keys);
-			}
-
-			const remainingMs = endsMs - this.clock.now();
-			if (remainingMs <= 0) {
-				return refuse(503, 'suspected-part', 'Targets ended while they served requests with the same content; whether it is the cause is not known yet.', MAX_VERDICT_WAIT_MS);
-			}
-
-			await this.tracker.changed.wait(this.clock, Math.min(remainingMs, this.getTimeUntilVerdictMs(keys) ?? remainingMs), signal);
+		if (this.getAdmission(keys) === 'open') {
+			return undefined;
 		}
+
+		const blocked = keys.filter(({key}) => this.tracker.getVerdict(key) === 'blocked');
+		this.addProbeWaiters(blocked, 1);
+		const verdict = await this.waitForVerdict(keys, maxWaitMs, signal);
+		this.addProbeWaiters(blocked, -1);
+		return verdict;
 	}
 
 	/** The refusal of a request with a blocked key; undefined for any other. */
 	getRefusal(keys: readonly RankedKey[]): Verdict | undefined {
-		return this.hasEvidence() && this.getAdmission(keys) === 'refused' ? this.refuseBlocked(keys) : undefined;
+		return this.hasEvidence() && this.getAdmission(keys) === 'refused' ? this.refuseSuspected(keys) : undefined;
 	}
 
 	/** Registers a request that is about to be sent; undefined if it has to wait after all. */
@@ -98,7 +98,7 @@
 		}
 
 		for (const {key} of keys) {
-			this.unproven.set(key, (this.unproven.get(key) ?? 0) + 1);
+			addToCount(this.unproven, key, 1);
 			this.probeUntilMs.delete(key);
 		}
 
@@ -115,16 +115,32 @@
 		this.tracker.changed.notify();
 	}
 
-	/** Blocked keys of which this host has just refused a request, so that it can send a probe. */
+	/** Blocked keys of which a request waits here to be sent as a probe. */
 	getProbeCandidates(): readonly string[] {
-		const oldestMs = this.clock.now() - RECENT_ARRIVAL_MS;
-		for (const [key, refusedMs] of this.refusedMs) {
-			if (refusedMs < oldestMs) {
-				this.refusedMs.delete(key);
+		return [...this.probeWaiters.keys()].slice(0, MAX_RECORDS_PER_MESSAGE);
+	}
+
+	private async waitForVerdict(keys: readonly RankedKey[], maxWaitMs: number, signal: AbortSignal): Promise<Verdict | undefined> {
+		const endsMs = this.clock.now() + Math.min(maxWaitMs, MAX_VERDICT_WAIT_MS);
+		for (;;) {
+			const admission = this.getAdmission(keys);
+			if (admission === 'open' || signal.aborted) {
+				return undefined;
 			}
+
+			const remainingMs = endsMs - this.clock.now();
+			if (admission === 'refused' || remainingMs <= 0) {
+				return this.refuseSuspected(keys);
+			}
+
+			await this.tracker.changed.wait(this.clock, Math.min(remainingMs, this.getTimeUntilVerdictMs(keys) ?? remainingMs), signal);
 		}
+	}
 
-		return [...this.refusedMs.keys()].slice(0, MAX_RECORDS_PER_MESSAGE);
+	private addProbeWaiters(keys: readonly RankedKey[], change: 1 | -1): void {
+		for (const {key} of keys) {
+			addToCount(this.probeWaiters, key, change);
+		}
 	}
 
 	private getAdmission(keys: readonly RankedKey[]): Admission {
@@ -148,20 +164,32 @@
 			}
 
 			case 'blocked': {
-				return !hasUnproven && (this.probeUntilMs.get(key) ?? 0) > this.clock.now() ? 'open' : 'refused';
+				return this.getBlockedAdmission(key, hasUnproven);
 			}
 		}
 	}
 
-	private refuseBlocked(keys: readonly RankedKey[]): Verdict {
-		for (const {key} of keys) {
-			if (this.tracker.getVerdict(key) === 'blocked') {
-				this.refusedMs.set(key, this.clock.now());
-				this.tracker.recordArrival(key);
-			}
+	/** A blocked key is open to one probe. While one is due, requests wait for its grant rather than being refused, so that a granted probe is sent. */
+	private getBlockedAdmission(key: string, hasUnproven: boolean): Admission {
+		if (!hasUnproven && (this.probeUntilMs.get(key) ?? 0) > this.clock.now()) {
+			return 'open';
+		}
+
+		return this.tracker.getTimeUntilProbeMs(key) > 0 ? 'refused' : 'wait';
+	}
+
+	private refuseSuspected(keys: readonly RankedKey[]): Verdict {
+		const blocked = keys.filter(({key}) => this.tracker.getVerdict(key) === 'blocked');
+		for (const {key} of blocked) {
+			this.tracker.recordArrival(key);
 		}
 
-		return refuse(422, 'crashes-targets', 'Requests with the same content ended several targets, so it is refused.');
+		if (blocked.some(({key}) => this.tracker.isConfirmed(key))) {
+			return refuse(422, 'crashes-targets', 'Requests with the same content ended several targets, so it is refused.');
+		}
+
+		const untilProbeMs = Math.max(0, ...blocked.map(({key}) => this.tracker.getTimeUntilProbeMs(key)));
+		return refuse(503, 'suspected-content', 'Targets ended while requests with the same content waited there.', Math.min(MAX_BLOCK_RETRY_MS, Math.max(MIN_BLOCK_RETRY_MS, untilProbeMs)));
 	}
 
 	/** Shortest time until the verdict on one of the keys is due. */
@@ -172,12 +200,7 @@
 
 	private release(keys: readonly RankedKey[]): void {
 		for (const {key} of keys) {
-			const count = (this.unproven.get(key) ?? 0) - 1;
-			if (count > 0) {
-				this.unproven.set(key, count);
-			} else {
-				this.unproven.delete(key);
-			}
+			addToCount(this.unproven, key, -1);
 		}
 
 		if (this.hasEvidence()) {
--- a/packages/callers/src/crashes/crash-tracker.ts
+++ b/packages/callers/src/crashes/crash-tracker.ts
@@ -1,12 +1,12 @@
 import {type Clock, Signal} from '@egretrill/common';
 import {
-	ARRIVAL_REPORT_INTERVAL_MS, MAX_CRASH_RECORDS, MAX_PROVEN_KEYS, MAX_RECORDS_PER_MESSAGE,
+	ARRIVAL_REPORT_INTERVAL_MS, ENDS_TO_CONFIRM, MAX_CRASH_RECORDS, MAX_PROVEN_KEYS, MAX_RECORDS_PER_MESSAGE,
 } from './constants.js';
 import {
 	assessKeys, type BlockTimes, getKeyVerdict, getNextProbeMs,
 } from './assess-keys.js';
 import {
-	fromRecord, hasNews, isOutdated, type KeyEvidence, mergeEvidence, NO_EVIDENCE, toRecord,
+	fromRecord, hasNews, isOutdated, type KeyEvidence, listSeparateEnds, mergeEvidence, NO_EVIDENCE, toRecord,
 } from './key-evidence.js';
 import type {
 	CrashRecord, CrashRevision, CrashUpdate, KeyVerdict, RankedKey,
@@ -109,16 +109,25 @@
 		}
 	}
 
+	/** Whether the block of a key is beyond doubt. */
+	isConfirmed(key: string): boolean {
+		return listSeparateEnds(this.getEvidence(key).ends).length >= ENDS_TO_CONFIRM;
+	}
+
+	/** Time until a probe of a blocked key is due. */
+	getTimeUntilProbeMs(key: string): number {
+		const blockedAtMs = this.getBlockTimes().get(key);
+		return blockedAtMs === undefined ? Number.POSITIVE_INFINITY : getNextProbeMs(this.getEvidence(key), blockedAtMs) - this.clock.now();
+	}
+
 	/** Grants a probe of a blocked key if one is due. */
 	grantProbe(key: string): boolean {
-		const evidence = this.getEvidence(key);
-		const nowMs = this.clock.now();
-		const blockedAtMs = this.getBlockTimes().get(key);
-		if (blockedAtMs === undefined || getNextProbeMs(evidence, blockedAtMs) > nowMs) {
+		if (this.getTimeUntilProbeMs(key) > 0) {
 			return false;
 		}
 
-		this.set(key, {...evidence, probeCount: evidence.probeCount + 1, probedMs: nowMs}, true);
+		const evidence = this.getEvidence(key);
+		this.set(key, {...evidence, probeCount: evidence.probeCount + 1, probedMs: this.clock.now()}, true);
 		return true;
 	}
 
