callers, hosts, daemon: count ends of targets by message in the chat path as well

In the chat path a request was refused after it had ended two targets, but one with the same system message and another question was not: each of them ended one more target. Cause: the list of the chat path knew whole requests only, and the leader's term held it, so that a new leader knew none of it. Change: both paths use one tracker and one gate. The chat path counts by message (all but the last) and by whole request; the refusal keeps its code, its status and its limit of two ends for a whole request. Evidence is exchanged with the leader by a call of its own and passed on with the configuration, where the hosts do not interpret it. The list, its counter and its messages are removed; a host of the build before reports crashes by a call that is no longer served.

--- a/apps/egretrilld/src/callers/daemon-observer.ts
+++ b/apps/egretrilld/src/callers/daemon-observer.ts
@@ -1,20 +1,18 @@
 import {
-	type RequestEndEvent, RequestObserver, type RequestTimes, type SendEvent, type Work,
+	type RankedKey, type RequestEndEvent, RequestObserver, type RequestTimes, type SendEvent, type Work,
 } from '@egretrill/callers';
 import type {Clock} from '@egretrill/common';
 import type {DemandEstimator} from '@egretrill/engines';
-import type {PeerDirectory} from '@egretrill/hosts';
 import type {Counter, Metrics} from '@egretrill/balancer';
-import {crashMethod} from '../methods.js';
 import type {PromiseAudit} from '../monitor/promise-audit.js';
+import type {CrashReporter} from './crash-reporter.js';
 
 export type DaemonObserverOptions = {
 	readonly clock: Clock;
 	readonly metrics: Metrics;
 	readonly demand: DemandEstimator;
 	readonly audit: PromiseAudit;
-	readonly peers: PeerDirectory;
-	readonly getLeaderId: () => string | undefined;
+	readonly crashes: CrashReporter;
 };
 
 /** Records request events in the metrics, the demand estimate and the promise audit, and reports crashes to the leader. */
@@ -57,10 +55,7 @@
 		this.opts.audit.checkEnd(requestId, outcome);
 	}
 
-	override async recordCrash(fingerprint: string, startId: string): Promise<void> {
-		const leaderId = this.opts.getLeaderId();
-		if (leaderId !== undefined) {
-			await this.opts.peers.call(leaderId, crashMethod, {fingerprint, startId});
-		}
+	override async recordCrash(keys: readonly RankedKey[], startId: string): Promise<void> {
+		await this.opts.crashes.recordEnd(keys, startId);
 	}
 }
--- a/apps/egretrilld/src/constants.ts
+++ b/apps/egretrilld/src/constants.ts
@@ -27,7 +27,7 @@
 export const SLOT_UPDATE_INTERVAL_MS = 100;
 export const LOAD_PERMIT_POLL_MS = 50;
 
-/** Longest time between two updates of this host's admission with the blocked requests. */
+/** Longest time between two checks of the configuration and of the blocked requests. */
 export const CONFIG_SYNC_INTERVAL_MS = 250;
 export const INITIAL_CONFIG_RETRY_MS = 500;
 
@@ -45,3 +45,9 @@
 
 /** Time for the last answers to be sent before the connections are closed. */
 export const FINAL_FLUSH_MS = 50;
+
+/** Ends of targets under one unchanged request from which on it is refused; the leader knows of each end before the request is sent again. */
+export const CHAT_REQUEST_ENDS_TO_BLOCK = 2;
+
+/** How often requests that wait to be sent as probes ask the leader. */
+export const CRASH_REPORT_INTERVAL_MS = 250;
--- a/apps/egretrilld/src/container.ts
+++ b/apps/egretrilld/src/container.ts
@@ -1,10 +1,10 @@
 import {randomInt, randomUUID} from 'node:crypto';
 import 'reflect-metadata';
 import {
-	PoisonList, QueueSet, RetryBudget, ShareHolder,
+	CrashGate, CrashRecord, CrashTracker, QueueSet, RetryBudget, ShareHolder,
 } from '@egretrill/callers';
 import {
-	createLogger, createRandom, getComponentLogger, type Logger, MonotonicClock, type Settings,
+	createLogger, createRandom, getComponentLogger, type Logger, MonotonicClock, partitionValid, type Settings,
 } from '@egretrill/common';
 import {
 	type BlockHasher, ColdPermitHolder, ColdTargetDetector, CostRouting, DemandEstimator, DemandPlacement, EngineClient, FencingOrderChannel, PrefixCacheEstimate, RoundRobinRouting,
@@ -17,6 +17,7 @@
 import {Drain, Metrics} from '@egretrill/balancer';
 import {ReplicatedLedger, ServiceClient} from '@egretrill/services';
 import {Container, type ResolutionContext} from 'inversify';
+import {CrashReporter} from './callers/crash-reporter.js';
 import {DaemonObserver} from './callers/daemon-observer.js';
 import {FleetCallLog} from './callers/fleet-call-log.js';
 import {LiveConfig} from './callers/live-config.js';
@@ -26,6 +27,7 @@
 import {EvidenceHolder} from './monitor/evidence-holder.js';
 import {PromiseAudit} from './monitor/promise-audit.js';
 import {DaemonControl} from './operators/daemon-control.js';
+import {CHAT_REQUEST_ENDS_TO_BLOCK} from './constants.js';
 import {AdapterLoader} from './targets/adapter-loader.js';
 import {DirectoryPool} from './targets/directory-pool.js';
 import {DirectorySync} from './targets/directory-sync.js';
@@ -71,6 +73,7 @@
 		random: ctx.get(tokens.random),
 		logger: getLogger(ctx, 'hosts'),
 		reports: ctx.get(tokens.reports),
+		joinCrashes: records => ctx.get(tokens.crashes).mergeShared(partitionValid(CrashRecord, records).valid),
 		getParents() {
 			const node = ctx.get(tokens.voter)?.node;
 			return node?.isLeaderWithLease() ? [] : ctx.get(tokens.peers).getParents(node?.status().leaderId);
@@ -81,7 +84,7 @@
 		const follower = ctx.get(tokens.follower);
 		return voter
 			? new FleetConfigSource({
-				clock: ctx.get(tokens.clock), node: voter.node, state: voter.state, follower, getLocallyBlocked: () => voter.duties.getBlocked(),
+				clock: ctx.get(tokens.clock), node: voter.node, state: voter.state, follower,
 			})
 			: follower;
 	}).inSingletonScope();
@@ -200,7 +203,19 @@
 
 function bindCallers(container: Container, {settings}: ContainerOptions): void {
 	container.bind(tokens.engines).toDynamicValue(ctx => new EngineClient(ctx.get(tokens.clock))).inSingletonScope();
-	container.bind(tokens.poison).toDynamicValue(ctx => new PoisonList(ctx.get(tokens.clock))).inSingletonScope();
+	container.bind(tokens.crashes).toDynamicValue(ctx => new CrashTracker(ctx.get(tokens.clock), randomUUID(), CHAT_REQUEST_ENDS_TO_BLOCK)).inSingletonScope();
+	container.bind(tokens.crashGate).toDynamicValue(ctx => new CrashGate(ctx.get(tokens.clock), ctx.get(tokens.crashes))).inSingletonScope();
+	container.bind(tokens.crashReporter).toDynamicValue(ctx => new CrashReporter({
+		hostId: settings.host,
+		clock: ctx.get(tokens.clock),
+		crashes: ctx.get(tokens.crashes),
+		gate: ctx.get(tokens.crashGate),
+		peers: ctx.get(tokens.peers),
+		getLeaderId: () => ctx.get(tokens.versionedConfig).getLeaderId(),
+		notifyFollowers() {
+			ctx.get(tokens.versionedConfig).changed.notify();
+		},
+	})).inSingletonScope();
 	container.bind(tokens.queues).toDynamicValue(ctx => new QueueSet({clock: ctx.get(tokens.clock), getFreeSlots: model => ctx.get(tokens.pool).getFreeSlots(model)})).inSingletonScope();
 	container.bind(tokens.shares).toDynamicValue(ctx => new ShareHolder({
 		clock: ctx.get(tokens.clock),
@@ -218,7 +233,7 @@
 		config: ctx.get(tokens.config),
 		shares: ctx.get(tokens.shares),
 		queues: ctx.get(tokens.queues),
-		poison: ctx.get(tokens.poison),
+		crashGate: ctx.get(tokens.crashGate),
 		retries: new RetryBudget(ctx.get(tokens.clock)),
 		targets: ctx.get(tokens.pool),
 		engines: ctx.get(tokens.engines),
@@ -229,8 +244,7 @@
 			metrics: ctx.get(tokens.metrics),
 			demand: ctx.get(tokens.demand),
 			audit: ctx.get(tokens.audit),
-			peers: ctx.get(tokens.peers),
-			getLeaderId: () => ctx.get(tokens.versionedConfig).getLeaderId(),
+			crashes: ctx.get(tokens.crashReporter),
 		}),
 	})).inSingletonScope();
 }
--- a/apps/egretrilld/src/daemon.ts
+++ b/apps/egretrilld/src/daemon.ts
@@ -116,17 +116,19 @@
 			this.container.get(tokens.permits).run(signal),
 			this.container.get(tokens.zoneDuties).run(signal),
 			this.container.get(tokens.queues).run(signal),
+			this.container.get(tokens.crashReporter).run(signal),
 			this.followConfig(signal),
 			this.auditPromises(signal),
 			...(initialConfig ? [this.proposeInitialConfig(initialConfig, signal)] : []),
 		];
 	}
 
-	/** Applies each new configuration, and changes of the blocked requests, to the parts that keep a copy. */
+	/** Applies each new configuration to the parts that keep a copy, and logs changes of the blocked requests. */
 	private async followConfig(signal: AbortSignal): Promise<void> {
 		const clock = this.container.get(tokens.clock);
 		const source = this.container.get(tokens.versionedConfig);
 		let appliedVersion = 0;
+		const crashes = this.container.get(tokens.crashes);
 		let blockedCount = 0;
 		while (!signal.aborted) {
 			const config = source.getConfig();
@@ -136,8 +138,7 @@
 				this.container.get(tokens.shares).setCustomers(config.document.customers);
 			}
 
-			const blocked = source.getBlocked();
-			this.container.get(tokens.poison).update(blocked);
+			const blocked = crashes.listBlocked();
 			if (blocked.length !== blockedCount) {
 				blockedCount = blocked.length;
 				this.container.get(tokens.logger).warn({count: blocked.length}, 'Blocked requests changed.');
--- a/apps/egretrilld/src/handlers.ts
+++ b/apps/egretrilld/src/handlers.ts
@@ -1,4 +1,4 @@
-import {decodeShareRequest, encodeShareAnswer} from '@egretrill/callers';
+import {answerCrashReport, decodeShareRequest, encodeShareAnswer} from '@egretrill/callers';
 import {getComponentLogger} from '@egretrill/common';
 import {
 	bindConsensus, bindFleetLog, bindFollowMethod, bindMethod, type MethodHandler, zoneLeaseMethod,
@@ -78,10 +78,13 @@
 			return answer;
 		}),
 		bindMethod(crashMethod, async report => {
-			duties.getTermState().poison.report(report);
+			// Throws unless this host leads.
+			duties.getTermState();
+			const crashes = container.get(tokens.crashes);
+			crashes.mergeReport(report.records);
 			// Wakes the long polls of other hosts, so that a new block reaches them without delay.
 			container.get(tokens.versionedConfig).changed.notify();
-			return {};
+			return answerCrashReport(crashes, report);
 		}),
 		bindMethod(loadPermitMethod, async req => duties.getTermState().loads.requestPermit(req, clock.now())),
 		bindMethod(loadReleaseMethod, async ({permitId}) => {
@@ -114,6 +117,7 @@
 			logger: getComponentLogger(container.get(tokens.logger), 'hosts'),
 			source: container.get(tokens.versionedConfig),
 			reports: container.get(tokens.reports),
+			listCrashes: () => container.get(tokens.crashes).listRecords(),
 		}),
 		...bindDirectoryMethods(container),
 		...bindZoneMethods(container),
--- a/apps/egretrilld/src/hosts/leader-duties.ts
+++ b/apps/egretrilld/src/hosts/leader-duties.ts
@@ -1,4 +1,4 @@
-import {BucketOwner, type PoisonBlock, PoisonCounter} from '@egretrill/callers';
+import {BucketOwner} from '@egretrill/callers';
 import {
 	type Clock, type ConfigDocument, type Logger, ZONE_LEASE_TTL_MS,
 } from '@egretrill/common';
@@ -13,7 +13,6 @@
 	readonly buckets: BucketOwner;
 	readonly leases: ZoneLeaseTable;
 	readonly withdrawals: WithdrawalTracker;
-	readonly poison: PoisonCounter;
 	readonly loads: LoadBudget;
 };
 
@@ -32,7 +31,7 @@
 	override readonly name = 'NotLeaderError';
 }
 
-/** The duties of the leader: customer buckets, zone leases, withdrawals, poison requests and the weight store's budget. */
+/** The duties of the leader: customer buckets, zone leases, withdrawals and the weight store's budget. */
 export class LeaderDuties {
 	private termState: LeaderTermState | undefined;
 	private appliedVersion = 0;
@@ -55,11 +54,6 @@
 		return this.termState;
 	}
 
-	/** Requests blocked because they crashed several targets; empty unless this host leads. */
-	getBlocked(): readonly PoisonBlock[] {
-		return this.opts.node.isLeaderWithLease() ? this.termState?.poison.getBlocks() ?? [] : [];
-	}
-
 	/** Creates the leader's state at the start of each term and applies new configurations to it. */
 	async run(signal: AbortSignal): Promise<void> {
 		const {clock, node, state, logger} = this.opts;
@@ -113,7 +107,6 @@
 				},
 			}),
 			withdrawals: new WithdrawalTracker({clock, reports, getHostIds}),
-			poison: new PoisonCounter(clock),
 			loads: new LoadBudget({
 				limits: document.weightStore, nowMs: clock.now(), isSuccessor: true, epoch: term,
 			}),
--- a/apps/egretrilld/src/methods.ts
+++ b/apps/egretrilld/src/methods.ts
@@ -1,4 +1,6 @@
-import {CrashReport, WireShareAnswer, WireShareRequest} from '@egretrill/callers';
+import {
+	CrashAnswer, CrashReport, WireShareAnswer, WireShareRequest,
+} from '@egretrill/callers';
 import {Announcement} from '@egretrill/common';
 import {
 	AdapterLoadResult, AdapterRequest, ColdReport, DemandReport, DigestPosition, DirectoryDigest, ModelExplanation, PermitAnswer, PermitRelease, PermitRenewal, PermitRequest, ZoneSummary,
@@ -21,8 +23,8 @@
 /** Exchanges shares of customer buckets with the leader. */
 export const shareMethod = defineMethod('Leader', 'share', WireShareRequest, WireShareAnswer);
 
-/** Reports a target that crashed while it ran a request. */
-export const crashMethod = defineMethod('Leader', 'crash', CrashReport, Empty);
+/** Exchanges evidence on what ends targets with the leader. */
+export const crashMethod = defineMethod('Leader', 'crashes', CrashReport, CrashAnswer);
 
 /** Requests a permit to load from the weight store, and releases it. */
 export const loadPermitMethod = defineMethod('Leader', 'loadPermit', LoadRequest, LoadAnswer);
--- a/apps/egretrilld/src/tokens.ts
+++ b/apps/egretrilld/src/tokens.ts
@@ -1,5 +1,5 @@
 import type {
-	ConfigSource, PoisonList, QueueSet, RequestDependencies, ShareHolder,
+	ConfigSource, CrashGate, CrashTracker, QueueSet, RequestDependencies, ShareHolder,
 } from '@egretrill/callers';
 import type {
 	Clock, Logger, Random, Settings,
@@ -14,6 +14,7 @@
 import type {FleetControl} from '@egretrill/operators';
 import type {Drain, Metrics} from '@egretrill/balancer';
 import type {ServiceIdentifier} from 'inversify';
+import type {CrashReporter} from './callers/crash-reporter.js';
 import type {LeaderDuties} from './hosts/leader-duties.js';
 import type {EvidenceHolder} from './monitor/evidence-holder.js';
 import type {DaemonView} from './monitor/daemon-view.js';
@@ -63,7 +64,9 @@
 	engines: createToken<EngineClient>('engines'),
 	shares: createToken<ShareHolder>('shares'),
 	queues: createToken<QueueSet>('queues'),
-	poison: createToken<PoisonList>('poison'),
+	crashes: createToken<CrashTracker>('crashes'),
+	crashGate: createToken<CrashGate>('crash-gate'),
+	crashReporter: createToken<CrashReporter>('crash-reporter'),
 	requestDependencies: createToken<RequestDependencies>('request parts'),
 	control: createToken<FleetControl>('control'),
 	view: createToken<DaemonView>('view'),
--- a/apps/egretrilld/src/traffic/control-host.ts
+++ b/apps/egretrilld/src/traffic/control-host.ts
@@ -114,12 +114,12 @@
 			bindFleetLog(this.node),
 			bindMethod(syncMethod, async ({report, configVersion, registry, waitMs}) => {
 				const firstTerm = this.getTerm();
-				firstTerm?.joinEvidence(report);
+				firstTerm?.joinCrashes(report);
 				await this.syncNotifier.wait(configVersion, registry, waitMs);
 				const leaderId = this.getLeaderId();
 				const term = this.getTerm();
 				if (term !== firstTerm) {
-					term?.joinEvidence(report);
+					term?.joinCrashes(report);
 				}
 
 				const plan = term?.handleReport(report);
--- a/apps/egretrilld/src/traffic/entry-host.ts
+++ b/apps/egretrilld/src/traffic/entry-host.ts
@@ -5,7 +5,7 @@
 	type Clock, createHttpServer, jitter, type Logger, type LoopWatch, type Random, setReadTimeouts, type TrafficSource,
 } from '@egretrill/common';
 import {
-	BackoffPoolClient, CrashGate, CrashTracker, type ForwardDependencies, type ForwardDialect, forwardRequest, PlannedStop, RATE_LEASE_MS, RateAllocations, RetryBudget, RetrySchedule, RouteDurations, RouteTable, SlotQueue, TargetEnds,
+	BackoffPoolClient, CrashGate, CrashTracker, CrashExchange, type ForwardDependencies, type ForwardDialect, forwardRequest, PlannedStop, RATE_LEASE_MS, RateAllocations, RetryBudget, RetrySchedule, RouteDurations, RouteTable, SlotQueue, TargetEnds,
 } from '@egretrill/callers';
 import {Drain, type Metrics, type UnreadyReason} from '@egretrill/balancer';
 import {TargetTable} from '@egretrill/engines';
@@ -16,7 +16,6 @@
 import type {ConfigDecoder} from './config-decoder.js';
 import {ControlFollower, type HostReport, SyncSink} from './control-follower.js';
 import {BlockLog} from './block-log.js';
-import {CrashExchange} from './crash-exchange.js';
 import {DecisionLog} from './decision-log.js';
 import {sanitizeName} from './describe-answer.js';
 import {EntryObserver} from './entry-observer.js';
--- a/apps/egretrilld/src/traffic/leader-term.ts
+++ b/apps/egretrilld/src/traffic/leader-term.ts
@@ -1,7 +1,7 @@
 import {randomUUID} from 'node:crypto';
 import {setMaxListeners} from 'node:events';
 import {
-	CrashTracker, type EvidenceAnswer, type EvidenceReport, RATE_HOST_TTL_MS, RateOwner,
+	answerCrashReport, CrashTracker, type CrashAnswer, type CrashReport, RATE_HOST_TTL_MS, RateOwner,
 } from '@egretrill/callers';
 import {
 	type Clock, compareLists, type EngineClass, type Logger, type LoopWatch, type Random, type TrafficCustomer,
@@ -74,7 +74,7 @@
 	}
 
 	/** Joins the evidence of an entry host, whose ages count from its arrival. */
-	joinEvidence({crashes}: Pick<EntryReport, 'crashes'>): void {
+	joinCrashes({crashes}: Pick<EntryReport, 'crashes'>): void {
 		this.crashes.mergeReport(crashes?.records ?? []);
 	}
 
@@ -92,17 +92,17 @@
 			others: this.running.getOthers(hostId),
 			expected: this.engines.getReadyTimes().map(({service, model, readyInMs}) => [service, model, Math.round(readyInMs)]),
 			rates: {...grant, leased: grant.leased.map(([name, allocation]) => [name, allocation])},
-			...(crashes && {crashes: this.answerEvidence(crashes)}),
+			...(crashes && {crashes: this.answerCrashReport(crashes)}),
 		};
 	}
 
-	private answerEvidence({known, probeCandidates}: EvidenceReport): EvidenceAnswer {
-		const probes = probeCandidates.filter(key => this.crashes.grantProbe(key));
-		if (probes.length > 0) {
-			this.opts.logger.info({keys: probes}, 'Probes of blocked keys were granted.');
+	private answerCrashReport(report: CrashReport): CrashAnswer {
+		const answer = answerCrashReport(this.crashes, report);
+		if (answer.probes.length > 0) {
+			this.opts.logger.info({keys: answer.probes}, 'Probes of blocked keys were granted.');
 		}
 
-		return {...this.crashes.getChanges(known), probes};
+		return answer;
 	}
 
 	/** Keeps the entry hosts recorded in the log up to date. */
--- a/apps/egretrilld/src/traffic/methods.ts
+++ b/apps/egretrilld/src/traffic/methods.ts
@@ -1,4 +1,4 @@
-import {EvidenceAnswer, EvidenceReport} from '@egretrill/callers';
+import {CrashAnswer, CrashReport} from '@egretrill/callers';
 import {TrafficSource} from '@egretrill/common';
 import {RegistryUpdate} from '@egretrill/engines';
 import {defineDocumentMethod, defineListMethod, defineMethod} from '@egretrill/hosts';
@@ -22,7 +22,7 @@
 	waiting: z.array(z.tuple([z.string(), z.string(), count, count])),
 	rates: z.object({ackedSerial: count, standing: z.number(), demand: z.array(z.object({name: z.string(), perSecond: z.number(), meanCost: z.number()}))}),
 	/** Evidence on what ends targets; hosts of earlier builds report none. */
-	crashes: EvidenceReport.optional(),
+	crashes: CrashReport.optional(),
 });
 export type EntryReport = z.infer<typeof EntryReport>;
 
@@ -39,7 +39,7 @@
 	rates: z.object({
 		serial: count, standing: z.number(), leased: z.array(z.tuple([z.string(), z.number()])), hostCount: count,
 	}),
-	crashes: EvidenceAnswer.optional(),
+	crashes: CrashAnswer.optional(),
 });
 export type LeaderPlan = z.infer<typeof LeaderPlan>;
 
--- a/packages/callers/src/admission.ts
+++ b/packages/callers/src/admission.ts
@@ -1,5 +1,6 @@
 import {refuse, type Verdict} from '@egretrill/common';
 import {Result} from 'true-myth';
+import type {RankedKey} from './crashes/index.js';
 import type {Identity} from './authenticate.js';
 import {MAX_REACQUIRE_WAIT_MS, MAX_RESERVATION_HOLD_MS, OPEN_CUSTOMER} from './constants.js';
 import {
@@ -15,6 +16,8 @@
 	readonly identity: Identity;
 	readonly work: Work;
 	readonly fingerprint: string;
+	/** Keys under which targets may have ended. */
+	readonly keys: readonly RankedKey[];
 	readonly signal: AbortSignal;
 };
 
@@ -102,7 +105,7 @@
 
 /** Admits a request that is not blocked, once it is within its customer's rate and has a slot of its model's queue. */
 export async function admitWork(req: AdmissionRequest): Promise<Result<Admission, Verdict>> {
-	const blocked = req.deps.poison.check(req.fingerprint);
+	const blocked = req.deps.crashGate.getRefusal(req.keys);
 	if (blocked) {
 		return Result.err(blocked);
 	}
--- a/packages/callers/src/crashes/constants.ts
+++ b/packages/callers/src/crashes/constants.ts
@@ -11,6 +11,9 @@
 export const MIN_BLOCK_RETRY_MS = 1000;
 export const MAX_BLOCK_RETRY_MS = 4000;
 
+/** Ends of targets under one unchanged request from which on it is refused; it is at one target at a time, so these ends do not coincide. */
+export const REQUEST_ENDS_TO_BLOCK = 3;
+
 /** Ends that a key needs beside those at which a key was waiting that is blocked already; those are explained by that key. */
 export const UNEXPLAINED_ENDS_TO_BLOCK = 2;
 
@@ -48,6 +51,9 @@
 /** Ends kept for one key; with fewer, ends under a blocked key could count against the other parts of its requests. */
 export const MAX_ENDS_PER_KEY = 32;
 
+/** Records that are passed on with the configuration; those with the most ends come first. */
+export const MAX_PASSED_RECORDS = 64;
+
 /** Records in one message; the rest follow in the next. */
 export const MAX_RECORDS_PER_MESSAGE = 256;
 
--- a/packages/callers/src/crashes/crash-gate.ts
+++ b/packages/callers/src/crashes/crash-gate.ts
@@ -185,7 +185,7 @@
 		}
 
 		if (blocked.some(({key}) => this.tracker.isConfirmed(key))) {
-			return refuse(422, 'crashes-targets', 'Requests with the same content ended several targets, so it is refused.');
+			return refuse(422, 'poison-request', 'Requests with the same content ended several targets, so it is refused.');
 		}
 
 		const untilProbeMs = Math.max(0, ...blocked.map(({key}) => this.tracker.getTimeUntilProbeMs(key)));
--- a/packages/callers/src/crashes/crash-tracker.ts
+++ b/packages/callers/src/crashes/crash-tracker.ts
@@ -1,6 +1,6 @@
 import {type Clock, Signal} from '@egretrill/common';
 import {
-	ARRIVAL_REPORT_INTERVAL_MS, ENDS_TO_CONFIRM, MAX_CRASH_RECORDS, MAX_PROVEN_KEYS, MAX_RECORDS_PER_MESSAGE,
+	ARRIVAL_REPORT_INTERVAL_MS, ENDS_TO_CONFIRM, MAX_PASSED_RECORDS, REQUEST_ENDS_TO_BLOCK, REQUEST_RANK, MAX_CRASH_RECORDS, MAX_PROVEN_KEYS, MAX_RECORDS_PER_MESSAGE,
 } from './constants.js';
 import {
 	assessKeys, type BlockTimes, getKeyVerdict, getNextProbeMs,
@@ -45,14 +45,15 @@
 	private blockTimes: BlockTimes | undefined;
 	private sweptMs = Number.NEGATIVE_INFINITY;
 
-	/** The origin tells this tracker from that of an earlier process or term. */
-	constructor(private readonly clock: Clock, readonly origin: string) {}
+	/** The origin tells this tracker from that of an earlier process or term. An unchanged request is refused after `requestEnds` ends. */
+	constructor(private readonly clock: Clock, readonly origin: string, private readonly requestEnds = REQUEST_ENDS_TO_BLOCK) {}
 
 	isEmpty(): boolean {
 		return this.entries.size === 0;
 	}
 
 	getVerdict(key: string): KeyVerdict {
+		this.sweep();
 		const evidence = this.entries.get(key)?.evidence;
 		return evidence ? getKeyVerdict(evidence, this.getBlockTimes().get(key), this.clock.now()) : 'sound';
 	}
@@ -64,6 +65,7 @@
 
 	/** The keys whose requests are refused now. */
 	listBlocked(): readonly string[] {
+		this.sweep();
 		const nowMs = this.clock.now();
 		return [...this.getBlockTimes()].filter(([, blockedAtMs]) => blockedAtMs <= nowMs).map(([key]) => key);
 	}
@@ -111,7 +113,8 @@
 
 	/** Whether the block of a key is beyond doubt. */
 	isConfirmed(key: string): boolean {
-		return listSeparateEnds(this.getEvidence(key).ends).length >= ENDS_TO_CONFIRM;
+		const {rank, ends} = this.getEvidence(key);
+		return rank === REQUEST_RANK || listSeparateEnds(ends).length >= ENDS_TO_CONFIRM;
 	}
 
 	/** Time until a probe of a blocked key is due. */
@@ -138,15 +141,28 @@
 		}
 	}
 
-	/** Joins what the leader knows; only what it does not know yet is reported to it. */
-	mergeShared(records: readonly CrashRecord[]): void {
+	/** Joins what the leader knows; only what it does not know yet is reported to it. Returns whether anything was new to this host. */
+	mergeShared(records: readonly CrashRecord[]): boolean {
 		const nowMs = this.clock.now();
+		let isNew = false;
 		for (const record of records) {
 			const shared = fromRecord(record, nowMs);
 			const own = mergeEvidence(this.getEvidence(record.key), {...NO_EVIDENCE, provenMs: this.provenMs.get(record.key) ?? NO_EVIDENCE.provenMs});
 			const merged = mergeEvidence(own, shared);
+			isNew ||= hasNews(this.getEvidence(record.key), merged);
 			this.set(record.key, merged, hasNews(shared, merged));
 		}
+
+		if (isNew) {
+			this.changed.notify();
+		}
+
+		return isNew;
+	}
+
+	/** Whether there are changes after a revision. */
+	hasChanges({origin, revision}: CrashRevision): boolean {
+		return this.revision > (origin === this.origin ? revision : 0);
 	}
 
 	/** Returns the changes after a revision; all records for another origin. */
@@ -163,8 +179,15 @@
 		};
 	}
 
+	/** Returns the records with the most ends, to be passed on to hosts that follow this one. */
+	listRecords(): readonly CrashRecord[] {
+		this.sweep();
+		const nowMs = this.clock.now();
+		return [...this.entries].toSorted(([, a], [, b]) => b.evidence.ends.length - a.evidence.ends.length).slice(0, MAX_PASSED_RECORDS).map(([key, {evidence}]) => toRecord(key, evidence, nowMs));
+	}
+
 	private getBlockTimes(): BlockTimes {
-		this.blockTimes ??= assessKeys(new Map([...this.entries].map(([key, {evidence}]) => [key, evidence])));
+		this.blockTimes ??= assessKeys(new Map([...this.entries].map(([key, {evidence}]) => [key, evidence])), this.requestEnds);
 		return this.blockTimes;
 	}
 
--- a/packages/callers/src/crashes/request-keys.ts
+++ b/packages/callers/src/crashes/request-keys.ts
@@ -2,7 +2,8 @@
 import {MAX_PART_ID_LENGTH, REQUEST_RANK} from './constants.js';
 import type {RankedKey} from './types.js';
 
-function digest(fields: readonly string[], body: Uint8Array): string {
+/** Identifies a request by its fields and its body. */
+export function getFingerprint(fields: readonly string[], body: Uint8Array): string {
 	const hash = createHash('sha256');
 	// Length prefixes prevent collisions made on purpose by moving characters from one field to the next.
 	for (const field of fields) {
@@ -18,6 +19,6 @@
 }
 
 /** Key of a request that may come again unchanged. */
-export function getRequestKey(fields: readonly string[], body: Uint8Array): RankedKey {
-	return {key: `request:${digest(fields, body)}`, rank: REQUEST_RANK};
+export function getRequestKey(fingerprint: string): RankedKey {
+	return {key: `request:${fingerprint}`, rank: REQUEST_RANK};
 }
--- a/packages/callers/src/crashes/types.ts
+++ b/packages/callers/src/crashes/types.ts
@@ -34,14 +34,14 @@
 export type CrashUpdate = z.infer<typeof CrashUpdate>;
 
 /** What a host has learned since its last report, and the blocked keys of which it could send a probe. */
-export const EvidenceReport = z.object({
+export const CrashReport = z.object({
 	/** The leader's changes that the host has. */
 	known: CrashRevision,
 	records: z.array(CrashRecord).max(MAX_RECORDS_PER_MESSAGE),
 	probeCandidates: z.array(z.string()).max(MAX_RECORDS_PER_MESSAGE),
 });
-export type EvidenceReport = z.infer<typeof EvidenceReport>;
+export type CrashReport = z.infer<typeof CrashReport>;
 
 /** The leader's changes that a host does not have, and the keys of which it may send a probe. */
-export const EvidenceAnswer = z.object({...CrashUpdate.shape, probes: z.array(z.string())});
-export type EvidenceAnswer = z.infer<typeof EvidenceAnswer>;
+export const CrashAnswer = z.object({...CrashUpdate.shape, probes: z.array(z.string())});
+export type CrashAnswer = z.infer<typeof CrashAnswer>;
--- a/packages/callers/src/exchange-types.ts
+++ b/packages/callers/src/exchange-types.ts
@@ -2,6 +2,7 @@
 import type {Admission} from './admission.js';
 import type {Identity} from './authenticate.js';
 import type {CallerReply} from './caller-reply.js';
+import type {RankedKey, SentRequest} from './crashes/index.js';
 import type {RequestDependencies} from './request-dependencies.js';
 import type {CallerRequest} from './types.js';
 import type {Work} from './work.js';
@@ -14,10 +15,13 @@
 	readonly identity: Identity;
 	readonly admission: Admission;
 	readonly fingerprint: string;
+	readonly keys: readonly RankedKey[];
 	readonly signal: AbortSignal;
 	readonly startedMs: number;
 	readonly deadlineMs: number;
 	readonly deps: RequestDependencies;
+	/** The attempt in progress, as evidence. */
+	readonly sent?: SentRequest;
 	/** Called before a complete answer is sent to the caller. */
 	readonly beforeAnswer?: (answer: CallOutcome) => Promise<void>;
 };
--- a/packages/callers/src/forward/list-keys.ts
+++ b/packages/callers/src/forward/list-keys.ts
@@ -1,11 +1,13 @@
-import {getPartKeys, getRequestKey, type RankedKey} from '../crashes/index.js';
+import {
+	getFingerprint, getPartKeys, getRequestKey, type RankedKey,
+} from '../crashes/index.js';
 import type {ForwardContext} from './forward-context.js';
 
 type KeyedRequest = Pick<ForwardContext, 'call' | 'customer' | 'body'>;
 
 /** Keys under which the end of a target counts against a request: its shared prompt parts, and the request as a whole. */
 export function listAllKeys({call: {method, hostName, url, promptParts}, customer, body}: KeyedRequest): readonly RankedKey[] {
-	return [...getPartKeys(promptParts.map(({id}) => id)), getRequestKey([customer?.name ?? '', method, hostName, url], body)];
+	return [...getPartKeys(promptParts.map(({id}) => id)), getRequestKey(getFingerprint([customer?.name ?? '', method, hostName, url], body))];
 }
 
 /** Keys of a request that may have evidence against them. The digest of the whole request is computed only while there is any. */
--- a/packages/callers/src/handle-request.ts
+++ b/packages/callers/src/handle-request.ts
@@ -7,9 +7,10 @@
 import {type CallerReply, sendRefusal} from './caller-reply.js';
 import type {ConfigIndex} from './config-index.js';
 import {OPEN_CUSTOMER, RECORD_STALE_MS} from './constants.js';
+import {getFingerprint} from './crashes/index.js';
 import {getResultAtStop, linkSignals, type RequestSignals} from './end-at-stop.js';
 import type {Exchange} from './exchange-types.js';
-import {getFingerprint} from './poison-list.js';
+import {listRequestKeys} from './list-request-keys.js';
 import {matchRoute} from './match-route.js';
 import type {RequestDependencies} from './request-dependencies.js';
 import {runOnTargets, type RunResult} from './run-on-targets.js';
@@ -39,8 +40,9 @@
 	}
 
 	const customer = authorized.value.identity.customer?.id ?? OPEN_CUSTOMER;
+	const fingerprint = getFingerprint([customer, `${req.method} ${req.path}`], req.body);
 	const result = await runUntilEnded(signals, async signal => admitAndRun({
-		...authorized.value, deps, signal, fingerprint: getFingerprint(customer, `${req.method} ${req.path}`, req.body),
+		...authorized.value, deps, signal, fingerprint, keys: listRequestKeys(fingerprint, authorized.value.work),
 	}, req, reply));
 	deps.observer.recordEnd({requestId: req.requestId, customer, outcome: result.isOk ? result.value.kind : result.error});
 	return result;
--- a/packages/callers/src/index.ts
+++ b/packages/callers/src/index.ts
@@ -12,7 +12,6 @@
 export * from './handle-request.js';
 export * from './limits/index.js';
 export * from './match-route.js';
-export * from './poison-list.js';
 export * from './queue-set.js';
 export * from './request-dependencies.js';
 export * from './retry-budget.js';
--- a/packages/callers/src/limits/constants.ts
+++ b/packages/callers/src/limits/constants.ts
@@ -43,10 +43,6 @@
 /** While batch requests wait, one slot in this many is reserved for them; counting slots in use keeps long batch requests from exceeding that. */
 export const BATCH_SLOT_INTERVAL = 8;
 
-export const POISON_BLOCK_MS = 600_000;
-export const POISON_TARGET_LIMIT = 2;
-export const MAX_POISON_ENTRIES = 10_000;
-
 export const RETRY_WINDOW_MS = 10_000;
 export const RETRY_RATIO = 0.1;
 export const RETRY_RESERVE = 10;
--- a/packages/callers/src/limits/types.ts
+++ b/packages/callers/src/limits/types.ts
@@ -63,11 +63,3 @@
 /** An amount that a customer spent at one time. */
 export const SpendEvent = z.object({atMs: z.number(), amount: z.number()});
 export type SpendEvent = z.infer<typeof SpendEvent>;
-
-/** Report that a target crashed while it was running a request. */
-export const CrashReport = z.object({fingerprint: z.string(), startId: z.string()});
-export type CrashReport = z.infer<typeof CrashReport>;
-
-/** A request that all hosts refuse for the remaining time. */
-export const PoisonBlock = z.object({fingerprint: z.string(), remainingMs: z.number().positive()});
-export type PoisonBlock = z.infer<typeof PoisonBlock>;
--- a/packages/callers/src/relay-stream.ts
+++ b/packages/callers/src/relay-stream.ts
@@ -85,6 +85,7 @@
 
 			await reply.write(formatItems(items));
 			recordItems(progress, items, deps.clock.now());
+			exchange.sent?.recordEvent();
 			if (progress.isDone) {
 				// Ending the answer right away sends its end together with its last chunk.
 				await reply.end();
--- a/packages/callers/src/request-dependencies.ts
+++ b/packages/callers/src/request-dependencies.ts
@@ -2,8 +2,8 @@
 	AtMostOnceLedger, Clock, EngineChannel, Logger, TargetClient, Verdict,
 } from '@egretrill/common';
 import type {ConfigSource} from './config-index.js';
+import type {CrashGate, RankedKey} from './crashes/index.js';
 import type {ShareHolder} from './limits/index.js';
-import type {PoisonList} from './poison-list.js';
 import type {QueueSet} from './queue-set.js';
 import type {RetryBudget} from './retry-budget.js';
 import type {TargetPool} from './target-pool.js';
@@ -44,8 +44,8 @@
 	/** Records that nothing of the last attempt was sent to its target. */
 	abstract recordUnsent(requestId: string): void;
 	abstract recordEnd(end: RequestEndEvent): void;
-	/** Records that a target's process ended while it was running a request. */
-	abstract recordCrash(fingerprint: string, startId: string): Promise<void>;
+	/** Records that a target's process ended while a request with these keys waited there; resolves once the leader knows it. */
+	abstract recordCrash(keys: readonly RankedKey[], startId: string): Promise<void>;
 }
 
 /** Dependencies of request handling. */
@@ -56,7 +56,7 @@
 	readonly config: ConfigSource;
 	readonly shares: ShareHolder;
 	readonly queues: QueueSet;
-	readonly poison: PoisonList;
+	readonly crashGate: CrashGate;
 	readonly retries: RetryBudget;
 	readonly targets: TargetPool;
 	readonly engines: EngineChannel;
--- a/packages/callers/src/run-on-targets.ts
+++ b/packages/callers/src/run-on-targets.ts
@@ -138,9 +138,9 @@
 	// An engine that has answered with a status is still running.
 	const mayHaveEnded = failed.failure.accepted && failed.failure.code !== 'engine-status';
 	const hasProcessEnded = mayHaveEnded && await chosen.hasEnded();
-	if (hasProcessEnded) {
+	if (hasProcessEnded && !exchange.sent?.isSettled()) {
 		// The crash is reported to the leader before the request is sent to another target.
-		await deps.observer.recordCrash(exchange.fingerprint, startId);
+		await deps.observer.recordCrash(exchange.keys, startId);
 	}
 
 	const decision = decideRetry({
@@ -185,6 +185,11 @@
 		attempt: 1, excluded: new Set(), deliveredChunks: 0, isTextDelivered: false, hasReachedTarget: false,
 	};
 	for (;;) {
+		const refusal = await exchange.deps.crashGate.waitForTurn(exchange.keys, getRemainingMs(exchange), exchange.signal);
+		if (refusal) {
+			return Result.err(adjustForEarlierAttempt(refusal, state));
+		}
+
 		const chosen = await exchange.deps.targets.choose(createRequirements(exchange, state), exchange.signal);
 		if (chosen.isErr) {
 			return Result.err(adjustForEarlierAttempt(chosen.error, state));
@@ -198,7 +203,14 @@
 			return Result.err(adjustForEarlierAttempt(allowed.error, state));
 		}
 
-		const result = await attemptOnTarget(exchange, chosen.value, state);
+		const sent = exchange.deps.crashGate.start(exchange.keys);
+		if (!sent) {
+			chosen.value.release('cancelled');
+			continue;
+		}
+
+		const attempt = {...exchange, sent};
+		const result = await attemptOnTarget(attempt, chosen.value, state);
 		const isCancelledUnsent = result.kind === 'cancelled' && result.isUnsent === true;
 		const isFailedUnsent = result.kind === 'failed' && !result.failure.accepted;
 		if (isCancelledUnsent || isFailedUnsent) {
@@ -208,14 +220,21 @@
 		recordTimes(exchange, chosen.value, result);
 		chosen.value.release(getTargetOutcome(result));
 		if (isCancelledUnsent) {
+			sent.release();
 			return Result.err(adjustForEarlierAttempt(refuseGoneCaller(), state));
 		}
 
+		if (result.kind === 'completed') {
+			sent.complete();
+		}
+
 		if (result.kind !== 'failed') {
+			sent.release();
 			return Result.ok(result);
 		}
 
-		const next = await getNextState(exchange, chosen.value, state, result);
+		const next = await getNextState(attempt, chosen.value, state, result);
+		sent.release();
 		if (next.isErr) {
 			return Result.err(adjustForEarlierAttempt(next.error, state));
 		}
--- a/packages/callers/tests/refusals.test.ts
+++ b/packages/callers/tests/refusals.test.ts
@@ -1,33 +1,31 @@
 import {ManualClock} from '@egretrill/common';
 import {expect} from 'chai';
 import {
-	getFingerprint, PoisonCounter, PoisonList, RetryBudget,
+	CrashGate, CrashTracker, getFingerprint, getRequestKey, RetryBudget,
 } from '../src/index.js';
 
-describe('poison list', () => {
+describe('refusal of requests that ended targets', () => {
 	it('counts distinct target starts only, so that one crash reported by several hosts blocks nothing', () => {
 		const clock = new ManualClock();
-		const counter = new PoisonCounter(clock);
-		const list = new PoisonList(clock);
-		const fingerprint = getFingerprint('atlas', '/v1/chat/completions', new TextEncoder().encode('{"model":"m"}'));
+		const tracker = new CrashTracker(clock, 'test', 2);
+		const gate = new CrashGate(clock, tracker);
+		const key = getRequestKey(getFingerprint(['atlas', '/v1/chat/completions'], new TextEncoder().encode('{"model":"m"}')));
 		const steps: unknown[] = [];
 		for (const startId of ['start-1', 'start-1', 'start-2']) {
-			counter.report({fingerprint, startId});
-			list.update(counter.getBlocks());
-			steps.push(list.check(fingerprint) ?? 'admitted');
+			tracker.recordEnd([key], startId);
+			steps.push(gate.getRefusal([key]) ?? 'admitted');
 		}
 
-		clock.advance(599_999);
-		list.update(counter.getBlocks());
-		steps.push(list.check(fingerprint) ?? 'admitted');
-		clock.advance(1);
-		steps.push(list.check(fingerprint) ?? 'admitted', counter.getBlocks());
+		clock.advance(600_000);
+		steps.push(tracker.getVerdict(key.key));
+		clock.advance(1000);
+		steps.push(tracker.getVerdict(key.key), tracker.listBlocked());
 		expect(steps).toMatchSnapshot();
 	});
 
 	it('keeps fields apart, so that no customer can block the request of another', () => {
 		const body = new TextEncoder().encode('x');
-		expect(getFingerprint('a', 'b/c', body)).to.not.equal(getFingerprint('ab', '/c', body));
+		expect(getFingerprint(['a', 'b/c'], body)).to.not.equal(getFingerprint(['ab', '/c'], body));
 	});
 });
 
--- a/packages/hosts/src/fleet/fleet-config-source.ts
+++ b/packages/hosts/src/fleet/fleet-config-source.ts
@@ -2,7 +2,7 @@
 import {LEADER_STATE_CHECK_MS} from '../constants.js';
 import type {FleetState} from '../fleet-state.js';
 import {
-	type BlockedFingerprint, type ConfigFollower, VersionedConfigSource, type VersionedConfig,
+	type ConfigFollower, VersionedConfigSource, type VersionedConfig,
 } from '../follow/index.js';
 import type {ConfigUpdate} from '../types.js';
 import type {FleetNode} from './fleet-log.js';
@@ -12,14 +12,12 @@
 	readonly node: FleetNode;
 	readonly state: FleetState;
 	readonly follower: ConfigFollower;
-	/** Blocked requests as counted on this host, valid while it leads. */
-	readonly getLocallyBlocked: () => readonly BlockedFingerprint[];
 };
 
 /** Configuration source of a member of the log: its own state or the configuration that it follows, whichever is newer. */
 export class FleetConfigSource extends VersionedConfigSource {
 	override readonly changed = new Signal();
-	private lastForwardedState = '';
+	private lastForwardedVersion = 0;
 
 	constructor(private readonly opts: FleetConfigSourceOptions) {
 		super();
@@ -40,10 +38,6 @@
 		return this.isStateAhead() ? this.opts.state.getChangesSince(version) : this.opts.follower.getUpdateSince(version);
 	}
 
-	override getBlocked(): readonly BlockedFingerprint[] {
-		return this.opts.node.isLeaderWithLease() ? this.opts.getLocallyBlocked() : this.opts.follower.getBlocked();
-	}
-
 	override getAgeMs(): number {
 		const {node, follower} = this.opts;
 		return node.isLeaderWithLease() ? node.leaseAgeMs() : follower.getAgeMs();
@@ -59,9 +53,9 @@
 
 	private async forward(source: Signal, signal: AbortSignal): Promise<void> {
 		while (!signal.aborted) {
-			const state = `${this.getConfig()?.version ?? 0}/${this.getBlocked().length}`;
-			if (state !== this.lastForwardedState) {
-				this.lastForwardedState = state;
+			const version = this.getConfig()?.version ?? 0;
+			if (version !== this.lastForwardedVersion) {
+				this.lastForwardedVersion = version;
 				this.changed.notify();
 			}
 
--- a/packages/hosts/src/follow/config-follower.ts
+++ b/packages/hosts/src/follow/config-follower.ts
@@ -10,7 +10,7 @@
 import {VersionedConfigSource, type VersionedConfig} from './versioned-config-source.js';
 import {followMethod} from './follow-method.js';
 import type {InForceReports} from './in-force-reports.js';
-import type {BlockedFingerprint, FollowResponse} from './types.js';
+import type {FollowResponse} from './types.js';
 
 export type ConfigFollowerOptions = {
 	readonly hostId: string;
@@ -19,6 +19,8 @@
 	readonly random: Random;
 	readonly logger: Logger;
 	readonly reports: InForceReports;
+	/** Joins evidence on what ends targets; returns whether any of it is new. */
+	readonly joinCrashes: (records: readonly unknown[]) => boolean;
 	/** Hosts to follow, the preferred one first. */
 	readonly getParents: () => readonly PeerClient[];
 };
@@ -28,7 +30,6 @@
 	override readonly changed = new Signal();
 	private config: FleetConfig = {version: 0, digest: '', author: ''};
 	private changes: readonly ConfigChange[] = [];
-	private blocked: readonly BlockedFingerprint[] = [];
 	private confirmedMs = Number.NEGATIVE_INFINITY;
 	private leaderId: string | undefined;
 	private via: readonly string[] = [];
@@ -67,10 +68,6 @@
 		return this.leaderId;
 	}
 
-	override getBlocked(): readonly BlockedFingerprint[] {
-		return this.blocked;
-	}
-
 	/** Polls parents until the signal aborts; after a failed poll it tries the next parent. */
 	async run(signal: AbortSignal): Promise<void> {
 		const {clock, random} = this.opts;
@@ -138,12 +135,10 @@
 
 		this.leaderId = answer.leaderId;
 		this.via = answer.via ?? [];
-		const blocked = answer.blocked ?? [];
-		if (blocked.length !== this.blocked.length) {
+		if (this.opts.joinCrashes(answer.crashes ?? [])) {
 			this.changed.notify();
 		}
 
-		this.blocked = blocked;
 		// The parent created the answer at least this long after the poll was sent, even if its clock drifts.
 		const answeredMs = sentMs + (answer.heldMs * (1 - CLOCK_DRIFT_RATIO));
 		const isFirst = !Number.isFinite(this.confirmedMs);
--- a/packages/hosts/src/follow/follow-method.ts
+++ b/packages/hosts/src/follow/follow-method.ts
@@ -14,13 +14,15 @@
 	readonly logger: Logger;
 	readonly source: VersionedConfigSource;
 	readonly reports: InForceReports;
+	/** Evidence on what ends targets, for the followers. */
+	readonly listCrashes: () => readonly unknown[];
 };
 
-function createResponse({source, hostId}: FollowServerOptions, haveVersion: number, heldMs: number): FollowResponse {
+function createResponse({source, hostId, listCrashes}: FollowServerOptions, haveVersion: number, heldMs: number): FollowResponse {
 	const config = source.getConfig();
 	const leaderId = source.getLeaderId();
 	const ageMs = source.getAgeMs();
-	const blocked = source.getBlocked();
+	const crashes = listCrashes();
 	return {
 		version: config?.version ?? 0,
 		ageMs: Number.isFinite(ageMs) ? ageMs : Number.MAX_SAFE_INTEGER,
@@ -28,7 +30,7 @@
 		via: [hostId, ...source.getVia()],
 		...(leaderId !== undefined && {leaderId}),
 		...(config && config.version > haveVersion && {update: source.getUpdateSince(haveVersion)}),
-		...(blocked.length > 0 && {blocked: [...blocked]}),
+		...(crashes.length > 0 && {crashes: [...crashes]}),
 	};
 }
 
--- a/packages/hosts/src/follow/types.ts
+++ b/packages/hosts/src/follow/types.ts
@@ -12,10 +12,6 @@
 });
 export type FollowRequest = z.infer<typeof FollowRequest>;
 
-/** A request that all hosts reject for the remaining time, because it crashed several targets. */
-export const BlockedFingerprint = z.object({fingerprint: z.string(), remainingMs: z.number().positive()});
-export type BlockedFingerprint = z.infer<typeof BlockedFingerprint>;
-
 export const FollowResponse = z.object({
 	version: z.int().nonnegative(),
 	/** Time since the leader confirmed this version as the latest. */
@@ -26,6 +22,7 @@
 	/** The hosts through which the configuration came, from the answering host up to the leader. */
 	via: z.array(z.string()).optional(),
 	update: ConfigUpdate.optional(),
-	blocked: z.array(BlockedFingerprint).optional(),
+	/** Evidence on what ends targets, which the hosts pass on; only its users know its form. */
+	crashes: z.array(z.unknown()).optional(),
 });
 export type FollowResponse = z.infer<typeof FollowResponse>;
--- a/packages/hosts/src/follow/versioned-config-source.ts
+++ b/packages/hosts/src/follow/versioned-config-source.ts
@@ -1,6 +1,5 @@
 import type {ConfigDocument, Signal} from '@egretrill/common';
 import type {ConfigUpdate} from '../types.js';
-import type {BlockedFingerprint} from './types.js';
 
 /** An accepted configuration with its version, digest and author. */
 export type VersionedConfig = {
@@ -12,7 +11,7 @@
 
 /** Source from which a host and its followers obtain the configuration. */
 export abstract class VersionedConfigSource {
-	/** Notified when the configuration or the blocked requests change. */
+	/** Notified when the configuration or the evidence on what ends targets changes. */
 	abstract readonly changed: Signal;
 	abstract getConfig(): VersionedConfig | undefined;
 	/** Returns the update from the version to the configuration in force on this host. */
@@ -22,6 +21,4 @@
 	/** The hosts through which the configuration reached this one; empty on the leader. */
 	abstract getVia(): readonly string[];
 	abstract getLeaderId(): string | undefined;
-	/** Fingerprints of requests that the leader blocks because they crashed several targets. */
-	abstract getBlocked(): readonly BlockedFingerprint[];
 }
--- a/packages/hosts/tests/config-follower.test.ts
+++ b/packages/hosts/tests/config-follower.test.ts
@@ -27,7 +27,7 @@
 		const stop = new AbortController();
 		const parent = new LongPollParent(clock);
 		const follower = new ConfigFollower({
-			hostId: 'a', fleet: 'test', clock, random: createRandom(1), logger: createLogger('test', 'fatal'), reports: new InForceReports(), getParents: () => [parent],
+			hostId: 'a', fleet: 'test', clock, random: createRandom(1), logger: createLogger('test', 'fatal'), reports: new InForceReports(), joinCrashes: () => false, getParents: () => [parent],
 		});
 		const running = follower.run(stop.signal);
 		clock.advance(ONE_WAY_DELAY_MS + HOLD_MS + ONE_WAY_DELAY_MS);
--- a/packages/hosts/tests/follow-tree.test.ts
+++ b/packages/hosts/tests/follow-tree.test.ts
@@ -39,10 +39,6 @@
 	override getLeaderId(): string {
 		return 'leader';
 	}
-
-	override getBlocked(): readonly never[] {
-		return [];
-	}
 }
 
 /** In-process connection to another host that can be disconnected. */
@@ -74,13 +70,13 @@
 
 	function bind(hostId: string, source: VersionedConfigSource): MethodHandler {
 		return bindFollowMethod({
-			hostId, fleet: 'test', clock, logger, source, reports,
+			hostId, fleet: 'test', clock, logger, source, reports, listCrashes: () => [],
 		});
 	}
 
 	function createFollower(hostId: string, getParents: (leaderId: string | undefined) => readonly PeerClient[]): ConfigFollower {
 		const follower: ConfigFollower = new ConfigFollower({
-			hostId, fleet: 'test', clock, random: createRandom(1), logger, reports: new InForceReports(), getParents: () => getParents(follower.getLeaderId()),
+			hostId, fleet: 'test', clock, random: createRandom(1), logger, reports: new InForceReports(), joinCrashes: () => false, getParents: () => getParents(follower.getLeaderId()),
 		});
 		return follower;
 	}
--- a/packages/hosts/tests/served-config.test.ts
+++ b/packages/hosts/tests/served-config.test.ts
@@ -13,7 +13,7 @@
 
 function createFollower(clock: Clock, parents: readonly PeerClient[] = []): ConfigFollower {
 	return new ConfigFollower({
-		hostId: 'host-1', fleet: 'test', clock, random: createRandom(1), logger: createLogger('test', 'fatal'), reports: new InForceReports(), getParents: () => parents,
+		hostId: 'host-1', fleet: 'test', clock, random: createRandom(1), logger: createLogger('test', 'fatal'), reports: new InForceReports(), joinCrashes: () => false, getParents: () => parents,
 	});
 }
 
@@ -56,7 +56,7 @@
 		await cluster.clock.run(3000);
 		const {node, state, clock} = cluster.processes.get(id)!;
 		const source = new FleetConfigSource({
-			clock, node, state, follower: createFollower(clock), getLocallyBlocked: () => [],
+			clock, node, state, follower: createFollower(clock),
 		});
 		const cutOff = {snapshot: state.getConfig().version, served: source.getConfig()?.version};
 		cluster.blockedLinks.clear();
