--- a/packages/callers/tests/run-on-targets.test.ts
+++ b/packages/callers/tests/run-on-targets.test.ts
@@ -133,7 +133,11 @@
 		for (let i = 0; i < 6; i++) {
 			const messages = [{role: 'system', content: 'harmful'}, {role: 'user', content: `question ${i}`}];
 			const {work, ...exchange} = createExchange(pool, [], crashes, clock);
-			const keys = listRequestKeys(`request-${i}`, {...work, chat: {model: 'm', messages, stream: false, max_tokens: 1}});
+			const keys = listRequestKeys(`request-${i}`, {
+				...work, chat: {
+					model: 'm', messages, stream: false, max_tokens: 1,
+				},
+			});
 			const result = await runOnTargets({...exchange, work: {...work, route: {...work.route, idempotent: false}}, keys});
 			outcomes.push(result.isErr ? result.error.code : 'answered');
 			await clock.run(500);
