callers: give a caller its answer without waiting for the probe of its target

Cause: the end of an attempt waited until it was known whether the target had ended. The probe repeats while a target closes each connection, up to 500 ms. Evidence: cut-answers.test.ts, 'is not whole when its target has not read the request', failed (504 in place of 502 for an answer that is cut at its first byte, limit 250 ms). Change: the evidence is recorded when the probe ends; nothing waits for it. After: the test passes unchanged.

--- a/apps/egretrilld/tests/traffic/cut-answers.test.ts
+++ b/apps/egretrilld/tests/traffic/cut-answers.test.ts
@@ -145,4 +145,32 @@
 
 		expect(results).toMatchSnapshot();
 	});
+
+	// Guards against the rest of a stream that counts as whole although its connection was reset, or cut within an event, at the second target.
+	it('ends as whole only by the framing of the target that sent the rest', async () => {
+		const first = await RawTarget.open(async peer => {
+			await peer.readHead();
+			await peer.write(`${EVENTS}Transfer-Encoding: chunked\r\n\r\n${formatChunk(formatEvents('\n', 1))}`);
+			peer.end();
+		});
+		const text = `${EVENTS}\r\n${formatEvents('\n', 2, 3)}`;
+		const results: Record<string, unknown> = {};
+		for (const ending of ['FIN', 'late FIN', 'RST', 'late RST', 'last byte and RST'] as const) {
+			results[ending] = await runCuts(text.length, async cut => callCutServer({text, cut, ending}, async address => callThrough([first.address, address], resumable)));
+		}
+
+		first.close();
+		expect(results).toMatchSnapshot();
+	});
+
+	// Guards against a stream without a length whose end is taken from the connection's earlier answer, or that counts as whole after a reset.
+	it('ends as whole only where its framing says so on a connection that was used before', async () => {
+		const {'LF by connection': {text}} = streams;
+		const results: Record<string, unknown> = {};
+		for (const ending of ['FIN', 'RST', 'late RST', 'last byte and RST'] as const) {
+			results[ending] = await runAnswer({text, ending, earlier: [BY_LENGTH, answers['by chunks']]}, {...resumable, maxAttempts: 1});
+		}
+
+		expect(results).toMatchSnapshot();
+	});
 });
--- a/packages/callers/src/forward/forward-to-target.ts
+++ b/packages/callers/src/forward/forward-to-target.ts
@@ -44,7 +44,7 @@
 		outcome = await relay(context, attempt, watch);
 	} finally {
 		watch?.endSearch(outcome.kind === 'answered');
-		await endAttempt(context, attempt, outcome);
+		endAttempt(context, attempt, outcome);
 	}
 
 	return outcome;
--- a/packages/callers/src/forward/open-attempt.ts
+++ b/packages/callers/src/forward/open-attempt.ts
@@ -40,7 +40,7 @@
 		head = await sendRequest(context, slot, signal);
 	} finally {
 		if (head.kind !== 'open') {
-			await endAttempt(context, {
+			endAttempt(context, {
 				...attemptSlot, signal, startedMs, number: progress.attempts,
 			}, head);
 		}
@@ -56,8 +56,8 @@
 /** An attempt that has ended, or whose target has not answered. */
 type EndingAttempt = Omit<OpenAttempt, 'kind' | 'answer' | 'metadata'>;
 
-/** Releases the slot of an attempt and records how it ended; after a lost connection resolves once it is known whether the target has ended. */
-export async function endAttempt(context: ForwardContext, attempt: EndingAttempt, outcome: AttemptOutcome): Promise<void> {
+/** Releases the slot of an attempt and records how it ended. */
+export function endAttempt(context: ForwardContext, attempt: EndingAttempt, outcome: AttemptOutcome): void {
 	const {deps: {clock, observer, durations}, call, route, progress} = context;
 	const {slot, signal, number, startedMs} = attempt;
 	slot.release(getSlotOutcome(outcome, signal, progress.status));
@@ -69,10 +69,10 @@
 	observer.recordAttempt({
 		call, slot, attempt: number, outcome: outcome.kind, tookMs: clock.now() - startedMs, ...('reason' in outcome && {reason: outcome.reason}),
 	});
-	await recordEvidence(context, attempt, outcome);
+	void recordEvidence(context, attempt, outcome);
 }
 
-/** Records what the end of an attempt says of the request's keys: its target survived it, or ended while the request waited there. */
+/** Records what the end of an attempt says of the request's keys: its target survived it, or ended while the request waited there. The caller's answer does not wait for the probe of the target. */
 async function recordEvidence(context: ForwardContext, {slot, sent, signal}: EndingAttempt, outcome: AttemptOutcome): Promise<void> {
 	const {deps: {crashes, targetEnds}, call, progress: {status = 0}} = context;
 	if (outcome.kind === 'answered' && status < STATUS_REDIRECT) {
--- a/packages/callers/src/forward/switch-watch.ts
+++ b/packages/callers/src/forward/switch-watch.ts
@@ -122,7 +122,7 @@
 
 		if (opened.signal.aborted) {
 			opened.answer.destroy();
-			await endAttempt(this.context, opened, {kind: 'broken', reason: wentOn.aborted ? STREAM_WENT_ON : 'The request has ended.', slotOutcome: 'answered'});
+			endAttempt(this.context, opened, {kind: 'broken', reason: wentOn.aborted ? STREAM_WENT_ON : 'The request has ended.', slotOutcome: 'answered'});
 			return true;
 		}
 
