--- a/apps/egretrilld/tests/traffic/cut-answers.test.ts
+++ b/apps/egretrilld/tests/traffic/cut-answers.test.ts
@@ -1,3 +1,4 @@
+import {setTimeout as delay} from 'node:timers/promises';
 import type {TrafficRoute} from '@egretrill/common';
 import {
 	callCutServer, type CutAnswer, type CutEnding, runCuts,
@@ -13,6 +14,7 @@
 const BY_LENGTH = `${OK}Content-Length: 5\r\n\r\nwhole`;
 const CHUNKS = '5\r\nwhole\r\n0\r\n\r\n';
 const REQUEST_TIMEOUT_MS = 250;
+const TRICKLE_INTERVAL_MS = 20;
 /** More than the buffers of both ends of a loopback connection hold. */
 const LONG_BODY = 'x'.repeat(8_000_000);
 
@@ -82,6 +84,18 @@
 	});
 }
 
+/** Opens a target that sends the beginning of an answer, and then one byte after the other of what never becomes an event or a chunk. */
+async function openTrickling(beginning: string): Promise<RawTarget> {
+	return RawTarget.open(async peer => {
+		await peer.readHead();
+		await peer.write(beginning);
+		while (peer.socket.writable) {
+			await peer.write(beginning.includes('chunked') ? '0' : 'x');
+			await delay(TRICKLE_INTERVAL_MS);
+		}
+	});
+}
+
 describe('an answer of a target that is cut at any byte', () => {
 	// Guards against a part of an answer that its caller takes as whole, and against "not run" for a request that was sent.
 	for (const ending of ['FIN', 'late FIN', 'RST', 'late RST', 'last byte and RST'] as const) {
@@ -108,6 +122,27 @@
 		expect(await runAnswers('held open', {'by chunks': byChunks, 'by connection': byConnection}, {timeoutMs: REQUEST_TIMEOUT_MS})).toMatchSnapshot();
 	});
 
+	// Guards against a caller that waits beyond its time limit because its target sends a byte now and then, and against a stream that is not continued elsewhere.
+	it('ends with the time limit of the request, or goes on at another target, when its target sends a byte now and then', async () => {
+		const beginnings = {
+			'a body by chunks': `${OK}Transfer-Encoding: chunked\r\n\r\n`,
+			'a body by connection': `${OK}\r\n`,
+			'a stream': `${EVENTS}\r\n${formatEvents('\n', 1)}`,
+		};
+		const results: Record<string, unknown> = {};
+		for (const [name, beginning] of Object.entries(beginnings)) {
+			const target = await openTrickling(beginning);
+			results[name] = await callThrough([target.address], {timeoutMs: REQUEST_TIMEOUT_MS, isStream: name === 'a stream'});
+			target.close();
+		}
+
+		const [trickling, other] = [await openTrickling(beginnings['a stream']), await openContinuing('\n')];
+		results['a stream that can be resumed'] = await callThrough([trickling.address, other.address], resumable);
+		trickling.close();
+		other.close();
+		expect(results).toMatchSnapshot();
+	});
+
 	// Guards against a part of an answer that is taken as whole, and against "not run", when the target has stopped reading the request.
 	it('is not whole when its target has not read the request', async () => {
 		const results: Record<string, string> = {};
