traffic: serve no list of targets from a control host that has just restarted

Cause: the registry of a restarted control host is empty and a new one to entry hosts, which take its list as whole. A registration from before a target's leaving that arrives late is all it knows of that target until its first exchange with another control host. Change: until it has merged the registrations of a settled peer, or 1.5 s have passed in which each running target registers, a control host answers polls without changes of the targets, so that entry hosts go on with what they know.

--- a/apps/egretrilld/src/traffic/constants.ts
+++ b/apps/egretrilld/src/traffic/constants.ts
@@ -20,6 +20,9 @@
 /** A control host that did not answer a poll is skipped for this long. */
 export const CONTROL_SUSPICION_MS = 1000;
 
+/** Time in which each running target registers with some control host; targets register about every 1.2 s. */
+export const REGISTRY_SETTLE_MS = 1500;
+
 /** How often control hosts exchange registrations, members and the leader. */
 export const GOSSIP_INTERVAL_MS = 150;
 
--- a/apps/egretrilld/src/traffic/control-gossip.ts
+++ b/apps/egretrilld/src/traffic/control-gossip.ts
@@ -6,6 +6,7 @@
 import {GOSSIP_INTERVAL_MS, JOIN_RETRY_MS} from './constants.js';
 import {gossipMethod} from './methods.js';
 import {RateLimitedLog} from './rate-limited-log.js';
+import type {RegistrySettling} from './registry-settling.js';
 import {SKIPPED_ENTRIES_MESSAGE, warnOfSkippedEntries} from './skipped-entries.js';
 
 export type ControlGossipOptions = {
@@ -17,6 +18,7 @@
 	readonly node: FleetNode;
 	readonly peers: ControlPeers;
 	readonly registry: TargetRegistry;
+	readonly settling: RegistrySettling;
 };
 
 type Contact = {readonly zone: string; readonly lastContactMs: number};
@@ -72,7 +74,7 @@
 	}
 
 	private async gossipWith(id: string, signal: AbortSignal): Promise<void> {
-		const {clock, hostId, logger, node, peers, random, registry, zone} = this.opts;
+		const {clock, hostId, logger, node, peers, random, registry, settling, zone} = this.opts;
 		let knownRegistry = {origin: '', revision: 0};
 		let isReachable = false;
 		while (!signal.aborted) {
@@ -83,10 +85,11 @@
 			}
 
 			if (answer.isOk) {
-				const {registry: update, zone: peerZone, memberIds, leaderId} = answer.value;
+				const {registry: update, isRegistrySettled = true, zone: peerZone, memberIds, leaderId} = answer.value;
 				knownRegistry = {origin: update.origin, revision: update.revision};
 				this.recordContact(id, peerZone);
 				registry.merge(update.targets);
+				settling.recordExchange(isRegistrySettled);
 				warnOfSkippedEntries(this.skippedEntries, id, update);
 				this.leaderHint = leaderId ?? this.leaderHint;
 				if (leaderId === id) {
--- a/apps/egretrilld/src/traffic/control-host.ts
+++ b/apps/egretrilld/src/traffic/control-host.ts
@@ -19,6 +19,7 @@
 import {
 	borrowMethod, departMethod, gossipMethod, readTrafficMethod, readZoneOrdersMethod, requestAdapterMethod, syncMethod,
 } from './methods.js';
+import {getServedTargets, RegistrySettling} from './registry-settling.js';
 import {getReportedLeaderId} from './reported-leader.js';
 import {RateLimitedLog} from './rate-limited-log.js';
 import {getServedState} from './served-state.js';
@@ -50,6 +51,7 @@
 	private readonly node: FleetNode;
 	private readonly log: FleetLog;
 	private readonly gossip: ControlGossip;
+	private readonly settling: RegistrySettling;
 	private readonly departures: Departures;
 	private readonly zoneOrders: ZoneOrders;
 	private readonly membership: Membership;
@@ -94,9 +96,10 @@
 			// The age is used only for at-most-once records, which forwarded requests do not have.
 			getAgeMs: () => 0,
 		});
-		const {hostId, node, log, registry, peers} = this;
+		this.settling = new RegistrySettling(clock);
+		const {hostId, node, log, registry, peers, settling} = this;
 		this.gossip = new ControlGossip({
-			hostId, zone: settings.zone, clock, random, logger, node, peers, registry,
+			hostId, zone: settings.zone, clock, random, logger, node, peers, registry, settling,
 		});
 		this.departures = new Departures({peers, registry});
 		this.zoneOrders = new ZoneOrders({
@@ -127,7 +130,7 @@
 					...(leaderId !== undefined && {leaderId}),
 					controls: this.getControlHosts(),
 					...getServedState({node: this.node, state: this.state}, configVersion),
-					registry: this.registry.getUpdateSince(registry, false),
+					registry: getServedTargets(this.registry, this.settling, registry),
 					...(plan && {plan}),
 				};
 			}),
@@ -145,6 +148,7 @@
 				const leaderId = this.getLeaderId();
 				return {
 					registry: this.registry.getUpdateSince(registry, true),
+					isRegistrySettled: this.settling.isSettled(),
 					zone: this.opts.settings.zone,
 					memberIds: this.node.status().members.map(({id}) => id),
 					...(leaderId !== undefined && {leaderId}),
--- a/apps/egretrilld/src/traffic/methods.ts
+++ b/apps/egretrilld/src/traffic/methods.ts
@@ -75,7 +75,12 @@
 
 /** Exchanges registrations, members and the current leader between control hosts. The whole registry has as many values as a configuration document. */
 export const gossipMethod = defineListMethod('Traffic', 'gossip', z.object({hostId: z.string(), zone: z.string(), registry: KnownRegistry}), z.object({
-	registry: RegistryUpdate, zone: z.string(), memberIds: z.array(z.string()), leaderId: z.string().optional(),
+	registry: RegistryUpdate,
+	/** Whether the registry is complete; hosts of earlier builds do not tell. */
+	isRegistrySettled: z.boolean().optional(),
+	zone: z.string(),
+	memberIds: z.array(z.string()),
+	leaderId: z.string().optional(),
 }));
 
 /** Reads the number of applied orders for a zone from the leader; a host that cannot confirm it returns none. */
--- a/apps/egretrilld/tests/traffic/support/sim-control-fleet.ts
+++ b/apps/egretrilld/tests/traffic/support/sim-control-fleet.ts
@@ -6,6 +6,7 @@
 import {type Process, SimCluster} from '@egretrill/hosts/testing';
 import {Result} from 'true-myth';
 import {ControlGossip} from '../../../src/traffic/control-gossip.js';
+import {RegistrySettling} from '../../../src/traffic/registry-settling.js';
 import {gossipMethod, Membership} from '../../../src/traffic/index.js';
 
 const SEED_COUNT = 3;
@@ -163,7 +164,7 @@
 		const {cluster, minVoters} = this;
 		const peers = new SimPeers(this, id);
 		const gossip = new ControlGossip({
-			hostId: id, zone: 'z', clock, random: cluster.random, logger, node, peers: peers as unknown as ControlPeers, registry: new TargetRegistry(clock, id),
+			hostId: id, zone: 'z', clock, random: cluster.random, logger, node, peers: peers as unknown as ControlPeers, registry: new TargetRegistry(clock, id), settling: new RegistrySettling(clock),
 		});
 		const log = new FleetLog({
 			hostId: id, clock, peers, node, getLeaderId: () => node.status().leaderId ?? gossip.leaderHint, getAgeMs: () => 0,
