tests: keep the test of the probe beside those that may use the test kit

The build of a clean checkout failed: the test kit is built after packages/engines, to which the test had moved together with the probe. It stands in apps/egretrilld/tests again, unchanged but for its import.

--- a/packages/engines/tests/client/probe.test.ts
+++ b/apps/egretrilld/tests/probe.test.ts
@@ -4,7 +4,7 @@
 } from 'node:net';
 import {runCuts} from '@egretrill/testkit';
 import {expect} from 'chai';
-import {isConnectionRefused} from '../../src/index.js';
+import {isConnectionRefused} from '@egretrill/engines';
 
 async function listen(server: Server): Promise<string> {
 	server.listen(0, '127.0.0.1');
