--- a/packages/callers/src/crashes/crash-gate.ts
+++ b/packages/callers/src/crashes/crash-gate.ts
@@ -73,6 +73,11 @@
 		return !this.tracker.isEmpty();
 	}
 
+	/** Whether there may be evidence against a whole request, so that its key is needed. */
+	mayKnowRequest(bodyLength: number): boolean {
+		return this.tracker.mayKnowRequest(bodyLength);
+	}
+
 	/** Waits until a request with these keys may be sent; resolves with a refusal if it must not be. */
 	async waitForTurn(keys: readonly RankedKey[], maxWaitMs: number, signal: AbortSignal): Promise<Verdict | undefined> {
 		if (this.getAdmission(keys) === 'open') {
--- a/packages/callers/src/crashes/crash-tracker.ts
+++ b/packages/callers/src/crashes/crash-tracker.ts
@@ -8,6 +8,7 @@
 import {
 	fromRecord, hasNews, isOutdated, type KeyEvidence, listSeparateEnds, mergeEvidence, NO_EVIDENCE, toRecord,
 } from './key-evidence.js';
+import {getRequestPrefix} from './request-keys.js';
 import type {
 	CrashRecord, CrashRevision, CrashUpdate, KeyVerdict, RankedKey,
 } from './types.js';
@@ -15,6 +16,7 @@
 type Entry = {readonly evidence: KeyEvidence; readonly revision: number};
 
 const SWEEP_INTERVAL_MS = 1000;
+const REQUEST_PREFIX_PATTERN = /^request:\d+:/v;
 
 /** Revision before all changes. */
 const NO_REVISION = -1;
@@ -41,8 +43,8 @@
 	/** Last proven answers of all keys, also of those without ends: the first end may be known later. */
 	private readonly provenMs = new Map<string, number>();
 	private revision = 0;
-	/** Computed anew after a change of the evidence. */
 	private blockTimes: BlockTimes | undefined;
+	private requestPrefixes: ReadonlySet<string> | undefined;
 	private sweptMs = Number.NEGATIVE_INFINITY;
 
 	/** The origin tells this tracker from that of an earlier process or term. An unchanged request is refused after `requestEnds` ends. */
@@ -52,6 +54,12 @@
 		return this.entries.size === 0;
 	}
 
+	/** Whether there is evidence about any request with a body of this length; without, its key need not be computed. */
+	mayKnowRequest(bodyLength: number): boolean {
+		this.requestPrefixes ??= new Set([...this.entries.keys()].flatMap(key => REQUEST_PREFIX_PATTERN.exec(key) ?? []));
+		return this.requestPrefixes.has(getRequestPrefix(bodyLength));
+	}
+
 	getVerdict(key: string): KeyVerdict {
 		this.sweep();
 		const evidence = this.entries.get(key)?.evidence;
@@ -202,7 +210,7 @@
 	}
 
 	private set(key: string, evidence: KeyEvidence, isNews: boolean): void {
-		this.blockTimes = undefined;
+		this.forgetDerived();
 		const known = this.entries.get(key);
 		if (!isNews) {
 			this.entries.set(key, {evidence, revision: known?.revision ?? 0});
@@ -214,6 +222,12 @@
 		this.changed.notify();
 	}
 
+	/** What is computed from the evidence is computed anew after a change. */
+	private forgetDerived(): void {
+		this.blockTimes = undefined;
+		this.requestPrefixes = undefined;
+	}
+
 	private sweep(): void {
 		const nowMs = this.clock.now();
 		if (nowMs - this.sweptMs < SWEEP_INTERVAL_MS) {
@@ -224,7 +238,7 @@
 		for (const [key, {evidence}] of this.entries) {
 			if (isOutdated(evidence, nowMs)) {
 				this.entries.delete(key);
-				this.blockTimes = undefined;
+				this.forgetDerived();
 			}
 		}
 	}
--- a/packages/callers/src/crashes/request-keys.ts
+++ b/packages/callers/src/crashes/request-keys.ts
@@ -18,7 +18,12 @@
 	return [...new Set(partIds.slice(0, -1))].map((id, rank) => ({key: `part:${id.length > MAX_PART_ID_LENGTH ? createHash('sha256').update(id).digest('base64url') : id}`, rank}));
 }
 
+/** Beginning of the keys of all requests with a body of this length. */
+export function getRequestPrefix(bodyLength: number): string {
+	return `request:${bodyLength}:`;
+}
+
 /** Key of a request that may come again unchanged. */
-export function getRequestKey(fingerprint: string): RankedKey {
-	return {key: `request:${fingerprint}`, rank: REQUEST_RANK};
+export function getRequestKey(fingerprint: string, bodyLength: number): RankedKey {
+	return {key: `${getRequestPrefix(bodyLength)}${fingerprint}`, rank: REQUEST_RANK};
 }
--- a/packages/callers/src/handle-request.ts
+++ b/packages/callers/src/handle-request.ts
@@ -42,7 +42,7 @@
 	const customer = authorized.value.identity.customer?.id ?? OPEN_CUSTOMER;
 	const fingerprint = getFingerprint([customer, `${req.method} ${req.path}`], req.body);
 	const result = await runUntilEnded(signals, async signal => admitAndRun({
-		...authorized.value, deps, signal, fingerprint, keys: listRequestKeys(fingerprint, authorized.value.work),
+		...authorized.value, deps, signal, fingerprint, keys: listRequestKeys(fingerprint, req.body.length, authorized.value.work),
 	}, req, reply));
 	deps.observer.recordEnd({requestId: req.requestId, customer, outcome: result.isOk ? result.value.kind : result.error});
 	return result;
--- a/packages/callers/tests/crashes/support/simulated-crashes.ts
+++ b/packages/callers/tests/crashes/support/simulated-crashes.ts
@@ -135,7 +135,7 @@
 		const isHarmful = nowMs >= harmfulFromMs && this.random() < harmfulShare;
 		const subject = isHarmful ? 0 : Math.floor(this.random() * 40) + Number(isSubjectHarmful);
 		const parts = ['first', `subject-${subject}`, ...(isHarmful && !isSubjectHarmful && !isRequestHarmful ? ['harmful'] : []), `own-${this.requests}`];
-		const requestKey = getRequestKey(isHarmful && isRequestHarmful ? 'harmful' : `r${this.requests}`);
+		const requestKey = getRequestKey(isHarmful && isRequestHarmful ? 'harmful' : `r${this.requests}`, 0);
 		this.addCall([...getPartKeys(parts), requestKey], isHarmful, this.scenario.repeats ?? 0);
 	}
 
--- a/packages/callers/tests/refusals.test.ts
+++ b/packages/callers/tests/refusals.test.ts
@@ -9,7 +9,7 @@
 		const clock = new ManualClock();
 		const tracker = new CrashTracker(clock, 'test', 2);
 		const gate = new CrashGate(clock, tracker);
-		const key = getRequestKey(getFingerprint(['atlas', '/v1/chat/completions'], new TextEncoder().encode('{"model":"m"}')));
+		const key = getRequestKey(getFingerprint(['atlas', '/v1/chat/completions'], new TextEncoder().encode('{"model":"m"}')), 13);
 		const steps: unknown[] = [];
 		for (const startId of ['start-1', 'start-1', 'start-2']) {
 			tracker.recordEnd([key], startId);
--- a/packages/callers/tests/run-on-targets.test.ts
+++ b/packages/callers/tests/run-on-targets.test.ts
@@ -133,7 +133,7 @@
 		for (let i = 0; i < 6; i++) {
 			const messages = [{role: 'system', content: 'harmful'}, {role: 'user', content: `question ${i}`}];
 			const {work, ...exchange} = createExchange(pool, [], crashes, clock);
-			const keys = listRequestKeys(`request-${i}`, {
+			const keys = listRequestKeys(`request-${i}`, 0, {
 				...work, chat: {
 					model: 'm', messages, stream: false, max_tokens: 1,
 				},
