--- a/packages/callers/tests/crashes/support/simulated-crashes.ts
+++ b/packages/callers/tests/crashes/support/simulated-crashes.ts
@@ -5,7 +5,7 @@
 } from '../../../src/index.js';
 
 const STEP_MS = 10;
-const POLL_MS = 250;
+const DEFAULT_POLL_MS = 250;
 const MAX_WAIT_MS = 1500;
 const MAX_SLOT_WAIT_MS = 4000;
 const RESTART_MS = 3500;
@@ -36,6 +36,7 @@
 	readonly isSubjectHarmful?: boolean;
 	readonly hosts?: number;
 	readonly targets?: number;
+	readonly pollMs?: number;
 };
 
 export type CrashOutcome = {
@@ -66,6 +67,7 @@
 	private readonly clock = new ManualClock();
 	private readonly random: Random;
 	private readonly hosts: readonly Host[];
+	private readonly pollMs: number;
 	private readonly targets: readonly Target[];
 	private leader: CrashTracker;
 	private calls: readonly Call[] = [];
@@ -76,13 +78,14 @@
 	private readonly sound: SoundRequest[] = [];
 
 	constructor(private readonly scenario: CrashScenario) {
-		const {hosts = 8, targets = 12} = scenario;
+		const {hosts = 8, targets = 12, pollMs = DEFAULT_POLL_MS} = scenario;
+		this.pollMs = pollMs;
 		this.random = createRandom(scenario.seed);
 		this.leader = new CrashTracker(this.clock, 'leader-1');
 		this.hosts = Array.from({length: hosts}, (_, i) => {
 			const tracker = new CrashTracker(this.clock, `host-${i}`);
 			return {
-				tracker, gate: new CrashGate(this.clock, tracker), known: NOTHING, acknowledged: NOTHING, nextPollMs: this.random() * POLL_MS,
+				tracker, gate: new CrashGate(this.clock, tracker), known: NOTHING, acknowledged: NOTHING, nextPollMs: this.random() * pollMs,
 			};
 		});
 		this.targets = Array.from({length: targets}, (_, i) => ({
@@ -125,11 +128,16 @@
 	}
 
 	private addCalls(): void {
-		const {requestsPerSecond, harmfulShare, harmfulFromMs, isSubjectHarmful = false, isRequestHarmful = false} = this.scenario;
-		if (this.random() >= requestsPerSecond * STEP_MS / 1000) {
-			return;
+		const {requestsPerSecond} = this.scenario;
+		const expectedCount = requestsPerSecond * STEP_MS / 1000;
+		const count = Math.floor(expectedCount) + Number(this.random() < expectedCount % 1);
+		for (let i = 0; i < count; i++) {
+			this.addRequest();
 		}
+	}
 
+	private addRequest(): void {
+		const {harmfulShare, harmfulFromMs, isSubjectHarmful = false, isRequestHarmful = false} = this.scenario;
 		this.requests += 1;
 		const nowMs = this.clock.now();
 		const isHarmful = nowMs >= harmfulFromMs && this.random() < harmfulShare;
@@ -249,7 +257,7 @@
 
 	private poll(): void {
 		for (const host of this.hosts.filter(({nextPollMs}) => nextPollMs <= this.clock.now())) {
-			host.nextPollMs = this.clock.now() + (POLL_MS * (0.5 + this.random()));
+			host.nextPollMs = this.clock.now() + (this.pollMs * (0.5 + this.random()));
 			if (this.random() >= (this.scenario.lossShare ?? 0)) {
 				this.exchange(host);
 			}
--- a/packages/callers/tests/forward/forward-request.test.ts
+++ b/packages/callers/tests/forward/forward-request.test.ts
@@ -114,4 +114,18 @@
 			whileRefusing: await runFailingRequest({throwingStep: 'refuse', targets: []}),
 		}).toMatchSnapshot();
 	});
+
+	// Guards against requests that end targets although it is known, and against refused ones that cost a rate, a retry or a copy of a model.
+	it('refuses a request with a part under which targets ended, before it costs anything', async () => {
+		const keyed = {
+			route: {isOpen: false}, headers: ['key', 'k', 'part', 'p'], ratePerSecond: 1, hasRate: true,
+		};
+		const runs: Record<string, unknown> = {};
+		for (const count of [1, 2, 3, 4]) {
+			const scenario = {...keyed, endsUnderPart: {part: 'p', count}};
+			runs[`after ${count}`] = {...await runRequest(scenario) as Record<string, unknown>, demand: await countDemand(scenario)};
+		}
+
+		expect({...runs, 'of another part': await runRequest({...keyed, endsUnderPart: {part: 'other', count: 4}})}).toMatchSnapshot();
+	});
 });
--- a/packages/callers/tests/forward/support/forward-fakes.ts
+++ b/packages/callers/tests/forward/support/forward-fakes.ts
@@ -58,7 +58,7 @@
 		const get = (name: string): string | undefined => rawHeaders[rawHeaders.indexOf(name) + 1];
 		const has = (name: string): boolean => rawHeaders.includes(name);
 		return {
-			attemptId: 'attempt-1', method, url, hostName: 'app.test', promptParts: [], headers: [], ...(has('key') && {key: get('key')}), ...(has('time') && {timeLeftMs: Number(get('time'))}),
+			attemptId: 'attempt-1', method, url, hostName: 'app.test', promptParts: has('part') ? [{id: get('part') ?? '', tokens: 1}, {id: 'own', tokens: 1}] : [], headers: [], ...(has('key') && {key: get('key')}), ...(has('time') && {timeLeftMs: Number(get('time'))}),
 		};
 	}
 
--- a/packages/callers/tests/forward/support/forward-scenario.ts
+++ b/packages/callers/tests/forward/support/forward-scenario.ts
@@ -1,7 +1,9 @@
 import {
 	ManualClock, type TrafficConfig, type TrafficRoute,
 } from '@egretrill/common';
-import {CrashGate, CrashTracker, RetryBudget} from '../../../src/index.js';
+import {
+	CrashGate, CrashTracker, getPartKeys, RetryBudget,
+} from '../../../src/index.js';
 import {
 	type ForwardDependencies, forwardRequest, PlannedStop, RouteDurations, SlotQueue, RetrySchedule, RouteTable, TargetEnds,
 } from '../../../src/forward/index.js';
@@ -46,6 +48,8 @@
 	/** Whether this host may spend the customer's rate. */
 	readonly hasRate?: boolean;
 	readonly throwingStep?: ThrowingStep;
+	/** Ends of targets, a second apart, under the prompt part that the header `part` names. */
+	readonly endsUnderPart?: {readonly part: string; readonly count: number};
 	/** A planned stop of the host, counted from the arrival of the request. */
 	readonly stop?: {readonly afterMs: number; readonly durationMs: number};
 	/** Durations of earlier requests of the route. */
@@ -150,6 +154,11 @@
 	const deps: ForwardDependencies = {
 		clock, random: () => 0, dialect: new FakeDialect(opts.throwingStep), queue, rates, poolClient: new UnavailablePoolClient(), retrySchedule: new RetrySchedule(clock), sender, observer, getTable: () => opts.isUnconfigured ? undefined : table, stop, durations, crashes, crashGate: new CrashGate(clock, crashes), targetEnds: new TargetEnds({clock, probe: new RefusingProbe(), onEnd: () => undefined}), getRetries: () => retries,
 	};
+	for (let i = 0; i < (opts.endsUnderPart?.count ?? 0); i++) {
+		crashes.recordEnd(getPartKeys([opts.endsUnderPart?.part ?? '', 'own']), `t@${i}`);
+		await clock.run(1000);
+	}
+
 	const served = catchError(forwardRequest(exchange, deps));
 	if (opts.disconnectsAfterMs !== undefined) {
 		await clock.run(opts.disconnectsAfterMs);
