callers, engines: one type for a forwarded exchange, and no circular imports around planned stops

Change: both types stand in common. The reasons of a refusal before a stop have a file of their own, and refuseBeforeStop says that it refuses and records why.

--- a/apps/egretrilld/src/traffic/http-sender.ts
+++ b/apps/egretrilld/src/traffic/http-sender.ts
@@ -1,7 +1,5 @@
-import {
-	ForwardSender, type OutgoingMessage, type TargetAnswer,
-} from '@egretrill/callers';
-import type {SendFailure} from '@egretrill/common';
+import {ForwardSender} from '@egretrill/callers';
+import type {OutgoingMessage, SendFailure, TargetAnswer} from '@egretrill/common';
 import {ForwardClient} from '@egretrill/engines';
 import type {Result} from 'true-myth';
 
--- a/apps/egretrilld/tests/traffic/support/forward-host.ts
+++ b/apps/egretrilld/tests/traffic/support/forward-host.ts
@@ -2,10 +2,10 @@
 import type {Server} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import {
-	type AnswerHead, type AnswerMetadata, type AttemptEvent, CrashGate, CrashTracker, type ForwardCall, type ForwardDependencies, ForwardDialect, type ForwardEndEvent, ForwardObserver, forwardRequest, ForwardSender, type OutgoingMessage, PlannedStop, RateAllocations, RatePoolClient, type RequestHead, RetryBudget, RetrySchedule, RouteDurations, RouteTable, type SendDetails, type SlotOutcome, SlotQueue, type SlotRequirements, type SlotResult, SlotSource, type TargetAnswer, TargetEnds,
+	type AnswerHead, type AnswerMetadata, type AttemptEvent, CrashGate, CrashTracker, type ForwardCall, type ForwardDependencies, ForwardDialect, type ForwardEndEvent, ForwardObserver, forwardRequest, ForwardSender, PlannedStop, RateAllocations, RatePoolClient, type RequestHead, RetryBudget, RetrySchedule, RouteDurations, RouteTable, type SendDetails, type SlotOutcome, SlotQueue, type SlotRequirements, type SlotResult, SlotSource, TargetEnds,
 } from '@egretrill/callers';
 import {
-	createHttpServer, MonotonicClock, type SendFailure, type TrafficConfig, type TrafficRoute,
+	createHttpServer, MonotonicClock, type OutgoingMessage, type SendFailure, type TargetAnswer, type TrafficConfig, type TrafficRoute,
 } from '@egretrill/common';
 import type {Result} from 'true-myth';
 import {HttpSender} from '../../../src/traffic/http-sender.js';
--- a/packages/callers/src/forward/check-answer.ts
+++ b/packages/callers/src/forward/check-answer.ts
@@ -1,5 +1,5 @@
+import type {TargetAnswer} from '@egretrill/common';
 import {Result} from 'true-myth';
-import type {TargetAnswer} from './forward-dependencies.js';
 import type {AnswerMetadata} from './types.js';
 
 export const STATUS_MISDIRECTED = 421;
--- a/packages/callers/src/forward/forward-context.ts
+++ b/packages/callers/src/forward/forward-context.ts
@@ -1,6 +1,6 @@
 import type {TrafficCustomer, TrafficRoute} from '@egretrill/common';
 import type {RankedKey} from '../crashes/index.js';
-import type {StopRefusal} from './check-stop.js';
+import type {StopRefusal} from './stop-refusal.js';
 import type {CallerExchange} from './caller-exchange.js';
 import type {ForwardDependencies} from './forward-dependencies.js';
 import type {EventOrder} from './event-order.js';
--- a/packages/callers/src/forward/forward-dependencies.ts
+++ b/packages/callers/src/forward/forward-dependencies.ts
@@ -1,10 +1,10 @@
 import type {
-	BodyFraming, Clock, Random, SendFailure, Verdict,
+	BodyFraming, Clock, OutgoingMessage, Random, SendFailure, TargetAnswer, Verdict,
 } from '@egretrill/common';
 import type {Result} from 'true-myth';
 import type {CrashGate, CrashTracker} from '../crashes/index.js';
 import type {RetryBudget} from '../retry-budget.js';
-import type {StopRefusal} from './check-stop.js';
+import type {StopRefusal} from './stop-refusal.js';
 import type {ForwardDialect} from './forward-dialect.js';
 import type {TargetSlot, SlotQueue} from './slot-queue.js';
 import type {PlannedStop} from './planned-stop.js';
@@ -15,33 +15,6 @@
 import type {ForwardCall} from './types.js';
 import type {RetrySchedule} from './wait-forecast.js';
 
-/** A target's answer whose body has not been read yet. */
-export type TargetAnswer = {
-	readonly status: number;
-	readonly rawHeaders: readonly string[];
-	readonly body: AsyncIterable<Uint8Array>;
-	/** How the end of the body is detected. */
-	readonly framing: BodyFraming;
-	/** Whether the connection has carried an earlier request, whose answer this may be. */
-	readonly isConnectionReused: boolean;
-	/** Whether the body arrived completely; valid only after it has been read. */
-	readonly isComplete: () => boolean;
-	/** Reads and discards the body of a short answer, so that the connection can be reused. */
-	readonly discard: () => void;
-	/** Closes the connection, which cancels the request at the target. */
-	readonly destroy: () => void;
-};
-
-/** A request as it is sent to a target. */
-export type OutgoingMessage = {
-	readonly address: string;
-	readonly method: string;
-	readonly url: string;
-	readonly headers: string[];
-	readonly body: Uint8Array;
-	readonly mayReuse: boolean;
-};
-
 /** Sends requests to targets, without retries. */
 export abstract class ForwardSender {
 	abstract send(message: OutgoingMessage, signal: AbortSignal): Promise<Result<TargetAnswer, SendFailure>>;
--- a/packages/callers/src/forward/forward-request.ts
+++ b/packages/callers/src/forward/forward-request.ts
@@ -5,7 +5,7 @@
 import {MIN_RETRY_AFTER_MS, NO_TARGET_RETRY_MS} from './constants.js';
 import type {ForwardEndEvent, ForwardDependencies} from './forward-dependencies.js';
 import type {ForwardContext, ForwardProgress} from './forward-context.js';
-import {checkStop, refuseForStop, type StopCheck} from './check-stop.js';
+import {refuseBeforeStop, refuseForStop, type StopCheck} from './refuse-before-stop.js';
 import {ChunkTimes} from './chunk-times.js';
 import {forwardToTarget} from './forward-to-target.js';
 import {GuardedSender} from './guarded-sender.js';
@@ -200,13 +200,13 @@
 
 /** Reads the body of a request, unless it is too long or not expected to end before this host stops. */
 async function readAllowedBody(exchange: CallerExchange, {config: {limits}}: RouteTable, deps: ForwardDependencies, request: Omit<StopCheck, 'deps'>): Promise<Uint8Array | Verdict> {
-	const refusal = checkStop({...request, deps}, 'arrival');
+	const refusal = refuseBeforeStop({...request, deps}, 'arrival');
 	if (refusal) {
 		return refusal;
 	}
 
 	const body = await readBodyUntil(exchange, limits.maxBodyBytes, deps.stop.ended);
-	return checkStop({...request, deps}, 'body')
+	return refuseBeforeStop({...request, deps}, 'body')
 		?? body
 		?? refuse(413, 'body-too-large', `The body is longer than ${limits.maxBodyBytes} bytes.`);
 }
--- a/packages/callers/src/forward/open-attempt.ts
+++ b/packages/callers/src/forward/open-attempt.ts
@@ -1,8 +1,7 @@
-import type {SendFailure} from '@egretrill/common';
+import type {SendFailure, TargetAnswer} from '@egretrill/common';
 import {checkAnswer, STATUS_MISDIRECTED, STATUS_REDIRECT} from './check-answer.js';
 import {isRepeatable} from './decide-at-stop.js';
 import type {AttemptFailure, AttemptOutcome, ForwardContext} from './forward-context.js';
-import type {TargetAnswer} from './forward-dependencies.js';
 import {listAllKeys} from './list-keys.js';
 import type {SlotOutcome, TargetSlot} from './slot-queue.js';
 import type {AttemptSlot} from './slot-search.js';
--- a/packages/callers/src/forward/relay.ts
+++ b/packages/callers/src/forward/relay.ts
@@ -1,8 +1,8 @@
+import type {TargetAnswer} from '@egretrill/common';
 import type {CallerExchange} from './caller-exchange.js';
 import {MAX_BUFFERED_ANSWER_BYTES, MAX_EVENT_BYTES} from './constants.js';
 import type {EventOrder} from './event-order.js';
 import {EventSplitter} from './event-splitter.js';
-import type {TargetAnswer} from './forward-dependencies.js';
 import {GrowableBuffer} from './growable-buffer.js';
 import type {Silence} from './silence.js';
 
--- a/packages/callers/src/forward/slot-search.ts
+++ b/packages/callers/src/forward/slot-search.ts
@@ -1,6 +1,6 @@
 import {refuse, type Verdict} from '@egretrill/common';
 import type {SentRequest} from '../crashes/index.js';
-import {checkStop} from './check-stop.js';
+import {refuseBeforeStop} from './refuse-before-stop.js';
 import {MIN_RETRY_AFTER_MS, MIN_TIME_LEFT_TO_SEND_MS} from './constants.js';
 import type {ForwardContext} from './forward-context.js';
 import {listKeys} from './list-keys.js';
@@ -63,7 +63,7 @@
 	const {deps: {clock, queue, crashGate}, route, endsMs, signal, exchange} = context;
 	const wait = {
 		...getWaitLimits(route, endsMs - clock.now()),
-		getRefusal: () => checkStop({...context, hasStarted: exchange.hasStarted()}, 'send') ?? crashGate.getRefusal(listKeys(context)),
+		getRefusal: () => refuseBeforeStop({...context, hasStarted: exchange.hasStarted()}, 'send') ?? crashGate.getRefusal(listKeys(context)),
 	};
 	const acquired = await queue.acquire(getRequirements(context), getPriority(context), wait, signal);
 	return acquired.isOk ? acquired.value : acquired.error;
--- /dev/null
+++ b/packages/callers/src/forward/stop-refusal.ts
@@ -0,0 +1,14 @@
+import type {DurationBasis} from './decide-at-stop.js';
+
+/** Step of a request at which a planned stop is checked. */
+export type StopCheckpoint = 'arrival' | 'body' | 'send' | 'switch';
+
+/** Why a request was refused or not sent again during a planned stop, for logs. */
+export type StopRefusal = {
+	readonly checkpoint: StopCheckpoint;
+	readonly stopLeftMs: number;
+	readonly expectedMs: number;
+	readonly basis: DurationBasis;
+	/** Number of observed durations of the route. */
+	readonly observedCount: number;
+};
--- a/packages/callers/src/forward/switch-watch.ts
+++ b/packages/callers/src/forward/switch-watch.ts
@@ -1,4 +1,4 @@
-import {checkStop} from './check-stop.js';
+import {refuseBeforeStop} from './refuse-before-stop.js';
 import {MAX_WAKE_DELAY_MS, SWITCH_RETRY_INTERVAL_MS} from './constants.js';
 import type {ForwardContext} from './forward-context.js';
 import {
@@ -99,7 +99,7 @@
 	private async trySwitch(): Promise<void> {
 		const {deps, service, progress, route, endsMs} = this.context;
 		const retries = deps.getRetries(service);
-		const isAllowed = !checkStop({...this.context, hasStarted: true}, 'switch') && maySwitch({
+		const isAllowed = !refuseBeforeStop({...this.context, hasStarted: true}, 'switch') && maySwitch({
 			attempts: progress.attempts, maxAttempts: route.maxAttempts, hasRetry: retries.hasRetry(), timeLeftMs: endsMs - deps.clock.now(), lastEventId: progress.eventOrder?.canContinue() ? progress.lastEventId : undefined,
 		});
 		const slot = isAllowed ? takeFreeSlot(this.context) : undefined;
--- a/packages/callers/tests/forward/support/forward-fakes.ts
+++ b/packages/callers/tests/forward/support/forward-fakes.ts
@@ -1,10 +1,10 @@
 import {Buffer} from 'node:buffer';
 import {
-	type ManualClock, type SendFailure, type Verdict,
+	type ManualClock, type OutgoingMessage, type SendFailure, type TargetAnswer, type Verdict,
 } from '@egretrill/common';
 import {Result} from 'true-myth';
 import {
-	type AnswerMetadata, type AnswerHead, type AttemptEvent, CallerExchange, type ForwardCall, ForwardDialect, type ForwardEndEvent, ForwardObserver, ForwardSender, type OutgoingMessage, type SlotResult, type SlotRequirements, SlotSource, RatePoolClient, RateAllocations, type RequestHead, type SendDetails, type TargetAnswer, TargetProbe,
+	type AnswerMetadata, type AnswerHead, type AttemptEvent, CallerExchange, type ForwardCall, ForwardDialect, type ForwardEndEvent, ForwardObserver, ForwardSender, type SlotResult, type SlotRequirements, SlotSource, RatePoolClient, RateAllocations, type RequestHead, type SendDetails, TargetProbe,
 } from '../../../src/forward/index.js';
 
 /** How a fake target answers one request. */
--- a/packages/engines/src/client/forward-client.ts
+++ b/packages/engines/src/client/forward-client.ts
@@ -3,7 +3,7 @@
 } from 'node:http';
 import type {Socket} from 'node:net';
 import {
-	type BodyFraming, hasOtherCoding, type HostAndPort, parseSocketAddress, type SendFailure,
+	type BodyFraming, hasOtherCoding, type HostAndPort, type OutgoingMessage, parseSocketAddress, type SendFailure, type TargetAnswer,
 } from '@egretrill/common';
 import {Result} from 'true-myth';
 import {AnswerProgress, ConnectionMonitor} from './connection-monitor.js';
@@ -17,17 +17,6 @@
 /** Longest body that is read and discarded to reuse its connection. Refusals are short, and a target could send an endless body while the request is already retried elsewhere. */
 export const MAX_DISCARD_BYTES = 65_536;
 
-export type ForwardRequest = {
-	readonly address: string;
-	readonly method: string;
-	readonly url: string;
-	/** Alternating header names and values, written unchanged. */
-	readonly headers: string[];
-	readonly body: Uint8Array;
-	/** Whether the request may use a keep-alive connection, which the target may have closed already. */
-	readonly mayReuse: boolean;
-};
-
 const STATUS_SWITCHING_PROTOCOLS = 101;
 const STATUS_NO_CONTENT = 204;
 const STATUS_NOT_MODIFIED = 304;
@@ -68,31 +57,13 @@
 	return socket.remoteAddress === undefined;
 }
 
-/** An answer whose body has not been read yet. */
-export type ForwardAnswer = {
-	readonly status: number;
-	/** Alternating header names and values, as received. */
-	readonly rawHeaders: readonly string[];
-	readonly body: AsyncIterable<Uint8Array>;
-	/** How the end of the body is detected. */
-	readonly framing: BodyFraming;
-	/** Whether the connection has carried an earlier request, whose answer this may be. */
-	readonly isConnectionReused: boolean;
-	/** Whether the complete body was received; valid once it has been read. */
-	readonly isComplete: () => boolean;
-	/** Discards the body so that the connection can be reused; closes the connection if the body is long. */
-	readonly discard: () => void;
-	/** Closes the connection. */
-	readonly destroy: () => void;
-};
-
 /** Sends requests to targets unchanged and returns the head of the answer. Never retries. */
 export class ForwardClient {
 	private readonly agent = new Agent({keepAlive: true, maxFreeSockets: MAX_IDLE_CONNECTIONS, scheduling: 'lifo'});
 	private readonly monitors = new WeakMap<Socket, ConnectionMonitor>();
 
 	/** Resolves with the answer, whose body has not been read yet, or with a failure that says whether the target may have received the request. Never rejects. */
-	async send(forwardReq: ForwardRequest, signal: AbortSignal): Promise<Result<ForwardAnswer, SendFailure>> {
+	async send(forwardReq: OutgoingMessage, signal: AbortSignal): Promise<Result<TargetAnswer, SendFailure>> {
 		const address = parseSocketAddress(forwardReq.address);
 		if (!address) {
 			return Result.err({accepted: false, code: 'ERR_ADDRESS', reason: 'The address of the target cannot be used.'});
@@ -107,7 +78,7 @@
 	}
 
 	/** Creates a request, of which nothing is written yet. Node throws if its method, path or a header is invalid. */
-	private createRequest({method, url, headers, mayReuse}: ForwardRequest, address: HostAndPort, signal: AbortSignal): Result<ClientRequest, SendFailure> {
+	private createRequest({method, url, headers, mayReuse}: OutgoingMessage, address: HostAndPort, signal: AbortSignal): Result<ClientRequest, SendFailure> {
 		try {
 			return Result.ok(request({
 				...address, method, path: url, headers, agent: mayReuse ? this.agent : false, signal,
@@ -119,7 +90,7 @@
 	}
 
 	/** Writes a request and resolves with the head of its answer. */
-	private async exchange(req: ClientRequest, {method, body}: ForwardRequest): Promise<Result<ForwardAnswer, SendFailure>> {
+	private async exchange(req: ClientRequest, {method, body}: OutgoingMessage): Promise<Result<TargetAnswer, SendFailure>> {
 		return new Promise(resolve => {
 			let isConnected = false;
 			const fail = (code: string, reason: string): void => {
@@ -202,7 +173,7 @@
 }
 
 /** Creates the answer for a received head, or returns why it cannot be read. */
-function createAnswer(res: IncomingMessage, method: string, progress: AnswerProgress): Result<ForwardAnswer, string> {
+function createAnswer(res: IncomingMessage, method: string, progress: AnswerProgress): Result<TargetAnswer, string> {
 	// The consumer of the body receives later errors; without a listener they would terminate the process.
 	res.on('error', () => undefined);
 	const framing = readFraming(res, method);
--- a/packages/engines/tests/client/forward-client.test.ts
+++ b/packages/engines/tests/client/forward-client.test.ts
@@ -4,7 +4,8 @@
 	createServer, type Server, type Socket, type AddressInfo,
 } from 'node:net';
 import {expect} from 'chai';
-import {ForwardClient, type ForwardRequest} from '../../src/client/index.js';
+import type {OutgoingMessage} from '@egretrill/common';
+import {ForwardClient} from '../../src/client/index.js';
 
 describe('ForwardClient', () => {
 	let server: Server;
@@ -31,7 +32,7 @@
 		server.close();
 	});
 
-	function createMessage(mayReuse: boolean): ForwardRequest {
+	function createMessage(mayReuse: boolean): OutgoingMessage {
 		return {
 			address: `127.0.0.1:${(server.address() as AddressInfo).port}`, method: 'GET', url: '/', headers: ['Host', 'a'], body: new Uint8Array(), mayReuse,
 		};
@@ -212,7 +213,7 @@
 
 	// Guards against an entry of a target with an unusable address or name that closes its caller's connection, and against a refusal that says "may have run" although nothing was written.
 	it('resolves with a failure before the target was reached whatever is wrong with the request', async () => {
-		const faults: Readonly<Record<string, Partial<ForwardRequest>>> = {
+		const faults: Readonly<Record<string, Partial<OutgoingMessage>>> = {
 			'port out of range': {address: '127.0.0.1:99999'},
 			'port 0': {address: '127.0.0.1:0'},
 			'no port': {address: '127.0.0.1'},
