engines: count a target that has left as leaving for the requests that are still there

Callers could see: requests refused because targets that had deregistered, and then ended as planned, counted as crashes under their prompt parts; seen by reading. Cause: some targets deregister without announcing that they leave, serve on and end; a slot told only of the announcement. Change: a slot says that its target leaves also when it has left the registry; one that has started again has not. Test: target-table.test.ts.

--- a/packages/callers/src/forward/slot-queue.ts
+++ b/packages/callers/src/forward/slot-queue.ts
@@ -28,7 +28,7 @@
 	readonly startedAtMs: number;
 	/** Whether the target was still slow after its start when it was chosen. */
 	readonly wasCold: boolean;
-	/** Whether the target has announced that it leaves. */
+	/** Whether the target has announced that it leaves, or has left, since it was chosen. */
 	readonly isLeaving: () => boolean;
 	/** Known requests of all hosts outstanding at the target when it was chosen. */
 	readonly outstanding: number;
--- a/packages/engines/src/registry/target-table.ts
+++ b/packages/engines/src/registry/target-table.ts
@@ -48,6 +48,7 @@
 	readonly registration: Registration;
 	readonly outstanding: number;
 	readonly wasCold: boolean;
+	/** Whether the target has announced that it leaves, or has left the registry, since the slot was acquired. */
 	readonly isLeaving: () => boolean;
 	readonly updateOutstanding: (count: number) => void;
 	/** Ranks the target last for a while, since it is silent in the middle of its answer. */
@@ -226,7 +227,7 @@
 			registration: target.registration,
 			outstanding,
 			wasCold: this.opts.clock.now() < target.coldUntilMs,
-			isLeaving: () => target.registration.isLeaving,
+			isLeaving: () => target.registration.isLeaving || !this.targets.has(targetId),
 			updateOutstanding(count) {
 				target.otherHostsRequests = Math.max(0, count - target.ownRequests);
 			},
--- a/packages/engines/tests/registry/target-table.test.ts
+++ b/packages/engines/tests/registry/target-table.test.ts
@@ -220,4 +220,17 @@
 			JSON.parse = parse;
 		}
 	});
+
+	// Guards against the planned end of a target that counts against the requests that were still waiting there.
+	it('tells of a slot whether its target leaves', () => {
+		const {table} = createTable([register('announced'), register('deregistered'), register('restarted'), register('running')]);
+		const slots = ['announced', 'deregistered', 'restarted', 'running'].map(targetId => table.acquireSlot(targetId, requirements));
+		const changes: ReadonlyArray<readonly [registration: Registration, hasEnded: boolean]> = [
+			[register('announced', {isLeaving: true}), false], [register('deregistered'), true], [register('restarted', {startedAtMs: 2}), false],
+		];
+		table.update({
+			origin: 'r', revision: 2, isWhole: false, targets: changes.map(([registration, hasEnded]) => ({registration, ageMs: 0, hasEnded})),
+		});
+		expect(slots.map(slot => slot?.isLeaving())).to.deep.equal([true, true, false, false]);
+	});
 });
