callers: hold one request at most for a probe that is due

Callers could see: requests with a blocked key held for 1.5 s each before their refusal, while a probe is due and no leader grants it; seen by reading. Change: one request a host and key waits for the grant, the others are refused at once. SentRequest gets a file of its own.

--- a/packages/callers/src/crashes/crash-gate.ts
+++ b/packages/callers/src/crashes/crash-gate.ts
@@ -2,9 +2,10 @@
 	type Clock, refuse, type Verdict,
 } from '@egretrill/common';
 import {
-	ANSWER_PROOF_MS, MAX_BLOCK_RETRY_MS, MAX_RECORDS_PER_MESSAGE, MAX_VERDICT_WAIT_MS, MIN_BLOCK_RETRY_MS, PROBE_GRANT_TTL_MS,
+	MAX_BLOCK_RETRY_MS, MAX_RECORDS_PER_MESSAGE, MAX_VERDICT_WAIT_MS, MIN_BLOCK_RETRY_MS, PROBE_GRANT_TTL_MS,
 } from './constants.js';
 import type {CrashTracker} from './crash-tracker.js';
+import {SentRequest} from './sent-request.js';
 import type {RankedKey} from './types.js';
 
 /** Whether a request may be sent now, has to wait for evidence, or is refused. */
@@ -19,44 +20,6 @@
 	}
 }
 
-/** A request that has been sent to a target and has no proven answer yet. */
-export class SentRequest {
-	private firstEventMs: number | undefined;
-	private isReleased = false;
-
-	constructor(private readonly clock: Clock, private readonly onProof: (atMs: number) => void, private readonly onRelease: () => void) {}
-
-	/** Whether the target has survived the request, or the request has ended without evidence. */
-	isSettled(): boolean {
-		return this.isReleased;
-	}
-
-	/** Records a part of the answer. */
-	recordEvent(): void {
-		const nowMs = this.clock.now();
-		this.firstEventMs ??= nowMs;
-		if (nowMs - this.firstEventMs >= ANSWER_PROOF_MS) {
-			this.complete();
-		}
-	}
-
-	/** Records that the target has survived the request. */
-	complete(): void {
-		if (!this.isReleased) {
-			this.onProof(this.firstEventMs ?? this.clock.now());
-			this.release();
-		}
-	}
-
-	/** Ends the request without a proven answer. */
-	release(): void {
-		if (!this.isReleased) {
-			this.isReleased = true;
-			this.onRelease();
-		}
-	}
-}
-
 /** Decides when this host may send requests whose keys are suspected to end their targets. */
 export class CrashGate {
 	/** Requests at targets without a proven answer, by key. */
@@ -85,6 +48,11 @@
 		}
 
 		const blocked = keys.filter(({key}) => this.tracker.getVerdict(key) === 'blocked');
+		if (blocked.some(({key}) => this.probeWaiters.has(key))) {
+			// One request is enough to be sent as a probe.
+			return this.refuseSuspected(keys);
+		}
+
 		this.addProbeWaiters(blocked, 1);
 		const verdict = await this.waitForVerdict(keys, maxWaitMs, signal);
 		this.addProbeWaiters(blocked, -1);
--- a/packages/callers/src/crashes/index.ts
+++ b/packages/callers/src/crashes/index.ts
@@ -6,4 +6,5 @@
 export * from './crash-exchange.js';
 export * from './key-evidence.js';
 export * from './request-keys.js';
+export * from './sent-request.js';
 export * from './types.js';
