--- a/apps/egretrilld/src/traffic/control-follower.ts
+++ b/apps/egretrilld/src/traffic/control-follower.ts
@@ -1,7 +1,7 @@
 import {randomUUID} from 'node:crypto';
 import {type RateDecision, RatePoolClient} from '@egretrill/callers';
 import {
-	type Clock, type Logger, type TrafficSource,
+	type Clock, jitter, type Logger, type Random, type TrafficSource,
 } from '@egretrill/common';
 import type {ControlPeers} from '@egretrill/hosts';
 import {BorrowBatcher} from './borrow-batcher.js';
@@ -33,6 +33,7 @@
 	readonly hostId: string;
 	readonly zone: string;
 	readonly clock: Clock;
+	readonly random: Random;
 	readonly logger: Logger;
 	readonly peers: Pick<ControlPeers, 'call' | 'getOthers' | 'setKnownHosts'>;
 	readonly sink: SyncSink;
@@ -65,13 +66,15 @@
 		return this.opts.clock.now() - this.lastResponseMs;
 	}
 
+	/** Polls until the signal aborts. The intervals vary, so that hosts whose polls ended together, after a standstill of the leader, do not stay in step. */
 	async run(signal: AbortSignal): Promise<void> {
+		const {clock, random} = this.opts;
 		while (!signal.aborted) {
 			const controlId = this.pickHost();
-			const sentMs = this.opts.clock.now();
+			const sentMs = clock.now();
 			const isAnswered = controlId !== undefined && await this.poll(controlId);
 			const intervalMs = isAnswered ? getSyncIntervalMs(this.hostCount) : SYNC_RETRY_MS;
-			await this.opts.clock.sleep(Math.max(MIN_SYNC_INTERVAL_MS, sentMs + intervalMs - this.opts.clock.now()), signal);
+			await clock.sleep(Math.max(MIN_SYNC_INTERVAL_MS, sentMs + jitter(intervalMs, random) - clock.now()), signal);
 		}
 	}
 
--- a/apps/egretrilld/src/traffic/entry-host.ts
+++ b/apps/egretrilld/src/traffic/entry-host.ts
@@ -76,7 +76,7 @@
 			getBatchSlots: service => this.routeTable?.services.get(service)?.engine?.batchSlots,
 		});
 		this.follower = new ControlFollower({
-			hostId: settings.host, zone: settings.zone, clock, logger, peers, sink: this,
+			hostId: settings.host, zone: settings.zone, clock, random: opts.random, logger, peers, sink: this,
 		});
 		this.queue = new SlotQueue(clock, new TargetSlotSource({
 			clock,
--- a/apps/egretrilld/tests/traffic/control-follower.test.ts
+++ b/apps/egretrilld/tests/traffic/control-follower.test.ts
@@ -1,4 +1,7 @@
-import {createLogger, ManualClock, type TrafficSource} from '@egretrill/common';
+import {setMaxListeners} from 'node:events';
+import {
+	createLogger, createRandom, ManualClock, type TrafficSource,
+} from '@egretrill/common';
 import type {ControlHost, Method, PeerCallError} from '@egretrill/hosts';
 import {expect} from 'chai';
 import {Result} from 'true-myth';
@@ -67,7 +70,7 @@
 /** Lets an entry host poll the control hosts for some time, then stops it; returns the hosts that it polled. */
 async function poll(peers: FakeControlHosts, clock: ManualClock, {sink, forMs}: {readonly sink: SyncSink; readonly forMs: number}): Promise<readonly string[]> {
 	const follower = new ControlFollower({
-		hostId: 'e1', zone: 'a', clock, logger: createLogger('test', 'fatal'), peers, sink,
+		hostId: 'e1', zone: 'a', clock, random: () => 0.5, logger: createLogger('test', 'fatal'), peers, sink,
 	});
 	const stopper = new AbortController();
 	const task = follower.run(stopper.signal);
@@ -132,6 +135,47 @@
 	});
 });
 
+/** A leader that answers after 20 ms, except during a standstill. */
+class StandingLeader extends FakeControlHosts {
+	readonly polledMs: number[] = [];
+
+	constructor(private readonly time: ManualClock, private readonly hostCount: number, private readonly standstill: {readonly fromMs: number; readonly untilMs: number}) {
+		super({lead: {leaderId: 'lead', plan: {...plan, rates: {...plan.rates, hostCount}}}}, time);
+	}
+
+	override async call<Req, Res>(hostId: string, method: Method<Req, Res>, req: Req): Promise<Result<Res, PeerCallError>> {
+		const nowMs = this.time.now();
+		this.polledMs.push(nowMs);
+		if (nowMs >= this.standstill.fromMs) {
+			await this.time.sleep(this.standstill.untilMs - nowMs);
+		}
+
+		return super.call(hostId, method, req);
+	}
+}
+
+describe('ControlFollowers of one leader', () => {
+	// Guards against a leader that gets the polls of all hosts within milliseconds, for good, after it stood still once.
+	it('do not stay in step after a standstill', async () => {
+		const clock = new ManualClock();
+		const random = createRandom(5);
+		const hostCount = 80;
+		const leader = new StandingLeader(clock, hostCount, {fromMs: 2000, untilMs: 2600});
+		const stopper = new AbortController();
+		setMaxListeners(0, stopper.signal);
+		const tasks = Array.from({length: hostCount}, async (_, i) => new ControlFollower({
+			hostId: `e${i}`, zone: 'a', clock, random, logger: createLogger('test', 'fatal'), peers: leader, sink: new CountingSink(),
+		}).run(stopper.signal));
+		await clock.run(12_000);
+		stopper.abort();
+		await clock.run(500);
+		await Promise.all(tasks);
+		const lastMs = leader.polledMs.filter(atMs => atMs >= 11_000);
+		const mostWithin10Ms = Math.max(...lastMs.map(fromMs => lastMs.filter(atMs => atMs >= fromMs && atMs < fromMs + 10).length));
+		expect(mostWithin10Ms).to.be.below(hostCount / 4);
+	});
+});
+
 describe('getReportedLeaderId', () => {
 	const observation = {
 		hostId: 'me', isMember: true, isLeading: false, logLeaderId: undefined, hintedLeaderId: undefined,
