engines: forget reported requests of other hosts after three seconds

Cause: the counts had no age. Change: they count for 3 s after the last report of the leader or of the target itself.

--- a/packages/engines/src/registry/constants.ts
+++ b/packages/engines/src/registry/constants.ts
@@ -22,6 +22,9 @@
 /** A registration shows the effect of an adapter order only after this time; until then the order's answer overrides the registered models. */
 export const MODELS_OVERRIDE_MS = 1500;
 
+/** Lifetime of the reported requests of other hosts; hosts that reach the leader hear of them several times in it. */
+export const OTHER_COUNTS_TTL_MS = 3000;
+
 /** Time for which a target ranks last after it failed a request through its own fault. */
 export const SUSPECT_MS = 1500;
 
--- a/packages/engines/src/registry/target-table.ts
+++ b/packages/engines/src/registry/target-table.ts
@@ -1,7 +1,7 @@
 import {type Clock, type Registration, Signal} from '@egretrill/common';
 import {type TargetCandidate, chooseTarget, type TargetChoice} from './choose-target.js';
 import {
-	SUSPECT_ZONE_MIN_TARGETS, SUCCESS_DECAY_RATIO, FAILURE_DECAY_MS, MAX_SUSPECT_MS, QUEUED_PER_SLOT, REGISTRATION_TTL_MS, SUSPECT_MS,
+	OTHER_COUNTS_TTL_MS, SUSPECT_ZONE_MIN_TARGETS, SUCCESS_DECAY_RATIO, FAILURE_DECAY_MS, MAX_SUSPECT_MS, QUEUED_PER_SLOT, REGISTRATION_TTL_MS, SUSPECT_MS,
 } from './constants.js';
 import {CachedPrompts} from './cached-prompts.js';
 import type {RegistryUpdate} from './types.js';
@@ -15,8 +15,9 @@
 	ownRequests: number;
 	/** Outstanding requests of this host that use an adapter, by model and adapter. */
 	readonly adapterUses: Map<string, {readonly model: string; readonly adapter: string; readonly count: number}>;
-	/** Outstanding requests of the other hosts, as last reported by the leader or the target. */
+	/** Outstanding requests of the other hosts, as last reported by the leader or the target, and the time of that report. */
 	otherHostsRequests: number;
+	othersReportedMs: number;
 	suspectedUntilMs: number;
 	/** Recent failures, decayed over time. */
 	failures: number;
@@ -157,7 +158,7 @@
 	setOtherHostsRequests(counts: ReadonlyArray<readonly [targetId: string, count: number]>): void {
 		const byId = new Map(counts);
 		for (const [id, target] of this.targets) {
-			target.otherHostsRequests = byId.get(id) ?? 0;
+			this.setOthers(target, byId.get(id) ?? 0);
 		}
 
 		this.changed.notify();
@@ -214,7 +215,7 @@
 			return undefined;
 		}
 
-		const outstanding = target.ownRequests + target.otherHostsRequests;
+		const outstanding = this.getOutstanding(target);
 		target.ownRequests += 1;
 		changeAdapterUse(target, model, adapter, 1);
 		this.recordColdSend(target);
@@ -228,8 +229,8 @@
 			outstanding,
 			wasCold: this.opts.clock.now() < target.coldUntilMs,
 			isLeaving: () => target.registration.isLeaving || !this.targets.has(targetId),
-			updateOutstanding(count) {
-				target.otherHostsRequests = Math.max(0, count - target.ownRequests);
+			updateOutstanding: count => {
+				this.setOthers(target, Math.max(0, count - target.ownRequests));
 			},
 			reportSilence: () => {
 				target.suspectedUntilMs = Math.max(target.suspectedUntilMs, this.opts.clock.now() + SUSPECT_MS);
@@ -271,6 +272,16 @@
 		}
 	}
 
+	private setOthers(target: Target, count: number): void {
+		target.otherHostsRequests = count;
+		target.othersReportedMs = this.opts.clock.now();
+	}
+
+	/** Requests of all hosts at a target. A host that is cut off from the leader must not take old counts of the others for running requests. */
+	private getOutstanding({ownRequests, otherHostsRequests, othersReportedMs}: Target): number {
+		return ownRequests + (this.opts.clock.now() - othersReportedMs > OTHER_COUNTS_TTL_MS ? 0 : otherHostsRequests);
+	}
+
 	private getFailures({failures, failuresUpdatedMs}: Target): number {
 		return failures * Math.exp((failuresUpdatedMs - this.opts.clock.now()) / FAILURE_DECAY_MS);
 	}
@@ -305,7 +316,7 @@
 	}
 
 	private toCandidate(target: Target, {service, model, adapter, parts}: TargetRequirements, adapters: readonly string[] | undefined): TargetCandidate {
-		const {registration: {targetId, zone, slots}, ownRequests, otherHostsRequests} = target;
+		const {registration: {targetId, zone, slots}} = target;
 		const batchSlots = this.opts.getBatchSlots(service);
 		const hasAdapter = adapter === undefined || (adapters?.includes(adapter) ?? false);
 		return {
@@ -314,7 +325,7 @@
 			isSuspected: target.suspectedUntilMs > this.opts.clock.now() || this.isZoneSuspected(zone),
 			failures: this.getFailures(target),
 			hasAdapter,
-			outstanding: ownRequests + otherHostsRequests,
+			outstanding: this.getOutstanding(target),
 			slots: batchSlots ?? Math.ceil(slots * (1 + QUEUED_PER_SLOT)),
 			isCold: this.opts.clock.now() < target.coldUntilMs,
 			hasColdCapacity: this.hasColdCapacity(target),
@@ -345,7 +356,7 @@
 
 		this.cachedPrompts.removeTarget(registration.targetId);
 		this.targets.set(registration.targetId, {
-			registration, coldUntilMs, ownRequests: 0, adapterUses: new Map(), otherHostsRequests: 0, suspectedUntilMs: 0, failures: 0, failuresUpdatedMs: 0, unreachableCount: 0, coldSends: [],
+			registration, coldUntilMs, ownRequests: 0, adapterUses: new Map(), otherHostsRequests: 0, othersReportedMs: 0, suspectedUntilMs: 0, failures: 0, failuresUpdatedMs: 0, unreachableCount: 0, coldSends: [],
 		});
 	}
 
--- a/packages/engines/tests/registry/target-table.test.ts
+++ b/packages/engines/tests/registry/target-table.test.ts
@@ -233,4 +233,16 @@
 		});
 		expect(slots.map(slot => slot?.isLeaving())).to.deep.equal([true, true, false, false]);
 	});
+
+	// Guards against a target that stays full for a host that is cut off from the leader, by counts of other hosts whose requests have ended.
+	it('forgets the requests of other hosts that nobody reports any more', () => {
+		const {table, clock} = createTable([register('t')]);
+		table.setOtherHostsRequests([['t', 100]]);
+		const states = [table.choose(requirements).kind];
+		clock.advance(2000);
+		states.push(table.choose(requirements).kind);
+		clock.advance(60_000);
+		states.push(table.choose(requirements).kind);
+		expect(states).to.deep.equal(['full', 'full', 'target']);
+	});
 });
