callers: hold no shortage of this host against a target

Change: such a failure frees the slot as unsent and says nothing of the target; the request goes on to the next one, without using the retry budget. Evidence: forward-request.test.ts; the slot ended as 'unreachable' before and as 'unsent' after.

--- a/packages/callers/src/forward/forward-request.ts
+++ b/packages/callers/src/forward/forward-request.ts
@@ -285,7 +285,7 @@
 		}
 
 		// The budget limits the load that retries put on targets; an attempt that reached no target does not count against it.
-		const isUnsent = outcome.kind === 'not-run' && outcome.slotOutcome === 'unreachable';
+		const isUnsent = outcome.kind === 'not-run' && ['unreachable', 'unsent'].includes(outcome.slotOutcome);
 		if (context.signal.aborted || !mayRetry(context, outcome.kind) || !(isUnsent || retries.tryConsumeRetry())) {
 			return getUnansweredOutcome(context, refuse(503, 'target-failed', outcome.reason, MIN_RETRY_AFTER_MS));
 		}
--- a/packages/callers/src/forward/open-attempt.ts
+++ b/packages/callers/src/forward/open-attempt.ts
@@ -10,6 +10,9 @@
 
 const STATUS_SERVER_ERROR = 500;
 
+/** Errors of a connection attempt for which this host lacks file descriptors, ports or memory; they say nothing of the target. */
+const ownShortageCodes: ReadonlySet<string> = new Set(['EMFILE', 'ENFILE', 'EADDRNOTAVAIL', 'ENOBUFS']);
+
 /** An attempt whose target has answered with a valid head. */
 export type OpenAttempt = AttemptSlot & {
 	readonly kind: 'open';
@@ -120,6 +123,19 @@
 	return code !== 'ERR_ANSWER' && code !== 'ERR_SENDER';
 }
 
+/** What a failed send says of the request and of its target. */
+function toAttemptFailure(failure: SendFailure, signal: AbortSignal): AttemptFailure {
+	if (failure.accepted) {
+		return {
+			kind: 'broken', reason: describeFailure('The target broke off', failure, signal), slotOutcome: 'broke-off', ...(isConnectionLost(failure) && {lostConnection: true}),
+		};
+	}
+
+	return ownShortageCodes.has(failure.code)
+		? {kind: 'not-run', reason: describeFailure('This host cannot open a connection', failure, signal), slotOutcome: 'unsent'}
+		: {kind: 'not-run', reason: describeFailure('The target cannot be reached', failure, signal), slotOutcome: 'unreachable'};
+}
+
 async function sendRequest(context: ForwardContext, slot: TargetSlot, signal: AbortSignal): Promise<AnsweredHead | AttemptFailure> {
 	const {deps, call, body, route, progress, exchange} = context;
 	const sent = await deps.sender.send({
@@ -127,11 +143,7 @@
 	}, signal);
 	if (sent.isErr) {
 		progress.attempts += sent.error.accepted ? 1 : 0;
-		return sent.error.accepted
-			? {
-				kind: 'broken', reason: describeFailure('The target broke off', sent.error, signal), slotOutcome: 'broke-off', ...(isConnectionLost(sent.error) && {lostConnection: true}),
-			}
-			: {kind: 'not-run', reason: describeFailure('The target cannot be reached', sent.error, signal), slotOutcome: 'unreachable'};
+		return toAttemptFailure(sent.error, signal);
 	}
 
 	progress.attempts += 1;
--- a/packages/callers/tests/forward/forward-request.test.ts
+++ b/packages/callers/tests/forward/forward-request.test.ts
@@ -33,6 +33,12 @@
 		expect(await runRequest({targets: ['t1', 't2', 't3', 't4', 't5'], answers: [...unreached, {chunks: ['ok']}]})).toMatchSnapshot();
 	});
 
+	// Guards against sound targets that rank last because this host ran out of file descriptors or ports.
+	it('holds no shortage of its own against a target', async () => {
+		const failure = {accepted: false, code: 'EMFILE', reason: 'too many open files'};
+		expect(await runRequest({answers: [{failure}, {chunks: ['ok']}]})).toMatchSnapshot();
+	});
+
 	// Guards against simultaneous retries of callers over a rate; the retry times themselves are tested with RetrySchedule.
 	it('gives a caller over its rate a retry time', async () => {
 		expect(await runRequest({route: {isOpen: false}, headers: ['key', 'k'], ratePerSecond: 0.1})).toMatchSnapshot();
