hosts: bound the evidence that is passed on with a configuration

Other hosts could see: a message of tens of thousands of records accepted from a damaged or foreign host. Cause: since the evidence in a follow answer is a list without a bound, as its form is not known to the package. Change: at most 64 records; the fixture has a gate.

--- a/apps/egretrilld/tests/support/target-exchange.ts
+++ b/apps/egretrilld/tests/support/target-exchange.ts
@@ -1,5 +1,5 @@
 import {
-	CallerReply, ChosenTarget, type RequestObserver, RetryBudget, type runOnTargets, TargetPool, type TargetRequirements,
+	CallerReply, ChosenTarget, CrashGate, CrashTracker, type RequestObserver, RetryBudget, type runOnTargets, TargetPool, type TargetRequirements,
 } from '@egretrill/callers';
 import {
 	MonotonicClock, refuse, type TargetAddress, type Verdict,
@@ -122,11 +122,12 @@
 			},
 		reply,
 		identity: {},
+		keys: [],
 		admission: {refresh: async () => Result.ok(true), start: () => true},
 		signal: new AbortController().signal,
 		deadlineMs: clock.now() + timeoutMs,
 		deps: {
-			clock, targets, observer, engines, services, retries: new RetryBudget(clock), config: {getIndex: () => ({}), getAgeMs: () => 0}, logger: {info: () => undefined},
+			clock, targets, observer, engines, services, crashGate: new CrashGate(clock, new CrashTracker(clock, 'test')), retries: new RetryBudget(clock), config: {getIndex: () => ({}), getAgeMs: () => 0}, logger: {info: () => undefined},
 		},
 	} as unknown as Exchange;
 }
--- a/packages/hosts/src/constants.ts
+++ b/packages/hosts/src/constants.ts
@@ -93,3 +93,6 @@
  * changes caused by time alone, such as an expired lease, are detected after this interval.
  */
 export const LEADER_STATE_CHECK_MS = 250;
+
+/** Records of evidence on what ends targets that are passed on with a configuration. */
+export const MAX_PASSED_CRASHES = 64;
--- a/packages/hosts/src/follow/types.ts
+++ b/packages/hosts/src/follow/types.ts
@@ -1,4 +1,5 @@
 import {z} from 'zod';
+import {MAX_PASSED_CRASHES} from '../constants.js';
 import {ConfigUpdate} from '../types.js';
 
 /** A poll with which a host receives configuration changes and the confirmation that its version is the latest. */
@@ -23,6 +24,6 @@
 	via: z.array(z.string()).optional(),
 	update: ConfigUpdate.optional(),
 	/** Evidence on what ends targets, which the hosts pass on; only its users know its form. */
-	crashes: z.array(z.unknown()).optional(),
+	crashes: z.array(z.unknown()).max(MAX_PASSED_CRASHES).optional(),
 });
 export type FollowResponse = z.infer<typeof FollowResponse>;
