callers, traffic: spread evidence on ends of targets without waiting for the next poll

Change: a host reports new evidence by a call of its own, at most once per poll interval, and the leader wakes the polls that it holds. A report names its revision and the answer acknowledges it, so that reports may overlap. A key under which no answer has gone on yet is sent one at a time from its first end on.

--- a/apps/egretrilld/src/callers/daemon-observer.ts
+++ b/apps/egretrilld/src/callers/daemon-observer.ts
@@ -1,11 +1,10 @@
 import {
-	type RankedKey, type RequestEndEvent, RequestObserver, type RequestTimes, type SendEvent, type Work,
+	type CrashReporter, type RankedKey, type RequestEndEvent, RequestObserver, type RequestTimes, type SendEvent, type Work,
 } from '@egretrill/callers';
 import type {Clock} from '@egretrill/common';
 import type {DemandEstimator} from '@egretrill/engines';
 import type {Counter, Metrics} from '@egretrill/balancer';
 import type {PromiseAudit} from '../monitor/promise-audit.js';
-import type {CrashReporter} from './crash-reporter.js';
 
 export type DaemonObserverOptions = {
 	readonly clock: Clock;
--- a/apps/egretrilld/src/constants.ts
+++ b/apps/egretrilld/src/constants.ts
@@ -49,5 +49,5 @@
 /** Ends of targets under one unchanged request from which on it is refused; the leader knows of each end before the request is sent again. */
 export const CHAT_REQUEST_ENDS_TO_BLOCK = 2;
 
-/** How often requests that wait to be sent as probes ask the leader. */
+/** Shortest time between two reports of evidence to the leader. */
 export const CRASH_REPORT_INTERVAL_MS = 250;
--- a/apps/egretrilld/src/container.ts
+++ b/apps/egretrilld/src/container.ts
@@ -1,7 +1,7 @@
 import {randomInt, randomUUID} from 'node:crypto';
 import 'reflect-metadata';
 import {
-	CrashGate, CrashRecord, CrashTracker, QueueSet, RetryBudget, ShareHolder,
+	CrashExchange, CrashGate, CrashRecord, CrashReporter, CrashTracker, QueueSet, RetryBudget, ShareHolder,
 } from '@egretrill/callers';
 import {
 	createLogger, createRandom, getComponentLogger, type Logger, MonotonicClock, partitionValid, type Settings,
@@ -17,7 +17,7 @@
 import {Drain, Metrics} from '@egretrill/balancer';
 import {ReplicatedLedger, ServiceClient} from '@egretrill/services';
 import {Container, type ResolutionContext} from 'inversify';
-import {CrashReporter} from './callers/crash-reporter.js';
+import {DaemonCrashTransport} from './callers/crash-transport.js';
 import {DaemonObserver} from './callers/daemon-observer.js';
 import {FleetCallLog} from './callers/fleet-call-log.js';
 import {LiveConfig} from './callers/live-config.js';
@@ -27,7 +27,7 @@
 import {EvidenceHolder} from './monitor/evidence-holder.js';
 import {PromiseAudit} from './monitor/promise-audit.js';
 import {DaemonControl} from './operators/daemon-control.js';
-import {CHAT_REQUEST_ENDS_TO_BLOCK} from './constants.js';
+import {CHAT_REQUEST_ENDS_TO_BLOCK, CRASH_REPORT_INTERVAL_MS} from './constants.js';
 import {AdapterLoader} from './targets/adapter-loader.js';
 import {DirectoryPool} from './targets/directory-pool.js';
 import {DirectorySync} from './targets/directory-sync.js';
@@ -206,15 +206,19 @@
 	container.bind(tokens.crashes).toDynamicValue(ctx => new CrashTracker(ctx.get(tokens.clock), randomUUID(), CHAT_REQUEST_ENDS_TO_BLOCK)).inSingletonScope();
 	container.bind(tokens.crashGate).toDynamicValue(ctx => new CrashGate(ctx.get(tokens.clock), ctx.get(tokens.crashes))).inSingletonScope();
 	container.bind(tokens.crashReporter).toDynamicValue(ctx => new CrashReporter({
-		hostId: settings.host,
 		clock: ctx.get(tokens.clock),
 		crashes: ctx.get(tokens.crashes),
-		gate: ctx.get(tokens.crashGate),
-		peers: ctx.get(tokens.peers),
-		getLeaderId: () => ctx.get(tokens.versionedConfig).getLeaderId(),
-		notifyFollowers() {
-			ctx.get(tokens.versionedConfig).changed.notify();
-		},
+		exchange: new CrashExchange(ctx.get(tokens.crashes), ctx.get(tokens.crashGate)),
+		transport: new DaemonCrashTransport({
+			hostId: settings.host,
+			crashes: ctx.get(tokens.crashes),
+			peers: ctx.get(tokens.peers),
+			getLeaderId: () => ctx.get(tokens.versionedConfig).getLeaderId(),
+			notifyFollowers() {
+				ctx.get(tokens.versionedConfig).changed.notify();
+			},
+		}),
+		getIntervalMs: () => CRASH_REPORT_INTERVAL_MS,
 	})).inSingletonScope();
 	container.bind(tokens.queues).toDynamicValue(ctx => new QueueSet({clock: ctx.get(tokens.clock), getFreeSlots: model => ctx.get(tokens.pool).getFreeSlots(model)})).inSingletonScope();
 	container.bind(tokens.shares).toDynamicValue(ctx => new ShareHolder({
--- a/apps/egretrilld/src/tokens.ts
+++ b/apps/egretrilld/src/tokens.ts
@@ -1,5 +1,5 @@
 import type {
-	ConfigSource, CrashGate, CrashTracker, QueueSet, RequestDependencies, ShareHolder,
+	ConfigSource, CrashGate, CrashReporter, CrashTracker, QueueSet, RequestDependencies, ShareHolder,
 } from '@egretrill/callers';
 import type {
 	Clock, Logger, Random, Settings,
@@ -14,7 +14,6 @@
 import type {FleetControl} from '@egretrill/operators';
 import type {Drain, Metrics} from '@egretrill/balancer';
 import type {ServiceIdentifier} from 'inversify';
-import type {CrashReporter} from './callers/crash-reporter.js';
 import type {LeaderDuties} from './hosts/leader-duties.js';
 import type {EvidenceHolder} from './monitor/evidence-holder.js';
 import type {DaemonView} from './monitor/daemon-view.js';
--- a/apps/egretrilld/src/traffic/control-follower.ts
+++ b/apps/egretrilld/src/traffic/control-follower.ts
@@ -1,5 +1,7 @@
 import {randomUUID} from 'node:crypto';
-import {type RateDecision, RatePoolClient} from '@egretrill/callers';
+import {
+	type CrashAnswer, type CrashReport, type RateDecision, RatePoolClient,
+} from '@egretrill/callers';
 import {
 	type Clock, jitter, type Logger, type Random, type TrafficSource,
 } from '@egretrill/common';
@@ -9,7 +11,7 @@
 	BORROW_TIMEOUT_MS, CONTROL_SUSPICION_MS, MIN_SYNC_INTERVAL_MS, SYNC_RESPONSE_TIMEOUT_MS, SYNC_RETRY_MS, SYNC_WAIT_MS,
 } from './constants.js';
 import {
-	borrowMethod, type EntryReport, type LeaderPlan, type RateLoan, requestAdapterMethod, syncMethod, type SyncResponse,
+	borrowMethod, crashMethod, type EntryReport, type LeaderPlan, type RateLoan, requestAdapterMethod, syncMethod, type SyncResponse,
 } from './methods.js';
 import {pickControlHost} from './pick-control-host.js';
 import {RateLimitedLog} from './rate-limited-log.js';
@@ -73,7 +75,7 @@
 			const controlId = this.pickHost();
 			const sentMs = clock.now();
 			const isAnswered = controlId !== undefined && await this.poll(controlId);
-			const intervalMs = isAnswered ? getSyncIntervalMs(this.hostCount) : SYNC_RETRY_MS;
+			const intervalMs = isAnswered ? this.getIntervalMs() : SYNC_RETRY_MS;
 			await clock.sleep(Math.max(MIN_SYNC_INTERVAL_MS, sentMs + jitter(intervalMs, random) - clock.now()), signal);
 		}
 	}
@@ -93,6 +95,21 @@
 		return this.batcher.borrow({customer: name, cost});
 	}
 
+	/** Sends evidence to the leader between two polls; undefined if it does not answer. */
+	async sendCrashes(report: CrashReport): Promise<CrashAnswer | undefined> {
+		if (this.leaderId === undefined) {
+			return undefined;
+		}
+
+		const answer = await this.opts.peers.call(this.leaderId, crashMethod, report);
+		return answer.isOk ? answer.value.answer : undefined;
+	}
+
+	/** Shortest time between two polls of this host. */
+	getIntervalMs(): number {
+		return getSyncIntervalMs(this.hostCount);
+	}
+
 	private async requestLoans(loans: readonly RateLoan[]): Promise<readonly RateDecision[] | undefined> {
 		if (this.leaderId === undefined || this.unresponsive.has(this.leaderId)) {
 			return undefined;
--- a/apps/egretrilld/src/traffic/control-host.ts
+++ b/apps/egretrilld/src/traffic/control-host.ts
@@ -1,6 +1,7 @@
 import {randomUUID} from 'node:crypto';
 import {setMaxListeners} from 'node:events';
 import path from 'node:path';
+import type {CrashReport} from '@egretrill/callers';
 import {
 	type Clock, type EngineClass, type Logger, type LoopWatch, type Random, type Registration, type TrafficConfig, type TrafficCustomer,
 } from '@egretrill/common';
@@ -17,7 +18,7 @@
 import {LeaderTerm} from './leader-term.js';
 import {Membership} from './membership.js';
 import {
-	borrowMethod, departMethod, gossipMethod, readTrafficMethod, readZoneOrdersMethod, requestAdapterMethod, syncMethod,
+	borrowMethod, crashMethod, departMethod, gossipMethod, readTrafficMethod, readZoneOrdersMethod, requestAdapterMethod, syncMethod,
 } from './methods.js';
 import {getServedTargets, RegistrySettling} from './registry-settling.js';
 import {getReportedLeaderId} from './reported-leader.js';
@@ -72,7 +73,9 @@
 			selfId: this.hostId, seedIds: settings.seeds, clock, credentials,
 		});
 		this.registry = new TargetRegistry(clock, this.origin, service => this.getDecodedTraffic()?.services.has(service) ?? true);
-		this.syncNotifier = new SyncNotifier({clock, registry: this.registry, getConfigVersion: () => this.state.getTraffic()?.version ?? 0});
+		this.syncNotifier = new SyncNotifier({
+			clock, registry: this.registry, getConfigVersion: () => this.state.getTraffic()?.version ?? 0, hasCrashesSince: known => this.getTerm()?.hasCrashesSince(known) ?? false,
+		});
 		const folder = path.join(settings.dataDir, 'log');
 		this.node = new ConsensusNode({
 			memberId: this.hostId,
@@ -117,12 +120,12 @@
 			bindFleetLog(this.node),
 			bindMethod(syncMethod, async ({report, configVersion, registry, waitMs}) => {
 				const firstTerm = this.getTerm();
-				firstTerm?.joinCrashes(report);
-				await this.syncNotifier.wait(configVersion, registry, waitMs);
+				this.joinCrashes(firstTerm, report.crashes);
+				await this.syncNotifier.wait({configVersion, registry, crashes: report.crashes?.known}, waitMs);
 				const leaderId = this.getLeaderId();
 				const term = this.getTerm();
 				if (term !== firstTerm) {
-					term?.joinCrashes(report);
+					this.joinCrashes(term, report.crashes);
 				}
 
 				const plan = term?.handleReport(report);
@@ -139,6 +142,11 @@
 				const targetId = await term?.engines.ensureAdapter(req, term.signal);
 				return {...(targetId !== undefined && {targetId})};
 			}),
+			bindMethod(crashMethod, async report => {
+				const term = this.getTerm();
+				this.joinCrashes(term, report);
+				return {...(term && {answer: term.answerCrashes(report)})};
+			}),
 			bindMethod(borrowMethod, async ({loans}) => {
 				const rates = this.getTerm()?.rates;
 				return {...(rates && {answers: loans.map(({customer, cost}) => rates.borrow(customer, cost))})};
@@ -260,6 +268,13 @@
 		this.peers.setSeeds(seeds);
 	}
 
+	/** Joins the evidence of an entry host and wakes the polls of the others if it is new. */
+	private joinCrashes(term: LeaderTerm | undefined, report: CrashReport | undefined): void {
+		if (term?.joinCrashes(report)) {
+			this.syncNotifier.notify();
+		}
+	}
+
 	private async putEntryHosts(hostIds: readonly string[]): Promise<boolean> {
 		const outcome = await this.log.propose({kind: 'setEntryHosts', hostIds: [...hostIds]});
 		return outcome.kind === 'committed';
--- a/apps/egretrilld/src/traffic/entry-host.ts
+++ b/apps/egretrilld/src/traffic/entry-host.ts
@@ -5,7 +5,7 @@
 	type Clock, createHttpServer, jitter, type Logger, type LoopWatch, type Random, setReadTimeouts, type TrafficSource,
 } from '@egretrill/common';
 import {
-	BackoffPoolClient, CrashGate, CrashTracker, CrashExchange, type ForwardDependencies, type ForwardDialect, forwardRequest, PlannedStop, RATE_LEASE_MS, RateAllocations, RetryBudget, RetrySchedule, RouteDurations, RouteTable, SlotQueue, TargetEnds,
+	BackoffPoolClient, CrashExchange, CrashGate, CrashReporter, CrashTracker, type ForwardDependencies, type ForwardDialect, forwardRequest, PlannedStop, RATE_LEASE_MS, RateAllocations, RetryBudget, RetrySchedule, RouteDurations, RouteTable, SlotQueue, TargetEnds,
 } from '@egretrill/callers';
 import {Drain, type Metrics, type UnreadyReason} from '@egretrill/balancer';
 import {TargetTable} from '@egretrill/engines';
@@ -19,6 +19,7 @@
 import {DecisionLog} from './decision-log.js';
 import {sanitizeName} from './describe-answer.js';
 import {EntryObserver} from './entry-observer.js';
+import {FollowerCrashTransport} from './follower-crash-transport.js';
 import {HttpSender} from './http-sender.js';
 import {HttpTargetProbe} from './http-target-probe.js';
 import type {LeaderPlan, SyncResponse} from './methods.js';
@@ -60,6 +61,7 @@
 	private readonly plannedStop: PlannedStop;
 	private readonly connections: CallerConnections;
 	private readonly crashExchange: CrashExchange;
+	private readonly crashReporter: CrashReporter;
 	private readonly blockLog: BlockLog;
 
 	constructor(private readonly opts: EntryHostOptions) {
@@ -88,6 +90,9 @@
 		const crashes = new CrashTracker(clock, randomUUID());
 		const crashGate = new CrashGate(clock, crashes);
 		this.crashExchange = new CrashExchange(crashes, crashGate);
+		this.crashReporter = new CrashReporter({
+			clock, crashes, exchange: this.crashExchange, transport: new FollowerCrashTransport(this.follower), getIntervalMs: () => this.follower.getIntervalMs(),
+		});
 		this.blockLog = new BlockLog({
 			clock, logger, metrics, crashes,
 		});
@@ -125,7 +130,7 @@
 
 	/** Polls the control hosts and assigns waiting requests to targets until the signal aborts. */
 	async run(signal: AbortSignal): Promise<void> {
-		await Promise.all([this.follower.run(signal), this.processQueue(signal), this.decisionLog.run(signal), this.blockLog.run(signal), this.opts.watch.run(signal)]);
+		await Promise.all([this.follower.run(signal), this.processQueue(signal), this.decisionLog.run(signal), this.crashReporter.run(signal), this.blockLog.run(signal), this.opts.watch.run(signal)]);
 		this.sender.close();
 	}
 
--- a/apps/egretrilld/src/traffic/leader-term.ts
+++ b/apps/egretrilld/src/traffic/leader-term.ts
@@ -1,7 +1,7 @@
 import {randomUUID} from 'node:crypto';
 import {setMaxListeners} from 'node:events';
 import {
-	answerCrashReport, CrashTracker, type CrashAnswer, type CrashReport, RATE_HOST_TTL_MS, RateOwner,
+	answerCrashReport, CrashTracker, type CrashAnswer, type CrashReport, type CrashRevision, RATE_HOST_TTL_MS, RateOwner,
 } from '@egretrill/callers';
 import {
 	type Clock, compareLists, type EngineClass, type Logger, type LoopWatch, type Random, type TrafficCustomer,
@@ -73,9 +73,14 @@
 		this.stopper.abort();
 	}
 
-	/** Joins the evidence of an entry host, whose ages count from its arrival. */
-	joinCrashes({crashes}: Pick<EntryReport, 'crashes'>): void {
-		this.crashes.mergeReport(crashes?.records ?? []);
+	/** Joins the evidence of an entry host, whose ages count from its arrival; returns whether any of it is new. */
+	joinCrashes(report: CrashReport | undefined): boolean {
+		return report !== undefined && this.crashes.mergeReport(report.records);
+	}
+
+	/** Whether there is evidence that an entry host does not have. */
+	hasCrashesSince(known: CrashRevision | undefined): boolean {
+		return known !== undefined && this.crashes.hasChanges(known);
 	}
 
 	/** Processes the report of an entry host and returns the host's part of the plan. */
@@ -92,11 +97,12 @@
 			others: this.running.getOthers(hostId),
 			expected: this.engines.getReadyTimes().map(({service, model, readyInMs}) => [service, model, Math.round(readyInMs)]),
 			rates: {...grant, leased: grant.leased.map(([name, allocation]) => [name, allocation])},
-			...(crashes && {crashes: this.answerCrashReport(crashes)}),
+			...(crashes && {crashes: this.answerCrashes(crashes)}),
 		};
 	}
 
-	private answerCrashReport(report: CrashReport): CrashAnswer {
+	/** Answers a report whose evidence has been joined. */
+	answerCrashes(report: CrashReport): CrashAnswer {
 		const answer = answerCrashReport(this.crashes, report);
 		if (answer.probes.length > 0) {
 			this.opts.logger.info({keys: answer.probes}, 'Probes of blocked keys were granted.');
--- a/apps/egretrilld/src/traffic/methods.ts
+++ b/apps/egretrilld/src/traffic/methods.ts
@@ -58,6 +58,9 @@
 /** Long poll of an entry host for the configuration, the targets and its rate allocations. */
 export const syncMethod = defineListMethod('Traffic', 'sync', SyncRequest, SyncResponse);
 
+/** Exchanges evidence on what ends targets with the leader between two polls; a host that is not the leader returns none. */
+export const crashMethod = defineMethod('Traffic', 'crashes', CrashReport, z.object({answer: CrashAnswer.optional()}));
+
 /** Requests a model or adapter from the leader; the answer follows once the adapter is loaded. */
 export const requestAdapterMethod = defineMethod('Traffic', 'want', z.object({service: z.string(), model: z.string(), adapter: z.string().optional()}), z.object({
 	/** Engine that holds the adapter. */
--- a/packages/callers/src/crashes/assess-keys.ts
+++ b/packages/callers/src/crashes/assess-keys.ts
@@ -1,5 +1,5 @@
 import {
-	BLOCK_SETTLE_MS, ENDS_TO_BLOCK, ENDS_TO_SUSPECT, FIRST_PROBE_DELAY_MS, PROBE_DELAY_FACTOR, REQUEST_RANK, UNEXPLAINED_ENDS_TO_BLOCK,
+	BLOCK_SETTLE_MS, ENDS_TO_BLOCK, ENDS_TO_SUSPECT, ENDS_TO_SUSPECT_UNPROVEN, FIRST_PROBE_DELAY_MS, PROBE_DELAY_FACTOR, REQUEST_RANK, UNEXPLAINED_ENDS_TO_BLOCK,
 } from './constants.js';
 import {type CountedEnd, type KeyEvidence, listSeparateEnds} from './key-evidence.js';
 import type {KeyVerdict} from './types.js';
@@ -61,12 +61,13 @@
 }
 
 /** Decides what the evidence says of one key. */
-export function getKeyVerdict({ends}: KeyEvidence, blockedAtMs: number | undefined, nowMs: number): KeyVerdict {
+export function getKeyVerdict({ends, provenMs}: KeyEvidence, blockedAtMs: number | undefined, nowMs: number): KeyVerdict {
 	if (blockedAtMs !== undefined) {
 		return blockedAtMs <= nowMs ? 'blocked' : 'settling';
 	}
 
-	return listSeparateEnds(ends).length >= ENDS_TO_SUSPECT ? 'suspected' : 'sound';
+	const suspectEnds = Number.isFinite(provenMs) ? ENDS_TO_SUSPECT : ENDS_TO_SUSPECT_UNPROVEN;
+	return listSeparateEnds(ends).length >= suspectEnds ? 'suspected' : 'sound';
 }
 
 /** Time of the next probe of a blocked key. */
--- a/packages/callers/src/crashes/constants.ts
+++ b/packages/callers/src/crashes/constants.ts
@@ -1,6 +1,9 @@
 /** Ends under one key from which on its requests are sent one at a time by each host; a single end happens with any crash. */
 export const ENDS_TO_SUSPECT = 2;
 
+/** The same for a key under which no answer has gone on yet. */
+export const ENDS_TO_SUSPECT_UNPROVEN = 1;
+
 /** Ends of targets under one key, without a proven answer after the first of them, from which on requests with the key are refused. */
 export const ENDS_TO_BLOCK = 3;
 
--- a/packages/callers/src/crashes/crash-tracker.ts
+++ b/packages/callers/src/crashes/crash-tracker.ts
@@ -142,11 +142,14 @@
 		return true;
 	}
 
-	/** Joins the report of another host; what is new is passed on to all. */
-	mergeReport(records: readonly CrashRecord[]): void {
+	/** Joins the report of another host; what is new is passed on to all. Returns whether anything was. */
+	mergeReport(records: readonly CrashRecord[]): boolean {
+		const before = this.revision;
 		for (const record of records) {
 			this.join(record.key, fromRecord(record, this.clock.now()));
 		}
+
+		return this.revision > before;
 	}
 
 	/** Joins what the leader knows; only what it does not know yet is reported to it. Returns whether anything was new to this host. */
@@ -155,9 +158,9 @@
 		let isNew = false;
 		for (const record of records) {
 			const shared = fromRecord(record, nowMs);
-			const own = mergeEvidence(this.getEvidence(record.key), {...NO_EVIDENCE, provenMs: this.provenMs.get(record.key) ?? NO_EVIDENCE.provenMs});
+			const own = this.getEvidence(record.key);
 			const merged = mergeEvidence(own, shared);
-			isNew ||= hasNews(this.getEvidence(record.key), merged);
+			isNew ||= hasNews(own, merged);
 			this.set(record.key, merged, hasNews(shared, merged));
 		}
 
@@ -200,7 +203,7 @@
 	}
 
 	private getEvidence(key: string): KeyEvidence {
-		return this.entries.get(key)?.evidence ?? NO_EVIDENCE;
+		return this.entries.get(key)?.evidence ?? {...NO_EVIDENCE, provenMs: this.provenMs.get(key) ?? NO_EVIDENCE.provenMs};
 	}
 
 	private join(key: string, evidence: KeyEvidence): void {
--- a/packages/callers/src/crashes/index.ts
+++ b/packages/callers/src/crashes/index.ts
@@ -2,6 +2,7 @@
 export * from './assess-keys.js';
 export * from './constants.js';
 export * from './crash-gate.js';
+export * from './crash-reporter.js';
 export * from './crash-tracker.js';
 export * from './crash-exchange.js';
 export * from './key-evidence.js';
--- a/packages/callers/src/crashes/types.ts
+++ b/packages/callers/src/crashes/types.ts
@@ -33,15 +33,20 @@
 export const CrashUpdate = z.object({...CrashRevision.shape, records: z.array(CrashRecord).max(MAX_RECORDS_PER_MESSAGE)});
 export type CrashUpdate = z.infer<typeof CrashUpdate>;
 
-/** What a host has learned since its last report, and the blocked keys of which it could send a probe. */
+/** The changes of a host that the leader does not have, and the blocked keys of which it could send a probe. */
 export const CrashReport = z.object({
+	...CrashUpdate.shape,
 	/** The leader's changes that the host has. */
 	known: CrashRevision,
-	records: z.array(CrashRecord).max(MAX_RECORDS_PER_MESSAGE),
 	probeCandidates: z.array(z.string()).max(MAX_RECORDS_PER_MESSAGE),
 });
 export type CrashReport = z.infer<typeof CrashReport>;
 
 /** The leader's changes that a host does not have, and the keys of which it may send a probe. */
-export const CrashAnswer = z.object({...CrashUpdate.shape, probes: z.array(z.string())});
+export const CrashAnswer = z.object({
+	...CrashUpdate.shape,
+	/** The changes of the host that the leader has. */
+	acknowledged: CrashRevision,
+	probes: z.array(z.string()),
+});
 export type CrashAnswer = z.infer<typeof CrashAnswer>;
