engines: divide what a cold target bears among many hosts

Cause: a host whose share is less than one request a second was allowed one all the same, so that 80 hosts sent 80. Change: such a host waits for its interval between two sends, begins at a random time, and uses six tenths of its share, since the times of many hosts coincide by chance. Evidence: target-table.test.ts, 80 hosts, 26 a second to be borne: 80 in a second before, at most 26 in any after.

--- a/apps/egretrilld/src/traffic/entry-host.ts
+++ b/apps/egretrilld/src/traffic/entry-host.ts
@@ -73,6 +73,7 @@
 		this.rates = new RateAllocations(clock);
 		this.targets = new TargetTable({
 			clock,
+			random: opts.random,
 			zone: settings.zone,
 			getColdRate: service => this.getColdRate(service),
 			getBatchSlots: service => this.routeTable?.services.get(service)?.engine?.batchSlots,
--- a/apps/egretrilld/tests/traffic/odd-entries.test.ts
+++ b/apps/egretrilld/tests/traffic/odd-entries.test.ts
@@ -79,7 +79,7 @@
 
 function createTable(): TargetTable {
 	return new TargetTable({
-		clock: new ManualClock(), zone: 'z', getColdRate: () => 0, getBatchSlots: () => undefined,
+		clock: new ManualClock(), random: () => 0, zone: 'z', getColdRate: () => 0, getBatchSlots: () => undefined,
 	});
 }
 
--- a/apps/egretrilld/tests/traffic/registry-settling.test.ts
+++ b/apps/egretrilld/tests/traffic/registry-settling.test.ts
@@ -19,7 +19,7 @@
 
 	constructor(private readonly clock: ManualClock) {
 		this.table = new TargetTable({
-			clock, zone: 'z', getColdRate: () => 0, getBatchSlots: () => undefined,
+			clock, random: () => 0, zone: 'z', getColdRate: () => 0, getBatchSlots: () => undefined,
 		});
 		this.registry = new TargetRegistry(clock, 'first');
 		this.settling = new RegistrySettling(clock);
--- a/apps/egretrilld/tests/traffic/target-slot-source.test.ts
+++ b/apps/egretrilld/tests/traffic/target-slot-source.test.ts
@@ -11,7 +11,7 @@
 
 	constructor(answerMs: number) {
 		const targets = new TargetTable({
-			clock: this.clock, zone: 'z', getColdRate: () => 0, getBatchSlots: () => undefined,
+			clock: this.clock, random: () => 0, zone: 'z', getColdRate: () => 0, getBatchSlots: () => undefined,
 		});
 		this.slotSource = new TargetSlotSource({
 			clock: this.clock,
--- a/dev/bench/src/polls-entry.ts
+++ b/dev/bench/src/polls-entry.ts
@@ -26,7 +26,7 @@
 	const meter = new CpuMeter();
 	const clock = new ManualClock();
 	const targets = new TargetTable({
-		clock, zone: 'zone-0', getColdRate: () => 2, getBatchSlots: () => 64,
+		clock, random: () => 0, zone: 'zone-0', getColdRate: () => 2, getBatchSlots: () => 64,
 	});
 	targets.update({
 		origin: 'o', revision: 1, isWhole: true, targets: Array.from({length: FLEET.engines}, (_, i) => ({registration: createRegistration(i, 1), ageMs: 0, hasEnded: false})),
--- a/packages/engines/src/registry/constants.ts
+++ b/packages/engines/src/registry/constants.ts
@@ -37,6 +37,9 @@
 /** Time a request loses at a cold target; it is sent there only if the load of the others costs more. */
 export const COLD_COST_MS = 200;
 
+/** Part of its share that a host sends to a cold target if it may take less than one request a second; the times of many hosts coincide by chance. */
+export const SPARSE_COLD_RATIO = 0.6;
+
 /** Time constant of the decay of recent failures. */
 export const FAILURE_DECAY_MS = 3000;
 
--- a/packages/engines/src/registry/target-table.ts
+++ b/packages/engines/src/registry/target-table.ts
@@ -1,7 +1,9 @@
-import {type Clock, type Registration, Signal} from '@egretrill/common';
+import {
+	type Clock, type Random, type Registration, Signal,
+} from '@egretrill/common';
 import {type TargetCandidate, chooseTarget, type TargetChoice} from './choose-target.js';
 import {
-	OTHER_COUNTS_TTL_MS, SUSPECT_ZONE_MIN_TARGETS, SUCCESS_DECAY_RATIO, FAILURE_DECAY_MS, MAX_SUSPECT_MS, QUEUED_PER_SLOT, REGISTRATION_TTL_MS, SUSPECT_MS,
+	OTHER_COUNTS_TTL_MS, SPARSE_COLD_RATIO, SUSPECT_ZONE_MIN_TARGETS, SUCCESS_DECAY_RATIO, FAILURE_DECAY_MS, MAX_SUSPECT_MS, QUEUED_PER_SLOT, REGISTRATION_TTL_MS, SUSPECT_MS,
 } from './constants.js';
 import {CachedPrompts} from './cached-prompts.js';
 import type {RegistryUpdate} from './types.js';
@@ -26,6 +28,8 @@
 	unreachableCount: number;
 	/** Send times of the last second, only recorded while the target is cold. */
 	coldSends: readonly number[];
+	/** Time of the next send while the target is cold and this host's share of it is less than one request a second. */
+	nextColdSendMs: number;
 };
 
 /** Number of requests that use an adapter of a target's model. */
@@ -59,6 +63,7 @@
 
 export type TargetTableOptions = {
 	readonly clock: Clock;
+	readonly random: Random;
 	readonly zone: string;
 	/** Requests per second that this host may send to a cold target of a service. */
 	readonly getColdRate: (service: string) => number;
@@ -337,18 +342,33 @@
 	private hasColdCapacity(target: Target): boolean {
 		const nowMs = this.opts.clock.now();
 		const rate = this.opts.getColdRate(target.registration.service);
-		return nowMs >= target.coldUntilMs || rate <= 0 || filterLastSecond(target.coldSends, nowMs).length < Math.max(1, Math.floor(rate));
+		if (nowMs >= target.coldUntilMs || rate <= 0) {
+			return true;
+		}
+
+		return rate < 1 ? nowMs >= target.nextColdSendMs : filterLastSecond(target.coldSends, nowMs).length < Math.floor(rate);
+	}
+
+	/** Time between two sends to a cold target of which this host may take less than one request a second. */
+	private getColdIntervalMs(service: string): number {
+		const rate = this.opts.getColdRate(service);
+		return rate > 0 && rate < 1 ? MS_PER_SECOND / (rate * SPARSE_COLD_RATIO) : 0;
 	}
 
 	private recordColdSend(target: Target): void {
 		const nowMs = this.opts.clock.now();
 		target.coldSends = nowMs < target.coldUntilMs ? [...filterLastSecond(target.coldSends, nowMs), nowMs] : [];
+		target.nextColdSendMs = nowMs + this.getColdIntervalMs(target.registration.service);
 	}
 
 	private setTarget(registration: Registration, coldUntilMs: number): void {
 		this.index = undefined;
 		const known = this.targets.get(registration.targetId);
+		const nowMs = this.opts.clock.now();
+		// The hosts begin at random times, since together they could send a cold target one request each at once.
+		const nextColdSendMs = nowMs + (this.opts.random() * this.getColdIntervalMs(registration.service));
 		if (known?.registration.startedAtMs === registration.startedAtMs) {
+			known.nextColdSendMs = known.coldUntilMs <= nowMs ? nextColdSendMs : known.nextColdSendMs;
 			known.registration = registration;
 			known.coldUntilMs = coldUntilMs;
 			return;
@@ -356,7 +376,7 @@
 
 		this.cachedPrompts.removeTarget(registration.targetId);
 		this.targets.set(registration.targetId, {
-			registration, coldUntilMs, ownRequests: 0, adapterUses: new Map(), otherHostsRequests: 0, othersReportedMs: 0, suspectedUntilMs: 0, failures: 0, failuresUpdatedMs: 0, unreachableCount: 0, coldSends: [],
+			registration, coldUntilMs, ownRequests: 0, adapterUses: new Map(), otherHostsRequests: 0, othersReportedMs: 0, suspectedUntilMs: 0, failures: 0, failuresUpdatedMs: 0, unreachableCount: 0, coldSends: [], nextColdSendMs,
 		});
 	}
 
--- a/packages/engines/tests/registry/target-table.test.ts
+++ b/packages/engines/tests/registry/target-table.test.ts
@@ -1,4 +1,4 @@
-import {ManualClock, type Registration} from '@egretrill/common';
+import {createRandom, ManualClock, type Registration} from '@egretrill/common';
 import {expect} from 'chai';
 import {TargetTable, type TargetOutcome, type TargetRequirements} from '../../src/registry/index.js';
 
@@ -13,7 +13,7 @@
 function createTable(registrations: readonly Registration[]): {table: TargetTable; clock: ManualClock} {
 	const clock = new ManualClock();
 	const table = new TargetTable({
-		clock, zone: 'a', getColdRate: () => 2, getBatchSlots: () => undefined,
+		clock, random: () => 0, zone: 'a', getColdRate: () => 2, getBatchSlots: () => undefined,
 	});
 	table.update({
 		origin: 'r', revision: 1, isWhole: true, targets: registrations.map(registration => ({registration, ageMs: 0, hasEnded: false})),
@@ -245,4 +245,30 @@
 		states.push(table.choose(requirements).kind);
 		expect(states).to.deep.equal(['full', 'full', 'target']);
 	});
+
+	// Guards against a cold target that gets one request a second of each of many hosts, whatever it bears.
+	it('spreads what a cold target bears over many hosts', () => {
+		const hostCount = 80;
+		const bearable = 26;
+		const clock = new ManualClock();
+		const random = createRandom(3);
+		const tables = Array.from({length: hostCount}, () => new TargetTable({
+			clock, random, zone: 'a', getColdRate: () => bearable / hostCount, getBatchSlots: () => 1000,
+		}));
+		for (const table of tables) {
+			table.update({
+				origin: 'r', revision: 1, isWhole: true, targets: [{registration: register('cold', {coldForMs: 10_000}), ageMs: 0, hasEnded: false}],
+			});
+		}
+
+		const sentMs: number[] = [];
+		while (clock.now() < 9000) {
+			clock.advance(20);
+			sentMs.push(...tables.filter(table => send(table, 'answered') === 'cold').map(() => clock.now()));
+		}
+
+		const mostInOneSecond = Math.max(...sentMs.map(fromMs => sentMs.filter(atMs => atMs >= fromMs && atMs < fromMs + 1000).length));
+		expect(mostInOneSecond).to.be.within(1, bearable);
+		expect(sentMs.length).to.be.above(9 * bearable / 3);
+	});
 });
