--- a/packages/callers/tests/forward/backoff-pool-client.test.ts
+++ b/packages/callers/tests/forward/backoff-pool-client.test.ts
@@ -42,4 +42,18 @@
 	it('requests from the owner again once its pool has refilled, not for each request', async () => {
 		expect({often: await simulate(50), seldom: await simulate(5000)}).toMatchSnapshot();
 	});
+
+	// Guards against callers who are told to come back long before the pool has refilled.
+	it('tells each caller when the pool has refilled', async () => {
+		const clock = new ManualClock();
+		const client = new BackoffPoolClient(clock, new CountingPool(clock, 5000));
+		const retryTimesMs: Array<number | undefined> = [];
+		for (const pauseMs of [0, 0, 400, 400]) {
+			await clock.run(pauseMs);
+			const answer = await client.borrow('c', 100);
+			retryTimesMs.push(answer?.isGranted ? undefined : clock.now() + (answer?.retryAfterMs ?? 0));
+		}
+
+		expect(retryTimesMs).to.deep.equal([undefined, 5000, 5000, 5000]);
+	});
 });
