--- a/packages/callers/src/crashes/constants.ts
+++ b/packages/callers/src/crashes/constants.ts
@@ -71,3 +71,6 @@
 
 /** Longest key in a message. */
 export const MAX_KEY_LENGTH = 128;
+
+/** Longest name of a lifetime of a target in a message: its id and its start time. */
+export const MAX_START_ID_LENGTH = 256;
--- a/packages/callers/src/crashes/types.ts
+++ b/packages/callers/src/crashes/types.ts
@@ -1,5 +1,7 @@
 import {z} from 'zod';
-import {MAX_ENDS_PER_KEY, MAX_KEY_LENGTH, MAX_RECORDS_PER_MESSAGE} from './constants.js';
+import {
+	MAX_ENDS_PER_KEY, MAX_KEY_LENGTH, MAX_RECORDS_PER_MESSAGE, MAX_START_ID_LENGTH,
+} from './constants.js';
 
 const age = z.number().nonnegative();
 const count = z.int().nonnegative();
@@ -15,7 +17,7 @@
 	key: z.string().max(MAX_KEY_LENGTH),
 	rank: count,
 	/** Lifetimes of targets that ended, and the ages of their ends. */
-	ends: z.array(z.tuple([z.string(), age])).max(MAX_ENDS_PER_KEY),
+	ends: z.array(z.tuple([z.string().max(MAX_START_ID_LENGTH), age])).max(MAX_ENDS_PER_KEY),
 	/** Age of the last answer that proves the key harmless. */
 	provenAgeMs: age.optional(),
 	probeCount: count,
