callers: take no slot for a stream that may not be offered to another target yet

Callers could see: a slot taken and freed ten times a second while a silent stream waits for the verdict on its keys. Cause: since a key without any proven answer is sent one at a time from its first end on, and a stream looked for a free slot before it asked whether it may be sent. Change: the gate is asked first.

--- a/packages/callers/src/crashes/crash-gate.ts
+++ b/packages/callers/src/crashes/crash-gate.ts
@@ -64,9 +64,14 @@
 		return this.hasEvidence() && this.getAdmission(keys) === 'refused' ? this.refuseSuspected(keys) : undefined;
 	}
 
+	/** Whether a request with these keys may be sent now. */
+	mayStart(keys: readonly RankedKey[]): boolean {
+		return this.getAdmission(keys) === 'open';
+	}
+
 	/** Registers a request that is about to be sent; undefined if it has to wait after all. */
 	start(keys: readonly RankedKey[]): SentRequest | undefined {
-		if (this.getAdmission(keys) !== 'open') {
+		if (!this.mayStart(keys)) {
 			return undefined;
 		}
 
--- a/packages/callers/src/forward/slot-search.ts
+++ b/packages/callers/src/forward/slot-search.ts
@@ -71,6 +71,10 @@
 
 /** Takes a slot that is free now at a target to which the request has not been sent yet. */
 export function takeFreeSlot(context: ForwardContext): AttemptSlot | undefined {
+	if (!context.deps.crashGate.mayStart(listKeys(context))) {
+		return undefined;
+	}
+
 	const slot = context.deps.queue.takeFree(getRequirements(context), getPriority(context));
 	return slot && start(context, slot);
 }
