--- a/apps/egretrilld/src/traffic/entry-host.ts
+++ b/apps/egretrilld/src/traffic/entry-host.ts
@@ -1,11 +1,10 @@
-import {randomUUID} from 'node:crypto';
 import {setMaxListeners} from 'node:events';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {
 	type Clock, createHttpServer, jitter, type Logger, type LoopWatch, type Random, setReadTimeouts, type TrafficSource,
 } from '@egretrill/common';
 import {
-	BackoffPoolClient, CrashExchange, CrashGate, CrashReporter, CrashTracker, type ForwardDependencies, type ForwardDialect, forwardRequest, PlannedStop, RATE_LEASE_MS, RateAllocations, RetryBudget, RetrySchedule, RouteDurations, RouteTable, SlotQueue, TargetEnds,
+	BackoffPoolClient, type ForwardDependencies, type ForwardDialect, forwardRequest, PlannedStop, RATE_LEASE_MS, RateAllocations, RetryBudget, RetrySchedule, RouteDurations, RouteTable, SlotQueue,
 } from '@egretrill/callers';
 import {Drain, type Metrics, type UnreadyReason} from '@egretrill/balancer';
 import {TargetTable} from '@egretrill/engines';
@@ -15,13 +14,11 @@
 import {IDLE_WAIT_RATIO} from './constants.js';
 import type {ConfigDecoder} from './config-decoder.js';
 import {ControlFollower, type HostReport, SyncSink} from './control-follower.js';
-import {BlockLog} from './block-log.js';
 import {DecisionLog} from './decision-log.js';
 import {sanitizeName} from './describe-answer.js';
 import {EntryObserver} from './entry-observer.js';
-import {FollowerCrashTransport} from './follower-crash-transport.js';
+import {HostCrashes} from './host-crashes.js';
 import {HttpSender} from './http-sender.js';
-import {HttpTargetProbe} from './http-target-probe.js';
 import type {LeaderPlan, SyncResponse} from './methods.js';
 import {NodeExchange} from './node-exchange.js';
 import type {EntrySettings, TrafficBounds} from './settings.js';
@@ -60,9 +57,7 @@
 	private hostCount = 1;
 	private readonly plannedStop: PlannedStop;
 	private readonly connections: CallerConnections;
-	private readonly crashExchange: CrashExchange;
-	private readonly crashReporter: CrashReporter;
-	private readonly blockLog: BlockLog;
+	private readonly crashes: HostCrashes;
 
 	constructor(private readonly opts: EntryHostOptions) {
 		super();
@@ -88,14 +83,10 @@
 		}));
 		this.decisionLog = new DecisionLog(clock, logger);
 		this.observer = new EntryObserver(this.decisionLog, metrics, () => this.follower.getAgeMs());
-		const crashes = new CrashTracker(clock, randomUUID());
-		const crashGate = new CrashGate(clock, crashes);
-		this.crashExchange = new CrashExchange(crashes, crashGate);
-		this.crashReporter = new CrashReporter({
-			clock, crashes, exchange: this.crashExchange, transport: new FollowerCrashTransport(this.follower), getIntervalMs: () => this.follower.getIntervalMs(),
-		});
-		this.blockLog = new BlockLog({
-			clock, logger, metrics, crashes,
+		this.crashes = new HostCrashes({
+			clock, logger, metrics, follower: this.follower, onTargetEnd: end => {
+				this.observer.recordTargetEnd(end);
+			},
 		});
 		this.forwardDependencies = {
 			clock,
@@ -109,15 +100,9 @@
 			observer: this.observer,
 			getTable: () => this.routeTable,
 			stop: this.plannedStop,
-			crashes,
-			crashGate,
-			targetEnds: new TargetEnds({
-				clock,
-				probe: new HttpTargetProbe(),
-				onEnd: end => {
-					this.observer.recordTargetEnd(end);
-				},
-			}),
+			crashes: this.crashes.tracker,
+			crashGate: this.crashes.gate,
+			targetEnds: this.crashes.targetEnds,
 			durations: new RouteDurations(),
 			getRetries: service => this.getRetryBudget(service),
 		};
@@ -131,7 +116,7 @@
 
 	/** Polls the control hosts and assigns waiting requests to targets until the signal aborts. */
 	async run(signal: AbortSignal): Promise<void> {
-		await Promise.all([this.follower.run(signal), this.processQueue(signal), this.decisionLog.run(signal), this.crashReporter.run(signal), this.blockLog.run(signal), this.opts.watch.run(signal)]);
+		await Promise.all([this.follower.run(signal), this.processQueue(signal), this.decisionLog.run(signal), this.crashes.run(signal), this.opts.watch.run(signal)]);
 		this.sender.close();
 	}
 
@@ -174,7 +159,7 @@
 			arrivals: this.observer.collectArrivals(),
 			waiting: this.queue.getWaitingByModel().map(({service, model = '', waiting, crowded}) => [service, model, waiting, crowded]),
 			rates: {...this.rateState, demand: [...this.rates.getDemand()]},
-			crashes: this.crashExchange.createReport(),
+			crashes: this.crashes.exchange.createReport(),
 		};
 	}
 
@@ -208,7 +193,7 @@
 
 	override applyPlan({others, expected, rates, crashes}: LeaderPlan, sentMs: number): void {
 		if (crashes) {
-			this.crashExchange.applyAnswer(crashes);
+			this.crashes.exchange.applyAnswer(crashes);
 		}
 
 		this.targets.setExpectedModels(expected);
