--- a/apps/egretrilld/src/traffic/entry-host.ts
+++ b/apps/egretrilld/src/traffic/entry-host.ts
@@ -88,24 +88,7 @@
 				this.observer.recordTargetEnd(end);
 			},
 		});
-		this.forwardDependencies = {
-			clock,
-			random: opts.random,
-			dialect: opts.dialect,
-			queue: this.queue,
-			rates: this.rates,
-			poolClient: new BackoffPoolClient(clock, this.follower),
-			retrySchedule: new RetrySchedule(clock),
-			sender: this.sender,
-			observer: this.observer,
-			getTable: () => this.routeTable,
-			stop: this.plannedStop,
-			crashes: this.crashes.tracker,
-			crashGate: this.crashes.gate,
-			targetEnds: this.crashes.targetEnds,
-			durations: new RouteDurations(),
-			getRetries: service => this.getRetryBudget(service),
-		};
+		this.forwardDependencies = this.createForwardDependencies();
 		// Every request in flight listens to this signal, which exceeds Node's default limit for listener leaks.
 		setMaxListeners(0, this.plannedStop.ended);
 		this.server = createHttpServer((req, res) => {
@@ -208,6 +191,28 @@
 		this.applyRetryLimits();
 	}
 
+	private createForwardDependencies(): ForwardDependencies {
+		const {clock, random, dialect} = this.opts;
+		return {
+			clock,
+			random,
+			dialect,
+			queue: this.queue,
+			rates: this.rates,
+			poolClient: new BackoffPoolClient(clock, this.follower),
+			retrySchedule: new RetrySchedule(clock),
+			sender: this.sender,
+			observer: this.observer,
+			getTable: () => this.routeTable,
+			stop: this.plannedStop,
+			crashes: this.crashes.tracker,
+			crashGate: this.crashes.gate,
+			targetEnds: this.crashes.targetEnds,
+			durations: new RouteDurations(),
+			getRetries: service => this.getRetryBudget(service),
+		};
+	}
+
 	/** Lets the drain end the given time before its deadline if only idle connections are left. */
 	private async limitIdleWait(beforeEndMs: number): Promise<void> {
 		await this.opts.clock.sleep((this.plannedStop.getTimeLeftMs() ?? 0) - beforeEndMs, this.plannedStop.ended);
