operators: declare the options of the HTTP interfaces apart from the app

Cause: admin-app.ts imports the console, and the console imported the options type from admin-app.ts, a circle of imports. Change: AdminAppOptions has a file of its own; nothing else changes. Verified: the tests of packages/operators pass unchanged.

--- a/packages/operators/src/admin-app.ts
+++ b/packages/operators/src/admin-app.ts
@@ -10,21 +10,13 @@
 import {createConsole} from './console/console.js';
 import {DEFAULT_OPERATOR, OPERATOR_HEADER} from './constants.js';
 import {createCredentialCheck, getBearerToken} from './credential.js';
+import type {AdminAppOptions} from './admin-app-options.js';
 import type {ControlRequest, FleetControl} from './fleet-control.js';
 import {
 	ApplyRequest, OperatorName, RequestIdBody, ValidateRequest, ZoneStateRequest, type ApiError, type OperatorName as Operator, type Unavailable,
 } from './types.js';
 import {validateDocument} from './validate-document.js';
 
-export type AdminAppOptions = {
-	readonly control: FleetControl;
-	/** SHA-256 digest of the operators' credential, as set in the host settings. */
-	readonly adminKeyDigest: string;
-	readonly logger: Logger;
-	/** Sets the `Secure` attribute of the session cookie, so that browsers send it over TLS only; absent for loopback listeners without TLS. */
-	readonly secureCookie?: boolean;
-};
-
 type Outcome = {readonly result: string; readonly effect?: Unavailable['effect']};
 type OperationHandler = (req: Request, res: Response, author: Operator) => Promise<void>;
 
--- a/packages/operators/src/console/console.ts
+++ b/packages/operators/src/console/console.ts
@@ -3,7 +3,7 @@
 import express, {
 	type ErrorRequestHandler, type Request, type Response, Router as createRouter, type Router,
 } from 'express';
-import type {AdminAppOptions} from '../admin-app.js';
+import type {AdminAppOptions} from '../admin-app-options.js';
 import {KEY_SECRET_BYTES} from '../constants.js';
 import {getDigest} from '../credential.js';
 import type {ApplyOutcome, ConfigInForce} from '../types.js';
--- a/packages/operators/src/index.ts
+++ b/packages/operators/src/index.ts
@@ -1,3 +1,4 @@
+export type * from './admin-app-options.js';
 export * from './admin-app.js';
 export * from './api.js';
 export * from './constants.js';
