hosts: break the circles of imports between replica, leadership and replicator

Cause: leadership.ts held the state of a leading member and the tasks that run it, so it imported the replica and the replicator, which both import the leadership. Change: leadership.ts keeps the state and names what it needs of its member (LeadingMember); the tasks stand in run-leadership.ts, the options of a replica in replica-opts.ts. No logic changes.

--- a/packages/hosts/src/consensus/election.ts
+++ b/packages/hosts/src/consensus/election.ts
@@ -3,8 +3,8 @@
 import type {Member, RequestVoteRequest, RequestVoteResponse} from '../types.js';
 import {callPeer} from './call-peer.js';
 import {runIfRoom} from './disk-room.js';
-import {runLeadership} from './leadership.js';
 import {membersCodec, type Replica} from './replica.js';
+import {runLeadership} from './run-leadership.js';
 
 /** Votes of one election round. */
 type Ballot = {grantedCount: number; unansweredCount: number; readonly changed: Signal};
--- a/packages/hosts/src/consensus/node.ts
+++ b/packages/hosts/src/consensus/node.ts
@@ -7,7 +7,8 @@
 import {runElections} from './election.js';
 import {handleAppendEntries, handleInstallSnapshot, handleRequestVote} from './handlers.js';
 import {recoverWhenRoom} from './recovery.js';
-import {Replica, type ReplicaOpts} from './replica.js';
+import {Replica} from './replica.js';
+import type {ReplicaOpts} from './replica-opts.js';
 import type {StateMachine} from './state-machine.js';
 
 export type ConsensusOpts<Command, Result> = Omit<ReplicaOpts, 'machine'> & {readonly machine: StateMachine<Command, Result>};
--- a/packages/hosts/src/consensus/replica.ts
+++ b/packages/hosts/src/consensus/replica.ts
@@ -1,44 +1,18 @@
+import {createCodec, Signal} from '@egretrill/common';
 import {
-	type Clock, createCodec, type Logger, type Random, Signal,
-} from '@egretrill/common';
-import {
-	type HardState, type LogEntry, type LogPosition, type LogStorage, NoSpaceError, type Snapshot, type SnapshotStore,
+	type HardState, type LogEntry, type LogPosition, NoSpaceError, type Snapshot,
 } from '@egretrill/disk';
 import {MAX_ELECTION_TIMEOUT_MS, MIN_ELECTION_TIMEOUT_MS} from '../constants.js';
-import {Members, type ProposeOutcome} from '../types.js';
+import {Members} from '../types.js';
 import {DiskRoom, runIfRoom} from './disk-room.js';
 import {ProtocolError, StoppedError} from './errors.js';
-import type {Leadership} from './leadership.js';
+import type {Leadership, Proposal} from './leadership.js';
+import type {ReplicaOpts} from './replica-opts.js';
 import {isVoter} from './rules.js';
 import {SerialQueue} from './serial-queue.js';
-import type {ReplicatedStateMachine} from './state-machine.js';
-import type {ConsensusTransport} from './transport.js';
 
 export const membersCodec = createCodec(Members);
 
-export type ReplicaOpts = {
-	readonly memberId: string;
-	/** Members at the bootstrap of the fleet; the one whose id sorts first bootstraps the log. */
-	readonly initialMembers: readonly string[];
-	/** Number of voters that survives the disk losses to be tolerated: twice their number plus one. */
-	readonly minVoters?: number;
-	readonly transport: ConsensusTransport;
-	readonly storage: LogStorage;
-	readonly snapshots: SnapshotStore;
-	readonly machine: ReplicatedStateMachine;
-	readonly clock: Clock;
-	/** Time of day, which unlike the clock counts the time while the machine is suspended; without it suspensions are not detected. */
-	readonly getTimeOfDayMs?: () => number;
-	readonly random: Random;
-	readonly logger?: Logger;
-};
-
-/** A proposal whose entry is not applied yet. */
-export type Proposal = {
-	readonly data: Uint8Array;
-	readonly complete: (outcome: ProposeOutcome<unknown>) => void;
-};
-
 /** The part of a snapshot that was received so far. */
 export type IncomingSnapshot = {
 	readonly index: number;
