targets: count no slot as free for which a request has left its queue

Callers saw: nothing but a longer wait; an engine with one slot got a second request beside the one that ran. Cause: a request leaves its queue before its target is chosen, and the directory learns of it only with the choice, which may wait for a cold permit or the load of an adapter. Meanwhile its slot counted as free, so the queue let the next request through. Change: DirectoryPool.getFreeSlots subtracts the requests that have left the queue and have no target yet.

--- a/apps/egretrilld/src/targets/directory-pool.ts
+++ b/apps/egretrilld/src/targets/directory-pool.ts
@@ -140,7 +140,9 @@
 
 	override getFreeSlots(model: string): number {
 		const {directory, hostZone} = this.opts;
-		return directory.getFreeSlots({model, hostZone, zoneStates: this.opts.getZoneConditions()});
+		const freeSlots = directory.getFreeSlots({model, hostZone, zoneStates: this.opts.getZoneConditions()});
+		// The directory learns of a request only when its target is chosen, which may take a permit or the load of an adapter.
+		return Math.max(0, freeSlots - (this.choosingCounts.get(model) ?? 0));
 	}
 
 	/** Requests that have left their queue and wait for a target, by model. */
