engines: keep a target's address through a silence of 1.6 s

A sound engine that fell silent for 1.6 s between two heartbeats lost its address to another entry that named it. Entry hosts then used the other entry, whose requests the engine refuses with 421, until the engine had registered for two more heartbeats.

The address was given away 2.4 s after the last registration: two heartbeats of 1.2 s. A heartbeat and a silence of 1.6 s are 2.8 s. The new cases, with an entry that registers all along and with one that comes during the silence, failed before: the other entry was used.

MAX_SOUND_SILENCE_MS says for how long a sound target may be silent. The address is now given away after 3.2 s: a heartbeat, that silence and 0.4 s for a late registration. The proof that gives an address back, and the one that keeps a target in a full registry, remain two heartbeats (ADDRESS_PROOF_MS). A target that deregisters or leaves gives its address up at once as before; only the successor of a crashed one at the same address waits up to 0.8 s longer.

--- a/packages/common/src/constants.ts
+++ b/packages/common/src/constants.ts
@@ -27,6 +27,9 @@
 /** Relative clock drift assumed between two hosts when one of them times a lease granted by the other. */
 export const CLOCK_DRIFT_RATIO = 0.01;
 
+/** Longest time for which a sound target may send nothing and answer nothing on all its connections. A decision that rests on a silence waits for longer, or is taken back when the target goes on. */
+export const MAX_SOUND_SILENCE_MS = 1600;
+
 export const ANNOUNCE_INTERVAL_MS = 500;
 export const ANNOUNCE_TTL_MS = 2000;
 
--- a/packages/engines/src/registry/address-claims.ts
+++ b/packages/engines/src/registry/address-claims.ts
@@ -1,4 +1,4 @@
-import {ADDRESS_SILENCE_MS} from './constants.js';
+import {ADDRESS_PROOF_MS, ADDRESS_SILENCE_MS} from './constants.js';
 
 /** A target that has not ended and names an address. */
 export type AddressClaim = {
@@ -37,6 +37,6 @@
 
 	const staying = present.filter(({isLeaving}) => !isLeaving);
 	const usable = staying.length > 0 ? staying : present;
-	const proven = usable.filter(({targetId, receivedMs, steadySinceMs}) => targetId === holderId || receivedMs - steadySinceMs >= ADDRESS_SILENCE_MS);
+	const proven = usable.filter(({targetId, receivedMs, steadySinceMs}) => targetId === holderId || receivedMs - steadySinceMs >= ADDRESS_PROOF_MS);
 	return (getFirst(proven) ?? getLatest(usable))?.targetId;
 }
--- a/packages/engines/src/registry/constants.ts
+++ b/packages/engines/src/registry/constants.ts
@@ -1,8 +1,22 @@
+import {MAX_SOUND_SILENCE_MS} from '@egretrill/common';
+
+/** Time between two registrations of a target that is not silent. */
+export const REGISTRATION_PERIOD_MS = 1200;
+
+/** Time by which a registration may arrive late in addition to the silence of its sender. */
+export const REGISTRATION_DELAY_MS = 400;
+
+/** Longest time between two registrations of a sound target of which none is lost. */
+export const MAX_REGISTRATION_GAP_MS = REGISTRATION_PERIOD_MS + MAX_SOUND_SILENCE_MS + REGISTRATION_DELAY_MS;
+
 /** Time after which a registration expires. Targets register about every second, sometimes seconds late. */
 export const REGISTRATION_TTL_MS = 6000;
 
-/** Two heartbeats: a target that has been silent for this long loses its address to another one that registers with it. */
-export const ADDRESS_SILENCE_MS = 2400;
+/** A target that has been silent for longer loses its address to another one that registers with it. */
+export const ADDRESS_SILENCE_MS = MAX_REGISTRATION_GAP_MS;
+
+/** A target that lost its address gets it back after registering for two heartbeats, since a single registration may be a delayed one. */
+export const ADDRESS_PROOF_MS = 2 * REGISTRATION_PERIOD_MS;
 
 /** Shortest time between two calls of a target in the long run: it calls every 1.2 s, and sooner while control hosts refuse its calls. */
 export const MIN_CALL_INTERVAL_MS = 250;
--- a/packages/engines/src/registry/target-registry.ts
+++ b/packages/engines/src/registry/target-registry.ts
@@ -4,7 +4,7 @@
 import {type AddressClaim, chooseHolder, getSteadySinceMs} from './address-claims.js';
 import {chooseDropped, getRank, type KeptTarget} from './choose-dropped.js';
 import {
-	ADDRESS_SILENCE_MS, DROPPED_TARGETS, ENDED_RETENTION_MS, FULL_CHECK_INTERVAL_MS, MAX_REGISTRY_VALUES, MAX_TARGETS, MODELS_OVERRIDE_MS, REGISTRATION_TTL_MS,
+	ADDRESS_PROOF_MS, DROPPED_TARGETS, ENDED_RETENTION_MS, FULL_CHECK_INTERVAL_MS, MAX_REGISTRY_VALUES, MAX_TARGETS, MODELS_OVERRIDE_MS, REGISTRATION_TTL_MS,
 } from './constants.js';
 import {judgeSequence, type SequenceRun, type SequenceVerdict} from './sequence-run.js';
 import type {RegisteredTarget, RegistryUpdate} from './types.js';
@@ -349,7 +349,7 @@
 			isGone: hasEnded || this.clock.now() - receivedMs > REGISTRATION_TTL_MS,
 			isWaiting,
 			isNamed: this.isServiceNamed(service),
-			isSteady: receivedMs - steadySinceMs >= ADDRESS_SILENCE_MS,
+			isSteady: receivedMs - steadySinceMs >= ADDRESS_PROOF_MS,
 			receivedMs,
 		};
 	}
--- a/packages/engines/tests/registry/address-claims.test.ts
+++ b/packages/engines/tests/registry/address-claims.test.ts
@@ -1,4 +1,4 @@
-import {ManualClock, type Registration} from '@egretrill/common';
+import {ManualClock, MAX_SOUND_SILENCE_MS, type Registration} from '@egretrill/common';
 import {expect} from 'chai';
 import {ADDRESS_SILENCE_MS, ENDED_RETENTION_MS, TargetRegistry} from '../../src/registry/index.js';
 
@@ -69,6 +69,18 @@
 		expect(fixture.listForEntryHosts()).to.equal('good');
 	});
 
+	// Guards against a sound engine that loses its address to another entry because it was silent for 1.6 s.
+	it('stay with a target that is silent between two heartbeats', () => {
+		for (const beside of [[other], []]) {
+			const fixture = new RegistryFixture();
+			fixture.run(3 * HEARTBEAT_MS, good, ...beside);
+			const during = fixture.run(MAX_SOUND_SILENCE_MS, ...beside);
+			fixture.register(other);
+			fixture.register(good);
+			expect(new Set([...during, ...fixture.run(3 * HEARTBEAT_MS, good, other)])).to.deep.equal(new Set(['good']));
+		}
+	});
+
 	// Guards against a needless delay before an engine that was started again under a new id is used.
 	it('go to a successor within two heartbeats', () => {
 		const fixture = new RegistryFixture();
