engines: count a target's own sequences through a silence of 1.6 s

An entry under the id of a sound engine, with sequences far ahead of the engine's, replaced the engine's state when the engine fell silent for 1.6 s between two heartbeats. The engine's own registrations were then out of line themselves and did not count while the other entry went on.

A heartbeat and a silence of 1.6 s are 2.8 s. The new case failed before: the sequence 1,000,000,001 counted in place of 5 and 6.

The others must now have been silent for 3.2 s (MAX_REGISTRATION_GAP_MS); that the ones out of line have gone on for two heartbeats remains. An engine whose registrations count again after a false entry that has stopped waits for one more heartbeat at most.

--- a/packages/engines/src/registry/constants.ts
+++ b/packages/engines/src/registry/constants.ts
@@ -27,8 +27,9 @@
 /** A registration of up to this many calls before the last one is a delayed one; this covers a delay of a minute. */
 export const MAX_DELAYED_CALLS = 50;
 
-/** Registrations with sequences out of line count after they have gone on, and the others have been silent, for two heartbeats. */
-export const SEQUENCE_PROOF_MS = 2400;
+/** Registrations with sequences out of line count after they have gone on for two heartbeats, and the others have been silent for longer than a sound target is. */
+export const SEQUENCE_PROOF_MS = 2 * REGISTRATION_PERIOD_MS;
+export const SEQUENCE_SILENCE_MS = MAX_REGISTRATION_GAP_MS;
 
 /** Retention of ended registrations, so that a delayed registration from the same process does not revive one. */
 export const ENDED_RETENTION_MS = 60_000;
--- a/packages/engines/src/registry/sequence-run.ts
+++ b/packages/engines/src/registry/sequence-run.ts
@@ -1,5 +1,5 @@
 import {
-	MAX_DELAYED_CALLS, MAX_SKIPPED_CALLS, MIN_CALL_INTERVAL_MS, SEQUENCE_PROOF_MS,
+	MAX_DELAYED_CALLS, MAX_SKIPPED_CALLS, MIN_CALL_INTERVAL_MS, SEQUENCE_PROOF_MS, SEQUENCE_SILENCE_MS,
 } from './constants.js';
 
 /** The last of the registrations of one lifetime that follow each other. */
@@ -52,6 +52,6 @@
 	}
 
 	const extended = extendRival(sequence, receivedMs, rival);
-	const isProven = extended.lastMs - extended.sinceMs >= SEQUENCE_PROOF_MS && receivedMs - counting.lastMs >= SEQUENCE_PROOF_MS;
+	const isProven = extended.lastMs - extended.sinceMs >= SEQUENCE_PROOF_MS && receivedMs - counting.lastMs >= SEQUENCE_SILENCE_MS;
 	return isProven ? {isNext: true, step: extended.step} : {isNext: false, rival: extended};
 }
--- a/packages/engines/tests/registry/sequence-run.test.ts
+++ b/packages/engines/tests/registry/sequence-run.test.ts
@@ -1,4 +1,4 @@
-import {ManualClock, type Registration} from '@egretrill/common';
+import {ManualClock, MAX_SOUND_SILENCE_MS, type Registration} from '@egretrill/common';
 import {expect} from 'chai';
 import fc from 'fast-check';
 import {MAX_DELAYED_CALLS, REGISTRATION_TTL_MS, TargetRegistry} from '../../src/registry/index.js';
@@ -80,6 +80,18 @@
 		expect(runEngine(clock, registry, 90_000, 5).slice(-2)).to.deep.equal([90_003, 90_004]);
 	});
 
+	// Guards against an odd entry that replaces a sound engine because the engine was silent for 1.6 s between two heartbeats.
+	it('of an engine count after a silence beside an entry that goes on', () => {
+		const clock = new ManualClock();
+		const registry = new TargetRegistry(clock, 'r1');
+		runEngine(clock, registry, 1, 3);
+		registry.accept(register(4));
+		registry.accept(odd);
+		clock.advance(HEARTBEAT_MS + MAX_SOUND_SILENCE_MS);
+		registry.accept(register(HUGE + 1, {slots: 1}));
+		expect(runEngine(clock, registry, 5, 2)).to.deep.equal([5, 6]);
+	});
+
 	// Guards against a delayed registration that replaces a later one, however many arrive and however long the later one has been silent.
 	it('do not go back to delayed registrations', () => {
 		const arrivals = fc.array(fc.tuple(fc.integer({min: 1, max: MAX_DELAYED_CALLS}), fc.integer({min: 0, max: REGISTRATION_TTL_MS})), {maxLength: 20});
