callers, engines: count no failure of a silent target that was replaced

A sound engine that was silent for more than a second, and whose streams went on at other engines, counted as if it had failed each of them: it ranked last for 1.5 s after the last of them, and the recent failures made it look busier than it was for seconds after it had gone on.

The slot of a stream that another target took over was released as 'broke-off', although the silent target had not broken off: this host closes its connection. It is now released as 'replaced', which records nothing of the target's health, as 'unsent' does. The silence itself still ranks the target last for a while (reportSilence), and a target that cannot be reached is recorded by the next connection to it. A target that breaks off before another one has answered still counts as failed.

The new case of target-table.test.ts failed on the code before: 'far' was chosen in place of 'near'.

--- a/packages/callers/src/forward/forward-to-target.ts
+++ b/packages/callers/src/forward/forward-to-target.ts
@@ -86,6 +86,6 @@
 	const silenceReason = watch?.hasMoved() ? `The target completed no event for ${STREAM_IDLE_TIMEOUT_MS} ms, and another one goes on with the stream.` : undefined;
 	const faultReason = silenceReason ?? result.reason;
 	return {
-		kind: 'broken', reason: faultReason ?? 'The answer ended early.', slotOutcome: 'broke-off', ...(faultReason === undefined && {lostConnection: true}),
+		kind: 'broken', reason: faultReason ?? 'The answer ended early.', slotOutcome: silenceReason === undefined ? 'broke-off' : 'replaced', ...(faultReason === undefined && {lostConnection: true}),
 	};
 }
--- a/packages/callers/src/forward/slot-queue.ts
+++ b/packages/callers/src/forward/slot-queue.ts
@@ -16,8 +16,8 @@
 	readonly tried: ReadonlySet<string>;
 };
 
-/** The result of a request for the health of its target: it answered, it failed or refused the request, it broke off the result, it could not be reached, or nothing was sent to it. */
-export type SlotOutcome = 'answered' | 'failed' | 'broke-off' | 'unreachable' | 'unsent';
+/** The result of a request for the health of its target: it answered, it failed or refused the request, it broke off the result, it could not be reached, it was silent until another one took over, or nothing was sent to it. */
+export type SlotOutcome = 'answered' | 'failed' | 'broke-off' | 'unreachable' | 'replaced' | 'unsent';
 
 /** Room for one request at a target; `release` frees it. */
 export type TargetSlot = {
--- a/packages/engines/src/registry/target-table.ts
+++ b/packages/engines/src/registry/target-table.ts
@@ -45,8 +45,11 @@
 	readonly tried: ReadonlySet<string>;
 };
 
-/** Outcome of a request at its target: it answered, failed or refused the request, aborted the answer, could not be reached, or was sent nothing. */
-export type TargetOutcome = 'answered' | 'failed' | 'broke-off' | 'unreachable' | 'unsent';
+/** Outcome of a request at its target: it answered, failed or refused the request, aborted the answer, could not be reached, was silent until another target took over, or was sent nothing. */
+export type TargetOutcome = 'answered' | 'failed' | 'broke-off' | 'unreachable' | 'replaced' | 'unsent';
+
+/** Outcomes that say nothing of the health of the target; a sound one may be silent. */
+const neutralOutcomes: ReadonlySet<TargetOutcome> = new Set(['replaced', 'unsent']);
 
 /** A slot for one request at a target, held until it is released with the outcome. */
 export type AcquiredSlot = {
@@ -248,7 +251,7 @@
 				isReleased = true;
 				target.ownRequests -= 1;
 				changeAdapterUse(target, model, adapter, -1);
-				if (outcome !== 'unsent') {
+				if (!neutralOutcomes.has(outcome)) {
 					this.recordOutcome(target, outcome);
 				}
 
--- a/packages/engines/tests/registry/target-table.test.ts
+++ b/packages/engines/tests/registry/target-table.test.ts
@@ -123,6 +123,17 @@
 		expect(chosen).to.deep.equal(['near', 'far', 'near']);
 	});
 
+	// Guards against a sound target that is avoided after a silence, as if it had failed, because its streams went to another one.
+	it('counts no failures of a target that was replaced while it was silent', () => {
+		const {table, clock} = createTable([register('near'), register('far', {zone: 'b'})]);
+		const slot = table.acquireSlot('near', requirements);
+		slot?.reportSilence();
+		clock.advance(1499);
+		slot?.release('replaced');
+		clock.advance(2);
+		expect(send(table)).to.equal('near');
+	});
+
 	// Guards against overloading a cold target with the first burst.
 	it('limits the requests to a cold target to this host\'s share', () => {
 		const {table, clock} = createTable([register('cold', {coldForMs: 5000})]);
