callers, engines: offer no silent stream to a target that is silent too

When all engines of a model were silent at once for 1.6 s, each of their resumable streams was sent to a second engine after a second, and to a third one afterwards, although these were as silent. No answer broke off, but each of these sends used up an attempt, a retry of the service's budget and, once the engines went on, the time to read the prompt: six streams on three engines were sent 12 times.

The search for another target knew the silent ones only as those that rank last, and took them when there was no other. A target was also marked only when its stream was already due, so that the first streams to become due found all others unmarked, and the mark stayed for 1.5 s even when the target went on earlier.

A target now counts as silent 0.8 s after the last event of one of its streams, 0.2 s before such a stream is offered to others, and anything that arrives from it, the head of an answer or an event of any stream, ends that at once. In the first 1.65 s of its silence, which is longer than a sound target is silent (MAX_SOUND_SILENCE_MS), a stream is offered only to targets that do not count as silent. Later it is offered to any, since connections may stay silent for good while new ones work; callers wait at least 2 s. When only some engines are silent, their streams are offered to the others after one second, as before.

The first new case failed before with 12 sends in place of six. The second one, connections that stay silent for good, passed before in its present form; it guards the limit of 1.65 s.

--- a/apps/egretrilld/tests/traffic/silent-engine.test.ts
+++ b/apps/egretrilld/tests/traffic/silent-engine.test.ts
@@ -1,8 +1,10 @@
 import {once} from 'node:events';
 import {connect, type Socket} from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
-import type {TrafficRoute} from '@egretrill/common';
+import {createRandom, MonotonicClock, type TrafficRoute} from '@egretrill/common';
+import {TargetTable} from '@egretrill/engines';
 import {expect} from 'chai';
+import {TargetSlotSource} from '../../src/traffic/index.js';
 import {ForwardHost, SIGNED} from './support/forward-host.js';
 import {callRaw} from './support/raw-caller.js';
 import {type RawPeer, type RawScript, RawTarget} from './support/raw-target.js';
@@ -293,3 +295,84 @@
 		expect({'the caller leaves': records, 'the time is over': await timedOut}).toMatchSnapshot();
 	});
 });
+
+const STREAMS = 6;
+
+/** What engines do while they are silent: one that is sound goes on afterwards, dead connections stay silent while new ones work. */
+type FleetScenario = {readonly engines: number; readonly silent: 'all' | 'first' | 'connections'};
+
+/** Runs streams over engines that fall silent at the same moment, after two events of each stream; returns how often a request was sent, what the callers received and how the engines are ranked. */
+async function runFleet({engines, silent: silentPart}: FleetScenario): Promise<unknown> {
+	const begun: unknown[] = [];
+	let fallSilent = (): void => undefined;
+	const silenceEnd = new Promise<void>(resolve => {
+		fallSilent = () => {
+			setTimeout(resolve, PAUSE_MS);
+		};
+	});
+	const createScript = (isSilent: boolean): RawScript => async peer => {
+		const isResumed = /^last-event-id/imv.test(await peer.readHead());
+		if (isResumed) {
+			await (isSilent && silentPart !== 'connections' ? silenceEnd : undefined);
+			await peer.write(`${EVENTS}${formatEvents('b', 3, LAST_EVENT)}`);
+			peer.end();
+			return;
+		}
+
+		await peer.write(`${EVENTS}${formatEvents('a', 1, 2)}`);
+		begun.push(peer);
+		if (begun.length === STREAMS) {
+			fallSilent();
+		}
+
+		await (isSilent ? silenceEnd : undefined);
+		if (silentPart === 'connections') {
+			return;
+		}
+
+		await peer.write(formatEvents('a', 3, LAST_EVENT));
+		peer.end();
+	};
+
+	const targets = await Promise.all(Array.from({length: engines}, async (_, index) => RawTarget.open(createScript(silentPart !== 'first' || index === 0))));
+	const table = createTable(targets);
+	const host = await ForwardHost.open({
+		targets: [], route: resumable, slotSource: new TargetSlotSource({clock: new MonotonicClock(), targets: table, requestAdapter: async () => undefined}),
+	});
+	const answers = await Promise.all(Array.from({length: STREAMS}, async () => callRaw(host.port)));
+	const sent = targets.reduce((sum, {peers}) => sum + peers.length, 0);
+	close({host, targets});
+	return {sent, answers: answers.map(({body, isWhole}) => `${listEvents(body)}${isWhole ? '' : ' cut'}`).toSorted()};
+}
+
+function createTable(targets: readonly RawTarget[]): TargetTable {
+	const table = new TargetTable({
+		clock: new MonotonicClock(), random: createRandom(1), zone: 'a', getColdRate: () => 0, getBatchSlots: () => undefined,
+	});
+	table.update({
+		origin: 'r', revision: 1, isWhole: true, targets: targets.map(({address}) => ({
+			registration: {
+				targetId: address, startedAtMs: 1, sequence: 1, service: 's', address, zone: 'a', slots: STREAMS, isLeaving: false, coldForMs: 0, models: [], inMemory: [], onDisk: [],
+			}, ageMs: 0, hasEnded: false,
+		})),
+	});
+	return table;
+}
+
+/** Answers that begin at one engine and end at another, and answers of one engine. */
+function listAnswers(moved: number): readonly string[] {
+	return Array.from({length: STREAMS}, (_, index) => index < STREAMS - moved ? '1a 2a 3a 4a' : '1a 2a 3b 4b');
+}
+
+describe('whole engines that are silent at once', () => {
+	// Guards against streams that go from one silent engine to the next, which uses up attempts and retries and reads prompts in vain.
+	it('keep their streams unless another engine is not silent', async () => {
+		const [all, first] = await Promise.all([runFleet({engines: 3, silent: 'all'}), runFleet({engines: 3, silent: 'first'})]);
+		expect({all, first}).to.deep.equal({all: {sent: STREAMS, answers: listAnswers(0)}, first: {sent: STREAMS + 2, answers: listAnswers(2)}});
+	});
+
+	// Guards against streams that stay on connections that are silent for good while new ones work.
+	it('get streams whose connections stay silent', async () => {
+		expect(await runFleet({engines: 3, silent: 'connections'})).to.deep.equal({sent: 2 * STREAMS, answers: listAnswers(STREAMS)});
+	});
+});
--- a/apps/egretrilld/tests/traffic/support/forward-host.ts
+++ b/apps/egretrilld/tests/traffic/support/forward-host.ts
@@ -64,7 +64,7 @@
 			? {kind: untried.length === 0 ? 'none' : 'full'}
 			: {
 				kind: 'slot', slot: {
-					targetId: address, address, zone: 'a', startedAtMs: 1, wasCold: false, isLeaving: () => false, outstanding: 0, updateOutstanding: () => undefined, reportSilence: () => undefined, release: outcome => {
+					targetId: address, address, zone: 'a', startedAtMs: 1, wasCold: false, isLeaving: () => false, outstanding: 0, updateOutstanding: () => undefined, reportSilence: () => undefined, recordActivity: () => undefined, release: outcome => {
 						this.released.push({targetId: address, outcome});
 					},
 				},
@@ -144,6 +144,8 @@
 	readonly targets: readonly string[];
 	/** Targets without a free slot. */
 	readonly fullTargets?: readonly string[];
+	/** Finds the slots in place of the fixed targets. */
+	readonly slotSource?: SlotSource;
 	readonly route?: Partial<TrafficRoute>;
 	readonly onChunk?: () => void;
 	readonly maxBodyBytes?: number;
@@ -163,14 +165,14 @@
 	private readonly sender = new HttpSender();
 	private readonly server: Server;
 
-	private constructor({targets, fullTargets = [], route: changes, onChunk = () => undefined, maxBodyBytes = config.limits.maxBodyBytes}: ForwardHostOptions) {
+	private constructor({targets, fullTargets = [], slotSource, route: changes, onChunk = () => undefined, maxBodyBytes = config.limits.maxBodyBytes}: ForwardHostOptions) {
 		this.slots = new FixedSlotSource(targets, fullTargets);
 		const clock = new MonotonicClock();
 		const table = new RouteTable({...config, limits: {...config.limits, maxBodyBytes}, routes: [{...route, ...changes}]});
 		const retries = new RetryBudget(clock, {ratio: 0, reserve: 100});
 		const crashes = new CrashTracker(clock, 'test');
 		const parts: ForwardDependencies = {
-			clock, random: () => 0, dialect: new TestDialect(), queue: new SlotQueue(clock, this.slots), rates: new RateAllocations(clock), poolClient: new RefusingLender(), retrySchedule: new RetrySchedule(clock), sender: new ObservedSender(this.sender, onChunk), observer: this.observer, getTable: () => table, stop: new PlannedStop(clock), durations: new RouteDurations(), crashes, crashGate: new CrashGate(clock, crashes), targetEnds: new TargetEnds({clock, probe: new HttpTargetProbe(), onEnd: () => undefined}), getRetries: () => retries,
+			clock, random: () => 0, dialect: new TestDialect(), queue: new SlotQueue(clock, slotSource ?? this.slots), rates: new RateAllocations(clock), poolClient: new RefusingLender(), retrySchedule: new RetrySchedule(clock), sender: new ObservedSender(this.sender, onChunk), observer: this.observer, getTable: () => table, stop: new PlannedStop(clock), durations: new RouteDurations(), crashes, crashGate: new CrashGate(clock, crashes), targetEnds: new TargetEnds({clock, probe: new HttpTargetProbe(), onEnd: () => undefined}), getRetries: () => retries,
 		};
 		this.server = createHttpServer((req, res) => {
 			void forwardRequest(new NodeExchange(req, res, () => false), parts);
--- a/packages/callers/src/forward/constants.ts
+++ b/packages/callers/src/forward/constants.ts
@@ -1,3 +1,5 @@
+import {MAX_SOUND_SILENCE_MS} from '@egretrill/common';
+
 /** A request is refused when no target is expected within this fraction of its timeout, while its caller can still retry elsewhere. */
 export const MAX_WAIT_RATIO = 0.5;
 
@@ -47,6 +49,12 @@
 /** A resumable stream that completes no event for this long is offered to another target, while its own may still go on: a sound engine may pause for longer. Callers disconnect after `STREAM_CALLER_TIMEOUT_MS` or later, which leaves the other target time to answer. */
 export const STREAM_IDLE_TIMEOUT_MS = 1000;
 
+/** The target of a resumable stream counts as silent after this time without an event. It is shorter than `STREAM_IDLE_TIMEOUT_MS` by the usual longest pause between two events, so that targets which fall silent together are all known before a stream is offered to one of them. */
+export const SILENCE_REPORT_MS = 800;
+
+/** A stream that has been silent for longer than a sound target is, with room for the way to this host, is also offered to targets that are silent themselves: their old connections may be dead while new ones work. */
+export const ANY_TARGET_SWITCH_MS = MAX_SOUND_SILENCE_MS + 50;
+
 /** Interval at which a free slot at another target is looked for while a stream is silent. */
 export const SWITCH_RETRY_INTERVAL_MS = 100;
 
--- a/packages/callers/src/forward/forward-to-target.ts
+++ b/packages/callers/src/forward/forward-to-target.ts
@@ -56,13 +56,14 @@
 	return delivered ?? new EventOrder(route.isResumable ? progress.lastEventId : undefined);
 }
 
-async function relay(context: ForwardContext, {answer, metadata, sent}: OpenAttempt, watch: SwitchWatch | undefined): Promise<AttemptOutcome> {
+async function relay(context: ForwardContext, {answer, metadata, sent, slot}: OpenAttempt, watch: SwitchWatch | undefined): Promise<AttemptOutcome> {
 	const {exchange, progress} = context;
 	progress.status = answer.status;
 	const relayed = {
 		exchange, answer, headers: metadata.headers, onChunk(lastEventId: number | undefined) {
 			progress.chunkTimes.recordChunk();
 			sent.recordEvent();
+			slot.recordActivity();
 			progress.lastEventId = lastEventId ?? progress.lastEventId;
 		},
 	};
--- a/packages/callers/src/forward/open-attempt.ts
+++ b/packages/callers/src/forward/open-attempt.ts
@@ -148,6 +148,7 @@
 
 	progress.attempts += 1;
 	const answer = sent.value;
+	slot.recordActivity();
 	const metadata = deps.dialect.readAnswer(answer);
 	if (metadata.outstanding !== undefined) {
 		slot.updateOutstanding(metadata.outstanding);
--- a/packages/callers/src/forward/slot-queue.ts
+++ b/packages/callers/src/forward/slot-queue.ts
@@ -14,6 +14,8 @@
 	readonly parts: readonly PromptPart[];
 	/** Targets to which this request has already been sent. */
 	readonly tried: ReadonlySet<string>;
+	/** Leaves out targets that are silent now. */
+	readonly avoidsSilent?: boolean;
 };
 
 /** The result of a request for the health of its target: it answered, it failed or refused the request, it broke off the result, it could not be reached, it was silent until another one took over, or nothing was sent to it. */
@@ -36,6 +38,8 @@
 	readonly updateOutstanding: (count: number) => void;
 	/** Ranks the target last for a while, since it is silent in the middle of its answer. */
 	readonly reportSilence: () => void;
+	/** Records that something has arrived from the target, which ends its silence. */
+	readonly recordActivity: () => void;
 	readonly release: (outcome: SlotOutcome) => void;
 };
 
--- a/packages/callers/src/forward/slot-search.ts
+++ b/packages/callers/src/forward/slot-search.ts
@@ -69,12 +69,12 @@
 	return acquired.isOk ? acquired.value : acquired.error;
 }
 
-/** Takes a slot that is free now at a target to which the request has not been sent yet. */
-export function takeFreeSlot(context: ForwardContext): AttemptSlot | undefined {
+/** Takes a slot that is free now at a target to which the request has not been sent yet, and which is not silent if `avoidsSilent`. */
+export function takeFreeSlot(context: ForwardContext, avoidsSilent: boolean): AttemptSlot | undefined {
 	if (!context.deps.crashGate.mayStart(listKeys(context))) {
 		return undefined;
 	}
 
-	const slot = context.deps.queue.takeFree(getRequirements(context), getPriority(context));
+	const slot = context.deps.queue.takeFree({...getRequirements(context), avoidsSilent}, getPriority(context));
 	return slot && start(context, slot);
 }
--- a/packages/callers/src/forward/switch-watch.ts
+++ b/packages/callers/src/forward/switch-watch.ts
@@ -1,5 +1,7 @@
 import {refuseBeforeStop} from './refuse-before-stop.js';
-import {MAX_WAKE_DELAY_MS, SWITCH_RETRY_INTERVAL_MS} from './constants.js';
+import {
+	ANY_TARGET_SWITCH_MS, MAX_WAKE_DELAY_MS, SILENCE_REPORT_MS, SWITCH_RETRY_INTERVAL_MS,
+} from './constants.js';
 import type {ForwardContext} from './forward-context.js';
 import {
 	getTimeUntilSwitchMs, maySwitch, Silence, STREAM_WENT_ON,
@@ -49,10 +51,9 @@
 	}
 
 	private async run(): Promise<void> {
-		const {clock} = this.context.deps;
 		const {signal} = this.stopping;
 		while (!signal.aborted) {
-			const remainingMs = getTimeUntilSwitchMs(this.getSilentMs());
+			const remainingMs = SILENCE_REPORT_MS - this.getSilentMs();
 			if (remainingMs > 0) {
 				await this.sleepAndCatchUp(remainingMs);
 				continue;
@@ -79,15 +80,20 @@
 	}
 
 	private async searchWhileSilent(): Promise<void> {
-		const {clock} = this.context.deps;
 		const {signal} = this.stopping;
-		while (!signal.aborted && getTimeUntilSwitchMs(this.getSilentMs()) <= 0) {
+		while (!signal.aborted && this.getSilentMs() >= SILENCE_REPORT_MS) {
+			const remainingMs = getTimeUntilSwitchMs(this.getSilentMs());
+			if (remainingMs > 0) {
+				await this.sleepAndCatchUp(remainingMs);
+				continue;
+			}
+
 			await this.trySwitch();
 			if (this.next) {
 				return;
 			}
 
-			await clock.sleep(SWITCH_RETRY_INTERVAL_MS, signal);
+			await this.sleepAndCatchUp(SWITCH_RETRY_INTERVAL_MS);
 		}
 	}
 
@@ -102,7 +108,7 @@
 		const isAllowed = !refuseBeforeStop({...this.context, hasStarted: true}, 'switch') && maySwitch({
 			attempts: progress.attempts, maxAttempts: route.maxAttempts, hasRetry: retries.hasRetry(), timeLeftMs: endsMs - deps.clock.now(), lastEventId: progress.eventOrder?.canContinue() ? progress.lastEventId : undefined,
 		});
-		const slot = isAllowed ? takeFreeSlot(this.context) : undefined;
+		const slot = isAllowed ? takeFreeSlot(this.context, this.getSilentMs() < ANY_TARGET_SWITCH_MS) : undefined;
 		if (slot) {
 			retries.tryConsumeRetry();
 			const isSent = await this.offerTo(slot);
--- a/packages/callers/tests/forward/support/forward-fakes.ts
+++ b/packages/callers/tests/forward/support/forward-fakes.ts
@@ -231,7 +231,7 @@
 			: {
 				kind: 'slot',
 				slot: {
-					targetId, address: `${targetId}:1`, zone: 'a', startedAtMs: 1, wasCold: false, isLeaving: () => false, outstanding: 0, updateOutstanding: () => undefined, reportSilence: () => {
+					targetId, address: `${targetId}:1`, zone: 'a', startedAtMs: 1, wasCold: false, isLeaving: () => false, outstanding: 0, updateOutstanding: () => undefined, recordActivity: () => undefined, reportSilence: () => {
 						this.ends.push(`${targetId} silent`);
 					}, release: end => {
 						this.ends.push(`${targetId} ${end}`);
--- a/packages/engines/src/registry/target-table.ts
+++ b/packages/engines/src/registry/target-table.ts
@@ -6,6 +6,7 @@
 	OTHER_COUNTS_TTL_MS, SPARSE_COLD_RATIO, SUSPECT_ZONE_MIN_TARGETS, SUCCESS_DECAY_RATIO, FAILURE_DECAY_MS, MAX_SUSPECT_MS, QUEUED_PER_SLOT, REGISTRATION_TTL_MS, SUSPECT_MS,
 } from './constants.js';
 import {CachedPrompts} from './cached-prompts.js';
+import {getModelKey, indexTargets} from './index-targets.js';
 import type {RegistryUpdate} from './types.js';
 
 const MS_PER_SECOND = 1000;
@@ -21,6 +22,8 @@
 	otherHostsRequests: number;
 	othersReportedMs: number;
 	suspectedUntilMs: number;
+	/** End of the time for which the target counts as silent unless something arrives from it. */
+	silentUntilMs: number;
 	/** Recent failures, decayed over time. */
 	failures: number;
 	failuresUpdatedMs: number;
@@ -43,6 +46,8 @@
 	readonly parts: ReadonlyArray<{readonly id: string; readonly tokens: number}>;
 	/** Targets to which this request has already been sent. */
 	readonly tried: ReadonlySet<string>;
+	/** Leaves out targets that are silent now. */
+	readonly avoidsSilent?: boolean;
 };
 
 /** Outcome of a request at its target: it answered, failed or refused the request, aborted the answer, could not be reached, was silent until another target took over, or was sent nothing. */
@@ -61,6 +66,8 @@
 	readonly updateOutstanding: (count: number) => void;
 	/** Ranks the target last for a while, since it is silent in the middle of its answer. */
 	readonly reportSilence: () => void;
+	/** Records that something has arrived from the target, which ends its silence. */
+	readonly recordActivity: () => void;
 	readonly release: (outcome: TargetOutcome) => void;
 };
 
@@ -74,29 +81,6 @@
 	readonly getBatchSlots: (service: string) => number | undefined;
 };
 
-function getModelKey(service: string, model?: string): string {
-	return JSON.stringify([service, model]);
-}
-
-/** Indexes targets by service, and by service and model, preserving their order. */
-function createIndex(targets: Iterable<Target>): ReadonlyMap<string, readonly Target[]> {
-	const index = new Map<string, Target[]>();
-	for (const target of targets) {
-		const {service, models} = target.registration;
-		// The set removes duplicate keys of a target that holds two versions of a model.
-		for (const key of new Set([getModelKey(service), ...models.map(({name}) => getModelKey(service, name))])) {
-			const known = index.get(key);
-			if (known) {
-				known.push(target);
-			} else {
-				index.set(key, [target]);
-			}
-		}
-	}
-
-	return index;
-}
-
 function changeAdapterUse({adapterUses}: Target, model: string | undefined, adapter: string | undefined, change: number): void {
 	if (model === undefined || adapter === undefined) {
 		return;
@@ -241,7 +225,10 @@
 				this.setOthers(target, Math.max(0, count - target.ownRequests));
 			},
 			reportSilence: () => {
-				target.suspectedUntilMs = Math.max(target.suspectedUntilMs, this.opts.clock.now() + SUSPECT_MS);
+				target.silentUntilMs = this.opts.clock.now() + SUSPECT_MS;
+			},
+			recordActivity() {
+				target.silentUntilMs = 0;
 			},
 			release: outcome => {
 				if (isReleased) {
@@ -309,12 +296,17 @@
 		return targetIds.size >= SUSPECT_ZONE_MIN_TARGETS && this.opts.clock.now() - updatedMs < SUSPECT_MS;
 	}
 
+	private isSilent({silentUntilMs}: Target): boolean {
+		return silentUntilMs > this.opts.clock.now();
+	}
+
 	private getCandidates(requirements: TargetRequirements): readonly TargetCandidate[] {
-		this.index ??= createIndex(this.targets.values());
+		this.index ??= indexTargets(this.targets.values());
 		const candidates: TargetCandidate[] = [];
 		for (const target of this.index.get(getModelKey(requirements.service, requirements.model)) ?? []) {
 			const {targetId, isLeaving, zone, models} = target.registration;
-			if (!isLeaving && !this.zonesOutOfService.has(zone) && !requirements.tried.has(targetId)) {
+			const isAvoided = requirements.tried.has(targetId) || (requirements.avoidsSilent && this.isSilent(target));
+			if (!isLeaving && !this.zonesOutOfService.has(zone) && !isAvoided) {
 				const held = requirements.model === undefined ? undefined : models.find(({name}) => name === requirements.model);
 				candidates.push(this.toCandidate(target, requirements, held?.adapters));
 			}
@@ -330,7 +322,7 @@
 		return {
 			targetId,
 			isSameZone: zone === this.opts.zone,
-			isSuspected: target.suspectedUntilMs > this.opts.clock.now() || this.isZoneSuspected(zone),
+			isSuspected: target.suspectedUntilMs > this.opts.clock.now() || this.isSilent(target) || this.isZoneSuspected(zone),
 			failures: this.getFailures(target),
 			hasAdapter,
 			outstanding: this.getOutstanding(target),
@@ -379,7 +371,7 @@
 
 		this.cachedPrompts.removeTarget(registration.targetId);
 		this.targets.set(registration.targetId, {
-			registration, coldUntilMs, ownRequests: 0, adapterUses: new Map(), otherHostsRequests: 0, othersReportedMs: 0, suspectedUntilMs: 0, failures: 0, failuresUpdatedMs: 0, unreachableCount: 0, coldSends: [], nextColdSendMs,
+			registration, coldUntilMs, ownRequests: 0, adapterUses: new Map(), otherHostsRequests: 0, othersReportedMs: 0, suspectedUntilMs: 0, silentUntilMs: 0, failures: 0, failuresUpdatedMs: 0, unreachableCount: 0, coldSends: [], nextColdSendMs,
 		});
 	}
 
