engines: wait for a load whose order got no answer in time

When an engine was silent for 1.6 s, the order to load a model that reached it meanwhile got no answer within a second. The engine carried the order out when it went on. The leader gave up the move and no longer knew that the model was being loaded: callers who waited for the model were told that none was coming, and a second engine loaded the same model from the store.

The leader repeats an unanswered order with the same count, so that the engine accepts one of them only, and gave up when the engine's report showed that it was busy. That report proves more: the engine has accepted exactly one order since the count that the order named. The leader now takes it for the unanswered one and waits for its end as for one that was accepted. If the engine has executed another order instead, such as a late one of the last leader, its first report afterwards ends the wait and the load is planned again. The account stays unknown meanwhile, so no other order rests on it.

The new case of engine-owner.test.ts failed before: 'load-model b' began at 1.9 s, late, and at the other engine at 2.0 s. Both its engines are silent for 1.6 s.

--- a/packages/engines/src/loading/engine-account.ts
+++ b/packages/engines/src/loading/engine-account.ts
@@ -11,6 +11,8 @@
 	private orderCount: number | undefined;
 	/** Number of orders that the engine has certainly accepted; a report with a lower number predates the last order. */
 	private minOrderCount = 0;
+	/** Whether the engine executed an order when it last reported. */
+	private isBusy = false;
 
 	/** What the engine holds according to its last report and the orders since; undefined until it has reported this while it executed no order. */
 	getModels(): readonly HeldModel[] | undefined {
@@ -49,6 +51,7 @@
 		}
 
 		this.minOrderCount = orderCount;
+		this.isBusy = isBusy;
 		if (isBusy) {
 			this.forget();
 			return false;
@@ -59,6 +62,11 @@
 		return true;
 	}
 
+	/** Whether the engine, by its last report, executes the one order that it has accepted since the named count. */
+	isExecutingNext(orderCount: number): boolean {
+		return this.isBusy && this.minOrderCount === orderCount + 1;
+	}
+
 	/** No order is sent until the engine has reported what it holds. */
 	forget(): void {
 		this.models = undefined;
--- a/packages/engines/src/loading/engine-order-queue.ts
+++ b/packages/engines/src/loading/engine-order-queue.ts
@@ -41,8 +41,8 @@
 	private moveEndsAtMs = 0;
 	private readonly account = new EngineAccount();
 	private isRefreshing = false;
-	/** Whether the last order was complete when the engine answered. */
-	private wasDoneOnAnswer = false;
+	/** What is known of the last order: it was complete when the engine answered, was accepted, or is assumed to be the one that the engine executes. */
+	private lastOrder: 'done' | 'begun' | 'assumed' = 'begun';
 	/** The adapter that is being evicted; the hosts do not see it even while the engine still holds it. */
 	private leaving: HeldAdapter | undefined;
 	private tail: Promise<unknown> = Promise.resolve();
@@ -199,12 +199,18 @@
 	/** Sends an order and repeats it until its effect is certain; returns whether it is complete or in progress. Each attempt may rest on a newer account, in which the room may be gone. */
 	private async sendOrder(step: LoadStep, isRoomLeft = () => true): Promise<boolean> {
 		const {clock, logger, orders, signal} = this.opts;
+		let unansweredCount: number | undefined;
 		for (let attempt = 0; attempt < MAX_ORDER_ATTEMPTS && !signal.aborted; attempt++) {
 			const engine = this.getEngine();
 			if (this.account.getOrderCount() === undefined) {
 				await this.refresh();
 			}
 
+			if (this.isLoadUnderWay(step, unansweredCount)) {
+				this.lastOrder = 'assumed';
+				return true;
+			}
+
 			const expectedOrderCount = this.account.getOrderCount();
 			if (!engine || expectedOrderCount === undefined || !isRoomLeft()) {
 				return false;
@@ -217,7 +223,7 @@
 				targetId: this.targetId, ...step, expectedOrderCount, fencingToken: this.opts.fencingToken, answer,
 			}, 'An engine was given an order.');
 			this.account.recordAnswer(answer, step, expectedOrderCount);
-			this.wasDoneOnAnswer = answer === 'done';
+			this.lastOrder = answer === 'done' ? 'done' : 'begun';
 			if (answer === 'begun' || answer === 'done') {
 				return true;
 			}
@@ -226,10 +232,11 @@
 				return false;
 			}
 
+			unansweredCount = answer === 'unknown' ? expectedOrderCount : unansweredCount;
 			// The engine may still execute the order; if it does, its order count has grown and a repeated order is refused.
 			await clock.sleep(REPORT_RETRY_MS, signal);
 			if (await this.refresh() && isDone(this.getModels(), step)) {
-				this.wasDoneOnAnswer = true;
+				this.lastOrder = 'done';
 				return true;
 			}
 		}
@@ -237,6 +244,11 @@
 		return false;
 	}
 
+	/** Whether the engine executes a load whose order it did not answer in time. Without this, another engine would load the model as well. */
+	private isLoadUnderWay({kind}: LoadStep, unansweredCount: number | undefined): boolean {
+		return kind === 'load-model' && unansweredCount !== undefined && this.account.isExecutingNext(unansweredCount);
+	}
+
 	/** Requests the state of the engine; returns whether the account is up to date, so that the next order may name its count. */
 	private async refresh(): Promise<boolean> {
 		const engine = this.getEngine();
@@ -259,7 +271,7 @@
 	/** Waits for the end of an order in progress until a report of the engine shows its effect. */
 	private async waitUntilDone(step: LoadStep, expectedMs: number): Promise<boolean> {
 		const {clock, registry, signal} = this.opts;
-		if (this.wasDoneOnAnswer) {
+		if (this.lastOrder === 'done') {
 			this.completeStep(step);
 			return true;
 		}
@@ -281,10 +293,16 @@
 			// A registration may have been sent before the order and delayed. It must not show room that is not there yet, so for an unload it only brings the next report forward.
 			const nextRefreshAtMs = isRegistered ? Math.min(plannedRefreshAtMs, refreshedAtMs + REGISTERED_POLL_MS) : plannedRefreshAtMs;
 			if (clock.now() >= nextRefreshAtMs) {
-				if (await this.refresh() && isDone(this.getModels(), step)) {
+				const isKnown = await this.refresh();
+				if (isKnown && isDone(this.getModels(), step)) {
 					return true;
 				}
 
+				if (isKnown && this.lastOrder === 'assumed') {
+					// The order that the engine has executed was another one.
+					return false;
+				}
+
 				refreshedAtMs = clock.now();
 				plannedRefreshAtMs = refreshedAtMs + PROGRESS_POLL_MS;
 				continue;
--- a/packages/engines/tests/loading/engine-owner.test.ts
+++ b/packages/engines/tests/loading/engine-owner.test.ts
@@ -1,5 +1,5 @@
 import {
-	createLogger, createRandom, type EngineClass, type HeldModel, ManualClock, type Registration,
+	createLogger, createRandom, type EngineClass, type HeldModel, ManualClock, MAX_SOUND_SILENCE_MS, type Registration,
 } from '@egretrill/common';
 import {expect} from 'chai';
 import {
@@ -24,6 +24,8 @@
 	busyUntilMs = 0;
 	/** The next order gets no answer and is executed after this delay. */
 	delayMs = 0;
+	/** Until then the engine receives and answers nothing. */
+	silentUntilMs = 0;
 	/** What other engines hold, which get no orders. */
 	readonly others = new Map<string, readonly HeldModel[]>();
 	readonly log: string[] = [];
@@ -47,6 +49,13 @@
 			return 'unknown';
 		}
 
+		const silentMs = this.silentUntilMs - this.clock.now();
+		if (silentMs > 0) {
+			void this.acceptAfterDelay(order, silentMs);
+			await this.clock.sleep(1000);
+			return 'unknown';
+		}
+
 		const answer = this.accept(order);
 		this.record(order, answer);
 		return answer;
@@ -54,6 +63,10 @@
 
 	override async getReport({targetId}: EngineAddress = registration): Promise<EngineReport> {
 		const other = this.others.get(targetId);
+		while (this.clock.now() < this.silentUntilMs) {
+			await this.clock.sleep(this.silentUntilMs - this.clock.now());
+		}
+
 		return other ? {models: [...other], isBusy: false, orderCount: 0} : {models: [...this.models], isBusy: this.isBusy(), orderCount: this.orderCount};
 	}
 
@@ -164,8 +177,41 @@
 	};
 }
 
+/** Starts the owner of several engines that hold the same model. */
+function startOwnerOfSeveral(ids: readonly string[], adapters: readonly string[]): Omit<Fixture, 'engine'> & {readonly engines: ReadonlyMap<string, SimulatedEngine>} {
+	const clock = new ManualClock();
+	const registry = new TargetRegistry(clock, 'r');
+	const engines = new Map(ids.map(id => [id, new SimulatedEngine(clock)]));
+	for (const [targetId, engine] of engines) {
+		engine.models = [{name: 'a', version: 1, adapters: [...adapters]}];
+		registry.accept({
+			...registration, targetId, address: `${targetId}:1`, models: [...engine.models],
+		});
+	}
+
+	class Orders extends EngineOrders {
+		override async send(engine: EngineAddress, order: LoadOrder, mayWrite: () => boolean): Promise<LoadOrderOutcome> {
+			await clock.sleep(50);
+			return engines.get(engine.targetId)?.send(engine, order, mayWrite) ?? 'not-sent';
+		}
+
+		override async getReport(engine: EngineAddress): Promise<EngineReport | undefined> {
+			return engines.get(engine.targetId)?.getReport();
+		}
+	}
+
+	const owner = new EngineOwner({
+		clock, random: createRandom(1), logger: createLogger('test', 'fatal'), registry, orders: new Orders(), holder: 'h', fencingToken: 1, firstOrderAtMs: 0, mayOrder: () => true, getZonesOut: () => [], getClasses: () => new Map([['s', engineClass]]),
+	});
+	const controller = new AbortController();
+	void owner.run(controller.signal);
+	return {
+		clock, engines, owner, controller,
+	};
+}
+
 /** Reports the waiting requests of a host as often as hosts do. */
-async function reportPeriodically({clock, owner, controller}: Fixture, counts: WaitingCounts): Promise<void> {
+async function reportPeriodically({clock, owner, controller}: Omit<Fixture, 'engine'>, counts: WaitingCounts): Promise<void> {
 	while (!controller.signal.aborted) {
 		owner.recordWaiting('h1', counts);
 		await clock.sleep(200, controller.signal);
@@ -251,32 +297,7 @@
 
 	// Guards against adapter loads that queue at one of several engines with the model while the others are idle.
 	it('spreads adapter loads over the engines that hold the model', async () => {
-		const clock = new ManualClock();
-		const registry = new TargetRegistry(clock, 'r');
-		const engines = new Map(['t1', 't2', 't3'].map(id => [id, new SimulatedEngine(clock)]));
-		for (const [targetId, engine] of engines) {
-			engine.models = [{name: 'a', version: 1, adapters: ['x', 'y']}];
-			registry.accept({
-				...registration, targetId, address: `${targetId}:1`, models: [...engine.models],
-			});
-		}
-
-		class Orders extends EngineOrders {
-			override async send(engine: EngineAddress, order: LoadOrder, mayWrite: () => boolean): Promise<LoadOrderOutcome> {
-				await clock.sleep(50);
-				return engines.get(engine.targetId)?.send(engine, order, mayWrite) ?? 'not-sent';
-			}
-
-			override async getReport(engine: EngineAddress): Promise<EngineReport | undefined> {
-				return engines.get(engine.targetId)?.getReport();
-			}
-		}
-
-		const owner = new EngineOwner({
-			clock, random: createRandom(1), logger: createLogger('test', 'fatal'), registry, orders: new Orders(), holder: 'h', fencingToken: 1, firstOrderAtMs: 0, mayOrder: () => true, getZonesOut: () => [], getClasses: () => new Map([['s', engineClass]]),
-		});
-		const controller = new AbortController();
-		void owner.run(controller.signal);
+		const {clock, owner, controller} = startOwnerOfSeveral(['t1', 't2', 't3'], ['x', 'y']);
 		await clock.run(300);
 		const loads = ['a1', 'a2', 'a3'].map(async adapter => owner.ensureAdapter({service: 's', model: 'a', adapter}, controller.signal));
 		await clock.run(1000);
@@ -285,6 +306,21 @@
 		expect(await Promise.all(loads)).toMatchSnapshot();
 	});
 
+	// Guards against a second load of a model because an engine that was silent for 1.6 s left the order of the first one unanswered.
+	it('waits for a load whose order was answered too late', async () => {
+		const fixture = startOwnerOfSeveral(['t1', 't2'], []);
+		await fixture.clock.run(300);
+		for (const engine of fixture.engines.values()) {
+			engine.silentUntilMs = fixture.clock.now() + MAX_SOUND_SILENCE_MS;
+		}
+
+		void reportPeriodically(fixture, [['s', 'b', 2, 0]]);
+		await fixture.clock.run(4500);
+		fixture.controller.abort();
+		await fixture.clock.run(1);
+		expect([...fixture.engines.values()].flatMap(({log}) => log)).to.deep.equal(['1900 ms: load-model b after 0: late begun']);
+	});
+
 	// Guards against loads, until the leader changes, for requests that ended with the host where they waited.
 	it('drops the waiting requests of a host that has stopped', async () => {
 		const fixture = startOwner(engine => {
--- a/packages/engines/tests/loading/order-room.test.ts
+++ b/packages/engines/tests/loading/order-room.test.ts
@@ -194,6 +194,20 @@
 		expect({answers: await Promise.all(loads), orders: await fixture.stop()}).toMatchSnapshot();
 	});
 
+	// Guards against an engine that is left alone for half a minute because an order of the last leader was taken for one that got lost.
+	it('orders a load again when the engine has executed another order instead', async () => {
+		const fixture = new Fixture();
+		await fixture.start([]);
+		fixture.fates.push({deliveryMs: 1200, isAnswered: false}, {deliveryMs: undefined, isAnswered: false});
+		void fixture.engine.send(fixture.engine.register(), {...lastLeader, kind: 'load-model', model: 'c'}, () => true);
+		fixture.owner.recordArrivals({service: 's', model: 'b'}, 3, 3000);
+		fixture.owner.recordWaiting('h1', [['s', 'b', 2, 0]]);
+		await fixture.clock.run(3000);
+		fixture.owner.recordWaiting('h1', [['s', 'b', 2, 0]]);
+		await fixture.clock.run(2500);
+		expect(await fixture.stop()).toMatchSnapshot();
+	});
+
 	// Guards against memory that counts as free after a load whose end no report has shown within the time for it.
 	it('asks what an engine holds after it has waited in vain for the end of a load', async () => {
 		const fixture = new Fixture();
