engines: shorten the suspicion of an unreachable target whose answers go on

A silent engine whose queue of new connections is full lets them time out after 250 ms. Four requests that did so at once ranked the engine last for 6 s, as if it had been out of reach four times in a row, although its answers went on after 1.6 s.

The suspicion doubles with each connection in a row that times out, which suits a target without power or behind a partition, and nothing took it back. Whatever arrives from the target now limits it to 1.5 s after the last of these connections, the time after a single one. A target without power sends nothing, so its suspicion stays as long as before.

The new case of target-table.test.ts failed before: 'far' was chosen 1.6 s after four connections had timed out, in place of 'near'.

Measured: 145 tests of packages/engines/tests/registry, packages/callers/tests/forward and silent-engine.test.ts pass.

--- a/packages/engines/src/registry/target-table.ts
+++ b/packages/engines/src/registry/target-table.ts
@@ -27,8 +27,9 @@
 	/** Recent failures, decayed over time. */
 	failures: number;
 	failuresUpdatedMs: number;
-	/** Consecutive requests that could not reach the target. */
+	/** Consecutive requests that could not reach the target, and the time of the last one. */
 	unreachableCount: number;
+	unreachableMs: number;
 	/** Send times of the last second, only recorded while the target is cold. */
 	coldSends: readonly number[];
 	/** Time of the next send while the target is cold and this host's share of it is less than one request a second. */
@@ -99,6 +100,14 @@
 	return times.filter(timeMs => nowMs - timeMs < MS_PER_SECOND);
 }
 
+/** Ends the silence of a target, and the longer suspicion after several connections that timed out: a silent target with a full queue of new connections is neither powered off nor partitioned. */
+function recordActivity(target: Target): void {
+	target.silentUntilMs = 0;
+	if (target.unreachableCount > 0) {
+		target.suspectedUntilMs = Math.min(target.suspectedUntilMs, target.unreachableMs + SUSPECT_MS);
+	}
+}
+
 /** The targets known to an entry host, with its outstanding requests there. */
 export class TargetTable {
 	/** Notified when a slot may have become free or a target was added. */
@@ -228,7 +237,7 @@
 				target.silentUntilMs = this.opts.clock.now() + SUSPECT_MS;
 			},
 			recordActivity() {
-				target.silentUntilMs = 0;
+				recordActivity(target);
 			},
 			release: outcome => {
 				if (isReleased) {
@@ -252,6 +261,7 @@
 		this.recordZoneReachability(target.registration, outcome);
 		target.unreachableCount = outcome === 'unreachable' ? target.unreachableCount + 1 : 0;
 		this.recordFailure(target, outcome);
+		target.unreachableMs = outcome === 'unreachable' ? this.opts.clock.now() : target.unreachableMs;
 		if (outcome === 'broke-off' || outcome === 'unreachable') {
 			const factor = 2 ** Math.max(0, target.unreachableCount - 1);
 			target.suspectedUntilMs = this.opts.clock.now() + Math.min(SUSPECT_MS * factor, MAX_SUSPECT_MS);
@@ -371,7 +381,7 @@
 
 		this.cachedPrompts.removeTarget(registration.targetId);
 		this.targets.set(registration.targetId, {
-			registration, coldUntilMs, ownRequests: 0, adapterUses: new Map(), otherHostsRequests: 0, othersReportedMs: 0, suspectedUntilMs: 0, silentUntilMs: 0, failures: 0, failuresUpdatedMs: 0, unreachableCount: 0, coldSends: [], nextColdSendMs,
+			registration, coldUntilMs, ownRequests: 0, adapterUses: new Map(), otherHostsRequests: 0, othersReportedMs: 0, suspectedUntilMs: 0, silentUntilMs: 0, failures: 0, failuresUpdatedMs: 0, unreachableCount: 0, unreachableMs: 0, coldSends: [], nextColdSendMs,
 		});
 	}
 
--- a/packages/engines/tests/registry/target-table.test.ts
+++ b/packages/engines/tests/registry/target-table.test.ts
@@ -134,6 +134,23 @@
 		expect(send(table)).to.equal('near');
 	});
 
+	// Guards against a sound target that is avoided for 6 s because several connections to it timed out at once while it was silent and its queue of new connections was full.
+	it('avoids an unreachable target no longer than after one failure once its answers go on', () => {
+		const {table, clock} = createTable([register('near', {slots: 8}), register('far', {zone: 'b'})]);
+		const [running, ...failing] = Array.from({length: 5}, () => table.acquireSlot('near', requirements));
+		for (const slot of failing) {
+			slot?.release('unreachable');
+		}
+
+		clock.advance(1400);
+		running?.recordActivity();
+		const chosen = [send(table, 'answered')];
+		clock.advance(200);
+		running?.release('answered');
+		chosen.push(send(table, 'answered'));
+		expect(chosen).to.deep.equal(['far', 'near']);
+	});
+
 	// Guards against overloading a cold target with the first burst.
 	it('limits the requests to a cold target to this host\'s share', () => {
 		const {table, clock} = createTable([register('cold', {coldForMs: 5000})]);
