engines: take no engine for cold because of one silence

In the chats a sound engine that was silent for 1.6 s was taken for cold: all requests that were waiting for their first token got it late, and three slow answers in a row are the sign of a cold target. The engine then got one request at a time, doubling with each that it completed; when all engines of a model were silent at once, callers were refused meanwhile.

The detector counted each answer by itself, although one silence delays all requests that overlap it. A slow answer now counts only if its request was sent after the last slow answer had come. A target that is really cold is noticed after three rounds of answers in place of one. Its announcements and failed requests count as before. The forwarding path does not use the detector: it goes by what targets say of themselves.

The new case of cold-start.test.ts failed before: ten requests that waited through the silence made the engine cold. The existing case keeps its latencies and its expectation; its clock now advances by each latency, since the detector needs to know when a request was sent.

--- a/apps/egretrilld/src/container.ts
+++ b/apps/egretrilld/src/container.ts
@@ -160,7 +160,7 @@
 		directory: ctx.get(tokens.directory),
 		policy: ctx.get(tokens.policy),
 		permits: ctx.get(tokens.permits),
-		collapses: new ColdTargetDetector(),
+		collapses: new ColdTargetDetector(ctx.get(tokens.clock)),
 		prefixCache: ctx.get(tokens.prefixCache),
 		config: ctx.get(tokens.config),
 		getZoneConditions: () => ctx.get(tokens.zones).getConditions(),
--- a/packages/engines/tests/routing/cold-start.test.ts
+++ b/packages/engines/tests/routing/cold-start.test.ts
@@ -1,4 +1,4 @@
-import {createRandom, ManualClock} from '@egretrill/common';
+import {createRandom, ManualClock, MAX_SOUND_SILENCE_MS} from '@egretrill/common';
 import {expect} from 'chai';
 import {
 	ColdPermitHolder, type ColdReport, ColdStartRamp, ColdTargetDetector,
@@ -263,8 +263,20 @@
 	});
 
 	it('detects a cold target after three consecutive slow or failed requests, not after one', () => {
-		const detector = new ColdTargetDetector();
+		const clock = new ManualClock();
+		const detector = new ColdTargetDetector(clock);
 		const latencies: ReadonlyArray<number | 'failed'> = [...Array.from({length: 8}, () => 200), 900, 200, 900, 'failed', 900, 900];
-		expect(latencies.map(latency => detector.record('t1', 't1-s1', latency)).lastIndexOf(true)).to.equal(12);
+		const seen = latencies.map(latency => {
+			clock.advance(latency === 'failed' ? 0 : latency);
+			return detector.record('t1', 't1-s1', latency);
+		});
+		expect(seen.lastIndexOf(true)).to.equal(12);
+	});
+
+	// Guards against a sound engine that is taken for cold since all requests that were sent to it before or during a silence are answered late.
+	it('counts the requests that a silence delays as one', () => {
+		const detector = new ColdTargetDetector(new ManualClock());
+		const latencies = [...Array.from({length: 8}, () => 200), ...Array.from({length: 10}, (_, i) => MAX_SOUND_SILENCE_MS - (100 * i))];
+		expect(latencies.map(latency => detector.record('t1', 't1-s1', latency))).to.not.include(true);
 	});
 });
