--- a/packages/callers/src/forward/forward-to-target.ts
+++ b/packages/callers/src/forward/forward-to-target.ts
@@ -56,13 +56,14 @@
 	return delivered ?? new EventOrder(route.isResumable ? progress.lastEventId : undefined);
 }
 
-async function relay(context: ForwardContext, {answer, metadata, sent}: OpenAttempt, watch: SwitchWatch | undefined): Promise<AttemptOutcome> {
+async function relay(context: ForwardContext, {answer, metadata, sent, slot}: OpenAttempt, watch: SwitchWatch | undefined): Promise<AttemptOutcome> {
 	const {exchange, progress} = context;
 	progress.status = answer.status;
 	const relayed = {
 		exchange, answer, headers: metadata.headers, onChunk(lastEventId: number | undefined) {
 			progress.chunkTimes.recordChunk();
 			sent.recordEvent();
+			slot.recordActivity();
 			progress.lastEventId = lastEventId ?? progress.lastEventId;
 		},
 	};
@@ -86,6 +87,6 @@
 	const silenceReason = watch?.hasMoved() ? `The target completed no event for ${STREAM_IDLE_TIMEOUT_MS} ms, and another one goes on with the stream.` : undefined;
 	const faultReason = silenceReason ?? result.reason;
 	return {
-		kind: 'broken', reason: faultReason ?? 'The answer ended early.', slotOutcome: 'broke-off', ...(faultReason === undefined && {lostConnection: true}),
+		kind: 'broken', reason: faultReason ?? 'The answer ended early.', slotOutcome: silenceReason === undefined ? 'broke-off' : 'replaced', ...(faultReason === undefined && {lostConnection: true}),
 	};
 }
--- a/packages/callers/src/forward/slot-queue.ts
+++ b/packages/callers/src/forward/slot-queue.ts
@@ -14,10 +14,12 @@
 	readonly parts: readonly PromptPart[];
 	/** Targets to which this request has already been sent. */
 	readonly tried: ReadonlySet<string>;
+	/** Leaves out targets that are silent now. */
+	readonly avoidsSilent?: boolean;
 };
 
-/** The result of a request for the health of its target: it answered, it failed or refused the request, it broke off the result, it could not be reached, or nothing was sent to it. */
-export type SlotOutcome = 'answered' | 'failed' | 'broke-off' | 'unreachable' | 'unsent';
+/** The result of a request for the health of its target: it answered, it failed or refused the request, it broke off the result, it could not be reached, it was silent until another one took over, or nothing was sent to it. */
+export type SlotOutcome = 'answered' | 'failed' | 'broke-off' | 'unreachable' | 'replaced' | 'unsent';
 
 /** Room for one request at a target; `release` frees it. */
 export type TargetSlot = {
@@ -36,6 +38,8 @@
 	readonly updateOutstanding: (count: number) => void;
 	/** Ranks the target last for a while, since it is silent in the middle of its answer. */
 	readonly reportSilence: () => void;
+	/** Records that something has arrived from the target, which ends its silence. */
+	readonly recordActivity: () => void;
 	readonly release: (outcome: SlotOutcome) => void;
 };
 
