traffic: handle SIGHUP from the start of a process

A host that had just opened its address for callers, or was still reading its settings, was ended by SIGHUP, together with the requests that it served.

The handler was installed by the task that watches the settings, which began only after all servers listened. Until then the default action applied, which ends the process.

The handler is now installed before the settings are read for the first time. A request that comes before the watching task waits is remembered, so that the settings are read again at its first wait.

--- a/apps/egretrilld/src/traffic/run-traffic.ts
+++ b/apps/egretrilld/src/traffic/run-traffic.ts
@@ -6,8 +6,8 @@
 import {startPeerServer} from '@egretrill/hosts';
 import type {Container} from 'inversify';
 import type {Adapter} from './adapter.js';
-import {SETTINGS_POLL_INTERVAL_MS} from './constants.js';
 import {createTrafficContainer} from './container.js';
+import {ReloadRequests} from './reload-requests.js';
 import type {TrafficSettings} from './settings.js';
 import {trafficTokens} from './tokens.js';
 
@@ -16,6 +16,9 @@
 	abstract read(): Promise<TrafficSettings>;
 }
 
+/** What the tasks of a process have in common. */
+type Process = {readonly container: Container; readonly source: SettingsSource; readonly adapter: Adapter; readonly reloads: ReloadRequests};
+
 async function listen(server: Server, address: string): Promise<void> {
 	const separator = address.lastIndexOf(':');
 	server.listen(Number(address.slice(separator + 1)), address.slice(0, separator));
@@ -33,17 +36,12 @@
 }
 
 /** Re-reads the settings on SIGHUP and periodically, and applies changed ones. */
-async function watchSettings(container: Container, source: SettingsSource, initialSettings: TrafficSettings, apply: (settings: TrafficSettings) => void, signal: AbortSignal): Promise<void> {
+async function watchSettings({container, source, reloads}: Process, initialSettings: TrafficSettings, apply: (settings: TrafficSettings) => void, signal: AbortSignal): Promise<void> {
 	const clock = container.get(trafficTokens.clock);
 	const logger = container.get(trafficTokens.logger);
 	let appliedSerialized = JSON.stringify(initialSettings);
-	let reload = new AbortController();
-	process.on('SIGHUP', () => {
-		reload.abort();
-	});
 	while (!signal.aborted) {
-		await clock.sleep(SETTINGS_POLL_INTERVAL_MS, AbortSignal.any([signal, reload.signal]));
-		reload = new AbortController();
+		await reloads.wait(clock, signal);
 		try {
 			const settings = await source.read();
 			const serialized = JSON.stringify(settings);
@@ -58,40 +56,42 @@
 	}
 }
 
-async function runControl(container: Container, source: SettingsSource, settings: TrafficSettings & {role: 'control'}, adapter: Adapter, signal: AbortSignal): Promise<void> {
+async function runControl(running: Process, settings: TrafficSettings & {role: 'control'}, signal: AbortSignal): Promise<void> {
+	const {container, adapter} = running;
 	const control = container.get(trafficTokens.control);
 	const logger = container.get(trafficTokens.logger);
 	const peerServer = await startPeerServer({
 		address: settings.listen.peers, credentials: container.get(trafficTokens.credentials), handlers: control.getHandlers(), logger,
 	});
-	const running = control.run(signal);
+	const hostTask = control.run(signal);
 	const server = createHttpServer(adapter.createControlApp(control));
 	await listen(server, settings.listen.control);
 	const metrics = await serveMetrics(container, settings, () => []);
 	logger.info({
 		role: settings.role, ...settings.listen, seeds: settings.seeds, isFirstStart: settings.isFirstStart,
 	}, 'Host started.');
-	void watchSettings(container, source, settings, changed => {
+	void watchSettings(running, settings, changed => {
 		control.updateSeeds(changed.seeds);
 	}, signal);
-	await running;
+	await hostTask;
 	server.close();
 	server.closeAllConnections();
 	metrics?.close();
 	await peerServer.stop();
 }
 
-async function runEntry(container: Container, source: SettingsSource, settings: TrafficSettings & {role: 'entry'}, adapter: Adapter, stop: AbortSignal): Promise<void> {
+async function runEntry(running: Process, settings: TrafficSettings & {role: 'entry'}, stop: AbortSignal): Promise<void> {
+	const {container, adapter} = running;
 	const entry = container.get(trafficTokens.entry);
 	const logger = container.get(trafficTokens.logger);
 	const ended = new AbortController();
-	const running = entry.run(ended.signal);
+	const hostTask = entry.run(ended.signal);
 	const readyServer = createHttpServer(adapter.createReadyApp(() => entry.getUnreadyReasons()));
 	await listen(readyServer, settings.listen.health);
 	await listen(entry.server, settings.listen.callers);
 	const metrics = await serveMetrics(container, settings, () => entry.getUnreadyReasons());
 	logger.info({role: settings.role, ...settings.listen, seeds: settings.seeds}, 'Host started.');
-	void watchSettings(container, source, settings, changed => {
+	void watchSettings(running, settings, changed => {
 		entry.applySettings(changed);
 	}, ended.signal);
 	if (!stop.aborted) {
@@ -100,7 +100,7 @@
 
 	await entry.stop(String(stop.reason));
 	ended.abort();
-	await running;
+	await hostTask;
 	for (const server of [readyServer, metrics]) {
 		server?.close();
 		server?.closeAllConnections();
@@ -109,6 +109,7 @@
 
 /** Runs a host until a signal stops it. */
 export async function runTraffic(source: SettingsSource, adapter: Adapter): Promise<void> {
+	const reloads = new ReloadRequests();
 	const settings = await source.read();
 	const container = createTrafficContainer(settings, adapter);
 	const logger = container.get(trafficTokens.logger);
@@ -120,8 +121,11 @@
 		});
 	}
 
+	const running = {
+		container, source, adapter, reloads,
+	};
 	await (settings.role === 'control'
-		? runControl(container, source, settings, adapter, stopper.signal)
-		: runEntry(container, source, settings, adapter, stopper.signal));
+		? runControl(running, settings, stopper.signal)
+		: runEntry(running, settings, stopper.signal));
 	logger.info('Host stopped.');
 }
