common: let a request arrive within the timeouts that held when it began

A caller whose request was arriving when a configuration with a shorter header timeout or shorter route timeouts came into force got 408 and lost its connection, although it sent within the limits of its beginning.

Node applies headersTimeout and requestTimeout to all open connections at each check, and setReadTimeouts changed both at once. The longest route timeout is part of the second one, so dropping one slow route shortens the time of all requests.

The test failed before: both the request with a slow head and the one with a slow body were answered 408 in place of 200. That shorter timeouts end later requests is part of the test and held before as well.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -18,6 +18,7 @@
 export * from './parse-in-parts.js';
 export * from './partition-valid.js';
 export * from './random.js';
+export * from './read-timeouts.js';
 export * from './registration.js';
 export * from './signal.js';
 export * from './socket-address.js';
--- a/packages/common/tests/http-server.test.ts
+++ b/packages/common/tests/http-server.test.ts
@@ -1,13 +1,17 @@
 import {once} from 'node:events';
 import type {RequestListener} from 'node:http';
 import {type AddressInfo, connect, type Socket} from 'node:net';
+import {setTimeout as delay} from 'node:timers/promises';
 import {expect} from 'chai';
-import {createHttpServer} from '../src/index.js';
+import {createHttpServer, setReadTimeouts} from '../src/index.js';
 
 const TIMEOUTS = {headMs: 200, requestMs: 400};
 /** Well below Node's default timeouts. */
 const MAX_OPEN_MS = 20_000;
 const WRITE_PAUSE_MS = 20;
+const LONG_TIMEOUTS = {headMs: 2500, requestMs: 2500};
+/** Longer than TIMEOUTS and the interval at which the server checks them. */
+const SLOW_MS = 1500;
 
 type SendRequest = (socket: Socket) => void;
 
@@ -45,8 +49,7 @@
 };
 
 /** Sends to a server until it closes the connection; returns the status line of its answer and whether it closed in time. */
-async function sendUntilClosed(listener: RequestListener, send: SendRequest): Promise<unknown> {
-	const server = createHttpServer(listener, TIMEOUTS);
+async function sendUntilClosed(listener: RequestListener, send: SendRequest, server = createHttpServer(listener, TIMEOUTS)): Promise<unknown> {
 	server.listen(0, '127.0.0.1');
 	await once(server, 'listening');
 	const startMs = performance.now();
@@ -87,6 +90,32 @@
 		expect(outcomes).toMatchSnapshot();
 	});
 
+	// Guards against a request that is cut by timeouts that came into force after it had begun, and against longer ones that stay in force.
+	it('holds a request to the timeouts that were in force when it began', async () => {
+		const sendSlowly = (parts: readonly string[], isBegun: boolean) => async () => {
+			const server = createHttpServer(answerCompleteRequests, LONG_TIMEOUTS);
+			const shorten = (): void => {
+				setReadTimeouts(server, TIMEOUTS);
+			};
+
+			if (!isBegun) {
+				shorten();
+				await delay(LONG_TIMEOUTS.requestMs);
+			}
+
+			return sendUntilClosed(answerCompleteRequests, socket => {
+				socket.write(parts[0]!);
+				setTimeout(shorten, WRITE_PAUSE_MS);
+				setTimeout(() => socket.write(parts[1]!), SLOW_MS);
+			}, server);
+		};
+
+		const head = ['POST / HTTP/1.1\r\nHost: a\r\n', 'Connection: close\r\nContent-Length: 1\r\n\r\nx'];
+		const body = ['POST / HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: 2\r\n\r\nx', 'y'];
+		const [slowHead, slowBody, later] = await Promise.all([sendSlowly(head, true), sendSlowly(body, true), sendSlowly(body, false)].map(async send => send()));
+		expect({slowHead, slowBody, later}).toMatchSnapshot();
+	});
+
 	// Guards against read timeouts that also interrupt answers.
 	it('does not interrupt an answer that takes longer than the read timeouts', async () => {
 		const answer = await sendUntilClosed((_req, res) => {
