traffic: drain for the time that is in force at the stop

A caller whose request was in progress at a planned stop got 504 at the end of the drain time with which its host had been started, although the settings had been changed to a longer one since. After a change to a shorter one, the host would go on for longer than it is given.

The bounds of the settings may change while a host runs, and applySettings put those of the retry budget and of cold targets into force. The stop and its drain took the ones of the start.

EntryHost.stop now takes the bounds that are in force when it begins, and passes them to the drain; a change during the stop has no effect on it.

The test failed before with 504 "stopping" in place of the answer. That a shorter drain time ends a stop sooner has no test of its own.

--- a/apps/egretrilld/src/traffic/entry-host.ts
+++ b/apps/egretrilld/src/traffic/entry-host.ts
@@ -113,9 +113,10 @@
 
 	/** Drains the host: requests that are expected to end in time are served, others refused, and each answer closes its connection. New connections are accepted until the balancer has stopped sending them. */
 	async stop(reason: string): Promise<void> {
-		const {clock, logger, settings: {bounds: {drainMs, balancerWaitMs}}} = this.opts;
+		const {clock, logger} = this.opts;
+		const {drainMs, balancerWaitMs} = this.bounds;
 		this.plannedStop.begin(drainMs);
-		const drained = this.drain.start(reason);
+		const drained = this.drain.start(reason, {deadlineMs: drainMs, balancerWaitMs});
 		this.queue.dispatch();
 		await clock.sleep(Math.min(balancerWaitMs, drainMs));
 		this.queue.close();
--- a/apps/egretrilld/tests/traffic/host-stop.test.ts
+++ b/apps/egretrilld/tests/traffic/host-stop.test.ts
@@ -4,7 +4,7 @@
 import type {EntryHost} from '../../src/traffic/index.js';
 import {CallerSocket, describeAnswers} from './support/caller-socket.js';
 import {
-	BALANCER_WAIT_MS, DRAIN_MS, getPort, startEntryHost,
+	BALANCER_WAIT_MS, DRAIN_MS, ENTRY_SETTINGS, getPort, startEntryHost,
 } from './support/entry-fixture.js';
 import {SIGNED} from './support/forward-host.js';
 import {type RawPeer, RawTarget} from './support/raw-target.js';
@@ -109,6 +109,24 @@
 		await stopped;
 	});
 
+	// Guards against a request that is cut off at the end of a drain time that changed settings have replaced.
+	it('serves requests for the drain time in force when it stops', async () => {
+		answer = async peer => {
+			await setTimeout(DRAIN_MS + STEP_MS);
+			await peer.write(OK);
+		};
+
+		const {seeds, bounds} = ENTRY_SETTINGS;
+		host.applySettings({seeds, bounds: {...bounds, drainMs: 3 * DRAIN_MS}});
+		const caller = await CallerSocket.open(getPort(host));
+		caller.write(HEAD_START + HEAD_END);
+		await setTimeout(STEP_MS);
+		const stopped = host.stop('test');
+		host.applySettings({seeds, bounds});
+		expect(describeAnswers(await caller.readToEnd())).to.equal('200, close, "whole"');
+		await stopped;
+	});
+
 	/** Stops the host while only a part of a request has arrived. */
 	const stopAtPart = async (part: string, isKept: boolean): Promise<unknown> => {
 		host.server.close();
--- a/apps/egretrilld/tests/traffic/support/entry-fixture.ts
+++ b/apps/egretrilld/tests/traffic/support/entry-fixture.ts
@@ -7,13 +7,19 @@
 import {ControlPeers} from '@egretrill/hosts';
 import {credentials, ServerCredentials} from '@grpc/grpc-js';
 import {Result} from 'true-myth';
-import {ConfigDecoder, EntryHost} from '../../../src/traffic/index.js';
+import {ConfigDecoder, EntryHost, type EntrySettings} from '../../../src/traffic/index.js';
 import {LoopMetrics} from '../../../src/traffic/loop-metrics.js';
 import {config, route, TestDialect} from './forward-host.js';
 
 export const BALANCER_WAIT_MS = 200;
 export const DRAIN_MS = 600;
 
+export const ENTRY_SETTINGS: EntrySettings = {
+	role: 'entry', host: 'e1', zone: 'a', seeds: ['127.0.0.1:1'], logLevel: 'info', listen: {callers: '127.0.0.1:0', health: '127.0.0.1:0'}, bounds: {
+		retryRatio: 0, retryReserve: 100, coldExcessRatio: 1, orderLeaseMs: 1000, drainMs: DRAIN_MS, balancerWaitMs: BALANCER_WAIT_MS,
+	},
+};
+
 class JsonDecoder extends ConfigDecoder {
 	override decode(source: string): Result<TrafficConfig, never> {
 		return Result.ok(JSON.parse(source) as TrafficConfig);
@@ -35,11 +41,7 @@
 	const metrics = new Metrics();
 	const peerCredentials = {server: ServerCredentials.createInsecure(), client: credentials.createInsecure()};
 	const host = new EntryHost({
-		settings: {
-			role: 'entry', host: 'e1', zone: 'a', seeds: ['127.0.0.1:1'], logLevel: 'info', listen: {callers: '127.0.0.1:0', health: '127.0.0.1:0'}, bounds: {
-				retryRatio: 0, retryReserve: 100, coldExcessRatio: 1, orderLeaseMs: 1000, drainMs: DRAIN_MS, balancerWaitMs: BALANCER_WAIT_MS,
-			},
-		},
+		settings: ENTRY_SETTINGS,
 		clock,
 		random: () => 0,
 		logger,
--- a/packages/balancer/src/drain.ts
+++ b/packages/balancer/src/drain.ts
@@ -7,18 +7,18 @@
 /** Reports the end of one unit of started work; further calls have no effect. */
 export type EndWork = () => void;
 
-export type DrainOptions = {
-	readonly clock: Clock;
+export type DrainLimits = {
 	/** Longest wait for started work, counted from the start of the drain. */
 	readonly deadlineMs: number;
 	readonly balancerWaitMs?: number;
 };
 
+export type DrainOptions = DrainLimits & {readonly clock: Clock};
+
 type DrainPhase = 'serving' | 'waiting-for-balancer' | 'refusing';
 
 /** Graceful shutdown: counts started work and waits for it to end before the process exits. */
 export class Drain {
-	private readonly opts: Required<DrainOptions>;
 	private readonly workEnded = new Signal();
 	private readonly workCounts = new Map<string, number>();
 	private readonly waitAbort = new AbortController();
@@ -26,9 +26,7 @@
 	private reason = '';
 	private report: Promise<DrainReport> | undefined;
 
-	constructor(opts: DrainOptions) {
-		this.opts = {balancerWaitMs: BALANCER_WAIT_MS, ...opts};
-	}
+	constructor(private readonly opts: DrainOptions) {}
 
 	/** Counts a unit of work as started; throws a not-run verdict once the balancer has had time to route callers to other hosts. */
 	startWork(kind: string): EndWork {
@@ -72,8 +70,8 @@
 		}
 	}
 
-	/** Starts the drain and resolves with its report; a second call ends the wait at once. */
-	async start(reason: string): Promise<DrainReport> {
+	/** Starts the drain, with other limits if they have changed, and resolves with its report; a second call ends the wait at once. */
+	async start(reason: string, limits: DrainLimits = this.opts): Promise<DrainReport> {
 		if (this.report) {
 			this.waitAbort.abort();
 			return this.report;
@@ -81,12 +79,12 @@
 
 		this.reason = reason;
 		this.phase = 'waiting-for-balancer';
-		this.report = this.run(reason);
+		this.report = this.run(reason, limits);
 		return this.report;
 	}
 
-	private async run(reason: string): Promise<DrainReport> {
-		const {clock, deadlineMs, balancerWaitMs} = this.opts;
+	private async run(reason: string, {deadlineMs, balancerWaitMs = BALANCER_WAIT_MS}: DrainLimits): Promise<DrainReport> {
+		const {clock} = this.opts;
 		const {signal} = this.waitAbort;
 		const startedMs = clock.now();
 		await clock.sleep(Math.min(balancerWaitMs, deadlineMs), signal);
