traffic: answer calls in progress when a control host ends

An operator whose change or evacuation waited for a leader at a control host that was being stopped had its connection closed without an answer.

At the end of a planned stop, once the host had left the log, its HTTP server closed all connections at once. A change may wait up to 5 s for a leader; the rest of a stop takes 1.5 s when too few other hosts run.

FleetLog.propose now ends when its host ends, with an unknown outcome, which the adapter answers with 503 as before. The server stops accepting connections, waits until the calls that have arrived are answered, at most for the time that a deregistration asks other hosts, and closes the rest with the class that entry hosts use, so that a call that has arrived in part is refused. This holds also when the log fails and the host ends by itself. A registration that arrives after the end is not acknowledged, since no other host would hear of it.

The new test sends a change and an evacuation to one of three control hosts while the others are suspended, and stops it. It failed before: both calls got no answer.

--- a/apps/egretrilld/src/traffic/constants.ts
+++ b/apps/egretrilld/src/traffic/constants.ts
@@ -92,6 +92,9 @@
 /** Time from the end of the host's side of a connection until the connection is closed, in which a refusal reaches its caller. */
 export const FINAL_CLOSE_MS = 50;
 
+/** Longest time that a control host waits at its end until calls in progress are answered: a deregistration asks the other hosts twice, each time for DEPARTURE_TIMEOUT_MS. */
+export const CALL_END_TIMEOUT_MS = (2 * DEPARTURE_TIMEOUT_MS) + 100;
+
 /** How often the settings are re-read when no signal announces a change. */
 export const SETTINGS_POLL_INTERVAL_MS = 1000;
 
--- a/apps/egretrilld/src/traffic/control-host.ts
+++ b/apps/egretrilld/src/traffic/control-host.ts
@@ -58,6 +58,8 @@
 	private readonly membership: Membership;
 	private readonly syncNotifier: SyncNotifier;
 	private readonly origin = randomUUID();
+	/** Aborts when this host has left the log and takes no more calls. */
+	private readonly ended = new AbortController();
 	private readonly invalidRegistrations: RateLimitedLog;
 	private readonly failedCalls: RateLimitedLog;
 	private term: LeaderTerm | undefined;
@@ -65,6 +67,8 @@
 
 	constructor(private readonly opts: ControlHostOptions) {
 		super();
+		// The tasks for all members and all calls listen to this signal, which exceeds Node's default limit for listener leaks.
+		setMaxListeners(0, this.ended.signal);
 		const {settings, clock, random, logger, credentials} = opts;
 		this.hostId = settings.listen.peers;
 		this.invalidRegistrations = new RateLimitedLog(clock, logger, 'A registration describes no usable target.');
@@ -98,6 +102,7 @@
 			getLeaderId: () => this.getLeaderId(),
 			// The age is used only for at-most-once records, which forwarded requests do not have.
 			getAgeMs: () => 0,
+			ended: this.ended.signal,
 		});
 		this.settling = new RegistrySettling(clock);
 		const {hostId, node, log, registry, peers, settling} = this;
@@ -177,9 +182,7 @@
 	 * signal aborts and this host has left the log. Throws the error that stopped the log member, if any.
 	 */
 	async run(signal: AbortSignal): Promise<void> {
-		const ended = new AbortController();
-		// The tasks for all members listen to this signal, which exceeds Node's default limit for listener leaks.
-		setMaxListeners(0, ended.signal);
+		const {ended} = this;
 		await this.node.start(signal);
 		const logEnded = new AbortController();
 		const watching = this.watchLog(logEnded);
@@ -203,6 +206,11 @@
 	}
 
 	override acceptRegistration(registration: Registration): boolean {
+		if (this.ended.signal.aborted) {
+			// The other hosts would not hear of it.
+			return false;
+		}
+
 		const isNew = this.registry.getRegistered(registration.targetId)?.startedAtMs !== registration.startedAtMs;
 		const isAccepted = this.registry.accept(registration);
 		if (isAccepted && (isNew || registration.isLeaving)) {
--- a/apps/egretrilld/src/traffic/run-traffic.ts
+++ b/apps/egretrilld/src/traffic/run-traffic.ts
@@ -7,6 +7,7 @@
 import type {Container} from 'inversify';
 import type {Adapter} from './adapter.js';
 import {createTrafficContainer} from './container.js';
+import {ControlCalls} from './control-calls.js';
 import {ReloadRequests} from './reload-requests.js';
 import type {TrafficSettings} from './settings.js';
 import {trafficTokens} from './tokens.js';
@@ -65,6 +66,7 @@
 	});
 	const hostTask = control.run(signal);
 	const server = createHttpServer(adapter.createControlApp(control));
+	const calls = new ControlCalls(server, container.get(trafficTokens.clock));
 	await listen(server, settings.listen.control);
 	const metrics = await serveMetrics(container, settings, () => []);
 	logger.info({
@@ -73,11 +75,13 @@
 	void watchSettings(running, settings, changed => {
 		control.updateSeeds(changed.seeds);
 	}, signal);
-	await hostTask;
-	server.close();
-	server.closeAllConnections();
-	metrics?.close();
-	await peerServer.stop();
+	try {
+		await hostTask;
+	} finally {
+		await calls.end();
+		metrics?.close();
+		await peerServer.stop();
+	}
 }
 
 async function runEntry(running: Process, settings: TrafficSettings & {role: 'entry'}, stop: AbortSignal): Promise<void> {
--- a/packages/hosts/src/fleet/fleet-log.ts
+++ b/packages/hosts/src/fleet/fleet-log.ts
@@ -34,6 +34,8 @@
 	readonly getLeaderId: () => string | undefined;
 	/** Upper bound of the time since the leader confirmed this host's configuration. */
 	readonly getAgeMs: () => number;
+	/** Aborts when this host ends; commands in progress then end without a known outcome. */
+	readonly ended?: AbortSignal;
 };
 
 /** A `record` command is never retried: the retry would find the first record and could not distinguish it from another caller's. */
@@ -52,7 +54,7 @@
 
 	/** Proposes a command until a leader commits it or the deadline passes; after an unknown outcome, only a retryable command is sent again. */
 	async propose(command: FleetCommand, deadlineMs = isRetryable(command) ? COMMAND_DEADLINE_MS : RECORD_DEADLINE_MS): Promise<CommandOutcome> {
-		const {clock, getAgeMs} = this.opts;
+		const {clock, getAgeMs, ended} = this.opts;
 		if (!isRetryable(command) && getAgeMs() > RECORD_DEADLINE_MS) {
 			return {kind: 'not-applied', reason: 'This host is cut off from the leader.'};
 		}
@@ -60,9 +62,9 @@
 		const endMs = clock.now() + deadlineMs;
 		let leaderHint: string | undefined;
 		let isOutcomeUnknown = false;
-		for (let attempt = 0; clock.now() < endMs; attempt++) {
+		for (let attempt = 0; clock.now() < endMs && !ended?.aborted; attempt++) {
 			const leaderId = leaderHint ?? this.getLeaderCandidate(attempt);
-			const outcome = leaderId === undefined ? undefined : await this.proposeTo(leaderId, command, endMs - clock.now());
+			const outcome = leaderId === undefined ? undefined : await this.proposeUntilEnded(leaderId, command, endMs - clock.now());
 			if (outcome?.kind === 'committed') {
 				return {kind: 'committed', result: outcome.result};
 			}
@@ -75,7 +77,7 @@
 			}
 
 			leaderHint = outcome?.kind === 'not-leader' ? outcome.leaderId : undefined;
-			await clock.sleep(COMMAND_RETRY_MS);
+			await clock.sleep(COMMAND_RETRY_MS, ended);
 		}
 
 		return isOutcomeUnknown
@@ -94,6 +96,22 @@
 		return voterIds[attempt % Math.max(1, voterIds.length)];
 	}
 
+	private async proposeUntilEnded(hostId: string, command: FleetCommand, remainingMs: number): Promise<ProposeOutcome<FleetResult> | undefined> {
+		const {ended} = this.opts;
+		let end = (): void => undefined;
+		const unknown = new Promise<ProposeOutcome<FleetResult>>(resolve => {
+			end = () => {
+				resolve({kind: 'unknown'});
+			};
+		});
+		ended?.addEventListener('abort', end, {once: true});
+		try {
+			return await Promise.race([this.proposeTo(hostId, command, remainingMs), unknown]);
+		} finally {
+			ended?.removeEventListener('abort', end);
+		}
+	}
+
 	private async proposeTo(hostId: string, command: FleetCommand, remainingMs: number): Promise<ProposeOutcome<FleetResult> | undefined> {
 		const {node, peers, hostId: self} = this.opts;
 		const timeoutMs = Math.min(PROPOSE_TIMEOUT_MS, remainingMs);
