daemon: answer operators' and targets' calls in progress at the end

An operator whose change waited for a majority at a daemon that was being stopped had its connection closed without an answer ("socket hang up").

The drain counts only callers' requests. After it, the daemon closed all connections of its servers for operators, targets and the monitor at once, while a change waits up to 5 s for a leader.

The same class now serves both: ControlCalls stops accepting connections, waits until the calls that have arrived are answered and closes the rest. Proposals in progress end when the daemon has drained, as "may have run" if the change was sent to a host that did not answer, and "not run" otherwise.

The new test pauses two of three daemons, sends a change to the third and stops it.

--- a/apps/egretrilld/src/container.ts
+++ b/apps/egretrilld/src/container.ts
@@ -58,6 +58,7 @@
 	container.bind(tokens.promises).toConstantValue(new PromiseCounters());
 	container.bind(tokens.evidence).toDynamicValue(ctx => new EvidenceHolder(settings, getLogger(ctx, 'monitor'))).inSingletonScope();
 	container.bind(tokens.drain).toDynamicValue(ctx => new Drain({clock: ctx.get(tokens.clock), deadlineMs: settings.drainDeadlineMs})).inSingletonScope();
+	container.bind(tokens.stopping).toConstantValue(new AbortController());
 }
 
 function bindHosts(container: Container, {settings, credentials}: ContainerOptions): void {
@@ -95,6 +96,7 @@
 		node: ctx.get(tokens.voter)?.node,
 		getLeaderId: () => ctx.get(tokens.versionedConfig).getLeaderId(),
 		getAgeMs: () => ctx.get(tokens.versionedConfig).getAgeMs(),
+		ended: ctx.get(tokens.stopping).signal,
 	})).inSingletonScope();
 	container.bind(tokens.lease).toDynamicValue(ctx => new ZoneLeaseClient({
 		hostId: settings.host,
--- a/apps/egretrilld/src/traffic/control-calls.ts
+++ b/apps/egretrilld/src/control-calls.ts
@@ -1,8 +1,8 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {Drain} from '@egretrill/balancer';
 import type {Clock} from '@egretrill/common';
-import {CallerConnections} from './caller-connections.js';
-import {CALL_END_TIMEOUT_MS} from './constants.js';
+import {CallerConnections} from './traffic/caller-connections.js';
+import {CALL_END_TIMEOUT_MS} from './traffic/constants.js';
 
 /** The calls of targets and operators to a control host, which are answered before it ends. */
 export class ControlCalls {
--- a/apps/egretrilld/src/daemon.ts
+++ b/apps/egretrilld/src/daemon.ts
@@ -17,6 +17,7 @@
 import {
 	CONFIG_SYNC_INTERVAL_MS, FINAL_FLUSH_MS, INITIAL_CONFIG_RETRY_MS, PLACEMENT_AUDIT_INTERVAL_MS, PROMISE_RECORD_INTERVAL_MS, REQUEST_END_TIMEOUT_MS,
 } from './constants.js';
+import {ControlCalls} from './control-calls.js';
 import {createHandlers} from './handlers.js';
 import {tokens} from './tokens.js';
 
@@ -27,15 +28,17 @@
 
 /** One host of the system: its servers and its tasks. */
 export class Daemon {
-	private readonly stopping = new AbortController();
+	private readonly stopping: AbortController;
 	private readonly drainRequests = new AbortController();
 	/** Aborts the requests that are in flight at the end of the drain. */
 	private readonly requestAbort = new AbortController();
 	private servers: readonly Server[] = [];
+	private controlCalls: readonly ControlCalls[] = [];
 	private peerServer: PeerServer | undefined;
 	private tasks: ReadonlyArray<Promise<void>> = [];
 
 	constructor(private readonly container: Container, private readonly credentials: PeerCredentials) {
+		this.stopping = container.get(tokens.stopping);
 		// All tasks of the daemon listen to this signal, which exceeds Node's default limit for listener leaks.
 		setMaxListeners(0, this.stopping.signal, this.requestAbort.signal);
 	}
@@ -61,11 +64,11 @@
 		await this.container.get(tokens.voter)?.node.start(signal);
 		this.tasks = this.startTasks(initialConfig);
 		const addresses = {
-			callers: await this.listen(listen.callers, this.createCallers()),
-			targets: await this.listen(listen.targets, this.createTargets()),
-			admin: await this.listen(listen.admin, this.createAdmin()),
-			monitor: await this.listen(listen.monitor, this.createMonitor()),
-			health: await this.listen(listen.health, this.createHealth()),
+			callers: await this.listen(listen.callers, createHttpServer(this.createCallers())),
+			targets: await this.listenForControl(listen.targets, this.createTargets()),
+			admin: await this.listenForControl(listen.admin, this.createAdmin()),
+			monitor: await this.listenForControl(listen.monitor, this.createMonitor()),
+			health: await this.listen(listen.health, createHttpServer(this.createHealth())),
 			peers: listen.peers,
 		};
 		logger.info({host, zone, ...addresses}, 'Daemon started.');
@@ -78,6 +81,7 @@
 		await this.endRequests();
 		const isFirst = !this.stopping.signal.aborted;
 		this.stopping.abort();
+		await Promise.all(this.controlCalls.map(async calls => calls.end()));
 		for (const server of this.servers) {
 			server.close();
 			server.closeAllConnections();
@@ -280,10 +284,16 @@
 		});
 	}
 
-	private async listen(address: string, listener: RequestListener): Promise<string> {
+	/** Serves targets, operators or the monitor, whose calls are answered at the end of this host. */
+	private async listenForControl(address: string, listener: RequestListener): Promise<string> {
+		const server = createHttpServer(listener);
+		this.controlCalls = [...this.controlCalls, new ControlCalls(server, this.container.get(tokens.clock))];
+		return this.listen(address, server);
+	}
+
+	private async listen(address: string, server: Server): Promise<string> {
 		const separator = address.lastIndexOf(':');
 		const host = address.slice(0, separator);
-		const server = createHttpServer(listener);
 		server.listen(Number(address.slice(separator + 1)), host);
 		await once(server, 'listening');
 		this.servers = [...this.servers, server];
--- a/apps/egretrilld/src/tokens.ts
+++ b/apps/egretrilld/src/tokens.ts
@@ -37,6 +37,8 @@
 	random: createToken<Random>('random'),
 	logger: createToken<Logger>('logger'),
 	drain: createToken<Drain>('drain'),
+	/** Aborts when this host has drained and ends. */
+	stopping: createToken<AbortController>('stopping'),
 	metrics: createToken<Metrics>('metrics'),
 	promises: createToken<PromiseCounters>('promises'),
 	audit: createToken<PromiseAudit>('audit'),
--- a/apps/egretrilld/tests/drain-deadline.test.ts
+++ b/apps/egretrilld/tests/drain-deadline.test.ts
@@ -2,7 +2,7 @@
 import {connect} from 'node:net';
 import {StandInEngine, StandInService} from '@egretrill/stand-ins';
 import {
-	createLocalConfig, type DaemonProcess, Fleet, getLocalKey, Session, type StreamingCall, waitFor,
+	createLocalConfig, type DaemonProcess, Fleet, getLocalKey, OPERATOR_KEY, Session, type StreamingCall, waitFor,
 } from '@egretrill/testkit';
 import {expect} from 'chai';
 import got from 'got';
@@ -95,3 +95,26 @@
 		}).toMatchSnapshot();
 	});
 });
+
+describe('the end of a daemon', () => {
+	// Guards against an operator's change that is cut off without an answer while it waits for a majority.
+	it('answers the changes in progress', async () => {
+		const zones = ['zone-a', 'zone-b', 'zone-c'];
+		const document = createLocalConfig(zones);
+		const fleet = await Fleet.start({fleet: 'local', zones, config: document});
+		const [host, ...others] = fleet.hosts;
+		for (const other of others) {
+			other.pause();
+		}
+
+		const changing = got.post(`http://${host!.addresses.admin}/v1/config/apply`, {
+			json: {document, follows: 1, requestId: 'change'}, headers: {authorization: `Bearer ${OPERATOR_KEY}`}, throwHttpErrors: false, retry: {limit: 0},
+		});
+		const exitCode = await host!.terminate();
+		const answer = await changing;
+		await fleet.stop();
+		// Whether the change was sent to another host depends on which one led.
+		expect(['503 not-run', '504 may-have-run']).to.include(`${answer.statusCode} ${String(answer.headers['x-egretrill-verdict'])}`);
+		expect(exitCode).to.equal(0);
+	});
+});
