control hosts: keep the targets that have left in the log

After a loss of the power of all control hosts, a registration that a target sent before it left, and that arrives late, brought the target back: it got requests again for up to 6 s, though its leaving had been acknowledged.

Cause: a departure stood only in the memory of the control hosts. A host that has restarted knows no process of the target, so that neither start time nor sequence show that the registration is a late one, and the settling time of 1,500 ms ends before it may arrive.

Evidence: new cases of acknowledged-losses.test.ts lose one of three and two of six disks and the power of all others right after a departure was acknowledged. Both failed before ("the oldest disks, late registration after 800 ms": the target was served).

A deregistration is now committed to the log before it is acknowledged. It waits 500 ms at most, so that a target does not wait for an election; a departure that is not confirmed has a line in the log output, and the next call of the target proposes it again. The log keeps the latest process that left of each of up to 1,024 targets for 60 s, as long as the registries keep ended targets. No registry accepts a registration of such a process or of an earlier one. A restarted host serves no targets before it has applied what its log held: a late registration may arrive before that. This wait ends after 6 s without a leader; entry hosts that go on running keep their targets meanwhile.

Without the wait for the log, the new case of registry-settling.test.ts fails.

A member of an earlier build cannot read the new command. A target that no control host knows when it leaves is not recorded.

--- a/apps/egretrilld/src/traffic/constants.ts
+++ b/apps/egretrilld/src/traffic/constants.ts
@@ -23,6 +23,9 @@
 /** Time in which each running target registers with some control host; targets register about every 1.2 s. */
 export const REGISTRY_SETTLE_MS = 1500;
 
+/** Longest time from the start of a control host during which it serves no targets because it does not know yet what the log holds: no leader tells it while its zone is cut off. */
+export const DEPARTURES_WAIT_MS = 6000;
+
 /** How often control hosts exchange registrations, members and the leader. */
 export const GOSSIP_INTERVAL_MS = 150;
 
@@ -35,6 +38,9 @@
 /** Longest time that a deregistration waits for the other control hosts before it is answered; one that does not answer in time must not hold up the target. */
 export const DEPARTURE_TIMEOUT_MS = 300;
 
+/** Longest time that a deregistration waits for the log; together with DEPARTURE_TIMEOUT_MS below the second after which the target calls another host. */
+export const DEPARTURE_RECORD_TIMEOUT_MS = 500;
+
 /** How often a control host that is not a member of the log requests membership. */
 export const JOIN_RETRY_MS = 500;
 
--- a/apps/egretrilld/src/traffic/control-host.ts
+++ b/apps/egretrilld/src/traffic/control-host.ts
@@ -14,13 +14,14 @@
 import {CONTROL_CHECK_INTERVAL_MS, LOG_FAILURE_EXIT_DELAY_MS} from './constants.js';
 import {ControlGossip} from './control-gossip.js';
 import {ControlService, type PutOutcome} from './control-service.js';
+import {DepartureLog} from './departure-log.js';
 import {Departures} from './departures.js';
 import {LeaderTerm} from './leader-term.js';
 import {Membership} from './membership.js';
 import {
 	borrowMethod, crashMethod, departMethod, gossipMethod, readTrafficMethod, readZoneOrdersMethod, requestAdapterMethod, syncMethod,
 } from './methods.js';
-import {getServedTargets, RegistrySettling} from './registry-settling.js';
+import {getServedTargets, hasAppliedLog, RegistrySettling} from './registry-settling.js';
 import {getReportedLeaderId} from './reported-leader.js';
 import {RateLimitedLog} from './rate-limited-log.js';
 import {getServedState} from './served-state.js';
@@ -53,6 +54,7 @@
 	private readonly log: FleetLog;
 	private readonly gossip: ControlGossip;
 	private readonly settling: RegistrySettling;
+	private readonly departureLog: DepartureLog;
 	private readonly departures: Departures;
 	private readonly zoneOrders: ZoneOrders;
 	private readonly membership: Membership;
@@ -72,7 +74,7 @@
 		this.peers = new ControlPeers({
 			selfId: this.hostId, seedIds: settings.seeds, clock, credentials,
 		});
-		this.registry = new TargetRegistry(clock, this.origin, service => this.getDecodedTraffic()?.services.has(service) ?? true);
+		this.registry = new TargetRegistry(clock, this.origin, service => this.getDecodedTraffic()?.services.has(service) ?? true, registration => this.departureLog.hasLeft(registration));
 		this.syncNotifier = new SyncNotifier({
 			clock, registry: this.registry, getConfigVersion: () => this.state.getTraffic()?.version ?? 0, hasCrashesSince: known => this.getTerm()?.hasCrashesSince(known) ?? false,
 		});
@@ -99,12 +101,15 @@
 			// The age is used only for at-most-once records, which forwarded requests do not have.
 			getAgeMs: () => 0,
 		});
-		this.settling = new RegistrySettling(clock);
-		const {hostId, node, log, registry, peers, settling} = this;
+		this.settling = new RegistrySettling(clock, () => hasAppliedLog(this.node));
+		this.departureLog = new DepartureLog({
+			log: this.log, state: this.state, logger, getTimeOfDayMs: () => Date.now(),
+		});
+		const {hostId, node, log, registry, peers, settling, departureLog} = this;
 		this.gossip = new ControlGossip({
 			hostId, zone: settings.zone, clock, random, logger, node, peers, registry, settling,
 		});
-		this.departures = new Departures({peers, registry});
+		this.departures = new Departures({peers, registry, departureLog});
 		this.zoneOrders = new ZoneOrders({
 			hostId, clock, node, log, peers, state: this.state, getLeaderId: () => this.getLeaderId(),
 		});
@@ -133,7 +138,7 @@
 					...(leaderId !== undefined && {leaderId}),
 					controls: this.getControlHosts(),
 					...getServedState({node: this.node, state: this.state}, configVersion),
-					registry: getServedTargets(this.registry, this.settling, registry),
+					registry: getServedTargets({registry: this.registry, settling: this.settling, departureLog: this.departureLog}, registry),
 					...(plan && {plan}),
 				};
 			}),
@@ -304,6 +309,7 @@
 		while (!signal.aborted) {
 			await this.node.changed.wait(this.opts.clock, CONTROL_CHECK_INTERVAL_MS, signal);
 			this.updateTerm();
+			this.departureLog.endTargets(this.registry);
 			this.syncNotifier.notifyIfChanged();
 		}
 	}
--- a/apps/egretrilld/tests/traffic/acknowledged-losses.test.ts
+++ b/apps/egretrilld/tests/traffic/acknowledged-losses.test.ts
@@ -1,3 +1,4 @@
+import type {Registration} from '@egretrill/common';
 import {expect} from 'chai';
 import {SimControlFleet} from './support/sim-control-fleet.js';
 
@@ -267,3 +268,63 @@
 		}
 	});
 });
+
+const HEARTBEAT_MS = 1200;
+/** Time from the start of the hosts until they serve targets to entry hosts that know none. */
+const MAX_SETTLING_MS = 5000;
+
+function createRegistration(targetId: string, sequence: number): Registration {
+	return {
+		targetId, startedAtMs: 1, sequence, service: 's', address: `127.0.0.1:${targetId.length}`, zone: ZONE, slots: 4, isLeaving: false, coldForMs: 0, models: [], inMemory: [], onDisk: [],
+	};
+}
+
+/** Runs the fleet from the loss on while one target registers and a registration of one that has left arrives late; returns what the hosts serve and since when. */
+async function observeTargets(fleet: SimControlFleet, lateMs: number): Promise<{left: boolean; servedMs: number}> {
+	const {clock} = fleet.cluster;
+	const startMs = clock.now();
+	let isLeftServed = false;
+	let servedMs = Number.POSITIVE_INFINITY;
+	for (let ms = 0; ms < RECOVERY_MS; ms += 100) {
+		const ids = fleet.runningIds;
+		const id = ids[ms / 100 % ids.length] ?? '';
+		if (ms % HEARTBEAT_MS === 0) {
+			fleet.register(id, createRegistration('running', 2 + (ms / HEARTBEAT_MS)));
+		}
+
+		if (ms === lateMs) {
+			fleet.register(id, createRegistration('left', 2));
+		}
+
+		await clock.run(100);
+		const served = fleet.runningIds.map(other => fleet.getServedIds(other));
+		isLeftServed ||= served.some(targets => targets.includes('left'));
+		const isServed = served.length > 0 && served.every(targets => targets.includes('running'));
+		servedMs = Math.min(servedMs, isServed ? clock.now() - startMs : Number.POSITIVE_INFINITY);
+	}
+
+	return {left: isLeftServed, servedMs};
+}
+
+describe('a target that has left', () => {
+	for (const size of SIZES) {
+		// Guards against a target whose leaving was acknowledged and that no host knows any more as gone when one of its registrations arrives late.
+		it(`is not used again after the loss of ${size.machines} of ${size.hostIds.length} disks and the power of all others`, async () => {
+			for (const [i, [choice, choose]] of Object.entries(CHOICES).entries()) {
+				for (const lateMs of [800, 3000]) {
+					const fleet = await createFleet(i + 1, size);
+					for (const id of fleet.runningIds) {
+						fleet.register(id, createRegistration('left', 1));
+						fleet.register(id, createRegistration('running', 1));
+					}
+
+					await fleet.cluster.runUntilSettled(fleet.depart('left'));
+					await loseAtOnce(fleet, choose(fleet, fleet.runningIds, size.machines));
+					const {left, servedMs} = await observeTargets(fleet, lateMs);
+					expect({left, isServed: servedMs <= MAX_SETTLING_MS}, `${choice}, late registration after ${lateMs} ms, served after ${servedMs} ms`).to.deep.equal({left: false, isServed: true});
+					fleet.cluster.stopAll();
+				}
+			}
+		});
+	}
+});
--- a/apps/egretrilld/tests/traffic/departures.test.ts
+++ b/apps/egretrilld/tests/traffic/departures.test.ts
@@ -21,6 +21,8 @@
 	readonly registries = new Map(HOST_IDS.map(id => [id, new TargetRegistry(this.clock, id)]));
 	/** Hosts that answer no calls. */
 	readonly silentIds = new Set<string>();
+	/** Departures that the log was told. */
+	readonly recorded: Departure[] = [];
 	private readonly departures = new Map<string, Departures>();
 
 	constructor() {
@@ -31,7 +33,11 @@
 				return this.silentIds.has(hostId) ? Result.err({code: 'timeout', message: 'no answer'}) : Result.ok(this.handle(hostId, req as Departure) as Res);
 			};
 
-			this.departures.set(id, new Departures({peers: {call, getOthers}, registry}));
+			const record = async (targetId: string, startedAtMs: number): Promise<void> => {
+				this.recorded.push({targetId, startedAtMs});
+			};
+
+			this.departures.set(id, new Departures({peers: {call, getOthers}, registry, departureLog: {record}}));
 		}
 	}
 
@@ -81,6 +87,15 @@
 		expect(fixture.listUsing()).to.deep.equal([]);
 	});
 
+	// Guards against a departure that the log does not hold, since only the call that its target gave up had named it.
+	it('are told the log again when the target calls again', async () => {
+		const fixture = new ControlFixture();
+		fixture.register(target, ...HOST_IDS);
+		await fixture.deregister('c0', 100);
+		await fixture.deregister('c1', 100);
+		expect(fixture.recorded).to.deep.equal([{targetId: 't1', startedAtMs: 1000}, {targetId: 't1', startedAtMs: 1000}]);
+	});
+
 	// Guards against a target that waits for a suspended host before it may end.
 	it('are acknowledged although a host does not answer', async () => {
 		for (const knowingIds of [HOST_IDS, ['c1', 'c2']]) {
--- a/apps/egretrilld/tests/traffic/registry-settling.test.ts
+++ b/apps/egretrilld/tests/traffic/registry-settling.test.ts
@@ -1,6 +1,8 @@
-import {ManualClock, type Registration} from '@egretrill/common';
+import {createLogger, ManualClock, type Registration} from '@egretrill/common';
 import {TargetRegistry, TargetTable} from '@egretrill/engines';
+import type {TargetDeparture} from '@egretrill/hosts';
 import {expect} from 'chai';
+import {DepartureLog} from '../../src/traffic/departure-log.js';
 import {getServedTargets, RegistrySettling} from '../../src/traffic/registry-settling.js';
 
 const HEARTBEAT_MS = 1200;
@@ -11,28 +13,34 @@
 	};
 }
 
-/** A control host with an entry host that polls it; a restart leaves it without registrations. */
+/** A control host with an entry host that polls it; a restart leaves it without registrations, and with a log that it may have yet to apply. */
 class PolledControl {
 	readonly table: TargetTable;
 	registry: TargetRegistry;
 	settling: RegistrySettling;
+	hasAppliedLog = true;
+	departures: readonly TargetDeparture[] = [];
+	private readonly departureLog: DepartureLog;
 
 	constructor(private readonly clock: ManualClock) {
 		this.table = new TargetTable({
 			clock, random: () => 0, zone: 'z', getColdRate: () => 0, getBatchSlots: () => undefined,
 		});
+		this.departureLog = new DepartureLog({
+			log: {propose: async () => ({kind: 'committed', result: {kind: 'departed'}})}, state: {getDepartures: () => this.departures}, logger: createLogger('test', 'fatal'), getTimeOfDayMs: () => clock.now(),
+		});
 		this.registry = new TargetRegistry(clock, 'first');
-		this.settling = new RegistrySettling(clock);
+		this.settling = new RegistrySettling(clock, () => this.hasAppliedLog);
 	}
 
 	restart(): void {
-		this.registry = new TargetRegistry(this.clock, 'second');
-		this.settling = new RegistrySettling(this.clock);
+		this.registry = new TargetRegistry(this.clock, 'second', undefined, registration => this.departureLog.hasLeft(registration));
+		this.settling = new RegistrySettling(this.clock, () => this.hasAppliedLog);
 	}
 
 	/** Polls, and returns the targets to which the entry host would send a request. */
 	poll(): readonly string[] {
-		const update = getServedTargets(this.registry, this.settling, this.table.getFollowedRevision());
+		const update = getServedTargets({registry: this.registry, settling: this.settling, departureLog: this.departureLog}, this.table.getFollowedRevision());
 		if (update.isWhole || update.targets.length > 0) {
 			this.table.update(update);
 		}
@@ -88,4 +96,27 @@
 		clock.advance(1500);
 		expect({early, later: control.poll()}).toMatchSnapshot();
 	});
+
+	// Guards against a target that has left and is used again before the restarted host has read in its log that it has, and against a host that waits for the log for good.
+	it('serves no targets until its log tells which ones have left, or for a while without a leader', () => {
+		const served = [true, false].map(isLogApplied => {
+			const clock = new ManualClock();
+			const control = new PolledControl(clock);
+			control.hasAppliedLog = false;
+			control.restart();
+			control.registry.accept(createRegistration('left', 2));
+			clock.advance(1500);
+			control.registry.accept(createRegistration('running', 2));
+			const beforeLog = control.poll();
+			if (isLogApplied) {
+				control.hasAppliedLog = true;
+				control.departures = [{targetId: 'left', startedAtMs: 1, leftAtMs: 0}];
+			}
+
+			const afterLog = control.poll();
+			clock.advance(4500);
+			return {beforeLog, afterLog, later: control.poll()};
+		});
+		expect(served).toMatchSnapshot();
+	});
 });
--- a/apps/egretrilld/tests/traffic/support/sim-control-fleet.ts
+++ b/apps/egretrilld/tests/traffic/support/sim-control-fleet.ts
@@ -1,4 +1,4 @@
-import {createLogger} from '@egretrill/common';
+import {createLogger, type Registration} from '@egretrill/common';
 import {TargetRegistry} from '@egretrill/engines';
 import {
 	type ControlHost, type ControlPeers, type FleetCommand, FleetLog, type Method, PeerCaller, type PeerCallError, proposeMethod,
@@ -6,8 +6,12 @@
 import {type Process, SimCluster} from '@egretrill/hosts/testing';
 import {Result} from 'true-myth';
 import {ControlGossip} from '../../../src/traffic/control-gossip.js';
-import {RegistrySettling} from '../../../src/traffic/registry-settling.js';
-import {gossipMethod, Membership} from '../../../src/traffic/index.js';
+import {departMethod} from '../../../src/traffic/methods.js';
+import {DepartureLog} from '../../../src/traffic/departure-log.js';
+import {getServedTargets, hasAppliedLog, RegistrySettling} from '../../../src/traffic/registry-settling.js';
+import {
+	type Departure, Departures, gossipMethod, Membership,
+} from '../../../src/traffic/index.js';
 
 const SEED_COUNT = 3;
 /** Time from the start of a process until it takes part. */
@@ -59,7 +63,18 @@
 	}
 }
 
-type SimControl = {readonly process: Process; readonly log: FleetLog; readonly gossip: ControlGossip; readonly membership: Membership; readonly stopping: AbortController; readonly ended: AbortController};
+type SimControl = {
+	readonly process: Process;
+	readonly log: FleetLog;
+	readonly registry: TargetRegistry;
+	readonly settling: RegistrySettling;
+	readonly departureLog: DepartureLog;
+	readonly departures: Departures;
+	readonly gossip: ControlGossip;
+	readonly membership: Membership;
+	readonly stopping: AbortController;
+	readonly ended: AbortController;
+};
 
 export type SimControlFleetOptions = {readonly seed: number; readonly hostIds: readonly string[]; readonly machines: number};
 
@@ -135,24 +150,44 @@
 		await this.propose({kind: 'setZoneService', zone, isInService});
 	}
 
+	/** Registers a target at one host. */
+	register(id: string, registration: Registration): void {
+		this.controls.get(id)?.registry.accept(registration);
+	}
+
+	/** Deregisters a target as its process does: at another host after a second without an acknowledgement. */
+	async depart(targetId: string): Promise<void> {
+		await this.callUntilAcknowledged(async ({departures, ended}) => departures.announce(targetId, ended.signal));
+	}
+
+	/** Targets that a host names to an entry host without any; none if it does not run. */
+	getServedIds(id: string): readonly string[] {
+		const control = this.controls.get(id);
+		const targets = control ? getServedTargets(control, {origin: '', revision: 0}).targets : [];
+		return targets.filter(({hasEnded}) => !hasEnded).map(({registration}) => registration.targetId);
+	}
+
 	async handle(process: Process, method: {readonly path: string}, req: unknown): Promise<unknown> {
 		const {node} = process;
 		if (method.path === proposeMethod.path) {
 			return node.propose((req as {command: FleetCommand}).command);
 		}
 
-		const {hostId, zone} = req as {hostId: string; zone: string};
 		const control = [...this.controls.values()].find(other => other.process === process);
-		if (method.path !== gossipMethod.path || !control) {
+		if (control && method.path === departMethod.path) {
+			return control.departures.handle(req as Departure);
+		}
+
+		if (!control || method.path !== gossipMethod.path) {
 			throw new Error(`connect ECONNREFUSED ${method.path}`);
 		}
 
+		const {hostId, zone, registry} = req as {hostId: string; zone: string; registry: {origin: string; revision: number}};
 		control.gossip.recordContact(hostId, zone);
 		const {members, leaderId} = node.status();
 		return {
-			registry: {
-				origin: 'o', revision: 1, isWhole: false, targets: [],
-			},
+			registry: control.registry.getUpdateSince(registry, true),
+			isRegistrySettled: control.settling.isSettled(),
 			zone: 'z',
 			memberIds: members.map(({id}) => id),
 			...(leaderId !== undefined && (leaderId !== node.status().memberId || node.isLeaderWithLease()) && {leaderId}),
@@ -163,12 +198,18 @@
 		const {node, clock, state} = process;
 		const {cluster, minVoters} = this;
 		const peers = new SimPeers(this, id);
+		const settling = new RegistrySettling(clock, () => hasAppliedLog(node));
+		const registry: TargetRegistry = new TargetRegistry(clock, `${id} from ${cluster.clock.now()}`, undefined, registration => departureLog.hasLeft(registration));
 		const gossip = new ControlGossip({
-			hostId: id, zone: 'z', clock, random: cluster.random, logger, node, peers: peers as unknown as ControlPeers, registry: new TargetRegistry(clock, id), settling: new RegistrySettling(clock),
+			hostId: id, zone: 'z', clock, random: cluster.random, logger, node, peers: peers as unknown as ControlPeers, registry, settling,
 		});
 		const log = new FleetLog({
 			hostId: id, clock, peers, node, getLeaderId: () => node.status().leaderId ?? gossip.leaderHint, getAgeMs: () => 0,
 		});
+		const departureLog = new DepartureLog({
+			log, state, logger, getTimeOfDayMs: () => Math.floor(cluster.clock.now()),
+		});
+		const departures = new Departures({peers, registry, departureLog});
 		const membership = new Membership({
 			hostId: id,
 			settings: {
@@ -182,7 +223,7 @@
 			isRemovalRequested: () => state.getDesiredMemberships().get(id) === 'absent',
 		});
 		return {
-			process, log, gossip, membership, stopping: new AbortController(), ended: new AbortController(),
+			process, log, registry, settling, departureLog, departures, gossip, membership, stopping: new AbortController(), ended: new AbortController(),
 		};
 	}
 
@@ -191,18 +232,26 @@
 	}
 
 	private async propose(command: FleetCommand): Promise<void> {
+		await this.callUntilAcknowledged(async ({log}) => {
+			const outcome = await log.propose(command);
+			return outcome.kind === 'committed';
+		});
+	}
+
+	/** Calls one host after the other until one acknowledges the call within the caller's patience. */
+	private async callUntilAcknowledged(call: (control: SimControl) => Promise<boolean>): Promise<void> {
 		const {clock, random} = this.cluster;
 		let isAcknowledged = false;
 		while (!isAcknowledged) {
 			const controls = [...this.controls.values()];
 			const control = controls[Math.floor(random() * controls.length)];
-			const wait = async (): Promise<undefined> => {
+			const wait = async (): Promise<boolean> => {
 				await clock.sleep(control ? OPERATOR_PATIENCE_MS : OPERATOR_RETRY_MS);
-				return undefined;
+				return false;
 			};
 
-			const outcome = await Promise.race([control?.log.propose(command), wait()]);
-			isAcknowledged = outcome?.kind === 'committed' && control?.ended.signal.aborted === false;
+			const isAnswered = await Promise.race([control ? call(control) : false, wait()]);
+			isAcknowledged = isAnswered && control?.ended.signal.aborted === false;
 			await clock.sleep(isAcknowledged ? 0 : OPERATOR_RETRY_MS);
 		}
 	}
--- a/packages/engines/src/registry/target-registry.ts
+++ b/packages/engines/src/registry/target-registry.ts
@@ -65,11 +65,23 @@
 	/** Number of values in all registrations. */
 	private values = 0;
 
-	/** `isServiceNamed`: whether the configuration names a service; targets of other services are dropped first when the registry is full. */
-	constructor(private readonly clock: Clock, private readonly origin: string, private readonly isServiceNamed: (service: string) => boolean = () => true) {}
-
-	/** Stores a registration; returns false if it is outdated, or new while the registry is full. */
+	/**
+	 * `isServiceNamed`: whether the configuration names a service; targets of other services are dropped first when the registry is full. `hasLeft`: whether the
+	 * process of a registration is known to have left, also if the registry does not know it.
+	 */
+	constructor(
+		private readonly clock: Clock,
+		private readonly origin: string,
+		private readonly isServiceNamed: (service: string) => boolean = () => true,
+		private readonly hasLeft: (registration: Registration) => boolean = () => false,
+	) {}
+
+	/** Stores a registration; returns false if it is outdated, of a process that has left, or new while the registry is full. */
 	accept(registration: Registration, ageMs = 0): boolean {
+		if (this.hasLeft(registration)) {
+			return false;
+		}
+
 		const receivedMs = this.clock.now() - ageMs;
 		const stored = this.entries.get(registration.targetId);
 		const verdict: SequenceVerdict = stored ? this.judge(registration, receivedMs, stored) : {isNext: true, step: undefined};
@@ -170,6 +182,12 @@
 		return isRunning ? entry.registration.startedAtMs : undefined;
 	}
 
+	/** Returns the start time of a process that has left, for as long as the registry retains it. */
+	getEndedStartMs(targetId: string): number | undefined {
+		const entry = this.entries.get(targetId);
+		return entry?.hasEnded ? entry.registration.startedAtMs : undefined;
+	}
+
 	/** Whether a registration says that a target leaves which is used on, since the registration was set aside. */
 	ignoresLeaving({targetId, startedAtMs, isLeaving}: Registration): boolean {
 		const used = this.get(targetId);
--- a/packages/hosts/src/constants.ts
+++ b/packages/hosts/src/constants.ts
@@ -96,3 +96,8 @@
 
 /** Records of evidence on what ends targets that are passed on with a configuration. */
 export const MAX_PASSED_CRASHES = 64;
+
+/** Retention of the departures of targets: registrations arrive seconds late, and some that a partition has held up later still. */
+export const DEPARTURE_RETENTION_MS = 60_000;
+/** Number of departures retained, so that targets that come and go all the time don't fill the snapshots. */
+export const MAX_DEPARTURES = 1024;
--- a/packages/hosts/src/fleet-state.ts
+++ b/packages/hosts/src/fleet-state.ts
@@ -1,11 +1,12 @@
 import {createCodec, type PeerHost, type TrafficSource} from '@egretrill/common';
+import {DEPARTURE_RETENTION_MS, MAX_DEPARTURES} from './constants.js';
 import {type DesiredMembership, StateMachine} from './consensus/state-machine.js';
 import {applyOperation} from './fleet-state-operations.js';
 import {
 	applyOutcome, applyRecord, applyRelease, createRecordTable, findRecord, type RecordKey,
 } from './fleet-state-records.js';
 import {
-	type AtMostOnceRecord, type ConfigUpdate, FleetCommand, type FleetCommandOf, type FleetConfig, type FleetResult, FleetSnapshot, type ZoneLease,
+	type AtMostOnceRecord, type ConfigUpdate, FleetCommand, type FleetCommandOf, type FleetConfig, type FleetResult, FleetSnapshot, type TargetDeparture, type ZoneLease,
 } from './types.js';
 
 const commandCodec = createCodec(FleetCommand);
@@ -23,6 +24,7 @@
 	zonesOut: [],
 	zoneOrders: {},
 	entryHosts: [],
+	departures: [],
 	logTimeMs: 0,
 };
 
@@ -61,6 +63,15 @@
 	return {state: {...state, zonesOut, zoneOrders}, result: {kind: 'zone-service', zonesOut}};
 }
 
+/** Keeps the departure of the latest process of each target for as long as a registration of it may be delayed. */
+function recordDeparture(state: FleetSnapshot, {departure}: FleetCommandOf<'recordDeparture'>): Transition {
+	const oldestMs = departure.leftAtMs - DEPARTURE_RETENTION_MS;
+	const known = state.departures.find(({targetId}) => targetId === departure.targetId);
+	const latest = known && known.startedAtMs > departure.startedAtMs ? known : departure;
+	const others = state.departures.filter(({targetId, leftAtMs}) => targetId !== departure.targetId && leftAtMs >= oldestMs);
+	return {state: {...state, departures: [...others, latest].slice(-MAX_DEPARTURES)}, result: {kind: 'departed'}};
+}
+
 /** Applies one command; pure and deterministic, so that all members reach the same state. */
 export function applyFleetCommand(state: FleetSnapshot, command: FleetCommand): Transition {
 	const stateAtLogTime = 'elapsedMs' in command ? {...state, logTimeMs: state.logTimeMs + command.elapsedMs} : state;
@@ -94,6 +105,10 @@
 			return {state: {...stateAtLogTime, entryHosts: hostIds}, result: {kind: 'entry-hosts', hostIds}};
 		}
 
+		case 'recordDeparture': {
+			return recordDeparture(stateAtLogTime, command);
+		}
+
 		case 'apply':
 		case 'withdrawKey':
 		case 'setZoneState':
@@ -195,6 +210,11 @@
 		return this.state.entryHosts;
 	}
 
+	/** Returns the processes of targets that left a short time ago; the list is replaced with each change. */
+	getDepartures(): readonly TargetDeparture[] {
+		return this.state.departures;
+	}
+
 	/** Returns the hosts that operators added, with the addresses that the transport needs. */
 	getAddedHosts(): readonly PeerHost[] {
 		return this.state.members.flatMap(member => member.host ?? []);
--- a/packages/hosts/src/types.ts
+++ b/packages/hosts/src/types.ts
@@ -123,6 +123,10 @@
 /** Time elapsed on the leader since its previous command with this field; set by the leader. */
 const elapsedMs = count.default(0);
 
+/** A process of a target that has left, and the time of day of its leaving. Processes of the target that started earlier have left too. */
+export const TargetDeparture = z.object({targetId: z.string().min(1), startedAtMs: count, leftAtMs: count});
+export type TargetDeparture = z.infer<typeof TargetDeparture>;
+
 /** Commands that change the replicated state of the fleet. */
 export const FleetCommand = z.discriminatedUnion('kind', [
 	z.object({
@@ -151,6 +155,7 @@
 		kind: z.literal('setZoneService'), zone: z.string(), isInService: z.boolean(), follows: count.optional(),
 	}),
 	z.object({kind: z.literal('setEntryHosts'), hostIds: z.array(z.string())}),
+	z.object({kind: z.literal('recordDeparture'), departure: TargetDeparture}),
 ]);
 export type FleetCommand = z.infer<typeof FleetCommand>;
 export type FleetCommandOf<Kind extends FleetCommand['kind']> = Extract<FleetCommand, {kind: Kind}>;
@@ -183,6 +188,7 @@
 	z.object({kind: z.literal('traffic'), version: count}),
 	z.object({kind: z.literal('zone-service'), zonesOut: z.array(z.string())}),
 	z.object({kind: z.literal('entry-hosts'), hostIds: z.array(z.string())}),
+	z.object({kind: z.literal('departed')}),
 ]);
 export type FleetResult = z.infer<typeof FleetResult>;
 
@@ -250,6 +256,8 @@
 	zoneOrders: z.record(z.string(), count).default({}),
 	/** Entry hosts, each of which may hold a leased share of the rate limits. */
 	entryHosts: z.array(z.string()).default([]),
+	/** Processes of targets that left a short time ago, the last one to leave at the end. */
+	departures: z.array(TargetDeparture).default([]),
 	/** Sum of the elapsed times in commands; never advances faster than real time. */
 	logTimeMs: count,
 });
