callers: count recorded hosts when a new owner divides rates

The first entry host that polled a new leader was told that it is the only one. Until its next poll it held a quarter of every customer's rate as its standing part, the retry reserve of the whole fleet and all requests that a cold target bears; the second one was told of two hosts, and so on. After a restart of all hosts, each of them begins this way.

Cause: the owner of the rates counted the hosts that it had heard in its own term. The entry hosts of the terms before are in the log and were used for leases only.

Evidence: the new case of rates.test.ts failed before: the first of four recorded hosts was told "1 host, 0.25", the second "2 hosts, 0".

A host that left before the change of the leader counts for as long as it did with the old one.

--- a/packages/callers/src/forward/rate-owner.ts
+++ b/packages/callers/src/forward/rate-owner.ts
@@ -235,7 +235,7 @@
 		return leased;
 	}
 
-	/** Number of hosts that sent a request recently; a host that is merely silent keeps its standing part. */
+	/** Number of hosts that sent a request recently, and of recorded ones that a new owner has yet to hear; a host that is merely silent keeps its standing part. */
 	private countHosts(): number {
 		const oldestMs = this.clock.now() - RATE_HOST_TTL_MS;
 		let silent = 0;
@@ -247,6 +247,7 @@
 			silent += 1;
 		}
 
-		return Math.max(1, this.hosts.size - silent);
+		const unheard = oldestMs < this.startedMs ? this.getRecordedHosts().filter(id => !this.hosts.has(id)).length : 0;
+		return Math.max(1, this.hosts.size - silent + unheard);
 	}
 }
--- a/packages/callers/tests/forward/rates.test.ts
+++ b/packages/callers/tests/forward/rates.test.ts
@@ -1,6 +1,8 @@
 import {ManualClock, type TrafficCustomer} from '@egretrill/common';
 import {expect} from 'chai';
-import {RATE_LEASE_MS, RateOwner, RateAllocations} from '../../src/forward/index.js';
+import {
+	RATE_HOST_TTL_MS, RATE_LEASE_MS, RateOwner, RateAllocations,
+} from '../../src/forward/index.js';
 
 const SYNC_MS = 200;
 const WINDOW_MS = 8000;
@@ -179,6 +181,21 @@
 		expect(fleet.getLargestWindowRatio()).to.be.at.least(0.6);
 	});
 
+	// Guards against the first hosts that poll a new owner and take the parts of all others, also of cold targets, since their number is the divisor.
+	it('counts the hosts in the log that a new owner has not heard yet', () => {
+		const fleet = new RateFleet(4, 20_000);
+		const request = (hostId: string): readonly number[] => {
+			const {hostCount, standing} = fleet.owner.request({
+				hostId, startId: 's', ackedSerial: 0, standing: 0, demand: [],
+			});
+			return [hostCount, standing];
+		};
+
+		const first = ['h0', 'h1', 'new'].map(id => request(id));
+		fleet.clock.advance(RATE_HOST_TTL_MS + 1);
+		expect({first, later: request('h0')}).toMatchSnapshot();
+	});
+
 	// Guards against a leader that is blocked for seconds because each request of a host makes it iterate over all hosts for each customer.
 	it('divides rates without iterating over all hosts for each request', () => {
 		const count = (hosts: number): {readonly timesAsked: number; readonly demandsRead: number} => {
