hosts: bound the answers and the calls of one session

What callers saw: a host whose peer sent calls and did not read the answers held all of them in memory until the session's keepalive ended it (up to 50 s later), and it started calls without a limit meanwhile.

Cause: each answer was encoded and written when its handler was done, without regard to what the stream still held, and each received call was started at once.

Change: PacedWriter writes the answers of a session one by one, and encodes the next one only when less than 1 MiB waits to be taken. No further call of the session is read until then. A call counts as under way until its answer is written; a session may have 256 of one method, and 32 MiB of bodies above 4 KiB, and more are refused at once with an error. The count is per method, so that many proposals do not hold up the heartbeats of the same host.

MethodHandler.handle returns a function that encodes the response, in place of invoke, which returned the encoded response. Three existing tests call it or define a handler, and are adapted without other changes. SerialQueue moves out of the consensus folder, since the transport uses it too.

--- a/apps/egretrilld/tests/traffic/log-failure.test.ts
+++ b/apps/egretrilld/tests/traffic/log-failure.test.ts
@@ -61,8 +61,8 @@
 
 async function call<Req, Res>(host: ControlHost, method: Method<Req, Res>, req: Req): Promise<Res | undefined> {
 	const handler = host.getHandlers().find(bound => bound.path === method.path);
-	const bytes = await handler?.invoke(method.req.encode(req));
-	return bytes && method.res.decode(bytes);
+	const encode = await handler?.handle(method.req.encode(req));
+	return encode && method.res.decode(encode());
 }
 
 async function isLeading(host: ControlHost): Promise<true | undefined> {
--- a/packages/hosts/src/consensus/replica.ts
+++ b/packages/hosts/src/consensus/replica.ts
@@ -9,7 +9,7 @@
 import type {Leadership, Proposal} from './leadership.js';
 import type {ReplicaOpts} from './replica-opts.js';
 import {isVoter} from './rules.js';
-import {SerialQueue} from './serial-queue.js';
+import {SerialQueue} from '../serial-queue.js';
 
 export const membersCodec = createCodec(Members);
 
--- a/packages/hosts/src/constants.ts
+++ b/packages/hosts/src/constants.ts
@@ -8,6 +8,10 @@
 export const PEER_UNRESPONSIVE_MS = 1500;
 /** Keepalive interval of server sessions, so that sessions of hosts that disappeared without closing them do not accumulate. */
 export const SESSION_KEEPALIVE_MS = 30_000;
+/** Bytes that may be written to a session before the other host takes them; above, nothing more is written or read. */
+export const SESSION_WRITE_AHEAD_BYTES = 1_048_576;
+/** Calls of one method that a session may have under way; a host that forwards 50 calls a second, each for the longest time of 5 s, has 250. */
+export const SESSION_MAX_METHOD_CALLS = 256;
 export const PEER_RECONNECT_MIN_MS = 100;
 export const PEER_RECONNECT_MAX_MS = 1000;
 
--- a/packages/hosts/src/transport/method.ts
+++ b/packages/hosts/src/transport/method.ts
@@ -25,18 +25,20 @@
 	return {path: `/egretrill.${service}/${name}`, req: createCodec(req, MAX_DOCUMENT_VALUES), res: createCodec(res, MAX_LIST_VALUES, MAX_ITEM_VALUES)};
 }
 
-/** Handler of one method; decodes and validates the request and encodes the response. */
+/** Handler of one method. */
 export type MethodHandler = {
 	readonly path: string;
-	readonly invoke: (bytes: Uint8Array) => Promise<Uint8Array>;
+	/** Decodes and validates the request; resolves with a function that encodes the response, which is called when it can be written. */
+	readonly handle: (bytes: Uint8Array) => Promise<() => Uint8Array>;
 };
 
 /** Binds a method to the function that handles its requests. */
 export function bindMethod<Req, Res>(method: Method<Req, Res>, handle: (req: Req) => Promise<Res>): MethodHandler {
 	return {
 		path: method.path,
-		async invoke(bytes) {
-			return method.res.encode(await handle(method.req.decode(bytes)));
+		async handle(bytes) {
+			const res = await handle(method.req.decode(bytes));
+			return () => method.res.encode(res);
 		},
 	};
 }
--- a/packages/hosts/src/transport/peer-server.ts
+++ b/packages/hosts/src/transport/peer-server.ts
@@ -3,7 +3,9 @@
 import * as grpc from '@grpc/grpc-js';
 import {SESSION_KEEPALIVE_MS} from '../constants.js';
 import type {MethodHandler} from './method.js';
+import {PacedWriter} from './paced-writer.js';
 import {isFleetHost, type PeerCredentials} from './peer-identity.js';
+import {RunningCalls} from './running-calls.js';
 import {
 	type AnswerFrame, answerFrameCodec, type CallFrame, callFrameCodec, SESSION_PATH,
 } from './types.js';
@@ -34,28 +36,66 @@
 
 type Session = grpc.ServerDuplexStream<Uint8Array, AnswerFrame>;
 
-async function answerCall(session: Session, [id, path, body]: CallFrame, handler: MethodHandler | undefined, logger: Logger): Promise<void> {
-	let answer: Uint8Array | string;
-	try {
-		answer = handler ? await handler.invoke(body) : `This host does not serve ${path}.`;
-	} catch (err: unknown) {
-		logger.debug({err, method: path}, 'A peer call failed.');
-		answer = err instanceof Error ? err.message : 'The call failed.';
+/** The calls of one session and the writer of their answers. */
+class SessionCalls {
+	private readonly running = new RunningCalls();
+	private readonly tasks = new Set<Promise<void>>();
+	private readonly writer: PacedWriter<AnswerFrame>;
+
+	constructor(private readonly session: Session, private readonly handlers: ReadonlyMap<string, MethodHandler>, private readonly logger: Logger) {
+		this.writer = new PacedWriter(session);
 	}
 
-	if (!session.cancelled && session.writable) {
-		session.write([id, answer]);
+	/** Starts a call or refuses it at once; resolves when the caller has taken earlier answers. */
+	async accept([id, path, body]: CallFrame): Promise<void> {
+		const handler = this.handlers.get(path);
+		if (!handler) {
+			void this.track(this.answer(id, () => `This host does not serve ${path}.`));
+		} else if (this.running.tryStart(path, body.length)) {
+			void this.track(this.serve(id, handler, body));
+		} else {
+			void this.track(this.answer(id, () => 'Too many calls of this session are under way.'));
+		}
+
+		await this.writer.waitForRoom();
+	}
+
+	/** Resolves when all calls are answered. */
+	async finish(): Promise<void> {
+		await Promise.all(this.tasks);
 	}
-}
 
-/** Adds a call to the running calls until it is answered. */
-async function trackCall(runningCalls: Set<Promise<void>>, call: Promise<void>): Promise<void> {
-	runningCalls.add(call);
-	await call;
-	runningCalls.delete(call);
+	/** Serves one call; it counts as under way until its answer is written. */
+	private async serve(id: number, handler: MethodHandler, body: Uint8Array): Promise<void> {
+		try {
+			await this.answer(id, await handler.handle(body));
+		} catch (err: unknown) {
+			this.logger.debug({err, method: handler.path}, 'A peer call failed.');
+			await this.answer(id, () => err instanceof Error ? err.message : 'The call failed.');
+		} finally {
+			this.running.end(handler.path, body.length);
+		}
+	}
+
+	private async answer(id: number, encode: () => Uint8Array | string): Promise<void> {
+		await this.writer.send(() => {
+			if (this.session.cancelled || !this.session.writable) {
+				return undefined;
+			}
+
+			const answer = encode();
+			return {frame: [id, answer], bytes: answer.length};
+		});
+	}
+
+	private async track(task: Promise<void>): Promise<void> {
+		this.tasks.add(task);
+		await task;
+		this.tasks.delete(task);
+	}
 }
 
-/** Answers the calls on one session until it ends; calls run concurrently, so a slow one does not delay the others. */
+/** Answers the calls on one session until it ends; calls run concurrently, so a slow one does not delay the others, and none is read while earlier answers are not taken. */
 async function serveSession(session: Session, handlers: ReadonlyMap<string, MethodHandler>, {credentials: {fleet}, logger}: PeerServerOptions): Promise<void> {
 	const cert = session.getAuthContext()?.sslPeerCertificate;
 	if (fleet !== undefined && !(cert && isFleetHost(cert, fleet))) {
@@ -67,14 +107,13 @@
 	// The metadata signals that the session is accepted; the caller sends nothing before it.
 	session.sendMetadata(new grpc.Metadata());
 	try {
-		const runningCalls = new Set<Promise<void>>();
+		const calls = new SessionCalls(session, handlers, logger);
 		// If the iterator destroyed the stream once the caller has half-closed it, the last answers and the status would not be sent.
 		for await (const bytes of session.iterator({destroyOnReturn: false}) as AsyncIterable<Uint8Array>) {
-			const frame = callFrameCodec.decode(bytes);
-			void trackCall(runningCalls, answerCall(session, frame, handlers.get(frame[1]), logger));
+			await calls.accept(callFrameCodec.decode(bytes));
 		}
 
-		await Promise.all(runningCalls);
+		await calls.finish();
 		session.end();
 	} catch (err: unknown) {
 		if (err instanceof DecodeError) {
--- a/packages/hosts/tests/follow-tree.test.ts
+++ b/packages/hosts/tests/follow-tree.test.ts
@@ -52,7 +52,7 @@
 	override async call<Req, Res>(method: Method<Req, Res>, req: Req): Promise<Result<Res, PeerCallError>> {
 		return this.isDisconnected
 			? Result.err({code: 'unreachable', message: 'The peer is disconnected.'})
-			: Result.ok(method.res.decode(await this.getHandler().invoke(method.req.encode(req))));
+			: Result.ok(method.res.decode((await this.getHandler().handle(method.req.encode(req)))()));
 	}
 }
 
--- a/packages/hosts/tests/nested-messages.test.ts
+++ b/packages/hosts/tests/nested-messages.test.ts
@@ -33,7 +33,7 @@
 			handlers: [
 				bindMethod(echo, async req => req),
 				bindMethod(free, async () => ({value: createDeepValue()})),
-				{path: nested.path, invoke: async () => deepBytes},
+				{path: nested.path, handle: async () => () => deepBytes},
 			],
 		});
 		client = new PeerClient(`127.0.0.1:${server.port}`, grpc.credentials.createInsecure(), clock);
