hosts: write a call only once the other host takes calls

What callers saw: a host went on writing calls to one that took none, up to the end of the session. The other host got calls whose callers had given up long before, and the bytes of all of them stayed in memory.

Cause: PeerSession.call wrote to the stream without waiting, and a call that was given up stayed in the stream's buffer.

Change: the calls of a session are written in order by PacedWriter, each once less than 1 MiB waits to be taken. A call that times out before is dropped and fails with "unreachable", as it certainly did not run. At most 32 MiB of calls wait on one session; more are refused at once with "unreachable".

Evidence: a new test in peer-client.test.ts with a connection that takes nothing.

--- a/packages/hosts/src/transport/peer-session.ts
+++ b/packages/hosts/src/transport/peer-session.ts
@@ -1,6 +1,7 @@
-import type {Clock} from '@egretrill/common';
+import {type Clock, MAX_MESSAGE_BYTES} from '@egretrill/common';
 import * as grpc from '@grpc/grpc-js';
 import {Result} from 'true-myth';
+import {PacedWriter} from './paced-writer.js';
 import {
 	type AnswerFrame, answerFrameCodec, type CallFrame, callFrameCodec, SESSION_PATH,
 } from './types.js';
@@ -12,9 +13,17 @@
 };
 
 type CallResult = Result<Uint8Array, PeerCallError>;
-type PendingCall = {readonly frame: CallFrame; readonly complete: (result: CallResult) => void};
+type PendingCall = {
+	readonly frame: CallFrame;
+	readonly complete: (result: CallResult) => void;
+	/** Whether the call was written; before that it is certain that the other host did not process it. */
+	isSent: boolean;
+};
+
+/** Bytes of calls that may wait to be written on one session: two of the longest ones. */
+const MAX_WAITING_BYTES = 2 * MAX_MESSAGE_BYTES;
 
-function toSessionError(err: Partial<grpc.ServiceError>, wasOpen: boolean): PeerCallError {
+function toSessionError(err: Partial<grpc.ServiceError>, wasSent: boolean): PeerCallError {
 	const message = err.details ?? err.message ?? 'The connection ended.';
 	switch (err.code) {
 		case grpc.status.PERMISSION_DENIED:
@@ -23,7 +32,7 @@
 		}
 
 		default: {
-			return {code: wasOpen ? 'broken' : 'unreachable', message};
+			return {code: wasSent ? 'broken' : 'unreachable', message};
 		}
 	}
 }
@@ -31,8 +40,10 @@
 /** A bidirectional stream that carries the calls to another host. */
 export class PeerSession {
 	private readonly stream: grpc.ClientDuplexStream<CallFrame, AnswerFrame>;
+	private readonly writer: PacedWriter<CallFrame>;
 	private readonly pendingCalls = new Map<number, PendingCall>();
 	private lastId = 0;
+	private waitingBytes = 0;
 	private isOpen = false;
 	private hasEnded = false;
 	/** Start time of the first call after the last received frame; undefined if there was no such call. */
@@ -40,6 +51,7 @@
 
 	constructor(client: grpc.Client, private readonly clock: Clock) {
 		this.stream = client.makeBidiStreamRequest(SESSION_PATH, callFrameCodec.encode, bytes => answerFrameCodec.decode(bytes));
+		this.writer = new PacedWriter(this.stream);
 		this.stream.once('metadata', () => {
 			this.open();
 		});
@@ -55,25 +67,30 @@
 		return this.unresponsiveSinceMs === undefined ? 0 : this.clock.now() - this.unresponsiveSinceMs;
 	}
 
-	/** Sends a call once the session is open; a call that times out before that is never sent. */
+	/** Sends a call once the session is open and the other host has taken the calls before it; a call that times out before that is never sent. */
 	async call(path: string, body: Uint8Array, deadlineMs: number): Promise<CallResult> {
+		if (this.waitingBytes + body.length > MAX_WAITING_BYTES) {
+			return Result.err({code: 'unreachable', message: 'Too many calls wait for the other host to take them.'});
+		}
+
 		this.lastId += 1;
 		const id = this.lastId;
 		return new Promise(resolve => {
 			const timer = setTimeout(() => {
-				this.pendingCalls.delete(id);
-				resolve(Result.err({code: this.isOpen ? 'timeout' : 'unreachable', message: `Deadline exceeded after ${deadlineMs} ms.`}));
+				const isSent = this.remove(id)?.isSent;
+				resolve(Result.err({code: isSent ? 'timeout' : 'unreachable', message: `Deadline exceeded after ${deadlineMs} ms.`}));
 			}, deadlineMs);
 			const complete = (result: CallResult): void => {
 				clearTimeout(timer);
-				this.pendingCalls.delete(id);
+				this.remove(id);
 				resolve(result);
 			};
 
-			this.pendingCalls.set(id, {frame: [id, path, body], complete});
+			this.pendingCalls.set(id, {frame: [id, path, body], complete, isSent: false});
+			this.waitingBytes += body.length;
 			this.unresponsiveSinceMs ??= this.clock.now();
 			if (this.isOpen) {
-				this.stream.write([id, path, body]);
+				void this.send(id);
 			}
 		});
 	}
@@ -86,11 +103,37 @@
 	private open(): void {
 		this.isOpen = true;
 		this.unresponsiveSinceMs = this.pendingCalls.size > 0 ? this.clock.now() : undefined;
-		for (const {frame} of this.pendingCalls.values()) {
-			this.stream.write(frame);
+		for (const id of this.pendingCalls.keys()) {
+			void this.send(id);
 		}
 	}
 
+	/** Writes a call when its turn comes, unless it was given up. */
+	private async send(id: number): Promise<void> {
+		await this.writer.send(() => {
+			const call = this.pendingCalls.get(id);
+			if (!call) {
+				return undefined;
+			}
+
+			const {frame} = call;
+			const bytes = frame[2].length;
+			call.isSent = true;
+			this.waitingBytes -= bytes;
+			return {frame, bytes};
+		});
+	}
+
+	private remove(id: number): PendingCall | undefined {
+		const call = this.pendingCalls.get(id);
+		this.pendingCalls.delete(id);
+		if (call && !call.isSent) {
+			this.waitingBytes -= call.frame[2].length;
+		}
+
+		return call;
+	}
+
 	/** Completes calls with their answers until the stream ends, then fails the pending ones. */
 	private async receive(): Promise<void> {
 		let failure: Partial<grpc.ServiceError> = {};
@@ -104,8 +147,9 @@
 		}
 
 		this.hasEnded = true;
-		for (const {complete} of this.pendingCalls.values()) {
-			complete(Result.err(toSessionError(failure, this.isOpen)));
+		this.writer.end();
+		for (const {complete, isSent} of this.pendingCalls.values()) {
+			complete(Result.err(toSessionError(failure, isSent)));
 		}
 	}
 }
--- a/packages/hosts/tests/peer-client.test.ts
+++ b/packages/hosts/tests/peer-client.test.ts
@@ -7,18 +7,22 @@
 import {expect} from 'chai';
 import {z} from 'zod';
 import {
-	bindMethod, defineMethod, PEER_UNRESPONSIVE_MS, PeerClient, type PeerServer, startPeerServer,
+	bindMethod, defineMethod, PEER_UNRESPONSIVE_MS, PeerClient, type PeerServer, SESSION_WRITE_AHEAD_BYTES, startPeerServer,
 } from '../src/index.js';
 
 const CALL_MS = 200;
+const LARGE_CALL_BYTES = 1_048_576;
+const MANY_CALLS = 50;
 const echo = defineMethod('Test', 'echo', z.object({text: z.string()}), z.object({text: z.string()}));
 const hanging = defineMethod('Test', 'hanging', z.object({}), z.object({}));
+const large = defineMethod('Test', 'large', z.object({id: z.int(), text: z.string()}), z.object({}));
 const faulty = defineMethod('Test', 'faulty', z.object({}), z.object({}));
 const absent = defineMethod('Test', 'absent', z.object({}), z.object({}));
 
 describe('calls between hosts', () => {
 	const clock = new MonotonicClock();
 	const sockets: Socket[] = [];
+	const largeIds: number[] = [];
 	let server: PeerServer;
 	let relay: Server;
 	let client: PeerClient;
@@ -34,6 +38,10 @@
 					await clock.sleep(60_000);
 					return {};
 				}),
+				bindMethod(large, async ({id}) => {
+					largeIds.push(id);
+					return {};
+				}),
 				bindMethod(faulty, async () => {
 					throw new Error('The handler failed.');
 				}),
@@ -112,6 +120,29 @@
 		expect(sockets.length).to.be.greaterThan(2);
 	});
 
+	// Guards against calls that pile up for a host that does not read, and that it would get long after they were given up.
+	it('sends no call that was given up while the other host took nothing', async () => {
+		const sent = Array.from({length: MANY_CALLS}, (_, index) => index + 1);
+		await openConnection();
+		for (const socket of sockets) {
+			socket.pause();
+		}
+
+		const codes = await Promise.all(sent.map(async id => {
+			const answer = await client.call(large, {id, text: 'x'.repeat(LARGE_CALL_BYTES)}, CALL_MS);
+			return answer.isErr ? answer.error.code : 'answered';
+		}));
+		for (const socket of sockets) {
+			socket.resume();
+		}
+
+		const last = await client.call(large, {id: 0, text: ''}, 60_000);
+		expect({last: last.isOk, kinds: new Set(codes)}).to.deep.equal({last: true, kinds: new Set(['timeout', 'unreachable'])});
+		expect(largeIds.at(-1)).to.equal(0);
+		expect(largeIds.slice(0, -1)).to.deep.equal(sent.filter((_, index) => codes[index] === 'timeout'));
+		expect(largeIds.length).to.be.within(1, 2 + Math.ceil(SESSION_WRITE_AHEAD_BYTES / LARGE_CALL_BYTES));
+	});
+
 	// Guards against an odd address in a list of hosts that ends the task that calls it.
 	it('fails calls to an address that cannot be used', async () => {
 		const codes: string[] = [];
