common: limit the bytes that a process holds in all

Each request, answer and message has a bound of its own; nothing bounds them together. MemoryBudget decides, without any I/O, whether one of them may hold further bytes, and which incomplete one gives way if there is no room: the one with the most bytes times the time without a byte. Complete ones never give way. A quarter of the budget is for holdings of up to 64 KiB.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -15,6 +15,7 @@
 export * from './list-change.js';
 export * from './logger.js';
 export * from './loop-watch.js';
+export * from './memory-budget.js';
 export * from './parse-in-parts.js';
 export * from './partition-valid.js';
 export * from './random.js';
--- /dev/null
+++ b/packages/common/src/memory-budget.ts
@@ -0,0 +1,156 @@
+import type {Clock} from './clock.js';
+
+/** A holding up to this size may use the reserved part of a budget. */
+export const SMALL_HOLDING_BYTES = 65_536;
+
+/** Fraction of a budget that only small holdings may use, so that large ones cannot crowd them out. */
+export const RESERVED_RATIO = 0.25;
+
+/** Counts as idle time in addition, so that of two holdings that have just grown the larger one gives way. */
+const MIN_IDLE_MS = 1;
+
+type HoldingOptions = {
+	/** Called once when the holding must give way; its bytes no longer count then, and its owner drops them. */
+	readonly onEvicted: () => void;
+};
+
+/** Bytes that are held for one request, answer or message. Incomplete holdings may be evicted in favour of others. */
+export class MemoryHolding {
+	private heldBytes = 0;
+	private lastGrownMs: number;
+	private isComplete = false;
+
+	constructor(private readonly budget: MemoryBudget, private readonly clock: Clock, private readonly opts: HoldingOptions) {
+		this.lastGrownMs = clock.now();
+	}
+
+	get bytes(): number {
+		return this.heldBytes;
+	}
+
+	/** Holds more bytes if the budget has room for them or other holdings give way; otherwise nothing changes, and the owner gives way. */
+	grow(bytes: number): boolean {
+		if (!this.budget.makeRoom(this, bytes)) {
+			return false;
+		}
+
+		this.heldBytes += bytes;
+		this.lastGrownMs = this.clock.now();
+		return true;
+	}
+
+	/** Gives back a part of the bytes. */
+	shrink(bytes: number): void {
+		const returned = Math.min(bytes, this.heldBytes);
+		this.heldBytes -= returned;
+		this.budget.giveBack(this, returned);
+	}
+
+	/** Protects the holding from eviction, since what it belongs to has arrived completely. */
+	complete(): void {
+		this.isComplete = true;
+	}
+
+	/** Gives back all bytes; further calls have no effect. */
+	release(): void {
+		this.shrink(this.heldBytes);
+	}
+
+	/** The larger and the longer without a byte, the sooner a holding gives way; undefined if it may not. */
+	getEvictionRank(): number | undefined {
+		return this.isComplete || this.heldBytes === 0 ? undefined : this.heldBytes * (this.clock.now() - this.lastGrownMs + MIN_IDLE_MS);
+	}
+
+	/** Ends the holding in favour of another one. */
+	evict(): void {
+		this.release();
+		this.opts.onEvicted();
+	}
+}
+
+/** Limit on the bytes that a process holds for all its requests, answers and messages together. */
+export class MemoryBudget {
+	private readonly holdings = new Set<MemoryHolding>();
+	private usedBytes = 0;
+	private evicted = 0;
+	private refused = 0;
+
+	constructor(private readonly clock: Clock, private readonly limitBytes: number) {}
+
+	get heldBytes(): number {
+		return this.usedBytes;
+	}
+
+	/** Number of holdings that gave way to others. */
+	get evictedCount(): number {
+		return this.evicted;
+	}
+
+	/** Number of times that a holding found no room to grow. */
+	get refusedCount(): number {
+		return this.refused;
+	}
+
+	/** Opens a holding without bytes. */
+	open(opts: HoldingOptions): MemoryHolding {
+		return new MemoryHolding(this, this.clock, opts);
+	}
+
+	/** Whether a new holding of this size would find room, if need be in place of incomplete ones that have received nothing for the given time. */
+	hasRoom(bytes: number, idleMs: number): boolean {
+		const neededBytes = this.usedBytes + bytes - this.getLimit(bytes);
+		return neededBytes <= 0 || this.pickEvicted(neededBytes, bytes * (idleMs + MIN_IDLE_MS)) !== undefined;
+	}
+
+	/** Counts further bytes of a holding, evicting others if needed; returns whether there is room. Called by holdings. */
+	makeRoom(holding: MemoryHolding, bytes: number): boolean {
+		const size = holding.bytes + bytes;
+		const neededBytes = this.usedBytes + bytes - this.getLimit(size);
+		const evicted = neededBytes > 0 ? this.pickEvicted(neededBytes, size * MIN_IDLE_MS, holding) : [];
+		if (!evicted) {
+			this.refused += 1;
+			return false;
+		}
+
+		this.usedBytes += bytes;
+		this.holdings.add(holding);
+		this.evicted += evicted.length;
+		for (const other of evicted) {
+			other.evict();
+		}
+
+		return true;
+	}
+
+	/** Stops counting bytes of a holding. Called by holdings. */
+	giveBack(holding: MemoryHolding, bytes: number): void {
+		this.usedBytes -= bytes;
+		if (holding.bytes === 0) {
+			this.holdings.delete(holding);
+		}
+	}
+
+	private getLimit(holdingBytes: number): number {
+		return holdingBytes <= SMALL_HOLDING_BYTES ? this.limitBytes : this.limitBytes * (1 - RESERVED_RATIO);
+	}
+
+	/** Returns the incomplete holdings to evict, highest rank first, or undefined if those above the given rank do not hold enough. */
+	private pickEvicted(neededBytes: number, rank: number, grown?: MemoryHolding): readonly MemoryHolding[] | undefined {
+		const candidates = [...this.holdings]
+			.map(holding => ({holding, rank: holding.getEvictionRank() ?? 0}))
+			.filter(candidate => candidate.holding !== grown && candidate.rank > rank)
+			.toSorted((left, right) => right.rank - left.rank);
+		let leftBytes = neededBytes;
+		const evicted: MemoryHolding[] = [];
+		for (const {holding} of candidates) {
+			if (leftBytes <= 0) {
+				break;
+			}
+
+			evicted.push(holding);
+			leftBytes -= holding.bytes;
+		}
+
+		return leftBytes <= 0 ? evicted : undefined;
+	}
+}
