--- a/apps/egretrilld/tests/traffic/support/raw-caller.ts
+++ b/apps/egretrilld/tests/traffic/support/raw-caller.ts
@@ -39,7 +39,7 @@
 }
 
 /** Sends one request on a new connection and reads until the host closes it. */
-export async function callRaw(port: number, {method = 'GET', version = '1.1', body = '', attemptId = 'a1', headers = ''} = {}): Promise<ReceivedAnswer> {
+export async function callRaw(port: number, {method = 'GET', path = '/', version = '1.1', body = '', attemptId = 'a1', headers = ''} = {}): Promise<ReceivedAnswer> {
 	const socket = connect({port, host: '127.0.0.1'});
 	let text = '';
 	let isReset = false;
@@ -56,7 +56,7 @@
 	const closed = new Promise(resolve => {
 		socket.once('close', resolve);
 	});
-	socket.write(`${method} / HTTP/${version}\r\nHost: app.test\r\nattempt: ${attemptId}\r\n${headers}Connection: close\r\nContent-Length: ${body.length}\r\n\r\n${body}`);
+	socket.write(`${method} ${path} HTTP/${version}\r\nHost: app.test\r\nattempt: ${attemptId}\r\n${headers}Connection: close\r\nContent-Length: ${body.length}\r\n\r\n${body}`);
 	await closed;
 	const headEnd = text.indexOf(HEAD_END);
 	const head = text.slice(0, Math.max(0, headEnd));
