--- a/dev/testkit/src/index.ts
+++ b/dev/testkit/src/index.ts
@@ -2,6 +2,7 @@
 export * from './caller.js';
 export * from './cut-answer.js';
 export * from './daemon-process.js';
+export * from './deployed-process.js';
 export * from './exchange.js';
 export * from './fleet.js';
 export * from './link.js';
--- a/packages/common/src/memory-budget.ts
+++ b/packages/common/src/memory-budget.ts
@@ -12,6 +12,8 @@
 type HoldingOptions = {
 	/** Called once when the holding must give way; its bytes no longer count then, and its owner drops them. */
 	readonly onEvicted: () => void;
+	/** Time for which the holding stays after it has grown, so that one that is arriving does not give way to each new one; 0 by default. */
+	readonly minIdleMs?: number;
 };
 
 /** Bytes that are held for one request, answer or message. Incomplete holdings may be evicted in favour of others. */
@@ -58,7 +60,9 @@
 
 	/** The larger and the longer without a byte, the sooner a holding gives way; undefined if it may not. */
 	getEvictionRank(): number | undefined {
-		return this.isComplete || this.heldBytes === 0 ? undefined : this.heldBytes * (this.clock.now() - this.lastGrownMs + MIN_IDLE_MS);
+		const idleMs = this.clock.now() - this.lastGrownMs;
+		const mayStay = this.isComplete || this.heldBytes === 0 || idleMs < (this.opts.minIdleMs ?? 0);
+		return mayStay ? undefined : this.heldBytes * (idleMs + MIN_IDLE_MS);
 	}
 
 	/** Ends the holding in favour of another one. */
