callers: bound the bytes that an entry host holds in all

Callers saw nothing as long as the process lived. Requests without their last byte, answers that nobody reads, and events and bodies that do not end were bounded one by one, and together they exceeded the memory of the process, whose end would have ended every request on it.

Cause: each body, event and answer had a bound of its own and nothing counted them together. Three places held more than they needed: the buffer of a long answer stayed in memory after it had been sent, a body was kept in chunks and joined, and a refused request whose reading was ended went on collecting chunks.

Change: what an entry host holds counts in one MemoryBudget, a fifth of the memory of its process (memoryMb, taken from the settings of the platform). Capacity counts, not what is used of it. The incomplete holding with the most bytes times the time since its last one gives way. A body that does, or whose length finds no room, is refused at once with 503 host-overloaded, not run; what still arrives of it is dropped. An event that gives way ends as a broken answer that does not count against its target. An answer that is no event stream is relayed as it arrives when half the budget is used for buffered ones. A caller that does not read loses its connection, logged as 'unread'. Holdings can be optional, can add what is in memory already, and close with their release.

--- a/apps/egretrilld/src/traffic/constants.ts
+++ b/apps/egretrilld/src/traffic/constants.ts
@@ -130,3 +130,8 @@
 
 /** Longer texts of other processes are truncated in warnings. */
 export const MAX_LOGGED_TEXT_LENGTH = 200;
+
+export const BYTES_PER_MB = 1_000_000;
+
+/** Part of a process's memory that requests and answers may hold. The rest is for the program and its heap, for buffers that were dropped and are not collected yet, and for those of the connections. */
+export const HELD_MEMORY_RATIO = 0.2;
--- a/apps/egretrilld/src/traffic/entry-host.ts
+++ b/apps/egretrilld/src/traffic/entry-host.ts
@@ -1,7 +1,7 @@
 import {setMaxListeners} from 'node:events';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {
-	type Clock, createHttpServer, jitter, type Logger, type LoopWatch, type Random, setReadTimeouts, type TrafficSource,
+	type Clock, createHttpServer, jitter, type Logger, type LoopWatch, MemoryBudget, type Random, setReadTimeouts, type TrafficSource,
 } from '@egretrill/common';
 import {
 	BackoffPoolClient, type ForwardDependencies, type ForwardDialect, forwardRequest, PlannedStop, RATE_LEASE_MS, RateAllocations, RetryBudget, RetrySchedule, RouteDurations, RouteTable, SlotQueue,
@@ -11,7 +11,7 @@
 import type {ControlPeers} from '@egretrill/hosts';
 import {TargetSlotSource} from './target-slot-source.js';
 import {CallerConnections} from './caller-connections.js';
-import {IDLE_WAIT_RATIO} from './constants.js';
+import {BYTES_PER_MB, HELD_MEMORY_RATIO, IDLE_WAIT_RATIO} from './constants.js';
 import type {ConfigDecoder} from './config-decoder.js';
 import {ControlFollower, type HostReport, SyncSink} from './control-follower.js';
 import {DecisionLog} from './decision-log.js';
@@ -19,6 +19,7 @@
 import {EntryObserver} from './entry-observer.js';
 import {HostCrashes} from './host-crashes.js';
 import {HttpSender} from './http-sender.js';
+import {MemoryMetrics} from './memory-metrics.js';
 import type {LeaderPlan, SyncResponse} from './methods.js';
 import {NodeExchange} from './node-exchange.js';
 import type {EntrySettings, TrafficBounds} from './settings.js';
@@ -41,6 +42,8 @@
 /** A host that serves callers: it polls the control hosts and forwards requests to targets. */
 export class EntryHost extends SyncSink {
 	readonly server: Server;
+	private readonly memory: MemoryBudget;
+	private readonly memoryMetrics: MemoryMetrics;
 	private routeTable: RouteTable | undefined;
 	private bounds: TrafficBounds;
 	private readonly follower: ControlFollower;
@@ -63,6 +66,8 @@
 		super();
 		const {settings, clock, logger, metrics, peers} = opts;
 		this.bounds = settings.bounds;
+		this.memory = new MemoryBudget(clock, settings.memoryMb * BYTES_PER_MB * HELD_MEMORY_RATIO);
+		this.memoryMetrics = new MemoryMetrics(this.memory, metrics);
 		this.plannedStop = new PlannedStop(clock);
 		this.drain = new Drain({clock, deadlineMs: settings.bounds.drainMs, balancerWaitMs: settings.bounds.balancerWaitMs});
 		this.rates = new RateAllocations(clock);
@@ -128,6 +133,11 @@
 		await this.connections.close(clock);
 	}
 
+	/** Takes current values into the metrics that are read next. */
+	updateMetrics(): void {
+		this.memoryMetrics.update();
+	}
+
 	/** Applies the settings that may change while the host runs. */
 	applySettings({seeds, bounds}: Pick<EntrySettings, 'seeds' | 'bounds'>): void {
 		this.opts.peers.setSeeds(seeds);
@@ -195,6 +205,7 @@
 		const {clock, random, dialect} = this.opts;
 		return {
 			clock,
+			memory: this.memory,
 			random,
 			dialect,
 			queue: this.queue,
@@ -245,7 +256,7 @@
 	}
 
 	private async serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
-		const exchange = new NodeExchange(req, res, () => this.plannedStop.hasBegun());
+		const exchange = new NodeExchange(req, res, {memory: this.memory, isStopping: () => this.plannedStop.hasBegun()});
 		const endWork = this.drain.trackWork('request');
 		try {
 			await forwardRequest(exchange, this.forwardDependencies);
--- a/apps/egretrilld/src/traffic/node-exchange.ts
+++ b/apps/egretrilld/src/traffic/node-exchange.ts
@@ -1,10 +1,19 @@
 import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {CallerExchange, type RequestHead} from '@egretrill/callers';
-import type {Verdict} from '@egretrill/common';
+import {CallerExchange, type RequestHead, UNREAD_ANSWER} from '@egretrill/callers';
+import type {MemoryBudget, Verdict} from '@egretrill/common';
 import {createRefusalBody, getRetryAfter} from './refusal-body.js';
 
+/** Bytes of an answer that wait on their way from the target while the caller reads nothing: what the connection has read at once, which its stream keeps until it is used. */
+const WAITING_ANSWER_BYTES = 65_536;
+
+export type NodeExchangeOptions = {
+	readonly memory: MemoryBudget;
+	/** Whether a planned stop of this host has begun. */
+	readonly isStopping: () => boolean;
+};
+
 /** A caller's request and response on Node's HTTP server. */
 export class NodeExchange extends CallerExchange {
 	readonly head: RequestHead;
@@ -13,7 +22,7 @@
 	private isAborting = false;
 	private isEnding = false;
 
-	constructor(private readonly req: IncomingMessage, private readonly res: ServerResponse, private readonly isStopping: () => boolean) {
+	constructor(private readonly req: IncomingMessage, private readonly res: ServerResponse, private readonly opts: NodeExchangeOptions) {
 		super();
 		this.head = {method: req.method ?? '', url: req.url ?? '', rawHeaders: req.rawHeaders};
 		res.once('close', () => {
@@ -30,25 +39,20 @@
 		return this.callerDisconnect.signal;
 	}
 
-	async readBody(maxBytes: number): Promise<Uint8Array | undefined> {
-		const chunks: Uint8Array[] = [];
-		let length = 0;
+	async readBody(onChunk: (chunk: Uint8Array) => boolean): Promise<boolean> {
 		try {
 			// Destroying the request on return would close the connection before a refusal is sent.
 			for await (const chunk of this.req.iterator({destroyOnReturn: false}) as AsyncIterable<Uint8Array>) {
-				length += chunk.length;
-				if (length > maxBytes) {
-					return undefined;
+				if (!onChunk(chunk)) {
+					return false;
 				}
-
-				chunks.push(chunk);
 			}
 		} catch {
 			// The caller disconnected, which the response's close event reports.
-			return undefined;
+			return false;
 		}
 
-		return chunks.length === 1 ? chunks[0] : Buffer.concat(chunks);
+		return true;
 	}
 
 	isRequestComplete(): boolean {
@@ -75,7 +79,7 @@
 
 	async write(bytes: Uint8Array): Promise<void> {
 		if (bytes.length > 0 && !this.res.write(bytes) && !this.res.destroyed) {
-			await once(this.res, 'drain', {signal: this.writeSignal});
+			await this.waitForCaller();
 		}
 	}
 
@@ -118,8 +122,25 @@
 		socket.destroy();
 	}
 
+	/** Waits until the caller has read what was written; meanwhile that counts as held, and the connection is closed if it must give way. */
+	private async waitForCaller(): Promise<void> {
+		const unread = this.opts.memory.open({
+			onEvicted: () => {
+				this.abort();
+				this.callerDisconnect.abort(UNREAD_ANSWER);
+			},
+		});
+		try {
+			const drained = once(this.res, 'drain', {signal: this.writeSignal});
+			unread.add(this.res.writableLength + WAITING_ANSWER_BYTES);
+			await drained;
+		} finally {
+			unread.release();
+		}
+	}
+
 	private prepare(): void {
-		if (this.isStopping()) {
+		if (this.opts.isStopping()) {
 			this.res.shouldKeepAlive = false;
 		}
 	}
--- a/apps/egretrilld/src/traffic/run-traffic.ts
+++ b/apps/egretrilld/src/traffic/run-traffic.ts
@@ -1,7 +1,7 @@
 import {once} from 'node:events';
 import type {RequestListener, Server} from 'node:http';
 import process from 'node:process';
-import {createHealthApp, type UnreadyReason} from '@egretrill/balancer';
+import {createHealthApp, type HealthAppOptions} from '@egretrill/balancer';
 import {createHttpServer} from '@egretrill/common';
 import {startPeerServer} from '@egretrill/hosts';
 import type {Container} from 'inversify';
@@ -22,12 +22,12 @@
 	await once(server, 'listening');
 }
 
-async function serveMetrics(container: Container, settings: TrafficSettings, getUnreadyReasons: () => readonly UnreadyReason[]): Promise<Server | undefined> {
+async function serveMetrics(container: Container, settings: TrafficSettings, app: Omit<HealthAppOptions, 'metrics'>): Promise<Server | undefined> {
 	if (settings.metrics === undefined) {
 		return undefined;
 	}
 
-	const server = createHttpServer(createHealthApp({metrics: container.get(trafficTokens.metrics), getUnreadyReasons}) as RequestListener);
+	const server = createHttpServer(createHealthApp({metrics: container.get(trafficTokens.metrics), ...app}) as RequestListener);
 	await listen(server, settings.metrics);
 	return server;
 }
@@ -67,7 +67,7 @@
 	const running = control.run(signal);
 	const server = createHttpServer(adapter.createControlApp(control));
 	await listen(server, settings.listen.control);
-	const metrics = await serveMetrics(container, settings, () => []);
+	const metrics = await serveMetrics(container, settings, {getUnreadyReasons: () => []});
 	logger.info({
 		role: settings.role, ...settings.listen, seeds: settings.seeds, isFirstStart: settings.isFirstStart,
 	}, 'Host started.');
@@ -89,7 +89,12 @@
 	const readyServer = createHttpServer(adapter.createReadyApp(() => entry.getUnreadyReasons()));
 	await listen(readyServer, settings.listen.health);
 	await listen(entry.server, settings.listen.callers);
-	const metrics = await serveMetrics(container, settings, () => entry.getUnreadyReasons());
+	const metrics = await serveMetrics(container, settings, {
+		getUnreadyReasons: () => entry.getUnreadyReasons(),
+		onScrape() {
+			entry.updateMetrics();
+		},
+	});
 	logger.info({role: settings.role, ...settings.listen, seeds: settings.seeds}, 'Host started.');
 	void watchSettings(container, source, settings, changed => {
 		entry.applySettings(changed);
--- a/apps/egretrilld/src/traffic/settings.ts
+++ b/apps/egretrilld/src/traffic/settings.ts
@@ -1,6 +1,9 @@
 import {SocketAddress} from '@egretrill/common';
 import {z} from 'zod';
 
+/** Memory of the smallest hosts. */
+const DEFAULT_MEMORY_MB = 350;
+
 const milliseconds = z.number().nonnegative();
 
 /** Limits that the deployment sets for all hosts together. */
@@ -25,6 +28,8 @@
 	/** Peer addresses of some control hosts. */
 	seeds: z.array(SocketAddress).min(1),
 	bounds: TrafficBounds,
+	/** Memory that the process may use. */
+	memoryMb: z.number().positive().default(DEFAULT_MEMORY_MB),
 	logLevel: z.enum(['debug', 'info', 'warn', 'error']).default('info'),
 	metrics: SocketAddress.optional(),
 };
--- a/apps/egretrilld/tests/traffic/support/entry-fixture.ts
+++ b/apps/egretrilld/tests/traffic/support/entry-fixture.ts
@@ -36,7 +36,7 @@
 	const peerCredentials = {server: ServerCredentials.createInsecure(), client: credentials.createInsecure()};
 	const host = new EntryHost({
 		settings: {
-			role: 'entry', host: 'e1', zone: 'a', seeds: ['127.0.0.1:1'], logLevel: 'info', listen: {callers: '127.0.0.1:0', health: '127.0.0.1:0'}, bounds: {
+			role: 'entry', host: 'e1', zone: 'a', seeds: ['127.0.0.1:1'], memoryMb: 350, logLevel: 'info', listen: {callers: '127.0.0.1:0', health: '127.0.0.1:0'}, bounds: {
 				retryRatio: 0, retryReserve: 100, coldExcessRatio: 1, orderLeaseMs: 1000, drainMs: DRAIN_MS, balancerWaitMs: BALANCER_WAIT_MS,
 			},
 		},
--- a/apps/egretrilld/tests/traffic/support/forward-host.ts
+++ b/apps/egretrilld/tests/traffic/support/forward-host.ts
@@ -5,7 +5,7 @@
 	type AnswerHead, type AnswerMetadata, type AttemptEvent, CrashGate, CrashTracker, type ForwardCall, type ForwardDependencies, ForwardDialect, type ForwardEndEvent, ForwardObserver, forwardRequest, ForwardSender, PlannedStop, RateAllocations, RatePoolClient, type RequestHead, RetryBudget, RetrySchedule, RouteDurations, RouteTable, type SendDetails, type SlotOutcome, SlotQueue, type SlotRequirements, type SlotResult, SlotSource, TargetEnds,
 } from '@egretrill/callers';
 import {
-	createHttpServer, MonotonicClock, type OutgoingMessage, type SendFailure, type TargetAnswer, type TrafficConfig, type TrafficRoute,
+	createHttpServer, MemoryBudget, MonotonicClock, type OutgoingMessage, type SendFailure, type TargetAnswer, type TrafficConfig, type TrafficRoute,
 } from '@egretrill/common';
 import type {Result} from 'true-myth';
 import {HttpSender} from '../../../src/traffic/http-sender.js';
@@ -147,6 +147,8 @@
 	readonly route?: Partial<TrafficRoute>;
 	readonly onChunk?: () => void;
 	readonly maxBodyBytes?: number;
+	/** Limit on the bytes that the host holds. */
+	readonly memoryBytes?: number;
 };
 
 /** The forwarding path of an entry host with its real HTTP server and client and fixed targets. */
@@ -160,20 +162,23 @@
 
 	readonly observer = new RecordingObserver();
 	readonly slots: FixedSlotSource;
+	readonly memory: MemoryBudget;
 	private readonly sender = new HttpSender();
 	private readonly server: Server;
 
-	private constructor({targets, fullTargets = [], route: changes, onChunk = () => undefined, maxBodyBytes = config.limits.maxBodyBytes}: ForwardHostOptions) {
+	private constructor({targets, fullTargets = [], route: changes, onChunk = () => undefined, maxBodyBytes = config.limits.maxBodyBytes, memoryBytes = Number.POSITIVE_INFINITY}: ForwardHostOptions) {
 		this.slots = new FixedSlotSource(targets, fullTargets);
 		const clock = new MonotonicClock();
+		const memory = new MemoryBudget(clock, memoryBytes);
+		this.memory = memory;
 		const table = new RouteTable({...config, limits: {...config.limits, maxBodyBytes}, routes: [{...route, ...changes}]});
 		const retries = new RetryBudget(clock, {ratio: 0, reserve: 100});
 		const crashes = new CrashTracker(clock, 'test');
 		const parts: ForwardDependencies = {
-			clock, random: () => 0, dialect: new TestDialect(), queue: new SlotQueue(clock, this.slots), rates: new RateAllocations(clock), poolClient: new RefusingLender(), retrySchedule: new RetrySchedule(clock), sender: new ObservedSender(this.sender, onChunk), observer: this.observer, getTable: () => table, stop: new PlannedStop(clock), durations: new RouteDurations(), crashes, crashGate: new CrashGate(clock, crashes), targetEnds: new TargetEnds({clock, probe: new HttpTargetProbe(), onEnd: () => undefined}), getRetries: () => retries,
+			clock, memory, random: () => 0, dialect: new TestDialect(), queue: new SlotQueue(clock, this.slots), rates: new RateAllocations(clock), poolClient: new RefusingLender(), retrySchedule: new RetrySchedule(clock), sender: new ObservedSender(this.sender, onChunk), observer: this.observer, getTable: () => table, stop: new PlannedStop(clock), durations: new RouteDurations(), crashes, crashGate: new CrashGate(clock, crashes), targetEnds: new TargetEnds({clock, probe: new HttpTargetProbe(), onEnd: () => undefined}), getRetries: () => retries,
 		};
 		this.server = createHttpServer((req, res) => {
-			void forwardRequest(new NodeExchange(req, res, () => false), parts);
+			void forwardRequest(new NodeExchange(req, res, {memory, isStopping: () => false}), parts);
 		});
 	}
 
--- a/packages/callers/src/forward/caller-exchange.ts
+++ b/packages/callers/src/forward/caller-exchange.ts
@@ -1,13 +1,16 @@
 import type {Verdict} from '@egretrill/common';
 import type {RequestHead} from './forward-dialect.js';
 
+/** Reason of a disconnect by this host, which needs the memory of an answer that the caller does not read. */
+export const UNREAD_ANSWER = 'unread-answer';
+
 /** A caller's request and the channel for its answer. */
 export abstract class CallerExchange {
 	abstract readonly head: RequestHead;
-	/** Aborts when the caller disconnects. */
+	/** Aborts when the caller disconnects, or is disconnected because it does not read. */
 	abstract readonly callerDisconnected: AbortSignal;
-	/** Reads the complete body; undefined when it exceeds the limit. */
-	abstract readBody(maxBytes: number): Promise<Uint8Array | undefined>;
+	/** Passes each chunk of the body on until that returns false; resolves with whether the body has been read to its end. */
+	abstract readBody(onChunk: (chunk: Uint8Array) => boolean): Promise<boolean>;
 	/** Whether the complete request, with its body, has arrived. */
 	abstract isRequestComplete(): boolean;
 	/** Whether the head of an answer has been sent. */
--- a/packages/callers/src/forward/event-splitter.ts
+++ b/packages/callers/src/forward/event-splitter.ts
@@ -1,5 +1,7 @@
 import {Buffer} from 'node:buffer';
+import type {MemoryHolding} from '@egretrill/common';
 import {Result} from 'true-myth';
+import {MAX_EVENT_BYTES} from './constants.js';
 import {readEventPlace} from './event-fields.js';
 import type {EventOrder, EventVerdict} from './event-order.js';
 import {GrowableBuffer} from './growable-buffer.js';
@@ -10,20 +12,31 @@
 const EVENT_END_OVERLAP = 2;
 const EMPTY = Buffer.alloc(0);
 
+/** Fault of a stream whose incomplete event finds no room. */
+export const NO_ROOM = 'This host has no memory left for an incomplete event.';
+
 /** Bytes of complete events that are new to the caller; `fault` says why the events after them must not be relayed. */
 export type CompleteEvents = {readonly bytes: Uint8Array; readonly fault?: string};
 
 /** Splits an event stream at event boundaries without changing its bytes. */
 export class EventSplitter {
-	private readonly incompleteEvent = new GrowableBuffer();
+	private readonly incompleteEvent: GrowableBuffer;
 	/** Event that is relayed only with the next one. */
 	private heldEvent: Uint8Array = EMPTY;
 
+	/** What the splitter buffers counts in the holding. */
+	constructor(private readonly holding: MemoryHolding) {
+		this.incompleteEvent = new GrowableBuffer(holding, MAX_EVENT_BYTES);
+	}
+
 	/** Adds a chunk and returns the events that it completes; events that the caller has already received are dropped. */
 	push(chunk: Uint8Array, order: EventOrder): CompleteEvents {
 		// The buffered bytes have been searched already; searching them again with each chunk would take quadratic time.
 		const searchOffset = Math.max(0, this.incompleteEvent.length - EVENT_END_OVERLAP);
-		this.incompleteEvent.append(chunk);
+		if (!this.incompleteEvent.append(chunk)) {
+			return {bytes: EMPTY, fault: NO_ROOM};
+		}
+
 		const bytes = this.incompleteEvent.getBytes();
 		const newEvents: Uint8Array[] = [];
 		let fault: string | undefined;
@@ -67,12 +80,14 @@
 			case 'hold': {
 				// The buffer of the event is used again for the next chunk.
 				this.heldEvent = Buffer.from(event);
+				this.holding.add(event.length);
 				return [];
 			}
 
 			case 'release': {
 				const held = this.heldEvent;
 				this.heldEvent = EMPTY;
+				this.holding.shrink(held.length);
 				return [held, event];
 			}
 		}
--- a/packages/callers/src/forward/forward-dependencies.ts
+++ b/packages/callers/src/forward/forward-dependencies.ts
@@ -1,5 +1,5 @@
 import type {
-	BodyFraming, Clock, OutgoingMessage, Random, SendFailure, TargetAnswer, Verdict,
+	BodyFraming, Clock, MemoryBudget, OutgoingMessage, Random, SendFailure, TargetAnswer, Verdict,
 } from '@egretrill/common';
 import type {Result} from 'true-myth';
 import type {CrashGate, CrashTracker} from '../crashes/index.js';
@@ -29,7 +29,8 @@
 	readonly route?: string;
 	readonly customer?: string;
 	readonly configVersion?: number;
-	readonly outcome: 'answered' | 'broken' | 'left' | Verdict;
+	/** `left` if the caller closed the connection, `unread` if this host closed it because the caller did not read. */
+	readonly outcome: 'answered' | 'broken' | 'left' | 'unread' | Verdict;
 	readonly status?: number;
 	/** How the end of a completely relayed body was detected, and its size. */
 	readonly bodyEnd?: BodyFraming;
@@ -70,6 +71,8 @@
 /** Dependencies of request forwarding. */
 export type ForwardDependencies = {
 	readonly clock: Clock;
+	/** Limit on the bytes of requests and answers that this host holds. */
+	readonly memory: MemoryBudget;
 	readonly random: Random;
 	readonly dialect: ForwardDialect;
 	readonly queue: SlotQueue;
--- a/packages/callers/src/forward/forward-request.ts
+++ b/packages/callers/src/forward/forward-request.ts
@@ -1,8 +1,8 @@
 import {
 	mayHaveRun, refuse, type TrafficCustomer, type TrafficRoute, type Verdict,
 } from '@egretrill/common';
-import type {CallerExchange} from './caller-exchange.js';
-import {MIN_RETRY_AFTER_MS, NO_TARGET_RETRY_MS} from './constants.js';
+import {type CallerExchange, UNREAD_ANSWER} from './caller-exchange.js';
+import {MIN_RETRY_AFTER_MS, NO_TARGET_RETRY_MS, OVERLOADED_RETRY_MS} from './constants.js';
 import type {ForwardEndEvent, ForwardDependencies} from './forward-dependencies.js';
 import type {ForwardContext, ForwardProgress} from './forward-context.js';
 import {refuseBeforeStop, refuseForStop, type StopCheck} from './refuse-before-stop.js';
@@ -12,7 +12,7 @@
 import type {RateDecision} from './rate-allocations.js';
 import {listKeys} from './list-keys.js';
 import {getCost, pickService, type RouteTable} from './route-table.js';
-import {readBodyUntil} from './read-body-until.js';
+import {type BodyFailure, HeldBody} from './held-body.js';
 import {acquireSlot} from './slot-search.js';
 import {mayRetry} from './open-attempt.js';
 import type {ForwardCall} from './types.js';
@@ -25,6 +25,7 @@
 	readonly startedMs: number;
 	readonly table: RouteTable | undefined;
 	readonly progress: ForwardProgress;
+	readonly body: HeldBody;
 	call?: ForwardCall;
 	admitted?: Admitted | Refused;
 	/** Whether the exchange with the caller has been ended. */
@@ -37,6 +38,7 @@
 	const state: RequestState = {
 		startedMs,
 		table: deps.getTable(),
+		body: new HeldBody(deps.memory),
 		progress: {
 			tried: new Set(), attempts: 0, mayHaveRun: false, waitMs: 0, lastEventId: undefined, relayedBytes: 0, chunkTimes: new ChunkTimes(deps.clock, startedMs),
 		},
@@ -51,6 +53,8 @@
 		}
 
 		throw err;
+	} finally {
+		state.body.release();
 	}
 }
 
@@ -112,7 +116,7 @@
 		...(call && {call}),
 		...(admitted && {route: admitted.route?.name, targetLatencyMs: admitted.route?.targetLatencyMs, customer: admitted.customer?.name}),
 		configVersion: table?.config.version,
-		outcome: callerDisconnected.aborted && outcome !== 'answered' ? 'left' : outcome,
+		outcome: callerDisconnected.aborted && outcome !== 'answered' ? getDisconnectOutcome(callerDisconnected) : outcome,
 		status: progress.status,
 		targetId: progress.targetId,
 		outstanding: progress.outstanding,
@@ -126,6 +130,10 @@
 	};
 }
 
+function getDisconnectOutcome({reason}: AbortSignal): 'left' | 'unread' {
+	return reason === UNREAD_ANSWER ? 'unread' : 'left';
+}
+
 function getChunkTimes(chunkTimes: ChunkTimes): Pick<ForwardEndEvent, 'firstMs' | 'longestPauseMs'> {
 	const firstMs = chunkTimes.getFirstMs();
 	return firstMs === undefined ? {} : {firstMs, longestPauseMs: chunkTimes.getLongestPauseMs()};
@@ -157,7 +165,7 @@
 }
 
 /** Checks that the configuration allows a request, and charges it to its customer's rate. */
-async function admit(exchange: CallerExchange, deps: ForwardDependencies, {startedMs, progress}: RequestState, {table, call}: ParsedRequest): Promise<Admitted | Refused> {
+async function admit(exchange: CallerExchange, deps: ForwardDependencies, {startedMs, progress, body: heldBody}: RequestState, {table, call}: ParsedRequest): Promise<Admitted | Refused> {
 	const route = table.findRoute(call.hostName, call.url);
 	if (route.isErr) {
 		return {refusal: route.error};
@@ -169,7 +177,7 @@
 	}
 
 	const known = {route: route.value, customer: customer.value};
-	const body = await readAllowedBody(exchange, table, deps, {route: route.value, progress, endsMs: getEndsMs(route.value, call, startedMs)});
+	const body = await readAllowedBody(exchange, heldBody, {table, deps, stopCheck: {route: route.value, progress, endsMs: getEndsMs(route.value, call, startedMs)}});
 	if ('status' in body) {
 		return {refusal: body, ...known};
 	}
@@ -198,17 +206,25 @@
 	return {...known, service, body};
 }
 
+/** What a request has to meet before its body is read, and after. */
+type BodyCheck = {readonly table: RouteTable; readonly deps: ForwardDependencies; readonly stopCheck: Omit<StopCheck, 'deps'>};
+
 /** Reads the body of a request, unless it is too long or not expected to end before this host stops. */
-async function readAllowedBody(exchange: CallerExchange, {config: {limits}}: RouteTable, deps: ForwardDependencies, request: Omit<StopCheck, 'deps'>): Promise<Uint8Array | Verdict> {
-	const refusal = refuseBeforeStop({...request, deps}, 'arrival');
+async function readAllowedBody(exchange: CallerExchange, heldBody: HeldBody, {table: {config: {limits}}, deps, stopCheck}: BodyCheck): Promise<Uint8Array | Verdict> {
+	const refusal = refuseBeforeStop({...stopCheck, deps}, 'arrival');
 	if (refusal) {
 		return refusal;
 	}
 
-	const body = await readBodyUntil(exchange, limits.maxBodyBytes, deps.stop.ended);
-	return refuseBeforeStop({...request, deps}, 'body')
-		?? body
-		?? refuse(413, 'body-too-large', `The body is longer than ${limits.maxBodyBytes} bytes.`);
+	const body = await heldBody.read(exchange, limits.maxBodyBytes, deps.stop.ended);
+	return refuseBeforeStop({...stopCheck, deps}, 'body')
+		?? (body.isOk ? body.value : refuseBody(body.error, limits.maxBodyBytes));
+}
+
+function refuseBody(failure: BodyFailure, maxBytes: number): Verdict {
+	return failure === 'no-room'
+		? refuse(503, 'host-overloaded', 'This host has no memory left for the body.', OVERLOADED_RETRY_MS)
+		: refuse(413, 'body-too-large', `The body is longer than ${maxBytes} bytes.`);
 }
 
 /** Charges a request to its customer's rate: to this host's allocation first, then to the owner's pool. */
--- a/packages/callers/src/forward/forward-to-target.ts
+++ b/packages/callers/src/forward/forward-to-target.ts
@@ -1,6 +1,8 @@
+import type {MemoryHolding} from '@egretrill/common';
 import {STREAM_IDLE_TIMEOUT_MS} from './constants.js';
 import {EventOrder} from './event-order.js';
-import type {AttemptOutcome, ForwardContext} from './forward-context.js';
+import {NO_ROOM} from './event-splitter.js';
+import type {AttemptFailure, AttemptOutcome, ForwardContext} from './forward-context.js';
 import type {AttemptSlot} from './slot-search.js';
 import {relayBuffered, relayEvents, type RelayResult} from './relay.js';
 import {SwitchWatch} from './switch-watch.js';
@@ -56,24 +58,41 @@
 	return delivered ?? new EventOrder(route.isResumable ? progress.lastEventId : undefined);
 }
 
-async function relay(context: ForwardContext, {answer, metadata, sent}: OpenAttempt, watch: SwitchWatch | undefined): Promise<AttemptOutcome> {
+/** Opens the holding of an answer: events have to be held until they are complete; other answers are buffered only while there is room. */
+function openHolding({deps: {memory}}: ForwardContext, {answer, metadata}: OpenAttempt): MemoryHolding {
+	return memory.open({
+		isOptional: !isEventStream(answer, metadata),
+		onEvicted() {
+			// The body then ends with an error.
+			answer.destroy();
+		},
+	});
+}
+
+async function relay(context: ForwardContext, attempt: OpenAttempt, watch: SwitchWatch | undefined): Promise<AttemptOutcome> {
 	const {exchange, progress} = context;
+	const {answer, metadata, sent} = attempt;
+	const holding = openHolding(context, attempt);
 	progress.status = answer.status;
 	const relayed = {
-		exchange, answer, headers: metadata.headers, onChunk(lastEventId: number | undefined) {
+		exchange, holding, answer, headers: metadata.headers, onChunk(lastEventId: number | undefined) {
 			progress.chunkTimes.recordChunk();
 			sent.recordEvent();
 			progress.lastEventId = lastEventId ?? progress.lastEventId;
 		},
 	};
 	let result: RelayResult;
-	if (isEventStream(answer, metadata)) {
-		const order = getEventOrder(context);
-		progress.eventOrder = order;
-		result = await relayEvents(relayed, order, watch);
-	} else {
-		progress.eventOrder = undefined;
-		result = await relayBuffered(relayed);
+	try {
+		if (isEventStream(answer, metadata)) {
+			const order = getEventOrder(context);
+			progress.eventOrder = order;
+			result = await relayEvents(relayed, order, watch);
+		} else {
+			progress.eventOrder = undefined;
+			result = await relayBuffered(relayed);
+		}
+	} finally {
+		holding.release();
 	}
 
 	progress.relayedBytes += result.bytes;
@@ -83,9 +102,20 @@
 	}
 
 	answer.destroy();
-	const silenceReason = watch?.hasMoved() ? `The target completed no event for ${STREAM_IDLE_TIMEOUT_MS} ms, and another one goes on with the stream.` : undefined;
-	const faultReason = silenceReason ?? result.reason;
+	return describeBroken(result, holding.wasEvicted, watch);
+}
+
+function describeBroken({reason}: RelayResult, wasEvicted: boolean, watch: SwitchWatch | undefined): AttemptFailure {
+	if (watch?.hasMoved()) {
+		return {kind: 'broken', reason: `The target completed no event for ${STREAM_IDLE_TIMEOUT_MS} ms, and another one goes on with the stream.`, slotOutcome: 'broke-off'};
+	}
+
+	// The target is not to blame for what this host has no memory for.
+	if (wasEvicted || reason === NO_ROOM) {
+		return {kind: 'broken', reason: NO_ROOM, slotOutcome: 'answered'};
+	}
+
 	return {
-		kind: 'broken', reason: faultReason ?? 'The answer ended early.', slotOutcome: 'broke-off', ...(faultReason === undefined && {lostConnection: true}),
+		kind: 'broken', reason: reason ?? 'The answer ended early.', slotOutcome: 'broke-off', ...(reason === undefined && {lostConnection: true}),
 	};
 }
--- a/packages/callers/src/forward/index.ts
+++ b/packages/callers/src/forward/index.ts
@@ -3,6 +3,8 @@
 export * from './event-order.js';
 export * from './event-splitter.js';
 export * from './forward-dialect.js';
+export * from './growable-buffer.js';
+export * from './held-body.js';
 export * from './forward-dependencies.js';
 export * from './forward-request.js';
 export * from './backoff-pool-client.js';
--- a/packages/callers/src/forward/relay.ts
+++ b/packages/callers/src/forward/relay.ts
@@ -1,4 +1,4 @@
-import type {TargetAnswer} from '@egretrill/common';
+import type {MemoryHolding, TargetAnswer} from '@egretrill/common';
 import type {CallerExchange} from './caller-exchange.js';
 import {MAX_BUFFERED_ANSWER_BYTES, MAX_EVENT_BYTES} from './constants.js';
 import type {EventOrder} from './event-order.js';
@@ -17,35 +17,49 @@
 
 type RelayOptions = {
 	readonly exchange: CallerExchange;
+	/** Counts the bytes that are held before they can be relayed. */
+	readonly holding: MemoryHolding;
 	readonly answer: TargetAnswer;
 	readonly headers: readonly string[];
 	/** Called for each chunk of events before it is relayed, with the id of the last of them that has one. */
 	readonly onChunk?: (lastEventId: number | undefined) => void;
 };
 
-/** Buffers a complete body; once it exceeds the limit, passes first the buffered bytes and then each chunk to `onOverflow`, and returns undefined. */
-async function readBody(answer: TargetAnswer, onOverflow: (bytes: Uint8Array) => Promise<void>): Promise<Uint8Array | undefined> {
-	const body = new GrowableBuffer();
+/** Takes the bytes of a long answer that has begun. */
+type Overflow = (bytes: Uint8Array) => Promise<void>;
+
+/** Buffers a complete body; once it exceeds the limit or finds no room, passes first the buffered bytes and then each chunk to `onOverflow`, and returns undefined. */
+async function readBody(answer: TargetAnswer, holding: MemoryHolding, onOverflow: Overflow): Promise<Uint8Array | undefined> {
+	let body: GrowableBuffer | undefined = new GrowableBuffer(holding, MAX_BUFFERED_ANSWER_BYTES);
 	for await (const chunk of answer.body) {
-		if (body.length > MAX_BUFFERED_ANSWER_BYTES) {
-			await onOverflow(chunk);
+		if (body && body.length + chunk.length <= MAX_BUFFERED_ANSWER_BYTES && body.append(chunk)) {
 			continue;
 		}
 
-		body.append(chunk);
-		if (body.length > MAX_BUFFERED_ANSWER_BYTES) {
-			await onOverflow(body.getBytes());
+		if (body) {
+			const flushed = flush(body, holding, onOverflow);
+			// The buffer of an answer that is relayed as it arrives is not used again.
+			body = undefined;
+			await flushed;
 		}
+
+		await onOverflow(chunk);
 	}
 
-	return body.length > MAX_BUFFERED_ANSWER_BYTES ? undefined : body.getBytes();
+	return body?.getBytes();
+}
+
+/** Passes on what is buffered, which from then on counts as unread by the caller. */
+async function flush(body: GrowableBuffer, holding: MemoryHolding, onOverflow: Overflow): Promise<void> {
+	holding.release();
+	await onOverflow(body.getBytes());
 }
 
 /** Relays an answer once it is complete; an answer that exceeds the buffer limit is relayed as it arrives. */
-export async function relayBuffered({exchange, answer, headers}: RelayOptions): Promise<RelayResult> {
+export async function relayBuffered({exchange, holding, answer, headers}: RelayOptions): Promise<RelayResult> {
 	let bytes = 0;
 	try {
-		const body = await readBody(answer, async chunk => {
+		const body = await readBody(answer, holding, async chunk => {
 			if (!exchange.hasStarted()) {
 				exchange.start(answer.status, headers);
 			}
@@ -60,6 +74,7 @@
 		if (body) {
 			// Only the target knows the length of a body that it does not send, as for HEAD.
 			exchange.start(answer.status, headers, answer.framing === 'none' ? undefined : body.length);
+			holding.release();
 			await exchange.write(body);
 			bytes = body.length;
 		}
@@ -76,8 +91,8 @@
 export type MovableStream = {readonly silence: Silence; readonly hasMoved: () => boolean};
 
 /** Relays the complete events of a stream as they arrive, as long as they follow those that the caller has. */
-export async function relayEvents({exchange, answer, headers, onChunk}: RelayOptions, order: EventOrder, movable?: MovableStream): Promise<RelayResult> {
-	const splitter = new EventSplitter();
+export async function relayEvents({exchange, holding, answer, headers, onChunk}: RelayOptions, order: EventOrder, movable?: MovableStream): Promise<RelayResult> {
+	const splitter = new EventSplitter(holding);
 	let bytes = 0;
 	const getBroken = (reason?: string): RelayResult => ({kind: 'broken', bytes, ...(reason !== undefined && {reason})});
 	order.beginAnswer();
--- a/packages/callers/tests/forward/event-splitter.test.ts
+++ b/packages/callers/tests/forward/event-splitter.test.ts
@@ -1,17 +1,20 @@
 import {Buffer} from 'node:buffer';
 import process from 'node:process';
+import {ManualClock, MemoryBudget} from '@egretrill/common';
 import {expect} from 'chai';
 import {EventOrder, EventSplitter} from '../../src/forward/index.js';
 
 const stream = 'id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n: note\n\nid: 3\ndata: c\n\nid: 4\nda';
 
+const holding = new MemoryBudget(new ManualClock(), Number.POSITIVE_INFINITY).open({onEvicted: () => undefined});
+
 const FIELD_START = 'data: ';
 const LONG_EVENT_BYTES = 262_144;
 /** Ten times the CPU time measured on a busy machine; searching all buffered bytes with each chunk takes over ten seconds. */
 const MAX_CPU_MS = 3000;
 
 function split(sizes: readonly number[], skipUpTo?: number): unknown {
-	const splitter = new EventSplitter();
+	const splitter = new EventSplitter(holding);
 	const order = new EventOrder(skipUpTo);
 	const pushed: string[] = [];
 	const ids: number[] = [];
@@ -44,16 +47,16 @@
 	it('returns the first event of a continuation with the second one that shows its step', () => {
 		const events = ['id: 5\ndata: a\n\n', ': note\n\n', 'id: 8\ndata: b\n\n', 'id: 11\ndata: c\n\n'];
 		const order = new EventOrder(undefined);
-		new EventSplitter().push(Buffer.from('id: 1\ndata: x\n\nid: 2\ndata: y\n\n'), order);
+		new EventSplitter(holding).push(Buffer.from('id: 1\ndata: x\n\nid: 2\ndata: y\n\n'), order);
 		order.beginAnswer();
-		const splitter = new EventSplitter();
+		const splitter = new EventSplitter(holding);
 		const relayed = events.map(text => [...text].map(char => Buffer.from(splitter.push(Buffer.from(char), order).bytes).toString()).join(''));
 		expect(relayed).to.deep.equal(['', events[1], `${events[0]}${events[2]}`, events[3]]);
 	});
 
 	// Guards against quadratic time in the length of an event, which blocks the event loop when a target sends small chunks.
 	it('searches each byte of a long event once', () => {
-		const splitter = new EventSplitter();
+		const splitter = new EventSplitter(holding);
 		const order = new EventOrder(undefined);
 		const chunk = Buffer.from('x');
 		const before = process.cpuUsage();
--- a/packages/callers/tests/forward/support/forward-fakes.ts
+++ b/packages/callers/tests/forward/support/forward-fakes.ts
@@ -176,8 +176,8 @@
 		return this.disconnected.signal;
 	}
 
-	override async readBody(): Promise<Uint8Array> {
-		return Buffer.from('body');
+	override async readBody(onChunk: (chunk: Uint8Array) => boolean): Promise<boolean> {
+		return onChunk(Buffer.from('body'));
 	}
 
 	override isRequestComplete(): boolean {
--- a/packages/common/tests/memory-budget.test.ts
+++ b/packages/common/tests/memory-budget.test.ts
@@ -4,8 +4,8 @@
 const KIB = 1024;
 const LIMIT_KIB = 1024;
 
-/** Grows a holding by a number of KiB, completes or releases it, or lets time pass. */
-type Step = readonly [name: string, action: number | 'complete' | 'release'] | readonly ['wait', number];
+/** Grows a holding by a number of KiB, adds KiB that are in memory already, completes or releases it, or lets time pass. A name that begins with `optional` is an optional holding. */
+type Step = readonly [name: string, action: number | {readonly addKib: number} | 'complete' | 'release'] | readonly ['wait', number];
 
 /** Plays steps and lists each growth that found no room and each eviction in its place. */
 function play(steps: readonly Step[]): {readonly events: readonly string[]; readonly heldKib: number} {
@@ -20,6 +20,7 @@
 		}
 
 		const holding = holdings.get(name) ?? budget.open({
+			isOptional: name.startsWith('optional'),
 			onEvicted() {
 				events.push(`${name} is evicted`);
 			},
@@ -27,6 +28,8 @@
 		holdings.set(name, holding);
 		if (typeof action === 'number') {
 			events.push(`${name} ${holding.grow(action * KIB) ? 'grows' : 'finds no room'}`);
+		} else if (typeof action === 'object') {
+			holding.add(action.addKib * KIB);
 		} else {
 			holding[action]();
 		}
@@ -42,7 +45,11 @@
 	['lets a large holding that has grown last give way to idle small ones', [['small', 10], ['large', 700], ['wait', 1], ['large', 300]]],
 	['keeps a part for small holdings', [['running', 768], ['running', 'complete'], ['large', 65], ['small', 64]]],
 	['evicts large holdings for small ones', [['idle', 700], ['s1', 64], ['s2', 64], ['s3', 64], ['s4', 64], ['wait', 10], ['s5', 64], ['s6', 64], ['s7', 64]]],
-	['counts nothing after a release', [['first', 700], ['first', 'release'], ['first', 'release'], ['second', 700]]],
+	['lets optional holdings use half and evict nothing', [['idle', 300], ['wait', 1000], ['optional 1', 400], ['optional 2', 113], ['optional 2', 50], ['new', 300]]],
+	['evicts nothing in favour of what exceeds the budget alone', [['idle', 300], ['wait', 1000], ['new', 1100]]],
+	['makes room for what is in memory already', [['running', 700], ['running', 'complete'], ['unread 1', {addKib: 200}], ['wait', 10], ['unread 2', {addKib: 150}], ['unread 3', {addKib: 2000}]]],
+	['does not grow after an eviction', [['idle', 700], ['wait', 1000], ['new', 300], ['idle', 1]]],
+	['counts nothing after a release', [['first', 700], ['first', 'release'], ['first', 'release'], ['first', 10], ['second', 700]]],
 ];
 
 describe('MemoryBudget', () => {
