--- a/apps/egretrilld/tests/traffic/support/entry-fixture.ts
+++ b/apps/egretrilld/tests/traffic/support/entry-fixture.ts
@@ -15,7 +15,7 @@
 export const DRAIN_MS = 600;
 
 export const ENTRY_SETTINGS: EntrySettings = {
-	role: 'entry', host: 'e1', zone: 'a', seeds: ['127.0.0.1:1'], logLevel: 'info', listen: {callers: '127.0.0.1:0', health: '127.0.0.1:0'}, bounds: {
+	role: 'entry', host: 'e1', zone: 'a', seeds: ['127.0.0.1:1'], memoryMb: 350, logLevel: 'info', listen: {callers: '127.0.0.1:0', health: '127.0.0.1:0'}, bounds: {
 		retryRatio: 0, retryReserve: 100, coldExcessRatio: 1, orderLeaseMs: 1000, drainMs: DRAIN_MS, balancerWaitMs: BALANCER_WAIT_MS,
 	},
 };
