http-server: bound the requests that wait on their connections

Callers lost every request on a host when five connections sent 20,000 short requests each without waiting for answers (4.4 MB in all): the process ended with 'Reached heap limit' (trial with one entry host, memory flags of the deployment).

Cause: requests are served one after another, and Node parses what arrives behind the running one without a limit: each takes 3 kB of the heap.

Change: a connection is not read while 16 requests wait on it. Those that arrive in one read are parsed to its end, so each waiting request also counts 16 KiB in the memory budget; the heap is smaller than the memory for buffers. A connection that must give way is closed, and what its last read holds is not passed on. Only servers with a budget do this, which is the one for callers; the pause holds for all. The pause begins after the read, since the parser goes on reading after each request.

Evidence: host-memory.test.ts has a row for it; without the change the process ended in this row, with it the test passes.

createHttpServer takes its options by name; two tests follow that. The other new case, with 4,000 requests on one connection, guards the pause.

--- a/apps/egretrilld/src/traffic/entry-host.ts
+++ b/apps/egretrilld/src/traffic/entry-host.ts
@@ -98,7 +98,7 @@
 		setMaxListeners(0, this.plannedStop.ended);
 		this.server = createHttpServer((req, res) => {
 			void this.serve(req, res);
-		});
+		}, {memory: this.memory});
 		this.connections = new CallerConnections(this.server, () => this.drain.trackWork('connection'));
 	}
 
--- a/apps/egretrilld/tests/traffic/support/forward-host.ts
+++ b/apps/egretrilld/tests/traffic/support/forward-host.ts
@@ -179,7 +179,7 @@
 		};
 		this.server = createHttpServer((req, res) => {
 			void forwardRequest(new NodeExchange(req, res, {memory, isStopping: () => false}), parts);
-		});
+		}, {memory});
 	}
 
 	get port(): number {
--- a/packages/common/src/http-server.ts
+++ b/packages/common/src/http-server.ts
@@ -2,6 +2,7 @@
 import {answerClientErrors} from './client-errors.js';
 import {keepIdleConnections} from './idle-connections.js';
 import {lingerAtEnd} from './linger-at-end.js';
+import type {MemoryBudget} from './memory-budget.js';
 import {serveInOrder} from './serve-in-order.js';
 
 /** How long a client may take to send a request; the time for the answer is not limited. */
@@ -18,6 +19,12 @@
 /** By default Node checks for requests that exceed their timeouts only every 30 s. */
 const TIMEOUT_CHECK_INTERVAL_MS = 500;
 
+export type HttpServerOptions = {
+	readonly timeouts?: ReadTimeouts;
+	/** Limit in which requests count that wait on their connection. */
+	readonly memory?: MemoryBudget;
+};
+
 /** Changes the time that requests may take to arrive, also on connections that are already open. */
 export function setReadTimeouts(server: Server, {headMs, requestMs}: ReadTimeouts): void {
 	server.headersTimeout = headMs;
@@ -25,8 +32,8 @@
 }
 
 /** Creates a server that answers 408 to a request that does not arrive completely within the timeouts, and closes its connection. */
-export function createHttpServer(listener: RequestListener, timeouts = DEFAULT_TIMEOUTS): Server {
-	const server = createServer({connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS}, serveInOrder(listener));
+export function createHttpServer(listener: RequestListener, {timeouts = DEFAULT_TIMEOUTS, memory}: HttpServerOptions = {}): Server {
+	const server = createServer({connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS}, serveInOrder(listener, memory));
 	setReadTimeouts(server, timeouts);
 	keepIdleConnections(server);
 	answerClientErrors(server);
