--- a/packages/common/tests/http-server.test.ts
+++ b/packages/common/tests/http-server.test.ts
@@ -12,6 +12,8 @@
 const LONG_TIMEOUTS = {headMs: 2500, requestMs: 2500};
 /** Longer than TIMEOUTS and the interval at which the server checks them. */
 const SLOW_MS = 1500;
+/** More than arrive at once. */
+const PIPELINED_REQUESTS = 4000;
 
 type SendRequest = (socket: Socket) => void;
 
@@ -49,7 +51,7 @@
 };
 
 /** Sends to a server until it closes the connection; returns the status line of its answer and whether it closed in time. */
-async function sendUntilClosed(listener: RequestListener, send: SendRequest, server = createHttpServer(listener, TIMEOUTS)): Promise<unknown> {
+async function sendUntilClosed(listener: RequestListener, send: SendRequest, server = createHttpServer(listener, {timeouts: TIMEOUTS})): Promise<unknown> {
 	server.listen(0, '127.0.0.1');
 	await once(server, 'listening');
 	const startMs = performance.now();
@@ -93,7 +95,7 @@
 	// Guards against a request that is cut by timeouts that came into force after it had begun, and against longer ones that stay in force.
 	it('holds a request to the timeouts that were in force when it began', async () => {
 		const sendSlowly = (parts: readonly string[], isBegun: boolean) => async () => {
-			const server = createHttpServer(answerCompleteRequests, LONG_TIMEOUTS);
+			const server = createHttpServer(answerCompleteRequests, {timeouts: LONG_TIMEOUTS});
 			const shorten = (): void => {
 				setReadTimeouts(server, TIMEOUTS);
 			};
@@ -127,4 +129,18 @@
 		});
 		expect(answer).toMatchSnapshot();
 	});
+
+	// Guards against requests that are lost, or a connection that stays paused, when many are sent without waiting for their answers.
+	it('serves every request of a caller that does not wait for answers', async () => {
+		let served = 0;
+		const answer = await sendUntilClosed(async (req, res) => {
+			const parts = await req.toArray() as Uint8Array[];
+			served += parts.length;
+			res.end('answer');
+		}, socket => {
+			const request = 'POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n';
+			socket.write(`${`${request}\r\nx`.repeat(PIPELINED_REQUESTS - 1)}${request}Connection: close\r\n\r\nx`);
+		});
+		expect({answer, served}).to.deep.equal({answer: {answer: 'HTTP/1.1 200 OK', isInTime: true}, served: PIPELINED_REQUESTS});
+	});
 });
