hosts: compact the log after enough bytes, not only after enough entries

Cause: the log is held in memory, and both thresholds counted entries only.

Evidence: a new test in consensus.test.ts with 20 configurations of 2 MB. Found by reading; no run of a whole process that ended by it.

--- a/packages/hosts/src/consensus/apply.ts
+++ b/packages/hosts/src/consensus/apply.ts
@@ -1,6 +1,6 @@
-import type {LogEntry} from '@egretrill/disk';
+import type {LogEntry, LogStorage} from '@egretrill/disk';
 import {
-	COMPACTION_THRESHOLD_ENTRIES, MAX_IDLE_WAIT_MS, RETAINED_LOG_ENTRIES, MAX_BATCH_ENTRIES,
+	COMPACTION_THRESHOLD_BYTES, COMPACTION_THRESHOLD_ENTRIES, MAX_IDLE_WAIT_MS, RETAINED_LOG_BYTES, RETAINED_LOG_ENTRIES, MAX_BATCH_ENTRIES,
 } from '../constants.js';
 import {runIfRoom} from './disk-room.js';
 import {membersCodec, type Replica} from './replica.js';
@@ -28,18 +28,39 @@
 	replica.pruneMembers(index);
 }
 
-/** Saves a snapshot once enough entries were applied, and removes entries that it covers. Must run within `runExclusive`. */
+function countBytes(entries: readonly LogEntry[]): number {
+	return entries.reduce((sum, {data}) => sum + data.length, 0);
+}
+
+/** The last entry before a snapshot that is not retained. */
+function getRetainedBase(storage: LogStorage, snapshotIndex: number): number {
+	let baseIndex = snapshotIndex;
+	let bytes = 0;
+	for (const {index, data} of storage.read(snapshotIndex - RETAINED_LOG_ENTRIES + 1, snapshotIndex).toReversed()) {
+		bytes += data.length;
+		if (bytes > RETAINED_LOG_BYTES) {
+			break;
+		}
+
+		baseIndex = index - 1;
+	}
+
+	return baseIndex;
+}
+
+/** Saves a snapshot once enough entries or bytes were applied, and removes entries that it covers. Must run within `runExclusive`. */
 async function compactLog(replica: Replica): Promise<void> {
 	const {storage} = replica.opts;
 	if (replica.snapshotRoom.getRetryDelayMs() > 0) {
 		return;
 	}
 
-	if (replica.appliedIndex - replica.snapshotIndex >= COMPACTION_THRESHOLD_ENTRIES) {
+	const applied = storage.read(replica.snapshotIndex + 1, replica.appliedIndex);
+	if (applied.length >= COMPACTION_THRESHOLD_ENTRIES || countBytes(applied) >= COMPACTION_THRESHOLD_BYTES) {
 		await saveSnapshot(replica);
 	}
 
-	const baseIndex = replica.snapshotIndex - RETAINED_LOG_ENTRIES;
+	const baseIndex = getRetainedBase(storage, replica.snapshotIndex);
 	if (storage.getBase().index < baseIndex) {
 		await replica.compact({index: baseIndex, term: storage.getTerm(baseIndex) ?? 0});
 	}
--- a/packages/hosts/src/constants.ts
+++ b/packages/hosts/src/constants.ts
@@ -58,6 +58,10 @@
 
 /** Number of entries applied since the last snapshot that triggers the next one. */
 export const COMPACTION_THRESHOLD_ENTRIES = 256;
+/** Bytes of entries applied since the last snapshot that trigger the next one; the log is held in memory, and one configuration may take 16 MB. */
+export const COMPACTION_THRESHOLD_BYTES = 16_777_216;
+/** Bytes of the entries before a snapshot that stay in the log. */
+export const RETAINED_LOG_BYTES = 4_194_304;
 /** Entries before a snapshot that stay in the log, so that a follower that lags briefly does not need the snapshot. */
 export const RETAINED_LOG_ENTRIES = 64;
 export const MAX_BATCH_ENTRIES = 64;
--- a/packages/hosts/tests/consensus.test.ts
+++ b/packages/hosts/tests/consensus.test.ts
@@ -1,11 +1,13 @@
 import {expect} from 'chai';
 import {
-	APPEND_TIMEOUT_MS, type FleetCommand, LEADER_LEASE_MS, type Members, MIN_ELECTION_TIMEOUT_MS,
+	APPEND_TIMEOUT_MS, COMPACTION_THRESHOLD_BYTES, type FleetCommand, LEADER_LEASE_MS, type Members, MIN_ELECTION_TIMEOUT_MS, RETAINED_LOG_BYTES, SNAPSHOT_TIMEOUT_MS,
 } from '../src/index.js';
 import {createApply} from './support/documents.js';
 import {type Process, SimCluster} from './support/sim-cluster.js';
 
 const SEED = 11;
+const LARGE_ENTRY_BYTES = 2_000_000;
+const LARGE_ENTRIES = 20;
 
 function describeMembers(members: Members): string {
 	return members.map(member => `${member.id}:${member.role}`).toSorted().join(' ');
@@ -256,6 +258,27 @@
 		cluster.stopAll();
 	});
 
+	// Guards against a log of large configurations that fills the memory of each member long before it has enough entries to be compacted.
+	it('compacts the log after enough bytes, and brings a member that missed them up to date', async () => {
+		const {cluster, leader, leaderId} = await createCluster();
+		const isolatedId = getOtherMember(cluster, leaderId);
+		cluster.isolate(isolatedId);
+		const logBytes: number[] = [];
+		for (let version = 1; version <= LARGE_ENTRIES; version++) {
+			const source = `${version}`.padEnd(LARGE_ENTRY_BYTES, 'x');
+			await cluster.runUntilSettled(leader.node.propose({kind: 'putTraffic', traffic: {version, source}}));
+			const log = await cluster.disks.get(leaderId)?.readFile('/data/log');
+			logBytes.push(log?.length ?? 0);
+		}
+
+		cluster.blockedLinks.clear();
+		await cluster.clock.run(SNAPSHOT_TIMEOUT_MS);
+		await waitForCatchUp(cluster);
+		const versions = [...cluster.processes.values()].map(({state}) => state.getTraffic()?.version);
+		expect([Math.max(...logBytes) <= COMPACTION_THRESHOLD_BYTES + RETAINED_LOG_BYTES + LARGE_ENTRY_BYTES, versions]).to.deep.equal([true, [LARGE_ENTRIES, LARGE_ENTRIES, LARGE_ENTRIES]]);
+		cluster.stopAll();
+	});
+
 	it('installs a snapshot on a member that was isolated, while new entries are appended', async () => {
 		const {cluster, leader, leaderId} = await createCluster();
 		const isolatedId = getOtherMember(cluster, leaderId);
