entry hosts: take the number of hosts from the log until a leader counts them

An entry host that had just started gave each cold target all requests that it bears, and retried with the reserve of the whole fleet, until its first answer of a leader. After a restart of all hosts each of them does so at the same moment, and a host that restarts in a zone that is cut off does so for as long as the cut lasts.

Cause: a host divides by the number of entry hosts, which only the plan of a leader tells; it began with 1.

Evidence: the new case of entry-host.test.ts sends four requests to a target that bears four a second. With a number of 1, which the host had before, all four reach it; as one of four hosts it sends one. The case of control-follower.test.ts failed before, since no number was told.

Each control host now tells the number of entry hosts in its log with each poll, and an entry host uses it until a leader has answered once. Hosts of earlier builds tell none; the number is 1 with them, as before.

--- a/apps/egretrilld/src/traffic/control-follower.ts
+++ b/apps/egretrilld/src/traffic/control-follower.ts
@@ -27,6 +27,8 @@
 	abstract getKnownVersions(): {readonly configVersion: number; readonly registry: {readonly origin: string; readonly revision: number}};
 	abstract applyConfig(config: TrafficSource): void;
 	abstract applyTargets(update: SyncResponse['registry'], zonesOut: readonly string[]): void;
+	/** Applies the number of entry hosts that the log names, while no leader has counted them since the start of this host. */
+	abstract applyHostCount(count: number): void;
 	/** Applies the leader's plan; its leases run from the time at which the poll was sent. */
 	abstract applyPlan(plan: LeaderPlan, sentMs: number): void;
 }
@@ -53,6 +55,8 @@
 	private zonesOut: readonly string[] = [];
 	/** Number of entry hosts that poll the leader. */
 	private hostCount = 1;
+	/** Whether a leader has answered since the start of this host. */
+	private hasPlan = false;
 	private lastResponseMs = Number.NEGATIVE_INFINITY;
 	private readonly lastPollMs = new Map<string, number>();
 	private readonly batcher = new BorrowBatcher(async loans => this.requestLoans(loans));
@@ -158,7 +162,7 @@
 	}
 
 	private applyResponse(answer: SyncResponse, controlId: string, sentMs: number): void {
-		const {leaderId: reportedId, controls, registry, plan} = answer;
+		const {leaderId: reportedId, controls, registry, entryHostCount, plan} = answer;
 		const {logger, peers, sink} = this.opts;
 		// A host that reports itself as leader without a plan has lost its lease, and its state may be outdated.
 		const leaderId = reportedId === controlId && !plan ? undefined : reportedId;
@@ -172,8 +176,11 @@
 		warnOfSkippedEntries(this.skippedEntries, controlId, registry);
 		sink.applyTargets(registry, this.zonesOut);
 		if (plan) {
+			this.hasPlan = true;
 			this.hostCount = plan.rates.hostCount;
 			sink.applyPlan(plan, sentMs);
+		} else if (!this.hasPlan && entryHostCount !== undefined) {
+			sink.applyHostCount(entryHostCount);
 		}
 	}
 
--- a/apps/egretrilld/src/traffic/control-host.ts
+++ b/apps/egretrilld/src/traffic/control-host.ts
@@ -139,6 +139,7 @@
 					controls: this.getControlHosts(),
 					...getServedState({node: this.node, state: this.state}, configVersion),
 					registry: getServedTargets({registry: this.registry, settling: this.settling, departureLog: this.departureLog}, registry),
+					entryHostCount: this.state.getEntryHosts().length,
 					...(plan && {plan}),
 				};
 			}),
--- a/apps/egretrilld/src/traffic/entry-host.ts
+++ b/apps/egretrilld/src/traffic/entry-host.ts
@@ -174,6 +174,11 @@
 		}
 	}
 
+	override applyHostCount(count: number): void {
+		this.hostCount = Math.max(1, count);
+		this.applyRetryLimits();
+	}
+
 	override applyPlan({others, expected, rates, crashes}: LeaderPlan, sentMs: number): void {
 		if (crashes) {
 			this.crashes.exchange.applyAnswer(crashes);
--- a/apps/egretrilld/src/traffic/methods.ts
+++ b/apps/egretrilld/src/traffic/methods.ts
@@ -51,6 +51,8 @@
 	config: TrafficSource.optional(),
 	zonesOut: z.array(z.string()),
 	registry: RegistryUpdate,
+	/** Number of entry hosts in the log; hosts of earlier builds do not tell. */
+	entryHostCount: count.optional(),
 	plan: LeaderPlan.optional(),
 });
 export type SyncResponse = z.infer<typeof SyncResponse>;
--- a/apps/egretrilld/tests/traffic/control-follower.test.ts
+++ b/apps/egretrilld/tests/traffic/control-follower.test.ts
@@ -43,6 +43,7 @@
 
 class CountingSink extends SyncSink {
 	plans = 0;
+	readonly hostCounts: number[] = [];
 
 	override createReport(): HostReport {
 		return {
@@ -62,6 +63,10 @@
 		this.plans += 0;
 	}
 
+	override applyHostCount(count: number): void {
+		this.hostCounts.push(count);
+	}
+
 	override applyPlan(): void {
 		this.plans += 1;
 	}
@@ -120,6 +125,20 @@
 	});
 });
 
+describe('ControlFollower of a host that has just started', () => {
+	// Guards against restarted entry hosts that each send a cold target all that it bears, and retry as if they were alone, before a leader tells them of the others.
+	it('tells how many entry hosts the log names until a leader counts them', async () => {
+		const answers = [{entryHostCount: 8}, {entryHostCount: 8, leaderId: 'c1', plan}];
+		const counts = await Promise.all(answers.map(async answer => {
+			const clock = new ManualClock();
+			const sink = new CountingSink();
+			await poll(new FakeControlHosts({c1: answer}, clock), clock, {sink, forMs: 500});
+			return new Set(sink.hostCounts);
+		}));
+		expect(counts).to.deep.equal([new Set([8]), new Set()]);
+	});
+});
+
 describe('ControlFollower in a large fleet', () => {
 	async function countPolls(hostCount: number): Promise<number> {
 		const clock = new ManualClock();
--- a/apps/egretrilld/tests/traffic/entry-host.test.ts
+++ b/apps/egretrilld/tests/traffic/entry-host.test.ts
@@ -14,7 +14,11 @@
 import {Result} from 'true-myth';
 import {ConfigDecoder, EntryHost, EntrySettings} from '../../src/traffic/index.js';
 import {LoopMetrics} from '../../src/traffic/loop-metrics.js';
+import {getPort, startEntryHost} from './support/entry-fixture.js';
+import {config, route, SIGNED} from './support/forward-host.js';
 import {LogCapture} from './support/log-capture.js';
+import {callRaw} from './support/raw-caller.js';
+import {RawTarget} from './support/raw-target.js';
 
 class ThrowingDialect extends ForwardDialect {
 	override readCall(): ForwardCall {
@@ -64,4 +68,31 @@
 		const lines = await capture.getLines();
 		expect({status: res.statusCode, body: res.body, lines: lines.map(({msg}) => msg)}).toMatchSnapshot();
 	});
+
+	// Guards against restarted entry hosts that each send a cold target all that it bears before a leader tells them of the others.
+	it('sends a cold target its part by the number of hosts in the log', async () => {
+		const target = await RawTarget.open(async peer => {
+			await peer.readHead();
+			await peer.write(`HTTP/1.1 200 OK\r\n${SIGNED}Connection: close\r\nContent-Length: 4\r\n\r\ndone`);
+		});
+		const host = await startEntryHost(target.address);
+		host.applyConfig({
+			version: 2, source: JSON.stringify({
+				...config, version: 2, routes: [{...route, timeoutMs: 300}], services: [{name: 's', coldRequestsPerSecond: 4}],
+			}),
+		});
+		host.applyTargets({
+			origin: 'o', revision: 2, isWhole: true, targets: [{
+				ageMs: 0, hasEnded: false, registration: {
+					targetId: 'cold', startedAtMs: 1, sequence: 1, service: 's', address: target.address, zone: 'a', slots: 8, isLeaving: false, coldForMs: 60_000, models: [], inMemory: [], onDisk: [],
+				},
+			}],
+		}, []);
+		host.applyHostCount(4);
+		const answers = await Promise.all(['a1', 'a2', 'a3', 'a4'].map(async attemptId => callRaw(getPort(host), {method: 'POST', body: 'order', attemptId})));
+		host.server.close();
+		host.server.closeAllConnections();
+		target.close();
+		expect({sent: target.peers.length, statuses: answers.map(({status}) => status).toSorted((a, b) => a - b)}).toMatchSnapshot();
+	});
 });
