common: count nothing of a holding that is released while others give way

What callers saw: nothing; found by reading. No present user of the budget releases one holding synchronously while another one is evicted, so that this guards users to come.

Cause: grow counted the bytes, evicted others and added the bytes to the holding at the end. If an eviction released the growing holding, the bytes were added to a closed one and counted for good. A holding that was chosen for eviction, and released by the eviction before its own, was told that it had to give way although it had ended.

Evidence: the new test failed before: 778,240 bytes still counted after everything was released, and a released holding was evicted.

Change: grow gives the bytes back and returns false if the holding was closed meanwhile. Holdings without bytes are not evicted.

Measured: the 13 tests of memory-budget.test.ts, and 20 of host-memory, held-bytes, control-app, read-body, relay and event-splitter passed.

--- a/packages/common/src/memory-budget.ts
+++ b/packages/common/src/memory-budget.ts
@@ -54,6 +54,12 @@
 
 		this.heldBytes += bytes;
 		this.lastGrownMs = this.clock.now();
+		if (this.isClosed) {
+			// A holding that gave way had this one released.
+			this.release();
+			return false;
+		}
+
 		return true;
 	}
 
@@ -187,9 +193,12 @@
 	}
 
 	private evict(holdings: readonly MemoryHolding[]): void {
-		this.evicted += holdings.length;
 		for (const holding of holdings) {
-			holding.evict();
+			// One without bytes was released while another one gave way.
+			if (holding.bytes > 0) {
+				this.evicted += 1;
+				holding.evict();
+			}
 		}
 	}
 
--- a/packages/common/tests/memory-budget.test.ts
+++ b/packages/common/tests/memory-budget.test.ts
@@ -60,6 +60,26 @@
 		});
 	}
 
+	// Guards against bytes that count for good because a holding is released while others give way to it.
+	it('counts nothing of a holding that is released while it grows', () => {
+		const clock = new ManualClock();
+		const budget = new MemoryBudget(clock, LIMIT_KIB * KIB);
+		const evicted: string[] = [];
+		const grown = budget.open({onEvicted: () => evicted.push('grown')});
+		const small = budget.open({onEvicted: () => evicted.push('small')});
+		const large = budget.open({
+			onEvicted() {
+				evicted.push('large');
+				small.release();
+				grown.release();
+			},
+		});
+		small.grow(10 * KIB);
+		large.grow(600 * KIB);
+		clock.advance(1000);
+		expect({grows: grown.grow(760 * KIB), evicted, heldBytes: budget.heldBytes}).to.deep.equal({grows: false, evicted: ['large'], heldBytes: 0});
+	});
+
 	// Guards against a body that is read although its declared length finds no room.
 	it('tells whether a declared length finds room beside idle holdings', () => {
 		const clock = new ManualClock();
