--- a/packages/hosts/src/consensus/replica.ts
+++ b/packages/hosts/src/consensus/replica.ts
@@ -4,12 +4,12 @@
 } from '@egretrill/disk';
 import {MAX_ELECTION_TIMEOUT_MS, MIN_ELECTION_TIMEOUT_MS} from '../constants.js';
 import {Members} from '../types.js';
+import {SerialQueue} from '../serial-queue.js';
 import {DiskRoom, runIfRoom} from './disk-room.js';
 import {ProtocolError, StoppedError} from './errors.js';
 import type {Leadership, Proposal} from './leadership.js';
 import type {ReplicaOpts} from './replica-opts.js';
 import {isVoter} from './rules.js';
-import {SerialQueue} from '../serial-queue.js';
 
 export const membersCodec = createCodec(Members);
 
