control hosts: take the log for applied only once a leader was heard

A target that had left could get requests again after all control hosts had restarted, from a host whose log ended before the departure.

Cause: a restarted host serves targets once it has applied what its own log held.

Change: the check also asks for a leader, and the settling keeps its result, since a leader may be lost again. The bound of 6 s without a leader stays. What remains: a member that lacks more entries than one message holds may still serve between the first and the last of them, until the departure arrives and ends the target.

--- a/apps/egretrilld/src/traffic/registry-settling.ts
+++ b/apps/egretrilld/src/traffic/registry-settling.ts
@@ -9,6 +9,8 @@
 export class RegistrySettling {
 	private readonly startedMs: number;
 	private hasExchanged = false;
+	/** Stays true when the leader is lost again. */
+	private hasKnownDepartures = false;
 
 	/** `knowsDepartures`: whether the host has applied what the log held of targets that have left. */
 	constructor(private readonly clock: Clock, private readonly knowsDepartures: () => boolean) {
@@ -24,13 +26,18 @@
 	isSettled(): boolean {
 		const ageMs = this.clock.now() - this.startedMs;
 		const knowsRunning = this.hasExchanged || ageMs >= REGISTRY_SETTLE_MS;
-		return knowsRunning && (this.knowsDepartures() || ageMs >= DEPARTURES_WAIT_MS);
+		this.hasKnownDepartures ||= this.knowsDepartures() || ageMs >= DEPARTURES_WAIT_MS;
+		return knowsRunning && this.hasKnownDepartures;
 	}
 }
 
-/** Whether a member has applied the entries of its log that were there at its start; one that has lost its disk has none before the leader sends them. */
+/**
+ * Whether a member has heard a leader and applied the entries of its log that were there at its start. One that has lost its disk has none before the leader
+ * sends them, and one that starts from a snapshot may lack later ones.
+ */
 export function hasAppliedLog(node: Pick<FleetNode, 'hasReplayed' | 'status'>): boolean {
-	return node.hasReplayed() && node.status().appliedIndex > 0;
+	const {leaderId, appliedIndex} = node.status();
+	return leaderId !== undefined && appliedIndex > 0 && node.hasReplayed();
 }
 
 export type ServedTargetsSource = {
--- a/apps/egretrilld/tests/traffic/registry-settling.test.ts
+++ b/apps/egretrilld/tests/traffic/registry-settling.test.ts
@@ -3,7 +3,7 @@
 import type {TargetDeparture} from '@egretrill/hosts';
 import {expect} from 'chai';
 import {DepartureLog} from '../../src/traffic/departure-log.js';
-import {getServedTargets, RegistrySettling} from '../../src/traffic/registry-settling.js';
+import {getServedTargets, hasAppliedLog, RegistrySettling} from '../../src/traffic/registry-settling.js';
 
 const HEARTBEAT_MS = 1200;
 
@@ -119,4 +119,15 @@
 		});
 		expect(served).toMatchSnapshot();
 	});
+
+	// Guards against a member that starts from a snapshot, takes it for the whole log before any leader has told of later departures, and serves a target that has left.
+	it('takes its log for applied only once a leader has been heard', () => {
+		const createNode = (leaderId: string | undefined, appliedIndex: number): Parameters<typeof hasAppliedLog>[0] => ({
+			hasReplayed: () => true,
+			status: () => ({
+				memberId: 'a', identity: 'a', role: 'follower', term: 1, leaderId, lastIndex: 5, commitIndex: 5, appliedIndex, snapshotIndex: 5, members: [],
+			}),
+		});
+		expect([createNode(undefined, 5), createNode('b', 0), createNode('b', 5)].map(node => hasAppliedLog(node))).to.deep.equal([false, false, true]);
+	});
 });
