traffic: move what a control host decodes of the configuration to a class of its own

Change: DecodedTraffic (services, engine classes, customers); no logic changes. An unused import goes. Verified: log-failure, control-follower and control-app tests pass unchanged.

--- a/apps/egretrilld/src/traffic/control-host.ts
+++ b/apps/egretrilld/src/traffic/control-host.ts
@@ -3,7 +3,7 @@
 import path from 'node:path';
 import type {CrashReport} from '@egretrill/callers';
 import {
-	type Clock, type EngineClass, type Logger, type LoopWatch, type Random, type Registration, type TrafficConfig, type TrafficCustomer,
+	type Clock, type Logger, type LoopWatch, type Random, type Registration,
 } from '@egretrill/common';
 import {FileLogStorage, SnapshotStore} from '@egretrill/disk';
 import {type EngineOrders, TargetRegistry} from '@egretrill/engines';
@@ -14,6 +14,7 @@
 import {CONTROL_CHECK_INTERVAL_MS, LOG_FAILURE_EXIT_DELAY_MS} from './constants.js';
 import {ControlGossip} from './control-gossip.js';
 import {ControlService, type PutOutcome} from './control-service.js';
+import {DecodedTraffic} from './decoded-traffic.js';
 import {DepartureLog} from './departure-log.js';
 import {Departures} from './departures.js';
 import {LeaderTerm} from './leader-term.js';
@@ -42,14 +43,13 @@
 	readonly orders: EngineOrders;
 };
 
-type DecodedTraffic = {readonly source: string; readonly services: ReadonlySet<string>; readonly classes: ReadonlyMap<string, EngineClass>; readonly customers: ReadonlyMap<string, TrafficCustomer>};
-
 /** A host that keeps the log, accepts registrations of targets and serves operators; the leader also divides rates and sends orders to engines. */
 export class ControlHost extends ControlService {
 	readonly peers: ControlPeers;
 	readonly registry: TargetRegistry;
 	private readonly hostId: string;
 	private readonly state = new FleetState();
+	private readonly traffic: DecodedTraffic;
 	private readonly node: FleetNode;
 	private readonly log: FleetLog;
 	private readonly gossip: ControlGossip;
@@ -65,7 +65,6 @@
 	private readonly invalidRegistrations: RateLimitedLog;
 	private readonly failedCalls: RateLimitedLog;
 	private term: LeaderTerm | undefined;
-	private decoded: DecodedTraffic | undefined;
 
 	constructor(private readonly opts: ControlHostOptions) {
 		super();
@@ -73,12 +72,13 @@
 		setMaxListeners(0, this.ended.signal);
 		const {settings, clock, random, logger, credentials} = opts;
 		this.hostId = settings.listen.peers;
+		this.traffic = new DecodedTraffic(opts.decoder, this.state);
 		this.invalidRegistrations = new RateLimitedLog(clock, logger, 'A registration describes no usable target.');
 		this.failedCalls = new RateLimitedLog(clock, logger, 'A call of a target or operator failed.');
 		this.peers = new ControlPeers({
 			selfId: this.hostId, seedIds: settings.seeds, clock, credentials,
 		});
-		this.registry = new TargetRegistry(clock, this.origin, service => this.getDecodedTraffic()?.services.has(service) ?? true, registration => this.departureLog.hasLeft(registration));
+		this.registry = new TargetRegistry(clock, this.origin, service => this.traffic.namesService(service), registration => this.departureLog.hasLeft(registration));
 		this.syncNotifier = new SyncNotifier({
 			clock, registry: this.registry, getConfigVersion: () => this.state.getTraffic()?.version ?? 0, hasCrashesSince: known => this.getTerm()?.hasCrashesSince(known) ?? false,
 		});
@@ -350,8 +350,8 @@
 				hostId: settings.host,
 				orderLeaseMs: settings.bounds.orderLeaseMs,
 				getZonesOut: () => [...this.state.getZonesOut()],
-				getClasses: () => this.getClasses(),
-				getCustomers: () => this.getCustomers(),
+				getClasses: () => this.traffic.getClasses(),
+				getCustomers: () => this.traffic.getCustomers(),
 				getEntryHosts: () => this.state.getEntryHosts(),
 				putEntryHosts: async hostIds => this.putEntryHosts(hostIds),
 			});
@@ -363,31 +363,6 @@
 		}
 	}
 
-	private getClasses(): ReadonlyMap<string, EngineClass> {
-		return this.getDecodedTraffic()?.classes ?? new Map();
-	}
-
-	private getCustomers(): ReadonlyMap<string, TrafficCustomer> {
-		return this.getDecodedTraffic()?.customers ?? new Map();
-	}
-
-	/** Engine classes and customers of the configuration in force, decoded once per version. */
-	private getDecodedTraffic(): DecodedTraffic | undefined {
-		const source = this.state.getTraffic()?.source;
-		if (source !== undefined && this.decoded?.source !== source) {
-			const decoded = this.opts.decoder.decode(source);
-			const {services, customers = []} = decoded.unwrapOr({services: [], customers: []});
-			this.decoded = {
-				source,
-				services: new Set(services.map(({name}) => name)),
-				classes: new Map(services.flatMap(({name, engine}) => engine ? [[name, engine] as const] : [])),
-				customers: new Map(customers.map(customer => [customer.name, customer])),
-			};
-		}
-
-		return this.decoded;
-	}
-
 	/** Aborts `logEnded` some time after the log member stopped by itself; returns the error that stopped it, if any. */
 	private async watchLog(logEnded: AbortController): Promise<Error | undefined> {
 		const failure = await this.node.waitUntilStopped();
