targets: send nothing to a target that says it leaves, or during the pause that it asks for

Callers saw requests at targets that had refused one with the time until which they want none, and at targets whose answers said that they leave but which no control host had been told of. Cause: neither header of a target's answer was read. Change: the dialect decodes both headers; TargetNotices keeps them for one start of a target, whatever is registered meanwhile. With all targets paused a request waits only if the first pause ends within its wait for a busy target, and is refused at once otherwise, with a return time at the end of the first pause, spread over 2 s. Other hosts learn from the leader that a target leaves, as a hint by which it ranks last. Not done: the chat front end does not read these headers.

--- a/apps/egretrilld/src/traffic/constants.ts
+++ b/apps/egretrilld/src/traffic/constants.ts
@@ -80,6 +80,10 @@
 /** The running requests of an entry host are counted for this long after its last poll. */
 export const ENTRY_REPORT_TTL_MS = 1500;
 
+/** A host's word that a target leaves is passed on for this long after its last poll that says so, and for this many targets. */
+export const LEAVING_HINT_TTL_MS = 5000;
+export const MAX_LEAVING_TARGETS = 256;
+
 /** How often the leader compares the entry hosts that poll it with those recorded in the log. */
 export const ENTRY_RECORD_INTERVAL_MS = 400;
 
--- a/apps/egretrilld/src/traffic/entry-host.ts
+++ b/apps/egretrilld/src/traffic/entry-host.ts
@@ -11,7 +11,9 @@
 import type {ControlPeers} from '@egretrill/hosts';
 import {TargetSlotSource} from './target-slot-source.js';
 import {CallerConnections} from './caller-connections.js';
-import {BYTES_PER_MB, HELD_MEMORY_RATIO, IDLE_WAIT_RATIO} from './constants.js';
+import {
+	BYTES_PER_MB, HELD_MEMORY_RATIO, IDLE_WAIT_RATIO, MAX_LEAVING_TARGETS,
+} from './constants.js';
 import type {ConfigDecoder} from './config-decoder.js';
 import {ControlFollower, type HostReport, SyncSink} from './control-follower.js';
 import {DecisionLog} from './decision-log.js';
@@ -154,6 +156,7 @@
 			waiting: this.queue.getWaitingByModel().map(({service, model = '', waiting, crowded}) => [service, model, waiting, crowded]),
 			rates: {...this.rateState, demand: [...this.rates.getDemand()]},
 			crashes: this.crashes.exchange.createReport(),
+			leaving: this.targets.getLeaving().slice(-MAX_LEAVING_TARGETS),
 		};
 	}
 
@@ -190,12 +193,13 @@
 		this.applyRetryLimits();
 	}
 
-	override applyPlan({others, expected, rates, crashes}: LeaderPlan, sentMs: number): void {
+	override applyPlan({others, expected, rates, crashes, leaving = []}: LeaderPlan, sentMs: number): void {
 		if (crashes) {
 			this.crashes.exchange.applyAnswer(crashes);
 		}
 
 		this.targets.setExpectedModels(expected);
+		this.targets.setLeavingHints(leaving);
 		this.targets.setOtherHostsRequests(others);
 		this.hostCount = Math.max(1, rates.hostCount);
 		this.rateState = {ackedSerial: rates.serial, standing: rates.standing};
--- a/apps/egretrilld/src/traffic/leader-term.ts
+++ b/apps/egretrilld/src/traffic/leader-term.ts
@@ -10,6 +10,7 @@
 import type {FleetNode} from '@egretrill/hosts';
 import {ENTRY_RECORD_INTERVAL_MS, ORDER_TAKEOVER_MARGIN_MS} from './constants.js';
 import type {EntryReport, LeaderPlan} from './methods.js';
+import {LeavingHints} from './leaving-hints.js';
 import {RunningCounts} from './running-counts.js';
 
 export type LeaderTermOptions = {
@@ -37,6 +38,7 @@
 	readonly rates: RateOwner;
 	private readonly running: RunningCounts;
 	private readonly crashes: CrashTracker;
+	private readonly leavingHints: LeavingHints;
 	private readonly stopper = new AbortController();
 	private readonly startedMs: number;
 
@@ -45,6 +47,7 @@
 		this.startedMs = clock.now();
 		this.running = new RunningCounts(clock);
 		this.crashes = new CrashTracker(clock, randomUUID());
+		this.leavingHints = new LeavingHints(clock);
 		// The order tasks of all engines listen to this signal, which exceeds Node's default limit for listener leaks.
 		setMaxListeners(0, this.stopper.signal);
 		this.rates = new RateOwner(clock, opts.getCustomers, opts.getEntryHosts);
@@ -84,7 +87,7 @@
 	}
 
 	/** Processes the report of an entry host and returns the host's part of the plan. */
-	handleReport({hostId, startId, running, adapters, arrivals, waiting, rates, crashes}: EntryReport): LeaderPlan {
+	handleReport({hostId, startId, running, adapters, arrivals, waiting, rates, crashes, leaving = []}: EntryReport): LeaderPlan {
 		this.running.update(hostId, running);
 		for (const [service, model, adapter, count, runMs] of arrivals) {
 			this.engines.recordArrivals({service, model, ...(adapter !== '' && {adapter})}, count, runMs);
@@ -92,12 +95,15 @@
 
 		this.engines.recordAdapterUse(hostId, adapters);
 		this.engines.recordWaiting(hostId, waiting);
+		this.leavingHints.record(leaving);
+		const hints = this.leavingHints.list();
 		const grant = this.rates.request({hostId, startId, ...rates});
 		return {
 			others: this.running.getOthers(hostId),
 			expected: this.engines.getReadyTimes().map(({service, model, readyInMs}) => [service, model, Math.round(readyInMs)]),
 			rates: {...grant, leased: grant.leased.map(([name, allocation]) => [name, allocation])},
 			...(crashes && {crashes: this.answerCrashes(crashes)}),
+			...(hints.length > 0 && {leaving: hints}),
 		};
 	}
 
--- a/apps/egretrilld/src/traffic/methods.ts
+++ b/apps/egretrilld/src/traffic/methods.ts
@@ -3,9 +3,12 @@
 import {RegistryUpdate} from '@egretrill/engines';
 import {defineDocumentMethod, defineListMethod, defineMethod} from '@egretrill/hosts';
 import {z} from 'zod';
+import {MAX_LEAVING_TARGETS} from './constants.js';
 
 const count = z.int().nonnegative();
 const KnownRegistry = z.object({origin: z.string(), revision: count});
+/** Starts of targets that leave, as their answers say: target and start time. */
+const LeavingTargets = z.array(z.object({targetId: z.string(), startedAtMs: count})).max(MAX_LEAVING_TARGETS);
 const Control = z.object({id: z.string(), zone: z.string().optional()});
 
 /** Report of an entry host in each poll. */
@@ -21,6 +24,8 @@
 	/** Waiting requests: service, model, number without a copy, number for which all copies were full. */
 	waiting: z.array(z.tuple([z.string(), z.string(), count, count])),
 	rates: z.object({ackedSerial: count, standing: z.number(), demand: z.array(z.object({name: z.string(), perSecond: z.number(), meanCost: z.number()}))}),
+	/** Targets that have told this host that they leave; hosts of earlier builds report none. */
+	leaving: LeavingTargets.optional(),
 	/** Evidence on what ends targets; hosts of earlier builds report none. */
 	crashes: CrashReport.optional(),
 });
@@ -40,6 +45,8 @@
 		serial: count, standing: z.number(), leased: z.array(z.tuple([z.string(), z.number()])), hostCount: count,
 	}),
 	crashes: CrashAnswer.optional(),
+	/** Targets that have told some host that they leave. */
+	leaving: LeavingTargets.optional(),
 });
 export type LeaderPlan = z.infer<typeof LeaderPlan>;
 
--- a/apps/egretrilld/src/traffic/target-slot-source.ts
+++ b/apps/egretrilld/src/traffic/target-slot-source.ts
@@ -49,6 +49,10 @@
 		}
 	}
 
+	override getPauseLeftMs(need: SlotRequirements): number | undefined {
+		return this.opts.targets.getPauseLeftMs(need);
+	}
+
 	override getTimeUntilReadyMs({service, model}: SlotRequirements): number | undefined {
 		return model === undefined ? undefined : this.opts.targets.getTimeUntilReadyMs(service, model);
 	}
--- a/apps/egretrilld/tests/traffic/support/forward-host.ts
+++ b/apps/egretrilld/tests/traffic/support/forward-host.ts
@@ -64,13 +64,17 @@
 			? {kind: untried.length === 0 ? 'none' : 'full'}
 			: {
 				kind: 'slot', slot: {
-					targetId: address, address, zone: 'a', startedAtMs: 1, wasCold: false, isLeaving: () => false, outstanding: 0, updateOutstanding: () => undefined, reportSilence: () => undefined, recordActivity: () => undefined, release: outcome => {
+					targetId: address, address, zone: 'a', startedAtMs: 1, wasCold: false, isLeaving: () => false, outstanding: 0, updateOutstanding: () => undefined, reportSilence: () => undefined, recordActivity: () => undefined, reportLeaving: () => undefined, reportPause: () => undefined, release: outcome => {
 						this.released.push({targetId: address, outcome});
 					},
 				},
 			};
 	}
 
+	override getPauseLeftMs(): undefined {
+		return undefined;
+	}
+
 	override getTimeUntilReadyMs(): undefined {
 		return undefined;
 	}
--- a/packages/callers/src/forward/check-answer.ts
+++ b/packages/callers/src/forward/check-answer.ts
@@ -3,6 +3,7 @@
 import type {AnswerMetadata} from './types.js';
 
 export const STATUS_MISDIRECTED = 421;
+export const STATUS_UNAVAILABLE = 503;
 export const STATUS_REDIRECT = 300;
 /** Statuses that guarantee to a caller that its request was not run. */
 const notRunStatuses: ReadonlySet<number> = new Set([408, 429, 503]);
--- a/packages/callers/src/forward/constants.ts
+++ b/packages/callers/src/forward/constants.ts
@@ -27,6 +27,9 @@
 /** Upper bound on the retry time that results from spacing the retries of refused callers. */
 export const MAX_SPACED_RETRY_MS = 4000;
 
+/** Time after the earliest retry over which retries are spread if that one is later; a single time for all would bring them back in one wave. */
+export const MAX_RETRY_SPREAD_MS = 2000;
+
 /** A refused caller counts as waiting until this long after its retry time. */
 export const RETRY_GRACE_MS = 500;
 
--- a/packages/callers/src/forward/open-attempt.ts
+++ b/packages/callers/src/forward/open-attempt.ts
@@ -1,5 +1,7 @@
 import type {SendFailure, TargetAnswer} from '@egretrill/common';
-import {checkAnswer, STATUS_MISDIRECTED, STATUS_REDIRECT} from './check-answer.js';
+import {
+	checkAnswer, STATUS_MISDIRECTED, STATUS_REDIRECT, STATUS_UNAVAILABLE,
+} from './check-answer.js';
 import {isRepeatable} from './decide-at-stop.js';
 import type {AttemptFailure, AttemptOutcome, ForwardContext} from './forward-context.js';
 import {listAllKeys} from './list-keys.js';
@@ -136,6 +138,21 @@
 		: {kind: 'not-run', reason: describeFailure('The target cannot be reached', failure, signal), slotOutcome: 'unreachable'};
 }
 
+/** Records what the target says of itself in an answer to this request; an answer with 421 may come from another target at its address. */
+function recordNotices({call}: ForwardContext, slot: TargetSlot, {status}: TargetAnswer, {attemptId = call.attemptId, isLeaving, retryAfterMs}: AnswerMetadata): void {
+	if (status === STATUS_MISDIRECTED || attemptId !== call.attemptId) {
+		return;
+	}
+
+	if (isLeaving) {
+		slot.reportLeaving();
+	}
+
+	if (status === STATUS_UNAVAILABLE && retryAfterMs !== undefined) {
+		slot.reportPause(retryAfterMs);
+	}
+}
+
 async function sendRequest(context: ForwardContext, slot: TargetSlot, signal: AbortSignal): Promise<AnsweredHead | AttemptFailure> {
 	const {deps, call, body, route, progress, exchange} = context;
 	const sent = await deps.sender.send({
@@ -154,6 +171,7 @@
 		slot.updateOutstanding(metadata.outstanding);
 	}
 
+	recordNotices(context, slot, answer, metadata);
 	const check = checkAnswer(answer, metadata, call.attemptId);
 	if (check.isErr) {
 		answer.destroy();
--- a/packages/callers/src/forward/slot-queue.ts
+++ b/packages/callers/src/forward/slot-queue.ts
@@ -38,6 +38,10 @@
 	readonly updateOutstanding: (count: number) => void;
 	/** Ranks the target last for a while, since it is silent in the middle of its answer. */
 	readonly reportSilence: () => void;
+	/** Records that the target says in its answer that it leaves; no further request is sent to it. */
+	readonly reportLeaving: () => void;
+	/** Records that the target takes no requests for a time. */
+	readonly reportPause: (pauseMs: number) => void;
 	/** Records that something has arrived from the target, which ends its silence. */
 	readonly recordActivity: () => void;
 	readonly release: (outcome: SlotOutcome) => void;
@@ -53,6 +57,8 @@
 	abstract findSlot(requirements: SlotRequirements): SlotResult;
 	/** Requests the load of a model or adapter that no target can serve yet. */
 	abstract requestLoad(requirements: SlotRequirements): void;
+	/** Time until the first of the targets that take no requests for a time takes some again; undefined if there is none. */
+	abstract getPauseLeftMs(requirements: SlotRequirements): number | undefined;
 	/** Time until a model that is being loaded can serve; undefined when no load is in progress. */
 	abstract getTimeUntilReadyMs(requirements: SlotRequirements): number | undefined;
 }
@@ -118,7 +124,7 @@
 			const known = counts.get(key) ?? {
 				service, model, waiting: 0, crowded: 0,
 			};
-			const isCrowded = reason === 'full';
+			const isCrowded = !needsLoad(reason);
 			counts.set(key, {...known, waiting: known.waiting + Number(!isCrowded), crowded: known.crowded + Number(isCrowded)});
 		};
 
@@ -147,7 +153,7 @@
 			return Result.ok(initialResult.slot);
 		}
 
-		if (initialResult && initialResult.kind !== 'full') {
+		if (initialResult && needsLoad(initialResult.kind)) {
 			this.source.requestLoad(requirements);
 		}
 
@@ -188,7 +194,7 @@
 				continue;
 			}
 
-			if (known === undefined && result.kind !== 'full') {
+			if (known === undefined && needsLoad(result.kind)) {
 				this.source.requestLoad(waiter.requirements);
 			}
 
@@ -240,7 +246,7 @@
 	/** Refuses a waiting request if its slot is expected too late. */
 	private refuseIfTooLate(waiter: Waiter, ahead: number): WaitDecision {
 		const {requirements, modelKey, limits, lastReason, startedMs, settle} = waiter;
-		const forecastMs = lastReason === 'full' ? this.slotRate.getWaitMs(modelKey, ahead) : this.source.getTimeUntilReadyMs(requirements);
+		const forecastMs = this.forecastMs(waiter, ahead);
 		const decision = decideWait({reason: lastReason, waitedMs: this.clock.now() - startedMs, forecastMs}, limits);
 		if (decision.kind === 'refuse') {
 			const intervalMs = this.slotRate.getWaitMs(modelKey, 0);
@@ -252,6 +258,24 @@
 		return decision;
 	}
 
+	/** Expected time until a waiting request gets a slot; undefined if unknown. */
+	private forecastMs({requirements, modelKey, lastReason}: Waiter, ahead: number): number | undefined {
+		switch (lastReason) {
+			case 'full': {
+				return this.slotRate.getWaitMs(modelKey, ahead);
+			}
+
+			case 'paused': {
+				return this.source.getPauseLeftMs(requirements);
+			}
+
+			case 'adapter-missing':
+			case 'none': {
+				return this.source.getTimeUntilReadyMs(requirements);
+			}
+		}
+	}
+
 	private async wait(request: Omit<Waiter, 'startedMs' | 'settle'>, signal: AbortSignal): Promise<Result<TargetSlot, Verdict>> {
 		if (signal.aborted) {
 			return Result.err(refuse(503, 'caller-left', 'The caller left before the request was placed.'));
@@ -289,7 +313,16 @@
 	}
 }
 
+/** Whether a request lacks a model or adapter, rather than room at the targets that hold them. */
+function needsLoad(reason: WaitReason): boolean {
+	return reason === 'none' || reason === 'adapter-missing';
+}
+
 function refuseNoSlot(reason: WaitReason, retryAfterMs: number): Verdict {
+	if (reason === 'paused') {
+		return refuse(503, 'targets-paused', 'All targets for the request have asked for a pause.', retryAfterMs);
+	}
+
 	return reason === 'full'
 		? refuse(503, 'overloaded', 'All targets for the request are busy.', retryAfterMs)
 		: refuse(503, 'no-target', 'No target serves what the request needs.', retryAfterMs);
--- a/packages/callers/src/forward/types.ts
+++ b/packages/callers/src/forward/types.ts
@@ -51,6 +51,10 @@
 	isNotExecuted: z.boolean(),
 	/** Requests running or queued at the target, if it reports them. */
 	outstanding: z.number().optional(),
+	/** Whether the target says that it leaves. */
+	isLeaving: z.boolean().optional(),
+	/** Time for which the target wants no further requests. */
+	retryAfterMs: z.number().optional(),
 	isEventStream: z.boolean(),
 	/** Alternating names and values of the headers that are passed to the caller. */
 	headers: z.array(z.string()),
--- a/packages/callers/src/forward/wait-forecast.ts
+++ b/packages/callers/src/forward/wait-forecast.ts
@@ -1,6 +1,6 @@
 import {type Clock, DecayingCounts} from '@egretrill/common';
 import {
-	DEFAULT_RETRY_SPACING_MS, MAX_SPACED_RETRY_MS, MIN_RETRY_AFTER_MS, NO_TARGET_RETRY_MS, SLOT_RATE_TIME_CONSTANT_MS, UNPLANNED_MODEL_WAIT_MS,
+	DEFAULT_RETRY_SPACING_MS, MAX_RETRY_SPREAD_MS, MAX_SPACED_RETRY_MS, MIN_RETRY_AFTER_MS, NO_TARGET_RETRY_MS, SLOT_RATE_TIME_CONSTANT_MS, UNPLANNED_MODEL_WAIT_MS,
 } from './constants.js';
 
 /** Maximum wait for a slot, by what the request waits for. */
@@ -13,8 +13,8 @@
 	readonly saturatedMs: number;
 };
 
-/** Why no slot is available: all targets are full, none has the adapter, or none has the model. */
-export type WaitReason = 'full' | 'adapter-missing' | 'none';
+/** Why no slot is available: all targets are full, all have asked this host to send nothing for a time, none has the adapter, or none has the model. */
+export type WaitReason = 'full' | 'paused' | 'adapter-missing' | 'none';
 
 export type WaitState = {
 	readonly reason: WaitReason;
@@ -27,7 +27,7 @@
 export type WaitDecision = {readonly kind: 'wait'; readonly untilMs: number} | {readonly kind: 'refuse'; readonly retryAfterMs: number};
 
 function getLimitMs(reason: WaitReason, isPlanned: boolean, {unplannedMs, plannedMs, saturatedMs}: WaitLimits): number {
-	if (reason === 'full') {
+	if (reason === 'full' || reason === 'paused') {
 		return saturatedMs;
 	}
 
@@ -81,7 +81,7 @@
 	getRetryAfterMs(name: string, earliestMs: number, intervalMs = DEFAULT_RETRY_SPACING_MS): number {
 		const nowMs = this.clock.now();
 		const spacedMs = (this.lastRetryMs.get(name) ?? nowMs) + intervalMs - nowMs;
-		const retryMs = Math.max(earliestMs, Math.min(spacedMs, MAX_SPACED_RETRY_MS));
+		const retryMs = Math.max(earliestMs, Math.min(spacedMs, Math.max(MAX_SPACED_RETRY_MS, earliestMs + MAX_RETRY_SPREAD_MS)));
 		this.lastRetryMs.set(name, nowMs + retryMs);
 		return retryMs;
 	}
--- a/packages/callers/tests/forward/slot-queue.test.ts
+++ b/packages/callers/tests/forward/slot-queue.test.ts
@@ -6,6 +6,7 @@
 
 class FakeSource extends SlotSource {
 	free = 0;
+	pauseLeftMs: number | undefined;
 	missing = new Set<string>();
 	readonly readyMs = new Map<string, number>();
 	readonly requestedLoads: string[] = [];
@@ -15,17 +16,25 @@
 			return {kind: 'none'};
 		}
 
+		if (this.pauseLeftMs !== undefined) {
+			return {kind: 'paused'};
+		}
+
 		if (this.free === 0) {
 			return {kind: 'full'};
 		}
 
 		this.free -= 1;
 		const slot: TargetSlot = {
-			targetId: 't1', address: '127.0.0.1:1', zone: 'a', startedAtMs: 1, wasCold: false, isLeaving: () => false, outstanding: 0, updateOutstanding: () => undefined, reportSilence: () => undefined, recordActivity: () => undefined, release: () => undefined,
+			targetId: 't1', address: '127.0.0.1:1', zone: 'a', startedAtMs: 1, wasCold: false, isLeaving: () => false, outstanding: 0, updateOutstanding: () => undefined, reportSilence: () => undefined, recordActivity: () => undefined, reportLeaving: () => undefined, reportPause: () => undefined, release: () => undefined,
 		};
 		return {kind: 'slot', slot};
 	}
 
+	override getPauseLeftMs(): number | undefined {
+		return this.pauseLeftMs;
+	}
+
 	override getTimeUntilReadyMs({model}: SlotRequirements): number | undefined {
 		return this.readyMs.get(model ?? '');
 	}
@@ -177,4 +186,27 @@
 
 		expect({of8: count(8), of80: count(80)}).toMatchSnapshot();
 	});
+
+	// Guards against requests that wait for targets which take none for longer than the caller does, and against callers that all return at once when the pause ends.
+	it('refuses requests at once during a long pause of all targets, with returns that are spread, and waits for the end of a short one', async () => {
+		const clock = new ManualClock();
+		const source = new FakeSource();
+		const queue = new SlotQueue(clock, source);
+		const acquire = async (): Promise<string> => {
+			const result = await queue.acquire(createRequirements('m'), 0, createLimits(400), new AbortController().signal);
+			return result.isOk ? `served after ${clock.now()} ms` : `${result.error.code}, return after ${result.error.retryAfterMs} ms`;
+		};
+
+		source.pauseLeftMs = 6000;
+		const refused = await Promise.all([acquire(), acquire(), acquire()]);
+		source.pauseLeftMs = 300;
+		const waiting = acquire();
+		await clock.run(300);
+		source.pauseLeftMs = undefined;
+		source.free = 1;
+		queue.dispatch();
+		expect({
+			refused, waited: await waiting, backlog: queue.getWaitingByModel(), requestedLoads: source.requestedLoads,
+		}).toMatchSnapshot();
+	});
 });
--- a/packages/callers/tests/forward/support/forward-fakes.ts
+++ b/packages/callers/tests/forward/support/forward-fakes.ts
@@ -231,7 +231,7 @@
 			: {
 				kind: 'slot',
 				slot: {
-					targetId, address: `${targetId}:1`, zone: 'a', startedAtMs: 1, wasCold: false, isLeaving: () => false, outstanding: 0, updateOutstanding: () => undefined, recordActivity: () => undefined, reportSilence: () => {
+					targetId, address: `${targetId}:1`, zone: 'a', startedAtMs: 1, wasCold: false, isLeaving: () => false, outstanding: 0, updateOutstanding: () => undefined, recordActivity: () => undefined, reportLeaving: () => undefined, reportPause: () => undefined, reportSilence: () => {
 						this.ends.push(`${targetId} silent`);
 					}, release: end => {
 						this.ends.push(`${targetId} ${end}`);
@@ -240,6 +240,10 @@
 			};
 	}
 
+	override getPauseLeftMs(): undefined {
+		return undefined;
+	}
+
 	override getTimeUntilReadyMs(): undefined {
 		return undefined;
 	}
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -21,6 +21,7 @@
 export * from './random.js';
 export * from './read-timeouts.js';
 export * from './registration.js';
+export * from './retry-after.js';
 export * from './signal.js';
 export * from './socket-address.js';
 export * from './target-client.js';
--- a/packages/engines/src/registry/choose-target.ts
+++ b/packages/engines/src/registry/choose-target.ts
@@ -18,6 +18,8 @@
 	readonly isCold: boolean;
 	/** Whether this host may send it a request now; limited while it is cold. */
 	readonly hasColdCapacity: boolean;
+	/** Whether it has asked this host to send nothing for a time. */
+	readonly isPaused: boolean;
 	/** Estimated prompt tokens of this request in its cache. */
 	readonly cachedTokens: number;
 };
@@ -26,6 +28,8 @@
 	| {readonly kind: 'target'; readonly targetId: string}
 	/** All suitable targets are full or cold. */
 	| {readonly kind: 'full'}
+	/** All suitable targets have asked this host to send nothing for a time. */
+	| {readonly kind: 'paused'}
 	/** Targets hold the model, but none holds the adapter. */
 	| {readonly kind: 'adapter-missing'}
 	| {readonly kind: 'none'};
@@ -49,6 +53,11 @@
 		return {kind: 'adapter-missing'};
 	}
 
-	const [best] = withAdapter.filter(({outstanding, slots, hasColdCapacity}) => outstanding < slots && hasColdCapacity).toSorted(compareTargets);
+	const open = withAdapter.filter(({isPaused}) => !isPaused);
+	if (open.length === 0) {
+		return {kind: 'paused'};
+	}
+
+	const [best] = open.filter(({outstanding, slots, hasColdCapacity}) => outstanding < slots && hasColdCapacity).toSorted(compareTargets);
 	return best ? {kind: 'target', targetId: best.targetId} : {kind: 'full'};
 }
--- a/packages/engines/src/registry/constants.ts
+++ b/packages/engines/src/registry/constants.ts
@@ -61,6 +61,10 @@
 /** Share of the recent failures that remains after a successful answer. */
 export const SUCCESS_DECAY_RATIO = 0.8;
 
+/** Time for which what a target said in its answers is remembered, and the number of targets for which it is; longer than the longest pause, and than a leaving target keeps running. */
+export const NOTICE_TTL_MS = 600_000;
+export const MAX_NOTICES = 4096;
+
 /** Number of unreachable targets in a zone from which on all its targets rank last. */
 export const SUSPECT_ZONE_MIN_TARGETS = 2;
 
--- a/packages/engines/src/registry/target-table.ts
+++ b/packages/engines/src/registry/target-table.ts
@@ -3,13 +3,16 @@
 } from '@egretrill/common';
 import {type TargetCandidate, chooseTarget, type TargetChoice} from './choose-target.js';
 import {
-	OTHER_COUNTS_TTL_MS, SPARSE_COLD_RATIO, SUSPECT_ZONE_MIN_TARGETS, SUCCESS_DECAY_RATIO, FAILURE_DECAY_MS, MAX_SUSPECT_MS, QUEUED_PER_SLOT, REGISTRATION_TTL_MS, SUSPECT_MS,
+	OTHER_COUNTS_TTL_MS, SUCCESS_DECAY_RATIO, FAILURE_DECAY_MS, MAX_SUSPECT_MS, QUEUED_PER_SLOT, REGISTRATION_TTL_MS, SUSPECT_MS,
 } from './constants.js';
 import {CachedPrompts} from './cached-prompts.js';
+import {ColdSends} from './cold-sends.js';
 import {getModelKey, indexTargets} from './index-targets.js';
-import type {RegistryUpdate} from './types.js';
-
-const MS_PER_SECOND = 1000;
+import {TargetNotices, type TargetStart} from './target-notices.js';
+import type {
+	AcquiredSlot, AdapterUse, RegistryUpdate, TargetOutcome, TargetRequirements,
+} from './types.js';
+import {ZoneReachability} from './zone-reachability.js';
 
 type Target = {
 	registration: Registration;
@@ -30,48 +33,12 @@
 	/** Consecutive requests that could not reach the target, and the time of the last one. */
 	unreachableCount: number;
 	unreachableMs: number;
-	/** Send times of the last second, only recorded while the target is cold. */
-	coldSends: readonly number[];
-	/** Time of the next send while the target is cold and this host's share of it is less than one request a second. */
-	nextColdSendMs: number;
-};
-
-/** Number of requests that use an adapter of a target's model. */
-export type AdapterUse = readonly [targetId: string, model: string, adapter: string, count: number];
-
-/** Requirements of a request for its target. */
-export type TargetRequirements = {
-	readonly service: string;
-	readonly model?: string;
-	readonly adapter?: string;
-	readonly parts: ReadonlyArray<{readonly id: string; readonly tokens: number}>;
-	/** Targets to which this request has already been sent. */
-	readonly tried: ReadonlySet<string>;
-	/** Leaves out targets that are silent now. */
-	readonly avoidsSilent?: boolean;
+	readonly coldSends: ColdSends;
 };
 
-/** Outcome of a request at its target: it answered, failed or refused the request, aborted the answer, could not be reached, was silent until another target took over, or was sent nothing. */
-export type TargetOutcome = 'answered' | 'failed' | 'broke-off' | 'unreachable' | 'replaced' | 'unsent';
-
 /** Outcomes that say nothing of the health of the target; a sound one may be silent. */
 const neutralOutcomes: ReadonlySet<TargetOutcome> = new Set(['replaced', 'unsent']);
 
-/** A slot for one request at a target, held until it is released with the outcome. */
-export type AcquiredSlot = {
-	readonly registration: Registration;
-	readonly outstanding: number;
-	readonly wasCold: boolean;
-	/** Whether the target has announced that it leaves, or has left the registry, since the slot was acquired. */
-	readonly isLeaving: () => boolean;
-	readonly updateOutstanding: (count: number) => void;
-	/** Ranks the target last for a while, since it is silent in the middle of its answer. */
-	readonly reportSilence: () => void;
-	/** Records that something has arrived from the target, which ends its silence. */
-	readonly recordActivity: () => void;
-	readonly release: (outcome: TargetOutcome) => void;
-};
-
 export type TargetTableOptions = {
 	readonly clock: Clock;
 	readonly random: Random;
@@ -96,10 +63,6 @@
 	}
 }
 
-function filterLastSecond(times: readonly number[], nowMs: number): readonly number[] {
-	return times.filter(timeMs => nowMs - timeMs < MS_PER_SECOND);
-}
-
 /** Ends the silence of a target, and the longer suspicion after several connections that timed out: a silent target with a full queue of new connections is neither powered off nor partitioned. */
 function recordActivity(target: Target): void {
 	target.silentUntilMs = 0;
@@ -118,12 +81,17 @@
 	private readonly cachedPrompts = new CachedPrompts();
 	private zonesOutOfService: ReadonlySet<string> = new Set();
 	private followedRevision = {origin: '', revision: 0};
-	/** Targets of each zone that could not be reached since the last answer from that zone. */
-	private readonly unreachable = new Map<string, {readonly targetIds: ReadonlySet<string>; readonly updatedMs: number}>();
+	private readonly reachability: ZoneReachability;
+	private readonly notices: TargetNotices;
+	/** Start times of targets that leave by answers to other hosts; hints, by which a target ranks last. */
+	private leavingHints: ReadonlyMap<string, number> = new Map();
 	/** Times when models that are being loaded will be ready, by service and model. */
 	private readyAtMs: ReadonlyMap<string, number> = new Map();
 
-	constructor(private readonly opts: TargetTableOptions) {}
+	constructor(private readonly opts: TargetTableOptions) {
+		this.reachability = new ZoneReachability(opts.clock);
+		this.notices = new TargetNotices(opts.clock);
+	}
 
 	/** Returns the registry and revision of the last update. */
 	getFollowedRevision(): {readonly origin: string; readonly revision: number} {
@@ -177,6 +145,22 @@
 		return readyAtMs === undefined ? undefined : Math.max(0, readyAtMs - this.opts.clock.now());
 	}
 
+	/** Sets the targets that have told other hosts that they leave. */
+	setLeavingHints(starts: readonly TargetStart[]): void {
+		this.leavingHints = new Map(starts.map(({targetId, startedAtMs}) => [targetId, startedAtMs]));
+	}
+
+	/** Returns the targets that have told this host in their answers that they leave. */
+	getLeaving(): readonly TargetStart[] {
+		return this.notices.getLeaving().filter(({targetId, startedAtMs}) => this.targets.get(targetId)?.registration.startedAtMs === startedAtMs);
+	}
+
+	/** Returns the time until the first suitable target takes requests again, or undefined if there is none. */
+	getPauseLeftMs(requirements: TargetRequirements): number | undefined {
+		const pausesMs = this.listTargets(requirements).map(({registration}) => this.notices.getPauseLeftMs(registration));
+		return pausesMs.length === 0 ? undefined : Math.min(...pausesMs);
+	}
+
 	/** Returns the outstanding requests of this host at each target. */
 	getOwnRequests(): ReadonlyArray<readonly [targetId: string, count: number]> {
 		return [...this.targets].filter(([, {ownRequests}]) => ownRequests > 0).map(([id, {ownRequests}]) => [id, ownRequests]);
@@ -206,7 +190,7 @@
 	}
 
 	choose(requirements: TargetRequirements): TargetChoice {
-		return chooseTarget(this.getCandidates(requirements));
+		return chooseTarget(this.listTargets(requirements).map(target => this.toCandidate(target, requirements)));
 	}
 
 	/** Acquires a slot at a chosen target. */
@@ -219,7 +203,8 @@
 		const outstanding = this.getOutstanding(target);
 		target.ownRequests += 1;
 		changeAdapterUse(target, model, adapter, 1);
-		this.recordColdSend(target);
+		const nowMs = this.opts.clock.now();
+		target.coldSends.record(nowMs, this.opts.getColdRate(target.registration.service), nowMs < target.coldUntilMs);
 		if (model !== undefined) {
 			this.cachedPrompts.record(targetId, model, parts);
 		}
@@ -228,14 +213,20 @@
 		return {
 			registration: target.registration,
 			outstanding,
-			wasCold: this.opts.clock.now() < target.coldUntilMs,
-			isLeaving: () => target.registration.isLeaving || !this.targets.has(targetId),
+			wasCold: nowMs < target.coldUntilMs,
+			isLeaving: () => this.isLeaving(target) || !this.targets.has(targetId),
 			updateOutstanding: count => {
 				this.setOthers(target, Math.max(0, count - target.ownRequests));
 			},
 			reportSilence: () => {
 				target.silentUntilMs = this.opts.clock.now() + SUSPECT_MS;
 			},
+			reportLeaving: () => {
+				this.notices.recordLeaving(target.registration);
+			},
+			reportPause: pauseMs => {
+				this.notices.recordPause(target.registration, pauseMs);
+			},
 			recordActivity() {
 				recordActivity(target);
 			},
@@ -258,7 +249,12 @@
 
 	/** Each request to a powered-off or partitioned target costs a timeout, so it ranks last for twice as long after each failure. */
 	private recordOutcome(target: Target, outcome: TargetOutcome): void {
-		this.recordZoneReachability(target.registration, outcome);
+		if (outcome === 'unreachable') {
+			this.reachability.recordUnreachable(target.registration);
+		} else {
+			this.reachability.recordAnswer(target.registration);
+		}
+
 		target.unreachableCount = outcome === 'unreachable' ? target.unreachableCount + 1 : 0;
 		this.recordFailure(target, outcome);
 		target.unreachableMs = outcome === 'unreachable' ? this.opts.clock.now() : target.unreachableMs;
@@ -291,48 +287,42 @@
 		return failures * Math.exp((failuresUpdatedMs - this.opts.clock.now()) / FAILURE_DECAY_MS);
 	}
 
-	/** Tracks unreachable targets by zone. Several of them indicate a partition of the zone; the first answer from it clears them. */
-	private recordZoneReachability({targetId, zone}: Registration, outcome: TargetOutcome): void {
-		if (outcome === 'unreachable') {
-			const known = this.unreachable.get(zone)?.targetIds ?? [];
-			this.unreachable.set(zone, {targetIds: new Set([...known, targetId]), updatedMs: this.opts.clock.now()});
-		} else {
-			this.unreachable.delete(zone);
-		}
+	private isSilent({silentUntilMs}: Target): boolean {
+		return silentUntilMs > this.opts.clock.now();
 	}
 
-	private isZoneSuspected(zone: string): boolean {
-		const {targetIds, updatedMs} = this.unreachable.get(zone) ?? {targetIds: new Set(), updatedMs: 0};
-		return targetIds.size >= SUSPECT_ZONE_MIN_TARGETS && this.opts.clock.now() - updatedMs < SUSPECT_MS;
+	private isLeaving({registration}: Target): boolean {
+		return registration.isLeaving || this.notices.isLeaving(registration);
 	}
 
-	private isSilent({silentUntilMs}: Target): boolean {
-		return silentUntilMs > this.opts.clock.now();
+	/** Targets that hold what a request requires apart from its adapter, and take new requests. */
+	private listTargets({service, model, tried, avoidsSilent}: TargetRequirements): readonly Target[] {
+		this.index ??= indexTargets(this.targets.values());
+		return (this.index.get(getModelKey(service, model)) ?? []).filter(target => {
+			const {targetId, zone} = target.registration;
+			const isAvoided = tried.has(targetId) || (avoidsSilent && this.isSilent(target));
+			return !this.isLeaving(target) && !this.zonesOutOfService.has(zone) && !isAvoided;
+		});
 	}
 
-	private getCandidates(requirements: TargetRequirements): readonly TargetCandidate[] {
-		this.index ??= indexTargets(this.targets.values());
-		const candidates: TargetCandidate[] = [];
-		for (const target of this.index.get(getModelKey(requirements.service, requirements.model)) ?? []) {
-			const {targetId, isLeaving, zone, models} = target.registration;
-			const isAvoided = requirements.tried.has(targetId) || (requirements.avoidsSilent && this.isSilent(target));
-			if (!isLeaving && !this.zonesOutOfService.has(zone) && !isAvoided) {
-				const held = requirements.model === undefined ? undefined : models.find(({name}) => name === requirements.model);
-				candidates.push(this.toCandidate(target, requirements, held?.adapters));
-			}
-		}
+	private isSuspected(target: Target): boolean {
+		return target.suspectedUntilMs > this.opts.clock.now() || this.isSilent(target) || this.reachability.isSuspected(target.registration.zone) || this.isHintedToLeave(target);
+	}
 
-		return candidates;
+	private isHintedToLeave({registration}: Target): boolean {
+		return this.leavingHints.size > 0 && this.leavingHints.get(registration.targetId) === registration.startedAtMs;
 	}
 
-	private toCandidate(target: Target, {service, model, adapter, parts}: TargetRequirements, adapters: readonly string[] | undefined): TargetCandidate {
-		const {registration: {targetId, zone, slots}} = target;
+	private toCandidate(target: Target, {service, model, adapter, parts}: TargetRequirements): TargetCandidate {
+		const {registration: {targetId, zone, slots, models}} = target;
 		const batchSlots = this.opts.getBatchSlots(service);
-		const hasAdapter = adapter === undefined || (adapters?.includes(adapter) ?? false);
+		const held = model === undefined ? undefined : models.find(({name}) => name === model);
+		const hasAdapter = adapter === undefined || (held?.adapters.includes(adapter) ?? false);
 		return {
 			targetId,
 			isSameZone: zone === this.opts.zone,
-			isSuspected: target.suspectedUntilMs > this.opts.clock.now() || this.isSilent(target) || this.isZoneSuspected(zone),
+			isSuspected: this.isSuspected(target),
+			isPaused: this.notices.getPauseLeftMs(target.registration) > 0,
 			failures: this.getFailures(target),
 			hasAdapter,
 			outstanding: this.getOutstanding(target),
@@ -344,36 +334,22 @@
 		};
 	}
 
-	private hasColdCapacity(target: Target): boolean {
+	private hasColdCapacity({registration, coldSends, coldUntilMs}: Target): boolean {
 		const nowMs = this.opts.clock.now();
-		const rate = this.opts.getColdRate(target.registration.service);
-		if (nowMs >= target.coldUntilMs || rate <= 0) {
-			return true;
-		}
-
-		return rate < 1 ? nowMs >= target.nextColdSendMs : filterLastSecond(target.coldSends, nowMs).length < Math.floor(rate);
-	}
-
-	/** Time between two sends to a cold target of which this host may take less than one request a second. */
-	private getColdIntervalMs(service: string): number {
-		const rate = this.opts.getColdRate(service);
-		return rate > 0 && rate < 1 ? MS_PER_SECOND / (rate * SPARSE_COLD_RATIO) : 0;
-	}
-
-	private recordColdSend(target: Target): void {
-		const nowMs = this.opts.clock.now();
-		target.coldSends = nowMs < target.coldUntilMs ? [...filterLastSecond(target.coldSends, nowMs), nowMs] : [];
-		target.nextColdSendMs = nowMs + this.getColdIntervalMs(target.registration.service);
+		return nowMs >= coldUntilMs || coldSends.hasCapacity(nowMs, this.opts.getColdRate(registration.service));
 	}
 
 	private setTarget(registration: Registration, coldUntilMs: number): void {
 		this.index = undefined;
 		const known = this.targets.get(registration.targetId);
 		const nowMs = this.opts.clock.now();
-		// The hosts begin at random times, since together they could send a cold target one request each at once.
-		const nextColdSendMs = nowMs + (this.opts.random() * this.getColdIntervalMs(registration.service));
+		const coldRate = this.opts.getColdRate(registration.service);
+		const random = this.opts.random();
 		if (known?.registration.startedAtMs === registration.startedAtMs) {
-			known.nextColdSendMs = known.coldUntilMs <= nowMs ? nextColdSendMs : known.nextColdSendMs;
+			if (known.coldUntilMs <= nowMs) {
+				known.coldSends.restart(nowMs, coldRate, random);
+			}
+
 			known.registration = registration;
 			known.coldUntilMs = coldUntilMs;
 			return;
@@ -381,7 +357,7 @@
 
 		this.cachedPrompts.removeTarget(registration.targetId);
 		this.targets.set(registration.targetId, {
-			registration, coldUntilMs, ownRequests: 0, adapterUses: new Map(), otherHostsRequests: 0, othersReportedMs: 0, suspectedUntilMs: 0, silentUntilMs: 0, failures: 0, failuresUpdatedMs: 0, unreachableCount: 0, unreachableMs: 0, coldSends: [], nextColdSendMs,
+			registration, coldUntilMs, ownRequests: 0, adapterUses: new Map(), otherHostsRequests: 0, othersReportedMs: 0, suspectedUntilMs: 0, silentUntilMs: 0, failures: 0, failuresUpdatedMs: 0, unreachableCount: 0, unreachableMs: 0, coldSends: new ColdSends(nowMs, coldRate, random),
 		});
 	}
 
--- a/packages/engines/src/registry/types.ts
+++ b/packages/engines/src/registry/types.ts
@@ -40,3 +40,40 @@
 	};
 });
 export type RegistryUpdate = z.infer<typeof RegistryUpdate>;
+
+/** Number of requests that use an adapter of a target's model. */
+export type AdapterUse = readonly [targetId: string, model: string, adapter: string, count: number];
+
+/** Requirements of a request for its target. */
+export type TargetRequirements = {
+	readonly service: string;
+	readonly model?: string;
+	readonly adapter?: string;
+	readonly parts: ReadonlyArray<{readonly id: string; readonly tokens: number}>;
+	/** Targets to which this request has already been sent. */
+	readonly tried: ReadonlySet<string>;
+	/** Leaves out targets that are silent now. */
+	readonly avoidsSilent?: boolean;
+};
+
+/** Outcome of a request at its target: it answered, failed or refused the request, aborted the answer, could not be reached, was silent until another target took over, or was sent nothing. */
+export type TargetOutcome = 'answered' | 'failed' | 'broke-off' | 'unreachable' | 'replaced' | 'unsent';
+
+/** A slot for one request at a target, held until it is released with the outcome. */
+export type AcquiredSlot = {
+	readonly registration: Registration;
+	readonly outstanding: number;
+	readonly wasCold: boolean;
+	/** Whether the target has announced that it leaves, or has left the registry, since the slot was acquired. */
+	readonly isLeaving: () => boolean;
+	readonly updateOutstanding: (count: number) => void;
+	/** Ranks the target last for a while, since it is silent in the middle of its answer. */
+	readonly reportSilence: () => void;
+	/** Records that the target says in its answer that it leaves; no further request is sent to it. */
+	readonly reportLeaving: () => void;
+	/** Records that the target takes no requests for a time. */
+	readonly reportPause: (pauseMs: number) => void;
+	/** Records that something has arrived from the target, which ends its silence. */
+	readonly recordActivity: () => void;
+	readonly release: (outcome: TargetOutcome) => void;
+};
--- a/packages/engines/tests/registry/target-table.test.ts
+++ b/packages/engines/tests/registry/target-table.test.ts
@@ -300,3 +300,66 @@
 		expect(sentMs.length).to.be.above(9 * bearable / 3);
 	});
 });
+
+describe('TargetTable, with targets that speak of themselves in their answers', () => {
+	const isWhole = {origin: 'r', revision: 2, isWhole: true};
+	const near = register('near', {slots: 64});
+	const far = register('far', {zone: 'b', slots: 64});
+
+	function acquire(table: TargetTable): ReturnType<TargetTable['acquireSlot']> {
+		return table.acquireSlot('near', requirements);
+	}
+
+	// Guards against requests at a leaving target because of a stale registration, and against a restarted one that gets none.
+	it('send nothing to a target that says it leaves, until it starts anew', () => {
+		const {table} = createTable([near, far]);
+		acquire(table)?.reportLeaving();
+		const chosen = [send(table)];
+		table.update({...isWhole, targets: [{registration: {...near, sequence: 9}, ageMs: 0, hasEnded: false}, {registration: far, ageMs: 0, hasEnded: false}]});
+		chosen.push(send(table));
+		table.update({...isWhole, targets: [{registration: far, ageMs: 0, hasEnded: false}]});
+		table.update({...isWhole, targets: [{registration: near, ageMs: 0, hasEnded: false}, {registration: far, ageMs: 0, hasEnded: false}]});
+		chosen.push(send(table));
+		table.update({...isWhole, targets: [{registration: {...near, startedAtMs: 2}, ageMs: 0, hasEnded: false}, {registration: far, ageMs: 0, hasEnded: false}]});
+		chosen.push(send(table));
+		expect(chosen).to.deep.equal(['far', 'far', 'far', 'near']);
+	});
+
+	// Guards against requests during a pause that a shorter one or a new registration ends too early.
+	it('send nothing to a target during its pause', () => {
+		const {table, clock} = createTable([near, far]);
+		const slot = acquire(table);
+		slot?.reportPause(4000);
+		slot?.reportPause(1000);
+		const chosen: string[] = [];
+		for (const stepMs of [0, 1500, 2000, 600]) {
+			clock.advance(stepMs);
+			chosen.push(send(table));
+		}
+
+		expect(chosen).to.deep.equal(['far', 'far', 'far', 'near']);
+	});
+
+	// Guards against callers that are told to return at another time than the first target does.
+	it('tell when the first target takes requests again if all are paused', () => {
+		const {table, clock} = createTable([near, far]);
+		acquire(table)?.reportPause(4000);
+		table.acquireSlot('far', requirements)?.reportPause(3000);
+		clock.advance(1000);
+		expect([send(table), table.getPauseLeftMs(requirements)]).to.deep.equal(['paused', 2000]);
+	});
+
+	// Guards against a hint of another host that takes a target out of service.
+	it('rank a target last that tells other hosts that it leaves', () => {
+		const {table} = createTable([near, far]);
+		const chosen: string[] = [];
+		for (const startedAtMs of [0, 1]) {
+			table.setLeavingHints([{targetId: 'near', startedAtMs}]);
+			chosen.push(send(table));
+		}
+
+		table.update({...isWhole, targets: [{registration: near, ageMs: 0, hasEnded: false}]});
+		chosen.push(send(table));
+		expect(chosen).to.deep.equal(['near', 'far', 'near']);
+	});
+});
