keys: let the word of a leader that keys are valid expire where the deployment requires it

It is renewed by a poll answer that a leader with a majority stands behind, and counts from before the poll was sent; a control host that does not lead passes on what the leader told it in the last exchange, with the age. Durations are the longer of what the clock and the time of day have counted, since one stands still while a machine is suspended and the other may be set back. After the lease a request with a key is refused at once as not run (503, return after 1 s), the host reports itself not ready, open routes and running streams go on. A key is looked at when the request comes and again before its first send, also for one that was withdrawn meanwhile (401). Without strict-revoke nothing changes but that second look.

--- a/apps/egretrilld/src/traffic/control-follower.ts
+++ b/apps/egretrilld/src/traffic/control-follower.ts
@@ -3,7 +3,7 @@
 	type CrashAnswer, type CrashReport, type RateDecision, RatePoolClient,
 } from '@egretrill/callers';
 import {
-	type Clock, jitter, type Logger, type Random, type TrafficSource,
+	type Clock, jitter, type Logger, type Random, TimeMark, type TimeOfDay, type TrafficSource,
 } from '@egretrill/common';
 import type {ControlPeers} from '@egretrill/hosts';
 import {BorrowBatcher} from './borrow-batcher.js';
@@ -29,6 +29,8 @@
 	abstract applyTargets(update: SyncResponse['registry'], zonesOut: readonly string[]): void;
 	/** Applies the number of entry hosts that the log names, while no leader has counted them since the start of this host. */
 	abstract applyHostCount(count: number): void;
+	/** Applies that a version was in force at the leader at the mark, or earlier by the age. */
+	abstract applyConfirmation(confirmed: NonNullable<SyncResponse['confirmed']>, mark: TimeMark): void;
 	/** Applies the leader's plan; its leases run from the time at which the poll was sent. */
 	abstract applyPlan(plan: LeaderPlan, sentMs: number): void;
 }
@@ -37,6 +39,7 @@
 	readonly hostId: string;
 	readonly zone: string;
 	readonly clock: Clock;
+	readonly getTimeOfDayMs: TimeOfDay;
 	readonly random: Random;
 	readonly logger: Logger;
 	readonly peers: Pick<ControlPeers, 'call' | 'getOthers' | 'setKnownHosts'>;
@@ -135,9 +138,10 @@
 	}
 
 	private async poll(controlId: string): Promise<boolean> {
-		const {clock, hostId, logger, peers, sink} = this.opts;
+		const {clock, getTimeOfDayMs, hostId, logger, peers, sink} = this.opts;
 		const {configVersion, registry} = sink.getKnownVersions();
 		const sentMs = clock.now();
+		const mark = new TimeMark(clock, getTimeOfDayMs);
 		this.lastPollMs.set(controlId, sentMs);
 		const answer = await peers.call(controlId, syncMethod, {
 			report: {...sink.createReport(), hostId, startId: this.startId}, configVersion, registry, waitMs: SYNC_WAIT_MS,
@@ -158,6 +162,10 @@
 
 		this.lastResponseMs = clock.now();
 		this.applyResponse(answer.value, controlId, sentMs);
+		if (answer.value.confirmed) {
+			sink.applyConfirmation(answer.value.confirmed, mark);
+		}
+
 		return true;
 	}
 
--- a/apps/egretrilld/src/traffic/control-gossip.ts
+++ b/apps/egretrilld/src/traffic/control-gossip.ts
@@ -6,6 +6,7 @@
 import {GOSSIP_INTERVAL_MS, JOIN_RETRY_MS} from './constants.js';
 import {gossipMethod} from './methods.js';
 import {RateLimitedLog} from './rate-limited-log.js';
+import type {TrafficConfirmation} from './traffic-confirmation.js';
 import type {RegistrySettling} from './registry-settling.js';
 import {SKIPPED_ENTRIES_MESSAGE, warnOfSkippedEntries} from './skipped-entries.js';
 
@@ -19,6 +20,7 @@
 	readonly peers: ControlPeers;
 	readonly registry: TargetRegistry;
 	readonly settling: RegistrySettling;
+	readonly confirmation: TrafficConfirmation;
 };
 
 type Contact = {readonly zone: string; readonly lastContactMs: number};
@@ -74,10 +76,11 @@
 	}
 
 	private async gossipWith(id: string, signal: AbortSignal): Promise<void> {
-		const {clock, hostId, logger, node, peers, random, registry, settling, zone} = this.opts;
+		const {clock, hostId, logger, node, peers, random, registry, settling, confirmation, zone} = this.opts;
 		let knownRegistry = {origin: '', revision: 0};
 		let isReachable = false;
 		while (!signal.aborted) {
+			const mark = confirmation.mark();
 			const answer = await peers.call(id, gossipMethod, {hostId, zone, registry: knownRegistry});
 			if (answer.isOk !== isReachable) {
 				isReachable = answer.isOk;
@@ -85,13 +88,17 @@
 			}
 
 			if (answer.isOk) {
-				const {registry: update, isRegistrySettled = true, zone: peerZone, memberIds, leaderId} = answer.value;
+				const {registry: update, isRegistrySettled = true, zone: peerZone, memberIds, leaderId, confirmedVersion} = answer.value;
 				knownRegistry = {origin: update.origin, revision: update.revision};
 				this.recordContact(id, peerZone);
 				registry.merge(update.targets);
 				settling.recordExchange(isRegistrySettled);
 				warnOfSkippedEntries(this.skippedEntries, id, update);
 				this.leaderHint = leaderId ?? this.leaderHint;
+				if (confirmedVersion !== undefined) {
+					confirmation.record(mark, confirmedVersion);
+				}
+
 				if (leaderId === id) {
 					this.leaderMemberIds = memberIds;
 				}
--- a/apps/egretrilld/src/traffic/control-host.ts
+++ b/apps/egretrilld/src/traffic/control-host.ts
@@ -27,6 +27,7 @@
 import {RateLimitedLog} from './rate-limited-log.js';
 import {getServedState} from './served-state.js';
 import type {ControlSettings} from './settings.js';
+import {TrafficConfirmation} from './traffic-confirmation.js';
 import {SyncNotifier} from './sync-notifier.js';
 import {ZoneOrders} from './zone-orders.js';
 
@@ -54,6 +55,7 @@
 	private readonly log: FleetLog;
 	private readonly gossip: ControlGossip;
 	private readonly settling: RegistrySettling;
+	private readonly confirmation: TrafficConfirmation;
 	private readonly departureLog: DepartureLog;
 	private readonly departures: Departures;
 	private readonly zoneOrders: ZoneOrders;
@@ -106,13 +108,16 @@
 			getAgeMs: () => 0,
 			ended: this.ended.signal,
 		});
+		this.confirmation = new TrafficConfirmation({
+			clock, getTimeOfDayMs: () => Date.now(), node: this.node, state: this.state,
+		});
 		this.settling = new RegistrySettling(clock, () => hasAppliedLog(this.node));
 		this.departureLog = new DepartureLog({
 			log: this.log, state: this.state, logger, getTimeOfDayMs: () => Date.now(),
 		});
-		const {hostId, node, log, registry, peers, settling, departureLog} = this;
+		const {hostId, node, log, registry, peers, settling, departureLog, confirmation} = this;
 		this.gossip = new ControlGossip({
-			hostId, zone: settings.zone, clock, random, logger, node, peers, registry, settling,
+			hostId, zone: settings.zone, clock, random, logger, node, peers, registry, settling, confirmation,
 		});
 		this.departures = new Departures({peers, registry, departureLog});
 		this.zoneOrders = new ZoneOrders({
@@ -139,12 +144,14 @@
 				}
 
 				const plan = term?.handleReport(report);
+				const confirmed = this.confirmation.get();
 				return {
 					...(leaderId !== undefined && {leaderId}),
 					controls: this.getControlHosts(),
 					...getServedState({node: this.node, state: this.state}, configVersion),
 					registry: getServedTargets({registry: this.registry, settling: this.settling, departureLog: this.departureLog}, registry),
 					entryHostCount: this.state.getEntryHosts().length,
+					...(confirmed && {confirmed}),
 					...(plan && {plan}),
 				};
 			}),
@@ -165,8 +172,10 @@
 			bindMethod(gossipMethod, async ({hostId, zone, registry}) => {
 				this.gossip.recordContact(hostId, zone);
 				const leaderId = this.getLeaderId();
+				const confirmedVersion = this.confirmation.getOwnVersion();
 				return {
 					registry: this.registry.getUpdateSince(registry, true),
+					...(confirmedVersion !== undefined && {confirmedVersion}),
 					isRegistrySettled: this.settling.isSettled(),
 					zone: this.opts.settings.zone,
 					memberIds: this.node.status().members.map(({id}) => id),
--- a/apps/egretrilld/src/traffic/entry-host.ts
+++ b/apps/egretrilld/src/traffic/entry-host.ts
@@ -1,10 +1,10 @@
 import {setMaxListeners} from 'node:events';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {
-	type Clock, createHttpServer, jitter, type Logger, type LoopWatch, MemoryBudget, type Random, setReadTimeouts, type TrafficSource,
+	type Clock, createHttpServer, jitter, type Logger, type LoopWatch, MemoryBudget, type Random, setReadTimeouts, type TimeMark, type TrafficSource,
 } from '@egretrill/common';
 import {
-	BackoffPoolClient, type ForwardDependencies, type ForwardDialect, forwardRequest, PlannedStop, RATE_LEASE_MS, RateAllocations, RetryBudget, RetrySchedule, RouteDurations, RouteTable, SlotQueue,
+	BackoffPoolClient, type ForwardDependencies, type ForwardDialect, forwardRequest, KeyLease, PlannedStop, RATE_LEASE_MS, RateAllocations, RetryBudget, RetrySchedule, RouteDurations, RouteTable, SlotQueue,
 } from '@egretrill/callers';
 import {Drain, type Metrics, type UnreadyReason} from '@egretrill/balancer';
 import {TargetTable} from '@egretrill/engines';
@@ -61,6 +61,7 @@
 	private rateState = {ackedSerial: 0, standing: 0};
 	private hostCount = 1;
 	private readonly plannedStop: PlannedStop;
+	private readonly keyLease = new KeyLease(() => this.bounds.keyLeaseMs);
 	private readonly connections: CallerConnections;
 	private readonly crashes: HostCrashes;
 
@@ -81,7 +82,7 @@
 			getBatchSlots: service => this.routeTable?.services.get(service)?.engine?.batchSlots,
 		});
 		this.follower = new ControlFollower({
-			hostId: settings.host, zone: settings.zone, clock, random: opts.random, logger, peers, sink: this,
+			hostId: settings.host, zone: settings.zone, clock, getTimeOfDayMs: () => Date.now(), random: opts.random, logger, peers, sink: this,
 		});
 		this.queue = new SlotQueue(clock, new TargetSlotSource({
 			clock,
@@ -115,6 +116,7 @@
 		return [
 			...(drainReason ? [drainReason] : []),
 			...(this.routeTable ? [] : [{check: 'configuration', reason: 'No configuration has arrived yet.'}]),
+			...(this.keyLease.isValid() ? [] : [{check: 'keys', reason: 'No leader has confirmed the keys of callers for too long.'}]),
 		];
 	}
 
@@ -193,6 +195,12 @@
 		this.applyRetryLimits();
 	}
 
+	override applyConfirmation({version, ageMs}: NonNullable<SyncResponse['confirmed']>, mark: TimeMark): void {
+		if ((this.routeTable?.config.version ?? 0) >= version) {
+			this.keyLease.renew(mark, ageMs);
+		}
+	}
+
 	override applyPlan({others, expected, rates, crashes, leaving = []}: LeaderPlan, sentMs: number): void {
 		if (crashes) {
 			this.crashes.exchange.applyAnswer(crashes);
@@ -226,6 +234,7 @@
 			observer: this.observer,
 			getTable: () => this.routeTable,
 			stop: this.plannedStop,
+			keyLease: this.keyLease,
 			crashes: this.crashes.tracker,
 			crashGate: this.crashes.gate,
 			targetEnds: this.crashes.targetEnds,
--- a/apps/egretrilld/src/traffic/methods.ts
+++ b/apps/egretrilld/src/traffic/methods.ts
@@ -58,6 +58,8 @@
 	config: TrafficSource.optional(),
 	zonesOut: z.array(z.string()),
 	registry: RegistryUpdate,
+	/** Version that the leader has confirmed as in force, and the time since then; hosts of earlier builds do not tell. */
+	confirmed: z.object({version: count, ageMs: z.number().nonnegative()}).optional(),
 	/** Number of entry hosts in the log; hosts of earlier builds do not tell. */
 	entryHostCount: count.optional(),
 	plan: LeaderPlan.optional(),
@@ -90,6 +92,8 @@
 	registry: RegistryUpdate,
 	/** Whether the registry is complete; hosts of earlier builds do not tell. */
 	isRegistrySettled: z.boolean().optional(),
+	/** Version in force if the host leads with a majority; hosts of earlier builds do not tell. */
+	confirmedVersion: count.optional(),
 	zone: z.string(),
 	memberIds: z.array(z.string()),
 	leaderId: z.string().optional(),
--- a/apps/egretrilld/src/traffic/settings.ts
+++ b/apps/egretrilld/src/traffic/settings.ts
@@ -15,6 +15,8 @@
 	coldExcessRatio: z.number().nonnegative(),
 	/** Duration of a host's lease for orders to an engine; another host may send orders only after it. */
 	orderLeaseMs: milliseconds,
+	/** Time for which an entry host may serve requests with keys after a leader has confirmed them; keys are valid without a confirmation if absent. */
+	keyLeaseMs: milliseconds.optional(),
 	/** Time after the signal to stop in which requests are served. */
 	drainMs: milliseconds,
 	/** Time after which the balancer has stopped sending new connections to an unready host. */
--- a/apps/egretrilld/tests/traffic/control-follower.test.ts
+++ b/apps/egretrilld/tests/traffic/control-follower.test.ts
@@ -67,6 +67,10 @@
 		this.hostCounts.push(count);
 	}
 
+	override applyConfirmation(): void {
+		// Leases on keys are tested on their own.
+	}
+
 	override applyPlan(): void {
 		this.plans += 1;
 	}
@@ -75,7 +79,7 @@
 /** Lets an entry host poll the control hosts for some time, then stops it; returns the hosts that it polled. */
 async function poll(peers: FakeControlHosts, clock: ManualClock, {sink, forMs}: {readonly sink: SyncSink; readonly forMs: number}): Promise<readonly string[]> {
 	const follower = new ControlFollower({
-		hostId: 'e1', zone: 'a', clock, random: () => 0.5, logger: createLogger('test', 'fatal'), peers, sink,
+		hostId: 'e1', zone: 'a', clock, getTimeOfDayMs: () => clock.now(), random: () => 0.5, logger: createLogger('test', 'fatal'), peers, sink,
 	});
 	const stopper = new AbortController();
 	const task = follower.run(stopper.signal);
@@ -183,7 +187,7 @@
 		const stopper = new AbortController();
 		setMaxListeners(0, stopper.signal);
 		const tasks = Array.from({length: hostCount}, async (_, i) => new ControlFollower({
-			hostId: `e${i}`, zone: 'a', clock, random, logger: createLogger('test', 'fatal'), peers: leader, sink: new CountingSink(),
+			hostId: `e${i}`, zone: 'a', clock, getTimeOfDayMs: () => clock.now(), random, logger: createLogger('test', 'fatal'), peers: leader, sink: new CountingSink(),
 		}).run(stopper.signal));
 		await clock.run(12_000);
 		stopper.abort();
--- a/apps/egretrilld/tests/traffic/support/sim-control-fleet.ts
+++ b/apps/egretrilld/tests/traffic/support/sim-control-fleet.ts
@@ -7,6 +7,7 @@
 import {Result} from 'true-myth';
 import {ControlGossip} from '../../../src/traffic/control-gossip.js';
 import {departMethod} from '../../../src/traffic/methods.js';
+import {type ConfirmedVersion, TrafficConfirmation} from '../../../src/traffic/traffic-confirmation.js';
 import {DepartureLog} from '../../../src/traffic/departure-log.js';
 import {getServedTargets, hasAppliedLog, RegistrySettling} from '../../../src/traffic/registry-settling.js';
 import {
@@ -70,6 +71,7 @@
 	readonly settling: RegistrySettling;
 	readonly departureLog: DepartureLog;
 	readonly departures: Departures;
+	readonly confirmation: TrafficConfirmation;
 	readonly gossip: ControlGossip;
 	readonly membership: Membership;
 	readonly stopping: AbortController;
@@ -179,6 +181,12 @@
 		return targets.filter(({hasEnded}) => !hasEnded).map(({registration}) => registration.targetId);
 	}
 
+	/** What a host tells an entry host of the configuration: its version, and what the leader has confirmed of it. */
+	getConfirmed(id: string): {readonly version: number; readonly confirmed: ConfirmedVersion | undefined} | undefined {
+		const control = this.controls.get(id);
+		return control && {version: control.process.state.getTraffic()?.version ?? 0, confirmed: control.confirmation.get()};
+	}
+
 	async handle(process: Process, method: {readonly path: string}, req: unknown): Promise<unknown> {
 		const {node} = process;
 		if (method.path === proposeMethod.path) {
@@ -197,9 +205,11 @@
 		const {hostId, zone, registry} = req as {hostId: string; zone: string; registry: {origin: string; revision: number}};
 		control.gossip.recordContact(hostId, zone);
 		const {members, leaderId} = node.status();
+		const confirmedVersion = control.confirmation.getOwnVersion();
 		return {
 			registry: control.registry.getUpdateSince(registry, true),
 			isRegistrySettled: control.settling.isSettled(),
+			...(confirmedVersion !== undefined && {confirmedVersion}),
 			zone: 'z',
 			memberIds: members.map(({id}) => id),
 			...(leaderId !== undefined && (leaderId !== node.status().memberId || node.isLeaderWithLease()) && {leaderId}),
@@ -211,9 +221,12 @@
 		const {cluster, minVoters} = this;
 		const peers = new SimPeers(this, id);
 		const settling = new RegistrySettling(clock, () => hasAppliedLog(node));
+		const confirmation = new TrafficConfirmation({
+			clock, getTimeOfDayMs: () => cluster.clock.now(), node, state,
+		});
 		const registry: TargetRegistry = new TargetRegistry(clock, `${id} from ${cluster.clock.now()}`, undefined, registration => departureLog.hasLeft(registration));
 		const gossip = new ControlGossip({
-			hostId: id, zone: 'z', clock, random: cluster.random, logger, node, peers: peers as unknown as ControlPeers, registry, settling,
+			hostId: id, zone: 'z', clock, random: cluster.random, logger, node, peers: peers as unknown as ControlPeers, registry, settling, confirmation,
 		});
 		const log = new FleetLog({
 			hostId: id, clock, peers, node, getLeaderId: () => node.status().leaderId ?? gossip.leaderHint, getAgeMs: () => 0,
@@ -235,7 +248,7 @@
 			isRemovalRequested: () => state.getDesiredMemberships().get(id) === 'absent',
 		});
 		return {
-			process, log, registry, settling, departureLog, departures, gossip, membership, stopping: new AbortController(), ended: new AbortController(),
+			process, log, registry, settling, confirmation, departureLog, departures, gossip, membership, stopping: new AbortController(), ended: new AbortController(),
 		};
 	}
 
--- a/packages/callers/src/forward/constants.ts
+++ b/packages/callers/src/forward/constants.ts
@@ -67,6 +67,9 @@
 /** Answers that are not streams are buffered up to this size before they are sent to the caller. */
 export const MAX_BUFFERED_ANSWER_BYTES = 1_048_576;
 
+/** Retry time for callers whose key is not confirmed: the host may be in touch again by then, or get no new connections. */
+export const KEY_RETRY_MS = 1000;
+
 /** Retry time for callers whose request finds no room in the memory of the host. */
 export const OVERLOADED_RETRY_MS = 1000;
 
--- a/packages/callers/src/forward/forward-dependencies.ts
+++ b/packages/callers/src/forward/forward-dependencies.ts
@@ -7,6 +7,7 @@
 import type {StopRefusal} from './stop-refusal.js';
 import type {ForwardDialect} from './forward-dialect.js';
 import type {TargetSlot, SlotQueue} from './slot-queue.js';
+import type {KeyLease} from './key-lease.js';
 import type {PlannedStop} from './planned-stop.js';
 import type {RateDecision, RateAllocations} from './rate-allocations.js';
 import type {RouteDurations} from './route-durations.js';
@@ -84,6 +85,8 @@
 	readonly observer: ForwardObserver;
 	readonly getTable: () => RouteTable | undefined;
 	readonly stop: PlannedStop;
+	/** Time for which requests with keys may be served. */
+	readonly keyLease: KeyLease;
 	readonly targetEnds: TargetEnds;
 	/** Evidence on what ends targets, and the decisions that rest on it. */
 	readonly crashes: CrashTracker;
--- a/packages/callers/src/forward/forward-request.ts
+++ b/packages/callers/src/forward/forward-request.ts
@@ -5,6 +5,7 @@
 import {MIN_RETRY_AFTER_MS, NO_TARGET_RETRY_MS, OVERLOADED_RETRY_MS} from './constants.js';
 import type {ForwardEndEvent, ForwardDependencies} from './forward-dependencies.js';
 import type {ForwardContext, ForwardProgress} from './forward-context.js';
+import {refuseUnconfirmedKey} from './refuse-key.js';
 import {refuseBeforeStop, refuseForStop, type StopCheck} from './refuse-before-stop.js';
 import {ChunkTimes} from './chunk-times.js';
 import {forwardToTarget} from './forward-to-target.js';
@@ -177,6 +178,11 @@
 	}
 
 	const known = {route: route.value, customer: customer.value};
+	const unconfirmed = refuseUnconfirmedKey(customer.value, deps);
+	if (unconfirmed) {
+		return {refusal: unconfirmed, ...known};
+	}
+
 	const body = await readAllowedBody(exchange, heldBody, {table, deps, stopCheck: {route: route.value, progress, endsMs: getEndsMs(route.value, call, startedMs)}});
 	if ('status' in body) {
 		return {refusal: body, ...known};
--- a/packages/callers/src/forward/index.ts
+++ b/packages/callers/src/forward/index.ts
@@ -5,6 +5,7 @@
 export * from './forward-dialect.js';
 export * from './growable-buffer.js';
 export * from './held-body.js';
+export * from './key-lease.js';
 export * from './forward-dependencies.js';
 export * from './forward-request.js';
 export * from './backoff-pool-client.js';
--- a/packages/callers/src/forward/slot-search.ts
+++ b/packages/callers/src/forward/slot-search.ts
@@ -1,5 +1,6 @@
 import {refuse, type Verdict} from '@egretrill/common';
 import type {SentRequest} from '../crashes/index.js';
+import {refuseKeyBeforeSend} from './refuse-key.js';
 import {refuseBeforeStop} from './refuse-before-stop.js';
 import {MIN_RETRY_AFTER_MS, MIN_TIME_LEFT_TO_SEND_MS} from './constants.js';
 import type {ForwardContext} from './forward-context.js';
@@ -63,7 +64,7 @@
 	const {deps: {clock, queue, crashGate}, route, endsMs, signal, exchange} = context;
 	const wait = {
 		...getWaitLimits(route, endsMs - clock.now()),
-		getRefusal: () => refuseBeforeStop({...context, hasStarted: exchange.hasStarted()}, 'send') ?? crashGate.getRefusal(listKeys(context)),
+		getRefusal: () => refuseBeforeStop({...context, hasStarted: exchange.hasStarted()}, 'send') ?? refuseKeyBeforeSend(context) ?? crashGate.getRefusal(listKeys(context)),
 	};
 	const acquired = await queue.acquire(getRequirements(context), getPriority(context), wait, signal);
 	return acquired.isOk ? acquired.value : acquired.error;
--- a/packages/callers/tests/forward/support/forward-scenario.ts
+++ b/packages/callers/tests/forward/support/forward-scenario.ts
@@ -1,11 +1,11 @@
 import {
-	ManualClock, MemoryBudget, type TrafficConfig, type TrafficRoute,
+	ManualClock, MemoryBudget, TimeMark, type TrafficConfig, type TrafficRoute,
 } from '@egretrill/common';
 import {
 	CrashGate, CrashTracker, getPartKeys, RetryBudget,
 } from '../../../src/index.js';
 import {
-	type ForwardDependencies, forwardRequest, PlannedStop, RouteDurations, SlotQueue, RetrySchedule, RouteTable, TargetEnds,
+	type ForwardDependencies, forwardRequest, KeyLease, PlannedStop, RouteDurations, SlotQueue, RetrySchedule, RouteTable, TargetEnds,
 } from '../../../src/forward/index.js';
 import {
 	type FakeAnswer, type ThrowingStep, FakeDialect, FakeSender, FakeExchange, FakeSlots, EndRecorder, RecordingRates, RefusingProbe, UnavailablePoolClient,
@@ -13,6 +13,9 @@
 
 export type {FakeAnswer} from './forward-fakes.js';
 
+/** When the queue is looked through while a lease on keys may have ended. */
+const DISPATCH_AFTER_MS = 300;
+
 const route: TrafficRoute = {
 	name: 'r', hostName: 'app.test', pathPrefix: '/', repeat: 'once', isStream: false, isResumable: false, isOpen: true, timeoutMs: 2000, targetLatencyMs: 500, priority: 1, maxAttempts: 2, services: [{service: 's', weight: 1}],
 };
@@ -52,6 +55,10 @@
 	readonly endsUnderPart?: {readonly part: string; readonly count: number};
 	/** A planned stop of the host, counted from the arrival of the request. */
 	readonly stop?: {readonly afterMs: number; readonly durationMs: number};
+	/** Time after the arrival of the request for which keys are valid. */
+	readonly keyLeaseMs?: number;
+	/** Time after which a configuration without any key is in force. */
+	readonly keysWithdrawnAfterMs?: number;
 	/** Durations of earlier requests of the route. */
 	readonly history?: readonly number[];
 };
@@ -127,6 +134,10 @@
 	const clock = new ManualClock();
 	const customers = config.customers?.map(customer => ({...customer, ratePerSecond: opts.ratePerSecond ?? 0, burst: opts.ratePerSecond ?? 0}));
 	const table = new RouteTable({...config, customers, routes: [{...route, ...opts.route}]});
+	const emptied = new RouteTable({
+		...config, version: 2, customers: [], routes: [{...route, ...opts.route}],
+	});
+	const withdrawn = {hasHappened: false};
 	const sender = new FakeSender([...opts.answers ?? []], clock);
 	const observer = new EndRecorder(opts.throwingStep);
 	const exchange = new FakeExchange({method: 'POST', url: '/orders', rawHeaders: opts.headers ?? []}, opts.throwingStep, async () => {
@@ -150,9 +161,11 @@
 		durations.record(route.name, durationMs);
 	}
 
+	const keyLease = new KeyLease(() => opts.keyLeaseMs);
+	keyLease.renew(new TimeMark(clock, () => clock.now()), 0);
 	const crashes = new CrashTracker(clock, 'test');
 	const deps: ForwardDependencies = {
-		clock, memory: new MemoryBudget(clock, Number.POSITIVE_INFINITY), random: () => 0, dialect: new FakeDialect(opts.throwingStep), queue, rates, poolClient: new UnavailablePoolClient(), retrySchedule: new RetrySchedule(clock), sender, observer, getTable: () => opts.isUnconfigured ? undefined : table, stop, durations, crashes, crashGate: new CrashGate(clock, crashes), targetEnds: new TargetEnds({clock, probe: new RefusingProbe(), onEnd: () => undefined}), getRetries: () => retries,
+		clock, memory: new MemoryBudget(clock, Number.POSITIVE_INFINITY), random: () => 0, dialect: new FakeDialect(opts.throwingStep), queue, rates, poolClient: new UnavailablePoolClient(), retrySchedule: new RetrySchedule(clock), sender, observer, getTable: () => opts.isUnconfigured ? undefined : (withdrawn.hasHappened ? emptied : table), stop, keyLease, durations, crashes, crashGate: new CrashGate(clock, crashes), targetEnds: new TargetEnds({clock, probe: new RefusingProbe(), onEnd: () => undefined}), getRetries: () => retries,
 	};
 	for (let i = 0; i < (opts.endsUnderPart?.count ?? 0); i++) {
 		crashes.recordEnd(getPartKeys([opts.endsUnderPart?.part ?? '', 'own']), `t@${i}`);
@@ -165,6 +178,17 @@
 		exchange.disconnected.abort();
 	}
 
+	if (opts.keyLeaseMs !== undefined) {
+		await clock.run(DISPATCH_AFTER_MS);
+		queue.dispatch();
+	}
+
+	if (opts.keysWithdrawnAfterMs !== undefined) {
+		await clock.run(opts.keysWithdrawnAfterMs);
+		withdrawn.hasHappened = true;
+		queue.dispatch();
+	}
+
 	if (opts.stop) {
 		await clock.run(opts.stop.afterMs);
 		stop.begin(opts.stop.durationMs);
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -25,6 +25,7 @@
 export * from './signal.js';
 export * from './socket-address.js';
 export * from './target-client.js';
+export * from './time-mark.js';
 export * from './traffic.js';
 export * from './transfer-coding.js';
 export * from './types.js';
