rates: log whether a refusal over the rate came from the owner, from its last answer or from a lost owner

The charge of a request moves to a module of its own; forward-request.ts shrinks. No decision changes; forward-request and rates tests pass unchanged.

--- a/packages/callers/src/forward/backoff-pool-client.ts
+++ b/packages/callers/src/forward/backoff-pool-client.ts
@@ -15,7 +15,7 @@
 	override async borrow(name: string, cost: number): Promise<RateDecision | undefined> {
 		const known = this.emptyPools.get(name);
 		if (known && this.clock.now() < known.untilMs) {
-			return {isGranted: false, retryAfterMs: known.refilledMs - this.clock.now()};
+			return {isGranted: false, retryAfterMs: known.refilledMs - this.clock.now(), isRepeated: true};
 		}
 
 		const answer = await this.poolClient.borrow(name, cost);
--- a/packages/callers/src/forward/forward-request.ts
+++ b/packages/callers/src/forward/forward-request.ts
@@ -10,8 +10,8 @@
 import {ChunkTimes} from './chunk-times.js';
 import {forwardToTarget} from './forward-to-target.js';
 import {GuardedSender} from './guarded-sender.js';
-import type {RateDecision} from './rate-allocations.js';
 import {listKeys} from './list-keys.js';
+import {spendRate} from './spend-rate.js';
 import {getCost, pickService, type RouteTable} from './route-table.js';
 import {type BodyFailure, HeldBody} from './held-body.js';
 import {acquireSlot} from './slot-search.js';
@@ -201,10 +201,9 @@
 		return {refusal: refuse(503, 'no-service', 'The route leads to no service.', NO_TARGET_RETRY_MS), ...known};
 	}
 
-	const decision = customer.value && await spendRate(customer.value, call, deps);
-	if (decision && !decision.isGranted) {
-		const retryAfterMs = deps.retrySchedule.getRetryAfterMs(customer.value?.name ?? '', Math.max(MIN_RETRY_AFTER_MS, decision.retryAfterMs));
-		return {refusal: refuse(429, 'over-rate', 'The customer has used up its rate.', retryAfterMs), ...known};
+	const overRate = customer.value && await spendRate(customer.value, call, deps);
+	if (overRate) {
+		return {refusal: overRate, ...known};
 	}
 
 	// No copy of a model serves requests over the customer's rate, so they do not count as demand.
@@ -233,18 +232,6 @@
 		: refuse(413, 'body-too-large', `The body is longer than ${maxBytes} bytes.`);
 }
 
-/** Charges a request to its customer's rate: to this host's allocation first, then to the owner's pool. */
-async function spendRate(customer: TrafficCustomer, call: ForwardCall, {rates, poolClient}: ForwardDependencies): Promise<RateDecision> {
-	const cost = getCost(customer, call);
-	const allocated = rates.spend(customer.name, cost);
-	if (allocated.isGranted) {
-		return allocated;
-	}
-
-	const borrowed = await poolClient.borrow(customer.name, cost) ?? rates.overdraw(customer.name, cost);
-	return borrowed.isGranted ? borrowed : {isGranted: false, retryAfterMs: Math.min(allocated.retryAfterMs, borrowed.retryAfterMs)};
-}
-
 /** Runs a request until it is answered, times out, its caller disconnects or this host stops. */
 async function runWithDeadline(admitted: Omit<ForwardContext, 'endsMs' | 'signal'>, startedMs: number): Promise<ForwardOutcome> {
 	const {deps, exchange, call, route} = admitted;
--- a/packages/callers/src/forward/rate-allocations.ts
+++ b/packages/callers/src/forward/rate-allocations.ts
@@ -18,7 +18,12 @@
 };
 
 /** Whether a cost was granted, and otherwise when to retry. */
-export type RateDecision = {readonly isGranted: boolean; readonly retryAfterMs: number};
+export type RateDecision = {
+	readonly isGranted: boolean;
+	readonly retryAfterMs: number;
+	/** Whether the answer repeats an earlier one of the owner. */
+	readonly isRepeated?: boolean;
+};
 
 const NO_ALLOCATION: RateAllocation = {standing: 0, leased: 0, leaseEndsMs: 0};
 const GRANTED: RateDecision = {isGranted: true, retryAfterMs: 0};
