rates: let hosts in touch spend the whole of each limit, at 6 hosts or at 195

Callers got 429 below their customer's limit. Cause: a quarter of each rate stood divided among all hosts, at 195 hosts 0.13 % of it each, less than one request, and the pool had 0.9 of the rate at most; what hosts did not use was lost. Change: a host uses its standing part only 1.8 s after the last answer of the owner that it applied. Until then the owner spends it: it counts from when it gave the answer that the host acknowledges, so its time always ends first. A host of an earlier build, which does not say that it waits, keeps its part as before. All of a rate that is neither leased nor in use at a host is in the pool.

--- a/apps/egretrilld/src/traffic/methods.ts
+++ b/apps/egretrilld/src/traffic/methods.ts
@@ -23,7 +23,9 @@
 	arrivals: z.array(z.tuple([z.string(), z.string(), z.string(), count, z.number()])),
 	/** Waiting requests: service, model, number without a copy, number for which all copies were full. */
 	waiting: z.array(z.tuple([z.string(), z.string(), count, count])),
-	rates: z.object({ackedSerial: count, standing: z.number(), demand: z.array(z.object({name: z.string(), perSecond: z.number(), meanCost: z.number()}))}),
+	rates: z.object({
+		ackedSerial: count, standing: z.number(), defersStanding: z.boolean().optional(), demand: z.array(z.object({name: z.string(), perSecond: z.number(), meanCost: z.number()})),
+	}),
 	/** Targets that have told this host that they leave; hosts of earlier builds report none. */
 	leaving: LeavingTargets.optional(),
 	/** Evidence on what ends targets; hosts of earlier builds report none. */
--- a/packages/callers/src/forward/rate-allocations.ts
+++ b/packages/callers/src/forward/rate-allocations.ts
@@ -1,8 +1,14 @@
-import type {Clock, TrafficCustomer} from '@egretrill/common';
+import type {Clock, Random, TrafficCustomer} from '@egretrill/common';
 import {RATE_DEMAND_TIME_CONSTANT_MS} from './constants.js';
 
 /** The part of a customer's rate that the owner has granted to this host. */
-export type RateAllocation = {readonly standing: number; readonly leased: number; readonly leaseEndsMs: number};
+export type RateAllocation = {
+	readonly standing: number;
+	/** Time from which the standing part may be used. */
+	readonly standingFromMs: number;
+	readonly leased: number;
+	readonly leaseEndsMs: number;
+};
 
 /** The demand for a customer's rate at this host. */
 export type RateDemand = {readonly name: string; readonly perSecond: number; readonly meanCost: number};
@@ -25,7 +31,9 @@
 	readonly isRepeated?: boolean;
 };
 
-const NO_ALLOCATION: RateAllocation = {standing: 0, leased: 0, leaseEndsMs: 0};
+const NO_ALLOCATION: RateAllocation = {
+	standing: 0, standingFromMs: 0, leased: 0, leaseEndsMs: 0,
+};
 const GRANTED: RateDecision = {isGranted: true, retryAfterMs: 0};
 /** Weight of the newest request in the mean cost of a customer's requests. */
 const NEWEST_COST_WEIGHT = 0.1;
@@ -34,7 +42,7 @@
 export class RateAllocations {
 	private readonly accounts = new Map<string, RateAccount>();
 
-	constructor(private readonly clock: Clock) {}
+	constructor(private readonly clock: Clock, private readonly random: Random) {}
 
 	/** Applies the limits of a configuration; tokens already spent stay spent. */
 	setCustomers(customers: readonly TrafficCustomer[]): void {
@@ -117,8 +125,9 @@
 		return perMs > 0 ? (cost - account.level) / perMs : RATE_DEMAND_TIME_CONSTANT_MS;
 	}
 
-	private getRateRatio({allocation}: RateAccount): number {
-		return allocation.standing + (this.clock.now() < allocation.leaseEndsMs ? allocation.leased : 0);
+	private getRateRatio({allocation: {standing, standingFromMs, leased, leaseEndsMs}}: RateAccount): number {
+		const nowMs = this.clock.now();
+		return (nowMs >= standingFromMs ? standing : 0) + (nowMs < leaseEndsMs ? leased : 0);
 	}
 
 	private getBurstLimit(account: RateAccount): number {
@@ -127,11 +136,23 @@
 
 	private accrue(account: RateAccount): void {
 		const nowMs = this.clock.now();
-		const accrued = account.level + (account.customer.ratePerSecond * this.getRateRatio(account) * (nowMs - account.levelMs) / 1000);
-		account.level = Math.min(accrued, this.getBurstLimit(account));
+		const {standing, standingFromMs, leased, leaseEndsMs} = account.allocation;
+		const standingMs = Math.max(0, nowMs - Math.max(account.levelMs, standingFromMs));
+		const leasedMs = Math.max(0, Math.min(nowMs, leaseEndsMs) - account.levelMs);
+		const accrued = account.customer.ratePerSecond * ((standing * standingMs) + (leased * leasedMs)) / 1000;
+		if (account.levelMs < standingFromMs && nowMs >= standingFromMs) {
+			account.level -= this.getFirstDebt(account);
+		}
+
+		account.level = Math.min(account.level + accrued, this.getBurstLimit(account));
 		account.levelMs = nowMs;
 	}
 
+	/** Debt with which a host begins to use a standing part that is smaller than a request. It is random, since all hosts that lose the owner together would spend one request each at once. */
+	private getFirstDebt({customer: {burst}, meanCost, allocation: {standing}}: RateAccount): number {
+		return this.random() * Math.max(0, meanCost - (burst * standing));
+	}
+
 	private recordDemand(account: RateAccount, cost: number): void {
 		this.decayDemand(account);
 		account.demand += cost;
--- a/packages/callers/src/forward/rate-owner.ts
+++ b/packages/callers/src/forward/rate-owner.ts
@@ -2,8 +2,9 @@
 	CLOCK_DRIFT_RATIO, type Clock, KeyedFold, type TrafficCustomer,
 } from '@egretrill/common';
 import {
-	LARGE_CUSTOMER_BURST_REQUESTS, LEASED_RATIO, RATE_HOST_TTL_MS, RATE_LEASE_MS, SMALL_CUSTOMER_POOL_RATIO, STANDING_RATIO,
+	LARGE_CUSTOMER_BURST_REQUESTS, LEASED_RATIO, RATE_HOST_TTL_MS, RATE_LEASE_MS, STANDING_RATIO,
 } from './constants.js';
+import {DeferredParts} from './deferred-parts.js';
 import type {RateDecision, RateDemand} from './rate-allocations.js';
 
 /** A host's request to the owner of all rates. */
@@ -14,13 +15,15 @@
 	readonly ackedSerial: number;
 	/** Standing part that the host holds now. */
 	readonly standing: number;
+	/** Whether the host uses its standing part only some time after the last answer; hosts of earlier builds use it always. */
+	readonly defersStanding?: boolean;
 	readonly demand: readonly RateDemand[];
 };
 
 /** Parts of the customers' rates for one host; the leased ones expire `RATE_LEASE_MS` after the host sent its request. */
 export type RateGrant = {readonly serial: number; readonly standing: number; readonly leased: ReadonlyArray<readonly [name: string, part: number]>; readonly hostCount: number};
 
-type IssuedGrant = {readonly serial: number; readonly standing: number; readonly leased: ReadonlyMap<string, number>; readonly endsMs: number};
+type IssuedGrant = {readonly serial: number; readonly issuedMs: number; readonly standing: number; readonly leased: ReadonlyMap<string, number>; readonly endsMs: number};
 type HostState = {
 	startId: string;
 	lastRequestMs: number;
@@ -56,11 +59,15 @@
 	/** The earliest expiry of the leases that the aggregates count. */
 	private nextLeaseEndMs = Number.POSITIVE_INFINITY;
 	private readonly pools = new Map<string, Pool>();
+	private readonly deferredParts: DeferredParts;
+	/** Part of each rate that hosts may spend from their standing parts now. */
+	private usedStanding = STANDING_RATIO;
 	private readonly startedMs: number;
 
 	/** Leases are granted only to recorded hosts, so that the next owner knows which hosts may hold one. */
 	constructor(private readonly clock: Clock, private readonly getCustomers: () => ReadonlyMap<string, TrafficCustomer>, private readonly getRecordedHosts: () => readonly string[]) {
 		this.startedMs = clock.now();
+		this.deferredParts = new DeferredParts(clock);
 	}
 
 	/** Answers a host's request with the parts that it may spend from now on. */
@@ -73,9 +80,15 @@
 		const serial = (host.issuedGrants.at(-1)?.serial ?? req.ackedSerial) + 1;
 		host.firstSerial ??= serial;
 		host.issuedGrants = [...host.issuedGrants, {
-			serial, standing, leased, endsMs: this.clock.now() + (RATE_LEASE_MS * (1 + CLOCK_DRIFT_RATIO)),
+			serial, issuedMs: this.clock.now(), standing, leased, endsMs: this.clock.now() + (RATE_LEASE_MS * (1 + CLOCK_DRIFT_RATIO)),
 		}];
-		this.standingParts.set(req.hostId, Math.max(0, ...host.issuedGrants.map(grant => grant.standing)));
+		const part = Math.max(0, ...host.issuedGrants.map(grant => grant.standing));
+		this.standingParts.set(req.hostId, part);
+		const applied = host.issuedGrants.find(grant => grant.serial === req.ackedSerial);
+		if (req.defersStanding && applied) {
+			this.deferredParts.record(req.hostId, part, applied.issuedMs);
+		}
+
 		this.aggregateLeases(req.hostId, host);
 		return {
 			serial, standing, leased: [...leased], hostCount,
@@ -89,7 +102,8 @@
 			return {isGranted: true, retryAfterMs: 0};
 		}
 
-		const ratio = this.getPoolRatio(customer, this.countHosts());
+		this.updateUsedStanding();
+		const ratio = this.getPoolRatio(customer);
 		const pool = this.accruePool(customer, ratio);
 		if (pool.level > 0) {
 			pool.level -= cost;
@@ -111,8 +125,29 @@
 		return burst * LEASED_RATIO / hostCount >= meanCost * LARGE_CUSTOMER_BURST_REQUESTS;
 	}
 
-	private getPoolRatio(customer: TrafficCustomer, hostCount: number): number {
-		return this.isLargeCustomer(customer, hostCount) ? 1 - STANDING_RATIO - LEASED_RATIO : SMALL_CUSTOMER_POOL_RATIO;
+	/** All of a rate that no host may spend by itself is in the pool. */
+	private getPoolRatio(customer: TrafficCustomer): number {
+		const reserved = this.isLargeCustomer(customer, this.countHosts()) ? LEASED_RATIO : 0;
+		// Leases of a customer that was large before go on until they end.
+		const leased = this.aggregates.get(customer.name)?.leased.getAll() ?? 0;
+		return Math.max(0, 1 - Math.max(reserved, leased) - this.usedStanding);
+	}
+
+	/** Takes over which standing parts hosts use. The pools accrue before, since the ratios were others until now. */
+	private updateUsedStanding(): void {
+		if (!this.deferredParts.isOutdated()) {
+			return;
+		}
+
+		const used = Math.max(0, STANDING_RATIO - this.deferredParts.getSum());
+		for (const name of used === this.usedStanding ? [] : this.pools.keys()) {
+			const customer = this.getCustomers().get(name);
+			if (customer) {
+				this.accruePool(customer, this.getPoolRatio(customer));
+			}
+		}
+
+		this.usedStanding = used;
 	}
 
 	private accruePool(customer: TrafficCustomer, ratio: number): Pool {
@@ -156,7 +191,7 @@
 			demand: new Map(),
 			issuedGrants: standing > 0
 				? [{
-					serial: ackedSerial, standing, leased: new Map(), endsMs: nowMs,
+					serial: ackedSerial, issuedMs: Number.NEGATIVE_INFINITY, standing, leased: new Map(), endsMs: nowMs,
 				}]
 				: [],
 			leased: earlier?.leased ?? new Map(),
--- a/packages/callers/tests/forward/rates.test.ts
+++ b/packages/callers/tests/forward/rates.test.ts
@@ -1,7 +1,7 @@
-import {ManualClock, type TrafficCustomer} from '@egretrill/common';
+import {createRandom, ManualClock, type TrafficCustomer} from '@egretrill/common';
 import {expect} from 'chai';
 import {
-	RATE_HOST_TTL_MS, RATE_LEASE_MS, RateOwner, RateAllocations,
+	RATE_HOST_TTL_MS, RATE_LEASE_MS, RateOwner, RateAllocations, STANDING_DELAY_MS,
 } from '../../src/forward/index.js';
 
 const SYNC_MS = 200;
@@ -24,12 +24,13 @@
 }
 
 type Host = {
-	readonly id: string; readonly allocations: RateAllocations; serial: number; standing: number; leased: number; isPartitioned: boolean; granted: number;
+	readonly id: string; readonly allocations: RateAllocations; serial: number; standing: number; leased: number; isPartitioned: boolean; asked: number; granted: number;
 };
 
 /** Hosts that divide one customer's rate, each with callers that send requests at a constant rate. */
 class RateFleet {
 	readonly clock = new ManualClock();
+	readonly random = createRandom(7);
 	readonly hosts: readonly Host[];
 	readonly spent: Array<{readonly atMs: number; readonly cost: number}> = [];
 	requestCount = 0;
@@ -37,15 +38,15 @@
 	owner: RateOwner;
 	private readonly limit: TrafficCustomer;
 
-	constructor(count: number, ratePerSecond: number) {
+	constructor(count: number, ratePerSecond: number, private readonly syncMs = SYNC_MS) {
 		this.limit = createCustomer(ratePerSecond);
 		this.owner = this.createOwner();
 		this.recorded = Array.from({length: count}, (_, i) => `h${i}`);
 		this.hosts = Array.from({length: count}, (_, i) => {
-			const allocations = new RateAllocations(this.clock);
+			const allocations = new RateAllocations(this.clock, this.random);
 			allocations.setCustomers([this.limit]);
 			return {
-				id: `h${i}`, allocations, serial: 0, standing: 0, leased: 0, isPartitioned: false, granted: 0,
+				id: `h${i}`, allocations, serial: 0, standing: 0, leased: 0, isPartitioned: false, asked: 0, granted: 0,
 			};
 		});
 	}
@@ -59,7 +60,7 @@
 		for (let elapsedMs = 0; elapsedMs < ms; elapsedMs += 10) {
 			this.clock.advance(10);
 			for (const [i, host] of this.hosts.entries()) {
-				if (!host.isPartitioned && Math.floor(this.clock.now() / SYNC_MS) !== Math.floor((this.clock.now() - 10) / SYNC_MS)) {
+				if (!host.isPartitioned && Math.floor(this.clock.now() / this.syncMs) !== Math.floor((this.clock.now() - 10) / this.syncMs)) {
 					this.sync(host);
 				}
 
@@ -90,19 +91,36 @@
 		return largest / allowed;
 	}
 
+	/** The part of the requests that hosts have granted, of those that match. */
+	getGrantedRatio(matches: (host: Host) => boolean): number {
+		const matching = this.hosts.filter(host => matches(host));
+		return matching.reduce((sum, {granted}) => sum + granted, 0) / Math.max(1, matching.reduce((sum, {asked}) => sum + asked, 0));
+	}
+
+	/** Forgets what was asked and granted, but not what was spent. */
+	restartCounts(): void {
+		for (const host of this.hosts) {
+			host.asked = 0;
+			host.granted = 0;
+		}
+	}
+
 	private sync(host: Host): void {
 		const sentMs = this.clock.now();
 		const grant = this.owner.request({
-			hostId: host.id, startId: 's', ackedSerial: host.serial, standing: host.standing, demand: host.allocations.getDemand(),
+			hostId: host.id, startId: 's', ackedSerial: host.serial, standing: host.standing, defersStanding: true, demand: host.allocations.getDemand(),
 		});
 		host.serial = grant.serial;
 		host.standing = grant.standing;
 		host.leased = new Map(grant.leased).get('c') ?? 0;
-		host.allocations.setAllocation('c', {standing: grant.standing, leased: host.leased, leaseEndsMs: sentMs + RATE_LEASE_MS});
+		host.allocations.setAllocation('c', {
+			standing: grant.standing, standingFromMs: sentMs + STANDING_DELAY_MS, leased: host.leased, leaseEndsMs: sentMs + RATE_LEASE_MS,
+		});
 	}
 
 	private send(host: Host, cost: number): void {
 		this.requestCount += 1;
+		host.asked += 1;
 		const allocated = host.allocations.spend('c', cost);
 		const borrowed = allocated.isGranted || host.isPartitioned ? undefined : this.owner.borrow('c', cost);
 		if (allocated.isGranted || (borrowed ?? host.allocations.overdraw('c', cost)).isGranted) {
@@ -112,6 +130,70 @@
 	}
 }
 
+/** Numbers of hosts, with the time between two polls of each. */
+const SIZES = [[6, 100], [18, 100], [71, 300], [195, 500]] as const;
+const RATE = 60_000;
+const COST = 1000;
+
+/** Demand of all hosts for a customer, as a multiple of its rate. */
+function getPerSecond(hosts: number, demand: number, isSkewed: boolean): (host: Host, index: number) => number {
+	const total = demand * RATE / COST;
+	const busy = Math.ceil(hosts / 10);
+	// With skewed demand a tenth of the hosts get half of the requests.
+	return (_host, i) => isSkewed ? (i < busy ? 0.5 * total / busy : 0.5 * total / (hosts - busy)) : total / hosts;
+}
+
+describe('rates at any number of hosts', () => {
+	for (const [hosts, syncMs] of SIZES) {
+		for (const isSkewed of [false, true]) {
+			// Guards against refusals below the limit because parts of the rate lie at hosts that cannot spend them.
+			it(`grant a customer what it asks for up to its limit: ${hosts} hosts, ${isSkewed ? 'skewed' : 'even'}`, () => {
+				const refused: Record<string, number> = {};
+				for (const demand of [0.7, 0.95]) {
+					const fleet = new RateFleet(hosts, RATE, syncMs);
+					fleet.simulate(4000, COST, () => 0);
+					fleet.simulate(1000, COST, getPerSecond(hosts, demand, isSkewed));
+					fleet.restartCounts();
+					fleet.simulate(12_000, COST, getPerSecond(hosts, demand, isSkewed));
+					refused[String(demand)] = 1 - fleet.getGrantedRatio(() => true);
+				}
+
+				expect(refused).to.deep.equal({0.7: 0, 0.95: 0});
+			});
+
+			// Guards against a customer that gets less than its limit while it asks for more, and against one that gets more.
+			it(`grant a customer its limit that asks for three times as much: ${hosts} hosts, ${isSkewed ? 'skewed' : 'even'}`, () => {
+				const fleet = new RateFleet(hosts, RATE, syncMs);
+				fleet.simulate(4000, COST, () => 0);
+				fleet.simulate(20_000, COST, getPerSecond(hosts, 3, isSkewed));
+				const spentLater = fleet.spent.filter(({atMs}) => atMs > 9000).reduce((sum, {cost}) => sum + cost, 0) / 15;
+				expect(spentLater / RATE).to.be.within(0.97, 1.01);
+				expect(fleet.getLargestWindowRatio()).to.be.at.most(1.01);
+			});
+		}
+
+		// Guards against a zone that gets nothing while it is cut off, and against spending beyond the limit then and when the owner changes.
+		it(`serve most of the usual demand of hosts that are cut off: ${hosts} hosts`, () => {
+			const fleet = new RateFleet(hosts, RATE, syncMs);
+			const usual = getPerSecond(hosts, 0.56, false);
+			fleet.simulate(6000, COST, usual);
+			for (const host of fleet.hosts.slice(0, Math.ceil(hosts / 5))) {
+				host.isPartitioned = true;
+			}
+
+			fleet.restartCounts();
+			fleet.simulate(12_000, COST, usual);
+			const cutOff = fleet.getGrantedRatio(host => host.isPartitioned);
+			const inTouch = fleet.getGrantedRatio(host => !host.isPartitioned);
+			fleet.owner = fleet.createOwner();
+			fleet.simulate(8000, COST, getPerSecond(hosts, 3, false));
+			expect(cutOff).to.be.at.least(0.55);
+			expect(inTouch).to.equal(1);
+			expect(fleet.getLargestWindowRatio()).to.be.at.most(1.01);
+		});
+	}
+});
+
 describe('rates', () => {
 	// Guards against refusals within the rate of a customer whose part at one host is smaller than a single request.
 	it('serves a small customer whose few requests arrive at many hosts', () => {
