rates: serve the first seconds after the loss of an owner, and as many requests in advance as the limit bears

Standing parts begin 1.8 s after the last answer, and a customer without demand so far was allowed no request in advance, so that a host that lost its owner refused everything; and a new owner, whose pool of a large customer gets nothing until hosts acknowledge its answers, named an infinite time to return, which the schema of the answer refuses. Change: the first request since the last answer is granted when the owner does not answer its loan, unless the pool was low; the time to return is 4 s at most; hosts may grant as many requests in advance as the limit bears if all do so at once (one at 195 hosts, up to eight at 6). A pool counts as ample by what it can hold, not by the whole burst. Result (rates.test.ts, no network): with an owner that is late the usual demand is granted whole at 6, 18, 71 and 195 hosts; demand that rises to 7 times the limit keeps within 1 % of it at all four sizes and four usual demands; a first request is served when the owner is lost. Both new cases failed before.

--- a/apps/egretrilld/src/traffic/entry-host.ts
+++ b/apps/egretrilld/src/traffic/entry-host.ts
@@ -218,7 +218,7 @@
 		const standingFromMs = this.opts.clock.now() + STANDING_DELAY_MS;
 		for (const {name} of this.routeTable?.config.customers ?? []) {
 			this.rates.setAllocation(name, {
-				standing: rates.standing, standingFromMs, leased: leased.get(name) ?? 0, leaseEndsMs: sentMs + RATE_LEASE_MS, mayAdvance: rates.short?.includes(name) === false,
+				standing: rates.standing, standingFromMs, leased: leased.get(name) ?? 0, leaseEndsMs: sentMs + RATE_LEASE_MS, advances: rates.short?.includes(name) === false ? rates.advances ?? 0 : 0, isLow: rates.low?.includes(name) !== false,
 			});
 		}
 
--- a/apps/egretrilld/src/traffic/leader-term.ts
+++ b/apps/egretrilld/src/traffic/leader-term.ts
@@ -101,7 +101,9 @@
 		return {
 			others: this.running.getOthers(hostId),
 			expected: this.engines.getReadyTimes().map(({service, model, readyInMs}) => [service, model, Math.round(readyInMs)]),
-			rates: {...grant, leased: grant.leased.map(([name, allocation]) => [name, allocation]), short: [...grant.short]},
+			rates: {
+				...grant, leased: grant.leased.map(([name, allocation]) => [name, allocation]), short: [...grant.short], low: [...grant.low],
+			},
 			...(crashes && {crashes: this.answerCrashes(crashes)}),
 			...(hints.length > 0 && {leaving: hints}),
 		};
--- a/apps/egretrilld/src/traffic/methods.ts
+++ b/apps/egretrilld/src/traffic/methods.ts
@@ -47,6 +47,10 @@
 		serial: count, standing: z.number(), leased: z.array(z.tuple([z.string(), z.number()])), hostCount: count,
 		/** Customers whose requests must not be granted in advance; leaders of earlier builds do not tell. */
 		short: z.array(z.string()).optional(),
+		/** Requests of each other customer that the host may grant before it asks, until its next poll. */
+		advances: count.optional(),
+		/** Customers whose pools hold less than half of what they can. */
+		low: z.array(z.string()).optional(),
 	}),
 	crashes: CrashAnswer.optional(),
 	/** Targets that have told some host that they leave. */
--- a/packages/callers/src/forward/constants.ts
+++ b/packages/callers/src/forward/constants.ts
@@ -82,9 +82,15 @@
 /** A host uses its standing parts only this long after the last answer of the owner, which is longer than the time between two polls of a host in touch. */
 export const STANDING_DELAY_MS = 1800;
 
-/** Hosts may grant requests in advance only while the pool of a customer's rate holds this part of its burst. */
+/** Hosts may grant requests in advance only while the pool of a customer's rate holds this part of what it can. */
 export const AMPLE_POOL_RATIO = 0.5;
 
+/** Most requests of a customer that a host grants in advance between two answers of the owner. */
+export const MAX_ADVANCES = 8;
+
+/** Longest time that the owner names until a pool holds something again; a new owner's pool gets nothing until hosts have acknowledged its answers. */
+export const MAX_POOL_RETRY_MS = 4000;
+
 /** Window in which the spending of all hosts must keep to a limit. */
 export const RATE_WINDOW_MS = 8000;
 
--- a/packages/callers/src/forward/rate-allocations.ts
+++ b/packages/callers/src/forward/rate-allocations.ts
@@ -8,8 +8,10 @@
 	readonly standingFromMs: number;
 	readonly leased: number;
 	readonly leaseEndsMs: number;
-	/** Whether one request may be granted until the owner's next answer before it is asked. */
-	readonly mayAdvance: boolean;
+	/** Requests that may be granted until the owner's next answer before it is asked. */
+	readonly advances: number;
+	/** Whether the owner's pool held less than half of what it can when it last answered. */
+	readonly isLow: boolean;
 };
 
 /** The demand for a customer's rate at this host. */
@@ -23,8 +25,8 @@
 	demandMs: number;
 	meanCost: number;
 	allocation: RateAllocation;
-	/** Whether a request was granted in advance since the owner's last answer. */
-	hasAdvanced: boolean;
+	/** Requests that were granted without an answer of the owner since its last one. */
+	advances: number;
 	/** Cost of requests that were granted in advance and that no answered report has told the owner. */
 	advanced: number;
 	/** The part of that cost in the report under way. */
@@ -40,7 +42,7 @@
 };
 
 const NO_ALLOCATION: RateAllocation = {
-	standing: 0, standingFromMs: 0, leased: 0, leaseEndsMs: 0, mayAdvance: false,
+	standing: 0, standingFromMs: 0, leased: 0, leaseEndsMs: 0, advances: 0, isLow: true,
 };
 const GRANTED: RateDecision = {isGranted: true, retryAfterMs: 0};
 /** Weight of the newest request in the mean cost of a customer's requests. */
@@ -67,7 +69,7 @@
 			this.accounts.set(customer.name, known
 				? {...known, customer}
 				: {
-					customer, level: 0, levelMs: nowMs, demand: 0, demandMs: nowMs, meanCost: 0, allocation: NO_ALLOCATION, hasAdvanced: false, advanced: 0, reported: 0,
+					customer, level: 0, levelMs: nowMs, demand: 0, demandMs: nowMs, meanCost: 0, allocation: NO_ALLOCATION, advances: 0, advanced: 0, reported: 0,
 				});
 		}
 	}
@@ -77,7 +79,7 @@
 		if (account) {
 			this.accrue(account);
 			account.allocation = allocation;
-			account.hasAdvanced = false;
+			account.advances = 0;
 		}
 	}
 
@@ -98,14 +100,14 @@
 		return {isGranted: false, retryAfterMs: this.getWaitMs(account, cost)};
 	}
 
-	/** Grants one request before the owner is asked if its last answer is recent and allows it; the next report tells the owner. */
+	/** Grants a request before the owner is asked if its last answer is recent and allows it; the next report tells the owner. */
 	advance(name: string, cost: number): boolean {
 		const account = this.accounts.get(name);
-		if (!account || account.hasAdvanced || !account.allocation.mayAdvance || this.clock.now() >= account.allocation.standingFromMs) {
+		if (!account || account.advances >= account.allocation.advances || this.clock.now() >= account.allocation.standingFromMs) {
 			return false;
 		}
 
-		account.hasAdvanced = true;
+		account.advances += 1;
 		account.advanced += cost;
 		return true;
 	}
@@ -131,7 +133,10 @@
 		}
 	}
 
-	/** Charges a cost that may exceed this host's allocation; later requests wait until it is made up. For hosts that cannot reach the owner. */
+	/**
+	 * Charges a request whose loan the owner has not answered. The first one is granted if the owner's last answer is recent and its pool was not low, since a busy owner takes
+	 * the loan from the pool when it reads it. Otherwise the cost may exceed this host's allocation, and later requests wait until it is made up.
+	 */
 	overdraw(name: string, cost: number): RateDecision {
 		const account = this.accounts.get(name);
 		if (!account) {
@@ -139,6 +144,11 @@
 		}
 
 		this.accrue(account);
+		if (account.advances === 0 && !account.allocation.isLow && this.clock.now() < account.allocation.standingFromMs) {
+			account.advances += 1;
+			return GRANTED;
+		}
+
 		if (account.level > 0) {
 			account.level -= cost;
 			return GRANTED;
--- a/packages/callers/src/forward/rate-owner.ts
+++ b/packages/callers/src/forward/rate-owner.ts
@@ -2,7 +2,7 @@
 	CLOCK_DRIFT_RATIO, type Clock, KeyedFold, type TrafficCustomer,
 } from '@egretrill/common';
 import {
-	AMPLE_POOL_RATIO, LARGE_CUSTOMER_BURST_REQUESTS, LEASED_RATIO, RATE_HOST_TTL_MS, RATE_LEASE_MS, RATE_WINDOW_MS, STANDING_RATIO,
+	AMPLE_POOL_RATIO, LARGE_CUSTOMER_BURST_REQUESTS, LEASED_RATIO, MAX_ADVANCES, MAX_POOL_RETRY_MS, RATE_HOST_TTL_MS, RATE_LEASE_MS, RATE_WINDOW_MS, STANDING_RATIO,
 } from './constants.js';
 import {DeferredParts} from './deferred-parts.js';
 import type {RateDecision, RateDemand} from './rate-allocations.js';
@@ -23,7 +23,7 @@
 };
 
 /** Parts of the customers' rates for one host; the leased ones expire `RATE_LEASE_MS` after the host sent its request. */
-export type RateGrant = {readonly serial: number; readonly standing: number; readonly leased: ReadonlyArray<readonly [name: string, part: number]>; readonly hostCount: number; /** Customers whose requests must not be granted in advance. */ readonly short: readonly string[]};
+export type RateGrant = {readonly serial: number; readonly standing: number; readonly leased: ReadonlyArray<readonly [name: string, part: number]>; readonly hostCount: number; /** Customers whose requests must not be granted in advance. */ readonly short: readonly string[]; /** Requests of each other customer that a host may grant in advance until its next answer. */ readonly advances: number; /** Customers whose pools hold less than half of what they can. */ readonly low: readonly string[]};
 
 type IssuedGrant = {readonly serial: number; readonly issuedMs: number; readonly standing: number; readonly leased: ReadonlyMap<string, number>; readonly endsMs: number};
 type HostState = {
@@ -94,7 +94,7 @@
 
 		this.aggregateLeases(req.hostId, host);
 		return {
-			serial, standing, leased: [...leased], hostCount, short: this.listShort(),
+			serial, standing, leased: [...leased], hostCount, ...this.divideAdvances(),
 		};
 	}
 
@@ -113,7 +113,7 @@
 			return {isGranted: true, retryAfterMs: 0};
 		}
 
-		return {isGranted: false, retryAfterMs: (1 - pool.level) * 1000 / (customer.ratePerSecond * ratio)};
+		return {isGranted: false, retryAfterMs: Math.min(MAX_POOL_RETRY_MS, (1 - pool.level) * 1000 / (customer.ratePerSecond * ratio))};
 	}
 
 	/** Ids of the hosts that sent a request recently, sorted. */
@@ -122,17 +122,44 @@
 		return [...this.hosts].filter(([, {lastRequestMs}]) => lastRequestMs >= oldestMs).map(([id]) => id).toSorted();
 	}
 
-	/** Lists the customers whose requests must not be granted in advance. */
-	private listShort(): readonly string[] {
-		return [...this.getCustomers().values()].filter(customer => customer.ratePerSecond > 0 && !this.mayAdvance(customer)).map(({name}) => name);
+	/** Decides how many requests hosts may grant before they ask, and for which customers none. */
+	private divideAdvances(): Pick<RateGrant, 'short' | 'low' | 'advances'> {
+		const short: string[] = [];
+		const low: string[] = [];
+		let advances = MAX_ADVANCES;
+		for (const customer of this.getCustomers().values()) {
+			if (customer.ratePerSecond <= 0) {
+				continue;
+			}
+
+			if (!this.hasAmplePool(customer)) {
+				low.push(customer.name);
+				short.push(customer.name);
+				continue;
+			}
+
+			const allowed = this.countAdvances(customer);
+			if (allowed < 1) {
+				short.push(customer.name);
+			} else {
+				advances = Math.min(advances, allowed);
+			}
+		}
+
+		return {short, low, advances};
 	}
 
-	/** Whether each host may grant a request before it asks: even if all do at once, the spending in a window that has begun with the present demand keeps to the limit. */
-	private mayAdvance(customer: TrafficCustomer): boolean {
+	/** Number of requests that each host may grant before it asks: even if all do at once, the spending in a window that has begun with the present demand keeps to the limit. */
+	private countAdvances(customer: TrafficCustomer): number {
 		const {perSecond, meanCost} = this.getAggregates(customer.name);
-		const atOnce = this.countHosts() * meanCost.getAll();
 		const unspent = Math.max(0, customer.ratePerSecond - perSecond.getAll()) * RATE_WINDOW_MS / 1000;
-		return atOnce <= customer.burst + unspent && this.accruePool(customer, this.getPoolRatio(customer)).level >= customer.burst * AMPLE_POOL_RATIO;
+		const oneEach = this.countHosts() * meanCost.getAll();
+		return oneEach === 0 ? 0 : Math.floor((customer.burst + unspent) / oneEach);
+	}
+
+	private hasAmplePool(customer: TrafficCustomer): boolean {
+		const ratio = this.getPoolRatio(customer);
+		return this.accruePool(customer, ratio).level >= customer.burst * ratio * AMPLE_POOL_RATIO;
 	}
 
 	/** Takes costs from the pools that a host has granted in advance. */
--- a/packages/callers/tests/forward/rates.test.ts
+++ b/packages/callers/tests/forward/rates.test.ts
@@ -121,7 +121,7 @@
 		host.standing = grant.standing;
 		host.leased = new Map(grant.leased).get('c') ?? 0;
 		host.allocations.setAllocation('c', {
-			standing: grant.standing, standingFromMs: sentMs + STANDING_DELAY_MS, leased: host.leased, leaseEndsMs: sentMs + RATE_LEASE_MS, mayAdvance: !grant.short.includes('c'),
+			standing: grant.standing, standingFromMs: sentMs + STANDING_DELAY_MS, leased: host.leased, leaseEndsMs: sentMs + RATE_LEASE_MS, advances: grant.short.includes('c') ? 0 : grant.advances, isLow: grant.low.includes('c'),
 		});
 	}
 
@@ -209,18 +209,20 @@
 	const POLL_MS = 500;
 	const OUTAGE_MS = 2500;
 
-	function play(demand: number, how: 'late' | 'lost'): {readonly granted: number; readonly largestWindow: number} {
-		const fleet = new RateFleet(HOSTS, RATE, POLL_MS);
-		fleet.simulate(8000, COST, getPerSecond(HOSTS, 0.56, false));
+	const LARGEST = {hosts: HOSTS, syncMs: POLL_MS};
+
+	function play(demand: number, how: 'late' | 'lost', {hosts, syncMs} = LARGEST): {readonly granted: number; readonly largestWindow: number} {
+		const fleet = new RateFleet(hosts, RATE, syncMs);
+		fleet.simulate(8000, COST, getPerSecond(hosts, 0.56, false));
 		fleet.restartCounts();
 		fleet.isOwnerLate = how === 'late';
 		fleet.isOwnerLost = how === 'lost';
-		fleet.simulate(OUTAGE_MS, COST, getPerSecond(HOSTS, demand, false));
+		fleet.simulate(OUTAGE_MS, COST, getPerSecond(hosts, demand, false));
 		const granted = fleet.getGrantedRatio(() => true);
 		fleet.isOwnerLate = false;
 		fleet.isOwnerLost = false;
 		fleet.owner = how === 'lost' ? fleet.createOwner() : fleet.owner;
-		fleet.simulate(8000, COST, getPerSecond(HOSTS, demand, false));
+		fleet.simulate(8000, COST, getPerSecond(hosts, demand, false));
 		return {granted, largestWindow: fleet.getLargestWindowRatio()};
 	}
 
@@ -235,19 +237,23 @@
 
 	// Guards against hosts that together grant more in advance than a limit allows when all of them get requests at once.
 	it('keeps to the limit when demand rises to a multiple', () => {
-		for (const usual of [0.3, 0.56, 0.7, 0.9]) {
-			const fleet = new RateFleet(HOSTS, RATE, POLL_MS);
-			fleet.simulate(9000, COST, getPerSecond(HOSTS, usual, false));
-			fleet.simulate(9000, COST, getPerSecond(HOSTS, 7, false));
-			expect(fleet.getLargestWindowRatio(), String(usual)).to.be.at.most(1.01);
+		for (const [hosts, syncMs] of SIZES) {
+			for (const usual of [0.3, 0.56, 0.7, 0.9]) {
+				const fleet = new RateFleet(hosts, RATE, syncMs);
+				fleet.simulate(9000, COST, getPerSecond(hosts, usual, false));
+				fleet.simulate(9000, COST, getPerSecond(hosts, 7, false));
+				expect(fleet.getLargestWindowRatio(), `${hosts} hosts, ${usual}`).to.be.at.most(1.01);
+			}
 		}
 	});
 
 	// Guards against refusals of customers far below their limits while a busy owner answers each loan too late.
 	it('grant the usual demand while the owner is late', () => {
-		const {granted, largestWindow} = play(0.56, 'late');
-		expect(granted).to.equal(1);
-		expect(largestWindow).to.be.at.most(1);
+		for (const [hosts, syncMs] of SIZES) {
+			const {granted, largestWindow} = play(0.56, 'late', {hosts, syncMs});
+			expect(granted, String(hosts)).to.equal(1);
+			expect(largestWindow, String(hosts)).to.be.at.most(1);
+		}
 	});
 
 	// Guards against spending far beyond the limit when a customer becomes busy at the moment at which the owner is lost.
@@ -258,6 +264,16 @@
 		}
 	});
 
+	// Guards against a customer without any demand yet that is refused because the owner is lost or has just begun, and against a time to return without end.
+	it('serve a first request when the owner is lost, and name a time to return when it has begun', () => {
+		const fleet = new RateFleet(6, RATE, 100);
+		fleet.simulate(4000, COST, () => 0);
+		fleet.isOwnerLost = true;
+		fleet.simulate(200, COST, () => 5);
+		expect(fleet.getGrantedRatio(() => true)).to.equal(1);
+		expect(fleet.createOwner().borrow('c', COST).retryAfterMs).to.be.at.most(4000);
+	});
+
 	// Guards against a customer that gets nothing for the first seconds without an owner.
 	it('serve a part of the usual demand at once when the owner is lost', () => {
 		const {granted} = play(0.56, 'lost');
--- a/packages/callers/tests/forward/support/forward-scenario.ts
+++ b/packages/callers/tests/forward/support/forward-scenario.ts
@@ -151,7 +151,7 @@
 	rates.setCustomers(customers ?? []);
 	if (opts.hasRate) {
 		rates.setAllocation('c', {
-			standing: 1, standingFromMs: 0, leased: 0, leaseEndsMs: 0, mayAdvance: false,
+			standing: 1, standingFromMs: 0, leased: 0, leaseEndsMs: 0, advances: 0, isLow: true,
 		});
 		await clock.run(2000);
 	}
