rates: decide in a function of its own how many requests hosts may grant in advance

Read as a newcomer: the decision stood among the bookkeeping of the owner, and the grant's type on one line with comments inside. countAdvances takes plain data; the queue's forecast gets a verb as its name.

--- a/packages/callers/src/forward/rate-owner.ts
+++ b/packages/callers/src/forward/rate-owner.ts
@@ -2,8 +2,9 @@
 	CLOCK_DRIFT_RATIO, type Clock, KeyedFold, type TrafficCustomer,
 } from '@egretrill/common';
 import {
-	AMPLE_POOL_RATIO, LARGE_CUSTOMER_BURST_REQUESTS, LEASED_RATIO, MAX_ADVANCES, MAX_POOL_RETRY_MS, RATE_HOST_TTL_MS, RATE_LEASE_MS, RATE_WINDOW_MS, STANDING_RATIO,
+	AMPLE_POOL_RATIO, LARGE_CUSTOMER_BURST_REQUESTS, LEASED_RATIO, MAX_ADVANCES, MAX_POOL_RETRY_MS, RATE_HOST_TTL_MS, RATE_LEASE_MS, STANDING_RATIO,
 } from './constants.js';
+import {countAdvances} from './count-advances.js';
 import {DeferredParts} from './deferred-parts.js';
 import type {RateDecision, RateDemand} from './rate-allocations.js';
 
@@ -23,7 +24,18 @@
 };
 
 /** Parts of the customers' rates for one host; the leased ones expire `RATE_LEASE_MS` after the host sent its request. */
-export type RateGrant = {readonly serial: number; readonly standing: number; readonly leased: ReadonlyArray<readonly [name: string, part: number]>; readonly hostCount: number; /** Customers whose requests must not be granted in advance. */ readonly short: readonly string[]; /** Requests of each other customer that a host may grant in advance until its next answer. */ readonly advances: number; /** Customers whose pools hold less than half of what they can. */ readonly low: readonly string[]};
+export type RateGrant = {
+	readonly serial: number;
+	readonly standing: number;
+	readonly leased: ReadonlyArray<readonly [name: string, part: number]>;
+	readonly hostCount: number;
+	/** Customers whose pools hold less than half of what they can. */
+	readonly low: readonly string[];
+	/** Customers whose requests must not be granted in advance; includes those whose pools are low. */
+	readonly short: readonly string[];
+	/** Requests of each other customer that a host may grant in advance until its next answer. */
+	readonly advances: number;
+};
 
 type IssuedGrant = {readonly serial: number; readonly issuedMs: number; readonly standing: number; readonly leased: ReadonlyMap<string, number>; readonly endsMs: number};
 type HostState = {
@@ -149,12 +161,11 @@
 		return {short, low, advances};
 	}
 
-	/** Number of requests that each host may grant before it asks: even if all do at once, the spending in a window that has begun with the present demand keeps to the limit. */
-	private countAdvances(customer: TrafficCustomer): number {
-		const {perSecond, meanCost} = this.getAggregates(customer.name);
-		const unspent = Math.max(0, customer.ratePerSecond - perSecond.getAll()) * RATE_WINDOW_MS / 1000;
-		const oneEach = this.countHosts() * meanCost.getAll();
-		return oneEach === 0 ? 0 : Math.floor((customer.burst + unspent) / oneEach);
+	private countAdvances({name, ratePerSecond, burst}: TrafficCustomer): number {
+		const {perSecond, meanCost} = this.getAggregates(name);
+		return countAdvances({
+			ratePerSecond, burst, demandPerSecond: perSecond.getAll(), meanCost: meanCost.getAll(), hostCount: this.countHosts(),
+		});
 	}
 
 	private hasAmplePool(customer: TrafficCustomer): boolean {
--- a/packages/callers/src/forward/slot-queue.ts
+++ b/packages/callers/src/forward/slot-queue.ts
@@ -246,7 +246,7 @@
 	/** Refuses a waiting request if its slot is expected too late. */
 	private refuseIfTooLate(waiter: Waiter, ahead: number): WaitDecision {
 		const {requirements, modelKey, limits, lastReason, startedMs, settle} = waiter;
-		const forecastMs = this.forecastMs(waiter, ahead);
+		const forecastMs = this.getForecastMs(waiter, ahead);
 		const decision = decideWait({reason: lastReason, waitedMs: this.clock.now() - startedMs, forecastMs}, limits);
 		if (decision.kind === 'refuse') {
 			const intervalMs = this.slotRate.getWaitMs(modelKey, 0);
@@ -259,7 +259,7 @@
 	}
 
 	/** Expected time until a waiting request gets a slot; undefined if unknown. */
-	private forecastMs({requirements, modelKey, lastReason}: Waiter, ahead: number): number | undefined {
+	private getForecastMs({requirements, modelKey, lastReason}: Waiter, ahead: number): number | undefined {
 		switch (lastReason) {
 			case 'full': {
 				return this.slotRate.getWaitMs(modelKey, ahead);
