rates: take back this sitting's division of the rates, which served callers worse when played

Change: the owner, the hosts' allocations and the messages between them are those of again; the reason of a refusal stays in the log.

--- a/apps/egretrilld/src/traffic/entry-host.ts
+++ b/apps/egretrilld/src/traffic/entry-host.ts
@@ -4,7 +4,7 @@
 	type Clock, createHttpServer, jitter, type Logger, type LoopWatch, MemoryBudget, type Random, setReadTimeouts, type TimeMark, type TrafficSource,
 } from '@egretrill/common';
 import {
-	BackoffPoolClient, type ForwardDependencies, type ForwardDialect, forwardRequest, KeyLease, PlannedStop, RATE_LEASE_MS, RateAllocations, RetryBudget, RetrySchedule, RouteDurations, RouteTable, SlotQueue, STANDING_DELAY_MS,
+	BackoffPoolClient, type ForwardDependencies, type ForwardDialect, forwardRequest, KeyLease, PlannedStop, RATE_LEASE_MS, RateAllocations, RetryBudget, RetrySchedule, RouteDurations, RouteTable, SlotQueue,
 } from '@egretrill/callers';
 import {Drain, type Metrics, type UnreadyReason} from '@egretrill/balancer';
 import {TargetTable} from '@egretrill/engines';
@@ -73,7 +73,7 @@
 		this.memoryMetrics = new MemoryMetrics(this.memory, metrics);
 		this.plannedStop = new PlannedStop(clock);
 		this.drain = new Drain({clock, deadlineMs: settings.bounds.drainMs, balancerWaitMs: settings.bounds.balancerWaitMs});
-		this.rates = new RateAllocations(clock, opts.random);
+		this.rates = new RateAllocations(clock);
 		this.targets = new TargetTable({
 			clock,
 			random: opts.random,
@@ -156,9 +156,7 @@
 			adapters: this.targets.getAdapterUses().map(([id, model, adapter, count]) => [id, model, adapter, count]),
 			arrivals: this.observer.collectArrivals(),
 			waiting: this.queue.getWaitingByModel().map(({service, model = '', waiting, crowded}) => [service, model, waiting, crowded]),
-			rates: {
-				...this.rateState, defersStanding: true, advanced: this.rates.reportAdvanced(), demand: [...this.rates.getDemand()],
-			},
+			rates: {...this.rateState, demand: [...this.rates.getDemand()]},
 			crashes: this.crashes.exchange.createReport(),
 			leaving: this.targets.getLeaving().slice(-MAX_LEAVING_TARGETS),
 		};
@@ -213,13 +211,9 @@
 		this.targets.setOtherHostsRequests(others);
 		this.hostCount = Math.max(1, rates.hostCount);
 		this.rateState = {ackedSerial: rates.serial, standing: rates.standing};
-		this.rates.confirmAdvanced();
 		const leased = new Map(rates.leased);
-		const standingFromMs = this.opts.clock.now() + STANDING_DELAY_MS;
 		for (const {name} of this.routeTable?.config.customers ?? []) {
-			this.rates.setAllocation(name, {
-				standing: rates.standing, standingFromMs, leased: leased.get(name) ?? 0, leaseEndsMs: sentMs + RATE_LEASE_MS, advances: rates.short?.includes(name) === false ? rates.advances ?? 0 : 0, isLow: rates.low?.includes(name) !== false,
-			});
+			this.rates.setAllocation(name, {standing: rates.standing, leased: leased.get(name) ?? 0, leaseEndsMs: sentMs + RATE_LEASE_MS});
 		}
 
 		this.applyRetryLimits();
--- a/apps/egretrilld/src/traffic/leader-term.ts
+++ b/apps/egretrilld/src/traffic/leader-term.ts
@@ -101,9 +101,7 @@
 		return {
 			others: this.running.getOthers(hostId),
 			expected: this.engines.getReadyTimes().map(({service, model, readyInMs}) => [service, model, Math.round(readyInMs)]),
-			rates: {
-				...grant, leased: grant.leased.map(([name, allocation]) => [name, allocation]), short: [...grant.short], low: [...grant.low],
-			},
+			rates: {...grant, leased: grant.leased.map(([name, allocation]) => [name, allocation])},
 			...(crashes && {crashes: this.answerCrashes(crashes)}),
 			...(hints.length > 0 && {leaving: hints}),
 		};
--- a/apps/egretrilld/src/traffic/methods.ts
+++ b/apps/egretrilld/src/traffic/methods.ts
@@ -23,9 +23,7 @@
 	arrivals: z.array(z.tuple([z.string(), z.string(), z.string(), count, z.number()])),
 	/** Waiting requests: service, model, number without a copy, number for which all copies were full. */
 	waiting: z.array(z.tuple([z.string(), z.string(), count, count])),
-	rates: z.object({
-		ackedSerial: count, standing: z.number(), defersStanding: z.boolean().optional(), advanced: z.array(z.tuple([z.string(), z.number().nonnegative()])).optional(), demand: z.array(z.object({name: z.string(), perSecond: z.number(), meanCost: z.number()})),
-	}),
+	rates: z.object({ackedSerial: count, standing: z.number(), demand: z.array(z.object({name: z.string(), perSecond: z.number(), meanCost: z.number()}))}),
 	/** Targets that have told this host that they leave; hosts of earlier builds report none. */
 	leaving: LeavingTargets.optional(),
 	/** Evidence on what ends targets; hosts of earlier builds report none. */
@@ -45,12 +43,6 @@
 	expected: z.array(z.tuple([z.string(), z.string(), z.number()])),
 	rates: z.object({
 		serial: count, standing: z.number(), leased: z.array(z.tuple([z.string(), z.number()])), hostCount: count,
-		/** Customers whose requests must not be granted in advance; leaders of earlier builds do not tell. */
-		short: z.array(z.string()).optional(),
-		/** Requests of each other customer that the host may grant before it asks, until its next poll. */
-		advances: count.optional(),
-		/** Customers whose pools hold less than half of what they can. */
-		low: z.array(z.string()).optional(),
 	}),
 	crashes: CrashAnswer.optional(),
 	/** Targets that have told some host that they leave. */
--- a/packages/callers/src/forward/constants.ts
+++ b/packages/callers/src/forward/constants.ts
@@ -76,30 +76,15 @@
 /** Maximum size of a stream event; only complete events are relayed, and an incomplete one is buffered in memory. */
 export const MAX_EVENT_BYTES = 1_048_576;
 
-/** Fraction of a customer's rate that hosts hold without a lease, so that they can serve while the owner is unreachable. The owner spends it while they reach it. */
-export const STANDING_RATIO = 0.5;
+/** Fraction of a customer's rate that hosts hold without a lease, so that they can serve while the owner is unreachable. */
+export const STANDING_RATIO = 0.25;
 
-/** A host uses its standing parts only this long after the last answer of the owner, which is longer than the time between two polls of a host in touch. */
-export const STANDING_DELAY_MS = 1800;
-
-/** Hosts may grant requests in advance only while the pool of a customer's rate holds this part of what it can. */
-export const AMPLE_POOL_RATIO = 0.5;
-
-/** Most requests of a customer that a host grants in advance between two answers of the owner. */
-export const MAX_ADVANCES = 8;
-
-/** Longest time that the owner names until a pool holds something again; a new owner's pool gets nothing until hosts have acknowledged its answers. */
-export const MAX_POOL_RETRY_MS = 4000;
-
-/** Window in which the spending of all hosts must keep to a limit. */
-export const RATE_WINDOW_MS = 8000;
-
-/** Interval at which the owner adds up the standing parts that hosts do not use. */
-export const DEFERRED_PARTS_CACHE_MS = 100;
-
-/** Fraction of a large customer's rate that is leased to hosts by demand; the rest is a pool for single requests. */
+/** Fraction of a large customer's rate that is leased to hosts by demand; the rest, after the standing parts, is a pool for single requests. */
 export const LEASED_RATIO = 0.5;
 
+/** Fraction of a small customer's rate in the pool. Its standing parts are smaller than a request and serve only hosts that cannot reach the owner, up to the tolerated excess. */
+export const SMALL_CUSTOMER_POOL_RATIO = 0.9;
+
 /** A customer is large when the leased part of one host covers a burst of this many of its requests. */
 export const LARGE_CUSTOMER_BURST_REQUESTS = 3;
 
--- a/packages/callers/src/forward/rate-owner.ts
+++ b/packages/callers/src/forward/rate-owner.ts
@@ -2,10 +2,8 @@
 	CLOCK_DRIFT_RATIO, type Clock, KeyedFold, type TrafficCustomer,
 } from '@egretrill/common';
 import {
-	AMPLE_POOL_RATIO, LARGE_CUSTOMER_BURST_REQUESTS, LEASED_RATIO, MAX_ADVANCES, MAX_POOL_RETRY_MS, RATE_HOST_TTL_MS, RATE_LEASE_MS, STANDING_RATIO,
+	LARGE_CUSTOMER_BURST_REQUESTS, LEASED_RATIO, RATE_HOST_TTL_MS, RATE_LEASE_MS, SMALL_CUSTOMER_POOL_RATIO, STANDING_RATIO,
 } from './constants.js';
-import {countAdvances} from './count-advances.js';
-import {DeferredParts} from './deferred-parts.js';
 import type {RateDecision, RateDemand} from './rate-allocations.js';
 
 /** A host's request to the owner of all rates. */
@@ -16,28 +14,13 @@
 	readonly ackedSerial: number;
 	/** Standing part that the host holds now. */
 	readonly standing: number;
-	/** Whether the host uses its standing part only some time after the last answer; hosts of earlier builds use it always. */
-	readonly defersStanding?: boolean;
 	readonly demand: readonly RateDemand[];
-	/** Costs that the host has granted in advance since its last report. */
-	readonly advanced?: ReadonlyArray<readonly [name: string, cost: number]>;
 };
 
 /** Parts of the customers' rates for one host; the leased ones expire `RATE_LEASE_MS` after the host sent its request. */
-export type RateGrant = {
-	readonly serial: number;
-	readonly standing: number;
-	readonly leased: ReadonlyArray<readonly [name: string, part: number]>;
-	readonly hostCount: number;
-	/** Customers whose pools hold less than half of what they can. */
-	readonly low: readonly string[];
-	/** Customers whose requests must not be granted in advance; includes those whose pools are low. */
-	readonly short: readonly string[];
-	/** Requests of each other customer that a host may grant in advance until its next answer. */
-	readonly advances: number;
-};
+export type RateGrant = {readonly serial: number; readonly standing: number; readonly leased: ReadonlyArray<readonly [name: string, part: number]>; readonly hostCount: number};
 
-type IssuedGrant = {readonly serial: number; readonly issuedMs: number; readonly standing: number; readonly leased: ReadonlyMap<string, number>; readonly endsMs: number};
+type IssuedGrant = {readonly serial: number; readonly standing: number; readonly leased: ReadonlyMap<string, number>; readonly endsMs: number};
 type HostState = {
 	startId: string;
 	lastRequestMs: number;
@@ -73,21 +56,16 @@
 	/** The earliest expiry of the leases that the aggregates count. */
 	private nextLeaseEndMs = Number.POSITIVE_INFINITY;
 	private readonly pools = new Map<string, Pool>();
-	private readonly deferredParts: DeferredParts;
-	/** Part of each rate that hosts may spend from their standing parts now. */
-	private usedStanding = STANDING_RATIO;
 	private readonly startedMs: number;
 
 	/** Leases are granted only to recorded hosts, so that the next owner knows which hosts may hold one. */
 	constructor(private readonly clock: Clock, private readonly getCustomers: () => ReadonlyMap<string, TrafficCustomer>, private readonly getRecordedHosts: () => readonly string[]) {
 		this.startedMs = clock.now();
-		this.deferredParts = new DeferredParts(clock);
 	}
 
 	/** Answers a host's request with the parts that it may spend from now on. */
 	request(req: RateRequest): RateGrant {
 		const host = this.updateHost(req);
-		this.takeAdvanced(req.advanced ?? []);
 		this.removeEndedLeases();
 		const hostCount = this.countHosts();
 		const standing = Math.max(0, Math.min(STANDING_RATIO / hostCount, STANDING_RATIO - this.standingParts.getOthers(req.hostId)));
@@ -95,18 +73,12 @@
 		const serial = (host.issuedGrants.at(-1)?.serial ?? req.ackedSerial) + 1;
 		host.firstSerial ??= serial;
 		host.issuedGrants = [...host.issuedGrants, {
-			serial, issuedMs: this.clock.now(), standing, leased, endsMs: this.clock.now() + (RATE_LEASE_MS * (1 + CLOCK_DRIFT_RATIO)),
+			serial, standing, leased, endsMs: this.clock.now() + (RATE_LEASE_MS * (1 + CLOCK_DRIFT_RATIO)),
 		}];
-		const part = Math.max(0, ...host.issuedGrants.map(grant => grant.standing));
-		this.standingParts.set(req.hostId, part);
-		const applied = host.issuedGrants.find(grant => grant.serial === req.ackedSerial);
-		if (req.defersStanding && applied) {
-			this.deferredParts.record(req.hostId, part, applied.issuedMs);
-		}
-
+		this.standingParts.set(req.hostId, Math.max(0, ...host.issuedGrants.map(grant => grant.standing)));
 		this.aggregateLeases(req.hostId, host);
 		return {
-			serial, standing, leased: [...leased], hostCount, ...this.divideAdvances(),
+			serial, standing, leased: [...leased], hostCount,
 		};
 	}
 
@@ -117,15 +89,14 @@
 			return {isGranted: true, retryAfterMs: 0};
 		}
 
-		this.updateUsedStanding();
-		const ratio = this.getPoolRatio(customer);
+		const ratio = this.getPoolRatio(customer, this.countHosts());
 		const pool = this.accruePool(customer, ratio);
 		if (pool.level > 0) {
 			pool.level -= cost;
 			return {isGranted: true, retryAfterMs: 0};
 		}
 
-		return {isGranted: false, retryAfterMs: Math.min(MAX_POOL_RETRY_MS, (1 - pool.level) * 1000 / (customer.ratePerSecond * ratio))};
+		return {isGranted: false, retryAfterMs: (1 - pool.level) * 1000 / (customer.ratePerSecond * ratio)};
 	}
 
 	/** Ids of the hosts that sent a request recently, sorted. */
@@ -134,85 +105,14 @@
 		return [...this.hosts].filter(([, {lastRequestMs}]) => lastRequestMs >= oldestMs).map(([id]) => id).toSorted();
 	}
 
-	/** Decides how many requests hosts may grant before they ask, and for which customers none. */
-	private divideAdvances(): Pick<RateGrant, 'short' | 'low' | 'advances'> {
-		const short: string[] = [];
-		const low: string[] = [];
-		let advances = MAX_ADVANCES;
-		for (const customer of this.getCustomers().values()) {
-			if (customer.ratePerSecond <= 0) {
-				continue;
-			}
-
-			if (!this.hasAmplePool(customer)) {
-				low.push(customer.name);
-				short.push(customer.name);
-				continue;
-			}
-
-			const allowed = this.countAdvances(customer);
-			if (allowed < 1) {
-				short.push(customer.name);
-			} else {
-				advances = Math.min(advances, allowed);
-			}
-		}
-
-		return {short, low, advances};
-	}
-
-	private countAdvances({name, ratePerSecond, burst}: TrafficCustomer): number {
-		const {perSecond, meanCost} = this.getAggregates(name);
-		return countAdvances({
-			ratePerSecond, burst, demandPerSecond: perSecond.getAll(), meanCost: meanCost.getAll(), hostCount: this.countHosts(),
-		});
-	}
-
-	private hasAmplePool(customer: TrafficCustomer): boolean {
-		const ratio = this.getPoolRatio(customer);
-		return this.accruePool(customer, ratio).level >= customer.burst * ratio * AMPLE_POOL_RATIO;
-	}
-
-	/** Takes costs from the pools that a host has granted in advance. */
-	private takeAdvanced(advanced: ReadonlyArray<readonly [name: string, cost: number]>): void {
-		this.updateUsedStanding();
-		for (const [name, cost] of advanced) {
-			const customer = this.getCustomers().get(name);
-			if (customer && customer.ratePerSecond > 0) {
-				this.accruePool(customer, this.getPoolRatio(customer)).level -= cost;
-			}
-		}
-	}
-
 	/** If a customer's burst is small, its leased parts would be smaller than a single request, so its rate stays in the pool. */
 	private isLargeCustomer({name, burst}: TrafficCustomer, hostCount: number): boolean {
 		const meanCost = this.aggregates.get(name)?.meanCost.getAll() ?? 0;
 		return burst * LEASED_RATIO / hostCount >= meanCost * LARGE_CUSTOMER_BURST_REQUESTS;
 	}
 
-	/** All of a rate that no host may spend by itself is in the pool. */
-	private getPoolRatio(customer: TrafficCustomer): number {
-		const reserved = this.isLargeCustomer(customer, this.countHosts()) ? LEASED_RATIO : 0;
-		// Leases of a customer that was large before go on until they end.
-		const leased = this.aggregates.get(customer.name)?.leased.getAll() ?? 0;
-		return Math.max(0, 1 - Math.max(reserved, leased) - this.usedStanding);
-	}
-
-	/** Takes over which standing parts hosts use. The pools accrue before, since the ratios were others until now. */
-	private updateUsedStanding(): void {
-		if (!this.deferredParts.isOutdated()) {
-			return;
-		}
-
-		const used = Math.max(0, STANDING_RATIO - this.deferredParts.getSum());
-		for (const name of used === this.usedStanding ? [] : this.pools.keys()) {
-			const customer = this.getCustomers().get(name);
-			if (customer) {
-				this.accruePool(customer, this.getPoolRatio(customer));
-			}
-		}
-
-		this.usedStanding = used;
+	private getPoolRatio(customer: TrafficCustomer, hostCount: number): number {
+		return this.isLargeCustomer(customer, hostCount) ? 1 - STANDING_RATIO - LEASED_RATIO : SMALL_CUSTOMER_POOL_RATIO;
 	}
 
 	private accruePool(customer: TrafficCustomer, ratio: number): Pool {
@@ -256,7 +156,7 @@
 			demand: new Map(),
 			issuedGrants: standing > 0
 				? [{
-					serial: ackedSerial, issuedMs: Number.NEGATIVE_INFINITY, standing, leased: new Map(), endsMs: nowMs,
+					serial: ackedSerial, standing, leased: new Map(), endsMs: nowMs,
 				}]
 				: [],
 			leased: earlier?.leased ?? new Map(),
--- a/packages/callers/src/forward/spend-rate.ts
+++ b/packages/callers/src/forward/spend-rate.ts
@@ -17,7 +17,7 @@
 		: 'The customer has used up its rate.';
 }
 
-/** Charges a request to its customer's rate: to this host's allocation first, then in advance to the owner's pool, or after asking the owner. Returns a refusal if none grants it. */
+/** Charges a request to its customer's rate: to this host's allocation first, then to the owner's pool. Returns a refusal if neither grants it. */
 export async function spendRate(customer: TrafficCustomer, call: ForwardCall, {rates, poolClient, retrySchedule}: RateDependencies): Promise<Verdict | undefined> {
 	const {name} = customer;
 	const cost = getCost(customer, call);
@@ -26,10 +26,6 @@
 		return undefined;
 	}
 
-	if (rates.advance(name, cost)) {
-		return undefined;
-	}
-
 	const borrowed = await poolClient.borrow(name, cost);
 	const decision = borrowed ?? rates.overdraw(name, cost);
 	if (decision.isGranted) {
