--- a/review/3/main.mjs
+++ b/review/3/main.mjs
@@ -8,59 +8,40 @@
 import {bounds, exchange, Fleet} from '../stand-ins/fleet.mjs';
 import {runCase} from '../stand-ins/record.mjs';
 
-const ENTRY_HOSTS = 8;
-const ENGINES = 8;
-const WAVES = 6;
-/** The first wave is a batch of two requests at each machine. */
-const FIRST_REQUESTS_PER_HOST = 2;
-const WAVE_INTERVAL_MS = 4500;
-const DOWN_MS = 2000;
-const READ_MS = 30;
-const HARMFUL_PART = 'bad0cafe';
-const SHARED_PART = '5c1e07a2';
-/** More requests than this break the rule. */
-const MAX_LATER_REQUESTS = 3;
+const EVENT_INTERVAL_MS = 25;
+const TOKENS_PER_EVENT = 5;
+const SHORT_TOKENS = 50;
+const LONG_TOKENS = 1000;
+const CHANNELS = 10;
+const REQUESTS_PER_CHANNEL = 10;
+/** Channels on which one of the requests before the stop is a long one: 4 of 100 requests are. */
+const LONG_CHANNELS = 4;
+const TIME_LIMIT_MS = 12_000;
+/** When the long requests are sent, counted from the SIGTERM: later than the 3 s that the rule excuses. */
+const SEND_TIMES_MS = [3300, 3600, 3900];
+const EXCUSED_MS = 3000;
 
-const config = createConfig({});
+const config = createConfig({'max-attempts': 2, resumable: true});
 
-const fleet = new Fleet({controls: 3, entries: ENTRY_HOSTS});
-
-function createId() {
-	return randomBytes(8).toString('hex');
-}
-
-/** Whether a part that is not the last one of the prompt is the harmful one. */
-function isHarmful({headers}) {
-	return String(headers['x-prompt-prefix'] ?? '').split(',').slice(0, -1).some(part => part.startsWith(`${HARMFUL_PART}:`));
-}
+const fleet = new Fleet({controls: 3, entries: 3});
 
 async function play(record, hasTrouble) {
-	const crashesMs = [];
-	const harmfulMs = [];
-	let lostSound = 0;
 	const run = async (req, res, body, engine) => {
-		if (isHarmful(req)) {
-			const nowMs = performance.now();
-			harmfulMs.push(nowMs);
-			record.add(`engine ${engine.id} runs ${req.headers['x-attempt-id']} with the harmful part`);
-			// The engine reads the prompt before it begins the answer.
-			await delay(READ_MS);
-			if (hasTrouble && engine.isUp) {
-				crashesMs.push(performance.now());
-				record.add(`engine ${engine.id} crashes, the crash number ${crashesMs.length}`);
-				engine.crash(DOWN_MS);
-				return;
-			}
-		}
-
-		await streamEvents(req, res, engine, {count: 40, intervalMs: 25});
+		const id = req.headers['x-attempt-id'];
+		const tokensOut = Number(req.headers['x-token-count'].split(',')[1]);
+		const startMs = performance.now();
+		record.add(`engine ${engine.id} runs ${id} from event ${req.headers['last-event-id'] ?? 0}`);
+		res.once('close', () => {
+			record.add(`engine ${engine.id} ${res.writableFinished ? 'has completed' : 'saw its channel close during'} ${id} after ${Math.round(performance.now() - startMs)} ms`);
+		});
+		await streamEvents(req, res, engine, {count: tokensOut / TOKENS_PER_EVENT, intervalMs: EVENT_INTERVAL_MS});
 	};
 
 	await fleet.start();
 	const controls = fleet.controls.map((_, i) => fleet.getControl(i));
-	for (let i = 0; i < ENGINES; i++) {
+	for (let i = 0; i < 3; i++) {
 		const engine = new Engine({
-			service: 'llm', zone: ['rabat-a', 'kenitra-b', 'tanger-c'][i % 3], controls, run, models: [{name: 'm1', version: 1, adapters: []}],
+			service: 'llm', zone: ['rabat-a', 'kenitra-b', 'tanger-c'][i], controls, run, models: [{name: 'm1', version: 1, adapters: []}],
 		});
 		fleet.engines.push(engine);
 		await engine.start();
@@ -70,54 +51,55 @@
 	await fleet.waitUntilReady();
 	await delay(4000);
 
-	const agents = Array.from({length: ENTRY_HOSTS}, () => new Agent({keepAlive: true}));
-	const send = async (index, parts, tokensIn) => {
-		const id = createId();
+	const send = async (agent, tokensOut) => {
+		const id = randomBytes(8).toString('hex');
+		const sentMs = performance.now();
+		record.add(`a consumer sends ${id} with ${tokensOut} tokens at the most`);
 		const answer = await exchange({
-			address: fleet.getFront(index), url: '/drafts/2f', body: `draft ${id}`, agent: agents[index], timeoutMs: 12_000, headers: {
+			address: fleet.getFront(0), url: '/drafts/2f', body: `draft ${id}`, agent, timeoutMs: TIME_LIMIT_MS, headers: {
 				host: 'app.example',
 				'x-attempt-id': id,
-				'x-deadline-ms': '12000',
+				'x-deadline-ms': String(TIME_LIMIT_MS),
 				authorization: 'Token k1',
 				'x-model': 'm1',
-				'x-token-count': `${tokensIn},200`,
-				'x-prompt-prefix': [...parts, `${createId().slice(0, 8)}:243`].join(','),
+				'x-token-count': `715,${tokensOut}`,
+				'x-prompt-prefix': `5c1e07a2:172,${id.slice(0, 8)}:543`,
 			},
 		});
-		return {id, ...answer};
+		const tookMs = Math.round(performance.now() - sentMs);
+		const events = answer.body.split('\n\n').length - 1;
+		record.add(`${id} got ${answer.status}, ${events} events, ${answer.isComplete ? 'complete' : 'cut off'}, after ${tookMs} ms${answer.error ? ` (${answer.error})` : ''}`);
+		return {
+			...answer, sentMs, tookMs, events,
+		};
 	};
 
-	const stopper = new AbortController();
-	const sendSound = async index => {
-		while (!stopper.signal.aborted) {
-			const {id, status, isComplete} = await send(index, [`${SHARED_PART}:172`], 415);
-			if (status === 200 && !isComplete) {
-				lostSound += 1;
-				record.add(`the sound stream ${id} was cut off`);
-			}
-
-			await delay(300);
+	const keptChannels = Array.from({length: CHANNELS}, () => new Agent({keepAlive: true, maxSockets: 1}));
+	await Promise.all(keptChannels.map(async (agent, channel) => {
+		for (let i = 0; i < REQUESTS_PER_CHANNEL; i++) {
+			await send(agent, i === 0 && channel < LONG_CHANNELS ? LONG_TOKENS : SHORT_TOKENS);
 		}
-	};
+	}));
 
-	const sound = Array.from({length: ENTRY_HOSTS}, async (_, i) => sendSound(i));
-	await delay(3000);
-	for (let wave = 1; wave <= WAVES; wave++) {
-		const count = ENTRY_HOSTS * (wave === 1 ? FIRST_REQUESTS_PER_HOST : 1);
-		record.add(`wave ${wave}: ${count} requests with the harmful part at ${ENTRY_HOSTS} machines`);
-		Promise.all(Array.from({length: count}, async (_, i) => {
-			const {id, status, headers} = await send(i % ENTRY_HOSTS, [`${SHARED_PART}:172`, `${HARMFUL_PART}:300`], 715);
-			record.add(`machine ${i % ENTRY_HOSTS} answers ${id} with ${status} ${headers['x-egretrill-verdict'] ?? ''}`);
-		}));
-		await delay(WAVE_INTERVAL_MS);
+	const stopMs = performance.now();
+	if (hasTrouble) {
+		record.add('SIGTERM to the machine entry-0');
+		fleet.entries[0].signal('SIGTERM');
 	}
 
-	stopper.abort();
-	await Promise.all(sound);
-	const fifthMs = crashesMs[4];
-	const later = fifthMs === undefined ? [] : harmfulMs.filter(ms => ms > fifthMs + bounds['contact-ms']);
-	record.add(`${crashesMs.length} crashes; ${later.length} requests with the part reached engines later than contact-ms after the fifth; ${lostSound} sound streams were cut off`);
-	return later.length > MAX_LATER_REQUESTS;
+	const answers = await Promise.all(SEND_TIMES_MS.map(async (ms, i) => {
+		await delay(ms);
+		return send(keptChannels[i], LONG_TOKENS);
+	}));
+	const {ended} = fleet.entries[0];
+	record.add(`the process of entry-0 ${ended ? `ended ${Math.round(ended.atMs - stopMs)} ms after the SIGTERM` : 'runs'}`);
+	const lost = answers.filter(({status, isComplete, events, sentMs, tookMs}) => {
+		const sentAfterMs = sentMs - stopMs;
+		const isCounted = sentAfterMs > EXCUSED_MS && sentAfterMs + tookMs < (bounds['grace-s'] * 1000) + 1000 && tookMs < TIME_LIMIT_MS;
+		return isCounted && status === 200 && events > 0 && !isComplete;
+	});
+	record.add(`${lost.length} of ${answers.length} requests that were passed on to an engine ended without a complete answer`);
+	return lost.length > 0;
 }
 
 process.exit(await runCase({folder: import.meta.dirname, fleet, play}));
--- a/review/stand-ins/fleet.mjs
+++ b/review/stand-ins/fleet.mjs
@@ -143,6 +143,10 @@
 	}
 
 	async start() {
+		if (this.child !== undefined) {
+			await this.endFirstStart();
+		}
+
 		const [command, ...args] = this.runLine;
 		const from = this.log.length;
 		this.child = spawn(command, args, {
@@ -170,6 +174,12 @@
 		});
 	}
 
+	/** Changes the settings as the platform does after the first start of the whole system. */
+	async endFirstStart() {
+		const settings = JSON.parse(await readFile(this.settingsFile, 'utf8'));
+		await writeFile(this.settingsFile, JSON.stringify({...settings, bootstrap: false}));
+	}
+
 	isRunning() {
 		return this.child !== undefined && this.child.exitCode === null && this.child.signalCode === null;
 	}
@@ -200,7 +210,8 @@
 		this.network = `127.${randomInt(10, 250)}.${randomInt(1, 250)}`;
 	}
 
-	async start() {
+	/** Starts all processes; those after the first control host may start later by `laterMs`. */
+	async start(laterMs = 0) {
 		const [control, front, ready, peers] = await findPorts(4);
 		this.ports = {
 			control, front, ready, peers,
@@ -214,7 +225,11 @@
 			this.entries.push(await this.create('entry', i));
 		}
 
-		await Promise.all([...this.controls, ...this.entries].map(async member => member.start()));
+		const [first, ...others] = [...this.controls, ...this.entries];
+		await Promise.all([first.start(), ...others.map(async member => {
+			await delay(laterMs);
+			await member.start();
+		})]);
 	}
 
 	/** Ends all processes of the fleet and its engines. */
