forward: bound the work that an answer's bytes take in one turn

Cause: a target decided how much work one turn of the event loop takes. A read of 64 KiB may hold 32,768 events, each decoded, split by a pattern and put into a list in that turn; chunks of one byte do the same to the HTTP parser, and nothing limited how long a stream goes on without content.

So the number of steps counts, not the number of bytes.

Change: events are read byte by byte; long work is done in parts of 8 KiB, and each turn of the event loop resumes one task; a stream ends after 4,096 events or 65,536 bytes of events in a row without an id or text and counts against its target. An event without room for twice its size is held at its own size.

--- a/apps/egretrilld/src/traffic/entry-host.ts
+++ b/apps/egretrilld/src/traffic/entry-host.ts
@@ -1,7 +1,7 @@
 import {setMaxListeners} from 'node:events';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {
-	type Clock, createHttpServer, jitter, type Logger, type LoopWatch, MemoryBudget, type Random, setReadTimeouts, type TimeMark, type TrafficSource,
+	type Clock, createHttpServer, jitter, type Logger, type LoopWatch, MemoryBudget, type Random, setReadTimeouts, type TimeMark, type TrafficSource, TurnQueue,
 } from '@egretrill/common';
 import {
 	BackoffPoolClient, type ForwardDependencies, type ForwardDialect, forwardRequest, KeyLease, PlannedStop, RATE_LEASE_MS, RateAllocations, RetryBudget, RetrySchedule, RouteDurations, RouteTable, SlotQueue,
@@ -55,7 +55,8 @@
 	private readonly decisionLog: DecisionLog;
 	private readonly observer: EntryObserver;
 	private readonly retryBudgets = new Map<string, RetryBudget>();
-	private readonly sender = new HttpSender();
+	private readonly turns = new TurnQueue();
+	private readonly sender = new HttpSender(this.turns);
 	private readonly drain: Drain;
 	private readonly forwardDependencies: ForwardDependencies;
 	private rateState = {ackedSerial: 0, standing: 0};
@@ -224,6 +225,7 @@
 		return {
 			clock,
 			memory: this.memory,
+			turns: this.turns,
 			random,
 			dialect,
 			queue: this.queue,
@@ -275,7 +277,7 @@
 	}
 
 	private async serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
-		const exchange = new NodeExchange(req, res, {memory: this.memory, isStopping: () => this.plannedStop.hasBegun()});
+		const exchange = new NodeExchange(req, res, {memory: this.memory, turns: this.turns, isStopping: () => this.plannedStop.hasBegun()});
 		const endWork = this.drain.trackWork('request');
 		try {
 			await forwardRequest(exchange, this.forwardDependencies);
--- a/apps/egretrilld/src/traffic/node-exchange.ts
+++ b/apps/egretrilld/src/traffic/node-exchange.ts
@@ -2,7 +2,9 @@
 import {once} from 'node:events';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {CallerExchange, type RequestHead, UNREAD_ANSWER} from '@egretrill/callers';
-import type {MemoryBudget, Verdict} from '@egretrill/common';
+import {
+	type MemoryBudget, type TurnQueue, TurnShare, type Verdict,
+} from '@egretrill/common';
 import {createRefusalBody, getRetryAfter} from './refusal-body.js';
 
 /** Bytes of an answer that wait on their way from the target while the caller reads nothing: what the connection has read at once, which its stream keeps until it is used. */
@@ -10,6 +12,8 @@
 
 export type NodeExchangeOptions = {
 	readonly memory: MemoryBudget;
+	/** Shares the event loop among long requests. */
+	readonly turns: TurnQueue;
 	/** Whether a planned stop of this host has begun. */
 	readonly isStopping: () => boolean;
 };
@@ -40,12 +44,20 @@
 	}
 
 	async readBody(onChunk: (chunk: Uint8Array) => boolean): Promise<boolean> {
+		const {socket} = this.req;
+		// The parser takes longer for the framing of small chunks than for their content, so other work goes on after much of it.
+		let readBytes = socket.bytesRead;
+		const share = new TurnShare(this.opts.turns);
 		try {
 			// Destroying the request on return would close the connection before a refusal is sent.
 			for await (const chunk of this.req.iterator({destroyOnReturn: false}) as AsyncIterable<Uint8Array>) {
 				if (!onChunk(chunk)) {
 					return false;
 				}
+
+				const {bytesRead} = socket;
+				await share.spend(Math.max(0, bytesRead - readBytes - chunk.length));
+				readBytes = bytesRead;
 			}
 		} catch {
 			// The caller disconnected, which the response's close event reports.
--- a/apps/egretrilld/tests/traffic/node-exchange.test.ts
+++ b/apps/egretrilld/tests/traffic/node-exchange.test.ts
@@ -1,7 +1,7 @@
 import {once} from 'node:events';
 import type {AddressInfo} from 'node:net';
 import {
-	createHttpServer, MemoryBudget, MonotonicClock, refuse,
+	createHttpServer, MemoryBudget, MonotonicClock, refuse, TurnQueue,
 } from '@egretrill/common';
 import {expect} from 'chai';
 import {NodeExchange} from '../../src/traffic/node-exchange.js';
@@ -15,7 +15,7 @@
 	it('has not ended when its refusal could not be written', async () => {
 		const ends: boolean[] = [];
 		const server = createHttpServer((req, res) => {
-			const exchange = new NodeExchange(req, res, {memory: new MemoryBudget(new MonotonicClock(), Number.POSITIVE_INFINITY), isStopping: () => false});
+			const exchange = new NodeExchange(req, res, {memory: new MemoryBudget(new MonotonicClock(), Number.POSITIVE_INFINITY), turns: new TurnQueue(), isStopping: () => false});
 			try {
 				exchange.refuse(refuse(UNSENDABLE_STATUS, 'code', 'The reason.'));
 			} catch {
--- a/apps/egretrilld/tests/traffic/support/entry-process.ts
+++ b/apps/egretrilld/tests/traffic/support/entry-process.ts
@@ -11,7 +11,7 @@
 }
 
 // Serves callers until its parent disconnects, with the target whose address is the first argument.
-const host = await startEntryHost(process.argv[2] ?? '', {timeoutMs: 60_000}, {slots: SLOTS});
+const host = await startEntryHost(process.argv[2] ?? '', {timeoutMs: 60_000, isStream: process.argv[3] === 'stream'}, {slots: SLOTS});
 process.on('message', () => {
 	report({peakBytes: process.resourceUsage().maxRSS * 1024});
 });
--- a/apps/egretrilld/tests/traffic/support/forward-host.ts
+++ b/apps/egretrilld/tests/traffic/support/forward-host.ts
@@ -5,7 +5,7 @@
 	type AnswerHead, type AnswerMetadata, type AttemptEvent, CrashGate, CrashTracker, type ForwardCall, type ForwardDependencies, ForwardDialect, type ForwardEndEvent, ForwardObserver, forwardRequest, ForwardSender, KeyLease, PlannedStop, RateAllocations, RatePoolClient, type RequestHead, RetryBudget, RetrySchedule, RouteDurations, RouteTable, type SendDetails, type SlotOutcome, SlotQueue, type SlotRequirements, type SlotResult, SlotSource, TargetEnds,
 } from '@egretrill/callers';
 import {
-	createHttpServer, MemoryBudget, MonotonicClock, type OutgoingMessage, type SendFailure, type TargetAnswer, type TrafficConfig, type TrafficRoute,
+	createHttpServer, MemoryBudget, MonotonicClock, type OutgoingMessage, type SendFailure, type TargetAnswer, type TrafficConfig, type TrafficRoute, TurnQueue,
 } from '@egretrill/common';
 import type {Result} from 'true-myth';
 import {HttpSender} from '../../../src/traffic/http-sender.js';
@@ -176,15 +176,16 @@
 		this.slots = new FixedSlotSource(targets, fullTargets);
 		const clock = new MonotonicClock();
 		const memory = new MemoryBudget(clock, memoryBytes);
+		const turns = new TurnQueue();
 		this.memory = memory;
 		const table = new RouteTable({...config, limits: {...config.limits, maxBodyBytes}, routes: [{...route, ...changes}]});
 		const retries = new RetryBudget(clock, {ratio: 0, reserve: 100});
 		const crashes = new CrashTracker(clock, 'test');
 		const parts: ForwardDependencies = {
-			clock, memory, random: () => 0, dialect: new TestDialect(), queue: new SlotQueue(clock, slotSource ?? this.slots), rates: new RateAllocations(clock), poolClient: new RefusingLender(), retrySchedule: new RetrySchedule(clock), sender: new ObservedSender(this.sender, onChunk), observer: this.observer, getTable: () => table, stop: new PlannedStop(clock), keyLease: new KeyLease(() => undefined), durations: new RouteDurations(), crashes, crashGate: new CrashGate(clock, crashes), targetEnds: new TargetEnds({clock, probe: new HttpTargetProbe(), onEnd: () => undefined}), getRetries: () => retries,
+			clock, memory, turns, random: () => 0, dialect: new TestDialect(), queue: new SlotQueue(clock, slotSource ?? this.slots), rates: new RateAllocations(clock), poolClient: new RefusingLender(), retrySchedule: new RetrySchedule(clock), sender: new ObservedSender(this.sender, onChunk), observer: this.observer, getTable: () => table, stop: new PlannedStop(clock), keyLease: new KeyLease(() => undefined), durations: new RouteDurations(), crashes, crashGate: new CrashGate(clock, crashes), targetEnds: new TargetEnds({clock, probe: new HttpTargetProbe(), onEnd: () => undefined}), getRetries: () => retries,
 		};
 		this.server = createHttpServer((req, res) => {
-			void forwardRequest(new NodeExchange(req, res, {memory, isStopping: () => false}), parts);
+			void forwardRequest(new NodeExchange(req, res, {memory, turns, isStopping: () => false}), parts);
 		}, {memory});
 	}
 
--- a/packages/callers/src/forward/constants.ts
+++ b/packages/callers/src/forward/constants.ts
@@ -76,6 +76,10 @@
 /** Maximum size of a stream event; only complete events are relayed, and an incomplete one is buffered in memory. */
 export const MAX_EVENT_BYTES = 1_048_576;
 
+/** Events without an id or text that may follow one another, and their bytes: keep-alive comments once a second stay below both for an hour, while empty lines without end would only occupy the host. */
+export const MAX_EMPTY_EVENTS = 4096;
+export const MAX_EMPTY_EVENT_BYTES = 65_536;
+
 /** Fraction of a customer's rate that hosts hold without a lease, so that they can serve while the owner is unreachable. */
 export const STANDING_RATIO = 0.25;
 
--- a/packages/callers/src/forward/event-order.ts
+++ b/packages/callers/src/forward/event-order.ts
@@ -1,7 +1,10 @@
 import {Result} from 'true-myth';
 
+/** What an event brings: `some` for an id or text, `keep-alive` for other fields or comments alone, `none` for empty lines. */
+export type EventContent = 'some' | 'keep-alive' | 'none';
+
 /** What an event tells about its place in a stream. */
-export type EventPlace = {readonly id: number | undefined; readonly hasData: boolean};
+export type EventPlace = {readonly id: number | undefined; readonly hasData: boolean; readonly content: EventContent};
 
 /** What is done with an event: `hold` keeps it until `release`, which relays it before the event that releases it. */
 export type EventVerdict = 'relay' | 'drop' | 'hold' | 'release';
@@ -44,7 +47,7 @@
 	}
 
 	/** Returns what is done with the next event of the answer; an error says why the answer must not be used further. */
-	addEvent({id, hasData}: EventPlace): Result<EventVerdict, string> {
+	addEvent({id, hasData}: Omit<EventPlace, 'content'>): Result<EventVerdict, string> {
 		if (id === undefined) {
 			if (hasData && this.isContinuation) {
 				return Result.err('An event of a continued stream has no id.');
--- a/packages/callers/src/forward/forward-dependencies.ts
+++ b/packages/callers/src/forward/forward-dependencies.ts
@@ -1,5 +1,5 @@
 import type {
-	BodyFraming, Clock, MemoryBudget, OutgoingMessage, Random, SendFailure, TargetAnswer, Verdict,
+	BodyFraming, Clock, MemoryBudget, OutgoingMessage, Random, SendFailure, TargetAnswer, TurnQueue, Verdict,
 } from '@egretrill/common';
 import type {Result} from 'true-myth';
 import type {CrashGate, CrashTracker} from '../crashes/index.js';
@@ -74,6 +74,8 @@
 	readonly clock: Clock;
 	/** Limit on the bytes of requests and answers that this host holds. */
 	readonly memory: MemoryBudget;
+	/** Shares the event loop among long answers. */
+	readonly turns: TurnQueue;
 	readonly random: Random;
 	readonly dialect: ForwardDialect;
 	readonly queue: SlotQueue;
--- a/packages/callers/src/forward/forward-to-target.ts
+++ b/packages/callers/src/forward/forward-to-target.ts
@@ -75,7 +75,7 @@
 	const holding = openHolding(context, attempt);
 	progress.status = answer.status;
 	const relayed = {
-		exchange, holding, answer, headers: metadata.headers, onChunk(lastEventId: number | undefined) {
+		exchange, holding, answer, turns: context.deps.turns, headers: metadata.headers, onChunk(lastEventId: number | undefined) {
 			progress.chunkTimes.recordChunk();
 			sent.recordEvent();
 			slot.recordActivity();
--- a/packages/callers/src/forward/growable-buffer.ts
+++ b/packages/callers/src/forward/growable-buffer.ts
@@ -21,16 +21,11 @@
 	append(chunk: Uint8Array): boolean {
 		const length = this.used + chunk.length;
 		const capacity = length > this.block.length ? Math.max(length, Math.min(2 * this.used, this.maxBytes)) : this.block.length;
-		if (!this.holding.grow(capacity - this.block.length)) {
+		// Where there is no room for twice the content, there may still be for the content alone.
+		if (!this.reserve(capacity) && !this.reserve(Math.max(length, this.block.length))) {
 			return false;
 		}
 
-		if (capacity > this.block.length) {
-			const larger = Buffer.allocUnsafe(capacity);
-			larger.set(this.getBytes());
-			this.block = larger;
-		}
-
 		this.block.set(chunk, this.used);
 		this.used = length;
 		return true;
@@ -49,4 +44,19 @@
 		this.used = this.block.length;
 		this.holding.shrink(capacity - this.used);
 	}
+
+	/** Returns whether there is room for the capacity. */
+	private reserve(capacity: number): boolean {
+		if (!this.holding.grow(capacity - this.block.length)) {
+			return false;
+		}
+
+		if (capacity > this.block.length) {
+			const larger = Buffer.allocUnsafe(capacity);
+			larger.set(this.getBytes());
+			this.block = larger;
+		}
+
+		return true;
+	}
 }
--- a/packages/callers/src/forward/relay.ts
+++ b/packages/callers/src/forward/relay.ts
@@ -1,4 +1,6 @@
-import type {MemoryHolding, TargetAnswer} from '@egretrill/common';
+import {
+	type MemoryHolding, splitForTurns, type TargetAnswer, type TurnQueue, TurnShare,
+} from '@egretrill/common';
 import type {CallerExchange} from './caller-exchange.js';
 import {MAX_BUFFERED_ANSWER_BYTES, MAX_EVENT_BYTES} from './constants.js';
 import type {EventOrder} from './event-order.js';
@@ -20,6 +22,8 @@
 	/** Counts the bytes that are held before they can be relayed. */
 	readonly holding: MemoryHolding;
 	readonly answer: TargetAnswer;
+	/** Bounds how much of the answer is handled in one turn of the event loop. */
+	readonly turns: TurnQueue;
 	readonly headers: readonly string[];
 	/** Called for each chunk of events before it is relayed, with the id of the last of them that has one. */
 	readonly onChunk?: (lastEventId: number | undefined) => void;
@@ -90,11 +94,63 @@
 /** A stream that may be continued by another target; its events that arrive after that are not relayed. */
 export type MovableStream = {readonly silence: Silence; readonly hasMoved: () => boolean};
 
+/** A stream that is being relayed. */
+class EventRelay {
+	bytes = 0;
+	private readonly splitter: EventSplitter;
+	private readonly share: TurnShare;
+
+	constructor(private readonly opts: RelayOptions, private readonly order: EventOrder, private readonly movable: MovableStream | undefined) {
+		this.splitter = new EventSplitter(opts.holding);
+		this.share = new TurnShare(opts.turns);
+	}
+
+	/** Relays the events that a part of the answer completes; returns why the answer must not be used further. */
+	async relayPart(part: Uint8Array): Promise<string | undefined> {
+		const previousBytes = this.splitter.getIncompleteEvent().length;
+		const events = this.splitter.push(part, this.order);
+		if (this.hasIncompleteEvent(MAX_EVENT_BYTES)) {
+			return `An event is longer than ${MAX_EVENT_BYTES} bytes.`;
+		}
+
+		if (events.hasProgress) {
+			// Bytes of an incomplete event do not reach the caller, so they do not end the silence.
+			this.movable?.silence.recordEvent();
+		}
+
+		if (events.bytes.length > 0) {
+			await this.write(events.bytes);
+		}
+
+		// The bytes of an incomplete event take next to no time; those of complete ones may be thousands of events.
+		await this.share.spend(previousBytes + part.length - this.splitter.getIncompleteEvent().length);
+		return events.fault;
+	}
+
+	/** Whether the event that is not complete yet has more than `bytes`. */
+	hasIncompleteEvent(bytes = 0): boolean {
+		return this.splitter.getIncompleteEvent().length > bytes;
+	}
+
+	private async write(bytes: Uint8Array): Promise<void> {
+		const {exchange, answer, headers, onChunk} = this.opts;
+		if (!exchange.hasStarted()) {
+			exchange.start(answer.status, headers);
+		}
+
+		onChunk?.(this.order.lastEventId);
+		this.movable?.silence.suspend();
+		await exchange.write(bytes);
+		this.movable?.silence.resume();
+		this.bytes += bytes.length;
+	}
+}
+
 /** Relays the complete events of a stream as they arrive, as long as they follow those that the caller has. */
-export async function relayEvents({exchange, holding, answer, headers, onChunk}: RelayOptions, order: EventOrder, movable?: MovableStream): Promise<RelayResult> {
-	const splitter = new EventSplitter(holding);
-	let bytes = 0;
-	const getBroken = (reason?: string): RelayResult => ({kind: 'broken', bytes, ...(reason !== undefined && {reason})});
+export async function relayEvents(opts: RelayOptions, order: EventOrder, movable?: MovableStream): Promise<RelayResult> {
+	const {exchange, answer} = opts;
+	const relay = new EventRelay(opts, order, movable);
+	const getBroken = (reason?: string): RelayResult => ({kind: 'broken', bytes: relay.bytes, ...(reason !== undefined && {reason})});
 	order.beginAnswer();
 	try {
 		for await (const chunk of answer.body) {
@@ -102,31 +158,11 @@
 				break;
 			}
 
-			const previousBytes = splitter.getIncompleteEvent().length;
-			const events = splitter.push(chunk, order);
-			if (splitter.getIncompleteEvent().length > MAX_EVENT_BYTES) {
-				return getBroken(`An event is longer than ${MAX_EVENT_BYTES} bytes.`);
-			}
-
-			if (splitter.getIncompleteEvent().length < previousBytes + chunk.length) {
-				// Bytes of an incomplete event do not reach the caller, so they do not end the silence.
-				movable?.silence.recordEvent();
-			}
-
-			if (events.bytes.length > 0) {
-				if (!exchange.hasStarted()) {
-					exchange.start(answer.status, headers);
+			for (const part of splitForTurns(chunk)) {
+				const fault = await relay.relayPart(part);
+				if (fault !== undefined) {
+					return getBroken(fault);
 				}
-
-				onChunk?.(order.lastEventId);
-				movable?.silence.suspend();
-				await exchange.write(events.bytes);
-				movable?.silence.resume();
-				bytes += events.bytes.length;
-			}
-
-			if (events.fault !== undefined) {
-				return getBroken(events.fault);
 			}
 		}
 	} catch {
@@ -134,7 +170,7 @@
 		return getBroken();
 	}
 
-	const isIncomplete = !answer.isComplete() || splitter.getIncompleteEvent().length > 0 || !exchange.hasStarted();
+	const isIncomplete = !answer.isComplete() || relay.hasIncompleteEvent() || !exchange.hasStarted();
 	if (isIncomplete || movable?.hasMoved()) {
 		return getBroken();
 	}
@@ -145,5 +181,5 @@
 	}
 
 	exchange.end();
-	return {kind: 'complete', bytes};
+	return {kind: 'complete', bytes: relay.bytes};
 }
--- a/packages/callers/tests/forward/event-splitter.test.ts
+++ b/packages/callers/tests/forward/event-splitter.test.ts
@@ -2,7 +2,9 @@
 import process from 'node:process';
 import {ManualClock, MemoryBudget} from '@egretrill/common';
 import {expect} from 'chai';
-import {EventOrder, EventSplitter} from '../../src/forward/index.js';
+import {
+	EMPTY_EVENTS, EventOrder, EventSplitter, MAX_EMPTY_EVENTS,
+} from '../../src/forward/index.js';
 
 const stream = 'id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n: note\n\nid: 3\ndata: c\n\nid: 4\nda';
 
@@ -54,6 +56,26 @@
 		expect(relayed).to.deep.equal(['', events[1], `${events[0]}${events[2]}`, events[3]]);
 	});
 
+	// Guards against a target that occupies a host with events that bring nothing, and against ending sound streams for their keep-alive events.
+	it('ends a stream only after many events in a row without an id or text', () => {
+		const countEvents = (text: string): number | undefined => {
+			const splitter = new EventSplitter(holding);
+			const order = new EventOrder(undefined);
+			for (let count = 1; count <= 2 * MAX_EMPTY_EVENTS; count++) {
+				const {fault} = splitter.push(Buffer.from(text), order);
+				if (fault !== undefined) {
+					expect(fault).to.equal(EMPTY_EVENTS);
+					return count;
+				}
+			}
+
+			return undefined;
+		};
+
+		const units = ['\n\n', '\r\n\r\n', ':\n\n', 'data:\n\n', 'data: \n\n', 'event: ping\n\n', `: ${'x'.repeat(2048)}\n\n`, 'data: x\n\n', `: keep-alive\n\n${'data:\n\n'.repeat(9)}data: x\n\n`];
+		expect(Object.fromEntries(units.map(unit => [unit.replaceAll(/x{3,}/gv, 'x...'), countEvents(unit) ?? 'no end']))).toMatchSnapshot();
+	});
+
 	// Guards against quadratic time in the length of an event, which blocks the event loop when a target sends small chunks.
 	it('searches each byte of a long event once', () => {
 		const splitter = new EventSplitter(holding);
--- a/packages/callers/tests/forward/relay.test.ts
+++ b/packages/callers/tests/forward/relay.test.ts
@@ -2,7 +2,7 @@
 import process from 'node:process';
 import {setFlagsFromString} from 'node:v8';
 import {runInNewContext} from 'node:vm';
-import {ManualClock, MemoryBudget} from '@egretrill/common';
+import {ManualClock, MemoryBudget, TurnQueue} from '@egretrill/common';
 import {expect} from 'chai';
 import {type CallerExchange, relayBuffered} from '../../src/forward/index.js';
 
@@ -45,6 +45,7 @@
 		} as unknown as CallerExchange;
 		const end = await relayBuffered({
 			exchange,
+			turns: new TurnQueue(),
 			holding: new MemoryBudget(new ManualClock(), Number.POSITIVE_INFINITY).open({onEvicted: () => undefined}),
 			answer: {
 				status: 200, rawHeaders: [], body: body(), framing: 'chunks', isConnectionReused: false, isComplete: () => true, discard: () => undefined, destroy: () => undefined,
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -28,5 +28,6 @@
 export * from './time-mark.js';
 export * from './traffic.js';
 export * from './transfer-coding.js';
+export * from './turn-queue.js';
 export * from './types.js';
 export * from './verdict.js';
--- a/packages/engines/src/client/connection-monitor.ts
+++ b/packages/engines/src/client/connection-monitor.ts
@@ -1,5 +1,6 @@
 import type {IncomingMessage} from 'node:http';
 import type {Socket} from 'node:net';
+import {type TurnQueue, TurnShare} from '@egretrill/common';
 
 /** Limit of consecutive bytes that add nothing to an answer's body. An HTTP head has at most 16 KiB and may follow interim answers; the parser alone would accept interim answers, empty lines and digits of a chunk size without a limit. */
 export const MAX_FRAMING_BYTES = 65_536;
@@ -10,16 +11,31 @@
 	isConnectionReused = false;
 	private message?: IncomingMessage;
 	private readBytes = 0;
+	/** Bytes of the connection, framing included, since the last chunk of the body was taken. */
+	private receivedBytes = 0;
+	private readonly share: TurnShare;
+
+	constructor(turns: TurnQueue) {
+		this.share = new TurnShare(turns);
+	}
 
 	/** Called with the final (not an interim) response head. */
 	start(message: IncomingMessage): void {
 		this.message = message;
 	}
 
-	/** Yields the chunks of the body as they arrive. */
+	/** Counts bytes of the connection, which the parser has yet to read. */
+	recordReceived(bytes: number): void {
+		this.receivedBytes += bytes;
+	}
+
+	/** Yields the chunks of the body as they arrive, but lets other work go on after much framing: chunks of one byte take the parser much longer than their content. */
 	async * readBody(message: IncomingMessage): AsyncGenerator<Uint8Array> {
 		for await (const chunk of message as AsyncIterable<Uint8Array>) {
 			this.readBytes += chunk.length;
+			const framingBytes = Math.max(0, this.receivedBytes - chunk.length);
+			this.receivedBytes = 0;
+			await this.share.spend(framingBytes);
 			yield chunk;
 		}
 	}
@@ -77,6 +93,7 @@
 			return;
 		}
 
+		progress.recordReceived(length);
 		// Whether these bytes belong to the body is only known when the next ones arrive.
 		this.framingBytes += length;
 	}
--- a/packages/engines/src/client/forward-client.ts
+++ b/packages/engines/src/client/forward-client.ts
@@ -1,9 +1,10 @@
 import {
 	Agent, type ClientRequest, type IncomingMessage, request,
 } from 'node:http';
-import type {Socket} from 'node:net';
+import type {Socket, SocketConstructorOpts} from 'node:net';
+import type {DuplexOptions} from 'node:stream';
 import {
-	type BodyFraming, hasOtherCoding, type HostAndPort, type OutgoingMessage, parseSocketAddress, type SendFailure, type TargetAnswer,
+	type BodyFraming, hasOtherCoding, type HostAndPort, type OutgoingMessage, parseSocketAddress, type SendFailure, type TargetAnswer, TurnQueue,
 } from '@egretrill/common';
 import {Result} from 'true-myth';
 import {AnswerProgress, ConnectionMonitor} from './connection-monitor.js';
@@ -21,6 +22,9 @@
 const STATUS_NO_CONTENT = 204;
 const STATUS_NOT_MODIFIED = 304;
 
+/** Option that Node passes on to the socket. All that a read brings is parsed at once, so a connection is not read again until most of the body so far is taken. */
+const connectionOptions: SocketConstructorOpts & DuplexOptions = {readableHighWaterMark: 1024};
+
 /** Returns how the parser detects the end of the body, or why the answer cannot be read. */
 function readFraming({headers, statusCode = 0}: IncomingMessage, method: string): Result<BodyFraming, string> {
 	const {'transfer-encoding': coding, 'content-length': length} = headers;
@@ -62,6 +66,9 @@
 	private readonly agent = new Agent({keepAlive: true, maxFreeSockets: MAX_IDLE_CONNECTIONS, scheduling: 'lifo'});
 	private readonly monitors = new WeakMap<Socket, ConnectionMonitor>();
 
+	/** Answers share the turns of the event loop with the other work that waits for them. */
+	constructor(private readonly turns = new TurnQueue()) {}
+
 	/** Resolves with the answer, whose body has not been read yet, or with a failure that says whether the target may have received the request. Never rejects. */
 	async send(forwardReq: OutgoingMessage, signal: AbortSignal): Promise<Result<TargetAnswer, SendFailure>> {
 		const address = parseSocketAddress(forwardReq.address);
@@ -81,7 +88,7 @@
 	private createRequest({method, url, headers, mayReuse}: OutgoingMessage, address: HostAndPort, signal: AbortSignal): Result<ClientRequest, SendFailure> {
 		try {
 			return Result.ok(request({
-				...address, method, path: url, headers, agent: mayReuse ? this.agent : false, signal,
+				...address, ...connectionOptions, method, path: url, headers, agent: mayReuse ? this.agent : false, signal,
 			}));
 		} catch (err: unknown) {
 			const {code = 'ERR_REQUEST', message} = err as NodeJS.ErrnoException;
@@ -97,7 +104,7 @@
 				resolve(Result.err({accepted: isConnected, code, reason}));
 			};
 
-			const progress = new AnswerProgress();
+			const progress = new AnswerProgress(this.turns);
 			req.once('socket', socket => {
 				this.getMonitor(socket).expectAnswer(progress);
 				whenConnected(req, socket, () => {
