engines: bound streams of the chat front end that bring no chunk

Callers could see: a host of the chat front end that reads heartbeats, comments or empty lines of an engine as fast as they come, until the progress deadline of 60 s.

Change: a stream is broken off after MAX_ANSWER_BYTES without a chunk, and read in parts between which other streams go on. After the end marker the deadline of its end applies as before.

--- a/packages/engines/src/client/chunk-reader.ts
+++ b/packages/engines/src/client/chunk-reader.ts
@@ -31,6 +31,8 @@
 	private nextSeq: number;
 	private lastReceivedSeq: number | undefined;
 	private isDone = false;
+	/** Bytes since the last chunk or end marker. */
+	private emptyBytes = 0;
 	private readonly decoder = new TextDecoder();
 	private readonly parser = createParser({
 		onEvent: event => {
@@ -54,11 +56,16 @@
 		this.nextSeq = resumeFrom;
 	}
 
-	/** Returns the items that these bytes complete. Throws if a chunk belongs to another request or a sequence number is missing. */
+	/** Returns the items that these bytes complete. Throws if a chunk belongs to another request, a sequence number is missing or heartbeats and empty lines go on without end. */
 	read(bytes: Uint8Array): readonly StreamItem[] {
 		this.parser.feed(this.decoder.decode(bytes, {stream: true}));
 		const {items} = this;
 		this.items = [];
+		this.emptyBytes = items.some(item => item.kind !== 'heartbeat') ? 0 : this.emptyBytes + bytes.length;
+		if (this.emptyBytes > MAX_ANSWER_BYTES && !this.isDone) {
+			throw createStreamError('no-chunk', `The engine sent more than ${MAX_ANSWER_BYTES} bytes without a chunk.`);
+		}
+
 		return items;
 	}
 
--- a/packages/engines/src/client/engine-client.ts
+++ b/packages/engines/src/client/engine-client.ts
@@ -1,6 +1,6 @@
 import {Agent} from 'node:http';
 import {
-	type Clock, EngineChannel, exchangeHttp, type SendFailure, StreamBrokenError, type StreamItem, type TargetAddress, type TargetRequest, type TargetResponse, toSendFailure,
+	type Clock, EngineChannel, exchangeHttp, type SendFailure, splitForTurns, StreamBrokenError, type StreamItem, type TargetAddress, type TargetRequest, type TargetResponse, toSendFailure, TurnQueue, TurnShare,
 } from '@egretrill/common';
 import type {Result} from 'true-myth';
 import {IDLE_CONNECTION_MS, MAX_IDLE_ENGINE_CONNECTIONS} from '../constants.js';
@@ -12,6 +12,8 @@
 	private readonly agent = new Agent({keepAlive: true, maxFreeSockets: MAX_IDLE_ENGINE_CONNECTIONS, timeout: IDLE_CONNECTION_MS});
 	/** Answers other than 200 do not name their request, so on a kept connection a repeated one could be taken for the next one. Each chunk of a stream names it. */
 	private readonly newConnections = new Agent({keepAlive: false});
+	/** Shares the event loop among the streams. */
+	private readonly turns = new TurnQueue();
 
 	constructor(private readonly clock: Clock) {
 		super();
@@ -38,7 +40,7 @@
 			}
 
 			const reader = new ChunkReader(req.requestId, req.resumeFrom ?? 0);
-			for await (const bytes of answer.value.body) {
+			for await (const bytes of this.readParts(answer.value.body)) {
 				watchdog.recordBytes();
 				const items = reader.read(bytes);
 				if (items.some(item => item.kind !== 'heartbeat')) {
@@ -71,6 +73,17 @@
 		this.newConnections.destroy();
 	}
 
+	/** Yields a body in parts, and lets other work go on in between where it arrives fast. */
+	private async * readParts(body: AsyncIterable<Uint8Array>): AsyncGenerator<Uint8Array> {
+		const share = new TurnShare(this.turns);
+		for await (const chunk of body) {
+			for (const part of splitForTurns(chunk)) {
+				yield part;
+				await share.spend(part.length);
+			}
+		}
+	}
+
 	private toStreamBrokenError(err: unknown, watchdog: StreamWatchdog): StreamBrokenError {
 		const cause = watchdog.getCause();
 		if (cause !== undefined) {
--- a/packages/engines/tests/client/chunk-reader.test.ts
+++ b/packages/engines/tests/client/chunk-reader.test.ts
@@ -114,4 +114,19 @@
 			}).to.throw(StreamBrokenError);
 		});
 	}
+
+	// Guards against a stream that occupies a host until its deadline with bytes that bring no chunk.
+	it('ends a stream of heartbeats or empty lines without end', () => {
+		for (const text of [':\n\n', '\n', '\r', 'event: ping\n\n']) {
+			const part = Buffer.from(text.repeat(8192 / text.length));
+			const reader = new ChunkReader(ID, 0);
+			const readOn = (): void => {
+				for (let bytes = 0; bytes <= 2 * MAX_ANSWER_BYTES; bytes += part.length) {
+					reader.read(part);
+				}
+			};
+
+			expect(readOn, JSON.stringify(text)).to.throw(StreamBrokenError);
+		}
+	});
 });
