crashes: keep the evidence on what ends targets in the log

Cause: the evidence stood in the memory of the entry hosts and of the leader, whose tracker begins empty with each term.

Change: the leader stores each change of the evidence in the replicated log (at most 64 keys with 32 ends each), a new leader joins it, any control host sends it with the first configuration of an entry host, and a probe is granted only once the log has it. The chat front end's daemon does the same. No request waits for a write.

--- a/apps/egretrilld/src/callers/crash-transport.ts
+++ b/apps/egretrilld/src/callers/crash-transport.ts
@@ -2,11 +2,14 @@
 	answerCrashReport, type CrashAnswer, type CrashReport, type CrashTracker, CrashTransport,
 } from '@egretrill/callers';
 import type {PeerDirectory} from '@egretrill/hosts';
+import type {CrashLog} from '../crash-log.js';
 import {crashMethod} from '../methods.js';
 
 export type DaemonCrashTransportOptions = {
 	readonly hostId: string;
 	readonly crashes: CrashTracker;
+	/** Stores the evidence while this host leads; undefined on hosts without a member of the log. */
+	readonly getCrashLog: () => CrashLog | undefined;
 	readonly peers: Pick<PeerDirectory, 'call'>;
 	readonly getLeaderId: () => string | undefined;
 	/** Wakes the hosts that follow this one. */
@@ -20,7 +23,7 @@
 	}
 
 	override async send(report: CrashReport): Promise<CrashAnswer | undefined> {
-		const {hostId, crashes, peers, getLeaderId, notifyFollowers} = this.opts;
+		const {hostId, crashes, getCrashLog, peers, getLeaderId, notifyFollowers} = this.opts;
 		const leaderId = getLeaderId();
 		if (leaderId === undefined) {
 			return undefined;
@@ -28,7 +31,7 @@
 
 		if (leaderId === hostId) {
 			notifyFollowers();
-			return answerCrashReport(crashes, report);
+			return answerCrashReport(crashes, report, await getCrashLog()?.grantProbes(report) ?? []);
 		}
 
 		const answer = await peers.call(leaderId, crashMethod, report);
--- a/apps/egretrilld/src/container.ts
+++ b/apps/egretrilld/src/container.ts
@@ -17,6 +17,7 @@
 import {Drain, Metrics} from '@egretrill/balancer';
 import {ReplicatedLedger, ServiceClient} from '@egretrill/services';
 import {Container, type ResolutionContext} from 'inversify';
+import {CrashLog} from './crash-log.js';
 import {DaemonCrashTransport} from './callers/crash-transport.js';
 import {DaemonObserver} from './callers/daemon-observer.js';
 import {FleetCallLog} from './callers/fleet-call-log.js';
@@ -206,6 +207,12 @@
 function bindCallers(container: Container, {settings}: ContainerOptions): void {
 	container.bind(tokens.engines).toDynamicValue(ctx => new EngineClient(ctx.get(tokens.clock))).inSingletonScope();
 	container.bind(tokens.crashes).toDynamicValue(ctx => new CrashTracker(ctx.get(tokens.clock), randomUUID(), CHAT_REQUEST_ENDS_TO_BLOCK)).inSingletonScope();
+	container.bind(tokens.crashLog).toDynamicValue(ctx => {
+		const voter = ctx.get(tokens.voter);
+		return voter && new CrashLog({
+			clock: ctx.get(tokens.clock), logger: getLogger(ctx, 'log'), tracker: ctx.get(tokens.crashes), node: voter.node, state: voter.state, getTimeOfDayMs: () => Date.now(),
+		});
+	}).inSingletonScope();
 	container.bind(tokens.crashGate).toDynamicValue(ctx => new CrashGate(ctx.get(tokens.clock), ctx.get(tokens.crashes))).inSingletonScope();
 	container.bind(tokens.crashReporter).toDynamicValue(ctx => new CrashReporter({
 		clock: ctx.get(tokens.clock),
@@ -214,6 +221,7 @@
 		transport: new DaemonCrashTransport({
 			hostId: settings.host,
 			crashes: ctx.get(tokens.crashes),
+			getCrashLog: () => ctx.get(tokens.crashLog),
 			peers: ctx.get(tokens.peers),
 			getLeaderId: () => ctx.get(tokens.versionedConfig).getLeaderId(),
 			notifyFollowers() {
--- a/apps/egretrilld/src/daemon.ts
+++ b/apps/egretrilld/src/daemon.ts
@@ -111,6 +111,7 @@
 		const {signal} = this.stopping;
 		const source = this.container.get(tokens.versionedConfig);
 		const voter = this.container.get(tokens.voter);
+		const crashLog = this.container.get(tokens.crashLog);
 		return [
 			this.container.get(tokens.follower).run(signal),
 			...(source instanceof FleetConfigSource ? [source.run(signal)] : []),
@@ -121,6 +122,7 @@
 			this.container.get(tokens.zoneDuties).run(signal),
 			this.container.get(tokens.queues).run(signal),
 			this.container.get(tokens.crashReporter).run(signal),
+			...(crashLog ? [crashLog.run(signal)] : []),
 			this.followConfig(signal),
 			this.auditPromises(signal),
 			...(initialConfig ? [this.proposeInitialConfig(initialConfig, signal)] : []),
--- a/apps/egretrilld/src/handlers.ts
+++ b/apps/egretrilld/src/handlers.ts
@@ -84,7 +84,7 @@
 			crashes.mergeReport(report.records);
 			// Wakes the long polls of other hosts, so that a new block reaches them without delay.
 			container.get(tokens.versionedConfig).changed.notify();
-			return answerCrashReport(crashes, report);
+			return answerCrashReport(crashes, report, await container.get(tokens.crashLog)?.grantProbes(report) ?? []);
 		}),
 		bindMethod(loadPermitMethod, async req => duties.getTermState().loads.requestPermit(req, clock.now())),
 		bindMethod(loadReleaseMethod, async ({permitId}) => {
--- a/apps/egretrilld/src/tokens.ts
+++ b/apps/egretrilld/src/tokens.ts
@@ -14,6 +14,7 @@
 import type {FleetControl} from '@egretrill/operators';
 import type {Drain, Metrics} from '@egretrill/balancer';
 import type {ServiceIdentifier} from 'inversify';
+import type {CrashLog} from './crash-log.js';
 import type {LeaderDuties} from './hosts/leader-duties.js';
 import type {EvidenceHolder} from './monitor/evidence-holder.js';
 import type {DaemonView} from './monitor/daemon-view.js';
@@ -46,6 +47,8 @@
 	peers: createToken<PeerDirectory>('peers'),
 	reports: createToken<InForceReports>('reports'),
 	/** Undefined on hosts without a member of the replicated log. */
+	crashLog: createToken<CrashLog | undefined>('crash log'),
+	/** Undefined on hosts without a member of the replicated log. */
 	voter: createToken<Voter | undefined>('voter'),
 	follower: createToken<ConfigFollower>('follower'),
 	versionedConfig: createToken<VersionedConfigSource>('origin'),
--- a/apps/egretrilld/src/traffic/control-follower.ts
+++ b/apps/egretrilld/src/traffic/control-follower.ts
@@ -25,6 +25,8 @@
 export abstract class SyncSink {
 	abstract createReport(): HostReport;
 	abstract getKnownVersions(): {readonly configVersion: number; readonly registry: {readonly origin: string; readonly revision: number}};
+	/** Applies stored evidence on what ends targets; it arrives with the first configuration. */
+	abstract applyCrashes(records: NonNullable<SyncResponse['crashes']>): void;
 	abstract applyConfig(config: TrafficSource): void;
 	abstract applyTargets(update: SyncResponse['registry'], zonesOut: readonly string[]): void;
 	/** Applies the number of entry hosts that the log names, while no leader has counted them since the start of this host. */
@@ -192,13 +194,14 @@
 		}
 	}
 
-	private applyState({stateIndex, config, zonesOut}: SyncResponse): void {
+	private applyState({stateIndex, config, crashes = [], zonesOut}: SyncResponse): void {
 		if (stateIndex === undefined || stateIndex < this.stateIndex) {
 			return;
 		}
 
 		this.stateIndex = stateIndex;
 		this.zonesOut = zonesOut;
+		this.opts.sink.applyCrashes(crashes);
 		if (config) {
 			this.opts.sink.applyConfig(config);
 		}
--- a/apps/egretrilld/src/traffic/control-host.ts
+++ b/apps/egretrilld/src/traffic/control-host.ts
@@ -143,16 +143,17 @@
 					this.joinCrashes(term, report.crashes);
 				}
 
+				const crashes = report.crashes && await term?.answerCrashes(report.crashes);
 				const plan = term?.handleReport(report);
 				const confirmed = this.confirmation.get();
 				return {
 					...(leaderId !== undefined && {leaderId}),
 					controls: this.getControlHosts(),
-					...getServedState({node: this.node, state: this.state}, configVersion),
+					...getServedState({node: this.node, state: this.state, getTimeOfDayMs: () => Date.now()}, configVersion),
 					registry: getServedTargets({registry: this.registry, settling: this.settling, departureLog: this.departureLog}, registry),
 					entryHostCount: this.state.getEntryHosts().length,
 					...(confirmed && {confirmed}),
-					...(plan && {plan}),
+					...(plan && {plan: {...plan, ...(crashes && {crashes})}}),
 				};
 			}),
 			bindMethod(requestAdapterMethod, async req => {
@@ -163,7 +164,7 @@
 			bindMethod(crashMethod, async report => {
 				const term = this.getTerm();
 				this.joinCrashes(term, report);
-				return {...(term && {answer: term.answerCrashes(report)})};
+				return {...(term && {answer: await term.answerCrashes(report)})};
 			}),
 			bindMethod(borrowMethod, async ({loans}) => {
 				const rates = this.getTerm()?.rates;
@@ -355,6 +356,8 @@
 				term,
 				watch,
 				node: this.node,
+				state: this.state,
+				getTimeOfDayMs: () => Date.now(),
 				registry: this.registry,
 				hostId: settings.host,
 				orderLeaseMs: settings.bounds.orderLeaseMs,
--- a/apps/egretrilld/src/traffic/entry-host.ts
+++ b/apps/egretrilld/src/traffic/entry-host.ts
@@ -167,6 +167,10 @@
 		return {configVersion: this.routeTable?.config.version ?? 0, registry: this.targets.getFollowedRevision()};
 	}
 
+	override applyCrashes(records: NonNullable<SyncResponse['crashes']>): void {
+		this.crashes.tracker.mergeShared(records);
+	}
+
 	override applyConfig({version, source}: TrafficSource): void {
 		const {decoder, logger} = this.opts;
 		const decoded = decoder.decode(source);
--- a/apps/egretrilld/src/traffic/leader-term.ts
+++ b/apps/egretrilld/src/traffic/leader-term.ts
@@ -7,7 +7,8 @@
 	type Clock, compareLists, type EngineClass, type Logger, type LoopWatch, type Random, type TrafficCustomer,
 } from '@egretrill/common';
 import {type EngineOrders, EngineOwner, type TargetRegistry} from '@egretrill/engines';
-import type {FleetNode} from '@egretrill/hosts';
+import type {FleetNode, FleetState} from '@egretrill/hosts';
+import {CrashLog} from '../crash-log.js';
 import {ENTRY_RECORD_INTERVAL_MS, ORDER_TAKEOVER_MARGIN_MS} from './constants.js';
 import type {EntryReport, LeaderPlan} from './methods.js';
 import {LeavingHints} from './leaving-hints.js';
@@ -18,7 +19,9 @@
 	readonly random: Random;
 	readonly logger: Logger;
 	readonly watch: Pick<LoopWatch, 'recordPlan'>;
-	readonly node: Pick<FleetNode, 'status' | 'isLeaderWithLease'>;
+	readonly node: Pick<FleetNode, 'status' | 'isLeaderWithLease' | 'propose'>;
+	readonly state: Pick<FleetState, 'getCrashes'>;
+	readonly getTimeOfDayMs: () => number;
 	readonly registry: TargetRegistry;
 	readonly orders: EngineOrders;
 	readonly hostId: string;
@@ -38,6 +41,7 @@
 	readonly rates: RateOwner;
 	private readonly running: RunningCounts;
 	private readonly crashes: CrashTracker;
+	private readonly crashLog: CrashLog;
 	private readonly leavingHints: LeavingHints;
 	private readonly stopper = new AbortController();
 	private readonly startedMs: number;
@@ -47,6 +51,7 @@
 		this.startedMs = clock.now();
 		this.running = new RunningCounts(clock);
 		this.crashes = new CrashTracker(clock, randomUUID());
+		this.crashLog = new CrashLog({...opts, tracker: this.crashes});
 		this.leavingHints = new LeavingHints(clock);
 		// The order tasks of all engines listen to this signal, which exceeds Node's default limit for listener leaks.
 		setMaxListeners(0, this.stopper.signal);
@@ -69,7 +74,7 @@
 	}
 
 	async run(): Promise<void> {
-		await Promise.all([this.engines.run(this.stopper.signal), this.recordEntryHosts()]);
+		await Promise.all([this.engines.run(this.stopper.signal), this.crashLog.run(this.stopper.signal), this.recordEntryHosts()]);
 	}
 
 	end(): void {
@@ -86,8 +91,8 @@
 		return known !== undefined && this.crashes.hasChanges(known);
 	}
 
-	/** Processes the report of an entry host and returns the host's part of the plan. */
-	handleReport({hostId, startId, running, adapters, arrivals, waiting, rates, crashes, leaving = []}: EntryReport): LeaderPlan {
+	/** Processes the report of an entry host and returns the host's part of the plan, apart from the evidence on crashes. */
+	handleReport({hostId, startId, running, adapters, arrivals, waiting, rates, leaving = []}: EntryReport): LeaderPlan {
 		this.running.update(hostId, running);
 		for (const [service, model, adapter, count, runMs] of arrivals) {
 			this.engines.recordArrivals({service, model, ...(adapter !== '' && {adapter})}, count, runMs);
@@ -102,19 +107,14 @@
 			others: this.running.getOthers(hostId),
 			expected: this.engines.getReadyTimes().map(({service, model, readyInMs}) => [service, model, Math.round(readyInMs)]),
 			rates: {...grant, leased: grant.leased.map(([name, allocation]) => [name, allocation])},
-			...(crashes && {crashes: this.answerCrashes(crashes)}),
 			...(hints.length > 0 && {leaving: hints}),
 		};
 	}
 
-	/** Answers a report whose evidence has been joined. */
-	answerCrashes(report: CrashReport): CrashAnswer {
-		const answer = answerCrashReport(this.crashes, report);
-		if (answer.probes.length > 0) {
-			this.opts.logger.info({keys: answer.probes}, 'Probes of blocked keys were granted.');
-		}
-
-		return answer;
+	/** Answers a report whose evidence has been joined; waits for the log only if a probe is due. */
+	async answerCrashes(report: CrashReport): Promise<CrashAnswer> {
+		const probes = await this.crashLog.grantProbes(report);
+		return answerCrashReport(this.crashes, report, probes);
 	}
 
 	/** Keeps the entry hosts recorded in the log up to date. */
--- a/apps/egretrilld/src/traffic/methods.ts
+++ b/apps/egretrilld/src/traffic/methods.ts
@@ -1,4 +1,4 @@
-import {CrashAnswer, CrashReport} from '@egretrill/callers';
+import {CrashAnswer, CrashRecord, CrashReport} from '@egretrill/callers';
 import {TrafficSource} from '@egretrill/common';
 import {RegistryUpdate} from '@egretrill/engines';
 import {defineDocumentMethod, defineListMethod, defineMethod} from '@egretrill/hosts';
@@ -57,6 +57,8 @@
 	stateIndex: count.optional(),
 	config: TrafficSource.optional(),
 	zonesOut: z.array(z.string()),
+	/** Stored evidence on what ends targets, for a host without a configuration; hosts of earlier builds send none. */
+	crashes: z.array(CrashRecord).optional(),
 	registry: RegistryUpdate,
 	/** Version that the leader has confirmed as in force, and the time since then; hosts of earlier builds do not tell. */
 	confirmed: z.object({version: count, ageMs: z.number().nonnegative()}).optional(),
--- a/apps/egretrilld/tests/traffic/control-follower.test.ts
+++ b/apps/egretrilld/tests/traffic/control-follower.test.ts
@@ -55,6 +55,10 @@
 		return {configVersion: 1, registry: {origin: 'o', revision: 1}};
 	}
 
+	override applyCrashes(): void {
+		this.plans += 0;
+	}
+
 	override applyConfig(): void {
 		throw new Error('No configuration is sent.');
 	}
--- a/apps/egretrilld/tests/traffic/leader-log.test.ts
+++ b/apps/egretrilld/tests/traffic/leader-log.test.ts
@@ -46,6 +46,8 @@
 			logger: this.logger,
 			watch: this.watch,
 			node: {isLeaderWithLease: () => true, status: () => ({term: 1})} as unknown as ConstructorParameters<typeof LeaderTerm>[0]['node'],
+			state: {getCrashes: () => []},
+			getTimeOfDayMs: () => this.clock.now(),
 			registry: new TargetRegistry(this.clock, 'origin'),
 			orders: new NoOrders(),
 			hostId: 'h',
--- a/packages/callers/src/crashes/crash-tracker.ts
+++ b/packages/callers/src/crashes/crash-tracker.ts
@@ -50,6 +50,11 @@
 	/** The origin tells this tracker from that of an earlier process or term. An unchanged request is refused after `requestEnds` ends. */
 	constructor(private readonly clock: Clock, readonly origin: string, private readonly requestEnds = REQUEST_ENDS_TO_BLOCK) {}
 
+	/** Number of changes so far. */
+	getRevision(): number {
+		return this.revision;
+	}
+
 	isEmpty(): boolean {
 		return this.entries.size === 0;
 	}
--- a/packages/callers/tests/crashes/support/simulated-crashes.ts
+++ b/packages/callers/tests/crashes/support/simulated-crashes.ts
@@ -1,7 +1,7 @@
 import {setImmediate} from 'node:timers/promises';
 import {createRandom, ManualClock, type Random} from '@egretrill/common';
 import {
-	answerCrashReport, CrashExchange, CrashGate, CrashTracker, getPartKeys, getRequestKey, type RankedKey, type SentRequest,
+	answerCrashReport, CrashExchange, CrashGate, CrashTracker, getPartKeys, getRequestKey, grantProbes, type RankedKey, type SentRequest,
 } from '../../../src/index.js';
 
 const STEP_MS = 10;
@@ -271,7 +271,7 @@
 	private exchange({exchange}: Host): void {
 		const report = exchange.createReport();
 		const isNew = this.leader.mergeReport(report.records);
-		const answer = answerCrashReport(this.leader, report);
+		const answer = answerCrashReport(this.leader, report, grantProbes(this.leader, report));
 		if (this.random() >= (this.scenario.lossShare ?? 0)) {
 			exchange.applyAnswer(answer);
 		}
--- a/packages/hosts/src/constants.ts
+++ b/packages/hosts/src/constants.ts
@@ -105,6 +105,10 @@
 /** Records of evidence on what ends targets that are passed on with a configuration. */
 export const MAX_PASSED_CRASHES = 64;
 
+/** Number of keys whose evidence on crashes is retained, and of ends for each; they bound what it adds to a snapshot. */
+export const MAX_STORED_CRASHES = 64;
+export const MAX_STORED_ENDS = 32;
+
 /** Retention of the departures of targets: registrations arrive seconds late, and some that a partition has held up later still. */
 export const DEPARTURE_RETENTION_MS = 60_000;
 /** Number of departures retained, so that targets that come and go all the time don't fill the snapshots. */
--- a/packages/hosts/src/fleet-state.ts
+++ b/packages/hosts/src/fleet-state.ts
@@ -6,7 +6,7 @@
 	applyOutcome, applyRecord, applyRelease, createRecordTable, findRecord, type RecordKey,
 } from './fleet-state-records.js';
 import {
-	type AtMostOnceRecord, type ConfigUpdate, FleetCommand, type FleetCommandOf, type FleetConfig, type FleetResult, FleetSnapshot, type TargetDeparture, type ZoneLease,
+	type AtMostOnceRecord, type ConfigUpdate, FleetCommand, type FleetCommandOf, type FleetConfig, type FleetResult, FleetSnapshot, type StoredCrash, type TargetDeparture, type ZoneLease,
 } from './types.js';
 
 const commandCodec = createCodec(FleetCommand);
@@ -25,6 +25,7 @@
 	zoneOrders: {},
 	entryHosts: [],
 	departures: [],
+	crashes: [],
 	logTimeMs: 0,
 };
 
@@ -109,6 +110,10 @@
 			return recordDeparture(stateAtLogTime, command);
 		}
 
+		case 'setCrashes': {
+			return {state: {...stateAtLogTime, crashes: command.crashes}, result: {kind: 'crashes'}};
+		}
+
 		case 'apply':
 		case 'withdrawKey':
 		case 'setZoneState':
@@ -215,6 +220,11 @@
 		return this.state.departures;
 	}
 
+	/** Returns the evidence on what ends targets; the list is replaced with each change. */
+	getCrashes(): readonly StoredCrash[] {
+		return this.state.crashes;
+	}
+
 	/** Returns the hosts that operators added, with the addresses that the transport needs. */
 	getAddedHosts(): readonly PeerHost[] {
 		return this.state.members.flatMap(member => member.host ?? []);
--- a/packages/hosts/src/types.ts
+++ b/packages/hosts/src/types.ts
@@ -3,7 +3,7 @@
 } from '@egretrill/common';
 import {Bytes, LogEntry} from '@egretrill/disk';
 import {z} from 'zod';
-import {MAX_OUTCOME_BODY_BYTES} from './constants.js';
+import {MAX_OUTCOME_BODY_BYTES, MAX_STORED_CRASHES, MAX_STORED_ENDS} from './constants.js';
 
 const count = z.int().nonnegative();
 
@@ -127,6 +127,21 @@
 export const TargetDeparture = z.object({targetId: z.string().min(1), startedAtMs: count, leftAtMs: count});
 export type TargetDeparture = z.infer<typeof TargetDeparture>;
 
+/** Evidence that targets end under a key of requests. Its times are times of day, since it outlasts the processes that have seen the ends. */
+export const StoredCrash = z.object({
+	key: z.string().min(1),
+	/** How specific the key is. */
+	rank: count,
+	/** Lifetimes of targets that ended, and the times of their ends. */
+	ends: z.array(z.tuple([z.string(), count])).max(MAX_STORED_ENDS),
+	/** Last answer that proved the key harmless. */
+	provenAtMs: count.optional(),
+	probeCount: count,
+	probedAtMs: count.optional(),
+	arrivedAtMs: count,
+});
+export type StoredCrash = z.infer<typeof StoredCrash>;
+
 /** Commands that change the replicated state of the fleet. */
 export const FleetCommand = z.discriminatedUnion('kind', [
 	z.object({
@@ -156,6 +171,8 @@
 	}),
 	z.object({kind: z.literal('setEntryHosts'), hostIds: z.array(z.string())}),
 	z.object({kind: z.literal('recordDeparture'), departure: TargetDeparture}),
+	/** Replaces all evidence; only a leader that has applied all earlier entries proposes it, at itself. */
+	z.object({kind: z.literal('setCrashes'), crashes: z.array(StoredCrash).max(MAX_STORED_CRASHES)}),
 ]);
 export type FleetCommand = z.infer<typeof FleetCommand>;
 export type FleetCommandOf<Kind extends FleetCommand['kind']> = Extract<FleetCommand, {kind: Kind}>;
@@ -189,6 +206,7 @@
 	z.object({kind: z.literal('zone-service'), zonesOut: z.array(z.string())}),
 	z.object({kind: z.literal('entry-hosts'), hostIds: z.array(z.string())}),
 	z.object({kind: z.literal('departed')}),
+	z.object({kind: z.literal('crashes')}),
 ]);
 export type FleetResult = z.infer<typeof FleetResult>;
 
@@ -258,6 +276,8 @@
 	entryHosts: z.array(z.string()).default([]),
 	/** Processes of targets that left a short time ago, the last one to leave at the end. */
 	departures: z.array(TargetDeparture).default([]),
+	/** Evidence on what ends targets. */
+	crashes: z.array(StoredCrash).default([]),
 	/** Sum of the elapsed times in commands; never advances faster than real time. */
 	logTimeMs: count,
 });
