forward: say in the log who ended a request without a whole answer

Users saw, in their records of LOST around a SIGTERM, lines of broken attempts with 'The answer ended early.' at one engine for several requests at once.

Cause: what this host ends itself, by its stop, the time limit or the end of the caller's connection, was told with the same reason as an answer that the target breaks off, and a request that was let in during a stop left no trace of what was expected of it. The two can't be told apart from the logs.

Change: the signal that ends a request carries its reason, which the lines of attempts show; the line of a request that was served during a stop and not answered has wasServedAtStop and what was expected. The test fails before (the four ends had the target's reason).

--- a/apps/egretrilld/src/traffic/entry-observer.ts
+++ b/apps/egretrilld/src/traffic/entry-observer.ts
@@ -1,5 +1,5 @@
 import {
-	type AttemptEvent, type ForwardCall, type ForwardEndEvent, ForwardObserver, type LostRequest, type StopRefusal, type TargetEnd,
+	type AttemptEvent, type ForwardCall, type ForwardEndEvent, ForwardObserver, type LostRequest, type StopEstimate, type TargetEnd,
 } from '@egretrill/callers';
 import type {Metrics} from '@egretrill/balancer';
 import {estimateRunMs} from '@egretrill/engines';
@@ -16,15 +16,15 @@
 	return attempts === 1 && status < STATUS_SERVER_ERROR && (firstMs ?? tookMs) <= targetLatencyMs;
 }
 
-/** Says why a planned stop ended a request: at which step, the time that was left and the time that the request was expected to take. */
-function describeStop({checkpoint, stopLeftMs, expectedMs, basis, observedCount, tokensOut}: StopRefusal): Readonly<Record<string, unknown>> {
+/** Says what a planned stop expected of a request: at which step, the time that was left and the time that the request was expected to take. */
+function describeStop({checkpoint, stopLeftMs, expectedMs, basis, observedCount, tokensOut}: StopEstimate): Readonly<Record<string, unknown>> {
 	return {
 		stopCheckpoint: checkpoint, stopLeftMs: Math.round(stopLeftMs), expectedMs: Math.round(expectedMs), expectedFrom: basis, observedCount, ...(tokensOut !== undefined && {tokensOut}),
 	};
 }
 
 function describeEnd(event: ForwardEndEvent, knowledgeAgeMs: number): Readonly<Record<string, unknown>> {
-	const {call, route = '', customer, configVersion, outcome, status, bodyEnd, bodyBytes, targetId, outstanding, attempts, waitMs, tookMs, isRequestIncomplete, firstMs, longestPauseMs, stopRefusal} = event;
+	const {call, route = '', customer, configVersion, outcome, status, bodyEnd, bodyBytes, targetId, outstanding, attempts, waitMs, tookMs, isRequestIncomplete, firstMs, longestPauseMs, stopRefusal, stopEstimate} = event;
 	const isRefused = typeof outcome === 'object';
 	return {
 		requestId: call && sanitizeName(call.attemptId),
@@ -47,6 +47,7 @@
 		...(isRequestIncomplete && {isRequestIncomplete}),
 		...(firstMs !== undefined && {firstMs: Math.round(firstMs)}),
 		...(stopRefusal && describeStop(stopRefusal)),
+		...(stopEstimate && {wasServedAtStop: true, ...describeStop(stopEstimate)}),
 		...(longestPauseMs !== undefined && {longestPauseMs: Math.round(longestPauseMs)}),
 	};
 }
--- a/packages/callers/src/forward/forward-context.ts
+++ b/packages/callers/src/forward/forward-context.ts
@@ -1,6 +1,6 @@
 import type {TrafficCustomer, TrafficRoute} from '@egretrill/common';
 import type {RankedKey} from '../crashes/index.js';
-import type {StopRefusal} from './stop-refusal.js';
+import type {StopEstimate, StopRefusal} from './stop-refusal.js';
 import type {CallerExchange} from './caller-exchange.js';
 import type {ForwardDependencies} from './forward-dependencies.js';
 import type {EventOrder} from './event-order.js';
@@ -44,6 +44,8 @@
 	sentMs?: number;
 	/** Set when the request is refused or not sent again because this host stops. */
 	stopRefusal?: StopRefusal;
+	/** Set when the request is served although this host stops. */
+	stopEstimate?: StopEstimate;
 	targetId?: string;
 	outstanding?: number;
 	status?: number;
--- a/packages/callers/src/forward/forward-dependencies.ts
+++ b/packages/callers/src/forward/forward-dependencies.ts
@@ -4,7 +4,7 @@
 import type {Result} from 'true-myth';
 import type {CrashGate, CrashTracker} from '../crashes/index.js';
 import type {RetryBudget} from '../retry-budget.js';
-import type {StopRefusal} from './stop-refusal.js';
+import type {StopEstimate, StopRefusal} from './stop-refusal.js';
 import type {ForwardDialect} from './forward-dialect.js';
 import type {TargetSlot, SlotQueue} from './slot-queue.js';
 import type {KeyLease} from './key-lease.js';
@@ -51,6 +51,8 @@
 	readonly longestPauseMs?: number;
 	/** Why a planned stop of this host ended the request. */
 	readonly stopRefusal?: StopRefusal;
+	/** What was expected of a request that was served during a planned stop, and then not answered. */
+	readonly stopEstimate?: StopEstimate;
 };
 
 /** Receives events of forwarded requests. */
--- a/packages/callers/src/forward/forward-request.ts
+++ b/packages/callers/src/forward/forward-request.ts
@@ -126,11 +126,20 @@
 		tookMs: clock.now() - startedMs,
 		...getChunkTimes(progress.chunkTimes),
 		...(!isRequestComplete && {isRequestIncomplete: true}),
-		...(outcome !== 'answered' && progress.stopRefusal && {stopRefusal: progress.stopRefusal}),
+		...(outcome !== 'answered' && getStopDetails(progress)),
 		...(progress.answerSummary && {bodyEnd: progress.answerSummary.framing, bodyBytes: progress.answerSummary.bytes}),
 	};
 }
 
+/** What a planned stop has to do with a request that was not answered. */
+function getStopDetails({stopRefusal, stopEstimate}: ForwardProgress): Pick<ForwardEndEvent, 'stopEstimate' | 'stopRefusal'> {
+	if (stopRefusal) {
+		return {stopRefusal};
+	}
+
+	return stopEstimate ? {stopEstimate} : {};
+}
+
 function getDisconnectOutcome({reason}: AbortSignal): 'left' | 'unread' {
 	return reason === UNREAD_ANSWER ? 'unread' : 'left';
 }
@@ -183,7 +192,11 @@
 		return {refusal: unconfirmed, ...known};
 	}
 
-	const body = await readAllowedBody(exchange, heldBody, {table, deps, stopCheck: {route: route.value, call, progress, endsMs: getEndsMs(route.value, call, startedMs)}});
+	const body = await readAllowedBody(exchange, heldBody, {
+		table, deps, stopCheck: {
+			route: route.value, call, progress, endsMs: getEndsMs(route.value, call, startedMs),
+		},
+	});
 	if ('status' in body) {
 		return {refusal: body, ...known};
 	}
@@ -239,18 +252,26 @@
 	const endsMs = getEndsMs(route, call, startedMs);
 	const aborter = new AbortController();
 	const timer = new AbortController();
-	const stop = (): void => {
-		aborter.abort();
+	const end = (reason: string): void => {
+		aborter.abort(reason);
 		timer.abort();
 	};
 
+	const stop = (): void => {
+		end('The stop of this host ended the request.');
+	};
+
+	const leave = (): void => {
+		end('The caller left.');
+	};
+
 	const expire = async (): Promise<void> => {
 		await clock.sleep(endsMs - clock.now(), timer.signal);
-		aborter.abort();
+		aborter.abort('The time limit of the request was reached.');
 	};
 
 	exchange.cancelWritesOn(aborter.signal);
-	exchange.callerDisconnected.addEventListener('abort', stop, {once: true});
+	exchange.callerDisconnected.addEventListener('abort', leave, {once: true});
 	ended.addEventListener('abort', stop, {once: true});
 	void expire();
 	try {
@@ -264,7 +285,7 @@
 			: await forwardUntilAnswered({...admitted, endsMs, signal: aborter.signal});
 	} finally {
 		timer.abort();
-		exchange.callerDisconnected.removeEventListener('abort', stop);
+		exchange.callerDisconnected.removeEventListener('abort', leave);
 		ended.removeEventListener('abort', stop);
 		refundUnsent(admitted);
 	}
--- a/packages/callers/src/forward/forward-to-target.ts
+++ b/packages/callers/src/forward/forward-to-target.ts
@@ -103,10 +103,12 @@
 	}
 
 	answer.destroy();
-	return describeBroken(result, holding.wasEvicted, watch);
+	return describeBroken(context, result, {wasEvicted: holding.wasEvicted, watch});
 }
 
-function describeBroken({reason}: RelayResult, wasEvicted: boolean, watch: SwitchWatch | undefined): AttemptFailure {
+type RelayEnd = {readonly wasEvicted: boolean; readonly watch: SwitchWatch | undefined};
+
+function describeBroken({signal}: ForwardContext, {reason}: RelayResult, {wasEvicted, watch}: RelayEnd): AttemptFailure {
 	if (watch?.hasMoved()) {
 		return {kind: 'broken', reason: `The target completed no event for ${STREAM_IDLE_TIMEOUT_MS} ms, and another one goes on with the stream.`, slotOutcome: 'replaced'};
 	}
@@ -116,6 +118,10 @@
 		return {kind: 'broken', reason: NO_ROOM, slotOutcome: 'answered'};
 	}
 
+	if (signal.aborted) {
+		return {kind: 'broken', reason: String(signal.reason), slotOutcome: 'answered'};
+	}
+
 	return {
 		kind: 'broken', reason: reason ?? 'The answer ended early.', slotOutcome: 'broke-off', ...(reason === undefined && {lostConnection: true}),
 	};
--- a/packages/callers/src/forward/refuse-before-stop.ts
+++ b/packages/callers/src/forward/refuse-before-stop.ts
@@ -5,7 +5,7 @@
 import {decideAtStop} from './decide-at-stop.js';
 import type {PlannedStop} from './planned-stop.js';
 import type {RequestSize, RouteDurations} from './route-durations.js';
-import type {StopCheckpoint, StopRefusal} from './stop-refusal.js';
+import type {StopCheckpoint, StopEstimate, StopRefusal} from './stop-refusal.js';
 
 export type StopCheck = {
 	readonly deps: {readonly clock: Clock; readonly stop: PlannedStop; readonly durations: RouteDurations};
@@ -16,6 +16,8 @@
 		readonly sentMs?: number;
 		/** Set when the request is refused. */
 		stopRefusal?: StopRefusal;
+		/** Set when the request is served although the host stops. */
+		stopEstimate?: StopEstimate;
 	};
 	/** Time at which the request reaches its time limit. */
 	readonly endsMs: number;
@@ -28,8 +30,8 @@
 	return refuse(503, 'stopping', 'This host is shutting down.', MIN_RETRY_AFTER_MS);
 }
 
-/** Finds out why a request is not expected to end before a planned stop of this host does; undefined if it is. */
-function findStopRefusal({deps: {clock, stop, durations}, route, call, progress, endsMs, hasStarted}: StopCheck, checkpoint: StopCheckpoint): StopRefusal | undefined {
+/** Finds out whether a request is expected to end before a planned stop of this host does; undefined without a stop. */
+function assess({deps: {clock, stop, durations}, route, call, progress, endsMs, hasStarted}: StopCheck, checkpoint: StopCheckpoint): {readonly isServed: boolean; readonly estimate: StopEstimate} | undefined {
 	const stopLeftMs = stop.getTimeLeftMs();
 	if (stopLeftMs === undefined) {
 		return undefined;
@@ -40,20 +42,26 @@
 	const {isServed, expectedMs, basis} = decideAtStop({
 		route, stopLeftMs, observed, requestLeftMs: endsMs - nowMs, ranMs: hasStarted && progress.sentMs !== undefined ? nowMs - progress.sentMs : 0,
 	});
-	return isServed
-		? undefined
-		: {
+	return {
+		isServed,
+		estimate: {
 			checkpoint, stopLeftMs, expectedMs, basis, observedCount: observed.count, ...(call.tokensOut !== undefined && {tokensOut: call.tokensOut}),
-		};
+		},
+	};
 }
 
-/** Refuses a request that is not expected to end before a planned stop of this host does, and records the reason in its progress. */
+/** Refuses a request that is not expected to end before a planned stop of this host does, and records in its progress what the decision rests on. */
 export function refuseBeforeStop(check: StopCheck, checkpoint: StopCheckpoint): Verdict | undefined {
-	const refusal = findStopRefusal(check, checkpoint);
-	if (!refusal) {
+	const assessed = assess(check, checkpoint);
+	if (!assessed) {
+		return undefined;
+	}
+
+	if (assessed.isServed) {
+		check.progress.stopEstimate = assessed.estimate;
 		return undefined;
 	}
 
-	check.progress.stopRefusal = refusal;
+	check.progress.stopRefusal = assessed.estimate;
 	return refuseForStop();
 }
--- a/packages/callers/src/forward/stop-refusal.ts
+++ b/packages/callers/src/forward/stop-refusal.ts
@@ -3,8 +3,8 @@
 /** Step of a request at which a planned stop is checked. */
 export type StopCheckpoint = 'arrival' | 'body' | 'send' | 'switch';
 
-/** Why a request was refused or not sent again during a planned stop, for logs. */
-export type StopRefusal = {
+/** What was expected of a request during a planned stop, for logs. */
+export type StopEstimate = {
 	readonly checkpoint: StopCheckpoint;
 	readonly stopLeftMs: number;
 	readonly expectedMs: number;
@@ -14,3 +14,6 @@
 	/** The most tokens that the request lets its target generate, if it names them. */
 	readonly tokensOut?: number;
 };
+
+/** Why a request was refused or not sent again during a planned stop. */
+export type StopRefusal = StopEstimate;
--- a/packages/callers/tests/forward/stopping-requests.test.ts
+++ b/packages/callers/tests/forward/stopping-requests.test.ts
@@ -1,5 +1,7 @@
 import {expect} from 'chai';
-import {observeDuration, runStoppedRequest, type ScenarioOptions} from './support/forward-scenario.js';
+import {
+	listAttempts, observeDuration, runStoppedRequest, type ScenarioOptions,
+} from './support/forward-scenario.js';
 
 const event = (id: number): string => `id: ${id}\ndata: x\n\n`;
 const failedAfterSend = {accepted: true, code: 'ECONNRESET', reason: 'reset'};
@@ -56,6 +58,31 @@
 	}
 });
 
+const pausing = {isEventStream: true, chunks: [event(1), event(2)], pausesMs: {1: 3000}};
+/** Requests that this host ends before their target does, and one that its target ends. */
+const ends: Readonly<Record<string, ScenarioOptions>> = {
+	'the stop': {route: {isStream: true, timeoutMs: 10_000}, stop: {afterMs: 100, durationMs: 500}, answers: [pausing]},
+	'a stop in which its second attempt was expected to end': {
+		route: {repeat: 'idempotent', timeoutMs: 10_000}, history, stop: {afterMs: 100, durationMs: 5000}, answers: [{headDelayMs: 300, failure: failedAfterSend}, {headDelayMs: 9000, chunks: ['ok']}],
+	},
+	'its time limit': {route: {isStream: true, timeoutMs: 1000}, answers: [pausing]},
+	'its caller': {route: {isStream: true}, disconnectsAfterMs: 500, answers: [pausing]},
+	'its target': {route: {isStream: true}, answers: [{isEventStream: true, chunks: [event(1)], isCut: true}]},
+};
+
+describe('the log of a request without a whole answer', () => {
+	// Guards against an end by this host that is told as one by the target, so that nobody looks for its cause here.
+	it('names who ended it, and what a stop had expected of it', async () => {
+		const told: Record<string, unknown> = {};
+		for (const [end, opts] of Object.entries(ends)) {
+			const {stopEstimate} = await runStoppedRequest(opts) as {stopEstimate?: unknown};
+			told[end] = {attempts: await listAttempts(opts), ...(stopEstimate !== undefined && {stopEstimate})};
+		}
+
+		expect(told).toMatchSnapshot();
+	});
+});
+
 describe('the observed durations of a route', () => {
 	// Guards against targets that fail fast and make a stopping host pass on requests that it has to cut off.
 	it('are those of answers without a server error', async () => {
--- a/packages/callers/tests/forward/support/forward-scenario.ts
+++ b/packages/callers/tests/forward/support/forward-scenario.ts
@@ -94,7 +94,7 @@
 export async function runStoppedRequest(opts: ScenarioOptions): Promise<unknown> {
 	const {exchange, sender, slots, observer} = await runScenario(opts);
 	return {
-		caller: exchange.received, targets: sender.sent, ends: slots.ends, stopRefusal: observer.ends[0]?.stopRefusal,
+		caller: exchange.received, targets: sender.sent, ends: slots.ends, stopRefusal: observer.ends[0]?.stopRefusal, ...(observer.ends[0]?.stopEstimate && {stopEstimate: observer.ends[0].stopEstimate}),
 	};
 }
 
