engines: end each wait at its timeout whatever garbage is collected

Callers and operators could see: an order to an engine that keeps its connection open never ends; a caller that reads nothing keeps its chat stream; a probe waits five times as long.

Cause: AbortSignal.any refers only weakly to its sources in Node 20, so that a garbage collection may discard an AbortSignal.timeout that nothing else holds.

Change: runWithTimeout keeps its own timer; the order channel, the probe of targets and the chat reply use it. Timeouts that are held by a variable for as long as they are needed stay as they are.

--- a/packages/callers/src/express-reply.ts
+++ b/packages/callers/src/express-reply.ts
@@ -1,4 +1,5 @@
 import {once} from 'node:events';
+import {runWithTimeout} from '@egretrill/common';
 import type {Response} from 'express';
 import {CallerReply} from './caller-reply.js';
 import {CALLER_STALL_MS} from './constants.js';
@@ -45,7 +46,7 @@
 
 	private async waitForDrain(): Promise<void> {
 		try {
-			await once(this.res, 'drain', {signal: AbortSignal.any([this.disconnected, AbortSignal.timeout(this.stallMs)])});
+			await runWithTimeout(this.stallMs, this.disconnected, async signal => once(this.res, 'drain', {signal}));
 		} catch (err: unknown) {
 			// Otherwise a caller that accepts no data would keep its connection and buffer in use.
 			this.abort();
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -22,6 +22,7 @@
 export * from './read-timeouts.js';
 export * from './registration.js';
 export * from './retry-after.js';
+export * from './run-with-timeout.js';
 export * from './signal.js';
 export * from './socket-address.js';
 export * from './target-client.js';
--- a/packages/engines/src/client/probe.ts
+++ b/packages/engines/src/client/probe.ts
@@ -1,6 +1,7 @@
 import {once} from 'node:events';
 import {connect} from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
+import {runWithTimeout} from '@egretrill/common';
 import {PROBE_CLOSE_WAIT_MS, PROBE_RETRY_MS, PROBE_TIMEOUT_MS} from '../constants.js';
 
 type ProbeResult = 'refused' | 'closed' | 'open' | 'silent';
@@ -15,7 +16,7 @@
 	try {
 		await once(socket, 'connect', {signal});
 		socket.resume();
-		await once(socket, 'end', {signal: AbortSignal.any([signal, AbortSignal.timeout(PROBE_CLOSE_WAIT_MS)])});
+		await runWithTimeout(PROBE_CLOSE_WAIT_MS, signal, async waitSignal => once(socket, 'end', {signal: waitSignal}));
 		return 'closed';
 	} catch (err: unknown) {
 		if (isTimeout(err)) {
--- a/packages/engines/src/placement/order-channel.ts
+++ b/packages/engines/src/placement/order-channel.ts
@@ -1,6 +1,6 @@
 import {once} from 'node:events';
 import {connect, type Socket} from 'node:net';
-import type {Announcement, Order} from '@egretrill/common';
+import {type Announcement, type Order, runWithTimeout} from '@egretrill/common';
 import got, {type Response} from 'got';
 import type {SendOutcome} from './types.js';
 
@@ -20,7 +20,13 @@
 /** Delivers orders with `POST /orders`, one connection for each attempt. */
 export abstract class HttpOrderChannel extends OrderChannel {
 	async send(target: OrderTarget, order: Order, mayWrite: () => boolean, signal: AbortSignal): Promise<SendOutcome> {
-		const expiry = AbortSignal.any([signal, AbortSignal.timeout(order.expiresInMs)]);
+		return runWithTimeout(order.expiresInMs, signal, async expiry => this.sendUntil(expiry, target, order, mayWrite));
+	}
+
+	/** Reads the outcome from the status of the engine's answer. */
+	protected abstract toOutcome(status: number): SendOutcome;
+
+	private async sendUntil(expiry: AbortSignal, target: OrderTarget, order: Order, mayWrite: () => boolean): Promise<SendOutcome> {
 		let socket: Socket;
 		try {
 			socket = await openConnection(target.address, expiry);
@@ -42,9 +48,6 @@
 			socket.destroy();
 		}
 	}
-
-	/** Reads the outcome from the status of the engine's answer. */
-	protected abstract toOutcome(status: number): SendOutcome;
 }
 
 /** For engines that refuse orders with a stale fencing number. */
