tests: take the peak memory of a process from the process itself

Cause: maxRSS of a child counts on Linux what its parent had when it started it.

The bound is the same.

--- a/dev/testkit/src/deployed-process.ts
+++ b/dev/testkit/src/deployed-process.ts
@@ -13,6 +13,18 @@
 /** What a process under test reports: its port when it has started, and its peak memory when it is asked. */
 export type ProcessReport = {readonly port: number} | {readonly peakBytes: number};
 
+/** The peak memory of a process as Linux knows it. What the process itself reports counts the memory that its parent had when it started it. */
+async function readPeakBytes(pid: number | undefined): Promise<number | undefined> {
+	try {
+		const status = await readFile(`/proc/${pid}/status`, 'utf8');
+		const peakKb = /^VmHWM:\s+(?<kb>\d+) kB$/mv.exec(status)?.groups?.kb;
+		return peakKb === undefined ? undefined : 1024 * Number(peakKb);
+	} catch {
+		// Other systems have no such file.
+		return undefined;
+	}
+}
+
 /** A server in a process of its own, with the flags of the deployment. */
 export class DeployedProcess {
 	/** Starts a module that reports a `ProcessReport` when it has started and for each message. */
@@ -51,9 +63,10 @@
 			return undefined;
 		}
 
+		const ended = once(this.child, 'exit');
 		this.child.send('report');
-		const [report] = await once(this.child, 'message') as [ProcessReport];
-		return 'peakBytes' in report ? report.peakBytes : undefined;
+		const [report] = await Promise.race([once(this.child, 'message'), ended]) as [ProcessReport | number | undefined];
+		return report && typeof report === 'object' && 'peakBytes' in report ? await readPeakBytes(this.child.pid) ?? report.peakBytes : undefined;
 	}
 
 	close(): void {
