crashes: store whatever evidence the tracker holds, and log a store that fails

Found by reading the change: an entry host that reports evidence with an empty key, or limits of the tracker above those of the log, would make the proposal invalid, which ends the leader's tasks with an exception. The line of a store that the log had not confirmed said that it was stored.

Change: the list is cut to what the log takes, an empty key is stored like any other, and the line says which of the two happened.

--- a/apps/egretrilld/src/crash-log.ts
+++ b/apps/egretrilld/src/crash-log.ts
@@ -2,7 +2,9 @@
 	type CrashRecord, type CrashReport, type CrashTracker, EVIDENCE_TTL_MS, grantProbes,
 } from '@egretrill/callers';
 import type {Clock, Logger} from '@egretrill/common';
-import type {FleetNode, FleetState, StoredCrash} from '@egretrill/hosts';
+import {
+	type FleetNode, type FleetState, MAX_STORED_CRASHES, MAX_STORED_ENDS, type StoredCrash,
+} from '@egretrill/hosts';
 
 /** Longest wait for the log when a probe is to be granted: the host that asked for it waits for the answer. */
 export const CRASH_STORE_TIMEOUT_MS = 500;
@@ -44,7 +46,7 @@
 	return {
 		key,
 		rank,
-		ends: ends.map(([startId, ageMs]) => [startId, getTime(ageMs)]),
+		ends: ends.slice(0, MAX_STORED_ENDS).map(([startId, ageMs]) => [startId, getTime(ageMs)]),
 		...(provenAgeMs !== undefined && {provenAtMs: getTime(provenAgeMs)}),
 		probeCount,
 		...(probeAgeMs !== undefined && {probedAtMs: getTime(probeAgeMs)}),
@@ -98,7 +100,7 @@
 
 		const revision = tracker.getRevision();
 		const timeOfDayMs = getTimeOfDayMs();
-		const crashes = tracker.listRecords().filter(({ends}) => ends.length > 0).map(record => toStoredCrash(record, timeOfDayMs));
+		const crashes = tracker.listRecords().filter(({ends}) => ends.length > 0).slice(0, MAX_STORED_CRASHES).map(record => toStoredCrash(record, timeOfDayMs));
 		this.pendingStores += 1;
 		const outcome = await node.propose({kind: 'setCrashes', crashes}, CRASH_STORE_TIMEOUT_MS);
 		this.pendingStores -= 1;
@@ -108,7 +110,7 @@
 			this.storedRevision = Math.max(this.storedRevision, revision);
 		}
 
-		logger.info({keys: crashes.length, ends: crashes.reduce((sum, {ends}) => sum + ends.length, 0), outcome: outcome.kind}, 'Evidence on what ends targets was stored.');
+		logger.info({keys: crashes.length, ends: crashes.reduce((sum, {ends}) => sum + ends.length, 0), outcome: outcome.kind}, isStored ? 'Evidence on what ends targets was stored.' : 'The log has not confirmed the evidence on what ends targets.');
 		return isStored;
 	}
 
--- a/packages/hosts/src/types.ts
+++ b/packages/hosts/src/types.ts
@@ -129,7 +129,7 @@
 
 /** Evidence that targets end under a key of requests. Its times are times of day, since it outlasts the processes that have seen the ends. */
 export const StoredCrash = z.object({
-	key: z.string().min(1),
+	key: z.string(),
 	/** How specific the key is. */
 	rank: count,
 	/** Lifetimes of targets that ended, and the times of their ends. */
