--- a/packages/callers/tests/forward/decide-at-stop.test.ts
+++ b/packages/callers/tests/forward/decide-at-stop.test.ts
@@ -60,7 +60,9 @@
 		durations.record('r', drawRequest());
 	}
 
-	const counts = {whole: 0, cutOff: 0, refusedInTime: 0, refusedLate: 0};
+	const counts = {
+		whole: 0, cutOff: 0, refusedInTime: 0, refusedLate: 0,
+	};
 	for (let i = 0; i < ARRIVALS; i++) {
 		const {durationMs, size} = drawRequest();
 		const stopLeftMs = STOP_MS * random();
