--- a/dev/soak/src/constants.ts
+++ b/dev/soak/src/constants.ts
@@ -1,3 +1,4 @@
+import type {SoakRoute} from '@egretrill/platform/testing';
 import type {RequestKind} from './types.js';
 
 /** Time from SIGTERM until the platform kills a process. */
@@ -25,7 +26,7 @@
 export const TARGETS = 4;
 
 /** Routes of the configuration; the time limits are those of the users' deployments. */
-export const routes: ReadonlyArray<{readonly kind: RequestKind; readonly prefix: string; readonly wireKind: string; readonly timeoutMs: number; readonly maxAttempts: number; readonly isResumable: boolean}> = [
+export const routes: ReadonlyArray<SoakRoute & {readonly kind: RequestKind}> = [
 	{
 		kind: 'draft', prefix: 'drafts', wireKind: 'streaming', timeoutMs: 12_000, maxAttempts: 2, isResumable: true,
 	},
--- a/dev/soak/src/run-soak.ts
+++ b/dev/soak/src/run-soak.ts
@@ -1,11 +1,12 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {createRandom, type Random} from '@egretrill/common';
-import {PlatformFleet, StreamTarget, type TargetRun} from '@egretrill/platform/testing';
+import {
+	createSoakConfig, PlatformFleet, StreamTarget, type TargetRun,
+} from '@egretrill/platform/testing';
 import type {SoakRecord} from './check-calls.js';
 import {
-	CONTROL_HOSTS, GRACE_SECONDS, READY_POLL_MS, TARGETS,
+	CONTROL_HOSTS, GRACE_SECONDS, READY_POLL_MS, routes, TARGETS,
 } from './constants.js';
-import {createConfig} from './create-config.js';
 import {SoakCaller} from './soak-caller.js';
 import type {CallRecord, StepRecord} from './types.js';
 
@@ -55,7 +56,7 @@
 		try {
 			await fleet.start();
 			await Promise.all(Array.from({length: TARGETS}, async () => this.startTarget()));
-			await fleet.put(createConfig(this.version));
+			await fleet.put(createSoakConfig(this.version, routes));
 			await fleet.waitUntilReady();
 			const tasks = [this.followReadiness(), ...Array.from({length: opts.callers}, async (_, i) => this.createCaller(i).run(this.stopper.signal))];
 			await delay(WARM_UP_MS);
@@ -162,7 +163,7 @@
 	private async configure(): Promise<void> {
 		this.version += 1;
 		this.record('configure', -1);
-		await this.fleet.put(createConfig(this.version));
+		await this.fleet.put(createSoakConfig(this.version, routes));
 	}
 
 	/** Starts a target and lets another one leave as planned. */
