cold targets: let the right to a request lapse, and grant it by the leader

An engine that gets well above what it bears ends, with all requests on it. Cause: a host that may send a cold target less than one request a second kept its right to the next one for as long as it did not use it. A cold target that nobody chooses collects one right at each host, and a burst or a lost engine spends all of them within one second. Change: below one request a second a host sends in turns of 250 ms, which lapse, and whose times are spread at random; their interval follows the number of hosts at each moment, so that a host which did not know it yet when it met the target gets no early turn. Turns alone would leave a cold target nearly unused by the few hosts that want it, so a host without a turn requests a send from the leader, one call at a time for all targets. The leader grants half of what the target bears in any second and 200 ms, and a new leader nothing while grants of another may be in use.

--- a/apps/egretrilld/src/traffic/constants.ts
+++ b/apps/egretrilld/src/traffic/constants.ts
@@ -90,6 +90,12 @@
 /** Shortest time between two requests to the leader for the same adapter. */
 export const ADAPTER_REQUEST_INTERVAL_MS = 50;
 
+/** Timeout of a call for sends to cold targets; shorter than the time for which a granted send may be used. */
+export const COLD_SEND_TIMEOUT_MS = 150;
+
+/** Number of cold targets for which one call may request a send. */
+export const MAX_COLD_WANTS = 64;
+
 /** Time after which an unanswered request for an adapter is repeated: the leader answers only when the adapter is loaded, and the call may be lost. */
 export const ADAPTER_REQUEST_RETRY_MS = 250;
 
--- a/apps/egretrilld/src/traffic/control-follower.ts
+++ b/apps/egretrilld/src/traffic/control-follower.ts
@@ -5,13 +5,14 @@
 import {
 	type Clock, jitter, type Logger, type Random, TimeMark, type TimeOfDay, type TrafficSource,
 } from '@egretrill/common';
+import type {ColdWant} from '@egretrill/engines';
 import type {ControlPeers} from '@egretrill/hosts';
 import {BorrowBatcher} from './borrow-batcher.js';
 import {
-	BORROW_TIMEOUT_MS, CONTROL_SUSPICION_MS, MIN_SYNC_INTERVAL_MS, SYNC_RESPONSE_TIMEOUT_MS, SYNC_RETRY_MS, SYNC_WAIT_MS,
+	BORROW_TIMEOUT_MS, COLD_SEND_TIMEOUT_MS, CONTROL_SUSPICION_MS, MIN_SYNC_INTERVAL_MS, SYNC_RESPONSE_TIMEOUT_MS, SYNC_RETRY_MS, SYNC_WAIT_MS,
 } from './constants.js';
 import {
-	borrowMethod, crashMethod, type EntryReport, type LeaderPlan, type RateLoan, requestAdapterMethod, syncMethod, type SyncResponse,
+	borrowMethod, coldSendMethod, crashMethod, type EntryReport, type LeaderPlan, type RateLoan, requestAdapterMethod, syncMethod, type SyncResponse,
 } from './methods.js';
 import {pickControlHost} from './pick-control-host.js';
 import {RateLimitedLog} from './rate-limited-log.js';
@@ -104,6 +105,16 @@
 		return this.batcher.borrow({customer: name, cost});
 	}
 
+	/** Requests one send to each of some cold targets from the leader; resolves with those that are granted. */
+	async requestColdSends(wants: readonly ColdWant[]): Promise<readonly string[]> {
+		if (this.leaderId === undefined || this.unresponsive.has(this.leaderId)) {
+			return [];
+		}
+
+		const answer = await this.opts.peers.call(this.leaderId, coldSendMethod, {wants: [...wants]}, COLD_SEND_TIMEOUT_MS);
+		return answer.isOk ? answer.value.grantedIds : [];
+	}
+
 	/** Sends evidence to the leader between two polls; undefined if it does not answer. */
 	async sendCrashes(report: CrashReport): Promise<CrashAnswer | undefined> {
 		if (this.leaderId === undefined) {
--- a/apps/egretrilld/src/traffic/control-host.ts
+++ b/apps/egretrilld/src/traffic/control-host.ts
@@ -20,7 +20,7 @@
 import {LeaderTerm} from './leader-term.js';
 import {Membership} from './membership.js';
 import {
-	borrowMethod, crashMethod, departMethod, gossipMethod, readTrafficMethod, readZoneOrdersMethod, requestAdapterMethod, syncMethod,
+	borrowMethod, coldSendMethod, crashMethod, departMethod, gossipMethod, readTrafficMethod, readZoneOrdersMethod, requestAdapterMethod, syncMethod,
 } from './methods.js';
 import {getServedTargets, hasAppliedLog, RegistrySettling} from './registry-settling.js';
 import {getReportedLeaderId} from './reported-leader.js';
@@ -170,6 +170,7 @@
 				const rates = this.getTerm()?.rates;
 				return {...(rates && {answers: loans.map(({customer, cost}) => rates.borrow(customer, cost))})};
 			}),
+			bindMethod(coldSendMethod, async ({wants}) => ({grantedIds: [...this.getTerm()?.coldGrants.grant(wants) ?? []]})),
 			bindMethod(gossipMethod, async ({hostId, zone, registry}) => {
 				this.gossip.recordContact(hostId, zone);
 				const leaderId = this.getLeaderId();
--- a/apps/egretrilld/src/traffic/entry-host.ts
+++ b/apps/egretrilld/src/traffic/entry-host.ts
@@ -11,6 +11,7 @@
 import type {ControlPeers} from '@egretrill/hosts';
 import {TargetSlotSource} from './target-slot-source.js';
 import {CallerConnections} from './caller-connections.js';
+import {ColdSendRequests} from './cold-send-requests.js';
 import {
 	BYTES_PER_MB, HELD_MEMORY_RATIO, IDLE_WAIT_RATIO, MAX_LEAVING_TARGETS,
 } from './constants.js';
@@ -50,6 +51,7 @@
 	private bounds: TrafficBounds;
 	private readonly follower: ControlFollower;
 	private readonly targets: TargetTable;
+	private readonly coldSends: ColdSendRequests;
 	private readonly queue: SlotQueue;
 	private readonly rates: RateAllocations;
 	private readonly decisionLog: DecisionLog;
@@ -85,9 +87,20 @@
 		this.follower = new ControlFollower({
 			hostId: settings.host, zone: settings.zone, clock, getTimeOfDayMs: () => Date.now(), random: opts.random, logger, peers, sink: this,
 		});
+		this.coldSends = new ColdSendRequests({
+			clock,
+			getIntervalMs: () => this.follower.getIntervalMs(),
+			requestSends: async wants => this.follower.requestColdSends(wants),
+			onGrant: (targetId, endMs) => {
+				this.targets.grantColdSend(targetId, endMs);
+			},
+		});
 		this.queue = new SlotQueue(clock, new TargetSlotSource({
 			clock,
 			targets: this.targets,
+			requestColdSend: (service, targetId) => {
+				this.requestColdSend(service, targetId);
+			},
 			requestAdapter: async (service, model, adapter) => this.follower.requestAdapter(service, model, adapter),
 		}));
 		this.decisionLog = new DecisionLog(clock, logger);
@@ -276,8 +289,19 @@
 		return created;
 	}
 
+	/** Requests per second that all hosts together may send to a cold target of a service. */
+	private getFleetColdRate(service: string): number {
+		return (this.routeTable?.services.get(service)?.coldRequestsPerSecond ?? 0) * this.bounds.coldExcessRatio;
+	}
+
 	private getColdRate(service: string): number {
-		return (this.routeTable?.services.get(service)?.coldRequestsPerSecond ?? 0) * this.bounds.coldExcessRatio / this.hostCount;
+		return this.getFleetColdRate(service) / this.hostCount;
+	}
+
+	private requestColdSend(service: string, targetId: string): void {
+		if (this.getColdRate(service) < 1) {
+			void this.coldSends.request({targetId, perSecond: this.getFleetColdRate(service)});
+		}
 	}
 
 	private async serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
--- a/apps/egretrilld/src/traffic/index.ts
+++ b/apps/egretrilld/src/traffic/index.ts
@@ -2,6 +2,7 @@
 export * from './aggregated-line.js';
 export * from './target-slot-source.js';
 export * from './borrow-batcher.js';
+export * from './cold-send-requests.js';
 export * from './config-decoder.js';
 export * from './control-follower.js';
 export * from './control-host.js';
--- a/apps/egretrilld/src/traffic/leader-term.ts
+++ b/apps/egretrilld/src/traffic/leader-term.ts
@@ -6,7 +6,9 @@
 import {
 	type Clock, compareLists, type EngineClass, type Logger, type LoopWatch, type Random, type TrafficCustomer,
 } from '@egretrill/common';
-import {type EngineOrders, EngineOwner, type TargetRegistry} from '@egretrill/engines';
+import {
+	ColdGrants, type EngineOrders, EngineOwner, type TargetRegistry,
+} from '@egretrill/engines';
 import type {FleetNode, FleetState} from '@egretrill/hosts';
 import {CrashLog} from '../crash-log.js';
 import {ENTRY_RECORD_INTERVAL_MS, ORDER_TAKEOVER_MARGIN_MS} from './constants.js';
@@ -35,10 +37,11 @@
 	readonly putEntryHosts: (hostIds: readonly string[]) => Promise<boolean>;
 };
 
-/** State that a leader owns during one term: the division of rates, the engines' orders and the counts of running requests. */
+/** State that a leader owns during one term: the division of rates, the sends to cold targets, the engines' orders and the counts of running requests. */
 export class LeaderTerm {
 	readonly engines: EngineOwner;
 	readonly rates: RateOwner;
+	readonly coldGrants: ColdGrants;
 	private readonly running: RunningCounts;
 	private readonly crashes: CrashTracker;
 	private readonly crashLog: CrashLog;
@@ -56,6 +59,7 @@
 		// The order tasks of all engines listen to this signal, which exceeds Node's default limit for listener leaks.
 		setMaxListeners(0, this.stopper.signal);
 		this.rates = new RateOwner(clock, opts.getCustomers, opts.getEntryHosts);
+		this.coldGrants = new ColdGrants(clock);
 		this.engines = new EngineOwner({
 			...opts,
 			holder: opts.hostId,
--- a/apps/egretrilld/src/traffic/target-slot-source.ts
+++ b/apps/egretrilld/src/traffic/target-slot-source.ts
@@ -5,7 +5,7 @@
 import type {TargetTable} from '@egretrill/engines';
 import {ADAPTER_REQUEST_INTERVAL_MS, ADAPTER_REQUEST_RETRY_MS} from './constants.js';
 
-/** Allocates slots at the targets of the target table and requests missing adapters from the leader. Missing models are not requested: the leader loads them by the counts of waiting requests in the polls. */
+/** Allocates slots at the targets of the target table and requests missing adapters, and sends to cold targets, from the leader. Missing models are not requested: the leader loads them by the counts of waiting requests in the polls. */
 export class TargetSlotSource extends SlotSource {
 	/** Earliest time of the next request to the leader, by service, model and adapter. */
 	private readonly nextRequestMs = new Map<string, number>();
@@ -13,6 +13,8 @@
 	constructor(private readonly opts: {
 		readonly clock: Clock;
 		readonly targets: TargetTable;
+		/** Requests a send to a cold target for which this host has no turn. */
+		readonly requestColdSend: (service: string, targetId: string) => void;
 		readonly requestAdapter: (service: string, model: string, adapter: string) => Promise<string | undefined>;
 	}) {
 		super();
@@ -20,8 +22,12 @@
 
 	override findSlot(need: SlotRequirements): SlotResult {
 		const choice = this.opts.targets.choose(need);
+		if ((choice.kind === 'target' || choice.kind === 'full') && choice.coldTargetId !== undefined) {
+			this.opts.requestColdSend(need.service, choice.coldTargetId);
+		}
+
 		if (choice.kind !== 'target') {
-			return choice;
+			return {kind: choice.kind};
 		}
 
 		const acquired = this.opts.targets.acquireSlot(choice.targetId, need);
--- a/apps/egretrilld/tests/traffic/silent-engine.test.ts
+++ b/apps/egretrilld/tests/traffic/silent-engine.test.ts
@@ -337,7 +337,9 @@
 	const targets = await Promise.all(Array.from({length: engines}, async (_, index) => RawTarget.open(createScript(silentPart !== 'first' || index === 0))));
 	const table = createTable(targets);
 	const host = await ForwardHost.open({
-		targets: [], route: resumable, slotSource: new TargetSlotSource({clock: new MonotonicClock(), targets: table, requestAdapter: async () => undefined}),
+		targets: [], route: resumable, slotSource: new TargetSlotSource({
+			clock: new MonotonicClock(), targets: table, requestColdSend: () => undefined, requestAdapter: async () => undefined,
+		}),
 	});
 	const answers = await Promise.all(Array.from({length: STREAMS}, async () => callRaw(host.port)));
 	const sent = targets.reduce((sum, {peers}) => sum + peers.length, 0);
--- a/apps/egretrilld/tests/traffic/target-slot-source.test.ts
+++ b/apps/egretrilld/tests/traffic/target-slot-source.test.ts
@@ -16,6 +16,9 @@
 		this.slotSource = new TargetSlotSource({
 			clock: this.clock,
 			targets,
+			requestColdSend() {
+				// No target is cold.
+			},
 			requestAdapter: async () => {
 				this.requestCount += 1;
 				await this.clock.sleep(answerMs);
--- a/dev/bench/src/polls-entry.ts
+++ b/dev/bench/src/polls-entry.ts
@@ -31,7 +31,9 @@
 	targets.update({
 		origin: 'o', revision: 1, isWhole: true, targets: Array.from({length: FLEET.engines}, (_, i) => ({registration: createRegistration(i, 1), ageMs: 0, hasEnded: false})),
 	});
-	const queue = new SlotQueue(clock, new TargetSlotSource({clock, targets, requestAdapter: async () => undefined}));
+	const queue = new SlotQueue(clock, new TargetSlotSource({
+		clock, targets, requestColdSend: () => undefined, requestAdapter: async () => undefined,
+	}));
 	const limits = {unplannedMs: 1e9, plannedMs: 1e9, saturatedMs: 1e9};
 	for (let i = 0; i < WAITING_REQUESTS; i++) {
 		void queue.acquire(createRequirements(`model-${i % FLEET.models}`, `missing-${i}`), 1, limits, new AbortController().signal);
--- a/packages/engines/src/registry/choose-target.ts
+++ b/packages/engines/src/registry/choose-target.ts
@@ -24,10 +24,11 @@
 	readonly cachedTokens: number;
 };
 
+/** The target of a request or the reason why there is none, with the cold target that would be chosen if this host might send it a request now. */
 export type TargetChoice =
-	| {readonly kind: 'target'; readonly targetId: string}
+	| {readonly kind: 'target'; readonly targetId: string; readonly coldTargetId?: string}
 	/** All suitable targets are full or cold. */
-	| {readonly kind: 'full'}
+	| {readonly kind: 'full'; readonly coldTargetId?: string}
 	/** All suitable targets have asked this host to send nothing for a time. */
 	| {readonly kind: 'paused'}
 	/** Targets hold the model, but none holds the adapter. */
@@ -58,6 +59,11 @@
 		return {kind: 'paused'};
 	}
 
-	const [best] = open.filter(({outstanding, slots, hasColdCapacity}) => outstanding < slots && hasColdCapacity).toSorted(compareTargets);
-	return best ? {kind: 'target', targetId: best.targetId} : {kind: 'full'};
+	const free = open.filter(({outstanding, slots}) => outstanding < slots).toSorted(compareTargets);
+	const best = free.find(({hasColdCapacity}) => hasColdCapacity);
+	const coldTargetId = free[0] === best ? undefined : free[0]?.targetId;
+	return {
+		...(best ? {kind: 'target', targetId: best.targetId} : {kind: 'full'}),
+		...(coldTargetId !== undefined && {coldTargetId}),
+	};
 }
--- a/packages/engines/src/registry/cold-sends.ts
+++ b/packages/engines/src/registry/cold-sends.ts
@@ -1,4 +1,4 @@
-import {SPARSE_COLD_RATIO} from './constants.js';
+import {COLD_TURN_MS, COLD_TURN_RATIO} from './constants.js';
 
 const MS_PER_SECOND = 1000;
 
@@ -6,37 +6,60 @@
 	return times.filter(timeMs => nowMs - timeMs < MS_PER_SECOND);
 }
 
-/** Time between two sends to a cold target of which this host may take less than one request a second. */
-function getIntervalMs(rate: number): number {
-	return rate > 0 && rate < 1 ? MS_PER_SECOND / (rate * SPARSE_COLD_RATIO) : 0;
+/** Time from one turn to the next. The turns of all hosts that touch any one second add up to the fleet's part for turns. */
+function getTurnIntervalMs(rate: number): number {
+	return (MS_PER_SECOND + COLD_TURN_MS) / (rate * COLD_TURN_RATIO);
 }
 
-/** Sends of this host to a cold target, of which it may take `rate` requests a second. */
+/**
+ * Sends of this host to a cold target, of which it may take `rate` requests a second. Below one request a second it sends in
+ * short turns, or as the leader grants. Neither can be saved: rights that many hosts keep would all be used in the same second.
+ */
 export class ColdSends {
 	/** Send times of the last second, only recorded while the target is cold. */
 	private times: readonly number[] = [];
-	/** Time of the next send while this host's share of the target is less than one request a second. */
-	private nextMs = 0;
+	private lastTurnMs = Number.NEGATIVE_INFINITY;
+	/** Ends of the sends that the leader has granted. */
+	private grantEndsMs: readonly number[] = [];
 
-	constructor(nowMs: number, rate: number, random: number) {
-		this.restart(nowMs, rate, random);
-	}
+	/** The phase, from 0 to 1, is random, so that the turns of all hosts are spread over the interval. */
+	constructor(private readonly startedMs: number, private readonly phase: number) {}
 
 	hasCapacity(nowMs: number, rate: number): boolean {
 		if (rate <= 0) {
 			return true;
 		}
 
-		return rate < 1 ? nowMs >= this.nextMs : filterLastSecond(this.times, nowMs).length < Math.floor(rate);
+		if (rate >= 1) {
+			return filterLastSecond(this.times, nowMs).length < Math.floor(rate);
+		}
+
+		return this.isTurn(nowMs, rate) || this.grantEndsMs.some(endMs => nowMs < endMs);
 	}
 
 	record(nowMs: number, rate: number, isCold: boolean): void {
 		this.times = isCold ? [...filterLastSecond(this.times, nowMs), nowMs] : [];
-		this.nextMs = nowMs + getIntervalMs(rate);
+		if (!isCold || rate <= 0 || rate >= 1) {
+			return;
+		}
+
+		if (this.isTurn(nowMs, rate)) {
+			this.lastTurnMs = nowMs;
+		} else {
+			this.grantEndsMs = this.grantEndsMs.filter(endMs => nowMs < endMs).slice(1);
+		}
+	}
+
+	/** Adds one send that the leader has granted. */
+	grant(nowMs: number, endMs: number): void {
+		this.grantEndsMs = [...this.grantEndsMs.filter(otherMs => nowMs < otherMs), endMs];
 	}
 
-	/** Begins anew at a target that was warm and is cold again. The hosts begin at random times, since together they could send a cold target one request each at once. */
-	restart(nowMs: number, rate: number, random: number): void {
-		this.nextMs = nowMs + (random * getIntervalMs(rate));
+	/** Whether a turn is under way and not used yet. The rate may have changed since the last turn, with the number of hosts. */
+	private isTurn(nowMs: number, rate: number): boolean {
+		const intervalMs = getTurnIntervalMs(rate);
+		const elapsedMs = nowMs - this.startedMs - (this.phase * intervalMs);
+		const sinceTurnMs = elapsedMs - (Math.floor(elapsedMs / intervalMs) * intervalMs);
+		return sinceTurnMs < COLD_TURN_MS && nowMs - this.lastTurnMs >= intervalMs / 2;
 	}
 }
--- a/packages/engines/src/registry/constants.ts
+++ b/packages/engines/src/registry/constants.ts
@@ -52,8 +52,15 @@
 /** Time a request loses at a cold target; it is sent there only if the load of the others costs more. */
 export const COLD_COST_MS = 200;
 
-/** Part of its share that a host sends to a cold target if it may take less than one request a second; the times of many hosts coincide by chance. */
-export const SPARSE_COLD_RATIO = 0.6;
+/** Time for which a host may send one request to a cold target when its turn comes; longer than the interval at which waiting requests look for a target. */
+export const COLD_TURN_MS = 250;
+
+/** Parts of what a cold target bears that hosts send in their turns, which is all that hosts without a leader have, and by grants of the leader. The rest is for turns that coincide by chance. */
+export const COLD_TURN_RATIO = 0.45;
+export const COLD_GRANT_RATIO = 0.5;
+
+/** Time for which a granted send may be used, counted from the call for it. */
+export const COLD_GRANT_TTL_MS = 200;
 
 /** Time constant of the decay of recent failures. */
 export const FAILURE_DECAY_MS = 3000;
--- a/packages/engines/src/registry/index.ts
+++ b/packages/engines/src/registry/index.ts
@@ -1,6 +1,7 @@
 export * from './address-claims.js';
 export * from './choose-dropped.js';
 export * from './choose-target.js';
+export * from './cold-grants.js';
 export * from './constants.js';
 export * from './cached-prompts.js';
 export * from './target-notices.js';
--- a/packages/engines/src/registry/target-table.ts
+++ b/packages/engines/src/registry/target-table.ts
@@ -33,7 +33,7 @@
 	/** Consecutive requests that could not reach the target, and the time of the last one. */
 	unreachableCount: number;
 	unreachableMs: number;
-	readonly coldSends: ColdSends;
+	coldSends: ColdSends;
 };
 
 /** Outcomes that say nothing of the health of the target; a sound one may be silent. */
@@ -189,6 +189,12 @@
 		}
 	}
 
+	/** Adds a send to a cold target that the leader has granted until the given time. */
+	grantColdSend(targetId: string, endMs: number): void {
+		this.targets.get(targetId)?.coldSends.grant(this.opts.clock.now(), endMs);
+		this.changed.notify();
+	}
+
 	choose(requirements: TargetRequirements): TargetChoice {
 		return chooseTarget(this.listTargets(requirements).map(target => this.toCandidate(target, requirements)));
 	}
@@ -343,11 +349,10 @@
 		this.index = undefined;
 		const known = this.targets.get(registration.targetId);
 		const nowMs = this.opts.clock.now();
-		const coldRate = this.opts.getColdRate(registration.service);
-		const random = this.opts.random();
+		const coldSends = new ColdSends(nowMs, this.opts.random());
 		if (known?.registration.startedAtMs === registration.startedAtMs) {
 			if (known.coldUntilMs <= nowMs) {
-				known.coldSends.restart(nowMs, coldRate, random);
+				known.coldSends = coldSends;
 			}
 
 			known.registration = registration;
@@ -357,7 +362,7 @@
 
 		this.cachedPrompts.removeTarget(registration.targetId);
 		this.targets.set(registration.targetId, {
-			registration, coldUntilMs, ownRequests: 0, adapterUses: new Map(), otherHostsRequests: 0, othersReportedMs: 0, suspectedUntilMs: 0, silentUntilMs: 0, failures: 0, failuresUpdatedMs: 0, unreachableCount: 0, unreachableMs: 0, coldSends: new ColdSends(nowMs, coldRate, random),
+			registration, coldUntilMs, ownRequests: 0, adapterUses: new Map(), otherHostsRequests: 0, othersReportedMs: 0, suspectedUntilMs: 0, silentUntilMs: 0, failures: 0, failuresUpdatedMs: 0, unreachableCount: 0, unreachableMs: 0, coldSends,
 		});
 	}
 
--- /dev/null
+++ b/packages/engines/tests/registry/cold-sends.test.ts
@@ -0,0 +1,99 @@
+import {createRandom, ManualClock} from '@egretrill/common';
+import {expect} from 'chai';
+import {ColdGrants, TargetTable, type TargetRequirements} from '../../src/registry/index.js';
+
+/** Requests that a cold target is known to bear per second, of which hosts may send 1.2 times as many, and that end it: 1.5 times and 5 more. */
+const COLD_PER_SECOND = 18;
+const FLEET_RATE = COLD_PER_SECOND * 1.2;
+const MAX_PER_SECOND = (COLD_PER_SECOND * 1.5) + 5;
+const CALL_MS = 4;
+const STEP_MS = 25;
+const SPAN_MS = 9000;
+const SEED_COUNT = 4;
+const requirements: TargetRequirements = {service: 's', parts: [], tried: new Set()};
+
+type Demand = {readonly hostCount: number; readonly wantingHosts: number; readonly fromMs: number; readonly hasLeader: boolean; readonly seed: number};
+
+/** Hosts that send requests to one cold target as soon as they may, and their leader. */
+class ColdFleet {
+	private readonly clock = new ManualClock();
+	private readonly tables: readonly TargetTable[];
+	private readonly grants = new ColdGrants(this.clock);
+	private readonly nextCallMs = new Map<TargetTable, number>();
+	private readonly sentMs: number[] = [];
+
+	constructor(private readonly demand: Demand) {
+		const {hostCount, seed} = demand;
+		const random = createRandom(seed);
+		this.clock.advance(60_000);
+		this.tables = Array.from({length: hostCount}, () => new TargetTable({
+			clock: this.clock, random, zone: 'a', getColdRate: () => FLEET_RATE / hostCount, getBatchSlots: () => 1000,
+		}));
+		for (const table of this.tables) {
+			table.update({
+				origin: 'r', revision: 1, isWhole: true, targets: [{
+					ageMs: 0, hasEnded: false, registration: {
+						targetId: 'cold', startedAtMs: 1, sequence: 1, service: 's', address: 'cold:1', zone: 'a', slots: 4, isLeaving: false, coldForMs: 2 * SPAN_MS, models: [], inMemory: [], onDisk: [],
+					},
+				}],
+			});
+		}
+	}
+
+	/** Runs the fleet; returns the most requests within one second, and the mean per second. */
+	run(): {readonly most: number; readonly perSecond: number} {
+		const {fromMs, wantingHosts} = this.demand;
+		this.clock.advance(fromMs);
+		for (let elapsedMs = fromMs; elapsedMs < SPAN_MS; elapsedMs += STEP_MS) {
+			this.clock.advance(STEP_MS);
+			for (const table of this.tables.slice(0, wantingHosts)) {
+				this.send(table);
+			}
+		}
+
+		const most = Math.max(0, ...this.sentMs.map(startMs => this.sentMs.filter(atMs => atMs >= startMs && atMs < startMs + 1000).length));
+		return {most, perSecond: Math.round(this.sentMs.length * 1000 / (SPAN_MS - fromMs))};
+	}
+
+	private send(table: TargetTable): void {
+		const choice = table.choose(requirements);
+		const nowMs = this.clock.now();
+		if (choice.kind === 'target') {
+			table.acquireSlot(choice.targetId, requirements)?.release('answered');
+			this.sentMs.push(nowMs);
+		} else if (this.demand.hasLeader && nowMs >= (this.nextCallMs.get(table) ?? 0)) {
+			const isGranted = this.grants.grant([{targetId: 'cold', perSecond: FLEET_RATE}]).length > 0;
+			this.nextCallMs.set(table, nowMs + (isGranted ? CALL_MS : 300));
+			if (isGranted) {
+				table.grantColdSend('cold', nowMs + 200);
+			}
+		}
+	}
+}
+
+function play(demand: Omit<Demand, 'seed'>): {readonly most: number; readonly perSecond: number} {
+	const results = Array.from({length: SEED_COUNT}, (_, seed) => new ColdFleet({...demand, seed}).run());
+	return {
+		most: Math.max(...results.map(({most}) => most)),
+		perSecond: Math.round(results.reduce((sum, {perSecond}) => sum + perSecond, 0) / results.length),
+	};
+}
+
+describe('Hosts that share what a cold target bears', () => {
+	for (const hostCount of [8, 18, 71, 80, 195]) {
+		// Guards against hosts that each keep the right to a request to a cold target nobody chooses, and all use it in the second in which a burst begins.
+		it(`do not overrun it, whenever they want it: ${hostCount} hosts`, () => {
+			const cases = [0, 2000, 6000].flatMap(fromMs => [true, false].map(hasLeader => ({fromMs, hasLeader})));
+			const played = cases.map(item => ({...item, ...play({...item, hostCount, wantingHosts: hostCount})}));
+			expect(played.filter(({most}) => most > MAX_PER_SECOND)).to.deep.equal([]);
+			expect(played).toMatchSnapshot();
+		});
+	}
+
+	// Guards against a cold target, the only one that holds a model, that stays nearly unused since its requests come to few of many hosts.
+	it('leave most of it to the few that want it', () => {
+		expect([1, 4].map(wantingHosts => play({
+			hostCount: 71, wantingHosts, fromMs: 2000, hasLeader: true,
+		}))).toMatchSnapshot();
+	});
+});
