control: send configurations to entry hosts in parts, apart from the polls

Cause: each change came whole in the answer of a poll, which has 900 ms. An answer that takes longer is given up with all its bytes, and the next poll asks another control host for the same bytes: the host never gets the change, and its targets, rates and leases age too. It is a timeout for a silent peer that also bounds a transfer whose length grows with the configuration. Change: the answer of a poll names the newer version only. A fetch beside the polls reads its text in parts of 256 KiB, compressed, each in a call of its own; what has arrived is kept when a call fails, and the next control host continues from there. Control hosts retain the versions that some host is receiving, so that hosts complete them during a storm of changes. Hosts of earlier builds get configurations in the answers as before, and give them so. Logs: each arrived configuration with its control host, bytes, parts and time, each part that did not arrive with its reason, and the time to decode a configuration.

--- a/apps/egretrilld/src/traffic/constants.ts
+++ b/apps/egretrilld/src/traffic/constants.ts
@@ -7,6 +7,13 @@
 /** Timeout of a poll in addition to the time for which it may be held. */
 export const SYNC_RESPONSE_TIMEOUT_MS = 700;
 
+/** Length of a part of a configuration. Even one that cannot be compressed takes 0.3 s on a link of 7 Mbit/s, and calls between hosts time out after 1 s. */
+export const CONFIG_PART_BYTES = 262_144;
+
+/** Number and bytes of the versions of the configuration that are retained for hosts that are receiving them. */
+export const MAX_RETAINED_CONFIGS = 8;
+export const MAX_RETAINED_CONFIG_BYTES = 33_554_432;
+
 /** Shortest time between two polls of an entry host, so that a burst of changes is returned in one answer. */
 export const MIN_SYNC_INTERVAL_MS = 50;
 
--- a/apps/egretrilld/src/traffic/control-follower.ts
+++ b/apps/egretrilld/src/traffic/control-follower.ts
@@ -8,6 +8,7 @@
 import type {ColdWant} from '@egretrill/engines';
 import type {ControlPeers} from '@egretrill/hosts';
 import {BorrowBatcher} from './borrow-batcher.js';
+import {ConfigFetcher} from './config-fetcher.js';
 import {
 	BORROW_TIMEOUT_MS, COLD_SEND_TIMEOUT_MS, CONTROL_SUSPICION_MS, MIN_SYNC_INTERVAL_MS, SYNC_RESPONSE_TIMEOUT_MS, SYNC_RETRY_MS, SYNC_WAIT_MS,
 } from './constants.js';
@@ -67,9 +68,15 @@
 	private readonly lastPollMs = new Map<string, number>();
 	private readonly batcher = new BorrowBatcher(async loans => this.requestLoans(loans));
 	private readonly skippedEntries: RateLimitedLog;
+	private readonly configFetcher: ConfigFetcher;
 
 	constructor(private readonly opts: ControlFollowerOptions) {
 		super();
+		this.configFetcher = new ConfigFetcher({
+			...opts, onReceived(config) {
+				opts.sink.applyConfig(config);
+			},
+		});
 		this.skippedEntries = new RateLimitedLog(opts.clock, opts.logger, SKIPPED_ENTRIES_MESSAGE);
 	}
 
@@ -157,7 +164,7 @@
 		const mark = new TimeMark(clock, getTimeOfDayMs);
 		this.lastPollMs.set(controlId, sentMs);
 		const answer = await peers.call(controlId, syncMethod, {
-			report: {...sink.createReport(), hostId, startId: this.startId}, configVersion, registry, waitMs: SYNC_WAIT_MS,
+			report: {...sink.createReport(), hostId, startId: this.startId}, configVersion, registry, waitMs: SYNC_WAIT_MS, receivesParts: true,
 		}, SYNC_WAIT_MS + SYNC_RESPONSE_TIMEOUT_MS);
 		if (answer.isErr) {
 			this.suspectUntilMs.set(controlId, clock.now() + CONTROL_SUSPICION_MS);
@@ -193,7 +200,7 @@
 		}
 
 		peers.setKnownHosts(controls);
-		this.applyState(answer);
+		this.applyState(answer, controlId);
 		warnOfSkippedEntries(this.skippedEntries, controlId, registry);
 		sink.applyTargets(registry, this.zonesOut);
 		if (plan) {
@@ -205,7 +212,7 @@
 		}
 	}
 
-	private applyState({stateIndex, config, crashes = [], zonesOut}: SyncResponse): void {
+	private applyState({stateIndex, config, configVersion, crashes = [], zonesOut}: SyncResponse, controlId: string): void {
 		if (stateIndex === undefined || stateIndex < this.stateIndex) {
 			return;
 		}
@@ -216,5 +223,9 @@
 		if (config) {
 			this.opts.sink.applyConfig(config);
 		}
+
+		if (configVersion !== undefined) {
+			void this.configFetcher.fetch(controlId, configVersion);
+		}
 	}
 }
--- a/apps/egretrilld/src/traffic/control-host.ts
+++ b/apps/egretrilld/src/traffic/control-host.ts
@@ -11,6 +11,7 @@
 	bindConsensus, bindFleetLog, bindMethod, ConsensusNode, ControlPeers, FleetLog, type FleetNode, FleetState, GrpcConsensusTransport, type MethodHandler, type PeerCredentials,
 } from '@egretrill/hosts';
 import type {ConfigDecoder} from './config-decoder.js';
+import {ConfigParts} from './config-parts.js';
 import {CONTROL_CHECK_INTERVAL_MS, LOG_FAILURE_EXIT_DELAY_MS} from './constants.js';
 import {ControlGossip} from './control-gossip.js';
 import {ControlService, type PutOutcome} from './control-service.js';
@@ -20,7 +21,7 @@
 import {LeaderTerm} from './leader-term.js';
 import {Membership} from './membership.js';
 import {
-	borrowMethod, coldSendMethod, crashMethod, departMethod, gossipMethod, readTrafficMethod, readZoneOrdersMethod, requestAdapterMethod, syncMethod,
+	borrowMethod, coldSendMethod, configPartMethod, crashMethod, departMethod, gossipMethod, readTrafficMethod, readZoneOrdersMethod, requestAdapterMethod, syncMethod,
 } from './methods.js';
 import {getServedTargets, hasAppliedLog, RegistrySettling} from './registry-settling.js';
 import {getReportedLeaderId} from './reported-leader.js';
@@ -50,6 +51,7 @@
 	readonly registry: TargetRegistry;
 	private readonly hostId: string;
 	private readonly state = new FleetState();
+	private readonly configParts = new ConfigParts(() => this.state.getTraffic());
 	private readonly traffic: DecodedTraffic;
 	private readonly node: FleetNode;
 	private readonly log: FleetLog;
@@ -133,7 +135,7 @@
 		return [
 			...bindConsensus(this.node),
 			bindFleetLog(this.node),
-			bindMethod(syncMethod, async ({report, configVersion, registry, waitMs}) => {
+			bindMethod(syncMethod, async ({report, configVersion, receivesParts, registry, waitMs}) => {
 				const firstTerm = this.getTerm();
 				this.joinCrashes(firstTerm, report.crashes);
 				await this.syncNotifier.wait({configVersion, registry, crashes: report.crashes?.known}, waitMs);
@@ -149,13 +151,17 @@
 				return {
 					...(leaderId !== undefined && {leaderId}),
 					controls: this.getControlHosts(),
-					...getServedState({node: this.node, state: this.state, getTimeOfDayMs: () => Date.now()}, configVersion),
+					...getServedState({node: this.node, state: this.state, getTimeOfDayMs: () => Date.now()}, {configVersion, receivesParts}),
 					registry: getServedTargets({registry: this.registry, settling: this.settling, departureLog: this.departureLog}, registry),
 					entryHostCount: this.state.getEntryHosts().length,
 					...(confirmed && {confirmed}),
 					...(plan && {plan: {...plan, ...(crashes && {crashes})}}),
 				};
 			}),
+			bindMethod(configPartMethod, async req => {
+				const part = this.node.hasReplayed() ? this.configParts.getPart(req) : undefined;
+				return {...(part && {part})};
+			}),
 			bindMethod(requestAdapterMethod, async req => {
 				const term = this.getTerm();
 				const targetId = await term?.engines.ensureAdapter(req, term.signal);
--- a/apps/egretrilld/src/traffic/entry-host.ts
+++ b/apps/egretrilld/src/traffic/entry-host.ts
@@ -185,8 +185,10 @@
 	}
 
 	override applyConfig({version, source}: TrafficSource): void {
-		const {decoder, logger} = this.opts;
+		const {clock, decoder, logger} = this.opts;
+		const startedMs = clock.now();
 		const decoded = decoder.decode(source);
+		const decodeMs = Math.round(clock.now() - startedMs);
 		if (decoded.isErr || version <= (this.routeTable?.config.version ?? 0)) {
 			logger.error({version, faults: decoded.isErr ? decoded.error.slice(0, 3) : []}, 'A configuration cannot be put into force.');
 			return;
@@ -198,7 +200,9 @@
 		// A request that takes longer to arrive than the longest timeout of any route cannot be served.
 		setReadTimeouts(this.server, {headMs: headerTimeoutMs, requestMs: headerTimeoutMs + Math.max(0, ...decoded.value.routes.map(({timeoutMs}) => timeoutMs))});
 		this.server.keepAliveTimeout = idleTimeoutMs;
-		logger.info({version, routes: decoded.value.routes.length, services: decoded.value.services.length}, 'A configuration is in force.');
+		logger.info({
+			version, routes: decoded.value.routes.length, services: decoded.value.services.length, decodeMs,
+		}, 'A configuration is in force.');
 	}
 
 	override applyTargets(update: SyncResponse['registry'], zonesOut: readonly string[]): void {
--- a/apps/egretrilld/src/traffic/index.ts
+++ b/apps/egretrilld/src/traffic/index.ts
@@ -4,6 +4,8 @@
 export * from './borrow-batcher.js';
 export * from './cold-send-requests.js';
 export * from './config-decoder.js';
+export * from './config-fetcher.js';
+export * from './config-parts.js';
 export * from './control-follower.js';
 export * from './control-host.js';
 export * from './control-service.js';
--- a/apps/egretrilld/src/traffic/methods.ts
+++ b/apps/egretrilld/src/traffic/methods.ts
@@ -1,5 +1,5 @@
 import {CrashAnswer, CrashRecord, CrashReport} from '@egretrill/callers';
-import {TrafficSource} from '@egretrill/common';
+import {Bytes, TrafficSource} from '@egretrill/common';
 import {RegistryUpdate} from '@egretrill/engines';
 import {defineDocumentMethod, defineListMethod, defineMethod} from '@egretrill/hosts';
 import {z} from 'zod';
@@ -33,6 +33,8 @@
 
 const SyncRequest = z.object({
 	report: EntryReport, configVersion: count, registry: KnownRegistry, waitMs: count,
+	/** Whether the host receives configurations in parts; hosts of earlier builds expect them in the answer. */
+	receivesParts: z.boolean().optional(),
 });
 
 /** The part of the leader's state that it returns to an entry host. */
@@ -56,6 +58,8 @@
 	/** Log entry up to which `config` and `zonesOut` are complete; absent while the host replays its log. */
 	stateIndex: count.optional(),
 	config: TrafficSource.optional(),
+	/** Version in force if it is newer and the host receives it in parts. */
+	configVersion: count.optional(),
 	zonesOut: z.array(z.string()),
 	/** Stored evidence on what ends targets, for a host without a configuration; hosts of earlier builds send none. */
 	crashes: z.array(CrashRecord).optional(),
@@ -71,6 +75,23 @@
 /** Long poll of an entry host for the configuration, the targets and its rate allocations. */
 export const syncMethod = defineListMethod('Traffic', 'sync', SyncRequest, SyncResponse);
 
+/** Asks for the part of a version that begins at an offset; version 0 stands for the version in force. */
+const ConfigPartRequest = z.object({version: count, offset: count});
+export type ConfigPartRequest = z.infer<typeof ConfigPartRequest>;
+
+/** Part of the UTF-8 text of a configuration. */
+const ConfigPart = z.object({
+	version: count,
+	/** Position of the part in the text, and the length of the whole text, in bytes. */
+	offset: count,
+	totalBytes: count,
+	deflated: Bytes,
+});
+export type ConfigPart = z.infer<typeof ConfigPart>;
+
+/** Reads a part of a configuration; a host without one, or that is replaying its log, returns none. */
+export const configPartMethod = defineMethod('Traffic', 'config-part', ConfigPartRequest, z.object({part: ConfigPart.optional()}));
+
 /** Exchanges evidence on what ends targets with the leader between two polls; a host that is not the leader returns none. */
 export const crashMethod = defineMethod('Traffic', 'crashes', CrashReport, z.object({answer: CrashAnswer.optional()}));
 
--- a/apps/egretrilld/tests/traffic/crash-log.test.ts
+++ b/apps/egretrilld/tests/traffic/crash-log.test.ts
@@ -101,7 +101,7 @@
 	private async poll({tracker, exchange}: Entry): Promise<void> {
 		const leader = this.getLeader();
 		if (!leader) {
-			const [served] = [...this.cluster.processes.values()].map(process => getServedState({node: process.node, state: process.state, getTimeOfDayMs: () => this.cluster.clock.now()}, 0));
+			const [served] = [...this.cluster.processes.values()].map(process => getServedState({node: process.node, state: process.state, getTimeOfDayMs: () => this.cluster.clock.now()}, {configVersion: 0}));
 			tracker.mergeShared(served?.crashes ?? []);
 			return;
 		}
--- a/apps/egretrilld/tests/traffic/served-state.test.ts
+++ b/apps/egretrilld/tests/traffic/served-state.test.ts
@@ -20,10 +20,10 @@
 		cluster.startAll();
 		const [restarted = leader] = cluster.processes.values();
 		await cluster.clock.run(100);
-		const atFirst = {snapshot: restarted.state.getTraffic()?.version, served: getServedState({...restarted, getTimeOfDayMs: () => 0}, 0)};
+		const atFirst = {snapshot: restarted.state.getTraffic()?.version, served: getServedState({...restarted, getTimeOfDayMs: () => 0}, {configVersion: 0})};
 		await cluster.waitForLeader();
 		await cluster.clock.run(1000);
-		const {config, zonesOut} = getServedState({...restarted, getTimeOfDayMs: () => 0}, 0);
+		const {config, zonesOut} = getServedState({...restarted, getTimeOfDayMs: () => 0}, {configVersion: 0});
 		expect([atFirst, config?.version, zonesOut]).to.deep.equal([{snapshot: 252, served: {zonesOut: []}}, VERSIONS, ['z1']]);
 		cluster.stopAll();
 	});
