cold targets: count a target that cannot be reached as one that may be back cold

Cause: a target that ended and is back under its id is cold, and an entry host takes it for warm until it has the registration of the new process, up to half a second later. While all other targets are full, the waiting requests of all hosts try the target again and again, and the new process gets them all at once. Change: after a failed connection, or the proven end of its process, a target gets no more than a cold one of this host until its next process is registered or its registration has expired, unless something arrives for a request from before, which only the same process can send.

--- a/apps/egretrilld/src/traffic/entry-host.ts
+++ b/apps/egretrilld/src/traffic/entry-host.ts
@@ -108,6 +108,7 @@
 		this.crashes = new HostCrashes({
 			clock, logger, metrics, follower: this.follower, onTargetEnd: end => {
 				this.observer.recordTargetEnd(end);
+				this.targets.recordEnd(end);
 			},
 		});
 		this.forwardDependencies = this.createForwardDependencies();
--- a/packages/engines/src/registry/target-table.ts
+++ b/packages/engines/src/registry/target-table.ts
@@ -9,33 +9,12 @@
 import {ColdSends} from './cold-sends.js';
 import {getModelKey, indexTargets} from './index-targets.js';
 import {TargetNotices, type TargetStart} from './target-notices.js';
+import {changeAdapterUse, recordActivity, type Target} from './tracked-target.js';
 import type {
 	AcquiredSlot, AdapterUse, RegistryUpdate, TargetOutcome, TargetRequirements,
 } from './types.js';
 import {ZoneReachability} from './zone-reachability.js';
 
-type Target = {
-	registration: Registration;
-	coldUntilMs: number;
-	/** Outstanding requests of this host. */
-	ownRequests: number;
-	/** Outstanding requests of this host that use an adapter, by model and adapter. */
-	readonly adapterUses: Map<string, {readonly model: string; readonly adapter: string; readonly count: number}>;
-	/** Outstanding requests of the other hosts, as last reported by the leader or the target, and the time of that report. */
-	otherHostsRequests: number;
-	othersReportedMs: number;
-	suspectedUntilMs: number;
-	/** End of the time for which the target counts as silent unless something arrives from it. */
-	silentUntilMs: number;
-	/** Recent failures, decayed over time. */
-	failures: number;
-	failuresUpdatedMs: number;
-	/** Consecutive requests that could not reach the target, and the time of the last one. */
-	unreachableCount: number;
-	unreachableMs: number;
-	coldSends: ColdSends;
-};
-
 /** Outcomes that say nothing of the health of the target; a sound one may be silent. */
 const neutralOutcomes: ReadonlySet<TargetOutcome> = new Set(['replaced', 'unsent']);
 
@@ -49,28 +28,6 @@
 	readonly getBatchSlots: (service: string) => number | undefined;
 };
 
-function changeAdapterUse({adapterUses}: Target, model: string | undefined, adapter: string | undefined, change: number): void {
-	if (model === undefined || adapter === undefined) {
-		return;
-	}
-
-	const key = JSON.stringify([model, adapter]);
-	const count = (adapterUses.get(key)?.count ?? 0) + change;
-	if (count > 0) {
-		adapterUses.set(key, {model, adapter, count});
-	} else {
-		adapterUses.delete(key);
-	}
-}
-
-/** Ends the silence of a target, and the longer suspicion after several connections that timed out: a silent target with a full queue of new connections is neither powered off nor partitioned. */
-function recordActivity(target: Target): void {
-	target.silentUntilMs = 0;
-	if (target.unreachableCount > 0) {
-		target.suspectedUntilMs = Math.min(target.suspectedUntilMs, target.unreachableMs + SUSPECT_MS);
-	}
-}
-
 /** The targets known to an entry host, with its outstanding requests there. */
 export class TargetTable {
 	/** Notified when a slot may have become free or a target was added. */
@@ -195,6 +152,14 @@
 		this.changed.notify();
 	}
 
+	/** Records that a process of a target has ended. */
+	recordEnd({targetId, startedAtMs}: TargetStart): void {
+		const target = this.targets.get(targetId);
+		if (target?.registration.startedAtMs === startedAtMs) {
+			this.limitUntilRegistered(target);
+		}
+	}
+
 	choose(requirements: TargetRequirements): TargetChoice {
 		return chooseTarget(this.listTargets(requirements).map(target => this.toCandidate(target, requirements)));
 	}
@@ -209,8 +174,8 @@
 		const outstanding = this.getOutstanding(target);
 		target.ownRequests += 1;
 		changeAdapterUse(target, model, adapter, 1);
-		const nowMs = this.opts.clock.now();
-		target.coldSends.record(nowMs, this.opts.getColdRate(target.registration.service), nowMs < target.coldUntilMs);
+		const acquiredMs = this.opts.clock.now();
+		target.coldSends.record(acquiredMs, this.opts.getColdRate(target.registration.service), this.isLimited(target));
 		if (model !== undefined) {
 			this.cachedPrompts.record(targetId, model, parts);
 		}
@@ -219,7 +184,7 @@
 		return {
 			registration: target.registration,
 			outstanding,
-			wasCold: nowMs < target.coldUntilMs,
+			wasCold: acquiredMs < target.coldUntilMs,
 			isLeaving: () => this.isLeaving(target) || !this.targets.has(targetId),
 			updateOutstanding: count => {
 				this.setOthers(target, Math.max(0, count - target.ownRequests));
@@ -234,7 +199,7 @@
 				this.notices.recordPause(target.registration, pauseMs);
 			},
 			recordActivity() {
-				recordActivity(target);
+				recordActivity(target, acquiredMs);
 			},
 			release: outcome => {
 				if (isReleased) {
@@ -257,6 +222,7 @@
 	private recordOutcome(target: Target, outcome: TargetOutcome): void {
 		if (outcome === 'unreachable') {
 			this.reachability.recordUnreachable(target.registration);
+			this.limitUntilRegistered(target);
 		} else {
 			this.reachability.recordAnswer(target.registration);
 		}
@@ -340,9 +306,24 @@
 		};
 	}
 
-	private hasColdCapacity({registration, coldSends, coldUntilMs}: Target): boolean {
+	/** Whether the target is cold, or may be without being registered as such. */
+	private isLimited({coldUntilMs, limitedUntilMs}: Target): boolean {
+		return this.opts.clock.now() < Math.max(coldUntilMs, limitedUntilMs);
+	}
+
+	private hasColdCapacity(target: Target): boolean {
+		return !this.isLimited(target) || target.coldSends.hasCapacity(this.opts.clock.now(), this.opts.getColdRate(target.registration.service));
+	}
+
+	/** Sends a target no more than a cold one bears until its next process is registered, or its registration has expired. */
+	private limitUntilRegistered(target: Target): void {
 		const nowMs = this.opts.clock.now();
-		return nowMs >= coldUntilMs || coldSends.hasCapacity(nowMs, this.opts.getColdRate(registration.service));
+		if (!this.isLimited(target)) {
+			target.coldSends = new ColdSends(nowMs, this.opts.random());
+			target.limitedFromMs = nowMs;
+		}
+
+		target.limitedUntilMs = nowMs + REGISTRATION_TTL_MS;
 	}
 
 	private setTarget(registration: Registration, coldUntilMs: number): void {
@@ -351,7 +332,7 @@
 		const nowMs = this.opts.clock.now();
 		const coldSends = new ColdSends(nowMs, this.opts.random());
 		if (known?.registration.startedAtMs === registration.startedAtMs) {
-			if (known.coldUntilMs <= nowMs) {
+			if (!this.isLimited(known)) {
 				known.coldSends = coldSends;
 			}
 
@@ -362,7 +343,7 @@
 
 		this.cachedPrompts.removeTarget(registration.targetId);
 		this.targets.set(registration.targetId, {
-			registration, coldUntilMs, ownRequests: 0, adapterUses: new Map(), otherHostsRequests: 0, othersReportedMs: 0, suspectedUntilMs: 0, silentUntilMs: 0, failures: 0, failuresUpdatedMs: 0, unreachableCount: 0, unreachableMs: 0, coldSends,
+			registration, coldUntilMs, limitedFromMs: 0, limitedUntilMs: 0, ownRequests: 0, adapterUses: new Map(), otherHostsRequests: 0, othersReportedMs: 0, suspectedUntilMs: 0, silentUntilMs: 0, failures: 0, failuresUpdatedMs: 0, unreachableCount: 0, unreachableMs: 0, coldSends,
 		});
 	}
 
--- a/packages/engines/tests/registry/cold-sends.test.ts
+++ b/packages/engines/tests/registry/cold-sends.test.ts
@@ -10,9 +10,19 @@
 const STEP_MS = 25;
 const SPAN_MS = 9000;
 const SEED_COUNT = 4;
+const MIN_LAG_MS = 100;
+const MAX_LAG_MS = 600;
 const requirements: TargetRequirements = {service: 's', parts: [], tried: new Set()};
 
-type Demand = {readonly hostCount: number; readonly wantingHosts: number; readonly fromMs: number; readonly hasLeader: boolean; readonly seed: number};
+type Demand = {
+	readonly hostCount: number;
+	readonly wantingHosts: number;
+	readonly fromMs: number;
+	readonly hasLeader: boolean;
+	readonly seed: number;
+	/** Time at which a target that was warm is back after its process has ended; hosts learn of the new process up to `MAX_LAG_MS` later. */
+	readonly backMs?: number;
+};
 
 /** Hosts that send requests to one cold target as soon as they may, and their leader. */
 class ColdFleet {
@@ -20,23 +30,19 @@
 	private readonly tables: readonly TargetTable[];
 	private readonly grants = new ColdGrants(this.clock);
 	private readonly nextCallMs = new Map<TargetTable, number>();
+	private readonly learnMs = new Map<TargetTable, number>();
 	private readonly sentMs: number[] = [];
 
 	constructor(private readonly demand: Demand) {
-		const {hostCount, seed} = demand;
+		const {backMs, hostCount, seed} = demand;
 		const random = createRandom(seed);
 		this.clock.advance(60_000);
 		this.tables = Array.from({length: hostCount}, () => new TargetTable({
 			clock: this.clock, random, zone: 'a', getColdRate: () => FLEET_RATE / hostCount, getBatchSlots: () => 1000,
 		}));
 		for (const table of this.tables) {
-			table.update({
-				origin: 'r', revision: 1, isWhole: true, targets: [{
-					ageMs: 0, hasEnded: false, registration: {
-						targetId: 'cold', startedAtMs: 1, sequence: 1, service: 's', address: 'cold:1', zone: 'a', slots: 4, isLeaving: false, coldForMs: 2 * SPAN_MS, models: [], inMemory: [], onDisk: [],
-					},
-				}],
-			});
+			this.register(table, 1, backMs === undefined ? 2 * SPAN_MS : 0);
+			this.learnMs.set(table, (backMs ?? Number.POSITIVE_INFINITY) + MIN_LAG_MS + (random() * (MAX_LAG_MS - MIN_LAG_MS)));
 		}
 	}
 
@@ -47,7 +53,8 @@
 		for (let elapsedMs = fromMs; elapsedMs < SPAN_MS; elapsedMs += STEP_MS) {
 			this.clock.advance(STEP_MS);
 			for (const table of this.tables.slice(0, wantingHosts)) {
-				this.send(table);
+				this.learn(table, elapsedMs);
+				this.send(table, elapsedMs);
 			}
 		}
 
@@ -55,12 +62,30 @@
 		return {most, perSecond: Math.round(this.sentMs.length * 1000 / (SPAN_MS - fromMs))};
 	}
 
-	private send(table: TargetTable): void {
+	private register(table: TargetTable, startedAtMs: number, coldForMs: number): void {
+		table.update({
+			origin: 'r', revision: startedAtMs, isWhole: true, targets: [{
+				ageMs: 0, hasEnded: false, registration: {
+					targetId: 'cold', startedAtMs, sequence: 1, service: 's', address: 'cold:1', zone: 'a', slots: 4, isLeaving: false, coldForMs, models: [], inMemory: [], onDisk: [],
+				},
+			}],
+		});
+	}
+
+	private learn(table: TargetTable, elapsedMs: number): void {
+		if (elapsedMs >= (this.learnMs.get(table) ?? 0)) {
+			this.learnMs.set(table, Number.POSITIVE_INFINITY);
+			this.register(table, 2, 2 * SPAN_MS);
+		}
+	}
+
+	private send(table: TargetTable, elapsedMs: number): void {
 		const choice = table.choose(requirements);
 		const nowMs = this.clock.now();
 		if (choice.kind === 'target') {
-			table.acquireSlot(choice.targetId, requirements)?.release('answered');
-			this.sentMs.push(nowMs);
+			const isUp = elapsedMs >= (this.demand.backMs ?? 0);
+			table.acquireSlot(choice.targetId, requirements)?.release(isUp ? 'answered' : 'unreachable');
+			this.sentMs.push(...isUp ? [nowMs] : []);
 		} else if (this.demand.hasLeader && nowMs >= (this.nextCallMs.get(table) ?? 0)) {
 			const isGranted = this.grants.grant([{targetId: 'cold', perSecond: FLEET_RATE}]).length > 0;
 			this.nextCallMs.set(table, nowMs + (isGranted ? CALL_MS : 300));
@@ -90,6 +115,17 @@
 		});
 	}
 
+	// Guards against a target that comes back cold to hosts with waiting requests, which do not know yet that its process is another one.
+	it('do not overrun one that has just come back', () => {
+		const played = [18, 71, 195].map(hostCount => ({
+			hostCount, ...play({
+				hostCount, wantingHosts: hostCount, fromMs: 0, hasLeader: true, backMs: 4500,
+			}),
+		}));
+		expect(played.filter(({most}) => most > MAX_PER_SECOND)).to.deep.equal([]);
+		expect(played).toMatchSnapshot();
+	});
+
 	// Guards against a cold target, the only one that holds a model, that stays nearly unused since its requests come to few of many hosts.
 	it('leave most of it to the few that want it', () => {
 		expect([1, 4].map(wantingHosts => play({
