--- a/apps/egretrilld/tests/traffic/held-bytes.test.ts
+++ b/apps/egretrilld/tests/traffic/held-bytes.test.ts
@@ -45,8 +45,8 @@
 
 type Scene = {
 	readonly route?: Partial<TrafficRoute>;
-	/** Requests that hold memory and the KiB that are held after each, at least. */
-	readonly holders: ReadonlyArray<{readonly request: string; readonly heldKib: number; readonly readsNothing?: true}>;
+	/** Requests that hold memory and the KiB that are held after each, at least; one may first wait until the host would make room for its body. */
+	readonly holders: ReadonlyArray<{readonly request: string; readonly heldKib: number; readonly readsNothing?: true; readonly awaitedRoomKib?: number}>;
 	/** The request that needs room. */
 	readonly request: string;
 	/** What arrives at its caller, and at the caller of the first holder if that gives way. */
@@ -62,13 +62,14 @@
 	const host = await ForwardHost.open({targets: [target.address], route, memoryBytes: BUDGET_KIB * KIB});
 	const callers: CallerSocket[] = [];
 	try {
-		for (const {request: text, heldKib, readsNothing} of holders) {
+		for (const {request: text, heldKib, readsNothing, awaitedRoomKib = 0} of holders) {
 			const caller = await CallerSocket.open(host.port);
 			callers.push(caller);
 			if (readsNothing) {
 				caller.socket.pause();
 			}
 
+			await waitFor('room', () => host.memory.hasRoom(awaitedRoomKib * KIB) || undefined);
 			caller.write(text);
 			await waitFor('held bytes', () => host.memory.heldBytes >= heldKib * KIB || undefined);
 		}
@@ -120,7 +121,8 @@
 	'an answer that is not read gives way': {
 		holders: [
 			{request: createRequest(`part-${LONG_KIB}`), heldKib: 64, readsNothing: true},
-			{request: createRequest('hang-0', 700), heldKib: 700},
+			// In its first milliseconds the answer is buffered, or not idle for long enough to give way.
+			{request: createRequest('hang-0', 700), heldKib: 700, awaitedRoomKib: 700},
 			...Array.from({length: 4}, () => ({request: createRequest('hang-0', 60), heldKib: 0})),
 		],
 		request: createRequest('sound', 10),
