testkit: give links ports of the range that no other process is given

'mutual TLS between hosts renews the certificates of all hosts while calls run, and no call fails' ended with EADDRINUSE: a link that had refused connections for a moment listened again on a port that the system had given it, and another process had taken it.

--- a/dev/testkit/src/link.ts
+++ b/dev/testkit/src/link.ts
@@ -2,6 +2,7 @@
 import {
 	type AddressInfo, connect, createServer, type Server, type Socket,
 } from 'node:net';
+import {findPorts} from './ports.js';
 
 /** Direction of bytes through a link: `forward` is from the side that connects to the side that listens. */
 export type LinkDirection = 'forward' | 'backward';
@@ -10,10 +11,11 @@
 
 /** A TCP relay in which tests can cut and heal each direction. */
 export class Link {
-	/** Opens a relay to the target on a free port. */
+	/** Opens a relay to the target on a free port, which no other process is given while the link refuses connections. */
 	static async open(target: string): Promise<Link> {
 		const link = new Link(target);
-		await link.listen(0);
+		const [port = 0] = await findPorts(1);
+		await link.listen(port);
 		return link;
 	}
 
