--- a/apps/egretrilld/src/traffic/cold-send-requests.ts
+++ b/apps/egretrilld/src/traffic/cold-send-requests.ts
@@ -1,3 +1,4 @@
+import type {Metrics} from '@egretrill/balancer';
 import type {Clock} from '@egretrill/common';
 import {COLD_GRANT_TTL_MS, type ColdWant} from '@egretrill/engines';
 import {MAX_COLD_WANTS} from './constants.js';
@@ -9,6 +10,7 @@
 	/** Resolves with the targets to which the leader grants a send, or with none if it does not answer. */
 	readonly requestSends: (wants: readonly ColdWant[]) => Promise<readonly string[]>;
 	readonly onGrant: (targetId: string, endMs: number) => void;
+	readonly metrics: Metrics;
 };
 
 /** Requests sends to cold targets from the leader, in one call at a time for all targets. Waiting requests look for a target again and again, so a want that was not granted need not be kept. */
@@ -16,8 +18,11 @@
 	private readonly wanted = new Map<string, ColdWant>();
 	private isCalling = false;
 	private nextCallMs = 0;
+	private readonly answers;
 
-	constructor(private readonly opts: ColdSendRequestsOptions) {}
+	constructor(private readonly opts: ColdSendRequestsOptions) {
+		this.answers = opts.metrics.createCounter({name: 'egretrill_cold_send_requests_total', help: 'Sends to cold targets that were requested from the leader, by answer.', labels: ['answer']});
+	}
 
 	/** Records that a request wants a cold target, and asks for it unless a call is under way or was not granted a moment ago. */
 	async request(want: ColdWant): Promise<void> {
@@ -40,6 +45,8 @@
 		this.wanted.clear();
 		const sentMs = clock.now();
 		const grantedIds = await requestSends(wants);
+		this.answers.add(grantedIds.length, {answer: 'granted'});
+		this.answers.add(wants.length - grantedIds.length, {answer: 'not-granted'});
 		this.nextCallMs = grantedIds.length < wants.length ? sentMs + getIntervalMs() : 0;
 		for (const targetId of grantedIds) {
 			onGrant(targetId, sentMs + COLD_GRANT_TTL_MS);
--- a/apps/egretrilld/src/traffic/entry-host.ts
+++ b/apps/egretrilld/src/traffic/entry-host.ts
@@ -89,6 +89,7 @@
 		});
 		this.coldSends = new ColdSendRequests({
 			clock,
+			metrics,
 			getIntervalMs: () => this.follower.getIntervalMs(),
 			requestSends: async wants => this.follower.requestColdSends(wants),
 			onGrant: (targetId, endMs) => {
--- a/apps/egretrilld/src/traffic/entry-observer.ts
+++ b/apps/egretrilld/src/traffic/entry-observer.ts
@@ -64,6 +64,7 @@
 	private readonly attempts;
 	private readonly durations;
 	private readonly slotWaits;
+	private readonly coldSends;
 	private readonly targetEnds;
 
 	constructor(private readonly log: DecisionLog, metrics: Metrics, private readonly getKnowledgeAgeMs: () => number) {
@@ -72,6 +73,7 @@
 		this.attempts = metrics.createCounter({name: 'egretrill_target_attempts_total', help: 'Sends to targets by outcome.', labels: ['outcome']});
 		this.durations = metrics.createDurations({name: 'egretrill_forward_ms', help: 'Time from the arrival of a request to its end.', labels: ['route']});
 		this.targetEnds = metrics.createCounter({name: 'egretrill_target_ends_total', help: 'Targets that ended while requests of this host were in flight there.', labels: ['planned', 'cold']});
+		this.coldSends = metrics.createCounter({name: 'egretrill_cold_sends_total', help: 'Sends to targets that were registered as cold, by outcome.', labels: ['outcome']});
 		this.slotWaits = metrics.createDurations({name: 'egretrill_place_wait_ms', help: 'Time that a request waited for a target.', labels: ['route']});
 	}
 
@@ -83,8 +85,12 @@
 		}
 	}
 
-	override recordAttempt({call, slot: {targetId}, attempt, outcome, tookMs, reason}: AttemptEvent): void {
+	override recordAttempt({call, slot: {targetId, wasCold}, attempt, outcome, tookMs, reason}: AttemptEvent): void {
 		this.attempts.add(1, {outcome});
+		if (wasCold) {
+			this.coldSends.add(1, {outcome});
+		}
+
 		if (outcome !== 'answered') {
 			const requestId = sanitizeName(call.attemptId);
 			this.log.recordFailure({
@@ -92,7 +98,7 @@
 				isRepetitive: true,
 				requestId,
 				fields: {
-					requestId, targetId, attempt, outcome, tookMs: Math.round(tookMs), reason,
+					requestId, targetId, attempt, outcome, tookMs: Math.round(tookMs), reason, ...(wasCold && {wasCold}),
 				},
 				message: 'A target did not answer a request.',
 			});
--- a/apps/egretrilld/tests/traffic/cold-send-requests.test.ts
+++ b/apps/egretrilld/tests/traffic/cold-send-requests.test.ts
@@ -1,3 +1,4 @@
+import {Metrics} from '@egretrill/balancer';
 import {ManualClock} from '@egretrill/common';
 import {expect} from 'chai';
 import {ColdSendRequests} from '../../src/traffic/index.js';
@@ -12,6 +13,7 @@
 	const granted: string[] = [];
 	const requests = new ColdSendRequests({
 		clock,
+		metrics: new Metrics(),
 		getIntervalMs: () => INTERVAL_MS,
 		async requestSends(wants) {
 			calls.push(`${clock.now()}: ${wants.map(({targetId}) => targetId).join(' ')}`);
