--- a/apps/egretrilld/tests/traffic/served-state.test.ts
+++ b/apps/egretrilld/tests/traffic/served-state.test.ts
@@ -25,6 +25,9 @@
 		await cluster.clock.run(1000);
 		const {config, zonesOut} = getServedState({...restarted, getTimeOfDayMs: () => 0}, {configVersion: 0});
 		expect([atFirst, config?.version, zonesOut]).to.deep.equal([{snapshot: 252, served: {zonesOut: []}}, VERSIONS, ['z1']]);
+		// Hosts that receive configurations in parts get the version alone, and only if they have an older one.
+		const served = [0, VERSIONS].map(configVersion => getServedState({...restarted, getTimeOfDayMs: () => 0}, {configVersion, receivesParts: true}));
+		expect(served.map(state => [state.config, state.configVersion])).to.deep.equal([[undefined, VERSIONS], [undefined, undefined]]);
 		cluster.stopAll();
 	});
 });
