control: continue a configuration at once from the host that a later poll names

A fetch whose control host had been lost ended with its call, and the next poll, up to 0.3 s later, began it again; a poll may have named another control host by then, and the fetch now goes on there. The want of a cold target is inferred from one schema for both sides.

--- a/apps/egretrilld/src/traffic/config-fetcher.ts
+++ b/apps/egretrilld/src/traffic/config-fetcher.ts
@@ -48,9 +48,11 @@
 		}
 
 		this.isFetching = true;
-		let hasAnswer = true;
-		while (hasAnswer && this.wanted.version > this.receivedVersion) {
-			hasAnswer = await this.fetchPart(this.wanted.controlId);
+		let mayGoOn = true;
+		while (mayGoOn && this.wanted.version > this.receivedVersion) {
+			const {controlId: askedId} = this.wanted;
+			const isReceived = await this.fetchPart(askedId);
+			mayGoOn = isReceived || this.wanted.controlId !== askedId;
 		}
 
 		this.isFetching = false;
--- a/apps/egretrilld/src/traffic/methods.ts
+++ b/apps/egretrilld/src/traffic/methods.ts
@@ -1,6 +1,6 @@
 import {CrashAnswer, CrashRecord, CrashReport} from '@egretrill/callers';
 import {Bytes, TrafficSource} from '@egretrill/common';
-import {RegistryUpdate} from '@egretrill/engines';
+import {ColdWant, RegistryUpdate} from '@egretrill/engines';
 import {defineDocumentMethod, defineListMethod, defineMethod} from '@egretrill/hosts';
 import {z} from 'zod';
 import {MAX_COLD_WANTS, MAX_LEAVING_TARGETS} from './constants.js';
@@ -110,11 +110,8 @@
 	answers: z.array(z.object({isGranted: z.boolean(), retryAfterMs: z.number()})).optional(),
 }));
 
-/** A cold target that an entry host wants to send a request to, and what the target bears of all hosts per second. */
-const ColdWantMessage = z.object({targetId: z.string(), perSecond: z.number().nonnegative()});
-
 /** Requests one send to each of some cold targets; returns those that it is granted for. A host that is not the leader grants none. */
-export const coldSendMethod = defineMethod('Traffic', 'cold-sends', z.object({wants: z.array(ColdWantMessage).max(MAX_COLD_WANTS)}), z.object({
+export const coldSendMethod = defineMethod('Traffic', 'cold-sends', z.object({wants: z.array(ColdWant).max(MAX_COLD_WANTS)}), z.object({
 	grantedIds: z.array(z.string()),
 }));
 
--- a/packages/engines/src/registry/cold-grants.ts
+++ b/packages/engines/src/registry/cold-grants.ts
@@ -1,12 +1,10 @@
 import type {Clock} from '@egretrill/common';
 import {COLD_GRANT_RATIO, COLD_GRANT_TTL_MS} from './constants.js';
+import type {ColdWant} from './types.js';
 
 /** Any second holds only sends that were granted in this time before its end. */
 const WINDOW_MS = 1000 + COLD_GRANT_TTL_MS;
 
-/** A cold target that a host wants to send a request to, and what the target bears of all hosts per second. */
-export type ColdWant = {readonly targetId: string; readonly perSecond: number};
-
 /** The leader's grants of sends to cold targets, for hosts that may take less than one request a second by themselves. */
 export class ColdGrants {
 	private readonly startedMs: number;
--- a/packages/engines/src/registry/types.ts
+++ b/packages/engines/src/registry/types.ts
@@ -19,6 +19,10 @@
 	return parsed.success ? parsed.data.registration.targetId : '';
 }
 
+/** A cold target that a host wants to send a request to, and what the target bears of all hosts per second. */
+export const ColdWant = z.object({targetId: TargetId, perSecond: z.number().nonnegative()});
+export type ColdWant = z.infer<typeof ColdWant>;
+
 /**
  * Changes of a registry since a given revision. Entries that are invalid here, which a host of another version may accept and pass on, are skipped; an error
  * would make the whole update unreadable for as long as one of them is registered.
