--- a/apps/egretrilld/tests/traffic/config-parts.test.ts
+++ b/apps/egretrilld/tests/traffic/config-parts.test.ts
@@ -6,8 +6,9 @@
 import {expect} from 'chai';
 import {Result} from 'true-myth';
 import {
-	type ConfigPartRequest, ConfigParts, ControlFollower, getServedState, type HostReport, type SyncResponse, SyncSink,
+	type ConfigPartRequest, ConfigParts, ControlFollower, getServedState,
 } from '../../src/traffic/index.js';
+import {CountingSink} from './support/counting-sink.js';
 
 /** Time in which hosts in touch put a confirmed change into force. */
 const APPLY_MS = 2500;
@@ -100,46 +101,20 @@
 	}
 }
 
-class VersionSink extends SyncSink {
+class VersionSink extends CountingSink {
 	readonly inForce: Array<{readonly version: number; readonly atMs: number; readonly bytes: number}> = [];
 
 	constructor(private readonly clock: ManualClock) {
 		super();
 	}
 
-	override createReport(): HostReport {
-		return {
-			running: [], adapters: [], arrivals: [], waiting: [], rates: {ackedSerial: 0, standing: 0, demand: []},
-		};
-	}
-
-	override getKnownVersions(): ReturnType<SyncSink['getKnownVersions']> {
-		return {configVersion: this.inForce.at(-1)?.version ?? 0, registry: {origin: 'o', revision: 1}};
+	override getKnownVersions(): ReturnType<CountingSink['getKnownVersions']> {
+		return {...super.getKnownVersions(), configVersion: this.inForce.at(-1)?.version ?? 0};
 	}
 
 	override applyConfig({version, source}: TrafficSource): void {
 		this.inForce.push({version, atMs: this.clock.now(), bytes: Buffer.byteLength(source)});
 	}
-
-	override applyCrashes(): void {
-		// There is no evidence.
-	}
-
-	override applyTargets(_update?: SyncResponse['registry']): void {
-		// There are no targets.
-	}
-
-	override applyHostCount(): void {
-		// The plan names the number.
-	}
-
-	override applyConfirmation(): void {
-		// There are no leases.
-	}
-
-	override applyPlan(): void {
-		// There are no rates.
-	}
 }
 
 /** Plays changes; returns how long after its commit each version, or a newer one, is in force. */
--- a/apps/egretrilld/tests/traffic/control-follower.test.ts
+++ b/apps/egretrilld/tests/traffic/control-follower.test.ts
@@ -6,8 +6,9 @@
 import {expect} from 'chai';
 import {Result} from 'true-myth';
 import {
-	ControlFollower, getReportedLeaderId, type HostReport, type LeaderPlan, type SyncResponse, SyncSink,
+	ControlFollower, getReportedLeaderId, type LeaderPlan, type SyncResponse, type SyncSink,
 } from '../../src/traffic/index.js';
+import {CountingSink} from './support/counting-sink.js';
 
 const plan: LeaderPlan = {
 	others: [], expected: [], rates: {
@@ -41,45 +42,6 @@
 	}
 }
 
-class CountingSink extends SyncSink {
-	plans = 0;
-	readonly hostCounts: number[] = [];
-
-	override createReport(): HostReport {
-		return {
-			running: [], adapters: [], arrivals: [], waiting: [], rates: {ackedSerial: 0, standing: 0, demand: []},
-		};
-	}
-
-	override getKnownVersions(): ReturnType<SyncSink['getKnownVersions']> {
-		return {configVersion: 1, registry: {origin: 'o', revision: 1}};
-	}
-
-	override applyCrashes(): void {
-		this.plans += 0;
-	}
-
-	override applyConfig(): void {
-		throw new Error('No configuration is sent.');
-	}
-
-	override applyTargets(): void {
-		this.plans += 0;
-	}
-
-	override applyHostCount(count: number): void {
-		this.hostCounts.push(count);
-	}
-
-	override applyConfirmation(): void {
-		// Leases on keys are tested on their own.
-	}
-
-	override applyPlan(): void {
-		this.plans += 1;
-	}
-}
-
 /** Lets an entry host poll the control hosts for some time, then stops it; returns the hosts that it polled. */
 async function poll(peers: FakeControlHosts, clock: ManualClock, {sink, forMs}: {readonly sink: SyncSink; readonly forMs: number}): Promise<readonly string[]> {
 	const follower = new ControlFollower({
