--- a/packages/engines/tests/registry/cold-sends.test.ts
+++ b/packages/engines/tests/registry/cold-sends.test.ts
@@ -1,12 +1,16 @@
 import {createRandom, ManualClock} from '@egretrill/common';
 import {expect} from 'chai';
-import {ColdGrants, TargetTable, type TargetRequirements} from '../../src/registry/index.js';
+import {
+	COLD_GRANT_TTL_MS, ColdGrants, TargetTable, type TargetRequirements,
+} from '../../src/registry/index.js';
 
 /** Requests that a cold target is known to bear per second, of which hosts may send 1.2 times as many, and that end it: 1.5 times and 5 more. */
 const COLD_PER_SECOND = 18;
 const FLEET_RATE = COLD_PER_SECOND * 1.2;
 const MAX_PER_SECOND = (COLD_PER_SECOND * 1.5) + 5;
 const CALL_MS = 4;
+/** Time from a call that was not granted to the next one. */
+const REPEAT_MS = 300;
 const STEP_MS = 25;
 const SPAN_MS = 9000;
 const SEED_COUNT = 4;
@@ -88,9 +92,9 @@
 			this.sentMs.push(...isUp ? [nowMs] : []);
 		} else if (this.demand.hasLeader && nowMs >= (this.nextCallMs.get(table) ?? 0)) {
 			const isGranted = this.grants.grant([{targetId: 'cold', perSecond: FLEET_RATE}]).length > 0;
-			this.nextCallMs.set(table, nowMs + (isGranted ? CALL_MS : 300));
+			this.nextCallMs.set(table, nowMs + (isGranted ? CALL_MS : REPEAT_MS));
 			if (isGranted) {
-				table.grantColdSend('cold', nowMs + 200);
+				table.grantColdSend('cold', nowMs + COLD_GRANT_TTL_MS);
 			}
 		}
 	}
