entry hosts: a whole log line for each request that a stop cuts off, and what stops expect in metrics

Of two that were cut at once, the host's log had only the id in the summed line of failures: what was expected of them, on what basis and how much of the stop was left was gone, and no metric showed how close expectations are.

Change: each request that the end of a stop cuts off has a line of its own, outside the byte budget, up to 64 a process, with its first and its last decision, the time since the SIGTERM and what its caller has. A counter has the outcomes of requests at stops by basis, a summary the time taken in percent of the time expected.

No decision changes. Evidence: with 100 requests cut off in one second the log had one line and ids before; now 64 lines (decision-log.test.ts).

--- a/apps/egretrilld/src/traffic/constants.ts
+++ b/apps/egretrilld/src/traffic/constants.ts
@@ -130,6 +130,9 @@
 /** With fewer bytes left in the budget, failures are aggregated into one line per second. */
 export const FULL_LINE_RESERVE_BYTES = 5000;
 
+/** Lines of a process about requests that it cut off; about 0.8 kB each, so that they displace little of the output that is kept. */
+export const MAX_LOSS_LINES = 64;
+
 /** A cause whose failures are aggregated still gets a separate line this often, since that line holds more details. */
 export const CAUSE_LINE_INTERVAL_MS = 10_000;
 
--- a/apps/egretrilld/src/traffic/decision-log.ts
+++ b/apps/egretrilld/src/traffic/decision-log.ts
@@ -5,7 +5,7 @@
 import {AggregatedFailures} from './aggregated-failures.js';
 import {ByteBudget} from './byte-budget.js';
 import {
-	AGGREGATION_INTERVAL_MS, CAUSE_LINE_INTERVAL_MS, FULL_LINE_RESERVE_BYTES, LINE_OVERHEAD_BYTES,
+	AGGREGATION_INTERVAL_MS, CAUSE_LINE_INTERVAL_MS, FULL_LINE_RESERVE_BYTES, LINE_OVERHEAD_BYTES, MAX_LOSS_LINES,
 } from './constants.js';
 
 type Fields = Readonly<Record<string, unknown>>;
@@ -30,6 +30,7 @@
 	private intervalStartedMs: number;
 	private hasFailureLine = false;
 	private isStopped = false;
+	private lossLines = 0;
 
 	constructor(private readonly clock: Clock, private readonly logger: Logger) {
 		this.budget = new ByteBudget(clock);
@@ -56,6 +57,17 @@
 		return isAffordable;
 	}
 
+	/** Writes a line whatever the budget allows, for losses by this host itself; returns false once it has written many. */
+	tryWriteLoss(fields: Fields, message: string): boolean {
+		this.lossLines += 1;
+		const isAllowed = this.lossLines <= MAX_LOSS_LINES;
+		if (isAllowed) {
+			this.write(fields, message);
+		}
+
+		return isAllowed;
+	}
+
 	/** Writes a failure to a separate line or adds it to the aggregated one. */
 	recordFailure({cause, isRepetitive, requestId, fields, message}: Failure): void {
 		if (!this.mayWriteLine(cause, isRepetitive)) {
--- a/apps/egretrilld/src/traffic/entry-observer.ts
+++ b/apps/egretrilld/src/traffic/entry-observer.ts
@@ -10,6 +10,7 @@
 
 const STATUS_SERVER_ERROR = 500;
 const END_MESSAGE = 'A request has ended.';
+const CUT_MESSAGE = 'The stop of this host cut off a request.';
 
 /** Whether a request was answered at the first attempt, without a server error and within the target latency. */
 function isRoutine({attempts, status = 0, tookMs, firstMs, targetLatencyMs = Number.POSITIVE_INFINITY}: ForwardEndEvent): boolean {
@@ -17,14 +18,27 @@
 }
 
 /** Says what a planned stop expected of a request: at which step, the time that was left and the time that the request was expected to take. */
-function describeStop({checkpoint, stopLeftMs, expectedMs, basis, observedCount, tokensOut}: StopEstimate): Readonly<Record<string, unknown>> {
+function describeStop({
+	checkpoint, stopElapsedMs, stopLeftMs, expectedMs, basis, observedCount, tokensOut,
+}: StopEstimate): Readonly<Record<string, unknown>> {
 	return {
-		stopCheckpoint: checkpoint, stopLeftMs: Math.round(stopLeftMs), expectedMs: Math.round(expectedMs), expectedFrom: basis, observedCount, ...(tokensOut !== undefined && {tokensOut}),
+		stopCheckpoint: checkpoint, stopElapsedMs: Math.round(stopElapsedMs), stopLeftMs: Math.round(stopLeftMs), expectedMs: Math.round(expectedMs), expectedFrom: basis, observedCount, ...(tokensOut !== undefined && {tokensOut}),
 	};
 }
 
+/** Says why a planned stop refused a request, or what was expected of one that was served when it arrived and at its last check. */
+function describeStopDecisions({stopRefusal, stopArrival, stopEstimate}: ForwardEndEvent): Readonly<Record<string, unknown>> {
+	if (stopRefusal) {
+		return describeStop(stopRefusal);
+	}
+
+	return stopEstimate
+		? {wasServedAtStop: true, ...describeStop(stopEstimate), ...(stopArrival && stopArrival !== stopEstimate && {firstCheck: describeStop(stopArrival)})}
+		: {};
+}
+
 function describeEnd(event: ForwardEndEvent, knowledgeAgeMs: number): Readonly<Record<string, unknown>> {
-	const {call, route = '', customer, configVersion, outcome, status, bodyEnd, bodyBytes, targetId, outstanding, attempts, waitMs, tookMs, isRequestIncomplete, firstMs, longestPauseMs, stopRefusal, stopEstimate} = event;
+	const {call, route = '', customer, configVersion, outcome, status, bodyEnd, bodyBytes, targetId, outstanding, attempts, waitMs, tookMs, isRequestIncomplete, firstMs, longestPauseMs, wasCutByStop, relayedBytes} = event;
 	const isRefused = typeof outcome === 'object';
 	return {
 		requestId: call && sanitizeName(call.attemptId),
@@ -46,12 +60,25 @@
 		tookMs: Math.round(tookMs),
 		...(isRequestIncomplete && {isRequestIncomplete}),
 		...(firstMs !== undefined && {firstMs: Math.round(firstMs)}),
-		...(stopRefusal && describeStop(stopRefusal)),
-		...(stopEstimate && {wasServedAtStop: true, ...describeStop(stopEstimate)}),
+		...(outcome !== 'answered' && describeStopDecisions(event)),
+		...(wasCutByStop && {wasCutByStop, relayedBytes}),
 		...(longestPauseMs !== undefined && {longestPauseMs: Math.round(longestPauseMs)}),
 	};
 }
 
+/** What became of a request that met a planned stop. */
+function getStopOutcome({outcome, wasCutByStop, stopRefusal}: ForwardEndEvent): string {
+	if (outcome === 'answered') {
+		return 'answered';
+	}
+
+	if (wasCutByStop) {
+		return 'cut-off';
+	}
+
+	return stopRefusal ? 'refused' : 'failed';
+}
+
 /** Describes a lost request as its id, whether its answer had begun, and the ids of its prompt parts. */
 function describeLost({requestId, hasBegun, partIds}: LostRequest): string {
 	return `${sanitizeName(requestId)} ${hasBegun ? 'begun' : 'waiting'} ${partIds.slice(0, MAX_LOGGED_LOST_REQUESTS).map(id => sanitizeName(id)).join(',')}`;
@@ -66,6 +93,8 @@
 	private readonly slotWaits;
 	private readonly coldSends;
 	private readonly targetEnds;
+	private readonly stopRequests;
+	private readonly stopTaken;
 
 	constructor(private readonly log: DecisionLog, metrics: Metrics, private readonly getKnowledgeAgeMs: () => number) {
 		super();
@@ -74,6 +103,8 @@
 		this.durations = metrics.createDurations({name: 'egretrill_forward_ms', help: 'Time from the arrival of a request to its end.', labels: ['route']});
 		this.targetEnds = metrics.createCounter({name: 'egretrill_target_ends_total', help: 'Targets that ended while requests of this host were in flight there.', labels: ['planned', 'cold']});
 		this.coldSends = metrics.createCounter({name: 'egretrill_cold_sends_total', help: 'Sends to targets that were registered as cold, by outcome.', labels: ['outcome']});
+		this.stopRequests = metrics.createCounter({name: 'egretrill_stop_requests_total', help: 'Requests that met a decision of a planned stop, or its end, by outcome and by what was expected of them.', labels: ['outcome', 'basis']});
+		this.stopTaken = metrics.createDurations({name: 'egretrill_stop_taken_percent', help: 'Time that a request served during a planned stop took, in percent of the time expected when it was let in.', labels: ['basis']});
 		this.slotWaits = metrics.createDurations({name: 'egretrill_place_wait_ms', help: 'Time that a request waited for a target.', labels: ['route']});
 	}
 
@@ -111,7 +142,12 @@
 		this.requests.add(1, {route, outcome: name});
 		this.durations.record(tookMs, {route});
 		this.slotWaits.record(waitMs, {route});
+		this.recordStop(event);
 		const knowledgeAgeMs = this.getKnowledgeAgeMs();
+		if (event.wasCutByStop && this.log.tryWriteLoss(describeEnd(event, knowledgeAgeMs), CUT_MESSAGE)) {
+			return;
+		}
+
 		if (outcome !== 'answered') {
 			const isRefused = typeof outcome === 'object';
 			this.log.recordFailure({
@@ -150,4 +186,17 @@
 		this.arrivals = new Map();
 		return collected;
 	}
+
+	/** Counts what a planned stop decided of a request, and holds what it expected against what the request took. */
+	private recordStop(event: ForwardEndEvent): void {
+		const {outcome, tookMs, wasCutByStop, stopRefusal, stopArrival} = event;
+		const basis = (stopArrival ?? stopRefusal)?.basis;
+		if (basis !== undefined || wasCutByStop) {
+			this.stopRequests.add(1, {outcome: getStopOutcome(event), basis: basis ?? 'before-stop'});
+		}
+
+		if (outcome === 'answered' && stopArrival && stopArrival.expectedMs > 0) {
+			this.stopTaken.record(100 * tookMs / stopArrival.expectedMs, {basis: stopArrival.basis});
+		}
+	}
 }
--- a/apps/egretrilld/tests/traffic/decision-log.test.ts
+++ b/apps/egretrilld/tests/traffic/decision-log.test.ts
@@ -41,7 +41,7 @@
 	it('say of each refusal during a planned stop what time was left and expected', async () => {
 		const fixture = new DecisionLogFixture();
 		const stopRefusal = {
-			checkpoint: 'arrival', stopLeftMs: 812.3, expectedMs: 2400.5, basis: 'observed', observedCount: 128,
+			checkpoint: 'arrival', stopElapsedMs: 6687.7, stopLeftMs: 812.3, expectedMs: 2400.5, basis: 'observed', observedCount: 128,
 		} as const;
 		for (let i = 1; i <= 9; i++) {
 			fixture.refuse(createId(i), refuseForStop(), undefined, {stopRefusal: {...stopRefusal, stopLeftMs: 812.3 - i}});
@@ -51,6 +51,27 @@
 		expect(await fixture.getLines()).toMatchSnapshot();
 	});
 
+	// Guards against streams that a stop cuts off and of which a busy host's log keeps only the ids, as in the users' record of issue 52.
+	it('hold the first and the last decision of each request that the end of a stop cuts off', async () => {
+		const fixture = new DecisionLogFixture();
+		const stopArrival = {
+			checkpoint: 'arrival', stopElapsedMs: 3400, stopLeftMs: 4100, expectedMs: 2000, basis: 'observed-size', observedCount: 128, tokensOut: 950,
+		} as const;
+		for (let i = 1; i <= 100; i++) {
+			fixture.failAttempt(createId(i));
+			fixture.answer(createId(i), {
+				outcome: 'broken', bodyEnd: undefined, bodyBytes: undefined, wasCutByStop: true, relayedBytes: 1742, longestPauseMs: 1338, stopArrival, stopEstimate: {...stopArrival, checkpoint: 'send', stopLeftMs: 4000 - i},
+			});
+		}
+
+		await fixture.clock.run(1000);
+		const lines = await fixture.getLines();
+		const cut = lines.filter(({msg}) => msg === 'The stop of this host cut off a request.');
+		expect({
+			count: cut.length, first: cut[0], left: lines.at(-1), metrics: fixture.getMetrics('egretrill_stop'),
+		}).toMatchSnapshot();
+	});
+
 	// Guards against output that covers only 15 s under load, so that the lines about a wrong answer are lost.
 	it('keep a minute of output at 50 requests a second with 10 % failures, and omit no id and no details of answered requests', async () => {
 		const fixture = new DecisionLogFixture();
--- a/apps/egretrilld/tests/traffic/support/decision-log-fixture.ts
+++ b/apps/egretrilld/tests/traffic/support/decision-log-fixture.ts
@@ -23,15 +23,21 @@
 	readonly clock = new ManualClock();
 	readonly stopController = new AbortController();
 	readonly stopped: Promise<void>;
+	private readonly metrics = new Metrics(this.clock);
 	private readonly observer: EntryObserver;
 
 	constructor() {
 		super('callers');
 		const log = new DecisionLog(this.clock, this.logger);
-		this.observer = new EntryObserver(log, new Metrics(this.clock), () => 76);
+		this.observer = new EntryObserver(log, this.metrics, () => 76);
 		this.stopped = log.run(this.stopController.signal);
 	}
 
+	/** The metrics whose names begin with a prefix, as they are served. */
+	getMetrics(prefix: string): readonly string[] {
+		return this.metrics.format().split('\n').filter(line => line.startsWith(prefix));
+	}
+
 	async stop(): Promise<void> {
 		this.stopController.abort();
 		await this.stopped;
--- a/packages/callers/src/forward/forward-context.ts
+++ b/packages/callers/src/forward/forward-context.ts
@@ -44,8 +44,11 @@
 	sentMs?: number;
 	/** Set when the request is refused or not sent again because this host stops. */
 	stopRefusal?: StopRefusal;
-	/** Set when the request is served although this host stops. */
+	/** Set when the request is served although this host stops: what was expected of it at first and last. */
+	stopArrival?: StopEstimate;
 	stopEstimate?: StopEstimate;
+	/** Whether the end of a planned stop ended the request. */
+	wasCutByStop?: boolean;
 	targetId?: string;
 	outstanding?: number;
 	status?: number;
--- a/packages/callers/src/forward/forward-dependencies.ts
+++ b/packages/callers/src/forward/forward-dependencies.ts
@@ -51,8 +51,13 @@
 	readonly longestPauseMs?: number;
 	/** Why a planned stop of this host ended the request. */
 	readonly stopRefusal?: StopRefusal;
-	/** What was expected of a request that was served during a planned stop, and then not answered. */
+	/** What was expected of a request that was served during a planned stop, when it was let in and at the last check. */
+	readonly stopArrival?: StopEstimate;
 	readonly stopEstimate?: StopEstimate;
+	/** Whether the end of a planned stop ended the request after it had been sent to a target. */
+	readonly wasCutByStop?: boolean;
+	/** Body bytes relayed to the caller of a request that was cut off. */
+	readonly relayedBytes?: number;
 };
 
 /** Receives events of forwarded requests. */
--- a/packages/callers/src/forward/forward-request.ts
+++ b/packages/callers/src/forward/forward-request.ts
@@ -126,18 +126,22 @@
 		tookMs: clock.now() - startedMs,
 		...getChunkTimes(progress.chunkTimes),
 		...(!isRequestComplete && {isRequestIncomplete: true}),
-		...(outcome !== 'answered' && getStopDetails(progress)),
+		...getStopDetails(progress),
 		...(progress.answerSummary && {bodyEnd: progress.answerSummary.framing, bodyBytes: progress.answerSummary.bytes}),
 	};
 }
 
-/** What a planned stop has to do with a request that was not answered. */
-function getStopDetails({stopRefusal, stopEstimate}: ForwardProgress): Pick<ForwardEndEvent, 'stopEstimate' | 'stopRefusal'> {
-	if (stopRefusal) {
-		return {stopRefusal};
-	}
-
-	return stopEstimate ? {stopEstimate} : {};
+/** What a planned stop has to do with a request. */
+function getStopDetails({
+	stopRefusal, stopArrival, stopEstimate, wasCutByStop, attempts, answerSummary, relayedBytes,
+}: ForwardProgress): Pick<ForwardEndEvent, 'stopArrival' | 'stopEstimate' | 'stopRefusal' | 'wasCutByStop' | 'relayedBytes'> {
+	const isCut = wasCutByStop && attempts > 0 && !answerSummary;
+	return {
+		...(stopRefusal && !answerSummary && {stopRefusal}),
+		...(stopArrival && {stopArrival}),
+		...(stopEstimate && {stopEstimate}),
+		...(isCut && {wasCutByStop, relayedBytes}),
+	};
 }
 
 function getDisconnectOutcome({reason}: AbortSignal): 'left' | 'unread' {
@@ -258,6 +262,7 @@
 	};
 
 	const stop = (): void => {
+		admitted.progress.wasCutByStop = true;
 		end('The stop of this host ended the request.');
 	};
 
--- a/packages/callers/src/forward/planned-stop.ts
+++ b/packages/callers/src/forward/planned-stop.ts
@@ -3,6 +3,7 @@
 /** The planned stop of a host: its beginning, and the time at which the requests in progress must end. */
 export class PlannedStop {
 	private readonly endAbort = new AbortController();
+	private startedMs: number | undefined;
 	private endsMs: number | undefined;
 
 	constructor(private readonly clock: Clock) {}
@@ -13,7 +14,8 @@
 	}
 
 	begin(durationMs: number): void {
-		this.endsMs = this.clock.now() + durationMs;
+		this.startedMs = this.clock.now();
+		this.endsMs = this.startedMs + durationMs;
 	}
 
 	end(): void {
@@ -24,6 +26,11 @@
 		return this.endsMs !== undefined;
 	}
 
+	/** Time since the stop began; undefined while the host runs. */
+	getElapsedMs(): number | undefined {
+		return this.startedMs === undefined ? undefined : this.clock.now() - this.startedMs;
+	}
+
 	/** Time until the requests in progress must end; undefined while the host runs. */
 	getTimeLeftMs(): number | undefined {
 		if (this.ended.aborted) {
--- a/packages/callers/src/forward/refuse-before-stop.ts
+++ b/packages/callers/src/forward/refuse-before-stop.ts
@@ -16,7 +16,8 @@
 		readonly sentMs?: number;
 		/** Set when the request is refused. */
 		stopRefusal?: StopRefusal;
-		/** Set when the request is served although the host stops. */
+		/** Set when the request is served although the host stops: what was expected of it at first and last. */
+		stopArrival?: StopEstimate;
 		stopEstimate?: StopEstimate;
 	};
 	/** Time at which the request reaches its time limit. */
@@ -45,7 +46,7 @@
 	return {
 		isServed,
 		estimate: {
-			checkpoint, stopLeftMs, expectedMs, basis, observedCount: observed.count, ...(call.tokensOut !== undefined && {tokensOut: call.tokensOut}),
+			checkpoint, stopElapsedMs: stop.getElapsedMs() ?? 0, stopLeftMs, expectedMs, basis, observedCount: observed.count, ...(call.tokensOut !== undefined && {tokensOut: call.tokensOut}),
 		},
 	};
 }
@@ -58,6 +59,7 @@
 	}
 
 	if (assessed.isServed) {
+		check.progress.stopArrival ??= assessed.estimate;
 		check.progress.stopEstimate = assessed.estimate;
 		return undefined;
 	}
--- a/packages/callers/src/forward/stop-refusal.ts
+++ b/packages/callers/src/forward/stop-refusal.ts
@@ -6,6 +6,8 @@
 /** What was expected of a request during a planned stop, for logs. */
 export type StopEstimate = {
 	readonly checkpoint: StopCheckpoint;
+	/** Time since the stop began. */
+	readonly stopElapsedMs: number;
 	readonly stopLeftMs: number;
 	readonly expectedMs: number;
 	readonly basis: DurationBasis;
