entry hosts: relay what targets have sent before a stop ends the requests in progress

Callers could lose an answer that its engine had sent completely: after a standstill of the host (0.06 to 0.33 s while it decodes a configuration) the timer of the drain's deadline fires before the sockets are read, so that the stop ended requests whose last bytes had arrived.

Change: at the deadline the host reads what has arrived (two turns of the event loop) before it ends the requests in progress. No request that arrives then is passed on, since no time of the stop is left; a stop that ends early has no request in progress and reads nothing more.

--- a/apps/egretrilld/src/traffic/caller-connections.ts
+++ b/apps/egretrilld/src/traffic/caller-connections.ts
@@ -1,10 +1,10 @@
 import {Buffer} from 'node:buffer';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {Server as NetServer, type Socket} from 'node:net';
-import {setImmediate as nextTurn} from 'node:timers/promises';
 import {refuseForStop} from '@egretrill/callers';
 import type {Clock} from '@egretrill/common';
 import {FINAL_CLOSE_MS, FINAL_FLUSH_MS} from './constants.js';
+import {readArrived} from './read-arrived.js';
 import {createRefusalBody, getRetryAfter} from './refusal-body.js';
 
 /** Connections that wait until they are accepted, by Node's default for `listen`. */
@@ -19,13 +19,6 @@
 	answeredBytes: number;
 };
 
-/** Resolves once all sockets that have something to read have been read. */
-async function readArrived(): Promise<void> {
-	// The first turn may have read some sockets before this was called.
-	await nextTurn();
-	await nextTurn();
-}
-
 /** The refusal of a request whose head has not arrived completely. */
 function createRawRefusal(): string {
 	const verdict = refuseForStop();
--- a/apps/egretrilld/src/traffic/entry-host.ts
+++ b/apps/egretrilld/src/traffic/entry-host.ts
@@ -25,6 +25,7 @@
 import {MemoryMetrics} from './memory-metrics.js';
 import type {LeaderPlan, SyncResponse} from './methods.js';
 import {NodeExchange} from './node-exchange.js';
+import {readArrived} from './read-arrived.js';
 import type {EntrySettings, TrafficBounds} from './settings.js';
 
 /** How often waiting requests are retried if no change of the targets triggers it. */
@@ -149,6 +150,11 @@
 		void this.limitIdleWait(drainMs * (1 - IDLE_WAIT_RATIO));
 		const report = await drained;
 		logger.info({...report}, 'The host has drained.');
+		if (report.outcome === 'deadline') {
+			// After a standstill of this host, the timer of the drain fires before what targets have sent meanwhile is read.
+			await readArrived();
+		}
+
 		this.plannedStop.end();
 		await listenerClosed;
 		await this.connections.close(clock);
