entry hosts: an answer that its caller still reads keeps a stopping host until its deadline

Change: only connections without an unread answer stop counting then; the others do when their caller has what was sent.

--- a/apps/egretrilld/src/traffic/caller-connections.ts
+++ b/apps/egretrilld/src/traffic/caller-connections.ts
@@ -32,6 +32,7 @@
 export class CallerConnections {
 	private readonly connections = new Map<Socket, Connection>();
 	private acceptedCount = 0;
+	private tracksIdle = true;
 
 	/** `trackConnection` is called for each connection and returns a function that is called at its end. */
 	constructor(private readonly server: Server, trackConnection: () => () => void) {
@@ -63,10 +64,13 @@
 		NetServer.prototype.close.call(this.server);
 	}
 
-	/** Ends the tracking of all connections, so that idle ones no longer delay the stop. */
-	stopTracking(): void {
-		for (const {endTracking} of this.connections.values()) {
-			endTracking();
+	/** Ends the tracking of idle connections, so that they no longer delay the stop; that of others ends when their callers have what they were sent. */
+	stopTrackingIdle(): void {
+		this.tracksIdle = false;
+		for (const {openCount, endTracking} of this.connections.values()) {
+			if (openCount === 0) {
+				endTracking();
+			}
 		}
 	}
 
@@ -95,6 +99,9 @@
 		res.once('close', () => {
 			connection.openCount -= 1;
 			connection.answeredBytes = socket.bytesRead;
+			if (connection.openCount === 0 && !this.tracksIdle) {
+				connection.endTracking();
+			}
 		});
 	}
 }
--- a/apps/egretrilld/src/traffic/entry-host.ts
+++ b/apps/egretrilld/src/traffic/entry-host.ts
@@ -277,7 +277,7 @@
 	/** Lets the drain end the given time before its deadline if only idle connections are left. */
 	private async limitIdleWait(beforeEndMs: number): Promise<void> {
 		await this.opts.clock.sleep((this.plannedStop.getTimeLeftMs() ?? 0) - beforeEndMs, this.plannedStop.ended);
-		this.connections.stopTracking();
+		this.connections.stopTrackingIdle();
 	}
 
 	private applyRetryLimits(): void {
