hosts: trust no connection that was idle since another one went silent

Cause: a connection that has gone silent was found by nothing but the timeout of a call on it. An entry host polls the leader and, when that poll times out after 900 ms, the other control hosts in turn, each on its own connection, which is idle and silent too: 900 ms each. Even the connection of the leader was kept after its first failed poll, since 900 ms were less than the 1,500 ms after which it is replaced.

Change: a call that times out after nothing was received for 800 ms on a connection that was once open records since when it is silent. Each connection of the host that is without a pending call and has received nothing since that time is replaced before its next use, at the cost of one connection setup and no timeout. In calm nothing is sent or opened. A host that stands still and then answers late keeps its connections, since the late answer counts as received. One that is down records nothing, as its new connections never open.

--- a/packages/hosts/src/constants.ts
+++ b/packages/hosts/src/constants.ts
@@ -6,6 +6,12 @@
  * 2,500 ms without keepalive pings.
  */
 export const PEER_UNRESPONSIVE_MS = 1500;
+/**
+ * A call that times out after nothing was received for this long shows that its connection may be silent for good, and with
+ * it every connection on which nothing was received since: all of them are replaced before their next use. Below the timeout
+ * of a poll of a control host, 900 ms, so that the first poll that fails shows it.
+ */
+export const PEER_SILENT_MS = 800;
 /** Keepalive interval of server sessions, so that sessions of hosts that disappeared without closing them do not accumulate. */
 export const SESSION_KEEPALIVE_MS = 30_000;
 /** Bytes that may be written to a session before the other host takes them; above, nothing more is written or read. */
--- a/packages/hosts/src/membership/control-peers.ts
+++ b/packages/hosts/src/membership/control-peers.ts
@@ -1,7 +1,7 @@
 import type {Clock} from '@egretrill/common';
 import type {Result} from 'true-myth';
 import {
-	type Method, type PeerCallError, PeerClient, type PeerCredentials,
+	type Method, type PeerCallError, PeerClient, type PeerCredentials, SilenceRecord,
 } from '../transport/index.js';
 import {PeerCaller} from './peer-caller.js';
 
@@ -11,6 +11,7 @@
 /** Connections to control hosts in a fleet without a fixed host list: the first are found through the seeds, the others through those. */
 export class ControlPeers extends PeerCaller {
 	private readonly clients = new Map<string, PeerClient>();
+	private readonly silence = new SilenceRecord();
 	private knownHosts: readonly ControlHost[];
 	private seedIds: readonly string[];
 
@@ -43,7 +44,7 @@
 
 	override async call<Req, Res>(hostId: string, method: Method<Req, Res>, req: Req, deadlineMs?: number): Promise<Result<Res, PeerCallError>> {
 		const existing = this.clients.get(hostId);
-		const client = existing ?? new PeerClient(hostId, this.opts.credentials.client, this.opts.clock);
+		const client = existing ?? new PeerClient(hostId, this.opts.credentials.client, this.opts.clock, {silence: this.silence});
 		this.clients.set(hostId, client);
 		return client.call(method, req, deadlineMs);
 	}
--- a/packages/hosts/src/membership/peer-directory.ts
+++ b/packages/hosts/src/membership/peer-directory.ts
@@ -5,7 +5,7 @@
 import {Result} from 'true-myth';
 import {DIRECTORY_HOSTS_PER_ZONE, PEER_RETRY_MS, PEER_SUSPECT_MS} from '../constants.js';
 import {
-	type Method, type PeerCallError, PeerClient, type PeerCredentials,
+	type Method, type PeerCallError, PeerClient, type PeerCredentials, SilenceRecord,
 } from '../transport/index.js';
 import {PeerCaller} from './peer-caller.js';
 
@@ -18,6 +18,7 @@
 /** Connections to other hosts, opened on first use, with the failures of those that do not answer. */
 export class PeerDirectory extends PeerCaller {
 	private readonly clients = new Map<string, PeerClient>();
+	private readonly silence = new SilenceRecord();
 	private readonly failures = new Map<string, FailureSpan>();
 	private readonly rankedHostsByZone = new Map<string, readonly PeerHost[]>();
 
@@ -94,7 +95,7 @@
 			return existing;
 		}
 
-		const client = new PeerClient(peer.address, this.credentials.client, this.clock, {'grpc.ssl_target_name_override': hostId});
+		const client = new PeerClient(peer.address, this.credentials.client, this.clock, {silence: this.silence, channelOptions: {'grpc.ssl_target_name_override': hostId}});
 		this.clients.set(hostId, client);
 		return client;
 	}
--- a/packages/hosts/src/transport/index.ts
+++ b/packages/hosts/src/transport/index.ts
@@ -3,3 +3,4 @@
 export * from './peer-identity.js';
 export * from './peer-server.js';
 export * from './peer-session.js';
+export * from './silence-record.js';
--- a/packages/hosts/src/transport/peer-client.ts
+++ b/packages/hosts/src/transport/peer-client.ts
@@ -2,17 +2,28 @@
 import * as grpc from '@grpc/grpc-js';
 import {Result} from 'true-myth';
 import {
-	PEER_CALL_DEADLINE_MS, PEER_RECONNECT_MAX_MS, PEER_RECONNECT_MIN_MS, PEER_UNRESPONSIVE_MS,
+	PEER_CALL_DEADLINE_MS, PEER_RECONNECT_MAX_MS, PEER_RECONNECT_MIN_MS, PEER_SILENT_MS, PEER_UNRESPONSIVE_MS,
 } from '../constants.js';
 import type {Method} from './method.js';
 import {type PeerCallError, PeerSession} from './peer-session.js';
+import {SilenceRecord} from './silence-record.js';
+
+export type PeerClientOptions = {
+	/** Shared by all connections of a host. */
+	readonly silence?: SilenceRecord;
+	readonly channelOptions?: grpc.ChannelOptions;
+};
 
 /** Connection to one other host. */
 export class PeerClient {
 	private client: grpc.Client | undefined;
 	private session: PeerSession | undefined;
 
-	constructor(readonly address: string, private readonly credentials: grpc.ChannelCredentials, private readonly clock: Clock, private readonly opts: grpc.ChannelOptions = {}) {}
+	private readonly silence: SilenceRecord;
+
+	constructor(readonly address: string, private readonly credentials: grpc.ChannelCredentials, private readonly clock: Clock, private readonly opts: PeerClientOptions = {}) {
+		this.silence = opts.silence ?? new SilenceRecord();
+	}
 
 	/** Calls a method and resolves with its answer or the reason of the failure; a failed call does not throw. */
 	async call<Req, Res>(method: Method<Req, Res>, req: Req, deadlineMs = PEER_CALL_DEADLINE_MS): Promise<Result<Res, PeerCallError>> {
@@ -28,9 +39,8 @@
 
 		const session = opened.value;
 		const answer = await session.call(method.path, body.value, deadlineMs);
-		// A connection can stay unresponsive indefinitely while new ones work, so it is replaced.
-		if (answer.isErr && session === this.session && session.getUnresponsiveMs() >= PEER_UNRESPONSIVE_MS) {
-			this.close();
+		if (answer.isErr && session === this.session) {
+			this.checkSilence(session);
 		}
 
 		return answer.andThen(bytes => decodeAnswer(method, bytes));
@@ -43,6 +53,20 @@
 		this.client = undefined;
 	}
 
+	/** After a failed call: a connection can stay silent indefinitely while new ones work, so it is replaced. */
+	private checkSilence(session: PeerSession): void {
+		const sinceMs = session.getUnresponsiveSinceMs() ?? Number.POSITIVE_INFINITY;
+		const silentMs = this.clock.now() - sinceMs;
+		// One that never opened says nothing of the others: its host may be down.
+		if (session.wasOpened && silentMs >= PEER_SILENT_MS) {
+			this.silence.record(sinceMs);
+		}
+
+		if (silentMs >= PEER_UNRESPONSIVE_MS) {
+			this.close();
+		}
+	}
+
 	/** Returns the current session or a new one; the library throws for some addresses that it cannot parse. */
 	private openSession(): Result<PeerSession, PeerCallError> {
 		try {
@@ -53,6 +77,10 @@
 	}
 
 	private getSession(): PeerSession {
+		if (this.session?.isIdleSince(this.silence.getSinceMs())) {
+			this.close();
+		}
+
 		if (!this.session || this.session.isClosed) {
 			this.client ??= this.createClient();
 			this.session = new PeerSession(this.client, this.clock);
@@ -70,7 +98,7 @@
 			'grpc.enable_http_proxy': 0,
 			// With a shared subchannel pool, a replacement client would reuse the connection of its predecessor.
 			'grpc.use_local_subchannel_pool': 1,
-			...this.opts,
+			...this.opts.channelOptions,
 		});
 	}
 }
--- a/packages/hosts/src/transport/peer-session.ts
+++ b/packages/hosts/src/transport/peer-session.ts
@@ -48,8 +48,11 @@
 	private hasEnded = false;
 	/** Start time of the first call after the last received frame; undefined if there was no such call. */
 	private unresponsiveSinceMs: number | undefined;
+	/** Time of the last received frame, or of the start of the session. */
+	private lastReceivedMs: number;
 
 	constructor(client: grpc.Client, private readonly clock: Clock) {
+		this.lastReceivedMs = clock.now();
 		this.stream = client.makeBidiStreamRequest(SESSION_PATH, callFrameCodec.encode, bytes => answerFrameCodec.decode(bytes));
 		this.writer = new PacedWriter(this.stream);
 		this.stream.once('metadata', () => {
@@ -58,13 +61,23 @@
 		void this.receive();
 	}
 
+	/** Whether the other host has accepted the session. */
+	get wasOpened(): boolean {
+		return this.isOpen;
+	}
+
 	get isClosed(): boolean {
 		return this.hasEnded;
 	}
 
-	/** Time for which calls have been pending while nothing was received from the other host. */
-	getUnresponsiveMs(): number {
-		return this.unresponsiveSinceMs === undefined ? 0 : this.clock.now() - this.unresponsiveSinceMs;
+	/** Time of the first call since the other host was last heard; undefined if there was none. */
+	getUnresponsiveSinceMs(): number | undefined {
+		return this.unresponsiveSinceMs;
+	}
+
+	/** Whether no call is pending and nothing was received since the time. */
+	isIdleSince(timeMs: number): boolean {
+		return this.pendingCalls.size === 0 && this.lastReceivedMs < timeMs;
 	}
 
 	/** Sends a call once the session is open and the other host has taken the calls before it; a call that times out before that is never sent. */
@@ -102,6 +115,7 @@
 
 	private open(): void {
 		this.isOpen = true;
+		this.lastReceivedMs = this.clock.now();
 		this.unresponsiveSinceMs = this.pendingCalls.size > 0 ? this.clock.now() : undefined;
 		for (const id of this.pendingCalls.keys()) {
 			void this.send(id);
@@ -140,6 +154,7 @@
 		try {
 			for await (const [id, answer] of this.stream as AsyncIterable<AnswerFrame>) {
 				this.unresponsiveSinceMs = undefined;
+				this.lastReceivedMs = this.clock.now();
 				this.pendingCalls.get(id)?.complete(typeof answer === 'string' ? Result.err({code: 'failed', message: answer}) : Result.ok(answer));
 			}
 		} catch (err: unknown) {
