--- a/dev/soak/src/check-calls.ts
+++ b/dev/soak/src/check-calls.ts
@@ -17,6 +17,7 @@
 /** Describes a request that ended without a whole answer although nothing excuses that. */
 function findLoss(call: CallRecord, runs: readonly TargetRun[], steps: readonly StepRecord[]): string | undefined {
 	const tookMs = call.endedMs - call.sentMs;
+	// Rule: what reaches its time limit is not counted.
 	if (call.isComplete || tookMs >= call.timeLimitMs) {
 		return undefined;
 	}
@@ -26,17 +27,23 @@
 	const endedAfterMs = stopMs === undefined ? undefined : call.endedMs - stopMs;
 	const place = stopMs === undefined ? 'without a stop' : `sent ${Math.round(sentAfterMs!)} ms and ended ${Math.round(endedAfterMs!)} ms after SIGTERM`;
 	if (runs.length === 0) {
-		// A request may cross the close of its connection, and a host that has ended refuses new ones.
+		// Rule: a request that no target got may end without an answer if its connection closes within the slack after its last byte.
 		return tookMs > LOSS_SLACK_MS ? `not passed on, and no answer after ${Math.round(tookMs)} ms (${call.error}), ${place}` : undefined;
 	}
 
-	// A target that breaks off or falls silent is a disturbance beside the planned work; what a stop costs then is not counted.
-	if (runs.some(({outcome, pauseMs}) => outcome === 'broke-off' || (stopMs !== undefined && pauseMs > 0))) {
+	// Rule: an answer that its target itself breaks off is not counted. A target that only falls silent is sound and excuses nothing.
+	if (runs.some(({outcome}) => outcome === 'broke-off')) {
 		return undefined;
 	}
 
-	const isExcused = sentAfterMs !== undefined && sentAfterMs <= EXCUSED_ARRIVAL_MS && endedAfterMs! >= EXCUSED_END_MS;
-	return isExcused ? undefined : `passed on, cut off after ${Math.round(tookMs)} ms with ${call.body.length} of ${call.expectedBody.length} bytes (${call.error}), ${place}`;
+	// Rule: a stop may cut off what is still running in the last sixth of the grace period if it was sent at most 3 s after the SIGTERM.
+	if (sentAfterMs !== undefined && sentAfterMs <= EXCUSED_ARRIVAL_MS && endedAfterMs! >= EXCUSED_END_MS) {
+		return undefined;
+	}
+
+	const silentMs = Math.max(...runs.map(({pauseMs}) => pauseMs));
+	const silence = silentMs > 0 ? `, its target silent for ${Math.round(silentMs)} ms` : '';
+	return `passed on, cut off after ${Math.round(tookMs)} ms with ${call.body.length} of ${call.expectedBody.length} bytes (${call.error}), ${place}${silence}`;
 }
 
 function checkCall(call: CallRecord, runs: readonly TargetRun[], steps: readonly StepRecord[]): readonly Violation[] {
