soak: streams allow as many tokens as those of the users' sites

Each draft now allows 950 tokens and each caption 180, and half of the requests name this in place of four fifths.

--- a/dev/soak/src/soak-caller.ts
+++ b/dev/soak/src/soak-caller.ts
@@ -19,8 +19,6 @@
 /** A request as drawn: where it goes and what its target answers. */
 type Drawn = {readonly kind: RequestKind; readonly url: string; readonly tokensOut?: number; readonly timeLimitMs: number; readonly getBody: (attemptId: string) => string};
 
-/** Tokens that one event of a stream holds. */
-const TOKENS_PER_EVENT = 5;
 const KIND_WEIGHTS: ReadonlyArray<readonly [kind: RequestKind, weight: number]> = [['draft', 0.45], ['caption', 0.25], ['lookup', 0.2], ['order', 0.1]];
 /** Median and spread of the number of events of a draft, and the most. */
 const DRAFT_EVENTS = {median: 44, spread: 0.7, max: 190};
@@ -32,8 +30,10 @@
 const MAX_LATE_MS = 2000;
 const PAUSE_RATIO = 0.03;
 const MAX_PAUSE_MS = 1500;
+/** Most tokens that a stream allows, as on the users' sites: the same for each of its kind and mostly far above what it uses. */
+const ALLOWED_TOKENS: Readonly<Partial<Record<RequestKind, number>>> = {draft: 950, caption: 180};
 /** Fraction of requests that name the most tokens that they allow. */
-const NAMED_RATIO = 0.8;
+const NAMED_RATIO = 0.5;
 
 function drawEvents(random: Random, {median, spread, max}: typeof DRAFT_EVENTS): number {
 	// A sum of uniform numbers is close enough to a normal distribution.
@@ -69,10 +69,9 @@
 		firstMs: random() < LATE_RATIO ? Math.round(MAX_LATE_MS * random()) : 0,
 		pauseMs: random() < PAUSE_RATIO ? Math.round(MAX_PAUSE_MS * random()) : 0,
 	};
-	// A target may end before it has generated all tokens that it was allowed.
-	const tokensOut = Math.ceil(events * TOKENS_PER_EVENT * (1 + random()));
+	const tokensOut = random() < NAMED_RATIO ? ALLOWED_TOKENS[kind] : undefined;
 	return {
-		kind, url: createStreamPath(prefix, shape), timeLimitMs, getBody: attemptId => createStreamBody(attemptId, events), ...(random() < NAMED_RATIO && {tokensOut}),
+		kind, url: createStreamPath(prefix, shape), timeLimitMs, getBody: attemptId => createStreamBody(attemptId, events), ...(tokensOut !== undefined && {tokensOut}),
 	};
 }
 
