soak: targets with slots, a pace by load, a cold start and whole silences

A target now has 32 slots and a queue, takes 5.47 ms a token and more with each stream at work, is cold for 3 s if it starts during the run, and falls silent with all its streams for 1.0 to 1.6 s every 4 to 16 s. All is drawn from the seed of the run; the own silences of single streams stay.

--- a/dev/soak/src/run-soak.ts
+++ b/dev/soak/src/run-soak.ts
@@ -27,6 +27,8 @@
 /** Time for which the fleet serves before the first step, so that hosts know how long requests take. */
 const WARM_UP_MS = 3000;
 const FIRST_VERSION = 1;
+/** Seeds of targets follow those of callers. */
+const FIRST_TARGET_SEED = 900;
 
 /** One soak: a fleet of processes, targets, callers, and planned work that comes in series and overlaps. */
 class Soak {
@@ -83,7 +85,13 @@
 	private async startTarget(): Promise<void> {
 		this.targetCount += 1;
 		const target = new StreamTarget({
-			id: `i-${this.targetCount}`, service: 'desk', zone: this.targetCount, controls: Array.from({length: CONTROL_HOSTS}, (_, i) => this.fleet.getControl(i)), runs: this.runs,
+			id: `i-${this.targetCount}`,
+			service: 'desk',
+			zone: this.targetCount,
+			controls: Array.from({length: CONTROL_HOSTS}, (_, i) => this.fleet.getControl(i)),
+			runs: this.runs,
+			random: createRandom((this.opts.seed * 1000) + FIRST_TARGET_SEED + this.targetCount),
+			isColdAtStart: this.targetCount > TARGETS,
 		});
 		this.targets.push(target);
 		await target.start();
--- a/dev/soak/src/soak-caller.ts
+++ b/dev/soak/src/soak-caller.ts
@@ -23,8 +23,6 @@
 /** Median and spread of the number of events of a draft, and the most. */
 const DRAFT_EVENTS = {median: 44, spread: 0.7, max: 190};
 const CAPTION_EVENTS = {median: 6, spread: 1.1, max: 36};
-const MIN_EVENT_MS = 8;
-const EVENT_SPREAD_MS = 16;
 /** Some streams wait at their target before the first event, and some pause in their middle, as those of sound targets do. */
 const LATE_RATIO = 0.1;
 const MAX_LATE_MS = 2000;
@@ -65,7 +63,6 @@
 	const events = drawEvents(random, kind === 'draft' ? DRAFT_EVENTS : CAPTION_EVENTS);
 	const shape = {
 		events,
-		intervalMs: Math.round(MIN_EVENT_MS + (EVENT_SPREAD_MS * random())),
 		firstMs: random() < LATE_RATIO ? Math.round(MAX_LATE_MS * random()) : 0,
 		pauseMs: random() < PAUSE_RATIO ? Math.round(MAX_PAUSE_MS * random()) : 0,
 	};
