--- a/dev/soak/src/check-calls.ts
+++ b/dev/soak/src/check-calls.ts
@@ -23,12 +23,14 @@
 	}
 
 	const stopMs = findStopMs(call, steps);
-	const sentAfterMs = stopMs === undefined ? undefined : call.sentMs - stopMs;
+	// A request counts as sent with its last byte; one that was not sent in whole is lost only if it was passed on.
+	const sentAfterMs = stopMs === undefined ? undefined : Math.min(call.bodySentMs, call.endedMs) - stopMs;
 	const endedAfterMs = stopMs === undefined ? undefined : call.endedMs - stopMs;
 	const place = stopMs === undefined ? 'without a stop' : `sent ${Math.round(sentAfterMs!)} ms and ended ${Math.round(endedAfterMs!)} ms after SIGTERM`;
 	if (runs.length === 0) {
 		// Rule: a request that no target got may end without an answer if its connection closes within the slack after its last byte.
-		return tookMs > LOSS_SLACK_MS ? `not passed on, and no answer after ${Math.round(tookMs)} ms (${call.error}), ${place}` : undefined;
+		const unansweredMs = call.endedMs - call.bodySentMs;
+		return unansweredMs > LOSS_SLACK_MS ? `not passed on, and no answer after ${Math.round(unansweredMs)} ms (${call.error}), ${place}` : undefined;
 	}
 
 	// Rule: an answer that its target itself breaks off is not counted. A target that only falls silent is sound and excuses nothing.
--- a/dev/soak/src/soak-caller.ts
+++ b/dev/soak/src/soak-caller.ts
@@ -1,10 +1,11 @@
-import {Agent, request} from 'node:http';
+import {Agent} from 'node:http';
 import {setTimeout as delay} from 'node:timers/promises';
 import type {Random} from '@egretrill/common';
 import {createCallHeaders, createStreamBody, createStreamPath} from '@egretrill/platform/testing';
 import {
 	LONG_PAUSE_RATIO, MAX_LONG_PAUSE_MS, MAX_SHORT_PAUSE_MS, READY_POLL_MS, routes,
 } from './constants.js';
+import {drawPace, sendCall} from './send-call.js';
 import type {CallRecord, RequestKind} from './types.js';
 
 export type SoakCallerOptions = {
@@ -119,46 +120,27 @@
 		const attemptId = `${name}-${this.sent}`;
 		const {kind, url, tokensOut, timeLimitMs, getBody} = drawRequest(random);
 		const call: CallRecord = {
-			attemptId, kind, host, isKept, sentMs: performance.now(), timeLimitMs, expectedBody: getBody(attemptId), status: 0, body: '', isComplete: false, endedMs: Number.POSITIVE_INFINITY,
+			attemptId,
+			kind,
+			host,
+			isKept,
+			sentMs: performance.now(),
+			bodySentMs: Number.POSITIVE_INFINITY,
+			timeLimitMs,
+			expectedBody: getBody(attemptId),
+			status: 0,
+			body: '',
+			isComplete: false,
+			endedMs: Number.POSITIVE_INFINITY,
 		};
 		calls.push(call);
 		const body = `body of ${attemptId}`;
-		const [hostname, port] = getAddress(host).split(':');
+		const pace = drawPace(body, random);
 		const headers = createCallHeaders({
-			attemptId, timeLimitMs, bodyLength: body.length, ...(tokensOut !== undefined && {tokensOut}),
+			attemptId, timeLimitMs, ...(!pace.isChunked && {bodyLength: body.length}), ...(tokensOut !== undefined && {tokensOut}),
 		});
-		await new Promise<void>(resolve => {
-			const req = request({
-				agent, hostname, port, method: 'POST', path: url, headers,
-			});
-			const timer = setTimeout(() => {
-				req.destroy(new Error('time limit'));
-			}, timeLimitMs + 1000);
-			const end = (): void => {
-				clearTimeout(timer);
-				call.endedMs = performance.now();
-				resolve();
-			};
-
-			req.once('error', (err: NodeJS.ErrnoException) => {
-				call.error ??= err.code ?? err.message;
-				end();
-			});
-			req.once('response', res => {
-				call.status = res.statusCode ?? 0;
-				res.setEncoding('utf8');
-				res.on('data', (text: string) => {
-					call.body += text;
-				});
-				res.on('error', (err: NodeJS.ErrnoException) => {
-					call.error ??= err.code ?? err.message;
-				});
-				res.once('close', () => {
-					call.isComplete = res.complete;
-					end();
-				});
-			});
-			req.end(body);
+		await sendCall(call, {
+			agent, address: getAddress(host), path: url, headers, pace,
 		});
 		// The agent takes a connection back only in the next turn.
 		await delay(0);
--- a/dev/soak/src/types.ts
+++ b/dev/soak/src/types.ts
@@ -9,7 +9,9 @@
 	readonly host: number;
 	/** Whether the connection had carried a request before. */
 	readonly isKept: boolean;
+	/** Times of the first and of the last byte; the last is infinite for a body that was not sent in whole. */
 	readonly sentMs: number;
+	bodySentMs: number;
 	readonly timeLimitMs: number;
 	/** Whole answer that a target gives to this request. */
 	readonly expectedBody: string;
