soak: control hosts that are killed or frozen, one at a time

A tenth of the steps now kills one of the three, or freezes it, for up to 3 s, so that two always run. Streams do not pass a control host, so that such trouble excuses no call. A change of the configuration waits for the one before it: with a slow control host the older version would arrive later and be refused for good.

--- a/dev/soak/src/run-soak.ts
+++ b/dev/soak/src/run-soak.ts
@@ -26,6 +26,9 @@
 const MAX_STEP_MS = 900;
 /** Time for which the fleet serves before the first step, so that hosts know how long requests take. */
 const WARM_UP_MS = 3000;
+/** Longest time for which a control host is down or frozen, and the pause before the next such trouble. */
+const MAX_CONTROL_TROUBLE_MS = 3000;
+const CONTROL_RECOVERY_MS = 3000;
 const FIRST_VERSION = 1;
 /** Seeds of targets follow those of callers. */
 const FIRST_TARGET_SEED = 900;
@@ -41,9 +44,11 @@
 	private readonly targets: StreamTarget[] = [];
 	private targetCount = 0;
 	private version = FIRST_VERSION;
+	private configured = Promise.resolve();
 	private readyHosts: readonly number[] = [];
 	private readonly stopping = new Set<number>();
 	private readonly starting = new Set<number>();
+	private isControlDisturbed = false;
 	private readonly pending = new Set<Promise<void>>();
 
 	constructor(private readonly opts: SoakOptions) {
@@ -123,10 +128,12 @@
 			await this.restartEntry(host);
 		} else if (draw < 0.6) {
 			this.reload(host);
-		} else if (draw < 0.85) {
+		} else if (draw < 0.8) {
 			await this.configure();
-		} else {
+		} else if (draw < 0.9) {
 			await this.replaceTarget();
+		} else {
+			await this.disturbControl();
 		}
 	}
 
@@ -168,12 +175,45 @@
 		}
 	}
 
+	/** Changes the configuration, after the change before: a control host may be slow, and an older version is refused. */
 	private async configure(): Promise<void> {
+		this.configured = this.configureAfter(this.configured);
+		await this.configured;
+	}
+
+	private async configureAfter(before: Promise<void>): Promise<void> {
+		await before;
 		this.version += 1;
 		this.record('configure', -1);
 		await this.fleet.put(createSoakConfig(this.version, routes));
 	}
 
+	/** Kills or freezes a control host, one at a time, so that most of them run. Callers and targets do not go through it, so that it excuses none of their losses. */
+	private async disturbControl(): Promise<void> {
+		const host = Math.floor(this.random() * CONTROL_HOSTS);
+		const isKilled = this.random() < 0.5;
+		const ms = MAX_CONTROL_TROUBLE_MS * this.random();
+		const control = this.fleet.controls[host];
+		if (!control || this.isControlDisturbed) {
+			return;
+		}
+
+		this.isControlDisturbed = true;
+		this.record(isKilled ? 'kill-control' : 'freeze-control', host);
+		if (isKilled) {
+			await control.stop('SIGKILL');
+			await delay(ms);
+			await control.start();
+		} else {
+			control.send('SIGSTOP');
+			await delay(ms);
+			control.send('SIGCONT');
+		}
+
+		await delay(CONTROL_RECOVERY_MS);
+		this.isControlDisturbed = false;
+	}
+
 	/** Starts a target and lets another one leave as planned. */
 	private async replaceTarget(): Promise<void> {
 		this.record('leave', -1);
--- a/dev/soak/src/types.ts
+++ b/dev/soak/src/types.ts
@@ -22,8 +22,8 @@
 	error?: string;
 };
 
-/** A planned step of the run, with the time at which it was carried out. */
-export type StepRecord = {readonly kind: 'stop' | 'second-signal' | 'exit' | 'start' | 'reload' | 'configure' | 'leave'; readonly host: number; readonly atMs: number};
+/** A step of the run, with the time at which it was carried out. */
+export type StepRecord = {readonly kind: 'stop' | 'second-signal' | 'exit' | 'start' | 'reload' | 'configure' | 'leave' | 'kill-control' | 'freeze-control'; readonly host: number; readonly atMs: number};
 
 /** Something that callers must not see. */
 export type Violation = {readonly rule: 'lost' | 'refused-but-run' | 'run-twice' | 'mixed'; readonly call: CallRecord; readonly detail: string};
