--- a/dev/soak/src/run-soak.ts
+++ b/dev/soak/src/run-soak.ts
@@ -26,7 +26,12 @@
 const MAX_STEP_MS = 900;
 /** Time for which the fleet serves before the first step, so that hosts know how long requests take. */
 const WARM_UP_MS = 3000;
+/** Longest time for which a control host is down or frozen, and the pause before the next such trouble. */
+const MAX_CONTROL_TROUBLE_MS = 3000;
+const CONTROL_RECOVERY_MS = 3000;
 const FIRST_VERSION = 1;
+/** Seeds of targets follow those of callers. */
+const FIRST_TARGET_SEED = 900;
 
 /** One soak: a fleet of processes, targets, callers, and planned work that comes in series and overlaps. */
 class Soak {
@@ -39,9 +44,11 @@
 	private readonly targets: StreamTarget[] = [];
 	private targetCount = 0;
 	private version = FIRST_VERSION;
+	private configured = Promise.resolve();
 	private readyHosts: readonly number[] = [];
 	private readonly stopping = new Set<number>();
 	private readonly starting = new Set<number>();
+	private isControlDisturbed = false;
 	private readonly pending = new Set<Promise<void>>();
 
 	constructor(private readonly opts: SoakOptions) {
@@ -83,7 +90,13 @@
 	private async startTarget(): Promise<void> {
 		this.targetCount += 1;
 		const target = new StreamTarget({
-			id: `i-${this.targetCount}`, service: 'desk', zone: this.targetCount, controls: Array.from({length: CONTROL_HOSTS}, (_, i) => this.fleet.getControl(i)), runs: this.runs,
+			id: `i-${this.targetCount}`,
+			service: 'desk',
+			zone: this.targetCount,
+			controls: Array.from({length: CONTROL_HOSTS}, (_, i) => this.fleet.getControl(i)),
+			runs: this.runs,
+			random: createRandom((this.opts.seed * 1000) + FIRST_TARGET_SEED + this.targetCount),
+			isColdAtStart: this.targetCount > TARGETS,
 		});
 		this.targets.push(target);
 		await target.start();
@@ -115,10 +128,12 @@
 			await this.restartEntry(host);
 		} else if (draw < 0.6) {
 			this.reload(host);
-		} else if (draw < 0.85) {
+		} else if (draw < 0.8) {
 			await this.configure();
-		} else {
+		} else if (draw < 0.9) {
 			await this.replaceTarget();
+		} else {
+			await this.disturbControl();
 		}
 	}
 
@@ -160,12 +175,45 @@
 		}
 	}
 
+	/** Changes the configuration, after the change before: a control host may be slow, and an older version is refused. */
 	private async configure(): Promise<void> {
+		this.configured = this.configureAfter(this.configured);
+		await this.configured;
+	}
+
+	private async configureAfter(before: Promise<void>): Promise<void> {
+		await before;
 		this.version += 1;
 		this.record('configure', -1);
 		await this.fleet.put(createSoakConfig(this.version, routes));
 	}
 
+	/** Kills or freezes a control host, one at a time, so that most of them run. Callers and targets do not go through it, so that it excuses none of their losses. */
+	private async disturbControl(): Promise<void> {
+		const host = Math.floor(this.random() * CONTROL_HOSTS);
+		const isKilled = this.random() < 0.5;
+		const ms = MAX_CONTROL_TROUBLE_MS * this.random();
+		const control = this.fleet.controls[host];
+		if (!control || this.isControlDisturbed) {
+			return;
+		}
+
+		this.isControlDisturbed = true;
+		this.record(isKilled ? 'kill-control' : 'freeze-control', host);
+		if (isKilled) {
+			await control.stop('SIGKILL');
+			await delay(ms);
+			await control.start();
+		} else {
+			control.send('SIGSTOP');
+			await delay(ms);
+			control.send('SIGCONT');
+		}
+
+		await delay(CONTROL_RECOVERY_MS);
+		this.isControlDisturbed = false;
+	}
+
 	/** Starts a target and lets another one leave as planned. */
 	private async replaceTarget(): Promise<void> {
 		this.record('leave', -1);
