hosts: a log line and a counter for each silent connection that is replaced

What callers saw: configurations that came late, with "A control host does not answer." for each control host in turn. Nothing told a connection that had gone silent from a host that was down or slow.

Change: PeerClient tells an observer of each open connection that it replaces, with the reason and the time since anything was received.

Measured: a new case in peer-client.test.ts shows that an idle connection is replaced after another one has gone silent, and that a host that answers late keeps its connection.

--- a/apps/egretrilld/src/traffic/container.ts
+++ b/apps/egretrilld/src/traffic/container.ts
@@ -8,6 +8,7 @@
 import {credentials, ServerCredentials} from '@grpc/grpc-js';
 import {Container} from 'inversify';
 import type {Adapter} from './adapter.js';
+import {ConnectionMetrics} from './connection-metrics.js';
 import {ControlHost} from './control-host.js';
 import {EntryHost} from './entry-host.js';
 import {LoopMetrics} from './loop-metrics.js';
@@ -22,6 +23,7 @@
 		logger: getComponentLogger(ctx.get(trafficTokens.logger), 'control'),
 		watch: ctx.get(trafficTokens.watch),
 		credentials: ctx.get(trafficTokens.credentials),
+		connections: new ConnectionMetrics(getComponentLogger(ctx.get(trafficTokens.logger), 'control'), ctx.get(trafficTokens.metrics)),
 		decoder: ctx.get(trafficTokens.adapter).decoder,
 		orders: ctx.get(trafficTokens.adapter).createOrders(),
 	})).inSingletonScope();
@@ -35,7 +37,12 @@
 		logger: getComponentLogger(ctx.get(trafficTokens.logger), 'callers'),
 		metrics: ctx.get(trafficTokens.metrics),
 		watch: ctx.get(trafficTokens.watch),
-		peers: new ControlPeers({seedIds: settings.seeds, clock: ctx.get(trafficTokens.clock), credentials: ctx.get(trafficTokens.credentials)}),
+		peers: new ControlPeers({
+			seedIds: settings.seeds,
+			clock: ctx.get(trafficTokens.clock),
+			credentials: ctx.get(trafficTokens.credentials),
+			observer: new ConnectionMetrics(getComponentLogger(ctx.get(trafficTokens.logger), 'callers'), ctx.get(trafficTokens.metrics)),
+		}),
 		dialect: ctx.get(trafficTokens.adapter).dialect,
 		decoder: ctx.get(trafficTokens.adapter).decoder,
 	})).inSingletonScope();
--- a/apps/egretrilld/src/traffic/control-host.ts
+++ b/apps/egretrilld/src/traffic/control-host.ts
@@ -8,7 +8,8 @@
 import {FileLogStorage, SnapshotStore} from '@egretrill/disk';
 import {type EngineOrders, TargetRegistry} from '@egretrill/engines';
 import {
-	bindConsensus, bindFleetLog, bindMethod, ConsensusNode, ControlPeers, FleetLog, type FleetNode, FleetState, GrpcConsensusTransport, type MethodHandler, type PeerCredentials,
+	bindConsensus, bindFleetLog, bindMethod, type ConnectionObserver, ConsensusNode,
+	ControlPeers, FleetLog, type FleetNode, FleetState, GrpcConsensusTransport, type MethodHandler, type PeerCredentials,
 } from '@egretrill/hosts';
 import type {ConfigDecoder} from './config-decoder.js';
 import {ConfigParts} from './config-parts.js';
@@ -41,6 +42,7 @@
 	readonly logger: Logger;
 	readonly watch: LoopWatch;
 	readonly credentials: PeerCredentials;
+	readonly connections?: ConnectionObserver;
 	readonly decoder: ConfigDecoder;
 	readonly orders: EngineOrders;
 };
@@ -80,7 +82,7 @@
 		this.invalidRegistrations = new RateLimitedLog(clock, logger, 'A registration describes no usable target.');
 		this.failedCalls = new RateLimitedLog(clock, logger, 'A call of a target or operator failed.');
 		this.peers = new ControlPeers({
-			selfId: this.hostId, seedIds: settings.seeds, clock, credentials,
+			selfId: this.hostId, seedIds: settings.seeds, clock, credentials, observer: opts.connections,
 		});
 		this.registry = new TargetRegistry(clock, this.origin, service => this.traffic.namesService(service), registration => this.departureLog.hasLeft(registration));
 		this.syncNotifier = new SyncNotifier({
--- a/packages/hosts/src/membership/control-peers.ts
+++ b/packages/hosts/src/membership/control-peers.ts
@@ -1,13 +1,21 @@
 import type {Clock} from '@egretrill/common';
 import type {Result} from 'true-myth';
 import {
-	type Method, type PeerCallError, PeerClient, type PeerCredentials, SilenceRecord,
+	type ConnectionObserver, type Method, type PeerCallError, PeerClient, type PeerCredentials, SilenceRecord,
 } from '../transport/index.js';
 import {PeerCaller} from './peer-caller.js';
 
 /** A control host that was discovered through the seeds; its id is its peer address. */
 export type ControlHost = {readonly id: string; readonly zone?: string};
 
+export type ControlPeersOptions = {
+	readonly selfId?: string;
+	readonly seedIds: readonly string[];
+	readonly clock: Clock;
+	readonly credentials: PeerCredentials;
+	readonly observer?: ConnectionObserver;
+};
+
 /** Connections to control hosts in a fleet without a fixed host list: the first are found through the seeds, the others through those. */
 export class ControlPeers extends PeerCaller {
 	private readonly clients = new Map<string, PeerClient>();
@@ -15,7 +23,7 @@
 	private knownHosts: readonly ControlHost[];
 	private seedIds: readonly string[];
 
-	constructor(private readonly opts: {readonly selfId?: string; readonly seedIds: readonly string[]; readonly clock: Clock; readonly credentials: PeerCredentials}) {
+	constructor(private readonly opts: ControlPeersOptions) {
 		super();
 		this.seedIds = opts.seedIds;
 		this.knownHosts = opts.seedIds.map(id => ({id}));
@@ -44,7 +52,7 @@
 
 	override async call<Req, Res>(hostId: string, method: Method<Req, Res>, req: Req, deadlineMs?: number): Promise<Result<Res, PeerCallError>> {
 		const existing = this.clients.get(hostId);
-		const client = existing ?? new PeerClient(hostId, this.opts.credentials.client, this.opts.clock, {silence: this.silence});
+		const client = existing ?? new PeerClient(hostId, this.opts.credentials.client, this.opts.clock, {silence: this.silence, observer: this.opts.observer});
 		this.clients.set(hostId, client);
 		return client.call(method, req, deadlineMs);
 	}
--- a/packages/hosts/src/membership/peer-directory.ts
+++ b/packages/hosts/src/membership/peer-directory.ts
@@ -5,7 +5,7 @@
 import {Result} from 'true-myth';
 import {DIRECTORY_HOSTS_PER_ZONE, PEER_RETRY_MS, PEER_SUSPECT_MS} from '../constants.js';
 import {
-	type Method, type PeerCallError, PeerClient, type PeerCredentials, SilenceRecord,
+	ConnectionLog, type Method, type PeerCallError, PeerClient, type PeerCredentials, SilenceRecord,
 } from '../transport/index.js';
 import {PeerCaller} from './peer-caller.js';
 
@@ -19,11 +19,13 @@
 export class PeerDirectory extends PeerCaller {
 	private readonly clients = new Map<string, PeerClient>();
 	private readonly silence = new SilenceRecord();
+	private readonly observer: ConnectionLog;
 	private readonly failures = new Map<string, FailureSpan>();
 	private readonly rankedHostsByZone = new Map<string, readonly PeerHost[]>();
 
 	constructor(private readonly settings: Settings, private readonly clock: Clock, private readonly credentials: PeerCredentials, private readonly logger: Logger) {
 		super();
+		this.observer = new ConnectionLog(logger);
 	}
 
 	getPeers(): readonly PeerHost[] {
@@ -95,7 +97,7 @@
 			return existing;
 		}
 
-		const client = new PeerClient(peer.address, this.credentials.client, this.clock, {silence: this.silence, channelOptions: {'grpc.ssl_target_name_override': hostId}});
+		const client = new PeerClient(peer.address, this.credentials.client, this.clock, {silence: this.silence, observer: this.observer, channelOptions: {'grpc.ssl_target_name_override': hostId}});
 		this.clients.set(hostId, client);
 		return client;
 	}
--- a/packages/hosts/src/transport/index.ts
+++ b/packages/hosts/src/transport/index.ts
@@ -1,3 +1,4 @@
+export * from './connection-observer.js';
 export * from './method.js';
 export * from './peer-client.js';
 export * from './peer-identity.js';
--- a/packages/hosts/src/transport/peer-client.ts
+++ b/packages/hosts/src/transport/peer-client.ts
@@ -4,6 +4,7 @@
 import {
 	PEER_CALL_DEADLINE_MS, PEER_RECONNECT_MAX_MS, PEER_RECONNECT_MIN_MS, PEER_SILENT_MS, PEER_UNRESPONSIVE_MS,
 } from '../constants.js';
+import type {ConnectionObserver, ReplacedConnection} from './connection-observer.js';
 import type {Method} from './method.js';
 import {type PeerCallError, PeerSession} from './peer-session.js';
 import {SilenceRecord} from './silence-record.js';
@@ -11,6 +12,7 @@
 export type PeerClientOptions = {
 	/** Shared by all connections of a host. */
 	readonly silence?: SilenceRecord;
+	readonly observer?: ConnectionObserver;
 	readonly channelOptions?: grpc.ChannelOptions;
 };
 
@@ -63,10 +65,19 @@
 		}
 
 		if (silentMs >= PEER_UNRESPONSIVE_MS) {
-			this.close();
+			this.replace(session, 'unresponsive');
 		}
 	}
 
+	/** Closes a connection, so that the next call opens another one. */
+	private replace(session: PeerSession, reason: ReplacedConnection['reason']): void {
+		if (session.wasOpened && !session.isClosed) {
+			this.opts.observer?.recordReplaced({address: this.address, reason, unheardMs: session.getUnheardMs()});
+		}
+
+		this.close();
+	}
+
 	/** Returns the current session or a new one; the library throws for some addresses that it cannot parse. */
 	private openSession(): Result<PeerSession, PeerCallError> {
 		try {
@@ -78,7 +89,7 @@
 
 	private getSession(): PeerSession {
 		if (this.session?.isIdleSince(this.silence.getSinceMs())) {
-			this.close();
+			this.replace(this.session, 'idle');
 		}
 
 		if (!this.session || this.session.isClosed) {
--- a/packages/hosts/src/transport/peer-session.ts
+++ b/packages/hosts/src/transport/peer-session.ts
@@ -75,6 +75,11 @@
 		return this.unresponsiveSinceMs;
 	}
 
+	/** Time since the last received frame, or since the start of the session. */
+	getUnheardMs(): number {
+		return this.clock.now() - this.lastReceivedMs;
+	}
+
 	/** Whether no call is pending and nothing was received since the time. */
 	isIdleSince(timeMs: number): boolean {
 		return this.pendingCalls.size === 0 && this.lastReceivedMs < timeMs;
--- a/packages/hosts/tests/peer-client.test.ts
+++ b/packages/hosts/tests/peer-client.test.ts
@@ -7,7 +7,7 @@
 import {expect} from 'chai';
 import {z} from 'zod';
 import {
-	bindMethod, defineMethod, PEER_UNRESPONSIVE_MS, PeerClient, type PeerServer, SESSION_WRITE_AHEAD_BYTES, startPeerServer,
+	bindMethod, ConnectionObserver, defineMethod, PEER_SILENT_MS, PEER_UNRESPONSIVE_MS, PeerClient, type PeerServer, type ReplacedConnection, SESSION_WRITE_AHEAD_BYTES, SilenceRecord, startPeerServer,
 } from '../src/index.js';
 
 const CALL_MS = 200;
@@ -19,6 +19,14 @@
 const faulty = defineMethod('Test', 'faulty', z.object({}), z.object({}));
 const absent = defineMethod('Test', 'absent', z.object({}), z.object({}));
 
+class RecordingObserver extends ConnectionObserver {
+	readonly reasons: string[] = [];
+
+	override recordReplaced({reason}: ReplacedConnection): void {
+		this.reasons.push(reason);
+	}
+}
+
 describe('calls between hosts', () => {
 	const clock = new MonotonicClock();
 	const sockets: Socket[] = [];
@@ -120,6 +128,41 @@
 		expect(sockets.length).to.be.greaterThan(2);
 	});
 
+	/** Makes calls on a connection that has gone silent, beside an idle one; resolves with the reasons for which connections were replaced by their next calls. */
+	async function replaceBesideSilence(callMs: number, resume: boolean): Promise<readonly string[]> {
+		const observer = new RecordingObserver();
+		const silence = new SilenceRecord();
+		const address = `127.0.0.1:${(relay.address() as AddressInfo).port}`;
+		const [silent, idle] = [new PeerClient(address, credentials.createInsecure(), clock, {silence, observer}), new PeerClient(address, credentials.createInsecure(), clock, {silence, observer})];
+		await idle.call(echo, {text: 'one'}, 60_000);
+		const idleSockets = sockets.length;
+		await silent.call(echo, {text: 'one'}, 60_000);
+		const silentSockets = sockets.slice(idleSockets);
+		for (const socket of silentSockets) {
+			socket.unpipe();
+		}
+
+		const failed = await silent.call(echo, {text: 'lost'}, callMs);
+		expect(failed.isErr).to.equal(true);
+		if (resume) {
+			const [clientSocket, serverSocket] = silentSockets;
+			clientSocket?.pipe(serverSocket!).pipe(clientSocket);
+			await clock.sleep(CALL_MS);
+		}
+
+		await Promise.all([silent, idle].map(async peer => peer.call(echo, {text: 'next'}, 60_000)));
+		silent.close();
+		idle.close();
+		return observer.reasons;
+	}
+
+	// Guards against calls that time out once for each connection that went silent with the first, and against new connections to a host that only stood still.
+	it('replaces connections that were idle since one went silent', async () => {
+		const silentMs = PEER_SILENT_MS + 50;
+		expect([await replaceBesideSilence(silentMs, false), await replaceBesideSilence(silentMs, true)])
+			.to.deep.equal([['idle', 'idle'], ['idle']]);
+	});
+
 	// Guards against calls that pile up for a host that does not read, and that it would get long after they were given up.
 	it('sends no call that was given up while the other host took nothing', async () => {
 		const sent = Array.from({length: MANY_CALLS}, (_, index) => index + 1);
