engines: count the sends to a restarted target against the limit of its next process

Cause: a host that notices the end of a process sends no more than a cold target bears, since the next process may already listen there. When the registration of that process arrived, the host began a new record of its sends and could send the whole of its part again within the same second. The sends of a host that had noticed nothing were not recorded at all. Where a host may take one request a second or more, that is twice what all hosts may send: up to 2.4 times what the target is known to bear, with 1.5 times and 5 more allowed. The class: a limit over a sliding time whose record is renewed by an event inside that time.

Change: one record of sends for each target id, which counts all sends of the last second, also those to a target that is not known as cold. A host in turns skips its turn while it has sent in the last second.

--- a/packages/engines/src/registry/cold-sends.ts
+++ b/packages/engines/src/registry/cold-sends.ts
@@ -16,7 +16,7 @@
  * short turns, or as the leader grants. Neither can be saved: rights that many hosts keep would all be used in the same second.
  */
 export class ColdSends {
-	/** Send times of the last second, only recorded while the target is cold. */
+	/** Send times of the last second. They are recorded whether or not the target is known as cold, since a host learns of a restart after its first sends to the new process. */
 	private times: readonly number[] = [];
 	private lastTurnMs = Number.NEGATIVE_INFINITY;
 	/** Ends of the sends that the leader has granted. */
@@ -38,7 +38,7 @@
 	}
 
 	record(nowMs: number, rate: number, isCold: boolean): void {
-		this.times = isCold ? [...filterLastSecond(this.times, nowMs), nowMs] : [];
+		this.times = [...filterLastSecond(this.times, nowMs), nowMs];
 		if (!isCold || rate <= 0 || rate >= 1) {
 			return;
 		}
@@ -60,6 +60,6 @@
 		const intervalMs = getTurnIntervalMs(rate);
 		const elapsedMs = nowMs - this.startedMs - (this.phase * intervalMs);
 		const sinceTurnMs = elapsedMs - (Math.floor(elapsedMs / intervalMs) * intervalMs);
-		return sinceTurnMs < COLD_TURN_MS && nowMs - this.lastTurnMs >= intervalMs / 2;
+		return sinceTurnMs < COLD_TURN_MS && nowMs - this.lastTurnMs >= intervalMs / 2 && filterLastSecond(this.times, nowMs).length === 0;
 	}
 }
--- a/packages/engines/src/registry/target-table.ts
+++ b/packages/engines/src/registry/target-table.ts
@@ -319,7 +319,6 @@
 	private limitUntilRegistered(target: Target): void {
 		const nowMs = this.opts.clock.now();
 		if (!this.isLimited(target)) {
-			target.coldSends = new ColdSends(nowMs, this.opts.random());
 			target.limitedFromMs = nowMs;
 		}
 
@@ -329,19 +328,15 @@
 	private setTarget(registration: Registration, coldUntilMs: number): void {
 		this.index = undefined;
 		const known = this.targets.get(registration.targetId);
-		const nowMs = this.opts.clock.now();
-		const coldSends = new ColdSends(nowMs, this.opts.random());
 		if (known?.registration.startedAtMs === registration.startedAtMs) {
-			if (!this.isLimited(known)) {
-				known.coldSends = coldSends;
-			}
-
 			known.registration = registration;
 			known.coldUntilMs = coldUntilMs;
 			return;
 		}
 
 		this.cachedPrompts.removeTarget(registration.targetId);
+		// The last sends may have reached the new process before it was registered.
+		const coldSends = known?.coldSends ?? new ColdSends(this.opts.clock.now(), this.opts.random());
 		this.targets.set(registration.targetId, {
 			registration, coldUntilMs, limitedFromMs: 0, limitedUntilMs: 0, ownRequests: 0, adapterUses: new Map(), otherHostsRequests: 0, othersReportedMs: 0, suspectedUntilMs: 0, silentUntilMs: 0, failures: 0, failuresUpdatedMs: 0, unreachableCount: 0, unreachableMs: 0, coldSends,
 		});
--- a/packages/engines/src/registry/tracked-target.ts
+++ b/packages/engines/src/registry/tracked-target.ts
@@ -25,7 +25,7 @@
 	/** Consecutive requests that could not reach the target, and the time of the last one. */
 	unreachableCount: number;
 	unreachableMs: number;
-	coldSends: ColdSends;
+	readonly coldSends: ColdSends;
 };
 
 /** Changes the number of outstanding requests that use an adapter. */
--- a/packages/engines/tests/registry/cold-sends.test.ts
+++ b/packages/engines/tests/registry/cold-sends.test.ts
@@ -12,6 +12,8 @@
 /** Time from a call that was not granted to the next one. */
 const REPEAT_MS = 300;
 const STEP_MS = 25;
+/** Time for which a request runs at a warm target. */
+const RUN_MS = 1000;
 const SPAN_MS = 9000;
 const SEED_COUNT = 4;
 const MIN_LAG_MS = 100;
@@ -26,13 +28,22 @@
 	readonly seed: number;
 	/** Time at which a target that was warm is back after its process has ended; hosts learn of the new process up to `MAX_LAG_MS` later. */
 	readonly backMs?: number;
+	/** Requests per second that come to all hosts together; without it, each of them always has one waiting. */
+	readonly perSecond?: number;
+	/** Time at which the process of a warm target ends, seen only by requests that are in flight or are sent before `backMs`. */
+	readonly endMs?: number;
+	/** Time from one change of the leader to the next. */
+	readonly termMs?: number;
 };
 
 /** Hosts that send requests to one cold target as soon as they may, and their leader. */
 class ColdFleet {
 	private readonly clock = new ManualClock();
 	private readonly tables: readonly TargetTable[];
-	private readonly grants = new ColdGrants(this.clock);
+	private grants = new ColdGrants(this.clock);
+	private readonly waiting = new Map<TargetTable, number>();
+	private readonly lastSentMs = new Map<TargetTable, number>();
+	private readonly random;
 	private readonly nextCallMs = new Map<TargetTable, number>();
 	private readonly learnMs = new Map<TargetTable, number>();
 	private readonly sentMs: number[] = [];
@@ -40,6 +51,7 @@
 	constructor(private readonly demand: Demand) {
 		const {backMs, hostCount, seed} = demand;
 		const random = createRandom(seed);
+		this.random = random;
 		this.clock.advance(60_000);
 		this.tables = Array.from({length: hostCount}, () => new TargetTable({
 			clock: this.clock, random, zone: 'a', getColdRate: () => FLEET_RATE / hostCount, getBatchSlots: () => 1000,
@@ -56,6 +68,7 @@
 		this.clock.advance(fromMs);
 		for (let elapsedMs = fromMs; elapsedMs < SPAN_MS; elapsedMs += STEP_MS) {
 			this.clock.advance(STEP_MS);
+			this.step(elapsedMs);
 			for (const table of this.tables.slice(0, wantingHosts)) {
 				this.learn(table, elapsedMs);
 				this.send(table, elapsedMs);
@@ -66,6 +79,21 @@
 		return {most, perSecond: Math.round(this.sentMs.length * 1000 / (SPAN_MS - fromMs))};
 	}
 
+	private step(elapsedMs: number): void {
+		const {endMs, hostCount, perSecond, termMs} = this.demand;
+		if (termMs !== undefined && elapsedMs % termMs === 0) {
+			this.grants = new ColdGrants(this.clock);
+		}
+
+		for (const table of this.tables) {
+			const isNew = perSecond === undefined || this.random() < perSecond * STEP_MS / 1000 / hostCount;
+			this.waiting.set(table, perSecond === undefined ? 1 : (this.waiting.get(table) ?? 0) + Number(isNew));
+			if (elapsedMs === endMs && elapsedMs - (this.lastSentMs.get(table) ?? 0) < RUN_MS) {
+				table.recordEnd({targetId: 'cold', startedAtMs: 1});
+			}
+		}
+	}
+
 	private register(table: TargetTable, startedAtMs: number, coldForMs: number): void {
 		table.update({
 			origin: 'r', revision: startedAtMs, isWhole: true, targets: [{
@@ -84,12 +112,19 @@
 	}
 
 	private send(table: TargetTable, elapsedMs: number): void {
+		if ((this.waiting.get(table) ?? 0) === 0) {
+			return;
+		}
+
 		const choice = table.choose(requirements);
 		const nowMs = this.clock.now();
 		if (choice.kind === 'target') {
-			const isUp = elapsedMs >= (this.demand.backMs ?? 0);
+			const {backMs = 0, endMs = 0} = this.demand;
+			const isUp = elapsedMs >= backMs || elapsedMs < endMs;
+			this.waiting.set(table, (this.waiting.get(table) ?? 0) - Number(isUp));
+			this.lastSentMs.set(table, elapsedMs);
 			table.acquireSlot(choice.targetId, requirements)?.release(isUp ? 'answered' : 'unreachable');
-			this.sentMs.push(...isUp ? [nowMs] : []);
+			this.sentMs.push(...elapsedMs >= backMs ? [nowMs] : []);
 		} else if (this.demand.hasLeader && nowMs >= (this.nextCallMs.get(table) ?? 0)) {
 			const isGranted = this.grants.grant([{targetId: 'cold', perSecond: FLEET_RATE}]).length > 0;
 			this.nextCallMs.set(table, nowMs + (isGranted ? CALL_MS : REPEAT_MS));
@@ -130,6 +165,29 @@
 		expect(played).toMatchSnapshot();
 	});
 
+	// Guards against hosts that send all that a cold target bears within one second twice: to a process that they have not been told of, and after its registration.
+	it('do not overrun one that restarts unseen by most of them', () => {
+		const cases = [3, 7, 18, 71, 195].flatMap(hostCount => [50, 1000].map(downMs => ({hostCount, downMs})));
+		const played = cases.map(({hostCount, downMs}) => ({
+			hostCount, downMs, ...play({
+				hostCount, wantingHosts: hostCount, fromMs: 0, hasLeader: true, perSecond: 40, endMs: 3000, backMs: 3000 + downMs,
+			}),
+		}));
+		expect(played.filter(({most}) => most > MAX_PER_SECOND)).to.deep.equal([]);
+		expect(played).toMatchSnapshot();
+	});
+
+	// Guards against a new leader that grants what its predecessor has granted in the same second.
+	it('do not overrun it while the leader changes', () => {
+		const played = [71, 195].flatMap(hostCount => [1000, 1500].map(termMs => ({
+			hostCount, termMs, ...play({
+				hostCount, wantingHosts: hostCount, fromMs: 0, hasLeader: true, termMs,
+			}),
+		})));
+		expect(played.filter(({most}) => most > MAX_PER_SECOND)).to.deep.equal([]);
+		expect(played).toMatchSnapshot();
+	});
+
 	// Guards against a cold target, the only one that holds a model, that stays nearly unused since its requests come to few of many hosts.
 	it('leave most of it to the few that want it', () => {
 		expect([1, 4].map(wantingHosts => play({
