--- a/packages/engines/src/registry/target-table.ts
+++ b/packages/engines/src/registry/target-table.ts
@@ -6,7 +6,7 @@
 	OTHER_COUNTS_TTL_MS, SUCCESS_DECAY_RATIO, FAILURE_DECAY_MS, MAX_SUSPECT_MS, QUEUED_PER_SLOT, REGISTRATION_TTL_MS, SUSPECT_MS,
 } from './constants.js';
 import {CachedPrompts} from './cached-prompts.js';
-import {ColdSends} from './cold-sends.js';
+import {type ColdBasis, ColdSends} from './cold-sends.js';
 import {getModelKey, indexTargets} from './index-targets.js';
 import {TargetNotices, type TargetStart} from './target-notices.js';
 import {changeAdapterUse, recordActivity, type Target} from './tracked-target.js';
@@ -24,6 +24,8 @@
 	readonly zone: string;
 	/** Requests per second that this host may send to a cold target of a service. */
 	readonly getColdRate: (service: string) => number;
+	/** Called with sends to cold targets, by what they were based on. */
+	readonly onColdSends?: (basis: ColdBasis, count: number) => void;
 	/** Number of requests that a target runs concurrently if its service has engines. */
 	readonly getBatchSlots: (service: string) => number | undefined;
 };
@@ -33,6 +35,8 @@
 	/** Notified when a slot may have become free or a target was added. */
 	readonly changed = new Signal();
 	private readonly targets = new Map<string, Target>();
+	/** Sends to removed targets, whose next process may be registered within the second. */
+	private readonly removedSends = new Map<string, ColdSends>();
 	/** Rebuilt lazily after a change of the targets; changes are far rarer than requests. */
 	private index: ReadonlyMap<string, readonly Target[]> | undefined;
 	private readonly cachedPrompts = new CachedPrompts();
@@ -175,7 +179,11 @@
 		target.ownRequests += 1;
 		changeAdapterUse(target, model, adapter, 1);
 		const acquiredMs = this.opts.clock.now();
-		target.coldSends.record(acquiredMs, this.opts.getColdRate(target.registration.service), this.isLimited(target));
+		const basis = target.coldSends.record(acquiredMs, this.opts.getColdRate(target.registration.service), this.isLimited(target));
+		if (basis) {
+			this.opts.onColdSends?.(basis, 1);
+		}
+
 		if (model !== undefined) {
 			this.cachedPrompts.record(targetId, model, parts);
 		}
@@ -319,7 +327,6 @@
 	private limitUntilRegistered(target: Target): void {
 		const nowMs = this.opts.clock.now();
 		if (!this.isLimited(target)) {
-			target.coldSends = new ColdSends(nowMs, this.opts.random());
 			target.limitedFromMs = nowMs;
 		}
 
@@ -330,18 +337,20 @@
 		this.index = undefined;
 		const known = this.targets.get(registration.targetId);
 		const nowMs = this.opts.clock.now();
-		const coldSends = new ColdSends(nowMs, this.opts.random());
-		if (known?.registration.startedAtMs === registration.startedAtMs) {
-			if (!this.isLimited(known)) {
-				known.coldSends = coldSends;
-			}
+		if (known && nowMs < coldUntilMs && !this.isLimited(known)) {
+			this.opts.onColdSends?.('unknown', known.coldSends.countRecent(nowMs));
+		}
 
+		if (known?.registration.startedAtMs === registration.startedAtMs) {
 			known.registration = registration;
 			known.coldUntilMs = coldUntilMs;
 			return;
 		}
 
 		this.cachedPrompts.removeTarget(registration.targetId);
+		// The last sends may have reached the new process before it was registered.
+		const coldSends = known?.coldSends ?? this.removedSends.get(registration.targetId) ?? new ColdSends(nowMs, this.opts.random());
+		this.removedSends.delete(registration.targetId);
 		this.targets.set(registration.targetId, {
 			registration, coldUntilMs, limitedFromMs: 0, limitedUntilMs: 0, ownRequests: 0, adapterUses: new Map(), otherHostsRequests: 0, othersReportedMs: 0, suspectedUntilMs: 0, silentUntilMs: 0, failures: 0, failuresUpdatedMs: 0, unreachableCount: 0, unreachableMs: 0, coldSends,
 		});
@@ -350,8 +359,19 @@
 	private removeTargets(ids: readonly string[]): void {
 		this.index = undefined;
 		for (const id of ids) {
+			const target = this.targets.get(id);
+			if (target) {
+				this.removedSends.set(id, target.coldSends);
+			}
+
 			this.targets.delete(id);
 			this.cachedPrompts.removeTarget(id);
 		}
+
+		for (const [id, sends] of this.removedSends) {
+			if (sends.countRecent(this.opts.clock.now()) === 0) {
+				this.removedSends.delete(id);
+			}
+		}
 	}
 }
