common: keep a connection open whose request was answered as its idle timer fired

Callers saw a connection closed right after an answer with keep-alive, when this process had stood still for longer than the idle time: a request that was read after the standstill and answered at once, such as by a refusal, was the last one that the connection took, and the next one was lost.

Cause: the idle timer fires before the sockets are read, and an immediate then closed the connection unless its timeout had been cleared. A request that is answered in the same turn has already set a new timeout, so that its connection counted as still idle. Now it counts as idle only if no bytes have arrived since.

--- a/packages/common/src/idle-connections.ts
+++ b/packages/common/src/idle-connections.ts
@@ -6,10 +6,10 @@
 
 /** Closes a connection unless data has arrived that is not read yet, as after a standstill of this process. */
 function closeIfStillIdle(socket: Socket): void {
-	// Timers run before sockets are read, and immediates afterwards.
+	const {bytesRead} = socket;
+	// Timers run before sockets are read, and immediates afterwards; a request may have been read and answered by then.
 	setImmediate(() => {
-		// Node clears the timeout when data of a request arrives.
-		if (socket.timeout) {
+		if (socket.bytesRead === bytesRead) {
 			socket.destroy();
 		}
 	});
