--- a/dev/soak/src/soak-caller.ts
+++ b/dev/soak/src/soak-caller.ts
@@ -1,10 +1,11 @@
-import {Agent, request} from 'node:http';
+import {Agent} from 'node:http';
 import {setTimeout as delay} from 'node:timers/promises';
 import type {Random} from '@egretrill/common';
 import {createCallHeaders, createStreamBody, createStreamPath} from '@egretrill/platform/testing';
 import {
 	LONG_PAUSE_RATIO, MAX_LONG_PAUSE_MS, MAX_SHORT_PAUSE_MS, READY_POLL_MS, routes,
 } from './constants.js';
+import {drawPace, sendCall} from './send-call.js';
 import type {CallRecord, RequestKind} from './types.js';
 
 export type SoakCallerOptions = {
@@ -19,21 +20,19 @@
 /** A request as drawn: where it goes and what its target answers. */
 type Drawn = {readonly kind: RequestKind; readonly url: string; readonly tokensOut?: number; readonly timeLimitMs: number; readonly getBody: (attemptId: string) => string};
 
-/** Tokens that one event of a stream holds. */
-const TOKENS_PER_EVENT = 5;
 const KIND_WEIGHTS: ReadonlyArray<readonly [kind: RequestKind, weight: number]> = [['draft', 0.45], ['caption', 0.25], ['lookup', 0.2], ['order', 0.1]];
 /** Median and spread of the number of events of a draft, and the most. */
 const DRAFT_EVENTS = {median: 44, spread: 0.7, max: 190};
 const CAPTION_EVENTS = {median: 6, spread: 1.1, max: 36};
-const MIN_EVENT_MS = 8;
-const EVENT_SPREAD_MS = 16;
 /** Some streams wait at their target before the first event, and some pause in their middle, as those of sound targets do. */
 const LATE_RATIO = 0.1;
 const MAX_LATE_MS = 2000;
 const PAUSE_RATIO = 0.03;
 const MAX_PAUSE_MS = 1500;
+/** Most tokens that a stream allows, as on the users' sites: the same for each of its kind and mostly far above what it uses. */
+const ALLOWED_TOKENS: Readonly<Partial<Record<RequestKind, number>>> = {draft: 950, caption: 180};
 /** Fraction of requests that name the most tokens that they allow. */
-const NAMED_RATIO = 0.8;
+const NAMED_RATIO = 0.5;
 
 function drawEvents(random: Random, {median, spread, max}: typeof DRAFT_EVENTS): number {
 	// A sum of uniform numbers is close enough to a normal distribution.
@@ -65,14 +64,12 @@
 	const events = drawEvents(random, kind === 'draft' ? DRAFT_EVENTS : CAPTION_EVENTS);
 	const shape = {
 		events,
-		intervalMs: Math.round(MIN_EVENT_MS + (EVENT_SPREAD_MS * random())),
 		firstMs: random() < LATE_RATIO ? Math.round(MAX_LATE_MS * random()) : 0,
 		pauseMs: random() < PAUSE_RATIO ? Math.round(MAX_PAUSE_MS * random()) : 0,
 	};
-	// A target may end before it has generated all tokens that it was allowed.
-	const tokensOut = Math.ceil(events * TOKENS_PER_EVENT * (1 + random()));
+	const tokensOut = random() < NAMED_RATIO ? ALLOWED_TOKENS[kind] : undefined;
 	return {
-		kind, url: createStreamPath(prefix, shape), timeLimitMs, getBody: attemptId => createStreamBody(attemptId, events), ...(random() < NAMED_RATIO && {tokensOut}),
+		kind, url: createStreamPath(prefix, shape), timeLimitMs, getBody: attemptId => createStreamBody(attemptId, events), ...(tokensOut !== undefined && {tokensOut}),
 	};
 }
 
@@ -123,46 +120,27 @@
 		const attemptId = `${name}-${this.sent}`;
 		const {kind, url, tokensOut, timeLimitMs, getBody} = drawRequest(random);
 		const call: CallRecord = {
-			attemptId, kind, host, isKept, sentMs: performance.now(), timeLimitMs, expectedBody: getBody(attemptId), status: 0, body: '', isComplete: false, endedMs: Number.POSITIVE_INFINITY,
+			attemptId,
+			kind,
+			host,
+			isKept,
+			sentMs: performance.now(),
+			bodySentMs: Number.POSITIVE_INFINITY,
+			timeLimitMs,
+			expectedBody: getBody(attemptId),
+			status: 0,
+			body: '',
+			isComplete: false,
+			endedMs: Number.POSITIVE_INFINITY,
 		};
 		calls.push(call);
 		const body = `body of ${attemptId}`;
-		const [hostname, port] = getAddress(host).split(':');
+		const pace = drawPace(body, random);
 		const headers = createCallHeaders({
-			attemptId, timeLimitMs, bodyLength: body.length, ...(tokensOut !== undefined && {tokensOut}),
+			attemptId, timeLimitMs, ...(!pace.isChunked && {bodyLength: body.length}), ...(tokensOut !== undefined && {tokensOut}),
 		});
-		await new Promise<void>(resolve => {
-			const req = request({
-				agent, hostname, port, method: 'POST', path: url, headers,
-			});
-			const timer = setTimeout(() => {
-				req.destroy(new Error('time limit'));
-			}, timeLimitMs + 1000);
-			const end = (): void => {
-				clearTimeout(timer);
-				call.endedMs = performance.now();
-				resolve();
-			};
-
-			req.once('error', (err: NodeJS.ErrnoException) => {
-				call.error ??= err.code ?? err.message;
-				end();
-			});
-			req.once('response', res => {
-				call.status = res.statusCode ?? 0;
-				res.setEncoding('utf8');
-				res.on('data', (text: string) => {
-					call.body += text;
-				});
-				res.on('error', (err: NodeJS.ErrnoException) => {
-					call.error ??= err.code ?? err.message;
-				});
-				res.once('close', () => {
-					call.isComplete = res.complete;
-					end();
-				});
-			});
-			req.end(body);
+		await sendCall(call, {
+			agent, address: getAddress(host), path: url, headers, pace,
 		});
 		// The agent takes a connection back only in the next turn.
 		await delay(0);
