--- a/packages/common/src/idle-connections.ts
+++ b/packages/common/src/idle-connections.ts
@@ -7,9 +7,10 @@
 /** Closes a connection unless data has arrived that is not read yet, as after a standstill of this process. */
 function closeIfStillIdle(socket: Socket): void {
 	const {bytesRead} = socket;
-	// Timers run before sockets are read, and immediates afterwards; a request may have been read and answered by then.
+	// Timers run before sockets are read, and immediates afterwards.
 	setImmediate(() => {
-		if (socket.bytesRead === bytesRead) {
+		// Node clears the timeout when data of a request arrives, and sets it again when it has been answered.
+		if (socket.timeout && socket.bytesRead === bytesRead) {
 			socket.destroy();
 		}
 	});
