engines: limit the sends to targets of a zone that returns to service

Change: from the return of its zone on a target gets no more than a cold one bears for the longest time between two registrations of a sound target. A cold one has told by then that it is.

A host that starts between the return and the next registration is not covered.

--- a/packages/engines/src/registry/target-table.ts
+++ b/packages/engines/src/registry/target-table.ts
@@ -3,7 +3,7 @@
 } from '@egretrill/common';
 import {type TargetCandidate, chooseTarget, type TargetChoice} from './choose-target.js';
 import {
-	OTHER_COUNTS_TTL_MS, SUCCESS_DECAY_RATIO, FAILURE_DECAY_MS, MAX_SUSPECT_MS, QUEUED_PER_SLOT, REGISTRATION_TTL_MS, SUSPECT_MS,
+	OTHER_COUNTS_TTL_MS, SUCCESS_DECAY_RATIO, FAILURE_DECAY_MS, MAX_REGISTRATION_GAP_MS, MAX_SUSPECT_MS, QUEUED_PER_SLOT, REGISTRATION_TTL_MS, SUSPECT_MS,
 } from './constants.js';
 import {CachedPrompts} from './cached-prompts.js';
 import {type ColdBasis, ColdSends} from './cold-sends.js';
@@ -80,8 +80,16 @@
 		this.changed.notify();
 	}
 
+	/** Sets the zones whose targets get no requests. Those of a zone that returns may have become cold shortly before, which their next registrations tell. */
 	setZonesOutOfService(zones: readonly string[]): void {
+		const before = this.zonesOutOfService;
 		this.zonesOutOfService = new Set(zones);
+		for (const target of this.targets.values()) {
+			const {zone} = target.registration;
+			if (before.has(zone) && !this.zonesOutOfService.has(zone)) {
+				target.returnedUntilMs = this.opts.clock.now() + MAX_REGISTRATION_GAP_MS;
+			}
+		}
 	}
 
 	/** Sets the outstanding requests of the other hosts at each target. */
@@ -315,8 +323,8 @@
 	}
 
 	/** Whether the target is cold, or may be without being registered as such. */
-	private isLimited({coldUntilMs, limitedUntilMs}: Target): boolean {
-		return this.opts.clock.now() < Math.max(coldUntilMs, limitedUntilMs);
+	private isLimited({coldUntilMs, limitedUntilMs, returnedUntilMs}: Target): boolean {
+		return this.opts.clock.now() < Math.max(coldUntilMs, limitedUntilMs, returnedUntilMs);
 	}
 
 	private hasColdCapacity(target: Target): boolean {
@@ -352,7 +360,7 @@
 		const coldSends = known?.coldSends ?? this.removedSends.get(registration.targetId) ?? new ColdSends(nowMs, this.opts.random());
 		this.removedSends.delete(registration.targetId);
 		this.targets.set(registration.targetId, {
-			registration, coldUntilMs, limitedFromMs: 0, limitedUntilMs: 0, ownRequests: 0, adapterUses: new Map(), otherHostsRequests: 0, othersReportedMs: 0, suspectedUntilMs: 0, silentUntilMs: 0, failures: 0, failuresUpdatedMs: 0, unreachableCount: 0, unreachableMs: 0, coldSends,
+			registration, coldUntilMs, limitedFromMs: 0, limitedUntilMs: 0, returnedUntilMs: 0, ownRequests: 0, adapterUses: new Map(), otherHostsRequests: 0, othersReportedMs: 0, suspectedUntilMs: 0, silentUntilMs: 0, failures: 0, failuresUpdatedMs: 0, unreachableCount: 0, unreachableMs: 0, coldSends,
 		});
 	}
 
--- a/packages/engines/src/registry/tracked-target.ts
+++ b/packages/engines/src/registry/tracked-target.ts
@@ -9,6 +9,8 @@
 	/** Time for which its process may have ended: what listens at its address then is another one, which is cold and has yet to be registered here. */
 	limitedFromMs: number;
 	limitedUntilMs: number;
+	/** End of the time after the return of its zone to service in which it may be cold without being registered as such. */
+	returnedUntilMs: number;
 	/** Outstanding requests of this host. */
 	ownRequests: number;
 	/** Outstanding requests of this host that use an adapter, by model and adapter. */
--- a/packages/engines/tests/registry/cold-sends.test.ts
+++ b/packages/engines/tests/registry/cold-sends.test.ts
@@ -34,6 +34,8 @@
 	readonly endMs?: number;
 	/** Whether the registration of the process that has ended is gone before the next one arrives. */
 	readonly isRemovedFirst?: boolean;
+	/** Time at which the zone of a target that has just become cold returns to service; its next registration comes up to `MAX_LAG_MS` later. */
+	readonly returnMs?: number;
 	/** Time from one change of the leader to the next. */
 	readonly termMs?: number;
 };
@@ -53,7 +55,7 @@
 	private readonly sentMs: number[] = [];
 
 	constructor(private readonly demand: Demand) {
-		const {backMs, hostCount, seed} = demand;
+		const {returnMs, backMs = returnMs, hostCount, seed} = demand;
 		const random = createRandom(seed);
 		this.random = random;
 		this.clock.advance(60_000);
@@ -63,6 +65,7 @@
 			},
 		}));
 		for (const table of this.tables) {
+			table.setZonesOutOfService(returnMs === undefined ? [] : ['a']);
 			this.register(table, 1, backMs === undefined ? 2 * SPAN_MS : 0);
 			this.learnMs.set(table, (backMs ?? Number.POSITIVE_INFINITY) + MIN_LAG_MS + (random() * (MAX_LAG_MS - MIN_LAG_MS)));
 		}
@@ -86,7 +89,7 @@
 	}
 
 	private step(elapsedMs: number): void {
-		const {endMs, hostCount, perSecond, termMs} = this.demand;
+		const {endMs, hostCount, perSecond, returnMs, termMs} = this.demand;
 		if (termMs !== undefined && elapsedMs % termMs === 0) {
 			this.grants = new ColdGrants(this.clock);
 		}
@@ -94,6 +97,10 @@
 		for (const table of this.tables) {
 			const isNew = perSecond === undefined || this.random() < perSecond * STEP_MS / 1000 / hostCount;
 			this.waiting.set(table, perSecond === undefined ? 1 : (this.waiting.get(table) ?? 0) + Number(isNew));
+			if (elapsedMs === returnMs) {
+				table.setZonesOutOfService([]);
+			}
+
 			if (elapsedMs === endMs && elapsedMs - (this.lastSentMs.get(table) ?? 0) < RUN_MS) {
 				table.recordEnd({targetId: 'cold', startedAtMs: 1});
 			}
@@ -116,7 +123,7 @@
 			table.update({
 				origin: 'r', revision: 1, isWhole: this.demand.isRemovedFirst ?? false, targets: [],
 			});
-			this.register(table, 2, 2 * SPAN_MS);
+			this.register(table, this.demand.returnMs === undefined ? 2 : 1, 2 * SPAN_MS);
 		}
 	}
 
@@ -190,6 +197,17 @@
 		expect(played).toMatchSnapshot();
 	});
 
+	// Guards against hosts that all send to the targets of a zone at its return to service, before they know that these have just become cold.
+	it('do not overrun one whose zone returns to service', () => {
+		const played = [3, 18, 71, 195].map(hostCount => ({
+			hostCount, ...play({
+				hostCount, wantingHosts: hostCount, fromMs: 0, hasLeader: true, returnMs: 3000, perSecond: 60,
+			}),
+		}));
+		expect(played.filter(({most}) => most > MAX_PER_SECOND)).to.deep.equal([]);
+		expect(played).toMatchSnapshot();
+	});
+
 	// Guards against a new leader that grants what its predecessor has granted in the same second.
 	it('do not overrun it while the leader changes', () => {
 		const played = [71, 195].flatMap(hostCount => [1000, 1500].map(termMs => ({
