soak: count the streams that were sent late in a stop

The report now has a line with their number and how they ended, so that the refusals of two programs can be compared. What was sent to the next process of the host is left out.

--- a/dev/soak/src/check-calls.ts
+++ b/dev/soak/src/check-calls.ts
@@ -72,6 +72,15 @@
 	return violations;
 }
 
+/** Calls that were sent to a host so late in its stop that nothing excuses a cut. */
+export function listLate({calls, steps}: SoakRecord): readonly CallRecord[] {
+	return calls.filter(call => {
+		const stopMs = findStopMs(call, steps) ?? Number.POSITIVE_INFINITY;
+		const hasExited = steps.some(({kind, host, atMs}) => kind === 'exit' && host === call.host && atMs > stopMs && atMs < call.sentMs);
+		return !hasExited && call.bodySentMs > stopMs + EXCUSED_ARRIVAL_MS;
+	});
+}
+
 /** Calls that ended without a whole answer before their time limit, whether or not that is excused. */
 export function listIncomplete({calls}: SoakRecord): readonly CallRecord[] {
 	return calls.filter(({isComplete, endedMs, sentMs, timeLimitMs}) => !isComplete && endedMs - sentMs < timeLimitMs);
--- a/dev/soak/tests/check-calls.test.ts
+++ b/dev/soak/tests/check-calls.test.ts
@@ -1,5 +1,7 @@
 import {expect} from 'chai';
-import {type CallRecord, checkCalls, type SoakRecord} from '../src/index.js';
+import {
+	type CallRecord, checkCalls, createReport, type SoakRecord,
+} from '../src/index.js';
 
 const call: CallRecord = {
 	attemptId: 'a', kind: 'draft', host: 0, isKept: true, sentMs: 10_000, bodySentMs: 10_000, timeLimitMs: 12_000, expectedBody: 'whole', status: 200, body: 'whole', isComplete: true, endedMs: 11_000,
@@ -51,4 +53,13 @@
 	it('tell what callers must not see from what is excused', () => {
 		expect(Object.fromEntries(Object.entries(records).map(([name, record]) => [name, checkCalls(record).map(({rule, detail}) => `${rule}: ${detail}`)]))).toMatchSnapshot();
 	});
+
+	// Guards against a run that passes because no stream was sent late in a stop.
+	it('count the streams that were sent late in a stop', () => {
+		const late = createRecord(call, [run], 6500);
+		const early = createRecord(call, [run], 8000);
+		const restarted: SoakRecord = {...late, steps: [...late.steps, {kind: 'exit', host: 0, atMs: 9000}]};
+		const lines = Object.entries({late, restarted, early}).map(([name, record]) => `${name}: ${createReport(record).lines.find(line => line.includes('more than'))}`);
+		expect(lines).toMatchSnapshot();
+	});
 });
