--- a/apps/egretrilld/src/traffic/caller-connections.ts
+++ b/apps/egretrilld/src/traffic/caller-connections.ts
@@ -1,10 +1,10 @@
 import {Buffer} from 'node:buffer';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {Server as NetServer, type Socket} from 'node:net';
-import {setImmediate as nextTurn} from 'node:timers/promises';
 import {refuseForStop} from '@egretrill/callers';
 import type {Clock} from '@egretrill/common';
 import {FINAL_CLOSE_MS, FINAL_FLUSH_MS} from './constants.js';
+import {readArrived} from './read-arrived.js';
 import {createRefusalBody, getRetryAfter} from './refusal-body.js';
 
 /** Connections that wait until they are accepted, by Node's default for `listen`. */
@@ -19,13 +19,6 @@
 	answeredBytes: number;
 };
 
-/** Resolves once all sockets that have something to read have been read. */
-async function readArrived(): Promise<void> {
-	// The first turn may have read some sockets before this was called.
-	await nextTurn();
-	await nextTurn();
-}
-
 /** The refusal of a request whose head has not arrived completely. */
 function createRawRefusal(): string {
 	const verdict = refuseForStop();
@@ -39,6 +32,7 @@
 export class CallerConnections {
 	private readonly connections = new Map<Socket, Connection>();
 	private acceptedCount = 0;
+	private tracksIdle = true;
 
 	/** `trackConnection` is called for each connection and returns a function that is called at its end. */
 	constructor(private readonly server: Server, trackConnection: () => () => void) {
@@ -70,10 +64,13 @@
 		NetServer.prototype.close.call(this.server);
 	}
 
-	/** Ends the tracking of all connections, so that idle ones no longer delay the stop. */
-	stopTracking(): void {
-		for (const {endTracking} of this.connections.values()) {
-			endTracking();
+	/** Ends the tracking of idle connections, so that they no longer delay the stop; that of others ends when their callers have what they were sent. */
+	stopTrackingIdle(): void {
+		this.tracksIdle = false;
+		for (const {openCount, endTracking} of this.connections.values()) {
+			if (openCount === 0) {
+				endTracking();
+			}
 		}
 	}
 
@@ -102,6 +99,9 @@
 		res.once('close', () => {
 			connection.openCount -= 1;
 			connection.answeredBytes = socket.bytesRead;
+			if (connection.openCount === 0 && !this.tracksIdle) {
+				connection.endTracking();
+			}
 		});
 	}
 }
--- a/apps/egretrilld/src/traffic/entry-host.ts
+++ b/apps/egretrilld/src/traffic/entry-host.ts
@@ -25,6 +25,7 @@
 import {MemoryMetrics} from './memory-metrics.js';
 import type {LeaderPlan, SyncResponse} from './methods.js';
 import {NodeExchange} from './node-exchange.js';
+import {readArrived} from './read-arrived.js';
 import type {EntrySettings, TrafficBounds} from './settings.js';
 
 /** How often waiting requests are retried if no change of the targets triggers it. */
@@ -83,6 +84,9 @@
 			zone: settings.zone,
 			getColdRate: service => this.getColdRate(service),
 			getBatchSlots: service => this.routeTable?.services.get(service)?.engine?.batchSlots,
+			onColdSends: (basis, count) => {
+				this.observer.recordColdSends(basis, count);
+			},
 		});
 		this.follower = new ControlFollower({
 			hostId: settings.host, zone: settings.zone, clock, getTimeOfDayMs: () => Date.now(), random: opts.random, logger, peers, sink: this,
@@ -149,6 +153,11 @@
 		void this.limitIdleWait(drainMs * (1 - IDLE_WAIT_RATIO));
 		const report = await drained;
 		logger.info({...report}, 'The host has drained.');
+		if (report.outcome === 'deadline') {
+			// After a standstill of this host, the timer of the drain fires before what targets have sent meanwhile is read.
+			await readArrived();
+		}
+
 		this.plannedStop.end();
 		await listenerClosed;
 		await this.connections.close(clock);
@@ -271,7 +280,7 @@
 	/** Lets the drain end the given time before its deadline if only idle connections are left. */
 	private async limitIdleWait(beforeEndMs: number): Promise<void> {
 		await this.opts.clock.sleep((this.plannedStop.getTimeLeftMs() ?? 0) - beforeEndMs, this.plannedStop.ended);
-		this.connections.stopTracking();
+		this.connections.stopTrackingIdle();
 	}
 
 	private applyRetryLimits(): void {
