--- a/dev/soak/src/send-call.ts
+++ b/dev/soak/src/send-call.ts
@@ -77,7 +77,9 @@
 		const req = request({
 			agent, hostname, port, method: 'POST', path, headers,
 		});
+		let hasGivenUp = false;
 		const timer = setTimeout(() => {
+			hasGivenUp = true;
 			req.destroy(new Error('time limit'));
 		}, call.timeLimitMs + PATIENCE_MS);
 		const end = (): void => {
@@ -95,8 +97,8 @@
 		req.once('response', res => {
 			readAnswer(res, call, pace);
 			res.once('close', () => {
-				// A slow reader that gives up has received more than it has read.
-				call.isComplete = res.complete && res.readableEnded;
+				// What a slow reader that gives up has received and not read is thrown away.
+				call.isComplete = res.complete && !hasGivenUp;
 				end();
 			});
 		});
