soak: excuse a cut answer only while its target was at work, and a break-off only of the last target

Cause: the excuse for the last sixth of the grace period looked at when the caller's connection ended, not at the target. The rule excuses only what the target was still at work on then, so that an answer which its target had completed before (a caller that reads slowly, an answer that the host holds) was excused although it counts as LOST. The excuse for targets that break off took any run of the request: a stream that went on at another target after that and was then cut off by its host was excused as well.

Change: the first excuse needs a run that ended, or still ran, in the last sixth; the second looks at the last run alone. Both are stricter than before. Two rows of the existing cases gave no violation before and do now.

Evidence: check-calls.test.ts failed with the two new rows on and passes now. No soak was run.

--- a/dev/soak/src/check-calls.ts
+++ b/dev/soak/src/check-calls.ts
@@ -33,13 +33,14 @@
 		return unansweredMs > LOSS_SLACK_MS ? `not passed on, and no answer after ${Math.round(unansweredMs)} ms (${call.error}), ${place}` : undefined;
 	}
 
-	// Rule: an answer that its target itself breaks off is not counted. A target that only falls silent is sound and excuses nothing.
-	if (runs.some(({outcome}) => outcome === 'broke-off')) {
+	// Rule: an answer that its target itself breaks off is not counted; one that goes on at another target is. A target that only falls silent is sound and excuses nothing.
+	if (runs.at(-1)?.outcome === 'broke-off') {
 		return undefined;
 	}
 
-	// Rule: a stop may cut off what is still running in the last sixth of the grace period if it was sent at most 3 s after the SIGTERM.
-	if (sentAfterMs !== undefined && sentAfterMs <= EXCUSED_ARRIVAL_MS && endedAfterMs! >= EXCUSED_END_MS) {
+	// Rule: a stop may cut off what its target is still at work on in the last sixth of the grace period if it was sent at most 3 s after the SIGTERM.
+	const isAtWork = stopMs !== undefined && runs.some(({endedMs = call.endedMs}) => endedMs - stopMs >= EXCUSED_END_MS);
+	if (isAtWork && sentAfterMs! <= EXCUSED_ARRIVAL_MS && endedAfterMs! >= EXCUSED_END_MS) {
 		return undefined;
 	}
 
