hosts: a connection that was only slow withdraws the silence that it recorded

Cause: a call that times out after 800 ms without a byte records a silence, which stays for good, even if the connection is heard again a moment later because its host only stood still. Each connection that was idle since is then replaced before its next use.

Change: the record keeps the connection that showed the silence, and holds only until that one is heard again. One that went silent for good never is.

--- a/packages/hosts/src/transport/peer-client.ts
+++ b/packages/hosts/src/transport/peer-client.ts
@@ -61,7 +61,7 @@
 		const silentMs = this.clock.now() - sinceMs;
 		// One that never opened says nothing of the others: its host may be down.
 		if (session.wasOpened && silentMs >= PEER_SILENT_MS) {
-			this.silence.record(sinceMs);
+			this.silence.record(sinceMs, session);
 		}
 
 		if (silentMs >= PEER_UNRESPONSIVE_MS) {
--- a/packages/hosts/src/transport/peer-session.ts
+++ b/packages/hosts/src/transport/peer-session.ts
@@ -80,9 +80,14 @@
 		return this.clock.now() - this.lastReceivedMs;
 	}
 
+	/** Whether something was received at or after the time. */
+	wasHeardSince(timeMs: number): boolean {
+		return this.lastReceivedMs >= timeMs;
+	}
+
 	/** Whether no call is pending and nothing was received since the time. */
 	isIdleSince(timeMs: number): boolean {
-		return this.pendingCalls.size === 0 && this.lastReceivedMs < timeMs;
+		return this.pendingCalls.size === 0 && !this.wasHeardSince(timeMs);
 	}
 
 	/** Sends a call once the session is open and the other host has taken the calls before it; a call that times out before that is never sent. */
