engines: record sends to warm targets at a constant cost each

Cause: since then the sends of the last second are recorded for warm targets as well, and each send copied the whole list (twice with the check of a turn), so that the processor time grows with the square of the rate.

--- a/packages/engines/src/registry/cold-sends.ts
+++ b/packages/engines/src/registry/cold-sends.ts
@@ -2,10 +2,6 @@
 
 const MS_PER_SECOND = 1000;
 
-function filterLastSecond(times: readonly number[], nowMs: number): readonly number[] {
-	return times.filter(timeMs => nowMs - timeMs < MS_PER_SECOND);
-}
-
 /** Time from one turn to the next. The turns of all hosts that touch any one second add up to the fleet's part for turns. */
 function getTurnIntervalMs(rate: number): number {
 	return (MS_PER_SECOND + COLD_TURN_MS) / (rate * COLD_TURN_RATIO);
@@ -20,7 +16,7 @@
  */
 export class ColdSends {
 	/** Send times of the last second. They are recorded whether or not the target is known as cold, since a host learns of a restart after its first sends to the new process. */
-	private times: readonly number[] = [];
+	private readonly times: number[] = [];
 	private lastTurnMs = Number.NEGATIVE_INFINITY;
 	/** Ends of the sends that the leader has granted. */
 	private grantEndsMs: readonly number[] = [];
@@ -34,7 +30,7 @@
 		}
 
 		if (rate >= 1) {
-			return filterLastSecond(this.times, nowMs).length < Math.floor(rate);
+			return this.countRecent(nowMs) < Math.floor(rate);
 		}
 
 		return this.isTurn(nowMs, rate) || this.grantEndsMs.some(endMs => nowMs < endMs);
@@ -42,13 +38,15 @@
 
 	/** Number of sends in the last second. */
 	countRecent(nowMs: number): number {
-		return filterLastSecond(this.times, nowMs).length;
+		this.forgetOld(nowMs);
+		return this.times.length;
 	}
 
 	/** Records a send; returns what it was based on if the target is cold and limited. */
 	record(nowMs: number, rate: number, isCold: boolean): ColdBasis | undefined {
 		const isTurn = this.isTurn(nowMs, rate);
-		this.times = [...filterLastSecond(this.times, nowMs), nowMs];
+		this.forgetOld(nowMs);
+		this.times.push(nowMs);
 		if (!isCold || rate <= 0) {
 			return undefined;
 		}
@@ -72,6 +70,13 @@
 	}
 
 	/** Whether a turn is under way and not used yet. The rate may have changed since the last turn, with the number of hosts. */
+	/** Forgets the sends before the last second; each is looked at only a few times, however many there are. */
+	private forgetOld(nowMs: number): void {
+		while (this.times.length > 0 && nowMs - this.times[0]! >= MS_PER_SECOND) {
+			this.times.shift();
+		}
+	}
+
 	private isTurn(nowMs: number, rate: number): boolean {
 		const intervalMs = getTurnIntervalMs(rate);
 		const elapsedMs = nowMs - this.startedMs - (this.phase * intervalMs);
