--- a/packages/engines/src/registry/cold-sends.ts
+++ b/packages/engines/src/registry/cold-sends.ts
@@ -69,7 +69,6 @@
 		this.grantEndsMs = [...this.grantEndsMs.filter(otherMs => nowMs < otherMs), endMs];
 	}
 
-	/** Whether a turn is under way and not used yet. The rate may have changed since the last turn, with the number of hosts. */
 	/** Forgets the sends before the last second; each is looked at only a few times, however many there are. */
 	private forgetOld(nowMs: number): void {
 		while (this.times.length > 0 && nowMs - this.times[0]! >= MS_PER_SECOND) {
@@ -77,6 +76,7 @@
 		}
 	}
 
+	/** Whether a turn is under way and not used yet. The rate may have changed since the last turn, with the number of hosts. */
 	private isTurn(nowMs: number, rate: number): boolean {
 		const intervalMs = getTurnIntervalMs(rate);
 		const elapsedMs = nowMs - this.startedMs - (this.phase * intervalMs);
