soak: no silences in half of the seeds

A silence in the past of a route lets a stopping host expect more of each request, so that a world with silences alone hides a host that expects too little. Seeds that are even have none now.

--- a/dev/soak/src/run-soak.ts
+++ b/dev/soak/src/run-soak.ts
@@ -40,6 +40,8 @@
 	readonly steps: StepRecord[] = [];
 	readonly fleet: PlatformFleet;
 	private readonly random: Random;
+	/** Half of the seeds have targets that never fall silent: a silence in the past of a route lets a host expect more of each request. */
+	private readonly isSteady: boolean;
 	private readonly stopper = new AbortController();
 	private readonly targets: StreamTarget[] = [];
 	private targetCount = 0;
@@ -53,6 +55,7 @@
 
 	constructor(private readonly opts: SoakOptions) {
 		this.random = createRandom(opts.seed);
+		this.isSteady = opts.seed % 2 === 0;
 		this.fleet = new PlatformFleet({
 			controls: CONTROL_HOSTS, entries: opts.entries, graceSeconds: GRACE_SECONDS, ...(opts.programFile !== undefined && {programFile: opts.programFile}),
 		});
@@ -83,7 +86,7 @@
 
 	private createCaller(index: number): SoakCaller {
 		return new SoakCaller({
-			name: `c${index}`, random: createRandom((this.opts.seed * 1000) + index), calls: this.calls, getAddress: host => this.fleet.getEntry(host), getReadyHosts: () => this.readyHosts,
+			name: `c${index}`, isSteady: this.isSteady, random: createRandom((this.opts.seed * 1000) + index), calls: this.calls, getAddress: host => this.fleet.getEntry(host), getReadyHosts: () => this.readyHosts,
 		});
 	}
 
@@ -96,6 +99,7 @@
 			controls: Array.from({length: CONTROL_HOSTS}, (_, i) => this.fleet.getControl(i)),
 			runs: this.runs,
 			random: createRandom((this.opts.seed * 1000) + FIRST_TARGET_SEED + this.targetCount),
+			fallsSilent: !this.isSteady,
 			isColdAtStart: this.targetCount > TARGETS,
 		});
 		this.targets.push(target);
--- a/dev/soak/src/soak-caller.ts
+++ b/dev/soak/src/soak-caller.ts
@@ -10,6 +10,8 @@
 
 export type SoakCallerOptions = {
 	readonly name: string;
+	/** Whether the targets of this caller's streams never pause. */
+	readonly isSteady: boolean;
 	readonly random: Random;
 	readonly getAddress: (host: number) => string;
 	/** Hosts to which the balancer sends new connections. */
@@ -54,7 +56,7 @@
 	return 'lookup';
 }
 
-function drawRequest(random: Random): Drawn {
+function drawRequest(random: Random, isSteady: boolean): Drawn {
 	const kind = drawKind(random);
 	const {prefix, timeoutMs: timeLimitMs} = routes.find(route => route.kind === kind)!;
 	if (kind === 'lookup' || kind === 'order') {
@@ -67,7 +69,7 @@
 	const shape = {
 		events,
 		firstMs: random() < LATE_RATIO ? Math.round(MAX_LATE_MS * random()) : 0,
-		pauseMs: random() < PAUSE_RATIO ? Math.round(MAX_PAUSE_MS * random()) : 0,
+		pauseMs: random() < PAUSE_RATIO && !isSteady ? Math.round(MAX_PAUSE_MS * random()) : 0,
 		tokenPercent: Math.round(MIN_TOKEN_PERCENT + ((100 - MIN_TOKEN_PERCENT) * random())),
 	};
 	const tokensOut = random() < NAMED_RATIO ? ALLOWED_TOKENS[kind] : undefined;
@@ -118,10 +120,10 @@
 	}
 
 	private async send(agent: Agent, host: number, isKept: boolean): Promise<CallRecord> {
-		const {name, random, getAddress, calls} = this.opts;
+		const {name, isSteady, random, getAddress, calls} = this.opts;
 		this.sent += 1;
 		const attemptId = `${name}-${this.sent}`;
-		const {kind, url, tokensOut, timeLimitMs, getBody} = drawRequest(random);
+		const {kind, url, tokensOut, timeLimitMs, getBody} = drawRequest(random, isSteady);
 		const call: CallRecord = {
 			attemptId,
 			kind,
