callers: group the modules of a forwarded request by what they do

Cause: 39 modules lay side by side in packages/callers/src/forward, and the parts for hard load add more. No line of code changes.

--- a/packages/callers/src/forward/check-answer.ts
+++ b/packages/callers/src/forward/attempts/check-answer.ts
@@ -1,6 +1,6 @@
 import type {TargetAnswer} from '@egretrill/common';
 import {Result} from 'true-myth';
-import type {AnswerMetadata} from './types.js';
+import type {AnswerMetadata} from '../types.js';
 
 export const STATUS_MISDIRECTED = 421;
 export const STATUS_UNAVAILABLE = 503;
--- a/packages/callers/src/forward/forward-to-target.ts
+++ b/packages/callers/src/forward/attempts/forward-to-target.ts
@@ -1,11 +1,11 @@
 import type {MemoryHolding} from '@egretrill/common';
-import {STREAM_IDLE_TIMEOUT_MS} from './constants.js';
-import {EventOrder} from './event-order.js';
-import {NO_ROOM} from './event-splitter.js';
-import type {AttemptFailure, AttemptOutcome, ForwardContext} from './forward-context.js';
-import type {AttemptSlot} from './slot-search.js';
-import {relayBuffered, relayEvents, type RelayResult} from './relay.js';
-import {SwitchWatch} from './switch-watch.js';
+import {STREAM_IDLE_TIMEOUT_MS} from '../constants.js';
+import {EventOrder} from '../streams/event-order.js';
+import {NO_ROOM} from '../streams/event-splitter.js';
+import type {AttemptFailure, AttemptOutcome, ForwardContext} from '../forward-context.js';
+import type {AttemptSlot} from '../waiting/slot-search.js';
+import {relayBuffered, relayEvents, type RelayResult} from '../streams/relay.js';
+import {SwitchWatch} from '../streams/switch-watch.js';
 import {
 	endAttempt, EXCHANGE_FAILED, isEventStream, openAttempt, type OpenAttempt,
 } from './open-attempt.js';
--- a/packages/callers/src/forward/guarded-sender.ts
+++ b/packages/callers/src/forward/attempts/guarded-sender.ts
@@ -1,6 +1,6 @@
 import type {OutgoingMessage, SendFailure, TargetAnswer} from '@egretrill/common';
 import {Result} from 'true-myth';
-import {ForwardSender} from './forward-dependencies.js';
+import {ForwardSender} from '../forward-dependencies.js';
 
 /** Sends the attempts of one request. An exception of the sender becomes a failure after which the request may have run. */
 export class GuardedSender extends ForwardSender {
--- a/packages/callers/src/forward/open-attempt.ts
+++ b/packages/callers/src/forward/attempts/open-attempt.ts
@@ -2,13 +2,13 @@
 import {
 	checkAnswer, STATUS_MISDIRECTED, STATUS_REDIRECT, STATUS_UNAVAILABLE,
 } from './check-answer.js';
-import {isRepeatable} from './decide-at-stop.js';
-import type {AttemptFailure, AttemptOutcome, ForwardContext} from './forward-context.js';
-import {listAllKeys} from './list-keys.js';
-import type {SlotOutcome, TargetSlot} from './slot-queue.js';
-import type {AttemptSlot} from './slot-search.js';
+import {isRepeatable} from '../stops/decide-at-stop.js';
+import type {AttemptFailure, AttemptOutcome, ForwardContext} from '../forward-context.js';
+import {listAllKeys} from '../list-keys.js';
+import type {SlotOutcome, TargetSlot} from '../waiting/slot-queue.js';
+import type {AttemptSlot} from '../waiting/slot-search.js';
 import {getStartId} from './target-ends.js';
-import type {AnswerMetadata} from './types.js';
+import type {AnswerMetadata} from '../types.js';
 
 const STATUS_SERVER_ERROR = 500;
 
--- a/packages/callers/src/forward/forward-context.ts
+++ b/packages/callers/src/forward/forward-context.ts
@@ -1,11 +1,11 @@
 import type {TrafficCustomer, TrafficRoute} from '@egretrill/common';
 import type {RankedKey} from '../crashes/index.js';
-import type {StopEstimate, StopRefusal} from './stop-refusal.js';
+import type {StopEstimate, StopRefusal} from './stops/stop-refusal.js';
 import type {CallerExchange} from './caller-exchange.js';
 import type {ForwardDependencies} from './forward-dependencies.js';
-import type {EventOrder} from './event-order.js';
-import type {ChunkTimes} from './chunk-times.js';
-import type {SlotOutcome} from './slot-queue.js';
+import type {EventOrder} from './streams/event-order.js';
+import type {ChunkTimes} from './streams/chunk-times.js';
+import type {SlotOutcome} from './waiting/slot-queue.js';
 import type {RouteTable} from './route-table.js';
 import type {AnswerSummary, ForwardCall} from './types.js';
 
--- a/packages/callers/src/forward/forward-dependencies.ts
+++ b/packages/callers/src/forward/forward-dependencies.ts
@@ -4,17 +4,17 @@
 import type {Result} from 'true-myth';
 import type {CrashGate, CrashTracker} from '../crashes/index.js';
 import type {RetryBudget} from '../retry-budget.js';
-import type {StopEstimate, StopRefusal} from './stop-refusal.js';
+import type {StopEstimate, StopRefusal} from './stops/stop-refusal.js';
 import type {ForwardDialect} from './forward-dialect.js';
-import type {TargetSlot, SlotQueue} from './slot-queue.js';
+import type {TargetSlot, SlotQueue} from './waiting/slot-queue.js';
 import type {KeyLease} from './key-lease.js';
-import type {PlannedStop} from './planned-stop.js';
-import type {RateDecision, RateAllocations} from './rate-allocations.js';
-import type {RouteDurations} from './route-durations.js';
+import type {PlannedStop} from './stops/planned-stop.js';
+import type {RateDecision, RateAllocations} from './rates/rate-allocations.js';
+import type {RouteDurations} from './stops/route-durations.js';
 import type {RouteTable} from './route-table.js';
-import type {TargetEnd, TargetEnds} from './target-ends.js';
+import type {TargetEnd, TargetEnds} from './attempts/target-ends.js';
 import type {ForwardCall} from './types.js';
-import type {RetrySchedule} from './wait-forecast.js';
+import type {RetrySchedule} from './waiting/wait-forecast.js';
 
 /** Sends requests to targets, without retries. */
 export abstract class ForwardSender {
--- a/packages/callers/src/forward/forward-request.ts
+++ b/packages/callers/src/forward/forward-request.ts
@@ -6,16 +6,16 @@
 import type {ForwardEndEvent, ForwardDependencies} from './forward-dependencies.js';
 import type {ForwardContext, ForwardProgress} from './forward-context.js';
 import {refuseUnconfirmedKey} from './refuse-key.js';
-import {refuseBeforeStop, refuseForStop, type StopCheck} from './refuse-before-stop.js';
-import {ChunkTimes} from './chunk-times.js';
-import {forwardToTarget} from './forward-to-target.js';
-import {GuardedSender} from './guarded-sender.js';
+import {refuseBeforeStop, refuseForStop, type StopCheck} from './stops/refuse-before-stop.js';
+import {ChunkTimes} from './streams/chunk-times.js';
+import {forwardToTarget} from './attempts/forward-to-target.js';
+import {GuardedSender} from './attempts/guarded-sender.js';
 import {listKeys} from './list-keys.js';
-import {spendRate} from './spend-rate.js';
+import {spendRate} from './rates/spend-rate.js';
 import {getCost, pickService, type RouteTable} from './route-table.js';
 import {type BodyFailure, HeldBody} from './held-body.js';
-import {acquireSlot} from './slot-search.js';
-import {mayRetry} from './open-attempt.js';
+import {acquireSlot} from './waiting/slot-search.js';
+import {mayRetry} from './attempts/open-attempt.js';
 import type {ForwardCall} from './types.js';
 
 /** How a forwarded request ended. */
--- a/packages/callers/src/forward/held-body.ts
+++ b/packages/callers/src/forward/held-body.ts
@@ -2,7 +2,7 @@
 import {Result} from 'true-myth';
 import type {CallerExchange} from './caller-exchange.js';
 import type {RequestHead} from './forward-dialect.js';
-import {GrowableBuffer} from './growable-buffer.js';
+import {GrowableBuffer} from './streams/growable-buffer.js';
 
 /** Why a body was not read to its end; `incomplete` if the caller disconnected or the reading was ended. */
 export type BodyFailure = 'too-large' | 'no-room' | 'incomplete';
--- a/packages/callers/src/forward/backoff-pool-client.ts
+++ b/packages/callers/src/forward/rates/backoff-pool-client.ts
@@ -1,6 +1,6 @@
 import type {Clock} from '@egretrill/common';
-import {MAX_EMPTY_POOL_CACHE_MS} from './constants.js';
-import {RatePoolClient} from './forward-dependencies.js';
+import {MAX_EMPTY_POOL_CACHE_MS} from '../constants.js';
+import {RatePoolClient} from '../forward-dependencies.js';
 import type {RateDecision} from './rate-allocations.js';
 
 /** Caches until when the pool of a customer's rate is empty, so that a customer far over its rate does not cause a request to the owner for each of its own requests. */
--- a/packages/callers/src/forward/rate-allocations.ts
+++ b/packages/callers/src/forward/rates/rate-allocations.ts
@@ -1,5 +1,5 @@
 import type {Clock, TrafficCustomer} from '@egretrill/common';
-import {RATE_DEMAND_TIME_CONSTANT_MS} from './constants.js';
+import {RATE_DEMAND_TIME_CONSTANT_MS} from '../constants.js';
 
 /** The part of a customer's rate that the owner has granted to this host. */
 export type RateAllocation = {readonly standing: number; readonly leased: number; readonly leaseEndsMs: number};
--- a/packages/callers/src/forward/rate-owner.ts
+++ b/packages/callers/src/forward/rates/rate-owner.ts
@@ -3,7 +3,7 @@
 } from '@egretrill/common';
 import {
 	LARGE_CUSTOMER_BURST_REQUESTS, LEASED_RATIO, RATE_HOST_TTL_MS, RATE_LEASE_MS, SMALL_CUSTOMER_POOL_RATIO, STANDING_RATIO,
-} from './constants.js';
+} from '../constants.js';
 import type {RateDecision, RateDemand} from './rate-allocations.js';
 
 /** A host's request to the owner of all rates. */
--- a/packages/callers/src/forward/decide-at-stop.ts
+++ b/packages/callers/src/forward/stops/decide-at-stop.ts
@@ -1,7 +1,7 @@
 import type {TrafficRoute} from '@egretrill/common';
 import {
 	FEW_OBSERVED_FACTOR, MIN_OBSERVED_DURATIONS, ONCE_DURATION_FACTOR, REPEATABLE_DURATION_FACTOR, SIZED_DURATION_FACTOR, SIZED_ONCE_DURATION_FACTOR, STOP_END_MARGIN_MS,
-} from './constants.js';
+} from '../constants.js';
 
 /** How long requests of a route have taken on this host: their number, a high quantile and the longest. */
 export type ObservedDurations = {
--- a/packages/callers/src/forward/planned-stop.ts
+++ b/packages/callers/src/forward/stops/planned-stop.ts
@@ -1,5 +1,5 @@
 import type {Clock} from '@egretrill/common';
-import {NEW_CONNECTIONS_RATIO} from './constants.js';
+import {NEW_CONNECTIONS_RATIO} from '../constants.js';
 
 /** The planned stop of a host: its beginning, and the time at which the requests in progress must end. */
 export class PlannedStop {
--- a/packages/callers/src/forward/refuse-before-stop.ts
+++ b/packages/callers/src/forward/stops/refuse-before-stop.ts
@@ -1,7 +1,7 @@
 import {
 	type Clock, refuse, type TrafficRoute, type Verdict,
 } from '@egretrill/common';
-import {MIN_RETRY_AFTER_MS} from './constants.js';
+import {MIN_RETRY_AFTER_MS} from '../constants.js';
 import {decideAtStop} from './decide-at-stop.js';
 import type {PlannedStop} from './planned-stop.js';
 import type {RequestSize, RouteDurations} from './route-durations.js';
--- a/packages/callers/src/forward/event-splitter.ts
+++ b/packages/callers/src/forward/streams/event-splitter.ts
@@ -1,7 +1,7 @@
 import {Buffer} from 'node:buffer';
 import type {MemoryHolding} from '@egretrill/common';
 import {Result} from 'true-myth';
-import {MAX_EMPTY_EVENT_BYTES, MAX_EMPTY_EVENTS, MAX_EVENT_BYTES} from './constants.js';
+import {MAX_EMPTY_EVENT_BYTES, MAX_EMPTY_EVENTS, MAX_EVENT_BYTES} from '../constants.js';
 import {readEventPlace} from './event-fields.js';
 import type {EventOrder, EventPlace, EventVerdict} from './event-order.js';
 import {GrowableBuffer} from './growable-buffer.js';
--- a/packages/callers/src/forward/relay.ts
+++ b/packages/callers/src/forward/streams/relay.ts
@@ -1,8 +1,8 @@
 import {
 	type MemoryHolding, splitForTurns, type TargetAnswer, type TurnQueue, TurnShare,
 } from '@egretrill/common';
-import type {CallerExchange} from './caller-exchange.js';
-import {MAX_BUFFERED_ANSWER_BYTES, MAX_EVENT_BYTES} from './constants.js';
+import type {CallerExchange} from '../caller-exchange.js';
+import {MAX_BUFFERED_ANSWER_BYTES, MAX_EVENT_BYTES} from '../constants.js';
 import type {EventOrder} from './event-order.js';
 import {EventSplitter} from './event-splitter.js';
 import {GrowableBuffer} from './growable-buffer.js';
--- a/packages/callers/src/forward/silence.ts
+++ b/packages/callers/src/forward/streams/silence.ts
@@ -1,5 +1,5 @@
 import type {Clock} from '@egretrill/common';
-import {MIN_TIME_LEFT_TO_SEND_MS, STREAM_IDLE_TIMEOUT_MS} from './constants.js';
+import {MIN_TIME_LEFT_TO_SEND_MS, STREAM_IDLE_TIMEOUT_MS} from '../constants.js';
 
 /** Reason for cancelling the request at another target when the silent one goes on. */
 export const STREAM_WENT_ON = 'The silent target has gone on.';
--- a/packages/callers/src/forward/slot-queue.ts
+++ b/packages/callers/src/forward/waiting/slot-queue.ts
@@ -1,7 +1,7 @@
 import {type Clock, refuse, type Verdict} from '@egretrill/common';
 import {Result} from 'true-myth';
-import {MIN_RETRY_AFTER_MS, RETRY_GRACE_MS, RETRY_SLOT_RATIO} from './constants.js';
-import type {PromptPart} from './types.js';
+import {MIN_RETRY_AFTER_MS, RETRY_GRACE_MS, RETRY_SLOT_RATIO} from '../constants.js';
+import type {PromptPart} from '../types.js';
 import {
 	decideWait, SlotRate, RetrySchedule, type WaitDecision, type WaitLimits, type WaitReason,
 } from './wait-forecast.js';
--- a/packages/callers/src/forward/slot-search.ts
+++ b/packages/callers/src/forward/waiting/slot-search.ts
@@ -1,10 +1,10 @@
 import {refuse, type Verdict} from '@egretrill/common';
-import type {SentRequest} from '../crashes/index.js';
-import {refuseKeyBeforeSend} from './refuse-key.js';
-import {refuseBeforeStop} from './refuse-before-stop.js';
-import {MIN_RETRY_AFTER_MS, MIN_TIME_LEFT_TO_SEND_MS} from './constants.js';
-import type {ForwardContext} from './forward-context.js';
-import {listKeys} from './list-keys.js';
+import type {SentRequest} from '../../crashes/index.js';
+import {refuseKeyBeforeSend} from '../refuse-key.js';
+import {refuseBeforeStop} from '../stops/refuse-before-stop.js';
+import {MIN_RETRY_AFTER_MS, MIN_TIME_LEFT_TO_SEND_MS} from '../constants.js';
+import type {ForwardContext} from '../forward-context.js';
+import {listKeys} from '../list-keys.js';
 import type {SlotRequirements, TargetSlot} from './slot-queue.js';
 import {getWaitLimits} from './wait-limits.js';
 
--- a/packages/callers/src/forward/wait-forecast.ts
+++ b/packages/callers/src/forward/waiting/wait-forecast.ts
@@ -1,7 +1,7 @@
 import {type Clock, DecayingCounts} from '@egretrill/common';
 import {
 	DEFAULT_RETRY_SPACING_MS, MAX_RETRY_SPREAD_MS, MAX_SPACED_RETRY_MS, MIN_RETRY_AFTER_MS, NO_TARGET_RETRY_MS, SLOT_RATE_TIME_CONSTANT_MS, UNPLANNED_MODEL_WAIT_MS,
-} from './constants.js';
+} from '../constants.js';
 
 /** Maximum wait for a slot, by what the request waits for. */
 export type WaitLimits = {
--- a/packages/callers/src/forward/wait-limits.ts
+++ b/packages/callers/src/forward/waiting/wait-limits.ts
@@ -1,7 +1,7 @@
 import type {TrafficRoute} from '@egretrill/common';
 import {
 	MAX_WAIT_RATIO, MIN_SATURATED_WAIT_MS, PLANNED_WAIT_RATIO, SATURATED_WAIT_RATIO, STREAM_CALLER_TIMEOUT_MS, STREAM_CALLER_TIMEOUT_RATIO, STREAM_WAIT_RATIO,
-} from './constants.js';
+} from '../constants.js';
 import type {WaitLimits} from './wait-forecast.js';
 
 /** How long a request may wait for a slot. */
