callers: order the imports of moved modules

Cause: the linter orders imports by their path, which the moves changed (5 errors, npx xo). Change: import order alone. Result: npx xo on the four files reports no error.

--- a/packages/callers/src/forward/attempts/open-attempt.ts
+++ b/packages/callers/src/forward/attempts/open-attempt.ts
@@ -1,14 +1,14 @@
 import type {SendFailure, TargetAnswer} from '@egretrill/common';
-import {
-	checkAnswer, STATUS_MISDIRECTED, STATUS_REDIRECT, STATUS_UNAVAILABLE,
-} from './check-answer.js';
 import {isRepeatable} from '../stops/decide-at-stop.js';
 import type {AttemptFailure, AttemptOutcome, ForwardContext} from '../forward-context.js';
 import {listAllKeys} from '../list-keys.js';
 import type {SlotOutcome, TargetSlot} from '../waiting/slot-queue.js';
 import type {AttemptSlot} from '../waiting/slot-search.js';
-import {getStartId} from './target-ends.js';
 import type {AnswerMetadata} from '../types.js';
+import {getStartId} from './target-ends.js';
+import {
+	checkAnswer, STATUS_MISDIRECTED, STATUS_REDIRECT, STATUS_UNAVAILABLE,
+} from './check-answer.js';
 
 const STATUS_SERVER_ERROR = 500;
 
--- a/packages/callers/src/forward/rates/spend-rate.ts
+++ b/packages/callers/src/forward/rates/spend-rate.ts
@@ -1,9 +1,9 @@
 import {refuse, type TrafficCustomer, type Verdict} from '@egretrill/common';
 import {MIN_RETRY_AFTER_MS} from '../constants.js';
 import type {ForwardDependencies} from '../forward-dependencies.js';
-import type {RateDecision} from './rate-allocations.js';
 import {getCost} from '../route-table.js';
 import type {ForwardCall} from '../types.js';
+import type {RateDecision} from './rate-allocations.js';
 
 type RateDependencies = Pick<ForwardDependencies, 'rates' | 'poolClient' | 'retrySchedule'>;
 
--- a/packages/callers/src/forward/stops/route-durations.ts
+++ b/packages/callers/src/forward/stops/route-durations.ts
@@ -1,8 +1,8 @@
 import {
 	HIGH_DURATION_QUANTILE, MAX_DURATION_ROUTES, MAX_DURATIONS_PER_ROUTE, MAX_SIMILAR_SIZE_RATIO, MIN_SIMILAR_REQUESTS,
 } from '../constants.js';
-import type {ObservedDurations} from './decide-at-stop.js';
 import type {ForwardCall} from '../types.js';
+import type {ObservedDurations} from './decide-at-stop.js';
 
 /** Size that a request names: its prompt tokens and the most tokens to generate. */
 export type RequestSize = Pick<ForwardCall, 'tokensIn' | 'tokensOut'>;
--- a/packages/callers/src/forward/streams/switch-watch.ts
+++ b/packages/callers/src/forward/streams/switch-watch.ts
@@ -3,11 +3,11 @@
 	ANY_TARGET_SWITCH_MS, MAX_WAKE_DELAY_MS, SILENCE_REPORT_MS, SWITCH_RETRY_INTERVAL_MS,
 } from '../constants.js';
 import type {ForwardContext} from '../forward-context.js';
+import {type AttemptSlot, takeFreeSlot} from '../waiting/slot-search.js';
+import {endAttempt, type OpenAttempt, openAttempt} from '../attempts/open-attempt.js';
 import {
 	getTimeUntilSwitchMs, maySwitch, Silence, STREAM_WENT_ON,
 } from './silence.js';
-import {type AttemptSlot, takeFreeSlot} from '../waiting/slot-search.js';
-import {endAttempt, type OpenAttempt, openAttempt} from '../attempts/open-attempt.js';
 
 /** Prevents an unhandled rejection of a task that is awaited only later. */
 async function markHandled(task: Promise<void>): Promise<void> {
