callers: give borrowed costs of requests that were not sent back to the pool

Cause: a request is charged before it waits for a target. The cost of one that was refused was credited to the host's own allocation even if it had been borrowed from the pool of its customer's rate, and the allocation of one of 70 hosts holds less than one request, so that most of it was lost. Change: the cost goes back to where it was charged. What belongs to a pool travels with the next poll of the leader, in one report only, so that a lost poll can't make a customer exceed its limit.

--- a/apps/egretrilld/src/traffic/control-follower.ts
+++ b/apps/egretrilld/src/traffic/control-follower.ts
@@ -20,8 +20,8 @@
 import {SKIPPED_ENTRIES_MESSAGE, warnOfSkippedEntries} from './skipped-entries.js';
 import {getSyncIntervalMs} from './sync-interval.js';
 
-/** Report of an entry host in a poll, without the host's identity. */
-export type HostReport = Omit<EntryReport, 'hostId' | 'startId'>;
+/** Report of an entry host in a poll, without what the follower itself adds. */
+export type HostReport = Omit<EntryReport, 'hostId' | 'startId' | 'unspent'>;
 
 /** Supplies the contents of polls and applies their results. */
 export abstract class SyncSink {
@@ -66,6 +66,8 @@
 	private hasPlan = false;
 	private lastResponseMs = Number.NEGATIVE_INFINITY;
 	private readonly lastPollMs = new Map<string, number>();
+	/** Borrowed costs that were not spent since the last poll of the leader, by customer. */
+	private unspent = new Map<string, number>();
 	private readonly batcher = new BorrowBatcher(async loans => this.requestLoans(loans));
 	private readonly skippedEntries: RateLimitedLog;
 	private readonly configFetcher: ConfigFetcher;
@@ -112,6 +114,10 @@
 		return this.batcher.borrow({customer: name, cost});
 	}
 
+	override giveBack(name: string, cost: number): void {
+		this.unspent.set(name, (this.unspent.get(name) ?? 0) + cost);
+	}
+
 	/** Requests one send to each of some cold targets from the leader; resolves with those that are granted. */
 	async requestColdSends(wants: readonly ColdWant[]): Promise<readonly string[]> {
 		if (this.leaderId === undefined || this.unresponsive.has(this.leaderId)) {
@@ -164,7 +170,9 @@
 		const mark = new TimeMark(clock, getTimeOfDayMs);
 		this.lastPollMs.set(controlId, sentMs);
 		const answer = await peers.call(controlId, syncMethod, {
-			report: {...sink.createReport(), hostId, startId: this.startId}, configVersion, registry, waitMs: SYNC_WAIT_MS, receivesParts: true,
+			report: {
+				...sink.createReport(), hostId, startId: this.startId, ...this.takeUnspent(controlId),
+			}, configVersion, registry, waitMs: SYNC_WAIT_MS, receivesParts: true,
 		}, SYNC_WAIT_MS + SYNC_RESPONSE_TIMEOUT_MS);
 		if (answer.isErr) {
 			this.suspectUntilMs.set(controlId, clock.now() + CONTROL_SUSPICION_MS);
@@ -189,6 +197,17 @@
 		return true;
 	}
 
+	/** Returned in one report only: if it is lost, the costs stay charged, while a repeated one could exceed the rate. */
+	private takeUnspent(controlId: string): Pick<EntryReport, 'unspent'> {
+		if (controlId !== this.leaderId || this.unspent.size === 0) {
+			return {};
+		}
+
+		const unspent = [...this.unspent];
+		this.unspent = new Map();
+		return {unspent};
+	}
+
 	private applyResponse(answer: SyncResponse, controlId: string, sentMs: number): void {
 		const {leaderId: reportedId, controls, registry, entryHostCount, plan} = answer;
 		const {logger, peers, sink} = this.opts;
--- a/apps/egretrilld/src/traffic/leader-term.ts
+++ b/apps/egretrilld/src/traffic/leader-term.ts
@@ -96,7 +96,7 @@
 	}
 
 	/** Processes the report of an entry host and returns the host's part of the plan, apart from the evidence on crashes. */
-	handleReport({hostId, startId, running, adapters, arrivals, waiting, rates, leaving = []}: EntryReport): LeaderPlan {
+	handleReport({hostId, startId, running, adapters, arrivals, waiting, rates, unspent = [], leaving = []}: EntryReport): LeaderPlan {
 		this.running.update(hostId, running);
 		for (const [service, model, adapter, count, runMs] of arrivals) {
 			this.engines.recordArrivals({service, model, ...(adapter !== '' && {adapter})}, count, runMs);
@@ -106,6 +106,7 @@
 		this.engines.recordWaiting(hostId, waiting);
 		this.leavingHints.record(leaving);
 		const hints = this.leavingHints.list();
+		this.rates.giveBack(unspent);
 		const grant = this.rates.request({hostId, startId, ...rates});
 		return {
 			others: this.running.getOthers(hostId),
--- a/apps/egretrilld/src/traffic/methods.ts
+++ b/apps/egretrilld/src/traffic/methods.ts
@@ -24,6 +24,8 @@
 	/** Waiting requests: service, model, number without a copy, number for which all copies were full. */
 	waiting: z.array(z.tuple([z.string(), z.string(), count, count])),
 	rates: z.object({ackedSerial: count, standing: z.number(), demand: z.array(z.object({name: z.string(), perSecond: z.number(), meanCost: z.number()}))}),
+	/** Costs borrowed from customers' pools and not spent, each in one report only; hosts of earlier builds report none. */
+	unspent: z.array(z.tuple([z.string(), z.number().nonnegative()])).optional(),
 	/** Targets that have told this host that they leave; hosts of earlier builds report none. */
 	leaving: LeavingTargets.optional(),
 	/** Evidence on what ends targets; hosts of earlier builds report none. */
--- a/apps/egretrilld/tests/traffic/support/forward-host.ts
+++ b/apps/egretrilld/tests/traffic/support/forward-host.ts
@@ -109,6 +109,10 @@
 	override async borrow(): Promise<undefined> {
 		return undefined;
 	}
+
+	override giveBack(name: string): void {
+		throw new Error(`Nothing was borrowed for ${name}.`);
+	}
 }
 
 /** Calls `onChunk` for each chunk of an answer that is read. */
--- a/packages/callers/src/forward/forward-context.ts
+++ b/packages/callers/src/forward/forward-context.ts
@@ -3,6 +3,7 @@
 import type {StopEstimate, StopRefusal} from './stops/stop-refusal.js';
 import type {CallerExchange} from './caller-exchange.js';
 import type {ForwardDependencies} from './forward-dependencies.js';
+import type {RateSource} from './rates/spend-rate.js';
 import type {EventOrder} from './streams/event-order.js';
 import type {ChunkTimes} from './streams/chunk-times.js';
 import type {SlotOutcome} from './waiting/slot-queue.js';
@@ -18,6 +19,8 @@
 	readonly route: TrafficRoute;
 	readonly service: string;
 	readonly customer: TrafficCustomer | undefined;
+	/** Where the cost of the request was charged; absent without a customer. */
+	readonly rateSource?: RateSource;
 	readonly body: Uint8Array;
 	readonly endsMs: number;
 	/** Aborts when the caller disconnects, the request times out or this host stops. */
--- a/packages/callers/src/forward/forward-dependencies.ts
+++ b/packages/callers/src/forward/forward-dependencies.ts
@@ -74,6 +74,8 @@
 export abstract class RatePoolClient {
 	/** Undefined when the owner is unreachable. */
 	abstract borrow(name: string, cost: number): Promise<RateDecision | undefined>;
+	/** Gives back a borrowed cost that was not spent. */
+	abstract giveBack(name: string, cost: number): void;
 }
 
 /** Dependencies of request forwarding. */
--- a/packages/callers/src/forward/forward-request.ts
+++ b/packages/callers/src/forward/forward-request.ts
@@ -11,8 +11,8 @@
 import {forwardToTarget} from './attempts/forward-to-target.js';
 import {GuardedSender} from './attempts/guarded-sender.js';
 import {listKeys} from './list-keys.js';
-import {spendRate} from './rates/spend-rate.js';
-import {getCost, pickService, type RouteTable} from './route-table.js';
+import {refundRate, spendRate} from './rates/spend-rate.js';
+import {pickService, type RouteTable} from './route-table.js';
 import {type BodyFailure, HeldBody} from './held-body.js';
 import {acquireSlot} from './waiting/slot-search.js';
 import {mayRetry} from './attempts/open-attempt.js';
@@ -166,7 +166,7 @@
 	exchange.refuse(outcome);
 }
 
-type Admitted = Pick<ForwardContext, 'route' | 'service' | 'customer' | 'body'>;
+type Admitted = Pick<ForwardContext, 'route' | 'service' | 'customer' | 'rateSource' | 'body'>;
 
 /** A refused request, with what is known about it. */
 type Refused = {readonly refusal: Verdict; readonly route?: TrafficRoute; readonly customer?: TrafficCustomer};
@@ -218,14 +218,16 @@
 		return {refusal: refuse(503, 'no-service', 'The route leads to no service.', NO_TARGET_RETRY_MS), ...known};
 	}
 
-	const overRate = customer.value && await spendRate(customer.value, call, deps);
-	if (overRate) {
-		return {refusal: overRate, ...known};
+	const charged = customer.value && await spendRate(customer.value, call, deps);
+	if (charged?.isErr) {
+		return {refusal: charged.error, ...known};
 	}
 
 	// No copy of a model serves requests over the customer's rate, so they do not count as demand.
 	deps.observer.recordArrival(service, call);
-	return {...known, service, body};
+	return {
+		...known, service, body, ...(charged && {rateSource: charged.value}),
+	};
 }
 
 /** What a request has to meet before its body is read, and after. */
@@ -297,9 +299,9 @@
 }
 
 /** Refunds a request that certainly reached no target. */
-function refundUnsent({deps, customer, call, progress}: Omit<ForwardContext, 'endsMs' | 'signal'>): void {
-	if (customer && progress.attempts === 0) {
-		deps.rates.refund(customer.name, getCost(customer, call));
+function refundUnsent({deps, customer, rateSource, call, progress}: Omit<ForwardContext, 'endsMs' | 'signal'>): void {
+	if (customer && rateSource && progress.attempts === 0) {
+		refundRate(customer, call, rateSource, deps);
 	}
 }
 
--- a/packages/callers/src/forward/rates/backoff-pool-client.ts
+++ b/packages/callers/src/forward/rates/backoff-pool-client.ts
@@ -26,4 +26,8 @@
 
 		return answer;
 	}
+
+	override giveBack(name: string, cost: number): void {
+		this.poolClient.giveBack(name, cost);
+	}
 }
--- a/packages/callers/src/forward/rates/rate-owner.ts
+++ b/packages/callers/src/forward/rates/rate-owner.ts
@@ -99,6 +99,18 @@
 		return {isGranted: false, retryAfterMs: (1 - pool.level) * 1000 / (customer.ratePerSecond * ratio)};
 	}
 
+	/** Returns costs to the pool that hosts borrowed and did not spend. */
+	giveBack(costs: ReadonlyArray<readonly [name: string, cost: number]>): void {
+		for (const [name, cost] of costs) {
+			const customer = this.getCustomers().get(name);
+			if (customer && customer.ratePerSecond > 0) {
+				const ratio = this.getPoolRatio(customer, this.countHosts());
+				const pool = this.accruePool(customer, ratio);
+				pool.level = Math.min(pool.level + cost, customer.burst * ratio);
+			}
+		}
+	}
+
 	/** Ids of the hosts that sent a request recently, sorted. */
 	getHostIds(): readonly string[] {
 		const oldestMs = this.clock.now() - RATE_HOST_TTL_MS;
--- a/packages/callers/tests/forward/backoff-pool-client.test.ts
+++ b/packages/callers/tests/forward/backoff-pool-client.test.ts
@@ -11,6 +11,10 @@
 		super();
 	}
 
+	override giveBack(): void {
+		this.emptyUntilMs = 0;
+	}
+
 	override async borrow(): Promise<RateDecision> {
 		const nowMs = this.clock.now();
 		this.requestTimesMs.push(nowMs);
--- a/packages/callers/tests/forward/rates.test.ts
+++ b/packages/callers/tests/forward/rates.test.ts
@@ -1,4 +1,4 @@
-import {ManualClock, type TrafficCustomer} from '@egretrill/common';
+import {createRandom, ManualClock, type TrafficCustomer} from '@egretrill/common';
 import {expect} from 'chai';
 import {
 	RATE_HOST_TTL_MS, RATE_LEASE_MS, RateOwner, RateAllocations,
@@ -39,6 +39,10 @@
 	isOwnerLate = false;
 	/** Whether the owner answers nothing. */
 	isOwnerLost = false;
+	/** Part of the granted requests that find no target, whose cost is given back. */
+	unsentRatio = 0;
+	private unspent = 0;
+	private readonly random = createRandom(7);
 	private readonly limit: TrafficCustomer;
 
 	constructor(count: number, ratePerSecond: number, private readonly syncMs = SYNC_MS) {
@@ -110,6 +114,8 @@
 
 	private sync(host: Host): void {
 		const sentMs = this.clock.now();
+		this.owner.giveBack(this.unspent > 0 ? [['c', this.unspent]] : []);
+		this.unspent = 0;
 		const grant = this.owner.request({
 			hostId: host.id, startId: 's', ackedSerial: host.serial, standing: host.standing, demand: host.allocations.getDemand(),
 		});
@@ -127,11 +133,25 @@
 		const allocated = host.allocations.spend('c', cost);
 		const taken = allocated.isGranted || host.isPartitioned || this.isOwnerLost ? undefined : this.owner.borrow('c', cost);
 		const borrowed = this.isOwnerLate ? undefined : taken;
-		if (allocated.isGranted || (borrowed ?? host.allocations.overdraw('c', cost)).isGranted) {
-			host.granted += 1;
+		if (!(allocated.isGranted || (borrowed ?? host.allocations.overdraw('c', cost)).isGranted)) {
+			return;
+		}
+
+		host.granted += 1;
+		if (this.random() < this.unsentRatio) {
+			this.giveBack(host, cost, borrowed?.isGranted ?? false);
+		} else {
 			this.spent.push({atMs: this.clock.now(), cost});
 		}
 	}
+
+	private giveBack(host: Host, cost: number, isBorrowed: boolean): void {
+		if (isBorrowed) {
+			this.unspent += cost;
+		} else {
+			host.allocations.refund('c', cost);
+		}
+	}
 }
 
 /** Numbers of hosts, with the time between two polls of each. */
@@ -385,3 +405,15 @@
 		expect({of8: count(8), of80: count(80)}).toMatchSnapshot();
 	});
 });
+
+describe('rates of requests that find no target', () => {
+	// Guards against a shortage of targets that uses up the customers' rates: what was borrowed for refused requests was lost, so that others were refused below the limit.
+	it('are given back to the pool, so that others get the whole limit and no more', () => {
+		const fleet = new RateFleet(6, RATE, 100);
+		fleet.unsentRatio = 0.5;
+		const perSecond = 2.2 * RATE / COST / 6;
+		fleet.simulate(30_000, COST, () => perSecond);
+		const runPerSecond = fleet.spent.filter(({atMs}) => atMs >= 10_000).length * COST / 20;
+		expect({servesLimit: runPerSecond >= 0.97 * RATE, keepsLimit: fleet.getLargestWindowRatio() <= 1.01}).toMatchSnapshot();
+	});
+});
--- a/packages/callers/tests/forward/support/forward-fakes.ts
+++ b/packages/callers/tests/forward/support/forward-fakes.ts
@@ -294,6 +294,10 @@
 	override async borrow(): Promise<undefined> {
 		return undefined;
 	}
+
+	override giveBack(name: string): void {
+		throw new Error(`Nothing was borrowed for ${name}.`);
+	}
 }
 
 /** A probe that finds each target ended. */
