engines: a type for the long-term speeds of targets

Cause: placement and target selection need the speed of each target's process, which no part knows. Change: TargetSpeeds in the registry, so that both can be built against it.

--- a/packages/engines/src/registry/index.ts
+++ b/packages/engines/src/registry/index.ts
@@ -9,4 +9,5 @@
 export * from './target-table.js';
 export * from './sequence-run.js';
 export * from './target-registry.js';
+export * from './target-speeds.js';
 export * from './types.js';
