engines: choose targets by expected completion where they report their current speed

Cause: the choice priced each outstanding request at 12 ms whatever the target's speed, so that streams ran at slow engines while fast ones were idle. Change: hosts observe the time per event of streams, a merger separates target speeds from model paces, and a pure function estimates when a request is complete at a target; a stable preference per host separates hosts with the same figures. The choice is one pass without sorting. Nothing supplies the figures yet.

--- a/packages/engines/src/registry/cached-prompts.ts
+++ b/packages/engines/src/registry/cached-prompts.ts
@@ -24,23 +24,22 @@
 		}
 	}
 
-	/** Counts the tokens of the leading parts that the target has received before for the same model. */
-	countTokens(targetId: string, model: string, parts: readonly PromptPart[]): number {
-		const targetChains = this.chains.get(targetId);
-		if (!targetChains) {
-			return 0;
-		}
-
-		let tokens = 0;
-		for (const [i, chain] of getChains(model, parts).entries()) {
-			if (!targetChains.has(chain)) {
-				break;
+	/** Returns a function that counts, for a target, the tokens of the leading parts that it has received before for the same model. */
+	createCounter(model: string, parts: readonly PromptPart[]): (targetId: string) => number {
+		const chains = getChains(model, parts);
+		return targetId => {
+			const targetChains = this.chains.get(targetId);
+			let tokens = 0;
+			for (const [i, chain] of targetChains ? chains.entries() : []) {
+				if (!targetChains?.has(chain)) {
+					break;
+				}
+
+				tokens += parts[i]?.tokens ?? 0;
 			}
 
-			tokens += parts[i]?.tokens ?? 0;
-		}
-
-		return tokens;
+			return tokens;
+		};
 	}
 
 	removeTarget(targetId: string): void {
--- a/packages/engines/src/registry/constants.ts
+++ b/packages/engines/src/registry/constants.ts
@@ -104,3 +104,79 @@
 
 /** Largest number of targets in a registry and in one update; a fleet has at most a few thousand. Validating this many invalid entries takes a fraction of a second. */
 export const MAX_TARGETS = 8192;
+
+/** Range of the speeds of targets relative to their mean. */
+export const MIN_SPEED = 0.25;
+export const MAX_SPEED = 4;
+
+/** Range of the current slowdown that a target may report; 1 is as usual. */
+export const MIN_SLOWDOWN = 0.25;
+export const MAX_SLOWDOWN = 4;
+
+/** Age from which on a reported slowdown tells nothing, since it is redrawn, and the time for which a fresh one lasts on average. */
+export const SLOWDOWN_TTL_MS = 600;
+export const CURRENT_SLOWDOWN_MS = 300;
+
+/** Weight of each report in the mean slowdown of a service. */
+export const MEAN_SLOWDOWN_RATIO = 0.02;
+
+/** Events after the first one, and their time, from which on a stream is a measure of speed. */
+export const MIN_STREAM_EVENTS = 2;
+export const MIN_STREAM_MS = 20;
+
+/** Models whose paces differ by less than this factor form a class. */
+export const MODEL_CLASS_RATIO = 2;
+
+/** Streams that the mean of a model's class counts as. Models of a class differ little, so that a model with few copies says more of their targets than of itself. */
+export const PACE_PRIOR_STREAMS = 12;
+
+/** Streams that the mean speed counts as in the speed of a target. */
+export const SPEED_PRIOR_STREAMS = 0.7;
+
+/** Passes over all pairs of models and targets that separate paces from speeds. */
+export const SPEED_SWEEPS = 10;
+
+/** Largest number of streams that the pace of a model at a target counts as; later streams replace earlier ones. */
+export const SPEED_STREAM_LIMIT = 30;
+
+/** Streams from which on the speed of a target counts. */
+export const MIN_SPEED_STREAMS = 3;
+
+/** Standard deviation of the logarithm of a single stream's pace, under disturbances of the target. */
+export const STREAM_NOISE = 0.34;
+
+/** Spread of the speeds in a service from which on its targets differ, and to which it has to fall until they do not any more. */
+export const MIN_SPEED_SPREAD = 0.1;
+export const MIN_STILL_SPREAD = 0.06;
+
+/** Models of a target whose paces are kept. */
+export const MAX_SPEED_MODELS = 32;
+
+/** Shortest time between two separations of speeds from paces. */
+export const SPEED_UPDATE_INTERVAL_MS = 500;
+
+/** The same at a host, which uses its own observations only for targets that no leader has told it of. */
+export const OWN_SPEED_INTERVAL_MS = 2000;
+
+/** Streams that the mean of a service counts as in the pace of a model, and the largest number that the latter counts as. */
+export const SERVICE_PACE_STREAMS = 2;
+export const MODEL_PACE_STREAMS = 20;
+
+/** Models of a service whose paces a host keeps. */
+export const MAX_PACE_MODELS = 4096;
+
+/** Change of a speed that the leader tells the hosts. */
+export const MIN_SPEED_CHANGE_RATIO = 0.04;
+
+/** Greatest advantage of a target that a host prefers over one that it does not. */
+export const HOST_PREFERENCE_MS = 40;
+
+/** Time that a new connection to a target takes. */
+export const CONNECTION_COST_MS = 10;
+
+/** Exponent of the part of slots in use; a target counts as nearly full from about nine tenths on. */
+export const FULL_TARGET_EXPONENT = 6;
+
+/** Latency to the first event from which on a caller can bear a slow target, and what the last slots of a fast one cost such a caller. */
+export const PATIENT_LATENCY_MS = 5000;
+export const RESERVED_SLOT_COST_MS = 1500;
--- a/packages/engines/src/registry/index.ts
+++ b/packages/engines/src/registry/index.ts
@@ -1,11 +1,18 @@
 export * from './address-claims.js';
 export * from './choose-dropped.js';
 export * from './choose-target.js';
+export * from './expected-completion.js';
+export * from './host-preference.js';
+export * from './host-speeds.js';
+export * from './separate-speeds.js';
+export * from './speed-merger.js';
+export * from './speed-updates.js';
 export * from './cold-grants.js';
 export type {ColdBasis} from './cold-sends.js';
 export * from './constants.js';
 export * from './cached-prompts.js';
 export * from './target-notices.js';
+export type {TargetPricingOptions} from './target-pricing.js';
 export * from './target-table.js';
 export * from './sequence-run.js';
 export * from './target-registry.js';
--- a/packages/engines/src/registry/target-table.ts
+++ b/packages/engines/src/registry/target-table.ts
@@ -1,15 +1,19 @@
 import {
 	type Clock, type Random, type Registration, Signal,
 } from '@egretrill/common';
-import {type TargetCandidate, chooseTarget, type TargetChoice} from './choose-target.js';
+import {type TargetCandidate, type TargetChoice, TargetChooser} from './choose-target.js';
 import {
-	COLD_GRANT_DELAY_MS, OTHER_COUNTS_TTL_MS, SUCCESS_DECAY_RATIO, FAILURE_DECAY_MS, MAX_REGISTRATION_GAP_MS, MAX_SUSPECT_MS, QUEUED_PER_SLOT, REGISTRATION_TTL_MS, SUSPECT_MS,
+	COLD_GRANT_DELAY_MS, MAX_REGISTRATION_GAP_MS, QUEUED_PER_SLOT, REGISTRATION_TTL_MS, SUSPECT_MS,
 } from './constants.js';
 import {CachedPrompts} from './cached-prompts.js';
 import {type ColdBasis, ColdSends} from './cold-sends.js';
 import {getModelKey, indexTargets} from './index-targets.js';
+import {getFailures, recordHealth} from './target-health.js';
 import {TargetNotices, type TargetStart} from './target-notices.js';
-import {changeAdapterUse, recordActivity, type Target} from './tracked-target.js';
+import {type PricedWork, TargetPricing, type TargetPricingOptions} from './target-pricing.js';
+import {
+	changeAdapterUse, createTarget, getOutstanding, isLimited, limitUntilRegistered, recordActivity, setOthers, type Target,
+} from './tracked-target.js';
 import type {
 	AcquiredSlot, AdapterUse, RegistryUpdate, TargetOutcome, TargetRequirements,
 } from './types.js';
@@ -28,8 +32,13 @@
 	readonly onColdSends?: (basis: ColdBasis, count: number) => void;
 	/** Number of requests that a target runs concurrently if its service has engines. */
 	readonly getBatchSlots: (service: string) => number | undefined;
+	/** What is known of the speeds of targets; without it, targets are compared by their load only. */
+	readonly pricing?: TargetPricingOptions;
 };
 
+/** What a choice needs of a request, computed once for all targets. */
+type PreparedRequest = TargetRequirements & {readonly pricedWork: PricedWork | undefined; readonly countCachedTokens: (targetId: string) => number};
+
 /** The targets known to an entry host, with its outstanding requests there. */
 export class TargetTable {
 	/** Notified when a slot may have become free or a target was added. */
@@ -44,6 +53,7 @@
 	private followedRevision = {origin: '', revision: 0};
 	private readonly reachability: ZoneReachability;
 	private readonly notices: TargetNotices;
+	private readonly pricing: TargetPricing | undefined;
 	/** Start times of targets that leave by answers to other hosts; hints, by which a target ranks last. */
 	private leavingHints: ReadonlyMap<string, number> = new Map();
 	/** Times when models that are being loaded will be ready, by service and model. */
@@ -52,6 +62,7 @@
 	constructor(private readonly opts: TargetTableOptions) {
 		this.reachability = new ZoneReachability(opts.clock);
 		this.notices = new TargetNotices(opts.clock);
+		this.pricing = opts.pricing && new TargetPricing(opts.pricing);
 	}
 
 	/** Returns the registry and revision of the last update. */
@@ -96,7 +107,7 @@
 	setOtherHostsRequests(counts: ReadonlyArray<readonly [targetId: string, count: number]>): void {
 		const byId = new Map(counts);
 		for (const [id, target] of this.targets) {
-			this.setOthers(target, byId.get(id) ?? 0);
+			setOthers(target, byId.get(id) ?? 0, this.opts.clock.now());
 		}
 
 		this.changed.notify();
@@ -126,7 +137,7 @@
 
 	/** Returns the time until the first suitable target takes requests again, or undefined if there is none. */
 	getPauseLeftMs(requirements: TargetRequirements): number | undefined {
-		const pausesMs = this.listTargets(requirements).map(({registration}) => this.notices.getPauseLeftMs(registration));
+		const pausesMs = this.listHolders(requirements).filter(target => this.takesRequest(target, requirements)).map(({registration}) => this.notices.getPauseLeftMs(registration));
 		return pausesMs.length === 0 ? undefined : Math.min(...pausesMs);
 	}
 
@@ -173,12 +184,26 @@
 	recordEnd({targetId, startedAtMs}: TargetStart): void {
 		const target = this.targets.get(targetId);
 		if (target?.registration.startedAtMs === startedAtMs) {
-			this.limitUntilRegistered(target);
+			limitUntilRegistered(target, this.opts.clock.now());
 		}
 	}
 
+	/** Chooses a target in one pass over those that hold the model. */
 	choose(requirements: TargetRequirements): TargetChoice {
-		return chooseTarget(this.listTargets(requirements).map(target => this.toCandidate(target, requirements)));
+		const {model, parts} = requirements;
+		const prepared: PreparedRequest = {
+			...requirements,
+			pricedWork: this.pricing?.getWork(requirements),
+			countCachedTokens: model === undefined ? () => 0 : this.cachedPrompts.createCounter(model, parts),
+		};
+		const chooser = new TargetChooser();
+		for (const target of this.listHolders(requirements)) {
+			if (this.takesRequest(target, requirements)) {
+				chooser.add(this.toCandidate(target, prepared));
+			}
+		}
+
+		return chooser.getChoice();
 	}
 
 	/** Acquires a slot at a chosen target. */
@@ -188,11 +213,11 @@
 			return undefined;
 		}
 
-		const outstanding = this.getOutstanding(target);
+		const outstanding = getOutstanding(target, this.opts.clock.now());
 		target.ownRequests += 1;
 		changeAdapterUse(target, model, adapter, 1);
 		const acquiredMs = this.opts.clock.now();
-		const basis = target.coldSends.record(acquiredMs, this.opts.getColdRate(target.registration.service), this.isLimited(target));
+		const basis = target.coldSends.record(acquiredMs, this.opts.getColdRate(target.registration.service), isLimited(target, this.opts.clock.now()));
 		if (basis) {
 			this.opts.onColdSends?.(basis, 1);
 		}
@@ -202,13 +227,25 @@
 		}
 
 		let isReleased = false;
+		let slowdown = 1;
 		return {
 			registration: target.registration,
 			outstanding,
 			wasCold: acquiredMs < target.coldUntilMs,
 			isLeaving: () => this.isLeaving(target) || !this.targets.has(targetId),
-			updateOutstanding: count => {
-				this.setOthers(target, Math.max(0, count - target.ownRequests));
+			recordLoad: ({running, waiting, slowdown: reported}) => {
+				setOthers(target, Math.max(0, running + waiting - target.ownRequests), this.opts.clock.now());
+				if (reported !== undefined) {
+					this.pricing?.recordSlowdown(target, reported, this.opts.clock.now());
+					slowdown = target.slowdown;
+				}
+			},
+			recordStream: (events, durationMs) => {
+				if (model !== undefined) {
+					this.pricing?.recordStream(target, {
+						model, events, durationMs, slowdown,
+					});
+				}
 			},
 			reportSilence: () => {
 				target.silentUntilMs = this.opts.clock.now() + SUSPECT_MS;
@@ -239,45 +276,15 @@
 		};
 	}
 
-	/** Each request to a powered-off or partitioned target costs a timeout, so it ranks last for twice as long after each failure. */
 	private recordOutcome(target: Target, outcome: TargetOutcome): void {
 		if (outcome === 'unreachable') {
 			this.reachability.recordUnreachable(target.registration);
-			this.limitUntilRegistered(target);
+			limitUntilRegistered(target, this.opts.clock.now());
 		} else {
 			this.reachability.recordAnswer(target.registration);
 		}
 
-		target.unreachableCount = outcome === 'unreachable' ? target.unreachableCount + 1 : 0;
-		this.recordFailure(target, outcome);
-		target.unreachableMs = outcome === 'unreachable' ? this.opts.clock.now() : target.unreachableMs;
-		if (outcome === 'broke-off' || outcome === 'unreachable') {
-			const factor = 2 ** Math.max(0, target.unreachableCount - 1);
-			target.suspectedUntilMs = this.opts.clock.now() + Math.min(SUSPECT_MS * factor, MAX_SUSPECT_MS);
-		}
-	}
-
-	/** Counts failures of targets that still respond; unreachable targets are handled by suspicion instead. */
-	private recordFailure(target: Target, outcome: TargetOutcome): void {
-		if (outcome !== 'unreachable') {
-			const failures = this.getFailures(target);
-			target.failures = outcome === 'answered' ? failures * SUCCESS_DECAY_RATIO : failures + 1;
-			target.failuresUpdatedMs = this.opts.clock.now();
-		}
-	}
-
-	private setOthers(target: Target, count: number): void {
-		target.otherHostsRequests = count;
-		target.othersReportedMs = this.opts.clock.now();
-	}
-
-	/** Requests of all hosts at a target. A host that is cut off from the leader must not take old counts of the others for running requests. */
-	private getOutstanding({ownRequests, otherHostsRequests, othersReportedMs}: Target): number {
-		return ownRequests + (this.opts.clock.now() - othersReportedMs > OTHER_COUNTS_TTL_MS ? 0 : otherHostsRequests);
-	}
-
-	private getFailures({failures, failuresUpdatedMs}: Target): number {
-		return failures * Math.exp((failuresUpdatedMs - this.opts.clock.now()) / FAILURE_DECAY_MS);
+		recordHealth(target, outcome, this.opts.clock.now());
 	}
 
 	private isSilent({silentUntilMs}: Target): boolean {
@@ -288,14 +295,16 @@
 		return registration.isLeaving || this.notices.isLeaving(registration);
 	}
 
-	/** Targets that hold what a request requires apart from its adapter, and take new requests. */
-	private listTargets({service, model, tried, avoidsSilent}: TargetRequirements): readonly Target[] {
+	/** Targets that hold what a request requires apart from its adapter. */
+	private listHolders({service, model}: TargetRequirements): readonly Target[] {
 		this.index ??= indexTargets(this.targets.values());
-		return (this.index.get(getModelKey(service, model)) ?? []).filter(target => {
-			const {targetId, zone} = target.registration;
-			const isAvoided = tried.has(targetId) || (avoidsSilent && this.isSilent(target));
-			return !this.isLeaving(target) && !this.zonesOutOfService.has(zone) && !isAvoided;
-		});
+		return this.index.get(getModelKey(service, model)) ?? [];
+	}
+
+	private takesRequest(target: Target, {tried, avoidsSilent}: TargetRequirements): boolean {
+		const {targetId, zone} = target.registration;
+		const isAvoided = tried.has(targetId) || (avoidsSilent && this.isSilent(target));
+		return !this.isLeaving(target) && !this.zonesOutOfService.has(zone) && !isAvoided;
 	}
 
 	private isSuspected(target: Target): boolean {
@@ -306,51 +315,44 @@
 		return this.leavingHints.size > 0 && this.leavingHints.get(registration.targetId) === registration.startedAtMs;
 	}
 
-	private toCandidate(target: Target, {service, model, adapter, parts}: TargetRequirements): TargetCandidate {
-		const {registration: {targetId, zone, slots, models}} = target;
-		const batchSlots = this.opts.getBatchSlots(service);
+	private toCandidate(target: Target, {service, model, adapter, pricedWork, countCachedTokens}: PreparedRequest): TargetCandidate {
+		const {registration: {targetId, zone, slots: ownSlots, models}} = target;
 		const held = model === undefined ? undefined : models.find(({name}) => name === model);
 		const hasAdapter = adapter === undefined || (held?.adapters.includes(adapter) ?? false);
+		const nowMs = this.opts.clock.now();
+		const outstanding = getOutstanding(target, nowMs);
+		const slots = this.opts.getBatchSlots(service) ?? Math.ceil(ownSlots * (1 + QUEUED_PER_SLOT));
+		// The cost of a target without the adapter is never compared.
+		const cachedTokens = hasAdapter ? countCachedTokens(targetId) : 0;
 		return {
 			targetId,
 			isSameZone: zone === this.opts.zone,
 			isSuspected: this.isSuspected(target),
 			isPaused: this.notices.getPauseLeftMs(target.registration) > 0,
-			failures: this.getFailures(target),
+			failures: getFailures(target, nowMs),
 			hasAdapter,
-			outstanding: this.getOutstanding(target),
-			slots: batchSlots ?? Math.ceil(slots * (1 + QUEUED_PER_SLOT)),
-			isCold: this.opts.clock.now() < target.coldUntilMs,
+			outstanding,
+			slots,
+			isCold: nowMs < target.coldUntilMs,
 			hasColdCapacity: this.hasColdCapacity(target),
-			// The cost of a target without the adapter is never compared.
-			cachedTokens: model === undefined || !hasAdapter ? 0 : this.cachedPrompts.countTokens(targetId, model, parts),
+			cachedTokens,
+			...(pricedWork && hasAdapter && outstanding < slots && {
+				completion: this.pricing?.estimate(pricedWork, {
+					target, outstanding, slots, cachedTokens, nowMs,
+				}),
+			}),
 		};
 	}
 
-	/** Whether the target is cold, or may be without being registered as such. */
-	private isLimited({coldUntilMs, limitedUntilMs, returnedUntilMs}: Target): boolean {
-		return this.opts.clock.now() < Math.max(coldUntilMs, limitedUntilMs, returnedUntilMs);
-	}
-
 	private hasColdCapacity(target: Target): boolean {
-		return !this.isLimited(target) || target.coldSends.hasCapacity(this.opts.clock.now(), this.opts.getColdRate(target.registration.service));
-	}
-
-	/** Sends a target no more than a cold one bears until its next process is registered, or its registration has expired. */
-	private limitUntilRegistered(target: Target): void {
-		const nowMs = this.opts.clock.now();
-		if (!this.isLimited(target)) {
-			target.limitedFromMs = nowMs;
-		}
-
-		target.limitedUntilMs = nowMs + REGISTRATION_TTL_MS;
+		return !isLimited(target, this.opts.clock.now()) || target.coldSends.hasCapacity(this.opts.clock.now(), this.opts.getColdRate(target.registration.service));
 	}
 
 	private setTarget(registration: Registration, coldUntilMs: number): void {
 		this.index = undefined;
 		const known = this.targets.get(registration.targetId);
 		const nowMs = this.opts.clock.now();
-		if (known && nowMs < coldUntilMs && !this.isLimited(known)) {
+		if (known && nowMs < coldUntilMs && !isLimited(known, nowMs)) {
 			this.opts.onColdSends?.('unknown', known.coldSends.countRecent(nowMs));
 		}
 
@@ -364,9 +366,9 @@
 		// The last sends may have reached the new process before it was registered.
 		const coldSends = known?.coldSends ?? this.removedSends.get(registration.targetId) ?? new ColdSends(nowMs, this.opts.random());
 		this.removedSends.delete(registration.targetId);
-		this.targets.set(registration.targetId, {
-			registration, coldUntilMs, registeredMs: nowMs, limitedFromMs: 0, limitedUntilMs: 0, returnedUntilMs: 0, ownRequests: 0, adapterUses: new Map(), otherHostsRequests: 0, othersReportedMs: 0, suspectedUntilMs: 0, silentUntilMs: 0, failures: 0, failuresUpdatedMs: 0, unreachableCount: 0, unreachableMs: 0, coldSends,
-		});
+		this.targets.set(registration.targetId, createTarget({
+			registration, coldUntilMs, registeredMs: nowMs, coldSends,
+		}));
 	}
 
 	private removeTargets(ids: readonly string[]): void {
--- a/packages/engines/src/registry/tracked-target.ts
+++ b/packages/engines/src/registry/tracked-target.ts
@@ -1,6 +1,6 @@
 import type {Registration} from '@egretrill/common';
 import type {ColdSends} from './cold-sends.js';
-import {SUSPECT_MS} from './constants.js';
+import {OTHER_COUNTS_TTL_MS, REGISTRATION_TTL_MS, SUSPECT_MS} from './constants.js';
 
 /** What an entry host knows of a target. */
 export type Target = {
@@ -30,8 +30,35 @@
 	unreachableCount: number;
 	unreachableMs: number;
 	readonly coldSends: ColdSends;
+	/** How much longer than usual work took at the target, as last reported with an answer, and the time of that; 1 is as usual. */
+	slowdown: number;
+	slowdownReportedMs: number;
+	/** How much this host prefers the target, from 0 to 1; set when it is first needed. */
+	preference?: number;
 };
 
+/** Returns a target of which only its registration is known. */
+export function createTarget(known: Pick<Target, 'registration' | 'coldUntilMs' | 'registeredMs' | 'coldSends'>): Target {
+	return {
+		...known,
+		limitedFromMs: 0,
+		limitedUntilMs: 0,
+		returnedUntilMs: 0,
+		ownRequests: 0,
+		adapterUses: new Map(),
+		otherHostsRequests: 0,
+		othersReportedMs: 0,
+		suspectedUntilMs: 0,
+		silentUntilMs: 0,
+		failures: 0,
+		failuresUpdatedMs: 0,
+		unreachableCount: 0,
+		unreachableMs: 0,
+		slowdown: 1,
+		slowdownReportedMs: 0,
+	};
+}
+
 /** Changes the number of outstanding requests that use an adapter. */
 export function changeAdapterUse({adapterUses}: Target, model: string | undefined, adapter: string | undefined, change: number): void {
 	if (model === undefined || adapter === undefined) {
@@ -59,3 +86,28 @@
 		target.suspectedUntilMs = Math.min(target.suspectedUntilMs, target.unreachableMs + SUSPECT_MS);
 	}
 }
+
+/** Sets the outstanding requests of the other hosts. */
+export function setOthers(target: Target, count: number, nowMs: number): void {
+	target.otherHostsRequests = count;
+	target.othersReportedMs = nowMs;
+}
+
+/** Requests of all hosts at a target. A host that is cut off from the leader must not take old counts of the others for running requests. */
+export function getOutstanding({ownRequests, otherHostsRequests, othersReportedMs}: Target, nowMs: number): number {
+	return ownRequests + (nowMs - othersReportedMs > OTHER_COUNTS_TTL_MS ? 0 : otherHostsRequests);
+}
+
+/** Whether the target is cold, or may be without being registered as such. */
+export function isLimited({coldUntilMs, limitedUntilMs, returnedUntilMs}: Target, nowMs: number): boolean {
+	return nowMs < Math.max(coldUntilMs, limitedUntilMs, returnedUntilMs);
+}
+
+/** Sends a target no more than a cold one bears until its next process is registered, or its registration has expired. */
+export function limitUntilRegistered(target: Target, nowMs: number): void {
+	if (!isLimited(target, nowMs)) {
+		target.limitedFromMs = nowMs;
+	}
+
+	target.limitedUntilMs = nowMs + REGISTRATION_TTL_MS;
+}
--- a/packages/engines/src/registry/types.ts
+++ b/packages/engines/src/registry/types.ts
@@ -48,6 +48,28 @@
 /** Number of requests that use an adapter of a target's model. */
 export type AdapterUse = readonly [targetId: string, model: string, adapter: string, count: number];
 
+/** What a request is expected to take. */
+export type ExpectedWork = {
+	readonly promptTokens: number;
+	/** Expected output tokens, and events if requests of its route have been observed. */
+	readonly outputTokens: number;
+	readonly outputEvents?: number;
+	/** Time of answers that are no streams, if any of the route has been observed. */
+	readonly answerMs?: number;
+	/** Latency that its caller expects of the first event. */
+	readonly targetLatencyMs: number;
+	/** Whether it may be sent over a connection that is open already. */
+	readonly mayReuseConnection: boolean;
+};
+
+/** Load that a target reports with an answer. */
+export type ReportedLoad = {
+	readonly running: number;
+	readonly waiting: number;
+	/** How much longer than usual work takes there at this moment; 1 is as usual. */
+	readonly slowdown?: number;
+};
+
 /** Requirements of a request for its target. */
 export type TargetRequirements = {
 	readonly service: string;
@@ -58,6 +80,8 @@
 	readonly tried: ReadonlySet<string>;
 	/** Leaves out targets that are silent now. */
 	readonly avoidsSilent?: boolean;
+	/** Absent if its targets are compared by their load only. */
+	readonly work?: ExpectedWork;
 };
 
 /** Outcome of a request at its target: it answered, failed or refused the request, aborted the answer, could not be reached, was silent until another target took over, or was sent nothing. */
@@ -70,7 +94,10 @@
 	readonly wasCold: boolean;
 	/** Whether the target has announced that it leaves, or has left the registry, since the slot was acquired. */
 	readonly isLeaving: () => boolean;
-	readonly updateOutstanding: (count: number) => void;
+	/** Records the load that the target reports with an answer. */
+	readonly recordLoad: (load: ReportedLoad) => void;
+	/** Records the events of a stream after its first one, and the time that they took. */
+	readonly recordStream: (events: number, durationMs: number) => void;
 	/** Ranks the target last for a while, since it is silent in the middle of its answer. */
 	readonly reportSilence: () => void;
 	/** Records that the target says in its answer that it leaves; no further request is sent to it. */
--- a/packages/engines/tests/registry/target-table.test.ts
+++ b/packages/engines/tests/registry/target-table.test.ts
@@ -105,7 +105,7 @@
 		const {table} = createTable([register('near'), register('far', {zone: 'b'})]);
 		const before = table.choose(requirements);
 		const slot = table.acquireSlot('near', requirements);
-		slot?.updateOutstanding(5);
+		slot?.recordLoad({running: 5, waiting: 0});
 		slot?.release('answered');
 		expect({before, after: table.choose(requirements)}).toMatchSnapshot();
 	});
