callers, traffic: measure the speed of targets and exchange it with the leader

Cause: the fourth figure of the load header was dropped, and no host knew that engines differ in speed, so that a third of the chat streams ran at slow engines. Change: the load of an answer is typed and holds the current slowdown; complete streams give the time per event; polls carry sums of observations to the leader, and its plan the speeds that have changed; a slot search names the expected size of its request.

--- a/apps/egretrilld/src/traffic/constants.ts
+++ b/apps/egretrilld/src/traffic/constants.ts
@@ -103,6 +103,9 @@
 /** Number of cold targets for which one call may request a send. */
 export const MAX_COLD_WANTS = 64;
 
+/** How often the leader logs the speeds of targets while they differ. */
+export const SPEED_LOG_INTERVAL_MS = 10_000;
+
 /** Time after which an unanswered request for an adapter is repeated: the leader answers only when the adapter is loaded, and the call may be lost. */
 export const ADAPTER_REQUEST_RETRY_MS = 250;
 
--- a/apps/egretrilld/src/traffic/entry-host.ts
+++ b/apps/egretrilld/src/traffic/entry-host.ts
@@ -4,12 +4,13 @@
 	type Clock, createHttpServer, jitter, type Logger, type LoopWatch, MemoryBudget, type Random, setReadTimeouts, type TimeMark, type TrafficSource, TurnQueue,
 } from '@egretrill/common';
 import {
-	BackoffPoolClient, type ForwardDependencies, type ForwardDialect, forwardRequest, KeyLease, PlannedStop, RATE_LEASE_MS, RateAllocations, RetryBudget, RetrySchedule, RouteDurations, RouteTable, SlotQueue,
+	BackoffPoolClient, type ForwardDependencies, type ForwardDialect, forwardRequest, KeyLease, PlannedStop, RATE_LEASE_MS, RateAllocations, RetryBudget, RetrySchedule, RouteDurations, RouteSizes, RouteTable, SlotQueue,
 } from '@egretrill/callers';
 import {Drain, type Metrics, type UnreadyReason} from '@egretrill/balancer';
-import {TargetTable} from '@egretrill/engines';
+import {getHostPreference, HostSpeeds, TargetTable} from '@egretrill/engines';
 import type {ControlPeers} from '@egretrill/hosts';
 import {TargetSlotSource} from './target-slot-source.js';
+import {ChoiceMetrics} from './choice-metrics.js';
 import {CallerConnections} from './caller-connections.js';
 import {ColdSendRequests} from './cold-send-requests.js';
 import {
@@ -26,6 +27,7 @@
 import type {LeaderPlan, SyncResponse} from './methods.js';
 import {NodeExchange} from './node-exchange.js';
 import {readArrived} from './read-arrived.js';
+import {createSpeedReport, fromSpeedPlan} from './speed-messages.js';
 import type {EntrySettings, TrafficBounds} from './settings.js';
 
 /** How often waiting requests are retried if no change of the targets triggers it. */
@@ -51,6 +53,8 @@
 	private routeTable: RouteTable | undefined;
 	private bounds: TrafficBounds;
 	private readonly follower: ControlFollower;
+	private readonly speeds: HostSpeeds;
+	private readonly choiceMetrics: ChoiceMetrics;
 	private readonly targets: TargetTable;
 	private readonly coldSends: ColdSendRequests;
 	private readonly queue: SlotQueue;
@@ -78,12 +82,19 @@
 		this.plannedStop = new PlannedStop(clock);
 		this.drain = new Drain({clock, deadlineMs: settings.bounds.drainMs, balancerWaitMs: settings.bounds.balancerWaitMs});
 		this.rates = new RateAllocations(clock);
+		this.speeds = new HostSpeeds(clock);
+		this.choiceMetrics = new ChoiceMetrics(this.speeds, metrics);
 		this.targets = new TargetTable({
 			clock,
 			random: opts.random,
 			zone: settings.zone,
 			getColdRate: service => this.getColdRate(service),
 			getBatchSlots: service => this.routeTable?.services.get(service)?.engine?.batchSlots,
+			pricing: {
+				speeds: this.speeds,
+				getPreference: targetId => getHostPreference(settings.host, targetId),
+				hasIdleConnection: address => this.sender.hasIdleConnection(address),
+			},
 			onColdSends: (basis, count) => {
 				this.observer.recordColdSends(basis, count);
 			},
@@ -106,6 +117,9 @@
 			requestColdSend: (service, targetId) => {
 				this.requestColdSend(service, targetId);
 			},
+			onChoice: basis => {
+				this.choiceMetrics.recordChoice(basis);
+			},
 			requestAdapter: async (service, model, adapter) => this.follower.requestAdapter(service, model, adapter),
 		}));
 		this.decisionLog = new DecisionLog(clock, logger);
@@ -166,6 +180,7 @@
 	/** Takes current values into the metrics that are read next. */
 	updateMetrics(): void {
 		this.memoryMetrics.update();
+		this.choiceMetrics.update();
 	}
 
 	/** Applies the settings that may change while the host runs. */
@@ -176,6 +191,7 @@
 	}
 
 	override createReport(): HostReport {
+		const speeds = createSpeedReport(this.speeds);
 		return {
 			running: this.targets.getOwnRequests().map(([id, count]) => [id, count]),
 			adapters: this.targets.getAdapterUses().map(([id, model, adapter, count]) => [id, model, adapter, count]),
@@ -184,6 +200,7 @@
 			rates: {...this.rateState, demand: [...this.rates.getDemand()]},
 			crashes: this.crashes.exchange.createReport(),
 			leaving: this.targets.getLeaving().slice(-MAX_LEAVING_TARGETS),
+			...(speeds && {speeds}),
 		};
 	}
 
@@ -234,11 +251,15 @@
 		}
 	}
 
-	override applyPlan({others, expected, rates, crashes, leaving = []}: LeaderPlan, sentMs: number): void {
+	override applyPlan({others, expected, rates, crashes, leaving = [], speeds}: LeaderPlan, sentMs: number): void {
 		if (crashes) {
 			this.crashes.exchange.applyAnswer(crashes);
 		}
 
+		if (speeds) {
+			this.speeds.apply(fromSpeedPlan(speeds));
+		}
+
 		this.targets.setExpectedModels(expected);
 		this.targets.setLeavingHints(leaving);
 		this.targets.setOtherHostsRequests(others);
@@ -273,6 +294,7 @@
 			crashGate: this.crashes.gate,
 			targetEnds: this.crashes.targetEnds,
 			durations: new RouteDurations(),
+			sizes: new RouteSizes(),
 			getRetries: service => this.getRetryBudget(service),
 		};
 	}
--- a/apps/egretrilld/src/traffic/http-sender.ts
+++ b/apps/egretrilld/src/traffic/http-sender.ts
@@ -18,6 +18,10 @@
 		return this.client.send(message, signal);
 	}
 
+	hasIdleConnection(address: string): boolean {
+		return this.client.hasIdleConnection(address);
+	}
+
 	close(): void {
 		this.client.close();
 	}
--- a/apps/egretrilld/src/traffic/leader-term.ts
+++ b/apps/egretrilld/src/traffic/leader-term.ts
@@ -7,7 +7,7 @@
 	type Clock, compareLists, type EngineClass, type Logger, type LoopWatch, type Random, type TrafficCustomer,
 } from '@egretrill/common';
 import {
-	ColdGrants, type EngineOrders, EngineOwner, type TargetRegistry,
+	ColdGrants, type EngineOrders, EngineOwner, type TargetRegistry, type TargetSpeeds,
 } from '@egretrill/engines';
 import type {FleetNode, FleetState} from '@egretrill/hosts';
 import {CrashLog} from '../crash-log.js';
@@ -15,6 +15,7 @@
 import type {EntryReport, LeaderPlan} from './methods.js';
 import {LeavingHints} from './leaving-hints.js';
 import {RunningCounts} from './running-counts.js';
+import {TermSpeeds} from './term-speeds.js';
 
 export type LeaderTermOptions = {
 	readonly clock: Clock;
@@ -42,6 +43,7 @@
 	readonly engines: EngineOwner;
 	readonly rates: RateOwner;
 	readonly coldGrants: ColdGrants;
+	private readonly termSpeeds: TermSpeeds;
 	private readonly running: RunningCounts;
 	private readonly crashes: CrashTracker;
 	private readonly crashLog: CrashLog;
@@ -52,6 +54,7 @@
 	constructor(private readonly opts: LeaderTermOptions) {
 		const {clock, node, orderLeaseMs, term} = opts;
 		this.startedMs = clock.now();
+		this.termSpeeds = new TermSpeeds(clock, opts.logger);
 		this.running = new RunningCounts(clock);
 		this.crashes = new CrashTracker(clock, randomUUID());
 		this.crashLog = new CrashLog({...opts, tracker: this.crashes});
@@ -73,6 +76,11 @@
 		return this.opts.term;
 	}
 
+	/** Speeds of targets as all hosts together have measured them. */
+	get speeds(): TargetSpeeds {
+		return this.termSpeeds.speeds;
+	}
+
 	get signal(): AbortSignal {
 		return this.stopper.signal;
 	}
@@ -96,7 +104,7 @@
 	}
 
 	/** Processes the report of an entry host and returns the host's part of the plan, apart from the evidence on crashes. */
-	handleReport({hostId, startId, running, adapters, arrivals, waiting, rates, leaving = []}: EntryReport): LeaderPlan {
+	handleReport({hostId, startId, running, adapters, arrivals, waiting, rates, leaving = [], speeds}: EntryReport): LeaderPlan {
 		this.running.update(hostId, running);
 		for (const [service, model, adapter, count, runMs] of arrivals) {
 			this.engines.recordArrivals({service, model, ...(adapter !== '' && {adapter})}, count, runMs);
@@ -106,12 +114,14 @@
 		this.engines.recordWaiting(hostId, waiting);
 		this.leavingHints.record(leaving);
 		const hints = this.leavingHints.list();
+		const speedPlan = speeds && this.termSpeeds.handleReport(speeds);
 		const grant = this.rates.request({hostId, startId, ...rates});
 		return {
 			others: this.running.getOthers(hostId),
 			expected: this.engines.getReadyTimes().map(({service, model, readyInMs}) => [service, model, Math.round(readyInMs)]),
 			rates: {...grant, leased: grant.leased.map(([name, allocation]) => [name, allocation])},
 			...(hints.length > 0 && {leaving: hints}),
+			...(speedPlan && {speeds: speedPlan}),
 		};
 	}
 
--- a/apps/egretrilld/src/traffic/methods.ts
+++ b/apps/egretrilld/src/traffic/methods.ts
@@ -4,6 +4,7 @@
 import {defineDocumentMethod, defineListMethod, defineMethod} from '@egretrill/hosts';
 import {z} from 'zod';
 import {MAX_COLD_WANTS, MAX_LEAVING_TARGETS} from './constants.js';
+import {SpeedPlan, SpeedReport} from './speed-messages.js';
 
 const count = z.int().nonnegative();
 const KnownRegistry = z.object({origin: z.string(), revision: count});
@@ -28,6 +29,8 @@
 	leaving: LeavingTargets.optional(),
 	/** Evidence on what ends targets; hosts of earlier builds report none. */
 	crashes: CrashReport.optional(),
+	/** Observations on the speeds of targets; absent without targets that report their current speed. */
+	speeds: SpeedReport.optional(),
 });
 export type EntryReport = z.infer<typeof EntryReport>;
 
@@ -49,6 +52,8 @@
 	crashes: CrashAnswer.optional(),
 	/** Targets that have told some host that they leave. */
 	leaving: LeavingTargets.optional(),
+	/** Speeds of targets that this host has not heard yet. */
+	speeds: SpeedPlan.optional(),
 });
 export type LeaderPlan = z.infer<typeof LeaderPlan>;
 
--- a/apps/egretrilld/src/traffic/target-slot-source.ts
+++ b/apps/egretrilld/src/traffic/target-slot-source.ts
@@ -2,7 +2,7 @@
 	type SlotRequirements, type SlotResult, SlotSource, type TargetSlot,
 } from '@egretrill/callers';
 import type {Clock} from '@egretrill/common';
-import type {TargetTable} from '@egretrill/engines';
+import type {ChoiceBasis, TargetTable} from '@egretrill/engines';
 import {ADAPTER_REQUEST_INTERVAL_MS, ADAPTER_REQUEST_RETRY_MS} from './constants.js';
 
 /** Allocates slots at the targets of the target table and requests missing adapters, and sends to cold targets, from the leader. Missing models are not requested: the leader loads them by the counts of waiting requests in the polls. */
@@ -15,6 +15,8 @@
 		readonly targets: TargetTable;
 		/** Requests a send to a cold target for which this host has no turn. */
 		readonly requestColdSend: (service: string, targetId: string) => void;
+		/** Called with what a choice by expected completion was decided by. */
+		readonly onChoice?: (basis: ChoiceBasis) => void;
 		readonly requestAdapter: (service: string, model: string, adapter: string) => Promise<string | undefined>;
 	}) {
 		super();
@@ -30,6 +32,10 @@
 			return {kind: choice.kind};
 		}
 
+		if (choice.basis) {
+			this.opts.onChoice?.(choice.basis);
+		}
+
 		const acquired = this.opts.targets.acquireSlot(choice.targetId, need);
 		if (!acquired) {
 			return {kind: 'none'};
--- a/apps/egretrilld/tests/traffic/support/decision-log-fixture.ts
+++ b/apps/egretrilld/tests/traffic/support/decision-log-fixture.ts
@@ -61,7 +61,7 @@
 		this.observer.recordAttempt({
 			call: createCall(id, 'bami79301a'),
 			slot: {
-				targetId, address: '127.0.0.1:1', zone: 'z', startedAtMs: 1, wasCold: false, isLeaving: () => false, outstanding: 1, updateOutstanding: () => undefined, reportSilence: () => undefined, recordActivity: () => undefined, reportLeaving: () => undefined, reportPause: () => undefined, release: () => undefined,
+				targetId, address: '127.0.0.1:1', zone: 'z', startedAtMs: 1, wasCold: false, isLeaving: () => false, outstanding: 1, recordLoad: () => undefined, recordStream: () => undefined, reportSilence: () => undefined, recordActivity: () => undefined, reportLeaving: () => undefined, reportPause: () => undefined, release: () => undefined,
 			},
 			attempt: 1,
 			outcome: 'broken',
--- a/apps/egretrilld/tests/traffic/support/forward-host.ts
+++ b/apps/egretrilld/tests/traffic/support/forward-host.ts
@@ -2,7 +2,7 @@
 import type {Server} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import {
-	type AnswerHead, type AnswerMetadata, type AttemptEvent, CrashGate, CrashTracker, type ForwardCall, type ForwardDependencies, ForwardDialect, type ForwardEndEvent, ForwardObserver, forwardRequest, ForwardSender, KeyLease, PlannedStop, RateAllocations, RatePoolClient, type RequestHead, RetryBudget, RetrySchedule, RouteDurations, RouteTable, type SendDetails, type SlotOutcome, SlotQueue, type SlotRequirements, type SlotResult, SlotSource, TargetEnds,
+	type AnswerHead, type AnswerMetadata, type AttemptEvent, CrashGate, CrashTracker, type ForwardCall, type ForwardDependencies, ForwardDialect, type ForwardEndEvent, ForwardObserver, forwardRequest, ForwardSender, KeyLease, PlannedStop, RateAllocations, RatePoolClient, type RequestHead, RetryBudget, RetrySchedule, RouteDurations, RouteSizes, RouteTable, type SendDetails, type SlotOutcome, SlotQueue, type SlotRequirements, type SlotResult, SlotSource, TargetEnds,
 } from '@egretrill/callers';
 import {
 	createHttpServer, MemoryBudget, MonotonicClock, type OutgoingMessage, type SendFailure, type TargetAnswer, type TrafficConfig, type TrafficRoute, TurnQueue,
@@ -64,7 +64,7 @@
 			? {kind: untried.length === 0 ? 'none' : 'full'}
 			: {
 				kind: 'slot', slot: {
-					targetId: address, address, zone: 'a', startedAtMs: 1, wasCold: false, isLeaving: () => false, outstanding: 0, updateOutstanding: () => undefined, reportSilence: () => undefined, recordActivity: () => undefined, reportLeaving: () => undefined, reportPause: () => undefined, release: outcome => {
+					targetId: address, address, zone: 'a', startedAtMs: 1, wasCold: false, isLeaving: () => false, outstanding: 0, recordLoad: () => undefined, recordStream: () => undefined, reportSilence: () => undefined, recordActivity: () => undefined, reportLeaving: () => undefined, reportPause: () => undefined, release: outcome => {
 						this.released.push({targetId: address, outcome});
 					},
 				},
@@ -182,7 +182,7 @@
 		const retries = new RetryBudget(clock, {ratio: 0, reserve: 100});
 		const crashes = new CrashTracker(clock, 'test');
 		const parts: ForwardDependencies = {
-			clock, memory, turns, random: () => 0, dialect: new TestDialect(), queue: new SlotQueue(clock, slotSource ?? this.slots), rates: new RateAllocations(clock), poolClient: new RefusingLender(), retrySchedule: new RetrySchedule(clock), sender: new ObservedSender(this.sender, onChunk), observer: this.observer, getTable: () => table, stop: new PlannedStop(clock), keyLease: new KeyLease(() => undefined), durations: new RouteDurations(), crashes, crashGate: new CrashGate(clock, crashes), targetEnds: new TargetEnds({clock, probe: new HttpTargetProbe(), onEnd: () => undefined}), getRetries: () => retries,
+			clock, memory, turns, random: () => 0, dialect: new TestDialect(), queue: new SlotQueue(clock, slotSource ?? this.slots), rates: new RateAllocations(clock), poolClient: new RefusingLender(), retrySchedule: new RetrySchedule(clock), sender: new ObservedSender(this.sender, onChunk), observer: this.observer, getTable: () => table, stop: new PlannedStop(clock), keyLease: new KeyLease(() => undefined), durations: new RouteDurations(), sizes: new RouteSizes(), crashes, crashGate: new CrashGate(clock, crashes), targetEnds: new TargetEnds({clock, probe: new HttpTargetProbe(), onEnd: () => undefined}), getRetries: () => retries,
 		};
 		this.server = createHttpServer((req, res) => {
 			void forwardRequest(new NodeExchange(req, res, {memory, turns, isStopping: () => false}), parts);
--- a/packages/callers/src/forward/attempts/forward-to-target.ts
+++ b/packages/callers/src/forward/attempts/forward-to-target.ts
@@ -1,6 +1,7 @@
 import type {MemoryHolding} from '@egretrill/common';
 import {STREAM_IDLE_TIMEOUT_MS} from '../constants.js';
 import {EventOrder} from '../streams/event-order.js';
+import {StreamPace} from '../streams/stream-pace.js';
 import {NO_ROOM} from '../streams/event-splitter.js';
 import type {AttemptFailure, AttemptOutcome, ForwardContext} from '../forward-context.js';
 import type {AttemptSlot} from '../waiting/slot-search.js';
@@ -74,9 +75,11 @@
 	const {answer, metadata, sent, slot} = attempt;
 	const holding = openHolding(context, attempt);
 	progress.status = answer.status;
+	const pace = new StreamPace();
 	const relayed = {
 		exchange, holding, answer, turns: context.deps.turns, headers: metadata.headers, onChunk(lastEventId: number | undefined) {
 			progress.chunkTimes.recordChunk();
+			pace.recordChunk(progress.chunkTimes.getLastAtMs(), lastEventId);
 			sent.recordEvent();
 			slot.recordActivity();
 			progress.lastEventId = lastEventId ?? progress.lastEventId;
@@ -98,6 +101,7 @@
 
 	progress.relayedBytes += result.bytes;
 	if (result.kind === 'complete') {
+		recordPace(context, attempt, pace);
 		progress.answerSummary = {framing: answer.framing, bytes: progress.relayedBytes};
 		return {kind: 'answered'};
 	}
@@ -106,6 +110,16 @@
 	return describeBroken(context, result, {wasEvicted: holding.wasEvicted, watch});
 }
 
+/** Records how fast the target has sent a complete stream, and how long streams of the route are. */
+function recordPace({deps: {sizes}, route, call}: ForwardContext, {slot}: OpenAttempt, {events, durationMs}: StreamPace): void {
+	if (events > 0) {
+		slot.recordStream(events, durationMs);
+		if (call.lastEventId === undefined) {
+			sizes.recordStream(route.name, call, events);
+		}
+	}
+}
+
 type RelayEnd = {readonly wasEvicted: boolean; readonly watch: SwitchWatch | undefined};
 
 function describeBroken({signal}: ForwardContext, {reason}: RelayResult, {wasEvicted, watch}: RelayEnd): AttemptFailure {
--- a/packages/callers/src/forward/attempts/open-attempt.ts
+++ b/packages/callers/src/forward/attempts/open-attempt.ts
@@ -62,11 +62,15 @@
 
 /** Releases the slot of an attempt and records how it ended. */
 export function endAttempt(context: ForwardContext, attempt: EndingAttempt, outcome: AttemptOutcome): void {
-	const {deps: {clock, observer, durations}, call, route, progress} = context;
+	const {deps: {clock, observer, durations, sizes}, call, route, progress} = context;
 	const {slot, signal, number, startedMs} = attempt;
 	slot.release(getSlotOutcome(outcome, signal, progress.status));
 	if (outcome.kind === 'answered' && (progress.status ?? 0) < STATUS_SERVER_ERROR) {
 		const sentMs = progress.sentMs ?? startedMs;
+		if (!route.isStream) {
+			sizes.recordAnswer(route.name, clock.now() - startedMs);
+		}
+
 		durations.record(route.name, {durationMs: clock.now() - sentMs, firstMs: (progress.chunkTimes.getFirstAtMs() ?? sentMs) - sentMs, size: call});
 	}
 
@@ -168,8 +172,8 @@
 	const answer = sent.value;
 	slot.recordActivity();
 	const metadata = deps.dialect.readAnswer(answer);
-	if (metadata.outstanding !== undefined) {
-		slot.updateOutstanding(metadata.outstanding);
+	if (metadata.load) {
+		slot.recordLoad(metadata.load);
 	}
 
 	recordNotices(context, slot, answer, metadata);
--- a/packages/callers/src/forward/constants.ts
+++ b/packages/callers/src/forward/constants.ts
@@ -142,3 +142,6 @@
 /** Factors applied to the time of the longest request of similar size; it is larger for requests that must not be repeated. */
 export const SIZED_DURATION_FACTOR = 1.25;
 export const SIZED_ONCE_DURATION_FACTOR = 1.5;
+
+/** Weight of each request in the mean size of its route. */
+export const ROUTE_SIZE_RATIO = 0.05;
--- a/packages/callers/src/forward/forward-dependencies.ts
+++ b/packages/callers/src/forward/forward-dependencies.ts
@@ -14,6 +14,7 @@
 import type {RouteTable} from './route-table.js';
 import type {TargetEnd, TargetEnds} from './attempts/target-ends.js';
 import type {ForwardCall} from './types.js';
+import type {RouteSizes} from './waiting/route-sizes.js';
 import type {RetrySchedule} from './waiting/wait-forecast.js';
 
 /** Sends requests to targets, without retries. */
@@ -101,6 +102,8 @@
 	readonly crashes: CrashTracker;
 	readonly crashGate: CrashGate;
 	readonly durations: RouteDurations;
+	/** What requests of each route are expected to take. */
+	readonly sizes: RouteSizes;
 	/** Retry budget of a service. */
 	readonly getRetries: (service: string) => RetryBudget;
 };
--- a/packages/callers/src/forward/index.ts
+++ b/packages/callers/src/forward/index.ts
@@ -15,6 +15,7 @@
 export * from './stops/decide-at-stop.js';
 export * from './stops/planned-stop.js';
 export * from './stops/route-durations.js';
+export * from './waiting/route-sizes.js';
 export * from './waiting/slot-queue.js';
 export * from './rates/rate-owner.js';
 export * from './rates/rate-allocations.js';
--- a/packages/callers/src/forward/streams/chunk-times.ts
+++ b/packages/callers/src/forward/streams/chunk-times.ts
@@ -25,6 +25,11 @@
 		return this.firstAtMs;
 	}
 
+	/** Time at which the last chunk arrived. */
+	getLastAtMs(): number {
+		return this.lastAtMs;
+	}
+
 	/** Longest time between two chunks. */
 	getLongestPauseMs(): number {
 		return this.longestMs;
--- a/packages/callers/src/forward/types.ts
+++ b/packages/callers/src/forward/types.ts
@@ -41,6 +41,16 @@
 });
 export type SendDetails = z.infer<typeof SendDetails>;
 
+/** Load that a target reports with an answer. */
+export const TargetLoad = z.object({
+	running: z.number(),
+	waiting: z.number(),
+	slots: z.number().optional(),
+	/** How much longer than usual work takes there at this moment; 1 is as usual. */
+	slowdown: z.number().optional(),
+});
+export type TargetLoad = z.infer<typeof TargetLoad>;
+
 /** Metadata from the head of a target's answer, in addition to its status. */
 export const AnswerMetadata = z.object({
 	/** Id of the attempt that the answer belongs to. */
@@ -49,8 +59,8 @@
 	isSigned: z.boolean(),
 	/** Whether the target declares that it has not run the request. */
 	isNotExecuted: z.boolean(),
-	/** Requests running or queued at the target, if it reports them. */
-	outstanding: z.number().optional(),
+	/** Load of the target, if it reports it. */
+	load: TargetLoad.optional(),
 	/** Whether the target says that it leaves. */
 	isLeaving: z.boolean().optional(),
 	/** Time for which the target wants no further requests. */
--- a/packages/callers/src/forward/waiting/slot-queue.ts
+++ b/packages/callers/src/forward/waiting/slot-queue.ts
@@ -1,7 +1,8 @@
 import {type Clock, refuse, type Verdict} from '@egretrill/common';
 import {Result} from 'true-myth';
 import {MIN_RETRY_AFTER_MS, RETRY_GRACE_MS, RETRY_SLOT_RATIO} from '../constants.js';
-import type {PromptPart} from '../types.js';
+import type {PromptPart, TargetLoad} from '../types.js';
+import type {ExpectedWork} from './route-sizes.js';
 import {
 	decideWait, SlotRate, RetrySchedule, type WaitDecision, type WaitLimits, type WaitReason,
 } from './wait-forecast.js';
@@ -16,6 +17,8 @@
 	readonly tried: ReadonlySet<string>;
 	/** Leaves out targets that are silent now. */
 	readonly avoidsSilent?: boolean;
+	/** What the request is expected to take, for the choice of its target. */
+	readonly work?: ExpectedWork;
 };
 
 /** The result of a request for the health of its target: it answered, it failed or refused the request, it broke off the result, it could not be reached, it was silent until another one took over, or nothing was sent to it. */
@@ -34,8 +37,10 @@
 	readonly isLeaving: () => boolean;
 	/** Known requests of all hosts outstanding at the target when it was chosen. */
 	readonly outstanding: number;
-	/** Sets the number of outstanding requests that the target itself reported. */
-	readonly updateOutstanding: (count: number) => void;
+	/** Records the load that the target reports with an answer. */
+	readonly recordLoad: (load: TargetLoad) => void;
+	/** Records the events of a stream after its first one, and the time that they took. */
+	readonly recordStream: (events: number, durationMs: number) => void;
 	/** Ranks the target last for a while, since it is silent in the middle of its answer. */
 	readonly reportSilence: () => void;
 	/** Records that the target says in its answer that it leaves; no further request is sent to it. */
--- a/packages/callers/src/forward/waiting/slot-search.ts
+++ b/packages/callers/src/forward/waiting/slot-search.ts
@@ -8,10 +8,10 @@
 import type {SlotRequirements, TargetSlot} from './slot-queue.js';
 import {getWaitLimits} from './wait-limits.js';
 
-function getRequirements({call, service, progress, table}: ForwardContext): SlotRequirements {
+function getRequirements({call, service, progress, table, deps, route}: ForwardContext): SlotRequirements {
 	const usesModel = table.services.get(service)?.engine !== undefined;
 	return {
-		service, parts: call.promptParts, tried: progress.tried, ...(usesModel && {model: call.model, adapter: call.adapter}),
+		service, parts: call.promptParts, tried: progress.tried, work: deps.sizes.getExpected(route, call), ...(usesModel && {model: call.model, adapter: call.adapter}),
 	};
 }
 
--- a/packages/callers/tests/forward/slot-queue.test.ts
+++ b/packages/callers/tests/forward/slot-queue.test.ts
@@ -26,7 +26,7 @@
 
 		this.free -= 1;
 		const slot: TargetSlot = {
-			targetId: 't1', address: '127.0.0.1:1', zone: 'a', startedAtMs: 1, wasCold: false, isLeaving: () => false, outstanding: 0, updateOutstanding: () => undefined, reportSilence: () => undefined, recordActivity: () => undefined, reportLeaving: () => undefined, reportPause: () => undefined, release: () => undefined,
+			targetId: 't1', address: '127.0.0.1:1', zone: 'a', startedAtMs: 1, wasCold: false, isLeaving: () => false, outstanding: 0, recordLoad: () => undefined, recordStream: () => undefined, reportSilence: () => undefined, recordActivity: () => undefined, reportLeaving: () => undefined, reportPause: () => undefined, release: () => undefined,
 		};
 		return {kind: 'slot', slot};
 	}
--- a/packages/callers/tests/forward/support/forward-fakes.ts
+++ b/packages/callers/tests/forward/support/forward-fakes.ts
@@ -231,7 +231,7 @@
 			: {
 				kind: 'slot',
 				slot: {
-					targetId, address: `${targetId}:1`, zone: 'a', startedAtMs: 1, wasCold: false, isLeaving: () => false, outstanding: 0, updateOutstanding: () => undefined, recordActivity: () => undefined, reportLeaving: () => undefined, reportPause: () => undefined, reportSilence: () => {
+					targetId, address: `${targetId}:1`, zone: 'a', startedAtMs: 1, wasCold: false, isLeaving: () => false, outstanding: 0, recordLoad: () => undefined, recordStream: () => undefined, recordActivity: () => undefined, reportLeaving: () => undefined, reportPause: () => undefined, reportSilence: () => {
 						this.ends.push(`${targetId} silent`);
 					}, release: end => {
 						this.ends.push(`${targetId} ${end}`);
--- a/packages/callers/tests/forward/support/forward-scenario.ts
+++ b/packages/callers/tests/forward/support/forward-scenario.ts
@@ -5,7 +5,7 @@
 	CrashGate, CrashTracker, getPartKeys, RetryBudget,
 } from '../../../src/index.js';
 import {
-	type ForwardDependencies, forwardRequest, KeyLease, PlannedStop, RouteDurations, SlotQueue, RetrySchedule, RouteTable, TargetEnds,
+	type ForwardDependencies, forwardRequest, KeyLease, PlannedStop, RouteDurations, RouteSizes, SlotQueue, RetrySchedule, RouteTable, TargetEnds,
 } from '../../../src/forward/index.js';
 import {
 	type FakeAnswer, type ThrowingStep, FakeDialect, FakeSender, FakeExchange, FakeSlots, EndRecorder, RecordingRates, RefusingProbe, UnavailablePoolClient,
@@ -165,7 +165,7 @@
 	keyLease.renew(new TimeMark(clock, () => clock.now()), 0);
 	const crashes = new CrashTracker(clock, 'test');
 	const deps: ForwardDependencies = {
-		clock, memory: new MemoryBudget(clock, Number.POSITIVE_INFINITY), turns: new TurnQueue(), random: () => 0, dialect: new FakeDialect(opts.throwingStep), queue, rates, poolClient: new UnavailablePoolClient(), retrySchedule: new RetrySchedule(clock), sender, observer, getTable: () => opts.isUnconfigured ? undefined : (withdrawn.hasHappened ? emptied : table), stop, keyLease, durations, crashes, crashGate: new CrashGate(clock, crashes), targetEnds: new TargetEnds({clock, probe: new RefusingProbe(), onEnd: () => undefined}), getRetries: () => retries,
+		clock, memory: new MemoryBudget(clock, Number.POSITIVE_INFINITY), turns: new TurnQueue(), random: () => 0, dialect: new FakeDialect(opts.throwingStep), queue, rates, poolClient: new UnavailablePoolClient(), retrySchedule: new RetrySchedule(clock), sender, observer, getTable: () => opts.isUnconfigured ? undefined : (withdrawn.hasHappened ? emptied : table), stop, keyLease, durations, sizes: new RouteSizes(), crashes, crashGate: new CrashGate(clock, crashes), targetEnds: new TargetEnds({clock, probe: new RefusingProbe(), onEnd: () => undefined}), getRetries: () => retries,
 	};
 	for (let i = 0; i < (opts.endsUnderPart?.count ?? 0); i++) {
 		crashes.recordEnd(getPartKeys([opts.endsUnderPart?.part ?? '', 'own']), `t@${i}`);
--- a/packages/callers/tests/forward/wait-forecast.test.ts
+++ b/packages/callers/tests/forward/wait-forecast.test.ts
@@ -29,7 +29,7 @@
 
 		this.running += 1;
 		const slot: TargetSlot = {
-			targetId: 't', address: '127.0.0.1:1', zone: 'a', startedAtMs: 1, wasCold: false, isLeaving: () => false, outstanding: 0, updateOutstanding: () => undefined, reportSilence: () => undefined, recordActivity: () => undefined, reportLeaving: () => undefined, reportPause: () => undefined, release: () => undefined,
+			targetId: 't', address: '127.0.0.1:1', zone: 'a', startedAtMs: 1, wasCold: false, isLeaving: () => false, outstanding: 0, recordLoad: () => undefined, recordStream: () => undefined, reportSilence: () => undefined, recordActivity: () => undefined, reportLeaving: () => undefined, reportPause: () => undefined, release: () => undefined,
 		};
 		void this.work();
 		return {kind: 'slot', slot};
--- a/packages/engines/src/registry/constants.ts
+++ b/packages/engines/src/registry/constants.ts
@@ -124,8 +124,8 @@
 export const MIN_STREAM_EVENTS = 2;
 export const MIN_STREAM_MS = 20;
 
-/** Models whose paces differ by less than this factor form a class. */
-export const MODEL_CLASS_RATIO = 2;
+/** Factor between the mean paces of two classes of models; larger than between models of one class at slow and at fast targets. */
+export const MODEL_CLASS_RATIO = 3;
 
 /** Streams that the mean of a model's class counts as. Models of a class differ little, so that a model with few copies says more of their targets than of itself. */
 export const PACE_PRIOR_STREAMS = 12;
@@ -174,9 +174,23 @@
 /** Time that a new connection to a target takes. */
 export const CONNECTION_COST_MS = 10;
 
-/** Exponent of the part of slots in use; a target counts as nearly full from about nine tenths on. */
-export const FULL_TARGET_EXPONENT = 6;
+/** Time constant of the mean of the other hosts' requests at a target; longer than the figures are old, so that hosts do not follow each other from target to target. */
+export const LOAD_SMOOTHING_MS = 2000;
+
+/** Cost of a request of this host, and of another one, at a target of mean speed. Only the own ones are known at once, and a high price of the others would make all hosts follow the same figures. */
+export const OWN_REQUEST_COST_MS = 40;
+export const OTHER_REQUEST_COST_MS = 0.5;
+
+/** Part of the slots in use from which on a target does not count as fuller. */
+export const MAX_FULLNESS = 1.2;
+
+/** Exponent of the part of slots in use, so that it counts only shortly before a target is full. */
+export const FULL_TARGET_EXPONENT = 8;
 
 /** Latency to the first event from which on a caller can bear a slow target, and what the last slots of a fast one cost such a caller. */
 export const PATIENT_LATENCY_MS = 5000;
 export const RESERVED_SLOT_COST_MS = 1500;
+
+/** Parts of the slots in use at which a target counts as full for the hosts that prefer it least and most. Hosts that left it at the same figure would fill the next one together. */
+export const MIN_FULL_RATIO = 0.5;
+export const MAX_FULL_RATIO = 1;
--- a/packages/engines/src/registry/expected-completion.ts
+++ b/packages/engines/src/registry/expected-completion.ts
@@ -1,5 +1,5 @@
 import {
-	CONNECTION_COST_MS, CURRENT_SLOWDOWN_MS, FULL_TARGET_EXPONENT, HOST_PREFERENCE_MS, OUTSTANDING_COST_MS, PATIENT_LATENCY_MS, PROMPT_TOKENS_PER_MS, RESERVED_SLOT_COST_MS, SLOWDOWN_TTL_MS,
+	CONNECTION_COST_MS, CURRENT_SLOWDOWN_MS, FULL_TARGET_EXPONENT, HOST_PREFERENCE_MS, MAX_FULL_RATIO, MAX_FULLNESS, MIN_FULL_RATIO, OTHER_REQUEST_COST_MS, OWN_REQUEST_COST_MS, PATIENT_LATENCY_MS, PROMPT_TOKENS_PER_MS, RESERVED_SLOT_COST_MS, SLOWDOWN_TTL_MS,
 } from './constants.js';
 
 /** Work of a request, at a target of mean speed. */
@@ -18,7 +18,9 @@
 	/** How much longer than usual work took there, as last reported, and the age of the report. */
 	readonly slowdown: number;
 	readonly slowdownAgeMs: number;
-	readonly outstanding: number;
+	/** Requests of this host there, and those of the other hosts on average over the last seconds. */
+	readonly ownRequests: number;
+	readonly otherRequests: number;
 	readonly slots: number;
 	readonly cachedTokens: number;
 	/** How much this host prefers the target, from 0 to 1. */
@@ -33,7 +35,7 @@
 	readonly runMs: number;
 	/** What the current slowdown adds. */
 	readonly slowdownMs: number;
-	/** What the requests there add: the wait for a slot and the slower steps of a larger batch. */
+	/** What the requests there add: the expected wait for a slot and the slower steps of a larger batch. */
 	readonly loadMs: number;
 	/** Price of one of the last slots of a fast target, for requests that can bear a slower one. */
 	readonly reserveMs: number;
@@ -41,9 +43,10 @@
 	readonly connectionMs: number;
 };
 
-/** Part of the slots in use, raised so that it counts only shortly before the target is full. */
-function getFullness({outstanding, slots}: TargetState): number {
-	return Math.min(1, (outstanding + 1) / slots) ** FULL_TARGET_EXPONENT;
+/** How full the target is for this host, raised so that it counts only shortly before it is full. Hosts leave a filling target one after the other, those that prefer it most at last. */
+function getFullness({ownRequests, otherRequests, slots, preference}: TargetState): number {
+	const fullAt = MIN_FULL_RATIO + ((MAX_FULL_RATIO - MIN_FULL_RATIO) * preference);
+	return Math.min(MAX_FULLNESS, (ownRequests + otherRequests + 1) / slots / fullAt) ** FULL_TARGET_EXPONENT;
 }
 
 /** The current slowdown is redrawn all the time, so it counts for the first part of a run, and less the older the report is. */
@@ -58,12 +61,10 @@
 	const runMs = (prefillMs + work.outputMs) / target.speed;
 	const fullness = getFullness(target);
 	const patience = Math.min(1, work.targetLatencyMs / PATIENT_LATENCY_MS);
-	// A slot of a full target becomes free once per run and slot.
-	const waitMs = fullness * Math.max(1, target.outstanding - target.slots + 1) * runMs / target.slots;
 	return {
 		runMs,
 		slowdownMs: getSlowdownMs(target, runMs),
-		loadMs: (target.outstanding * OUTSTANDING_COST_MS / target.speed) + waitMs,
+		loadMs: (((target.ownRequests * OWN_REQUEST_COST_MS) + (target.otherRequests * OTHER_REQUEST_COST_MS)) / target.speed) + (fullness * runMs),
 		reserveMs: target.speed > 1 ? fullness * patience * RESERVED_SLOT_COST_MS : 0,
 		preferenceMs: (1 - target.preference) * HOST_PREFERENCE_MS,
 		connectionMs: target.hasIdleConnection ? 0 : CONNECTION_COST_MS,
--- a/packages/engines/src/registry/host-speeds.ts
+++ b/packages/engines/src/registry/host-speeds.ts
@@ -51,6 +51,11 @@
 		return this.meanSlowdowns.has(service);
 	}
 
+	/** Whether targets of any service report their current speed. */
+	isAnyActive(): boolean {
+		return this.meanSlowdowns.size > 0;
+	}
+
 	recordStream(stream: ObservedStream): void {
 		const meanSlowdown = this.meanSlowdowns.get(stream.service);
 		const {events, durationMs} = stream;
--- a/packages/engines/src/registry/separate-speeds.ts
+++ b/packages/engines/src/registry/separate-speeds.ts
@@ -47,17 +47,38 @@
 	}
 }
 
-/** Returns the class of each model: models whose paces follow each other within a factor belong together, so that light models are no measure for heavy ones. */
-function classify(logPaces: readonly number[]): readonly number[] {
-	const order = logPaces.map((logPace, model) => ({logPace, model})).toSorted((a, b) => a.logPace - b.logPace);
-	const classes = logPaces.map(() => 0);
-	let last = 0;
-	for (const [i, {logPace, model}] of order.entries()) {
-		last += Number(logPace - (order[i - 1]?.logPace ?? logPace) > Math.log(MODEL_CLASS_RATIO));
-		classes[model] = last;
+function getMean(values: readonly number[]): number {
+	return values.reduce((sum, value) => sum + value, 0) / values.length;
+}
+
+/** Returns where sorted values fall into two groups whose means differ most for their sizes; undefined if the means are close to each other. */
+function findSplit(sorted: readonly number[]): number | undefined {
+	const total = sorted.reduce((sum, value) => sum + value, 0);
+	let best: {readonly index: number; readonly variance: number; readonly distance: number} | undefined;
+	let sum = 0;
+	for (const [i, value] of sorted.slice(0, -1).entries()) {
+		sum += value;
+		const [low, high] = [i + 1, sorted.length - i - 1];
+		const distance = ((total - sum) / high) - (sum / low);
+		const variance = low * high * (distance ** 2);
+		if (!best || variance > best.variance) {
+			best = {index: low, variance, distance};
+		}
 	}
 
-	return classes;
+	return best && best.distance >= Math.log(MODEL_CLASS_RATIO) ? best.index : undefined;
+}
+
+/** Divides sorted paces into classes, so that light models are no measure for heavy ones; returns the lowest pace of each class. */
+function findClassStarts(sorted: readonly number[]): readonly number[] {
+	const split = findSplit(sorted);
+	return split === undefined ? sorted.slice(0, 1) : [...findClassStarts(sorted.slice(0, split)), ...findClassStarts(sorted.slice(split))];
+}
+
+/** Returns the class of each model. */
+function classify(logPaces: readonly number[]): readonly number[] {
+	const starts = findClassStarts(logPaces.toSorted((a, b) => a - b));
+	return logPaces.map(logPace => starts.findLastIndex(start => start <= logPace));
 }
 
 function subtract(values: readonly number[], others: readonly number[]): number[] {
@@ -99,7 +120,7 @@
 	const models = new Groups(pairs.map(({model}) => modelIndex.get(model)!), weights, modelIndex.size);
 	const {logSpeeds, logModelPaces} = fit(pairs.map(({logPace}) => logPace), targets, models, weights);
 	const speeds = logSpeeds.map(logSpeed => Math.exp(logSpeed));
-	const meanSpeed = speeds.reduce((sum, speed) => sum + speed, 0) / Math.max(1, speeds.length);
+	const meanSpeed = speeds.length === 0 ? 1 : getMean(speeds);
 	const streams = Array.from({length: targetIndex.size}, () => 0);
 	for (const {targetId, weight} of pairs) {
 		streams[targetIndex.get(targetId)!]! += weight;
@@ -118,7 +139,7 @@
 	}
 
 	const logs = speeds.map(({speed}) => Math.log(speed));
-	const mean = logs.reduce((sum, log) => sum + log, 0) / logs.length;
+	const mean = getMean(logs);
 	const variance = logs.reduce((sum, log) => sum + ((log - mean) ** 2), 0) / (logs.length - 1);
 	const noiseVariance = speeds.reduce((sum, {weight}) => sum + ((noise ** 2) / weight), 0) / speeds.length;
 	return Math.sqrt(Math.max(0, variance - noiseVariance));
--- a/packages/engines/src/registry/target-pricing.ts
+++ b/packages/engines/src/registry/target-pricing.ts
@@ -1,7 +1,7 @@
 import {MS_PER_GENERATED_TOKEN} from '../loading/constants.js';
 import {estimateCompletion, type ExpectedCompletion, type RequestWork} from './expected-completion.js';
 import {clampSlowdown, type HostSpeeds, type ObservedStream} from './host-speeds.js';
-import type {Target} from './tracked-target.js';
+import {getRecentOthers, type Target} from './tracked-target.js';
 import type {ExpectedWork, TargetRequirements} from './types.js';
 
 export type TargetPricingOptions = {
@@ -15,7 +15,7 @@
 export type PricedWork = RequestWork & {readonly mayReuseConnection: boolean};
 
 /** What the table knows of a target for one request. */
-export type PricedTarget = {readonly target: Target; readonly outstanding: number; readonly slots: number; readonly cachedTokens: number; readonly nowMs: number};
+export type PricedTarget = {readonly target: Target; readonly slots: number; readonly cachedTokens: number; readonly nowMs: number};
 
 /** Supplies the figures for the expected completion of requests, for services whose targets report their current speed. */
 export class TargetPricing {
@@ -33,14 +33,15 @@
 		};
 	}
 
-	estimate({mayReuseConnection, ...work}: PricedWork, {target, outstanding, slots, cachedTokens, nowMs}: PricedTarget): ExpectedCompletion {
+	estimate({mayReuseConnection, ...work}: PricedWork, {target, slots, cachedTokens, nowMs}: PricedTarget): ExpectedCompletion {
 		const {registration: {targetId, startedAtMs, address}, slowdown, slowdownReportedMs} = target;
 		target.preference ??= this.opts.getPreference(targetId);
 		return estimateCompletion(work, {
 			speed: this.opts.speeds.getSpeed(targetId, startedAtMs) ?? 1,
 			slowdown,
 			slowdownAgeMs: nowMs - slowdownReportedMs,
-			outstanding,
+			ownRequests: target.ownRequests,
+			otherRequests: getRecentOthers(target, nowMs),
 			slots,
 			cachedTokens,
 			preference: target.preference,
--- a/packages/engines/src/registry/target-table.ts
+++ b/packages/engines/src/registry/target-table.ts
@@ -338,7 +338,7 @@
 			cachedTokens,
 			...(pricedWork && hasAdapter && outstanding < slots && {
 				completion: this.pricing?.estimate(pricedWork, {
-					target, outstanding, slots, cachedTokens, nowMs,
+					target, slots, cachedTokens, nowMs,
 				}),
 			}),
 		};
--- a/packages/engines/src/registry/tracked-target.ts
+++ b/packages/engines/src/registry/tracked-target.ts
@@ -1,6 +1,8 @@
 import type {Registration} from '@egretrill/common';
 import type {ColdSends} from './cold-sends.js';
-import {OTHER_COUNTS_TTL_MS, REGISTRATION_TTL_MS, SUSPECT_MS} from './constants.js';
+import {
+	LOAD_SMOOTHING_MS, OTHER_COUNTS_TTL_MS, REGISTRATION_TTL_MS, SUSPECT_MS,
+} from './constants.js';
 
 /** What an entry host knows of a target. */
 export type Target = {
@@ -20,6 +22,8 @@
 	/** Outstanding requests of the other hosts, as last reported by the leader or the target, and the time of that report. */
 	otherHostsRequests: number;
 	othersReportedMs: number;
+	/** Moving mean of the reported requests of the other hosts. */
+	smoothedOthers: number;
 	suspectedUntilMs: number;
 	/** End of the time for which the target counts as silent unless something arrives from it. */
 	silentUntilMs: number;
@@ -48,6 +52,7 @@
 		adapterUses: new Map(),
 		otherHostsRequests: 0,
 		othersReportedMs: 0,
+		smoothedOthers: 0,
 		suspectedUntilMs: 0,
 		silentUntilMs: 0,
 		failures: 0,
@@ -89,6 +94,8 @@
 
 /** Sets the outstanding requests of the other hosts. */
 export function setOthers(target: Target, count: number, nowMs: number): void {
+	const weight = 1 - Math.exp((target.othersReportedMs - nowMs) / LOAD_SMOOTHING_MS);
+	target.smoothedOthers += (count - target.smoothedOthers) * weight;
 	target.otherHostsRequests = count;
 	target.othersReportedMs = nowMs;
 }
@@ -98,6 +105,11 @@
 	return ownRequests + (nowMs - othersReportedMs > OTHER_COUNTS_TTL_MS ? 0 : otherHostsRequests);
 }
 
+/** Requests of the other hosts at a target on average over the last seconds. Many hosts with the same figure would choose the target that happened to have the fewest. */
+export function getRecentOthers({smoothedOthers, othersReportedMs}: Target, nowMs: number): number {
+	return nowMs - othersReportedMs > OTHER_COUNTS_TTL_MS ? 0 : smoothedOthers;
+}
+
 /** Whether the target is cold, or may be without being registered as such. */
 export function isLimited({coldUntilMs, limitedUntilMs, returnedUntilMs}: Target, nowMs: number): boolean {
 	return nowMs < Math.max(coldUntilMs, limitedUntilMs, returnedUntilMs);
