provider: report usage by window to the provider

Cause: nothing counts the requests of each customer by window and reports them; settings, state and calls for it are missing. Change: entry hosts count by windows of the fleet's time (median of the wall clocks at the leader) and repeat unsettled windows in each poll; the leader settles a window in the log before it sends it, repeats exactly what is settled until it is confirmed, and records the confirmation.

--- a/apps/egretrilld/src/traffic/constants.ts
+++ b/apps/egretrilld/src/traffic/constants.ts
@@ -164,3 +164,6 @@
 
 /** Part of a process's memory that requests and answers may hold. The rest is for the program and its heap, for buffers that were dropped and are not collected yet, and for those of the connections. */
 export const HELD_MEMORY_RATIO = 0.2;
+
+/** Longest wait for the log to confirm an entry of the duties towards the provider, which make nothing else meanwhile. */
+export const DUTY_LOG_TIMEOUT_MS = 1000;
--- a/apps/egretrilld/src/traffic/container.ts
+++ b/apps/egretrilld/src/traffic/container.ts
@@ -10,6 +10,7 @@
 import type {Adapter} from './adapter.js';
 import {ConnectionMetrics} from './connection-metrics.js';
 import {ControlHost} from './control-host.js';
+import {DutyMetrics} from './duty-metrics.js';
 import {EntryHost} from './entry-host.js';
 import {LoopMetrics} from './loop-metrics.js';
 import type {ControlSettings, EntrySettings, TrafficSettings} from './settings.js';
@@ -26,6 +27,11 @@
 		connections: new ConnectionMetrics(getComponentLogger(ctx.get(trafficTokens.logger), 'control'), ctx.get(trafficTokens.metrics)),
 		decoder: ctx.get(trafficTokens.adapter).decoder,
 		orders: ctx.get(trafficTokens.adapter).createOrders(),
+		...(settings.provider && {
+			provider: {
+				settings: settings.provider, calls: ctx.get(trafficTokens.adapter).createProviderCalls(settings.provider), observer: new DutyMetrics(ctx.get(trafficTokens.metrics)),
+			},
+		}),
 	})).inSingletonScope();
 }
 
--- a/apps/egretrilld/src/traffic/control-host.ts
+++ b/apps/egretrilld/src/traffic/control-host.ts
@@ -24,6 +24,7 @@
 import {
 	borrowMethod, coldSendMethod, configPartMethod, crashMethod, departMethod, gossipMethod, readTrafficMethod, readZoneOrdersMethod, requestAdapterMethod, syncMethod,
 } from './methods.js';
+import type {ProviderPeer} from './provider-term.js';
 import {getServedTargets, hasAppliedLog, RegistrySettling} from './registry-settling.js';
 import {getReportedLeaderId} from './reported-leader.js';
 import {RateLimitedLog} from './rate-limited-log.js';
@@ -45,6 +46,8 @@
 	readonly connections?: ConnectionObserver;
 	readonly decoder: ConfigDecoder;
 	readonly orders: EngineOrders;
+	/** The peer of the leader's duties; absent without any. */
+	readonly provider?: ProviderPeer;
 };
 
 /** A host that keeps the log, accepts registrations of targets and serves operators; the leader also divides rates and sends orders to engines. */
@@ -140,6 +143,7 @@
 			bindMethod(syncMethod, async ({report, configVersion, receivesParts, registry, waitMs}) => {
 				const firstTerm = this.getTerm();
 				this.joinCrashes(firstTerm, report.crashes);
+				firstTerm?.recordTime(report);
 				await this.syncNotifier.wait({configVersion, registry, crashes: report.crashes?.known}, waitMs);
 				const leaderId = this.getLeaderId();
 				const term = this.getTerm();
@@ -370,6 +374,7 @@
 				registry: this.registry,
 				hostId: settings.host,
 				orderLeaseMs: settings.bounds.orderLeaseMs,
+				...(this.opts.provider && {provider: {...this.opts.provider, state: this.state}}),
 				getZonesOut: () => [...this.state.getZonesOut()],
 				getClasses: () => this.traffic.getClasses(),
 				getCustomers: () => this.traffic.getCustomers(),
--- a/apps/egretrilld/src/traffic/entry-host.ts
+++ b/apps/egretrilld/src/traffic/entry-host.ts
@@ -9,6 +9,7 @@
 import {Drain, type Metrics, type UnreadyReason} from '@egretrill/balancer';
 import {TargetTable} from '@egretrill/engines';
 import type {ControlPeers} from '@egretrill/hosts';
+import {UsageCounter} from '@egretrill/provider';
 import {TargetSlotSource} from './target-slot-source.js';
 import {CallerConnections} from './caller-connections.js';
 import {ColdSendRequests} from './cold-send-requests.js';
@@ -68,6 +69,7 @@
 	private readonly keyLease = new KeyLease(() => this.bounds.keyLeaseMs);
 	private readonly connections: CallerConnections;
 	private readonly crashes: HostCrashes;
+	private readonly usage: UsageCounter;
 
 	constructor(private readonly opts: EntryHostOptions) {
 		super();
@@ -109,7 +111,8 @@
 			requestAdapter: async (service, model, adapter) => this.follower.requestAdapter(service, model, adapter),
 		}));
 		this.decisionLog = new DecisionLog(clock, logger);
-		this.observer = new EntryObserver(this.decisionLog, metrics, () => this.follower.getAgeMs());
+		this.usage = new UsageCounter(clock, () => Date.now());
+		this.observer = new EntryObserver(this.decisionLog, metrics, () => this.follower.getAgeMs(), this.usage);
 		this.crashes = new HostCrashes({
 			clock, logger, metrics, follower: this.follower, onTargetEnd: end => {
 				this.observer.recordTargetEnd(end);
@@ -184,6 +187,7 @@
 			rates: {...this.rateState, demand: [...this.rates.getDemand()]},
 			crashes: this.crashes.exchange.createReport(),
 			leaving: this.targets.getLeaving().slice(-MAX_LEAVING_TARGETS),
+			usage: this.usage.createReport(),
 		};
 	}
 
@@ -234,7 +238,8 @@
 		}
 	}
 
-	override applyPlan({others, expected, rates, crashes, leaving = []}: LeaderPlan, sentMs: number): void {
+	override applyPlan({others, expected, rates, crashes, leaving = [], usage}: LeaderPlan, sentMs: number): void {
+		this.usage.follow(usage);
 		if (crashes) {
 			this.crashes.exchange.applyAnswer(crashes);
 		}
--- a/apps/egretrilld/src/traffic/entry-observer.ts
+++ b/apps/egretrilld/src/traffic/entry-observer.ts
@@ -3,6 +3,7 @@
 } from '@egretrill/callers';
 import type {Metrics} from '@egretrill/balancer';
 import {type ColdBasis, estimateRunMs} from '@egretrill/engines';
+import type {UsageCounter} from '@egretrill/provider';
 import {MAX_LOGGED_LOST_REQUESTS} from './constants.js';
 import type {DecisionLog} from './decision-log.js';
 import {sanitizeName} from './describe-answer.js';
@@ -97,7 +98,7 @@
 	private readonly stopRequests;
 	private readonly stopTaken;
 
-	constructor(private readonly log: DecisionLog, metrics: Metrics, private readonly getKnowledgeAgeMs: () => number) {
+	constructor(private readonly log: DecisionLog, metrics: Metrics, private readonly getKnowledgeAgeMs: () => number, private readonly usage?: Pick<UsageCounter, 'record'>) {
 		super();
 		this.requests = metrics.createCounter({name: 'egretrill_forwarded_requests_total', help: 'Forwarded requests by route and outcome.', labels: ['route', 'outcome']});
 		this.attempts = metrics.createCounter({name: 'egretrill_target_attempts_total', help: 'Sends to targets by outcome.', labels: ['outcome']});
@@ -138,6 +139,10 @@
 		}
 	}
 
+	override recordBegun(customer: string): void {
+		this.usage?.record(customer);
+	}
+
 	override recordEnd(event: ForwardEndEvent): void {
 		const {call, route = '', outcome, waitMs, tookMs, stopRefusal} = event;
 		const name = typeof outcome === 'object' ? outcome.code : outcome;
--- a/apps/egretrilld/src/traffic/leader-term.ts
+++ b/apps/egretrilld/src/traffic/leader-term.ts
@@ -14,6 +14,7 @@
 import {ENTRY_RECORD_INTERVAL_MS, ORDER_TAKEOVER_MARGIN_MS} from './constants.js';
 import type {EntryReport, LeaderPlan} from './methods.js';
 import {LeavingHints} from './leaving-hints.js';
+import {type ProviderPeer, ProviderTerm, type ProviderTermOptions} from './provider-term.js';
 import {RunningCounts} from './running-counts.js';
 
 export type LeaderTermOptions = {
@@ -29,6 +30,8 @@
 	readonly hostId: string;
 	readonly term: number;
 	readonly orderLeaseMs: number;
+	/** The peer of the duties towards the provider; there are none if absent. */
+	readonly provider?: ProviderPeer & Pick<ProviderTermOptions, 'state'>;
 	readonly getZonesOut: () => readonly string[];
 	readonly getClasses: () => ReadonlyMap<string, EngineClass>;
 	readonly getCustomers: () => ReadonlyMap<string, TrafficCustomer>;
@@ -46,6 +49,7 @@
 	private readonly crashes: CrashTracker;
 	private readonly crashLog: CrashLog;
 	private readonly leavingHints: LeavingHints;
+	private readonly provider: ProviderTerm | undefined;
 	private readonly stopper = new AbortController();
 	private readonly startedMs: number;
 
@@ -60,12 +64,13 @@
 		setMaxListeners(0, this.stopper.signal);
 		this.rates = new RateOwner(clock, opts.getCustomers, opts.getEntryHosts);
 		this.coldGrants = new ColdGrants(clock);
+		const firstOrderAtMs = clock.now() + orderLeaseMs + ORDER_TAKEOVER_MARGIN_MS;
+		const mayOrder = (): boolean => !this.stopper.signal.aborted && node.isLeaderWithLease() && node.status().term === term;
 		this.engines = new EngineOwner({
-			...opts,
-			holder: opts.hostId,
-			fencingToken: term,
-			firstOrderAtMs: clock.now() + orderLeaseMs + ORDER_TAKEOVER_MARGIN_MS,
-			mayOrder: () => !this.stopper.signal.aborted && node.isLeaderWithLease() && node.status().term === term,
+			...opts, holder: opts.hostId, fencingToken: term, firstOrderAtMs, mayOrder,
+		});
+		this.provider = opts.provider && new ProviderTerm({
+			...opts, ...opts.provider, firstCallAtMs: firstOrderAtMs, mayCall: mayOrder,
 		});
 	}
 
@@ -78,7 +83,7 @@
 	}
 
 	async run(): Promise<void> {
-		await Promise.all([this.engines.run(this.stopper.signal), this.crashLog.run(this.stopper.signal), this.recordEntryHosts()]);
+		await Promise.all([this.engines.run(this.stopper.signal), this.crashLog.run(this.stopper.signal), this.recordEntryHosts(), this.provider?.run(this.stopper.signal)]);
 	}
 
 	end(): void {
@@ -95,8 +100,14 @@
 		return known !== undefined && this.crashes.hasChanges(known);
 	}
 
+	/** Takes the time at which an entry host sent a poll, at its arrival. */
+	recordTime(report: EntryReport): void {
+		this.provider?.recordTime(report);
+	}
+
 	/** Processes the report of an entry host and returns the host's part of the plan, apart from the evidence on crashes. */
-	handleReport({hostId, startId, running, adapters, arrivals, waiting, rates, leaving = []}: EntryReport): LeaderPlan {
+	handleReport(report: EntryReport): LeaderPlan {
+		const {hostId, startId, running, adapters, arrivals, waiting, rates, leaving = []} = report;
 		this.running.update(hostId, running);
 		for (const [service, model, adapter, count, runMs] of arrivals) {
 			this.engines.recordArrivals({service, model, ...(adapter !== '' && {adapter})}, count, runMs);
@@ -106,12 +117,14 @@
 		this.engines.recordWaiting(hostId, waiting);
 		this.leavingHints.record(leaving);
 		const hints = this.leavingHints.list();
+		const usage = this.provider?.handleReport(report);
 		const grant = this.rates.request({hostId, startId, ...rates});
 		return {
 			others: this.running.getOthers(hostId),
 			expected: this.engines.getReadyTimes().map(({service, model, readyInMs}) => [service, model, Math.round(readyInMs)]),
 			rates: {...grant, leased: grant.leased.map(([name, allocation]) => [name, allocation])},
 			...(hints.length > 0 && {leaving: hints}),
+			...(usage && {usage}),
 		};
 	}
 
--- a/apps/egretrilld/src/traffic/methods.ts
+++ b/apps/egretrilld/src/traffic/methods.ts
@@ -2,6 +2,7 @@
 import {Bytes, TrafficSource} from '@egretrill/common';
 import {ColdWant, RegistryUpdate} from '@egretrill/engines';
 import {defineDocumentMethod, defineListMethod, defineMethod} from '@egretrill/hosts';
+import {UsagePlan, UsageReport} from '@egretrill/provider';
 import {z} from 'zod';
 import {MAX_COLD_WANTS, MAX_LEAVING_TARGETS} from './constants.js';
 
@@ -28,6 +29,8 @@
 	leaving: LeavingTargets.optional(),
 	/** Evidence on what ends targets; hosts of earlier builds report none. */
 	crashes: CrashReport.optional(),
+	/** Requests of each customer by window; hosts of earlier builds report none. */
+	usage: UsageReport.optional(),
 });
 export type EntryReport = z.infer<typeof EntryReport>;
 
@@ -49,6 +52,8 @@
 	crashes: CrashAnswer.optional(),
 	/** Targets that have told some host that they leave. */
 	leaving: LeavingTargets.optional(),
+	/** Absent unless the leader reports usage to the provider. */
+	usage: UsagePlan.optional(),
 });
 export type LeaderPlan = z.infer<typeof LeaderPlan>;
 
--- a/apps/egretrilld/src/traffic/settings.ts
+++ b/apps/egretrilld/src/traffic/settings.ts
@@ -1,4 +1,5 @@
 import {SocketAddress} from '@egretrill/common';
+import {ProviderSettings} from '@egretrill/provider';
 import {z} from 'zod';
 
 /** Memory of the smallest hosts. */
@@ -56,6 +57,8 @@
 	minVoters: z.int().positive().default(3),
 	/** Largest number of members of the log; further control hosts do not join it. */
 	maxVoters: z.int().positive().default(5),
+	/** Duties of the leader towards the provider; it has none if absent. */
+	provider: ProviderSettings.optional(),
 });
 export type ControlSettings = z.infer<typeof ControlSettings>;
 
--- a/packages/callers/src/forward/attempts/forward-to-target.ts
+++ b/packages/callers/src/forward/attempts/forward-to-target.ts
@@ -52,6 +52,13 @@
 	return outcome;
 }
 
+function recordBegun({customer, deps: {observer}, progress}: ForwardContext): void {
+	if (customer && !progress.hasBegun) {
+		progress.hasBegun = true;
+		observer.recordBegun?.(customer.name);
+	}
+}
+
 /** The order of the events that the caller has; those of an answer that never began did not reach it. */
 function getEventOrder({exchange, progress, route}: ForwardContext): EventOrder {
 	const delivered = exchange.hasStarted() ? progress.eventOrder : undefined;
@@ -76,6 +83,7 @@
 	progress.status = answer.status;
 	const relayed = {
 		exchange, holding, answer, turns: context.deps.turns, headers: metadata.headers, onChunk(lastEventId: number | undefined) {
+			recordBegun(context);
 			progress.chunkTimes.recordChunk();
 			sent.recordEvent();
 			slot.recordActivity();
@@ -89,6 +97,7 @@
 			progress.eventOrder = order;
 			result = await relayEvents(relayed, order, watch);
 		} else {
+			recordBegun(context);
 			progress.eventOrder = undefined;
 			result = await relayBuffered(relayed);
 		}
--- a/packages/callers/src/forward/forward-context.ts
+++ b/packages/callers/src/forward/forward-context.ts
@@ -29,6 +29,8 @@
 export type ForwardProgress = {
 	readonly tried: Set<string>;
 	attempts: number;
+	/** Whether a target has begun to run the request. */
+	hasBegun?: boolean;
 	mayHaveRun: boolean;
 	waitMs: number;
 	lastEventId: number | undefined;
--- a/packages/callers/src/forward/forward-dependencies.ts
+++ b/packages/callers/src/forward/forward-dependencies.ts
@@ -65,6 +65,8 @@
 	/** Records a request that is within its customer's rate, before it gets a target. */
 	abstract recordArrival(service: string, call: ForwardCall): void;
 	abstract recordAttempt(event: AttemptEvent): void;
+	/** Records, once for each request, that a target has begun to run it: the first event of a stream or the head of another answer has arrived. */
+	recordBegun?(customer: string): void;
 	abstract recordEnd(event: ForwardEndEvent): void;
 	/** Records that a target's process has ended while requests of this host were in flight there. */
 	abstract recordTargetEnd(end: TargetEnd): void;
--- a/packages/hosts/src/constants.ts
+++ b/packages/hosts/src/constants.ts
@@ -119,3 +119,11 @@
 export const DEPARTURE_RETENTION_MS = 60_000;
 /** Number of departures retained, so that targets that come and go all the time don't fill the snapshots. */
 export const MAX_DEPARTURES = 1024;
+
+/** Settled windows that the provider has not confirmed: more than an hour of windows of 5 s. Beyond, the oldest are dropped. */
+export const MAX_UNCONFIRMED_WINDOWS = 1024;
+/** Windows that one entry settles, and customers in each. */
+export const MAX_SETTLED_AT_ONCE = 32;
+export const MAX_USAGE_CUSTOMERS = 1024;
+/** Services and zones whose ordered engine counts are retained. */
+export const MAX_ENGINE_COUNTS = 256;
--- a/packages/hosts/src/fleet-state.ts
+++ b/packages/hosts/src/fleet-state.ts
@@ -2,11 +2,14 @@
 import {DEPARTURE_RETENTION_MS, MAX_DEPARTURES} from './constants.js';
 import {type DesiredMembership, StateMachine} from './consensus/state-machine.js';
 import {applyOperation} from './fleet-state-operations.js';
+import {
+	acceptEngines, confirmUsage, orderEngines, settleUsage,
+} from './fleet-state-duties.js';
 import {
 	applyOutcome, applyRecord, applyRelease, createRecordTable, findRecord, type RecordKey,
 } from './fleet-state-records.js';
 import {
-	type AtMostOnceRecord, type ConfigUpdate, FleetCommand, type FleetCommandOf, type FleetConfig, type FleetResult, FleetSnapshot, type StoredCrash, type TargetDeparture, type ZoneLease,
+	type AtMostOnceRecord, type ConfigUpdate, type EngineCount, FleetCommand, type FleetCommandOf, type FleetConfig, type FleetResult, FleetSnapshot, type StoredCrash, type TargetDeparture, type UsageState, type ZoneLease,
 } from './types.js';
 
 const commandCodec = createCodec(FleetCommand);
@@ -26,6 +29,8 @@
 	entryHosts: [],
 	departures: [],
 	crashes: [],
+	usage: {settledThrough: -1, unconfirmed: []},
+	engineCounts: [],
 	logTimeMs: 0,
 };
 
@@ -114,6 +119,22 @@
 			return {state: {...stateAtLogTime, crashes: command.crashes}, result: {kind: 'crashes'}};
 		}
 
+		case 'settleUsage': {
+			return settleUsage(stateAtLogTime, command);
+		}
+
+		case 'confirmUsage': {
+			return confirmUsage(stateAtLogTime, command);
+		}
+
+		case 'orderEngines': {
+			return orderEngines(stateAtLogTime, command);
+		}
+
+		case 'acceptEngines': {
+			return acceptEngines(stateAtLogTime, command);
+		}
+
 		case 'apply':
 		case 'withdrawKey':
 		case 'setZoneState':
@@ -225,6 +246,16 @@
 		return this.state.crashes;
 	}
 
+	/** Returns the settled usage; it is replaced with each change. */
+	getUsage(): UsageState {
+		return this.state.usage;
+	}
+
+	/** Returns the last ordered engine counts. */
+	getEngineCounts(): readonly EngineCount[] {
+		return this.state.engineCounts;
+	}
+
 	/** Returns the hosts that operators added, with the addresses that the transport needs. */
 	getAddedHosts(): readonly PeerHost[] {
 		return this.state.members.flatMap(member => member.host ?? []);
--- a/packages/hosts/src/types.ts
+++ b/packages/hosts/src/types.ts
@@ -3,7 +3,9 @@
 } from '@egretrill/common';
 import {Bytes, LogEntry} from '@egretrill/disk';
 import {z} from 'zod';
-import {MAX_OUTCOME_BODY_BYTES, MAX_STORED_CRASHES, MAX_STORED_ENDS} from './constants.js';
+import {
+	MAX_OUTCOME_BODY_BYTES, MAX_SETTLED_AT_ONCE, MAX_STORED_CRASHES, MAX_STORED_ENDS, MAX_USAGE_CUSTOMERS,
+} from './constants.js';
 
 const count = z.int().nonnegative();
 
@@ -142,6 +144,20 @@
 });
 export type StoredCrash = z.infer<typeof StoredCrash>;
 
+/** Requests of each customer in one window of time; the counts of a settled window never change. */
+export const SettledWindow = z.object({window: count, counts: z.array(z.tuple([z.string(), count])).max(MAX_USAGE_CUSTOMERS)});
+export type SettledWindow = z.infer<typeof SettledWindow>;
+
+/** Windows up to `settledThrough` are settled; the provider has confirmed them except for those in the list, oldest first. */
+export const UsageState = z.object({settledThrough: z.int().min(-1), unconfirmed: z.array(SettledWindow)});
+export type UsageState = z.infer<typeof UsageState>;
+
+const engineCountFields = {service: z.string(), zone: z.string(), count};
+
+/** Number of engines last ordered for a service in a zone, and whether the provider has accepted the order. */
+export const EngineCount = z.object({...engineCountFields, isAccepted: z.boolean()});
+export type EngineCount = z.infer<typeof EngineCount>;
+
 /** Commands that change the replicated state of the fleet. */
 export const FleetCommand = z.discriminatedUnion('kind', [
 	z.object({
@@ -173,6 +189,12 @@
 	z.object({kind: z.literal('recordDeparture'), departure: TargetDeparture}),
 	/** Replaces all evidence; only a leader that has applied all earlier entries proposes it, at itself. */
 	z.object({kind: z.literal('setCrashes'), crashes: z.array(StoredCrash).max(MAX_STORED_CRASHES)}),
+	/** Settles windows in ascending order; windows that are settled already stay as they are. */
+	z.object({kind: z.literal('settleUsage'), windows: z.array(SettledWindow).max(MAX_SETTLED_AT_ONCE)}),
+	z.object({kind: z.literal('confirmUsage'), window: count}),
+	z.object({kind: z.literal('orderEngines'), ...engineCountFields}),
+	/** Ignored unless it names the last ordered count. */
+	z.object({kind: z.literal('acceptEngines'), ...engineCountFields}),
 ]);
 export type FleetCommand = z.infer<typeof FleetCommand>;
 export type FleetCommandOf<Kind extends FleetCommand['kind']> = Extract<FleetCommand, {kind: Kind}>;
@@ -207,6 +229,8 @@
 	z.object({kind: z.literal('entry-hosts'), hostIds: z.array(z.string())}),
 	z.object({kind: z.literal('departed')}),
 	z.object({kind: z.literal('crashes')}),
+	z.object({kind: z.literal('usage'), settledThrough: z.int().min(-1)}),
+	z.object({kind: z.literal('engine-counts')}),
 ]);
 export type FleetResult = z.infer<typeof FleetResult>;
 
@@ -278,6 +302,10 @@
 	departures: z.array(TargetDeparture).default([]),
 	/** Evidence on what ends targets. */
 	crashes: z.array(StoredCrash).default([]),
+	/** Usage that is reported to the provider. */
+	usage: UsageState.default({settledThrough: -1, unconfirmed: []}),
+	/** Last ordered engine counts. */
+	engineCounts: z.array(EngineCount).default([]),
 	/** Sum of the elapsed times in commands; never advances faster than real time. */
 	logTimeMs: count,
 });
--- /dev/null
+++ b/packages/provider/tests/support/recording-provider.ts
@@ -0,0 +1,64 @@
+import type {Clock} from '@egretrill/common';
+import {
+	type CallOutcome, type DutyHolder, DutyObserver, type EngineOrder, ProviderCalls, type UsageWindow,
+} from '../../src/index.js';
+
+/** Records what arrives, and answers with the next of the given outcomes, at the end with `accepted`. */
+export class RecordingProvider extends ProviderCalls {
+	readonly received: string[] = [];
+	outcomes: CallOutcome[] = [];
+
+	constructor(private readonly clock: Clock) {
+		super();
+	}
+
+	override async reportUsage({window, counts}: UsageWindow, holder: DutyHolder, mayWrite: () => boolean): Promise<CallOutcome> {
+		return this.take(`window ${window} ${JSON.stringify(counts)}`, holder, mayWrite);
+	}
+
+	override async orderEngines({service, zone, count}: EngineOrder, holder: DutyHolder, mayWrite: () => boolean): Promise<CallOutcome> {
+		return this.take(`${service} ${zone} ${count}`, holder, mayWrite);
+	}
+
+	private take(content: string, {holder, fencingToken}: DutyHolder, mayWrite: () => boolean): CallOutcome {
+		if (!mayWrite()) {
+			return 'not-sent';
+		}
+
+		const outcome = this.outcomes.shift() ?? 'accepted';
+		if (outcome !== 'not-sent') {
+			this.received.push(`${(this.clock.now() / 1000).toFixed(1)} s: ${holder}/${fencingToken} ${content} ${outcome}`);
+		}
+
+		return outcome;
+	}
+}
+
+/** Counts the events of the duties. */
+export class CountingDutyObserver extends DutyObserver {
+	calls = 0;
+	settled = 0;
+	confirmed = 0;
+	unconfirmed = 0;
+	readonly ordered = new Map<string, number>();
+
+	override recordCall(): void {
+		this.calls += 1;
+	}
+
+	override recordSettled(windows: number): void {
+		this.settled += windows;
+	}
+
+	override recordConfirmed(): void {
+		this.confirmed += 1;
+	}
+
+	override setUnconfirmed(windows: number): void {
+		this.unconfirmed = windows;
+	}
+
+	override setOrderedEngines(service: string, zone: string, count: number): void {
+		this.ordered.set(`${service} ${zone}`, count);
+	}
+}
