callers: move streams from an engine that is gone before their end

Cause: remaining-ms of a registration is not read, so that streams at a withdrawn engine run until it is gone and are then broken off. Change: a registration carries the time after which its target is gone; a resumable stream that is not expected to end by then is offered to another target with a free slot, while its own one goes on, and moves as soon as that one has answered.

--- a/packages/callers/src/forward/attempts/forward-to-target.ts
+++ b/packages/callers/src/forward/attempts/forward-to-target.ts
@@ -119,7 +119,9 @@
 
 function describeBroken({signal}: ForwardContext, {reason}: RelayResult, {wasEvicted, watch}: RelayEnd): AttemptFailure {
 	if (watch?.hasMoved()) {
-		return {kind: 'broken', reason: `The target completed no event for ${STREAM_IDLE_TIMEOUT_MS} ms, and another one goes on with the stream.`, slotOutcome: 'replaced'};
+		return watch.hasLeft()
+			? {kind: 'broken', reason: 'The target leaves before the end of the stream, and another one goes on with it.', slotOutcome: 'answered'}
+			: {kind: 'broken', reason: `The target completed no event for ${STREAM_IDLE_TIMEOUT_MS} ms, and another one goes on with the stream.`, slotOutcome: 'replaced'};
 	}
 
 	// The target is not to blame for what this host has no memory for.
--- a/packages/callers/src/forward/streams/switch-watch.ts
+++ b/packages/callers/src/forward/streams/switch-watch.ts
@@ -5,10 +5,14 @@
 import type {ForwardContext} from '../forward-context.js';
 import {type AttemptSlot, takeFreeSlot} from '../waiting/slot-search.js';
 import {endAttempt, type OpenAttempt, openAttempt} from '../attempts/open-attempt.js';
+import {mustMove} from './leaving-stream.js';
 import {
-	getTimeUntilSwitchMs, maySwitch, Silence, STREAM_WENT_ON,
+	getTimeUntilSwitchMs, maySwitch, Silence,
 } from './silence.js';
 
+/** Reason for cancelling the request at another target when the stream has ended at the leaving one. */
+const STREAM_ENDED = 'The leaving target has ended the stream.';
+
 /** Prevents an unhandled rejection of a task that is awaited only later. */
 async function markHandled(task: Promise<void>): Promise<void> {
 	try {
@@ -18,11 +22,13 @@
 	}
 }
 
-/** Offers a resumable stream to other targets while it is silent, and goes on reading its own; each stream has its own task. */
+/** Offers a resumable stream to other targets while it is silent, or if its target leaves too early for it, and goes on reading its own; each stream has its own task. */
 export class SwitchWatch {
 	readonly silence: Silence;
 	private next: OpenAttempt | undefined;
 	private readonly stopping = new AbortController();
+	/** Aborts when the stream is complete. */
+	private readonly completed = new AbortController();
 	private readonly task: Promise<void>;
 
 	constructor(private readonly context: ForwardContext, private readonly attempt: OpenAttempt) {
@@ -36,10 +42,16 @@
 		return this.next !== undefined;
 	}
 
+	/** Whether another target goes on because this one leaves. */
+	hasLeft(): boolean {
+		return this.hasMoved() && this.attempt.slot.getLeaveLeftMs?.() !== undefined;
+	}
+
 	/** Ends the search for another target; a request that is already at one is cancelled if the stream is complete. */
 	endSearch(isComplete: boolean): void {
 		this.stopping.abort();
 		if (isComplete) {
+			this.completed.abort(STREAM_ENDED);
 			this.silence.recordEvent();
 		}
 	}
@@ -53,6 +65,16 @@
 	private async run(): Promise<void> {
 		const {signal} = this.stopping;
 		while (!signal.aborted) {
+			if (this.isTargetGoneTooEarly()) {
+				await this.trySwitch(this.completed.signal);
+				if (this.next) {
+					return;
+				}
+
+				await this.sleepAndCatchUp(SWITCH_RETRY_INTERVAL_MS);
+				continue;
+			}
+
 			const remainingMs = SILENCE_REPORT_MS - this.getSilentMs();
 			if (remainingMs > 0) {
 				await this.sleepAndCatchUp(remainingMs);
@@ -88,7 +110,7 @@
 				continue;
 			}
 
-			await this.trySwitch();
+			await this.trySwitch(this.silence.getNextEventSignal());
 			if (this.next) {
 				return;
 			}
@@ -102,7 +124,16 @@
 		return this.context.exchange.hasStarted() ? this.silence.getDurationMs() : 0;
 	}
 
-	private async trySwitch(): Promise<void> {
+	private isTargetGoneTooEarly(): boolean {
+		const {call, deps: {clock, durations}, endsMs, exchange, progress, route} = this.context;
+		const nowMs = clock.now();
+		return exchange.hasStarted() && mustMove({
+			route, leaveLeftMs: this.attempt.slot.getLeaveLeftMs?.(), requestLeftMs: endsMs - nowMs, ranMs: nowMs - (progress.sentMs ?? nowMs), getObserved: () => durations.getObserved(route.name, call),
+		});
+	}
+
+	/** Offers the stream to a target with a free slot; the offer is withdrawn when the signal aborts. */
+	private async trySwitch(withdrawn: AbortSignal): Promise<void> {
 		const {deps, service, progress, route, endsMs} = this.context;
 		const retries = deps.getRetries(service);
 		const isAllowed = !refuseBeforeStop({...this.context, hasStarted: true}, 'switch') && maySwitch({
@@ -111,7 +142,7 @@
 		const slot = isAllowed ? takeFreeSlot(this.context, this.getSilentMs() < ANY_TARGET_SWITCH_MS) : undefined;
 		if (slot) {
 			retries.tryConsumeRetry();
-			const isSent = await this.offerTo(slot);
+			const isSent = await this.offerTo(slot, withdrawn);
 			if (!isSent) {
 				retries.returnRetry();
 			}
@@ -119,16 +150,15 @@
 	}
 
 	/** Sends the request to another target, and closes the silent answer as soon as that one has answered; resolves with false if the target was not reached. */
-	private async offerTo(slot: AttemptSlot): Promise<boolean> {
-		const wentOn = this.silence.getNextEventSignal();
-		const opened = await openAttempt(this.context, slot, AbortSignal.any([this.context.signal, wentOn]));
+	private async offerTo(slot: AttemptSlot, withdrawn: AbortSignal): Promise<boolean> {
+		const opened = await openAttempt(this.context, slot, AbortSignal.any([this.context.signal, withdrawn]));
 		if (opened.kind !== 'open') {
 			return opened.kind === 'broken' || opened.slotOutcome !== 'unreachable';
 		}
 
 		if (opened.signal.aborted) {
 			opened.answer.destroy();
-			endAttempt(this.context, opened, {kind: 'broken', reason: wentOn.aborted ? STREAM_WENT_ON : 'The request has ended.', slotOutcome: 'answered'});
+			endAttempt(this.context, opened, {kind: 'broken', reason: withdrawn.aborted ? String(withdrawn.reason) : 'The request has ended.', slotOutcome: 'answered'});
 			return true;
 		}
 
--- a/packages/callers/src/forward/waiting/slot-queue.ts
+++ b/packages/callers/src/forward/waiting/slot-queue.ts
@@ -32,6 +32,8 @@
 	readonly wasCold: boolean;
 	/** Whether the target has announced that it leaves, or has left, since it was chosen. */
 	readonly isLeaving: () => boolean;
+	/** Time until the target is gone; undefined if it has not announced that. */
+	readonly getLeaveLeftMs?: () => number | undefined;
 	/** Known requests of all hosts outstanding at the target when it was chosen. */
 	readonly outstanding: number;
 	/** Sets the number of outstanding requests that the target itself reported. */
--- a/packages/callers/tests/forward/support/forward-fakes.ts
+++ b/packages/callers/tests/forward/support/forward-fakes.ts
@@ -220,7 +220,7 @@
 	readonly ends: string[] = [];
 
 	/** Targets in `freeAfterMs` are full until then. */
-	constructor(private readonly targets: readonly string[], private readonly clock: ManualClock, private readonly freeAfterMs: Readonly<Record<string, number>>) {
+	constructor(private readonly targets: readonly string[], private readonly clock: ManualClock, private readonly freeAfterMs: Readonly<Record<string, number>>, private readonly leaving: Readonly<Record<string, {readonly fromMs: number; readonly untilMs: number}>> = {}) {
 		super();
 	}
 
@@ -231,7 +231,7 @@
 			: {
 				kind: 'slot',
 				slot: {
-					targetId, address: `${targetId}:1`, zone: 'a', startedAtMs: 1, wasCold: false, isLeaving: () => false, outstanding: 0, updateOutstanding: () => undefined, recordActivity: () => undefined, reportLeaving: () => undefined, reportPause: () => undefined, reportSilence: () => {
+					targetId, address: `${targetId}:1`, zone: 'a', startedAtMs: 1, wasCold: false, isLeaving: () => false, outstanding: 0, updateOutstanding: () => undefined, recordActivity: () => undefined, getLeaveLeftMs: () => this.getLeaveLeftMs(targetId), reportLeaving: () => undefined, reportPause: () => undefined, reportSilence: () => {
 						this.ends.push(`${targetId} silent`);
 					}, release: end => {
 						this.ends.push(`${targetId} ${end}`);
@@ -251,6 +251,11 @@
 	override requestLoad(): void {
 		// Services have no models.
 	}
+
+	private getLeaveLeftMs(targetId: string): number | undefined {
+		const leave = this.leaving[targetId];
+		return leave && this.clock.now() >= leave.fromMs ? Math.max(0, leave.untilMs - this.clock.now()) : undefined;
+	}
 }
 
 export class EndRecorder extends ForwardObserver {
--- a/packages/callers/tests/forward/support/forward-scenario.ts
+++ b/packages/callers/tests/forward/support/forward-scenario.ts
@@ -39,6 +39,8 @@
 	readonly headers?: readonly string[];
 	/** Times at which full targets get a free slot. */
 	readonly freeAfterMs?: Readonly<Record<string, number>>;
+	/** Times from which targets are known to leave, and at which they are gone. */
+	readonly leaving?: Readonly<Record<string, {readonly fromMs: number; readonly untilMs: number}>>;
 	/** Time for which the caller accepts no data after each event. */
 	readonly writeMs?: number;
 	/** Retries that the service may use. */
@@ -145,7 +147,7 @@
 			await clock.sleep(opts.writeMs);
 		}
 	});
-	const slots = new FakeSlots(opts.targets ?? ['t1', 't2', 't3'], clock, opts.freeAfterMs ?? {});
+	const slots = new FakeSlots(opts.targets ?? ['t1', 't2', 't3'], clock, opts.freeAfterMs ?? {}, opts.leaving);
 	const retries = new RetryBudget(clock, {ratio: 0, reserve: opts.retryReserve ?? 3});
 	const rates = new RecordingRates(clock);
 	rates.setCustomers(customers ?? []);
--- a/packages/common/src/registration.ts
+++ b/packages/common/src/registration.ts
@@ -55,6 +55,8 @@
 	zone: Name,
 	slots: z.int().positive().max(MAX_SLOTS),
 	isLeaving: z.boolean(),
+	/** Time after which a target that leaves is gone, if it says so. */
+	leavesInMs: z.number().nonnegative().optional(),
 	coldForMs: z.number().nonnegative().max(MAX_COLD_MS),
 	models: HeldModels,
 	/** Number of orders that the engine has accepted in this lifetime, if it reports it. */
--- a/packages/engines/src/registry/target-registry.ts
+++ b/packages/engines/src/registry/target-registry.ts
@@ -35,9 +35,9 @@
 type EntryState = Omit<Entry, 'revision' | 'heartbeatRevision'>;
 
 function isSameState(first: Registration, second: Registration): boolean {
-	const {sequence: _first, orderCount: _firstCount, coldForMs: firstCold, ...rest} = first;
-	const {sequence: _second, orderCount: _secondCount, coldForMs: secondCold, ...other} = second;
-	return (firstCold > 0) === (secondCold > 0) && JSON.stringify(rest) === JSON.stringify(other);
+	const {sequence: _first, orderCount: _firstCount, coldForMs: firstCold, leavesInMs: firstLeave, ...rest} = first;
+	const {sequence: _second, orderCount: _secondCount, coldForMs: secondCold, leavesInMs: secondLeave, ...other} = second;
+	return (firstCold > 0) === (secondCold > 0) && (firstLeave === undefined) === (secondLeave === undefined) && JSON.stringify(rest) === JSON.stringify(other);
 }
 
 function toClaim({registration: {targetId, startedAtMs, isLeaving}, claimOrder, steadySinceMs, receivedMs}: Entry): AddressClaim {
--- a/packages/engines/src/registry/target-table.ts
+++ b/packages/engines/src/registry/target-table.ts
@@ -73,6 +73,7 @@
 				this.removeTargets([registration.targetId]);
 			} else {
 				this.setTarget(registration, nowMs + registration.coldForMs - ageMs);
+				this.setLeave(registration, nowMs - ageMs);
 			}
 		}
 
@@ -207,6 +208,7 @@
 			outstanding,
 			wasCold: acquiredMs < target.coldUntilMs,
 			isLeaving: () => this.isLeaving(target) || !this.targets.has(targetId),
+			getLeaveLeftMs: () => target.leavesAtMs === undefined ? undefined : Math.max(0, target.leavesAtMs - this.opts.clock.now()),
 			updateOutstanding: count => {
 				this.setOthers(target, Math.max(0, count - target.ownRequests));
 			},
@@ -369,6 +371,14 @@
 		});
 	}
 
+	/** Sets when a target that leaves is gone; the first word of it counts, since later ones may be delayed. */
+	private setLeave({targetId, leavesInMs}: Registration, receivedMs: number): void {
+		const target = this.targets.get(targetId);
+		if (target) {
+			target.leavesAtMs = leavesInMs === undefined ? undefined : Math.min(target.leavesAtMs ?? Number.POSITIVE_INFINITY, receivedMs + leavesInMs);
+		}
+	}
+
 	private removeTargets(ids: readonly string[]): void {
 		this.index = undefined;
 		for (const id of ids) {
--- a/packages/engines/src/registry/tracked-target.ts
+++ b/packages/engines/src/registry/tracked-target.ts
@@ -6,6 +6,8 @@
 export type Target = {
 	registration: Registration;
 	coldUntilMs: number;
+	/** Time at which a target that leaves is gone, if it says so. */
+	leavesAtMs?: number | undefined;
 	/** Time at which this host learned of the process. */
 	readonly registeredMs: number;
 	/** Time for which its process may have ended: what listens at its address then is another one, which is cold and has yet to be registered here. */
--- a/packages/engines/src/registry/types.ts
+++ b/packages/engines/src/registry/types.ts
@@ -70,6 +70,8 @@
 	readonly wasCold: boolean;
 	/** Whether the target has announced that it leaves, or has left the registry, since the slot was acquired. */
 	readonly isLeaving: () => boolean;
+	/** Time until the target is gone; undefined if it has not announced that. */
+	readonly getLeaveLeftMs: () => number | undefined;
 	readonly updateOutstanding: (count: number) => void;
 	/** Ranks the target last for a while, since it is silent in the middle of its answer. */
 	readonly reportSilence: () => void;
--- a/packages/engines/tests/registry/target-table.test.ts
+++ b/packages/engines/tests/registry/target-table.test.ts
@@ -362,4 +362,20 @@
 		chosen.push(send(table));
 		expect(chosen).to.deep.equal(['near', 'far', 'near']);
 	});
+
+	// Guards against a stream whose target is taken to stay, or to be gone later than it is: the time counts from the registration, and a delayed later word does not extend it.
+	it('tells a held slot when its target is gone', () => {
+		const {table, clock} = createTable([register('t1')]);
+		const slot = table.acquireSlot('t1', requirements);
+		const left = [slot?.getLeaveLeftMs()];
+		for (const ageMs of [300, 0]) {
+			table.update({
+				origin: 'r', revision: 2, isWhole: false, targets: [{registration: register('t1', {isLeaving: true, leavesInMs: 5000}), ageMs, hasEnded: false}],
+			});
+			left.push(slot?.getLeaveLeftMs());
+			clock.advance(1000);
+		}
+
+		expect(left).to.deep.equal([undefined, 4700, 3700]);
+	});
 });
