--- a/apps/egretrilld/src/traffic/methods.ts
+++ b/apps/egretrilld/src/traffic/methods.ts
@@ -2,6 +2,7 @@
 import {Bytes, TrafficSource} from '@egretrill/common';
 import {ColdWant, RegistryUpdate} from '@egretrill/engines';
 import {defineDocumentMethod, defineListMethod, defineMethod} from '@egretrill/hosts';
+import {UsagePlan, UsageReport} from '@egretrill/provider';
 import {z} from 'zod';
 import {MAX_COLD_WANTS, MAX_LEAVING_TARGETS} from './constants.js';
 import {SpeedPlan, SpeedReport} from './speed-messages.js';
@@ -33,6 +34,8 @@
 	crashes: CrashReport.optional(),
 	/** Observations on the speeds of targets; absent without targets that report their current speed. */
 	speeds: SpeedReport.optional(),
+	/** Requests of each customer by window; hosts of earlier builds report none. */
+	usage: UsageReport.optional(),
 });
 export type EntryReport = z.infer<typeof EntryReport>;
 
@@ -56,6 +59,8 @@
 	leaving: LeavingTargets.optional(),
 	/** Speeds of targets that this host has not heard yet. */
 	speeds: SpeedPlan.optional(),
+	/** Absent unless the leader reports usage to the provider. */
+	usage: UsagePlan.optional(),
 });
 export type LeaderPlan = z.infer<typeof LeaderPlan>;
 
--- a/packages/callers/src/forward/attempts/forward-to-target.ts
+++ b/packages/callers/src/forward/attempts/forward-to-target.ts
@@ -53,6 +53,13 @@
 	return outcome;
 }
 
+function recordBegun({customer, deps: {observer}, progress}: ForwardContext): void {
+	if (customer && !progress.hasBegun) {
+		progress.hasBegun = true;
+		observer.recordBegun?.(customer.name);
+	}
+}
+
 /** The order of the events that the caller has; those of an answer that never began did not reach it. */
 function getEventOrder({exchange, progress, route}: ForwardContext): EventOrder {
 	const delivered = exchange.hasStarted() ? progress.eventOrder : undefined;
@@ -78,6 +85,7 @@
 	const pace = new StreamPace();
 	const relayed = {
 		exchange, holding, answer, turns: context.deps.turns, headers: metadata.headers, onChunk(lastEventId: number | undefined) {
+			recordBegun(context);
 			progress.chunkTimes.recordChunk();
 			pace.recordChunk(progress.chunkTimes.getLastAtMs(), lastEventId);
 			sent.recordEvent();
@@ -92,6 +100,7 @@
 			progress.eventOrder = order;
 			result = await relayEvents(relayed, order, watch);
 		} else {
+			recordBegun(context);
 			progress.eventOrder = undefined;
 			result = await relayBuffered(relayed);
 		}
@@ -124,7 +133,9 @@
 
 function describeBroken({signal}: ForwardContext, {reason}: RelayResult, {wasEvicted, watch}: RelayEnd): AttemptFailure {
 	if (watch?.hasMoved()) {
-		return {kind: 'broken', reason: `The target completed no event for ${STREAM_IDLE_TIMEOUT_MS} ms, and another one goes on with the stream.`, slotOutcome: 'replaced'};
+		return watch.hasLeft()
+			? {kind: 'broken', reason: 'The target leaves before the end of the stream, and another one goes on with it.', slotOutcome: 'answered'}
+			: {kind: 'broken', reason: `The target completed no event for ${STREAM_IDLE_TIMEOUT_MS} ms, and another one goes on with the stream.`, slotOutcome: 'replaced'};
 	}
 
 	// The target is not to blame for what this host has no memory for.
--- a/packages/callers/src/forward/waiting/slot-queue.ts
+++ b/packages/callers/src/forward/waiting/slot-queue.ts
@@ -35,6 +35,8 @@
 	readonly wasCold: boolean;
 	/** Whether the target has announced that it leaves, or has left, since it was chosen. */
 	readonly isLeaving: () => boolean;
+	/** Time until the target is gone; undefined if it has not announced that. */
+	readonly getLeaveLeftMs?: () => number | undefined;
 	/** Known requests of all hosts outstanding at the target when it was chosen. */
 	readonly outstanding: number;
 	/** Records the load that the target reports with an answer. */
--- a/packages/engines/src/registry/types.ts
+++ b/packages/engines/src/registry/types.ts
@@ -98,6 +98,8 @@
 	readonly recordLoad: (load: ReportedLoad) => void;
 	/** Records the events of a stream after its first one, and the time that they took. */
 	readonly recordStream: (events: number, durationMs: number) => void;
+	/** Time until the target is gone; undefined if it has not announced that. */
+	readonly getLeaveLeftMs: () => number | undefined;
 	/** Ranks the target last for a while, since it is silent in the middle of its answer. */
 	readonly reportSilence: () => void;
 	/** Records that the target says in its answer that it leaves; no further request is sent to it. */
