engines: tell whether an idle connection to a target is open

Cause: target selection does not know which targets it can reach without a new connection. Change: ForwardClient.hasIdleConnection, passed on by HttpSender. Result: a test sends ten streams over one connection and checks the answer before, during and after.

--- a/apps/egretrilld/src/traffic/http-sender.ts
+++ b/apps/egretrilld/src/traffic/http-sender.ts
@@ -18,6 +18,11 @@
 		return this.client.send(message, signal);
 	}
 
+	/** Whether an idle connection to the address is open. */
+	hasIdleConnection(address: string): boolean {
+		return this.client.hasIdleConnection(address);
+	}
+
 	close(): void {
 		this.client.close();
 	}
--- a/packages/engines/src/client/forward-client.ts
+++ b/packages/engines/src/client/forward-client.ts
@@ -80,6 +80,13 @@
 		return created.isErr ? Result.err(created.error) : this.exchange(created.value, forwardReq);
 	}
 
+	/** Whether an idle connection to the address is open, so that the next request that may reuse one needs no new connection. */
+	hasIdleConnection(address: string): boolean {
+		const parsed = parseSocketAddress(address);
+		const idle = parsed && this.agent.freeSockets[this.agent.getName(parsed)];
+		return idle?.some(socket => !socket.destroyed && socket.writable) ?? false;
+	}
+
 	close(): void {
 		this.agent.destroy();
 	}
--- a/packages/engines/tests/client/forward-client.test.ts
+++ b/packages/engines/tests/client/forward-client.test.ts
@@ -169,6 +169,36 @@
 		expect({isComplete, next: await send(), connections}).toMatchSnapshot();
 	});
 
+	// Guards against a connection for each stream, and against targets preferred for a connection that cannot be used.
+	it('sends ten streams over one connection and reports when it is idle', async () => {
+		const idle: boolean[] = [];
+		const getAddress = (): string => createMessage(true).address;
+		serve = socket => {
+			socket.write('HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n');
+			idle.push(client.hasIdleConnection(getAddress()));
+			socket.write('0\r\n\r\n');
+		};
+
+		const before = client.hasIdleConnection(getAddress());
+		for (let sent = 0; sent < 10; sent += 1) {
+			await send();
+			await runEventLoop();
+		}
+
+		const after = client.hasIdleConnection(getAddress());
+		serve = socket => {
+			socket.end('HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok');
+		};
+
+		await send();
+		await runEventLoop();
+		expect({
+			connections, before, during: idle.includes(true), after, closed: client.hasIdleConnection(getAddress()), invalid: client.hasIdleConnection('odd'),
+		}).to.deep.equal({
+			connections: 1, before: false, during: false, after: true, closed: false, invalid: false,
+		});
+	});
+
 	// Guards against a new connection after each short refusal, and against a connection that stays busy with a long one.
 	it('reuses the connection of a short answer that is discarded', async () => {
 		const seen = [];
