callers, common: an answer with a status outside 100 to 599 is none

Cause: an engine in trouble answers with 000 or 999. Node refuses to write statuses below 100, so those broke off by accident, after their notices were applied; 600 and above reached the caller, and the chat front end read all of them as answers. Change: checkAnswer and exchangeHttp treat such a status as a failure after which the request may have run; its notices are not applied. Result: with raw targets that send 600 and 999 the caller got that status before and gets 502 "may have run" now; a request that may be repeated goes to another target.

--- a/packages/callers/src/forward/attempts/check-answer.ts
+++ b/packages/callers/src/forward/attempts/check-answer.ts
@@ -1,4 +1,4 @@
-import type {TargetAnswer} from '@egretrill/common';
+import {isAnswerStatus, type TargetAnswer} from '@egretrill/common';
 import {Result} from 'true-myth';
 import type {AnswerMetadata} from '../types.js';
 
@@ -13,6 +13,10 @@
 
 /** Decides what an answer is for the attempt; an error says why it must not be used. */
 export function checkAnswer({status, isConnectionReused}: Pick<TargetAnswer, 'status' | 'isConnectionReused'>, metadata: AnswerMetadata, attemptId: string): Result<AnswerKind, string> {
+	if (!isAnswerStatus(status)) {
+		return Result.err(`The target answered with the invalid status ${status} and may have run the request.`);
+	}
+
 	if (metadata.attemptId === undefined && isConnectionReused) {
 		// A faulty target may repeat the answer to an earlier request on this connection.
 		return Result.err('The answer names no request, and its connection has carried an earlier one.');
--- a/packages/callers/src/forward/attempts/open-attempt.ts
+++ b/packages/callers/src/forward/attempts/open-attempt.ts
@@ -1,4 +1,4 @@
-import type {SendFailure, TargetAnswer} from '@egretrill/common';
+import {isAnswerStatus, type SendFailure, type TargetAnswer} from '@egretrill/common';
 import {isRepeatable} from '../stops/decide-at-stop.js';
 import type {AttemptFailure, AttemptOutcome, ForwardContext} from '../forward-context.js';
 import {listAllKeys} from '../list-keys.js';
@@ -141,7 +141,7 @@
 
 /** Records what the target says of itself in an answer to this request; an answer with 421 may come from another target at its address. */
 function recordNotices({call}: ForwardContext, slot: TargetSlot, {status}: TargetAnswer, {attemptId = call.attemptId, isLeaving, retryAfterMs}: AnswerMetadata): void {
-	if (status === STATUS_MISDIRECTED || attemptId !== call.attemptId) {
+	if (!isAnswerStatus(status) || status === STATUS_MISDIRECTED || attemptId !== call.attemptId) {
 		return;
 	}
 
--- a/packages/callers/tests/forward/forward-request.test.ts
+++ b/packages/callers/tests/forward/forward-request.test.ts
@@ -71,6 +71,18 @@
 		]).toMatchSnapshot();
 	});
 
+	// Guards against an engine in trouble whose invalid status reaches the caller, or passes for a request that was not run.
+	it('treats an answer with an invalid status as none', async () => {
+		const route = {repeat: 'idempotent', maxAttempts: 2} as const;
+		expect([
+			await runRequest({answers: [{status: 0, chunks: ['odd']}]}),
+			await runRequest({answers: [{status: 99, isNotExecuted: true}]}),
+			await runRequest({answers: [{status: 600, chunks: ['odd']}]}),
+			await runRequest({route, answers: [{status: 999, chunks: ['odd']}, {chunks: ['ok']}]}),
+			await runRequest({route: stream, answers: [{isEventStream: true, chunks: [event(1)], isCut: true}, {status: 0, isEventStream: true, chunks: [event(2)]}]}),
+		]).toMatchSnapshot();
+	});
+
 	// Guards against missing or repeated events in a stream that is resumed at another target.
 	it('resumes a resumable stream after its last complete event', async () => {
 		expect([
--- a/packages/callers/tests/relay-answer.test.ts
+++ b/packages/callers/tests/relay-answer.test.ts
@@ -114,6 +114,18 @@
 		expect(outcomes).toMatchSnapshot();
 	});
 
+	// Guards against an engine in trouble whose invalid status reaches the caller as an answer.
+	it('treats an answer with an invalid status as a failure after which the request may have run', async () => {
+		const outcomes: string[] = [];
+		for (const status of ['000', '099', '200', '599', '600', '999']) {
+			outcomes.push(`${status} ${await read(socket => {
+				socket.end(`HTTP/1.1 ${status} X\r\nContent-Length: 2\r\n\r\nok`);
+			})}`);
+		}
+
+		expect(outcomes).toMatchSnapshot();
+	});
+
 	// Guards against an endless answer that exhausts memory or occupies its task until the deadline.
 	it('stops reading an endless answer once it is too long', async () => {
 		const outcomes = {
--- a/packages/common/src/http-exchange.ts
+++ b/packages/common/src/http-exchange.ts
@@ -12,6 +12,7 @@
 import {
 	DEADLINE_HEADER, REQUEST_ID_HEADER, RESUME_HEADER, TARGET_CONNECT_TIMEOUT_MS,
 } from './constants.js';
+import {isAnswerStatus} from './answer-status.js';
 import {hasOtherCoding} from './transfer-coding.js';
 
 /** Error codes of failures that occur before any byte of a request has left this host. */
@@ -122,6 +123,10 @@
 		return new ProtocolSwitchError();
 	}
 
+	if (!isAnswerStatus(statusCode)) {
+		return new Error(`The answer has the invalid status ${statusCode}.`);
+	}
+
 	return hasOtherCoding(headers) ? new Error('The answer has a transfer coding other than chunks.') : undefined;
 }
 
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -1,3 +1,4 @@
+export * from './answer-status.js';
 export * from './at-most-once.js';
 export * from './clock.js';
 export * from './codec.js';
