--- a/packages/callers/src/forward/forward-request.ts
+++ b/packages/callers/src/forward/forward-request.ts
@@ -1,5 +1,5 @@
 import {
-	mayHaveRun, refuse, type TrafficCustomer, type TrafficRoute, type Verdict,
+	mayHaveRun, refuse, type TrafficCustomer, type TrafficRoute, type Verdict, WAKE_REASON,
 } from '@egretrill/common';
 import {type CallerExchange, UNREAD_ANSWER} from './caller-exchange.js';
 import {MIN_RETRY_AFTER_MS, NO_TARGET_RETRY_MS, OVERLOADED_RETRY_MS} from './constants.js';
@@ -258,7 +258,7 @@
 	const timer = new AbortController();
 	const end = (reason: string): void => {
 		aborter.abort(reason);
-		timer.abort();
+		timer.abort(WAKE_REASON);
 	};
 
 	const stop = (): void => {
@@ -289,7 +289,7 @@
 			? refuse(503, 'caller-left', 'The caller left before the request was placed.')
 			: await forwardUntilAnswered({...admitted, endsMs, signal: aborter.signal});
 	} finally {
-		timer.abort();
+		timer.abort(WAKE_REASON);
 		exchange.callerDisconnected.removeEventListener('abort', leave);
 		ended.removeEventListener('abort', stop);
 		refundUnsent(admitted);
--- a/packages/common/src/signal.ts
+++ b/packages/common/src/signal.ts
@@ -1,7 +1,7 @@
 import type {Clock} from './clock.js';
 
-/** Passed as the reason of an abort, since the default reason is an exception whose stack trace would be captured at each wake-up. */
-const WAKE_REASON = 'woken';
+/** Reason of an abort that only ends a wait; the default reason is an exception, whose stack trace would be captured at each wake-up. */
+export const WAKE_REASON = 'woken';
 
 /** A condition variable: wakes waiting tasks when state that they depend on has changed. */
 export class Signal {
