--- a/apps/egretrilld/src/traffic/http-sender.ts
+++ b/apps/egretrilld/src/traffic/http-sender.ts
@@ -18,6 +18,7 @@
 		return this.client.send(message, signal);
 	}
 
+	/** Whether an idle connection to the address is open. */
 	hasIdleConnection(address: string): boolean {
 		return this.client.hasIdleConnection(address);
 	}
--- a/packages/engines/src/client/forward-client.ts
+++ b/packages/engines/src/client/forward-client.ts
@@ -76,8 +76,15 @@
 			return Result.err({accepted: false, code: 'ERR_ADDRESS', reason: 'The address of the target cannot be used.'});
 		}
 
-		const created = this.createRequest(forwardReq, address, signal);
-		return created.isErr ? Result.err(created.error) : this.exchange(created.value, forwardReq);
+		const created = this.createRequest(forwardReq, address);
+		return created.isErr ? Result.err(created.error) : this.exchange(created.value, forwardReq, signal);
+	}
+
+	/** Whether an idle connection to the address is open, so that the next request that may reuse one needs no new connection. */
+	hasIdleConnection(address: string): boolean {
+		const parsed = parseSocketAddress(address);
+		const idle = parsed && this.agent.freeSockets[this.agent.getName(parsed)];
+		return idle?.some(socket => !socket.destroyed && socket.writable) ?? false;
 	}
 
 	/** Whether a connection to the target is open and not in use. */
@@ -91,10 +98,10 @@
 	}
 
 	/** Creates a request, of which nothing is written yet. Node throws if its method, path or a header is invalid. */
-	private createRequest({method, url, headers, mayReuse}: OutgoingMessage, address: HostAndPort, signal: AbortSignal): Result<ClientRequest, SendFailure> {
+	private createRequest({method, url, headers, mayReuse}: OutgoingMessage, address: HostAndPort): Result<ClientRequest, SendFailure> {
 		try {
 			return Result.ok(request({
-				...address, ...connectionOptions, method, path: url, headers, agent: mayReuse ? this.agent : false, signal,
+				...address, ...connectionOptions, method, path: url, headers, agent: mayReuse ? this.agent : false,
 			}));
 		} catch (err: unknown) {
 			const {code = 'ERR_REQUEST', message} = err as NodeJS.ErrnoException;
@@ -103,7 +110,7 @@
 	}
 
 	/** Writes a request and resolves with the head of its answer. */
-	private async exchange(req: ClientRequest, {method, body}: OutgoingMessage): Promise<Result<TargetAnswer, SendFailure>> {
+	private async exchange(req: ClientRequest, {method, body}: OutgoingMessage, signal: AbortSignal): Promise<Result<TargetAnswer, SendFailure>> {
 		return new Promise(resolve => {
 			let isConnected = false;
 			const fail = (code: string, reason: string): void => {
@@ -134,6 +141,7 @@
 
 				resolve(Result.ok(answer.value));
 			});
+			destroyOnAbort(req, signal);
 			req.end(body);
 		});
 	}
@@ -150,6 +158,23 @@
 	}
 }
 
+/** Destroys a request with its connection when the signal aborts. Node's option of the same purpose watches several events of each request. */
+function destroyOnAbort(req: ClientRequest, signal: AbortSignal): void {
+	const abort = (): void => {
+		req.destroy(Object.assign(new Error('The request was aborted.'), {code: 'ABORT_ERR'}));
+	};
+
+	if (signal.aborted) {
+		abort();
+		return;
+	}
+
+	signal.addEventListener('abort', abort, {once: true});
+	req.once('close', () => {
+		signal.removeEventListener('abort', abort);
+	});
+}
+
 /** Calls back when the request's connection is established; destroys the request if that takes too long. */
 function whenConnected(req: ClientRequest, socket: Socket, onConnected: () => void): void {
 	if (!socket.connecting) {
