--- a/packages/engines/src/client/forward-client.ts
+++ b/packages/engines/src/client/forward-client.ts
@@ -87,12 +87,6 @@
 		return idle?.some(socket => !socket.destroyed && socket.writable) ?? false;
 	}
 
-	/** Whether a connection to the target is open and not in use. */
-	hasIdleConnection(address: string): boolean {
-		// The agent names its connections by host, port and an empty local address.
-		return (this.agent.freeSockets[`${address}:`]?.length ?? 0) > 0;
-	}
-
 	close(): void {
 		this.agent.destroy();
 	}
