--- a/packages/engines/src/loading/constants.ts
+++ b/packages/engines/src/loading/constants.ts
@@ -26,6 +26,34 @@
 /** Number of engines, those with the lowest estimates, for which the exact cost of a load is computed. */
 export const MAX_COSTED_ENGINES = 8;
 
+/** Ratio of the highest to the lowest speed from which engines count as unequal. */
+export const MIN_SPEED_RATIO = 1.25;
+
+/** Share of late requests for each unit by which an engine is slower than the mean: half of those at a speed of 0.6, where the gaps between events exceed 200 ms whenever the engine slows down. */
+export const LATE_RATIO_PER_MISSING_SPEED = 1.25;
+
+/** Demand below which a model is left out when demand is spread; it decays towards zero but never reaches it. */
+export const MIN_SPREAD_SLOTS = 0.005;
+
+/** Longest time between two plans of a service while no request waits and the last plan had nothing to do. */
+export const QUIET_PLAN_PERIOD_MS = 500;
+
+/** Time for which the store's rate accumulates while no load starts, and the most loads that it may amount to, so that plans at intervals use the whole rate. */
+export const STORE_BURST_S = 0.2;
+export const MAX_STORE_BURST_LOADS = 3;
+
+/** Time within which a move is not undone unless that gains more than both moves cost. */
+export const UNDO_PERIOD_MS = 20_000;
+
+/** Slots of recent demand from which a model without a copy is loaded although no caller waits: all were refused since none could be served in time. */
+export const MIN_MISSING_SLOTS = 1;
+
+/** Request-seconds that are expected to be lost when a model in no demand has no copy: its next callers cannot wait for the weight store. */
+export const ABSENT_MODEL_COST_REQUEST_S = 6;
+
+/** Number of models without demand that may be loading at a time. */
+export const MAX_ABSENT_LOADS = 8;
+
 /** Number of copies and engines that one plan may visit; the remaining models come first in the next plan. A leader sends its heartbeats from the thread that plans. */
 export const MAX_PLAN_VISITS = 300_000;
 
--- a/packages/engines/src/loading/layout.ts
+++ b/packages/engines/src/loading/layout.ts
@@ -1,9 +1,10 @@
 import type {EngineClass} from '@egretrill/common';
 import {
-	MAX_IDLE_SLOTS, MISSING_MODEL_BOOST_MS, PLAN_HORIZON_S, SLOTS_PER_WAITING_REQUEST,
+	MAX_IDLE_SLOTS, MIN_SPREAD_SLOTS, MISSING_MODEL_BOOST_MS, PLAN_HORIZON_S, SLOTS_PER_WAITING_REQUEST,
 } from './constants.js';
+import {areSpeedsUneven} from './engine-speeds.js';
 import {
-	type DemandOverHolders, getLostSlots, type IndexedDemandSpread, spreadOverHolders,
+	type DemandOverHolders, DemandSpreader, getLostSlots, type HolderChange, type IndexedDemandSpread,
 } from './spread-demand.js';
 import type {LoadMove, ModelDemand, PlannedEngine} from './types.js';
 
@@ -24,6 +25,8 @@
 
 /** The models that the engines hold and the demand for them; each planned move updates it. */
 export class Layout {
+	/** Whether engines differ in speed. */
+	readonly isUneven: boolean;
 	private readonly engineIndexes: ReadonlyMap<string, number>;
 	private readonly modelIndexes: ReadonlyMap<string, number>;
 	/** Models that each engine holds or is loading. */
@@ -32,10 +35,10 @@
 	private readonly demand: DemandOverHolders[];
 	private readonly configuredModels: ReadonlySet<string>;
 	private readonly slotsPerEngine: number;
-	private readonly copyCount: number;
+	/** Speeds of the engines relative to their mean; all 1 where they hardly differ. */
+	private readonly speeds: readonly number[];
+	private readonly spreader: DemandSpreader;
 	private spread: IndexedDemandSpread;
-	/** Copies visited so far while spreading demand. */
-	private visitedCopies = 0;
 	/** Lost slots by engine and removed models, cached until the layout changes. */
 	private readonly lostSlotsAfterRemoval = new Map<string, number>();
 
@@ -46,7 +49,9 @@
 		this.modelsByEngine = engines.map(({copies, loading, unloading}) => new Set([
 			...copies.map(({model}) => model).filter(model => !unloading.includes(model)), ...(loading === undefined ? [] : [loading]),
 		]));
-		this.copyCount = this.modelsByEngine.reduce((sum, models) => sum + models.size, 0);
+		const speeds = engines.map(({speed = 1}) => speed);
+		this.isUneven = areSpeedsUneven(speeds);
+		this.speeds = this.isUneven ? speeds : speeds.map(() => 1);
 		const names = [...new Set([...demand.map(({model}) => model), ...this.modelsByEngine.flatMap(models => [...models])])];
 		this.modelIndexes = new Map(names.map((name, i) => [name, i]));
 		const holders = names.map((): number[] => []);
@@ -60,12 +65,13 @@
 			const modelDemand = demand[i];
 			return {holders: holders[i]!, neededSlots: modelDemand ? getNeededSlots(modelDemand, holders[i]!.length) : 0};
 		});
-		this.spread = this.spreadDemand(this.demand);
+		this.spreader = new DemandSpreader(this.speeds, this.demand.length, this.slotsPerEngine);
+		this.spread = this.spreader.spread(this.demand);
 	}
 
 	/** Copies visited so far; the duration of a plan is proportional to them. */
 	getVisitedCopies(): number {
-		return this.visitedCopies;
+		return this.spreader.visitedCopies;
 	}
 
 	/** Whether the configuration has a model; no request needs another one. */
@@ -103,16 +109,17 @@
 	/** Request-seconds lost over the horizon if an engine unloads models and loads another one in a given time. */
 	getMoveCost(targetId: string, unload: readonly string[], load: string, loadMs: number): number {
 		const loadS = Math.min(PLAN_HORIZON_S, loadMs / MS_PER_SECOND);
-		const lostSlotsAfter = this.spreadDemand(this.withMove(targetId, unload, load)).totalLostSlots;
+		const lostSlotsAfter = this.spreader.getTotalLostSlots(this.demand, this.createChange(targetId, unload, load));
 		return (this.getLostSlotsAfterRemoval(targetId, unload) * loadS) + (lostSlotsAfter * (PLAN_HORIZON_S - loadS));
 	}
 
 	/** Estimates the part of `getMoveCost` beyond the cost of the removal without spreading demand again: what is lost until the load ends, and what the engine is too busy for afterwards. */
 	estimateLoadCost(targetId: string, load: string, loadMs: number): number {
 		const loadS = Math.min(PLAN_HORIZON_S, loadMs / MS_PER_SECOND);
-		const usedSlots = this.spread.usedSlots[this.engineIndexes.get(targetId) ?? -1] ?? 0;
+		const engine = this.engineIndexes.get(targetId) ?? -1;
+		const usedSlots = this.spread.usedSlots[engine] ?? 0;
 		const addedSlots = this.getNeededSlots(load) / (this.countCopies(load) + 1);
-		const addedLostSlots = getLostSlots(usedSlots + addedSlots, this.slotsPerEngine) - getLostSlots(usedSlots, this.slotsPerEngine);
+		const addedLostSlots = getLostSlots(usedSlots + addedSlots, this.slotsPerEngine, this.speeds[engine]) - getLostSlots(usedSlots, this.slotsPerEngine, this.speeds[engine]);
 		return (this.getLostSlots(load) * loadS) + (addedLostSlots * (PLAN_HORIZON_S - loadS));
 	}
 
@@ -127,26 +134,25 @@
 	}
 
 	apply({targetId, unload, load}: Pick<LoadMove, 'targetId' | 'unload' | 'load'>): void {
-		const changed = this.withMove(targetId, unload, load);
-		this.demand.splice(0, this.demand.length, ...changed);
+		this.applyToHolders(this.createChange(targetId, unload, load));
 		const engine = this.engineIndexes.get(targetId)!;
 		this.modelsByEngine[engine] = new Set([...[...this.modelsByEngine[engine]!].filter(model => !unload.includes(model)), load]);
-		this.spread = this.spreadDemand(this.demand);
+		this.spread = this.spreader.spread(this.demand);
 		this.lostSlotsAfterRemoval.clear();
 	}
 
 	private getLostSlotsAfterRemoval(targetId: string, unload: readonly string[]): number {
-		if (unload.length === 0) {
+		if (unload.every(model => this.getNeededSlots(model) < MIN_SPREAD_SLOTS)) {
 			return this.spread.totalLostSlots;
 		}
 
-		const key = JSON.stringify([targetId, ...unload]);
+		const key = [targetId, ...unload].join('\n');
 		const cached = this.lostSlotsAfterRemoval.get(key);
 		if (cached !== undefined) {
 			return cached;
 		}
 
-		const lostSlots = this.spreadDemand(this.withMove(targetId, unload, undefined)).totalLostSlots;
+		const lostSlots = this.spreader.getTotalLostSlots(this.demand, this.createChange(targetId, unload, undefined));
 		this.lostSlotsAfterRemoval.set(key, lostSlots);
 		return lostSlots;
 	}
@@ -155,27 +161,24 @@
 		return this.demand[this.modelIndexes.get(model) ?? -1] ?? {holders: [], neededSlots: 0};
 	}
 
-	private spreadDemand(demand: readonly DemandOverHolders[]): IndexedDemandSpread {
-		this.visitedCopies += this.copyCount;
-		return spreadOverHolders(demand, this.modelsByEngine.length, this.slotsPerEngine);
+	private createChange(targetId: string, unload: readonly string[], load: string | undefined): HolderChange {
+		return {
+			engine: this.engineIndexes.get(targetId)!,
+			unload: unload.map(model => this.modelIndexes.get(model)!),
+			load: load === undefined ? undefined : this.modelIndexes.get(load),
+		};
 	}
 
-	private withMove(targetId: string, unload: readonly string[], load: string | undefined): readonly DemandOverHolders[] {
-		const engine = this.engineIndexes.get(targetId)!;
-		const changed = [...this.demand];
+	private applyToHolders({engine, unload, load}: HolderChange): void {
 		for (const model of unload) {
-			const index = this.modelIndexes.get(model)!;
-			const {holders, neededSlots} = changed[index]!;
-			changed[index] = {holders: holders.filter(holder => holder !== engine), neededSlots};
+			const {holders, neededSlots} = this.demand[model]!;
+			this.demand[model] = {holders: holders.filter(holder => holder !== engine), neededSlots};
 		}
 
-		const index = load === undefined ? undefined : this.modelIndexes.get(load);
-		if (index !== undefined) {
-			const {holders, neededSlots} = changed[index]!;
-			changed[index] = {holders: [...holders, engine], neededSlots};
+		if (load !== undefined) {
+			const {holders, neededSlots} = this.demand[load]!;
+			this.demand[load] = {holders: [...holders, engine], neededSlots};
 		}
-
-		return changed;
 	}
 }
 
--- a/packages/engines/src/loading/spread-demand.ts
+++ b/packages/engines/src/loading/spread-demand.ts
@@ -1,7 +1,10 @@
-import {COPY_BUSY_UTILISATION, CROWDED_LOSS_RATIO, SPREAD_ROUNDS} from './constants.js';
+import {
+	COPY_BUSY_UTILISATION, CROWDED_LOSS_RATIO, MIN_SPREAD_SLOTS, SPREAD_ROUNDS,
+} from './constants.js';
+import {getLateRatio} from './engine-speeds.js';
 
 /** The models that an engine holds according to a plan. */
-export type EngineHoldings = {readonly targetId: string; readonly models: ReadonlySet<string>};
+export type EngineHoldings = {readonly targetId: string; readonly models: ReadonlySet<string>; readonly speed?: number};
 
 /** Slots of each model's demand that are lost because engines are full or too busy, their sum, and the slots in use at each engine. */
 export type DemandSpread = {readonly lostSlots: ReadonlyMap<string, number>; readonly totalLostSlots: number; readonly usedSlots: readonly number[]};
@@ -12,96 +15,174 @@
 /** The same as `DemandSpread`, by the index of the model. */
 export type IndexedDemandSpread = {readonly lostSlots: readonly number[]; readonly totalLostSlots: number; readonly usedSlots: Float64Array};
 
-/** The share of each model's demand at each of its engines, in flat arrays, since one plan spreads demand hundreds of times. */
-type HolderShares = {
+/** A change of the holders of models: an engine that unloads some and loads another. */
+export type HolderChange = {readonly engine: number; readonly unload: readonly number[]; readonly load: number | undefined};
+
+/** Slots of demand that an engine loses: all beyond its slots, and a part of those beyond the busy ratio, whose chunks arrive late. Slots are counted at the mean speed. */
+export function getLostSlots(usedSlots: number, slotCount: number, speed = 1): number {
+	const capacity = slotCount * speed;
+	const excessSlots = Math.max(0, usedSlots - capacity);
+	const crowdedSlots = Math.max(0, usedSlots - (capacity * COPY_BUSY_UTILISATION) - excessSlots);
+	return excessSlots + (crowdedSlots * CROWDED_LOSS_RATIO) + ((usedSlots - excessSlots - crowdedSlots) * getLateRatio(speed));
+}
+
+/**
+ * Spreads the slots that models need over the engines that hold them, as routing to the least loaded engine does; faster engines get more. The work grows with the
+ * number of copies. One plan spreads demand hundreds of times, so the arrays are kept.
+ */
+export class DemandSpreader {
+	/** Copies visited so far; the duration of a plan is proportional to them. */
+	visitedCopies = 0;
+	private readonly weights: Float64Array;
+	private readonly usedSlots: Float64Array;
+	private readonly divisors: Float64Array;
 	/** Index of the first share of each model, followed by the number of shares. */
-	readonly starts: readonly number[];
-	readonly engines: Int32Array;
-	readonly shareSlots: Float64Array;
-};
-
-/** Spreads each model's demand evenly over its holders. */
-function divideEvenly(demand: readonly DemandOverHolders[]): HolderShares {
-	const starts = [0];
-	let shareCount = 0;
-	for (const {holders, neededSlots} of demand) {
-		shareCount += neededSlots > 0 ? holders.length : 0;
-		starts.push(shareCount);
+	private readonly starts: Int32Array;
+	private shareEngines = new Int32Array(0);
+	private shareSlots = new Float64Array(0);
+
+	constructor(private readonly speeds: readonly number[], modelCount: number, private readonly slotsPerEngine: number) {
+		this.weights = Float64Array.from(speeds, speed => speed * (1 - getLateRatio(speed)));
+		this.usedSlots = new Float64Array(speeds.length);
+		this.divisors = new Float64Array(speeds.length);
+		this.starts = new Int32Array(modelCount + 1);
 	}
 
-	const engines = new Int32Array(shareCount);
-	const shareSlots = new Float64Array(shareCount);
-	let i = 0;
-	for (const {holders, neededSlots} of demand) {
-		for (const engine of neededSlots > 0 ? holders : []) {
-			engines[i] = engine;
-			shareSlots[i] = neededSlots / holders.length;
-			i += 1;
+	/** Slots of demand that are lost in total, after a change if there is one. */
+	getTotalLostSlots(demand: readonly DemandOverHolders[], change?: HolderChange): number {
+		this.balance(demand, change);
+		let totalLostSlots = 0;
+		let engine = 0;
+		for (const used of this.usedSlots) {
+			totalLostSlots += getLostSlots(used, this.slotsPerEngine, this.speeds[engine]);
+			engine += 1;
 		}
-	}
 
-	return {starts, engines, shareSlots};
-}
+		let model = 0;
+		for (const {neededSlots} of demand) {
+			totalLostSlots += this.starts[model] === this.starts[model + 1] ? neededSlots : 0;
+			model += 1;
+		}
 
-function sumUsedSlots({engines, shareSlots}: HolderShares, engineCount: number): Float64Array {
-	const usedSlots = new Float64Array(engineCount);
-	let i = 0;
-	for (const engine of engines) {
-		usedSlots[engine]! += shareSlots[i]!;
-		i += 1;
+		return totalLostSlots;
 	}
 
-	return usedSlots;
-}
+	/** Slots of each model's demand that are lost, and the slots in use at each engine. */
+	spread(demand: readonly DemandOverHolders[]): IndexedDemandSpread {
+		this.balance(demand);
+		const lossRatios = this.usedSlots.map((used, engine) => used > 0 ? getLostSlots(used, this.slotsPerEngine, this.speeds[engine]) / used : 0);
+		let totalLostSlots = 0;
+		const lostSlots = demand.map(({neededSlots}, model) => {
+			const start = this.starts[model]!;
+			const end = this.starts[model + 1]!;
+			let modelLostSlots = start === end ? neededSlots : 0;
+			for (let i = start; i < end; i++) {
+				modelLostSlots += this.shareSlots[i]! * lossRatios[this.shareEngines[i]!]!;
+			}
+
+			totalLostSlots += modelLostSlots;
+			return modelLostSlots;
+		});
+		return {lostSlots, totalLostSlots, usedSlots: [...this.usedSlots]};
+	}
 
-/** Moves each model's demand towards its less loaded engines. */
-function balance({starts, engines, shareSlots}: HolderShares, demand: readonly DemandOverHolders[], usedSlots: Float64Array): void {
-	let model = 0;
-	for (const {neededSlots} of demand) {
-		const start = starts[model]!;
-		const end = starts[model + 1]!;
-		let weightSum = 0;
-		for (let i = start; i < end; i++) {
-			shareSlots[i]! /= Math.max(1, usedSlots[engines[i]!]!);
-			weightSum += shareSlots[i]!;
+	private balance(demand: readonly DemandOverHolders[], change?: HolderChange): void {
+		this.listShares(demand, change);
+		this.visitedCopies += this.starts[demand.length]!;
+		this.divideByWeight(demand);
+		for (let round = 0; round < SPREAD_ROUNDS; round++) {
+			let engine = 0;
+			for (const used of this.usedSlots) {
+				this.divisors[engine] = Math.max(1, used / this.speeds[engine]!);
+				engine += 1;
+			}
+
+			this.moveToLessLoaded(demand);
 		}
+	}
 
-		for (let i = start; i < end; i++) {
-			shareSlots[i]! *= neededSlots / weightSum;
+	private listShares(demand: readonly DemandOverHolders[], change?: HolderChange): void {
+		let count = 0;
+		let model = -1;
+		for (const {holders, neededSlots} of demand) {
+			model += 1;
+			this.starts[model] = count;
+			if (neededSlots < MIN_SPREAD_SLOTS) {
+				continue;
+			}
+
+			this.reserve(count + holders.length + 1);
+			const isUnloaded = change?.unload.includes(model);
+			for (const engine of holders) {
+				if (!isUnloaded || engine !== change?.engine) {
+					this.shareEngines[count] = engine;
+					count += 1;
+				}
+			}
+
+			if (change?.load === model) {
+				this.shareEngines[count] = change.engine;
+				count += 1;
+			}
 		}
 
-		model += 1;
+		this.starts[demand.length] = count;
 	}
-}
 
-/** Slots of demand that an engine loses: all beyond its slots, and a part of those beyond the busy ratio, whose chunks arrive late. */
-export function getLostSlots(usedSlots: number, slotCount: number): number {
-	const excessSlots = Math.max(0, usedSlots - slotCount);
-	const crowdedSlots = Math.max(0, usedSlots - (slotCount * COPY_BUSY_UTILISATION) - excessSlots);
-	return excessSlots + (crowdedSlots * CROWDED_LOSS_RATIO);
-}
+	private reserve(count: number): void {
+		if (count > this.shareEngines.length) {
+			const engines = new Int32Array(count * 2);
+			engines.set(this.shareEngines);
+			this.shareEngines = engines;
+			this.shareSlots = new Float64Array(count * 2);
+		}
+	}
 
-/** Spreads the slots that models need over the engines that hold them, as routing to the least loaded engine does. The work grows with the number of copies. */
-export function spreadOverHolders(demand: readonly DemandOverHolders[], engineCount: number, slotsPerEngine: number): IndexedDemandSpread {
-	const shares = divideEvenly(demand);
-	let usedSlots = sumUsedSlots(shares, engineCount);
-	for (let round = 0; round < SPREAD_ROUNDS; round++) {
-		balance(shares, demand, usedSlots);
-		usedSlots = sumUsedSlots(shares, engineCount);
+	private divideByWeight(demand: readonly DemandOverHolders[]): void {
+		this.usedSlots.fill(0);
+		let model = 0;
+		for (const {neededSlots} of demand) {
+			const start = this.starts[model]!;
+			const end = this.starts[model + 1]!;
+			let weightSum = 0;
+			for (let i = start; i < end; i++) {
+				weightSum += this.weights[this.shareEngines[i]!]!;
+			}
+
+			for (let i = start; i < end; i++) {
+				this.setShare(i, this.weights[this.shareEngines[i]!]! * neededSlots / weightSum);
+			}
+
+			model += 1;
+		}
 	}
 
-	const lossRatios = usedSlots.map(used => used > 0 ? getLostSlots(used, slotsPerEngine) / used : 0);
-	let totalLostSlots = 0;
-	const lostSlots = demand.map(({holders, neededSlots}, model) => {
-		let modelLostSlots = holders.length === 0 ? neededSlots : 0;
-		for (let i = shares.starts[model]!; i < shares.starts[model + 1]!; i++) {
-			modelLostSlots += shares.shareSlots[i]! * lossRatios[shares.engines[i]!]!;
+	/** Moves each model's demand towards its less loaded engines. */
+	private moveToLessLoaded(demand: readonly DemandOverHolders[]): void {
+		this.usedSlots.fill(0);
+		let model = 0;
+		for (const {neededSlots} of demand) {
+			const start = this.starts[model]!;
+			const end = this.starts[model + 1]!;
+			let weightSum = 0;
+			for (let i = start; i < end; i++) {
+				this.shareSlots[i]! /= this.divisors[this.shareEngines[i]!]!;
+				weightSum += this.shareSlots[i]!;
+			}
+
+			const factor = neededSlots / weightSum;
+			for (let i = start; i < end; i++) {
+				this.setShare(i, this.shareSlots[i]! * factor);
+			}
+
+			model += 1;
 		}
+	}
 
-		totalLostSlots += modelLostSlots;
-		return modelLostSlots;
-	});
-	return {lostSlots, totalLostSlots, usedSlots};
+	private setShare(index: number, slots: number): void {
+		this.shareSlots[index] = slots;
+		this.usedSlots[this.shareEngines[index]!]! += slots;
+	}
 }
 
 /** Indexes of the engines that hold a model. */
@@ -112,6 +193,7 @@
 /** Spreads demand that is given by the names of models. */
 export function spreadDemand(engines: readonly EngineHoldings[], demand: ReadonlyMap<string, number>, slotsPerEngine: number): DemandSpread {
 	const demandOverHolders = [...demand].map(([model, neededSlots]) => ({holders: getHolders(engines, model), neededSlots}));
-	const {lostSlots, totalLostSlots, usedSlots} = spreadOverHolders(demandOverHolders, engines.length, slotsPerEngine);
+	const spreader = new DemandSpreader(engines.map(({speed = 1}) => speed), demandOverHolders.length, slotsPerEngine);
+	const {lostSlots, totalLostSlots, usedSlots} = spreader.spread(demandOverHolders);
 	return {lostSlots: new Map([...demand.keys()].map((model, i) => [model, lostSlots[i] ?? 0])), totalLostSlots, usedSlots: [...usedSlots]};
 }
--- a/packages/engines/src/loading/types.ts
+++ b/packages/engines/src/loading/types.ts
@@ -45,6 +45,8 @@
 	/** Whether it can accept an order now. */
 	isFree: z.boolean(),
 	weightsMb: z.number(),
+	/** How fast it generates tokens relative to the mean of the service; unknown at first. */
+	speed: z.number().positive().optional(),
 	copies: z.array(z.object({model: z.string(), ageMs: z.number(), adapterCount: z.int()})),
 	/** The model that a running move loads, and the models that it unloads. */
 	loading: z.string().optional(),
--- /dev/null
+++ b/packages/engines/tests/loading/moving-demand.ts
@@ -0,0 +1,243 @@
+import process from 'node:process';
+import {createRandom, type EngineClass} from '@egretrill/common';
+import {
+	type LoadMove, type LoadPlanInput, planLoads, type PlannedEngine, spreadDemand,
+} from '../../src/loading/index.js';
+
+const STEP_MS = 100;
+const DEMAND_TIME_CONSTANT_MS = 2500;
+/** Slots that all models need, a third of those of the engines. */
+const NEEDED_SLOTS = 440;
+const BUSY_MODELS = 40;
+/** Exponent of the demand of a busy model over its rank. */
+const DEMAND_EXPONENT = -0.3;
+/** Period in which the busiest models change by one. */
+const SHIFT_PERIOD_MS = 4000;
+/** Period in which callers of one of the other models arrive, and how long they keep asking. */
+const RARE_PERIOD_MS = 250;
+const RARE_DURATION_MS = 2000;
+const RARE_SLOTS = 1;
+/** Models that have a copy at first. */
+const PLACED_MODELS = 190;
+/** Time before the measurement, in which copies of the busy models are added. */
+const WARM_UP_MS = 12_000;
+const SPEEDS = [0.6, 1, 1.6];
+const MODELS_IN_MEMORY = 3;
+const MODELS_ON_DISK = 12;
+
+export const ENGINE_COUNT = 112;
+const engineClass: EngineClass = {
+	batchSlots: 12,
+	weightsMb: 230_000,
+	adapterSlots: 5,
+	storeLoadsPerSecond: 16,
+	models: Array.from({length: 242}, (_, i) => ({
+		name: `m${i}`, weightsMb: 65_000 + ((i * 37) % 7700), storeLoadMs: 6100, diskLoadMs: 1250, memoryLoadMs: 600, adapterMb: 40,
+	})),
+};
+
+type PlayedEngine = {
+	readonly targetId: string;
+	readonly speed: number;
+	copies: ReadonlyArray<{readonly model: string; readonly sinceMs: number}>;
+	move?: {readonly planned: LoadMove; readonly endsAtMs: number};
+	/** Models loaded before, the latest first. */
+	recent: readonly string[];
+};
+
+/** What a play measured. Missing models are those with demand and without a copy, from their first caller on. */
+export type PlayReport = {
+	readonly loads: Readonly<Record<string, number>>;
+	readonly missingModels: number;
+	readonly missingP50Ms: number;
+	readonly missingP95Ms: number;
+	/** Share of the demand at a model without a copy. */
+	readonly missingShare: number;
+	/** Demand of the busiest engine relative to the mean, and shares of the demand by the speed of its engine. */
+	readonly busiest: number;
+	readonly shareBySpeed: Readonly<Record<string, number>>;
+	readonly undoneMoves: number;
+	readonly cpuMsPerPlan: number;
+};
+
+export type PlayOptions = {readonly durationMs: number; readonly knowsSpeeds?: boolean};
+
+function getQuantile(values: readonly number[], quantile: number): number {
+	return values.toSorted((a, b) => a - b)[Math.floor((values.length - 1) * quantile)] ?? 0;
+}
+
+/** Engines of three speeds whose demand moves from model to model; engines carry out the planned moves in the time that they take. */
+class Play {
+	private nowMs = 0;
+	private readonly random = createRandom(1);
+	private readonly engines: readonly PlayedEngine[];
+	private readonly places = new Map<string, number>();
+	private readonly rareUntilMs = new Map<string, number>();
+	private readonly missingSinceMs = new Map<string, number>();
+	private readonly missingMs: number[] = [];
+	private readonly loads: Record<string, number> = {memory: 0, disk: 0, store: 0};
+	private readonly lastUnloadMs = new Map<string, number>();
+	private readonly slotsBySpeed = new Map<number, number>();
+	private readonly busiest: number[] = [];
+	private undoneMoves = 0;
+	private nextStoreLoadAtMs = 0;
+	private missingSlots = 0;
+	private slots = 0;
+	private plans = 0;
+	private cpuUs = 0;
+	private deferred: readonly string[] = [];
+
+	constructor(private readonly opts: PlayOptions) {
+		this.engines = Array.from({length: ENGINE_COUNT}, (_, i) => ({
+			targetId: `t${i}`,
+			speed: SPEEDS[i % SPEEDS.length]!,
+			copies: [0, 1, 2].map(copy => ({model: `m${((3 * i) + copy) % PLACED_MODELS}`, sinceMs: -60_000})),
+			recent: [0, 1, 2].map(copy => `m${((3 * i) + copy) % PLACED_MODELS}`),
+		}));
+	}
+
+	run(): PlayReport {
+		for (; this.nowMs < WARM_UP_MS + this.opts.durationMs; this.nowMs += STEP_MS) {
+			const demand = this.getDemand();
+			this.endMoves();
+			this.measure(demand);
+			this.plan(demand);
+		}
+
+		const shares = [...this.slotsBySpeed].map(([speed, slots]) => [speed, slots / this.slots] as const);
+		return {
+			loads: this.loads,
+			missingModels: this.missingMs.length,
+			missingP50Ms: getQuantile(this.missingMs, 0.5),
+			missingP95Ms: getQuantile(this.missingMs, 0.95),
+			missingShare: this.missingSlots / this.slots,
+			busiest: this.busiest.reduce((sum, value) => sum + value, 0) / this.busiest.length,
+			shareBySpeed: Object.fromEntries(shares),
+			undoneMoves: this.undoneMoves,
+			cpuMsPerPlan: this.cpuUs / this.plans / 1000,
+		};
+	}
+
+	/** Slots that the requests for each model need now. */
+	private getDemand(): ReadonlyMap<string, number> {
+		const shift = Math.floor(this.nowMs / SHIFT_PERIOD_MS);
+		const weights = Array.from({length: BUSY_MODELS}, (_, rank) => (rank + 1) ** DEMAND_EXPONENT);
+		const sum = weights.reduce((total, weight) => total + weight, 0);
+		const demand = new Map(weights.map((weight, rank) => [`m${(rank + shift) % engineClass.models.length}`, NEEDED_SLOTS * weight / sum]));
+		if (this.nowMs % RARE_PERIOD_MS < STEP_MS) {
+			this.rareUntilMs.set(`m${Math.floor(this.random() * engineClass.models.length)}`, this.nowMs + RARE_DURATION_MS);
+		}
+
+		for (const [model, untilMs] of this.rareUntilMs) {
+			if (untilMs > this.nowMs && !demand.has(model)) {
+				demand.set(model, RARE_SLOTS);
+			}
+		}
+
+		return demand;
+	}
+
+	private endMoves(): void {
+		for (const engine of this.engines) {
+			if (engine.move && engine.move.endsAtMs <= this.nowMs) {
+				const {load} = engine.move.planned;
+				engine.copies = [...engine.copies, {model: load, sinceMs: this.nowMs}];
+				engine.recent = [load, ...engine.recent.filter(model => model !== load)];
+				engine.move = undefined;
+			}
+		}
+	}
+
+	private measure(demand: ReadonlyMap<string, number>): void {
+		const isMeasured = this.nowMs >= WARM_UP_MS;
+		const held = new Set(this.engines.flatMap(({copies}) => copies.map(({model}) => model)));
+		for (const {name} of engineClass.models) {
+			const needed = demand.get(name) ?? 0;
+			const known = this.places.get(name) ?? 0;
+			this.places.set(name, known + ((needed - known) * STEP_MS / DEMAND_TIME_CONSTANT_MS));
+			const sinceMs = this.missingSinceMs.get(name);
+			this.slots += isMeasured ? needed : 0;
+			if (needed > 0 && !held.has(name)) {
+				this.missingSlots += isMeasured ? needed : 0;
+				this.missingSinceMs.set(name, sinceMs ?? this.nowMs);
+			} else if (sinceMs !== undefined) {
+				this.missingMs.push(this.nowMs - sinceMs);
+				this.missingSinceMs.delete(name);
+			}
+		}
+
+		if (!isMeasured) {
+			return;
+		}
+
+		const {usedSlots} = spreadDemand(this.engines.map(({targetId, copies}) => ({targetId, models: new Set(copies.map(({model}) => model))})), demand, engineClass.batchSlots);
+		for (const [i, used] of usedSlots.entries()) {
+			const {speed} = this.engines[i]!;
+			this.slotsBySpeed.set(speed, (this.slotsBySpeed.get(speed) ?? 0) + used);
+		}
+
+		this.busiest.push(Math.max(...usedSlots) * usedSlots.length / usedSlots.reduce((sum, used) => sum + used, 0));
+	}
+
+	private plan(demand: ReadonlyMap<string, number>): void {
+		const startedUs = process.cpuUsage().user;
+		const {moves, deferred} = planLoads(this.describe(demand));
+		this.cpuUs += process.cpuUsage().user - startedUs;
+		this.plans += 1;
+		this.deferred = deferred;
+		for (const move of moves) {
+			this.begin(move);
+		}
+	}
+
+	private describe(demand: ReadonlyMap<string, number>): LoadPlanInput {
+		return {
+			engineClass,
+			engines: this.engines.map(engine => this.describeEngine(engine)),
+			demand: engineClass.models.map(({name}) => {
+				const sinceMs = this.missingSinceMs.get(name);
+				return {
+					model: name, places: this.places.get(name) ?? 0, waiting: sinceMs === undefined ? 0 : Math.min(8, Math.ceil(demand.get(name) ?? 0)), crowded: 0, missingMs: this.nowMs - (sinceMs ?? this.nowMs),
+				};
+			}),
+			mayUseStore: this.nowMs >= this.nextStoreLoadAtMs,
+			mayEvictForCopies: this.nowMs > DEMAND_TIME_CONSTANT_MS,
+			deferred: this.deferred,
+		};
+	}
+
+	private describeEngine({targetId, speed, copies, move, recent}: PlayedEngine): PlannedEngine {
+		const planned = move?.planned;
+		return {
+			targetId,
+			isFree: !move,
+			weightsMb: engineClass.weightsMb,
+			...(this.opts.knowsSpeeds && {speed}),
+			copies: copies.map(({model, sinceMs}) => ({model, ageMs: this.nowMs - sinceMs, adapterCount: 1})),
+			loading: planned?.load,
+			unloading: [],
+			isSwapping: planned !== undefined && planned.reason === 'crowded' && planned.unload.length > 0,
+			inMemory: [...recent.slice(0, MODELS_IN_MEMORY + copies.length)],
+			onDisk: [...recent.slice(0, MODELS_ON_DISK)],
+		};
+	}
+
+	private begin(move: LoadMove): void {
+		const engine = this.engines.find(({targetId}) => targetId === move.targetId)!;
+		engine.move = {planned: move, endsAtMs: this.nowMs + move.totalMs};
+		engine.copies = engine.copies.filter(({model}) => !move.unload.includes(model));
+		for (const model of move.unload) {
+			this.lastUnloadMs.set(model, this.nowMs);
+		}
+
+		this.undoneMoves += this.nowMs - (this.lastUnloadMs.get(move.load) ?? Number.NEGATIVE_INFINITY) < 20_000 ? 1 : 0;
+		const source = move.fromStore ? 'store' : (move.loadMs < 1000 ? 'memory' : 'disk');
+		this.loads[source]! += 1;
+		this.nextStoreLoadAtMs = move.fromStore ? this.nowMs + (1000 / engineClass.storeLoadsPerSecond) : this.nextStoreLoadAtMs;
+	}
+}
+
+/** Plays moving demand and returns what was measured. */
+export function playMovingDemand(opts: PlayOptions): PlayReport {
+	return new Play(opts).run();
+}
