engines: load missing models at the store's whole rate, and plan for unequal engines

Cause: one plan started at most one load from the store, so that at 16 loads a second and plans every 100 to 300 ms most of the rate was unused. Every round planned additional copies, also with nothing to do. Callers were told the time of a load from the store also where an engine has the weights at hand. Models without a copy were loaded only once callers waited, who rarely wait for 6 s.

Change: StoreBudget lets the rate accumulate for 0.2 s; PlanSchedule plans copies every 300 ms, every 500 ms while nothing waits, and in between only models that callers wait for; ready times take memory and disk into account, in one pass over the engines. Where engines differ in speed, models without a copy are loaded in advance in place of spare copies, last copies have a price, and moves that undo one of the last 20 s must gain more than both cost.

--- a/packages/engines/src/loading/constants.ts
+++ b/packages/engines/src/loading/constants.ts
@@ -38,6 +38,9 @@
 /** Longest time between two plans of a service while no request waits and the last plan had nothing to do. */
 export const QUIET_PLAN_PERIOD_MS = 500;
 
+/** Least time between two plans of additional copies; in between, only models that callers wait for are planned. */
+export const COPY_PLAN_PERIOD_MS = 300;
+
 /** Time for which the store's rate accumulates while no load starts, and the most loads that it may amount to, so that plans at intervals use the whole rate. */
 export const STORE_BURST_S = 0.2;
 export const MAX_STORE_BURST_LOADS = 3;
--- a/packages/engines/src/loading/engine-owner.ts
+++ b/packages/engines/src/loading/engine-owner.ts
@@ -11,6 +11,10 @@
 import {hasMemoryForAdapter, hasMemoryForModel, KnownMemory} from './engine-memory.js';
 import {estimateReadyTimes, type ModelReadyTime} from './estimate-ready-times.js';
 import {isSwap, planLoads} from './plan-loads.js';
+import {getLoadSource, type LoadObserver} from './load-observer.js';
+import {PlanSchedule} from './plan-schedule.js';
+import {RecentMoves} from './recent-moves.js';
+import {StoreBudget} from './store-budget.js';
 import type {LoadMove, ModelDemand, PlannedEngine} from './types.js';
 
 const MS_PER_SECOND = 1000;
@@ -31,18 +35,41 @@
 	readonly mayOrder: () => boolean;
 	/** Zones that are out of service, whose engines get no requests. */
 	readonly getZonesOut: () => readonly string[];
+	/** Speed of a target's process relative to the mean of its service; undefined while it is not known. */
+	readonly getSpeed?: (targetId: string, startedAtMs: number) => number | undefined;
+	/** Receives what the plans do, for example to export it as metrics. */
+	readonly loadObserver?: LoadObserver;
 	/** Engine classes by service. */
 	readonly getClasses: () => ReadonlyMap<string, EngineClass>;
 };
 
+/** State that the plans of one service share. */
+type PlannedService = {
+	readonly store: StoreBudget;
+	readonly recentMoves: RecentMoves;
+	readonly schedule: PlanSchedule;
+	/** Models that the last plan had no time for. */
+	deferred: readonly string[];
+};
+
+type PlanningRound = {
+	readonly service: string;
+	readonly engineClass: EngineClass;
+	readonly engines: readonly Registration[];
+	readonly demand: readonly ModelDemand[];
+	readonly isBrief: boolean;
+	readonly signal: AbortSignal;
+};
+
 /** A model, or one of its adapters, that a request needs. */
 export type RequiredModel = {readonly service: string; readonly model: string; readonly adapter?: string};
 
 /** Requests that wait at one host for a copy of a model, and those that found all copies full. */
 export type WaitingCounts = ReadonlyArray<readonly [service: string, model: string, waiting: number, crowded: number]>;
 
+/** Names have no line breaks, and a key is needed for each model in each plan. */
 function getDemandKey({service, model, adapter}: RequiredModel): string {
-	return JSON.stringify([service, model, adapter ?? null]);
+	return adapter === undefined ? `${service}\n${model}` : `${service}\n${model}\n${adapter}`;
 }
 
 /** The single owner of all engines: decides which models and adapters they hold and sends their orders. */
@@ -57,10 +84,8 @@
 	private readonly adapterLoads = new Map<string, Promise<string | undefined>>();
 	/** Time of the first arrivals that were reported to this owner. */
 	private firstArrivalMs = Number.POSITIVE_INFINITY;
-	private readonly nextStoreLoadAtMs = new Map<string, number>();
+	private readonly planned = new Map<string, PlannedService>();
 	private readonly readyTimes = new Map<string, readonly ModelReadyTime[]>();
-	/** Models that the last plan of a service had no time for. */
-	private readonly deferred = new Map<string, readonly string[]>();
 
 	constructor(private readonly opts: EngineOwnerOptions) {
 		this.demand = new DecayingCounts(opts.clock, LOAD_DEMAND_TIME_CONSTANT_MS);
@@ -119,8 +144,7 @@
 		while (!signal.aborted) {
 			const startedMs = clock.now();
 			for (const [service, engineClass] of this.opts.getClasses()) {
-				this.startMoves(service, engineClass, signal);
-				this.readyTimes.set(service, this.estimateServiceReadyTimes(service, engineClass));
+				this.planService(service, engineClass, signal);
 			}
 
 			const tookMs = clock.now() - startedMs;
@@ -129,50 +153,83 @@
 		}
 	}
 
-	private startMoves(service: string, engineClass: EngineClass, signal: AbortSignal): void {
+	private planService(service: string, engineClass: EngineClass, signal: AbortSignal): void {
+		const planned = this.getPlanned(service);
+		const demand = this.getDemand(service, engineClass);
+		const engines = this.getEngines(service);
+		const kind = planned.schedule.choosePlan(demand, engines, this.opts.clock.now());
+		if (kind !== 'none') {
+			const moveCount = this.startMoves({
+				service, engineClass, engines, demand, isBrief: kind === 'brief', signal,
+			});
+			planned.schedule.recordPlan(kind, moveCount + planned.deferred.length, this.opts.clock.now());
+		}
+
+		this.readyTimes.set(service, this.estimateServiceReadyTimes(service, engineClass, engines, demand));
+	}
+
+	/** Plans moves and starts them; returns their number. */
+	private startMoves({service, engineClass, engines, demand, isBrief, signal}: PlanningRound): number {
 		// Sizes are kept from here on, also if the next configuration lacks them.
 		this.memory.getLimits(service, engineClass);
-		const engines = this.getEngines(service);
-		const mayUseStore = this.opts.clock.now() >= (this.nextStoreLoadAtMs.get(service) ?? 0);
-		const {moves, deferred} = planLoads({
+		const planned = this.getPlanned(service);
+		const nowMs = this.opts.clock.now();
+		const {moves, deferred, heldBack} = planLoads({
 			engineClass,
 			engines: engines.map(engine => this.describeEngine(engine, engineClass, signal)),
-			demand: this.getDemand(service, engineClass),
-			mayUseStore,
-			mayEvictForCopies: this.opts.clock.now() - this.firstArrivalMs > MIN_DEMAND_MEASUREMENT_MS,
-			deferred: this.deferred.get(service),
+			demand,
+			storeLoads: planned.store.getLoads(engineClass.storeLoadsPerSecond, nowMs),
+			mayEvictForCopies: nowMs - this.firstArrivalMs > MIN_DEMAND_MEASUREMENT_MS,
+			deferred: planned.deferred,
+			isBrief,
+			getUndoneCost: (targetId, unload, load) => planned.recentMoves.getUndoneCost(targetId, unload, load, nowMs),
 		});
-		this.deferred.set(service, deferred);
+		planned.deferred = isBrief ? planned.deferred : deferred;
+		this.opts.loadObserver?.recordHeldBack(heldBack);
 		for (const move of moves) {
 			const engine = engines.find(({targetId}) => targetId === move.targetId);
 			if (engine) {
+				planned.recentMoves.record(move, nowMs);
 				void this.runMove(this.getOrderQueue(engine, signal), service, move, engineClass);
 			}
 		}
+
+		return moves.length;
 	}
 
 	/** Estimates the ready times of the models of a service, including models whose engines are all running moves, since these cannot load adapters meanwhile. */
-	private estimateServiceReadyTimes(service: string, engineClass: EngineClass): readonly ModelReadyTime[] {
+	private estimateServiceReadyTimes(service: string, engineClass: EngineClass, engines: readonly Registration[], demand: readonly ModelDemand[]): readonly ModelReadyTime[] {
 		return estimateReadyTimes({
 			service,
 			engineClass,
-			engines: this.getEngines(service).map(({targetId, models}) => {
+			engines: engines.map(({targetId, models, inMemory, onDisk}) => {
 				const queue = this.orderQueues.get(targetId);
-				return {models: models.map(({name}) => name), loading: queue?.getLoadingModel(), moveLeftMs: queue?.getRemainingMoveMs() ?? 0};
+				return {
+					models: models.map(({name}) => name), loading: queue?.getLoadingModel(), moveLeftMs: queue?.getRemainingMoveMs() ?? 0, inMemory, onDisk,
+				};
 			}),
-			demand: this.getDemand(service, engineClass),
-			storeFreeInMs: Math.max(0, (this.nextStoreLoadAtMs.get(service) ?? 0) - this.opts.clock.now()),
+			demand,
+			storeFreeInMs: this.getPlanned(service).store.getWaitMs(engineClass.storeLoadsPerSecond, this.opts.clock.now()),
 		});
 	}
 
+	private getPlanned(service: string): PlannedService {
+		const planned = this.planned.get(service) ?? {
+			store: new StoreBudget(), recentMoves: new RecentMoves(), schedule: new PlanSchedule(), deferred: [],
+		};
+		this.planned.set(service, planned);
+		return planned;
+	}
+
 	private async runMove(queue: EngineOrderQueue, service: string, move: LoadMove, engineClass: EngineClass): Promise<void> {
 		const {clock, logger} = this.opts;
 		if (move.fromStore && engineClass.storeLoadsPerSecond > 0) {
-			this.nextStoreLoadAtMs.set(service, clock.now() + (MS_PER_SECOND / engineClass.storeLoadsPerSecond));
+			this.getPlanned(service).store.recordLoad();
 		}
 
 		const startedMs = clock.now();
-		logger.info({...move, places: this.demand.getPerSecond(getDemandKey({service, model: move.load}))}, 'A model is loaded.');
+		this.opts.loadObserver?.recordLoad(getLoadSource(move, engineClass), move.reason);
+		logger.info({...move, source: getLoadSource(move, engineClass), places: this.demand.getPerSecond(getDemandKey({service, model: move.load}))}, 'A model is loaded.');
 		try {
 			const isHeld = await queue.runMove(move, held => hasMemoryForModel(held, move.load, this.memory.getLimits(service, engineClass)));
 			logger.info({
@@ -283,18 +340,25 @@
 			places: this.demand.getPerSecond(getDemandKey({service, model: name})),
 			waiting: waiting.get(name) ?? 0,
 			crowded: crowded.get(name) ?? 0,
-			missingMs: this.getMissingMs(getDemandKey({service, model: name}), (waiting.get(name) ?? 0) > 0),
+			missingMs: this.getMissingMs(service, name, (waiting.get(name) ?? 0) > 0),
 		}));
 	}
 
 	/** How long requests have been waiting for a copy of a model. */
-	private getMissingMs(key: string, hasWaiters: boolean): number {
+	private getMissingMs(service: string, model: string, hasWaiters: boolean): number {
+		const key = getDemandKey({service, model});
+		const nowMs = this.opts.clock.now();
 		if (!hasWaiters) {
-			this.missingSinceMs.delete(key);
+			const endedSinceMs = this.missingSinceMs.get(key);
+			if (endedSinceMs !== undefined) {
+				this.missingSinceMs.delete(key);
+				this.opts.loadObserver?.recordMissing(nowMs - endedSinceMs);
+				this.opts.logger.info({service, model, missingMs: Math.round(nowMs - endedSinceMs)}, 'No caller waits for a missing model any longer.');
+			}
+
 			return 0;
 		}
 
-		const nowMs = this.opts.clock.now();
 		const sinceMs = this.missingSinceMs.get(key) ?? nowMs;
 		this.missingSinceMs.set(key, sinceMs);
 		return nowMs - sinceMs;
@@ -312,6 +376,7 @@
 			targetId: engine.targetId,
 			isFree: queue.move === undefined && holdings !== undefined,
 			weightsMb: engineClass.weightsMb,
+			speed: this.opts.getSpeed?.(engine.targetId, engine.startedAtMs),
 			copies: (holdings ?? engine.models).map(({name, adapters}) => {
 				const key = `${engine.targetId}/${engine.startedAtMs}/${name}`;
 				const sinceMs = this.copyFirstSeenMs.get(key) ?? nowMs;
--- a/packages/engines/src/loading/estimate-ready-times.ts
+++ b/packages/engines/src/loading/estimate-ready-times.ts
@@ -1,10 +1,17 @@
-import type {EngineClass} from '@egretrill/common';
+import type {EngineClass, StoredModel} from '@egretrill/common';
 import type {ModelDemand} from './types.js';
 
 const MS_PER_SECOND = 1000;
 
 /** An engine's models, the model that it is loading, and the time left of that move. */
-export type MovingEngine = {readonly models: readonly string[]; readonly loading: string | undefined; readonly moveLeftMs: number};
+export type MovingEngine = {
+	readonly models: readonly string[];
+	readonly loading: string | undefined;
+	readonly moveLeftMs: number;
+	/** Models whose weights are in the memory or on the disk of the engine. */
+	readonly inMemory?: readonly string[];
+	readonly onDisk?: readonly string[];
+};
 
 export type ReadyTimeInput = {
 	readonly service: string;
@@ -18,9 +25,37 @@
 /** A model that currently cannot serve requests or cannot load adapters, with the expected time until it can. */
 export type ModelReadyTime = {readonly service: string; readonly model: string; readonly readyInMs: number};
 
-function getMoveMs(model: string, engines: readonly MovingEngine[]): number | undefined {
-	const holders = engines.filter(({models, loading}) => loading === model || models.includes(model));
-	return holders.length === 0 ? undefined : Math.min(...holders.map(({moveLeftMs}) => moveLeftMs));
+/** Least value by name. */
+function setLeast(values: Map<string, number>, name: string, value: number): void {
+	values.set(name, Math.min(value, values.get(name) ?? Number.POSITIVE_INFINITY));
+}
+
+/** Time by model until the first move ends of an engine that holds or loads it. */
+function getMoveTimes(engines: readonly MovingEngine[]): ReadonlyMap<string, number> {
+	const moveMs = new Map<string, number>();
+	for (const {models, loading, moveLeftMs} of engines) {
+		for (const model of loading === undefined ? models : [...models, loading]) {
+			setLeast(moveMs, model, moveLeftMs);
+		}
+	}
+
+	return moveMs;
+}
+
+/** Shortest time by model in which an engine without a running move loads it from its memory or disk. */
+function getLocalLoadTimes(engines: readonly MovingEngine[], models: ReadonlyMap<string, StoredModel>): ReadonlyMap<string, number> {
+	const loadMs = new Map<string, number>();
+	for (const {loading, inMemory = [], onDisk = []} of engines) {
+		for (const model of loading === undefined ? onDisk : []) {
+			setLeast(loadMs, model, models.get(model)?.diskLoadMs ?? Number.POSITIVE_INFINITY);
+		}
+
+		for (const model of loading === undefined ? inMemory : []) {
+			setLeast(loadMs, model, models.get(model)?.memoryLoadMs ?? Number.POSITIVE_INFINITY);
+		}
+	}
+
+	return loadMs;
 }
 
 /**
@@ -31,19 +66,25 @@
 	const loadIntervalMs = storeLoadsPerSecond > 0 ? MS_PER_SECOND / storeLoadsPerSecond : 0;
 	const readyTimes: ModelReadyTime[] = [];
 	let nextLoadStartsInMs = storeFreeInMs;
+	const stored = new Map(models.map(model => [model.name, model]));
+	const moveTimes = getMoveTimes(engines);
+	const localTimes = getLocalLoadTimes(engines, stored);
 	const byWaiting = demand.toSorted((a, b) => b.waiting - a.waiting || b.places - a.places);
 	for (const {model, waiting} of byWaiting) {
-		const moveMs = getMoveMs(model, engines);
+		const moveMs = moveTimes.get(model);
 		if (moveMs !== undefined) {
 			readyTimes.push(...(moveMs > 0 ? [{service, model, readyInMs: moveMs}] : []));
 			continue;
 		}
 
-		const stored = models.find(({name}) => name === model);
-		if (stored && waiting > 0) {
-			readyTimes.push({service, model, readyInMs: nextLoadStartsInMs + stored.storeLoadMs});
-			nextLoadStartsInMs += loadIntervalMs;
+		const storeLoadMs = stored.get(model)?.storeLoadMs;
+		if (storeLoadMs === undefined || waiting === 0) {
+			continue;
 		}
+
+		const localMs = localTimes.get(model);
+		readyTimes.push({service, model, readyInMs: localMs ?? nextLoadStartsInMs + storeLoadMs});
+		nextLoadStartsInMs += localMs === undefined ? loadIntervalMs : 0;
 	}
 
 	return readyTimes;
--- a/packages/engines/src/loading/eviction-candidates.ts
+++ b/packages/engines/src/loading/eviction-candidates.ts
@@ -11,7 +11,7 @@
 	readonly isIdle: boolean;
 	/** Whether it is the only copy of a model that requests may need. */
 	readonly isLast: boolean;
-	/** Request-seconds lost by its removal alone. */
+	/** Request-seconds that its removal alone is expected to lose. */
 	readonly cost: number;
 };
 
@@ -68,7 +68,7 @@
 					need: layout.getNeededSlots(model),
 					isIdle: layout.isIdle(model),
 					isLast: layout.countCopies(model) <= 1 && layout.isConfigured(model),
-					cost: layout.getRemovalCost(targetId, [model]) - unchangedCost,
+					cost: layout.getRemovalCost(targetId, [model]) - unchangedCost + layout.getAbsenceCost(model),
 				},
 				copies: layout.countCopies(model),
 			}))
--- a/packages/engines/src/loading/layout.ts
+++ b/packages/engines/src/loading/layout.ts
@@ -1,6 +1,6 @@
 import type {EngineClass} from '@egretrill/common';
 import {
-	MAX_IDLE_SLOTS, MIN_SPREAD_SLOTS, MISSING_MODEL_BOOST_MS, PLAN_HORIZON_S, SLOTS_PER_WAITING_REQUEST,
+	ABSENT_MODEL_COST_REQUEST_S, MAX_IDLE_SLOTS, MIN_SPREAD_SLOTS, MISSING_MODEL_BOOST_MS, PLAN_HORIZON_S, SLOTS_PER_WAITING_REQUEST,
 } from './constants.js';
 import {areSpeedsUneven} from './engine-speeds.js';
 import {
@@ -15,12 +15,16 @@
 	readonly engineClass: EngineClass;
 	readonly engines: readonly PlannedEngine[];
 	readonly demand: readonly ModelDemand[];
-	/** Whether the weight store may start another load now. */
-	readonly mayUseStore: boolean;
+	/** Number of loads that the weight store may start now. */
+	readonly storeLoads: number;
 	/** Whether demand has been measured for long enough to evict a copy for an additional copy of a busier model. */
 	readonly mayEvictForCopies: boolean;
 	/** Models that the last plan had no time for; they are planned first. */
 	readonly deferred?: readonly string[];
+	/** Limits the plan to models that callers wait for, which takes less time. */
+	readonly isBrief?: boolean;
+	/** Request-seconds that the recent moves cost which a move would undo; undefined if it undoes none. */
+	readonly getUndoneCost?: (targetId: string, unload: readonly string[], load: string) => number | undefined;
 };
 
 /** The models that the engines hold and the demand for them; each planned move updates it. */
@@ -101,6 +105,11 @@
 		return this.spread.totalLostSlots * PLAN_HORIZON_S;
 	}
 
+	/** Request-seconds that are expected to be lost later if a copy of a model goes and it was the last one. Only counted where engines differ in speed. */
+	getAbsenceCost(model: string): number {
+		return this.isUneven && this.configuredModels.has(model) && this.countCopies(model) <= 1 ? ABSENT_MODEL_COST_REQUEST_S : 0;
+	}
+
 	/** Request-seconds lost over the horizon if an engine unloads models and loads no other. */
 	getRemovalCost(targetId: string, unload: readonly string[]): number {
 		return this.getLostSlotsAfterRemoval(targetId, unload) * PLAN_HORIZON_S;
@@ -113,6 +122,11 @@
 		return (this.getLostSlotsAfterRemoval(targetId, unload) * loadS) + (lostSlotsAfter * (PLAN_HORIZON_S - loadS));
 	}
 
+	/** Request-seconds lost because an engine lacks the unloaded models while it loads another one. */
+	getLossDuring(targetId: string, unload: readonly string[], loadMs: number): number {
+		return (this.getLostSlotsAfterRemoval(targetId, unload) - this.spread.totalLostSlots) * loadMs / MS_PER_SECOND;
+	}
+
 	/** Estimates the part of `getMoveCost` beyond the cost of the removal without spreading demand again: what is lost until the load ends, and what the engine is too busy for afterwards. */
 	estimateLoadCost(targetId: string, load: string, loadMs: number): number {
 		const loadS = Math.min(PLAN_HORIZON_S, loadMs / MS_PER_SECOND);
--- a/packages/engines/src/loading/plan-loads.ts
+++ b/packages/engines/src/loading/plan-loads.ts
@@ -1,6 +1,6 @@
 import type {StoredModel} from '@egretrill/common';
 import {
-	ADAPTER_DEMAND_RATIO, BUSY_UNLOAD_MS, IDLE_UNLOAD_MS, MAX_COSTED_ENGINES, MAX_PLAN_VISITS, MAX_SWAP_RATIO, MIN_MOVE_GAIN_REQUEST_S,
+	ABSENT_MODEL_COST_REQUEST_S, ADAPTER_DEMAND_RATIO, BUSY_UNLOAD_MS, IDLE_UNLOAD_MS, MAX_ABSENT_LOADS, MAX_COSTED_ENGINES, MAX_PLAN_VISITS, MAX_SWAP_RATIO, MIN_MISSING_SLOTS, MIN_MOVE_GAIN_REQUEST_S, PLAN_HORIZON_S,
 } from './constants.js';
 import {Layout, type LoadPlanInput} from './layout.js';
 import type {LoadMove, PlannedEngine} from './types.js';
@@ -22,6 +22,8 @@
 	readonly blockedAdapterCost: number;
 	/** Sum of the request-seconds that each eviction alone would lose. */
 	readonly evictionCost: number;
+	/** Request-seconds expected to be lost later since last copies are evicted. */
+	readonly absenceCost: number;
 };
 type CostedLoadOption = LoadOption & {readonly cost: number};
 
@@ -31,22 +33,38 @@
 	readonly evictionCandidates: EvictionCandidates;
 	readonly models: ReadonlyMap<string, StoredModel>;
 	readonly freeMb: ReadonlyMap<string, number>;
+	/** Models for which a move was held back since it undoes a recent one. */
+	readonly heldBack: Set<string>;
 };
 
-function listNeededCopies({engineClass: {models}, engines, demand}: LoadPlanInput, layout: Layout): readonly NeededCopy[] {
-	const modelsWithWaiters = new Set(demand.filter(({waiting}) => waiting > 0).map(({model}) => model));
+function listNeededCopies({engineClass: {models}, engines, demand, isBrief}: LoadPlanInput, layout: Layout): readonly NeededCopy[] {
+	const modelsWithCallers = new Set(demand.filter(({waiting, places}) => waiting > 0 || places >= MIN_MISSING_SLOTS).map(({model}) => model));
 	const neededCopies = models.flatMap((model): readonly NeededCopy[] => {
 		const lostSlots = layout.getLostSlots(model.name);
 		const copies = layout.countCopies(model.name);
 		if (copies === 0) {
-			return modelsWithWaiters.has(model.name) ? [{model, lostSlots, reason: 'missing'}] : [];
+			return modelsWithCallers.has(model.name) ? [{model, lostSlots, reason: 'missing'}] : [];
 		}
 
-		return lostSlots > 0 && copies < engines.length ? [{model, lostSlots, reason: 'crowded'}] : [];
+		const mayPayOff = !isBrief && layout.getNeededSlots(model.name) * PLAN_HORIZON_S > MIN_MOVE_GAIN_REQUEST_S;
+		return mayPayOff && lostSlots > 0 && copies < engines.length ? [{model, lostSlots, reason: 'crowded'}] : [];
 	});
 	return neededCopies.toSorted((a, b) => b.lostSlots - a.lostSlots);
 }
 
+/** Models without a copy that nobody asks for now, loaded in advance where engines are unequal; their next callers could not wait for the weight store. */
+function listAbsentModels({engineClass: {models}, engines, isBrief}: LoadPlanInput, layout: Layout): readonly NeededCopy[] {
+	if (!layout.isUneven || isBrief) {
+		return [];
+	}
+
+	const loading = engines.filter(engine => engine.loading !== undefined && layout.isIdle(engine.loading)).length;
+	return models
+		.filter(({name}) => layout.countCopies(name) === 0)
+		.slice(0, Math.max(0, MAX_ABSENT_LOADS - loading))
+		.map(model => ({model, lostSlots: 0, reason: 'absent'}));
+}
+
 /** Memory that a copy uses at an engine. A copy of a model that the configuration no longer has may use all of it. */
 function getCopyMb(models: ReadonlyMap<string, StoredModel>, engineMb: number, name: string, adapterCount: number): number {
 	const model = models.get(name);
@@ -95,9 +113,9 @@
 	return unload.reduce((sum, model) => sum + (layout.isIdle(model) ? IDLE_UNLOAD_MS : BUSY_UNLOAD_MS), 0);
 }
 
-/** Whether a move evicts a copy for an additional copy of a model that already has one. */
+/** Whether a move evicts a copy for an additional copy of a model, or for a model that nobody asks for now. */
 export function isSwap({reason, unload}: Pick<LoadMove, 'reason'> & {readonly unload: readonly string[]}): boolean {
-	return reason === 'crowded' && unload.length > 0;
+	return reason !== 'missing' && unload.length > 0;
 }
 
 function createLoadOption(input: LoadPlanInput, engine: PlannedEngine, state: PlanState, neededCopy: NeededCopy): LoadOption | undefined {
@@ -106,14 +124,14 @@
 	const unload = evictions?.map(({model}) => model);
 	const loadMs = getLoadMs(engine, neededCopy.model);
 	const fromStore = loadMs === neededCopy.model.storeLoadMs;
-	if (!evictions || !unload || (fromStore && !input.mayUseStore) || (isSwap({reason: neededCopy.reason, unload}) && !input.mayEvictForCopies)) {
+	if (!evictions || !unload || (fromStore && input.storeLoads < 1) || (isSwap({reason: neededCopy.reason, unload}) && !input.mayEvictForCopies)) {
 		return undefined;
 	}
 
 	const totalMs = loadMs + getUnloadMs(unload, layout);
 	const blockedAdapterCost = layout.getSoleCopySlots(engine.targetId) * ADAPTER_DEMAND_RATIO * totalMs / MS_PER_SECOND;
 	return {
-		engine, unload, totalMs, loadMs, fromStore, blockedAdapterCost, evictionCost: evictions.reduce((sum, {cost}) => sum + cost, 0),
+		engine, unload, totalMs, loadMs, fromStore, blockedAdapterCost, evictionCost: evictions.reduce((sum, {cost}) => sum + cost, 0), absenceCost: unload.reduce((sum, model) => sum + layout.getAbsenceCost(model), 0),
 	};
 }
 
@@ -138,21 +156,43 @@
 	return reason === 'missing' && unload.every(model => layout.isIdle(model) || layout.countCopies(model) > 1);
 }
 
+/** Whether a move gains enough: a model in no demand is loaded for what its absence may cost, and a move that undoes recent ones must make up for them too. */
+function paysOff(option: CostedLoadOption, neededCopy: NeededCopy, {getUndoneCost}: LoadPlanInput, {layout, heldBack}: PlanState): boolean {
+	const {engine: {targetId}, unload, cost} = option;
+	if (isExemptFromMinGain(neededCopy, unload, layout)) {
+		return true;
+	}
+
+	const gain = layout.getUnchangedCost() - cost;
+	const minGain = neededCopy.reason === 'absent' ? -ABSENT_MODEL_COST_REQUEST_S : MIN_MOVE_GAIN_REQUEST_S;
+	const undoneCost = layout.isUneven ? getUndoneCost?.(targetId, unload, neededCopy.model.name) : undefined;
+	const isHeldBack = undoneCost !== undefined && gain <= MIN_MOVE_GAIN_REQUEST_S + undoneCost;
+	if (isHeldBack && gain > minGain) {
+		heldBack.add(neededCopy.model.name);
+	}
+
+	return gain > minGain && !isHeldBack;
+}
+
 function findCheapestOption(input: LoadPlanInput, state: PlanState, neededCopy: NeededCopy, usedEngines: ReadonlySet<string>): CostedLoadOption | undefined {
 	const {layout} = state;
-	const unchangedCost = layout.getUnchangedCost();
 	const options = input.engines
 		.filter(({targetId, isFree, copies}) => isFree && !usedEngines.has(targetId) && copies.every(({model}) => model !== neededCopy.model.name))
 		.flatMap(engine => createLoadOption(input, engine, state, neededCopy) ?? []);
 	return selectCheapestByEstimate(options, layout, neededCopy)
-		.map(option => ({...option, cost: layout.getMoveCost(option.engine.targetId, option.unload, neededCopy.model.name, option.totalMs) + option.blockedAdapterCost}))
-		.filter(({cost, unload}) => isExemptFromMinGain(neededCopy, unload, layout) || cost < unchangedCost - MIN_MOVE_GAIN_REQUEST_S)
+		.map(option => ({...option, cost: layout.getMoveCost(option.engine.targetId, option.unload, neededCopy.model.name, option.totalMs) + option.blockedAdapterCost + option.absenceCost}))
+		.filter(option => paysOff(option, neededCopy, input, state))
 		.toSorted((a, b) => a.cost - b.cost)
 		.at(0);
 }
 
-/** Planned moves, and the models that were left for the next plan to bound the time of this one. */
-export type LoadPlan = {readonly moves: readonly LoadMove[]; readonly deferred: readonly string[]};
+/** Planned moves, the models that were left for the next plan to bound the time of this one, and the moves that were held back. */
+export type LoadPlan = {
+	readonly moves: readonly LoadMove[];
+	readonly deferred: readonly string[];
+	/** Number of models for which a move would have paid off if it did not undo a recent one. */
+	readonly heldBack: number;
+};
 
 /** Puts the models first that the last plan had no time for. */
 function putDeferredFirst(neededCopies: readonly NeededCopy[], deferred: readonly string[] = []): readonly NeededCopy[] {
@@ -168,16 +208,16 @@
 	const layout = new Layout(input);
 	const models = new Map(input.engineClass.models.map(model => [model.name, model]));
 	const state = {
-		layout, evictionCandidates: new EvictionCandidates(layout), models, freeMb: getFreeMb(input, models),
+		layout, evictionCandidates: new EvictionCandidates(layout), models, freeMb: getFreeMb(input, models), heldBack: new Set<string>(),
 	};
 	const usedEngines = new Set<string>();
 	const moves: LoadMove[] = [];
 	const deferred: string[] = [];
-	let {mayUseStore} = input;
+	let {storeLoads} = input;
 	let swaps = input.engines.filter(({isSwapping}) => isSwapping).length;
 	let visitedEngines = 0;
 	const maxSwaps = Math.max(1, Math.floor(input.engines.length * MAX_SWAP_RATIO));
-	for (const neededCopy of putDeferredFirst(listNeededCopies(input, layout), input.deferred)) {
+	for (const neededCopy of [...putDeferredFirst(listNeededCopies(input, layout), input.deferred), ...listAbsentModels(input, layout)]) {
 		if (layout.getVisitedCopies() + visitedEngines > MAX_PLAN_VISITS) {
 			deferred.push(neededCopy.model.name);
 			continue;
@@ -185,23 +225,30 @@
 
 		visitedEngines += input.engines.length;
 		const mayEvictForCopies = input.mayEvictForCopies && swaps < maxSwaps;
-		const option = findCheapestOption({...input, mayUseStore, mayEvictForCopies}, state, neededCopy, usedEngines);
+		const option = findCheapestOption({...input, storeLoads, mayEvictForCopies}, state, neededCopy, usedEngines);
 		if (option) {
-			const move = createMove(neededCopy, option);
+			const move = createMove(neededCopy, option, layout);
 			usedEngines.add(move.targetId);
 			swaps += isSwap(move) ? 1 : 0;
-			mayUseStore &&= !option.fromStore;
+			storeLoads -= option.fromStore ? 1 : 0;
 			layout.apply(move);
 			state.evictionCandidates.applyMove(move);
 			moves.push(move);
 		}
 	}
 
-	return {moves, deferred};
+	return {moves, deferred, heldBack: state.heldBack.size};
 }
 
-function createMove({model, reason}: NeededCopy, {engine: {targetId}, unload, fromStore, totalMs, loadMs}: LoadOption): LoadMove {
+function createMove({model, reason}: NeededCopy, {engine: {targetId}, unload, fromStore, totalMs, loadMs, blockedAdapterCost}: LoadOption, layout: Layout): LoadMove {
 	return {
-		targetId, unload: [...unload], load: model.name, reason, fromStore, totalMs, loadMs,
+		targetId,
+		unload: [...unload],
+		load: model.name,
+		reason,
+		fromStore,
+		totalMs,
+		loadMs,
+		...(layout.isUneven && {costRequestS: layout.getLossDuring(targetId, unload, totalMs) + blockedAdapterCost}),
 	};
 }
--- a/packages/engines/src/loading/spread-demand.ts
+++ b/packages/engines/src/loading/spread-demand.ts
@@ -83,7 +83,7 @@
 			totalLostSlots += modelLostSlots;
 			return modelLostSlots;
 		});
-		return {lostSlots, totalLostSlots, usedSlots: [...this.usedSlots]};
+		return {lostSlots, totalLostSlots, usedSlots: Float64Array.from(this.usedSlots)};
 	}
 
 	private balance(demand: readonly DemandOverHolders[], change?: HolderChange): void {
--- a/packages/engines/src/loading/types.ts
+++ b/packages/engines/src/loading/types.ts
@@ -60,9 +60,11 @@
 
 /** One change of what an engine holds: unloads first, then the load. */
 export const LoadMove = z.object({
-	targetId: z.string(), unload: z.array(z.string()), load: z.string(), reason: z.enum(['missing', 'crowded']), fromStore: z.boolean(),
+	targetId: z.string(), unload: z.array(z.string()), load: z.string(), reason: z.enum(['missing', 'crowded', 'absent']), fromStore: z.boolean(),
 	/** Expected time until the model can serve, and the part of it that the load itself takes. */
 	totalMs: z.number(),
 	loadMs: z.number(),
+	/** Request-seconds that are lost while it runs; only where engines differ in speed. */
+	costRequestS: z.number().optional(),
 });
 export type LoadMove = z.infer<typeof LoadMove>;
--- a/packages/engines/tests/loading/moving-demand.ts
+++ b/packages/engines/tests/loading/moving-demand.ts
@@ -1,7 +1,7 @@
 import process from 'node:process';
 import {createRandom, type EngineClass} from '@egretrill/common';
 import {
-	type LoadMove, type LoadPlanInput, planLoads, type PlannedEngine, spreadDemand,
+	isSwap, type LoadMove, type LoadPlanInput, planLoads, type PlannedEngine, RecentMoves, spreadDemand, StoreBudget,
 } from '../../src/loading/index.js';
 
 const STEP_MS = 100;
@@ -53,7 +53,7 @@
 	readonly missingP95Ms: number;
 	/** Share of the demand at a model without a copy. */
 	readonly missingShare: number;
-	/** Demand of the busiest engine relative to the mean, and shares of the demand by the speed of its engine. */
+	/** Slots in use at the busiest engine relative to the mean, and shares of the demand by the speed of its engine. */
 	readonly busiest: number;
 	readonly shareBySpeed: Readonly<Record<string, number>>;
 	readonly undoneMoves: number;
@@ -80,7 +80,8 @@
 	private readonly slotsBySpeed = new Map<number, number>();
 	private readonly busiest: number[] = [];
 	private undoneMoves = 0;
-	private nextStoreLoadAtMs = 0;
+	private readonly store = new StoreBudget();
+	private readonly recentMoves = new RecentMoves();
 	private missingSlots = 0;
 	private slots = 0;
 	private plans = 0;
@@ -161,7 +162,7 @@
 				this.missingSlots += isMeasured ? needed : 0;
 				this.missingSinceMs.set(name, sinceMs ?? this.nowMs);
 			} else if (sinceMs !== undefined) {
-				this.missingMs.push(this.nowMs - sinceMs);
+				this.missingMs.push(...(isMeasured ? [this.nowMs - sinceMs] : []));
 				this.missingSinceMs.delete(name);
 			}
 		}
@@ -170,13 +171,14 @@
 			return;
 		}
 
-		const {usedSlots} = spreadDemand(this.engines.map(({targetId, copies}) => ({targetId, models: new Set(copies.map(({model}) => model))})), demand, engineClass.batchSlots);
+		const {usedSlots} = spreadDemand(this.engines.map(({targetId, copies, speed}) => ({targetId, speed, models: new Set(copies.map(({model}) => model))})), demand, engineClass.batchSlots);
 		for (const [i, used] of usedSlots.entries()) {
 			const {speed} = this.engines[i]!;
 			this.slotsBySpeed.set(speed, (this.slotsBySpeed.get(speed) ?? 0) + used);
 		}
 
-		this.busiest.push(Math.max(...usedSlots) * usedSlots.length / usedSlots.reduce((sum, used) => sum + used, 0));
+		const used = usedSlots.map((slots, i) => slots / this.engines[i]!.speed);
+		this.busiest.push(Math.max(...used) * used.length / used.reduce((sum, slots) => sum + slots, 0));
 	}
 
 	private plan(demand: ReadonlyMap<string, number>): void {
@@ -200,7 +202,9 @@
 					model: name, places: this.places.get(name) ?? 0, waiting: sinceMs === undefined ? 0 : Math.min(8, Math.ceil(demand.get(name) ?? 0)), crowded: 0, missingMs: this.nowMs - (sinceMs ?? this.nowMs),
 				};
 			}),
-			mayUseStore: this.nowMs >= this.nextStoreLoadAtMs,
+			storeLoads: this.store.getLoads(engineClass.storeLoadsPerSecond, this.nowMs),
+			getUndoneCost: (targetId, unload, load) => this.recentMoves.getUndoneCost(targetId, unload, load, this.nowMs),
+			isBrief: this.nowMs % 300 !== 0,
 			mayEvictForCopies: this.nowMs > DEMAND_TIME_CONSTANT_MS,
 			deferred: this.deferred,
 		};
@@ -216,9 +220,9 @@
 			copies: copies.map(({model, sinceMs}) => ({model, ageMs: this.nowMs - sinceMs, adapterCount: 1})),
 			loading: planned?.load,
 			unloading: [],
-			isSwapping: planned !== undefined && planned.reason === 'crowded' && planned.unload.length > 0,
-			inMemory: [...recent.slice(0, MODELS_IN_MEMORY + copies.length)],
-			onDisk: [...recent.slice(0, MODELS_ON_DISK)],
+			isSwapping: planned ? isSwap(planned) : false,
+			inMemory: recent.slice(0, MODELS_IN_MEMORY + copies.length),
+			onDisk: recent.slice(0, MODELS_ON_DISK),
 		};
 	}
 
@@ -233,7 +237,10 @@
 		this.undoneMoves += this.nowMs - (this.lastUnloadMs.get(move.load) ?? Number.NEGATIVE_INFINITY) < 20_000 ? 1 : 0;
 		const source = move.fromStore ? 'store' : (move.loadMs < 1000 ? 'memory' : 'disk');
 		this.loads[source]! += 1;
-		this.nextStoreLoadAtMs = move.fromStore ? this.nowMs + (1000 / engineClass.storeLoadsPerSecond) : this.nextStoreLoadAtMs;
+		this.recentMoves.record(move, this.nowMs);
+		if (move.fromStore) {
+			this.store.recordLoad();
+		}
 	}
 }
 
--- a/packages/engines/tests/loading/plan-loads.test.ts
+++ b/packages/engines/tests/loading/plan-loads.test.ts
@@ -24,7 +24,7 @@
 	const {moves} = planLoads({
 		engineClass, engines, demand: Object.entries(demand).map(([model, [places, waiting, crowded = 0, missingMs = 0]]) => ({
 			model, places, waiting, crowded, missingMs,
-		})), mayUseStore: true, mayEvictForCopies: true, ...changes,
+		})), storeLoads: 1, mayEvictForCopies: true, ...changes,
 	});
 	return moves;
 }
@@ -124,7 +124,7 @@
 		const engines = [engine('t1', ['a']), engine('t2', [])];
 		expect({
 			busyFirst: plan(engines, {a: [90, 0, 20], b: [0.4, 1]}).map(({load}) => load),
-			busyTakesTurns: plan([...engines, engine('t3', [])], {a: [90, 0, 20], b: [0.4, 1], c: [2, 3]}, {mayUseStore: true}).map(({load}) => load),
+			busyTakesTurns: plan([...engines, engine('t3', [])], {a: [90, 0, 20], b: [0.4, 1], c: [2, 3]}, {storeLoads: 1}).map(({load}) => load),
 			rareAfterAWhile: plan(engines, {a: [40, 0, 0], b: [0.4, 1, 0, 8000]}).map(({load}) => load),
 		}).toMatchSnapshot();
 	});
@@ -142,6 +142,6 @@
 	it('starts one load from the store at a time', () => {
 		const engines = [engine('t1', []), engine('t2', []), engine('t3', [], {onDisk: ['c']})];
 		const demand = {a: [1, 3], b: [1, 2], c: [1, 1]} as const;
-		expect({one: plan(engines, demand), none: plan(engines, demand, {mayUseStore: false})}).toMatchSnapshot();
+		expect({one: plan(engines, demand), none: plan(engines, demand, {storeLoads: 0})}).toMatchSnapshot();
 	});
 });
--- a/packages/engines/tests/loading/plan-size.test.ts
+++ b/packages/engines/tests/loading/plan-size.test.ts
@@ -35,7 +35,7 @@
 		demand: Array.from({length: modelCount}, (_, i) => ({
 			model: `m${i}`, places: i < BUSY_MODELS ? 100 : i % 5, waiting: i % 3 === 0 ? 4 : 0, crowded: i % 4, missingMs: i % 3 === 0 ? 500 : 0,
 		})),
-		mayUseStore: true,
+		storeLoads: 1,
 		mayEvictForCopies: true,
 	};
 }
