--- a/packages/engines/src/loading/types.ts
+++ b/packages/engines/src/loading/types.ts
@@ -45,6 +45,8 @@
 	/** Whether it can accept an order now. */
 	isFree: z.boolean(),
 	weightsMb: z.number(),
+	/** How fast it generates tokens relative to the mean of the service; unknown at first. */
+	speed: z.number().positive().optional(),
 	copies: z.array(z.object({model: z.string(), ageMs: z.number(), adapterCount: z.int()})),
 	/** The model that a running move loads, and the models that it unloads. */
 	loading: z.string().optional(),
@@ -58,9 +60,11 @@
 
 /** One change of what an engine holds: unloads first, then the load. */
 export const LoadMove = z.object({
-	targetId: z.string(), unload: z.array(z.string()), load: z.string(), reason: z.enum(['missing', 'crowded']), fromStore: z.boolean(),
+	targetId: z.string(), unload: z.array(z.string()), load: z.string(), reason: z.enum(['missing', 'crowded', 'absent']), fromStore: z.boolean(),
 	/** Expected time until the model can serve, and the part of it that the load itself takes. */
 	totalMs: z.number(),
 	loadMs: z.number(),
+	/** Request-seconds that are lost while it runs; only where engines differ in speed. */
+	costRequestS: z.number().optional(),
 });
 export type LoadMove = z.infer<typeof LoadMove>;
