--- a/apps/egretrilld/src/traffic/entry-host.ts
+++ b/apps/egretrilld/src/traffic/entry-host.ts
@@ -25,6 +25,7 @@
 import {MemoryMetrics} from './memory-metrics.js';
 import type {LeaderPlan, SyncResponse} from './methods.js';
 import {NodeExchange} from './node-exchange.js';
+import {QueueMetrics} from './queue-metrics.js';
 import {readArrived} from './read-arrived.js';
 import type {EntrySettings, TrafficBounds} from './settings.js';
 
@@ -48,6 +49,7 @@
 	readonly server: Server;
 	private readonly memory: MemoryBudget;
 	private readonly memoryMetrics: MemoryMetrics;
+	private readonly queueMetrics: QueueMetrics;
 	private routeTable: RouteTable | undefined;
 	private bounds: TrafficBounds;
 	private readonly follower: ControlFollower;
@@ -75,6 +77,7 @@
 		this.bounds = settings.bounds;
 		this.memory = new MemoryBudget(clock, settings.memoryMb * BYTES_PER_MB * HELD_MEMORY_RATIO);
 		this.memoryMetrics = new MemoryMetrics(this.memory, metrics);
+		this.queueMetrics = new QueueMetrics(metrics);
 		this.plannedStop = new PlannedStop(clock);
 		this.drain = new Drain({clock, deadlineMs: settings.bounds.drainMs, balancerWaitMs: settings.bounds.balancerWaitMs});
 		this.rates = new RateAllocations(clock);
@@ -107,7 +110,7 @@
 				this.requestColdSend(service, targetId);
 			},
 			requestAdapter: async (service, model, adapter) => this.follower.requestAdapter(service, model, adapter),
-		}));
+		}), {random: opts.random, observer: this.queueMetrics});
 		this.decisionLog = new DecisionLog(clock, logger);
 		this.observer = new EntryObserver(this.decisionLog, metrics, () => this.follower.getAgeMs());
 		this.crashes = new HostCrashes({
@@ -146,6 +149,7 @@
 		const {drainMs, balancerWaitMs} = this.bounds;
 		this.plannedStop.begin(drainMs, balancerWaitMs);
 		const drained = this.drain.start(reason, {deadlineMs: drainMs, balancerWaitMs});
+		this.queue.refuseForOtherReasons();
 		this.queue.dispatch();
 		await clock.sleep(Math.min(balancerWaitMs, drainMs));
 		this.queue.close();
@@ -166,6 +170,7 @@
 	/** Takes current values into the metrics that are read next. */
 	updateMetrics(): void {
 		this.memoryMetrics.update();
+		this.queueMetrics.updateWaiting(this.queue.getWaitingByReason());
 	}
 
 	/** Applies the settings that may change while the host runs. */
@@ -184,6 +189,7 @@
 			rates: {...this.rateState, demand: [...this.rates.getDemand()]},
 			crashes: this.crashes.exchange.createReport(),
 			leaving: this.targets.getLeaving().slice(-MAX_LEAVING_TARGETS),
+			queue: this.queue.createReport(),
 		};
 	}
 
@@ -234,7 +240,11 @@
 		}
 	}
 
-	override applyPlan({others, expected, rates, crashes, leaving = []}: LeaderPlan, sentMs: number): void {
+	override applyPlan({others, expected, rates, crashes, leaving = [], shortage}: LeaderPlan, sentMs: number): void {
+		if (shortage) {
+			this.queue.applyFigures(shortage);
+		}
+
 		if (crashes) {
 			this.crashes.exchange.applyAnswer(crashes);
 		}
--- a/apps/egretrilld/src/traffic/leader-term.ts
+++ b/apps/egretrilld/src/traffic/leader-term.ts
@@ -1,7 +1,7 @@
 import {randomUUID} from 'node:crypto';
 import {setMaxListeners} from 'node:events';
 import {
-	answerCrashReport, CrashTracker, type CrashAnswer, type CrashReport, type CrashRevision, RATE_HOST_TTL_MS, RateOwner,
+	answerCrashReport, CrashTracker, type CrashAnswer, type CrashReport, type CrashRevision, RATE_HOST_TTL_MS, RateOwner, ShortageOwner,
 } from '@egretrill/callers';
 import {
 	type Clock, compareLists, type EngineClass, type Logger, type LoopWatch, type Random, type TrafficCustomer,
@@ -46,6 +46,7 @@
 	private readonly crashes: CrashTracker;
 	private readonly crashLog: CrashLog;
 	private readonly leavingHints: LeavingHints;
+	private readonly shortage: ShortageOwner;
 	private readonly stopper = new AbortController();
 	private readonly startedMs: number;
 
@@ -56,6 +57,7 @@
 		this.crashes = new CrashTracker(clock, randomUUID());
 		this.crashLog = new CrashLog({...opts, tracker: this.crashes});
 		this.leavingHints = new LeavingHints(clock);
+		this.shortage = new ShortageOwner(clock);
 		// The order tasks of all engines listen to this signal, which exceeds Node's default limit for listener leaks.
 		setMaxListeners(0, this.stopper.signal);
 		this.rates = new RateOwner(clock, opts.getCustomers, opts.getEntryHosts);
@@ -96,7 +98,7 @@
 	}
 
 	/** Processes the report of an entry host and returns the host's part of the plan, apart from the evidence on crashes. */
-	handleReport({hostId, startId, running, adapters, arrivals, waiting, rates, leaving = []}: EntryReport): LeaderPlan {
+	handleReport({hostId, startId, running, adapters, arrivals, waiting, rates, leaving = [], queue}: EntryReport): LeaderPlan {
 		this.running.update(hostId, running);
 		for (const [service, model, adapter, count, runMs] of arrivals) {
 			this.engines.recordArrivals({service, model, ...(adapter !== '' && {adapter})}, count, runMs);
@@ -105,6 +107,7 @@
 		this.engines.recordAdapterUse(hostId, adapters);
 		this.engines.recordWaiting(hostId, waiting);
 		this.leavingHints.record(leaving);
+		this.shortage.report(hostId, queue);
 		const hints = this.leavingHints.list();
 		const grant = this.rates.request({hostId, startId, ...rates});
 		return {
@@ -112,6 +115,7 @@
 			expected: this.engines.getReadyTimes().map(({service, model, readyInMs}) => [service, model, Math.round(readyInMs)]),
 			rates: {...grant, leased: grant.leased.map(([name, allocation]) => [name, allocation])},
 			...(hints.length > 0 && {leaving: hints}),
+			...(queue && {shortage: this.shortage.getFigures()}),
 		};
 	}
 
--- a/apps/egretrilld/src/traffic/methods.ts
+++ b/apps/egretrilld/src/traffic/methods.ts
@@ -1,4 +1,6 @@
-import {CrashAnswer, CrashRecord, CrashReport} from '@egretrill/callers';
+import {
+	CrashAnswer, CrashRecord, CrashReport, QueueReport, ShortageFigures,
+} from '@egretrill/callers';
 import {Bytes, TrafficSource} from '@egretrill/common';
 import {ColdWant, RegistryUpdate} from '@egretrill/engines';
 import {defineDocumentMethod, defineListMethod, defineMethod} from '@egretrill/hosts';
@@ -28,6 +30,8 @@
 	leaving: LeavingTargets.optional(),
 	/** Evidence on what ends targets; hosts of earlier builds report none. */
 	crashes: CrashReport.optional(),
+	/** What waits at this host by kind, and the slots that it got; hosts of earlier builds report none. */
+	queue: QueueReport.optional(),
 });
 export type EntryReport = z.infer<typeof EntryReport>;
 
@@ -49,6 +53,8 @@
 	crashes: CrashAnswer.optional(),
 	/** Targets that have told some host that they leave. */
 	leaving: LeavingTargets.optional(),
+	/** Figures of all hosts for models in shortage; leaders of earlier builds send none. */
+	shortage: ShortageFigures.optional(),
 });
 export type LeaderPlan = z.infer<typeof LeaderPlan>;
 
--- a/apps/egretrilld/src/traffic/target-slot-source.ts
+++ b/apps/egretrilld/src/traffic/target-slot-source.ts
@@ -27,7 +27,7 @@
 		}
 
 		if (choice.kind !== 'target') {
-			return {kind: choice.kind};
+			return {kind: choice.kind, ...(choice.kind === 'full' && choice.coldTargetId !== undefined && {isCold: true})};
 		}
 
 		const acquired = this.opts.targets.acquireSlot(choice.targetId, need);
--- a/packages/callers/src/forward/attempts/open-attempt.ts
+++ b/packages/callers/src/forward/attempts/open-attempt.ts
@@ -2,7 +2,7 @@
 import {isRepeatable} from '../stops/decide-at-stop.js';
 import type {AttemptFailure, AttemptOutcome, ForwardContext} from '../forward-context.js';
 import {listAllKeys} from '../list-keys.js';
-import type {SlotOutcome, TargetSlot} from '../waiting/slot-queue.js';
+import type {SlotOutcome, TargetSlot} from '../waiting/slot-source.js';
 import type {AttemptSlot} from '../waiting/slot-search.js';
 import type {AnswerMetadata} from '../types.js';
 import {getStartId} from './target-ends.js';
--- a/packages/callers/src/forward/attempts/target-ends.ts
+++ b/packages/callers/src/forward/attempts/target-ends.ts
@@ -1,6 +1,6 @@
 import type {Clock} from '@egretrill/common';
 import {END_COLLECT_MS, END_MEMORY_MS} from '../constants.js';
-import type {TargetSlot} from '../waiting/slot-queue.js';
+import type {TargetSlot} from '../waiting/slot-source.js';
 
 /** A request whose exchange broke when its target ended. */
 export type LostRequest = {
--- a/packages/callers/src/forward/constants.ts
+++ b/packages/callers/src/forward/constants.ts
@@ -3,8 +3,15 @@
 /** A request is refused when no target is expected within this fraction of its timeout, while its caller can still retry elsewhere. */
 export const MAX_WAIT_RATIO = 0.5;
 
-/** Maximum wait for a model whose load no engine owner has planned; while there is an owner, plans are made several times a second. */
-export const UNPLANNED_MODEL_WAIT_MS = 700;
+/** Maximum wait for a model whose load no engine owner has planned, unless an eighth of the target latency is longer; while there is an owner, plans are made several times a second. */
+export const UNPLANNED_MODEL_WAIT_MS = 200;
+
+/** Fraction of the target latency that a request may wait for a slot of which nothing is known; a request held for longer and then refused has cost its caller time. */
+export const UNKNOWN_WAIT_RATIO = 1 / 8;
+
+/** Parts of their limits within which the slot of a new request, or the end of a load, must be expected; the rest is for errors of the forecast. */
+export const ADMISSION_RATIO = 1 / 2;
+export const LOAD_ADMISSION_RATIO = 2 / 3;
 
 /** Fraction of its timeout that a request may wait for a model whose load is known to finish by then. */
 export const PLANNED_WAIT_RATIO = 0.75;
@@ -12,9 +19,6 @@
 /** Fraction of the target latency that a request may wait while all targets are busy; requests answered late delay others past their latency. */
 export const SATURATED_WAIT_RATIO = 0.8;
 
-/** Lower bound on the wait while all targets are busy. */
-export const MIN_SATURATED_WAIT_MS = 250;
-
 /** Time constant of the rate at which slots become free. */
 export const SLOT_RATE_TIME_CONSTANT_MS = 1000;
 
@@ -27,6 +31,56 @@
 /** Upper bound on the retry time that results from spacing the retries of refused callers. */
 export const MAX_SPACED_RETRY_MS = 4000;
 
+/** Upper bound on the retry time that results from the slots of all hosts; callers leave sooner. */
+export const MAX_FLEET_RETRY_MS = 10_000;
+
+/** Age up to which the figures of all hosts are used; hosts that reach the leader hear of them several times in it. */
+export const FLEET_FIGURES_TTL_MS = 3000;
+
+/** Time constant of the rate at which slots become free over all hosts; long enough for models with a few slots a second. */
+export const FLEET_SLOT_TIME_CONSTANT_MS = 2000;
+
+/** Models in a host's report of its queue; more than an engine class of the largest deployment holds. */
+export const MAX_REPORTED_KINDS = 512;
+
+/** Requests that all hosts together send beyond the slots of an engine; its own queue takes a multiple of this. */
+export const MAX_BEYOND_SLOTS = 3;
+
+/** Free slots of an engine from which on a request is sent there in a shortage whatever the share of its host, as after the load of a copy. */
+export const CLEARLY_FREE_SLOTS = 4;
+
+/** Factor on the probability with which a caller that returns after a refusal takes a slot; its second refusal costs more than a first one. */
+export const RETURNING_SHARE_FACTOR = 2;
+
+/** Time ahead for which the present arrivals are taken to go on; peaks of traffic last a few seconds. */
+export const DEMAND_HORIZON_MS = 2000;
+
+/** Bounds on the time between two figures over which slots are shared. */
+export const MIN_FIGURES_WINDOW_MS = 50;
+export const MAX_FIGURES_WINDOW_MS = 1000;
+
+/** Steps of the time by which a request has to be sent, within which the shares of customers decide. */
+export const DUE_STEP_MS = 250;
+
+/** Steps of a customer's share of the slots within which arrival decides; a quarter of its share is one. */
+export const OWN_SHARE_STEPS = 4;
+
+/** Time constant over which the parts of requests that got a slot are compared; longer than a burst. */
+export const SERVED_RATIO_TIME_CONSTANT_MS = 10_000;
+
+/** Requests below which a ratio says nothing. */
+export const MIN_ASKED_FOR_RATIO = 5;
+
+/** Part of its group's ratio below which a kind goes first; a kind may not fall below a quarter. */
+export const FLOOR_RATIO = 0.3;
+
+/** Shortest time between two checks of all waiting requests against their limits, and against reasons outside the queue. */
+export const LIMIT_CHECK_INTERVAL_MS = 20;
+export const REFUSAL_CHECK_INTERVAL_MS = 50;
+
+/** Time by which a caller's remaining time falls short of its route's limit after a refusal; the shortest retry time, less what timers vary. */
+export const MIN_RETURN_GAP_MS = 80;
+
 /** Time after the earliest retry over which retries are spread if that one is later; a single time for all would bring them back in one wave. */
 export const MAX_RETRY_SPREAD_MS = 2000;
 
--- a/packages/callers/src/forward/forward-context.ts
+++ b/packages/callers/src/forward/forward-context.ts
@@ -5,7 +5,7 @@
 import type {ForwardDependencies} from './forward-dependencies.js';
 import type {EventOrder} from './streams/event-order.js';
 import type {ChunkTimes} from './streams/chunk-times.js';
-import type {SlotOutcome} from './waiting/slot-queue.js';
+import type {SlotOutcome} from './waiting/slot-source.js';
 import type {RouteTable} from './route-table.js';
 import type {AnswerSummary, ForwardCall} from './types.js';
 
--- /dev/null
+++ b/packages/callers/src/forward/waiting/shortage-figures.ts
@@ -0,0 +1,31 @@
+import {z} from 'zod';
+import {MAX_REPORTED_KINDS} from '../constants.js';
+
+const count = z.int().nonnegative();
+
+/** Requests of one kind at a model: priority, target latency, waiting for a slot, refused callers that are expected back, and arrivals: since the last poll in a report, per second in the figures. */
+export const KindCounts = z.tuple([z.int(), z.number().nonnegative(), count, count, z.number().nonnegative()]);
+export type KindCounts = z.infer<typeof KindCounts>;
+
+/** What an entry host reports of its queue in each poll. */
+export const QueueReport = z.object({
+	/** Requests by service and model; the model is empty for services without models. */
+	waiting: z.array(z.tuple([z.string(), z.string(), z.array(KindCounts)])).max(MAX_REPORTED_KINDS),
+	/** Slots that became free since the last poll, as requests of this host ended: service, model, count. */
+	slots: z.array(z.tuple([z.string(), z.string(), count])).max(MAX_REPORTED_KINDS),
+});
+export type QueueReport = z.infer<typeof QueueReport>;
+
+/** Figures of all hosts for each model in shortage: service, model, slots that become free per second, kinds. */
+export const ShortageFigures = z.array(z.tuple([z.string(), z.string(), z.number().nonnegative(), z.array(KindCounts)]));
+export type ShortageFigures = z.infer<typeof ShortageFigures>;
+
+/** Key of a model in the figures and in the queues of a host. */
+export function getQueueKey(service: string, model: string | undefined): string {
+	return `${service}\n${model ?? ''}`;
+}
+
+/** Returns the service and the model of a key. */
+export function splitQueueKey(key: string): readonly string[] {
+	return key.split('\n');
+}
--- a/packages/callers/src/forward/waiting/slot-queue.ts
+++ b/packages/callers/src/forward/waiting/slot-queue.ts
@@ -1,143 +1,91 @@
-import {type Clock, refuse, type Verdict} from '@egretrill/common';
+import type {Clock, Random, Verdict} from '@egretrill/common';
 import {Result} from 'true-myth';
-import {MIN_RETRY_AFTER_MS, RETRY_GRACE_MS, RETRY_SLOT_RATIO} from '../constants.js';
-import type {PromptPart} from '../types.js';
 import {
-	decideWait, SlotRate, RetrySchedule, type WaitDecision, type WaitLimits, type WaitReason,
-} from './wait-forecast.js';
-
-/** What a request requires of its target. */
-export type SlotRequirements = {
-	readonly service: string;
-	readonly model?: string;
-	readonly adapter?: string;
-	readonly parts: readonly PromptPart[];
-	/** Targets to which this request has already been sent. */
-	readonly tried: ReadonlySet<string>;
-	/** Leaves out targets that are silent now. */
-	readonly avoidsSilent?: boolean;
-};
-
-/** The result of a request for the health of its target: it answered, it failed or refused the request, it broke off the result, it could not be reached, it was silent until another one took over, or nothing was sent to it. */
-export type SlotOutcome = 'answered' | 'failed' | 'broke-off' | 'unreachable' | 'replaced' | 'unsent';
-
-/** Room for one request at a target; `release` frees it. */
-export type TargetSlot = {
-	readonly targetId: string;
-	readonly address: string;
-	readonly zone: string;
-	/** Start time of the target's process, which distinguishes its lifetimes. */
-	readonly startedAtMs: number;
-	/** Whether the target was still slow after its start when it was chosen. */
-	readonly wasCold: boolean;
-	/** Whether the target has announced that it leaves, or has left, since it was chosen. */
-	readonly isLeaving: () => boolean;
-	/** Known requests of all hosts outstanding at the target when it was chosen. */
-	readonly outstanding: number;
-	/** Sets the number of outstanding requests that the target itself reported. */
-	readonly updateOutstanding: (count: number) => void;
-	/** Ranks the target last for a while, since it is silent in the middle of its answer. */
-	readonly reportSilence: () => void;
-	/** Records that the target says in its answer that it leaves; no further request is sent to it. */
-	readonly reportLeaving: () => void;
-	/** Records that the target takes no requests for a time. */
-	readonly reportPause: (pauseMs: number) => void;
-	/** Records that something has arrived from the target, which ends its silence. */
-	readonly recordActivity: () => void;
-	readonly release: (outcome: SlotOutcome) => void;
-};
-
-/** A slot, or the reason why none is available now. */
-export type SlotResult =
-	| {readonly kind: 'slot'; readonly slot: TargetSlot}
-	| {readonly kind: WaitReason};
-
-/** Finds slots at the known targets. */
-export abstract class SlotSource {
-	abstract findSlot(requirements: SlotRequirements): SlotResult;
-	/** Requests the load of a model or adapter that no target can serve yet. */
-	abstract requestLoad(requirements: SlotRequirements): void;
-	/** Time until the first of the targets that take no requests for a time takes some again; undefined if there is none. */
-	abstract getPauseLeftMs(requirements: SlotRequirements): number | undefined;
-	/** Time until a model that is being loaded can serve; undefined when no load is in progress. */
-	abstract getTimeUntilReadyMs(requirements: SlotRequirements): number | undefined;
-}
-
-/** Number of requests that wait for a copy of a model, and of those that found all copies full (`crowded`). */
-export type ModelBacklog = {readonly service: string; readonly model: string | undefined; readonly waiting: number; readonly crowded: number};
+	CLEARLY_FREE_SLOTS, DUE_STEP_MS, LIMIT_CHECK_INTERVAL_MS, MAX_BEYOND_SLOTS, OWN_SHARE_STEPS, REFUSAL_CHECK_INTERVAL_MS, RETRY_GRACE_MS, RETURNING_SHARE_FACTOR,
+} from '../constants.js';
+import {CheckTimer} from './check-timer.js';
+import {type FleetBacklog, FleetShortage} from './fleet-shortage.js';
+import {LaneTable} from './lane-table.js';
+import type {QueueObserver, WaitEnd} from './queue-observer.js';
+import {countByModel, type ModelBacklog, needsLoad} from './queue-report.js';
+import {refuseLeft, refuseNoSlot, refuseShutdown} from './refuse-no-slot.js';
+import {ReturningCallers} from './returning-callers.js';
+import {ServedRatios} from './served-ratios.js';
+import type {QueueReport, ShortageFigures} from './shortage-figures.js';
+import {SlotForecast} from './slot-forecast.js';
+import {getSlotProbability} from './slot-share.js';
+import type {SlotRequirements, SlotSource, TargetSlot} from './slot-source.js';
+import {decideWait, type WaitReason} from './wait-forecast.js';
+import {
+	createWaiter, describeRequirements, getCustomerName, getKindName, type NoSlot, type SlotWait, type Waiter,
+} from './waiter.js';
+import {compareRanked, insertRanked, type WaitingRank} from './waiting-lanes.js';
 
-/** How long a request may wait for a slot. */
-export type SlotWait = WaitLimits & {
-	/** Refuses the request for a reason outside the queue; asked before a slot is taken for it. */
-	readonly getRefusal?: () => Verdict | undefined;
-};
+/** Search of one turn: what was found for each requirement for which no slot is free. */
+type Turn = Map<string, NoSlot>;
 
-type Waiter = {
-	readonly requirements: SlotRequirements;
-	/** Keys that are equal for requests with the same requirements and with the same model. */
-	readonly requirementsKey: string;
-	readonly modelKey: string;
-	readonly priority: number;
-	readonly limits: SlotWait;
-	readonly startedMs: number;
-	readonly settle: (result: Result<TargetSlot, Verdict>) => void;
-	lastReason: WaitReason;
+export type SlotQueueOptions = {
+	readonly random?: Random;
+	readonly observer?: QueueObserver;
 };
 
-/** A caller that was refused with a retry time. */
-type RefusedCaller = {readonly requirements: SlotRequirements; readonly reason: WaitReason; readonly untilMs: number};
-
-function getModelKey({service, model}: Pick<SlotRequirements, 'service' | 'model'>): string {
-	return JSON.stringify([service, model]);
-}
-
-function getRequirementsKey({service, model, adapter}: SlotRequirements): string {
-	return JSON.stringify([service, model, adapter]);
-}
-
-/** Requests that wait for a slot, in order of priority and then of arrival. Absorbs bursts and the load time of models. */
+/** Requests that wait for a slot: of the more urgent kind first, then callers that return after a refusal, then by the time by which they have to be sent, the share of their customer and arrival. Absorbs bursts and the load time of models. */
 export class SlotQueue {
-	private waiters: readonly Waiter[] = [];
-	private refusedCallers: readonly RefusedCaller[] = [];
-	private readonly slotRate: SlotRate;
-	private readonly retrySchedule: RetrySchedule;
+	private readonly lanes = new LaneTable();
+	private readonly returning: ReturningCallers;
+	private readonly fleet: FleetShortage;
+	private readonly forecast: SlotForecast;
+	private readonly ratios: ServedRatios;
+	private readonly limitTimer: CheckTimer;
+	private readonly random: Random;
+	private readonly observer: QueueObserver | undefined;
+	/** Counts the figures that were applied; each request draws once with each. */
+	private window = 0;
+	private sequence = 0;
+	private lastLimitCheckMs = Number.NEGATIVE_INFINITY;
+	private lastRefusalCheckMs = Number.NEGATIVE_INFINITY;
 	private isClosed = false;
 
-	constructor(private readonly clock: Clock, private readonly source: SlotSource) {
-		this.slotRate = new SlotRate(clock);
-		this.retrySchedule = new RetrySchedule(clock);
+	constructor(private readonly clock: Clock, private readonly source: SlotSource, {random = Math.random, observer}: SlotQueueOptions = {}) {
+		this.fleet = new FleetShortage(clock);
+		this.forecast = new SlotForecast(clock, source, this.fleet, random);
+		this.ratios = new ServedRatios(clock);
+		this.returning = new ReturningCallers(clock);
+		this.limitTimer = new CheckTimer(clock, () => {
+			this.checkLimits();
+		});
+		this.random = random;
+		this.observer = observer;
 	}
 
 	getLength(): number {
-		return this.waiters.length;
+		return this.lanes.size;
 	}
 
-	/** Counts, by model, the requests that wait for an engine and the refused callers that are expected to retry. Requests that only lack an adapter are left out, since they need no further copy of the model. */
-	getWaitingByModel(): readonly ModelBacklog[] {
-		const counts = new Map<string, ModelBacklog>();
-		const add = ({service, model}: SlotRequirements, reason: WaitReason): void => {
-			if (reason === 'adapter-missing') {
-				return;
-			}
+	/** Counts waiting requests by what they wait for. */
+	getWaitingByReason(): ReadonlyMap<WaitReason, number> {
+		const counts = new Map<WaitReason, number>();
+		for (const {reason} of this.lanes.listBacklog()) {
+			counts.set(reason, (counts.get(reason) ?? 0) + 1);
+		}
 
-			const key = getModelKey({service, model});
-			const known = counts.get(key) ?? {
-				service, model, waiting: 0, crowded: 0,
-			};
-			const isCrowded = !needsLoad(reason);
-			counts.set(key, {...known, waiting: known.waiting + Number(!isCrowded), crowded: known.crowded + Number(isCrowded)});
-		};
+		return counts;
+	}
 
-		for (const {requirements, lastReason} of this.waiters) {
-			add(requirements, lastReason);
-		}
+	/** Counts, by model, the requests that wait for an engine and the refused callers that are expected to retry. */
+	getWaitingByModel(): readonly ModelBacklog[] {
+		return countByModel([...this.lanes.listBacklog(), ...this.returning.list()]);
+	}
 
-		this.refusedCallers = this.refusedCallers.filter(({untilMs}) => untilMs > this.clock.now());
-		for (const {requirements, reason} of this.refusedCallers) {
-			add(requirements, reason);
-		}
+	/** Returns what the leader sums over all hosts; slots and arrivals count since the last report. */
+	createReport(): QueueReport {
+		return this.fleet.createReport(this.lanes.listBacklog(), this.returning.list());
+	}
 
-		return [...counts.values()];
+	/** Applies the figures of all hosts that the leader returned to the last report. */
+	applyFigures(figures: ShortageFigures): void {
+		this.fleet.apply(figures);
+		this.window += 1;
 	}
 
 	/** Resolves with a slot, or with a refusal as soon as none is expected within the limits. */
@@ -147,68 +95,61 @@
 			return Result.err(refusal);
 		}
 
-		const requirementsKey = getRequirementsKey(requirements);
-		const initialResult = this.hasEarlierWaiter(requirementsKey, priority) ? undefined : this.findSlot(requirements);
-		if (initialResult?.kind === 'slot') {
-			return Result.ok(initialResult.slot);
+		const waiter = this.createWaiter(requirements, priority, limits);
+		this.recordAsked(waiter);
+		const earlier = this.lanes.findEarlier(waiter);
+		waiter.found = earlier?.lastFound ?? waiter.found;
+		const slot = earlier ? undefined : this.search(waiter, new Map());
+		if (slot) {
+			return Result.ok(slot);
 		}
 
-		if (initialResult && needsLoad(initialResult.kind)) {
-			this.source.requestLoad(requirements);
+		if (this.isClosed || signal.aborted) {
+			return Result.err(this.isClosed ? refuseShutdown() : refuseLeft());
 		}
 
-		if (this.isClosed) {
-			return Result.err(refuse(503, 'draining', 'This host is shutting down.', MIN_RETRY_AFTER_MS));
-		}
-
-		return this.wait({
-			requirements, requirementsKey, modelKey: getModelKey(requirements), priority, limits, lastReason: initialResult?.kind ?? 'full',
-		}, signal);
+		const late = this.refuseIfTooLate(waiter, this.lanes.countAhead(waiter));
+		return late ? Result.err(late) : this.wait(waiter, signal);
 	}
 
 	/** Takes a slot that is free now and for which no request of the same or a more urgent priority waits. */
 	takeFree(requirements: SlotRequirements, priority: number): TargetSlot | undefined {
-		const result = this.hasEarlierWaiter(getRequirementsKey(requirements), priority) ? undefined : this.findSlot(requirements);
-		return result?.kind === 'slot' ? result.slot : undefined;
+		const {queueKey, requirementsKey} = describeRequirements(requirements);
+		for (const {requirementsKey: otherKey, head} of this.lanes.getOfModel(queueKey)) {
+			if (otherKey === requirementsKey && head && head.kind.priority <= priority) {
+				return undefined;
+			}
+		}
+
+		const result = this.source.findSlot(requirements);
+		return result.kind === 'slot' ? this.countSlot(queueKey, result.slot) : undefined;
 	}
 
-	/** Refuses all waiting requests, and new requests for which no slot is free; another host can serve these callers sooner. */
+	/** Refuses all waiting requests, and new requests for which no slot is free. */
 	close(): void {
 		this.isClosed = true;
-		for (const waiter of this.waiters) {
-			waiter.settle(Result.err(refuse(503, 'draining', 'This host is shutting down.', MIN_RETRY_AFTER_MS)));
+		for (const waiter of this.lanes.listWaiters()) {
+			waiter.settle(Result.err(refuseShutdown()));
 		}
 	}
 
-	/** Gives free slots to waiting requests and refuses those for which none is expected in time; must be called whenever a slot may have become free or a target was added. */
+	/** Gives free slots to waiting requests and refuses those for which none is expected in time; must be called whenever a slot may have become free or a target was added. Searches once for each distinct requirement. */
 	dispatch(): void {
-		const unserved = new Map<string, WaitReason>();
-		const ahead = new Map<string, number>();
-		this.refuseForOtherReasons();
-		for (const waiter of this.waiters) {
-			const {requirementsKey, modelKey} = waiter;
-			const known = unserved.get(requirementsKey);
-			const result = known === undefined ? this.findSlot(waiter.requirements) : {kind: known} as const;
-			if (result.kind === 'slot') {
-				waiter.settle(Result.ok(result.slot));
-				continue;
-			}
-
-			if (known === undefined && needsLoad(result.kind)) {
-				this.source.requestLoad(waiter.requirements);
-			}
+		this.giveSlots();
+		const nowMs = this.clock.now();
+		if (nowMs - this.lastRefusalCheckMs >= REFUSAL_CHECK_INTERVAL_MS) {
+			this.refuseForOtherReasons();
+		}
 
-			unserved.set(requirementsKey, result.kind);
-			waiter.lastReason = result.kind;
-			const aheadCount = ahead.get(modelKey) ?? 0;
-			if (this.refuseIfTooLate(waiter, aheadCount).kind === 'wait') {
-				ahead.set(modelKey, aheadCount + 1);
-			}
+		if (nowMs - this.lastLimitCheckMs >= LIMIT_CHECK_INTERVAL_MS) {
+			this.checkLimits();
 		}
 	}
 
-	private refuseForOtherReasons(): void {
-		for (const {limits, settle} of this.waiters) {
+	/** Refuses waiting requests for reasons outside the queue, such as a planned stop of this host. */
+	refuseForOtherReasons(): void {
+		this.lastRefusalCheckMs = this.clock.now();
+		for (const {limits, settle} of this.lanes.listWaiters()) {
 			const refusal = limits.getRefusal?.();
 			if (refusal) {
 				settle(Result.err(refusal));
@@ -216,114 +157,192 @@
 		}
 	}
 
-	private findSlot(requirements: SlotRequirements): SlotResult {
-		const result = this.source.findSlot(requirements);
-		if (result.kind === 'slot') {
-			this.slotRate.recordSlot(getModelKey(requirements));
-		}
+	private giveSlots(): void {
+		const turn: Turn = new Map();
+		const heads = this.listHeads();
+		for (let head = heads.shift(); head; head = heads.shift()) {
+			const lane = this.lanes.get(head.laneKey);
+			const refusal = head.limits.getRefusal?.();
+			const slot = refusal ? undefined : this.search(head, turn);
+			if (refusal) {
+				head.settle(Result.err(refusal));
+			} else if (slot) {
+				head.settle(Result.ok(slot));
+			}
 
-		return result;
+			if ((refusal ?? slot) && lane?.head) {
+				insertRanked(heads, lane.head);
+			}
+		}
 	}
 
-	/** Whether a request with the same requirements and the same or a more urgent priority (a smaller number) is already waiting. */
-	private hasEarlierWaiter(key: string, priority: number): boolean {
-		return this.waiters.some(({requirementsKey, priority: other}) => other <= priority && requirementsKey === key);
+	private createWaiter(requirements: SlotRequirements, priority: number, limits: SlotWait): Waiter {
+		const keys = describeRequirements(requirements);
+		this.sequence += 1;
+		return createWaiter({
+			requirements,
+			keys,
+			kind: {priority, targetLatencyMs: limits.targetLatencyMs ?? 0},
+			rank: this.getRank(keys.service, priority, limits),
+			sequence: this.sequence,
+			limits,
+			startedMs: this.clock.now(),
+		});
 	}
 
-	private countAhead(waiter: Waiter): number {
-		let ahead = 0;
-		for (const other of this.waiters) {
-			if (other === waiter) {
-				break;
-			}
+	private getRank(service: string, priority: number, {dueMs = 0, isReturning = false, customer}: SlotWait): WaitingRank {
+		const share = customer === undefined ? 1 : this.ratios.getRelative(service, getCustomerName(customer));
+		return {
+			priority, attempt: isReturning ? 0 : 1, dueStep: Math.floor(dueMs / DUE_STEP_MS), share: Math.floor(share * OWN_SHARE_STEPS),
+		};
+	}
 
-			ahead += Number(other.modelKey === waiter.modelKey);
+	private recordAsked({service, queueKey, kind, limits: {customer}}: Waiter): void {
+		this.fleet.recordArrival(queueKey, kind);
+		this.ratios.recordAsked(service, getKindName(kind));
+		if (customer !== undefined) {
+			this.ratios.recordAsked(service, getCustomerName(customer));
 		}
+	}
 
-		return ahead;
+	private recordServed({service, kind, limits: {customer}}: Waiter): void {
+		this.ratios.recordServed(service, getKindName(kind));
+		if (customer !== undefined) {
+			this.ratios.recordServed(service, getCustomerName(customer));
+		}
 	}
 
-	/** Refuses a waiting request if its slot is expected too late. */
-	private refuseIfTooLate(waiter: Waiter, ahead: number): WaitDecision {
-		const {requirements, modelKey, limits, lastReason, startedMs, settle} = waiter;
-		const forecastMs = this.getForecastMs(waiter, ahead);
-		const decision = decideWait({reason: lastReason, waitedMs: this.clock.now() - startedMs, forecastMs}, limits);
-		if (decision.kind === 'refuse') {
-			const intervalMs = this.slotRate.getWaitMs(modelKey, 0);
-			const retryAfterMs = this.retrySchedule.getRetryAfterMs(modelKey, decision.retryAfterMs, intervalMs === undefined ? undefined : intervalMs / RETRY_SLOT_RATIO);
-			this.refusedCallers = [...this.refusedCallers, {requirements, reason: lastReason, untilMs: this.clock.now() + retryAfterMs + RETRY_GRACE_MS}];
-			settle(Result.err(refuseNoSlot(lastReason, retryAfterMs)));
+	/** Takes a slot for a request. */
+	private search(waiter: Waiter, turn: Turn): TargetSlot | undefined {
+		const {requirements, requirementsKey, queueKey} = waiter;
+		const others = this.fleet.getOthers(queueKey, waiter.kind);
+		const known = others ? undefined : turn.get(requirementsKey);
+		const found = known ?? this.source.findSlot(others ? {...requirements, beyondSlots: this.getBeyondSlots(waiter, others)} : requirements);
+		if (found.kind === 'slot') {
+			this.recordServed(waiter);
+			this.reportEnd(waiter, 'served');
+			return this.countSlot(queueKey, found.slot);
 		}
 
-		return decision;
+		if (!known && needsLoad(found.kind)) {
+			this.source.requestLoad(requirements);
+		}
+
+		waiter.found = found;
+		turn.set(requirementsKey, found);
+		const lane = this.lanes.get(waiter.laneKey);
+		if (lane) {
+			lane.lastFound = found;
+		}
+
+		return undefined;
 	}
 
-	/** Expected time until a waiting request gets a slot; undefined if unknown. */
-	private getForecastMs({requirements, modelKey, lastReason}: Waiter, ahead: number): number | undefined {
-		switch (lastReason) {
-			case 'full': {
-				return this.slotRate.getWaitMs(modelKey, ahead);
-			}
+	/** How far beyond the slots of an engine a request may be sent in a shortage; below zero if its host has no share of the slots now. */
+	private getBeyondSlots(waiter: Waiter, others: FleetBacklog): number {
+		if (waiter.window !== this.window) {
+			const factor = waiter.limits.isReturning ? RETURNING_SHARE_FACTOR : 1;
+			waiter.window = this.window;
+			waiter.hasShare = this.random() < factor * getSlotProbability(others, this.lanes.countOwn(waiter));
+		}
 
-			case 'paused': {
-				return this.source.getPauseLeftMs(requirements);
-			}
+		return waiter.hasShare ? MAX_BEYOND_SLOTS : -CLEARLY_FREE_SLOTS;
+	}
 
-			case 'adapter-missing':
-			case 'none': {
-				return this.source.getTimeUntilReadyMs(requirements);
-			}
+	/** Counts a slot that this host got, and later that it is free again. */
+	private countSlot(queueKey: string, slot: TargetSlot): TargetSlot {
+		this.forecast.recordSlot(queueKey);
+		return {
+			...slot,
+			release: outcome => {
+				this.fleet.recordFreed(queueKey);
+				slot.release(outcome);
+			},
+		};
+	}
+
+	/** Returns a refusal if the slot of a request is expected too late. */
+	private refuseIfTooLate(waiter: Waiter, ahead: number): Verdict | undefined {
+		const {requirements, queueKey, kind, limits, startedMs, found: {kind: reason, isCold}} = waiter;
+		const nowMs = this.clock.now();
+		const waitedMs = nowMs - startedMs;
+		const forecastMs = this.forecast.getForecastMs({
+			requirements, queueKey, kind, reason, waitedMs, ahead,
+		});
+		waiter.firstForecastMs ??= forecastMs;
+		const ownReturning = this.returning.count(queueKey);
+		const decision = decideWait({
+			reason, waitedMs, forecastMs, isCold, wasRefusedBefore: ownReturning > 0,
+		}, limits);
+		if (decision.kind === 'wait') {
+			this.limitTimer.set(nowMs + decision.untilMs);
+			return undefined;
 		}
+
+		const retryAfterMs = this.forecast.getRetryAfterMs({queueKey, kind}, decision.retryAfterMs, ownReturning);
+		this.returning.add({
+			requirements, queueKey, kind, reason, untilMs: nowMs + retryAfterMs + RETRY_GRACE_MS,
+		});
+		this.reportEnd(waiter, 'refused');
+		return refuseNoSlot(reason, retryAfterMs);
 	}
 
-	private async wait(request: Omit<Waiter, 'startedMs' | 'settle'>, signal: AbortSignal): Promise<Result<TargetSlot, Verdict>> {
-		if (signal.aborted) {
-			return Result.err(refuse(503, 'caller-left', 'The caller left before the request was placed.'));
+	private reportEnd({found: {kind: reason}, startedMs, firstForecastMs}: Waiter, outcome: WaitEnd['outcome']): void {
+		const waitedMs = this.clock.now() - startedMs;
+		if (outcome === 'refused' || waitedMs > 0) {
+			this.observer?.recordWaitEnd({
+				reason, outcome, waitedMs, forecastMs: firstForecastMs,
+			});
 		}
+	}
 
+	private async wait(waiter: Waiter, signal: AbortSignal): Promise<Result<TargetSlot, Verdict>> {
 		return new Promise(resolve => {
-			const resolved = new AbortController();
-			const settle = (result: Result<TargetSlot, Verdict>): void => {
-				this.waiters = this.waiters.filter(other => other !== waiter);
-				signal.removeEventListener('abort', onAbort);
-				resolved.abort();
-				resolve(result);
+			const onAbort = (): void => {
+				waiter.settle(Result.err(refuseLeft()));
 			};
 
-			const onAbort = (): void => {
-				settle(Result.err(refuse(503, 'caller-left', 'The caller left before the request was placed.')));
+			waiter.settle = result => {
+				if (this.remove(waiter)) {
+					signal.removeEventListener('abort', onAbort);
+					resolve(result);
+				}
 			};
 
-			const waiter: Waiter = {...request, startedMs: this.clock.now(), settle};
-			const insertIndex = this.waiters.findIndex(other => other.priority > waiter.priority);
-			this.waiters = insertIndex === -1 ? [...this.waiters, waiter] : this.waiters.toSpliced(insertIndex, 0, waiter);
+			this.lanes.add(waiter);
 			signal.addEventListener('abort', onAbort, {once: true});
-			void this.watchWaitLimit(waiter, resolved.signal);
 		});
 	}
 
-	/** Checks a waiting request again when its limit is reached, even if no slot or target has changed. */
-	private async watchWaitLimit(waiter: Waiter, resolved: AbortSignal): Promise<void> {
-		while (!resolved.aborted) {
-			const decision = this.refuseIfTooLate(waiter, this.countAhead(waiter));
-			if (decision.kind === 'wait') {
-				await this.clock.sleep(decision.untilMs, resolved);
-			}
+	private remove(waiter: Waiter): boolean {
+		const wasWaiting = this.lanes.remove(waiter);
+		if (this.lanes.size === 0) {
+			this.limitTimer.clear();
 		}
-	}
-}
 
-/** Whether a request lacks a model or adapter, rather than room at the targets that hold them. */
-function needsLoad(reason: WaitReason): boolean {
-	return reason === 'none' || reason === 'adapter-missing';
-}
+		return wasWaiting;
+	}
 
-function refuseNoSlot(reason: WaitReason, retryAfterMs: number): Verdict {
-	if (reason === 'paused') {
-		return refuse(503, 'targets-paused', 'All targets for the request have asked for a pause.', retryAfterMs);
+	/** The first requests of all lanes in the order in which they get slots; a kind that was served too little goes first. */
+	private listHeads(): Waiter[] {
+		const heads = this.lanes.listHeads().toSorted(compareRanked);
+		const isBelow = new Map(heads.map(head => [head, this.ratios.isBelowFloor(head.service, getKindName(head.kind))]));
+		return [...heads.filter(head => isBelow.get(head)), ...heads.filter(head => !isBelow.get(head))];
 	}
 
-	return reason === 'full'
-		? refuse(503, 'overloaded', 'All targets for the request are busy.', retryAfterMs)
-		: refuse(503, 'no-target', 'No target serves what the request needs.', retryAfterMs);
+	/** Refuses waiting requests whose slot is expected too late, counting for each model those that go first. */
+	private checkLimits(): void {
+		this.lastLimitCheckMs = this.clock.now();
+		for (const waiters of this.lanes.listByModel()) {
+			let ahead = 0;
+			for (const waiter of waiters) {
+				const refusal = this.refuseIfTooLate(waiter, ahead);
+				if (refusal) {
+					waiter.settle(Result.err(refusal));
+				} else {
+					ahead += 1;
+				}
+			}
+		}
+	}
 }
--- a/packages/callers/src/forward/waiting/slot-search.ts
+++ b/packages/callers/src/forward/waiting/slot-search.ts
@@ -2,10 +2,11 @@
 import type {SentRequest} from '../../crashes/index.js';
 import {refuseKeyBeforeSend} from '../refuse-key.js';
 import {refuseBeforeStop} from '../stops/refuse-before-stop.js';
-import {MIN_RETRY_AFTER_MS, MIN_TIME_LEFT_TO_SEND_MS} from '../constants.js';
+import {MIN_RETRY_AFTER_MS, MIN_RETURN_GAP_MS, MIN_TIME_LEFT_TO_SEND_MS} from '../constants.js';
 import type {ForwardContext} from '../forward-context.js';
 import {listKeys} from '../list-keys.js';
-import type {SlotRequirements, TargetSlot} from './slot-queue.js';
+import type {SlotWait} from './waiter.js';
+import type {SlotRequirements, TargetSlot} from './slot-source.js';
 import {getWaitLimits} from './wait-limits.js';
 
 function getRequirements({call, service, progress, table}: ForwardContext): SlotRequirements {
@@ -60,10 +61,19 @@
 	}
 }
 
+/** What decides on the order of a waiting request. A caller that returns after a refusal arrives under a new id, but has less time than its route allows. */
+function describeWaiting({call: {timeLeftMs}, route: {targetLatencyMs, timeoutMs}, endsMs, customer}: ForwardContext): Pick<SlotWait, 'targetLatencyMs' | 'dueMs' | 'isReturning' | 'customer'> {
+	const limitMs = Math.min(timeoutMs, timeLeftMs ?? timeoutMs);
+	return {
+		targetLatencyMs, dueMs: endsMs - limitMs + targetLatencyMs, isReturning: timeoutMs - limitMs >= MIN_RETURN_GAP_MS, ...(customer && {customer: customer.name}),
+	};
+}
+
 async function waitForSlot(context: ForwardContext): Promise<TargetSlot | Verdict> {
 	const {deps: {clock, queue, crashGate}, route, endsMs, signal, exchange} = context;
 	const wait = {
 		...getWaitLimits(route, endsMs - clock.now()),
+		...describeWaiting(context),
 		getRefusal: () => refuseBeforeStop({...context, hasStarted: exchange.hasStarted()}, 'send') ?? refuseKeyBeforeSend(context) ?? crashGate.getRefusal(listKeys(context)),
 	};
 	const acquired = await queue.acquire(getRequirements(context), getPriority(context), wait, signal);
--- a/packages/callers/src/forward/waiting/wait-forecast.ts
+++ b/packages/callers/src/forward/waiting/wait-forecast.ts
@@ -1,6 +1,6 @@
 import {type Clock, DecayingCounts} from '@egretrill/common';
 import {
-	DEFAULT_RETRY_SPACING_MS, MAX_RETRY_SPREAD_MS, MAX_SPACED_RETRY_MS, MIN_RETRY_AFTER_MS, NO_TARGET_RETRY_MS, SLOT_RATE_TIME_CONSTANT_MS, UNPLANNED_MODEL_WAIT_MS,
+	ADMISSION_RATIO, DEFAULT_RETRY_SPACING_MS, LOAD_ADMISSION_RATIO, MAX_FLEET_RETRY_MS, MAX_RETRY_SPREAD_MS, MAX_SPACED_RETRY_MS, MIN_RETRY_AFTER_MS, NO_TARGET_RETRY_MS, SLOT_RATE_TIME_CONSTANT_MS, UNPLANNED_MODEL_WAIT_MS,
 } from '../constants.js';
 
 /** Maximum wait for a slot, by what the request waits for. */
@@ -11,6 +11,8 @@
 	readonly plannedMs: number;
 	/** For a slot while all targets are busy. */
 	readonly saturatedMs: number;
+	/** For a slot of which nothing is known; the same as for a known one if absent. */
+	readonly unknownMs?: number;
 };
 
 /** Why no slot is available: all targets are full, all have asked this host to send nothing for a time, none has the adapter, or none has the model. */
@@ -21,26 +23,47 @@
 	readonly waitedMs: number;
 	/** Expected time until a slot is available; undefined if unknown. */
 	readonly forecastMs: number | undefined;
+	/** Whether the only targets with free slots are cold. */
+	readonly isCold?: boolean;
+	/** Whether a request for the same model was refused here recently, so that the leader has had time to plan its load. */
+	readonly wasRefusedBefore?: boolean;
 };
 
 /** Whether a request keeps waiting, or when its caller should retry instead. */
 export type WaitDecision = {readonly kind: 'wait'; readonly untilMs: number} | {readonly kind: 'refuse'; readonly retryAfterMs: number};
 
-function getLimitMs(reason: WaitReason, isPlanned: boolean, {unplannedMs, plannedMs, saturatedMs}: WaitLimits): number {
-	if (reason === 'full' || reason === 'paused') {
+/** How long a request may wait whose slot is expected by a forecast. */
+function getPlannedLimitMs({reason, waitedMs}: WaitState, {plannedMs, saturatedMs}: WaitLimits): number {
+	if (reason === 'paused') {
 		return saturatedMs;
 	}
 
-	if (isPlanned) {
-		return plannedMs;
-	}
+	// A forecast may err; a request that is held has some time for it.
+	return reason === 'full' ? saturatedMs * (waitedMs === 0 ? ADMISSION_RATIO : 1) : plannedMs * (waitedMs === 0 ? LOAD_ADMISSION_RATIO : 1);
+}
 
-	return reason === 'none' ? Math.min(unplannedMs, UNPLANNED_MODEL_WAIT_MS) : unplannedMs;
+/** How long a request may wait of whose slot nothing is known. */
+function getUnplannedLimitMs({reason, isCold = false, wasRefusedBefore = false}: WaitState, {unplannedMs, saturatedMs, unknownMs = saturatedMs}: WaitLimits): number {
+	switch (reason) {
+		case 'adapter-missing': {
+			return unplannedMs;
+		}
+
+		case 'none': {
+			return wasRefusedBefore ? unknownMs : Math.max(unknownMs, Math.min(saturatedMs, UNPLANNED_MODEL_WAIT_MS));
+		}
+
+		case 'full':
+		case 'paused': {
+			return isCold ? saturatedMs : unknownMs;
+		}
+	}
 }
 
 /** Refuses a request as soon as its slot is expected too late, as in bursts beyond the capacity of the targets or when a model takes longer to load than callers wait. */
-export function decideWait({reason, waitedMs, forecastMs}: WaitState, limits: WaitLimits): WaitDecision {
-	const limitMs = getLimitMs(reason, forecastMs !== undefined, limits);
+export function decideWait(state: WaitState, limits: WaitLimits): WaitDecision {
+	const {reason, waitedMs, forecastMs} = state;
+	const limitMs = forecastMs === undefined ? getUnplannedLimitMs(state, limits) : getPlannedLimitMs(state, limits);
 	if (waitedMs + (forecastMs ?? 0) < limitMs) {
 		return {kind: 'wait', untilMs: limitMs - waitedMs};
 	}
@@ -85,4 +108,12 @@
 		this.lastRetryMs.set(name, nowMs + retryMs);
 		return retryMs;
 	}
+
+	/** Time after which a caller should retry when all hosts space their returns; each of them returns an interval after the last one, when a slot is expected for it. */
+	getFleetRetryAfterMs(name: string, earliestMs: number, intervalMs: number): number {
+		const nowMs = this.clock.now();
+		const retryMs = Math.min(MAX_FLEET_RETRY_MS, Math.max((this.lastRetryMs.get(name) ?? nowMs) - nowMs, earliestMs) + intervalMs);
+		this.lastRetryMs.set(name, nowMs + retryMs);
+		return retryMs;
+	}
 }
--- /dev/null
+++ b/packages/callers/src/forward/waiting/waiter.ts
@@ -0,0 +1,90 @@
+import type {Verdict} from '@egretrill/common';
+import type {Result} from 'true-myth';
+import type {RequestKind} from './fleet-shortage.js';
+import type {BacklogEntry} from './queue-report.js';
+import {getQueueKey} from './shortage-figures.js';
+import type {SlotRequirements, SlotResult, TargetSlot} from './slot-source.js';
+import type {WaitLimits} from './wait-forecast.js';
+import type {Ranked, WaitingLane, WaitingRank} from './waiting-lanes.js';
+
+/** How long a request may wait for a slot. */
+export type SlotWait = WaitLimits & {
+	/** Refuses the request for a reason outside the queue; asked before a slot is taken for it. */
+	readonly getRefusal?: () => Verdict | undefined;
+	/** Time within which an answer counts as in time. */
+	readonly targetLatencyMs?: number;
+	/** Latest time at which the request may be sent to be answered in time, as far as is known. */
+	readonly dueMs?: number;
+	/** Whether the caller returns after a refusal. */
+	readonly isReturning?: boolean;
+	readonly customer?: string;
+};
+
+/** Why no slot was found. */
+export type NoSlot = Exclude<SlotResult, {kind: 'slot'}>;
+
+/** A request that waits for a slot, or looks for one on its arrival. */
+export type Waiter = Omit<BacklogEntry, 'reason'> & Ranked & {
+	readonly service: string;
+	/** Key of the requests with the same requirements. */
+	readonly requirementsKey: string;
+	/** Key of those that are of the same kind as well. */
+	readonly laneKey: string;
+	readonly limits: SlotWait;
+	readonly startedMs: number;
+	isQueued: boolean;
+	/** Why no slot was found for it, or for another request with its requirements. */
+	found: NoSlot;
+	/** Wait that was expected at arrival. */
+	firstForecastMs?: number;
+	/** Figures with which it drew last, and whether it may take a slot with these. */
+	window: number;
+	hasShare: boolean;
+	settle: (result: Result<TargetSlot, Verdict>) => void;
+};
+
+/** Waiting requests with the same requirements and of the same kind, with what the last search for them found. */
+export type Lane = WaitingLane<Waiter, NoSlot>;
+
+/** Keys of a request by its requirements, which are read once. */
+export function describeRequirements({
+	service, model, adapter, tried,
+}: SlotRequirements): Pick<Waiter, 'service' | 'queueKey' | 'requirementsKey'> {
+	const queueKey = getQueueKey(service, model);
+	const key = `${queueKey}\n${adapter ?? ''}`;
+	return {service, queueKey, requirementsKey: tried.size === 0 ? key : `${key}\n${[...tried].join('\n')}`};
+}
+
+type Arrival = {
+	readonly requirements: SlotRequirements;
+	readonly keys: ReturnType<typeof describeRequirements>;
+	readonly kind: RequestKind;
+	readonly rank: WaitingRank;
+	readonly sequence: number;
+	readonly limits: SlotWait;
+	readonly startedMs: number;
+};
+
+/** Creates a request that looks for a slot. */
+export function createWaiter({keys, ...arrival}: Arrival): Waiter {
+	return {
+		...arrival,
+		...keys,
+		laneKey: `${keys.requirementsKey}\n\n${getKindName(arrival.kind)}`,
+		isQueued: false,
+		found: {kind: 'full'},
+		window: -1,
+		hasShare: false,
+		settle: () => undefined,
+	};
+}
+
+/** Name of a kind within its service. */
+export function getKindName({priority, targetLatencyMs}: RequestKind): string {
+	return `kind ${priority} ${targetLatencyMs}`;
+}
+
+/** Name of a customer within a service. */
+export function getCustomerName(customer: string): string {
+	return `customer ${customer}`;
+}
--- a/packages/callers/tests/forward/key-lease.test.ts
+++ b/packages/callers/tests/forward/key-lease.test.ts
@@ -1,6 +1,8 @@
 import {expect} from 'chai';
 import {runRequest, type ScenarioOptions} from './support/forward-scenario.js';
 
+/** A request that waits for a second without a forecast, an eighth of its target latency. */
+const patient: ScenarioOptions = {route: {isOpen: false, timeoutMs: 10_000, targetLatencyMs: 8000}, headers: ['key', 'k'], answers: [{chunks: ['ok']}]};
 const keyed: ScenarioOptions = {route: {isOpen: false, timeoutMs: 10_000}, headers: ['key', 'k'], answers: [{chunks: ['ok']}]};
 
 const rows: Readonly<Record<string, ScenarioOptions>> = {
@@ -8,10 +10,10 @@
 	'a request with a key after the lease': {...keyed, keyLeaseMs: 0},
 	'a request on an open route after the lease': {...keyed, route: {}, keyLeaseMs: 0},
 	'a request whose lease ends while it waits': {
-		...keyed, keyLeaseMs: 200, targets: ['t1'], freeAfterMs: {t1: 500},
+		...patient, keyLeaseMs: 200, targets: ['t1'], freeAfterMs: {t1: 500},
 	},
 	'a request whose key is withdrawn while it waits': {
-		...keyed, targets: ['t1'], freeAfterMs: {t1: 500}, keysWithdrawnAfterMs: 300,
+		...patient, targets: ['t1'], freeAfterMs: {t1: 500}, keysWithdrawnAfterMs: 300,
 	},
 	'a stream whose key is withdrawn while it runs': {
 		...keyed, route: {...keyed.route, isStream: true}, keyLeaseMs: 200, keysWithdrawnAfterMs: 100, answers: [{isEventStream: true, chunks: ['id: 1\ndata: x\n\n', 'id: 2\ndata: x\n\n'], pausesMs: {1: 500}}],
--- a/packages/engines/src/registry/target-table.ts
+++ b/packages/engines/src/registry/target-table.ts
@@ -306,7 +306,7 @@
 		return this.leavingHints.size > 0 && this.leavingHints.get(registration.targetId) === registration.startedAtMs;
 	}
 
-	private toCandidate(target: Target, {service, model, adapter, parts}: TargetRequirements): TargetCandidate {
+	private toCandidate(target: Target, {service, model, adapter, parts, beyondSlots = 0}: TargetRequirements): TargetCandidate {
 		const {registration: {targetId, zone, slots, models}} = target;
 		const batchSlots = this.opts.getBatchSlots(service);
 		const held = model === undefined ? undefined : models.find(({name}) => name === model);
@@ -319,7 +319,7 @@
 			failures: this.getFailures(target),
 			hasAdapter,
 			outstanding: this.getOutstanding(target),
-			slots: batchSlots ?? Math.ceil(slots * (1 + QUEUED_PER_SLOT)),
+			slots: (batchSlots ?? Math.ceil(slots * (1 + QUEUED_PER_SLOT))) + beyondSlots,
 			isCold: this.opts.clock.now() < target.coldUntilMs,
 			hasColdCapacity: this.hasColdCapacity(target),
 			// The cost of a target without the adapter is never compared.
--- a/packages/engines/src/registry/types.ts
+++ b/packages/engines/src/registry/types.ts
@@ -58,6 +58,8 @@
 	readonly tried: ReadonlySet<string>;
 	/** Leaves out targets that are silent now. */
 	readonly avoidsSilent?: boolean;
+	/** Number of requests that a full target may be sent beyond its slots, which wait in its own queue. */
+	readonly beyondSlots?: number;
 };
 
 /** Outcome of a request at its target: it answered, failed or refused the request, aborted the answer, could not be reached, was silent until another target took over, or was sent nothing. */
