--- a/apps/egretrilld/src/traffic/leader-term.ts
+++ b/apps/egretrilld/src/traffic/leader-term.ts
@@ -15,6 +15,7 @@
 import type {EntryReport, LeaderPlan} from './methods.js';
 import {LeavingHints} from './leaving-hints.js';
 import {RunningCounts} from './running-counts.js';
+import {ShortageLog} from './shortage-log.js';
 
 export type LeaderTermOptions = {
 	readonly clock: Clock;
@@ -47,6 +48,7 @@
 	private readonly crashLog: CrashLog;
 	private readonly leavingHints: LeavingHints;
 	private readonly shortage: ShortageOwner;
+	private readonly shortageLog: ShortageLog;
 	private readonly stopper = new AbortController();
 	private readonly startedMs: number;
 
@@ -58,6 +60,7 @@
 		this.crashLog = new CrashLog({...opts, tracker: this.crashes});
 		this.leavingHints = new LeavingHints(clock);
 		this.shortage = new ShortageOwner(clock);
+		this.shortageLog = new ShortageLog(clock, opts.logger);
 		// The order tasks of all engines listen to this signal, which exceeds Node's default limit for listener leaks.
 		setMaxListeners(0, this.stopper.signal);
 		this.rates = new RateOwner(clock, opts.getCustomers, opts.getEntryHosts);
@@ -109,13 +112,15 @@
 		this.leavingHints.record(leaving);
 		this.shortage.report(hostId, queue);
 		const hints = this.leavingHints.list();
+		const shortage = this.shortage.getFigures();
+		this.shortageLog.record(shortage);
 		const grant = this.rates.request({hostId, startId, ...rates});
 		return {
 			others: this.running.getOthers(hostId),
 			expected: this.engines.getReadyTimes().map(({service, model, readyInMs}) => [service, model, Math.round(readyInMs)]),
 			rates: {...grant, leased: grant.leased.map(([name, allocation]) => [name, allocation])},
 			...(hints.length > 0 && {leaving: hints}),
-			...(queue && {shortage: this.shortage.getFigures()}),
+			...(queue && {shortage}),
 		};
 	}
 
--- a/apps/egretrilld/tests/traffic/leader-term.test.ts
+++ b/apps/egretrilld/tests/traffic/leader-term.test.ts
@@ -95,4 +95,18 @@
 
 		expect({of8: count(8), of80: count(80)}).toMatchSnapshot();
 	});
+
+	// Guards against a host that hears nothing of the shortage of the others, and against figures for hosts of earlier builds, which cannot read them.
+	it('returns what waits on all hosts to the hosts that report their queues', () => {
+		const clock = new ManualClock();
+		const term = createTerm(clock);
+		const queue: EntryReport['queue'] = {waiting: [['s', 'm', [[1, 250, 2, 0, 3]]]], slots: [['s', 'm', 4]]};
+		clock.advance(2000);
+		term.handleReport({...report('h1', []), queue});
+		clock.advance(100);
+		expect({
+			current: term.handleReport({...report('h2', []), queue: {waiting: [], slots: []}}).shortage,
+			earlier: term.handleReport(report('h3', [])).shortage,
+		}).toMatchSnapshot();
+	});
 });
--- a/packages/callers/src/forward/constants.ts
+++ b/packages/callers/src/forward/constants.ts
@@ -37,6 +37,9 @@
 /** Age up to which the figures of all hosts are used; hosts that reach the leader hear of them several times in it. */
 export const FLEET_FIGURES_TTL_MS = 3000;
 
+/** Time for which the leader returns the same figures; short beside the time between two polls of a host. */
+export const FIGURES_CACHE_MS = 50;
+
 /** Time constant of the rate at which slots become free over all hosts; long enough for models with a few slots a second. */
 export const FLEET_SLOT_TIME_CONSTANT_MS = 2000;
 
--- a/packages/callers/src/forward/waiting/shortage-owner.ts
+++ b/packages/callers/src/forward/waiting/shortage-owner.ts
@@ -1,5 +1,5 @@
 import {type Clock, DecayingCounts} from '@egretrill/common';
-import {FLEET_FIGURES_TTL_MS, FLEET_SLOT_TIME_CONSTANT_MS} from '../constants.js';
+import {FIGURES_CACHE_MS, FLEET_FIGURES_TTL_MS, FLEET_SLOT_TIME_CONSTANT_MS} from '../constants.js';
 import {
 	getQueueKey, type KindCounts, type QueueReport, type ShortageFigures,
 } from './shortage-figures.js';
@@ -20,6 +20,8 @@
 	private readonly slots: DecayingCounts;
 	private readonly arrivals: DecayingCounts;
 	private readonly startedMs: number;
+	private figures: ShortageFigures = [];
+	private figuresMs = Number.NEGATIVE_INFINITY;
 
 	constructor(private readonly clock: Clock) {
 		this.slots = new DecayingCounts(clock, FLEET_SLOT_TIME_CONSTANT_MS);
@@ -39,8 +41,17 @@
 		}
 	}
 
-	/** Figures of the models for which something waits on any host. */
+	/** Figures of the models for which something waits on any host; computed once for the polls of a short time. */
 	getFigures(): ShortageFigures {
+		if (this.clock.now() - this.figuresMs >= FIGURES_CACHE_MS) {
+			this.figures = this.computeFigures();
+			this.figuresMs = this.clock.now();
+		}
+
+		return this.figures;
+	}
+
+	private computeFigures(): ShortageFigures {
 		this.removeExpired();
 		return [...this.sums].map(([key, {service, model, kinds}]) => [service, model, this.getPerSecond(this.slots, key), this.addArrivals(key, kinds)]);
 	}
--- a/packages/callers/tests/forward/shortage.test.ts
+++ b/packages/callers/tests/forward/shortage.test.ts
@@ -102,6 +102,7 @@
 		report('h2', [1, 253, 1, 0, 0], 0);
 		clock.advance(1001);
 		const without = owner.getFigures();
+		clock.advance(50);
 		report('h2', [1, 253, 0, 0, 0], 0);
 		expect({all, without, none: owner.getFigures()}).toMatchSnapshot();
 	});
