callers: leave room for errors only with the first forecast of a request

Cause: a request whose first forecast arrived after a part of its wait was held up to its whole limit, and a slot that a target refused to give counted as freed. In a shortage, an engine with few slots got nothing from hosts without a share.

Change: the room for errors applies to the first forecast of a request, whenever it arrives; failed, unreachable and unsent requests free no slot; at least half of a target's slots stay in use for any request.

--- a/packages/callers/src/forward/waiting/slot-queue.ts
+++ b/packages/callers/src/forward/waiting/slot-queue.ts
@@ -14,13 +14,18 @@
 import type {QueueReport, ShortageFigures} from './shortage-figures.js';
 import {SlotForecast} from './slot-forecast.js';
 import {getSlotProbability} from './slot-share.js';
-import type {SlotRequirements, SlotSource, TargetSlot} from './slot-source.js';
+import type {
+	SlotOutcome, SlotRequirements, SlotSource, TargetSlot,
+} from './slot-source.js';
 import {decideWait, type WaitReason} from './wait-forecast.js';
 import {
 	createWaiter, describeRequirements, getCustomerName, getKindName, type NoSlot, type SlotWait, type Waiter,
 } from './waiter.js';
 import {compareRanked, insertRanked, type WaitingRank} from './waiting-lanes.js';
 
+/** Outcomes of requests that used no slot of their target. */
+const unusedOutcomes: ReadonlySet<SlotOutcome> = new Set(['failed', 'unreachable', 'unsent']);
+
 /** Search of one turn: what was found for each requirement for which no slot is free. */
 type Turn = Map<string, NoSlot>;
 
@@ -255,7 +260,10 @@
 		return {
 			...slot,
 			release: outcome => {
-				this.fleet.recordFreed(queueKey);
+				if (!unusedOutcomes.has(outcome)) {
+					this.fleet.recordFreed(queueKey);
+				}
+
 				slot.release(outcome);
 			},
 		};
@@ -269,10 +277,11 @@
 		const forecastMs = this.forecast.getForecastMs({
 			requirements, queueKey, kind, reason, waitedMs, ahead,
 		});
+		const isNew = waiter.firstForecastMs === undefined;
 		waiter.firstForecastMs ??= forecastMs;
 		const ownReturning = this.returning.count(queueKey);
 		const decision = decideWait({
-			reason, waitedMs, forecastMs, isCold, wasRefusedBefore: ownReturning > 0,
+			reason, waitedMs, forecastMs, isNew, isCold, wasRefusedBefore: ownReturning > 0,
 		}, limits);
 		if (decision.kind === 'wait') {
 			this.limitTimer.set(nowMs + decision.untilMs);
--- a/packages/callers/src/forward/waiting/wait-forecast.ts
+++ b/packages/callers/src/forward/waiting/wait-forecast.ts
@@ -23,6 +23,8 @@
 	readonly waitedMs: number;
 	/** Expected time until a slot is available; undefined if unknown. */
 	readonly forecastMs: number | undefined;
+	/** Whether no forecast was known for the request before. */
+	readonly isNew?: boolean;
 	/** Whether the only targets with free slots are cold. */
 	readonly isCold?: boolean;
 	/** Whether a request for the same model was refused here recently, so that the leader has had time to plan its load. */
@@ -33,13 +35,13 @@
 export type WaitDecision = {readonly kind: 'wait'; readonly untilMs: number} | {readonly kind: 'refuse'; readonly retryAfterMs: number};
 
 /** How long a request may wait whose slot is expected by a forecast. */
-function getPlannedLimitMs({reason, waitedMs}: WaitState, {plannedMs, saturatedMs}: WaitLimits): number {
+function getPlannedLimitMs({reason, isNew = false}: WaitState, {plannedMs, saturatedMs}: WaitLimits): number {
 	if (reason === 'paused') {
 		return saturatedMs;
 	}
 
 	// A forecast may err; a request that is held has some time for it.
-	return reason === 'full' ? saturatedMs * (waitedMs === 0 ? ADMISSION_RATIO : 1) : plannedMs * (waitedMs === 0 ? LOAD_ADMISSION_RATIO : 1);
+	return reason === 'full' ? saturatedMs * (isNew ? ADMISSION_RATIO : 1) : plannedMs * (isNew ? LOAD_ADMISSION_RATIO : 1);
 }
 
 /** How long a request may wait of whose slot nothing is known. */
--- a/packages/callers/tests/forward/shortage.test.ts
+++ b/packages/callers/tests/forward/shortage.test.ts
@@ -1,7 +1,7 @@
 import {ManualClock} from '@egretrill/common';
 import {expect} from 'chai';
 import {
-	compareRanked, FleetShortage, getSlotProbability, insertRanked, type KindCounts, type Ranked, ServedRatios, ShortageOwner, type ShortageFigures,
+	compareRanked, FleetShortage, getSlotProbability, getWaitLimits, insertRanked, type KindCounts, type Ranked, ServedRatios, ShortageOwner, type ShortageFigures, SlotQueue, type SlotResult, SlotSource,
 } from '../../src/forward/index.js';
 import {type Kind, playFleet} from './support/shortage-fleet.js';
 
@@ -19,6 +19,24 @@
 const chat = {priority: 1, targetLatencyMs: 253};
 const KEY = 's\nm';
 
+class FullSlots extends SlotSource {
+	override findSlot(): SlotResult {
+		return {kind: 'full'};
+	}
+
+	override requestLoad(): void {
+		throw new Error('The model is loaded.');
+	}
+
+	override getPauseLeftMs(): undefined {
+		return undefined;
+	}
+
+	override getTimeUntilReadyMs(): undefined {
+		return undefined;
+	}
+}
+
 /** Traffic that swings by 55 % in waves of 13 s. */
 function createWaves(mean: number): (atMs: number) => number {
 	return atMs => mean * (1 + (0.55 * Math.sin(atMs * 2 * Math.PI / 13_000)));
@@ -60,6 +78,30 @@
 	});
 });
 
+describe('SlotQueue with the figures of all hosts', () => {
+	// Guards against requests that are held although the requests of other hosts go before them, and against figures that decide after the leader is lost.
+	it('refuses at once what is expected too late, and waits by its own slots once the figures have expired', async () => {
+		const clock = new ManualClock();
+		const queue = new SlotQueue(clock, new FullSlots(), {random: () => 0.5});
+		const acquire = async (priority: number): Promise<string> => {
+			const startedMs = clock.now();
+			const result = await queue.acquire({
+				service: 's', model: 'm', parts: [], tried: new Set(),
+			}, priority, {...getWaitLimits({isStream: true, targetLatencyMs: 253}, 3000), targetLatencyMs: 253}, new AbortController().signal);
+			return result.isErr ? `refused after ${Math.round(clock.now() - startedMs)} ms, return after ${Math.round(result.error.retryAfterMs ?? 0)} ms` : 'served';
+		};
+
+		queue.createReport();
+		queue.applyFigures(createFigures(20, [[0, 253, 1, 0, 2], [1, 253, 8, 6, 5]]));
+		const late = await acquire(1);
+		const urgent = acquire(0);
+		await clock.run(3001);
+		const unknown = acquire(1);
+		await clock.run(1000);
+		expect({late, urgent: await urgent, unknown: await unknown}).toMatchSnapshot();
+	});
+});
+
 describe('FleetShortage', () => {
 	// Guards against a host that counts its own requests twice, and against figures that outlive the leader.
 	it('knows what waits at the other hosts until the figures expire', () => {
--- a/packages/callers/tests/forward/support/shortage-fleet.ts
+++ b/packages/callers/tests/forward/support/shortage-fleet.ts
@@ -76,7 +76,7 @@
 		const others = this.clock.now() - this.polledMs > OTHERS_TTL_MS ? undefined : this.others;
 		const counts = [index, (index + 1) % ENGINES].map(i => this.engines[i]!).map(({id}) => ({id, count: (this.own.get(id) ?? 0) + (others?.get(id) ?? 0)}));
 		const best = counts.toSorted((first, second) => first.count - second.count)[0]!;
-		if (best.count >= ENGINE_SLOTS + beyondSlots) {
+		if (best.count >= Math.max(ENGINE_SLOTS / 2, ENGINE_SLOTS + beyondSlots)) {
 			return {kind: 'full'};
 		}
 
--- a/packages/callers/tests/forward/wait-forecast.test.ts
+++ b/packages/callers/tests/forward/wait-forecast.test.ts
@@ -1,7 +1,7 @@
 import {ManualClock} from '@egretrill/common';
 import {expect} from 'chai';
 import {
-	decideWait, type TargetSlot, type SlotResult, type SlotRequirements, SlotQueue, SlotRate, SlotSource, RetrySchedule, type WaitLimits, type WaitReason,
+	decideWait, getWaitLimits, type TargetSlot, type SlotResult, type SlotRequirements, SlotQueue, SlotRate, SlotSource, RetrySchedule, type WaitLimits, type WaitReason, type WaitState,
 } from '../../src/forward/index.js';
 
 const limits: WaitLimits = {unplannedMs: 1500, plannedMs: 2500, saturatedMs: 400};
@@ -108,6 +108,27 @@
 	});
 });
 
+describe('decideWait with the limits of a route', () => {
+	// Guards against requests that are held for longer than an eighth of their target latency without any forecast, and against forecasts that err a little and end in a refusal after a wait.
+	it('ends a wait without a forecast early and leaves room for errors of a forecast', () => {
+		const decideFor = (targetLatencyMs: number, state: Omit<WaitState, 'forecastMs'> & {readonly forecastMs?: number}): unknown => decideWait({forecastMs: undefined, ...state}, getWaitLimits({isStream: true, targetLatencyMs}, 10_000));
+		expect({
+			urgentUnknown: decideFor(252, {reason: 'full', waitedMs: 0}),
+			patientUnknown: decideFor(5000, {reason: 'full', waitedMs: 0}),
+			onlyCold: decideFor(252, {reason: 'full', waitedMs: 0, isCold: true}),
+			firstForModel: decideFor(252, {reason: 'none', waitedMs: 0}),
+			againForModel: decideFor(252, {reason: 'none', waitedMs: 40, wasRefusedBefore: true}),
+			newNearLimit: decideFor(252, {
+				reason: 'full', waitedMs: 0, forecastMs: 150, isNew: true,
+			}),
+			heldNearLimit: decideFor(252, {reason: 'full', waitedMs: 50, forecastMs: 150}),
+			loadBeyondLimit: decideFor(252, {
+				reason: 'none', waitedMs: 0, forecastMs: 1200, isNew: true,
+			}),
+		}).toMatchSnapshot();
+	});
+});
+
 describe('SlotRate', () => {
 	// Guards against a forecast that stays the same after slots have stopped becoming free.
 	it('estimates the wait from recently assigned slots', async () => {
--- a/packages/engines/src/registry/target-table.ts
+++ b/packages/engines/src/registry/target-table.ts
@@ -319,7 +319,7 @@
 			failures: this.getFailures(target),
 			hasAdapter,
 			outstanding: this.getOutstanding(target),
-			slots: (batchSlots ?? Math.ceil(slots * (1 + QUEUED_PER_SLOT))) + beyondSlots,
+			slots: addSlots(batchSlots ?? Math.ceil(slots * (1 + QUEUED_PER_SLOT)), beyondSlots),
 			isCold: this.opts.clock.now() < target.coldUntilMs,
 			hasColdCapacity: this.hasColdCapacity(target),
 			// The cost of a target without the adapter is never compared.
@@ -388,3 +388,8 @@
 		}
 	}
 }
+
+/** Changes the number of requests that a target is sent; at least half of its slots stay in use for any request. */
+function addSlots(slots: number, beyondSlots: number): number {
+	return Math.max(Math.ceil(slots / 2), slots + beyondSlots);
+}
--- a/packages/engines/src/registry/types.ts
+++ b/packages/engines/src/registry/types.ts
@@ -58,7 +58,7 @@
 	readonly tried: ReadonlySet<string>;
 	/** Leaves out targets that are silent now. */
 	readonly avoidsSilent?: boolean;
-	/** Number of requests that a full target may be sent beyond its slots, which wait in its own queue. */
+	/** Number of requests that a full target may be sent beyond its slots, which wait in its own queue; below zero, the number of its slots that are left free. */
 	readonly beyondSlots?: number;
 };
 
