--- a/apps/egretrilld/src/traffic/entry-host.ts
+++ b/apps/egretrilld/src/traffic/entry-host.ts
@@ -27,6 +27,7 @@
 import {MemoryMetrics} from './memory-metrics.js';
 import type {LeaderPlan, SyncResponse} from './methods.js';
 import {NodeExchange} from './node-exchange.js';
+import {QueueMetrics} from './queue-metrics.js';
 import {readArrived} from './read-arrived.js';
 import {createSpeedReport, fromSpeedPlan} from './speed-messages.js';
 import type {EntrySettings, TrafficBounds} from './settings.js';
@@ -51,6 +52,7 @@
 	readonly server: Server;
 	private readonly memory: MemoryBudget;
 	private readonly memoryMetrics: MemoryMetrics;
+	private readonly queueMetrics: QueueMetrics;
 	private routeTable: RouteTable | undefined;
 	private bounds: TrafficBounds;
 	private readonly follower: ControlFollower;
@@ -81,6 +83,7 @@
 		this.bounds = settings.bounds;
 		this.memory = new MemoryBudget(clock, settings.memoryMb * BYTES_PER_MB * HELD_MEMORY_RATIO);
 		this.memoryMetrics = new MemoryMetrics(this.memory, metrics);
+		this.queueMetrics = new QueueMetrics(metrics);
 		this.plannedStop = new PlannedStop(clock);
 		this.drain = new Drain({clock, deadlineMs: settings.bounds.drainMs, balancerWaitMs: settings.bounds.balancerWaitMs});
 		this.rates = new RateAllocations(clock);
@@ -123,7 +126,7 @@
 				this.choiceMetrics.recordChoice(basis);
 			},
 			requestAdapter: async (service, model, adapter) => this.follower.requestAdapter(service, model, adapter),
-		}));
+		}), {random: opts.random, observer: this.queueMetrics});
 		this.decisionLog = new DecisionLog(clock, logger);
 		this.usage = new UsageCounter(clock, () => Date.now());
 		this.observer = new EntryObserver(this.decisionLog, metrics, () => this.follower.getAgeMs(), this.usage);
@@ -163,6 +166,7 @@
 		const {drainMs, balancerWaitMs} = this.bounds;
 		this.plannedStop.begin(drainMs, balancerWaitMs);
 		const drained = this.drain.start(reason, {deadlineMs: drainMs, balancerWaitMs});
+		this.queue.refuseForOtherReasons();
 		this.queue.dispatch();
 		await clock.sleep(Math.min(balancerWaitMs, drainMs));
 		this.queue.close();
@@ -184,6 +188,7 @@
 	updateMetrics(): void {
 		this.memoryMetrics.update();
 		this.choiceMetrics.update();
+		this.queueMetrics.updateWaiting(this.queue.getWaitingByReason());
 	}
 
 	/** Applies the settings that may change while the host runs. */
@@ -205,6 +210,7 @@
 			leaving: this.targets.getLeaving().slice(-MAX_LEAVING_TARGETS),
 			...(speeds && {speeds}),
 			usage: this.usage.createReport(),
+			queue: this.queue.createReport(),
 		};
 	}
 
@@ -255,8 +261,12 @@
 		}
 	}
 
-	override applyPlan({others, expected, rates, crashes, leaving = [], speeds, usage}: LeaderPlan, sentMs: number): void {
+	override applyPlan({others, expected, rates, crashes, leaving = [], speeds, usage, shortage}: LeaderPlan, sentMs: number): void {
 		this.usage.follow(usage);
+		if (shortage) {
+			this.queue.applyFigures(shortage);
+		}
+
 		if (crashes) {
 			this.crashes.exchange.applyAnswer(crashes);
 		}
--- a/apps/egretrilld/src/traffic/leader-term.ts
+++ b/apps/egretrilld/src/traffic/leader-term.ts
@@ -1,7 +1,7 @@
 import {randomUUID} from 'node:crypto';
 import {setMaxListeners} from 'node:events';
 import {
-	answerCrashReport, CrashTracker, type CrashAnswer, type CrashReport, type CrashRevision, RATE_HOST_TTL_MS, RateOwner,
+	answerCrashReport, CrashTracker, type CrashAnswer, type CrashReport, type CrashRevision, RATE_HOST_TTL_MS, RateOwner, ShortageOwner,
 } from '@egretrill/callers';
 import {
 	type Clock, compareLists, type EngineClass, type Logger, type LoopWatch, type Random, type TrafficCustomer,
@@ -17,6 +17,7 @@
 import {type ProviderPeer, ProviderTerm, type ProviderTermOptions} from './provider-term.js';
 import {RunningCounts} from './running-counts.js';
 import {TermSpeeds} from './term-speeds.js';
+import {ShortageLog} from './shortage-log.js';
 
 export type LeaderTermOptions = {
 	readonly clock: Clock;
@@ -52,6 +53,8 @@
 	private readonly crashLog: CrashLog;
 	private readonly leavingHints: LeavingHints;
 	private readonly provider: ProviderTerm | undefined;
+	private readonly shortage: ShortageOwner;
+	private readonly shortageLog: ShortageLog;
 	private readonly stopper = new AbortController();
 	private readonly startedMs: number;
 
@@ -63,6 +66,8 @@
 		this.crashes = new CrashTracker(clock, randomUUID());
 		this.crashLog = new CrashLog({...opts, tracker: this.crashes});
 		this.leavingHints = new LeavingHints(clock);
+		this.shortage = new ShortageOwner(clock);
+		this.shortageLog = new ShortageLog(clock, opts.logger);
 		// The order tasks of all engines listen to this signal, which exceeds Node's default limit for listener leaks.
 		setMaxListeners(0, this.stopper.signal);
 		this.rates = new RateOwner(clock, opts.getCustomers, opts.getEntryHosts);
@@ -70,7 +75,7 @@
 		const firstOrderAtMs = clock.now() + orderLeaseMs + ORDER_TAKEOVER_MARGIN_MS;
 		const mayOrder = (): boolean => !this.stopper.signal.aborted && node.isLeaderWithLease() && node.status().term === term;
 		this.engines = new EngineOwner({
-			...opts, holder: opts.hostId, fencingToken: term, firstOrderAtMs, mayOrder,
+			...opts, holder: opts.hostId, fencingToken: term, firstOrderAtMs, mayOrder, getSpeed: (targetId, startedAtMs) => this.speeds.getSpeed(targetId, startedAtMs),
 		});
 		this.provider = opts.provider && new ProviderTerm({
 			...opts, ...opts.provider, running: this.running, firstCallAtMs: firstOrderAtMs, mayCall: mayOrder,
@@ -115,7 +120,7 @@
 
 	/** Processes the report of an entry host and returns the host's part of the plan, apart from the evidence on crashes. */
 	handleReport(report: EntryReport): LeaderPlan {
-		const {hostId, startId, running, adapters, arrivals, waiting, rates, unspent = [], leaving = [], speeds} = report;
+		const {hostId, startId, running, adapters, arrivals, waiting, rates, unspent = [], leaving = [], speeds, queue} = report;
 		this.running.update(hostId, running);
 		for (const [service, model, adapter, count, runMs] of arrivals) {
 			this.engines.recordArrivals({service, model, ...(adapter !== '' && {adapter})}, count, runMs);
@@ -124,10 +129,13 @@
 		this.engines.recordAdapterUse(hostId, adapters);
 		this.engines.recordWaiting(hostId, waiting);
 		this.leavingHints.record(leaving);
+		this.shortage.report(hostId, queue);
 		const hints = this.leavingHints.list();
 		this.rates.giveBack(unspent);
 		const speedPlan = speeds && this.termSpeeds.handleReport(speeds);
 		const usage = this.provider?.handleReport(report);
+		const shortage = this.shortage.getFigures();
+		this.shortageLog.record(shortage);
 		const grant = this.rates.request({hostId, startId, ...rates});
 		return {
 			others: this.running.getOthers(hostId),
@@ -136,6 +144,7 @@
 			...(hints.length > 0 && {leaving: hints}),
 			...(speedPlan && {speeds: speedPlan}),
 			...(usage && {usage}),
+			...(queue && {shortage}),
 		};
 	}
 
--- a/apps/egretrilld/src/traffic/methods.ts
+++ b/apps/egretrilld/src/traffic/methods.ts
@@ -1,4 +1,6 @@
-import {CrashAnswer, CrashRecord, CrashReport} from '@egretrill/callers';
+import {
+	CrashAnswer, CrashRecord, CrashReport, QueueReport, ShortageFigures,
+} from '@egretrill/callers';
 import {Bytes, TrafficSource} from '@egretrill/common';
 import {ColdWant, RegistryUpdate} from '@egretrill/engines';
 import {defineDocumentMethod, defineListMethod, defineMethod} from '@egretrill/hosts';
@@ -36,6 +38,8 @@
 	speeds: SpeedReport.optional(),
 	/** Requests of each customer by window; hosts of earlier builds report none. */
 	usage: UsageReport.optional(),
+	/** What waits at this host by kind, and the slots that it got; hosts of earlier builds report none. */
+	queue: QueueReport.optional(),
 });
 export type EntryReport = z.infer<typeof EntryReport>;
 
@@ -61,6 +65,8 @@
 	speeds: SpeedPlan.optional(),
 	/** Absent unless the leader reports usage to the provider. */
 	usage: UsagePlan.optional(),
+	/** Figures of all hosts for models in shortage; leaders of earlier builds send none. */
+	shortage: ShortageFigures.optional(),
 });
 export type LeaderPlan = z.infer<typeof LeaderPlan>;
 
--- a/apps/egretrilld/src/traffic/target-slot-source.ts
+++ b/apps/egretrilld/src/traffic/target-slot-source.ts
@@ -29,7 +29,7 @@
 		}
 
 		if (choice.kind !== 'target') {
-			return {kind: choice.kind};
+			return {kind: choice.kind, ...(choice.kind === 'full' && choice.coldTargetId !== undefined && {isCold: true})};
 		}
 
 		if (choice.basis) {
--- a/packages/engines/src/registry/target-table.ts
+++ b/packages/engines/src/registry/target-table.ts
@@ -317,13 +317,13 @@
 		return this.leavingHints.size > 0 && this.leavingHints.get(registration.targetId) === registration.startedAtMs;
 	}
 
-	private toCandidate(target: Target, {service, model, adapter, pricedWork, countCachedTokens}: PreparedRequest): TargetCandidate {
+	private toCandidate(target: Target, {service, model, adapter, pricedWork, countCachedTokens, beyondSlots = 0}: PreparedRequest): TargetCandidate {
 		const {registration: {targetId, zone, slots: ownSlots, models}} = target;
 		const held = model === undefined ? undefined : models.find(({name}) => name === model);
 		const hasAdapter = adapter === undefined || (held?.adapters.includes(adapter) ?? false);
 		const nowMs = this.opts.clock.now();
 		const outstanding = getOutstanding(target, nowMs);
-		const slots = this.opts.getBatchSlots(service) ?? Math.ceil(ownSlots * (1 + QUEUED_PER_SLOT));
+		const slots = addSlots(this.opts.getBatchSlots(service) ?? Math.ceil(ownSlots * (1 + QUEUED_PER_SLOT)), beyondSlots);
 		// The cost of a target without the adapter is never compared.
 		const cachedTokens = hasAdapter ? countCachedTokens(targetId) : 0;
 		return {
@@ -400,3 +400,8 @@
 		}
 	}
 }
+
+/** Changes the number of requests that a target is sent; at least half of its slots stay in use for any request. */
+function addSlots(slots: number, beyondSlots: number): number {
+	return Math.max(Math.ceil(slots / 2), slots + beyondSlots);
+}
--- a/packages/engines/src/registry/types.ts
+++ b/packages/engines/src/registry/types.ts
@@ -119,6 +119,8 @@
 	readonly avoidsSilent?: boolean;
 	/** Absent if its targets are compared by their load only. */
 	readonly work?: ExpectedWork;
+	/** Number of requests that a full target may be sent beyond its slots, which wait in its own queue; below zero, the number of its slots that are left free. */
+	readonly beyondSlots?: number;
 };
 
 /** Outcome of a request at its target: it answered, failed or refused the request, aborted the answer, could not be reached, was silent until another target took over, or was sent nothing. */
