control hosts: begin the duties once all members of the log read their entries

Cause: a member of an earlier build ends at a log entry of a kind that it does not know. Change: control hosts tell in their exchange whether they read the entries of the duties; the leader settles, orders and calls nothing while a member is known not to.

--- a/apps/egretrilld/src/traffic/constants.ts
+++ b/apps/egretrilld/src/traffic/constants.ts
@@ -167,3 +167,6 @@
 
 /** Longest wait for the log to confirm an entry of the duties towards the provider, which make nothing else meanwhile. */
 export const DUTY_LOG_TIMEOUT_MS = 1000;
+
+/** Faults of a registration that one line names. */
+export const MAX_LOGGED_FAULTS = 3;
--- a/apps/egretrilld/src/traffic/control-gossip.ts
+++ b/apps/egretrilld/src/traffic/control-gossip.ts
@@ -23,7 +23,7 @@
 	readonly confirmation: TrafficConfirmation;
 };
 
-type Contact = {readonly zone: string; readonly lastContactMs: number};
+type Contact = {readonly zone: string; readonly readsDuties: boolean; readonly lastContactMs: number};
 
 /** Exchanges registrations, members and the current leader among the control hosts. */
 export class ControlGossip {
@@ -41,8 +41,13 @@
 	}
 
 	/** Records a call or an answer from another control host. */
-	recordContact(id: string, zone: string): void {
-		this.contacts.set(id, {zone, lastContactMs: this.opts.clock.now()});
+	recordContact(id: string, zone: string, readsDuties = false): void {
+		this.contacts.set(id, {zone, readsDuties, lastContactMs: this.opts.clock.now()});
+	}
+
+	/** Whether no member of the log is known to be of a build that cannot read the entries of the duties. */
+	canRecordDuties(): boolean {
+		return this.opts.node.status().members.every(({id}) => this.contacts.get(id)?.readsDuties ?? true);
 	}
 
 	getZone(id: string): string | undefined {
@@ -81,16 +86,18 @@
 		let isReachable = false;
 		while (!signal.aborted) {
 			const mark = confirmation.mark();
-			const answer = await peers.call(id, gossipMethod, {hostId, zone, registry: knownRegistry});
+			const answer = await peers.call(id, gossipMethod, {
+				hostId, zone, registry: knownRegistry, readsDuties: true,
+			});
 			if (answer.isOk !== isReachable) {
 				isReachable = answer.isOk;
 				logger.info({peer: id, ...(answer.isErr && {reason: answer.error.message})}, isReachable ? 'A control host answers.' : 'A control host does not answer.');
 			}
 
 			if (answer.isOk) {
-				const {registry: update, isRegistrySettled = true, zone: peerZone, memberIds, leaderId, confirmedVersion} = answer.value;
+				const {registry: update, isRegistrySettled = true, zone: peerZone, memberIds, leaderId, confirmedVersion, readsDuties} = answer.value;
 				knownRegistry = {origin: update.origin, revision: update.revision};
-				this.recordContact(id, peerZone);
+				this.recordContact(id, peerZone, readsDuties);
 				registry.merge(update.targets);
 				settling.recordExchange(isRegistrySettled);
 				warnOfSkippedEntries(this.skippedEntries, id, update);
--- a/apps/egretrilld/src/traffic/control-host.ts
+++ b/apps/egretrilld/src/traffic/control-host.ts
@@ -13,7 +13,7 @@
 } from '@egretrill/hosts';
 import type {ConfigDecoder} from './config-decoder.js';
 import {ConfigParts} from './config-parts.js';
-import {CONTROL_CHECK_INTERVAL_MS, LOG_FAILURE_EXIT_DELAY_MS} from './constants.js';
+import {CONTROL_CHECK_INTERVAL_MS, LOG_FAILURE_EXIT_DELAY_MS, MAX_LOGGED_FAULTS} from './constants.js';
 import {ControlGossip} from './control-gossip.js';
 import {ControlService, type PutOutcome} from './control-service.js';
 import {DecodedTraffic} from './decoded-traffic.js';
@@ -24,7 +24,7 @@
 import {
 	borrowMethod, coldSendMethod, configPartMethod, crashMethod, departMethod, gossipMethod, readTrafficMethod, readZoneOrdersMethod, requestAdapterMethod, syncMethod,
 } from './methods.js';
-import type {ProviderPeer} from './provider-term.js';
+import {bindProvider, type ProviderPeer} from './provider-term.js';
 import {getServedTargets, hasAppliedLog, RegistrySettling} from './registry-settling.js';
 import {getReportedLeaderId} from './reported-leader.js';
 import {RateLimitedLog} from './rate-limited-log.js';
@@ -34,8 +34,6 @@
 import {SyncNotifier} from './sync-notifier.js';
 import {ZoneOrders} from './zone-orders.js';
 
-const MAX_LOGGED_FAULTS = 3;
-
 export type ControlHostOptions = {
 	readonly settings: ControlSettings;
 	readonly clock: Clock;
@@ -46,7 +44,6 @@
 	readonly connections?: ConnectionObserver;
 	readonly decoder: ConfigDecoder;
 	readonly orders: EngineOrders;
-	/** The peer of the leader's duties; absent without any. */
 	readonly provider?: ProviderPeer;
 };
 
@@ -183,8 +180,8 @@
 				return {...(rates && {answers: loans.map(({customer, cost}) => rates.borrow(customer, cost))})};
 			}),
 			bindMethod(coldSendMethod, async ({wants}) => ({grantedIds: [...this.getTerm()?.coldGrants.grant(wants) ?? []]})),
-			bindMethod(gossipMethod, async ({hostId, zone, registry}) => {
-				this.gossip.recordContact(hostId, zone);
+			bindMethod(gossipMethod, async ({hostId, zone, registry, readsDuties}) => {
+				this.gossip.recordContact(hostId, zone, readsDuties);
 				const leaderId = this.getLeaderId();
 				const confirmedVersion = this.confirmation.getOwnVersion();
 				return {
@@ -192,6 +189,7 @@
 					...(confirmedVersion !== undefined && {confirmedVersion}),
 					isRegistrySettled: this.settling.isSettled(),
 					zone: this.opts.settings.zone,
+					readsDuties: true,
 					memberIds: this.node.status().members.map(({id}) => id),
 					...(leaderId !== undefined && {leaderId}),
 				};
@@ -261,8 +259,7 @@
 	}
 
 	override async removeTarget(targetId: string, signal: AbortSignal): Promise<void> {
-		const isKnown = await this.departures.announce(targetId, signal);
-		if (isKnown) {
+		if (await this.departures.announce(targetId, signal)) {
 			this.opts.logger.info({targetId}, 'A target has left.');
 		}
 	}
@@ -374,7 +371,7 @@
 				registry: this.registry,
 				hostId: settings.host,
 				orderLeaseMs: settings.bounds.orderLeaseMs,
-				...(this.opts.provider && {provider: {...this.opts.provider, state: this.state, getScalingRanges: () => this.traffic.getScalingRanges()}}),
+				provider: bindProvider(this.opts.provider, {state: this.state, traffic: this.traffic, gossip: this.gossip}),
 				getZonesOut: () => [...this.state.getZonesOut()],
 				getClasses: () => this.traffic.getClasses(),
 				getCustomers: () => this.traffic.getCustomers(),
--- a/apps/egretrilld/src/traffic/leader-term.ts
+++ b/apps/egretrilld/src/traffic/leader-term.ts
@@ -14,7 +14,7 @@
 import {ENTRY_RECORD_INTERVAL_MS, ORDER_TAKEOVER_MARGIN_MS} from './constants.js';
 import type {EntryReport, LeaderPlan} from './methods.js';
 import {LeavingHints} from './leaving-hints.js';
-import {type ProviderPeer, ProviderTerm, type ProviderTermOptions} from './provider-term.js';
+import {ProviderTerm, type TermProvider} from './provider-term.js';
 import {RunningCounts} from './running-counts.js';
 
 export type LeaderTermOptions = {
@@ -31,7 +31,7 @@
 	readonly term: number;
 	readonly orderLeaseMs: number;
 	/** The peer of the duties towards the provider; there are none if absent. */
-	readonly provider?: ProviderPeer & Pick<ProviderTermOptions, 'state' | 'getScalingRanges'>;
+	readonly provider?: TermProvider | undefined;
 	readonly getZonesOut: () => readonly string[];
 	readonly getClasses: () => ReadonlyMap<string, EngineClass>;
 	readonly getCustomers: () => ReadonlyMap<string, TrafficCustomer>;
--- a/apps/egretrilld/src/traffic/methods.ts
+++ b/apps/egretrilld/src/traffic/methods.ts
@@ -120,11 +120,17 @@
 	grantedIds: z.array(z.string()),
 }));
 
+/** Whether a host reads the log entries of the duties towards the provider; one of an earlier build would end at them. */
+const readsDuties = z.boolean().optional();
+
 /** Exchanges registrations, members and the current leader between control hosts. The whole registry has as many values as a configuration document. */
-export const gossipMethod = defineListMethod('Traffic', 'gossip', z.object({hostId: z.string(), zone: z.string(), registry: KnownRegistry}), z.object({
+export const gossipMethod = defineListMethod('Traffic', 'gossip', z.object({
+	hostId: z.string(), zone: z.string(), registry: KnownRegistry, readsDuties,
+}), z.object({
 	registry: RegistryUpdate,
 	/** Whether the registry is complete; hosts of earlier builds do not tell. */
 	isRegistrySettled: z.boolean().optional(),
+	readsDuties,
 	/** Version in force if the host leads with a majority; hosts of earlier builds do not tell. */
 	confirmedVersion: count.optional(),
 	zone: z.string(),
--- a/apps/egretrilld/src/traffic/provider-term.ts
+++ b/apps/egretrilld/src/traffic/provider-term.ts
@@ -6,6 +6,8 @@
 import {
 	type Duty, type DutyObserver, EngineDuty, FleetTime, type ProviderCalls, ProviderDuties, type ProviderSettings, SlotUsePolicy, UsageDuty, UsageLedger, type UsagePlan, type ZoneEngines,
 } from '@egretrill/provider';
+import type {ControlGossip} from './control-gossip.js';
+import type {DecodedTraffic} from './decoded-traffic.js';
 import {FleetDutyLog} from './fleet-duty-log.js';
 import type {EntryReport} from './methods.js';
 import type {RunningCounts} from './running-counts.js';
@@ -19,6 +21,19 @@
 	readonly observer: DutyObserver;
 };
 
+/** What a term of the leader needs besides its own state. */
+export type TermProvider = ProviderPeer & Pick<ProviderTermOptions, 'state' | 'getScalingRanges' | 'canRecord'>;
+
+/** The parts of a control host on which the duties rest. */
+type ProviderHost = {readonly state: ProviderTermOptions['state']; readonly traffic: DecodedTraffic; readonly gossip: ControlGossip};
+
+/** Joins the provider with the control host whose leader has duties there; undefined without a provider. */
+export function bindProvider(peer: ProviderPeer | undefined, {state, traffic, gossip}: ProviderHost): TermProvider | undefined {
+	return peer && {
+		...peer, state, getScalingRanges: () => traffic.getScalingRanges(), canRecord: () => gossip.canRecordDuties(),
+	};
+}
+
 export type ProviderTermOptions = ProviderPeer & {
 	readonly clock: Clock;
 	readonly random: Random;
@@ -30,6 +45,8 @@
 	/** Time from which no earlier leader may call any more. */
 	readonly firstCallAtMs: number;
 	readonly mayCall: () => boolean;
+	/** Whether all members of the log can read the entries of the duties. */
+	readonly canRecord: () => boolean;
 	readonly getEntryHosts: () => readonly string[];
 	readonly registry: Pick<TargetRegistry, 'getLive'>;
 	readonly running: RunningCounts;
@@ -53,7 +70,9 @@
 		this.time = new FleetTime(clock, () => getEntryHosts().length);
 		this.ledger = new UsageLedger(clock);
 		this.waiting = new WaitingCounts(clock);
-		this.duties = new ProviderDuties({...opts, callsPerSecond: settings.callsPerSecond, duties: this.createDuties()});
+		this.duties = new ProviderDuties({
+			...opts, callsPerSecond: settings.callsPerSecond, duties: this.createDuties(), mayCall: () => opts.mayCall() && opts.canRecord(),
+		});
 	}
 
 	async run(signal: AbortSignal): Promise<void> {
