provider: order engines in place of those that stay away

Cause: a zone whose engines were withdrawn stayed crowded, since the last order still counted them (trial: 10 of 14 engines live, demand of 14, no order in 60 s). Change: engines that are missing for longer than their start takes are ordered in addition, and do not keep a zone from shrinking. A window takes at most 1,024 customers also when hosts together have more.

--- a/packages/provider/src/constants.ts
+++ b/packages/provider/src/constants.ts
@@ -10,10 +10,10 @@
 /** Ended windows that an entry host retains while no leader settles them, about 20 minutes. */
 export const MAX_RETAINED_WINDOWS = 256;
 
-/** Customers in one window. */
+/** Customers in one window; the log takes no more in one entry. */
 export const MAX_WINDOW_CUSTOMERS = 1024;
 
-/** Windows that one log entry settles. */
+/** Windows that are settled at once; the log takes no more in one entry. */
 export const MAX_SETTLED_AT_ONCE = 32;
 
 /** Resolution and number of the counts that an entry host keeps before it knows the time of the fleet. */
@@ -76,6 +76,9 @@
 /** Smallest growth of one order: each one costs a call, and a crowded zone seldom needs a single engine more. */
 export const GROWTH_STEP_RATIO = 1.1;
 
+/** Time beyond the start of an engine after which one that is missing is taken to stay away. */
+export const MISSING_MARGIN_MS = 5000;
+
 /** Growth that is ordered while the engines of the last order still start; less would answer what they will serve. */
 export const GROWTH_WHILE_STARTING_RATIO = 1.1;
 
--- a/packages/provider/src/engine-count-policy.ts
+++ b/packages/provider/src/engine-count-policy.ts
@@ -11,6 +11,8 @@
 	readonly current: number;
 	/** Registered engines, without those that leave. */
 	readonly live: number;
+	/** Ordered engines that have been missing for longer than their start takes, such as withdrawn ones. */
+	readonly missing: number;
 	readonly slotsPerEngine: number;
 	readonly use: Pick<ZoneUse, 'getMeasuredMs' | 'getPeak' | 'getMean'>;
 	/** Time since the last order, or since this leader began to measure. */
@@ -28,7 +30,7 @@
 /** Keeps the use of slots between two bounds: grows as soon as the peak or the mean of a wave exceeds the upper one, and shrinks slowly once no peak of several waves exceeds the lower one. */
 export class SlotUsePolicy extends EngineCountPolicy {
 	override decide(state: ZoneState): number {
-		const {current, range: {min, max}, sinceChangeMs, use} = state;
+		const {current, missing, range: {min, max}, sinceChangeMs, use} = state;
 		const clamp = (count: number): number => Math.max(min, Math.min(max, count));
 		if (clamp(current) !== current) {
 			return clamp(current);
@@ -38,9 +40,11 @@
 			return current;
 		}
 
+		// Missing engines are ordered in addition, since the last order still counts them.
+		const present = current - missing;
 		const needed = this.getNeeded(state);
-		if (needed > current) {
-			return this.isWorthOrdering(state, needed) ? clamp(Math.max(needed, Math.ceil(current * GROWTH_STEP_RATIO))) : current;
+		if (needed > present) {
+			return this.isWorthOrdering(state, needed) ? clamp(Math.max(needed, Math.ceil(present * GROWTH_STEP_RATIO)) + missing) : current;
 		}
 
 		return clamp(current - this.getShrinkStep(state));
@@ -56,19 +60,20 @@
 		return Math.ceil(Math.max(forPeak, forMean, forSaturated));
 	}
 
-	private isWorthOrdering({current, live, range: {bootMs}, sinceChangeMs}: ZoneState, needed: number): boolean {
-		const isStarting = live < current && sinceChangeMs < bootMs;
+	private isWorthOrdering({current, live, missing, range: {bootMs}, sinceChangeMs}: ZoneState, needed: number): boolean {
+		const isStarting = live < current - missing && sinceChangeMs < bootMs;
 		return !isStarting || needed >= current * GROWTH_WHILE_STARTING_RATIO;
 	}
 
-	private getShrinkStep({current, live, mayShrink, range: {min}, sinceChangeMs, slotsPerEngine, use}: ZoneState): number {
-		// Engines that are missing may still start, and their absence changes the use.
-		const isSteady = live >= current && sinceChangeMs >= SHRINK_AFTER_CHANGE_MS && use.getMeasuredMs() >= SHRINK_PERIOD_MS;
+	private getShrinkStep({current, live, mayShrink, missing, range: {min}, sinceChangeMs, slotsPerEngine, use}: ZoneState): number {
+		// Engines that may still start change the use.
+		const present = current - missing;
+		const isSteady = live >= present && sinceChangeMs >= SHRINK_AFTER_CHANGE_MS && use.getMeasuredMs() >= SHRINK_PERIOD_MS;
 		if (!mayShrink || !isSteady) {
 			return 0;
 		}
 
 		const sufficient = Math.max(min, Math.ceil(use.getPeak(SHRINK_PERIOD_MS) / (slotsPerEngine * SHRINK_USE_RATIO)));
-		return sufficient < current ? Math.max(1, Math.floor((current - sufficient) * SHRINK_STEP_RATIO)) : 0;
+		return sufficient < present ? Math.max(1, Math.floor((present - sufficient) * SHRINK_STEP_RATIO)) : 0;
 	}
 }
--- a/packages/provider/src/engine-duty.ts
+++ b/packages/provider/src/engine-duty.ts
@@ -1,6 +1,6 @@
 import type {Clock, Logger, ScalingRange} from '@egretrill/common';
 import {
-	REFUSED_RETRY_MS, SHRINK_INTERVAL_MS, USE_SAMPLE_INTERVAL_MS, WAITING_COUNTS_RATIO,
+	MISSING_MARGIN_MS, REFUSED_RETRY_MS, SHRINK_INTERVAL_MS, USE_SAMPLE_INTERVAL_MS, WAITING_COUNTS_RATIO,
 } from './constants.js';
 import {Duty, type DueCall} from './duty.js';
 import type {DutyLog} from './duty-log.js';
@@ -41,7 +41,15 @@
 	readonly hasAllReports: () => boolean;
 };
 
-type Zone = {readonly use: ZoneUse; changedMs: number; seen: number; refusedUntilMs: number};
+type Zone = {
+	readonly use: ZoneUse;
+	changedMs: number;
+	/** Most engines seen. */
+	seen: number;
+	/** Time from which fewer engines were registered than ordered. */
+	shortSinceMs: number | undefined;
+	refusedUntilMs: number;
+};
 
 function getKey({service, zone}: Pick<EngineOrder, 'service' | 'zone'>): string {
 	return JSON.stringify([service, zone]);
@@ -92,7 +100,7 @@
 	private getZone(place: Pick<EngineOrder, 'service' | 'zone'>): Zone {
 		const key = getKey(place);
 		const zone = this.zones.get(key) ?? {
-			use: new ZoneUse(), changedMs: this.opts.clock.now(), seen: 0, refusedUntilMs: Number.NEGATIVE_INFINITY,
+			use: new ZoneUse(), changedMs: this.opts.clock.now(), seen: 0, shortSinceMs: undefined, refusedUntilMs: Number.NEGATIVE_INFINITY,
 		};
 		this.zones.set(key, zone);
 		return zone;
@@ -114,7 +122,7 @@
 		const current = this.getLastOrder(engines)?.count ?? state.seen;
 		const mayShrink = hasAllReports() && clock.now() - this.shrunkMs >= SHRINK_INTERVAL_MS;
 		const count = policy.decide({
-			...engines, current, use: state.use, sinceChangeMs: clock.now() - state.changedMs, mayShrink,
+			...engines, current, use: state.use, missing: this.countMissing(engines, current), sinceChangeMs: clock.now() - state.changedMs, mayShrink,
 		});
 		if (count === current) {
 			return;
@@ -128,6 +136,14 @@
 		}, 'The number of engines of a zone was changed.');
 	}
 
+	private countMissing(engines: ZoneEngines, current: number): number {
+		const {live, range: {bootMs}} = engines;
+		const zone = this.getZone(engines);
+		const nowMs = this.opts.clock.now();
+		zone.shortSinceMs = live < current ? Math.max(zone.shortSinceMs ?? nowMs, zone.changedMs) : undefined;
+		return zone.shortSinceMs !== undefined && nowMs - zone.shortSinceMs > bootMs + MISSING_MARGIN_MS ? current - live : 0;
+	}
+
 	private getLastOrder(place: Pick<EngineOrder, 'service' | 'zone'>): RecordedOrder | undefined {
 		return this.opts.log.getOrders().find(order => getKey(order) === getKey(place));
 	}
--- a/packages/provider/src/usage-ledger.ts
+++ b/packages/provider/src/usage-ledger.ts
@@ -1,5 +1,7 @@
 import type {Clock} from '@egretrill/common';
-import {AWAITED_HOST_TTL_MS, HOST_USAGE_TTL_MS, MAX_SETTLED_AT_ONCE} from './constants.js';
+import {
+	AWAITED_HOST_TTL_MS, HOST_USAGE_TTL_MS, MAX_SETTLED_AT_ONCE, MAX_WINDOW_CUSTOMERS,
+} from './constants.js';
 import type {UsageCounts, UsageReport, UsageWindow} from './types.js';
 
 type HostUsage = {
@@ -42,10 +44,10 @@
 	/** Returns the windows that may be settled now, in order: all hosts have reported past their end, or the time to wait for that is over. */
 	listDue({settledThrough, fleetTimeMs, windowMs, waitMs, hostIds}: SettleState): readonly DueWindow[] {
 		this.removeExpired();
-		const currentWindow = Math.floor(fleetTimeMs / windowMs);
-		const completeBefore = this.getCompleteBefore(hostIds);
+		const windows = this.listWindows(settledThrough, Math.floor(fleetTimeMs / windowMs));
+		const completeBefore = windows.length > 0 ? this.getCompleteBefore(hostIds) : 0;
 		const due: DueWindow[] = [];
-		for (const window of this.listWindows(settledThrough, currentWindow)) {
+		for (const window of windows) {
 			const isComplete = window < completeBefore;
 			const isOverdue = waitMs !== undefined && fleetTimeMs >= ((window + 1) * windowMs) + waitMs;
 			if ((!isComplete && !isOverdue) || due.length === MAX_SETTLED_AT_ONCE) {
@@ -71,7 +73,7 @@
 		return Math.min(...[...awaited].map(hostId => this.usages.get(JSON.stringify([hostId, this.lastStarts.get(hostId)]))?.completeBefore ?? 0));
 	}
 
-	/** Sums the counts of a window over all hosts, sorted by customer. */
+	/** Sums the counts of a window over all hosts, sorted by customer; beyond what one entry of the log takes, the smallest are left out. */
 	private sumCounts(window: number): UsageCounts {
 		const sums = new Map<string, number>();
 		for (const {windows} of this.usages.values()) {
@@ -80,7 +82,8 @@
 			}
 		}
 
-		return [...sums].toSorted(([first], [second]) => first < second ? -1 : 1);
+		const largest = sums.size > MAX_WINDOW_CUSTOMERS ? [...sums].toSorted(([, first], [, second]) => second - first).slice(0, MAX_WINDOW_CUSTOMERS) : [...sums];
+		return largest.toSorted(([first], [second]) => first < second ? -1 : 1);
 	}
 
 	private removeExpired(): void {
