provider: pass the events of the duties as one typed message

Cause: five methods of DutyObserver each needed a fake. Change: DutyEvent, a union with one entry for each event.

--- a/apps/egretrilld/src/traffic/duty-metrics.ts
+++ b/apps/egretrilld/src/traffic/duty-metrics.ts
@@ -1,5 +1,5 @@
 import type {Metrics} from '@egretrill/balancer';
-import {type CallOutcome, DutyObserver} from '@egretrill/provider';
+import {type DutyEvent, DutyObserver} from '@egretrill/provider';
 
 /** Metrics of the duties towards the provider; only the leader's change. */
 export class DutyMetrics extends DutyObserver {
@@ -20,24 +20,32 @@
 		this.orderedEngines = metrics.createGauge({name: 'egretrill_engines_ordered', help: 'Engines last ordered from the provider.', labels: ['service', 'zone']});
 	}
 
-	override recordCall(duty: 'usage' | 'engines', outcome: CallOutcome, tookMs: number): void {
-		this.calls.add(1, {duty, outcome});
-		this.callDurations.record(tookMs, {duty});
-	}
+	override record(event: DutyEvent): void {
+		switch (event.kind) {
+			case 'call': {
+				this.calls.add(1, {duty: event.duty, outcome: event.outcome});
+				this.callDurations.record(event.tookMs, {duty: event.duty});
+				break;
+			}
 
-	override recordSettled(windows: number, isComplete: boolean): void {
-		this.settled.add(windows, {complete: String(isComplete)});
-	}
+			case 'settled': {
+				this.settled.add(1, {complete: String(event.isComplete)});
+				break;
+			}
 
-	override recordConfirmed(delayMs: number): void {
-		this.confirmDelays.record(Math.max(0, delayMs), {});
-	}
+			case 'confirmed': {
+				this.confirmDelays.record(Math.max(0, event.delayMs), {});
+				break;
+			}
 
-	override setUnconfirmed(windows: number): void {
-		this.unconfirmed.set(windows, {});
-	}
+			case 'unconfirmed': {
+				this.unconfirmed.set(event.windows, {});
+				break;
+			}
 
-	override setOrderedEngines(service: string, zone: string, count: number): void {
-		this.orderedEngines.set(count, {service, zone});
+			case 'ordered': {
+				this.orderedEngines.set(event.count, {service: event.service, zone: event.zone});
+			}
+		}
 	}
 }
--- a/packages/provider/src/engine-duty.ts
+++ b/packages/provider/src/engine-duty.ts
@@ -83,7 +83,9 @@
 		}
 
 		for (const {service, zone, count} of log.getOrders()) {
-			observer.setOrderedEngines(service, zone, count);
+			observer.record({
+				kind: 'ordered', service, zone, count,
+			});
 		}
 	}
 
--- a/packages/provider/src/provider-duties.ts
+++ b/packages/provider/src/provider-duties.ts
@@ -50,7 +50,9 @@
 				const startedMs = clock.now();
 				const outcome = await call.send(mayCall);
 				this.pacer.record(outcome);
-				observer.recordCall(call.duty, outcome, clock.now() - startedMs);
+				observer.record({
+					kind: 'call', duty: call.duty, outcome, tookMs: clock.now() - startedMs,
+				});
 				await call.record(outcome);
 				return;
 			}
--- a/packages/provider/src/usage-duty.ts
+++ b/packages/provider/src/usage-duty.ts
@@ -39,7 +39,7 @@
 	override async update(): Promise<void> {
 		await this.settle();
 		await this.recordConfirmations();
-		this.opts.observer.setUnconfirmed(this.opts.log.getUsage().unconfirmed.length);
+		this.opts.observer.record({kind: 'unconfirmed', windows: this.opts.log.getUsage().unconfirmed.length});
 	}
 
 	override getDueCall(): DueCall | undefined {
@@ -73,7 +73,7 @@
 				window, customers: counts.length, requests: counts.reduce((sum, [, count]) => sum + count, 0), isComplete, isKnown,
 			}, isKnown ? 'The usage of a window was settled.' : 'The log has not confirmed the usage of a window.');
 			if (isKnown) {
-				observer.recordSettled(1, isComplete);
+				observer.record({kind: 'settled', isComplete});
 			}
 		}
 	}
@@ -91,7 +91,7 @@
 		if (outcome === 'accepted') {
 			this.refusedUntilMs.delete(window);
 			this.accepted.add(window);
-			observer.recordConfirmed(delayMs);
+			observer.record({kind: 'confirmed', delayMs});
 			await this.recordConfirmations();
 		}
 	}
--- a/packages/provider/tests/support/recording-provider.ts
+++ b/packages/provider/tests/support/recording-provider.ts
@@ -36,29 +36,9 @@
 
 /** Counts the events of the duties. */
 export class CountingDutyObserver extends DutyObserver {
-	calls = 0;
-	settled = 0;
-	confirmed = 0;
-	unconfirmed = 0;
-	readonly ordered = new Map<string, number>();
+	events = 0;
 
-	override recordCall(): void {
-		this.calls += 1;
-	}
-
-	override recordSettled(windows: number): void {
-		this.settled += windows;
-	}
-
-	override recordConfirmed(): void {
-		this.confirmed += 1;
-	}
-
-	override setUnconfirmed(windows: number): void {
-		this.unconfirmed = windows;
-	}
-
-	override setOrderedEngines(service: string, zone: string, count: number): void {
-		this.ordered.set(`${service} ${zone}`, count);
+	override record(): void {
+		this.events += 1;
 	}
 }
