tests: speeds of targets in polls, sizes of requests, idle connections

Cause: the exchange of speeds between hosts and leader, the load on the wire and the expected size of requests had no tests.

--- a/apps/egretrilld/src/traffic/index.ts
+++ b/apps/egretrilld/src/traffic/index.ts
@@ -21,5 +21,6 @@
 export * from './run-traffic.js';
 export * from './served-state.js';
 export * from './settings.js';
+export * from './speed-messages.js';
 export * from './sync-notifier.js';
 export * from './zone-orders.js';
--- a/apps/egretrilld/tests/traffic/leader-term.test.ts
+++ b/apps/egretrilld/tests/traffic/leader-term.test.ts
@@ -1,10 +1,12 @@
 import {createLogger, createRandom, ManualClock} from '@egretrill/common';
 import {
-	EngineOrders, type EngineReport, type LoadOrderOutcome, TargetRegistry,
+	EngineOrders, type EngineReport, HostSpeeds, type LoadOrderOutcome, TargetRegistry,
 } from '@egretrill/engines';
 import type {ConsensusStatus} from '@egretrill/hosts';
 import {expect} from 'chai';
-import {type EntryReport, LeaderTerm} from '../../src/traffic/index.js';
+import {
+	createSpeedReport, EntryReport, fromSpeedPlan, LeaderPlan, LeaderTerm,
+} from '../../src/traffic/index.js';
 
 class NoOrders extends EngineOrders {
 	override async send(): Promise<LoadOrderOutcome> {
@@ -79,6 +81,38 @@
 		expect(results.map(others => others.toSorted(([first], [second]) => first.localeCompare(second)))).toMatchSnapshot();
 	});
 
+	// Guards against speeds that only the host knows that has measured them, that are sent with every poll, or that a build without them has to read.
+	it('merges the speeds of targets that hosts measure, and tells each host once', () => {
+		const clock = new ManualClock();
+		const term = createTerm(clock);
+		const hosts = [new HostSpeeds(clock), new HostSpeeds(clock)];
+		const poll = (host: HostSpeeds): unknown => {
+			const speeds = createSpeedReport(host);
+			const plan = LeaderPlan.parse(term.handleReport(EntryReport.parse({...report('h', []), ...(speeds && {speeds})})));
+			if (plan.speeds) {
+				host.apply(fromSpeedPlan(plan.speeds));
+			}
+
+			return plan.speeds?.changed.map(([targetId, , percent]) => `${targetId} ${percent}`);
+		};
+
+		const inactive = hosts.map(host => poll(host));
+		for (const [i, targetSpeed] of [0.6, 1, 1.6].entries()) {
+			hosts[0]!.recordSlowdown('s', 1);
+			for (let stream = 0; stream < 20; stream += 1) {
+				hosts[0]!.recordStream({
+					service: 's', targetId: `t${i}`, startedAtMs: 1, model: 'm', events: 30, durationMs: 1350 / targetSpeed, slowdown: 1,
+				});
+			}
+		}
+
+		hosts[1]!.recordSlowdown('s', 1);
+		const polls = [poll(hosts[0]!), poll(hosts[0]!), poll(hosts[1]!), poll(hosts[1]!)];
+		expect({
+			inactive, polls, ofOtherHost: hosts[1]!.getSpeed('t2', 1), ofTerm: term.speeds.getSpeed('t2', 1)?.toFixed(2),
+		}).toMatchSnapshot();
+	});
+
 	// Guards against a leader that is blocked because it adds up the running requests of all hosts at each report.
 	it('processes a report without iterating over the running requests of all hosts', () => {
 		const count = (hosts: number): number => {
--- a/packages/engines/tests/client/forward-client.test.ts
+++ b/packages/engines/tests/client/forward-client.test.ts
@@ -66,6 +66,24 @@
 		return {status: sent.value.status, body: Buffer.concat(chunks).toString(), isComplete: !isBroken && sent.value.isComplete()};
 	}
 
+	// Guards against a target that is preferred for a connection that is in use, closed or not there.
+	it('knows the targets to which it has an idle connection', async () => {
+		const {address} = createMessage(true);
+		const states = [client.hasIdleConnection(address)];
+		serve = socket => {
+			states.push(client.hasIdleConnection(address));
+			socket.write('HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n');
+		};
+
+		await send(false);
+		await runEventLoop();
+		states.push(client.hasIdleConnection(address));
+		await send();
+		await runEventLoop();
+		states.push(client.hasIdleConnection(address));
+		expect(states).to.deep.equal([false, false, false, false, true]);
+	});
+
 	// Guards against a truncated answer that looks complete because it has no length.
 	it('distinguishes an answer that ends with its connection from one that is reset', async () => {
 		serve = socket => {
--- a/packages/engines/tests/registry/target-table.test.ts
+++ b/packages/engines/tests/registry/target-table.test.ts
@@ -1,6 +1,8 @@
 import {createRandom, ManualClock, type Registration} from '@egretrill/common';
 import {expect} from 'chai';
-import {TargetTable, type TargetOutcome, type TargetRequirements} from '../../src/registry/index.js';
+import {
+	HostSpeeds, TargetTable, type TargetOutcome, type TargetRequirements,
+} from '../../src/registry/index.js';
 
 const requirements: TargetRequirements = {service: 's', parts: [], tried: new Set()};
 
@@ -301,6 +303,35 @@
 	});
 });
 
+describe('TargetTable, with the speeds of targets', () => {
+	// Guards against other choices than before in a service whose targets do not report their current speed.
+	it('uses them only once targets report their current speed', () => {
+		const clock = new ManualClock();
+		const speeds = new HostSpeeds(clock);
+		const table = new TargetTable({
+			clock, random: () => 0, zone: 'a', getColdRate: () => 2, getBatchSlots: () => 4, pricing: {speeds, getPreference: () => 0, hasIdleConnection: () => false},
+		});
+		table.update({
+			origin: 'r', revision: 1, isWhole: true, targets: ['slow', 'fast'].map(id => ({registration: register(id), ageMs: 0, hasEnded: false})),
+		});
+		speeds.apply({origin: 'o', revision: 1, changed: [{targetId: 'slow', startedAtMs: 1, speed: 0.6}, {targetId: 'fast', startedAtMs: 1, speed: 1.6}]});
+		const sized = {
+			...requirements, work: {
+				promptTokens: 400, outputTokens: 200, targetLatencyMs: 253, mayReuseConnection: true,
+			},
+		};
+		const choices = [table.choose(sized)];
+		const slot = table.acquireSlot('fast', sized);
+		slot?.recordLoad({running: 1, waiting: 0});
+		choices.push(table.choose(sized));
+		slot?.recordLoad({running: 1, waiting: 0, slowdown: 1});
+		choices.push(table.choose(sized), table.choose(requirements));
+		slot?.recordLoad({running: 4, waiting: 0, slowdown: 1});
+		choices.push(table.choose(sized));
+		expect(choices).toMatchSnapshot();
+	});
+});
+
 describe('TargetTable, with targets that speak of themselves in their answers', () => {
 	const isWhole = {origin: 'r', revision: 2, isWhole: true};
 	const near = register('near', {slots: 64});
