--- a/apps/egretrilld/src/traffic/term-speeds.ts
+++ b/apps/egretrilld/src/traffic/term-speeds.ts
@@ -9,6 +9,7 @@
 export class TermSpeeds {
 	private readonly merger: SpeedMerger;
 	private readonly updates = new SpeedUpdates();
+	private publishedVersion = 0;
 	private nextLogMs = 0;
 	private loggedServices = '';
 
@@ -26,8 +27,13 @@
 			this.merger.record(service, observations);
 		}
 
-		this.updates.publish(this.merger.list());
-		this.log();
+		const version = this.merger.getVersion();
+		if (version !== this.publishedVersion) {
+			this.publishedVersion = version;
+			this.updates.publish(this.merger.list());
+			this.log();
+		}
+
 		const update = this.updates.getUpdate(report.known);
 		return update && toSpeedPlan(update);
 	}
--- a/packages/callers/tests/forward/route-sizes.test.ts
+++ b/packages/callers/tests/forward/route-sizes.test.ts
@@ -2,6 +2,7 @@
 import {expect} from 'chai';
 import {RouteSizes} from '../../src/forward/index.js';
 import {StreamPace} from '../../src/forward/streams/stream-pace.js';
+import {observeTargets} from './support/forward-scenario.js';
 
 const route: TrafficRoute = {
 	name: 'chat', hostName: 'a', pathPrefix: '/', repeat: 'once', isStream: true, isResumable: true, isOpen: true, timeoutMs: 10_000, targetLatencyMs: 253, priority: 1, maxAttempts: 2, services: [],
@@ -31,6 +32,22 @@
 	});
 });
 
+describe('a forwarded request', () => {
+	const chunks = [1, 2, 3].map(id => `id: ${id}\ndata: x\n\n`);
+	const stream = {
+		isEventStream: true, chunks, pausesMs: {1: 45, 2: 90}, load: {running: 3, waiting: 0, slowdown: 2.5},
+	};
+
+	// Guards against observations of streams that broke off, and against a target whose load is not recorded.
+	it('tells the load of its target, and the pace of a complete stream', async () => {
+		const options = {route: {isStream: true, isResumable: true}, targets: ['t1']};
+		expect({
+			complete: await observeTargets({...options, answers: [stream]}),
+			broken: await observeTargets({...options, answers: [{...stream, isCut: true}]}),
+		}).toMatchSnapshot();
+	});
+});
+
 describe('StreamPace', () => {
 	// Guards against a host that reads several events at once and takes their target for slow.
 	it('counts events by their ids', () => {
--- a/packages/callers/tests/forward/support/forward-scenario.ts
+++ b/packages/callers/tests/forward/support/forward-scenario.ts
@@ -84,6 +84,12 @@
 	};
 }
 
+/** Runs one request of a caller and returns what was handed over of its size, and observed of its targets. */
+export async function observeTargets(opts: ScenarioOptions): Promise<unknown> {
+	const {slots} = await runScenario(opts);
+	return slots.observed;
+}
+
 /** Runs one request of a caller and returns what this host has observed of the durations of its route. */
 export async function observeDuration(opts: ScenarioOptions): Promise<unknown> {
 	const {durations} = await runScenario(opts);
--- a/packages/engines/src/registry/cached-prompts.ts
+++ b/packages/engines/src/registry/cached-prompts.ts
@@ -26,12 +26,17 @@
 
 	/** Returns a function that counts, for a target, the tokens of the leading parts that it has received before for the same model. */
 	createCounter(model: string, parts: readonly PromptPart[]): (targetId: string) => number {
-		const chains = getChains(model, parts);
+		let chains: readonly string[] | undefined;
 		return targetId => {
 			const targetChains = this.chains.get(targetId);
+			if (!targetChains) {
+				return 0;
+			}
+
+			chains ??= getChains(model, parts);
 			let tokens = 0;
-			for (const [i, chain] of targetChains ? chains.entries() : []) {
-				if (!targetChains?.has(chain)) {
+			for (const [i, chain] of chains.entries()) {
+				if (!targetChains.has(chain)) {
 					break;
 				}
 
--- a/packages/engines/src/registry/choose-target.ts
+++ b/packages/engines/src/registry/choose-target.ts
@@ -24,7 +24,7 @@
 	/** Estimated prompt tokens of this request in its cache. */
 	readonly cachedTokens: number;
 	/** When the request is expected to be complete there; absent for services whose targets do not report their current speed. */
-	readonly completion?: ExpectedCompletion;
+	readonly completion?: ExpectedCompletion | undefined;
 };
 
 /** What a choice was decided by: the part of the cost in which the chosen target is furthest ahead of the next one. */
--- a/packages/engines/src/registry/constants.ts
+++ b/packages/engines/src/registry/constants.ts
@@ -134,7 +134,7 @@
 export const SPEED_PRIOR_STREAMS = 0.7;
 
 /** Passes over all pairs of models and targets that separate paces from speeds. */
-export const SPEED_SWEEPS = 10;
+export const SPEED_SWEEPS = 4;
 
 /** Largest number of streams that the pace of a model at a target counts as; later streams replace earlier ones. */
 export const SPEED_STREAM_LIMIT = 30;
@@ -153,10 +153,10 @@
 export const MAX_SPEED_MODELS = 32;
 
 /** Shortest time between two separations of speeds from paces. */
-export const SPEED_UPDATE_INTERVAL_MS = 500;
+export const SPEED_UPDATE_INTERVAL_MS = 1000;
 
 /** The same at a host, which uses its own observations only for targets that no leader has told it of. */
-export const OWN_SPEED_INTERVAL_MS = 2000;
+export const OWN_SPEED_INTERVAL_MS = 10_000;
 
 /** Streams that the mean of a service counts as in the pace of a model, and the largest number that the latter counts as. */
 export const SERVICE_PACE_STREAMS = 2;
@@ -165,6 +165,9 @@
 /** Models of a service whose paces a host keeps. */
 export const MAX_PACE_MODELS = 4096;
 
+/** Models at targets of a service whose streams are kept for the next poll; more are observed only while no leader answers. */
+export const MAX_UNREPORTED_PAIRS = 512;
+
 /** Change of a speed that the leader tells the hosts. */
 export const MIN_SPEED_CHANGE_RATIO = 0.04;
 
@@ -177,7 +180,7 @@
 /** Time constant of the mean of the other hosts' requests at a target; longer than the figures are old, so that hosts do not follow each other from target to target. */
 export const LOAD_SMOOTHING_MS = 2000;
 
-/** Cost of a request of this host, and of another one, at a target of mean speed. Only the own ones are known at once, and a high price of the others would make all hosts follow the same figures. */
+/** Cost of a request of this host, and of another one, at a target of mean speed. Only the own ones are known at once; the figures of the others are up to a second old, and the same at all hosts. */
 export const OWN_REQUEST_COST_MS = 40;
 export const OTHER_REQUEST_COST_MS = 0.5;
 
--- a/packages/engines/src/registry/host-speeds.ts
+++ b/packages/engines/src/registry/host-speeds.ts
@@ -1,6 +1,6 @@
 import type {Clock} from '@egretrill/common';
 import {
-	CURRENT_SLOWDOWN_MS, MAX_SLOWDOWN, MAX_TARGETS, MEAN_SLOWDOWN_RATIO, MIN_SLOWDOWN, MIN_STREAM_EVENTS, MIN_STREAM_MS, OWN_SPEED_INTERVAL_MS,
+	CURRENT_SLOWDOWN_MS, MAX_SLOWDOWN, MAX_TARGETS, MAX_UNREPORTED_PAIRS, MEAN_SLOWDOWN_RATIO, MIN_SLOWDOWN, MIN_STREAM_EVENTS, MIN_STREAM_MS, OWN_SPEED_INTERVAL_MS,
 } from './constants.js';
 import {ModelPaces} from './model-paces.js';
 import {type ProcessSpeed, SpeedMerger, type SpeedObservation} from './speed-merger.js';
@@ -123,7 +123,7 @@
 		this.unreported.set(service, observations);
 		const key = JSON.stringify([observation.targetId, observation.startedAtMs, observation.model]);
 		const {count = 0, logSum = 0} = observations.get(key) ?? {};
-		if (observations.size < MAX_TARGETS) {
+		if (count > 0 || observations.size < MAX_UNREPORTED_PAIRS) {
 			observations.set(key, {...observation, count: count + 1, logSum: logSum + observation.logSum});
 		}
 	}
--- a/packages/engines/src/registry/speed-merger.ts
+++ b/packages/engines/src/registry/speed-merger.ts
@@ -18,6 +18,7 @@
 export class SpeedMerger extends TargetSpeeds {
 	private readonly services = new Map<string, ServiceSpeeds>();
 	private readonly speeds = new Map<string, ProcessSpeed>();
+	private mergeCount = 0;
 
 	constructor(private readonly clock: Clock, private readonly intervalMs = SPEED_UPDATE_INTERVAL_MS) {
 		super();
@@ -43,6 +44,12 @@
 		return known?.startedAtMs === startedAtMs ? known.speed : undefined;
 	}
 
+	/** Changes whenever the speeds may have changed. */
+	getVersion(): number {
+		this.merge();
+		return this.mergeCount;
+	}
+
 	/** The speeds of all targets of services whose targets differ. */
 	list(): readonly ProcessSpeed[] {
 		this.merge();
@@ -64,6 +71,7 @@
 			if (service.isChanged && nowMs - service.mergedMs >= this.intervalMs) {
 				service.isChanged = false;
 				service.mergedMs = nowMs;
+				this.mergeCount += 1;
 				this.mergeService(service);
 			}
 		}
--- a/packages/engines/src/registry/target-table.ts
+++ b/packages/engines/src/registry/target-table.ts
@@ -336,11 +336,11 @@
 			isCold: nowMs < target.coldUntilMs,
 			hasColdCapacity: this.hasColdCapacity(target),
 			cachedTokens,
-			...(pricedWork && hasAdapter && outstanding < slots && {
-				completion: this.pricing?.estimate(pricedWork, {
+			completion: pricedWork && hasAdapter && outstanding < slots
+				? this.pricing?.estimate(pricedWork, {
 					target, slots, cachedTokens, nowMs,
-				}),
-			}),
+				})
+				: undefined,
 		};
 	}
 
