engines: choose a target without copying requests and targets

Change: the requirements of a request are passed on and not copied, and a target is created from one literal, which keeps its fields fast.

--- a/packages/engines/src/registry/target-table.ts
+++ b/packages/engines/src/registry/target-table.ts
@@ -37,7 +37,7 @@
 };
 
 /** What a choice needs of a request, computed once for all targets. */
-type PreparedRequest = TargetRequirements & {readonly pricedWork: PricedWork | undefined; readonly countCachedTokens: (targetId: string) => number};
+type PreparedRequest = {readonly requirements: TargetRequirements; readonly pricedWork: PricedWork | undefined; readonly countCachedTokens: (targetId: string) => number};
 
 /** The targets known to an entry host, with its outstanding requests there. */
 export class TargetTable {
@@ -192,7 +192,7 @@
 	choose(requirements: TargetRequirements): TargetChoice {
 		const {model, parts} = requirements;
 		const prepared: PreparedRequest = {
-			...requirements,
+			requirements,
 			pricedWork: this.pricing?.getWork(requirements),
 			countCachedTokens: model === undefined ? () => 0 : this.cachedPrompts.createCounter(model, parts),
 		};
@@ -315,7 +315,7 @@
 		return this.leavingHints.size > 0 && this.leavingHints.get(registration.targetId) === registration.startedAtMs;
 	}
 
-	private toCandidate(target: Target, {service, model, adapter, pricedWork, countCachedTokens}: PreparedRequest): TargetCandidate {
+	private toCandidate(target: Target, {requirements: {service, model, adapter}, pricedWork, countCachedTokens}: PreparedRequest): TargetCandidate {
 		const {registration: {targetId, zone, slots: ownSlots, models}} = target;
 		const held = model === undefined ? undefined : models.find(({name}) => name === model);
 		const hasAdapter = adapter === undefined || (held?.adapters.includes(adapter) ?? false);
--- a/packages/engines/src/registry/tracked-target.ts
+++ b/packages/engines/src/registry/tracked-target.ts
@@ -38,13 +38,16 @@
 	slowdown: number;
 	slowdownReportedMs: number;
 	/** How much this host prefers the target, from 0 to 1; set when it is first needed. */
-	preference?: number;
+	preference: number | undefined;
 };
 
 /** Returns a target of which only its registration is known. */
-export function createTarget(known: Pick<Target, 'registration' | 'coldUntilMs' | 'registeredMs' | 'coldSends'>): Target {
+export function createTarget({registration, coldUntilMs, registeredMs, coldSends}: Pick<Target, 'registration' | 'coldUntilMs' | 'registeredMs' | 'coldSends'>): Target {
 	return {
-		...known,
+		registration,
+		coldUntilMs,
+		registeredMs,
+		coldSends,
 		limitedFromMs: 0,
 		limitedUntilMs: 0,
 		returnedUntilMs: 0,
@@ -61,6 +64,7 @@
 		unreachableMs: 0,
 		slowdown: 1,
 		slowdownReportedMs: 0,
+		preference: undefined,
 	};
 }
 
