--- a/packages/engines/src/registry/target-table.ts
+++ b/packages/engines/src/registry/target-table.ts
@@ -37,7 +37,7 @@
 };
 
 /** What a choice needs of a request, computed once for all targets. */
-type PreparedRequest = TargetRequirements & {readonly pricedWork: PricedWork | undefined; readonly countCachedTokens: (targetId: string) => number};
+type PreparedRequest = {readonly requirements: TargetRequirements; readonly pricedWork: PricedWork | undefined; readonly countCachedTokens: (targetId: string) => number};
 
 /** The targets known to an entry host, with its outstanding requests there. */
 export class TargetTable {
@@ -193,7 +193,7 @@
 	choose(requirements: TargetRequirements): TargetChoice {
 		const {model, parts} = requirements;
 		const prepared: PreparedRequest = {
-			...requirements,
+			requirements,
 			pricedWork: this.pricing?.getWork(requirements),
 			countCachedTokens: model === undefined ? () => 0 : this.cachedPrompts.createCounter(model, parts),
 		};
@@ -317,7 +317,7 @@
 		return this.leavingHints.size > 0 && this.leavingHints.get(registration.targetId) === registration.startedAtMs;
 	}
 
-	private toCandidate(target: Target, {service, model, adapter, pricedWork, countCachedTokens, beyondSlots = 0}: PreparedRequest): TargetCandidate {
+	private toCandidate(target: Target, {requirements: {service, model, adapter, beyondSlots = 0}, pricedWork, countCachedTokens}: PreparedRequest): TargetCandidate {
 		const {registration: {targetId, zone, slots: ownSlots, models}} = target;
 		const held = model === undefined ? undefined : models.find(({name}) => name === model);
 		const hasAdapter = adapter === undefined || (held?.adapters.includes(adapter) ?? false);
@@ -338,11 +338,11 @@
 			isCold: nowMs < target.coldUntilMs,
 			hasColdCapacity: this.hasColdCapacity(target),
 			cachedTokens,
-			...(pricedWork && hasAdapter && outstanding < slots && {
-				completion: this.pricing?.estimate(pricedWork, {
+			completion: pricedWork && hasAdapter && outstanding < slots
+				? this.pricing?.estimate(pricedWork, {
 					target, slots, cachedTokens, nowMs,
-				}),
-			}),
+				})
+				: undefined,
 		};
 	}
 
