callers: make the queue's work for a request without a wait small

Change: kinds are single objects, counts decay in steps of 100 ms, lanes are held by reference, and a rank is computed only once others wait. The leader returns figures of at most 1,024 models.

The plays of shortage.test.ts give the same figures as before.

--- a/packages/callers/src/forward/constants.ts
+++ b/packages/callers/src/forward/constants.ts
@@ -46,6 +46,9 @@
 /** Models in a host's report of its queue; more than an engine class of the largest deployment holds. */
 export const MAX_REPORTED_KINDS = 512;
 
+/** Models of which the leader returns figures; callers may name models that do not exist. */
+export const MAX_SHORTAGE_MODELS = 1024;
+
 /** Requests that all hosts together send beyond the slots of an engine; its own queue takes a multiple of this. */
 export const MAX_BEYOND_SLOTS = 3;
 
@@ -71,6 +74,9 @@
 /** Time constant over which the parts of requests that got a slot are compared; longer than a burst. */
 export const SERVED_RATIO_TIME_CONSTANT_MS = 10_000;
 
+/** Time between two steps of this decay. */
+export const RATIO_DECAY_STEP_MS = 100;
+
 /** Requests below which a ratio says nothing. */
 export const MIN_ASKED_FOR_RATIO = 5;
 
--- a/packages/callers/src/forward/waiting/fleet-shortage.ts
+++ b/packages/callers/src/forward/waiting/fleet-shortage.ts
@@ -70,7 +70,7 @@
 	/** What this host reported last, which the next figures contain. */
 	private reported: ReadonlyMap<string, readonly KindCounts[]> = new Map();
 	private slots = new Map<string, number>();
-	private arrivals = new Map<string, {readonly queueKey: string; readonly kind: RequestKind; count: number}>();
+	private arrivals = new Map<string, Map<RequestKind, number>>();
 
 	constructor(private readonly clock: Clock) {}
 
@@ -81,13 +81,13 @@
 
 	/** Counts a request that needs a slot. */
 	recordArrival(key: string, kind: RequestKind): void {
-		const name = `${key}\n${kind.priority} ${kind.targetLatencyMs}`;
-		const known = this.arrivals.get(name);
-		if (known) {
-			known.count += 1;
-		} else {
-			this.arrivals.set(name, {queueKey: key, kind, count: 1});
+		let ofModel = this.arrivals.get(key);
+		if (!ofModel) {
+			ofModel = new Map();
+			this.arrivals.set(key, ofModel);
 		}
+
+		ofModel.set(kind, (ofModel.get(kind) ?? 0) + 1);
 	}
 
 	/** Returns the report of the next poll, with the slots and arrivals since the last one. */
@@ -96,7 +96,8 @@
 			const [service = '', model = ''] = splitQueueKey(key);
 			return [service, model, count];
 		});
-		const sent = countByKind({waiting, returning, arrived: this.arrivals.values()}).slice(0, MAX_REPORTED_KINDS);
+		const arrived = [...this.arrivals].flatMap(([queueKey, ofModel]) => [...ofModel].map(([kind, count]) => ({queueKey, kind, count})));
+		const sent = countByKind({waiting, returning, arrived}).slice(0, MAX_REPORTED_KINDS);
 		this.arrivals = new Map();
 		this.slots = new Map();
 		this.reported = new Map(sent.map(([service, model, kinds]) => [getQueueKey(service, model), kinds]));
--- a/packages/callers/src/forward/waiting/lane-table.ts
+++ b/packages/callers/src/forward/waiting/lane-table.ts
@@ -1,16 +1,11 @@
-import type {RequestKind} from './fleet-shortage.js';
 import type {BacklogEntry} from './queue-report.js';
 import type {OwnBacklog} from './slot-share.js';
 import type {Lane, Waiter} from './waiter.js';
 import {compareRanked, WaitingLane} from './waiting-lanes.js';
 
-function isSameKind(a: RequestKind, b: RequestKind): boolean {
-	return a.priority === b.priority && a.targetLatencyMs === b.targetLatencyMs;
-}
-
 /** All waiting requests of a host, by requirements and kind, and by model. */
 export class LaneTable {
-	private readonly lanes = new Map<string, Lane>();
+	private readonly lanes = new Set<Lane>();
 	private readonly byModel = new Map<string, Set<Lane>>();
 	private count = 0;
 
@@ -18,8 +13,8 @@
 		return this.count;
 	}
 
-	get(laneKey: string): Lane | undefined {
-		return this.lanes.get(laneKey);
+	hasModel(queueKey: string): boolean {
+		return this.byModel.has(queueKey);
 	}
 
 	getOfModel(queueKey: string): Iterable<Lane> {
@@ -27,28 +22,28 @@
 	}
 
 	add(waiter: Waiter): void {
-		let lane = this.lanes.get(waiter.laneKey);
+		let lane = this.findLane(waiter);
 		if (!lane) {
 			lane = new WaitingLane(waiter.requirementsKey, waiter.found);
-			this.lanes.set(waiter.laneKey, lane);
+			this.lanes.add(lane);
 			const ofModel = this.byModel.get(waiter.queueKey) ?? new Set();
 			this.byModel.set(waiter.queueKey, ofModel.add(lane));
 		}
 
 		lane.add(waiter);
-		waiter.isQueued = true;
+		waiter.lane = lane;
 		this.count += 1;
 	}
 
 	/** Removes a request; returns whether it was waiting. */
 	remove(waiter: Waiter): boolean {
-		const lane = this.lanes.get(waiter.laneKey);
-		if (!waiter.isQueued || !lane) {
+		const {lane} = waiter;
+		if (!lane) {
 			return false;
 		}
 
 		lane.remove(waiter);
-		waiter.isQueued = false;
+		waiter.lane = undefined;
 		this.count -= 1;
 		if (lane.size === 0) {
 			this.removeLane(waiter, lane);
@@ -59,15 +54,15 @@
 
 	/** The first requests of all lanes. */
 	listHeads(): readonly Waiter[] {
-		return [...this.lanes.values()].flatMap(({head}) => head ?? []);
+		return [...this.lanes].flatMap(({head}) => head ?? []);
 	}
 
 	listWaiters(): readonly Waiter[] {
-		return [...this.lanes.values()].flatMap(lane => lane.list());
+		return [...this.lanes].flatMap(lane => lane.list());
 	}
 
 	listBacklog(): readonly BacklogEntry[] {
-		return [...this.lanes.values()].flatMap(lane => lane.list().map(({requirements, queueKey, kind}) => ({
+		return [...this.lanes].flatMap(lane => lane.list().map(({requirements, queueKey, kind}) => ({
 			requirements, queueKey, kind, reason: lane.lastFound.kind,
 		})));
 	}
@@ -102,11 +97,11 @@
 	}
 
 	/** Requests for the same model that are of a request's kind, with itself, and more urgent ones. */
-	countOwn({queueKey, kind, isQueued}: Waiter): OwnBacklog {
-		let equal = isQueued ? 0 : 1;
+	countOwn({queueKey, kind, lane}: Waiter): OwnBacklog {
+		let equal = lane ? 0 : 1;
 		let urgent = 0;
 		for (const {head, size} of this.getOfModel(queueKey)) {
-			if (head && isSameKind(head.kind, kind)) {
+			if (head?.kind === kind) {
 				equal += size;
 			} else if (head && head.kind.priority < kind.priority) {
 				urgent += size;
@@ -116,8 +111,18 @@
 		return {equal, urgent};
 	}
 
-	private removeLane({laneKey, queueKey}: Waiter, lane: Lane): void {
-		this.lanes.delete(laneKey);
+	private findLane({queueKey, requirementsKey, kind}: Waiter): Lane | undefined {
+		for (const lane of this.getOfModel(queueKey)) {
+			if (lane.requirementsKey === requirementsKey && lane.head?.kind === kind) {
+				return lane;
+			}
+		}
+
+		return undefined;
+	}
+
+	private removeLane({queueKey}: Waiter, lane: Lane): void {
+		this.lanes.delete(lane);
 		const ofModel = this.byModel.get(queueKey);
 		ofModel?.delete(lane);
 		if (ofModel?.size === 0) {
--- a/packages/callers/src/forward/waiting/shortage-owner.ts
+++ b/packages/callers/src/forward/waiting/shortage-owner.ts
@@ -1,5 +1,7 @@
 import {type Clock, DecayingCounts} from '@egretrill/common';
-import {FIGURES_CACHE_MS, FLEET_FIGURES_TTL_MS, FLEET_SLOT_TIME_CONSTANT_MS} from '../constants.js';
+import {
+	FIGURES_CACHE_MS, FLEET_FIGURES_TTL_MS, FLEET_SLOT_TIME_CONSTANT_MS, MAX_SHORTAGE_MODELS,
+} from '../constants.js';
 import {
 	getQueueKey, type KindCounts, type QueueReport, type ShortageFigures,
 } from './shortage-figures.js';
@@ -53,7 +55,7 @@
 
 	private computeFigures(): ShortageFigures {
 		this.removeExpired();
-		return [...this.sums].map(([key, {service, model, kinds}]) => [service, model, this.getPerSecond(this.slots, key), this.addArrivals(key, kinds)]);
+		return [...this.sums].slice(0, MAX_SHORTAGE_MODELS).map(([key, {service, model, kinds}]) => [service, model, this.getPerSecond(this.slots, key), this.addArrivals(key, kinds)]);
 	}
 
 	private addArrivals(key: string, kinds: ModelSums['kinds']): KindCounts[] {
--- a/packages/callers/src/forward/waiting/slot-queue.ts
+++ b/packages/callers/src/forward/waiting/slot-queue.ts
@@ -4,13 +4,13 @@
 	CLEARLY_FREE_SLOTS, DUE_STEP_MS, LIMIT_CHECK_INTERVAL_MS, MAX_BEYOND_SLOTS, OWN_SHARE_STEPS, REFUSAL_CHECK_INTERVAL_MS, RETRY_GRACE_MS, RETURNING_SHARE_FACTOR,
 } from '../constants.js';
 import {CheckTimer} from './check-timer.js';
-import {type FleetBacklog, FleetShortage} from './fleet-shortage.js';
+import {type FleetBacklog, FleetShortage, type RequestKind} from './fleet-shortage.js';
 import {LaneTable} from './lane-table.js';
 import type {QueueObserver, WaitEnd} from './queue-observer.js';
 import {countByModel, type ModelBacklog, needsLoad} from './queue-report.js';
 import {refuseLeft, refuseNoSlot, refuseShutdown} from './refuse-no-slot.js';
 import {ReturningCallers} from './returning-callers.js';
-import {ServedRatios} from './served-ratios.js';
+import {type ServedCounts, ServedRatios} from './served-ratios.js';
 import type {QueueReport, ShortageFigures} from './shortage-figures.js';
 import {SlotForecast} from './slot-forecast.js';
 import {getSlotProbability} from './slot-share.js';
@@ -19,13 +19,18 @@
 } from './slot-source.js';
 import {decideWait, type WaitReason} from './wait-forecast.js';
 import {
-	createWaiter, describeRequirements, getCustomerName, getKindName, type NoSlot, type SlotWait, type Waiter,
+	describeRequirements, Kinds, type Lane, type NoSlot, type SlotWait, type Waiter,
 } from './waiter.js';
 import {compareRanked, insertRanked, type WaitingRank} from './waiting-lanes.js';
 
 /** Outcomes of requests that used no slot of their target. */
 const unusedOutcomes: ReadonlySet<SlotOutcome> = new Set(['failed', 'unreachable', 'unsent']);
 
+/** Rank of a request for whose model nothing waits. */
+const UNRANKED: WaitingRank = {
+	priority: 0, attempt: 1, dueStep: 0, share: 0,
+};
+
 /** Search of one turn: what was found for each requirement for which no slot is free. */
 type Turn = Map<string, NoSlot>;
 
@@ -40,7 +45,9 @@
 	private readonly returning: ReturningCallers;
 	private readonly fleet: FleetShortage;
 	private readonly forecast: SlotForecast;
-	private readonly ratios: ServedRatios;
+	private readonly kindRatios: ServedRatios<RequestKind>;
+	private readonly customerRatios: ServedRatios<string>;
+	private readonly kinds = new Kinds();
 	private readonly limitTimer: CheckTimer;
 	private readonly random: Random;
 	private readonly observer: QueueObserver | undefined;
@@ -54,7 +61,8 @@
 	constructor(private readonly clock: Clock, private readonly source: SlotSource, {random = Math.random, observer}: SlotQueueOptions = {}) {
 		this.fleet = new FleetShortage(clock);
 		this.forecast = new SlotForecast(clock, source, this.fleet, random);
-		this.ratios = new ServedRatios(clock);
+		this.kindRatios = new ServedRatios(clock);
+		this.customerRatios = new ServedRatios(clock);
 		this.returning = new ReturningCallers(clock);
 		this.limitTimer = new CheckTimer(clock, () => {
 			this.checkLimits();
@@ -102,7 +110,7 @@
 
 		const waiter = this.createWaiter(requirements, priority, limits);
 		this.recordAsked(waiter);
-		const earlier = this.lanes.findEarlier(waiter);
+		const earlier = this.findEarlier(waiter);
 		waiter.found = earlier?.lastFound ?? waiter.found;
 		const slot = earlier ? undefined : this.search(waiter, new Map());
 		if (slot) {
@@ -113,6 +121,7 @@
 			return Result.err(this.isClosed ? refuseShutdown() : refuseLeft());
 		}
 
+		this.setRank(waiter);
 		const late = this.refuseIfTooLate(waiter, this.lanes.countAhead(waiter));
 		return late ? Result.err(late) : this.wait(waiter, signal);
 	}
@@ -166,7 +175,7 @@
 		const turn: Turn = new Map();
 		const heads = this.listHeads();
 		for (let head = heads.shift(); head; head = heads.shift()) {
-			const lane = this.lanes.get(head.laneKey);
+			const {lane} = head;
 			const refusal = head.limits.getRefusal?.();
 			const slot = refusal ? undefined : this.search(head, turn);
 			if (refusal) {
@@ -182,38 +191,60 @@
 	}
 
 	private createWaiter(requirements: SlotRequirements, priority: number, limits: SlotWait): Waiter {
-		const keys = describeRequirements(requirements);
+		const {service, queueKey, requirementsKey} = describeRequirements(requirements);
+		const kind = this.kinds.get(priority, limits.targetLatencyMs ?? 0);
 		this.sequence += 1;
-		return createWaiter({
+		return {
 			requirements,
-			keys,
-			kind: {priority, targetLatencyMs: limits.targetLatencyMs ?? 0},
-			rank: this.getRank(keys.service, priority, limits),
+			service,
+			queueKey,
+			requirementsKey,
+			kind,
+			rank: UNRANKED,
 			sequence: this.sequence,
 			limits,
 			startedMs: this.clock.now(),
-		});
+			ratios: this.getRatios(service, kind, limits.customer),
+			found: {kind: 'full'},
+			window: -1,
+			hasShare: false,
+			settle: () => undefined,
+		};
 	}
 
-	private getRank(service: string, priority: number, {dueMs = 0, isReturning = false, customer}: SlotWait): WaitingRank {
-		const share = customer === undefined ? 1 : this.ratios.getRelative(service, getCustomerName(customer));
-		return {
+	private getRatios(service: string, kind: RequestKind, customer: string | undefined): readonly ServedCounts[] {
+		const ofKind = this.kindRatios.get(service, kind);
+		return customer === undefined ? [ofKind] : [ofKind, this.customerRatios.get(service, customer)];
+	}
+
+	/** Sets the rank of a request, which only matters once others wait. */
+	private setRank(waiter: Waiter): void {
+		const {kind: {priority}, ratios: [, ofCustomer], limits: {dueMs = 0, isReturning = false}} = waiter;
+		const share = ofCustomer === undefined ? 1 : this.customerRatios.getRelative(ofCustomer);
+		waiter.rank = {
 			priority, attempt: isReturning ? 0 : 1, dueStep: Math.floor(dueMs / DUE_STEP_MS), share: Math.floor(share * OWN_SHARE_STEPS),
 		};
 	}
 
-	private recordAsked({service, queueKey, kind, limits: {customer}}: Waiter): void {
+	private findEarlier(waiter: Waiter): Lane | undefined {
+		if (!this.lanes.hasModel(waiter.queueKey)) {
+			return undefined;
+		}
+
+		this.setRank(waiter);
+		return this.lanes.findEarlier(waiter);
+	}
+
+	private recordAsked({queueKey, kind, ratios}: Waiter): void {
 		this.fleet.recordArrival(queueKey, kind);
-		this.ratios.recordAsked(service, getKindName(kind));
-		if (customer !== undefined) {
-			this.ratios.recordAsked(service, getCustomerName(customer));
+		for (const counts of ratios) {
+			this.kindRatios.recordAsked(counts);
 		}
 	}
 
-	private recordServed({service, kind, limits: {customer}}: Waiter): void {
-		this.ratios.recordServed(service, getKindName(kind));
-		if (customer !== undefined) {
-			this.ratios.recordServed(service, getCustomerName(customer));
+	private recordServed({ratios}: Waiter): void {
+		for (const counts of ratios) {
+			this.kindRatios.recordServed(counts);
 		}
 	}
 
@@ -235,9 +266,8 @@
 
 		waiter.found = found;
 		turn.set(requirementsKey, found);
-		const lane = this.lanes.get(waiter.laneKey);
-		if (lane) {
-			lane.lastFound = found;
+		if (waiter.lane) {
+			waiter.lane.lastFound = found;
 		}
 
 		return undefined;
@@ -335,7 +365,7 @@
 	/** The first requests of all lanes in the order in which they get slots; a kind that was served too little goes first. */
 	private listHeads(): Waiter[] {
 		const heads = this.lanes.listHeads().toSorted(compareRanked);
-		const isBelow = new Map(heads.map(head => [head, this.ratios.isBelowFloor(head.service, getKindName(head.kind))]));
+		const isBelow = new Map(heads.map(head => [head, this.kindRatios.isBelowFloor(this.kindRatios.get(head.service, head.kind))]));
 		return [...heads.filter(head => isBelow.get(head)), ...heads.filter(head => !isBelow.get(head))];
 	}
 
--- a/packages/callers/src/forward/waiting/waiter.ts
+++ b/packages/callers/src/forward/waiting/waiter.ts
@@ -5,7 +5,8 @@
 import {getQueueKey} from './shortage-figures.js';
 import type {SlotRequirements, SlotResult, TargetSlot} from './slot-source.js';
 import type {WaitLimits} from './wait-forecast.js';
-import type {Ranked, WaitingLane, WaitingRank} from './waiting-lanes.js';
+import type {ServedCounts} from './served-ratios.js';
+import type {WaitingLane, WaitingRank} from './waiting-lanes.js';
 
 /** How long a request may wait for a slot. */
 export type SlotWait = WaitLimits & {
@@ -24,15 +25,18 @@
 export type NoSlot = Exclude<SlotResult, {kind: 'slot'}>;
 
 /** A request that waits for a slot, or looks for one on its arrival. */
-export type Waiter = Omit<BacklogEntry, 'reason'> & Ranked & {
+export type Waiter = Omit<BacklogEntry, 'reason'> & {
+	rank: WaitingRank;
+	readonly sequence: number;
 	readonly service: string;
 	/** Key of the requests with the same requirements. */
 	readonly requirementsKey: string;
-	/** Key of those that are of the same kind as well. */
-	readonly laneKey: string;
 	readonly limits: SlotWait;
 	readonly startedMs: number;
-	isQueued: boolean;
+	/** Its lane while it waits. */
+	lane?: Lane;
+	/** Counts of its kind and customer. */
+	readonly ratios: readonly ServedCounts[];
 	/** Why no slot was found for it, or for another request with its requirements. */
 	found: NoSlot;
 	/** Wait that was expected at arrival. */
@@ -55,36 +59,23 @@
 	return {service, queueKey, requirementsKey: tried.size === 0 ? key : `${key}\n${[...tried].join('\n')}`};
 }
 
-type Arrival = {
-	readonly requirements: SlotRequirements;
-	readonly keys: ReturnType<typeof describeRequirements>;
-	readonly kind: RequestKind;
-	readonly rank: WaitingRank;
-	readonly sequence: number;
-	readonly limits: SlotWait;
-	readonly startedMs: number;
-};
+/** Kinds by priority and target latency, so that each is one object. */
+export class Kinds {
+	private readonly byPriority = new Map<number, Map<number, RequestKind>>();
 
-/** Creates a request that looks for a slot. */
-export function createWaiter({keys, ...arrival}: Arrival): Waiter {
-	return {
-		...arrival,
-		...keys,
-		laneKey: `${keys.requirementsKey}\n\n${getKindName(arrival.kind)}`,
-		isQueued: false,
-		found: {kind: 'full'},
-		window: -1,
-		hasShare: false,
-		settle: () => undefined,
-	};
-}
+	get(priority: number, targetLatencyMs: number): RequestKind {
+		let byLatency = this.byPriority.get(priority);
+		if (!byLatency) {
+			byLatency = new Map();
+			this.byPriority.set(priority, byLatency);
+		}
 
-/** Name of a kind within its service. */
-export function getKindName({priority, targetLatencyMs}: RequestKind): string {
-	return `kind ${priority} ${targetLatencyMs}`;
-}
+		let kind = byLatency.get(targetLatencyMs);
+		if (!kind) {
+			kind = {priority, targetLatencyMs};
+			byLatency.set(targetLatencyMs, kind);
+		}
 
-/** Name of a customer within a service. */
-export function getCustomerName(customer: string): string {
-	return `customer ${customer}`;
+		return kind;
+	}
 }
--- a/packages/callers/tests/forward/shortage.test.ts
+++ b/packages/callers/tests/forward/shortage.test.ts
@@ -191,19 +191,21 @@
 
 	// Guards against a kind that gets no slots at all while more urgent ones take them.
 	it('puts a kind first that is served less than the floor', () => {
-		const ratios = new ServedRatios(new ManualClock());
+		const ratios = new ServedRatios<string>(new ManualClock());
+		const urgent = ratios.get('s', 'urgent');
+		const least = ratios.get('s', 'least');
 		const isBelow: boolean[] = [];
 		for (let i = 0; i < 40; i++) {
-			ratios.recordAsked('s', 'urgent');
-			ratios.recordServed('s', 'urgent');
-			ratios.recordAsked('s', 'least');
-			isBelow.push(ratios.isBelowFloor('s', 'least'));
+			ratios.recordAsked(urgent);
+			ratios.recordServed(urgent);
+			ratios.recordAsked(least);
+			isBelow.push(ratios.isBelowFloor(least));
 			if (isBelow.at(-1)) {
-				ratios.recordServed('s', 'least');
+				ratios.recordServed(least);
 			}
 		}
 
 		expect(isBelow.filter(Boolean).length).to.be.within(6, 12);
-		expect(ratios.isBelowFloor('s', 'urgent')).to.equal(false);
+		expect(ratios.isBelowFloor(urgent)).to.equal(false);
 	});
 });
