engines: keep the last copy that serves, hold back moves that undo recent ones, and count loads

Cause: a copy that is still loading counted as one that serves, so the last copy of a busy model could be evicted for the 6 s in which its second one was loading.

Change: the last copy is told by the copies that serve. A move that reloads a model or drops a copy of the last 20 s must gain twice the least gain and what the earlier move cost. Speeds count as unequal by the 10th and 90th percentile.

--- a/apps/egretrilld/src/traffic/container.ts
+++ b/apps/egretrilld/src/traffic/container.ts
@@ -11,6 +11,7 @@
 import {ConnectionMetrics} from './connection-metrics.js';
 import {ControlHost} from './control-host.js';
 import {EntryHost} from './entry-host.js';
+import {LoadMetrics} from './load-metrics.js';
 import {LoopMetrics} from './loop-metrics.js';
 import type {ControlSettings, EntrySettings, TrafficSettings} from './settings.js';
 import {trafficTokens} from './tokens.js';
@@ -22,6 +23,7 @@
 		random: ctx.get(trafficTokens.random),
 		logger: getComponentLogger(ctx.get(trafficTokens.logger), 'control'),
 		watch: ctx.get(trafficTokens.watch),
+		loadObserver: new LoadMetrics(ctx.get(trafficTokens.metrics)),
 		credentials: ctx.get(trafficTokens.credentials),
 		connections: new ConnectionMetrics(getComponentLogger(ctx.get(trafficTokens.logger), 'control'), ctx.get(trafficTokens.metrics)),
 		decoder: ctx.get(trafficTokens.adapter).decoder,
--- a/apps/egretrilld/src/traffic/control-host.ts
+++ b/apps/egretrilld/src/traffic/control-host.ts
@@ -6,7 +6,7 @@
 	type Clock, type Logger, type LoopWatch, type Random, type Registration,
 } from '@egretrill/common';
 import {FileLogStorage, SnapshotStore} from '@egretrill/disk';
-import {type EngineOrders, TargetRegistry} from '@egretrill/engines';
+import {type EngineOrders, type LoadObserver, TargetRegistry} from '@egretrill/engines';
 import {
 	bindConsensus, bindFleetLog, bindMethod, type ConnectionObserver, ConsensusNode,
 	ControlPeers, FleetLog, type FleetNode, FleetState, GrpcConsensusTransport, type MethodHandler, type PeerCredentials,
@@ -41,6 +41,7 @@
 	readonly random: Random;
 	readonly logger: Logger;
 	readonly watch: LoopWatch;
+	readonly loadObserver?: LoadObserver;
 	readonly credentials: PeerCredentials;
 	readonly connections?: ConnectionObserver;
 	readonly decoder: ConfigDecoder;
@@ -353,7 +354,7 @@
 	/** Starts or ends a term when this host gains or loses the leadership. */
 	private updateTerm(): void {
 		const {role, term, leaderId} = this.node.status();
-		const {clock, random, logger, orders, settings, watch} = this.opts;
+		const {clock, random, loadObserver, logger, orders, settings, watch} = this.opts;
 		if (role === 'leader' && this.term?.term !== term) {
 			this.term?.end();
 			logger.info({term}, 'This host leads.');
@@ -364,6 +365,7 @@
 				orders,
 				term,
 				watch,
+				...(loadObserver && {loadObserver}),
 				node: this.node,
 				state: this.state,
 				getTimeOfDayMs: () => Date.now(),
--- a/packages/engines/src/loading/constants.ts
+++ b/packages/engines/src/loading/constants.ts
@@ -26,8 +26,9 @@
 /** Number of engines, those with the lowest estimates, for which the exact cost of a load is computed. */
 export const MAX_COSTED_ENGINES = 8;
 
-/** Ratio of the highest to the lowest speed from which engines count as unequal. */
+/** Ratio of the highest to the lowest speed from which engines count as unequal, and the share of engines that is left out at either end. */
 export const MIN_SPEED_RATIO = 1.25;
+export const OMITTED_SPEED_RATIO = 0.1;
 
 /** Share of late requests for each unit by which an engine is slower than the mean: half of those at a speed of 0.6, where the gaps between events exceed 200 ms whenever the engine slows down. */
 export const LATE_RATIO_PER_MISSING_SPEED = 1.25;
@@ -55,7 +56,7 @@
 export const ABSENT_MODEL_COST_REQUEST_S = 6;
 
 /** Number of models without demand that may be loading at a time. */
-export const MAX_ABSENT_LOADS = 8;
+export const MAX_ABSENT_LOADS = 16;
 
 /** Number of copies and engines that one plan may visit; the remaining models come first in the next plan. A leader sends its heartbeats from the thread that plans. */
 export const MAX_PLAN_VISITS = 300_000;
--- a/packages/engines/src/loading/engine-owner.ts
+++ b/packages/engines/src/loading/engine-owner.ts
@@ -15,7 +15,9 @@
 import {PlanSchedule} from './plan-schedule.js';
 import {RecentMoves} from './recent-moves.js';
 import {StoreBudget} from './store-budget.js';
-import type {LoadMove, ModelDemand, PlannedEngine} from './types.js';
+import type {
+	GetTargetSpeed, LoadMove, ModelDemand, PlannedEngine,
+} from './types.js';
 
 const MS_PER_SECOND = 1000;
 
@@ -35,8 +37,8 @@
 	readonly mayOrder: () => boolean;
 	/** Zones that are out of service, whose engines get no requests. */
 	readonly getZonesOut: () => readonly string[];
-	/** Speed of a target's process relative to the mean of its service; undefined while it is not known. */
-	readonly getSpeed?: (targetId: string, startedAtMs: number) => number | undefined;
+	/** Without it, all engines count as equally fast. */
+	readonly getSpeed?: GetTargetSpeed;
 	/** Receives what the plans do, for example to export it as metrics. */
 	readonly loadObserver?: LoadObserver;
 	/** Engine classes by service. */
--- a/packages/engines/src/loading/engine-speeds.ts
+++ b/packages/engines/src/loading/engine-speeds.ts
@@ -1,8 +1,10 @@
-import {LATE_RATIO_PER_MISSING_SPEED, MIN_SPEED_RATIO} from './constants.js';
+import {LATE_RATIO_PER_MISSING_SPEED, MIN_SPEED_RATIO, OMITTED_SPEED_RATIO} from './constants.js';
 
-/** Whether engines differ so much in speed that it matters which one holds a copy. Unknown speeds count as the mean. */
+/** Whether engines differ so much in speed that it matters which one holds a copy. A tenth at either end is left out, since single engines may have been measured wrongly. */
 export function areSpeedsUneven(speeds: readonly number[]): boolean {
-	return speeds.length > 0 && Math.max(...speeds) >= Math.min(...speeds) * MIN_SPEED_RATIO;
+	const sorted = speeds.toSorted((a, b) => a - b);
+	const omitted = Math.floor(sorted.length * OMITTED_SPEED_RATIO);
+	return sorted.length > 0 && sorted.at(-1 - omitted)! >= sorted[omitted]! * MIN_SPEED_RATIO;
 }
 
 /** Share of the requests at an engine that are late even though it has free slots, since its tokens take longer than callers allow. */
--- a/packages/engines/src/loading/eviction-candidates.ts
+++ b/packages/engines/src/loading/eviction-candidates.ts
@@ -9,7 +9,7 @@
 	readonly adapterCount: number;
 	readonly need: number;
 	readonly isIdle: boolean;
-	/** Whether it is the only copy of a model that requests may need. */
+	/** Whether it is the only copy that serves of a model that requests may need. */
 	readonly isLast: boolean;
 	/** Request-seconds that its removal alone is expected to lose. */
 	readonly cost: number;
@@ -67,7 +67,7 @@
 					adapterCount,
 					need: layout.getNeededSlots(model),
 					isIdle: layout.isIdle(model),
-					isLast: layout.countCopies(model) <= 1 && layout.isConfigured(model),
+					isLast: layout.countReadyCopies(model) <= 1 && layout.isConfigured(model),
 					cost: layout.getRemovalCost(targetId, [model]) - unchangedCost + layout.getAbsenceCost(model),
 				},
 				copies: layout.countCopies(model),
--- a/packages/engines/src/loading/layout.ts
+++ b/packages/engines/src/loading/layout.ts
@@ -38,6 +38,8 @@
 	/** Needed slots and holders of each model; models with demand come first. */
 	private readonly demand: DemandOverHolders[];
 	private readonly configuredModels: ReadonlySet<string>;
+	/** Number of copies of each model that serve, without those that are being loaded. */
+	private readonly readyCopies = new Map<string, number>();
 	private readonly slotsPerEngine: number;
 	/** Speeds of the engines relative to their mean; all 1 where they hardly differ. */
 	private readonly speeds: readonly number[];
@@ -53,6 +55,12 @@
 		this.modelsByEngine = engines.map(({copies, loading, unloading}) => new Set([
 			...copies.map(({model}) => model).filter(model => !unloading.includes(model)), ...(loading === undefined ? [] : [loading]),
 		]));
+		for (const {copies, unloading} of engines) {
+			for (const {model} of copies.filter(copy => !unloading.includes(copy.model))) {
+				this.readyCopies.set(model, this.countReadyCopies(model) + 1);
+			}
+		}
+
 		const speeds = engines.map(({speed = 1}) => speed);
 		this.isUneven = areSpeedsUneven(speeds);
 		this.speeds = this.isUneven ? speeds : speeds.map(() => 1);
@@ -87,6 +95,11 @@
 		return this.getModelDemand(model).holders.length;
 	}
 
+	/** Copies that serve now; a copy that is being loaded does not for seconds. */
+	countReadyCopies(model: string): number {
+		return this.readyCopies.get(model) ?? 0;
+	}
+
 	getNeededSlots(model: string): number {
 		return this.getModelDemand(model).neededSlots;
 	}
@@ -107,7 +120,7 @@
 
 	/** Request-seconds that are expected to be lost later if a copy of a model goes and it was the last one. Only counted where engines differ in speed. */
 	getAbsenceCost(model: string): number {
-		return this.isUneven && this.configuredModels.has(model) && this.countCopies(model) <= 1 ? ABSENT_MODEL_COST_REQUEST_S : 0;
+		return this.isUneven && this.configuredModels.has(model) && this.countReadyCopies(model) <= 1 ? ABSENT_MODEL_COST_REQUEST_S : 0;
 	}
 
 	/** Request-seconds lost over the horizon if an engine unloads models and loads no other. */
@@ -149,6 +162,10 @@
 
 	apply({targetId, unload, load}: Pick<LoadMove, 'targetId' | 'unload' | 'load'>): void {
 		this.applyToHolders(this.createChange(targetId, unload, load));
+		for (const model of unload) {
+			this.readyCopies.set(model, this.countReadyCopies(model) - 1);
+		}
+
 		const engine = this.engineIndexes.get(targetId)!;
 		this.modelsByEngine[engine] = new Set([...[...this.modelsByEngine[engine]!].filter(model => !unload.includes(model)), load]);
 		this.spread = this.spreader.spread(this.demand);
--- a/packages/engines/src/loading/plan-loads.ts
+++ b/packages/engines/src/loading/plan-loads.ts
@@ -1,6 +1,7 @@
 import type {StoredModel} from '@egretrill/common';
 import {
-	ABSENT_MODEL_COST_REQUEST_S, ADAPTER_DEMAND_RATIO, BUSY_UNLOAD_MS, IDLE_UNLOAD_MS, MAX_ABSENT_LOADS, MAX_COSTED_ENGINES, MAX_PLAN_VISITS, MAX_SWAP_RATIO, MIN_MISSING_SLOTS, MIN_MOVE_GAIN_REQUEST_S, PLAN_HORIZON_S,
+	ABSENT_MODEL_COST_REQUEST_S, ADAPTER_DEMAND_RATIO, BUSY_UNLOAD_MS, IDLE_UNLOAD_MS, MAX_ABSENT_LOADS, MAX_COSTED_ENGINES, MAX_PLAN_VISITS, MAX_SWAP_RATIO,
+	MIN_MISSING_SLOTS, MIN_MOVE_GAIN_REQUEST_S, PLAN_HORIZON_S,
 } from './constants.js';
 import {Layout, type LoadPlanInput} from './layout.js';
 import type {LoadMove, PlannedEngine} from './types.js';
@@ -61,6 +62,7 @@
 	const loading = engines.filter(engine => engine.loading !== undefined && layout.isIdle(engine.loading)).length;
 	return models
 		.filter(({name}) => layout.countCopies(name) === 0)
+		.toSorted((a, b) => layout.getNeededSlots(b.name) - layout.getNeededSlots(a.name))
 		.slice(0, Math.max(0, MAX_ABSENT_LOADS - loading))
 		.map(model => ({model, lostSlots: 0, reason: 'absent'}));
 }
@@ -128,10 +130,11 @@
 		return undefined;
 	}
 
+	const absenceCost = unload.reduce((sum, model) => sum + layout.getAbsenceCost(model), 0);
 	const totalMs = loadMs + getUnloadMs(unload, layout);
 	const blockedAdapterCost = layout.getSoleCopySlots(engine.targetId) * ADAPTER_DEMAND_RATIO * totalMs / MS_PER_SECOND;
 	return {
-		engine, unload, totalMs, loadMs, fromStore, blockedAdapterCost, evictionCost: evictions.reduce((sum, {cost}) => sum + cost, 0), absenceCost: unload.reduce((sum, model) => sum + layout.getAbsenceCost(model), 0),
+		engine, unload, totalMs, loadMs, fromStore, blockedAdapterCost, evictionCost: evictions.reduce((sum, {cost}) => sum + cost, 0), absenceCost,
 	};
 }
 
@@ -153,7 +156,7 @@
 
 /** Whether a move loads the first copy of a model without evicting the last copy of a model in use, which needs no minimum gain. */
 function isExemptFromMinGain({reason}: NeededCopy, unload: readonly string[], layout: Layout): boolean {
-	return reason === 'missing' && unload.every(model => layout.isIdle(model) || layout.countCopies(model) > 1);
+	return reason === 'missing' && unload.every(model => layout.isIdle(model) || layout.countReadyCopies(model) > 1);
 }
 
 /** Whether a move gains enough: a model in no demand is loaded for what its absence may cost, and a move that undoes recent ones must make up for them too. */
@@ -166,7 +169,7 @@
 	const gain = layout.getUnchangedCost() - cost;
 	const minGain = neededCopy.reason === 'absent' ? -ABSENT_MODEL_COST_REQUEST_S : MIN_MOVE_GAIN_REQUEST_S;
 	const undoneCost = layout.isUneven ? getUndoneCost?.(targetId, unload, neededCopy.model.name) : undefined;
-	const isHeldBack = undoneCost !== undefined && gain <= MIN_MOVE_GAIN_REQUEST_S + undoneCost;
+	const isHeldBack = undoneCost !== undefined && gain <= (2 * MIN_MOVE_GAIN_REQUEST_S) + undoneCost;
 	if (isHeldBack && gain > minGain) {
 		heldBack.add(neededCopy.model.name);
 	}
--- a/packages/engines/src/loading/recent-moves.ts
+++ b/packages/engines/src/loading/recent-moves.ts
@@ -14,9 +14,9 @@
 		}];
 	}
 
-	/** Request-seconds that the recent moves cost which a move would undo, by loading at an engine what one unloaded there or unloading what one loaded; undefined if it undoes none. */
+	/** Request-seconds that the recent moves cost which a move would undo, by loading a model that one unloaded at any engine or unloading the copy that one loaded; undefined if it undoes none. */
 	getUndoneCost(targetId: string, unload: readonly string[], load: string, nowMs: number): number | undefined {
-		const undone = this.moves.filter(move => move.targetId === targetId && nowMs - move.atMs < UNDO_PERIOD_MS && (move.unload.includes(load) || unload.includes(move.load)));
+		const undone = this.moves.filter(move => nowMs - move.atMs < UNDO_PERIOD_MS && (move.unload.includes(load) || (move.targetId === targetId && unload.includes(move.load))));
 		return undone.length === 0 ? undefined : undone.reduce((sum, {costRequestS}) => sum + costRequestS, 0);
 	}
 }
--- a/packages/engines/src/loading/types.ts
+++ b/packages/engines/src/loading/types.ts
@@ -68,3 +68,6 @@
 	costRequestS: z.number().optional(),
 });
 export type LoadMove = z.infer<typeof LoadMove>;
+
+/** Returns the speed of a target's process relative to the mean of its service (2 is twice as fast), or undefined while it is not known. */
+export type GetTargetSpeed = (targetId: string, startedAtMs: number) => number | undefined;
--- a/packages/engines/tests/loading/estimate-ready-times.test.ts
+++ b/packages/engines/tests/loading/estimate-ready-times.test.ts
@@ -43,4 +43,13 @@
 			another: estimate([engine(['a'], 'b', 1800), engine(['a', 'c', 'd'])], {}),
 		}).toMatchSnapshot();
 	});
+
+	// Guards against refusals of callers who could wait for a load from the memory or disk of an engine.
+	it('takes weights at hand into account at engines without a running move', () => {
+		expect(estimate([
+			{...engine(['a']), inMemory: ['b'], onDisk: ['b', 'c']}, {...engine(['a'], 'd', 300), inMemory: ['c']},
+		], {b: 2, c: 1})).to.deep.equal([
+			{service: 's', model: 'b', readyInMs: 400}, {service: 's', model: 'c', readyInMs: 1200}, {service: 's', model: 'd', readyInMs: 300},
+		]);
+	});
 });
--- a/packages/engines/tests/loading/moving-demand.ts
+++ b/packages/engines/tests/loading/moving-demand.ts
@@ -1,7 +1,7 @@
 import process from 'node:process';
 import {createRandom, type EngineClass} from '@egretrill/common';
 import {
-	isSwap, type LoadMove, type LoadPlanInput, planLoads, type PlannedEngine, RecentMoves, spreadDemand, StoreBudget,
+	getLostSlots, isSwap, type LoadMove, type LoadPlanInput, planLoads, type PlannedEngine, RecentMoves, spreadDemand, StoreBudget,
 } from '../../src/loading/index.js';
 
 const STEP_MS = 100;
@@ -56,6 +56,10 @@
 	/** Slots in use at the busiest engine relative to the mean, and shares of the demand by the speed of its engine. */
 	readonly busiest: number;
 	readonly shareBySpeed: Readonly<Record<string, number>>;
+	/** Share of the demand that is lost at full, crowded or slow engines. */
+	readonly lostShare: number;
+	/** Models without a copy at the end. */
+	readonly absentModels: number;
 	readonly undoneMoves: number;
 	readonly cpuMsPerPlan: number;
 };
@@ -80,6 +84,7 @@
 	private readonly slotsBySpeed = new Map<number, number>();
 	private readonly busiest: number[] = [];
 	private undoneMoves = 0;
+	private lostSlots = 0;
 	private readonly store = new StoreBudget();
 	private readonly recentMoves = new RecentMoves();
 	private missingSlots = 0;
@@ -114,6 +119,8 @@
 			missingShare: this.missingSlots / this.slots,
 			busiest: this.busiest.reduce((sum, value) => sum + value, 0) / this.busiest.length,
 			shareBySpeed: Object.fromEntries(shares),
+			lostShare: this.lostSlots / this.slots,
+			absentModels: engineClass.models.filter(({name}) => this.engines.every(({copies}) => copies.every(({model}) => model !== name))).length,
 			undoneMoves: this.undoneMoves,
 			cpuMsPerPlan: this.cpuUs / this.plans / 1000,
 		};
@@ -174,6 +181,7 @@
 		const {usedSlots} = spreadDemand(this.engines.map(({targetId, copies, speed}) => ({targetId, speed, models: new Set(copies.map(({model}) => model))})), demand, engineClass.batchSlots);
 		for (const [i, used] of usedSlots.entries()) {
 			const {speed} = this.engines[i]!;
+			this.lostSlots += getLostSlots(used, engineClass.batchSlots, speed);
 			this.slotsBySpeed.set(speed, (this.slotsBySpeed.get(speed) ?? 0) + used);
 		}
 
