--- a/apps/egretrilld/src/traffic/leader-term.ts
+++ b/apps/egretrilld/src/traffic/leader-term.ts
@@ -7,7 +7,7 @@
 	type Clock, compareLists, type EngineClass, type Logger, type LoopWatch, type Random, type TrafficCustomer,
 } from '@egretrill/common';
 import {
-	ColdGrants, type EngineOrders, EngineOwner, type LoadObserver, type TargetRegistry,
+	ColdGrants, type EngineOrders, EngineOwner, type GetTargetSpeed, type LoadObserver, type TargetRegistry,
 } from '@egretrill/engines';
 import type {FleetNode, FleetState} from '@egretrill/hosts';
 import {CrashLog} from '../crash-log.js';
@@ -22,6 +22,7 @@
 	readonly logger: Logger;
 	readonly watch: Pick<LoopWatch, 'recordPlan'>;
 	readonly loadObserver?: LoadObserver;
+	readonly getSpeed?: GetTargetSpeed;
 	readonly node: Pick<FleetNode, 'status' | 'isLeaderWithLease' | 'propose'>;
 	readonly state: Pick<FleetState, 'getCrashes'>;
 	readonly getTimeOfDayMs: () => number;
--- a/apps/egretrilld/src/traffic/load-metrics.ts
+++ b/apps/egretrilld/src/traffic/load-metrics.ts
@@ -9,7 +9,9 @@
 
 	constructor(metrics: Metrics) {
 		super();
-		this.loads = metrics.createCounter({name: 'egretrill_model_loads_total', help: 'Loads of models that the leader ordered, by the source of the weights and by reason.', labels: ['source', 'reason']});
+		this.loads = metrics.createCounter({
+			name: 'egretrill_model_loads_total', help: 'Loads of models that the leader planned, by the source of the weights and by reason.', labels: ['source', 'reason'],
+		});
 		this.missing = metrics.createDurations({name: 'egretrill_missing_model_ms', help: 'Time for which callers waited for a model without a copy.'});
 		this.heldBack = metrics.createCounter({name: 'egretrill_moves_held_back_total', help: 'Moves of models that plans left out since they undo recent ones.'});
 	}
--- a/packages/engines/src/loading/engine-owner.ts
+++ b/packages/engines/src/loading/engine-owner.ts
@@ -3,7 +3,7 @@
 } from '@egretrill/common';
 import type {AdapterUse, TargetRegistry} from '../registry/index.js';
 import {
-	LOAD_DEMAND_TIME_CONSTANT_MS, LOAD_PLAN_PERIOD_MS, MIN_DEMAND_MEASUREMENT_MS, MODEL_MOVE_WEIGHT, PENDING_CHANGE_WEIGHT, PLAN_PAUSE_RATIO, WAITING_TTL_MS,
+	LOAD_DEMAND_TIME_CONSTANT_MS, LOAD_PLAN_PERIOD_MS, MIN_DEMAND_MEASUREMENT_MS, MODEL_MOVE_WEIGHT, PENDING_CHANGE_WEIGHT, PLAN_PAUSE_RATIO,
 } from './constants.js';
 import {type AdapterSlotChoice, AdapterSlots} from './adapter-slots.js';
 import {EngineOrderQueue} from './engine-order-queue.js';
@@ -15,6 +15,7 @@
 import {PlanSchedule} from './plan-schedule.js';
 import {RecentMoves} from './recent-moves.js';
 import {StoreBudget} from './store-budget.js';
+import {type WaitingCounts, WaitingReports} from './waiting-reports.js';
 import type {
 	GetTargetSpeed, LoadMove, ModelDemand, PlannedEngine,
 } from './types.js';
@@ -66,9 +67,6 @@
 /** A model, or one of its adapters, that a request needs. */
 export type RequiredModel = {readonly service: string; readonly model: string; readonly adapter?: string};
 
-/** Requests that wait at one host for a copy of a model, and those that found all copies full. */
-export type WaitingCounts = ReadonlyArray<readonly [service: string, model: string, waiting: number, crowded: number]>;
-
 /** Names have no line breaks, and a key is needed for each model in each plan. */
 function getDemandKey({service, model, adapter}: RequiredModel): string {
 	return adapter === undefined ? `${service}\n${model}` : `${service}\n${model}\n${adapter}`;
@@ -80,7 +78,7 @@
 	private readonly copyFirstSeenMs = new Map<string, number>();
 	private readonly missingSinceMs = new Map<string, number>();
 	private readonly demand: DecayingCounts;
-	private readonly waiting = new Map<string, {readonly counts: WaitingCounts; readonly receivedAtMs: number}>();
+	private readonly waiting: WaitingReports;
 	private readonly adapterSlots: AdapterSlots;
 	private readonly memory = new KnownMemory();
 	private readonly adapterLoads = new Map<string, Promise<string | undefined>>();
@@ -91,6 +89,7 @@
 
 	constructor(private readonly opts: EngineOwnerOptions) {
 		this.demand = new DecayingCounts(opts.clock, LOAD_DEMAND_TIME_CONSTANT_MS);
+		this.waiting = new WaitingReports(opts.clock);
 		this.adapterSlots = new AdapterSlots(opts.clock);
 	}
 
@@ -105,7 +104,7 @@
 
 	/** Replaces the counts of the requests that wait at one host. */
 	recordWaiting(hostId: string, counts: WaitingCounts): void {
-		this.waiting.set(hostId, {counts, receivedAtMs: this.opts.clock.now()});
+		this.waiting.record(hostId, counts);
 	}
 
 	/** Replaces the report of the adapters that the requests of one host use. */
@@ -325,25 +324,17 @@
 	}
 
 	private getDemand(service: string, {models}: EngineClass): readonly ModelDemand[] {
-		const waiting = new Map<string, number>();
-		const crowded = new Map<string, number>();
-		const minReceivedAtMs = this.opts.clock.now() - WAITING_TTL_MS;
-		for (const {counts, receivedAtMs} of this.waiting.values()) {
-			for (const [countedService, model, waitingCount, crowdedCount] of receivedAtMs >= minReceivedAtMs ? counts : []) {
-				if (countedService === service) {
-					waiting.set(model, (waiting.get(model) ?? 0) + waitingCount);
-					crowded.set(model, (crowded.get(model) ?? 0) + crowdedCount);
-				}
-			}
-		}
-
-		return models.map(({name}) => ({
-			model: name,
-			places: this.demand.getPerSecond(getDemandKey({service, model: name})),
-			waiting: waiting.get(name) ?? 0,
-			crowded: crowded.get(name) ?? 0,
-			missingMs: this.getMissingMs(service, name, (waiting.get(name) ?? 0) > 0),
-		}));
+		const reported = this.waiting.sum(service);
+		return models.map(({name}) => {
+			const {waiting = 0, crowded = 0} = reported.get(name) ?? {};
+			return {
+				model: name,
+				places: this.demand.getPerSecond(getDemandKey({service, model: name})),
+				waiting,
+				crowded,
+				missingMs: this.getMissingMs(service, name, waiting > 0),
+			};
+		});
 	}
 
 	/** How long requests have been waiting for a copy of a model. */
--- a/packages/engines/src/loading/index.ts
+++ b/packages/engines/src/loading/index.ts
@@ -14,3 +14,4 @@
 export * from './spread-demand.js';
 export * from './store-budget.js';
 export * from './types.js';
+export * from './waiting-reports.js';
--- a/packages/engines/tests/loading/plan-loads.test.ts
+++ b/packages/engines/tests/loading/plan-loads.test.ts
@@ -90,6 +90,15 @@
 		}).toMatchSnapshot();
 	});
 
+	// Guards against a busy model that nobody serves for the time of a load, since its last copy went while its second one was being loaded.
+	it('does not count a copy that is being loaded as one that serves', () => {
+		const loading = engine('t2', ['c'], {isFree: false, loading: 'a'});
+		const demand = {
+			a: [5, 0], b: [5, 0], c: [5, 0], d: [1, 1],
+		} as const;
+		expect({loading: plan([engine('t1', ['a', 'b']), loading], demand), held: plan([engine('t1', ['a', 'b']), engine('t2', ['a', 'c'], {isFree: false})], demand).map(({unload}) => unload)}).to.deep.equal({loading: [], held: [['a']]});
+	});
+
 	// Guards against exceeding the memory of an engine while another load is in progress.
 	it('counts the model that an engine is loading', () => {
 		expect(plan([engine('t1', ['a'], {loading: 'b', isFree: false}), engine('t2', ['c', 'e'])], {
