--- a/packages/callers/src/forward/streams/event-fields.ts
+++ b/packages/callers/src/forward/streams/event-fields.ts
@@ -99,8 +99,8 @@
 }
 
 function startsWith(event: Uint8Array, start: number, bytes: Uint8Array): boolean {
-	for (let i = 0; i < bytes.length; i += 1) {
-		if (event[start + i] !== bytes[i]) {
+	for (const [i, byte] of bytes.entries()) {
+		if (event[start + i] !== byte) {
 			return false;
 		}
 	}
--- a/packages/common/tests/repeated-messages.test.ts
+++ b/packages/common/tests/repeated-messages.test.ts
@@ -1,6 +1,6 @@
-import {RepeatedMessages} from '@egretrill/common';
 import {expect} from 'chai';
 import {Result} from 'true-myth';
+import {RepeatedMessages} from '@egretrill/common';
 
 type Heartbeat = {readonly sequence: number; readonly slots: number};
 
--- a/packages/engines/src/client/message-reader.ts
+++ b/packages/engines/src/client/message-reader.ts
@@ -17,7 +17,7 @@
 
 	/** What has arrived and was not taken yet; undefined if there is nothing. */
 	read(): Uint8Array | undefined {
-		const chunk = this.message.destroyed ? null : this.message.read() as Uint8Array | null;
+		const chunk = this.message.destroyed ? null : this.message.read() as Uint8Array | undefined;
 		return chunk ?? undefined;
 	}
 
--- a/packages/engines/src/registry/target-table.ts
+++ b/packages/engines/src/registry/target-table.ts
@@ -3,7 +3,7 @@
 } from '@egretrill/common';
 import {type TargetCandidate, type TargetChoice, TargetChooser} from './choose-target.js';
 import {
-	COLD_GRANT_DELAY_MS, MAX_REGISTRATION_GAP_MS, QUEUED_PER_SLOT, REGISTRATION_TTL_MS, SUSPECT_MS,
+	COLD_GRANT_DELAY_MS, MAX_REGISTRATION_GAP_MS, REGISTRATION_TTL_MS, SUSPECT_MS,
 } from './constants.js';
 import {CachedPrompts} from './cached-prompts.js';
 import {type ColdBasis, ColdSends} from './cold-sends.js';
@@ -11,6 +11,7 @@
 import {getFailures, recordHealth} from './target-health.js';
 import {TargetNotices, type TargetStart} from './target-notices.js';
 import {type PricedWork, TargetPricing, type TargetPricingOptions} from './target-pricing.js';
+import {getSlotLimit} from './slot-limit.js';
 import {
 	changeAdapterUse, createTarget, getOutstanding, isLimited, limitUntilRegistered, recordActivity, setOthers, type Target,
 } from './tracked-target.js';
@@ -323,7 +324,7 @@
 		const hasAdapter = adapter === undefined || (held?.adapters.includes(adapter) ?? false);
 		const nowMs = this.opts.clock.now();
 		const outstanding = getOutstanding(target, nowMs);
-		const slots = addSlots(this.opts.getBatchSlots(service) ?? Math.ceil(ownSlots * (1 + QUEUED_PER_SLOT)), beyondSlots);
+		const slots = getSlotLimit({ownSlots, batchSlots: this.opts.getBatchSlots(service), beyondSlots});
 		// The cost of a target without the adapter is never compared.
 		const cachedTokens = hasAdapter ? countCachedTokens(targetId) : 0;
 		return {
@@ -400,8 +401,3 @@
 		}
 	}
 }
-
-/** Changes the number of requests that a target is sent; at least half of its slots stay in use for any request. */
-function addSlots(slots: number, beyondSlots: number): number {
-	return Math.max(Math.ceil(slots / 2), slots + beyondSlots);
-}
