common, engines, platform: validate a repeated heartbeat once

Cause: each heartbeat was validated in full by the control host that received it, and again by every host that it was passed to, although most repeat the last one apart from the sequence; the answer went through the framework, which costs more than the rest.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -23,6 +23,7 @@
 export * from './random.js';
 export * from './read-timeouts.js';
 export * from './registration.js';
+export * from './repeated-messages.js';
 export * from './retry-after.js';
 export * from './run-with-timeout.js';
 export * from './signal.js';
--- a/packages/engines/src/registry/types.ts
+++ b/packages/engines/src/registry/types.ts
@@ -1,4 +1,7 @@
-import {partitionValid, Registration, TargetId} from '@egretrill/common';
+import {
+	parseInParts, Registration, RepeatedMessages, TargetId,
+} from '@egretrill/common';
+import {Result} from 'true-myth';
 import {z} from 'zod';
 import {MAX_TARGETS} from './constants.js';
 
@@ -9,6 +12,7 @@
 	ageMs: z.number().nonnegative(),
 	hasEnded: z.boolean(),
 });
+const TargetState = RegisteredTarget.omit({registration: true});
 export type RegisteredTarget = z.infer<typeof RegisteredTarget>;
 
 const IdentifiedTarget = z.object({registration: z.object({targetId: TargetId})});
@@ -19,6 +23,39 @@
 	return parsed.success ? parsed.data.registration.targetId : '';
 }
 
+/** Registrations of the updates that this process receives, most of which repeat earlier ones. */
+const registrations = new RepeatedMessages(message => {
+	const parsed = parseInParts(Registration, message);
+	return 'faults' in parsed ? Result.err(parsed.faults) : Result.ok(parsed.data as Registration);
+});
+
+function readTarget(entry: unknown): RegisteredTarget | undefined {
+	const state = TargetState.safeParse(entry);
+	if (!state.success) {
+		return undefined;
+	}
+
+	const {registration} = entry as {readonly registration?: unknown};
+	const {targetId} = (registration ?? {}) as {readonly targetId?: unknown};
+	return registrations.read(String(targetId), registration).map(read => ({...state.data, registration: read})).unwrapOr(undefined);
+}
+
+/** Validates each entry by itself, so that an invalid one costs only itself. */
+function readTargets(entries: readonly unknown[]): {readonly valid: RegisteredTarget[]; readonly invalid: unknown[]} {
+	const valid: RegisteredTarget[] = [];
+	const invalid: unknown[] = [];
+	for (const entry of entries) {
+		const target = readTarget(entry);
+		if (target) {
+			valid.push(target);
+		} else {
+			invalid.push(entry);
+		}
+	}
+
+	return {valid, invalid};
+}
+
 /** A cold target that a host wants to send a request to, and what the target bears of all hosts per second. */
 export const ColdWant = z.object({targetId: TargetId, perSecond: z.number().nonnegative()});
 export type ColdWant = z.infer<typeof ColdWant>;
@@ -35,7 +72,7 @@
 	isWhole: z.boolean(),
 	targets: z.array(z.unknown()).max(MAX_TARGETS),
 }).transform(({targets, ...update}) => {
-	const {valid, invalid} = partitionValid(RegisteredTarget, targets);
+	const {valid, invalid} = readTargets(targets);
 	return {
 		...update,
 		targets: valid,
