--- a/packages/callers/src/forward/forward-request.ts
+++ b/packages/callers/src/forward/forward-request.ts
@@ -1,5 +1,5 @@
 import {
-	mayHaveRun, refuse, type TrafficCustomer, type TrafficRoute, type Verdict, WAKE_REASON,
+	mayHaveRun, refuse, type TrafficCustomer, type TrafficRoute, type Verdict,
 } from '@egretrill/common';
 import {type CallerExchange, UNREAD_ANSWER} from './caller-exchange.js';
 import {MIN_RETRY_AFTER_MS, NO_TARGET_RETRY_MS, OVERLOADED_RETRY_MS} from './constants.js';
@@ -257,10 +257,8 @@
 	const {clock, stop: {ended}} = deps;
 	const endsMs = getEndsMs(route, call, startedMs);
 	const aborter = new AbortController();
-	const timer = new AbortController();
 	const end = (reason: string): void => {
 		aborter.abort(reason);
-		timer.abort(WAKE_REASON);
 	};
 
 	const stop = (): void => {
@@ -272,15 +270,13 @@
 		end('The caller left.');
 	};
 
-	const expire = async (): Promise<void> => {
-		await clock.sleep(endsMs - clock.now(), timer.signal);
-		aborter.abort('The time limit of the request was reached.');
-	};
+	const cancelExpiry = clock.schedule(endsMs - clock.now(), () => {
+		end('The time limit of the request was reached.');
+	});
 
 	exchange.cancelWritesOn(aborter.signal);
 	exchange.callerDisconnected.addEventListener('abort', leave, {once: true});
 	ended.addEventListener('abort', stop, {once: true});
-	void expire();
 	try {
 		if (ended.aborted) {
 			// Its answer might not arrive before the connections are closed.
@@ -291,7 +287,9 @@
 			? refuse(503, 'caller-left', 'The caller left before the request was placed.')
 			: await forwardUntilAnswered({...admitted, endsMs, signal: aborter.signal});
 	} finally {
-		timer.abort(WAKE_REASON);
+		cancelExpiry();
+		// An attempt that is still being opened at another target, as after an exception, ends with its request.
+		end('The request has ended.');
 		exchange.callerDisconnected.removeEventListener('abort', leave);
 		ended.removeEventListener('abort', stop);
 		refundUnsent(admitted);
--- a/packages/engines/src/client/connection-monitor.ts
+++ b/packages/engines/src/client/connection-monitor.ts
@@ -53,14 +53,6 @@
 		}
 	}
 
-	/** Counts a chunk that is taken; returns a wait for a further turn after much framing. */
-	private recordRead(bytes: number): Promise<void> | undefined {
-		this.readBytes += bytes;
-		const framingBytes = Math.max(0, this.receivedBytes - bytes);
-		this.receivedBytes = 0;
-		return this.share.spend(framingBytes);
-	}
-
 	/** Whether the end of the answer has been received, even if its body has not been read yet. */
 	isComplete(): boolean {
 		return this.message?.complete ?? false;
@@ -70,6 +62,14 @@
 	getBodyBytes(): number {
 		return this.readBytes + (this.message?.readableLength ?? 0);
 	}
+
+	/** Counts a chunk that is taken; returns a wait for a further turn after much framing. */
+	private recordRead(bytes: number): Promise<void> | undefined {
+		this.readBytes += bytes;
+		const framingBytes = Math.max(0, this.receivedBytes - bytes);
+		this.receivedBytes = 0;
+		return this.share.spend(framingBytes);
+	}
 }
 
 /** Closes a connection to a target when bytes arrive outside a request or without progress of the answer. Active for the lifetime of the connection. */
--- a/packages/engines/src/client/message-reader.ts
+++ b/packages/engines/src/client/message-reader.ts
@@ -4,15 +4,23 @@
 /** Takes what has arrived of a message's body. Node's own iterator creates several promises for each chunk. */
 export class MessageReader {
 	private end: {readonly error: Error | undefined} | undefined;
-	private wake: () => void = () => undefined;
+	private wake: (() => void) | undefined;
 	private readonly stopWatching: () => void;
 
 	constructor(private readonly message: IncomingMessage) {
-		message.on('readable', this.onReadable);
-		this.stopWatching = finished(message, {writable: false}, err => {
+		const onReadable = (): void => {
+			this.wake?.();
+		};
+
+		message.on('readable', onReadable);
+		const stopFinished = finished(message, {writable: false}, err => {
 			this.end = {error: err ?? undefined};
-			this.wake();
+			this.wake?.();
 		});
+		this.stopWatching = () => {
+			message.off('readable', onReadable);
+			stopFinished();
+		};
 	}
 
 	/** What has arrived and was not taken yet; undefined if there is nothing. */
@@ -43,12 +51,7 @@
 
 	/** Stops reading; a message that has not ended is closed with its connection. */
 	close(): void {
-		this.message.off('readable', this.onReadable);
 		this.stopWatching();
 		this.message.destroy();
 	}
-
-	private readonly onReadable = (): void => {
-		this.wake();
-	};
 }
