common: let the manual clock call back without a further turn

Cause: Signal.wait uses Clock.schedule, which the manual clock took from the base class, where a sleep and its promise come before the callback. Change: ManualClock.schedule keeps the callback among its sleepers.

--- a/packages/common/src/clock.ts
+++ b/packages/common/src/clock.ts
@@ -76,6 +76,19 @@
 		return this.currentMs;
 	}
 
+	override schedule(ms: number, callback: () => void): () => void {
+		const sleeper = {
+			wakeAtMs: this.currentMs + Math.max(0, ms), wake: () => {
+				this.sleepers.delete(sleeper);
+				callback();
+			},
+		};
+		this.sleepers.add(sleeper);
+		return () => {
+			this.sleepers.delete(sleeper);
+		};
+	}
+
 	async sleep(ms: number, signal?: AbortSignal): Promise<void> {
 		if (signal?.aborted) {
 			return;
