egretrill review: findings of a document before it is sent

Cause: `check` lists only the faults for which the fleet would refuse a document. Operators also asked for entries that can never be used, limits that conflict and the difference to the version in force, with exit codes for scripts.

Change: packages/operators/src/review holds pure functions over the document, a module for each kind of check, behind reviewDocument. It is a verb of its own because `check` exits with 2 for an invalid file and scripts may rely on that. docs/operators.md has a section of its own for it.

--- a/apps/egretrill/src/container.ts
+++ b/apps/egretrill/src/container.ts
@@ -10,6 +10,7 @@
 import {KeysNewCommand} from './commands/keys-new.js';
 import {KeysWithdrawCommand} from './commands/keys-withdraw.js';
 import {PlacementExplainCommand} from './commands/placement-explain.js';
+import {ReviewCommand} from './commands/review.js';
 import {StartCommand} from './commands/start.js';
 import {StatusCommand} from './commands/status.js';
 import {TargetsCommand} from './commands/targets.js';
@@ -33,6 +34,7 @@
 		return [
 			new StartCommand(),
 			new CheckCommand(),
+			new ReviewCommand(connector),
 			new ApplyCommand(connector),
 			new ConfigCommand(connector),
 			new StatusCommand(connector),
--- a/apps/egretrill/src/files.ts
+++ b/apps/egretrill/src/files.ts
@@ -16,8 +16,10 @@
 	}
 }
 
-/** Adds line numbers to faults that were found in the parsed document, which has no positions. */
-export function locateFaults(text: string, faults: readonly Fault[]): readonly Fault[] {
+type Locatable = {readonly path: string; readonly line?: number | undefined};
+
+/** Adds line numbers to faults or findings that were found in the parsed document, which has no positions. */
+export function locateFaults<Entry extends Locatable>(text: string, faults: readonly Entry[]): readonly Entry[] {
 	const lines = new LineCounter();
 	const document = parseDocument(text, {lineCounter: lines});
 	return faults.map(fault => {
--- a/apps/egretrill/tests/local-commands.test.ts
+++ b/apps/egretrill/tests/local-commands.test.ts
@@ -52,6 +52,20 @@
 		expect(Object.fromEntries(await Promise.all(lines.map(async line => [line, await run(line)])))).toMatchSnapshot();
 	});
 
+	// Guards against scripts that send a document with errors, or that stop at a warning without --strict.
+	it('reviews a document offline', async () => {
+		const document = createLocalConfig(['zone-a']);
+		const [key] = document.keys;
+		await write('clean.yaml', document);
+		await write('unused.yaml', {...document, keys: [key]});
+		await write('wrong.yaml', {...document, keys: [key, key], services: []});
+		await write('schema.yaml', {...document, zones: [], surprise: 1});
+		const lines = ['review clean.yaml', 'review unused.yaml', 'review unused.yaml --strict', 'review wrong.yaml', 'review schema.yaml --json', 'review missing.yaml'];
+		// A host that is named only in the environment is not asked.
+		const env = {EGRETRILL_ADMIN: '127.0.0.1:1', EGRETRILL_OPERATOR_KEY: 'any'};
+		expect(Object.fromEntries(await Promise.all(lines.map(async line => [line, await run(line, env)])))).toMatchSnapshot();
+	});
+
 	it('starts no host from invalid settings', async () => {
 		await write('settings.yaml', {host: 'host-1'});
 		expect(await run('start --settings settings.yaml')).toMatchSnapshot();
@@ -105,6 +119,8 @@
 		const [port] = await findPorts(1);
 		const env = {EGRETRILL_ADMIN: `127.0.0.1:${port}`, EGRETRILL_OPERATOR_KEY: 'any'};
 		expect([await run('status', env), await run('apply valid.yaml --follows 1', env), await run('drain host-1 --json', env)]).toMatchSnapshot();
+		const {exitCode} = await run(`review valid.yaml --admin ${env.EGRETRILL_ADMIN}`, env);
+		expect(exitCode).to.equal(2);
 	});
 
 	it('loads only loopback addresses', async () => {
--- a/apps/egretrill/tests/operators-page.test.ts
+++ b/apps/egretrill/tests/operators-page.test.ts
@@ -202,6 +202,13 @@
 		expect([newer, version]).to.deep.equal([follows + 1, follows + 1]);
 	});
 
+	// Guards against a review that compares with another version than the one in force, and against one that needs a fleet.
+	it('reviews a document before it is sent', async () => {
+		const [offline, compared] = page.getCommands('Reviewing a document before it is sent');
+		await editConfig(({services, customers: [first, ...others]}) => ({services: [...services, {id: 'unrouted'}], customers: [{...first!, weight: 3}, ...others]}));
+		expect([await run(offline), await run(compared, {ADMIN: fleet.getHost(0).addresses.admin})]).toMatchSnapshot();
+	});
+
 	// Guards against a repeated command that applies a change twice, or whose request id was not printed.
 	it('reports the outcome of a change whose answers were lost', async () => {
 		const [, apply, repeat] = page.getCommands('Changing the configuration');
--- a/packages/operators/src/index.ts
+++ b/packages/operators/src/index.ts
@@ -4,5 +4,6 @@
 export * from './constants.js';
 export * from './credential.js';
 export * from './fleet-control.js';
+export * from './review/index.js';
 export * from './types.js';
 export * from './validate-document.js';
--- /dev/null
+++ b/packages/operators/src/review/index.ts
@@ -0,0 +1,3 @@
+export {toErrorFinding} from './find-errors.js';
+export * from './review-document.js';
+export * from './types.js';
--- a/packages/operators/src/validate-document.ts
+++ b/packages/operators/src/validate-document.ts
@@ -46,19 +46,19 @@
 	return longer === shorter || longer!.startsWith(`${shorter}/`);
 }
 
-const findRouteFaults: Rule = ({routes, services}) => {
+const findServiceFaults: Rule = ({routes, services}) => {
 	const serviceIds = new Set(services.map(service => service.id));
-	const serviceFaults = routes.flatMap((route, i) => route.kind === 'service' && !serviceIds.has(route.service)
+	return routes.flatMap((route, i) => route.kind === 'service' && !serviceIds.has(route.service)
 		? [{path: `routes.${i}.service`, expected: 'the id of a service in this document', found: describeFound(route.service)}]
 		: []);
-	const overlapFaults = routes.flatMap((route, i) => {
-		const overlappingIndex = routes.findIndex((earlier, index) => index < i && overlaps(earlier, route));
-		const expected = `a path that does not overlap with routes.${overlappingIndex} (${routes[overlappingIndex]?.path ?? ''})`;
-		return overlappingIndex === -1 ? [] : [{path: `routes.${i}.path`, expected, found: describeFound(route.path)}];
-	});
-	return [...serviceFaults, ...overlapFaults];
 };
 
+const findOverlapFaults: Rule = ({routes}) => routes.flatMap((route, i) => {
+	const overlappingIndex = routes.findIndex((earlier, index) => index < i && overlaps(earlier, route));
+	const expected = `a path that does not overlap with routes.${overlappingIndex} (${routes[overlappingIndex]?.path ?? ''})`;
+	return overlappingIndex === -1 ? [] : [{path: `routes.${i}.path`, expected, found: describeFound(route.path)}];
+});
+
 function findPinFaults(path: string, pins: readonly Pin[], models: ReadonlySet<string>, targets: ReadonlySet<string>): readonly Fault[] {
 	return pins.flatMap(({model, target}, i) => [
 		...(models.has(model) ? [] : [{path: `${path}.${i}.model`, expected: 'the id of a model in this document', found: describeFound(model)}]),
@@ -85,7 +85,8 @@
 	];
 };
 
-function getModelMemoryMb(model: Model): number {
+/** Memory that one copy of a model takes on its target, without adapters. */
+export function getModelMemoryMb(model: Model): number {
 	return model.memoryMb + model.kvReserveMb;
 }
 
@@ -123,20 +124,26 @@
 
 const findZoneFaults: Rule = ({zones}) => zones.some(zone => zone.state === 'in-service') ? [] : [{path: 'zones', expected: 'at least one zone in service', found: `${zones.length} taken out`}];
 
-const rules: readonly Rule[] = [
-	findZoneFaults,
-	findDuplicateIds,
-	({customers}) => customers.flatMap((customer, i) => findBurstFaults(customer, i)),
-	findKeyFaults,
-	findRouteFaults,
-	findPlacementFaults,
-	findMemoryFaults,
+/** The rules between the sections of a document, each with a stable code for its faults. */
+export const documentRules: ReadonlyArray<{readonly code: string; readonly find: Rule}> = [
+	{code: 'no-zone-in-service', find: findZoneFaults},
+	{code: 'duplicate-id', find: findDuplicateIds},
+	{code: 'burst-too-small', find: ({customers}) => customers.flatMap((customer, i) => findBurstFaults(customer, i))},
+	{code: 'invalid-key', find: findKeyFaults},
+	{code: 'unknown-service', find: findServiceFaults},
+	{code: 'overlapping-route', find: findOverlapFaults},
+	{code: 'invalid-placement', find: findPlacementFaults},
+	{code: 'memory-exceeded', find: findMemoryFaults},
 ];
 
+/** Reports a document of another fleet than the one in force. */
+export function findFleetFaults(document: ConfigDocument, current?: ConfigDocument): readonly Fault[] {
+	return current && current.fleet !== document.fleet ? [{path: 'fleet', expected: describeFound(current.fleet), found: describeFound(document.fleet)}] : [];
+}
+
 /** Lists every fault of a document that conforms to the schema; `current` is the document in force. */
 export function validateDocument(document: ConfigDocument, current?: ConfigDocument): readonly Fault[] {
-	const fleetFaults = current && current.fleet !== document.fleet ? [{path: 'fleet', expected: describeFound(current.fleet), found: describeFound(document.fleet)}] : [];
-	return [...fleetFaults, ...rules.flatMap(rule => rule(document))];
+	return [...findFleetFaults(document, current), ...documentRules.flatMap(({find}) => find(document))];
 }
 
 /** Outcome of parsing and validating a received document. */
