egretrill review: warn of repeated pins and forbids

Cause: an operator who removes one of two equal pins or forbids expects it to stop counting, but the other one still does; nothing reported it.

Change: findUnusedEntries reports each repeated entry with the code `repeated-placement` and names the first one.

--- a/packages/operators/src/review/find-unused-entries.ts
+++ b/packages/operators/src/review/find-unused-entries.ts
@@ -1,4 +1,4 @@
-import type {ConfigDocument} from '@egretrill/common';
+import type {ConfigDocument, Pin} from '@egretrill/common';
 import type {Finding} from './types.js';
 
 function warn(code: string, path: string, message: string): Finding {
@@ -49,7 +49,21 @@
 		: []);
 }
 
-/** Lists entries that no request can ever use. */
+function findRepeatedPlacements(path: string, entries: readonly Pin[]): readonly Finding[] {
+	const firstIndexes = new Map<string, number>();
+	return entries.flatMap(({model, target}, i) => {
+		const name = `${model} on ${target}`;
+		const firstIndex = firstIndexes.get(name);
+		if (firstIndex === undefined) {
+			firstIndexes.set(name, i);
+			return [];
+		}
+
+		return [warn('repeated-placement', `${path}.${i}`, `${name} is already in ${path}.${firstIndex}`)];
+	});
+}
+
+/** Lists entries that have no effect. */
 export function findUnusedEntries(document: ConfigDocument): readonly Finding[] {
 	return [
 		...findCustomersWithoutKey(document),
@@ -57,5 +71,7 @@
 		...findServicesWithoutRoute(document),
 		...findModelsWithoutRoute(document),
 		...findRoutesWithoutModel(document),
+		...findRepeatedPlacements('placements.pins', document.placements.pins),
+		...findRepeatedPlacements('placements.forbids', document.placements.forbids),
 	];
 }
--- a/packages/operators/tests/review-document.test.ts
+++ b/packages/operators/tests/review-document.test.ts
@@ -28,6 +28,19 @@
 		expect([services, noModel].map(document => reviewDocument(document))).toMatchSnapshot();
 	});
 
+	// Guards against an operator who removes one of two equal entries and expects the other not to count.
+	it('warns of pins and forbids that repeat an earlier one', () => {
+		const pin = {model: 'm1', target: 't1'};
+		const forbid = {model: 'm1', target: 't2'};
+		const document = createDocument({
+			accelerators: [{target: 't1', memoryMb: 24_000}, {target: 't2', memoryMb: 24_000}],
+			placements: {pins: [pin, pin], forbids: [forbid, forbid, forbid]},
+		});
+		expect(reviewDocument(document).map(({code, path}) => `${code} ${path}`)).to.deep.equal([
+			'repeated-placement placements.pins.1', 'repeated-placement placements.forbids.1', 'repeated-placement placements.forbids.2',
+		]);
+	});
+
 	// Guards against copies and adapters that placement can never load.
 	it('warns of limits that cannot all be met', () => {
 		const document = createDocument({
