engines: expect prompt prefixes only where the engine's memory still holds them

Cause: the choice of a target took off the time of all prompt parts that this host had sent there, however long ago, also where other prompts had displaced them. Change: where the configuration names the memory of a service's engines (kv-capacity), each part counts by the probability that it is kept: the time since it was sent, the tokens written since, the memory that running requests leave, and the sends of other hosts for parts that this host sends often. Without kv-capacity the choice stays as it was. The options of the target table move to a file of their own.

--- a/apps/egretrilld/src/traffic/entry-host.ts
+++ b/apps/egretrilld/src/traffic/entry-host.ts
@@ -100,6 +100,13 @@
 				getPreference: targetId => getHostPreference(settings.host, targetId),
 				hasIdleConnection: address => this.sender.hasIdleConnection(address),
 			},
+			promptMemory: {
+				getMemoryTokens: service => this.routeTable?.services.get(service)?.engine?.memoryTokens,
+				getHostCount: () => this.hostCount,
+				onSend: prefix => {
+					this.choiceMetrics.recordPrefix(prefix);
+				},
+			},
 			onColdSends: (basis, count) => {
 				this.observer.recordColdSends(basis, count);
 			},
--- a/packages/common/src/traffic.ts
+++ b/packages/common/src/traffic.ts
@@ -47,6 +47,8 @@
 	weightsMb: z.number().nonnegative(),
 	adapterSlots: count,
 	storeLoadsPerSecond: z.number().nonnegative(),
+	/** Tokens that the memory of running requests and of kept prompt parts holds; absent if unknown. */
+	memoryTokens: z.number().positive().optional(),
 	models: z.array(StoredModel),
 });
 export type EngineClass = z.infer<typeof EngineClass>;
--- a/packages/engines/src/registry/constants.ts
+++ b/packages/engines/src/registry/constants.ts
@@ -197,3 +197,18 @@
 /** Parts of the slots in use at which a target counts as full for the hosts that prefer it least and most. Hosts that left it at the same figure would fill the next one together. */
 export const MIN_FULL_RATIO = 0.5;
 export const MAX_FULL_RATIO = 1;
+
+/** Exponent of the tokens written since a part was used, relative to the memory for such parts: it is kept until nearly as many have been written, and the figures are estimates. */
+export const DISPLACEMENT_EXPONENT = 4;
+
+/** Time constant of the count of sends of a prompt part by this host. */
+export const PART_SENDS_MS = 30_000;
+
+/** Recent sends of a part by this host from which on it counts as shared by requests of other hosts; the turns of one session rarely reach the same host. */
+export const SHARED_PART_SENDS = 2;
+
+/** Weight of each request in the mean size and run time of a service's requests. */
+export const REQUEST_SIZE_RATIO = 0.02;
+
+/** Run time that requests of a service are taken to have until one has been answered. */
+export const DEFAULT_RUN_MS = 1000;
--- a/packages/engines/src/registry/target-table.ts
+++ b/packages/engines/src/registry/target-table.ts
@@ -1,16 +1,15 @@
-import {
-	type Clock, type Random, type Registration, Signal,
-} from '@egretrill/common';
+import {type Registration, Signal} from '@egretrill/common';
 import {type TargetCandidate, type TargetChoice, TargetChooser} from './choose-target.js';
 import {
 	COLD_GRANT_DELAY_MS, MAX_REGISTRATION_GAP_MS, REGISTRATION_TTL_MS, SUSPECT_MS,
 } from './constants.js';
-import {CachedPrompts} from './cached-prompts.js';
-import {type ColdBasis, ColdSends} from './cold-sends.js';
+import {ColdSends} from './cold-sends.js';
 import {getModelKey, indexTargets} from './index-targets.js';
 import {getFailures, recordHealth} from './target-health.js';
 import {TargetNotices, type TargetStart} from './target-notices.js';
-import {type PricedWork, TargetPricing, type TargetPricingOptions} from './target-pricing.js';
+import {type PricedWork, TargetPricing} from './target-pricing.js';
+import type {TargetTableOptions} from './target-table-options.js';
+import {type CountKeptTokens, PromptMemory} from './prompt-memory.js';
 import {getSlotLimit} from './slot-limit.js';
 import {
 	changeAdapterUse, createTarget, getOutstanding, isLimited, limitUntilRegistered, recordActivity, setOthers, type Target,
@@ -23,22 +22,8 @@
 /** Outcomes that say nothing of the health of the target; a sound one may be silent. */
 const neutralOutcomes: ReadonlySet<TargetOutcome> = new Set(['replaced', 'unsent']);
 
-export type TargetTableOptions = {
-	readonly clock: Clock;
-	readonly random: Random;
-	readonly zone: string;
-	/** Requests per second that this host may send to a cold target of a service. */
-	readonly getColdRate: (service: string) => number;
-	/** Called with sends to cold targets, by what they were based on. */
-	readonly onColdSends?: (basis: ColdBasis, count: number) => void;
-	/** Number of requests that a target runs concurrently if its service has engines. */
-	readonly getBatchSlots: (service: string) => number | undefined;
-	/** What is known of the speeds of targets; without it, targets are compared by their load only. */
-	readonly pricing?: TargetPricingOptions;
-};
-
 /** What a choice needs of a request, computed once for all targets. */
-type PreparedRequest = {readonly requirements: TargetRequirements; readonly pricedWork: PricedWork | undefined; readonly countCachedTokens: (targetId: string) => number};
+type PreparedRequest = {readonly requirements: TargetRequirements; readonly pricedWork: PricedWork | undefined; readonly countCachedTokens: CountKeptTokens};
 
 /** The targets known to an entry host, with its outstanding requests there. */
 export class TargetTable {
@@ -49,7 +34,7 @@
 	private readonly removedSends = new Map<string, ColdSends>();
 	/** Rebuilt lazily after a change of the targets; changes are far rarer than requests. */
 	private index: ReadonlyMap<string, readonly Target[]> | undefined;
-	private readonly cachedPrompts = new CachedPrompts();
+	private readonly prompts: PromptMemory;
 	private zonesOutOfService: ReadonlySet<string> = new Set();
 	private followedRevision = {origin: '', revision: 0};
 	private readonly reachability: ZoneReachability;
@@ -63,6 +48,7 @@
 	constructor(private readonly opts: TargetTableOptions) {
 		this.reachability = new ZoneReachability(opts.clock);
 		this.notices = new TargetNotices(opts.clock);
+		this.prompts = new PromptMemory(opts.clock, opts.promptMemory);
 		this.pricing = opts.pricing && new TargetPricing(opts.pricing);
 	}
 
@@ -192,14 +178,14 @@
 
 	/** Chooses a target in one pass over those that hold the model. */
 	choose(requirements: TargetRequirements): TargetChoice {
-		const {model, parts} = requirements;
+		const holders = this.listHolders(requirements);
 		const prepared: PreparedRequest = {
 			requirements,
 			pricedWork: this.pricing?.getWork(requirements),
-			countCachedTokens: model === undefined ? () => 0 : this.cachedPrompts.createCounter(model, parts),
+			countCachedTokens: this.prompts.createCounter(requirements, holders.length),
 		};
 		const chooser = new TargetChooser();
-		for (const target of this.listHolders(requirements)) {
+		for (const target of holders) {
 			if (this.takesRequest(target, requirements)) {
 				chooser.add(this.toCandidate(target, prepared));
 			}
@@ -209,13 +195,15 @@
 	}
 
 	/** Acquires a slot at a chosen target. */
-	acquireSlot(targetId: string, {model, adapter, parts}: TargetRequirements): AcquiredSlot | undefined {
+	acquireSlot(targetId: string, requirements: TargetRequirements): AcquiredSlot | undefined {
+		const {model, adapter} = requirements;
 		const target = this.targets.get(targetId);
 		if (!target) {
 			return undefined;
 		}
 
 		const outstanding = getOutstanding(target, this.opts.clock.now());
+		const endPrompt = this.prompts.recordSend(target, requirements);
 		target.ownRequests += 1;
 		changeAdapterUse(target, model, adapter, 1);
 		const acquiredMs = this.opts.clock.now();
@@ -224,10 +212,6 @@
 			this.opts.onColdSends?.(basis, 1);
 		}
 
-		if (model !== undefined) {
-			this.cachedPrompts.record(targetId, model, parts);
-		}
-
 		let isReleased = false;
 		let slowdown = 1;
 		return {
@@ -270,6 +254,7 @@
 				isReleased = true;
 				target.ownRequests -= 1;
 				changeAdapterUse(target, model, adapter, -1);
+				endPrompt(outcome);
 				if (!neutralOutcomes.has(outcome)) {
 					this.recordOutcome(target, outcome);
 				}
@@ -326,7 +311,7 @@
 		const outstanding = getOutstanding(target, nowMs);
 		const slots = getSlotLimit({ownSlots, batchSlots: this.opts.getBatchSlots(service), beyondSlots});
 		// The cost of a target without the adapter is never compared.
-		const cachedTokens = hasAdapter ? countCachedTokens(targetId) : 0;
+		const cachedTokens = hasAdapter ? countCachedTokens(target) : 0;
 		return {
 			targetId,
 			isSameZone: zone === this.opts.zone,
@@ -365,7 +350,7 @@
 			return;
 		}
 
-		this.cachedPrompts.removeTarget(registration.targetId);
+		this.prompts.removeTarget(registration.targetId);
 		// The last sends may have reached the new process before it was registered.
 		const coldSends = known?.coldSends ?? this.removedSends.get(registration.targetId) ?? new ColdSends(nowMs, this.opts.random());
 		this.removedSends.delete(registration.targetId);
@@ -391,7 +376,7 @@
 			}
 
 			this.targets.delete(id);
-			this.cachedPrompts.removeTarget(id);
+			this.prompts.removeTarget(id);
 		}
 
 		for (const [id, sends] of this.removedSends) {
