engines: less processor time for expected prompt prefixes

Cause: each choice looked up the sends of a target once for each part, also for full targets, and the send computed everything again. Change: the sends of a target are looked up once, full targets are left out, and the send uses the figures of its choice.

--- a/packages/engines/src/registry/cached-prompts.ts
+++ b/packages/engines/src/registry/cached-prompts.ts
@@ -52,9 +52,9 @@
 		};
 	}
 
-	/** Returns when a chain of parts was last sent to a target; undefined if it never was. */
-	getSend(targetId: string, chain: string): PartSend | undefined {
-		return this.chains.get(targetId)?.get(chain);
+	/** Returns when each chain of parts was last sent to a target. */
+	getSends(targetId: string): ReadonlyMap<string, PartSend> | undefined {
+		return this.chains.get(targetId);
 	}
 
 	removeTarget(targetId: string): void {
--- a/packages/engines/src/registry/prefix-retention.ts
+++ b/packages/engines/src/registry/prefix-retention.ts
@@ -43,9 +43,13 @@
 
 /** Probability that another host has sent the part so recently that it is kept. */
 function getOthersRetention({otherSendsPerMs}: PartUse, memory: PrefixMemory): number {
+	if (otherSendsPerMs === 0) {
+		return 0;
+	}
+
 	const writtenPerMs = memory.outstanding * memory.meanNewTokens / memory.meanRunMs;
 	const keptMs = memory.meanRunMs + (getSpareTokens(memory) / writtenPerMs);
-	return otherSendsPerMs === 0 ? 0 : 1 - Math.exp(-otherSendsPerMs * Math.min(memory.knownForMs, keptMs));
+	return 1 - Math.exp(-otherSendsPerMs * Math.min(memory.knownForMs, keptMs));
 }
 
 /** Estimates the probability that an engine still holds a prompt part. */
@@ -59,6 +63,10 @@
 	let tokens = 0;
 	for (const part of parts) {
 		retention = Math.min(retention, estimateRetention(part.use, memory));
+		if (retention === 0) {
+			break;
+		}
+
 		tokens += part.tokens * retention;
 	}
 
--- a/packages/engines/src/registry/prompt-memory.ts
+++ b/packages/engines/src/registry/prompt-memory.ts
@@ -23,6 +23,9 @@
 
 type PromptRequest = Pick<TargetRequirements, 'service' | 'model' | 'parts' | 'work'>;
 
+/** A chain of parts, and how often the other hosts are expected to send it to a target. */
+type SharedPart = {readonly chain: string; readonly otherSendsPerMs: number};
+
 /** Tokens of the prompt and of the expected output. */
 function getTokens({work, parts}: PromptRequest): number {
 	const partTokens = parts.reduce((sum, {tokens}) => sum + tokens, 0);
@@ -37,7 +40,7 @@
 	/** Tokens that answered requests of this host have written, by the process of a target. */
 	private readonly writtenTokens = new WeakMap<Target, number>();
 	/** The last choice, which the send of its request follows. */
-	private lastChoice: {readonly req: PromptRequest; readonly holders: number; best: number} | undefined;
+	private lastChoice: {readonly req: PromptRequest; readonly count: CountKeptTokens; best: number} | undefined;
 
 	constructor(private readonly clock: Clock, private readonly opts: PromptMemoryOptions | undefined) {}
 
@@ -55,9 +58,9 @@
 			return ({registration: {targetId}}) => count(targetId);
 		}
 
-		const choice = {req, holders, best: 0};
-		this.lastChoice = choice;
 		const count = this.createEstimator(req, holders, capacityTokens);
+		const choice = {req, count, best: 0};
+		this.lastChoice = choice;
 		return target => {
 			const tokens = count(target);
 			choice.best = Math.max(choice.best, tokens);
@@ -104,7 +107,8 @@
 		}
 
 		const choice = this.lastChoice?.req === req ? this.lastChoice : undefined;
-		const chosen = this.createEstimator(req, choice?.holders ?? 1, capacityTokens)(target);
+		const count = choice?.count ?? this.createEstimator(req, 1, capacityTokens);
+		const chosen = count(target);
 		if (req.parts.length > 0) {
 			this.opts?.onSend?.({named: req.parts.reduce((sum, {tokens}) => sum + tokens, 0), best: Math.max(choice?.best ?? 0, chosen), chosen});
 		}
@@ -121,30 +125,39 @@
 	private createEstimator(req: PromptRequest, holders: number, capacityTokens: number): CountKeptTokens {
 		const {service, model = '', parts} = req;
 		const nowMs = this.clock.now();
-		const size = this.sizes.get(service, getTokens(req));
-		const otherHosts = (this.opts?.getHostCount() ?? 1) - 1;
-		// The other hosts are taken to spread their requests over all targets with the model.
-		const shared = getChains(model, parts).map(chain => ({chain, otherSendsPerMs: this.partSends.getSharedRate(chain, nowMs) * otherHosts / Math.max(1, holders)}));
+		const {meanTokens, meanNewTokens, meanRunMs} = this.sizes.get(service, getTokens(req));
+		const shared = this.getSharedParts(getChains(model, parts), holders);
 		return target => {
 			const otherRequests = getRecentOthers(target, nowMs);
 			const memory: PrefixMemory = {
-				...size, capacityTokens, otherRequests, outstanding: target.ownRequests + otherRequests, knownForMs: nowMs - target.registeredMs,
+				capacityTokens, otherRequests, meanTokens, meanNewTokens, meanRunMs, outstanding: target.ownRequests + otherRequests, knownForMs: nowMs - target.registeredMs,
 			};
-			const uses = parts.map(({tokens}, i) => ({tokens, use: this.getUse(target, shared[i]!, nowMs)}));
-			return estimateKeptTokens(uses, memory);
+			const uses = this.getUses(target, shared, nowMs);
+			return estimateKeptTokens(parts.map(({tokens}, i) => ({tokens, use: uses[i]!})), memory);
 		};
 	}
 
+	/** Returns how often the other hosts are expected to send each chain to a target; they are taken to spread their requests over all targets with the model. */
+	private getSharedParts(chains: readonly string[], holders: number): readonly SharedPart[] {
+		const nowMs = this.clock.now();
+		const otherHosts = (this.opts?.getHostCount() ?? 1) - 1;
+		return chains.map(chain => ({chain, otherSendsPerMs: this.partSends.getSharedRate(chain, nowMs) * otherHosts / Math.max(1, holders)}));
+	}
+
 	private getWrittenTokens(target: Target): number {
 		return this.writtenTokens.get(target) ?? 0;
 	}
 
-	private getUse(target: Target, {chain, otherSendsPerMs}: {readonly chain: string; readonly otherSendsPerMs: number}, nowMs: number): PartUse {
-		const send = this.cachedPrompts.getSend(target.registration.targetId, chain);
-		return {
-			sinceSentMs: send && nowMs - send.sentMs,
-			ownWrittenTokens: send ? this.getWrittenTokens(target) - send.writtenTokens : 0,
-			otherSendsPerMs,
-		};
+	private getUses(target: Target, shared: readonly SharedPart[], nowMs: number): readonly PartUse[] {
+		const sends = this.cachedPrompts.getSends(target.registration.targetId);
+		const writtenTokens = this.getWrittenTokens(target);
+		return shared.map(({chain, otherSendsPerMs}) => {
+			const send = sends?.get(chain);
+			return {
+				sinceSentMs: send && nowMs - send.sentMs,
+				ownWrittenTokens: send ? writtenTokens - send.writtenTokens : 0,
+				otherSendsPerMs,
+			};
+		});
 	}
 }
--- a/packages/engines/src/registry/target-table.ts
+++ b/packages/engines/src/registry/target-table.ts
@@ -310,8 +310,8 @@
 		const nowMs = this.opts.clock.now();
 		const outstanding = getOutstanding(target, nowMs);
 		const slots = getSlotLimit({ownSlots, batchSlots: this.opts.getBatchSlots(service), beyondSlots});
-		// The cost of a target without the adapter is never compared.
-		const cachedTokens = hasAdapter ? countCachedTokens(target) : 0;
+		// The cost of a target that is full or lacks the adapter is never compared.
+		const cachedTokens = hasAdapter && outstanding < slots ? countCachedTokens(target) : 0;
 		return {
 			targetId,
 			isSameZone: zone === this.opts.zone,
