provider: keep early usage counts until a leader knows the time

Cause: a leader that does not know the time of the fleet yet returns no plan; a host that had just started took it for an earlier build and cleared its counts of up to 3 s. Change: without a plan the early counts, which are bounded, are kept. Result: the new test of usage.test.ts failed before (no windows) and passes; 10 passing.

--- a/packages/provider/src/usage-counter.ts
+++ b/packages/provider/src/usage-counter.ts
@@ -35,8 +35,8 @@
 	private readonly windows = new Map<number, Counts>();
 	/** Counts from before this host knew the time of the fleet, by slice of its own clock. */
 	private readonly early = new Map<number, Counts>();
-	/** Length of a window; `none` after a leader without this duty, undefined before the first answer. */
-	private windowMs: number | 'none' | undefined;
+	/** Length of a window; undefined until a leader has told the time of the fleet. */
+	private windowMs: number | undefined;
 	private openWindow = 0;
 
 	constructor(private readonly clock: Clock, private readonly getTimeOfDayMs: () => number) {
@@ -48,7 +48,7 @@
 		const nowMs = this.clock.now();
 		if (this.windowMs === undefined) {
 			addCount(getCounts(this.early, Math.floor(nowMs / EARLY_SLICE_MS), MAX_EARLY_SLICES), customer, 1);
-		} else if (this.windowMs !== 'none') {
+		} else {
 			addCount(getCounts(this.windows, this.updateOpenWindow(this.windowMs), MAX_RETAINED_WINDOWS), customer, 1);
 		}
 	}
@@ -56,7 +56,7 @@
 	/** Creates the report of a poll: the oldest windows that are not settled, and the open one. */
 	createReport(): UsageReport {
 		const timeOfDayMs = this.getTimeOfDayMs();
-		if (typeof this.windowMs !== 'number') {
+		if (this.windowMs === undefined) {
 			return {timeOfDayMs, windows: []};
 		}
 
@@ -70,11 +70,9 @@
 		};
 	}
 
-	/** Follows the leader's answer, at its arrival. A leader of an earlier build does not know the duty; counts are then retained for the next one. */
+	/** Follows the leader's answer, at its arrival. A leader without a plan does not know the time yet or is of an earlier build; counts are then retained. */
 	follow(plan: UsagePlan | undefined): void {
 		if (!plan) {
-			this.windowMs ??= 'none';
-			this.early.clear();
 			return;
 		}
 
--- a/packages/provider/tests/usage.test.ts
+++ b/packages/provider/tests/usage.test.ts
@@ -188,4 +188,16 @@
 		await fleet.serve(6000);
 		expect(fleet.provider.received).toMatchSnapshot();
 	});
+
+	// Guards against a host that started before the leader knew the time, and lost what it had counted until then.
+	it('keeps the counts from before the leader knows the time', async () => {
+		const clock = new ManualClock();
+		const counter = new UsageCounter(clock, () => START_MS + clock.now());
+		counter.record('a');
+		counter.follow(undefined);
+		await clock.run(1000);
+		counter.record('a');
+		counter.follow({fleetTimeMs: START_MS + clock.now(), windowMs: WINDOW_MS, settledThrough: -1});
+		expect(counter.createReport().windows).to.deep.equal([{window: 1000, counts: [['a', 2]]}]);
+	});
 });
