provider: duties and zones take turns

Cause: the first due call always won; while /usage failed or had a backlog no engine order was sent, and the failing order of one zone held up the others. Change: the duty, and the zone, whose last call is the longest ago comes first.

--- a/packages/provider/src/engine-duty.ts
+++ b/packages/provider/src/engine-duty.ts
@@ -49,6 +49,8 @@
 	/** Time from which fewer engines were registered than ordered. */
 	shortSinceMs: number | undefined;
 	refusedUntilMs: number;
+	/** Time of the last call for this zone. */
+	calledMs: number;
 };
 
 function getKey({service, zone}: Pick<EngineOrder, 'service' | 'zone'>): string {
@@ -91,7 +93,9 @@
 
 	override getDueCall(): DueCall | undefined {
 		const {calls, clock, holder, log} = this.opts;
-		const order = log.getOrders().find(recorded => !recorded.isAccepted && !this.isAcceptedHere(recorded) && clock.now() >= this.getZone(recorded).refusedUntilMs);
+		const due = log.getOrders().filter(recorded => !recorded.isAccepted && !this.isAcceptedHere(recorded) && clock.now() >= this.getZone(recorded).refusedUntilMs);
+		// The zones take turns, so that failures of one do not hold up the others.
+		const order = due.toSorted((first, second) => this.getZone(first).calledMs - this.getZone(second).calledMs)[0];
 		return order && {
 			duty: 'engines',
 			send: async mayWrite => calls.orderEngines(order, holder, mayWrite),
@@ -102,7 +106,7 @@
 	private getZone(place: Pick<EngineOrder, 'service' | 'zone'>): Zone {
 		const key = getKey(place);
 		const zone = this.zones.get(key) ?? {
-			use: new ZoneUse(), changedMs: this.opts.clock.now(), seen: 0, shortSinceMs: undefined, refusedUntilMs: Number.NEGATIVE_INFINITY,
+			use: new ZoneUse(), changedMs: this.opts.clock.now(), seen: 0, shortSinceMs: undefined, refusedUntilMs: Number.NEGATIVE_INFINITY, calledMs: 0,
 		};
 		this.zones.set(key, zone);
 		return zone;
@@ -160,6 +164,7 @@
 		logger[outcome === 'accepted' ? 'info' : 'warn']({
 			service, zone, count, outcome, fencingToken,
 		}, 'A number of engines was ordered from the provider.');
+		this.getZone(order).calledMs = clock.now();
 		if (outcome === 'refused') {
 			this.getZone(order).refusedUntilMs = clock.now() + REFUSED_RETRY_MS;
 		}
--- a/packages/provider/src/provider-duties.ts
+++ b/packages/provider/src/provider-duties.ts
@@ -13,16 +13,19 @@
 	readonly observer: DutyObserver;
 	/** Whether this host holds the duties now. */
 	readonly mayCall: () => boolean;
-	/** The duties, the most urgent first. */
+	/** The duties, in the order of their first calls; afterwards they take turns. */
 	readonly duties: readonly Duty[];
 };
 
 /** The task of the holder of the duties: brings the log up to date and makes the calls that are due, one at a time. */
 export class ProviderDuties {
 	private readonly pacer: CallPacer;
+	/** The duties, the one whose last call is the longest ago first, so that a backlog or failures of one do not hold up the others. */
+	private turns: readonly Duty[];
 
 	constructor(private readonly opts: ProviderDutiesOptions) {
 		this.pacer = new CallPacer(opts.clock, opts.random, opts.callsPerSecond, opts.firstCallAtMs);
+		this.turns = opts.duties;
 	}
 
 	async run(signal: AbortSignal): Promise<void> {
@@ -43,10 +46,11 @@
 	}
 
 	private async makeDueCall(): Promise<void> {
-		const {clock, duties, mayCall, observer} = this.opts;
-		for (const duty of duties) {
+		const {clock, mayCall, observer} = this.opts;
+		for (const duty of this.turns) {
 			const call = duty.getDueCall();
 			if (call) {
+				this.turns = [...this.turns.filter(other => other !== duty), duty];
 				const startedMs = clock.now();
 				const outcome = await call.send(mayCall);
 				this.pacer.record(outcome);
--- a/packages/provider/tests/engine-duty.test.ts
+++ b/packages/provider/tests/engine-duty.test.ts
@@ -18,6 +18,8 @@
 	/** Engines that were withdrawn and are not replaced. */
 	lost = 0;
 	hasAllReports = true;
+	/** Zones that are the same as the first. */
+	otherZones: string[] = [];
 	/** Mean demand in slots, and its swing. */
 	demand = 0;
 	swing = 0.27;
@@ -37,7 +39,7 @@
 			calls: this.provider,
 			policy: new SlotUsePolicy(),
 			holder: {holder, fencingToken},
-			listZones: () => [this.describe()],
+			listZones: () => ['z1', ...this.otherZones].map(name => this.describe(name)),
 			hasAllReports: () => this.hasAllReports,
 		});
 		void new ProviderDuties({
@@ -66,11 +68,11 @@
 		this.live = count;
 	}
 
-	private describe(): ReturnType<ConstructorParameters<typeof EngineDuty>[0]['listZones']>[number] {
+	private describe(zone: string): ReturnType<ConstructorParameters<typeof EngineDuty>[0]['listZones']>[number] {
 		const demand = this.demand * (1 + (this.swing * Math.sin(2 * Math.PI * this.clock.now() / WAVE_MS)));
 		const running = Math.min(demand, this.live * SLOTS);
 		return {
-			service: 'm', zone: 'z1', range: {min: 12, max: 28, bootMs: BOOT_MS}, live: this.live, slotsPerEngine: SLOTS, running, waiting: 0,
+			service: 'm', zone, range: {min: 12, max: 28, bootMs: BOOT_MS}, live: this.live, slotsPerEngine: SLOTS, running, waiting: 0,
 		};
 	}
 }
@@ -144,4 +146,14 @@
 		await zone.run(6000);
 		expect({before, later: zone.provider.received.slice(before.length)}).toMatchSnapshot();
 	});
+
+	// Guards against a zone whose order keeps failing, and that keeps all other zones from being served.
+	it('sends the orders of all zones in turn', async () => {
+		zone.otherZones = ['z2'];
+		zone.demand = 1.2 * 14 * SLOTS;
+		zone.swing = 0;
+		zone.provider.outcomes = ['unknown', 'unknown', 'unknown', 'unknown'];
+		await zone.run(8000);
+		expect(zone.provider.received).toMatchSnapshot();
+	});
 });
