--- a/apps/egretrilld/src/traffic/provider-term.ts
+++ b/apps/egretrilld/src/traffic/provider-term.ts
@@ -1,7 +1,7 @@
 import type {
 	Clock, EngineClass, Logger, Random, ScalingRange,
 } from '@egretrill/common';
-import type {TargetRegistry} from '@egretrill/engines';
+import {REGISTRATION_TTL_MS, type TargetRegistry} from '@egretrill/engines';
 import type {FleetNode, FleetState} from '@egretrill/hosts';
 import {
 	type Duty, type DutyObserver, EngineDuty, FleetTime, type ProviderCalls, ProviderDuties, type ProviderSettings, SlotUsePolicy, UsageDuty, UsageLedger, type UsagePlan, type ZoneEngines,
@@ -103,7 +103,7 @@
 
 	private createDuties(): Duty[] {
 		const {opts, log, ledger, time} = this;
-		const {getEntryHosts, hostId, running, settings, term} = opts;
+		const {getEntryHosts, getScalingRanges, getZonesOut, hostId, running, settings, term} = opts;
 		const common = {...opts, log, holder: {holder: hostId, fencingToken: term}};
 		return [
 			...(settings.reportsUsage
@@ -113,7 +113,13 @@
 				: []),
 			...(settings.ordersEngines
 				? [new EngineDuty({
-					...common, policy: new SlotUsePolicy(), listZones: () => this.listZones(), hasAllReports: () => running.hasAll(getEntryHosts()),
+					...common,
+					policy: new SlotUsePolicy(),
+					orderLeaseMs: settings.orderLeaseMs,
+					registrationTtlMs: REGISTRATION_TTL_MS,
+					getRange: ({service, zone}) => getZonesOut().includes(zone) ? undefined : getScalingRanges().get(service),
+					listZones: () => this.listZones(),
+					hasAllReports: () => running.hasAll(getEntryHosts()),
 				})]
 				: []),
 		];
--- a/packages/provider/src/constants.ts
+++ b/packages/provider/src/constants.ts
@@ -63,8 +63,8 @@
 /** Shortest measurement from which engines are ordered. */
 export const MIN_GROWTH_MEASUREMENT_MS = 3000;
 
-/** Shortest time between two orders for a zone; above the lease of the duties, so that no zone goes back and forth within it. */
-export const ORDER_INTERVAL_MS = 4000;
+/** Shortest time between two orders for a zone beyond the lease of the duties, so that no zone goes back and forth within it. */
+export const ORDER_INTERVAL_MARGIN_MS = 1000;
 
 /** Shortest time from a change of a zone's engines to a reduction there, and between reductions of different zones. */
 export const SHRINK_AFTER_CHANGE_MS = 20_000;
--- a/packages/provider/src/engine-count-policy.ts
+++ b/packages/provider/src/engine-count-policy.ts
@@ -1,6 +1,6 @@
 import type {ScalingRange} from '@egretrill/common';
 import {
-	GROWTH_PERIOD_MS, GROWTH_STEP_RATIO, GROWTH_WHILE_STARTING_RATIO, MEAN_USE_RATIO, MIN_GROWTH_MEASUREMENT_MS, ORDER_INTERVAL_MS, PEAK_USE_RATIO, SATURATED_GROWTH_RATIO, SATURATED_USE_RATIO, SHRINK_AFTER_CHANGE_MS, SHRINK_PERIOD_MS, SHRINK_STEP_RATIO, SHRINK_USE_RATIO,
+	GROWTH_PERIOD_MS, GROWTH_STEP_RATIO, GROWTH_WHILE_STARTING_RATIO, MEAN_USE_RATIO, MIN_GROWTH_MEASUREMENT_MS, PEAK_USE_RATIO, SATURATED_GROWTH_RATIO, SATURATED_USE_RATIO, SHRINK_AFTER_CHANGE_MS, SHRINK_PERIOD_MS, SHRINK_STEP_RATIO, SHRINK_USE_RATIO,
 } from './constants.js';
 import type {ZoneUse} from './zone-use.js';
 
@@ -11,11 +11,13 @@
 	readonly current: number;
 	/** Registered engines, without those that leave. */
 	readonly live: number;
-	/** Ordered engines that have been missing for longer than their start takes, such as withdrawn ones. */
+	/** Engines that were live and have been missing for longer than their start takes, such as withdrawn ones. */
 	readonly missing: number;
+	/** Whether ordered engines that are not live may still start. */
+	readonly mayStillStart: boolean;
 	readonly slotsPerEngine: number;
 	readonly use: Pick<ZoneUse, 'getMeasuredMs' | 'getPeak' | 'getMean'>;
-	/** Time since the last order, or since this leader began to measure. */
+	/** Time since the last order was decided or sent, or since this leader began to measure. */
 	readonly sinceChangeMs: number;
 	/** Whether the zone's engines may be reduced: all hosts report, and no other zone was reduced a moment ago. */
 	readonly mayShrink: boolean;
@@ -30,13 +32,13 @@
 /** Keeps the use of slots between two bounds: grows as soon as the peak or the mean of a wave exceeds the upper one, and shrinks slowly once no peak of several waves exceeds the lower one. */
 export class SlotUsePolicy extends EngineCountPolicy {
 	override decide(state: ZoneState): number {
-		const {current, missing, range: {min, max}, sinceChangeMs, use} = state;
+		const {current, missing, range: {min, max}, use} = state;
 		const clamp = (count: number): number => Math.max(min, Math.min(max, count));
 		if (clamp(current) !== current) {
 			return clamp(current);
 		}
 
-		if (use.getMeasuredMs() < MIN_GROWTH_MEASUREMENT_MS || sinceChangeMs < ORDER_INTERVAL_MS) {
+		if (use.getMeasuredMs() < MIN_GROWTH_MEASUREMENT_MS) {
 			return current;
 		}
 
@@ -65,10 +67,10 @@
 		return !isStarting || needed >= current * GROWTH_WHILE_STARTING_RATIO;
 	}
 
-	private getShrinkStep({current, live, mayShrink, missing, range: {min}, sinceChangeMs, slotsPerEngine, use}: ZoneState): number {
+	private getShrinkStep({current, live, mayShrink, mayStillStart, missing, range: {min}, sinceChangeMs, slotsPerEngine, use}: ZoneState): number {
 		// Engines that may still start change the use.
 		const present = current - missing;
-		const isSteady = live >= present && sinceChangeMs >= SHRINK_AFTER_CHANGE_MS && use.getMeasuredMs() >= SHRINK_PERIOD_MS;
+		const isSteady = (live >= present || !mayStillStart) && sinceChangeMs >= SHRINK_AFTER_CHANGE_MS && use.getMeasuredMs() >= SHRINK_PERIOD_MS;
 		if (!mayShrink || !isSteady) {
 			return 0;
 		}
--- a/packages/provider/src/engine-duty.ts
+++ b/packages/provider/src/engine-duty.ts
@@ -1,6 +1,6 @@
 import type {Clock, Logger, ScalingRange} from '@egretrill/common';
 import {
-	MISSING_MARGIN_MS, REFUSED_RETRY_MS, SHRINK_INTERVAL_MS, USE_SAMPLE_INTERVAL_MS, WAITING_COUNTS_RATIO,
+	ORDER_INTERVAL_MARGIN_MS, REFUSED_RETRY_MS, SHRINK_INTERVAL_MS, USE_SAMPLE_INTERVAL_MS, WAITING_COUNTS_RATIO,
 } from './constants.js';
 import {Duty, type DueCall} from './duty.js';
 import type {DutyLog} from './duty-log.js';
@@ -10,7 +10,7 @@
 import type {
 	CallOutcome, DutyHolder, EngineOrder, RecordedOrder,
 } from './types.js';
-import {ZoneUse} from './zone-use.js';
+import {ZoneHistory} from './zone-history.js';
 
 /** The engines of a service in a zone, and what takes their slots now. */
 export type ZoneEngines = {
@@ -35,31 +35,27 @@
 	readonly holder: DutyHolder;
 	/** Time of the first call of this holder; nothing is decided before. */
 	readonly firstCallAtMs: number;
+	/** Lease of the duties. */
+	readonly orderLeaseMs: number;
+	/** Time after which an engine that no longer registers is not live. */
+	readonly registrationTtlMs: number;
+	/** Returns the number of engines that may be ordered; undefined for a service without a range, or a zone that is out of service. */
+	readonly getRange: (place: Place) => ScalingRange | undefined;
 	/** Zones with engines that may be ordered; zones that are out of service or out of touch are left out. */
 	readonly listZones: () => readonly ZoneEngines[];
 	/** Whether all entry hosts have reported a moment ago: without some of them demand seems smaller than it is. */
 	readonly hasAllReports: () => boolean;
 };
 
-type Zone = {
-	readonly use: ZoneUse;
-	changedMs: number;
-	/** Most engines seen. */
-	seen: number;
-	/** Time from which fewer engines were registered than ordered. */
-	shortSinceMs: number | undefined;
-	refusedUntilMs: number;
-	/** Time of the last call for this zone. */
-	calledMs: number;
-};
+type Place = Pick<EngineOrder, 'service' | 'zone'>;
 
-function getKey({service, zone}: Pick<EngineOrder, 'service' | 'zone'>): string {
+function getKey({service, zone}: Place): string {
 	return JSON.stringify([service, zone]);
 }
 
 /** Orders the number of engines of each zone: records an order in the log before it is sent, and sends the last one until the provider accepts it. */
 export class EngineDuty extends Duty {
-	private readonly zones = new Map<string, Zone>();
+	private readonly zones = new Map<string, ZoneHistory>();
 	/** Orders that the provider has accepted, as long as the log has not recorded it. */
 	private readonly accepted = new Map<string, EngineOrder>();
 	private sampledMs = Number.NEGATIVE_INFINITY;
@@ -70,7 +66,7 @@
 	}
 
 	override async update(): Promise<void> {
-		const {clock, firstCallAtMs, listZones, log, observer} = this.opts;
+		const {clock, firstCallAtMs, getRange, listZones, log, observer} = this.opts;
 		await this.recordAcceptances();
 		if (clock.now() - this.sampledMs < USE_SAMPLE_INTERVAL_MS) {
 			return;
@@ -86,14 +82,14 @@
 
 		for (const {service, zone, count} of log.getOrders()) {
 			observer.record({
-				kind: 'ordered', service, zone, count,
+				kind: 'ordered', service, zone, count: getRange({service, zone}) ? count : 0,
 			});
 		}
 	}
 
 	override getDueCall(): DueCall | undefined {
 		const {calls, clock, holder, log} = this.opts;
-		const due = log.getOrders().filter(recorded => !recorded.isAccepted && !this.isAcceptedHere(recorded) && clock.now() >= this.getZone(recorded).refusedUntilMs);
+		const due = log.getOrders().filter(recorded => !recorded.isAccepted && !this.isAcceptedHere(recorded) && this.isAllowed(recorded) && clock.now() >= this.getZone(recorded).refusedUntilMs);
 		// The zones take turns, so that failures of one do not hold up the others.
 		const order = due.toSorted((first, second) => this.getZone(first).calledMs - this.getZone(second).calledMs)[0];
 		return order && {
@@ -103,54 +99,64 @@
 		};
 	}
 
-	private getZone(place: Pick<EngineOrder, 'service' | 'zone'>): Zone {
+	private getZone(place: Place): ZoneHistory {
+		const {clock, firstCallAtMs} = this.opts;
 		const key = getKey(place);
-		const zone = this.zones.get(key) ?? {
-			use: new ZoneUse(), changedMs: this.opts.clock.now(), seen: 0, shortSinceMs: undefined, refusedUntilMs: Number.NEGATIVE_INFINITY, calledMs: 0,
-		};
+		// An earlier leader may have sent an order until its lease expired.
+		const zone = this.zones.get(key) ?? new ZoneHistory(Math.max(clock.now(), firstCallAtMs));
 		this.zones.set(key, zone);
 		return zone;
 	}
 
 	private sample(engines: ZoneEngines): void {
 		const {live, running, slotsPerEngine, waiting} = engines;
-		const zone = this.getZone(engines);
 		const isCrowded = running >= live * slotsPerEngine * WAITING_COUNTS_RATIO;
-		zone.seen = Math.max(zone.seen, live);
-		zone.use.add(this.opts.clock.now(), running + (isCrowded ? waiting : 0));
+		this.getZone(engines).add(this.opts.clock.now(), live, running + (isCrowded ? waiting : 0));
 	}
 
 	private async decide(engines: ZoneEngines): Promise<void> {
 		const {clock, hasAllReports, log, logger, policy} = this.opts;
-		const {service, zone, live} = engines;
-		const state = this.getZone(engines);
-		// Without an order, the zone is taken to have the engines that were seen there.
-		const current = this.getLastOrder(engines)?.count ?? state.seen;
-		const mayShrink = hasAllReports() && clock.now() - this.shrunkMs >= SHRINK_INTERVAL_MS;
+		const {service, zone, live, range: {bootMs}} = engines;
+		const history = this.getZone(engines);
+		const last = this.getLastOrder(engines);
+		const nowMs = clock.now();
+		const current = last?.count ?? history.mostLive;
+		const shortfall = history.getShortfall(nowMs, current, bootMs);
+		if (!this.mayDecide(history, last)) {
+			return;
+		}
+
+		const mayShrink = hasAllReports() && nowMs - this.shrunkMs >= SHRINK_INTERVAL_MS;
 		const count = policy.decide({
-			...engines, current, use: state.use, missing: this.countMissing(engines, current), sinceChangeMs: clock.now() - state.changedMs, mayShrink,
+			...engines, ...shortfall, current, use: history.use, sinceChangeMs: history.getSinceChangeMs(nowMs), mayShrink,
 		});
 		if (count === current) {
 			return;
 		}
 
 		const isKnown = await log.recordOrder({service, zone, count});
-		state.changedMs = clock.now();
+		history.recordOrder(clock.now(), shortfall.missing);
 		this.shrunkMs = count < current ? clock.now() : this.shrunkMs;
 		logger.info({
 			service, zone, from: current, to: count, live, running: engines.running, waiting: engines.waiting, isKnown,
 		}, 'The number of engines of a zone was changed.');
 	}
 
-	private countMissing(engines: ZoneEngines, current: number): number {
-		const {live, range: {bootMs}} = engines;
-		const zone = this.getZone(engines);
-		const nowMs = this.opts.clock.now();
-		zone.shortSinceMs = live < current ? Math.max(zone.shortSinceMs ?? nowMs, zone.changedMs) : undefined;
-		return zone.shortSinceMs !== undefined && nowMs - zone.shortSinceMs > bootMs + MISSING_MARGIN_MS ? current - live : 0;
+	/** Whether the last order is long enough ago that none goes back and forth within the lease. Without an order, the engines that the zone has must be known: an order below them would end some. */
+	private mayDecide(history: ZoneHistory, last: RecordedOrder | undefined): boolean {
+		const {clock, hasAllReports, orderLeaseMs, registrationTtlMs} = this.opts;
+		const nowMs = clock.now();
+		const isKnown = last !== undefined || (hasAllReports() && history.getUnchangedMs(nowMs) > registrationTtlMs);
+		return isKnown && history.getSinceChangeMs(nowMs) >= orderLeaseMs + ORDER_INTERVAL_MARGIN_MS;
 	}
 
-	private getLastOrder(place: Pick<EngineOrder, 'service' | 'zone'>): RecordedOrder | undefined {
+	/** Whether the configuration still allows an order. */
+	private isAllowed(order: EngineOrder): boolean {
+		const range = this.opts.getRange(order);
+		return range !== undefined && order.count >= range.min && order.count <= range.max;
+	}
+
+	private getLastOrder(place: Place): RecordedOrder | undefined {
 		return this.opts.log.getOrders().find(order => getKey(order) === getKey(place));
 	}
 
@@ -164,9 +170,14 @@
 		logger[outcome === 'accepted' ? 'info' : 'warn']({
 			service, zone, count, outcome, fencingToken,
 		}, 'A number of engines was ordered from the provider.');
-		this.getZone(order).calledMs = clock.now();
+		const history = this.getZone(order);
+		history.calledMs = clock.now();
 		if (outcome === 'refused') {
-			this.getZone(order).refusedUntilMs = clock.now() + REFUSED_RETRY_MS;
+			history.refusedUntilMs = clock.now() + REFUSED_RETRY_MS;
+		}
+
+		if (outcome === 'accepted' || outcome === 'unknown') {
+			history.recordSent(clock.now());
 		}
 
 		if (outcome === 'accepted') {
--- a/packages/provider/src/types.ts
+++ b/packages/provider/src/types.ts
@@ -37,6 +37,8 @@
 	ordersEngines: z.boolean(),
 	callsPerSecond: z.number().positive(),
 	windowMs: z.number().positive(),
+	/** Lease of the duties: time after which no earlier holder calls any more. */
+	orderLeaseMs: z.number().positive(),
 	/** Time after the end of a window in which its report must arrive. */
 	reportDeadlineMs: z.number().positive(),
 });
