entry host: count no resumed stream a second time

Cause: a stream that its caller resumes at another host was counted there again as begun, and so reported twice to the provider. Change: a request with a last event id is not counted.

--- a/packages/callers/src/forward/attempts/forward-to-target.ts
+++ b/packages/callers/src/forward/attempts/forward-to-target.ts
@@ -53,8 +53,9 @@
 	return outcome;
 }
 
-function recordBegun({customer, deps: {observer}, progress}: ForwardContext): void {
-	if (customer && !progress.hasBegun) {
+function recordBegun({call, customer, deps: {observer}, progress}: ForwardContext): void {
+	// A stream that its caller resumes was counted by the host where it began.
+	if (customer && call.lastEventId === undefined && !progress.hasBegun) {
 		progress.hasBegun = true;
 		observer.recordBegun?.(customer.name);
 	}
--- a/packages/callers/tests/forward/forward-request.test.ts
+++ b/packages/callers/tests/forward/forward-request.test.ts
@@ -1,5 +1,7 @@
 import {expect} from 'chai';
-import {countDemand, runFailingRequest, runRequest} from './support/forward-scenario.js';
+import {
+	countDemand, listBegun, runFailingRequest, runRequest,
+} from './support/forward-scenario.js';
 
 const failedAfterSend = {accepted: true, code: 'ECONNRESET', reason: 'reset'};
 const failedBeforeSend = {accepted: false, code: 'ECONNREFUSED', reason: 'refused'};
@@ -50,6 +52,16 @@
 		expect([await countDemand(keyed), await countDemand({...keyed, ratePerSecond: 0.1})]).to.deep.equal([1, 0]);
 	});
 
+	// Guards against a request that is billed again at the host where its caller resumes the stream.
+	it('counts a request as begun once, and not again when its caller resumes it', async () => {
+		const opts = {
+			route: {...stream, isOpen: false}, answers: [{isEventStream: true, chunks: [event(1)], isCut: true}, {isEventStream: true, lastId: 4}],
+		};
+		const begun = await listBegun({...opts, headers: ['key', 'k']});
+		const resumed = await listBegun({...opts, headers: ['key', 'k', 'last', '2']});
+		expect({begun, resumed}).to.deep.equal({begun: ['c'], resumed: []});
+	});
+
 	// Guards against the failure of an idempotent request that a second target would have answered.
 	it('retries an idempotent request up to its maximum attempts', async () => {
 		const route = {repeat: 'idempotent', maxAttempts: 2} as const;
--- a/packages/callers/tests/forward/support/forward-fakes.ts
+++ b/packages/callers/tests/forward/support/forward-fakes.ts
@@ -59,7 +59,7 @@
 		const get = (name: string): string | undefined => rawHeaders[rawHeaders.indexOf(name) + 1];
 		const has = (name: string): boolean => rawHeaders.includes(name);
 		return {
-			attemptId: 'attempt-1', method, url, hostName: 'app.test', promptParts: has('part') ? [{id: get('part') ?? '', tokens: 1}, {id: 'own', tokens: 1}] : [], headers: [], ...(has('key') && {key: get('key')}), ...(has('time') && {timeLeftMs: Number(get('time'))}),
+			attemptId: 'attempt-1', method, url, hostName: 'app.test', promptParts: has('part') ? [{id: get('part') ?? '', tokens: 1}, {id: 'own', tokens: 1}] : [], headers: [], ...(has('key') && {key: get('key')}), ...(has('last') && {lastEventId: Number(get('last'))}), ...(has('time') && {timeLeftMs: Number(get('time'))}),
 		};
 	}
 
@@ -271,6 +271,8 @@
 	readonly ends: ForwardEndEvent[] = [];
 	/** Requests that count as demand. */
 	arrivals = 0;
+	/** Customers of requests that a target has begun to run. */
+	readonly begun: string[] = [];
 
 	constructor(private readonly throwingStep: ThrowingStep | undefined) {
 		super();
@@ -285,6 +287,10 @@
 		this.attempts.push(event);
 	}
 
+	override recordBegun(customer: string): void {
+		this.begun.push(customer);
+	}
+
 	override recordEnd(event: ForwardEndEvent): void {
 		this.ends.push(event);
 	}
--- a/packages/callers/tests/forward/support/forward-scenario.ts
+++ b/packages/callers/tests/forward/support/forward-scenario.ts
@@ -71,6 +71,12 @@
 	return observer.arrivals;
 }
 
+/** Runs one request of a caller and returns the customers that it was counted for as begun. */
+export async function listBegun(opts: ScenarioOptions): Promise<readonly string[]> {
+	const {observer} = await runScenario(opts);
+	return observer.begun;
+}
+
 /** Runs one request of a caller and returns how each attempt ended. */
 export async function listAttempts(opts: ScenarioOptions): Promise<readonly string[]> {
 	const {observer} = await runScenario(opts);
