provider: duties go on after an exception

Cause: an unexpected exception ended the duties for the rest of a term, and the gauge of unconfirmed windows stayed after it. Change: the exception is logged, the next call is delayed as after a failure, and the loop goes on; the gauge is set to 0 at the end of a term.

--- a/packages/provider/src/provider-duties.ts
+++ b/packages/provider/src/provider-duties.ts
@@ -1,4 +1,4 @@
-import type {Clock, Random} from '@egretrill/common';
+import type {Clock, Logger, Random} from '@egretrill/common';
 import {CallPacer} from './call-pacer.js';
 import {DUTY_CHECK_INTERVAL_MS} from './constants.js';
 import type {Duty} from './duty.js';
@@ -7,6 +7,7 @@
 export type ProviderDutiesOptions = {
 	readonly clock: Clock;
 	readonly random: Random;
+	readonly logger: Logger;
 	readonly callsPerSecond: number;
 	/** Time from which no earlier holder may call any more. */
 	readonly firstCallAtMs: number;
@@ -29,19 +30,31 @@
 	}
 
 	async run(signal: AbortSignal): Promise<void> {
-		const {clock, duties, mayCall} = this.opts;
+		const {clock, logger, observer} = this.opts;
 		while (!signal.aborted) {
-			for (const duty of duties) {
-				if (mayCall()) {
-					await duty.update();
-				}
+			try {
+				await this.runOnce();
+			} catch (err) {
+				logger.error({err}, 'The duties towards the provider failed unexpectedly.');
+				this.pacer.record('unknown');
 			}
 
-			if (mayCall() && this.pacer.mayCall()) {
-				await this.makeDueCall();
+			await clock.sleep(DUTY_CHECK_INTERVAL_MS, signal);
+		}
+
+		observer.record({kind: 'unconfirmed', windows: 0});
+	}
+
+	private async runOnce(): Promise<void> {
+		const {duties, mayCall} = this.opts;
+		for (const duty of duties) {
+			if (mayCall()) {
+				await duty.update();
 			}
+		}
 
-			await clock.sleep(DUTY_CHECK_INTERVAL_MS, signal);
+		if (mayCall() && this.pacer.mayCall()) {
+			await this.makeDueCall();
 		}
 	}
 
--- a/packages/provider/tests/engine-duty.test.ts
+++ b/packages/provider/tests/engine-duty.test.ts
@@ -39,11 +39,10 @@
 		const ended = new AbortController();
 		this.leaderEnded = ended;
 		const common = {
-			clock: this.clock, random: createRandom(3), observer: new CountingDutyObserver(), firstCallAtMs: this.clock.now() + TAKEOVER_MS,
+			clock: this.clock, random: createRandom(3), logger: createLogger('test', 'fatal'), observer: new CountingDutyObserver(), firstCallAtMs: this.clock.now() + TAKEOVER_MS,
 		};
 		const duty = new EngineDuty({
 			...common,
-			logger: createLogger('test', 'fatal'),
 			log: this.log,
 			calls: this.provider,
 			policy: new SlotUsePolicy(),
--- a/packages/provider/tests/support/recording-provider.ts
+++ b/packages/provider/tests/support/recording-provider.ts
@@ -1,6 +1,6 @@
 import type {Clock} from '@egretrill/common';
 import {
-	type CallOutcome, type DutyHolder, DutyObserver, type EngineOrder, ProviderCalls, type UsageWindow,
+	type CallOutcome, type DutyEvent, type DutyHolder, DutyObserver, type EngineOrder, ProviderCalls, type UsageWindow,
 } from '../../src/index.js';
 
 /** Records what arrives, and answers with the next of the given outcomes, at the end with `accepted`. */
@@ -37,8 +37,10 @@
 /** Counts the events of the duties. */
 export class CountingDutyObserver extends DutyObserver {
 	events = 0;
+	last: DutyEvent | undefined;
 
-	override record(): void {
+	override record(event: DutyEvent): void {
 		this.events += 1;
+		this.last = event;
 	}
 }
--- a/packages/provider/tests/usage.test.ts
+++ b/packages/provider/tests/usage.test.ts
@@ -41,11 +41,10 @@
 		this.time = new FleetTime(this.clock, () => this.counters.size);
 		const firstCallAtMs = this.clock.now() + TAKEOVER_MS;
 		const common = {
-			clock: this.clock, random: createRandom(3), observer: new CountingDutyObserver(), firstCallAtMs,
+			clock: this.clock, random: createRandom(3), logger: createLogger('test', 'fatal'), observer: new CountingDutyObserver(), firstCallAtMs,
 		};
 		const duty = new UsageDuty({
 			...common,
-			logger: createLogger('test', 'fatal'),
 			settings: {windowMs: WINDOW_MS, reportDeadlineMs: 10_000},
 			log: this.log,
 			calls: this.provider,
