provider: log texts say what has happened

Cause: failed calls were logged as reports and orders, and a decision as a change before anything was sent.

--- a/packages/provider/src/engine-duty.ts
+++ b/packages/provider/src/engine-duty.ts
@@ -139,7 +139,7 @@
 		this.shrunkMs = count < current ? clock.now() : this.shrunkMs;
 		logger.info({
 			service, zone, from: current, to: count, live, running: engines.running, waiting: engines.waiting, isKnown,
-		}, 'The number of engines of a zone was changed.');
+		}, 'A new number of engines was decided for a zone.');
 	}
 
 	/** Whether the last order is long enough ago that none goes back and forth within the lease. Without an order, the engines that the zone has must be known: an order below them would end some. */
@@ -169,7 +169,7 @@
 		const {service, zone, count} = order;
 		logger[outcome === 'accepted' ? 'info' : 'warn']({
 			service, zone, count, outcome, fencingToken,
-		}, 'A number of engines was ordered from the provider.');
+		}, 'The provider was called with a number of engines.');
 		const history = this.getZone(order);
 		history.calledMs = clock.now();
 		if (outcome === 'refused') {
--- a/packages/provider/src/usage-duty.ts
+++ b/packages/provider/src/usage-duty.ts
@@ -83,7 +83,7 @@
 		const delayMs = Math.round((time.now() ?? 0) - ((window + 1) * windowMs));
 		logger[outcome === 'accepted' ? 'info' : 'warn']({
 			window, outcome, delayMs, fencingToken: this.opts.holder.fencingToken,
-		}, 'The usage of a window was reported.');
+		}, 'The provider was called with the usage of a window.');
 		if (outcome === 'refused') {
 			this.refusedUntilMs.set(window, clock.now() + REFUSED_RETRY_MS);
 		}
--- a/packages/provider/tests/engine-duty.test.ts
+++ b/packages/provider/tests/engine-duty.test.ts
@@ -1,5 +1,5 @@
 import {
-	createLogger, createRandom, ManualClock, type ScalingRange,
+	createLogger, createRandom, type Logger, ManualClock, type ScalingRange,
 } from '@egretrill/common';
 import {expect} from 'chai';
 import {
@@ -27,6 +27,7 @@
 	lost = 0;
 	range: ScalingRange | undefined = {min: 12, max: 28, bootMs: BOOT_MS};
 	hasAllReports = true;
+	readonly logged: string[] = [];
 	/** Zones that are the same as the first. */
 	otherZones: string[] = [];
 	/** Mean demand in slots, and its swing. */
@@ -39,7 +40,7 @@
 		const ended = new AbortController();
 		this.leaderEnded = ended;
 		const common = {
-			clock: this.clock, random: createRandom(3), logger: createLogger('test', 'fatal'), observer: new CountingDutyObserver(), firstCallAtMs: this.clock.now() + TAKEOVER_MS,
+			clock: this.clock, random: createRandom(3), logger: this.createRecordingLogger(), observer: new CountingDutyObserver(), firstCallAtMs: this.clock.now() + TAKEOVER_MS,
 		};
 		const duty = new EngineDuty({
 			...common,
@@ -75,6 +76,15 @@
 		this.leaderEnded.abort();
 	}
 
+	private createRecordingLogger(): Logger {
+		const logger = createLogger('test', 'fatal');
+		const record = (_fields: unknown, message: string): void => {
+			this.logged.push(message);
+		};
+
+		return Object.assign(logger, {info: record, warn: record});
+	}
+
 	private async startEngines(count: number): Promise<void> {
 		await this.clock.sleep(count > this.live ? BOOT_MS : 0);
 		this.live = count;
@@ -213,4 +223,14 @@
 		await zone.run(120_000);
 		expect(zone.provider.received).toMatchSnapshot();
 	});
+
+	// Guards against a log that tells of a changed number of engines, or of an order, before the provider has accepted it.
+	it('logs decisions and calls as such', async () => {
+		zone.demand = 1.2 * 14 * SLOTS;
+		zone.provider.outcomes = ['unknown'];
+		await zone.run(9000);
+		expect(zone.logged).to.deep.equal([
+			'A new number of engines was decided for a zone.', 'The provider was called with a number of engines.', 'The provider was called with a number of engines.',
+		]);
+	});
 });
