provider: test of the gauge of orders that are not allowed

Cause: no test covered the gauge of a zone whose service has no range any more. Change: the test of disallowed orders also checks the last value of the gauge. Result: it fails without the check of the range (40 in place of 0) and passes with it; engine-duty.test.ts 12 passing.

--- a/packages/provider/tests/engine-duty.test.ts
+++ b/packages/provider/tests/engine-duty.test.ts
@@ -27,6 +27,7 @@
 	lost = 0;
 	range: ScalingRange | undefined = {min: 12, max: 28, bootMs: BOOT_MS};
 	hasAllReports = true;
+	readonly observer = new CountingDutyObserver();
 	readonly logged: string[] = [];
 	/** Zones that are the same as the first. */
 	otherZones: string[] = [];
@@ -40,7 +41,7 @@
 		const ended = new AbortController();
 		this.leaderEnded = ended;
 		const common = {
-			clock: this.clock, random: createRandom(3), logger: this.createRecordingLogger(), observer: new CountingDutyObserver(), firstCallAtMs: this.clock.now() + TAKEOVER_MS,
+			clock: this.clock, random: createRandom(3), logger: this.createRecordingLogger(), observer: this.observer, firstCallAtMs: this.clock.now() + TAKEOVER_MS,
 		};
 		const duty = new EngineDuty({
 			...common,
@@ -213,6 +214,9 @@
 		zone.range = undefined;
 		await zone.run(20_000);
 		expect(zone.provider.received).to.deep.equal([]);
+		expect(zone.observer.last).to.deep.equal({
+			kind: 'ordered', service: 'm', zone: 'z1', count: 0,
+		});
 	});
 
 	// Guards against an order that grows up to the maximum while the provider has no more engines.
