provider: a gap in a zone restarts its wait before a first order

Cause: a zone without an order that was out of touch kept the time since its engines last changed. Change: that time counts only as long as the zone was measured without a gap.

--- a/packages/provider/src/zone-history.ts
+++ b/packages/provider/src/zone-history.ts
@@ -36,9 +36,9 @@
 		this.use.add(nowMs, slots);
 	}
 
-	/** Time for which the number of live engines has not changed. */
+	/** Time for which the number of live engines was taken without a gap and has not changed. */
 	getUnchangedMs(nowMs: number): number {
-		return nowMs - this.liveSinceMs;
+		return Math.min(nowMs - this.liveSinceMs, this.use.getMeasuredMs());
 	}
 
 	/** Time since the last order was decided or may have reached the provider. */
--- a/packages/provider/tests/engine-duty.test.ts
+++ b/packages/provider/tests/engine-duty.test.ts
@@ -197,6 +197,21 @@
 		expect({early, later: zone.provider.received}).toMatchSnapshot();
 	});
 
+	// Guards against an order from the first engines that a zone has again after it was out of service.
+	it('waits again after a zone was out of touch', async () => {
+		const {range} = zone;
+		zone.demand = 20 * SLOTS;
+		zone.range = undefined;
+		await zone.run(10_000);
+		zone.range = range;
+		await zone.run(2000);
+		zone.range = undefined;
+		await zone.run(5000);
+		zone.range = range;
+		await zone.run(6000);
+		expect(zone.provider.received).to.deep.equal([]);
+	});
+
 	// Guards against orders that go back and forth at the provider within its lease, because an earlier one was decided long before it was sent.
 	it('keeps the interval between orders from the last call', async () => {
 		await zone.log.recordOrder({service: 'm', zone: 'z1', count: 14});
