placement: keep copies of busy models through the troughs of traffic

Cause: a load in advance evicted any copy but a last one if that lost less than 6 request-seconds in 20 s, which holds for second copies of busy models in a trough. With as many places as models, nothing brought them back, since a crowded model could not evict a last copy.

Change: a copy without which the others could not serve a multiple of the present demand is a reserve: it has the price of a last copy, and a load in advance does not evict it. Where engines differ in speed, a crowded model may evict an idle last copy for that price.

--- a/packages/engines/src/loading/eviction-candidates.ts
+++ b/packages/engines/src/loading/eviction-candidates.ts
@@ -11,6 +11,10 @@
 	readonly isIdle: boolean;
 	/** Whether it is the only copy that serves of a model that requests may need. */
 	readonly isLast: boolean;
+	/** Whether a last copy has a price, so that the gain of another model may outweigh it. */
+	readonly isPriced: boolean;
+	/** Whether the other copies of the model could not serve its demand at the next peak of the traffic. */
+	readonly isReserve: boolean;
 	/** Request-seconds that its removal alone is expected to lose. */
 	readonly cost: number;
 };
@@ -18,10 +22,16 @@
 /** The model that the evictions free memory for. */
 export type IncomingModel = {readonly reason: LoadMove['reason']; readonly lostSlots: number};
 
-/** Whether a copy may be evicted. The last copy of a model in use is evicted only for a model that needs many times its slots. */
-export function mayEvict({ageMs, need, isIdle, isLast}: EvictionCandidate, {reason, lostSlots}: IncomingModel): boolean {
+/** Whether a copy may be evicted. The last copy of a model in use is evicted only for a model that needs many times its slots; a load in advance evicts no reserve. */
+export function mayEvict({
+	ageMs, need, isIdle, isLast, isPriced, isReserve,
+}: EvictionCandidate, {reason, lostSlots}: IncomingModel): boolean {
+	if (reason === 'absent' && isReserve) {
+		return false;
+	}
+
 	if (isIdle) {
-		return !isLast || reason === 'missing';
+		return !isLast || reason === 'missing' || (reason === 'crowded' && isPriced);
 	}
 
 	const isOutweighed = reason === 'missing' && need * LAST_COPY_RATIO <= lostSlots;
@@ -68,7 +78,9 @@
 					need: layout.getNeededSlots(model),
 					isIdle: layout.isIdle(model),
 					isLast: layout.countReadyCopies(model) <= 1 && layout.isConfigured(model),
-					cost: layout.getRemovalCost(targetId, [model]) - unchangedCost + layout.getAbsenceCost(model),
+					isPriced: layout.isUneven,
+					isReserve: layout.isReserve(targetId, model),
+					cost: layout.getRemovalCost(targetId, [model]) - unchangedCost + layout.getAbsenceCost(targetId, model),
 				},
 				copies: layout.countCopies(model),
 			}))
--- a/packages/engines/src/loading/layout.ts
+++ b/packages/engines/src/loading/layout.ts
@@ -1,8 +1,8 @@
 import type {EngineClass} from '@egretrill/common';
 import {
-	ABSENT_MODEL_COST_REQUEST_S, MAX_IDLE_SLOTS, MIN_SPREAD_SLOTS, MISSING_MODEL_BOOST_MS, PLAN_HORIZON_S, SLOTS_PER_WAITING_REQUEST,
+	ABSENT_MODEL_COST_REQUEST_S, COPY_BUSY_UTILISATION, CROWDED_LOSS_RATIO, MAX_IDLE_SLOTS, MIN_SPREAD_SLOTS, MISSING_MODEL_BOOST_MS, PLAN_HORIZON_S, SLOTS_PER_WAITING_REQUEST,
 } from './constants.js';
-import {areSpeedsUneven} from './engine-speeds.js';
+import {areSpeedsUneven, getLateRatio} from './engine-speeds.js';
 import {
 	type DemandOverHolders, DemandSpreader, getLostSlots, type HolderChange, type IndexedDemandSpread,
 } from './spread-demand.js';
@@ -118,9 +118,26 @@
 		return this.spread.totalLostSlots * PLAN_HORIZON_S;
 	}
 
-	/** Request-seconds that are expected to be lost later if a copy of a model goes and it was the last one. Only counted where engines differ in speed. */
-	getAbsenceCost(model: string): number {
-		return this.isUneven && this.configuredModels.has(model) && this.countReadyCopies(model) <= 1 ? ABSENT_MODEL_COST_REQUEST_S : 0;
+	/** Request-seconds that are expected to be lost later if a copy of a model goes and it was the last one or a reserve. Only counted where engines differ in speed. */
+	getAbsenceCost(targetId: string, model: string): number {
+		const isCounted = this.isUneven && this.configuredModels.has(model);
+		return isCounted && (this.countReadyCopies(model) <= 1 || this.isReserve(targetId, model)) ? ABSENT_MODEL_COST_REQUEST_S : 0;
+	}
+
+	/** Whether the other copies of a model could not serve a multiple of its demand, as at the next peak. Copies at slow engines are no reserve, since more requests are late there than at a crowded one. Each model of an engine has an equal part of the slots that may be in use there. */
+	isReserve(targetId: string, model: string): boolean {
+		const {holders, neededSlots} = this.getModelDemand(model);
+		if (getLateRatio(this.speeds[this.engineIndexes.get(targetId)!]!) > CROWDED_LOSS_RATIO) {
+			return false;
+		}
+
+		let otherSlots = 0;
+		for (const engine of holders) {
+			const slots = this.slotsPerEngine * this.speeds[engine]! * COPY_BUSY_UTILISATION / this.modelsByEngine[engine]!.size;
+			otherSlots += engine === this.engineIndexes.get(targetId) ? 0 : slots;
+		}
+
+		return neededSlots > otherSlots;
 	}
 
 	/** Request-seconds lost over the horizon if an engine unloads models and loads no other. */
--- a/packages/engines/src/loading/plan-loads.ts
+++ b/packages/engines/src/loading/plan-loads.ts
@@ -130,7 +130,7 @@
 		return undefined;
 	}
 
-	const absenceCost = unload.reduce((sum, model) => sum + layout.getAbsenceCost(model), 0);
+	const absenceCost = unload.reduce((sum, model) => sum + layout.getAbsenceCost(engine.targetId, model), 0);
 	const totalMs = loadMs + getUnloadMs(unload, layout);
 	const blockedAdapterCost = layout.getSoleCopySlots(engine.targetId) * ADAPTER_DEMAND_RATIO * totalMs / MS_PER_SECOND;
 	return {
--- a/packages/engines/tests/loading/moving-demand.ts
+++ b/packages/engines/tests/loading/moving-demand.ts
@@ -6,8 +6,10 @@
 
 const STEP_MS = 100;
 const DEMAND_TIME_CONSTANT_MS = 2500;
-/** Slots that all models need, a third of those of the engines. */
-const NEEDED_SLOTS = 440;
+/** Slots that all models need relative to those of the engines. */
+const NEEDED_RATIO = 0.33;
+/** Swing of the demand where it comes in waves. */
+const WAVE_RATIO = 0.55;
 const BUSY_MODELS = 40;
 /** Exponent of the demand of a busy model over its rank. */
 const DEMAND_EXPONENT = -0.3;
@@ -21,21 +23,31 @@
 const PLACED_MODELS = 190;
 /** Time before the measurement, in which copies of the busy models are added. */
 const WARM_UP_MS = 12_000;
-const SPEEDS = [0.6, 1, 1.6];
 const MODELS_IN_MEMORY = 3;
 const MODELS_ON_DISK = 12;
 
+/** Number and sizes of the engines and models. */
+export type Fleet = {
+	readonly engineCount: number; readonly modelCount: number; readonly modelsPerEngine: number; readonly slots: number; readonly speeds: readonly number[];
+};
+
 export const ENGINE_COUNT = 112;
-const engineClass: EngineClass = {
-	batchSlots: 12,
-	weightsMb: 230_000,
-	adapterSlots: 5,
-	storeLoadsPerSecond: 16,
-	models: Array.from({length: 242}, (_, i) => ({
-		name: `m${i}`, weightsMb: 65_000 + ((i * 37) % 7700), storeLoadMs: 6100, diskLoadMs: 1250, memoryLoadMs: 600, adapterMb: 40,
-	})),
+const DEFAULT_FLEET: Fleet = {
+	engineCount: ENGINE_COUNT, modelCount: 242, modelsPerEngine: 3, slots: 12, speeds: [0.6, 1, 1.6],
 };
 
+function createEngineClass({modelCount, modelsPerEngine, slots}: Fleet): EngineClass {
+	return {
+		batchSlots: slots,
+		weightsMb: 76_700 * modelsPerEngine,
+		adapterSlots: 5,
+		storeLoadsPerSecond: 16,
+		models: Array.from({length: modelCount}, (_, i) => ({
+			name: `m${i}`, weightsMb: 65_000 + ((i * 37) % 7700), storeLoadMs: 6100, diskLoadMs: 1250, memoryLoadMs: 600, adapterMb: 40,
+		})),
+	};
+}
+
 type PlayedEngine = {
 	readonly targetId: string;
 	readonly speed: number;
@@ -61,10 +73,12 @@
 	/** Models without a copy at the end. */
 	readonly absentModels: number;
 	readonly undoneMoves: number;
+	/** Mean number of copies of the five busiest models when the demand is highest. */
+	readonly busiestCopies: number;
 	readonly cpuMsPerPlan: number;
 };
 
-export type PlayOptions = {readonly durationMs: number; readonly knowsSpeeds?: boolean};
+export type PlayOptions = {readonly durationMs: number; readonly knowsSpeeds?: boolean; readonly fleet?: Fleet; readonly wavePeriodMs?: number};
 
 function getQuantile(values: readonly number[], quantile: number): number {
 	return values.toSorted((a, b) => a - b)[Math.floor((values.length - 1) * quantile)] ?? 0;
@@ -92,14 +106,21 @@
 	private plans = 0;
 	private cpuUs = 0;
 	private deferred: readonly string[] = [];
+	private readonly fleet: Fleet;
+	private readonly engineClass: EngineClass;
+	private readonly peakCopies: number[] = [];
 
 	constructor(private readonly opts: PlayOptions) {
-		this.engines = Array.from({length: ENGINE_COUNT}, (_, i) => ({
-			targetId: `t${i}`,
-			speed: SPEEDS[i % SPEEDS.length]!,
-			copies: [0, 1, 2].map(copy => ({model: `m${((3 * i) + copy) % PLACED_MODELS}`, sinceMs: -60_000})),
-			recent: [0, 1, 2].map(copy => `m${((3 * i) + copy) % PLACED_MODELS}`),
-		}));
+		this.fleet = opts.fleet ?? DEFAULT_FLEET;
+		this.engineClass = createEngineClass(this.fleet);
+		const {engineCount, modelsPerEngine, speeds} = this.fleet;
+		const placedModels = opts.fleet ? this.fleet.modelCount / 2 : PLACED_MODELS;
+		this.engines = Array.from({length: engineCount}, (_, i) => {
+			const models = Array.from({length: modelsPerEngine}, (_unused, copy) => `m${((modelsPerEngine * i) + copy) % placedModels}`);
+			return {
+				targetId: `t${i}`, speed: speeds[i % speeds.length]!, copies: models.map(model => ({model, sinceMs: -60_000})), recent: models,
+			};
+		});
 	}
 
 	run(): PlayReport {
@@ -120,20 +141,24 @@
 			busiest: this.busiest.reduce((sum, value) => sum + value, 0) / this.busiest.length,
 			shareBySpeed: Object.fromEntries(shares),
 			lostShare: this.lostSlots / this.slots,
-			absentModels: engineClass.models.filter(({name}) => this.engines.every(({copies}) => copies.every(({model}) => model !== name))).length,
+			absentModels: this.engineClass.models.filter(({name}) => this.engines.every(({copies}) => copies.every(({model}) => model !== name))).length,
 			undoneMoves: this.undoneMoves,
+			busiestCopies: this.peakCopies.reduce((sum, copies) => sum + copies, 0) / this.peakCopies.length,
 			cpuMsPerPlan: this.cpuUs / this.plans / 1000,
 		};
 	}
 
 	/** Slots that the requests for each model need now. */
 	private getDemand(): ReadonlyMap<string, number> {
-		const shift = Math.floor(this.nowMs / SHIFT_PERIOD_MS);
+		const {wavePeriodMs} = this.opts;
+		const shift = wavePeriodMs ? 0 : Math.floor(this.nowMs / SHIFT_PERIOD_MS);
+		const wave = wavePeriodMs ? 1 + (WAVE_RATIO * Math.cos(2 * Math.PI * this.nowMs / wavePeriodMs)) : 1;
+		const neededSlots = NEEDED_RATIO * this.fleet.engineCount * this.fleet.slots * wave;
 		const weights = Array.from({length: BUSY_MODELS}, (_, rank) => (rank + 1) ** DEMAND_EXPONENT);
 		const sum = weights.reduce((total, weight) => total + weight, 0);
-		const demand = new Map(weights.map((weight, rank) => [`m${(rank + shift) % engineClass.models.length}`, NEEDED_SLOTS * weight / sum]));
+		const demand = new Map(weights.map((weight, rank) => [`m${(rank + shift) % this.fleet.modelCount}`, neededSlots * weight / sum]));
 		if (this.nowMs % RARE_PERIOD_MS < STEP_MS) {
-			this.rareUntilMs.set(`m${Math.floor(this.random() * engineClass.models.length)}`, this.nowMs + RARE_DURATION_MS);
+			this.rareUntilMs.set(`m${Math.floor(this.random() * this.engineClass.models.length)}`, this.nowMs + RARE_DURATION_MS);
 		}
 
 		for (const [model, untilMs] of this.rareUntilMs) {
@@ -159,7 +184,7 @@
 	private measure(demand: ReadonlyMap<string, number>): void {
 		const isMeasured = this.nowMs >= WARM_UP_MS;
 		const held = new Set(this.engines.flatMap(({copies}) => copies.map(({model}) => model)));
-		for (const {name} of engineClass.models) {
+		for (const {name} of this.engineClass.models) {
 			const needed = demand.get(name) ?? 0;
 			const known = this.places.get(name) ?? 0;
 			this.places.set(name, known + ((needed - known) * STEP_MS / DEMAND_TIME_CONSTANT_MS));
@@ -178,13 +203,19 @@
 			return;
 		}
 
-		const {usedSlots} = spreadDemand(this.engines.map(({targetId, copies, speed}) => ({targetId, speed, models: new Set(copies.map(({model}) => model))})), demand, engineClass.batchSlots);
+		const {usedSlots} = spreadDemand(this.engines.map(({targetId, copies, speed}) => ({targetId, speed, models: new Set(copies.map(({model}) => model))})), demand, this.engineClass.batchSlots);
 		for (const [i, used] of usedSlots.entries()) {
 			const {speed} = this.engines[i]!;
-			this.lostSlots += getLostSlots(used, engineClass.batchSlots, speed);
+			this.lostSlots += getLostSlots(used, this.engineClass.batchSlots, speed);
 			this.slotsBySpeed.set(speed, (this.slotsBySpeed.get(speed) ?? 0) + used);
 		}
 
+		const {wavePeriodMs} = this.opts;
+		if (wavePeriodMs && this.nowMs % wavePeriodMs < STEP_MS) {
+			const busiest = new Set(['m0', 'm1', 'm2', 'm3', 'm4']);
+			this.peakCopies.push(this.engines.flatMap(({copies}) => copies.filter(({model}) => busiest.has(model))).length / busiest.size);
+		}
+
 		const used = usedSlots.map((slots, i) => slots / this.engines[i]!.speed);
 		this.busiest.push(Math.max(...used) * used.length / used.reduce((sum, slots) => sum + slots, 0));
 	}
@@ -202,15 +233,15 @@
 
 	private describe(demand: ReadonlyMap<string, number>): LoadPlanInput {
 		return {
-			engineClass,
+			engineClass: this.engineClass,
 			engines: this.engines.map(engine => this.describeEngine(engine)),
-			demand: engineClass.models.map(({name}) => {
+			demand: this.engineClass.models.map(({name}) => {
 				const sinceMs = this.missingSinceMs.get(name);
 				return {
 					model: name, places: this.places.get(name) ?? 0, waiting: sinceMs === undefined ? 0 : Math.min(8, Math.ceil(demand.get(name) ?? 0)), crowded: 0, missingMs: this.nowMs - (sinceMs ?? this.nowMs),
 				};
 			}),
-			storeLoads: this.store.getLoads(engineClass.storeLoadsPerSecond, this.nowMs),
+			storeLoads: this.store.getLoads(this.engineClass.storeLoadsPerSecond, this.nowMs),
 			getUndoneCost: (targetId, unload, load) => this.recentMoves.getUndoneCost(targetId, unload, load, this.nowMs),
 			isBrief: this.nowMs % 300 !== 0,
 			mayEvictForCopies: this.nowMs > DEMAND_TIME_CONSTANT_MS,
@@ -223,7 +254,7 @@
 		return {
 			targetId,
 			isFree: !move,
-			weightsMb: engineClass.weightsMb,
+			weightsMb: this.engineClass.weightsMb,
 			...(this.opts.knowsSpeeds && {speed}),
 			copies: copies.map(({model, sinceMs}) => ({model, ageMs: this.nowMs - sinceMs, adapterCount: 1})),
 			loading: planned?.load,
