--- a/apps/egretrilld/src/traffic/entry-host.ts
+++ b/apps/egretrilld/src/traffic/entry-host.ts
@@ -275,6 +275,8 @@
 			this.speeds.apply(fromSpeedPlan(speeds));
 		}
 
+		this.speeds.recordPlan();
+
 		this.targets.setExpectedModels(expected);
 		this.targets.setLeavingHints(leaving);
 		this.targets.setOtherHostsRequests(others);
--- a/packages/engines/src/registry/constants.ts
+++ b/packages/engines/src/registry/constants.ts
@@ -158,6 +158,9 @@
 /** The same at a host, which uses its own observations only for targets that no leader has told it of. */
 export const OWN_SPEED_INTERVAL_MS = 10_000;
 
+/** Time after the first report of a new leader until the speeds expire that it has not confirmed; within it, a new leader measures targets in use. */
+export const INHERITED_SPEED_MS = 30_000;
+
 /** Streams that the mean of a service counts as in the pace of a model, and the largest number that the latter counts as. */
 export const SERVICE_PACE_STREAMS = 2;
 export const MODEL_PACE_STREAMS = 20;
--- a/packages/engines/src/registry/host-speeds.ts
+++ b/packages/engines/src/registry/host-speeds.ts
@@ -1,6 +1,6 @@
 import type {Clock} from '@egretrill/common';
 import {
-	CURRENT_SLOWDOWN_MS, MAX_SLOWDOWN, MAX_TARGETS, MAX_UNREPORTED_PAIRS, MEAN_SLOWDOWN_RATIO, MIN_SLOWDOWN, MIN_STREAM_EVENTS, MIN_STREAM_MS, OWN_SPEED_INTERVAL_MS,
+	CURRENT_SLOWDOWN_MS, INHERITED_SPEED_MS, MAX_SLOWDOWN, MAX_TARGETS, MAX_UNREPORTED_PAIRS, MEAN_SLOWDOWN_RATIO, MIN_SLOWDOWN, MIN_STREAM_EVENTS, MIN_STREAM_MS, OWN_SPEED_INTERVAL_MS,
 } from './constants.js';
 import {ModelPaces} from './model-paces.js';
 import {type ProcessSpeed, SpeedMerger, type SpeedObservation} from './speed-merger.js';
@@ -30,12 +30,14 @@
 	private readonly paces = new ModelPaces();
 	private merged = new Map<string, ProcessSpeed>();
 	private known: KnownSpeeds | undefined;
+	/** Targets whose speed an earlier leader told and the present one has not confirmed, and when that one first reported. */
+	private inherited: {readonly targetIds: Set<string>; readonly sinceMs: number} | undefined;
 	/** Mean slowdown by service, over the reports of its targets. */
 	private readonly meanSlowdowns = new Map<string, number>();
 	/** Observations since the last poll, by service and by target, process and model. */
 	private unreported = new Map<string, Map<string, SpeedObservation>>();
 
-	constructor(clock: Clock) {
+	constructor(private readonly clock: Clock) {
 		super();
 		this.own = new SpeedMerger(clock, OWN_SPEED_INTERVAL_MS);
 	}
@@ -85,10 +87,15 @@
 		return this.known;
 	}
 
-	/** Applies the leader's speeds; those of an earlier leader stay until this one has measured the target. */
+	/** Applies the leader's speeds; those of an earlier leader stay for a while until this one has measured the target. */
 	apply({origin, revision, changed}: SpeedUpdate): void {
+		if (this.known && this.known.origin !== origin) {
+			this.inherited = {targetIds: new Set(this.merged.keys()), sinceMs: this.clock.now()};
+		}
+
 		this.known = {origin, revision};
 		for (const speed of changed) {
+			this.inherited?.targetIds.delete(speed.targetId);
 			// Speeds are kept in the order of their last change.
 			this.merged.delete(speed.targetId);
 			this.merged.set(speed.targetId, speed);
@@ -99,6 +106,19 @@
 		}
 	}
 
+	/** Records a plan of the leader, which may have told no speeds; those of an earlier leader expire if this one has not confirmed them in time. */
+	recordPlan(): void {
+		if (!this.inherited || this.clock.now() - this.inherited.sinceMs < INHERITED_SPEED_MS) {
+			return;
+		}
+
+		for (const targetId of this.inherited.targetIds) {
+			this.merged.delete(targetId);
+		}
+
+		this.inherited = undefined;
+	}
+
 	override getSpeed(targetId: string, startedAtMs: number): number | undefined {
 		const merged = this.merged.get(targetId);
 		if (merged?.startedAtMs === startedAtMs) {
--- a/packages/engines/src/registry/speed-merger.ts
+++ b/packages/engines/src/registry/speed-merger.ts
@@ -12,7 +12,7 @@
 export type ProcessSpeed = {readonly targetId: string; readonly startedAtMs: number; readonly speed: number};
 
 type ObservedTarget = {readonly startedAtMs: number; readonly models: Map<string, {readonly weight: number; readonly logPace: number}>};
-type ServiceSpeeds = {readonly targets: Map<string, ObservedTarget>; spread: number; differs: boolean; isChanged: boolean; mergedMs: number};
+type ServiceSpeeds = {readonly targets: Map<string, ObservedTarget>; spread: number; differs: boolean; isChanged: boolean; mergedMs: number; provenIds: readonly string[]};
 
 /** Merges observations of streams into the speeds of targets: at a host its own ones, at the leader those of all hosts. */
 export class SpeedMerger extends TargetSpeeds {
@@ -28,7 +28,7 @@
 		let known = this.services.get(service);
 		if (!known) {
 			known = {
-				targets: new Map(), spread: 0, differs: false, isChanged: true, mergedMs: Number.NEGATIVE_INFINITY,
+				targets: new Map(), spread: 0, differs: false, isChanged: true, mergedMs: Number.NEGATIVE_INFINITY, provenIds: [],
 			};
 			this.services.set(service, known);
 		}
@@ -82,10 +82,12 @@
 		const proven = [...speeds].filter(([, {weight}]) => weight >= MIN_SPEED_STREAMS);
 		service.spread = getSpread(proven.map(([, speed]) => speed), STREAM_NOISE);
 		service.differs = service.spread >= (service.differs ? MIN_STILL_SPREAD : MIN_SPEED_SPREAD);
-		for (const targetId of service.targets.keys()) {
+		for (const targetId of service.provenIds) {
 			this.speeds.delete(targetId);
 		}
 
+		service.provenIds = proven.map(([targetId]) => targetId);
+
 		for (const [targetId, {speed}] of service.differs ? proven : []) {
 			this.speeds.set(targetId, {targetId, startedAtMs: service.targets.get(targetId)!.startedAtMs, speed});
 		}
--- a/packages/engines/tests/registry/target-speeds.test.ts
+++ b/packages/engines/tests/registry/target-speeds.test.ts
@@ -1,7 +1,7 @@
 import {createRandom, ManualClock, type Random} from '@egretrill/common';
 import {expect} from 'chai';
 import {
-	estimateCompletion, getHostPreference, getTotalMs, HostSpeeds, type RequestWork, SpeedMerger, type SpeedObservation, SpeedUpdates, type TargetState,
+	estimateCompletion, getHostPreference, getTotalMs, HostSpeeds, MAX_TARGETS, type RequestWork, SpeedMerger, type SpeedObservation, SpeedUpdates, type TargetState,
 } from '../../src/registry/index.js';
 
 const TARGETS = 78;
@@ -83,10 +83,58 @@
 		const second = updates.getUpdate(host.getKnown())!;
 		host.apply(second);
 		expect({
-			first: first.changed.length, repeated, restarted: second.changed.find(({targetId}) => targetId === 't2'), old: host.getSpeed('t2', 1), fresh: host.getSpeed('t2', 2), other: host.getSpeed('t5', 1)?.toFixed(1), asNewLeader: new SpeedUpdates().getUpdate(host.getKnown()),
+			first: first.changed.length, repeated, restarted: second.changed.find(({targetId}) => targetId === 't2'), old: host.getSpeed('t2', 1), fresh: host.getSpeed('t2', 2), other: host.getSpeed('t5', 1)?.toFixed(1), asNewLeader: new SpeedUpdates().getUpdate(host.getKnown())?.changed,
 		}).toMatchSnapshot();
 	});
 
+	// Guards against an update that exceeds the schema of its message, which the host would refuse with the whole answer for the rest of the term.
+	it('are told of a bounded number of targets, however many there were in a term', () => {
+		const updates = new SpeedUpdates();
+		for (let round = 0; round < 3; round += 1) {
+			updates.publish(Array.from({length: MAX_TARGETS / 2}, (_, i) => ({targetId: `t${round}-${i}`, startedAtMs: 1, speed: 1.6})));
+		}
+
+		updates.publish([{targetId: 'late', startedAtMs: 1, speed: 0.6}]);
+		const {changed} = (updates.getUpdate(undefined)!);
+		expect({isBounded: changed.length <= MAX_TARGETS, latest: changed.at(-1)?.targetId}).to.deep.equal({isBounded: true, latest: 'late'});
+	});
+
+	// Guards against the speed of a target that was forgotten, which would be told to hosts for the rest of the term.
+	it('are dropped with their target', () => {
+		const clock = new ManualClock();
+		const merger = new SpeedMerger(clock);
+		merger.record('s', observe(createRandom(3), [0.6, 1, 1.6]));
+		const before = merger.list().length;
+		merger.record('s', Array.from({length: MAX_TARGETS}, (_, i) => ({
+			targetId: `new${i}`, startedAtMs: 1, model: 'm', count: 1, logSum: 4,
+		})));
+		clock.advance(1000);
+		expect({before: before > 0, old: merger.list().filter(({targetId}) => targetId.startsWith('t')).length}).to.deep.equal({before: true, old: 0});
+	});
+
+	// Guards against speeds of an earlier leader that are used after the targets have become equally fast, which a new leader never tells.
+	it('of an earlier leader expire unless the new one confirms them while it reports', () => {
+		const clock = new ManualClock();
+		const host = new HostSpeeds(clock);
+		host.apply({origin: 'a', revision: 1, changed: [{targetId: 't0', startedAtMs: 1, speed: 0.6}, {targetId: 't1', startedAtMs: 1, speed: 1.6}]});
+		const list = (): unknown => ['t0', 't1'].map(id => host.getSpeed(id, 1));
+		clock.advance(60_000);
+		const withoutLeader = list();
+		host.recordPlan();
+		host.apply({origin: 'b', revision: 1, changed: [{targetId: 't1', startedAtMs: 1, speed: 1.5}]});
+		clock.advance(29_000);
+		host.recordPlan();
+		const inherited = list();
+		clock.advance(2000);
+		const unheard = list();
+		host.recordPlan();
+		expect({
+			withoutLeader, inherited, unheard, expired: list(), merged: host.listMerged(),
+		}).to.deep.equal({
+			withoutLeader: [0.6, 1.6], inherited: [0.6, 1.5], unheard: [0.6, 1.5], expired: [undefined, 1.5], merged: [1.5],
+		});
+	});
+
 	// Guards against a host without a leader that sends streams to slow targets.
 	it('are learned by a host alone, where targets report their current speed', () => {
 		const clock = new ManualClock();
