ready times: count the loads before and the unloads at an engine

Cause: each model took the shortest load from memory or disk as its ready time, as if an engine loaded several at once and always had room. Callers waited for loads that began seconds later or never.

Change: LocalLoads plans these loads one after the other at each engine, with IDLE_UNLOAD_MS or BUSY_UNLOAD_MS for each copy that a full engine may evict; where none may be evicted, or the store is sooner, the store counts.

--- a/packages/engines/src/loading/estimate-ready-times.ts
+++ b/packages/engines/src/loading/estimate-ready-times.ts
@@ -1,4 +1,6 @@
-import type {EngineClass, StoredModel} from '@egretrill/common';
+import type {EngineClass} from '@egretrill/common';
+import {SLOTS_PER_WAITING_REQUEST} from './constants.js';
+import {LocalLoads} from './local-loads.js';
 import type {ModelDemand} from './types.js';
 
 const MS_PER_SECOND = 1000;
@@ -42,35 +44,20 @@
 	return moveMs;
 }
 
-/** Shortest time by model in which an engine without a running move loads it from its memory or disk. */
-function getLocalLoadTimes(engines: readonly MovingEngine[], models: ReadonlyMap<string, StoredModel>): ReadonlyMap<string, number> {
-	const loadMs = new Map<string, number>();
-	for (const {loading, inMemory = [], onDisk = []} of engines) {
-		for (const model of loading === undefined ? onDisk : []) {
-			setLeast(loadMs, model, models.get(model)?.diskLoadMs ?? Number.POSITIVE_INFINITY);
-		}
-
-		for (const model of loading === undefined ? inMemory : []) {
-			setLeast(loadMs, model, models.get(model)?.memoryLoadMs ?? Number.POSITIVE_INFINITY);
-		}
-	}
-
-	return loadMs;
-}
-
 /**
  * Estimates when models that cannot serve now will be ready, so that hosts keep only those callers waiting that can still be served in time.
  * This matters when demand shifts to models without a copy, and when many such models wait for the weight store, which starts loads at a limited rate.
  */
-export function estimateReadyTimes({service, engineClass: {models, storeLoadsPerSecond}, engines, demand, storeFreeInMs}: ReadyTimeInput): readonly ModelReadyTime[] {
+export function estimateReadyTimes({service, engineClass, engines, demand, storeFreeInMs}: ReadyTimeInput): readonly ModelReadyTime[] {
+	const {models, storeLoadsPerSecond} = engineClass;
 	const loadIntervalMs = storeLoadsPerSecond > 0 ? MS_PER_SECOND / storeLoadsPerSecond : 0;
 	const readyTimes: ModelReadyTime[] = [];
 	let nextLoadStartsInMs = storeFreeInMs;
 	const stored = new Map(models.map(model => [model.name, model]));
 	const moveTimes = getMoveTimes(engines);
-	const localTimes = getLocalLoadTimes(engines, stored);
+	const localLoads = new LocalLoads(engineClass, engines, demand);
 	const byWaiting = demand.toSorted((a, b) => b.waiting - a.waiting || b.places - a.places);
-	for (const {model, waiting} of byWaiting) {
+	for (const {model, waiting, places, crowded} of byWaiting) {
 		const moveMs = moveTimes.get(model);
 		if (moveMs !== undefined) {
 			readyTimes.push(...(moveMs > 0 ? [{service, model, readyInMs: moveMs}] : []));
@@ -82,8 +69,9 @@
 			continue;
 		}
 
-		const localMs = localTimes.get(model);
-		readyTimes.push({service, model, readyInMs: localMs ?? nextLoadStartsInMs + storeLoadMs});
+		const storeMs = nextLoadStartsInMs + storeLoadMs;
+		const localMs = localLoads.plan(model, places + crowded + (waiting * SLOTS_PER_WAITING_REQUEST), storeMs);
+		readyTimes.push({service, model, readyInMs: localMs ?? storeMs});
 		nextLoadStartsInMs += localMs === undefined ? loadIntervalMs : 0;
 	}
 
