weight store: keep to its rate when load orders are sent

Cause: the store's budget counts loads when they are planned. A load after an unload of 2.5 s is sent together with loads that were planned later and need no unload.

Change: StoreStarts counts the starts of the last 5 s when the order is due, after the unloads, and holds back those beyond 5 s of the rate and a burst of three. The state of a service's plans is in a module of its own.

--- a/packages/engines/src/loading/constants.ts
+++ b/packages/engines/src/loading/constants.ts
@@ -46,6 +46,9 @@
 export const STORE_BURST_S = 0.2;
 export const MAX_STORE_BURST_LOADS = 3;
 
+/** Time within which the store starts no more loads than its rate and a burst allow. */
+export const STORE_WINDOW_MS = 5000;
+
 /** Time within which a move is not undone unless that gains more than both moves cost. */
 export const UNDO_PERIOD_MS = 20_000;
 
--- a/packages/engines/src/loading/engine-order-queue.ts
+++ b/packages/engines/src/loading/engine-order-queue.ts
@@ -88,7 +88,7 @@
 	}
 
 	/** Unloads the models that the move names, then loads its model if the engine has memory for it; returns whether the engine holds it. */
-	async runMove(move: LoadMove, hasMemory: (held: readonly HeldModel[]) => boolean): Promise<boolean> {
+	async runMove(move: LoadMove, hasMemory: (held: readonly HeldModel[]) => boolean, waitForStart: (signal: AbortSignal) => Promise<void>): Promise<boolean> {
 		const plannedModels = this.getModels().map(({name}) => name).filter(name => !move.unload.includes(name));
 		this.move = move;
 		this.moveEndsAtMs = this.opts.clock.now() + move.totalMs;
@@ -100,6 +100,7 @@
 					}
 				}
 
+				await waitForStart(this.opts.signal);
 				// An adapter that was under way when the move was planned may have taken the memory.
 				return this.loadModel(move, () => holdsOnly(this.getModels(), plannedModels) && hasMemory(this.getModels()));
 			});
--- a/packages/engines/src/loading/engine-owner.ts
+++ b/packages/engines/src/loading/engine-owner.ts
@@ -12,9 +12,7 @@
 import {estimateReadyTimes, type ModelReadyTime} from './estimate-ready-times.js';
 import {isSwap, planLoads} from './plan-loads.js';
 import {getLoadSource, type LoadObserver} from './load-observer.js';
-import {PlanSchedule} from './plan-schedule.js';
-import {RecentMoves} from './recent-moves.js';
-import {StoreBudget} from './store-budget.js';
+import {PlannedService} from './planned-service.js';
 import {type WaitingCounts, WaitingReports} from './waiting-reports.js';
 import type {
 	GetTargetSpeed, LoadMove, ModelDemand, PlannedEngine,
@@ -46,15 +44,6 @@
 	readonly getClasses: () => ReadonlyMap<string, EngineClass>;
 };
 
-/** State that the plans of one service share. */
-type PlannedService = {
-	readonly store: StoreBudget;
-	readonly recentMoves: RecentMoves;
-	readonly schedule: PlanSchedule;
-	/** Models that the last plan had no time for. */
-	deferred: readonly string[];
-};
-
 type PlanningRound = {
 	readonly service: string;
 	readonly engineClass: EngineClass;
@@ -215,24 +204,24 @@
 	}
 
 	private getPlanned(service: string): PlannedService {
-		const planned = this.planned.get(service) ?? {
-			store: new StoreBudget(), recentMoves: new RecentMoves(), schedule: new PlanSchedule(), deferred: [],
-		};
+		const planned = this.planned.get(service) ?? new PlannedService(this.opts.clock);
 		this.planned.set(service, planned);
 		return planned;
 	}
 
 	private async runMove(queue: EngineOrderQueue, service: string, move: LoadMove, engineClass: EngineClass): Promise<void> {
 		const {clock, logger} = this.opts;
+		const {store, storeStarts} = this.getPlanned(service);
 		if (move.fromStore && engineClass.storeLoadsPerSecond > 0) {
-			this.getPlanned(service).store.recordLoad();
+			store.recordLoad();
 		}
 
 		const startedMs = clock.now();
 		this.opts.loadObserver?.recordLoad(getLoadSource(move, engineClass), move.reason);
 		logger.info({...move, source: getLoadSource(move, engineClass), places: this.demand.getPerSecond(getDemandKey({service, model: move.load}))}, 'A model is loaded.');
 		try {
-			const isHeld = await queue.runMove(move, held => hasMemoryForModel(held, move.load, this.memory.getLimits(service, engineClass)));
+			const hasMemory = (held: readonly HeldModel[]): boolean => hasMemoryForModel(held, move.load, this.memory.getLimits(service, engineClass));
+			const isHeld = await queue.runMove(move, hasMemory, async signal => move.fromStore ? storeStarts.wait(engineClass.storeLoadsPerSecond, signal) : undefined);
 			logger.info({
 				targetId: move.targetId, model: move.load, isHeld, tookMs: Math.round(clock.now() - startedMs),
 			}, 'A load has ended.');
