traffic: shorter control host file and entry host constructor

Change: createControlNode (control-node.ts) creates the log member of a control host; EntryHost creates its targets and its server in functions of their own, PlannedStop raises the listener limit of its signal itself.

--- a/apps/egretrilld/src/traffic/constants.ts
+++ b/apps/egretrilld/src/traffic/constants.ts
@@ -173,3 +173,6 @@
 
 /** Faults of a registration that one line names. */
 export const MAX_LOGGED_FAULTS = 3;
+
+/** How often waiting requests are retried if no change of the targets triggers it. */
+export const QUEUE_RETRY_INTERVAL_MS = 100;
--- a/apps/egretrilld/src/traffic/control-host.ts
+++ b/apps/egretrilld/src/traffic/control-host.ts
@@ -1,20 +1,19 @@
 import {randomUUID} from 'node:crypto';
 import {setMaxListeners} from 'node:events';
-import path from 'node:path';
 import type {CrashReport} from '@egretrill/callers';
 import {
 	type Clock, type Logger, type LoopWatch, type Random, type Registration,
 } from '@egretrill/common';
-import {FileLogStorage, SnapshotStore} from '@egretrill/disk';
 import {type EngineOrders, type LoadObserver, TargetRegistry} from '@egretrill/engines';
 import {
-	bindConsensus, bindFleetLog, bindMethod, type ConnectionObserver, ConsensusNode,
-	ControlPeers, FleetLog, type FleetNode, FleetState, GrpcConsensusTransport, type MethodHandler, type PeerCredentials,
+	bindConsensus, bindFleetLog, bindMethod, type ConnectionObserver,
+	ControlPeers, FleetLog, type FleetNode, FleetState, type MethodHandler, type PeerCredentials,
 } from '@egretrill/hosts';
 import type {ConfigDecoder} from './config-decoder.js';
 import {ConfigParts} from './config-parts.js';
 import {CONTROL_CHECK_INTERVAL_MS, LOG_FAILURE_EXIT_DELAY_MS, MAX_LOGGED_FAULTS} from './constants.js';
 import {ControlGossip} from './control-gossip.js';
+import {createControlNode} from './control-node.js';
 import {ControlService, type PutOutcome} from './control-service.js';
 import {DecodedTraffic} from './decoded-traffic.js';
 import {DepartureLog} from './departure-log.js';
@@ -89,19 +88,8 @@
 		this.syncNotifier = new SyncNotifier({
 			clock, registry: this.registry, getConfigVersion: () => this.state.getTraffic()?.version ?? 0, hasCrashesSince: known => this.getTerm()?.hasCrashesSince(known) ?? false,
 		});
-		const folder = path.join(settings.dataDir, 'log');
-		this.node = new ConsensusNode({
-			memberId: this.hostId,
-			initialMembers: settings.isFirstStart ? settings.seeds : [],
-			minVoters: settings.minVoters,
-			transport: new GrpcConsensusTransport(this.peers),
-			storage: new FileLogStorage({folder}),
-			snapshots: new SnapshotStore({folder}),
-			machine: this.state,
-			clock,
-			getTimeOfDayMs: () => Date.now(),
-			random,
-			logger,
+		this.node = createControlNode({
+			settings, clock, random, logger, peers: this.peers, state: this.state,
 		});
 		this.log = new FleetLog({
 			hostId: this.hostId,
--- a/apps/egretrilld/src/traffic/entry-host.ts
+++ b/apps/egretrilld/src/traffic/entry-host.ts
@@ -1,4 +1,3 @@
-import {setMaxListeners} from 'node:events';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {
 	type Clock, createHttpServer, jitter, type Logger, type LoopWatch, MemoryBudget, type Random, setReadTimeouts, type TimeMark, type TrafficSource, TurnQueue,
@@ -15,7 +14,7 @@
 import {CallerConnections} from './caller-connections.js';
 import {ColdSendRequests} from './cold-send-requests.js';
 import {
-	BYTES_PER_MB, HELD_MEMORY_RATIO, IDLE_WAIT_RATIO, MAX_LEAVING_TARGETS,
+	BYTES_PER_MB, HELD_MEMORY_RATIO, IDLE_WAIT_RATIO, MAX_LEAVING_TARGETS, QUEUE_RETRY_INTERVAL_MS,
 } from './constants.js';
 import type {ConfigDecoder} from './config-decoder.js';
 import {ControlFollower, type HostReport, SyncSink} from './control-follower.js';
@@ -32,9 +31,6 @@
 import {createSpeedReport, fromSpeedPlan} from './speed-messages.js';
 import type {EntrySettings, TrafficBounds} from './settings.js';
 
-/** How often waiting requests are retried if no change of the targets triggers it. */
-const QUEUE_RETRY_INTERVAL_MS = 100;
-
 export type EntryHostOptions = {
 	readonly settings: EntrySettings;
 	readonly clock: Clock;
@@ -89,21 +85,7 @@
 		this.rates = new RateAllocations(clock);
 		this.speeds = new HostSpeeds(clock);
 		this.choiceMetrics = new ChoiceMetrics(this.speeds, metrics);
-		this.targets = new TargetTable({
-			clock,
-			random: opts.random,
-			zone: settings.zone,
-			getColdRate: service => this.getColdRate(service),
-			getBatchSlots: service => this.routeTable?.services.get(service)?.engine?.batchSlots,
-			pricing: {
-				speeds: this.speeds,
-				getPreference: targetId => getHostPreference(settings.host, targetId),
-				hasIdleConnection: address => this.sender.hasIdleConnection(address),
-			},
-			onColdSends: (basis, count) => {
-				this.observer.recordColdSends(basis, count);
-			},
-		});
+		this.targets = this.createTargets();
 		this.follower = new ControlFollower({
 			hostId: settings.host, zone: settings.zone, clock, getTimeOfDayMs: () => Date.now(), random: opts.random, logger, peers, sink: this,
 		});
@@ -137,11 +119,7 @@
 			},
 		});
 		this.forwardDependencies = this.createForwardDependencies();
-		// Every request in flight listens to this signal, which exceeds Node's default limit for listener leaks.
-		setMaxListeners(0, this.plannedStop.ended);
-		this.server = createHttpServer((req, res) => {
-			void this.serve(req, res);
-		}, {memory: this.memory});
+		this.server = this.createServer();
 		this.connections = new CallerConnections(this.server, () => this.drain.trackWork('connection'));
 	}
 
@@ -290,6 +268,31 @@
 		this.applyRetryLimits();
 	}
 
+	private createServer(): Server {
+		return createHttpServer((req, res) => {
+			void this.serve(req, res);
+		}, {memory: this.memory});
+	}
+
+	private createTargets(): TargetTable {
+		const {settings, clock, random} = this.opts;
+		return new TargetTable({
+			clock,
+			random,
+			zone: settings.zone,
+			getColdRate: service => this.getColdRate(service),
+			getBatchSlots: service => this.routeTable?.services.get(service)?.engine?.batchSlots,
+			pricing: {
+				speeds: this.speeds,
+				getPreference: targetId => getHostPreference(settings.host, targetId),
+				hasIdleConnection: address => this.sender.hasIdleConnection(address),
+			},
+			onColdSends: (basis, count) => {
+				this.observer.recordColdSends(basis, count);
+			},
+		});
+	}
+
 	private createForwardDependencies(): ForwardDependencies {
 		const {clock, random, dialect} = this.opts;
 		return {
--- a/packages/callers/src/forward/stops/planned-stop.ts
+++ b/packages/callers/src/forward/stops/planned-stop.ts
@@ -1,3 +1,4 @@
+import {setMaxListeners} from 'node:events';
 import type {Clock} from '@egretrill/common';
 import {NEW_CONNECTIONS_RATIO} from '../constants.js';
 
@@ -8,7 +9,10 @@
 	private balancerWaitMs = 0;
 	private endsMs: number | undefined;
 
-	constructor(private readonly clock: Clock) {}
+	constructor(private readonly clock: Clock) {
+		// Every request in flight listens to this signal, which exceeds Node's default limit for listener leaks.
+		setMaxListeners(0, this.endAbort.signal);
+	}
 
 	/** Aborts when requests in progress must end. */
 	get ended(): AbortSignal {
