callers: wait as before for models without a shortage

Cause: with a fresh leader and no figures for a model, the host's own rate of slots was ignored and the limit was an eighth of the target latency; a model without a plan got 200 ms instead of 700. Change: the shorter limits apply only to models of which the leader returned figures within the last 5 s. Other models use the host's own rate and the limits from before the figures existed.

--- a/packages/callers/src/forward/constants.ts
+++ b/packages/callers/src/forward/constants.ts
@@ -3,8 +3,14 @@
 /** A request is refused when no target is expected within this fraction of its timeout, while its caller can still retry elsewhere. */
 export const MAX_WAIT_RATIO = 0.5;
 
-/** Maximum wait for a model whose load no engine owner has planned, unless an eighth of the target latency is longer; while there is an owner, plans are made several times a second. */
-export const UNPLANNED_MODEL_WAIT_MS = 200;
+/** Maximum wait for a model whose load no engine owner has planned; while there is an owner, plans are made several times a second. */
+export const UNPLANNED_MODEL_WAIT_MS = 700;
+
+/** The same in a shortage, unless an eighth of the target latency is longer. */
+export const SHORTAGE_UNPLANNED_WAIT_MS = 200;
+
+/** Time after figures of a shortage for which the waits for its model stay short; longer than the gaps between the polls of a host. */
+export const RECENT_SHORTAGE_MS = 5000;
 
 /** Fraction of the target latency that a request may wait for a slot of which nothing is known; a request held for longer and then refused has cost its caller time. */
 export const UNKNOWN_WAIT_RATIO = 1 / 8;
@@ -19,6 +25,9 @@
 /** Fraction of the target latency that a request may wait while all targets are busy; requests answered late delay others past their latency. */
 export const SATURATED_WAIT_RATIO = 0.8;
 
+/** A request may wait at least this long while all targets are busy and no shortage of its model is known. */
+export const MIN_SATURATED_WAIT_MS = 250;
+
 /** Time constant of the rate at which slots become free. */
 export const SLOT_RATE_TIME_CONSTANT_MS = 1000;
 
--- a/packages/callers/src/forward/waiting/fleet-shortage.ts
+++ b/packages/callers/src/forward/waiting/fleet-shortage.ts
@@ -1,6 +1,6 @@
 import type {Clock} from '@egretrill/common';
 import {
-	DEFAULT_RETRY_SPACING_MS, FLEET_FIGURES_TTL_MS, MAX_FIGURES_WINDOW_MS, MAX_REPORTED_KINDS, MIN_FIGURES_WINDOW_MS, RETRY_SLOT_RATIO,
+	DEFAULT_RETRY_SPACING_MS, FLEET_FIGURES_TTL_MS, MAX_FIGURES_WINDOW_MS, MAX_REPORTED_KINDS, MIN_FIGURES_WINDOW_MS, RECENT_SHORTAGE_MS, RETRY_SLOT_RATIO,
 } from '../constants.js';
 import {type BacklogEntry, countByKind} from './queue-report.js';
 import {
@@ -70,6 +70,8 @@
 	/** What this host reported last, which the next figures contain. */
 	private reported: ReadonlyMap<string, readonly KindCounts[]> = new Map();
 	private slots = new Map<string, number>();
+	/** Time of the last figures of each model that had some recently. */
+	private readonly shortageMs = new Map<string, number>();
 	private arrivals = new Map<string, Map<RequestKind, number>>();
 
 	constructor(private readonly clock: Clock) {}
@@ -113,6 +115,12 @@
 			const key = getQueueKey(service, model);
 			return [key, {slotsPerSecond, kinds, own: this.reported.get(key) ?? []}];
 		}));
+		this.recordShortages(nowMs);
+	}
+
+	/** Whether the leader knew of a shortage of a model a few seconds ago. */
+	isRecent(key: string): boolean {
+		return this.clock.now() - (this.shortageMs.get(key) ?? Number.NEGATIVE_INFINITY) <= RECENT_SHORTAGE_MS;
 	}
 
 	/** What waits at the other hosts; undefined if nothing waits for the model there or here, its rate of slots is unknown, or the figures have expired. */
@@ -147,6 +155,18 @@
 		return this.clock.now() - this.appliedMs <= FLEET_FIGURES_TTL_MS;
 	}
 
+	private recordShortages(nowMs: number): void {
+		for (const [key, atMs] of this.shortageMs) {
+			if (nowMs - atMs > RECENT_SHORTAGE_MS) {
+				this.shortageMs.delete(key);
+			}
+		}
+
+		for (const key of this.figures.keys()) {
+			this.shortageMs.set(key, nowMs);
+		}
+	}
+
 	private getFresh(key: string): ModelFigures | undefined {
 		return this.isFresh() ? this.figures.get(key) : undefined;
 	}
--- a/packages/callers/src/forward/waiting/slot-forecast.ts
+++ b/packages/callers/src/forward/waiting/slot-forecast.ts
@@ -68,11 +68,11 @@
 		return this.retrySchedule.getRetryAfterMs(queueKey, earliestMs, intervalMs === undefined ? undefined : intervalMs / RETRY_SLOT_RATIO);
 	}
 
-	/** With a leader that knows of no request that waits for the model, the few slots of this host would say nothing of the fleet's. */
+	/** In a shortage of the model, the few slots of this host say nothing of the fleet's. */
 	private getSlotWaitMs({queueKey, kind, ahead, waitedMs}: ForecastBasis): number | undefined {
 		const others = this.fleet.getOthers(queueKey, kind);
 		if (!others) {
-			return this.fleet.isFresh() ? undefined : this.slotRate.getWaitMs(queueKey, ahead);
+			return this.fleet.isFresh() && this.fleet.isRecent(queueKey) ? undefined : this.slotRate.getWaitMs(queueKey, ahead);
 		}
 
 		// Those of its rank that were ahead when it arrived have got slots meanwhile.
--- a/packages/callers/src/forward/waiting/slot-queue.ts
+++ b/packages/callers/src/forward/waiting/slot-queue.ts
@@ -311,7 +311,7 @@
 		waiter.firstForecastMs ??= forecastMs;
 		const ownReturning = this.returning.count(queueKey);
 		const decision = decideWait({
-			reason, waitedMs, forecastMs, isNew, isCold, wasRefusedBefore: ownReturning > 0,
+			reason, waitedMs, forecastMs, isNew, isCold, wasRefusedBefore: ownReturning > 0, isShortage: this.fleet.isRecent(queueKey),
 		}, limits);
 		if (decision.kind === 'wait') {
 			this.limitTimer.set(nowMs + decision.untilMs);
--- a/packages/callers/src/forward/waiting/wait-forecast.ts
+++ b/packages/callers/src/forward/waiting/wait-forecast.ts
@@ -1,6 +1,6 @@
 import {type Clock, DecayingCounts} from '@egretrill/common';
 import {
-	ADMISSION_RATIO, DEFAULT_RETRY_SPACING_MS, LOAD_ADMISSION_RATIO, MAX_FLEET_RETRY_MS, MAX_RETRY_SPREAD_MS, MAX_SPACED_RETRY_MS, MIN_RETRY_AFTER_MS, NO_TARGET_RETRY_MS, SLOT_RATE_TIME_CONSTANT_MS, UNPLANNED_MODEL_WAIT_MS,
+	ADMISSION_RATIO, DEFAULT_RETRY_SPACING_MS, LOAD_ADMISSION_RATIO, MAX_FLEET_RETRY_MS, MAX_RETRY_SPREAD_MS, MAX_SPACED_RETRY_MS, MIN_RETRY_AFTER_MS, NO_TARGET_RETRY_MS, SHORTAGE_UNPLANNED_WAIT_MS, SLOT_RATE_TIME_CONSTANT_MS, UNPLANNED_MODEL_WAIT_MS,
 } from '../constants.js';
 
 /** Maximum wait for a slot, by what the request waits for. */
@@ -11,8 +11,16 @@
 	readonly plannedMs: number;
 	/** For a slot while all targets are busy. */
 	readonly saturatedMs: number;
-	/** For a slot of which nothing is known; the same as for a known one if absent. */
-	readonly unknownMs?: number;
+	/** In a shortage of the model; the same as without one if absent. */
+	readonly shortage?: ShortageLimits;
+};
+
+/** Maximum wait for a slot in a shortage. */
+export type ShortageLimits = {
+	/** For a slot that is expected in time. */
+	readonly saturatedMs: number;
+	/** For a slot of which nothing is known. */
+	readonly unknownMs: number;
 };
 
 /** Why no slot is available: all targets are full, all have asked this host to send nothing for a time, none has the adapter, or none has the model. */
@@ -29,13 +37,15 @@
 	readonly isCold?: boolean;
 	/** Whether a request for the same model was refused here recently, so that the leader has had time to plan its load. */
 	readonly wasRefusedBefore?: boolean;
+	/** Whether a shortage of the model is known, or was a few seconds ago. */
+	readonly isShortage?: boolean;
 };
 
 /** Whether a request keeps waiting, or when its caller should retry instead. */
 export type WaitDecision = {readonly kind: 'wait'; readonly untilMs: number} | {readonly kind: 'refuse'; readonly retryAfterMs: number};
 
-/** How long a request may wait whose slot is expected by a forecast. */
-function getPlannedLimitMs({reason, isNew = false}: WaitState, {plannedMs, saturatedMs}: WaitLimits): number {
+/** How long a request may wait whose slot is expected by a forecast, in a shortage. */
+function getPlannedLimitMs({reason, isNew = false}: WaitState, plannedMs: number, {saturatedMs}: ShortageLimits): number {
 	if (reason === 'paused') {
 		return saturatedMs;
 	}
@@ -44,15 +54,15 @@
 	return reason === 'full' ? saturatedMs * (isNew ? ADMISSION_RATIO : 1) : plannedMs * (isNew ? LOAD_ADMISSION_RATIO : 1);
 }
 
-/** How long a request may wait of whose slot nothing is known. */
-function getUnplannedLimitMs({reason, isCold = false, wasRefusedBefore = false}: WaitState, {unplannedMs, saturatedMs, unknownMs = saturatedMs}: WaitLimits): number {
+/** How long a request may wait of whose slot nothing is known, in a shortage. */
+function getUnplannedLimitMs({reason, isCold = false, wasRefusedBefore = false}: WaitState, unplannedMs: number, {saturatedMs, unknownMs}: ShortageLimits): number {
 	switch (reason) {
 		case 'adapter-missing': {
 			return unplannedMs;
 		}
 
 		case 'none': {
-			return wasRefusedBefore ? unknownMs : Math.max(unknownMs, Math.min(saturatedMs, UNPLANNED_MODEL_WAIT_MS));
+			return wasRefusedBefore ? unknownMs : Math.max(unknownMs, Math.min(saturatedMs, SHORTAGE_UNPLANNED_WAIT_MS));
 		}
 
 		case 'full':
@@ -62,10 +72,36 @@
 	}
 }
 
+/** How long a request may wait while no shortage of its model is known. */
+function getUsualLimitMs({reason, forecastMs, wasRefusedBefore = false}: WaitState, {unplannedMs, plannedMs, saturatedMs, shortage}: WaitLimits): number {
+	if (reason === 'full' || reason === 'paused') {
+		return saturatedMs;
+	}
+
+	if (forecastMs !== undefined) {
+		return plannedMs;
+	}
+
+	if (reason === 'adapter-missing') {
+		return unplannedMs;
+	}
+
+	return wasRefusedBefore && shortage ? shortage.unknownMs : Math.min(unplannedMs, UNPLANNED_MODEL_WAIT_MS);
+}
+
+function getLimitMs(state: WaitState, limits: WaitLimits): number {
+	const {unplannedMs, plannedMs, shortage} = limits;
+	if (!state.isShortage || !shortage) {
+		return getUsualLimitMs(state, limits);
+	}
+
+	return state.forecastMs === undefined ? getUnplannedLimitMs(state, unplannedMs, shortage) : getPlannedLimitMs(state, plannedMs, shortage);
+}
+
 /** Refuses a request as soon as its slot is expected too late, as in bursts beyond the capacity of the targets or when a model takes longer to load than callers wait. */
 export function decideWait(state: WaitState, limits: WaitLimits): WaitDecision {
 	const {reason, waitedMs, forecastMs} = state;
-	const limitMs = forecastMs === undefined ? getUnplannedLimitMs(state, limits) : getPlannedLimitMs(state, limits);
+	const limitMs = getLimitMs(state, limits);
 	if (waitedMs + (forecastMs ?? 0) < limitMs) {
 		return {kind: 'wait', untilMs: limitMs - waitedMs};
 	}
--- a/packages/callers/src/forward/waiting/wait-limits.ts
+++ b/packages/callers/src/forward/waiting/wait-limits.ts
@@ -1,6 +1,6 @@
 import type {TrafficRoute} from '@egretrill/common';
 import {
-	MAX_WAIT_RATIO, PLANNED_WAIT_RATIO, SATURATED_WAIT_RATIO, STREAM_CALLER_TIMEOUT_MS, STREAM_CALLER_TIMEOUT_RATIO, STREAM_WAIT_RATIO, UNKNOWN_WAIT_RATIO,
+	MAX_WAIT_RATIO, MIN_SATURATED_WAIT_MS, PLANNED_WAIT_RATIO, SATURATED_WAIT_RATIO, STREAM_CALLER_TIMEOUT_MS, STREAM_CALLER_TIMEOUT_RATIO, STREAM_WAIT_RATIO, UNKNOWN_WAIT_RATIO,
 } from '../constants.js';
 import type {WaitLimits} from './wait-forecast.js';
 
@@ -11,7 +11,10 @@
 	return {
 		unplannedMs,
 		plannedMs: Math.min(remainingMs * PLANNED_WAIT_RATIO, callerWaitMs),
-		saturatedMs: Math.min(unplannedMs, targetLatencyMs * SATURATED_WAIT_RATIO),
-		unknownMs: Math.min(unplannedMs, targetLatencyMs * UNKNOWN_WAIT_RATIO),
+		saturatedMs: Math.min(unplannedMs, Math.max(MIN_SATURATED_WAIT_MS, targetLatencyMs * SATURATED_WAIT_RATIO)),
+		shortage: {
+			saturatedMs: Math.min(unplannedMs, targetLatencyMs * SATURATED_WAIT_RATIO),
+			unknownMs: Math.min(unplannedMs, targetLatencyMs * UNKNOWN_WAIT_RATIO),
+		},
 	};
 }
--- a/packages/callers/tests/forward/slot-queue.test.ts
+++ b/packages/callers/tests/forward/slot-queue.test.ts
@@ -1,7 +1,7 @@
 import {ManualClock} from '@egretrill/common';
 import {expect} from 'chai';
 import {
-	type TargetSlot, type SlotResult, type SlotRequirements, SlotQueue, SlotSource, type WaitLimits,
+	getWaitLimits, type TargetSlot, type SlotResult, type SlotRequirements, SlotQueue, SlotSource, type WaitLimits,
 } from '../../src/forward/index.js';
 
 class FakeSource extends SlotSource {
@@ -210,3 +210,26 @@
 		}).toMatchSnapshot();
 	});
 });
+
+describe('SlotQueue where the leader knows of no shortage', () => {
+	// Guards against refusals after some ms while a plain target is full in a short burst, and after an eighth of the target latency while a missing model is about to be planned.
+	it('waits as long as without figures', async () => {
+		const clock = new ManualClock();
+		const source = new FakeSource();
+		source.missing.add('rare');
+		const queue = new SlotQueue(clock, source);
+		const waitedMs = async (model: string): Promise<number | 'served'> => {
+			const result = await queue.acquire(createRequirements(model), 0, getWaitLimits({isStream: false, targetLatencyMs: 124}, 1000), new AbortController().signal);
+			return result.isOk ? 'served' : clock.now();
+		};
+
+		queue.createReport();
+		queue.applyFigures([]);
+		const waits = [waitedMs('m'), waitedMs('m'), waitedMs('rare')];
+		await clock.run(30);
+		source.free = 1;
+		queue.dispatch();
+		await clock.run(970);
+		expect(await Promise.all(waits)).to.deep.equal(['served', 250, 500]);
+	});
+});
--- a/packages/callers/tests/forward/wait-forecast.test.ts
+++ b/packages/callers/tests/forward/wait-forecast.test.ts
@@ -111,7 +111,7 @@
 describe('decideWait with the limits of a route', () => {
 	// Guards against requests that are held for longer than an eighth of their target latency without any forecast, and against forecasts that err a little and end in a refusal after a wait.
 	it('ends a wait without a forecast early and leaves room for errors of a forecast', () => {
-		const decideFor = (targetLatencyMs: number, state: Omit<WaitState, 'forecastMs'> & {readonly forecastMs?: number}): unknown => decideWait({forecastMs: undefined, ...state}, getWaitLimits({isStream: true, targetLatencyMs}, 10_000));
+		const decideFor = (targetLatencyMs: number, state: Omit<WaitState, 'forecastMs'> & {readonly forecastMs?: number}): unknown => decideWait({forecastMs: undefined, isShortage: true, ...state}, getWaitLimits({isStream: true, targetLatencyMs}, 10_000));
 		expect({
 			urgentUnknown: decideFor(252, {reason: 'full', waitedMs: 0}),
 			patientUnknown: decideFor(5000, {reason: 'full', waitedMs: 0}),
