callers: figures of a shortage end with its queues and list all kinds

Cause: a model stayed in the figures while refused callers were expected back, so that requests were refused while slots were free. More urgent kinds of which none waited were missing, and less urgent requests were promised their slots. Change: the leader returns figures only for models of which a request waits, with every kind that has arrived recently, and forgets decayed counts. For a few seconds after the queues are empty, hosts use the last rate of slots for forecasts and the times to return, but no longer for shares. Result: the new tests of ShortageOwner fail before and pass after.

--- a/packages/callers/src/forward/constants.ts
+++ b/packages/callers/src/forward/constants.ts
@@ -55,6 +55,9 @@
 /** Models in a host's report of its queue; more than an engine class of the largest deployment holds. */
 export const MAX_REPORTED_KINDS = 512;
 
+/** Kinds of requests (priority and target latency) of a model in a report or in the figures; more than the routes of a service have. */
+export const MAX_MODEL_KINDS = 32;
+
 /** Models of which the leader returns figures; callers may name models that do not exist. */
 export const MAX_SHORTAGE_MODELS = 1024;
 
--- a/packages/callers/src/forward/waiting/fleet-shortage.ts
+++ b/packages/callers/src/forward/waiting/fleet-shortage.ts
@@ -70,8 +70,8 @@
 	/** What this host reported last, which the next figures contain. */
 	private reported: ReadonlyMap<string, readonly KindCounts[]> = new Map();
 	private slots = new Map<string, number>();
-	/** Time of the last figures of each model that had some recently. */
-	private readonly shortageMs = new Map<string, number>();
+	/** The last figures of each model that had some recently, and their time. */
+	private readonly recent = new Map<string, ModelFigures & {readonly atMs: number}>();
 	private arrivals = new Map<string, Map<RequestKind, number>>();
 
 	constructor(private readonly clock: Clock) {}
@@ -120,26 +120,23 @@
 
 	/** Whether the leader knew of a shortage of a model a few seconds ago. */
 	isRecent(key: string): boolean {
-		return this.clock.now() - (this.shortageMs.get(key) ?? Number.NEGATIVE_INFINITY) <= RECENT_SHORTAGE_MS;
+		return this.getRecent(key) !== undefined;
 	}
 
 	/** What waits at the other hosts; undefined if nothing waits for the model there or here, its rate of slots is unknown, or the figures have expired. */
 	getOthers(key: string, kind: RequestKind): FleetBacklog | undefined {
-		const figures = this.getFresh(key);
-		if (!figures || figures.slotsPerSecond <= 0) {
-			return undefined;
-		}
+		return this.toBacklog(this.getFresh(key), kind);
+	}
 
-		const all = countBacklog(figures.kinds, kind);
-		const own = countBacklog(figures.own, kind);
-		return {
-			...all, urgent: Math.max(0, all.urgent - own.urgent), equal: Math.max(0, all.equal - own.equal), slotsPerSecond: figures.slotsPerSecond, windowMs: this.windowMs,
-		};
+	/** The same a few seconds after the queues of all hosts are empty, by the last rate of slots; forecasts and the times to return need it. */
+	getRecentOthers(key: string, kind: RequestKind): FleetBacklog | undefined {
+		const backlog = this.toBacklog(this.isFresh() ? this.getRecent(key) : undefined, kind);
+		return backlog && (this.figures.has(key) ? backlog : {...backlog, urgent: 0, equal: 0});
 	}
 
 	/** Time between two returns to this host, by its part of all refused callers and the slots that are left for them; undefined without figures. */
 	getRetryIntervalMs(key: string, ownReturning: number, slotsPerSecond: number | undefined): number | undefined {
-		const figures = this.getFresh(key);
+		const figures = this.isFresh() ? this.getRecent(key) : undefined;
 		if (!figures) {
 			return undefined;
 		}
@@ -155,18 +152,35 @@
 		return this.clock.now() - this.appliedMs <= FLEET_FIGURES_TTL_MS;
 	}
 
+	private toBacklog(figures: ModelFigures | undefined, kind: RequestKind): FleetBacklog | undefined {
+		if (!figures || figures.slotsPerSecond <= 0) {
+			return undefined;
+		}
+
+		const all = countBacklog(figures.kinds, kind);
+		const own = countBacklog(figures.own, kind);
+		return {
+			...all, urgent: Math.max(0, all.urgent - own.urgent), equal: Math.max(0, all.equal - own.equal), slotsPerSecond: figures.slotsPerSecond, windowMs: this.windowMs,
+		};
+	}
+
 	private recordShortages(nowMs: number): void {
-		for (const [key, atMs] of this.shortageMs) {
+		for (const [key, {atMs}] of this.recent) {
 			if (nowMs - atMs > RECENT_SHORTAGE_MS) {
-				this.shortageMs.delete(key);
+				this.recent.delete(key);
 			}
 		}
 
-		for (const key of this.figures.keys()) {
-			this.shortageMs.set(key, nowMs);
+		for (const [key, figures] of this.figures) {
+			this.recent.set(key, {...figures, atMs: nowMs});
 		}
 	}
 
+	private getRecent(key: string): ModelFigures | undefined {
+		const figures = this.recent.get(key);
+		return figures && this.clock.now() - figures.atMs <= RECENT_SHORTAGE_MS ? figures : undefined;
+	}
+
 	private getFresh(key: string): ModelFigures | undefined {
 		return this.isFresh() ? this.figures.get(key) : undefined;
 	}
--- a/packages/callers/src/forward/waiting/shortage-owner.ts
+++ b/packages/callers/src/forward/waiting/shortage-owner.ts
@@ -1,13 +1,17 @@
 import {type Clock, DecayingCounts} from '@egretrill/common';
 import {
-	FIGURES_CACHE_MS, FLEET_FIGURES_TTL_MS, FLEET_SLOT_TIME_CONSTANT_MS, MAX_SHORTAGE_MODELS,
+	FIGURES_CACHE_MS, FLEET_FIGURES_TTL_MS, FLEET_SLOT_TIME_CONSTANT_MS, MAX_MODEL_KINDS, MAX_SHORTAGE_MODELS,
 } from '../constants.js';
+import {getKindKey, KindArrivals} from './kind-arrivals.js';
 import {
 	getQueueKey, type KindCounts, type QueueReport, type ShortageFigures,
 } from './shortage-figures.js';
 
 const MS_PER_SECOND = 1000;
 
+/** Counts of slots below this have decayed; they are forgotten. */
+const MIN_SLOT_COUNT = 0.01;
+
 type HostReport = {readonly waiting: QueueReport['waiting']; readonly reportedMs: number};
 type ModelSums = {readonly service: string; readonly model: string; readonly kinds: Map<string, KindCounts>};
 
@@ -20,14 +24,14 @@
 	private readonly hosts = new Map<string, HostReport>();
 	private readonly sums = new Map<string, ModelSums>();
 	private readonly slots: DecayingCounts;
-	private readonly arrivals: DecayingCounts;
+	private readonly arrivals: KindArrivals;
 	private readonly startedMs: number;
 	private figures: ShortageFigures = [];
 	private figuresMs = Number.NEGATIVE_INFINITY;
 
 	constructor(private readonly clock: Clock) {
 		this.slots = new DecayingCounts(clock, FLEET_SLOT_TIME_CONSTANT_MS);
-		this.arrivals = new DecayingCounts(clock, FLEET_SLOT_TIME_CONSTANT_MS);
+		this.arrivals = new KindArrivals(clock);
 		this.startedMs = clock.now();
 	}
 
@@ -55,28 +59,36 @@
 
 	private computeFigures(): ShortageFigures {
 		this.removeExpired();
-		return [...this.sums].slice(0, MAX_SHORTAGE_MODELS).map(([key, {service, model, kinds}]) => [service, model, this.getPerSecond(this.slots, key), this.addArrivals(key, kinds)]);
+		this.arrivals.removeDecayed();
+		this.slots.removeBelow(MIN_SLOT_COUNT);
+		const inShortage = [...this.sums].filter(([, {kinds}]) => [...kinds.values()].some(kind => kind[2] > 0));
+		return inShortage.slice(0, MAX_SHORTAGE_MODELS).map(([key, {service, model, kinds}]) => [service, model, this.toPerSecond(this.slots.get(key)), this.addArrivals(key, kinds)]);
 	}
 
+	/** Counts of all kinds that wait, are expected back or arrive; the slots that urgent ones take are missing for the others, even if none of them waits. */
 	private addArrivals(key: string, kinds: ModelSums['kinds']): KindCounts[] {
-		return [...kinds].map(([kindKey, [priority, latencyMs, waiting, returning]]) => [priority, latencyMs, waiting, returning, this.getPerSecond(this.arrivals, `${key}\n${kindKey}`)]);
+		const all = new Map(kinds);
+		for (const [kindKey, {priority, targetLatencyMs}] of this.arrivals.list(key)) {
+			if (!all.has(kindKey)) {
+				all.set(kindKey, [priority, targetLatencyMs, 0, 0, 0]);
+			}
+		}
+
+		return [...all].slice(0, MAX_MODEL_KINDS).map(([kindKey, [priority, latencyMs, waiting, returning]]) => [priority, latencyMs, waiting, returning, this.toPerSecond(this.arrivals.get(key, kindKey))]);
 	}
 
 	private recordArrivals(waiting: QueueReport['waiting']): void {
 		for (const [service, model, kinds] of waiting) {
 			for (const kind of kinds) {
-				const [priority, latencyMs] = kind;
-				const arrived = kind[4];
-				if (arrived > 0) {
-					this.arrivals.add(`${getQueueKey(service, model)}\n${getKindKey(priority, latencyMs)}`, arrived);
-				}
+				const [priority, targetLatencyMs] = kind;
+				this.arrivals.add(getQueueKey(service, model), {priority, targetLatencyMs}, kind[4]);
 			}
 		}
 	}
 
-	private getPerSecond(counts: DecayingCounts, key: string): number {
+	private toPerSecond(count: number): number {
 		const spanMs = Math.min(FLEET_SLOT_TIME_CONSTANT_MS, Math.max(1, this.clock.now() - this.startedMs));
-		return Math.round(counts.get(key) * MS_PER_SECOND * 100 / spanMs) / 100;
+		return Math.round(count * MS_PER_SECOND * 100 / spanMs) / 100;
 	}
 
 	private removeExpired(): void {
@@ -114,12 +126,8 @@
 	}
 }
 
-function getKindKey(priority: number, latencyMs: number): string {
-	return `${priority} ${latencyMs}`;
-}
-
 function addKind(kinds: Map<string, KindCounts>, [priority, latencyMs, waiting, returning]: KindCounts, sign: 1 | -1): void {
-	const key = getKindKey(priority, latencyMs);
+	const key = getKindKey({priority, targetLatencyMs: latencyMs});
 	const known = kinds.get(key) ?? [priority, latencyMs, 0, 0, 0];
 	const sum: KindCounts = [priority, latencyMs, known[2] + (sign * waiting), known[3] + (sign * returning), 0];
 	if (sum[2] > 0 || sum[3] > 0) {
--- a/packages/callers/src/forward/waiting/slot-forecast.ts
+++ b/packages/callers/src/forward/waiting/slot-forecast.ts
@@ -58,7 +58,7 @@
 
 	/** Time after which a refused caller should return; `ownReturning` callers of the model are expected back here. */
 	getRetryAfterMs({queueKey, kind}: Pick<ForecastBasis, 'queueKey' | 'kind'>, earliestMs: number, ownReturning: number): number {
-		const others = this.fleet.getOthers(queueKey, kind);
+		const others = this.fleet.getRecentOthers(queueKey, kind);
 		const fleetIntervalMs = this.fleet.getRetryIntervalMs(queueKey, ownReturning, others && getSlotsLeft(others, kind));
 		if (fleetIntervalMs !== undefined) {
 			return this.retrySchedule.getFleetRetryAfterMs(queueKey, Math.max(MIN_RETRY_AFTER_MS, earliestMs), 2 * fleetIntervalMs * this.random());
@@ -70,7 +70,7 @@
 
 	/** In a shortage of the model, the few slots of this host say nothing of the fleet's. */
 	private getSlotWaitMs({queueKey, kind, ahead, waitedMs}: ForecastBasis): number | undefined {
-		const others = this.fleet.getOthers(queueKey, kind);
+		const others = this.fleet.getRecentOthers(queueKey, kind);
 		if (!others) {
 			return this.fleet.isFresh() && this.fleet.isRecent(queueKey) ? undefined : this.slotRate.getWaitMs(queueKey, ahead);
 		}
--- a/packages/callers/tests/forward/shortage.test.ts
+++ b/packages/callers/tests/forward/shortage.test.ts
@@ -148,6 +148,29 @@
 		report('h2', [1, 253, 0, 0, 0], 0);
 		expect({all, without, none: owner.getFigures()}).toMatchSnapshot();
 	});
+
+	// Guards against refused callers that keep a shortage alive after the queues are empty, so that they are refused again while slots are free.
+	it('has no figures for a model for which only refused callers are expected', () => {
+		const owner = new ShortageOwner(new ManualClock());
+		owner.report('h1', {waiting: [['s', 'm', [[1, 253, 0, 4, 9]]]], slots: [['s', 'm', 5]]});
+		expect(owner.getFigures()).to.deep.equal([]);
+	});
+
+	// Guards against less urgent requests that are promised the slots of urgent ones which never wait.
+	it('lists all kinds that arrive for a model in shortage', () => {
+		const clock = new ManualClock();
+		const owner = new ShortageOwner(clock);
+		clock.advance(2000);
+		owner.report('h1', {waiting: [['s', 'm', [[0, 252, 0, 0, 9]]]], slots: []});
+		owner.report('h2', {waiting: [['s', 'm', [[0, 252, 0, 0, 3], [1, 253, 2, 1, 1]]]], slots: []});
+		const all = owner.getFigures();
+		clock.advance(20_000);
+		owner.report('h2', {waiting: [['s', 'm', [[1, 253, 2, 1, 1]]]], slots: []});
+		expect({all, withoutArrivals: owner.getFigures()}).to.deep.equal({
+			all: [['s', 'm', 0, [[1, 253, 2, 1, 0.5], [0, 252, 0, 0, 6]]]],
+			withoutArrivals: [['s', 'm', 0, [[1, 253, 2, 1, 0.5]]]],
+		});
+	});
 });
 
 describe('getSlotProbability', () => {
--- a/packages/common/src/decaying-counts.ts
+++ b/packages/common/src/decaying-counts.ts
@@ -19,6 +19,15 @@
 		return count ? count.value * Math.exp((count.atMs - this.clock.now()) / this.timeConstantMs) : 0;
 	}
 
+	/** Forgets the counts that have decayed below a minimum. */
+	removeBelow(minimum: number): void {
+		for (const name of this.counts.keys()) {
+			if (this.get(name) < minimum) {
+				this.counts.delete(name);
+			}
+		}
+	}
+
 	getPerSecond(name: string): number {
 		return this.get(name) * MS_PER_SECOND / this.timeConstantMs;
 	}
