callers: a kind below its floor gets a share of the slots in a shortage

Cause: the probability of a slot was 0 for a less urgent kind while more urgent ones took all slots, so that its place in the order had no effect. Change: a kind that was served less than its floor at a host draws with at least FLOOR_RATIO x slots / demand of the kind.

--- a/packages/callers/src/forward/waiting/slot-queue.ts
+++ b/packages/callers/src/forward/waiting/slot-queue.ts
@@ -278,12 +278,16 @@
 		if (waiter.window !== this.window) {
 			const factor = waiter.limits.isReturning ? RETURNING_SHARE_FACTOR : 1;
 			waiter.window = this.window;
-			waiter.hasShare = this.random() < factor * getSlotProbability(others, this.lanes.countOwn(waiter));
+			waiter.hasShare = this.random() < factor * getSlotProbability(others, {...this.lanes.countOwn(waiter), isBelowFloor: this.isBelowFloor(waiter)});
 		}
 
 		return waiter.hasShare ? MAX_BEYOND_SLOTS : -CLEARLY_FREE_SLOTS;
 	}
 
+	private isBelowFloor({ratios: [ofKind]}: Waiter): boolean {
+		return ofKind !== undefined && this.kindRatios.isBelowFloor(ofKind);
+	}
+
 	/** Counts a slot that this host got, and later that it is free again. */
 	private countSlot(queueKey: string, slot: TargetSlot): TargetSlot {
 		this.forecast.recordSlot(queueKey);
@@ -365,7 +369,7 @@
 	/** The first requests of all lanes in the order in which they get slots; a kind that was served too little goes first. */
 	private listHeads(): Waiter[] {
 		const heads = this.lanes.listHeads().toSorted(compareRanked);
-		const isBelow = new Map(heads.map(head => [head, this.kindRatios.isBelowFloor(this.kindRatios.get(head.service, head.kind))]));
+		const isBelow = new Map(heads.map(head => [head, this.isBelowFloor(head)]));
 		return [...heads.filter(head => isBelow.get(head)), ...heads.filter(head => !isBelow.get(head))];
 	}
 
--- a/packages/callers/tests/forward/shortage.test.ts
+++ b/packages/callers/tests/forward/shortage.test.ts
@@ -1,7 +1,7 @@
-import {ManualClock} from '@egretrill/common';
+import {createRandom, ManualClock} from '@egretrill/common';
 import {expect} from 'chai';
 import {
-	compareRanked, FleetShortage, getSlotProbability, getWaitLimits, insertRanked, type KindCounts, type Ranked, ServedRatios, ShortageOwner, type ShortageFigures, SlotQueue, type SlotResult, SlotSource,
+	compareRanked, FleetShortage, getSlotProbability, getWaitLimits, insertRanked, type KindCounts, type Ranked, ServedRatios, ShortageOwner, type ShortageFigures, SlotQueue, type SlotRequirements, type SlotResult, SlotSource, type TargetSlot,
 } from '../../src/forward/index.js';
 import {type Kind, playFleet} from './support/shortage-fleet.js';
 
@@ -19,8 +19,14 @@
 const chat = {priority: 1, targetLatencyMs: 253};
 const KEY = 's\nm';
 
+function createSlot(): TargetSlot {
+	return {
+		targetId: 't', address: '', zone: 'a', startedAtMs: 1, wasCold: false, isLeaving: () => false, outstanding: 0, recordStream: () => undefined, recordLoad: () => undefined, reportSilence: () => undefined, recordActivity: () => undefined, reportLeaving: () => undefined, reportPause: () => undefined, release: () => undefined,
+	};
+}
+
 class FullSlots extends SlotSource {
-	override findSlot(): SlotResult {
+	override findSlot(_requirements: SlotRequirements): SlotResult {
 		return {kind: 'full'};
 	}
 
@@ -102,6 +108,41 @@
 	});
 });
 
+/** Engines that are full for requests without a share of the slots. */
+class SharedSlots extends FullSlots {
+	override findSlot({beyondSlots = 0}: SlotRequirements): SlotResult {
+		return beyondSlots > 0 ? {kind: 'slot', slot: createSlot()} : {kind: 'full'};
+	}
+}
+
+describe('SlotQueue under a permanent surplus of urgent requests', () => {
+	// Guards against a kind that gets no slot for as long as more urgent requests take all of them.
+	it('gives a less urgent kind its floor', async () => {
+		const clock = new ManualClock();
+		const queue = new SlotQueue(clock, new SharedSlots(), {random: createRandom(3)});
+		const served = [0, 0];
+		const acquire = async (priority: 0 | 1): Promise<void> => {
+			const result = await queue.acquire({
+				service: 's', model: 'm', parts: [], tried: new Set(),
+			}, priority, {...getWaitLimits({isStream: true, targetLatencyMs: 253}, 3000), targetLatencyMs: 253}, new AbortController().signal);
+			served[priority]! += Number(result.isOk);
+		};
+
+		for (let step = 0; step < 400; step++) {
+			queue.createReport();
+			queue.applyFigures(createFigures(40, [[0, 253, 5, 0, 60], [1, 253, 5, 0, 20]]));
+			void acquire(0);
+			void acquire(0);
+			void acquire(0);
+			void acquire(1);
+			await clock.run(50);
+		}
+
+		const [urgent = 0, least = 0] = served;
+		expect(4 * least / (urgent + least), 'part of the less urgent kind that is served, relative to all requests').to.be.within(0.25, 0.4);
+	});
+});
+
 describe('FleetShortage', () => {
 	// Guards against a host that counts its own requests twice, and against figures that outlive the leader.
 	it('knows what waits at the other hosts until the figures expire', () => {
