callers: requests behind one without a share get slots, and draw again

Cause: only the first request of a lane drew a share; one that drew none blocked those behind it until the next figures, for up to 3 s without a leader. Change: a turn goes on to the next request of the lane that has a share, and requests draw again once figures are overdue by half a window (one window would count polls that are a little late twice). Result: the new test of SlotQueue times out before (the request is never served) and passes after.

--- a/packages/callers/src/forward/constants.ts
+++ b/packages/callers/src/forward/constants.ts
@@ -73,6 +73,9 @@
 /** Time ahead for which the present arrivals are taken to go on; peaks of traffic last a few seconds. */
 export const DEMAND_HORIZON_MS = 2000;
 
+/** Windows after which requests draw again without new figures; polls that are a little late are no reason to. */
+export const REDRAW_WINDOWS = 1.5;
+
 /** Bounds on the time between two figures over which slots are shared. */
 export const MIN_FIGURES_WINDOW_MS = 50;
 export const MAX_FIGURES_WINDOW_MS = 1000;
--- a/packages/callers/src/forward/waiting/fleet-shortage.ts
+++ b/packages/callers/src/forward/waiting/fleet-shortage.ts
@@ -1,6 +1,6 @@
 import type {Clock} from '@egretrill/common';
 import {
-	DEFAULT_RETRY_SPACING_MS, FLEET_FIGURES_TTL_MS, MAX_FIGURES_WINDOW_MS, MAX_REPORTED_KINDS, MIN_FIGURES_WINDOW_MS, RECENT_SHORTAGE_MS, RETRY_SLOT_RATIO,
+	DEFAULT_RETRY_SPACING_MS, FLEET_FIGURES_TTL_MS, MAX_FIGURES_WINDOW_MS, MAX_REPORTED_KINDS, MIN_FIGURES_WINDOW_MS, RECENT_SHORTAGE_MS, REDRAW_WINDOWS, RETRY_SLOT_RATIO,
 } from '../constants.js';
 import {type BacklogEntry, countByKind} from './queue-report.js';
 import {
@@ -67,6 +67,9 @@
 	private figures: ReadonlyMap<string, ModelFigures> = new Map();
 	private appliedMs = Number.NEGATIVE_INFINITY;
 	private windowMs = MIN_FIGURES_WINDOW_MS;
+	/** Number and start of the window in which each request draws once. */
+	private window = 0;
+	private windowStartMs = Number.NEGATIVE_INFINITY;
 	/** What this host reported last, which the next figures contain. */
 	private reported: ReadonlyMap<string, readonly KindCounts[]> = new Map();
 	private slots = new Map<string, number>();
@@ -111,6 +114,8 @@
 		const nowMs = this.clock.now();
 		this.windowMs = this.isFresh() ? Math.max(MIN_FIGURES_WINDOW_MS, Math.min(MAX_FIGURES_WINDOW_MS, nowMs - this.appliedMs)) : MIN_FIGURES_WINDOW_MS;
 		this.appliedMs = nowMs;
+		this.window += 1;
+		this.windowStartMs = nowMs;
 		this.figures = new Map(figures.map(([service, model, slotsPerSecond, kinds]) => {
 			const key = getQueueKey(service, model);
 			return [key, {slotsPerSecond, kinds, own: this.reported.get(key) ?? []}];
@@ -118,6 +123,17 @@
 		this.recordShortages(nowMs);
 	}
 
+	/** Number of the present window, which ends with new figures or when these are overdue. */
+	getWindow(): number {
+		const nowMs = this.clock.now();
+		if (nowMs - this.windowStartMs >= this.windowMs * REDRAW_WINDOWS) {
+			this.window += 1;
+			this.windowStartMs = nowMs;
+		}
+
+		return this.window;
+	}
+
 	/** Whether the leader knew of a shortage of a model a few seconds ago. */
 	isRecent(key: string): boolean {
 		return this.getRecent(key) !== undefined;
--- a/packages/callers/src/forward/waiting/slot-queue.ts
+++ b/packages/callers/src/forward/waiting/slot-queue.ts
@@ -1,19 +1,19 @@
 import type {Clock, Random, Verdict} from '@egretrill/common';
 import {Result} from 'true-myth';
 import {
-	CLEARLY_FREE_SLOTS, DUE_STEP_MS, LIMIT_CHECK_INTERVAL_MS, MAX_BEYOND_SLOTS, OWN_SHARE_STEPS, REFUSAL_CHECK_INTERVAL_MS, RETRY_GRACE_MS, RETURNING_SHARE_FACTOR,
+	CLEARLY_FREE_SLOTS, DUE_STEP_MS, LIMIT_CHECK_INTERVAL_MS, MAX_BEYOND_SLOTS, OWN_SHARE_STEPS, REFUSAL_CHECK_INTERVAL_MS, RETRY_GRACE_MS,
 } from '../constants.js';
 import {CheckTimer} from './check-timer.js';
-import {type FleetBacklog, FleetShortage, type RequestKind} from './fleet-shortage.js';
+import {FleetShortage, type RequestKind} from './fleet-shortage.js';
 import {LaneTable} from './lane-table.js';
 import type {QueueObserver, WaitEnd} from './queue-observer.js';
 import {countByModel, type ModelBacklog, needsLoad} from './queue-report.js';
 import {refuseLeft, refuseNoSlot, refuseShutdown} from './refuse-no-slot.js';
 import {ReturningCallers} from './returning-callers.js';
 import {type ServedCounts, ServedRatios} from './served-ratios.js';
+import {ShareDraws} from './share-draws.js';
 import type {QueueReport, ShortageFigures} from './shortage-figures.js';
 import {SlotForecast} from './slot-forecast.js';
-import {getSlotProbability} from './slot-share.js';
 import type {
 	SlotOutcome, SlotRequirements, SlotSource, TargetSlot,
 } from './slot-source.js';
@@ -45,14 +45,12 @@
 	private readonly returning: ReturningCallers;
 	private readonly fleet: FleetShortage;
 	private readonly forecast: SlotForecast;
+	private readonly shares: ShareDraws;
 	private readonly kindRatios: ServedRatios<RequestKind>;
 	private readonly customerRatios: ServedRatios<string>;
 	private readonly kinds = new Kinds();
 	private readonly limitTimer: CheckTimer;
-	private readonly random: Random;
 	private readonly observer: QueueObserver | undefined;
-	/** Counts the figures that were applied; each request draws once with each. */
-	private window = 0;
 	private sequence = 0;
 	private lastLimitCheckMs = Number.NEGATIVE_INFINITY;
 	private lastRefusalCheckMs = Number.NEGATIVE_INFINITY;
@@ -67,7 +65,7 @@
 		this.limitTimer = new CheckTimer(clock, () => {
 			this.checkLimits();
 		});
-		this.random = random;
+		this.shares = new ShareDraws(this.fleet, this.lanes, waiter => this.isBelowFloor(waiter), random);
 		this.observer = observer;
 	}
 
@@ -98,7 +96,6 @@
 	/** Applies the figures of all hosts that the leader returned to the last report. */
 	applyFigures(figures: ShortageFigures): void {
 		this.fleet.apply(figures);
-		this.window += 1;
 	}
 
 	/** Resolves with a slot, or with a refusal as soon as none is expected within the limits. */
@@ -175,17 +172,18 @@
 		const turn: Turn = new Map();
 		const heads = this.listHeads();
 		for (let head = heads.shift(); head; head = heads.shift()) {
-			const {lane} = head;
+			const following = head.lane?.getNext(head);
 			const refusal = head.limits.getRefusal?.();
 			const slot = refusal ? undefined : this.search(head, turn);
+			const next = (refusal ?? slot) ? following : this.shares.findNext(head);
 			if (refusal) {
 				head.settle(Result.err(refusal));
 			} else if (slot) {
 				head.settle(Result.ok(slot));
 			}
 
-			if ((refusal ?? slot) && lane?.head) {
-				insertRanked(heads, lane.head);
+			if (next) {
+				insertRanked(heads, next);
 			}
 		}
 	}
@@ -251,9 +249,10 @@
 	/** Takes a slot for a request. */
 	private search(waiter: Waiter, turn: Turn): TargetSlot | undefined {
 		const {requirements, requirementsKey, queueKey} = waiter;
-		const others = this.fleet.getOthers(queueKey, waiter.kind);
-		const known = others ? undefined : turn.get(requirementsKey);
-		const found = known ?? this.source.findSlot(others ? {...requirements, beyondSlots: this.getBeyondSlots(waiter, others)} : requirements);
+		const hasShare = this.shares.hasShare(waiter);
+		const turnKey = `${requirementsKey}\n${hasShare}`;
+		const known = turn.get(turnKey);
+		const found = known ?? this.source.findSlot(hasShare === undefined ? requirements : {...requirements, beyondSlots: hasShare ? MAX_BEYOND_SLOTS : -CLEARLY_FREE_SLOTS});
 		if (found.kind === 'slot') {
 			this.recordServed(waiter);
 			this.reportEnd(waiter, 'served');
@@ -265,7 +264,7 @@
 		}
 
 		waiter.found = found;
-		turn.set(requirementsKey, found);
+		turn.set(turnKey, found);
 		if (waiter.lane) {
 			waiter.lane.lastFound = found;
 		}
@@ -273,17 +272,6 @@
 		return undefined;
 	}
 
-	/** How far beyond the slots of an engine a request may be sent in a shortage; below zero if its host has no share of the slots now. */
-	private getBeyondSlots(waiter: Waiter, others: FleetBacklog): number {
-		if (waiter.window !== this.window) {
-			const factor = waiter.limits.isReturning ? RETURNING_SHARE_FACTOR : 1;
-			waiter.window = this.window;
-			waiter.hasShare = this.random() < factor * getSlotProbability(others, {...this.lanes.countOwn(waiter), isBelowFloor: this.isBelowFloor(waiter)});
-		}
-
-		return waiter.hasShare ? MAX_BEYOND_SLOTS : -CLEARLY_FREE_SLOTS;
-	}
-
 	private isBelowFloor({ratios: [ofKind]}: Waiter): boolean {
 		return ofKind !== undefined && this.kindRatios.isBelowFloor(ofKind);
 	}
--- a/packages/callers/src/forward/waiting/waiter.ts
+++ b/packages/callers/src/forward/waiting/waiter.ts
@@ -41,9 +41,9 @@
 	found: NoSlot;
 	/** Wait that was expected at arrival. */
 	firstForecastMs?: number;
-	/** Figures with which it drew last, and whether it may take a slot with these. */
+	/** Window in which it drew last, and whether it may take a slot in it; undefined without a shortage. */
 	window: number;
-	hasShare: boolean;
+	hasShare: boolean | undefined;
 	settle: (result: Result<TargetSlot, Verdict>) => void;
 };
 
--- a/packages/callers/src/forward/waiting/waiting-lanes.ts
+++ b/packages/callers/src/forward/waiting/waiting-lanes.ts
@@ -75,6 +75,11 @@
 		return isFound;
 	}
 
+	/** The item behind another one of the lane. */
+	getNext(item: T): T | undefined {
+		return this.items[findIndex(this.items, item)];
+	}
+
 	/** Number of items that go before another one. */
 	countBefore(item: Ranked): number {
 		return findIndex(this.items, item) - Number(this.items.at(findIndex(this.items, item) - 1)?.sequence === item.sequence);
--- a/packages/callers/tests/forward/shortage.test.ts
+++ b/packages/callers/tests/forward/shortage.test.ts
@@ -143,6 +143,35 @@
 	});
 });
 
+describe('SlotQueue whose first request has no share', () => {
+	// Guards against a request without a share that blocks those behind it until the next figures, and for seconds once the leader is lost.
+	it('goes on to the next one that has, and draws again when figures are overdue', async () => {
+		const clock = new ManualClock();
+		const source = new SharedSlots();
+		let draw = 0.99;
+		const queue = new SlotQueue(clock, source, {random: () => draw});
+		const order: string[] = [];
+		const acquire = async (name: string): Promise<void> => {
+			const result = await queue.acquire({
+				service: 's', model: 'm', parts: [], tried: new Set(),
+			}, 1, {unplannedMs: 4000, plannedMs: 4000, saturatedMs: 4000}, new AbortController().signal);
+			order.push(`${name} ${result.isOk ? 'served' : 'refused'} after ${clock.now()} ms`);
+		};
+
+		queue.createReport();
+		queue.applyFigures(createFigures(20, [[1, 0, 8, 0, 20]]));
+		const calls = [acquire('first')];
+		await clock.run(1);
+		draw = 0;
+		calls.push(acquire('second'));
+		queue.dispatch();
+		await clock.run(99);
+		queue.dispatch();
+		await Promise.all(calls);
+		expect(order).to.deep.equal(['second served after 1 ms', 'first served after 100 ms']);
+	});
+});
+
 describe('FleetShortage', () => {
 	// Guards against a host that counts its own requests twice, and against figures that outlive the leader.
 	it('knows what waits at the other hosts until the figures expire', () => {
