callers: bounds on names, kinds and models in reports of the queue

Cause: names of models that callers send went into the reports and figures without a bound, and so did the number of kinds, so that one oversized field made a whole poll unreadable. MAX_REPORTED_KINDS is named MAX_REPORTED_MODELS, as it limits models. Not done: figures only for models of the configuration. Result: the new test of QueueReport fails before and passes after.

--- a/packages/callers/src/forward/constants.ts
+++ b/packages/callers/src/forward/constants.ts
@@ -53,7 +53,10 @@
 export const FLEET_SLOT_TIME_CONSTANT_MS = 2000;
 
 /** Models in a host's report of its queue; more than an engine class of the largest deployment holds. */
-export const MAX_REPORTED_KINDS = 512;
+export const MAX_REPORTED_MODELS = 512;
+
+/** Length of the names of services and models in reports; callers may send longer ones. */
+export const MAX_REPORTED_NAME_LENGTH = 256;
 
 /** Kinds of requests (priority and target latency) of a model in a report or in the figures; more than the routes of a service have. */
 export const MAX_MODEL_KINDS = 32;
--- a/packages/callers/src/forward/waiting/fleet-shortage.ts
+++ b/packages/callers/src/forward/waiting/fleet-shortage.ts
@@ -1,10 +1,10 @@
 import type {Clock} from '@egretrill/common';
 import {
-	DEFAULT_RETRY_SPACING_MS, FLEET_FIGURES_TTL_MS, MAX_FIGURES_WINDOW_MS, MAX_REPORTED_KINDS, MIN_FIGURES_WINDOW_MS, RECENT_SHORTAGE_MS, REDRAW_WINDOWS, RETRY_SLOT_RATIO,
+	DEFAULT_RETRY_SPACING_MS, FLEET_FIGURES_TTL_MS, MAX_FIGURES_WINDOW_MS, MAX_REPORTED_MODELS, MIN_FIGURES_WINDOW_MS, RECENT_SHORTAGE_MS, REDRAW_WINDOWS, RETRY_SLOT_RATIO,
 } from '../constants.js';
 import {type BacklogEntry, countByKind} from './queue-report.js';
 import {
-	getQueueKey, type KindCounts, type QueueReport, type ShortageFigures, splitQueueKey,
+	getQueueKey, isReportable, type KindCounts, type QueueReport, type ShortageFigures, splitQueueKey,
 } from './shortage-figures.js';
 
 const MS_PER_SECOND = 1000;
@@ -81,7 +81,9 @@
 
 	/** Counts a slot that a request of this host has freed. */
 	recordFreed(key: string): void {
-		this.slots.set(key, (this.slots.get(key) ?? 0) + 1);
+		if (isReportable(key)) {
+			this.slots.set(key, (this.slots.get(key) ?? 0) + 1);
+		}
 	}
 
 	/** Counts a request that needs a slot. */
@@ -97,12 +99,12 @@
 
 	/** Returns the report of the next poll, with the slots and arrivals since the last one. */
 	createReport(waiting: Iterable<BacklogEntry>, returning: Iterable<BacklogEntry>): QueueReport {
-		const slots = [...this.slots].slice(0, MAX_REPORTED_KINDS).map(([key, count]): [string, string, number] => {
+		const slots = [...this.slots].slice(0, MAX_REPORTED_MODELS).map(([key, count]): [string, string, number] => {
 			const [service = '', model = ''] = splitQueueKey(key);
 			return [service, model, count];
 		});
 		const arrived = [...this.arrivals].flatMap(([queueKey, ofModel]) => [...ofModel].map(([kind, count]) => ({queueKey, kind, count})));
-		const sent = countByKind({waiting, returning, arrived}).slice(0, MAX_REPORTED_KINDS);
+		const sent = countByKind({waiting, returning, arrived}).slice(0, MAX_REPORTED_MODELS);
 		this.arrivals = new Map();
 		this.slots = new Map();
 		this.reported = new Map(sent.map(([service, model, kinds]) => [getQueueKey(service, model), kinds]));
--- a/packages/callers/src/forward/waiting/queue-report.ts
+++ b/packages/callers/src/forward/waiting/queue-report.ts
@@ -1,5 +1,8 @@
 import type {RequestKind} from './fleet-shortage.js';
-import {type KindCounts, type QueueReport, splitQueueKey} from './shortage-figures.js';
+import {MAX_MODEL_KINDS} from '../constants.js';
+import {
+	isReportable, type KindCounts, type QueueReport, splitQueueKey,
+} from './shortage-figures.js';
 import type {SlotRequirements} from './slot-source.js';
 import type {WaitReason} from './wait-forecast.js';
 
@@ -64,5 +67,5 @@
 		add(entry, [0, 0, entry.count]);
 	}
 
-	return [...models.values()].map(({service, model, kinds}) => [service, model, [...kinds.values()]]);
+	return [...models].filter(([queueKey]) => isReportable(queueKey)).map(([, {service, model, kinds}]) => [service, model, [...kinds.values()].slice(0, MAX_MODEL_KINDS)]);
 }
--- a/packages/callers/tests/forward/shortage.test.ts
+++ b/packages/callers/tests/forward/shortage.test.ts
@@ -1,7 +1,7 @@
 import {createRandom, ManualClock} from '@egretrill/common';
 import {expect} from 'chai';
 import {
-	compareRanked, FleetShortage, getSlotProbability, getWaitLimits, insertRanked, type KindCounts, type Ranked, ServedRatios, ShortageOwner, type ShortageFigures, SlotQueue, type SlotRequirements, type SlotResult, SlotSource, type TargetSlot,
+	compareRanked, FleetShortage, getSlotProbability, getWaitLimits, insertRanked, type KindCounts, QueueReport, type Ranked, ServedRatios, ShortageOwner, type ShortageFigures, SlotQueue, type SlotRequirements, type SlotResult, SlotSource, type TargetSlot,
 } from '../../src/forward/index.js';
 import {type Kind, playFleet} from './support/shortage-fleet.js';
 
@@ -195,6 +195,28 @@
 	});
 });
 
+describe('QueueReport', () => {
+	// Guards against names of callers and numbers of kinds that make a whole poll unreadable for the leader, or for all hosts.
+	it('leaves out what is beyond its bounds', () => {
+		const fleet = new FleetShortage(new ManualClock());
+		const longKey = `s\n${'x'.repeat(10_000)}`;
+		fleet.recordArrival(longKey, chat);
+		fleet.recordFreed(longKey);
+		for (let priority = 0; priority < 100; priority++) {
+			fleet.recordArrival(KEY, {priority, targetLatencyMs: 253});
+		}
+
+		const report = fleet.createReport([], []);
+		const [[, model, sent] = []] = report.waiting;
+		expect({
+			model, models: report.waiting.length, slots: report.slots, kinds: sent?.length, isReadable: QueueReport.safeParse(report).success,
+		}).to.deep.equal({
+			model: 'm', models: 1, slots: [], kinds: 32, isReadable: true,
+		});
+		expect(QueueReport.safeParse({waiting: [['s', 'x'.repeat(10_000), []]], slots: []}).success, 'a name without bound').to.equal(false);
+	});
+});
+
 describe('ShortageOwner', () => {
 	// Guards against sums that keep what a lost host reported, and against figures for models without a shortage.
 	it('sums what waits on all hosts while they report', () => {
