--- a/packages/callers/src/forward/constants.ts
+++ b/packages/callers/src/forward/constants.ts
@@ -3,8 +3,14 @@
 /** A request is refused when no target is expected within this fraction of its timeout, while its caller can still retry elsewhere. */
 export const MAX_WAIT_RATIO = 0.5;
 
-/** Maximum wait for a model whose load no engine owner has planned, unless an eighth of the target latency is longer; while there is an owner, plans are made several times a second. */
-export const UNPLANNED_MODEL_WAIT_MS = 200;
+/** Maximum wait for a model whose load no engine owner has planned; while there is an owner, plans are made several times a second. */
+export const UNPLANNED_MODEL_WAIT_MS = 700;
+
+/** The same in a shortage, unless an eighth of the target latency is longer. */
+export const SHORTAGE_UNPLANNED_WAIT_MS = 200;
+
+/** Time after figures of a shortage for which the waits for its model stay short; longer than the gaps between the polls of a host. */
+export const RECENT_SHORTAGE_MS = 5000;
 
 /** Fraction of the target latency that a request may wait for a slot of which nothing is known; a request held for longer and then refused has cost its caller time. */
 export const UNKNOWN_WAIT_RATIO = 1 / 8;
@@ -19,6 +25,9 @@
 /** Fraction of the target latency that a request may wait while all targets are busy; requests answered late delay others past their latency. */
 export const SATURATED_WAIT_RATIO = 0.8;
 
+/** A request may wait at least this long while all targets are busy and no shortage of its model is known. */
+export const MIN_SATURATED_WAIT_MS = 250;
+
 /** Time constant of the rate at which slots become free. */
 export const SLOT_RATE_TIME_CONSTANT_MS = 1000;
 
@@ -44,7 +53,13 @@
 export const FLEET_SLOT_TIME_CONSTANT_MS = 2000;
 
 /** Models in a host's report of its queue; more than an engine class of the largest deployment holds. */
-export const MAX_REPORTED_KINDS = 512;
+export const MAX_REPORTED_MODELS = 512;
+
+/** Length of the names of services and models in reports; callers may send longer ones. */
+export const MAX_REPORTED_NAME_LENGTH = 256;
+
+/** Kinds of requests (priority and target latency) of a model in a report or in the figures; more than the routes of a service have. */
+export const MAX_MODEL_KINDS = 32;
 
 /** Models of which the leader returns figures; callers may name models that do not exist. */
 export const MAX_SHORTAGE_MODELS = 1024;
@@ -61,6 +76,9 @@
 /** Time ahead for which the present arrivals are taken to go on; peaks of traffic last a few seconds. */
 export const DEMAND_HORIZON_MS = 2000;
 
+/** Windows after which requests draw again without new figures; polls that are a little late are no reason to. */
+export const REDRAW_WINDOWS = 1.5;
+
 /** Bounds on the time between two figures over which slots are shared. */
 export const MIN_FIGURES_WINDOW_MS = 50;
 export const MAX_FIGURES_WINDOW_MS = 1000;
--- a/packages/callers/tests/forward/shortage.test.ts
+++ b/packages/callers/tests/forward/shortage.test.ts
@@ -1,7 +1,7 @@
-import {ManualClock} from '@egretrill/common';
+import {createRandom, ManualClock} from '@egretrill/common';
 import {expect} from 'chai';
 import {
-	compareRanked, FleetShortage, getSlotProbability, getWaitLimits, insertRanked, type KindCounts, type Ranked, ServedRatios, ShortageOwner, type ShortageFigures, SlotQueue, type SlotResult, SlotSource,
+	compareRanked, FleetShortage, getSlotProbability, getWaitLimits, insertRanked, type KindCounts, QueueReport, type Ranked, ServedRatios, ShortageOwner, type ShortageFigures, SlotQueue, type SlotRequirements, type SlotResult, SlotSource, type TargetSlot,
 } from '../../src/forward/index.js';
 import {type Kind, playFleet} from './support/shortage-fleet.js';
 
@@ -19,8 +19,14 @@
 const chat = {priority: 1, targetLatencyMs: 253};
 const KEY = 's\nm';
 
+function createSlot(): TargetSlot {
+	return {
+		targetId: 't', address: '', zone: 'a', startedAtMs: 1, wasCold: false, isLeaving: () => false, outstanding: 0, recordStream: () => undefined, recordLoad: () => undefined, reportSilence: () => undefined, recordActivity: () => undefined, reportLeaving: () => undefined, reportPause: () => undefined, release: () => undefined,
+	};
+}
+
 class FullSlots extends SlotSource {
-	override findSlot(): SlotResult {
+	override findSlot(_requirements: SlotRequirements): SlotResult {
 		return {kind: 'full'};
 	}
 
@@ -102,6 +108,70 @@
 	});
 });
 
+/** Engines that are full for requests without a share of the slots. */
+class SharedSlots extends FullSlots {
+	override findSlot({beyondSlots = 0}: SlotRequirements): SlotResult {
+		return beyondSlots > 0 ? {kind: 'slot', slot: createSlot()} : {kind: 'full'};
+	}
+}
+
+describe('SlotQueue under a permanent surplus of urgent requests', () => {
+	// Guards against a kind that gets no slot for as long as more urgent requests take all of them.
+	it('gives a less urgent kind its floor', async () => {
+		const clock = new ManualClock();
+		const queue = new SlotQueue(clock, new SharedSlots(), {random: createRandom(3)});
+		const served = [0, 0];
+		const acquire = async (priority: 0 | 1): Promise<void> => {
+			const result = await queue.acquire({
+				service: 's', model: 'm', parts: [], tried: new Set(),
+			}, priority, {...getWaitLimits({isStream: true, targetLatencyMs: 253}, 3000), targetLatencyMs: 253}, new AbortController().signal);
+			served[priority]! += Number(result.isOk);
+		};
+
+		for (let step = 0; step < 400; step++) {
+			queue.createReport();
+			queue.applyFigures(createFigures(40, [[0, 253, 5, 0, 60], [1, 253, 5, 0, 20]]));
+			void acquire(0);
+			void acquire(0);
+			void acquire(0);
+			void acquire(1);
+			await clock.run(50);
+		}
+
+		const [urgent = 0, least = 0] = served;
+		expect(4 * least / (urgent + least), 'part of the less urgent kind that is served, relative to all requests').to.be.within(0.25, 0.4);
+	});
+});
+
+describe('SlotQueue whose first request has no share', () => {
+	// Guards against a request without a share that blocks those behind it until the next figures, and for seconds once the leader is lost.
+	it('goes on to the next one that has, and draws again when figures are overdue', async () => {
+		const clock = new ManualClock();
+		const source = new SharedSlots();
+		let draw = 0.99;
+		const queue = new SlotQueue(clock, source, {random: () => draw});
+		const order: string[] = [];
+		const acquire = async (name: string): Promise<void> => {
+			const result = await queue.acquire({
+				service: 's', model: 'm', parts: [], tried: new Set(),
+			}, 1, {unplannedMs: 4000, plannedMs: 4000, saturatedMs: 4000}, new AbortController().signal);
+			order.push(`${name} ${result.isOk ? 'served' : 'refused'} after ${clock.now()} ms`);
+		};
+
+		queue.createReport();
+		queue.applyFigures(createFigures(20, [[1, 0, 8, 0, 20]]));
+		const calls = [acquire('first')];
+		await clock.run(1);
+		draw = 0;
+		calls.push(acquire('second'));
+		queue.dispatch();
+		await clock.run(99);
+		queue.dispatch();
+		await Promise.all(calls);
+		expect(order).to.deep.equal(['second served after 1 ms', 'first served after 100 ms']);
+	});
+});
+
 describe('FleetShortage', () => {
 	// Guards against a host that counts its own requests twice, and against figures that outlive the leader.
 	it('knows what waits at the other hosts until the figures expire', () => {
@@ -125,6 +195,28 @@
 	});
 });
 
+describe('QueueReport', () => {
+	// Guards against names of callers and numbers of kinds that make a whole poll unreadable for the leader, or for all hosts.
+	it('leaves out what is beyond its bounds', () => {
+		const fleet = new FleetShortage(new ManualClock());
+		const longKey = `s\n${'x'.repeat(10_000)}`;
+		fleet.recordArrival(longKey, chat);
+		fleet.recordFreed(longKey);
+		for (let priority = 0; priority < 100; priority++) {
+			fleet.recordArrival(KEY, {priority, targetLatencyMs: 253});
+		}
+
+		const report = fleet.createReport([], []);
+		const [[, model, sent] = []] = report.waiting;
+		expect({
+			model, models: report.waiting.length, slots: report.slots, kinds: sent?.length, isReadable: QueueReport.safeParse(report).success,
+		}).to.deep.equal({
+			model: 'm', models: 1, slots: [], kinds: 32, isReadable: true,
+		});
+		expect(QueueReport.safeParse({waiting: [['s', 'x'.repeat(10_000), []]], slots: []}).success, 'a name without bound').to.equal(false);
+	});
+});
+
 describe('ShortageOwner', () => {
 	// Guards against sums that keep what a lost host reported, and against figures for models without a shortage.
 	it('sums what waits on all hosts while they report', () => {
@@ -148,6 +240,29 @@
 		report('h2', [1, 253, 0, 0, 0], 0);
 		expect({all, without, none: owner.getFigures()}).toMatchSnapshot();
 	});
+
+	// Guards against refused callers that keep a shortage alive after the queues are empty, so that they are refused again while slots are free.
+	it('has no figures for a model for which only refused callers are expected', () => {
+		const owner = new ShortageOwner(new ManualClock());
+		owner.report('h1', {waiting: [['s', 'm', [[1, 253, 0, 4, 9]]]], slots: [['s', 'm', 5]]});
+		expect(owner.getFigures()).to.deep.equal([]);
+	});
+
+	// Guards against less urgent requests that are promised the slots of urgent ones which never wait.
+	it('lists all kinds that arrive for a model in shortage', () => {
+		const clock = new ManualClock();
+		const owner = new ShortageOwner(clock);
+		clock.advance(2000);
+		owner.report('h1', {waiting: [['s', 'm', [[0, 252, 0, 0, 9]]]], slots: []});
+		owner.report('h2', {waiting: [['s', 'm', [[0, 252, 0, 0, 3], [1, 253, 2, 1, 1]]]], slots: []});
+		const all = owner.getFigures();
+		clock.advance(20_000);
+		owner.report('h2', {waiting: [['s', 'm', [[1, 253, 2, 1, 1]]]], slots: []});
+		expect({all, withoutArrivals: owner.getFigures()}).to.deep.equal({
+			all: [['s', 'm', 0, [[1, 253, 2, 1, 0.5], [0, 252, 0, 0, 6]]]],
+			withoutArrivals: [['s', 'm', 0, [[1, 253, 2, 1, 0.5]]]],
+		});
+	});
 });
 
 describe('getSlotProbability', () => {
