--- a/apps/egretrilld/src/traffic/entry-host.ts
+++ b/apps/egretrilld/src/traffic/entry-host.ts
@@ -3,7 +3,7 @@
 	type Clock, createHttpServer, jitter, type Logger, type LoopWatch, MemoryBudget, type Random, setReadTimeouts, type TimeMark, type TrafficSource, TurnQueue,
 } from '@egretrill/common';
 import {
-	BackoffPoolClient, type ForwardDependencies, type ForwardDialect, forwardRequest, KeyLease, PlannedStop, RATE_LEASE_MS, RateAllocations, RetryBudget, RetrySchedule, RouteDurations, RouteSizes, RouteTable, SlotQueue,
+	BackoffPoolClient, type ForwardDependencies, type ForwardDialect, forwardRequest, KeyLease, PlannedStop, RATE_LEASE_MS, RateAllocations, RetrySchedule, RouteDurations, RouteSizes, RouteTable, SlotQueue,
 } from '@egretrill/callers';
 import {Drain, type Metrics, type UnreadyReason} from '@egretrill/balancer';
 import {getHostPreference, HostSpeeds, TargetTable} from '@egretrill/engines';
@@ -29,6 +29,7 @@
 import {QueueMetrics} from './queue-metrics.js';
 import {readArrived} from './read-arrived.js';
 import {createSpeedReport, fromSpeedPlan} from './speed-messages.js';
+import {RetryBudgets} from './retry-budgets.js';
 import type {EntrySettings, TrafficBounds} from './settings.js';
 
 export type EntryHostOptions = {
@@ -60,7 +61,7 @@
 	private readonly rates: RateAllocations;
 	private readonly decisionLog: DecisionLog;
 	private readonly observer: EntryObserver;
-	private readonly retryBudgets = new Map<string, RetryBudget>();
+	private readonly retryBudgets: RetryBudgets;
 	private readonly turns = new TurnQueue();
 	private readonly sender = new HttpSender(this.turns);
 	private readonly drain: Drain;
@@ -83,6 +84,7 @@
 		this.plannedStop = new PlannedStop(clock);
 		this.drain = new Drain({clock, deadlineMs: settings.bounds.drainMs, balancerWaitMs: settings.bounds.balancerWaitMs});
 		this.rates = new RateAllocations(clock);
+		this.retryBudgets = new RetryBudgets(clock, () => this.getRetryLimits());
 		this.speeds = new HostSpeeds(clock);
 		this.choiceMetrics = new ChoiceMetrics(this.speeds, metrics);
 		this.targets = this.createTargets();
@@ -173,7 +175,7 @@
 	applySettings({seeds, bounds}: Pick<EntrySettings, 'seeds' | 'bounds'>): void {
 		this.opts.peers.setSeeds(seeds);
 		this.bounds = bounds;
-		this.applyRetryLimits();
+		this.retryBudgets.updateLimits();
 	}
 
 	override createReport(): HostReport {
@@ -230,7 +232,7 @@
 
 	override applyHostCount(count: number): void {
 		this.hostCount = Math.max(1, count);
-		this.applyRetryLimits();
+		this.retryBudgets.updateLimits();
 	}
 
 	override applyConfirmation({version, ageMs}: NonNullable<SyncResponse['confirmed']>, mark: TimeMark): void {
@@ -265,7 +267,7 @@
 			this.rates.setAllocation(name, {standing: rates.standing, leased: leased.get(name) ?? 0, leaseEndsMs: sentMs + RATE_LEASE_MS});
 		}
 
-		this.applyRetryLimits();
+		this.retryBudgets.updateLimits();
 	}
 
 	private createServer(): Server {
@@ -322,7 +324,7 @@
 			targetEnds: this.crashes.targetEnds,
 			durations: new RouteDurations(),
 			sizes: new RouteSizes(),
-			getRetries: service => this.getRetryBudget(service),
+			getRetries: service => this.retryBudgets.get(service),
 		};
 	}
 
@@ -332,27 +334,10 @@
 		this.connections.stopTrackingIdle();
 	}
 
-	private applyRetryLimits(): void {
-		for (const retryBudget of this.retryBudgets.values()) {
-			retryBudget.setLimits(this.getRetryLimits());
-		}
-	}
-
 	private getRetryLimits(): {ratio: number; reserve: number} {
 		return {ratio: this.bounds.retryRatio, reserve: this.bounds.retryReserve / this.hostCount};
 	}
 
-	private getRetryBudget(service: string): RetryBudget {
-		const existing = this.retryBudgets.get(service);
-		if (existing) {
-			return existing;
-		}
-
-		const created = new RetryBudget(this.opts.clock, this.getRetryLimits());
-		this.retryBudgets.set(service, created);
-		return created;
-	}
-
 	/** Requests per second that all hosts together may send to a cold target of a service. */
 	private getFleetColdRate(service: string): number {
 		return (this.routeTable?.services.get(service)?.coldRequestsPerSecond ?? 0) * this.bounds.coldExcessRatio;
