--- a/packages/engines/src/registry/target-table.ts
+++ b/packages/engines/src/registry/target-table.ts
@@ -11,9 +11,9 @@
 import {getFailures, recordHealth} from './target-health.js';
 import {TargetNotices, type TargetStart} from './target-notices.js';
 import {type PricedWork, TargetPricing, type TargetPricingOptions} from './target-pricing.js';
-import {getSlotLimit} from './slot-limit.js';
+import {getSlotLimit, getUsualSlots} from './slot-limit.js';
 import {
-	changeAdapterUse, createTarget, getOutstanding, isLimited, limitUntilRegistered, recordActivity, setOthers, type Target,
+	changeAdapterUse, createTarget, getOutstanding, isLimited, limitUntilRegistered, recordActivity, setLeave, setOthers, type Target,
 } from './tracked-target.js';
 import type {
 	AcquiredSlot, AdapterUse, RegistryUpdate, TargetOutcome, TargetRequirements,
@@ -85,7 +85,7 @@
 				this.removeTargets([registration.targetId]);
 			} else {
 				this.setTarget(registration, nowMs + registration.coldForMs - ageMs);
-				this.setLeave(registration, nowMs - ageMs);
+				setLeave(this.targets.get(registration.targetId), registration, nowMs - ageMs);
 			}
 		}
 
@@ -324,7 +324,8 @@
 		const hasAdapter = adapter === undefined || (held?.adapters.includes(adapter) ?? false);
 		const nowMs = this.opts.clock.now();
 		const outstanding = getOutstanding(target, nowMs);
-		const slots = getSlotLimit({ownSlots, batchSlots: this.opts.getBatchSlots(service), beyondSlots});
+		const batchSlots = this.opts.getBatchSlots(service);
+		const slots = getSlotLimit({ownSlots, batchSlots, beyondSlots});
 		// The cost of a target without the adapter is never compared.
 		const cachedTokens = hasAdapter ? countCachedTokens(targetId) : 0;
 		return {
@@ -341,7 +342,7 @@
 			cachedTokens,
 			completion: pricedWork && hasAdapter && outstanding < slots
 				? this.pricing?.estimate(pricedWork, {
-					target, slots, cachedTokens, nowMs,
+					target, slots: getUsualSlots({ownSlots, batchSlots}), cachedTokens, nowMs,
 				})
 				: undefined,
 		};
@@ -374,14 +375,6 @@
 		}));
 	}
 
-	/** Sets when a target that leaves is gone; the first word of it counts, since later ones may be delayed. */
-	private setLeave({targetId, leavesInMs}: Registration, receivedMs: number): void {
-		const target = this.targets.get(targetId);
-		if (target) {
-			target.leavesAtMs = leavesInMs === undefined ? undefined : Math.min(target.leavesAtMs ?? Number.POSITIVE_INFINITY, receivedMs + leavesInMs);
-		}
-	}
-
 	private removeTargets(ids: readonly string[]): void {
 		this.index = undefined;
 		for (const id of ids) {
