callers: expect refused callers until a third of their time only

Cause: refused callers counted as demand for copies for up to 10.5 s, also when they were told a later time than they had. Change: they count until the time told or a third of their remaining time plus the grace, and not at all if they are told a later time than they have.

--- a/packages/callers/src/forward/constants.ts
+++ b/packages/callers/src/forward/constants.ts
@@ -76,6 +76,9 @@
 /** Time ahead for which the present arrivals are taken to go on; peaks of traffic last a few seconds. */
 export const DEMAND_HORIZON_MS = 2000;
 
+/** Part of their remaining time up to which refused callers wait before they return. */
+export const RETURN_WAIT_RATIO = 1 / 3;
+
 /** Windows after which requests draw again without new figures; polls that are a little late are no reason to. */
 export const REDRAW_WINDOWS = 1.5;
 
--- a/packages/callers/src/forward/waiting/queue-report.ts
+++ b/packages/callers/src/forward/waiting/queue-report.ts
@@ -1,5 +1,5 @@
-import type {RequestKind} from './fleet-shortage.js';
 import {MAX_MODEL_KINDS} from '../constants.js';
+import type {RequestKind} from './fleet-shortage.js';
 import {
 	isReportable, type KindCounts, type QueueReport, splitQueueKey,
 } from './shortage-figures.js';
--- a/packages/callers/src/forward/waiting/slot-queue.ts
+++ b/packages/callers/src/forward/waiting/slot-queue.ts
@@ -1,7 +1,7 @@
 import type {Clock, Random, Verdict} from '@egretrill/common';
 import {Result} from 'true-myth';
 import {
-	CLEARLY_FREE_SLOTS, DUE_STEP_MS, LIMIT_CHECK_INTERVAL_MS, MAX_BEYOND_SLOTS, OWN_SHARE_STEPS, REFUSAL_CHECK_INTERVAL_MS, RETRY_GRACE_MS,
+	CLEARLY_FREE_SLOTS, DUE_STEP_MS, LIMIT_CHECK_INTERVAL_MS, MAX_BEYOND_SLOTS, OWN_SHARE_STEPS, REFUSAL_CHECK_INTERVAL_MS, RETRY_GRACE_MS, RETURN_WAIT_RATIO,
 } from '../constants.js';
 import {CheckTimer} from './check-timer.js';
 import {FleetShortage, type RequestKind} from './fleet-shortage.js';
@@ -311,9 +311,13 @@
 		}
 
 		const retryAfterMs = this.forecast.getRetryAfterMs({queueKey, kind}, decision.retryAfterMs, ownReturning);
-		this.returning.add({
-			requirements, queueKey, kind, reason, untilMs: nowMs + retryAfterMs + RETRY_GRACE_MS,
-		});
+		const leftMs = (limits.endsMs ?? Number.POSITIVE_INFINITY) - nowMs;
+		if (retryAfterMs <= leftMs) {
+			this.returning.add({
+				requirements, queueKey, kind, reason, untilMs: nowMs + Math.min(retryAfterMs, leftMs * RETURN_WAIT_RATIO) + RETRY_GRACE_MS,
+			});
+		}
+
 		this.reportEnd(waiter, 'refused');
 		return refuseNoSlot(reason, retryAfterMs);
 	}
--- a/packages/callers/src/forward/waiting/slot-search.ts
+++ b/packages/callers/src/forward/waiting/slot-search.ts
@@ -62,10 +62,10 @@
 }
 
 /** What decides on the order of a waiting request. A caller that returns after a refusal arrives under a new id, but has less time than its route allows. */
-function describeWaiting({call: {timeLeftMs}, route: {targetLatencyMs, timeoutMs}, endsMs, customer}: ForwardContext): Pick<SlotWait, 'targetLatencyMs' | 'dueMs' | 'isReturning' | 'customer'> {
+function describeWaiting({call: {timeLeftMs}, route: {targetLatencyMs, timeoutMs}, endsMs, customer}: ForwardContext): Pick<SlotWait, 'targetLatencyMs' | 'dueMs' | 'endsMs' | 'isReturning' | 'customer'> {
 	const limitMs = Math.min(timeoutMs, timeLeftMs ?? timeoutMs);
 	return {
-		targetLatencyMs, dueMs: endsMs - limitMs + targetLatencyMs, isReturning: timeoutMs - limitMs >= MIN_RETURN_GAP_MS, ...(customer && {customer: customer.name}),
+		targetLatencyMs, dueMs: endsMs - limitMs + targetLatencyMs, endsMs, isReturning: timeoutMs - limitMs >= MIN_RETURN_GAP_MS, ...(customer && {customer: customer.name}),
 	};
 }
 
--- a/packages/callers/src/forward/waiting/waiter.ts
+++ b/packages/callers/src/forward/waiting/waiter.ts
@@ -16,6 +16,8 @@
 	readonly targetLatencyMs?: number;
 	/** Latest time at which the request may be sent to be answered in time, as far as is known. */
 	readonly dueMs?: number;
+	/** End of the request's time. */
+	readonly endsMs?: number;
 	/** Whether the caller returns after a refusal. */
 	readonly isReturning?: boolean;
 	readonly customer?: string;
--- a/packages/callers/tests/forward/slot-queue.test.ts
+++ b/packages/callers/tests/forward/slot-queue.test.ts
@@ -233,3 +233,22 @@
 		expect(await Promise.all(waits)).to.deep.equal(['served', 250, 500]);
 	});
 });
+
+describe('refused callers that are expected back', () => {
+	// Guards against copies of models that are loaded for callers which have returned long ago, or cannot return.
+	it('count until a third of their time, and not at all if they are told a later time than they have', async () => {
+		const clock = new ManualClock();
+		const source = new FakeSource();
+		source.missing.add('rare');
+		source.readyMs.set('rare', 6000);
+		const queue = new SlotQueue(clock, source);
+		const refuse = async (endsMs: number): Promise<number | undefined> => {
+			await queue.acquire(createRequirements('rare'), 1, {...createLimits(100), endsMs}, new AbortController().signal);
+			return queue.getWaitingByModel()[0]?.waiting;
+		};
+
+		const counts = [await refuse(3000), await refuse(9000)];
+		await clock.run(4000);
+		expect([...counts, queue.getWaitingByModel().length]).to.deep.equal([undefined, 1, 0]);
+	});
+});
