--- a/packages/engines/src/registry/target-table.ts
+++ b/packages/engines/src/registry/target-table.ts
@@ -10,9 +10,9 @@
 import {type PricedWork, TargetPricing} from './target-pricing.js';
 import type {TargetTableOptions} from './target-table-options.js';
 import {type CountKeptTokens, PromptMemory} from './prompt-memory.js';
-import {getSlotLimit} from './slot-limit.js';
+import {getSlotLimit, getUsualSlots} from './slot-limit.js';
 import {
-	changeAdapterUse, createTarget, getOutstanding, isLimited, limitUntilRegistered, recordActivity, setOthers, type Target,
+	changeAdapterUse, createTarget, getOutstanding, isLimited, limitUntilRegistered, recordActivity, setLeave, setOthers, type Target,
 } from './tracked-target.js';
 import type {
 	AcquiredSlot, AdapterUse, RegistryUpdate, TargetOutcome, TargetRequirements,
@@ -71,7 +71,7 @@
 				this.removeTargets([registration.targetId]);
 			} else {
 				this.setTarget(registration, nowMs + registration.coldForMs - ageMs);
-				this.setLeave(registration, nowMs - ageMs);
+				setLeave(this.targets.get(registration.targetId), registration, nowMs - ageMs);
 			}
 		}
 
@@ -309,7 +309,8 @@
 		const hasAdapter = adapter === undefined || (held?.adapters.includes(adapter) ?? false);
 		const nowMs = this.opts.clock.now();
 		const outstanding = getOutstanding(target, nowMs);
-		const slots = getSlotLimit({ownSlots, batchSlots: this.opts.getBatchSlots(service), beyondSlots});
+		const batchSlots = this.opts.getBatchSlots(service);
+		const slots = getSlotLimit({ownSlots, batchSlots, beyondSlots});
 		// The cost of a target that is full or lacks the adapter is never compared.
 		const cachedTokens = hasAdapter && outstanding < slots ? countCachedTokens(target) : 0;
 		return {
@@ -326,7 +327,7 @@
 			cachedTokens,
 			completion: pricedWork && hasAdapter && outstanding < slots
 				? this.pricing?.estimate(pricedWork, {
-					target, slots, cachedTokens, nowMs,
+					target, slots: getUsualSlots({ownSlots, batchSlots}), cachedTokens, nowMs,
 				})
 				: undefined,
 		};
@@ -359,14 +360,6 @@
 		}));
 	}
 
-	/** Sets when a target that leaves is gone; the first word of it counts, since later ones may be delayed. */
-	private setLeave({targetId, leavesInMs}: Registration, receivedMs: number): void {
-		const target = this.targets.get(targetId);
-		if (target) {
-			target.leavesAtMs = leavesInMs === undefined ? undefined : Math.min(target.leavesAtMs ?? Number.POSITIVE_INFINITY, receivedMs + leavesInMs);
-		}
-	}
-
 	private removeTargets(ids: readonly string[]): void {
 		this.index = undefined;
 		for (const id of ids) {
