entry host: queue and weigh prefixes as before where targets report no current speed

Change: hosts report only the queues of services whose targets report their current speed, and only there the memory of engines bounds what counts as kept; for the other services the leader has no figures.

--- a/apps/egretrilld/src/traffic/entry-host.ts
+++ b/apps/egretrilld/src/traffic/entry-host.ts
@@ -3,7 +3,7 @@
 	type Clock, createHttpServer, jitter, type Logger, type LoopWatch, MemoryBudget, type Random, setReadTimeouts, type TimeMark, type TrafficSource, TurnQueue,
 } from '@egretrill/common';
 import {
-	BackoffPoolClient, type ForwardDependencies, type ForwardDialect, forwardRequest, KeyLease, PlannedStop, RATE_LEASE_MS, RateAllocations, RetrySchedule, RouteDurations, RouteSizes, RouteTable, SlotQueue,
+	BackoffPoolClient, filterServices, type ForwardDependencies, type ForwardDialect, forwardRequest, KeyLease, PlannedStop, RATE_LEASE_MS, RateAllocations, RetrySchedule, RouteDurations, RouteSizes, RouteTable, SlotQueue,
 } from '@egretrill/callers';
 import {Drain, type Metrics, type UnreadyReason} from '@egretrill/balancer';
 import {getHostPreference, HostSpeeds, TargetTable} from '@egretrill/engines';
@@ -190,7 +190,8 @@
 			leaving: this.targets.getLeaving().slice(-MAX_LEAVING_TARGETS),
 			...(speeds && {speeds}),
 			usage: this.usage.createReport(),
-			queue: this.queue.createReport(),
+			// Services whose targets do not report their current speed are queued for in each host alone, as before.
+			queue: filterServices(this.queue.createReport(), service => this.speeds.isActive(service)),
 		};
 	}
 
@@ -290,7 +291,7 @@
 				hasIdleConnection: address => this.sender.hasIdleConnection(address),
 			},
 			promptMemory: {
-				getMemoryTokens: service => this.routeTable?.services.get(service)?.engine?.memoryTokens,
+				getMemoryTokens: service => this.speeds.isActive(service) ? this.routeTable?.services.get(service)?.engine?.memoryTokens : undefined,
 				getHostCount: () => this.hostCount,
 				onSend: prefix => {
 					this.choiceMetrics.recordPrefix(prefix);
--- a/packages/callers/src/forward/waiting/shortage-figures.ts
+++ b/packages/callers/src/forward/waiting/shortage-figures.ts
@@ -19,6 +19,11 @@
 });
 export type QueueReport = z.infer<typeof QueueReport>;
 
+/** Leaves only the services that match in a report. */
+export function filterServices({waiting, slots}: QueueReport, matches: (service: string) => boolean): QueueReport {
+	return {waiting: waiting.filter(([service]) => matches(service)), slots: slots.filter(([service]) => matches(service))};
+}
+
 /** Figures of all hosts for each model in shortage: service, model, slots that become free per second, kinds. */
 export const ShortageFigures = z.array(z.tuple([name, name, z.number().nonnegative(), z.array(KindCounts).max(MAX_MODEL_KINDS)])).max(MAX_SHORTAGE_MODELS);
 export type ShortageFigures = z.infer<typeof ShortageFigures>;
