--- a/packages/engines/src/loading/store-budget.ts
+++ b/packages/engines/src/loading/store-budget.ts
@@ -27,6 +27,11 @@
 	}
 
 	private update(loadsPerSecond: number, nowMs: number): void {
+		if (loadsPerSecond <= 0) {
+			// Loads without a limit do not count once a configuration sets one.
+			this.loads = 1;
+		}
+
 		const maxLoads = Math.min(MAX_STORE_BURST_LOADS, Math.max(1, loadsPerSecond * STORE_BURST_S));
 		const addedLoads = (nowMs - (this.updatedAtMs ?? nowMs)) * loadsPerSecond / MS_PER_SECOND;
 		this.loads = Math.min(maxLoads, this.loads + addedLoads);
--- a/packages/engines/tests/loading/uneven-engines.test.ts
+++ b/packages/engines/tests/loading/uneven-engines.test.ts
@@ -40,6 +40,17 @@
 		const mostIn5S = Math.max(...startsMs.map(startMs => startsMs.filter(atMs => atMs >= startMs && atMs < startMs + 5000).length));
 		expect(mostIn5S).to.be.within(75, (16 * 5) + 3);
 	});
+
+	// Guards against a store that is not used for minutes after a configuration has set its rate.
+	it('does not count loads from before the rate was set', () => {
+		const store = new StoreBudget();
+		for (let i = 0; i < 50; i++) {
+			store.recordLoad();
+		}
+
+		expect(store.getLoads(0, 0)).to.equal(Number.POSITIVE_INFINITY);
+		expect(store.getLoads(16, 100)).to.be.within(1, 3);
+	});
 });
 
 describe('RecentMoves', () => {
