--- a/apps/egretrilld/src/traffic/choice-metrics.ts
+++ b/apps/egretrilld/src/traffic/choice-metrics.ts
@@ -1,7 +1,7 @@
 import type {Metrics} from '@egretrill/balancer';
 import type {ChoiceBasis, ExpectedPrefix, HostSpeeds} from '@egretrill/engines';
 
-/** Metrics of the speeds of targets and of the choices that rest on them. */
+/** Metrics of the speeds of targets and of the choices that use them. */
 export class ChoiceMetrics {
 	private readonly choices;
 	private readonly spread;
--- a/apps/egretrilld/src/traffic/methods.ts
+++ b/apps/egretrilld/src/traffic/methods.ts
@@ -61,7 +61,7 @@
 	crashes: CrashAnswer.optional(),
 	/** Targets that have told some host that they leave. */
 	leaving: LeavingTargets.optional(),
-	/** Speeds of targets that this host has not heard yet. */
+	/** Speeds of targets that this host has not received yet. */
 	speeds: SpeedPlan.optional(),
 	/** Absent unless the leader reports usage to the provider. */
 	usage: UsagePlan.optional(),
--- a/apps/egretrilld/src/traffic/provider-term.ts
+++ b/apps/egretrilld/src/traffic/provider-term.ts
@@ -14,7 +14,7 @@
 import {WaitingCounts} from './waiting-counts.js';
 import {listZoneEngines} from './zone-engines.js';
 
-/** The provider, as the leader's duties meet it. */
+/** The provider and what observes the calls to it. */
 export type ProviderPeer = {
 	readonly settings: ProviderSettings;
 	readonly calls: ProviderCalls;
@@ -24,7 +24,7 @@
 /** What a term of the leader needs besides its own state. */
 export type TermProvider = ProviderPeer & Pick<ProviderTermOptions, 'state' | 'getScalingRanges' | 'canRecord'>;
 
-/** The parts of a control host on which the duties rest. */
+/** The parts of a control host that the duties use. */
 type ProviderHost = {readonly state: ProviderTermOptions['state']; readonly traffic: DecodedTraffic; readonly gossip: ControlGossip};
 
 /** Joins the provider with the control host whose leader has duties there; undefined without a provider. */
--- a/apps/egretrilld/src/traffic/speed-messages.ts
+++ b/apps/egretrilld/src/traffic/speed-messages.ts
@@ -10,7 +10,7 @@
 const count = z.int().nonnegative();
 const KnownSpeeds = z.object({origin: z.string(), revision: count});
 
-/** Streams that a host has observed since its last poll, and the speeds that it has heard. */
+/** Streams that a host has observed since its last poll, and the revision of the speeds that it has received. */
 export const SpeedReport = z.object({
 	known: KnownSpeeds.optional(),
 	/** By service: target, start time, model, number of streams, sum of the logarithms of their milliseconds per event, in thousandths. */
@@ -18,7 +18,7 @@
 });
 export type SpeedReport = z.infer<typeof SpeedReport>;
 
-/** Speeds that have changed since the host heard them: target, start time, percent of the mean speed; 0 if it is unknown again. */
+/** Speeds that have changed since the host received them: target, start time, percent of the mean speed; 0 if it is unknown again. */
 export const SpeedPlan = z.object({...KnownSpeeds.shape, changed: z.array(z.tuple([z.string(), count, count])).max(MAX_TARGETS)});
 export type SpeedPlan = z.infer<typeof SpeedPlan>;
 
--- a/apps/egretrilld/src/traffic/term-speeds.ts
+++ b/apps/egretrilld/src/traffic/term-speeds.ts
@@ -21,7 +21,7 @@
 		return this.merger;
 	}
 
-	/** Merges what a host has observed; returns the speeds that it has not heard, or undefined if it knows all. */
+	/** Merges what a host has observed; returns the speeds that it has not received, or undefined if it has all. */
 	handleReport(report: SpeedReport): SpeedPlan | undefined {
 		for (const [service, observations] of fromSpeedReport(report)) {
 			this.merger.record(service, observations);
--- a/packages/callers/src/forward/constants.ts
+++ b/packages/callers/src/forward/constants.ts
@@ -43,7 +43,7 @@
 /** Upper bound on the retry time that results from the slots of all hosts; callers leave sooner. */
 export const MAX_FLEET_RETRY_MS = 10_000;
 
-/** Age up to which the figures of all hosts are used; hosts that reach the leader hear of them several times in it. */
+/** Age up to which the figures of all hosts are used; hosts that reach the leader receive them several times within it. */
 export const FLEET_FIGURES_TTL_MS = 3000;
 
 /** Time for which the leader returns the same figures; short beside the time between two polls of a host. */
--- a/packages/callers/src/forward/streams/leaving-stream.ts
+++ b/packages/callers/src/forward/streams/leaving-stream.ts
@@ -13,7 +13,7 @@
 	readonly getObserved: () => ObservedDurations;
 };
 
-/** Whether a stream is to go on at another target, since it is not expected to end before its own one is gone. It answers the load of an engine that is withdrawn with all its streams. */
+/** Whether a stream is to go on at another target, since it is not expected to end before its own one is gone. Answers the withdrawal of an engine together with all its streams. */
 export function mustMove({route, leaveLeftMs, requestLeftMs, ranMs, getObserved}: LeavingStream): boolean {
 	return leaveLeftMs !== undefined && !decideAtStop({
 		route, isLate: false, stopLeftMs: leaveLeftMs, requestLeftMs, ranMs, observed: getObserved(),
--- a/packages/engines/src/registry/speed-updates.ts
+++ b/packages/engines/src/registry/speed-updates.ts
@@ -10,7 +10,7 @@
 
 type PublishedSpeed = ProcessSpeed & {readonly revision: number};
 
-/** The leader's speeds with the revision of their last change, so that each host is told only what it has not heard. */
+/** The leader's speeds with the revision of their last change, so that each host is sent only what it has not received. */
 export class SpeedUpdates {
 	private readonly origin = randomUUID();
 	private revision = 0;
--- a/packages/engines/src/registry/tracked-target.ts
+++ b/packages/engines/src/registry/tracked-target.ts
@@ -130,7 +130,7 @@
 	target.limitedUntilMs = nowMs + REGISTRATION_TTL_MS;
 }
 
-/** Sets when a target that leaves is gone; the first word of it counts, since later ones may be delayed. */
+/** Sets when a target that leaves is gone; the first announcement counts, since later ones may be delayed. */
 export function setLeave(target: Target | undefined, {leavesInMs}: Registration, receivedMs: number): void {
 	if (target) {
 		target.leavesAtMs = leavesInMs === undefined ? undefined : Math.min(target.leavesAtMs ?? Number.POSITIVE_INFINITY, receivedMs + leavesInMs);
--- a/packages/provider/src/constants.ts
+++ b/packages/provider/src/constants.ts
@@ -26,7 +26,7 @@
 /** A host's wall-clock time counts for this long after its last poll. */
 export const TIME_SAMPLE_TTL_MS = 5000;
 
-/** Time after which a leader trusts the clocks that it has heard of, although half of the hosts have not polled. */
+/** Time after which a leader trusts the clocks of the hosts that have polled, although half of the hosts have not. */
 export const TIME_TRUST_MS = 3000;
 
 /** How often the median of the clocks is computed again. */
@@ -79,7 +79,7 @@
 /** Time beyond the start of an engine after which one that is missing is taken to stay away. */
 export const MISSING_MARGIN_MS = 5000;
 
-/** Growth that is ordered while the engines of the last order still start; less would answer what they will serve. */
+/** Growth that is ordered while the engines of the last order still start; smaller growth is left to the engines that still start. */
 export const GROWTH_WHILE_STARTING_RATIO = 1.1;
 
 /** A zone whose use was not measured for this long is measured anew. */
