--- a/review/stand-ins-2/model-engine.mjs
+++ b/review/stand-ins-2/model-engine.mjs
@@ -16,9 +16,9 @@
 	silence = undefined;
 
 	/** Each run is added to `runs`: its request, its begin, and its end, which is when the engine stops to work on it. */
-	constructor({id, service, zone, controls, slots, model, eventMs, runs}) {
+	constructor({id, service, zone, controls, slots, model, eventMs, runs, firstMs = 0}) {
 		Object.assign(this, {
-			id, service, zone, controls, slots, model, eventMs, runs,
+			id, service, zone, controls, slots, model, eventMs, runs, firstMs,
 		});
 		this.server = createServer({keepAliveTimeout: 30_000}, async (req, res) => this.serve(req, res));
 		this.server.on('connection', socket => {
@@ -133,6 +133,7 @@
 		res.setHeader('X-Weight-Versions', '1');
 		res.setHeader('Content-Type', 'text/event-stream');
 		let held = '';
+		await delay(this.firstMs);
 		for (let id = run.firstId; id <= count; id++) {
 			await delay(this.eventMs);
 			held += `id: ${id}\ndata: part ${id} of ${attemptId}\n\n`;
