--- a/review/stand-ins-2/http-call.mjs
+++ b/review/stand-ins-2/http-call.mjs
@@ -16,7 +16,7 @@
 		}, timeoutMs);
 		req.on('error', err => {
 			clearTimeout(timer);
-			reject(err);
+			reject(Object.assign(err, {isKept: req.reusedSocket}));
 		});
 		req.once('response', res => {
 			const chunks = [];
